--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -0,0 +1,16 @@
+"""Decisions of rookspring, without I/O, clock or randomness of their own."""
+
+from . import cluster as cluster
+from . import governing as governing
+from . import requests as requests
+from .catalogue import Catalogue as Catalogue
+from .catalogue import Entry as Entry
+from .exceptions import CoreError as CoreError
+from .exceptions import InvariantBroken as InvariantBroken
+from .exceptions import ResourceInvalid as ResourceInvalid
+from .exceptions import RookspringError as RookspringError
+from .reducer import reduce as reduce
+from .resources import Resource as Resource
+from .resources import check_resource as check_resource
+from .state import Identity as Identity
+from .state import NodeState as NodeState
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/acceptance.py
@@ -0,0 +1,138 @@
+"""Acceptance of what operators declare, one resource after another.
+
+The lease holder folds desired resources into the accepted set in the order of
+their platform versions. A resource that cannot be accepted leaves its last
+accepted form in force and carries the reason.
+"""
+
+import heapq
+import typing as t
+
+from . import defaults
+from .catalogue import Entry
+from .exceptions import ResourceInvalid
+from .memory import Ledger
+from .resources import Resource
+from .resources import check_resource
+
+Entries = t.Mapping[str, Entry]
+
+
+class Room(t.NamedTuple):
+    """Memory of one runner for the fits check, in gigabytes."""
+
+    engine: str
+    usable_gb: float
+
+
+def rooms_of(ledgers: t.Iterable[Ledger], engines: t.Mapping[str, str]) -> tuple[Room, ...]:
+    """Give the memory that weights may take on each known runner."""
+    return tuple(
+        Room(engines.get(one.endpoint, ""), one.capacity_gb - one.reserve_gb)
+        for one in ledgers
+        if one.usable
+    )
+
+
+def fits(models: t.Iterable[t.Mapping[str, t.Any]], rooms: t.Iterable[Room]) -> bool:
+    """Say whether each model can be resident once, the largest placed first.
+
+    :param models: specs with ``engine`` and ``memory_gb``.
+    """
+    heaps: dict[str, list[float]] = {}
+    for room in rooms:
+        heaps.setdefault(room.engine, []).append(-room.usable_gb)
+    for heap in heaps.values():
+        heapq.heapify(heap)
+    for spec in sorted(models, key=lambda one: -float(one["memory_gb"])):
+        heap = heaps.get(str(spec["engine"]), [])
+        need = float(spec["memory_gb"])
+        if not heap or -heap[0] < need:
+            return False
+        heapq.heapreplace(heap, heap[0] + need)
+    return True
+
+
+def accept(
+    desired: t.Iterable[Resource], accepted: Entries, rooms: tuple[Room, ...]
+) -> dict[str, Entry]:
+    """Fold the desired resources into the accepted entries.
+
+    :param desired: all resources as operators wrote them.
+    :param accepted: entries of the revision in force.
+    :return: entries of the next revision; equal to ``accepted`` if nothing changed.
+    """
+    wanted = {resource.key: resource for resource in desired}
+    entries = {key: entry for key, entry in accepted.items() if key in wanted}
+    for resource in sorted(wanted.values(), key=lambda one: (one.version, one.key)):
+        known = entries.get(resource.key)
+        if known is not None and _is_current(known, resource):
+            continue
+        reason = judge(resource, entries, rooms)
+        if not reason:
+            entries[resource.key] = Entry(resource)
+            continue
+        before = known.resource if known else None
+        entries[resource.key] = Entry(before, resource.version, reason)
+    return _drop_orphans(entries)
+
+
+def _is_current(known: Entry, resource: Resource) -> bool:
+    if known.resource is not None and known.resource.version == resource.version:
+        return True
+    # A refusal for want of room is judged again, since room may have come.
+    return known.rejected_version == resource.version and "fit" not in known.reason
+
+
+def judge(resource: Resource, entries: Entries, rooms: tuple[Room, ...]) -> str:
+    """Say why a resource cannot be accepted, or nothing if it can."""
+    document = {"kind": resource.kind, "name": resource.name, "spec": resource.spec}
+    try:
+        check_resource(document)
+    except ResourceInvalid as error:
+        return str(error)
+    if resource.kind == "Adapter":
+        model = str(resource.spec["model"])
+        if _accepted(entries, "Model", model) is None:
+            return f"spec.model: {model!r} is not an accepted model"
+    if resource.kind == "Model":
+        return _judge_room(resource, entries, rooms)
+    return ""
+
+
+def _judge_room(resource: Resource, entries: Entries, rooms: tuple[Room, ...]) -> str:
+    specs = [
+        entry.resource.spec
+        for entry in entries.values()
+        if entry.resource is not None and entry.resource.kind == "Model"
+    ]
+    # During a change of version the old and the new one are resident at once,
+    # so the new one comes on top and the old one's place is not counted as free.
+    if fits([*specs, resource.spec], rooms):
+        return ""
+    need = resource.spec["memory_gb"]
+    return f"spec.memory_gb: {need} GB do not fit beside every other declared model"
+
+
+def _accepted(entries: Entries, kind: str, name: str) -> Resource | None:
+    entry = entries.get(f"{kind}.{name}")
+    return entry.resource if entry else None
+
+
+def _drop_orphans(entries: dict[str, Entry]) -> dict[str, Entry]:
+    for key, entry in list(entries.items()):
+        resource = entry.resource
+        if resource is None or resource.kind != "Adapter":
+            continue
+        model = str(resource.spec["model"])
+        if _accepted(entries, "Model", model) is None:
+            reason = f"spec.model: {model!r} is not an accepted model"
+            entries[key] = Entry(None, resource.version, reason)
+    return entries
+
+
+def shard_of(key: str, count: int = defaults.SHARD_COUNT) -> int:
+    """Give the shard in which a resource is published."""
+    from .routing import mix
+
+    return mix("shard", key) % count
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/admission.py
@@ -0,0 +1,83 @@
+"""Queue at the entry node, ordered by deadline within weighted priority.
+
+A weight moves a request ahead in the deadline order by a fixed number of
+seconds. Since that head start is finite, a request of the lowest weight is
+reached in the end; one that can no longer meet its deadline is refused at once.
+"""
+
+import heapq
+import typing as t
+
+from . import defaults
+
+
+class Queued(t.NamedTuple):
+    """One waiting request; the tuple's order is the order of service."""
+
+    order: float
+    arrived_at: float
+    request_id: str
+    tokens: int
+    rank: int
+    deadline_at: float
+
+
+def order_of(deadline_at: float, priority: str) -> float:
+    """Give a request's place in the queue: its deadline less its head start."""
+    return deadline_at - defaults.PRIORITY_HEADSTART_S[priority]
+
+
+class AdmissionQueue:
+    """Waiting requests of one target, and the pace at which they are served."""
+
+    def __init__(self) -> None:
+        self._heap: list[Queued] = []
+        self._live: dict[str, Queued] = {}
+        self.pace = 0.0
+        self._served = 0.0
+
+    def __len__(self) -> int:
+        return len(self._live)
+
+    def push(self, queued: Queued) -> None:
+        """Add a request."""
+        self._live[queued.request_id] = queued
+        heapq.heappush(self._heap, queued)
+
+    def peek(self) -> Queued | None:
+        """Give the request that is next, and leave it in place."""
+        while self._heap and self._heap[0].request_id not in self._live:
+            heapq.heappop(self._heap)
+        return self._heap[0] if self._heap else None
+
+    def remove(self, request_id: str) -> bool:
+        """Take a request out, wherever it stands."""
+        return self._live.pop(request_id, None) is not None
+
+    def served(self, tokens: int) -> None:
+        """Count work that was sent on, for the pace."""
+        self._served += tokens
+
+    def measure(self, passed: float) -> None:
+        """Learn the pace, in tokens a second, over about two seconds."""
+        rate = self._served / max(passed, 1e-6)
+        self._served = 0.0
+        self.pace += (rate - self.pace) * min(1.0, passed / 2.0)
+
+    def wait(self, order: float) -> float:
+        """Predict the wait of a request with this order, in seconds."""
+        if self.pace <= 0.0:
+            return 0.0
+        ahead = sum(one.tokens for one in self._live.values() if one.order <= order)
+        return ahead / self.pace
+
+    def hopeless(self, now: float, service_s: t.Callable[[int], float]) -> list[Queued]:
+        """List requests that cannot meet their deadline even if served now.
+
+        :param service_s: seconds to serve so many tokens at best.
+        """
+        return [one for one in self._live.values() if now + service_s(one.tokens) > one.deadline_at]
+
+    def worst(self) -> Queued | None:
+        """Give the request that stands last, the one to give way when the queue is full."""
+        return max(self._live.values(), default=None)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/catalogue.py
@@ -0,0 +1,72 @@
+"""The accepted configuration that is in force on a node.
+
+A catalogue is immutable and carries its revision. A node replaces its own only
+by one of a higher revision, so that what was accepted never reverts.
+"""
+
+import typing as t
+
+from .resources import AdapterSpec
+from .resources import ModelSpec
+from .resources import PolicySpec
+from .resources import Resource
+from .resources import ServiceSpec
+from .resources import TeamSpec
+from .resources import parse_spec
+
+
+class Catalogue(t.NamedTuple):
+    """Accepted specs by kind and name."""
+
+    revision: int = 0
+    models: t.Mapping[str, ModelSpec] = {}
+    adapters: t.Mapping[str, AdapterSpec] = {}
+    services: t.Mapping[str, ServiceSpec] = {}
+    teams: t.Mapping[str, TeamSpec] = {}
+    policy: PolicySpec = PolicySpec()
+    team_by_digest: t.Mapping[str, str] = {}
+    accepted: t.Mapping[str, int] = {}
+    rejected: t.Mapping[str, tuple[int, str]] = {}
+
+
+class Entry(t.NamedTuple):
+    """One published resource: the accepted version, or why a newer one was not taken."""
+
+    resource: Resource | None
+    rejected_version: int = 0
+    reason: str = ""
+
+
+def build_catalogue(revision: int, entries: t.Mapping[str, Entry]) -> Catalogue:
+    """Index published entries for the request path.
+
+    :param revision: the revision of the head they belong to.
+    :param entries: by resource key.
+    """
+    specs: dict[str, dict[str, t.Any]] = {
+        name: {} for name in ("Model", "Adapter", "Service", "Team", "Policy")
+    }
+    accepted: dict[str, int] = {}
+    rejected: dict[str, tuple[int, str]] = {}
+    for key, entry in entries.items():
+        if entry.reason:
+            rejected[key] = (entry.rejected_version, entry.reason)
+        resource = entry.resource
+        if resource is None:
+            continue
+        specs[resource.kind][resource.name] = parse_spec(resource.kind, resource.spec)
+        accepted[key] = resource.version
+    digests = {digest: name for name, team in specs["Team"].items() for digest in team.key_sha256}
+    policies = specs["Policy"]
+    policy = policies[min(policies)] if policies else PolicySpec()
+    return Catalogue(
+        revision=revision,
+        models=specs["Model"],
+        adapters=specs["Adapter"],
+        services=specs["Service"],
+        teams=specs["Team"],
+        policy=policy,
+        team_by_digest=digests,
+        accepted=accepted,
+        rejected=rejected,
+    )
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -0,0 +1,180 @@
+"""Handlers of ticks, reports, box lists and heartbeats, and of the planned stop."""
+
+from . import defaults
+from . import governing
+from . import requests
+from .effects import Announce
+from .effects import Effect
+from .effects import Stop
+from .effects import WriteLease
+from .endpoints import EndpointView
+from .events import BoxListCame
+from .events import BoxListed
+from .events import CacheEventsCame
+from .events import DrainAsked
+from .events import EndpointReported
+from .events import PeerHeard
+from .events import PeerLost
+from .events import PlatformAnswered
+from .events import ReportMissed
+from .events import Ticked
+from .membership import AddressRow
+from .reducer import handles
+from .state import NodeState
+
+Effects = list[Effect]
+
+
+@handles(Ticked)
+def tick(state: NodeState, event: Ticked) -> Effects:
+    """Do all that is due."""
+    passed = max(0.0, event.at - state.ticked_at)
+    state.ticked_at = event.at
+    for name in state.membership.expire(event.at):
+        _forget_peer(state, name)
+    state.limits.tick(passed)
+    state.once.tick(event.at)
+    effects = requests.sweep(state, passed)
+    effects += governing.govern(state, passed)
+    return effects + _stop_due(state)
+
+
+def _forget_peer(state: NodeState, name: str) -> None:
+    state.limits.lose(name)
+    state.control.peer_demand.pop(name, None)
+
+
+@handles(EndpointReported)
+def take_report(state: NodeState, event: EndpointReported) -> Effects:
+    """Take a load report; waiting requests may have found room."""
+    view = state.endpoints.get(event.endpoint)
+    if view is None:
+        return []
+    if view.report is not None and view.report.incarnation != event.incarnation:
+        view.leaving = False
+        view.prefixes.clear()
+    if not view.take_report(event):
+        return []
+    view.gone = False
+    if governing.holding(state) and view.role == "runner":
+        ledger = state.control.ledgers.get(event.endpoint)
+        if ledger is not None:
+            ledger.take_report(event, governing.sizes_of(state))
+    targets = {model for model, _ in event.resident} if view.role == "runner" else {view.service}
+    effects: Effects = []
+    for target in sorted(targets & set(state.queues)):
+        effects += requests.pump(state, target)
+    return effects
+
+
+@handles(CacheEventsCame)
+def take_hints(state: NodeState, event: CacheEventsCame) -> Effects:
+    """Remember prefixes that an endpoint says it holds."""
+    view = state.endpoints.get(event.endpoint)
+    if view is not None:
+        view.hint(event.prefixes, event.at)
+    return []
+
+
+@handles(ReportMissed)
+def note_missed(state: NodeState, event: ReportMissed) -> Effects:
+    """An endpoint did not answer; after a while it counts as gone."""
+    view = state.endpoints.get(event.endpoint)
+    if view is None:
+        return []
+    if event.at - max(view.reported_at, state.started_at) > defaults.ENDPOINT_GONE_S:
+        view.gone = True
+    return []
+
+
+@handles(BoxListCame)
+def take_boxes(state: NodeState, event: BoxListCame) -> Effects:
+    """Take the platform's list: nodes to link to, endpoints to know and to leave alone."""
+    state.membership.take_list(event.boxes)
+    seen: set[str] = set()
+    for row in event.boxes:
+        if row.role == "node":
+            continue
+        seen.add(row.name)
+        _take_row(state, row)
+    for name in set(state.endpoints) - seen:
+        view = state.endpoints[name]
+        view.gone = True
+        if not view.inflight:
+            del state.endpoints[name]
+    return []
+
+
+def _take_row(state: NodeState, row: BoxListed) -> None:
+    view = state.endpoints.get(row.name)
+    if view is None or view.address != row.address:
+        view = EndpointView(row.name, row.address, row.data_centre, row.role, row.service)
+        state.endpoints[row.name] = view
+    if row.state == "leaving":
+        view.leaving = True
+
+
+@handles(PeerHeard)
+def hear_peer(state: NodeState, event: PeerHeard) -> Effects:
+    """Take another node's heartbeat."""
+    fresh = state.membership.hear(event)
+    if event.name in state.membership.peers:
+        state.limits.hear(event.name, event.team_demand)
+        state.control.peer_demand[event.name] = dict(event.demand)
+    return [Announce("hello")] if fresh else []
+
+
+@handles(PeerLost)
+def lose_peer(state: NodeState, event: PeerLost) -> Effects:
+    """A node's stream ended; its heartbeats decide whether it is gone."""
+    if state.membership.lose(event.name):
+        _forget_peer(state, event.name)
+    return []
+
+
+@handles(PlatformAnswered)
+def note_platform(state: NodeState, event: PlatformAnswered) -> Effects:
+    """Know whether the platform can be reached."""
+    state.platform_reachable = event.reachable
+    if event.reachable:
+        state.platform_at = event.at
+    return []
+
+
+@handles(DrainAsked)
+def begin_drain(state: NodeState, event: DrainAsked) -> Effects:
+    """Begin the planned stop: out of the addresses at once, serving on for their life."""
+    state.hurry = state.hurry or event.hurry
+    if state.leaving:
+        return _stop_due(state)
+    state.draining_since = event.at
+    effects: Effects = [Announce("leaving")]
+    wish = state.control.lease.give_up()
+    if wish is not None:
+        effects.append(WriteLease(wish.version, wish.epoch, wish.nonce))
+    return effects
+
+
+def _stop_due(state: NodeState) -> Effects:
+    if state.draining_since is None or state.stopped:
+        return []
+    served = state.now - state.draining_since
+    if not state.hurry and served < defaults.ADDRESS_TTL_S + defaults.DRAIN_MARGIN_S:
+        return []
+    if state.requests:
+        return []
+    state.stopped = True
+    return [Stop()]
+
+
+def list_addresses(state: NodeState) -> list[AddressRow]:
+    """List the entry addresses that callers may use, those of live nodes that stay."""
+    rows: list[AddressRow] = []
+    identity = state.identity
+    if not state.leaving:
+        rows.append(AddressRow(identity.caller_address, 1.0, identity.data_centre))
+    for peer in state.membership.peers.values():
+        heard = peer.heard
+        if not heard.leaving:
+            rows.append(AddressRow(heard.caller_address, 1.0, heard.data_centre))
+    return sorted(rows)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -0,0 +1,67 @@
+"""State of the control jobs, held by every node and used by the lease holder."""
+
+import typing as t
+
+from .catalogue import Entry
+from .demand import DemandMeter
+from .demand import Forecast
+from .leases import Lease
+from .memory import Ledger
+from .resources import Resource
+
+
+class Publication:
+    """Where the holder stands between operators' wishes and the published head."""
+
+    def __init__(self) -> None:
+        self.desired: tuple[Resource, ...] | None = None
+        self.desired_changed_at = -1e9
+        self.dirty = False
+        self.head_version = -1
+        self.head_revision = 0
+        self.in_flight = 0
+        self.in_flight_at = -1e9
+
+
+class StoreBudget:
+    """The weight store's rate and concurrency, as the holder may use them."""
+
+    def __init__(self) -> None:
+        self.level = 1.0
+        self.at: float | None = None
+
+    def refill(self, now: float, rate: float) -> None:
+        """Earn loads at the store's rate, up to two at once."""
+        if self.at is not None:
+            self.level = min(max(2.0, rate), self.level + (now - self.at) * rate)
+        self.at = now
+
+    def take(self) -> bool:
+        """Spend one load, if there is one."""
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+
+class ControlState:
+    """Lease, publication, ledgers and plans of one node."""
+
+    def __init__(self) -> None:
+        self.lease = Lease()
+        self.publication = Publication()
+        self.entries: t.Mapping[str, Entry] = {}
+        self.ledgers: dict[str, Ledger] = {}
+        self.meter = DemandMeter()
+        self.forecast = Forecast()
+        self.peer_demand: dict[str, dict[str, float]] = {}
+        self.store = StoreBudget()
+        self.acquired_at = -1e9
+        self.acting_epoch = 0
+        self.sequence = 0
+        self.planned_at = -1e9
+        self.intents_known = False
+        self.inherited: tuple[tuple[str, str, str, float], ...] = ()
+        self.moves = 0
+        self.loads = 0
+        self.placement_override = ""
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -0,0 +1,97 @@
+"""Constants of the decisions, named once, with units in the name.
+
+A value here is a starting point; where it was chosen by a measurement the
+comment says which one.
+"""
+
+# Answers of ``/v1/addresses`` may be kept this long by a caller.
+ADDRESS_TTL_S = 5.0
+# A leaving node goes on serving this much longer than its last answer lives.
+DRAIN_MARGIN_S = 1.0
+
+# Renewal leaves four tries within one lease life.
+LEASE_TTL_S = 8.0
+LEASE_RENEW_S = 2.0
+# A holder stops acting this long before its lease can lapse at an observer.
+LEASE_MARGIN_S = 2.0
+
+HEARTBEAT_S = 1.0
+PEER_DEAD_S = 4.0
+# A node that reaches neither platform nor peers takes no new work after this.
+ISOLATION_GRACE_S = 10.0
+# Past this many nodes in a data centre heartbeats go through relays.
+MESH_LIMIT = 24
+RELAYS_PER_DATA_CENTRE = 2
+
+# Endpoint reports: the age at which a new one is asked for.
+REPORT_INTERVAL_S = 0.5
+# Older reports say nothing of other nodes' work any more.
+REPORT_STALE_S = 20.0
+# Slots to assume of an endpoint that has not reported yet.
+SLOTS_UNKNOWN = 8
+ENDED_MAX = 4096
+DIGEST_INTERVAL_S = 0.5
+
+# Changes are folded into one publication for this long.
+PUBLISH_BATCH_S = 0.25
+SHARD_COUNT = 16
+SHARD_BYTES_MAX = 512 * 1024
+HEADS_KEPT = 4
+
+# An order that was sent may still arrive this much later.
+LATE_ORDER_BOUND_S = 30.0
+ORDER_RESEND_S = 2.0
+# Part of each endpoint's memory that is never promised to weights.
+MEMORY_RESERVE_SHARE = 0.1
+
+PLAN_INTERVAL_S = 2.0
+DEMAND_RISE_TAU_S = 3.0
+DEMAND_FALL_TAU_S = 60.0
+PAY_BACK_S = 60.0
+
+CANDIDATES = 3
+AFFINITY_BONUS_S = 0.25
+ADAPTER_MISS_S = 0.15
+REMOTE_COST_S = 0.002
+# A hot prefix is followed only while its endpoint is at most this much busier.
+AFFINITY_LOAD_BOUND = 1.25
+CACHE_HINT_LIFE_S = 60.0
+CACHE_HINTS_MAX = 4096
+EJECT_AFTER_FAILURES = 3
+EJECT_S = 5.0
+
+QUEUE_MAX = 2048
+TICK_S = 0.1
+# How far ahead a weight moves a request in the deadline order, in seconds.
+PRIORITY_HEADSTART_S = {"ledger": 60.0, "ranked": 30.0, "normal": 10.0, "casual": 0.0}
+PRIORITY_RANK = {"casual": 0, "normal": 1, "ranked": 2, "ledger": 3}
+DEFAULT_PRIORITY = "normal"
+DEFAULT_DEADLINE_S = 60.0
+DEADLINE_MAX_S = 600.0
+DEFAULT_MAX_TOKENS = 256
+MAX_TOKENS_LIMIT = 32768
+
+RETRY_SHARE = 0.1
+RETRY_BURST = 10.0
+RETRY_BACKOFF_S = 0.05
+ATTEMPTS_MAX = 4
+# Continuations of a cut stream are worth more than retries and have their own cap.
+CONTINUATIONS_MAX = 3
+
+SESSION_IDLE_S = 3600.0
+SESSIONS_MAX = 50_000
+ONCE_PER_SESSION_MAX = 256
+ONCE_ANSWER_BYTES_MAX = 64 * 1024
+OUTCOMES_PAGE_BYTES_MAX = 900 * 1024
+OUTCOMES_PAGES_MAX = 64
+
+LIMIT_SHARE_INTERVAL_S = 1.0
+
+DECISIONS_MAX = 2000
+
+# Accelerator-seconds that one load or unload is taken to cost at weight 1.
+MOVE_COST_S = 2.0
+# Reports that a new holder waits for before it judges what fits, in seconds.
+SURVEY_S = 3.0
+# Unloads of a replica that was placed by gain wait at least this long.
+ENDPOINT_GONE_S = 6.0
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -0,0 +1,145 @@
+"""Effects that the reducer asks for; the daemon's loop performs them.
+
+An effect is data. Its answer, if it has one, comes back as an event.
+"""
+
+import typing as t
+
+from .catalogue import Entry
+
+
+class Dispatch(t.NamedTuple):
+    """Send a request to an endpoint, as the given attempt.
+
+    :param offset: tokens already with the caller, to be continued from.
+    """
+
+    request_id: str
+    attempt: int
+    endpoint: str
+    offset: int
+    not_before: float = 0.0
+
+
+class Refuse(t.NamedTuple):
+    """Answer a caller with an error.
+
+    :param outcome: ``not_run``, ``unknown`` or ``ran``.
+    :param retry_after_s: when to come back, in seconds; 0 leaves it out.
+    """
+
+    request_id: str
+    status: int
+    reason: str
+    outcome: str
+    message: str
+    retry_after_s: float = 0.0
+
+
+class Replay(t.NamedTuple):
+    """Give a remembered answer again."""
+
+    request_id: str
+    status: int
+    answer: bytes
+
+
+class Cancel(t.NamedTuple):
+    """Stop an attempt whose caller has left."""
+
+    request_id: str
+    attempt: int
+    endpoint: str
+
+
+class Forget(t.NamedTuple):
+    """A request is over; its I/O may be let go."""
+
+    request_id: str
+
+
+class WriteLease(t.NamedTuple):
+    """Write the lease object on the condition that it is still at ``version``."""
+
+    version: int
+    epoch: int
+    nonce: str
+
+
+class ReadDesired(t.NamedTuple):
+    """Begin to follow operators' resources and read intents left by others."""
+
+    epoch: int
+
+
+class Publish(t.NamedTuple):
+    """Write shards, then move the head on the condition of its version."""
+
+    revision: int
+    epoch: int
+    head_version: int
+    entries: t.Mapping[str, Entry]
+
+
+class ReadHead(t.NamedTuple):
+    """Read the head again, to learn whether an unanswered write took effect."""
+
+    revision: int
+
+
+class WriteIntent(t.NamedTuple):
+    """Record an order for an endpoint that does not check, before it is sent."""
+
+    endpoint: str
+    epoch: int
+    sequence: int
+    model: str
+    model_version: str
+    memory_gb: float
+
+
+class ClearIntent(t.NamedTuple):
+    """Delete a resolved intent."""
+
+    endpoint: str
+    sequence: int
+
+
+class SendOrder(t.NamedTuple):
+    """Give an endpoint an order. ``action`` is load, unload, seal, attach or detach."""
+
+    endpoint: str
+    address: str
+    token: tuple[int, int]
+    action: str
+    model: str = ""
+    model_version: str = ""
+    memory_gb: float = 0.0
+
+
+class Announce(t.NamedTuple):
+    """Tell the other nodes at once, outside the heartbeat's beat."""
+
+    topic: str
+
+
+class Stop(t.NamedTuple):
+    """The planned stop is complete; outcomes may be written and the process may end."""
+
+
+Effect = (
+    Dispatch
+    | Refuse
+    | Replay
+    | Cancel
+    | Forget
+    | WriteLease
+    | ReadDesired
+    | Publish
+    | ReadHead
+    | WriteIntent
+    | ClearIntent
+    | SendOrder
+    | Announce
+    | Stop
+)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -0,0 +1,141 @@
+"""What a node knows of each endpoint: lagging reports plus its own in-flight work.
+
+A report is old when it comes. Work that this node started after the report was
+made is not in it, so the load estimate adds that back; see ``docs/design/routing.md``.
+"""
+
+import typing as t
+
+from . import defaults
+from .events import EndpointReported
+
+
+class EndpointView:
+    """One endpoint as this node sees it. Times are of the node's monotonic clock."""
+
+    __slots__ = (
+        "address",
+        "data_centre",
+        "ejected_until",
+        "ended",
+        "failures",
+        "gone",
+        "inflight",
+        "leaving",
+        "name",
+        "others",
+        "prefixes",
+        "probing",
+        "report",
+        "reported_at",
+        "role",
+        "service",
+    )
+
+    def __init__(
+        self, name: str, address: str, data_centre: str, role: str = "runner", service: str = ""
+    ) -> None:
+        self.name = name
+        self.address = address
+        self.data_centre = data_centre
+        self.role = role
+        self.service = service
+        self.report: EndpointReported | None = None
+        self.reported_at = -1e9
+        self.leaving = False
+        self.gone = False
+        self.failures = 0
+        self.ejected_until = -1e9
+        self.probing = False
+        self.inflight: dict[str, float] = {}
+        self.ended: list[tuple[float, float]] = []
+        self.others = 0
+        self.prefixes: dict[int, float] = {}
+
+    def take_report(self, report: EndpointReported) -> bool:
+        """Keep a report if it is fresher than the one at hand.
+
+        :return: whether it was kept.
+        """
+        made_at = report.at - report.age_s
+        if made_at <= self.reported_at:
+            return False
+        self.report = report
+        self.reported_at = made_at
+        # Leaving is sticky for one incarnation; only a restart takes it back.
+        self.leaving = self.leaving or report.leaving
+        own = sum(1 for start in self.inflight.values() if start <= made_at)
+        own += sum(1 for start, end in self.ended if start <= made_at < end)
+        self.ended = [(start, end) for start, end in self.ended if end > made_at]
+        self.others = max(0, report.running + report.queued - own)
+        return True
+
+    def load(self, now: float) -> float:
+        """Estimate requests running or queued there, per slot (1.0 is full).
+
+        This node's own part is exact at any report age; only the part of the
+        other nodes is as old as the report.
+        """
+        own = len(self.inflight)
+        fresh = now - self.reported_at <= defaults.REPORT_STALE_S
+        others = self.others if fresh else 0
+        return (own + others) / self.slots()
+
+    def slots(self) -> int:
+        """Give how many requests run there at once."""
+        return max(1, self.report.slots) if self.report else defaults.SLOTS_UNKNOWN
+
+    def begin(self, request_id: str, now: float) -> None:
+        """Count a request as in flight there."""
+        self.inflight[request_id] = now
+        if self.failures >= defaults.EJECT_AFTER_FAILURES:
+            self.probing = True
+
+    def end(self, request_id: str, now: float) -> None:
+        """Count a request as no longer in flight there."""
+        start = self.inflight.pop(request_id, None)
+        if start is not None:
+            self.ended.append((start, now))
+            # Without reports nothing else bounds this list.
+            del self.ended[: -defaults.ENDED_MAX]
+        self.probing = False
+
+    def serves(self, target: str, service: bool) -> bool:
+        """Say whether the endpoint has the model resident, or is of the service."""
+        if service:
+            return self.role == "service" and self.service == target
+        if self.report is None:
+            return False
+        return any(model == target for model, _ in self.report.resident)
+
+    def open_for_work(self, now: float) -> bool:
+        """Say whether new work may go there: neither leaving, gone nor ejected."""
+        if self.leaving or self.gone:
+            return False
+        if now < self.ejected_until:
+            return False
+        # After an ejection a single probe decides; others wait for it.
+        return not (self.failures >= defaults.EJECT_AFTER_FAILURES and self.probing)
+
+    def fail(self, now: float) -> None:
+        """Count a failure, and eject the endpoint after several in a row."""
+        self.failures += 1
+        if self.failures >= defaults.EJECT_AFTER_FAILURES:
+            self.ejected_until = now + defaults.EJECT_S
+
+    def succeed(self) -> None:
+        """Forget failures."""
+        self.failures = 0
+
+    def hint(self, prefixes: t.Iterable[int], now: float) -> None:
+        """Remember prefixes that the endpoint may hold, the oldest given up first."""
+        for prefix in prefixes:
+            self.prefixes.pop(prefix, None)
+            self.prefixes[prefix] = now
+        while len(self.prefixes) > defaults.CACHE_HINTS_MAX:
+            del self.prefixes[next(iter(self.prefixes))]
+
+    def may_hold(self, prefix: int, now: float) -> bool:
+        """Say whether a hint for the prefix is at hand and young."""
+        seen = self.prefixes.get(prefix)
+        return seen is not None and now - seen < defaults.CACHE_HINT_LIFE_S
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -0,0 +1,300 @@
+"""Events that the reducer takes. Each carries its time, in seconds, monotonic.
+
+An event says what happened, never what to do. Times are of the node's own
+monotonic clock; only durations cross between nodes.
+"""
+
+import typing as t
+
+from .catalogue import Entry
+from .resources import Resource
+
+
+class Ticked(t.NamedTuple):
+    """Time went on; queues, leases, limits and plans look whether something is due."""
+
+    at: float
+
+
+class RequestArrived(t.NamedTuple):
+    """A caller's request was read and its team established."""
+
+    at: float
+    request_id: str
+    team: str
+    target: str
+    service: bool = False
+    adapter: str = ""
+    priority: str = "normal"
+    deadline_at: float = 0.0
+    tokens: int = 0
+    prompt_tokens: int = 0
+    prefix: int = 0
+    repeatable: bool = True
+    once_key: tuple[str, int] | None = None
+    body_digest: str = ""
+    stream: bool = False
+
+
+class AttemptStarted(t.NamedTuple):
+    """The first byte of a request may have left for its endpoint."""
+
+    at: float
+    request_id: str
+    attempt: int
+
+
+class AttemptProgressed(t.NamedTuple):
+    """Tokens of an attempt were passed on to the caller, batched."""
+
+    at: float
+    request_id: str
+    attempt: int
+    tokens: int
+
+
+class AttemptSucceeded(t.NamedTuple):
+    """The endpoint's whole answer was passed on."""
+
+    at: float
+    request_id: str
+    attempt: int
+    status: int = 200
+    answer: bytes = b""
+
+
+class AttemptFailed(t.NamedTuple):
+    """An attempt ended without a whole answer.
+
+    :param sent: a byte of the request may have reached the endpoint.
+    :param said_not_run: the endpoint's own protocol said that it did not run.
+    :param leaving: the endpoint said that it takes no new work.
+    """
+
+    at: float
+    request_id: str
+    attempt: int
+    sent: bool
+    said_not_run: bool
+    reason: str
+    leaving: bool = False
+
+
+class CallerLeft(t.NamedTuple):
+    """The caller's connection ended before its answer did."""
+
+    at: float
+    request_id: str
+
+
+class EndpointReported(t.NamedTuple):
+    """A load report of one endpoint, from a poll or from a peer's digest.
+
+    :param age_s: how old the figures were when they came.
+    """
+
+    at: float
+    endpoint: str
+    incarnation: str
+    age_s: float
+    slots: int
+    running: int
+    queued: int
+    token_rate: float
+    stream_rate: float
+    memory_gb: float
+    resident: tuple[tuple[str, str], ...] = ()
+    loading: tuple[tuple[str, str], ...] = ()
+    adapters: tuple[str, ...] = ()
+    held_gb: float = 0.0
+    leaving: bool = False
+    checks_orders: bool = False
+    order_token: tuple[int, int] = (0, 0)
+    rejected_orders: int = 0
+
+
+class CacheEventsCame(t.NamedTuple):
+    """Prefixes that an endpoint says it holds, late and with gaps."""
+
+    at: float
+    endpoint: str
+    prefixes: tuple[int, ...]
+
+
+class ReportMissed(t.NamedTuple):
+    """An endpoint did not answer a poll."""
+
+    at: float
+    endpoint: str
+
+
+class BoxListed(t.NamedTuple):
+    """One row of the platform's box list."""
+
+    name: str
+    address: str
+    data_centre: str
+    role: str
+    state: str
+    service: str = ""
+
+
+class BoxListCame(t.NamedTuple):
+    """The platform's box list, a late hint."""
+
+    at: float
+    boxes: tuple[BoxListed, ...]
+
+
+class PeerHeard(t.NamedTuple):
+    """A heartbeat of another node."""
+
+    at: float
+    name: str
+    incarnation: str
+    address: str
+    caller_address: str
+    data_centre: str
+    revision: int
+    leaving: bool
+    demand: tuple[tuple[str, float], ...] = ()
+    team_demand: tuple[tuple[str, float], ...] = ()
+    lease_epoch: int = 0
+    arrivals: float = 0.0
+
+
+class PeerLost(t.NamedTuple):
+    """The stream to another node ended."""
+
+    at: float
+    name: str
+
+
+class PlatformAnswered(t.NamedTuple):
+    """The platform answered some call, or none did for a while."""
+
+    at: float
+    reachable: bool
+
+
+class LeaseSeen(t.NamedTuple):
+    """The lease object as read; version 0 when it does not exist."""
+
+    at: float
+    version: int
+    holder: str
+    epoch: int
+    nonce: str
+
+
+class LeaseWritten(t.NamedTuple):
+    """The answer to a lease write; ``asked_at`` is when it was sent."""
+
+    at: float
+    asked_at: float
+    nonce: str
+    won: bool | None
+    version: int = 0
+
+
+class DesiredSeen(t.NamedTuple):
+    """All resources as operators wrote them, read by the lease holder."""
+
+    at: float
+    resources: tuple[Resource, ...]
+
+
+class RevisionSeen(t.NamedTuple):
+    """A published revision with all its entries, from the platform or a peer."""
+
+    at: float
+    revision: int
+    epoch: int
+    entries: t.Mapping[str, Entry]
+
+
+class HeadSeen(t.NamedTuple):
+    """The head object as the lease holder read it before it publishes."""
+
+    at: float
+    version: int
+    revision: int
+
+
+class Published(t.NamedTuple):
+    """The answer to a publication; ``won`` is None when it never came."""
+
+    at: float
+    revision: int
+    won: bool | None
+    version: int = 0
+
+
+class OrderAnswered(t.NamedTuple):
+    """The answer to an order; ``accepted`` is None when it never came."""
+
+    at: float
+    endpoint: str
+    token: tuple[int, int]
+    accepted: bool | None
+    reason: str = ""
+
+
+class IntentWritten(t.NamedTuple):
+    """The answer to an intent's write; ``won`` is None when it never came."""
+
+    at: float
+    endpoint: str
+    sequence: int
+    won: bool | None
+
+
+class IntentsSeen(t.NamedTuple):
+    """Unresolved intents that holders before this one left."""
+
+    at: float
+    intents: tuple[tuple[str, str, str, float], ...]
+
+
+class DrainAsked(t.NamedTuple):
+    """An operator or a signal asked this node to stop as planned."""
+
+    at: float
+    hurry: bool = False
+
+
+class SessionOpened(t.NamedTuple):
+    """A caller asked for a session; the daemon made its identifier."""
+
+    at: float
+    session: str
+    team: str
+
+
+Event = (
+    Ticked
+    | RequestArrived
+    | AttemptStarted
+    | AttemptProgressed
+    | AttemptSucceeded
+    | AttemptFailed
+    | CallerLeft
+    | EndpointReported
+    | CacheEventsCame
+    | ReportMissed
+    | BoxListCame
+    | PeerHeard
+    | PeerLost
+    | PlatformAnswered
+    | LeaseSeen
+    | LeaseWritten
+    | DesiredSeen
+    | RevisionSeen
+    | HeadSeen
+    | Published
+    | OrderAnswered
+    | IntentWritten
+    | IntentsSeen
+    | DrainAsked
+    | SessionOpened
+)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -0,0 +1,482 @@
+"""Handlers of the control jobs: lease, acceptance, orders and plans.
+
+Only a node that holds the lease with time to spare gives orders or publishes.
+"""
+
+import typing as t
+
+from . import acceptance
+from . import defaults
+from .catalogue import build_catalogue
+from .control import ControlState
+from .effects import ClearIntent
+from .effects import Effect
+from .effects import Publish
+from .effects import ReadDesired
+from .effects import ReadHead
+from .effects import SendOrder
+from .effects import WriteIntent
+from .effects import WriteLease
+from .events import DesiredSeen
+from .events import HeadSeen
+from .events import IntentsSeen
+from .events import IntentWritten
+from .events import LeaseSeen
+from .events import LeaseWritten
+from .events import OrderAnswered
+from .events import Published
+from .events import RevisionSeen
+from .memory import Doubt
+from .memory import Ledger
+from .memory import PendingOrder
+from .memory import Weights
+from .placement import Move
+from .placement import PlanInput
+from .placement import RunnerRoom
+from .placement import find_placement
+from .reducer import handles
+from .state import NodeState
+
+Effects = list[Effect]
+
+
+@handles(LeaseSeen)
+def see_lease(state: NodeState, event: LeaseSeen) -> Effects:
+    """Take the lease object as read."""
+    control = state.control
+    control.lease.see(event, state.identity.name)
+    return _begin_if_new(state)
+
+
+@handles(LeaseWritten)
+def note_lease(state: NodeState, event: LeaseWritten) -> Effects:
+    """Take the answer to a lease write."""
+    state.control.lease.answer(event, state.identity.name)
+    return _begin_if_new(state)
+
+
+def _begin_if_new(state: NodeState) -> Effects:
+    control = state.control
+    lease = control.lease
+    if not lease.holding(state.now) or lease.own_epoch == control.acting_epoch:
+        return []
+    control.acting_epoch = lease.own_epoch
+    control.acquired_at = state.now
+    control.sequence = 0
+    control.planned_at = -1e9
+    control.intents_known = False
+    control.publication = type(control.publication)()
+    control.forecast = type(control.forecast)()
+    control.ledgers = {}
+    state.record("lease", f"epoch {lease.own_epoch}", "lease acquired")
+    for name, view in state.endpoints.items():
+        if view.role == "runner" and view.report is not None:
+            ledger = control.ledgers.setdefault(name, Ledger(name))
+            ledger.take_report(view.report, sizes_of(state))
+    return [ReadDesired(lease.own_epoch), ReadHead(0)]
+
+
+def holding(state: NodeState) -> bool:
+    """Say whether this node may act as the lease holder now."""
+    control = state.control
+    return control.lease.holding(state.now) and control.acting_epoch == control.lease.own_epoch
+
+
+@handles(RevisionSeen)
+def apply_revision(state: NodeState, event: RevisionSeen) -> Effects:
+    """Put a published revision in force if, and only if, it is newer."""
+    if event.revision <= state.catalogue.revision:
+        return []
+    state.control.entries = event.entries
+    state.catalogue = build_catalogue(event.revision, event.entries)
+    return []
+
+
+@handles(HeadSeen)
+def see_head(state: NodeState, event: HeadSeen) -> Effects:
+    """Know the head's version, on which the next publication is conditional."""
+    publication = state.control.publication
+    publication.head_version = event.version
+    publication.head_revision = event.revision
+    publication.in_flight = 0
+    publication.dirty = True
+    return []
+
+
+@handles(DesiredSeen)
+def see_desired(state: NodeState, event: DesiredSeen) -> Effects:
+    """Take operators' resources; they are accepted at the end of the batch window."""
+    publication = state.control.publication
+    if publication.desired == event.resources:
+        return []
+    publication.desired = event.resources
+    if not publication.dirty:
+        publication.desired_changed_at = event.at
+    publication.dirty = True
+    return []
+
+
+@handles(Published)
+def note_publication(state: NodeState, event: Published) -> Effects:
+    """Take the answer to a publication; anything but a win is settled by reading."""
+    publication = state.control.publication
+    if event.revision != publication.in_flight:
+        return []
+    publication.in_flight = 0
+    if not event.won:
+        publication.head_version = -1
+        return [ReadHead(event.revision)]
+    publication.head_version = event.version
+    publication.head_revision = event.revision
+    return []
+
+
+def publish_due(state: NodeState) -> Effects:
+    """Accept and publish what operators changed, when the batch window has passed."""
+    publication = state.control.publication
+    if publication.in_flight:
+        return []
+    if publication.desired is None or not publication.dirty or publication.head_version < 0:
+        return []
+    if state.now - publication.desired_changed_at < defaults.PUBLISH_BATCH_S:
+        return []
+    if state.catalogue.revision < publication.head_revision:
+        # The published entries themselves are still on their way to this node.
+        return []
+    rooms = acceptance.rooms_of(state.control.ledgers.values(), _engines(state))
+    surveyed = state.now - state.control.acquired_at >= defaults.SURVEY_S
+    if not surveyed and len(rooms) < _runner_count(state):
+        return []
+    publication.dirty = False
+    entries = acceptance.accept(publication.desired, state.control.entries, rooms)
+    if entries == state.control.entries:
+        return []
+    revision = publication.head_revision + 1
+    publication.in_flight = revision
+    publication.in_flight_at = state.now
+    return [Publish(revision, state.control.acting_epoch, publication.head_version, entries)]
+
+
+def _engines(state: NodeState) -> dict[str, str]:
+    return {name: view.service for name, view in state.endpoints.items()}
+
+
+def _runner_count(state: NodeState) -> int:
+    return sum(1 for one in state.endpoints.values() if one.role == "runner" and not one.gone)
+
+
+def sizes_of(state: NodeState) -> dict[Weights, float]:
+    """Give the memory of each declared set of weights, in gigabytes."""
+    sizes = {(name, spec.version): spec.memory_gb for name, spec in state.catalogue.models.items()}
+    for name, adapter in state.catalogue.adapters.items():
+        sizes[(f"adapter/{name}", "")] = adapter.memory_gb
+    return sizes
+
+
+def fence_endpoints(state: NodeState) -> Effects:
+    """Seal endpoints that check orders, and claim the intents of those that do not."""
+    effects: Effects = []
+    control = state.control
+    for ledger in control.ledgers.values():
+        view = state.endpoints.get(ledger.endpoint)
+        if view is None or view.gone or not ledger.usable or ledger.pending is not None:
+            continue
+        if ledger.checks_orders and not ledger.sealed:
+            effects.append(_send(state, ledger, "seal", ("", ""), 0.0))
+        elif not ledger.checks_orders and not ledger.claimed and control.intents_known:
+            effects.append(_claim(state, ledger))
+    return effects
+
+
+def _next_token(control: ControlState) -> tuple[int, int]:
+    control.sequence += 1
+    return (control.acting_epoch, control.sequence)
+
+
+def _send(state: NodeState, ledger: Ledger, action: str, key: Weights, gb: float) -> SendOrder:
+    token = _next_token(state.control)
+    ledger.pending = PendingOrder(token, action, key, gb, state.now)
+    address = state.endpoints[ledger.endpoint].address
+    return SendOrder(ledger.endpoint, address, token, action, key[0], key[1], gb)
+
+
+def _claim(state: NodeState, ledger: Ledger) -> WriteIntent:
+    token = _next_token(state.control)
+    ledger.pending = PendingOrder(token, "claim", ("", ""), 0.0, state.now)
+    return WriteIntent(ledger.endpoint, token[0], token[1], "", "", 0.0)
+
+
+@handles(IntentsSeen)
+def inherit_intents(state: NodeState, event: IntentsSeen) -> Effects:
+    """Count intents that earlier holders left as memory that may yet be taken."""
+    state.control.intents_known = True
+    state.control.inherited = event.intents
+    for ledger in state.control.ledgers.values():
+        _inherit(state, ledger)
+    return []
+
+
+def _inherit(state: NodeState, ledger: Ledger) -> None:
+    for endpoint, model, version, gb in state.control.inherited:
+        if endpoint == ledger.endpoint and model:
+            until = state.now + defaults.LATE_ORDER_BOUND_S
+            ledger.doubts.append(Doubt((model, version), gb, until))
+
+
+@handles(IntentWritten)
+def note_intent(state: NodeState, event: IntentWritten) -> Effects:
+    """Send the order that an intent covers, or take a claim as done."""
+    ledger = state.control.ledgers.get(event.endpoint)
+    order = ledger.pending if ledger else None
+    if ledger is None or order is None or order.sequence != event.sequence:
+        return []
+    if not event.won:
+        # Another holder wrote there, or nobody knows: claim again before any order.
+        ledger.claimed = False
+        ledger.pending = None
+        return []
+    if order.action == "claim":
+        ledger.claimed = True
+        ledger.pending = None
+        return []
+    if not holding(state):
+        ledger.pending = None
+        return []
+    order.sent_at = state.now
+    address = state.endpoints[ledger.endpoint].address
+    return [
+        SendOrder(
+            ledger.endpoint,
+            address,
+            order.token,
+            order.action,
+            order.key[0],
+            order.key[1],
+            order.gb,
+        )
+    ]
+
+
+@handles(OrderAnswered)
+def note_order(state: NodeState, event: OrderAnswered) -> Effects:
+    """Take an endpoint's answer to an order."""
+    ledger = state.control.ledgers.get(event.endpoint)
+    if ledger is None or ledger.pending is None or ledger.pending.token != event.token:
+        return []
+    order = ledger.pending
+    if event.accepted and order.action == "seal":
+        ledger.sealed = True
+        ledger.pending = None
+        return []
+    if event.accepted is False:
+        state.record(event.endpoint, f"order {order.action} refused", event.reason)
+        if event.reason == "stale" and ledger.checks_orders:
+            # A newer epoch spoke to it; only a seal may tell whether this one lags.
+            ledger.sealed = False
+    ledger.answer(event.token, event.accepted, state.now)
+    if event.accepted and not ledger.checks_orders:
+        return [ClearIntent(event.endpoint, order.sequence)]
+    return []
+
+
+def resend_orders(state: NodeState) -> Effects:
+    """Send lost orders again with the same token; give up on those that cannot be."""
+    effects: Effects = []
+    for ledger in state.control.ledgers.values():
+        order = ledger.pending
+        if order is None or order.action == "claim":
+            if order is not None and state.now - order.sent_at > 2 * defaults.ORDER_RESEND_S:
+                ledger.pending = None
+            continue
+        if order.accepted or state.now - order.sent_at < defaults.ORDER_RESEND_S:
+            continue
+        view = state.endpoints.get(ledger.endpoint)
+        if view is None or view.gone:
+            continue
+        if not ledger.checks_orders:
+            ledger.give_up_order(state.now)
+            continue
+        order.sent_at = state.now
+        key = order.key
+        effects.append(
+            SendOrder(
+                ledger.endpoint, view.address, order.token, order.action, key[0], key[1], order.gb
+            )
+        )
+    return effects
+
+
+def plan_moves(state: NodeState) -> Effects:
+    """Ask the placement policy for moves and order what is allowed now."""
+    control = state.control
+    policy = state.catalogue.policy
+    control.store.refill(state.now, policy.loads_per_s)
+    if state.now - control.planned_at < defaults.PLAN_INTERVAL_S:
+        return []
+    control.planned_at = state.now
+    if state.now - control.acquired_at < defaults.SURVEY_S:
+        return []
+    given = PlanInput(state.catalogue.models, _rooms(state), dict(control.forecast.levels), policy)
+    planner = find_placement(control.placement_override or policy.placement)
+    effects: Effects = []
+    for move in planner(given):
+        effects += _order(state, move)
+    return effects + _attach_adapters(state)
+
+
+def _rooms(state: NodeState) -> tuple[RunnerRoom, ...]:
+    rooms: list[RunnerRoom] = []
+    for ledger in state.control.ledgers.values():
+        view = state.endpoints.get(ledger.endpoint)
+        if view is None or view.gone or view.leaving or view.report is None or not ledger.usable:
+            continue
+        coming = set(ledger.held) - ledger.resident
+        busy = not ledger.ready()
+        if ledger.pending is not None and ledger.pending.action == "load":
+            coming.add(ledger.pending.key)
+        rooms.append(
+            RunnerRoom(
+                name=ledger.endpoint,
+                data_centre=view.data_centre,
+                engine=view.service,
+                free_gb=ledger.free(),
+                token_rate=view.report.token_rate,
+                resident=frozenset(ledger.resident),
+                coming=frozenset(coming),
+                busy=busy,
+            )
+        )
+    return tuple(sorted(rooms))
+
+
+def loading_now(state: NodeState) -> int:
+    """Count the loads that run or are ordered, against the weight store's limit."""
+    count = 0
+    for ledger in state.control.ledgers.values():
+        view = state.endpoints.get(ledger.endpoint)
+        if view is not None and view.report is not None:
+            count += len(view.report.loading)
+        if ledger.pending is not None and ledger.pending.action == "load":
+            count += 1
+    return count
+
+
+def _order(state: NodeState, move: Move) -> Effects:
+    control = state.control
+    ledger = control.ledgers[move.endpoint]
+    if not ledger.ready():
+        return []
+    if move.action == "load":
+        if ledger.free() < move.gb:
+            return []
+        if loading_now(state) >= state.catalogue.policy.loads_at_once or not control.store.take():
+            return []
+        control.loads += 1
+    elif not _other_resident(state, move.key, move.endpoint):
+        return []
+    control.moves += 1
+    state.record(move.endpoint, f"{move.action} {move.key[0]}@{move.key[1]}", move.why)
+    return [_give(state, ledger, move.action, move.key, move.gb)]
+
+
+def _give(state: NodeState, ledger: Ledger, action: str, key: Weights, gb: float) -> Effect:
+    order = _send(state, ledger, action, key, gb)
+    if ledger.checks_orders:
+        return order
+    return WriteIntent(ledger.endpoint, order.token[0], order.token[1], key[0], key[1], gb)
+
+
+def _other_resident(state: NodeState, key: Weights, endpoint: str) -> bool:
+    """Say whether a model stays reachable without its replica on one endpoint."""
+    if key[0] not in state.catalogue.models:
+        return True
+    return model_hosts(state, key[0]) - {endpoint} != set()
+
+
+def model_hosts(state: NodeState, model: str) -> set[str]:
+    """Name the endpoints where a model is resident and not about to be unloaded."""
+    hosts: set[str] = set()
+    for ledger in state.control.ledgers.values():
+        view = state.endpoints.get(ledger.endpoint)
+        if view is None or view.gone or view.leaving:
+            continue
+        going = ledger.pending.key if ledger.pending and ledger.pending.action == "unload" else None
+        if any(key[0] == model and key != going for key in ledger.resident):
+            hosts.add(ledger.endpoint)
+    return hosts
+
+
+def _attach_adapters(state: NodeState) -> Effects:
+    """Put each adapter on up to two of its base model's runners, evenly."""
+    effects: Effects = []
+    counts = {
+        name: sum(1 for key in ledger.held if key[0].startswith("adapter/"))
+        for name, ledger in state.control.ledgers.items()
+    }
+    for name, spec in state.catalogue.adapters.items():
+        key = (f"adapter/{name}", "")
+        hosts = model_hosts(state, spec.model)
+        attached = {host for host in hosts if key in state.control.ledgers[host].held}
+        if len(attached) >= min(2, len(hosts)):
+            continue
+        for host in sorted(hosts - attached, key=lambda one: (counts[one], one)):
+            ledger = state.control.ledgers[host]
+            if ledger.ready() and ledger.free() >= spec.memory_gb:
+                effects.append(_give(state, ledger, "attach", key, spec.memory_gb))
+                counts[host] += 1
+                break
+    return effects
+
+
+def lease_due(state: NodeState) -> Effects:
+    """Write the lease when it is due: to renew it, or to take it over."""
+    identity = state.identity
+    relays = state.membership.relays(identity.data_centre, state.leaving)
+    candidate = identity.name in relays and not state.leaving
+    wish = state.control.lease.wish(state.now, identity.name, identity.incarnation, candidate)
+    if wish is None:
+        return []
+    return [WriteLease(wish.version, wish.epoch, wish.nonce)]
+
+
+def govern(state: NodeState, passed: float) -> Effects:
+    """Do whatever control work is due at a tick."""
+    control = state.control
+    control.meter.roll(passed)
+    effects: Effects = [] if state.leaving else lease_due(state)
+    if not holding(state):
+        return effects
+    _sum_demand(state, passed)
+    for name, view in state.endpoints.items():
+        if view.role == "runner" and name not in control.ledgers:
+            ledger = control.ledgers[name] = Ledger(name)
+            if control.intents_known:
+                _inherit(state, ledger)
+    for name in [name for name in control.ledgers if name not in state.endpoints]:
+        del control.ledgers[name]
+    effects += publish_due(state)
+    effects += fence_endpoints(state)
+    effects += resend_orders(state)
+    return effects + plan_moves(state)
+
+
+def _sum_demand(state: NodeState, passed: float) -> None:
+    sums = dict(state.control.meter.rates)
+    for peer, rates in state.control.peer_demand.items():
+        if peer not in state.membership.peers:
+            continue
+        for model, rate in rates.items():
+            sums[model] = sums.get(model, 0.0) + rate
+    state.control.forecast.update(sums, passed)
+
+
+def resident_models(state: NodeState) -> t.Mapping[str, list[str]]:
+    """Give the endpoints that report each declared model resident."""
+    hosts: dict[str, list[str]] = {name: [] for name in state.catalogue.models}
+    for view in state.endpoints.values():
+        if view.gone or view.report is None:
+            continue
+        for model, _ in view.report.resident:
+            if model in hosts:
+                hosts[model].append(view.name)
+    return hosts
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -0,0 +1,159 @@
+"""Promises that must hold after every event, asserted inside the program.
+
+Cheap ones look at what the event touched and are always on; full ones walk the
+whole state and are switched on by a setting, in tests and in soak runs.
+"""
+
+import typing as t
+
+from .effects import Dispatch
+from .effects import Effect
+from .effects import Forget
+from .effects import Refuse
+from .effects import SendOrder
+from .events import AttemptFailed
+from .events import AttemptStarted
+from .exceptions import InvariantBroken
+
+if t.TYPE_CHECKING:
+    from .state import NodeState
+
+Check = t.Callable[["NodeState", t.Any, list[Effect]], str]
+CHEAP: dict[str, Check] = {}
+FULL: dict[str, Check] = {}
+
+
+def invariant(name: str, full: bool = False) -> t.Callable[[Check], Check]:
+    """Register a check; it gives a text when the promise is broken, else nothing.
+
+    :param full: run it only where full checks are switched on.
+    """
+
+    def register(function: Check) -> Check:
+        (FULL if full else CHEAP)[name] = function
+        return function
+
+    return register
+
+
+def check(state: "NodeState", event: t.Any, effects: list[Effect]) -> None:
+    """Run the checks.
+
+    :raises InvariantBroken: at the first promise that does not hold.
+    """
+    _witness(state, event)
+    for name, function in CHEAP.items():
+        detail = function(state, event, effects)
+        if detail:
+            raise InvariantBroken(name, detail)
+    for effect in effects:
+        if isinstance(effect, Forget):
+            state.witness.discard(effect.request_id)
+    if not state.full_checks:
+        return
+    for name, function in FULL.items():
+        detail = function(state, event, effects)
+        if detail:
+            raise InvariantBroken(name, detail)
+
+
+def _witness(state: "NodeState", event: t.Any) -> None:
+    """Keep a record of its own of what may be with an endpoint, apart from the handlers'."""
+    if isinstance(event, AttemptStarted):
+        state.witness.add(event.request_id)
+    elif isinstance(event, AttemptFailed) and (event.said_not_run or not event.sent):
+        state.witness.discard(event.request_id)
+    elif isinstance(event, AttemptFailed):
+        state.witness.add(event.request_id)
+
+
+@invariant("memory")
+def check_memory(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """No endpoint's memory is promised beyond what it holds."""
+    for effect in effects:
+        if isinstance(effect, SendOrder) and effect.action in ("load", "attach"):
+            ledger = state.control.ledgers[effect.endpoint]
+            if ledger.free() < -1e-6:
+                return f"{effect.endpoint}: {-ledger.free():.3f} GB too much"
+    return ""
+
+
+@invariant("memory-all", full=True)
+def check_all_memory(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """The same for every endpoint, not only for those that get an order."""
+    for ledger in state.control.ledgers.values():
+        promised = ledger.pending is not None and ledger.pending.action in ("load", "attach")
+        if ledger.usable and promised and ledger.free() < -1e-6:
+            return f"{ledger.endpoint}: {-ledger.free():.3f} GB too much"
+    return ""
+
+
+@invariant("lease")
+def check_lease(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """Only a holder with time to spare gives orders."""
+    for effect in effects:
+        if isinstance(effect, SendOrder) and not state.control.lease.holding(state.now):
+            return f"order {effect.token} without the lease"
+    return ""
+
+
+@invariant("reachable")
+def check_reachable(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """No order unloads the last resident replica of a declared model."""
+    from .governing import model_hosts
+
+    for effect in effects:
+        if not isinstance(effect, SendOrder) or effect.action != "unload":
+            continue
+        if effect.model in state.catalogue.models and not model_hosts(state, effect.model):
+            return f"{effect.model} would be resident nowhere"
+    return ""
+
+
+@invariant("not-run")
+def check_not_run(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """A request that may be with an endpoint is never told ``not_run``."""
+    for effect in effects:
+        if isinstance(effect, Refuse) and effect.outcome == "not_run":
+            if effect.request_id in state.witness:
+                return f"{effect.request_id} was sent"
+    return ""
+
+
+@invariant("at-most-once")
+def check_once(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """An unrepeatable request that may be with an endpoint is never sent again."""
+    for effect in effects:
+        if not isinstance(effect, Dispatch):
+            continue
+        request = state.requests[effect.request_id]
+        if not request.arrived.repeatable and effect.request_id in state.witness:
+            return f"{effect.request_id} would be sent twice"
+    return ""
+
+
+@invariant("leaving")
+def check_leaving(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """A leaving endpoint gets no new work."""
+    for effect in effects:
+        if isinstance(effect, Dispatch) and state.endpoints[effect.endpoint].leaving:
+            return f"{effect.endpoint} is leaving"
+    return ""
+
+
+@invariant("uncut")
+def check_uncut(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """A planned stop ends only after the last request has."""
+    if state.stopped and state.requests and not state.hurry:
+        return f"{len(state.requests)} requests in flight at the stop"
+    return ""
+
+
+@invariant("inflight", full=True)
+def check_inflight(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """Every request in flight at an endpoint is one that this node knows."""
+    for view in state.endpoints.values():
+        lost = set(view.inflight) - set(state.requests)
+        if lost:
+            return f"{view.name} counts {sorted(lost)[0]}, which is over"
+    return ""
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -0,0 +1,110 @@
+"""The lease that names the one node which controls endpoints and publishes.
+
+It is one object in the platform, renewed by conditional update. Its expiry is
+judged on the observer's own monotonic clock, from the last change it saw; no
+clock is ever compared with another node's. See ``docs/design/fencing.md``.
+"""
+
+import typing as t
+
+from . import defaults
+from .events import LeaseSeen
+from .events import LeaseWritten
+
+
+class LeaseWish(t.NamedTuple):
+    """A lease write that is due."""
+
+    version: int
+    epoch: int
+    nonce: str
+
+
+class Lease:
+    """The lease as one node sees it."""
+
+    def __init__(self) -> None:
+        self.version = -1
+        self.holder = ""
+        self.epoch = 0
+        self.changed_at: float | None = None
+        self.held_until = -1e9
+        self.own_epoch = 0
+        self._count = 0
+        self._pending: tuple[str, float, int] | None = None
+        self._asked_at = -1e9
+
+    def holding(self, now: float) -> bool:
+        """Say whether this node may act as the holder, with time to spare."""
+        return now < self.held_until
+
+    def see(self, event: LeaseSeen, name: str) -> None:
+        """Take the lease object as read. It settles a write of unknown fate."""
+        if self._pending is not None and event.nonce == self._pending[0]:
+            nonce, asked_at, epoch = self._pending
+            self._win(asked_at, event.version, epoch, name)
+            return
+        if event.version <= self.version:
+            return
+        self.version = event.version
+        self.holder = event.holder
+        self.epoch = max(self.epoch, event.epoch)
+        self.changed_at = event.at
+        if event.holder != name or event.epoch != self.own_epoch:
+            self.held_until = -1e9
+
+    def answer(self, event: LeaseWritten, name: str) -> bool:
+        """Take the answer to a write.
+
+        :return: whether this node has just become the holder.
+        """
+        if self._pending is None or event.nonce != self._pending[0]:
+            return False
+        nonce, asked_at, epoch = self._pending
+        if event.won is None:
+            # The write may have taken effect; the next read settles it.
+            return False
+        self._pending = None
+        if not event.won:
+            self.held_until = -1e9
+            return False
+        return self._win(asked_at, event.version, epoch, name)
+
+    def _win(self, asked_at: float, version: int, epoch: int, name: str) -> bool:
+        new = epoch != self.own_epoch
+        self._pending = None
+        self.version = max(self.version, version)
+        self.holder = name
+        self.epoch = max(self.epoch, epoch)
+        self.own_epoch = epoch
+        self.changed_at = asked_at
+        # Observers count from when they saw it, which is after it was asked for.
+        self.held_until = asked_at + defaults.LEASE_TTL_S - defaults.LEASE_MARGIN_S
+        return new
+
+    def wish(self, now: float, name: str, incarnation: str, candidate: bool) -> LeaseWish | None:
+        """Say which write is due now, if any."""
+        if self.version < 0 or now - self._asked_at < defaults.LEASE_RENEW_S:
+            return None
+        holding = self.holding(now)
+        if not holding and not (candidate and self._free(now)):
+            return None
+        epoch = self.own_epoch if holding else self.epoch + 1
+        self._count += 1
+        nonce = f"{incarnation}/{self._count}"
+        self._pending = (nonce, now, epoch)
+        self._asked_at = now
+        return LeaseWish(self.version, epoch, nonce)
+
+    def _free(self, now: float) -> bool:
+        if self.holder == "":
+            return True
+        return self.changed_at is not None and now - self.changed_at > defaults.LEASE_TTL_S
+
+    def give_up(self) -> LeaseWish | None:
+        """Free the lease at a planned stop, so that no time-out has to pass."""
+        if self.held_until < 0:
+            return None
+        self.held_until = -1e9
+        self._pending = None
+        return LeaseWish(self.version, self.own_epoch, "")
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/memory.py
@@ -0,0 +1,153 @@
+"""Ledger of one endpoint's memory, kept by the lease holder.
+
+``held + promised + doubtful + reserve <= capacity`` holds after every event.
+What was ordered counts from before the order leaves until a report made after
+it says otherwise; what is to be freed counts until a report shows it gone.
+"""
+
+import typing as t
+
+from . import defaults
+from .events import EndpointReported
+
+Weights = tuple[str, str]
+
+
+class PendingOrder:
+    """The one order that is on its way to an endpoint."""
+
+    __slots__ = ("accepted", "action", "answered_at", "gb", "key", "sent_at", "sequence", "token")
+
+    def __init__(
+        self, token: tuple[int, int], action: str, key: Weights, gb: float, sent_at: float
+    ) -> None:
+        self.token = token
+        self.sequence = token[1]
+        self.action = action
+        self.key = key
+        self.gb = gb
+        self.sent_at = sent_at
+        self.accepted: bool | None = None
+        self.answered_at: float | None = None
+
+
+class Doubt(t.NamedTuple):
+    """Memory that an order of unknown fate may yet take."""
+
+    key: Weights
+    gb: float
+    until: float
+
+
+class Ledger:
+    """Memory of one endpoint as the lease holder accounts for it."""
+
+    def __init__(self, endpoint: str) -> None:
+        self.endpoint = endpoint
+        self.incarnation = ""
+        self.capacity_gb = 0.0
+        self.held: dict[Weights, float] = {}
+        self.resident: set[Weights] = set()
+        self.pending: PendingOrder | None = None
+        self.doubts: list[Doubt] = []
+        self.sealed = False
+        self.claimed = False
+        self.checks_orders = False
+        self.intent_version = 0
+        self.seen_token = (0, 0)
+        self.report_made_at = -1e9
+        self.usable = False
+
+    @property
+    def reserve_gb(self) -> float:
+        """Working memory that is never promised to weights."""
+        return self.capacity_gb * defaults.MEMORY_RESERVE_SHARE
+
+    def committed(self) -> float:
+        """Give all memory that is held, promised or in doubt, in gigabytes."""
+        amounts = dict(self.held)
+        for doubt in self.doubts:
+            amounts[doubt.key] = max(amounts.get(doubt.key, 0.0), doubt.gb)
+        order = self.pending
+        if order is not None and order.action in ("load", "attach"):
+            amounts[order.key] = max(amounts.get(order.key, 0.0), order.gb)
+        return sum(amounts.values())
+
+    def free(self) -> float:
+        """Give the memory that may still be promised, in gigabytes."""
+        return self.capacity_gb - self.reserve_gb - self.committed()
+
+    def ready(self) -> bool:
+        """Say whether an order may be given: fenced, known and none on its way."""
+        fenced = self.sealed if self.checks_orders else self.claimed
+        return fenced and self.usable and self.pending is None
+
+    def take_report(self, report: EndpointReported, sizes: t.Mapping[Weights, float]) -> None:
+        """Reconcile with what the endpoint says it holds."""
+        made_at = report.at - report.age_s
+        if made_at <= self.report_made_at:
+            return
+        if report.incarnation != self.incarnation:
+            self._restart(report)
+        self.report_made_at = made_at
+        self.capacity_gb = report.memory_gb
+        self.checks_orders = report.checks_orders
+        self.seen_token = max(self.seen_token, report.order_token)
+        self.resident = set(report.resident)
+        keys = [*report.resident, *report.loading]
+        keys += [(f"adapter/{name}", "") for name in report.adapters]
+        self.held = {key: sizes.get(key, self.held.get(key, 0.0)) for key in keys}
+        known = sum(self.held.values())
+        if report.held_gb > known + 1e-6:
+            # Something unknown lies there, so it counts in full.
+            self.held[("unknown", "")] = report.held_gb - known
+        self.usable = True
+        self._resolve(made_at, report)
+
+    def _restart(self, report: EndpointReported) -> None:
+        self.incarnation = report.incarnation
+        self.sealed = False
+        self.seen_token = (0, 0)
+        if self.pending is not None and not report.checks_orders:
+            self._doubt(self.pending)
+        self.pending = None
+
+    def _resolve(self, made_at: float, report: EndpointReported) -> None:
+        order = self.pending
+        if order is not None and self._settled(order, made_at, report):
+            self.pending = None
+        self.doubts = [doubt for doubt in self.doubts if made_at <= doubt.until]
+
+    def _settled(self, order: PendingOrder, made_at: float, report: EndpointReported) -> bool:
+        if report.checks_orders:
+            # Its highest token tells that the order was taken, or was overtaken
+            # by a later one and can never be.
+            return report.order_token >= order.token
+        if order.accepted is None or order.answered_at is None:
+            return False
+        return made_at > order.answered_at
+
+    def _doubt(self, order: PendingOrder) -> None:
+        if order.action in ("load", "attach"):
+            until = order.sent_at + defaults.LATE_ORDER_BOUND_S
+            self.doubts.append(Doubt(order.key, order.gb, until))
+
+    def answer(self, token: tuple[int, int], accepted: bool | None, now: float) -> None:
+        """Take the answer to the order on its way; None means that none came."""
+        order = self.pending
+        if order is None or order.token != token or accepted is None:
+            return
+        order.accepted = accepted
+        order.answered_at = now
+        if accepted is False:
+            self.pending = None
+
+    def give_up_order(self, now: float) -> None:
+        """Stop waiting for an endpoint that does not check: its memory stays in doubt."""
+        if self.pending is not None:
+            self._doubt(self.pending)
+            if self.pending.action == "unload":
+                # A late unload may still come, so what it frees is not to be loaded again soon.
+                until = self.pending.sent_at + defaults.LATE_ORDER_BOUND_S
+                self.doubts.append(Doubt(self.pending.key, self.pending.gb, until))
+            self.pending = None
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -0,0 +1,410 @@
+"""The life of a request at its entry node: admission, attempts, its one ending."""
+
+import typing as t
+
+from . import admission
+from . import defaults
+from . import retries
+from . import routing
+from .effects import Cancel
+from .effects import Dispatch
+from .effects import Effect
+from .effects import Forget
+from .effects import Refuse
+from .effects import Replay
+from .endpoints import EndpointView
+from .events import AttemptFailed
+from .events import AttemptProgressed
+from .events import AttemptStarted
+from .events import AttemptSucceeded
+from .events import CallerLeft
+from .events import RequestArrived
+from .events import SessionOpened
+from .reducer import handles
+from .state import NodeState
+from .state import RequestState
+
+Effects = list[Effect]
+
+
+@handles(SessionOpened)
+def open_session(state: NodeState, event: SessionOpened) -> Effects:
+    """Begin a session that this incarnation issues."""
+    state.once.open(event.session, event.team, event.at)
+    return []
+
+
+@handles(RequestArrived)
+def admit_request(state: NodeState, event: RequestArrived) -> Effects:
+    """Judge a new request: start it, queue it, replay its answer or refuse it."""
+    fault = _check_target(state, event)
+    if fault is not None:
+        return [fault]
+    if event.once_key is not None:
+        early = _judge_once(state, event)
+        if early is not None:
+            return early
+    effects = _check_limits(state, event) or _enqueue(state, event)
+    effects += pump(state, event.target)
+    return effects
+
+
+def _check_target(state: NodeState, event: RequestArrived) -> Refuse | None:
+    if state.stopped:
+        return _refusal(event, 503, "stopping", "this node has stopped; ask for addresses")
+    if _isolated(state):
+        return _refusal(event, 503, "isolated", "this node is cut off; use another address")
+    known = state.catalogue.services if event.service else state.catalogue.models
+    if event.target not in known:
+        what = "service" if event.service else "model"
+        return _refusal(event, 404, "unknown_target", f"{what}: {event.target!r} is not declared")
+    if event.adapter and event.adapter not in state.catalogue.adapters:
+        return _refusal(event, 404, "unknown_adapter", f"model: adapter {event.adapter!r}")
+    return None
+
+
+def _isolated(state: NodeState) -> bool:
+    if state.membership.size() > 0 or state.platform_reachable:
+        return False
+    return state.now - state.platform_at > defaults.ISOLATION_GRACE_S
+
+
+def _refusal(
+    event: RequestArrived, status: int, reason: str, message: str, after_s: float = 0.0
+) -> Refuse:
+    return Refuse(event.request_id, status, reason, "not_run", message, after_s)
+
+
+def _judge_once(state: NodeState, event: RequestArrived) -> Effects | None:
+    assert event.once_key is not None
+    verdict = state.once.begin(
+        event.once_key, event.body_digest, event.team, event.request_id, event.at
+    )
+    if verdict.action == "start":
+        return None
+    if verdict.action == "wait":
+        # The key's first run goes on; its end answers this request too.
+        return []
+    if verdict.action == "replay":
+        assert verdict.entry is not None
+        return [Replay(event.request_id, verdict.entry.status, verdict.entry.answer)]
+    if verdict.action == "mismatch":
+        text = "Idempotency-Key: was used before with another body"
+        return [_refusal(event, 422, "key_reused", text)]
+    text = "the outcome of this key is no longer known; it was not started again"
+    return [Refuse(event.request_id, 409, "outcome_unknown", "unknown", text)]
+
+
+def _check_limits(state: NodeState, event: RequestArrived) -> Effects:
+    team = state.catalogue.teams.get(event.team)
+    if team is None:
+        return []
+    after_s = state.limits.admit(event.team, team, event.at)
+    if after_s <= 0.0:
+        return []
+    text = f"team {event.team!r} is over its limit"
+    return _refuse_keyed(state, event, _refusal(event, 429, "limited", text, after_s))
+
+
+def _refuse_keyed(state: NodeState, event: RequestArrived, refusal: Refuse) -> Effects:
+    """Refuse a request that did not run, and with it all who wait for its key."""
+    effects: Effects = [refusal]
+    if event.once_key is not None:
+        for waiter in state.once.release(event.once_key):
+            effects.append(refusal._replace(request_id=waiter))
+    return effects
+
+
+def _enqueue(state: NodeState, event: RequestArrived) -> Effects:
+    request = RequestState(event)
+    state.requests[event.request_id] = request
+    queue = state.queues.setdefault(event.target, admission.AdmissionQueue())
+    order = admission.order_of(event.deadline_at, event.priority)
+    rank = defaults.PRIORITY_RANK[event.priority]
+    queued = admission.Queued(
+        order, event.at, event.request_id, event.tokens, rank, event.deadline_at
+    )
+    best = event.at + service_time(state, event.target, event.service, event.tokens)
+    if state.admission_on and best + queue.wait(order) > event.deadline_at:
+        after_s = max(0.5, best + queue.wait(order) - event.deadline_at)
+        return _give_up(state, request, 503, "late", "cannot be served in time", after_s)
+    queue.push(queued)
+    if len(queue) <= defaults.QUEUE_MAX:
+        return []
+    worst = queue.worst()
+    assert worst is not None
+    queue.remove(worst.request_id)
+    last = state.requests[worst.request_id]
+    return _give_up(state, last, 503, "queue_full", "too many requests wait", 1.0)
+
+
+def service_time(state: NodeState, target: str, service: bool, tokens: int) -> float:
+    """Predict the least seconds in which a target's endpoints could serve a request."""
+    best = 0.0
+    if service:
+        return best
+    rates = [
+        min(one.report.stream_rate, one.report.token_rate / one.slots())
+        for one in state.endpoints.values()
+        if one.report is not None and one.serves(target, service)
+    ]
+    if not rates:
+        return best
+    return tokens / max(1e-9, *rates)
+
+
+def pump(state: NodeState, target: str) -> Effects:
+    """Send on as many of a target's waiting requests as its endpoints have room for."""
+    queue = state.queues.get(target)
+    effects: Effects = []
+    if queue is None:
+        return effects
+    while True:
+        queued = queue.peek()
+        if queued is None:
+            return effects
+        request = state.requests[queued.request_id]
+        endpoint = choose_endpoint(state, request)
+        if endpoint is None:
+            return effects
+        queue.remove(queued.request_id)
+        queue.served(queued.tokens)
+        effects.append(_dispatch(state, request, endpoint))
+
+
+def choose_endpoint(state: NodeState, request: RequestState) -> EndpointView | None:
+    """Choose where a request goes now, or None while there is no room."""
+    arrived = request.arrived
+    candidates = [
+        one
+        for one in state.endpoints.values()
+        if one.serves(arrived.target, arrived.service) and one.open_for_work(state.now)
+    ]
+    fresh = [one for one in candidates if one.name not in request.tried] or candidates
+    if state.admission_on:
+        fresh = [one for one in fresh if one.load(state.now) < 1.0]
+    if not fresh:
+        return None
+    query = routing.RouteQuery(
+        now=state.now,
+        request_id=f"{arrived.request_id}/{request.attempt}",
+        tokens=arrived.tokens,
+        prompt_tokens=arrived.prompt_tokens,
+        prefix=arrived.prefix,
+        adapter=arrived.adapter,
+        data_centre=state.identity.data_centre,
+    )
+    name = state.routing_override or state.catalogue.policy.routing
+    return routing.find_routing(name)(query, fresh)
+
+
+def _dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Dispatch:
+    request.attempt += 1
+    request.endpoint = endpoint.name
+    request.tried.add(endpoint.name)
+    request.running = True
+    request.dispatched_at = state.now
+    identity = request.arrived.request_id
+    endpoint.begin(identity, state.now)
+    if request.arrived.prefix:
+        endpoint.hint((request.arrived.prefix,), state.now)
+    wait = 0.0
+    if request.attempt > 1 and request.delivered == 0:
+        wait = retries.back_off(request.attempt - 1, routing.mix(identity))
+    return Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait)
+
+
+def _current(state: NodeState, request_id: str, attempt: int) -> RequestState | None:
+    request = state.requests.get(request_id)
+    if request is None or request.attempt != attempt or not request.running:
+        return None
+    return request
+
+
+@handles(AttemptStarted)
+def note_start(state: NodeState, event: AttemptStarted) -> Effects:
+    """From here on a byte may be with the endpoint."""
+    request = _current(state, event.request_id, event.attempt)
+    if request is not None:
+        request.sent = True
+    return []
+
+
+@handles(AttemptProgressed)
+def note_progress(state: NodeState, event: AttemptProgressed) -> Effects:
+    """Tokens reached the caller; a continuation begins after them."""
+    request = _current(state, event.request_id, event.attempt)
+    if request is not None:
+        request.delivered += event.tokens
+    return []
+
+
+@handles(AttemptSucceeded)
+def finish_request(state: NodeState, event: AttemptSucceeded) -> Effects:
+    """The answer is whole: remember it if keyed, and answer those who wait for it."""
+    request = _current(state, event.request_id, event.attempt)
+    if request is None:
+        return []
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is not None:
+        endpoint.succeed()
+    state.budget.earn()
+    effects: Effects = []
+    key = request.arrived.once_key
+    if key is not None:
+        for waiter in state.once.settle(key, "ran", event.status, event.answer):
+            effects.append(Replay(waiter, event.status, event.answer))
+    effects += _close(state, request)
+    return effects + pump(state, request.arrived.target)
+
+
+@handles(AttemptFailed)
+def recover_request(state: NodeState, event: AttemptFailed) -> Effects:
+    """Try elsewhere if that is safe and worth it; else end with a true outcome."""
+    request = _current(state, event.request_id, event.attempt)
+    if request is None:
+        return []
+    request.sent = event.sent and not event.said_not_run
+    request.not_run_said = event.said_not_run
+    _blame(state, request, event)
+    request.running = False
+    if _may_retry(state, request, event):
+        return _requeue(state, request)
+    status = 503 if not request.sent else 502
+    text = f"endpoint failed: {event.reason}"
+    effects = _give_up(state, request, status, "endpoint_failed", text, 0.5)
+    return effects + pump(state, request.arrived.target)
+
+
+def _blame(state: NodeState, request: RequestState, event: AttemptFailed) -> None:
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is None:
+        return
+    endpoint.end(request.arrived.request_id, state.now)
+    if event.leaving:
+        endpoint.leaving = True
+        return
+    if not event.said_not_run:
+        endpoint.fail(state.now)
+
+
+def _may_retry(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
+    if request.arrived.deadline_at <= state.now:
+        return False
+    if not request.arrived.repeatable and request.sent:
+        # In doubt an unrepeatable request is never sent again.
+        return False
+    if request.delivered > 0:
+        request.continuations += 1
+        return request.continuations <= defaults.CONTINUATIONS_MAX
+    if request.attempt >= defaults.ATTEMPTS_MAX:
+        return False
+    if event.said_not_run and event.leaving:
+        # The refusal of a leaving endpoint costs it nothing, so it is no retry.
+        return True
+    return state.budget.spend()
+
+
+def _requeue(state: NodeState, request: RequestState) -> Effects:
+    arrived = request.arrived
+    queue = state.queues.setdefault(arrived.target, admission.AdmissionQueue())
+    # What is begun goes before what waits: it has the caller's time in it already.
+    order = arrived.at - defaults.PRIORITY_HEADSTART_S["ledger"]
+    rank = defaults.PRIORITY_RANK[arrived.priority]
+    left = max(1, arrived.tokens - request.delivered)
+    queue.push(
+        admission.Queued(order, arrived.at, arrived.request_id, left, rank, arrived.deadline_at)
+    )
+    return pump(state, arrived.target)
+
+
+def _give_up(
+    state: NodeState,
+    request: RequestState,
+    status: int,
+    reason: str,
+    message: str,
+    after_s: float = 0.0,
+) -> Effects:
+    """End a request that has no answer, at once and with a true outcome."""
+    arrived = request.arrived
+    outcome = "unknown" if request.sent or request.delivered else "not_run"
+    refusal = Refuse(arrived.request_id, status, reason, outcome, message, after_s)
+    state.record(arrived.request_id, f"refused {reason}", message)
+    effects: Effects = [refusal]
+    if arrived.once_key is not None:
+        if outcome == "not_run":
+            waiters = state.once.release(arrived.once_key)
+        else:
+            waiters = state.once.settle(arrived.once_key, "unknown", status, b"")
+        effects += [refusal._replace(request_id=waiter) for waiter in waiters]
+    return effects + _close(state, request)
+
+
+def _close(state: NodeState, request: RequestState) -> Effects:
+    identity = request.arrived.request_id
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is not None:
+        endpoint.end(identity, state.now)
+    state.requests.pop(identity, None)
+    if request.arrived.team in state.catalogue.teams:
+        state.limits.release(request.arrived.team)
+    return [Forget(identity)]
+
+
+@handles(CallerLeft)
+def leave_request(state: NodeState, event: CallerLeft) -> Effects:
+    """The caller is gone: stop repeatable work; let keyed work run to its end."""
+    request = state.requests.get(event.request_id)
+    if request is None:
+        return []
+    if request.arrived.once_key is not None and request.running:
+        # A retry may come for this answer, so it is worth finishing.
+        return []
+    queue = state.queues.get(request.arrived.target)
+    if queue is not None:
+        queue.remove(event.request_id)
+    effects: Effects = []
+    if request.running:
+        effects.append(Cancel(event.request_id, request.attempt, request.endpoint))
+    key = request.arrived.once_key
+    if key is not None:
+        text = "the first caller left before it was started"
+        refusal = Refuse("", 503, "caller_left", "not_run", text, 0.1)
+        waiters = state.once.release(key)
+        effects += [refusal._replace(request_id=waiter) for waiter in waiters]
+    return effects + _close(state, request) + pump(state, request.arrived.target)
+
+
+def sweep(state: NodeState, passed: float) -> Effects:
+    """Refuse what has become hopeless and send on what has room, in every queue."""
+    effects: Effects = []
+    for target, queue in list(state.queues.items()):
+        queue.measure(passed)
+        effects += _expire(state, target, queue)
+        effects += pump(state, target)
+        if len(queue) == 0 and queue.pace < 1.0:
+            del state.queues[target]
+    return effects
+
+
+def _expire(state: NodeState, target: str, queue: admission.AdmissionQueue) -> Effects:
+    service = target in state.catalogue.services
+    effects: Effects = []
+
+    def least(tokens: int) -> float:
+        if not state.admission_on:
+            return 0.0
+        return service_time(state, target, service, tokens)
+
+    for queued in queue.hopeless(state.now, least):
+        request = state.requests[queued.request_id]
+        queue.remove(queued.request_id)
+        text = "cannot be served before its deadline any more"
+        effects += _give_up(state, request, 503, "late", text, 1.0)
+    return effects
+
+
+def waiting(state: NodeState) -> t.Mapping[str, int]:
+    """Give the queue length of each target."""
+    return {target: len(queue) for target, queue in state.queues.items()}
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/resources.py
@@ -0,0 +1,155 @@
+"""Resources that operators declare, and the checks on a single one.
+
+The resource API checks each write with :func:`check_resource`; the lease
+holder checks again at acceptance, since the platform's objects can be written
+by other hands. Specs are ``NamedTuple`` classes in the registry ``KINDS``.
+"""
+
+import re
+import typing as t
+
+from pydantic import ConfigDict
+from pydantic import Field
+from pydantic import TypeAdapter
+from pydantic import ValidationError
+
+from .exceptions import ResourceInvalid
+
+Name = t.Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+Positive = t.Annotated[float, Field(gt=0, allow_inf_nan=False)]
+Priority = t.Literal["casual", "normal", "ranked", "ledger"]
+
+Spec = t.TypeVar("Spec", bound=type[t.Any])
+KINDS: dict[str, type[t.Any]] = {}
+_ADAPTERS: dict[str, TypeAdapter[t.Any]] = {}
+_NAME = re.compile(r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")
+_RESOURCE_FIELDS = {"kind", "name", "spec", "version", "status"}
+
+
+def kind(name: str) -> t.Callable[[Spec], Spec]:
+    """Register a spec class under a resource kind.
+
+    :param name: the kind as operators write it, such as ``Model``.
+    """
+
+    def register(cls: Spec) -> Spec:
+        KINDS[name] = cls
+        _ADAPTERS[name] = TypeAdapter(cls, config=ConfigDict(strict=False))
+        return cls
+
+    return register
+
+
+@kind("Model")
+class ModelSpec(t.NamedTuple):
+    """A model to keep reachable; memory in gigabytes of one runner's accelerators."""
+
+    version: t.Annotated[str, Field(min_length=1, max_length=64)]
+    memory_gb: Positive
+    engine: Name = "pitwall-llm"
+    priority: Priority = "normal"
+    replicas_min: t.Annotated[int, Field(ge=1, le=1000)] = 1
+    replicas_max: t.Annotated[int, Field(ge=1, le=10000)] = 1000
+    deadline_s: t.Annotated[float, Field(gt=0, le=600)] = 60.0
+
+
+@kind("Adapter")
+class AdapterSpec(t.NamedTuple):
+    """A small set of weights upon a base model."""
+
+    model: Name
+    memory_gb: Positive = 0.1
+
+
+@kind("Service")
+class ServiceSpec(t.NamedTuple):
+    """A plain service; ``unrepeatable`` lists path prefixes that run at most once."""
+
+    unrepeatable: tuple[t.Annotated[str, Field(max_length=256)], ...] = ()
+    priority: Priority = "normal"
+    deadline_s: t.Annotated[float, Field(gt=0, le=600)] = 10.0
+    concurrency: t.Annotated[int, Field(ge=1, le=100000)] = 64
+
+
+@kind("Team")
+class TeamSpec(t.NamedTuple):
+    """Callers that share keys and limits; keys are kept as SHA-256 digests."""
+
+    key_sha256: tuple[t.Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")], ...]
+    requests_per_s: Positive = 1e6
+    concurrency: t.Annotated[int, Field(ge=1)] = 1_000_000
+    operator: bool = False
+
+
+@kind("Policy")
+class PolicySpec(t.NamedTuple):
+    """How attainment is weighed against moves, and the weight store's limits."""
+
+    move_weight: t.Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)] = 1.0
+    placement: Name = "gain"
+    routing: Name = "least-finish"
+    loads_per_s: Positive = 1.5
+    loads_at_once: t.Annotated[int, Field(ge=1, le=10000)] = 10
+
+
+class Resource(t.NamedTuple):
+    """One declared resource with the platform's version of it (0 when unwritten)."""
+
+    kind: str
+    name: str
+    spec: dict[str, t.Any]
+    version: int = 0
+
+    @property
+    def key(self) -> str:
+        """Name of the resource's object in the platform."""
+        return f"{self.kind}.{self.name}"
+
+
+def _describe(fault: t.Any) -> str:
+    field = ".".join(str(part) for part in fault["loc"]) or "spec"
+    return f"spec.{field}: {fault['msg']}"
+
+
+def parse_spec(kind_name: str, spec: object) -> t.Any:
+    """Turn a mapping into the kind's spec.
+
+    :raises ResourceInvalid: with every faulty field named.
+    """
+    adapter = _ADAPTERS.get(kind_name)
+    if adapter is None:
+        raise ResourceInvalid((f"kind: {kind_name!r} is not one of {', '.join(KINDS)}",))
+    if not isinstance(spec, dict):
+        raise ResourceInvalid(("spec: a mapping was expected",))
+    try:
+        parsed = adapter.validate_python(spec)
+    except ValidationError as error:
+        raise ResourceInvalid(tuple(_describe(fault) for fault in error.errors())) from None
+    if kind_name == "Model" and parsed.replicas_max < parsed.replicas_min:
+        raise ResourceInvalid(("spec.replicas_max: must not be below replicas_min",))
+    return parsed
+
+
+def check_resource(document: object) -> Resource:
+    """Check one resource document and return it in its canonical form.
+
+    :param document: what an operator wrote, decoded from JSON or YAML.
+    :raises ResourceInvalid: with every faulty field named.
+    """
+    if not isinstance(document, dict):
+        raise ResourceInvalid(("document: a mapping was expected",))
+    faults = [f"{field}: unknown field" for field in sorted(set(document) - _RESOURCE_FIELDS)]
+    name = document.get("name")
+    if not isinstance(name, str) or not _NAME.match(name):
+        faults.append("name: lower-case letters, digits, dots and dashes were expected (1 to 63)")
+    version = document.get("version", 0)
+    if not isinstance(version, int) or isinstance(version, bool) or version < 0:
+        faults.append("version: a whole number from 0 was expected")
+    spec: dict[str, t.Any] = {}
+    try:
+        spec = parse_spec(str(document.get("kind")), document.get("spec"))._asdict()
+    except ResourceInvalid as error:
+        faults.extend(error.faults)
+    if faults:
+        raise ResourceInvalid(tuple(faults))
+    return Resource(str(document["kind"]), str(name), spec, t.cast(int, version))
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -0,0 +1,105 @@
+"""All that a node knows, in one place, changed by the reducer alone."""
+
+import typing as t
+
+from . import defaults
+from .admission import AdmissionQueue
+from .catalogue import Catalogue
+from .control import ControlState
+from .endpoints import EndpointView
+from .events import RequestArrived
+from .limits import LimitTable
+from .membership import Membership
+from .once import OnceTable
+from .retries import RetryBudget
+
+
+class Identity(t.NamedTuple):
+    """Who a node is; the incarnation is new at each start."""
+
+    name: str
+    incarnation: str
+    data_centre: str
+    address: str = ""
+    caller_address: str = ""
+
+
+class RequestState:
+    """One request at its entry node."""
+
+    __slots__ = (
+        "arrived",
+        "attempt",
+        "continuations",
+        "delivered",
+        "dispatched_at",
+        "endpoint",
+        "not_run_said",
+        "running",
+        "sent",
+        "tried",
+    )
+
+    def __init__(self, arrived: RequestArrived) -> None:
+        self.arrived = arrived
+        self.attempt = 0
+        self.endpoint = ""
+        self.tried: set[str] = set()
+        # Whether a byte may be with an endpoint that has not said "not run".
+        self.sent = False
+        self.not_run_said = False
+        self.running = False
+        self.delivered = 0
+        self.continuations = 0
+        self.dispatched_at = 0.0
+
+
+class Decision(t.NamedTuple):
+    """One recorded decision, for ``rookctl explain``."""
+
+    at: float
+    subject: str
+    what: str
+    why: str
+
+
+class NodeState:
+    """The state of one node. Handlers change it; nothing else does."""
+
+    def __init__(self, identity: Identity, started_at: float = 0.0) -> None:
+        self.identity = identity
+        self.started_at = started_at
+        self.now = started_at
+        self.ticked_at = started_at
+        self.catalogue = Catalogue()
+        self.endpoints: dict[str, EndpointView] = {}
+        self.requests: dict[str, RequestState] = {}
+        self.queues: dict[str, AdmissionQueue] = {}
+        self.limits = LimitTable()
+        self.budget = RetryBudget()
+        self.once = OnceTable()
+        self.membership = Membership(identity.name, identity.data_centre)
+        self.control = ControlState()
+        self.demand_seen: dict[str, float] = {}
+        self.arrival_rate = 0.0
+        self.platform_at = started_at
+        self.platform_reachable = False
+        self.draining_since: float | None = None
+        self.hurry = False
+        self.stopped = False
+        self.witness: set[str] = set()
+        self.decisions: list[Decision] = []
+        self.full_checks = False
+        self.admission_on = True
+        self.routing_override = ""
+
+    def record(self, subject: str, what: str, why: str) -> None:
+        """Keep a decision for later questions, the oldest given up first."""
+        self.decisions.append(Decision(self.now, subject, what, why))
+        if len(self.decisions) > defaults.DECISIONS_MAX:
+            del self.decisions[: defaults.DECISIONS_MAX // 4]
+
+    @property
+    def leaving(self) -> bool:
+        """Whether this node is on its planned way out."""
+        return self.draining_since is not None
