--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -21,6 +21,15 @@
     not_before: float = 0.0
 
 
+class Attach(t.NamedTuple):
+    """Read on from a stream that runs at an endpoint already."""
+
+    request_id: str
+    attempt: int
+    endpoint: str
+    offset: int
+
+
 class Refuse(t.NamedTuple):
     """Answer a caller with an error.
 
@@ -129,6 +138,7 @@
 
 Effect = (
     Dispatch
+    | Attach
     | Refuse
     | Replay
     | Cancel
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -108,6 +108,10 @@
             return False
         return any(model == target for model, _ in self.report.resident)
 
+    def has_adapter(self, adapter: str) -> bool:
+        """Say whether an adapter is attached there."""
+        return self.report is not None and adapter in self.report.adapters
+
     def open_for_work(self, now: float) -> bool:
         """Say whether new work may go there: neither leaving, gone nor ejected."""
         if self.leaving or self.gone:
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -36,6 +36,24 @@
     stream: bool = False
 
 
+class ResumeAsked(t.NamedTuple):
+    """A caller came back for a stream that runs at an endpoint already.
+
+    :param endpoint: where its resume token says that it runs.
+    :param continuable: the caller gave the text so far, so another endpoint may go on.
+    """
+
+    at: float
+    request_id: str
+    team: str
+    target: str
+    endpoint: str
+    offset: int
+    tokens: int
+    deadline_at: float
+    continuable: bool
+
+
 class AttemptStarted(t.NamedTuple):
     """The first byte of a request may have left for its endpoint."""
 
@@ -274,6 +292,7 @@
 Event = (
     Ticked
     | RequestArrived
+    | ResumeAsked
     | AttemptStarted
     | AttemptProgressed
     | AttemptSucceeded
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -321,7 +321,7 @@
     effects: Effects = []
     for move in planner(given):
         effects += _order(state, move)
-    return effects + _attach_adapters(state)
+    return effects
 
 
 def _rooms(state: NodeState) -> tuple[RunnerRoom, ...]:
@@ -330,10 +330,8 @@
         view = state.endpoints.get(ledger.endpoint)
         if view is None or view.gone or view.leaving or view.report is None or not ledger.usable:
             continue
-        coming = set(ledger.held) - ledger.resident
+        coming = (set(ledger.held) - ledger.resident) | ledger.keys_of("load")
         busy = not ledger.ready()
-        if ledger.pending is not None and ledger.pending.action == "load":
-            coming.add(ledger.pending.key)
         rooms.append(
             RunnerRoom(
                 name=ledger.endpoint,
@@ -341,7 +339,7 @@
                 engine=view.service,
                 free_gb=ledger.free(),
                 token_rate=view.report.token_rate,
-                resident=frozenset(ledger.resident),
+                resident=frozenset(ledger.resident - ledger.keys_of("unload")),
                 coming=frozenset(coming),
                 busy=busy,
             )
@@ -354,10 +352,8 @@
     count = 0
     for ledger in state.control.ledgers.values():
         view = state.endpoints.get(ledger.endpoint)
-        if view is not None and view.report is not None:
-            count += len(view.report.loading)
-        if ledger.pending is not None and ledger.pending.action == "load":
-            count += 1
+        loading = set(view.report.loading) if view and view.report else set()
+        count += len(loading | ledger.keys_of("load"))
     return count
 
 
@@ -400,12 +396,16 @@
         view = state.endpoints.get(ledger.endpoint)
         if view is None or view.gone or view.leaving:
             continue
-        going = ledger.pending.key if ledger.pending and ledger.pending.action == "unload" else None
-        if any(key[0] == model and key != going for key in ledger.resident):
+        staying = ledger.resident - ledger.keys_of("unload")
+        if any(key[0] == model for key in staying):
             hosts.add(ledger.endpoint)
     return hosts
 
 
+def _has(ledger: Ledger, key: Weights) -> bool:
+    return key in ledger.held or key in ledger.keys_of("attach")
+
+
 def _attach_adapters(state: NodeState) -> Effects:
     """Put each adapter on up to two of its base model's runners, evenly."""
     effects: Effects = []
@@ -416,7 +416,7 @@
     for name, spec in state.catalogue.adapters.items():
         key = (f"adapter/{name}", "")
         hosts = model_hosts(state, spec.model)
-        attached = {host for host in hosts if key in state.control.ledgers[host].held}
+        attached = {host for host in hosts if _has(state.control.ledgers[host], key)}
         if len(attached) >= min(2, len(hosts)):
             continue
         for host in sorted(hosts - attached, key=lambda one: (counts[one], one)):
@@ -457,7 +457,8 @@
     effects += publish_due(state)
     effects += fence_endpoints(state)
     effects += resend_orders(state)
-    return effects + plan_moves(state)
+    effects += plan_moves(state)
+    return effects + _attach_adapters(state)
 
 
 def _sum_demand(state: NodeState, passed: float) -> None:
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -82,7 +82,7 @@
 def check_all_memory(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """The same for every endpoint, not only for those that get an order."""
     for ledger in state.control.ledgers.values():
-        promised = ledger.pending is not None and ledger.pending.action in ("load", "attach")
+        promised = any(order.action in ("load", "attach") for order in ledger.orders())
         if ledger.usable and promised and ledger.free() < -1e-6:
             return f"{ledger.endpoint}: {-ledger.free():.3f} GB too much"
     return ""
@@ -114,9 +114,10 @@
 def check_not_run(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """A request that may be with an endpoint is never told ``not_run``."""
     for effect in effects:
-        if isinstance(effect, Refuse) and effect.outcome == "not_run":
-            if effect.request_id in state.witness:
-                return f"{effect.request_id} was sent"
+        if not isinstance(effect, Refuse) or effect.outcome != "not_run":
+            continue
+        if effect.request_id in state.witness:
+            return f"{effect.request_id} was sent"
     return ""
 
 
--- a/packages/rookspring-core/src/rookspring_core/memory.py
+++ b/packages/rookspring-core/src/rookspring_core/memory.py
@@ -49,6 +49,7 @@
         self.held: dict[Weights, float] = {}
         self.resident: set[Weights] = set()
         self.pending: PendingOrder | None = None
+        self.accepted: list[PendingOrder] = []
         self.doubts: list[Doubt] = []
         self.sealed = False
         self.claimed = False
@@ -68,11 +69,19 @@
         amounts = dict(self.held)
         for doubt in self.doubts:
             amounts[doubt.key] = max(amounts.get(doubt.key, 0.0), doubt.gb)
-        order = self.pending
-        if order is not None and order.action in ("load", "attach"):
-            amounts[order.key] = max(amounts.get(order.key, 0.0), order.gb)
+        for order in self.orders():
+            if order.action in ("load", "attach"):
+                amounts[order.key] = max(amounts.get(order.key, 0.0), order.gb)
         return sum(amounts.values())
 
+    def orders(self) -> list[PendingOrder]:
+        """List the orders that no report reflects yet: accepted ones, then the one on its way."""
+        return [*self.accepted, self.pending] if self.pending else list(self.accepted)
+
+    def keys_of(self, action: str) -> set[Weights]:
+        """Give the weights that orders of one action, not yet reflected, are about."""
+        return {order.key for order in self.orders() if order.action == action}
+
     def free(self) -> float:
         """Give the memory that may still be promised, in gigabytes."""
         return self.capacity_gb - self.reserve_gb - self.committed()
@@ -111,11 +120,13 @@
         if self.pending is not None and not report.checks_orders:
             self._doubt(self.pending)
         self.pending = None
+        self.accepted = []
 
     def _resolve(self, made_at: float, report: EndpointReported) -> None:
         order = self.pending
         if order is not None and self._settled(order, made_at, report):
             self.pending = None
+        self.accepted = [one for one in self.accepted if not self._settled(one, made_at, report)]
         self.doubts = [doubt for doubt in self.doubts if made_at <= doubt.until]
 
     def _settled(self, order: PendingOrder, made_at: float, report: EndpointReported) -> bool:
@@ -139,8 +150,10 @@
             return
         order.accepted = accepted
         order.answered_at = now
-        if accepted is False:
-            self.pending = None
+        self.pending = None
+        if accepted:
+            # It counts until a report that was made after it.
+            self.accepted.append(order)
 
     def give_up_order(self, now: float) -> None:
         """Stop waiting for an endpoint that does not check: its memory stays in doubt."""
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -6,6 +6,7 @@
 from . import defaults
 from . import retries
 from . import routing
+from .effects import Attach
 from .effects import Cancel
 from .effects import Dispatch
 from .effects import Effect
@@ -19,6 +20,7 @@
 from .events import AttemptSucceeded
 from .events import CallerLeft
 from .events import RequestArrived
+from .events import ResumeAsked
 from .events import SessionOpened
 from .reducer import handles
 from .state import NodeState
@@ -44,6 +46,8 @@
         early = _judge_once(state, event)
         if early is not None:
             return early
+    if not event.service:
+        state.control.meter.add(event.target, event.tokens)
     effects = _check_limits(state, event) or _enqueue(state, event)
     effects += pump(state, event.target)
     return effects
@@ -117,6 +121,7 @@
 
 def _enqueue(state: NodeState, event: RequestArrived) -> Effects:
     request = RequestState(event)
+    request.limited = event.team in state.catalogue.teams
     state.requests[event.request_id] = request
     queue = state.queues.setdefault(event.target, admission.AdmissionQueue())
     order = admission.order_of(event.deadline_at, event.priority)
@@ -180,6 +185,8 @@
         for one in state.endpoints.values()
         if one.serves(arrived.target, arrived.service) and one.open_for_work(state.now)
     ]
+    if arrived.adapter:
+        candidates = [one for one in candidates if one.has_adapter(arrived.adapter)]
     fresh = [one for one in candidates if one.name not in request.tried] or candidates
     if state.admission_on:
         fresh = [one for one in fresh if one.load(state.now) < 1.0]
@@ -214,6 +221,35 @@
     return Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait)
 
 
+@handles(ResumeAsked)
+def resume_request(state: NodeState, event: ResumeAsked) -> Effects:
+    """Take over a stream whose entry node was lost; it may go on elsewhere if it must."""
+    arrived = RequestArrived(
+        at=event.at,
+        request_id=event.request_id,
+        team=event.team,
+        target=event.target,
+        deadline_at=event.deadline_at,
+        tokens=event.tokens,
+        repeatable=event.continuable,
+        stream=True,
+    )
+    request = RequestState(arrived)
+    state.requests[event.request_id] = request
+    request.attempt = 1
+    request.endpoint = event.endpoint
+    request.tried.add(event.endpoint)
+    request.running = True
+    request.sent = True
+    request.delivered = event.offset
+    endpoint = state.endpoints.get(event.endpoint)
+    if endpoint is None:
+        failed = AttemptFailed(event.at, event.request_id, 1, True, False, "endpoint is gone")
+        return recover_request(state, failed)
+    endpoint.begin(event.request_id, event.at)
+    return [Attach(event.request_id, 1, event.endpoint, event.offset)]
+
+
 def _current(state: NodeState, request_id: str, attempt: int) -> RequestState | None:
     request = state.requests.get(request_id)
     if request is None or request.attempt != attempt or not request.running:
@@ -347,7 +383,7 @@
     if endpoint is not None:
         endpoint.end(identity, state.now)
     state.requests.pop(identity, None)
-    if request.arrived.team in state.catalogue.teams:
+    if request.limited:
         state.limits.release(request.arrived.team)
     return [Forget(identity)]
 
--- a/packages/rookspring-core/src/rookspring_core/routing.py
+++ b/packages/rookspring-core/src/rookspring_core/routing.py
@@ -56,7 +56,7 @@
 
 def mix(*parts: str) -> int:
     """Hash names to a number; the same on every node."""
-    return xxhash.xxh64_intdigest("\x00".join(parts))
+    return xxhash.xxh64_intdigest("\x00".join(parts).encode())
 
 
 def predict_finish(query: RouteQuery, endpoint: EndpointView) -> float:
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -34,6 +34,7 @@
         "delivered",
         "dispatched_at",
         "endpoint",
+        "limited",
         "not_run_said",
         "running",
         "sent",
@@ -48,6 +49,7 @@
         # Whether a byte may be with an endpoint that has not said "not run".
         self.sent = False
         self.not_run_said = False
+        self.limited = False
         self.running = False
         self.delivered = 0
         self.continuations = 0
--- /dev/null
+++ b/packages/rookspring-ctl/src/rookspring_ctl/__init__.py
@@ -0,0 +1,1 @@
+"""Operator tool of rookspring."""
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/__init__.py
@@ -0,0 +1,13 @@
+"""Stand-ins for the platform, runners, plain services and callers, with fault switches."""
+
+from .caller import Caller as Caller
+from .engine import Engine as Engine
+from .engine import WeightStore as WeightStore
+from .faults import Faults as Faults
+from .platform import Platform as Platform
+from .runner import Runner as Runner
+from .service import Ledger as Ledger
+from .service import PlainService as PlainService
+from .serving import serve as serve
+from .store import ObjectStore as ObjectStore
+from .users import USERS as USERS
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/engine.py
@@ -0,0 +1,327 @@
+"""Model of a runner: continuous batching, memory, loads, streams and orders.
+
+Pure state that is moved on by :meth:`Engine.advance`; ``runner.py`` puts it on
+HTTP and the virtual clock drives it directly. All running streams share the
+token rate evenly, so progress is one number that grows at the common rate and a
+stream ends when that number reaches the stream's own mark.
+"""
+
+import heapq
+import typing as t
+import zlib
+
+from .faults import Faults
+
+Weights = tuple[str, str]
+
+
+class NotRun(Exception):
+    """The engine says in its protocol that it did not run a request."""
+
+
+class Order(t.NamedTuple):
+    """An order to an endpoint; ``token`` is (epoch, sequence)."""
+
+    token: tuple[int, int]
+    action: str
+    key: Weights
+    gb: float
+    incarnation: str = ""
+
+
+class Generation(t.NamedTuple):
+    """A request to generate, from ``offset`` on after a prefix given by the caller."""
+
+    stream_id: str
+    model: str
+    adapter: str
+    prompt: str
+    total: int
+    offset: int = 0
+    rank: int = 1
+    prefill: int = 0
+
+
+class Stream:
+    """One stream of an engine."""
+
+    __slots__ = ("asked", "cancelled", "end_mark", "ended_at", "reader", "start_mark", "started")
+
+    def __init__(self, asked: Generation) -> None:
+        self.asked = asked
+        self.started = False
+        self.cancelled = False
+        self.ended_at: float | None = None
+        self.start_mark = 0.0
+        self.end_mark = 0.0
+        self.reader = 0
+
+
+def token_text(model: str, prompt: str, index: int) -> str:
+    """Give one token; it tells its prompt, so that a foreign one is noticed."""
+    mark = zlib.crc32(f"{model}\x00{prompt}".encode())
+    return f"{mark:08x}.{index} "
+
+
+class WeightStore:
+    """The rate-limited store that all runners load from."""
+
+    def __init__(self, loads_at_once: int = 10, gb_per_s: float = 6.0) -> None:
+        self.loads_at_once = loads_at_once
+        self.gb_per_s = gb_per_s
+        self.running = 0
+        self.loads = 0
+
+    def begin(self, gb: float) -> float:
+        """Start a load and give its length in seconds; too many at once are slower."""
+        self.running += 1
+        self.loads += 1
+        crowd = max(1.0, self.running / self.loads_at_once)
+        return max(0.5, gb / self.gb_per_s) * crowd
+
+    def end(self) -> None:
+        """A load is over."""
+        self.running -= 1
+
+
+class Engine:
+    """One runner's state."""
+
+    def __init__(
+        self,
+        name: str,
+        store: WeightStore,
+        memory_gb: float = 80.0,
+        slots: int = 16,
+        token_rate: float = 800.0,
+        stream_rate: float = 100.0,
+        checks_orders: bool = True,
+        incarnation: str = "1",
+        seed: int = 0,
+    ) -> None:
+        self.name = name
+        self.store = store
+        self.memory_gb = memory_gb
+        self.slots = slots
+        self.token_rate = token_rate
+        self.stream_rate = stream_rate
+        self.checks_orders = checks_orders
+        self.incarnation = incarnation
+        self.faults = Faults(seed)
+        self.now = 0.0
+        self.mark = 0.0
+        self.streams: dict[str, Stream] = {}
+        self.running: set[str] = set()
+        self._ends: list[tuple[float, str]] = []
+        self._queue: list[tuple[int, float, str]] = []
+        self.resident: dict[Weights, float] = {}
+        self.loading: dict[Weights, tuple[float, float]] = {}
+        self.adapters: dict[str, float] = {}
+        self.order_token = (0, 0)
+        self.leaving = False
+        self.orders_refused = 0
+        self.overcommits = 0
+        self.loads = 0
+        self.unloads = 0
+        self.served_tokens = 0.0
+        self.cache: dict[int, float] = {}
+        self._reports: list[tuple[float, dict[str, t.Any]]] = []
+
+    def rate(self) -> float:
+        """Give the tokens a second of each running stream."""
+        if not self.running:
+            return 0.0
+        return min(self.stream_rate, self.token_rate / len(self.running))
+
+    def next_change(self) -> float:
+        """Give when the next stream ends or load is done, if nothing else happens."""
+        times = [done for done, _ in self.loading.values()]
+        self._drop_ended()
+        if self._ends:
+            times.append(self.now + max(0.0, self._ends[0][0] - self.mark) / self.rate())
+        return min(times, default=float("inf"))
+
+    def _drop_ended(self) -> None:
+        while self._ends and self._ends[0][1] not in self.running:
+            heapq.heappop(self._ends)
+
+    def advance(self, now: float) -> list[str]:
+        """Move time on, and name the streams that ended."""
+        ended: list[str] = []
+        while True:
+            due = self.next_change()
+            if due > now:
+                break
+            self._step(due)
+            ended += self._settle()
+        self._step(now)
+        return ended + self._settle()
+
+    def _step(self, now: float) -> None:
+        passed = max(0.0, now - self.now)
+        self.served_tokens += passed * self.rate() * len(self.running)
+        self.mark += passed * self.rate()
+        self.now = max(self.now, now)
+
+    def _settle(self) -> list[str]:
+        ended: list[str] = []
+        for key, (done, gb) in list(self.loading.items()):
+            if done <= self.now + 1e-9:
+                del self.loading[key]
+                self.resident[key] = gb
+                self.store.end()
+        self._drop_ended()
+        while self._ends and self._ends[0][0] <= self.mark + 1e-6:
+            _, name = heapq.heappop(self._ends)
+            if name in self.running:
+                self.running.discard(name)
+                self.streams[name].ended_at = self.now
+                ended.append(name)
+            self._drop_ended()
+        self._fill()
+        return ended
+
+    def _fill(self) -> None:
+        while self._queue and len(self.running) < self.slots:
+            _, _, name = heapq.heappop(self._queue)
+            stream = self.streams[name]
+            if stream.cancelled:
+                continue
+            stream.started = True
+            stream.start_mark = self.mark + stream.asked.prefill / 50.0
+            stream.end_mark = stream.start_mark + stream.asked.total - stream.asked.offset
+            self.running.add(name)
+            heapq.heappush(self._ends, (stream.end_mark, name))
+
+    def hosts(self, model: str) -> bool:
+        """Say whether some version of a model is resident."""
+        return any(key[0] == model for key in self.resident)
+
+    def submit(self, now: float, asked: Generation) -> Stream:
+        """Take a request.
+
+        :raises NotRun: when the engine will not run it.
+        """
+        self.advance(now)
+        if self.leaving:
+            raise NotRun("leaving")
+        if not self.hosts(asked.model):
+            raise NotRun("not_resident")
+        if asked.adapter and asked.adapter not in self.adapters:
+            raise NotRun("adapter_not_attached")
+        known = self.streams.get(asked.stream_id)
+        if known is not None:
+            raise NotRun("duplicate")
+        prefix = zlib.crc32(asked.prompt[:64].encode())
+        if prefix in self.cache:
+            asked = asked._replace(prefill=0)
+        self.cache[prefix] = now
+        stream = Stream(asked)
+        self.streams[asked.stream_id] = stream
+        heapq.heappush(self._queue, (-asked.rank, now, asked.stream_id))
+        self._fill()
+        return stream
+
+    def produced(self, stream: Stream) -> int:
+        """Give the offset up to which a stream's tokens exist."""
+        if not stream.started:
+            return stream.asked.offset
+        if stream.ended_at is not None:
+            return stream.asked.total
+        made = int(self.mark - stream.start_mark + 1e-6)
+        return min(stream.asked.total, stream.asked.offset + max(0, made))
+
+    def cancel(self, now: float, stream_id: str, reader: int | None = None) -> bool:
+        """Stop a stream, unless a later reader has taken it over."""
+        self.advance(now)
+        stream = self.streams.get(stream_id)
+        if stream is None or (reader is not None and reader < stream.reader):
+            return False
+        stream.cancelled = True
+        self.running.discard(stream_id)
+        if stream.ended_at is None:
+            stream.ended_at = now
+        del self.streams[stream_id]
+        self._queue = [row for row in self._queue if row[2] != stream_id]
+        heapq.heapify(self._queue)
+        self._fill()
+        return True
+
+    def committed(self) -> float:
+        """Give the memory in use, in gigabytes."""
+        loading = sum(gb for _, gb in self.loading.values())
+        return sum(self.resident.values()) + loading + sum(self.adapters.values())
+
+    def order(self, now: float, order: Order) -> tuple[bool, str]:
+        """Take an order; a fenced engine refuses one that is overtaken."""
+        self.advance(now)
+        if self.checks_orders:
+            if order.incarnation and order.incarnation != self.incarnation:
+                self.orders_refused += 1
+                return False, "restarted"
+            if order.token < self.order_token:
+                self.orders_refused += 1
+                return False, "stale"
+            if order.token == self.order_token:
+                return True, "repeated"
+            self.order_token = order.token
+        return self._carry_out(order)
+
+    def _carry_out(self, order: Order) -> tuple[bool, str]:
+        if order.action == "seal":
+            return True, ""
+        if order.action == "unload":
+            if self.resident.pop(order.key, None) is not None:
+                self.unloads += 1
+            return True, ""
+        if order.action == "detach":
+            self.adapters.pop(order.key[0].removeprefix("adapter/"), None)
+            return True, ""
+        if order.key in self.resident or order.key in self.loading:
+            return True, "there already"
+        if self.committed() + order.gb > self.memory_gb + 1e-6:
+            self.overcommits += 1
+            return False, "no memory"
+        if order.action == "attach":
+            self.adapters[order.key[0].removeprefix("adapter/")] = order.gb
+            return True, ""
+        if order.action != "load":
+            return False, f"unknown action {order.action}"
+        self.loads += 1
+        self.loading[order.key] = (self.now + self.store.begin(order.gb), order.gb)
+        return True, ""
+
+    def report(self, now: float) -> dict[str, t.Any]:
+        """Give a load report, as old as the lag switch says."""
+        self.advance(now)
+        fresh = {
+            "incarnation": self.incarnation,
+            "slots": self.slots,
+            "running": len(self.running),
+            "queued": len(self._queue),
+            "token_rate": self.token_rate,
+            "stream_rate": self.stream_rate,
+            "memory_gb": self.memory_gb,
+            "resident": [list(key) for key in sorted(self.resident)],
+            "loading": [list(key) for key in sorted(self.loading)],
+            "adapters": sorted(self.adapters),
+            "held_gb": self.committed(),
+            "leaving": self.leaving,
+            "checks_orders": self.checks_orders,
+            "order_token": list(self.order_token),
+            "rejected_orders": self.orders_refused,
+        }
+        self._reports.append((now, fresh))
+        lag = self.faults.report_lag_s
+        chosen = self._reports[0]
+        for row in self._reports:
+            if row[0] <= now - lag:
+                chosen = row
+        self._reports = [row for row in self._reports if row[0] >= chosen[0]]
+        return {**chosen[1], "age_s": max(0.0, now - chosen[0])}
+
+    def forget(self, now: float, keep_s: float = 30.0) -> None:
+        """Let go of streams that ended a while ago."""
+        for name, stream in list(self.streams.items()):
+            if stream.ended_at is not None and now - stream.ended_at > keep_s:
+                del self.streams[name]
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/service.py
@@ -0,0 +1,81 @@
+"""A plain service that counts how often each call ran."""
+
+import asyncio
+import time
+
+import orjson
+from aiohttp import web
+
+from .faults import Faults
+
+
+class Ledger:
+    """What a service did, shared by its endpoints: runs by call identity."""
+
+    def __init__(self) -> None:
+        self.runs: dict[str, int] = {}
+
+    def doubled(self) -> list[str]:
+        """Name the calls that ran more than once."""
+        return sorted(call for call, count in self.runs.items() if count > 1)
+
+
+class PlainService:
+    """One endpoint of a plain service; a call names itself in its body's ``call``."""
+
+    def __init__(self, name: str, ledger: Ledger, work_s: float = 0.002, seed: int = 0) -> None:
+        self.name = name
+        self.ledger = ledger
+        self.work_s = work_s
+        self.faults = Faults(seed)
+        self.leaving = False
+        self.running = 0
+        self.calls_while_leaving = 0
+        self.epoch = time.monotonic()
+
+    def app(self) -> web.Application:
+        """Build the web application."""
+        app = web.Application(client_max_size=8 << 20)
+        app.router.add_get("/v1/report", self._report)
+        app.router.add_route("*", "/{path:.*}", self._call)
+        return app
+
+    async def _report(self, request: web.Request) -> web.Response:
+        return web.json_response(
+            {
+                "incarnation": self.name,
+                "age_s": 0.0,
+                "slots": 64,
+                "running": self.running,
+                "queued": 0,
+                "token_rate": 1e5,
+                "stream_rate": 1e5,
+                "memory_gb": 0.0,
+                "leaving": self.leaving,
+            }
+        )
+
+    async def _call(self, request: web.Request) -> web.Response:
+        raw = await request.read()
+        if self.leaving:
+            self.calls_while_leaving += 1
+            return web.json_response({"not_run": True, "reason": "leaving"}, status=409)
+        if self.faults.killed or self.faults.draw("lose"):
+            if request.transport is not None:
+                request.transport.abort()
+            return web.Response()
+        try:
+            body = orjson.loads(raw) if raw else {}
+        except orjson.JSONDecodeError:
+            return web.json_response({"error": "body: JSON was expected"}, status=400)
+        call = str(body.get("call", "")) if isinstance(body, dict) else ""
+        self.running += 1
+        try:
+            await asyncio.sleep(self.work_s + self.faults.delay())
+        finally:
+            self.running -= 1
+        if call:
+            self.ledger.runs[call] = self.ledger.runs.get(call, 0) + 1
+        if self.faults.draw("applied_unanswered") and request.transport is not None:
+            request.transport.abort()
+        return web.json_response({"call": call, "by": self.name, "path": request.path})
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/store.py
@@ -0,0 +1,120 @@
+"""Model of the platform's object service: versions, conditional updates, watches.
+
+Pure state; ``platform.py`` puts it on HTTP and tests call it directly.
+"""
+
+import typing as t
+
+VALUE_BYTES_MAX = 1_000_000
+HISTORY_MAX = 2000
+
+
+class StoreError(Exception):
+    """A refused call, with the status it has over HTTP."""
+
+    def __init__(self, status: int, message: str) -> None:
+        super().__init__(message)
+        self.status = status
+
+
+class Stored(t.NamedTuple):
+    """One object with its version."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes
+
+
+class Change(t.NamedTuple):
+    """One step of a kind's history; ``value`` is None for a deletion."""
+
+    kind: str
+    name: str
+    version: int
+    value: bytes | None
+
+
+class BoxRow(t.TypedDict):
+    """One row of the box list."""
+
+    name: str
+    address: str
+    data_centre: str
+    role: str
+    state: str
+    service: str
+
+
+class ObjectStore:
+    """Objects by kind and name, with one version counter over all."""
+
+    def __init__(self) -> None:
+        self.version = 0
+        self.objects: dict[tuple[str, str], Stored] = {}
+        self.history: list[Change] = []
+        self.boxes: dict[str, BoxRow] = {}
+        self.calls: dict[str, int] = {}
+        self._forgotten = 0
+
+    def count(self, call: str) -> None:
+        """Count a call, a waiting watch being one."""
+        self.calls[call] = self.calls.get(call, 0) + 1
+
+    def get(self, kind: str, name: str) -> Stored:
+        """Read one object."""
+        self.count("get")
+        found = self.objects.get((kind, name))
+        if found is None:
+            raise StoreError(404, f"{kind}/{name}: no such object")
+        return found
+
+    def list_kind(self, kind: str) -> tuple[int, list[Stored]]:
+        """Read all objects of a kind, with the version they are as of."""
+        self.count("list")
+        rows = [one for (its_kind, _), one in sorted(self.objects.items()) if its_kind == kind]
+        return self.version, rows
+
+    def put(self, kind: str, name: str, value: bytes, expected: int | None) -> Stored:
+        """Write an object if its version is as expected (0: it must not exist)."""
+        self.count("put")
+        if len(value) > VALUE_BYTES_MAX:
+            raise StoreError(413, f"value: {len(value)} bytes are above {VALUE_BYTES_MAX}")
+        known = self.objects.get((kind, name))
+        current = known.version if known else 0
+        if expected is not None and expected != current:
+            raise StoreError(409, f"{kind}/{name}: version is {current}, not {expected}")
+        self.version += 1
+        stored = Stored(kind, name, self.version, value)
+        self.objects[(kind, name)] = stored
+        self._remember(Change(kind, name, self.version, value))
+        return stored
+
+    def delete(self, kind: str, name: str, expected: int | None) -> int:
+        """Delete an object if its version is as expected."""
+        self.count("delete")
+        known = self.objects.get((kind, name))
+        if known is None:
+            raise StoreError(404, f"{kind}/{name}: no such object")
+        if expected is not None and expected != known.version:
+            raise StoreError(409, f"{kind}/{name}: version is {known.version}, not {expected}")
+        self.version += 1
+        del self.objects[(kind, name)]
+        self._remember(Change(kind, name, self.version, None))
+        return self.version
+
+    def changes(self, kind: str, since: int) -> list[Change]:
+        """Give a kind's changes after a version.
+
+        :raises StoreError: 410 when that far back is no longer kept.
+        """
+        if since < self._forgotten:
+            raise StoreError(410, f"version {since} is too old; list again")
+        return [one for one in self.history if one.kind == kind and one.version > since]
+
+    def _remember(self, change: Change) -> None:
+        self.history.append(change)
+        if len(self.history) > HISTORY_MAX:
+            half = HISTORY_MAX // 2
+            self._forgotten = self.history[half - 1].version
+            del self.history[:half]
--- /dev/null
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -0,0 +1,185 @@
+"""Attempts at endpoints: each carries out one ``Dispatch`` and tells how it ended."""
+
+import asyncio
+import time
+import typing as t
+
+from rookspring_core.effects import Attach
+from rookspring_core.effects import Dispatch
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+
+from . import defaults
+from .endpoints import Chunk
+from .endpoints import Generate
+from .exceptions import CallerGone
+from .exceptions import EndpointError
+from .exchanges import ChatExchange
+from .exchanges import ServiceExchange
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+
+async def run_attempt(node: "Node", effect: Dispatch) -> None:
+    """Carry out one attempt, of either kind."""
+    exchange = node.exchanges.get(effect.request_id)
+    view = node.state.endpoints.get(effect.endpoint)
+    if exchange is None or view is None:
+        _fail(node, effect, EndpointError("endpoint is gone", sent=False))
+        return
+    wait = effect.not_before - time.monotonic()
+    if wait > 0:
+        await asyncio.sleep(wait)
+    span = node.telemetry.begin(
+        "endpoint", exchange.traceparent, endpoint=view.name, attempt=effect.attempt
+    )
+    traceparent = node.telemetry.header(span, exchange.traceparent)
+    try:
+        if isinstance(exchange, ChatExchange):
+            await _run_chat(node, effect, exchange, view.address, traceparent)
+        elif isinstance(exchange, ServiceExchange):
+            await _run_service(node, effect, exchange, view.address, traceparent)
+    except EndpointError as error:
+        span.set_attribute("error", error.reason)
+        _fail(node, effect, error)
+    except CallerGone:
+        node.leave(exchange)
+    finally:
+        span.end()
+
+
+def _fail(node: "Node", effect: Dispatch | Attach, error: EndpointError) -> None:
+    node.metrics.attempts.inc({"end": "not_run" if error.said_not_run else "failed"})
+    node.submit(
+        AttemptFailed(
+            time.monotonic(),
+            effect.request_id,
+            effect.attempt,
+            error.sent,
+            error.said_not_run,
+            error.reason,
+            error.leaving,
+        )
+    )
+
+
+async def _run_chat(
+    node: "Node", effect: Dispatch, exchange: ChatExchange, address: str, traceparent: str
+) -> None:
+    # The incarnation keeps two nodes' streams apart at one engine.
+    stream = f"{exchange.request_id}.{effect.attempt}"
+    exchange.prepare(node.signer, effect.endpoint, stream, effect.offset)
+    asked = Generate(
+        stream=stream,
+        model=exchange.model,
+        adapter=exchange.adapter,
+        prompt=exchange.prompt,
+        max_tokens=exchange.total,
+        rank=exchange.rank,
+        offset=effect.offset,
+        prefix="".join(exchange.parts) if effect.offset else "",
+    )
+    node.submit(AttemptStarted(time.monotonic(), effect.request_id, effect.attempt))
+    await _relay(node, effect, exchange, node.endpoints.generate(address, asked, traceparent))
+
+
+async def run_attach(node: "Node", effect: Attach) -> None:
+    """Read on from a stream that runs already, for a caller that came back."""
+    exchange = node.exchanges.get(effect.request_id)
+    view = node.state.endpoints.get(effect.endpoint)
+    if not isinstance(exchange, ChatExchange) or view is None:
+        _fail(node, effect, EndpointError("endpoint is gone", sent=True))
+        return
+    span = node.telemetry.begin("endpoint-resume", exchange.traceparent, endpoint=view.name)
+    try:
+        chunks = node.endpoints.resume(view.address, exchange.engine_stream, effect.offset)
+        await _relay(node, effect, exchange, chunks)
+    except EndpointError as error:
+        _fail(node, effect, error)
+    except CallerGone:
+        node.leave(exchange)
+    finally:
+        span.end()
+
+
+async def _relay(
+    node: "Node",
+    effect: Dispatch | Attach,
+    exchange: ChatExchange,
+    chunks: t.AsyncGenerator[Chunk, None],
+) -> None:
+    """Pass chunks on under the stream's guard; tell the reducer of them in batches."""
+    guard = exchange.guard
+    guard.renew(effect.attempt)
+    pending = 0
+
+    def progress() -> None:
+        nonlocal pending
+        if pending:
+            node.count_tokens(pending)
+            node.submit(
+                AttemptProgressed(time.monotonic(), effect.request_id, effect.attempt, pending)
+            )
+            pending = 0
+
+    try:
+        async for chunk in chunks:
+            if chunk.total >= 0:
+                if not guard.whole(chunk.total):
+                    raise EndpointError("the answer is shorter than its total", sent=True)
+                progress()
+                await _conclude(node, effect, exchange)
+                return
+            fresh = guard.accept(effect.attempt, chunk.offset, chunk.tokens)
+            if fresh:
+                await exchange.deliver(fresh)
+                pending += len(fresh)
+                if pending >= defaults.PROGRESS_TOKENS:
+                    progress()
+        raise EndpointError("the answer has no end", sent=True)
+    except ValueError as error:
+        raise EndpointError(str(error), sent=True) from None
+    finally:
+        progress()
+        await chunks.aclose()
+
+
+async def _conclude(node: "Node", effect: Dispatch | Attach, exchange: ChatExchange) -> None:
+    answer = exchange.whole()
+    node.metrics.attempts.inc({"end": "whole"})
+    # The outcome is settled first: if the caller's connection breaks on the last
+    # bytes, a retry of its key finds the answer.
+    node.submit(AttemptSucceeded(time.monotonic(), effect.request_id, effect.attempt, 200, answer))
+    await exchange.conclude()
+    node.finish(exchange, "ran")
+
+
+async def _run_service(
+    node: "Node", effect: Dispatch, exchange: ServiceExchange, address: str, traceparent: str
+) -> None:
+    headers = dict(exchange.headers)
+    if traceparent:
+        headers["traceparent"] = traceparent
+    left = max(0.05, exchange.deadline_at - time.monotonic())
+    node.submit(AttemptStarted(time.monotonic(), effect.request_id, effect.attempt))
+    answer = await node.endpoints.call(
+        address,
+        exchange.method,
+        exchange.path,
+        exchange.body,
+        headers,
+        exchange.repeatable,
+        left,
+    )
+    node.metrics.attempts.inc({"end": "whole"})
+    node.submit(
+        AttemptSucceeded(
+            time.monotonic(), effect.request_id, effect.attempt, answer.status, answer.body
+        )
+    )
+    shown = {"Content-Type": answer.content_type, "X-Request-Id": exchange.request_id}
+    await exchange.answer(answer.status, shown, answer.body)
+    node.finish(exchange, "ran")
--- /dev/null
+++ b/packages/rookspring/src/rookspring/callers.py
@@ -0,0 +1,516 @@
+"""The interface to callers: addresses, sessions, chat completions, services.
+
+Reading and checking of requests stands here; decisions are the reducer's. Every
+error names the field at fault and the outcome.
+"""
+
+import asyncio
+import hashlib
+import math
+import re
+import secrets
+import time
+import typing as t
+import zlib
+
+import orjson
+from sanic import Blueprint
+from sanic import Request
+from sanic.exceptions import SanicException
+from sanic.response import HTTPResponse
+from sanic.response import raw
+
+from rookspring_core import cluster
+from rookspring_core import defaults as core_defaults
+from rookspring_core.events import CallerLeft
+from rookspring_core.events import RequestArrived
+from rookspring_core.events import ResumeAsked
+from rookspring_core.events import SessionOpened
+
+from . import defaults
+from . import forwarding
+from .exceptions import CallerError
+from .exceptions import CallerGone
+from .exchanges import ChatExchange
+from .exchanges import Exchange
+from .exchanges import Responder
+from .exchanges import ServiceExchange
+from .tokens import SessionClaims
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+_KEY = re.compile(r"^(?P<session>[\w.=-]{8,512})/(?P<sequence>\d{1,15})$")
+_HOP_HEADERS = {
+    "authorization",
+    "connection",
+    "content-length",
+    "host",
+    "idempotency-key",
+    "keep-alive",
+    "te",
+    "traceparent",
+    "transfer-encoding",
+    "upgrade",
+}
+
+
+class SanicResponder(Responder):
+    """Sends an answer over a caller's own connection."""
+
+    def __init__(self, request: Request) -> None:
+        self._request = request
+        self._response: t.Any = None
+
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Begin the answer."""
+        kind = headers.pop("Content-Type", "application/json")
+        self._response = await self._request.respond(
+            status=status, headers=headers, content_type=kind
+        )
+
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+        await self._guard(self._response.send(data))
+
+    async def end(self) -> None:
+        """End the answer."""
+        await self._guard(self._response.eof())
+
+    async def _guard(self, sending: t.Awaitable[t.Any]) -> None:
+        """Turn what the server raises over a broken connection into one error."""
+        try:
+            await sending
+        except asyncio.CancelledError:
+            transport = self._request.transport
+            if transport is not None and not transport.is_closing():
+                raise
+            raise CallerGone("connection closed") from None
+        except (OSError, RuntimeError, SanicException, AttributeError) as error:
+            raise CallerGone(type(error).__name__) from None
+
+
+def json_answer(
+    value: t.Any, status: int = 200, headers: dict[str, str] | None = None
+) -> HTTPResponse:
+    """Build a JSON answer."""
+    return raw(orjson.dumps(value), status=status, content_type="application/json", headers=headers)
+
+
+def establish_team(node: "Node", request: Request) -> str:
+    """Give the team whose key the request bears.
+
+    :raises CallerError: 401 when there is none.
+    """
+    bearer = request.headers.get("authorization", "")
+    scheme, _, key = bearer.partition(" ")
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    team = node.state.catalogue.team_by_digest.get(digest)
+    if scheme.lower() != "bearer" or team is None:
+        raise CallerError(401, "Authorization", "Bearer and the key of a declared team")
+    return str(team)
+
+
+async def answer_error(responder: Responder, error: CallerError) -> None:
+    """Answer a faulty request."""
+    await responder.start(error.status, {"Content-Type": "application/json"})
+    await responder.send(orjson.dumps(error.body()))
+    await responder.end()
+
+
+def _read_deadline(request: Request, otherwise_s: float) -> float:
+    text = request.headers.get("x-rookspring-deadline-ms")
+    if text is None:
+        return otherwise_s
+    try:
+        value = float(text) / 1000.0
+    except ValueError:
+        value = math.nan
+    if not 0.0 < value <= core_defaults.DEADLINE_MAX_S:
+        most = int(core_defaults.DEADLINE_MAX_S * 1000)
+        raise CallerError(400, "X-Rookspring-Deadline-Ms", f"milliseconds from 1 to {most}")
+    return value
+
+
+def _read_priority(request: Request, otherwise: str) -> str:
+    text = request.headers.get("x-rookspring-priority")
+    if text is None:
+        return otherwise
+    if text not in core_defaults.PRIORITY_RANK:
+        names = ", ".join(core_defaults.PRIORITY_RANK)
+        raise CallerError(400, "X-Rookspring-Priority", f"one of {names}")
+    return str(text)
+
+
+def _read_once_key(
+    node: "Node", request: Request, team: str
+) -> tuple[SessionClaims, tuple[str, int]] | None:
+    text = request.headers.get("idempotency-key")
+    session = request.headers.get("x-rookspring-session")
+    if text is None:
+        if session is not None:
+            node.signer.read_session(session, "X-Rookspring-Session")
+        return None
+    found = _KEY.match(text)
+    if found is None:
+        expected = "SESSION/SEQUENCE, with a session from POST /v1/sessions and a whole number"
+        raise CallerError(400, "Idempotency-Key", expected)
+    claims = node.signer.read_session(found["session"], "Idempotency-Key")
+    if claims.team != team:
+        raise CallerError(403, "Idempotency-Key", "a session of your own team")
+    return claims, (found["session"], int(found["sequence"]))
+
+
+class ChatFields(t.TypedDict):
+    """What a chat request asks for, after all checks."""
+
+    model: str
+    adapter: str
+    prompt: str
+    total: int
+    stream: bool
+    priority: str
+    deadline_s: float
+    once_key: tuple[str, int] | None
+    body_digest: str
+    traceparent: str
+
+
+def _read_body(request: Request) -> dict[str, t.Any]:
+    try:
+        body = orjson.loads(request.body or b"")
+    except orjson.JSONDecodeError as error:
+        raise CallerError(400, "body", f"JSON was expected: {error}") from None
+    if not isinstance(body, dict):
+        raise CallerError(400, "body", "a JSON object was expected")
+    return body
+
+
+def _read_prompt(body: dict[str, t.Any]) -> str:
+    messages = body.get("messages")
+    if not isinstance(messages, list) or not messages:
+        raise CallerError(400, "messages", "a list of at least one message was expected")
+    parts: list[str] = []
+    for number, one in enumerate(messages):
+        content = one.get("content") if isinstance(one, dict) else None
+        if isinstance(content, list):
+            content = "".join(
+                str(part.get("text", "")) for part in content if isinstance(part, dict)
+            )
+        if not isinstance(content, str):
+            raise CallerError(400, f"messages.{number}.content", "a text was expected")
+        parts.append(f"{one.get('role', 'user')}: {content}")
+    return "\n".join(parts)
+
+
+def _read_total(body: dict[str, t.Any]) -> int:
+    for field in ("max_completion_tokens", "max_tokens"):
+        value = body.get(field)
+        if value is None:
+            continue
+        most = core_defaults.MAX_TOKENS_LIMIT
+        if not isinstance(value, int) or isinstance(value, bool) or not 1 <= value <= most:
+            raise CallerError(400, field, f"a whole number from 1 to {most}")
+        return value
+    return core_defaults.DEFAULT_MAX_TOKENS
+
+
+def read_chat(node: "Node", request: Request, team: str) -> ChatFields:
+    """Check a chat request.
+
+    :raises CallerError: naming the field at fault.
+    """
+    body = _read_body(request)
+    name = body.get("model")
+    if not isinstance(name, str) or not name:
+        raise CallerError(400, "model", "the name of a declared model")
+    model, _, adapter = name.partition(":")
+    spec = node.state.catalogue.models.get(model)
+    if spec is None:
+        raise CallerError(404, "model", f"a declared model; {model!r} is none")
+    declared = node.state.catalogue.adapters.get(adapter) if adapter else None
+    if adapter and (declared is None or declared.model != model):
+        raise CallerError(404, "model", f"a declared adapter of {model}; {adapter!r} is none")
+    stream = body.get("stream", False)
+    if not isinstance(stream, bool):
+        raise CallerError(400, "stream", "true or false")
+    keyed = _read_once_key(node, request, team)
+    return ChatFields(
+        model=model,
+        adapter=adapter,
+        prompt=_read_prompt(body),
+        total=_read_total(body),
+        stream=stream,
+        priority=_read_priority(request, spec.priority),
+        deadline_s=_read_deadline(request, spec.deadline_s),
+        once_key=keyed[1] if keyed else None,
+        body_digest=hashlib.sha256(request.body).hexdigest(),
+        traceparent=request.headers.get("traceparent", ""),
+    )
+
+
+class ServiceFields(t.TypedDict):
+    """What a call of a plain service asks for, after all checks."""
+
+    service: str
+    method: str
+    path: str
+    headers: dict[str, str]
+    repeatable: bool
+    priority: str
+    deadline_s: float
+    once_key: tuple[str, int] | None
+    body_digest: str
+    traceparent: str
+
+
+def read_service(
+    node: "Node", request: Request, team: str, service: str, path: str
+) -> ServiceFields:
+    """Check a call of a plain service.
+
+    :raises CallerError: naming the field at fault.
+    """
+    spec = node.state.catalogue.services.get(service)
+    if spec is None:
+        raise CallerError(404, "path", f"a declared service; {service!r} is none")
+    keyed = _read_once_key(node, request, team)
+    unrepeatable = any(path.startswith(prefix) for prefix in spec.unrepeatable)
+    if unrepeatable and keyed is None:
+        expected = (
+            "SESSION/SEQUENCE, since this call runs at most once; POST /v1/sessions gives a session"
+        )
+        raise CallerError(400, "Idempotency-Key", expected)
+    headers = {
+        name: value
+        for name, value in request.headers.items()
+        if name not in _HOP_HEADERS and not name.startswith("x-rookspring-")
+    }
+    query = f"?{request.query_string}" if request.query_string else ""
+    digest = hashlib.sha256(f"{request.method} {path}{query}\n".encode() + request.body)
+    return ServiceFields(
+        service=service,
+        method=request.method,
+        path=path + query,
+        headers=headers,
+        repeatable=keyed is None,
+        priority=_read_priority(request, spec.priority),
+        deadline_s=_read_deadline(request, spec.deadline_s),
+        once_key=keyed[1] if keyed else None,
+        body_digest=digest.hexdigest(),
+        traceparent=request.headers.get("traceparent", ""),
+    )
+
+
+def start(
+    node: "Node", kind: str, team: str, fields: t.Any, body: bytes, responder: Responder
+) -> Exchange:
+    """Begin a request at this node; its answer goes to the responder."""
+    if kind == "chat":
+        return _start_chat(node, team, fields, responder)
+    return _start_service(node, team, fields, body, responder)
+
+
+def _start_chat(node: "Node", team: str, fields: ChatFields, responder: Responder) -> Exchange:
+    span = node.telemetry.begin("entry", fields["traceparent"], model=fields["model"])
+    exchange = ChatExchange(
+        secrets.token_hex(defaults.REQUEST_ID_BYTES),
+        team,
+        fields["model"],
+        responder,
+        span,
+        node.telemetry.header(span, fields["traceparent"]),
+        model=fields["model"],
+        adapter=fields["adapter"],
+        prompt=fields["prompt"],
+        total=fields["total"],
+        rank=core_defaults.PRIORITY_RANK[fields["priority"]],
+        stream=fields["stream"],
+    )
+    now = time.monotonic()
+    key = fields["once_key"]
+    node.begin(
+        exchange,
+        RequestArrived(
+            at=now,
+            request_id=exchange.request_id,
+            team=team,
+            target=fields["model"],
+            adapter=fields["adapter"],
+            priority=fields["priority"],
+            deadline_at=now + fields["deadline_s"],
+            tokens=fields["total"],
+            prompt_tokens=len(fields["prompt"]) // 4,
+            prefix=zlib.crc32(fields["prompt"][:64].encode()),
+            repeatable=key is None,
+            once_key=(key[0], key[1]) if key else None,
+            body_digest=fields["body_digest"],
+            stream=fields["stream"],
+        ),
+    )
+    return exchange
+
+
+def _start_service(
+    node: "Node", team: str, fields: ServiceFields, body: bytes, responder: Responder
+) -> Exchange:
+    span = node.telemetry.begin("entry", fields["traceparent"], service=fields["service"])
+    exchange = ServiceExchange(
+        secrets.token_hex(defaults.REQUEST_ID_BYTES),
+        team,
+        fields["service"],
+        responder,
+        span,
+        node.telemetry.header(span, fields["traceparent"]),
+    )
+    now = time.monotonic()
+    exchange.method = fields["method"]
+    exchange.path = fields["path"]
+    exchange.body = body
+    exchange.headers = fields["headers"]
+    exchange.repeatable = fields["repeatable"]
+    exchange.deadline_at = now + fields["deadline_s"]
+    key = fields["once_key"]
+    node.begin(
+        exchange,
+        RequestArrived(
+            at=now,
+            request_id=exchange.request_id,
+            team=team,
+            target=fields["service"],
+            service=True,
+            priority=fields["priority"],
+            deadline_at=exchange.deadline_at,
+            tokens=1,
+            repeatable=fields["repeatable"],
+            once_key=(key[0], key[1]) if key else None,
+            body_digest=fields["body_digest"],
+        ),
+    )
+    return exchange
+
+
+async def _serve(node: "Node", request: Request, kind: str, team: str, fields: t.Any) -> None:
+    """Serve a request here, or where its session was issued."""
+    responder = SanicResponder(request)
+    key = fields["once_key"]
+    if key is not None:
+        claims = node.signer.read_session(key[0], "Idempotency-Key")
+        identity = node.state.identity
+        if (claims.node, claims.incarnation) != (identity.name, identity.incarnation):
+            await forwarding.forward(node, claims, kind, team, fields, request.body, responder)
+            return
+    exchange = start(node, kind, team, fields, request.body, responder)
+    await _wait(node, exchange)
+
+
+async def _wait(node: "Node", exchange: Exchange) -> None:
+    try:
+        await exchange.done
+    except asyncio.CancelledError:
+        # The caller's connection broke; the reducer decides what goes on.
+        node.submit(CallerLeft(time.monotonic(), exchange.request_id))
+        raise
+
+
+def make_blueprint(node: "Node") -> Blueprint:
+    """Build the routes for callers."""
+    routes = Blueprint(f"callers-{node.settings.name}")
+
+    @routes.get("/v1/addresses")
+    async def list_addresses(request: Request) -> HTTPResponse:
+        rows = [row._asdict() for row in cluster.list_addresses(node.state)]
+        life_s = int(core_defaults.ADDRESS_TTL_S)
+        value = {"addresses": rows, "ttl_s": core_defaults.ADDRESS_TTL_S}
+        return json_answer(value, headers={"Cache-Control": f"max-age={life_s}"})
+
+    @routes.get("/v1/models")
+    async def list_models(request: Request) -> HTTPResponse:
+        establish_team(node, request)
+        catalogue = node.state.catalogue
+        names = list(catalogue.models)
+        names += [f"{spec.model}:{name}" for name, spec in catalogue.adapters.items()]
+        rows = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "rookspring"}
+            for name in sorted(names)
+        ]
+        return json_answer({"object": "list", "data": rows})
+
+    @routes.post("/v1/sessions")
+    async def open_session(request: Request) -> HTTPResponse:
+        team = establish_team(node, request)
+        if node.state.leaving:
+            raise CallerError(503, "session", "a node that is not leaving; ask for addresses")
+        identity = node.state.identity
+        session = node.signer.issue_session(identity.name, identity.incarnation, team)
+        node.submit(SessionOpened(time.monotonic(), session, team))
+        value = {"session": session, "idle_s": core_defaults.SESSION_IDLE_S}
+        return json_answer(value, status=201)
+
+    @routes.post("/v1/chat/completions")
+    async def complete_chat(request: Request) -> None:
+        team = establish_team(node, request)
+        event_id = request.headers.get("last-event-id")
+        if event_id:
+            await _resume(node, request, team, event_id)
+            return
+        await _serve(node, request, "chat", team, read_chat(node, request, team))
+
+    @routes.route(  # type: ignore[untyped-decorator]
+        "/v1/services/<service:str>/<path:path>",
+        methods=["GET", "POST", "PUT", "PATCH", "DELETE"],
+    )
+    async def call_service(request: Request, service: str, path: str) -> None:
+        team = establish_team(node, request)
+        fields = read_service(node, request, team, service, path)
+        await _serve(node, request, "service", team, fields)
+
+    return routes
+
+
+async def _resume(node: "Node", request: Request, team: str, event_id: str) -> None:
+    """Go on with a stream whose entry node was lost."""
+    grant, offset = node.signer.read_event_id(event_id)
+    if grant.team != team:
+        raise CallerError(403, "Last-Event-ID", "an event id of your own team")
+    fields = read_chat(node, request, team)
+    text = _read_body(request).get("resume_text", "")
+    if not isinstance(text, str):
+        raise CallerError(400, "resume_text", "the text received so far")
+    if fields["model"] != grant.model or fields["total"] != grant.total:
+        raise CallerError(422, "body", "the same request as before")
+    span = node.telemetry.begin("entry-resume", fields["traceparent"], model=grant.model)
+    exchange = ChatExchange(
+        secrets.token_hex(defaults.REQUEST_ID_BYTES),
+        team,
+        grant.model,
+        SanicResponder(request),
+        span,
+        node.telemetry.header(span, fields["traceparent"]),
+        model=grant.model,
+        adapter=fields["adapter"],
+        prompt=fields["prompt"],
+        total=grant.total,
+        rank=core_defaults.PRIORITY_RANK[fields["priority"]],
+        stream=True,
+        offset=offset,
+        text=text,
+    )
+    exchange.prepare(node.signer, grant.endpoint, grant.stream, grant.base)
+    exchange.reader = 1
+    now = time.monotonic()
+    node.begin(
+        exchange,
+        ResumeAsked(
+            at=now,
+            request_id=exchange.request_id,
+            team=team,
+            target=grant.model,
+            endpoint=grant.endpoint,
+            offset=offset,
+            tokens=grant.total,
+            deadline_at=now + fields["deadline_s"],
+            continuable=bool(text),
+        ),
+    )
+    await _wait(node, exchange)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -0,0 +1,357 @@
+"""Clients of endpoints: model runners and plain services, behind a registry.
+
+Each failure says whether a byte of the request may have reached the endpoint;
+in doubt it says that one may have.
+"""
+
+import abc
+import typing as t
+
+import aiohttp
+import orjson
+
+from rookspring_core.effects import SendOrder
+from rookspring_core.events import EndpointReported
+
+from . import defaults
+from .exceptions import EndpointError
+
+
+class Chunk(t.NamedTuple):
+    """Tokens of an answer; ``offset`` is that of the first in the whole answer."""
+
+    offset: int
+    tokens: tuple[str, ...] | list[str]
+    total: int = -1
+
+
+class Generate(t.NamedTuple):
+    """A request to a runner; ``offset`` tokens are with the caller already."""
+
+    stream: str
+    model: str
+    adapter: str
+    prompt: str
+    max_tokens: int
+    rank: int
+    offset: int = 0
+    prefix: str = ""
+
+
+class ServiceAnswer(t.NamedTuple):
+    """A plain service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+C = t.TypeVar("C", bound=type["EndpointClient"])
+ENDPOINTS: dict[str, type["EndpointClient"]] = {}
+
+
+def endpoint_adapter(name: str) -> t.Callable[[C], C]:
+    """Register an adapter for a protocol of endpoints."""
+
+    def register(cls: C) -> C:
+        ENDPOINTS[name] = cls
+        return cls
+
+    return register
+
+
+class EndpointClient(abc.ABC):
+    """What rookspring needs of an endpoint."""
+
+    @abc.abstractmethod
+    def generate(
+        self, address: str, asked: Generate, traceparent: str
+    ) -> t.AsyncGenerator[Chunk, None]:
+        """Run a request and stream its tokens; raises :class:`EndpointError`."""
+
+    @abc.abstractmethod
+    def resume(self, address: str, stream: str, offset: int) -> t.AsyncGenerator[Chunk, None]:
+        """Stream what a stream that runs already has from an offset on."""
+
+    @abc.abstractmethod
+    async def cancel(self, address: str, stream: str, reader: int) -> None:
+        """Stop a stream, unless a later reader has taken it over."""
+
+    @abc.abstractmethod
+    async def order(self, order: SendOrder, incarnation: str) -> tuple[bool | None, str]:
+        """Give an order; None when no answer came."""
+
+    @abc.abstractmethod
+    async def report(self, endpoint: str, address: str, now: float) -> EndpointReported | None:
+        """Ask for a load report."""
+
+    @abc.abstractmethod
+    async def cache_events(self, address: str, since: int) -> tuple[int, tuple[int, ...]]:
+        """Ask for cache events after a position."""
+
+    @abc.abstractmethod
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: t.Mapping[str, str],
+        repeatable: bool,
+        timeout_s: float,
+    ) -> ServiceAnswer:
+        """Call a plain service; raises :class:`EndpointError`."""
+
+    @abc.abstractmethod
+    async def close(self) -> None:
+        """Let connections go."""
+
+
+class OneConnection(aiohttp.TCPConnector):
+    """A connector that connects once.
+
+    The library sends idempotent methods a second time by itself when a
+    connection breaks. For an unrepeatable call that would be a second run, so
+    the second try is refused here. Being new, the connection is never stale.
+    """
+
+    def __init__(self) -> None:
+        super().__init__(force_close=True)
+        self._used = False
+
+    async def connect(self, req: t.Any, traces: t.Any, timeout: t.Any) -> t.Any:
+        """Connect, the first time only."""
+        if self._used:
+            raise aiohttp.ClientConnectionError("sent once already")
+        connection = await super().connect(req, traces, timeout)
+        self._used = True
+        return connection
+
+
+@endpoint_adapter("http")
+class HttpEndpoint(EndpointClient):
+    """Runners and plain services over HTTP."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    def _open(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0)
+            self._session = aiohttp.ClientSession(connector=connector, read_bufsize=1 << 18)
+        return self._session
+
+    async def generate(
+        self, address: str, asked: Generate, traceparent: str
+    ) -> t.AsyncGenerator[Chunk, None]:
+        """Run a request and stream its tokens."""
+        body = {
+            "id": asked.stream,
+            "model": asked.model,
+            "adapter": asked.adapter,
+            "prompt": asked.prompt,
+            "max_tokens": asked.max_tokens,
+            "rank": asked.rank,
+            "offset": asked.offset,
+            "prefix": asked.prefix,
+        }
+        headers = {"traceparent": traceparent} if traceparent else {}
+        request = self._open().post(
+            f"http://{address}/v1/generate",
+            data=orjson.dumps(body),
+            headers=headers,
+            timeout=_stream_timeout(),
+        )
+        async for chunk in _read_stream(request):
+            yield chunk
+
+    async def resume(self, address: str, stream: str, offset: int) -> t.AsyncGenerator[Chunk, None]:
+        """Stream on from an offset."""
+        request = self._open().get(
+            f"http://{address}/v1/streams/{stream}",
+            params={"offset": str(offset)},
+            timeout=_stream_timeout(),
+        )
+        async for chunk in _read_stream(request):
+            yield chunk
+
+    async def cancel(self, address: str, stream: str, reader: int) -> None:
+        """Stop a stream; a lost cancel only costs tokens nobody reads."""
+        url = f"http://{address}/v1/streams/{stream}?reader={reader}"
+        limit = aiohttp.ClientTimeout(total=defaults.REPORT_CALL_S)
+        try:
+            async with self._open().delete(url, timeout=limit) as response:
+                await response.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return
+
+    async def order(self, order: SendOrder, incarnation: str) -> tuple[bool | None, str]:
+        """Give an order over a connection of its own, never sent twice by the library."""
+        body = {
+            "token": list(order.token),
+            "action": order.action,
+            "model": order.model,
+            "version": order.model_version,
+            "memory_gb": order.memory_gb,
+            "incarnation": incarnation,
+        }
+        limit = aiohttp.ClientTimeout(total=defaults.ORDER_CALL_S, connect=defaults.CONNECT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(connector=OneConnection(), timeout=limit) as session,
+                session.post(
+                    f"http://{order.address}/v1/orders", data=orjson.dumps(body)
+                ) as response,
+            ):
+                answer = orjson.loads(await response.read())
+        except (aiohttp.ClientError, TimeoutError, OSError, orjson.JSONDecodeError) as error:
+            return None, type(error).__name__
+        return bool(answer.get("accepted")), str(answer.get("reason", ""))
+
+    async def report(self, endpoint: str, address: str, now: float) -> EndpointReported | None:
+        """Ask for a load report."""
+        limit = aiohttp.ClientTimeout(total=defaults.REPORT_CALL_S)
+        try:
+            async with self._open().get(f"http://{address}/v1/report", timeout=limit) as response:
+                raw = orjson.loads(await response.read())
+                return read_report(endpoint, raw, now)
+        except (
+            aiohttp.ClientError,
+            TimeoutError,
+            OSError,
+            orjson.JSONDecodeError,
+            KeyError,
+            TypeError,
+            ValueError,
+        ):
+            return None
+
+    async def cache_events(self, address: str, since: int) -> tuple[int, tuple[int, ...]]:
+        """Ask for cache events; none on any failure, since they are hints."""
+        limit = aiohttp.ClientTimeout(total=defaults.REPORT_CALL_S)
+        url = f"http://{address}/v1/cache_events?from={since}"
+        try:
+            async with self._open().get(url, timeout=limit) as response:
+                raw = orjson.loads(await response.read())
+                return int(raw["next"]), tuple(int(one) for one in raw["prefixes"])
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+            return since, ()
+
+    async def call(
+        self,
+        address: str,
+        method: str,
+        path: str,
+        body: bytes,
+        headers: t.Mapping[str, str],
+        repeatable: bool,
+        timeout_s: float,
+    ) -> ServiceAnswer:
+        """Call a plain service."""
+        url = f"http://{address}/{path}"
+        limit = aiohttp.ClientTimeout(total=timeout_s, connect=defaults.CONNECT_S)
+        if repeatable:
+            return await _call_service(self._open(), method, url, body, headers, limit)
+        async with aiohttp.ClientSession(connector=OneConnection()) as session:
+            return await _call_service(session, method, url, body, headers, limit)
+
+    async def close(self) -> None:
+        """Let connections go."""
+        if self._session is not None:
+            await self._session.close()
+
+
+async def _call_service(
+    session: aiohttp.ClientSession,
+    method: str,
+    url: str,
+    body: bytes,
+    headers: t.Mapping[str, str],
+    limit: aiohttp.ClientTimeout,
+) -> ServiceAnswer:
+    try:
+        async with session.request(
+            method, url, data=body, headers=dict(headers), timeout=limit
+        ) as response:
+            raw = await response.read()
+            if response.status == 409:
+                _raise_if_not_run(raw)
+            return ServiceAnswer(response.status, response.content_type, raw)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise EndpointError(type(error).__name__, sent=False) from None
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise EndpointError(type(error).__name__, sent=True) from None
+
+
+def _raise_if_not_run(raw: bytes) -> None:
+    try:
+        answer = orjson.loads(raw)
+    except orjson.JSONDecodeError:
+        return
+    if isinstance(answer, dict) and answer.get("not_run") is True:
+        reason = str(answer.get("reason", ""))
+        raise EndpointError(reason, sent=True, said_not_run=True, leaving=reason == "leaving")
+
+
+def _stream_timeout() -> aiohttp.ClientTimeout:
+    return aiohttp.ClientTimeout(
+        total=None, connect=defaults.CONNECT_S, sock_read=defaults.STREAM_SILENCE_S
+    )
+
+
+async def _read_stream(request: t.Any) -> t.AsyncGenerator[Chunk, None]:
+    """Read lines of a runner's answer; each network read is parsed at once."""
+    try:
+        async with request as response:
+            if response.status != 200:
+                _raise_if_not_run(await response.read())
+                raise EndpointError(f"status {response.status}", sent=True)
+            rest = b""
+            async for data in response.content.iter_any():
+                lines = (rest + data).split(b"\n") if rest else data.split(b"\n")
+                rest = lines.pop()
+                for line in lines:
+                    yield _read_chunk(line)
+    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+        raise EndpointError(type(error).__name__, sent=False) from None
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        raise EndpointError(type(error).__name__, sent=True) from None
+
+
+def _read_chunk(line: bytes) -> Chunk:
+    try:
+        raw = orjson.loads(line)
+    except orjson.JSONDecodeError:
+        raise EndpointError("malformed chunk", sent=True) from None
+    end = raw.get("end")
+    if end is not None:
+        return Chunk(-1, (), int(end))
+    return Chunk(raw["offset"], raw["tokens"])
+
+
+def read_report(endpoint: str, raw: t.Mapping[str, t.Any], now: float) -> EndpointReported:
+    """Turn a report's mapping into an event.
+
+    :raises KeyError, TypeError, ValueError: when it is malformed.
+    """
+    token = raw.get("order_token", (0, 0))
+    return EndpointReported(
+        at=now,
+        endpoint=endpoint,
+        incarnation=str(raw["incarnation"]),
+        age_s=float(raw["age_s"]),
+        slots=int(raw["slots"]),
+        running=int(raw["running"]),
+        queued=int(raw["queued"]),
+        token_rate=float(raw["token_rate"]),
+        stream_rate=float(raw["stream_rate"]),
+        memory_gb=float(raw["memory_gb"]),
+        resident=tuple((str(one[0]), str(one[1])) for one in raw.get("resident", ())),
+        loading=tuple((str(one[0]), str(one[1])) for one in raw.get("loading", ())),
+        adapters=tuple(str(one) for one in raw.get("adapters", ())),
+        held_gb=float(raw.get("held_gb", 0.0)),
+        leaving=bool(raw.get("leaving", False)),
+        checks_orders=bool(raw.get("checks_orders", False)),
+        order_token=(int(token[0]), int(token[1])),
+        rejected_orders=int(raw.get("rejected_orders", 0)),
+    )
--- /dev/null
+++ b/packages/rookspring/src/rookspring/exchanges.py
@@ -0,0 +1,211 @@
+"""One caller's request in I/O: its body, its responder and what was passed on."""
+
+import abc
+import asyncio
+import time
+import typing as t
+
+import orjson
+from opentelemetry import trace
+
+from rookspring_core.streams import StreamGuard
+
+from .tokens import ResumeGrant
+from .tokens import Signer
+
+
+class Responder(abc.ABC):
+    """Where an answer goes: a caller's connection, or the node that forwarded it."""
+
+    @abc.abstractmethod
+    async def start(self, status: int, headers: dict[str, str]) -> None:
+        """Begin the answer."""
+
+    @abc.abstractmethod
+    async def send(self, data: bytes) -> None:
+        """Send a part of the body."""
+
+    @abc.abstractmethod
+    async def end(self) -> None:
+        """End the answer."""
+
+
+class Exchange:
+    """A request between its arrival and the end of its answer."""
+
+    def __init__(
+        self,
+        request_id: str,
+        team: str,
+        target: str,
+        responder: Responder,
+        span: trace.Span,
+        traceparent: str,
+    ) -> None:
+        self.request_id = request_id
+        self.team = team
+        self.target = target
+        self.responder = responder
+        self.span = span
+        self.traceparent = traceparent
+        self.arrived = time.monotonic()
+        self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self.started = False
+        self.task: asyncio.Task[None] | None = None
+        self.first_token_s: float | None = None
+
+    def finish(self) -> None:
+        """The answer has ended, well or not."""
+        if not self.done.done():
+            self.done.set_result(None)
+
+    async def answer(self, status: int, headers: dict[str, str], body: bytes) -> None:
+        """Send a whole answer at once."""
+        await self.responder.start(status, headers)
+        self.started = True
+        await self.responder.send(body)
+        await self.responder.end()
+
+
+class ServiceExchange(Exchange):
+    """A call of a plain service."""
+
+    method = "POST"
+    path = ""
+    body = b""
+    headers: t.Mapping[str, str] = {}
+    repeatable = True
+    deadline_at = 0.0
+
+
+class ChatExchange(Exchange):
+    """A request to a model, in the shape of the usual chat API."""
+
+    def __init__(self, *args: t.Any, **fields: t.Any) -> None:
+        super().__init__(*args)
+        self.model: str = fields["model"]
+        self.adapter: str = fields["adapter"]
+        self.prompt: str = fields["prompt"]
+        self.total: int = fields["total"]
+        self.rank: int = fields["rank"]
+        self.stream: bool = fields["stream"]
+        self.offset0: int = fields.get("offset", 0)
+        self.guard = StreamGuard(0, self.offset0)
+        self.parts: list[str] = [fields["text"]] if fields.get("text") else []
+        self.created = int(time.time())
+        self.reader = 0
+        self.engine_stream = ""
+        self._head = b""
+        self._tail = b""
+        self._id = b""
+
+    def shown_model(self) -> str:
+        """Give the model's name as the caller wrote it."""
+        return f"{self.model}:{self.adapter}" if self.adapter else self.model
+
+    def prepare(self, signer: Signer, endpoint: str, stream: str, base: int) -> None:
+        """Build what is the same in every event of one attempt; only once is signed."""
+        self.engine_stream = stream
+        grant = ResumeGrant(
+            self.team, endpoint, stream, self.request_id, self.target, base, self.total
+        )
+        self._id = b"id: " + signer.issue_grant(grant).encode() + b"~"
+        frame = self._frame({"content": "\x00"}, None)
+        head, tail = orjson.dumps(frame).split(b'"\\u0000"')
+        self._head = b"\ndata: " + head
+        self._tail = tail + b"\n\n"
+
+    def _frame(self, delta: dict[str, str], finish: str | None) -> dict[str, t.Any]:
+        return {
+            "id": f"chatcmpl-{self.request_id}",
+            "object": "chat.completion.chunk",
+            "created": self.created,
+            "model": self.shown_model(),
+            "choices": [{"index": 0, "delta": delta, "finish_reason": finish}],
+        }
+
+    async def deliver(self, tokens: t.Sequence[str]) -> None:
+        """Pass tokens on to the caller, or keep them for the whole answer."""
+        text = "".join(tokens)
+        self.parts.append(text)
+        if self.first_token_s is None:
+            self.first_token_s = time.monotonic() - self.arrived
+        if not self.stream:
+            return
+        if not self.started:
+            await self.begin()
+        place = str(self.guard.offset).encode()
+        await self.responder.send(self._id + place + self._head + orjson.dumps(text) + self._tail)
+
+    async def begin(self) -> None:
+        """Send the headers and the first event, which names the role."""
+        self.started = True
+        headers = {
+            "Content-Type": "text/event-stream",
+            "Cache-Control": "no-store",
+            "X-Request-Id": self.request_id,
+        }
+        await self.responder.start(200, headers)
+        role = orjson.dumps(self._frame({"role": "assistant", "content": ""}, None))
+        await self.responder.send(b"data: " + role + b"\n\n")
+
+    def usage(self) -> dict[str, int]:
+        """Count tokens, in the shape of the usual chat API."""
+        prompt = max(1, len(self.prompt) // 4)
+        total = self.guard.offset
+        return {
+            "prompt_tokens": prompt,
+            "completion_tokens": total,
+            "total_tokens": prompt + total,
+        }
+
+    def whole(self) -> bytes:
+        """Give the whole answer as one object."""
+        return orjson.dumps(
+            {
+                "id": f"chatcmpl-{self.request_id}",
+                "object": "chat.completion",
+                "created": self.created,
+                "model": self.shown_model(),
+                "choices": [
+                    {
+                        "index": 0,
+                        "message": {"role": "assistant", "content": "".join(self.parts)},
+                        "finish_reason": "stop",
+                    }
+                ],
+                "usage": self.usage(),
+            }
+        )
+
+    async def conclude(self) -> None:
+        """Send the end: the last event with the total, or the whole answer."""
+        if not self.stream:
+            headers = {"Content-Type": "application/json", "X-Request-Id": self.request_id}
+            await self.answer(200, headers, self.whole())
+            return
+        if not self.started:
+            await self.begin()
+        last = self._frame({}, "stop")
+        last["usage"] = self.usage()
+        await self.responder.send(b"data: " + orjson.dumps(last) + b"\n\ndata: [DONE]\n\n")
+        await self.responder.end()
+
+    async def replay(self, answer: bytes) -> None:
+        """Give a remembered answer again, in the form that was asked for now."""
+        raw = orjson.loads(answer)
+        self.parts = [raw["choices"][0]["message"]["content"]]
+        self.guard.offset = raw["usage"]["completion_tokens"]
+        if self.stream:
+            await self.begin()
+            frame = self._frame({"content": self.parts[0]}, None)
+            await self.responder.send(b"data: " + orjson.dumps(frame) + b"\n\n")
+        await self.conclude()
+
+
+def error_body(message: str, reason: str, outcome: str) -> bytes:
+    """Build an error's body; every one names its outcome."""
+    kind = "invalid_request_error" if outcome == "not_run" else "server_error"
+    return orjson.dumps(
+        {"error": {"message": message, "type": kind, "code": reason}, "outcome": outcome}
+    )
--- /dev/null
+++ b/packages/rookspring/src/rookspring/following.py
@@ -0,0 +1,236 @@
+"""Loops that follow the platform: lease, box list, head, and operators' resources.
+
+Each backs off with jitter while the platform does not answer, so that no node
+turns an outage into a load. Relays watch; other nodes hear from them and only
+read for themselves, seldom, as a backstop.
+"""
+
+import asyncio
+import random
+import time
+import typing as t
+
+from returns.result import Failure
+from returns.result import Result
+from returns.result import Success
+
+from rookspring_core import Resource
+from rookspring_core import governing
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import DesiredSeen
+from rookspring_core.events import HeadSeen
+from rookspring_core.events import IntentsSeen
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import PlatformAnswered
+
+from . import defaults
+from .exceptions import PlatformError
+from .exceptions import PlatformMissing
+from .exceptions import PlatformTooOld
+from .exceptions import PlatformUnreachable
+from .logs import log
+from .platform import Stored
+from .published import HEAD
+from .published import KIND
+from .published import Head
+from .published import parse_head
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+A = t.TypeVar("A")
+
+
+class BackOff:
+    """Waits that double up to a bound, with full jitter."""
+
+    def __init__(self) -> None:
+        self._wait = defaults.BACKOFF_START_S
+
+    def reset(self) -> None:
+        """A call succeeded."""
+        self._wait = defaults.BACKOFF_START_S
+
+    async def pause(self) -> None:
+        """Wait, and wait longer the next time."""
+        await asyncio.sleep(self._wait * (0.5 + random.random()))
+        self._wait = min(defaults.BACKOFF_MAX_S, self._wait * 2)
+
+
+def note(node: "Node", answer: Result[A, PlatformError]) -> Result[A, PlatformError]:
+    """Tell the reducer whether the platform can be reached, when that changes."""
+    down = isinstance(answer, Failure) and isinstance(answer.failure(), PlatformUnreachable)
+    if node.state.platform_reachable == down:
+        log("platform_down" if down else "platform_up", "WARNING" if down else "INFO")
+    node.submit(PlatformAnswered(time.monotonic(), not down))
+    return answer
+
+
+async def follow_lease(node: "Node") -> None:
+    """Read the lease object where this node may hold it."""
+    back_off = BackOff()
+    while True:
+        if not node.state.membership.is_relay():
+            await asyncio.sleep(defaults.LEASE_READ_S)
+            continue
+        match note(node, await node.platform.get("lease", "control")):
+            case Success(Stored(_, version, value)):
+                node.submit(
+                    LeaseSeen(
+                        time.monotonic(),
+                        version,
+                        str(value["holder"]),
+                        int(value["epoch"]),
+                        str(value["nonce"]),
+                    )
+                )
+            case Failure(PlatformMissing()):
+                node.submit(LeaseSeen(time.monotonic(), 0, "", 0, ""))
+            case _:
+                await back_off.pause()
+                continue
+        back_off.reset()
+        await asyncio.sleep(defaults.LEASE_READ_S * (0.8 + 0.4 * random.random()))
+
+
+async def follow_boxes(node: "Node") -> None:
+    """Read the box list; relays often, the others as a backstop."""
+    back_off = BackOff()
+    while True:
+        match note(node, await node.platform.boxes()):
+            case Success(rows):
+                node.take_boxes(rows, share=True)
+            case _:
+                await back_off.pause()
+                continue
+        back_off.reset()
+        relay = node.state.membership.is_relay()
+        pause = defaults.BOX_LIST_S if relay else defaults.BOX_LIST_BACKSTOP_S
+        await asyncio.sleep(pause * (0.8 + 0.4 * random.random()))
+
+
+async def follow_head(node: "Node") -> None:
+    """Watch the published head; nodes that are no relay read it seldom."""
+    back_off = BackOff()
+    since = -1
+    while True:
+        if since < 0 or not node.state.membership.is_relay():
+            answer = note(node, await node.published.read_head())
+            if isinstance(answer, Failure):
+                await back_off.pause()
+                continue
+            head = answer.unwrap()
+            if not await apply_head(node, head):
+                await back_off.pause()
+                continue
+            since = head.version
+            back_off.reset()
+            if not node.state.membership.is_relay():
+                await asyncio.sleep(defaults.HEAD_BACKSTOP_S * (0.5 + random.random()))
+                since = -1
+            continue
+        changes = note(node, await node.platform.watch(KIND, since, defaults.WATCH_S))
+        if isinstance(changes, Failure):
+            since = -1
+            await back_off.pause()
+            continue
+        back_off.reset()
+        found = changes.unwrap()
+        heads = [one for one in found.items if one.name == HEAD and one.value is not None]
+        if heads and not await apply_head(node, parse_head(heads[-1].version, heads[-1].value)):
+            since = -1
+            continue
+        since = found.version
+
+
+async def apply_head(node: "Node", head: Head) -> bool:
+    """Read what a newer head names and put it in force.
+
+    :return: whether the node is now at least at that revision.
+    """
+    if head.revision <= node.state.catalogue.revision:
+        return True
+    answer = note(node, await node.published.read_revision(head, time.monotonic()))
+    if isinstance(answer, Failure):
+        return False
+    node.submit(answer.unwrap())
+    return True
+
+
+async def read_head_surely(node: "Node") -> None:
+    """Read the head and its entries for the lease holder, however long that takes."""
+    back_off = BackOff()
+    while governing.holding(node.state):
+        answer = note(node, await node.published.read_head())
+        if isinstance(answer, Success):
+            head = answer.unwrap()
+            if await apply_head(node, head):
+                node.submit(HeadSeen(time.monotonic(), head.version, head.revision))
+                await node.published.sweep(head, 4)
+                return
+        await back_off.pause()
+
+
+def _resource(stored: Stored) -> Resource:
+    raw = stored.value
+    return Resource(str(raw["kind"]), str(raw["name"]), dict(raw["spec"]), stored.version)
+
+
+async def follow_desired(node: "Node", epoch: int) -> None:
+    """Follow operators' resources while this node holds the lease of an epoch."""
+    back_off = BackOff()
+    known: dict[str, Resource] = {}
+    since = -1
+    while node.state.control.acting_epoch == epoch and not node.state.stopped:
+        if since < 0:
+            listing = note(node, await node.platform.list_kind("resource"))
+            if isinstance(listing, Failure):
+                await back_off.pause()
+                continue
+            known = {one.name: _resource(one) for one in listing.unwrap().items}
+            since = listing.unwrap().version
+        else:
+            changes = note(node, await node.platform.watch("resource", since, defaults.WATCH_S))
+            if isinstance(changes, Failure):
+                # Too old or unreachable: what is known stays until it can be listed again.
+                since = -1 if isinstance(changes.failure(), PlatformTooOld) else since
+                await back_off.pause()
+                continue
+            for one in changes.unwrap().items:
+                if one.value is None:
+                    known.pop(one.name, None)
+                else:
+                    known[one.name] = _resource(one)
+            since = changes.unwrap().version
+        back_off.reset()
+        if not governing.holding(node.state):
+            await asyncio.sleep(defaults.LEASE_READ_S)
+            continue
+        node.submit(DesiredSeen(time.monotonic(), tuple(known.values())))
+
+
+async def read_intents(node: "Node", epoch: int) -> None:
+    """Read the intents that earlier holders left, with their versions."""
+    back_off = BackOff()
+    while node.state.control.acting_epoch == epoch:
+        answer = note(node, await node.platform.list_kind("intent"))
+        if isinstance(answer, Success):
+            rows = answer.unwrap().items
+            node.intent_versions = {one.name: one.version for one in rows}
+            intents = tuple(
+                (
+                    one.name,
+                    str(one.value["model"]),
+                    str(one.value["version"]),
+                    float(one.value["memory_gb"]),
+                )
+                for one in rows
+            )
+            node.submit(IntentsSeen(time.monotonic(), intents))
+            return
+        await back_off.pause()
+
+
+def listed(node: "Node", rows: t.Any) -> BoxListCame:
+    """Make the event of a box list."""
+    return BoxListCame(time.monotonic(), tuple(rows))
--- /dev/null
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -0,0 +1,253 @@
+"""What nodes tell each other: heartbeats, reports, box lists, revisions, forwards."""
+
+import asyncio
+import time
+import typing as t
+
+from rookspring_core import Entry
+from rookspring_core.events import BoxListed
+from rookspring_core.events import CacheEventsCame
+from rookspring_core.events import EndpointReported
+from rookspring_core.events import PeerHeard
+from rookspring_core.events import PeerLost
+from rookspring_core.events import RevisionSeen
+
+from . import defaults
+from . import forwarding
+from .peers import Boxes
+from .peers import Forward
+from .peers import ForwardEnd
+from .peers import ForwardPart
+from .peers import ForwardStart
+from .peers import Heartbeat
+from .peers import Hints
+from .peers import Link
+from .peers import Reports
+from .peers import RevisionDelta
+from .peers import WantRevision
+from .published import decode_entry
+from .published import encode_entry
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+Receiver = t.Callable[["Node", Link, t.Any], None]
+RECEIVERS: dict[type[t.Any], Receiver] = {}
+R = t.TypeVar("R", bound=t.Callable[..., None])
+
+
+def receives(message_type: type[t.Any]) -> t.Callable[[R], R]:
+    """Register the receiver of a message type."""
+
+    def register(function: R) -> R:
+        RECEIVERS[message_type] = function
+        return function
+
+    return register
+
+
+async def serve_link(node: "Node", link: Link) -> None:
+    """Take a node's messages until its stream ends."""
+    link.send(make_beat(node))
+    if node.boxes:
+        link.send(Boxes([list(row) for row in node.boxes]))
+    try:
+        while True:
+            item = await link.receive()
+            receiver = RECEIVERS.get(type(item))
+            if receiver is not None:
+                receiver(node, link, item)
+    finally:
+        forwarding.break_off(node, link)
+        if node.peers.links.get(link.name) is link:
+            node.submit(PeerLost(time.monotonic(), link.name))
+
+
+def make_beat(node: "Node") -> Heartbeat:
+    """Make this node's heartbeat."""
+    state = node.state
+    identity = state.identity
+    return Heartbeat(
+        name=identity.name,
+        incarnation=identity.incarnation,
+        address=identity.address,
+        caller_address=identity.caller_address,
+        data_centre=identity.data_centre,
+        revision=state.catalogue.revision,
+        leaving=state.leaving,
+        demand=[[model, round(rate, 2)] for model, rate in state.control.meter.rates.items()],
+        team_demand=[list(row) for row in state.limits.demand()],
+        lease_epoch=state.control.acting_epoch,
+    )
+
+
+@receives(Heartbeat)
+def hear_beat(node: "Node", link: Link, beat: Heartbeat) -> None:
+    """Take a heartbeat, and ask for the revision if it is newer."""
+    node.submit(
+        PeerHeard(
+            at=time.monotonic(),
+            name=beat.name,
+            incarnation=beat.incarnation,
+            address=beat.address,
+            caller_address=beat.caller_address,
+            data_centre=beat.data_centre,
+            revision=beat.revision,
+            leaving=beat.leaving,
+            demand=tuple((str(one[0]), float(one[1])) for one in beat.demand),
+            team_demand=tuple((str(one[0]), float(one[1])) for one in beat.team_demand),
+            lease_epoch=beat.lease_epoch,
+        )
+    )
+    revision = node.state.catalogue.revision
+    now = time.monotonic()
+    if beat.revision > max(revision, node.wanted[0]) or (
+        beat.revision > revision and now - node.wanted[1] > defaults.CONNECT_S
+    ):
+        node.wanted = (beat.revision, now)
+        link.send(WantRevision(revision))
+
+
+@receives(WantRevision)
+def give_revision(node: "Node", link: Link, wanted: WantRevision) -> None:
+    """Send what changed since the other node's revision."""
+    link.send(node.history.delta(wanted.since))
+
+
+@receives(RevisionDelta)
+def take_revision(node: "Node", link: Link, delta: RevisionDelta) -> None:
+    """Put a newer revision in force; a delta upon another base is asked for again."""
+    state = node.state
+    if delta.revision <= state.catalogue.revision:
+        return
+    if delta.since not in (0, state.catalogue.revision):
+        link.send(WantRevision(state.catalogue.revision))
+        return
+    entries: dict[str, Entry] = {} if delta.since == 0 else dict(state.control.entries)
+    for key, raw in delta.changed.items():
+        entries[key] = decode_entry(raw)
+    for key in delta.removed:
+        entries.pop(key, None)
+    node.submit(RevisionSeen(time.monotonic(), delta.revision, delta.epoch, entries))
+
+
+class RevisionHistory:
+    """Recent revisions' changes, from which deltas are made."""
+
+    def __init__(self) -> None:
+        self._steps: list[tuple[int, dict[str, Entry | None]]] = []
+        self._entries: t.Mapping[str, Entry] = {}
+        self._revision = 0
+        self._epoch = 0
+
+    def add(self, revision: int, epoch: int, entries: t.Mapping[str, Entry]) -> None:
+        """Keep what changed from the revision before."""
+        step: dict[str, Entry | None] = {
+            key: entry for key, entry in entries.items() if self._entries.get(key) != entry
+        }
+        step.update({key: None for key in self._entries if key not in entries})
+        self._steps.append((self._revision, step))
+        del self._steps[: -defaults.REVISIONS_KEPT]
+        self._entries = entries
+        self._revision = revision
+        self._epoch = epoch
+
+    def delta(self, since: int) -> RevisionDelta:
+        """Make a delta from a revision that is kept, else from nothing."""
+        bases = [base for base, _ in self._steps]
+        if since == 0 or since not in bases:
+            changed = {key: encode_entry(entry) for key, entry in self._entries.items()}
+            return RevisionDelta(0, self._revision, self._epoch, changed, [])
+        merged: dict[str, Entry | None] = {}
+        for _, step in self._steps[bases.index(since) :]:
+            merged.update(step)
+        return RevisionDelta(
+            since,
+            self._revision,
+            self._epoch,
+            {key: encode_entry(entry) for key, entry in merged.items() if entry is not None},
+            [key for key, entry in merged.items() if entry is None],
+        )
+
+
+@receives(Reports)
+def take_reports(node: "Node", link: Link, reports: Reports) -> None:
+    """Take the reports of endpoints that another node polls."""
+    now = time.monotonic()
+    for row in reports.rows:
+        node.submit(decode_report(row, now))
+
+
+def encode_report(report: EndpointReported, now: float) -> list[t.Any]:
+    """Turn a report into plain data; its time becomes an age."""
+    row = list(report)
+    row[0] = 0.0
+    row[3] = report.age_s + max(0.0, now - report.at)
+    return row
+
+
+def decode_report(row: list[t.Any], now: float) -> EndpointReported:
+    """Turn plain data into a report."""
+    raw = EndpointReported(*row)
+    return raw._replace(
+        at=now,
+        resident=tuple((one[0], one[1]) for one in raw.resident),
+        loading=tuple((one[0], one[1]) for one in raw.loading),
+        adapters=tuple(raw.adapters),
+        order_token=(raw.order_token[0], raw.order_token[1]),
+    )
+
+
+@receives(Hints)
+def take_hints(node: "Node", link: Link, hints: Hints) -> None:
+    """Take cache events that another node read."""
+    now = time.monotonic()
+    for endpoint, prefixes in hints.rows:
+        node.submit(CacheEventsCame(now, endpoint, tuple(prefixes)))
+
+
+@receives(Boxes)
+def take_boxes(node: "Node", link: Link, boxes: Boxes) -> None:
+    """Take the box list that a relay read."""
+    node.take_boxes(tuple(BoxListed(*row) for row in boxes.rows), share=False)
+
+
+@receives(Forward)
+def take_forward(node: "Node", link: Link, forward: Forward) -> None:
+    """Serve a keyed request for a caller of another node."""
+    node.spawn(forwarding.serve_forward(node, link, forward))
+
+
+@receives(ForwardStart)
+@receives(ForwardPart)
+@receives(ForwardEnd)
+def take_answer(node: "Node", link: Link, item: t.Any) -> None:
+    """Take a part of the answer to a request that this node forwarded."""
+    forwarding.take_part(node, item)
+
+
+async def beat_loop(node: "Node") -> None:
+    """Send heartbeats, and dial nodes without a stream."""
+    while True:
+        node.beat()
+        dial_missing(node)
+        await asyncio.sleep(defaults.HEARTBEAT_S)
+
+
+def dial_missing(node: "Node") -> None:
+    """Dial the nodes that ought to be linked; the lower name goes first."""
+    now = time.monotonic()
+    state = node.state
+    wanted = {row.name: row.address for row in state.membership.links()}
+    for name, address in wanted.items():
+        first = state.identity.name < name
+        if name in node.peers.links or address in node.dialling:
+            node.missing_since.pop(name, None)
+            continue
+        since = node.missing_since.setdefault(name, now)
+        if first or now - since > 2 * defaults.HEARTBEAT_S:
+            node.dial(address)
+    linked = {peer.heard.address for peer in state.membership.peers.values()}
+    for address in node.settings.peers:
+        if address not in linked and address not in node.dialling:
+            node.dial(address)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -0,0 +1,61 @@
+"""Metrics of a node, each declared here and served at ``/metrics``."""
+
+import typing as t
+
+from aioprometheus.collectors import Counter
+from aioprometheus.collectors import Gauge
+from aioprometheus.collectors import Histogram
+from aioprometheus.collectors import Registry
+from aioprometheus.renderer import render
+
+_BUCKETS = [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0]
+
+
+class Metrics:
+    """The collectors of one node; several nodes may live in one process."""
+
+    def __init__(self, node: str) -> None:
+        self.registry = Registry()
+        labels = {"node": node}
+        make = self._make
+        self.requests = make(
+            Counter, "rookspring_requests_total", "Requests by target and end", labels
+        )
+        self.refusals = make(
+            Counter, "rookspring_refusals_total", "Refusals by reason and outcome", labels
+        )
+        self.tokens = make(Counter, "rookspring_tokens_total", "Tokens passed on", labels)
+        self.attempts = make(
+            Counter, "rookspring_attempts_total", "Attempts at endpoints by end", labels
+        )
+        self.platform_calls = make(
+            Counter, "rookspring_platform_calls_total", "Calls to the platform by end", labels
+        )
+        self.orders = make(Counter, "rookspring_orders_total", "Orders by action and end", labels)
+        self.peer_bytes = make(
+            Counter, "rookspring_peer_bytes_total", "Bytes sent to other nodes", labels
+        )
+        self.revision = make(Gauge, "rookspring_revision", "Revision in force", labels)
+        self.inflight = make(Gauge, "rookspring_inflight", "Requests in flight", labels)
+        self.waiting = make(Gauge, "rookspring_waiting", "Requests waiting", labels)
+        self.leader = make(Gauge, "rookspring_lease_held", "1 while the lease is held", labels)
+        self.unplaced = make(
+            Gauge, "rookspring_models_not_resident", "Declared models resident nowhere", labels
+        )
+        self.first_token = make(
+            Histogram,
+            "rookspring_first_token_seconds",
+            "Time from arrival to the first token",
+            labels,
+            buckets=_BUCKETS,
+        )
+
+    def _make(
+        self, cls: t.Any, name: str, doc: str, labels: dict[str, str], **options: t.Any
+    ) -> t.Any:
+        return cls(name, doc, const_labels=labels, registry=self.registry, **options)
+
+    def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
+        """Render all metrics in the Prometheus text format."""
+        content, headers = render(self.registry, [accept] if accept else [])
+        return content, dict(headers)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/node.py
@@ -0,0 +1,324 @@
+"""One node: the reducer's loop, its effects performed, its servers and its tasks."""
+
+import asyncio
+import random
+import secrets
+import ssl
+import time
+import typing as t
+
+from rookspring_core import Identity
+from rookspring_core import InvariantBroken
+from rookspring_core import NodeState
+from rookspring_core import defaults as core_defaults
+from rookspring_core import governing
+from rookspring_core import reduce
+from rookspring_core.events import BoxListed
+from rookspring_core.events import CacheEventsCame
+from rookspring_core.events import CallerLeft
+from rookspring_core.events import DrainAsked
+from rookspring_core.events import EndpointReported
+from rookspring_core.events import Event
+from rookspring_core.events import ReportMissed
+from rookspring_core.events import RequestArrived
+from rookspring_core.events import ResumeAsked
+from rookspring_core.events import Ticked
+
+from . import defaults
+from . import following
+from . import forwarding
+from . import gossip
+from . import web
+from .endpoints import ENDPOINTS
+from .endpoints import EndpointClient
+from .exceptions import CallerGone
+from .exchanges import ChatExchange
+from .exchanges import Exchange
+from .logs import log
+from .metrics import Metrics
+from .peers import Boxes
+from .peers import Hints
+from .peers import PeerServer
+from .peers import Reports
+from .performers import PERFORMERS
+from .platform import open_platform
+from .published import PublishedStore
+from .settings import Settings
+from .telemetry import Telemetry
+from .tokens import Signer
+
+
+class Node:
+    """A running node. One process runs one; the demo runs several.
+
+    :param on_broken: is called with the error when an invariant does not hold.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        on_broken: t.Callable[[InvariantBroken], None] | None = None,
+    ) -> None:
+        self.settings = settings
+        identity = Identity(
+            settings.name,
+            secrets.token_hex(6),
+            settings.data_centre,
+            settings.address,
+            settings.caller_address,
+        )
+        self.state = NodeState(identity, time.monotonic())
+        self.state.full_checks = settings.full_checks
+        self.metrics = Metrics(settings.name)
+        self.telemetry = Telemetry(
+            settings.name, settings.trace_file, settings.trace_otlp, settings.trace_share
+        )
+        self.signer = Signer(settings.signing_keys)
+        self.platform = open_platform(settings.platform, self._count_platform)
+        self.published = PublishedStore(self.platform)
+        self.endpoints: EndpointClient = t.cast(t.Any, ENDPOINTS["http"])()
+        self.tls = _make_tls(settings)
+        self.peers = PeerServer(
+            settings.name, identity.incarnation, settings.shared_key, self._serve_link, self.tls
+        )
+        self.exchanges: dict[str, Exchange] = {}
+        self.forwards: dict[int, forwarding.PendingForward] = {}
+        self.forward_count = 0
+        self.intent_versions: dict[str, int] = {}
+        self.history = gossip.RevisionHistory()
+        self.boxes: tuple[BoxListed, ...] = ()
+        self.wanted = (0, 0.0)
+        self.dialling: set[str] = set()
+        self.missing_since: dict[str, float] = {}
+        self.stopping = asyncio.Event()
+        self._cache_positions: dict[str, int] = {}
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+        self.http_server: t.Any = None
+        self._on_broken = on_broken
+        self._ready_told = False
+
+    # Events and effects.
+
+    def submit(self, event: Event) -> None:
+        """Take an event: reduce it and perform the effects."""
+        revision = self.state.catalogue.revision
+        try:
+            effects = reduce(self.state, event)
+        except InvariantBroken as error:
+            log("invariant_broken", "ERROR", name=error.name, detail=error.detail)
+            if self._on_broken is None:
+                raise
+            self._on_broken(error)
+            return
+        if self.state.catalogue.revision != revision:
+            self._applied()
+        for effect in effects:
+            PERFORMERS[type(effect)](self, effect)
+
+    def _applied(self) -> None:
+        revision = self.state.catalogue.revision
+        epoch = self.state.control.lease.epoch
+        self.history.add(revision, epoch, self.state.control.entries)
+        self.metrics.revision.set({}, revision)
+        log("revision_applied", node=self.settings.name, revision=revision)
+        if not self._ready_told:
+            self._ready_told = True
+            log("node_ready", node=self.settings.name, revision=revision)
+        self.beat()
+
+    def begin(self, exchange: Exchange, event: RequestArrived | ResumeAsked) -> None:
+        """Begin a request: its exchange is known before its event is reduced."""
+        self.exchanges[exchange.request_id] = exchange
+        self.metrics.requests.inc({"target": exchange.target})
+        self.submit(event)
+
+    def finish(self, exchange: Exchange, outcome: str) -> None:
+        """An exchange's last byte has gone."""
+        self.exchanges.pop(exchange.request_id, None)
+        exchange.span.set_attribute("outcome", outcome)
+        exchange.span.end()
+        if isinstance(exchange, ChatExchange) and exchange.first_token_s is not None:
+            self.metrics.first_token.observe({}, exchange.first_token_s)
+        exchange.finish()
+
+    def leave(self, exchange: Exchange) -> None:
+        """A caller's connection broke while it was being written to."""
+        self.submit(CallerLeft(time.monotonic(), exchange.request_id))
+        self.finish(exchange, "left")
+
+    async def answering(self, exchange: Exchange, sending: t.Awaitable[None]) -> None:
+        """Send an answer; a broken connection ends the exchange in silence."""
+        try:
+            await sending
+        except CallerGone:
+            self.finish(exchange, "left")
+
+    def count_tokens(self, count: int) -> None:
+        """Count tokens passed on."""
+        self.metrics.tokens.add({}, count)
+
+    def _count_platform(self, method: str, end: str) -> None:
+        self.metrics.platform_calls.inc({"method": method, "end": end})
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
+        """Run work in a task of its own, which ends with the node."""
+        task = asyncio.get_running_loop().create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[t.Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            log("task_failed", "ERROR", error=type(error).__name__, detail=error)
+
+    # Other nodes.
+
+    async def _serve_link(self, link: t.Any) -> None:
+        await gossip.serve_link(self, link)
+
+    def beat(self) -> None:
+        """Send a heartbeat to all linked nodes."""
+        beat = gossip.make_beat(self)
+        for link in list(self.peers.links.values()):
+            link.send(beat)
+
+    def dial(self, address: str) -> None:
+        """Connect to a node and stay with it in a task."""
+        self.dialling.add(address)
+
+        async def stay() -> None:
+            try:
+                await self.peers.dial(address)
+            finally:
+                self.dialling.discard(address)
+
+        self.spawn(stay())
+
+    def take_boxes(self, rows: tuple[BoxListed, ...], share: bool) -> None:
+        """Take a box list, and pass it on if this node read it as a relay."""
+        if rows == self.boxes:
+            return
+        self.boxes = rows
+        self.submit(following.listed(self, rows))
+        if share and self.state.membership.is_relay():
+            item = Boxes([list(row) for row in rows])
+            for link in list(self.peers.links.values()):
+                link.send(item)
+
+    # Endpoints.
+
+    async def _poll_loop(self) -> None:
+        while True:
+            due = [view for view in self.state.endpoints.values() if self._polls(view)]
+            if due:
+                await asyncio.gather(*(self._poll(view.name, view.address) for view in due))
+            await asyncio.sleep(defaults.REPORT_INTERVAL_S * (0.9 + 0.2 * random.random()))
+
+    def _polls(self, view: t.Any) -> bool:
+        mine = self.state.membership.poller_of(view.name, view.data_centre)
+        if mine == self.settings.name:
+            return True
+        return bool(time.monotonic() - view.reported_at > defaults.REPORT_MISSING_S)
+
+    async def _poll(self, name: str, address: str) -> None:
+        report = await self.endpoints.report(name, address, time.monotonic())
+        if report is None:
+            self.submit(ReportMissed(time.monotonic(), name))
+            return
+        self.submit(report)
+        self._share_report(report)
+
+    def _share_report(self, report: EndpointReported) -> None:
+        item = Reports([gossip.encode_report(report, time.monotonic())])
+        for link in list(self.peers.links.values()):
+            link.send(item)
+
+    async def _hint_loop(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.CACHE_EVENTS_S)
+            for view in list(self.state.endpoints.values()):
+                mine = self.state.membership.poller_of(view.name, view.data_centre)
+                if view.role == "runner" and mine == self.settings.name:
+                    await self._read_hints(view.name, view.address)
+
+    async def _read_hints(self, name: str, address: str) -> None:
+        since = self._cache_positions.get(name, 0)
+        after, prefixes = await self.endpoints.cache_events(address, since)
+        self._cache_positions[name] = after
+        if prefixes:
+            self.submit(CacheEventsCame(time.monotonic(), name, prefixes))
+            item = Hints([[name, list(prefixes)]])
+            for link in list(self.peers.links.values()):
+                link.send(item)
+
+    # Life.
+
+    async def _tick_loop(self) -> None:
+        while True:
+            self.submit(Ticked(time.monotonic()))
+            await asyncio.sleep(core_defaults.TICK_S)
+
+    def ready(self) -> bool:
+        """Say whether callers may come: a revision is in force and no stop began."""
+        return self.state.catalogue.revision > 0 and not self.state.leaving
+
+    def update_gauges(self) -> None:
+        """Set gauges from the state, for a scrape."""
+        state = self.state
+        self.metrics.inflight.set({}, len(state.requests))
+        self.metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
+        self.metrics.leader.set({}, int(governing.holding(state)))
+        hosts = governing.resident_models(state)
+        self.metrics.unplaced.set({}, sum(1 for at in hosts.values() if not at))
+
+    async def start(self) -> None:
+        """Listen and begin all tasks."""
+        settings = self.settings
+        await self.peers.listen(settings.host, settings.peer_port)
+        self.http_server = await web.serve(self)
+        for loop in (
+            self._tick_loop(),
+            self._poll_loop(),
+            self._hint_loop(),
+            gossip.beat_loop(self),
+            following.follow_boxes(self),
+            following.follow_lease(self),
+            following.follow_head(self),
+        ):
+            self.spawn(loop)
+        log("node_started", node=settings.name, address=settings.caller_address)
+
+    def drain(self, hurry: bool = False) -> None:
+        """Begin the planned stop; ``hurry`` skips the life of given addresses."""
+        log("node_draining", node=self.settings.name, hurry=hurry)
+        self.submit(DrainAsked(time.monotonic(), hurry))
+
+    async def run_until_stopped(self) -> None:
+        """Wait for the end of a planned stop, then write outcomes and close."""
+        await self.stopping.wait()
+        # Answers whose requests are over may still be on their way out.
+        while self.exchanges:
+            await asyncio.sleep(0.02)
+        await forwarding.write_outcomes(self)
+        await self.close()
+        log("node_stopped", node=self.settings.name)
+
+    async def close(self) -> None:
+        """End at once, whatever is in flight."""
+        await web.close(self.http_server)
+        await self.peers.close()
+        for task in list(self._tasks):
+            task.cancel()
+        await self.endpoints.close()
+        await self.platform.close()
+        self.telemetry.stop()
+
+
+def _make_tls(settings: Settings) -> ssl.SSLContext | None:
+    if not settings.tls_cert:
+        return None
+    context = ssl.create_default_context(ssl.Purpose.CLIENT_AUTH)
+    context.load_cert_chain(settings.tls_cert, settings.tls_key)
+    return context
--- /dev/null
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -0,0 +1,335 @@
+"""Streams between nodes: msgpack messages over TCP, after a hello on both sides.
+
+Each side proves the shared key by a keyed hash over the other's random number,
+so that neither a replayed hello nor a stranger is heard. Messages are
+``NamedTuple`` classes in the registry ``MESSAGES``.
+"""
+
+import asyncio
+import hashlib
+import hmac
+import secrets
+import ssl
+import typing as t
+
+import msgpack
+
+from . import defaults
+from .exceptions import PeerError
+from .logs import log
+
+M = t.TypeVar("M", bound=type[t.Any])
+MESSAGES: dict[str, type[t.Any]] = {}
+_TAGS: dict[type[t.Any], str] = {}
+
+
+def message(tag: str) -> t.Callable[[M], M]:
+    """Register a message class under its tag on the wire."""
+
+    def register(cls: M) -> M:
+        MESSAGES[tag] = cls
+        _TAGS[cls] = tag
+        return cls
+
+    return register
+
+
+@message("hello")
+class Hello(t.NamedTuple):
+    """First message of each side."""
+
+    version: int
+    name: str
+    incarnation: str
+    challenge: bytes
+
+
+@message("proof")
+class Proof(t.NamedTuple):
+    """Keyed hash over the other side's challenge."""
+
+    digest: bytes
+
+
+@message("beat")
+class Heartbeat(t.NamedTuple):
+    """What a node says of itself."""
+
+    name: str
+    incarnation: str
+    address: str
+    caller_address: str
+    data_centre: str
+    revision: int
+    leaving: bool
+    demand: list[t.Any]
+    team_demand: list[t.Any]
+    lease_epoch: int
+
+
+@message("reports")
+class Reports(t.NamedTuple):
+    """Load reports of the endpoints that the sender polls, as lists with their age."""
+
+    rows: list[t.Any]
+
+
+@message("hints")
+class Hints(t.NamedTuple):
+    """Prefixes that endpoints hold."""
+
+    rows: list[t.Any]
+
+
+@message("boxes")
+class Boxes(t.NamedTuple):
+    """The platform's box list as a relay read it."""
+
+    rows: list[t.Any]
+
+
+@message("want")
+class WantRevision(t.NamedTuple):
+    """Ask for what changed since a revision."""
+
+    since: int
+
+
+@message("delta")
+class RevisionDelta(t.NamedTuple):
+    """Entries that changed from ``since`` to ``revision``; since 0 means all of them."""
+
+    since: int
+    revision: int
+    epoch: int
+    changed: dict[str, t.Any]
+    removed: list[str]
+
+
+@message("fwd")
+class Forward(t.NamedTuple):
+    """A keyed request for the node that issued its session."""
+
+    number: int
+    kind: str
+    team: str
+    fields: dict[str, t.Any]
+    body: bytes
+
+
+@message("fwd-start")
+class ForwardStart(t.NamedTuple):
+    """The answer's status and headers."""
+
+    number: int
+    status: int
+    headers: dict[str, str]
+
+
+@message("fwd-part")
+class ForwardPart(t.NamedTuple):
+    """A part of the answer."""
+
+    number: int
+    data: bytes
+
+
+@message("fwd-end")
+class ForwardEnd(t.NamedTuple):
+    """The answer is complete."""
+
+    number: int
+
+
+def encode(item: t.Any) -> bytes:
+    """Turn a message into bytes."""
+    return t.cast(bytes, msgpack.packb([_TAGS[type(item)], *item], use_bin_type=True))
+
+
+def decode(raw: t.Any) -> t.Any:
+    """Turn unpacked data into a message.
+
+    :raises PeerError: when it is no message of this version.
+    """
+    if not isinstance(raw, list) or not raw or raw[0] not in MESSAGES:
+        raise PeerError("unknown message")
+    cls = MESSAGES[raw[0]]
+    if len(raw) - 1 != len(cls._fields):
+        raise PeerError(f"{raw[0]}: {len(cls._fields)} fields were expected")
+    return cls(*raw[1:])
+
+
+class Link:
+    """One authenticated stream to another node."""
+
+    def __init__(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, dialled: bool
+    ) -> None:
+        self._reader = reader
+        self._writer = writer
+        self._unpacker = msgpack.Unpacker(raw=False, max_buffer_size=defaults.FRAME_BYTES_MAX)
+        self.dialled = dialled
+        self.name = ""
+        self.incarnation = ""
+        self.sent_bytes = 0
+        self.closed = False
+
+    async def greet(self, name: str, incarnation: str, key: str) -> None:
+        """Say hello and prove the key, and have the other side do so.
+
+        :raises PeerError: when it speaks another version or lacks the key.
+        """
+        challenge = secrets.token_bytes(16)
+        self.send(Hello(defaults.PEER_VERSION, name, incarnation, challenge))
+        hello = await self.receive()
+        if not isinstance(hello, Hello) or hello.version != defaults.PEER_VERSION:
+            raise PeerError("another version")
+        self.send(Proof(_prove(key, hello.challenge, name, incarnation)))
+        proof = await self.receive()
+        wanted = _prove(key, challenge, hello.name, hello.incarnation)
+        if not isinstance(proof, Proof) or not hmac.compare_digest(proof.digest, wanted):
+            raise PeerError("shared key")
+        self.name = hello.name
+        self.incarnation = hello.incarnation
+
+    def send(self, item: t.Any) -> None:
+        """Send a message; a stream that ended takes it in silence."""
+        if self.closed:
+            return
+        data = encode(item)
+        self.sent_bytes += len(data)
+        if self._writer.transport.get_write_buffer_size() > defaults.FRAME_BYTES_MAX:
+            # A node that does not read is cut off rather than buffered for.
+            self.close()
+            return
+        self._writer.write(data)
+
+    async def receive(self) -> t.Any:
+        """Wait for the next message.
+
+        :raises PeerError: when the stream ended or brought nonsense.
+        """
+        while True:
+            try:
+                for raw in self._unpacker:
+                    return decode(raw)
+                data = await self._reader.read(1 << 16)
+            except PeerError:
+                raise
+            except (OSError, ValueError, msgpack.exceptions.UnpackException) as error:
+                raise PeerError(type(error).__name__) from None
+            if not data:
+                raise PeerError("ended")
+            try:
+                self._unpacker.feed(data)
+            except msgpack.exceptions.BufferFull:
+                raise PeerError("message too large") from None
+
+    def close(self) -> None:
+        """End the stream."""
+        self.closed = True
+        self._writer.close()
+
+
+def _prove(key: str, challenge: bytes, name: str, incarnation: str) -> bytes:
+    text = challenge + name.encode() + b"\x00" + incarnation.encode()
+    return hmac.new(key.encode(), text, hashlib.sha256).digest()
+
+
+Serve = t.Callable[[Link], t.Awaitable[None]]
+
+
+class PeerServer:
+    """Listens for other nodes and dials them; one link to each is used for sending.
+
+    :param serve: is run for each link that greeted well, until it ends.
+    """
+
+    def __init__(
+        self, name: str, incarnation: str, key: str, serve: Serve, tls: ssl.SSLContext | None
+    ) -> None:
+        self._name = name
+        self._incarnation = incarnation
+        self._key = key
+        self._serve = serve
+        self._tls = tls
+        self._server: asyncio.Server | None = None
+        self._tasks: set[asyncio.Task[t.Any]] = set()
+        self.links: dict[str, Link] = {}
+
+    async def listen(self, host: str, port: int) -> None:
+        """Begin to take streams."""
+        self._server = await asyncio.start_server(self._accept, host, port, ssl=self._tls)
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._tasks.add(task)
+        try:
+            await self._run(Link(reader, writer, dialled=False))
+        except asyncio.CancelledError:
+            # The server is closing; the stream's own callback must not see it raised.
+            writer.close()
+        finally:
+            self._tasks.discard(task)
+
+    async def dial(self, address: str) -> None:
+        """Connect to a node and stay with it until the stream ends."""
+        host, _, port = address.rpartition(":")
+        try:
+            async with asyncio.timeout(defaults.CONNECT_S):
+                reader, writer = await asyncio.open_connection(
+                    host, int(port), ssl=_trusting(self._tls)
+                )
+        except (OSError, TimeoutError):
+            return
+        await self._run(Link(reader, writer, dialled=True))
+
+    async def _run(self, link: Link) -> None:
+        try:
+            async with asyncio.timeout(defaults.HEADER_READ_S):
+                await link.greet(self._name, self._incarnation, self._key)
+        except (PeerError, TimeoutError) as error:
+            log("peer_refused", "WARNING", reason=error)
+            link.close()
+            return
+        known = self.links.get(link.name)
+        if link.name == self._name or (known is not None and not self._prefer(link, known)):
+            link.close()
+            return
+        self.links[link.name] = link
+        log("peer_up", peer=link.name, incarnation=link.incarnation)
+        try:
+            await self._serve(link)
+        except PeerError as error:
+            log("peer_down", peer=link.name, reason=error)
+        finally:
+            link.close()
+            if self.links.get(link.name) is link:
+                del self.links[link.name]
+
+    def _prefer(self, link: Link, known: Link) -> bool:
+        """Choose between two links to one node; both ends choose the same one."""
+        if known.closed or known.incarnation != link.incarnation:
+            return True
+        dialler_wins = self._name < link.name
+        return link.dialled == dialler_wins and known.dialled != dialler_wins
+
+    async def close(self) -> None:
+        """End all streams and stop listening."""
+        if self._server is not None:
+            self._server.close()
+        for link in list(self.links.values()):
+            link.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+
+def _trusting(tls: ssl.SSLContext | None) -> ssl.SSLContext | None:
+    """Make the dialling side's context: the shared key proves the other side."""
+    if tls is None:
+        return None
+    context = ssl.create_default_context()
+    context.check_hostname = False
+    context.verify_mode = ssl.CERT_NONE
+    return context
--- /dev/null
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -0,0 +1,295 @@
+"""Performers of effects, each registered by the effect's type."""
+
+import asyncio
+import time
+import typing as t
+
+from returns.result import Failure
+from returns.result import Success
+
+from rookspring_core.effects import Announce
+from rookspring_core.effects import Attach
+from rookspring_core.effects import Cancel
+from rookspring_core.effects import ClearIntent
+from rookspring_core.effects import Dispatch
+from rookspring_core.effects import Forget
+from rookspring_core.effects import Publish
+from rookspring_core.effects import ReadDesired
+from rookspring_core.effects import ReadHead
+from rookspring_core.effects import Refuse
+from rookspring_core.effects import Replay
+from rookspring_core.effects import SendOrder
+from rookspring_core.effects import Stop
+from rookspring_core.effects import WriteIntent
+from rookspring_core.effects import WriteLease
+from rookspring_core.events import IntentWritten
+from rookspring_core.events import LeaseWritten
+from rookspring_core.events import OrderAnswered
+from rookspring_core.events import Published
+from rookspring_core.events import RevisionSeen
+
+from . import attempts
+from . import defaults
+from . import following
+from .exceptions import PlatformConflict
+from .exchanges import ChatExchange
+from .exchanges import error_body
+from .logs import log
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+Performer = t.Callable[["Node", t.Any], None]
+PERFORMERS: dict[type[t.Any], Performer] = {}
+F = t.TypeVar("F", bound=t.Callable[..., None])
+
+
+def performs(effect_type: type[t.Any]) -> t.Callable[[F], F]:
+    """Register the performer of an effect type."""
+
+    def register(function: F) -> F:
+        PERFORMERS[effect_type] = function
+        return function
+
+    return register
+
+
+@performs(Dispatch)
+def dispatch(node: "Node", effect: Dispatch) -> None:
+    """Start an attempt in a task of its own."""
+    exchange = node.exchanges.get(effect.request_id)
+    if effect.offset:
+        log("stream_continued", request=effect.request_id, endpoint=effect.endpoint)
+    task = node.spawn(attempts.run_attempt(node, effect))
+    if exchange is not None:
+        exchange.task = task
+
+
+@performs(Attach)
+def attach(node: "Node", effect: Attach) -> None:
+    """Start to read on from a running stream."""
+    exchange = node.exchanges.get(effect.request_id)
+    task = node.spawn(attempts.run_attach(node, effect))
+    if exchange is not None:
+        exchange.task = task
+
+
+@performs(Refuse)
+def refuse(node: "Node", effect: Refuse) -> None:
+    """Answer with an error, at once."""
+    exchange = node.exchanges.get(effect.request_id)
+    if exchange is None:
+        return
+    node.metrics.refusals.inc({"reason": effect.reason, "outcome": effect.outcome})
+    log(
+        "request_refused",
+        request=effect.request_id,
+        reason=effect.reason,
+        outcome=effect.outcome,
+        status=effect.status,
+    )
+
+    async def send() -> None:
+        body = error_body(effect.message, effect.reason, effect.outcome)
+        if exchange.started:
+            # Headers are gone, so the error is the stream's last event.
+            await exchange.responder.send(b"event: error\ndata: " + body + b"\n\n")
+            await exchange.responder.end()
+        else:
+            headers = {"Content-Type": "application/json", "X-Request-Id": effect.request_id}
+            if effect.retry_after_s > 0:
+                headers["Retry-After"] = str(max(1, round(effect.retry_after_s)))
+                headers["Retry-After-Ms"] = str(round(effect.retry_after_s * 1000))
+            await exchange.answer(effect.status, headers, body)
+        node.finish(exchange, effect.outcome)
+
+    node.spawn(node.answering(exchange, send()))
+
+
+@performs(Replay)
+def replay(node: "Node", effect: Replay) -> None:
+    """Give a remembered answer again."""
+    exchange = node.exchanges.get(effect.request_id)
+    if exchange is None:
+        return
+
+    async def send() -> None:
+        if isinstance(exchange, ChatExchange):
+            await exchange.replay(effect.answer)
+        else:
+            headers = {"Content-Type": "application/json", "X-Replayed": "true"}
+            await exchange.answer(effect.status, headers, effect.answer)
+        node.finish(exchange, "ran")
+
+    node.spawn(node.answering(exchange, send()))
+
+
+@performs(Cancel)
+def cancel(node: "Node", effect: Cancel) -> None:
+    """Stop reading now; stop the engine's stream after a grace, unless it is resumed."""
+    exchange = node.exchanges.get(effect.request_id)
+    view = node.state.endpoints.get(effect.endpoint)
+    if exchange is None:
+        return
+    if exchange.task is not None:
+        exchange.task.cancel()
+    if not isinstance(exchange, ChatExchange) or view is None:
+        return
+
+    async def stop() -> None:
+        await asyncio.sleep(defaults.CANCEL_GRACE_S)
+        await node.endpoints.cancel(view.address, exchange.engine_stream, exchange.reader)
+
+    node.spawn(stop())
+
+
+@performs(Forget)
+def forget(node: "Node", effect: Forget) -> None:
+    """Nothing to do: the exchange goes when its last byte has."""
+
+
+@performs(WriteLease)
+def write_lease(node: "Node", effect: WriteLease) -> None:
+    """Write the lease object on its version."""
+    asked_at = time.monotonic()
+    value = {
+        "holder": node.settings.name if effect.nonce else "",
+        "epoch": effect.epoch,
+        "nonce": effect.nonce,
+    }
+
+    async def write() -> None:
+        answer = await node.platform.put("lease", "control", value, effect.version)
+        won: bool | None = None
+        version = 0
+        match answer:
+            case Success(written):
+                won, version = True, written
+            case Failure(PlatformConflict()):
+                won = False
+        node.submit(LeaseWritten(time.monotonic(), asked_at, effect.nonce, won, version))
+
+    node.spawn(write())
+
+
+@performs(ReadDesired)
+def read_desired(node: "Node", effect: ReadDesired) -> None:
+    """Follow operators' resources for as long as the lease is held."""
+    log("lease_acquired", node=node.settings.name, epoch=effect.epoch)
+    node.spawn(following.follow_desired(node, effect.epoch))
+    node.spawn(following.read_intents(node, effect.epoch))
+
+
+@performs(ReadHead)
+def read_head(node: "Node", effect: ReadHead) -> None:
+    """Read the head and its entries, until that succeeds."""
+    node.spawn(following.read_head_surely(node))
+
+
+@performs(Publish)
+def publish(node: "Node", effect: Publish) -> None:
+    """Write shards and move the head."""
+
+    async def write() -> None:
+        answer = await node.published.publish(
+            effect.revision, effect.epoch, effect.head_version, effect.entries
+        )
+        now = time.monotonic()
+        if isinstance(answer, Success):
+            log("published", revision=effect.revision, entries=len(effect.entries))
+            seen = RevisionSeen(now, effect.revision, effect.epoch, effect.entries)
+            node.submit(seen)
+            node.submit(Published(now, effect.revision, True, answer.unwrap()))
+            return
+        log("publish_failed", "WARNING", revision=effect.revision, reason=answer.failure())
+        lost = isinstance(answer.failure(), PlatformConflict)
+        node.submit(Published(now, effect.revision, False if lost else None))
+
+    node.spawn(write())
+
+
+@performs(WriteIntent)
+def write_intent(node: "Node", effect: WriteIntent) -> None:
+    """Record an order before it is sent; the object's version fences other holders."""
+    value = {
+        "epoch": effect.epoch,
+        "sequence": effect.sequence,
+        "model": effect.model,
+        "version": effect.model_version,
+        "memory_gb": effect.memory_gb,
+    }
+
+    async def write() -> None:
+        expected = node.intent_versions.get(effect.endpoint, 0)
+        answer = await node.platform.put("intent", effect.endpoint, value, expected)
+        won: bool | None = None
+        match answer:
+            case Success(version):
+                node.intent_versions[effect.endpoint] = version
+                won = True
+            case Failure(PlatformConflict()):
+                won = False
+                await following.read_intents(node, effect.epoch)
+        node.submit(IntentWritten(time.monotonic(), effect.endpoint, effect.sequence, won))
+
+    node.spawn(write())
+
+
+@performs(ClearIntent)
+def clear_intent(node: "Node", effect: ClearIntent) -> None:
+    """Mark an intent as resolved, in place, so that its version goes on fencing."""
+    value = {"epoch": 0, "sequence": 0, "model": "", "version": "", "memory_gb": 0.0}
+
+    async def write() -> None:
+        expected = node.intent_versions.get(effect.endpoint, 0)
+        answer = await node.platform.put("intent", effect.endpoint, value, expected)
+        if isinstance(answer, Success):
+            node.intent_versions[effect.endpoint] = answer.unwrap()
+
+    node.spawn(write())
+
+
+@performs(SendOrder)
+def send_order(node: "Node", effect: SendOrder) -> None:
+    """Give an endpoint an order."""
+    view = node.state.endpoints.get(effect.endpoint)
+    incarnation = view.report.incarnation if view and view.report else ""
+    log(
+        "order_sent",
+        "DEBUG",
+        endpoint=effect.endpoint,
+        action=effect.action,
+        model=effect.model,
+        token=f"{effect.token[0]}.{effect.token[1]}",
+    )
+
+    async def send() -> None:
+        accepted, reason = await node.endpoints.order(effect, incarnation)
+        end = {True: "accepted", False: "refused", None: "unanswered"}[accepted]
+        node.metrics.orders.inc({"action": effect.action, "end": end})
+        level = "DEBUG" if accepted else "INFO"
+        log(
+            "order_answered",
+            level,
+            endpoint=effect.endpoint,
+            action=effect.action,
+            end=end,
+            reason=reason,
+        )
+        node.submit(
+            OrderAnswered(time.monotonic(), effect.endpoint, effect.token, accepted, reason)
+        )
+
+    node.spawn(send())
+
+
+@performs(Announce)
+def announce(node: "Node", effect: Announce) -> None:
+    """Tell the other nodes at once."""
+    node.beat()
+
+
+@performs(Stop)
+def stop(node: "Node", effect: Stop) -> None:
+    """Let the process end."""
+    node.stopping.set()
--- /dev/null
+++ b/packages/rookspring/src/rookspring/web.py
@@ -0,0 +1,95 @@
+"""The HTTP server of a node: routes, limits, and errors in one shape."""
+
+import typing as t
+
+from sanic import Request
+from sanic import Sanic
+from sanic.exceptions import SanicException
+from sanic.response import HTTPResponse
+
+from . import callers
+from . import defaults
+from . import operators
+from .exceptions import CallerError
+from .exceptions import CallerGone
+from .logs import log
+
+if t.TYPE_CHECKING:
+    from .node import Node
+
+
+def make_app(node: "Node") -> Sanic[t.Any, t.Any]:
+    """Build the application of one node."""
+    name = f"rookspring-{node.settings.name}-{node.state.identity.incarnation}"
+    app: Sanic[t.Any, t.Any] = Sanic(name, configure_logging=False)
+    app.config.REQUEST_MAX_SIZE = defaults.BODY_BYTES_MAX
+    app.config.REQUEST_TIMEOUT = int(defaults.HEADER_READ_S)
+    # Answers may stream for long; silence is bounded at the endpoint's side.
+    app.config.RESPONSE_TIMEOUT = 86_400
+    app.config.KEEP_ALIVE_TIMEOUT = 30
+    app.config.ACCESS_LOG = False
+    app.config.MOTD = False
+    # It rewrites the server's source at start, which fails for a second app in a process.
+    app.config.TOUCHUP = False
+    app.blueprint(callers.make_blueprint(node))
+    app.blueprint(operators.make_blueprint(node))
+    app.blueprint(operators.make_health_blueprint(node))
+    app.exception(CallerError)(_answer_caller_error)
+    app.exception(CallerGone)(_answer_gone)
+    app.exception(SanicException)(_answer_http_error)
+    app.exception(Exception)(_answer_fault)
+    return app
+
+
+async def _answer_caller_error(request: Request, error: CallerError) -> HTTPResponse:
+    return callers.json_answer(error.body(), status=error.status)
+
+
+async def _answer_gone(request: Request, error: CallerGone) -> HTTPResponse:
+    return callers.json_answer({}, status=499)
+
+
+async def _answer_http_error(request: Request, error: SanicException) -> HTTPResponse:
+    turned = CallerError(error.status_code or 500, "request", str(error))
+    return callers.json_answer(turned.body(), status=turned.status)
+
+
+async def _answer_fault(request: Request, error: Exception) -> HTTPResponse:
+    log("task_failed", "ERROR", path=request.path, error=type(error).__name__, detail=error)
+    turned = CallerError(500, "request", "the node could not serve it", "unknown")
+    return callers.json_answer(turned.body(), status=500)
+
+
+async def serve(node: "Node") -> t.Any:
+    """Listen for callers and operators, within this process and loop."""
+    app = make_app(node)
+    server = await app.create_server(
+        host=node.settings.host,
+        port=node.settings.port,
+        ssl=node.tls,
+        return_asyncio_server=True,
+        backlog=1024,
+    )
+    # The server's own methods carry no types.
+    running: t.Any = server
+    await running.startup()
+    await running.start_serving()
+    return running
+
+
+async def close(server: t.Any) -> None:
+    """Stop listening and end idle connections."""
+    if server is None:
+        return
+    server.close()
+    for connection in list(server.connections):
+        connection.close_if_idle()
+    await server.wait_closed()
+
+
+async def abort(server: t.Any) -> None:
+    """Break all connections, as the death of the process does."""
+    server.close()
+    for connection in list(server.connections):
+        if connection.transport is not None:
+            connection.transport.abort()
