Add the operator tool

Cause: operators drive the system only by the resource API. Change: rookctl with apply, get, describe, delete, watch, diff, status, top, explain and drain; tables, JSON and YAML; an exit code for each kind of failure.

--- /dev/null
+++ b/packages/rookspring-ctl/src/rookspring_ctl/cli.py
@@ -0,0 +1,303 @@
+"""Command line of the operator tool."""
+
+import importlib.metadata
+import time
+import typing as t
+
+import typer
+
+from .client import Server
+from .client import call
+from .documents import Document
+from .documents import compare
+from .documents import kind_of
+from .documents import read_documents
+from .exceptions import CtlError
+from .exceptions import NotFound
+from .tables import Output
+from .tables import Rows
+from .tables import endpoint_rows
+from .tables import resource_rows
+from .tables import show
+from .tables import show_table
+
+app = typer.Typer(no_args_is_help=True, pretty_exceptions_enable=False)
+EXIT_DIFFERS = 1
+
+OutputOption = t.Annotated[Output, typer.Option("-o", "--output")]
+
+
+def _show_version(value: bool) -> None:
+    if value:
+        typer.echo(importlib.metadata.version("rookspring-ctl"))
+        raise typer.Exit
+
+
+@app.callback()
+def root(
+    context: typer.Context,
+    server: t.Annotated[
+        str, typer.Option(envvar="ROOKCTL_SERVER", help="URL of a node, or several by commas.")
+    ] = "http://127.0.0.1:7401",
+    key: t.Annotated[str, typer.Option(envvar="ROOKCTL_KEY", help="An operator's key.")] = "",
+    version: t.Annotated[
+        bool, typer.Option("--version", callback=_show_version, is_eager=True)
+    ] = False,
+) -> None:
+    """Operate rookspring by its resource API."""
+    context.obj = Server(tuple(part.strip() for part in server.split(",") if part.strip()), key)
+
+
+def _path(kind: str, name: str = "") -> str:
+    return f"resources/{kind}/{name}" if name else f"resources/{kind}"
+
+
+@app.command()
+def apply(
+    context: typer.Context,
+    file: t.Annotated[str, typer.Option("-f", "--file", help="YAML or JSON; - reads stdin.")],
+    wait_s: t.Annotated[float, typer.Option(help="Wait so long for acceptance.")] = 0.0,
+) -> None:
+    """Create or change what a file declares."""
+    documents = read_documents(file)
+    failed: CtlError | None = None
+    written: list[tuple[Document, int]] = []
+    for document in documents:
+        try:
+            written.append((document, _apply_one(context.obj, document)))
+        except CtlError as error:
+            typer.echo(f"{document.kind}/{document.name}: {error}", err=True)
+            failed = error
+    if failed is not None:
+        raise typer.Exit(failed.code)
+    if wait_s > 0:
+        _wait_accepted(context.obj, written, wait_s)
+
+
+def _apply_one(server: Server, document: Document) -> int:
+    path = _path(document.kind, document.name)
+    version = document.version
+    verb = "created"
+    try:
+        found = call(server, "GET", path)
+        if not compare(document.spec, found["spec"]):
+            typer.echo(f"{document.kind}/{document.name}: unchanged")
+            return int(found["version"])
+        version = found["version"] if version is None else version
+        verb = "changed"
+    except NotFound:
+        version = 0 if version is None else version
+    answer = call(server, "PUT", path, {"spec": document.spec}, version)
+    typer.echo(f"{document.kind}/{document.name}: {verb}, version {answer['version']}")
+    return int(answer["version"])
+
+
+def _wait_accepted(server: Server, written: list[tuple[Document, int]], wait_s: float) -> None:
+    end = time.monotonic() + wait_s
+    left = list(written)
+    while left and time.monotonic() < end:
+        left = [one for one in left if not _accepted(server, *one)]
+        time.sleep(0.2 if left else 0.0)
+    for document, version in left:
+        status = call(server, "GET", _path(document.kind, document.name))["status"]
+        reason = status["reason"] or f"version {version} is not accepted yet"
+        typer.echo(f"{document.kind}/{document.name}: {reason}", err=True)
+    if left:
+        raise typer.Exit(1)
+
+
+def _accepted(server: Server, document: Document, version: int) -> bool:
+    status = call(server, "GET", _path(document.kind, document.name))["status"]
+    return int(status["accepted_version"]) >= version
+
+
+@app.command()
+def get(
+    context: typer.Context,
+    kind: t.Annotated[str, typer.Argument(help="Model, Adapter, Service, Team, Policy, Endpoint")],
+    name: t.Annotated[str, typer.Argument()] = "",
+    output: OutputOption = Output.table,
+) -> None:
+    """List resources of a kind, or show one."""
+    if kind.lower() in ("endpoint", "endpoints"):
+        items = call(context.obj, "GET", "endpoints")["items"]
+        items = [one for one in items if name in ("", one["name"])]
+        if name and not items:
+            raise NotFound(f"endpoint {name!r}: no such endpoint")
+        show(items, output, lambda: endpoint_rows(items))
+        return
+    answer = call(context.obj, "GET", _path(kind_of(kind), name))
+    items = [answer] if name else answer["items"]
+    show(answer if name else items, output, lambda: resource_rows(items))
+
+
+@app.command()
+def describe(context: typer.Context, kind: str, name: str) -> None:
+    """Show a resource in full, with its status and recorded decisions."""
+    answer = call(context.obj, "GET", _path(kind_of(kind), name))
+    show(answer, Output.yaml, lambda: resource_rows([answer]))
+    _explain(context.obj, name)
+
+
+@app.command()
+def delete(
+    context: typer.Context,
+    kind: str,
+    name: str,
+    version: t.Annotated[int | None, typer.Option(help="Only if still at this version.")] = None,
+) -> None:
+    """Delete a resource."""
+    call(context.obj, "DELETE", _path(kind_of(kind), name), version=version)
+    typer.echo(f"{kind_of(kind)}/{name}: deleted")
+
+
+@app.command()
+def watch(
+    context: typer.Context,
+    kind: str,
+    since: t.Annotated[int, typer.Option("--from", help="Version to go on from.")] = -1,
+    count: t.Annotated[int, typer.Option(help="End after so many changes; 0: never.")] = 0,
+) -> None:
+    """Follow changes of a kind; lists again where the version is too old."""
+    path = _path(kind_of(kind))
+    if since < 0:
+        since = int(call(context.obj, "GET", path)["version"])
+    seen = 0
+    while True:
+        answer = call(context.obj, "GET", f"{path}?watch=1&from={since}&timeout_s=10")
+        since = int(answer["version"])
+        if answer["items"]:
+            show_table(resource_rows(answer["items"]))
+        seen += len(answer["items"])
+        if count and seen >= count:
+            return
+
+
+@app.command()
+def diff(context: typer.Context, file: t.Annotated[str, typer.Option("-f", "--file")]) -> None:
+    """Show how a file differs from what is declared; exit code 1 if it does."""
+    differs = False
+    for document in read_documents(file):
+        label = f"{document.kind}/{document.name}"
+        try:
+            found = call(context.obj, "GET", _path(document.kind, document.name))
+        except NotFound:
+            typer.echo(f"{label}: would be created")
+            differs = True
+            continue
+        lines = compare(document.spec, found["spec"])
+        if lines:
+            typer.echo("\n".join([f"{label}: would be changed", *lines]))
+            differs = True
+    if differs:
+        raise typer.Exit(EXIT_DIFFERS)
+
+
+@app.command()
+def status(context: typer.Context, output: OutputOption = Output.table) -> None:
+    """Show boxes, lease, revision in force, models not resident, endpoints."""
+    answer = call(context.obj, "GET", "status")
+    show(answer, output, lambda: _status_rows(answer))
+    if output is not Output.table:
+        return
+    typer.echo("")
+    show_table(endpoint_rows(answer["endpoints"]))
+
+
+def _status_rows(answer: dict[str, t.Any]) -> Rows:
+    typer.echo(
+        f"lease: {answer['lease_holder'] or 'nobody'} (epoch {answer['lease_epoch']}); "
+        f"revision {answer['revision']}, in force on {answer['in_force_on']} boxes; "
+        f"platform {'answers' if answer['platform_reachable'] else 'does not answer'}"
+    )
+    missing = ", ".join(answer["models_not_resident"]) or "none"
+    typer.echo(f"models: {answer['models']}; resident nowhere: {missing}")
+    refused = ", ".join(f"{key} {count}" for key, count in answer["refusals"].items())
+    typer.echo(f"refusals at {answer['node']}: {refused or 'none'}\n")
+    rows = [
+        (
+            one["name"],
+            one["data_centre"],
+            one["address"],
+            str(one["revision"]),
+            "leaving" if one["leaving"] else "live",
+        )
+        for one in answer["nodes"]
+    ]
+    return Rows(("BOX", "DATA CENTRE", "ADDRESS", "REVISION", "STATE"), rows)
+
+
+@app.command()
+def top(
+    context: typer.Context,
+    interval_s: t.Annotated[float, typer.Option()] = 2.0,
+    count: t.Annotated[int, typer.Option(help="End after so many rounds; 0: never.")] = 0,
+) -> None:
+    """Show load by endpoint, the busiest first, again and again."""
+    rounds = 0
+    while True:
+        answer = call(context.obj, "GET", "status")
+        items = sorted(answer["endpoints"], key=lambda one: -one["load"])
+        waiting = sum(answer["waiting"].values())
+        typer.echo(f"requests {answer['requests']}, waiting {waiting}, moves {answer['moves']}")
+        show_table(endpoint_rows(items[:20]))
+        rounds += 1
+        if count and rounds >= count:
+            return
+        time.sleep(interval_s)
+
+
+@app.command()
+def explain(context: typer.Context, subject: str) -> None:
+    """Tell why a request was refused, or a model or an endpoint was changed."""
+    if not _explain(context.obj, subject):
+        raise NotFound(f"{subject!r}: no node remembers a decision about it")
+
+
+def _explain(server: Server, subject: str) -> int:
+    found: list[tuple[str, ...]] = []
+    for address in _all_addresses(server):
+        try:
+            answer = call(server._replace(addresses=(address,)), "GET", f"explain/{subject}")
+        except CtlError:
+            continue
+        for one in answer["decisions"]:
+            row = (answer["node"], f"{one['ago_s']:.1f}", one["subject"], one["what"], one["why"])
+            found.append(row)
+    if found:
+        found.sort(key=lambda row: -float(row[1]))
+        show_table(Rows(("BOX", "SECONDS AGO", "SUBJECT", "DECISION", "WHY"), found))
+    return len(found)
+
+
+def _all_addresses(server: Server) -> list[str]:
+    nodes = call(server, "GET", "status")["nodes"]
+    scheme = server.addresses[0].partition("://")[0]
+    return [f"{scheme}://{one['address']}" for one in nodes]
+
+
+@app.command()
+def drain(
+    context: typer.Context,
+    box: t.Annotated[str, typer.Argument(help="Name of the box.")],
+) -> None:
+    """Stop a box as planned: nothing in flight is cut."""
+    nodes = call(context.obj, "GET", "status")["nodes"]
+    found = [one for one in nodes if one["name"] == box]
+    if not found:
+        raise NotFound(f"box {box!r}: not among {', '.join(one['name'] for one in nodes)}")
+    scheme = context.obj.addresses[0].partition("://")[0]
+    target = context.obj._replace(addresses=(f"{scheme}://{found[0]['address']}",))
+    call(target, "POST", "drain", {})
+    typer.echo(f"{box}: draining")
+
+
+def main() -> None:
+    """Run the command line; errors are one line each, with their exit code."""
+    try:
+        app()
+    except CtlError as error:
+        typer.echo(f"error: {error}", err=True)
+        raise SystemExit(error.code) from None
+    except KeyboardInterrupt:
+        raise SystemExit(130) from None
--- /dev/null
+++ b/packages/rookspring-ctl/src/rookspring_ctl/tables.py
@@ -0,0 +1,85 @@
+"""Output as tables, JSON or YAML."""
+
+import enum
+import typing as t
+
+import orjson
+import typer
+import yaml
+from rich.console import Console
+from rich.table import Table
+
+
+class Output(enum.StrEnum):
+    """Form of the output."""
+
+    table = "table"
+    json = "json"
+    yaml = "yaml"
+
+
+def show(value: t.Any, output: Output, rows: t.Callable[[], "Rows"]) -> None:
+    """Print a value in the form asked for.
+
+    :param rows: builds the table's rows, if a table is asked for.
+    """
+    if output is Output.json:
+        typer.echo(orjson.dumps(value, option=orjson.OPT_INDENT_2).decode())
+    elif output is Output.yaml:
+        typer.echo(yaml.safe_dump(value, sort_keys=False).rstrip())
+    else:
+        show_table(rows())
+
+
+class Rows(t.NamedTuple):
+    """A table: column names and texts."""
+
+    columns: tuple[str, ...]
+    rows: t.Sequence[tuple[str, ...]]
+
+
+def show_table(rows: Rows) -> None:
+    """Print a table; plain enough to be cut with common tools."""
+    table = Table(box=None, pad_edge=False, header_style="bold")
+    for name in rows.columns:
+        table.add_column(name, overflow="fold")
+    for row in rows.rows:
+        table.add_row(*row)
+    Console(width=None if Console().is_terminal else 160, highlight=False).print(table)
+
+
+def resource_rows(items: list[dict[str, t.Any]]) -> Rows:
+    """Build the table of resources."""
+    rows: list[tuple[str, ...]] = []
+    for one in items:
+        status = one.get("status", {})
+        if one.get("deleted"):
+            rows.append((one["kind"], one["name"], str(one["version"]), "deleted", "", ""))
+            continue
+        accepted = "yes" if status.get("accepted") else "no"
+        if not status.get("accepted") and not status.get("reason"):
+            accepted = "pending"
+        resident = ", ".join(status.get("resident_on", []))
+        detail = status.get("reason") or resident
+        force = f"{status.get('in_force_on', 0)}/{status.get('nodes', 0)}"
+        rows.append((one["kind"], one["name"], str(one["version"]), accepted, force, detail))
+    return Rows(("KIND", "NAME", "VERSION", "ACCEPTED", "IN FORCE", "RESIDENT ON / REASON"), rows)
+
+
+def endpoint_rows(items: list[dict[str, t.Any]]) -> Rows:
+    """Build the table of endpoints."""
+    rows = [
+        (
+            one["name"],
+            one["role"],
+            one["data_centre"],
+            one["state"],
+            f"{one['load']:.2f}",
+            f"{one['held_gb']:.1f}/{one['memory_gb']:.0f}",
+            "yes" if one["checks_orders"] else "no",
+            ", ".join(one["resident"]),
+        )
+        for one in items
+    ]
+    columns = ("NAME", "ROLE", "DATA CENTRE", "STATE", "LOAD", "MEMORY GB", "CHECKS", "RESIDENT")
+    return Rows(columns, rows)
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -1,6 +1,7 @@
 """One node: the reducer's loop, its effects performed, its servers and its tasks."""
 
 import asyncio
+import collections
 import random
 import secrets
 import ssl
@@ -84,6 +85,7 @@
         self.exchanges: dict[str, Exchange] = {}
         self.forwards: dict[int, forwarding.PendingForward] = {}
         self.forward_count = 0
+        self.refusal_counts: collections.Counter[str] = collections.Counter()
         self.intent_versions: dict[str, int] = {}
         self.history = gossip.RevisionHistory()
         self.boxes: tuple[BoxListed, ...] = ()
@@ -309,8 +311,10 @@
         """End at once, whatever is in flight."""
         await web.close(self.http_server)
         await self.peers.close()
-        for task in list(self._tasks):
+        tasks = list(self._tasks)
+        for task in tasks:
             task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         await self.endpoints.close()
         await self.platform.close()
         self.telemetry.stop()
--- a/packages/rookspring/src/rookspring/operators.py
+++ b/packages/rookspring/src/rookspring/operators.py
@@ -324,6 +324,7 @@
         "sessions": sessions,
         "keys": keys,
         "moves": state.control.moves,
+        "refusals": dict(node.refusal_counts),
         "endpoints": _endpoints(node),
     }
 
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -80,6 +80,7 @@
     exchange = node.exchanges.get(effect.request_id)
     if exchange is None:
         return
+    node.refusal_counts[effect.reason] += 1
     node.metrics.refusals.inc({"reason": effect.reason, "outcome": effect.outcome})
     log(
         "request_refused",
