--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: each prints a table of what it measured and keeps it as JSON."""
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from .acceptance import Room
 from .catalogue import Entry
 from .demand import DemandMeter
 from .demand import Forecast
@@ -20,6 +21,7 @@
         self.head_version = -1
         self.head_revision = 0
         self.in_flight = 0
+        self.judged_rooms: tuple[Room, ...] = ()
         self.in_flight_at = -1e9
 
 
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -136,6 +136,10 @@
     publication = state.control.publication
     if publication.in_flight:
         return []
+    rooms = acceptance.rooms_of(state.control.ledgers.values(), _engines(state))
+    if rooms != publication.judged_rooms and state.catalogue.rejected:
+        # What did not fit may fit now.
+        publication.dirty = True
     if publication.desired is None or not publication.dirty or publication.head_version < 0:
         return []
     if state.now - publication.desired_changed_at < defaults.PUBLISH_BATCH_S:
@@ -143,11 +147,12 @@
     if state.catalogue.revision < publication.head_revision:
         # The published entries themselves are still on their way to this node.
         return []
-    rooms = acceptance.rooms_of(state.control.ledgers.values(), _engines(state))
     surveyed = state.now - state.control.acquired_at >= defaults.SURVEY_S
-    if not surveyed and len(rooms) < _runner_count(state):
+    if not surveyed and (not rooms or len(rooms) < _runner_count(state)):
+        # Without reports nothing seems to fit, so reports come first.
         return []
     publication.dirty = False
+    publication.judged_rooms = rooms
     entries = acceptance.accept(publication.desired, state.control.entries, rooms)
     if entries == state.control.entries:
         return []
--- a/packages/rookspring-core/src/rookspring_core/limits.py
+++ b/packages/rookspring-core/src/rookspring_core/limits.py
@@ -14,9 +14,9 @@
 class _Bucket:
     __slots__ = ("at", "inflight", "recent", "tokens")
 
-    def __init__(self, at: float) -> None:
+    def __init__(self, at: float, tokens: float) -> None:
         self.at = at
-        self.tokens = 1.0
+        self.tokens = tokens
         self.inflight = 0
         self.recent = 0.0
 
@@ -57,9 +57,12 @@
 
         :return: 0 when it is within them, else seconds after which to come back.
         """
-        bucket = self._buckets.setdefault(team, _Bucket(now))
         share = self.share(team)
         rate = spec.requests_per_s * share
+        bucket = self._buckets.get(team)
+        if bucket is None:
+            # A new team begins with a second's worth, as any has after a pause.
+            bucket = self._buckets[team] = _Bucket(now, max(1.0, rate))
         passed = max(0.0, now - bucket.at)
         bucket.at = now
         burst = max(1.0, rate)
