Serve all queues in one order; correct load by peers' in-flight

Cause: each model's queue was served on its own, so a freed slot went to a casual request of one model while a ranked one of another waited; and load reports were the only source of other nodes' work. Change: one order over all queues, pace by pool of endpoints, heartbeats carry in-flight counts and the fresher of both sources is used.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -57,11 +57,11 @@
         node.state.routing_override = policy.routing
         node.state.admission_on = policy.admission
     start = world.clock.now
-    account = Account(start + 10.0)
+    end = start + 10.0 + length_s
+    account = Account(start + 10.0, end)
     world.on_told = account.take
     capacity = capacity_of(world)
     rates = skewed(models_of(size), load * capacity / MEAN_TOKENS)
-    end = start + 10.0 + length_s
     Traffic(world, lambda now: rates, seed, end)
     world.clock.run(end + 15.0)
     return account, world, min(1.0, load) * capacity
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -17,8 +17,9 @@
 class Account:
     """How requests ended, with tokens served in time as the goodput."""
 
-    def __init__(self, since: float) -> None:
+    def __init__(self, since: float, until: float = float("inf")) -> None:
         self.since = since
+        self.until = until
         self.asked: dict[str, int] = {}
         self.met: dict[str, int] = {}
         self.good_tokens = 0
@@ -27,15 +28,16 @@
         self.met_at: list[tuple[float, bool]] = []
 
     def take(self, asked: Asked, told: Told) -> None:
-        """Count one end; requests from before the measured time are left out."""
-        if asked.at < self.since:
+        """Count one end: shares by when a request was asked, goodput by when it ended."""
+        if self.since <= told.at < self.until and told.at <= asked.deadline_at:
+            self.good_tokens += asked.tokens if told.outcome == "ran" else 0
+        if not self.since <= asked.at < self.until:
             return
         self.asked[asked.priority] = self.asked.get(asked.priority, 0) + 1
         good = told.outcome == "ran" and told.at <= asked.deadline_at
         self.met_at.append((asked.at, good))
         if good:
             self.met[asked.priority] = self.met.get(asked.priority, 0) + 1
-            self.good_tokens += asked.tokens
         else:
             reason = told.reason if told.outcome != "ran" else "ran late"
             self.reasons[reason] = self.reasons.get(reason, 0) + 1
--- a/packages/rookspring-core/src/rookspring_core/admission.py
+++ b/packages/rookspring-core/src/rookspring_core/admission.py
@@ -27,14 +27,38 @@
     return deadline_at - defaults.PRIORITY_HEADSTART_S[priority]
 
 
-class AdmissionQueue:
-    """Waiting requests of one target, and the pace at which they are served."""
+class Pace:
+    """Tokens a second that this node sends to endpoints which several targets share."""
 
     def __init__(self) -> None:
+        self.rate = 0.0
+        self._served = 0.0
+
+    def served(self, tokens: int) -> None:
+        """Count work that was sent on."""
+        self._served += tokens
+
+    def measure(self, passed: float) -> None:
+        """Learn the pace over about two seconds."""
+        rate = self._served / max(passed, 1e-6)
+        self._served = 0.0
+        self.rate += (rate - self.rate) * min(1.0, passed / 2.0)
+
+    def wait(self, ahead: float) -> float:
+        """Predict the wait behind so many tokens, in seconds."""
+        return ahead / self.rate if self.rate > 0.0 else 0.0
+
+
+class AdmissionQueue:
+    """Waiting requests of one target.
+
+    :param pool: the pace of the endpoints that it shares.
+    """
+
+    def __init__(self, pool: Pace) -> None:
+        self.pool = pool
         self._heap: list[Queued] = []
         self._live: dict[str, Queued] = {}
-        self.pace = 0.0
-        self._served = 0.0
 
     def __len__(self) -> int:
         return len(self._live)
@@ -54,29 +78,16 @@
         """Take a request out, wherever it stands."""
         return self._live.pop(request_id, None) is not None
 
-    def served(self, tokens: int) -> None:
-        """Count work that was sent on, for the pace."""
-        self._served += tokens
-
-    def measure(self, passed: float) -> None:
-        """Learn the pace, in tokens a second, over about two seconds."""
-        rate = self._served / max(passed, 1e-6)
-        self._served = 0.0
-        self.pace += (rate - self.pace) * min(1.0, passed / 2.0)
-
-    def wait(self, order: float) -> float:
-        """Predict the wait of a request with this order, in seconds."""
-        if self.pace <= 0.0:
-            return 0.0
-        ahead = sum(one.tokens for one in self._live.values() if one.order <= order)
-        return ahead / self.pace
+    def ahead(self, order: float) -> int:
+        """Count the tokens that wait before a request with this order."""
+        return sum(one.tokens for one in self._live.values() if one.order <= order)
 
-    def hopeless(self, now: float, service_s: t.Callable[[int], float]) -> list[Queued]:
+    def hopeless(self, now: float, token_s: float) -> list[Queued]:
         """List requests that cannot meet their deadline even if served now.
 
-        :param service_s: seconds to serve so many tokens at best.
+        :param token_s: seconds that a token takes at best.
         """
-        return [one for one in self._live.values() if now + service_s(one.tokens) > one.deadline_at]
+        return [one for one in self._live.values() if now + one.tokens * token_s > one.deadline_at]
 
     def worst(self) -> Queued | None:
         """Give the request that stands last, the one to give way when the queue is full."""
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -42,6 +42,7 @@
 def _forget_peer(state: NodeState, name: str) -> None:
     state.limits.lose(name)
     state.control.peer_demand.pop(name, None)
+    state.membership.inflight.pop(name, None)
 
 
 @handles(EndpointReported)
@@ -60,11 +61,7 @@
         ledger = state.control.ledgers.get(event.endpoint)
         if ledger is not None:
             ledger.take_report(event, governing.sizes_of(state))
-    targets = {model for model, _ in event.resident} if view.role == "runner" else {view.service}
-    effects: Effects = []
-    for target in sorted(targets & set(state.queues)):
-        effects += requests.pump(state, target)
-    return effects
+    return requests.pump(state)
 
 
 @handles(CacheEventsCame)
@@ -121,9 +118,31 @@
     if event.name in state.membership.peers:
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
+        state.membership.inflight[event.name] = dict(event.inflight)
+        _sum_inflight(state)
     return [Announce("hello")] if fresh else []
 
 
+def _sum_inflight(state: NodeState) -> None:
+    """Add up what the other nodes have in flight at each endpoint."""
+    sums: dict[str, int] = {}
+    for rows in state.membership.inflight.values():
+        for endpoint, count in rows.items():
+            sums[endpoint] = sums.get(endpoint, 0) + count
+    # The sum is as old as the oldest heartbeat in it.
+    heard = [peer.heard_at for peer in state.membership.peers.values()]
+    for view in state.endpoints.values():
+        view.peers_inflight = sums.get(view.name, 0)
+        view.peers_at = min(heard, default=-1e9)
+
+
+def inflight_rows(state: NodeState) -> tuple[tuple[str, int], ...]:
+    """Give this node's requests in flight by endpoint, for its heartbeat."""
+    return tuple(
+        (view.name, len(view.inflight)) for view in state.endpoints.values() if view.inflight
+    )
+
+
 @handles(PeerLost)
 def lose_peer(state: NodeState, event: PeerLost) -> Effects:
     """A node's stream ended; its heartbeats decide whether it is gone."""
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -25,9 +25,12 @@
         "name",
         "others",
         "prefixes",
+        "peers_at",
+        "peers_inflight",
         "probing",
         "report",
         "reported_at",
+        "resident",
         "role",
         "service",
     )
@@ -50,6 +53,9 @@
         self.inflight: dict[str, float] = {}
         self.ended: list[tuple[float, float]] = []
         self.others = 0
+        self.peers_inflight = 0
+        self.peers_at = -1e9
+        self.resident: frozenset[str] = frozenset()
         self.prefixes: dict[int, float] = {}
 
     def take_report(self, report: EndpointReported) -> bool:
@@ -62,6 +68,7 @@
             return False
         self.report = report
         self.reported_at = made_at
+        self.resident = frozenset(model for model, _ in report.resident)
         # Leaving is sticky for one incarnation; only a restart takes it back.
         self.leaving = self.leaving or report.leaving
         own = sum(1 for start in self.inflight.values() if start <= made_at)
@@ -73,13 +80,18 @@
     def load(self, now: float) -> float:
         """Estimate requests running or queued there, per slot (1.0 is full).
 
-        This node's own part is exact at any report age; only the part of the
-        other nodes is as old as the report.
+        This node's own part is exact at any report age. The other nodes' part is
+        taken from the fresher of two sources: the endpoint's report, or what the
+        nodes say in their heartbeats that they have in flight there.
         """
-        own = len(self.inflight)
-        fresh = now - self.reported_at <= defaults.REPORT_STALE_S
-        others = self.others if fresh else 0
-        return (own + others) / self.slots()
+        return (len(self.inflight) + self._others(now)) / self.slots()
+
+    def _others(self, now: float) -> int:
+        if self.peers_at > self.reported_at:
+            return self.peers_inflight
+        if now - self.reported_at > defaults.REPORT_STALE_S:
+            return 0
+        return self.others
 
     def slots(self) -> int:
         """Give how many requests run there at once."""
@@ -104,9 +116,7 @@
         """Say whether the endpoint has the model resident, or is of the service."""
         if service:
             return self.role == "service" and self.service == target
-        if self.report is None:
-            return False
-        return any(model == target for model, _ in self.report.resident)
+        return target in self.resident
 
     def has_adapter(self, adapter: str) -> bool:
         """Say whether an adapter is attached there."""
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -178,7 +178,7 @@
     demand: tuple[tuple[str, float], ...] = ()
     team_demand: tuple[tuple[str, float], ...] = ()
     lease_epoch: int = 0
-    arrivals: float = 0.0
+    inflight: tuple[tuple[str, int], ...] = ()
 
 
 class PeerLost(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -414,20 +414,28 @@
 def _attach_adapters(state: NodeState) -> Effects:
     """Put each adapter on up to two of its base model's runners, evenly."""
     effects: Effects = []
+    ledgers = state.control.ledgers
+    hosts_of: dict[str, set[str]] = {}
+    wanting: list[tuple[str, float, set[str]]] = []
+    for name, spec in state.catalogue.adapters.items():
+        if spec.model not in hosts_of:
+            hosts_of[spec.model] = model_hosts(state, spec.model)
+        hosts = hosts_of[spec.model]
+        key = (f"adapter/{name}", "")
+        lacking = {host for host in hosts if not _has(ledgers[host], key)}
+        if len(hosts) - len(lacking) < min(2, len(hosts)):
+            wanting.append((name, spec.memory_gb, lacking))
+    if not wanting:
+        return effects
     counts = {
         name: sum(1 for key in ledger.held if key[0].startswith("adapter/"))
-        for name, ledger in state.control.ledgers.items()
+        for name, ledger in ledgers.items()
     }
-    for name, spec in state.catalogue.adapters.items():
-        key = (f"adapter/{name}", "")
-        hosts = model_hosts(state, spec.model)
-        attached = {host for host in hosts if _has(state.control.ledgers[host], key)}
-        if len(attached) >= min(2, len(hosts)):
-            continue
-        for host in sorted(hosts - attached, key=lambda one: (counts[one], one)):
-            ledger = state.control.ledgers[host]
-            if ledger.ready() and ledger.free() >= spec.memory_gb:
-                effects.append(_give(state, ledger, "attach", key, spec.memory_gb))
+    for name, gb, lacking in wanting:
+        for host in sorted(lacking, key=lambda one: (counts[one], one)):
+            ledger = ledgers[host]
+            if ledger.ready() and ledger.free() >= gb:
+                effects.append(_give(state, ledger, "attach", (f"adapter/{name}", ""), gb))
                 counts[host] += 1
                 break
     return effects
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -1,5 +1,6 @@
 """The life of a request at its entry node: admission, attempts, its one ending."""
 
+import heapq
 import typing as t
 
 from . import admission
@@ -49,7 +50,7 @@
     if not event.service:
         state.control.meter.add(event.target, event.tokens)
     effects = _check_limits(state, event) or _enqueue(state, event)
-    effects += pump(state, event.target)
+    effects += pump(state)
     return effects
 
 
@@ -123,15 +124,18 @@
     request = RequestState(event)
     request.limited = event.team in state.catalogue.teams
     state.requests[event.request_id] = request
-    queue = state.queues.setdefault(event.target, admission.AdmissionQueue())
+    pool = state.pools.setdefault(_pool(state, event), admission.Pace())
+    queue = state.queues.setdefault(event.target, admission.AdmissionQueue(pool))
     order = admission.order_of(event.deadline_at, event.priority)
     rank = defaults.PRIORITY_RANK[event.priority]
     queued = admission.Queued(
         order, event.at, event.request_id, event.tokens, rank, event.deadline_at
     )
     best = event.at + service_time(state, event.target, event.service, event.tokens)
-    if state.admission_on and best + queue.wait(order) > event.deadline_at:
-        after_s = max(0.5, best + queue.wait(order) - event.deadline_at)
+    ahead = sum(one.ahead(order) for one in state.queues.values() if one.pool is pool)
+    expected = best + pool.wait(ahead)
+    if state.admission_on and expected > event.deadline_at:
+        after_s = max(0.5, expected - event.deadline_at)
         return _give_up(state, request, 503, "late", "cannot be served in time", after_s)
     queue.push(queued)
     if len(queue) <= defaults.QUEUE_MAX:
@@ -158,38 +162,72 @@
     return tokens / max(1e-9, *rates)
 
 
-def pump(state: NodeState, target: str) -> Effects:
-    """Send on as many of a target's waiting requests as its endpoints have room for."""
-    queue = state.queues.get(target)
+def pump(state: NodeState) -> Effects:
+    """Send on as many waiting requests as endpoints have room for.
+
+    Models share runners, so their queues are served in one common order; the
+    queue whose first request finds no room is left for this time.
+    """
     effects: Effects = []
-    if queue is None:
+    if not state.queues:
+        return effects
+    room = _endpoints_with_room(state)
+    if not room:
         return effects
-    while True:
+    heads = [
+        (queued.order, target)
+        for target, queue in state.queues.items()
+        if (queued := queue.peek()) is not None
+    ]
+    heapq.heapify(heads)
+    while heads and room:
+        _, target = heapq.heappop(heads)
+        queue = state.queues[target]
         queued = queue.peek()
-        if queued is None:
-            return effects
+        assert queued is not None
         request = state.requests[queued.request_id]
-        endpoint = choose_endpoint(state, request)
+        endpoint = choose_endpoint(state, request, room)
         if endpoint is None:
-            return effects
+            continue
         queue.remove(queued.request_id)
-        queue.served(queued.tokens)
+        state.pools[_pool(state, request.arrived)].served(queued.tokens)
         effects.append(_dispatch(state, request, endpoint))
+        if state.admission_on and endpoint.load(state.now) >= 1.0:
+            room.remove(endpoint)
+        following = queue.peek()
+        if following is not None:
+            heapq.heappush(heads, (following.order, target))
+    return effects
 
 
-def choose_endpoint(state: NodeState, request: RequestState) -> EndpointView | None:
-    """Choose where a request goes now, or None while there is no room."""
-    arrived = request.arrived
-    candidates = [
+def _pool(state: NodeState, arrived: RequestArrived) -> str:
+    """Name the endpoints that a target shares with others: an engine or a service."""
+    if arrived.service:
+        return f"service/{arrived.target}"
+    spec = state.catalogue.models.get(arrived.target)
+    return f"engine/{spec.engine}" if spec else "engine/"
+
+
+def _endpoints_with_room(state: NodeState) -> list[EndpointView]:
+    return [
         one
         for one in state.endpoints.values()
-        if one.serves(arrived.target, arrived.service) and one.open_for_work(state.now)
+        if one.open_for_work(state.now) and (not state.admission_on or one.load(state.now) < 1.0)
     ]
+
+
+def choose_endpoint(
+    state: NodeState, request: RequestState, room: list[EndpointView]
+) -> EndpointView | None:
+    """Choose where a request goes now, or None while there is no room.
+
+    :param room: the endpoints that may get work now.
+    """
+    arrived = request.arrived
+    fitting = [one for one in room if one.serves(arrived.target, arrived.service)]
     if arrived.adapter:
-        candidates = [one for one in candidates if one.has_adapter(arrived.adapter)]
-    fresh = [one for one in candidates if one.name not in request.tried] or candidates
-    if state.admission_on:
-        fresh = [one for one in fresh if one.load(state.now) < 1.0]
+        fitting = [one for one in fitting if one.has_adapter(arrived.adapter)]
+    fresh = [one for one in fitting if one.name not in request.tried] or fitting
     if not fresh:
         return None
     query = routing.RouteQuery(
@@ -291,7 +329,7 @@
         for waiter in state.once.settle(key, "ran", event.status, event.answer):
             effects.append(Replay(waiter, event.status, event.answer))
     effects += _close(state, request)
-    return effects + pump(state, request.arrived.target)
+    return effects + pump(state)
 
 
 @handles(AttemptFailed)
@@ -309,7 +347,7 @@
     status = 503 if not request.sent else 502
     text = f"endpoint failed: {event.reason}"
     effects = _give_up(state, request, status, "endpoint_failed", text, 0.5)
-    return effects + pump(state, request.arrived.target)
+    return effects + pump(state)
 
 
 def _blame(state: NodeState, request: RequestState, event: AttemptFailed) -> None:
@@ -343,7 +381,8 @@
 
 def _requeue(state: NodeState, request: RequestState) -> Effects:
     arrived = request.arrived
-    queue = state.queues.setdefault(arrived.target, admission.AdmissionQueue())
+    pool = state.pools.setdefault(_pool(state, arrived), admission.Pace())
+    queue = state.queues.setdefault(arrived.target, admission.AdmissionQueue(pool))
     # What is begun goes before what waits: it has the caller's time in it already.
     order = arrived.at - defaults.PRIORITY_HEADSTART_S["ledger"]
     rank = defaults.PRIORITY_RANK[arrived.priority]
@@ -351,7 +390,7 @@
     queue.push(
         admission.Queued(order, arrived.at, arrived.request_id, left, rank, arrived.deadline_at)
     )
-    return pump(state, arrived.target)
+    return pump(state)
 
 
 def _give_up(
@@ -409,31 +448,27 @@
         refusal = Refuse("", 503, "caller_left", "not_run", text, 0.1)
         waiters = state.once.release(key)
         effects += [refusal._replace(request_id=waiter) for waiter in waiters]
-    return effects + _close(state, request) + pump(state, request.arrived.target)
+    return effects + _close(state, request) + pump(state)
 
 
 def sweep(state: NodeState, passed: float) -> Effects:
     """Refuse what has become hopeless and send on what has room, in every queue."""
     effects: Effects = []
+    for pool in state.pools.values():
+        pool.measure(passed)
     for target, queue in list(state.queues.items()):
-        queue.measure(passed)
         effects += _expire(state, target, queue)
-        effects += pump(state, target)
-        if len(queue) == 0 and queue.pace < 1.0:
+        if len(queue) == 0:
             del state.queues[target]
-    return effects
+    return effects + pump(state)
 
 
 def _expire(state: NodeState, target: str, queue: admission.AdmissionQueue) -> Effects:
-    service = target in state.catalogue.services
+    token_s = 0.0
+    if state.admission_on:
+        token_s = service_time(state, target, target in state.catalogue.services, 1)
     effects: Effects = []
-
-    def least(tokens: int) -> float:
-        if not state.admission_on:
-            return 0.0
-        return service_time(state, target, service, tokens)
-
-    for queued in queue.hopeless(state.now, least):
+    for queued in queue.hopeless(state.now, token_s):
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
         text = "cannot be served before its deadline any more"
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -4,6 +4,7 @@
 
 from . import defaults
 from .admission import AdmissionQueue
+from .admission import Pace
 from .catalogue import Catalogue
 from .control import ControlState
 from .endpoints import EndpointView
@@ -77,6 +78,7 @@
         self.endpoints: dict[str, EndpointView] = {}
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
+        self.pools: dict[str, Pace] = {}
         self.limits = LimitTable()
         self.budget = RetryBudget()
         self.once = OnceTable()
--- a/packages/rookspring-fakes/src/rookspring_fakes/effects.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/effects.py
@@ -143,20 +143,32 @@
 
 
 def _watch_engine(world: "World", engine: Engine) -> None:
+    """Have the engine looked at when its next stream or load ends; one look is pending."""
     due = engine.next_change()
+    if due >= engine.watched_at - 1e-9 and engine.watched_at > world.clock.now:
+        return
     if due < float("inf"):
-        world.clock.call(due - world.clock.now, _advance_engine, world, engine)
+        engine.watched_at = due
+        world.clock.call(due - world.clock.now, _advance_engine, world, engine, due)
 
 
-def _advance_engine(world: "World", engine: Engine) -> None:
+def _advance_engine(world: "World", engine: Engine, due: float | None = None) -> None:
+    if due is not None and due != engine.watched_at:
+        # An earlier look was asked for since and has taken this one's place.
+        return
+    if due is not None:
+        engine.watched_at = -1.0
     if engine.faults.killed or engine.faults.paused:
         return
-    for stream in engine.advance(world.clock.now):
+    engine.advance(world.clock.now)
+    for stream in engine.take_ended():
         _finish_stream(world, engine, stream)
     _watch_engine(world, engine)
 
 
 def _finish_stream(world: "World", engine: Engine, stream: str) -> None:
+    if stream not in engine.streams:
+        return
     asked = engine.streams[stream].asked
     owner = world.owners.pop(stream, None)
     engine.streams.pop(stream, None)
--- a/packages/rookspring-fakes/src/rookspring_fakes/engine.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/engine.py
@@ -110,10 +110,12 @@
         self.faults = Faults(seed)
         self.now = 0.0
         self.mark = 0.0
+        self.watched_at = -1.0
         self.streams: dict[str, Stream] = {}
         self.running: set[str] = set()
         self._ends: list[tuple[float, str]] = []
         self._queue: list[tuple[int, float, str]] = []
+        self._ended: list[str] = []
         self.resident: dict[Weights, float] = {}
         self.loading: dict[Weights, tuple[float, float]] = {}
         self.adapters: dict[str, float] = {}
@@ -145,17 +147,21 @@
         while self._ends and self._ends[0][1] not in self.running:
             heapq.heappop(self._ends)
 
-    def advance(self, now: float) -> list[str]:
-        """Move time on, and name the streams that ended."""
-        ended: list[str] = []
+    def advance(self, now: float) -> None:
+        """Move time on."""
         while True:
             due = self.next_change()
             if due > now:
                 break
             self._step(due)
-            ended += self._settle()
+            self._settle()
         self._step(now)
-        return ended + self._settle()
+        self._settle()
+
+    def take_ended(self) -> list[str]:
+        """Name the streams that ended since this was last asked."""
+        ended, self._ended = self._ended, []
+        return ended
 
     def _step(self, now: float) -> None:
         passed = max(0.0, now - self.now)
@@ -163,8 +169,7 @@
         self.mark += passed * self.rate()
         self.now = max(self.now, now)
 
-    def _settle(self) -> list[str]:
-        ended: list[str] = []
+    def _settle(self) -> None:
         for key, (done, gb) in list(self.loading.items()):
             if done <= self.now + 1e-9:
                 del self.loading[key]
@@ -176,10 +181,9 @@
             if name in self.running:
                 self.running.discard(name)
                 self.streams[name].ended_at = self.now
-                ended.append(name)
+                self._ended.append(name)
             self._drop_ended()
         self._fill()
-        return ended
 
     def _fill(self) -> None:
         while self._queue and len(self.running) < self.slots:
--- a/packages/rookspring-fakes/src/rookspring_fakes/runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/runner.py
@@ -95,6 +95,7 @@
                 return response
             if not self.engine.faults.paused:
                 self.engine.advance(self.now())
+                self.engine.take_ended()
             made = self.engine.produced(stream)
             if made > offset:
                 tokens = [token_text(asked.model, asked.prompt, i) for i in range(offset, made)]
--- a/packages/rookspring-fakes/src/rookspring_fakes/world.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/world.py
@@ -12,6 +12,7 @@
 from rookspring_core import Identity
 from rookspring_core import NodeState
 from rookspring_core import reduce
+from rookspring_core.cluster import inflight_rows
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import CallerLeft
@@ -457,6 +458,7 @@
             leaving=state.leaving,
             demand=tuple(state.control.meter.rates.items()),
             team_demand=state.limits.demand(),
+            inflight=inflight_rows(state),
         )
         for other in self.living():
             if other is not node and self.reachable(node.name, other.name):
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -5,6 +5,7 @@
 import typing as t
 
 from rookspring_core import Entry
+from rookspring_core import cluster
 from rookspring_core.events import BoxListed
 from rookspring_core.events import CacheEventsCame
 from rookspring_core.events import EndpointReported
@@ -78,6 +79,7 @@
         demand=[[model, round(rate, 2)] for model, rate in state.control.meter.rates.items()],
         team_demand=[list(row) for row in state.limits.demand()],
         lease_epoch=state.control.acting_epoch,
+        inflight=[list(row) for row in cluster.inflight_rows(state)],
     )
 
 
@@ -97,6 +99,7 @@
             demand=tuple((str(one[0]), float(one[1])) for one in beat.demand),
             team_demand=tuple((str(one[0]), float(one[1])) for one in beat.team_demand),
             lease_epoch=beat.lease_epoch,
+            inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight),
         )
     )
     revision = node.state.catalogue.revision
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -65,6 +65,7 @@
     demand: list[t.Any]
     team_demand: list[t.Any]
     lease_epoch: int
+    inflight: list[t.Any]
 
 
 @message("reports")
