--- /dev/null
+++ b/features/environment.py
@@ -0,0 +1,80 @@
+"""Raises one stage on loopback for each feature that is tagged ``@sockets``."""
+
+import asyncio
+import threading
+
+import uvloop
+
+from rookspring.logs import configure
+from rookspring.stage import Stage
+from rookspring.stage import StagePlan
+from rookspring_fakes.users import UserSize
+
+SMALL = UserSize(
+    "small",
+    ("ballerup", "taastrup", "koege"),
+    "pitwall-llm",
+    3,
+    "gridmaker",
+    2,
+    3,
+    2,
+    20.0,
+    10,
+    1.0,
+    "place",
+    "ranked",
+)
+
+
+class LoopThread:
+    """An event loop in a thread, so that steps can wait for what happens in it."""
+
+    def __init__(self):
+        self.loop = uvloop.new_event_loop()
+        self.thread = threading.Thread(target=self.loop.run_forever, daemon=True)
+        self.thread.start()
+
+    def run(self, work, timeout_s=60.0):
+        return asyncio.run_coroutine_threadsafe(work, self.loop).result(timeout_s)
+
+    def stop(self):
+        self.loop.call_soon_threadsafe(self.loop.stop)
+        self.thread.join(5.0)
+
+
+def before_all(context):
+    configure("ERROR")
+
+
+def before_feature(context, feature):
+    context.loop = None
+    if "sockets" not in feature.tags:
+        return
+    context.loop = LoopThread()
+    plan = StagePlan(SMALL, base_port=7600, quiet=True, trace_file=_trace_file(context, feature))
+
+    async def rise():
+        stage = Stage(plan)
+        await stage.rise()
+        await stage.apply()
+        return stage
+
+    context.stage = context.loop.run(rise())
+
+
+def _trace_file(context, feature):
+    if "traced" not in feature.tags:
+        return ""
+    import tempfile
+
+    context.trace_folder = tempfile.TemporaryDirectory()
+    return context.trace_folder.name + "/spans.jsonl"
+
+
+def after_feature(context, feature):
+    if context.loop is None:
+        return
+    context.loop.run(context.stage.close())
+    context.loop.stop()
+    assert not context.stage.broken, context.stage.broken
--- /dev/null
+++ b/features/faults.feature
@@ -0,0 +1,50 @@
+Feature: Promises hold through every fault, alone and together
+
+  Real reducers of several nodes run against the stand-ins' models under a
+  virtual clock. Every row runs with steady traffic and unrepeatable calls; the
+  promises are those asserted in the program and those counted end to end.
+
+  Scenario Outline: <fault> for <user>
+    Given a world of <user> with 3 nodes and seed <seed>
+    When traffic runs while <fault>
+    Then every promise held
+    And at least <least> in 100 requests were served in time
+    And every declared model is reachable at the end
+
+    Examples:
+      | user     | seed | fault                                                  | least |
+      | fjordlap | 1    | nothing fails                                          | 99    |
+      | fjordlap | 2    | the lease holder is killed                             | 90    |
+      | fjordlap | 3    | the lease holder is paused past its lease              | 60    |
+      | fjordlap | 4    | a runner dies                                          | 85    |
+      | fjordlap | 5    | a runner dies and comes back                           | 85    |
+      | fjordlap | 6    | a runner is leaving                                    | 95    |
+      | fjordlap | 7    | a node is drained                                      | 95    |
+      | fjordlap | 8    | the platform is down                                   | 95    |
+      | fjordlap | 9    | the platform applies writes without answering          | 95    |
+      | fjordlap | 10   | orders are lost                                        | 95    |
+      | fjordlap | 11   | orders are late and doubled                            | 95    |
+      | fjordlap | 12   | reports lag                                            | 90    |
+      | fjordlap | 13   | two nodes are cut off from each other                  | 95    |
+      | fjordlap | 14   | a service breaks answers                               | 80    |
+      | fjordlap | 15   | operators change versions                              | 95    |
+      | fjordlap | 16   | the platform is down, the lease holder is killed       | 85    |
+      | fjordlap | 17   | orders are late and doubled, the lease holder is paused past its lease | 55 |
+      | fjordlap | 18   | operators change versions, orders are lost, the lease holder is killed | 80 |
+      | kiosk    | 19   | operators change versions, orders are late and doubled | 90    |
+      | kiosk    | 20   | a data centre's runners die                            | 60    |
+      | kiosk    | 21   | all nodes are replaced one after another               | 90    |
+      | kiosk    | 22   | a service breaks answers, a node is drained            | 75    |
+      | kiosk    | 23   | a runner dies and comes back, the platform is down     | 80    |
+
+  Scenario Outline: a holder that starts empty waits for reports before it judges room
+    Given a world of <user> with 3 nodes and seed <seed>
+    Then no model was ever refused for room
+
+    Examples:
+      | user     | seed |
+      | fjordlap | 1    |
+      | kiosk    | 1    |
+
+  Scenario: random faults, together and again
+    Then random runs of faults break no promise
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/disturbances.py
@@ -0,0 +1,275 @@
+"""Named disturbances of a world, for fault tables and randomised runs."""
+
+import random
+import typing as t
+
+from .world import Asked
+from .world import Told
+from .world import VirtualNode
+from .world import World
+
+Disturbance = t.Callable[[World, random.Random], None]
+DISTURBANCES: dict[str, Disturbance] = {}
+OUTAGE_S = 20.0
+
+
+def disturbance(name: str) -> t.Callable[[Disturbance], Disturbance]:
+    """Register a disturbance under the words that tables use."""
+
+    def register(function: Disturbance) -> Disturbance:
+        DISTURBANCES[name] = function
+        return function
+
+    return register
+
+
+def holder_of(world: World) -> VirtualNode | None:
+    """Find the node that holds the lease."""
+    for node in world.living():
+        if not node.paused and node.state.control.lease.holding(world.clock.now):
+            return node
+    return None
+
+
+@disturbance("nothing fails")
+def fail_nothing(world: World, chance: random.Random) -> None:
+    """Leave all as it is."""
+
+
+@disturbance("the lease holder is killed")
+def kill_holder(world: World, chance: random.Random) -> None:
+    """Kill the holder; a new box takes its place later."""
+    node = holder_of(world) or world.living()[0]
+    if len(world.living()) < 2:
+        return
+    world.kill_node(node.name)
+    world.clock.call(15.0, _raise_again, world, node.name)
+
+
+def _raise_again(world: World, name: str) -> None:
+    if not world.nodes[name].alive:
+        world.raise_node(name)
+
+
+@disturbance("the lease holder is paused past its lease")
+def pause_holder(world: World, chance: random.Random) -> None:
+    """Stop the holder's process for longer than its lease."""
+    node = holder_of(world)
+    if node is not None:
+        world.pause_node(node.name, 12.0)
+
+
+@disturbance("a runner dies")
+def kill_runner(world: World, chance: random.Random) -> None:
+    """End a runner's process for good."""
+    living = sorted(set(world.engines) - world.dead_engines)
+    if len(living) > 3:
+        world.kill_engine(chance.choice(living))
+
+
+@disturbance("a runner dies and comes back")
+def bounce_runner(world: World, chance: random.Random) -> None:
+    """End a runner's process; it starts empty a little later."""
+    living = sorted(set(world.engines) - world.dead_engines)
+    if len(living) > 3:
+        name = chance.choice(living)
+        world.kill_engine(name)
+        world.clock.call(8.0, world.revive_engine, name)
+
+
+@disturbance("a runner is leaving")
+def leave_runner(world: World, chance: random.Random) -> None:
+    """Have a runner take no new work, and end it later."""
+    living = sorted(set(world.engines) - world.dead_engines - set(world.leaving_at))
+    if len(living) > 4:
+        world.leave_engine(chance.choice(living))
+
+
+@disturbance("a node is drained")
+def drain_node(world: World, chance: random.Random) -> None:
+    """Stop a node as planned; another takes its place."""
+    living = world.living()
+    if len(living) > 1:
+        _drain(world, chance.choice(living))
+
+
+def _drain(world: World, node: VirtualNode) -> None:
+    from rookspring_core.events import DrainAsked
+
+    node.submit(DrainAsked(world.clock.now))
+    world.clock.call(15.0, _raise_again, world, node.name)
+
+
+@disturbance("all nodes are replaced one after another")
+def replace_all(world: World, chance: random.Random) -> None:
+    """Drain each node in turn and start a new one under its name."""
+    for number, node in enumerate(world.living()):
+        world.clock.call(10.0 * number, _drain, world, node)
+
+
+@disturbance("the platform is down")
+def stop_platform(world: World, chance: random.Random) -> None:
+    """Have the platform answer nothing for a while."""
+    world.platform.outage = True
+    world.clock.call(OUTAGE_S, _set, world.platform, "outage", False)
+
+
+def _set(target: t.Any, field: str, value: t.Any) -> None:
+    setattr(target, field, value)
+
+
+def _for_a_while(world: World, target: t.Any, field: str, value: t.Any) -> None:
+    before = getattr(target, field)
+    setattr(target, field, value)
+    world.clock.call(OUTAGE_S, _set, target, field, before)
+
+
+@disturbance("the platform applies writes without answering")
+def hide_answers(world: World, chance: random.Random) -> None:
+    """Lose half of the platform's answers to writes that took effect."""
+    _for_a_while(world, world.platform, "applied_unanswered", 0.5)
+    _change_versions(world, chance)
+
+
+@disturbance("orders are lost")
+def lose_orders(world: World, chance: random.Random) -> None:
+    """Lose a third of all orders."""
+    _for_a_while(world, world.orders, "lose", 0.33)
+    _change_versions(world, chance)
+
+
+@disturbance("orders are late and doubled")
+def delay_orders(world: World, chance: random.Random) -> None:
+    """Hold orders back for up to 25 seconds, and deliver some twice."""
+    _for_a_while(world, world.orders, "delay_share", 0.3)
+    _for_a_while(world, world.orders, "delay_s", 25.0)
+    _for_a_while(world, world.orders, "repeat", 0.3)
+    _change_versions(world, chance)
+
+
+@disturbance("reports lag")
+def lag_reports(world: World, chance: random.Random) -> None:
+    """Have load reports be five seconds old."""
+    for engine in world.engines.values():
+        _for_a_while(world, engine.faults, "report_lag_s", 5.0)
+
+
+@disturbance("two nodes are cut off from each other")
+def cut_nodes(world: World, chance: random.Random) -> None:
+    """Break the network between two nodes."""
+    names = sorted(node.name for node in world.living())
+    if len(names) < 2:
+        return
+    pair = frozenset(chance.sample(names, 2))
+    world.cut.add(pair)
+    world.clock.call(OUTAGE_S, world.cut.discard, pair)
+
+
+@disturbance("a service breaks answers")
+def break_service(world: World, chance: random.Random) -> None:
+    """Have a service lose calls, and lose answers to calls that ran."""
+    for service in world.services.values():
+        _for_a_while(world, service.faults, "lose", 0.2)
+        _for_a_while(world, service.faults, "applied_unanswered", 0.2)
+
+
+@disturbance("operators change versions")
+def change_versions(world: World, chance: random.Random) -> None:
+    """Declare new versions of some models, twice."""
+    _change_versions(world, chance)
+    world.clock.call(6.0, _change_versions, world, chance)
+
+
+def _change_versions(world: World, chance: random.Random) -> None:
+    from . import effects as world_effects
+
+    names = sorted(name for kind, name in world.store.objects if name.startswith("Model."))
+    for name in chance.sample(names, min(3, len(names))):
+        found = world.store.objects[("resource", name)]
+        raw = world_effects.unpack(found.value)
+        raw[2]["version"] = f"v{world.store.version}"
+        world.store.put("resource", name, world_effects.pack(raw), found.version)
+
+
+@disturbance("a data centre's runners die")
+def kill_place(world: World, chance: random.Random) -> None:
+    """End all runners of one data centre; they come back empty a minute later."""
+    place = world.size.data_centres[0]
+    for name in sorted(world.engines):
+        row = world.boxes.get(name)
+        if row is not None and row.data_centre == place and name not in world.dead_engines:
+            world.kill_engine(name)
+            world.clock.call(60.0, world.revive_engine, name)
+
+
+def steady(world: World, seed: int, until: float, load: float) -> None:
+    """Send requests to models evenly, at a share of the runners' capacity."""
+    chance = random.Random(seed)
+    tokens = 60
+    capacity = sum(engine.token_rate for engine in world.engines.values())
+    period = tokens / (load * capacity)
+
+    def ask() -> None:
+        if world.clock.now >= until:
+            return
+        nodes = [node for node in world.living() if not node.state.leaving]
+        model = f"{world.size.engine}-{chance.randrange(world.size.models):02d}"
+        if nodes:
+            world.ask(chance.choice(nodes), model, tokens, "normal", 15.0)
+        world.clock.call(period * (0.5 + chance.random()), ask)
+
+    world.clock.call(0.0, ask)
+
+
+class Calls:
+    """Callers of unrepeatable work, who retry a key until its outcome is told."""
+
+    def __init__(self, world: World, seed: int, until: float) -> None:
+        self.world = world
+        self.random = random.Random(seed + 1)
+        self.until = until
+        self.count = 0
+        self._sessions: dict[str, tuple[VirtualNode, str]] = {}
+        self._open: dict[str, tuple[str, str, int, int]] = {}
+        world.on_told = self._take
+        world.clock.call(0.0, self._next)
+
+    def _next(self) -> None:
+        if self.world.clock.now >= self.until:
+            return
+        self.count += 1
+        nodes = [node for node in self.world.living() if not node.state.leaving]
+        if nodes:
+            node = self.random.choice(nodes)
+            session = self.world.open_session(node)
+            self._sessions[session] = (node, session)
+            call = f"call-{self.count}"
+            self._send(session, call, 0)
+            if self.random.random() < 0.2:
+                # An impatient caller sends the same key again at once.
+                self._send(session, call, 3)
+        self.world.clock.call(0.2 * self.random.random(), self._next)
+
+    def _send(self, session: str, call: str, tries: int) -> None:
+        node, _ = self._sessions[session]
+        request_id = self.world.ask(
+            node,
+            self.world.size.service,
+            1,
+            "normal",
+            5.0,
+            service=True,
+            repeatable=False,
+            once_key=(session, 1),
+            body_digest=call,
+        )
+        self._open[request_id] = (session, call, tries, self.count)
+
+    def _take(self, asked: Asked, told: Told) -> None:
+        found = self._open.pop(asked.request_id, None)
+        if found is None or told.outcome == "ran":
+            return
+        session, call, tries, _ = found
+        node, _ = self._sessions[session]
+        if tries < 3 and node.alive and told.outcome in ("broken", "not_run", "unknown"):
+            self.world.clock.call(0.3, self._send, session, call, tries + 1)
--- a/packages/rookspring/src/rookspring/demonstration.py
+++ b/packages/rookspring/src/rookspring/demonstration.py
@@ -6,32 +6,20 @@
 """
 
 import asyncio
-import hashlib
 import random
 import time
 import typing as t
 
-import aiohttp
 import orjson
 import typer
 
-from rookspring_core import InvariantBroken
 from rookspring_fakes import USERS as USERS
 from rookspring_fakes import Caller
-from rookspring_fakes import Engine
-from rookspring_fakes import Ledger
-from rookspring_fakes import PlainService
-from rookspring_fakes import Platform
-from rookspring_fakes import Runner
-from rookspring_fakes import WeightStore
-from rookspring_fakes import serve
 from rookspring_fakes.caller import Answer
 from rookspring_fakes.caller import expected_text
-from rookspring_fakes.serving import Served
-from rookspring_fakes.users import declare
 
-from .node import Node
-from .settings import Settings
+from .stage import Stage
+from .stage import StagePlan
 
 STREAMS = 150
 CALLS = 150
@@ -99,149 +87,18 @@
         return dict(vars(self).items())
 
 
-class Stage:
-    """All stand-ins and nodes of one demonstration."""
+class Show:
+    """Requests of ten callers upon a stage, while nodes are killed and drained."""
 
-    def __init__(self, plan: DemoPlan) -> None:
-        self.plan = plan
-        self.size = USERS[plan.user]
-        self.platform = Platform()
-        self.store = WeightStore(self.size.loads_at_once, gb_per_s=20.0)
-        self.engines: list[Engine] = []
-        self.ledger = Ledger()
-        self.served: list[Served] = []
-        self.nodes: list[Node] = []
+    def __init__(self, stage: Stage) -> None:
+        self.stage = stage
+        self.size = stage.size
         self.tally = Tally()
-        self.ends: list[asyncio.Task[None]] = []
-
-    def say(self, text: str) -> None:
-        """Show progress, on standard error so that JSON stays alone."""
-        typer.echo(text, err=True)
-
-    async def raise_stand_ins(self) -> str:
-        """Start the platform, the runners and the services.
-
-        :return: the platform's address.
-        """
-        places = self.size.data_centres
-        platform = await serve(self.platform.app())
-        self.served.append(platform)
-        for number in range(self.size.runners):
-            engine = Engine(
-                f"{self.size.engine}-r{number}",
-                self.store,
-                token_rate=2000.0,
-                checks_orders=number % 3 != 2,
-                seed=number,
-            )
-            self.engines.append(engine)
-            served = await serve(Runner(engine).app())
-            self._list_box(engine.name, served, places[number % 3], "runner", self.size.engine)
-        for number in range(self.size.service_endpoints):
-            service = PlainService(f"{self.size.service}-{number}", self.ledger, seed=number)
-            served = await serve(service.app())
-            place = places[number % 3]
-            self._list_box(service.name, served, place, "service", self.size.service)
-        return platform.address
-
-    def _list_box(self, name: str, served: Served, place: str, role: str, service: str) -> None:
-        self.served.append(served)
-        self.platform.store.boxes[name] = {
-            "name": name,
-            "address": served.address,
-            "data_centre": place,
-            "role": role,
-            "state": "live",
-            "service": service,
-        }
-
-    async def raise_nodes(self, platform: str) -> None:
-        """Start three nodes, one in each data centre."""
-        digest = hashlib.sha256(b"demo").hexdigest()
-        for number, place in enumerate(self.size.data_centres):
-            settings = Settings(
-                name=f"box-{number + 1}",
-                data_centre=place,
-                port=self.plan.base_port + number + 1,
-                peer_port=self.plan.base_port + number + 101,
-                platform=f"http://{platform}",
-                shared_key="demo-shared-key-of-three-boxes",
-                signing_keys=("demo-signing-key-of-three-boxes",),
-                operator_key_sha256=(digest,),
-                trace_file=self.plan.trace_file,
-                full_checks=True,
-            )
-            node = Node(settings, on_broken=self._broke)
-            await node.start()
-            self.nodes.append(node)
-            self.platform.store.boxes[settings.name] = {
-                "name": settings.name,
-                "address": settings.address,
-                "data_centre": place,
-                "role": "node",
-                "state": "live",
-                "service": "",
-            }
-
-    def _broke(self, error: InvariantBroken) -> None:
-        self.tally.broken.append(str(error))
-
-    def addresses(self) -> list[str]:
-        """List where callers may ask first."""
-        return [node.settings.caller_address for node in self.nodes]
-
-    async def apply(self) -> None:
-        """Declare the user's resources through the resource API and wait until all serve."""
-        documents = declare(self.size)
-        base = f"http://{self.nodes[0].settings.caller_address}/api/v1"
-        headers = {"Authorization": "Bearer demo"}
-        async with aiohttp.ClientSession(headers=headers) as session:
-            for document in documents:
-                url = f"{base}/resources/{document['kind']}/{document['name']}"
-                body = orjson.dumps({"spec": document["spec"]})
-                async with session.put(url, data=body) as response:
-                    if response.status != 200:
-                        raise RuntimeError(await response.text())
-            self.say(f"applied {len(documents)} resources; waiting until every model is resident")
-            await self._wait_resident(session, base, len(documents))
-
-    async def _wait_resident(
-        self, session: aiohttp.ClientSession, base: str, documents: int
-    ) -> None:
-        end = time.monotonic() + 120.0
-        shown = -1
-        while time.monotonic() < end:
-            async with session.get(f"{base}/status") as response:
-                status = orjson.loads(await response.read())
-            missing = len(status["models_not_resident"])
-            placed = status["models"] - missing
-            if placed != shown:
-                self.say(f"  {placed} of {self.size.models} models resident")
-                shown = placed
-            everywhere = all(
-                len(node.state.catalogue.accepted) >= documents and self._sees_all(node)
-                for node in self.nodes
-            )
-            if status["models"] == self.size.models and not missing and everywhere:
-                return
-            await asyncio.sleep(0.3)
-        raise RuntimeError("the models did not become resident within two minutes")
-
-    def _sees_all(self, node: Node) -> bool:
-        models = {
-            model
-            for view in node.state.endpoints.values()
-            if view.report is not None
-            for model, _ in view.report.resident
-        }
-        services = any(
-            view.role == "service" and view.report for view in node.state.endpoints.values()
-        )
-        return services and len(models) >= self.size.models
+        self._not_run_calls: set[str] = set()
 
     async def load(self, callers: int = 10) -> None:
         """Send streams and unrepeatable calls while nodes are killed and drained."""
-        teams = [Caller(self.addresses(), seed=number) for number in range(callers)]
+        teams = [Caller(self.stage.addresses(), seed=number) for number in range(callers)]
         try:
             work = [self._run_streams(teams[number % callers], number) for number in range(callers)]
             work += [self._run_calls(teams[number % callers], number) for number in range(callers)]
@@ -249,16 +106,17 @@
         finally:
             for team in teams:
                 await team.close()
-        told_not_run = {call for call in self._not_run_calls if self.ledger.runs.get(call)}
-        self.tally.doubled = len(self.ledger.doubled())
-        self.tally.false_not_run = len(told_not_run)
-        self.tally.moves = sum(engine.loads + engine.unloads for engine in self.engines)
-        over = sum(engine.overcommits for engine in self.engines)
+        stage = self.stage
+        runs = stage.ledger.runs
+        self.tally.doubled = len(stage.ledger.doubled())
+        self.tally.false_not_run = sum(1 for call in self._not_run_calls if runs.get(call))
+        engines = stage.engines.values()
+        self.tally.moves = sum(engine.loads + engine.unloads for engine in engines)
+        over = sum(engine.overcommits for engine in engines)
+        self.tally.broken = list(stage.broken)
         if over:
             self.tally.broken.append(f"{over} orders beyond an endpoint's memory")
 
-    _not_run_calls: t.ClassVar[set[str]] = set()
-
     async def _run_streams(self, caller: Caller, number: int) -> None:
         chance = random.Random(number)
         for turn in range(STREAMS // 10):
@@ -294,22 +152,11 @@
 
     async def _disturb(self) -> None:
         await asyncio.sleep(2.0)
-        self.say("killing box-2")
-        await kill(self.nodes[1])
+        self.stage.say("killing box-2")
+        await self.stage.kill("box-2")
         await asyncio.sleep(2.0)
-        self.say("draining box-3")
-        self.nodes[2].drain()
-        self.ends.append(asyncio.create_task(self.nodes[2].run_until_stopped()))
-
-    async def close(self) -> None:
-        """End everything."""
-        for task in self.ends:
-            await asyncio.wait_for(task, 60.0)
-        for node in self.nodes:
-            if not node.stopping.is_set():
-                await node.close()
-        for served in self.served:
-            await served.close()
+        self.stage.say("draining box-3")
+        self.stage.drain("box-3")
 
 
 def chance_of(number: int, turn: int) -> float:
@@ -317,34 +164,23 @@
     return random.Random(number * 1000 + turn).random() * 0.2
 
 
-async def kill(node: Node) -> None:
-    """End a node as a crash does: connections break and nothing is written."""
-    from . import web
-
-    node.stopping.set()
-    for exchange in list(node.exchanges.values()):
-        if exchange.task is not None:
-            exchange.task.cancel()
-    await web.abort(node.http_server)
-    await node.close()
-
-
 async def show(plan: DemoPlan) -> int:
     """Run the demonstration.
 
     :return: the exit code, non-zero when a promise broke.
     """
-    stage = Stage(plan)
+    size = USERS[plan.user]
+    stage = Stage(StagePlan(size, plan.base_port, trace_file=plan.trace_file))
     stage.say(f"starting stand-ins and three boxes for {plan.user}")
-    platform = await stage.raise_stand_ins()
-    await stage.raise_nodes(platform)
+    await stage.rise()
     try:
         await stage.apply()
         if plan.exit:
             stage.say("sending requests")
-            await stage.load()
-            _print(plan, stage.tally)
-            return int(stage.tally.failed())
+            performance = Show(stage)
+            await performance.load()
+            _print(plan, performance.tally)
+            return int(performance.tally.failed())
         _invite(stage)
         await asyncio.Event().wait()
     finally:
--- /dev/null
+++ b/packages/rookspring/src/rookspring/stage.py
@@ -0,0 +1,219 @@
+"""Stand-ins and nodes on loopback in one process, for the demo, tests and experiments."""
+
+import asyncio
+import hashlib
+import time
+import typing as t
+
+import aiohttp
+import orjson
+import typer
+
+from rookspring_core import InvariantBroken
+from rookspring_fakes import Engine
+from rookspring_fakes import Ledger
+from rookspring_fakes import PlainService
+from rookspring_fakes import Platform
+from rookspring_fakes import Runner
+from rookspring_fakes import WeightStore
+from rookspring_fakes import serve
+from rookspring_fakes.serving import Served
+from rookspring_fakes.users import UserSize
+from rookspring_fakes.users import declare
+
+from . import web
+from .node import Node
+from .settings import Settings
+
+KEY = "demo"
+RESIDENT_WAIT_S = 120.0
+
+
+class StagePlan(t.NamedTuple):
+    """What to raise.
+
+    :param token_rate: tokens a second of each runner.
+    :param step_s: how often a runner sends what it made, in seconds.
+    """
+
+    size: UserSize
+    base_port: int = 7400
+    nodes: int = 3
+    trace_file: str = ""
+    token_rate: float = 2000.0
+    stream_rate: float = 100.0
+    slots: int = 16
+    step_s: float = 0.01
+    full_checks: bool = True
+    quiet: bool = False
+
+
+class Stage:
+    """All stand-ins and nodes; everything lives in the running loop."""
+
+    def __init__(self, plan: StagePlan) -> None:
+        self.plan = plan
+        self.size = plan.size
+        self.platform = Platform()
+        self.store = WeightStore(self.size.loads_at_once, gb_per_s=20.0)
+        self.engines: dict[str, Engine] = {}
+        self.services: dict[str, PlainService] = {}
+        self.ledger = Ledger()
+        self.served: dict[str, Served] = {}
+        self.nodes: dict[str, Node] = {}
+        self.broken: list[str] = []
+        self.ends: list[asyncio.Task[None]] = []
+        self.platform_address = ""
+
+    def say(self, text: str) -> None:
+        """Show progress, on standard error so that JSON stays alone."""
+        if not self.plan.quiet:
+            typer.echo(text, err=True)
+
+    async def rise(self) -> None:
+        """Start the stand-ins, then the nodes."""
+        await self._raise_stand_ins()
+        for number in range(self.plan.nodes):
+            await self.raise_node(number + 1)
+
+    async def _raise_stand_ins(self) -> None:
+        places = self.size.data_centres
+        platform = await serve(self.platform.app())
+        self.served["platform"] = platform
+        self.platform_address = platform.address
+        for number in range(self.size.runners):
+            engine = Engine(
+                f"{self.size.engine}-r{number}",
+                self.store,
+                token_rate=self.plan.token_rate,
+                stream_rate=self.plan.stream_rate,
+                slots=self.plan.slots,
+                checks_orders=number % 3 != 2,
+                seed=number,
+            )
+            self.engines[engine.name] = engine
+            served = await serve(Runner(engine, self.plan.step_s).app())
+            self._list_box(engine.name, served, places[number % 3], "runner", self.size.engine)
+        for number in range(self.size.service_endpoints):
+            service = PlainService(f"{self.size.service}-{number}", self.ledger, seed=number)
+            self.services[service.name] = service
+            served = await serve(service.app())
+            place = places[number % 3]
+            self._list_box(service.name, served, place, "service", self.size.service)
+
+    def _list_box(self, name: str, served: Served, place: str, role: str, service: str) -> None:
+        self.served[name] = served
+        self.platform.store.boxes[name] = {
+            "name": name,
+            "address": served.address,
+            "data_centre": place,
+            "role": role,
+            "state": "live",
+            "service": service,
+        }
+
+    async def raise_node(self, number: int) -> Node:
+        """Start a node; a second start under one number is another incarnation."""
+        places = self.size.data_centres
+        settings = Settings(
+            name=f"box-{number}",
+            data_centre=places[(number - 1) % len(places)],
+            port=self.plan.base_port + number,
+            peer_port=self.plan.base_port + number + 100,
+            platform=f"http://{self.platform_address}",
+            shared_key="demo-shared-key-of-three-boxes",
+            signing_keys=("demo-signing-key-of-three-boxes",),
+            operator_key_sha256=(hashlib.sha256(KEY.encode()).hexdigest(),),
+            trace_file=self.plan.trace_file,
+            full_checks=self.plan.full_checks,
+        )
+        node = Node(settings, on_broken=self._broke)
+        await node.start()
+        self.nodes[settings.name] = node
+        self.platform.store.boxes[settings.name] = {
+            "name": settings.name,
+            "address": settings.address,
+            "data_centre": settings.data_centre,
+            "role": "node",
+            "state": "live",
+            "service": "",
+        }
+        return node
+
+    def _broke(self, error: InvariantBroken) -> None:
+        self.broken.append(str(error))
+
+    def addresses(self) -> list[str]:
+        """List where callers may ask first."""
+        return [node.settings.caller_address for node in self.nodes.values()]
+
+    async def apply(self, documents: list[dict[str, t.Any]] | None = None) -> None:
+        """Declare resources through the resource API and wait until all models serve."""
+        documents = declare(self.size, KEY) if documents is None else documents
+        base = f"http://{self.addresses()[0]}/api/v1"
+        headers = {"Authorization": f"Bearer {KEY}"}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            for document in documents:
+                url = f"{base}/resources/{document['kind']}/{document['name']}"
+                body = orjson.dumps({"spec": document["spec"]})
+                async with session.put(url, data=body) as response:
+                    if response.status != 200:
+                        raise RuntimeError(await response.text())
+            self.say(f"applied {len(documents)} resources; waiting until every model is resident")
+            await self._wait_resident(session, base, len(documents))
+
+    async def _wait_resident(
+        self, session: aiohttp.ClientSession, base: str, documents: int
+    ) -> None:
+        end = time.monotonic() + RESIDENT_WAIT_S
+        shown = -1
+        while time.monotonic() < end:
+            async with session.get(f"{base}/status") as response:
+                status = orjson.loads(await response.read())
+            missing = len(status["models_not_resident"])
+            placed = status["models"] - missing
+            if placed != shown:
+                self.say(f"  {placed} of {self.size.models} models resident")
+                shown = placed
+            everywhere = all(
+                len(node.state.catalogue.accepted) >= documents and self._sees_all(node)
+                for node in self.nodes.values()
+            )
+            if status["models"] == self.size.models and not missing and everywhere:
+                return
+            await asyncio.sleep(0.1)
+        raise RuntimeError("the models did not become resident within two minutes")
+
+    def _sees_all(self, node: Node) -> bool:
+        views = node.state.endpoints.values()
+        models = {model for view in views for model in view.resident}
+        services = [view for view in views if view.role == "service" and view.report]
+        linked = node.state.membership.size() == len(self.nodes) - 1
+        return linked and len(services) > 0 and len(models) >= self.size.models
+
+    async def kill(self, name: str) -> None:
+        """End a node as a crash does: connections break and nothing is written."""
+        node = self.nodes.pop(name)
+        for exchange in list(node.exchanges.values()):
+            if exchange.task is not None:
+                exchange.task.cancel()
+        await web.abort(node.http_server)
+        await node.close()
+        self.platform.store.boxes.pop(name, None)
+
+    def drain(self, name: str) -> asyncio.Task[None]:
+        """Stop a node as planned."""
+        node = self.nodes.pop(name)
+        node.drain()
+        task = asyncio.create_task(node.run_until_stopped())
+        self.ends.append(task)
+        return task
+
+    async def close(self) -> None:
+        """End everything."""
+        for task in self.ends:
+            await asyncio.wait_for(task, 60.0)
+        for node in self.nodes.values():
+            await node.close()
+        for served in self.served.values():
+            await served.close()
