Test the path over real sockets; close nodes without stray work

Cause: interfaces need contract tests with faults in tables, over real sockets. Change: bad input by field, the openai client, once-keys over nodes, the HTTP library's resend, resumed streams, stops, races, hostile bytes; a closed node takes no event any more (attempts were started on closed sessions).

--- /dev/null
+++ b/bench/mutants.py
@@ -0,0 +1,238 @@
+"""Deliberate faults in the decisions, each of which some check must catch.
+
+A mutant replaces one function by a wrong one; then the fault runs of the tests
+are made. A mutant that nothing notices means a check that cannot fail.
+"""
+
+import argparse
+import random
+import typing as t
+from unittest import mock
+
+from rookspring_core import InvariantBroken
+from rookspring_core import cluster
+from rookspring_core import governing
+from rookspring_core import requests
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.leases import Lease
+from rookspring_core.memory import Ledger
+from rookspring_core.once import OnceTable
+from rookspring_core.once import Verdict
+from rookspring_fakes.disturbances import DISTURBANCES
+from rookspring_fakes.disturbances import Calls
+from rookspring_fakes.disturbances import steady
+from rookspring_fakes.users import USERS
+from rookspring_fakes.world import World
+
+from .registry import experiment
+from .registry import report
+
+
+class Mutant(t.NamedTuple):
+    """One wrong decision and the fault under which it shows."""
+
+    name: str
+    target: t.Any
+    attribute: str
+    wrong: t.Any
+    fault: str
+    user: str = "fjordlap"
+
+
+def _retry_always(state: t.Any, request: t.Any, event: t.Any) -> bool:
+    return bool(request.attempt < 4)
+
+
+def _forget_doubt(self: Ledger, now: float) -> None:
+    self.pending = None
+
+
+def _always_start(
+    self: OnceTable, key: t.Any, digest: str, team: str, owner: str, now: float
+) -> Verdict:
+    session = self._sessions.get(key[0])
+    if session is None:
+        return Verdict("forgotten")
+    from rookspring_core.once import OnceEntry
+
+    session.entries[key[1]] = OnceEntry(digest, owner)
+    return Verdict("start", session.entries[key[1]])
+
+
+def _hold_for_ever(self: Lease, now: float) -> bool:
+    return self.own_epoch > 0
+
+
+def _no_reserve(self: Ledger) -> float:
+    return 1e9
+
+
+def _ignore_other_copies(state: t.Any, key: t.Any, endpoint: str) -> bool:
+    return True
+
+
+def _open_though_leaving(self: EndpointView, now: float) -> bool:
+    return not self.gone
+
+
+def _stop_at_once(state: t.Any) -> list[t.Any]:
+    from rookspring_core.effects import Stop
+
+    if state.draining_since is None or state.stopped:
+        return []
+    state.stopped = True
+    return [Stop()]
+
+
+def _apply_any(state: t.Any, event: t.Any) -> list[t.Any]:
+    from rookspring_core.catalogue import build_catalogue
+
+    state.control.entries = event.entries
+    state.catalogue = build_catalogue(event.revision, event.entries)
+    return []
+
+
+def _say_not_run(state: t.Any, event: t.Any) -> None:
+    return None
+
+
+def _settle_nothing(self: Ledger, order: t.Any, made_at: float, seen: t.Any) -> bool:
+    return True
+
+
+MUTANTS = (
+    Mutant("resend in doubt", requests, "_may_retry", _retry_always, "a service breaks answers"),
+    Mutant("run a known key again", OnceTable, "begin", _always_start, "a service breaks answers"),
+    Mutant("forget an order's memory", Ledger, "give_up_order", _forget_doubt, "slow loads"),
+    Mutant("settle orders at any report", Ledger, "_settled", _settle_nothing, "slow loads"),
+    Mutant("promise without limit", Ledger, "free", _no_reserve, "crowded"),
+    Mutant(
+        "hold a lapsed lease",
+        Lease,
+        "holding",
+        _hold_for_ever,
+        "the lease holder is paused past its lease",
+    ),
+    Mutant(
+        "unload the last copy", governing, "_other_resident", _ignore_other_copies, "unload all"
+    ),
+    Mutant(
+        "send to a leaving endpoint",
+        EndpointView,
+        "open_for_work",
+        _open_though_leaving,
+        "a runner is leaving",
+    ),
+    Mutant("stop with work in flight", cluster, "_stop_due", _stop_at_once, "a node is drained"),
+    Mutant("apply an older revision", governing, "apply_revision", _apply_any, "old revision"),
+    Mutant("deny what was sent", requests, "note_start", _say_not_run, "a service breaks answers"),
+)
+
+
+def _slow_loads(world: World, chance: random.Random) -> None:
+    """Orders arrive late while operators change versions over and over."""
+    DISTURBANCES["orders are late and doubled"](world, chance)
+    for turn in range(6):
+        world.clock.call(3.0 * turn, DISTURBANCES["operators change versions"], world, chance)
+
+
+def _crowd(world: World, chance: random.Random) -> None:
+    """Models for more memory than there is."""
+    for number in range(12):
+        document = {
+            "kind": "Model",
+            "name": f"crowd-{number}",
+            "spec": {"version": "v1", "memory_gb": 24.0, "engine": world.size.engine},
+        }
+        world.declare([document])
+
+
+def _unload_all(world: World, chance: random.Random) -> None:
+    """A placement policy that unloads whatever it sees."""
+    from rookspring_core.placement import PLACEMENT
+    from rookspring_core.placement import Move
+
+    def plan(given: t.Any) -> list[Move]:
+        return [
+            Move("unload", runner.name, key, 1.0, "mutant")
+            for runner in given.runners
+            for key in sorted(runner.resident)[:1]
+        ]
+
+    PLACEMENT["unload-all"] = plan
+    for node in world.living():
+        node.state.control.placement_override = "unload-all"
+
+
+def _send_old(world: World, chance: random.Random) -> None:
+    """A revision from the past arrives late at every node."""
+    from rookspring_core.events import RevisionSeen
+
+    first = min(world.published)
+    epoch, entries = world.published[first]
+    DISTURBANCES["operators change versions"](world, chance)
+    for node in world.living():
+        world.clock.call(10.0, node.submit, RevisionSeen(0.0, first, epoch, entries))
+
+
+EXTRA: dict[str, t.Callable[[World, random.Random], None]] = {
+    "slow loads": _slow_loads,
+    "crowded": _crowd,
+    "unload all": _unload_all,
+    "old revision": _send_old,
+}
+
+
+def provoke(mutant: Mutant, seed: int, apply: bool) -> str:
+    """Run the fault under which a mutant shows.
+
+    :param apply: put the mutant in, or run the decisions as they are.
+    :return: what noticed it, or nothing.
+    """
+    from rookspring_core.reducer import HANDLERS
+
+    world = World(USERS[mutant.user], seed=seed, checks=lambda number: number % 3 != 2)
+    world.declare()
+    world.settle(120.0)
+    start = world.clock.now
+    Calls(world, seed, start + 40.0)
+    steady(world, seed, start + 40.0, load=0.5)
+    fault = DISTURBANCES.get(mutant.fault) or EXTRA[mutant.fault]
+    world.clock.call(5.0, fault, world, random.Random(seed))
+    original = getattr(mutant.target, mutant.attribute)
+    handlers = {key: one for key, one in HANDLERS.items() if one is original}
+    wrong = mutant.wrong if apply else original
+    try:
+        with mock.patch.object(mutant.target, mutant.attribute, wrong):
+            HANDLERS.update(dict.fromkeys(handlers, wrong))
+            world.clock.run(start + 100.0)
+    except InvariantBroken as error:
+        return f"invariant {error.name}"
+    finally:
+        HANDLERS.update(handlers)
+    found = world.check()
+    return found[0] if found else ""
+
+
+@experiment("mutants")
+def run(arguments: list[str]) -> int:
+    """Put in each mutant and tell what caught it; the unchanged run must be clean."""
+    parser = argparse.ArgumentParser("mutants")
+    parser.add_argument("--seeds", type=int, default=3)
+    options = parser.parse_args(arguments)
+    rows: list[dict[str, t.Any]] = []
+    for mutant in MUTANTS:
+        caught = ""
+        for seed in range(options.seeds):
+            caught = caught or provoke(mutant, seed, apply=True)
+        clean = provoke(mutant, 0, apply=False)
+        rows.append(
+            {
+                "mutant": mutant.name,
+                "fault": mutant.fault,
+                "caught by": caught or "NOTHING",
+                "without it": clean or "clean",
+            }
+        )
+    report("mutants", "deliberate mutations of decisions", rows)
+    return int(any(row["caught by"] == "NOTHING" or row["without it"] != "clean" for row in rows))
--- /dev/null
+++ b/features/sockets.feature
@@ -0,0 +1,109 @@
+@sockets @traced
+Feature: The whole path over real sockets
+
+  Scenario Outline: a faulty request names its field and is not run
+    When a caller sends <request>
+    Then the status is <status> and the error names <field> and says not_run
+
+    Examples:
+      | request                                   | status | field                    |
+      | a chat without a key                      | 401    | Authorization            |
+      | a chat with an unknown key                | 401    | Authorization            |
+      | a chat that is not JSON                   | 400    | body                     |
+      | a chat that is a list                     | 400    | body                     |
+      | a chat with an unknown model              | 404    | model                    |
+      | a chat with an unknown adapter            | 404    | model                    |
+      | a chat without messages                   | 400    | messages                 |
+      | a chat with a number as content           | 400    | messages.0.content       |
+      | a chat with 0 tokens                      | 400    | max_tokens               |
+      | a chat with stream "yes"                  | 400    | stream                   |
+      | a chat with deadline "soon"               | 400    | X-Rookspring-Deadline-Ms |
+      | a chat with deadline "-5"                 | 400    | X-Rookspring-Deadline-Ms |
+      | a chat with priority "urgent"             | 400    | X-Rookspring-Priority    |
+      | a chat with session "made-up"             | 400    | X-Rookspring-Session     |
+      | a chat with event id "made-up~3"          | 400    | Last-Event-ID            |
+      | a chat of two megabytes                   | 413    | request                  |
+      | a call of an unknown service              | 404    | path                     |
+      | an unrepeatable call without a key        | 400    | Idempotency-Key          |
+      | an unrepeatable call with key "plain"     | 400    | Idempotency-Key          |
+      | an unrepeatable call with key "forged-session/1" | 400 | Idempotency-Key      |
+      | an unknown path                           | 404    | request                  |
+      | a resource without a key                  | 401    | Authorization            |
+      | a resource of an unknown kind             | 404    | kind                     |
+      | a resource with a faulty field            | 422    | resource                 |
+      | a resource with version "x"               | 400    | If-Match                 |
+
+  Scenario: the usual client streams from every address, and one trace covers each hop
+    When the openai client streams from every address that is given
+    Then each answer is whole
+    And one trace covers the spans entry, endpoint of each answer
+
+  Scenario Outline: a key runs at most once, whichever node is asked
+    Given a session at box-1
+    When key 1 is sent to <places>
+    Then the outcomes are <outcomes> and it ran <runs> times
+
+    Examples:
+      | places                          | outcomes        | runs |
+      | box-1                           | ran             | 1    |
+      | box-2                           | ran             | 1    |
+      | box-1, box-2, box-3             | ran ran ran     | 1    |
+      | box-1, box-2 with another body  | ran not_run     | 1    |
+      | box-1 and box-2 at once         | ran ran         | 1    |
+      | box-1 by another team           | not_run         | 0    |
+      | box-1 while answers are lost    | unknown         | 1    |
+      | box-1 while answers are lost, box-2 | unknown unknown | 1 |
+
+  Scenario Outline: the client library's own resend does not run a call twice
+    Given a service endpoint that <fault>
+    When an unrepeatable <method> is sent to it by the endpoint client
+    Then it arrived <times> times and the failure says sent <sent>
+
+    Examples:
+      | fault                               | method | times | sent  |
+      | breaks after reading                | PUT    | 1     | true  |
+      | breaks after reading                | POST   | 1     | true  |
+      | breaks after reading                | GET    | 1     | true  |
+      | closes kept-alive connections       | PUT    | 1     | never |
+      | closes kept-alive connections       | POST   | 1     | never |
+      | listens no more                     | POST   | 0     | false |
+
+  Scenario: a repeatable call may ride on the resend, which shows that the test can fail
+    Given a service endpoint that breaks after reading
+    When a repeatable GET is sent to it by the endpoint client
+    Then it arrived 2 times and the failure says sent true
+
+  Scenario Outline: a stream is whole although <fault>
+    When 4 streams of 150 tokens run while <fault>
+    Then each answer is whole
+
+    Examples:
+      | fault                          |
+      | nothing fails                  |
+      | a runner's connections break   |
+      | their callers come and go      |
+
+  Scenario: another team can neither resume nor retry
+    Given a stream of the team demo that was left
+    When another team resumes it
+    Then the status is 403 and the error names Last-Event-ID and says not_run
+
+  Scenario: operators who race get one winner and a conflict
+    When two operators change one resource from the same version
+    Then one wins and the other gets a conflict
+    And a watch from before shows both changes
+    And a watch from a version that is no longer kept says to list again
+
+  Scenario Outline: hostile bytes do no harm
+    When <bytes> are sent to the <socket> socket
+    Then the node still serves
+
+    Examples:
+      | bytes                | socket |
+      | random bytes         | caller |
+      | half a request       | caller |
+      | endless headers      | caller |
+      | random bytes         | peer   |
+      | a huge message       | peer   |
+      | a wrong proof        | peer   |
+      | nothing              | peer   |
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -93,6 +93,7 @@
         self.dialling: set[str] = set()
         self.missing_since: dict[str, float] = {}
         self.stopping = asyncio.Event()
+        self.closed = False
         self._cache_positions: dict[str, int] = {}
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.http_server: t.Any = None
@@ -103,6 +104,8 @@
 
     def submit(self, event: Event) -> None:
         """Take an event: reduce it and perform the effects."""
+        if self.closed:
+            return
         revision = self.state.catalogue.revision
         try:
             effects = reduce(self.state, event)
@@ -309,6 +312,7 @@
 
     async def close(self) -> None:
         """End at once, whatever is in flight."""
+        self.closed = True
         await web.close(self.http_server)
         await self.peers.close()
         tasks = list(self._tasks)
