Measure what a node adds, on real sockets

Cause: the aim is under 1 ms a hop and 20,000 tokens/s a core. Change: relay experiment; nodes in a process of their own.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -92,8 +92,13 @@
     return []
 
 
-def _say_not_run(state: t.Any, event: t.Any) -> None:
-    return None
+def _believe_unsent(state: t.Any, request: t.Any, *rest: t.Any) -> list[t.Any]:
+    request.sent = False
+    request.delivered = 0
+    return _GIVE_UP(state, request, *rest)
+
+
+_GIVE_UP = requests._give_up
 
 
 def _settle_nothing(self: Ledger, order: t.Any, made_at: float, seen: t.Any) -> bool:
@@ -125,7 +130,7 @@
     ),
     Mutant("stop with work in flight", cluster, "_stop_due", _stop_at_once, "a node is drained"),
     Mutant("apply an older revision", governing, "apply_revision", _apply_any, "old revision"),
-    Mutant("deny what was sent", requests, "note_start", _say_not_run, "a service breaks answers"),
+    Mutant("deny what was sent", requests, "_give_up", _believe_unsent, "a service breaks answers"),
 )
 
 
--- /dev/null
+++ b/bench/relay.py
@@ -0,0 +1,229 @@
+"""What a node adds: first token and each token, through none, one and two nodes.
+
+The nodes run in a process of their own, apart from the runner and the callers,
+so that processor time is the nodes' alone. Every round asks all three ways in
+turn; ratios and differences come from one run.
+"""
+
+import argparse
+import asyncio
+import multiprocessing
+import os
+import time
+import typing as t
+
+import aiohttp
+import orjson
+import uvloop
+
+from rookspring.logs import configure
+from rookspring.node import Node
+from rookspring.settings import Settings
+from rookspring.stage import Stage
+from rookspring.stage import StagePlan
+
+from .live import SMALL
+from .registry import experiment
+from .registry import quantile
+from .registry import report
+
+MODEL = "pitwall-llm-00"
+AUTH = {"Authorization": "Bearer demo"}
+
+
+def _serve_nodes(settings: list[Settings], profile: str) -> None:
+    """Run nodes in this process until it is ended."""
+    configure("ERROR")
+
+    async def run() -> None:
+        for one in settings:
+            await Node(one).start()
+        await asyncio.sleep(3600)
+
+    if profile:
+        import cProfile
+
+        profiler = cProfile.Profile()
+        loop = uvloop.new_event_loop()
+        task = loop.create_task(run())
+        loop.call_later(25.0, task.cancel)
+        try:
+            profiler.runcall(loop.run_until_complete, task)
+        except asyncio.CancelledError:
+            profiler.dump_stats(profile)
+        return
+    uvloop.run(run())
+
+
+class Sample(t.NamedTuple):
+    """Times of one stream, in seconds."""
+
+    first: float
+    total: float
+    tokens: int
+
+
+async def _read_direct(
+    session: aiohttp.ClientSession, address: str, name: str, tokens: int
+) -> Sample:
+    body = {"id": name, "model": MODEL, "prompt": name, "max_tokens": tokens}
+    begun = time.perf_counter()
+    first = 0.0
+    async with session.post(f"http://{address}/v1/generate", data=orjson.dumps(body)) as response:
+        async for line in response.content:
+            if not first and b"tokens" in line:
+                first = time.perf_counter() - begun
+    return Sample(first, time.perf_counter() - begun, tokens)
+
+
+async def _read_node(
+    session: aiohttp.ClientSession, address: str, name: str, tokens: int, key: str = ""
+) -> Sample:
+    body = {
+        "model": MODEL,
+        "messages": [{"role": "user", "content": name}],
+        "max_tokens": tokens,
+        "stream": True,
+    }
+    headers = {**AUTH, "Idempotency-Key": key} if key else AUTH
+    begun = time.perf_counter()
+    first = 0.0
+    done = False
+    url = f"http://{address}/v1/chat/completions"
+    async with session.post(url, data=orjson.dumps(body), headers=headers) as response:
+        async for line in response.content:
+            if not first and line.startswith(b"id: "):
+                first = time.perf_counter() - begun
+            done = done or line.startswith(b"data: [DONE]")
+    assert done, name
+    return Sample(first, time.perf_counter() - begun, tokens)
+
+
+async def _measure(stage: Stage, nodes: list[str], rounds: int, flood: int) -> dict[str, t.Any]:
+    runner = _runner_of(stage)
+    samples: dict[str, list[Sample]] = {"direct": [], "one node": [], "two nodes": []}
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        async with session.post(f"http://{nodes[1]}/v1/sessions", headers=AUTH) as response:
+            key = orjson.loads(await response.read())["session"]
+        for number in range(rounds):
+            samples["direct"].append(await _read_direct(session, runner, f"d{number}", 20))
+            samples["one node"].append(await _read_node(session, nodes[0], f"o{number}", 20))
+            two = await _read_node(session, nodes[0], f"t{number}", 20, f"{key}/{number}")
+            samples["two nodes"].append(two)
+        flooded = await _flood(session, nodes[0], flood)
+    return {"samples": samples, "flood": flooded}
+
+
+def _runner_of(stage: Stage) -> str:
+    for name, engine in stage.engines.items():
+        if engine.hosts(MODEL):
+            return stage.served[name].address
+    raise RuntimeError("the model is resident nowhere")
+
+
+async def _flood(session: aiohttp.ClientSession, node: str, streams: int) -> dict[str, float]:
+    pid = _child_pid()
+    before = _cpu_of(pid)
+    begun = time.perf_counter()
+    work = [_read_node(session, node, f"f{number}", 1000) for number in range(streams)]
+    await asyncio.gather(*work)
+    wall = time.perf_counter() - begun
+    cpu = _cpu_of(pid) - before
+    tokens = streams * 1000
+    return {"tokens": tokens, "wall": wall, "cpu": cpu, "per core": tokens / cpu}
+
+
+_CHILD: list[int] = []
+
+
+def _child_pid() -> int:
+    return _CHILD[0]
+
+
+def _cpu_of(pid: int) -> float:
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    ticks = int(fields[11]) + int(fields[12])
+    return ticks / os.sysconf("SC_CLK_TCK")
+
+
+@experiment("relay")
+def run(arguments: list[str]) -> int:
+    """Measure hops and a flood of tokens."""
+    parser = argparse.ArgumentParser("relay")
+    parser.add_argument("--rounds", type=int, default=200)
+    parser.add_argument("--streams", type=int, default=60)
+    parser.add_argument("--step", type=float, default=0.01, help="how often runners send")
+    parser.add_argument("--stream-rate", type=float, default=100.0, help="tokens/s of a stream")
+    parser.add_argument("--profile", default="")
+    options = parser.parse_args(arguments)
+    plan = StagePlan(
+        SMALL,
+        base_port=7700,
+        nodes=0,
+        token_rate=1e6,
+        stream_rate=options.stream_rate,
+        slots=256,
+        step_s=options.step,
+        quiet=True,
+        full_checks=False,
+    )
+    configure("ERROR")
+    result = uvloop.run(_run(plan, options))
+    samples = result["samples"]
+    rows: list[dict[str, t.Any]] = []
+    base: dict[str, float] = {}
+    for way, found in samples.items():
+        first = quantile([one.first for one in found], 0.5) * 1000
+        each = quantile([(one.total - one.first) / one.tokens for one in found], 0.5) * 1000
+        base.setdefault("first", first)
+        base.setdefault("each", each)
+        rows.append(
+            {
+                "way": way,
+                "first token ms": round(first, 3),
+                "p95 ms": round(quantile([one.first for one in found], 0.95) * 1000, 3),
+                "added ms": round(first - base["first"], 3),
+                "per token ms": round(each, 3),
+                "added per token ms": round(each - base["each"], 4),
+            }
+        )
+    report("relay", f"{options.rounds} streams each way, medians", rows)
+    flooded = {key: round(value, 3) for key, value in result["flood"].items()}
+    report("relay-flood", "relayed tokens by one node's process", [flooded])
+    return 0
+
+
+async def _run(plan: StagePlan, options: argparse.Namespace) -> dict[str, t.Any]:
+    stage = Stage(plan)
+    await stage.rise()
+    settings = [stage.settings_of(number + 1)._replace(full_checks=False) for number in range(2)]
+    child = multiprocessing.get_context("spawn").Process(
+        target=_serve_nodes, args=(settings, options.profile), daemon=True
+    )
+    child.start()
+    _CHILD.append(child.pid or 0)
+    try:
+        for one in settings:
+            stage.list_node(one)
+        addresses = [one.caller_address for one in settings]
+        await _wait_up(addresses)
+        await stage.apply_at(addresses)
+        return await _measure(stage, addresses, options.rounds, options.streams)
+    finally:
+        if options.profile:
+            await asyncio.sleep(12.0)
+        child.terminate()
+        child.join(5.0)
+        await stage.close()
+
+
+async def _wait_up(addresses: list[str]) -> None:
+    async with aiohttp.ClientSession() as session:
+        for address in addresses:
+            for _ in range(200):
+                try:
+                    async with session.get(f"http://{address}/healthz"):
+                        break
+                except aiohttp.ClientError:
+                    await asyncio.sleep(0.05)
--- a/packages/rookspring/src/rookspring/stage.py
+++ b/packages/rookspring/src/rookspring/stage.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import hashlib
-import time
 import typing as t
 
 import aiohttp
@@ -112,10 +111,10 @@
             "service": service,
         }
 
-    async def raise_node(self, number: int) -> Node:
-        """Start a node; a second start under one number is another incarnation."""
+    def settings_of(self, number: int) -> Settings:
+        """Give the settings of the node of a number."""
         places = self.size.data_centres
-        settings = Settings(
+        return Settings(
             name=f"box-{number}",
             data_centre=places[(number - 1) % len(places)],
             port=self.plan.base_port + number,
@@ -127,9 +126,9 @@
             trace_file=self.plan.trace_file,
             full_checks=self.plan.full_checks,
         )
-        node = Node(settings, on_broken=self._broke)
-        await node.start()
-        self.nodes[settings.name] = node
+
+    def list_node(self, settings: Settings) -> None:
+        """Put a node on the platform's box list."""
         self.platform.store.boxes[settings.name] = {
             "name": settings.name,
             "address": settings.address,
@@ -138,6 +137,14 @@
             "state": "live",
             "service": "",
         }
+
+    async def raise_node(self, number: int) -> Node:
+        """Start a node; a second start under one number is another incarnation."""
+        settings = self.settings_of(number)
+        node = Node(settings, on_broken=self._broke)
+        await node.start()
+        self.nodes[settings.name] = node
+        self.list_node(settings)
         return node
 
     def _broke(self, error: InvariantBroken) -> None:
@@ -149,44 +156,51 @@
 
     async def apply(self, documents: list[dict[str, t.Any]] | None = None) -> None:
         """Declare resources through the resource API and wait until all models serve."""
+        await self.apply_at(self.addresses(), documents)
+        while not all(self._sees_all(node) for node in self.nodes.values()):
+            await asyncio.sleep(0.05)
+
+    async def apply_at(
+        self, addresses: list[str], documents: list[dict[str, t.Any]] | None = None
+    ) -> None:
+        """Declare resources at the first address and wait until every address shows them."""
         documents = declare(self.size, KEY) if documents is None else documents
-        base = f"http://{self.addresses()[0]}/api/v1"
         headers = {"Authorization": f"Bearer {KEY}"}
         async with aiohttp.ClientSession(headers=headers) as session:
             for document in documents:
-                url = f"{base}/resources/{document['kind']}/{document['name']}"
+                path = f"resources/{document['kind']}/{document['name']}"
                 body = orjson.dumps({"spec": document["spec"]})
+                url = f"http://{addresses[0]}/api/v1/{path}"
                 async with session.put(url, data=body) as response:
                     if response.status != 200:
                         raise RuntimeError(await response.text())
             self.say(f"applied {len(documents)} resources; waiting until every model is resident")
-            await self._wait_resident(session, base, len(documents))
+            async with asyncio.timeout(RESIDENT_WAIT_S):
+                for address in addresses:
+                    await self._wait_resident(session, address, len(addresses))
 
     async def _wait_resident(
-        self, session: aiohttp.ClientSession, base: str, documents: int
+        self, session: aiohttp.ClientSession, address: str, nodes: int
     ) -> None:
-        end = time.monotonic() + RESIDENT_WAIT_S
         shown = -1
-        while time.monotonic() < end:
-            async with session.get(f"{base}/status") as response:
+        while True:
+            async with session.get(f"http://{address}/api/v1/status") as response:
                 status = orjson.loads(await response.read())
             missing = len(status["models_not_resident"])
             placed = status["models"] - missing
             if placed != shown:
-                self.say(f"  {placed} of {self.size.models} models resident")
+                self.say(f"  {address}: {placed} of {self.size.models} models resident")
                 shown = placed
-            everywhere = all(
-                len(node.state.catalogue.accepted) >= documents and self._sees_all(node)
-                for node in self.nodes.values()
-            )
-            if status["models"] == self.size.models and not missing and everywhere:
+            linked = len(status["nodes"]) >= nodes
+            if status["models"] == self.size.models and not missing and linked:
                 return
             await asyncio.sleep(0.1)
-        raise RuntimeError("the models did not become resident within two minutes")
 
     def _sees_all(self, node: Node) -> bool:
         views = node.state.endpoints.values()
         models = {model for view in views for model in view.resident}
+        if len(node.state.catalogue.accepted) < self.size.models:
+            return False
         services = [view for view in views if view.role == "service" and view.report]
         linked = node.state.membership.size() == len(self.nodes) - 1
         return linked and len(services) > 0 and len(models) >= self.size.models
