--- a/packages/rookspring/src/rookspring/web.py
+++ b/packages/rookspring/src/rookspring/web.py
@@ -18,6 +18,9 @@
     from .node import Node
 
 
+_touched_up: list[str] = []
+
+
 def make_app(node: "Node") -> Sanic[t.Any, t.Any]:
     """Build the application of one node."""
     name = f"rookspring-{node.settings.name}-{node.state.identity.incarnation}"
@@ -29,8 +32,10 @@
     app.config.KEEP_ALIVE_TIMEOUT = 30
     app.config.ACCESS_LOG = False
     app.config.MOTD = False
-    # It rewrites the server's source at start, which fails for a second app in a process.
-    app.config.TOUCHUP = False
+    # It takes the dispatch of unused signals out of the server's source, once for
+    # the whole process; a second app finds that done and must not try again.
+    app.config.TOUCHUP = not _touched_up
+    _touched_up.append(name)
     app.blueprint(callers.make_blueprint(node))
     app.blueprint(operators.make_blueprint(node))
     app.blueprint(operators.make_health_blueprint(node))
