--- a/bench/relay.py
+++ b/bench/relay.py
@@ -1,7 +1,8 @@
 """What a node adds: first token and each token, through none, one and two nodes.
 
-The nodes run in a process of their own, apart from the runner and the callers,
-so that processor time is the nodes' alone. Every round asks all three ways in
+Nodes, stand-ins and callers each run in a process of their own, so that
+processor time is the nodes' alone and each way crosses processes alike. Every
+round asks all three ways in
 turn; ratios and differences come from one run.
 """
 
@@ -61,6 +62,7 @@
     first: float
     total: float
     tokens: int
+    events: int = 0
 
 
 async def _read_direct(
@@ -89,18 +91,43 @@
     begun = time.perf_counter()
     first = 0.0
     done = False
+    events = 0
     url = f"http://{address}/v1/chat/completions"
     async with session.post(url, data=orjson.dumps(body), headers=headers) as response:
         async for line in response.content:
-            if not first and line.startswith(b"id: "):
-                first = time.perf_counter() - begun
+            if line.startswith(b"id: "):
+                events += 1
+                first = first or time.perf_counter() - begun
             done = done or line.startswith(b"data: [DONE]")
     assert done, name
-    return Sample(first, time.perf_counter() - begun, tokens)
+    return Sample(first, time.perf_counter() - begun, tokens, events)
+
+
+def _serve_stand_ins(plan: StagePlan, pipe: t.Any) -> None:
+    """Run the platform and the runners in this process until it is ended."""
+    configure("ERROR")
+
+    async def run() -> None:
+        stage = Stage(plan)
+        await stage.rise()
+        settings = [
+            stage.settings_of(number + 1)._replace(full_checks=False) for number in range(2)
+        ]
+        for one in settings:
+            stage.list_node(one)
+        pipe.send(settings)
+        while not any(engine.hosts(MODEL) for engine in stage.engines.values()):
+            await asyncio.sleep(0.05)
+        names = [name for name, engine in stage.engines.items() if engine.hosts(MODEL)]
+        pipe.send(stage.served[names[0]].address)
+        await asyncio.sleep(3600)
+
+    uvloop.run(run())
 
 
-async def _measure(stage: Stage, nodes: list[str], rounds: int, flood: int) -> dict[str, t.Any]:
-    runner = _runner_of(stage)
+async def _measure(
+    runner: str, nodes: list[str], rounds: int, flood: int, pid: int
+) -> dict[str, t.Any]:
     samples: dict[str, list[Sample]] = {"direct": [], "one node": [], "two nodes": []}
     async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
         async with session.post(f"http://{nodes[1]}/v1/sessions", headers=AUTH) as response:
@@ -110,34 +137,29 @@
             samples["one node"].append(await _read_node(session, nodes[0], f"o{number}", 20))
             two = await _read_node(session, nodes[0], f"t{number}", 20, f"{key}/{number}")
             samples["two nodes"].append(two)
-        flooded = await _flood(session, nodes[0], flood)
+        flooded = await _flood(session, nodes[0], flood, pid)
     return {"samples": samples, "flood": flooded}
 
 
-def _runner_of(stage: Stage) -> str:
-    for name, engine in stage.engines.items():
-        if engine.hosts(MODEL):
-            return stage.served[name].address
-    raise RuntimeError("the model is resident nowhere")
-
-
-async def _flood(session: aiohttp.ClientSession, node: str, streams: int) -> dict[str, float]:
-    pid = _child_pid()
+async def _flood(
+    session: aiohttp.ClientSession, node: str, streams: int, pid: int
+) -> dict[str, float]:
     before = _cpu_of(pid)
     begun = time.perf_counter()
-    work = [_read_node(session, node, f"f{number}", 1000) for number in range(streams)]
-    await asyncio.gather(*work)
+    work = [_read_node(session, node, f"f{number}", 2000) for number in range(streams)]
+    found = await asyncio.gather(*work)
     wall = time.perf_counter() - begun
     cpu = _cpu_of(pid) - before
-    tokens = streams * 1000
-    return {"tokens": tokens, "wall": wall, "cpu": cpu, "per core": tokens / cpu}
-
-
-_CHILD: list[int] = []
-
-
-def _child_pid() -> int:
-    return _CHILD[0]
+    tokens = streams * 2000
+    events = sum(one.events for one in found)
+    return {
+        "tokens": tokens,
+        "events": events,
+        "wall s": wall,
+        "cpu s": cpu,
+        "tokens/s a core": tokens / cpu,
+        "events/s a core": events / cpu,
+    }
 
 
 def _cpu_of(pid: int) -> float:
@@ -195,27 +217,26 @@
 
 
 async def _run(plan: StagePlan, options: argparse.Namespace) -> dict[str, t.Any]:
-    stage = Stage(plan)
-    await stage.rise()
-    settings = [stage.settings_of(number + 1)._replace(full_checks=False) for number in range(2)]
-    child = multiprocessing.get_context("spawn").Process(
-        target=_serve_nodes, args=(settings, options.profile), daemon=True
-    )
-    child.start()
-    _CHILD.append(child.pid or 0)
+    context = multiprocessing.get_context("spawn")
+    pipe, far = context.Pipe()
+    stand_ins = context.Process(target=_serve_stand_ins, args=(plan, far), daemon=True)
+    stand_ins.start()
+    settings = pipe.recv()
+    nodes = context.Process(target=_serve_nodes, args=(settings, options.profile), daemon=True)
+    nodes.start()
     try:
-        for one in settings:
-            stage.list_node(one)
         addresses = [one.caller_address for one in settings]
         await _wait_up(addresses)
-        await stage.apply_at(addresses)
-        return await _measure(stage, addresses, options.rounds, options.streams)
+        await Stage(plan).apply_at(addresses)
+        return await _measure(
+            pipe.recv(), addresses, options.rounds, options.streams, nodes.pid or 0
+        )
     finally:
         if options.profile:
             await asyncio.sleep(12.0)
-        child.terminate()
-        child.join(5.0)
-        await stage.close()
+        for child in (nodes, stand_ins):
+            child.terminate()
+            child.join(5.0)
 
 
 async def _wait_up(addresses: list[str]) -> None:
--- a/packages/rookspring/src/rookspring/exchanges.py
+++ b/packages/rookspring/src/rookspring/exchanges.py
@@ -132,13 +132,15 @@
             self.first_token_s = time.monotonic() - self.arrived
         if not self.stream:
             return
-        if not self.started:
-            await self.begin()
         place = str(self.guard.offset).encode()
-        await self.responder.send(self._id + place + self._head + orjson.dumps(text) + self._tail)
+        event = self._id + place + self._head + orjson.dumps(text) + self._tail
+        if not self.started:
+            # The role and the first token go out together.
+            event = await self.begin() + event
+        await self.responder.send(event)
 
-    async def begin(self) -> None:
-        """Send the headers and the first event, which names the role."""
+    async def begin(self) -> bytes:
+        """Send the headers, and give the first event, which names the role."""
         self.started = True
         headers = {
             "Content-Type": "text/event-stream",
@@ -147,7 +149,7 @@
         }
         await self.responder.start(200, headers)
         role = orjson.dumps(self._frame({"role": "assistant", "content": ""}, None))
-        await self.responder.send(b"data: " + role + b"\n\n")
+        return b"data: " + role + b"\n\n"
 
     def usage(self) -> dict[str, int]:
         """Count tokens, in the shape of the usual chat API."""
@@ -184,11 +186,11 @@
             headers = {"Content-Type": "application/json", "X-Request-Id": self.request_id}
             await self.answer(200, headers, self.whole())
             return
-        if not self.started:
-            await self.begin()
+        first = b"" if self.started else await self.begin()
         last = self._frame({}, "stop")
         last["usage"] = self.usage()
-        await self.responder.send(b"data: " + orjson.dumps(last) + b"\n\ndata: [DONE]\n\n")
+        end = b"data: " + orjson.dumps(last) + b"\n\ndata: [DONE]\n\n"
+        await self.responder.send(first + end)
         await self.responder.end()
 
     async def replay(self, answer: bytes) -> None:
@@ -197,9 +199,9 @@
         self.parts = [raw["choices"][0]["message"]["content"]]
         self.guard.offset = raw["usage"]["completion_tokens"]
         if self.stream:
-            await self.begin()
+            first = await self.begin()
             frame = self._frame({"content": self.parts[0]}, None)
-            await self.responder.send(b"data: " + orjson.dumps(frame) + b"\n\n")
+            await self.responder.send(first + b"data: " + orjson.dumps(frame) + b"\n\n")
         await self.conclude()
 
 
--- a/packages/rookspring/src/rookspring/tokens.py
+++ b/packages/rookspring/src/rookspring/tokens.py
@@ -3,8 +3,11 @@
 import secrets
 import typing as t
 
+import orjson
 from itsdangerous import BadSignature
-from itsdangerous import URLSafeSerializer
+from itsdangerous import Signer as PlainSigner
+from itsdangerous.encoding import base64_decode
+from itsdangerous.encoding import base64_encode
 
 from .exceptions import CallerError
 
@@ -38,13 +41,13 @@
 
     def __init__(self, keys: t.Sequence[str]) -> None:
         newest_last = list(reversed(keys))
-        self._sessions = URLSafeSerializer(newest_last, salt="session")
-        self._grants = URLSafeSerializer(newest_last, salt="resume")
+        self._sessions = PlainSigner(newest_last, salt="session")
+        self._grants = PlainSigner(newest_last, salt="resume")
 
     def issue_session(self, node: str, incarnation: str, team: str) -> str:
         """Make a session identifier."""
         claims = SessionClaims(node, incarnation, team, secrets.token_hex(6))
-        return str(self._sessions.dumps(list(claims)))
+        return _sign(self._sessions, claims)
 
     def read_session(self, text: str, field: str) -> SessionClaims:
         """Verify a session identifier.
@@ -52,13 +55,13 @@
         :raises CallerError: when it was not issued here or was altered.
         """
         try:
-            return SessionClaims(*self._sessions.loads(text))
+            return SessionClaims(*_verify(self._sessions, text))
         except (BadSignature, TypeError):
             raise CallerError(400, field, "a session issued by POST /v1/sessions") from None
 
     def issue_grant(self, grant: ResumeGrant) -> str:
         """Make the signed part of a stream's event ids."""
-        return str(self._grants.dumps(list(grant)))
+        return _sign(self._grants, grant)
 
     def read_event_id(self, text: str) -> tuple[ResumeGrant, int]:
         """Verify an event id, ``GRANT~OFFSET``.
@@ -68,9 +71,21 @@
         signed, _, offset = text.partition("~")
         expected = "an event id that this system sent"
         try:
-            grant = ResumeGrant(*self._grants.loads(signed))
+            grant = ResumeGrant(*_verify(self._grants, signed))
         except (BadSignature, TypeError):
             raise CallerError(400, "Last-Event-ID", expected) from None
         if not offset.isdigit():
             raise CallerError(400, "Last-Event-ID", expected)
         return grant, int(offset)
+
+
+def _sign(signer: PlainSigner, claims: tuple[t.Any, ...]) -> str:
+    # No compression: it costs more time than the bytes it saves are worth here.
+    return signer.sign(base64_encode(orjson.dumps(list(claims)))).decode()
+
+
+def _verify(signer: PlainSigner, text: str) -> list[t.Any]:
+    raw = orjson.loads(base64_decode(signer.unsign(text)))
+    if not isinstance(raw, list):
+        raise BadSignature("not a list")
+    return raw
