Reckon with late unloads at endpoints that do not check

Change: every order to such an endpoint stays in doubt for the bound on late orders, accepted or not; weights under a doubtful unload count as no replica and are not loaded there again before the bound has passed.

--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -225,7 +225,7 @@
     for endpoint, model, version, gb in state.control.inherited:
         if endpoint == ledger.endpoint and model:
             until = state.now + defaults.LATE_ORDER_BOUND_S
-            ledger.doubts.append(Doubt((model, version), gb, until))
+            ledger.doubts.append(Doubt("load", (model, version), gb, until))
 
 
 @handles(IntentWritten)
@@ -344,9 +344,10 @@
                 engine=view.service,
                 free_gb=ledger.free(),
                 token_rate=view.report.token_rate,
-                resident=frozenset(ledger.resident - ledger.keys_of("unload")),
+                resident=frozenset(ledger.staying()),
                 coming=frozenset(coming),
                 busy=busy,
+                barred=frozenset(ledger.uncertain()),
             )
         )
     return tuple(sorted(rooms))
@@ -405,8 +406,7 @@
         view = state.endpoints.get(ledger.endpoint)
         if view is None or view.gone or view.leaving:
             continue
-        staying = ledger.resident - ledger.keys_of("unload")
-        if any(key[0] == model for key in staying):
+        if any(key[0] == model for key in ledger.staying()):
             hosts.add(ledger.endpoint)
     return hosts
 
--- a/packages/rookspring-core/src/rookspring_core/memory.py
+++ b/packages/rookspring-core/src/rookspring_core/memory.py
@@ -32,8 +32,12 @@
 
 
 class Doubt(t.NamedTuple):
-    """Memory that an order of unknown fate may yet take."""
+    """An order that may arrive yet, at an endpoint that does not check.
 
+    A late load may take memory; a late unload may take a replica away.
+    """
+
+    action: str
     key: Weights
     gb: float
     until: float
@@ -68,7 +72,8 @@
         """Give all memory that is held, promised or in doubt, in gigabytes."""
         amounts = dict(self.held)
         for doubt in self.doubts:
-            amounts[doubt.key] = max(amounts.get(doubt.key, 0.0), doubt.gb)
+            if doubt.action != "unload":
+                amounts[doubt.key] = max(amounts.get(doubt.key, 0.0), doubt.gb)
         for order in self.orders():
             if order.action in ("load", "attach"):
                 amounts[order.key] = max(amounts.get(order.key, 0.0), order.gb)
@@ -82,6 +87,14 @@
         """Give the weights that orders of one action, not yet reflected, are about."""
         return {order.key for order in self.orders() if order.action == action}
 
+    def uncertain(self) -> set[Weights]:
+        """Give the weights that a late unload may take away yet."""
+        return {doubt.key for doubt in self.doubts if doubt.action == "unload"}
+
+    def staying(self) -> set[Weights]:
+        """Give the resident weights that no order, sent or late, takes away."""
+        return self.resident - self.keys_of("unload") - self.uncertain()
+
     def free(self) -> float:
         """Give the memory that may still be promised, in gigabytes."""
         return self.capacity_gb - self.reserve_gb - self.committed()
@@ -151,9 +164,10 @@
         return made_at > order.answered_at
 
     def _doubt(self, order: PendingOrder) -> None:
-        if order.action in ("load", "attach"):
+        """Reckon with an order's late or second arrival at an endpoint that does not check."""
+        if order.action in ("load", "attach", "unload"):
             until = order.sent_at + defaults.LATE_ORDER_BOUND_S
-            self.doubts.append(Doubt(order.key, order.gb, until))
+            self.doubts.append(Doubt(order.action, order.key, order.gb, until))
 
     def answer(self, token: tuple[int, int], accepted: bool | None, now: float) -> None:
         """Take the answer to the order on its way; None means that none came."""
@@ -166,13 +180,11 @@
         if accepted:
             # It counts until a report that was made after it.
             self.accepted.append(order)
+            if not self.checks_orders:
+                self._doubt(order)
 
     def give_up_order(self, now: float) -> None:
         """Stop waiting for an endpoint that does not check: its memory stays in doubt."""
         if self.pending is not None:
             self._doubt(self.pending)
-            if self.pending.action == "unload":
-                # A late unload may still come, so what it frees is not to be loaded again soon.
-                until = self.pending.sent_at + defaults.LATE_ORDER_BOUND_S
-                self.doubts.append(Doubt(self.pending.key, self.pending.gb, until))
             self.pending = None
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -18,7 +18,10 @@
 
 
 class RunnerRoom(t.NamedTuple):
-    """One runner as placement sees it; rates in tokens a second, memory in GB."""
+    """One runner as placement sees it; rates in tokens a second, memory in GB.
+
+    ``barred`` weights may not be loaded there yet, since a late unload may come.
+    """
 
     name: str
     data_centre: str
@@ -28,6 +31,7 @@
     resident: frozenset[Weights]
     coming: frozenset[Weights]
     busy: bool
+    barred: frozenset[Weights] = frozenset()
 
 
 class Move(t.NamedTuple):
@@ -111,16 +115,23 @@
         self.ready.get(key[0], set()).discard(runner)
         self.touched.add(runner)
 
-    def fitting(self, model: str) -> list[RunnerRoom]:
-        """List the runners with room for another replica, the emptiest first."""
+    def open_to(self, model: str) -> list[RunnerRoom]:
+        """List the runners that could take another replica, were there room."""
         spec = self.given.models[model]
-        open_runners = [
+        return [
             runner
             for runner in self.given.runners
             if runner.engine == spec.engine
             and runner.name not in self.hosts[model]
             and runner.name not in self.touched
-            and self.free[runner.name] >= spec.memory_gb
+            and (model, spec.version) not in runner.barred
+        ]
+
+    def fitting(self, model: str) -> list[RunnerRoom]:
+        """List the runners with room for another replica, the emptiest first."""
+        need_gb = self.given.models[model].memory_gb
+        open_runners = [
+            runner for runner in self.open_to(model) if self.free[runner.name] >= need_gb
         ]
         return sorted(open_runners, key=lambda one: (-self.free[one.name], mix(model, one.name)))
 
@@ -160,11 +171,7 @@
     """Unload spare replicas on the runner where the least must go."""
     spec = board.given.models[model]
     best: tuple[int, float, str, list[tuple[Weights, float]]] | None = None
-    for runner in board.given.runners:
-        if runner.engine != spec.engine or runner.name in board.touched:
-            continue
-        if runner.name in board.hosts[model]:
-            continue
+    for runner in board.open_to(model):
         goes = _evictable(board, runner, spec.memory_gb - board.free[runner.name])
         if goes is None:
             continue
@@ -301,14 +308,10 @@
 def _spare_rates(
     board: Board, load: t.Mapping[str, float], model: str
 ) -> list[tuple[RunnerRoom, float]]:
-    spec = board.given.models[model]
     rows = [
         (runner, runner.token_rate - load[runner.name])
-        for runner in board.given.runners
-        if runner.engine == spec.engine
-        and runner.name not in board.hosts[model]
-        and runner.name not in board.touched
-        and runner.token_rate > load[runner.name]
+        for runner in board.open_to(model)
+        if runner.token_rate > load[runner.name]
     ]
     return sorted(rows, key=lambda row: (-row[1], row[0].name))
 
