--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,7 @@
 import time
 import tracemalloc
 import typing as t
+from functools import partial
 
 from rookspring import gossip
 from rookspring import peers
@@ -19,6 +20,7 @@
 from rookspring_core import reduce
 from rookspring_core.acceptance import Room
 from rookspring_core.acceptance import accept
+from rookspring_core.catalogue import Catalogue
 from rookspring_core.catalogue import build_catalogue
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
@@ -142,10 +144,19 @@
     yield _row("report taken", "endpoints known", 100, cost, "us")
     for models in (20, 200, 990):
         entries = entries_of(models, models * 5)
-        cost = time_of(lambda number, entries=entries: build_catalogue(1, entries), 3)
+        before = build_catalogue(1, entries)
+        changed = dict(entries)
+        spec = {"version": "v2", "memory_gb": 10.0, "engine": "e"}
+        changed["Model.m-0000"] = Entry(Resource("Model", "m-0000", spec, 99999))
+        work = partial(_apply, changed, before)
+        cost = time_of(work, 3)
         yield _row("revision applied", "models, 5 adapters each", models, cost, "us")
 
 
+def _apply(entries: dict[str, Entry], before: Catalogue, number: int) -> Catalogue:
+    return build_catalogue(2, entries, before)
+
+
 def _tick(state: NodeState) -> None:
     reduce(state, Ticked(state.now + 0.1))
 
@@ -166,10 +177,16 @@
         change = Resource("Model", "m-0000", {"version": "v2", "memory_gb": 10.0, "engine": "e"}, 9)
         desired = {one.resource.key: one.resource for one in entries.values() if one.resource}
         desired[change.key] = change
-        cost = time_of(lambda number: accept(desired.values(), entries, rooms), 3)
+        cost = time_of(partial(_accept, desired, entries, rooms), 3)
         yield _row("one change accepted", "models, 5 adapters each", models, cost / 1000, "ms")
 
 
+def _accept(
+    desired: dict[str, Resource], entries: dict[str, Entry], rooms: tuple[Room, ...], number: int
+) -> dict[str, Entry]:
+    return accept(desired.values(), entries, rooms)
+
+
 def _plan_input(models: int, runners: int) -> PlanInput:
     specs = {f"m-{number:04d}": ModelSpec("v1", 10.0, "e") for number in range(models)}
     rooms = tuple(
--- a/features/environment.py
+++ b/features/environment.py
@@ -52,7 +52,11 @@
     if "sockets" not in feature.tags:
         return
     context.loop = LoopThread()
-    plan = StagePlan(SMALL, base_port=7600, quiet=True, trace_file=_trace_file(context, feature))
+    # The README speaks of the demo's ports, so its commands run upon the same.
+    base_port = 7400 if "readme" in feature.tags else 7600
+    plan = StagePlan(
+        SMALL, base_port=base_port, quiet=True, trace_file=_trace_file(context, feature)
+    )
 
     async def rise():
         stage = Stage(plan)
@@ -72,9 +76,17 @@
     return context.trace_folder.name + "/spans.jsonl"
 
 
+async def end(stage):
+    # A box that was drained by rookctl has its stop under way.
+    for node in stage.nodes.values():
+        if node.state.leaving:
+            await node.run_until_stopped()
+    await stage.close()
+
+
 def after_feature(context, feature):
     if context.loop is None:
         return
-    context.loop.run(context.stage.close())
+    context.loop.run(end(context.stage))
     context.loop.stop()
     assert not context.stage.broken, context.stage.broken
--- /dev/null
+++ b/features/steps/operation_steps.py
@@ -0,0 +1,114 @@
+import os
+import pathlib
+import re
+import subprocess
+import sys
+
+import yaml
+from behave import then
+from behave import when
+
+from rookspring.logs import EVENTS
+from rookspring.metrics import Metrics
+from rookspring_fakes.users import USERS
+from rookspring_fakes.users import declare
+
+ROOT = pathlib.Path(__file__).parent.parent.parent
+
+
+def environment(context):
+    env = {key: value for key, value in os.environ.items() if not key.startswith("ROOK")}
+    bin_folder = str(pathlib.Path(sys.executable).parent)
+    address = context.stage.nodes["box-1"].settings.caller_address
+    return {
+        **env,
+        "PATH": f"{bin_folder}:{env['PATH']}",
+        "ROOKCTL_SERVER": f"http://{address}",
+        "ROOKCTL_KEY": "demo",
+    }
+
+
+def console_lines():
+    text = (ROOT / "README.md").read_text()
+    blocks = re.findall(r"```console\n(.*?)```", text, re.DOTALL)
+    return [line[2:] for block in blocks for line in block.splitlines() if line.startswith("$ ")]
+
+
+@when("the console lines of README.md are typed in one shell")
+def type_readme(context):
+    context.lines = console_lines()
+    script = "".join(f"{line}\ncode=$?; echo; echo '::'$code\n" for line in context.lines)
+    env = environment(context)
+    del env["ROOKCTL_SERVER"], env["ROOKCTL_KEY"]
+    done = subprocess.run(
+        ["bash"],
+        input=script,
+        cwd=ROOT,
+        env=env,
+        capture_output=True,
+        text=True,
+        timeout=100,
+        check=False,
+    )
+    context.codes = [int(code) for code in re.findall(r"^::(\d+)$", done.stdout, re.MULTILINE)]
+    context.printed = done.stdout + done.stderr
+
+
+@then("each ends as the page says")
+def ends_as_said(context):
+    assert len(context.lines) > 8
+    wanted = []
+    for line in context.lines:
+        said = re.search(r"# exits (\d+)$", line)
+        wanted.append(int(said[1]) if said else 0)
+    assert context.codes == wanted, (context.codes, wanted, context.printed[-800:])
+
+
+@when("{command} is typed")
+def type_command(context, command):
+    context.done = subprocess.run(
+        command.split(),
+        cwd=ROOT,
+        env=environment(context),
+        capture_output=True,
+        text=True,
+        timeout=60,
+        check=False,
+    )
+
+
+@then("it exits {code:d} and says {text}")
+def exits_and_says(context, code, text):
+    printed = context.done.stdout + context.done.stderr
+    assert context.done.returncode == code, (context.done.returncode, printed[-500:])
+    assert text in printed, printed[-500:]
+    assert "Traceback" not in printed, printed[-500:]
+
+
+@then("it also says {text}")
+def also_says(context, text):
+    assert text in context.done.stderr, context.done.stderr
+
+
+@then("it prints {path}")
+def prints_page(context, path):
+    assert context.done.stdout == (ROOT / path).read_text()
+
+
+@then("examples/{name}.yaml declares the resources of {user}")
+def example_declares(context, name, user):
+    found = list(yaml.safe_load_all((ROOT / f"examples/{name}.yaml").read_text()))
+    assert found == declare(USERS[user])
+
+
+@then("{page} names every log event and metric")
+def page_names(context, page):
+    text = (ROOT / page).read_text()
+    metrics = {
+        one.name
+        for one in vars(Metrics("x")).values()
+        if hasattr(one, "name") and hasattr(one, "doc")
+    }
+    assert len(metrics) > 8
+    missing = [name for name in {*EVENTS, *metrics} if f"`{name}" not in text]
+    assert not missing, missing
--- a/packages/rookspring-core/src/rookspring_core/catalogue.py
+++ b/packages/rookspring-core/src/rookspring_core/catalogue.py
@@ -27,6 +27,7 @@
     team_by_digest: t.Mapping[str, str] = {}
     accepted: t.Mapping[str, int] = {}
     rejected: t.Mapping[str, tuple[int, str]] = {}
+    parsed: t.Mapping[str, tuple[int, t.Any]] = {}
 
 
 class Entry(t.NamedTuple):
@@ -37,12 +38,19 @@
     reason: str = ""
 
 
-def build_catalogue(revision: int, entries: t.Mapping[str, Entry]) -> Catalogue:
+def build_catalogue(
+    revision: int,
+    entries: t.Mapping[str, Entry],
+    before: Catalogue | None = None,
+) -> Catalogue:
     """Index published entries for the request path.
 
     :param revision: the revision of the head they belong to.
     :param entries: by resource key.
+    :param before: the catalogue in force; what did not change is not parsed again.
     """
+    known = before.parsed if before else {}
+    parsed: dict[str, tuple[int, t.Any]] = {}
     specs: dict[str, dict[str, t.Any]] = {
         name: {} for name in ("Model", "Adapter", "Service", "Team", "Policy")
     }
@@ -54,7 +62,11 @@
         resource = entry.resource
         if resource is None:
             continue
-        specs[resource.kind][resource.name] = parse_spec(resource.kind, resource.spec)
+        at_hand = known.get(key)
+        if at_hand is None or at_hand[0] != resource.version:
+            at_hand = (resource.version, parse_spec(resource.kind, resource.spec))
+        parsed[key] = at_hand
+        specs[resource.kind][resource.name] = at_hand[1]
         accepted[key] = resource.version
     digests = {digest: name for name, team in specs["Team"].items() for digest in team.key_sha256}
     policies = specs["Policy"]
@@ -69,4 +81,5 @@
         team_by_digest=digests,
         accepted=accepted,
         rejected=rejected,
+        parsed=parsed,
     )
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -42,7 +42,7 @@
 def _forget_peer(state: NodeState, name: str) -> None:
     state.limits.lose(name)
     state.control.peer_demand.pop(name, None)
-    state.membership.inflight.pop(name, None)
+    state.peers_work.replace(name, (), state.peers_work.at)
 
 
 @handles(EndpointReported)
@@ -54,8 +54,10 @@
     if view.report is not None and view.report.incarnation != event.incarnation:
         view.leaving = False
         view.prefixes.clear()
+    before = view.targets()
     if not view.take_report(event):
         return []
+    state.index(view, before, view.targets())
     view.gone = False
     if governing.holding(state) and view.role == "runner":
         ledger = state.control.ledgers.get(event.endpoint)
@@ -98,6 +100,7 @@
         view = state.endpoints[name]
         view.gone = True
         if not view.inflight:
+            state.index(view, view.targets(), frozenset())
             del state.endpoints[name]
     return []
 
@@ -105,8 +108,13 @@
 def _take_row(state: NodeState, row: BoxListed) -> None:
     view = state.endpoints.get(row.name)
     if view is None or view.address != row.address:
-        view = EndpointView(row.name, row.address, row.data_centre, row.role, row.service)
+        if view is not None:
+            state.index(view, view.targets(), frozenset())
+        view = EndpointView(
+            row.name, row.address, row.data_centre, row.role, row.service, state.peers_work
+        )
         state.endpoints[row.name] = view
+        state.index(view, frozenset(), view.targets())
     if row.state == "leaving":
         view.leaving = True
 
@@ -118,24 +126,11 @@
     if event.name in state.membership.peers:
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
-        state.membership.inflight[event.name] = dict(event.inflight)
-        _sum_inflight(state)
+        heard = [peer.heard_at for peer in state.membership.peers.values()]
+        state.peers_work.replace(event.name, event.inflight, min(heard))
     return [Announce("hello")] if fresh else []
 
 
-def _sum_inflight(state: NodeState) -> None:
-    """Add up what the other nodes have in flight at each endpoint."""
-    sums: dict[str, int] = {}
-    for rows in state.membership.inflight.values():
-        for endpoint, count in rows.items():
-            sums[endpoint] = sums.get(endpoint, 0) + count
-    # The sum is as old as the oldest heartbeat in it.
-    heard = [peer.heard_at for peer in state.membership.peers.values()]
-    for view in state.endpoints.values():
-        view.peers_inflight = sums.get(view.name, 0)
-        view.peers_at = min(heard, default=-1e9)
-
-
 def inflight_rows(state: NodeState) -> tuple[tuple[str, int], ...]:
     """Give this node's requests in flight by endpoint, for its heartbeat."""
     return tuple(
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -43,6 +43,8 @@
 MEMORY_RESERVE_SHARE = 0.1
 
 PLAN_INTERVAL_S = 1.0
+# Runners planned for in a second at most: 230 us each (bench slopes) is 2.3 % of a core.
+PLANNED_PER_S = 100.0
 DEMAND_RISE_TAU_S = 2.0
 # At 60 s the demand of a burst that is over held the runners that the next one
 # needed (bench burst); see docs/design/placement.md.
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -10,6 +10,30 @@
 from .events import EndpointReported
 
 
+class PeersWork:
+    """What the other nodes say that they have in flight, by endpoint.
+
+    ``at`` is the time of the oldest heartbeat in the sums.
+    """
+
+    __slots__ = ("_rows", "at", "counts")
+
+    def __init__(self) -> None:
+        self._rows: dict[str, tuple[tuple[str, int], ...]] = {}
+        self.counts: dict[str, int] = {}
+        self.at = -1e9
+
+    def replace(self, peer: str, rows: tuple[tuple[str, int], ...], at: float) -> None:
+        """Take a node's rows in place of its last ones, at the cost of these alone."""
+        for endpoint, count in self._rows.pop(peer, ()):
+            self.counts[endpoint] = self.counts.get(endpoint, 0) - count
+        for endpoint, count in rows:
+            self.counts[endpoint] = self.counts.get(endpoint, 0) + count
+        if rows:
+            self._rows[peer] = rows
+        self.at = at
+
+
 class EndpointView:
     """One endpoint as this node sees it. Times are of the node's monotonic clock."""
 
@@ -25,8 +49,7 @@
         "name",
         "others",
         "prefixes",
-        "peers_at",
-        "peers_inflight",
+        "peers",
         "probing",
         "report",
         "reported_at",
@@ -36,7 +59,13 @@
     )
 
     def __init__(
-        self, name: str, address: str, data_centre: str, role: str = "runner", service: str = ""
+        self,
+        name: str,
+        address: str,
+        data_centre: str,
+        role: str = "runner",
+        service: str = "",
+        peers: PeersWork | None = None,
     ) -> None:
         self.name = name
         self.address = address
@@ -53,8 +82,7 @@
         self.inflight: dict[str, float] = {}
         self.ended: list[tuple[float, float]] = []
         self.others = 0
-        self.peers_inflight = 0
-        self.peers_at = -1e9
+        self.peers = peers or PeersWork()
         self.resident: frozenset[str] = frozenset()
         self.prefixes: dict[int, float] = {}
 
@@ -87,8 +115,8 @@
         return (len(self.inflight) + self._others(now)) / self.slots()
 
     def _others(self, now: float) -> int:
-        if self.peers_at > self.reported_at:
-            return self.peers_inflight
+        if self.peers.at > self.reported_at:
+            return self.peers.counts.get(self.name, 0)
         if now - self.reported_at > defaults.REPORT_STALE_S:
             return 0
         return self.others
@@ -118,6 +146,10 @@
             return self.role == "service" and self.service == target
         return target in self.resident
 
+    def targets(self) -> frozenset[str]:
+        """Name what requests may be sent here: resident models, or the service."""
+        return self.resident if self.role == "runner" else frozenset((self.service,))
+
     def has_adapter(self, adapter: str) -> bool:
         """Say whether an adapter is attached there."""
         return self.report is not None and adapter in self.report.adapters
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -88,7 +88,7 @@
     if event.revision <= state.catalogue.revision:
         return []
     state.control.entries = event.entries
-    state.catalogue = build_catalogue(event.revision, event.entries)
+    state.catalogue = build_catalogue(event.revision, event.entries, state.catalogue)
     return []
 
 
@@ -316,7 +316,9 @@
     control = state.control
     policy = state.catalogue.policy
     control.store.refill(state.now, policy.loads_per_s)
-    if state.now - control.planned_at < defaults.PLAN_INTERVAL_S:
+    # A plan costs more the more runners there are, so its share of a core is kept.
+    interval_s = max(defaults.PLAN_INTERVAL_S, len(control.ledgers) / defaults.PLANNED_PER_S)
+    if state.now - control.planned_at < interval_s:
         return []
     control.planned_at = state.now
     if state.now - control.acquired_at < defaults.SURVEY_S:
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -31,7 +31,6 @@
         self.peers: dict[str, Peer] = {}
         self.listed: dict[str, BoxListed] = {}
         self.gone: dict[str, str] = {}
-        self.inflight: dict[str, dict[str, int]] = {}
 
     def size(self) -> int:
         """Give how many other nodes are live."""
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -154,8 +154,8 @@
         return best
     rates = [
         min(one.report.stream_rate, one.report.token_rate / one.slots())
-        for one in state.endpoints.values()
-        if one.report is not None and one.serves(target, service)
+        for one in state.hosts.get(target, {}).values()
+        if one.report is not None
     ]
     if not rates:
         return best
@@ -171,29 +171,24 @@
     effects: Effects = []
     if not state.queues:
         return effects
-    room = _endpoints_with_room(state)
-    if not room:
-        return effects
     heads = [
         (queued.order, target)
         for target, queue in state.queues.items()
         if (queued := queue.peek()) is not None
     ]
     heapq.heapify(heads)
-    while heads and room:
+    while heads:
         _, target = heapq.heappop(heads)
         queue = state.queues[target]
         queued = queue.peek()
         assert queued is not None
         request = state.requests[queued.request_id]
-        endpoint = choose_endpoint(state, request, room)
+        endpoint = choose_endpoint(state, request)
         if endpoint is None:
             continue
         queue.remove(queued.request_id)
         state.pools[_pool(state, request.arrived)].served(queued.tokens)
         effects.append(_dispatch(state, request, endpoint))
-        if state.admission_on and endpoint.load(state.now) >= 1.0:
-            room.remove(endpoint)
         following = queue.peek()
         if following is not None:
             heapq.heappush(heads, (following.order, target))
@@ -208,23 +203,16 @@
     return f"engine/{spec.engine}" if spec else "engine/"
 
 
-def _endpoints_with_room(state: NodeState) -> list[EndpointView]:
-    return [
+def choose_endpoint(state: NodeState, request: RequestState) -> EndpointView | None:
+    """Choose where a request goes now, or None while there is no room."""
+    arrived = request.arrived
+    fitting = [
         one
-        for one in state.endpoints.values()
-        if one.open_for_work(state.now) and (not state.admission_on or one.load(state.now) < 1.0)
+        for one in state.hosts.get(arrived.target, {}).values()
+        if one.open_for_work(state.now)
+        and one.serves(arrived.target, arrived.service)
+        and (not state.admission_on or one.load(state.now) < 1.0)
     ]
-
-
-def choose_endpoint(
-    state: NodeState, request: RequestState, room: list[EndpointView]
-) -> EndpointView | None:
-    """Choose where a request goes now, or None while there is no room.
-
-    :param room: the endpoints that may get work now.
-    """
-    arrived = request.arrived
-    fitting = [one for one in room if one.serves(arrived.target, arrived.service)]
     if arrived.adapter:
         fitting = [one for one in fitting if one.has_adapter(arrived.adapter)]
     fresh = [one for one in fitting if one.name not in request.tried] or fitting
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -8,6 +8,7 @@
 from .catalogue import Catalogue
 from .control import ControlState
 from .endpoints import EndpointView
+from .endpoints import PeersWork
 from .events import RequestArrived
 from .limits import LimitTable
 from .membership import Membership
@@ -76,6 +77,8 @@
         self.ticked_at = started_at
         self.catalogue = Catalogue()
         self.endpoints: dict[str, EndpointView] = {}
+        self.hosts: dict[str, dict[str, EndpointView]] = {}
+        self.peers_work = PeersWork()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
         self.pools: dict[str, Pace] = {}
@@ -97,6 +100,13 @@
         self.admission_on = True
         self.routing_override = ""
 
+    def index(self, view: EndpointView, before: frozenset[str], after: frozenset[str]) -> None:
+        """Keep the index of endpoints by target, so that a request looks only at its own."""
+        for target in before - after:
+            self.hosts.get(target, {}).pop(view.name, None)
+        for target in after:
+            self.hosts.setdefault(target, {})[view.name] = view
+
     def record(self, subject: str, what: str, why: str) -> None:
         """Keep a decision for later questions, the oldest given up first."""
         self.decisions.append(Decision(self.now, subject, what, why))
--- a/packages/rookspring/src/rookspring/cli.py
+++ b/packages/rookspring/src/rookspring/cli.py
@@ -46,27 +46,45 @@
 @app.command()
 def run(
     name: t.Annotated[str, typer.Option(envvar=_env("NAME"), help="Name of this box.")],
-    data_centre: t.Annotated[str, typer.Option(envvar=_env("DATA_CENTRE"))],
+    data_centre: t.Annotated[
+        str, typer.Option(envvar=_env("DATA_CENTRE"), help="Where this box stands.")
+    ],
     host: t.Annotated[str, typer.Option(envvar=_env("HOST"), help="IP number.")] = "127.0.0.1",
     port: t.Annotated[int, typer.Option(envvar=_env("PORT"), help="For callers.")] = 7400,
-    peer_port: t.Annotated[int, typer.Option(envvar=_env("PEER_PORT"))] = 7500,
-    platform: t.Annotated[str, typer.Option(envvar=_env("PLATFORM"))] = "http://127.0.0.1:7300",
+    peer_port: t.Annotated[
+        int, typer.Option(envvar=_env("PEER_PORT"), help="For other nodes.")
+    ] = 7500,
+    platform: t.Annotated[
+        str, typer.Option(envvar=_env("PLATFORM"), help="URL of the object service.")
+    ] = "http://127.0.0.1:7300",
     peers: t.Annotated[
         str, typer.Option(envvar=_env("PEERS"), help="ADDRESS:PORT,... to dial in an outage.")
     ] = "",
-    shared_key: t.Annotated[str, typer.Option(envvar=_env("SHARED_KEY"))] = "",
+    shared_key: t.Annotated[
+        str, typer.Option(envvar=_env("SHARED_KEY"), help="Proved by nodes; 16 letters or more.")
+    ] = "",
     signing_keys: t.Annotated[
         str, typer.Option(envvar=_env("SIGNING_KEYS"), help="First signs, all verify.")
     ] = "",
-    operator_key_sha256: t.Annotated[str, typer.Option(envvar=_env("OPERATOR_KEY_SHA256"))] = "",
-    trace_file: t.Annotated[str, typer.Option(envvar=_env("TRACE_FILE"))] = "",
+    operator_key_sha256: t.Annotated[
+        str, typer.Option(envvar=_env("OPERATOR_KEY_SHA256"), help="Digests.")
+    ] = "",
+    trace_file: t.Annotated[
+        str, typer.Option(envvar=_env("TRACE_FILE"), help="JSON lines of spans.")
+    ] = "",
     trace_otlp: t.Annotated[str, typer.Option(envvar=_env("TRACE_OTLP"), help="URL.")] = "",
-    trace_share: t.Annotated[float, typer.Option(envvar=_env("TRACE_SHARE"))] = 1.0,
-    tls_cert: t.Annotated[str, typer.Option(envvar=_env("TLS_CERT"))] = "",
-    tls_key: t.Annotated[str, typer.Option(envvar=_env("TLS_KEY"))] = "",
-    drain_limit_s: t.Annotated[float, typer.Option(envvar=_env("DRAIN_LIMIT_S"))] = 300.0,
-    full_checks: t.Annotated[bool, typer.Option(envvar=_env("FULL_CHECKS"))] = False,
-    log_level: t.Annotated[str, typer.Option(envvar=_env("LOG_LEVEL"))] = "INFO",
+    trace_share: t.Annotated[float, typer.Option(envvar=_env("TRACE_SHARE"), help="0 to 1.")] = 1.0,
+    tls_cert: t.Annotated[str, typer.Option(envvar=_env("TLS_CERT"), help="PEM file.")] = "",
+    tls_key: t.Annotated[str, typer.Option(envvar=_env("TLS_KEY"), help="PEM file.")] = "",
+    drain_limit_s: t.Annotated[
+        float, typer.Option(envvar=_env("DRAIN_LIMIT_S"), help="Longest planned stop.")
+    ] = 300.0,
+    full_checks: t.Annotated[
+        bool, typer.Option(envvar=_env("FULL_CHECKS"), help="Every invariant, always.")
+    ] = False,
+    log_level: t.Annotated[
+        str, typer.Option(envvar=_env("LOG_LEVEL"), help="DEBUG, INFO, WARNING, ERROR.")
+    ] = "INFO",
 ) -> None:
     """Run one node until it is asked to stop."""
     settings = Settings(
@@ -163,6 +181,21 @@
     raise typer.Exit(code)
 
 
+@app.command("settings")
+def show_settings() -> None:
+    """Print the table of settings, as docs/operators/settings.md has it."""
+    typer.echo("# Settings\n")
+    typer.echo("Made by `rookspring settings`. Each flag has an environment variable.\n")
+    typer.echo("| flag | variable | default | |\n|---|---|---|---|")
+    command = typer.main.get_command(app).commands["run"]  # type: ignore[attr-defined]
+    for option in command.params:
+        if option.envvar is None:
+            continue
+        default = "required" if option.required else f"`{option.default!r}`"
+        text = option.help or ""
+        typer.echo(f"| `{option.opts[0]}` | `{option.envvar}` | {default} | {text} |")
+
+
 def main() -> None:
     """Run the command line."""
     app()
