Keep every order that may arrive in an unchecked endpoint's record

Change: the record lists all orders in doubt; it is written before each order and once more when nothing is in doubt; the clearing write after each is gone.

--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -88,6 +88,19 @@
       | checks         | 30 GB are ordered, the endpoint restarts                        | 90   |
       | does not check | 30 GB are ordered, it is given up, a report shows it undeclared | 60   |
 
+  Scenario Outline: the record of an endpoint that does not check names all that may come
+    Given a ledger of 100 GB whose endpoint does not check orders
+    When the ledger meets: <events>
+    Then its record names <count> orders
+
+    Examples:
+      | events                                                      | count |
+      | nothing happens                                             | 0     |
+      | 30 GB are ordered                                           | 1     |
+      | 30 GB are ordered, it is accepted                           | 1     |
+      | 30 GB are ordered, it is given up, 10 GB more are ordered   | 2     |
+      | 30 GB are ordered, it is given up, 40 seconds pass, a report is without it | 0 |
+
   Scenario Outline: limits are shared out by demand
     Given a team with 100 requests a second over <nodes> nodes
     When the demand is <demand>
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -403,6 +403,9 @@
     match name:
         case "30 GB are ordered":
             ledger.pending = PendingOrder(token, "load", KEY, 30.0, context.now)
+        case "10 GB more are ordered":
+            key = ("other", "v1")
+            ledger.pending = PendingOrder((1, 2), "load", key, 10.0, context.now)
         case "no answer comes":
             ledger.answer(token, None, context.now)
         case "it is accepted":
@@ -440,6 +443,11 @@
     assert abs(context.ledger.free() - free) < 1e-6, context.ledger.free()
 
 
+@then("its record names {count:d} orders")
+def record_names(context, count):
+    assert len(context.ledger.intent_rows()) == count, context.ledger.intent_rows()
+
+
 @given("a team with 100 requests a second over {nodes:d} nodes")
 def a_team(context, nodes):
     context.tables = [LimitTable() for _ in range(nodes)]
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -63,7 +63,7 @@
         self.sequence = 0
         self.planned_at = -1e9
         self.intents_known = False
-        self.inherited: tuple[tuple[str, str, str, float], ...] = ()
+        self.inherited: dict[str, tuple[tuple[str, str, str, float], ...]] = {}
         self.moves = 0
         self.loads = 0
         self.placement_override = ""
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -7,6 +7,8 @@
 
 from .catalogue import Entry
 
+IntentRow = tuple[str, str, str, float]
+
 
 class Dispatch(t.NamedTuple):
     """Send a request to an endpoint, as the given attempt.
@@ -97,21 +99,16 @@
 
 
 class WriteIntent(t.NamedTuple):
-    """Record an order for an endpoint that does not check, before it is sent."""
-
-    endpoint: str
-    epoch: int
-    sequence: int
-    model: str
-    model_version: str
-    memory_gb: float
-
+    """Record what may reach an endpoint that does not check, before an order is sent.
 
-class ClearIntent(t.NamedTuple):
-    """Delete a resolved intent."""
+    :param rows: every order that may arrive yet, as (action, model, version, GB);
+        they replace what was recorded before.
+    """
 
     endpoint: str
+    epoch: int
     sequence: int
+    rows: tuple[IntentRow, ...]
 
 
 class SendOrder(t.NamedTuple):
@@ -148,7 +145,6 @@
     | Publish
     | ReadHead
     | WriteIntent
-    | ClearIntent
     | SendOrder
     | Announce
     | Stop
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -268,10 +268,12 @@
 
 
 class IntentsSeen(t.NamedTuple):
-    """Unresolved intents that holders before this one left."""
+    """Orders that holders before this one may have sent, by endpoint, as rows of
+    (action, model, version, GB).
+    """
 
     at: float
-    intents: tuple[tuple[str, str, str, float], ...]
+    intents: tuple[tuple[str, tuple[tuple[str, str, str, float], ...]], ...]
 
 
 class DrainAsked(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -9,7 +9,6 @@
 from . import defaults
 from .catalogue import build_catalogue
 from .control import ControlState
-from .effects import ClearIntent
 from .effects import Effect
 from .effects import Publish
 from .effects import ReadDesired
@@ -188,7 +187,9 @@
             continue
         if ledger.checks_orders and not ledger.sealed:
             effects.append(_send(state, ledger, "seal", ("", ""), 0.0))
-        elif not ledger.checks_orders and not ledger.claimed and control.intents_known:
+        elif ledger.checks_orders or not control.intents_known:
+            continue
+        elif not ledger.claimed or (ledger.recorded and not ledger.doubts):
             effects.append(_claim(state, ledger))
     return effects
 
@@ -206,26 +207,28 @@
 
 
 def _claim(state: NodeState, ledger: Ledger) -> WriteIntent:
+    """Record what may arrive yet, and shut out other holders' records."""
     token = _next_token(state.control)
     ledger.pending = PendingOrder(token, "claim", ("", ""), 0.0, state.now)
-    return WriteIntent(ledger.endpoint, token[0], token[1], "", "", 0.0)
+    rows = ledger.intent_rows()
+    ledger.recorded = bool(rows)
+    return WriteIntent(ledger.endpoint, token[0], token[1], rows)
 
 
 @handles(IntentsSeen)
 def inherit_intents(state: NodeState, event: IntentsSeen) -> Effects:
     """Count intents that earlier holders left as memory that may yet be taken."""
     state.control.intents_known = True
-    state.control.inherited = event.intents
+    state.control.inherited = dict(event.intents)
     for ledger in state.control.ledgers.values():
         _inherit(state, ledger)
     return []
 
 
 def _inherit(state: NodeState, ledger: Ledger) -> None:
-    for endpoint, model, version, gb in state.control.inherited:
-        if endpoint == ledger.endpoint and model:
-            until = state.now + defaults.LATE_ORDER_BOUND_S
-            ledger.doubts.append(Doubt("load", (model, version), gb, until))
+    for action, model, version, gb in state.control.inherited.get(ledger.endpoint, ()):
+        until = state.now + defaults.LATE_ORDER_BOUND_S
+        ledger.doubts.append(Doubt(action, (model, version), gb, until))
 
 
 @handles(IntentWritten)
@@ -279,8 +282,6 @@
             # A newer epoch spoke to it; only a seal may tell whether this one lags.
             ledger.sealed = False
     ledger.answer(event.token, event.accepted, state.now)
-    if event.accepted and not ledger.checks_orders:
-        return [ClearIntent(event.endpoint, order.sequence)]
     return []
 
 
@@ -387,7 +388,8 @@
     order = _send(state, ledger, action, key, gb)
     if ledger.checks_orders:
         return order
-    return WriteIntent(ledger.endpoint, order.token[0], order.token[1], key[0], key[1], gb)
+    ledger.recorded = True
+    return WriteIntent(ledger.endpoint, order.token[0], order.token[1], ledger.intent_rows())
 
 
 def _other_resident(state: NodeState, key: Weights, endpoint: str) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/memory.py
+++ b/packages/rookspring-core/src/rookspring_core/memory.py
@@ -58,7 +58,7 @@
         self.sealed = False
         self.claimed = False
         self.checks_orders = False
-        self.intent_version = 0
+        self.recorded = False
         self.seen_token = (0, 0)
         self.report_made_at = -1e9
         self.usable = False
@@ -169,6 +169,18 @@
             until = order.sent_at + defaults.LATE_ORDER_BOUND_S
             self.doubts.append(Doubt(order.action, order.key, order.gb, until))
 
+    def intent_rows(self) -> tuple[tuple[str, str, str, float], ...]:
+        """Give all that may arrive yet, for the endpoint's record in the platform.
+
+        An order that was given up stands in it beside later ones, since the next
+        holder must reckon with each.
+        """
+        rows = {(one.action, *one.key, one.gb) for one in self.doubts}
+        order = self.pending
+        if order is not None and order.action in ("load", "attach", "unload"):
+            rows.add((order.action, *order.key, order.gb))
+        return tuple(sorted(rows))
+
     def answer(self, token: tuple[int, int], accepted: bool | None, now: float) -> None:
         """Take the answer to the order on its way; None means that none came."""
         order = self.pending
--- a/packages/rookspring-fakes/src/rookspring_fakes/effects.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/effects.py
@@ -11,7 +11,6 @@
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Attach
 from rookspring_core.effects import Cancel
-from rookspring_core.effects import ClearIntent
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import Publish
 from rookspring_core.effects import ReadDesired
@@ -351,11 +350,11 @@
     world.platform_calls += 1
     _, rows = world.store.list_kind("intent")
     node.intent_versions = {row.name: row.version for row in rows}
-    intents = []
-    for row in rows:
-        raw = unpack(row.value)
-        intents.append((row.name, raw["model"], raw["version"], raw["memory_gb"]))
-    world.clock.call(world.latency_s, node.submit, IntentsSeen(0.0, tuple(intents)))
+    intents = tuple(
+        (row.name, tuple((one[0], one[1], one[2], one[3]) for one in unpack(row.value)["rows"]))
+        for row in rows
+    )
+    world.clock.call(world.latency_s, node.submit, IntentsSeen(0.0, intents))
 
 
 @_performs(ReadHead)
@@ -401,13 +400,7 @@
 
 @_performs(WriteIntent)
 def _write_intent(world: "World", node: "VirtualNode", effect: WriteIntent) -> None:
-    value = pack(
-        {
-            "model": effect.model,
-            "version": effect.model_version,
-            "memory_gb": effect.memory_gb,
-        }
-    )
+    value = pack({"rows": [list(row) for row in effect.rows]})
 
     def work() -> int:
         expected = node.intent_versions.get(effect.endpoint, 0)
@@ -423,21 +416,6 @@
     _write(world, node, work, answer)
 
 
-@_performs(ClearIntent)
-def _clear_intent(world: "World", node: "VirtualNode", effect: ClearIntent) -> None:
-    value = pack({"model": "", "version": "", "memory_gb": 0.0})
-
-    def work() -> int:
-        expected = node.intent_versions.get(effect.endpoint, 0)
-        return world.store.put("intent", effect.endpoint, value, expected).version
-
-    def answer(won: bool | None, version: int | None) -> None:
-        if won and version is not None:
-            node.intent_versions[effect.endpoint] = version
-
-    _write(world, node, work, answer)
-
-
 # Orders.
 
 
--- a/packages/rookspring/src/rookspring/following.py
+++ b/packages/rookspring/src/rookspring/following.py
@@ -215,16 +215,15 @@
     while node.state.control.acting_epoch == epoch:
         answer = note(node, await node.platform.list_kind("intent"))
         if isinstance(answer, Success):
-            rows = answer.unwrap().items
-            node.intent_versions = {one.name: one.version for one in rows}
+            found = answer.unwrap().items
+            node.intent_versions = {one.name: one.version for one in found}
             intents = tuple(
                 (
                     one.name,
-                    str(one.value["model"]),
-                    str(one.value["version"]),
-                    float(one.value["memory_gb"]),
+                    tuple((str(row[0]), str(row[1]), str(row[2]), float(row[3])) for row in rows),
                 )
-                for one in rows
+                for one in found
+                for rows in [one.value["rows"]]
             )
             node.submit(IntentsSeen(time.monotonic(), intents))
             return
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -10,7 +10,6 @@
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Attach
 from rookspring_core.effects import Cancel
-from rookspring_core.effects import ClearIntent
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import Forget
 from rookspring_core.effects import Publish
@@ -212,13 +211,7 @@
 @performs(WriteIntent)
 def write_intent(node: "Node", effect: WriteIntent) -> None:
     """Record an order before it is sent; the object's version fences other holders."""
-    value = {
-        "epoch": effect.epoch,
-        "sequence": effect.sequence,
-        "model": effect.model,
-        "version": effect.model_version,
-        "memory_gb": effect.memory_gb,
-    }
+    value = {"epoch": effect.epoch, "rows": [list(row) for row in effect.rows]}
 
     async def write() -> None:
         expected = node.intent_versions.get(effect.endpoint, 0)
@@ -236,20 +229,6 @@
     node.spawn(write())
 
 
-@performs(ClearIntent)
-def clear_intent(node: "Node", effect: ClearIntent) -> None:
-    """Mark an intent as resolved, in place, so that its version goes on fencing."""
-    value = {"epoch": 0, "sequence": 0, "model": "", "version": "", "memory_gb": 0.0}
-
-    async def write() -> None:
-        expected = node.intent_versions.get(effect.endpoint, 0)
-        answer = await node.platform.put("intent", effect.endpoint, value, expected)
-        if isinstance(answer, Success):
-            node.intent_versions[effect.endpoint] = answer.unwrap()
-
-    node.spawn(write())
-
-
 @performs(SendOrder)
 def send_order(node: "Node", effect: SendOrder) -> None:
     """Give an endpoint an order."""
