Measure idle nodes; leave rows out of heartbeats in large deployments

Change: past one group rows go to the data centre's relays alone, and sums of peers' work count only where every node's rows are known; bench idle.

--- /dev/null
+++ b/bench/idle.py
@@ -0,0 +1,95 @@
+"""What control costs a node that serves nothing: processor, memory, bytes, calls."""
+
+import argparse
+import asyncio
+import os
+import re
+import typing as t
+
+import aiohttp
+import uvloop
+
+from rookspring.logs import configure
+from rookspring.stage import Stage
+from rookspring.stage import StagePlan
+from rookspring_fakes import USERS
+
+from .live import Boxes
+from .registry import experiment
+from .registry import report
+
+
+def _cpu_s(pid: int) -> float:
+    with open(f"/proc/{pid}/stat") as file:
+        fields = file.read().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+
+def _resident_mb(pid: int) -> float:
+    with open(f"/proc/{pid}/status") as file:
+        found = re.search(r"VmRSS:\s+(\d+) kB", file.read())
+    return int(found[1]) / 1024 if found else 0.0
+
+
+async def _metrics(address: str) -> dict[str, float]:
+    async with (
+        aiohttp.ClientSession() as session,
+        session.get(f"http://{address}/metrics") as response,
+    ):
+        text = await response.text()
+    sums: dict[str, float] = {}
+    for name, value in re.findall(r"^(\w+)\{[^}]*\} ([\d.]+)$", text, re.MULTILINE):
+        sums[name] = sums.get(name, 0.0) + float(value)
+    return sums
+
+
+async def _run(user: str, nodes: int, seconds: float) -> dict[str, t.Any]:
+    stage = Stage(StagePlan(USERS[user], base_port=8300, nodes=0, quiet=True))
+    await stage.rise()
+    boxes = Boxes(stage)
+    try:
+        for number in range(1, nodes + 1):
+            boxes.start(number)
+        await boxes.listening(1)
+        await stage.apply_at([boxes.address(1)])
+        await boxes.up(range(1, nodes + 1))
+        await asyncio.sleep(8.0)
+        pids = [process.pid for process in boxes.running.values()]
+        before = [await _metrics(boxes.address(number)) for number in boxes.running]
+        cpu = [_cpu_s(pid) for pid in pids]
+        await asyncio.sleep(seconds)
+        spent = [_cpu_s(pid) - was for pid, was in zip(pids, cpu, strict=True)]
+        after = [await _metrics(boxes.address(number)) for number in boxes.running]
+        names = ("rookspring_peer_bytes_total", "rookspring_platform_calls_total")
+        sent, calls = (
+            [
+                (late.get(name, 0.0) - early.get(name, 0.0)) / seconds
+                for early, late in zip(before, after, strict=True)
+            ]
+            for name in names
+        )
+        return {
+            "user": user,
+            "nodes": nodes,
+            "cpu % of a core, mean": round(100 * sum(spent) / seconds / nodes, 2),
+            "most": round(100 * max(spent) / seconds, 2),
+            "memory MB, most": round(max(_resident_mb(pid) for pid in pids), 1),
+            "sent KB/s, most": round(max(sent) / 1000, 2),
+            "platform calls/s, all": round(sum(calls), 1),
+        }
+    finally:
+        boxes.end()
+        await stage.close()
+
+
+@experiment("idle")
+def run(arguments: list[str]) -> int:
+    """Measure several numbers of nodes."""
+    parser = argparse.ArgumentParser("idle")
+    parser.add_argument("--seconds", type=float, default=10.0)
+    parser.add_argument("--nodes", type=int, nargs="*", default=[3, 9, 18])
+    options = parser.parse_args(arguments)
+    configure("ERROR")
+    rows = [uvloop.run(_run("fjordlap", nodes, options.seconds)) for nodes in options.nodes]
+    report("idle", "control of nodes that serve nothing", rows)
+    return 0
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -126,8 +126,12 @@
     if event.name in state.membership.peers:
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
-        heard = [peer.heard_at for peer in state.membership.peers.values()]
-        state.peers_work.replace(event.name, event.inflight, min(heard))
+        heard = [
+            peer.heard_at if peer.heard.inflight is not None else -1e9
+            for peer in state.membership.peers.values()
+        ]
+        # Where a node's rows are left out, the sums say nothing and reports serve alone.
+        state.peers_work.replace(event.name, event.inflight or (), min(heard))
     return [Announce("hello")] if fresh else []
 
 
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -165,7 +165,7 @@
 
 
 class PeerHeard(t.NamedTuple):
-    """A heartbeat of another node."""
+    """A heartbeat of another node; ``inflight`` is None where it was left out."""
 
     at: float
     name: str
@@ -178,7 +178,7 @@
     demand: tuple[tuple[str, float], ...] = ()
     team_demand: tuple[tuple[str, float], ...] = ()
     lease_epoch: int = 0
-    inflight: tuple[tuple[str, int], ...] = ()
+    inflight: tuple[tuple[str, int], ...] | None = ()
 
 
 class PeerLost(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -106,6 +106,10 @@
         """Say whether this node watches the platform for its data centre."""
         return self.name in self.relays(self.data_centre)
 
+    def small(self) -> bool:
+        """Say whether every node holds a stream to every other."""
+        return len(self.listed) <= defaults.MESH_LIMIT
+
     def links(self) -> list[BoxListed]:
         """Choose the nodes to hold a stream to.
 
@@ -118,7 +122,7 @@
             for row in self.listed.values()
             if row.role == "node" and row.name != self.name and row.state == "live"
         ]
-        if len(rows) < defaults.MESH_LIMIT:
+        if self.small():
             return rows
         own = [row for row in rows if row.data_centre == self.data_centre]
         ring = sorted([*(row.name for row in own), self.name], key=lambda name: mix("ring", name))
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -83,6 +83,11 @@
     )
 
 
+def shorten_beat(beat: Heartbeat) -> Heartbeat:
+    """Leave the rows out that only relays need in a large deployment."""
+    return beat._replace(demand=[], team_demand=[], inflight=None)
+
+
 @receives(Heartbeat)
 def hear_beat(node: "Node", link: Link, beat: Heartbeat) -> None:
     """Take a heartbeat, and ask for the revision if it is newer."""
@@ -99,7 +104,7 @@
             demand=tuple((str(one[0]), float(one[1])) for one in beat.demand),
             team_demand=tuple((str(one[0]), float(one[1])) for one in beat.team_demand),
             lease_epoch=beat.lease_epoch,
-            inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight),
+            inflight=_read_inflight(beat),
         )
     )
     revision = node.state.catalogue.revision
@@ -111,6 +116,12 @@
         link.send(WantRevision(revision))
 
 
+def _read_inflight(beat: Heartbeat) -> tuple[tuple[str, int], ...] | None:
+    if beat.inflight is None:
+        return None
+    return tuple((str(one[0]), int(one[1])) for one in beat.inflight)
+
+
 @receives(WantRevision)
 def give_revision(node: "Node", link: Link, wanted: WantRevision) -> None:
     """Send what changed since the other node's revision."""
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -33,7 +33,7 @@
         )
         self.orders = make(Counter, "rookspring_orders_total", "Orders by action and end", labels)
         self.peer_bytes = make(
-            Counter, "rookspring_peer_bytes_total", "Bytes sent to other nodes", labels
+            Gauge, "rookspring_peer_bytes_total", "Bytes sent to other nodes", labels
         )
         self.revision = make(Gauge, "rookspring_revision", "Revision in force", labels)
         self.inflight = make(Gauge, "rookspring_inflight", "Requests in flight", labels)
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -185,9 +185,13 @@
 
     def beat(self) -> None:
         """Send a heartbeat to all linked nodes."""
-        beat = gossip.make_beat(self)
-        for link in list(self.peers.links.values()):
-            link.send(beat)
+        whole = gossip.make_beat(self)
+        short = gossip.shorten_beat(whole)
+        membership = self.state.membership
+        relays = membership.relays(self.state.identity.data_centre)
+        for name, link in list(self.peers.links.items()):
+            # In a large deployment rows go to the data centre's relays alone.
+            link.send(whole if membership.small() or name in relays else short)
 
     def dial(self, address: str) -> None:
         """Connect to a node and stay with it in a task."""
@@ -275,6 +279,7 @@
         self.metrics.inflight.set({}, len(state.requests))
         self.metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         self.metrics.leader.set({}, int(governing.holding(state)))
+        self.metrics.peer_bytes.set({}, self.peers.sent_bytes())
         hosts = governing.resident_models(state)
         self.metrics.unplaced.set({}, sum(1 for at in hosts.values() if not at))
 
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -53,7 +53,7 @@
 
 @message("beat")
 class Heartbeat(t.NamedTuple):
-    """What a node says of itself."""
+    """What a node says of itself; ``inflight`` is None where its rows are left out."""
 
     name: str
     incarnation: str
@@ -65,7 +65,7 @@
     demand: list[t.Any]
     team_demand: list[t.Any]
     lease_epoch: int
-    inflight: list[t.Any]
+    inflight: list[t.Any] | None
 
 
 @message("reports")
@@ -257,6 +257,11 @@
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.links: dict[str, Link] = {}
+        self._ended_bytes = 0
+
+    def sent_bytes(self) -> int:
+        """Count the bytes sent to other nodes since the start."""
+        return self._ended_bytes + sum(link.sent_bytes for link in self.links.values())
 
     async def listen(self, host: str, port: int) -> None:
         """Begin to take streams."""
@@ -308,6 +313,7 @@
             link.close()
             if self.links.get(link.name) is link:
                 del self.links[link.name]
+                self._ended_bytes += link.sent_bytes
 
     def _prefer(self, link: Link, known: Link) -> bool:
         """Choose between two links to one node; both ends choose the same one."""
