Share unchanged reports short

Cause: reports are most of the bytes between idle nodes and mostly repeat. Change: a report whose steady part is unchanged goes out as name, digest, age and load; the reader rebuilds it upon the same base or drops it; whole every 10 s and when a node comes.

--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -35,3 +35,5 @@
 CACHE_EVENTS_S = 2.0
 OUTCOMES_PAGE_BYTES = 700 * 1024
 OUTCOMES_PAGES_MAX = 64
+# An unchanged report is shared whole this often; in between only its load goes out.
+REPORT_WHOLE_S = 10.0
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -12,6 +12,7 @@
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
 from rookspring_core.events import RevisionSeen
+from rookspring_core.routing import mix
 
 from . import defaults
 from . import forwarding
@@ -50,6 +51,7 @@
 async def serve_link(node: "Node", link: Link) -> None:
     """Take a node's messages until its stream ends."""
     link.send(make_beat(node))
+    node.report_log.forget()
     if node.boxes:
         link.send(Boxes([list(row) for row in node.boxes]))
     try:
@@ -189,7 +191,53 @@
     """Take the reports of endpoints that another node polls."""
     now = time.monotonic()
     for row in reports.rows:
-        node.submit(decode_report(row, now))
+        report = read_row(node, row, now)
+        if report is not None:
+            node.submit(report)
+
+
+def read_row(node: "Node", row: list[t.Any], now: float) -> EndpointReported | None:
+    """Read a whole report, or a short one upon the whole one at hand.
+
+    A short row names its base by digest; where another base is at hand it is
+    dropped, since a whole report comes before long.
+    """
+    if len(row) == len(EndpointReported._fields):
+        return decode_report(row, now)
+    endpoint, digest, age_s, running, queued = row
+    view = node.state.endpoints.get(endpoint)
+    if view is None or view.report is None or digest_of(view.report) != digest:
+        return None
+    return view.report._replace(at=now, age_s=age_s, running=running, queued=queued)
+
+
+def digest_of(report: EndpointReported) -> int:
+    """Name all of a report but its load and its age."""
+    steady = report._replace(at=0.0, age_s=0.0, running=0, queued=0)
+    return mix(repr(steady))
+
+
+class ReportLog:
+    """What reports were shared last, so that an unchanged one goes out short.
+
+    The whole is sent again every ``REPORT_WHOLE_S`` and to whoever has just come.
+    """
+
+    def __init__(self) -> None:
+        self._sent: dict[str, tuple[int, float]] = {}
+
+    def row_for(self, report: EndpointReported, now: float) -> list[t.Any]:
+        """Give the row to share: short where nothing but the load has changed."""
+        digest = digest_of(report)
+        known, at = self._sent.get(report.endpoint, (0, -1e9))
+        if known == digest and now - at < defaults.REPORT_WHOLE_S:
+            return [report.endpoint, digest, report.age_s, report.running, report.queued]
+        self._sent[report.endpoint] = (digest, now)
+        return encode_report(report, now)
+
+    def forget(self) -> None:
+        """Send everything whole again, since a node has come that has nothing."""
+        self._sent.clear()
 
 
 def encode_report(report: EndpointReported, now: float) -> list[t.Any]:
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -88,6 +88,7 @@
         self.refusal_counts: collections.Counter[str] = collections.Counter()
         self.intent_versions: dict[str, int] = {}
         self.history = gossip.RevisionHistory()
+        self.report_log = gossip.ReportLog()
         self.boxes: tuple[BoxListed, ...] = ()
         self.wanted = (0, 0.0)
         self.dialling: set[str] = set()
@@ -240,7 +241,7 @@
         self._share_report(report)
 
     def _share_report(self, report: EndpointReported) -> None:
-        item = Reports([gossip.encode_report(report, time.monotonic())])
+        item = Reports([self.report_log.row_for(report, time.monotonic())])
         for link in list(self.peers.links.values()):
             link.send(item)
 
