--- a/packages/rookspring-fakes/src/rookspring_fakes/world.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/world.py
@@ -148,6 +148,7 @@
         self.engines: dict[str, Engine] = {}
         self.dead_engines: set[str] = set()
         self.died_at: dict[str, float] = {}
+        self.deaths: list[tuple[float, frozenset[str]]] = []
         self.services: dict[str, VirtualService] = {}
         self.nodes: dict[str, VirtualNode] = {}
         self.boxes: dict[str, BoxListed] = {}
@@ -271,6 +272,8 @@
         engine.advance(self.clock.now)
         self.dead_engines.add(name)
         self.died_at[name] = self.clock.now
+        lost = frozenset(model for model, _ in engine.resident)
+        self.deaths.append((self.clock.now, lost))
         for stream in list(engine.streams):
             world_effects.break_stream(self, engine, stream)
         engine.faults.killed = True
