--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -93,7 +93,7 @@
 DECISIONS_MAX = 2000
 
 # Accelerator-seconds that one load or unload is taken to cost at weight 1.
-MOVE_COST_S = 0.5
+MOVE_COST_S = 1.0
 # Reports that a new holder waits for before it judges what fits, in seconds.
 SURVEY_S = 3.0
 # A replica is unloaded only while another was reported resident this recently.
