Order only upon a report from behind the fence; split grown modules

Change: an endpoint that checks is ready when a report bears the seal's token, one that does not when a report was made after the claim; eight rows test it. callers, governing, and the world's effects and loops are split by concept.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -12,6 +12,7 @@
 from rookspring_core import InvariantBroken
 from rookspring_core import cluster
 from rookspring_core import governing
+from rookspring_core import ordering
 from rookspring_core import requests
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.leases import Lease
@@ -122,9 +123,7 @@
         _hold_for_ever,
         "the lease holder is paused past its lease",
     ),
-    Mutant(
-        "unload the last copy", governing, "_other_resident", _ignore_other_copies, "unload all"
-    ),
+    Mutant("unload the last copy", ordering, "_other_resident", _ignore_other_copies, "unload all"),
     Mutant(
         "send to a leaving endpoint",
         EndpointView,
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -88,6 +88,22 @@
       | checks         | 30 GB are ordered, the endpoint restarts                        | 90   |
       | does not check | 30 GB are ordered, it is given up, a report shows it undeclared | 60   |
 
+  Scenario Outline: a new holder orders only upon a report from behind its fence
+    Given a ledger of 100 GB whose endpoint <checks> orders
+    When the ledger meets: <events>
+    Then it is <state> for orders
+
+    Examples:
+      | checks         | events                                                         | state     |
+      | checks         | nothing happens                                                | not ready |
+      | checks         | it is sealed                                                   | not ready |
+      | checks         | it is sealed, an old report is without it                      | not ready |
+      | checks         | it is sealed, a report shows the seal                          | ready     |
+      | checks         | it is sealed, a report shows the seal, the endpoint restarts   | not ready |
+      | does not check | it is claimed                                                  | not ready |
+      | does not check | it is claimed, an old report is without it                     | not ready |
+      | does not check | it is claimed, a report is without it                          | ready     |
+
   Scenario Outline: the record of an endpoint that does not check names all that may come
     Given a ledger of 100 GB whose endpoint does not check orders
     When the ledger meets: <events>
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -403,6 +403,12 @@
     match name:
         case "30 GB are ordered":
             ledger.pending = PendingOrder(token, "load", KEY, 30.0, context.now)
+        case "it is sealed":
+            ledger.seal((2, 1))
+        case "a report shows the seal":
+            ledger.take_report(ledger_report(context, order_token=(2, 1)), {})
+        case "it is claimed":
+            ledger.claim(context.now)
         case "10 GB more are ordered":
             key = ("other", "v1")
             ledger.pending = PendingOrder((1, 2), "load", key, 10.0, context.now)
@@ -443,6 +449,11 @@
     assert abs(context.ledger.free() - free) < 1e-6, context.ledger.free()
 
 
+@then("it is {state} for orders")
+def state_is(context, state):
+    assert context.ledger.ready() == (state == "ready")
+
+
 @then("its record names {count:d} orders")
 def record_names(context, count):
     assert len(context.ledger.intent_rows()) == count, context.ledger.intent_rows()
--- a/packages/rookspring-core/src/rookspring_core/__init__.py
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -2,6 +2,7 @@
 
 from . import cluster as cluster
 from . import governing as governing
+from . import ordering as ordering
 from . import requests as requests
 from .catalogue import Catalogue as Catalogue
 from .catalogue import Entry as Entry
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -2,6 +2,7 @@
 
 from . import defaults
 from . import governing
+from . import ordering
 from . import requests
 from .effects import Announce
 from .effects import Effect
@@ -62,7 +63,7 @@
     if governing.holding(state) and view.role == "runner":
         ledger = state.control.ledgers.get(event.endpoint)
         if ledger is not None:
-            ledger.take_report(event, governing.sizes_of(state))
+            ledger.take_report(event, ordering.sizes_of(state))
     return requests.pump(state)
 
 
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -67,3 +67,7 @@
         self.moves = 0
         self.loads = 0
         self.placement_override = ""
+
+    def holding(self, now: float) -> bool:
+        """Say whether this node may act as the lease holder: in time, and begun."""
+        return self.lease.holding(now) and self.acting_epoch == self.lease.own_epoch
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -1,4 +1,4 @@
-"""Handlers of the control jobs: lease, acceptance, orders and plans.
+"""Handlers of the control jobs: lease, acceptance and publication.
 
 Only a node that holds the lease with time to spare gives orders or publishes.
 """
@@ -7,32 +7,20 @@
 
 from . import acceptance
 from . import defaults
+from . import ordering
 from .catalogue import build_catalogue
-from .control import ControlState
 from .effects import Effect
 from .effects import Publish
 from .effects import ReadDesired
 from .effects import ReadHead
-from .effects import SendOrder
-from .effects import WriteIntent
 from .effects import WriteLease
 from .events import DesiredSeen
 from .events import HeadSeen
-from .events import IntentsSeen
-from .events import IntentWritten
 from .events import LeaseSeen
 from .events import LeaseWritten
-from .events import OrderAnswered
 from .events import Published
 from .events import RevisionSeen
-from .memory import Doubt
 from .memory import Ledger
-from .memory import PendingOrder
-from .memory import Weights
-from .placement import Move
-from .placement import PlanInput
-from .placement import RunnerRoom
-from .placement import find_placement
 from .reducer import handles
 from .state import NodeState
 
@@ -71,14 +59,13 @@
     for name, view in state.endpoints.items():
         if view.role == "runner" and view.report is not None:
             ledger = control.ledgers.setdefault(name, Ledger(name))
-            ledger.take_report(view.report, sizes_of(state))
+            ledger.take_report(view.report, ordering.sizes_of(state))
     return [ReadDesired(lease.own_epoch), ReadHead(0)]
 
 
 def holding(state: NodeState) -> bool:
     """Say whether this node may act as the lease holder now."""
-    control = state.control
-    return control.lease.holding(state.now) and control.acting_epoch == control.lease.own_epoch
+    return state.control.holding(state.now)
 
 
 @handles(RevisionSeen)
@@ -169,286 +156,6 @@
     return sum(1 for one in state.endpoints.values() if one.role == "runner" and not one.gone)
 
 
-def sizes_of(state: NodeState) -> dict[Weights, float]:
-    """Give the memory of each declared set of weights, in gigabytes."""
-    sizes = {(name, spec.version): spec.memory_gb for name, spec in state.catalogue.models.items()}
-    for name, adapter in state.catalogue.adapters.items():
-        sizes[(f"adapter/{name}", "")] = adapter.memory_gb
-    return sizes
-
-
-def fence_endpoints(state: NodeState) -> Effects:
-    """Seal endpoints that check orders, and claim the intents of those that do not."""
-    effects: Effects = []
-    control = state.control
-    for ledger in control.ledgers.values():
-        view = state.endpoints.get(ledger.endpoint)
-        if view is None or view.gone or not ledger.usable or ledger.pending is not None:
-            continue
-        if ledger.checks_orders and not ledger.sealed:
-            effects.append(_send(state, ledger, "seal", ("", ""), 0.0))
-        elif ledger.checks_orders or not control.intents_known:
-            continue
-        elif not ledger.claimed or (ledger.recorded and not ledger.doubts):
-            effects.append(_claim(state, ledger))
-    return effects
-
-
-def _next_token(control: ControlState) -> tuple[int, int]:
-    control.sequence += 1
-    return (control.acting_epoch, control.sequence)
-
-
-def _send(state: NodeState, ledger: Ledger, action: str, key: Weights, gb: float) -> SendOrder:
-    token = _next_token(state.control)
-    ledger.pending = PendingOrder(token, action, key, gb, state.now)
-    address = state.endpoints[ledger.endpoint].address
-    return SendOrder(ledger.endpoint, address, token, action, key[0], key[1], gb)
-
-
-def _claim(state: NodeState, ledger: Ledger) -> WriteIntent:
-    """Record what may arrive yet, and shut out other holders' records."""
-    token = _next_token(state.control)
-    ledger.pending = PendingOrder(token, "claim", ("", ""), 0.0, state.now)
-    rows = ledger.intent_rows()
-    ledger.recorded = bool(rows)
-    return WriteIntent(ledger.endpoint, token[0], token[1], rows)
-
-
-@handles(IntentsSeen)
-def inherit_intents(state: NodeState, event: IntentsSeen) -> Effects:
-    """Count intents that earlier holders left as memory that may yet be taken."""
-    state.control.intents_known = True
-    state.control.inherited = dict(event.intents)
-    for ledger in state.control.ledgers.values():
-        _inherit(state, ledger)
-    return []
-
-
-def _inherit(state: NodeState, ledger: Ledger) -> None:
-    for action, model, version, gb in state.control.inherited.get(ledger.endpoint, ()):
-        until = state.now + defaults.LATE_ORDER_BOUND_S
-        ledger.doubts.append(Doubt(action, (model, version), gb, until))
-
-
-@handles(IntentWritten)
-def note_intent(state: NodeState, event: IntentWritten) -> Effects:
-    """Send the order that an intent covers, or take a claim as done."""
-    ledger = state.control.ledgers.get(event.endpoint)
-    order = ledger.pending if ledger else None
-    if ledger is None or order is None or order.sequence != event.sequence:
-        return []
-    if not event.won:
-        # Another holder wrote there, or nobody knows: claim again before any order.
-        ledger.claimed = False
-        ledger.pending = None
-        return []
-    if order.action == "claim":
-        ledger.claimed = True
-        ledger.pending = None
-        return []
-    if not holding(state):
-        ledger.pending = None
-        return []
-    order.sent_at = state.now
-    address = state.endpoints[ledger.endpoint].address
-    return [
-        SendOrder(
-            ledger.endpoint,
-            address,
-            order.token,
-            order.action,
-            order.key[0],
-            order.key[1],
-            order.gb,
-        )
-    ]
-
-
-@handles(OrderAnswered)
-def note_order(state: NodeState, event: OrderAnswered) -> Effects:
-    """Take an endpoint's answer to an order."""
-    ledger = state.control.ledgers.get(event.endpoint)
-    if ledger is None or ledger.pending is None or ledger.pending.token != event.token:
-        return []
-    order = ledger.pending
-    if event.accepted and order.action == "seal":
-        ledger.sealed = True
-        ledger.pending = None
-        return []
-    if event.accepted is False:
-        state.record(event.endpoint, f"order {order.action} refused", event.reason)
-        if event.reason == "stale" and ledger.checks_orders:
-            # A newer epoch spoke to it; only a seal may tell whether this one lags.
-            ledger.sealed = False
-    ledger.answer(event.token, event.accepted, state.now)
-    return []
-
-
-def resend_orders(state: NodeState) -> Effects:
-    """Send lost orders again with the same token; give up on those that cannot be."""
-    effects: Effects = []
-    for ledger in state.control.ledgers.values():
-        order = ledger.pending
-        if order is None or order.action == "claim":
-            if order is not None and state.now - order.sent_at > 2 * defaults.ORDER_RESEND_S:
-                ledger.pending = None
-            continue
-        if order.accepted or state.now - order.sent_at < defaults.ORDER_RESEND_S:
-            continue
-        view = state.endpoints.get(ledger.endpoint)
-        if view is None or view.gone:
-            continue
-        if not ledger.checks_orders:
-            ledger.give_up_order(state.now)
-            continue
-        order.sent_at = state.now
-        key = order.key
-        effects.append(
-            SendOrder(
-                ledger.endpoint, view.address, order.token, order.action, key[0], key[1], order.gb
-            )
-        )
-    return effects
-
-
-def plan_moves(state: NodeState) -> Effects:
-    """Ask the placement policy for moves and order what is allowed now."""
-    control = state.control
-    policy = state.catalogue.policy
-    control.store.refill(state.now, policy.loads_per_s)
-    # A plan costs more the more runners there are, so its share of a core is kept.
-    interval_s = max(defaults.PLAN_INTERVAL_S, len(control.ledgers) / defaults.PLANNED_PER_S)
-    if state.now - control.planned_at < interval_s:
-        return []
-    control.planned_at = state.now
-    if state.now - control.acquired_at < defaults.SURVEY_S:
-        return []
-    given = PlanInput(state.catalogue.models, _rooms(state), dict(control.forecast.levels), policy)
-    planner = find_placement(control.placement_override or policy.placement)
-    effects: Effects = []
-    for move in planner(given):
-        effects += _order(state, move)
-    return effects
-
-
-def _rooms(state: NodeState) -> tuple[RunnerRoom, ...]:
-    rooms: list[RunnerRoom] = []
-    for ledger in state.control.ledgers.values():
-        view = state.endpoints.get(ledger.endpoint)
-        if view is None or view.gone or view.leaving or view.report is None or not ledger.usable:
-            continue
-        coming = (set(ledger.held) - ledger.resident) | ledger.keys_of("load")
-        busy = not ledger.ready()
-        rooms.append(
-            RunnerRoom(
-                name=ledger.endpoint,
-                data_centre=view.data_centre,
-                engine=view.service,
-                free_gb=ledger.free(),
-                token_rate=view.report.token_rate,
-                resident=frozenset(ledger.staying()),
-                coming=frozenset(coming),
-                busy=busy,
-                barred=frozenset(ledger.uncertain()),
-            )
-        )
-    return tuple(sorted(rooms))
-
-
-def loading_now(state: NodeState) -> int:
-    """Count the loads that run or are ordered, against the weight store's limit."""
-    count = 0
-    for ledger in state.control.ledgers.values():
-        view = state.endpoints.get(ledger.endpoint)
-        loading = set(view.report.loading) if view and view.report else set()
-        count += len(loading | ledger.keys_of("load"))
-    return count
-
-
-def _order(state: NodeState, move: Move) -> Effects:
-    control = state.control
-    ledger = control.ledgers[move.endpoint]
-    if not ledger.ready():
-        return []
-    if move.action == "load":
-        if ledger.free() < move.gb:
-            return []
-        if loading_now(state) >= state.catalogue.policy.loads_at_once or not control.store.take():
-            return []
-        control.loads += 1
-    elif not _other_resident(state, move.key, move.endpoint):
-        return []
-    control.moves += 1
-    state.record(move.endpoint, f"{move.action} {move.key[0]}@{move.key[1]}", move.why)
-    return [_give(state, ledger, move.action, move.key, move.gb)]
-
-
-def _give(state: NodeState, ledger: Ledger, action: str, key: Weights, gb: float) -> Effect:
-    order = _send(state, ledger, action, key, gb)
-    if ledger.checks_orders:
-        return order
-    ledger.recorded = True
-    return WriteIntent(ledger.endpoint, order.token[0], order.token[1], ledger.intent_rows())
-
-
-def _other_resident(state: NodeState, key: Weights, endpoint: str) -> bool:
-    """Say whether a model stays reachable without its replica on one endpoint."""
-    if key[0] not in state.catalogue.models:
-        return True
-    others = model_hosts(state, key[0]) - {endpoint}
-    # A copy that has not been heard of just now may be gone already.
-    return any(
-        state.now - state.endpoints[other].reported_at <= defaults.CONFIRMED_S for other in others
-    )
-
-
-def model_hosts(state: NodeState, model: str) -> set[str]:
-    """Name the endpoints where a model is resident and not about to be unloaded."""
-    hosts: set[str] = set()
-    for ledger in state.control.ledgers.values():
-        view = state.endpoints.get(ledger.endpoint)
-        if view is None or view.gone or view.leaving:
-            continue
-        if any(key[0] == model for key in ledger.staying()):
-            hosts.add(ledger.endpoint)
-    return hosts
-
-
-def _has(ledger: Ledger, key: Weights) -> bool:
-    return key in ledger.held or key in ledger.keys_of("attach")
-
-
-def _attach_adapters(state: NodeState) -> Effects:
-    """Put each adapter on up to two of its base model's runners, evenly."""
-    effects: Effects = []
-    ledgers = state.control.ledgers
-    hosts_of: dict[str, set[str]] = {}
-    wanting: list[tuple[str, float, set[str]]] = []
-    for name, spec in state.catalogue.adapters.items():
-        if spec.model not in hosts_of:
-            hosts_of[spec.model] = model_hosts(state, spec.model)
-        hosts = hosts_of[spec.model]
-        key = (f"adapter/{name}", "")
-        lacking = {host for host in hosts if not _has(ledgers[host], key)}
-        if len(hosts) - len(lacking) < min(2, len(hosts)):
-            wanting.append((name, spec.memory_gb, lacking))
-    if not wanting:
-        return effects
-    counts = {
-        name: sum(1 for key in ledger.held if key[0].startswith("adapter/"))
-        for name, ledger in ledgers.items()
-    }
-    for name, gb, lacking in wanting:
-        for host in sorted(lacking, key=lambda one: (counts[one], one)):
-            ledger = ledgers[host]
-            if ledger.ready() and ledger.free() >= gb:
-                effects.append(_give(state, ledger, "attach", (f"adapter/{name}", ""), gb))
-                counts[host] += 1
-                break
-    return effects
-
-
 def lease_due(state: NodeState) -> Effects:
     """Write the lease when it is due: to renew it, or to take it over."""
     identity = state.identity
@@ -472,14 +179,14 @@
         if view.role == "runner" and name not in control.ledgers:
             ledger = control.ledgers[name] = Ledger(name)
             if control.intents_known:
-                _inherit(state, ledger)
+                ordering.inherit_doubts(state, ledger)
     for name in [name for name in control.ledgers if name not in state.endpoints]:
         del control.ledgers[name]
     effects += publish_due(state)
-    effects += fence_endpoints(state)
-    effects += resend_orders(state)
-    effects += plan_moves(state)
-    return effects + _attach_adapters(state)
+    effects += ordering.fence_endpoints(state)
+    effects += ordering.resend_orders(state)
+    effects += ordering.plan_moves(state)
+    return effects + ordering.attach_adapters(state)
 
 
 def _sum_demand(state: NodeState, passed: float) -> None:
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -106,7 +106,7 @@
 @invariant("reachable", on=SendOrder)
 def check_reachable(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """No order unloads the last resident replica of a declared model."""
-    from .governing import model_hosts
+    from .ordering import model_hosts
 
     for effect in effects:
         if not isinstance(effect, SendOrder) or effect.action != "unload":
--- a/packages/rookspring-core/src/rookspring_core/memory.py
+++ b/packages/rookspring-core/src/rookspring_core/memory.py
@@ -56,7 +56,9 @@
         self.accepted: list[PendingOrder] = []
         self.doubts: list[Doubt] = []
         self.sealed = False
+        self.seal_token = (0, 0)
         self.claimed = False
+        self.claimed_at = -1e9
         self.checks_orders = False
         self.recorded = False
         self.seen_token = (0, 0)
@@ -100,9 +102,29 @@
         return self.capacity_gb - self.reserve_gb - self.committed()
 
     def ready(self) -> bool:
-        """Say whether an order may be given: fenced, known and none on its way."""
-        fenced = self.sealed if self.checks_orders else self.claimed
-        return fenced and self.usable and self.pending is None
+        """Say whether an order may be given: fenced, read back, and none on its way."""
+        return self._fenced() and self.usable and self.pending is None
+
+    def _fenced(self) -> bool:
+        """Say whether this holder's fence stands and a report made behind it has come.
+
+        A report from before the fence may lack the last order of the holder before.
+        """
+        if self.checks_orders:
+            return self.sealed and self.seen_token >= self.seal_token
+        return self.claimed and self.report_made_at > self.claimed_at
+
+    def seal(self, token: tuple[int, int]) -> None:
+        """The endpoint took the seal; what it reports from then on is the truth."""
+        self.sealed = True
+        self.seal_token = token
+        self.pending = None
+
+    def claim(self, now: float) -> None:
+        """The record is this holder's alone."""
+        self.claimed = True
+        self.claimed_at = now
+        self.pending = None
 
     def take_report(self, report: EndpointReported, sizes: t.Mapping[Weights, float]) -> None:
         """Reconcile with what the endpoint says it holds."""
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/loops.py
@@ -0,0 +1,158 @@
+"""What each node of the world does over and over: ticks, reads, heartbeats, polls."""
+
+import typing as t
+
+from rookspring_core.cluster import inflight_rows
+from rookspring_core.effects import Announce
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import PeerHeard
+from rookspring_core.events import PlatformAnswered
+from rookspring_core.events import ReportMissed
+from rookspring_core.events import RevisionSeen
+from rookspring_core.events import Ticked
+
+from .carrying import performs
+from .carrying import unpack
+from .request_effects import report_of
+
+if t.TYPE_CHECKING:
+    from .world import VirtualNode
+    from .world import World
+
+TICK_S = 0.1
+
+
+def _again(world: "World", node: "VirtualNode", period: float, loop: t.Callable[..., None]) -> None:
+    if node.alive:
+        world.clock.call(period, loop, world, node)
+
+
+def _tick(world: "World", node: "VirtualNode") -> None:
+    if not node.paused:
+        node.submit(Ticked(world.clock.now))
+    _again(world, node, TICK_S, _tick)
+
+
+def _read_boxes(world: "World", node: "VirtualNode") -> None:
+    ok = _call_platform(world, node)
+    if ok:
+        rows = tuple(world.boxes.values())
+        world.clock.call(world.list_lag_s * 0.5, node.submit, BoxListCame(0.0, rows))
+    period = 1.0 if ok else 2.0
+    _again(world, node, period * (0.8 + 0.4 * world.random.random()), _read_boxes)
+
+
+def _call_platform(world: "World", node: "VirtualNode") -> bool:
+    if node.paused:
+        return False
+    world.platform_calls += 1
+    ok = world.reachable(node.name, "platform")
+    if node.state.platform_reachable != ok or ok:
+        node.submit(PlatformAnswered(world.clock.now, ok))
+    return ok
+
+
+def _read_lease(world: "World", node: "VirtualNode") -> None:
+    if node.state.membership.is_relay() and _call_platform(world, node):
+        found = world.store.objects.get(("lease", "control"))
+        event = LeaseSeen(0.0, 0, "", 0, "")
+        if found is not None:
+            value = unpack(found.value)
+            event = LeaseSeen(0.0, found.version, value["holder"], value["epoch"], value["nonce"])
+        world.clock.call(world.latency_s, node.submit, event)
+    _again(world, node, 2.0 * (0.8 + 0.4 * world.random.random()), _read_lease)
+
+
+def _follow_head(world: "World", node: "VirtualNode") -> None:
+    if node.state.membership.is_relay() and _call_platform(world, node):
+        show_head(world, node)
+    _again(world, node, 0.3, _follow_head)
+
+
+def show_head(world: "World", node: "VirtualNode") -> None:
+    """Give a node the revision that the head names now."""
+    if not world.published:
+        return
+    revision = max(world.published)
+    if revision > node.state.catalogue.revision:
+        epoch, entries = world.published[revision]
+        world.clock.call(world.latency_s, node.submit, RevisionSeen(0.0, revision, epoch, entries))
+
+
+def _beat(world: "World", node: "VirtualNode") -> None:
+    if not node.paused:
+        send_beat(world, node)
+    _again(world, node, 1.0, _beat)
+
+
+def send_beat(world: "World", node: "VirtualNode") -> None:
+    """Send a node's heartbeat to all that it reaches."""
+    state = node.state
+    beat = PeerHeard(
+        at=0.0,
+        name=node.name,
+        incarnation=state.identity.incarnation,
+        address=node.name,
+        caller_address=node.name,
+        data_centre=node.place,
+        revision=state.catalogue.revision,
+        leaving=state.leaving,
+        demand=tuple(state.control.meter.rates.items()),
+        team_demand=state.limits.demand(),
+        inflight=inflight_rows(state),
+    )
+    for other in world.living():
+        if other is not node and world.reachable(node.name, other.name):
+            world.clock.call(world.latency_s, _hear, world, other, node, beat)
+
+
+def _hear(world: "World", node: "VirtualNode", sender: "VirtualNode", beat: PeerHeard) -> None:
+    node.submit(beat)
+    if not node.state.endpoints and sender.alive and sender.state.endpoints:
+        # Relays pass the box list on to a node that starts in an outage.
+        rows = tuple(world.boxes.values())
+        world.clock.call(2 * world.latency_s, node.submit, BoxListCame(0.0, rows))
+    if node.alive and beat.revision > node.state.catalogue.revision and sender.alive:
+        entries = sender.state.control.entries
+        event = RevisionSeen(0.0, sender.state.catalogue.revision, 0, entries)
+        world.clock.call(2 * world.latency_s, node.submit, event)
+
+
+def _poll(world: "World", node: "VirtualNode") -> None:
+    if not node.paused and node.alive:
+        for view in list(node.state.endpoints.values()):
+            mine = node.state.membership.poller_of(view.name, view.data_centre)
+            late = world.clock.now - view.reported_at > 4 * world.report_s + 2.0
+            if mine == node.name or late:
+                _poll_one(world, node, view.name)
+    period = world.report_s * (0.9 + 0.2 * world.random.random())
+    _again(world, node, period, _poll)
+
+
+def _poll_one(world: "World", node: "VirtualNode", endpoint: str) -> None:
+    if endpoint in world.dead_engines or not world.reachable(node.name, endpoint):
+        node.submit(ReportMissed(world.clock.now, endpoint))
+        return
+    report = report_of(world, endpoint)
+    for other in world.living():
+        if other is node or world.reachable(node.name, other.name):
+            world.clock.call(world.latency_s, other.submit, report)
+
+
+def begin(world: "World", node: "VirtualNode") -> None:
+    """Start all loops of a node, each at a moment of its own."""
+    for loop, first in (
+        (_tick, 0.05),
+        (_read_boxes, 0.0),
+        (_read_lease, 0.2),
+        (_follow_head, 0.1),
+        (_beat, 0.3),
+        (_poll, 0.25),
+    ):
+        world.clock.call(first * world.random.random(), loop, world, node)
+
+
+@performs(Announce)
+def _announce(world: "World", node: "VirtualNode", effect: Announce) -> None:
+    send_beat(world, node)
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
@@ -0,0 +1,256 @@
+"""How the world carries out requests at runners and services, and makes reports."""
+
+import typing as t
+import zlib
+
+from rookspring_core.effects import Attach
+from rookspring_core.effects import Cancel
+from rookspring_core.effects import Dispatch
+from rookspring_core.effects import Refuse
+from rookspring_core.effects import Replay
+from rookspring_core.effects import Stop
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import EndpointReported
+
+from .carrying import performs
+from .engine import Engine
+from .engine import Generation
+from .engine import NotRun
+
+if t.TYPE_CHECKING:
+    from .world import VirtualNode
+    from .world import World
+
+
+@performs(Dispatch)
+def _dispatch(world: "World", node: "VirtualNode", effect: Dispatch) -> None:
+    wait = max(0.0, effect.not_before - world.clock.now)
+    world.clock.call(wait, _send, world, node, effect)
+
+
+def _send(world: "World", node: "VirtualNode", effect: Dispatch) -> None:
+    request = node.state.requests.get(effect.request_id)
+    if request is None or not node.alive or request.attempt != effect.attempt:
+        return
+    dead = effect.endpoint in world.dead_engines
+    if dead or not world.reachable(node.name, effect.endpoint):
+        failed = AttemptFailed(0.0, effect.request_id, effect.attempt, False, False, "refused")
+        world.clock.call(world.latency_s, node.submit, failed)
+        return
+    world.attempts += 1
+    node.submit(AttemptStarted(0.0, effect.request_id, effect.attempt))
+    if request.arrived.service:
+        world.clock.call(world.latency_s, _run_service, world, node, effect, request.arrived)
+    else:
+        world.clock.call(world.latency_s, _run_stream, world, node, effect, request.arrived)
+
+
+def _fail(
+    world: "World", node: "VirtualNode", effect: t.Any, reason: str, not_run: bool = False
+) -> None:
+    failed = AttemptFailed(
+        0.0, effect.request_id, effect.attempt, True, not_run, reason, reason == "leaving"
+    )
+    world.clock.call(world.latency_s, node.submit, failed)
+
+
+def _check_leaving(world: "World", endpoint: str) -> None:
+    since = world.leaving_at.get(endpoint)
+    if since is not None and world.clock.now - since > 5.0:
+        world.broken.append(f"{endpoint} got work {world.clock.now - since:.1f}s after leaving")
+
+
+def _run_stream(world: "World", node: "VirtualNode", effect: Dispatch, arrived: t.Any) -> None:
+    engine = world.engines[effect.endpoint]
+    _check_leaving(world, effect.endpoint)
+    if effect.endpoint in world.dead_engines:
+        _fail(world, node, effect, "reset")
+        return
+    stream = f"{arrived.request_id}.{effect.attempt}.{node.state.identity.incarnation}"
+    asked = Generation(
+        stream,
+        arrived.target,
+        arrived.adapter,
+        str(arrived.prefix or arrived.request_id),
+        arrived.tokens,
+        effect.offset,
+        rank=1,
+        prefill=arrived.prompt_tokens,
+    )
+    try:
+        engine.submit(world.clock.now, asked)
+    except NotRun as error:
+        _fail(world, node, effect, str(error), not_run=True)
+        return
+    world.owners[stream] = (node, effect.request_id, effect.attempt, effect.offset)
+    watch_engine(world, engine)
+
+
+def watch_engine(world: "World", engine: Engine) -> None:
+    """Have the engine looked at when its next stream or load ends; one look is pending."""
+    due = engine.next_change()
+    if due >= engine.watched_at - 1e-9 and engine.watched_at > world.clock.now:
+        return
+    if due < float("inf"):
+        engine.watched_at = due
+        world.clock.call(due - world.clock.now, _advance_engine, world, engine, due)
+
+
+def _advance_engine(world: "World", engine: Engine, due: float | None = None) -> None:
+    if due is not None and due != engine.watched_at:
+        # An earlier look was asked for since and has taken this one's place.
+        return
+    if due is not None:
+        engine.watched_at = -1.0
+    if engine.faults.killed or engine.faults.paused:
+        return
+    engine.advance(world.clock.now)
+    for stream in engine.take_ended():
+        _finish_stream(world, engine, stream)
+    watch_engine(world, engine)
+
+
+def _finish_stream(world: "World", engine: Engine, stream: str) -> None:
+    if stream not in engine.streams:
+        return
+    asked = engine.streams[stream].asked
+    owner = world.owners.pop(stream, None)
+    engine.streams.pop(stream, None)
+    if owner is None:
+        return
+    node, request_id, attempt, offset = owner
+    progress = AttemptProgressed(0.0, request_id, attempt, asked.total - offset)
+    world.clock.call(world.latency_s, node.submit, progress)
+    world.clock.call(world.latency_s, _succeed, world, node, request_id, attempt)
+
+
+def _succeed(world: "World", node: "VirtualNode", request_id: str, attempt: int) -> None:
+    request = node.state.requests.get(request_id)
+    if not node.alive or request is None or request.attempt != attempt:
+        return
+    if node.paused:
+        node.missed.append(AttemptSucceeded(0.0, request_id, attempt))
+        world.clock.call(1.0, _tell_if_over, world, node, request_id)
+        return
+    if not request.arrived.service and request.delivered != request.arrived.tokens:
+        world.broken.append(f"{request_id}: {request.delivered} of {request.arrived.tokens} tokens")
+    node.submit(AttemptSucceeded(0.0, request_id, attempt, 200, b"answer"))
+    world.tell(node, request_id, "ran", 200, "", 0.0)
+
+
+def _tell_if_over(world: "World", node: "VirtualNode", request_id: str) -> None:
+    if node.paused:
+        world.clock.call(1.0, _tell_if_over, world, node, request_id)
+    elif node.alive and request_id not in node.state.requests and request_id not in world.told:
+        world.tell(node, request_id, "ran", 200, "", 0.0)
+
+
+def break_stream(world: "World", engine: Engine, stream: str) -> None:
+    """A runner died under a stream: its tokens so far are with the entry node."""
+    owner = world.owners.pop(stream, None)
+    if owner is None:
+        return
+    node, request_id, attempt, offset = owner
+    made = engine.produced(engine.streams[stream])
+    if made > offset:
+        node.submit(AttemptProgressed(0.0, request_id, attempt, made - offset))
+    node.submit(AttemptFailed(0.0, request_id, attempt, True, False, "reset"))
+
+
+def _run_service(world: "World", node: "VirtualNode", effect: Dispatch, arrived: t.Any) -> None:
+    service = world.services[effect.endpoint]
+    _check_leaving(world, effect.endpoint)
+    if service.leaving_at is not None:
+        _fail(world, node, effect, "leaving", not_run=True)
+        return
+    if service.faults.draw("lose"):
+        _fail(world, node, effect, "reset")
+        return
+    call = arrived.body_digest
+    service.runs[call] = service.runs.get(call, 0) + 1
+    answer = world.told.get(arrived.request_id)
+    if answer is not None and answer.outcome == "not_run":
+        world.broken.append(f"{arrived.request_id} ran after it was told not run")
+    if service.faults.draw("applied_unanswered"):
+        _fail(world, node, effect, "reset")
+        return
+    world.clock.call(service.work_s, _succeed, world, node, effect.request_id, effect.attempt)
+
+
+@performs(Attach)
+def _attach(world: "World", node: "VirtualNode", effect: Attach) -> None:
+    _fail(world, node, effect, "no such stream")
+
+
+@performs(Refuse)
+def _refuse(world: "World", node: "VirtualNode", effect: Refuse) -> None:
+    world.tell(
+        node,
+        effect.request_id,
+        effect.outcome,
+        effect.status,
+        effect.reason,
+        effect.retry_after_s,
+    )
+
+
+@performs(Replay)
+def _replay(world: "World", node: "VirtualNode", effect: Replay) -> None:
+    world.tell(node, effect.request_id, "ran", effect.status, "replay", 0.0)
+
+
+@performs(Cancel)
+def _cancel(world: "World", node: "VirtualNode", effect: Cancel) -> None:
+    stream = f"{effect.request_id}.{effect.attempt}.{node.state.identity.incarnation}"
+    world.owners.pop(stream, None)
+    engine = world.engines.get(effect.endpoint)
+    if engine is not None and effect.endpoint not in world.dead_engines:
+        engine.cancel(world.clock.now, stream)
+        watch_engine(world, engine)
+
+
+def report_of(world: "World", endpoint: str) -> EndpointReported:
+    """Make an endpoint's report."""
+    service = world.services.get(endpoint)
+    if service is not None:
+        leaving = service.leaving_at is not None
+        return EndpointReported(0.0, endpoint, "1", 0.0, 64, 0, 0, 1e5, 1e5, 0.0, leaving=leaving)
+    engine = world.engines[endpoint]
+    _advance_engine(world, engine)
+    raw = engine.report(world.clock.now)
+    return EndpointReported(
+        at=0.0,
+        endpoint=endpoint,
+        incarnation=raw["incarnation"],
+        age_s=raw["age_s"],
+        slots=raw["slots"],
+        running=raw["running"],
+        queued=raw["queued"],
+        token_rate=raw["token_rate"],
+        stream_rate=raw["stream_rate"],
+        memory_gb=raw["memory_gb"],
+        resident=tuple((one[0], one[1]) for one in raw["resident"]),
+        loading=tuple((one[0], one[1]) for one in raw["loading"]),
+        adapters=tuple(raw["adapters"]),
+        held_gb=raw["held_gb"],
+        leaving=raw["leaving"],
+        checks_orders=raw["checks_orders"],
+        order_token=(raw["order_token"][0], raw["order_token"][1]),
+        rejected_orders=raw["rejected_orders"],
+    )
+
+
+@performs(Stop)
+def _stop(world: "World", node: "VirtualNode", effect: Stop) -> None:
+    if node.state.requests and not node.state.hurry:
+        world.broken.append(f"{node.name} stopped with requests in flight")
+    node.alive = False
+    world.boxes.pop(node.name, None)
+
+
+def prefix_of(prompt: str) -> int:
+    """Give the prefix number of a prompt, as runners do."""
+    return zlib.crc32(prompt[:64].encode())
--- a/packages/rookspring-fakes/src/rookspring_fakes/world.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/world.py
@@ -12,22 +12,15 @@
 from rookspring_core import Identity
 from rookspring_core import NodeState
 from rookspring_core import reduce
-from rookspring_core.cluster import inflight_rows
 from rookspring_core.cluster import list_addresses
-from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import Event
-from rookspring_core.events import LeaseSeen
-from rookspring_core.events import PeerHeard
-from rookspring_core.events import PlatformAnswered
-from rookspring_core.events import ReportMissed
 from rookspring_core.events import RequestArrived
-from rookspring_core.events import RevisionSeen
 from rookspring_core.events import SessionOpened
-from rookspring_core.events import Ticked
 
 from . import effects as world_effects
+from . import loops
 from .clock import VirtualClock
 from .engine import Engine
 from .engine import WeightStore
@@ -36,7 +29,6 @@
 from .users import UserSize
 from .users import declare
 
-TICK_S = 0.1
 LEAVING_BOUND_S = 5.0
 
 
@@ -190,15 +182,7 @@
         node = VirtualNode(self, name, place, self._incarnations)
         self.nodes[name] = node
         self.boxes[name] = BoxListed(name, name, place, "node", "live")
-        for loop, first in (
-            (self._tick, 0.05),
-            (self._read_boxes, 0.0),
-            (self._read_lease, 0.2),
-            (self._follow_head, 0.1),
-            (self._beat, 0.3),
-            (self._poll, 0.25),
-        ):
-            self.clock.call(first * self.random.random(), loop, node)
+        loops.begin(self, node)
         return node
 
     def declare(self, documents: t.Iterable[dict[str, t.Any]] | None = None) -> None:
@@ -398,117 +382,6 @@
         if self.on_told is not None:
             self.on_told(self.asked[request_id], told)
 
-    # Loops of a node.
-
-    def _again(self, node: VirtualNode, period: float, loop: t.Callable[..., None]) -> None:
-        if node.alive:
-            self.clock.call(period, loop, node)
-
-    def _tick(self, node: VirtualNode) -> None:
-        if not node.paused:
-            node.submit(Ticked(self.clock.now))
-        self._again(node, TICK_S, self._tick)
-
-    def _read_boxes(self, node: VirtualNode) -> None:
-        ok = self._call_platform(node)
-        if ok:
-            rows = tuple(self.boxes.values())
-            self.clock.call(self.list_lag_s * 0.5, node.submit, BoxListCame(0.0, rows))
-        period = 1.0 if ok else 2.0
-        self._again(node, period * (0.8 + 0.4 * self.random.random()), self._read_boxes)
-
-    def _call_platform(self, node: VirtualNode) -> bool:
-        if node.paused:
-            return False
-        self.platform_calls += 1
-        ok = self.reachable(node.name, "platform")
-        if node.state.platform_reachable != ok or ok:
-            node.submit(PlatformAnswered(self.clock.now, ok))
-        return ok
-
-    def _read_lease(self, node: VirtualNode) -> None:
-        if node.state.membership.is_relay() and self._call_platform(node):
-            found = self.store.objects.get(("lease", "control"))
-            event = LeaseSeen(0.0, 0, "", 0, "")
-            if found is not None:
-                value = world_effects.unpack(found.value)
-                event = LeaseSeen(
-                    0.0, found.version, value["holder"], value["epoch"], value["nonce"]
-                )
-            self.clock.call(self.latency_s, node.submit, event)
-        self._again(node, 2.0 * (0.8 + 0.4 * self.random.random()), self._read_lease)
-
-    def _follow_head(self, node: VirtualNode) -> None:
-        if node.state.membership.is_relay() and self._call_platform(node):
-            self.show_head(node)
-        self._again(node, 0.3, self._follow_head)
-
-    def show_head(self, node: VirtualNode) -> None:
-        """Give a node the revision that the head names now."""
-        if not self.published:
-            return
-        revision = max(self.published)
-        if revision > node.state.catalogue.revision:
-            epoch, entries = self.published[revision]
-            self.clock.call(
-                self.latency_s, node.submit, RevisionSeen(0.0, revision, epoch, entries)
-            )
-
-    def _beat(self, node: VirtualNode) -> None:
-        if not node.paused:
-            self.send_beat(node)
-        self._again(node, 1.0, self._beat)
-
-    def send_beat(self, node: VirtualNode) -> None:
-        """Send a node's heartbeat to all that it reaches."""
-        state = node.state
-        beat = PeerHeard(
-            at=0.0,
-            name=node.name,
-            incarnation=state.identity.incarnation,
-            address=node.name,
-            caller_address=node.name,
-            data_centre=node.place,
-            revision=state.catalogue.revision,
-            leaving=state.leaving,
-            demand=tuple(state.control.meter.rates.items()),
-            team_demand=state.limits.demand(),
-            inflight=inflight_rows(state),
-        )
-        for other in self.living():
-            if other is not node and self.reachable(node.name, other.name):
-                self.clock.call(self.latency_s, self._hear, other, node, beat)
-
-    def _hear(self, node: VirtualNode, sender: VirtualNode, beat: PeerHeard) -> None:
-        node.submit(beat)
-        if not node.state.endpoints and sender.alive and sender.state.endpoints:
-            # Relays pass the box list on to a node that starts in an outage.
-            rows = tuple(self.boxes.values())
-            self.clock.call(2 * self.latency_s, node.submit, BoxListCame(0.0, rows))
-        if node.alive and beat.revision > node.state.catalogue.revision and sender.alive:
-            entries = sender.state.control.entries
-            event = RevisionSeen(0.0, sender.state.catalogue.revision, 0, entries)
-            self.clock.call(2 * self.latency_s, node.submit, event)
-
-    def _poll(self, node: VirtualNode) -> None:
-        if not node.paused and node.alive:
-            for view in list(node.state.endpoints.values()):
-                mine = node.state.membership.poller_of(view.name, view.data_centre)
-                late = self.clock.now - view.reported_at > 4 * self.report_s + 2.0
-                if mine == node.name or late:
-                    self._poll_one(node, view.name)
-        period = self.report_s * (0.9 + 0.2 * self.random.random())
-        self._again(node, period, self._poll)
-
-    def _poll_one(self, node: VirtualNode, endpoint: str) -> None:
-        if endpoint in self.dead_engines or not self.reachable(node.name, endpoint):
-            node.submit(ReportMissed(self.clock.now, endpoint))
-            return
-        report = world_effects.report_of(self, endpoint)
-        for other in self.living():
-            if other is node or self.reachable(node.name, other.name):
-                self.clock.call(self.latency_s, other.submit, report)
-
     # Accounts.
 
     def in_force(self, node: VirtualNode, revision: int) -> None:
--- a/packages/rookspring/src/rookspring/callers.py
+++ b/packages/rookspring/src/rookspring/callers.py
@@ -1,13 +1,9 @@
 """The interface to callers: addresses, sessions, chat completions, services.
 
-Reading and checking of requests stands here; decisions are the reducer's. Every
-error names the field at fault and the outcome.
+Requests are checked in ``reading.py``; decisions are the reducer's.
 """
 
 import asyncio
-import hashlib
-import math
-import re
 import secrets
 import time
 import typing as t
@@ -29,31 +25,17 @@
 
 from . import defaults
 from . import forwarding
+from . import reading
 from .exceptions import CallerError
 from .exceptions import CallerGone
 from .exchanges import ChatExchange
 from .exchanges import Exchange
 from .exchanges import Responder
 from .exchanges import ServiceExchange
-from .tokens import SessionClaims
 
 if t.TYPE_CHECKING:
     from .node import Node
 
-_KEY = re.compile(r"^(?P<session>[\w.=-]{8,512})/(?P<sequence>\d{1,15})$")
-_HOP_HEADERS = {
-    "authorization",
-    "connection",
-    "content-length",
-    "host",
-    "idempotency-key",
-    "keep-alive",
-    "te",
-    "traceparent",
-    "transfer-encoding",
-    "upgrade",
-}
-
 
 class SanicResponder(Responder):
     """Sends an answer over a caller's own connection."""
@@ -97,20 +79,6 @@
     return raw(orjson.dumps(value), status=status, content_type="application/json", headers=headers)
 
 
-def establish_team(node: "Node", request: Request) -> str:
-    """Give the team whose key the request bears.
-
-    :raises CallerError: 401 when there is none.
-    """
-    bearer = request.headers.get("authorization", "")
-    scheme, _, key = bearer.partition(" ")
-    digest = hashlib.sha256(key.encode()).hexdigest()
-    team = node.state.catalogue.team_by_digest.get(digest)
-    if scheme.lower() != "bearer" or team is None:
-        raise CallerError(401, "Authorization", "Bearer and the key of a declared team")
-    return str(team)
-
-
 async def answer_error(responder: Responder, error: CallerError) -> None:
     """Answer a faulty request."""
     await responder.start(error.status, {"Content-Type": "application/json"})
@@ -118,190 +86,6 @@
     await responder.end()
 
 
-def _read_deadline(request: Request, otherwise_s: float) -> float:
-    text = request.headers.get("x-rookspring-deadline-ms")
-    if text is None:
-        return otherwise_s
-    try:
-        value = float(text) / 1000.0
-    except ValueError:
-        value = math.nan
-    if not 0.0 < value <= core_defaults.DEADLINE_MAX_S:
-        most = int(core_defaults.DEADLINE_MAX_S * 1000)
-        raise CallerError(400, "X-Rookspring-Deadline-Ms", f"milliseconds from 1 to {most}")
-    return value
-
-
-def _read_priority(request: Request, otherwise: str) -> str:
-    text = request.headers.get("x-rookspring-priority")
-    if text is None:
-        return otherwise
-    if text not in core_defaults.PRIORITY_RANK:
-        names = ", ".join(core_defaults.PRIORITY_RANK)
-        raise CallerError(400, "X-Rookspring-Priority", f"one of {names}")
-    return str(text)
-
-
-def _read_once_key(
-    node: "Node", request: Request, team: str
-) -> tuple[SessionClaims, tuple[str, int]] | None:
-    text = request.headers.get("idempotency-key")
-    session = request.headers.get("x-rookspring-session")
-    if text is None:
-        if session is not None:
-            node.signer.read_session(session, "X-Rookspring-Session")
-        return None
-    found = _KEY.match(text)
-    if found is None:
-        expected = "SESSION/SEQUENCE, with a session from POST /v1/sessions and a whole number"
-        raise CallerError(400, "Idempotency-Key", expected)
-    claims = node.signer.read_session(found["session"], "Idempotency-Key")
-    if claims.team != team:
-        raise CallerError(403, "Idempotency-Key", "a session of your own team")
-    return claims, (found["session"], int(found["sequence"]))
-
-
-class ChatFields(t.TypedDict):
-    """What a chat request asks for, after all checks."""
-
-    model: str
-    adapter: str
-    prompt: str
-    total: int
-    stream: bool
-    priority: str
-    deadline_s: float
-    once_key: tuple[str, int] | None
-    body_digest: str
-    traceparent: str
-
-
-def _read_body(request: Request) -> dict[str, t.Any]:
-    try:
-        body = orjson.loads(request.body or b"")
-    except orjson.JSONDecodeError as error:
-        raise CallerError(400, "body", f"JSON was expected: {error}") from None
-    if not isinstance(body, dict):
-        raise CallerError(400, "body", "a JSON object was expected")
-    return body
-
-
-def _read_prompt(body: dict[str, t.Any]) -> str:
-    messages = body.get("messages")
-    if not isinstance(messages, list) or not messages:
-        raise CallerError(400, "messages", "a list of at least one message was expected")
-    parts: list[str] = []
-    for number, one in enumerate(messages):
-        content = one.get("content") if isinstance(one, dict) else None
-        if isinstance(content, list):
-            content = "".join(
-                str(part.get("text", "")) for part in content if isinstance(part, dict)
-            )
-        if not isinstance(content, str):
-            raise CallerError(400, f"messages.{number}.content", "a text was expected")
-        parts.append(f"{one.get('role', 'user')}: {content}")
-    return "\n".join(parts)
-
-
-def _read_total(body: dict[str, t.Any]) -> int:
-    for field in ("max_completion_tokens", "max_tokens"):
-        value = body.get(field)
-        if value is None:
-            continue
-        most = core_defaults.MAX_TOKENS_LIMIT
-        if not isinstance(value, int) or isinstance(value, bool) or not 1 <= value <= most:
-            raise CallerError(400, field, f"a whole number from 1 to {most}")
-        return value
-    return core_defaults.DEFAULT_MAX_TOKENS
-
-
-def read_chat(node: "Node", request: Request, team: str) -> ChatFields:
-    """Check a chat request.
-
-    :raises CallerError: naming the field at fault.
-    """
-    body = _read_body(request)
-    name = body.get("model")
-    if not isinstance(name, str) or not name:
-        raise CallerError(400, "model", "the name of a declared model")
-    model, _, adapter = name.partition(":")
-    spec = node.state.catalogue.models.get(model)
-    if spec is None:
-        raise CallerError(404, "model", f"a declared model; {model!r} is none")
-    declared = node.state.catalogue.adapters.get(adapter) if adapter else None
-    if adapter and (declared is None or declared.model != model):
-        raise CallerError(404, "model", f"a declared adapter of {model}; {adapter!r} is none")
-    stream = body.get("stream", False)
-    if not isinstance(stream, bool):
-        raise CallerError(400, "stream", "true or false")
-    keyed = _read_once_key(node, request, team)
-    return ChatFields(
-        model=model,
-        adapter=adapter,
-        prompt=_read_prompt(body),
-        total=_read_total(body),
-        stream=stream,
-        priority=_read_priority(request, spec.priority),
-        deadline_s=_read_deadline(request, spec.deadline_s),
-        once_key=keyed[1] if keyed else None,
-        body_digest=hashlib.sha256(request.body).hexdigest(),
-        traceparent=request.headers.get("traceparent", ""),
-    )
-
-
-class ServiceFields(t.TypedDict):
-    """What a call of a plain service asks for, after all checks."""
-
-    service: str
-    method: str
-    path: str
-    headers: dict[str, str]
-    repeatable: bool
-    priority: str
-    deadline_s: float
-    once_key: tuple[str, int] | None
-    body_digest: str
-    traceparent: str
-
-
-def read_service(
-    node: "Node", request: Request, team: str, service: str, path: str
-) -> ServiceFields:
-    """Check a call of a plain service.
-
-    :raises CallerError: naming the field at fault.
-    """
-    spec = node.state.catalogue.services.get(service)
-    if spec is None:
-        raise CallerError(404, "path", f"a declared service; {service!r} is none")
-    keyed = _read_once_key(node, request, team)
-    unrepeatable = any(path.startswith(prefix) for prefix in spec.unrepeatable)
-    if unrepeatable and keyed is None:
-        expected = (
-            "SESSION/SEQUENCE, since this call runs at most once; POST /v1/sessions gives a session"
-        )
-        raise CallerError(400, "Idempotency-Key", expected)
-    headers = {
-        name: value
-        for name, value in request.headers.items()
-        if name not in _HOP_HEADERS and not name.startswith("x-rookspring-")
-    }
-    query = f"?{request.query_string}" if request.query_string else ""
-    digest = hashlib.sha256(f"{request.method} {path}{query}\n".encode() + request.body)
-    return ServiceFields(
-        service=service,
-        method=request.method,
-        path=path + query,
-        headers=headers,
-        repeatable=keyed is None,
-        priority=_read_priority(request, spec.priority),
-        deadline_s=_read_deadline(request, spec.deadline_s),
-        once_key=keyed[1] if keyed else None,
-        body_digest=digest.hexdigest(),
-        traceparent=request.headers.get("traceparent", ""),
-    )
-
-
 def start(
     node: "Node", kind: str, team: str, fields: t.Any, body: bytes, responder: Responder
 ) -> Exchange:
@@ -311,7 +95,9 @@
     return _start_service(node, team, fields, body, responder)
 
 
-def _start_chat(node: "Node", team: str, fields: ChatFields, responder: Responder) -> Exchange:
+def _start_chat(
+    node: "Node", team: str, fields: reading.ChatFields, responder: Responder
+) -> Exchange:
     span = node.telemetry.begin("entry", fields["traceparent"], model=fields["model"])
     exchange = ChatExchange(
         secrets.token_hex(defaults.REQUEST_ID_BYTES),
@@ -352,7 +138,7 @@
 
 
 def _start_service(
-    node: "Node", team: str, fields: ServiceFields, body: bytes, responder: Responder
+    node: "Node", team: str, fields: reading.ServiceFields, body: bytes, responder: Responder
 ) -> Exchange:
     span = node.telemetry.begin("entry", fields["traceparent"], service=fields["service"])
     exchange = ServiceExchange(
@@ -426,7 +212,7 @@
 
     @routes.get("/v1/models")
     async def list_models(request: Request) -> HTTPResponse:
-        establish_team(node, request)
+        reading.establish_team(node, request)
         catalogue = node.state.catalogue
         names = list(catalogue.models)
         names += [f"{spec.model}:{name}" for name, spec in catalogue.adapters.items()]
@@ -438,7 +224,7 @@
 
     @routes.post("/v1/sessions")
     async def open_session(request: Request) -> HTTPResponse:
-        team = establish_team(node, request)
+        team = reading.establish_team(node, request)
         if node.state.leaving:
             raise CallerError(503, "session", "a node that is not leaving; ask for addresses")
         identity = node.state.identity
@@ -449,20 +235,20 @@
 
     @routes.post("/v1/chat/completions")
     async def complete_chat(request: Request) -> None:
-        team = establish_team(node, request)
+        team = reading.establish_team(node, request)
         event_id = request.headers.get("last-event-id")
         if event_id:
             await _resume(node, request, team, event_id)
             return
-        await _serve(node, request, "chat", team, read_chat(node, request, team))
+        await _serve(node, request, "chat", team, reading.read_chat(node, request, team))
 
     @routes.route(  # type: ignore[untyped-decorator]
         "/v1/services/<service:str>/<path:path>",
         methods=["GET", "POST", "PUT", "PATCH", "DELETE"],
     )
     async def call_service(request: Request, service: str, path: str) -> None:
-        team = establish_team(node, request)
-        fields = read_service(node, request, team, service, path)
+        team = reading.establish_team(node, request)
+        fields = reading.read_service(node, request, team, service, path)
         await _serve(node, request, "service", team, fields)
 
     return routes
@@ -473,8 +259,8 @@
     grant, offset = node.signer.read_event_id(event_id)
     if grant.team != team:
         raise CallerError(403, "Last-Event-ID", "an event id of your own team")
-    fields = read_chat(node, request, team)
-    text = _read_body(request).get("resume_text", "")
+    fields = reading.read_chat(node, request, team)
+    text = reading.read_body(request).get("resume_text", "")
     if not isinstance(text, str):
         raise CallerError(400, "resume_text", "the text received so far")
     if fields["model"] != grant.model or fields["total"] != grant.total:
