Send platform writes once; contract tables for platform and runner

Cause: a contract row: a PUT whose answer was lost was sent again by the HTTP library, met its own new version and came back as a conflict, so an operator was told not_run of a write that took effect. Change: writes to the platform go over a connection that connects once; tables of the platform's and the runner's contract, behind a class that another implementation can take the place of; a trace over a forwarded call.

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -38,6 +38,11 @@
     Then each answer is whole
     And one trace covers the spans entry, endpoint of each answer
 
+  Scenario: one trace covers a keyed call that goes from node to node
+    Given a session at box-2
+    When key 1 is sent to box-1 within a trace
+    Then one trace covers the spans forward, entry, endpoint of each answer
+
   Scenario Outline: a key runs at most once, whichever node is asked
     Given a session at box-1
     When key 1 is sent to <places>
--- /dev/null
+++ b/features/steps/contract_steps.py
@@ -0,0 +1,213 @@
+import asyncio
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from returns.result import Success
+
+from rookspring.endpoints import Generate
+from rookspring.endpoints import HttpEndpoint
+from rookspring.exceptions import EndpointError
+from rookspring.exceptions import PlatformConflict
+from rookspring.exceptions import PlatformMissing
+from rookspring.exceptions import PlatformRefused
+from rookspring.exceptions import PlatformTooOld
+from rookspring.exceptions import PlatformUnreachable
+from rookspring.platform import open_platform
+from rookspring_core.effects import SendOrder
+from rookspring_fakes import Engine
+from rookspring_fakes import Platform
+from rookspring_fakes import Runner
+from rookspring_fakes import WeightStore
+from rookspring_fakes import platform as platform_module
+from rookspring_fakes import serve
+
+ENDS = {
+    PlatformConflict: "conflict",
+    PlatformMissing: "missing",
+    PlatformRefused: "refused",
+    PlatformTooOld: "too-old",
+    PlatformUnreachable: "unreachable",
+}
+
+
+class PlatformUnderTest:
+    """What another platform's adapter must offer to be put under the same table."""
+
+    async def open(self):
+        self.stand_in = Platform()
+        self.served = await serve(self.stand_in.app())
+        self.client = open_platform(f"http://{self.served.address}", lambda method, end: None)
+        self.versions = [0]
+
+    async def close(self):
+        await self.client.close()
+        await self.served.close()
+
+    async def call(self, name):
+        """Make one call of the table and name its end."""
+        faults = self.stand_in.faults
+        match name:
+            case "create a":
+                return await self.write({"x": 1}, 0)
+            case "create a of two megabytes":
+                return await self.write({"x": "y" * 2_000_000}, 0)
+            case "change a":
+                return await self.write({"x": 2}, self.versions[-1])
+            case "change a at an old version":
+                return await self.write({"x": 3}, self.versions[1])
+            case "delete a":
+                return end(await self.client.delete("k", "a", None))
+            case "read a":
+                return end(await self.client.get("k", "a"))
+            case "list":
+                return count(await self.client.list_kind("k"), "items")
+            case "watch from the start":
+                return count(await self.client.watch("k", 0, 0.2), "changes")
+            case "watch from the end":
+                since = self.stand_in.store.version
+                return count(await self.client.watch("k", since, 0.2), "changes")
+            case "read boxes":
+                found = await self.client.boxes()
+                return f"{len(found.unwrap())}-items"
+            case "too many calls":
+                return await self.exhaust()
+            case "forget history":
+                self.stand_in.store._forgotten = 10
+            case "outage begins":
+                faults.outage = True
+            case "outage ends":
+                faults.outage = False
+            case "answers are lost":
+                faults.applied_unanswered = 1.0
+            case "answers come":
+                faults.applied_unanswered = 0.0
+        return "done"
+
+    async def write(self, value, expected):
+        answer = await self.client.put("k", "a", value, expected)
+        if isinstance(answer, Success):
+            self.versions.append(answer.unwrap())
+        return end(answer)
+
+    async def exhaust(self):
+        limit = platform_module.READS_PER_S
+        platform_module.READS_PER_S = 0
+        try:
+            return end(await self.client.get("k", "a"))
+        finally:
+            platform_module.READS_PER_S = limit
+
+
+def end(answer):
+    if isinstance(answer, Success):
+        return "done"
+    return ENDS[type(answer.failure())]
+
+
+def count(answer, what):
+    if not isinstance(answer, Success):
+        return end(answer)
+    number = len(answer.unwrap().items)
+    return f"{number}-{what[:-1] if number == 1 and what == 'changes' else what}"
+
+
+class RunnerUnderTest:
+    """What another engine's adapter must offer to be put under the same table."""
+
+    async def open(self):
+        self.engine = Engine("r", WeightStore(gb_per_s=1000.0), stream_rate=1000.0)
+        self.served = await serve(Runner(self.engine, 0.002).app())
+        self.client = HttpEndpoint()
+        self.sequence = 0
+
+    async def close(self):
+        await self.client.close()
+        await self.served.close()
+
+    async def call(self, name):
+        """Make one call of the table and name its end."""
+        match name:
+            case "load m":
+                self.sequence += 1
+                return await self.order("m", 10.0)
+            case "load m with an older token":
+                return await self.order("m", 10.0, sequence=0)
+            case "load m with the same token":
+                return await self.order("m", 10.0)
+            case "load too much":
+                self.sequence += 1
+                return await self.order("big", 75.0)
+            case "load m for another incarnation":
+                self.sequence += 1
+                return await self.order("m", 10.0, incarnation="0")
+            case "generate" | "generate of an absent model":
+                return await self.read(self.generate(0))
+            case "generate from 3":
+                return await self.read(self.generate(3))
+            case "resume from 2":
+                return await self.read(self.client.resume(self.served.address, "s", 2))
+            case "report":
+                found = await self.client.report("r", self.served.address, time.monotonic())
+                return "loading" if found.loading or found.resident else "empty"
+            case "leave":
+                self.engine.leaving = True
+            case "lose orders":
+                self.engine.faults.lose = 1.0
+            case "stop":
+                await self.served.close()
+        return "done"
+
+    async def order(self, model, gb, sequence=None, incarnation="1"):
+        token = (1, self.sequence if sequence is None else sequence)
+        order = SendOrder("r", self.served.address, token, "load", model, "v1", gb)
+        accepted, _ = await self.client.order(order, incarnation)
+        return {True: "accepted", False: "refused", None: "unanswered"}[accepted]
+
+    def generate(self, offset):
+        asked = Generate("s", "m", "", "prompt", 5, 1, offset)
+        return self.client.generate(self.served.address, asked, "")
+
+    async def read(self, chunks):
+        tokens = 0
+        try:
+            for _ in range(200):
+                if not self.engine.loading:
+                    break
+                self.engine.advance(self.engine.now + 0.1)
+                await asyncio.sleep(0)
+            async for chunk in chunks:
+                tokens += len(chunk.tokens)
+        except EndpointError as error:
+            if error.said_not_run:
+                return "not-run"
+            return "broken" if error.sent else "unsent"
+        return f"{tokens}-tokens"
+
+
+@given("a platform behind its client")
+def a_platform(context):
+    context.under_test = PlatformUnderTest()
+
+
+@given("a runner behind the endpoint client")
+def a_runner(context):
+    context.under_test = RunnerUnderTest()
+
+
+@when("it gets: {calls}")
+def calls_made(context, calls):
+    async def work():
+        await context.under_test.open()
+        try:
+            return [await context.under_test.call(name) for name in calls.split(", ")]
+        finally:
+            await context.under_test.close()
+
+    context.answers = asyncio.run(work())
+
+
+@then("it answers {answers}")
+def answers_were(context, answers):
+    assert context.answers == answers.split(), context.answers
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -193,6 +193,20 @@
     return [await place_call(target, context.session, 1, context.call)]
 
 
+@when("key 1 is sent to {name} within a trace")
+def key_sent_traced(context, name):
+    context.traces = [f"{77:032x}"]
+    headers = {
+        **AUTH,
+        "Idempotency-Key": f"{context.session}/1",
+        "traceparent": f"00-{context.traces[0]}-{7:016x}-01",
+    }
+    path = "/v1/services/gridmaker/place"
+    raw = json.dumps({"call": context.call}).encode()
+    status, _ = context.loop.run(send(address(context, name), "POST", path, raw, headers))
+    assert status == 200
+
+
 @when("key 1 is sent to {places}")
 def key_sent_to(context, places):
     async def work():
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -16,6 +16,7 @@
 from rookspring_core.events import EndpointReported
 
 from . import defaults
+from .connections import OneConnection
 from .exceptions import EndpointError
 
 
@@ -109,27 +110,6 @@
         """Let connections go."""
 
 
-class OneConnection(aiohttp.TCPConnector):
-    """A connector that connects once.
-
-    The library sends idempotent methods a second time by itself when a
-    connection breaks. For an unrepeatable call that would be a second run, so
-    the second try is refused here. Being new, the connection is never stale.
-    """
-
-    def __init__(self) -> None:
-        super().__init__(force_close=True)
-        self._used = False
-
-    async def connect(self, req: t.Any, traces: t.Any, timeout: t.Any) -> t.Any:
-        """Connect, the first time only."""
-        if self._used:
-            raise aiohttp.ClientConnectionError("sent once already")
-        connection = await super().connect(req, traces, timeout)
-        self._used = True
-        return connection
-
-
 @endpoint_adapter("http")
 class HttpEndpoint(EndpointClient):
     """Runners and plain services over HTTP."""
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -18,6 +18,7 @@
 from rookspring_core.events import BoxListed
 
 from . import defaults
+from .connections import OneConnection
 from .exceptions import PlatformConflict
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
@@ -152,15 +153,31 @@
         data = None if body is None else orjson.dumps(body)
         limit = aiohttp.ClientTimeout(total=timeout_s, connect=defaults.CONNECT_S)
         try:
-            async with self._open().request(
-                method, self._base + path, headers=headers, data=data, timeout=limit
-            ) as response:
-                raw = await response.read()
-                return self._judge(method, path, response.status, raw)
+            if method == "GET":
+                return await self._send(self._open(), method, path, headers, data, limit)
+            # The library's own resend of a write that took effect would meet its own
+            # new version, and its author would be told of a conflict.
+            async with aiohttp.ClientSession(connector=OneConnection()) as session:
+                return await self._send(session, method, path, headers, data, limit)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._count(method, "unreachable")
             return Failure(PlatformUnreachable(f"{path}: {type(error).__name__}"))
 
+    async def _send(
+        self,
+        session: aiohttp.ClientSession,
+        method: str,
+        path: str,
+        headers: dict[str, str],
+        data: bytes | None,
+        limit: aiohttp.ClientTimeout,
+    ) -> Result[t.Any, PlatformError]:
+        async with session.request(
+            method, self._base + path, headers=headers, data=data, timeout=limit
+        ) as response:
+            raw = await response.read()
+            return self._judge(method, path, response.status, raw)
+
     def _judge(
         self, method: str, path: str, status: int, raw: bytes
     ) -> Result[t.Any, PlatformError]:
