Let old shards go after each publication; clear what nobody reads

Cause: reading the tree: shards were swept only at a take-over, so each change left one behind in the platform; six constants and two functions were unused; the small deployment and the raising of boxes stood twice.

--- a/bench/idle.py
+++ b/bench/idle.py
@@ -10,11 +10,10 @@
 import uvloop
 
 from rookspring.logs import configure
-from rookspring.stage import Stage
 from rookspring.stage import StagePlan
 from rookspring_fakes import USERS
 
-from .live import Boxes
+from .live import raised
 from .registry import experiment
 from .registry import report
 
@@ -44,15 +43,8 @@
 
 
 async def _run(user: str, nodes: int, seconds: float) -> dict[str, t.Any]:
-    stage = Stage(StagePlan(USERS[user], base_port=8300, nodes=0, quiet=True))
-    await stage.rise()
-    boxes = Boxes(stage)
-    try:
-        for number in range(1, nodes + 1):
-            boxes.start(number)
-        await boxes.listening(1)
-        await stage.apply_at([boxes.address(1)])
-        await boxes.up(range(1, nodes + 1))
+    plan = StagePlan(USERS[user], base_port=8300)
+    async with raised(plan, range(1, nodes + 1)) as boxes:
         await asyncio.sleep(8.0)
         pids = [process.pid for process in boxes.running.values()]
         before = [await _metrics(boxes.address(number)) for number in boxes.running]
@@ -77,9 +69,6 @@
             "sent KB/s, most": round(max(sent) / 1000, 2),
             "platform calls/s, all": round(sum(calls), 1),
         }
-    finally:
-        boxes.end()
-        await stage.close()
 
 
 @experiment("idle")
--- a/bench/live.py
+++ b/bench/live.py
@@ -6,55 +6,12 @@
 import signal
 import subprocess
 import sys
-import time
 import typing as t
 
 import aiohttp
 
 from rookspring.stage import Stage
 from rookspring.stage import StagePlan
-from rookspring_fakes.users import UserSize
-
-SMALL = UserSize(
-    "small",
-    ("ballerup", "taastrup", "koege"),
-    "pitwall-llm",
-    3,
-    "gridmaker",
-    3,
-    3,
-    0,
-    20.0,
-    10,
-    1.0,
-    "place",
-    "ranked",
-)
-
-
-@contextlib.asynccontextmanager
-async def raised(plan: StagePlan) -> t.AsyncIterator[Stage]:
-    """Raise a stage with its resources in force, and end it afterwards."""
-    stage = Stage(plan)
-    await stage.rise()
-    try:
-        await stage.apply()
-        yield stage
-    finally:
-        await stage.close()
-
-
-class Watch:
-    """Measures wall and processor time of a block."""
-
-    def __enter__(self) -> "Watch":
-        self.wall = time.perf_counter()
-        self.cpu = time.process_time()
-        return self
-
-    def __exit__(self, *ignored: t.Any) -> None:
-        self.wall = time.perf_counter() - self.wall
-        self.cpu = time.process_time() - self.cpu
 
 
 class Boxes:
@@ -129,6 +86,24 @@
                 process.wait()
 
 
+@contextlib.asynccontextmanager
+async def raised(plan: StagePlan, numbers: t.Sequence[int]) -> t.AsyncIterator[Boxes]:
+    """Raise stand-ins here and boxes as processes, with resources in force, and end all."""
+    stage = Stage(plan._replace(nodes=0, quiet=True))
+    await stage.rise()
+    boxes = Boxes(stage)
+    try:
+        for number in numbers:
+            boxes.start(number)
+        await boxes.listening(numbers[0])
+        await stage.apply_at([boxes.address(numbers[0])])
+        await boxes.up(numbers)
+        yield boxes
+    finally:
+        boxes.end()
+        await stage.close()
+
+
 async def disturb(boxes: Boxes, ways: t.Sequence[str], until: asyncio.Event) -> dict[str, int]:
     """Kill, pause and drain boxes in turn, and start them again, until told to stop."""
     counts = dict.fromkeys(ways, 0)
--- a/bench/once.py
+++ b/bench/once.py
@@ -19,10 +19,11 @@
 from rookspring.stage import KEY
 from rookspring.stage import Stage
 from rookspring.stage import StagePlan
+from rookspring_fakes.users import SMALL
 
-from .live import SMALL
 from .live import Boxes
 from .live import disturb
+from .live import raised
 from .registry import experiment
 from .registry import quantile
 from .registry import report
@@ -106,16 +107,9 @@
 async def _run(
     calls: int, workers: int, pause_s: float
 ) -> tuple[Ledgerbook, Stage, dict[str, int], float]:
-    stage = Stage(StagePlan(SMALL, base_port=7900, nodes=0, quiet=True))
-    await stage.rise()
-    boxes = Boxes(stage)
     numbers = [1, 2, 3, 4, 5, 6]
-    try:
-        for number in numbers:
-            boxes.start(number)
-        await boxes.listening(1)
-        await stage.apply_at([boxes.address(1)])
-        await boxes.up(numbers)
+    async with raised(StagePlan(SMALL, base_port=7900), numbers) as boxes:
+        stage = boxes.stage
         for service in stage.services.values():
             service.faults.applied_unanswered = 0.01
             service.faults.lose = 0.01
@@ -129,9 +123,6 @@
         wall = time.monotonic() - begun
         done.set()
         return book, stage, await chaos, wall
-    finally:
-        boxes.end()
-        await stage.close()
 
 
 @experiment("once")
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -21,8 +21,8 @@
 from rookspring.settings import Settings
 from rookspring.stage import Stage
 from rookspring.stage import StagePlan
+from rookspring_fakes.users import SMALL
 
-from .live import SMALL
 from .registry import experiment
 from .registry import quantile
 from .registry import report
--- a/bench/streams.py
+++ b/bench/streams.py
@@ -13,10 +13,10 @@
 from rookspring_fakes import Caller
 from rookspring_fakes.caller import Answer
 from rookspring_fakes.caller import expected_text
+from rookspring_fakes.users import SMALL
 
-from .live import SMALL
-from .live import Boxes
 from .live import disturb
+from .live import raised
 from .registry import experiment
 from .registry import quantile
 from .registry import report
@@ -57,18 +57,9 @@
 
 
 async def _run(streams: int, workers: int) -> dict[str, t.Any]:
-    plan = StagePlan(SMALL, base_port=8100, nodes=0, quiet=True, slots=64, token_rate=8000.0)
-    stage = Stage(plan)
-    await stage.rise()
-    boxes = Boxes(stage)
+    plan = StagePlan(SMALL, base_port=8100, slots=64, token_rate=8000.0)
     numbers = [1, 2, 3, 4, 5]
-    callers: list[Caller] = []
-    try:
-        for number in numbers:
-            boxes.start(number)
-        await boxes.listening(1)
-        await stage.apply_at([boxes.address(1)])
-        await boxes.up(numbers)
+    async with raised(plan, numbers) as boxes:
         seeds = [boxes.address(number) for number in numbers]
         callers = [Caller(seeds, seed=number) for number in range(workers)]
         left = list(range(streams))
@@ -76,20 +67,17 @@
         gaps: list[float] = []
         done = asyncio.Event()
         chaos = asyncio.create_task(disturb(boxes, ("kill", "kill", "drain"), done))
-        runners = asyncio.create_task(_kill_runners(stage, done, 1))
+        runners = asyncio.create_task(_kill_runners(boxes.stage, done, 1))
         await asyncio.gather(*(_work(one, left, found, gaps) for one in callers))
         done.set()
+        for caller in callers:
+            await caller.close()
         return {
             "found": found,
             "gaps": gaps,
             "chaos": await chaos,
             "runners": await runners,
         }
-    finally:
-        for caller in callers:
-            await caller.close()
-        boxes.end()
-        await stage.close()
 
 
 @experiment("streams")
--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -45,3 +45,9 @@
       | lose orders, load m                                      | done unanswered            |
       | load m, report                                           | accepted loading           |
       | stop, generate                                           | done unsent                |
+
+  Scenario: shards of old heads are let go, and the last revision reads whole
+    Given a platform behind its client
+    When 12 revisions are published to it
+    Then at most 5 shards of a changed resource are kept
+    And another reader gets the last revision whole
--- a/features/decisions.feature
+++ b/features/decisions.feature
@@ -36,6 +36,18 @@
       | it breaks after sending, no time is left, it breaks after sending | unknown | 2 |
       | no time is left, it cannot connect                 | not_run | 1    |
 
+  Scenario Outline: a node that reaches nobody takes no new work after a while
+    Given a node with a model on two runners
+    When it has reached <whom> for <seconds> seconds and a request is sent
+    Then the answers are <answers> and it was sent <sent> times
+
+    Examples:
+      | whom         | seconds | answers | sent |
+      | nobody       | 5       | ran     | 1    |
+      | nobody       | 20      | not_run | 0    |
+      | the platform | 20      | ran     | 1    |
+      | a node       | 20      | ran     | 1    |
+
   Scenario Outline: chunks of a stream are passed on once and in order
     Given a stream's guard at offset <offset>
     When the chunks <chunks> come
--- a/features/environment.py
+++ b/features/environment.py
@@ -8,23 +8,7 @@
 from rookspring.logs import configure
 from rookspring.stage import Stage
 from rookspring.stage import StagePlan
-from rookspring_fakes.users import UserSize
-
-SMALL = UserSize(
-    "small",
-    ("ballerup", "taastrup", "koege"),
-    "pitwall-llm",
-    3,
-    "gridmaker",
-    2,
-    3,
-    2,
-    20.0,
-    10,
-    1.0,
-    "place",
-    "ranked",
-)
+from rookspring_fakes.users import SMALL
 
 
 class LoopThread:
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -6,6 +6,7 @@
 from behave import when
 from returns.result import Success
 
+from rookspring import defaults
 from rookspring.endpoints import Generate
 from rookspring.endpoints import HttpEndpoint
 from rookspring.exceptions import EndpointError
@@ -15,6 +16,11 @@
 from rookspring.exceptions import PlatformTooOld
 from rookspring.exceptions import PlatformUnreachable
 from rookspring.platform import open_platform
+from rookspring.published import HEAD
+from rookspring.published import KIND
+from rookspring.published import PublishedStore
+from rookspring_core import Entry
+from rookspring_core import Resource
 from rookspring_core.effects import SendOrder
 from rookspring_fakes import Engine
 from rookspring_fakes import Platform
@@ -211,3 +217,38 @@
 @then("it answers {answers}")
 def answers_were(context, answers):
     assert context.answers == answers.split(), context.answers
+
+
+@when("{count:d} revisions are published to it")
+def revisions_published(context, count):
+    async def work():
+        under_test = context.under_test
+        await under_test.open()
+        store = PublishedStore(under_test.client)
+        version = 0
+        for revision in range(1, count + 1):
+            spec = {"concurrency": revision}
+            context.entries = {"Service.s": Entry(Resource("Service", "s", spec, revision))}
+            answer = await store.publish(revision, 1, version, context.entries)
+            version = answer.unwrap()
+            await store.sweep(defaults.HEADS_KEPT)
+        kept = await under_test.client.list_kind(KIND)
+        context.shards = [one.name for one in kept.unwrap().items if one.name != HEAD]
+        reader = PublishedStore(under_test.client)
+        head = (await reader.read_head()).unwrap()
+        context.read = (await reader.read_revision(head, 0.0)).unwrap()
+        await under_test.close()
+
+    context.revisions = count
+    asyncio.run(work())
+
+
+@then("at most {most:d} shards of a changed resource are kept")
+def shards_kept(context, most):
+    assert 1 <= len(context.shards) <= most, context.shards
+
+
+@then("another reader gets the last revision whole")
+def reads_whole(context):
+    assert context.read.revision == context.revisions
+    assert context.read.entries == context.entries
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -22,6 +22,7 @@
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
+from rookspring_core.events import PeerHeard
 from rookspring_core.events import PlatformAnswered
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import SessionOpened
@@ -219,6 +220,20 @@
     play(context.node, events)
 
 
+@when("it has reached {whom} for {seconds:d} seconds and a request is sent")
+def cut_off(context, whom, seconds):
+    node = context.node
+    node.submit(PlatformAnswered(node.now, whom == "the platform"))
+    node.now += seconds
+    if whom == "a node":
+        node.submit(PeerHeard(node.now, "p", "p#1", "a", "a", "dc", 1, False))
+    for number in (1, 2):
+        node.submit(report(f"e{number}", node.now, resident=(("m", "v1"),)))
+    node.ask()
+    if node.sent:
+        node.succeed()
+
+
 def play(node, events):
     for name in events.split(", "):
         EVENTS[name](node)
--- a/features/steps/tls_steps.py
+++ b/features/steps/tls_steps.py
@@ -7,7 +7,6 @@
 import trustme
 from behave import given
 from behave import then
-from environment import SMALL
 from environment import LoopThread
 
 from rookspring.exceptions import SettingsError
@@ -16,6 +15,7 @@
 from rookspring.settings import check_settings
 from rookspring.stage import Stage
 from rookspring.stage import StagePlan
+from rookspring_fakes.users import SMALL
 
 
 @given("two nodes with a certificate")
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -28,13 +28,10 @@
 # Slots to assume of an endpoint that has not reported yet.
 SLOTS_UNKNOWN = 8
 ENDED_MAX = 4096
-DIGEST_INTERVAL_S = 0.5
 
 # Changes are folded into one publication for this long.
 PUBLISH_BATCH_S = 0.25
 SHARD_COUNT = 16
-SHARD_BYTES_MAX = 512 * 1024
-HEADS_KEPT = 4
 
 # An order that was sent may still arrive this much later.
 LATE_ORDER_BOUND_S = 30.0
@@ -67,8 +64,6 @@
 # How far ahead a weight moves a request in the deadline order, in seconds.
 PRIORITY_HEADSTART_S = {"ledger": 60.0, "ranked": 30.0, "normal": 10.0, "casual": 0.0}
 PRIORITY_RANK = {"casual": 0, "normal": 1, "ranked": 2, "ledger": 3}
-DEFAULT_PRIORITY = "normal"
-DEFAULT_DEADLINE_S = 60.0
 DEADLINE_MAX_S = 600.0
 DEFAULT_MAX_TOKENS = 256
 MAX_TOKENS_LIMIT = 32768
@@ -85,8 +80,6 @@
 SESSIONS_MAX = 50_000
 ONCE_PER_SESSION_MAX = 256
 ONCE_ANSWER_BYTES_MAX = 64 * 1024
-OUTCOMES_PAGE_BYTES_MAX = 900 * 1024
-OUTCOMES_PAGES_MAX = 64
 
 LIMIT_SHARE_INTERVAL_S = 1.0
 
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -67,11 +67,6 @@
             self.lose(name)
         return late
 
-    def incarnation_of(self, name: str) -> str:
-        """Give a live node's incarnation, or an empty string."""
-        peer = self.peers.get(name)
-        return peer.heard.incarnation if peer else ""
-
     def staying(self) -> list[str]:
         """Name the live nodes that are not leaving, this one included."""
         names = [name for name, peer in self.peers.items() if not peer.heard.leaving]
--- a/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
@@ -1,7 +1,6 @@
 """How the world carries out requests at runners and services, and makes reports."""
 
 import typing as t
-import zlib
 
 from rookspring_core.effects import Attach
 from rookspring_core.effects import Cancel
@@ -249,8 +248,3 @@
         world.broken.append(f"{node.name} stopped with requests in flight")
     node.alive = False
     world.boxes.pop(node.name, None)
-
-
-def prefix_of(prompt: str) -> int:
-    """Give the prefix number of a prompt, as runners do."""
-    return zlib.crc32(prompt[:64].encode())
--- a/packages/rookspring-fakes/src/rookspring_fakes/users.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/users.py
@@ -55,6 +55,23 @@
     ),
 }
 
+# A deployment that comes up in seconds, for tests and experiments on real sockets.
+SMALL = UserSize(
+    "small",
+    ("ballerup", "taastrup", "koege"),
+    "pitwall-llm",
+    3,
+    "gridmaker",
+    3,
+    3,
+    2,
+    20.0,
+    10,
+    1.0,
+    "place",
+    "ranked",
+)
+
 _SIZES_GB = (8.0, 10.0, 12.0, 14.0, 16.0)
 _PRIORITIES = ("ranked", "normal", "casual")
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -37,3 +37,5 @@
 OUTCOMES_PAGES_MAX = 64
 # An unchanged report is shared whole this often; in between only its load goes out.
 REPORT_WHOLE_S = 10.0
+# Published heads whose shards are kept for readers that lag.
+HEADS_KEPT = 4
--- a/packages/rookspring/src/rookspring/following.py
+++ b/packages/rookspring/src/rookspring/following.py
@@ -166,7 +166,6 @@
             head = answer.unwrap()
             if await apply_head(node, head):
                 node.submit(HeadSeen(time.monotonic(), head.version, head.revision))
-                await node.published.sweep(head, 4)
                 return
         await back_off.pause()
 
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -200,6 +200,7 @@
             seen = RevisionSeen(now, effect.revision, effect.epoch, effect.entries)
             node.submit(seen)
             node.submit(Published(now, effect.revision, True, answer.unwrap()))
+            await node.published.sweep(defaults.HEADS_KEPT)
             return
         log("publish_failed", "WARNING", revision=effect.revision, reason=answer.failure())
         lost = isinstance(answer.failure(), PlatformConflict)
--- a/packages/rookspring/src/rookspring/published.py
+++ b/packages/rookspring/src/rookspring/published.py
@@ -115,17 +115,19 @@
         answer = await self._platform.put(KIND, HEAD, head, expected)
         if isinstance(answer, Success):
             self._shards = shards
+            self._names.append(frozenset(names.values()))
         return answer
 
-    async def sweep(self, head: Head, keep: int) -> None:
-        """Delete shards that no recent head names; readers of old heads read again."""
-        self._names.append(frozenset(head.shards.values()))
-        if len(self._names) <= keep:
-            return
-        dropped = self._names.pop(0)
-        kept = frozenset().union(*self._names)
-        for name in dropped - kept:
-            await self._platform.delete(KIND, name, None)
+    async def sweep(self, keep: int) -> None:
+        """Delete shards that none of the last ``keep`` heads names.
+
+        A reader of an older head finds a shard missing and reads the head again.
+        """
+        while len(self._names) > keep:
+            dropped = self._names.pop(0)
+            kept = frozenset().union(*self._names)
+            for name in sorted(dropped - kept):
+                await self._platform.delete(KIND, name, None)
 
 
 def parse_head(version: int, value: t.Mapping[str, t.Any]) -> Head:
