Let callers tell the first send of a key; trace platform calls

Cause: a key whose session's node was killed before its first send is unknown to the node that is asked, though its caller knows that nobody had it. Change: X-Rookspring-Attempt: 1 declares a first send; where the session's node is out of reach it is then not_run, since this node passes it on to none. A span for each platform call.

--- a/bench/once.py
+++ b/bench/once.py
@@ -34,7 +34,8 @@
 class Ledgerbook:
     """What callers were told, by call."""
 
-    def __init__(self) -> None:
+    def __init__(self, tells_attempts: bool) -> None:
+        self.tells_attempts = tells_attempts
         self.told: dict[str, list[str]] = {}
         self.causes: collections.Counter[str] = collections.Counter()
         self.times: list[float] = []
@@ -53,7 +54,7 @@
 
 
 async def _send(
-    session: aiohttp.ClientSession, address: str, key: str, call: str
+    session: aiohttp.ClientSession, address: str, key: str, call: str, attempt: int
 ) -> tuple[str, str]:
     """Send a key once.
 
@@ -61,6 +62,8 @@
     """
     url = f"http://{address}/v1/services/{SMALL.service}/{SMALL.unrepeatable}"
     headers = {**AUTH, "Idempotency-Key": key, "X-Rookspring-Deadline-Ms": "5000"}
+    if attempt:
+        headers["X-Rookspring-Attempt"] = str(attempt)
     limit = aiohttp.ClientTimeout(total=8.0, connect=1.0)
     body = orjson.dumps({"call": call})
     try:
@@ -91,21 +94,21 @@
             await asyncio.sleep(pause_s * chance.random())
             begun = time.monotonic()
             entry = chance.choice([first, second])
-            told = [await _send(session, boxes.address(entry), f"{token}/1", call)]
+            tell = int(book.tells_attempts)
+            key = f"{token}/1"
+            told = [await _send(session, boxes.address(entry), key, call, tell)]
             book.times.append(time.monotonic() - begun)
             # Every key is retried at the other node, whatever was told.
-            told.append(
-                await _send(session, boxes.address(first + second - entry), f"{token}/1", call)
-            )
+            other = boxes.address(first + second - entry)
+            told.append(await _send(session, other, key, call, 2 * tell))
             book.told[call] = [outcome for outcome, _ in told]
-            if "ran" not in book.told[call] and "unknown" in book.told[call] + ["broken"]:
+            if not {"ran", "not_run"} & set(book.told[call]):
                 worst = next((why for what, why in told if what == "unknown"), told[-1][1])
-                if set(book.told[call]) != {"not_run"}:
-                    book.causes[worst] += 1
+                book.causes[worst] += 1
 
 
 async def _run(
-    calls: int, workers: int, pause_s: float
+    calls: int, workers: int, pause_s: float, tells: bool
 ) -> tuple[Ledgerbook, Stage, dict[str, int], float]:
     numbers = [1, 2, 3, 4, 5, 6]
     async with raised(StagePlan(SMALL, base_port=7900), numbers) as boxes:
@@ -113,7 +116,7 @@
         for service in stage.services.values():
             service.faults.applied_unanswered = 0.01
             service.faults.lose = 0.01
-        book = Ledgerbook()
+        book = Ledgerbook(tells)
         left = [f"call-{number}" for number in range(calls)]
         done = asyncio.Event()
         begun = time.monotonic()
@@ -132,15 +135,18 @@
     parser.add_argument("--calls", type=int, default=10_000)
     parser.add_argument("--workers", type=int, default=40)
     parser.add_argument("--pause", type=float, default=0.3, help="mean pause of a worker, s")
+    parser.add_argument("--plain", action="store_true", help="callers do not tell attempts")
     options = parser.parse_args(arguments)
     configure("ERROR")
-    book, stage, chaos, wall = uvloop.run(_run(options.calls, options.workers, options.pause))
+    book, stage, chaos, wall = uvloop.run(
+        _run(options.calls, options.workers, options.pause, not options.plain)
+    )
     runs = stage.ledger.runs
     ends: collections.Counter[str] = collections.Counter()
     false_not_run = 0
     false_ran = 0
     for call, told in book.told.items():
-        end = "ran" if "ran" in told else "not_run" if set(told) == {"not_run"} else "unknown"
+        end = "ran" if "ran" in told else "not_run" if "not_run" in told else "unknown"
         ends[end] += 1
         false_not_run += int(end == "not_run" and runs.get(call, 0) > 0)
         false_ran += int(end == "ran" and runs.get(call, 0) != 1)
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -151,8 +151,10 @@
     context.call = hashlib.sha256(context.session.encode()).hexdigest()[:12]
 
 
-async def place_call(target, session, sequence, call, key="demo", body=None):
+async def place_call(target, session, sequence, call, key="demo", body=None, attempt=0):
     headers = {"Authorization": f"Bearer {key}", "Idempotency-Key": f"{session}/{sequence}"}
+    if attempt:
+        headers["X-Rookspring-Attempt"] = str(attempt)
     raw = json.dumps(body or {"call": call}).encode()
     status, answer = await send(target, "POST", "/v1/services/gridmaker/place", raw, headers)
     return "ran" if status < 400 else answer["outcome"]
@@ -479,6 +481,15 @@
     assert gone not in context.listed, context.listed
 
 
+@then("key {sequence:d} of {owner} first sent to {name} gives {outcome} and ran never")
+def key_first_gives(context, sequence, owner, name, outcome):
+    session, call = context.kept[owner]
+    asked = f"{call}-{sequence}"
+    work = place_call(address(context, name), session, sequence, asked, attempt=1)
+    assert context.loop.run(work) == outcome
+    assert context.stage.ledger.runs.get(asked, 0) == 0
+
+
 @then("key {sequence:d} of {owner} sent to {name} gives {outcome} and ran {times}")
 def key_gives(context, sequence, owner, name, outcome, times):
     session, call = context.kept[owner]
--- a/features/zz_stops.feature
+++ b/features/zz_stops.feature
@@ -10,3 +10,5 @@
     And key 1 of box-3 sent to box-1 gives ran and ran once in all
     And key 2 of box-3 sent to box-1 gives not_run and ran never
     And key 1 of box-2 sent to box-1 gives unknown and ran once in all
+    And key 2 of box-2 first sent to box-1 gives not_run and ran never
+    And key 1 of box-2 sent to box-1 gives unknown and ran once in all
--- a/packages/rookspring/src/rookspring/forwarding.py
+++ b/packages/rookspring/src/rookspring/forwarding.py
@@ -138,6 +138,13 @@
     await responder.end()
 
 
+async def _answer_ended(responder: Responder) -> None:
+    text = "the session's node is out of reach and this key was not run; open a new session"
+    await responder.start(410, {"Content-Type": "application/json"})
+    await responder.send(error_body(text, "session_ended", "not_run"))
+    await responder.end()
+
+
 async def answer_for_gone(
     node: "Node", claims: SessionClaims, fields: dict[str, t.Any], responder: Responder
 ) -> None:
@@ -148,6 +155,11 @@
     page = ""
     if isinstance(kept, Success):
         page = str(kept.unwrap().value["sessions"].get(session, ""))
+    if not page and fields["first_send"]:
+        # The caller declares that no node has had this key, and this one passed it
+        # on to none; the only one that might start it is gone.
+        await _answer_ended(responder)
+        return
     if not page:
         await _answer_unknown(responder, False, "the node that issued the session is gone")
         return
@@ -159,11 +171,7 @@
     row = rows["keys"].get(str(sequence))
     if row is None and sequence > int(rows["low_water"]):
         # That incarnation ended with this key never begun, and no other may begin it.
-        text = "the session has ended and this key was not run; open a new session"
-        body = error_body(text, "session_ended", "not_run")
-        await responder.start(410, {"Content-Type": "application/json"})
-        await responder.send(body)
-        await responder.end()
+        await _answer_ended(responder)
         return
     if row is None or row[0] != "ran" or row[1] != fields["body_digest"]:
         await _answer_unknown(responder, False, "the outcome is no longer known")
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -75,7 +75,7 @@
             settings.name, settings.trace_file, settings.trace_otlp, settings.trace_share
         )
         self.signer = Signer(settings.signing_keys)
-        self.platform = open_platform(settings.platform, self._count_platform)
+        self.platform = open_platform(settings.platform, self._count_platform, self.telemetry)
         self.published = PublishedStore(self.platform)
         self.endpoints: EndpointClient = t.cast(t.Any, ENDPOINTS["http"])()
         self.tls = _make_tls(settings)
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -25,6 +25,7 @@
 from .exceptions import PlatformRefused
 from .exceptions import PlatformTooOld
 from .exceptions import PlatformUnreachable
+from .telemetry import Telemetry
 
 
 class Stored(t.NamedTuple):
@@ -127,11 +128,15 @@
     """The platform over HTTP.
 
     :param count: is told how each call ended.
+    :param telemetry: records a span of each call, a trace of its own.
     """
 
-    def __init__(self, base: str, count: t.Callable[[str, str], None]) -> None:
+    def __init__(
+        self, base: str, count: t.Callable[[str, str], None], telemetry: Telemetry | None = None
+    ) -> None:
         self._base = base
         self._count = count
+        self._telemetry = telemetry or Telemetry("platform-client")
         self._session: aiohttp.ClientSession | None = None
         self._budget = CallBudget(defaults.PLATFORM_CALLS_PER_S, defaults.PLATFORM_CALLS_BURST)
 
@@ -149,7 +154,11 @@
         timeout_s: float = defaults.PLATFORM_CALL_S,
     ) -> Result[t.Any, PlatformError]:
         await self._budget.take()
+        span = self._telemetry.begin("platform", method=method, path=path)
         headers = {} if expected is None else {"If-Match": str(expected)}
+        traceparent = self._telemetry.header(span)
+        if traceparent:
+            headers["traceparent"] = traceparent
         data = None if body is None else orjson.dumps(body)
         limit = aiohttp.ClientTimeout(total=timeout_s, connect=defaults.CONNECT_S)
         try:
@@ -162,6 +171,8 @@
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             self._count(method, "unreachable")
             return Failure(PlatformUnreachable(f"{path}: {type(error).__name__}"))
+        finally:
+            span.end()
 
     async def _send(
         self,
@@ -243,8 +254,10 @@
     return Stored(raw["name"], int(raw["version"]), raw["value"])
 
 
-def open_platform(address: str, count: t.Callable[[str, str], None]) -> PlatformClient:
+def open_platform(
+    address: str, count: t.Callable[[str, str], None], telemetry: Telemetry | None = None
+) -> PlatformClient:
     """Make the client that the address's scheme names."""
     scheme = address.partition("://")[0]
     cls: t.Any = PLATFORMS[scheme]
-    return t.cast(PlatformClient, cls(address, count))
+    return t.cast(PlatformClient, cls(address, count, telemetry))
--- a/packages/rookspring/src/rookspring/reading.py
+++ b/packages/rookspring/src/rookspring/reading.py
@@ -88,6 +88,16 @@
     return claims, (found["session"], int(found["sequence"]))
 
 
+def _read_first(request: Request) -> bool:
+    """Say whether the caller declares that it sends a key for the first time."""
+    text = request.headers.get("x-rookspring-attempt")
+    if text is None:
+        return False
+    if not text.isdigit() or int(text) < 1:
+        raise CallerError(400, "X-Rookspring-Attempt", "1 for the first send of a key, then 2, ...")
+    return int(text) == 1
+
+
 class ChatFields(t.TypedDict):
     """What a chat request asks for, after all checks."""
 
@@ -100,6 +110,7 @@
     deadline_s: float
     once_key: tuple[str, int] | None
     body_digest: str
+    first_send: bool
     traceparent: str
 
 
@@ -176,6 +187,7 @@
         deadline_s=_read_deadline(request, spec.deadline_s),
         once_key=keyed[1] if keyed else None,
         body_digest=hashlib.sha256(request.body).hexdigest(),
+        first_send=_read_first(request),
         traceparent=request.headers.get("traceparent", ""),
     )
 
@@ -192,6 +204,7 @@
     deadline_s: float
     once_key: tuple[str, int] | None
     body_digest: str
+    first_send: bool
     traceparent: str
 
 
@@ -229,5 +242,6 @@
         deadline_s=_read_deadline(request, spec.deadline_s),
         once_key=keyed[1] if keyed else None,
         body_digest=digest.hexdigest(),
+        first_send=_read_first(request),
         traceparent=request.headers.get("traceparent", ""),
     )
