Catch the mutant that settles orders at any report

Cause: since every order to an unchecked endpoint stays in doubt, the mutant no longer showed there. Change: its fault is now crowded memory with reports five seconds old.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -113,7 +113,7 @@
         "forget an order's memory", Ledger, "give_up_order", _forget_doubt, "crowded, slow loads"
     ),
     Mutant(
-        "settle orders at any report", Ledger, "_settled", _settle_nothing, "crowded, slow loads"
+        "settle orders at any report", Ledger, "_settled", _settle_nothing, "crowded, reports lag"
     ),
     Mutant("promise without limit", Ledger, "free", _no_reserve, "crowded"),
     Mutant(
@@ -161,6 +161,15 @@
     world.clock.call(4.0, _slow_loads, world, chance)
 
 
+def _crowd_with_lag(world: World, chance: random.Random) -> None:
+    """Models for more memory than there is, while reports are five seconds old."""
+    for engine in world.engines.values():
+        engine.faults.report_lag_s = 5.0
+    _crowd(world, chance)
+    for turn in range(6):
+        world.clock.call(3.0 * turn, DISTURBANCES["operators change versions"], world, chance)
+
+
 def _unload_all(world: World, chance: random.Random) -> None:
     """A placement policy that unloads whatever it sees."""
     from rookspring_core.placement import PLACEMENT
@@ -191,6 +200,7 @@
 
 EXTRA: dict[str, t.Callable[[World, random.Random], None]] = {
     "crowded, slow loads": _crowd_slowly,
+    "crowded, reports lag": _crowd_with_lag,
     "crowded": _crowd,
     "unload all": _unload_all,
     "old revision": _send_old,
