--- a/features/steps/resource_steps.py
+++ b/features/steps/resource_steps.py
@@ -12,9 +12,9 @@
 from rookspring_core.acceptance import accept
 
 
-@given("a Model named {name} with spec {spec}")
-def a_model(context, name, spec):
-    context.document = {"kind": "Model", "name": name, "spec": json.loads(spec)}
+@given("a {kind} named {name} with spec {spec}")
+def a_document(context, kind, name, spec):
+    context.document = {"kind": kind, "name": name, "spec": json.loads(spec)}
 
 
 @when("its {field} is set to {value}")
--- a/packages/rookspring-core/src/rookspring_core/resources.py
+++ b/packages/rookspring-core/src/rookspring_core/resources.py
@@ -127,9 +127,26 @@
         raise ResourceInvalid(tuple(_describe(fault) for fault in error.errors())) from None
     if kind_name == "Model" and parsed.replicas_max < parsed.replicas_min:
         raise ResourceInvalid(("spec.replicas_max: must not be below replicas_min",))
+    if kind_name == "Policy":
+        _check_policy(parsed)
     return parsed
 
 
+def _check_policy(policy: PolicySpec) -> None:
+    """Check that the policies named are registered, since each request needs them."""
+    # Those modules need this one's specs, so they are only imported here.
+    from .placement import PLACEMENT
+    from .routing import ROUTING
+
+    faults: list[str] = []
+    if policy.routing not in ROUTING:
+        faults.append(f"spec.routing: one of {', '.join(ROUTING)} was expected")
+    if policy.placement not in PLACEMENT:
+        faults.append(f"spec.placement: one of {', '.join(PLACEMENT)} was expected")
+    if faults:
+        raise ResourceInvalid(tuple(faults))
+
+
 def check_resource(document: object) -> Resource:
     """Check one resource document and return it in its canonical form.
 
