--- a/Makefile
+++ b/Makefile
@@ -40,3 +40,4 @@
 lock:
 	uv pip compile -q --generate-hashes --no-header --no-annotate --python-version 3.11 requirements/develop.in -o requirements/develop.txt
 	uv pip compile -q --generate-hashes --no-header --no-annotate --python-version 3.11 requirements/runtime.in -c requirements/develop.txt -o requirements/runtime.txt
+	uv pip compile -q --generate-hashes --no-header --no-annotate --python-version 3.11 requirements/relay.in -c requirements/develop.txt -o requirements/relay.txt
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -4,6 +4,7 @@
 from . import governing
 from . import ordering
 from . import requests
+from . import residency
 from .effects import Announce
 from .effects import Effect
 from .effects import Stop
@@ -18,6 +19,7 @@
 from .events import PeerLost
 from .events import PlatformAnswered
 from .events import ReportMissed
+from .events import RouteTableSeen
 from .events import Ticked
 from .membership import AddressRow
 from .reducer import handles
@@ -36,7 +38,10 @@
     state.limits.tick(passed)
     state.once.tick(event.at)
     effects = requests.sweep(state, passed)
-    effects += governing.govern(state, passed)
+    if state.relaying:
+        effects += residency.steer(state, passed)
+    else:
+        effects += governing.govern(state, passed)
     return effects + _stop_due(state)
 
 
@@ -67,6 +72,15 @@
     return requests.pump(state)
 
 
+@handles(RouteTableSeen)
+def take_table(state: NodeState, event: RouteTableSeen) -> Effects:
+    """Put a newer route table in force; an older one changes nothing, ever."""
+    if state.table is not None and event.table.version <= state.table.version:
+        return []
+    state.table = event.table
+    return [Announce("table")]
+
+
 @handles(CacheEventsCame)
 def take_hints(state: NodeState, event: CacheEventsCame) -> Effects:
     """Remember prefixes that an endpoint says it holds."""
@@ -178,7 +192,7 @@
     if state.draining_since is None or state.stopped:
         return []
     served = state.now - state.draining_since
-    if not state.hurry and served < defaults.ADDRESS_TTL_S + defaults.DRAIN_MARGIN_S:
+    if not state.hurry and served < state.drain_serve_s:
         return []
     if state.requests:
         return []
@@ -190,7 +204,7 @@
     """List the entry addresses that callers may use, those of live nodes that stay."""
     rows: list[AddressRow] = []
     identity = state.identity
-    if not state.leaving and state.catalogue.revision > 0:
+    if not state.leaving and state.revision > 0:
         rows.append(AddressRow(identity.caller_address, 1.0, identity.data_centre))
     for peer in state.membership.peers.values():
         heard = peer.heard
@@ -198,3 +212,12 @@
         if not heard.leaving and heard.revision > 0:
             rows.append(AddressRow(heard.caller_address, 1.0, heard.data_centre))
     return sorted(rows)
+
+
+def near_addresses(state: NodeState, data_centre: str) -> list[str]:
+    """List entry addresses for a caller: those of its data centre if two or more are there."""
+    rows = list_addresses(state)
+    near = [row.address for row in rows if row.data_centre == data_centre]
+    if len(near) >= defaults.NEAR_ADDRESSES_MIN:
+        return near
+    return [row.address for row in rows][: defaults.ADDRESSES_MAX]
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -93,3 +93,25 @@
 CONFIRMED_S = 2.5
 # An endpoint that answers no poll for so long counts as gone.
 ENDPOINT_GONE_S = 6.0
+
+# Routed requests. One is refused, with a time to come back, once it has waited this
+# part of its objective for room: later refusals are worth less to callers.
+PATIENCE_SHARE = 0.25
+# Where a try broke before a byte left, another endpoint is asked, this often at most.
+UNSENT_TRIES_MAX = 4
+# A second of order in the queue for each rank: a request of a lower one waits behind
+# those that came within so long after it.
+RANK_HEADSTART_S = 2.0
+# Callers are told to come back after this long where there was no room, and after
+# this long where the model was nowhere resident yet.
+COME_BACK_S = 0.4
+COME_BACK_ABSENT_S = 2.0
+# Weights of the even-load policy, in parts of a full endpoint.
+REMOTE_LOAD = 0.02
+PREFIX_LOAD_BONUS = 0.06
+
+# A caller is given the addresses of its own data centre alone where there are this
+# many, so that it has another one if one fails.
+NEAR_ADDRESSES_MIN = 2
+# Callers take no more than this many.
+ADDRESSES_MAX = 64
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -150,6 +150,18 @@
         """Name what requests may be sent here: resident models, or the service."""
         return self.resident if self.role == "runner" else frozenset((self.service,))
 
+    def lacks(self, target: str, adapter: str) -> None:
+        """Take back what a report said is here, since the endpoint itself denied it."""
+        if self.report is None:
+            return
+        if adapter and adapter in self.report.adapters:
+            adapters = tuple(one for one in self.report.adapters if one != adapter)
+            self.report = self.report._replace(adapters=adapters)
+            return
+        kept = tuple(row for row in self.report.resident if row[0] != target)
+        self.report = self.report._replace(resident=kept)
+        self.resident = frozenset(model for model, _ in kept)
+
     def has_adapter(self, adapter: str) -> bool:
         """Say whether an adapter is attached there."""
         return self.report is not None and adapter in self.report.adapters
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -8,6 +8,7 @@
 
 from .catalogue import Entry
 from .resources import Resource
+from .routes import RouteTable
 
 
 class Ticked(t.NamedTuple):
@@ -16,6 +17,22 @@
     at: float
 
 
+class RouteTerms(t.NamedTuple):
+    """What a route grants a request that is passed through as it is.
+
+    :param service: whose endpoints may serve it.
+    :param attempts: most endpoints that it may be sent to.
+    :param patience_s: longest wait for room before it is refused, in seconds.
+    """
+
+    name: str
+    service: str
+    version: int
+    rank: int
+    attempts: int
+    patience_s: float
+
+
 class RequestArrived(t.NamedTuple):
     """A caller's request was read and its team established."""
 
@@ -34,6 +51,7 @@
     once_key: tuple[str, int] | None = None
     body_digest: str = ""
     stream: bool = False
+    route: RouteTerms | None = None
 
 
 class ResumeAsked(t.NamedTuple):
@@ -87,6 +105,7 @@
     :param sent: a byte of the request may have reached the endpoint.
     :param said_not_run: the endpoint's own protocol said that it did not run.
     :param leaving: the endpoint said that it takes no new work.
+    :param absent: the endpoint said that it does not hold what was asked for.
     """
 
     at: float
@@ -96,6 +115,7 @@
     said_not_run: bool
     reason: str
     leaving: bool = False
+    absent: bool = False
 
 
 class CallerLeft(t.NamedTuple):
@@ -146,6 +166,13 @@
     endpoint: str
 
 
+class RouteTableSeen(t.NamedTuple):
+    """A route table from the platform or another node."""
+
+    at: float
+    table: RouteTable
+
+
 class BoxListed(t.NamedTuple):
     """One row of the platform's box list."""
 
@@ -304,6 +331,7 @@
     | CacheEventsCame
     | ReportMissed
     | BoxListCame
+    | RouteTableSeen
     | PeerHeard
     | PeerLost
     | PlatformAnswered
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -6,6 +6,7 @@
 from . import admission
 from . import defaults
 from . import retries
+from . import routed
 from . import routing
 from .effects import Attach
 from .effects import Cancel
@@ -40,7 +41,7 @@
 @handles(RequestArrived)
 def admit_request(state: NodeState, event: RequestArrived) -> Effects:
     """Judge a new request: start it, queue it, replay its answer or refuse it."""
-    fault = _check_target(state, event)
+    fault = routed.check(state, event) if event.route else _check_target(state, event)
     if fault is not None:
         return [fault]
     if event.once_key is not None:
@@ -125,7 +126,10 @@
     request.limited = event.team in state.catalogue.teams
     state.requests[event.request_id] = request
     pool = state.pools.setdefault(_pool(state, event), admission.Pace())
-    queue = state.queues.setdefault(event.target, admission.AdmissionQueue(pool))
+    queue = state.queues.setdefault(queue_key(event), admission.AdmissionQueue(pool))
+    if event.route is not None:
+        queue.push(routed.place(event, event.at))
+        return []
     order = admission.order_of(event.deadline_at, event.priority)
     rank = defaults.PRIORITY_RANK[event.priority]
     queued = admission.Queued(
@@ -147,6 +151,13 @@
     return _give_up(state, last, 503, "queue_full", "too many requests wait", 1.0)
 
 
+def queue_key(arrived: RequestArrived) -> str:
+    """Name the queue in which a request waits: one for all that fit the same endpoints."""
+    if arrived.route is None:
+        return arrived.target
+    return f"{arrived.route.service}/{arrived.adapter or arrived.target}"
+
+
 def service_time(state: NodeState, target: str, service: bool, tokens: int) -> float:
     """Predict the least seconds in which a target's endpoints could serve a request."""
     best = 0.0
@@ -199,6 +210,8 @@
     """Name the endpoints that a target shares with others: an engine or a service."""
     if arrived.service:
         return f"service/{arrived.target}"
+    if arrived.route is not None:
+        return f"engine/{arrived.route.service}"
     spec = state.catalogue.models.get(arrived.target)
     return f"engine/{spec.engine}" if spec else "engine/"
 
@@ -215,6 +228,8 @@
     ]
     if arrived.adapter:
         fitting = [one for one in fitting if one.has_adapter(arrived.adapter)]
+    if arrived.route is not None:
+        fitting = [one for one in fitting if one.service == arrived.route.service]
     fresh = [one for one in fitting if one.name not in request.tried] or fitting
     if not fresh:
         return None
@@ -228,6 +243,8 @@
         data_centre=state.identity.data_centre,
     )
     name = state.routing_override or state.catalogue.policy.routing
+    if arrived.route is not None:
+        name = state.routing_override or routed.POLICY
     return routing.find_routing(name)(query, fresh)
 
 
@@ -242,7 +259,9 @@
     if request.arrived.prefix:
         endpoint.hint((request.arrived.prefix,), state.now)
     wait = 0.0
-    if request.attempt > 1 and (request.delivered == 0 or request.barren > 1):
+    if request.arrived.route is not None:
+        routed.count(state, request)
+    elif request.attempt > 1 and (request.delivered == 0 or request.barren > 1):
         failed = request.barren or request.attempt - 1
         wait = retries.back_off(failed, routing.mix(identity))
     return Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait)
@@ -268,6 +287,7 @@
     request.tried.add(event.endpoint)
     request.running = True
     request.sent = True
+    request.maybe_ran = True
     request.delivered = event.offset
     endpoint = state.endpoints.get(event.endpoint)
     if endpoint is None:
@@ -328,13 +348,18 @@
     request = _current(state, event.request_id, event.attempt)
     if request is None:
         return []
-    request.sent = event.sent and not event.said_not_run
+    # What an earlier attempt may have run stays so, whatever a later one says.
+    request.maybe_ran = request.maybe_ran or (event.sent and not event.said_not_run)
+    request.sent = request.maybe_ran
     request.not_run_said = event.said_not_run
     _blame(state, request, event)
     request.running = False
-    if _may_retry(state, request, event):
+    terms = request.arrived.route
+    if routed.may_retry(state, request, event) if terms else _may_retry(state, request, event):
         return _requeue(state, request)
     status = 503 if not request.sent else 502
+    if terms is not None and request.sent and request.arrived.deadline_at <= state.now:
+        status = 504
     text = f"endpoint failed: {event.reason}"
     effects = _give_up(state, request, status, "endpoint_failed", text, 0.5)
     return effects + pump(state)
@@ -348,6 +373,10 @@
     if event.leaving:
         endpoint.leaving = True
         return
+    if event.absent:
+        before = endpoint.targets()
+        endpoint.lacks(request.arrived.target, request.arrived.adapter)
+        state.index(endpoint, before, endpoint.targets())
     if not event.said_not_run:
         endpoint.fail(state.now)
 
@@ -374,7 +403,10 @@
 def _requeue(state: NodeState, request: RequestState) -> Effects:
     arrived = request.arrived
     pool = state.pools.setdefault(_pool(state, arrived), admission.Pace())
-    queue = state.queues.setdefault(arrived.target, admission.AdmissionQueue(pool))
+    queue = state.queues.setdefault(queue_key(arrived), admission.AdmissionQueue(pool))
+    if arrived.route is not None:
+        queue.push(routed.place(arrived, state.now))
+        return pump(state)
     # What is begun goes before what waits: it has the caller's time in it already.
     order = arrived.at - defaults.PRIORITY_HEADSTART_S["ledger"]
     rank = defaults.PRIORITY_RANK[arrived.priority]
@@ -428,7 +460,7 @@
     if request.arrived.once_key is not None and request.running:
         # A retry may come for this answer, so it is worth finishing.
         return []
-    queue = state.queues.get(request.arrived.target)
+    queue = state.queues.get(queue_key(request.arrived))
     if queue is not None:
         queue.remove(event.request_id)
     effects: Effects = []
@@ -464,7 +496,9 @@
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
         text = "cannot be served before its deadline any more"
-        effects += _give_up(state, request, 503, "late", text, 1.0)
+        after_s = routed.come_back(state, request) if request.arrived.route else 1.0
+        status = 502 if request.sent else 503
+        effects += _give_up(state, request, status, "late", text, after_s)
     return effects
 
 
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -0,0 +1,84 @@
+"""Requests that a route passes through as they are: their bounds, order and retries.
+
+They live the same life as the product's own requests, in :mod:`requests`; this
+module holds what a route decides in place of the catalogue.
+"""
+
+from . import admission
+from . import defaults
+from .effects import Refuse
+from .events import AttemptFailed
+from .events import RequestArrived
+from .retries import RetryWindow
+from .state import NodeState
+from .state import RequestState
+
+POLICY = "even-load"
+
+
+def check(state: NodeState, event: RequestArrived) -> Refuse | None:
+    """Refuse what this node cannot begin; None where it may go on."""
+    if state.stopped:
+        text = "this node has stopped; ask for addresses"
+        return Refuse(event.request_id, 503, "stopping", "not_run", text, defaults.COME_BACK_S)
+    return None
+
+
+def place(arrived: RequestArrived, now: float) -> admission.Queued:
+    """Give a request's place in its queue: by rank and arrival, for as long as it may wait."""
+    assert arrived.route is not None
+    rank = arrived.route.rank
+    order = arrived.at + rank * defaults.RANK_HEADSTART_S
+    until = min(arrived.deadline_at, now + arrived.route.patience_s)
+    return admission.Queued(order, arrived.at, arrived.request_id, 0, rank, until)
+
+
+def window(state: NodeState, service: str) -> RetryWindow:
+    """Give the resend window of a service at this node."""
+    found = state.windows.get(service)
+    if found is None or found.terms != state.window_terms:
+        found = state.windows[service] = RetryWindow(state.window_terms)
+    return found
+
+
+def count(state: NodeState, request: RequestState) -> None:
+    """Count a first send, which earns a part of a resend."""
+    terms = request.arrived.route
+    if terms is not None and request.sends == 0 and request.attempt == 1:
+        window(state, terms.service).earn(state.now)
+
+
+def may_retry(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
+    """Say whether another endpoint may be asked.
+
+    An attempt of which no byte left is free. Anything else counts towards the
+    route's bound and the service's window, also where the endpoint refused it.
+    """
+    arrived = request.arrived
+    terms = arrived.route
+    assert terms is not None
+    if arrived.deadline_at <= state.now:
+        return False
+    if not event.sent:
+        return request.attempt <= defaults.UNSENT_TRIES_MAX and _clean(request)
+    request.sends += 1
+    if not arrived.repeatable and not event.said_not_run:
+        return False
+    if request.sends >= terms.attempts:
+        return False
+    return window(state, terms.service).spend(state.now)
+
+
+def _clean(request: RequestState) -> bool:
+    """Say whether the request may go out again after an attempt that sent nothing."""
+    return request.arrived.repeatable or request.sends == 0 or request.not_run_said
+
+
+def come_back(state: NodeState, request: RequestState) -> float:
+    """Tell when to come back, in seconds: later where the model is yet to be loaded."""
+    if request.sent:
+        return 0.0
+    if state.hosts.get(request.arrived.target):
+        return defaults.COME_BACK_S
+    left = request.arrived.deadline_at - state.now
+    return min(defaults.COME_BACK_ABSENT_S, left / 3.0)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/routes.py
@@ -0,0 +1,129 @@
+"""Routes: which endpoints may serve a request that is passed through as it is.
+
+A route table is immutable, carries its version, and is replaced only by one of a
+higher version. Adapters make it from a platform's configuration; requests are
+matched to a route by host and the longest prefix of the path.
+"""
+
+import typing as t
+
+from .mixing import mix
+
+
+class Split(t.NamedTuple):
+    """One service of a route with its share of the requests, as a weight."""
+
+    service: str
+    weight: float
+
+
+class Route(t.NamedTuple):
+    """What holds for the requests of one host and path prefix.
+
+    :param kind: ``safe``, ``unsafe`` or ``stream``.
+    :param objective_s: an answer within it is worth the most; to the first event
+        of a stream.
+    :param timeout_s: the final answer is due by then, whatever the caller waits.
+    :param rank: 0 is the most urgent.
+    :param attempts: most endpoints that one request may be sent to.
+    :param resumable: a stream may be taken up at another endpoint.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: str
+    timeout_s: float
+    objective_s: float
+    rank: int
+    attempts: int
+    splits: tuple[Split, ...]
+    resumable: bool = False
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether a request may run more than once."""
+        return self.kind == "safe" or (self.kind == "stream" and self.resumable)
+
+
+class ModelSize(t.NamedTuple):
+    """What a model takes of an endpoint, in megabytes and seconds.
+
+    :param load_s: from the weight store; ``warm_s`` from memory, ``disk_s`` from disk.
+    :param adapters: how many it has.
+    """
+
+    name: str
+    memory_mb: float
+    load_s: float
+    adapters: int = 0
+    adapter_mb: float = 0.0
+    warm_s: float = 0.0
+    disk_s: float = 0.0
+
+
+class EngineSize(t.NamedTuple):
+    """What each endpoint of a model service has.
+
+    :param loads_per_s: loads that the weight store allows all endpoints together.
+    """
+
+    slots: int
+    memory_mb: float
+    kv_tokens: int
+    adapters_max: int
+    loads_per_s: float
+    models: t.Mapping[str, ModelSize]
+
+
+class ServiceSize(t.NamedTuple):
+    """A service of the configuration; ``engine`` is None for plain ones."""
+
+    name: str
+    connections_max: int
+    engine: EngineSize | None = None
+
+
+class CallerLimits(t.NamedTuple):
+    """What callers may send, and how long that may take; in bytes and seconds."""
+
+    header_bytes: int
+    body_bytes: int
+    header_s: float
+    idle_s: float
+
+
+class RouteTable(t.NamedTuple):
+    """All routes, services and limits of one version."""
+
+    version: int
+    hosts: t.Mapping[str, tuple[Route, ...]]
+    services: t.Mapping[str, ServiceSize]
+    limits: CallerLimits
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Give the route with the longest prefix of the path, or None."""
+        best: Route | None = None
+        for route in self.hosts.get(host, ()):
+            longer = best is None or len(route.prefix) > len(best.prefix)
+            if longer and path.startswith(route.prefix):
+                best = route
+        return best
+
+    def engine_of(self, model: str, service: str) -> EngineSize | None:
+        """Give the engine of a service if it declares the model."""
+        size = self.services.get(service)
+        if size is None or size.engine is None or model not in size.engine.models:
+            return None
+        return size.engine
+
+
+def pick_service(route: Route, request_id: str) -> str:
+    """Pick one of a route's services by weight; the same request gives the same one."""
+    total = sum(split.weight for split in route.splits)
+    point = mix("split", route.name, request_id) % 1_000_000 / 1_000_000 * total
+    for split in route.splits:
+        point -= split.weight
+        if point < 0:
+            return split.service
+    return route.splits[-1].service
--- a/packages/rookspring-core/src/rookspring_core/routing.py
+++ b/packages/rookspring-core/src/rookspring_core/routing.py
@@ -7,11 +7,10 @@
 
 import typing as t
 
-import xxhash
-
 from . import defaults
 from .endpoints import EndpointView
 from .exceptions import UnknownPolicy
+from .mixing import mix as mix
 
 
 class RouteQuery(t.NamedTuple):
@@ -54,11 +53,6 @@
         raise UnknownPolicy(f"routing: {name!r} is not one of {', '.join(ROUTING)}") from None
 
 
-def mix(*parts: str) -> int:
-    """Hash names to a number; the same on every node."""
-    return xxhash.xxh64_intdigest("\x00".join(parts).encode())
-
-
 def predict_finish(query: RouteQuery, endpoint: EndpointView) -> float:
     """Predict seconds until the whole answer, were it sent to this endpoint now."""
     load = endpoint.load(query.now)
@@ -95,6 +89,23 @@
     return min(few, key=lambda one: (score(one), one.name))
 
 
+@routing("even-load")
+def route_even_load(query: RouteQuery, endpoints: list[EndpointView]) -> EndpointView:
+    """Choose the least loaded, with a small pull to the near and to a cached prefix."""
+    average = sum(one.load(query.now) for one in endpoints) / len(endpoints)
+
+    def score(endpoint: EndpointView) -> float:
+        load = endpoint.load(query.now)
+        bounded = load <= defaults.AFFINITY_LOAD_BOUND * average + 0.1
+        if query.prefix and bounded and endpoint.may_hold(query.prefix, query.now):
+            load -= defaults.PREFIX_LOAD_BONUS
+        if endpoint.data_centre != query.data_centre:
+            load += defaults.REMOTE_LOAD
+        return load
+
+    return min(endpoints, key=lambda one: (score(one), mix(query.request_id, one.name)))
+
+
 @routing("least-inflight")
 def route_least_inflight(query: RouteQuery, endpoints: list[EndpointView]) -> EndpointView:
     """Choose the endpoint with the fewest of this node's own requests (a baseline)."""
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -14,6 +14,9 @@
 from .membership import Membership
 from .once import OnceTable
 from .retries import RetryBudget
+from .retries import RetryWindow
+from .retries import WindowTerms
+from .routes import RouteTable
 
 
 class Identity(t.NamedTuple):
@@ -37,8 +40,10 @@
         "dispatched_at",
         "endpoint",
         "limited",
+        "maybe_ran",
         "not_run_said",
         "running",
+        "sends",
         "sent",
         "tried",
     )
@@ -51,6 +56,9 @@
         # Whether a byte may be with an endpoint that has not said "not run".
         self.sent = False
         self.not_run_said = False
+        self.maybe_ran = False
+        # Attempts of which a byte may have left, for the bound of a route.
+        self.sends = 0
         self.limited = False
         self.running = False
         self.delivered = 0
@@ -76,6 +84,11 @@
         self.now = started_at
         self.ticked_at = started_at
         self.catalogue = Catalogue()
+        # Whether the configuration is a route table that the platform accepts.
+        self.relaying = False
+        self.table: RouteTable | None = None
+        self.windows: dict[str, RetryWindow] = {}
+        self.window_terms = WindowTerms()
         self.endpoints: dict[str, EndpointView] = {}
         self.hosts: dict[str, dict[str, EndpointView]] = {}
         self.peers_work = PeersWork()
@@ -92,6 +105,9 @@
         self.platform_at = started_at
         self.platform_reachable = False
         self.draining_since: float | None = None
+        # How long a leaving node goes on serving, in seconds, for callers who still
+        # hold its address.
+        self.drain_serve_s = defaults.ADDRESS_TTL_S + defaults.DRAIN_MARGIN_S
         self.hurry = False
         self.stopped = False
         self.witness: set[str] = set()
@@ -113,6 +129,11 @@
         if len(self.decisions) > defaults.DECISIONS_MAX:
             del self.decisions[: defaults.DECISIONS_MAX // 4]
 
+    @property
+    def revision(self) -> int:
+        """Give the version of the configuration in force, whichever kind it is of."""
+        return self.table.version if self.table else self.catalogue.revision
+
     @property
     def leaving(self) -> bool:
         """Whether this node is on its planned way out."""
--- a/packages/rookspring/src/rookspring/__init__.py
+++ b/packages/rookspring/src/rookspring/__init__.py
@@ -1,4 +1,5 @@
-"""The rookspring daemon: callers on one side, endpoints on the other."""
+"""The rookspring daemon: servers, clients, codecs and telemetry round the core.
 
-from .node import Node as Node
-from .settings import Settings as Settings
+Import what is needed from its modules; a relay node loads none of the product's
+own interface.
+"""
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -39,3 +39,52 @@
 REPORT_WHOLE_S = 10.0
 # Published heads whose shards are kept for readers that lag.
 HEADS_KEPT = 4
+# The relay's front, until a configuration says otherwise.
+HEADER_BYTES_MAX = 16 << 10
+CALLER_IDLE_S = 15.0
+# The longest time that a body may take to come in, once its headers have.
+BODY_READ_S = 20.0
+# Bytes that a caller may send ahead while its last request is served.
+PIPELINED_BYTES_MAX = 256 << 10
+LISTEN_BACKLOG = 1024
+# An endpoint that tells no keep-alive time closes idle connections within a second.
+ENDPOINT_IDLE_UNTOLD_S = 0.3
+# Parts of a told keep-alive time in which a connection is used again; the smaller one
+# for requests that must not be sent twice.
+ENDPOINT_IDLE_SHARE = 0.8
+ENDPOINT_IDLE_SURE_SHARE = 0.6
+# Answers to other requests that are read over before the connection is given up.
+FOREIGN_ANSWERS_MAX = 2
+# A connection whose other side has been silent for so long is ended: boxes without
+# power say nothing, and callers wait about this long between events of a stream.
+SILENCE_S = 2.5
+PROBE_AFTER_S = 1
+PROBE_EVERY_S = 1
+PROBES_MAX = 2
+# Largest whole answer that is relayed, and how an answer's token weighs against one
+# of the prompt in a request's size.
+ANSWER_BYTES_MAX = 16 << 20
+ANSWER_TOKEN_WEIGHT = 10
+# Watches of a relay node end after this long, so that one that has gone deaf is noticed.
+RELAY_WATCH_S = 4.0
+# Endpoints whose entries lapsed while the store was away write them again within two
+# seconds of its return, if they live (the users' letter); a little more for the way.
+LAPSE_GRACE_S = 2.2
+LAPSE_CHECK_S = 0.25
+# The list of nodes in the store is a backstop to what nodes tell each other.
+NODE_LIST_S = 10.0
+# A planned stop ends this long before the platform would kill the process.
+STOP_MARGIN_S = 0.7
+# How often the settings file is looked at, since it may change without a signal.
+SETTINGS_CHECK_S = 1.0
+POOL_SWEEP_S = 1.0
+# Where a relay node serves its metrics; ``deploy/system.toml`` names it as well.
+METRICS_PORT = 9464
+# Answers of a stop that are whole get so long to leave.
+LAST_BYTES_S = 0.05
+# Callers may hold an answer for up to three times its life.
+LOOKUP_LIVES = 3.2
+# Each node has an even part of the slack for resends; this is the most nodes at which
+# the sum stays within it. A thousand would leave a part to none, so it is a setting of
+# its own size: a deployment has 9 to 71 boxes now.
+RELAY_NODES_MAX = 16
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -46,16 +46,23 @@
     :param sent: a byte of the request may have reached the endpoint.
     :param said_not_run: the endpoint's protocol said that it did not run.
     :param leaving: the endpoint takes no new work.
+    :param absent: it does not hold what was asked for.
     """
 
     def __init__(
-        self, reason: str, sent: bool, said_not_run: bool = False, leaving: bool = False
+        self,
+        reason: str,
+        sent: bool,
+        said_not_run: bool = False,
+        leaving: bool = False,
+        absent: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
         self.said_not_run = said_not_run
         self.leaving = leaving
+        self.absent = absent
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -292,24 +292,5 @@
     """Send heartbeats, and dial nodes without a stream."""
     while True:
         node.beat()
-        dial_missing(node)
+        node.dialler.dial_missing()
         await asyncio.sleep(defaults.HEARTBEAT_S)
-
-
-def dial_missing(node: "Node") -> None:
-    """Dial the nodes that ought to be linked; the lower name goes first."""
-    now = time.monotonic()
-    state = node.state
-    wanted = {row.name: row.address for row in state.membership.links()}
-    for name, address in wanted.items():
-        first = state.identity.name < name
-        if name in node.peers.links or address in node.dialling:
-            node.missing_since.pop(name, None)
-            continue
-        since = node.missing_since.setdefault(name, now)
-        if first or now - since > 2 * defaults.HEARTBEAT_S:
-            node.dial(address)
-    linked = {peer.heard.address for peer in state.membership.peers.values()}
-    for address in node.settings.peers:
-        if address not in linked and address not in node.dialling:
-            node.dial(address)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -0,0 +1,363 @@
+"""HTTP/1.1 connections to endpoints, on asyncio and the ``httptools`` parser.
+
+``aiohttp`` sends a request again by itself when a kept connection turns out to be
+closed, adds headers and rewrites paths. The relay must know whether a byte has
+left and must never send twice, so its connections are made here.
+
+An answer belongs to a request only if the caller of :meth:`ClientConnection.ask`
+accepts its head; others are read over. A connection with bytes that belong to
+nothing is closed.
+"""
+
+import asyncio
+import collections
+import socket
+import time
+import typing as t
+
+import httptools
+
+from . import defaults
+from .exceptions import EndpointError
+from .http_messages import Header
+from .http_messages import HttpHead
+
+Accept = t.Callable[[HttpHead], bool]
+
+
+class Reply:
+    """The answer to one request, as it comes in."""
+
+    def __init__(self) -> None:
+        self.head: HttpHead | None = None
+        self.parts: collections.deque[bytes] = collections.deque()
+        self.whole = False
+        self.broken = ""
+        self._news = asyncio.Event()
+
+    def tell(self) -> None:
+        """Wake who waits for news."""
+        self._news.set()
+
+    async def wait_head(self) -> HttpHead:
+        """Wait for status and headers.
+
+        :raises EndpointError: when the connection ended before them.
+        """
+        while self.head is None:
+            if self.broken:
+                raise EndpointError(self.broken, sent=True)
+            self._news.clear()
+            await self._news.wait()
+        return self.head
+
+    async def next_part(self) -> bytes:
+        """Wait for the next part of the body; nothing at its end.
+
+        :raises EndpointError: when the answer broke off.
+        """
+        while not self.parts:
+            if self.whole:
+                return b""
+            if self.broken:
+                raise EndpointError(self.broken, sent=True)
+            self._news.clear()
+            await self._news.wait()
+        return self.parts.popleft()
+
+    async def read_rest(self, most: int) -> bytes:
+        """Read the whole body.
+
+        :param most: in bytes.
+        :raises EndpointError: when it broke off or is larger.
+        """
+        body = bytearray()
+        while part := await self.next_part():
+            body += part
+            if len(body) > most:
+                raise EndpointError("answer too large", sent=True)
+        return bytes(body)
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to an endpoint; it carries one request at a time."""
+
+    def __init__(self) -> None:
+        self._transport: t.Any = None
+        self._parser: t.Any = None
+        self._reply: Reply | None = None
+        self._accept: Accept | None = None
+        self._status_headers: list[Header] = []
+        self._skipping = False
+        self._skipped = 0
+        self._until_close = False
+        self._got_head = False
+        self._no_body = False
+        self.open = False
+        self.reusable = True
+        self.idle_since = 0.0
+        self.idle_life_s = defaults.ENDPOINT_IDLE_UNTOLD_S
+        self.served = 0
+
+    def connection_made(self, transport: t.Any) -> None:
+        """The endpoint took the connection."""
+        self._transport = transport
+        self.open = True
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            watch_silence(raw)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The connection ended; an answer without a length is whole if it ended well."""
+        self.open = False
+        if self._reply is None:
+            return
+        if exc is None and self._until_close and not self._skipping:
+            self._finish()
+        else:
+            self._break("connection reset" if exc else "connection closed")
+
+    def eof_received(self) -> bool:
+        """The endpoint sends no more."""
+        self.reusable = False
+        return False
+
+    def ask(self, data: bytes, accept: Accept, no_body: bool = False) -> Reply:
+        """Send a request, given as its bytes, and give its reply.
+
+        :param accept: says whether an answer's head is of this request.
+        :param no_body: the answer has none whatever its headers say (``HEAD``).
+        """
+        self._reply = Reply()
+        self._accept = accept
+        self._no_body = no_body
+        self._skipped = 0
+        self._new_parser()
+        self.served += 1
+        self._transport.write(data)
+        return self._reply
+
+    def _new_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._status_headers = []
+        self._skipping = False
+        self._until_close = False
+        self._got_head = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse; bytes that nobody asked for end the connection."""
+        if self._reply is None:
+            self.close()
+            return
+        try:
+            self._parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            if self._reply is not None:
+                self._break("not an answer")
+            self.close()
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """An answer begins; one beyond the asked ends the connection."""
+        if self._reply is None:
+            self.reusable = False
+            raise ValueError("surplus answer")
+        self._status_headers = []
+        self._got_head = False
+        self._skipping = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if not self._got_head:
+            self._status_headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Take the head, unless it is of another request."""
+        self._got_head = True
+        status = self._parser.get_status_code()
+        if status < 200 or self._reply is None:
+            return
+        head = HttpHead(status, tuple(self._status_headers))
+        assert self._accept is not None
+        if not self._accept(head):
+            # An answer that belongs to another request came in this one's place.
+            self._skipping = True
+            self._skipped += 1
+            self.reusable = False
+            if self._skipped > defaults.FOREIGN_ANSWERS_MAX:
+                raise ValueError("foreign answers")
+            return
+        framed = head.header(b"content-length") or head.header(b"transfer-encoding")
+        self._until_close = not framed and status not in (204, 304)
+        if self._until_close or not self._parser.should_keep_alive():
+            self.reusable = False
+        self._note_idle_life(head)
+        self._reply.head = head
+        if self._no_body:
+            self.reusable = False
+            self._finish()
+            return
+        self._reply.tell()
+
+    def _note_idle_life(self, head: HttpHead) -> None:
+        for part in head.header(b"keep-alive").split(b","):
+            key, _, value = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and value.isdigit():
+                # A margin for the way there and for clocks that run apart.
+                self.idle_life_s = float(value) * defaults.ENDPOINT_IDLE_SHARE
+                return
+        self.idle_life_s = defaults.ENDPOINT_IDLE_UNTOLD_S
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        if self._reply is not None and not self._skipping:
+            self._reply.parts.append(body)
+            self._reply.tell()
+
+    def on_message_complete(self) -> None:
+        """The answer is whole by its own framing."""
+        if self._reply is None or self._skipping or self._parser.get_status_code() < 200:
+            return
+        if self._transport.get_write_buffer_size() > 0:
+            # An early answer: the rest of the request is still owed.
+            self.reusable = False
+        self._finish()
+
+    def _finish(self) -> None:
+        reply, self._reply = self._reply, None
+        self.idle_since = time.monotonic()
+        if reply is not None:
+            reply.whole = True
+            reply.tell()
+        if not self.reusable:
+            self.close()
+
+    def _break(self, reason: str) -> None:
+        reply, self._reply = self._reply, None
+        self.reusable = False
+        if reply is not None:
+            reply.broken = reason
+            reply.tell()
+
+    def close(self) -> None:
+        """End the connection; what is asked on it breaks off."""
+        self.open = False
+        self.reusable = False
+        if self._reply is not None:
+            self._break("connection given up")
+        if self._transport is not None:
+            self._transport.abort()
+
+    @property
+    def busy(self) -> bool:
+        """Whether an answer is still to come on it."""
+        return self._reply is not None
+
+    def fresh(self, now: float, sure: bool) -> bool:
+        """Say whether the endpoint still keeps the connection.
+
+        :param sure: leave a wider margin, for what must not be sent in vain.
+        """
+        if not self.open or not self.reusable or self._reply is not None:
+            return False
+        life_s = self.idle_life_s * (defaults.ENDPOINT_IDLE_SURE_SHARE if sure else 1.0)
+        return now - self.idle_since < life_s
+
+
+def watch_silence(raw: t.Any) -> None:
+    """Have the kernel end a connection whose other side has fallen silent."""
+    silence_ms = int(defaults.SILENCE_S * 1000)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, defaults.PROBE_AFTER_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, defaults.PROBE_EVERY_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, defaults.PROBES_MAX)
+
+
+class ConnectionPool:
+    """Kept connections by address."""
+
+    def __init__(self) -> None:
+        self._kept: dict[str, list[ClientConnection]] = {}
+        self.opened = 0
+
+    async def take(self, address: str, sure: bool) -> ClientConnection:
+        """Give a kept connection that is fresh, else a new one.
+
+        :raises EndpointError: when none can be made; nothing was sent.
+        """
+        kept = self._kept.get(address, [])
+        now = time.monotonic()
+        while kept:
+            connection = kept.pop()
+            if connection.fresh(now, sure):
+                return connection
+            connection.close()
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(defaults.CONNECT_S):
+                _, made = await loop.create_connection(ClientConnection, host, int(port))
+        except (OSError, TimeoutError) as error:
+            raise EndpointError(type(error).__name__, sent=False) from None
+        self.opened += 1
+        return made
+
+    def give_back(self, address: str, connection: ClientConnection) -> None:
+        """Keep a connection for later, if it can be used again."""
+        if connection.open and connection.reusable:
+            self._kept.setdefault(address, []).append(connection)
+        else:
+            connection.close()
+
+    def settle(self, address: str, connection: ClientConnection) -> None:
+        """Keep a connection whose answer was read whole; close any other.
+
+        Closing also tells the endpoint that nobody waits for the rest.
+        """
+        if connection.busy:
+            connection.close()
+        else:
+            self.give_back(address, connection)
+
+    def sweep(self, now: float) -> None:
+        """Close the connections that have rested for too long."""
+        for address, kept in list(self._kept.items()):
+            live = [one for one in kept if one.fresh(now, sure=False)]
+            for one in kept:
+                if one not in live:
+                    one.close()
+            if live:
+                self._kept[address] = live
+            else:
+                del self._kept[address]
+
+    def close(self) -> None:
+        """Close all kept connections."""
+        for kept in self._kept.values():
+            for connection in kept:
+                connection.close()
+        self._kept.clear()
+
+
+async def call(
+    pool: ConnectionPool, address: str, data: bytes, timeout_s: float
+) -> tuple[HttpHead, bytes]:
+    """Send a request, given as its bytes, once, and give the whole answer.
+
+    :param timeout_s: for connecting and answering together.
+    :raises EndpointError: when no whole answer came in time.
+    """
+    connection: ClientConnection | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection = await pool.take(address, sure=True)
+            reply = connection.ask(data, lambda head: True)
+            head = await reply.wait_head()
+            return head, await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+    except TimeoutError:
+        raise EndpointError("no answer in time", sent=connection is not None) from None
+    finally:
+        if connection is not None:
+            pool.settle(address, connection)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -0,0 +1,98 @@
+"""HTTP/1.1 messages as the relay sees them: headers kept as bytes, in their order.
+
+The relay passes methods, targets, headers and bodies through byte for byte, so
+nothing here decodes, folds or normalises. Names are compared in lower case.
+"""
+
+import http
+import typing as t
+
+Header = tuple[bytes, bytes]
+
+# Headers that belong to one connection (RFC 9110, section 7.6.1), and the framing
+# that each connection writes anew.
+CONNECTION_HEADERS = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+
+
+class HttpRequest(t.NamedTuple):
+    """One whole request as it was read."""
+
+    method: bytes
+    target: bytes
+    headers: tuple[Header, ...]
+    body: bytes
+    keep_alive: bool
+
+    def header(self, name: bytes) -> bytes:
+        """Give the first value of a header, or nothing.
+
+        :param name: in lower case.
+        """
+        return find_header(self.headers, name)
+
+
+class HttpHead(t.NamedTuple):
+    """Status and headers of an answer."""
+
+    status: int
+    headers: tuple[Header, ...]
+
+    def header(self, name: bytes) -> bytes:
+        """Give the first value of a header, or nothing.
+
+        :param name: in lower case.
+        """
+        return find_header(self.headers, name)
+
+
+def find_header(headers: t.Iterable[Header], name: bytes) -> bytes:
+    """Give the first value of a header, or nothing."""
+    for key, value in headers:
+        if key.lower() == name:
+            return value
+    return b""
+
+
+def end_to_end(headers: t.Iterable[Header]) -> list[Header]:
+    """Give the headers that go on to the next hop.
+
+    Those that ``Connection`` names belong to one connection as well.
+    """
+    rows = list(headers)
+    named = {
+        part.strip().lower()
+        for key, value in rows
+        if key.lower() == b"connection"
+        for part in value.split(b",")
+    }
+    barred = CONNECTION_HEADERS | named
+    return [row for row in rows if row[0].lower() not in barred]
+
+
+def reason_of(status: int) -> bytes:
+    """Give the reason phrase of a status."""
+    try:
+        return http.HTTPStatus(status).phrase.encode()
+    except ValueError:
+        return b"Status"
+
+
+def write_head(first_line: bytes, headers: t.Iterable[Header]) -> bytes:
+    """Write a start line and headers."""
+    lines = [first_line]
+    lines += [key + b": " + value for key, value in headers]
+    return b"\r\n".join(lines) + b"\r\n\r\n"
--- /dev/null
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -0,0 +1,350 @@
+"""HTTP/1.1 server connections for the relay, on asyncio and the ``httptools`` parser.
+
+``sanic`` serves the product's own interface. It answers 408, 413 and 503 by
+itself, and each of those is a promise towards callers that the relay must be able
+to keep; so the relay's front is served by this module, on the same parser.
+
+A connection reads one request whole, has it served, and reads on. Bytes that come
+meanwhile wait. The end of the caller's sending side counts as the caller leaving.
+"""
+
+import asyncio
+import typing as t
+
+import httptools
+
+from . import defaults
+from .exceptions import CallerGone
+from .http_messages import Header
+from .http_messages import HttpRequest
+from .http_messages import reason_of
+from .http_messages import write_head
+
+
+class ReadLimits(t.NamedTuple):
+    """What a caller may send, and how long that may take; in bytes and seconds."""
+
+    header_bytes: int = defaults.HEADER_BYTES_MAX
+    body_bytes: int = defaults.BODY_BYTES_MAX
+    header_s: float = defaults.HEADER_READ_S
+    idle_s: float = defaults.CALLER_IDLE_S
+
+
+class ServerOptions(t.NamedTuple):
+    """How a listening address behaves; the calls read what holds at that moment."""
+
+    serve: t.Callable[["ServerConnection", HttpRequest], t.Awaitable[None]]
+    limits: t.Callable[[], ReadLimits] = ReadLimits
+    closing: t.Callable[[], bool] = lambda: False
+
+
+class ServerConnection(asyncio.Protocol):
+    """One connection of a caller.
+
+    :param options: of the address that took it.
+    :param connections: the set of open connections that it belongs to.
+    """
+
+    def __init__(self, options: ServerOptions, connections: set["ServerConnection"]) -> None:
+        self._options = options
+        self._connections = connections
+        self._loop = asyncio.get_running_loop()
+        self._transport: t.Any = None
+        self._parser: t.Any = None
+        self._waiting = bytearray()
+        self._timer: asyncio.TimerHandle | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._writable = asyncio.Event()
+        self._writable.set()
+        self._method = b""
+        self._reset_request()
+        self.on_left: t.Callable[[], None] | None = None
+        self.left = False
+        self._answering = False
+        self._close_after = False
+        self._chunked = False
+
+    def _reset_request(self) -> None:
+        self._target = b""
+        self._headers: list[Header] = []
+        self._header_bytes = 0
+        self._body = bytearray()
+        self._in_headers = True
+        self._complete = False
+        self._too_large = 0
+
+    # Transport callbacks.
+
+    def connection_made(self, transport: t.Any) -> None:
+        """Begin to read."""
+        self._transport = transport
+        self._connections.add(self)
+        self._parser = httptools.HttpRequestParser(self)
+        self._arm(self._options.limits().idle_s)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """The caller has gone, or was cut off."""
+        self._connections.discard(self)
+        self._disarm()
+        self._leave()
+
+    def eof_received(self) -> bool:
+        """Take the end of the caller's sending side as leaving."""
+        self._leave()
+        return False
+
+    def _leave(self) -> None:
+        self.left = True
+        self._writable.set()
+        if self.on_left is not None:
+            told, self.on_left = self.on_left, None
+            told()
+
+    def pause_writing(self) -> None:
+        """The caller reads slower than the answer comes."""
+        self._writable.clear()
+
+    def resume_writing(self) -> None:
+        """The caller has read."""
+        self._writable.set()
+
+    def data_received(self, data: bytes) -> None:
+        """Parse, or keep for later what comes while a request is served."""
+        if self._answering:
+            self._waiting += data
+            if len(self._waiting) > defaults.PIPELINED_BYTES_MAX:
+                self.cut()
+            return
+        self._parse(data)
+
+    def _parse(self, data: bytes) -> None:
+        if self._in_headers:
+            self._header_bytes += len(data)
+        try:
+            self._parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self._reject(400)
+            return
+        except httptools.HttpParserError:
+            if not self._answering:
+                self._reject(400)
+            else:
+                # A whole request came first; it is served and nothing after it is read.
+                self._close_after = True
+            return
+        if self._answering:
+            return
+        if self._in_headers and self._header_bytes > self._options.limits().header_bytes:
+            self._reject(431)
+        elif self._too_large:
+            self._reject(self._too_large)
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """A request begins; its headers have a time of their own."""
+        if self._complete:
+            # A second request in the same bytes is not served on this connection.
+            raise ValueError("pipelined")
+        self._arm(self._options.limits().header_s)
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the target."""
+        self._target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header; trailers are dropped."""
+        if self._in_headers:
+            self._headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the framing before any byte of the body is taken."""
+        self._in_headers = False
+        self._method = self._parser.get_method()
+        lengths = [value for key, value in self._headers if key.lower() == b"content-length"]
+        codings = [value for key, value in self._headers if key.lower() == b"transfer-encoding"]
+        if len(lengths) > 1 or (lengths and codings):
+            raise ValueError("two framings")
+        if codings and [one.strip().lower() for one in codings] != [b"chunked"]:
+            raise ValueError("unknown transfer coding")
+        if lengths and int(lengths[0]) > self._options.limits().body_bytes:
+            self._too_large = 413
+        for key, value in self._headers:
+            if key.lower() == b"expect" and value.lower() == b"100-continue":
+                self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+        self._arm(defaults.BODY_READ_S)
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of the body."""
+        if self._too_large:
+            return
+        self._body += body
+        if len(self._body) > self._options.limits().body_bytes:
+            self._too_large = 413
+            self._body.clear()
+
+    def on_message_complete(self) -> None:
+        """The request is whole: have it served."""
+        if self._too_large:
+            return
+        self._complete = True
+        self._answering = True
+        self._disarm()
+        request = HttpRequest(
+            self._method,
+            self._target,
+            tuple(self._headers),
+            bytes(self._body),
+            self._parser.should_keep_alive(),
+        )
+        self._close_after = not request.keep_alive
+        self._task = self._loop.create_task(self._serve(request))
+
+    async def _serve(self, request: HttpRequest) -> None:
+        await self._options.serve(self, request)
+        self.on_left = None
+        if self._answering and not self.left:
+            # Whoever served it gave no whole answer, so the connection must look cut.
+            self.cut()
+
+    # Answers.
+
+    def begin(self, status: int, headers: t.Iterable[Header], length: int | None) -> None:
+        """Write the head of the answer.
+
+        :param length: of the body in bytes; None where it is not known yet.
+        """
+        if self._options.closing():
+            self._close_after = True
+        rows = list(headers)
+        self._chunked = length is None
+        if length is None:
+            rows.append((b"Transfer-Encoding", b"chunked"))
+        elif status not in {204, 304}:
+            rows.append((b"Content-Length", str(length).encode()))
+        if self._close_after:
+            rows.append((b"Connection", b"close"))
+        line = b"HTTP/1.1 " + str(status).encode() + b" " + reason_of(status)
+        self._write(write_head(line, rows))
+
+    def _write(self, data: bytes) -> None:
+        if not self.left:
+            self._transport.write(data)
+
+    async def send(self, data: bytes) -> None:
+        """Write a part of the body, and wait while the caller does not read.
+
+        :raises CallerGone: when nobody reads any more.
+        """
+        if not data or self._method == b"HEAD":
+            return
+        if self._chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self._write(data)
+        if not self._writable.is_set():
+            await self._writable.wait()
+        if self.left:
+            raise CallerGone
+
+    def end(self) -> None:
+        """The answer is whole; go on to the next request."""
+        if self._chunked and self._method != b"HEAD":
+            self._write(b"0\r\n\r\n")
+        self._answering = False
+        self.on_left = None
+        if self.left:
+            return
+        if self._close_after:
+            self._transport.close()
+            return
+        self._reset_request()
+        self._arm(self._options.limits().idle_s)
+        if self._waiting:
+            data = bytes(self._waiting)
+            self._waiting.clear()
+            self._loop.call_soon(self.data_received, data)
+
+    def answer(self, status: int, headers: t.Iterable[Header], body: bytes) -> None:
+        """Write a whole answer."""
+        self.begin(status, headers, len(body))
+        if body and self._method != b"HEAD":
+            self._write(body)
+        self.end()
+
+    def cut(self) -> None:
+        """End the connection so that an unfinished answer looks unfinished."""
+        self._answering = False
+        if self._transport is not None and not self._transport.is_closing():
+            self._transport.abort()
+
+    def _reject(self, status: int) -> None:
+        """Refuse what could not be read; nothing of it was passed on."""
+        self._close_after = True
+        self._answering = True
+        self._method = b""
+        self.answer(status, [(b"Content-Type", b"text/plain")], reason_of(status))
+
+    def close_if_idle(self) -> None:
+        """Close a connection on which no request is being read or served."""
+        if not self._answering and self._in_headers and not self._headers and not self._target:
+            self._transport.close()
+
+    # Time limits.
+
+    def _arm(self, after_s: float) -> None:
+        self._disarm()
+        self._timer = self._loop.call_later(after_s, self._time_out)
+
+    def _disarm(self) -> None:
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _time_out(self) -> None:
+        """Give up on a caller that sends too slowly, or close an idle connection."""
+        if self._answering or self.left:
+            return
+        if self._target or self._headers:
+            self._reject(408)
+        else:
+            self._transport.close()
+
+
+class HttpListener:
+    """A listening address and its open connections."""
+
+    def __init__(self, options: ServerOptions) -> None:
+        self._options = options
+        self._server: asyncio.Server | None = None
+        self.connections: set[ServerConnection] = set()
+
+    async def start(self, host: str, port: int) -> None:
+        """Begin to take connections."""
+        loop = asyncio.get_running_loop()
+        self._server = await loop.create_server(
+            lambda: ServerConnection(self._options, self.connections),
+            host,
+            port,
+            backlog=defaults.LISTEN_BACKLOG,
+        )
+
+    @property
+    def port(self) -> int:
+        """The port in use, of the system's choice where 0 was asked for."""
+        assert self._server is not None
+        return int(self._server.sockets[0].getsockname()[1])
+
+    def stop_taking(self) -> None:
+        """Take no new connections; the open ones go on."""
+        if self._server is not None:
+            self._server.close()
+
+    def close_idle(self) -> None:
+        """Close the connections on which nothing is being served."""
+        for connection in list(self.connections):
+            connection.close_if_idle()
+
+    def cut_all(self) -> None:
+        """End every connection at once."""
+        for connection in list(self.connections):
+            connection.cut()
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -1,6 +1,8 @@
 """Log lines: one line of key=value pairs for each event, each event declared here."""
 
+import os
 import sys
+import time
 import typing as t
 
 from loguru import logger
@@ -26,9 +28,28 @@
     "invariant_broken": "a promise does not hold; the process ends",
     "task_failed": "a background task failed and is started again",
     "settings_wrong": "the process did not start",
+    "settings_reloaded": "the settings file changed or a signal said so; what changed is in force",
+    "request_malformed": "a caller's request lacks what every request must have",
+    "route_missing": "no route has the request's host and path, or no route table is known yet",
+    "attempt_began": "a request leaves for an endpoint, chosen by these inputs",
+    "attempt_failed": "an attempt ended without an answer that could be passed on",
+    "request_ended": "a relayed request is over, with its outcome",
+    "table_applied": "a newer route table is in force here",
+    "table_malformed": "a configuration could not be read; the one in force stays",
+    "endpoint_listed": "an endpoint appeared or its entry changed",
+    "endpoint_gone": "an endpoint's entry is gone",
+    "endpoint_malformed": "an endpoint's entry could not be read and is left out",
+    "store_call_failed": "a read of the platform's store failed and is tried again",
+    "lines_dropped": "so many lines were left out to keep the volume bounded",
 }
 
 
+# Lines a second of the events in BOUNDED. A request has about three; a node of the
+# larger deployment takes some 20 requests a second, and six times as many in a burst.
+LINES_PER_S = 400.0
+BOUNDED = ("event=attempt_", "event=request_", "event=route_missing")
+
+
 def configure(level: str = "INFO") -> None:
     """Send log lines to standard error.
 
@@ -38,6 +59,54 @@
     logger.add(sys.stderr, level=level, format="{message}", backtrace=False, diagnose=False)
 
 
+class BoundedOutput:
+    """Writes lines to a descriptor without ever waiting for its reader.
+
+    Lines of requests are bounded to ``LINES_PER_S``, with a burst of as many; lines
+    that warn, and those of the node's own life, always pass. What cannot be written
+    at once is dropped. A line with the count follows as soon as one passes.
+    """
+
+    def __init__(self, descriptor: int, lines_per_s: float = LINES_PER_S) -> None:
+        os.set_blocking(descriptor, False)
+        self._descriptor = descriptor
+        self._rate = lines_per_s
+        self._level = lines_per_s
+        self._at = time.monotonic()
+        self._dropped = 0
+
+    def write(self, line: str) -> None:
+        """Write one line, or count it as dropped."""
+        if line.startswith(BOUNDED) and not self._allowed():
+            self._dropped += 1
+            return
+        if self._dropped:
+            line = f"event=lines_dropped level=warning count={self._dropped}\n{line}"
+        try:
+            os.write(self._descriptor, line.encode())
+        except OSError:
+            # The reader is slow or gone; requests must not wait for it.
+            self._dropped += 1
+            return
+        self._dropped = 0
+
+    def _allowed(self) -> bool:
+        now = time.monotonic()
+        self._level = min(self._rate, self._level + (now - self._at) * self._rate)
+        self._at = now
+        if self._level < 1.0:
+            return False
+        self._level -= 1.0
+        return True
+
+
+def configure_bounded(descriptor: int, level: str = "INFO") -> None:
+    """Send log lines to a descriptor, bounded and without blocking."""
+    logger.remove()
+    output = BoundedOutput(descriptor)
+    logger.add(output.write, level=level, format="{message}", backtrace=False, diagnose=False)
+
+
 def _quote(value: t.Any) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
     if text and not any(letter in text for letter in ' "=\n\\'):
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -30,6 +30,7 @@
 from . import forwarding
 from . import gossip
 from . import web
+from .dialling import Dialler
 from .endpoints import ENDPOINTS
 from .endpoints import EndpointClient
 from .exceptions import CallerGone
@@ -91,8 +92,7 @@
         self.report_log = gossip.ReportLog()
         self.boxes: tuple[BoxListed, ...] = ()
         self.wanted = (0, 0.0)
-        self.dialling: set[str] = set()
-        self.missing_since: dict[str, float] = {}
+        self.dialler = Dialler(self.state.membership, self.peers, settings.peers, self.spawn)
         self.stopping = asyncio.Event()
         self.closed = False
         self._cache_positions: dict[str, int] = {}
@@ -194,18 +194,6 @@
             # In a large deployment rows go to the data centre's relays alone.
             link.send(whole if membership.small() or name in relays else short)
 
-    def dial(self, address: str) -> None:
-        """Connect to a node and stay with it in a task."""
-        self.dialling.add(address)
-
-        async def stay() -> None:
-            try:
-                await self.peers.dial(address)
-            finally:
-                self.dialling.discard(address)
-
-        self.spawn(stay())
-
     def take_boxes(self, rows: tuple[BoxListed, ...], share: bool) -> None:
         """Take a box list, and pass it on if this node read it as a relay."""
         if rows == self.boxes:
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -107,6 +107,35 @@
     removed: list[str]
 
 
+@message("nodes")
+class Nodes(t.NamedTuple):
+    """Nodes that the sender is linked to, as rows of name, address and data centre."""
+
+    rows: list[t.Any]
+
+
+@message("want-table")
+class WantTable(t.NamedTuple):
+    """Ask for the route table."""
+
+
+@message("table")
+class TableGiven(t.NamedTuple):
+    """The configuration as the platform has it, for the receiver's dialect to read."""
+
+    version: int
+    value: t.Any
+
+
+@message("want-model")
+class WantModel(t.NamedTuple):
+    """Tell the lease holder that requests wait for what is resident nowhere."""
+
+    service: str
+    model: str
+    adapter: str
+
+
 @message("fwd")
 class Forward(t.NamedTuple):
     """A keyed request for the node that issued its session."""
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -0,0 +1,164 @@
+"""The relay's front: requests of callers, passed through as they are.
+
+It reads a request whole, finds its route, and hands it to the reducer; what
+becomes of it comes back as effects that :mod:`relay_attempts` performs.
+"""
+
+import itertools
+import time
+import typing as t
+
+from rookspring_core import defaults as core_defaults
+from rookspring_core.events import CallerLeft
+from rookspring_core.events import RequestArrived
+from rookspring_core.events import RouteTerms
+from rookspring_core.routes import Route
+from rookspring_core.routes import RouteTable
+from rookspring_core.routes import pick_service
+
+from . import defaults
+from .dialect import Ask
+from .exceptions import CallerError
+from .http_messages import HttpRequest
+from .http_server import ServerConnection
+from .logs import log
+
+if t.TYPE_CHECKING:
+    import asyncio
+
+    from .relay_context import RelayContext
+
+_numbers = itertools.count(1)
+
+
+class HeldAnswer(t.NamedTuple):
+    """An endpoint's whole failure, kept in case no other endpoint does better."""
+
+    status: int
+    headers: list[tuple[bytes, bytes]]
+    body: bytes
+
+
+class RelayExchange:
+    """One caller's request and the connection that waits for its answer."""
+
+    def __init__(
+        self, connection: ServerConnection, request: HttpRequest, ask: Ask, route: Route
+    ) -> None:
+        self.key = f"r{next(_numbers)}"
+        self.connection = connection
+        self.request = request
+        self.ask = ask
+        self.route = route
+        self.arrived_at = time.monotonic()
+        self.deadline_at = self.arrived_at + deadline_s(ask, route)
+        self.started = False
+        self.last_event = ask.last_event
+        self.events = 0
+        self.first_at = 0.0
+        self.held: HeldAnswer | None = None
+        self.task: asyncio.Task[None] | None = None
+        self.done: asyncio.Future[None] | None = None
+
+
+def deadline_s(ask: Ask, route: Route) -> float:
+    """Give the time that a request has: the caller's or the route's, whichever is less."""
+    if ask.deadline_s is None:
+        return route.timeout_s
+    return min(ask.deadline_s, route.timeout_s)
+
+
+async def serve_caller(
+    context: "RelayContext", connection: ServerConnection, request: HttpRequest
+) -> None:
+    """Serve one request of a caller to its end."""
+    try:
+        ask = context.dialect.read_ask(request)
+    except CallerError as error:
+        log("request_malformed", "WARNING", field=error.field, expected=error.expected)
+        connection.answer(error.status, context.dialect.refusal_headers("", 0.0), b"")
+        return
+    table = context.state.table
+    route = table.match(ask.host, ask.path) if table else None
+    if table is None or route is None:
+        # Without a configuration nothing is known to be missing.
+        status = 404 if table else 503
+        after_s = 0.0 if table else core_defaults.COME_BACK_S
+        log("route_missing", id=ask.request_id, host=ask.host, path=ask.path, status=status)
+        headers = context.dialect.refusal_headers(ask.request_id, after_s)
+        connection.answer(status, headers, b"")
+        return
+    exchange = RelayExchange(connection, request, ask, route)
+    await _run(context, exchange, table)
+
+
+async def _run(context: "RelayContext", exchange: RelayExchange, table: RouteTable) -> None:
+    exchange.done = context.loop.create_future()
+    context.exchanges[exchange.key] = exchange
+
+    def left() -> None:
+        context.submit(CallerLeft(time.monotonic(), exchange.key))
+        _log_end(exchange, "left", "caller closed the connection")
+        finish(context, exchange)
+
+    exchange.connection.on_left = left
+    context.submit(arrival(exchange, table))
+    await exchange.done
+
+
+def arrival(exchange: RelayExchange, table: RouteTable) -> RequestArrived:
+    """Make the event of a request's arrival."""
+    ask = exchange.ask
+    route = exchange.route
+    service = pick_service(route, ask.request_id)
+    model = ask.model if table.engine_of(ask.model, service) else ""
+    plain = table.services.get(service) is None or table.services[service].engine is None
+    return RequestArrived(
+        at=exchange.arrived_at,
+        request_id=exchange.key,
+        team="",
+        target=service if plain else model or ask.model,
+        service=plain,
+        adapter="" if plain else ask.adapter,
+        deadline_at=exchange.deadline_at,
+        tokens=ask.prompt_tokens + defaults.ANSWER_TOKEN_WEIGHT * ask.answer_tokens,
+        prompt_tokens=ask.prompt_tokens,
+        prefix=ask.prefix,
+        repeatable=route.repeatable,
+        stream=route.kind == "stream",
+        route=RouteTerms(
+            route.name,
+            service,
+            table.version,
+            route.rank,
+            route.attempts,
+            route.objective_s * core_defaults.PATIENCE_SHARE,
+        ),
+    )
+
+
+def finish(context: "RelayContext", exchange: RelayExchange) -> None:
+    """An exchange is over, however it ended."""
+    context.exchanges.pop(exchange.key, None)
+    if exchange.done is not None and not exchange.done.done():
+        exchange.done.set_result(None)
+
+
+def end(context: "RelayContext", exchange: RelayExchange, outcome: str, why: str) -> None:
+    """Log how a request ended, and finish it."""
+    context.metrics.requests.inc({"target": exchange.route.name, "end": outcome})
+    _log_end(exchange, outcome, why)
+    finish(context, exchange)
+
+
+def _log_end(exchange: RelayExchange, outcome: str, why: str) -> None:
+    log(
+        "request_ended",
+        id=exchange.ask.request_id,
+        key=exchange.key,
+        outcome=outcome,
+        why=why,
+        took_s=time.monotonic() - exchange.arrived_at,
+        first_s=exchange.first_at - exchange.arrived_at if exchange.first_at else -1,
+        events=exchange.events,
+    )
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -0,0 +1,247 @@
+"""Attempts of relayed requests, and the answers that the reducer asks for."""
+
+import asyncio
+import time
+
+from rookspring_core.effects import Announce
+from rookspring_core.effects import Cancel
+from rookspring_core.effects import Dispatch
+from rookspring_core.effects import Forget
+from rookspring_core.effects import Refuse
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+
+from . import defaults
+from .dialect import Errand
+from .dialect import Verdict
+from .event_streams import EventSplitter
+from .exceptions import CallerGone
+from .exceptions import EndpointError
+from .http_client import Reply
+from .http_messages import HttpHead
+from .http_messages import end_to_end
+from .http_messages import write_head
+from .logs import log
+from .relay import HeldAnswer
+from .relay import RelayExchange
+from .relay import end
+from .relay_context import RelayContext
+from .relay_context import relay_performs
+
+
+@relay_performs(Dispatch)
+def dispatch(context: RelayContext, effect: Dispatch) -> None:
+    """Start an attempt in a task of its own."""
+    exchange = context.exchanges.get(effect.request_id)
+    view = context.state.endpoints.get(effect.endpoint)
+    if exchange is None or view is None:
+        error = EndpointError("endpoint is gone", sent=False)
+        context.loop.call_soon(_fail, context, effect, error)
+        return
+    table = context.state.table
+    log(
+        "attempt_began",
+        id=exchange.ask.request_id,
+        key=exchange.key,
+        attempt=effect.attempt,
+        route=exchange.route.name,
+        table=table.version if table else 0,
+        endpoint=view.name,
+        address=view.address,
+        load=view.load(context.state.now),
+        report_age_s=context.state.now - view.reported_at,
+        waited_s=time.monotonic() - exchange.arrived_at,
+    )
+    exchange.task = context.spawn(run_attempt(context, effect, exchange, view))
+
+
+async def run_attempt(
+    context: RelayContext, effect: Dispatch, exchange: RelayExchange, view: EndpointView
+) -> None:
+    """Carry out one attempt and tell how it ended."""
+    try:
+        async with asyncio.timeout_at(
+            exchange.deadline_at - time.monotonic() + context.loop.time()
+        ):
+            await _attempt(context, effect, exchange, view)
+    except TimeoutError:
+        _fail(context, effect, EndpointError("deadline", sent=True))
+    except EndpointError as error:
+        _fail(context, effect, error)
+    except CallerGone:
+        # The connection has told that its caller left.
+        return
+
+
+def _fail(context: RelayContext, effect: Dispatch, error: EndpointError) -> None:
+    context.metrics.attempts.inc({"end": "not_run" if error.said_not_run else "failed"})
+    exchange = context.exchanges.get(effect.request_id)
+    log(
+        "attempt_failed",
+        id=exchange.ask.request_id if exchange else "",
+        key=effect.request_id,
+        attempt=effect.attempt,
+        endpoint=effect.endpoint,
+        reason=error.reason,
+        sent=error.sent,
+        said_not_run=error.said_not_run,
+    )
+    context.submit(
+        AttemptFailed(
+            time.monotonic(),
+            effect.request_id,
+            effect.attempt,
+            error.sent,
+            error.said_not_run,
+            error.reason,
+            error.leaving,
+            error.absent,
+        )
+    )
+
+
+async def _attempt(
+    context: RelayContext, effect: Dispatch, exchange: RelayExchange, view: EndpointView
+) -> None:
+    sure = not exchange.route.repeatable
+    connection = await context.pool.take(view.address, sure)
+    data = _write_request(context, exchange, view)
+    context.submit(AttemptStarted(time.monotonic(), exchange.key, effect.attempt))
+    verdicts: list[Verdict] = []
+
+    def accept(head: HttpHead) -> bool:
+        verdict = context.dialect.judge(head, exchange.ask.request_id, view.name)
+        if verdict.mine:
+            verdicts.append(verdict)
+        return verdict.mine
+
+    try:
+        reply = connection.ask(data, accept, exchange.request.method == b"HEAD")
+        head = await reply.wait_head()
+        await _take_answer(context, effect, exchange, reply, head, verdicts[-1])
+    finally:
+        # An answer that was not read to its end closes the connection, which also
+        # tells the endpoint that nobody waits.
+        context.pool.settle(view.address, connection)
+
+
+def _write_request(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bytes:
+    request = exchange.request
+    left_s = exchange.deadline_at - time.monotonic()
+    errand = Errand(left_s, view.name, exchange.route.rank, exchange.last_event)
+    headers = context.dialect.errand_headers(request.headers, errand)
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"Content-Length", str(len(request.body)).encode()))
+    return write_head(request.method + b" " + request.target + b" HTTP/1.1", headers) + request.body
+
+
+async def _take_answer(
+    context: RelayContext,
+    effect: Dispatch,
+    exchange: RelayExchange,
+    reply: Reply,
+    head: HttpHead,
+    verdict: Verdict,
+) -> None:
+    if verdict.not_run:
+        raise EndpointError(
+            f"refused with {head.status}",
+            sent=True,
+            said_not_run=True,
+            leaving=verdict.elsewhere,
+            absent=verdict.absent,
+        )
+    success = 200 <= head.status < 300
+    if success and exchange.route.kind == "stream":
+        await _pass_stream(context, effect, exchange, reply, head)
+        return
+    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+    if head.status >= 500 and exchange.route.repeatable:
+        exchange.held = HeldAnswer(head.status, end_to_end(head.headers), body)
+        raise EndpointError(f"answered {head.status}", sent=True)
+    _answer(exchange, HeldAnswer(head.status, end_to_end(head.headers), body))
+    context.submit(AttemptSucceeded(time.monotonic(), exchange.key, effect.attempt, head.status))
+    end(context, exchange, "answered", f"endpoint {effect.endpoint} gave {head.status}")
+
+
+def _answer(exchange: RelayExchange, answer: HeldAnswer) -> None:
+    exchange.first_at = time.monotonic()
+    exchange.connection.answer(answer.status, answer.headers, answer.body)
+
+
+async def _pass_stream(
+    context: RelayContext,
+    effect: Dispatch,
+    exchange: RelayExchange,
+    reply: Reply,
+    head: HttpHead,
+) -> None:
+    """Pass events on as they come, each whole."""
+    splitter = EventSplitter()
+    while part := await reply.next_part():
+        events = splitter.feed(part)
+        if events.count == 0:
+            continue
+        _begin_stream(exchange, head)
+        exchange.last_event = events.last_id or exchange.last_event
+        exchange.events += events.count
+        context.submit(
+            AttemptProgressed(time.monotonic(), exchange.key, effect.attempt, events.count)
+        )
+        await exchange.connection.send(events.data)
+    if splitter.rest():
+        raise EndpointError("broke off within an event", sent=True)
+    _begin_stream(exchange, head)
+    exchange.connection.end()
+    context.submit(AttemptSucceeded(time.monotonic(), exchange.key, effect.attempt, head.status))
+    end(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
+
+
+def _begin_stream(exchange: RelayExchange, head: HttpHead) -> None:
+    """Send the head with the first event; a resumed stream keeps its first one."""
+    if exchange.started:
+        return
+    exchange.started = True
+    exchange.first_at = time.monotonic()
+    exchange.connection.begin(head.status, end_to_end(head.headers), None)
+
+
+@relay_performs(Refuse)
+def refuse(context: RelayContext, effect: Refuse) -> None:
+    """End a request that has no answer, at once."""
+    exchange = context.exchanges.get(effect.request_id)
+    if exchange is None:
+        return
+    context.metrics.refusals.inc({"reason": effect.reason, "outcome": effect.outcome})
+    if exchange.started:
+        # Its head has gone, so the end must show that the answer is not whole.
+        exchange.connection.cut()
+    elif exchange.held is not None:
+        _answer(exchange, exchange.held)
+    else:
+        headers = context.dialect.refusal_headers(exchange.ask.request_id, effect.retry_after_s)
+        exchange.connection.answer(effect.status, headers, b"")
+    why = f"{effect.status} {effect.reason}: {effect.message}"
+    end(context, exchange, f"refused-{effect.outcome}", why)
+
+
+@relay_performs(Cancel)
+def cancel(context: RelayContext, effect: Cancel) -> None:
+    """Stop an attempt; its connection closes, so the endpoint stops as well."""
+    exchange = context.exchanges.get(effect.request_id)
+    if exchange is not None and exchange.task is not None:
+        exchange.task.cancel()
+
+
+@relay_performs(Forget)
+def forget(context: RelayContext, effect: Forget) -> None:
+    """Nothing to do: the exchange goes when its answer has."""
+
+
+@relay_performs(Announce)
+def announce(context: RelayContext, effect: Announce) -> None:
+    """Tell the other nodes at once."""
+    context.announce(effect.topic)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -0,0 +1,92 @@
+"""What the relay's parts take: the state, the loop and the clients, wired once.
+
+:mod:`relay_node` makes it. The parts import this and never the node, so that no
+circle forms round the module that wires them.
+"""
+
+import asyncio
+import time
+import typing as t
+
+from rookspring_core import NodeState
+from rookspring_core import reduce
+from rookspring_core.effects import Effect
+from rookspring_core.events import Event
+
+from .dialect import Dialect
+from .http_client import ConnectionPool
+from .logs import log
+from .metrics import Metrics
+from .platform import PlatformClient
+from .relay import RelayExchange
+from .relay_settings import RelaySettings
+
+Performer = t.Callable[["RelayContext", t.Any], None]
+RELAY_PERFORMERS: dict[type[t.Any], Performer] = {}
+F = t.TypeVar("F", bound=t.Callable[..., None])
+
+
+def relay_performs(effect_type: type[t.Any]) -> t.Callable[[F], F]:
+    """Register the relay's performer of an effect type."""
+
+    def register(function: F) -> F:
+        RELAY_PERFORMERS[effect_type] = function
+        return function
+
+    return register
+
+
+class RelayContext:
+    """State and clients of one relay node."""
+
+    def __init__(
+        self,
+        settings: RelaySettings,
+        dialect: Dialect,
+        state: NodeState,
+        platform: PlatformClient,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.dialect = dialect
+        self.state = state
+        self.platform = platform
+        self.metrics = metrics
+        self.loop = asyncio.get_running_loop()
+        self.pool = ConnectionPool()
+        self.exchanges: dict[str, RelayExchange] = {}
+        self.listed = False
+        # Set by the node that wires the parts: tells the other nodes at once.
+        self.announce: t.Callable[[str], None] = lambda topic: None
+        self.stop: t.Callable[[], None] = lambda: None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def submit(self, event: Event) -> None:
+        """Take an event: reduce it and perform the effects."""
+        for effect in reduce(self.state, event):
+            self.perform(effect)
+
+    def perform(self, effect: Effect) -> None:
+        """Perform one effect."""
+        RELAY_PERFORMERS[type(effect)](self, effect)
+
+    def spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
+        """Run work in a task of its own, which ends with the node."""
+        task = self.loop.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+        return task
+
+    def _ended(self, task: asyncio.Task[None]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            error = task.exception()
+            log("task_failed", "ERROR", error=type(error).__name__, detail=error)
+
+    def ready(self) -> bool:
+        """Say whether callers may come."""
+        return self.state.table is not None and self.listed and not self.state.leaving
+
+    def now(self) -> float:
+        """Give the monotonic time, in seconds."""
+        return time.monotonic()
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -0,0 +1,243 @@
+"""Loops of a relay node that follow the platform's store.
+
+Each lists a kind, then watches it from there. A watch that ends in any way but by
+answering is followed by a list, since changes may have been missed.
+"""
+
+import asyncio
+import time
+import typing as t
+
+from returns.result import Failure
+from returns.result import Success
+
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import BoxListed
+from rookspring_core.events import EndpointReported
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import PlatformAnswered
+
+from . import defaults
+from .exceptions import PlatformError
+from .exceptions import PlatformMissing
+from .exceptions import PlatformTooOld
+from .following import BackOff
+from .logs import log
+from .platform import Stored
+from .relay_context import RelayContext
+from .relay_peers import RelayPeers
+
+# Kinds of this project's own in the store.
+NODE_KIND = "rookspring-nodes"
+LEASE_KIND = "rookspring-lease"
+LEASE_NAME = "control"
+
+Take = t.Callable[[tuple[Stored, ...], bool], None]
+
+
+class Reach:
+    """Whether the store answers, told to the reducer and the log when that changes."""
+
+    def __init__(self, context: RelayContext) -> None:
+        self._context = context
+        self.lost_at: float | None = None
+        self.back_at = -1e9
+
+    def failed(self, what: str, error: PlatformError) -> None:
+        """A call failed."""
+        if isinstance(error, (PlatformTooOld, PlatformMissing)):
+            return
+        log("store_call_failed", "WARNING", call=what, error=type(error).__name__, detail=error)
+        if self.lost_at is None:
+            self.lost_at = time.monotonic()
+            log("platform_down", "WARNING", call=what)
+            self._context.submit(PlatformAnswered(time.monotonic(), False))
+
+    def answered(self) -> None:
+        """A call was answered."""
+        now = time.monotonic()
+        if self.lost_at is not None:
+            log("platform_up", out_s=now - self.lost_at)
+            self.lost_at = None
+            self.back_at = now
+        self._context.submit(PlatformAnswered(now, True))
+
+
+async def follow_kind(context: RelayContext, reach: Reach, kind: str, take: Take) -> None:
+    """List a kind and watch it from there, for ever.
+
+    :param take: gets rows and whether they are all there are.
+    """
+    back_off = BackOff()
+    since = -1
+    while True:
+        if since < 0:
+            listing = await context.platform.list_kind(kind)
+            if isinstance(listing, Failure):
+                reach.failed(f"list {kind}", listing.failure())
+                await back_off.pause()
+                continue
+            reach.answered()
+            take(listing.unwrap().items, True)
+            since = listing.unwrap().version
+        changes = await context.platform.watch(kind, since, defaults.RELAY_WATCH_S)
+        if isinstance(changes, Failure):
+            since = -1
+            reach.failed(f"watch {kind}", changes.failure())
+            if not isinstance(changes.failure(), PlatformTooOld):
+                await back_off.pause()
+            continue
+        reach.answered()
+        back_off.reset()
+        found = changes.unwrap()
+        if found.items:
+            take(found.items, False)
+        since = found.version
+
+
+async def follow_table(context: RelayContext, peers: RelayPeers, reach: Reach) -> None:
+    """Follow the configuration."""
+
+    def take(rows: tuple[Stored, ...], whole: bool) -> None:
+        for row in rows:
+            peers.take_table(row, "store")
+
+    await follow_kind(context, reach, context.dialect.table_kind(), take)
+
+
+class EndpointList:
+    """Endpoints as the store lists them, with what lapsed while it was away.
+
+    An entry that is missing after an outage is given ``LAPSE_GRACE_S`` to come back,
+    since live endpoints write theirs anew; after that the endpoint counts as gone.
+    """
+
+    def __init__(self, context: RelayContext, reach: Reach) -> None:
+        self._context = context
+        self._reach = reach
+        self._rows: dict[str, BoxListed] = {}
+        self._missing: dict[str, float] = {}
+
+    def take(self, rows: tuple[Stored, ...], whole: bool) -> None:
+        """Take changed entries, or all that there are."""
+        now = time.monotonic()
+        if whole:
+            for name in set(self._rows) - {row.name for row in rows}:
+                self._lose(name, now)
+        reports: list[EndpointReported] = []
+        for row in rows:
+            if row.value is None:
+                self._lose(row.name, now)
+                continue
+            self._missing.pop(row.name, None)
+            report = self._keep(row, now)
+            if report is not None:
+                reports.append(report)
+        self.settle(now)
+        for report in reports:
+            self._context.submit(report)
+        self._context.listed = True
+
+    def _keep(self, row: Stored, now: float) -> EndpointReported | None:
+        try:
+            listed, report = self._context.dialect.read_endpoint(row, now)
+        except (KeyError, TypeError, ValueError) as error:
+            log("endpoint_malformed", "ERROR", endpoint=row.name, detail=repr(error))
+            return None
+        if self._rows.get(row.name) != listed:
+            log(
+                "endpoint_listed",
+                endpoint=row.name,
+                address=listed.address,
+                service=listed.service,
+                state=listed.state,
+                revision=row.version,
+            )
+        self._rows[row.name] = listed
+        return report
+
+    def _lose(self, name: str, now: float) -> None:
+        if name in self._rows:
+            until = self._reach.back_at + defaults.LAPSE_GRACE_S
+            self._missing.setdefault(name, max(now, until))
+
+    def settle(self, now: float) -> None:
+        """Drop what is missing for good, and tell the reducer the list."""
+        for name, until in list(self._missing.items()):
+            if now >= until and self._reach.lost_at is None:
+                del self._missing[name]
+                self._rows.pop(name, None)
+                log("endpoint_gone", endpoint=name, late_s=now - until)
+        self._context.submit(BoxListCame(now, tuple(self._rows.values())))
+
+    async def settle_loop(self) -> None:
+        """Look after entries that are missing."""
+        while True:
+            await asyncio.sleep(defaults.LAPSE_CHECK_S)
+            if self._missing:
+                self.settle(time.monotonic())
+
+
+async def follow_lease(context: RelayContext, reach: Reach) -> None:
+    """Read the lease object where this node may hold it."""
+    back_off = BackOff()
+    while True:
+        if not context.state.membership.is_relay():
+            await asyncio.sleep(defaults.LEASE_READ_S)
+            continue
+        answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
+        now = time.monotonic()
+        match answer:
+            case Success(Stored(_, version, value)):
+                epoch = int(value["epoch"])
+                nonce = str(value["nonce"])
+                context.submit(LeaseSeen(now, version, str(value["holder"]), epoch, nonce))
+            case Failure(PlatformMissing()):
+                context.submit(LeaseSeen(now, 0, "", 0, ""))
+            case Failure(error):
+                reach.failed("read lease", error)
+                await back_off.pause()
+                continue
+        reach.answered()
+        back_off.reset()
+        await asyncio.sleep(defaults.LEASE_READ_S)
+
+
+async def follow_nodes(context: RelayContext, peers: RelayPeers, reach: Reach) -> None:
+    """Make this node known in the store, and learn of the others there."""
+    back_off = BackOff()
+    identity = context.state.identity
+    row = {"address": identity.address, "zone": identity.data_centre}
+    while not await _write_row(context, identity.name, row):
+        await back_off.pause()
+    while True:
+        listing = await context.platform.list_kind(NODE_KIND)
+        if isinstance(listing, Failure):
+            reach.failed(f"list {NODE_KIND}", listing.failure())
+            await back_off.pause()
+            continue
+        reach.answered()
+        back_off.reset()
+        peers.learn(
+            (one.name, str(one.value["address"]), str(one.value["zone"]))
+            for one in listing.unwrap().items
+            if one.value
+        )
+        await asyncio.sleep(defaults.NODE_LIST_S)
+
+
+async def _write_row(context: RelayContext, name: str, row: t.Any) -> bool:
+    answer = await context.platform.put(NODE_KIND, name, row, None)
+    if isinstance(answer, Failure) and isinstance(answer.failure(), PlatformMissing):
+        answer = await context.platform.put(NODE_KIND, name, row, 0)
+    if isinstance(answer, Failure):
+        log("store_call_failed", "WARNING", call="write own row", detail=answer.failure())
+        return False
+    return True
+
+
+async def forget_row(context: RelayContext) -> None:
+    """Take this node's row out of the store at a planned stop."""
+    answer = await context.platform.delete(NODE_KIND, context.state.identity.name, None)
+    if isinstance(answer, Failure):
+        log("store_call_failed", "WARNING", call="delete own row", detail=answer.failure())
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -0,0 +1,302 @@
+"""Assembly of a relay node: its parts, listeners, loops and signals."""
+
+import asyncio
+import contextlib
+import secrets
+import signal
+import sys
+import time
+import typing as t
+
+import uvloop
+from returns.result import Failure
+from returns.result import Success
+
+from rookspring_core import Identity
+from rookspring_core import NodeState
+from rookspring_core import cluster
+from rookspring_core import defaults as core_defaults
+from rookspring_core.effects import ReadDesired
+from rookspring_core.effects import ReadHead
+from rookspring_core.effects import Stop
+from rookspring_core.effects import WriteLease
+from rookspring_core.events import DrainAsked
+from rookspring_core.events import LeaseWritten
+from rookspring_core.events import Ticked
+from rookspring_core.retries import WindowTerms
+
+from . import defaults
+from . import logs
+from . import relay
+from . import relay_attempts as relay_attempts
+from . import relay_following
+from .dialect import Dialect
+from .exceptions import PlatformConflict
+from .exceptions import SettingsError
+from .http_messages import HttpRequest
+from .http_server import HttpListener
+from .http_server import ReadLimits
+from .http_server import ServerConnection
+from .http_server import ServerOptions
+from .logs import log
+from .metrics import Metrics
+from .platform import open_platform
+from .relay_context import RelayContext
+from .relay_context import relay_performs
+from .relay_peers import RelayPeers
+from .relay_settings import RelaySettings
+
+Reload = t.Callable[[], RelaySettings]
+
+
+def configure_logs() -> None:
+    """Send log lines to standard output, bounded and without blocking."""
+    logs.configure_bounded(sys.stdout.fileno())
+
+
+def run(settings: RelaySettings, dialect: Dialect, reload: Reload) -> int:
+    """Run one node until it is asked to stop.
+
+    :param reload: reads the settings again; raises :class:`SettingsError`.
+    """
+    uvloop.run(_run(settings, dialect, reload))
+    return 0
+
+
+async def _run(settings: RelaySettings, dialect: Dialect, reload: Reload) -> None:
+    node = RelayNode(settings, dialect)
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, node.drain)
+    loop.add_signal_handler(signal.SIGINT, node.drain)
+    loop.add_signal_handler(signal.SIGHUP, lambda: node.reload(reload))
+    await node.start()
+    node.context.spawn(_watch_settings(node, reload))
+    await node.run_until_stopped()
+
+
+async def _watch_settings(node: "RelayNode", reload: Reload) -> None:
+    """Take settings that changed without a signal."""
+    while True:
+        await asyncio.sleep(defaults.SETTINGS_CHECK_S)
+        node.reload(reload, told=False)
+
+
+class RelayNode:
+    """One node that relays requests for a platform's callers."""
+
+    def __init__(self, settings: RelaySettings, dialect: Dialect) -> None:
+        self.settings = settings
+        incarnation = secrets.token_hex(6)
+        identity = Identity(
+            settings.name,
+            incarnation,
+            settings.data_centre,
+            settings.peer_address,
+            settings.caller_address,
+        )
+        state = NodeState(identity, time.monotonic())
+        state.relaying = True
+        metrics = Metrics(settings.name)
+        address = f"{settings.store_scheme}://{settings.store}"
+        platform = open_platform(address, _counter(metrics))
+        self.context = RelayContext(settings, dialect, state, platform, metrics)
+        self.peers = RelayPeers(self.context)
+        self.context.announce = lambda topic: self.peers.beat()
+        self.context.stop = self._stop
+        self.stopping = asyncio.Event()
+        self._listeners: list[HttpListener] = []
+        self._take_terms(settings)
+
+    def _take_terms(self, settings: RelaySettings) -> None:
+        state = self.context.state
+        state.window_terms = WindowTerms(
+            settings.retry_share,
+            settings.retry_slack,
+            settings.retry_window_s,
+            defaults.RELAY_NODES_MAX,
+        )
+        state.drain_serve_s = defaults.LOOKUP_LIVES * settings.lookup_ttl_s
+
+    async def start(self) -> None:
+        """Listen and begin all loops."""
+        settings = self.settings
+        log("node_started", node=settings.name, address=settings.caller_address)
+        reach = relay_following.Reach(self.context)
+        endpoints = relay_following.EndpointList(self.context, reach)
+        follow_endpoints = relay_following.follow_kind(
+            self.context, reach, self.context.dialect.endpoint_kind(), endpoints.take
+        )
+        await self.peers.start()
+        await self._listen()
+        for loop in (
+            self._tick_loop(),
+            self._sweep_loop(),
+            self.peers.beat_loop(),
+            endpoints.settle_loop(),
+            follow_endpoints,
+            relay_following.follow_table(self.context, self.peers, reach),
+            relay_following.follow_lease(self.context, reach),
+            relay_following.follow_nodes(self.context, self.peers, reach),
+        ):
+            self.context.spawn(loop)
+
+    async def _listen(self) -> None:
+        settings = self.settings
+
+        async def serve(connection: ServerConnection, request: HttpRequest) -> None:
+            await relay.serve_caller(self.context, connection, request)
+
+        callers = ServerOptions(serve, self._limits, lambda: self.context.state.leaving)
+        small = ServerOptions(self._serve_small)
+        rows = [(settings.caller_address, callers)]
+        asked = {settings.ready_address, settings.lookup_address} - {""}
+        rows += [(address, small) for address in asked]
+        host = settings.caller_address.rpartition(":")[0]
+        rows.append((f"{host}:{defaults.METRICS_PORT}", ServerOptions(self._serve_metrics)))
+        for address, options in rows:
+            listener = HttpListener(options)
+            host, _, port = address.rpartition(":")
+            await listener.start(host, int(port))
+            self._listeners.append(listener)
+
+    def _limits(self) -> ReadLimits:
+        table = self.context.state.table
+        return ReadLimits(*table.limits) if table else ReadLimits()
+
+    async def _serve_small(self, connection: ServerConnection, request: HttpRequest) -> None:
+        """Answer readiness checks, and callers who ask for addresses."""
+        dialect = self.context.dialect
+        zone = dialect.read_lookup(request)
+        if zone is not None:
+            addresses = cluster.near_addresses(self.context.state, zone)
+            headers, body = dialect.write_lookup(addresses, self.settings.lookup_ttl_s)
+            connection.answer(200 if addresses else 503, headers, body)
+            return
+        if dialect.is_ready_check(request):
+            connection.answer(200 if self.context.ready() else 503, [], b"")
+            return
+        connection.answer(404, [], b"")
+
+    async def _serve_metrics(self, connection: ServerConnection, request: HttpRequest) -> None:
+        state = self.context.state
+        metrics = self.context.metrics
+        metrics.inflight.set({}, len(state.requests))
+        metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
+        metrics.revision.set({}, state.revision)
+        metrics.leader.set({}, int(state.control.holding(time.monotonic())))
+        metrics.peer_bytes.set({}, self.peers.server.sent_bytes())
+        body, headers = metrics.render()
+        rows = [(key.encode(), value.encode()) for key, value in headers.items()]
+        connection.answer(200, rows, body)
+
+    async def _tick_loop(self) -> None:
+        while True:
+            self.context.submit(Ticked(time.monotonic()))
+            await asyncio.sleep(core_defaults.TICK_S)
+
+    async def _sweep_loop(self) -> None:
+        while True:
+            await asyncio.sleep(defaults.POOL_SWEEP_S)
+            self.context.pool.sweep(time.monotonic())
+
+    def reload(self, reload: Reload, told: bool = True) -> None:
+        """Read the settings again; wrong ones change nothing."""
+        try:
+            settings = reload()
+        except SettingsError as error:
+            for fault in error.faults:
+                log("settings_wrong", "ERROR", fault=fault, kept="the settings in force")
+            return
+        if settings == self.settings and not told:
+            return
+        changed = [
+            name
+            for name, old, new in zip(settings._fields, self.settings, settings, strict=True)
+            if old != new
+        ]
+        log("settings_reloaded", changed=",".join(changed), told=told)
+        self.settings = settings
+        self.context.settings = settings
+        self.peers.dialler.seeds = settings.seeds
+        self._take_terms(settings)
+
+    def drain(self) -> None:
+        """Begin the planned stop."""
+        if self.context.state.leaving:
+            return
+        log("node_draining", node=self.settings.name, requests=len(self.context.exchanges))
+        self.context.submit(DrainAsked(time.monotonic()))
+        end_s = max(0.1, self.settings.grace_s - defaults.STOP_MARGIN_S)
+        self.context.loop.call_later(end_s, self.stopping.set)
+        self.context.spawn(relay_following.forget_row(self.context))
+
+    def _stop(self) -> None:
+        self.stopping.set()
+
+    async def run_until_stopped(self) -> None:
+        """Wait for the end of a planned stop, then close."""
+        await self.stopping.wait()
+        for listener in self._listeners:
+            listener.stop_taking()
+            listener.close_idle()
+        # Answers that are complete may still be on their way out.
+        await asyncio.sleep(defaults.LAST_BYTES_S)
+        log("node_stopped", node=self.settings.name, cut=len(self.context.exchanges))
+        for task in list(self.context.tasks):
+            task.cancel()
+        await asyncio.gather(*self.context.tasks, return_exceptions=True)
+        await self.peers.server.close()
+        with contextlib.suppress(OSError):
+            await self.context.platform.close()
+
+
+def _counter(metrics: Metrics) -> t.Callable[[str, str], None]:
+    def count(method: str, end: str) -> None:
+        metrics.platform_calls.inc({"method": method, "end": end})
+
+    return count
+
+
+@relay_performs(Stop)
+def stop(context: RelayContext, effect: Stop) -> None:
+    """Let the process end."""
+    context.stop()
+
+
+@relay_performs(WriteLease)
+def write_lease(context: RelayContext, effect: WriteLease) -> None:
+    """Write the lease object on its version."""
+    asked_at = time.monotonic()
+    value = {
+        "holder": context.settings.name if effect.nonce else "",
+        "epoch": effect.epoch,
+        "nonce": effect.nonce,
+    }
+
+    async def write() -> None:
+        answer = await context.platform.put(
+            relay_following.LEASE_KIND, relay_following.LEASE_NAME, value, effect.version
+        )
+        won: bool | None = None
+        version = 0
+        match answer:
+            case Success(written):
+                won, version = True, written
+            case Failure(PlatformConflict()):
+                won = False
+            case Failure(error):
+                log("store_call_failed", "WARNING", call="write lease", detail=error)
+        context.submit(LeaseWritten(time.monotonic(), asked_at, effect.nonce, won, version))
+
+    context.spawn(write())
+
+
+@relay_performs(ReadDesired)
+def note_lease(context: RelayContext, effect: ReadDesired) -> None:
+    """Say that this node controls endpoints now; the platform keeps the configuration."""
+    log("lease_acquired", node=context.settings.name, epoch=effect.epoch)
+
+
+@relay_performs(ReadHead)
+def skip_head(context: RelayContext, effect: ReadHead) -> None:
+    """Nothing to read: no revisions are published where the platform accepts them."""
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_settings.py
@@ -0,0 +1,33 @@
+"""Settings of a relay node, as an adapter reads them from its platform."""
+
+import typing as t
+
+
+class RelaySettings(t.NamedTuple):
+    """What a relay node is told at start; addresses are IP:PORT.
+
+    :param ready_address: where the platform asks whether the node is ready.
+    :param lookup_address: where callers ask which addresses to use; may be empty.
+    :param store: where the platform's object store is.
+    :param retry_slack: resends beyond the share, for all nodes together.
+    :param grace_s: time from the stop signal to the end, in seconds.
+    :param lookup_ttl_s: how long callers may keep an answer, in seconds.
+    :param load_window_s: window over which loads from the weight store are bounded.
+    """
+
+    name: str
+    data_centre: str
+    caller_address: str
+    ready_address: str
+    peer_address: str
+    lookup_address: str
+    metrics_port: int
+    seeds: tuple[str, ...]
+    store: str
+    retry_share: float
+    retry_slack: float
+    retry_window_s: float
+    grace_s: float
+    lookup_ttl_s: float
+    load_window_s: float
+    store_scheme: str = "objects"
