Plan for evenly loaded runners; restart loops that fail

Cause: models of the busiest kind stood on few runners (busiest 2.34 times the mean), since a move only paid above 15,000 tokens a second a runner; a fault in the planner ended the tick loop for good, and with it the lease. Change: the planner's rate is a little over each runner's even part; loops are kept.

--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -135,6 +135,9 @@
 # Work that a runner does, in prompt tokens plus ten times answer tokens a second: the
 # users' engines read 19.2 prompt tokens a millisecond and decode 64 answers in steps
 # of 11 ms, which makes some 9 of their mean requests of 3,180 a second.
-RUNNER_TOKENS_PER_S = 15_000.0
+# Below a part of that their answers are never late, so no move pays.
+RUNNER_TOKENS_PER_S = 4_000.0
+# How far above its even part of the demand a runner may be planned.
+EVEN_MARGIN = 1.2
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
 ADAPTER_LOAD_S = 0.025
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -341,11 +341,15 @@
         name: ModelSpec(version="", memory_gb=size.memory_mb / 1000.0, engine=service)
         for name, size in engine.models.items()
     }
-    rooms = tuple(_runner_room(state, engine, view) for view in views if _plannable(state, view))
+    levels = {name: state.control.forecast.levels.get(name, 0.0) for name in models}
+    views = [view for view in views if _plannable(state, view)]
+    # Runners are to be about evenly loaded, so each may have a little over its part.
+    part = sum(levels.values()) / max(1, len(views)) * defaults.EVEN_MARGIN
+    rate = max(defaults.RUNNER_TOKENS_PER_S, part)
+    rooms = tuple(_runner_room(state, engine, view, rate) for view in views)
     policy = PolicySpec(loads_per_s=max(0.1, engine.loads_per_s))
     store = state.control.store
     store.refill(state.now, engine.loads_per_s * defaults.STORE_RATE_SHARE)
-    levels = {name: state.control.forecast.levels.get(name, 0.0) for name in models}
     given = placement.PlanInput(models, rooms, levels, policy)
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
@@ -358,7 +362,9 @@
     return room is not None and room.trusted and view.report is not None and not view.leaving
 
 
-def _runner_room(state: NodeState, engine: EngineSize, view: EndpointView) -> placement.RunnerRoom:
+def _runner_room(
+    state: NodeState, engine: EngineSize, view: EndpointView, token_rate: float
+) -> placement.RunnerRoom:
     assert view.report is not None
     room = state.residency.rooms[view.name]
     order = room.order
@@ -374,7 +380,7 @@
         data_centre=view.data_centre,
         engine=view.service,
         free_gb=free_mb / 1000.0,
-        token_rate=defaults.RUNNER_TOKENS_PER_S,
+        token_rate=token_rate,
         resident=frozenset(resident),
         coming=frozenset(coming),
         busy=not _usable(state, view),
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -88,3 +88,5 @@
 # the sum stays within it. A thousand would leave a part to none, so it is a setting of
 # its own size: a deployment has 9 to 71 boxes now.
 RELAY_NODES_MAX = 16
+# A loop that failed for a fault of ours begins anew after this pause.
+LOOP_RESTART_S = 0.2
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -15,6 +15,7 @@
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
 
+from . import defaults
 from .dialect import Dialect
 from .http_client import ConnectionPool
 from .logs import log
@@ -81,6 +82,19 @@
         task.add_done_callback(self._ended)
         return task
 
+    def keep(self, make: t.Callable[[], t.Coroutine[t.Any, t.Any, None]]) -> None:
+        """Run a loop that begins anew after a fault of ours, which is logged."""
+
+        async def again() -> None:
+            while True:
+                try:
+                    await make()
+                except Exception as error:  # noqa: BLE001
+                    log("task_failed", "ERROR", error=type(error).__name__, detail=error)
+                await asyncio.sleep(defaults.LOOP_RESTART_S)
+
+        self.spawn(again())
+
     def _ended(self, task: asyncio.Task[None]) -> None:
         self.tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -126,22 +126,22 @@
         log("node_started", node=settings.name, address=settings.caller_address)
         reach = relay_following.Reach(self.context)
         endpoints = relay_following.EndpointList(self.context, reach)
-        follow_endpoints = relay_following.follow_kind(
-            self.context, reach, self.context.dialect.endpoint_kind(), endpoints.take
-        )
         await self.peers.start()
         await self._listen()
-        for loop in (
-            self._tick_loop(),
-            self._sweep_loop(),
-            self.peers.beat_loop(),
-            endpoints.settle_loop(),
-            follow_endpoints,
-            relay_following.follow_table(self.context, self.peers, reach),
-            relay_following.follow_lease(self.context, reach),
-            relay_following.follow_nodes(self.context, self.peers, reach),
+        following = relay_following
+        context = self.context
+        kind = context.dialect.endpoint_kind()
+        for make in (
+            self._tick_loop,
+            self._sweep_loop,
+            self.peers.beat_loop,
+            endpoints.settle_loop,
+            lambda: following.follow_kind(context, reach, kind, endpoints.take),
+            lambda: following.follow_table(context, self.peers, reach),
+            lambda: following.follow_lease(context, reach),
+            lambda: following.follow_nodes(context, self.peers, reach),
         ):
-            self.context.spawn(loop)
+            context.keep(make)
 
     async def _listen(self) -> None:
         settings = self.settings
