Shorter lease, moves only for demand or reach, reasons of refusals told

Change: lease of 4 s; policy 'even'; back-off towards the store to 0.5 s; leaving endpoints told by peers; reasons name what was lacking.

--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -63,6 +63,7 @@
         view.prefixes.clear()
     if state.relaying:
         residency.note_report(state, event)
+        view.leaving = view.leaving or event.leaving
         if event.order_token[1] >= 0 and _overtaken(view, event):
             return []
         event = residency.refine(state, view, event)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -124,11 +124,12 @@
 # An order without an answer may be carried out up to 12 s later (the users' kinds of
 # trouble); after that a report that does not count it is final.
 LATE_ORDER_S = 12.5
-# After a model's order was taken, its runner's report is first read then.
-ORDER_LOOK_S = 1.3
+# After a model's order was taken, its runner's report is first read then: reports lag
+# by 0.1 s, and an unload without runs is done at once.
+ORDER_LOOK_S = 0.15
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
-RELAY_PLACEMENT = "gain"
+RELAY_PLACEMENT = "even"
 # Part of the weight store's rate that is used: with the burst of two it keeps any
 # window below the bound, also across a change of holder.
 STORE_RATE_SHARE = 0.7
@@ -141,3 +142,11 @@
 EVEN_MARGIN = 1.2
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
 ADAPTER_LOAD_S = 0.025
+# The lease of relay nodes: an order-giver that dies is replaced within some seven
+# seconds, TURN_GAP_S included, for one write a second to the store.
+RELAY_LEASE_TTL_S = 4.0
+RELAY_LEASE_RENEW_S = 1.0
+RELAY_LEASE_MARGIN_S = 1.0
+RELAY_PLAN_INTERVAL_S = 0.5
+# A taken order for a model is looked after this often until a report shows its end.
+ORDER_POLL_S = 0.4
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -20,10 +20,22 @@
     nonce: str
 
 
+class LeaseTerms(t.NamedTuple):
+    """Times of a lease, in seconds; all nodes of a deployment have the same.
+
+    :param margin_s: how long before the end its holder stops to act.
+    """
+
+    ttl_s: float = defaults.LEASE_TTL_S
+    renew_s: float = defaults.LEASE_RENEW_S
+    margin_s: float = defaults.LEASE_MARGIN_S
+
+
 class Lease:
     """The lease as one node sees it."""
 
-    def __init__(self) -> None:
+    def __init__(self, terms: LeaseTerms | None = None) -> None:
+        self.terms = terms or LeaseTerms()
         self.version = -1
         self.holder = ""
         self.epoch = 0
@@ -79,12 +91,12 @@
         self.own_epoch = epoch
         self.changed_at = asked_at
         # Observers count from when they saw it, which is after it was asked for.
-        self.held_until = asked_at + defaults.LEASE_TTL_S - defaults.LEASE_MARGIN_S
+        self.held_until = asked_at + self.terms.ttl_s - self.terms.margin_s
         return new
 
     def wish(self, now: float, name: str, incarnation: str, candidate: bool) -> LeaseWish | None:
         """Say which write is due now, if any."""
-        if self.version < 0 or now - self._asked_at < defaults.LEASE_RENEW_S:
+        if self.version < 0 or now - self._asked_at < self.terms.renew_s:
             return None
         holding = self.holding(now)
         if not holding and not (candidate and self._free(now)):
@@ -99,7 +111,7 @@
     def _free(self, now: float) -> bool:
         if self.holder == "":
             return True
-        return self.changed_at is not None and now - self.changed_at > defaults.LEASE_TTL_S
+        return self.changed_at is not None and now - self.changed_at > self.terms.ttl_s
 
     def give_up(self) -> LeaseWish | None:
         """Free the lease at a planned stop, so that no time-out has to pass."""
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -366,3 +366,18 @@
         if len(board.hosts[model]) < target:
             _place_one(board, model, "in proportion to demand")
     return board.moves
+
+
+@placement("even")
+def plan_even(given: PlanInput) -> list[Move]:
+    """Keep each model once, and add replicas until every runner has about its part.
+
+    Nothing is unloaded but for a model that needs its room: copies that nobody asks
+    for now cost nothing, and demand comes back to them.
+    """
+    board = Board(given)
+    _place_missing(board)
+    for _ in range(max(1, given.policy.loads_at_once)):
+        if not _best_gain(board):
+            break
+    return board.moves
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -498,13 +498,19 @@
     for queued in queue.hopeless(state.now, token_s):
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
-        text = "cannot be served before its deadline any more"
-        after_s = routed.come_back(state, request) if request.arrived.route else 1.0
-        status = 502 if request.sent else 503
-        effects += _give_up(state, request, status, "late", text, after_s)
+        effects += _end_waiting(state, request)
     return effects
 
 
+def _end_waiting(state: NodeState, request: RequestState) -> Effects:
+    status = 502 if request.sent else 503
+    if request.arrived.route is not None:
+        reason, text = routed.lacking(state, request.arrived)
+        return _give_up(state, request, status, reason, text, routed.come_back(state, request))
+    text = "cannot be served before its deadline any more"
+    return _give_up(state, request, status, "late", text, 1.0)
+
+
 def waiting(state: NodeState) -> t.Mapping[str, int]:
     """Give the queue length of each target."""
     return {target: len(queue) for target, queue in state.queues.items()}
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -53,7 +53,7 @@
     if not _settled(state):
         return effects
     effects += _serve_wants(state)
-    if state.now - state.residency.planned_at >= defaults.PLAN_INTERVAL_S:
+    if state.now - state.residency.planned_at >= defaults.RELAY_PLAN_INTERVAL_S:
         state.residency.planned_at = state.now
         effects += _plan(state)
     return effects
@@ -76,8 +76,9 @@
         if view.role != "runner" or view.gone or view.leaving:
             continue
         room = residency.rooms.setdefault(name, Room())
+        pause_s = defaults.SURVEY_READ_S if room.order is None else _look_after_s(room.order)
         due = not room.trusted or room.order is not None
-        if due and state.now - room.asked_at >= defaults.SURVEY_READ_S:
+        if due and state.now - room.asked_at >= pause_s:
             room.asked_at = state.now
             effects.append(ReadReport(name, 0.0))
     for name in [name for name in residency.rooms if name not in state.endpoints]:
@@ -85,6 +86,11 @@
     return effects
 
 
+def _look_after_s(order: Order) -> float:
+    """Give how often a report is read while an order runs, in seconds."""
+    return defaults.ORDER_POLL_S if order.taken else defaults.SURVEY_READ_S
+
+
 def note_report(state: NodeState, event: EndpointReported) -> None:
     """Take a runner's report; it may settle the order there."""
     room = state.residency.rooms.get(event.endpoint)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -74,6 +74,24 @@
     return request.arrived.repeatable or request.sends == 0 or request.not_run_said
 
 
+def lacking(state: NodeState, arrived: RequestArrived) -> tuple[str, str]:
+    """Say what a request waited for in vain, as a reason and a text for the log."""
+    assert arrived.route is not None
+    service = arrived.route.service
+    views = [one for one in state.endpoints.values() if one.service == service]
+    hosts = [one for one in views if one.serves(arrived.target, arrived.service)]
+    if not hosts:
+        return "absent", f"{arrived.target} is on none of {len(views)} endpoints of {service}"
+    held = [one for one in hosts if not arrived.adapter or one.has_adapter(arrived.adapter)]
+    if not held:
+        return "absent", f"{arrived.adapter} is on none of {len(hosts)} endpoints with its model"
+    ready = [one for one in held if one.open_for_work(state.now)]
+    if not ready:
+        return "none_open", f"none of {len(held)} endpoints that hold it takes work"
+    least = min(one.load(state.now) for one in ready)
+    return "no_room", f"the least loaded of {len(ready)} endpoints is at {least:.2f}"
+
+
 def come_back(state: NodeState, request: RequestState) -> float:
     """Tell when to come back, in seconds: later where the model is yet to be loaded."""
     if request.sent:
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -90,3 +90,8 @@
 RELAY_NODES_MAX = 16
 # A loop that failed for a fault of ours begins anew after this pause.
 LOOP_RESTART_S = 0.2
+# Relay nodes must follow the store within two seconds of its return, so they ask more
+# often than others while it is away; some ten calls a second for nine nodes.
+RELAY_BACKOFF_MAX_S = 0.5
+# Candidates for the relay nodes' lease read it this often.
+RELAY_LEASE_READ_S = 1.0
--- a/packages/rookspring/src/rookspring/following.py
+++ b/packages/rookspring/src/rookspring/following.py
@@ -42,10 +42,14 @@
 
 
 class BackOff:
-    """Waits that double up to a bound, with full jitter."""
+    """Waits that double up to a bound, with full jitter.
 
-    def __init__(self) -> None:
+    :param most_s: the bound, in seconds.
+    """
+
+    def __init__(self, most_s: float = defaults.BACKOFF_MAX_S) -> None:
         self._wait = defaults.BACKOFF_START_S
+        self._most = most_s
 
     def reset(self) -> None:
         """A call succeeded."""
@@ -54,7 +58,7 @@
     async def pause(self) -> None:
         """Wait, and wait longer the next time."""
         await asyncio.sleep(self._wait * (0.5 + random.random()))
-        self._wait = min(defaults.BACKOFF_MAX_S, self._wait * 2)
+        self._wait = min(self._most, self._wait * 2)
 
 
 def note(node: "Node", answer: Result[A, PlatformError]) -> Result[A, PlatformError]:
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -68,7 +68,7 @@
 
     :param take: gets rows and whether they are all there are.
     """
-    back_off = BackOff()
+    back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     since = -1
     while True:
         if since < 0:
@@ -153,6 +153,9 @@
                 state=listed.state,
                 revision=row.version,
             )
+            if listed.state == "leaving":
+                # Nodes that the store turns away learn of it from this one.
+                self._context.share(report)
         self._rows[row.name] = listed
         return report
 
@@ -180,7 +183,7 @@
 
 async def follow_lease(context: RelayContext, reach: Reach) -> None:
     """Read the lease object where this node may hold it."""
-    back_off = BackOff()
+    back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     while True:
         if not context.state.membership.is_relay():
             await asyncio.sleep(defaults.LEASE_READ_S)
@@ -200,12 +203,12 @@
                 continue
         reach.answered()
         back_off.reset()
-        await asyncio.sleep(defaults.LEASE_READ_S)
+        await asyncio.sleep(defaults.RELAY_LEASE_READ_S)
 
 
 async def follow_nodes(context: RelayContext, peers: RelayPeers, reach: Reach) -> None:
     """Make this node known in the store, and learn of the others there."""
-    back_off = BackOff()
+    back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     identity = context.state.identity
     row = {"address": identity.address, "zone": identity.data_centre}
     while not await _write_row(context, identity.name, row):
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -23,6 +23,7 @@
 from rookspring_core.events import DrainAsked
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import Ticked
+from rookspring_core.leases import LeaseTerms
 from rookspring_core.retries import WindowTerms
 
 from . import defaults
@@ -97,6 +98,11 @@
         )
         state = NodeState(identity, time.monotonic())
         state.relaying = True
+        state.control.lease.terms = LeaseTerms(
+            core_defaults.RELAY_LEASE_TTL_S,
+            core_defaults.RELAY_LEASE_RENEW_S,
+            core_defaults.RELAY_LEASE_MARGIN_S,
+        )
         metrics = Metrics(settings.name)
         address = f"{settings.store_scheme}://{settings.store}"
         platform = open_platform(address, _counter(metrics))
