Believe demand faster at relay nodes

Change: constants of their own for relay nodes (rise 1 s, fall 3 s, meter 1 s, heartbeats 0.4 s); decisions of the holder are logged.

--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -46,6 +46,7 @@
 # At 60 s the demand of a burst that is over held the runners that the next one
 # needed (bench burst); see docs/design/placement.md.
 DEMAND_FALL_TAU_S = 10.0
+DEMAND_METER_S = 2.0
 PAY_BACK_S = 60.0
 
 CANDIDATES = 3
@@ -150,3 +151,8 @@
 RELAY_PLAN_INTERVAL_S = 0.5
 # A taken order for a model is looked after this often until a report shows its end.
 ORDER_POLL_S = 0.4
+# Demand at relay nodes moves between models within five seconds, and a copy that is
+# too many takes the place of one that is missing.
+RELAY_DEMAND_RISE_S = 1.0
+RELAY_DEMAND_FALL_S = 3.0
+RELAY_DEMAND_METER_S = 1.0
--- a/packages/rookspring-core/src/rookspring_core/demand.py
+++ b/packages/rookspring-core/src/rookspring_core/demand.py
@@ -11,10 +11,19 @@
 from . import defaults
 
 
+class Pace(t.NamedTuple):
+    """How fast demand is believed, as time constants in seconds."""
+
+    rise_s: float = defaults.DEMAND_RISE_TAU_S
+    fall_s: float = defaults.DEMAND_FALL_TAU_S
+    meter_s: float = defaults.DEMAND_METER_S
+
+
 class Forecast:
     """Smoothed demand by model, in tokens a second."""
 
-    def __init__(self) -> None:
+    def __init__(self, pace: Pace | None = None) -> None:
+        self.pace = pace or Pace()
         self.levels: dict[str, float] = {}
 
     def update(self, seen: t.Mapping[str, float], passed: float) -> None:
@@ -25,7 +34,7 @@
         for model in set(self.levels) | set(seen):
             level = self.levels.get(model, 0.0)
             now = seen.get(model, 0.0)
-            tau = defaults.DEMAND_RISE_TAU_S if now > level else defaults.DEMAND_FALL_TAU_S
+            tau = self.pace.rise_s if now > level else self.pace.fall_s
             level += (now - level) * (1.0 - math.exp(-passed / tau))
             if level < 1e-3 and now <= 0.0:
                 self.levels.pop(model, None)
@@ -34,9 +43,10 @@
 
 
 class DemandMeter:
-    """Tokens asked of this node by model, as a rate over about two seconds."""
+    """Tokens asked of this node by model, as a rate over a few seconds."""
 
-    def __init__(self) -> None:
+    def __init__(self, pace: Pace | None = None) -> None:
+        self.pace = pace or Pace()
         self._sums: dict[str, float] = {}
         self.rates: dict[str, float] = {}
 
@@ -46,7 +56,7 @@
 
     def roll(self, passed: float) -> None:
         """Turn the sums of the last ``passed`` seconds into rates."""
-        gain = min(1.0, passed / 2.0)
+        gain = min(1.0, passed / self.pace.meter_s)
         for model in set(self._sums) | set(self.rates):
             rate = self._sums.get(model, 0.0) / max(passed, 1e-6)
             level = self.rates.get(model, 0.0)
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -53,7 +53,7 @@
     control.planned_at = -1e9
     control.intents_known = False
     control.publication = type(control.publication)()
-    control.forecast = type(control.forecast)()
+    control.forecast = type(control.forecast)(control.forecast.pace)
     control.ledgers = {}
     state.record("lease", f"epoch {lease.own_epoch}", "lease acquired")
     for name, view in state.endpoints.items():
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -256,7 +256,6 @@
     room = state.residency.rooms[view.name]
     room.order = Order(action, model, adapter, count, state.now)
     room.asked_at = state.now
-    state.record(view.name, f"{action} {adapter or model}", f"{count} orders before")
     token = (state.control.acting_epoch, count)
     return SendOrder(view.name, view.address, token, action, model, adapter)
 
@@ -403,13 +402,16 @@
     view = state.endpoints[move.endpoint]
     model = move.key[0]
     if not _usable(state, view) or view.report is None:
+        state.record(view.name, f"cannot {move.action} {model}", f"order under way: {move.why}")
         return []
     if move.action == "load":
         size = engine.models[model]
         if used_mb(engine, view.report) + size.memory_mb > engine.memory_mb:
             return []
         if not state.control.store.take():
+            state.record(view.name, f"cannot load {model}", "weight store's rate is used up")
             return []
+        state.record(view.name, f"load {model}", move.why)
         return [_order(state, view, "load", model, "")]
     others = [
         one
@@ -417,5 +419,7 @@
         if one.name != view.name and one.service == view.service and one.open_for_work(state.now)
     ]
     if not others and model in engine.models:
+        state.record(view.name, f"cannot unload {model}", "it is its last open copy")
         return []
+    state.record(view.name, f"unload {model}", move.why)
     return _withdraw(state, view, model, "")
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -95,3 +95,6 @@
 RELAY_BACKOFF_MAX_S = 0.5
 # Candidates for the relay nodes' lease read it this often.
 RELAY_LEASE_READ_S = 1.0
+# Relay nodes tell each other their work and demand this often: routing and placement
+# are as old as the last heartbeat.
+RELAY_HEARTBEAT_S = 0.4
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -68,7 +68,12 @@
 
     def submit(self, event: Event) -> None:
         """Take an event: reduce it and perform the effects."""
-        for effect in reduce(self.state, event):
+        decided = len(self.state.decisions)
+        effects = reduce(self.state, event)
+        for decision in self.state.decisions[decided:]:
+            if not decision.what.startswith("refused"):
+                log("decided", subject=decision.subject, what=decision.what, why=decision.why)
+        for effect in effects:
             self.perform(effect)
 
     def perform(self, effect: Effect) -> None:
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -16,6 +16,7 @@
 from rookspring_core import NodeState
 from rookspring_core import cluster
 from rookspring_core import defaults as core_defaults
+from rookspring_core import demand
 from rookspring_core.effects import ReadDesired
 from rookspring_core.effects import ReadHead
 from rookspring_core.effects import Stop
@@ -103,6 +104,13 @@
             core_defaults.RELAY_LEASE_RENEW_S,
             core_defaults.RELAY_LEASE_MARGIN_S,
         )
+        pace = demand.Pace(
+            core_defaults.RELAY_DEMAND_RISE_S,
+            core_defaults.RELAY_DEMAND_FALL_S,
+            core_defaults.RELAY_DEMAND_METER_S,
+        )
+        state.control.meter.pace = pace
+        state.control.forecast.pace = pace
         metrics = Metrics(settings.name)
         address = f"{settings.store_scheme}://{settings.store}"
         platform = open_platform(address, _counter(metrics))
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -103,7 +103,7 @@
         while True:
             self.beat()
             self.dialler.dial_missing()
-            await asyncio.sleep(defaults.HEARTBEAT_S)
+            await asyncio.sleep(defaults.RELAY_HEARTBEAT_S)
 
     def share(self, report: EndpointReported) -> None:
         """Send what is true of an endpoint to all linked nodes."""
