Test decisions on relayed requests, residency and the platform's formats

Change: tables for routes, attempts, resend windows, refusals, orders, settings and decoding; the store's contract table runs over both adapters; no platform word outside its folder, the standard library's platform still imports, no circle through the relay. Found by them: what the holder knows of an endpoint was dropped when it came at the moment of the last report, and the next order expected a wrong count (3 rows failed).

--- a/features/contracts.feature
+++ b/features/contracts.feature
@@ -1,6 +1,6 @@
 Feature: Contracts of the interfaces, against whatever is put under them
 
-  Scenario Outline: a platform answers as the contract says
+  Scenario Outline: a platform answers as the contract says, through either adapter
     Given a platform behind its client
     When it gets: <calls>
     Then it answers <answers>
--- /dev/null
+++ b/features/platform.feature
@@ -0,0 +1,64 @@
+Feature: The users' platform, read and written in one place
+
+  Scenario Outline: a wrong setting is named in one clear line
+    Given a settings file of the platform
+    When its field <field> is <value>
+    Then the node does not start and names <named>
+
+    Examples:
+      | field              | value      | named              |
+      | node-name          | missing    | node-name          |
+      | zone               | missing    | zone               |
+      | listen.frontend    | missing    | listen.frontend    |
+      | listen.frontend    | here:80    | listen.frontend    |
+      | listen.ready       | 10.0.0.1:0 | listen.ready       |
+      | listen.control-plane | 10.0.0.1 | listen.control-plane |
+      | platform.address   | missing    | platform.address   |
+      | bounds.grace-s     | soon       | bounds.grace-s     |
+      | bounds.retry-budget | -1        | bounds.retry-budget |
+
+  Scenario: unknown settings are ignored and missing bounds have defaults
+    Given a settings file of the platform
+    When its field brand-new is 7
+    Then the node is named and has a grace of 8 s
+
+  Scenario: a settings file that is not there is named
+    When the daemon is started for the platform without a settings file
+    Then it ends with status 2 and names ROOKSPRING_CONFIG
+
+  Scenario Outline: wire names are decoded once, into what they hold
+    Given the example of <what>
+    When it is decoded
+    Then it gives <value> for <field>
+
+    Examples:
+      | what          | field                | value   |
+      | a route       | objective_s          | 6.0     |
+      | a route       | repeatable           | True    |
+      | a route       | rank                 | 2       |
+      | a split route | splits               | 90,10   |
+      | an engine     | memory_mb            | 200000  |
+      | an engine     | adapters_max         | 8       |
+      | a model       | memory_mb            | 65100   |
+      | an entry      | orders taken         | unknown |
+      | an entry      | adapters             | m/a3    |
+      | a draining entry | leaving           | True    |
+      | a report      | orders taken         | 2       |
+      | a busy report | loading              | True    |
+      | a malformed report | report          | None    |
+      | a request     | adapter              | m/a3    |
+      | a request     | prompt_tokens        | 1460    |
+      | a request     | shared part          | 91bd3f06 |
+      | a request with one part | shared part | 0      |
+
+  Scenario: no word of the platform stands outside its folder
+    When the product's sources are searched for the platform's words
+    Then none is found
+
+  Scenario: the folder does not hide the standard library's module
+    When Python is started at the root and imports platform
+    Then it is the standard library's
+
+  Scenario: the folder is small, and no circle of imports goes through a relay node
+    Then platform/ is under a tenth of the product's code
+    And no module of the relay imports the module that wires it
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -75,8 +75,8 @@
       | held          | event                                | orders                 |
       | m, m          | an adapter of m is wanted            | load m/a1              |
       | m+a2+a3, n    | an adapter of m is wanted            | unload m/a2            |
-      | m, n          | big is declared                      | none                   |
-      | m, m          | n is declared                        | load n                 |
+      | m, n          | the model big joins                   | none                   |
+      | m, m          | the model n joins                     | load n                 |
       | m+n, m        | m is asked for a lot                 | none                   |
       | m, n          | m is asked for a lot                 | load m                 |
       | m, n          | the lease is lost, then an adapter of m is wanted | none      |
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -15,6 +15,7 @@
 from rookspring.exceptions import PlatformRefused
 from rookspring.exceptions import PlatformTooOld
 from rookspring.exceptions import PlatformUnreachable
+from rookspring.platform import PlatformClient
 from rookspring.platform import open_platform
 from rookspring.published import HEAD
 from rookspring.published import KIND
@@ -23,11 +24,13 @@
 from rookspring_core import Resource
 from rookspring_core.effects import SendOrder
 from rookspring_fakes import Engine
+from rookspring_fakes import ObjectPlatform
 from rookspring_fakes import Platform
 from rookspring_fakes import Runner
 from rookspring_fakes import WeightStore
 from rookspring_fakes import platform as platform_module
 from rookspring_fakes import serve
+from rookspring_platform import ObjectStore
 
 ENDS = {
     PlatformConflict: "conflict",
@@ -41,10 +44,14 @@
 class PlatformUnderTest:
     """What another platform's adapter must offer to be put under the same table."""
 
+    scheme = "http"
+    stand_in_class = Platform
+
     async def open(self):
-        self.stand_in = Platform()
+        self.stand_in = self.stand_in_class()
         self.served = await serve(self.stand_in.app())
-        self.client = open_platform(f"http://{self.served.address}", lambda method, end: None)
+        address = f"{self.scheme}://{self.served.address}"
+        self.client = open_platform(address, lambda method, end: None)
         self.versions = [0]
 
     async def close(self):
@@ -106,6 +113,16 @@
             platform_module.READS_PER_S = limit
 
 
+class UsersPlatformUnderTest(PlatformUnderTest):
+    """The users' platform, through its adapter."""
+
+    scheme = "objects"
+    stand_in_class = ObjectPlatform
+
+
+assert issubclass(ObjectStore, PlatformClient)
+
+
 def end(answer):
     if isinstance(answer, Success):
         return "done"
@@ -195,28 +212,32 @@
 @given("a platform behind its client")
 def a_platform(context):
     context.under_test = PlatformUnderTest()
+    context.also_under_test = UsersPlatformUnderTest()
 
 
 @given("a runner behind the endpoint client")
 def a_runner(context):
     context.under_test = RunnerUnderTest()
+    context.also_under_test = None
 
 
 @when("it gets: {calls}")
 def calls_made(context, calls):
-    async def work():
-        await context.under_test.open()
+    async def work(under_test):
+        await under_test.open()
         try:
-            return [await context.under_test.call(name) for name in calls.split(", ")]
+            return [await under_test.call(name) for name in calls.split(", ")]
         finally:
-            await context.under_test.close()
+            await under_test.close()
 
-    context.answers = asyncio.run(work())
+    both = [context.under_test, context.also_under_test]
+    context.answers = [asyncio.run(work(one)) for one in both if one is not None]
 
 
 @then("it answers {answers}")
 def answers_were(context, answers):
-    assert context.answers == answers.split(), context.answers
+    for found in context.answers:
+        assert found == answers.split(), context.answers
 
 
 @when("{count:d} revisions are published to it")
--- /dev/null
+++ b/features/steps/platform_steps.py
@@ -0,0 +1,226 @@
+import os
+import pathlib
+import re
+import subprocess
+import sys
+import tempfile
+
+from behave import given
+from behave import then
+from behave import when
+
+from rookspring.exceptions import SettingsError
+from rookspring.http_messages import HttpRequest
+from rookspring.platform import Stored
+from rookspring_platform import PlatformDialect
+from rookspring_platform import configuration
+from rookspring_platform import endpoints
+from rookspring_platform import read_settings
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+SETTINGS = {
+    "node-name": "frontend-1",
+    "zone": "z1",
+    "listen.frontend": "10.0.0.1:8149",
+    "listen.ready": "10.0.0.1:8141",
+    "listen.control-plane": "10.0.0.1:8144",
+    "listen.registry": "10.0.0.1:8143",
+    "seeds": "10.0.0.1:8144,10.0.0.2:8144",
+    "platform.address": "10.9.0.1:8142",
+    "bounds.retry-budget": "0.2",
+}
+ROUTE = {
+    "name": "r",
+    "host": "h",
+    "path-prefix": "/a/",
+    "type": "stream",
+    "timeout-ms": 25000,
+    "slo-ms": 6000,
+    "priority": 2,
+    "service": "s",
+    "max-attempts": 2,
+    "resumable": True,
+}
+SPLIT = [{"service": "s", "weight": 90}, {"service": "t", "weight": 10}]
+MODEL = {"name": "m", "weights-mb": 65100, "load-time-s": 7.8, "adapters": 4}
+ENGINE = {"slots": 64, "models": [MODEL], "weights-mb": 200000.0, "max-adapters": 8}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.9:80",
+    "zone": "z1",
+    "slots": 64,
+    "state": "ready",
+    "models": [{"name": "m", "version": 1, "adapters": ["a3@1"]}],
+    "sequence": 40,
+}
+REPORT = (
+    b'{"stage":"both","models":[{"name":"m","version":1,"adapters":[]}],'
+    b'"utilization":false,"sequence":2,"queued":1,"active":12}'
+)
+
+
+@given("a settings file of the platform")
+def settings_file(context):
+    context.rows = dict(SETTINGS)
+
+
+@when("its field {field} is {value}")
+def field_is(context, field, value):
+    context.rows[field] = value
+    if value == "missing":
+        del context.rows[field]
+    with tempfile.NamedTemporaryFile("w", suffix=".conf") as file:
+        file.write("".join(f"{key}={text}\n" for key, text in context.rows.items()))
+        file.flush()
+        try:
+            context.settings = read_settings(file.name)
+            context.faults = ()
+        except SettingsError as error:
+            context.faults = error.faults
+
+
+@then("the node does not start and names {named}")
+def names_field(context, named):
+    (fault,) = context.faults
+    assert fault.startswith(f"{named}: "), fault
+
+
+@then("the node is named and has a grace of {seconds:d} s")
+def has_grace(context, seconds):
+    assert context.settings.name == "frontend-1"
+    assert context.settings.grace_s == seconds
+    assert context.settings.seeds == ("10.0.0.1:8144", "10.0.0.2:8144")
+
+
+@when("the daemon is started for the platform without a settings file")
+def started_without(context):
+    environment = {key: value for key, value in os.environ.items() if key != "ROOKSPRING_CONFIG"}
+    context.ended = subprocess.run(
+        [sys.executable, "-m", "rookspring_platform"],
+        env=environment,
+        capture_output=True,
+        text=True,
+        timeout=30,
+        check=False,
+    )
+
+
+@then("it ends with status {status:d} and names {named}")
+def ends_with(context, status, named):
+    assert context.ended.returncode == status, context.ended
+    lines = context.ended.stdout.splitlines()
+    assert len(lines) == 1 and named in lines[0], lines
+
+
+@given("the example of {what}")
+def example_of(context, what):
+    context.what = what
+
+
+def ask_of(prefix):
+    headers = (
+        (b"X-Rookspring-Request-Id", b"9c41"),
+        (b"Host", b"h"),
+        (b"X-Rookspring-Model", b"m/a3"),
+        (b"X-Rookspring-Token-Count", b"1460,80"),
+        (b"X-Rookspring-Prefix-Hash", prefix),
+    )
+    return PlatformDialect().read_ask(HttpRequest(b"POST", b"/a/b", headers, b"", True))
+
+
+def decoded_entry(**changed):
+    return endpoints.read_entry(Stored("i-1", 3, {**ENTRY, **changed}), 1.0)[1]
+
+
+DECODED = {
+    "a route": lambda: configuration._route(ROUTE),
+    "a split route": lambda: configuration._route({**ROUTE, "backends": SPLIT}),
+    "an engine": lambda: configuration._engine(ENGINE),
+    "a model": lambda: configuration._model(MODEL),
+    "an entry": decoded_entry,
+    "a draining entry": lambda: decoded_entry(state="draining"),
+    "a report": lambda: endpoints.read_report(REPORT, decoded_entry(), 2.0),
+    "a busy report": lambda: endpoints.read_report(
+        REPORT.replace(b"false", b"true"), decoded_entry(), 2.0
+    ),
+    "a malformed report": lambda: endpoints.read_report(b"{}", decoded_entry(), 2.0),
+    "a request": lambda: ask_of(b"5c1e07a2:800,91bd3f06:410,e4402b7d:250"),
+    "a request with one part": lambda: ask_of(b"e4402b7d:250"),
+}
+FIELDS = {
+    "orders taken": lambda one: "unknown" if one.order_token[1] < 0 else one.order_token[1],
+    "adapters": lambda one: ",".join(one.adapters),
+    "loading": lambda one: bool(one.loading),
+    "shared part": lambda one: f"{one.prefix:x}",
+    "splits": lambda one: ",".join(f"{split.weight:g}" for split in one.splits),
+    "report": lambda one: one,
+}
+
+
+@when("it is decoded")
+def decode_it(context):
+    context.decoded = DECODED[context.what]()
+
+
+@then("it gives {value} for {field}")
+def decoded_field(context, field, value):
+    read = FIELDS.get(field, lambda one: getattr(one, field))
+    found = read(context.decoded)
+    found = f"{found:g}" if isinstance(found, float) and value.isdigit() else str(found)
+    assert found == value, found
+
+
+WORDS = (
+    "fencing-token|path-prefix|kv-used|server-stamp|expect-instance|cold-left-ms|not-executed"
+    "|max-conns|slo-ms|ttl-s|as-of|token-count|prefix-hash|weights-mb|x-rookspring-request"
+)
+
+
+@when("the product's sources are searched for the platform's words")
+def search_words(context):
+    context.found = []
+    for folder in ("rookspring-core", "rookspring", "rookspring-ctl"):
+        for path in (ROOT / "packages" / folder).rglob("*.py"):
+            if re.search(WORDS, path.read_text(), re.IGNORECASE):
+                context.found.append(path.name)
+
+
+@then("none is found")
+def none_found(context):
+    assert not context.found, context.found
+
+
+@when("Python is started at the root and imports platform")
+def import_platform(context):
+    code = "import platform; print(platform.__file__, platform.python_version())"
+    ended = subprocess.run(
+        [sys.executable, "-c", code], cwd=ROOT, capture_output=True, text=True, check=True
+    )
+    context.printed = ended.stdout
+
+
+@then("it is the standard library's")
+def standard_library(context):
+    assert "rookspring" not in context.printed.split()[0].rpartition("/lib/")[2]
+    assert context.printed.split()[1].startswith("3.")
+
+
+def count_lines(folder):
+    return sum(len(path.read_text().splitlines()) for path in folder.rglob("*.py"))
+
+
+@then("platform/ is under a tenth of the product's code")
+def folder_small(context):
+    product = sum(
+        count_lines(ROOT / "packages" / name / "src")
+        for name in ("rookspring-core", "rookspring", "rookspring-ctl")
+    )
+    assert count_lines(ROOT / "platform" / "src") * 10 < product
+
+
+@then("no module of the relay imports the module that wires it")
+def no_circle(context):
+    sources = ROOT / "packages" / "rookspring" / "src" / "rookspring"
+    for path in sources.glob("*.py"):
+        if path.name != "relay_node.py":
+            assert "relay_node" not in re.sub(r":mod:`\w+`", "", path.read_text()), path.name
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -307,5 +307,3 @@
 
     context.loop.run(work())
     assert context.relay.node.context.state.window_terms.share == 0.1
-
-
--- /dev/null
+++ b/features/steps/relay_steps.py
@@ -0,0 +1,420 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+
+from rookspring_core import Identity
+from rookspring_core import NodeState
+from rookspring_core import reduce
+from rookspring_core.effects import Dispatch
+from rookspring_core.effects import ReadReport
+from rookspring_core.effects import Refuse
+from rookspring_core.effects import Remind
+from rookspring_core.effects import SendOrder
+from rookspring_core.effects import Want
+from rookspring_core.effects import WriteLease
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import BoxListed
+from rookspring_core.events import EndpointReported
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import LeaseWritten
+from rookspring_core.events import ModelWanted
+from rookspring_core.events import OrderAnswered
+from rookspring_core.events import OrderDue
+from rookspring_core.events import PlatformAnswered
+from rookspring_core.events import RequestArrived
+from rookspring_core.events import RouteTableSeen
+from rookspring_core.events import RouteTerms
+from rookspring_core.events import Ticked
+from rookspring_core.retries import RetryWindow
+from rookspring_core.retries import WindowTerms
+from rookspring_core.routes import CallerLimits
+from rookspring_core.routes import EngineSize
+from rookspring_core.routes import ModelSize
+from rookspring_core.routes import Route
+from rookspring_core.routes import RouteTable
+from rookspring_core.routes import ServiceSize
+from rookspring_core.routes import Split
+from rookspring_core.routes import pick_service
+
+LIMITS = CallerLimits(8192, 4096, 1.0, 5.0)
+ONE = (Split("svc", 1.0),)
+SIZES = {"m": 70_000.0, "n": 60_000.0}
+
+
+def make_route(prefix="/a/", kind="safe", attempts=2, splits=()):
+    return Route(prefix, "h", prefix, kind, 5.0, 0.4, 1, attempts, tuple(splits) or ONE)
+
+
+def make_table(version=1, routes=(), sizes=None):
+    models = {name: ModelSize(name, mb, 1.0, 16, 50.0) for name, mb in (sizes or SIZES).items()}
+    engine = EngineSize(8, 200_000.0, 1000, 2, 2.0, models)
+    services = {"svc": ServiceSize("svc", 10), "llm": ServiceSize("llm", 10, engine)}
+    return RouteTable(version, {"h": tuple(routes)}, services, LIMITS)
+
+
+@given("routes for {prefixes}")
+def routes_for(context, prefixes):
+    context.routes = make_table(routes=[make_route(one) for one in prefixes.split(", ")])
+
+
+@when("a request for {path} comes")
+def request_for(context, path):
+    context.route = context.routes.match("h", path)
+
+
+@then("its route is {expected}")
+def route_is(context, expected):
+    assert (context.route.prefix if context.route else "none") == expected
+
+
+@given("a route split {first:d} to {second:d}")
+def split_route(context, first, second):
+    context.route = make_route(splits=(Split("one", first), Split("two", second)))
+
+
+@when("{number:d} requests are picked")
+def requests_picked(context, number):
+    context.picked = [pick_service(context.route, f"q{one}") for one in range(number)]
+
+
+@then("about {number:d} go to the lighter side, each again to the same one")
+def about(context, number):
+    assert 0.8 * number < context.picked.count("two") < 1.2 * number
+    again = [pick_service(context.route, f"q{one}") for one in range(len(context.picked))]
+    assert again == context.picked
+
+
+class RelayHarness:
+    """One relaying reducer, with what it asked for."""
+
+    def __init__(self, sizes=None):
+        self.now = 100.0
+        self.state = NodeState(Identity("n", "n#1", "z"), 0.0)
+        self.state.relaying = True
+        self.state.full_checks = True
+        self.sent = []
+        self.refused = []
+        self.ended = []
+        self.orders = []
+        self.wants = []
+        self.submit(PlatformAnswered(self.now, True))
+        self.submit(RouteTableSeen(self.now, make_table(sizes=sizes)))
+
+    def submit(self, event):
+        lists = {
+            Dispatch: self.sent,
+            Refuse: self.refused,
+            SendOrder: self.orders,
+            Want: self.wants,
+        }
+        effects = reduce(self.state, event)
+        for effect in effects:
+            lists.get(type(effect), []).append(effect)
+            if isinstance(effect, Refuse):
+                self.ended.append(effect.outcome)
+            self.perform(effect)
+        return effects
+
+    def perform(self, effect):
+        """For subclasses: what the daemon would do."""
+
+    def list_endpoints(self, names, service, role, state="live"):
+        rows = [BoxListed(name, name, "z", role, state, service) for name in names]
+        self.submit(BoxListCame(self.now, tuple(rows)))
+
+    def report(self, name, resident=(), adapters=(), token=(0, 0), **fields):
+        return EndpointReported(
+            at=self.now,
+            endpoint=name,
+            incarnation=name,
+            age_s=0.0,
+            slots=fields.pop("slots", 8),
+            running=0,
+            queued=0,
+            token_rate=0.0,
+            stream_rate=0.0,
+            memory_gb=0.0,
+            resident=tuple((model, "1") for model in resident),
+            adapters=tuple(adapters),
+            order_token=token,
+            **fields,
+        )
+
+    def ask(self, kind="safe", attempts=2, model="", adapter="", key="r1", tokens=10):
+        terms = RouteTerms("r", "llm" if model else "svc", 1, 1, attempts, 0.1)
+        self.submit(
+            RequestArrived(
+                at=self.now,
+                request_id=key,
+                team="",
+                target=model or "svc",
+                service=not model,
+                adapter=adapter,
+                deadline_at=self.now + 5.0,
+                tokens=tokens,
+                repeatable=kind == "safe",
+                route=terms,
+            )
+        )
+
+    def meet(self, event):
+        last = self.sent[-1]
+        key = (last.request_id, last.attempt)
+        if event == "succeeds":
+            self.submit(AttemptStarted(self.now, *key))
+            self.submit(AttemptSucceeded(self.now, *key))
+            self.ended.append("ran")
+        elif event == "unsent":
+            self.submit(AttemptFailed(self.now, *key, False, False, "no connection"))
+        else:
+            self.submit(AttemptStarted(self.now, *key))
+            self.now += 6.0 if event == "late" else 0.01
+            refused = event == "refused"
+            self.submit(AttemptFailed(self.now, *key, True, refused, event))
+
+
+@given("a relaying node with three endpoints and {attempts:d} attempts for a {kind} route")
+def three_endpoints(context, attempts, kind):
+    context.relay_node = node = RelayHarness()
+    node.state.window_terms = WindowTerms(1.0, 100.0, 10.0, 1)
+    node.list_endpoints(["e1", "e2", "e3"], "svc", "service")
+    for name in ("e1", "e2", "e3"):
+        node.submit(node.report(name))
+    context.ask = (kind, attempts)
+
+
+@when("a relayed request meets: {events}")
+def meets(context, events):
+    context.relay_node.ask(*context.ask)
+    for event in events.split(", "):
+        context.relay_node.meet(event)
+
+
+@then("it was sent {times:d} times and ended {outcome}")
+def sent_and_ended(context, times, outcome):
+    node = context.relay_node
+    assert len(node.sent) == times, node.sent
+    assert node.ended == [outcome], node.ended
+    assert not node.state.requests
+
+
+@given("a window with share {share:f} and slack {slack:d} for {nodes:d} nodes")
+def a_window(context, share, slack, nodes):
+    context.window = RetryWindow(WindowTerms(share, slack, 10.0, nodes))
+
+
+@when("{firsts:d} requests are sent and all want to be resent")
+def all_want(context, firsts):
+    for _ in range(firsts):
+        context.window.earn(1.0)
+    context.resends = sum(context.window.spend(1.5) for _ in range(firsts + 50))
+
+
+@then("{resends:d} resends are allowed")
+def resends_allowed(context, resends):
+    assert context.resends == resends, context.resends
+
+
+@when("{firsts:d} requests are sent, {seconds:d} seconds pass and a resend is asked for")
+def resend_later(context, firsts, seconds):
+    for _ in range(firsts):
+        context.window.earn(1.0)
+    context.allowed = context.window.spend(1.0 + seconds)
+
+
+@then("it is refused")
+def is_refused(context):
+    assert not context.allowed
+
+
+@given("a relaying node whose endpoints are {state}")
+def endpoints_are(context, state):
+    context.relay_node = node = RelayHarness()
+    node.list_endpoints(["e1"], "llm", "runner")
+    resident = () if state == "without a model" else ("m",)
+    node.submit(node.report("e1", resident, slots=1, leaving=state == "leaving"))
+    if state == "full":
+        node.ask(model="m", key="r0")
+    context.adapter = "m/a1" if state == "without the adapter" else ""
+
+
+@when("a relayed request waits for its patience")
+def waits(context):
+    node = context.relay_node
+    node.ask(model="m", adapter=context.adapter, key="r1")
+    assert not node.refused
+    node.now += 0.2
+    node.submit(Ticked(node.now))
+
+
+@then("it is refused as {reason} with a time to come back")
+def refused_as(context, reason):
+    (refusal,) = context.relay_node.refused
+    assert refusal.request_id == "r1"
+    assert (refusal.reason, refusal.outcome, refusal.status) == (reason, "not_run", 503), refusal
+    assert refusal.retry_after_s > 0
+
+
+class HolderHarness(RelayHarness):
+    """A lease holder, with runners that carry orders out as the platform's do."""
+
+    def __init__(self, held):
+        self.runners = {}
+        self.answer = "taken"
+        self.carried = True
+        names = {one for text in held for one in text.split("+")}
+        super().__init__({name: mb for name, mb in SIZES.items() if name in names})
+        for number, text in enumerate(held, start=1):
+            models = [one for one in text.split("+") if not one.startswith("a")]
+            adapters = [f"{models[0]}/{one}" for one in text.split("+") if one.startswith("a")]
+            self.runners[f"e{number}"] = {"models": models, "adapters": adapters, "taken": 0}
+        self.list_endpoints(list(self.runners), "llm", "runner")
+        for name, runner in self.runners.items():
+            self.submit(self.report(name, runner["models"], token=(0, -1)))
+        self.submit(LeaseSeen(self.now, 0, "", 0, ""))
+        self.pass_time(6.0)
+
+    def perform(self, effect):
+        if isinstance(effect, WriteLease):
+            self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
+        elif isinstance(effect, ReadReport):
+            runner = self.runners[effect.endpoint]
+            token = (0, runner["taken"])
+            models, adapters = runner["models"], runner["adapters"]
+            self.submit(self.report(effect.endpoint, models, adapters, token, own=True))
+        elif isinstance(effect, Remind):
+            self.submit(OrderDue(self.now, effect.endpoint, effect.taken_before))
+        elif isinstance(effect, SendOrder):
+            self.carry_out(effect)
+
+    def carry_out(self, order):
+        runner = self.runners[order.endpoint]
+        if self.answer == "none":
+            return
+        if self.answer in ("fenced", "other count"):
+            reason = "fenced" if self.answer == "fenced" else "409"
+            answer = OrderAnswered(self.now, order.endpoint, order.token, False, reason)
+            # What comes next is not judged here.
+            self.answer = "none"
+            self.submit(answer)
+            return
+        assert order.token[1] == runner["taken"], "an order upon a wrong count"
+        runner["taken"] += 1
+        what = runner["adapters"] if order.model_version else runner["models"]
+        name = order.model_version or order.model
+        if order.action == "load":
+            what.append(name)
+        else:
+            what.remove(name)
+            if not order.model_version:
+                kept = [one for one in runner["adapters"] if not one.startswith(name)]
+                runner["adapters"] = kept
+        self.submit(OrderAnswered(self.now, order.endpoint, order.token, True, "done"))
+
+    def pass_time(self, seconds):
+        for _ in range(int(seconds / 0.1)):
+            self.now += 0.1
+            self.submit(Ticked(self.now))
+
+    def demand(self, model, rate):
+        self.state.control.meter.add(model, rate * 0.1)
+
+    def used_mb(self, name):
+        runner = self.runners[name]
+        sizes = self.state.table.services["llm"].engine.models
+        weights = sum(sizes[model].memory_mb for model in runner["models"])
+        return weights + 50.0 * len(runner["adapters"])
+
+
+@given("a lease holder over runners holding {held} of 200 GB")
+def lease_holder(context, held):
+    context.holder = HolderHarness(held.split(", "))
+    assert context.holder.state.control.holding(context.holder.now)
+    context.holder.orders.clear()
+
+
+def want(holder, adapter):
+    holder.submit(ModelWanted(holder.now, "llm", "m", f"m/{adapter}"))
+
+
+@when("an adapter of m is wanted")
+def adapter_wanted(context):
+    want(context.holder, "a1")
+
+
+@when("an adapter of m is wanted and the answer is {answer}")
+def adapter_wanted_answered(context, answer):
+    context.holder.answer = answer
+    want(context.holder, "a1")
+
+
+@when("another adapter of m is wanted")
+def another_wanted(context):
+    want(context.holder, "a2")
+
+
+@when("the model {model} joins")
+def model_declared(context, model):
+    sizes = {"m": 70_000.0, model: {"big": 150_000.0, "n": 60_000.0}[model]}
+    holder = context.holder
+    if any("n" in runner["models"] for runner in holder.runners.values()):
+        sizes["n"] = 60_000.0
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes=sizes)))
+    holder.pass_time(1.0)
+
+
+@when("m is asked for a lot")
+def asked_a_lot(context):
+    for _ in range(20):
+        context.holder.demand("m", 50_000.0)
+        context.holder.pass_time(0.1)
+
+
+@when("the lease is lost, then an adapter of m is wanted")
+def lease_lost(context):
+    context.holder.submit(LeaseSeen(context.holder.now, 99, "another", 9, "x"))
+    want(context.holder, "a1")
+
+
+@then("the orders are {expected}")
+def orders_are(context, expected):
+    got = [f"{one.action} {one.model_version or one.model}" for one in context.holder.orders]
+    # What follows from the first orders is another matter.
+    wanted = [] if expected == "none" else expected.split(", ")
+    assert got[: max(1, len(wanted))] == wanted, got
+
+
+@when("the list tells again what the first runner held")
+def list_again(context):
+    holder = context.holder
+    holder.submit(holder.report("e1", ["m"], ["m/a2", "m/a3"], (0, -1)))
+
+
+@then("the first runner is not used for m/a2")
+def not_used_for(context):
+    assert not context.holder.state.endpoints["e1"].has_adapter("m/a2")
+
+
+@when("{number:d} plans are made under demand that moves")
+def plans_made(context, number):
+    holder = context.holder
+    chance = random.Random(7)
+    context.bare = []
+    context.over = []
+    for step in range(number):
+        busy = "m" if (step // 40) % 2 else "n"
+        holder.demand(busy, 40_000.0 * chance.random())
+        holder.pass_time(0.5)
+        held = {model for runner in holder.runners.values() for model in runner["models"]}
+        context.bare += [model for model in SIZES if model not in held]
+        context.over += [name for name in holder.runners if holder.used_mb(name) > 200_000.0]
+
+
+@then("m and n were resident somewhere all the time and no runner was over its memory")
+def all_resident(context):
+    assert not context.bare and not context.over, (context.bare, context.over)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -156,3 +156,5 @@
 RELAY_DEMAND_RISE_S = 1.0
 RELAY_DEMAND_FALL_S = 3.0
 RELAY_DEMAND_METER_S = 1.0
+# The least difference between two moments that are told apart.
+CLOCK_STEP_S = 1e-6
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -270,7 +270,9 @@
 def _put(state: NodeState, view: EndpointView, report: EndpointReported) -> Effect:
     """Take what this holder knows to be true of an endpoint, and share it."""
     before = view.targets()
-    view.take_report(report._replace(at=state.now, age_s=0.0, own=False))
+    # What this holder knows goes before any report that came at the same moment.
+    at = max(state.now, view.reported_at + defaults.CLOCK_STEP_S)
+    view.take_report(report._replace(at=at, age_s=0.0, own=False))
     state.index(view, before, view.targets())
     assert view.report is not None
     return ShareReport(view.report)
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -180,9 +180,7 @@
     return Asked(lines[0], headers, body, rows)
 
 
-def _send(
-    writer: asyncio.StreamWriter, status: int, body: bytes, headers: dict[str, str]
-) -> None:
+def _send(writer: asyncio.StreamWriter, status: int, body: bytes, headers: dict[str, str]) -> None:
     rows = {"Content-Length": str(len(body)), "Keep-Alive": "timeout=20", **headers}
     head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{k}: {v}\r\n" for k, v in rows.items() if v)
     writer.write(head.encode() + b"\r\n" + body)
--- a/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
@@ -126,5 +126,3 @@
         "deleting": False,
     }
     return {"metadata": metadata, "spec": orjson.loads(value), "status": None}
-
-
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -86,7 +86,8 @@
     """An order to an endpoint.
 
     :param fence: rises with each holder, and one holder has it.
-    :param taken_before: orders that the endpoint is believed to have taken; it refuses at any other.
+    :param taken_before: orders that the endpoint is believed to have taken; it refuses
+        at any other count.
     """
 
     action: str
