Bound the prompts that an endpoint is to read, over all nodes

Change: nodes tell each other at once what prompts an endpoint is still to read; one with 4,096 tokens unread gets no more while a request has patience. An order without an answer blocked its runner for 12.5 s: it is given anew upon the same count. Refused requests came back all at once: spread over 1 to 3 s.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -91,6 +91,7 @@
       | answer      | orders               |
       | taken       | load m/a1, load m/a2 |
       | none        | load m/a1            |
+      | lost        | load m/a1, load m/a1 |
       | fenced      | load m/a1            |
       | other count | load m/a1            |
 
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -296,6 +296,11 @@
         runner = self.runners[order.endpoint]
         if self.answer == "none":
             return
+        if self.answer == "lost":
+            self.answer = "taken"
+            self.submit(OrderAnswered(self.now, order.endpoint, order.token, None, "reset"))
+            self.pass_time(0.5)
+            return
         if self.answer in ("fenced", "other count"):
             reason = "fenced" if self.answer == "fenced" else "409"
             answer = OrderAnswered(self.now, order.endpoint, order.token, False, reason)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -19,6 +19,7 @@
 from .events import PeerHeard
 from .events import PeerLost
 from .events import PlatformAnswered
+from .events import PromptsHeard
 from .events import ReportMissed
 from .events import RouteTableSeen
 from .events import Ticked
@@ -48,6 +49,7 @@
 
 def _forget_peer(state: NodeState, name: str) -> None:
     state.limits.lose(name)
+    state.peers_work.forget_prompts(name)
     state.control.peer_demand.pop(name, None)
     state.peers_work.replace(name, (), state.peers_work.at)
 
@@ -173,6 +175,15 @@
     )
 
 
+@handles(PromptsHeard)
+def hear_prompts(state: NodeState, event: PromptsHeard) -> Effects:
+    """Take what another node's requests have an endpoint read; less may make room."""
+    if event.name not in state.membership.peers:
+        return []
+    state.peers_work.set_prompts(event.name, event.endpoint, event.tokens)
+    return requests.pump(state)
+
+
 @handles(PeerLost)
 def lose_peer(state: NodeState, event: PeerLost) -> Effects:
     """A node's stream ended; its heartbeats decide whether it is gone."""
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -103,10 +103,12 @@
 # A second of order in the queue for each rank: a request of a lower one waits behind
 # those that came within so long after it.
 RANK_HEADSTART_S = 2.0
-# Callers are told to come back after this long where there was no room, and after
-# this long where the model was nowhere resident yet.
+# Callers are told to come back after this long where something is ready in a moment
+# (an adapter, another node); between these where there was no room, as a burst takes
+# two to four seconds; and between these where the model is yet to be loaded.
 COME_BACK_S = 0.4
-COME_BACK_ABSENT_S = 2.0
+COME_BACK_ROOM_S = (1.0, 3.0)
+COME_BACK_ABSENT_S = (2.0, 4.0)
 # Weights of the even-load policy, in parts of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
@@ -122,9 +124,6 @@
 TURN_GAP_S = 3.3
 # A runner's report is read again this often while it is not known, or an order runs.
 SURVEY_READ_S = 1.0
-# An order without an answer may be carried out up to 12 s later (the users' kinds of
-# trouble); after that a report that does not count it is final.
-LATE_ORDER_S = 12.5
 # After a model's order was taken, its runner's report is first read then: reports lag
 # by 0.1 s, and an unload without runs is done at once.
 ORDER_LOOK_S = 0.15
@@ -158,3 +157,12 @@
 RELAY_DEMAND_METER_S = 1.0
 # The least difference between two moments that are told apart.
 CLOCK_STEP_S = 1e-6
+# Prompt tokens that an endpoint may have to read before it gets another prompt. Engines
+# read 4,096 of them in one step, and an event of a stream takes two steps: above about
+# 5,500 all streams there pause for longer than the 300 ms that callers bear.
+UNREAD_TOKENS_MAX = 4_096
+# A request that has waited for this share of its patience may go where more is unread.
+PRESSING_SHARE = 0.7
+UNREAD_TOKENS_PRESSING = 10_000
+# Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
+UNREAD_TOKENS_FULL = 10_000.0
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -147,6 +147,13 @@
     after_s: float
 
 
+class SharePrompts(t.NamedTuple):
+    """Tell every other node what an endpoint is still to read of this node's prompts."""
+
+    endpoint: str
+    tokens: int
+
+
 class ShareReport(t.NamedTuple):
     """Tell every other node what is now true of an endpoint."""
 
@@ -179,6 +186,7 @@
     | Want
     | ReadReport
     | Remind
+    | SharePrompts
     | ShareReport
     | Announce
     | Stop
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -16,9 +16,10 @@
     ``at`` is the time of the oldest heartbeat in the sums.
     """
 
-    __slots__ = ("_rows", "at", "counts")
+    __slots__ = ("_prompts", "_rows", "at", "counts")
 
     def __init__(self) -> None:
+        self._prompts: dict[str, dict[str, int]] = {}
         self._rows: dict[str, tuple[tuple[str, int], ...]] = {}
         self.counts: dict[str, int] = {}
         self.at = -1e9
@@ -33,6 +34,19 @@
             self._rows[peer] = rows
         self.at = at
 
+    def set_prompts(self, peer: str, endpoint: str, tokens: int) -> None:
+        """Take how many prompt tokens of a node's requests an endpoint is still to read."""
+        self._prompts.setdefault(endpoint, {})[peer] = tokens
+
+    def forget_prompts(self, peer: str) -> None:
+        """Forget a node that has gone."""
+        for rows in self._prompts.values():
+            rows.pop(peer, None)
+
+    def prompts(self, endpoint: str) -> int:
+        """Give the prompt tokens of other nodes' requests that an endpoint is to read."""
+        return sum(self._prompts.get(endpoint, {}).values())
+
 
 class EndpointView:
     """One endpoint as this node sees it. Times are of the node's monotonic clock."""
@@ -51,6 +65,7 @@
         "prefixes",
         "peers",
         "probing",
+        "prompts",
         "report",
         "reported_at",
         "resident",
@@ -85,6 +100,8 @@
         self.peers = peers or PeersWork()
         self.resident: frozenset[str] = frozenset()
         self.prefixes: dict[int, float] = {}
+        # Prompt tokens of this node's requests that have not begun to answer.
+        self.prompts: dict[str, int] = {}
 
     def take_report(self, report: EndpointReported) -> bool:
         """Keep a report if it is fresher than the one at hand.
@@ -134,12 +151,21 @@
     def end(self, request_id: str, now: float) -> None:
         """Count a request as no longer in flight there."""
         start = self.inflight.pop(request_id, None)
+        self.prompts.pop(request_id, None)
         if start is not None:
             self.ended.append((start, now))
             # Without reports nothing else bounds this list.
             del self.ended[: -defaults.ENDED_MAX]
         self.probing = False
 
+    def own_prompts(self) -> int:
+        """Give the prompt tokens of this node's requests that are still to be read."""
+        return sum(self.prompts.values())
+
+    def unread(self) -> int:
+        """Give all prompt tokens that are still to be read there, of any node's requests."""
+        return self.own_prompts() + self.peers.prompts(self.name)
+
     def serves(self, target: str, service: bool) -> bool:
         """Say whether the endpoint has the model resident, or is of the service."""
         if service:
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -210,6 +210,15 @@
     inflight: tuple[tuple[str, int], ...] | None = ()
 
 
+class PromptsHeard(t.NamedTuple):
+    """What a node says an endpoint is still to read of its requests' prompts, in tokens."""
+
+    at: float
+    name: str
+    endpoint: str
+    tokens: int
+
+
 class PeerLost(t.NamedTuple):
     """The stream to another node ended."""
 
@@ -352,6 +361,7 @@
     | BoxListCame
     | RouteTableSeen
     | PeerHeard
+    | PromptsHeard
     | PeerLost
     | PlatformAnswered
     | LeaseSeen
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -146,10 +146,15 @@
         return len(self.ready[model]) > max(1, spec.replicas_min)
 
 
-def _place_missing(board: Board) -> None:
-    """Load models that have no replica, and raise the others to their least number."""
+def _place_missing(board: Board, asked_only: bool = False) -> None:
+    """Load models that have no replica, and raise the others to their least number.
+
+    :param asked_only: leave the models out that nobody asks for now.
+    """
     given = board.given
     lacking = [model for model in given.models if not board.hosts[model]]
+    if asked_only:
+        lacking = [model for model in lacking if given.demand.get(model, 0.0) > 0.0]
     lacking.sort(key=lambda name: (-given.demand.get(name, 0.0), -given.models[name].memory_gb))
     for model in lacking:
         _place_one(board, model, "no replica")
@@ -372,12 +377,15 @@
 def plan_even(given: PlanInput) -> list[Move]:
     """Keep each model once, and add replicas until every runner has about its part.
 
+    What is asked for comes first: a runner takes one load at a time, for seconds.
+
     Nothing is unloaded but for a model that needs its room: copies that nobody asks
     for now cost nothing, and demand comes back to them.
     """
     board = Board(given)
-    _place_missing(board)
+    _place_missing(board, asked_only=True)
     for _ in range(max(1, given.policy.loads_at_once)):
         if not _best_gain(board):
             break
+    _place_missing(board)
     return board.moves
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -203,6 +203,7 @@
         queue.remove(queued.request_id)
         state.pools[_pool(state, request.arrived)].served(queued.tokens)
         effects.append(_dispatch(state, request, endpoint))
+        effects += routed.begin_prompt(request, endpoint)
         following = queue.peek()
         if following is not None:
             heapq.heappush(heads, (following.order, target))
@@ -219,9 +220,7 @@
     return f"engine/{spec.engine}" if spec else "engine/"
 
 
-def choose_endpoint(state: NodeState, request: RequestState) -> EndpointView | None:
-    """Choose where a request goes now, or None while there is no room."""
-    arrived = request.arrived
+def _choose_among(state: NodeState, arrived: RequestArrived) -> list[EndpointView]:
     fitting = [
         one
         for one in state.hosts.get(arrived.target, {}).values()
@@ -230,9 +229,17 @@
         and (not state.admission_on or one.load(state.now) < 1.0)
     ]
     if arrived.adapter:
-        fitting = [one for one in fitting if one.has_adapter(arrived.adapter)]
+        return [one for one in fitting if one.has_adapter(arrived.adapter)]
+    return fitting
+
+
+def choose_endpoint(state: NodeState, request: RequestState) -> EndpointView | None:
+    """Choose where a request goes now, or None while there is no room."""
+    arrived = request.arrived
     if arrived.route is not None:
-        fitting = [one for one in fitting if one.service == arrived.route.service]
+        fitting = routed.choose_among(state, request)
+    else:
+        fitting = _choose_among(state, arrived)
     fresh = [one for one in fitting if one.name not in request.tried] or fitting
     if not fresh:
         return None
@@ -323,6 +330,8 @@
     if request is not None:
         request.delivered += event.tokens
         request.barren = 0
+        if request.arrived.route is not None:
+            return routed.end_prompt(state, request) + pump(state)
     return []
 
 
@@ -355,17 +364,18 @@
     request.maybe_ran = request.maybe_ran or (event.sent and not event.said_not_run)
     request.sent = request.maybe_ran
     request.not_run_said = event.said_not_run
+    told = routed.end_prompt(state, request)
     _blame(state, request, event)
     request.running = False
     terms = request.arrived.route
     if routed.may_retry(state, request, event) if terms else _may_retry(state, request, event):
-        return _requeue(state, request)
+        return told + _requeue(state, request)
     status = 503 if not request.sent else 502
     if terms is not None and request.sent and request.arrived.deadline_at <= state.now:
         status = 504
     text = f"endpoint failed: {event.reason}"
     effects = _give_up(state, request, status, "endpoint_failed", text, 0.5)
-    return effects + pump(state)
+    return told + effects + pump(state)
 
 
 def _blame(state: NodeState, request: RequestState, event: AttemptFailed) -> None:
@@ -445,13 +455,14 @@
 
 def _close(state: NodeState, request: RequestState) -> Effects:
     identity = request.arrived.request_id
+    told = routed.end_prompt(state, request)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.end(identity, state.now)
     state.requests.pop(identity, None)
     if request.limited:
         state.limits.release(request.arrived.team)
-    return [Forget(identity)]
+    return [*told, Forget(identity)]
 
 
 @handles(CallerLeft)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -103,8 +103,7 @@
     if event.order_token[1] > order.taken_before:
         if not event.loading and not _still_there(order, event):
             room.order = None
-    elif not order.taken and state.now - order.sent_at > defaults.LATE_ORDER_S:
-        # It can only arrive now if nothing else was taken, and then by its count.
+    elif order.lost:
         room.order = None
 
 
@@ -294,8 +293,11 @@
     ):
         return []
     if event.accepted is None:
-        # It may be carried out yet: its place stays taken until a report tells.
-        return []
+        # It may be carried out yet, but only upon the same count: what is ordered next
+        # expects that count as well, so one of the two at most is carried out.
+        room.order = order._replace(lost=True)
+        room.asked_at = state.now
+        return [ReadReport(event.endpoint, defaults.ORDER_LOOK_S)]
     if not event.accepted:
         room.order = None
         room.trusted = False
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -7,6 +7,8 @@
     """An order on its way to an endpoint, or under way there.
 
     :param taken_before: orders that the endpoint had taken before it.
+    :param taken: the endpoint said so.
+    :param lost: no answer came, so it may have been taken, or may be yet.
     """
 
     action: str
@@ -15,6 +17,7 @@
     taken_before: int
     sent_at: float
     taken: bool = False
+    lost: bool = False
 
 
 class Room:
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -6,9 +6,13 @@
 
 from . import admission
 from . import defaults
+from .effects import Effect
 from .effects import Refuse
+from .effects import SharePrompts
+from .endpoints import EndpointView
 from .events import AttemptFailed
 from .events import RequestArrived
+from .mixing import mix
 from .retries import RetryWindow
 from .state import NodeState
 from .state import RequestState
@@ -46,6 +50,55 @@
     return found
 
 
+def choose_among(state: NodeState, request: RequestState) -> list[EndpointView]:
+    """List the endpoints that may get a request now.
+
+    Long prompts that an endpoint reads at once make pauses in all its streams, so one
+    with much unread gets no more while there is patience. Where every endpoint that
+    holds the model is ejected, those are better than none.
+    """
+    arrived = request.arrived
+    assert arrived.route is not None
+    holding = [
+        one
+        for one in state.hosts.get(arrived.target, {}).values()
+        if one.service == arrived.route.service and one.serves(arrived.target, arrived.service)
+    ]
+    if arrived.adapter:
+        holding = [one for one in holding if one.has_adapter(arrived.adapter)]
+    staying = [one for one in holding if not one.leaving and not one.gone]
+    ready = [one for one in staying if one.open_for_work(state.now)] or staying
+    ready = [one for one in ready if one.load(state.now) < 1.0]
+    if arrived.service:
+        return ready
+    waited = state.now - arrived.at
+    pressing = waited > arrived.route.patience_s * defaults.PRESSING_SHARE
+    most = defaults.UNREAD_TOKENS_PRESSING if pressing else defaults.UNREAD_TOKENS_MAX
+    return [one for one in ready if _takes(one, arrived.prompt_tokens, most)]
+
+
+def _takes(endpoint: EndpointView, tokens: int, most: int) -> bool:
+    unread = endpoint.unread()
+    return unread == 0 or unread + tokens <= most
+
+
+def begin_prompt(request: RequestState, endpoint: EndpointView) -> list[Effect]:
+    """Count a prompt as unread there, and tell the other nodes."""
+    arrived = request.arrived
+    if arrived.route is None or arrived.service:
+        return []
+    endpoint.prompts[arrived.request_id] = arrived.prompt_tokens
+    return [SharePrompts(endpoint.name, endpoint.own_prompts())]
+
+
+def end_prompt(state: NodeState, request: RequestState) -> list[Effect]:
+    """A prompt was read, or will not be; tell the other nodes once."""
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is None or endpoint.prompts.pop(request.arrived.request_id, None) is None:
+        return []
+    return [SharePrompts(endpoint.name, endpoint.own_prompts())]
+
+
 def count(state: NodeState, request: RequestState) -> None:
     """Count a first send, which earns a part of a resend."""
     terms = request.arrived.route
@@ -101,7 +154,13 @@
     """Tell when to come back, in seconds: later where the model is yet to be loaded."""
     if request.sent:
         return 0.0
-    if state.hosts.get(request.arrived.target):
+    arrived = request.arrived
+    adapter = arrived.adapter
+    hosts = list(state.hosts.get(arrived.target, {}).values())
+    if adapter and hosts and not any(one.has_adapter(adapter) for one in hosts):
         return defaults.COME_BACK_S
-    left = request.arrived.deadline_at - state.now
-    return min(defaults.COME_BACK_ABSENT_S, left / 3.0)
+    least, most = defaults.COME_BACK_ROOM_S if hosts else defaults.COME_BACK_ABSENT_S
+    # Spread by request, so that those who are refused together do not return together.
+    spread = mix("come back", arrived.request_id) % 1000 / 1000.0
+    after_s = least + (most - least) * spread
+    return min(after_s, (arrived.deadline_at - state.now) / 3.0)
--- a/packages/rookspring-core/src/rookspring_core/routing.py
+++ b/packages/rookspring-core/src/rookspring_core/routing.py
@@ -95,7 +95,7 @@
     average = sum(one.load(query.now) for one in endpoints) / len(endpoints)
 
     def score(endpoint: EndpointView) -> float:
-        load = endpoint.load(query.now)
+        load = endpoint.load(query.now) + endpoint.unread() / defaults.UNREAD_TOKENS_FULL
         bounded = load <= defaults.AFFINITY_LOAD_BOUND * average + 0.1
         if query.prefix and bounded and endpoint.may_hold(query.prefix, query.now):
             load -= defaults.PREFIX_LOAD_BONUS
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -97,3 +97,5 @@
 # Relay nodes tell each other their work and demand this often: routing and placement
 # are as old as the last heartbeat.
 RELAY_HEARTBEAT_S = 0.4
+# An order is answered within milliseconds or not at all (kind applied_late).
+RELAY_ORDER_CALL_S = 0.6
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -39,6 +39,7 @@
     "endpoint_listed": "an endpoint appeared or its entry changed",
     "endpoint_gone": "an endpoint's entry is gone",
     "endpoint_malformed": "an endpoint's entry could not be read and is left out",
+    "effect_failed": "what a decision asked for could not be done; the other effects were",
     "decided": "the lease holder wants something of an endpoint, or cannot have it, and why",
     "report_failed": "an endpoint's own report could not be read",
     "store_call_failed": "a read of the platform's store failed and is tried again",
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -127,6 +127,14 @@
     value: t.Any
 
 
+@message("prompts")
+class Prompts(t.NamedTuple):
+    """Prompt tokens of the sender's requests that an endpoint is still to read."""
+
+    endpoint: str
+    tokens: int
+
+
 @message("want-model")
 class WantModel(t.NamedTuple):
     """Tell the lease holder that requests wait for what is resident nowhere."""
@@ -224,7 +232,8 @@
 
     def send(self, item: t.Any) -> None:
         """Send a message; a stream that ended takes it in silence."""
-        if self.closed:
+        if self.closed or self._writer.transport.is_closing():
+            # Its reader is about to be told that it ended.
             return
         data = encode(item)
         self.sent_bytes += len(data)
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -59,9 +59,12 @@
         self.pool = ConnectionPool()
         self.exchanges: dict[str, RelayExchange] = {}
         self.listed = False
+        # A node is leaving, and the lease may be free.
+        self.lease_news = asyncio.Event()
         # Set by the node that wires the parts: tells the other nodes at once.
         self.announce: t.Callable[[str], None] = lambda topic: None
         self.share: t.Callable[[EndpointReported], None] = lambda report: None
+        self.share_prompts: t.Callable[[str, int], None] = lambda endpoint, tokens: None
         self.tell_holder: t.Callable[[Want], None] = lambda want: None
         self.stop: t.Callable[[], None] = lambda: None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -77,8 +80,11 @@
             self.perform(effect)
 
     def perform(self, effect: Effect) -> None:
-        """Perform one effect."""
-        RELAY_PERFORMERS[type(effect)](self, effect)
+        """Perform one effect; a fault of ours in one leaves the others to be performed."""
+        try:
+            RELAY_PERFORMERS[type(effect)](self, effect)
+        except Exception as error:  # noqa: BLE001
+            log("effect_failed", "ERROR", effect=type(effect).__name__, detail=repr(error))
 
     def spawn(self, work: t.Coroutine[t.Any, t.Any, None]) -> asyncio.Task[None]:
         """Run work in a task of its own, which ends with the node."""
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import time
 import typing as t
 
@@ -185,8 +186,9 @@
     """Read the lease object where this node may hold it."""
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     while True:
+        context.lease_news.clear()
         if not context.state.membership.is_relay():
-            await asyncio.sleep(defaults.LEASE_READ_S)
+            await _wait_news(context, defaults.LEASE_READ_S)
             continue
         answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
         now = time.monotonic()
@@ -203,7 +205,14 @@
                 continue
         reach.answered()
         back_off.reset()
-        await asyncio.sleep(defaults.RELAY_LEASE_READ_S)
+        await _wait_news(context, defaults.RELAY_LEASE_READ_S)
+
+
+async def _wait_news(context: RelayContext, most_s: float) -> None:
+    """Wait until the lease may have been freed, or a time is over."""
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(most_s):
+            await context.lease_news.wait()
 
 
 async def follow_nodes(context: RelayContext, peers: RelayPeers, reach: Reach) -> None:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -6,6 +6,7 @@
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
+from rookspring_core.effects import SharePrompts
 from rookspring_core.effects import ShareReport
 from rookspring_core.effects import Want
 from rookspring_core.events import ModelWanted
@@ -44,7 +45,9 @@
     reason = "no answer"
     data = context.dialect.order_request(effect.address, asked)
     try:
-        head, _ = await http_client.call(context.pool, effect.address, data, defaults.ORDER_CALL_S)
+        head, _ = await http_client.call(
+            context.pool, effect.address, data, defaults.RELAY_ORDER_CALL_S
+        )
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
     except EndpointError as error:
@@ -101,6 +104,12 @@
     context.share(effect.report)
 
 
+@relay_performs(SharePrompts)
+def share_prompts(context: RelayContext, effect: SharePrompts) -> None:
+    """Tell every other node what an endpoint is to read of this node's prompts."""
+    context.share_prompts(effect.endpoint, effect.tokens)
+
+
 @relay_performs(Remind)
 def remind(context: RelayContext, effect: Remind) -> None:
     """Tell when an order's pause is over."""
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -11,6 +11,7 @@
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
+from rookspring_core.events import PromptsHeard
 from rookspring_core.events import RouteTableSeen
 
 from . import defaults
@@ -20,6 +21,7 @@
 from .peers import Link
 from .peers import Nodes
 from .peers import PeerServer
+from .peers import Prompts
 from .peers import Reports
 from .peers import TableGiven
 from .peers import WantModel
@@ -111,6 +113,12 @@
         for link in list(self.server.links.values()):
             link.send(item)
 
+    def share_prompts(self, endpoint: str, tokens: int) -> None:
+        """Tell all linked nodes what an endpoint is to read of this node's prompts."""
+        item = Prompts(endpoint, tokens)
+        for link in list(self.server.links.values()):
+            link.send(item)
+
     def tell_holder(self, want: Want) -> None:
         """Send a want to the lease holder, as far as it is known."""
         peers = self.context.state.membership.peers
@@ -189,6 +197,8 @@
             inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight or ()),
         )
     )
+    if beat.leaving:
+        peers.context.lease_news.set()
     peers.learn([(beat.name, beat.address, beat.data_centre)])
     peers.want_table(link, beat.revision)
 
@@ -220,6 +230,13 @@
         peers.context.submit(decode_report(row, time.monotonic()))
 
 
+@receives(Prompts)
+def take_prompts(peers: RelayPeers, link: Link, prompts: Prompts) -> None:
+    """Take what an endpoint is to read of another node's prompts."""
+    now = time.monotonic()
+    peers.context.submit(PromptsHeard(now, link.name, prompts.endpoint, prompts.tokens))
+
+
 @receives(WantModel)
 def take_want(peers: RelayPeers, link: Link, want: WantModel) -> None:
     """Take what another node's request waits for."""
