--- a/features/relay.feature
+++ b/features/relay.feature
@@ -101,6 +101,17 @@
     And the list tells again what the first runner held
     Then the first runner is not used for m/a2
 
+  Scenario Outline: an endpoint that left the list gets nothing new
+    Given a lease holder over runners holding m, m of 200 GB
+    When the first runner has a request and leaves the list, and <what> comes
+    Then it is <open> for work
+
+    Examples:
+      | what          | open   |
+      | nothing       | closed |
+      | its report    | closed |
+      | its row again | open   |
+
   Scenario: the last copy of a model is never unloaded
     Given a lease holder over runners holding m, n of 200 GB
     When 300 plans are made under demand that moves
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -405,6 +405,27 @@
     assert not context.holder.state.endpoints["e1"].has_adapter("m/a2")
 
 
+@when("the first runner has a request and leaves the list, and {what} comes")
+def leaves_list(context, what):
+    holder = context.holder
+    for number in range(2):
+        holder.ask(model="m", key=f"r{number}")
+    assert {one.endpoint for one in holder.sent} == {"e1", "e2"}, holder.sent
+    holder.list_endpoints(["e2"], "llm", "runner")
+    holder.now += 1.0
+    if what == "its report":
+        token = holder.state.endpoints["e1"].report.order_token
+        holder.submit(holder.report("e1", ["m"], (), token, own=True))
+    elif what == "its row again":
+        holder.list_endpoints(["e1", "e2"], "llm", "runner")
+    context.open = holder.state.endpoints["e1"].open_for_work(holder.now)
+
+
+@then("it is {expected} for work")
+def open_for_work(context, expected):
+    assert context.open == (expected == "open"), context.open
+
+
 @when("{number:d} plans are made under demand that moves")
 def plans_made(context, number):
     holder = context.holder
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -73,7 +73,8 @@
     if not view.take_report(event):
         return []
     state.index(view, before, view.targets())
-    view.gone = False
+    # Where the list follows the endpoints' own entries, it alone brings one back.
+    view.gone = view.gone and state.relaying
     if governing.holding(state) and view.role == "runner":
         ledger = state.control.ledgers.get(event.endpoint)
         if ledger is not None:
@@ -148,6 +149,8 @@
         )
         state.endpoints[row.name] = view
         state.index(view, frozenset(), view.targets())
+    elif state.relaying:
+        view.gone = False
     if row.state == "leaving":
         view.leaving = True
 
