Count what may be at a runner yet as held

By reading: a list row older than the last order could take a model out of the account, adapters on their way were not counted, a load without an answer was not counted. Change: list rows tell what is held only until a runner's own report; pending adapters and loads without an answer count for 12.5 s.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -101,6 +101,16 @@
     And the list tells again what the first runner held
     Then the first runner is not used for m/a2
 
+  Scenario Outline: what may be there yet counts as there
+    Given a lease holder over runners holding m+a2, n of 200 GB
+    When an order for an adapter is answered <answer>, and <then>
+    Then the orders are <orders>
+
+    Examples: a runner has 2 places for adapters
+      | answer | then                                     | orders                     |
+      | never  | another adapter of m is wanted           | load m/a1, unload m/a2     |
+      | taken  | the list tells less, and another is wanted | load m/a1, unload m/a1   |
+
   Scenario Outline: an endpoint that left the list gets nothing new
     Given a lease holder over runners holding m, m of 200 GB
     When the first runner has a request and leaves the list, and <what> comes
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -296,6 +296,10 @@
         runner = self.runners[order.endpoint]
         if self.answer == "none":
             return
+        if self.answer == "lost once":
+            self.answer = "taken"
+            self.submit(OrderAnswered(self.now, order.endpoint, order.token, None, "reset"))
+            return
         if self.answer == "lost":
             self.answer = "taken"
             self.submit(OrderAnswered(self.now, order.endpoint, order.token, None, "reset"))
@@ -358,6 +362,18 @@
     want(context.holder, "a1")
 
 
+@when("an order for an adapter is answered {answer}, and {then}")
+def adapter_wanted_then(context, answer, then):
+    holder = context.holder
+    holder.answer = {"never": "lost once"}.get(answer, answer)
+    want(holder, "a1")
+    holder.state.residency.wanted.clear()
+    holder.pass_time(0.5)
+    if then.startswith("the list tells less"):
+        holder.submit(holder.report("e1", ["m"], ["m/a2"], (0, -1)))
+    want(holder, "a4")
+
+
 @when("another adapter of m is wanted")
 def another_wanted(context):
     want(context.holder, "a2")
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -124,6 +124,9 @@
 TURN_GAP_S = 3.3
 # A runner's report is read again this often while it is not known, or an order runs.
 SURVEY_READ_S = 1.0
+# An order without an answer may be carried out up to 12 s later (the users' kinds of
+# trouble), so what it would load counts as held until then.
+LATE_ORDER_S = 12.5
 # After a model's order was taken, its runner's report is first read then: reports lag
 # by 0.1 s, and an unload without runs is done at once.
 ORDER_LOOK_S = 0.15
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -119,15 +119,17 @@
 def refine(state: NodeState, view: EndpointView, event: EndpointReported) -> EndpointReported:
     """Complete a report by what only this node, or the endpoint itself, can know.
 
-    A row of the list tells neither how many orders were taken nor, surely, the
-    adapters. What is being unloaded is there for no new request.
+    A row of the list lags behind orders and does not tell how many were taken, so what
+    is held is taken from it only until the endpoint itself, or the holder, has told.
+    What is being unloaded is there for no new request.
     """
     known = view.report
     if event.order_token[1] < 0 and known is not None and known.order_token[1] >= 0:
-        models = {name for name, _ in event.resident}
-        adapters = tuple(one for one in known.adapters if one.partition("/")[0] in models)
         event = event._replace(
-            adapters=adapters, loading=known.loading, order_token=known.order_token
+            resident=known.resident,
+            adapters=known.adapters,
+            loading=known.loading,
+            order_token=known.order_token,
         )
     room = state.residency.rooms.get(view.name)
     order = room.order if room else None
@@ -192,6 +194,27 @@
     return used_mb(engine, view.report) + more, engine.memory_mb
 
 
+def _doubts(room: Room, now: float, but: str) -> list[Order]:
+    """List the loads without an answer that may come yet, but for one of a name."""
+    room.doubts = [one for one in room.doubts if now - one.sent_at <= defaults.LATE_ORDER_S]
+    return [one for one in room.doubts if (one.adapter or one.model) != but]
+
+
+def doubted_mb(engine: EngineSize, room: Room, now: float, but: str) -> float:
+    """Give the memory that loads without an answer may take yet, in megabytes."""
+    total = 0.0
+    for order in _doubts(room, now, but):
+        size = engine.models.get(order.model)
+        if size is not None:
+            total += size.adapter_mb if order.adapter else size.memory_mb
+    return total
+
+
+def doubted_places(room: Room, now: float, but: str) -> int:
+    """Give the places for adapters that loads without an answer may take yet."""
+    return sum(1 for order in _doubts(room, now, but) if order.adapter)
+
+
 def _serve_wants(state: NodeState) -> Effects:
     """Order the adapters that requests wait for; models are the planner's."""
     if not _settled(state):
@@ -229,8 +252,10 @@
     if engine is None or view.report is None or model not in engine.models:
         return []
     need_mb = engine.models[model].adapter_mb
-    fits = used_mb(engine, view.report) + need_mb <= engine.memory_mb
-    if fits and len(_adapters(view)) < engine.adapters_max:
+    room = state.residency.rooms[view.name]
+    used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, adapter)
+    places = len(_adapters(view)) + doubted_places(room, state.now, adapter)
+    if used + need_mb <= engine.memory_mb and places < engine.adapters_max:
         return [_order(state, view, "load", model, adapter)]
     idle = _least_used(state, view)
     if idle is None:
@@ -296,6 +321,8 @@
         # It may be carried out yet, but only upon the same count: what is ordered next
         # expects that count as well, so one of the two at most is carried out.
         room.order = order._replace(lost=True)
+        if order.action == "load":
+            room.doubts.append(order)
         room.asked_at = state.now
         return [ReadReport(event.endpoint, defaults.ORDER_LOOK_S)]
     if not event.accepted:
@@ -414,7 +441,10 @@
         return []
     if move.action == "load":
         size = engine.models[model]
-        if used_mb(engine, view.report) + size.memory_mb > engine.memory_mb:
+        room = state.residency.rooms[view.name]
+        used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, model)
+        if used + size.memory_mb > engine.memory_mb:
+            state.record(view.name, f"cannot load {model}", "a lost order may take its room yet")
             return []
         if not state.control.store.take():
             state.record(view.name, f"cannot load {model}", "weight store's rate is used up")
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -26,14 +26,14 @@
     :param trusted: its own report was read under this lease.
     """
 
-    __slots__ = ("asked_at", "failures", "order", "trusted", "used")
+    __slots__ = ("asked_at", "doubts", "order", "trusted")
 
     def __init__(self) -> None:
         self.trusted = False
         self.order: Order | None = None
         self.asked_at = -1e9
-        self.failures = 0
-        self.used: dict[str, float] = {}
+        # Loads that got no answer and may be carried out yet.
+        self.doubts: list[Order] = []
 
 
 class Residency:
