--- a/features/relay.feature
+++ b/features/relay.feature
@@ -111,6 +111,16 @@
       | never  | another adapter of m is wanted           | load m/a1, unload m/a2     |
       | taken  | the list tells less, and another is wanted | load m/a1, unload m/a1   |
 
+  Scenario Outline: what a runner held that is down is loaded elsewhere
+    Given a lease holder over runners holding n, m of 200 GB
+    When a request for n meets <end> at its runner
+    Then the orders are <orders>
+
+    Examples:
+      | end               | orders |
+      | no listener       | load n |
+      | a broken answer   | none   |
+
   Scenario Outline: an endpoint that left the list gets nothing new
     Given a lease holder over runners holding m, m of 200 GB
     When the first runner has a request and leaves the list, and <what> comes
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -421,6 +421,19 @@
     assert not context.holder.state.endpoints["e1"].has_adapter("m/a2")
 
 
+@when("a request for n meets {how} at its runner")
+def meets_at_runner(context, how):
+    holder = context.holder
+    holder.ask(model="n")
+    (sent,) = holder.sent
+    down = how == "no listener"
+    failed = AttemptFailed(
+        holder.now, sent.request_id, sent.attempt, not down, False, how, down=down
+    )
+    holder.submit(failed)
+    holder.pass_time(1.0)
+
+
 @when("the first runner has a request and leaves the list, and {what} comes")
 def leaves_list(context, what):
     holder = context.holder
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -54,6 +54,7 @@
     __slots__ = (
         "address",
         "data_centre",
+        "down",
         "ejected_until",
         "ended",
         "failures",
@@ -91,6 +92,8 @@
         self.reported_at = -1e9
         self.leaving = False
         self.gone = False
+        # Whether nothing listened there when it was last tried.
+        self.down = False
         self.failures = 0
         self.ejected_until = -1e9
         self.probing = False
@@ -210,6 +213,7 @@
     def succeed(self) -> None:
         """Forget failures."""
         self.failures = 0
+        self.down = False
 
     def hint(self, prefixes: t.Iterable[int], now: float) -> None:
         """Remember prefixes that the endpoint may hold, the oldest given up first."""
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -106,6 +106,7 @@
     :param said_not_run: the endpoint's own protocol said that it did not run.
     :param leaving: the endpoint said that it takes no new work.
     :param absent: the endpoint said that it does not hold what was asked for.
+    :param down: nothing listens at the endpoint's address any more.
     """
 
     at: float
@@ -116,6 +117,7 @@
     reason: str
     leaving: bool = False
     absent: bool = False
+    down: bool = False
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -390,6 +390,8 @@
         before = endpoint.targets()
         endpoint.lacks(request.arrived.target, request.arrived.adapter)
         state.index(endpoint, before, endpoint.targets())
+    if event.down:
+        endpoint.down = True
     if not event.said_not_run:
         endpoint.fail(state.now)
 
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -402,7 +402,11 @@
 
 def _plannable(state: NodeState, view: EndpointView) -> bool:
     room = state.residency.rooms.get(view.name)
-    return room is not None and room.trusted and view.report is not None and not view.leaving
+    if room is None or not room.trusted or view.report is None:
+        return False
+    # What a runner held that is down is lost: its models are placed elsewhere now,
+    # seconds before its entry lapses.
+    return not view.leaving and not view.down
 
 
 def _runner_room(
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -47,6 +47,7 @@
     :param said_not_run: the endpoint's protocol said that it did not run.
     :param leaving: the endpoint takes no new work.
     :param absent: it does not hold what was asked for.
+    :param down: nothing listens at its address.
     """
 
     def __init__(
@@ -56,6 +57,7 @@
         said_not_run: bool = False,
         leaving: bool = False,
         absent: bool = False,
+        down: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -63,6 +65,7 @@
         self.said_not_run = said_not_run
         self.leaving = leaving
         self.absent = absent
+        self.down = down
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -300,7 +300,8 @@
             async with asyncio.timeout(defaults.CONNECT_S):
                 _, made = await loop.create_connection(ClientConnection, host, int(port))
         except (OSError, TimeoutError) as error:
-            raise EndpointError(type(error).__name__, sent=False) from None
+            down = isinstance(error, ConnectionRefusedError)
+            raise EndpointError(type(error).__name__, sent=False, down=down) from None
         self.opened += 1
         return made
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -99,6 +99,7 @@
             error.reason,
             error.leaving,
             error.absent,
+            error.down,
         )
     )
 
