Keep the relay's libraries few, and test that they are

Change: BackOff has a module of its own; the platform's entry loads only what requirements/relay.in names, and a test holds it to that; aiohttp is not needed there.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -59,6 +59,10 @@
     When Python is started at the root and imports platform
     Then it is the standard library's
 
+  Scenario: a relay node loads only the libraries that are built for it
+    When Python imports the platform's entry
+    Then only libraries of requirements/relay.in are loaded
+
   Scenario: the folder is small, and no circle of imports goes through a node
     Then platform/ is under a tenth of the product's code
     And no part of a node imports the module that wires it
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -205,6 +205,22 @@
     assert context.printed.split()[1].startswith("3.")
 
 
+@when("Python imports the platform's entry")
+def import_entry(context):
+    code = "import sys, rookspring_platform.__main__; print(*sys.modules, sep='\\n')"
+    ended = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, check=True)
+    context.loaded = {line.partition(".")[0] for line in ended.stdout.split()}
+
+
+@then("only libraries of requirements/relay.in are loaded")
+def only_declared(context):
+    declared = (ROOT / "requirements" / "runtime.in").read_text().split()
+    relay = (ROOT / "requirements" / "relay.in").read_text().split()
+    others = {name.replace("-", "_") for name in set(declared) - set(relay)}
+    others.add("opentelemetry")
+    assert not others & context.loaded, others & context.loaded
+
+
 def count_lines(folder):
     return sum(len(path.read_text().splitlines()) for path in folder.rglob("*.py"))
 
--- a/packages/rookspring/src/rookspring/following.py
+++ b/packages/rookspring/src/rookspring/following.py
@@ -24,6 +24,7 @@
 from rookspring_core.events import PlatformAnswered
 
 from . import defaults
+from .back_off import BackOff
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
@@ -39,26 +40,6 @@
 A = t.TypeVar("A")
 
 
-class BackOff:
-    """Waits that double up to a bound, with full jitter.
-
-    :param most_s: the bound, in seconds.
-    """
-
-    def __init__(self, most_s: float = defaults.BACKOFF_MAX_S) -> None:
-        self._wait = defaults.BACKOFF_START_S
-        self._most = most_s
-
-    def reset(self) -> None:
-        """A call succeeded."""
-        self._wait = defaults.BACKOFF_START_S
-
-    async def pause(self) -> None:
-        """Wait, and wait longer the next time."""
-        await asyncio.sleep(self._wait * (0.5 + random.random()))
-        self._wait = min(self._most, self._wait * 2)
-
-
 def note(node: NodeContext, answer: Result[A, PlatformError]) -> Result[A, PlatformError]:
     """Tell the reducer whether the platform can be reached, when that changes."""
     down = isinstance(answer, Failure) and isinstance(answer.failure(), PlatformUnreachable)
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -19,10 +19,10 @@
 from rookspring_core.events import PlatformAnswered
 
 from . import defaults
+from .back_off import BackOff
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
-from .following import BackOff
 from .logs import log
 from .platform import Stored
 from .relay_context import RelayContext
