--- a/features/relay.feature
+++ b/features/relay.feature
@@ -54,6 +54,17 @@
     When 10 requests are sent, 11 seconds pass and a resend is asked for
     Then it is refused
 
+  Scenario Outline: a node's part of the slack is for all nodes that were seen
+    Given a relaying node that has seen <seen> others, of which <left> are left
+    When 0 requests are sent and all want to be resent
+    Then <resends> resends are allowed
+
+    Examples: a slack of 160, for 16 nodes at least
+      | seen | left | resends |
+      | 0    | 0    | 10      |
+      | 70   | 70   | 1       |
+      | 70   | 0    | 1       |
+
   Scenario Outline: a request that finds no room is refused in time, with the reason
     Given a relaying node whose endpoints are <state>
     When a relayed request waits for its patience
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -41,6 +41,17 @@
       | resumable | reset, stream                | 5 events          | 2    |
       | resumable | break after 3, break after 3 | 3 events, cut     | 2    |
 
+  Scenario Outline: each request ends once in the log
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the log says once that it ended: <outcome>
+
+    Examples:
+      | kind   | script        | outcome         |
+      | unsafe | answer        | answered        |
+      | stream | break after 3 | refused-unknown |
+      | unsafe | refuse        | refused-not_run |
+
   Scenario Outline: bytes that belong to no request reach nobody
     Given a relay node with one endpoint that does: <script>
     When a caller sends 3 unsafe requests on one connection
--- a/features/relay_stage.py
+++ b/features/relay_stage.py
@@ -3,6 +3,8 @@
 import asyncio
 import time
 
+from loguru import logger
+
 from rookspring.relay_node import RelayNode
 from rookspring.relay_settings import RelaySettings
 from rookspring_fakes import ModelServer
@@ -95,6 +97,8 @@
         if version:
             await self.store.write("config", "main", configuration(version))
         self.settings = make_settings(self.served.address)
+        self.log_lines = []
+        self.sink = logger.add(self.log_lines.append, level="INFO", format="{message}")
         self.node = RelayNode(self.settings, PlatformDialect())
         await self.node.start()
         await self.until(lambda: self.node.context.listed)
@@ -114,6 +118,7 @@
         for server in self.servers:
             await server.close()
         await self.served.close()
+        logger.remove(self.sink)
 
     async def connect(self, which="callers"):
         return await asyncio.open_connection("127.0.0.1", self.node.listeners[which].port)
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -75,6 +75,13 @@
         assert float(context.answer.headers["retry-after"]) > 0
 
 
+@then("the log says once that it ended: {outcome}")
+def logged_once(context, outcome):
+    time.sleep(0.05)
+    ended = [line for line in context.relay.log_lines if "event=request_ended" in line]
+    assert len(ended) == 1 and f"outcome={outcome} " in ended[0], ended
+
+
 @then("the endpoints ran it {runs:d} times")
 def ran_times(context, runs):
     assert len(context.relay.runs) == runs, context.relay.runs
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -7,6 +7,7 @@
 from rookspring_core import Identity
 from rookspring_core import NodeState
 from rookspring_core import reduce
+from rookspring_core import routed
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Refuse
@@ -25,6 +26,8 @@
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import OrderAnswered
 from rookspring_core.events import OrderDue
+from rookspring_core.events import PeerHeard
+from rookspring_core.events import PeerLost
 from rookspring_core.events import PlatformAnswered
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTableSeen
@@ -208,6 +211,17 @@
     context.window = RetryWindow(WindowTerms(share, slack, 10.0, nodes))
 
 
+@given("a relaying node that has seen {seen:d} others, of which {left:d} are left")
+def seen_others(context, seen, left):
+    node = RelayHarness()
+    node.state.window_terms = WindowTerms(0.2, 160.0, 10.0, 16)
+    for number in range(seen):
+        node.submit(PeerHeard(node.now, f"p{number}", "i", "a", "c", "z", 1, False))
+    for number in range(left, seen):
+        node.submit(PeerLost(node.now, f"p{number}"))
+    context.window = routed.window(node.state, "svc")
+
+
 @when("{firsts:d} requests are sent and all want to be resent")
 def all_want(context, firsts):
     for _ in range(firsts):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -171,3 +171,5 @@
 UNREAD_TOKENS_PRESSING = 10_000
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
+# Nodes that may join, beside those that were seen, for parts of what all have together.
+JOINING_SHARE = 1.3
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -31,6 +31,8 @@
         self.peers: dict[str, Peer] = {}
         self.listed: dict[str, BoxListed] = {}
         self.gone: dict[str, str] = {}
+        # The most nodes that were live at once, this one included.
+        self.most_nodes = 1
 
     def size(self) -> int:
         """Give how many other nodes are live."""
@@ -48,6 +50,7 @@
             return False
         fresh = known is None or known.heard.incarnation != event.incarnation
         self.peers[event.name] = Peer(event)
+        self.most_nodes = max(self.most_nodes, len(self.peers) + 1)
         return fresh
 
     def lose(self, name: str) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -4,6 +4,8 @@
 module holds what a route decides in place of the catalogue.
 """
 
+import math
+
 from . import admission
 from . import defaults
 from .effects import Effect
@@ -43,10 +45,15 @@
 
 
 def window(state: NodeState, service: str) -> RetryWindow:
-    """Give the resend window of a service at this node."""
-    found = state.windows.get(service)
-    if found is None or found.terms != state.window_terms:
-        found = state.windows[service] = RetryWindow(state.window_terms)
+    """Give the resend window of a service at this node.
+
+    Its part of the slack is for as many nodes as were ever seen, and some that may
+    join, since those that are out of sight now may be spending theirs.
+    """
+    nodes = math.ceil(state.membership.most_nodes * defaults.JOINING_SHARE)
+    terms = state.window_terms._replace(nodes=max(state.window_terms.nodes, nodes))
+    found = state.windows.setdefault(service, RetryWindow(terms))
+    found.terms = terms
     return found
 
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -83,10 +83,9 @@
 LAST_BYTES_S = 0.05
 # Callers may hold an answer for up to three times its life.
 LOOKUP_LIVES = 3.2
-# Each node has an even part of the slack for resends; this is the most nodes at which
-# the sum stays within it. A thousand would leave a part to none, so it is a setting of
-# its own size: a deployment has 9 to 71 boxes now.
-RELAY_NODES_MAX = 16
+# Each node has an even part of the slack for resends, for at least so many nodes: a
+# deployment has 8 to 71 boxes now, and one that starts has seen none of the others.
+RELAY_NODES_MIN = 16
 # A loop that failed for a fault of ours begins anew after this pause.
 LOOP_RESTART_S = 0.2
 # Relay nodes must follow the store within two seconds of its return, so they ask more
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -50,6 +50,14 @@
             buckets=_BUCKETS,
         )
 
+        self.whole_answer = make(
+            Histogram,
+            "rookspring_request_seconds",
+            "Time from arrival to the end of a relayed request",
+            labels,
+            buckets=_BUCKETS,
+        )
+
     def _make(
         self, cls: t.Any, name: str, doc: str, labels: dict[str, str], **options: t.Any
     ) -> t.Any:
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -97,6 +97,9 @@
     context.exchanges[exchange.key] = exchange
 
     def left() -> None:
+        if exchange.key not in context.exchanges:
+            # It has ended already, by a cut of ours.
+            return
         context.submit(CallerLeft(time.monotonic(), exchange.key))
         _log_end(exchange, "left", "caller closed the connection")
         finish(context, exchange)
@@ -147,6 +150,9 @@
 def end(context: "RelayContext", exchange: RelayExchange, outcome: str, why: str) -> None:
     """Log how a request ended, and finish it."""
     context.metrics.requests.inc({"target": exchange.route.name, "end": outcome})
+    context.metrics.whole_answer.observe({}, time.monotonic() - exchange.arrived_at)
+    if exchange.first_at:
+        context.metrics.first_token.observe({}, exchange.first_at - exchange.arrived_at)
     _log_end(exchange, outcome, why)
     finish(context, exchange)
 
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -131,7 +131,7 @@
             settings.retry_share,
             settings.retry_slack,
             settings.retry_window_s,
-            defaults.RELAY_NODES_MAX,
+            defaults.RELAY_NODES_MIN,
         )
         state.drain_serve_s = min(
             defaults.LOOKUP_LIVES * settings.lookup_ttl_s,
