--- a/features/operations.feature
+++ b/features/operations.feature
@@ -51,3 +51,7 @@
 
   Scenario: each log event and metric is on the operators' page
     Then docs/operators/alerts.md names every log event and metric
+
+  Scenario: the commands of the page on failed requests print what it shows
+    When the commands of docs/OPERATIONS.md are typed
+    Then each prints what stands below it
--- a/features/steps/operation_steps.py
+++ b/features/steps/operation_steps.py
@@ -112,3 +112,26 @@
     assert len(metrics) > 8
     missing = [name for name in {*EVENTS, *metrics} if f"`{name}" not in text]
     assert not missing, missing
+
+
+@when("the commands of docs/OPERATIONS.md are typed")
+def operations_typed(context):
+    text = (ROOT / "docs" / "OPERATIONS.md").read_text()
+    context.typed = []
+    for block in text.split("```console\n")[1:]:
+        command, _, shown = block.partition("```")[0].partition("\n")
+        ended = subprocess.run(
+            ["bash", "-c", command.removeprefix("$ ")],
+            cwd=ROOT,
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        context.typed.append((ended.stdout.strip(), shown.strip()))
+
+
+@then("each prints what stands below it")
+def prints_below(context):
+    assert len(context.typed) == 7, len(context.typed)
+    for printed, shown in context.typed:
+        assert printed == shown, (printed, shown)
