--- a/features/relay.feature
+++ b/features/relay.feature
@@ -65,6 +65,17 @@
       | 70   | 70   | 1       |
       | 70   | 0    | 1       |
 
+  Scenario Outline: the lease goes to a node that was restarted already
+    Given a relaying node that runs for 100 s beside nodes that run for <ages> s
+    When it is asked who may take the lease
+    Then those are <names>
+
+    Examples: own age 100; p0, p1, ... of the given ages
+      | ages                    | names          |
+      | 3, 100, 100, 100, 100   | p0 first       |
+      | 0.5, 100                | not p0         |
+      | 20, 2, 60, 80, 100      | p1 p0 p2 p3    |
+
   Scenario Outline: a request that finds no room is refused in time, with the reason
     Given a relaying node whose endpoints are <state>
     When a relayed request waits for its patience
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -222,6 +222,31 @@
     context.window = routed.window(node.state, "svc")
 
 
+@given("a relaying node that runs for {own:d} s beside nodes that run for {ages} s")
+def beside_nodes(context, own, ages):
+    context.relay_node = node = RelayHarness()
+    node.state.started_at = node.now - own
+    for number, age in enumerate(ages.split(", ")):
+        heard = PeerHeard(node.now, f"p{number}", "i", "a", "c", "z", 1, False)
+        node.submit(heard._replace(up_s=float(age)))
+
+
+@when("it is asked who may take the lease")
+def asked_who(context):
+    state = context.relay_node.state
+    context.names = state.membership.successors(state.now - state.started_at)
+
+
+@then("those are {names}")
+def those_are(context, names):
+    if names.startswith("not "):
+        assert names.removeprefix("not ") not in context.names, context.names
+    elif names.endswith(" first"):
+        assert context.names[0] == names.removesuffix(" first"), context.names
+    else:
+        assert context.names == names.split(), context.names
+
+
 @when("{firsts:d} requests are sent and all want to be resent")
 def all_want(context, firsts):
     for _ in range(firsts):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -173,3 +173,10 @@
 UNREAD_TOKENS_FULL = 10_000.0
 # Nodes that may join, beside those that were seen, for parts of what all have together.
 JOINING_SHARE = 1.3
+# Relay nodes that may take the lease; a few, since each reads it once a second.
+SUCCESSORS = 4
+# Ages of nodes are told apart by this much: all boxes of a deployment start within a
+# second, and a restart in turn takes some seconds a box.
+AGE_STEP_S = 5.0
+# A node that has run for less has not heard of all others yet.
+SETTLED_S = 1.5
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -210,6 +210,7 @@
     team_demand: tuple[tuple[str, float], ...] = ()
     lease_epoch: int = 0
     inflight: tuple[tuple[str, int], ...] | None = ()
+    up_s: float = 0.0
 
 
 class PromptsHeard(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -156,11 +156,20 @@
     return sum(1 for one in state.endpoints.values() if one.role == "runner" and not one.gone)
 
 
+def may_hold(state: NodeState) -> bool:
+    """Say whether this node may take the lease when it is free."""
+    if state.leaving:
+        return False
+    name = state.identity.name
+    if state.relaying:
+        return name in state.membership.successors(state.now - state.started_at)
+    return name in state.membership.relays(state.identity.data_centre)
+
+
 def lease_due(state: NodeState) -> Effects:
     """Write the lease when it is due: to renew it, or to take it over."""
     identity = state.identity
-    relays = state.membership.relays(identity.data_centre, state.leaving)
-    candidate = identity.name in relays and not state.leaving
+    candidate = may_hold(state)
     wish = state.control.lease.wish(state.now, identity.name, identity.incarnation, candidate)
     if wish is None:
         return []
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -100,6 +100,20 @@
         """Name the data centres with live nodes."""
         return {peer.heard.data_centre for peer in self.peers.values()} | {self.data_centre}
 
+    def successors(self, up_s: float) -> list[str]:
+        """Name the nodes that may take the relay nodes' lease next, the youngest first.
+
+        Boxes are restarted in turn, so one that has been is the least likely to go next.
+        Ages are told apart by ``AGE_STEP_S``; a node that has just come is left out.
+
+        :param up_s: how long this node has run, in seconds.
+        """
+        ages = {name: peer.heard.up_s for name, peer in self.peers.items()}
+        ages[self.name] = up_s
+        names = [name for name in self.staying() if ages[name] >= defaults.SETTLED_S]
+        names.sort(key=lambda name: (ages[name] // defaults.AGE_STEP_S, mix("lease", name)))
+        return names[: defaults.SUCCESSORS]
+
     def is_relay(self) -> bool:
         """Say whether this node watches the platform for its data centre."""
         return self.name in self.relays(self.data_centre)
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -53,7 +53,10 @@
 
 @message("beat")
 class Heartbeat(t.NamedTuple):
-    """What a node says of itself; ``inflight`` is None where its rows are left out."""
+    """What a node says of itself; ``inflight`` is None where its rows are left out.
+
+    ``up_s`` is how long it has run, in seconds.
+    """
 
     name: str
     incarnation: str
@@ -66,6 +69,7 @@
     team_demand: list[t.Any]
     lease_epoch: int
     inflight: list[t.Any] | None
+    up_s: float = 0.0
 
 
 @message("reports")
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -12,6 +12,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from rookspring_core import governing
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
@@ -187,7 +188,7 @@
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     while True:
         context.lease_news.clear()
-        if not context.state.membership.is_relay():
+        if not governing.may_hold(context.state) and not governing.holding(context.state):
             await _wait_news(context, defaults.LEASE_READ_S)
             continue
         answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -175,6 +175,7 @@
         team_demand=[],
         lease_epoch=state.control.acting_epoch if state.control.holding(time.monotonic()) else 0,
         inflight=[list(row) for row in cluster.inflight_rows(state)],
+        up_s=time.monotonic() - state.started_at,
     )
 
 
@@ -195,6 +196,7 @@
             team_demand=(),
             lease_epoch=beat.lease_epoch,
             inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight or ()),
+            up_s=float(beat.up_s),
         )
     )
     if beat.leaving:
