Let tests take ports that are free

Cause: make test bound fixed ports (7600 and on, 8500) and failed beside a demo, an experiment or a second run with 'address already in use'. Change: stages look for a free base that differs by process; the README's lines are typed upon the ports that are up.

--- a/features/environment.py
+++ b/features/environment.py
@@ -4,6 +4,7 @@
 import threading
 
 import uvloop
+from ports import find_base
 
 from rookspring.logs import configure
 from rookspring.stage import Stage
@@ -39,10 +40,8 @@
     if "sockets" not in feature.tags:
         return
     context.loop = LoopThread()
-    # The README speaks of the demo's ports, so its commands run upon the same.
-    base_port = 7400 if "readme" in feature.tags else 7600
     plan = StagePlan(
-        SMALL, base_port=base_port, quiet=True, trace_file=_trace_file(context, feature)
+        SMALL, base_port=find_base(), quiet=True, trace_file=_trace_file(context, feature)
     )
 
     async def rise():
--- a/features/steps/operation_steps.py
+++ b/features/steps/operation_steps.py
@@ -37,7 +37,10 @@
 @when("the console lines of README.md are typed in one shell")
 def type_readme(context):
     context.lines = console_lines()
-    script = "".join(f"{line}\ncode=$?; echo; echo '::'$code\n" for line in context.lines)
+    # The page speaks of the demo's ports; what is up here has others.
+    base = context.stage.plan.base_port
+    lines = [re.sub(r":740(\d)", lambda m: f":{base + int(m[1])}", one) for one in context.lines]
+    script = "".join(f"{line}\ncode=$?; echo; echo '::'$code\n" for line in lines)
     env = environment(context)
     del env["ROOKCTL_SERVER"], env["ROOKCTL_KEY"]
     done = subprocess.run(
--- a/features/steps/tls_steps.py
+++ b/features/steps/tls_steps.py
@@ -8,6 +8,7 @@
 from behave import given
 from behave import then
 from environment import LoopThread
+from ports import find_base
 
 from rookspring.exceptions import SettingsError
 from rookspring.node import Node
@@ -32,7 +33,7 @@
     authority.configure_trust(context.trusting)
 
     async def work():
-        stage = Stage(StagePlan(SMALL, base_port=8500, nodes=0, quiet=True))
+        stage = Stage(StagePlan(SMALL, base_port=find_base(), nodes=0, quiet=True))
         await stage.rise()
         nodes = []
         for number in (1, 2):
