Place models by how near a runner's copies of them are

Change: 'available' is decoded; policy 'swap' loads where a model is there soonest, lets an idle last copy give way if it is quick to return, and spends the store's rate only on loads from it. Ruled out: more orders at once (a runner takes one at a time).

--- /dev/null
+++ b/bench/days.py
@@ -0,0 +1,162 @@
+"""The users' days side by side: versions x sites x days x seeds, as one table.
+
+    make bench B=days ARGS="--program BENCH --sites A.toml,B.toml --trees before=DIR,after=."
+
+Each tree is a built checkout of its own; the users' program plays it there and leaves
+its journal entries in it. Two runs of one day differ by some 0.02 of worth, and by far
+more where decisions fall otherwise, so a change is judged over many days and seeds.
+"""
+
+import argparse
+import concurrent.futures
+import json
+import pathlib
+import statistics
+import subprocess
+import tempfile
+import typing as t
+
+from .registry import experiment
+from .registry import report
+
+# The users ask for four days at once at most on this machine.
+JOBS = 4
+DAYS = "quiet-1,trouble-1,trouble-2,trouble-3,scale-1,scale-2"
+# A day is played within about a minute and a half; a large site takes several.
+DAY_LIMIT_S = 1_500.0
+
+
+class Run(t.NamedTuple):
+    """One day to play."""
+
+    version: str
+    tree: pathlib.Path
+    site: pathlib.Path
+    day: str
+    seed: str
+
+
+class Figures(t.NamedTuple):
+    """What one day gave; ``failed`` says why there is nothing."""
+
+    run: Run
+    worth: float = float("nan")
+    served: float = float("nan")
+    broken: str = ""
+    short: str = ""
+    prices: t.Mapping[str, float] = {}
+    failed: str = ""
+
+
+def read_pairs(text: str) -> list[tuple[str, pathlib.Path]]:
+    """Read NAME=DIR pairs.
+
+    :raises argparse.ArgumentTypeError: where one is no pair.
+    """
+    pairs = []
+    for part in text.split(","):
+        name, sign, folder = part.partition("=")
+        if not sign or not pathlib.Path(folder).is_dir():
+            raise argparse.ArgumentTypeError(f"{part!r}: NAME=DIR of a checkout was expected")
+        pairs.append((name, pathlib.Path(folder).resolve()))
+    return pairs
+
+
+def play(program: pathlib.Path, why: str, run: Run) -> Figures:
+    """Play one day and read its report."""
+    with tempfile.TemporaryDirectory() as folder:
+        path = pathlib.Path(folder) / "report.json"
+        command = [str(program), "run", str(run.site), run.day, "--report", str(path)]
+        command += ["--why", f"trial of {run.version}: {why}"]
+        if run.seed:
+            command += ["--seed", run.seed]
+        try:
+            done = subprocess.run(
+                command,
+                check=False,
+                cwd=run.tree,
+                capture_output=True,
+                text=True,
+                timeout=DAY_LIMIT_S,
+            )
+        except subprocess.TimeoutExpired:
+            return Figures(run, failed=f"not over after {DAY_LIMIT_S:.0f} s")
+        if not path.exists():
+            return Figures(run, failed=(done.stderr or done.stdout).strip()[-200:])
+        return read_report(run, json.loads(path.read_text()))
+
+
+def read_report(run: Run, raw: t.Mapping[str, t.Any]) -> Figures:
+    """Take the figures out of a day's report."""
+    return Figures(
+        run,
+        worth=float(raw["G"]),
+        served=float(raw["served"]),
+        broken=" ".join(raw["breaks"]) or str(raw["fault"] or ""),
+        short="; ".join(str(one) for one in raw["short"]),
+        prices={str(name): float(price) for name, _, price in raw["prices"]},
+    )
+
+
+def summarise(figures: list[Figures]) -> list[dict[str, t.Any]]:
+    """Give a row for each version and site: mean worth by day, and what broke."""
+    rows = []
+    for key in sorted({(one.run.site.stem, one.run.version) for one in figures}):
+        mine = [one for one in figures if (one.run.site.stem, one.run.version) == key]
+        good = [one for one in mine if not one.failed]
+        row: dict[str, t.Any] = {"site": key[0], "version": key[1], "days": len(good)}
+        for day in sorted({one.run.day for one in mine}):
+            worth = [one.worth for one in good if one.run.day == day]
+            row[day] = statistics.fmean(worth) if worth else float("nan")
+        row["mean"] = statistics.fmean(one.worth for one in good) if good else float("nan")
+        row["broken"] = sum(bool(one.broken) for one in good)
+        row["short"] = sum(bool(one.short) for one in good)
+        row["not played"] = len(mine) - len(good)
+        rows.append(row)
+    return rows
+
+
+def list_prices(figures: list[Figures], least: float = 0.004) -> list[dict[str, t.Any]]:
+    """Give the dearest lines of the price list by version, as means over all days."""
+    versions = sorted({one.run.version for one in figures})
+    names = sorted({name for one in figures for name in one.prices})
+    rows = []
+    for name in names:
+        row: dict[str, t.Any] = {"price": name}
+        for version in versions:
+            mine = [one for one in figures if one.run.version == version and not one.failed]
+            row[version] = statistics.fmean(one.prices.get(name, 0.0) for one in mine or figures)
+        rows.append(row)
+    dear = [row for row in rows if max(row[one] for one in versions) >= least]
+    return sorted(dear, key=lambda row: -row[versions[0]])
+
+
+@experiment("days")
+def main(arguments: list[str]) -> int:
+    """Play all the days, print the tables and say whether a rule broke."""
+    parser = argparse.ArgumentParser(prog="days", description=__doc__)
+    parser.add_argument("--program", required=True, type=pathlib.Path, help="the users' bench")
+    parser.add_argument("--sites", required=True, help="site files, with commas")
+    parser.add_argument("--trees", type=read_pairs, required=True, help="NAME=DIR, with commas")
+    parser.add_argument("--days", default=DAYS)
+    parser.add_argument("--seeds", default="", help="numbers with commas; none: the days' own")
+    parser.add_argument("--why", required=True, help="goes into the journal of each tree")
+    parser.add_argument("--jobs", type=int, default=JOBS)
+    given = parser.parse_args(arguments)
+    runs = [
+        Run(name, tree, pathlib.Path(site).resolve(), day, seed)
+        for seed in given.seeds.split(",")
+        for site in given.sites.split(",")
+        for day in given.days.split(",")
+        for name, tree in given.trees
+    ]
+    program = given.program.resolve()
+    with concurrent.futures.ThreadPoolExecutor(given.jobs) as workers:
+        figures = list(workers.map(lambda run: play(program, given.why, run), runs))
+    for one in figures:
+        if one.failed or one.broken or one.short:
+            what = one.failed or f"broken: {one.broken or 'none'}; short: {one.short or 'none'}"
+            print(f"{one.run.version} {one.run.site.stem} {one.run.day} {one.run.seed}: {what}")
+    report("days", f"worth by version and day: {given.why}", summarise(figures))
+    report("days-prices", "prices, as means over all days", list_prices(figures))
+    return int(any(one.failed or one.broken for one in figures))
--- /dev/null
+++ b/features/swapping.feature
@@ -0,0 +1,48 @@
+Feature: Placement by how near a runner's copies of models are
+
+  Models: m 70 GB, n and o 60 GB, big 150 GB; a runner has 200 GB and serves 4,000
+  tokens a second. A load takes 8 s from the weight store, 1.5 s from the runner's
+  disk and 1.2 s from its memory.
+
+  Scenario Outline: moves go where a model is there soonest
+    Given runners <runners>
+    When a plan is made for demand <demand>
+    Then the moves are <moves>
+
+    Examples: what is asked for and resident nowhere
+      | runners                            | demand          | moves                    |
+      | e1[m] e2[n; disk o]                | o 1000          | load o e2                |
+      | e1[m; disk o] e2[n; memory o]      | o 1000          | load o e2                |
+      | e1[m] e2[n]                        | o 1000, m 3000  | load o e2                |
+      | e1[m] e2[n; disk o; busy]          | o 1000          | none                     |
+      | e1[m] e2[n; busy]                  | o 1000          | load o e1                |
+      | e1[big; disk o] e2[big; disk o]    | o 9, big 900    | unload big e1            |
+
+    Examples: the last copy of a model gives way only where nobody asks and it is quick to return
+      | runners                            | demand            | moves                    |
+      | e1[m,n; disk m,n,big]              | big 1000          | unload m e1, unload n e1 |
+      | e1[m,n; disk m,n,big]              | big 1000, m 500   | none                     |
+      | e1[m,n; disk m,big]                | big 1000          | none                     |
+      | e1[m,n; disk m,n,big]              | none              | none                     |
+      | e1[m,n; disk m,n,big] e2[m]        | none              | none                     |
+
+    Examples: copies of what fills a runner
+      | runners                            | demand            | moves                    |
+      | e1[m] e2[n; disk m]                | m 5000            | load m e2                |
+      | e1[m] e2[n]                        | m 4400            | none                     |
+      | e1[m] e2[n]                        | m 8000            | load m e2                |
+      | e1[m] e2[n; disk m]                | m 3000            | none                     |
+      | e1[m] e2[n,o; disk n,o,m]          | m 8000, o 800     | load m e2                |
+      | e1[m] e2[big; disk big,m]          | m 8000, big 800   | none                     |
+      | e1[m] e2[big; disk big,m]          | m 8000            | unload big e2            |
+
+  Scenario Outline: the weight store's rate is spent only on loads from it
+    Given a lease holder whose weight store allows <rate> loads a second
+    When two models are wanted that are <where>
+    Then <loads> are ordered within a second
+
+    Examples:
+      | rate | where                  | loads |
+      | 0.01 | on a runner's disk     | 2     |
+      | 0.01 | in the weight store    | 0     |
+      | 10   | in the weight store    | 2     |
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -132,7 +132,23 @@
 ORDER_LOOK_S = 0.15
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
-RELAY_PLACEMENT = "even"
+RELAY_PLACEMENT = "swap"
+# What an unload takes beyond the load that it makes room for: its streams end first,
+# and a report shows it gone, in seconds.
+UNLOAD_S = 1.0
+# How long a runner that carries out an order is taken to be busy yet, in seconds: a
+# load from its own disk takes 1.2 to 1.7 s on the users' sheets.
+RUNNER_BUSY_S = 2.0
+# How much later a full runner is taken to serve than an idle one, in seconds.
+LOADED_RUNNER_S = 2.0
+# A model asked for at less than this rate may give way although it is the last
+# replica: one mean request of 3,180 tokens falls below it in some six seconds.
+IDLE_TOKENS_PER_S = 150.0
+# A load that takes no longer is quick: from memory or disk it takes 0.9 to 1.7 s.
+QUICK_LOAD_S = 3.0
+# A replica is to pay within this time, since demand moves on: the users' days move it
+# every 6 to 20 s.
+SWAP_HORIZON_S = 30.0
 # Part of the weight store's rate that is used. A new holder begins with no burst, so
 # that any window stays below rate and burst together, whoever held the lease in it.
 STORE_RATE_SHARE = 1.0
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -132,6 +132,9 @@
 
     :param age_s: how old the figures were when they came.
     :param own: the endpoint gave it itself, on being asked by this node.
+    :param in_memory: models that the endpoint keeps in its box's memory, beside those
+        that are resident; they load fastest.
+    :param on_disk: models that it keeps on its box's disk, also over a restart.
     """
 
     at: float
@@ -153,6 +156,8 @@
     order_token: tuple[int, int] = (0, 0)
     rejected_orders: int = 0
     own: bool = False
+    in_memory: tuple[str, ...] = ()
+    on_disk: tuple[str, ...] = ()
 
 
 class CacheEventsCame(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -6,6 +6,7 @@
 model's last resident replica.
 """
 
+import types
 import typing as t
 
 from . import defaults
@@ -22,6 +23,8 @@
     """One runner as placement sees it; rates in tokens a second, memory in GB.
 
     ``barred`` weights may not be loaded there yet, since a late unload may come.
+    ``load_s`` tells how long a load of each model takes there, in seconds, where that
+    differs by runner.
     """
 
     name: str
@@ -33,16 +36,22 @@
     coming: frozenset[Weights]
     busy: bool
     barred: frozenset[Weights] = frozenset()
+    load_s: t.Mapping[str, float] = types.MappingProxyType({})
 
 
 class Move(t.NamedTuple):
-    """One load or unload that placement wants."""
+    """One load or unload that placement wants.
+
+    :param last: an unload of a model's last replica, meant so: its runner reads it
+        back within seconds, and nobody asks for it now.
+    """
 
     action: t.Literal["load", "unload"]
     endpoint: str
     key: Weights
     gb: float
     why: str
+    last: bool = False
 
 
 class PlanInput(t.NamedTuple):
@@ -112,7 +121,8 @@
 
     def unload(self, key: Weights, runner: str, gb: float, why: str) -> None:
         """Take a replica away; its memory is not free before a report shows it."""
-        self.moves.append(Move("unload", runner, key, gb, why))
+        last = self.ready.get(key[0]) == {runner}
+        self.moves.append(Move("unload", runner, key, gb, why, last))
         self.hosts.get(key[0], set()).discard(runner)
         self.ready.get(key[0], set()).discard(runner)
         self.touched.add(runner)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -11,6 +11,7 @@
 from . import ordering
 from . import placement
 from . import requests
+from . import swapping as swapping
 from .control import StoreBudget
 from .effects import Effect
 from .effects import ReadReport
@@ -29,6 +30,8 @@
 from .rooms import Room
 from .rooms import doubted_mb
 from .rooms import doubted_places
+from .rooms import from_store
+from .rooms import load_time_s
 from .rooms import still_there
 from .rooms import used_mb
 from .rooms import without
@@ -110,9 +113,15 @@
         return
     if event.order_token[1] > order.taken_before:
         if not event.loading and not still_there(order, event):
-            room.order = None
+            _settle(state, room)
     elif order.lost:
-        room.order = None
+        _settle(state, room)
+
+
+def _settle(state: NodeState, room: Room) -> None:
+    """An order is over; what it made room for is planned at the next tick."""
+    room.order = None
+    state.residency.planned_at = -1e9
 
 
 def refine(state: NodeState, view: EndpointView, event: EndpointReported) -> EndpointReported:
@@ -380,6 +389,7 @@
         resident=frozenset(resident),
         coming=frozenset(coming),
         busy=not _usable(state, view),
+        load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
     )
 
 
@@ -401,7 +411,7 @@
         if used + size.memory_mb > engine.memory_mb:
             state.record(view.name, f"cannot load {model}", "a lost order may take its room yet")
             return []
-        if not state.control.store.take():
+        if from_store(size, view.report) and not state.control.store.take():
             return []
         state.record(view.name, f"load {model}", move.why)
         return [_order(state, view, "load", model, "")]
@@ -410,7 +420,7 @@
         for one in state.hosts.get(model, {}).values()
         if one.name != view.name and one.service == view.service and one.open_for_work(state.now)
     ]
-    if not others and model in engine.models:
+    if not others and model in engine.models and not move.last:
         state.record(view.name, f"cannot unload {model}", "it is its last open copy")
         return []
     state.record(view.name, f"unload {model}", move.why)
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -5,6 +5,7 @@
 from . import defaults
 from .events import EndpointReported
 from .routes import EngineSize
+from .routes import ModelSize
 
 
 class Order(t.NamedTuple):
@@ -85,6 +86,23 @@
     return total
 
 
+def from_store(size: ModelSize, report: EndpointReported) -> bool:
+    """Say whether an endpoint would fetch a model from the weight store."""
+    return size.name not in report.in_memory and size.name not in report.on_disk
+
+
+def load_time_s(size: ModelSize, report: EndpointReported) -> float:
+    """Give how long an endpoint takes to load a model, in seconds.
+
+    A configuration that tells no time for a nearer copy means the store's time.
+    """
+    if size.name in report.in_memory:
+        return size.warm_s or size.load_s
+    if size.name in report.on_disk:
+        return size.disk_s or size.load_s
+    return size.load_s
+
+
 def list_doubts(room: Room, now: float, but: str) -> list[Order]:
     """List the loads without an answer that may come yet, but for one of a name."""
     room.doubts = [one for one in room.doubts if now - one.sent_at <= defaults.LATE_ORDER_S]
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -0,0 +1,184 @@
+"""Placement where runners keep copies of models that they do not hold.
+
+A model is read back from a runner's own memory or disk within two seconds. From the
+weight store it takes five to nine, and the store's rate is bounded. So this policy
+goes to the runner that has a copy near. A model that nobody asks for now gives way
+to one that is asked for, even where it is the last one resident: it is read back as
+soon as it is asked for again. See ``docs/design/placement.md``.
+"""
+
+import typing as t
+
+from . import defaults
+from .placement import Board
+from .placement import Move
+from .placement import PlanInput
+from .placement import RunnerRoom
+from .placement import Weights
+from .placement import placement
+from .placement import serve_split
+
+
+class Option(t.NamedTuple):
+    """One runner that could take a model; the tuple's order is that of preference.
+
+    :param cost_s: seconds until it could serve there, load counted as a delay.
+    :param lost: demand for what would give way, in tokens a second.
+    :param goes: replicas that would give way, with their sizes in GB.
+    """
+
+    cost_s: float
+    lost: float
+    runner: str
+    goes: tuple[tuple[Weights, float], ...]
+
+
+@placement("swap")
+def plan_by_swaps(given: PlanInput) -> list[Move]:
+    """Bring what is asked for where it is near, then even out, then fill what is free."""
+    board = Board(given)
+    for model in _missing(board, asked=True):
+        _bring(board, model)
+    for _ in range(max(1, given.policy.loads_at_once)):
+        if not _add_copy(board):
+            break
+    for model in _missing(board, asked=False):
+        _restore(board, model)
+    return board.moves
+
+
+def _missing(board: Board, asked: bool) -> list[str]:
+    """List the models without a replica, the most asked for first."""
+    demand = board.given.demand
+    lacking = [
+        model
+        for model in board.given.models
+        if not board.hosts[model] and (demand.get(model, 0.0) > 0.0) == asked
+    ]
+    return sorted(lacking, key=lambda name: (-demand.get(name, 0.0), name))
+
+
+def _bring(board: Board, model: str) -> None:
+    """Load a model that is asked for where it is there soonest, or make room for it.
+
+    A runner that is busy for a moment may be sooner than a free one without a copy;
+    then nothing is done until it is free.
+    """
+    load, _ = serve_split(board)
+    options = [
+        option
+        for runner in board.given.runners
+        if (option := _consider(board, load, runner, model)) is not None
+    ]
+    best = min(options, default=None)
+    if best is not None and best.runner not in board.touched:
+        _take(board, model, best, "no replica")
+
+
+def _restore(board: Board, model: str) -> None:
+    """Load a model that nobody asks for, where there is room or a spare replica."""
+    load, _ = serve_split(board)
+    options = [
+        option
+        for runner in board.open_to(model)
+        if (option := _consider(board, load, runner, model, spares_only=True)) is not None
+    ]
+    best = min(options, default=None)
+    if best is not None:
+        _take(board, model, best, "no replica, none asked for")
+
+
+def _consider(
+    board: Board,
+    load: t.Mapping[str, float],
+    runner: RunnerRoom,
+    model: str,
+    spares_only: bool = False,
+) -> Option | None:
+    """Say what it would take to load a model at a runner; None where it cannot be."""
+    spec = board.given.models[model]
+    if runner.engine != spec.engine or runner.name in board.hosts[model]:
+        return None
+    if (model, spec.version) in runner.barred:
+        return None
+    goes = _giving_way(board, runner, spec.memory_gb - board.free[runner.name], spares_only)
+    if goes is None:
+        return None
+    cost_s = runner.load_s.get(model, 0.0) + defaults.UNLOAD_S * len(goes)
+    if runner.name in board.touched:
+        cost_s += defaults.RUNNER_BUSY_S
+    cost_s += defaults.LOADED_RUNNER_S * load[runner.name] / max(runner.token_rate, 1e-9)
+    lost = sum(board.given.demand.get(key[0], 0.0) for key, _ in goes)
+    return Option(cost_s, lost, runner.name, goes)
+
+
+def _giving_way(
+    board: Board, runner: RunnerRoom, need_gb: float, spares_only: bool
+) -> tuple[tuple[Weights, float], ...] | None:
+    """Choose replicas to unload, the least asked for first; None where too few may go."""
+    goes: list[tuple[Weights, float]] = []
+    demand = board.given.demand
+
+    def asked(key: Weights) -> float:
+        return demand.get(key[0], 0.0) / max(1, len(board.ready.get(key[0], ())))
+
+    def copies(key: Weights) -> int:
+        return len(board.ready.get(key[0], ()))
+
+    for key in sorted(runner.resident, key=lambda key: (asked(key), -copies(key), key)):
+        if need_gb <= 0:
+            break
+        spec = board.given.models.get(key[0])
+        if spec is None or runner.name not in board.ready[key[0]]:
+            continue
+        if board.spare(key[0]) or (not spares_only and _idle(board, key[0])):
+            goes.append((key, spec.memory_gb))
+            need_gb -= spec.memory_gb
+    return tuple(goes) if need_gb <= 0 else None
+
+
+def _idle(board: Board, model: str) -> bool:
+    """Say whether a model's last replica may go: hardly asked for, and quick to return."""
+    if board.given.demand.get(model, 0.0) > defaults.IDLE_TOKENS_PER_S:
+        return False
+    times = [
+        runner.load_s.get(model, defaults.QUICK_LOAD_S + 1.0) for runner in board.given.runners
+    ]
+    return min(times) <= defaults.QUICK_LOAD_S
+
+
+def _take(board: Board, model: str, option: Option, why: str) -> None:
+    """Load, or unload first what gives way; the load is planned once that has gone."""
+    if not option.goes:
+        board.load(model, option.runner, why)
+        return
+    for key, gb in option.goes:
+        board.unload(key, option.runner, gb, f"room for {model}: {why}")
+
+
+def _add_copy(board: Board) -> bool:
+    """Add the replica that takes the most from full runners, if that pays in time.
+
+    :return: whether one was added.
+    """
+    given = board.given
+    load, unserved = serve_split(board)
+    for model, missed in sorted(unserved.items(), key=lambda item: (-item[1], item[0])):
+        spec = given.models.get(model)
+        if spec is None or missed <= 0 or len(board.hosts[model]) >= spec.replicas_max:
+            continue
+        best: tuple[float, Option] | None = None
+        for runner in board.open_to(model):
+            option = _consider(board, load, runner, model)
+            spare = runner.token_rate - load[runner.name]
+            if option is None or spare <= 0:
+                continue
+            part = min(missed, spare) / max(runner.token_rate, 1e-9)
+            gain_s = part * (defaults.SWAP_HORIZON_S - option.cost_s)
+            gain_s -= given.policy.move_weight * option.cost_s
+            if gain_s > 0 and (best is None or gain_s > best[0]):
+                best = (gain_s, option)
+        if best is not None:
+            _take(board, model, best[1], f"gain {best[0]:.1f}s")
+            return True
+    return False
--- a/packages/rookspring/src/rookspring/reports.py
+++ b/packages/rookspring/src/rookspring/reports.py
@@ -53,5 +53,7 @@
         resident=tuple((one[0], one[1]) for one in raw.resident),
         loading=tuple((one[0], one[1]) for one in raw.loading),
         adapters=tuple(raw.adapters),
+        in_memory=tuple(raw.in_memory),
+        on_disk=tuple(raw.on_disk),
         order_token=(raw.order_token[0], raw.order_token[1]),
     )
