--- a/features/relay.feature
+++ b/features/relay.feature
@@ -76,6 +76,20 @@
       | 0.5, 100                | not p0         |
       | 20, 2, 60, 80, 100      | p1 p0 p2 p3    |
 
+  Scenario Outline: orders of two holders lie apart, and a box goes on with its own lease
+    Given a relay lease that <before>
+    When a node looks at it and takes it as soon as it may
+    Then it holds it after <taken> s and gives orders after <orders> s
+
+    Examples: a lease of 4 s whose holder stops 1 s before; orders lie 3.3 s apart
+      | before                                   | taken | orders |
+      | nobody ever held                         | 0.0   | 0.0    |
+      | another gave up                          | 0.0   | 3.3    |
+      | another holds                            | 4.1   | 6.3    |
+      | its own box held and gave orders         | 0.0   | 0.0    |
+      | its own box held and gave no orders yet  | 0.0   | 3.3    |
+      | a box of its name held elsewhere         | 4.1   | 6.3    |
+
   Scenario Outline: a request that finds no room is refused in time, with the reason
     Given a relaying node whose endpoints are <state>
     When a relayed request waits for its patience
@@ -154,6 +168,32 @@
       | its report    | closed |
       | its row again | open   |
 
+  Scenario Outline: a runner that owes an answer and says nothing gets no new work
+    Given a lease holder over runners holding m, m of 200 GB
+    When the first runner has a request for <seconds> s and <news>
+    Then it is <open> for work
+
+    Examples:
+      | seconds | news                        | open   |
+      | 0.5     | says nothing                | open   |
+      | 1.0     | says nothing                | closed |
+      | 1.0     | has just sent an event      | open   |
+      | 1.0     | has just refused another    | open   |
+      | 0.1     | takes no connection         | closed |
+      | 1.5     | took none 1.4 s ago         | open   |
+
+  Scenario Outline: a request waits for its model where that can be there in time
+    Given a lease holder over runners holding <held> of 200 GB
+    When a request with an objective of <objective> s comes for n, which is <where>
+    Then after <seconds> s it <state>
+
+    Examples: a load takes 1.5 s from a disk, 8 s from the store; patience is 0.1 s
+      | held | objective | where              | seconds | state      |
+      | m, m | 6         | on a runner's disk | 2.0     | waits      |
+      | m, m | 6         | on a runner's disk | 5.0     | is refused |
+      | m, m | 1         | on a runner's disk | 0.5     | is refused |
+      | m, m | 6         | in the weight store| 0.5     | is refused |
+
   Scenario: the last copy of a model is never unloaded
     Given a lease holder over runners holding m, n of 200 GB
     When 300 plans are made under demand that moves
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -107,8 +107,10 @@
             **fields,
         )
 
-    def ask(self, kind="safe", attempts=2, model="", adapter="", key="r1", tokens=10):
-        terms = RouteTerms("r", "llm" if model else "svc", 1, 1, attempts, 0.1)
+    def ask(self, kind="safe", attempts=2, model="", adapter="", key="r1", **fields):
+        objective_s = fields.pop("objective_s", 0.4)
+        tokens = fields.pop("tokens", 10)
+        terms = RouteTerms("r", "llm" if model else "svc", 1, 1, attempts, 0.1, objective_s)
         self.submit(
             RequestArrived(
                 at=self.now,
@@ -119,6 +121,7 @@
                 adapter=adapter,
                 deadline_at=self.now + 5.0,
                 tokens=tokens,
+                prompt_tokens=fields.pop("prompt_tokens", 0),
                 repeatable=kind == "safe",
                 route=terms,
             )
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -11,12 +11,16 @@
 
 from rookspring_core import routed
 from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import LeaseSeen
+from rookspring_core.events import LeaseWritten
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.events import Ticked
+from rookspring_core.leases import Lease
+from rookspring_core.leases import LeaseTerms
 from rookspring_core.retries import RetryWindow
 from rookspring_core.retries import WindowTerms
 from rookspring_core.routes import Split
@@ -145,6 +149,41 @@
     assert not context.allowed
 
 
+@given("a relay lease that {before}")
+def relay_lease(context, before):
+    context.lease = Lease(LeaseTerms(4.0, 1.0, 1.0, 3.3, resumable=True))
+    own = "n" if before.startswith("its own box") else "another"
+    holder = "n@elsewhere" if "of its name" in before else own
+    if before == "nobody ever held":
+        seen = LeaseSeen(100.0, 0, "", 0, "")
+    elif before == "another gave up":
+        seen = LeaseSeen(100.0, 7, "", 3, "")
+    else:
+        seen = LeaseSeen(100.0, 7, holder, 3, "old/1", "no orders" not in before)
+    context.lease.see(seen, "n")
+
+
+@when("a node looks at it and takes it as soon as it may")
+def takes_lease(context):
+    lease = context.lease
+    for tenth in range(100):
+        now = 100.0 + tenth / 10
+        wish = lease.wish(now, "n", "n#2", True)
+        if wish is not None:
+            assert wish.epoch == lease.epoch + 1
+            assert lease.answer(LeaseWritten(now, now, wish.nonce, True, 8), "n")
+            context.taken_s = now - 100.0
+            return
+    raise AssertionError("never taken")
+
+
+@then("it holds it after {taken:g} s and gives orders after {orders:g} s")
+def holds_after(context, taken, orders):
+    assert abs(context.taken_s - taken) < 0.11, context.taken_s
+    turn_s = max(0.0, context.lease.turn_at - 100.0)
+    assert abs(turn_s - orders) < 0.01, turn_s
+
+
 @given("a relaying node whose endpoints are {state}")
 def endpoints_are(context, state):
     context.relay_node = node = RelayHarness()
@@ -274,7 +313,8 @@
         holder.ask(model="m", key=f"r{number}")
     assert {one.endpoint for one in holder.sent} == {"e1", "e2"}, holder.sent
     holder.list_endpoints(["e2"], "llm", "runner")
-    holder.now += 1.0
+    # Less than what makes a runner count as silent.
+    holder.now += 0.5
     if what == "its report":
         token = holder.state.endpoints["e1"].report.order_token
         holder.submit(holder.report("e1", ["m"], (), token, own=True))
@@ -283,6 +323,45 @@
     context.open = holder.state.endpoints["e1"].open_for_work(holder.now)
 
 
+@when("the first runner has a request for {seconds:g} s and {news}")
+def owes(context, seconds, news):
+    holder = context.holder
+    for number in range(2):
+        holder.ask(model="m", key=f"r{number}")
+    (mine,) = [one for one in holder.sent if one.endpoint == "e1"]
+    key = (mine.request_id, mine.attempt)
+    if news.startswith("t"):
+        holder.submit(AttemptFailed(holder.now, *key, False, False, "no connection"))
+    holder.now += seconds
+    if news == "has just sent an event":
+        holder.submit(AttemptProgressed(holder.now, *key, 1))
+    elif news == "has just refused another":
+        holder.submit(AttemptFailed(holder.now, *key, True, True, "refused"))
+        holder.state.endpoints["e1"].begin("older", holder.now - seconds)
+    context.open = holder.state.endpoints["e1"].open_for_work(holder.now)
+
+
+@when("a request with an objective of {objective:g} s comes for n, which is {where}")
+def comes_for_absent(context, objective, where):
+    holder = context.holder
+    # Orders are not carried out, so that the model never comes.
+    holder.answer = "none"
+    if where == "on a runner's disk":
+        for runner in holder.runners.values():
+            runner["disk"] = ("n",)
+    holder.submit(RouteTableSeen(holder.now, make_table(2)))
+    holder.relist()
+    holder.ask(model="n", objective_s=objective)
+
+
+@then("after {seconds:g} s it {state}")
+def after_a_while(context, seconds, state):
+    holder = context.holder
+    holder.pass_time(seconds)
+    assert (state == "waits") == (not holder.refused), holder.refused
+    assert all(one.outcome == "not_run" and one.retry_after_s > 0 for one in holder.refused)
+
+
 @then("it is {expected} for work")
 def open_for_work(context, expected):
     assert context.open == (expected == "open"), context.open
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -9,6 +9,7 @@
 from rookspring_core import placement
 from rookspring_core import swapping as swapping
 from rookspring_core.events import RouteTableSeen
+from rookspring_core.paces import PaceTable
 from rookspring_core.resources import ModelSpec
 from rookspring_core.resources import PolicySpec
 
@@ -19,14 +20,17 @@
 
 
 def read_runner(text):
-    """Read a runner as NAME[RESIDENT; disk MODELS; memory MODELS; busy]."""
+    """Read a runner as NAME[RESIDENT; disk MODELS; memory MODELS; busy SECONDS]."""
     name, inside = re.fullmatch(r"(\w+)\[(.*)\]", text).groups()
     held, *notes = [part.strip() for part in inside.split(";")]
     resident = [one for one in held.split(",") if one]
     near = dict.fromkeys(MODELS, "store")
+    busy = [note for note in notes if note.startswith("busy")]
+    free_in_s = float(busy[0].partition(" ")[2] or "inf") if busy else 0.0
     for note in notes:
         place, _, models = note.partition(" ")
-        near.update(dict.fromkeys(models.split(","), place) if models else {})
+        if place in LOAD_S:
+            near.update(dict.fromkeys(models.split(","), place))
     return placement.RunnerRoom(
         name=name,
         data_centre="z",
@@ -35,8 +39,9 @@
         token_rate=RUNNER_RATE,
         resident=frozenset((one, "") for one in resident),
         coming=frozenset(),
-        busy="busy" in notes,
+        busy=bool(busy),
         load_s={model: LOAD_S[place] for model, place in near.items()},
+        free_in_s=free_in_s,
     )
 
 
@@ -93,3 +98,45 @@
 @then("{loads:d} are ordered within a second")
 def loads_ordered(context, loads):
     assert len([one for one in context.holder.orders if one.action == "load"]) == loads
+
+
+@given("prompts of {tokens} tokens read in {took} ms")
+def prompts_read(context, tokens, took):
+    pairs = zip(tokens.split(", "), took.split(", "), strict=True)
+    context.prompts = [(int(number), float(ms) / 1000.0) for number, ms in pairs]
+
+
+@when("they are told of the model m, and 1000 tokens in 50 ms of the model n")
+def told_of_models(context):
+    context.paces = PaceTable()
+    context.paces.note("n", 1000, 0.05)
+    for number, took_s in context.prompts:
+        context.paces.note("m", number, took_s)
+
+
+@then("m counts for {part:g} of n")
+def counts_for(context, part):
+    got = context.paces.relative("m")
+    assert abs(got - part) < 0.01, got
+    assert context.paces.relative("n") == 1.0
+
+
+@when("m reads ten times as fast as n, and 3000 tokens of each are asked for")
+def asked_of_each(context):
+    holder = context.holder
+    holder.state.paces.note("m", 1000, 0.005)
+    holder.state.paces.note("n", 1000, 0.05)
+    for model in ("m", "n"):
+        holder.ask(model=model, key=f"r-{model}", tokens=3000, prompt_tokens=3000)
+    holder.pass_time(0.1)
+
+
+@then("m is asked for a tenth of what n is, and its unread prompt is a tenth as long")
+def tenth(context):
+    state = context.holder.state
+    rates = state.control.meter.rates
+    assert abs(rates["m"] / rates["n"] - 0.1) < 0.01, rates
+    unread = {}
+    for view in state.endpoints.values():
+        unread.update(view.prompts)
+    assert unread == {"r-m": 300, "r-n": 3000}, unread
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -14,14 +14,16 @@
       | e1[m] e2[n; disk o]                | o 1000          | load o e2                |
       | e1[m; disk o] e2[n; memory o]      | o 1000          | load o e2                |
       | e1[m] e2[n]                        | o 1000, m 3000  | load o e2                |
-      | e1[m] e2[n; disk o; busy]          | o 1000          | none                     |
-      | e1[m] e2[n; busy]                  | o 1000          | load o e1                |
+      | e1[m] e2[n; disk o; busy 1]        | o 1000          | none                     |
+      | e1[m] e2[n; disk o; busy]          | o 1000          | load o e1                |
+      | e1[m] e2[n; disk o; busy 9]        | o 1000          | load o e1                |
       | e1[big; disk o] e2[big; disk o]    | o 9, big 900    | unload big e1            |
 
     Examples: the last copy of a model gives way only where nobody asks and it is quick to return
       | runners                            | demand            | moves                    |
       | e1[m,n; disk m,n,big]              | big 1000          | unload m e1, unload n e1 |
       | e1[m,n; disk m,n,big]              | big 1000, m 500   | none                     |
+      | e1[m,n; disk m,n,big]              | big 3000, m 500   | unload n e1, unload m e1 |
       | e1[m,n; disk m,big]                | big 1000          | none                     |
       | e1[m,n; disk m,n,big]              | none              | none                     |
       | e1[m,n; disk m,n,big] e2[m]        | none              | none                     |
@@ -46,3 +48,22 @@
       | 0.01 | on a runner's disk     | 2     |
       | 0.01 | in the weight store    | 0     |
       | 10   | in the weight store    | 2     |
+
+  Scenario Outline: a model's pace is the least time of late to a first event, a token
+    Given prompts of <tokens> tokens read in <took> ms
+    When they are told of the model m, and 1000 tokens in 50 ms of the model n
+    Then m counts for <part> of n
+
+    Examples:
+      | tokens           | took          | part |
+      | 1000             | 50            | 1.00 |
+      | 1000             | 5             | 0.10 |
+      | 1000, 1000       | 5, 500        | 0.10 |
+      | 1000, 500        | 50, 5         | 0.20 |
+      | 100              | 1             | 1.00 |
+      | 1000             | 0.5           | 0.05 |
+
+  Scenario: demand and unread prompts are counted by what they take to read
+    Given a lease holder over runners holding m+n, m+n of 200 GB
+    When m reads ten times as fast as n, and 3000 tokens of each are asked for
+    Then m is asked for a tenth of what n is, and its unread prompt is a tenth as long
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -214,7 +214,7 @@
     effects: Effects = [Announce("leaving")]
     wish = state.control.lease.give_up()
     if wish is not None:
-        effects.append(WriteLease(wish.version, wish.epoch, wish.nonce))
+        effects.append(WriteLease(*wish))
     return effects
 
 
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -59,6 +59,11 @@
 CACHE_HINTS_MAX = 4096
 EJECT_AFTER_FAILURES = 3
 EJECT_S = 5.0
+# A runner that owes an answer and has said nothing for so long gets no more: engines
+# make a step in some 10 ms, and callers bear pauses of 300 ms in a stream.
+SILENT_S = 0.8
+# One that takes no connection is left alone for so long, at once.
+UNREACHED_EJECT_S = 1.0
 
 QUEUE_MAX = 2048
 TICK_S = 0.1
@@ -104,11 +109,22 @@
 # those that came within so long after it.
 RANK_HEADSTART_S = 2.0
 # Callers are told to come back after this long where something is ready in a moment
-# (an adapter, another node); between these where there was no room, as a burst takes
-# two to four seconds; and between these where the model is yet to be loaded.
+# (an adapter, another node), and between these where there was no room, as a burst
+# takes two to four seconds.
 COME_BACK_S = 0.4
 COME_BACK_ROOM_S = (1.0, 3.0)
-COME_BACK_ABSENT_S = (2.0, 4.0)
+# Where the model is yet to be loaded they are told when it can be there, at most the
+# one, and spread over the other.
+COME_BACK_ABSENT_MAX_S = 3.0
+COME_BACK_SPREAD_S = 1.0
+# From a request for a model that is on no endpoint to its load: the want reaches the
+# holder, a plan is made, what gives way is unloaded, a report tells the end. Some 1 s in
+# the logs of the users' days beside the load itself.
+SWAP_S = 1.0
+# A request waits for its model if it can be there within this part of its objective;
+# the rest is for reading the prompt. It waits somewhat longer than predicted.
+READY_SHARE = 0.8
+READY_MARGIN = 1.3
 # Weights of the even-load policy, in parts of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
@@ -120,7 +136,8 @@
 ADDRESSES_MAX = 64
 
 # Orders of two holders must lie further apart than this, in seconds: the platform's
-# lease-ms is 3,000, and a little more covers clocks and the way there.
+# lease-ms is 3,000, and a little more covers clocks and the way there. A box is one
+# holder, so one that was restarted goes on with its lease without a gap.
 TURN_GAP_S = 3.3
 # A runner's report is read again this often while it is not known, or an order runs.
 SURVEY_READ_S = 1.0
@@ -136,14 +153,16 @@
 # What an unload takes beyond the load that it makes room for: its streams end first,
 # and a report shows it gone, in seconds.
 UNLOAD_S = 1.0
-# How long a runner that carries out an order is taken to be busy yet, in seconds: a
-# load from its own disk takes 1.2 to 1.7 s on the users' sheets.
-RUNNER_BUSY_S = 2.0
+# How much longer than predicted an order may take before nobody waits for its runner.
+RUNNER_BUSY_S = 1.0
 # How much later a full runner is taken to serve than an idle one, in seconds.
 LOADED_RUNNER_S = 2.0
 # A model asked for at less than this rate may give way although it is the last
 # replica: one mean request of 3,180 tokens falls below it in some six seconds.
 IDLE_TOKENS_PER_S = 150.0
+# Last replicas that are asked for give way to a model asked for more than four times as
+# much: while boxes are lost there is not room for all.
+GIVE_WAY_SHARE = 0.25
 # A load that takes no longer is quick: from memory or disk it takes 0.9 to 1.7 s.
 QUICK_LOAD_S = 3.0
 # A replica is to pay within this time, since demand moves on: the users' days move it
@@ -159,6 +178,11 @@
 # of 11 ms, which makes some 9 of their mean requests of 3,180 a second.
 # Below a part of that their answers are never late, so no move pays.
 RUNNER_TOKENS_PER_S = 4_000.0
+# Prompts from this many tokens on tell a model's pace; what was least is forgotten by
+# this much a measurement; and no model counts for less than this part of the slowest.
+PACE_TOKENS_MIN = 400
+PACE_FORGET = 1.01
+PACE_LEAST = 0.05
 # How far above its even part of the demand a runner may be planned.
 EVEN_MARGIN = 1.2
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
--- a/packages/rookspring-core/src/rookspring_core/demand.py
+++ b/packages/rookspring-core/src/rookspring_core/demand.py
@@ -50,7 +50,7 @@
         self._sums: dict[str, float] = {}
         self.rates: dict[str, float] = {}
 
-    def add(self, model: str, tokens: int) -> None:
+    def add(self, model: str, tokens: float) -> None:
         """Count a request that was asked for, admitted or not."""
         self._sums[model] = self._sums.get(model, 0.0) + tokens
 
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -71,11 +71,15 @@
 
 
 class WriteLease(t.NamedTuple):
-    """Write the lease object on the condition that it is still at ``version``."""
+    """Write the lease object on the condition that it is still at ``version``.
+
+    :param settled: the holder may give orders already.
+    """
 
     version: int
     epoch: int
     nonce: str
+    settled: bool = False
 
 
 class ReadDesired(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -59,6 +59,7 @@
         "ended",
         "failures",
         "gone",
+        "heard_at",
         "inflight",
         "leaving",
         "name",
@@ -97,6 +98,8 @@
         self.failures = 0
         self.ejected_until = -1e9
         self.probing = False
+        # When it last said anything to a request of this node.
+        self.heard_at = -1e9
         self.inflight: dict[str, float] = {}
         self.ended: list[tuple[float, float]] = []
         self.others = 0
@@ -199,19 +202,35 @@
         """Say whether new work may go there: neither leaving, gone nor ejected."""
         if self.leaving or self.gone:
             return False
-        if now < self.ejected_until:
+        if now < self.ejected_until or self.silent(now):
             return False
         # After an ejection a single probe decides; others wait for it.
         return not (self.failures >= defaults.EJECT_AFTER_FAILURES and self.probing)
 
+    def silent(self, now: float) -> bool:
+        """Say whether a model runner owes an answer and has said nothing for too long.
+
+        A box without power, or behind a cut, says nothing at all, and what is sent
+        there is lost for seconds. A service may work for long on one request, so its
+        silence says nothing.
+        """
+        if self.role != "runner" or now - self.heard_at < defaults.SILENT_S:
+            return False
+        return any(now - start >= defaults.SILENT_S for start in self.inflight.values())
+
+    def unreached(self, now: float) -> None:
+        """No connection could be made: leave it alone for a moment, at once."""
+        self.ejected_until = max(self.ejected_until, now + defaults.UNREACHED_EJECT_S)
+
     def fail(self, now: float) -> None:
         """Count a failure, and eject the endpoint after several in a row."""
         self.failures += 1
         if self.failures >= defaults.EJECT_AFTER_FAILURES:
             self.ejected_until = now + defaults.EJECT_S
 
-    def succeed(self) -> None:
+    def succeed(self, now: float) -> None:
         """Forget failures."""
+        self.heard_at = now
         self.failures = 0
         self.down = False
 
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -23,6 +23,7 @@
     :param service: whose endpoints may serve it.
     :param attempts: most endpoints that it may be sent to.
     :param patience_s: longest wait for room before it is refused, in seconds.
+    :param objective_s: an answer within it is worth the most; 0 where none is known.
     """
 
     name: str
@@ -31,6 +32,7 @@
     rank: int
     attempts: int
     patience_s: float
+    objective_s: float = 0.0
 
 
 class RequestArrived(t.NamedTuple):
@@ -242,13 +244,17 @@
 
 
 class LeaseSeen(t.NamedTuple):
-    """The lease object as read; version 0 when it does not exist."""
+    """The lease object as read; version 0 when it does not exist.
+
+    :param settled: its holder was giving orders already when it wrote this.
+    """
 
     at: float
     version: int
     holder: str
     epoch: int
     nonce: str
+    settled: bool = False
 
 
 class LeaseWritten(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -173,7 +173,7 @@
     wish = state.control.lease.wish(state.now, identity.name, identity.incarnation, candidate)
     if wish is None:
         return []
-    return [WriteLease(wish.version, wish.epoch, wish.nonce)]
+    return [WriteLease(*wish)]
 
 
 def govern(state: NodeState, passed: float) -> Effects:
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -13,22 +13,31 @@
 
 
 class LeaseWish(t.NamedTuple):
-    """A lease write that is due."""
+    """A lease write that is due.
+
+    :param settled: its holder may give orders already, by its terms' ``gap_s``.
+    """
 
     version: int
     epoch: int
     nonce: str
+    settled: bool = False
 
 
 class LeaseTerms(t.NamedTuple):
     """Times of a lease, in seconds; all nodes of a deployment have the same.
 
     :param margin_s: how long before the end its holder stops to act.
+    :param gap_s: between the last act of one holder and the first order of the next.
+    :param resumable: a box that was restarted goes on with its own lease at once; only
+        where a box is one holder whichever process runs on it.
     """
 
     ttl_s: float = defaults.LEASE_TTL_S
     renew_s: float = defaults.LEASE_RENEW_S
     margin_s: float = defaults.LEASE_MARGIN_S
+    gap_s: float = 0.0
+    resumable: bool = False
 
 
 class Lease:
@@ -42,6 +51,9 @@
         self.changed_at: float | None = None
         self.held_until = -1e9
         self.own_epoch = 0
+        # From when on this node may give orders, once it holds the lease.
+        self.turn_at = -1e9
+        self._settled = False
         self._count = 0
         self._pending: tuple[str, float, int] | None = None
         self._asked_at = -1e9
@@ -62,6 +74,7 @@
         self.holder = event.holder
         self.epoch = max(self.epoch, event.epoch)
         self.changed_at = event.at
+        self._settled = event.settled
         if event.holder != name or event.epoch != self.own_epoch:
             self.held_until = -1e9
 
@@ -99,14 +112,35 @@
         if self.version < 0 or now - self._asked_at < self.terms.renew_s:
             return None
         holding = self.holding(now)
-        if not holding and not (candidate and self._free(now)):
+        if not holding and not self._own(name) and not (candidate and self._free(now)):
             return None
         epoch = self.own_epoch if holding else self.epoch + 1
+        if not holding:
+            self.turn_at = self._next_turn(now, name)
         self._count += 1
         nonce = f"{incarnation}/{self._count}"
         self._pending = (nonce, now, epoch)
         self._asked_at = now
-        return LeaseWish(self.version, epoch, nonce)
+        return LeaseWish(self.version, epoch, nonce, now >= self.turn_at)
+
+    def _own(self, name: str) -> bool:
+        """Say whether the lease is this box's own, from before a restart or a lapse."""
+        return self.terms.resumable and self.holder == name
+
+    def _next_turn(self, now: float, name: str) -> float:
+        """Give the moment from which orders keep the gap to those of the holder before.
+
+        A holder's last act lies ``margin_s`` before the end of its lease at an observer.
+        One that gave the lease up may have acted just before.
+        """
+        if self.epoch == 0:
+            return now
+        if self._own(name):
+            return now if self._settled else now + self.terms.gap_s
+        if self.holder == "" or self.changed_at is None:
+            return now + self.terms.gap_s
+        last_act = self.changed_at + self.terms.ttl_s - self.terms.margin_s
+        return max(now, last_act + self.terms.gap_s)
 
     def _free(self, now: float) -> bool:
         if self.holder == "":
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -6,6 +6,7 @@
 model's last resident replica.
 """
 
+import math
 import types
 import typing as t
 
@@ -24,7 +25,8 @@
 
     ``barred`` weights may not be loaded there yet, since a late unload may come.
     ``load_s`` tells how long a load of each model takes there, in seconds, where that
-    differs by runner.
+    differs by runner. ``free_in_s`` tells how soon a busy one is expected to be free, in
+    seconds; infinite where that is not known.
     """
 
     name: str
@@ -37,6 +39,7 @@
     busy: bool
     barred: frozenset[Weights] = frozenset()
     load_s: t.Mapping[str, float] = types.MappingProxyType({})
+    free_in_s: float = math.inf
 
 
 class Move(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -43,9 +43,10 @@
         if early is not None:
             return early
     if not event.service:
-        state.control.meter.add(event.target, event.tokens)
-    if event.adapter and event.route:
-        state.control.meter.add(event.adapter, event.tokens)
+        work = event.tokens * state.paces.relative(event.target)
+        state.control.meter.add(event.target, work)
+        if event.adapter and event.route:
+            state.control.meter.add(event.adapter, work)
     effects = arrivals.check_limits(state, event) or _enqueue(state, event)
     effects += pump(state)
     return effects + wants.miss(state, event)
@@ -58,7 +59,7 @@
     pool = state.pools.setdefault(_pool(state, event), admission.Pace())
     queue = state.queues.setdefault(queue_key(event), admission.AdmissionQueue(pool))
     if event.route is not None:
-        queue.push(routed.place(event, event.at))
+        queue.push(routed.place(state, event, event.at))
         return []
     order = admission.order_of(event.deadline_at, event.priority)
     rank = defaults.PRIORITY_RANK[event.priority]
@@ -130,7 +131,7 @@
         queue.remove(queued.request_id)
         state.pools[_pool(state, request.arrived)].served(queued.tokens)
         effects.append(_dispatch(state, request, endpoint))
-        effects += routed.begin_prompt(request, endpoint)
+        effects += routed.begin_prompt(state, request, endpoint)
         following = queue.peek()
         if following is not None:
             heapq.heappush(heads, (following.order, target))
@@ -257,6 +258,11 @@
     if request is not None:
         request.delivered += event.tokens
         request.barren = 0
+        if (endpoint := state.endpoints.get(request.endpoint)) is not None:
+            endpoint.heard_at = state.now
+        if request.delivered == event.tokens and not request.arrived.service:
+            took_s = state.now - request.dispatched_at
+            state.paces.note(request.arrived.target, request.arrived.prompt_tokens, took_s)
         if request.arrived.route is not None:
             return routed.end_prompt(state, request) + pump(state)
     return []
@@ -270,7 +276,7 @@
         return []
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
-        endpoint.succeed()
+        endpoint.succeed(state.now)
     state.budget.earn()
     effects: Effects = []
     key = request.arrived.once_key
@@ -319,7 +325,11 @@
         state.index(endpoint, before, endpoint.targets())
     if event.down:
         endpoint.down = True
-    if not event.said_not_run:
+    if not event.sent:
+        endpoint.unreached(state.now)
+    if event.said_not_run:
+        endpoint.heard_at = state.now
+    else:
         endpoint.fail(state.now)
 
 
@@ -347,7 +357,7 @@
     pool = state.pools.setdefault(_pool(state, arrived), admission.Pace())
     queue = state.queues.setdefault(queue_key(arrived), admission.AdmissionQueue(pool))
     if arrived.route is not None:
-        queue.push(routed.place(arrived, state.now))
+        queue.push(routed.place(state, arrived, state.now))
         return pump(state)
     # What is begun goes before what waits: it has the caller's time in it already.
     order = arrived.at - defaults.PRIORITY_HEADSTART_S["ledger"]
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -6,6 +6,8 @@
 report before its first order there. See ``docs/design/platform.md``.
 """
 
+import math
+
 from . import defaults
 from . import governing
 from . import ordering
@@ -70,7 +72,7 @@
 
 def _settled(state: NodeState) -> bool:
     """Say whether orders of the holder before lie far enough back."""
-    return state.now - state.control.acquired_at >= defaults.TURN_GAP_S
+    return state.now >= state.control.lease.turn_at
 
 
 def _survey(state: NodeState) -> Effects:
@@ -390,9 +392,22 @@
         coming=frozenset(coming),
         busy=not _usable(state, view),
         load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
+        free_in_s=_free_in_s(state, engine, view),
     )
 
 
+def _free_in_s(state: NodeState, engine: EngineSize, view: EndpointView) -> float:
+    """Predict how soon a runner's order is over; infinite where it is overdue or lost."""
+    order = state.residency.rooms[view.name].order
+    if order is None or order.lost or view.report is None or not view.open_for_work(state.now):
+        return math.inf
+    length_s = defaults.UNLOAD_S
+    if order.action == "load" and not order.adapter:
+        length_s = load_time_s(engine.models[order.model], view.report)
+    left_s = order.sent_at + length_s + defaults.RUNNER_BUSY_S - state.now
+    return left_s if left_s > 0 else math.inf
+
+
 def _adapter_reserve_mb(engine: EngineSize, view: EndpointView) -> float:
     """Keep memory for as many adapters as a runner may hold, beside those it has."""
     largest = max((one.adapter_mb for one in engine.models.values()), default=0.0)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -16,6 +16,7 @@
 from .events import RequestArrived
 from .mixing import mix
 from .retries import RetryWindow
+from .rooms import load_time_s
 from .state import NodeState
 from .state import RequestState
 
@@ -35,15 +36,43 @@
     return None
 
 
-def place(arrived: RequestArrived, now: float) -> admission.Queued:
+def place(state: NodeState, arrived: RequestArrived, now: float) -> admission.Queued:
     """Give a request's place in its queue: by rank and arrival, for as long as it may wait."""
     assert arrived.route is not None
     rank = arrived.route.rank
     order = arrived.at + rank * defaults.RANK_HEADSTART_S
-    until = min(arrived.deadline_at, now + arrived.route.patience_s)
+    until = min(arrived.deadline_at, now + _patience_s(state, arrived))
     return admission.Queued(order, arrived.at, arrived.request_id, 0, rank, until)
 
 
+def _patience_s(state: NodeState, arrived: RequestArrived) -> float:
+    """Give how long a request may wait, in seconds.
+
+    One whose model is on no endpoint waits for it if it can be loaded in time for the
+    route's objective; else it is refused early, to come back when the model is there.
+    """
+    terms = arrived.route
+    assert terms is not None
+    if arrived.service or state.hosts.get(arrived.target):
+        return terms.patience_s
+    wait_s = ready_in_s(state, terms.service, arrived.target) * defaults.READY_MARGIN
+    in_time = wait_s <= terms.objective_s * defaults.READY_SHARE
+    return max(terms.patience_s, wait_s) if in_time else terms.patience_s
+
+
+def ready_in_s(state: NodeState, service: str, model: str) -> float:
+    """Predict how soon a model that is on no endpoint can be there, in seconds."""
+    size = state.table.services.get(service) if state.table else None
+    if size is None or size.engine is None or model not in size.engine.models:
+        return math.inf
+    times = [
+        load_time_s(size.engine.models[model], view.report)
+        for view in state.endpoints.values()
+        if view.service == service and view.report is not None and view.open_for_work(state.now)
+    ]
+    return defaults.SWAP_S + min(times, default=math.inf)
+
+
 def window(state: NodeState, service: str) -> RetryWindow:
     """Give the resend window of a service at this node.
 
@@ -81,7 +110,13 @@
     waited = state.now - arrived.at
     pressing = waited > arrived.route.patience_s * defaults.PRESSING_SHARE
     most = defaults.UNREAD_TOKENS_PRESSING if pressing else defaults.UNREAD_TOKENS_MAX
-    return [one for one in ready if _takes(one, arrived.prompt_tokens, most)]
+    work = _prompt_work(state, arrived)
+    return [one for one in ready if _takes(one, work, most)]
+
+
+def _prompt_work(state: NodeState, arrived: RequestArrived) -> int:
+    """Give a prompt's size as the slowest model's tokens that take as long to read."""
+    return round(arrived.prompt_tokens * state.paces.relative(arrived.target))
 
 
 def _takes(endpoint: EndpointView, tokens: int, most: int) -> bool:
@@ -89,12 +124,12 @@
     return unread == 0 or unread + tokens <= most
 
 
-def begin_prompt(request: RequestState, endpoint: EndpointView) -> list[Effect]:
+def begin_prompt(state: NodeState, request: RequestState, endpoint: EndpointView) -> list[Effect]:
     """Count a prompt as unread there, and tell the other nodes."""
     arrived = request.arrived
     if arrived.route is None or arrived.service:
         return []
-    endpoint.prompts[arrived.request_id] = arrived.prompt_tokens
+    endpoint.prompts[arrived.request_id] = _prompt_work(state, arrived)
     return [SharePrompts(endpoint.name, endpoint.own_prompts())]
 
 
@@ -166,8 +201,12 @@
     hosts = list(state.hosts.get(arrived.target, {}).values())
     if adapter and hosts and not any(one.has_adapter(adapter) for one in hosts):
         return defaults.COME_BACK_S
-    least, most = defaults.COME_BACK_ROOM_S if hosts else defaults.COME_BACK_ABSENT_S
     # Spread by request, so that those who are refused together do not return together.
     spread = mix("come back", arrived.request_id) % 1000 / 1000.0
+    least, most = defaults.COME_BACK_ROOM_S
+    if not hosts and arrived.route is not None:
+        ready_s = ready_in_s(state, arrived.route.service, arrived.target)
+        least = min(ready_s, defaults.COME_BACK_ABSENT_MAX_S)
+        most = least + defaults.COME_BACK_SPREAD_S
     after_s = least + (most - least) * spread
     return min(after_s, (arrived.deadline_at - state.now) / 3.0)
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -13,6 +13,7 @@
 from .limits import LimitTable
 from .membership import Membership
 from .once import OnceTable
+from .paces import PaceTable
 from .retries import RetryBudget
 from .retries import RetryWindow
 from .retries import WindowTerms
@@ -94,6 +95,7 @@
         self.endpoints: dict[str, EndpointView] = {}
         self.hosts: dict[str, dict[str, EndpointView]] = {}
         self.peers_work = PeersWork()
+        self.paces = PaceTable()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
         self.pools: dict[str, Pace] = {}
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -7,6 +7,7 @@
 soon as it is asked for again. See ``docs/design/placement.md``.
 """
 
+import math
 import typing as t
 
 from . import defaults
@@ -65,23 +66,36 @@
     then nothing is done until it is free.
     """
     load, _ = serve_split(board)
+    share = board.given.demand.get(model, 0.0) * defaults.GIVE_WAY_SHARE
+    most = max(defaults.IDLE_TOKENS_PER_S, share)
     options = [
         option
         for runner in board.given.runners
-        if (option := _consider(board, load, runner, model)) is not None
+        if (option := _consider(board, load, runner, model, most)) is not None
     ]
     best = min(options, default=None)
     if best is not None and best.runner not in board.touched:
         _take(board, model, best, "no replica")
 
 
+def _waits(board: Board, runner: RunnerRoom) -> bool:
+    """Say whether a runner is busy and nobody knows for how long."""
+    return runner.name in board.touched and math.isinf(runner.free_in_s)
+
+
 def _restore(board: Board, model: str) -> None:
-    """Load a model that nobody asks for, where there is room or a spare replica."""
+    """Load a model that nobody asks for into free room.
+
+    Only one that no runner has near makes others give way, and these only where they
+    are spare and idle too: a near one is there soon enough once it is asked for.
+    """
     load, _ = serve_split(board)
+    near = _quick(board, model)
     options = [
         option
         for runner in board.open_to(model)
-        if (option := _consider(board, load, runner, model, spares_only=True)) is not None
+        if (option := _consider(board, load, runner, model, 0.0)) is not None
+        and (not option.goes or (not near and option.lost <= defaults.IDLE_TOKENS_PER_S))
     ]
     best = min(options, default=None)
     if best is not None:
@@ -93,27 +107,31 @@
     load: t.Mapping[str, float],
     runner: RunnerRoom,
     model: str,
-    spares_only: bool = False,
+    most: float,
 ) -> Option | None:
-    """Say what it would take to load a model at a runner; None where it cannot be."""
+    """Say what it would take to load a model at a runner; None where it cannot be.
+
+    :param most: last replicas may give way up to this demand, in tokens a second; none
+        may at 0.
+    """
     spec = board.given.models[model]
     if runner.engine != spec.engine or runner.name in board.hosts[model]:
         return None
-    if (model, spec.version) in runner.barred:
+    if (model, spec.version) in runner.barred or _waits(board, runner):
         return None
-    goes = _giving_way(board, runner, spec.memory_gb - board.free[runner.name], spares_only)
+    goes = _giving_way(board, runner, spec.memory_gb - board.free[runner.name], most)
     if goes is None:
         return None
     cost_s = runner.load_s.get(model, 0.0) + defaults.UNLOAD_S * len(goes)
     if runner.name in board.touched:
-        cost_s += defaults.RUNNER_BUSY_S
+        cost_s += runner.free_in_s
     cost_s += defaults.LOADED_RUNNER_S * load[runner.name] / max(runner.token_rate, 1e-9)
     lost = sum(board.given.demand.get(key[0], 0.0) for key, _ in goes)
     return Option(cost_s, lost, runner.name, goes)
 
 
 def _giving_way(
-    board: Board, runner: RunnerRoom, need_gb: float, spares_only: bool
+    board: Board, runner: RunnerRoom, need_gb: float, most: float
 ) -> tuple[tuple[Weights, float], ...] | None:
     """Choose replicas to unload, the least asked for first; None where too few may go."""
     goes: list[tuple[Weights, float]] = []
@@ -131,20 +149,19 @@
         spec = board.given.models.get(key[0])
         if spec is None or runner.name not in board.ready[key[0]]:
             continue
-        if board.spare(key[0]) or (not spares_only and _idle(board, key[0])):
+        last_may_go = most > 0 and demand.get(key[0], 0.0) <= most and _quick(board, key[0])
+        if board.spare(key[0]) or last_may_go:
             goes.append((key, spec.memory_gb))
             need_gb -= spec.memory_gb
     return tuple(goes) if need_gb <= 0 else None
 
 
-def _idle(board: Board, model: str) -> bool:
-    """Say whether a model's last replica may go: hardly asked for, and quick to return."""
-    if board.given.demand.get(model, 0.0) > defaults.IDLE_TOKENS_PER_S:
-        return False
-    times = [
-        runner.load_s.get(model, defaults.QUICK_LOAD_S + 1.0) for runner in board.given.runners
-    ]
-    return min(times) <= defaults.QUICK_LOAD_S
+def _quick(board: Board, model: str) -> bool:
+    """Say whether some runner can load a model quickly."""
+    never = defaults.QUICK_LOAD_S + 1.0
+    return any(
+        runner.load_s.get(model, never) <= defaults.QUICK_LOAD_S for runner in board.given.runners
+    )
 
 
 def _take(board: Board, model: str, option: Option, why: str) -> None:
@@ -169,7 +186,7 @@
             continue
         best: tuple[float, Option] | None = None
         for runner in board.open_to(model):
-            option = _consider(board, load, runner, model)
+            option = _consider(board, load, runner, model, 0.0)
             spare = runner.token_rate - load[runner.name]
             if option is None or spare <= 0:
                 continue
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -4,6 +4,9 @@
 FRAME_BYTES_MAX = 8 << 20
 HEADER_READ_S = 10.0
 CONNECT_S = 1.0
+# A box that is up takes a connection within some milliseconds (1 ms on the users'
+# sheets and 3 ms of way), so one that does not is left for another.
+RELAY_CONNECT_S = 0.4
 PLATFORM_CALL_S = 3.0
 ORDER_CALL_S = 2.0
 REPORT_CALL_S = 1.0
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -297,7 +297,7 @@
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
-            async with asyncio.timeout(defaults.CONNECT_S):
+            async with asyncio.timeout(defaults.RELAY_CONNECT_S):
                 _, made = await loop.create_connection(ClientConnection, host, int(port))
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -136,6 +136,7 @@
             route.rank,
             route.attempts,
             route.objective_s * core_defaults.PATIENCE_SHARE,
+            route.objective_s,
         ),
     )
 
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -186,9 +186,12 @@
 async def follow_lease(context: RelayContext, reach: Reach) -> None:
     """Read the lease object where this node may hold it."""
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
+    # The first look tells a node that was restarted whether the lease is still its own.
+    looked = False
     while True:
         context.lease_news.clear()
-        if not governing.may_hold(context.state) and not governing.holding(context.state):
+        concerned = governing.may_hold(context.state) or governing.holding(context.state)
+        if looked and not concerned:
             await _wait_news(context, defaults.LEASE_READ_S)
             continue
         answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
@@ -197,18 +200,31 @@
             case Success(Stored(_, version, value)):
                 epoch = int(value["epoch"])
                 nonce = str(value["nonce"])
-                context.submit(LeaseSeen(now, version, str(value["holder"]), epoch, nonce))
+                holder = _holder_of(context, value)
+                settled = bool(value.get("settled", False))
+                context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled))
             case Failure(PlatformMissing()):
                 context.submit(LeaseSeen(now, 0, "", 0, ""))
             case Failure(error):
                 reach.failed("read lease", error)
                 await back_off.pause()
                 continue
+        looked = True
         reach.answered()
         back_off.reset()
         await _wait_news(context, defaults.RELAY_LEASE_READ_S)
 
 
+def _holder_of(context: RelayContext, value: t.Any) -> str:
+    """Name the lease's holder; another box of this one's name is another holder."""
+    holder = str(value["holder"])
+    address = value.get("address", "")
+    own = context.state.identity
+    if holder == own.name and address != own.address:
+        return f"{holder}@{address}"
+    return holder
+
+
 async def _wait_news(context: RelayContext, most_s: float) -> None:
     """Wait until the lease may have been freed, or a time is over."""
     with contextlib.suppress(TimeoutError):
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -103,6 +103,8 @@
             core_defaults.RELAY_LEASE_TTL_S,
             core_defaults.RELAY_LEASE_RENEW_S,
             core_defaults.RELAY_LEASE_MARGIN_S,
+            core_defaults.TURN_GAP_S,
+            resumable=True,
         )
         pace = demand.Pace(
             core_defaults.RELAY_DEMAND_RISE_S,
@@ -295,6 +297,9 @@
         "holder": context.settings.name if effect.nonce else "",
         "epoch": effect.epoch,
         "nonce": effect.nonce,
+        "settled": effect.settled,
+        # A box that takes another's place may bear its name.
+        "address": context.settings.peer_address,
     }
 
     async def write() -> None:
