--- a/features/operations.feature
+++ b/features/operations.feature
@@ -55,3 +55,16 @@
   Scenario: the commands of the page on failed requests print what it shows
     When the commands of docs/OPERATIONS.md are typed
     Then each prints what stands below it
+
+  Scenario Outline: a request's story is read from the nodes' logs
+    When rookctl explains <id> from the kept excerpt of a day of trouble
+    Then it exits <code> and tells <told>
+
+    Examples: the three requests of docs/OPERATIONS.md, and one that is not there
+      | id               | code | told                                                        |
+      | b13a7a17079c8463 | 0    | refused-unknown after 4.09634 s: 502 endpoint_failed        |
+      | b13a7a17079c8463 | 0    | event=endpoint_gone level=info endpoint=i-bbbc44f258        |
+      | 1230da0a5b6b9322 | 0    | what="load noda452d0a"                                      |
+      | 1230da0a5b6b9322 | 0    | 503 absent: noda452d0a is on none of 5 endpoints            |
+      | 6b0724486ad9d410 | 0    | other attempts failed at i-303bab1ab7 within 5 s of it      |
+      | 0000000000000000 | 4    | no line of the log has this id                              |
--- a/features/steps/operation_steps.py
+++ b/features/steps/operation_steps.py
@@ -138,3 +138,24 @@
     assert len(context.typed) == 7, len(context.typed)
     for printed, shown in context.typed:
         assert printed == shown, (printed, shown)
+
+
+@when("rookctl explains {request_id} from the kept excerpt of a day of trouble")
+def explains(context, request_id):
+    command = [
+        str(pathlib.Path(sys.executable).parent / "rookctl"),
+        "explain",
+        request_id,
+        "--log",
+        "docs/excerpts/trouble.log",
+    ]
+    context.explained = subprocess.run(
+        command, cwd=ROOT, capture_output=True, text=True, check=False
+    )
+
+
+@then("it exits {code:d} and tells {told}")
+def exits_and_tells(context, code, told):
+    done = context.explained
+    assert done.returncode == code, (done.returncode, done.stderr)
+    assert told in done.stdout + done.stderr, done.stdout + done.stderr
--- a/packages/rookspring-ctl/src/rookspring_ctl/cli.py
+++ b/packages/rookspring-ctl/src/rookspring_ctl/cli.py
@@ -6,6 +6,7 @@
 
 import typer
 
+from . import timelines
 from .client import Server
 from .client import call
 from .documents import Document
@@ -248,12 +249,35 @@
 
 
 @app.command()
-def explain(context: typer.Context, subject: str) -> None:
+def explain(
+    context: typer.Context,
+    subject: str,
+    log: t.Annotated[
+        typer.FileText | None,
+        typer.Option(help="Read a request's story from logs of the nodes; - reads stdin."),
+    ] = None,
+) -> None:
     """Tell why a request was refused, or a model or an endpoint was changed."""
+    if log is not None:
+        _tell_story(log, subject)
+        return
     if not _explain(context.obj, subject):
         raise NotFound(f"{subject!r}: no node remembers a decision about it")
 
 
+def _tell_story(log: t.Iterable[str], request_id: str) -> None:
+    story = timelines.explain(log, request_id)
+    if story is None:
+        raise NotFound(f"{request_id!r}: no line of the log has this id")
+    for line in story.own:
+        typer.echo(line.text)
+    if story.related:
+        typer.echo("\nWhat may explain it:")
+    for line in story.related:
+        typer.echo(line.text)
+    typer.echo(f"\n{story.verdict}")
+
+
 def _explain(server: Server, subject: str) -> int:
     found: list[tuple[str, ...]] = []
     for address in _all_addresses(server):
