Tell of a lapsed lease; bound unread prompts for all; count late loads of undeclared models

(2) A request that had waited for most of its patience was let in beyond 4,096 unread tokens, up to 10,000, which makes every stream there pause for half a second. Change: a holder lets a lapsed lease go for good and says so in its heartbeat; the exception for pressing requests is gone; the largest declared model stands for one that is not. Two nodes and a killed holder on sockets.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -42,6 +42,9 @@
       | a model       | memory_mb            | 65100   |
       | an entry      | orders taken         | unknown |
       | an entry      | adapters             | m/a3    |
+      | an entry with copies | in memory     | m       |
+      | an entry with copies | on disk       | m,n     |
+      | an entry      | on disk              | none    |
       | a draining entry | leaving           | True    |
       | a report      | orders taken         | 2       |
       | a busy report | loading              | True    |
@@ -51,6 +54,26 @@
       | a request     | shared part          | 91bd3f06 |
       | a request with one part | shared part | 0      |
 
+  Scenario Outline: only what an endpoint says itself counts as not run
+    Given an answer with status <status> and <headers>
+    When it is judged for request r1 of endpoint i1
+    Then the verdict is <verdict>
+
+    Examples:
+      | status | headers                        | verdict                  |
+      | 200    | id r1                          | mine                     |
+      | 200    | id r2                          | foreign                  |
+      | 200    | no id                          | foreign                  |
+      | 503    | id r1, not-executed            | mine, not run            |
+      | 503    | id r1                          | mine                     |
+      | 500    | id r1                          | mine                     |
+      | 504    | id r1                          | mine                     |
+      | 429    | id r1, not-executed            | mine, not run            |
+      | 421    | id r1                          | mine, not run, absent    |
+      | 421    | id r1, instance i1             | mine, not run, absent    |
+      | 421    | id r1, instance i2             | mine, not run, elsewhere |
+      | 200    | id r1, closing                 | mine, leaving            |
+
   Scenario: no word of the platform stands outside its folder
     When the product's sources are searched for the platform's words
     Then none is found
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -89,6 +89,12 @@
       | its own box held and gave orders         | 0.0   | 0.0    |
       | its own box held and gave no orders yet  | 0.0   | 3.3    |
       | a box of its name held elsewhere         | 4.1   | 6.3    |
+      | another held and tells that it has ended | 0.0   | 3.3    |
+
+  Scenario: a lapsed lease is let go for good, whatever a late answer says
+    Given a lease holder over runners holding m, n of 200 GB
+    When its renewals get no answer for 5 s, and then one is answered late
+    Then it does not hold the lease and tells that the epoch has ended
 
   Scenario Outline: the lease is read by its holder, and by others once that is silent
     Given a relaying node that runs for 100 s beside nodes that run for 100 s
@@ -142,6 +148,44 @@
       | fenced      | load m/a1            |
       | other count | load m/a1            |
 
+  Scenario Outline: while an order is open or refused for its fence no other is given there
+    Given a lease holder over runners holding m, n of 200 GB
+    When an adapter of m is wanted and the answer is <answer>
+    And another adapter of m is wanted
+    Then just these orders were given: load m/a1
+
+    Examples:
+      | answer |
+      | none   |
+      | fenced |
+
+  Scenario: a model whose load got no answer keeps its room until it can come no more
+    Given a lease holder over runners holding m of 200 GB
+    When loads of a model of 80 GB get no answer, and one of 90 GB is asked for
+    Then that is loaded only after 12 s
+
+  Scenario Outline: a route table of an older version changes nothing
+    Given a relaying reducer that has route table 7
+    When route table <version> comes
+    Then its route table is <after>
+
+    Examples:
+      | version | after |
+      | 6       | 7     |
+      | 7       | 7     |
+      | 8       | 8     |
+
+  Scenario Outline: a leaving node begins nothing that could not end with it
+    Given a relaying node with three endpoints and 2 attempts for a safe route
+    When it was told to stop <ago> s ago and serves for 2.8 s more, and a request comes
+    Then the request is <begun>
+
+    Examples:
+      | ago | begun   |
+      | 0.1 | begun   |
+      | 2.7 | begun   |
+      | 2.9 | refused |
+
   Scenario: a late row of the list does not bring back what was unloaded
     Given a lease holder over runners holding m+a2+a3, n of 200 GB
     When an adapter of m is wanted and the answer is taken
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -150,6 +150,8 @@
     def __init__(self, held):
         self.runners = {}
         self.answer = "taken"
+        # Set to take the lease's writes instead of having them answered.
+        self.renewed = None
         self.carried = True
         names = {one for text in held for one in text.split("+")}
         super().__init__({name: mb for name, mb in SIZES.items() if name in names})
@@ -174,7 +176,9 @@
             self.submit(entry)
 
     def perform(self, effect):
-        if isinstance(effect, WriteLease):
+        if isinstance(effect, WriteLease) and self.renewed is not None:
+            self.renewed(effect)
+        elif isinstance(effect, WriteLease):
             self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
         elif isinstance(effect, ReadReport):
             runner = self.runners[effect.endpoint]
@@ -192,8 +196,8 @@
         runner = self.runners[order.endpoint]
         if self.answer == "none":
             return
-        if self.answer == "lost once":
-            self.answer = "taken"
+        if self.answer in ("lost once", "lost always"):
+            self.answer = "taken" if self.answer == "lost once" else self.answer
             self.submit(OrderAnswered(self.now, order.endpoint, order.token, None, "reset"))
             return
         if self.answer == "lost":
--- a/features/relay_stage.py
+++ b/features/relay_stage.py
@@ -86,6 +86,7 @@
 
     def __init__(self, scripts):
         self.store = ObjectPlatform()
+        self.others = []
         self.servers = [ModelServer(f"i{number}", script) for number, script in enumerate(scripts)]
 
     async def rise(self, version=5):
@@ -105,6 +106,28 @@
             await self.until(self.node.context.ready)
         return self
 
+    async def restart(self, **changed):
+        """Kill the node without a word to the store, and start another in its place."""
+        for task in list(self.node.context.tasks):
+            task.cancel()
+        await asyncio.gather(*self.node.context.tasks, return_exceptions=True)
+        for listener in self.node.listeners.values():
+            listener.stop_taking()
+        await self.node.peers.server.close()
+        await self.node.context.platform.close()
+        self.settings = self.settings._replace(**changed)
+        self.node = RelayNode(self.settings, PlatformDialect())
+        await self.node.start()
+        await self.until(self.node.context.ready)
+
+    async def add_node(self, **changed):
+        """Start another node beside it; it ends with the stage."""
+        node = RelayNode(self.settings._replace(**changed), PlatformDialect())
+        await node.start()
+        await self.until(node.context.ready)
+        self.others.append(node)
+        return node
+
     async def until(self, true, limit_s=5.0):
         end = time.monotonic() + limit_s
         while not true():
@@ -112,8 +135,9 @@
             await asyncio.sleep(0.01)
 
     async def close(self):
-        self.node.stopping.set()
-        await self.node.run_until_stopped()
+        for node in (self.node, *self.others):
+            node.stopping.set()
+            await node.run_until_stopped()
         for server in self.servers:
             await server.close()
         await self.served.close()
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -10,6 +10,7 @@
 from behave import when
 
 from rookspring.exceptions import SettingsError
+from rookspring.http_messages import HttpHead
 from rookspring.http_messages import HttpRequest
 from rookspring.platform import Stored
 from rookspring_platform import PlatformDialect
@@ -138,6 +139,9 @@
     "an engine": lambda: configuration._engine(ENGINE),
     "a model": lambda: configuration._model(MODEL),
     "an entry": decoded_entry,
+    "an entry with copies": lambda: decoded_entry(
+        available={"in-memory": ["m"], "on-disk": ["m", "n"]}
+    ),
     "a draining entry": lambda: decoded_entry(state="draining"),
     "a report": lambda: endpoints.read_report(REPORT, decoded_entry(), 2.0),
     "a busy report": lambda: endpoints.read_report(
@@ -150,6 +154,8 @@
 FIELDS = {
     "orders taken": lambda one: "unknown" if one.order_token[1] < 0 else one.order_token[1],
     "adapters": lambda one: ",".join(one.adapters),
+    "in memory": lambda one: ",".join(one.in_memory),
+    "on disk": lambda one: ",".join(one.on_disk) or "none",
     "loading": lambda one: bool(one.loading),
     "shared part": lambda one: f"{one.prefix:x}",
     "splits": lambda one: ",".join(f"{split.weight:g}" for split in one.splits),
@@ -243,3 +249,35 @@
             imports = rf"from \.{module} import|from \. import {module}\b"
             found = re.search(imports, path.read_text())
             assert not found or path.stem in allowed, path.name
+
+
+HEADERS = {
+    "id": b"X-Rookspring-Request-Id",
+    "instance": b"X-Rookspring-Instance-Id",
+    "not-executed": b"X-Rookspring-Not-Executed",
+    "closing": b"Connection",
+}
+
+
+@given("an answer with status {status:d} and {headers}")
+def an_answer(context, status, headers):
+    rows = []
+    for one in headers.split(", "):
+        name, _, value = one.partition(" ")
+        if name in HEADERS:
+            value = {"not-executed": "1", "closing": "close"}.get(name, value)
+            rows.append((HEADERS[name].lower(), value.encode()))
+    context.head = HttpHead(status, tuple(rows))
+
+
+@when("it is judged for request r1 of endpoint i1")
+def judged(context):
+    context.verdict = PlatformDialect().judge(context.head, "r1", "i1")
+
+
+@then("the verdict is {verdict}")
+def verdict_is(context, verdict):
+    got = context.verdict
+    names = ("mine", "not_run", "absent", "elsewhere", "leaving")
+    found = [name.replace("_", " ") for name in names if getattr(got, name)]
+    assert (", ".join(found) or "foreign") == verdict, got
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -1,6 +1,7 @@
 import asyncio
 import time
 
+import ports
 from behave import given
 from behave import then
 from behave import when
@@ -322,3 +323,94 @@
 
     context.loop.run(work())
     assert context.relay.node.context.state.window_terms.share == 0.1
+
+
+PEER_OFFSETS = (101, 102)
+
+
+@given("a second node beside it")
+def second_node(context):
+    stage = context.relay
+    base = ports.find_base()
+
+    async def work():
+        # The first one starts anew, at an address that the second can be told.
+        first = f"127.0.0.1:{base + PEER_OFFSETS[0]}"
+        second = f"127.0.0.1:{base + PEER_OFFSETS[1]}"
+        await stage.restart(peer_address=first)
+        context.second = await stage.add_node(name="n2", peer_address=second, seeds=(first,))
+        await stage.until(lambda: "n2" in stage.node.context.state.membership.peers)
+
+    context.loop.run(work())
+
+
+@when("the first one refuses a request whose prompt has a part of its own")
+def refuse_with_part(context):
+    stage = context.relay
+
+    async def work():
+        for server in stage.servers:
+            await stage.store.write("servers", server.name, None)
+        await stage.until(lambda: not stage.node.context.state.endpoints)
+        raw = request("safe").replace(b"Host:", b"X-Rookspring-Prefix-Hash: a1:9,b2:7\r\nHost:")
+        return await stage.ask(raw)
+
+    assert context.loop.run(work()).status == 503
+
+
+@then("the second one knows it within 1 s")
+def second_knows(context):
+    state = context.second.context.state
+
+    async def work():
+        known = state.refused.first_arrival
+        await context.relay.until(lambda: known(0xB2, time.monotonic()) is not None, 1.0)
+
+    context.loop.run(work())
+
+
+@given("it has held the lease and given orders")
+def held_lease(context):
+    stage = context.relay
+    base = ports.find_base()
+    context.peer_address = f"127.0.0.1:{base + PEER_OFFSETS[0]}"
+    context.other_address = f"127.0.0.1:{base + PEER_OFFSETS[1]}"
+
+    async def work():
+        await stage.restart(peer_address=context.peer_address)
+        lease = stage.node.context.state.control.lease
+        await stage.until(lambda: lease.own_epoch == 1)
+        # A renewal tells that it may give orders.
+        version = lease.version
+        await stage.until(lambda: lease.version > version)
+
+    context.loop.run(work())
+
+
+@when("it is killed and a node of its name {where} starts")
+def killed_and_started(context, where):
+    address = context.peer_address if where == "and address" else context.other_address
+    context.loop.run(context.relay.restart(peer_address=address))
+
+
+@then("that holds the lease within 2 s, in the next epoch, and may give orders")
+def goes_on(context):
+    control = context.relay.node.context.state.control
+
+    async def work():
+        await context.relay.until(lambda: control.lease.own_epoch == 2, 2.0)
+        assert control.lease.turn_at <= time.monotonic()
+
+    context.loop.run(work())
+
+
+@then("that does not hold the lease within 2 s")
+def does_not_hold(context):
+    lease = context.relay.node.context.state.control.lease
+
+    async def work():
+        await asyncio.sleep(2.0)
+        assert lease.holder.startswith("n1@"), lease.holder
+        assert lease.own_epoch == 0
+
+    context.loop.run(work())
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -14,6 +14,7 @@
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import DrainAsked
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import ModelWanted
@@ -178,6 +179,27 @@
     else:
         seen = LeaseSeen(100.0, 7, holder, 3, "old/1", "no orders" not in before)
     context.lease.see(seen, "n")
+    if before.endswith("has ended"):
+        context.lease.note_end(3, 100.0)
+
+
+@when("its renewals get no answer for 5 s, and then one is answered late")
+def renewals_unanswered(context):
+    holder = context.holder
+    nonces = []
+    holder.renewed = nonces.append
+    holder.pass_time(2.9)
+    late = nonces[-1]
+    holder.pass_time(2.1)
+    context.ended = holder.state.control.lease.ended
+    asked_at = holder.now - 1.0
+    holder.submit(LeaseWritten(holder.now, asked_at, late.nonce, True, late.version + 1))
+
+
+@then("it does not hold the lease and tells that the epoch has ended")
+def let_go(context):
+    assert context.ended == 1, context.ended
+    assert not context.holder.state.control.holding(context.holder.now)
 
 
 @when("a node looks at it and takes it as soon as it may")
@@ -299,6 +321,81 @@
     assert got[: max(1, len(wanted))] == wanted, got
 
 
+@then("just these orders were given: {expected}")
+def orders_are_just(context, expected):
+    got = [f"{one.action} {one.model_version or one.model}" for one in context.holder.orders]
+    assert got == expected.split(", "), got
+
+
+@when("loads of a model of 80 GB get no answer, and one of 90 GB is asked for")
+def loads_unanswered(context):
+    holder = context.holder
+    # By then the model that may come yet is not declared any more.
+    sizes = {"m": 70_000.0, "y": 90_000.0}
+    holder.answer = "lost always"
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes={"m": 70_000.0, "x": 80_000.0})))
+    for _ in range(20):
+        holder.demand("x", 5_000.0)
+        holder.pass_time(0.1)
+    assert holder.orders[0].model == "x", holder.orders
+    # From here on orders would be carried out; those of x may come yet.
+    for room in holder.state.residency.rooms.values():
+        room.order = None
+    holder.answer = "taken"
+    holder.orders.clear()
+    holder.submit(RouteTableSeen(holder.now, make_table(3, sizes=sizes)))
+    context.began = holder.now
+    while holder.now < context.began + 20.0:
+        holder.demand("y", 5_000.0)
+        holder.pass_time(0.1)
+        if any(one.model == "y" and one.action == "load" for one in holder.orders):
+            break
+    context.loaded_s = holder.now - context.began
+
+
+@then("that is loaded only after {seconds:g} s")
+def loaded_after(context, seconds):
+    assert seconds - 3.0 < context.loaded_s < seconds + 3.0, context.loaded_s
+
+
+@given("a relaying reducer that has route table {version:d}")
+def with_table(context, version):
+    context.relay_node = node = RelayHarness()
+    node.submit(RouteTableSeen(node.now, make_table(version)))
+
+
+@when("route table {version:d} comes")
+def table_comes(context, version):
+    node = context.relay_node
+    node.submit(RouteTableSeen(node.now, make_table(version)))
+
+
+@then("its route table is {version:d}")
+def version_in_force(context, version):
+    assert context.relay_node.state.revision == version
+
+
+@when("it was told to stop {ago:g} s ago and serves for {serve:g} s more, and a request comes")
+def told_to_stop(context, ago, serve):
+    node = context.relay_node
+    node.state.drain_serve_s = serve
+    # One request holds the node up, so that it does not end for having nothing to do.
+    node.ask(key="r0")
+    node.submit(DrainAsked(node.now))
+    node.now += ago
+    node.ask(key="r1")
+
+
+@then("the request is {end}")
+def begun_or_refused(context, end):
+    node = context.relay_node
+    sent = {one.request_id for one in node.sent}
+    refused = {one.request_id: one for one in node.refused}
+    assert ("r1" in sent) == (end == "begun"), (sent, refused)
+    if end == "refused":
+        assert refused["r1"].outcome == "not_run" and refused["r1"].retry_after_s > 0
+
+
 @when("the list tells again what the first runner held")
 def list_again(context):
     holder = context.holder
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -159,6 +159,7 @@
 def hear_peer(state: NodeState, event: PeerHeard) -> Effects:
     """Take another node's heartbeat."""
     fresh = state.membership.hear(event)
+    state.control.lease.note_end(event.lease_ended, event.at)
     if event.name in state.membership.peers:
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -219,9 +219,6 @@
 # read 4,096 of them in one step, and an event of a stream takes two steps: above about
 # 5,500 all streams there pause for longer than the 300 ms that callers bear.
 UNREAD_TOKENS_MAX = 4_096
-# A request that has waited for this share of its patience may go where more is unread.
-PRESSING_SHARE = 0.7
-UNREAD_TOKENS_PRESSING = 10_000
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
 # Nodes that may join, beside those that were seen, for parts of what all have together.
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -220,6 +220,7 @@
     demand: tuple[tuple[str, float], ...] = ()
     team_demand: tuple[tuple[str, float], ...] = ()
     lease_epoch: int = 0
+    lease_ended: int = 0
     inflight: tuple[tuple[str, int], ...] | None = ()
     up_s: float = 0.0
 
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -166,6 +166,14 @@
     return name in state.membership.relays(state.identity.data_centre)
 
 
+def forfeit_lapsed(state: NodeState) -> None:
+    """Let the lease go once it has lapsed, so that a successor need not wait it out."""
+    lease = state.control.lease
+    if lease.own_epoch and not lease.holding(state.now):
+        state.record("lease", f"epoch {lease.own_epoch} ended", "it could not be renewed in time")
+        lease.forfeit()
+
+
 def holder_heard(state: NodeState) -> bool:
     """Say whether another node has just told that it holds the lease."""
     return any(
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -54,6 +54,10 @@
         # From when on this node may give orders, once it holds the lease.
         self.turn_at = -1e9
         self._settled = False
+        # The epoch that this node has let go for good, having lapsed.
+        self.ended = 0
+        # The epoch that another holder told to have ended, and when that was heard.
+        self._end = (0, 0.0)
         self._count = 0
         self._pending: tuple[str, float, int] | None = None
         self._asked_at = -1e9
@@ -137,16 +141,33 @@
             return now
         if self._own(name):
             return now if self._settled else now + self.terms.gap_s
+        if self._end[0] == self.epoch:
+            return max(now, self._end[1] + self.terms.gap_s)
         if self.holder == "" or self.changed_at is None:
             return now + self.terms.gap_s
         last_act = self.changed_at + self.terms.ttl_s - self.terms.margin_s
         return max(now, last_act + self.terms.gap_s)
 
     def _free(self, now: float) -> bool:
-        if self.holder == "":
+        if self.holder == "" or self._end[0] == self.epoch:
             return True
         return self.changed_at is not None and now - self.changed_at > self.terms.ttl_s
 
+    def forfeit(self) -> None:
+        """Let a lapsed lease go for good, so that others may be told that it has ended.
+
+        A renewal that is answered late does not bring its epoch back.
+        """
+        self.ended = self.own_epoch
+        self.own_epoch = 0
+        self.held_until = -1e9
+        self._pending = None
+
+    def note_end(self, epoch: int, at: float) -> None:
+        """Take another holder's word that its epoch has ended; it acts in it no more."""
+        if epoch > self._end[0]:
+            self._end = (epoch, at)
+
     def give_up(self) -> LeaseWish | None:
         """Free the lease at a planned stop, so that no time-out has to pass."""
         if self.held_until < 0:
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -56,6 +56,7 @@
     """Do whatever is due at a tick: the lease, then orders."""
     control = state.control
     control.meter.roll(passed)
+    governing.forfeit_lapsed(state)
     effects: Effects = [] if state.leaving else governing.lease_due(state)
     if not governing.holding(state) or state.leaving:
         return effects
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -113,11 +113,17 @@
 
 
 def doubted_mb(engine: EngineSize, room: Room, now: float, but: str) -> float:
-    """Give the memory that loads without an answer may take yet, in megabytes."""
+    """Give the memory that loads without an answer may take yet, in megabytes.
+
+    A model that is not declared any more counts as the largest that is.
+    """
+    largest = max((one.memory_mb for one in engine.models.values()), default=0.0)
     total = 0.0
     for order in list_doubts(room, now, but):
         size = engine.models.get(order.model)
-        if size is not None:
+        if size is None:
+            total += largest
+        else:
             total += size.adapter_mb if order.adapter else size.memory_mb
     return total
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -111,7 +111,7 @@
     """List the endpoints that may get a request now.
 
     Long prompts that an endpoint reads at once make pauses in all its streams, so one
-    with much unread gets no more while there is patience. Where every endpoint that
+    with much unread gets no more. Where every endpoint that
     holds the model is ejected, those are better than none.
     """
     arrived = request.arrived
@@ -128,11 +128,8 @@
     ready = [one for one in ready if one.load(state.now) < 1.0]
     if arrived.service:
         return ready
-    waited = state.now - arrived.at
-    pressing = waited > arrived.route.patience_s * defaults.PRESSING_SHARE
-    most = defaults.UNREAD_TOKENS_PRESSING if pressing else defaults.UNREAD_TOKENS_MAX
     work = _prompt_work(state, arrived)
-    return [one for one in ready if _takes(one, work, most)]
+    return [one for one in ready if _takes(one, work)]
 
 
 def _prompt_work(state: NodeState, arrived: RequestArrived) -> int:
@@ -140,9 +137,9 @@
     return round(arrived.prompt_tokens * state.paces.relative(arrived.target))
 
 
-def _takes(endpoint: EndpointView, tokens: int, most: int) -> bool:
+def _takes(endpoint: EndpointView, tokens: int) -> bool:
     unread = endpoint.unread()
-    return unread == 0 or unread + tokens <= most
+    return unread == 0 or unread + tokens <= defaults.UNREAD_TOKENS_MAX
 
 
 def begin_prompt(state: NodeState, request: RequestState, endpoint: EndpointView) -> list[Effect]:
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -55,7 +55,8 @@
 class Heartbeat(t.NamedTuple):
     """What a node says of itself; ``inflight`` is None where its rows are left out.
 
-    ``up_s`` is how long it has run, in seconds.
+    ``up_s`` is how long it has run, in seconds. ``lease_ended`` is the last epoch of the
+    lease that it held and that has lapsed.
     """
 
     name: str
@@ -70,6 +71,7 @@
     lease_epoch: int
     inflight: list[t.Any] | None
     up_s: float = 0.0
+    lease_ended: int = 0
 
 
 @message("reports")
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -174,4 +174,5 @@
         events=exchange.events,
         pause_s=exchange.pause_s,
         model=exchange.ask.model,
+        adapter=exchange.ask.adapter,
     )
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -187,6 +187,7 @@
         lease_epoch=state.control.acting_epoch if state.control.holding(time.monotonic()) else 0,
         inflight=[list(row) for row in cluster.inflight_rows(state)],
         up_s=time.monotonic() - state.started_at,
+        lease_ended=state.control.lease.ended,
     )
 
 
@@ -208,9 +209,10 @@
             lease_epoch=beat.lease_epoch,
             inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight or ()),
             up_s=float(beat.up_s),
+            lease_ended=int(beat.lease_ended),
         )
     )
-    if beat.leaving:
+    if beat.leaving or beat.lease_ended == peers.context.state.control.lease.epoch > 0:
         peers.context.lease_news.set()
     peers.learn([(beat.name, beat.address, beat.data_centre)])
     peers.want_table(link, beat.revision)
