Withdraw adapters that are in use before they are unloaded; judge last copies by what is asked

Change: heartbeats tell the adapters in use; one that nobody uses makes room, else the least asked for is withdrawn and unloaded once its last request has ended; last copies give way by tokens asked for; what a lost order may bring, and withdrawn adapters, count as held.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -12,6 +12,7 @@
 
 from behave.__main__ import main as behave
 
+from rookspring_core import attaching
 from rookspring_core import cluster
 from rookspring_core import governing
 from rookspring_core import residency
@@ -60,6 +61,10 @@
     return 0.0
 
 
+def _nobody(state: t.Any) -> set[t.Any]:
+    return set()
+
+
 def _as_told(state: t.Any, view: t.Any, event: t.Any) -> t.Any:
     return event
 
@@ -105,9 +110,10 @@
     Mutant("takes an older table", "never reverts", cluster, "take_table", _older_table),
     Mutant("orders without a gap", "one holder", Lease, "_next_turn", _at_once),
     Mutant("takes a lease that is held", "one holder", Lease, "_own", _always),
-    Mutant("orders one upon another", "memory", residency, "_usable", _free_though_ordered),
+    Mutant("orders one upon another", "memory", attaching, "usable", _free_though_ordered),
     Mutant("forgets late orders", "memory", residency, "doubted_mb", _zero),
-    Mutant("forgets late adapters", "memory", residency, "doubted_places", _zero),
+    Mutant("forgets late adapters", "memory", attaching, "doubted_places", _zero),
+    Mutant("unloads what is in use", "attainment", attaching, "used_adapters", _nobody),
     Mutant("counts no memory", "memory", residency, "used_mb", _zero),
     Mutant("spends no store rate", "load ceiling", residency, "from_store", _never),
     Mutant("drops a last far copy", "reachable", swapping, "_quick", _always),
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -148,6 +148,27 @@
       | fenced      | load m/a1            |
       | other count | load m/a1            |
 
+  Scenario Outline: an adapter that is in use is withdrawn, and unloaded once nobody uses it
+    Given a lease holder over runners holding m+a2+a3, n of 200 GB
+    And its adapters are in use <where>
+    When an adapter of m is wanted for 1 s
+    Then no order is given, and a new request for m/a2 finds it nowhere
+    When the requests for it end
+    And an adapter of m is wanted for 2 s
+    Then the orders are unload m/a2, load m/a1
+
+    Examples:
+      | where           |
+      | here            |
+      | at another node |
+
+  Scenario: an adapter that was withdrawn is taken back when it is wanted
+    Given a lease holder over runners holding m+a2+a3, n of 200 GB
+    And its adapters are in use here
+    When an adapter of m is wanted for 1 s
+    And the adapter that was withdrawn is wanted
+    Then a new request for it is sent there
+
   Scenario Outline: while an order is open or refused for its fence no other is given there
     Given a lease holder over runners holding m, n of 200 GB
     When an adapter of m is wanted and the answer is <answer>
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -273,6 +273,66 @@
     want(context.holder, "a1")
 
 
+@given("its adapters are in use {where}")
+def adapters_in_use(context, where):
+    holder = context.holder
+    if where == "here":
+        for name in ("a2", "a3"):
+            holder.ask(model="m", adapter=f"m/{name}", key=f"r-{name}")
+        assert len(holder.sent) == 2
+        return
+    context.peer = PeerHeard(holder.now, "p0", "i", "a", "c", "z", 1, False)
+    beat(context, (("e1", "m/a2"), ("e1", "m/a3")))
+
+
+def beat(context, used):
+    holder = context.holder
+    holder.submit(context.peer._replace(at=holder.now, used=used))
+
+
+@when("an adapter of m is wanted for {seconds:g} s")
+def wanted_for(context, seconds):
+    holder = context.holder
+    for _ in range(round(seconds / 0.1)):
+        want(holder, "a1")
+        holder.pass_time(0.1)
+        # What runs goes on, so that its runner is not taken for silent.
+        for one in list(holder.state.requests.values()):
+            if one.running:
+                key = (one.arrived.request_id, one.attempt)
+                holder.submit(AttemptProgressed(holder.now, *key, 1))
+
+
+@then("no order is given, and a new request for m/a2 finds it nowhere")
+def withdrawn(context):
+    holder = context.holder
+    assert not holder.orders, holder.orders
+    assert not holder.state.endpoints["e1"].has_adapter("m/a2")
+    assert holder.state.endpoints["e1"].has_adapter("m/a3")
+
+
+@when("the requests for it end")
+def requests_end(context):
+    holder = context.holder
+    if "r-a2" in holder.state.requests:
+        holder.submit(AttemptSucceeded(holder.now, "r-a2", 1))
+    else:
+        beat(context, (("e1", "m/a3"),))
+
+
+@when("the adapter that was withdrawn is wanted")
+def withdrawn_wanted(context):
+    want(context.holder, "a2")
+
+
+@then("a new request for it is sent there")
+def sent_there(context):
+    holder = context.holder
+    holder.ask(model="m", adapter="m/a2", key="again")
+    assert holder.sent[-1].request_id == "again"
+    assert not holder.orders
+
+
 @when("an order for an adapter is answered {answer}, and {then}")
 def adapter_wanted_then(context, answer, then):
     holder = context.holder
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -61,8 +61,11 @@
         for name, gb in MODELS.items()
         if name in named
     }
-    levels = {model: float(rate) for model, rate in wishes.items()}
-    given_ = placement.PlanInput(models, context.runners, levels, PolicySpec())
+    # RATE/TIMES is what a model asks for as work, and how many times that it is in tokens.
+    parts = {model: rate.partition("/") for model, rate in wishes.items()}
+    levels = {model: float(part[0]) for model, part in parts.items()}
+    asked = {model: float(part[0]) * float(part[2] or 1) for model, part in parts.items()}
+    given_ = placement.PlanInput(models, context.runners, levels, PolicySpec(), asked)
     context.moves = placement.find_placement("swap")(given_)
 
 
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -19,6 +19,11 @@
       | e1[m] e2[n; disk o; busy 9]        | o 1000          | load o e1                |
       | e1[big; disk o] e2[big; disk o]    | o 9, big 900    | unload big e1            |
 
+    Examples: fast models are little work (a tenth here), and as much missed as others
+      | runners                            | demand                   | moves                    |
+      | e1[m,n; disk m,n,big]              | big 1000, m 50/10        | none                     |
+      | e1[m,n; disk m,n,big]              | big 1000, m 5/10         | unload n e1, unload m e1 |
+
     Examples: what gives way is what is missed least
       | runners                                     | demand               | moves        |
       | e1[big; disk o] e2[m,n] e3[big]             | o 9, big 90          | unload big e1 |
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -0,0 +1,137 @@
+"""Adapters come on demand: attached where a request waits for one, in a place that is free.
+
+Where all places are taken, one that no request uses makes room, at once. If all are in
+use, the least asked for is withdrawn from new requests first and unloaded once the last
+of its requests has ended: an unload that waits would hold up every other order there.
+"""
+
+from . import defaults
+from .effects import Effect
+from .endpoints import EndpointView
+from .orders import adapters_at
+from .orders import engine_of
+from .orders import give_order
+from .orders import put_report
+from .orders import settled
+from .orders import usable
+from .orders import withdraw
+from .rooms import Room
+from .rooms import doubted_mb
+from .rooms import doubted_places
+from .rooms import used_mb
+from .rooms import withdrawn_mb
+from .rooms import without
+from .state import NodeState
+
+Effects = list[Effect]
+
+
+def serve_wants(state: NodeState) -> Effects:
+    """Order the adapters that requests wait for; models are the planner's."""
+    if not settled(state):
+        return []
+    effects: Effects = []
+    for want, at in list(state.residency.wanted.items()):
+        _, model, adapter = want
+        if state.now - at > defaults.WANT_LIFE_S or not adapter:
+            if state.now - at > defaults.WANT_LIFE_S:
+                del state.residency.wanted[want]
+            continue
+        hosts = [one for one in state.hosts.get(model, {}).values() if one.service == want[0]]
+        if any(one.has_adapter(adapter) and one.open_for_work(state.now) for one in hosts):
+            del state.residency.wanted[want]
+            continue
+        if _under_way(state, adapter):
+            continue
+        effects += _attach(state, [one for one in hosts if usable(state, one)], model, adapter)
+    return effects
+
+
+def _under_way(state: NodeState, adapter: str) -> bool:
+    return any(
+        room.order is not None and room.order.action == "load" and room.order.adapter == adapter
+        for room in state.residency.rooms.values()
+    )
+
+
+def _attach(state: NodeState, hosts: list[EndpointView], model: str, adapter: str) -> Effects:
+    """Load an adapter where the fewest are, making a place where all are taken."""
+    if not hosts:
+        return []
+    view = min(hosts, key=lambda one: (len(adapters_at(one)), one.load(state.now), one.name))
+    engine = engine_of(state, view)
+    if engine is None or view.report is None or model not in engine.models:
+        return []
+    room = state.residency.rooms[view.name]
+    if adapter in room.withdrawn:
+        return _take_back(state, view, room, adapter)
+    size = engine.models[model]
+    used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, adapter)
+    used += withdrawn_mb(engine, room)
+    places = len(adapters_at(view)) + doubted_places(room, state.now, adapter)
+    places += len(room.withdrawn)
+    if used + size.adapter_mb <= engine.memory_mb and places < engine.adapters_max:
+        return [give_order(state, view, "load", model, adapter)]
+    return _make_place(state, view, room)
+
+
+def _make_place(state: NodeState, view: EndpointView, room: Room) -> Effects:
+    """Unload the least asked for that nobody uses, or withdraw one that is in use."""
+    levels = state.control.forecast.levels
+    ranked = sorted(adapters_at(view), key=lambda one: (levels.get(one, 0.0), one))
+    in_use = used_adapters(state)
+    for adapter in ranked:
+        if (view.name, adapter) not in in_use:
+            return withdraw(state, view, adapter.partition("/")[0], adapter)
+    waiting = sum(1 for _, _, adapter in state.residency.wanted if adapter)
+    most = min(defaults.WITHDRAWN_MAX, waiting)
+    if not ranked or view.report is None or len(room.withdrawn) >= most:
+        return []
+    adapter = ranked[0]
+    room.withdrawn[adapter] = state.now
+    state.record(view.name, f"withdraw {adapter}", "all places are in use")
+    return [put_report(state, view, without(view.report, adapter.partition("/")[0], adapter))]
+
+
+def _take_back(state: NodeState, view: EndpointView, room: Room, adapter: str) -> Effects:
+    """Let requests use an adapter again that was withdrawn and is there yet."""
+    del room.withdrawn[adapter]
+    assert view.report is not None
+    report = view.report._replace(adapters=(*view.report.adapters, adapter))
+    return [put_report(state, view, report)]
+
+
+def unload_withdrawn(state: NodeState) -> Effects:
+    """Unload what was withdrawn and is used by nobody any more."""
+    effects: Effects = []
+    in_use = used_adapters(state)
+    for name, room in state.residency.rooms.items():
+        view = state.endpoints.get(name)
+        if view is None or not room.withdrawn or not usable(state, view):
+            continue
+        for adapter, since in room.withdrawn.items():
+            told = state.now - since >= defaults.WITHDRAWN_TOLD_S
+            if told and (name, adapter) not in in_use:
+                model = adapter.partition("/")[0]
+                effects.append(give_order(state, view, "unload", model, adapter))
+                break
+    return effects
+
+
+def used_rows(state: NodeState) -> tuple[tuple[str, str], ...]:
+    """Give the adapters that this node's requests use, each with its endpoint."""
+    return tuple(
+        {
+            (one.endpoint, one.arrived.adapter)
+            for one in state.requests.values()
+            if one.running and one.arrived.adapter
+        }
+    )
+
+
+def used_adapters(state: NodeState) -> set[tuple[str, str]]:
+    """Give the adapters that any node's requests use, as far as heartbeats tell."""
+    in_use = set(used_rows(state))
+    for rows in state.control.peer_used.values():
+        in_use.update(rows)
+    return in_use
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -51,6 +51,7 @@
     state.limits.lose(name)
     state.peers_work.forget_prompts(name)
     state.control.peer_demand.pop(name, None)
+    state.control.peer_used.pop(name, None)
     state.peers_work.replace(name, (), state.peers_work.at)
 
 
@@ -163,6 +164,7 @@
     if event.name in state.membership.peers:
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
+        state.control.peer_used[event.name] = event.used
         heard = [
             peer.heard_at if peer.heard.inflight is not None else -1e9
             for peer in state.membership.peers.values()
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -63,6 +63,8 @@
         self.meter = DemandMeter()
         self.forecast = Forecast()
         self.peer_demand: dict[str, dict[str, float]] = {}
+        # Adapters that other nodes' requests use, each with its endpoint, by node.
+        self.peer_used: dict[str, tuple[tuple[str, str], ...]] = {}
         self.store = StoreBudget()
         self.acquired_at = -1e9
         self.acting_epoch = 0
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -196,6 +196,11 @@
 PACE_LEAST = 0.05
 # How far above its even part of the demand a runner may be planned.
 EVEN_MARGIN = 1.2
+# Adapters of one endpoint that may wait at once for their last requests to end; and how
+# long after a withdrawal all nodes have heard of it and of each other's requests there:
+# a heartbeat of 0.4 s and some way.
+WITHDRAWN_MAX = 3
+WITHDRAWN_TOLD_S = 0.6
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
 ADAPTER_LOAD_S = 0.025
 # The lease of relay nodes: an order-giver that dies is replaced within some seven
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -221,6 +221,7 @@
     team_demand: tuple[tuple[str, float], ...] = ()
     lease_epoch: int = 0
     lease_ended: int = 0
+    used: tuple[tuple[str, str], ...] = ()
     inflight: tuple[tuple[str, int], ...] | None = ()
     up_s: float = 0.0
 
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -62,12 +62,21 @@
 
 
 class PlanInput(t.NamedTuple):
-    """All that a placement policy may know."""
+    """All that a placement policy may know.
+
+    :param demand: work asked for by model, in tokens a second of the slowest model.
+    :param asked: tokens a second by model, whatever its pace; empty where that is the same.
+    """
 
     models: t.Mapping[str, ModelSpec]
     runners: tuple[RunnerRoom, ...]
     demand: t.Mapping[str, float]
     policy: PolicySpec
+    asked: t.Mapping[str, float] = types.MappingProxyType({})
+
+    def asked_for(self, model: str) -> float:
+        """Give how much callers ask of a model, in tokens a second."""
+        return self.asked.get(model, self.demand.get(model, 0.0))
 
 
 Planner = t.Callable[[PlanInput], list[Move]]
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -8,6 +8,7 @@
 
 import math
 
+from . import attaching
 from . import defaults
 from . import governing
 from . import ordering
@@ -19,23 +20,29 @@
 from .effects import ReadReport
 from .effects import Remind
 from .effects import SendOrder
-from .effects import ShareReport
 from .endpoints import EndpointView
 from .events import EndpointReported
 from .events import ModelWanted
 from .events import OrderAnswered
 from .events import OrderDue
+from .orders import adapters_at
+from .orders import engine_of
+from .orders import give_order
+from .orders import put_report
+from .orders import settled
+from .orders import usable
+from .orders import withdraw
 from .reducer import handles
 from .resources import ModelSpec
 from .resources import PolicySpec
 from .rooms import Order
 from .rooms import Room
 from .rooms import doubted_mb
-from .rooms import doubted_places
 from .rooms import from_store
 from .rooms import load_time_s
 from .rooms import still_there
 from .rooms import used_mb
+from .rooms import withdrawn_mb
 from .rooms import without
 from .routes import EngineSize
 from .state import NodeState
@@ -49,7 +56,7 @@
     if not governing.holding(state):
         return []
     state.residency.wanted[(event.service, event.model, event.adapter)] = event.at
-    return _serve_wants(state)
+    return attaching.serve_wants(state)
 
 
 def steer(state: NodeState, passed: float) -> Effects:
@@ -62,20 +69,16 @@
         return effects
     governing.sum_demand(state, passed)
     effects += _survey(state)
-    if not _settled(state):
+    if not settled(state):
         return effects
-    effects += _serve_wants(state)
+    effects += attaching.serve_wants(state)
+    effects += attaching.unload_withdrawn(state)
     if state.now - state.residency.planned_at >= defaults.RELAY_PLAN_INTERVAL_S:
         state.residency.planned_at = state.now
         effects += _plan(state)
     return effects
 
 
-def _settled(state: NodeState) -> bool:
-    """Say whether orders of the holder before lie far enough back."""
-    return state.now >= state.control.lease.turn_at
-
-
 def _survey(state: NodeState) -> Effects:
     """Read the report of each runner that is new, or whose order's end is not known."""
     residency = state.residency
@@ -123,10 +126,20 @@
 
 def _settle(state: NodeState, room: Room) -> None:
     """An order is over; what it made room for is planned at the next tick."""
+    order = room.order
+    if order is not None and order.action == "unload":
+        # A model takes its adapters with it.
+        gone = {order.adapter} if order.adapter else _adapters_of(room, order.model)
+        for adapter in gone:
+            room.withdrawn.pop(adapter, None)
     room.order = None
     state.residency.planned_at = -1e9
 
 
+def _adapters_of(room: Room, model: str) -> set[str]:
+    return {adapter for adapter in room.withdrawn if adapter.startswith(f"{model}/")}
+
+
 def refine(state: NodeState, view: EndpointView, event: EndpointReported) -> EndpointReported:
     """Complete a report by what only this node, or the endpoint itself, can know.
 
@@ -143,127 +156,24 @@
             order_token=known.order_token,
         )
     room = state.residency.rooms.get(view.name)
+    for adapter in room.withdrawn if room else ():
+        event = without(event, adapter.partition("/")[0], adapter)
     order = room.order if room else None
     if order is None or order.action != "unload":
         return event
     return without(event, order.model, order.adapter)
 
 
-def _usable(state: NodeState, view: EndpointView) -> bool:
-    room = state.residency.rooms.get(view.name)
-    return (
-        room is not None
-        and room.trusted
-        and room.order is None
-        and view.report is not None
-        and view.report.order_token[1] >= 0
-        and not view.report.loading
-        and view.open_for_work(state.now)
-    )
-
-
-def _engine(state: NodeState, view: EndpointView) -> EngineSize | None:
-    if state.table is None:
-        return None
-    size = state.table.services.get(view.service)
-    return size.engine if size else None
-
-
 def promised_mb(state: NodeState, order: SendOrder) -> tuple[float, float]:
     """Give what an endpoint would hold after a load, and what it can, in megabytes."""
     view = state.endpoints[order.endpoint]
-    engine = _engine(state, view)
+    engine = engine_of(state, view)
     assert engine is not None and view.report is not None
     size = engine.models[order.model]
     more = size.adapter_mb if order.model_version else size.memory_mb
-    return used_mb(engine, view.report) + more, engine.memory_mb
-
-
-def _serve_wants(state: NodeState) -> Effects:
-    """Order the adapters that requests wait for; models are the planner's."""
-    if not _settled(state):
-        return []
-    effects: Effects = []
-    for want, at in list(state.residency.wanted.items()):
-        _, model, adapter = want
-        if state.now - at > defaults.WANT_LIFE_S or not adapter:
-            if state.now - at > defaults.WANT_LIFE_S:
-                del state.residency.wanted[want]
-            continue
-        hosts = [one for one in state.hosts.get(model, {}).values() if one.service == want[0]]
-        if any(one.has_adapter(adapter) and one.open_for_work(state.now) for one in hosts):
-            del state.residency.wanted[want]
-            continue
-        if _under_way(state, adapter):
-            continue
-        effects += _attach(state, [one for one in hosts if _usable(state, one)], model, adapter)
-    return effects
-
-
-def _under_way(state: NodeState, adapter: str) -> bool:
-    return any(
-        room.order is not None and room.order.action == "load" and room.order.adapter == adapter
-        for room in state.residency.rooms.values()
-    )
-
-
-def _attach(state: NodeState, hosts: list[EndpointView], model: str, adapter: str) -> Effects:
-    """Load an adapter where the fewest are, making a place where all are taken."""
-    if not hosts:
-        return []
-    view = min(hosts, key=lambda one: (len(_adapters(one)), one.load(state.now), one.name))
-    engine = _engine(state, view)
-    if engine is None or view.report is None or model not in engine.models:
-        return []
-    need_mb = engine.models[model].adapter_mb
     room = state.residency.rooms[view.name]
-    used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, adapter)
-    places = len(_adapters(view)) + doubted_places(room, state.now, adapter)
-    if used + need_mb <= engine.memory_mb and places < engine.adapters_max:
-        return [_order(state, view, "load", model, adapter)]
-    idle = _least_used(state, view)
-    if idle is None:
-        return []
-    return _withdraw(state, view, idle.partition("/")[0], idle)
-
-
-def _adapters(view: EndpointView) -> tuple[str, ...]:
-    return view.report.adapters if view.report else ()
-
-
-def _least_used(state: NodeState, view: EndpointView) -> str | None:
-    """Give the adapter there that was asked for least; None where all are in use."""
-    levels = state.control.forecast.levels
-    ranked = sorted(_adapters(view), key=lambda one: (levels.get(one, 0.0), one))
-    return ranked[0] if ranked else None
-
-
-def _order(state: NodeState, view: EndpointView, action: str, model: str, adapter: str) -> Effect:
-    assert view.report is not None
-    count = view.report.order_token[1]
-    room = state.residency.rooms[view.name]
-    room.order = Order(action, model, adapter, count, state.now)
-    room.asked_at = state.now
-    token = (state.control.acting_epoch, count)
-    return SendOrder(view.name, view.address, token, action, model, adapter)
-
-
-def _withdraw(state: NodeState, view: EndpointView, model: str, adapter: str) -> Effects:
-    """Unload, once no node sends requests for it there any more."""
-    assert view.report is not None
-    order = _order(state, view, "unload", model, adapter)
-    return [_put(state, view, without(view.report, model, adapter)), order]
-
-
-def _put(state: NodeState, view: EndpointView, report: EndpointReported) -> Effect:
-    """Take what this holder knows to be true of an endpoint, and share it."""
-    before = view.targets()
-    # What this holder knows goes before any report that came at the same moment.
-    at = max(state.now, view.reported_at + defaults.CLOCK_STEP_S)
-    view.take_report(report._replace(at=at, age_s=0.0, own=False))
-    state.index(view, before, view.targets())
-    assert view.report is not None
-    return ShareReport(view.report)
+    held = used_mb(engine, view.report) + withdrawn_mb(engine, room)
+    return held + more, engine.memory_mb
 
 
 @handles(OrderAnswered)
@@ -319,12 +229,14 @@
     if view.report is None:
         return []
     room.order = None
+    if order.action == "unload":
+        room.withdrawn.pop(order.adapter, None)
     report = without(view.report, order.model, order.adapter)
     if order.action == "load":
         report = report._replace(adapters=(*report.adapters, order.adapter))
     report = report._replace(order_token=(0, order.taken_before + 1))
-    effects: Effects = [_put(state, view, report)]
-    effects += _serve_wants(state)
+    effects: Effects = [put_report(state, view, report)]
+    effects += attaching.serve_wants(state)
     return effects + requests.pump(state)
 
 
@@ -354,7 +266,9 @@
     policy = PolicySpec(loads_per_s=max(0.1, engine.loads_per_s))
     store = state.control.store
     store.refill(state.now, engine.loads_per_s * defaults.STORE_RATE_SHARE)
-    given = placement.PlanInput(models, rooms, levels, policy)
+    # A fast model is little work, but its callers miss it as much as those of another.
+    asked = {name: level / state.paces.relative(name) for name, level in levels.items()}
+    given = placement.PlanInput(models, rooms, levels, policy, asked)
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
         effects += _move(state, engine, move)
@@ -381,6 +295,8 @@
     )
     resident = {(name, "") for name, _ in view.report.resident}
     free_mb = engine.memory_mb - used_mb(engine, view.report) - _adapter_reserve_mb(engine, view)
+    # What a lost order may bring yet is not there to be given away.
+    free_mb -= doubted_mb(engine, room, state.now, "") + withdrawn_mb(engine, room)
     if order is not None and order.action == "load" and not order.adapter:
         free_mb -= engine.models[order.model].memory_mb
     return placement.RunnerRoom(
@@ -391,7 +307,7 @@
         token_rate=token_rate,
         resident=frozenset(resident),
         coming=frozenset(coming),
-        busy=not _usable(state, view),
+        busy=not usable(state, view),
         load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
         free_in_s=_free_in_s(state, engine, view),
         room_for=room.room_for,
@@ -413,18 +329,19 @@
 def _adapter_reserve_mb(engine: EngineSize, view: EndpointView) -> float:
     """Keep memory for as many adapters as a runner may hold, beside those it has."""
     largest = max((one.adapter_mb for one in engine.models.values()), default=0.0)
-    return largest * max(0, engine.adapters_max - len(_adapters(view)))
+    return largest * max(0, engine.adapters_max - len(adapters_at(view)))
 
 
 def _move(state: NodeState, engine: EngineSize, move: placement.Move) -> Effects:
     view = state.endpoints[move.endpoint]
     model = move.key[0]
-    if not _usable(state, view) or view.report is None:
+    if not usable(state, view) or view.report is None:
         return []
     if move.action == "load":
         size = engine.models[model]
         room = state.residency.rooms[view.name]
         used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, model)
+        used += withdrawn_mb(engine, room)
         if used + size.memory_mb > engine.memory_mb:
             state.record(view.name, f"cannot load {model}", "a lost order may take its room yet")
             return []
@@ -432,7 +349,7 @@
             return []
         state.record(view.name, f"load {model}", move.why)
         room.room_for = ""
-        return [_order(state, view, "load", model, "")]
+        return [give_order(state, view, "load", model, "")]
     others = [
         one
         for one in state.hosts.get(model, {}).values()
@@ -443,4 +360,4 @@
         return []
     state.record(view.name, f"unload {model}", move.why)
     state.residency.rooms[view.name].room_for = move.room_for
-    return _withdraw(state, view, model, "")
+    return withdraw(state, view, model, "")
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -31,13 +31,16 @@
     :param trusted: its own report was read under this lease.
     :param room_for: the model that the last unload made room for; it has the first call
         on that room.
+    :param withdrawn: adapters that no new request may use, and since when; each is
+        unloaded once its last request has ended.
     """
 
-    __slots__ = ("asked_at", "doubts", "order", "room_for", "trusted")
+    __slots__ = ("asked_at", "doubts", "order", "room_for", "trusted", "withdrawn")
 
     def __init__(self) -> None:
         self.trusted = False
         self.room_for = ""
+        self.withdrawn: dict[str, float] = {}
         self.order: Order | None = None
         self.asked_at = -1e9
         # Loads that got no answer and may be carried out yet.
@@ -89,6 +92,12 @@
     return total
 
 
+def withdrawn_mb(engine: EngineSize, room: Room) -> float:
+    """Give the memory of adapters that are there yet, though no new request uses them."""
+    sizes = [engine.models.get(adapter.partition("/")[0]) for adapter in room.withdrawn]
+    return sum(size.adapter_mb for size in sizes if size is not None)
+
+
 def from_store(size: ModelSize, report: EndpointReported) -> bool:
     """Say whether an endpoint would fetch a model from the weight store."""
     return size.name not in report.in_memory and size.name not in report.on_disk
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -82,7 +82,7 @@
     then nothing is done until it is free.
     """
     load, _ = serve_split(board)
-    share = board.given.demand.get(model, 0.0) * defaults.GIVE_WAY_SHARE
+    share = board.given.asked_for(model) * defaults.GIVE_WAY_SHARE
     most = max(defaults.IDLE_TOKENS_PER_S, share)
     options = [
         option
@@ -153,7 +153,6 @@
 ) -> tuple[tuple[Weights, float], ...] | None:
     """Choose replicas to unload, the least asked for first; None where too few may go."""
     goes: list[tuple[Weights, float]] = []
-    demand = board.given.demand
 
     def order(key: Weights) -> tuple[float, int, Weights]:
         return _asked(board, key[0]), -len(board.ready.get(key[0], ())), key
@@ -164,7 +163,7 @@
         spec = board.given.models.get(key[0])
         if spec is None or runner.name not in board.ready[key[0]]:
             continue
-        last_may_go = most > 0 and demand.get(key[0], 0.0) <= most and _quick(board, key[0])
+        last_may_go = most > 0 and board.given.asked_for(key[0]) <= most and _quick(board, key[0])
         if board.spare(key[0]) or last_may_go:
             goes.append((key, spec.memory_gb))
             need_gb -= spec.memory_gb
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -56,7 +56,8 @@
     """What a node says of itself; ``inflight`` is None where its rows are left out.
 
     ``up_s`` is how long it has run, in seconds. ``lease_ended`` is the last epoch of the
-    lease that it held and that has lapsed.
+    lease that it held and that has lapsed, ``used`` the adapters that its requests use, as
+    rows of endpoint and adapter.
     """
 
     name: str
@@ -72,6 +73,7 @@
     inflight: list[t.Any] | None
     up_s: float = 0.0
     lease_ended: int = 0
+    used: list[t.Any] | None = None
 
 
 @message("reports")
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -4,6 +4,7 @@
 import time
 import typing as t
 
+from rookspring_core import attaching
 from rookspring_core import cluster
 from rookspring_core.effects import Want
 from rookspring_core.events import BoxListed
@@ -188,6 +189,7 @@
         inflight=[list(row) for row in cluster.inflight_rows(state)],
         up_s=time.monotonic() - state.started_at,
         lease_ended=state.control.lease.ended,
+        used=[list(row) for row in attaching.used_rows(state)],
     )
 
 
@@ -210,6 +212,7 @@
             inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight or ()),
             up_s=float(beat.up_s),
             lease_ended=int(beat.lease_ended),
+            used=tuple((str(one[0]), str(one[1])) for one in beat.used or ()),
         )
     )
     if beat.leaving or beat.lease_ended == peers.context.state.control.lease.epoch > 0:
