--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -61,6 +61,14 @@
     return 0.0
 
 
+_open_board = swapping.SwapBoard.__init__
+
+
+def _all_near(self: swapping.SwapBoard, given: t.Any) -> None:
+    _open_board(self, given)
+    self.quick = set(given.models)
+
+
 def _nobody(state: t.Any) -> set[t.Any]:
     return set()
 
@@ -116,7 +124,7 @@
     Mutant("unloads what is in use", "attainment", attaching, "used_adapters", _nobody),
     Mutant("counts no memory", "memory", residency, "used_mb", _zero),
     Mutant("spends no store rate", "load ceiling", residency, "from_store", _never),
-    Mutant("drops a last far copy", "reachable", swapping, "_quick", _always),
+    Mutant("drops a last far copy", "reachable", swapping.SwapBoard, "__init__", _all_near),
     Mutant("takes rows as they come", "memory", residency, "refine", _as_told),
     Mutant("sends to what has gone", "drain", EndpointView, "open_for_work", _open_though_gone),
     Mutant("sends to the silent", "attainment", EndpointView, "silent", _never),
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -35,15 +35,39 @@
     goes: tuple[tuple[Weights, float], ...]
 
 
+class SwapBoard(Board):
+    """A board with what a plan looks at again and again, worked out once.
+
+    ``load_of`` is what each runner serves, in tokens a second, ``unserved`` what of each
+    model's demand is beyond its runners' rates; :meth:`share_out` brings both up to date.
+    ``quick`` are the models that some runner has near.
+    """
+
+    def __init__(self, given: PlanInput) -> None:
+        super().__init__(given)
+        self.share_out()
+        self.quick = {
+            model
+            for runner in given.runners
+            for model, load_s in runner.load_s.items()
+            if load_s <= defaults.QUICK_LOAD_S
+        }
+
+    def share_out(self) -> None:
+        """Share the demand out over the replicas as they are now planned."""
+        self.load_of, self.unserved = serve_split(self)
+
+
 @placement("swap")
 def plan_by_swaps(given: PlanInput) -> list[Move]:
     """Bring what is asked for where it is near, then even out, then fill what is free."""
-    board = Board(given)
+    board = SwapBoard(given)
     for runner in given.runners:
         _go_on(board, runner)
     for model in _missing(board, asked=True):
         _bring(board, model)
     for _ in range(max(1, given.policy.loads_at_once)):
+        board.share_out()
         if not _add_copy(board):
             break
     for model in _missing(board, asked=False):
@@ -51,7 +75,7 @@
     return board.moves
 
 
-def _go_on(board: Board, runner: RunnerRoom) -> None:
+def _go_on(board: SwapBoard, runner: RunnerRoom) -> None:
     """Load what an unload has made room for, before anything else takes the room."""
     model = runner.room_for
     spec = board.given.models.get(model)
@@ -64,7 +88,7 @@
         board.load(model, runner.name, "room was made for it")
 
 
-def _missing(board: Board, asked: bool) -> list[str]:
+def _missing(board: SwapBoard, asked: bool) -> list[str]:
     """List the models without a replica, the most asked for first."""
     demand = board.given.demand
     lacking = [
@@ -75,42 +99,40 @@
     return sorted(lacking, key=lambda name: (-demand.get(name, 0.0), name))
 
 
-def _bring(board: Board, model: str) -> None:
+def _bring(board: SwapBoard, model: str) -> None:
     """Load a model that is asked for where it is there soonest, or make room for it.
 
     A runner that is busy for a moment may be sooner than a free one without a copy;
     then nothing is done until it is free.
     """
-    load, _ = serve_split(board)
     share = board.given.asked_for(model) * defaults.GIVE_WAY_SHARE
     most = max(defaults.IDLE_TOKENS_PER_S, share)
     options = [
         option
         for runner in board.given.runners
-        if (option := _consider(board, load, runner, model, most)) is not None
+        if (option := _consider(board, runner, model, most)) is not None
     ]
     best = min(options, default=None)
     if best is not None and best.runner not in board.touched:
         _take(board, model, best, "no replica")
 
 
-def _waits(board: Board, runner: RunnerRoom) -> bool:
+def _waits(board: SwapBoard, runner: RunnerRoom) -> bool:
     """Say whether a runner is busy and nobody knows for how long."""
     return runner.name in board.touched and math.isinf(runner.free_in_s)
 
 
-def _restore(board: Board, model: str) -> None:
+def _restore(board: SwapBoard, model: str) -> None:
     """Load a model that nobody asks for into free room.
 
     Only one that no runner has near makes others give way, and these only where they
     are spare and idle too: a near one is there soon enough once it is asked for.
     """
-    load, _ = serve_split(board)
-    near = _quick(board, model)
+    near = model in board.quick
     options = [
         option
         for runner in board.open_to(model)
-        if (option := _consider(board, load, runner, model, 0.0)) is not None
+        if (option := _consider(board, runner, model, 0.0)) is not None
         and (not option.goes or (not near and option.lost <= defaults.IDLE_TOKENS_PER_S))
     ]
     best = min(options, default=None)
@@ -119,8 +141,7 @@
 
 
 def _consider(
-    board: Board,
-    load: t.Mapping[str, float],
+    board: SwapBoard,
     runner: RunnerRoom,
     model: str,
     most: float,
@@ -143,13 +164,13 @@
         cost_s += runner.free_in_s
     rate = max(runner.token_rate, 1e-9)
     lost = sum(_asked(board, key[0]) for key, _ in goes)
-    cost_s += defaults.LOADED_RUNNER_S * load[runner.name] / rate
+    cost_s += defaults.LOADED_RUNNER_S * board.load_of[runner.name] / rate
     cost_s += defaults.LOST_COPY_S * lost / rate
     return Option(cost_s, lost, runner.name, goes)
 
 
 def _giving_way(
-    board: Board, runner: RunnerRoom, need_gb: float, most: float
+    board: SwapBoard, runner: RunnerRoom, need_gb: float, most: float
 ) -> tuple[tuple[Weights, float], ...] | None:
     """Choose replicas to unload, the least asked for first; None where too few may go."""
     goes: list[tuple[Weights, float]] = []
@@ -163,27 +184,19 @@
         spec = board.given.models.get(key[0])
         if spec is None or runner.name not in board.ready[key[0]]:
             continue
-        last_may_go = most > 0 and board.given.asked_for(key[0]) <= most and _quick(board, key[0])
+        last_may_go = most > 0 and board.given.asked_for(key[0]) <= most and key[0] in board.quick
         if board.spare(key[0]) or last_may_go:
             goes.append((key, spec.memory_gb))
             need_gb -= spec.memory_gb
     return tuple(goes) if need_gb <= 0 else None
 
 
-def _asked(board: Board, model: str) -> float:
+def _asked(board: SwapBoard, model: str) -> float:
     """Give what each replica of a model is asked for, in tokens a second."""
     return board.given.demand.get(model, 0.0) / max(1, len(board.ready.get(model, ())))
 
 
-def _quick(board: Board, model: str) -> bool:
-    """Say whether some runner can load a model quickly."""
-    never = defaults.QUICK_LOAD_S + 1.0
-    return any(
-        runner.load_s.get(model, never) <= defaults.QUICK_LOAD_S for runner in board.given.runners
-    )
-
-
-def _take(board: Board, model: str, option: Option, why: str) -> None:
+def _take(board: SwapBoard, model: str, option: Option, why: str) -> None:
     """Load, or unload first what gives way; the load is planned once that has gone."""
     if not option.goes:
         board.load(model, option.runner, why)
@@ -192,21 +205,20 @@
         board.unload(key, option.runner, gb, f"room for {model}: {why}", model)
 
 
-def _add_copy(board: Board) -> bool:
+def _add_copy(board: SwapBoard) -> bool:
     """Add the replica that takes the most from full runners, if that pays in time.
 
     :return: whether one was added.
     """
     given = board.given
-    load, unserved = serve_split(board)
-    for model, missed in sorted(unserved.items(), key=lambda item: (-item[1], item[0])):
+    for model, missed in sorted(board.unserved.items(), key=lambda item: (-item[1], item[0])):
         spec = given.models.get(model)
         if spec is None or missed <= 0 or len(board.hosts[model]) >= spec.replicas_max:
             continue
         best: tuple[float, Option] | None = None
         for runner in board.open_to(model):
-            option = _consider(board, load, runner, model, 0.0)
-            spare = runner.token_rate - load[runner.name]
+            option = _consider(board, runner, model, 0.0)
+            spare = runner.token_rate - board.load_of[runner.name]
             if option is None or spare <= 0:
                 continue
             part = min(missed, spare) / max(runner.token_rate, 1e-9)
