--- /dev/null
+++ b/features/steps/relay_order_steps.py
@@ -0,0 +1,244 @@
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from relay_harness import SIZES
+from relay_harness import HolderHarness
+from relay_harness import make_table
+
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import ModelWanted
+from rookspring_core.events import PeerHeard
+from rookspring_core.events import RouteTableSeen
+
+
+@given("a lease holder over runners holding {held} of 200 GB")
+def lease_holder(context, held):
+    context.holder = HolderHarness(held.split(", "))
+    assert context.holder.state.control.holding(context.holder.now)
+    context.holder.orders.clear()
+
+
+def want(holder, adapter):
+    holder.submit(ModelWanted(holder.now, "llm", "m", f"m/{adapter}"))
+
+
+@when("an adapter of m is wanted")
+def adapter_wanted(context):
+    want(context.holder, "a1")
+
+
+@when("an adapter of m is wanted and the answer is {answer}")
+def adapter_wanted_answered(context, answer):
+    context.holder.answer = answer
+    want(context.holder, "a1")
+
+
+@given("its adapters are in use {where}")
+def adapters_in_use(context, where):
+    holder = context.holder
+    if where == "here":
+        for name in ("a2", "a3"):
+            holder.ask(model="m", adapter=f"m/{name}", key=f"r-{name}")
+        assert len(holder.sent) == 2
+        return
+    context.peer = PeerHeard(holder.now, "p0", "i", "a", "c", "z", 1, False)
+    beat(context, (("e1", "m/a2"), ("e1", "m/a3")))
+
+
+def beat(context, used):
+    holder = context.holder
+    holder.submit(context.peer._replace(at=holder.now, used=used))
+
+
+@when("an adapter of m is wanted for {seconds:g} s")
+def wanted_for(context, seconds):
+    holder = context.holder
+    for _ in range(round(seconds / 0.1)):
+        want(holder, "a1")
+        holder.pass_time(0.1)
+        # What runs goes on, so that its runner is not taken for silent.
+        for one in list(holder.state.requests.values()):
+            if one.running:
+                key = (one.arrived.request_id, one.attempt)
+                holder.submit(AttemptProgressed(holder.now, *key, 1))
+
+
+@then("no order is given, and a new request for m/a2 finds it nowhere")
+def withdrawn(context):
+    holder = context.holder
+    assert not holder.orders, holder.orders
+    assert not holder.state.endpoints["e1"].has_adapter("m/a2")
+    assert holder.state.endpoints["e1"].has_adapter("m/a3")
+
+
+@when("the requests for it end")
+def requests_end(context):
+    holder = context.holder
+    if "r-a2" in holder.state.requests:
+        holder.submit(AttemptSucceeded(holder.now, "r-a2", 1))
+    else:
+        beat(context, (("e1", "m/a3"),))
+
+
+@when("the adapter that was withdrawn is wanted")
+def withdrawn_wanted(context):
+    want(context.holder, "a2")
+
+
+@then("a new request for it is sent there")
+def sent_there(context):
+    holder = context.holder
+    holder.ask(model="m", adapter="m/a2", key="again")
+    assert holder.sent[-1].request_id == "again"
+    assert not holder.orders
+
+
+@when("an order for an adapter is answered {answer}, and {then}")
+def adapter_wanted_then(context, answer, then):
+    holder = context.holder
+    holder.answer = {"never": "lost once"}.get(answer, answer)
+    want(holder, "a1")
+    holder.state.residency.wanted.clear()
+    holder.pass_time(0.5)
+    if then.startswith("the list tells less"):
+        holder.submit(holder.report("e1", ["m"], ["m/a2"], (0, -1)))
+    want(holder, "a4")
+
+
+@when("another adapter of m is wanted")
+def another_wanted(context):
+    want(context.holder, "a2")
+
+
+@when("the model {model} joins")
+def model_declared(context, model):
+    sizes = {"m": 70_000.0, model: {"big": 150_000.0, "n": 60_000.0}[model]}
+    holder = context.holder
+    if any("n" in runner["models"] for runner in holder.runners.values()):
+        sizes["n"] = 60_000.0
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes=sizes)))
+    holder.pass_time(1.0)
+
+
+@when("m is asked for a lot")
+def asked_a_lot(context):
+    for _ in range(20):
+        context.holder.demand("m", 50_000.0)
+        context.holder.pass_time(0.1)
+
+
+@when("the lease is lost, then an adapter of m is wanted")
+def lease_lost(context):
+    context.holder.submit(LeaseSeen(context.holder.now, 99, "another", 9, "x"))
+    want(context.holder, "a1")
+
+
+@then("the orders are {expected}")
+def orders_are(context, expected):
+    got = [f"{one.action} {one.model_version or one.model}" for one in context.holder.orders]
+    # What follows from the first orders is another matter.
+    wanted = [] if expected == "none" else expected.split(", ")
+    assert got[: max(1, len(wanted))] == wanted, got
+
+
+@then("just these orders were given: {expected}")
+def orders_are_just(context, expected):
+    got = [f"{one.action} {one.model_version or one.model}" for one in context.holder.orders]
+    assert got == expected.split(", "), got
+
+
+@when("loads of a model of 80 GB get no answer, and one of 90 GB is asked for")
+def loads_unanswered(context):
+    holder = context.holder
+    # By then the model that may come yet is not declared any more.
+    sizes = {"m": 70_000.0, "y": 90_000.0}
+    holder.answer = "lost always"
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes={"m": 70_000.0, "x": 80_000.0})))
+    for _ in range(20):
+        holder.demand("x", 5_000.0)
+        holder.pass_time(0.1)
+    assert holder.orders[0].model == "x", holder.orders
+    # From here on orders would be carried out; those of x may come yet.
+    for room in holder.state.residency.rooms.values():
+        room.order = None
+    holder.answer = "taken"
+    holder.orders.clear()
+    holder.submit(RouteTableSeen(holder.now, make_table(3, sizes=sizes)))
+    context.began = holder.now
+    while holder.now < context.began + 20.0:
+        holder.demand("y", 5_000.0)
+        holder.pass_time(0.1)
+        if any(one.model == "y" and one.action == "load" for one in holder.orders):
+            break
+    context.loaded_s = holder.now - context.began
+
+
+@then("that is loaded only after {seconds:g} s")
+def loaded_after(context, seconds):
+    assert seconds - 3.0 < context.loaded_s < seconds + 3.0, context.loaded_s
+
+
+@when("the list tells again what the first runner held")
+def list_again(context):
+    holder = context.holder
+    holder.submit(holder.report("e1", ["m"], ["m/a2", "m/a3"], (0, -1)))
+
+
+@then("the first runner is not used for m/a2")
+def not_used_for(context):
+    assert not context.holder.state.endpoints["e1"].has_adapter("m/a2")
+
+
+@when("a request for n meets {how} at its runner")
+def meets_at_runner(context, how):
+    holder = context.holder
+    holder.ask(model="n")
+    (sent,) = holder.sent
+    down = how == "no listener"
+    failed = AttemptFailed(
+        holder.now, sent.request_id, sent.attempt, not down, False, how, down=down
+    )
+    holder.submit(failed)
+    holder.pass_time(1.0)
+
+
+@when("the first runner has a request and leaves the list, and {what} comes")
+def leaves_list(context, what):
+    holder = context.holder
+    for number in range(2):
+        holder.ask(model="m", key=f"r{number}")
+    assert {one.endpoint for one in holder.sent} == {"e1", "e2"}, holder.sent
+    holder.list_endpoints(["e2"], "llm", "runner")
+    # Less than what makes a runner count as silent.
+    holder.now += 0.5
+    if what == "its report":
+        token = holder.state.endpoints["e1"].report.order_token
+        holder.submit(holder.report("e1", ["m"], (), token, own=True))
+    elif what == "its row again":
+        holder.list_endpoints(["e1", "e2"], "llm", "runner")
+    context.open = holder.state.endpoints["e1"].open_for_work(holder.now)
+
+
+@when("{number:d} plans are made under demand that moves")
+def plans_made(context, number):
+    holder = context.holder
+    chance = random.Random(7)
+    context.bare = []
+    context.over = []
+    for step in range(number):
+        busy = "m" if (step // 40) % 2 else "n"
+        holder.demand(busy, 40_000.0 * chance.random())
+        holder.pass_time(0.5)
+        held = {model for runner in holder.runners.values() for model in runner["models"]}
+        context.bare += [model for model in SIZES if model not in held]
+        context.over += [name for name in holder.runners if holder.used_mb(name) > 200_000.0]
+
+
+@then("m and n were resident somewhere all the time and no runner was over its memory")
+def all_resident(context):
+    assert not context.bare and not context.over, (context.bare, context.over)
