Plan on where a model under way is no longer declared

Cause, found by reading: the planner looked up the size of a model that a runner loads; where a new configuration had dropped it, that raised KeyError at every tick until the load's end. Change: its size counts as the largest declared, as it does elsewhere; one function gives the size of a model, an adapter, an order.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -185,6 +185,12 @@
     When loads of a model of 80 GB get no answer, and one of 90 GB is asked for
     Then that is loaded only after 12 s
 
+  Scenario: a model that is no longer declared while it is loaded does not stop the planner
+    Given a lease holder over runners holding m, m of 200 GB
+    When the model x is under way to a runner and then no longer declared
+    And m is asked for a lot
+    Then the holder goes on
+
   Scenario Outline: a route table of an older version changes nothing
     Given a relaying reducer that has route table 7
     When route table <version> comes
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -178,6 +178,25 @@
     context.loaded_s = holder.now - context.began
 
 
+@when("the model x is under way to a runner and then no longer declared")
+def undeclared_under_way(context):
+    holder = context.holder
+    holder.answer = "none"
+    sizes = {"m": 70_000.0, "x": 80_000.0}
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes=sizes)))
+    for _ in range(20):
+        holder.demand("x", 5_000.0)
+        holder.pass_time(0.1)
+    assert holder.orders[0].model == "x", holder.orders
+    holder.submit(RouteTableSeen(holder.now, make_table(3, sizes={"m": 70_000.0})))
+
+
+@then("the holder goes on")
+def holder_goes_on(context):
+    context.holder.pass_time(1.0)
+    assert context.holder.state.control.holding(context.holder.now)
+
+
 @then("that is loaded only after {seconds:g} s")
 def loaded_after(context, seconds):
     assert seconds - 3.0 < context.loaded_s < seconds + 3.0, context.loaded_s
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -40,6 +40,7 @@
 from .rooms import doubted_mb
 from .rooms import from_store
 from .rooms import load_time_s
+from .rooms import order_mb
 from .rooms import still_there
 from .rooms import used_mb
 from .rooms import withdrawn_mb
@@ -298,7 +299,7 @@
     # What a lost order may bring yet is not there to be given away.
     free_mb -= doubted_mb(engine, room, state.now, "") + withdrawn_mb(engine, room)
     if order is not None and order.action == "load" and not order.adapter:
-        free_mb -= engine.models[order.model].memory_mb
+        free_mb -= order_mb(engine, order)
     return placement.RunnerRoom(
         name=view.name,
         data_centre=view.data_centre,
@@ -320,8 +321,9 @@
     if order is None or order.lost or view.report is None or not view.open_for_work(state.now):
         return math.inf
     length_s = defaults.UNLOAD_S
-    if order.action == "load" and not order.adapter:
-        length_s = load_time_s(engine.models[order.model], view.report)
+    size = engine.models.get(order.model)
+    if order.action == "load" and not order.adapter and size is not None:
+        length_s = load_time_s(size, view.report)
     left_s = order.sent_at + length_s + defaults.RUNNER_BUSY_S - state.now
     return left_s if left_s > 0 else math.inf
 
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -76,26 +76,36 @@
     )
 
 
-def used_mb(engine: EngineSize, report: EndpointReported) -> float:
-    """Give the memory that weights and adapters take, in megabytes.
+def model_mb(engine: EngineSize, model: str) -> float:
+    """Give the memory of a model, in megabytes; the largest's if it is declared no more."""
+    size = engine.models.get(model)
+    if size is not None:
+        return size.memory_mb
+    return max((one.memory_mb for one in engine.models.values()), default=0.0)
 
-    What is not declared any more counts as the largest that is.
-    """
-    largest = max((one.memory_mb for one in engine.models.values()), default=0.0)
-    total = 0.0
-    for name, _ in report.resident:
-        size = engine.models.get(name)
-        total += size.memory_mb if size else largest
-    for adapter in report.adapters:
-        size = engine.models.get(adapter.partition("/")[0])
-        total += size.adapter_mb if size else 0.0
-    return total
+
+def adapter_mb(engine: EngineSize, adapter: str) -> float:
+    """Give the memory of an adapter, in megabytes; none if its model is declared no more."""
+    size = engine.models.get(adapter.partition("/")[0])
+    return size.adapter_mb if size is not None else 0.0
+
+
+def used_mb(engine: EngineSize, report: EndpointReported) -> float:
+    """Give the memory that weights and adapters take, in megabytes."""
+    models = sum(model_mb(engine, name) for name, _ in report.resident)
+    return models + sum(adapter_mb(engine, adapter) for adapter in report.adapters)
 
 
 def withdrawn_mb(engine: EngineSize, room: Room) -> float:
     """Give the memory of adapters that are there yet, though no new request uses them."""
-    sizes = [engine.models.get(adapter.partition("/")[0]) for adapter in room.withdrawn]
-    return sum(size.adapter_mb for size in sizes if size is not None)
+    return sum(adapter_mb(engine, adapter) for adapter in room.withdrawn)
+
+
+def order_mb(engine: EngineSize, order: Order) -> float:
+    """Give the memory that a load takes, in megabytes."""
+    if order.adapter:
+        return adapter_mb(engine, order.adapter)
+    return model_mb(engine, order.model)
 
 
 def from_store(size: ModelSize, report: EndpointReported) -> bool:
@@ -122,19 +132,8 @@
 
 
 def doubted_mb(engine: EngineSize, room: Room, now: float, but: str) -> float:
-    """Give the memory that loads without an answer may take yet, in megabytes.
-
-    A model that is not declared any more counts as the largest that is.
-    """
-    largest = max((one.memory_mb for one in engine.models.values()), default=0.0)
-    total = 0.0
-    for order in list_doubts(room, now, but):
-        size = engine.models.get(order.model)
-        if size is None:
-            total += largest
-        else:
-            total += size.adapter_mb if order.adapter else size.memory_mb
-    return total
+    """Give the memory that loads without an answer may take yet, in megabytes."""
+    return sum(order_mb(engine, order) for order in list_doubts(room, now, but))
 
 
 def doubted_places(room: Room, now: float, but: str) -> int:
