Read runners again until a new holder's turn comes, and while they load

It had read each runner's report once, 3.3 s before; a load that the holder before had ordered and that ended meanwhile was not known, and a runner that was loading was never read again. Ruled out by the log: orders of two holders at once (24.4 and 27.9 s), a lost order. Change: reports are read each second until the turn comes, and while something loads.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -185,6 +185,11 @@
     When loads of a model of 80 GB get no answer, and one of 90 GB is asked for
     Then that is loaded only after 12 s
 
+  Scenario: a new holder knows what has come to a runner before its own first order
+    Given a new lease holder whose first report of a runner shows m, and a load under way
+    When the load of big ends there before the holder's turn, and n is asked for
+    Then n is not loaded beside them
+
   Scenario: a model that is no longer declared while it is loaded does not stop the planner
     Given a lease holder over runners holding m, m of 200 GB
     When the model x is under way to a runner and then no longer declared
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -178,6 +178,42 @@
     context.loaded_s = holder.now - context.began
 
 
+@given("a new lease holder whose first report of a runner shows m, and a load under way")
+def new_holder(context):
+    context.holder = holder = HolderHarness(["m"])
+    holder.submit(LeaseSeen(holder.now, 50, "another", 9, "x"))
+    sizes = {"m": 70_000.0, "n": 60_000.0, "big": 120_000.0}
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes=sizes)))
+    holder.pass_time(4.5)
+    context.report = holder.report
+    holder.report = lambda *given, **fields: context.report(*given, **fields, loading=(("o", ""),))
+    while not holder.state.control.holding(holder.now):
+        holder.pass_time(0.1)
+    holder.pass_time(0.3)
+    holder.orders.clear()
+
+
+@when("the load of big ends there before the holder's turn, and n is asked for")
+def load_ends(context):
+    holder = context.holder
+    holder.report = context.report
+    runner = holder.runners["e1"]
+    runner["models"].append("big")
+    runner["taken"] += 1
+    for _ in range(80):
+        holder.demand("n", 5_000.0)
+        holder.pass_time(0.1)
+
+
+@then("n is not loaded beside them")
+def not_beside(context):
+    holder = context.holder
+    view = holder.state.endpoints["e1"]
+    assert "big" in view.resident, view.resident
+    assert all(holder.used_mb(name) <= 200_000.0 for name in holder.runners)
+    assert not view.report.loading
+
+
 @when("the model x is under way to a runner and then no longer declared")
 def undeclared_under_way(context):
     holder = context.holder
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -95,7 +95,9 @@
             continue
         room = residency.rooms.setdefault(name, Room())
         pause_s = defaults.SURVEY_READ_S if room.order is None else _look_after_s(room.order)
-        due = not room.trusted or room.order is not None
+        # Until its turn the holder reads again: what the one before ordered may end yet.
+        loading = view.report is not None and bool(view.report.loading)
+        due = not room.trusted or room.order is not None or loading or not settled(state)
         if due and state.now - room.asked_at >= pause_s:
             room.asked_at = state.now
             effects.append(ReadReport(name, 0.0))
