--- a/features/relay.feature
+++ b/features/relay.feature
@@ -90,6 +90,17 @@
       | its own box held and gave no orders yet  | 0.0   | 3.3    |
       | a box of its name held elsewhere         | 4.1   | 6.3    |
 
+  Scenario Outline: the lease is read by its holder, and by others once that is silent
+    Given a relaying node that runs for 100 s beside nodes that run for 100 s
+    When the other node told <ago> s ago that it <held> the lease
+    Then this node <reads> the lease
+
+    Examples:
+      | ago | held     | reads          |
+      | 0.1 | holds    | need not read  |
+      | 1.1 | holds    | is to read     |
+      | 0.1 | does not hold | is to read |
+
   Scenario Outline: a request that finds no room is refused in time, with the reason
     Given a relaying node whose endpoints are <state>
     When a relayed request waits for its patience
@@ -194,6 +205,22 @@
       | m, m | 1         | on a runner's disk | 0.5     | is refused |
       | m, m | 6         | in the weight store| 0.5     | is refused |
 
+  Scenario Outline: a request that comes back after a refusal may wait longer, behind the others
+    Given a relaying node with one full runner, and a deadline of 5 s
+    When the prompt part <part> is refused <where> and comes back after <after> s
+    And another request comes, then <room>
+    Then the one that came back is <end>
+
+    Examples: patience is 0.1 s; it may wait for a quarter of its time
+      | part | where            | after | room                       | end       |
+      | 7    | here             | 1.0   | there is room after 0.05 s | first     |
+      | 7    | here             | 1.0   | there is room after 0.5 s  | last      |
+      | 7    | at a node nearby | 1.0   | there is room after 0.5 s  | last      |
+      | 0    | here             | 1.0   | there is room after 0.5 s  | refused   |
+      | 7    | here             | 1.0   | there is none for 1.0 s    | waiting   |
+      | 7    | here             | 1.0   | there is none for 1.5 s    | refused   |
+      | 7    | here             | 11.0  | there is none for 1.0 s    | refused   |
+
   Scenario: the last copy of a model is never unloaded
     Given a lease holder over runners holding m, n of 200 GB
     When 300 plans are made under demand that moves
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -9,14 +9,17 @@
 from relay_harness import make_route
 from relay_harness import make_table
 
+from rookspring_core import governing
 from rookspring_core import routed
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptSucceeded
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
+from rookspring_core.events import RefusalHeard
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.events import Ticked
 from rookspring_core.leases import Lease
@@ -109,6 +112,20 @@
         node.submit(heard._replace(up_s=float(age)))
 
 
+@when("the other node told {ago:g} s ago that it {held} the lease")
+def told_of_lease(context, ago, held):
+    node = context.relay_node
+    heard = PeerHeard(node.now, "p0", "i", "a", "c", "z", 1, False, up_s=100.0)
+    node.submit(heard._replace(lease_epoch=3 if held == "holds" else 0))
+    node.state.control.lease.see(LeaseSeen(node.now, 7, "p0", 3, "x"), "n")
+    node.state.now = node.now + ago
+
+
+@then("this node {reads} the lease")
+def reads_lease(context, reads):
+    assert governing.reads_lease(context.relay_node.state) == (reads == "is to read")
+
+
 @when("it is asked who may take the lease")
 def asked_who(context):
     state = context.relay_node.state
@@ -323,6 +340,67 @@
     context.open = holder.state.endpoints["e1"].open_for_work(holder.now)
 
 
+@given("a relaying node with one full runner, and a deadline of 5 s")
+def one_full_runner(context):
+    context.relay_node = node = RelayHarness()
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ("m",), slots=1))
+    node.ask(model="m", key="r0")
+
+
+@when("the prompt part {part:d} is refused {where} and comes back after {after:g} s")
+def refused_and_back(context, part, where, after):
+    node = context.relay_node
+    if where == "here":
+        node.ask(model="m", key="r1", own_part=part)
+        node.now += 0.2
+        node.submit(Ticked(node.now))
+        assert [one.request_id for one in node.refused] == ["r1"]
+    else:
+        node.submit(RefusalHeard(node.now, part, 0.1))
+    node.now += after
+    # The runner goes on with its answer, so that it is not taken for silent.
+    node.submit(AttemptProgressed(node.now, "r0", 1, 1))
+    context.back = (part, node.now)
+
+
+@when("another request comes, then there is room after {seconds:g} s")
+def room_after(context, seconds):
+    node = context.relay_node
+    node.ask(model="m", key="r2", own_part=context.back[0])
+    wait_for(node, seconds)
+    node.ask(model="m", key="other")
+    node.submit(AttemptSucceeded(node.now, "r0", 1))
+
+
+@when("another request comes, then there is none for {seconds:g} s")
+def no_room_for(context, seconds):
+    node = context.relay_node
+    node.ask(model="m", key="r2", own_part=context.back[0])
+    wait_for(node, seconds)
+
+
+def wait_for(node, seconds):
+    for _ in range(round(seconds / 0.05)):
+        node.now += 0.05
+        node.submit(AttemptProgressed(node.now, "r0", 1, 1))
+        node.submit(Ticked(node.now))
+
+
+@then("the one that came back is {end}")
+def came_back_is(context, end):
+    node = context.relay_node
+    refused = {one.request_id for one in node.refused}
+    sent = [one.request_id for one in node.sent]
+    if end in ("first", "last"):
+        assert sent == (["r0", "r2"] if end == "first" else ["r0", "other"]), sent
+        node.submit(AttemptSucceeded(node.now, sent[-1], 1))
+        assert {one.request_id for one in node.sent} == {"r0", "r2", "other"}
+    else:
+        assert ("r2" in refused) == (end == "refused"), refused
+        assert "r2" not in sent
+
+
 @when("the first runner has a request for {seconds:g} s and {news}")
 def owes(context, seconds, news):
     holder = context.holder
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -42,6 +42,7 @@
         busy=bool(busy),
         load_s={model: LOAD_S[place] for model, place in near.items()},
         free_in_s=free_in_s,
+        room_for=next((note[5:] for note in notes if note.startswith("room ")), ""),
     )
 
 
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -19,6 +19,17 @@
       | e1[m] e2[n; disk o; busy 9]        | o 1000          | load o e1                |
       | e1[big; disk o] e2[big; disk o]    | o 9, big 900    | unload big e1            |
 
+    Examples: what gives way is what is missed least
+      | runners                                     | demand               | moves        |
+      | e1[big; disk o] e2[m,n] e3[big]             | o 9, big 90          | unload big e1 |
+      | e1[big; disk o] e2[m,n] e3[big]             | o 9, big 6000        | load o e2    |
+
+    Examples: what room was made for has the first call on it
+      | runners                            | demand          | moves                    |
+      | e1[m; disk n,o; room o] e2[m; disk n] | o 9, n 900   | load o e1, load n e2     |
+      | e1[m; disk n,o; room o] e2[o]      | n 900           | load n e1                |
+      | e1[m,n; disk o; room big] e2[o]    | m 9             | none                     |
+
     Examples: the last copy of a model gives way only where nobody asks and it is quick to return
       | runners                            | demand            | moves                    |
       | e1[m,n; disk m,n,big]              | big 1000          | unload m e1, unload n e1 |
@@ -36,7 +47,7 @@
       | e1[m] e2[n; disk m]                | m 3000            | none                     |
       | e1[m] e2[n,o; disk n,o,m]          | m 8000, o 800     | load m e2                |
       | e1[m] e2[big; disk big,m]          | m 8000, big 800   | none                     |
-      | e1[m] e2[big; disk big,m]          | m 8000            | unload big e2            |
+      | e1[m] e2[big; disk big,m]          | m 8000            | none                     |
 
   Scenario Outline: the weight store's rate is spent only on loads from it
     Given a lease holder whose weight store allows <rate> loads a second
--- a/packages/rookspring-core/src/rookspring_core/admission.py
+++ b/packages/rookspring-core/src/rookspring_core/admission.py
@@ -70,7 +70,8 @@
 
     def peek(self) -> Queued | None:
         """Give the request that is next, and leave it in place."""
-        while self._heap and self._heap[0].request_id not in self._live:
+        # A request may have been taken out, or put in again at another place.
+        while self._heap and self._live.get(self._heap[0].request_id) is not self._heap[0]:
             heapq.heappop(self._heap)
         return self._heap[0] if self._heap else None
 
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -125,6 +125,14 @@
 # the rest is for reading the prompt. It waits somewhat longer than predicted.
 READY_SHARE = 0.8
 READY_MARGIN = 1.3
+# A request that was refused is known for so long when it comes back: callers wait for a
+# third of their deadline at most, 8 s on the users' sheets. And so many are known.
+REFUSED_KEPT_S = 10.0
+REFUSED_MAX = 4096
+# One that has come back waits for this part of the time that it has, and behind all that
+# came within so many seconds after it and can still be answered in time.
+COMEBACK_SHARE = 0.25
+LATE_BEHIND_S = 30.0
 # Weights of the even-load policy, in parts of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
@@ -160,6 +168,9 @@
 # A model asked for at less than this rate may give way although it is the last
 # replica: one mean request of 3,180 tokens falls below it in some six seconds.
 IDLE_TOKENS_PER_S = 150.0
+# What the replicas that give way would have served counts as this delay, in seconds a
+# runner's whole rate: they are as long away as it takes to plan, load and unload again.
+LOST_COPY_S = 10.0
 # Last replicas that are asked for give way to a model asked for more than four times as
 # much: while boxes are lost there is not room for all.
 GIVE_WAY_SHARE = 0.25
@@ -192,6 +203,8 @@
 RELAY_LEASE_TTL_S = 4.0
 RELAY_LEASE_RENEW_S = 1.0
 RELAY_LEASE_MARGIN_S = 1.0
+# A holder whose heartbeat was heard within this time is alive: two beats and some way.
+HOLDER_QUIET_S = 1.0
 RELAY_PLAN_INTERVAL_S = 0.5
 # A taken order for a model is looked after this often until a report shows its end.
 ORDER_POLL_S = 0.4
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -166,10 +166,28 @@
     return name in state.membership.relays(state.identity.data_centre)
 
 
+def holder_heard(state: NodeState) -> bool:
+    """Say whether another node has just told that it holds the lease."""
+    return any(
+        peer.heard.lease_epoch >= max(1, state.control.lease.epoch)
+        and state.now - peer.heard_at < defaults.HOLDER_QUIET_S
+        for peer in state.membership.peers.values()
+    )
+
+
+def reads_lease(state: NodeState) -> bool:
+    """Say whether this node is to read the lease now.
+
+    The holder does, since it renews it; a relay node that may be next does once the
+    holder is no longer heard, which saves the platform most of these calls.
+    """
+    return holding(state) or (may_hold(state) and not holder_heard(state))
+
+
 def lease_due(state: NodeState) -> Effects:
     """Write the lease when it is due: to renew it, or to take it over."""
     identity = state.identity
-    candidate = may_hold(state)
+    candidate = may_hold(state) and not (state.relaying and holder_heard(state))
     wish = state.control.lease.wish(state.now, identity.name, identity.incarnation, candidate)
     if wish is None:
         return []
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -26,7 +26,8 @@
     ``barred`` weights may not be loaded there yet, since a late unload may come.
     ``load_s`` tells how long a load of each model takes there, in seconds, where that
     differs by runner. ``free_in_s`` tells how soon a busy one is expected to be free, in
-    seconds; infinite where that is not known.
+    seconds; infinite where that is not known. ``room_for`` names the model that the last
+    unload there made room for.
     """
 
     name: str
@@ -40,6 +41,7 @@
     barred: frozenset[Weights] = frozenset()
     load_s: t.Mapping[str, float] = types.MappingProxyType({})
     free_in_s: float = math.inf
+    room_for: str = ""
 
 
 class Move(t.NamedTuple):
@@ -47,6 +49,7 @@
 
     :param last: an unload of a model's last replica, meant so: its runner reads it
         back within seconds, and nobody asks for it now.
+    :param room_for: the model that an unload makes room for.
     """
 
     action: t.Literal["load", "unload"]
@@ -55,6 +58,7 @@
     gb: float
     why: str
     last: bool = False
+    room_for: str = ""
 
 
 class PlanInput(t.NamedTuple):
@@ -122,10 +126,10 @@
         self.hosts[model].add(runner)
         self.touched.add(runner)
 
-    def unload(self, key: Weights, runner: str, gb: float, why: str) -> None:
+    def unload(self, key: Weights, runner: str, gb: float, why: str, room_for: str = "") -> None:
         """Take a replica away; its memory is not free before a report shows it."""
         last = self.ready.get(key[0]) == {runner}
-        self.moves.append(Move("unload", runner, key, gb, why, last))
+        self.moves.append(Move("unload", runner, key, gb, why, last, room_for))
         self.hosts.get(key[0], set()).discard(runner)
         self.ready.get(key[0], set()).discard(runner)
         self.touched.add(runner)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -393,6 +393,7 @@
         busy=not _usable(state, view),
         load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
         free_in_s=_free_in_s(state, engine, view),
+        room_for=room.room_for,
     )
 
 
@@ -429,6 +430,7 @@
         if from_store(size, view.report) and not state.control.store.take():
             return []
         state.record(view.name, f"load {model}", move.why)
+        room.room_for = ""
         return [_order(state, view, "load", model, "")]
     others = [
         one
@@ -439,4 +441,5 @@
         state.record(view.name, f"cannot unload {model}", "it is its last open copy")
         return []
     state.record(view.name, f"unload {model}", move.why)
+    state.residency.rooms[view.name].room_for = move.room_for
     return _withdraw(state, view, model, "")
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -29,12 +29,15 @@
     """One endpoint as the lease holder accounts for it.
 
     :param trusted: its own report was read under this lease.
+    :param room_for: the model that the last unload made room for; it has the first call
+        on that room.
     """
 
-    __slots__ = ("asked_at", "doubts", "order", "trusted")
+    __slots__ = ("asked_at", "doubts", "order", "room_for", "trusted")
 
     def __init__(self) -> None:
         self.trusted = False
+        self.room_for = ""
         self.order: Order | None = None
         self.asked_at = -1e9
         # Loads that got no answer and may be carried out yet.
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -23,8 +23,9 @@
 class Option(t.NamedTuple):
     """One runner that could take a model; the tuple's order is that of preference.
 
-    :param cost_s: seconds until it could serve there, load counted as a delay.
-    :param lost: demand for what would give way, in tokens a second.
+    :param cost_s: seconds until it could serve there; the load there, and what others
+        would miss, count as delays.
+    :param lost: demand at the replicas that would give way, in tokens a second.
     :param goes: replicas that would give way, with their sizes in GB.
     """
 
@@ -38,6 +39,8 @@
 def plan_by_swaps(given: PlanInput) -> list[Move]:
     """Bring what is asked for where it is near, then even out, then fill what is free."""
     board = Board(given)
+    for runner in given.runners:
+        _go_on(board, runner)
     for model in _missing(board, asked=True):
         _bring(board, model)
     for _ in range(max(1, given.policy.loads_at_once)):
@@ -48,6 +51,19 @@
     return board.moves
 
 
+def _go_on(board: Board, runner: RunnerRoom) -> None:
+    """Load what an unload has made room for, before anything else takes the room."""
+    model = runner.room_for
+    spec = board.given.models.get(model)
+    if spec is None or runner.name in board.touched or runner.name in board.hosts[model]:
+        return
+    if board.given.demand.get(model, 0.0) <= 0.0 and board.hosts[model]:
+        # It stands elsewhere by now, and nobody asks for more of it.
+        return
+    if board.free[runner.name] >= spec.memory_gb:
+        board.load(model, runner.name, "room was made for it")
+
+
 def _missing(board: Board, asked: bool) -> list[str]:
     """List the models without a replica, the most asked for first."""
     demand = board.given.demand
@@ -125,8 +141,10 @@
     cost_s = runner.load_s.get(model, 0.0) + defaults.UNLOAD_S * len(goes)
     if runner.name in board.touched:
         cost_s += runner.free_in_s
-    cost_s += defaults.LOADED_RUNNER_S * load[runner.name] / max(runner.token_rate, 1e-9)
-    lost = sum(board.given.demand.get(key[0], 0.0) for key, _ in goes)
+    rate = max(runner.token_rate, 1e-9)
+    lost = sum(_asked(board, key[0]) for key, _ in goes)
+    cost_s += defaults.LOADED_RUNNER_S * load[runner.name] / rate
+    cost_s += defaults.LOST_COPY_S * lost / rate
     return Option(cost_s, lost, runner.name, goes)
 
 
@@ -137,13 +155,10 @@
     goes: list[tuple[Weights, float]] = []
     demand = board.given.demand
 
-    def asked(key: Weights) -> float:
-        return demand.get(key[0], 0.0) / max(1, len(board.ready.get(key[0], ())))
+    def order(key: Weights) -> tuple[float, int, Weights]:
+        return _asked(board, key[0]), -len(board.ready.get(key[0], ())), key
 
-    def copies(key: Weights) -> int:
-        return len(board.ready.get(key[0], ()))
-
-    for key in sorted(runner.resident, key=lambda key: (asked(key), -copies(key), key)):
+    for key in sorted(runner.resident, key=order):
         if need_gb <= 0:
             break
         spec = board.given.models.get(key[0])
@@ -156,6 +171,11 @@
     return tuple(goes) if need_gb <= 0 else None
 
 
+def _asked(board: Board, model: str) -> float:
+    """Give what each replica of a model is asked for, in tokens a second."""
+    return board.given.demand.get(model, 0.0) / max(1, len(board.ready.get(model, ())))
+
+
 def _quick(board: Board, model: str) -> bool:
     """Say whether some runner can load a model quickly."""
     never = defaults.QUICK_LOAD_S + 1.0
@@ -170,7 +190,7 @@
         board.load(model, option.runner, why)
         return
     for key, gb in option.goes:
-        board.unload(key, option.runner, gb, f"room for {model}: {why}")
+        board.unload(key, option.runner, gb, f"room for {model}: {why}", model)
 
 
 def _add_copy(board: Board) -> bool:
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -96,6 +96,11 @@
 RELAY_BACKOFF_MAX_S = 0.5
 # Candidates for the relay nodes' lease read it this often.
 RELAY_LEASE_READ_S = 1.0
+# Nodes that need not read it look this often whether they ought to.
+RELAY_LEASE_LOOK_S = 0.5
+# Changes of endpoints gather this long before the next watch, since each watch is a
+# priced call on every node; a leaving one is to be known within two seconds.
+ENDPOINT_FOLD_S = 0.4
 # Relay nodes tell each other their work and demand this often: routing and placement
 # are as old as the last heartbeat.
 RELAY_HEARTBEAT_S = 0.4
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -56,6 +56,9 @@
         self.last_event = ask.last_event
         self.events = 0
         self.first_at = 0.0
+        # When events came last, and the longest time between two, in seconds.
+        self.last_at = 0.0
+        self.pause_s = 0.0
         self.held: HeldAnswer | None = None
         self.task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[None] | None = None
@@ -127,6 +130,7 @@
         tokens=ask.prompt_tokens + defaults.ANSWER_TOKEN_WEIGHT * ask.answer_tokens,
         prompt_tokens=ask.prompt_tokens,
         prefix=ask.prefix,
+        own_part=ask.own_part,
         repeatable=route.repeatable,
         stream=route.kind == "stream",
         route=RouteTerms(
@@ -168,4 +172,6 @@
         took_s=time.monotonic() - exchange.arrived_at,
         first_s=exchange.first_at - exchange.arrived_at if exchange.first_at else -1,
         events=exchange.events,
+        pause_s=exchange.pause_s,
+        model=exchange.ask.model,
     )
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -191,6 +191,7 @@
         _begin_stream(exchange, head)
         exchange.last_event = events.last_id or exchange.last_event
         exchange.events += events.number
+        _note_pause(exchange)
         context.submit(
             AttemptProgressed(time.monotonic(), exchange.key, effect.attempt, events.number)
         )
@@ -203,6 +204,14 @@
     end(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
+def _note_pause(exchange: RelayExchange) -> None:
+    """Keep the longest pause between events, for the log."""
+    now = time.monotonic()
+    if exchange.last_at:
+        exchange.pause_s = max(exchange.pause_s, now - exchange.last_at)
+    exchange.last_at = now
+
+
 def _begin_stream(exchange: RelayExchange, head: HttpHead) -> None:
     """Send the head with the first event; a resumed stream keeps its first one."""
     if exchange.started:
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -65,10 +65,13 @@
         self._context.submit(PlatformAnswered(now, True))
 
 
-async def follow_kind(context: RelayContext, reach: Reach, kind: str, take: Take) -> None:
+async def follow_kind(
+    context: RelayContext, reach: Reach, kind: str, take: Take, fold_s: float = 0.0
+) -> None:
     """List a kind and watch it from there, for ever.
 
     :param take: gets rows and whether they are all there are.
+    :param fold_s: how long changes may gather before the next watch, in seconds.
     """
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
     since = -1
@@ -94,6 +97,7 @@
         found = changes.unwrap()
         if found.items:
             take(found.items, False)
+            await asyncio.sleep(fold_s)
         since = found.version
 
 
@@ -190,9 +194,8 @@
     looked = False
     while True:
         context.lease_news.clear()
-        concerned = governing.may_hold(context.state) or governing.holding(context.state)
-        if looked and not concerned:
-            await _wait_news(context, defaults.LEASE_READ_S)
+        if looked and not governing.reads_lease(context.state):
+            await _wait_news(context, defaults.RELAY_LEASE_LOOK_S)
             continue
         answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
         now = time.monotonic()
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -121,6 +121,7 @@
         self.context.announce = lambda topic: self.peers.beat()
         self.context.share = self.peers.share
         self.context.share_prompts = self.peers.share_prompts
+        self.context.share_refusal = self.peers.share_refusal
         self.context.tell_holder = self.peers.tell_holder
         self.context.stop = self._stop
         self.stopping = asyncio.Event()
@@ -156,7 +157,9 @@
             self._sweep_loop,
             self.peers.beat_loop,
             endpoints.settle_loop,
-            lambda: following.follow_kind(context, reach, kind, endpoints.take),
+            lambda: following.follow_kind(
+                context, reach, kind, endpoints.take, defaults.ENDPOINT_FOLD_S
+            ),
             lambda: following.follow_table(context, self.peers, reach),
             lambda: following.follow_lease(context, reach),
             lambda: following.follow_nodes(context, self.peers, reach),
