--- a/bench/days.py
+++ b/bench/days.py
@@ -68,12 +68,15 @@
     return str(path.resolve()) if path.is_file() else day
 
 
-def play(program: pathlib.Path, why: str, run: Run) -> Figures:
-    """Play one day and read its report."""
+def play(program: pathlib.Path, why: str, run: Run, options: t.Sequence[str] = ()) -> Figures:
+    """Play one day and read its report.
+
+    :param options: further words for the users' program.
+    """
     with tempfile.TemporaryDirectory() as folder:
         path = pathlib.Path(folder) / "report.json"
         command = [str(program), "run", str(run.site), run.day, "--report", str(path)]
-        command += ["--why", f"trial of {run.version}: {why}"]
+        command += ["--why", f"trial of {run.version}: {why}", *options]
         if run.seed:
             command += ["--seed", run.seed]
         try:
@@ -131,6 +134,39 @@
     return statistics.fmean(worth) if worth else float("nan")
 
 
+def compare(figures: list[Figures]) -> list[dict[str, t.Any]]:
+    """Give each version's difference in worth to the first one, over the same days and seeds.
+
+    ``spread`` is the standard deviation of the differences; ``better`` counts days.
+    """
+    versions = list(dict.fromkeys(one.run.version for one in figures))
+    played = {(one.run.version, *_day_of(one.run)): one.worth for one in figures if not one.failed}
+    days = list(dict.fromkeys(_day_of(one.run) for one in figures))
+    rows: list[dict[str, t.Any]] = []
+    for site in dict.fromkeys(site for site, _, _ in days):
+        for version in versions[1:]:
+            pairs = [
+                played[(version, *day)] - played[(versions[0], *day)]
+                for day in days
+                if day[0] == site and {(version, *day), (versions[0], *day)} <= set(played)
+            ]
+            rows.append(
+                {
+                    "site": site,
+                    "version": version,
+                    "difference": statistics.fmean(pairs) if pairs else float("nan"),
+                    "spread": statistics.stdev(pairs) if len(pairs) > 1 else float("nan"),
+                    "better": sum(pair > 0 for pair in pairs),
+                    "days": len(pairs),
+                }
+            )
+    return rows
+
+
+def _day_of(run: Run) -> tuple[str, str, str]:
+    return run.site.stem, run.day, run.seed
+
+
 def list_prices(figures: list[Figures], least: float = 0.004) -> list[dict[str, t.Any]]:
     """Give the dearest lines of the price list by version, as means over all days."""
     versions = sorted({one.run.version for one in figures})
@@ -157,6 +193,11 @@
     parser.add_argument("--seeds", default="", help="numbers with commas; none: the days' own")
     parser.add_argument("--why", required=True, help="goes into the journal of each tree")
     parser.add_argument("--jobs", type=int, default=JOBS)
+    parser.add_argument(
+        "--no-cpu",
+        action="store_true",
+        help="charge no processor time: a run then mostly repeats, which shows small effects",
+    )
     given = parser.parse_args(arguments)
     runs = [
         Run(name, tree, pathlib.Path(site).resolve(), find_day(day), seed)
@@ -166,12 +207,15 @@
         for name, tree in given.trees
     ]
     program = given.program.resolve()
+    options = ["--no-cpu"] if given.no_cpu else []
     with concurrent.futures.ThreadPoolExecutor(given.jobs) as workers:
-        figures = list(workers.map(lambda run: play(program, given.why, run), runs))
+        figures = list(workers.map(lambda run: play(program, given.why, run, options), runs))
     for one in figures:
         if one.failed or one.broken or one.short:
             what = one.failed or f"broken: {one.broken or 'none'}; short: {one.short or 'none'}"
             print(f"{one.run.version} {one.run.site.stem} {one.run.day} {one.run.seed}: {what}")
     report("days", f"worth by version and day: {given.why}", summarise(figures))
+    if len(given.trees) > 1:
+        report("days-pairs", "difference to the first version", compare(figures))
     report("days-prices", "prices, as means over all days", list_prices(figures))
     return int(any(one.failed or one.broken for one in figures))
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -74,6 +74,38 @@
       | 421    | id r1, instance i2             | mine, not run, elsewhere |
       | 200    | id r1, closing                 | mine, leaving            |
 
+  Scenario Outline: a caller cannot set what only this system may ask of an endpoint
+    Given a caller's request that carries <header> twice, in two letter cases
+    When its headers are written for an endpoint
+    Then <header> is there <times> times, and never as the caller set it
+
+    Examples: dropped, and set anew where this system asks for it
+      | header                        | times |
+      | X-Rookspring-Hold             | 0     |
+      | X-Rookspring-Pin-Ms           | 0     |
+      | X-Rookspring-Kv-Backup        | 0     |
+      | Kv-From                       | 0     |
+      | Kv-Fetch                      | 0     |
+      | X-Rookspring-Expect-Version   | 0     |
+      | X-Rookspring-Expect-Instance  | 1     |
+      | X-Rookspring-Request-Priority | 1     |
+      | X-Rookspring-Deadline-Ms      | 1     |
+      | Last-Event-Id                 | 1     |
+
+  Scenario Outline: what a caller says of its own request goes through as it came
+    Given a caller's request that carries <header> once
+    When its headers are written for an endpoint
+    Then <header> is there as the caller set it
+
+    Examples:
+      | header                     |
+      | X-Rookspring-Request-Id    |
+      | X-Rookspring-Model         |
+      | X-Rookspring-Token-Count   |
+      | X-Rookspring-Prefix-Hash   |
+      | X-Rookspring-Length-Hint   |
+      | Accept                     |
+
   Scenario: no word of the platform stands outside its folder
     When the product's sources are searched for the platform's words
     Then none is found
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -9,6 +9,7 @@
 from behave import then
 from behave import when
 
+from rookspring.dialect import Errand
 from rookspring.exceptions import SettingsError
 from rookspring.http_messages import HttpHead
 from rookspring.http_messages import HttpRequest
@@ -281,3 +282,39 @@
     names = ("mine", "not_run", "absent", "elsewhere", "leaving")
     found = [name.replace("_", " ") for name in names if getattr(got, name)]
     assert (", ".join(found) or "foreign") == verdict, got
+
+
+SET_BY_CALLER = b"set-by-the-caller"
+
+
+@given("a caller's request that carries {header} twice, in two letter cases")
+def a_request_with_doubled_header(context, header):
+    names = (header.upper().encode(), header.lower().encode())
+    context.headers = [(name, SET_BY_CALLER) for name in names]
+
+
+@given("a caller's request that carries {header} once")
+def a_request_with_header(context, header):
+    context.headers = [(header.encode(), SET_BY_CALLER)]
+
+
+@when("its headers are written for an endpoint")
+def headers_written(context):
+    errand = Errand(1.0, "i1", 0, "7")
+    context.written = PlatformDialect().errand_headers(context.headers, errand)
+
+
+def values_of(context, header):
+    return [value for name, value in context.written if name.lower() == header.lower().encode()]
+
+
+@then("{header} is there {times:d} times, and never as the caller set it")
+def set_anew(context, header, times):
+    values = values_of(context, header)
+    assert len(values) == times, values
+    assert SET_BY_CALLER not in values, values
+
+
+@then("{header} is there as the caller set it")
+def passed_on(context, header):
+    assert values_of(context, header) == [SET_BY_CALLER], context.written
