Take away the second wait of requests that came back

Cause: a request that had been refused waited a second time, for a quarter of its time and behind all others of its node. What it was given then was late, and the room it took was missed by what came new at the other nodes, whose queues it did not see.

Ruled out: a shorter second wait; the mechanism is worth nothing at the least length, so its table, its message between nodes and its constants go. Tests: the rows on the second wait become rows that a request which comes back waits as any other.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -281,21 +281,16 @@
       | m, m | 1         | on a runner's disk | 0.5     | is refused |
       | m, m | 6         | in the weight store| 0.5     | is refused |
 
-  Scenario Outline: a request that comes back after a refusal may wait longer, behind the others
+  Scenario Outline: a request that comes back after a refusal waits as any other
     Given a relaying node with one full runner, and a deadline of 5 s
-    When the prompt part <part> is refused <where> and comes back after <after> s
-    And another request comes, then <room>
+    When a request is refused and comes back after 1 s, and there is <room> for <seconds> s
     Then the one that came back is <end>
 
-    Examples: patience is 0.1 s; it may wait for a quarter of its time
-      | part | where            | after | room                       | end       |
-      | 7    | here             | 1.0   | there is room after 0.05 s | first     |
-      | 7    | here             | 1.0   | there is room after 0.5 s  | last      |
-      | 7    | at a node nearby | 1.0   | there is room after 0.5 s  | last      |
-      | 0    | here             | 1.0   | there is room after 0.5 s  | refused   |
-      | 7    | here             | 1.0   | there is none for 1.0 s    | waiting   |
-      | 7    | here             | 1.0   | there is none for 1.5 s    | refused   |
-      | 7    | here             | 11.0  | there is none for 1.0 s    | refused   |
+    Examples: patience is 0.1 s
+      | room | seconds | end     |
+      | room | 0.05    | sent    |
+      | none | 0.05    | waiting |
+      | none | 0.2     | refused |
 
   Scenario: the last copy of a model is never unloaded
     Given a lease holder over runners holding m, n of 200 GB
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -168,12 +168,6 @@
     Then the new retry terms are in force
     And wrong settings leave them as they are
 
-  Scenario: two nodes of one data centre know what either has refused
-    Given a relay node with one endpoint that does: answer
-    And a second node beside it
-    When the first one refuses a request whose prompt has a part of its own
-    Then the second one knows it within 1 s
-
   Scenario: a node that was killed goes on with its own lease at once
     Given a relay node with one endpoint that does: answer
     And it has held the lease and given orders
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -125,14 +125,6 @@
 # the rest is for reading the prompt. It waits somewhat longer than predicted.
 READY_SHARE = 0.8
 READY_MARGIN = 1.3
-# A request that was refused is known for so long when it comes back: callers wait for a
-# third of their deadline at most, 8 s on the users' sheets. And so many are known.
-REFUSED_KEPT_S = 10.0
-REFUSED_MAX = 4096
-# One that has come back waits for this part of the time that it has, and behind all that
-# came within so many seconds after it and can still be answered in time.
-COMEBACK_SHARE = 0.25
-LATE_BEHIND_S = 30.0
 # Weights of the even-load policy, in parts of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -158,16 +158,6 @@
     tokens: int
 
 
-class ShareRefusal(t.NamedTuple):
-    """Tell the nodes of this data centre of a refused request, which may come there.
-
-    :param age_s: how long before it first arrived, in seconds.
-    """
-
-    own_part: int
-    age_s: float
-
-
 class ShareReport(t.NamedTuple):
     """Tell every other node what is now true of an endpoint."""
 
@@ -201,7 +191,6 @@
     | ReadReport
     | Remind
     | SharePrompts
-    | ShareRefusal
     | ShareReport
     | Announce
     | Stop
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -36,10 +36,7 @@
 
 
 class RequestArrived(t.NamedTuple):
-    """A caller's request was read and its team established.
-
-    :param own_part: names the part of its prompt that no other request has; 0 for none.
-    """
+    """A caller's request was read and its team established."""
 
     at: float
     request_id: str
@@ -52,7 +49,6 @@
     tokens: int = 0
     prompt_tokens: int = 0
     prefix: int = 0
-    own_part: int = 0
     repeatable: bool = True
     once_key: tuple[str, int] | None = None
     body_digest: str = ""
@@ -235,17 +231,6 @@
     tokens: int
 
 
-class RefusalHeard(t.NamedTuple):
-    """Another node has refused a request, which may come here next.
-
-    :param age_s: how long before it first arrived, in seconds.
-    """
-
-    at: float
-    own_part: int
-    age_s: float
-
-
 class PeerLost(t.NamedTuple):
     """The stream to another node ended."""
 
@@ -393,7 +378,6 @@
     | RouteTableSeen
     | PeerHeard
     | PromptsHeard
-    | RefusalHeard
     | PeerLost
     | PlatformAnswered
     | LeaseSeen
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -383,8 +383,6 @@
     refusal = Refuse(arrived.request_id, status, reason, outcome, message, after_s)
     state.record(arrived.request_id, f"refused {reason}", message)
     effects: Effects = [refusal]
-    if outcome == "not_run":
-        effects += routed.remember_refusal(state, arrived)
     if arrived.once_key is not None:
         if outcome == "not_run":
             waiters = state.once.release(arrived.once_key)
@@ -450,10 +448,6 @@
     for queued in queue.hopeless(state.now, token_s):
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
-        again = routed.place_late(state, request.arrived)
-        if again is not None:
-            queue.push(again)
-            continue
         effects += _end_waiting(state, request)
     return effects
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -11,13 +11,10 @@
 from .effects import Effect
 from .effects import Refuse
 from .effects import SharePrompts
-from .effects import ShareRefusal
 from .endpoints import EndpointView
 from .events import AttemptFailed
-from .events import RefusalHeard
 from .events import RequestArrived
 from .mixing import mix
-from .reducer import handles
 from .retries import RetryWindow
 from .rooms import load_time_s
 from .state import NodeState
@@ -48,24 +45,6 @@
     return admission.Queued(order, arrived.at, arrived.request_id, 0, rank, until)
 
 
-def place_late(state: NodeState, arrived: RequestArrived) -> admission.Queued | None:
-    """Give a second, last wait to a request that has come back after a refusal.
-
-    To be refused again costs its caller more than a late answer. It waits behind all
-    that can still be answered in time. None where a request has had its wait.
-    """
-    first_at = state.refused.first_arrival(arrived.own_part, state.now)
-    if arrived.route is None or first_at is None:
-        return None
-    until = arrived.at + (arrived.deadline_at - arrived.at) * defaults.COMEBACK_SHARE
-    if until <= state.now:
-        return None
-    why = f"first came {state.now - first_at:.2f} s ago; waits {until - state.now:.2f} s more"
-    state.record(arrived.request_id, "came back", why)
-    order = arrived.at + defaults.LATE_BEHIND_S
-    return admission.Queued(order, arrived.at, arrived.request_id, 0, arrived.route.rank, until)
-
-
 def _patience_s(state: NodeState, arrived: RequestArrived) -> float:
     """Give how long a request may wait, in seconds.
 
@@ -192,21 +171,6 @@
     return request.arrived.repeatable or request.sends == 0 or request.not_run_said
 
 
-def remember_refusal(state: NodeState, arrived: RequestArrived) -> list[Effect]:
-    """Remember a request that was refused and has not run, here and at the nodes near."""
-    if arrived.route is None or not arrived.own_part:
-        return []
-    state.refused.note(arrived.own_part, arrived.at, state.now)
-    return [ShareRefusal(arrived.own_part, state.now - arrived.at)]
-
-
-@handles(RefusalHeard)
-def hear_refusal(state: NodeState, event: RefusalHeard) -> list[Effect]:
-    """Remember a request that another node has refused."""
-    state.refused.note(event.own_part, event.at - event.age_s, event.at)
-    return []
-
-
 def lacking(state: NodeState, arrived: RequestArrived) -> tuple[str, str]:
     """Say what a request waited for in vain, as a reason and a text for the log."""
     assert arrived.route is not None
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -6,7 +6,6 @@
 from .admission import AdmissionQueue
 from .admission import Pace
 from .catalogue import Catalogue
-from .comebacks import RefusedTable
 from .control import ControlState
 from .endpoints import EndpointView
 from .endpoints import PeersWork
@@ -97,7 +96,6 @@
         self.hosts: dict[str, dict[str, EndpointView]] = {}
         self.peers_work = PeersWork()
         self.paces = PaceTable()
-        self.refused = RefusedTable()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
         self.pools: dict[str, Pace] = {}
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -23,7 +23,6 @@
     :param deadline_s: how long the caller waits from now on; None where it does not say.
     :param adapter: as ``MODEL/NAME``, or empty.
     :param prefix: names the longest part of the prompt that others share; 0 for none.
-    :param own_part: names the part of the prompt that no other request has; 0 for none.
     :param last_event: the event after which a stream is to go on, or empty.
     """
 
@@ -36,7 +35,6 @@
     prompt_tokens: int
     answer_tokens: int
     prefix: int
-    own_part: int
     last_event: str
 
 
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -122,17 +122,6 @@
     rows: list[t.Any]
 
 
-@message("refused")
-class Refused(t.NamedTuple):
-    """A request that the sender refused, by its prompt's own part; it may come back.
-
-    ``age_s`` is how long before it first arrived, in seconds.
-    """
-
-    own_part: int
-    age_s: float
-
-
 @message("want-table")
 class WantTable(t.NamedTuple):
     """Ask for the route table."""
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -130,7 +130,6 @@
         tokens=ask.prompt_tokens + defaults.ANSWER_TOKEN_WEIGHT * ask.answer_tokens,
         prompt_tokens=ask.prompt_tokens,
         prefix=ask.prefix,
-        own_part=ask.own_part,
         repeatable=route.repeatable,
         stream=route.kind == "stream",
         route=RouteTerms(
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -65,7 +65,6 @@
         self.announce: t.Callable[[str], None] = lambda topic: None
         self.share: t.Callable[[EndpointReported], None] = lambda report: None
         self.share_prompts: t.Callable[[str, int], None] = lambda endpoint, tokens: None
-        self.share_refusal: t.Callable[[int, float], None] = lambda own_part, age_s: None
         self.tell_holder: t.Callable[[Want], None] = lambda want: None
         self.stop: t.Callable[[], None] = lambda: None
         self.tasks: set[asyncio.Task[None]] = set()
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -121,7 +121,6 @@
         self.context.announce = lambda topic: self.peers.beat()
         self.context.share = self.peers.share
         self.context.share_prompts = self.peers.share_prompts
-        self.context.share_refusal = self.peers.share_refusal
         self.context.tell_holder = self.peers.tell_holder
         self.context.stop = self._stop
         self.stopping = asyncio.Event()
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -7,7 +7,6 @@
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
 from rookspring_core.effects import SharePrompts
-from rookspring_core.effects import ShareRefusal
 from rookspring_core.effects import ShareReport
 from rookspring_core.effects import Want
 from rookspring_core.events import ModelWanted
@@ -111,12 +110,6 @@
     context.share_prompts(effect.endpoint, effect.tokens)
 
 
-@relay_performs(ShareRefusal)
-def share_refusal(context: RelayContext, effect: ShareRefusal) -> None:
-    """Tell the nodes near of a request that was refused here."""
-    context.share_refusal(effect.own_part, effect.age_s)
-
-
 @relay_performs(Remind)
 def remind(context: RelayContext, effect: Remind) -> None:
     """Tell when an order's pause is over."""
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -13,7 +13,6 @@
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
 from rookspring_core.events import PromptsHeard
-from rookspring_core.events import RefusalHeard
 from rookspring_core.events import RouteTableSeen
 
 from . import defaults
@@ -24,7 +23,6 @@
 from .peers import Nodes
 from .peers import PeerServer
 from .peers import Prompts
-from .peers import Refused
 from .peers import Reports
 from .peers import TableGiven
 from .peers import WantModel
@@ -122,15 +120,6 @@
         for link in list(self.server.links.values()):
             link.send(item)
 
-    def share_refusal(self, own_part: int, age_s: float) -> None:
-        """Tell the nodes of this data centre of a refused request."""
-        item = Refused(own_part, age_s)
-        near = self.context.state.identity.data_centre
-        for name, peer in self.context.state.membership.peers.items():
-            link = self.server.links.get(name)
-            if link is not None and peer.heard.data_centre == near:
-                link.send(item)
-
     def tell_holder(self, want: Want) -> None:
         """Send a want to the lease holder, as far as it is known."""
         peers = self.context.state.membership.peers
@@ -255,12 +244,6 @@
     peers.context.submit(PromptsHeard(now, link.name, prompts.endpoint, prompts.tokens))
 
 
-@receives(Refused)
-def take_refused(peers: RelayPeers, link: Link, refused: Refused) -> None:
-    """Take a request that another node refused."""
-    peers.context.submit(RefusalHeard(time.monotonic(), refused.own_part, refused.age_s))
-
-
 @receives(WantModel)
 def take_want(peers: RelayPeers, link: Link, want: WantModel) -> None:
     """Take what another node's request waits for."""
