Start a relay node without the library that checks documents

Cause: each start of a node loaded pydantic, though a relay node checks no documents: 0.155 of 0.288 s of its imports. After a fault that ends all processes nobody is served before the nodes have started.

Change: the bounds of the specs stand in their annotations as plain data, and the library is loaded when a document is checked. Whole process, median of ten, in turn: 0.487 to 0.310 s of processor, 39.8 to 30.2 MiB at peak.

Ruled out: other imports; what is left of weight is asyncio and the log library.

--- a/packages/rookspring-core/src/rookspring_core/resources.py
+++ b/packages/rookspring-core/src/rookspring_core/resources.py
@@ -2,27 +2,45 @@
 
 The resource API checks each write with :func:`check_resource`; the lease
 holder checks again at acceptance, since the platform's objects can be written
-by other hands. Specs are ``NamedTuple`` classes in the registry ``KINDS``.
+by other hands. Specs are ``NamedTuple`` classes in the registry ``KINDS``; the
+checks on their fields are carried out by :mod:`_validation`, which loads its
+library only once a document is checked.
 """
 
 import re
 import typing as t
 
-from pydantic import ConfigDict
-from pydantic import Field
-from pydantic import TypeAdapter
-from pydantic import ValidationError
-
 from .exceptions import ResourceInvalid
 from .policy_names import NAMES
 
-Name = t.Annotated[str, Field(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
-Positive = t.Annotated[float, Field(gt=0, allow_inf_nan=False)]
+
+class Check:
+    """Bounds of a field, by the names that the validating library gives them.
+
+    It stands in a field's annotation without the library: a relay node checks no
+    documents, and without it such a
+    node's imports take 0.31 s of processor in place of 0.49, and 30 MiB in place of 40
+    (medians of ten whole processes).
+
+    :param bounds: such as ``ge`` or ``pattern``.
+    """
+
+    def __init__(self, **bounds: t.Any) -> None:
+        self.bounds = bounds
+
+    def __get_pydantic_core_schema__(
+        self, source: t.Any, handler: t.Callable[[t.Any], dict[str, t.Any]]
+    ) -> dict[str, t.Any]:
+        """Add the bounds to the schema that the library makes of the field's type."""
+        return {**handler(source), **self.bounds}
+
+
+Name = t.Annotated[str, Check(pattern=r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")]
+Positive = t.Annotated[float, Check(gt=0, allow_inf_nan=False)]
 Priority = t.Literal["casual", "normal", "ranked", "ledger"]
 
 Spec = t.TypeVar("Spec", bound=type[t.Any])
 KINDS: dict[str, type[t.Any]] = {}
-_ADAPTERS: dict[str, TypeAdapter[t.Any]] = {}
 _NAME = re.compile(r"^[a-z0-9]([a-z0-9.-]{0,61}[a-z0-9])?$")
 _RESOURCE_FIELDS = {"kind", "name", "spec", "version", "status"}
 
@@ -35,7 +53,6 @@
 
     def register(cls: Spec) -> Spec:
         KINDS[name] = cls
-        _ADAPTERS[name] = TypeAdapter(cls, config=ConfigDict(strict=False))
         return cls
 
     return register
@@ -45,13 +62,13 @@
 class ModelSpec(t.NamedTuple):
     """A model to keep reachable; memory in gigabytes of one runner's accelerators."""
 
-    version: t.Annotated[str, Field(min_length=1, max_length=64)]
+    version: t.Annotated[str, Check(min_length=1, max_length=64)]
     memory_gb: Positive
     engine: Name = "pitwall-llm"
     priority: Priority = "normal"
-    replicas_min: t.Annotated[int, Field(ge=1, le=1000)] = 1
-    replicas_max: t.Annotated[int, Field(ge=1, le=10000)] = 1000
-    deadline_s: t.Annotated[float, Field(gt=0, le=600)] = 60.0
+    replicas_min: t.Annotated[int, Check(ge=1, le=1000)] = 1
+    replicas_max: t.Annotated[int, Check(ge=1, le=10000)] = 1000
+    deadline_s: t.Annotated[float, Check(gt=0, le=600)] = 60.0
 
 
 @kind("Adapter")
@@ -66,19 +83,19 @@
 class ServiceSpec(t.NamedTuple):
     """A plain service; ``unrepeatable`` lists path prefixes that run at most once."""
 
-    unrepeatable: tuple[t.Annotated[str, Field(max_length=256)], ...] = ()
+    unrepeatable: tuple[t.Annotated[str, Check(max_length=256)], ...] = ()
     priority: Priority = "normal"
-    deadline_s: t.Annotated[float, Field(gt=0, le=600)] = 10.0
-    concurrency: t.Annotated[int, Field(ge=1, le=100000)] = 64
+    deadline_s: t.Annotated[float, Check(gt=0, le=600)] = 10.0
+    concurrency: t.Annotated[int, Check(ge=1, le=100000)] = 64
 
 
 @kind("Team")
 class TeamSpec(t.NamedTuple):
     """Callers that share keys and limits; keys are kept as SHA-256 digests."""
 
-    key_sha256: tuple[t.Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")], ...]
+    key_sha256: tuple[t.Annotated[str, Check(pattern=r"^[0-9a-f]{64}$")], ...]
     requests_per_s: Positive = 1e6
-    concurrency: t.Annotated[int, Field(ge=1)] = 1_000_000
+    concurrency: t.Annotated[int, Check(ge=1)] = 1_000_000
     operator: bool = False
 
 
@@ -86,11 +103,11 @@
 class PolicySpec(t.NamedTuple):
     """How attainment is weighed against moves, and the weight store's limits."""
 
-    move_weight: t.Annotated[float, Field(ge=0, le=1e6, allow_inf_nan=False)] = 1.0
+    move_weight: t.Annotated[float, Check(ge=0, le=1e6, allow_inf_nan=False)] = 1.0
     placement: Name = "gain"
     routing: Name = "least-finish"
     loads_per_s: Positive = 1.5
-    loads_at_once: t.Annotated[int, Field(ge=1, le=10000)] = 10
+    loads_at_once: t.Annotated[int, Check(ge=1, le=10000)] = 10
 
 
 class Resource(t.NamedTuple):
@@ -107,25 +124,20 @@
         return f"{self.kind}.{self.name}"
 
 
-def _describe(fault: t.Any) -> str:
-    field = ".".join(str(part) for part in fault["loc"]) or "spec"
-    return f"spec.{field}: {fault['msg']}"
-
-
 def parse_spec(kind_name: str, spec: object) -> t.Any:
     """Turn a mapping into the kind's spec.
 
     :raises ResourceInvalid: with every faulty field named.
     """
-    adapter = _ADAPTERS.get(kind_name)
-    if adapter is None:
+    # Loaded here alone: see ``Check``.
+    from . import _validation  # noqa: PLC0415
+
+    cls = KINDS.get(kind_name)
+    if cls is None:
         raise ResourceInvalid((f"kind: {kind_name!r} is not one of {', '.join(KINDS)}",))
     if not isinstance(spec, dict):
         raise ResourceInvalid(("spec: a mapping was expected",))
-    try:
-        parsed = adapter.validate_python(spec)
-    except ValidationError as error:
-        raise ResourceInvalid(tuple(_describe(fault) for fault in error.errors())) from None
+    parsed = _validation.validate(cls, spec)
     if kind_name == "Model" and parsed.replicas_max < parsed.replicas_min:
         raise ResourceInvalid(("spec.replicas_max: must not be below replicas_min",))
     if kind_name == "Policy":
