Place replicas by what callers would miss, in one currency; make room for a model once

A model that had just become busy gave way to one asked for once, and came back 13.5 s later after 103 refusals. Three models were loaded at two runners at once, since room under way did not count.

Change: nodes tell, beside demand, what of it cannot wait for its model and what was refused for want of room. What callers would miss without a replica decides what gives way: of a last one what cannot wait, of a spare one what the others have no room for. Idle last replicas that are back within seconds give way to a second one. Room under way counts as the model's. What requests use gives way last.

Tests: one row is changed ("m 8000" beside an idle "big"): it demanded that an idle last replica never gives way to a second one, which is the fault; a row beside it demands the same where the idle one could not be back soon. 14 rows are new.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -121,7 +121,7 @@
     Mutant("orders one upon another", "memory", attaching, "usable", _free_though_ordered),
     Mutant("forgets late orders", "memory", residency, "doubted_mb", _zero),
     Mutant("forgets late adapters", "memory", attaching, "doubted_places", _zero),
-    Mutant("unloads what is in use", "attainment", attaching, "used_adapters", _nobody),
+    Mutant("unloads what is in use", "attainment", attaching, "list_used", _nobody),
     Mutant("counts no memory", "memory", residency, "used_mb", _zero),
     Mutant("spends no store rate", "load ceiling", residency, "from_store", _never),
     Mutant("drops a last far copy", "reachable", swapping.SwapBoard, "__init__", _all_near),
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -13,14 +13,14 @@
 from rookspring_core.resources import ModelSpec
 from rookspring_core.resources import PolicySpec
 
-MODELS = {"m": 70.0, "n": 60.0, "o": 60.0, "big": 150.0}
+MODELS = {"m": 70.0, "n": 60.0, "o": 60.0, "p": 60.0, "big": 150.0}
 LOAD_S = {"store": 8.0, "disk": 1.5, "memory": 1.2}
 RUNNER_GB = 200.0
 RUNNER_RATE = 4000.0
 
 
 def read_runner(text):
-    """Read a runner as NAME[RESIDENT; disk MODELS; memory MODELS; busy SECONDS]."""
+    """Read a runner as NAME[RESIDENT; disk MODELS; memory MODELS; busy SECONDS; use MODELS]."""
     name, inside = re.fullmatch(r"(\w+)\[(.*)\]", text).groups()
     held, *notes = [part.strip() for part in inside.split(";")]
     resident = [one for one in held.split(",") if one]
@@ -43,6 +43,9 @@
         load_s={model: LOAD_S[place] for model, place in near.items()},
         free_in_s=free_in_s,
         room_for=next((note[5:] for note in notes if note.startswith("room ")), ""),
+        in_use=frozenset(
+            name for note in notes if note.startswith("use ") for name in note[4:].split(",")
+        ),
     )
 
 
@@ -62,10 +65,20 @@
         if name in named
     }
     # RATE/TIMES is what a model asks for as work, and how many times that it is in tokens.
-    parts = {model: rate.partition("/") for model, rate in wishes.items()}
+    plain = {model: rate.partition("!")[0].rstrip("~") for model, rate in wishes.items()}
+    parts = {model: rate.partition("/") for model, rate in plain.items()}
     levels = {model: float(part[0]) for model, part in parts.items()}
     asked = {model: float(part[0]) * float(part[2] or 1) for model, part in parts.items()}
-    given_ = placement.PlanInput(models, context.runners, levels, PolicySpec(), asked)
+    # RATE~ can wait for its model; RATE!MISSED was refused in part.
+    given_ = placement.PlanInput(
+        models,
+        context.runners,
+        levels,
+        PolicySpec(),
+        asked,
+        urgent={model: 0.0 if "~" in rate else levels[model] for model, rate in wishes.items()},
+        missed={model: float(rate.partition("!")[2] or 0) for model, rate in wishes.items()},
+    )
     context.moves = placement.find_placement("swap")(given_)
 
 
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -1,6 +1,6 @@
 Feature: Placement by how near a runner's copies of models are
 
-  Models: m 70 GB, n and o 60 GB, big 150 GB; a runner has 200 GB and serves 4,000
+  Models: m 70 GB, n, o and p 60 GB, big 150 GB; a runner has 200 GB and serves 4,000
   tokens a second. A load takes 8 s from the weight store, 1.5 s from the runner's
   disk and 1.2 s from its memory.
 
@@ -52,7 +52,34 @@
       | e1[m] e2[n; disk m]                | m 3000            | none                     |
       | e1[m] e2[n,o; disk n,o,m]          | m 8000, o 800     | load m e2                |
       | e1[m] e2[big; disk big,m]          | m 8000, big 800   | none                     |
-      | e1[m] e2[big; disk big,m]          | m 8000            | none                     |
+      | e1[m] e2[big; disk big,m]          | m 8000            | unload big e2            |
+      | e1[m] e2[big; disk m]              | m 8000            | none                     |
+
+    Examples: copies of what is refused for want of room, though it would fill no runner
+      | runners                            | demand                | moves                |
+      | e1[m] e2[n; disk m]                | m 1000!700            | load m e2            |
+      | e1[m] e2[big; disk big,m]          | m 1000!700            | unload big e2        |
+      | e1[m] e2[big; disk big,m]          | m 1000!700, big 100   | unload big e2        |
+      | e1[m] e2[big; disk big,m]          | m 1000!700, big 500   | none                 |
+      | e1[m] e2[big; disk big,m]          | m 9000!4000, big 500~ | unload big e2        |
+      | e1[m] e2[big; disk big,m]          | m 9000!4000, big 500  | none                 |
+
+    Examples: a second copy that ended refusals stays, and one that did not may go
+      | runners                            | demand                | moves                |
+      | e1[m] e2[m; disk big,m]            | m 1000!700, big 400   | none                 |
+      | e1[m] e2[m; disk big,m]            | m 1000, big 400       | unload m e2          |
+
+    Examples: what can wait for its model gives way sooner, and what is in use later
+      | runners                            | demand                | moves                    |
+      | e1[m,n; disk m,n,big]              | big 1000, m 500, n 9  | none                     |
+      | e1[m,n; disk m,n,big]              | big 1000, m 500~, n 9 | unload n e1, unload m e1 |
+      | e1[m,n,o; disk m,n,o; use m]       | p 900                 | unload n e1              |
+      | e1[m,n,o; disk m,n,o]              | p 900                 | unload m e1              |
+
+    Examples: room is made for a model once
+      | runners                               | demand  | moves       |
+      | e1[big; disk o; busy 1; room o] e2[big; disk o,big] | o 900 | none |
+      | e1[big; disk o; busy; room o] e2[big; disk o,big]   | o 900 | unload big e2 |
 
   Scenario Outline: the weight store's rate is spent only on loads from it
     Given a lease holder whose weight store allows <rate> loads a second
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -79,7 +79,7 @@
     """Unload the least asked for that nobody uses, or withdraw one that is in use."""
     levels = state.control.forecast.levels
     ranked = sorted(adapters_at(view), key=lambda one: (levels.get(one, 0.0), one))
-    in_use = used_adapters(state)
+    in_use = list_used(state)
     for adapter in ranked:
         if (view.name, adapter) not in in_use:
             return withdraw(state, view, adapter.partition("/")[0], adapter)
@@ -104,7 +104,7 @@
 def unload_withdrawn(state: NodeState) -> Effects:
     """Unload what was withdrawn and is used by nobody any more."""
     effects: Effects = []
-    in_use = used_adapters(state)
+    in_use = list_used(state)
     for name, room in state.residency.rooms.items():
         view = state.endpoints.get(name)
         if view is None or not room.withdrawn or not usable(state, view):
@@ -119,18 +119,20 @@
 
 
 def used_rows(state: NodeState) -> tuple[tuple[str, str], ...]:
-    """Give the adapters that this node's requests use, each with its endpoint."""
+    """Give the adapters and models that this node's requests use, each with its endpoint."""
     return tuple(
         {
-            (one.endpoint, one.arrived.adapter)
+            (one.endpoint, name)
             for one in state.requests.values()
-            if one.running and one.arrived.adapter
+            if one.running and not one.arrived.service
+            for name in (one.arrived.adapter, one.arrived.target)
+            if name
         }
     )
 
 
-def used_adapters(state: NodeState) -> set[tuple[str, str]]:
-    """Give the adapters that any node's requests use, as far as heartbeats tell."""
+def list_used(state: NodeState) -> set[tuple[str, str]]:
+    """Give the adapters and models that any node's requests use, as far as heartbeats tell."""
     in_use = set(used_rows(state))
     for rows in state.control.peer_used.values():
         in_use.update(rows)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -52,6 +52,8 @@
     state.peers_work.forget_prompts(name)
     state.control.peer_demand.pop(name, None)
     state.control.peer_used.pop(name, None)
+    state.control.urgent.forget(name)
+    state.control.missed.forget(name)
     state.peers_work.replace(name, (), state.peers_work.at)
 
 
@@ -165,6 +167,8 @@
         state.limits.hear(event.name, event.team_demand)
         state.control.peer_demand[event.name] = dict(event.demand)
         state.control.peer_used[event.name] = event.used
+        state.control.urgent.hear(event.name, event.urgent)
+        state.control.missed.hear(event.name, event.missed)
         heard = [
             peer.heard_at if peer.heard.inflight is not None else -1e9
             for peer in state.membership.peers.values()
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -5,6 +5,7 @@
 from .acceptance import Room
 from .catalogue import Entry
 from .demand import DemandMeter
+from .demand import DemandStream
 from .demand import Forecast
 from .leases import Lease
 from .memory import Ledger
@@ -63,7 +64,12 @@
         self.meter = DemandMeter()
         self.forecast = Forecast()
         self.peer_demand: dict[str, dict[str, float]] = {}
-        # Adapters that other nodes' requests use, each with its endpoint, by node.
+        # Of the demand, what cannot wait for its model to be loaded.
+        self.urgent = DemandStream()
+        # Of the demand, what was refused for want of room where its model stands.
+        self.missed = DemandStream()
+        # Adapters and models that other nodes' requests use, each with its endpoint, by
+        # node.
         self.peer_used: dict[str, tuple[tuple[str, str], ...]] = {}
         self.store = StoreBudget()
         self.acquired_at = -1e9
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -163,9 +163,17 @@
 # What the replicas that give way would have served counts as this delay, in seconds a
 # runner's whole rate: they are as long away as it takes to plan, load and unload again.
 LOST_COPY_S = 10.0
-# Last replicas that are asked for give way to a model asked for more than four times as
-# much: while boxes are lost there is not room for all.
+# Replicas give way to a model that is asked for, or refused, more than four times as much
+# as what would be missed without them: while boxes are lost there is not room for all.
 GIVE_WAY_SHARE = 0.25
+# Part of a request that can wait for its model, as it counts where that gives way: it is
+# served in time nearly always, but holds up a runner's orders for a swap.
+PATIENT_LOSS = 0.2
+# How much longer an unload takes of what requests use: half of a mean answer, in seconds.
+RUN_S = 1.0
+# What was refused for want of room counts on for this time constant, in seconds, so that
+# the replica that ended the refusals does not give way as soon as they end.
+MISSED_FALL_S = 15.0
 # A load that takes no longer is quick: from memory or disk it takes 0.9 to 1.7 s.
 QUICK_LOAD_S = 3.0
 # A replica is to pay within this time, since demand moves on: the users' days move it
--- a/packages/rookspring-core/src/rookspring_core/demand.py
+++ b/packages/rookspring-core/src/rookspring_core/demand.py
@@ -66,3 +66,40 @@
             else:
                 self.rates[model] = level
         self._sums.clear()
+
+
+class DemandStream:
+    """One kind of demand: metered here, heard from the other nodes, and forecast.
+
+    :param pace: how fast it is believed.
+    """
+
+    def __init__(self, pace: Pace | None = None) -> None:
+        self.meter = DemandMeter(pace)
+        self.forecast = Forecast(pace)
+        self._heard: dict[str, dict[str, float]] = {}
+
+    def use_pace(self, pace: Pace) -> None:
+        """Believe it at another pace from now on."""
+        self.meter.pace = pace
+        self.forecast.pace = pace
+
+    def hear(self, peer: str, rates: t.Iterable[tuple[str, float]]) -> None:
+        """Take another node's rates, in tokens a second by model."""
+        self._heard[peer] = dict(rates)
+
+    def forget(self, peer: str) -> None:
+        """Drop what a node that is gone has told."""
+        self._heard.pop(peer, None)
+
+    def restart(self) -> None:
+        """Begin the forecast anew, as a new lease holder does."""
+        self.forecast = Forecast(self.forecast.pace)
+
+    def sum_up(self, passed: float) -> None:
+        """Add up what all nodes tell, and move the forecast towards it."""
+        sums = dict(self.meter.rates)
+        for rates in self._heard.values():
+            for model, rate in rates.items():
+                sums[model] = sums.get(model, 0.0) + rate
+        self.forecast.update(sums, passed)
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -218,6 +218,8 @@
     lease_epoch: int = 0
     lease_ended: int = 0
     used: tuple[tuple[str, str], ...] = ()
+    urgent: tuple[tuple[str, float], ...] = ()
+    missed: tuple[tuple[str, float], ...] = ()
     inflight: tuple[tuple[str, int], ...] | None = ()
     up_s: float = 0.0
 
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -54,6 +54,8 @@
     control.intents_known = False
     control.publication = type(control.publication)()
     control.forecast = type(control.forecast)(control.forecast.pace)
+    control.urgent.restart()
+    control.missed.restart()
     control.ledgers = {}
     state.record("lease", f"epoch {lease.own_epoch}", "lease acquired")
     for name, view in state.endpoints.items():
@@ -233,6 +235,8 @@
         for model, rate in rates.items():
             sums[model] = sums.get(model, 0.0) + rate
     state.control.forecast.update(sums, passed)
+    state.control.urgent.sum_up(passed)
+    state.control.missed.sum_up(passed)
 
 
 def resident_models(state: NodeState) -> t.Mapping[str, list[str]]:
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -27,7 +27,7 @@
     ``load_s`` tells how long a load of each model takes there, in seconds, where that
     differs by runner. ``free_in_s`` tells how soon a busy one is expected to be free, in
     seconds; infinite where that is not known. ``room_for`` names the model that the last
-    unload there made room for.
+    unload there made room for. ``in_use`` names what requests use there now.
     """
 
     name: str
@@ -42,6 +42,7 @@
     load_s: t.Mapping[str, float] = types.MappingProxyType({})
     free_in_s: float = math.inf
     room_for: str = ""
+    in_use: frozenset[str] = frozenset()
 
 
 class Move(t.NamedTuple):
@@ -66,6 +67,8 @@
 
     :param demand: work asked for by model, in tokens a second of the slowest model.
     :param asked: tokens a second by model, whatever its pace; empty where that is the same.
+    :param urgent: of the demand, what cannot wait for its model to be loaded.
+    :param missed: of the demand, what was refused of late for want of room.
     """
 
     models: t.Mapping[str, ModelSpec]
@@ -73,6 +76,8 @@
     demand: t.Mapping[str, float]
     policy: PolicySpec
     asked: t.Mapping[str, float] = types.MappingProxyType({})
+    urgent: t.Mapping[str, float] = types.MappingProxyType({})
+    missed: t.Mapping[str, float] = types.MappingProxyType({})
 
     def asked_for(self, model: str) -> float:
         """Give how much callers ask of a model, in tokens a second."""
@@ -256,11 +261,21 @@
                 board.unload(key, runner.name, spec.memory_gb, "newer version is resident")
 
 
-def serve_split(board: Board) -> tuple[dict[str, float], dict[str, float]]:
-    """Share each model's demand out over its replicas, towards equal load.
+class Split(t.NamedTuple):
+    """Demand as it is shared out over the replicas, in tokens a second.
 
-    :return: load of each runner and unserved demand of each model, in tokens a second.
+    :param load: of each runner.
+    :param unserved: of each model, beyond its runners' rates.
+    :param share: of each model at each of its runners.
     """
+
+    load: dict[str, float]
+    unserved: dict[str, float]
+    share: dict[tuple[str, str], float]
+
+
+def serve_split(board: Board) -> Split:
+    """Share each model's demand out over its replicas, towards equal load."""
     given = board.given
     load = dict.fromkeys(board.runners, 0.0)
     share: dict[tuple[str, str], float] = {}
@@ -280,7 +295,7 @@
         over = load[host] - board.runners[host].token_rate
         if over > 0:
             unserved[model] = unserved.get(model, 0.0) + over * part / load[host]
-    return load, unserved
+    return Split(load, unserved, share)
 
 
 def _level(
@@ -316,7 +331,7 @@
 def _best_gain(board: Board) -> bool:
     """Add the replica that serves the most unserved demand, if it pays."""
     given = board.given
-    load, unserved = serve_split(board)
+    load, unserved, _ = serve_split(board)
     for model, missed in sorted(unserved.items(), key=lambda item: -item[1]):
         spec = given.models.get(model)
         if spec is None or missed <= 0 or len(board.hosts[model]) >= spec.replicas_max:
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -45,8 +45,8 @@
     if not event.service:
         work = event.tokens * state.paces.relative(event.target)
         state.control.meter.add(event.target, work)
-        if event.adapter and event.route:
-            state.control.meter.add(event.adapter, work)
+        if event.route:
+            routed.meter(state, event, work)
     effects = arrivals.check_limits(state, event) or _enqueue(state, event)
     effects += pump(state)
     return effects + wants.miss(state, event)
@@ -456,6 +456,7 @@
     status = 502 if request.sent else 503
     if request.arrived.route is not None:
         reason, text = routed.lacking(state, request.arrived)
+        routed.note_missed(state, request.arrived, reason)
         return _give_up(state, request, status, reason, text, routed.come_back(state, request))
     text = "cannot be served before its deadline any more"
     return _give_up(state, request, status, "late", text, 1.0)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -63,7 +63,8 @@
 def steer(state: NodeState, passed: float) -> Effects:
     """Do whatever is due at a tick: the lease, then orders."""
     control = state.control
-    control.meter.roll(passed)
+    for meter in (control.meter, control.urgent.meter, control.missed.meter):
+        meter.roll(passed)
     governing.forfeit_lapsed(state)
     effects: Effects = [] if state.leaving else governing.lease_due(state)
     if not governing.holding(state) or state.leaving:
@@ -265,13 +266,27 @@
     # Runners are to be about evenly loaded, so each may have a little over its part.
     part = sum(levels.values()) / max(1, len(views)) * defaults.EVEN_MARGIN
     rate = max(defaults.RUNNER_TOKENS_PER_S, part)
-    rooms = tuple(_runner_room(state, engine, view, rate) for view in views)
+    used = attaching.list_used(state)
+    rooms = tuple(
+        _runner_room(state, engine, view, rate)._replace(
+            in_use=frozenset(name for endpoint, name in used if endpoint == view.name)
+        )
+        for view in views
+    )
     policy = PolicySpec(loads_per_s=max(0.1, engine.loads_per_s))
     store = state.control.store
     store.refill(state.now, engine.loads_per_s * defaults.STORE_RATE_SHARE)
     # A fast model is little work, but its callers miss it as much as those of another.
     asked = {name: level / state.paces.relative(name) for name, level in levels.items()}
-    given = placement.PlanInput(models, rooms, levels, policy, asked)
+    given = placement.PlanInput(
+        models,
+        rooms,
+        levels,
+        policy,
+        asked,
+        urgent=state.control.urgent.forecast.levels,
+        missed=state.control.missed.forecast.levels,
+    )
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
         effects += _move(state, engine, move)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -17,6 +17,7 @@
 from .mixing import mix
 from .retries import RetryWindow
 from .rooms import load_time_s
+from .routes import ModelSize
 from .state import NodeState
 from .state import RequestState
 
@@ -45,6 +46,39 @@
     return admission.Queued(order, arrived.at, arrived.request_id, 0, rank, until)
 
 
+def meter(state: NodeState, arrived: RequestArrived, work: float) -> None:
+    """Count what a request asks of its adapter, and of its model if it can't be waited for.
+
+    :param work: in tokens of the slowest model.
+    """
+    assert arrived.route is not None
+    if arrived.adapter:
+        state.control.meter.add(arrived.adapter, work)
+    size = _model_size(state, arrived.route.service, arrived.target)
+    if size is None:
+        return
+    ready_s = defaults.SWAP_S + (size.disk_s or size.load_s)
+    if ready_s > arrived.route.objective_s * defaults.READY_SHARE:
+        state.control.urgent.meter.add(arrived.target, work)
+
+
+def note_missed(state: NodeState, arrived: RequestArrived, reason: str) -> None:
+    """Count what was refused for want of room where its model stands.
+
+    :param reason: as :func:`lacking` gives it.
+    """
+    if reason == "no_room" and not arrived.service:
+        work = arrived.tokens * state.paces.relative(arrived.target)
+        state.control.missed.meter.add(arrived.target, work)
+
+
+def _model_size(state: NodeState, service: str, model: str) -> ModelSize | None:
+    size = state.table.services.get(service) if state.table else None
+    if size is None or size.engine is None:
+        return None
+    return size.engine.models.get(model)
+
+
 def _patience_s(state: NodeState, arrived: RequestArrived) -> float:
     """Give how long a request may wait, in seconds.
 
@@ -62,11 +96,11 @@
 
 def ready_in_s(state: NodeState, service: str, model: str) -> float:
     """Predict how soon a model that is on no endpoint can be there, in seconds."""
-    size = state.table.services.get(service) if state.table else None
-    if size is None or size.engine is None or model not in size.engine.models:
+    size = _model_size(state, service, model)
+    if size is None:
         return math.inf
     times = [
-        load_time_s(size.engine.models[model], view.report)
+        load_time_s(size, view.report)
         for view in state.endpoints.values()
         if view.service == service and view.report is not None and view.open_for_work(state.now)
     ]
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -20,6 +20,17 @@
 from .placement import serve_split
 
 
+class Bounds(t.NamedTuple):
+    """What callers would miss may be up to this where replicas give way, in tokens a second.
+
+    :param spare: for one beside which others stay.
+    :param last: for the last one of a model; None where none may go.
+    """
+
+    spare: float
+    last: float | None
+
+
 class Option(t.NamedTuple):
     """One runner that could take a model; the tuple's order is that of preference.
 
@@ -39,8 +50,9 @@
     """A board with what a plan looks at again and again, worked out once.
 
     ``load_of`` is what each runner serves, in tokens a second, ``unserved`` what of each
-    model's demand is beyond its runners' rates; :meth:`share_out` brings both up to date.
-    ``quick`` are the models that some runner has near.
+    model's demand is beyond its runners' rates or was refused of late; :meth:`share_out`
+    brings both up to date. ``quick`` are the models that some runner has near, ``on_way``
+    those for which a runner is making room.
     """
 
     def __init__(self, given: PlanInput) -> None:
@@ -52,10 +64,40 @@
             for model, load_s in runner.load_s.items()
             if load_s <= defaults.QUICK_LOAD_S
         }
+        self.on_way = {
+            runner.room_for
+            for runner in given.runners
+            if runner.busy and not math.isinf(runner.free_in_s)
+        }
 
     def share_out(self) -> None:
         """Share the demand out over the replicas as they are now planned."""
-        self.load_of, self.unserved = serve_split(self)
+        self.load_of, self.unserved, self.share = serve_split(self)
+        for model, missed in self.given.missed.items():
+            if self.given.demand.get(model, 0.0) > 0.0:
+                self.unserved[model] = max(self.unserved.get(model, 0.0), missed)
+
+    def loss(self, model: str, runner: str) -> float:
+        """Predict what callers would miss without a replica, in tokens a second.
+
+        Without a last one, all that cannot wait for it to be loaded again, and a part of
+        what can. Without a spare one, what the others have no room for, or what was
+        refused of late, when there was one replica fewer.
+        """
+        given = self.given
+        asked = given.asked_for(model)
+        demand = given.demand.get(model, 0.0)
+        if asked <= 0.0 or demand <= 0.0:
+            return 0.0
+        others = self.ready[model] - {runner}
+        if not others:
+            urgent = asked * min(1.0, given.urgent.get(model, 0.0) / demand)
+            return urgent + defaults.PATIENT_LOSS * (asked - urgent)
+        spare = sum(
+            max(0.0, self.runners[other].token_rate - self.load_of[other]) for other in others
+        )
+        over = self.share.get((model, runner), 0.0) - spare
+        return asked / demand * max(0.0, over, given.missed.get(model, 0.0))
 
 
 @placement("swap")
@@ -94,7 +136,9 @@
     lacking = [
         model
         for model in board.given.models
-        if not board.hosts[model] and (demand.get(model, 0.0) > 0.0) == asked
+        if not board.hosts[model]
+        and model not in board.on_way
+        and (demand.get(model, 0.0) > 0.0) == asked
     ]
     return sorted(lacking, key=lambda name: (-demand.get(name, 0.0), name))
 
@@ -107,10 +151,11 @@
     """
     share = board.given.asked_for(model) * defaults.GIVE_WAY_SHARE
     most = max(defaults.IDLE_TOKENS_PER_S, share)
+    bounds = Bounds(spare=most, last=most)
     options = [
         option
         for runner in board.given.runners
-        if (option := _consider(board, runner, model, most)) is not None
+        if (option := _consider(board, runner, model, bounds)) is not None
     ]
     best = min(options, default=None)
     if best is not None and best.runner not in board.touched:
@@ -129,11 +174,12 @@
     are spare and idle too: a near one is there soon enough once it is asked for.
     """
     near = model in board.quick
+    bounds = Bounds(spare=defaults.IDLE_TOKENS_PER_S, last=None)
     options = [
         option
         for runner in board.open_to(model)
-        if (option := _consider(board, runner, model, 0.0)) is not None
-        and (not option.goes or (not near and option.lost <= defaults.IDLE_TOKENS_PER_S))
+        if (option := _consider(board, runner, model, bounds)) is not None
+        and (not option.goes or not near)
     ]
     best = min(options, default=None)
     if best is not None:
@@ -144,39 +190,38 @@
     board: SwapBoard,
     runner: RunnerRoom,
     model: str,
-    most: float,
+    bounds: Bounds,
 ) -> Option | None:
-    """Say what it would take to load a model at a runner; None where it cannot be.
-
-    :param most: last replicas may give way up to this demand, in tokens a second; none
-        may at 0.
-    """
+    """Say what it would take to load a model at a runner; None where it cannot be."""
     spec = board.given.models[model]
     if runner.engine != spec.engine or runner.name in board.hosts[model]:
         return None
     if (model, spec.version) in runner.barred or _waits(board, runner):
         return None
-    goes = _giving_way(board, runner, spec.memory_gb - board.free[runner.name], most)
+    goes = _giving_way(board, runner, spec.memory_gb - board.free[runner.name], bounds)
     if goes is None:
         return None
     cost_s = runner.load_s.get(model, 0.0) + defaults.UNLOAD_S * len(goes)
+    # An unload waits for what is running there.
+    cost_s += defaults.RUN_S * sum(key[0] in runner.in_use for key, _ in goes)
     if runner.name in board.touched:
         cost_s += runner.free_in_s
     rate = max(runner.token_rate, 1e-9)
-    lost = sum(_asked(board, key[0]) for key, _ in goes)
+    lost = sum(board.loss(key[0], runner.name) for key, _ in goes)
     cost_s += defaults.LOADED_RUNNER_S * board.load_of[runner.name] / rate
     cost_s += defaults.LOST_COPY_S * lost / rate
     return Option(cost_s, lost, runner.name, goes)
 
 
 def _giving_way(
-    board: SwapBoard, runner: RunnerRoom, need_gb: float, most: float
+    board: SwapBoard, runner: RunnerRoom, need_gb: float, bounds: Bounds
 ) -> tuple[tuple[Weights, float], ...] | None:
-    """Choose replicas to unload, the least asked for first; None where too few may go."""
+    """Choose replicas to unload, the least missed first; None where too few may go."""
     goes: list[tuple[Weights, float]] = []
 
-    def order(key: Weights) -> tuple[float, int, Weights]:
-        return _asked(board, key[0]), -len(board.ready.get(key[0], ())), key
+    def order(key: Weights) -> tuple[bool, float, int, Weights]:
+        loss = board.loss(key[0], runner.name) if key[0] in board.ready else 0.0
+        return key[0] in runner.in_use, loss, -len(board.ready.get(key[0], ())), key
 
     for key in sorted(runner.resident, key=order):
         if need_gb <= 0:
@@ -184,16 +229,18 @@
         spec = board.given.models.get(key[0])
         if spec is None or runner.name not in board.ready[key[0]]:
             continue
-        last_may_go = most > 0 and board.given.asked_for(key[0]) <= most and key[0] in board.quick
-        if board.spare(key[0]) or last_may_go:
+        most = _most_missed(board, key[0], bounds)
+        if most is not None and board.loss(key[0], runner.name) <= most:
             goes.append((key, spec.memory_gb))
             need_gb -= spec.memory_gb
     return tuple(goes) if need_gb <= 0 else None
 
 
-def _asked(board: SwapBoard, model: str) -> float:
-    """Give what each replica of a model is asked for, in tokens a second."""
-    return board.given.demand.get(model, 0.0) / max(1, len(board.ready.get(model, ())))
+def _most_missed(board: SwapBoard, model: str, bounds: Bounds) -> float | None:
+    """Give what may be missed without a replica of a model; None where it must stay."""
+    if board.spare(model):
+        return bounds.spare
+    return bounds.last if model in board.quick else None
 
 
 def _take(board: SwapBoard, model: str, option: Option, why: str) -> None:
@@ -215,9 +262,14 @@
         spec = given.models.get(model)
         if spec is None or missed <= 0 or len(board.hosts[model]) >= spec.replicas_max:
             continue
+        if model in board.on_way:
+            continue
+        tokens = missed * given.asked_for(model) / given.demand[model]
+        share = tokens * defaults.GIVE_WAY_SHARE
+        bounds = Bounds(spare=share, last=min(share, defaults.IDLE_TOKENS_PER_S))
         best: tuple[float, Option] | None = None
         for runner in board.open_to(model):
-            option = _consider(board, runner, model, 0.0)
+            option = _consider(board, runner, model, bounds)
             spare = runner.token_rate - board.load_of[runner.name]
             if option is None or spare <= 0:
                 continue
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -56,8 +56,9 @@
     """What a node says of itself; ``inflight`` is None where its rows are left out.
 
     ``up_s`` is how long it has run, in seconds. ``lease_ended`` is the last epoch of the
-    lease that it held and that has lapsed, ``used`` the adapters that its requests use, as
-    rows of endpoint and adapter.
+    lease that it held and that has lapsed, ``used`` the adapters and models that its
+    requests use, as rows of endpoint and name. ``urgent`` and ``missed`` are parts of
+    ``demand``: what cannot wait for its model, and what was refused for want of room.
     """
 
     name: str
@@ -74,6 +75,8 @@
     up_s: float = 0.0
     lease_ended: int = 0
     used: list[t.Any] | None = None
+    urgent: list[t.Any] | None = None
+    missed: list[t.Any] | None = None
 
 
 @message("reports")
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -113,6 +113,8 @@
         )
         state.control.meter.pace = pace
         state.control.forecast.pace = pace
+        state.control.urgent.use_pace(pace)
+        state.control.missed.use_pace(pace._replace(fall_s=core_defaults.MISSED_FALL_S))
         metrics = Metrics(settings.name)
         address = f"{settings.store_scheme}://{settings.store}"
         platform = open_platform(address, _counter(metrics))
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -6,6 +6,7 @@
 
 from rookspring_core import attaching
 from rookspring_core import cluster
+from rookspring_core.demand import DemandMeter
 from rookspring_core.effects import Want
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
@@ -172,16 +173,26 @@
         # A node that could not serve yet is given to no caller.
         revision=state.revision if context.listed else 0,
         leaving=state.leaving,
-        demand=[[name, round(rate, 2)] for name, rate in state.control.meter.rates.items()],
+        demand=_write_rates(state.control.meter),
         team_demand=[],
         lease_epoch=state.control.acting_epoch if state.control.holding(time.monotonic()) else 0,
         inflight=[list(row) for row in cluster.inflight_rows(state)],
         up_s=time.monotonic() - state.started_at,
         lease_ended=state.control.lease.ended,
         used=[list(row) for row in attaching.used_rows(state)],
+        urgent=_write_rates(state.control.urgent.meter),
+        missed=_write_rates(state.control.missed.meter),
     )
 
 
+def _write_rates(meter: DemandMeter) -> list[t.Any]:
+    return [[name, round(rate, 2)] for name, rate in meter.rates.items()]
+
+
+def _read_rates(rows: list[t.Any] | None) -> tuple[tuple[str, float], ...]:
+    return tuple((str(row[0]), float(row[1])) for row in rows or ())
+
+
 @receives(Heartbeat)
 def hear_beat(peers: RelayPeers, link: Link, beat: Heartbeat) -> None:
     """Take a heartbeat, and ask for the route table if it is newer."""
@@ -195,13 +206,15 @@
             data_centre=beat.data_centre,
             revision=beat.revision,
             leaving=beat.leaving,
-            demand=tuple((str(one[0]), float(one[1])) for one in beat.demand),
+            demand=_read_rates(beat.demand),
             team_demand=(),
             lease_epoch=beat.lease_epoch,
             inflight=tuple((str(one[0]), int(one[1])) for one in beat.inflight or ()),
             up_s=float(beat.up_s),
             lease_ended=int(beat.lease_ended),
             used=tuple((str(one[0]), str(one[1])) for one in beat.used or ()),
+            urgent=_read_rates(beat.urgent),
+            missed=_read_rates(beat.missed),
         )
     )
     if beat.leaving or beat.lease_ended == peers.context.state.control.lease.epoch > 0:
