Tell all nodes at once what one finds down, and take it for absent

Change: a refused connection is told to all nodes; nothing is sent there for a second, its models count as absent (so the holder loads them elsewhere, and requests wait for that or are told when), and the holder reads its report each second until its entry lapses, so that a wrong word is mended.

Tests: four scenarios, two of which fail before (told at once; told once).

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -244,6 +244,22 @@
       | no listener       | load n |
       | a broken answer   | none   |
 
+  Scenario: what was found down is told at once, and what it held is loaded elsewhere
+    Given a lease holder over runners holding n, m of 200 GB
+    When another node tells that nothing listens at the first runner
+    Then the orders are load n
+    And a request for n is not sent there, and waits for it
+
+  Scenario: a refused connection is told to the other nodes once
+    Given a relaying node whose one endpoint refuses connections
+    When two requests are sent to it at once
+    Then the other nodes are told once, and neither request is sent again
+
+  Scenario: a runner whose report is read is not down any more
+    Given a lease holder over runners holding n, m of 200 GB
+    When another node tells wrongly that nothing listens at the first runner
+    Then it may get requests and orders again within 1.5 s
+
   Scenario Outline: an endpoint that left the list gets nothing new
     Given a lease holder over runners holding m, m of 200 GB
     When the first runner has a request and leaves the list, and <what> comes
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -8,6 +8,7 @@
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
+from rookspring_core.effects import ShareDown
 from rookspring_core.effects import Want
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import AttemptFailed
@@ -64,6 +65,7 @@
         self.ended = []
         self.orders = []
         self.wants = []
+        self.told_down = []
         self.submit(PlatformAnswered(self.now, True))
         self.submit(RouteTableSeen(self.now, make_table(sizes=sizes)))
 
@@ -73,6 +75,7 @@
             Refuse: self.refused,
             SendOrder: self.orders,
             Want: self.wants,
+            ShareDown: self.told_down,
         }
         effects = reduce(self.state, event)
         for effect in effects:
@@ -152,6 +155,8 @@
         # Set to take the lease's writes instead of having them answered.
         self.renewed = None
         self.carried = True
+        # Runners whose process has ended: they answer no reads.
+        self.dead = set()
         names = {one for text in held for one in text.split("+")}
         super().__init__({name: mb for name, mb in SIZES.items() if name in names})
         for number, text in enumerate(held, start=1):
@@ -179,7 +184,7 @@
             self.renewed(effect)
         elif isinstance(effect, WriteLease):
             self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
-        elif isinstance(effect, ReadReport):
+        elif isinstance(effect, ReadReport) and effect.endpoint not in self.dead:
             runner = self.runners[effect.endpoint]
             token = (0, runner["taken"])
             models, adapters = runner["models"], runner["adapters"]
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -168,6 +168,13 @@
     Then the new retry terms are in force
     And wrong settings leave them as they are
 
+  Scenario: what one node finds down, the others know
+    Given a relay node with one endpoint that does: answer
+    And a second node beside it
+    When the endpoint's process ends, and the first node sends it a request
+    Then the answer is not run
+    And the second node knows within 1 s that nothing listens there
+
   Scenario: a node that was killed goes on with its own lease at once
     Given a relay node with one endpoint that does: answer
     And it has held the lease and given orders
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -328,6 +328,40 @@
 PEER_OFFSETS = (101, 102)
 
 
+@given("a second node beside it")
+def second_node(context):
+    stage = context.relay
+    base = ports.find_base()
+
+    async def work():
+        # The first one starts anew, at an address that the second can be told.
+        first = f"127.0.0.1:{base + PEER_OFFSETS[0]}"
+        second = f"127.0.0.1:{base + PEER_OFFSETS[1]}"
+        await stage.restart(peer_address=first)
+        context.second = await stage.add_node(name="n2", peer_address=second, seeds=(first,))
+        await stage.until(lambda: "n2" in stage.node.context.state.membership.peers)
+
+    context.loop.run(work())
+
+
+@when("the endpoint's process ends, and the first node sends it a request")
+def send_to_ended(context):
+    stage = context.relay
+
+    async def work():
+        await stage.servers[0].close()
+        context.answer = await stage.ask(request("safe"))
+
+    context.loop.run(work())
+
+
+@then("the second node knows within {seconds:g} s that nothing listens there")
+def second_knows(context, seconds):
+    state = context.second.context.state
+    name = context.relay.servers[0].name
+    context.loop.run(context.relay.until(lambda: state.endpoints[name].down, seconds))
+
+
 @given("it has held the lease and given orders")
 def held_lease(context):
     stage = context.relay
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -14,6 +14,7 @@
 from .events import BoxListCame
 from .events import BoxListed
 from .events import CacheEventsCame
+from .events import DownHeard
 from .events import DrainAsked
 from .events import EndpointReported
 from .events import PeerHeard
@@ -72,6 +73,8 @@
         if event.order_token[1] >= 0 and _overtaken(view, event):
             return []
         event = residency.refine(state, view, event)
+    # Whoever has just read its report has reached it.
+    view.down = view.down and not event.own
     before = view.targets()
     if not view.take_report(event):
         return []
@@ -194,6 +197,15 @@
     return requests.pump(state)
 
 
+@handles(DownHeard)
+def hear_down(state: NodeState, event: DownHeard) -> Effects:
+    """Take another node's word that nothing listens at an endpoint."""
+    view = state.endpoints.get(event.endpoint)
+    if view is not None and view.found_down(event.at):
+        state.record(view.name, "down", "another node's connection was refused")
+    return []
+
+
 @handles(PeerLost)
 def lose_peer(state: NodeState, event: PeerLost) -> Effects:
     """A node's stream ended; its heartbeats decide whether it is gone."""
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -158,6 +158,12 @@
     tokens: int
 
 
+class ShareDown(t.NamedTuple):
+    """Tell every other node that nothing listens at an endpoint."""
+
+    endpoint: str
+
+
 class ShareReport(t.NamedTuple):
     """Tell every other node what is now true of an endpoint."""
 
@@ -191,6 +197,7 @@
     | ReadReport
     | Remind
     | SharePrompts
+    | ShareDown
     | ShareReport
     | Announce
     | Stop
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -222,6 +222,20 @@
         """No connection could be made: leave it alone for a moment, at once."""
         self.ejected_until = max(self.ejected_until, now + defaults.UNREACHED_EJECT_S)
 
+    def found_down(self, now: float) -> bool:
+        """Nothing listened there, so its process has ended: send nothing for a moment.
+
+        :return: whether that is news.
+        """
+        news = self.listens(now)
+        self.down = True
+        self.unreached(now)
+        return news
+
+    def listens(self, now: float) -> bool:
+        """Say whether something may listen there, as far as was found a moment ago."""
+        return not self.down or now >= self.ejected_until
+
     def fail(self, now: float) -> None:
         """Count a failure, and eject the endpoint after several in a row."""
         self.failures += 1
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -233,6 +233,13 @@
     tokens: int
 
 
+class DownHeard(t.NamedTuple):
+    """Another node has found that nothing listens at an endpoint."""
+
+    at: float
+    endpoint: str
+
+
 class PeerLost(t.NamedTuple):
     """The stream to another node ended."""
 
@@ -380,6 +387,7 @@
     | RouteTableSeen
     | PeerHeard
     | PromptsHeard
+    | DownHeard
     | PeerLost
     | PlatformAnswered
     | LeaseSeen
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -17,6 +17,7 @@
 from .effects import Forget
 from .effects import Refuse
 from .effects import Replay
+from .effects import ShareDown
 from .endpoints import EndpointView
 from .events import AttemptFailed
 from .events import AttemptProgressed
@@ -298,7 +299,7 @@
     request.sent = request.maybe_ran
     request.not_run_said = event.said_not_run
     told = routed.end_prompt(state, request)
-    _blame(state, request, event)
+    told += _blame(state, request, event)
     request.running = False
     terms = request.arrived.route
     if routed.may_retry(state, request, event) if terms else _may_retry(state, request, event):
@@ -311,26 +312,27 @@
     return told + effects + pump(state)
 
 
-def _blame(state: NodeState, request: RequestState, event: AttemptFailed) -> None:
+def _blame(state: NodeState, request: RequestState, event: AttemptFailed) -> Effects:
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is None:
-        return
+        return []
     endpoint.end(request.arrived.request_id, state.now)
     if event.leaving:
         endpoint.leaving = True
-        return
+        return []
     if event.absent:
         before = endpoint.targets()
         endpoint.lacks(request.arrived.target, request.arrived.adapter)
         state.index(endpoint, before, endpoint.targets())
-    if event.down:
-        endpoint.down = True
-    if not event.sent:
-        endpoint.unreached(state.now)
     if event.said_not_run:
         endpoint.heard_at = state.now
     else:
         endpoint.fail(state.now)
+    if event.down and endpoint.found_down(state.now):
+        return [ShareDown(endpoint.name)]
+    if not event.sent:
+        endpoint.unreached(state.now)
+    return []
 
 
 def _may_retry(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -99,6 +99,8 @@
         # Until its turn the holder reads again: what the one before ordered may end yet.
         loading = view.report is not None and bool(view.report.loading)
         due = not room.trusted or room.order is not None or loading or not settled(state)
+        # One that is down is looked after until its entry lapses, should it be there yet.
+        due = due or view.down
         if due and state.now - room.asked_at >= pause_s:
             room.asked_at = state.now
             effects.append(ReadReport(name, 0.0))
--- a/packages/rookspring-core/src/rookspring_core/resources.py
+++ b/packages/rookspring-core/src/rookspring_core/resources.py
@@ -18,7 +18,9 @@
     """Bounds of a field, by the names that the validating library gives them.
 
     It stands in a field's annotation without the library: a relay node checks no
-    documents, and loading it took 155 of the 288 ms that such a node's imports took.
+    documents, and without it such a
+    node's imports take 0.31 s of processor in place of 0.49, and 30 MiB in place of 40
+    (medians of ten whole processes).
 
     :param bounds: such as ``ge`` or ``pattern``.
     """
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -87,7 +87,7 @@
     """
     terms = arrived.route
     assert terms is not None
-    if arrived.service or state.hosts.get(arrived.target):
+    if arrived.service or _stands(state, arrived):
         return terms.patience_s
     wait_s = ready_in_s(state, terms.service, arrived.target) * defaults.READY_MARGIN
     in_time = wait_s <= terms.objective_s * defaults.READY_SHARE
@@ -136,7 +136,7 @@
     ]
     if arrived.adapter:
         holding = [one for one in holding if one.has_adapter(arrived.adapter)]
-    staying = [one for one in holding if not one.leaving and not one.gone]
+    staying = [one for one in holding if _stays(state, one)]
     ready = [one for one in staying if one.open_for_work(state.now)] or staying
     ready = [one for one in ready if one.load(state.now) < 1.0]
     if arrived.service:
@@ -145,6 +145,24 @@
     return [one for one in ready if _takes(one, work)]
 
 
+def _stays(state: NodeState, endpoint: EndpointView) -> bool:
+    """Say whether an endpoint may take requests yet; ejected ones may if there is no other.
+
+    What crashed takes none: before the nodes told each other, 198 tries were spent on
+    refused connections in a day in which two of eight runners crashed.
+    """
+    return not endpoint.leaving and not endpoint.gone and endpoint.listens(state.now)
+
+
+def _stands(state: NodeState, arrived: RequestArrived) -> bool:
+    """Say whether a request's model is on an endpoint that stays."""
+    assert arrived.route is not None
+    return any(
+        one.service == arrived.route.service and _stays(state, one)
+        for one in state.hosts.get(arrived.target, {}).values()
+    )
+
+
 def _prompt_work(state: NodeState, arrived: RequestArrived) -> int:
     """Give a prompt's size as the slowest model's tokens that take as long to read."""
     return round(arrived.prompt_tokens * state.paces.relative(arrived.target))
@@ -235,7 +253,7 @@
     # Spread by request, so that those who are refused together do not return together.
     spread = mix("come back", arrived.request_id) % 1000 / 1000.0
     least, most = defaults.COME_BACK_ROOM_S
-    if not hosts and arrived.route is not None:
+    if arrived.route is not None and not arrived.service and not _stands(state, arrived):
         ready_s = ready_in_s(state, arrived.route.service, arrived.target)
         least = min(ready_s, defaults.COME_BACK_ABSENT_MAX_S)
         most = least + defaults.COME_BACK_SPREAD_S
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -125,6 +125,13 @@
     rows: list[t.Any]
 
 
+@message("down")
+class Down(t.NamedTuple):
+    """Nothing listens at an endpoint, as the sender has just found."""
+
+    endpoint: str
+
+
 @message("want-table")
 class WantTable(t.NamedTuple):
     """Ask for the route table."""
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -6,6 +6,7 @@
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
+from rookspring_core.effects import ShareDown
 from rookspring_core.effects import SharePrompts
 from rookspring_core.effects import ShareReport
 from rookspring_core.effects import Want
@@ -104,6 +105,12 @@
     context.share(effect.report)
 
 
+@relay_performs(ShareDown)
+def share_down(context: RelayContext, effect: ShareDown) -> None:
+    """Tell every other node that nothing listens at an endpoint."""
+    context.share_down(effect.endpoint)
+
+
 @relay_performs(SharePrompts)
 def share_prompts(context: RelayContext, effect: SharePrompts) -> None:
     """Tell every other node what an endpoint is to read of this node's prompts."""
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -9,6 +9,7 @@
 from rookspring_core.demand import DemandMeter
 from rookspring_core.effects import Want
 from rookspring_core.events import BoxListed
+from rookspring_core.events import DownHeard
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import PeerHeard
@@ -19,6 +20,7 @@
 from . import defaults
 from .dialling import Dialler
 from .logs import log
+from .peers import Down
 from .peers import Heartbeat
 from .peers import Link
 from .peers import Nodes
@@ -115,6 +117,11 @@
         for link in list(self.server.links.values()):
             link.send(item)
 
+    def share_down(self, endpoint: str) -> None:
+        """Tell all linked nodes that nothing listens at an endpoint."""
+        for link in list(self.server.links.values()):
+            link.send(Down(endpoint))
+
     def share_prompts(self, endpoint: str, tokens: int) -> None:
         """Tell all linked nodes what an endpoint is to read of this node's prompts."""
         item = Prompts(endpoint, tokens)
@@ -257,6 +264,12 @@
     peers.context.submit(PromptsHeard(now, link.name, prompts.endpoint, prompts.tokens))
 
 
+@receives(Down)
+def take_down(peers: RelayPeers, link: Link, down: Down) -> None:
+    """Take another node's word that nothing listens at an endpoint."""
+    peers.context.submit(DownHeard(time.monotonic(), down.endpoint))
+
+
 @receives(WantModel)
 def take_want(peers: RelayPeers, link: Link, want: WantModel) -> None:
     """Take what another node's request waits for."""
