Bound unread prompts by the pace that is seen and the pause that a route bears

Cause: the bound of 4,096 tokens was the first customers' engine written down. A model's pace also counted what any prompt takes however short it is, so that a model nine times as fast counted as 0.7 of another.

Change: the time to a first event, less the least that any took, gives seconds a token; prompts are sent while all that is unread is read within 0.85 of the route's longest pause. Until a pace was seen the old bound holds.

Tests: eight rows on the bound (six fail before), six on the pace in place of six that held the old measure.

--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -92,19 +92,36 @@
       | 0.01 | in the weight store    | 0     |
       | 10   | in the weight store    | 2     |
 
-  Scenario Outline: a model's pace is the least time of late to a first event, a token
+  Scenario Outline: a model's pace is what a prompt's tokens add to the time to a first event
     Given prompts of <tokens> tokens read in <took> ms
-    When they are told of the model m, and 1000 tokens in 50 ms of the model n
+    When they are told of the model m, after 10 tokens in 40 ms and 2000 in 140 ms of n
     Then m counts for <part> of n
 
     Examples:
-      | tokens           | took          | part |
-      | 1000             | 50            | 1.00 |
-      | 1000             | 5             | 0.10 |
-      | 1000, 1000       | 5, 500        | 0.10 |
-      | 1000, 500        | 50, 5         | 0.20 |
-      | 100              | 1             | 1.00 |
-      | 1000             | 0.5           | 0.05 |
+      | tokens                 | took                  | part |
+      | 2000                   | 140                   | 1.00 |
+      | 2000                   | 50                    | 0.10 |
+      | 4000                   | 240                   | 1.00 |
+      | 2000, 2000             | 50, 140               | 0.28 |
+      | 900                    | 40                    | 1.00 |
+      | 2000                   | 41                    | 0.05 |
+
+  Scenario Outline: an endpoint gets another prompt if it reads all it has within the pause
+    Given a relaying node whose runner reads 20 tokens a millisecond, as it has <seen>
+    And that has a prompt of <unread> tokens to read
+    When a prompt of <tokens> tokens comes for a route that bears a pause of <pause> s
+    Then it is <sent>
+
+    Examples: 0.85 of the pause is for reading
+      | seen     | unread | tokens | pause | sent     |
+      | seen     | 3000   | 2000   | 0.3   | sent     |
+      | seen     | 3000   | 2300   | 0.3   | not sent |
+      | seen     | 3000   | 2000   | 0.25  | not sent |
+      | seen     | 0      | 9000   | 0.25  | sent     |
+      | not seen | 3000   | 1000   | 0.25  | sent     |
+      | not seen | 3000   | 1200   | 0.25  | not sent |
+      | seen     | 3000   | 1000   | 0.0   | sent     |
+      | seen     | 3000   | 1200   | 0.0   | not sent |
 
   Scenario: demand and unread prompts are counted by what they take to read
     Given a lease holder over runners holding m+n, m+n of 200 GB
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -189,10 +189,12 @@
 # of 11 ms, which makes some 9 of their mean requests of 3,180 a second.
 # Below a part of that their answers are never late, so no move pays.
 RUNNER_TOKENS_PER_S = 4_000.0
-# Prompts from this many tokens on tell a model's pace; what was least is forgotten by
-# this much a measurement; and no model counts for less than this part of the slowest.
-PACE_TOKENS_MIN = 400
-PACE_FORGET = 1.01
+# Prompts from this many tokens on tell a model's pace, which moves towards each by this
+# part; the least time to a first event is forgotten by this much a measurement; and no
+# model counts for less than this part of the slowest.
+PACE_TOKENS_MIN = 1_000
+PACE_GAIN = 0.2
+PACE_FORGET = 1.001
 PACE_LEAST = 0.05
 # How far above its even part of the demand a runner may be planned.
 EVEN_MARGIN = 1.2
@@ -220,10 +222,12 @@
 RELAY_DEMAND_METER_S = 1.0
 # The least difference between two moments that are told apart.
 CLOCK_STEP_S = 1e-6
-# Prompt tokens that an endpoint may have to read before it gets another prompt. Engines
-# read 4,096 of them in one step, and an event of a stream takes two steps: above about
-# 5,500 all streams there pause for longer than the 300 ms that callers bear.
-UNREAD_TOKENS_MAX = 4_096
+# All streams of an endpoint pause while it reads prompts. It gets another one only if it
+# reads all it has within this part of the pause that the route's callers bear; the rest
+# is for the steps of the answers between.
+READ_SHARE = 0.85
+# Prompt tokens that an endpoint may have to read while its pace is not known.
+UNREAD_TOKENS_START = 4_096
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
 # Nodes that may join, beside those that were seen, for parts of what all have together.
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -24,6 +24,7 @@
     :param attempts: most endpoints that it may be sent to.
     :param patience_s: longest wait for room before it is refused, in seconds.
     :param objective_s: an answer within it is worth the most; 0 where none is known.
+    :param pause_s: longest pause in a stream that is still in time; 0 where none is known.
     """
 
     name: str
@@ -33,6 +34,7 @@
     attempts: int
     patience_s: float
     objective_s: float = 0.0
+    pause_s: float = 0.0
 
 
 class RequestArrived(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/paces.py
+++ b/packages/rookspring-core/src/rookspring_core/paces.py
@@ -1,9 +1,10 @@
-"""How long models take to read a token of a prompt, learnt from first events.
+"""How fast engines read prompts, learnt from the first events of their answers.
 
-A configuration tells a model's size but not its pace, and a sparse model of the same
-size reads nine times as fast as a dense one. What is measured is the time from sending
-a prompt to the first event of its answer, a token; the least of late is taken, since
-waiting only adds to it.
+A configuration tells a model's size but neither its pace nor its engine's: a sparse
+model of the same size reads nine times as fast as a dense one. What is measured is the
+time from sending a prompt, to a runner that has no other to read, to the first event
+of its answer. What any prompt takes however short it is (the way there and the first
+steps of the answer) is taken off, and the rest is put down to the prompt's tokens.
 """
 
 from . import defaults
@@ -13,23 +14,40 @@
     """Seconds a prompt token by model, as this node has seen them."""
 
     def __init__(self) -> None:
-        self._least: dict[str, float] = {}
+        # The least time to any first event, in seconds; none was seen at infinity.
+        self._base_s = float("inf")
+        self._token_s: dict[str, float] = {}
 
     def note(self, model: str, tokens: int, took_s: float) -> None:
-        """Take one measurement; short prompts say too little.
+        """Take one measurement; short prompts say nothing of the time a token takes.
 
         :param tokens: of the prompt.
         :param took_s: from sending it to the first event.
         """
-        if tokens < defaults.PACE_TOKENS_MIN or took_s <= 0:
+        if took_s <= 0:
             return
-        sample = took_s / tokens
-        known = self._least.get(model, sample)
-        self._least[model] = min(sample, known * defaults.PACE_FORGET)
+        self._base_s = min(took_s, self._base_s * defaults.PACE_FORGET)
+        if tokens < defaults.PACE_TOKENS_MIN:
+            return
+        sample = (took_s - self._base_s) / tokens
+        known = self._token_s.get(model)
+        if known is None:
+            self._token_s[model] = sample
+        else:
+            self._token_s[model] += (sample - known) * defaults.PACE_GAIN
 
     def relative(self, model: str) -> float:
         """Give a model's time in parts of the slowest known one's; 1 while unknown."""
-        mine = self._least.get(model)
-        if mine is None:
+        mine = self._token_s.get(model)
+        slowest = max(self._token_s.values(), default=0.0)
+        if mine is None or slowest <= 0.0:
             return 1.0
-        return max(defaults.PACE_LEAST, mine / max(self._least.values()))
+        return max(defaults.PACE_LEAST, mine / slowest)
+
+    def readable(self, seconds: float) -> float:
+        """Give the tokens of the slowest known model that a runner reads in a time.
+
+        Infinite while nothing is known.
+        """
+        slowest = max(self._token_s.values(), default=0.0)
+        return seconds / slowest if slowest > 0.0 else float("inf")
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -193,6 +193,7 @@
     request.tried.add(endpoint.name)
     request.running = True
     request.dispatched_at = state.now
+    request.alone = endpoint.unread() == 0
     identity = request.arrived.request_id
     endpoint.begin(identity, state.now)
     if request.arrived.prefix:
@@ -261,7 +262,7 @@
         request.barren = 0
         if (endpoint := state.endpoints.get(request.endpoint)) is not None:
             endpoint.heard_at = state.now
-        if request.delivered == event.tokens and not request.arrived.service:
+        if request.delivered == event.tokens and request.alone:
             took_s = state.now - request.dispatched_at
             state.paces.note(request.arrived.target, request.arrived.prompt_tokens, took_s)
         if request.arrived.route is not None:
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -142,7 +142,8 @@
     if arrived.service:
         return ready
     work = _prompt_work(state, arrived)
-    return [one for one in ready if _takes(one, work)]
+    most = _unread_most(state, arrived)
+    return [one for one in ready if _takes(one, work, most)]
 
 
 def _stays(state: NodeState, endpoint: EndpointView) -> bool:
@@ -168,9 +169,19 @@
     return round(arrived.prompt_tokens * state.paces.relative(arrived.target))
 
 
-def _takes(endpoint: EndpointView, tokens: int) -> bool:
+def _unread_most(state: NodeState, arrived: RequestArrived) -> float:
+    """Give the prompt tokens that an endpoint may have to read, as the slowest model's."""
+    terms = arrived.route
+    assert terms is not None
+    if terms.pause_s <= 0.0:
+        return defaults.UNREAD_TOKENS_START
+    readable = state.paces.readable(terms.pause_s * defaults.READ_SHARE)
+    return defaults.UNREAD_TOKENS_START if math.isinf(readable) else readable
+
+
+def _takes(endpoint: EndpointView, tokens: int, most: float) -> bool:
     unread = endpoint.unread()
-    return unread == 0 or unread + tokens <= defaults.UNREAD_TOKENS_MAX
+    return unread == 0 or unread + tokens <= most
 
 
 def begin_prompt(state: NodeState, request: RequestState, endpoint: EndpointView) -> list[Effect]:
--- a/packages/rookspring-core/src/rookspring_core/routes.py
+++ b/packages/rookspring-core/src/rookspring_core/routes.py
@@ -27,6 +27,7 @@
     :param rank: 0 is the most urgent.
     :param attempts: most endpoints that one request may be sent to.
     :param resumable: a stream may be taken up at another endpoint.
+    :param pause_s: longest pause in a stream that is still in time; 0 where none is told.
     """
 
     name: str
@@ -39,6 +40,7 @@
     attempts: int
     splits: tuple[Split, ...]
     resumable: bool = False
+    pause_s: float = 0.0
 
     @property
     def repeatable(self) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -35,6 +35,7 @@
     """One request at its entry node."""
 
     __slots__ = (
+        "alone",
         "arrived",
         "attempt",
         "barren",
@@ -63,6 +64,8 @@
         self.sends = 0
         self.limited = False
         self.running = False
+        # Whether its endpoint had no other prompt to read when it was sent.
+        self.alone = False
         self.delivered = 0
         self.barren = 0
         self.dispatched_at = 0.0
