Look at orders when they ought to be over; tell callers of loads under way

Cause: a report read 0.15 s after an unload told of the moment before it, and the next look was 0.4 s later; a load was looked at each 0.4 s from its beginning. A request whose model is on its way was told as if the load had still to be ordered, and one that could not be in time waited a quarter of its objective before it was refused.

Change: an order has an expected length; its report is first read when it ought to be over and reports have caught up, which is learnt from reads that came too early. The holder tells all nodes what is being loaded and when it can be there. A request that can't be in time is refused at once with that time, or waits for it behind all others where it lies further ahead than a caller may be told. The gain of a replica is counted in tokens, as its loss is.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -180,6 +180,19 @@
       | none   |
       | fenced |
 
+  Scenario Outline: a runner's report is read once its order ought to be over
+    Given a lease holder over runners holding m, n of 200 GB
+    When <order> is taken at a runner, whose reports have come too early <times> times
+    Then its report is first read <after> s later
+
+    Examples: a load from the store takes 8 s; ticks are 0.1 s apart
+      | order              | times | after |
+      | a load             | 0     | 8.15  |
+      | a load             | 4     | 8.35  |
+      | an unload          | 0     | 0.15  |
+      | an unload          | 3     | 0.3   |
+      | an unload          | 99    | 0.6   |
+
   Scenario: a model whose load got no answer keeps its room until it can come no more
     Given a lease holder over runners holding m of 200 GB
     When loads of a model of 80 GB get no answer, and one of 90 GB is asked for
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -159,6 +159,8 @@
         self.carried = True
         # Runners whose process has ended: they answer no reads.
         self.dead = set()
+        # When each runner's report was asked for.
+        self.reads = []
         names = {one for text in held for one in text.split("+")}
         super().__init__({name: mb for name, mb in SIZES.items() if name in names})
         for number, text in enumerate(held, start=1):
@@ -186,17 +188,22 @@
             self.renewed(effect)
         elif isinstance(effect, WriteLease):
             self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
-        elif isinstance(effect, ReadReport) and effect.endpoint not in self.dead:
+        elif isinstance(effect, ReadReport):
+            self.read_report(effect)
+        elif isinstance(effect, Remind):
+            self.submit(OrderDue(self.now, effect.endpoint, effect.taken_before))
+        elif isinstance(effect, SendOrder):
+            self.carry_out(effect)
+
+    def read_report(self, effect):
+        self.reads.append((effect.endpoint, self.now))
+        if effect.endpoint not in self.dead:
             runner = self.runners[effect.endpoint]
             token = (0, runner["taken"])
             models, adapters = runner["models"], runner["adapters"]
             disk = runner["disk"]
             report = self.report(effect.endpoint, models, adapters, token, own=True, on_disk=disk)
             self.submit(report)
-        elif isinstance(effect, Remind):
-            self.submit(OrderDue(self.now, effect.endpoint, effect.taken_before))
-        elif isinstance(effect, SendOrder):
-            self.carry_out(effect)
 
     def carry_out(self, order):
         runner = self.runners[order.endpoint]
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -266,6 +266,38 @@
     holder.pass_time(1.0)
 
 
+@when("{order} is taken at a runner, whose reports have come too early {times:d} times")
+def order_taken(context, order, times):
+    holder = context.holder
+    for _ in range(times):
+        holder.state.residency.note_lag()
+    holder.reads.clear()
+    if order == "a load":
+        holder.submit(RouteTableSeen(holder.now, make_table(2, sizes={**SIZES, "x": 50_000.0})))
+        holder.demand("x", 1000.0)
+    else:
+        holder.submit(RouteTableSeen(holder.now, make_table(2, sizes={**SIZES, "x": 150_000.0})))
+        for runner in holder.runners.values():
+            runner["disk"] = ("m", "n", "x")
+        holder.relist()
+        holder.demand("x", 9000.0)
+    holder.orders.clear()
+    while not holder.orders:
+        holder.pass_time(0.1)
+    context.ordered_at = holder.now
+
+
+@then("its report is first read {after:g} s later")
+def first_read(context, after):
+    holder = context.holder
+    endpoint = holder.orders[0].endpoint
+    holder.pass_time(after + 1.0)
+    times = [at for name, at in holder.reads if name == endpoint and at >= context.ordered_at]
+    # At the first tick from then on.
+    late_s = times[0] - context.ordered_at - after
+    assert -1e-6 < late_s < 0.1 + 1e-6, (times, context.ordered_at)
+
+
 @when("another node tells that nothing listens at the first runner")
 def told_down(context):
     holder = context.holder
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -47,7 +47,8 @@
     Examples: copies of what fills a runner
       | runners                            | demand            | moves                    |
       | e1[m] e2[n; disk m]                | m 5000            | load m e2                |
-      | e1[m] e2[n]                        | m 4400            | none                     |
+      | e1[m] e2[n]                        | m 4040            | none                     |
+      | e1[m] e2[n]                        | m 4400            | load m e2                |
       | e1[m] e2[n]                        | m 8000            | load m e2                |
       | e1[m] e2[n; disk m]                | m 3000            | none                     |
       | e1[m] e2[n,o; disk n,o,m]          | m 8000, o 800     | load m e2                |
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -14,6 +14,7 @@
 from .events import BoxListCame
 from .events import BoxListed
 from .events import CacheEventsCame
+from .events import ComingHeard
 from .events import DownHeard
 from .events import DrainAsked
 from .events import EndpointReported
@@ -197,6 +198,15 @@
     return requests.pump(state)
 
 
+@handles(ComingHeard)
+def hear_coming(state: NodeState, event: ComingHeard) -> Effects:
+    """Know of a load under way, so that callers are told when their model can be there."""
+    view = state.endpoints.get(event.endpoint)
+    if view is not None:
+        view.coming = (event.model, event.at + event.in_s)
+    return []
+
+
 @handles(DownHeard)
 def hear_down(state: NodeState, event: DownHeard) -> Effects:
     """Take another node's word that nothing listens at an endpoint."""
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -125,6 +125,16 @@
 # the rest is for reading the prompt. It waits somewhat longer than predicted.
 READY_SHARE = 0.8
 READY_MARGIN = 1.3
+# Callers heed a time to come back up to this part of the time that they have left.
+COME_BACK_SHARE = 1.0 / 3.0
+# One that would be late waits for its model for up to this part of its time, so that
+# there is time for the answer, behind all that came within so many seconds after it.
+LATE_WAIT_SHARE = 0.6
+LATE_BEHIND_S = 30.0
+# From the end of a load until all nodes know of it: a report is read, and told.
+COMING_TOLD_S = 0.4
+# A load that is overdue for longer is not waited for.
+COMING_LATE_S = 2.0
 # Weights of the even-load policy, in parts of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
@@ -144,9 +154,12 @@
 # An order without an answer may be carried out up to 12 s later (the users' kinds of
 # trouble), so what it would load counts as held until then.
 LATE_ORDER_S = 12.5
-# After a model's order was taken, its runner's report is first read then: reports lag
-# by 0.1 s, and an unload without runs is done at once.
+# Once an order for a model is expected to be over, its runner's report is first read so
+# much later, since reports lag behind what they tell; by this step more each time that
+# one was too early, up to the most.
 ORDER_LOOK_S = 0.15
+ORDER_LOOK_STEP_S = 0.05
+ORDER_LOOK_MAX_S = 0.6
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
 RELAY_PLACEMENT = "swap"
@@ -213,8 +226,8 @@
 # A holder whose heartbeat was heard within this time is alive: two beats and some way.
 HOLDER_QUIET_S = 1.0
 RELAY_PLAN_INTERVAL_S = 0.5
-# A taken order for a model is looked after this often until a report shows its end.
-ORDER_POLL_S = 0.4
+# A taken order that ought to be over is looked after this often until a report shows it.
+ORDER_POLL_S = 0.2
 # Demand at relay nodes moves between models within five seconds, and a copy that is
 # too many takes the place of one that is missing.
 RELAY_DEMAND_RISE_S = 1.0
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -158,6 +158,17 @@
     tokens: int
 
 
+class ShareComing(t.NamedTuple):
+    """Tell every other node that a model is being loaded at an endpoint.
+
+    :param in_s: how soon it is expected to be there, in seconds.
+    """
+
+    endpoint: str
+    model: str
+    in_s: float
+
+
 class ShareDown(t.NamedTuple):
     """Tell every other node that nothing listens at an endpoint."""
 
@@ -197,6 +208,7 @@
     | ReadReport
     | Remind
     | SharePrompts
+    | ShareComing
     | ShareDown
     | ShareReport
     | Announce
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -53,6 +53,7 @@
 
     __slots__ = (
         "address",
+        "coming",
         "data_centre",
         "down",
         "ejected_until",
@@ -95,6 +96,8 @@
         self.gone = False
         # Whether nothing listened there when it was last tried.
         self.down = False
+        # The model that is being loaded there, and when it is expected to be there.
+        self.coming = ("", -1e9)
         self.failures = 0
         self.ejected_until = -1e9
         self.probing = False
@@ -172,6 +175,13 @@
         """Give all prompt tokens that are still to be read there, of any node's requests."""
         return self.own_prompts() + self.peers.prompts(self.name)
 
+    def brings(self, model: str, now: float) -> float | None:
+        """Give how soon a model under way is expected there, in seconds; None where it is not."""
+        coming, at = self.coming
+        if coming != model or now - at > defaults.COMING_LATE_S:
+            return None
+        return max(0.0, at - now)
+
     def serves(self, target: str, service: bool) -> bool:
         """Say whether the endpoint has the model resident, or is of the service."""
         if service:
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -235,6 +235,18 @@
     tokens: int
 
 
+class ComingHeard(t.NamedTuple):
+    """Another node has a model loaded at an endpoint.
+
+    :param in_s: how soon it is expected to be there, in seconds.
+    """
+
+    at: float
+    endpoint: str
+    model: str
+    in_s: float
+
+
 class DownHeard(t.NamedTuple):
     """Another node has found that nothing listens at an endpoint."""
 
@@ -389,6 +401,7 @@
     | RouteTableSeen
     | PeerHeard
     | PromptsHeard
+    | ComingHeard
     | DownHeard
     | PeerLost
     | PlatformAnswered
--- a/packages/rookspring-core/src/rookspring_core/orders.py
+++ b/packages/rookspring-core/src/rookspring_core/orders.py
@@ -10,6 +10,7 @@
 from .endpoints import EndpointView
 from .events import EndpointReported
 from .rooms import Order
+from .rooms import load_time_s
 from .rooms import without
 from .routes import EngineSize
 from .state import NodeState
@@ -56,7 +57,11 @@
     assert view.report is not None
     count = view.report.order_token[1]
     room = state.residency.rooms[view.name]
-    room.order = Order(action, model, adapter, count, state.now)
+    length_s = 0.0
+    engine = engine_of(state, view)
+    if action == "load" and not adapter and engine is not None:
+        length_s = load_time_s(engine.models[model], view.report)
+    room.order = Order(action, model, adapter, count, state.now, length_s=length_s)
     room.asked_at = state.now
     token = (state.control.acting_epoch, count)
     return SendOrder(view.name, view.address, token, action, model, adapter)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -20,6 +20,7 @@
 from .effects import ReadReport
 from .effects import Remind
 from .effects import SendOrder
+from .effects import ShareComing
 from .endpoints import EndpointView
 from .events import EndpointReported
 from .events import ModelWanted
@@ -95,13 +96,7 @@
         if view.role != "runner" or view.gone or view.leaving:
             continue
         room = residency.rooms.setdefault(name, Room())
-        pause_s = defaults.SURVEY_READ_S if room.order is None else _look_after_s(room.order)
-        # Until its turn the holder reads again: what the one before ordered may end yet.
-        loading = view.report is not None and bool(view.report.loading)
-        due = not room.trusted or room.order is not None or loading or not settled(state)
-        # One that is down is looked after until its entry lapses, should it be there yet.
-        due = due or view.down
-        if due and state.now - room.asked_at >= pause_s:
+        if _look_due(state, view, room):
             room.asked_at = state.now
             effects.append(ReadReport(name, 0.0))
     for name in [name for name in residency.rooms if name not in state.endpoints]:
@@ -109,9 +104,23 @@
     return effects
 
 
-def _look_after_s(order: Order) -> float:
-    """Give how often a report is read while an order runs, in seconds."""
-    return defaults.ORDER_POLL_S if order.taken else defaults.SURVEY_READ_S
+def _look_due(state: NodeState, view: EndpointView, room: Room) -> bool:
+    """Say whether a runner's report is to be read now.
+
+    One whose order is under way is read when that is expected to be over, and then often;
+    one that is new, or whose state is in doubt, is read once a second.
+    """
+    asked_s = state.now - room.asked_at
+    order = room.order
+    if order is not None and order.taken:
+        ended = state.now >= order.ends_at() + state.residency.look_s
+        looked = room.asked_at > order.sent_at
+        return ended and (not looked or asked_s >= defaults.ORDER_POLL_S)
+    # Until its turn the holder reads again: what the one before ordered may end yet.
+    loading = view.report is not None and bool(view.report.loading)
+    due = not room.trusted or order is not None or loading or not settled(state)
+    # One that is down is looked after until its entry lapses, should it be there yet.
+    return (due or view.down) and asked_s >= defaults.SURVEY_READ_S
 
 
 def note_report(state: NodeState, event: EndpointReported) -> None:
@@ -126,6 +135,8 @@
     if event.order_token[1] > order.taken_before:
         if not event.loading and not still_there(order, event):
             _settle(state, room)
+    elif order.taken and not order.adapter:
+        state.residency.note_lag()
     elif order.lost:
         _settle(state, room)
 
@@ -216,7 +227,7 @@
         return [ReadReport(event.endpoint, 0.0)]
     room.order = order._replace(taken=True)
     if not order.adapter:
-        return [ReadReport(event.endpoint, defaults.ORDER_LOOK_S)]
+        return _tell_coming(state, event.endpoint, order)
     if order.action == "unload" and event.reason != "done":
         # It is in use still, and takes its place until a report shows it gone.
         return [ReadReport(event.endpoint, defaults.SURVEY_READ_S)]
@@ -224,6 +235,15 @@
     return [Remind(event.endpoint, order.taken_before, pause_s)]
 
 
+def _tell_coming(state: NodeState, endpoint: str, order: Order) -> Effects:
+    """Know, and tell the other nodes, when a model that is being loaded can be there."""
+    view = state.endpoints.get(endpoint)
+    if order.action != "load" or view is None:
+        return []
+    view.coming = (order.model, order.ends_at())
+    return [ShareComing(endpoint, order.model, max(0.0, order.ends_at() - state.now))]
+
+
 @handles(OrderDue)
 def finish_adapter(state: NodeState, event: OrderDue) -> Effects:
     """Count an adapter's order as done: it takes milliseconds, fewer than a report lags."""
@@ -339,10 +359,7 @@
     order = state.residency.rooms[view.name].order
     if order is None or order.lost or view.report is None or not view.open_for_work(state.now):
         return math.inf
-    length_s = defaults.UNLOAD_S
-    size = engine.models.get(order.model)
-    if order.action == "load" and not order.adapter and size is not None:
-        length_s = load_time_s(size, view.report)
+    length_s = order.length_s or defaults.UNLOAD_S
     left_s = order.sent_at + length_s + defaults.RUNNER_BUSY_S - state.now
     return left_s if left_s > 0 else math.inf
 
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -14,6 +14,7 @@
     :param taken_before: orders that the endpoint had taken before it.
     :param taken: the endpoint said so.
     :param lost: no answer came, so it may have been taken, or may be yet.
+    :param length_s: how long it is expected to take, in seconds.
     """
 
     action: str
@@ -23,6 +24,11 @@
     sent_at: float
     taken: bool = False
     lost: bool = False
+    length_s: float = 0.0
+
+    def ends_at(self) -> float:
+        """Give the moment at which it is expected to be over."""
+        return self.sent_at + self.length_s
 
 
 class Room:
@@ -55,6 +61,12 @@
         self.rooms: dict[str, Room] = {}
         self.wanted: dict[tuple[str, str, str], float] = {}
         self.planned_at = -1e9
+        # How long after an order endpoints' reports have shown it so far, in seconds.
+        self.look_s = defaults.ORDER_LOOK_S
+
+    def note_lag(self) -> None:
+        """A report came too early to show an order that was taken: look later from now on."""
+        self.look_s = min(defaults.ORDER_LOOK_MAX_S, self.look_s + defaults.ORDER_LOOK_STEP_S)
 
 
 def still_there(order: Order, report: EndpointReported) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -42,7 +42,11 @@
     assert arrived.route is not None
     rank = arrived.route.rank
     order = arrived.at + rank * defaults.RANK_HEADSTART_S
-    until = min(arrived.deadline_at, now + _patience_s(state, arrived))
+    patience_s = arrived.route.patience_s
+    if not arrived.service and not _stands(state, arrived):
+        patience_s, late = _wait_for_model(state, arrived, now)
+        order += defaults.LATE_BEHIND_S if late else 0.0
+    until = min(arrived.deadline_at, now + patience_s)
     return admission.Queued(order, arrived.at, arrived.request_id, 0, rank, until)
 
 
@@ -79,23 +83,36 @@
     return size.engine.models.get(model)
 
 
-def _patience_s(state: NodeState, arrived: RequestArrived) -> float:
-    """Give how long a request may wait, in seconds.
+def _wait_for_model(state: NodeState, arrived: RequestArrived, now: float) -> tuple[float, bool]:
+    """Give how long a request waits for a model that is on no endpoint, and whether it is late.
 
-    One whose model is on no endpoint waits for it if it can be loaded in time for the
-    route's objective; else it is refused early, to come back when the model is there.
+    It waits if the model can be there in time for the route's objective. If the model
+    comes late, the caller is told when to come back; only where that lies further ahead
+    than callers may be told, while the answer would come well before the deadline, it
+    waits here, behind all that can be in time. Anything else is refused at once.
     """
     terms = arrived.route
     assert terms is not None
-    if arrived.service or _stands(state, arrived):
-        return terms.patience_s
-    wait_s = ready_in_s(state, terms.service, arrived.target) * defaults.READY_MARGIN
-    in_time = wait_s <= terms.objective_s * defaults.READY_SHARE
-    return max(terms.patience_s, wait_s) if in_time else terms.patience_s
+    ready_s = ready_in_s(state, terms.service, arrived.target)
+    wait_s = ready_s * defaults.READY_MARGIN
+    if wait_s <= terms.objective_s * defaults.READY_SHARE:
+        return max(terms.patience_s, wait_s), False
+    left_s = arrived.deadline_at - now
+    told_s = left_s * defaults.COME_BACK_SHARE
+    if told_s < ready_s and wait_s <= left_s * defaults.LATE_WAIT_SHARE:
+        return wait_s, True
+    return 0.0, False
 
 
 def ready_in_s(state: NodeState, service: str, model: str) -> float:
     """Predict how soon a model that is on no endpoint can be there, in seconds."""
+    coming = [
+        in_s
+        for view in state.endpoints.values()
+        if view.service == service and (in_s := view.brings(model, state.now)) is not None
+    ]
+    if coming:
+        return min(coming) + defaults.COMING_TOLD_S
     size = _model_size(state, service, model)
     if size is None:
         return math.inf
@@ -269,4 +286,4 @@
         least = min(ready_s, defaults.COME_BACK_ABSENT_MAX_S)
         most = least + defaults.COME_BACK_SPREAD_S
     after_s = least + (most - least) * spread
-    return min(after_s, (arrived.deadline_at - state.now) / 3.0)
+    return min(after_s, (arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE)
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -36,11 +36,14 @@
 
     :param cost_s: seconds until it could serve there; the load there, and what others
         would miss, count as delays.
-    :param lost: demand at the replicas that would give way, in tokens a second.
+    :param time_s: those seconds alone.
+    :param lost: what callers would miss without the replicas that give way, in tokens a
+        second.
     :param goes: replicas that would give way, with their sizes in GB.
     """
 
     cost_s: float
+    time_s: float
     lost: float
     runner: str
     goes: tuple[tuple[Weights, float], ...]
@@ -163,8 +166,9 @@
 
 
 def _waits(board: SwapBoard, runner: RunnerRoom) -> bool:
-    """Say whether a runner is busy and nobody knows for how long."""
-    return runner.name in board.touched and math.isinf(runner.free_in_s)
+    """Say whether a runner is busy, by this plan or for a time that nobody knows."""
+    unknown = not runner.busy or math.isinf(runner.free_in_s)
+    return runner.name in board.touched and unknown
 
 
 def _restore(board: SwapBoard, model: str) -> None:
@@ -206,11 +210,12 @@
     cost_s += defaults.RUN_S * sum(key[0] in runner.in_use for key, _ in goes)
     if runner.name in board.touched:
         cost_s += runner.free_in_s
+    time_s = cost_s
     rate = max(runner.token_rate, 1e-9)
     lost = sum(board.loss(key[0], runner.name) for key, _ in goes)
     cost_s += defaults.LOADED_RUNNER_S * board.load_of[runner.name] / rate
     cost_s += defaults.LOST_COPY_S * lost / rate
-    return Option(cost_s, lost, runner.name, goes)
+    return Option(cost_s, time_s, lost, runner.name, goes)
 
 
 def _giving_way(
@@ -253,32 +258,46 @@
 
 
 def _add_copy(board: SwapBoard) -> bool:
-    """Add the replica that takes the most from full runners, if that pays in time.
+    """Add the replica that gains the most for what is missed, if one pays in time.
 
     :return: whether one was added.
     """
-    given = board.given
     for model, missed in sorted(board.unserved.items(), key=lambda item: (-item[1], item[0])):
-        spec = given.models.get(model)
+        spec = board.given.models.get(model)
         if spec is None or missed <= 0 or len(board.hosts[model]) >= spec.replicas_max:
             continue
-        if model in board.on_way:
+        if model in board.on_way or not board.hosts[model]:
+            # Its replica is under way, or waits for the runner that has it soonest.
             continue
-        tokens = missed * given.asked_for(model) / given.demand[model]
-        share = tokens * defaults.GIVE_WAY_SHARE
-        bounds = Bounds(spare=share, last=min(share, defaults.IDLE_TOKENS_PER_S))
-        best: tuple[float, Option] | None = None
-        for runner in board.open_to(model):
-            option = _consider(board, runner, model, bounds)
-            spare = runner.token_rate - board.load_of[runner.name]
-            if option is None or spare <= 0:
-                continue
-            part = min(missed, spare) / max(runner.token_rate, 1e-9)
-            gain_s = part * (defaults.SWAP_HORIZON_S - option.cost_s)
-            gain_s -= given.policy.move_weight * option.cost_s
-            if gain_s > 0 and (best is None or gain_s > best[0]):
-                best = (gain_s, option)
-        if best is not None:
-            _take(board, model, best[1], f"gain {best[0]:.1f}s")
+        options = _list_copies(board, model, missed)
+        best = max(options, default=None, key=lambda option: option[0])
+        if best is not None and best[0] > 0.0:
+            _take(board, model, best[1], f"gain {best[0]:.0f} tokens")
             return True
     return False
+
+
+def _list_copies(board: SwapBoard, model: str, missed: float) -> list[tuple[float, Option]]:
+    """List where another replica could be, each with its gain in tokens.
+
+    It serves what is missed from its load's end to the horizon. What gives way is missed
+    until it could be back, and the runner's orders are held up meanwhile. A runner goes on
+    serving during a load, so that costs nothing by itself.
+
+    :param missed: in tokens of the slowest model a second.
+    """
+    given = board.given
+    tokens = given.asked_for(model) / given.demand[model]
+    share = missed * tokens * defaults.GIVE_WAY_SHARE
+    bounds = Bounds(spare=share, last=min(share, defaults.IDLE_TOKENS_PER_S))
+    options: list[tuple[float, Option]] = []
+    for runner in board.open_to(model):
+        option = _consider(board, runner, model, bounds)
+        spare = runner.token_rate - board.load_of[runner.name]
+        if option is None or spare <= 0:
+            continue
+        gain = min(missed, spare) * tokens * (defaults.SWAP_HORIZON_S - option.time_s)
+        gain -= option.lost * defaults.LOST_COPY_S
+        gain -= given.policy.move_weight * defaults.IDLE_TOKENS_PER_S * option.time_s
+        options.append((gain, option))
+    return options
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -125,6 +125,15 @@
     rows: list[t.Any]
 
 
+@message("coming")
+class Coming(t.NamedTuple):
+    """A model is being loaded at an endpoint, to be there in so many seconds."""
+
+    endpoint: str
+    model: str
+    in_s: float
+
+
 @message("down")
 class Down(t.NamedTuple):
     """Nothing listens at an endpoint, as the sender has just found."""
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -64,6 +64,7 @@
         # Set by the node that wires the parts: tells the other nodes at once.
         self.announce: t.Callable[[str], None] = lambda topic: None
         self.share: t.Callable[[EndpointReported], None] = lambda report: None
+        self.share_coming: t.Callable[[str, str, float], None] = lambda endpoint, model, in_s: None
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_prompts: t.Callable[[str, int], None] = lambda endpoint, tokens: None
         self.tell_holder: t.Callable[[Want], None] = lambda want: None
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -122,6 +122,7 @@
         self.peers = RelayPeers(self.context)
         self.context.announce = lambda topic: self.peers.beat()
         self.context.share = self.peers.share
+        self.context.share_coming = self.peers.share_coming
         self.context.share_down = self.peers.share_down
         self.context.share_prompts = self.peers.share_prompts
         self.context.tell_holder = self.peers.tell_holder
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -6,6 +6,7 @@
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
+from rookspring_core.effects import ShareComing
 from rookspring_core.effects import ShareDown
 from rookspring_core.effects import SharePrompts
 from rookspring_core.effects import ShareReport
@@ -105,6 +106,12 @@
     context.share(effect.report)
 
 
+@relay_performs(ShareComing)
+def share_coming(context: RelayContext, effect: ShareComing) -> None:
+    """Tell every other node when a model that is being loaded can be there."""
+    context.share_coming(effect.endpoint, effect.model, effect.in_s)
+
+
 @relay_performs(ShareDown)
 def share_down(context: RelayContext, effect: ShareDown) -> None:
     """Tell every other node that nothing listens at an endpoint."""
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -9,6 +9,7 @@
 from rookspring_core.demand import DemandMeter
 from rookspring_core.effects import Want
 from rookspring_core.events import BoxListed
+from rookspring_core.events import ComingHeard
 from rookspring_core.events import DownHeard
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import ModelWanted
@@ -20,6 +21,7 @@
 from . import defaults
 from .dialling import Dialler
 from .logs import log
+from .peers import Coming
 from .peers import Down
 from .peers import Heartbeat
 from .peers import Link
@@ -117,6 +119,11 @@
         for link in list(self.server.links.values()):
             link.send(item)
 
+    def share_coming(self, endpoint: str, model: str, in_s: float) -> None:
+        """Tell all linked nodes when a model that is being loaded can be there."""
+        for link in list(self.server.links.values()):
+            link.send(Coming(endpoint, model, in_s))
+
     def share_down(self, endpoint: str) -> None:
         """Tell all linked nodes that nothing listens at an endpoint."""
         for link in list(self.server.links.values()):
@@ -264,6 +271,13 @@
     peers.context.submit(PromptsHeard(now, link.name, prompts.endpoint, prompts.tokens))
 
 
+@receives(Coming)
+def take_coming(peers: RelayPeers, link: Link, coming: Coming) -> None:
+    """Take what the lease holder has loaded."""
+    heard = ComingHeard(time.monotonic(), coming.endpoint, coming.model, float(coming.in_s))
+    peers.context.submit(heard)
+
+
 @receives(Down)
 def take_down(peers: RelayPeers, link: Link, down: Down) -> None:
     """Take another node's word that nothing listens at an endpoint."""
