Keep two replicas of what cannot wait; count an unload as long as what runs there

The one replica of a busy model was worth no more than an idle one until it had crashed.

Change: the longest of late answers is learnt and counted where a model in use would be unloaded; a second replica is worth a part of the demand that cannot wait, when it is to be loaded and when it would give way; but that each model is reachable goes before that. What gives way is weighed in seconds of the demand of what comes.

--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -9,6 +9,7 @@
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import ComingHeard
 from rookspring_core.events import DrainAsked
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
@@ -252,6 +253,41 @@
     holder.ask(model="n", objective_s=objective)
 
 
+@given("another node has n loaded, to be there in {in_s:g} s")
+def loaded_elsewhere(context, in_s):
+    holder = context.holder
+    # This node gives no orders itself.
+    holder.answer = "none"
+    holder.submit(RouteTableSeen(holder.now, make_table(2)))
+    holder.submit(ComingHeard(holder.now, "e1", "n", in_s))
+
+
+@when("a request with an objective of {objective:g} s comes for n")
+def comes_for_n(context, objective):
+    context.holder.ask(model="n", objective_s=objective, key="late")
+
+
+@when("the model comes to a runner that is full, and a second request for it")
+def comes_to_full(context):
+    holder = context.holder
+    holder.list_endpoints(["e1"], "llm", "runner")
+    holder.ask(model="m", key="filler")
+    for _ in range(15):
+        # The runner goes on with its answer, so that it is not taken for silent.
+        holder.submit(AttemptProgressed(holder.now, "filler", 1, 1))
+        holder.pass_time(0.1)
+    holder.submit(holder.report("e1", ("m", "n"), token=(0, 9), slots=1))
+    holder.ask(model="n", key="new")
+    holder.submit(AttemptSucceeded(holder.now, "filler", 1))
+    holder.submit(AttemptSucceeded(holder.now, "new", 1))
+
+
+@then("the second request is sent first, and the first one after it")
+def new_first(context):
+    sent = [one.request_id for one in context.holder.sent]
+    assert sent == ["filler", "new", "late"], sent
+
+
 @then("after {seconds:g} s it {state}")
 def after_a_while(context, seconds, state):
     holder = context.holder
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -78,6 +78,7 @@
         PolicySpec(),
         asked,
         urgent={model: 0.0 if "~" in rate else levels[model] for model, rate in wishes.items()},
+        longest_s=4.0,
         missed={model: float(rate.partition("!")[2] or 0) for model, rate in wishes.items()},
     )
     context.moves = placement.find_placement("swap")(given_)
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -47,15 +47,24 @@
     Examples: copies of what fills a runner
       | runners                            | demand            | moves                    |
       | e1[m] e2[n; disk m]                | m 5000            | load m e2                |
-      | e1[m] e2[n]                        | m 4040            | none                     |
+      | e1[m] e2[n]                        | m 4040~           | none                     |
       | e1[m] e2[n]                        | m 4400            | load m e2                |
       | e1[m] e2[n]                        | m 8000            | load m e2                |
-      | e1[m] e2[n; disk m]                | m 3000            | none                     |
+      | e1[m] e2[n; disk m]                | m 3000~           | none                     |
       | e1[m] e2[n,o; disk n,o,m]          | m 8000, o 800     | load m e2                |
       | e1[m] e2[big; disk big,m]          | m 8000, big 800   | none                     |
       | e1[m] e2[big; disk big,m]          | m 8000            | unload big e2            |
       | e1[m] e2[big; disk m]              | m 8000            | none                     |
 
+    Examples: a second replica of what cannot wait, for the case that the only one is lost
+      | runners                            | demand            | moves                    |
+      | e1[m] e2[n; disk m]                | m 3000            | load m e2                |
+      | e1[m] e2[n]                        | m 100             | none                     |
+      | e1[m] e2[big; disk big,m]          | m 3000            | unload big e2            |
+      | e1[m] e2[big; disk big,m]          | m 3000, big 500   | none                     |
+      | e1[m] e2[m; disk big,m]            | m 3000, big 9     | unload m e2              |
+      | e1[m] e2[m,n,o; disk n,o,p]        | m 3000, p 300     | unload n e2, load n e1   |
+
     Examples: copies of what is refused for want of room, though it would fill no runner
       | runners                            | demand                | moves                |
       | e1[m] e2[n; disk m]                | m 1000!700            | load m e2            |
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -173,8 +173,8 @@
 # A model asked for at less than this rate may give way although it is the last
 # replica: one mean request of 3,180 tokens falls below it in some six seconds.
 IDLE_TOKENS_PER_S = 150.0
-# What the replicas that give way would have served counts as this delay, in seconds a
-# runner's whole rate: they are as long away as it takes to plan, load and unload again.
+# What is missed without the replicas that give way is missed for so long, in seconds: as
+# it takes to plan, load and unload again.
 LOST_COPY_S = 10.0
 # Replicas give way to a model that is asked for, or refused, more than four times as much
 # as what would be missed without them: while boxes are lost there is not room for all.
@@ -182,8 +182,12 @@
 # Part of a request that can wait for its model, as it counts where that gives way: it is
 # served in time nearly always, but holds up a runner's orders for a swap.
 PATIENT_LOSS = 0.2
-# How much longer an unload takes of what requests use: half of a mean answer, in seconds.
-RUN_S = 1.0
+# Part of the urgent demand of a model that its second replica is worth by itself: when
+# the only one is lost, all of it is missed until another is loaded.
+SINGLE_LOSS = 0.3
+# What the longest answer's time is multiplied by at each answer that was shorter: so it
+# is about that of the longest in a hundred.
+LONGEST_KEPT = 0.99
 # What was refused for want of room counts on for this time constant, in seconds, so that
 # the replica that ended the refusals does not give way as soon as they end.
 MISSED_FALL_S = 15.0
--- a/packages/rookspring-core/src/rookspring_core/paces.py
+++ b/packages/rookspring-core/src/rookspring_core/paces.py
@@ -1,4 +1,4 @@
-"""How fast engines read prompts, learnt from the first events of their answers.
+"""How fast engines read prompts, and how long answers take, learnt from what is seen.
 
 A configuration tells a model's size but neither its pace nor its engine's: a sparse
 model of the same size reads nine times as fast as a dense one. What is measured is the
@@ -17,6 +17,12 @@
         # The least time to any first event, in seconds; none was seen at infinity.
         self._base_s = float("inf")
         self._token_s: dict[str, float] = {}
+        # How long about the longest of late requests took as a whole, in seconds.
+        self.longest_s = 0.0
+
+    def note_whole(self, took_s: float) -> None:
+        """Take the time of a whole answer; the longest is forgotten slowly."""
+        self.longest_s = max(took_s, self.longest_s * defaults.LONGEST_KEPT)
 
     def note(self, model: str, tokens: int, took_s: float) -> None:
         """Take one measurement; short prompts say nothing of the time a token takes.
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -69,6 +69,7 @@
     :param asked: tokens a second by model, whatever its pace; empty where that is the same.
     :param urgent: of the demand, what cannot wait for its model to be loaded.
     :param missed: of the demand, what was refused of late for want of room.
+    :param longest_s: how long about the longest of requests run, in seconds.
     """
 
     models: t.Mapping[str, ModelSpec]
@@ -78,6 +79,7 @@
     asked: t.Mapping[str, float] = types.MappingProxyType({})
     urgent: t.Mapping[str, float] = types.MappingProxyType({})
     missed: t.Mapping[str, float] = types.MappingProxyType({})
+    longest_s: float = 0.0
 
     def asked_for(self, model: str) -> float:
         """Give how much callers ask of a model, in tokens a second."""
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -279,6 +279,8 @@
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.succeed(state.now)
+    if not request.arrived.service:
+        state.paces.note_whole(state.now - request.dispatched_at)
     state.budget.earn()
     effects: Effects = []
     key = request.arrived.once_key
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -308,6 +308,7 @@
         asked,
         urgent=state.control.urgent.forecast.levels,
         missed=state.control.missed.forecast.levels,
+        longest_s=state.paces.longest_s,
     )
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -25,10 +25,12 @@
 
     :param spare: for one beside which others stay.
     :param last: for the last one of a model; None where none may go.
+    :param pairs: whether it counts by itself that there are two of a model.
     """
 
     spare: float
     last: float | None
+    pairs: bool = True
 
 
 class Option(t.NamedTuple):
@@ -76,16 +78,23 @@
     def share_out(self) -> None:
         """Share the demand out over the replicas as they are now planned."""
         self.load_of, self.unserved, self.share = serve_split(self)
-        for model, missed in self.given.missed.items():
-            if self.given.demand.get(model, 0.0) > 0.0:
-                self.unserved[model] = max(self.unserved.get(model, 0.0), missed)
-
-    def loss(self, model: str, runner: str) -> float:
+        given = self.given
+        for model, demand in given.demand.items():
+            if demand <= 0.0:
+                continue
+            missed = max(self.unserved.get(model, 0.0), given.missed.get(model, 0.0))
+            if self.ready.get(model) and len(self.hosts[model]) == 1:
+                missed = max(missed, defaults.SINGLE_LOSS * given.urgent.get(model, 0.0))
+            self.unserved[model] = missed
+
+    def loss(self, model: str, runner: str, pairs: bool = True) -> float:
         """Predict what callers would miss without a replica, in tokens a second.
 
         Without a last one, all that cannot wait for it to be loaded again, and a part of
         what can. Without a spare one, what the others have no room for, or what was
         refused of late, when there was one replica fewer.
+
+        :param pairs: count what it is worth by itself that there are two.
         """
         given = self.given
         asked = given.asked_for(model)
@@ -100,7 +109,10 @@
             max(0.0, self.runners[other].token_rate - self.load_of[other]) for other in others
         )
         over = self.share.get((model, runner), 0.0) - spare
-        return asked / demand * max(0.0, over, given.missed.get(model, 0.0))
+        missed = max(0.0, over, given.missed.get(model, 0.0))
+        if pairs and len(others) == 1:
+            missed = max(missed, defaults.SINGLE_LOSS * given.urgent.get(model, 0.0))
+        return asked / demand * missed
 
 
 @placement("swap")
@@ -154,7 +166,8 @@
     """
     share = board.given.asked_for(model) * defaults.GIVE_WAY_SHARE
     most = max(defaults.IDLE_TOKENS_PER_S, share)
-    bounds = Bounds(spare=most, last=most)
+    # That a model is reachable goes before a second replica of another.
+    bounds = Bounds(spare=most, last=most, pairs=False)
     options = [
         option
         for runner in board.given.runners
@@ -206,15 +219,18 @@
     if goes is None:
         return None
     cost_s = runner.load_s.get(model, 0.0) + defaults.UNLOAD_S * len(goes)
-    # An unload waits for what is running there.
-    cost_s += defaults.RUN_S * sum(key[0] in runner.in_use for key, _ in goes)
+    if any(key[0] in runner.in_use for key, _ in goes):
+        # An unload waits for the last of what is running there.
+        cost_s += board.given.longest_s
     if runner.name in board.touched:
         cost_s += runner.free_in_s
     time_s = cost_s
     rate = max(runner.token_rate, 1e-9)
     lost = sum(board.loss(key[0], runner.name) for key, _ in goes)
     cost_s += defaults.LOADED_RUNNER_S * board.load_of[runner.name] / rate
-    cost_s += defaults.LOST_COPY_S * lost / rate
+    # In seconds of what is asked of the model that comes.
+    asked = max(board.given.asked_for(model), defaults.IDLE_TOKENS_PER_S)
+    cost_s += defaults.LOST_COPY_S * lost / asked
     return Option(cost_s, time_s, lost, runner.name, goes)
 
 
@@ -235,7 +251,7 @@
         if spec is None or runner.name not in board.ready[key[0]]:
             continue
         most = _most_missed(board, key[0], bounds)
-        if most is not None and board.loss(key[0], runner.name) <= most:
+        if most is not None and board.loss(key[0], runner.name, bounds.pairs) <= most:
             goes.append((key, spec.memory_gb))
             need_gb -= spec.memory_gb
     return tuple(goes) if need_gb <= 0 else None
