--- a/features/relay.feature
+++ b/features/relay.feature
@@ -91,28 +91,6 @@
       | a box of its name held elsewhere         | 4.1   | 6.3    |
       | another held and tells that it has ended | 0.0   | 3.3    |
 
-  Scenario Outline: a holder begins with what the last one left in the lease
-    Given a relaying node that has <seen> a pace, and finds a free lease
-    When its last holder left 5000 tokens a second asked of m, at 0.05 ms a token
-    Then it begins with 5000 tokens a second asked of m, at <pace> ms a token
-
-    Examples:
-      | seen     | pace |
-      | not seen | 0.05 |
-      | seen     | 0.02 |
-
-  Scenario Outline: what a holder left is read as far as it can be
-    When the lease object holds <left>
-    Then <rows> models asked for are read of it
-
-    Examples:
-      | left                                                  | rows |
-      | [[["m", 5.0]], [], [], [["m", 0.1]], 0.04, 2.0]       | 1    |
-      | nothing                                               | 0    |
-      | [[["m", 5.0]], [], []]                                | 0    |
-      | [[["m", "x"]], [], [], [], 0.0, 0.0]                  | 0    |
-      | 7                                                     | 0    |
-
   Scenario: a lapsed lease is let go for good, whatever a late answer says
     Given a lease holder over runners holding m, n of 200 GB
     When its renewals get no answer for 5 s, and then one is answered late
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -135,26 +135,18 @@
         context.paces.note("m", number, took_s)
 
 
-@given("a relaying node whose runner reads 20 tokens a millisecond, as it has {seen}")
-def reading_runner(context, seen):
+@given("a relaying node whose one runner has a prompt of {unread:d} tokens to read")
+def has_unread(context, unread):
     context.relay_node = node = RelayHarness()
     node.list_endpoints(["e1"], "llm", "runner")
     node.submit(node.report("e1", ("m",)))
-    if seen == "seen":
-        node.state.paces.note("m", 10, 0.04)
-        for _ in range(3):
-            node.state.paces.note("m", 2000, 0.14)
-
-
-@given("that has a prompt of {unread:d} tokens to read")
-def has_unread(context, unread):
     if unread:
-        context.relay_node.ask(model="m", key="r0", prompt_tokens=unread)
+        node.ask(model="m", key="r0", prompt_tokens=unread)
 
 
-@when("a prompt of {tokens:d} tokens comes for a route that bears a pause of {pause:g} s")
-def prompt_comes(context, tokens, pause):
-    context.relay_node.ask(model="m", key="r1", prompt_tokens=tokens, pause_s=pause)
+@when("a prompt of {tokens:d} tokens comes")
+def prompt_comes(context, tokens):
+    context.relay_node.ask(model="m", key="r1", prompt_tokens=tokens)
 
 
 @then("it is {sent}")
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -128,22 +128,17 @@
       | 900, 900, 900          | 50, 50, 50            | 1.00 |
       | 2000, 2000, 2000       | 41, 41, 41            | 0.05 |
 
-  Scenario Outline: an endpoint gets another prompt if it reads all it has within the pause
-    Given a relaying node whose runner reads 20 tokens a millisecond, as it has <seen>
-    And that has a prompt of <unread> tokens to read
-    When a prompt of <tokens> tokens comes for a route that bears a pause of <pause> s
+  Scenario Outline: an endpoint gets another prompt while it has little to read
+    Given a relaying node whose one runner has a prompt of <unread> tokens to read
+    When a prompt of <tokens> tokens comes
     Then it is <sent>
 
-    Examples: 0.85 of the pause is for reading
-      | seen     | unread | tokens | pause | sent     |
-      | seen     | 3000   | 2000   | 0.3   | sent     |
-      | seen     | 3000   | 2300   | 0.3   | not sent |
-      | seen     | 3000   | 2000   | 0.25  | not sent |
-      | seen     | 0      | 9000   | 0.25  | sent     |
-      | not seen | 3000   | 1000   | 0.25  | sent     |
-      | not seen | 3000   | 1200   | 0.25  | not sent |
-      | seen     | 3000   | 1000   | 0.0   | sent     |
-      | seen     | 3000   | 1200   | 0.0   | not sent |
+    Examples: 4,096 tokens at most, or one prompt of any size
+      | unread | tokens | sent     |
+      | 3000   | 1000   | sent     |
+      | 3000   | 1200   | not sent |
+      | 0      | 9000   | sent     |
+      | 9000   | 10     | not sent |
 
   Scenario: demand and unread prompts are counted by what they take to read
     Given a lease holder over runners holding m+n, m+n of 200 GB
--- a/packages/rookspring-core/src/rookspring_core/control.py
+++ b/packages/rookspring-core/src/rookspring_core/control.py
@@ -7,7 +7,6 @@
 from .demand import DemandMeter
 from .demand import DemandStream
 from .demand import Forecast
-from .events import Handover
 from .leases import Lease
 from .memory import Ledger
 from .resources import Resource
@@ -73,8 +72,6 @@
         # node.
         self.peer_used: dict[str, tuple[tuple[str, str], ...]] = {}
         self.store = StoreBudget()
-        # What the lease's last holder knew, as it was read last.
-        self.left = Handover()
         self.acquired_at = -1e9
         self.acting_epoch = 0
         self.sequence = 0
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -214,8 +214,6 @@
 PACE_LEAST = 0.05
 # How far above its even part of the demand a runner may be planned.
 EVEN_MARGIN = 1.2
-# Models whose demand a lease holder leaves to the next: some 3 kB in the lease object.
-HANDOVER_ROWS = 48
 # Room that is being made counts as a model's own if it is there within so long, in
 # seconds: a runner that waits for its last streams held up a second replica for 13 s.
 ON_WAY_S = 3.0
@@ -243,12 +241,12 @@
 RELAY_DEMAND_METER_S = 1.0
 # The least difference between two moments that are told apart.
 CLOCK_STEP_S = 1e-6
-# All streams of an endpoint pause while it reads prompts. It gets another one only if it
-# reads all it has within this part of the pause that the route's callers bear; the rest
-# is for the steps of the answers between.
-READ_SHARE = 0.85
-# Prompt tokens that an endpoint may have to read while its pace is not known.
-UNREAD_TOKENS_START = 4_096
+# Prompt tokens that an endpoint may have to read before it gets another prompt: all its
+# streams pause while it reads. Found on engines that read 19 and 41 tokens a millisecond.
+# Bounds learnt from the pace that is seen and the pause that a route bears served fewer in
+# time on eight of nine days on three deployments: tighter ones refuse at runners with room,
+# looser ones make streams pause.
+UNREAD_TOKENS_MAX = 4_096
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
 # Nodes that may join, beside those that were seen, for parts of what all have together.
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -24,7 +24,6 @@
     :param attempts: most endpoints that it may be sent to.
     :param patience_s: longest wait for room before it is refused, in seconds.
     :param objective_s: an answer within it is worth the most; 0 where none is known.
-    :param pause_s: longest pause in a stream that is still in time; 0 where none is known.
     """
 
     name: str
@@ -34,7 +33,6 @@
     attempts: int
     patience_s: float
     objective_s: float = 0.0
-    pause_s: float = 0.0
 
 
 class RequestArrived(t.NamedTuple):
@@ -268,33 +266,10 @@
     reachable: bool
 
 
-Rates = tuple[tuple[str, float], ...]
-
-
-class Handover(t.NamedTuple):
-    """A lease holder's knowledge of demand and of paces.
-
-    :param demand: tokens a second by model, the most asked for first.
-    :param urgent: of those, what cannot wait for its model to be loaded.
-    :param missed: of those, what was refused of late for want of room.
-    :param paces: seconds that a prompt token takes, by model.
-    :param base_s: the least time to a first event, in seconds; 0 where none was seen.
-    :param longest_s: how long about the longest of requests run, in seconds.
-    """
-
-    demand: Rates = ()
-    urgent: Rates = ()
-    missed: Rates = ()
-    paces: Rates = ()
-    base_s: float = 0.0
-    longest_s: float = 0.0
-
-
 class LeaseSeen(t.NamedTuple):
     """The lease object as read; version 0 when it does not exist.
 
     :param settled: its holder was giving orders already when it wrote this.
-    :param left: what its holder knew.
     """
 
     at: float
@@ -303,7 +278,6 @@
     epoch: int
     nonce: str
     settled: bool = False
-    left: Handover = Handover()
 
 
 class LeaseWritten(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -7,7 +7,6 @@
 
 from . import acceptance
 from . import defaults
-from . import handover
 from . import ordering
 from .catalogue import build_catalogue
 from .effects import Effect
@@ -32,8 +31,6 @@
 def see_lease(state: NodeState, event: LeaseSeen) -> Effects:
     """Take the lease object as read."""
     control = state.control
-    control.left = event.left
-    handover.take_paces(state, event.left)
     control.lease.see(event, state.identity.name)
     return _begin_if_new(state)
 
@@ -59,7 +56,6 @@
     control.forecast = type(control.forecast)(control.forecast.pace)
     control.urgent.restart()
     control.missed.restart()
-    handover.take_demand(state, control.left)
     control.ledgers = {}
     state.record("lease", f"epoch {lease.own_epoch}", "lease acquired")
     for name, view in state.endpoints.items():
--- a/packages/rookspring-core/src/rookspring_core/paces.py
+++ b/packages/rookspring-core/src/rookspring_core/paces.py
@@ -14,9 +14,8 @@
 class Pace:
     """What prompts of one model took: sums of tokens and seconds, the old ones fading.
 
-    Sums weigh long prompts more, which tell more. As a mean of each one's time a token,
-    the bound on unread prompts lay between 419 and 86,162 tokens on nodes of one
-    deployment; its engine reads some 4,000 in that time.
+    Sums weigh long prompts more, which tell more: means of each one's time a token
+    differed two hundredfold between nodes of one deployment.
     """
 
     __slots__ = ("seconds", "seen", "tokens")
@@ -34,7 +33,7 @@
 
 
 class PaceTable:
-    """Seconds a prompt token by model, as this node has seen them or was left them."""
+    """Seconds a prompt token by model, as this node has seen them."""
 
     def __init__(self) -> None:
         # The least time to any first event, in seconds; none was seen at infinity.
@@ -71,11 +70,3 @@
         if mine is None or slowest <= 0.0:
             return 1.0
         return max(defaults.PACE_LEAST, mine / slowest)
-
-    def readable(self, seconds: float) -> float:
-        """Give the tokens of the slowest known model that a runner reads in a time.
-
-        Infinite while nothing is known.
-        """
-        slowest = max(self.token_s.values(), default=0.0)
-        return seconds / slowest if slowest > 0.0 else float("inf")
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -20,7 +20,6 @@
     "order_answered": "an endpoint answered an order, or did not",
     "peer_up": "a stream to another node is up",
     "peer_down": "a stream to another node ended",
-    "handover_malformed": "what the lease's last holder left could not be read",
     "peer_refused": "a node could not prove the shared key or speaks another version",
     "platform_down": "the platform does not answer",
     "platform_up": "the platform answers again",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -140,7 +140,6 @@
             route.attempts,
             route.objective_s * core_defaults.PATIENCE_SHARE,
             route.objective_s,
-            route.pause_s,
         ),
     )
 
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -16,10 +16,8 @@
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
-from rookspring_core.events import Handover
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import PlatformAnswered
-from rookspring_core.events import Rates
 
 from . import defaults
 from .back_off import BackOff
@@ -207,8 +205,7 @@
                 nonce = str(value["nonce"])
                 holder = _holder_of(context, value)
                 settled = bool(value.get("settled", False))
-                left = read_handover(value.get("left"))
-                context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled, left))
+                context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled))
             case Failure(PlatformMissing()):
                 context.submit(LeaseSeen(now, 0, "", 0, ""))
             case Failure(error):
@@ -221,29 +218,6 @@
         await _wait_news(context, defaults.RELAY_LEASE_READ_S)
 
 
-def read_handover(raw: t.Any) -> Handover:
-    """Read what a lease holder left; nothing where a node of another version wrote it."""
-    if raw is None:
-        return Handover()
-    try:
-        demand, urgent, missed, paces, base_s, longest_s = raw
-        return Handover(
-            _read_rates(demand),
-            _read_rates(urgent),
-            _read_rates(missed),
-            _read_rates(paces),
-            float(base_s),
-            float(longest_s),
-        )
-    except (TypeError, ValueError) as error:
-        log("handover_malformed", "WARNING", detail=repr(error))
-        return Handover()
-
-
-def _read_rates(rows: t.Any) -> Rates:
-    return tuple((str(name), float(rate)) for name, rate in rows)
-
-
 def _holder_of(context: RelayContext, value: t.Any) -> str:
     """Name the lease's holder; another box of this one's name is another holder."""
     holder = str(value["holder"])
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -24,7 +24,6 @@
 from rookspring_core.events import DrainAsked
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import Ticked
-from rookspring_core.handover import make_handover
 from rookspring_core.leases import LeaseTerms
 from rookspring_core.retries import WindowTerms
 
@@ -296,13 +295,6 @@
     context.stop()
 
 
-def _known_here(context: RelayContext) -> t.Any:
-    """Give what this node leaves to the next holder: its own, or what it found."""
-    state = context.state
-    holding = state.control.holding(time.monotonic())
-    return list(make_handover(state) if holding else state.control.left)
-
-
 @relay_performs(WriteLease)
 def write_lease(context: RelayContext, effect: WriteLease) -> None:
     """Write the lease object on its version."""
@@ -314,7 +306,6 @@
         "settled": effect.settled,
         # A box that takes another's place may bear its name.
         "address": context.settings.peer_address,
-        "left": _known_here(context),
     }
 
     async def write() -> None:
