--- a/features/relay.feature
+++ b/features/relay.feature
@@ -334,13 +334,13 @@
     Then after <seconds> s it <state>
     And it is told to come back after <least> to <most> s
 
-    Examples: 5 s are left, of which a caller may be told 1.7; nodes know 0.4 s after a load
+    Examples: 5 s are left, of which a caller may be told 1.7; it is there 1 s after a load
       | in_s | objective | seconds | state      | least | most |
-      | 0.5  | 0.4       | 0.1     | is refused | 0.9   | 1.7  |
-      | 1.0  | 0.4       | 0.1     | is refused | 1.4   | 1.7  |
+      | 0.1  | 0.4       | 0.1     | is refused | 1.1   | 1.7  |
+      | 0.5  | 0.4       | 0.1     | is refused | 1.5   | 1.7  |
       | 9.0  | 0.4       | 0.1     | is refused | 1.6   | 1.7  |
-      | 1.0  | 3.0       | 1.8     | waits      | -     | -    |
-      | 1.0  | 3.0       | 2.0     | is refused | 0.6   | 1.7  |
+      | 1.0  | 4.0       | 2.4     | waits      | -     | -    |
+      | 1.0  | 4.0       | 2.8     | is refused | 0.5   | 1.7  |
 
   Scenario Outline: nothing is sent for a caller that has left
     Given a relaying node with one full runner, and a deadline of 5 s
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -127,8 +127,10 @@
 READY_MARGIN = 1.3
 # Callers heed a time to come back up to this part of the time that they have left.
 COME_BACK_SHARE = 1.0 / 3.0
-# From the end of a load until all nodes know of it: a report is read, and told.
-COMING_TOLD_S = 0.4
+# How long after the expected end of a load callers may count on it: the report that shows
+# the end is read and told, and loads take longer while many run. Told 0.4 s, more came back
+# too early and were refused twice (0.029 of all worth against 0.026 on four days).
+COMING_TOLD_S = 1.0
 # A load that is overdue for longer is not waited for.
 COMING_LATE_S = 2.0
 # Weights of the even-load policy, in parts of a full endpoint.
