--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -2,7 +2,8 @@
 
 Where all places are taken, one that no request uses makes room, at once. If all are in
 use, the least asked for is withdrawn from new requests first and unloaded once the last
-of its requests has ended: an unload that waits would hold up every other order there.
+of its requests has ended: an unload that waits would hold up every other order there. A
+model that is in use is withdrawn and unloaded likewise, with its adapters.
 """
 
 from . import defaults
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -128,8 +128,8 @@
 # Callers heed a time to come back up to this part of the time that they have left.
 COME_BACK_SHARE = 1.0 / 3.0
 # How long after the expected end of a load callers may count on it: the report that shows
-# the end is read and told, and loads take longer while many run. Told 0.4 s, more came back
-# too early and were refused twice (0.029 of all worth against 0.026 on four days).
+# the end is read and told, and loads take longer while many run. Told 0.4 s, a seventh more
+# were refused twice, since they came back too early (four simulated runs of a minute).
 COMING_TOLD_S = 1.0
 # A load that is overdue for longer is not waited for.
 COMING_LATE_S = 2.0
@@ -245,9 +245,9 @@
 CLOCK_STEP_S = 1e-6
 # Prompt tokens that an endpoint may have to read before it gets another prompt: all its
 # streams pause while it reads. Found on engines that read 19 and 41 tokens a millisecond.
-# Bounds learnt from the pace that is seen and the pause that a route bears served fewer in
-# time on eight of nine days on three deployments: tighter ones refuse at runners with room,
-# looser ones make streams pause.
+# Bounds learnt from the pace that is seen and the pause that a route bears gave callers less
+# in eight of nine simulated runs of three deployments: tighter ones refuse at runners with
+# room, looser ones make streams pause.
 UNREAD_TOKENS_MAX = 4_096
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
--- a/packages/rookspring-core/src/rookspring_core/paces.py
+++ b/packages/rookspring-core/src/rookspring_core/paces.py
@@ -11,7 +11,7 @@
 from . import defaults
 
 
-class Pace:
+class PromptSums:
     """What prompts of one model took: sums of tokens and seconds, the old ones fading.
 
     Sums weigh long prompts more, which tell more: means of each one's time a token
@@ -41,7 +41,7 @@
         self.token_s: dict[str, float] = {}
         # How long about the longest of late requests took as a whole, in seconds.
         self.longest_s = 0.0
-        self._paces: dict[str, Pace] = {}
+        self._sums: dict[str, PromptSums] = {}
 
     def note_whole(self, took_s: float) -> None:
         """Take the time of a whole answer; the longest is forgotten slowly."""
@@ -58,10 +58,10 @@
         self.base_s = min(took_s, self.base_s * defaults.PACE_FORGET)
         if tokens < defaults.PACE_TOKENS_MIN:
             return
-        pace = self._paces.setdefault(model, Pace())
-        pace.add(tokens, took_s - self.base_s)
-        if pace.seen >= defaults.PACE_SEEN_MIN:
-            self.token_s[model] = pace.seconds / pace.tokens
+        sums = self._sums.setdefault(model, PromptSums())
+        sums.add(tokens, took_s - self.base_s)
+        if sums.seen >= defaults.PACE_SEEN_MIN:
+            self.token_s[model] = sums.seconds / sums.tokens
 
     def relative(self, model: str) -> float:
         """Give a model's time in parts of the slowest known one's; 1 while unknown."""
--- a/packages/rookspring-core/src/rookspring_core/resources.py
+++ b/packages/rookspring-core/src/rookspring_core/resources.py
@@ -17,10 +17,9 @@
 class Check:
     """Bounds of a field, by the names that the validating library gives them.
 
-    It stands in a field's annotation without the library: a relay node checks no
-    documents, and without it such a
-    node's imports take 0.31 s of processor in place of 0.49, and 30 MiB in place of 40
-    (medians of ten whole processes).
+    It stands in a field's annotation without the library. A relay node checks no
+    documents, and without that library its start takes 0.31 s of processor in place of
+    0.49, and 30 MiB in place of 40 (medians of ten whole processes).
 
     :param bounds: such as ``ge`` or ``pattern``.
     """
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -157,7 +157,7 @@
     """Say whether an endpoint may take requests yet; ejected ones may if there is no other.
 
     What crashed takes none: before the nodes told each other, 198 tries were spent on
-    refused connections in a day in which two of eight runners crashed.
+    refused connections in one simulated run of a minute.
     """
     return not endpoint.leaving and not endpoint.gone and endpoint.listens(state.now)
 
