End orders for what is so already; see that a late unload took a withdrawn model

Cause, by reading: an unload without an answer may be carried out seconds later. If the model was withdrawn again meanwhile, the holder ordered the unload of what had gone; an endpoint answers that with "done" and may count no order, so no report showed its end, and its runner got no more orders until the lease changed.

Change: an order for a model that is answered "done" is over, and the report is read before the next; a withdrawn model that the endpoint's own report lacks is gone. Both scenarios failed first.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -170,6 +170,17 @@
     When the request ends
     Then just these orders were given: unload n, unload m, load x
 
+  Scenario: an unload that comes late takes a withdrawn model, and its runner goes on
+    Given a lease holder over runners holding m+n of 200 GB
+    When a request for m runs, and x of 150 GB is asked for and on the runner's disk
+    And m goes from the runner by a late order, and its report is read
+    Then the holder counts nothing of m there any more
+
+  Scenario: an order for what is so already is over at once
+    Given a lease holder over runners holding m, n of 200 GB
+    When a runner answers a load of x that it holds it already, and counts no order
+    Then the holder reads its report, and may give it another order within 0.2 s
+
   Scenario: the adapters of a model that is withdrawn take their places until it is unloaded
     Given a lease holder over runners holding m+a2+a3, n of 200 GB
     When a request for m/a2 runs, and m is withdrawn from its runner for x, which holds n too
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -235,7 +235,9 @@
             if not order.model_version:
                 kept = [one for one in runner["adapters"] if not one.startswith(name)]
                 runner["adapters"] = kept
-        self.submit(OrderAnswered(self.now, order.endpoint, order.token, True, "done"))
+        # An adapter is there, or gone, at once; a model's order is under way.
+        reason = "done" if order.model_version else "202"
+        self.submit(OrderAnswered(self.now, order.endpoint, order.token, True, reason))
 
     def pass_time(self, seconds):
         for _ in range(int(seconds / 0.1)):
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -16,8 +16,10 @@
 from rookspring_core.events import DownHeard
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import ModelWanted
+from rookspring_core.events import OrderAnswered
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import RouteTableSeen
+from rookspring_core.orders import usable
 
 
 @given("a lease holder over runners holding {held} of 200 GB")
@@ -332,6 +334,45 @@
     assert [one.request_id for one in holder.sent] == ["r1"]
 
 
+@when("m goes from the runner by a late order, and its report is read")
+def goes_late(context):
+    holder = context.holder
+    assert holder.state.residency.rooms["e1"].withdrawn_models() == ["m"]
+    runner = holder.runners["e1"]
+    runner["models"].remove("m")
+    runner["taken"] += 1
+    holder.submit(holder.report("e1", runner["models"], (), (0, runner["taken"]), own=True))
+
+
+@then("the holder counts nothing of m there any more")
+def nothing_of_m(context):
+    assert not context.holder.state.residency.rooms["e1"].withdrawn
+
+
+@when("a runner answers a load of x that it holds it already, and counts no order")
+def holds_already(context):
+    holder = context.holder
+    holder.answer = "none"
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes={**SIZES, "x": 50_000.0})))
+    holder.demand("x", 1000.0)
+    while not holder.orders:
+        holder.pass_time(0.1)
+    (order,) = holder.orders
+    context.ordered = order
+    holder.reads.clear()
+    holder.runners[order.endpoint]["models"].append("x")
+    holder.submit(OrderAnswered(holder.now, order.endpoint, order.token, True, "done"))
+
+
+@then("the holder reads its report, and may give it another order within {seconds:g} s")
+def another_order(context, seconds):
+    holder = context.holder
+    name = context.ordered.endpoint
+    holder.pass_time(seconds)
+    assert [endpoint for endpoint, _ in holder.reads] == [name], holder.reads
+    assert usable(holder.state, holder.state.endpoints[name])
+
+
 @when("the request ends")
 def request_ends(context):
     context.holder.submit(AttemptSucceeded(context.holder.now, "r1", 1))
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -116,6 +116,8 @@
     if room is None or not governing.holding(state):
         return
     room.trusted = room.trusted or event.own
+    if event.own:
+        _forget_gone(room, event)
     order = room.order
     if order is None or not event.own:
         return
@@ -128,6 +130,18 @@
         _settle(state, room)
 
 
+def _forget_gone(room: Room, report: EndpointReported) -> None:
+    """Forget withdrawn models that an unload without an answer has taken after all.
+
+    Adapters are left: a report may be older than what was attached a moment ago.
+    """
+    there = {name for name, _ in report.resident}
+    for model in room.withdrawn_models():
+        if model not in there:
+            for name in _parts_of(room, model):
+                room.withdrawn.pop(name)
+
+
 def _settle(state: NodeState, room: Room) -> None:
     """An order is over; what it made room for is planned at the next tick."""
     order = room.order
@@ -213,6 +227,13 @@
         room.asked_at = state.now
         return [ReadReport(event.endpoint, 0.0)]
     room.order = order._replace(taken=True)
+    if not order.adapter and event.reason == "done":
+        # It was so already, and the endpoint may count no order for that, so no report
+        # would tell its end.
+        _settle(state, room)
+        room.trusted = False
+        room.asked_at = state.now
+        return [ReadReport(event.endpoint, 0.0)]
     if not order.adapter:
         return _tell_coming(state, event.endpoint, order)
     if order.action == "unload" and event.reason != "done":
