Count what others have in flight though a report tells no load; attach adapters beside a load

Engines take adapters' orders beside a load (they do not count as an order under way). One that refuses is given none beside that load, and after three refusals with none taken, none at all.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -148,6 +148,20 @@
       | fenced      | load m/a1            |
       | other count | load m/a1            |
 
+  Scenario Outline: an adapter need not wait for the load of a model at its runner
+    Given a lease holder over runners holding m of 200 GB
+    And it loads x of 100 GB from the weight store
+    When an adapter of m is wanted and the answer is <answer>
+    And another adapter of m is wanted
+    Then the orders are <orders>
+    And the load of x goes on, and the runner is told of as it is
+
+    Examples:
+      | answer      | orders               |
+      | taken       | load m/a1, load m/a2 |
+      | other count | load m/a1            |
+      | none        | load m/a1            |
+
   Scenario Outline: an adapter that is in use is withdrawn, and unloaded once nobody uses it
     Given a lease holder over runners holding m+a2+a3, n of 200 GB
     And its adapters are in use <where>
@@ -301,6 +315,18 @@
     When another node tells wrongly that nothing listens at the first runner
     Then it may get requests and orders again within 1.5 s
 
+  Scenario Outline: a report that tells no load leaves what other nodes have in flight there
+    Given a relaying node with an endpoint of 8 slots, where another node has <theirs> in flight
+    When the endpoint's <source> comes, which tells no load
+    And a request arrives
+    Then what comes of it there: <end>
+
+    Examples:
+      | theirs | source          | end     |
+      | 8      | entry           | waiting |
+      | 8      | report          | waiting |
+      | 7      | report          | sent    |
+
   Scenario Outline: an endpoint that left the list gets nothing new
     Given a lease holder over runners holding m, m of 200 GB
     When the first runner has a request and leaves the list, and <what> comes
--- a/features/steps/relay_steps.py
+++ b/features/steps/relay_steps.py
@@ -6,6 +6,7 @@
 from relay_harness import make_table
 
 from rookspring_core import routed
+from rookspring_core.defaults import LOAD_UNTOLD
 from rookspring_core.effects import Cancel
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
@@ -319,3 +320,33 @@
 @then("it is {expected} for work")
 def open_for_work(context, expected):
     assert context.open == (expected == "open"), context.open
+
+
+@given("a relaying node with an endpoint of 8 slots, where another node has {theirs:d} in flight")
+def others_in_flight(context, theirs):
+    context.relay_node = node = RelayHarness()
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ["m"]))
+    node.now += 0.1
+    heard = PeerHeard(node.now, "p1", "i", "a", "c", "z", 1, False)
+    node.submit(heard._replace(inflight=(("e1", theirs),)))
+    node.submit(Ticked(node.now))
+
+
+@when("the endpoint's {source} comes, which tells no load")
+def report_without_load(context, source):
+    node = context.relay_node
+    node.now += 0.05
+    token = (0, -1) if source == "entry" else (0, 1)
+    report = node.report("e1", ["m"], token=token, own=source == "report")
+    node.submit(report._replace(running=LOAD_UNTOLD))
+
+
+@when("a request arrives")
+def a_request_arrives(context):
+    context.relay_node.ask(model="m", objective_s=2.0)
+
+
+@then("what comes of it there: {end}")
+def sent_or_waiting(context, end):
+    assert len(context.relay_node.sent) == (end == "sent"), context.relay_node.sent
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -27,6 +27,8 @@
 
 # Older reports say nothing of other nodes' work any more.
 REPORT_STALE_S = 20.0
+# Stands in a report for the requests that run where it does not tell them.
+LOAD_UNTOLD = -1
 # Slots to assume of an endpoint that has not reported yet.
 SLOTS_UNKNOWN = 8
 ENDED_MAX = 4096
@@ -226,6 +228,9 @@
 # a heartbeat of 0.4 s and some way.
 WITHDRAWN_MAX = 3
 WITHDRAWN_TOLD_S = 0.6
+# Endpoints that refused so many orders for adapters while they loaded a model, and took
+# none, are given no more of them.
+BESIDE_REFUSED_MAX = 3
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
 ADAPTER_LOAD_S = 0.025
 # The lease of relay nodes: an order-giver that dies is replaced within some seven
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -97,6 +97,7 @@
         "heard_at",
         "inflight",
         "leaving",
+        "load_told",
         "name",
         "others",
         "prefixes",
@@ -140,6 +141,8 @@
         self.inflight: dict[str, float] = {}
         self.ended: list[tuple[float, float]] = []
         self.others = 0
+        # Whether the report at hand tells how many requests run and wait there.
+        self.load_told = True
         self.peers = peers or PeersWork()
         self.resident: frozenset[str] = frozenset()
         self.prefixes: dict[int, float] = {}
@@ -156,6 +159,7 @@
             return False
         self.report = report
         self.reported_at = made_at
+        self.load_told = report.running != defaults.LOAD_UNTOLD
         self.resident = frozenset(model for model, _ in report.resident)
         # Leaving is sticky for one incarnation; only a restart takes it back.
         self.leaving = self.leaving or report.leaving
@@ -175,7 +179,9 @@
         return (len(self.inflight) + self._others(now)) / self.slots()
 
     def _others(self, now: float) -> int:
-        if self.peers.at > self.reported_at:
+        # A report without load says nothing of the others' work. Taken as "none", each one
+        # hid it until all nodes had told it again, a part of every second.
+        if self.peers.at > self.reported_at or not self.load_told:
             return self.peers.counts.get(self.name, 0)
         if now - self.reported_at > defaults.REPORT_STALE_S:
             return 0
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -133,6 +133,7 @@
 class EndpointReported(t.NamedTuple):
     """A load report of one endpoint, from a poll or from a peer's digest.
 
+    :param running: requests that run there; ``LOAD_UNTOLD`` where it does not tell.
     :param age_s: how old the figures were when they came.
     :param own: the endpoint gave it itself, on being asked by this node.
     :param in_memory: models that the endpoint keeps in its box's memory, beside those
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import time
 
+from rookspring_core.defaults import LOAD_UNTOLD
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Remind
 from rookspring_core.effects import SendOrder
@@ -97,7 +98,7 @@
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason="malformed")
         return
     # Its load is as old as the next one would be, so it is left to what nodes tell.
-    context.submit(report._replace(own=True, running=0, queued=0))
+    context.submit(report._replace(own=True, running=LOAD_UNTOLD, queued=0))
 
 
 @relay_performs(ShareReport)
