--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -12,6 +12,9 @@
 
 from behave.__main__ import main as behave
 
+from rookspring import relay_beats
+from rookspring import relay_members
+from rookspring.relay_lists import EndpointList
 from rookspring_core import attaching
 from rookspring_core import cluster
 from rookspring_core import governing
@@ -22,10 +25,13 @@
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.leases import Lease
+from rookspring_core.membership import Membership
 from rookspring_core.paces import PaceTable
+from rookspring_core.placement import PlanInput
 from rookspring_core.reducer import HANDLERS
 from rookspring_core.retries import RetryWindow
 from rookspring_core.rooms import Room
+from rookspring_core.topology import Topology
 from rookspring_platform import dialect
 from rookspring_platform.dialect import PlatformDialect
 
@@ -33,6 +39,8 @@
 from .registry import report
 
 FEATURES = ("features/relay.feature", "features/swapping.feature", "features/platform.feature")
+# Whole deployments on a virtual clock; they take longer, so only their own mutants run them.
+SIZE = ("features/size.feature",)
 
 
 class Mutant(t.NamedTuple):
@@ -46,6 +54,7 @@
     target: t.Any
     attribute: str
     wrong: t.Any
+    features: tuple[str, ...] = FEATURES
 
 
 def _always(*given: t.Any) -> bool:
@@ -122,7 +131,62 @@
     return _judge(self, head, request_id, name)._replace(not_run=True)
 
 
+def _everyone_known(peers: t.Any) -> set[str]:
+    return set(peers.context.state.membership.linked)
+
+
+def _no_effects(state: t.Any) -> list[t.Any]:
+    return []
+
+
+def _others_of_report(self: EndpointView, now: float) -> int:
+    return self.peers.counts.get(self.name, 0) if self.peers.at > self.reported_at else 0
+
+
+def _forget_listed(self: t.Any, boxes: t.Any) -> None:
+    self.listed = {}
+
+
+def _count_linked(self: t.Any) -> int:
+    return len(self.linked) + 1
+
+
+def _on_hearsay(peers: t.Any, peer: t.Any, relay: bool, now: float) -> bool:
+    return True
+
+
+def _fed_for_ever(self: t.Any, now: float) -> bool:
+    return bool(self.followed)
+
+
+def _watch_all(self: t.Any) -> bool:
+    return True
+
+
+def _keep_any(self: t.Any, row: t.Any, now: float) -> t.Any:
+    self._gone.pop(row.name, None)
+    self._stored.pop(row.name, None)
+    return _keep(self, row, now)
+
+
+_keep = EndpointList._keep
+
+
 MUTANTS = (
+    Mutant(
+        "forgets the listed nodes", "retry budget", Membership, "take_list", _forget_listed, SIZE
+    ),
+    Mutant("counts linked nodes alone", "retry budget", Membership, "count", _count_linked, SIZE),
+    Mutant("vouches on hearsay", "membership", relay_members, "_vouches", _on_hearsay, SIZE),
+    Mutant("is fed for ever", "drain", Topology, "fed", _fed_for_ever, SIZE),
+    Mutant(
+        "has all ask the store", "platform calls", Topology, "_chosen_watcher", _watch_all, SIZE
+    ),
+    Mutant("takes older entries", "drain", EndpointList, "_keep", _keep_any, SIZE),
+    Mutant("sums relays as followers", "placement", relay_beats, "group_of", _everyone_known, SIZE),
+    Mutant("lets no claim grow", "reachable", PlanInput, "claim", PlanInput.asked_for),
+    Mutant("attaches only on demand", "attainment", attaching, "prepare", _no_effects),
+    Mutant("takes no load for none", "attainment", EndpointView, "_others", _others_of_report),
     Mutant("resends what may have run", "at most once", routed, "may_retry", _resend_always),
     Mutant("resends without a budget", "retry budget", RetryWindow, "spend", _always),
     Mutant("begins though leaving", "planned stop", routed, "check", _nothing),
@@ -161,7 +225,7 @@
             stack.enter_context(mock.patch.dict(HANDLERS, {RouteTableSeen: mutant.wrong}))
         stack.enter_context(contextlib.redirect_stdout(io.StringIO()))
         stack.enter_context(contextlib.redirect_stderr(io.StringIO()))
-        return bool(behave(["--format", "null", "--no-summary", "--stop", *FEATURES]))
+        return bool(behave(["--format", "null", "--no-summary", "--stop", *mutant.features]))
 
 
 @experiment("relay-mutants")
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -144,3 +144,9 @@
     Given a lease holder over runners holding m+n, m+n of 200 GB
     When m reads ten times as fast as n, and 3000 tokens of each are asked for
     Then m is asked for a tenth of what n is, and its unread prompt is a tenth as long
+
+  Scenario: with fewer places than models, each model that is asked for is reached in time
+    Given 200 models of skewed demand over 45 runners of three places
+    When plans are made for 90 s
+    Then each model stood somewhere, and none was away for longer than 45 s
+    And the 20 models most asked for stood 95 % of the time
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -181,6 +181,11 @@
 # Replicas give way to a model that is asked for, or refused, more than four times as much
 # as what would be missed without them: while boxes are lost there is not room for all.
 GIVE_WAY_SHARE = 0.25
+# A model that is asked for and stands nowhere counts for as much again after each so many
+# seconds: after three times that it takes the place of one that is asked for as much, so
+# that none is out of reach for long. On a simulated heavy minute of 45 runners and 196
+# models 29 of 214 models and adapters were never served by demand alone.
+CLAIM_GROWS_S = 5.0
 # Part of a request that can wait for its model, as it counts where that gives way: it is
 # served in time nearly always, but holds up a runner's orders for a swap.
 PATIENT_LOSS = 0.2
@@ -228,6 +233,9 @@
 # a heartbeat of 0.4 s and some way.
 WITHDRAWN_MAX = 3
 WITHDRAWN_TOLD_S = 0.6
+# An adapter that is asked for at this rate is attached before it is wanted: one mean request
+# of 3,180 tokens stays above it for some twelve seconds.
+ADAPTER_TOKENS_PER_S = 20.0
 # An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
 ADAPTER_LOAD_S = 0.025
 # The lease of relay nodes: an order-giver that dies is replaced within some seven
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -69,6 +69,7 @@
     :param asked: tokens a second by model, whatever its pace; empty where that is the same.
     :param urgent: of the demand, what cannot wait for its model to be loaded.
     :param missed: of the demand, what was refused of late for want of room.
+    :param absent_s: how long models that are asked for have stood nowhere, in seconds.
     :param longest_s: how long about the longest of requests run, in seconds.
     """
 
@@ -80,6 +81,16 @@
     urgent: t.Mapping[str, float] = types.MappingProxyType({})
     missed: t.Mapping[str, float] = types.MappingProxyType({})
     longest_s: float = 0.0
+    absent_s: t.Mapping[str, float] = types.MappingProxyType({})
+
+    def claim(self, model: str) -> float:
+        """Give what a model without a replica counts for: the more, the longer it has none.
+
+        By its demand alone one that is asked for now and then never takes the place of
+        another such one.
+        """
+        waited = self.absent_s.get(model, 0.0) / defaults.CLAIM_GROWS_S
+        return self.asked_for(model) * (1.0 + waited)
 
     def asked_for(self, model: str) -> float:
         """Give how much callers ask of a model, in tokens a second."""
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import typing as t
 
 from . import attaching
 from . import defaults
@@ -75,6 +76,7 @@
         urgent=state.control.urgent.forecast.levels,
         missed=state.control.missed.forecast.levels,
         longest_s=state.paces.longest_s,
+        absent_s=_note_absent(state, levels, rooms),
     )
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
@@ -82,6 +84,22 @@
     return effects
 
 
+def _note_absent(
+    state: NodeState,
+    levels: t.Mapping[str, float],
+    rooms: t.Iterable[placement.RunnerRoom],
+) -> dict[str, float]:
+    """Give how long models that are asked for have stood nowhere, in seconds."""
+    since = state.residency.absent_since
+    stand = {name for room in rooms for name, _ in room.resident}
+    for model, level in levels.items():
+        if model in stand or level <= 0.0:
+            since.pop(model, None)
+        else:
+            since.setdefault(model, state.now)
+    return {model: state.now - since[model] for model in levels if model in since}
+
+
 def _plannable(state: NodeState, view: EndpointView) -> bool:
     room = state.residency.rooms.get(view.name)
     if room is None or not room.trusted or view.report is None:
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -87,6 +87,8 @@
         self.rooms: dict[str, Room] = {}
         self.wanted: dict[tuple[str, str, str], float] = {}
         self.planned_at = -1e9
+        # Since when each model that is asked for has stood nowhere, as plans saw it.
+        self.absent_since: dict[str, float] = {}
         # How long after an order endpoints' reports have shown it so far, in seconds.
         self.look_s = defaults.ORDER_LOOK_S
 
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -172,7 +172,7 @@
 
     That a model is reachable goes before a second replica of another.
     """
-    share = board.given.asked_for(model) * defaults.GIVE_WAY_SHARE
+    share = board.given.claim(model) * defaults.GIVE_WAY_SHARE
     most = max(defaults.IDLE_TOKENS_PER_S, share)
     return Bounds(spare=most, last=most, urgent=most, pairs=False)
 
@@ -193,7 +193,7 @@
 
 
 def _missing(board: SwapBoard, asked: bool) -> list[str]:
-    """List the models without a replica, the most asked for first."""
+    """List the models without a replica, those with the greatest claim first."""
     demand = board.given.demand
     lacking = [
         model
@@ -202,7 +202,7 @@
         and model not in board.on_way
         and (demand.get(model, 0.0) > 0.0) == asked
     ]
-    return sorted(lacking, key=lambda name: (-demand.get(name, 0.0), name))
+    return sorted(lacking, key=lambda name: (-board.given.claim(name), name))
 
 
 def _bring(board: SwapBoard, model: str) -> None:
