--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -273,17 +273,17 @@
 # A node that has run for less has not heard of all others yet.
 SETTLED_S = 1.5
 
-# Up to so many relay nodes each links to all others and follows the platform's store
+# Up to so many relay nodes each links to all others and watches the platform's store
 # itself; past that they do both through relays (``topology.py``). At 8 boxes these calls
 # cost 0.011 of what is earned, and whoever reads for itself learns a leaving soonest. At 20
 # a mesh's heartbeats were 26 MB a minute, 0.044, and the calls 0.31 (simulated minutes).
 RELAY_MESH_MAX = 12
-# Nodes that follow the store for all others, beside the lease holder. One may be cut off
+# Nodes that watch the store for all others, beside the lease holder. One may be cut off
 # and one be restarted at once; past that any relay steps in by itself.
 WATCHERS = 2
 # What is known of the store is stale past this age. Watchers ask at least each 1.1 s.
 STORE_STALE_S = 1.8
-# A node follows the store itself once what it hears of it has been stale for so long:
+# A node watches the store itself once what it hears of it has been stale for so long:
 # relays first, each rank so much later, and the others spread over the last, so that an
 # outage is not met by calls of all nodes at once.
 STEP_IN_RELAY_S = 0.1
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -215,7 +215,7 @@
     :param up_s: how long it has run, in seconds.
     :param strength: how much it can carry; 1 is a whole core and the link for it.
     :param relay: it passes on what the nodes of its data centre tell.
-    :param watches: it follows the platform's store itself.
+    :param watches: it asks the platform's store itself.
     :param follows: it takes the store's lists, and the others' work, from this node.
     :param summed: its figures come within those of another node.
     :param store_age_s: how old what it knows of the platform's store is, in seconds.
--- a/packages/rookspring-core/src/rookspring_core/topology.py
+++ b/packages/rookspring-core/src/rookspring_core/topology.py
@@ -1,4 +1,4 @@
-"""Which relay nodes are linked, which pass on what others tell, and which ask the store.
+"""Which relay nodes are linked, which pass on what others tell, and which watch the store.
 
 Up to ``RELAY_MESH_MAX`` nodes each holds a link to every other. Past that each data centre
 has relays: a node links to those of its own, and relays link to each other. A node
@@ -50,7 +50,7 @@
         self.mesh = True
         # This node passes on what the nodes of its data centre tell.
         self.relay = False
-        # This node follows the platform's store itself.
+        # This node watches the platform's store itself.
         self.watching = True
         # The node that this one follows; empty where there is none.
         self.followed = ""
@@ -136,7 +136,7 @@
         return at is not None and now - at < defaults.UNREACHED_S
 
     def _choose_watchers(self, ranked: dict[str, list["_Candidate"]]) -> set[str]:
-        """Choose the nodes that follow the store for all, the same on every node."""
+        """Choose the nodes that watch the store for all, the same on every node."""
         relays = self.relays()
         rows = [one for place in ranked.values() for one in place if one.name in relays]
         rows.sort(key=self._watch_rank)
@@ -228,7 +228,7 @@
         return min(now - self.read_at, self._told_age_s(self.followed, now))
 
     def _choose_watching(self, now: float) -> bool:
-        """Follow the store where that falls to this node, or nobody fresh is heard."""
+        """Watch the store where that falls to this node, or nobody fresh is heard."""
         if self.fed(now):
             self._unfed_since = None
         elif self._unfed_since is None:
