--- a/packages/rookspring/src/rookspring/fleet.py
+++ b/packages/rookspring/src/rookspring/fleet.py
@@ -148,7 +148,7 @@
         identity = Identity(self.name, f"{self.name}#{start}", place, f"at-{self.name}", "c")
         self.state = NodeState(identity, fleet.now)
         self.state.relaying = True
-        # One in ten is strong, as on the users' boxes.
+        # One in ten is strong, so that relays are chosen by strength.
         self.state.strength = 2.0 if number % 10 == 0 else 0.5
         self.state.window_terms = WindowTerms(
             0.2, fleet.plan.retry_slack, 10.0, defaults.RELAY_NODES_MIN
