--- a/features/slots.feature
+++ b/features/slots.feature
@@ -26,7 +26,7 @@
 
   Scenario: a slot of which nothing is heard is free again
     Given a service's queue with one slot that is taken
-    When 2.1 s pass and a request comes
+    When 1.1 s pass and a request comes
     Then it gets the slot
 
   Scenario: endpoints that fail at once draw no requests
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -368,7 +368,7 @@
 # A failed run counts for no less, so that an endpoint that fails at once draws no requests.
 SLOT_FAILED_S = 0.5
 # Slots of which nothing was heard for so long are free again.
-SLOT_LEASE_S = 2.0
+SLOT_LEASE_S = 1.0
 # An owner answers within a few milliseconds; a request that hears nothing for so long is
 # placed by the node that it came to.
 SLOT_ANSWER_S = 0.06
