Count the wait for a new key towards a request's deadline, and route it anew

Cause: a request whose key was unknown waited up to 2 s, and then began its time anew: an endpoint was told 898 ms where 600 were left, and it went by the route of the configuration before. Found by reading. Also there: 401, withheld keys, replaced keys, a node that hears nothing for 5 s refuses with 503.

--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -186,3 +186,30 @@
     And it has held the lease and given orders
     When it is killed and a node of its name at another address starts
     Then that does not hold the lease within 2 s
+
+  Scenario Outline: requests go by their keys
+    Given a relay node with an endpoint, and an organisation with the key key-a
+    When a caller sends a safe request with <key>
+    Then the status is <status>, and the endpoint saw <seen>
+
+    Examples:
+      | key     | status | seen       |
+      | key-a   | 200    | org-a alone |
+      | key-x   | 401    | nothing    |
+      | no key  | 401    | nothing    |
+
+  Scenario: a request whose key is new waits for the configuration that has it, within its deadline
+    Given a relay node with an endpoint, and an organisation with the key key-a
+    When a caller who waits 900 ms sends a safe request with key-b, of which the node hears 0.3 s later
+    Then the status is 200, and the endpoint saw org-a alone
+    And the endpoint was told a deadline between 200 and 650 ms
+
+  Scenario: a key that is taken away gets 401 at once, and the ones that are left go on
+    Given a relay node with an endpoint, and an organisation with the key key-a
+    When the key key-a is replaced by key-b, and a caller sends a safe request with key-a
+    Then the status is 401, and the endpoint saw nothing
+
+  Scenario: a node that hears nothing refuses, and says so truthfully
+    Given a relay node with an endpoint, and an organisation with the key key-a
+    When the store goes away for 5 s and a caller sends a safe request with key-a
+    Then the status is 503, and the endpoint saw nothing
--- a/features/relay_stage.py
+++ b/features/relay_stage.py
@@ -44,7 +44,7 @@
     )
 
 
-def configuration(version):
+def configuration(version, tenants=None):
     routes = [
         {
             "name": f"r-{name}",
@@ -60,7 +60,7 @@
         }
         for name, (kind, resumable, attempts) in ROUTES.items()
     ]
-    return {
+    raw = {
         "version": version,
         "routes": routes,
         "services": [{"name": "svc", "health-path": "/healthz", "max-conns": 100}],
@@ -71,6 +71,7 @@
             "idle-timeout-ms": 2000,
         },
     }
+    return raw if tenants is None else raw | {"tenants": tenants}
 
 
 class Answer:
@@ -89,14 +90,16 @@
         self.others = []
         self.servers = [ModelServer(f"i{number}", script) for number, script in enumerate(scripts)]
 
-    async def rise(self, version=5):
+    async def rise(self, version=5, tenants=None):
         self.served = await serve(self.store.app())
         for server in self.servers:
             await server.start()
             await self.store.write("servers", server.name, server.entry("svc"))
         if version:
-            await self.store.write("config", "main", configuration(version))
+            await self.store.write("config", "main", configuration(version, tenants))
         self.settings = make_settings(self.served.address)
+        if tenants is not None:
+            self.settings = self.settings._replace(proof_s=5.0)
         self.log_lines = []
         self.sink = logger.add(self.log_lines.append, level="INFO", format="{message}")
         self.node = RelayNode(self.settings, PlatformDialect())
@@ -164,7 +167,7 @@
         return [one for server in self.servers for one in server.asked]
 
 
-def request(kind, number=1, deadline_ms=None):
+def request(kind, number=1, deadline_ms=None, key=None):
     method = "GET" if kind == "safe" else "POST"
     lines = [
         f"{method} /{kind}/x HTTP/1.1",
@@ -173,6 +176,8 @@
     ]
     if deadline_ms:
         lines.append(f"X-Rookspring-Deadline-Ms: {deadline_ms}")
+    if key is not None:
+        lines.append(f"Authorization: Token {key}")
     if method == "POST":
         lines.append("Content-Length: 4")
     return ("\r\n".join(lines) + "\r\n\r\n").encode() + (b"body" if method == "POST" else b"")
--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -232,7 +232,7 @@
     route = table.match("h", "/a/x")
     ask = PlatformDialect().read_ask(make_request([]))
     found = [
-        relay.RelayExchange(None, None, ask, route, table.directory.by_name[name]).rank
+        relay.RelayExchange(None, None, ask, route, 0.0, table.directory.by_name[name]).rank
         for name in ("org-a", "org-b")
     ]
     assert found == [0, 1], found
--- /dev/null
+++ b/features/steps/relay_key_steps.py
@@ -0,0 +1,94 @@
+import asyncio
+
+from behave import given
+from behave import then
+from behave import when
+from relay_stage import RelayStage
+from relay_stage import configuration
+from relay_stage import request
+
+from rookspring.platform import Stored
+
+
+def tenants(*keys):
+    return [{"name": "org-a", "api-keys": list(keys), "unit": "requests"}]
+
+
+@given("a relay node with an endpoint, and an organisation with the key {key}")
+def stage_with_key(context, key):
+    stage = context.relay = RelayStage([["answer"]])
+    context.loop.run(stage.rise(tenants=tenants(key)))
+    context.loop.run(stage.until(lambda: stage.node.context.state.freshness.at > 0))
+
+
+def send(context, key, deadline_ms=None):
+    key = None if key == "no key" else key
+    raw = request("safe", key=key, deadline_ms=deadline_ms)
+    return context.relay.ask(raw)
+
+
+@when("a caller sends a safe request with {key}")
+def send_with(context, key):
+    context.answer = context.loop.run(send(context, key))
+
+
+@when(
+    "a caller who waits {ms:d} ms sends a safe request with {key}, "
+    "of which the node hears {seconds:g} s later"
+)
+def send_with_new(context, ms, key, seconds):
+    stage = context.relay
+    peers = stage.node.peers
+
+    async def work():
+        take, peers.take_stored = peers.take_stored, lambda stored: 0
+        raw = configuration(6, tenants("key-a", key))
+        await stage.store.write("config", "main", raw)
+        asked = asyncio.create_task(send(context, key, ms))
+        await asyncio.sleep(seconds)
+        peers.take_stored = take
+        peers.take_stored(Stored("main", 99, raw))
+        return await asked
+
+    context.answer = context.loop.run(work())
+
+
+@when("the key {old} is replaced by {new}, and a caller sends a safe request with {key}")
+def replaced(context, old, new, key):
+    stage = context.relay
+
+    async def work():
+        await stage.store.write("config", "main", configuration(6, tenants(new)))
+        await stage.until(lambda: stage.node.context.state.revision == 6)
+        other = await send(context, new)
+        assert other.status == 200, other.status
+        stage.servers[0].asked.clear()
+        return await send(context, key)
+
+    context.answer = context.loop.run(work())
+
+
+@when("the store goes away for {seconds:g} s and a caller sends a safe request with {key}")
+def store_away(context, seconds, key):
+    stage = context.relay
+
+    async def work():
+        stage.store.faults.outage = True
+        await asyncio.sleep(seconds)
+        answer = await send(context, key)
+        stage.store.faults.outage = False
+        return answer
+
+    context.answer = context.loop.run(work(), 20.0)
+
+
+@then("the status is {status:d}, and the endpoint saw {seen}")
+def endpoint_saw(context, status, seen):
+    assert context.answer.status == status, context.answer.status
+    asked = context.relay.asked
+    if seen == "nothing":
+        assert asked == []
+        return
+    (one,) = asked
+    assert one.headers["x-rookspring-tenant"] == "org-a"
+    assert "authorization" not in one.headers, one.headers
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -50,6 +50,7 @@
         request: HttpRequest,
         ask: Ask,
         route: Route,
+        arrived_at: float,
         organisation: Organisation | None = None,
     ) -> None:
         self.key = f"r{next(_numbers)}"
@@ -60,7 +61,7 @@
         self.organisation = organisation.name if organisation else ""
         rank = organisation.rank if organisation else None
         self.rank = route.rank if rank is None else rank
-        self.arrived_at = time.monotonic()
+        self.arrived_at = arrived_at
         self.deadline_at = self.arrived_at + deadline_s(ask, route)
         self.started = False
         self.last_event = ask.last_event
@@ -85,35 +86,51 @@
     context: "RelayContext", connection: ServerConnection, request: HttpRequest
 ) -> None:
     """Serve one request of a caller to its end."""
+    arrived_at = time.monotonic()
     try:
         ask = context.dialect.read_ask(request)
     except CallerError as error:
         log("request_malformed", "WARNING", field=error.field, expected=error.expected)
         connection.answer(error.status, context.dialect.refusal_headers("", 0.0), b"")
         return
+    route = _find_route(context, connection, ask)
+    if route is None:
+        return
+    verdict = await _judge_key(context, connection, route, ask, arrived_at)
+    if verdict.status:
+        _refuse_key(context, connection, ask, route, verdict)
+        return
+    # Where its key was waited for, a newer configuration is in force by now.
+    route = _find_route(context, connection, ask)
+    table = context.state.table
+    if route is None or table is None:
+        return
+    exchange = RelayExchange(connection, request, ask, route, arrived_at, verdict.organisation)
+    await _run(context, exchange, table)
+
+
+def _find_route(context: "RelayContext", connection: ServerConnection, ask: Ask) -> Route | None:
+    """Give a request's route by the configuration in force; it is refused if it has none."""
     table = context.state.table
     route = table.match(ask.host, ask.path) if table else None
-    if table is None or route is None:
+    if route is None:
         # Without a configuration nothing is known to be missing.
         status = 404 if table else 503
         after_s = 0.0 if table else core_defaults.COME_BACK_S
         log("route_missing", id=ask.request_id, host=ask.host, path=ask.path, status=status)
         headers = context.dialect.refusal_headers(ask.request_id, after_s)
         connection.answer(status, headers, b"")
-        return
-    verdict = await _judge_key(context, connection, route, ask)
-    if verdict.status:
-        _refuse_key(context, connection, ask, route, verdict)
-        return
-    exchange = RelayExchange(connection, request, ask, route, verdict.organisation)
-    await _run(context, exchange, table)
+    return route
 
 
 async def _judge_key(
-    context: "RelayContext", connection: ServerConnection, route: Route, ask: Ask
+    context: "RelayContext",
+    connection: ServerConnection,
+    route: Route,
+    ask: Ask,
+    arrived_at: float,
 ) -> KeyVerdict:
     """Say whose a request is; an unknown key waits a while for a newer configuration."""
-    arrived_at = time.monotonic()
     verdict = keys.judge(context.state, route, ask.key, arrived_at, arrived_at)
     if not verdict.waits or context.key_waits >= defaults.KEY_WAITS_MAX:
         return verdict
