Learn nothing from slots whose requests did not run; bound the times told for slots

Cause, found by reading: a slot that came back unused, or was turned away at once, counted as a run of 0 or 1 ms and drew requests to its endpoint; without an endpoint callers were told to come back after "inf" s, and otherwise past their deadline.

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -58,3 +58,22 @@
     Given a relaying node with a plain service whose owner gives it a slot
     When its run <ends>, as each run may
     Then the slot was given back once
+
+  Scenario: without an endpoint callers are told a time that they can wait for
+    Given a service's queue without an endpoint
+    Then a request is refused, to come back within 3 s
+
+  Scenario: a caller who is refused for want of slots is not sent away past its deadline
+    Given a plain service whose owner refuses requests for 9 s
+    When a request with a deadline of 1.5 s comes
+    Then it is told to come back within 0.5 s
+
+  Scenario Outline: what did not run teaches nothing of how long runs take
+    Given a service's queue with two endpoints, at one of which nothing runs
+    When 60 slots there come back after <ms> ms because <why>
+    Then a run there is taken to last <at_least> s at least
+
+    Examples:
+      | ms | why                             | at_least |
+      | 0  | their requests were gone        | 0.1      |
+      | 1  | the endpoint turned them away   | 0.3      |
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -308,9 +308,9 @@
         if isinstance(effect, FreeSlot):
             self.freed.append(effect)
 
-    def come(self):
+    def come(self, deadline_s=3.0):
         terms = RouteTerms("r", "svc", 1, 1, 1, 0.075, 0.3)
-        deadline_at = self.now + 3.0
+        deadline_at = self.now + deadline_s
         self.submit(
             RequestArrived(
                 self.now,
@@ -387,3 +387,66 @@
 @then("the slot was given back once")
 def given_back(context):
     assert set(map(tuple, context.freed.values())) == {("f",)}, context.freed
+
+
+@given("a service's queue without an endpoint")
+def no_endpoint(context):
+    context.queue = SlotQueue()
+
+
+@then("a request is refused, to come back within {seconds:g} s")
+def refused_within(context, seconds):
+    (answer,) = context.queue.ask(SlotAsk("n", "r", 0, "", 0.3), 10.0)
+    assert 0.0 < answer.after_s <= seconds, answer
+
+
+@given("a plain service whose owner refuses requests for {seconds:g} s")
+def refuses_for(context, seconds):
+    context.node = SlotNode()
+    context.after_s = seconds
+
+
+@when("a request with a deadline of {seconds:g} s comes")
+def deadline_comes(context, seconds):
+    context.node.come(seconds)
+    context.node.answer(after_s=context.after_s)
+
+
+@then("it is told to come back within {seconds:g} s")
+def told_within(context, seconds):
+    (refusal,) = context.node.refused
+    assert 0.0 < refusal.retry_after_s <= seconds, refusal
+
+
+@given("a service's queue with two endpoints, at one of which nothing runs")
+def nothing_runs(context):
+    context.queue = SlotQueue()
+    context.queue.use([SlotEndpoint("good", 6), SlotEndpoint("bad", 6)])
+
+
+@when("60 slots there come back after {ms:d} ms because {why}")
+def slots_back(context, ms, why):
+    node = SlotNode()
+    node.come()
+    node.answer("f")
+    if "turned" in why:
+        node.submit(AttemptStarted(node.now, "r1", 1))
+        node.now += ms / 1000.0
+        node.submit(AttemptFailed(node.now, "r1", 1, True, True, "refused with 503"))
+    else:
+        node.submit(CallerLeft(node.now, "r1"))
+        node.freed.clear()
+        node.answer("f")
+    (freed,) = node.freed
+    queue = context.queue
+    for number in range(60):
+        now = 10.0 + number
+        queue.use([SlotEndpoint("bad", 6)])
+        (answer,) = queue.ask(SlotAsk("n", str(number), 0, "", 9.0), now)
+        assert answer.endpoint == "bad"
+        queue.free("bad", "n", str(number), freed.took_s, now + 0.01)
+
+
+@then("a run there is taken to last {seconds:g} s at least")
+def lasts_at_least(context, seconds):
+    assert context.queue.run_s("bad") >= seconds, context.queue.run_s("bad")
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -372,8 +372,9 @@
 # An owner answers within a few milliseconds; a request that hears nothing for so long is
 # placed by the node that it came to.
 SLOT_ANSWER_S = 0.06
-# Refused for want of slots, callers come back no sooner.
-SLOT_BACK_LEAST_S = 0.5
+# Refused for want of slots, callers come back no sooner than the one, and no later than the
+# other where it is not known when there will be a slot.
+SLOT_BACK_S = (0.5, 3.0)
 # Endpoints of which one node gives out the slots: at 16 of 6 slots and runs of 60 ms these are
 # 1,600 requests a second, as many as a core takes with three messages of 50 us each.
 SLOT_ENDPOINTS_MAX = 16
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -215,7 +215,9 @@
     status = 502 if request.sent else 503
     # Spread by request, so that those who are refused together do not return together.
     spread = mix("come back", request.arrived.request_id) % 1000 / 1000.0
-    return give_up(state, request, status, reason, text, after_s * (1.0 + spread))
+    left_s = request.arrived.deadline_at - state.now
+    after_s = min(after_s * (1.0 + spread), left_s * defaults.COME_BACK_SHARE)
+    return give_up(state, request, status, reason, text, after_s)
 
 
 @handles(ResumeAsked)
@@ -313,7 +315,7 @@
     request.sent = request.maybe_ran
     request.not_run_said = event.said_not_run
     told = routed.end_prompt(state, request)
-    told += slotting.free(state, request, failed=not event.said_not_run)
+    told += slotting.free(state, request, failed=True)
     told += _blame(state, request, event)
     request.running = False
     terms = request.arrived.route
--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -93,6 +93,10 @@
         self._turn = 0.0
         self._next_turns: dict[str, float] = {}
 
+    def run_s(self, endpoint: str) -> float:
+        """Give how long a run is taken to last at an endpoint, in seconds."""
+        return self._endpoints[endpoint].run_s
+
     def use(self, endpoints: t.Iterable[SlotEndpoint]) -> None:
         """Take which endpoints take work now."""
         self._open = {one.name: limit_of(one.slots) for one in endpoints}
@@ -122,10 +126,14 @@
     def free(
         self, endpoint: str, origin: str, key: str, took_s: float, now: float
     ) -> list[SlotAnswer]:
-        """Take that a request's run is over; the next one may have its slot."""
+        """Take that a request's run is over; the next one may have its slot.
+
+        :param took_s: how long it took; 0 where nothing ran.
+        """
         served = self._endpoints.get(endpoint)
         if served is not None and served.grants.pop((origin, key), None) is not None:
-            served.note(took_s)
+            if took_s > 0.0:
+                served.note(took_s)
         return self.settle(now)
 
     def settle(self, now: float) -> list[SlotAnswer]:
@@ -134,7 +142,8 @@
         return [*self._grant(now), *self._give_up(now)]
 
     def _refuse(self, ask: SlotAsk, wait_s: float) -> SlotAnswer:
-        return SlotAnswer(ask.origin, ask.key, "", max(defaults.SLOT_BACK_LEAST_S, wait_s))
+        least, most = defaults.SLOT_BACK_S
+        return SlotAnswer(ask.origin, ask.key, "", min(most, max(least, wait_s)))
 
     def _grant(self, now: float) -> list[SlotAnswer]:
         answers = []
