--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -131,9 +131,9 @@
         :param took_s: how long it took; 0 where nothing ran.
         """
         served = self._endpoints.get(endpoint)
-        if served is not None and served.grants.pop((origin, key), None) is not None:
-            if took_s > 0.0:
-                served.note(took_s)
+        held = served is not None and served.grants.pop((origin, key), None) is not None
+        if served is not None and held and took_s > 0.0:
+            served.note(took_s)
         return self.settle(now)
 
     def settle(self, now: float) -> list[SlotAnswer]:
