Tell operators what becomes of adapters that requests wait for

Cause: the logs could not tell whether adapters that are never served are thrown out too soon, or never ordered, or come when their callers are gone. No line told a want's birth and end, why nothing was ordered, or whether an adapter that was unloaded had been of use.

No change of logic.

--- a/bench/registry.py
+++ b/bench/registry.py
@@ -23,9 +23,9 @@
 
 
 def report(name: str, title: str, rows: list[dict[str, t.Any]]) -> None:
-    """Print a table and keep it under ``reports/``."""
+    """Print a table and keep it under ``reports/``; nothing but its title where it is empty."""
     table = Table(title=title, box=None, title_justify="left", header_style="bold")
-    columns = list(rows[0])
+    columns = list(rows[0]) if rows else []
     for column in columns:
         table.add_column(column, justify="right" if column != columns[0] else "left")
     for row in rows:
--- /dev/null
+++ b/features/adapter_stage.py
@@ -0,0 +1,491 @@
+"""A hot model with more adapters than places, on a virtual clock: who is served, and when.
+
+The reducers are the real ones: a lease holder and entry nodes. Runners, callers, the ways
+between them and the store's lease are stand-ins, with the delays that matter here: nodes tell
+what their requests use every 0.4 s, reports lag by 0.2 s, an endpoint carries out one order at
+a time, and an unload waits for what runs.
+"""
+
+import heapq
+import itertools
+import random
+import typing as t
+
+from relay_harness import LIMITS
+from relay_harness import RelayHarness
+
+from rookspring_core import attaching
+from rookspring_core.effects import AdapterLeft
+from rookspring_core.effects import Dispatch
+from rookspring_core.effects import ReadReport
+from rookspring_core.effects import Refuse
+from rookspring_core.effects import Remind
+from rookspring_core.effects import SendOrder
+from rookspring_core.effects import ShareComing
+from rookspring_core.effects import ShareReport
+from rookspring_core.effects import Want
+from rookspring_core.effects import WriteLease
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import BoxListed
+from rookspring_core.events import ComingHeard
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import LeaseWritten
+from rookspring_core.events import ModelWanted
+from rookspring_core.events import OrderAnswered
+from rookspring_core.events import OrderDue
+from rookspring_core.events import PeerHeard
+from rookspring_core.events import RequestArrived
+from rookspring_core.events import RouteTableSeen
+from rookspring_core.events import RouteTerms
+from rookspring_core.events import Ticked
+from rookspring_core.routes import EngineSize
+from rookspring_core.routes import ModelSize
+from rookspring_core.routes import RouteTable
+from rookspring_core.routes import ServiceSize
+
+WAY_S = 0.001
+BEAT_S = 0.4
+TICK_S = 0.1
+REPORT_LAG_S = 0.2
+ORDER_CALL_S = 0.6
+PLACES = 8
+SLOTS = 48
+# The hot model's adapters; the models are of 60 GB, two or three to a runner of 200 GB.
+ADAPTERS = 20
+MODEL_MB = 60_000.0
+UNLOAD_S = 0.2
+STORE_LOAD_S = 8.0
+DISK_LOAD_S = 2.0
+# What callers bear, as the sheets have it: they come back once after a refusal.
+OBJECTIVE_S = 0.8
+PATIENCE_S = 0.2
+DEADLINE_S = 10.0
+RUN_S = (0.3, 1.5)
+
+
+class Runner:
+    """One runner: what it holds, what runs, and the one order under way."""
+
+    def __init__(self, name: str, models: t.Iterable[str]) -> None:
+        self.name = name
+        self.models = list(models)
+        self.disk = set(self.models)
+        self.adapters: list[str] = []
+        self.runs: dict[str, str] = {}
+        self.taken = 0
+        self.order: SendOrder | None = None
+        self.alive = True
+
+    def uses(self, name: str) -> bool:
+        """Say whether a run uses an adapter, or a model or an adapter of it."""
+        return any(one == name or one.startswith(f"{name}/") for one in self.runs.values())
+
+
+class Caller(t.NamedTuple):
+    """One request of a caller, who comes back once."""
+
+    key: str
+    name: str
+    deadline_at: float
+    back: bool
+
+
+class Try(t.NamedTuple):
+    """One try for a model or adapter, and what became of it."""
+
+    at: float
+    served: bool
+
+
+class Node(RelayHarness):
+    """A reducer on the stage."""
+
+    def __init__(self, stage: "Stage", name: str) -> None:
+        self.stage = stage
+        self.name = name
+        super().__init__()
+
+    def submit(self, event):
+        self.now = max(self.now, self.stage.now)
+        return super().submit(event)
+
+    def perform(self, effect):
+        self.stage.perform(self, effect)
+
+
+class Stage:
+    """The nodes, runners and callers, and what they saw.
+
+    :param held: the models of each runner.
+    :param lost_share: of the orders that get no answer, and are carried out 1 to 3 s late.
+    """
+
+    def __init__(self, held: t.Sequence[str], seed: int, lost_share: float = 0.0) -> None:
+        self.now = 100.0
+        self.random = random.Random(seed)
+        self.lost_share = lost_share
+        self.tries: dict[str, list[Try]] = {}
+        self.left: list[AdapterLeft] = []
+        self.orders: list[tuple[float, SendOrder]] = []
+        self._queue: list[tuple[float, int, t.Callable[[], None]]] = []
+        self._order = itertools.count()
+        self._callers: dict[str, Caller] = {}
+        self.runners = {
+            f"e{number}": Runner(f"e{number}", text.split("+"))
+            for number, text in enumerate(held, start=1)
+        }
+        self.nodes: list[Node] = []
+        self.nodes = [Node(self, f"n{number}") for number in range(3)]
+        self.holder = self.nodes[0]
+        self.begin()
+
+    def begin(self) -> None:
+        """List the endpoints, have a node take the lease, and let time go by until its turn."""
+        names = {model for runner in self.runners.values() for model in runner.models}
+        for node in self.nodes:
+            node.submit(RouteTableSeen(self.now, make_table(sorted(names))))
+        self.relist()
+        for runner in self.runners.values():
+            for node in self.nodes:
+                node.submit(self.report(runner)._replace(order_token=(0, -1)))
+        for node in self.nodes:
+            self.at(self.now, lambda node=node: self.tick(node))
+            self.at(self.now + 0.05, lambda node=node: self.beat(node))
+        self.holder.submit(LeaseSeen(self.now, 0, "", 0, ""))
+        self.run(8.0)
+        assert self.holder.state.control.holding(self.now)
+
+    # Time.
+
+    def at(self, moment: float, call: t.Callable[[], None]) -> None:
+        """Have something happen at a moment."""
+        heapq.heappush(self._queue, (moment, next(self._order), call))
+
+    def after(self, seconds: float, call: t.Callable[[], None]) -> None:
+        """Have something happen after a while."""
+        self.at(self.now + seconds, call)
+
+    def run(self, seconds: float) -> None:
+        """Let time pass."""
+        end = self.now + seconds
+        while self._queue and self._queue[0][0] <= end:
+            moment, _, call = heapq.heappop(self._queue)
+            self.now = max(self.now, moment)
+            call()
+        self.now = end
+
+    def tick(self, node: Node) -> None:
+        """Let a node do what is due."""
+        node.submit(Ticked(self.now))
+        self.after(TICK_S, lambda: self.tick(node))
+
+    def beat(self, node: Node) -> None:
+        """Have a node tell the holder of its requests."""
+        self.after(BEAT_S, lambda: self.beat(node))
+        if node is self.holder:
+            return
+        control = node.state.control
+        heard = PeerHeard(
+            self.now,
+            node.name,
+            node.name,
+            node.name,
+            node.name,
+            "z",
+            1,
+            False,
+            demand=tuple(control.meter.rates.items()),
+            used=attaching.used_rows(node.state),
+            urgent=tuple(control.urgent.meter.rates.items()),
+            missed=tuple(control.missed.meter.rates.items()),
+        )
+        self.after(WAY_S, lambda: self.holder.submit(heard._replace(at=self.now)))
+
+    # Endpoints.
+
+    def relist(self) -> None:
+        """Have all nodes see the list of endpoints."""
+        rows = tuple(
+            BoxListed(one.name, one.name, "z", "runner", "live", "llm")
+            for one in self.runners.values()
+            if one.alive
+        )
+        for node in self.nodes:
+            node.submit(BoxListCame(self.now, rows))
+
+    def lose(self, name: str) -> None:
+        """Lose a runner; its entry goes a moment later."""
+        runner = self.runners[name]
+        runner.alive = False
+        for key in list(runner.runs):
+            self.end_run(runner, key)
+        self.after(1.0, self.relist)
+
+    def report(self, runner: Runner):
+        """Give a runner's report as it is now."""
+        report = self.holder.report(
+            runner.name,
+            runner.models,
+            runner.adapters,
+            (0, runner.taken),
+            slots=SLOTS,
+            on_disk=tuple(runner.disk),
+            loading=self._loading(runner),
+        )
+        return report._replace(at=self.now)
+
+    def _loading(self, runner: Runner):
+        order = runner.order
+        return ((order.model, ""),) if order is not None and not order.model_version else ()
+
+    # Effects.
+
+    def perform(self, node: Node, effect) -> None:
+        """Do what a node asks for."""
+        match effect:
+            case WriteLease():
+                answer = LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1)
+                self.after(WAY_S, lambda: node.submit(answer))
+            case Want():
+                wanted = (effect.service, effect.model, effect.adapter)
+                self.after(WAY_S, lambda: self.holder.submit(ModelWanted(self.now, *wanted)))
+            case ShareReport() if node is self.holder:
+                for other in self.nodes[1:]:
+                    self.after(WAY_S, lambda other=other: other.submit(effect.report))
+            case ShareComing():
+                for other in self.nodes[1:]:
+                    self.after(WAY_S, lambda other=other: self.tell_coming(other, effect))
+            case ReadReport():
+                self.read(node, effect)
+            case Remind():
+                due = (effect.endpoint, effect.taken_before)
+                self.after(effect.after_s, lambda: node.submit(OrderDue(self.now, *due)))
+            case SendOrder():
+                self.orders.append((self.now, effect))
+                self.send_order(node, effect)
+            case Dispatch():
+                self.after(WAY_S, lambda: self.start_run(node, effect))
+            case Refuse():
+                self.refuse(effect)
+            case AdapterLeft():
+                self.left.append(effect)
+
+    def tell_coming(self, node: Node, told: ShareComing) -> None:
+        """Tell a node of a load under way."""
+        node.submit(ComingHeard(self.now, told.endpoint, told.model, told.in_s))
+
+    def read(self, node: Node, effect: ReadReport) -> None:
+        """Read a runner's own report, as it was a moment before."""
+        runner = self.runners[effect.endpoint]
+        if not runner.alive:
+            return
+
+        def look() -> None:
+            report = self.report(runner)._replace(own=True)
+            self.after(REPORT_LAG_S, lambda: node.submit(report._replace(at=self.now)))
+
+        self.after(max(0.0, effect.after_s - REPORT_LAG_S), look)
+
+    def send_order(self, node: Node, order: SendOrder) -> None:
+        """Have a runner take an order, now or late."""
+        runner = self.runners[order.endpoint]
+
+        def answer(taken, reason):
+            node.submit(OrderAnswered(self.now, order.endpoint, order.token, taken, reason))
+
+        if self.random.random() < self.lost_share or not runner.alive:
+            self.after(ORDER_CALL_S, lambda: answer(None, "no answer in time"))
+            self.after(self.random.uniform(1.0, 3.0), lambda: self.take(runner, order))
+            return
+        taken = self.take(runner, order)
+        self.after(WAY_S * 2, lambda: answer(taken != "409", taken))
+
+    def take(self, runner: Runner, order: SendOrder) -> str:
+        """Give a runner's answer to an order, and have it begin to carry it out."""
+        if runner.order is not None or order.token[1] != runner.taken or not runner.alive:
+            return "409"
+        name = order.model_version or order.model
+        held = name in (runner.adapters if order.model_version else runner.models)
+        if held == (order.action == "load"):
+            # It is so already; such an order is not counted.
+            return "done"
+        runner.taken += 1
+        if order.action == "load" and order.model_version:
+            runner.adapters.append(name)
+            assert len(runner.adapters) <= PLACES, "an adapter beyond its runner's places"
+            return "202"
+        if order.action == "unload" and order.model_version and not runner.uses(name):
+            runner.adapters.remove(name)
+            return "done"
+        runner.order = order
+        self.carry_out(runner, order)
+        return "202"
+
+    def carry_out(self, runner: Runner, order: SendOrder) -> None:
+        """Go on with an order: a load takes its time, an unload waits for what runs."""
+        name = order.model_version or order.model
+        if order.action == "unload" and runner.uses(name):
+            self.after(0.05, lambda: self.carry_out(runner, order))
+            return
+        near = order.model in runner.disk
+        length_s = UNLOAD_S if order.action == "unload" else STORE_LOAD_S
+        if order.action == "load" and near:
+            length_s = DISK_LOAD_S
+        self.after(length_s, lambda: self.finish(runner, order))
+
+    def finish(self, runner: Runner, order: SendOrder) -> None:
+        """End an order that was under way."""
+        runner.order = None
+        if order.action == "load":
+            runner.models.append(order.model)
+            runner.disk.add(order.model)
+        elif order.model_version:
+            runner.adapters.remove(order.model_version)
+        else:
+            runner.models.remove(order.model)
+            prefix = f"{order.model}/"
+            runner.adapters = [one for one in runner.adapters if not one.startswith(prefix)]
+
+    # Requests.
+
+    def ask(self, name: str, tokens: int = 1000, key: str = "", back: bool = False) -> None:
+        """Have a caller ask for a model or adapter at some node."""
+        key = key or f"r{next(self._order)}"
+        caller = Caller(key, name, self.now + DEADLINE_S, back)
+        self._callers[key] = caller
+        node = self.random.choice(self.nodes)
+        model, slash, _ = name.partition("/")
+        terms = RouteTerms("r", "llm", 1, 1, 1, PATIENCE_S, OBJECTIVE_S)
+        arrived = RequestArrived(
+            at=self.now,
+            request_id=key,
+            team="",
+            target=model,
+            service=False,
+            adapter=name if slash else "",
+            deadline_at=caller.deadline_at,
+            tokens=tokens,
+            prompt_tokens=tokens // 10,
+            repeatable=False,
+            route=terms,
+        )
+        node.submit(arrived)
+
+    def refuse(self, refusal: Refuse) -> None:
+        """A caller is refused: the first time it comes back when it was told to."""
+        caller = self._callers.pop(refusal.request_id)
+        self.note(caller, served=False)
+        if caller.back:
+            return
+        after_s = max(0.05, refusal.retry_after_s) + WAY_S
+        self.after(after_s, lambda: self.ask(caller.name, key=f"{caller.key}b", back=True))
+
+    def note(self, caller: Caller, served: bool) -> None:
+        """Note what became of a try."""
+        self.tries.setdefault(caller.name, []).append(Try(self.now, served))
+
+    def start_run(self, node: Node, effect: Dispatch) -> None:
+        """Have a runner begin a request, if it holds what that needs."""
+        runner = self.runners[effect.endpoint]
+        key = (effect.request_id, effect.attempt)
+        caller = self._callers[effect.request_id]
+        model, slash, _ = caller.name.partition("/")
+        held = model in runner.models and (not slash or caller.name in runner.adapters)
+        going = runner.order is not None and runner.order.action == "unload"
+        name = (runner.order.model_version or runner.order.model) if runner.order else ""
+        node.submit(AttemptStarted(self.now, *key))
+        if not runner.alive or not held or (going and name in (caller.name, model)):
+            failed = AttemptFailed(self.now, *key, True, True, "421", absent=not held)
+            self.after(WAY_S, lambda: node.submit(failed._replace(at=self.now)))
+            return
+        runner.runs[effect.request_id] = caller.name
+        seconds = self.random.uniform(*RUN_S)
+
+        def end() -> None:
+            if self.end_run(runner, effect.request_id):
+                node.submit(AttemptSucceeded(self.now, *key))
+
+        self.after(seconds, end)
+
+    def end_run(self, runner: Runner, key: str) -> bool:
+        """End a run; whether it was served."""
+        if runner.runs.pop(key, None) is None:
+            return False
+        caller = self._callers.pop(key)
+        self.note(caller, served=runner.alive)
+        return runner.alive
+
+    # What is asked of it.
+
+    def starved(self) -> list[str]:
+        """List what was asked for four times or more over 8 s, and never served."""
+        return sorted(
+            name
+            for name, tries in self.tries.items()
+            if len(tries) >= 4
+            and tries[-1].at - tries[0].at >= 8.0
+            and not any(one.served for one in tries)
+        )
+
+    def longest_unserved_s(self) -> tuple[float, str]:
+        """Give how long something that was asked for twice or more went unserved at most."""
+        worst = (0.0, "")
+        for name, tries in self.tries.items():
+            since, count = 0.0, 0
+            for one in tries:
+                if one.served:
+                    count = 0
+                    continue
+                since = one.at if count == 0 else since
+                count += 1
+                worst = max(worst, (one.at - since, name))
+        return worst
+
+    def served_share(self) -> float:
+        """Give the part of all callers who were served, at once or once they came back."""
+        served = sum(one.served for tries in self.tries.values() for one in tries)
+        asked = sum(len(tries) for tries in self.tries.values())
+        return served / max(1, asked)
+
+    def unused_share(self) -> float:
+        """Give the part of the adapters unloaded that no request was seen to use."""
+        if not self.left:
+            return 0.0
+        return sum(not one.used for one in self.left) / len(self.left)
+
+
+def make_table(models: t.Sequence[str], version: int = 2) -> RouteTable:
+    """Declare models, each with its adapters."""
+    sizes = {
+        name: ModelSize(name, MODEL_MB, STORE_LOAD_S, ADAPTERS, 50.0, 1.2, DISK_LOAD_S)
+        for name in models
+    }
+    engine = EngineSize(SLOTS, 200_000.0, 100_000, PLACES, 2.0, sizes)
+    services = {"llm": ServiceSize("llm", SLOTS, engine)}
+    return RouteTable(version, {}, services, LIMITS)
+
+
+def ask_in_turn(stage: Stage, seconds: float, per_s: float, others: t.Sequence[str] = ()) -> None:
+    """Ask for the hot model's adapters by chance, and for other models now and then.
+
+    :param others: each asked for every 4 s or so.
+    """
+    end = stage.now + seconds
+
+    def again() -> None:
+        if stage.now < end:
+            stage.ask(f"m/a{stage.random.randrange(ADAPTERS) + 1}")
+            stage.after(stage.random.expovariate(per_s), again)
+
+    def other(name: str) -> None:
+        if stage.now < end:
+            stage.ask(name)
+            stage.after(stage.random.uniform(2.0, 6.0), lambda: other(name))
+
+    again()
+    for name in others:
+        stage.after(stage.random.uniform(0.0, 4.0), lambda name=name: other(name))
+    stage.run(seconds + 3.0)
--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -3,6 +3,7 @@
 from rookspring_core import Identity
 from rookspring_core import NodeState
 from rookspring_core import reduce
+from rookspring_core.effects import AdapterLeft
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import Refuse
@@ -10,6 +11,8 @@
 from rookspring_core.effects import SendOrder
 from rookspring_core.effects import ShareDown
 from rookspring_core.effects import Want
+from rookspring_core.effects import WantDeclined
+from rookspring_core.effects import WantEnded
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptStarted
@@ -66,6 +69,8 @@
         self.orders = []
         self.wants = []
         self.told_down = []
+        # What operators are told of wants and adapters.
+        self.told = []
         self.submit(PlatformAnswered(self.now, True))
         self.submit(RouteTableSeen(self.now, make_table(sizes=sizes)))
 
@@ -76,6 +81,9 @@
             SendOrder: self.orders,
             Want: self.wants,
             ShareDown: self.told_down,
+            WantDeclined: self.told,
+            WantEnded: self.told,
+            AdapterLeft: self.told,
         }
         effects = reduce(self.state, event)
         for effect in effects:
--- /dev/null
+++ b/features/steps/adapter_steps.py
@@ -0,0 +1,128 @@
+from adapter_stage import Stage
+from adapter_stage import ask_in_turn
+from behave import given
+from behave import then
+from behave import when
+
+from rookspring_core.effects import AdapterLeft
+from rookspring_core.effects import WantDeclined
+from rookspring_core.effects import WantEnded
+from rookspring_core.events import ModelWanted
+from rookspring_core.events import PeerHeard
+
+HELD = ("m+q", "n+p", "r+s")
+LOST_SHARE = 0.35
+TIMES = {1: "once", 2: "twice"}
+
+
+def want(holder, adapter):
+    holder.submit(ModelWanted(holder.now, "llm", "m", f"m/{adapter}"))
+
+
+def use(holder, adapters):
+    used = tuple(("e1", f"m/{one}") for one in adapters)
+    peer = PeerHeard(holder.now, "p0", "i", "a", "c", "z", 1, False, used=used)
+    holder.submit(peer)
+
+
+@when("adapters of m are wanted and {then}")
+def adapters_wanted(context, then):
+    holder = context.holder
+    match then:
+        case "come at once":
+            want(holder, "a1")
+            holder.pass_time(0.2)
+        case "nobody asks again" | "are asked for twice":
+            want(holder, "a1")
+            if then == "are asked for twice":
+                holder.pass_time(0.5)
+                want(holder, "a1")
+            holder.pass_time(3.0)
+        case "its runner does not answer":
+            holder.answer = "none"
+            want(holder, "a2")
+            want(holder, "a1")
+            holder.pass_time(3.0)
+        case _:
+            make_give_way(holder, used=then == "take one that was used")
+
+
+def make_give_way(holder, used):
+    """Attach a9 where a2 stood, then have it give way in its turn."""
+    for adapter in ("a9", "a8"):
+        use(holder, ["a3", "a9"] if used else ["a3"])
+        want_until_there(holder, adapter, ["a3"])
+        if adapter == "a9" and used:
+            use(holder, ["a3", "a9"])
+            holder.pass_time(0.2)
+
+
+def want_until_there(holder, adapter, in_use):
+    for _ in range(40):
+        if holder.state.endpoints["e1"].has_adapter(f"m/{adapter}"):
+            return
+        want(holder, adapter)
+        holder.pass_time(0.1)
+        use(holder, in_use)
+    raise AssertionError(f"{adapter} is not attached")
+
+
+@then("operators are told: {told}")
+def operators_told(context, told):
+    got = [describe(one) for one in context.holder.told]
+    for text in told.split("; "):
+        assert text in got, got
+
+
+def describe(one):
+    match one:
+        case WantDeclined():
+            return f"{one.adapter} declined: {one.why}"
+        case WantEnded():
+            return f"{one.adapter} {one.outcome}, asked for {TIMES.get(one.times, one.times)}"
+        case AdapterLeft():
+            return f"{one.adapter} left {'used' if one.used else 'unused'}"
+    raise AssertionError(one)
+
+
+@given("runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places")
+def runners_hold(context):
+    context.held = HELD
+
+
+@given("nothing happens")
+@given("e2 is lost, whose models {asked}")
+@given("a third of orders is answered by nobody and comes late")
+def trouble(context, asked=""):
+    context.asked = asked
+
+
+@when("its adapters are asked for {rate:g} times a second for 30 s, with seeds 1 to 6")
+def asked_for(context, rate):
+    lossy = "third of orders" in " ".join(step.name for step in context.scenario.steps)
+    context.stages = []
+    for seed in range(1, 7):
+        stage = Stage(context.held, seed, LOST_SHARE if lossy else 0.0)
+        if context.asked:
+            stage.after(2.0, lambda stage=stage: stage.lose("e2"))
+        others = ("n", "p") if context.asked == "are asked for now and then" else ()
+        ask_in_turn(stage, 30.0, rate, others)
+        context.stages.append(stage)
+
+
+@then("none that was asked for four times over 8 s was never served")
+def none_starved(context):
+    starved = [stage.starved() for stage in context.stages]
+    assert not any(starved), starved
+
+
+@then("none that was asked for went without for more than {seconds:g} s")
+def none_without(context, seconds):
+    longest = [stage.longest_unserved_s() for stage in context.stages]
+    assert max(longest)[0] <= seconds, longest
+
+
+@then("at most {share:d} in 100 of those that were unloaded had been of no use")
+def few_unused(context, share):
+    shares = [stage.unused_share() for stage in context.stages]
+    assert sum(shares) / len(shares) <= share / 100.0, shares
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -7,7 +7,10 @@
 """
 
 from . import defaults
+from .effects import AdapterLeft
 from .effects import Effect
+from .effects import WantDeclined
+from .effects import WantEnded
 from .endpoints import EndpointView
 from .orders import adapters_at
 from .orders import engine_of
@@ -33,22 +36,55 @@
     if not settled(state):
         return []
     effects: Effects = []
-    for want, at in list(state.residency.wanted.items()):
-        _, model, adapter = want
-        if state.now - at > defaults.WANT_LIFE_S or not adapter:
-            if state.now - at > defaults.WANT_LIFE_S:
-                del state.residency.wanted[want]
+    for key, want in list(state.residency.wanted.items()):
+        service, model, adapter = key
+        hosts = [one for one in state.hosts.get(model, {}).values() if one.service == service]
+        if state.now - want.asked_at > defaults.WANT_LIFE_S:
+            effects += _end_want(state, key, "given up")
+        elif not adapter:
             continue
-        hosts = [one for one in state.hosts.get(model, {}).values() if one.service == want[0]]
-        if any(one.has_adapter(adapter) and one.open_for_work(state.now) for one in hosts):
-            del state.residency.wanted[want]
-            continue
-        if _under_way(state, adapter):
-            continue
-        effects += _attach(state, [one for one in hosts if usable(state, one)], model, adapter)
+        elif any(one.has_adapter(adapter) and one.open_for_work(state.now) for one in hosts):
+            effects += _end_want(state, key, "attached")
+        elif not _under_way(state, adapter):
+            effects += _serve(state, key, hosts)
     return effects
 
 
+def _end_want(state: NodeState, key: tuple[str, str, str], outcome: str) -> Effects:
+    want = state.residency.wanted.pop(key)
+    if not key[2]:
+        return []
+    return [WantEnded(key[2], outcome, state.now - want.first_at, want.times)]
+
+
+def _serve(state: NodeState, key: tuple[str, str, str], hosts: list[EndpointView]) -> Effects:
+    """Order what is to be done for one want, or tell once why nothing is."""
+    _, model, adapter = key
+    ready = [one for one in hosts if usable(state, one)]
+    effects = _attach(state, ready, model, adapter)
+    why = "" if effects else _why_not(state, hosts, ready)
+    want = state.residency.wanted[key]
+    if why == want.declined:
+        return effects
+    state.residency.wanted[key] = want._replace(declined=why)
+    return [*effects, WantDeclined(adapter, why)] if why else effects
+
+
+def _why_not(state: NodeState, hosts: list[EndpointView], ready: list[EndpointView]) -> str:
+    """Say why nothing can be ordered for an adapter now."""
+    if not hosts:
+        return "its model is on no endpoint"
+    if ready:
+        return "no place can be made"
+    busy = []
+    for view in hosts:
+        room = state.residency.rooms.get(view.name)
+        order = room.order if room else None
+        if order is not None:
+            busy.append(f"{view.name}: {order.action} {order.adapter or order.model} is under way")
+    return "; ".join(busy) or "no endpoint of its model can be given orders"
+
+
 def _under_way(state: NodeState, adapter: str) -> bool:
     return any(
         room.order is not None and room.order.action == "load" and room.order.adapter == adapter
@@ -56,6 +92,16 @@
     )
 
 
+def note_used(state: NodeState) -> None:
+    """See which of the adapters that were attached are used."""
+    rooms = state.residency.rooms
+    for name, adapter in list_used(state):
+        room = rooms.get(name)
+        stay = room.stays.get(adapter) if room else None
+        if room is not None and stay is not None and not stay.used:
+            room.stays[adapter] = stay._replace(used=True)
+
+
 def _attach(state: NodeState, hosts: list[EndpointView], model: str, adapter: str) -> Effects:
     """Load an adapter where the fewest are, making a place where all are taken."""
     if not hosts:
@@ -84,7 +130,8 @@
     in_use = list_used(state)
     for adapter in ranked:
         if (view.name, adapter) not in in_use:
-            return withdraw(state, view, adapter.partition("/")[0], adapter)
+            told = _tell_stay(state, view.name, room, adapter)
+            return [*told, *withdraw(state, view, adapter.partition("/")[0], adapter)]
     waiting = sum(1 for _, _, adapter in state.residency.wanted if adapter)
     most = min(defaults.WITHDRAWN_MAX, waiting)
     if not ranked or view.report is None or len(room.going_adapters()) >= most:
@@ -95,6 +142,13 @@
     return [put_report(state, view, without(view.report, adapter.partition("/")[0], adapter))]
 
 
+def _tell_stay(state: NodeState, endpoint: str, room: Room, adapter: str) -> Effects:
+    stay = room.stays.pop(adapter, None)
+    if stay is None:
+        return []
+    return [AdapterLeft(endpoint, adapter, state.now - stay.since, stay.used)]
+
+
 def _take_back(state: NodeState, view: EndpointView, room: Room, adapter: str) -> Effects:
     """Let requests use an adapter again that was withdrawn and is there yet."""
     del room.withdrawn[adapter]
@@ -116,6 +170,7 @@
             since = room.withdrawn[what]
             told = state.now - since >= defaults.WITHDRAWN_TOLD_S
             if told and (name, what) not in in_use:
+                effects += _tell_stay(state, name, room, what)
                 effects.append(give_order(state, view, "unload", *split_name(what)))
                 break
     return effects
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -136,6 +136,39 @@
     adapter: str
 
 
+class WantDeclined(t.NamedTuple):
+    """Tell operators why nothing is ordered now for an adapter that requests wait for."""
+
+    adapter: str
+    why: str
+
+
+class WantEnded(t.NamedTuple):
+    """Tell operators what became of an adapter that requests waited for.
+
+    :param outcome: ``attached``, or ``given up`` once nobody has asked for a while.
+    :param age_s: since it was first asked for, in seconds.
+    :param times: requests that asked for it.
+    """
+
+    adapter: str
+    outcome: str
+    age_s: float
+    times: int
+
+
+class AdapterLeft(t.NamedTuple):
+    """Tell operators how long an adapter stayed that is being unloaded, in seconds.
+
+    :param used: a request was seen to use it.
+    """
+
+    endpoint: str
+    adapter: str
+    stay_s: float
+    used: bool
+
+
 class ReadReport(t.NamedTuple):
     """Read an endpoint's own report, after a pause in seconds."""
 
@@ -252,6 +285,9 @@
     | WriteIntent
     | SendOrder
     | Want
+    | WantDeclined
+    | WantEnded
+    | AdapterLeft
     | ReadReport
     | Remind
     | SharePrompts
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -27,8 +27,10 @@
 from .orders import put_report
 from .orders import settled
 from .reducer import handles
+from .rooms import OpenWant
 from .rooms import Order
 from .rooms import Room
+from .rooms import Stay
 from .rooms import split_name
 from .rooms import still_there
 from .rooms import used_mb
@@ -44,7 +46,10 @@
     """A node has a request for what is resident nowhere."""
     if not governing.holding(state):
         return []
-    state.residency.wanted[(event.service, event.model, event.adapter)] = event.at
+    key = (event.service, event.model, event.adapter)
+    known = state.residency.wanted.get(key)
+    want = known.ask_again(event.at) if known else OpenWant(event.at, event.at)
+    state.residency.wanted[key] = want
     return attaching.serve_wants(state)
 
 
@@ -61,6 +66,7 @@
     effects += _survey(state)
     if not settled(state):
         return effects
+    attaching.note_used(state)
     effects += attaching.serve_wants(state)
     effects += attaching.unload_withdrawn(state)
     if state.now - state.residency.planned_at >= defaults.RELAY_PLAN_INTERVAL_S:
@@ -268,6 +274,7 @@
     report = without(view.report, order.model, order.adapter)
     if order.action == "load":
         report = report._replace(adapters=(*report.adapters, order.adapter))
+        room.stays[order.adapter] = Stay(state.now)
     report = report._replace(order_token=(0, order.taken_before + 1))
     effects: Effects = [put_report(state, view, report)]
     effects += attaching.serve_wants(state)
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -31,6 +31,31 @@
         return self.sent_at + self.length_s
 
 
+class OpenWant(t.NamedTuple):
+    """What requests wait for that no endpoint holds.
+
+    :param first_at: when it was first asked for, and ``asked_at`` when last.
+    :param times: requests that asked for it.
+    :param declined: why nothing was ordered for it when last looked at.
+    """
+
+    first_at: float
+    asked_at: float
+    times: int = 1
+    declined: str = ""
+
+    def ask_again(self, now: float) -> "OpenWant":
+        """Count another request."""
+        return self._replace(asked_at=now, times=self.times + 1)
+
+
+class Stay(t.NamedTuple):
+    """An adapter at an endpoint: since when, and whether a request was seen to use it."""
+
+    since: float
+    used: bool = False
+
+
 class Room:
     """One endpoint as the lease holder accounts for it.
 
@@ -39,14 +64,16 @@
         on that room.
     :param withdrawn: adapters and models that no new request may use, and since when;
         each is unloaded once its last request has ended.
+    :param stays: adapters that were attached under this lease.
     """
 
-    __slots__ = ("asked_at", "doubts", "order", "room_for", "trusted", "withdrawn")
+    __slots__ = ("asked_at", "doubts", "order", "room_for", "stays", "trusted", "withdrawn")
 
     def __init__(self) -> None:
         self.trusted = False
         self.room_for = ""
         self.withdrawn: dict[str, float] = {}
+        self.stays: dict[str, Stay] = {}
         self.order: Order | None = None
         self.asked_at = -1e9
         # Loads that got no answer and may be carried out yet.
@@ -85,7 +112,7 @@
     def __init__(self) -> None:
         self.epoch = 0
         self.rooms: dict[str, Room] = {}
-        self.wanted: dict[tuple[str, str, str], float] = {}
+        self.wanted: dict[tuple[str, str, str], OpenWant] = {}
         self.planned_at = -1e9
         # Since when each model that is asked for has stood nowhere, as plans saw it.
         self.absent_since: dict[str, float] = {}
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -45,6 +45,9 @@
     "endpoint_malformed": "an endpoint's entry could not be read and is left out",
     "effect_failed": "what a decision asked for could not be done; the other effects were",
     "decided": "the lease holder wants something of an endpoint, or cannot have it, and why",
+    "want_declined": "nothing is ordered now for an adapter that requests wait for, and why",
+    "want_ended": "an adapter that requests waited for is attached, or nobody asks any more",
+    "adapter_left": "an adapter is unloaded; how long it stayed, and whether it was used",
     "report_failed": "an endpoint's own report could not be read",
     "store_call_failed": "a read of the platform's store failed and is tried again",
     "lines_dropped": "so many lines were left out to keep the volume bounded",
@@ -60,6 +63,8 @@
     "event=route_missing",
     "event=key_refused",
     "event=allotment_denied",
+    "event=want_",
+    "event=adapter_left",
 )
 
 
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -50,6 +50,20 @@
             buckets=_BUCKETS,
         )
 
+        self.wants = make(
+            Histogram,
+            "rookspring_want_seconds",
+            "Time from the first request for an adapter to its attachment, or to the last try",
+            labels,
+            buckets=_BUCKETS,
+        )
+        self.adapter_stays = make(
+            Histogram,
+            "rookspring_adapter_stay_seconds",
+            "How long adapters stayed attached, by whether a request used them",
+            labels,
+            buckets=_BUCKETS,
+        )
         self.whole_answer = make(
             Histogram,
             "rookspring_request_seconds",
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -4,6 +4,7 @@
 import time
 
 from rookspring_core.defaults import LOAD_UNTOLD
+from rookspring_core.effects import AdapterLeft
 from rookspring_core.effects import AskAllotment
 from rookspring_core.effects import AskSlot
 from rookspring_core.effects import FreeSlot
@@ -16,6 +17,8 @@
 from rookspring_core.effects import SharePrompts
 from rookspring_core.effects import ShareReport
 from rookspring_core.effects import Want
+from rookspring_core.effects import WantDeclined
+from rookspring_core.effects import WantEnded
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import OrderAnswered
 from rookspring_core.events import OrderDue
@@ -149,6 +152,39 @@
     context.tell_holder(effect)
 
 
+@relay_performs(WantDeclined)
+def tell_declined(context: RelayContext, effect: WantDeclined) -> None:
+    """Log why nothing is ordered for an adapter now."""
+    log("want_declined", adapter=effect.adapter, why=effect.why)
+
+
+@relay_performs(WantEnded)
+def tell_ended(context: RelayContext, effect: WantEnded) -> None:
+    """Log and count what became of an adapter that requests waited for."""
+    context.metrics.wants.observe({"end": effect.outcome}, effect.age_s)
+    log(
+        "want_ended",
+        adapter=effect.adapter,
+        outcome=effect.outcome,
+        age_s=effect.age_s,
+        times=effect.times,
+    )
+
+
+@relay_performs(AdapterLeft)
+def tell_left(context: RelayContext, effect: AdapterLeft) -> None:
+    """Log and count how long an adapter stayed."""
+    used = "yes" if effect.used else "no"
+    context.metrics.adapter_stays.observe({"used": used}, effect.stay_s)
+    log(
+        "adapter_left",
+        endpoint=effect.endpoint,
+        adapter=effect.adapter,
+        stay_s=effect.stay_s,
+        used=effect.used,
+    )
+
+
 @relay_performs(AskAllotment)
 def ask_allotment(context: RelayContext, effect: AskAllotment) -> None:
     """Ask an organisation's owner."""
