Keep adapters for those who wait for them, and unload none that may be in use

Cause: whoever had just come for a waiting request had the least demand and was not told as used yet, so it made room for the next within 0.07 s at the median; and an unload that met a request which had just begun there waited for it, and every order at the endpoint with it, for up to 14.4 s.

Two rows of relay.feature held that an idle adapter is unloaded at once; they now hold that it is unloaded and its successor loaded within a second, which is as much and more.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -127,7 +127,8 @@
     Examples: m is 70 GB, n 60 GB, big 150 GB; a runner has 2 places for adapters
       | held          | event                                | orders                 |
       | m, m          | an adapter of m is wanted            | load m/a1              |
-      | m+a2+a3, n    | an adapter of m is wanted            | unload m/a2            |
+      | m+a2+a3, n    | an adapter of m is wanted            | none                   |
+      | m+a2+a3, n    | an adapter of m is wanted for 1 s    | unload m/a2, load m/a1 |
       | m, n          | the model big joins                   | none                   |
       | m, m          | the model n joins                     | load n                 |
       | m+n, m        | m is asked for a lot                 | none                   |
@@ -272,8 +273,8 @@
 
     Examples: a runner has 2 places for adapters
       | answer | then                                     | orders                     |
-      | never  | another adapter of m is wanted           | load m/a1, unload m/a2     |
-      | taken  | the list tells less, and another is wanted | load m/a1, unload m/a1   |
+      | never  | another adapter of m is wanted           | load m/a1, unload m/a2, load m/a4 |
+      | taken  | the list tells less, and another is wanted | load m/a1, unload m/a2, load m/a4 |
 
   Scenario Outline: what a runner held that is down is loaded elsewhere
     Given a lease holder over runners holding n, m of 200 GB
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -105,13 +105,16 @@
 @when("an order for an adapter is answered {answer}, and {then}")
 def adapter_wanted_then(context, answer, then):
     holder = context.holder
-    holder.answer = {"never": "lost once"}.get(answer, answer)
+    holder.answer = {"never": "lost always"}.get(answer, answer)
     want(holder, "a1")
+    holder.answer = "taken"
     holder.state.residency.wanted.clear()
     holder.pass_time(0.5)
     if then.startswith("the list tells less"):
         holder.submit(holder.report("e1", ["m"], ["m/a2"], (0, -1)))
-    want(holder, "a4")
+    for _ in range(10):
+        want(holder, "a4")
+        holder.pass_time(0.1)
 
 
 @when("another adapter of m is wanted")
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -1,9 +1,18 @@
 """Adapters come on demand: attached where a request waits for one, in a place that is free.
 
-Where all places are taken, one that no request uses makes room, at once. If all are in
-use, the least asked for is withdrawn from new requests first and unloaded once the last
-of its requests has ended: an unload that waits would hold up every other order there. A
-model that is in use is withdrawn and unloaded likewise, with its adapters.
+An endpoint has few places and carries out one order at a time, so what each of these costs
+those who wait decides who gets it:
+
+- Whoever has gone unserved for longest is first, so that each has its turn.
+- What was attached for a request is kept until its callers can have come back and been
+  seen. Without that 58 of 74 adapters unloaded in one simulated heavy minute had stayed
+  for less than 0.6 s, and nine of 51 names were never served.
+- Nothing is unloaded that may be in use: an unload waits for what runs, and all orders
+  there wait for it, 14 s in one case. So an adapter is withdrawn from new requests first;
+  once all nodes know and none uses it, it stands by: the next want takes its place at once,
+  and a want for itself takes it back without an order.
+
+A model that is in use is withdrawn and unloaded likewise, with its adapters.
 """
 
 from . import defaults
@@ -18,8 +27,9 @@
 from .orders import put_report
 from .orders import settled
 from .orders import usable
-from .orders import withdraw
 from .rooms import Room
+from .rooms import Stay
+from .rooms import WantKey
 from .rooms import doubted_mb
 from .rooms import doubted_places
 from .rooms import split_name
@@ -35,33 +45,57 @@
     """Order the adapters that requests wait for; models are the planner's."""
     if not settled(state):
         return []
+    effects = _review(state)
+    wanted = state.residency.wanted
+    waiting = [key for key, want in wanted.items() if key[2] and not want.given_up]
+    for key in sorted(waiting, key=lambda one: (wanted[one].first_at, one)):
+        if not _under_way(state, key[2]):
+            effects += _serve(state, key)
+    return effects + _keep_standby(state)
+
+
+def _review(state: NodeState) -> Effects:
+    """End the wants that are served, and give up those for which nobody asks now.
+
+    One that was given up keeps its place in the order for a while, should it be asked for
+    again: its callers come and go while it waits for its turn.
+    """
     effects: Effects = []
     for key, want in list(state.residency.wanted.items()):
-        service, model, adapter = key
-        hosts = [one for one in state.hosts.get(model, {}).values() if one.service == service]
-        if state.now - want.asked_at > defaults.WANT_LIFE_S:
-            effects += _end_want(state, key, "given up")
-        elif not adapter:
-            continue
-        elif any(one.has_adapter(adapter) and one.open_for_work(state.now) for one in hosts):
+        adapter = key[2]
+        quiet_s = state.now - want.asked_at
+        if adapter and any(one.has_adapter(adapter) for one in _open_hosts(state, key)):
             effects += _end_want(state, key, "attached")
-        elif not _under_way(state, adapter):
-            effects += _serve(state, key, hosts)
+        elif quiet_s > defaults.WANT_REMEMBERED_S or (
+            not adapter and quiet_s > defaults.WANT_LIFE_S
+        ):
+            del state.residency.wanted[key]
+        elif quiet_s > defaults.WANT_LIFE_S and not want.given_up:
+            effects += _end_want(state, key, "given up")
+            state.residency.wanted[key] = want._replace(given_up=True)
     return effects
 
 
-def _end_want(state: NodeState, key: tuple[str, str, str], outcome: str) -> Effects:
+def _hosts(state: NodeState, key: WantKey) -> list[EndpointView]:
+    service, model, _ = key
+    return [one for one in state.hosts.get(model, {}).values() if one.service == service]
+
+
+def _open_hosts(state: NodeState, key: WantKey) -> list[EndpointView]:
+    return [one for one in _hosts(state, key) if one.open_for_work(state.now)]
+
+
+def _end_want(state: NodeState, key: WantKey, outcome: str) -> Effects:
     want = state.residency.wanted.pop(key)
-    if not key[2]:
-        return []
     return [WantEnded(key[2], outcome, state.now - want.first_at, want.times)]
 
 
-def _serve(state: NodeState, key: tuple[str, str, str], hosts: list[EndpointView]) -> Effects:
+def _serve(state: NodeState, key: WantKey) -> Effects:
     """Order what is to be done for one want, or tell once why nothing is."""
     _, model, adapter = key
+    hosts = _open_hosts(state, key)
     ready = [one for one in hosts if usable(state, one)]
-    effects = _attach(state, ready, model, adapter)
+    effects = _take_back(state, hosts, adapter) or _attach(state, ready, model, adapter)
     why = "" if effects else _why_not(state, hosts, ready)
     want = state.residency.wanted[key]
     if why == want.declined:
@@ -111,35 +145,82 @@
     if engine is None or view.report is None or model not in engine.models:
         return []
     room = state.residency.rooms[view.name]
-    if adapter in room.withdrawn:
-        return _take_back(state, view, room, adapter)
     size = engine.models[model]
     used = used_mb(engine, view.report) + doubted_mb(engine, room, state.now, adapter)
     used += withdrawn_mb(engine, room)
-    places = len(adapters_at(view)) + doubted_places(room, state.now, adapter)
-    places += len(room.withdrawn_adapters())
+    places = _places(state, view, room, adapter)
     if used + size.adapter_mb <= engine.memory_mb and places < engine.adapters_max:
         return [give_order(state, view, "load", model, adapter)]
     return _make_place(state, view, room)
 
 
+def _places(state: NodeState, view: EndpointView, room: Room, but: str = "") -> int:
+    """Count the places that are taken, or may be by a load of another adapter that comes late."""
+    doubted = doubted_places(room, state.now, but)
+    return len(adapters_at(view)) + doubted + len(room.withdrawn_adapters())
+
+
 def _make_place(state: NodeState, view: EndpointView, room: Room) -> Effects:
-    """Unload the least asked for that nobody uses, or withdraw one that is in use."""
-    levels = state.control.forecast.levels
-    ranked = sorted(adapters_at(view), key=lambda one: (levels.get(one, 0.0), one))
+    """Unload what stands by, or have more stand by: at most as many as wants wait."""
     in_use = list_used(state)
-    for adapter in ranked:
-        if (view.name, adapter) not in in_use:
-            told = _tell_stay(state, view.name, room, adapter)
-            return [*told, *withdraw(state, view, adapter.partition("/")[0], adapter)]
-    waiting = sum(1 for _, _, adapter in state.residency.wanted if adapter)
+    for adapter in sorted(room.going_adapters(), key=lambda one: room.withdrawn[one]):
+        told = state.now - room.withdrawn[adapter] >= defaults.WITHDRAWN_TOLD_S
+        if told and (view.name, adapter) not in in_use:
+            left = _tell_stay(state, view.name, room, adapter)
+            return [*left, give_order(state, view, "unload", *split_name(adapter))]
+    waiting = sum(1 for key, want in state.residency.wanted.items() if key[2] and not want.given_up)
     most = min(defaults.WITHDRAWN_MAX, waiting)
-    if not ranked or view.report is None or len(room.going_adapters()) >= most:
+    if len(room.going_adapters()) >= most:
+        return []
+    ranked = _list_least_missed(state, view, room, in_use)
+    if not ranked:
         return []
-    adapter = ranked[0]
+    if (view.name, ranked[0]) in in_use:
+        state.record(view.name, f"withdraw {ranked[0]}", "all places are in use")
+    return [_withdraw_adapter(state, view, room, ranked[0])]
+
+
+def _list_least_missed(
+    state: NodeState, view: EndpointView, room: Room, in_use: set[tuple[str, str]]
+) -> list[str]:
+    """List the adapters that may be withdrawn: the idle first, then the least asked for."""
+    levels = state.control.forecast.levels
+    free = [one for one in adapters_at(view) if not room.keeps(one, state.now)]
+    return sorted(free, key=lambda one: ((view.name, one) in in_use, levels.get(one, 0.0), one))
+
+
+def _withdraw_adapter(state: NodeState, view: EndpointView, room: Room, adapter: str) -> Effect:
+    assert view.report is not None
     room.withdraw(adapter, state.now)
-    state.record(view.name, f"withdraw {adapter}", "all places are in use")
-    return [put_report(state, view, without(view.report, adapter.partition("/")[0], adapter))]
+    return put_report(state, view, without(view.report, split_name(adapter)[0], adapter))
+
+
+def _keep_standby(state: NodeState) -> Effects:
+    """Have idle adapters stand by where all places are taken and more are asked for.
+
+    A want is then served in two orders of some 30 ms. Otherwise it first waits until all
+    nodes have heard of a withdrawal, for longer than its requests wait.
+    """
+    effects: Effects = []
+    pressed = {
+        view.name: view
+        for key, want in state.residency.wanted.items()
+        if key[2] and state.now - want.asked_at <= defaults.PRESSED_S
+        for view in _open_hosts(state, key)
+    }
+    in_use = list_used(state) if pressed else set()
+    for name, view in pressed.items():
+        room = state.residency.rooms.get(name)
+        engine = engine_of(state, view)
+        if room is None or not room.trusted or engine is None or view.report is None:
+            continue
+        lacking = defaults.STANDBY - len(room.going_adapters())
+        if lacking <= 0 or _places(state, view, room) < engine.adapters_max:
+            continue
+        ranked = _list_least_missed(state, view, room, in_use)
+        idle = [one for one in ranked if (name, one) not in in_use]
+        effects += [_withdraw_adapter(state, view, room, one) for one in idle[:lacking]]
+    return effects
 
 
 def _tell_stay(state: NodeState, endpoint: str, room: Room, adapter: str) -> Effects:
@@ -149,44 +230,60 @@
     return [AdapterLeft(endpoint, adapter, state.now - stay.since, stay.used)]
 
 
-def _take_back(state: NodeState, view: EndpointView, room: Room, adapter: str) -> Effects:
-    """Let requests use an adapter again that was withdrawn and is there yet."""
-    del room.withdrawn[adapter]
-    assert view.report is not None
-    report = view.report._replace(adapters=(*view.report.adapters, adapter))
-    return [put_report(state, view, report)]
+def _take_back(state: NodeState, hosts: list[EndpointView], adapter: str) -> Effects:
+    """Let requests use an adapter again that was withdrawn and is there yet.
+
+    That needs no order, so it goes while a model is being loaded there as well.
+    """
+    for view in hosts:
+        room = state.residency.rooms.get(view.name)
+        if room is None or view.report is None or adapter not in room.going_adapters():
+            continue
+        if room.order is not None and room.order.adapter == adapter:
+            continue
+        del room.withdrawn[adapter]
+        room.stays[adapter] = room.stays.get(adapter, Stay(state.now))._replace(since=state.now)
+        report = view.report._replace(adapters=(*view.report.adapters, adapter))
+        return [put_report(state, view, report)]
+    return []
 
 
 def unload_withdrawn(state: NodeState) -> Effects:
-    """Unload what was withdrawn and is used by nobody any more."""
+    """Unload models that were withdrawn and that nobody uses any more."""
     effects: Effects = []
-    rooms = {name: room for name, room in state.residency.rooms.items() if room.withdrawn}
+    rooms = {name: room for name, room in state.residency.rooms.items() if room.withdrawn_models()}
     in_use = list_used(state) if rooms else set()
     for name, room in rooms.items():
         view = state.endpoints.get(name)
         if view is None or not usable(state, view):
             continue
-        for what in (*room.withdrawn_models(), *room.going_adapters()):
-            since = room.withdrawn[what]
-            told = state.now - since >= defaults.WITHDRAWN_TOLD_S
-            if told and (name, what) not in in_use:
-                effects += _tell_stay(state, name, room, what)
-                effects.append(give_order(state, view, "unload", *split_name(what)))
+        for model in room.withdrawn_models():
+            told = state.now - room.withdrawn[model] >= defaults.WITHDRAWN_TOLD_S
+            if told and (name, model) not in in_use:
+                effects.append(give_order(state, view, "unload", model, ""))
                 break
     return effects
 
 
 def used_rows(state: NodeState) -> tuple[tuple[str, str], ...]:
-    """Give the adapters and models that this node's requests use, each with its endpoint."""
-    return tuple(
-        {
-            (one.endpoint, name)
-            for one in state.requests.values()
-            if one.running and not one.arrived.service
-            for name in (one.arrived.adapter, one.arrived.target)
-            if name
-        }
-    )
+    """Give the adapters and models that this node's requests use, each with its endpoint.
+
+    A request that waits for room at an endpoint uses the adapter there as well.
+    """
+    rows: set[tuple[str, str]] = set()
+    for one in state.requests.values():
+        arrived = one.arrived
+        if arrived.service:
+            continue
+        if one.running:
+            names = (arrived.adapter, arrived.target)
+            rows.update((one.endpoint, name) for name in names if name)
+        elif arrived.adapter:
+            hosts = state.hosts.get(arrived.target, {}).values()
+            rows.update(
+                (view.name, arrived.adapter) for view in hosts if view.has_adapter(arrived.adapter)
+            )
+    return tuple(rows)
 
 
 def list_used(state: NodeState) -> set[tuple[str, str]]:
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -31,22 +31,28 @@
         return self.sent_at + self.length_s
 
 
+# The service, model and adapter that requests wait for; no adapter where it is the model.
+WantKey = tuple[str, str, str]
+
+
 class OpenWant(t.NamedTuple):
     """What requests wait for that no endpoint holds.
 
     :param first_at: when it was first asked for, and ``asked_at`` when last.
     :param times: requests that asked for it.
     :param declined: why nothing was ordered for it when last looked at.
+    :param given_up: nobody has asked for it for a while.
     """
 
     first_at: float
     asked_at: float
     times: int = 1
     declined: str = ""
+    given_up: bool = False
 
     def ask_again(self, now: float) -> "OpenWant":
         """Count another request."""
-        return self._replace(asked_at=now, times=self.times + 1)
+        return self._replace(asked_at=now, times=self.times + 1, given_up=False)
 
 
 class Stay(t.NamedTuple):
@@ -101,6 +107,11 @@
             if split_name(adapter)[0] == name:
                 self.withdrawn[adapter] = now
 
+    def keeps(self, adapter: str, now: float) -> bool:
+        """Say whether an adapter is kept for the callers for whom it was attached."""
+        stay = self.stays.get(adapter)
+        return stay is not None and now - stay.since < defaults.PLACE_KEPT_S
+
     def withdrawn_models(self) -> list[str]:
         """Name the models that no new request may use."""
         return [name for name in self.withdrawn if "/" not in name]
@@ -112,7 +123,7 @@
     def __init__(self) -> None:
         self.epoch = 0
         self.rooms: dict[str, Room] = {}
-        self.wanted: dict[tuple[str, str, str], OpenWant] = {}
+        self.wanted: dict[WantKey, OpenWant] = {}
         self.planned_at = -1e9
         # Since when each model that is asked for has stood nowhere, as plans saw it.
         self.absent_since: dict[str, float] = {}
