Tell callers when an adapter is likely to be there, and keep its place until they are back

Cause: callers were told to come back after 0.4 s, whatever lay before them; wants lasted a second and places were kept for a fixed time. So callers came back a third of a second before their adapter, and it was kept when they had gone for good.

Change: each node learns how long waits for a model's adapters last and tells what nearly all stay below, later where the endpoints are busy with a load; the want says when its caller will be back at the latest; it lasts, and its place is kept, until then and until a heartbeat has told of its use. The message of a want has a field more, so nodes of this version link only to each other.

--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -257,7 +257,7 @@
                 answer = LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1)
                 self.after(WAY_S, lambda: node.submit(answer))
             case Want():
-                self.after(WAY_S, lambda: self.holder.submit(ModelWanted(self.now, *effect[:3])))
+                self.after(WAY_S, lambda: self.holder.submit(ModelWanted(self.now, *effect)))
             case ShareReport() if node is self.holder:
                 for other in self.nodes[1:]:
                     self.after(WAY_S, lambda other=other: other.submit(effect.report))
--- a/features/adapters.feature
+++ b/features/adapters.feature
@@ -32,6 +32,23 @@
       | m+a2+a3    | take the place of another  | m/a9 left unused                        |
       | m+a2+a3    | take one that was used     | m/a9 left used                          |
 
+  Scenario Outline: callers are told when an adapter is likely to be there
+    Given waits for adapters of m of <waits> s
+    And an endpoint with m that <does>
+    When an adapter of m is asked for that is attached nowhere
+    Then its caller is told to come back after <least> to <most> s
+    And the lease holder is told when that will be at the latest
+
+    Examples:
+      | waits          | does                     | least | most |
+      | none           | is free                  | 0.4   | 0.4  |
+      | 0.1            | is free                  | 0.4   | 0.4  |
+      | 1.2            | is free                  | 1.1   | 1.9  |
+      | 1.2, 0.1, 0.1, 0.1 | is free              | 0.7   | 1.9  |
+      | 9.0            | is free                  | 1.4   | 1.7  |
+      | none           | loads a model for 1.1 s  | 1.0   | 1.2  |
+      | none           | loads a model for 9 s    | 1.4   | 1.7  |
+
   Scenario Outline: each adapter that is asked for is served before long
     Given runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places
     And <trouble>
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -3,13 +3,19 @@
 from behave import given
 from behave import then
 from behave import when
+from relay_harness import RelayHarness
 
 from rookspring_core.effects import AdapterLeft
 from rookspring_core.effects import WantDeclined
 from rookspring_core.effects import WantEnded
+from rookspring_core.events import ComingHeard
 from rookspring_core.events import ModelWanted
 from rookspring_core.events import PeerHeard
+from rookspring_core.events import Ticked
 
+# What the harness's route grants, in seconds; how often each wait is seen.
+PATIENCE_S = 0.1
+SEEN_TIMES = 12
 HELD = ("m+q", "n+p", "r+s")
 LOST_SHARE = 0.35
 TIMES = {1: "once", 2: "twice"}
@@ -85,6 +91,46 @@
     raise AssertionError(one)
 
 
+@given("waits for adapters of m of {waits} s")
+def waits_seen(context, waits):
+    context.node = node = RelayHarness()
+    seen = [] if waits == "none" else [float(one) for one in waits.split(", ")]
+    for number in range(SEEN_TIMES * len(seen)):
+        node.state.adapter_waits.begin(f"m/b{number}", 0.0)
+        node.state.adapter_waits.end([f"m/b{number}"], seen[number % len(seen)])
+
+
+@given("an endpoint with m that {does}")
+def endpoint_with_m(context, does):
+    node = context.node
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ("m",)))
+    if does != "is free":
+        seconds = float(does.split()[-2])
+        node.submit(ComingHeard(node.now, "e1", "n", seconds))
+
+
+@when("an adapter of m is asked for that is attached nowhere")
+def asked_in_vain(context):
+    node = context.node
+    node.ask(model="m", adapter="m/a1")
+    node.now += PATIENCE_S + 0.01
+    node.submit(Ticked(node.now))
+
+
+@then("its caller is told to come back after {least:g} to {most:g} s")
+def told_back(context, least, most):
+    after_s = context.node.refused[-1].retry_after_s
+    assert least - 0.06 <= after_s <= most + 0.06, after_s
+
+
+@then("the lease holder is told when that will be at the latest")
+def holder_told(context):
+    wanted = context.node.wants[-1]
+    after_s = PATIENCE_S + context.node.refused[-1].retry_after_s
+    assert abs(wanted.back_s - after_s) < 0.15, (wanted.back_s, after_s)
+
+
 @given("runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places")
 def runners_hold(context):
     context.held = HELD
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -27,6 +27,7 @@
 from .orders import put_report
 from .orders import settled
 from .orders import usable
+from .rooms import OpenWant
 from .rooms import Room
 from .rooms import Stay
 from .rooms import WantKey
@@ -64,13 +65,12 @@
     for key, want in list(state.residency.wanted.items()):
         adapter = key[2]
         quiet_s = state.now - want.asked_at
+        live = want.live(state.now)
         if adapter and any(one.has_adapter(adapter) for one in _open_hosts(state, key)):
             effects += _end_want(state, key, "attached")
-        elif quiet_s > defaults.WANT_REMEMBERED_S or (
-            not adapter and quiet_s > defaults.WANT_LIFE_S
-        ):
+        elif quiet_s > defaults.WANT_REMEMBERED_S or (not adapter and not live):
             del state.residency.wanted[key]
-        elif quiet_s > defaults.WANT_LIFE_S and not want.given_up:
+        elif not live and not want.given_up:
             effects += _end_want(state, key, "given up")
             state.residency.wanted[key] = want._replace(given_up=True)
     return effects
@@ -95,9 +95,9 @@
     _, model, adapter = key
     hosts = _open_hosts(state, key)
     ready = [one for one in hosts if usable(state, one)]
-    effects = _take_back(state, hosts, adapter) or _attach(state, ready, model, adapter)
-    why = "" if effects else _why_not(state, hosts, ready)
     want = state.residency.wanted[key]
+    effects = _take_back(state, hosts, adapter, want) or _attach(state, ready, key, want)
+    why = "" if effects else _why_not(state, hosts, ready)
     if why == want.declined:
         return effects
     state.residency.wanted[key] = want._replace(declined=why)
@@ -136,10 +136,11 @@
             room.stays[adapter] = stay._replace(used=True)
 
 
-def _attach(state: NodeState, hosts: list[EndpointView], model: str, adapter: str) -> Effects:
+def _attach(state: NodeState, hosts: list[EndpointView], key: WantKey, want: OpenWant) -> Effects:
     """Load an adapter where the fewest are, making a place where all are taken."""
     if not hosts:
         return []
+    _, model, adapter = key
     view = min(hosts, key=lambda one: (len(adapters_at(one)), one.load(state.now), one.name))
     engine = engine_of(state, view)
     if engine is None or view.report is None or model not in engine.models:
@@ -150,7 +151,10 @@
     used += withdrawn_mb(engine, room)
     places = _places(state, view, room, adapter)
     if used + size.adapter_mb <= engine.memory_mb and places < engine.adapters_max:
-        return [give_order(state, view, "load", model, adapter)]
+        order = give_order(state, view, "load", model, adapter)
+        assert room.order is not None
+        room.order = room.order._replace(back_at=want.back_at)
+        return [order]
     return _make_place(state, view, room)
 
 
@@ -230,7 +234,9 @@
     return [AdapterLeft(endpoint, adapter, state.now - stay.since, stay.used)]
 
 
-def _take_back(state: NodeState, hosts: list[EndpointView], adapter: str) -> Effects:
+def _take_back(
+    state: NodeState, hosts: list[EndpointView], adapter: str, want: OpenWant
+) -> Effects:
     """Let requests use an adapter again that was withdrawn and is there yet.
 
     That needs no order, so it goes while a model is being loaded there as well.
@@ -242,7 +248,9 @@
         if room.order is not None and room.order.adapter == adapter:
             continue
         del room.withdrawn[adapter]
-        room.stays[adapter] = room.stays.get(adapter, Stay(state.now))._replace(since=state.now)
+        kept_until = max(state.now, want.back_at) + defaults.PLACE_KEPT_S
+        stay = room.stays.get(adapter, Stay(state.now, kept_until))
+        room.stays[adapter] = stay._replace(kept_until=kept_until)
         report = view.report._replace(adapters=(*view.report.adapters, adapter))
         return [put_report(state, view, report)]
     return []
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -52,6 +52,7 @@
         was_relay = state.topology.relay
         work_out_roles(state)
         allotting.watch(state, was_relay)
+        state.adapter_waits.forget_old(event.at)
         effects += residency.steer(state, passed)
     else:
         effects += governing.govern(state, passed)
@@ -93,6 +94,7 @@
     if not view.take_report(event):
         return []
     state.index(view, before, view.targets())
+    state.adapter_waits.end(event.adapters, state.now)
     # Where the list follows the endpoints' own entries, it alone brings one back.
     view.gone = view.gone and state.relaying
     if governing.holding(state) and view.role == "runner":
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -166,12 +166,17 @@
 ORDER_LOOK_MAX_S = 0.6
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
+# How long callers of an adapter that is attached nowhere are told to stay away: what this part
+# of the waits seen stay below, learnt in steps of this part of itself, up to this many seconds.
+ADAPTER_WAIT_SHARE = 0.95
+ADAPTER_WAIT_STEP = 0.4
+ADAPTER_WAIT_MOST_S = 3.0
 # How long a want that nobody asks for now keeps its place among the others: callers of one of
 # 20 adapters came every 3 s, and 7 s apart at most, in simulated heavy minutes.
 WANT_REMEMBERED_S = 20.0
-# An adapter that was attached for requests is kept for so long: they wait for 0.25 s, come
-# back after COME_BACK_S, and a heartbeat of 0.4 s tells that they use it.
-PLACE_KEPT_S = 1.1
+# An adapter that was attached for requests is kept until the last of their callers has come
+# back, and for so long beyond: a heartbeat of 0.4 s tells the lease holder that it is used.
+PLACE_KEPT_S = 0.6
 # Adapters that stand by where all places are taken, while more were asked for within so many
 # seconds; a place that stands by costs nothing, since it is taken back without an order.
 STANDBY = 2
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -129,11 +129,16 @@
 
 
 class Want(t.NamedTuple):
-    """Tell the lease holder that a request waits for what is resident nowhere."""
+    """Tell the lease holder that a request waits for what is resident nowhere.
+
+    :param back_s: how soon its caller will have come back at the latest, should it be refused
+        first.
+    """
 
     service: str
     model: str
     adapter: str
+    back_s: float = 0.0
 
 
 class WantDeclined(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -460,12 +460,17 @@
 
 
 class ModelWanted(t.NamedTuple):
-    """A node has a request for a model or adapter that is resident nowhere."""
+    """A node has a request for a model or adapter that is resident nowhere.
+
+    :param back_s: how soon its caller will have come back at the latest, should it be refused
+        first.
+    """
 
     at: float
     service: str
     model: str
     adapter: str
+    back_s: float = 0.0
 
 
 class IntentWritten(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -48,9 +48,8 @@
     if not governing.holding(state):
         return []
     key = (event.service, event.model, event.adapter)
-    known = state.residency.wanted.get(key)
-    want = known.ask_again(event.at) if known else OpenWant(event.at, event.at)
-    state.residency.wanted[key] = want
+    known = state.residency.wanted.get(key) or OpenWant(event.at, event.at, times=0)
+    state.residency.wanted[key] = known.ask_again(event.at, event.back_s)
     return attaching.serve_wants(state)
 
 
@@ -289,7 +288,8 @@
     report = without(view.report, order.model, order.adapter)
     if order.action == "load":
         report = report._replace(adapters=(*report.adapters, order.adapter))
-        room.stays[order.adapter] = Stay(state.now)
+        kept_until = max(state.now, order.back_at) + defaults.PLACE_KEPT_S
+        room.stays[order.adapter] = Stay(state.now, kept_until)
     report = report._replace(order_token=(0, order.taken_before + 1))
     effects: Effects = [put_report(state, view, report)]
     effects += attaching.serve_wants(state)
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -16,6 +16,7 @@
     :param lost: no answer came, so it may have been taken, or may be yet.
     :param length_s: how long it is expected to take, in seconds.
     :param sends: how often it was sent, each time upon the same count.
+    :param back_at: when the last caller will have come back for whom it was given.
     """
 
     action: str
@@ -27,6 +28,7 @@
     lost: bool = False
     length_s: float = 0.0
     sends: int = 1
+    back_at: float = -1e9
 
     def ends_at(self) -> float:
         """Give the moment at which it is expected to be over."""
@@ -44,6 +46,7 @@
     :param times: requests that asked for it.
     :param declined: why nothing was ordered for it when last looked at.
     :param given_up: nobody has asked for it for a while.
+    :param back_at: when the last of its callers will have come back.
     """
 
     first_at: float
@@ -51,16 +54,28 @@
     times: int = 1
     declined: str = ""
     given_up: bool = False
+    back_at: float = -1e9
 
-    def ask_again(self, now: float) -> "OpenWant":
+    def ask_again(self, now: float, back_s: float) -> "OpenWant":
         """Count another request."""
-        return self._replace(asked_at=now, times=self.times + 1, given_up=False)
+        back_at = max(self.back_at, now + back_s)
+        return self._replace(asked_at=now, times=self.times + 1, given_up=False, back_at=back_at)
+
+    def live(self, now: float) -> bool:
+        """Say whether a caller waits for it, or is to come back."""
+        return now <= max(self.asked_at + defaults.WANT_LIFE_S, self.back_at)
 
 
 class Stay(t.NamedTuple):
-    """An adapter at an endpoint: since when, and whether a request was seen to use it."""
+    """An adapter at an endpoint.
+
+    :param since: when it was attached.
+    :param kept_until: when the callers for whom it was attached will have been seen to use it.
+    :param used: a request was seen to use it.
+    """
 
     since: float
+    kept_until: float
     used: bool = False
 
 
@@ -112,7 +127,7 @@
     def keeps(self, adapter: str, now: float) -> bool:
         """Say whether an adapter is kept for the callers for whom it was attached."""
         stay = self.stays.get(adapter)
-        return stay is not None and now - stay.since < defaults.PLACE_KEPT_S
+        return stay is not None and now < stay.kept_until
 
     def withdrawn_models(self) -> list[str]:
         """Name the models that no new request may use."""
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -5,6 +5,7 @@
 """
 
 import math
+import typing as t
 
 from . import admission
 from . import defaults
@@ -259,6 +260,15 @@
     return "no_room", text
 
 
+def _shut_s(state: NodeState, hosts: t.Iterable[EndpointView]) -> float:
+    """Predict how long no endpoint of a model can attach an adapter, in seconds.
+
+    An endpoint carries out one order at a time, and nodes are told of loads under way.
+    """
+    left_s = min((view.coming[1] - state.now for view in hosts), default=0.0)
+    return min(max(0.0, left_s), defaults.ADAPTER_WAIT_MOST_S)
+
+
 def come_back(state: NodeState, request: RequestState) -> float:
     """Tell when to come back, in seconds: later where the model is yet to be loaded."""
     if request.sent:
@@ -267,7 +277,9 @@
     adapter = arrived.adapter
     hosts = list(state.hosts.get(arrived.target, {}).values())
     if adapter and hosts and not any(one.has_adapter(adapter) for one in hosts):
-        return defaults.COME_BACK_S
+        likely_s = state.adapter_waits.likely_s(arrived.target)
+        after_s = max(defaults.COME_BACK_S, likely_s + _shut_s(state, hosts))
+        return min(after_s, (arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE)
     # Spread by request, so that those who are refused together do not return together.
     spread = mix("come back", arrived.request_id) % 1000 / 1000.0
     least, most = defaults.COME_BACK_ROOM_S
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from . import defaults
+from .adapter_waits import AdapterWaits
 from .admission import AdmissionQueue
 from .admission import Pace
 from .allotments import Allotments
@@ -143,6 +144,7 @@
         self.hosts: dict[str, dict[str, EndpointView]] = {}
         self.peers_work = PeersWork()
         self.paces = PaceTable()
+        self.adapter_waits = AdapterWaits()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
         self.pools: dict[str, Pace] = {}
--- a/packages/rookspring-core/src/rookspring_core/wants.py
+++ b/packages/rookspring-core/src/rookspring_core/wants.py
@@ -1,5 +1,6 @@
 """What requests wait for that no endpoint holds, told to the lease holder."""
 
+from . import routed
 from .effects import Effect
 from .effects import Want
 from .events import RequestArrived
@@ -17,4 +18,8 @@
         fits = view.service == terms.service and view.open_for_work(state.now)
         if fits and (not event.adapter or view.has_adapter(event.adapter)):
             return []
-    return [Want(terms.service, event.target, event.adapter)]
+    request = state.requests[event.request_id]
+    if event.adapter:
+        state.adapter_waits.begin(event.adapter, state.now)
+    back_s = terms.patience_s + routed.come_back(state, request)
+    return [Want(terms.service, event.target, event.adapter, back_s)]
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -194,11 +194,15 @@
 
 @message("want-model")
 class WantModel(t.NamedTuple):
-    """Tell the lease holder that requests wait for what is resident nowhere."""
+    """Tell the lease holder that a request waits for what is resident nowhere.
+
+    ``back_s`` is how soon its caller will have come back, should it be refused first.
+    """
 
     service: str
     model: str
     adapter: str
+    back_s: float
 
 
 @message("ask-proof")
--- a/packages/rookspring/src/rookspring/relay_news.py
+++ b/packages/rookspring/src/rookspring/relay_news.py
@@ -98,7 +98,7 @@
 
 def send_want(peers: RelayPeers, want: Want) -> None:
     """Send a want to the lease holder, or on the way there: two links at most."""
-    item = WantModel(want.service, want.model, want.adapter)
+    item = WantModel(want.service, want.model, want.adapter, want.back_s)
     holder = peers.find_holder()
     link = peers.server.links.get(holder)
     if link is None:
@@ -149,9 +149,11 @@
     now = time.monotonic()
     state = peers.context.state
     if state.control.holding(now):
-        peers.context.submit(ModelWanted(now, want.service, want.model, want.adapter))
+        back_s = float(want.back_s)
+        wanted = ModelWanted(now, want.service, want.model, want.adapter, back_s)
+        peers.context.submit(wanted)
     elif _passes_wants(state, link.name):
-        send_want(peers, Want(want.service, want.model, want.adapter))
+        send_want(peers, Want(want.service, want.model, want.adapter, float(want.back_s)))
 
 
 def _passes_wants(state: NodeState, sender: str) -> bool:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -146,7 +146,7 @@
 def want(context: RelayContext, effect: Want) -> None:
     """Tell the lease holder at once."""
     if context.state.control.holding(time.monotonic()):
-        event = ModelWanted(time.monotonic(), effect.service, effect.model, effect.adapter)
+        event = ModelWanted(time.monotonic(), *effect)
         context.loop.call_soon(context.submit, event)
         return
     context.tell_holder(effect)
