--- a/features/relay.feature
+++ b/features/relay.feature
@@ -276,6 +276,11 @@
       | never  | another adapter of m is wanted           | load m/a1, load m/a1, load m/a1, unload m/a2, load m/a4 |
       | taken  | the list tells less, and another is wanted | load m/a1, unload m/a2, load m/a4 |
 
+  Scenario: what a runner held that is gone is loaded elsewhere, though a request hangs there
+    Given a lease holder over runners holding n, m of 200 GB
+    When a request for n hangs at its runner, whose entry goes
+    Then n is loaded at the other within 1 s
+
   Scenario Outline: what a runner held that is down is loaded elsewhere
     Given a lease holder over runners holding n, m of 200 GB
     When a request for n meets <end> at its runner
--- a/features/steps/relay_order_steps.py
+++ b/features/steps/relay_order_steps.py
@@ -447,3 +447,22 @@
 @then("m and n were resident somewhere all the time and no runner was over its memory")
 def all_resident(context):
     assert not context.bare and not context.over, (context.bare, context.over)
+
+
+@when("a request for n hangs at its runner, whose entry goes")
+def hangs_at_gone(context):
+    holder = context.holder
+    holder.ask(model="n", key="hangs")
+    assert holder.sent[-1].endpoint == "e1", holder.sent
+    holder.dead.add("e1")
+    holder.list_endpoints(["e2"], "llm", "runner")
+
+
+@then("n is loaded at the other within 1 s")
+def loaded_at_other(context):
+    holder = context.holder
+    for _ in range(10):
+        holder.demand("n", 900.0)
+        holder.pass_time(0.1)
+    got = [(one.action, one.model, one.endpoint) for one in holder.orders]
+    assert ("load", "n", "e2") in got, got
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -129,8 +129,9 @@
     if room is None or not room.trusted or view.report is None:
         return False
     # What a runner held that is down is lost: its models are placed elsewhere now,
-    # seconds before its entry lapses.
-    return not view.leaving and not view.down
+    # seconds before its entry lapses. One that is gone is known for as long as a request
+    # hangs there, up to its deadline, and holds nothing for others.
+    return not view.leaving and not view.down and not view.gone
 
 
 def _runner_room(
