--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -7,6 +7,8 @@
 SIZE = ("features/size.feature",)
 ORGANISATIONS = ("features/organisations.feature",)
 SLOTS = ("features/slots.feature",)
+ADAPTERS = ("features/adapters.feature",)
+LIVES = ("features/lives.feature",)
 
 
 class Mutant(t.NamedTuple):
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -17,11 +17,14 @@
 from rookspring.relay_lists import EndpointList
 from rookspring_core import attaching
 from rookspring_core import cluster
+from rookspring_core import defaults as core_defaults
 from rookspring_core import governing
+from rookspring_core import lives
 from rookspring_core import planning
 from rookspring_core import residency
 from rookspring_core import routed
 from rookspring_core import swapping
+from rookspring_core.adapter_waits import AdapterWaits
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.leases import Lease
@@ -36,6 +39,8 @@
 from rookspring_platform.dialect import PlatformDialect
 
 from . import organisation_mutants
+from .mutant import ADAPTERS
+from .mutant import LIVES
 from .mutant import SIZE
 from .mutant import Mutant
 from .registry import experiment
@@ -153,7 +158,59 @@
 _keep = EndpointList._keep
 
 
+def _one_life(known: t.Any, event: t.Any) -> str:
+    return "same"
+
+
+def _any_life(known: t.Any, event: t.Any) -> str:
+    return "new" if known is not None and known.born != event.born else "same"
+
+
+def _blank_room(before: Room) -> Room:
+    return Room()
+
+
+def _nothing_awaited(state: t.Any, service: str, models: t.Any) -> dict[str, float]:
+    return {}
+
+
+def _gone_or_not(state: t.Any, view: EndpointView) -> bool:
+    room = state.residency.rooms.get(view.name)
+    return room is not None and room.trusted and view.report is not None
+
+
+def _none_kept(self: Room, now: float) -> frozenset[str]:
+    return frozenset()
+
+
+def _told_at_once(self: AdapterWaits, model: str) -> float:
+    return 0.0
+
+
 MUTANTS = (
+    Mutant("takes a new life for the old", "reachable", lives, "judge", _one_life, LIVES),
+    Mutant("takes any other life for a new one", "reachable", lives, "judge", _any_life, LIVES),
+    Mutant("forgets orders to the life before", "memory", lives, "_begin_room", _blank_room, LIVES),
+    Mutant("keeps no adapter for its callers", "reachable", Room, "keeps", _never, ADAPTERS),
+    Mutant("keeps no model for its callers", "reachable", Room, "kept_models", _none_kept),
+    Mutant(
+        "loads where adapters wait",
+        "reachable",
+        planning,
+        "_sum_awaited",
+        _nothing_awaited,
+        ADAPTERS,
+    ),
+    Mutant("sends no order again", "reachable", core_defaults, "ORDER_SENDS_MAX", 1),
+    Mutant(
+        "tells callers to come at once",
+        "reachable",
+        AdapterWaits,
+        "likely_s",
+        _told_at_once,
+        ADAPTERS,
+    ),
+    Mutant("counts what is gone as held", "reachable", planning, "_plannable", _gone_or_not),
     Mutant(
         "forgets the listed nodes", "retry budget", Membership, "take_list", _forget_listed, SIZE
     ),
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -127,6 +127,37 @@
     assert len([one for one in context.holder.orders if one.action == "load"]) == loads
 
 
+def until(holder, demand, seconds, holds):
+    """Let time pass under some demand until something holds; gives how long that took."""
+    for step in range(round(seconds / 0.1)):
+        if holds():
+            return step * 0.1
+        for model, rate in demand.items():
+            holder.demand(model, rate)
+        holder.pass_time(0.1)
+    raise AssertionError((holder.orders, holder.runners))
+
+
+@when("x is asked for and loaded, and then y, which only fits in its place")
+def x_then_y(context):
+    holder = context.holder
+    sizes = {"m": 70_000.0, "n": 60_000.0, "x": 60_000.0, "y": 60_000.0}
+    context.models = models = holder.runners["e1"]["models"]
+    holder.runners["e1"]["disk"] = tuple(sizes)
+    context.demand = {"m": 3_000.0, "n": 3_000.0, "x": 400.0}
+    holder.submit(RouteTableSeen(holder.now, make_table(2, sizes=sizes)))
+    holder.relist()
+    until(holder, context.demand, 10.0, lambda: "x" in models)
+    context.demand |= {"x": 20.0, "y": 4_000.0}
+
+
+@then("x stays for {least:g} s, and y stands within {most:g} s")
+def x_stays(context, least, most):
+    holder, models = context.holder, context.models
+    assert until(holder, context.demand, most, lambda: "x" not in models) >= least
+    until(holder, context.demand, most, lambda: "y" in models)
+
+
 @when("x, which fits nowhere, is asked for {tokens:d} tokens {times:d} times in 12 s")
 def asked_in_vain(context, tokens, times):
     holder = context.holder
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -120,6 +120,11 @@
       | e1[big; disk o,big]                            | o 900           | unload big e1    |
       | e1[m,n; disk m,n,o; kept m]                    | o 900           | load o e1        |
 
+  Scenario: a model that was loaded for callers stays until they are back
+    Given a lease holder over runners holding m+n of 200 GB
+    When x is asked for and loaded, and then y, which only fits in its place
+    Then x stays for 3.5 s, and y stands within 10 s
+
   Scenario Outline: what was asked in vain of a model stays owed until it stands somewhere
     Given a lease holder over runners holding m+n, m+n of 200 GB
     When x, which fits nowhere, is asked for <tokens> tokens <times> times in 12 s
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -75,6 +75,8 @@
     :param urgent: of the demand, what cannot wait for its model to be loaded.
     :param missed: of the demand, what was refused of late for want of room.
     :param owed: what was asked in vain of models that stand nowhere, in tokens.
+    :param declined: the policy tells here why it does not bring a model that is asked for
+        and stands nowhere; None where nobody asks.
     :param longest_s: how long about the longest of requests run, in seconds.
     """
 
@@ -87,6 +89,7 @@
     missed: t.Mapping[str, float] = types.MappingProxyType({})
     longest_s: float = 0.0
     owed: t.Mapping[str, float] = types.MappingProxyType({})
+    declined: dict[str, str] | None = None
 
     def claim(self, model: str) -> float:
         """Give what a model without a replica counts for: the more, the more is owed.
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -12,6 +12,7 @@
 from . import placement
 from . import swapping as swapping
 from .effects import Effect
+from .effects import WantDeclined
 from .endpoints import EndpointView
 from .orders import adapters_at
 from .orders import give_order
@@ -81,10 +82,24 @@
         missed=state.control.missed.forecast.levels,
         longest_s=state.paces.longest_s,
         owed=_note_owed(state, asked, rooms),
+        declined={},
     )
     effects: Effects = []
     for move in placement.find_placement(defaults.RELAY_PLACEMENT)(given):
         effects += perform_move(state, engine, move)
+    return effects + _tell_declined(state, given)
+
+
+def _tell_declined(state: NodeState, given: placement.PlanInput) -> Effects:
+    """Tell operators why models that are asked for are not brought, once for each reason."""
+    told = state.residency.declined
+    declined = given.declined or {}
+    effects: Effects = []
+    for model in given.models:
+        why = declined.get(model, "")
+        if why and told.get(model, "") != why:
+            effects.append(WantDeclined(model, f"{why}; {given.claim(model):.0f} tokens/s claimed"))
+        told[model] = why
     return effects
 
 
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -160,6 +160,8 @@
         self.planned_at = -1e9
         # What was asked in vain of each model that stands nowhere, in tokens.
         self.owed: dict[str, float] = {}
+        # Why models that are asked for were not brought by the last plan.
+        self.declined: dict[str, str] = {}
         self.summed_at = -1e9
         # How long after an order endpoints' reports have shown it so far, in seconds.
         self.look_s = defaults.ORDER_LOOK_S
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -225,6 +225,8 @@
     best = min(options, default=None)
     if best is not None and best.runner not in board.touched:
         _take(board, model, best, "no replica")
+    elif board.given.declined is not None:
+        board.given.declined[model] = f"it waits for {best.runner}" if best else "no room for it"
 
 
 def _waits(board: SwapBoard, runner: RunnerRoom) -> bool:
