Tell an endpoint's lives apart where it starts again under its name

Cause: a name was taken for an incarnation. An endpoint that started again was believed to hold what it held, at its old count of orders, with its order under way, leaving or ejected as before: a row of the list tells no count, so what the endpoint itself had told stayed in force.

Change: entries and reports tell when the endpoint was started. Words of an earlier start revive nothing. A clock that stepped back is told apart by the endpoint itself, asked twice, and in the list by a row that stands for longer than late words may.

--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -186,9 +186,14 @@
 
     def relist(self):
         """Have the list tell each runner's entry again."""
-        for name, runner in self.runners.items():
-            entry = self.report(name, runner["models"], token=(0, -1), on_disk=runner["disk"])
-            self.submit(entry)
+        for name in self.runners:
+            self.submit(self.entry(name))
+
+    def entry(self, name):
+        """Give what a runner's entry in the list tells now."""
+        runner = self.runners[name]
+        told = {"on_disk": runner["disk"], "born": runner.get("born", 0)}
+        return self.report(name, runner["models"], token=(0, -1), **told)
 
     def perform(self, effect):
         if isinstance(effect, WriteLease) and self.renewed is not None:
@@ -209,7 +214,8 @@
             token = (0, runner["taken"])
             models, adapters = runner["models"], runner["adapters"]
             disk = runner["disk"]
-            report = self.report(effect.endpoint, models, adapters, token, own=True, on_disk=disk)
+            told = {"own": True, "on_disk": disk, "born": runner.get("born", 0)}
+            report = self.report(effect.endpoint, models, adapters, token, **told)
             self.submit(report)
 
     def carry_out(self, order):
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -3,6 +3,7 @@
 from . import allotting
 from . import defaults
 from . import governing
+from . import lives
 from . import ordering
 from . import requests
 from . import residency
@@ -82,7 +83,16 @@
     if view.report is not None and view.report.incarnation != event.incarnation:
         view.leaving = False
         view.prefixes.clear()
+    before = view.targets()
     if state.relaying:
+        if lives.judge(view.report, event) == "old":
+            event, effects = lives.doubt(state, view, event)
+            if not event.sure:
+                return effects
+        if lives.judge(view.report, event) == "new":
+            lives.begin(state, view, event)
+            state.index(view, before, frozenset())
+            before = frozenset()
         residency.note_report(state, event)
         view.leaving = view.leaving or event.leaving
         if event.order_token[1] >= 0 and _overtaken(view, event):
@@ -90,7 +100,6 @@
         event = residency.refine(state, view, event)
     # Whoever has just read its report has reached it.
     view.down = view.down and not event.own
-    before = view.targets()
     if not view.take_report(event):
         return []
     state.index(view, before, view.targets())
@@ -101,8 +110,8 @@
         ledger = state.control.ledgers.get(event.endpoint)
         if ledger is not None:
             ledger.take_report(event, ordering.sizes_of(state))
-    effects: Effects = [ShareReport(event._replace(own=False))] if event.own else []
-    return effects + requests.pump(state)
+    told: Effects = [ShareReport(event._replace(own=False))] if event.own else []
+    return told + requests.pump(state)
 
 
 def _overtaken(view: EndpointView, event: EndpointReported) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -167,6 +167,8 @@
 ORDER_LOOK_S = 0.15
 ORDER_LOOK_STEP_S = 0.05
 ORDER_LOOK_MAX_S = 0.6
+# An endpoint that tells an earlier start than is known is asked again after so long.
+LIFE_LOOK_S = 0.5
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
 # How long callers of an adapter that is attached nowhere are told to stay away: what this part
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -87,8 +87,10 @@
 
     __slots__ = (
         "address",
+        "began_at",
         "coming",
         "data_centre",
+        "doubted_born",
         "down",
         "ejected_until",
         "ended",
@@ -133,6 +135,10 @@
         self.down = False
         # The model that is being loaded there, and when it is expected to be there.
         self.coming = ("", -1e9)
+        # When this node learnt that it had started again under its name.
+        self.began_at = -1e9
+        # An earlier start than the one known, which the endpoint told when it was asked last.
+        self.doubted_born = 0
         self.failures = 0
         self.ejected_until = -1e9
         self.probing = False
@@ -149,6 +155,21 @@
         # Prompt tokens of this node's requests that have not begun to answer.
         self.prompts: dict[str, int] = {}
 
+    def begin_life(self, now: float) -> None:
+        """Forget what was known of the process that ended; its requests end by themselves."""
+        self.began_at = now
+        self.report = None
+        self.reported_at = -1e9
+        self.resident = frozenset()
+        self.leaving = False
+        self.down = False
+        self.coming = ("", -1e9)
+        self.doubted_born = 0
+        self.failures = 0
+        self.ejected_until = -1e9
+        self.probing = False
+        self.prefixes.clear()
+
     def take_report(self, report: EndpointReported) -> bool:
         """Keep a report if it is fresher than the one at hand.
 
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -147,6 +147,9 @@
     :param in_memory: models that the endpoint keeps in its box's memory, beside those
         that are resident; they load fastest.
     :param on_disk: models that it keeps on its box's disk, also over a restart.
+    :param born: when the endpoint was started, by its box's clock in milliseconds; 0 where it
+        does not tell. It may start again under its name; see :mod:`lives`.
+    :param sure: this is the endpoint's last life, though it tells an earlier start.
     """
 
     at: float
@@ -170,6 +173,8 @@
     own: bool = False
     in_memory: tuple[str, ...] = ()
     on_disk: tuple[str, ...] = ()
+    born: int = 0
+    sure: bool = False
 
 
 class CacheEventsCame(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -334,6 +334,9 @@
     if endpoint is None:
         return []
     endpoint.end(request.arrived.request_id, state.now)
+    if request.dispatched_at < endpoint.began_at:
+        # It ended with the process that it was sent to, which says nothing of this one.
+        return []
     if event.leaving:
         endpoint.leaving = True
         return []
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -105,10 +105,10 @@
 
     # The store.
 
-    def write_entry(self, name: str, state: str, model: str) -> None:
-        """Write an endpoint's entry."""
+    def write_entry(self, name: str, state: str, model: str, born: int = 0) -> None:
+        """Write an endpoint's entry; ``born`` tells its start, if it is told."""
         self._revision += 1
-        self._rows[name] = Stored(name, self._revision, [state, model])
+        self._rows[name] = Stored(name, self._revision, [state, model, born])
 
     def remove_entry(self, name: str) -> None:
         """Take an endpoint's entry away."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -124,7 +124,7 @@
 
     def read_endpoint(self, row: Stored, now: float) -> tuple[BoxListed, EndpointReported]:
         """Read an endpoint's entry."""
-        state, model = row.value
+        state, model, born = row.value
         listed = BoxListed(row.name, f"at-{row.name}", "z0", "runner", state, "llm")
         report = EndpointReported(
             now,
@@ -140,6 +140,7 @@
             resident=((model, "1"),),
             leaving=state == "leaving",
             order_token=(0, -1),
+            born=born,
         )
         return listed, report
 
@@ -255,6 +256,7 @@
 
     def read_store(self) -> None:
         """Read the store where this node watches it and is due."""
+        self.list.take_stood(self.fleet.now)
         watches = self.state.topology.watching or self._version < 0
         if not watches or self.fleet.now < self._next_read:
             return
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -123,6 +123,9 @@
 # Relay nodes tell each other their work and demand this often: routing and placement
 # are as old as the last heartbeat.
 RELAY_HEARTBEAT_S = 0.4
+# A row of the list that tells of an endpoint's earlier life is late by no more than this, in
+# seconds: as long as calls without an answer may take until they are done.
+LATE_ROW_S = 12.5
 # An order is answered within milliseconds or not at all; a packet that is lost on the way costs
 # 0.2 s. It is sent again after that, since nothing else can be ordered there meanwhile.
 RELAY_ORDER_CALL_S = 0.3
--- a/packages/rookspring/src/rookspring/relay_lists.py
+++ b/packages/rookspring/src/rookspring/relay_lists.py
@@ -21,6 +21,9 @@
 class EndpointList:
     """Endpoints as the store lists them, with what lapsed while it was away.
 
+    A row of an endpoint's earlier life that comes late changes nothing, unless it stands for
+    longer than a late word can: then the endpoint's clock has stepped back.
+
     An entry that is missing after an outage is given ``LAPSE_GRACE_S`` to come back,
     since live endpoints write theirs anew; after that the endpoint counts as gone. What
     changes is passed on to the nodes that follow this one, which take it as it is.
@@ -35,6 +38,10 @@
         # Revisions of entries that went: an older row does not bring one back.
         self._gone: dict[str, int] = {}
         self._missing: dict[str, float] = {}
+        # When each endpoint was started, and rows that tell an earlier start, with when they
+        # came; see ``lives`` of the core.
+        self._born: dict[str, int] = {}
+        self._earlier: dict[str, tuple[Stored, float]] = {}
         self._changed: dict[str, Stored] = {}
 
     def take(self, rows: tuple[Stored, ...], whole: bool) -> None:
@@ -57,7 +64,7 @@
         for row in rows:
             if row.value is None:
                 self._drop(row.name)
-            elif (report := self._keep(row, now)) is not None:
+            elif (report := self._keep(row, now, judged=True)) is not None:
                 reports.append(report)
         self.settle(now)
         self._submit(reports)
@@ -74,7 +81,11 @@
             return None
         return self._keep(row, now)
 
-    def _keep(self, row: Stored, now: float) -> EndpointReported | None:
+    def _keep(self, row: Stored, now: float, judged: bool = False) -> EndpointReported | None:
+        """Keep a row; gives what it tells, unless it is nothing new or of an earlier life.
+
+        :param judged: whoever watches the store has judged of which life it is.
+        """
         known = self._stored.get(row.name)
         oldest = known.version if known is not None else self._gone.get(row.name, -1) + 1
         if row.version < oldest:
@@ -87,6 +98,14 @@
         except (KeyError, TypeError, ValueError) as error:
             log("endpoint_malformed", "ERROR", endpoint=row.name, detail=repr(error))
             return None
+        if report.born and report.born < self._born.get(row.name, 0):
+            _, since = self._earlier.get(row.name, (row, now))
+            if not judged and now - since < defaults.LATE_ROW_S:
+                self._earlier[row.name] = (row, since)
+                return None
+            report = report._replace(sure=True)
+        self._earlier.pop(row.name, None)
+        self._born[row.name] = report.born
         if self._rows.get(row.name) != listed:
             log(
                 "endpoint_listed",
@@ -115,6 +134,8 @@
         if stored is None:
             return
         del self._rows[name]
+        self._born.pop(name, None)
+        self._earlier.pop(name, None)
         self._gone[name] = stored.version
         self._changed[name] = stored._replace(value=None)
 
@@ -130,10 +151,17 @@
         """Look after entries that are missing."""
         while True:
             await asyncio.sleep(defaults.LAPSE_CHECK_S)
+            self.take_stood(time.monotonic())
             if self._missing:
                 self.settle(time.monotonic())
                 self._pass_on()
 
+    def take_stood(self, now: float) -> None:
+        """Take rows that tell an earlier start and have stood for long."""
+        stood = [row for row, since in self._earlier.values() if now - since >= defaults.LATE_ROW_S]
+        if stood:
+            self.take(tuple(stood), False)
+
     def _pass_on(self) -> None:
         """Tell the nodes that follow this one what has changed."""
         if not self._changed:
