--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -193,6 +193,9 @@
         self._listed_at = -1e9
         self._version = -1
 
+    def count_malformed(self, number: int) -> None:
+        """The fleet writes no malformed entries."""
+
     def submit(self, event: Event) -> None:
         """Take an event, and perform what concerns other nodes and the fleet's endpoints."""
         for effect in reduce(self.state, event):
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -43,6 +43,7 @@
     "endpoint_listed": "an endpoint appeared or its entry changed",
     "endpoint_gone": "an endpoint's entry is gone",
     "endpoint_malformed": "an endpoint's entry could not be read and is left out",
+    "object_malformed": "an object of the platform's store could not be read and is left out",
     "effect_failed": "what a decision asked for could not be done; the other effects were",
     "decided": "the lease holder wants something of an endpoint, or cannot have it, and why",
     "want_declined": "nothing is ordered now for an adapter that requests wait for, and why",
@@ -65,6 +66,8 @@
     "event=allotment_denied",
     "event=want_",
     "event=adapter_left",
+    "event=object_malformed",
+    "event=endpoint_malformed",
 )
 
 
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -50,6 +50,9 @@
             buckets=_BUCKETS,
         )
 
+        self.malformed = make(
+            Gauge, "rookspring_entries_malformed", "Entries that name no endpoint", labels
+        )
         self.wants = make(
             Histogram,
             "rookspring_want_seconds",
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -90,6 +90,10 @@
         self.stop: t.Callable[[], None] = lambda: None
         self.tasks: set[asyncio.Task[None]] = set()
 
+    def count_malformed(self, number: int) -> None:
+        """Tell how many entries name no endpoint now."""
+        self.metrics.malformed.set({}, number)
+
     def submit(self, event: Event) -> None:
         """Take an event: reduce it and perform the effects."""
         decided = len(self.state.decisions)
--- a/packages/rookspring/src/rookspring/relay_lists.py
+++ b/packages/rookspring/src/rookspring/relay_lists.py
@@ -42,14 +42,18 @@
         # came; see ``lives`` of the core.
         self._born: dict[str, int] = {}
         self._earlier: dict[str, tuple[Stored, float]] = {}
+        # Rows that cannot be read, each with the reason that was told.
+        self._malformed: dict[str, str] = {}
         self._changed: dict[str, Stored] = {}
 
     def take(self, rows: tuple[Stored, ...], whole: bool) -> None:
         """Take changed entries from the store, or all that there are."""
         now = time.monotonic()
         if whole:
-            for name in set(self._rows) - {row.name for row in rows}:
+            names = {row.name for row in rows}
+            for name in set(self._rows) - names:
                 self._lose(name, now)
+            self._malformed = {name: why for name, why in self._malformed.items() if name in names}
         reports = [report for row in rows if (report := self._take_row(row, now)) is not None]
         self.settle(now)
         self._submit(reports)
@@ -73,6 +77,7 @@
         for report in reports:
             self._context.submit(report)
         self._context.listed = True
+        self._context.count_malformed(len(self._malformed))
         self._pass_on()
 
     def _take_row(self, row: Stored, now: float) -> EndpointReported | None:
@@ -90,14 +95,16 @@
         oldest = known.version if known is not None else self._gone.get(row.name, -1) + 1
         if row.version < oldest:
             return None
-        self._missing.pop(row.name, None)
         if known is not None and known.version == row.version:
+            self._missing.pop(row.name, None)
             return None
         try:
             listed, report = self._context.dialect.read_endpoint(row, now)
-        except (KeyError, TypeError, ValueError) as error:
-            log("endpoint_malformed", "ERROR", endpoint=row.name, detail=repr(error))
+        except ValueError as error:
+            self._refuse(row, str(error), now)
             return None
+        self._malformed.pop(row.name, None)
+        self._missing.pop(row.name, None)
         if report.born and report.born < self._born.get(row.name, 0):
             _, since = self._earlier.get(row.name, (row, now))
             if not judged and now - since < defaults.LATE_ROW_S:
@@ -123,7 +130,21 @@
         self._changed[row.name] = row
         return report
 
+    def _refuse(self, row: Stored, detail: str, now: float) -> None:
+        """Leave a row out that cannot be read; one that could is taken for missing.
+
+        A live endpoint writes its entry anew at its next heartbeat. Until then, or until
+        ``LAPSE_GRACE_S`` is over, it is used as its last good row said.
+        """
+        if self._malformed.get(row.name) != detail:
+            log("endpoint_malformed", "ERROR", endpoint=row.name, detail=detail)
+        self._malformed[row.name] = detail
+        if row.name in self._rows:
+            self._missing.setdefault(row.name, now + defaults.LAPSE_GRACE_S)
+
     def _lose(self, name: str, now: float) -> None:
+        self._malformed.pop(name, None)
+
         if name in self._rows:
             until = self._reach.back_at + defaults.LAPSE_GRACE_S
             self._missing.setdefault(name, max(now, until))
