Bring a second replica of what cannot wait while the first is being loaded

Change: it counts from when the first is under way. The adapters on their way are listed once a look in place of once a want, which is the same decision at the cost of one pass over the endpoints.

--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -23,7 +23,8 @@
 def read_runner(text):
     """Read a runner as NAME[RESIDENT; NOTES].
 
-    Notes: disk MODELS, memory MODELS, busy SECONDS, use MODELS, kept MODELS, awaited RATE.
+    Notes: disk MODELS, memory MODELS, busy SECONDS, use MODELS, kept MODELS, awaited RATE,
+    coming MODELS.
     """
     name, inside = re.fullmatch(r"(\w+)\[(.*)\]", text).groups()
     held, *notes = [part.strip() for part in inside.split(";")]
@@ -42,7 +43,7 @@
         free_gb=RUNNER_GB - sum(MODELS[one] for one in resident),
         token_rate=RUNNER_RATE,
         resident=frozenset((one, "") for one in resident),
-        coming=frozenset(),
+        coming=frozenset((one, "") for one in read_names(notes, "coming")),
         busy=bool(busy),
         load_s={model: LOAD_S[place] for model, place in near.items()},
         free_in_s=free_in_s,
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -114,6 +114,12 @@
       | e1[m; awaited 9000] e2[n; awaited 8000]        | m 9000          | load m e2        |
       | e1[m; awaited 9000] e2[n; awaited 15000]       | m 9000          | none             |
 
+    Examples: what cannot wait gets its second replica while the first one is being loaded
+      | runners                                        | demand          | moves            |
+      | e1[n; coming o; busy 8] e2[m]                  | o 3000          | load o e2        |
+      | e1[n; coming o; busy 8] e2[m]                  | o 30            | none             |
+      | e1[n; coming o; busy 8] e2[m]                  | o 3000~         | none             |
+
     Examples: a model is kept until its callers have come back
       | runners                                        | demand          | moves            |
       | e1[big; disk o,big; kept big]                  | o 900           | none             |
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -48,9 +48,10 @@
         return []
     effects = _review(state)
     wanted = state.residency.wanted
+    under_way = _list_under_way(state)
     waiting = [key for key, want in wanted.items() if key[2] and not want.given_up]
     for key in sorted(waiting, key=lambda one: (wanted[one].first_at, one)):
-        if not _under_way(state, key[2]):
+        if key[2] not in under_way:
             effects += _serve(state, key)
     return effects + _keep_standby(state)
 
@@ -119,11 +120,10 @@
     return "; ".join(busy) or "no endpoint of its model can be given orders"
 
 
-def _under_way(state: NodeState, adapter: str) -> bool:
-    return any(
-        room.order is not None and room.order.action == "load" and room.order.adapter == adapter
-        for room in state.residency.rooms.values()
-    )
+def _list_under_way(state: NodeState) -> set[str]:
+    """List the adapters that are on their way to some endpoint."""
+    orders = (room.order for room in state.residency.rooms.values())
+    return {one.adapter for one in orders if one is not None and one.action == "load"}
 
 
 def note_used(state: NodeState) -> None:
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -61,12 +61,13 @@
 
     ``load_of`` is what each runner serves, in tokens a second, ``unserved`` what of each
     model's demand is beyond its runners' rates or was refused of late; :meth:`share_out`
-    brings both up to date. ``quick`` are the models that some runner has near, ``on_way``
-    those for which a runner is making room.
+    brings both up to date. ``quick`` are the models that some runner has near, ``coming``
+    those that some runner is loading, ``on_way`` those for which one is making room.
     """
 
     def __init__(self, given: PlanInput) -> None:
         super().__init__(given)
+        self.coming = {key[0] for runner in given.runners for key in runner.coming}
         self.share_out()
         self.quick = {
             model
@@ -88,7 +89,8 @@
             if demand <= 0.0:
                 continue
             missed = max(self.unserved.get(model, 0.0), given.missed.get(model, 0.0))
-            if self.ready.get(model) and len(self.hosts[model]) == 1:
+            known = self.ready.get(model) or model in self.coming
+            if known and len(self.hosts[model]) == 1:
                 missed = max(missed, defaults.SINGLE_LOSS * given.urgent.get(model, 0.0))
             self.unserved[model] = missed
 
