--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -8,6 +8,7 @@
 ORGANISATIONS = ("features/organisations.feature",)
 SLOTS = ("features/slots.feature",)
 ADAPTERS = ("features/adapters.feature",)
+ENTRIES = ("features/entries.feature",)
 LIVES = ("features/lives.feature",)
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -10,6 +10,7 @@
 import typing as t
 from unittest import mock
 
+import orjson
 from behave.__main__ import main as behave
 
 from rookspring import relay_beats
@@ -36,10 +37,12 @@
 from rookspring_core.rooms import Room
 from rookspring_core.topology import Topology
 from rookspring_platform import dialect
+from rookspring_platform import store
 from rookspring_platform.dialect import PlatformDialect
 
 from . import organisation_mutants
 from .mutant import ADAPTERS
+from .mutant import ENTRIES
 from .mutant import LIVES
 from .mutant import SIZE
 from .mutant import Mutant
@@ -187,7 +190,20 @@
     return 0.0
 
 
+def _as_it_is(text: str, safe: str = "") -> str:
+    return text
+
+
+def _ignore_row(self: EndpointList, row: t.Any, detail: str, now: float) -> None:
+    return None
+
+
 MUTANTS = (
+    Mutant("reads no list with odd bytes", "drain", store, "_loads", orjson.loads, ENTRIES),
+    Mutant("asks for odd names as they are", "drain", store, "quote", _as_it_is, ENTRIES),
+    Mutant(
+        "uses what has turned bad for ever", "drain", EndpointList, "_refuse", _ignore_row, ENTRIES
+    ),
     Mutant("takes a new life for the old", "reachable", lives, "judge", _one_life, LIVES),
     Mutant("takes any other life for a new one", "reachable", lives, "judge", _any_life, LIVES),
     Mutant("forgets orders to the life before", "memory", lives, "_begin_room", _blank_room, LIVES),
