--- a/features/house.feature
+++ b/features/house.feature
@@ -16,3 +16,7 @@
 
   Scenario: nothing outside the adapter knows the platform's names
     Then no module outside rookspring_platform names a header or field of the platform
+
+  Scenario: our day files say what they are for and fit any deployment
+    Then each day file says in its first line what it is for, and is named as its day
+    And no day file names a service, a kind of request or a data centre of one deployment
--- a/features/steps/house_steps.py
+++ b/features/steps/house_steps.py
@@ -1,6 +1,7 @@
 import ast
 import pathlib
 import re
+import tomllib
 
 from behave import then
 
@@ -60,3 +61,29 @@
         for path in modules(package):
             found = THEIRS.findall(path.read_text())
             assert not found, (path.name, found)
+
+
+def day_files():
+    """Give the path, text and content of each day file; there are ten at least."""
+    paths = sorted((ROOT / "deploy/days").glob("*.toml"))
+    assert len(paths) >= 10, paths
+    return [(path, path.read_text(), tomllib.loads(path.read_text())) for path in paths]
+
+
+@then("each day file says in its first line what it is for, and is named as its day")
+def day_files_told(context):
+    for path, text, content in day_files():
+        assert text.startswith("# ") and text.splitlines()[0].endswith("."), path.name
+        (day,) = content["day"]
+        assert day["name"] == path.stem, path.name
+        assert day["plan"] or day["faults"], path.name
+
+
+@then("no day file names a service, a kind of request or a data centre of one deployment")
+def day_files_fit(context):
+    for path, _, content in day_files():
+        (day,) = content["day"]
+        for entry in (*day["plan"], *day["faults"]):
+            names = [entry[key] for key in ("service", "class", "zone", "to_zone") if key in entry]
+            assert all(name.startswith("@") for name in names), (path.name, entry)
+            assert entry["at"] >= 0.0, (path.name, entry)
