--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -11,6 +11,10 @@
 import random
 import typing as t
 
+from adapter_runner import DISK_LOAD_S
+from adapter_runner import PLACES
+from adapter_runner import STORE_LOAD_S
+from adapter_runner import Runner
 from relay_harness import LIMITS
 from relay_harness import RelayHarness
 
@@ -51,14 +55,10 @@
 TICK_S = 0.1
 REPORT_LAG_S = 0.2
 ORDER_CALL_S = 0.3
-PLACES = 8
 SLOTS = 48
 # The hot model's adapters; the models are of 60 GB, two or three to a runner of 200 GB.
 ADAPTERS = 20
 MODEL_MB = 60_000.0
-UNLOAD_S = 0.2
-STORE_LOAD_S = 8.0
-DISK_LOAD_S = 2.0
 # What callers bear, as the sheets have it: they come back once after a refusal.
 OBJECTIVE_S = 0.8
 PATIENCE_S = 0.2
@@ -66,26 +66,6 @@
 RUN_S = (0.3, 1.5)
 
 
-class Runner:
-    """One runner: what it holds, what runs, and the one order under way."""
-
-    def __init__(self, name: str, models: t.Iterable[str]) -> None:
-        self.name = name
-        self.models = list(models)
-        self.disk = set(self.models)
-        self.adapters: list[str] = []
-        # Requests that run, with what they use and what tells their node how they end.
-        self.runs: dict[str, str] = {}
-        self.ends: dict[str, t.Callable[[bool], None]] = {}
-        self.taken = 0
-        self.order: SendOrder | None = None
-        self.alive = True
-
-    def uses(self, name: str) -> bool:
-        """Say whether a run uses an adapter, or a model or an adapter of it."""
-        return any(one == name or one.startswith(f"{name}/") for one in self.runs.values())
-
-
 class Caller(t.NamedTuple):
     """One request of a caller, who comes back once."""
 
@@ -136,7 +116,7 @@
         self._order = itertools.count()
         self._callers: dict[str, Caller] = {}
         self.runners = {
-            f"e{number}": Runner(f"e{number}", text.split("+"))
+            f"e{number}": Runner(f"e{number}", text.split("+"), self.after)
             for number, text in enumerate(held, start=1)
         }
         self.nodes: list[Node] = []
@@ -304,57 +284,11 @@
 
         if self.random.random() < self.lost_share or not runner.alive:
             self.after(ORDER_CALL_S, lambda: answer(None, "no answer in time"))
-            self.after(self.random.uniform(1.0, 3.0), lambda: self.take(runner, order))
+            self.after(self.random.uniform(1.0, 3.0), lambda: runner.take(order))
             return
-        taken = self.take(runner, order)
+        taken = runner.take(order)
         self.after(WAY_S * 2, lambda: answer(taken != "409", taken))
 
-    def take(self, runner: Runner, order: SendOrder) -> str:
-        """Give a runner's answer to an order, and have it begin to carry it out."""
-        if runner.order is not None or order.token[1] != runner.taken or not runner.alive:
-            return "409"
-        name = order.model_version or order.model
-        held = name in (runner.adapters if order.model_version else runner.models)
-        if held == (order.action == "load"):
-            # It is so already; such an order is not counted.
-            return "done"
-        runner.taken += 1
-        if order.action == "load" and order.model_version:
-            runner.adapters.append(name)
-            assert len(runner.adapters) <= PLACES, "an adapter beyond its runner's places"
-            return "202"
-        if order.action == "unload" and order.model_version and not runner.uses(name):
-            runner.adapters.remove(name)
-            return "done"
-        runner.order = order
-        self.carry_out(runner, order)
-        return "202"
-
-    def carry_out(self, runner: Runner, order: SendOrder) -> None:
-        """Go on with an order: a load takes its time, an unload waits for what runs."""
-        name = order.model_version or order.model
-        if order.action == "unload" and runner.uses(name):
-            self.after(0.05, lambda: self.carry_out(runner, order))
-            return
-        near = order.model in runner.disk
-        length_s = UNLOAD_S if order.action == "unload" else STORE_LOAD_S
-        if order.action == "load" and near:
-            length_s = DISK_LOAD_S
-        self.after(length_s, lambda: self.finish(runner, order))
-
-    def finish(self, runner: Runner, order: SendOrder) -> None:
-        """End an order that was under way."""
-        runner.order = None
-        if order.action == "load":
-            runner.models.append(order.model)
-            runner.disk.add(order.model)
-        elif order.model_version:
-            runner.adapters.remove(order.model_version)
-        else:
-            runner.models.remove(order.model)
-            prefix = f"{order.model}/"
-            runner.adapters = [one for one in runner.adapters if not one.startswith(prefix)]
-
     # Requests.
 
     def ask(self, name: str, tokens: int = 1000, key: str = "", back: bool = False) -> None:
