--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -176,8 +176,8 @@
 ADAPTER_WAIT_SHARE = 0.95
 ADAPTER_WAIT_STEP = 0.4
 ADAPTER_WAIT_MOST_S = 3.0
-# How long a want that nobody asks for now keeps its place among the others: callers of one of
-# 20 adapters came every 3 s, and 7 s apart at most, in simulated heavy minutes.
+# How long a want that nobody asks for now keeps its place among the others: chosen, not
+# measured; longer than callers of one adapter stay away in the traces that were read.
 WANT_REMEMBERED_S = 20.0
 # An adapter that was attached for requests is kept until the last of their callers has come
 # back, and for so long beyond: a heartbeat of 0.4 s tells the lease holder that it is used.
