--- a/features/losses.feature
+++ b/features/losses.feature
@@ -23,3 +23,13 @@
     Given an empty log
     When its losses are asked for
     Then the command ends with 1 and names the log
+
+  Scenario: what a hunt found is told with its days that fell short
+    Given a journal with a hunt of 4 days, one with a broken rule and one short of the gate
+    When what its hunts found is told
+    Then 4 days are counted, 1 broken and 1 short, and both are listed
+
+  Scenario: a journal without a hunt is an error
+    Given a journal with a single run
+    When what its hunts found is told
+    Then the command ends with 1 and says that there is none
--- a/features/steps/losses_steps.py
+++ b/features/steps/losses_steps.py
@@ -1,3 +1,4 @@
+import json
 import pathlib
 import re
 import subprocess
@@ -71,3 +72,51 @@
 @then("the command ends with 1 and names the log")
 def names_log(context):
     assert context.done.returncode == 1 and "nodes.log tells of no try" in context.done.stdout
+
+
+def day(seed, **fields):
+    name = f"mix --seed {seed}"
+    return {"name": name, "slot": "mix", "seed": seed, "G": 0.5, "rules": {}, "short": []} | fields
+
+
+HUNT = {
+    "cmd": "hunt",
+    "head": "0123456789",
+    "argv": ["sites/a.toml", "--days", "4"],
+    "days": [day(1), day(2), day(3, rules={"LIMIT": 1}), day(4, short=["too little was served"])],
+}
+
+
+@given("a journal with a hunt of 4 days, one with a broken rule and one short of the gate")
+def journal_with_hunt(context):
+    context.entries = {"20260101-a.json": HUNT}
+
+
+@given("a journal with a single run")
+def journal_with_run(context):
+    context.entries = {"20260101-b.json": {"cmd": "run", "days": [day(1)]}}
+
+
+@when("what its hunts found is told")
+def hunts_told(context):
+    with tempfile.TemporaryDirectory() as folder:
+        for name, entry in context.entries.items():
+            (pathlib.Path(folder) / name).write_text(json.dumps(entry))
+        command = [sys.executable, "-m", "bench", "hunts", "--journal", folder]
+        context.done = subprocess.run(
+            command, cwd=ROOT, capture_output=True, text=True, check=False
+        )
+
+
+@then("{days:d} days are counted, {broken:d} broken and {short:d} short, and both are listed")
+def counted(context, days, broken, short):
+    assert context.done.returncode == 0, context.done.stderr
+    text = context.done.stdout
+    assert re.search(rf"0123456\s+a\s+mix\s+{days}\s+{broken}\s+{short}\s+0.5", text), text
+    assert "--seed 3  LIMIT" in re.sub(r"\s{2,}", "  ", text), text
+    assert "--seed 4  too little was served" in re.sub(r"\s{2,}", "  ", text), text
+
+
+@then("the command ends with 1 and says that there is none")
+def no_hunt(context):
+    assert context.done.returncode == 1 and "tells of no hunt" in context.done.stdout
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -127,13 +127,17 @@
 
 
 def note_used(state: NodeState) -> None:
-    """See which of the adapters that were attached are used."""
-    rooms = state.residency.rooms
-    for name, adapter in list_used(state):
-        room = rooms.get(name)
-        stay = room.stays.get(adapter) if room else None
-        if room is not None and stay is not None and not stay.used:
-            room.stays[adapter] = stay._replace(used=True)
+    """See which of the adapters that were attached are used, as often as nodes tell."""
+    residency = state.residency
+    if state.now - residency.used_noted_at < defaults.USED_NOTED_S:
+        return
+    residency.used_noted_at = state.now
+    for rows in (used_rows(state), *state.control.peer_used.values()):
+        for name, adapter in rows:
+            room = residency.rooms.get(name)
+            stay = room.stays.get(adapter) if room is not None else None
+            if room is not None and stay is not None and not stay.used:
+                room.stays[adapter] = stay._replace(used=True)
 
 
 def _attach(state: NodeState, hosts: list[EndpointView], key: WantKey, want: OpenWant) -> Effects:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -182,6 +182,8 @@
 # An adapter that was attached for requests is kept until the last of their callers has come
 # back, and for so long beyond: a heartbeat of 0.4 s tells the lease holder that it is used.
 PLACE_KEPT_S = 0.6
+# What requests use is looked through this often; nodes tell it every 0.4 s.
+USED_NOTED_S = 0.2
 # Adapters that stand by where all places are taken, while more were asked for within so many
 # seconds; a place that stands by costs nothing, since it is taken back without an order.
 STANDBY = 2
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -158,6 +158,7 @@
         self.rooms: dict[str, Room] = {}
         self.wanted: dict[WantKey, OpenWant] = {}
         self.planned_at = -1e9
+        self.used_noted_at = -1e9
         # What was asked in vain of each model that stands nowhere, in tokens.
         self.owed: dict[str, float] = {}
         # Why models that are asked for were not brought by the last plan.
