Name requests over their tries in the logs, and tell broken connections from silence

Cause: nothing told that two tries are one request, nor how a connection ended, so the hypotheses could not be told apart. No decision reads them yet.

--- a/features/steps/organisation_steps.py
+++ b/features/steps/organisation_steps.py
@@ -230,9 +230,10 @@
 def ranks(context):
     table = context.node.state.table
     route = table.match("h", "/a/x")
-    ask = PlatformDialect().read_ask(make_request([]))
+    request = make_request([])
+    ask = PlatformDialect().read_ask(request)
     found = [
-        relay.RelayExchange(None, None, ask, route, 0.0, table.directory.by_name[name]).rank
+        relay.RelayExchange(None, request, ask, route, 0.0, table.directory.by_name[name]).rank
         for name in ("org-a", "org-b")
     ]
     assert found == [0, 1], found
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -43,6 +43,7 @@
         key; empty where it needs none.
     :param key: digest of the caller's key; empty where it needs none.
     :param told_tokens: of the prompt and the most of the answer, as the caller tells them.
+    :param fingerprint: the same for each time that this request comes; see :mod:`fingerprints`.
     """
 
     at: float
@@ -63,6 +64,7 @@
     route: RouteTerms | None = None
     key: str = ""
     told_tokens: int | None = None
+    fingerprint: str = ""
 
 
 class ResumeAsked(t.NamedTuple):
@@ -118,6 +120,7 @@
     :param leaving: the endpoint said that it takes no new work.
     :param absent: the endpoint said that it does not hold what was asked for.
     :param down: nothing listens at the endpoint's address any more.
+    :param broken: the endpoint ended the connection before its answer was whole.
     """
 
     at: float
@@ -129,6 +132,7 @@
     leaving: bool = False
     absent: bool = False
     down: bool = False
+    broken: bool = False
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -48,6 +48,7 @@
     :param leaving: the endpoint takes no new work.
     :param absent: it does not hold what was asked for.
     :param down: nothing listens at its address.
+    :param broken: it ended the connection before its answer was whole.
     """
 
     def __init__(
@@ -58,6 +59,7 @@
         leaving: bool = False,
         absent: bool = False,
         down: bool = False,
+        broken: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -66,6 +68,7 @@
         self.leaving = leaving
         self.absent = absent
         self.down = down
+        self.broken = broken
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -33,6 +33,8 @@
         self.parts: collections.deque[bytes] = collections.deque()
         self.whole = False
         self.broken = ""
+        # Whether the endpoint ended the connection; not where it fell silent.
+        self.ended = False
         self._news = asyncio.Event()
 
     def tell(self) -> None:
@@ -46,7 +48,7 @@
         """
         while self.head is None:
             if self.broken:
-                raise EndpointError(self.broken, sent=True)
+                raise EndpointError(self.broken, sent=True, broken=self.ended)
             self._news.clear()
             await self._news.wait()
         return self.head
@@ -60,7 +62,7 @@
             if self.whole:
                 return b""
             if self.broken:
-                raise EndpointError(self.broken, sent=True)
+                raise EndpointError(self.broken, sent=True, broken=self.ended)
             self._news.clear()
             await self._news.wait()
         return self.parts.popleft()
@@ -115,6 +117,7 @@
         if exc is None and self._until_close and not self._skipping:
             self._finish()
         else:
+            self._reply.ended = not isinstance(exc, TimeoutError)
             self._break("connection reset" if exc else "connection closed")
 
     def eof_received(self) -> bool:
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -14,6 +14,7 @@
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
+from rookspring_core.fingerprints import make_fingerprint
 from rookspring_core.keys import KeyVerdict
 from rookspring_core.organisations import Organisation
 from rookspring_core.routes import Route
@@ -59,6 +60,9 @@
         self.ask = ask
         self.route = route
         self.organisation = organisation.name if organisation else ""
+        self.fingerprint = make_fingerprint(
+            self.organisation, ask.host, request.target, request.body
+        )
         rank = organisation.rank if organisation else None
         self.rank = route.rank if rank is None else rank
         self.arrived_at = arrived_at
@@ -219,6 +223,7 @@
         ),
         key=ask.key if exchange.organisation else "",
         told_tokens=ask.told_tokens,
+        fingerprint=exchange.fingerprint,
     )
 
 
@@ -244,6 +249,7 @@
         "request_ended",
         id=exchange.ask.request_id,
         key=exchange.key,
+        fingerprint=exchange.fingerprint,
         route=exchange.route.name,
         objective_s=exchange.route.objective_s,
         bears_s=exchange.route.pause_s,
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -47,6 +47,7 @@
         id=exchange.ask.request_id,
         key=exchange.key,
         attempt=effect.attempt,
+        fingerprint=exchange.fingerprint,
         route=exchange.route.name,
         organisation=exchange.organisation,
         table=table.version if table else 0,
@@ -88,10 +89,13 @@
         id=exchange.ask.request_id if exchange else "",
         key=effect.request_id,
         attempt=effect.attempt,
+        fingerprint=exchange.fingerprint if exchange else "",
         endpoint=effect.endpoint,
+        events=exchange.events if exchange else 0,
         reason=error.reason,
         sent=error.sent,
         said_not_run=error.said_not_run,
+        broken=error.broken,
     )
     context.submit(
         AttemptFailed(
@@ -104,6 +108,7 @@
             error.leaving,
             error.absent,
             error.down,
+            error.broken,
         )
     )
 
