--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -37,6 +37,7 @@
 from .fleet_node import FleetLink
 from .fleet_node import FleetNode
 from .fleet_node import write_table
+from .fleet_runners import FleetRunners
 
 # The way between two nodes, in seconds.
 WAY_S = 0.001
@@ -91,8 +92,9 @@
         self._starts: collections.Counter[int] = collections.Counter()
         self._rows: dict[str, Stored] = {}
         self._revision = 1
+        self.runners = FleetRunners(self)
         for number in range(plan.endpoints):
-            self.write_entry(f"e{number}", "live", "m")
+            self.write_entry(f"e{number}", "live", "m", 1)
         with self.running():
             for number in range(plan.nodes):
                 self.start(number)
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -25,8 +25,6 @@
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import ReturnAllotment
-from rookspring_core.events import AttemptStarted
-from rookspring_core.events import AttemptSucceeded
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
@@ -44,9 +42,6 @@
 if t.TYPE_CHECKING:
     from .fleet import Fleet
 
-# How long a request runs at an endpoint, in seconds.
-RUN_S = 0.1
-
 
 class FleetLink:
     """One end of a link; what it sends comes to the other end a moment later."""
@@ -216,14 +211,7 @@
         fleet = self.fleet
         arrived = self.state.requests[effect.request_id].arrived
         fleet.runs.append((arrived.at, fleet.now, arrived))
-
-        def tell(event: Event) -> None:
-            if self.alive:
-                self.submit(event)
-
-        key = (effect.request_id, effect.attempt)
-        fleet.at(fleet.now, lambda: tell(AttemptStarted(fleet.now, *key)))
-        fleet.at(fleet.now + RUN_S, lambda: tell(AttemptSucceeded(fleet.now, *key)))
+        fleet.runners.run(self, effect, arrived.fingerprint)
 
     def keep_proved(self) -> None:
         """Do what is due to keep the configuration proved."""
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -0,0 +1,141 @@
+"""Endpoints of a fleet: what runs on each, and which requests end the process that runs them.
+
+A process that ends closes its connections, so every node's attempts there break off and new
+connections are refused. Its entry stands in the store's list for a while yet; then another
+process starts at its place, with a later time of start.
+"""
+
+import typing as t
+
+from rookspring_core.effects import Dispatch
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import Event
+
+if t.TYPE_CHECKING:
+    from .fleet import Fleet
+    from .fleet_node import FleetNode
+
+# How long a request runs, unless it tells otherwise, in seconds.
+RUN_S = 0.1
+# When the first event of an answer comes, in seconds from its begin.
+FIRST_S = 0.05
+# From the begin of a run to the end of the process that it ends, in seconds.
+FATAL_S = 0.04
+# How long an entry outlasts its process, and when another one is there, in seconds.
+LAPSE_S = 3.5
+BACK_S = 4.0
+
+
+class Run(t.NamedTuple):
+    """A request that runs at an endpoint, from the node that sent it."""
+
+    node: "FleetNode"
+    effect: Dispatch
+    fingerprint: str
+
+
+class Ended(t.NamedTuple):
+    """A process that ended, when, and what ran there."""
+
+    at: float
+    endpoint: str
+    fingerprints: tuple[str, ...]
+
+
+class FleetRunners:
+    """What runs at the endpoints, and the processes that have ended.
+
+    :param fleet: gives the clock and the store.
+    """
+
+    def __init__(self, fleet: "Fleet") -> None:
+        self._fleet = fleet
+        self._running: dict[str, list[Run]] = {}
+        self._down: set[str] = set()
+        self._starts: dict[str, int] = {}
+        # Fingerprints of requests that end each process that runs them.
+        self.fatal: set[str] = set()
+        # How long requests run, by fingerprint, in seconds.
+        self.lasts: dict[str, float] = {}
+        self.ended: list[Ended] = []
+        # Each request that reached a process: when, and its fingerprint.
+        self.arrived: list[tuple[float, str]] = []
+
+    def run(self, node: "FleetNode", effect: Dispatch, fingerprint: str) -> None:
+        """Have an endpoint run a request; the node hears how it went."""
+        fleet = self._fleet
+        key = (effect.request_id, effect.attempt)
+        if effect.endpoint in self._down:
+            refused = AttemptFailed(fleet.now, *key, False, False, "refused", down=True)
+            self._tell(node, refused, 0.0)
+            return
+        self.arrived.append((fleet.now, fingerprint))
+        one = Run(node, effect, fingerprint)
+        self._running.setdefault(effect.endpoint, []).append(one)
+        self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
+        if fingerprint in self.fatal:
+            fleet.at(fleet.now + FATAL_S, lambda: self._end_by(one))
+            return
+        lasts_s = self.lasts.get(fingerprint, RUN_S)
+        if lasts_s > FIRST_S:
+            fleet.at(fleet.now + FIRST_S, lambda: self._progress(one))
+        fleet.at(fleet.now + lasts_s, lambda: self._finish(one))
+
+    def _tell(self, node: "FleetNode", event: Event, after_s: float) -> None:
+        fleet = self._fleet
+
+        def come() -> None:
+            fleet.hand(node, lambda: node.submit(event._replace(at=fleet.now)))
+
+        fleet.at(fleet.now + after_s, come)
+
+    def _progress(self, one: Run) -> None:
+        if one in self._running.get(one.effect.endpoint, ()):
+            effect = one.effect
+            self._tell(one.node, AttemptProgressed(0.0, effect.request_id, effect.attempt, 1), 0.0)
+
+    def _finish(self, one: Run) -> None:
+        if one in self._running.get(one.effect.endpoint, ()):
+            self._running[one.effect.endpoint].remove(one)
+            effect = one.effect
+            self._tell(one.node, AttemptSucceeded(0.0, effect.request_id, effect.attempt), 0.0)
+
+    def _end_by(self, one: Run) -> None:
+        if one in self._running.get(one.effect.endpoint, ()):
+            self.end(one.effect.endpoint)
+
+    def end(self, endpoint: str) -> None:
+        """End an endpoint's process, for whatever reason."""
+        if endpoint in self._down:
+            return
+        fleet = self._fleet
+        self._down.add(endpoint)
+        broken = self._running.pop(endpoint, [])
+        self.ended.append(Ended(fleet.now, endpoint, tuple(one.fingerprint for one in broken)))
+        for one in broken:
+            effect = one.effect
+            failed = AttemptFailed(
+                0.0,
+                effect.request_id,
+                effect.attempt,
+                True,
+                False,
+                "connection closed",
+                down=True,
+                broken=True,
+            )
+            self._tell(one.node, failed, 0.001)
+        fleet.at(fleet.now + LAPSE_S, lambda: fleet.remove_entry(endpoint))
+        fleet.at(fleet.now + BACK_S, lambda: self._start(endpoint))
+
+    def _start(self, endpoint: str) -> None:
+        self._down.discard(endpoint)
+        self._starts[endpoint] = self._starts.get(endpoint, 0) + 1
+        self._fleet.write_entry(endpoint, "live", "m", 1 + self._starts[endpoint])
+
+    def ends_under(self, fingerprint: str) -> int:
+        """Count the processes that ended while a request ran there."""
+        return sum(1 for one in self.ended if fingerprint in one.fingerprints)
