--- a/features/crash_stage.py
+++ b/features/crash_stage.py
@@ -1,6 +1,7 @@
 """A fleet whose endpoints end under some requests, and callers who come again."""
 
 import itertools
+import random
 
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -58,3 +59,51 @@
     def third_end(self, fingerprint):
         """Give when the third process ended under a request."""
         return [one.at for one in self.runners.ended if fingerprint in one.fingerprints][2]
+
+
+class OrdinaryEnds:
+    """Endpoints that end for no request's sake, and callers who come again some times."""
+
+    def __init__(self, nodes, times, seconds, seed=1, again=1, lasts_s=(0.3, 3.0)):
+        self.stage = CrashStage(nodes)
+        self.random = random.Random(seed)
+        self.seconds = seconds
+        self.again = again
+        self.lasts_s = lasts_s
+        self.came_again = 0
+        fleet = self.stage.fleet
+        for _ in range(times):
+            at = fleet.now + self.random.uniform(0.0, seconds)
+            endpoint = f"e{self.random.randrange(12)}"
+            fleet.at(at, lambda name=endpoint: self.stage.runners.end(name))
+
+    def play(self, rate):
+        stage = self.stage
+        names = stage.names()
+        waiting = []
+        for step in range(self.seconds * rate):
+            fingerprint = f"f{step}"
+            stage.runners.lasts[fingerprint] = self.random.uniform(*self.lasts_s)
+            self._send(names, fingerprint, self.again, waiting)
+            stage.fleet.run(1.0 / rate)
+            self._come_again(names, waiting)
+
+    def _send(self, names, fingerprint, again, waiting):
+        key = self.stage.send(self.random.choice(names), fingerprint)
+        waiting.append((self.stage.fleet.now + AGAIN_S, key, fingerprint, again))
+
+    def _come_again(self, names, waiting):
+        """Have those come again whose connection broke off, once their time has come."""
+        now = self.stage.fleet.now
+        broken = {name for one in self.stage.runners.ended for name in one.fingerprints}
+        for row in [row for row in waiting if row[0] <= now]:
+            _, key, fingerprint, again = row
+            if fingerprint in broken and again and self.stage.refusal(key) is not None:
+                waiting.remove(row)
+                self.came_again += 1
+                self._send(names, fingerprint, again - 1, waiting)
+            elif now - row[0] > 5.0:
+                waiting.remove(row)
+
+    def condemned(self):
+        return [one for _, one in self.stage.fleet.refusals if one.reason == "ends_endpoints"]
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -7,6 +7,7 @@
 from . import requests
 from . import routed
 from . import slotting
+from . import suspecting
 from . import wants
 from .effects import Effect
 from .effects import ReturnAllotment
@@ -25,6 +26,7 @@
 def admit_request(state: NodeState, event: RequestArrived) -> Effects:
     """Judge a new request: start it, queue it, replay its answer or refuse it."""
     fault = routed.check(state, event) if event.route else arrivals.check_target(state, event)
+    fault = fault or suspecting.check(state, event)
     if fault is not None:
         return [fault]
     if event.once_key is not None:
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -7,6 +7,7 @@
 from . import ordering
 from . import requests
 from . import residency
+from . import suspecting
 from .effects import Announce
 from .effects import Effect
 from .effects import ShareReport
@@ -47,6 +48,7 @@
         _forget_peer(state, name)
     state.peers_work.settle()
     state.limits.tick(passed)
+    state.suspects.tick(event.at)
     state.once.tick(event.at)
     effects = requests.sweep(state, passed) + allotting.expire(state)
     if state.relaying:
@@ -84,24 +86,26 @@
         view.leaving = False
         view.prefixes.clear()
     before = view.targets()
+    ended: Effects = []
     if state.relaying:
         if lives.judge(view.report, event) == "old":
             event, effects = lives.doubt(state, view, event)
             if not event.sure:
                 return effects
         if lives.judge(view.report, event) == "new":
+            ended = suspecting.note_ended(state, view)
             lives.begin(state, view, event)
             state.index(view, before, frozenset())
             before = frozenset()
         residency.note_report(state, event)
         view.leaving = view.leaving or event.leaving
         if event.order_token[1] >= 0 and _overtaken(view, event):
-            return []
+            return ended
         event = residency.refine(state, view, event)
     # Whoever has just read its report has reached it.
     view.down = view.down and not event.own
     if not view.take_report(event):
-        return []
+        return ended
     state.index(view, before, view.targets())
     state.adapter_waits.end(event.adapters, state.now)
     # Where the list follows the endpoints' own entries, it alone brings one back.
@@ -111,7 +115,7 @@
         if ledger is not None:
             ledger.take_report(event, ordering.sizes_of(state))
     told: Effects = [ShareReport(event._replace(own=False))] if event.own else []
-    return told + requests.pump(state)
+    return ended + told + requests.pump(state)
 
 
 def _overtaken(view: EndpointView, event: EndpointReported) -> bool:
@@ -164,13 +168,16 @@
             continue
         seen.add(row.name)
         _take_row(state, row)
+    effects: Effects = []
     for name in set(state.endpoints) - seen:
         view = state.endpoints[name]
+        if not view.gone:
+            effects += suspecting.note_ended(state, view)
         view.gone = True
         if not view.inflight:
             state.index(view, view.targets(), frozenset())
             del state.endpoints[name]
-    return []
+    return effects
 
 
 def _take_row(state: NodeState, row: BoxListed) -> None:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -402,3 +402,31 @@
 # Endpoints of which one node gives out the slots: at 16 of 6 slots and runs of 60 ms these are
 # 1,600 requests a second, as many as a core takes with three messages of 50 us each.
 SLOT_ENDPOINTS_MAX = 16
+
+# A request under which so many processes ended is run no more: the users' platform allows that
+# three end, and some tries that were on their way. What is known of it ends after this long,
+# in seconds; callers' deadlines are 30 s at most, and an engine may be mended in some minutes.
+ENDS_MAX = 3.0
+EVIDENCE_S = 600.0
+# From so many on it is run once at a time and by itself, and no sooner than so long after the
+# last end, in seconds: a runner is back after some four.
+SUSPECT_ENDS = 2.0
+SUSPECT_BACK_S = 2.0
+# A suspect that is run ends its endpoint within this time, in seconds, or is likely to end well.
+TRIAL_S = 2.0
+# How the ends that a request was under are weighed, a name in ``suspects.WEIGHTS``.
+SUSPECT_WEIGHT = "count"
+# A request that has been answering for longer, in seconds, counts as this much of an end.
+LONG_RUN_S = 1.0
+LONG_RUN_WEIGHT = 0.5
+# A process whose connections broke off is found to have ended within this time, in seconds: its
+# entry lapses after three heartbeats of 1.2 s. One that its caller left may run on for as
+# long as the last.
+END_KNOWN_S = 5.0
+LEFT_RUNS_S = 0.3
+# Moments that two nodes tell of are the same if they differ by less, in seconds.
+SAME_MOMENT_S = 1.0
+# Suspects that are remembered, and of one organisation; and verdicts, which the lease keeps.
+SUSPECTS_MAX = 4096
+SUSPECTS_EACH_MAX = 512
+VERDICTS_MAX = 256
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -7,6 +7,7 @@
 
 from .catalogue import Entry
 from .events import EndpointReported
+from .suspects import Evidence
 
 IntentRow = tuple[str, str, str, float]
 
@@ -213,6 +214,16 @@
     endpoint: str
 
 
+class ShareEvidence(t.NamedTuple):
+    """Tell every other node of requests under which endpoints ended.
+
+    :param source: the node that told it; empty where it was seen here.
+    """
+
+    evidence: Evidence
+    source: str
+
+
 class ShareReport(t.NamedTuple):
     """Tell every other node what is now true of an endpoint."""
 
@@ -298,6 +309,7 @@
     | SharePrompts
     | ShareComing
     | ShareDown
+    | ShareEvidence
     | ShareReport
     | AskAllotment
     | ReturnAllotment
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -10,6 +10,7 @@
 from .catalogue import Entry
 from .resources import Resource
 from .routes import RouteTable
+from .suspects import Evidence
 
 
 class Ticked(t.NamedTuple):
@@ -142,6 +143,17 @@
     request_id: str
 
 
+class EvidenceHeard(t.NamedTuple):
+    """What another node, or the platform's store, tells of requests under which endpoints ended.
+
+    :param source: the node that told it.
+    """
+
+    at: float
+    evidence: Evidence
+    source: str
+
+
 class EndpointReported(t.NamedTuple):
     """A load report of one endpoint, from a poll or from a peer's digest.
 
@@ -524,6 +536,7 @@
     | AttemptSucceeded
     | AttemptFailed
     | CallerLeft
+    | EvidenceHeard
     | EndpointReported
     | CacheEventsCame
     | ReportMissed
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -153,6 +153,18 @@
     return ""
 
 
+@invariant("suspects", on=Dispatch)
+def check_suspects(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """A request that is known here to end what runs it is sent nowhere."""
+    for effect in effects:
+        if not isinstance(effect, Dispatch):
+            continue
+        fingerprint = state.requests[effect.request_id].arrived.fingerprint
+        if state.suspects.verdict(fingerprint, state.now) is not None:
+            return f"{effect.request_id} would be sent, and ends endpoints"
+    return ""
+
+
 @invariant("leaving", on=Dispatch)
 def check_leaving(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """A leaving endpoint gets no new work."""
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -11,6 +11,7 @@
 from . import routed
 from . import routing
 from . import slotting
+from . import suspecting
 from .effects import Attach
 from .effects import Cancel
 from .effects import Dispatch
@@ -82,10 +83,10 @@
         request = state.requests[queued.request_id]
         if slotting.waits(state, request):
             continue
-        fault = keys.find_fault(state, request.arrived)
+        fault = _find_fault(state, request)
         if fault is not None:
             queue.remove(queued.request_id)
-            effects += _end_keyless(state, request, fault)
+            effects += _end_barred(state, request, fault)
             _push_head(heads, queue, target)
             continue
         endpoint = choose_endpoint(state, request)
@@ -93,7 +94,7 @@
             continue
         queue.remove(queued.request_id)
         state.pools[pool_of(state, request.arrived)].served(queued.tokens)
-        effects.append(_dispatch(state, request, endpoint))
+        effects += _dispatch(state, request, endpoint)
         effects += routed.begin_prompt(state, request, endpoint)
         _push_head(heads, queue, target)
     return effects
@@ -107,11 +108,20 @@
         heapq.heappush(heads, (following.order, target))
 
 
-def _end_keyless(state: NodeState, request: RequestState, fault: keys.KeyFault) -> Effects:
-    """End a request whose key may run nothing now."""
-    status = 502 if request.sent else fault.status
-    after_s = defaults.UNPROVED_BACK_S if fault.status == 503 else 0.0
-    return give_up(state, request, status, fault.reason, fault.text, after_s)
+def _find_fault(state: NodeState, request: RequestState) -> suspecting.Barred | None:
+    """Say why a request that was let in may not be sent now; None where it may."""
+    arrived = request.arrived
+    fault = keys.find_fault(state, arrived)
+    if fault is not None:
+        after_s = defaults.UNPROVED_BACK_S if fault.status == 503 else 0.0
+        return suspecting.Barred(fault.status, fault.reason, fault.text, after_s)
+    return suspecting.find_bar(state, arrived)
+
+
+def _end_barred(state: NodeState, request: RequestState, bar: suspecting.Barred) -> Effects:
+    """End a request that may not be sent now."""
+    status = 502 if request.sent else bar.status
+    return give_up(state, request, status, bar.reason, bar.text, bar.after_s)
 
 
 def pool_of(state: NodeState, arrived: RequestArrived) -> str:
@@ -156,18 +166,22 @@
         adapter=arrived.adapter,
         data_centre=state.identity.data_centre,
     )
+    if suspecting.suspected(state, request):
+        return min(fresh, key=lambda one: (one.load(state.now), one.name))
     name = state.routing_override or state.catalogue.policy.routing
     if arrived.route is not None:
         name = state.routing_override or routed.POLICY
     return routing.find_routing(name)(query, fresh)
 
 
-def _dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Dispatch:
+def _dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
     request.attempt += 1
     request.endpoint = endpoint.name
     request.tried.add(endpoint.name)
     request.running = True
     request.dispatched_at = state.now
+    request.born = suspecting.life_of(endpoint).born
+    request.first_at = None
     idle = endpoint.load(state.now) <= defaults.PACE_LOAD_MAX
     request.alone = idle and endpoint.unread() == 0
     identity = request.arrived.request_id
@@ -180,7 +194,9 @@
     elif request.attempt > 1 and (request.delivered == 0 or request.barren > 1):
         failed = request.barren or request.attempt - 1
         wait = retries.back_off(failed, routing.mix(identity))
-    return Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait)
+    told = suspecting.begin_trial(state, request)
+    begun = Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait)
+    return [*told, begun]
 
 
 @handles(SlotAnswered)
@@ -199,13 +215,13 @@
         request.slot_heard = True
         return []
     slotting.hold(request, event.endpoint, state.now)
-    fault = keys.find_fault(state, request.arrived)
+    fault = _find_fault(state, request)
     view = slotting.usable(state, event.endpoint)
     if fault is not None or view is None:
         # It is judged, or placed, by this node.
         return slotting.free(state, request, failed=view is None) + pump(state)
     state.queues[queue_key(request.arrived)].remove(event.request_id)
-    return [_dispatch(state, request, view)]
+    return _dispatch(state, request, view)
 
 
 def _end_unslotted(state: NodeState, request: RequestState, after_s: float) -> Effects:
@@ -273,6 +289,7 @@
     if request is not None:
         request.delivered += event.tokens
         request.barren = 0
+        request.first_at = state.now if request.first_at is None else request.first_at
         if (endpoint := state.endpoints.get(request.endpoint)) is not None:
             endpoint.heard_at = state.now
         if request.delivered == event.tokens and request.alone:
@@ -295,7 +312,7 @@
     if not request.arrived.service:
         state.paces.note_whole(state.now - request.dispatched_at)
     state.budget.earn()
-    effects: Effects = []
+    effects = suspecting.note_well(state, request)
     key = request.arrived.once_key
     if key is not None:
         for waiter in state.once.settle(key, "ran", event.status, event.answer):
@@ -316,10 +333,12 @@
     request.not_run_said = event.said_not_run
     told = routed.end_prompt(state, request)
     told += slotting.free(state, request, failed=True)
+    told += suspecting.note_broken(state, request, event)
     told += _blame(state, request, event)
     request.running = False
     terms = request.arrived.route
-    if routed.may_retry(state, request, event) if terms else _may_retry(state, request, event):
+    again = routed.may_retry(state, request, event) if terms else _may_retry(state, request, event)
+    if again and suspecting.may_retry(state, request):
         return told + _requeue(state, request)
     status = 503 if not request.sent else 502
     if terms is not None and request.sent and request.arrived.deadline_at <= state.now:
@@ -445,6 +464,7 @@
     effects: Effects = []
     if not request.sent and not request.running:
         effects += allotting.give_back(state, request.charge)
+    suspecting.note_left(state, request)
     if request.running:
         effects.append(Cancel(event.request_id, request.attempt, request.endpoint))
     key = request.arrived.once_key
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -24,6 +24,7 @@
 from .rooms import Residency
 from .routes import RouteTable
 from .slot_queues import SlotQueue
+from .suspects import SuspectTable
 from .topology import Topology
 
 
@@ -72,10 +73,12 @@
         "arrived",
         "attempt",
         "barren",
+        "born",
         "charge",
         "delivered",
         "dispatched_at",
         "endpoint",
+        "first_at",
         "limited",
         "maybe_ran",
         "not_run_said",
@@ -114,6 +117,9 @@
         self.delivered = 0
         self.barren = 0
         self.dispatched_at = 0.0
+        # When its endpoint's process was started, and when it gave the first event of this attempt.
+        self.born = 0
+        self.first_at: float | None = None
 
 
 class Decision(t.NamedTuple):
@@ -144,6 +150,7 @@
         self.hosts: dict[str, dict[str, EndpointView]] = {}
         self.peers_work = PeersWork()
         self.paces = PaceTable()
+        self.suspects = SuspectTable()
         self.adapter_waits = AdapterWaits()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -20,6 +20,7 @@
 from rookspring import relay_beats
 from rookspring import relay_members
 from rookspring import relay_peers
+from rookspring import relay_suspects
 from rookspring.messages import decode
 from rookspring.peers import Link
 from rookspring.platform import Stored
@@ -83,6 +84,7 @@
         self.ways: dict[tuple[str, str], float] = {}
         # What the lease holder wrote last of organisations' use; node 0 holds the lease.
         self.used: dict[str, float] = {}
+        self.verdicts: list[t.Any] = []
         self.table = Stored("main", 1, write_table(1, plan.directory))
         # Requests that ran, with when they were sent and when they began; and refusals.
         self.runs: list[tuple[float, float, RequestArrived]] = []
@@ -215,6 +217,7 @@
                 continue
             link.closed = True
             node.peers.told.pop(link, None)
+            node.peers.differs_since.pop(link, None)
             node.peers.followers.discard(end)
             if node.alive:
                 node.submit(PeerLost(self.now, end))
@@ -266,6 +269,7 @@
         node.read_lease()
         if node.name == HOLDER and node.ticks % RENEW_TICKS == RENEW_TICKS - 1:
             self.used = allotting.used_shares(node.state, self.now)
+            self.verdicts = relay_suspects.write_verdicts(node.state, self.now)
         node.ticks += 1
         if node.ticks % PROOF_TICKS == 0 or node.state.freshness.at == NEVER:
             node.keep_proved()
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -8,6 +8,7 @@
 from rookspring import relay_allotments
 from rookspring import relay_beats
 from rookspring import relay_news
+from rookspring import relay_suspects
 from rookspring.messages import encode
 from rookspring.platform import Stored
 from rookspring.reach import Reach
@@ -25,9 +26,11 @@
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import ReturnAllotment
+from rookspring_core.effects import ShareEvidence
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
+from rookspring_core.events import EvidenceHeard
 from rookspring_core.events import StoreRead
 from rookspring_core.events import UseRecalled
 from rookspring_core.freshness import ProofTerms
@@ -178,12 +181,13 @@
         self.proofs = ProofKeeper(context, self.peers, self.reach)
         # What came while it was frozen.
         self.inbox: list[t.Callable[[], None]] = []
-        self.peers.greet = lambda link: relay_beats.greet(self.peers, link)
+        self.peers.greeters += (relay_beats.greet, relay_suspects.greet)
         self.share = lambda report: relay_news.share_report(self.peers, report)
         self.share_prompts = relay_news.PromptSums(self.peers).note
         self.give_lists = self.list.give
         # Whether its row stands in the store's list of nodes.
         self.written = False
+        self._looked = False
         self._next_read = -1e9
         self._listed_at = -1e9
         self._version = -1
@@ -201,6 +205,8 @@
                     relay_allotments.ask_owner(self.peers, effect)
                 case ReturnAllotment():
                     relay_allotments.return_units(self.peers, effect)
+                case ShareEvidence():
+                    relay_suspects.share_evidence(self.peers, effect.evidence, effect.source)
                 case Refuse():
                     self.fleet.refusals.append((self.fleet.now, effect))
                 case Dispatch():
@@ -240,8 +246,12 @@
         self.list.take_told(rows, whole and source == self.state.topology.followed)
 
     def read_lease(self) -> None:
-        """Read what the lease tells of organisations' use, where that is not known."""
+        """Read what the lease tells: verdicts at the start, and organisations' use where unknown."""
         now = self.fleet.now
+        if not self._looked and self.fleet.reaches_store(self.name):
+            self._looked = True
+            kept = relay_suspects.read_verdicts(self.fleet.verdicts, now)
+            self.submit(EvidenceHeard(now, kept, "the lease"))
         if self.state.allotments.wants_recall(now) and self.fleet.reaches_store(self.name):
             self.submit(UseRecalled(now, tuple(self.fleet.used.items())))
 
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -283,6 +283,7 @@
 
     def __init__(self) -> None:
         self._kept: dict[str, list[ClientConnection]] = {}
+        self._asked: dict[str, asyncio.Future[bool]] = {}
         self.opened = 0
 
     async def take(self, address: str, sure: bool) -> ClientConnection:
@@ -297,6 +298,9 @@
             if connection.fresh(now, sure):
                 return connection
             connection.close()
+        return await self._open(address)
+
+    async def _open(self, address: str) -> ClientConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
         try:
@@ -308,6 +312,24 @@
         self.opened += 1
         return made
 
+    async def is_down(self, address: str) -> bool:
+        """Say whether nothing listens at an address; all who ask at once share one connection.
+
+        A connection that is made is kept for the next request.
+        """
+        asked = self._asked.get(address)
+        if asked is None:
+            asked = self._asked[address] = asyncio.ensure_future(self._ask_down(address))
+            asked.add_done_callback(lambda _: self._asked.pop(address, None))
+        return await asyncio.shield(asked)
+
+    async def _ask_down(self, address: str) -> bool:
+        try:
+            self.give_back(address, await self._open(address))
+        except EndpointError as error:
+            return error.down
+        return False
+
     def give_back(self, address: str, connection: ClientConnection) -> None:
         """Keep a connection for later, if it can be used again."""
         if connection.open and connection.reusable:
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -53,7 +53,8 @@
     follows the receiver; whether its figures come within another node's; and how old
     what it knows of the store is, in seconds. ``prompts`` are tokens that endpoints are
     still to read, as rows; ``spent`` is what was let in of organisations since the
-    sender told last, and ``relay_s`` for how long it has passed things on.
+    sender told last, and ``relay_s`` for how long it has passed things on. ``evidence`` is the
+    digest of what it knows of requests under which endpoints ended.
     """
 
     name: str
@@ -81,6 +82,7 @@
     prompts: list[t.Any] | None = None
     spent: list[t.Any] | None = None
     relay_s: float = 0.0
+    evidence: int = 0
 
 
 @message("members")
@@ -169,6 +171,21 @@
     endpoint: str
 
 
+@message("evidence")
+class EvidenceTold(t.NamedTuple):
+    """Requests under which endpoints ended; see ``Evidence``. Ages and rests are in seconds.
+
+    ``sightings`` are rows of fingerprint, organisation, endpoint, its start, age and whether the
+    request was young; ``cleared`` of fingerprint and age; ``verdicts`` of fingerprint,
+    organisation and rest; ``trials`` of fingerprint and rest.
+    """
+
+    sightings: list[t.Any]
+    cleared: list[t.Any]
+    verdicts: list[t.Any]
+    trials: list[t.Any]
+
+
 @message("want-table")
 class WantTable(t.NamedTuple):
     """Ask for the route table."""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -71,6 +71,10 @@
     except TimeoutError:
         _fail(context, effect, EndpointError("deadline", sent=True))
     except EndpointError as error:
+        if error.broken:
+            # Whether its process ended tells what the loss is charged to, so it is asked at once:
+            # the next request there would find out later, on another node or never.
+            error.down = await context.pool.is_down(view.address)
         _fail(context, effect, error)
     except CallerGone:
         # The connection has told that its caller left.
@@ -96,6 +100,7 @@
         sent=error.sent,
         said_not_run=error.said_not_run,
         broken=error.broken,
+        down=error.down,
     )
     context.submit(
         AttemptFailed(
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -13,12 +13,14 @@
 from returns.result import Success
 
 from rookspring_core import governing
+from rookspring_core.events import EvidenceHeard
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import StoreRead
 from rookspring_core.events import TableProved
 from rookspring_core.events import UseRecalled
 
 from . import defaults
+from . import relay_suspects
 from .back_off import BackOff
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
@@ -162,6 +164,8 @@
                 holder = _holder_of(context, value)
                 settled = bool(value.get("settled", False))
                 context.submit(UseRecalled(now, tuple(value.get("used", {}).items())))
+                kept = relay_suspects.read_verdicts(value.get("verdicts", ()), now)
+                context.submit(EvidenceHeard(now, kept, "the lease"))
                 context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled))
             case Failure(PlatformMissing()):
                 context.submit(UseRecalled(now, ()))
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -41,6 +41,7 @@
 from . import relay_news
 from . import relay_orders as relay_orders
 from . import relay_slots
+from . import relay_suspects
 from .dialect import Dialect
 from .exceptions import PlatformConflict
 from .exceptions import SettingsError
@@ -146,11 +147,12 @@
         """Tell the parts of each other where one only has something for another to do."""
         context = self.context
         peers = self.peers
-        peers.greet = functools.partial(relay_beats.greet, peers)
+        peers.greeters += (relay_beats.greet, relay_suspects.greet)
         context.announce = functools.partial(relay_beats.announce, peers)
         context.share = functools.partial(relay_news.share_report, peers)
         context.share_coming = functools.partial(relay_news.share_coming, peers)
         context.share_down = functools.partial(relay_news.share_down, peers)
+        context.share_evidence = functools.partial(relay_suspects.share_evidence, peers)
         context.share_prompts = relay_news.PromptSums(peers).note
         context.tell_holder = functools.partial(relay_news.send_want, peers)
         context.ask_owner = functools.partial(relay_allotments.ask_owner, peers)
@@ -351,6 +353,7 @@
         "address": context.settings.peer_address,
         # For nodes that start when no other is left that knows.
         "used": allotting.used_shares(context.state, asked_at),
+        "verdicts": relay_suspects.write_verdicts(context.state, asked_at),
     }
 
     async def write() -> None:
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -68,10 +68,12 @@
             self._unreached,
         )
         self.known: dict[str, BoxListed] = {}
-        # Set by the node that wires the parts: sends a node its first heartbeat.
-        self.greet: t.Callable[[Link], None] = lambda link: None
+        # Set by the node that wires the parts: what a node is told first, in this order.
+        self.greeters: tuple[t.Callable[[RelayPeers, Link], None], ...] = ()
         # What each linked node was told of the others.
         self.told: dict[Link, Told] = {}
+        # Since when a linked node knows other evidence than this one; see ``relay_suspects``.
+        self.differs_since: dict[Link, float] = {}
         # Nodes that follow this one, by name.
         self.followers: set[str] = set()
         self.table_value: t.Any = None
@@ -95,6 +97,7 @@
                     receiver(self, link, item)
         finally:
             self.told.pop(link, None)
+            self.differs_since.pop(link, None)
             if self.server.links.get(link.name) is link:
                 self.followers.discard(link.name)
                 self.context.submit(PeerLost(time.monotonic(), link.name))
@@ -102,7 +105,8 @@
     def introduce(self, link: Link) -> None:
         """Tell a node that has just been linked of the others, and of this one."""
         link.send(Nodes([[*row] for row in self._rows()]))
-        self.greet(link)
+        for greet in self.greeters:
+            greet(self, link)
 
     def _rows(self) -> t.Iterator[tuple[str, str, str, float]]:
         """Give the relays, whom a node that has just come needs most, or all nodes."""
