--- /dev/null
+++ b/bench/suspects.py
@@ -0,0 +1,52 @@
+"""How the ends of endpoints are weighed: how many end under one request, and who else is refused.
+
+Plays days of ends on the virtual clock, each way of weighing on the same seeds.
+"""
+
+import argparse
+
+from rookspring.logs import configure
+from rookspring_core.suspects import WEIGHTS
+from rookspring_fakes.fleet_callers import FATAL
+from rookspring_fakes.fleet_callers import EndsDay
+from rookspring_fakes.fleet_callers import EndsPlayed
+
+from .registry import experiment
+from .registry import report
+
+DAYS = {
+    "ordinary": EndsDay(),
+    "often, come thrice": EndsDay(ends=120, again=3),
+    "often, long, come thrice": EndsDay(ends=120, again=3, lasts_s=(2.0, 9.0)),
+    "one fatal": EndsDay(ends=0, fatal=True),
+    "one fatal, ends beside": EndsDay(ends=40, fatal=True),
+    "one fatal, come thrice": EndsDay(ends=40, again=3, fatal=True),
+}
+
+
+@experiment("suspects")
+def run(arguments: list[str]) -> int:
+    """Compare the ways on all days."""
+    parser = argparse.ArgumentParser(prog="suspects")
+    parser.add_argument("--seeds", type=int, default=3)
+    seeds = parser.parse_args(arguments).seeds
+    configure("ERROR")
+    rows = []
+    for name, day in DAYS.items():
+        for way in WEIGHTS:
+            played = [EndsPlayed(day, seed, weigh=way) for seed in range(1, seeds + 1)]
+            rows.append(
+                {
+                    "day": name,
+                    "way": way,
+                    "ends under the fatal one": sum(
+                        one.callers.runners.ends_under(FATAL) for one in played
+                    )
+                    / seeds,
+                    "others broken off by it": sum(one.broken_off() for one in played) / seeds,
+                    "innocents refused": sum(len(one.condemned()) for one in played) / seeds,
+                    "came again": sum(one.came_again for one in played) / seeds,
+                }
+            )
+    report("suspects", f"Weights of ends, means of {seeds} seeds", rows)
+    return 0
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -100,4 +100,4 @@
   Scenario: a day of ordinary ends refuses nobody
     Given 8 nodes whose endpoints end 40 times in 80 s, for no request's sake
     When 20 requests a second come, and those that broke off come again once
-    Then no request is refused as one that ends endpoints
+    Then no request is found to end endpoints
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -213,3 +213,11 @@
     Given a relay node with an endpoint, and an organisation with the key key-a
     When the store goes away for 5 s and a caller sends a safe request with key-a
     Then the status is 503, and the endpoint saw nothing
+
+  Scenario: between sockets, with servers that end
+    Given a relay node with five endpoints that end when a body is sent to them
+    When a caller sends that body every 0.4 s, 12 times, each time under another id
+    Then 3 of the endpoints have ended, each within one request
+    And the last answers are 503 with no time to come back
+    And a request with another body is answered
+    And the log names the verdict and the endpoints, and the count of verdicts is 1
--- a/features/relay_stage.py
+++ b/features/relay_stage.py
@@ -167,7 +167,7 @@
         return [one for server in self.servers for one in server.asked]
 
 
-def request(kind, number=1, deadline_ms=None, key=None):
+def request(kind, number=1, deadline_ms=None, key=None, body=b"body"):
     method = "GET" if kind == "safe" else "POST"
     lines = [
         f"{method} /{kind}/x HTTP/1.1",
@@ -179,8 +179,8 @@
     if key is not None:
         lines.append(f"Authorization: Token {key}")
     if method == "POST":
-        lines.append("Content-Length: 4")
-    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (b"body" if method == "POST" else b"")
+        lines.append(f"Content-Length: {len(body)}")
+    return ("\r\n".join(lines) + "\r\n\r\n").encode() + (body if method == "POST" else b"")
 
 
 async def read_answer(reader, limit_s=5.0):
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -1,14 +1,15 @@
+import asyncio
+
 from behave import given
 from behave import then
 from behave import when
-from crash_stage import AGAIN_S
-from crash_stage import CrashStage
-from crash_stage import OrdinaryEnds
 from hypothesis import given as drawn
 from hypothesis import settings as drawing
 from hypothesis import strategies
 from key_stories import leaf_of
 from relay_harness import RelayHarness
+from relay_stage import RelayStage
+from relay_stage import request as relay_request
 
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptStarted
@@ -25,13 +26,16 @@
 from rookspring_core.suspects import Life
 from rookspring_core.suspects import Sighting
 from rookspring_core.suspects import SuspectTable
-
-FATAL = "fatal"
+from rookspring_fakes.fleet_callers import AGAIN_S
+from rookspring_fakes.fleet_callers import FATAL
+from rookspring_fakes.fleet_callers import EndsDay
+from rookspring_fakes.fleet_callers import EndsPlayed
+from rookspring_fakes.fleet_callers import FleetCallers
 
 
 @given("{nodes:d} nodes, and a request that ends each endpoint that runs it")
 def fatal_request(context, nodes):
-    context.stage = CrashStage(nodes)
+    context.stage = FleetCallers(nodes)
     context.stage.runners.fatal.add(FATAL)
     context.keys = []
 
@@ -465,17 +469,72 @@
 
 @given("8 nodes whose endpoints end {times:d} times in {seconds:d} s, for no request's sake")
 def ordinary_ends(context, times, seconds):
-    context.day = OrdinaryEnds(8, times, seconds)
+    context.day = EndsDay(times, seconds)
 
 
 @when("{rate:d} requests a second come, and those that broke off come again once")
 def come_once(context, rate):
-    context.day.play(rate)
+    context.played = EndsPlayed(context.day._replace(rate=rate))
 
 
-@then("no request is refused as one that ends endpoints")
+@then("no request is found to end endpoints")
 def none_condemned(context):
-    day = context.day
-    assert len(day.stage.runners.ended) >= 30, len(day.stage.runners.ended)
-    assert day.came_again >= 50, day.came_again
-    assert day.condemned() == [], day.condemned()
+    played = context.played
+    assert len(played.callers.runners.ended) >= 30, len(played.callers.runners.ended)
+    assert played.came_again >= 50, played.came_again
+    assert not played.condemned(), played.condemned()
+
+
+# Between sockets.
+
+BODY = b"ends what runs it"
+
+
+@given("a relay node with five endpoints that end when a body is sent to them")
+def five_endpoints(context):
+    stage = RelayStage([[]] * 5)
+    context.relay = context.loop.run(stage.rise())
+    for server in context.relay.servers:
+        server.fatal_body = BODY
+
+
+@when("a caller sends that body every {gap:g} s, {times:d} times, each time under another id")
+def sends_body(context, gap, times):
+    async def work():
+        for number in range(times):
+            asked = relay_request("stream", number, body=BODY)
+            context.answers.append(await context.relay.ask(asked))
+            context.ended.append(sum(server.ended for server in context.relay.servers))
+            await asyncio.sleep(gap)
+
+    context.answers = []
+    context.ended = []
+    context.loop.run(work())
+
+
+@then("{number:d} of the endpoints have ended, each within one request")
+def servers_ended(context, number):
+    assert context.ended[-1] == number, context.ended
+    assert len(context.relay.runs) == number, context.relay.runs
+
+
+@then("the last answers are 503 with no time to come back")
+def last_refused(context):
+    last = context.ended.index(3)
+    assert context.answers[last].status == 502
+    for answer in context.answers[last + 1 :]:
+        assert answer.status == 503 and "retry-after" not in answer.headers, answer
+
+
+@then("a request with another body is answered")
+def other_body(context):
+    answer = context.loop.run(context.relay.ask(relay_request("unsafe", 99)))
+    assert answer.status == 200, answer
+
+
+@then("the log names the verdict and the endpoints, and the count of verdicts is {number:d}")
+def told_operators(context, number):
+    lines = [line for line in context.relay.log_lines if "found to end endpoints" in line]
+    assert len(lines) == number and "i" in lines[0], lines
+    text, _ = context.relay.node.context.metrics.render()
+    assert "rookspring_verdicts_total{" in text.decode(), text.decode()
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -224,6 +224,18 @@
     source: str
 
 
+class VerdictFound(t.NamedTuple):
+    """Tell operators that a request was found to end the endpoints that run it.
+
+    :param endpoints: those that ended under it, as far as this node knows.
+    """
+
+    fingerprint: str
+    organisation: str
+    endpoints: tuple[str, ...]
+    left_s: float
+
+
 class ShareReport(t.NamedTuple):
     """Tell every other node what is now true of an endpoint."""
 
@@ -310,6 +322,7 @@
     | ShareComing
     | ShareDown
     | ShareEvidence
+    | VerdictFound
     | ShareReport
     | AskAllotment
     | ReturnAllotment
--- a/packages/rookspring-core/src/rookspring_core/suspecting.py
+++ b/packages/rookspring-core/src/rookspring_core/suspecting.py
@@ -10,6 +10,7 @@
 from .effects import Effect
 from .effects import Refuse
 from .effects import ShareEvidence
+from .effects import VerdictFound
 from .endpoints import EndpointView
 from .events import AttemptFailed
 from .events import EvidenceHeard
@@ -166,11 +167,17 @@
         return []
     condemned = {one.fingerprint for one in state.suspects.verdicts(state.now)}
     news = state.suspects.take(evidence, state.now)
-    for verdict in state.suspects.verdicts(state.now):
-        if verdict.fingerprint not in condemned:
-            ends = ",".join(life.endpoint for life in state.suspects.lives(verdict.fingerprint))
-            state.record(verdict.fingerprint, "found to end endpoints", ends or f"told by {source}")
-    return [] if news.empty() else [ShareEvidence(news, source)]
+    found: Effects = [
+        VerdictFound(
+            one.fingerprint,
+            one.organisation,
+            tuple(life.endpoint for life in state.suspects.lives(one.fingerprint)),
+            one.until - state.now,
+        )
+        for one in state.suspects.verdicts(state.now)
+        if one.fingerprint not in condemned
+    ]
+    return found if news.empty() else [*found, ShareEvidence(news, source)]
 
 
 @handles(EvidenceHeard)
--- a/packages/rookspring-core/src/rookspring_core/suspects.py
+++ b/packages/rookspring-core/src/rookspring_core/suspects.py
@@ -118,6 +118,10 @@
         self._expired_at = -1e9
         self._digest: int | None = 0
 
+    def use(self, weigh: str) -> None:
+        """Weigh sightings in another way from now on."""
+        self._weigh = WEIGHTS[weigh]
+
     def __len__(self) -> int:
         return len(self._sightings) + len(self._verdicts)
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -246,7 +246,7 @@
         self.list.take_told(rows, whole and source == self.state.topology.followed)
 
     def read_lease(self) -> None:
-        """Read what the lease tells: verdicts at the start, and organisations' use where unknown."""
+        """Read what the lease tells: verdicts at the start, organisations' use where unknown."""
         now = self.fleet.now
         if not self._looked and self.fleet.reaches_store(self.name):
             self._looked = True
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -57,6 +57,10 @@
         self.order_script: list[str] = []
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._writers: set[asyncio.StreamWriter] = set()
+        # The body of a request that ends the process which begins to run it, and whether one did.
+        self.fatal_body: bytes | None = None
+        self.ended = False
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -69,6 +73,14 @@
         if self._server is not None:
             self._server.close()
 
+    def end(self) -> None:
+        """End as a process does that crashes: nothing listens, and all connections close."""
+        self.ended = True
+        if self._server is not None:
+            self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+
     def entry(self, service: str, state: str = "ready", slots: int = 8) -> dict[str, t.Any]:
         """Give the entry that it writes of itself."""
         row: dict[str, t.Any] = {
@@ -94,6 +106,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        self._writers.add(writer)
         try:
             while asked := await _read(reader):
                 if not await self._answer(asked, writer):
@@ -101,6 +114,7 @@
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             self.left += 1
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _answer(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
@@ -110,6 +124,10 @@
         if asked.line.startswith("POST /order"):
             return self._order(asked, writer)
         self.asked.append(asked)
+        if self.fatal_body is not None and asked.body == self.fatal_body:
+            _stamped(self, asked)
+            self.end()
+            return False
         name = self.script.pop(0) if self.script else "answer"
         expected = asked.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -51,6 +51,7 @@
     "adapter_left": "an adapter is unloaded; how long it stayed, and whether it was used",
     "report_failed": "an endpoint's own report could not be read",
     "store_call_failed": "a read of the platform's store failed and is tried again",
+    "verdict": "a request was found to end the endpoints that run it, and is refused for a while",
     "lines_dropped": "so many lines were left out to keep the volume bounded",
 }
 
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -50,6 +50,12 @@
             buckets=_BUCKETS,
         )
 
+        self.verdicts = make(
+            Counter,
+            "rookspring_verdicts_total",
+            "Requests found to end the endpoints that run them",
+            labels,
+        )
         self.malformed = make(
             Gauge, "rookspring_entries_malformed", "Entries that name no endpoint", labels
         )
--- a/packages/rookspring/src/rookspring/relay_suspects.py
+++ b/packages/rookspring/src/rookspring/relay_suspects.py
@@ -9,6 +9,7 @@
 import typing as t
 
 from rookspring_core.effects import ShareEvidence
+from rookspring_core.effects import VerdictFound
 from rookspring_core.events import EvidenceHeard
 from rookspring_core.suspects import Cleared
 from rookspring_core.suspects import Evidence
@@ -18,6 +19,7 @@
 from rookspring_core.suspects import Verdict
 
 from . import defaults
+from .logs import log
 from .messages import EvidenceTold
 from .peers import Link
 from .relay_context import RelayContext
@@ -106,6 +108,21 @@
     context.share_evidence(effect.evidence, effect.source)
 
 
+@relay_performs(VerdictFound)
+def tell_verdict(context: RelayContext, effect: VerdictFound) -> None:
+    """Log and count a verdict."""
+    context.metrics.verdicts.inc({})
+    log(
+        "verdict",
+        "WARNING",
+        what="found to end endpoints",
+        fingerprint=effect.fingerprint,
+        organisation=effect.organisation,
+        endpoints=",".join(effect.endpoints),
+        left_s=effect.left_s,
+    )
+
+
 def write_verdicts(state: "NodeState", now: float) -> list[t.Any]:
     """Give the verdicts as the lease keeps them: with the rest of their time, in seconds."""
     verdicts = state.suspects.verdicts(now)
