Add mutants of the decisions on ends, and tests of the second try and of where suspects run

Two decisions had no test of their own: that a suspect of two ends gets no second try within a node, and that it runs where the least does. Both have one now.

--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -9,6 +9,7 @@
 SLOTS = ("features/slots.feature",)
 ADAPTERS = ("features/adapters.feature",)
 ENTRIES = ("features/entries.feature",)
+CRASHES = ("features/crashes.feature",)
 LIVES = ("features/lives.feature",)
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -41,6 +41,7 @@
 from rookspring_platform.dialect import PlatformDialect
 
 from . import organisation_mutants
+from . import suspect_mutants
 from .mutant import ADAPTERS
 from .mutant import ENTRIES
 from .mutant import LIVES
@@ -289,7 +290,7 @@
     given = parser.parse_args(arguments)
     rows = [
         {"mutant": one.name, "guards": one.rule, "caught": caught(one)}
-        for one in (*MUTANTS, *organisation_mutants.MUTANTS)
+        for one in (*MUTANTS, *organisation_mutants.MUTANTS, *suspect_mutants.MUTANTS)
         if given.only in one.name
     ]
     report("relay-mutants", "wrong decisions of the relay that a test catches", rows)
--- /dev/null
+++ b/bench/suspect_mutants.py
@@ -0,0 +1,65 @@
+"""Wrong decisions about requests under which endpoints end."""
+
+import typing as t
+
+from rookspring import relay_suspects
+from rookspring_core import suspecting
+from rookspring_core.suspects import Evidence
+from rookspring_core.suspects import SuspectTable
+
+from .mutant import CRASHES
+from .mutant import Mutant
+
+
+def _no_effects(*given: t.Any) -> list[t.Any]:
+    return []
+
+
+def _nothing(*given: t.Any) -> None:
+    return None
+
+
+def _always(*given: t.Any) -> bool:
+    return True
+
+
+def _never(*given: t.Any) -> bool:
+    return False
+
+
+def _verdicts_alone(state: t.Any, arrived: t.Any) -> suspecting.Barred | None:
+    if state.suspects.verdict(arrived.fingerprint, state.now) is None:
+        return None
+    return suspecting.Barred(503, "ends_endpoints", "it has not run")
+
+
+def _any_end(state: t.Any, request: t.Any, event: t.Any) -> list[t.Any]:
+    """Take an end that was planned for one under the request."""
+    life = suspecting.Life(request.endpoint, request.born)
+    sighting = suspecting._sight(state, request, life)
+    told = suspecting._tell(state, Evidence(tuple(state.suspects.note_broken(sighting))))
+    return told + (suspecting._end(state, life) if event.down else [])
+
+
+def _whenever(self: SuspectTable, life: t.Any, now: float) -> list[t.Any]:
+    """Join an end to whatever broke off there, however long before."""
+    self._ended.setdefault(life, now)
+    return list(self._pending.pop(life, {}).values())
+
+
+MUTANTS = (
+    Mutant("sees nothing broken", "ends", SuspectTable, "note_broken", _no_effects, CRASHES),
+    Mutant("learns of no later end", "ends", suspecting, "note_ended", _no_effects, CRASHES),
+    Mutant("charges planned ends", "innocents", suspecting, "note_broken", _any_end, CRASHES),
+    Mutant("joins what is far apart", "innocents", SuspectTable, "note_ended", _whenever, CRASHES),
+    Mutant("clears nobody", "innocents", suspecting, "note_well", _no_effects, CRASHES),
+    Mutant("tells nobody of ends", "ends", relay_suspects, "share_evidence", _nothing, CRASHES),
+    Mutant("greets with no evidence", "ends", relay_suspects, "greet", _nothing, CRASHES),
+    Mutant("compares no evidence", "ends", relay_suspects, "compare", _nothing, CRASHES),
+    Mutant("keeps no verdict", "ends", relay_suspects, "write_verdicts", _no_effects, CRASHES),
+    Mutant("tries suspects twice", "ends", suspecting, "may_retry", _always, CRASHES),
+    Mutant("tries suspects at once", "ends", suspecting, "find_bar", _verdicts_alone, CRASHES),
+    Mutant("tells of no trial", "ends", suspecting, "begin_trial", _no_effects, CRASHES),
+    Mutant("runs suspects among others", "innocents", suspecting, "suspected", _never, CRASHES),
+    Mutant("bounds no table", "memory", SuspectTable, "_bound", _nothing, CRASHES),
+)
--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -59,6 +59,17 @@
     When it comes to all nodes at once after that
     Then 3 endpoints have ended under it
 
+  Scenario: a suspect of two ends gets no second try within a node
+    Given 8 nodes, and a request that ends each endpoint that runs it
+    When it comes once, and may be sent to 4 endpoints
+    Then 2 endpoints have ended under it
+
+  Scenario: a suspect of two ends is run where the least runs, whatever speaks for another place
+    Given a node whose request ran at three endpoints by turns
+    When 2 times the connection broke off, and nothing listened there at once
+    And it comes again where one endpoint holds its prefix and another runs nothing
+    Then it is sent to the one that runs nothing
+
   Scenario Outline: what ended is told by whatever comes first
     Given a node whose request ran at three endpoints by turns
     When each time the connection broke off, and <then>
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -538,3 +538,55 @@
     assert len(lines) == number and "i" in lines[0], lines
     text, _ = context.relay.node.context.metrics.render()
     assert "rookspring_verdicts_total{" in text.decode(), text.decode()
+
+
+@when("it comes once, and may be sent to {attempts:d} endpoints")
+def comes_once(context, attempts):
+    stage = context.stage
+    stage.send(stage.names()[0], FATAL, repeatable=True, attempts=attempts)
+    stage.fleet.run(2.0)
+
+
+@when("2 times the connection broke off, and nothing listened there at once")
+def broke_twice(context):
+    for _ in range(2):
+        context.node.attempt()
+        context.node.fail(down=True)
+        context.node.now += 4.0
+
+
+@when("it comes again where one endpoint holds its prefix and another runs nothing")
+def holds_prefix(context):
+    node = context.node
+    for name, born in node.there.items():
+        node.submit(node.report(name, [], born=born))
+    for name in ("busy", "idle"):
+        node.there[name] = 9
+        node.name = name
+    node.relist()
+    for name in ("busy", "idle"):
+        node.submit(node.report(name, ["m"], born=9, slots=100))
+    view = node.state.endpoints["busy"]
+    view.begin("another", node.now)
+    view.hint((7,), node.now)
+    terms = RouteTerms("r", "llm", 1, 1, 1, 0.5, 1.0)
+    arrived = RequestArrived(
+        at=node.now,
+        request_id="innocent",
+        team="",
+        target="m",
+        deadline_at=node.now + 15.0,
+        prefix=7,
+        route=terms,
+        fingerprint="innocent",
+    )
+    node.state.full_checks = False
+    node.submit(arrived)
+    assert node.sent[-1].endpoint == "busy", node.sent[-1]
+    node.submit(arrived._replace(request_id="last", fingerprint=FATAL))
+
+
+@then("it is sent to the one that runs nothing")
+def sent_to_idle(context):
+    last = context.node.sent[-1]
+    assert (last.request_id, last.endpoint) == ("last", "idle"), last
