--- /dev/null
+++ b/features/clocks.feature
@@ -0,0 +1,22 @@
+@relay
+Feature: Time for which a box was suspended counts
+
+  # A box may be suspended for seconds, which the steady clock of its kernel does not count. A node
+  # that goes by that clock believes, when it goes on, that nothing has passed: its lease holds
+  # and its configuration is proved, while another node gives orders and a key has ended.
+
+  Scenario Outline: what has a bound is judged by all the time that has passed
+    Given a relay node with an endpoint, and an organisation with the key key-a
+    And it holds the lease
+    When it is suspended for <seconds> s, which the steady clock does not count
+    Then before anything else it <lease> the lease
+    And before anything else a request with key-a is <fate>
+
+    Examples:
+      | seconds | lease       | fate            |
+      | 0.1     | holds       | let in          |
+      | 6       | has lost    | refused, 503    |
+      | 30      | has lost    | refused, 503    |
+
+  Scenario: no module of the product but its clock reads one for ages
+    Then no module of the daemon but clock reads a clock of the system's for ages
--- a/features/steps/contract_steps.py
+++ b/features/steps/contract_steps.py
@@ -1,11 +1,11 @@
 import asyncio
-import time
 
 from behave import given
 from behave import then
 from behave import when
 from returns.result import Success
 
+from rookspring import clock
 from rookspring import defaults
 from rookspring.endpoints import Generate
 from rookspring.endpoints import HttpEndpoint
@@ -172,7 +172,7 @@
             case "resume from 2":
                 return await self.read(self.client.resume(self.served.address, "s", 2))
             case "report":
-                found = await self.client.report("r", self.served.address, time.monotonic())
+                found = await self.client.report("r", self.served.address, clock.now())
                 return "loading" if found.loading or found.resident else "empty"
             case "leave":
                 self.engine.leaving = True
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -10,6 +10,7 @@
 from relay_stage import read_answer
 from relay_stage import request
 
+from rookspring import clock
 from rookspring.exceptions import SettingsError
 from rookspring.messages import TableGiven
 from rookspring.platform import Stored
@@ -392,7 +393,7 @@
 
     async def work():
         await context.relay.until(lambda: control.lease.own_epoch == 2, 2.0)
-        assert control.lease.turn_at <= time.monotonic()
+        assert control.lease.turn_at <= clock.now()
 
     context.loop.run(work())
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -10,12 +10,12 @@
 import contextlib
 import heapq
 import itertools
-import time
 import typing as t
 from unittest import mock
 
 import msgpack
 
+from rookspring import clock
 from rookspring import defaults
 from rookspring import relay_beats
 from rookspring import relay_members
@@ -104,7 +104,7 @@
     @contextlib.contextmanager
     def running(self) -> t.Iterator[None]:
         """Have the parts of the nodes read the virtual clock."""
-        with mock.patch.object(time, "monotonic", lambda: self.now):
+        with mock.patch.object(clock, "now", lambda: self.now):
             yield
 
     # The store.
--- a/packages/rookspring/src/rookspring/attempts.py
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -1,7 +1,6 @@
 """Attempts at endpoints: each carries out one ``Dispatch`` and tells how it ended."""
 
 import asyncio
-import time
 import typing as t
 
 from rookspring_core.effects import Attach
@@ -11,6 +10,7 @@
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 
+from . import clock
 from . import defaults
 from .endpoints import Chunk
 from .endpoints import Generate
@@ -28,7 +28,7 @@
     if exchange is None or view is None:
         _fail(node, effect, EndpointError("endpoint is gone", sent=False))
         return
-    wait = effect.not_before - time.monotonic()
+    wait = effect.not_before - clock.now()
     if wait > 0:
         await asyncio.sleep(wait)
     span = node.telemetry.begin(
@@ -53,7 +53,7 @@
     node.metrics.attempts.inc({"end": "not_run" if error.said_not_run else "failed"})
     node.submit(
         AttemptFailed(
-            time.monotonic(),
+            clock.now(),
             effect.request_id,
             effect.attempt,
             error.sent,
@@ -80,7 +80,7 @@
         offset=effect.offset,
         prefix="".join(exchange.parts) if effect.offset else "",
     )
-    node.submit(AttemptStarted(time.monotonic(), effect.request_id, effect.attempt))
+    node.submit(AttemptStarted(clock.now(), effect.request_id, effect.attempt))
     await _relay(node, effect, exchange, node.endpoints.generate(address, asked, traceparent))
 
 
@@ -118,9 +118,7 @@
         nonlocal pending
         if pending:
             node.count_tokens(pending)
-            node.submit(
-                AttemptProgressed(time.monotonic(), effect.request_id, effect.attempt, pending)
-            )
+            node.submit(AttemptProgressed(clock.now(), effect.request_id, effect.attempt, pending))
             pending = 0
 
     try:
@@ -150,7 +148,7 @@
     node.metrics.attempts.inc({"end": "whole"})
     # The outcome is settled first: if the caller's connection breaks on the last
     # bytes, a retry of its key finds the answer.
-    node.submit(AttemptSucceeded(time.monotonic(), effect.request_id, effect.attempt, 200, answer))
+    node.submit(AttemptSucceeded(clock.now(), effect.request_id, effect.attempt, 200, answer))
     await exchange.conclude()
     node.finish(exchange, "ran")
 
@@ -161,8 +159,8 @@
     headers = dict(exchange.headers)
     if traceparent:
         headers["traceparent"] = traceparent
-    left = max(0.05, exchange.deadline_at - time.monotonic())
-    node.submit(AttemptStarted(time.monotonic(), effect.request_id, effect.attempt))
+    left = max(0.05, exchange.deadline_at - clock.now())
+    node.submit(AttemptStarted(clock.now(), effect.request_id, effect.attempt))
     answer = await node.endpoints.call(
         address,
         exchange.method,
@@ -174,9 +172,7 @@
     )
     node.metrics.attempts.inc({"end": "whole"})
     node.submit(
-        AttemptSucceeded(
-            time.monotonic(), effect.request_id, effect.attempt, answer.status, answer.body
-        )
+        AttemptSucceeded(clock.now(), effect.request_id, effect.attempt, answer.status, answer.body)
     )
     shown = {"Content-Type": answer.content_type, "X-Request-Id": exchange.request_id}
     await exchange.answer(answer.status, shown, answer.body)
--- a/packages/rookspring/src/rookspring/callers.py
+++ b/packages/rookspring/src/rookspring/callers.py
@@ -5,7 +5,6 @@
 
 import asyncio
 import secrets
-import time
 import typing as t
 import zlib
 
@@ -23,6 +22,7 @@
 from rookspring_core.events import ResumeAsked
 from rookspring_core.events import SessionOpened
 
+from . import clock
 from . import defaults
 from . import forwarding
 from . import reading
@@ -111,7 +111,7 @@
         rank=core_defaults.PRIORITY_RANK[fields["priority"]],
         stream=fields["stream"],
     )
-    now = time.monotonic()
+    now = clock.now()
     key = fields["once_key"]
     node.begin(
         exchange,
@@ -147,7 +147,7 @@
         span,
         node.telemetry.header(span, fields["traceparent"]),
     )
-    now = time.monotonic()
+    now = clock.now()
     exchange.method = fields["method"]
     exchange.path = fields["path"]
     exchange.body = body
@@ -193,7 +193,7 @@
         await exchange.done
     except asyncio.CancelledError:
         # The caller's connection broke; the reducer decides what goes on.
-        node.submit(CallerLeft(time.monotonic(), exchange.request_id))
+        node.submit(CallerLeft(clock.now(), exchange.request_id))
         raise
 
 
@@ -227,7 +227,7 @@
             raise CallerError(503, "session", "a node that is not leaving; ask for addresses")
         identity = node.state.identity
         session = node.signer.issue_session(identity.name, identity.incarnation, team)
-        node.submit(SessionOpened(time.monotonic(), session, team))
+        node.submit(SessionOpened(clock.now(), session, team))
         value = {"session": session, "idle_s": core_defaults.SESSION_IDLE_S}
         return json_answer(value, status=201)
 
@@ -282,7 +282,7 @@
     )
     exchange.prepare(node.signer, grant.endpoint, grant.stream, grant.base)
     exchange.reader = 1
-    now = time.monotonic()
+    now = clock.now()
     node.begin(
         exchange,
         ResumeAsked(
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -153,3 +153,5 @@
 # all of it, and again no sooner than so much later, in seconds.
 EVIDENCE_DIFFERS_S = 1.2
 EVIDENCE_AGAIN_S = 5.0
+# A node that has not ticked for so long, ten ticks, stood still, and says so.
+STOOD_STILL_S = 1.0
--- a/packages/rookspring/src/rookspring/demonstration.py
+++ b/packages/rookspring/src/rookspring/demonstration.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 import orjson
@@ -18,6 +17,7 @@
 from rookspring_fakes.caller import Answer
 from rookspring_fakes.caller import expected_text
 
+from . import clock
 from .stage import Stage
 from .stage import StagePlan
 
@@ -130,7 +130,7 @@
         session: str | None = None
         for turn in range(CALLS // 10):
             call = f"c{number}-{turn}"
-            begun = time.monotonic()
+            begun = clock.now()
             outcome = "not_run"
             for _ in range(4):
                 session = session or await caller.open_session()
@@ -147,7 +147,7 @@
                 self._not_run_calls.add(call)
             if outcome == "unknown":
                 session = None
-            self.tally.take_call(outcome, call, time.monotonic() - begun, 10.0)
+            self.tally.take_call(outcome, call, clock.now() - begun, 10.0)
             await asyncio.sleep(0.15 + chance_of(number, turn))
 
     async def _disturb(self) -> None:
--- a/packages/rookspring/src/rookspring/dialling.py
+++ b/packages/rookspring/src/rookspring/dialling.py
@@ -1,10 +1,10 @@
 """Which nodes to dial, so that every node that ought to be linked is."""
 
-import time
 import typing as t
 
 from rookspring_core.membership import Membership
 
+from . import clock
 from . import defaults
 from .peers import PeerServer
 
@@ -76,7 +76,7 @@
 
     def dial_missing(self) -> None:
         """Dial the nodes that ought to be linked and are not."""
-        now = time.monotonic()
+        now = clock.now()
         wanted = self._wanted()
         for name, address in wanted.addresses.items():
             first = self._name < name or name not in wanted.waits
--- a/packages/rookspring/src/rookspring/exchanges.py
+++ b/packages/rookspring/src/rookspring/exchanges.py
@@ -10,6 +10,7 @@
 
 from rookspring_core.streams import StreamGuard
 
+from . import clock
 from .tokens import ResumeGrant
 from .tokens import Signer
 
@@ -48,7 +49,7 @@
         self.responder = responder
         self.span = span
         self.traceparent = traceparent
-        self.arrived = time.monotonic()
+        self.arrived = clock.now()
         self.done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self.started = False
         self.task: asyncio.Task[None] | None = None
@@ -129,7 +130,7 @@
         text = "".join(tokens)
         self.parts.append(text)
         if self.first_token_s is None:
-            self.first_token_s = time.monotonic() - self.arrived
+            self.first_token_s = clock.now() - self.arrived
         if not self.stream:
             return
         place = str(self.guard.offset).encode()
--- a/packages/rookspring/src/rookspring/following.py
+++ b/packages/rookspring/src/rookspring/following.py
@@ -7,7 +7,6 @@
 
 import asyncio
 import random
-import time
 import typing as t
 
 from returns.result import Failure
@@ -23,6 +22,7 @@
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import PlatformAnswered
 
+from . import clock
 from . import defaults
 from .back_off import BackOff
 from .exceptions import PlatformError
@@ -45,7 +45,7 @@
     down = isinstance(answer, Failure) and isinstance(answer.failure(), PlatformUnreachable)
     if node.state.platform_reachable == down:
         log("platform_down" if down else "platform_up", "WARNING" if down else "INFO")
-    node.submit(PlatformAnswered(time.monotonic(), not down))
+    node.submit(PlatformAnswered(clock.now(), not down))
     return answer
 
 
@@ -60,7 +60,7 @@
             case Success(Stored(_, version, value)):
                 node.submit(
                     LeaseSeen(
-                        time.monotonic(),
+                        clock.now(),
                         version,
                         str(value["holder"]),
                         int(value["epoch"]),
@@ -68,7 +68,7 @@
                     )
                 )
             case Failure(PlatformMissing()):
-                node.submit(LeaseSeen(time.monotonic(), 0, "", 0, ""))
+                node.submit(LeaseSeen(clock.now(), 0, "", 0, ""))
             case _:
                 await back_off.pause()
                 continue
@@ -133,7 +133,7 @@
     """
     if head.revision <= node.state.catalogue.revision:
         return True
-    answer = note(node, await node.published.read_revision(head, time.monotonic()))
+    answer = note(node, await node.published.read_revision(head, clock.now()))
     if isinstance(answer, Failure):
         return False
     node.submit(answer.unwrap())
@@ -148,7 +148,7 @@
         if isinstance(answer, Success):
             head = answer.unwrap()
             if await apply_head(node, head):
-                node.submit(HeadSeen(time.monotonic(), head.version, head.revision))
+                node.submit(HeadSeen(clock.now(), head.version, head.revision))
                 return
         await back_off.pause()
 
@@ -188,7 +188,7 @@
         if not governing.holding(node.state):
             await asyncio.sleep(defaults.LEASE_READ_S)
             continue
-        node.submit(DesiredSeen(time.monotonic(), tuple(known.values())))
+        node.submit(DesiredSeen(clock.now(), tuple(known.values())))
 
 
 async def read_intents(node: NodeContext, epoch: int) -> None:
@@ -207,11 +207,11 @@
                 for one in found
                 for rows in [one.value["rows"]]
             )
-            node.submit(IntentsSeen(time.monotonic(), intents))
+            node.submit(IntentsSeen(clock.now(), intents))
             return
         await back_off.pause()
 
 
 def listed(node: NodeContext, rows: t.Any) -> BoxListCame:
     """Make the event of a box list."""
-    return BoxListCame(time.monotonic(), tuple(rows))
+    return BoxListCame(clock.now(), tuple(rows))
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -1,7 +1,6 @@
 """What nodes tell each other: heartbeats, reports, box lists, revisions, forwards."""
 
 import asyncio
-import time
 import typing as t
 
 from rookspring_core import Entry
@@ -13,6 +12,7 @@
 from rookspring_core.events import PeerLost
 from rookspring_core.events import RevisionSeen
 
+from . import clock
 from . import defaults
 from . import forwarding
 from .messages import Boxes
@@ -64,7 +64,7 @@
     finally:
         forwarding.break_off(node, link)
         if node.peers.links.get(link.name) is link:
-            node.submit(PeerLost(time.monotonic(), link.name))
+            node.submit(PeerLost(clock.now(), link.name))
 
 
 def make_beat(node: NodeContext) -> Heartbeat:
@@ -96,7 +96,7 @@
     """Take a heartbeat, and ask for the revision if it is newer."""
     node.submit(
         PeerHeard(
-            at=time.monotonic(),
+            at=clock.now(),
             name=beat.name,
             incarnation=beat.incarnation,
             address=beat.address,
@@ -111,7 +111,7 @@
         )
     )
     revision = node.state.catalogue.revision
-    now = time.monotonic()
+    now = clock.now()
     if beat.revision > max(revision, node.wanted[0]) or (
         beat.revision > revision and now - node.wanted[1] > defaults.CONNECT_S
     ):
@@ -145,7 +145,7 @@
         entries[key] = decode_entry(raw)
     for key in delta.removed:
         entries.pop(key, None)
-    node.submit(RevisionSeen(time.monotonic(), delta.revision, delta.epoch, entries))
+    node.submit(RevisionSeen(clock.now(), delta.revision, delta.epoch, entries))
 
 
 class RevisionHistory:
@@ -190,7 +190,7 @@
 @receives(Reports)
 def take_reports(node: NodeContext, link: Link, reports: Reports) -> None:
     """Take the reports of endpoints that another node polls."""
-    now = time.monotonic()
+    now = clock.now()
     for row in reports.rows:
         report = read_row(node, row, now)
         if report is not None:
@@ -215,7 +215,7 @@
 @receives(Hints)
 def take_hints(node: NodeContext, link: Link, hints: Hints) -> None:
     """Take cache events that another node read."""
-    now = time.monotonic()
+    now = clock.now()
     for endpoint, prefixes in hints.rows:
         node.submit(CacheEventsCame(now, endpoint, tuple(prefixes)))
 
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -12,11 +12,11 @@
 import asyncio
 import collections
 import socket
-import time
 import typing as t
 
 import httptools
 
+from . import clock
 from . import defaults
 from .exceptions import EndpointError
 from .http_messages import Header
@@ -229,7 +229,7 @@
 
     def _finish(self) -> None:
         reply, self._reply = self._reply, None
-        self.idle_since = time.monotonic()
+        self.idle_since = clock.now()
         if reply is not None:
             reply.whole = True
             reply.tell()
@@ -292,7 +292,7 @@
         :raises EndpointError: when none can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
-        now = time.monotonic()
+        now = clock.now()
         while kept:
             connection = kept.pop()
             if connection.fresh(now, sure):
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -2,13 +2,15 @@
 
 import os
 import sys
-import time
 import typing as t
 
 from loguru import logger
 
+from . import clock
+
 EVENTS: dict[str, str] = {
     "node_started": "the node listens; it is ready once it has a revision",
+    "stood_still": "the node did nothing for so long: frozen, suspended with its box, or too busy",
     "node_ready": "a revision is in force and callers may come",
     "node_draining": "a planned stop began",
     "node_stopped": "the planned stop is complete",
@@ -94,7 +96,7 @@
         self._descriptor = descriptor
         self._rate = lines_per_s
         self._level = lines_per_s
-        self._at = time.monotonic()
+        self._at = clock.now()
         self._dropped = 0
 
     def write(self, line: str) -> None:
@@ -113,7 +115,7 @@
         self._dropped = 0
 
     def _allowed(self) -> bool:
-        now = time.monotonic()
+        now = clock.now()
         self._level = min(self._rate, self._level + (now - self._at) * self._rate)
         self._at = now
         if self._level < 1.0:
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -5,7 +5,6 @@
 import random
 import secrets
 import ssl
-import time
 import typing as t
 
 from rookspring_core import Identity
@@ -25,6 +24,7 @@
 from rookspring_core.events import ResumeAsked
 from rookspring_core.events import Ticked
 
+from . import clock
 from . import defaults
 from . import following
 from . import forwarding
@@ -70,7 +70,7 @@
             settings.address,
             settings.caller_address,
         )
-        self.state = NodeState(identity, time.monotonic())
+        self.state = NodeState(identity, clock.now())
         self.state.full_checks = settings.full_checks
         self.metrics = Metrics(settings.name)
         self.telemetry = Telemetry(
@@ -157,7 +157,7 @@
 
     def leave(self, exchange: Exchange) -> None:
         """A caller's connection broke while it was being written to."""
-        self.submit(CallerLeft(time.monotonic(), exchange.request_id))
+        self.submit(CallerLeft(clock.now(), exchange.request_id))
         self.finish(exchange, "left")
 
     async def answering(self, exchange: Exchange, sending: t.Awaitable[None]) -> None:
@@ -226,18 +226,18 @@
         mine = self.state.membership.poller_of(view.name, view.data_centre)
         if mine == self.settings.name:
             return True
-        return bool(time.monotonic() - view.reported_at > defaults.REPORT_MISSING_S)
+        return bool(clock.now() - view.reported_at > defaults.REPORT_MISSING_S)
 
     async def _poll(self, name: str, address: str) -> None:
-        report = await self.endpoints.report(name, address, time.monotonic())
+        report = await self.endpoints.report(name, address, clock.now())
         if report is None:
-            self.submit(ReportMissed(time.monotonic(), name))
+            self.submit(ReportMissed(clock.now(), name))
             return
         self.submit(report)
         self._share_report(report)
 
     def _share_report(self, report: EndpointReported) -> None:
-        item = Reports([self.report_log.row_for(report, time.monotonic())])
+        item = Reports([self.report_log.row_for(report, clock.now())])
         for link in list(self.peers.links.values()):
             link.send(item)
 
@@ -254,7 +254,7 @@
         after, prefixes = await self.endpoints.cache_events(address, since)
         self._cache_positions[name] = after
         if prefixes:
-            self.submit(CacheEventsCame(time.monotonic(), name, prefixes))
+            self.submit(CacheEventsCame(clock.now(), name, prefixes))
             item = Hints([[name, list(prefixes)]])
             for link in list(self.peers.links.values()):
                 link.send(item)
@@ -263,7 +263,7 @@
 
     async def _tick_loop(self) -> None:
         while True:
-            self.submit(Ticked(time.monotonic()))
+            self.submit(Ticked(clock.now()))
             await asyncio.sleep(core_defaults.TICK_S)
 
     def ready(self) -> bool:
@@ -300,7 +300,7 @@
     def drain(self, hurry: bool = False) -> None:
         """Begin the planned stop; ``hurry`` skips the life of given addresses."""
         log("node_draining", node=self.settings.name, hurry=hurry)
-        self.submit(DrainAsked(time.monotonic(), hurry))
+        self.submit(DrainAsked(clock.now(), hurry))
 
     async def run_until_stopped(self) -> None:
         """Wait for the end of a planned stop, then write outcomes and close."""
--- a/packages/rookspring/src/rookspring/operators.py
+++ b/packages/rookspring/src/rookspring/operators.py
@@ -4,7 +4,6 @@
 within seconds and shows in each resource's ``status``.
 """
 
-import time
 import typing as t
 
 import orjson
@@ -22,6 +21,7 @@
 from rookspring_core.organisations import digest_of
 from rookspring_core.resources import KINDS
 
+from . import clock
 from .callers import json_answer
 from .exceptions import CallerError
 from .exceptions import PlatformConflict
@@ -171,7 +171,7 @@
     @routes.get("/explain/<subject:str>")
     async def explain(request: Request, subject: str) -> HTTPResponse:
         establish_operator(node, request)
-        now = time.monotonic()
+        now = clock.now()
         rows = [
             {
                 "ago_s": round(now - one.at, 3),
@@ -251,7 +251,7 @@
 
 
 def _endpoints(node: NodeContext) -> list[dict[str, t.Any]]:
-    now = time.monotonic()
+    now = clock.now()
     rows: list[dict[str, t.Any]] = []
     for view in sorted(node.state.endpoints.values(), key=lambda one: one.name):
         report = view.report
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -1,7 +1,6 @@
 """Performers of effects, each registered by the effect's type."""
 
 import asyncio
-import time
 import typing as t
 
 from returns.result import Failure
@@ -28,6 +27,7 @@
 from rookspring_core.events import RevisionSeen
 
 from . import attempts
+from . import clock
 from . import defaults
 from . import following
 from .exceptions import PlatformConflict
@@ -149,7 +149,7 @@
 @performs(WriteLease)
 def write_lease(node: NodeContext, effect: WriteLease) -> None:
     """Write the lease object on its version."""
-    asked_at = time.monotonic()
+    asked_at = clock.now()
     value = {
         "holder": node.settings.name if effect.nonce else "",
         "epoch": effect.epoch,
@@ -165,7 +165,7 @@
                 won, version = True, written
             case Failure(PlatformConflict()):
                 won = False
-        node.submit(LeaseWritten(time.monotonic(), asked_at, effect.nonce, won, version))
+        node.submit(LeaseWritten(clock.now(), asked_at, effect.nonce, won, version))
 
     node.spawn(write())
 
@@ -192,7 +192,7 @@
         answer = await node.published.publish(
             effect.revision, effect.epoch, effect.head_version, effect.entries
         )
-        now = time.monotonic()
+        now = clock.now()
         if isinstance(answer, Success):
             log("published", revision=effect.revision, entries=len(effect.entries))
             seen = RevisionSeen(now, effect.revision, effect.epoch, effect.entries)
@@ -223,7 +223,7 @@
             case Failure(PlatformConflict()):
                 won = False
                 await following.read_intents(node, effect.epoch)
-        node.submit(IntentWritten(time.monotonic(), effect.endpoint, effect.sequence, won))
+        node.submit(IntentWritten(clock.now(), effect.endpoint, effect.sequence, won))
 
     node.spawn(write())
 
@@ -255,9 +255,7 @@
             end=end,
             reason=reason,
         )
-        node.submit(
-            OrderAnswered(time.monotonic(), effect.endpoint, effect.token, accepted, reason)
-        )
+        node.submit(OrderAnswered(clock.now(), effect.endpoint, effect.token, accepted, reason))
 
     node.spawn(send())
 
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -14,6 +14,7 @@
 
 from rookspring_core.events import BoxListed
 
+from . import clock
 from .exceptions import PlatformError
 
 if t.TYPE_CHECKING:
@@ -107,8 +108,7 @@
 
     async def take(self) -> None:
         """Wait until a call may be made."""
-        loop = asyncio.get_running_loop()
-        now = loop.time()
+        now = clock.now()
         self._level = min(self.burst, self._level + (now - self._at) * self.rate)
         self._at = now
         self._level -= 1.0
--- a/packages/rookspring/src/rookspring/reach.py
+++ b/packages/rookspring/src/rookspring/reach.py
@@ -1,9 +1,8 @@
 """Whether the platform's store answers, told to the reducer and the log when that changes."""
 
-import time
-
 from rookspring_core.events import PlatformAnswered
 
+from . import clock
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
@@ -25,13 +24,13 @@
             return
         log("store_call_failed", "WARNING", call=what, error=type(error).__name__, detail=error)
         if self.lost_at is None:
-            self.lost_at = time.monotonic()
+            self.lost_at = clock.now()
             log("platform_down", "WARNING", call=what)
-            self._context.submit(PlatformAnswered(time.monotonic(), False))
+            self._context.submit(PlatformAnswered(clock.now(), False))
 
     def answered(self) -> None:
         """A call was answered."""
-        now = time.monotonic()
+        now = clock.now()
         if self.lost_at is not None:
             log("platform_up", out_s=now - self.lost_at)
             self.lost_at = None
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import itertools
-import time
 import typing as t
 
 from rookspring_core import defaults as core_defaults
@@ -21,6 +20,7 @@
 from rookspring_core.routes import RouteTable
 from rookspring_core.routes import pick_service
 
+from . import clock
 from . import defaults
 from .dialect import Ask
 from .exceptions import CallerError
@@ -90,7 +90,7 @@
     context: "RelayContext", connection: ServerConnection, request: HttpRequest
 ) -> None:
     """Serve one request of a caller to its end."""
-    arrived_at = time.monotonic()
+    arrived_at = clock.now()
     try:
         ask = context.dialect.read_ask(request)
     except CallerError as error:
@@ -142,7 +142,7 @@
     context.ask_proof()
     try:
         while verdict.waits and not connection.left:
-            now = time.monotonic()
+            now = clock.now()
             if now - arrived_at > defaults.KEY_WAIT_S:
                 break
             await asyncio.sleep(defaults.KEY_WAIT_STEP_S)
@@ -169,7 +169,7 @@
         status=verdict.status,
         reason=verdict.reason,
         table=state.revision,
-        proved_age_s=state.freshness.age_s(time.monotonic()),
+        proved_age_s=state.freshness.age_s(clock.now()),
     )
     headers = context.dialect.refusal_headers(ask.request_id, after_s)
     connection.answer(verdict.status, headers, b"")
@@ -183,7 +183,7 @@
         if exchange.key not in context.exchanges:
             # It has ended already, by a cut of ours.
             return
-        context.submit(CallerLeft(time.monotonic(), exchange.key))
+        context.submit(CallerLeft(clock.now(), exchange.key))
         _log_end(exchange, "left", "caller closed the connection")
         finish(context, exchange)
 
@@ -237,7 +237,7 @@
 def end(context: "RelayContext", exchange: RelayExchange, outcome: str, why: str) -> None:
     """Log how a request ended, and finish it."""
     context.metrics.requests.inc({"target": exchange.route.name, "end": outcome})
-    context.metrics.whole_answer.observe({}, time.monotonic() - exchange.arrived_at)
+    context.metrics.whole_answer.observe({}, clock.now() - exchange.arrived_at)
     if exchange.first_at:
         context.metrics.first_token.observe({}, exchange.first_at - exchange.arrived_at)
     _log_end(exchange, outcome, why)
@@ -255,7 +255,7 @@
         bears_s=exchange.route.pause_s,
         outcome=outcome,
         why=why,
-        took_s=time.monotonic() - exchange.arrived_at,
+        took_s=clock.now() - exchange.arrived_at,
         first_s=exchange.first_at - exchange.arrived_at if exchange.first_at else -1,
         events=exchange.events,
         pause_s=exchange.pause_s,
--- a/packages/rookspring/src/rookspring/relay_allotments.py
+++ b/packages/rookspring/src/rookspring/relay_allotments.py
@@ -4,13 +4,12 @@
 the owner; so an owner is two links away at most.
 """
 
-import time
-
 from rookspring_core import allotting
 from rookspring_core.effects import AskAllotment
 from rookspring_core.effects import ReturnAllotment
 from rookspring_core.events import AllotmentAnswered
 
+from . import clock
 from .logs import log
 from .messages import AskUnits
 from .messages import UnitsBack
@@ -46,7 +45,7 @@
 
 def _answer(peers: RelayPeers, asked: AskUnits, link: Link | None) -> None:
     state = peers.context.state
-    grant = allotting.decide(state, asked.organisation, asked.units, time.monotonic())
+    grant = allotting.decide(state, asked.organisation, asked.units, clock.now())
     if grant.after_s > 0.0:
         log(
             "allotment_denied",
@@ -66,14 +65,14 @@
 
 
 def _take_given(peers: RelayPeers, given: UnitsGiven) -> None:
-    now = time.monotonic()
+    now = clock.now()
     peers.context.submit(
         AllotmentAnswered(now, given.key, given.organisation, given.units, given.after_s)
     )
 
 
 def _take_back(peers: RelayPeers, organisation: str, units: float) -> None:
-    peers.context.state.allotments.take_back(organisation, units, time.monotonic())
+    peers.context.state.allotments.take_back(organisation, units, clock.now())
 
 
 @receives(AskUnits)
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -1,7 +1,6 @@
 """Attempts of relayed requests, and the answers that the reducer asks for."""
 
 import asyncio
-import time
 
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Cancel
@@ -14,6 +13,7 @@
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 
+from . import clock
 from . import defaults
 from .dialect import Errand
 from .dialect import Verdict
@@ -56,7 +56,7 @@
         address=view.address,
         load=view.load(context.state.now),
         report_age_s=context.state.now - view.reported_at,
-        waited_s=time.monotonic() - exchange.arrived_at,
+        waited_s=clock.now() - exchange.arrived_at,
     )
     exchange.task = context.spawn(run_attempt(context, effect, exchange, view))
 
@@ -66,7 +66,7 @@
 ) -> None:
     """Carry out one attempt and tell how it ended."""
     try:
-        async with asyncio.timeout(exchange.deadline_at - time.monotonic()):
+        async with asyncio.timeout(exchange.deadline_at - clock.now()):
             await _attempt(context, effect, exchange, view)
     except TimeoutError:
         _fail(context, effect, EndpointError("deadline", sent=True))
@@ -104,7 +104,7 @@
     )
     context.submit(
         AttemptFailed(
-            time.monotonic(),
+            clock.now(),
             effect.request_id,
             effect.attempt,
             error.sent,
@@ -124,7 +124,7 @@
     sure = not exchange.route.repeatable
     connection = await context.pool.take(view.address, sure)
     data = _write_request(context, exchange, view)
-    context.submit(AttemptStarted(time.monotonic(), exchange.key, effect.attempt))
+    context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt))
     verdicts: list[Verdict] = []
 
     def accept(head: HttpHead) -> bool:
@@ -145,7 +145,7 @@
 
 def _write_request(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bytes:
     request = exchange.request
-    left_s = exchange.deadline_at - time.monotonic()
+    left_s = exchange.deadline_at - clock.now()
     table = context.state.table
     errand = Errand(
         left_s,
@@ -186,12 +186,12 @@
         exchange.held = HeldAnswer(head.status, end_to_end(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
     _answer(exchange, HeldAnswer(head.status, end_to_end(head.headers), body))
-    context.submit(AttemptSucceeded(time.monotonic(), exchange.key, effect.attempt, head.status))
+    context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end(context, exchange, "answered", f"endpoint {effect.endpoint} gave {head.status}")
 
 
 def _answer(exchange: RelayExchange, answer: HeldAnswer) -> None:
-    exchange.first_at = time.monotonic()
+    exchange.first_at = clock.now()
     exchange.connection.answer(answer.status, answer.headers, answer.body)
 
 
@@ -212,21 +212,19 @@
         exchange.last_event = events.last_id or exchange.last_event
         exchange.events += events.number
         _note_pause(exchange)
-        context.submit(
-            AttemptProgressed(time.monotonic(), exchange.key, effect.attempt, events.number)
-        )
+        context.submit(AttemptProgressed(clock.now(), exchange.key, effect.attempt, events.number))
         await exchange.connection.send(events.data)
     if splitter.rest():
         raise EndpointError("broke off within an event", sent=True)
     _begin_stream(exchange, head)
     exchange.connection.end()
-    context.submit(AttemptSucceeded(time.monotonic(), exchange.key, effect.attempt, head.status))
+    context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
 def _note_pause(exchange: RelayExchange) -> None:
     """Keep the longest pause between events, for the log."""
-    now = time.monotonic()
+    now = clock.now()
     if exchange.last_at:
         exchange.pause_s = max(exchange.pause_s, now - exchange.last_at)
     exchange.last_at = now
@@ -237,7 +235,7 @@
     if exchange.started:
         return
     exchange.started = True
-    exchange.first_at = time.monotonic()
+    exchange.first_at = clock.now()
     exchange.connection.begin(head.status, end_to_end(head.headers), None)
 
 
--- a/packages/rookspring/src/rookspring/relay_beats.py
+++ b/packages/rookspring/src/rookspring/relay_beats.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import time
 import typing as t
 
 from rookspring_core import attaching
@@ -15,6 +14,7 @@
 from rookspring_core.events import PeerHeard
 from rookspring_core.state import NodeState
 
+from . import clock
 from . import defaults
 from . import relay_suspects
 from .messages import Heartbeat
@@ -67,7 +67,7 @@
         heard = bool(kinds & {"own", "group"})
     else:
         heard = topology.followed in links
-    sums = context.state.allotments.tell(time.monotonic(), heard)
+    sums = context.state.allotments.tell(clock.now(), heard)
     return [[name, round(units)] for name, units in sums.items()] or None
 
 
@@ -98,7 +98,7 @@
     """Make this node's heartbeat without figures."""
     state = context.state
     identity = state.identity
-    now = time.monotonic()
+    now = clock.now()
     return Heartbeat(
         name=identity.name,
         incarnation=identity.incarnation,
@@ -239,7 +239,7 @@
         peers.followers.discard(beat.name)
     peers.context.submit(
         PeerHeard(
-            at=time.monotonic(),
+            at=clock.now(),
             name=beat.name,
             incarnation=beat.incarnation,
             address=beat.address,
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import time
 import typing as t
 
 from rookspring_core import NodeState
@@ -20,6 +19,7 @@
 from rookspring_core.events import Event
 from rookspring_core.suspects import Evidence
 
+from . import clock
 from . import defaults
 from .dialect import Dialect
 from .http_client import ConnectionPool
@@ -145,4 +145,4 @@
 
     def now(self) -> float:
         """Give the monotonic time, in seconds."""
-        return time.monotonic()
+        return clock.now()
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -6,7 +6,6 @@
 
 import asyncio
 import contextlib
-import time
 import typing as t
 
 from returns.result import Failure
@@ -19,6 +18,7 @@
 from rookspring_core.events import TableProved
 from rookspring_core.events import UseRecalled
 
+from . import clock
 from . import defaults
 from . import relay_suspects
 from .back_off import BackOff
@@ -59,7 +59,7 @@
     """
     if not context.state.topology.mesh:
         wait_s = defaults.FEW_WATCH_S if endpoints else defaults.FEW_WATCH_TABLE_S
-        holding = context.state.control.holding(time.monotonic())
+        holding = context.state.control.holding(clock.now())
         fold_s = defaults.ENDPOINT_FOLD_S if holding else defaults.FEW_FOLD_S
     else:
         wait_s, fold_s = defaults.RELAY_WATCH_S, defaults.ENDPOINT_FOLD_S
@@ -85,7 +85,7 @@
     since = -1
     while True:
         if since < 0:
-            asked_at = time.monotonic()
+            asked_at = clock.now()
             listing = await context.platform.list_kind(kind)
             if isinstance(listing, Failure):
                 reach.failed(f"list {kind}", listing.failure())
@@ -119,14 +119,14 @@
 async def _pause(context: RelayContext, back_off: BackOff) -> None:
     """Wait before the store is asked again: longer where another node keeps this one fresh."""
     await back_off.pause()
-    if context.state.topology.fed(time.monotonic()):
+    if context.state.topology.fed(clock.now()):
         await asyncio.sleep(defaults.FED_PAUSE_S)
 
 
 def _note_answer(context: RelayContext, reach: Reach, endpoints: bool) -> None:
     reach.answered()
     if endpoints:
-        context.submit(StoreRead(time.monotonic()))
+        context.submit(StoreRead(clock.now()))
 
 
 async def follow_table(context: RelayContext, peers: RelayPeers, reach: Reach) -> None:
@@ -140,7 +140,7 @@
 
     def listed(asked_at: float) -> None:
         if version:
-            context.submit(TableProved(time.monotonic(), asked_at, version))
+            context.submit(TableProved(clock.now(), asked_at, version))
 
     await follow_kind(context, reach, context.dialect.table_kind(), take, listed=listed)
 
@@ -156,7 +156,7 @@
             await _wait_news(context, defaults.RELAY_LEASE_LOOK_S)
             continue
         answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
-        now = time.monotonic()
+        now = clock.now()
         match answer:
             case Success(Stored(_, version, value)):
                 epoch = int(value["epoch"])
@@ -184,7 +184,7 @@
     """Say whether the lease is to tell what organisations had used."""
     state = context.state
     keyed = state.table is not None and state.table.directory is not None
-    return keyed and state.allotments.wants_recall(time.monotonic())
+    return keyed and state.allotments.wants_recall(clock.now())
 
 
 def _holder_of(context: RelayContext, value: t.Any) -> str:
--- a/packages/rookspring/src/rookspring/relay_lists.py
+++ b/packages/rookspring/src/rookspring/relay_lists.py
@@ -1,12 +1,12 @@
 """The platform's list of endpoints: read from the store, or told by a node that did."""
 
 import asyncio
-import time
 
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
 
+from . import clock
 from . import defaults
 from .logs import log
 from .messages import Listed
@@ -48,7 +48,7 @@
 
     def take(self, rows: tuple[Stored, ...], whole: bool) -> None:
         """Take changed entries from the store, or all that there are."""
-        now = time.monotonic()
+        now = clock.now()
         if whole:
             names = {row.name for row in rows}
             for name in set(self._rows) - names:
@@ -60,7 +60,7 @@
 
     def take_told(self, rows: tuple[Stored, ...], whole: bool) -> None:
         """Take entries from the node that this one follows."""
-        now = time.monotonic()
+        now = clock.now()
         if whole:
             for name in set(self._rows) - {row.name for row in rows}:
                 self._drop(name)
@@ -172,9 +172,9 @@
         """Look after entries that are missing."""
         while True:
             await asyncio.sleep(defaults.LAPSE_CHECK_S)
-            self.take_stood(time.monotonic())
+            self.take_stood(clock.now())
             if self._missing:
-                self.settle(time.monotonic())
+                self.settle(clock.now())
                 self._pass_on()
 
     def take_stood(self, now: float) -> None:
--- a/packages/rookspring/src/rookspring/relay_members.py
+++ b/packages/rookspring/src/rookspring/relay_members.py
@@ -6,13 +6,13 @@
 differences are sent, but to a node that has just been linked or has changed its part.
 """
 
-import time
 import typing as t
 
 from rookspring_core.events import MembersHeard
 from rookspring_core.events import PeerHeard
 from rookspring_core.membership import Peer
 
+from . import clock
 from .messages import Members
 from .peers import Link
 from .relay_peers import RelayPeers
@@ -46,7 +46,7 @@
 def _make(peers: RelayPeers, link: Link, relay: bool, names: list[str] | None) -> Members:
     """Make what a link is told of some nodes, or of all where ``names`` is None."""
     members = peers.context.state.membership.peers
-    now = time.monotonic()
+    now = clock.now()
     rows = []
     gone = []
     for name in members if names is None else names:
@@ -111,7 +111,7 @@
 @receives(Members)
 def take_members(peers: RelayPeers, link: Link, members: Members) -> None:
     """Take what a relay says of the nodes."""
-    now = time.monotonic()
+    now = clock.now()
     rows = tuple(_read(row, now) for row in members.rows)
     gone = tuple(str(name) for name in members.gone)
     peers.context.submit(MembersHeard(now, link.name, rows, gone, bool(members.whole)))
--- a/packages/rookspring/src/rookspring/relay_news.py
+++ b/packages/rookspring/src/rookspring/relay_news.py
@@ -1,7 +1,5 @@
 """What relay nodes tell each other at once: endpoints' states, unread prompts, wants."""
 
-import time
-
 from rookspring_core.effects import Want
 from rookspring_core.events import ComingHeard
 from rookspring_core.events import DownHeard
@@ -10,6 +8,7 @@
 from rookspring_core.events import PromptsHeard
 from rookspring_core.state import NodeState
 
+from . import clock
 from . import defaults
 from .messages import Coming
 from .messages import Down
@@ -83,7 +82,7 @@
 
 def share_report(peers: RelayPeers, report: EndpointReported) -> None:
     """Tell all nodes what is true of an endpoint."""
-    peers.spread(Reports([encode_report(report._replace(own=False), time.monotonic())]))
+    peers.spread(Reports([encode_report(report._replace(own=False), clock.now())]))
 
 
 def share_coming(peers: RelayPeers, endpoint: str, model: str, in_s: float) -> None:
@@ -111,7 +110,7 @@
 def take_reports(peers: RelayPeers, link: Link, reports: Reports) -> None:
     """Take what the lease holder, or a watcher, says of endpoints."""
     for row in reports.rows:
-        peers.context.submit(decode_report(row, time.monotonic()))
+        peers.context.submit(decode_report(row, clock.now()))
     peers.spread(reports, link.name)
 
 
@@ -120,7 +119,7 @@
     """Take what endpoints are to read of other nodes' prompts."""
     rows = tuple((str(row[0]), int(row[1])) for row in prompts.rows)
     state = peers.context.state
-    peers.context.submit(PromptsHeard(time.monotonic(), link.name, rows))
+    peers.context.submit(PromptsHeard(clock.now(), link.name, rows))
     if state.topology.relay:
         known = state.membership.peers.get(link.name)
         far = known is None or known.heard.relay
@@ -131,7 +130,7 @@
 @receives(Coming)
 def take_coming(peers: RelayPeers, link: Link, coming: Coming) -> None:
     """Take what the lease holder has loaded."""
-    heard = ComingHeard(time.monotonic(), coming.endpoint, coming.model, float(coming.in_s))
+    heard = ComingHeard(clock.now(), coming.endpoint, coming.model, float(coming.in_s))
     peers.context.submit(heard)
     peers.spread(coming, link.name)
 
@@ -139,14 +138,14 @@
 @receives(Down)
 def take_down(peers: RelayPeers, link: Link, down: Down) -> None:
     """Take another node's word that nothing listens at an endpoint."""
-    peers.context.submit(DownHeard(time.monotonic(), down.endpoint))
+    peers.context.submit(DownHeard(clock.now(), down.endpoint))
     peers.spread(down, link.name)
 
 
 @receives(WantModel)
 def take_want(peers: RelayPeers, link: Link, want: WantModel) -> None:
     """Take what another node's request waits for, or pass it on to the lease holder."""
-    now = time.monotonic()
+    now = clock.now()
     state = peers.context.state
     if state.control.holding(now):
         back_s = float(want.back_s)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -6,7 +6,6 @@
 import secrets
 import signal
 import sys
-import time
 import typing as t
 
 import uvloop
@@ -31,6 +30,7 @@
 from rookspring_core.leases import LeaseTerms
 from rookspring_core.retries import WindowTerms
 
+from . import clock
 from . import defaults
 from . import logs
 from . import relay
@@ -110,7 +110,7 @@
             settings.peer_address,
             settings.caller_address,
         )
-        state = NodeState(identity, time.monotonic())
+        state = NodeState(identity, clock.now())
         state.relaying = True
         state.slots_by_owner = True
         state.strength = min(settings.cores, settings.link_mbps / defaults.LINK_MBPS_A_CORE)
@@ -188,7 +188,12 @@
     async def start(self) -> None:
         """Listen and begin all loops."""
         settings = self.settings
-        log("node_started", node=settings.name, address=settings.caller_address)
+        log(
+            "node_started",
+            node=settings.name,
+            address=settings.caller_address,
+            clock=clock.CLOCK_NAME,
+        )
         reach = self.reach
         endpoints = self.endpoints
         await self.peers.start()
@@ -256,15 +261,25 @@
         metrics.inflight.set({}, len(state.requests))
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         metrics.revision.set({}, state.revision)
-        metrics.leader.set({}, int(state.control.holding(time.monotonic())))
+        metrics.leader.set({}, int(state.control.holding(clock.now())))
         metrics.peer_bytes.set({}, self.peers.server.sent_bytes())
         body, headers = metrics.render()
         rows = [(key.encode(), value.encode()) for key, value in headers.items()]
         connection.answer(200, rows, body)
 
     async def _tick_loop(self) -> None:
+        ticked_at = clock.now()
         while True:
-            self.context.submit(Ticked(time.monotonic()))
+            now = clock.now()
+            if now - ticked_at > defaults.STOOD_STILL_S:
+                log(
+                    "stood_still",
+                    "WARNING",
+                    for_s=now - ticked_at,
+                    suspended_s=clock.suspended_s(),
+                )
+            ticked_at = now
+            self.context.submit(Ticked(now))
             if self.context.state.topology.watching:
                 self.context.watching.set()
             else:
@@ -274,7 +289,7 @@
     async def _sweep_loop(self) -> None:
         while True:
             await asyncio.sleep(defaults.POOL_SWEEP_S)
-            self.context.pool.sweep(time.monotonic())
+            self.context.pool.sweep(clock.now())
 
     def reload(self, reload: Reload, told: bool = True) -> None:
         """Read the settings again; wrong ones change nothing."""
@@ -302,7 +317,7 @@
         if self.context.state.leaving:
             return
         log("node_draining", node=self.settings.name, requests=len(self.context.exchanges))
-        self.context.submit(DrainAsked(time.monotonic()))
+        self.context.submit(DrainAsked(clock.now()))
         end_s = max(0.1, self.settings.grace_s - defaults.STOP_MARGIN_S)
         self.context.loop.call_later(end_s, self.stopping.set)
         self.context.spawn(relay_following.forget_row(self.context))
@@ -343,7 +358,7 @@
 @relay_performs(WriteLease)
 def write_lease(context: RelayContext, effect: WriteLease) -> None:
     """Write the lease object on its version."""
-    asked_at = time.monotonic()
+    asked_at = clock.now()
     value = {
         "holder": context.settings.name if effect.nonce else "",
         "epoch": effect.epoch,
@@ -369,7 +384,7 @@
                 won = False
             case Failure(error):
                 log("store_call_failed", "WARNING", call="write lease", detail=error)
-        context.submit(LeaseWritten(time.monotonic(), asked_at, effect.nonce, won, version))
+        context.submit(LeaseWritten(clock.now(), asked_at, effect.nonce, won, version))
 
     context.spawn(write())
 
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -1,7 +1,6 @@
 """Orders to endpoints, their reports, and what nodes tell the lease holder."""
 
 import asyncio
-import time
 
 from rookspring_core.defaults import LOAD_UNTOLD
 from rookspring_core.effects import AdapterLeft
@@ -23,6 +22,7 @@
 from rookspring_core.events import OrderAnswered
 from rookspring_core.events import OrderDue
 
+from . import clock
 from . import defaults
 from . import http_client
 from .dialect import OrderAsked
@@ -76,9 +76,7 @@
         taken=reply.taken,
         reason=reason,
     )
-    context.submit(
-        OrderAnswered(time.monotonic(), effect.endpoint, effect.token, reply.taken, reason)
-    )
+    context.submit(OrderAnswered(clock.now(), effect.endpoint, effect.token, reply.taken, reason))
 
 
 @relay_performs(ReadReport)
@@ -100,7 +98,7 @@
         return
     if view.report is None:
         return
-    report = context.dialect.read_report(raw, view.report, time.monotonic())
+    report = context.dialect.read_report(raw, view.report, clock.now())
     if report is None:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason="malformed")
         return
@@ -137,7 +135,7 @@
     """Tell when an order's pause is over."""
 
     def tell() -> None:
-        context.submit(OrderDue(time.monotonic(), effect.endpoint, effect.taken_before))
+        context.submit(OrderDue(clock.now(), effect.endpoint, effect.taken_before))
 
     context.loop.call_later(effect.after_s, tell)
 
@@ -145,8 +143,8 @@
 @relay_performs(Want)
 def want(context: RelayContext, effect: Want) -> None:
     """Tell the lease holder at once."""
-    if context.state.control.holding(time.monotonic()):
-        event = ModelWanted(time.monotonic(), *effect)
+    if context.state.control.holding(clock.now()):
+        event = ModelWanted(clock.now(), *effect)
         context.loop.call_soon(context.submit, event)
         return
     context.tell_holder(effect)
--- a/packages/rookspring/src/rookspring/relay_owners.py
+++ b/packages/rookspring/src/rookspring/relay_owners.py
@@ -4,18 +4,18 @@
 follows, which passes the question on; so an owner is two links away at most.
 """
 
-import time
 import typing as t
 
 from rookspring_core.allotments import choose_owner
 
+from . import clock
 from .peers import Link
 from .relay_peers import RelayPeers
 
 
 def find_owner(peers: RelayPeers, name: str) -> str:
     """Name the owner of an organisation or a service, by what this node knows."""
-    return choose_owner(name, peers.context.state.topology.owners(time.monotonic()))
+    return choose_owner(name, peers.context.state.topology.owners(clock.now()))
 
 
 def owns(peers: RelayPeers, name: str) -> bool:
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -5,7 +5,6 @@
 endpoints) and :mod:`relay_lists` (the store's list of endpoints).
 """
 
-import time
 import typing as t
 
 from rookspring_core.events import BoxListed
@@ -14,6 +13,7 @@
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.topology import listed_node
 
+from . import clock
 from . import defaults
 from .dialling import Dialler
 from .dialling import Wanted
@@ -100,7 +100,7 @@
             self.differs_since.pop(link, None)
             if self.server.links.get(link.name) is link:
                 self.followers.discard(link.name)
-                self.context.submit(PeerLost(time.monotonic(), link.name))
+                self.context.submit(PeerLost(clock.now(), link.name))
 
     def introduce(self, link: Link) -> None:
         """Tell a node that has just been linked of the others, and of this one."""
@@ -142,11 +142,11 @@
         return Wanted(addresses, waits, linked, topology.needs_seeds())
 
     def _unreached(self, name: str) -> None:
-        self.context.submit(PeerUnreached(time.monotonic(), name))
+        self.context.submit(PeerUnreached(clock.now(), name))
 
     def drop_idle(self) -> None:
         """End links that are of use to neither end, a while after they ceased to be."""
-        now = time.monotonic()
+        now = clock.now()
         topology = self.context.state.topology
         for name, link in list(self.server.links.items()):
             if topology.keeps(name):
@@ -223,12 +223,12 @@
                 source=source,
                 routes=sum(len(routes) for routes in table.hosts.values()),
             )
-            self.context.submit(RouteTableSeen(time.monotonic(), table))
+            self.context.submit(RouteTableSeen(clock.now(), table))
         return table.version
 
     def want_table(self, link: Link, version: int) -> None:
         """Ask a node for its newer route table, once at a time."""
-        now = time.monotonic()
+        now = clock.now()
         if version <= self.context.state.revision or now - self._wanted_at < defaults.CONNECT_S:
             return
         self._wanted_at = now
--- a/packages/rookspring/src/rookspring/relay_proofs.py
+++ b/packages/rookspring/src/rookspring/relay_proofs.py
@@ -8,7 +8,6 @@
 
 import asyncio
 import contextlib
-import time
 import typing as t
 
 from returns.result import Failure
@@ -20,6 +19,7 @@
 from rookspring_core.events import TightHeard
 from rookspring_core.mixing import mix
 
+from . import clock
 from . import defaults
 from .back_off import BackOff
 from .exceptions import PlatformUnreachable
@@ -61,7 +61,7 @@
         while True:
             hurried = self._soon.is_set()
             self._soon.clear()
-            now = time.monotonic()
+            now = clock.now()
             if needs_proofs(self._context.state):
                 self.ask(now, hurried)
                 if self.due(now):
@@ -102,7 +102,7 @@
         """
         self._reading = False
         self._read_at = asked_at
-        now = time.monotonic()
+        now = clock.now()
         version = self._peers.take_stored(stored) if stored else 0
         if version:
             self._context.submit(TableProved(now, asked_at, version))
@@ -152,7 +152,7 @@
 def give_proof(peers: RelayPeers, link: Link, asked: AskProof) -> None:
     """Tell a node how new the configuration is known to be here."""
     state = peers.context.state
-    now = time.monotonic()
+    now = clock.now()
     if state.freshness.at == freshness.NEVER or not needs_proofs(state):
         return
     gathers = state.topology.mesh or state.topology.relay
@@ -164,7 +164,7 @@
 @receives(Proof)
 def take_proof(peers: RelayPeers, link: Link, proof: Proof) -> None:
     """Take another node's word; the stamp is this node's own, from before it asked."""
-    now = time.monotonic()
+    now = clock.now()
     stamp = float(proof.stamp)
     if not 0.0 <= now - stamp < defaults.PROOF_ANSWER_S:
         log("proof_late", "WARNING", peer=link.name, age_s=now - stamp)
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -1,7 +1,6 @@
 """Slots of plain services: questions to their owners, and the answers, between nodes."""
 
 import asyncio
-import time
 import typing as t
 
 from rookspring_core import slotting
@@ -11,6 +10,7 @@
 from rookspring_core.slot_queues import SlotAnswer
 from rookspring_core.slot_queues import SlotAsk
 
+from . import clock
 from . import defaults
 from .messages import AskSlots
 from .messages import SlotFreed
@@ -52,7 +52,7 @@
     while True:
         await asyncio.sleep(defaults.SLOT_SETTLE_S)
         state = peers.context.state
-        now = time.monotonic()
+        now = clock.now()
         for service, queue in list(state.slot_queues.items()):
             _answer(peers, service, queue.settle(now))
 
@@ -63,7 +63,7 @@
 
 def _take_ask(peers: RelayPeers, asked: AskSlots) -> None:
     queue = slotting.queue_of(peers.context.state, asked.service)
-    now = time.monotonic()
+    now = clock.now()
     wait_s = float(asked.wait_s)
     ask = SlotAsk(asked.origin, asked.key, int(asked.rank), asked.organisation, wait_s, asked.avoid)
     _answer(peers, asked.service, queue.ask(ask, now))
@@ -71,7 +71,7 @@
 
 def _take_free(peers: RelayPeers, freed: SlotFreed) -> None:
     queue = slotting.queue_of(peers.context.state, freed.service)
-    now = time.monotonic()
+    now = clock.now()
     answers = queue.free(freed.endpoint, freed.origin, freed.key, float(freed.took_s), now)
     _answer(peers, freed.service, answers)
 
@@ -85,7 +85,7 @@
     """Give an answer to the node that asked, over the relay that it follows if need be."""
     state = peers.context.state
     if told.origin == state.identity.name:
-        now = time.monotonic()
+        now = clock.now()
         peers.context.submit(
             SlotAnswered(now, told.key, told.service, told.endpoint, float(told.after_s))
         )
--- a/packages/rookspring/src/rookspring/relay_suspects.py
+++ b/packages/rookspring/src/rookspring/relay_suspects.py
@@ -5,7 +5,6 @@
 keeps the verdicts, so that they outlast a moment at which every node is lost.
 """
 
-import time
 import typing as t
 
 from rookspring_core.effects import ShareEvidence
@@ -18,6 +17,7 @@
 from rookspring_core.suspects import Trial
 from rookspring_core.suspects import Verdict
 
+from . import clock
 from . import defaults
 from .logs import log
 from .messages import EvidenceTold
@@ -69,12 +69,12 @@
 
 def share_evidence(peers: RelayPeers, evidence: Evidence, source: str) -> None:
     """Tell all nodes, but the one that told it."""
-    peers.spread(encode_evidence(evidence, time.monotonic()), source)
+    peers.spread(encode_evidence(evidence, clock.now()), source)
 
 
 def greet(peers: RelayPeers, link: Link) -> None:
     """Tell a node that has just been linked all that is known."""
-    now = time.monotonic()
+    now = clock.now()
     evidence = peers.context.state.suspects.whole(now)
     if not evidence.empty():
         link.send(encode_evidence(evidence, now))
@@ -85,7 +85,7 @@
 
     A message that was lost with a relay, or a link that hung, leaves no gap for longer.
     """
-    now = time.monotonic()
+    now = clock.now()
     if digest == peers.context.state.suspects.digest():
         peers.differs_since.pop(link, None)
         return
@@ -98,7 +98,7 @@
 @receives(EvidenceTold)
 def take_evidence(peers: RelayPeers, link: Link, told: EvidenceTold) -> None:
     """Take what another node knows."""
-    now = time.monotonic()
+    now = clock.now()
     peers.context.submit(EvidenceHeard(now, decode_evidence(told, now), link.name))
 
 
