Charge ends to requests at the product's own front too, by the same life of a request

Change: fingerprints for chats and services; the endpoints' client tells a broken connection and a refused one, and asks whether anything listens; evidence and its digest in the product's gossip; what both fronts write alike stands once, in evidence. Lives are told apart by incarnation where no start is told.

Found by it: a suspect that met a closed door was barred by its own trial for 2 s; a trial that did not run ends at once now, with a row of its own.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -70,6 +70,12 @@
     And it comes again where one endpoint holds its prefix and another runs nothing
     Then it is sent to the one that runs nothing
 
+  Scenario: a suspect of two ends that met a closed door is sent to another place at once
+    Given a node whose request ran at three endpoints by turns
+    When 2 times the connection broke off, and nothing listened there at once
+    And it comes again, and nothing listens at the first of two endpoints
+    Then it is sent to the other
+
   Scenario Outline: what ended is told by whatever comes first
     Given a node whose request ran at three endpoints by turns
     When each time the connection broke off, and <then>
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -607,3 +607,27 @@
     ended_under(context, number)
     arrived = [one for _, one in context.stage.runners.arrived if one == FATAL]
     assert len(arrived) == sent, arrived
+
+
+@when("it comes again, and nothing listens at the first of two endpoints")
+def first_is_down(context):
+    node = context.node
+    for name, born in node.there.items():
+        node.submit(node.report(name, [], born=born))
+    for name in ("first", "other"):
+        node.there[name] = 9
+        node.name = name
+    node.relist()
+    for name in ("first", "other"):
+        node.submit(node.report(name, ["m"], born=9))
+    send_fatal(node, "last")
+    context.first = node.sent[-1]
+    assert context.first.request_id == "last", node.refused
+    node.submit(AttemptFailed(node.now, "last", 1, False, False, "refused", down=True))
+
+
+@then("it is sent to the other")
+def sent_to_other(context):
+    last = context.node.sent[-1]
+    assert (last.request_id, last.attempt) == ("last", 2), context.node.refused
+    assert last.endpoint != context.first.endpoint, last
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -82,11 +82,12 @@
     view = state.endpoints.get(event.endpoint)
     if view is None:
         return []
+    ended: Effects = []
     if view.report is not None and view.report.incarnation != event.incarnation:
+        ended = suspecting.note_ended(state, view)
         view.leaving = False
         view.prefixes.clear()
     before = view.targets()
-    ended: Effects = []
     if state.relaying:
         if lives.judge(view.report, event) == "old":
             event, effects = lives.doubt(state, view, event)
--- a/packages/rookspring-core/src/rookspring_core/suspecting.py
+++ b/packages/rookspring-core/src/rookspring_core/suspecting.py
@@ -27,6 +27,9 @@
 
 Effects = list[Effect]
 
+# Starts are told in milliseconds of a clock; what stands for one is far below any.
+BORN_MAX = 1 << 31
+
 
 class Barred(t.NamedTuple):
     """Why a request may not be sent to an endpoint now.
@@ -106,6 +109,10 @@
     """
     endpoint = state.endpoints.get(request.endpoint)
     fingerprint = request.arrived.fingerprint
+    if not event.sent or event.said_not_run:
+        # This node may try another endpoint; without it a suspect that met one that had ended
+        # waited for another 2 s each time.
+        state.suspects.end_trial(fingerprint)
     if endpoint is None or endpoint.leaving or endpoint.gone:
         return []
     life = Life(request.endpoint, request.born)
@@ -140,8 +147,11 @@
 
 
 def life_of(view: EndpointView) -> Life:
-    """Name the process that is known at an endpoint."""
-    return Life(view.name, view.report.born if view.report is not None else 0)
+    """Name the process that is known at an endpoint: by its start, or else its incarnation."""
+    report = view.report
+    if report is None:
+        return Life(view.name, 0)
+    return Life(view.name, report.born or mix("life", report.incarnation) % BORN_MAX)
 
 
 def _end(state: NodeState, life: Life) -> Effects:
--- a/packages/rookspring-core/src/rookspring_core/suspects.py
+++ b/packages/rookspring-core/src/rookspring_core/suspects.py
@@ -16,7 +16,10 @@
 
 
 class Life(t.NamedTuple):
-    """One process of an endpoint, told apart by when it was started; 0 where that is not told."""
+    """One process of an endpoint, told apart by its start.
+
+    :param born: in milliseconds, or a smaller number for its incarnation; 0 where neither is known.
+    """
 
     endpoint: str
     born: int
@@ -202,6 +205,10 @@
         self._trials[trial.fingerprint] = trial.until
         return True
 
+    def end_trial(self, fingerprint: str) -> None:
+        """Take that a suspect was not run after all."""
+        self._trials.pop(fingerprint, None)
+
     def _bound(self, organisation: str) -> None:
         """Keep no more suspects than the bounds, so that no caller can fill the table."""
         if len(self._sightings) <= defaults.SUSPECTS_EACH_MAX:
--- a/packages/rookspring-fakes/src/rookspring_fakes/runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/runner.py
@@ -15,6 +15,8 @@
 from .engine import token_text
 
 STEP_S = 0.01
+# No process takes longer to end, in seconds.
+FATAL_MOST_S = 5.0
 
 
 class Runner:
@@ -24,6 +26,9 @@
         self.engine = engine
         self.step_s = step_s
         self.epoch = time.monotonic()
+        # A prompt that holds this text ends the process that begins to run it, by this call.
+        self.fatal_text = ""
+        self.on_end: t.Callable[[], None] = lambda: None
         self._cache_log: list[int] = []
         self._late: set[asyncio.Task[None]] = set()
 
@@ -68,6 +73,10 @@
             rank=int(body.get("rank", 1)),
             prefill=len(str(body["prompt"])) // 4,
         )
+        if self.fatal_text and self.fatal_text in asked.prompt:
+            self.on_end()
+            # The end of the process cuts this short.
+            await asyncio.sleep(FATAL_MOST_S)
         try:
             stream = self.engine.submit(self.now(), asked)
         except NotRun as error:
--- a/packages/rookspring/src/rookspring/attempts.py
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -12,6 +12,7 @@
 
 from . import clock
 from . import defaults
+from .connections import refuses
 from .endpoints import Chunk
 from .endpoints import Generate
 from .exceptions import CallerGone
@@ -42,6 +43,7 @@
             await _run_service(node, effect, exchange, view.address, traceparent)
     except EndpointError as error:
         span.set_attribute("error", error.reason)
+        await _ask_down(error, view.address)
         _fail(node, effect, error)
     except CallerGone:
         node.leave(exchange)
@@ -49,6 +51,12 @@
         span.end()
 
 
+async def _ask_down(error: EndpointError, address: str) -> None:
+    """Find out whether an endpoint that broke off has ended, before the loss is charged."""
+    if error.broken:
+        error.down = await refuses(address)
+
+
 def _fail(node: NodeContext, effect: Dispatch | Attach, error: EndpointError) -> None:
     node.metrics.attempts.inc({"end": "not_run" if error.said_not_run else "failed"})
     node.submit(
@@ -60,6 +68,9 @@
             error.said_not_run,
             error.reason,
             error.leaving,
+            error.absent,
+            error.down,
+            error.broken,
         )
     )
 
@@ -96,6 +107,7 @@
         chunks = node.endpoints.resume(view.address, exchange.engine_stream, effect.offset)
         await _relay(node, effect, exchange, chunks)
     except EndpointError as error:
+        await _ask_down(error, view.address)
         _fail(node, effect, error)
     except CallerGone:
         node.leave(exchange)
@@ -135,7 +147,7 @@
                 pending += len(fresh)
                 if pending >= defaults.PROGRESS_TOKENS:
                     progress()
-        raise EndpointError("the answer has no end", sent=True)
+        raise EndpointError("the answer has no end", sent=True, broken=True)
     except ValueError as error:
         raise EndpointError(str(error), sent=True) from None
     finally:
--- a/packages/rookspring/src/rookspring/callers.py
+++ b/packages/rookspring/src/rookspring/callers.py
@@ -21,6 +21,7 @@
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import ResumeAsked
 from rookspring_core.events import SessionOpened
+from rookspring_core.fingerprints import make_fingerprint
 
 from . import clock
 from . import defaults
@@ -130,6 +131,7 @@
             once_key=(key[0], key[1]) if key else None,
             body_digest=fields["body_digest"],
             stream=fields["stream"],
+            fingerprint=_fingerprint(team, fields["model"], fields["body_digest"]),
         ),
     )
     return exchange
@@ -169,11 +171,18 @@
             repeatable=fields["repeatable"],
             once_key=(key[0], key[1]) if key else None,
             body_digest=fields["body_digest"],
+            fingerprint=_fingerprint(
+                team, f"{fields['service']}/{fields['path']}", fields["body_digest"]
+            ),
         ),
     )
     return exchange
 
 
+def _fingerprint(team: str, target: str, body_digest: str) -> str:
+    return make_fingerprint(team, "", target.encode(), body_digest.encode())
+
+
 async def _serve(node: NodeContext, request: Request, kind: str, team: str, fields: t.Any) -> None:
     """Serve a request here, or where its session was issued."""
     responder = SanicResponder(request)
--- a/packages/rookspring/src/rookspring/connections.py
+++ b/packages/rookspring/src/rookspring/connections.py
@@ -5,10 +5,14 @@
 write that took effect it would turn a lost answer into a conflict.
 """
 
+import asyncio
+import contextlib
 import typing as t
 
 import aiohttp
 
+from . import defaults
+
 
 class OneConnection(aiohttp.TCPConnector):
     """A connector that connects once, for one request.
@@ -27,3 +31,19 @@
         connection = await super().connect(req, traces, timeout)
         self._used = True
         return connection
+
+
+async def refuses(address: str) -> bool:
+    """Say whether nothing listens at an address, by one connection that is closed at once."""
+    host, _, port = address.rpartition(":")
+    try:
+        async with asyncio.timeout(defaults.CONNECT_S):
+            _, writer = await asyncio.open_connection(host, int(port))
+    except ConnectionRefusedError:
+        return True
+    except (OSError, TimeoutError):
+        return False
+    writer.close()
+    with contextlib.suppress(OSError):
+        await writer.wait_closed()
+    return False
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -266,10 +266,19 @@
             if response.status == 409:
                 _raise_if_not_run(raw)
             return ServiceAnswer(response.status, response.content_type, raw)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        raise EndpointError(type(error).__name__, sent=False) from None
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise EndpointError(type(error).__name__, sent=True) from None
+        raise _turn(error) from None
+
+
+def _turn(error: Exception) -> EndpointError:
+    """Say what a failed call tells of its endpoint."""
+    name = type(error).__name__
+    if isinstance(error, aiohttp.ClientConnectorError):
+        refused = isinstance(error.os_error, ConnectionRefusedError)
+        return EndpointError(name, sent=False, down=refused)
+    if isinstance(error, aiohttp.ConnectionTimeoutError):
+        return EndpointError(name, sent=False)
+    return EndpointError(name, sent=True, broken=not isinstance(error, TimeoutError))
 
 
 def _raise_if_not_run(raw: bytes) -> None:
@@ -306,10 +315,8 @@
                 rest = lines.pop()
                 for line in lines:
                     yield _read_chunk(line)
-    except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-        raise EndpointError(type(error).__name__, sent=False) from None
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
-        raise EndpointError(type(error).__name__, sent=True) from None
+        raise _turn(error) from None
 
 
 def _read_chunk(line: bytes) -> Chunk:
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -7,7 +7,9 @@
 from rookspring_core import cluster
 from rookspring_core.events import BoxListed
 from rookspring_core.events import CacheEventsCame
+from rookspring_core.events import DownHeard
 from rookspring_core.events import EndpointReported
+from rookspring_core.events import EvidenceHeard
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
 from rookspring_core.events import RevisionSeen
@@ -15,7 +17,11 @@
 from . import clock
 from . import defaults
 from . import forwarding
+from .evidence import decode_evidence
+from .evidence import encode_evidence
 from .messages import Boxes
+from .messages import Down
+from .messages import EvidenceTold
 from .messages import Forward
 from .messages import ForwardEnd
 from .messages import ForwardPart
@@ -52,6 +58,7 @@
 async def serve_link(node: NodeContext, link: Link) -> None:
     """Take a node's messages until its stream ends."""
     link.send(make_beat(node))
+    greet_evidence(node, link)
     node.report_log.forget()
     if node.boxes:
         link.send(Boxes([list(row) for row in node.boxes]))
@@ -83,6 +90,7 @@
         team_demand=[list(row) for row in state.limits.demand()],
         lease_epoch=state.control.acting_epoch,
         inflight=[list(row) for row in cluster.inflight_rows(state)],
+        evidence=state.suspects.digest(),
     )
 
 
@@ -110,6 +118,8 @@
             inflight=_read_inflight(beat),
         )
     )
+    if beat.evidence != node.state.suspects.digest():
+        greet_evidence(node, link)
     revision = node.state.catalogue.revision
     now = clock.now()
     if beat.revision > max(revision, node.wanted[0]) or (
@@ -125,6 +135,27 @@
     return tuple((str(one[0]), int(one[1])) for one in beat.inflight)
 
 
+def greet_evidence(node: NodeContext, link: Link) -> None:
+    """Tell a node all that is known of requests under which endpoints ended."""
+    now = clock.now()
+    evidence = node.state.suspects.whole(now)
+    if not evidence.empty():
+        link.send(encode_evidence(evidence, now))
+
+
+@receives(EvidenceTold)
+def take_evidence(node: NodeContext, link: Link, told: EvidenceTold) -> None:
+    """Take what another node knows of requests under which endpoints ended."""
+    now = clock.now()
+    node.submit(EvidenceHeard(now, decode_evidence(told, now), link.name))
+
+
+@receives(Down)
+def take_down(node: NodeContext, link: Link, down: Down) -> None:
+    """Take another node's word that nothing listens at an endpoint."""
+    node.submit(DownHeard(clock.now(), down.endpoint))
+
+
 @receives(WantRevision)
 def give_revision(node: NodeContext, link: Link, wanted: WantRevision) -> None:
     """Send what changed since the other node's revision."""
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -17,7 +17,10 @@
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import Replay
 from rookspring_core.effects import SendOrder
+from rookspring_core.effects import ShareDown
+from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import Stop
+from rookspring_core.effects import VerdictFound
 from rookspring_core.effects import WriteIntent
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import IntentWritten
@@ -30,10 +33,13 @@
 from . import clock
 from . import defaults
 from . import following
+from .evidence import encode_evidence
+from .evidence import tell_verdict
 from .exceptions import PlatformConflict
 from .exchanges import ChatExchange
 from .exchanges import error_body
 from .logs import log
+from .messages import Down
 from .node_context import NodeContext
 
 Performer = t.Callable[[NodeContext, t.Any], None]
@@ -104,6 +110,28 @@
     node.spawn(node.answering(exchange, send()))
 
 
+@performs(ShareDown)
+def share_down(node: NodeContext, effect: ShareDown) -> None:
+    """Tell the linked nodes that nothing listens at an endpoint."""
+    for link in list(node.peers.links.values()):
+        link.send(Down(effect.endpoint))
+
+
+@performs(ShareEvidence)
+def share_evidence(node: NodeContext, effect: ShareEvidence) -> None:
+    """Tell the linked nodes of requests under which endpoints ended; what is news goes on there."""
+    told = encode_evidence(effect.evidence, clock.now())
+    for name, link in list(node.peers.links.items()):
+        if name != effect.source:
+            link.send(told)
+
+
+@performs(VerdictFound)
+def perform_verdict(node: NodeContext, effect: VerdictFound) -> None:
+    """Log and count a verdict."""
+    tell_verdict(node.metrics, effect)
+
+
 @performs(Replay)
 def replay(node: NodeContext, effect: Replay) -> None:
     """Give a remembered answer again."""
--- a/packages/rookspring/src/rookspring/relay_suspects.py
+++ b/packages/rookspring/src/rookspring/relay_suspects.py
@@ -10,16 +10,14 @@
 from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import VerdictFound
 from rookspring_core.events import EvidenceHeard
-from rookspring_core.suspects import Cleared
 from rookspring_core.suspects import Evidence
-from rookspring_core.suspects import Life
-from rookspring_core.suspects import Sighting
-from rookspring_core.suspects import Trial
 from rookspring_core.suspects import Verdict
 
 from . import clock
 from . import defaults
-from .logs import log
+from .evidence import decode_evidence
+from .evidence import encode_evidence
+from .evidence import tell_verdict
 from .messages import EvidenceTold
 from .peers import Link
 from .relay_context import RelayContext
@@ -31,42 +29,6 @@
     from rookspring_core.state import NodeState
 
 
-def encode_evidence(evidence: Evidence, now: float) -> EvidenceTold:
-    """Write evidence with ages in place of this node's times."""
-    return EvidenceTold(
-        [
-            [
-                one.fingerprint,
-                one.organisation,
-                one.life.endpoint,
-                one.life.born,
-                now - one.at,
-                one.young,
-            ]
-            for one in evidence.sightings
-        ],
-        [[one.fingerprint, now - one.at] for one in evidence.cleared],
-        [[one.fingerprint, one.organisation, one.until - now] for one in evidence.verdicts],
-        [[one.fingerprint, one.until - now] for one in evidence.trials],
-    )
-
-
-def decode_evidence(told: EvidenceTold, now: float) -> Evidence:
-    """Read evidence into times of this node's clock."""
-    return Evidence(
-        tuple(_read_sighting(row, now) for row in told.sightings),
-        tuple(Cleared(str(row[0]), now - float(row[1])) for row in told.cleared),
-        tuple(Verdict(str(row[0]), str(row[1]), now + float(row[2])) for row in told.verdicts),
-        tuple(Trial(str(row[0]), now + float(row[1])) for row in told.trials),
-    )
-
-
-def _read_sighting(row: list[t.Any], now: float) -> Sighting:
-    fingerprint, organisation, endpoint, born, age_s, young = row
-    life = Life(str(endpoint), int(born))
-    return Sighting(str(fingerprint), str(organisation), life, now - float(age_s), bool(young))
-
-
 def share_evidence(peers: RelayPeers, evidence: Evidence, source: str) -> None:
     """Tell all nodes, but the one that told it."""
     peers.spread(encode_evidence(evidence, clock.now()), source)
@@ -109,18 +71,9 @@
 
 
 @relay_performs(VerdictFound)
-def tell_verdict(context: RelayContext, effect: VerdictFound) -> None:
+def perform_verdict(context: RelayContext, effect: VerdictFound) -> None:
     """Log and count a verdict."""
-    context.metrics.verdicts.inc({})
-    log(
-        "verdict",
-        "WARNING",
-        what="found to end endpoints",
-        fingerprint=effect.fingerprint,
-        organisation=effect.organisation,
-        endpoints=",".join(effect.endpoints),
-        left_s=effect.left_s,
-    )
+    tell_verdict(context.metrics, effect)
 
 
 def write_verdicts(state: "NodeState", now: float) -> list[t.Any]:
--- a/packages/rookspring/src/rookspring/stage.py
+++ b/packages/rookspring/src/rookspring/stage.py
@@ -56,12 +56,14 @@
         self.platform = Platform()
         self.store = WeightStore(self.size.loads_at_once, gb_per_s=20.0)
         self.engines: dict[str, Engine] = {}
+        self.runners: dict[str, Runner] = {}
         self.services: dict[str, PlainService] = {}
         self.ledger = Ledger()
         self.served: dict[str, Served] = {}
         self.nodes: dict[str, Node] = {}
         self.broken: list[str] = []
         self.ends: list[asyncio.Task[None]] = []
+        self.ended_runners: list[str] = []
         self.platform_address = ""
 
     def say(self, text: str) -> None:
@@ -81,18 +83,7 @@
         self.served["platform"] = platform
         self.platform_address = platform.address
         for number in range(self.size.runners):
-            engine = Engine(
-                f"{self.size.engine}-r{number}",
-                self.store,
-                token_rate=self.plan.token_rate,
-                stream_rate=self.plan.stream_rate,
-                slots=self.plan.slots,
-                checks_orders=number % 3 != 2,
-                seed=number,
-            )
-            self.engines[engine.name] = engine
-            served = await serve(Runner(engine, self.plan.step_s).app())
-            self._list_box(engine.name, served, places[number % 3], "runner", self.size.engine)
+            await self.raise_runner(number)
         for number in range(self.size.service_endpoints):
             service = PlainService(f"{self.size.service}-{number}", self.ledger, seed=number)
             self.services[service.name] = service
@@ -100,6 +91,35 @@
             place = places[number % 3]
             self._list_box(service.name, served, place, "service", self.size.service)
 
+    async def raise_runner(self, number: int, fatal_text: str = "") -> None:
+        """Start a runner.
+
+        :param fatal_text: a prompt that holds it ends the runner that begins to run it.
+        """
+        engine = Engine(
+            f"{self.size.engine}-r{number}",
+            self.store,
+            token_rate=self.plan.token_rate,
+            stream_rate=self.plan.stream_rate,
+            slots=self.plan.slots,
+            checks_orders=number % 3 != 2,
+            seed=number,
+        )
+        self.engines[engine.name] = engine
+        runner = self.runners[engine.name] = Runner(engine, self.plan.step_s)
+        served = await serve(runner.app())
+        runner.fatal_text = fatal_text
+        runner.on_end = lambda: self._end_runner(engine.name, served)
+        place = self.size.data_centres[number % 3]
+        self._list_box(engine.name, served, place, "runner", self.size.engine)
+
+    def _end_runner(self, name: str, served: Served) -> None:
+        """End a runner as a crash does; its box stays listed."""
+        self.ended_runners.append(name)
+        self.engines.pop(name, None)
+        self.served.pop(name, None)
+        self.ends.append(asyncio.create_task(served.close()))
+
     def _list_box(self, name: str, served: Served, place: str, role: str, service: str) -> None:
         self.served[name] = served
         self.platform.store.boxes[name] = {
