--- a/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
@@ -7,12 +7,14 @@
 from rookspring_core.effects import Dispatch
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import Replay
+from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import Stop
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 from rookspring_core.events import EndpointReported
+from rookspring_core.events import EvidenceHeard
 
 from .carrying import performs
 from .engine import Engine
@@ -36,7 +38,9 @@
         return
     dead = effect.endpoint in world.dead_engines
     if dead or not world.reachable(node.name, effect.endpoint):
-        failed = AttemptFailed(0.0, effect.request_id, effect.attempt, False, False, "refused")
+        failed = AttemptFailed(
+            0.0, effect.request_id, effect.attempt, False, False, "refused", down=dead
+        )
         world.clock.call(world.latency_s, node.submit, failed)
         return
     world.attempts += 1
@@ -156,7 +160,17 @@
     made = engine.produced(engine.streams[stream])
     if made > offset:
         node.submit(AttemptProgressed(0.0, request_id, attempt, made - offset))
-    node.submit(AttemptFailed(0.0, request_id, attempt, True, False, "reset"))
+    node.submit(
+        AttemptFailed(0.0, request_id, attempt, True, False, "reset", down=True, broken=True)
+    )
+
+
+@performs(ShareEvidence)
+def _share_evidence(world: "World", node: "VirtualNode", effect: ShareEvidence) -> None:
+    for other in world.nodes.values():
+        if other is not node and other.alive and world.reachable(node.name, other.name):
+            heard = EvidenceHeard(0.0, effect.evidence, node.name)
+            world.clock.call(world.latency_s, other.submit, heard)
 
 
 def _run_service(world: "World", node: "VirtualNode", effect: Dispatch, arrived: t.Any) -> None:
--- a/packages/rookspring-fakes/src/rookspring_fakes/world.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/world.py
@@ -343,6 +343,7 @@
             deadline_at=now + deadline_s,
             tokens=tokens,
             prefix=prefix,
+            fingerprint=f"{target}/{asked.call or request_id}",
             **fields,
         )
         if not node.alive:
