Decode what an answer's head says of its endpoint, and log it

No line told whether a node had heard that an endpoint leaves or wants rest, so the hypotheses could not be told apart. One typed value, decoded once in the adapter, is logged for each head that says something, of requests, orders and reports alike, also where the answer is to another request. Nothing is decided by it yet. Connection: close was decoded as leaving and read by nobody; it is no longer.

--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -221,3 +221,23 @@
     And the last answers are 503 with no time to come back
     And a request with another body is answered
     And the log names the verdict and the endpoints, and the count of verdicts is 1
+
+  Scenario Outline: the log tells what an answer says of its endpoint
+    Given a relay node with one endpoint that does: <script>
+    When the endpoint's answers say <line>
+    And a caller sends a <kind> request
+    Then the log tells of the endpoint: <told>
+
+    Examples:
+      | kind   | script        | line                    | told                          |
+      | unsafe | answer        | Server-Leaving: 1       | status=200 leaving=True       |
+      | unsafe | fail          | Server-Leaving: 1       | status=500 leaving=True       |
+      | unsafe | refuse        | Server-Leaving: 1       | status=503 leaving=True       |
+      | stream | break after 3 | Server-Leaving: 1       | status=200 leaving=True       |
+      | stream | stream        | Server-Leaving: 1       | status=200 leaving=True       |
+      | unsafe | foreign first | Server-Leaving: 1       | status=200 leaving=True       |
+      | unsafe | unframed      | Server-Leaving: 1       | status=200 leaving=True       |
+      | unsafe | refuse        | Retry-After: 3          | status=503 rest_s=3           |
+      | unsafe | refuse        | Retry-After: soon       | malformed="retry-after: soon" |
+      | unsafe | answer        | Connection: close       | nothing                       |
+      | unsafe | answer        | Retry-After: 3          | nothing                       |
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -61,6 +61,13 @@
         # The body of a request that ends the process which begins to run it, and whether one did.
         self.fatal_body: bytes | None = None
         self.ended = False
+        # Lines that the heads of its answers have besides: of all answers, and of refusals.
+        self.says: list[str] = []
+        self.says_refusing: list[str] = []
+
+    def told(self, status: int) -> list[str]:
+        """Give the lines that it adds to the head of an answer."""
+        return [*self.says, *(self.says_refusing if status in (429, 503) else ())]
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -119,7 +126,7 @@
 
     async def _answer(self, asked: Asked, writer: asyncio.StreamWriter) -> bool:
         if asked.line.startswith("GET /report"):
-            _send(writer, 200, orjson.dumps(self._report()), {})
+            _send(self, writer, 200, orjson.dumps(self._report()), {})
             return True
         if asked.line.startswith("POST /order"):
             return self._order(asked, writer)
@@ -162,7 +169,7 @@
         if how == "take and lose":
             writer.transport.abort()
             return False
-        _send(writer, status, b"", {})
+        _send(self, writer, status, b"", {})
         return True
 
     def _judge(self, order: dict[str, t.Any]) -> int:
@@ -198,9 +205,17 @@
     return Asked(lines[0], headers, body, rows)
 
 
-def _send(writer: asyncio.StreamWriter, status: int, body: bytes, headers: dict[str, str]) -> None:
+def _send(
+    server: ModelServer,
+    writer: asyncio.StreamWriter,
+    status: int,
+    body: bytes,
+    headers: dict[str, str],
+) -> None:
     rows = {"Content-Length": str(len(body)), "Keep-Alive": "timeout=20", **headers}
-    head = f"HTTP/1.1 {status} X\r\n" + "".join(f"{k}: {v}\r\n" for k, v in rows.items() if v)
+    lines = [f"{key}: {value}" for key, value in rows.items() if value]
+    lines += server.told(status)
+    head = "".join(f"{line}\r\n" for line in (f"HTTP/1.1 {status} X", *lines))
     writer.write(head.encode() + b"\r\n" + body)
 
 
@@ -216,24 +231,24 @@
 
 @step("answer")
 async def _answer(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
-    _send(writer, 200, _body(asked), _stamped(server, asked))
+    _send(server, writer, 200, _body(asked), _stamped(server, asked))
 
 
 @step("fail")
 async def _fail(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
-    _send(writer, 500, b"failed", _stamped(server, asked))
+    _send(server, writer, 500, b"failed", _stamped(server, asked))
 
 
 @step("refuse")
 async def _refuse(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
     headers = {"X-Rookspring-Request-Id": asked.request_id, "X-Rookspring-Not-Executed": "1"}
-    _send(writer, 503, b"", headers)
+    _send(server, writer, 503, b"", headers)
 
 
 @step("refuse quietly")
 async def _refuse_quietly(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
     """A 503 without the header promises nothing."""
-    _send(writer, 503, b"", _stamped(server, asked))
+    _send(server, writer, 503, b"", _stamped(server, asked))
 
 
 @step("absent")
@@ -242,7 +257,7 @@
         "X-Rookspring-Request-Id": asked.request_id,
         "X-Rookspring-Instance-Id": server.name,
     }
-    _send(writer, 421, b"", headers)
+    _send(server, writer, 421, b"", headers)
 
 
 @step("elsewhere")
@@ -251,20 +266,20 @@
         "X-Rookspring-Request-Id": asked.request_id,
         "X-Rookspring-Instance-Id": "another",
     }
-    _send(writer, 421, b"", headers)
+    _send(server, writer, 421, b"", headers)
 
 
 @step("surplus")
 async def _surplus(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
     """A whole answer, and a second one nobody asked for."""
     await _answer(server, asked, writer)
-    _send(writer, 200, b"of nobody", {"X-Rookspring-Request-Id": "nobody"})
+    _send(server, writer, 200, b"of nobody", {"X-Rookspring-Request-Id": "nobody"})
 
 
 @step("foreign first")
 async def _foreign(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
     """A late answer to another request comes in this one's place."""
-    _send(writer, 200, b"of another", {"X-Rookspring-Request-Id": "another"})
+    _send(server, writer, 200, b"of another", {"X-Rookspring-Request-Id": "another"})
     await _answer(server, asked, writer)
 
 
@@ -284,7 +299,7 @@
 async def _half(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
     headers = _stamped(server, asked)
     headers["Content-Length"] = "100"
-    _send(writer, 200, b"only half", headers)
+    _send(server, writer, 200, b"only half", headers)
     await writer.drain()
     writer.close()
 
@@ -312,7 +327,8 @@
 
 
 def _unframed_head(server: ModelServer, asked: Asked, writer: asyncio.StreamWriter) -> None:
-    rows = "".join(f"{key}: {value}\r\n" for key, value in _stamped(server, asked).items())
+    lines = [f"{key}: {value}" for key, value in _stamped(server, asked).items()]
+    rows = "".join(f"{line}\r\n" for line in (*lines, *server.told(200)))
     writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode() + _body(asked))
 
 
@@ -353,7 +369,7 @@
         "Transfer-Encoding": "chunked",
         "Content-Type": "text/event-stream",
     }
-    _send(writer, 200, b"", headers)
+    _send(server, writer, 200, b"", headers)
     first = int(asked.headers.get("last-event-id") or 0) + 1
     for number in range(first, last + 1):
         data = f"id: {number}\ndata: token{number}\n\n".encode()
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -9,6 +9,7 @@
 
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
+from rookspring_core.notices import Notice
 from rookspring_core.routes import RouteTable
 
 from .http_messages import Header
@@ -66,14 +67,12 @@
     :param not_run: the endpoint says that it did not run the request.
     :param elsewhere: another incarnation answers at this address.
     :param absent: the endpoint does not hold the model or the adapter.
-    :param leaving: the endpoint closes its connections.
     """
 
     mine: bool
     not_run: bool = False
     elsewhere: bool = False
     absent: bool = False
-    leaving: bool = False
 
 
 class OrderReply(t.NamedTuple):
@@ -122,6 +121,10 @@
     def judge(self, head: HttpHead, request_id: str, incarnation: str) -> Verdict:
         """Read an endpoint's answer head."""
 
+    @abc.abstractmethod
+    def read_notice(self, head: HttpHead) -> Notice:
+        """Read what an endpoint's answer head says of the endpoint itself."""
+
     @abc.abstractmethod
     def refusal_headers(self, request_id: str, retry_after_s: float) -> list[Header]:
         """Give the headers of an answer of our own."""
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -23,6 +23,7 @@
 from .http_messages import HttpHead
 
 Accept = t.Callable[[HttpHead], bool]
+Hear = t.Callable[[HttpHead], None]
 
 
 class Reply:
@@ -89,6 +90,7 @@
         self._parser: t.Any = None
         self._reply: Reply | None = None
         self._accept: Accept | None = None
+        self._hear: Hear | None = None
         self._status_headers: list[Header] = []
         self._skipping = False
         self._skipped = 0
@@ -126,14 +128,16 @@
         self.reusable = False
         return False
 
-    def ask(self, data: bytes, accept: Accept, no_body: bool = False) -> Reply:
+    def ask(self, data: bytes, accept: Accept, hear: Hear, no_body: bool = False) -> Reply:
         """Send a request, given as its bytes, and give its reply.
 
         :param accept: says whether an answer's head is of this request.
+        :param hear: is given each answer's head, also of another request, before all else.
         :param no_body: the answer has none whatever its headers say (``HEAD``).
         """
         self._reply = Reply()
         self._accept = accept
+        self._hear = hear
         self._no_body = no_body
         self._skipped = 0
         self._new_parser()
@@ -183,7 +187,8 @@
         if status < 200 or self._reply is None:
             return
         head = HttpHead(status, tuple(self._status_headers))
-        assert self._accept is not None
+        assert self._accept is not None and self._hear is not None
+        self._hear(head)
         if not self._accept(head):
             # An answer that belongs to another request came in this one's place.
             self._skipping = True
@@ -369,10 +374,11 @@
 
 
 async def call(
-    pool: ConnectionPool, address: str, data: bytes, timeout_s: float
+    pool: ConnectionPool, address: str, data: bytes, hear: Hear, timeout_s: float
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and give the whole answer.
 
+    :param hear: is given the answer's head.
     :param timeout_s: for connecting and answering together.
     :raises EndpointError: when no whole answer came in time.
     """
@@ -380,7 +386,7 @@
     try:
         async with asyncio.timeout(timeout_s):
             connection = await pool.take(address, sure=True)
-            reply = connection.ask(data, lambda head: True)
+            reply = connection.ask(data, lambda head: True, hear)
             head = await reply.wait_head()
             return head, await reply.read_rest(defaults.ANSWER_BYTES_MAX)
     except TimeoutError:
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -58,6 +58,13 @@
         """
         return find_header(self.headers, name)
 
+    def values(self, name: bytes) -> list[bytes]:
+        """Give all values of a header, in their order.
+
+        :param name: in lower case.
+        """
+        return [value.strip() for key, value in self.headers if key.lower() == name]
+
 
 def find_header(headers: t.Iterable[Header], name: bytes) -> bytes:
     """Give the first value of a header, or nothing."""
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -38,6 +38,7 @@
     "proof_late": "a word on how new the configuration is was too long on its way",
     "allotment_denied": "an organisation's owner found a request beyond its allotment",
     "attempt_began": "a request leaves for an endpoint, chosen by these inputs",
+    "endpoint_said": "the head of an answer tells something of its endpoint, not of the request",
     "attempt_failed": "an attempt ended without an answer that could be passed on",
     "request_ended": "a relayed request is over, with its outcome",
     "table_applied": "a newer route table is in force here",
@@ -63,6 +64,7 @@
 LINES_PER_S = 400.0
 BOUNDED = (
     "event=attempt_",
+    "event=endpoint_said",
     "event=request_",
     "event=route_missing",
     "event=key_refused",
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -30,6 +30,7 @@
 from .relay import end
 from .relay_context import RelayContext
 from .relay_context import relay_performs
+from .relay_notices import hear_at
 
 
 @relay_performs(Dispatch)
@@ -136,7 +137,8 @@
         return verdict.mine
 
     try:
-        reply = connection.ask(data, accept, exchange.request.method == b"HEAD")
+        hear = hear_at(context, view.name, exchange.ask.request_id)
+        reply = connection.ask(data, accept, hear, exchange.request.method == b"HEAD")
         head = await reply.wait_head()
         await _take_answer(context, effect, exchange, reply, head, verdicts[-1])
     finally:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -31,6 +31,7 @@
 from .logs import log
 from .relay_context import RelayContext
 from .relay_context import relay_performs
+from .relay_notices import hear_at
 
 
 @relay_performs(SendOrder)
@@ -56,7 +57,11 @@
     data = context.dialect.order_request(effect.address, asked)
     try:
         head, _ = await http_client.call(
-            context.pool, effect.address, data, defaults.RELAY_ORDER_CALL_S
+            context.pool,
+            effect.address,
+            data,
+            hear_at(context, effect.endpoint, "order"),
+            defaults.RELAY_ORDER_CALL_S,
         )
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
@@ -92,7 +97,10 @@
         return
     data = context.dialect.report_request(view.address)
     try:
-        _, raw = await http_client.call(context.pool, view.address, data, defaults.REPORT_CALL_S)
+        hear = hear_at(context, effect.endpoint, "report")
+        _, raw = await http_client.call(
+            context.pool, view.address, data, hear, defaults.REPORT_CALL_S
+        )
     except EndpointError as error:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason=error.reason)
         return
