--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -114,7 +114,9 @@
         writer.close()
         return answers
 
+    started = time.monotonic()
     context.answers = context.loop.run(work())
+    context.took_s = time.monotonic() - started
 
 
 @then("each answer is its own")
