--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -36,6 +36,7 @@
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import ComingHeard
+from rookspring_core.events import EndpointSaid
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import ModelWanted
@@ -46,6 +47,7 @@
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.events import RouteTerms
 from rookspring_core.events import Ticked
+from rookspring_core.notices import Notice
 from rookspring_core.routes import EngineSize
 from rookspring_core.routes import ModelSize
 from rookspring_core.routes import RouteTable
@@ -332,6 +334,14 @@
         """Note what became of a try."""
         self.tries.setdefault(caller.name, []).append(Try(self.now, served))
 
+    def _turn_away(self, node: Node, effect: Dispatch, name: str, held: bool) -> None:
+        if not held:
+            model, slash, _ = name.partition("/")
+            lacks = Notice(misdirected=True)
+            adapter = name if slash else ""
+            node.submit(EndpointSaid(self.now, effect.endpoint, 0, lacks, "", model, adapter))
+        node.submit(AttemptFailed(self.now, effect.request_id, effect.attempt, True, True, "421"))
+
     def start_run(self, node: Node, effect: Dispatch) -> None:
         """Have a runner begin a request, if it holds what that needs."""
         runner = self.runners[effect.endpoint]
@@ -343,8 +353,7 @@
         name = (runner.order.model_version or runner.order.model) if runner.order else ""
         node.submit(AttemptStarted(self.now, *key))
         if not runner.alive or not held or (going and name in (caller.name, model)):
-            failed = AttemptFailed(self.now, *key, True, True, "421", absent=not held)
-            self.after(WAY_S, lambda: node.submit(failed._replace(at=self.now)))
+            self.after(WAY_S, lambda: self._turn_away(node, effect, caller.name, held))
             return
         runner.runs[effect.request_id] = caller.name
 
--- a/features/platform.feature
+++ b/features/platform.feature
@@ -69,10 +69,41 @@
       | 500    | id r1                          | mine                     |
       | 504    | id r1                          | mine                     |
       | 429    | id r1, not-executed            | mine, not run            |
-      | 421    | id r1                          | mine, not run, absent    |
-      | 421    | id r1, instance i1             | mine, not run, absent    |
-      | 421    | id r1, instance i2             | mine, not run, elsewhere |
-      | 200    | id r1, closing                 | mine, leaving            |
+      | 421    | id r1                          | mine, not run            |
+      | 421    | id r1, instance i2             | mine, not run            |
+      | 200    | id r1, closing                 | mine                     |
+
+  Scenario Outline: what an answer's head says of its endpoint
+    Given the head of a <status> with <lines>
+    Then it says of its endpoint: <said>
+
+    Examples:
+      | status | lines                                                                                  | said                                   |
+      | 200    | Server-Leaving: 1                                                                      | leaving                                |
+      | 500    | server-leaving: 1                                                                      | leaving                                |
+      | 503    | Server-Leaving: 1; Retry-After: 2                                                      | leaving, turned away, rest 2 s         |
+      | 200    | Server-Leaving: 0                                                                      | malformed server-leaving: 0            |
+      | 200    | Server-Leaving: 0; Server-Leaving: 1                                                   | leaving, malformed server-leaving: 0   |
+      | 200    | Connection: close                                                                      | nothing                                |
+      | 200    | X-Rookspring-Instance-Id: i1                                                           | nothing                                |
+      | 421    | X-Rookspring-Instance-Id: i2                                                           | life i2, misdirected                   |
+      | 503    | Connection: close                                                                      | turned away                            |
+      | 503    | Retry-After: 3                                                                         | turned away, rest 3 s                  |
+      | 429    | Retry-After: 3                                                                         | turned away, rest 3 s                  |
+      | 200    | Retry-After: 3                                                                         | nothing                                |
+      | 500    | Retry-After: 3                                                                         | nothing                                |
+      | 503    | Retry-After: 0                                                                         | turned away, rest 0 s                  |
+      | 503    | Retry-After: 0.25                                                                      | turned away, rest 0.25 s               |
+      | 503    | Retry-After: -1                                                                        | turned away, malformed retry-after: -1 |
+      | 503    | Retry-After: nan                                                                       | turned away, malformed retry-after: nan |
+      | 503    | Retry-After: inf                                                                       | turned away, malformed retry-after: inf |
+      | 503    | Retry-After: soon                                                                      | turned away, malformed retry-after: soon |
+      | 503    | Retry-After: 99999999                                                                  | turned away, rest 1e+08 s              |
+      | 503    | Retry-After: 3; Retry-After: 5                                                         | turned away, rest 5 s                  |
+      | 503    | Retry-After: 3; Retry-After: soon                                                      | turned away, rest 3 s, malformed retry-after: soon |
+      | 503    | Date: Thu, 03 Dec 2026 05:00:00 GMT; Retry-After: Thu, 03 Dec 2026 05:00:04 GMT        | turned away, rest 4 s                  |
+      | 503    | Date: Thu, 03 Dec 2026 05:00:00 GMT; Retry-After: Thu, 03 Dec 2026 04:59:00 GMT        | turned away, rest 0 s                  |
+      | 503    | Retry-After: Thu, 03 Dec 2026 05:00:04 GMT                                             | turned away, malformed retry-after: Thu, 03 Dec 2026 05:00:04 GMT |
 
   Scenario Outline: a caller cannot set what only this system may ask of an endpoint
     Given a caller's request that carries <header> twice, in two letter cases
--- a/features/steps/decision_steps.py
+++ b/features/steps/decision_steps.py
@@ -19,11 +19,13 @@
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
 from rookspring_core.events import CallerLeft
+from rookspring_core.events import EndpointSaid
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PlatformAnswered
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import SessionOpened
 from rookspring_core.limits import LimitTable
+from rookspring_core.notices import Notice
 from rookspring_core.once import OnceTable
 from rookspring_core.resources import ModelSpec
 from rookspring_core.resources import ServiceSpec
@@ -83,9 +85,9 @@
 
     def fail(self, sent=True, not_run=False, leaving=False):
         last = self.sent[-1]
-        self.submit(
-            AttemptFailed(self.now, last.request_id, last.attempt, sent, not_run, "x", leaving)
-        )
+        if leaving:
+            self.submit(EndpointSaid(self.now, last.endpoint, 0, Notice(leaving=True)))
+        self.submit(AttemptFailed(self.now, last.request_id, last.attempt, sent, not_run, "x"))
 
     def ask(self, **fields):
         self.count += 1
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -273,17 +273,35 @@
 
 @when("it is judged for request r1 of endpoint i1")
 def judged(context):
-    context.verdict = PlatformDialect().judge(context.head, "r1", "i1")
+    context.verdict = PlatformDialect().judge(context.head, "r1")
 
 
 @then("the verdict is {verdict}")
 def verdict_is(context, verdict):
     got = context.verdict
-    names = ("mine", "not_run", "absent", "elsewhere", "leaving")
+    names = ("mine", "not_run")
     found = [name.replace("_", " ") for name in names if getattr(got, name)]
     assert (", ".join(found) or "foreign") == verdict, got
 
 
+@given("the head of a {status:d} with {lines}")
+def an_answer_with_lines(context, status, lines):
+    rows = (line.partition(": ") for line in lines.split("; "))
+    headers = tuple((name.encode(), value.encode()) for name, _, value in rows)
+    context.head = HttpHead(status, headers)
+
+
+@then("it says of its endpoint: {said}")
+def head_says(context, said):
+    got = PlatformDialect().read_notice(context.head)
+    flags = {"leaving": got.leaving, "misdirected": got.misdirected, "turned away": got.turned_away}
+    found = [f"life {got.life}"] if got.life and not got.says_nothing() else []
+    found += [name for name, true in flags.items() if true]
+    found += [] if got.rest_s is None else [f"rest {got.rest_s:g} s"]
+    found += [f"malformed {got.malformed}"] if got.malformed else []
+    assert (", ".join(found) or "nothing") == said, got
+
+
 SET_BY_CALLER = b"set-by-the-caller"
 
 
--- a/packages/rookspring-core/src/rookspring_core/__init__.py
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -3,6 +3,7 @@
 from . import admitting as admitting
 from . import cluster as cluster
 from . import governing as governing
+from . import noticing as noticing
 from . import ordering as ordering
 from . import requests as requests
 from .catalogue import Catalogue as Catalogue
--- a/packages/rookspring-core/src/rookspring_core/admission.py
+++ b/packages/rookspring-core/src/rookspring_core/admission.py
@@ -83,6 +83,10 @@
         """Count the tokens that wait before a request with this order."""
         return sum(one.tokens for one in self._live.values() if one.order <= order)
 
+    def waiting(self) -> list[Queued]:
+        """List all requests that wait."""
+        return list(self._live.values())
+
     def hopeless(self, now: float, token_s: float) -> list[Queued]:
         """List requests that cannot meet their deadline even if served now.
 
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -6,7 +6,6 @@
 from . import defaults
 from . import requests
 from . import routed
-from . import slotting
 from . import suspecting
 from . import wants
 from .effects import Effect
@@ -75,9 +74,7 @@
     pool = state.pools.setdefault(requests.pool_of(state, event), admission.Pace())
     queue = state.queues.setdefault(queue_key(event), admission.AdmissionQueue(pool))
     if event.route is not None:
-        asked = slotting.ask(state, request)
-        queue.push(routed.place(state, event, event.at, bool(asked)))
-        return asked
+        return requests.wait_routed(state, request, queue)
     order = admission.order_of(event.deadline_at, event.priority)
     rank = defaults.PRIORITY_RANK[event.priority]
     queued = admission.Queued(
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -4,6 +4,7 @@
 from . import defaults
 from . import governing
 from . import lives
+from . import noticing
 from . import ordering
 from . import requests
 from . import residency
@@ -49,6 +50,7 @@
     state.peers_work.settle()
     state.limits.tick(passed)
     state.suspects.tick(event.at)
+    state.notices.tick(event.at, state.endpoints)
     state.once.tick(event.at)
     effects = requests.sweep(state, passed) + allotting.expire(state)
     if state.relaying:
@@ -86,6 +88,8 @@
     if view.report is not None and view.report.incarnation != event.incarnation:
         ended = suspecting.note_ended(state, view)
         view.leaving = False
+        view.rest_until = -1e9
+        state.notices.begin(view.name, event.born, event.sure)
         view.prefixes.clear()
     before = view.targets()
     if state.relaying:
@@ -99,7 +103,8 @@
             state.index(view, before, frozenset())
             before = frozenset()
         residency.note_report(state, event)
-        view.leaving = view.leaving or event.leaving
+        if event.leaving:
+            noticing.note_listed(state, event.endpoint, event.born)
         if event.order_token[1] >= 0 and _overtaken(view, event):
             return ended
         event = residency.refine(state, view, event)
@@ -107,6 +112,7 @@
     view.down = view.down and not event.own
     if not view.take_report(event):
         return ended
+    noticing.recall(state, view)
     state.index(view, before, view.targets())
     state.adapter_waits.end(event.adapters, state.now)
     # Where the list follows the endpoints' own entries, it alone brings one back.
@@ -187,14 +193,22 @@
         if view is not None:
             state.index(view, view.targets(), frozenset())
         view = EndpointView(
-            row.name, row.address, row.data_centre, row.role, row.service, state.peers_work
+            row.name,
+            row.address,
+            row.data_centre,
+            row.role,
+            row.service,
+            state.peers_work,
+            row.born,
         )
         state.endpoints[row.name] = view
+        # It may have lapsed and come back with what its entry said before.
+        noticing.recall(state, view)
         state.index(view, frozenset(), view.targets())
     elif state.relaying:
         view.gone = False
     if row.state == "leaving":
-        view.leaving = True
+        noticing.note_listed(state, row.name, row.born)
 
 
 @handles(PeerHeard)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -116,6 +116,8 @@
 # (an adapter, another node), and between these where there was no room, as a burst
 # takes two to four seconds.
 COME_BACK_S = 0.4
+# When one whose endpoint failed may come back.
+FAILED_BACK_S = 0.5
 COME_BACK_ROOM_S = (1.0, 3.0)
 # Where the model is yet to be loaded they are told when it can be there, at most the
 # one, and spread over the other.
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -7,6 +7,7 @@
 
 from .catalogue import Entry
 from .events import EndpointReported
+from .notices import Leaving
 from .suspects import Evidence
 
 IntentRow = tuple[str, str, str, float]
@@ -214,6 +215,16 @@
     endpoint: str
 
 
+class ShareLeaving(t.NamedTuple):
+    """Tell the other nodes of endpoints that leave.
+
+    :param source: the node that told it; empty where this one heard it itself.
+    """
+
+    rows: tuple[Leaving, ...]
+    source: str = ""
+
+
 class ShareEvidence(t.NamedTuple):
     """Tell every other node of requests under which endpoints ended.
 
@@ -322,6 +333,7 @@
     | ShareComing
     | ShareDown
     | ShareEvidence
+    | ShareLeaving
     | VerdictFound
     | ShareReport
     | AskAllotment
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -88,6 +88,7 @@
     __slots__ = (
         "address",
         "began_at",
+        "born",
         "coming",
         "data_centre",
         "doubted_born",
@@ -109,6 +110,7 @@
         "report",
         "reported_at",
         "resident",
+        "rest_until",
         "role",
         "service",
     )
@@ -121,16 +123,21 @@
         role: str = "runner",
         service: str = "",
         peers: PeersWork | None = None,
+        born: int = 0,
     ) -> None:
         self.name = name
         self.address = address
         self.data_centre = data_centre
         self.role = role
         self.service = service
+        # Its start as the list tells it, until a report does.
+        self.born = born
         self.report: EndpointReported | None = None
         self.reported_at = -1e9
         self.leaving = False
         self.gone = False
+        # Until when it wants nothing from this node; see :mod:`notices`.
+        self.rest_until = -1e9
         # Whether nothing listened there when it was last tried.
         self.down = False
         # The model that is being loaded there, and when it is expected to be there.
@@ -162,6 +169,7 @@
         self.reported_at = -1e9
         self.resident = frozenset()
         self.leaving = False
+        self.rest_until = -1e9
         self.down = False
         self.coming = ("", -1e9)
         self.doubted_born = 0
@@ -270,14 +278,33 @@
         return self.report is not None and adapter in self.report.adapters
 
     def open_for_work(self, now: float) -> bool:
-        """Say whether new work may go there: neither leaving, gone nor ejected."""
-        if self.leaving or self.gone:
+        """Say whether new work may go there: neither leaving, gone, at rest nor ejected."""
+        if self.leaving or self.gone or self.rests(now) or self.returns(now):
             return False
         if now < self.ejected_until or self.silent(now):
             return False
         # After an ejection a single probe decides; others wait for it.
         return not (self.failures >= defaults.EJECT_AFTER_FAILURES and self.probing)
 
+    def rests(self, now: float) -> bool:
+        """Say whether it has asked this node for rest, which lasts."""
+        return now < self.rest_until
+
+    def returns(self, now: float) -> bool:
+        """Say whether its rest is over and the first request since has no answer yet.
+
+        One request tells whether it takes work again; were all sent that waited, it would
+        have what it asked to be spared.
+        """
+        if self.rest_until < 0.0 or self.rests(now):
+            return False
+        return any(start >= self.rest_until for start in self.inflight.values())
+
+    def answered(self, sent_at: float) -> None:
+        """Take that it works on a request that was sent at a moment: a rest before is over."""
+        if sent_at >= self.rest_until:
+            self.rest_until = -1e9
+
     def silent(self, now: float) -> bool:
         """Say whether a model runner owes an answer and has said nothing for too long.
 
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -8,6 +8,8 @@
 import typing as t
 
 from .catalogue import Entry
+from .notices import Leaving
+from .notices import Notice
 from .resources import Resource
 from .routes import RouteTable
 from .suspects import Evidence
@@ -118,10 +120,9 @@
 
     :param sent: a byte of the request may have reached the endpoint.
     :param said_not_run: the endpoint's own protocol said that it did not run.
-    :param leaving: the endpoint said that it takes no new work.
-    :param absent: the endpoint said that it does not hold what was asked for.
     :param down: nothing listens at the endpoint's address any more.
     :param broken: the endpoint ended the connection before its answer was whole.
+    :param withheld: nothing was sent, since the endpoint was found to want nothing.
     """
 
     at: float
@@ -130,10 +131,37 @@
     sent: bool
     said_not_run: bool
     reason: str
-    leaving: bool = False
-    absent: bool = False
     down: bool = False
     broken: bool = False
+    withheld: bool = False
+
+
+class EndpointSaid(t.NamedTuple):
+    """What the head of an endpoint's answer says of the endpoint, whatever it answers.
+
+    :param endpoint: which was asked, at this address.
+    :param born: the start of its life as it was known when it was asked; 0 where it was not.
+    :param target: the model that was asked for, and the adapter; empty where it was none.
+    """
+
+    at: float
+    endpoint: str
+    born: int
+    notice: Notice
+    address: str = ""
+    target: str = ""
+    adapter: str = ""
+
+
+class LeavingHeard(t.NamedTuple):
+    """What another node tells of endpoints that leave.
+
+    :param source: the node that told it.
+    """
+
+    at: float
+    rows: tuple[Leaving, ...]
+    source: str
 
 
 class CallerLeft(t.NamedTuple):
@@ -219,6 +247,7 @@
     """One row of the platform's box list.
 
     :param strength: how much a node can carry, as in :class:`PeerHeard`.
+    :param born: when an endpoint was started, as in :class:`EndpointReported`.
     """
 
     name: str
@@ -228,6 +257,7 @@
     state: str
     service: str = ""
     strength: float = 0.0
+    born: int = 0
 
 
 class BoxListCame(t.NamedTuple):
@@ -535,6 +565,8 @@
     | AttemptProgressed
     | AttemptSucceeded
     | AttemptFailed
+    | EndpointSaid
+    | LeavingHeard
     | CallerLeft
     | EvidenceHeard
     | EndpointReported
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -292,6 +292,7 @@
         request.first_at = state.now if request.first_at is None else request.first_at
         if (endpoint := state.endpoints.get(request.endpoint)) is not None:
             endpoint.heard_at = state.now
+            endpoint.answered(request.dispatched_at)
         if request.delivered == event.tokens and request.alone:
             took_s = state.now - request.dispatched_at
             state.paces.note(request.arrived.target, request.arrived.prompt_tokens, took_s)
@@ -309,6 +310,7 @@
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.succeed(state.now)
+        endpoint.answered(request.dispatched_at)
     if not request.arrived.service:
         state.paces.note_whole(state.now - request.dispatched_at)
     state.budget.earn()
@@ -343,7 +345,8 @@
     if terms is not None and request.sent and request.arrived.deadline_at <= state.now:
         status = 504
     text = f"endpoint failed: {event.reason}"
-    effects = give_up(state, request, status, "endpoint_failed", text, 0.5)
+    after_s = max(defaults.FAILED_BACK_S, routed.rest_back_s(state, request) if terms else 0.0)
+    effects = give_up(state, request, status, "endpoint_failed", text, after_s)
     return told + effects + pump(state)
 
 
@@ -355,13 +358,9 @@
     if request.dispatched_at < endpoint.began_at:
         # It ended with the process that it was sent to, which says nothing of this one.
         return []
-    if event.leaving:
-        endpoint.leaving = True
+    if event.withheld or (event.said_not_run and endpoint.leaving):
+        # What it says of itself has come ahead of this; see :mod:`noticing`.
         return []
-    if event.absent:
-        before = endpoint.targets()
-        endpoint.lacks(request.arrived.target, request.arrived.adapter)
-        state.index(endpoint, before, endpoint.targets())
     if event.said_not_run:
         endpoint.heard_at = state.now
     else:
@@ -386,7 +385,8 @@
         return request.barren <= defaults.BARREN_ATTEMPTS_MAX
     if request.attempt >= defaults.ATTEMPTS_MAX:
         return False
-    if event.said_not_run and event.leaving:
+    endpoint = state.endpoints.get(request.endpoint)
+    if event.said_not_run and endpoint is not None and endpoint.leaving:
         # The refusal of a leaving endpoint costs it nothing, so it is no retry.
         return True
     return state.budget.spend()
@@ -397,9 +397,7 @@
     pool = state.pools.setdefault(pool_of(state, arrived), admission.Pace())
     queue = state.queues.setdefault(queue_key(arrived), admission.AdmissionQueue(pool))
     if arrived.route is not None:
-        asked = slotting.ask(state, request)
-        queue.push(routed.place(state, arrived, state.now, bool(asked)))
-        return asked + pump(state)
+        return wait_routed(state, request, queue) + pump(state)
     # What is begun goes before what waits: it has the caller's time in it already.
     order = arrived.at - defaults.PRIORITY_HEADSTART_S["ledger"]
     rank = defaults.PRIORITY_RANK[arrived.priority]
@@ -410,6 +408,39 @@
     return pump(state)
 
 
+def wait_routed(
+    state: NodeState, request: RequestState, queue: admission.AdmissionQueue
+) -> Effects:
+    """Have a routed request wait for an endpoint, unless it would in vain."""
+    asked = slotting.ask(state, request)
+    queued = routed.place(state, request.arrived, state.now, bool(asked))
+    if routed.rest_left_s(state, request.arrived) > queued.deadline_at - state.now:
+        return _end_resting(state, request)
+    queue.push(queued)
+    return asked
+
+
+def end_hopeless(state: NodeState) -> Effects:
+    """Refuse what waits for endpoints that all want rest for longer than it can wait."""
+    effects: Effects = []
+    for queue in list(state.queues.values()):
+        head = queue.peek()
+        if head is None:
+            continue
+        left_s = routed.rest_left_s(state, state.requests[head.request_id].arrived)
+        for queued in queue.waiting() if left_s > 0.0 else ():
+            if left_s > queued.deadline_at - state.now:
+                queue.remove(queued.request_id)
+                effects += _end_resting(state, state.requests[queued.request_id])
+    return effects
+
+
+def _end_resting(state: NodeState, request: RequestState) -> Effects:
+    """Refuse at once what waits for a rest to end: its caller is told when that is."""
+    request.slot_asked_at = None
+    return _end_waiting(state, request)
+
+
 def give_up(
     state: NodeState,
     request: RequestState,
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -89,7 +89,7 @@
         if view.role != "runner" or view.gone or view.leaving:
             continue
         room = residency.rooms.setdefault(name, Room())
-        if _look_due(state, view, room):
+        if not view.rests(state.now) and _look_due(state, view, room):
             room.asked_at = state.now
             effects.append(ReadReport(name, 0.0))
     for name in [name for name in residency.rooms if name not in state.endpoints]:
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -82,7 +82,8 @@
     :param reason: as :func:`lacking` gives it.
     """
     no_place = reason == "absent" and bool(arrived.adapter) and _stands(state, arrived)
-    if (reason == "no_room" or no_place) and not arrived.service:
+    lacks_room = reason in ("no_room", "resting")
+    if (lacks_room or no_place) and not arrived.service:
         work = arrived.tokens * state.paces.relative(arrived.target)
         state.control.missed.meter.add(arrived.target, work)
 
@@ -144,8 +145,8 @@
     """List the endpoints that may get a request now.
 
     Long prompts that an endpoint reads at once make pauses in all its streams, so one
-    with much unread gets no more. Where every endpoint that
-    holds the model is ejected, those are better than none.
+    with much unread gets no more. Where every endpoint that holds the model is ejected, those
+    are better than none; those that leave or want rest are not.
     """
     arrived = request.arrived
     assert arrived.route is not None
@@ -156,7 +157,7 @@
     ]
     if arrived.adapter:
         holding = [one for one in holding if one.has_adapter(arrived.adapter)]
-    staying = [one for one in holding if _stays(state, one)]
+    staying = [one for one in holding if _stays(state, one) and not _spared(state, one)]
     ready = [one for one in staying if one.open_for_work(state.now)] or staying
     ready = [one for one in ready if one.load(state.now) < 1.0]
     if arrived.service:
@@ -174,6 +175,42 @@
     return not endpoint.leaving and not endpoint.gone and endpoint.listens(state.now)
 
 
+def _spared(state: NodeState, endpoint: EndpointView) -> bool:
+    """Say whether an endpoint is to get nothing now, as it asked for rest.
+
+    What turns requests away at once looks emptier than its neighbours: without this one that
+    had asked for 3 s of rest got 213 requests in 9 s of a simulated day, and ran none.
+    """
+    return endpoint.rests(state.now) or endpoint.returns(state.now)
+
+
+def rest_left_s(state: NodeState, arrived: RequestArrived) -> float:
+    """Give how long all endpoints that hold a request's model rest yet, in seconds.
+
+    0 where one of them does not, or none holds it.
+    """
+    assert arrived.route is not None
+    ends = [
+        one.rest_until
+        for one in state.hosts.get(arrived.target, {}).values()
+        if one.service == arrived.route.service and not one.leaving and not one.gone
+    ]
+    return max(0.0, min(ends) - state.now) if ends else 0.0
+
+
+def rest_back_s(state: NodeState, request: RequestState) -> float:
+    """Tell when to come back where all that hold the model rest, in seconds; else 0.
+
+    Spread by request over a second, so that the first one back is not met by all at once.
+    """
+    left_s = rest_left_s(state, request.arrived)
+    if left_s <= 0.0 or request.sent:
+        return 0.0
+    spread = mix("come back", request.arrived.request_id) % 1000 / 1000.0
+    after_s = left_s + spread * defaults.COME_BACK_SPREAD_S
+    return min(after_s, (request.arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE)
+
+
 def _stands(state: NodeState, arrived: RequestArrived) -> bool:
     """Say whether a request's model is on an endpoint that stays."""
     assert arrived.route is not None
@@ -254,6 +291,8 @@
     held = [one for one in hosts if not arrived.adapter or one.has_adapter(arrived.adapter)]
     if not held:
         return "absent", f"{arrived.adapter} is on none of {len(hosts)} endpoints with its model"
+    if rest_left_s(state, arrived) > 0.0:
+        return "resting", f"all {len(hosts)} endpoints that hold it asked for rest"
     ready = [one for one in held if one.open_for_work(state.now)]
     if not ready:
         return "none_open", f"none of {len(held)} endpoints that hold it takes work"
@@ -277,6 +316,9 @@
     """Tell when to come back, in seconds: later where the model is yet to be loaded."""
     if request.sent:
         return 0.0
+    rest_s = rest_back_s(state, request)
+    if rest_s > 0.0:
+        return rest_s
     arrived = request.arrived
     adapter = arrived.adapter
     hosts = list(state.hosts.get(arrived.target, {}).values())
--- a/packages/rookspring-core/src/rookspring_core/slotting.py
+++ b/packages/rookspring-core/src/rookspring_core/slotting.py
@@ -66,7 +66,9 @@
 def usable(state: NodeState, endpoint: str) -> EndpointView | None:
     """Give the endpoint of a slot, unless this node knows that it takes no work."""
     view = state.endpoints.get(endpoint)
-    if view is None or view.leaving or view.gone or not view.listens(state.now):
+    if view is None or view.leaving or view.gone or view.rests(state.now):
+        return None
+    if not view.listens(state.now):
         return None
     return view
 
@@ -98,6 +100,7 @@
     if part:
         views = [one for place, one in enumerate(views) if place % parts == int(part) % parts]
     there = [one for one in views if not one.leaving and not one.gone]
-    ready = [one for one in there if one.open_for_work(state.now)] or there
+    awake = [one for one in there if not one.rests(state.now)]
+    ready = [one for one in awake if one.open_for_work(state.now)] or awake
     queue.use(SlotEndpoint(one.name, one.slots()) for one in ready)
     return queue
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -16,6 +16,7 @@
 from .freshness import ProofTerms
 from .limits import LimitTable
 from .membership import Membership
+from .notices import NoticeTable
 from .once import OnceTable
 from .paces import PaceTable
 from .retries import RetryBudget
@@ -26,6 +27,7 @@
 from .slot_queues import SlotQueue
 from .suspects import SuspectTable
 from .topology import Topology
+from .witness import ToldWitness
 
 
 class Identity(t.NamedTuple):
@@ -151,6 +153,7 @@
         self.peers_work = PeersWork()
         self.paces = PaceTable()
         self.suspects = SuspectTable()
+        self.notices = NoticeTable()
         self.adapter_waits = AdapterWaits()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
@@ -182,6 +185,7 @@
         self.hurry = False
         self.stopped = False
         self.witness: set[str] = set()
+        self.told = ToldWitness()
         self.decisions: list[Decision] = []
         self.full_checks = False
         self.admission_on = True
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/witness.py
@@ -0,0 +1,53 @@
+"""What the checks of invariants remember of endpoints' words, apart from the handlers."""
+
+import typing as t
+
+from . import notices
+
+if t.TYPE_CHECKING:
+    from .events import EndpointSaid
+
+# A life, by its endpoint and its start.
+Life = tuple[str, int]
+
+
+class ToldWitness:
+    """Which lives said to this node that they leave or want rest, and when."""
+
+    def __init__(self) -> None:
+        self._leaving: dict[Life, float] = {}
+        self._rests: dict[Life, float] = {}
+
+    def note(self, event: "EndpointSaid") -> None:
+        """Remember what an endpoint said of itself."""
+        if event.notice.life not in ("", event.endpoint):
+            return
+        life = (event.endpoint, event.born)
+        if event.notice.leaving:
+            self._leaving.setdefault(life, event.at)
+        rest_s = event.notice.rest_s
+        if event.notice.turned_away and rest_s:
+            until = event.at + min(rest_s, notices.REST_MAX_S)
+            self._rests[life] = max(until, self._rests.get(life, until))
+        self._bound(event.at)
+
+    def _bound(self, now: float) -> None:
+        # What it remembers for less long than the handlers do can't be held against them.
+        oldest = now - notices.LEAVING_KEPT_S / 2.0
+        while self._leaving and next(iter(self._leaving.values())) < oldest:
+            del self._leaving[next(iter(self._leaving))]
+        if len(self._rests) > notices.NOTICES_MAX:
+            self._rests = {life: until for life, until in self._rests.items() if until > now}
+
+    def find_fault(self, endpoint: str, born: int, now: float, late_s: float) -> str:
+        """Say why a life is to get nothing; empty where it may.
+
+        :param late_s: how long what is on its way may take, in seconds.
+        """
+        said_at = self._leaving.get((endpoint, born), now)
+        if now - said_at > late_s:
+            return f"{endpoint} said {now - said_at:.2f} s ago that it leaves"
+        until = self._rests.get((endpoint, born), now)
+        if until > now and late_s == 0.0:
+            return f"{endpoint} wants rest for {until - now:.2f} s yet"
+        return ""
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -7,7 +7,9 @@
 from rookspring import defaults
 from rookspring import relay_allotments
 from rookspring import relay_beats
+from rookspring import relay_merged
 from rookspring import relay_news
+from rookspring import relay_notices
 from rookspring import relay_suspects
 from rookspring.messages import encode
 from rookspring.platform import Stored
@@ -27,6 +29,7 @@
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import ReturnAllotment
 from rookspring_core.effects import ShareEvidence
+from rookspring_core.effects import ShareLeaving
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
@@ -123,7 +126,7 @@
     def read_endpoint(self, row: Stored, now: float) -> tuple[BoxListed, EndpointReported]:
         """Read an endpoint's entry."""
         state, model, born = row.value
-        listed = BoxListed(row.name, f"at-{row.name}", "z0", "runner", state, "llm")
+        listed = BoxListed(row.name, f"at-{row.name}", "z0", "runner", state, "llm", born=born)
         report = EndpointReported(
             now,
             row.name,
@@ -181,7 +184,7 @@
         self.proofs = ProofKeeper(context, self.peers, self.reach)
         # What came while it was frozen.
         self.inbox: list[t.Callable[[], None]] = []
-        self.peers.greeters += (relay_beats.greet, relay_suspects.greet)
+        self.peers.greeters += (relay_beats.greet, relay_merged.greet)
         self.share = lambda report: relay_news.share_report(self.peers, report)
         self.share_prompts = relay_news.PromptSums(self.peers).note
         self.give_lists = self.list.give
@@ -205,6 +208,8 @@
                     relay_allotments.ask_owner(self.peers, effect)
                 case ReturnAllotment():
                     relay_allotments.return_units(self.peers, effect)
+                case ShareLeaving():
+                    relay_notices.share_leaving(self.peers, effect.rows, effect.source)
                 case ShareEvidence():
                     relay_suspects.share_evidence(self.peers, effect.evidence, effect.source)
                 case Refuse():
--- a/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/request_effects.py
@@ -8,13 +8,17 @@
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import Replay
 from rookspring_core.effects import ShareEvidence
+from rookspring_core.effects import ShareLeaving
 from rookspring_core.effects import Stop
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 from rookspring_core.events import EndpointReported
+from rookspring_core.events import EndpointSaid
 from rookspring_core.events import EvidenceHeard
+from rookspring_core.events import LeavingHeard
+from rookspring_core.notices import Notice
 
 from .carrying import performs
 from .engine import Engine
@@ -54,9 +58,10 @@
 def _fail(
     world: "World", node: "VirtualNode", effect: t.Any, reason: str, not_run: bool = False
 ) -> None:
-    failed = AttemptFailed(
-        0.0, effect.request_id, effect.attempt, True, not_run, reason, reason == "leaving"
-    )
+    if reason == "leaving":
+        said = EndpointSaid(0.0, effect.endpoint, 0, Notice(leaving=True))
+        world.clock.call(world.latency_s, node.submit, said)
+    failed = AttemptFailed(0.0, effect.request_id, effect.attempt, True, not_run, reason)
     world.clock.call(world.latency_s, node.submit, failed)
 
 
@@ -165,6 +170,14 @@
     )
 
 
+@performs(ShareLeaving)
+def _share_leaving(world: "World", node: "VirtualNode", effect: ShareLeaving) -> None:
+    for other in world.nodes.values():
+        if other is not node and other.alive and world.reachable(node.name, other.name):
+            heard = LeavingHeard(0.0, effect.rows, node.name)
+            world.clock.call(world.latency_s, other.submit, heard)
+
+
 @performs(ShareEvidence)
 def _share_evidence(world: "World", node: "VirtualNode", effect: ShareEvidence) -> None:
     for other in world.nodes.values():
--- a/packages/rookspring/src/rookspring/attempts.py
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -3,12 +3,15 @@
 import asyncio
 import typing as t
 
+from rookspring_core import noticing
 from rookspring_core.effects import Attach
 from rookspring_core.effects import Dispatch
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import EndpointSaid
+from rookspring_core.notices import Notice
 
 from . import clock
 from . import defaults
@@ -32,6 +35,10 @@
     wait = effect.not_before - clock.now()
     if wait > 0:
         await asyncio.sleep(wait)
+        why = noticing.find_withheld(node.state, effect.endpoint)
+        if why:
+            _fail(node, effect, EndpointError(why, sent=False, withheld=True))
+            return
     span = node.telemetry.begin(
         "endpoint", exchange.traceparent, endpoint=view.name, attempt=effect.attempt
     )
@@ -59,6 +66,8 @@
 
 def _fail(node: NodeContext, effect: Dispatch | Attach, error: EndpointError) -> None:
     node.metrics.attempts.inc({"end": "not_run" if error.said_not_run else "failed"})
+    if error.leaving:
+        _tell_leaving(node, effect.endpoint)
     node.submit(
         AttemptFailed(
             clock.now(),
@@ -67,14 +76,21 @@
             error.sent,
             error.said_not_run,
             error.reason,
-            error.leaving,
-            error.absent,
             error.down,
             error.broken,
+            error.withheld,
         )
     )
 
 
+def _tell_leaving(node: NodeContext, endpoint: str) -> None:
+    """Tell what an endpoint said of itself, ahead of what became of the request."""
+    view = node.state.endpoints.get(endpoint)
+    if view is not None:
+        said = EndpointSaid(clock.now(), endpoint, noticing.born_of(view), Notice(leaving=True))
+        node.submit(said)
+
+
 async def _run_chat(
     node: NodeContext, effect: Dispatch, exchange: ChatExchange, address: str, traceparent: str
 ) -> None:
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -26,7 +26,7 @@
 PLATFORM_CALLS_PER_S = 20.0
 PLATFORM_CALLS_BURST = 60.0
 FORWARD_S = 60.0
-PEER_VERSION = 4
+PEER_VERSION = 5
 REVISIONS_KEPT = 64
 REQUEST_ID_BYTES = 12
 HEARTBEAT_S = 1.0
@@ -151,7 +151,7 @@
 SLOT_SETTLE_S = 0.05
 # A linked node whose evidence against requests differs for so long, three heartbeats, is told
 # all of it, and again no sooner than so much later, in seconds.
-EVIDENCE_DIFFERS_S = 1.2
-EVIDENCE_AGAIN_S = 5.0
+MERGED_DIFFERS_S = 1.2
+MERGED_AGAIN_S = 5.0
 # A node that has not ticked for so long, ten ticks, stood still, and says so.
 STOOD_STILL_S = 1.0
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -61,18 +61,14 @@
 
 
 class Verdict(t.NamedTuple):
-    """What an endpoint's answer head says.
+    """What an endpoint's answer head says of the request.
 
     :param mine: it belongs to the request that was asked.
     :param not_run: the endpoint says that it did not run the request.
-    :param elsewhere: another incarnation answers at this address.
-    :param absent: the endpoint does not hold the model or the adapter.
     """
 
     mine: bool
     not_run: bool = False
-    elsewhere: bool = False
-    absent: bool = False
 
 
 class OrderReply(t.NamedTuple):
@@ -118,8 +114,8 @@
         """Give the headers with which a request goes to an endpoint."""
 
     @abc.abstractmethod
-    def judge(self, head: HttpHead, request_id: str, incarnation: str) -> Verdict:
-        """Read an endpoint's answer head."""
+    def judge(self, head: HttpHead, request_id: str) -> Verdict:
+        """Read what an endpoint's answer head says of the request."""
 
     @abc.abstractmethod
     def read_notice(self, head: HttpHead) -> Notice:
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -46,9 +46,9 @@
     :param sent: a byte of the request may have reached the endpoint.
     :param said_not_run: the endpoint's protocol said that it did not run.
     :param leaving: the endpoint takes no new work.
-    :param absent: it does not hold what was asked for.
     :param down: nothing listens at its address.
     :param broken: it ended the connection before its answer was whole.
+    :param withheld: nothing was sent, since it was found to want nothing.
     """
 
     def __init__(
@@ -57,18 +57,18 @@
         sent: bool,
         said_not_run: bool = False,
         leaving: bool = False,
-        absent: bool = False,
         down: bool = False,
         broken: bool = False,
+        withheld: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
         self.said_not_run = said_not_run
         self.leaving = leaving
-        self.absent = absent
         self.down = down
         self.broken = broken
+        self.withheld = withheld
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -10,15 +10,19 @@
 from rookspring_core.events import DownHeard
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import EvidenceHeard
+from rookspring_core.events import LeavingHeard
 from rookspring_core.events import PeerHeard
 from rookspring_core.events import PeerLost
 from rookspring_core.events import RevisionSeen
+from rookspring_core.state import NodeState
 
 from . import clock
 from . import defaults
 from . import forwarding
 from .evidence import decode_evidence
 from .evidence import encode_evidence
+from .leavings import decode_leaving
+from .leavings import encode_leaving
 from .messages import Boxes
 from .messages import Down
 from .messages import EvidenceTold
@@ -28,6 +32,7 @@
 from .messages import ForwardStart
 from .messages import Heartbeat
 from .messages import Hints
+from .messages import LeavingTold
 from .messages import Reports
 from .messages import RevisionDelta
 from .messages import WantRevision
@@ -58,7 +63,7 @@
 async def serve_link(node: NodeContext, link: Link) -> None:
     """Take a node's messages until its stream ends."""
     link.send(make_beat(node))
-    greet_evidence(node, link)
+    greet_merged(node, link)
     node.report_log.forget()
     if node.boxes:
         link.send(Boxes([list(row) for row in node.boxes]))
@@ -90,7 +95,7 @@
         team_demand=[list(row) for row in state.limits.demand()],
         lease_epoch=state.control.acting_epoch,
         inflight=[list(row) for row in cluster.inflight_rows(state)],
-        evidence=state.suspects.digest(),
+        merged=_digest(state),
     )
 
 
@@ -118,8 +123,8 @@
             inflight=_read_inflight(beat),
         )
     )
-    if beat.evidence != node.state.suspects.digest():
-        greet_evidence(node, link)
+    if beat.merged != _digest(node.state):
+        greet_merged(node, link)
     revision = node.state.catalogue.revision
     now = clock.now()
     if beat.revision > max(revision, node.wanted[0]) or (
@@ -135,12 +140,27 @@
     return tuple((str(one[0]), int(one[1])) for one in beat.inflight)
 
 
-def greet_evidence(node: NodeContext, link: Link) -> None:
-    """Tell a node all that is known of requests under which endpoints ended."""
+def _digest(state: NodeState) -> int:
+    """Give a number that is the same on nodes that know the same of what all are to know."""
+    return state.suspects.digest() ^ state.notices.digest(state.now)
+
+
+def greet_merged(node: NodeContext, link: Link) -> None:
+    """Tell a node all that every node is to know."""
     now = clock.now()
     evidence = node.state.suspects.whole(now)
     if not evidence.empty():
         link.send(encode_evidence(evidence, now))
+    leaving = node.state.notices.whole(now)
+    if leaving:
+        link.send(encode_leaving(leaving, now))
+
+
+@receives(LeavingTold)
+def take_leaving(node: NodeContext, link: Link, told: LeavingTold) -> None:
+    """Take what another node knows of endpoints that leave."""
+    now = clock.now()
+    node.submit(LeavingHeard(now, decode_leaving(told, now), link.name))
 
 
 @receives(EvidenceTold)
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -53,8 +53,8 @@
     follows the receiver; whether its figures come within another node's; and how old
     what it knows of the store is, in seconds. ``prompts`` are tokens that endpoints are
     still to read, as rows; ``spent`` is what was let in of organisations since the
-    sender told last, and ``relay_s`` for how long it has passed things on. ``evidence`` is the
-    digest of what it knows of requests under which endpoints ended.
+    sender told last, and ``relay_s`` for how long it has passed things on. ``merged`` is the
+    digest of what all nodes are to know alike; see :mod:`relay_merged`.
     """
 
     name: str
@@ -82,7 +82,7 @@
     prompts: list[t.Any] | None = None
     spent: list[t.Any] | None = None
     relay_s: float = 0.0
-    evidence: int = 0
+    merged: int = 0
 
 
 @message("members")
@@ -171,6 +171,13 @@
     endpoint: str
 
 
+@message("leaving")
+class LeavingTold(t.NamedTuple):
+    """Endpoints that leave, as rows of name, start and age of the word in seconds."""
+
+    rows: list[t.Any]
+
+
 @message("evidence")
 class EvidenceTold(t.NamedTuple):
     """Requests under which endpoints ended; see ``Evidence``. Ages and rests are in seconds.
--- a/packages/rookspring/src/rookspring/performers.py
+++ b/packages/rookspring/src/rookspring/performers.py
@@ -19,6 +19,7 @@
 from rookspring_core.effects import SendOrder
 from rookspring_core.effects import ShareDown
 from rookspring_core.effects import ShareEvidence
+from rookspring_core.effects import ShareLeaving
 from rookspring_core.effects import Stop
 from rookspring_core.effects import VerdictFound
 from rookspring_core.effects import WriteIntent
@@ -38,6 +39,7 @@
 from .exceptions import PlatformConflict
 from .exchanges import ChatExchange
 from .exchanges import error_body
+from .leavings import encode_leaving
 from .logs import log
 from .messages import Down
 from .node_context import NodeContext
@@ -126,6 +128,15 @@
             link.send(told)
 
 
+@performs(ShareLeaving)
+def share_leaving(node: NodeContext, effect: ShareLeaving) -> None:
+    """Tell the linked nodes of endpoints that leave; what is news goes on there."""
+    told = encode_leaving(effect.rows, clock.now())
+    for name, link in list(node.peers.links.items()):
+        if name != effect.source:
+            link.send(told)
+
+
 @performs(VerdictFound)
 def perform_verdict(node: NodeContext, effect: VerdictFound) -> None:
     """Log and count a verdict."""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from rookspring_core import noticing
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Cancel
 from rookspring_core.effects import Dispatch
@@ -30,6 +31,7 @@
 from .relay import end
 from .relay_context import RelayContext
 from .relay_context import relay_performs
+from .relay_notices import Asked
 from .relay_notices import hear_at
 
 
@@ -104,6 +106,7 @@
         said_not_run=error.said_not_run,
         broken=error.broken,
         down=error.down,
+        withheld=error.withheld,
     )
     context.submit(
         AttemptFailed(
@@ -113,10 +116,9 @@
             error.sent,
             error.said_not_run,
             error.reason,
-            error.leaving,
-            error.absent,
             error.down,
             error.broken,
+            error.withheld,
         )
     )
 
@@ -126,18 +128,25 @@
 ) -> None:
     sure = not exchange.route.repeatable
     connection = await context.pool.take(view.address, sure)
+    why = noticing.find_withheld(context.state, view.name)
+    if why:
+        # It was heard while the connection was made, which takes up to a second.
+        context.pool.give_back(view.address, connection)
+        raise EndpointError(why, sent=False, withheld=True)
     data = _write_request(context, exchange, view)
     context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt))
     verdicts: list[Verdict] = []
 
     def accept(head: HttpHead) -> bool:
-        verdict = context.dialect.judge(head, exchange.ask.request_id, view.name)
+        verdict = context.dialect.judge(head, exchange.ask.request_id)
         if verdict.mine:
             verdicts.append(verdict)
         return verdict.mine
 
     try:
-        hear = hear_at(context, view.name, exchange.ask.request_id)
+        arrived = context.state.requests[exchange.key].arrived
+        asked = Asked(exchange.ask.request_id, arrived.target, arrived.adapter)
+        hear = hear_at(context, view.name, asked)
         reply = connection.ask(data, accept, hear, exchange.request.method == b"HEAD")
         head = await reply.wait_head()
         await _take_answer(context, effect, exchange, reply, head, verdicts[-1])
@@ -178,8 +187,6 @@
             f"refused with {head.status}",
             sent=True,
             said_not_run=True,
-            leaving=verdict.elsewhere,
-            absent=verdict.absent,
         )
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
--- a/packages/rookspring/src/rookspring/relay_beats.py
+++ b/packages/rookspring/src/rookspring/relay_beats.py
@@ -16,7 +16,7 @@
 
 from . import clock
 from . import defaults
-from . import relay_suspects
+from . import relay_merged
 from .messages import Heartbeat
 from .messages import encode
 from .peers import Link
@@ -121,7 +121,7 @@
         summed=True,
         # Past an hour nobody cares how old.
         store_age_s=round(min(3600.0, state.topology.age_s(now)), 3),
-        evidence=state.suspects.digest(),
+        merged=relay_merged.digest(state),
     )
 
 
@@ -269,7 +269,7 @@
     )
     if began:
         peers.context.give_lists(link)
-    relay_suspects.compare(peers, link, int(beat.evidence))
+    relay_merged.compare(peers, link, int(beat.merged))
     if beat.leaving or beat.lease_ended == peers.context.state.control.lease.epoch > 0:
         peers.context.lease_news.set()
     peers.learn([(beat.name, beat.address, beat.data_centre, float(beat.strength))])
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -17,6 +17,7 @@
 from rookspring_core.effects import Want
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
+from rookspring_core.notices import Leaving
 from rookspring_core.suspects import Evidence
 
 from . import clock
@@ -76,6 +77,7 @@
         self.share_coming: t.Callable[[str, str, float], None] = lambda endpoint, model, in_s: None
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_evidence: t.Callable[[Evidence, str], None] = lambda evidence, source: None
+        self.share_leaving: t.Callable[[tuple[Leaving, ...], str], None] = lambda rows, source: None
         self.share_prompts: t.Callable[[str, bool], None] = lambda endpoint, far: None
         self.give_lists: t.Callable[[Link], None] = lambda link: None
         self.take_listed: t.Callable[[tuple[Stored, ...], bool, str], None] = (
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -38,7 +38,9 @@
 from . import relay_attempts as relay_attempts
 from . import relay_beats
 from . import relay_following
+from . import relay_merged
 from . import relay_news
+from . import relay_notices
 from . import relay_orders as relay_orders
 from . import relay_slots
 from . import relay_suspects
@@ -147,12 +149,13 @@
         """Tell the parts of each other where one only has something for another to do."""
         context = self.context
         peers = self.peers
-        peers.greeters += (relay_beats.greet, relay_suspects.greet)
+        peers.greeters += (relay_beats.greet, relay_merged.greet)
         context.announce = functools.partial(relay_beats.announce, peers)
         context.share = functools.partial(relay_news.share_report, peers)
         context.share_coming = functools.partial(relay_news.share_coming, peers)
         context.share_down = functools.partial(relay_news.share_down, peers)
         context.share_evidence = functools.partial(relay_suspects.share_evidence, peers)
+        context.share_leaving = functools.partial(relay_notices.share_leaving, peers)
         context.share_prompts = relay_news.PromptSums(peers).note
         context.tell_holder = functools.partial(relay_news.send_want, peers)
         context.ask_owner = functools.partial(relay_allotments.ask_owner, peers)
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -1,17 +1,54 @@
-"""What endpoints say of themselves in the heads of their answers: where it comes in."""
+"""What endpoints say of themselves: where it comes in, and how relay nodes tell each other.
 
+It comes in by :func:`hear_at` alone, which each connection to an endpoint is given with what
+is asked on it: requests, orders and reports alike.
+"""
+
+import typing as t
+
+from rookspring_core import noticing
+from rookspring_core.effects import ShareLeaving
+from rookspring_core.events import EndpointSaid
+from rookspring_core.events import LeavingHeard
+from rookspring_core.notices import Leaving
+
+from . import clock
 from .http_client import Hear
 from .http_messages import HttpHead
+from .leavings import decode_leaving
+from .leavings import encode_leaving
 from .logs import log
+from .messages import LeavingTold
+from .peers import Link
 from .relay_context import RelayContext
+from .relay_context import relay_performs
+from .relay_merged import merges
+from .relay_peers import RelayPeers
+from .relay_peers import receives
 
 
-def hear_at(context: RelayContext, endpoint: str, asked: str) -> Hear:
-    """Make what takes the heads of an endpoint's answers to one thing that was asked of it.
+class Asked(t.NamedTuple):
+    """What an endpoint was asked.
 
-    :param asked: the request's id, or what else was asked, for the log.
+    :param what: the request's id, or what else it was.
+    :param target: the model that was asked for, and the adapter.
     """
 
+    what: str
+    target: str = ""
+    adapter: str = ""
+
+
+def hear_at(context: RelayContext, endpoint: str, asked: Asked) -> Hear:
+    """Make what takes the heads of an endpoint's answers to one thing that it is asked.
+
+    Whose word it is is told by the life that is known now: an answer that comes once another
+    life has begun may be of the process before.
+    """
+    view = context.state.endpoints.get(endpoint)
+    born = noticing.born_of(view) if view is not None else 0
+    address = view.address if view is not None else ""
+
     def hear(head: HttpHead) -> None:
         notice = context.dialect.read_notice(head)
         if notice.says_nothing():
@@ -19,12 +56,43 @@
         log(
             "endpoint_said",
             endpoint=endpoint,
-            asked=asked,
+            asked=asked.what,
             status=head.status,
             life=notice.life,
             leaving=notice.leaving,
             rest_s=-1 if notice.rest_s is None else notice.rest_s,
             malformed=notice.malformed,
         )
+        said = EndpointSaid(
+            clock.now(), endpoint, born, notice, address, asked.target, asked.adapter
+        )
+        context.submit(said)
 
     return hear
+
+
+def share_leaving(peers: RelayPeers, rows: tuple[Leaving, ...], source: str) -> None:
+    """Tell all nodes of endpoints that leave, but the one that told it."""
+    peers.spread(encode_leaving(rows, clock.now()), source)
+
+
+@merges("leaving", lambda state: state.notices.digest(state.now))
+def tell_all(peers: RelayPeers, link: Link) -> None:
+    """Tell a node of all endpoints that leave."""
+    now = clock.now()
+    rows = peers.context.state.notices.whole(now)
+    if rows:
+        link.send(encode_leaving(rows, now))
+
+
+@receives(LeavingTold)
+def take_leaving(peers: RelayPeers, link: Link, told: LeavingTold) -> None:
+    """Take what another node knows of endpoints that leave."""
+    now = clock.now()
+    peers.context.submit(LeavingHeard(now, decode_leaving(told, now), link.name))
+
+
+@relay_performs(ShareLeaving)
+def perform_share(context: RelayContext, effect: ShareLeaving) -> None:
+    """Tell the other nodes of endpoints that leave."""
+    context.share_leaving(effect.rows, effect.source)
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 
+from rookspring_core import noticing
 from rookspring_core.defaults import LOAD_UNTOLD
 from rookspring_core.effects import AdapterLeft
 from rookspring_core.effects import AskAllotment
@@ -31,6 +32,7 @@
 from .logs import log
 from .relay_context import RelayContext
 from .relay_context import relay_performs
+from .relay_notices import Asked
 from .relay_notices import hear_at
 
 
@@ -56,11 +58,14 @@
     reason = "no answer"
     data = context.dialect.order_request(effect.address, asked)
     try:
+        why = noticing.find_withheld(context.state, effect.endpoint)
+        if why:
+            raise EndpointError(why, sent=False, withheld=True)
         head, _ = await http_client.call(
             context.pool,
             effect.address,
             data,
-            hear_at(context, effect.endpoint, "order"),
+            hear_at(context, effect.endpoint, Asked("order")),
             defaults.RELAY_ORDER_CALL_S,
         )
         reply = context.dialect.read_order_reply(head)
@@ -93,11 +98,12 @@
 async def _read(context: RelayContext, effect: ReadReport) -> None:
     await asyncio.sleep(effect.after_s)
     view = context.state.endpoints.get(effect.endpoint)
-    if view is None or view.report is None:
+    if view is None or view.report is None or view.rests(clock.now()):
+        # At rest it wants nothing from this node, also no question; it is read later.
         return
     data = context.dialect.report_request(view.address)
     try:
-        hear = hear_at(context, effect.endpoint, "report")
+        hear = hear_at(context, effect.endpoint, Asked("report"))
         _, raw = await http_client.call(
             context.pool, view.address, data, hear, defaults.REPORT_CALL_S
         )
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -72,7 +72,7 @@
         self.greeters: tuple[t.Callable[[RelayPeers, Link], None], ...] = ()
         # What each linked node was told of the others.
         self.told: dict[Link, Told] = {}
-        # Since when a linked node knows other evidence than this one; see ``relay_suspects``.
+        # Since when a linked node knows other things than this one; see :mod:`relay_merged`.
         self.differs_since: dict[Link, float] = {}
         # Nodes that follow this one, by name.
         self.followers: set[str] = set()
--- a/packages/rookspring/src/rookspring/relay_suspects.py
+++ b/packages/rookspring/src/rookspring/relay_suspects.py
@@ -14,7 +14,6 @@
 from rookspring_core.suspects import Verdict
 
 from . import clock
-from . import defaults
 from .evidence import decode_evidence
 from .evidence import encode_evidence
 from .evidence import tell_verdict
@@ -22,6 +21,7 @@
 from .peers import Link
 from .relay_context import RelayContext
 from .relay_context import relay_performs
+from .relay_merged import merges
 from .relay_peers import RelayPeers
 from .relay_peers import receives
 
@@ -34,29 +34,15 @@
     peers.spread(encode_evidence(evidence, clock.now()), source)
 
 
-def greet(peers: RelayPeers, link: Link) -> None:
-    """Tell a node that has just been linked all that is known."""
+@merges("evidence", lambda state: state.suspects.digest())
+def tell_all(peers: RelayPeers, link: Link) -> None:
+    """Tell a node all that is known."""
     now = clock.now()
     evidence = peers.context.state.suspects.whole(now)
     if not evidence.empty():
         link.send(encode_evidence(evidence, now))
 
 
-def compare(peers: RelayPeers, link: Link, digest: int) -> None:
-    """Tell a node all, where it has known something else for some heartbeats.
-
-    A message that was lost with a relay, or a link that hung, leaves no gap for longer.
-    """
-    now = clock.now()
-    if digest == peers.context.state.suspects.digest():
-        peers.differs_since.pop(link, None)
-        return
-    since = peers.differs_since.setdefault(link, now)
-    if now - since >= defaults.EVIDENCE_DIFFERS_S:
-        peers.differs_since[link] = now + defaults.EVIDENCE_AGAIN_S
-        greet(peers, link)
-
-
 @receives(EvidenceTold)
 def take_evidence(peers: RelayPeers, link: Link, told: EvidenceTold) -> None:
     """Take what another node knows."""
