Add rows of who learns that an endpoint leaves or rests, for how long it holds, and ways round it

Found by them: callers whose deadline is short were all told the same moment to come back (they are spread over a quarter of what they heed now); and the record of the invariants outlasted what the handlers may forget, which would have ended a node.

--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -339,5 +339,5 @@
 @then("{number:d} endpoints have ended under it, and it was sent to {sent:d} in all")
 def ended_and_sent(context, number, sent):
     ended_under(context, number)
-    arrived = [one for _, one in context.stage.runners.arrived if one == FATAL]
+    arrived = [one for one in context.stage.runners.arrived if one.fingerprint == FATAL]
     assert len(arrived) == sent, arrived
--- /dev/null
+++ b/features/steps/notice_node_steps.py
@@ -0,0 +1,456 @@
+"""What an endpoint says of itself, at one node: for how long it holds, and the ways round it."""
+
+from behave import given
+from behave import then
+from behave import when
+from relay_harness import HolderHarness
+from relay_harness import RelayHarness
+
+from rookspring_core.effects import AskSlot
+from rookspring_core.effects import FreeSlot
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import BoxListCame
+from rookspring_core.events import BoxListed
+from rookspring_core.events import CallerLeft
+from rookspring_core.events import EndpointSaid
+from rookspring_core.events import LeavingHeard
+from rookspring_core.events import SlotAnswered
+from rookspring_core.events import Ticked
+from rookspring_core.notices import Leaving
+from rookspring_core.notices import Notice
+
+LEAVES = Notice(leaving=True)
+# Runs fill an endpoint of so many slots.
+SLOTS = 8
+
+
+class NoticeHarness(RelayHarness):
+    """A node with endpoints e1, e2 that hold the model m."""
+
+    def __init__(self, *names):
+        super().__init__()
+        self.there = dict.fromkeys(names or ("e1",), 5)
+        self.keys = 0
+        self.answered = set()
+        self.slots = []
+        self.relist()
+
+    def relist(self, address="", names=None):
+        rows = [
+            BoxListed(name, address or name, "z", "runner", "live", "llm", born=born)
+            for name, born in self.there.items()
+            if names is None or name in names
+        ]
+        self.submit(BoxListCame(self.now, tuple(rows)))
+        for row in rows:
+            self.tell(row.name, row.born)
+
+    def tell(self, name, born, **fields):
+        token = (0, 0) if fields.get("own") else (0, -1)
+        self.submit(self.report(name, ["m"], token=token, slots=SLOTS, born=born, **fields))
+
+    def say(self, notice, name="e1", born=5, **fields):
+        self.submit(EndpointSaid(self.now, name, born, notice, name, **fields))
+
+    def come(self, **fields):
+        """Have a request come; gives where it is sent, if it is."""
+        self.keys += 1
+        before = len(self.sent)
+        self.ask(model="m", key=f"k{self.keys}", **fields)
+        return self.sent[-1].endpoint if len(self.sent) > before else ""
+
+    def end(self, dispatch):
+        key = (dispatch.request_id, dispatch.attempt)
+        self.submit(AttemptStarted(self.now, *key))
+        self.submit(AttemptSucceeded(self.now, *key))
+
+    def pass_time(self, seconds):
+        for _ in range(round(seconds / 0.1)):
+            self.now += 0.1
+            self.submit(Ticked(self.now))
+
+
+@given("a node, and an endpoint of start 5")
+def one_endpoint(context):
+    context.node = NoticeHarness()
+
+
+@given("a node, and an endpoint of start 5 that said with an answer that it leaves")
+def one_leaving(context):
+    context.node = NoticeHarness()
+    context.node.say(LEAVES)
+
+
+@given("a node, and an endpoint of start 5 that asked for {rest_s:g} s of rest")
+def one_at_rest(context, rest_s):
+    context.node = node = NoticeHarness()
+    assert node.come() == "e1"
+    context.stream = node.sent[-1]
+    node.submit(AttemptStarted(node.now, context.stream.request_id, 1))
+    node.now += 0.1
+    node.say(Notice(turned_away=True, rest_s=rest_s))
+    context.since = node.now
+
+
+@given("a node, and endpoints of its model that asked for {first} and {second} of rest")
+def two_at_rest(context, first, second):
+    context.node = node = NoticeHarness("e1", "e2")
+    for name, told in (("e1", first), ("e2", second)):
+        if told != "no rest":
+            node.say(Notice(turned_away=True, rest_s=float(told.split()[0])), name)
+
+
+@given("a node, and endpoints of its model that asked for {first} s and no rest")
+def one_of_two_at_rest(context, first):
+    two_at_rest(context, first, "no rest")
+
+
+@given("a node, and an endpoint of start 5 that is full")
+def one_full(context):
+    context.node = node = NoticeHarness()
+    for _ in range(SLOTS):
+        assert node.come() == "e1"
+    assert node.come() == ""
+
+
+# What is said afterwards.
+
+AFTER = {}
+
+
+def after(text):
+    def register(function):
+        AFTER[text] = function
+        return function
+
+    return register
+
+
+@after("nothing else")
+def _nothing(context, node):
+    pass
+
+
+@after("its entry says that it stays")
+def _relisted(context, node):
+    node.relist()
+
+
+@after("its entry lapses and comes back, and says that it stays")
+@after("its entry lapses and comes back")
+def _lapses(context, node):
+    context.node.submit(CallerLeft(node.now, "k1"))
+    node.relist(names=())
+    assert "e1" not in node.state.endpoints
+    node.submit(Ticked(node.now))
+    node.relist()
+
+
+@after("its entry comes back after 11 minutes without one")
+def _long_gone(context, node):
+    node.relist(names=())
+    node.now += 660.0
+    node.submit(Ticked(node.now))
+    node.relist()
+
+
+@after("its entry comes back with another address")
+def _moved(context, node):
+    node.relist("elsewhere")
+
+
+@after("its own report says that it stays")
+def _own_report(context, node):
+    node.now += 0.1
+    node.tell("e1", 5, own=True)
+
+
+@after("another node's report says that it stays")
+def _peer_report(context, node):
+    node.now += 0.1
+    node.tell("e1", 5)
+
+
+@after("another of its answers says nothing")
+def _silent_answer(context, node):
+    node.say(Notice())
+
+
+@after("it starts again, with start 6")
+def _starts(context, node):
+    node.now += 0.1
+    node.there["e1"] = 6
+    node.relist()
+
+
+@after("it starts again, with start 4, and is sure")
+def _starts_earlier(context, node):
+    node.now += 0.1
+    node.there["e1"] = 4
+    node.tell("e1", 4, sure=True)
+
+
+@after("its list's row tells of start 4, late")
+def _late_row(context, node):
+    node.tell("e1", 4)
+
+
+@after("it starts again, and a node tells late that start 5 leaves")
+def _late_word(context, node):
+    _starts(context, node)
+    node.submit(LeavingHeard(node.now, (Leaving("e1", 5, node.now - 1.0),), "n2"))
+
+
+@after("it starts again, and a node tells that start 6 leaves")
+def _new_word(context, node):
+    _starts(context, node)
+    node.submit(LeavingHeard(node.now, (Leaving("e1", 6, node.now),), "n2"))
+
+
+@after("it starts again, and its last answer of before says so")
+def _last_answer(context, node):
+    _starts(context, node)
+    node.say(LEAVES, born=5)
+
+
+@after("a longer rest of 5 s is asked for")
+def _longer(context, node):
+    node.say(Notice(turned_away=True, rest_s=5.0))
+
+
+@after("a shorter rest of 1 s is asked for")
+def _shorter(context, node):
+    node.say(Notice(turned_away=True, rest_s=1.0))
+
+
+@after("a stream that it runs goes on")
+def _goes_on(context, node):
+    stream = context.stream
+    node.submit(AttemptProgressed(node.now, stream.request_id, stream.attempt, 1))
+
+
+@after("the connection to it is refused once")
+def _refused(context, node):
+    stream = context.stream
+    failed = AttemptFailed(node.now, stream.request_id, stream.attempt, False, False, "refused")
+    node.submit(failed)
+
+
+@when("afterwards: {then}")
+def afterwards(context, then):
+    AFTER[then](context, context.node)
+
+
+# Whose word it is.
+
+TOLD = {
+    "that it leaves": LEAVES,
+    "that it leaves, by its own name": LEAVES._replace(life="e1"),
+    "that it leaves, by another's name": LEAVES._replace(life="other"),
+    "that another process has its address": Notice(life="other", misdirected=True),
+    "nothing but Connection: close": Notice(),
+    "a value that can't be read": Notice(malformed="server-leaving: yes"),
+    "that it leaves, once its request was given up": LEAVES,
+}
+
+
+@when("an answer to a request that was sent there tells {told}")
+def answer_tells(context, told):
+    node = context.node
+    assert node.come() == "e1"
+    if "given up" in told:
+        node.submit(CallerLeft(node.now, "k1"))
+    node.say(TOLD[told])
+
+
+@then("the endpoint gets {what}")
+def it_gets(context, what):
+    node = context.node
+    expected = {"nothing": "", "work": "e1"}[what]
+    # Over a lapse, or an ejection, its work is not what is asked about here.
+    for _ in range(4):
+        assert node.come() == expected, (what, node.sent)
+        if expected:
+            node.end(node.sent[-1])
+        node.pass_time(0.5)
+
+
+@then("nothing is sent there for {seconds:g} s, and a first request after that")
+def nothing_for(context, seconds):
+    node = context.node
+    end = context.since + seconds
+    step_s = max(0.25, seconds / 20.0)
+    while node.now + step_s < end:
+        assert node.come() == "", node.now - context.since
+        node.now += step_s
+        node.submit(Ticked(node.now))
+    node.now = end - 0.01
+    assert node.come() == ""
+    node.now = end + 1.1
+    node.submit(Ticked(node.now))
+    assert node.come() == "e1"
+
+
+@when("{seconds:g} s later three requests come")
+def three_come(context, seconds):
+    node = context.node
+    node.now += seconds
+    context.before = len(node.sent)
+    for _ in range(3):
+        node.come(objective_s=4.0)
+
+
+@then("it has got {number:d} of them")
+def got_number(context, number):
+    node = context.node
+    assert len(node.sent) - context.before == number, node.sent
+
+
+@when("that one is answered")
+def one_answered(context):
+    context.node.end(context.node.sent[-1])
+
+
+@when("{number:d} requests come that have {deadline_s:g} s")
+def several_come(context, number, deadline_s):
+    node = context.node
+    context.before = len(node.refused)
+    for _ in range(number):
+        node.come(deadline_s=deadline_s)
+
+
+@when("a request waits for it, and it asks for {rest_s:g} s of rest")
+def waits_for_rest(context, rest_s):
+    node = context.node
+    context.before = len(node.refused)
+    node.say(Notice(turned_away=True, rest_s=rest_s))
+
+
+@then(
+    "each is refused at once as not run, to come back in {least:g} to {most:g} s, "
+    "not all at one moment"
+)
+def told_when(context, least, most):
+    refused = context.node.refused[context.before :]
+    assert refused and not context.node.state.queues.get("llm/m")
+    for one in refused:
+        assert (one.status, one.outcome, one.reason) == (503, "not_run", "resting"), one
+        assert least <= one.retry_after_s <= most, one
+    assert len(refused) == 1 or len({one.retry_after_s for one in refused}) > 1
+
+
+@then("nothing waits")
+def nothing_waits(context):
+    assert not sum(len(queue) for queue in context.node.state.queues.values())
+
+
+@then("the one that does not rest got {number:d}")
+def other_got(context, number):
+    assert [one.endpoint for one in context.node.sent] == ["e2"] * number
+
+
+# Ways round it.
+
+
+class SlotHarness(RelayHarness):
+    """A node whose plain service's slots are given out by an owner."""
+
+    def __init__(self):
+        self.asked = []
+        self.freed = []
+        super().__init__()
+        self.state.slots_by_owner = True
+        self.list_endpoints(["f"], "svc", "service")
+        self.ask()
+
+    def perform(self, effect):
+        if isinstance(effect, AskSlot):
+            self.asked.append(effect)
+        elif isinstance(effect, FreeSlot):
+            self.freed.append(effect)
+
+    def grant(self):
+        self.submit(SlotAnswered(self.now, "r1", "svc", "f", 0.0))
+
+
+@when("a slot there was given before it said that it leaves")
+def slot_before_leaving(context):
+    context.node = node = SlotHarness()
+    node.submit(EndpointSaid(node.now, "f", 0, LEAVES, "f"))
+    node.grant()
+    context.before = 0
+
+
+@when("a slot there was given before it asked for 3 s of rest")
+def slot_before_rest(context):
+    context.node = node = SlotHarness()
+    node.submit(EndpointSaid(node.now, "f", 0, Notice(turned_away=True, rest_s=3.0), "f"))
+    node.grant()
+    context.before = 0
+
+
+@when("a second try is due, and it is the only one")
+def second_try(context):
+    node = context.node
+    assert node.come(attempts=3) == "e1"
+    key = (node.sent[-1].request_id, 1)
+    node.submit(AttemptStarted(node.now, *key))
+    node.say(Notice(turned_away=True, rest_s=3.0))
+    context.before = len(node.sent)
+    node.submit(AttemptFailed(node.now, *key, True, True, "refused with 503"))
+    (refusal,) = node.refused
+    assert refusal.outcome == "not_run" and refusal.retry_after_s > 1.0, refusal
+
+
+@when("it is ejected, and it asked for 3 s of rest")
+def ejected(context):
+    node = context.node
+    for _ in range(5):
+        node.state.endpoints["e1"].fail(node.now)
+    node.say(Notice(turned_away=True, rest_s=3.0))
+    context.before = len(node.sent)
+    node.come()
+
+
+@then("it got no request since it said so")
+def got_none(context):
+    assert len(context.node.sent) == context.before, context.node.sent
+
+
+# The lease holder.
+
+
+@given("a lease holder over runners, one of which {said}")
+def holder_over(context, said):
+    context.holder = holder = HolderHarness(["m", "n"])
+    holder.orders.clear()
+    notice = LEAVES if said == "leaves" else Notice(turned_away=True, rest_s=60.0)
+    holder.submit(EndpointSaid(holder.now, "e1", 0, notice, "e1"))
+
+
+@when("a model is asked for that stands nowhere")
+def asked_nowhere(context):
+    holder = context.holder
+    holder.runners["e2"]["models"] = []
+    holder.submit(holder.report("e2", [], token=(0, 0), own=True))
+    for _ in range(80):
+        holder.demand("n", 60_000.0)
+        holder.pass_time(0.1)
+
+
+@when("the model that it holds is asked for")
+def asked_for_held(context):
+    holder = context.holder
+    for _ in range(80):
+        holder.demand("m", 60_000.0)
+        holder.pass_time(0.1)
+
+
+@then("it is ordered at the other runner")
+def ordered_elsewhere(context):
+    orders = context.holder.orders
+    assert orders and {one.endpoint for one in orders} == {"e2"}, orders
+    assert not [at for name, at in context.holder.reads if name == "e1" and at > 106.2]
--- /dev/null
+++ b/features/steps/notice_steps.py
@@ -0,0 +1,181 @@
+"""What endpoints say of themselves, over whole fleets: who learns of it, and when."""
+
+from behave import given
+from behave import then
+from behave import when
+from crash_steps import cut_off
+from crash_steps import pick
+from hypothesis import given as drawn
+from hypothesis import settings as drawing
+from hypothesis import strategies
+
+from rookspring_core.notices import Leaving
+from rookspring_core.notices import NoticeTable
+from rookspring_fakes.fleet_callers import FleetCallers
+
+# What all nodes are to know, they know so long after one has heard it, in seconds.
+TOLD_S = 0.5
+ASKED = "asked"
+
+
+@given("{nodes:d} nodes that cannot reach the store, and an endpoint that leaves")
+def fleet_cut_off(context, nodes):
+    context.stage = FleetCallers(nodes)
+    stage = context.stage
+    stage.fleet.cut_from_store = set(stage.fleet.nodes)
+    stage.runners.leaving.add("e0")
+    context.left_out = set()
+
+
+def hear_from(stage, name):
+    """Have the endpoint answer a request of a node; gives when the node heard it."""
+    view = stage.fleet.nodes[name].state.endpoints["e0"]
+    for _ in range(200):
+        stage.send(name, ASKED)
+        stage.fleet.run(0.01)
+        if view.leaving:
+            return stage.fleet.now
+    raise AssertionError("the endpoint was never asked")
+
+
+@when("its answer to one node says so")
+def one_hears(context):
+    context.name = context.stage.names()[3]
+    context.heard_at = hear_from(context.stage, context.name)
+
+
+@then("that node sends it nothing from then on")
+def sends_nothing(context):
+    stage = context.stage
+    for _ in range(60):
+        stage.send(context.name, ASKED)
+        stage.fleet.run(0.05)
+    late = [
+        one
+        for one in stage.runners.arrived
+        if one.endpoint == "e0" and one.node == context.name and one.at > context.heard_at
+    ]
+    assert not late, late
+    others = [one for one in stage.runners.arrived if one.node == context.name]
+    assert len(others) >= 60, len(others)
+
+
+@then("no node sends it anything 0.5 s later, whoever is asked")
+def nobody_sends(context):
+    stage = context.stage
+    for name in stage.names() * 3:
+        stage.send(name, ASKED)
+        stage.fleet.run(0.01)
+    late = [
+        one
+        for one in stage.runners.arrived
+        if one.endpoint == "e0" and one.at > context.heard_at + TOLD_S
+    ]
+    assert not late, late
+
+
+@then("what ran there ended well")
+def ended_well(context):
+    stage = context.stage
+    stage.fleet.run(1.0)
+    assert not stage.runners.ended
+    assert not [one for _, one in stage.fleet.refusals if one.outcome == "unknown"]
+
+
+@when("{who} is started while its answer to another says so")
+def hears_started(context, who):
+    stage = context.stage
+    name = context.name = pick(stage.fleet, who)
+    other = next(one for one in stage.names() if one != name)
+    stage.fleet.kill(name)
+    stage.fleet.run(1.0)
+    hear_from(stage, other)
+    # A node that starts reads the list itself, which goes on telling that the endpoint stays.
+    stage.fleet.cut_from_store.discard(name)
+    stage.fleet.start(int(name[1:]))
+    stage.fleet.run(2.0)
+    context.heard_at = stage.fleet.now
+
+
+@when("{who} freezes while its answer to another says so")
+def hears_frozen(context, who):
+    stage = context.stage
+    name = context.name = pick(stage.fleet, who)
+    other = next(one for one in stage.names() if one != name)
+    stage.fleet.nodes[name].frozen = True
+    hear_from(stage, other)
+    stage.fleet.run(1.0)
+    stage.fleet.thaw(name)
+    stage.fleet.run(0.02)
+    context.heard_at = stage.fleet.now
+
+
+@when("{who} is cut off from the others while its answer to another says so")
+def hears_cut(context, who):
+    stage = context.stage
+    name = context.name = pick(stage.fleet, who)
+    other = next(one for one in stage.names() if one != name)
+    pairs = cut_off(stage.fleet, name)
+    hear_from(stage, other)
+    stage.fleet.run(1.0)
+    stage.fleet.cut -= pairs
+    stage.fleet.run(3.0)
+    context.heard_at = stage.fleet.now
+
+
+@when("{who} loses the node that it follows while its answer to another says so")
+def hears_lost(context, who):
+    stage = context.stage
+    name = context.name = pick(stage.fleet, who)
+    followed = stage.fleet.nodes[name].state.topology.followed
+    other = next(one for one in stage.names() if one not in (name, followed))
+    stage.fleet.kill(followed)
+    hear_from(stage, other)
+    stage.fleet.run(3.0)
+    context.heard_at = stage.fleet.now
+
+
+@when("a node is cut off from all others, and its answer says so to that one")
+def only_one_hears(context):
+    stage = context.stage
+    context.name = pick(stage.fleet, "a leaf")
+    cut_off(stage.fleet, context.name)
+    stage.fleet.run(1.0)
+    context.heard_at = hear_from(stage, context.name)
+
+
+# Merging and bounds.
+
+
+def leaving_of(table):
+    return {(one.endpoint, one.born) for one in table.whole(10.0)}
+
+
+@then("{number:d} drawn words give the same lives that leave in any order, told once or twice")
+def words_merge(context, number):
+    word = strategies.builds(
+        Leaving, strategies.sampled_from("abc"), strategies.integers(0, 4), strategies.just(9.0)
+    )
+
+    @drawing(max_examples=number, derandomize=True, deadline=None)
+    @drawn(strategies.lists(word, max_size=12), strategies.randoms(use_true_random=False))
+    def check(words, random):
+        first, other = NoticeTable(), NoticeTable()
+        first.take_leaving(words, 10.0)
+        mixed = [*words, *words]
+        random.shuffle(mixed)
+        for one in mixed:
+            other.take_leaving((one,), 10.0)
+        assert leaving_of(first) == leaving_of(other)
+        assert first.digest(10.0) == other.digest(10.0)
+
+    check()
+
+
+@then("{number:d} lives that leave leave {kept:d} remembered, the latest among them")
+def table_bounded(context, number, kept):
+    table = NoticeTable()
+    for one in range(number):
+        table.take_leaving((Leaving(f"e{one}", 1, 0.0),), 0.0)
+    assert len(table.whole(0.0)) == kept
+    assert table.leaves(f"e{number - 1}", 1) and not table.leaves("e0", 1)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -123,6 +123,8 @@
 # one, and spread over the other.
 COME_BACK_ABSENT_MAX_S = 3.0
 COME_BACK_SPREAD_S = 1.0
+# Part of the longest time that callers heed over which they are spread where it is too short.
+COME_BACK_APART = 0.25
 # A model that was loaded for callers is kept so long, until they have come back: models loaded
 # at 11.6 and 24.0 s of a simulated minute gave way at 14.0 and 24.7 s, and came for nobody.
 MODEL_KEPT_S = COME_BACK_ABSENT_MAX_S + COME_BACK_SPREAD_S
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -208,7 +208,9 @@
         return 0.0
     spread = mix("come back", request.arrived.request_id) % 1000 / 1000.0
     after_s = left_s + spread * defaults.COME_BACK_SPREAD_S
-    return min(after_s, (request.arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE)
+    most_s = (request.arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE
+    # Callers heed no more than that; they are to stay apart then as well.
+    return min(after_s, most_s * (1.0 - spread * defaults.COME_BACK_APART))
 
 
 def _stands(state: NodeState, arrived: RequestArrived) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/witness.py
+++ b/packages/rookspring-core/src/rookspring_core/witness.py
@@ -7,6 +7,8 @@
 if t.TYPE_CHECKING:
     from .events import EndpointSaid
 
+# Shorter than the handlers remember: what they may forget can't be held against them.
+REMEMBERED_S = notices.LEAVING_KEPT_S / 2.0
 # A life, by its endpoint and its start.
 Life = tuple[str, int]
 
@@ -32,8 +34,7 @@
         self._bound(event.at)
 
     def _bound(self, now: float) -> None:
-        # What it remembers for less long than the handlers do can't be held against them.
-        oldest = now - notices.LEAVING_KEPT_S / 2.0
+        oldest = now - REMEMBERED_S
         while self._leaving and next(iter(self._leaving.values())) < oldest:
             del self._leaving[next(iter(self._leaving))]
         if len(self._rests) > notices.NOTICES_MAX:
@@ -45,7 +46,7 @@
         :param late_s: how long what is on its way may take, in seconds.
         """
         said_at = self._leaving.get((endpoint, born), now)
-        if now - said_at > late_s:
+        if late_s < now - said_at < REMEMBERED_S:
             return f"{endpoint} said {now - said_at:.2f} s ago that it leaves"
         until = self._rests.get((endpoint, born), now)
         if until > now and late_s == 0.0:
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -12,7 +12,10 @@
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import EndpointSaid
 from rookspring_core.events import Event
+from rookspring_core.notices import Notice
+from rookspring_core.noticing import born_of
 
 if t.TYPE_CHECKING:
     from .fleet import Fleet
@@ -22,6 +25,8 @@
 RUN_S = 0.1
 # When the first event of an answer comes, in seconds from its begin.
 FIRST_S = 0.05
+# A request that is turned away is told so after so long, in seconds.
+REFUSE_S = 0.003
 # From the begin of a run to the end of the process that it ends, in seconds.
 FATAL_S = 0.04
 # How long an entry outlasts its process, and when another one is there, in seconds.
@@ -45,6 +50,15 @@
     fingerprints: tuple[str, ...]
 
 
+class Arrived(t.NamedTuple):
+    """A request that reached an endpoint, from which node, and when its node sent it."""
+
+    at: float
+    fingerprint: str
+    endpoint: str
+    node: str
+
+
 class FleetRunners:
     """What runs at the endpoints, and the processes that have ended.
 
@@ -61,8 +75,14 @@
         # How long requests run, by fingerprint, in seconds.
         self.lasts: dict[str, float] = {}
         self.ended: list[Ended] = []
-        # Each request that reached a process: when, and its fingerprint.
-        self.arrived: list[tuple[float, str]] = []
+        # Each request that reached a process.
+        self.arrived: list[Arrived] = []
+        # Endpoints whose answers say that they leave, and those that turn requests away until
+        # a moment, with the rest that they ask for, in seconds; None where they tell none.
+        self.leaving: set[str] = set()
+        self.shedding: dict[str, tuple[float, float | None]] = {}
+        # Requests that were turned away.
+        self.turned_away: list[Arrived] = []
 
     def run(self, node: "FleetNode", effect: Dispatch, fingerprint: str) -> None:
         """Have an endpoint run a request; the node hears how it went."""
@@ -72,7 +92,15 @@
             refused = AttemptFailed(fleet.now, *key, False, False, "refused", down=True)
             self._tell(node, refused, 0.0)
             return
-        self.arrived.append((fleet.now, fingerprint))
+        arrived = Arrived(fleet.now, fingerprint, effect.endpoint, node.name)
+        self.arrived.append(arrived)
+        until, rest_s = self.shedding.get(effect.endpoint, (0.0, None))
+        if fleet.now < until:
+            self.turned_away.append(arrived)
+            self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
+            self._say(node, effect, turned_away=True, rest_s=rest_s)
+            self._tell(node, AttemptFailed(0.0, *key, True, True, "refused with 503"), REFUSE_S)
+            return
         one = Run(node, effect, fingerprint)
         self._running.setdefault(effect.endpoint, []).append(one)
         self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
@@ -92,15 +120,33 @@
 
         fleet.at(fleet.now + after_s, come)
 
+    def _say(
+        self,
+        node: "FleetNode",
+        effect: Dispatch,
+        turned_away: bool = False,
+        rest_s: float | None = None,
+    ) -> None:
+        """Have the head of an answer say what its endpoint says of itself."""
+        leaving = effect.endpoint in self.leaving
+        notice = Notice(leaving=leaving, turned_away=turned_away, rest_s=rest_s)
+        view = node.state.endpoints.get(effect.endpoint)
+        if view is None or notice.says_nothing():
+            return
+        said = EndpointSaid(0.0, effect.endpoint, born_of(view), notice, view.address)
+        self._tell(node, said, REFUSE_S if turned_away else 0.0)
+
     def _progress(self, one: Run) -> None:
         if one in self._running.get(one.effect.endpoint, ()):
             effect = one.effect
+            self._say(one.node, effect)
             self._tell(one.node, AttemptProgressed(0.0, effect.request_id, effect.attempt, 1), 0.0)
 
     def _finish(self, one: Run) -> None:
         if one in self._running.get(one.effect.endpoint, ()):
             self._running[one.effect.endpoint].remove(one)
             effect = one.effect
+            self._say(one.node, effect)
             self._tell(one.node, AttemptSucceeded(0.0, effect.request_id, effect.attempt), 0.0)
 
     def _end_by(self, one: Run) -> None:
