--- /dev/null
+++ b/bench/notice_mutants.py
@@ -0,0 +1,88 @@
+"""Wrong decisions about what endpoints say of themselves."""
+
+import typing as t
+
+from rookspring import relay_merged
+from rookspring import relay_notices
+from rookspring_core import notices
+from rookspring_core import noticing
+from rookspring_core import routed
+from rookspring_core import slotting
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.notices import Notice
+from rookspring_core.notices import NoticeTable
+from rookspring_core.notices import Rest
+
+from .mutant import NOTICES
+from .mutant import Mutant
+
+
+def _nothing(*given: t.Any) -> None:
+    return None
+
+
+def _no_effects(*given: t.Any) -> list[t.Any]:
+    return []
+
+
+def _never(*given: t.Any) -> bool:
+    return False
+
+
+def _always(*given: t.Any) -> bool:
+    return True
+
+
+def _not_withheld(state: t.Any, endpoint: str) -> str:
+    return ""
+
+
+def _not_for_long(state: t.Any, arrived: t.Any) -> float:
+    return 0.0
+
+
+def _uncapped(self: Notice) -> float:
+    return self.rest_s or 0.0
+
+
+def _last_rest(self: NoticeTable, endpoint: str, born: int, until: float) -> None:
+    self._rests[endpoint] = Rest(born, until)
+
+
+def _usable(state: t.Any, endpoint: str) -> EndpointView | None:
+    view: EndpointView | None = state.endpoints.get(endpoint)
+    return view
+
+
+def _own_word(state: t.Any, event: t.Any) -> list[t.Any]:
+    """Take the word of another process for that of the one that was asked."""
+    if not event.notice.leaving:
+        return []
+    return noticing._note_leaving(state, event.endpoint, event.born)
+
+
+def _same_moment(state: t.Any, request: t.Any) -> float:
+    return routed.rest_left_s(state, request.arrived)
+
+
+MUTANTS = (
+    Mutant("forgets with the view", "DRAIN", noticing, "recall", _nothing, NOTICES),
+    Mutant("tells nobody who leaves", "DRAIN", relay_notices, "share_leaving", _nothing, NOTICES),
+    Mutant("greets with no leavings", "DRAIN", relay_merged, "greet", _nothing, NOTICES),
+    Mutant("compares no leavings", "DRAIN", relay_merged, "compare", _nothing, NOTICES),
+    Mutant("grants no rest", "BUDGET", EndpointView, "rests", _never, NOTICES),
+    Mutant("resting is better than none", "BUDGET", routed, "_spared", _never, NOTICES),
+    Mutant("sends what was decided", "DRAIN", noticing, "find_withheld", _not_withheld, NOTICES),
+    Mutant("waits for a rest in vain", "callers", routed, "rest_left_s", _not_for_long, NOTICES),
+    Mutant("a life never ends", "reach", NoticeTable, "begin", _nothing, NOTICES),
+    Mutant("any life is the same", "reach", notices, "same_life", _always, NOTICES),
+    Mutant("the last rest holds", "BUDGET", NoticeTable, "take_rest", _last_rest, NOTICES),
+    Mutant("all at once after a rest", "callers", EndpointView, "returns", _never, NOTICES),
+    Mutant("whoever answers is meant", "reach", noticing, "_take_other", _own_word, NOTICES),
+    Mutant("ignores another's address", "reach", noticing, "_take_other", _no_effects, NOTICES),
+    Mutant("remembers for good", "reach", NoticeTable, "tick", _nothing, NOTICES),
+    Mutant("bounds no notices", "memory", notices, "_bound", _nothing, NOTICES),
+    Mutant("rests for as long as asked", "reach", Notice, "asked_rest_s", _uncapped, NOTICES),
+    Mutant("a slot is a slot", "BUDGET", slotting, "usable", _usable, NOTICES),
+    Mutant("all back at one moment", "callers", routed, "rest_back_s", _same_moment, NOTICES),
+)
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -40,6 +40,7 @@
 from rookspring_platform import store
 from rookspring_platform.dialect import PlatformDialect
 
+from . import notice_mutants
 from . import organisation_mutants
 from . import suspect_mutants
 from .mutant import ADAPTERS
@@ -117,12 +118,12 @@
 _judge = PlatformDialect.judge
 
 
-def _anybodys(self: PlatformDialect, head: t.Any, request_id: str, name: str) -> t.Any:
-    return _judge(self, head, request_id, name)._replace(mine=True)
+def _anybodys(self: PlatformDialect, head: t.Any, request_id: str) -> t.Any:
+    return _judge(self, head, request_id)._replace(mine=True)
 
 
-def _reset_is_not_run(self: PlatformDialect, head: t.Any, request_id: str, name: str) -> t.Any:
-    return _judge(self, head, request_id, name)._replace(not_run=True)
+def _reset_is_not_run(self: PlatformDialect, head: t.Any, request_id: str) -> t.Any:
+    return _judge(self, head, request_id)._replace(not_run=True)
 
 
 def _everyone_known(peers: t.Any) -> set[str]:
@@ -271,6 +272,14 @@
 )
 
 
+GROUPS: dict[str, tuple[Mutant, ...]] = {
+    "relay": MUTANTS,
+    "organisations": organisation_mutants.MUTANTS,
+    "suspects": suspect_mutants.MUTANTS,
+    "notices": notice_mutants.MUTANTS,
+}
+
+
 def caught(mutant: Mutant) -> bool:
     """Run the features upon a mutant and say whether one of them failed."""
     with contextlib.ExitStack() as stack:
@@ -287,10 +296,13 @@
     """Try all mutants; the exit code tells whether any of them went unnoticed."""
     parser = argparse.ArgumentParser(prog="relay-mutants", description=__doc__)
     parser.add_argument("--only", default="", help="part of a mutant's name")
+    parser.add_argument("--group", default="", choices=["", *GROUPS], help="one group alone")
     given = parser.parse_args(arguments)
     rows = [
         {"mutant": one.name, "guards": one.rule, "caught": caught(one)}
-        for one in (*MUTANTS, *organisation_mutants.MUTANTS, *suspect_mutants.MUTANTS)
+        for group, mutants in GROUPS.items()
+        if given.group in ("", group)
+        for one in mutants
         if given.only in one.name
     ]
     report("relay-mutants", "wrong decisions of the relay that a test catches", rows)
--- a/bench/suspect_mutants.py
+++ b/bench/suspect_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from rookspring import relay_merged
 from rookspring import relay_suspects
 from rookspring_core import suspecting
 from rookspring_core.suspects import Evidence
@@ -50,8 +51,8 @@
     Mutant("joins what is far apart", "innocents", SuspectTable, "note_ended", _whenever, CRASHES),
     Mutant("clears nobody", "innocents", suspecting, "note_well", _no_effects, CRASHES),
     Mutant("tells nobody of ends", "ends", relay_suspects, "share_evidence", _nothing, CRASHES),
-    Mutant("greets with no evidence", "ends", relay_suspects, "greet", _nothing, CRASHES),
-    Mutant("compares no evidence", "ends", relay_suspects, "compare", _nothing, CRASHES),
+    Mutant("greets with no evidence", "ends", relay_merged, "greet", _nothing, CRASHES),
+    Mutant("compares no evidence", "ends", relay_merged, "compare", _nothing, CRASHES),
     Mutant("keeps no verdict", "ends", relay_suspects, "write_verdicts", _no_effects, CRASHES),
     Mutant("tries suspects at once", "ends", suspecting, "find_bar", _verdicts_alone, CRASHES),
     Mutant("tells of no trial", "ends", suspecting, "begin_trial", _no_effects, CRASHES),
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -59,6 +59,17 @@
     node: str
 
 
+class Shedding(t.NamedTuple):
+    """Until when an endpoint turns requests away, of which nodes, and the rest it asks for."""
+
+    until: float
+    rest_s: float | None
+    nodes: frozenset[str]
+
+
+NOT_SHEDDING = Shedding(-1e9, None, frozenset())
+
+
 class FleetRunners:
     """What runs at the endpoints, and the processes that have ended.
 
@@ -77,10 +88,12 @@
         self.ended: list[Ended] = []
         # Each request that reached a process.
         self.arrived: list[Arrived] = []
-        # Endpoints whose answers say that they leave, and those that turn requests away until
-        # a moment, with the rest that they ask for, in seconds; None where they tell none.
+        # Endpoints whose answers say that they leave, and those that turn requests away.
         self.leaving: set[str] = set()
-        self.shedding: dict[str, tuple[float, float | None]] = {}
+        self.shedding: dict[str, Shedding] = {}
+        # The most that runs at once, where that is bounded, and how long runs take.
+        self.limits: dict[str, int] = {}
+        self.default_run_s = RUN_S
         # Requests that were turned away.
         self.turned_away: list[Arrived] = []
 
@@ -94,11 +107,13 @@
             return
         arrived = Arrived(fleet.now, fingerprint, effect.endpoint, node.name)
         self.arrived.append(arrived)
-        until, rest_s = self.shedding.get(effect.endpoint, (0.0, None))
-        if fleet.now < until:
+        shedding = self.shedding.get(effect.endpoint, NOT_SHEDDING)
+        sheds = fleet.now < shedding.until and node.name in (shedding.nodes or (node.name,))
+        running = len(self._running.get(effect.endpoint, ()))
+        if sheds or running >= self.limits.get(effect.endpoint, running + 1):
             self.turned_away.append(arrived)
             self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
-            self._say(node, effect, turned_away=True, rest_s=rest_s)
+            self._say(node, effect, turned_away=True, rest_s=shedding.rest_s if sheds else None)
             self._tell(node, AttemptFailed(0.0, *key, True, True, "refused with 503"), REFUSE_S)
             return
         one = Run(node, effect, fingerprint)
@@ -107,7 +122,7 @@
         if fingerprint in self.fatal:
             fleet.at(fleet.now + FATAL_S, lambda: self._end_by(one))
             return
-        lasts_s = self.lasts.get(fingerprint, RUN_S)
+        lasts_s = self.lasts.get(fingerprint, self.default_run_s)
         if lasts_s > FIRST_S:
             fleet.at(fleet.now + FIRST_S, lambda: self._progress(one))
         fleet.at(fleet.now + lasts_s, lambda: self._finish(one))
@@ -120,6 +135,19 @@
 
         fleet.at(fleet.now + after_s, come)
 
+    def shed(
+        self,
+        endpoint: str,
+        until: float,
+        rest_s: float | None,
+        nodes: frozenset[str] = frozenset(),
+    ) -> None:
+        """Have an endpoint turn requests away until a moment, and ask for rest.
+
+        :param nodes: those that it turns away; all where none is named.
+        """
+        self.shedding[endpoint] = Shedding(until, rest_s, nodes)
+
     def _say(
         self,
         node: "FleetNode",
