--- a/bench/notice_mutants.py
+++ b/bench/notice_mutants.py
@@ -74,6 +74,7 @@
     Mutant("resting is better than none", "BUDGET", routed, "_spared", _never, NOTICES),
     Mutant("sends what was decided", "DRAIN", noticing, "find_withheld", _not_withheld, NOTICES),
     Mutant("waits for a rest in vain", "callers", routed, "rest_left_s", _not_for_long, NOTICES),
+    Mutant("tells nobody who sheds", "callers", relay_notices, "share_shed", _nothing, NOTICES),
     Mutant("a life never ends", "reach", NoticeTable, "begin", _nothing, NOTICES),
     Mutant("any life is the same", "reach", notices, "same_life", _always, NOTICES),
     Mutant("the last rest holds", "BUDGET", NoticeTable, "take_rest", _last_rest, NOTICES),
--- a/bench/rests.py
+++ b/bench/rests.py
@@ -12,6 +12,7 @@
 from unittest import mock
 
 from rookspring.logs import configure
+from rookspring_core import notices
 from rookspring_core import noticing
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.mixing import mix
@@ -30,8 +31,6 @@
 SECONDS = 20.0
 # Part of a rest over which the nodes' returns are spread, where they are.
 RAMP_SHARE = 0.25
-# What a node that was told of another's rest adds to the endpoint's load, in parts of its slots.
-HINTED_LOAD = 0.5
 
 Way = t.Callable[[FleetCallers], contextlib.AbstractContextManager[t.Any]]
 WAYS: dict[str, Way] = {}
@@ -47,14 +46,26 @@
     return register
 
 
-@way("local, one request first")
+@way("told to all, who add to its load; one request first")
 def _as_is(callers: FleetCallers) -> contextlib.AbstractContextManager[t.Any]:
     return contextlib.nullcontext()
 
 
+def _untold() -> contextlib.AbstractContextManager[t.Any]:
+    return mock.patch.object(notices, "SHED_LOAD", 0.0)
+
+
+@way("local, one request first")
+def _local(callers: FleetCallers) -> contextlib.AbstractContextManager[t.Any]:
+    return _untold()
+
+
 @way("local, all at once")
 def _at_once(callers: FleetCallers) -> contextlib.AbstractContextManager[t.Any]:
-    return mock.patch.object(EndpointView, "returns", lambda self, now: False)
+    stack = contextlib.ExitStack()
+    stack.enter_context(_untold())
+    stack.enter_context(mock.patch.object(EndpointView, "returns", lambda self, now: False))
+    return stack
 
 
 @way("local, spread over a quarter of the rest")
@@ -94,25 +105,9 @@
         if view is not None:
             view.rest_until = max(view.rest_until, until)
 
-    return t.cast(contextlib.AbstractContextManager[t.Any], _on_rest(callers, tell))
-
-
-@way("told to all, who add to its load")
-def _hinted(callers: FleetCallers) -> contextlib.AbstractContextManager[t.Any]:
-    hints: dict[tuple[str, str], float] = {}
-    names = {id(node.state.peers_work): node.name for node in callers.fleet.nodes.values()}
-    load = EndpointView.load
-
-    def tell(node: t.Any, endpoint: str, born: int, until: float) -> None:
-        hints[(node.name, endpoint)] = until
-
-    def raised(self: EndpointView, now: float) -> float:
-        until = hints.get((names.get(id(self.peers), ""), self.name), 0.0)
-        return load(self, now) + (HINTED_LOAD if now < until else 0.0)
-
     stack = contextlib.ExitStack()
+    stack.enter_context(_untold())
     stack.enter_context(_on_rest(callers, tell))
-    stack.enter_context(mock.patch.object(EndpointView, "load", raised))
     return stack
 
 
--- a/features/notices.feature
+++ b/features/notices.feature
@@ -102,6 +102,17 @@
       | 0 s of rest         | nothing else                  |
       | 3 s of rest         | it starts again, with start 6 |
 
+  Scenario Outline: rest is asked of one node; the others only prefer what did not shed
+    Given <nodes> nodes, and two endpoints of their model, one of which turns one node away
+    When that node was asked for 2 s of rest
+    Then that node sends it nothing for 2 s
+    And the other nodes go on to send to both, less to the one that shed
+
+    Examples:
+      | nodes |
+      | 8     |
+      | 69    |
+
   Scenario: after a rest one request goes first, and the others once it is answered
     Given a node, and an endpoint of start 5 that asked for 3 s of rest
     When 3.1 s later three requests come
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -144,6 +144,59 @@
     context.heard_at = hear_from(stage, context.name)
 
 
+# Rest.
+
+SHEDS = "e0"
+
+
+@given("{nodes:d} nodes, and two endpoints of their model, one of which turns one node away")
+def one_turned_away(context, nodes):
+    context.stage = FleetCallers(nodes, 2)
+    context.name = context.stage.names()[3]
+
+
+@when("that node was asked for {rest_s:g} s of rest")
+def asked_for_rest(context, rest_s):
+    stage = context.stage
+    fleet = stage.fleet
+    stage.runners.shed(SHEDS, fleet.now + 60.0, rest_s, frozenset({context.name}))
+    for _ in range(50):
+        stage.send(context.name, ASKED)
+        fleet.run(0.01)
+        if stage.runners.turned_away:
+            break
+    context.heard_at = stage.runners.turned_away[0].at
+    fleet.run(0.01)
+    # All come at once, so that views differ by what each node sends alone.
+    for _ in range(30):
+        for name in stage.names():
+            stage.send(name, ASKED)
+        fleet.run(0.06)
+
+
+def sent_to(context, endpoint, own):
+    return [
+        one
+        for one in context.stage.runners.arrived
+        if one.endpoint == endpoint
+        and (one.node == context.name) == own
+        and one.at > context.heard_at
+    ]
+
+
+@then("that node sends it nothing for {seconds:g} s")
+def nothing_sent(context, seconds):
+    early = [one for one in sent_to(context, SHEDS, True) if one.at < context.heard_at + seconds]
+    assert not early, early
+    assert sent_to(context, "e1", True)
+
+
+@then("the other nodes go on to send to both, less to the one that shed")
+def others_send(context):
+    there, other = len(sent_to(context, SHEDS, False)), len(sent_to(context, "e1", False))
+    assert 0 < there < 0.8 * other, (there, other)
+
+
 # Merging and bounds.
 
 
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -215,6 +215,16 @@
     endpoint: str
 
 
+class ShareShed(t.NamedTuple):
+    """Tell the other nodes that an endpoint turned a request of this one away.
+
+    :param for_s: how long it is spared here, in seconds.
+    """
+
+    endpoint: str
+    for_s: float
+
+
 class ShareLeaving(t.NamedTuple):
     """Tell the other nodes of endpoints that leave.
 
@@ -334,6 +344,7 @@
     | ShareDown
     | ShareEvidence
     | ShareLeaving
+    | ShareShed
     | VerdictFound
     | ShareReport
     | AskAllotment
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from . import defaults
+from . import notices
 from .events import EndpointReported
 
 
@@ -113,6 +114,7 @@
         "rest_until",
         "role",
         "service",
+        "shed_until",
     )
 
     def __init__(
@@ -138,6 +140,8 @@
         self.gone = False
         # Until when it wants nothing from this node; see :mod:`notices`.
         self.rest_until = -1e9
+        # Until when it counts as fuller than it looks, since it turned another node's request away.
+        self.shed_until = -1e9
         # Whether nothing listened there when it was last tried.
         self.down = False
         # The model that is being loaded there, and when it is expected to be there.
@@ -170,6 +174,7 @@
         self.resident = frozenset()
         self.leaving = False
         self.rest_until = -1e9
+        self.shed_until = -1e9
         self.down = False
         self.coming = ("", -1e9)
         self.doubted_born = 0
@@ -205,7 +210,8 @@
         taken from the fresher of two sources: the endpoint's report, or what the
         nodes say in their heartbeats that they have in flight there.
         """
-        return (len(self.inflight) + self._others(now)) / self.slots()
+        shed = notices.SHED_LOAD if now < self.shed_until else 0.0
+        return (len(self.inflight) + self._others(now)) / self.slots() + shed
 
     def _others(self, now: float) -> int:
         # A report without load says nothing of the others' work. Taken as "none", each one
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -153,6 +153,17 @@
     adapter: str = ""
 
 
+class ShedHeard(t.NamedTuple):
+    """Another node tells that an endpoint turned a request away.
+
+    :param for_s: how long it is spared there, in seconds.
+    """
+
+    at: float
+    endpoint: str
+    for_s: float
+
+
 class LeavingHeard(t.NamedTuple):
     """What another node tells of endpoints that leave.
 
@@ -567,6 +578,7 @@
     | AttemptFailed
     | EndpointSaid
     | LeavingHeard
+    | ShedHeard
     | CallerLeft
     | EvidenceHeard
     | EndpointReported
--- a/packages/rookspring-core/src/rookspring_core/noticing.py
+++ b/packages/rookspring-core/src/rookspring_core/noticing.py
@@ -8,9 +8,11 @@
 from . import requests
 from .effects import Effect
 from .effects import ShareLeaving
+from .effects import ShareShed
 from .endpoints import EndpointView
 from .events import EndpointSaid
 from .events import LeavingHeard
+from .events import ShedHeard
 from .notices import Leaving
 from .notices import Notice
 from .reducer import handles
@@ -29,7 +31,7 @@
     if notice.leaving:
         effects += _note_leaving(state, event.endpoint, event.born)
     if notice.asked_rest_s() > 0.0:
-        _note_rest(state, event, notice)
+        effects += _note_rest(state, event, notice)
     if notice.misdirected:
         _note_lacking(state, event)
     return effects + requests.end_hopeless(state) + requests.pump(state)
@@ -74,12 +76,15 @@
         view.leaving = True
 
 
-def _note_rest(state: NodeState, event: EndpointSaid, notice: Notice) -> None:
+def _note_rest(state: NodeState, event: EndpointSaid, notice: Notice) -> Effects:
     rest_s = notice.asked_rest_s()
+    view = state.endpoints.get(event.endpoint)
+    news = view is not None and not view.rests(state.now)
     state.notices.take_rest(event.endpoint, event.born, state.now + rest_s)
     _mark(state, event.endpoint)
     told = "no time told" if notice.rest_s is None else f"{notice.rest_s:g} s asked for"
     state.record(event.endpoint, f"rests for {rest_s:.2f} s", f"it turned a request away; {told}")
+    return [ShareShed(event.endpoint, min(rest_s, notices.SHED_TOLD_S))] if news else []
 
 
 def _note_lacking(state: NodeState, event: EndpointSaid) -> None:
@@ -107,6 +112,18 @@
         view.rest_until = until
 
 
+@handles(ShedHeard)
+def hear_shed(state: NodeState, event: ShedHeard) -> Effects:
+    """Prefer others for a while to what turned another node's request away.
+
+    Rest is asked of one node, so this one may go on to send there.
+    """
+    view = state.endpoints.get(event.endpoint)
+    if view is not None:
+        view.shed_until = max(view.shed_until, event.at + min(event.for_s, notices.SHED_TOLD_S))
+    return []
+
+
 @handles(LeavingHeard)
 def hear_leaving(state: NodeState, event: LeavingHeard) -> Effects:
     """Take what another node says of endpoints that leave; what is news goes on from here."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -30,6 +30,7 @@
 from rookspring_core.effects import ReturnAllotment
 from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import ShareLeaving
+from rookspring_core.effects import ShareShed
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
@@ -210,6 +211,8 @@
                     relay_allotments.return_units(self.peers, effect)
                 case ShareLeaving():
                     relay_notices.share_leaving(self.peers, effect.rows, effect.source)
+                case ShareShed(endpoint, for_s):
+                    relay_notices.share_shed(self.peers, endpoint, for_s)
                 case ShareEvidence():
                     relay_suspects.share_evidence(self.peers, effect.evidence, effect.source)
                 case Refuse():
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -171,6 +171,14 @@
     endpoint: str
 
 
+@message("shed")
+class ShedTold(t.NamedTuple):
+    """An endpoint turned a request of the sender away, and is spared for so long, in seconds."""
+
+    endpoint: str
+    for_s: float
+
+
 @message("leaving")
 class LeavingTold(t.NamedTuple):
     """Endpoints that leave, as rows of name, start and age of the word in seconds."""
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -78,6 +78,7 @@
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_evidence: t.Callable[[Evidence, str], None] = lambda evidence, source: None
         self.share_leaving: t.Callable[[tuple[Leaving, ...], str], None] = lambda rows, source: None
+        self.share_shed: t.Callable[[str, float], None] = lambda endpoint, for_s: None
         self.share_prompts: t.Callable[[str, bool], None] = lambda endpoint, far: None
         self.give_lists: t.Callable[[Link], None] = lambda link: None
         self.take_listed: t.Callable[[tuple[Stored, ...], bool, str], None] = (
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -8,8 +8,10 @@
 
 from rookspring_core import noticing
 from rookspring_core.effects import ShareLeaving
+from rookspring_core.effects import ShareShed
 from rookspring_core.events import EndpointSaid
 from rookspring_core.events import LeavingHeard
+from rookspring_core.events import ShedHeard
 from rookspring_core.notices import Leaving
 
 from . import clock
@@ -19,6 +21,7 @@
 from .leavings import encode_leaving
 from .logs import log
 from .messages import LeavingTold
+from .messages import ShedTold
 from .peers import Link
 from .relay_context import RelayContext
 from .relay_context import relay_performs
@@ -96,3 +99,21 @@
 def perform_share(context: RelayContext, effect: ShareLeaving) -> None:
     """Tell the other nodes of endpoints that leave."""
     context.share_leaving(effect.rows, effect.source)
+
+
+@relay_performs(ShareShed)
+def perform_shed(context: RelayContext, effect: ShareShed) -> None:
+    """Tell the other nodes of an endpoint that turns requests away."""
+    context.share_shed(effect.endpoint, effect.for_s)
+
+
+def share_shed(peers: RelayPeers, endpoint: str, for_s: float) -> None:
+    """Tell all nodes of an endpoint that turns requests away."""
+    peers.spread(ShedTold(endpoint, for_s))
+
+
+@receives(ShedTold)
+def take_shed(peers: RelayPeers, link: Link, told: ShedTold) -> None:
+    """Take another node's word that an endpoint turns requests away."""
+    peers.context.submit(ShedHeard(clock.now(), told.endpoint, float(told.for_s)))
+    peers.spread(told, link.name)
