--- /dev/null
+++ b/features/notice_stories.py
@@ -0,0 +1,143 @@
+"""Drawn stories of endpoints that say of themselves that they leave, or want rest.
+
+Beside them nodes and the store fail as in the stories of keys, entries lapse and come back, and
+processes end and start again. The invariants in the program hold throughout; what arrives at
+endpoints is judged here as well, by what each node had heard.
+"""
+
+import random
+
+from key_stories import troubles as node_troubles
+
+from rookspring_fakes.fleet_callers import FleetCallers
+
+# A request may arrive so long after its node heard that the endpoint leaves.
+LEFT_S = 2.0
+# Requests that may arrive while an endpoint rests, from half a second after it said so.
+RESTING_MOST = 2
+REST_BEGINS_S = 0.5
+STEP_S = 0.05
+
+TROUBLES = {}
+
+
+def trouble(name):
+    def register(begin):
+        TROUBLES[name] = begin
+        return begin
+
+    return register
+
+
+class NoticeStory:
+    """A fleet under load, what its endpoints say, and what nodes did wrong."""
+
+    def __init__(self, nodes, seed):
+        self.callers = FleetCallers(nodes, 6)
+        self.fleet = self.callers.fleet
+        self.runners = self.callers.runners
+        self.drawn = random.Random(seed)
+        # Nodes that froze, with when they went on.
+        self.stood_still = {}
+
+    def run(self, seconds):
+        for _ in range(round(seconds / STEP_S)):
+            for name in self.drawn.choices(self.callers.names(), k=3):
+                self.callers.send(name, "asked", repeatable=True, attempts=2)
+            self.fleet.run(STEP_S)
+            for node in self.fleet.nodes.values():
+                if node.frozen:
+                    self.stood_still[node.name] = self.fleet.now
+
+    def play(self, acts):
+        """Play troubles, each with a wait in tenths of a second."""
+        ends = []
+        for act, tenths in acts:
+            if act == "end" and ends:
+                ends.pop()()
+            elif act in TROUBLES:
+                TROUBLES[act](self)
+            elif act in node_troubles:
+                ends.append(node_troubles[act](self.fleet))
+            self.run(tenths / 10.0)
+        for end in ends:
+            end()
+        self.run(2.0)
+
+    def arrivals(self, word):
+        """List what reached the process that said something, from the node that heard it."""
+        return [
+            one.at
+            for one in self.runners.arrived
+            if (one.endpoint, one.start, one.node) == (word.endpoint, word.start, word.node.name)
+            and one.at > word.at
+            # A node that was started again has heard nothing, and one that froze is excused.
+            and self.fleet.nodes[one.node] is word.node
+            and self.stood_still.get(one.node, -1.0) < word.at
+        ]
+
+    def faults(self):
+        found = []
+        for word in self.runners.words:
+            rest_s = word.notice.rest_s or 0.0
+            if not word.notice.leaving and not rest_s:
+                continue
+            at = self.arrivals(word)
+            if word.notice.leaving and any(one > word.at + LEFT_S for one in at):
+                found.append(("sent to one that leaves", word, at))
+            begins, ends = word.at + REST_BEGINS_S, word.at + rest_s
+            if sum(begins <= one < ends for one in at) > RESTING_MOST:
+                found.append(("sent to one at rest", word, at))
+        return found
+
+
+def some(story):
+    return f"e{story.drawn.randrange(story.fleet.plan.endpoints)}"
+
+
+@trouble("an endpoint leaves, and its entry says nothing")
+def leaves(story):
+    name = some(story)
+    story.runners.leaving.add(name)
+    start = story.runners.start_of(name)
+
+    def end():
+        if story.runners.start_of(name) == start:
+            story.runners.end(name)
+
+    story.fleet.at(story.fleet.now + story.drawn.uniform(4.0, 9.0), end)
+
+
+@trouble("an endpoint sheds and asks for rest")
+def sheds(story):
+    until = story.fleet.now + story.drawn.uniform(0.5, 5.0)
+    story.runners.shed(some(story), until, story.drawn.choice((0.4, 1.0, 3.0)))
+
+
+@trouble("an endpoint sheds and tells no time")
+def sheds_untold(story):
+    story.runners.shed(some(story), story.fleet.now + story.drawn.uniform(0.5, 3.0), None)
+
+
+@trouble("all endpoints shed")
+def all_shed(story):
+    for number in range(story.fleet.plan.endpoints):
+        story.runners.shed(f"e{number}", story.fleet.now + 1.0, 1.0)
+
+
+@trouble("an endpoint ends")
+def ends(story):
+    story.runners.end(some(story))
+
+
+@trouble("an entry lapses and comes back, and says that its endpoint stays")
+def lapses(story):
+    name = some(story)
+    born = 1 + story.runners.start_of(name)
+    story.fleet.remove_entry(name)
+
+    def back():
+        if 1 + story.runners.start_of(name) == born:
+            story.fleet.write_entry(name, "live", "m", born)
+
+    story.fleet.at(story.fleet.now + story.drawn.uniform(0.5, 3.0), back)
--- a/features/notices.feature
+++ b/features/notices.feature
@@ -168,6 +168,14 @@
     When the model that it holds is asked for
     Then it is ordered at the other runner
 
+  Scenario Outline: drawn stories of <nodes> nodes send nothing that endpoints had said they don't want
+    Then <number> drawn stories of <nodes> nodes send nothing that endpoints don't want
+
+    Examples:
+      | number | nodes |
+      | 12     | 8     |
+      | 4      | 27    |
+
   Scenario: words of lives merge to the same whatever their order
     Then 200 drawn words give the same lives that leave in any order, told once or twice
 
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -8,6 +8,9 @@
 from hypothesis import given as drawn
 from hypothesis import settings as drawing
 from hypothesis import strategies
+from key_stories import troubles as node_troubles
+from notice_stories import TROUBLES
+from notice_stories import NoticeStory
 
 from rookspring_core.notices import Leaving
 from rookspring_core.notices import NoticeTable
@@ -197,6 +200,34 @@
     assert 0 < there < 0.8 * other, (there, other)
 
 
+# Stories.
+
+
+@then("{number:d} drawn stories of {nodes:d} nodes send nothing that endpoints don't want")
+def stories_hold(context, number, nodes):
+    acts = strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([*TROUBLES, *TROUBLES, *node_troubles, "end", "end"]),
+            strategies.integers(0, 20),
+        ),
+        min_size=6,
+        max_size=10,
+    )
+    heard = []
+
+    @drawing(max_examples=number, derandomize=True, deadline=None, database=None)
+    @drawn(acts, strategies.integers(0, 1_000_000))
+    def check(acts, seed):
+        story = NoticeStory(nodes, seed)
+        story.play(acts)
+        heard.extend(word.notice for word in story.runners.words)
+        faults = story.faults()
+        assert not faults, (acts, seed, faults[0])
+
+    check()
+    assert any(one.leaving for one in heard) and any(one.rest_s for one in heard)
+
+
 # Merging and bounds.
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -57,6 +57,17 @@
     fingerprint: str
     endpoint: str
     node: str
+    start: int = 0
+
+
+class Word(t.NamedTuple):
+    """What a node heard an endpoint say of itself, and which of its processes said it."""
+
+    at: float
+    node: "FleetNode"
+    endpoint: str
+    start: int
+    notice: Notice
 
 
 class Shedding(t.NamedTuple):
@@ -94,6 +105,8 @@
         # The most that runs at once, where that is bounded, and how long runs take.
         self.limits: dict[str, int] = {}
         self.default_run_s = RUN_S
+        # What nodes heard endpoints say of themselves.
+        self.words: list[Word] = []
         # Requests that were turned away.
         self.turned_away: list[Arrived] = []
 
@@ -105,7 +118,8 @@
             refused = AttemptFailed(fleet.now, *key, False, False, "refused", down=True)
             self._tell(node, refused, 0.0)
             return
-        arrived = Arrived(fleet.now, fingerprint, effect.endpoint, node.name)
+        start = self._starts.get(effect.endpoint, 0)
+        arrived = Arrived(fleet.now, fingerprint, effect.endpoint, node.name, start)
         self.arrived.append(arrived)
         shedding = self.shedding.get(effect.endpoint, NOT_SHEDDING)
         sheds = fleet.now < shedding.until and node.name in (shedding.nodes or (node.name,))
@@ -162,7 +176,15 @@
         if view is None or notice.says_nothing():
             return
         said = EndpointSaid(0.0, effect.endpoint, born_of(view), notice, view.address)
-        self._tell(node, said, REFUSE_S if turned_away else 0.0)
+        start = self._starts.get(effect.endpoint, 0)
+        fleet = self._fleet
+
+        def hear() -> None:
+            node.submit(said._replace(at=fleet.now))
+            self.words.append(Word(fleet.now, node, effect.endpoint, start, notice))
+
+        after_s = REFUSE_S if turned_away else 0.0
+        fleet.at(fleet.now + after_s, lambda: fleet.hand(node, hear))
 
     def _progress(self, one: Run) -> None:
         if one in self._running.get(one.effect.endpoint, ()):
@@ -207,9 +229,15 @@
 
     def _start(self, endpoint: str) -> None:
         self._down.discard(endpoint)
+        self.leaving.discard(endpoint)
+        self.shedding.pop(endpoint, None)
         self._starts[endpoint] = self._starts.get(endpoint, 0) + 1
         self._fleet.write_entry(endpoint, "live", "m", 1 + self._starts[endpoint])
 
+    def start_of(self, endpoint: str) -> int:
+        """Give how often an endpoint's process was started anew."""
+        return self._starts.get(endpoint, 0)
+
     def ends_under(self, fingerprint: str) -> int:
         """Count the processes that ended while a request ran there."""
         return sum(1 for one in self.ended if fingerprint in one.fingerprints)
