Part what becomes of failed attempts from requests, and events by their matter; mend two stale mutants

Two mutants named functions that are elsewhere or not there any more. Stories draw requests that end endpoints too.

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -13,6 +13,7 @@
 from rookspring_core import cluster
 from rookspring_core import governing
 from rookspring_core import ordering
+from rookspring_core import recovering
 from rookspring_core import requests
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.leases import Lease
@@ -107,7 +108,7 @@
 
 
 MUTANTS = (
-    Mutant("resend in doubt", requests, "_may_retry", _retry_always, "a service breaks answers"),
+    Mutant("resend in doubt", recovering, "_may_retry", _retry_always, "a service breaks answers"),
     Mutant("run a known key again", OnceTable, "begin", _always_start, "a service breaks answers"),
     Mutant(
         "forget an order's memory", Ledger, "give_up_order", _forget_doubt, "crowded, slow loads"
@@ -133,7 +134,7 @@
     ),
     Mutant("stop with work in flight", cluster, "_stop_due", _stop_at_once, "a node is drained"),
     Mutant("apply an older revision", governing, "apply_revision", _apply_any, "old revision"),
-    Mutant("deny what was sent", requests, "_give_up", _believe_unsent, "a service breaks answers"),
+    Mutant("deny what was sent", requests, "give_up", _believe_unsent, "a service breaks answers"),
 )
 
 
--- a/features/field_readers.py
+++ b/features/field_readers.py
@@ -17,7 +17,7 @@
 SOURCES = ("packages/rookspring-core/src", "packages/rookspring/src", "platform/src")
 # Modules whose classes are made of what comes over the wire.
 DECODED = {
-    "rookspring_core/events.py": ("EndpointReported", "BoxListed"),
+    "rookspring_core/_endpoint_events.py": ("EndpointReported", "BoxListed"),
     "rookspring_core/notices.py": ("Notice",),
     "rookspring_core/routes.py": ("Route", "Split", "ModelSize", "EngineSize", "ServiceSize"),
     "rookspring_core/organisations.py": ("Organisation", "Allotment"),
--- a/features/notice_stories.py
+++ b/features/notice_stories.py
@@ -5,10 +5,12 @@
 endpoints is judged here as well, by what each node had heard.
 """
 
+import functools
 import random
 
 from key_stories import troubles as node_troubles
 
+from rookspring_fakes.fleet_callers import FATAL
 from rookspring_fakes.fleet_callers import FleetCallers
 
 # A request may arrive so long after its node heard that the endpoint leaves.
@@ -125,6 +127,15 @@
         story.runners.shed(f"e{number}", story.fleet.now + 1.0, 1.0)
 
 
+@trouble("a request comes again and again that ends what runs it")
+def fatal_comes(story):
+    story.runners.fatal.add(FATAL)
+    for turn in range(4):
+        name = story.drawn.choice(story.callers.names())
+        at = story.fleet.now + 0.7 * turn
+        story.fleet.at(at, functools.partial(story.callers.send, name, FATAL))
+
+
 @trouble("an endpoint ends")
 def ends(story):
     story.runners.end(some(story))
--- a/packages/rookspring-core/src/rookspring_core/__init__.py
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -5,6 +5,7 @@
 from . import governing as governing
 from . import noticing as noticing
 from . import ordering as ordering
+from . import recovering as recovering
 from . import requests as requests
 from .catalogue import Catalogue as Catalogue
 from .catalogue import Entry as Entry
