Send no order again once the lease is over, and add rows of a lease holder that stood still

Callers saw nothing; a holder that stood still for 6 s and then heard first that an order had got no answer asked for it to be sent again without its lease, which the invariant refused, and what else was decided in that event was lost. It now leaves the order for lost and looks.

--- a/features/clocks.feature
+++ b/features/clocks.feature
@@ -25,3 +25,27 @@
     Given a relay node with one endpoint that does: hang
     When a caller who waits 900 ms is unanswered yet, and the box is suspended for 6 s
     Then the caller has a 504 within 0.4 s, and the log says that the node stood still
+
+  Scenario Outline: a lease holder that stood still orders nothing on what it held, whatever comes first
+    Given a lease holder over two runners, with <step>
+    When it stands still for <seconds> s, its lease's writes get no answer, and <first> comes first
+    Then it <gives>
+
+    Examples: three seconds after its last write was sent nothing may be ordered on it
+      | step                            | seconds | first                     | gives           |
+      | nothing under way               | 1       | a want                    | gives an order  |
+      | nothing under way               | 2.9     | a want                    | gives an order  |
+      | nothing under way               | 3.1     | a want                    | gives no order  |
+      | nothing under way               | 6       | a want                    | gives no order  |
+      | nothing under way               | 30      | a want                    | gives no order  |
+      | nothing under way               | 3.1     | a tick                    | gives no order  |
+      | nothing under way               | 30      | a runner's report         | gives no order  |
+      | an order without an answer      | 1       | the order's answer        | gives an order  |
+      | an order without an answer      | 3.1     | the order's answer        | gives no order  |
+      | an order without an answer      | 6       | the order's lost answer   | gives no order  |
+      | an order without an answer      | 30      | a tick                    | gives no order  |
+      | a lease's write without answer  | 2.9     | a want                    | gives an order  |
+      | a lease's write without answer  | 3.1     | a want                    | gives no order  |
+      | a lease's write without answer  | 6       | the write's late answer   | gives no order  |
+      | a lease's write without answer  | 30      | the write's late answer   | gives no order  |
+      | a request that waits            | 3.1     | a tick                    | gives no order  |
--- /dev/null
+++ b/features/steps/stand_still_steps.py
@@ -0,0 +1,85 @@
+"""A lease holder that stood still, and whatever comes first once it goes on."""
+
+from behave import given
+from behave import then
+from behave import when
+from relay_harness import HolderHarness
+
+from rookspring_core.defaults import RELAY_LEASE_MARGIN_S
+from rookspring_core.defaults import RELAY_LEASE_RENEW_S
+from rookspring_core.defaults import RELAY_LEASE_TTL_S
+from rookspring_core.defaults import TURN_GAP_S
+from rookspring_core.events import LeaseWritten
+from rookspring_core.events import ModelWanted
+from rookspring_core.events import OrderAnswered
+from rookspring_core.events import Ticked
+from rookspring_core.leases import LeaseTerms
+
+
+def want(holder, adapter):
+    holder.submit(ModelWanted(holder.now, "llm", "m", f"m/{adapter}", 2.0))
+
+
+@given("a lease holder over two runners, with {step}")
+def holder_with(context, step):
+    context.holder = holder = HolderHarness(["m", "m"])
+    # As relay nodes hold it: for 4 s from a write's sending, a second less to act.
+    terms = LeaseTerms(RELAY_LEASE_TTL_S, RELAY_LEASE_RENEW_S, RELAY_LEASE_MARGIN_S, TURN_GAP_S)
+    holder.state.control.lease.terms = terms
+    holder.pass_time(8.0)
+    holder.orders.clear()
+    context.writes = []
+    # A write that was answered just now, so that what is left of the lease is known.
+    while not holder.state.control.holding(holder.now + 2.95):
+        holder.pass_time(0.1)
+    holder.renewed = context.writes.append
+    if step == "an order without an answer":
+        holder.answer = "none"
+        want(holder, "a9")
+        assert len(holder.orders) == 1, holder.orders
+        holder.answer = "taken"
+    elif step == "a lease's write without answer":
+        holder.submit(Ticked(holder.now + 0.04))
+    elif step == "a request that waits":
+        holder.ask(model="m", adapter="m/a7")
+    context.before = len(holder.orders)
+
+
+@when(
+    "it stands still for {seconds:g} s, its lease's writes get no answer, and {first} comes first"
+)
+def stands_still(context, seconds, first):
+    holder = context.holder
+    sent_at = holder.now
+    holder.now += seconds
+    if first == "a want":
+        want(holder, "a1")
+    elif first == "a runner's report":
+        holder.submit(holder.report("e1", ["m"], token=(0, 0), own=True))
+    elif first == "the order's answer":
+        order = holder.orders[-1]
+        holder.submit(OrderAnswered(holder.now, order.endpoint, order.token, True, "done"))
+    elif first == "the order's lost answer":
+        order = holder.orders[-1]
+        holder.submit(OrderAnswered(holder.now, order.endpoint, order.token, None, "reset"))
+    elif first == "the write's late answer":
+        (write,) = context.writes or [None]
+        nonce = write.nonce if write else ""
+        holder.submit(LeaseWritten(holder.now, sent_at, nonce, True, 9))
+    else:
+        holder.submit(Ticked(holder.now))
+    # What is asked for once it goes on is not ordered either, until a write is answered.
+    want(holder, "a2")
+    if seconds > 3.0:
+        holder.pass_time(1.0)
+        want(holder, "a3")
+
+
+@then("it gives an order")
+def gives_order(context):
+    assert len(context.holder.orders) > context.before
+
+
+@then("it gives no order")
+def gives_none(context):
+    assert len(context.holder.orders) == context.before, context.holder.orders[context.before :]
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -257,7 +257,8 @@
     if order.action == "load" and order.sends == 1:
         room.doubts.append(order)
     view = state.endpoints.get(event.endpoint)
-    if view is not None and order.sends < defaults.ORDER_SENDS_MAX:
+    # A node that stood still may hear of it once its lease is over, and orders nothing then.
+    if view is not None and governing.holding(state) and order.sends < defaults.ORDER_SENDS_MAX:
         room.order = order._replace(sends=order.sends + 1)
         return [resend_order(state, view, order)]
     room.order = order._replace(lost=True)
