Add a soak of real processes: signals, changes and endpoints' words, while callers keep their connections

Nodes run as processes of their own between stand-ins on loopback hosts of their own; eight troubles come in series and overlapping by a seed; six promises are judged from what callers and endpoints saw, and nodes' logs for faults of ours.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 PACKAGES := packages/rookspring-core packages/rookspring packages/rookspring-ctl packages/rookspring-fakes platform
 STAMP := $(VENV)/.installed
 
-.PHONY: demo test bench check format wheels lock soak
+.PHONY: demo test bench check format wheels lock soak soak-processes
 
 $(STAMP): requirements/develop.txt $(addsuffix /pyproject.toml,$(PACKAGES))
 	test -x $(BIN)/python || $(PYTHON) -m venv $(VENV)
@@ -27,6 +27,9 @@
 bench: $(STAMP)
 	$(BIN)/python -m bench $(B) $(ARGS)
 
+soak-processes: $(STAMP)
+	$(BIN)/python -m bench processes --seconds $(or $(SECONDS),30) --seed $(or $(SEED),1) $(ARGS)
+
 soak: $(STAMP)
 	$(BIN)/python -m bench soak --seconds $(or $(SECONDS),600) $(if $(SEED),--seed $(SEED),) $(ARGS)
 
--- /dev/null
+++ b/bench/processes.py
@@ -0,0 +1,41 @@
+"""A soak of real processes: signals, changes and endpoints' words, in series and overlapping."""
+
+import argparse
+import asyncio
+import os
+
+from rookspring.logs import configure
+from rookspring_fakes.process_soak import ProcessSoak
+
+from .registry import experiment
+from .registry import report
+
+
+@experiment("processes")
+def run(arguments: list[str]) -> int:
+    """Play seeds one after another; the exit code tells whether a promise broke."""
+    parser = argparse.ArgumentParser(prog="processes", description=__doc__)
+    parser.add_argument("--seed", type=int, default=1, help="the first seed")
+    parser.add_argument("--seeds", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30.0)
+    parser.add_argument("--nodes", type=int, default=3)
+    parser.add_argument("--callers", type=int, default=8)
+    given = parser.parse_args(arguments)
+    configure("ERROR")
+    rows = []
+    for seed in range(given.seed, given.seed + given.seeds):
+        soak = ProcessSoak(seed, given.nodes, given.callers, os.getpid())
+        found = asyncio.run(soak.run(given.seconds))
+        for fault in found.broken:
+            print(f"seed {seed}: {fault}")
+        rows.append(
+            {
+                "seed": seed,
+                "requests": found.requests,
+                "answered": found.answered,
+                "troubles": sum(found.troubles.values()),
+                "broken": len(found.broken),
+            }
+        )
+    report("processes", f"Soaks of {given.nodes} processes, {given.seconds:g} s each", rows)
+    return int(any(row["broken"] for row in rows))
--- a/features/run.py
+++ b/features/run.py
@@ -26,7 +26,14 @@
 # minutes on 8 cores.
 AT_ONCE = 4
 # Seconds of those that take longest, which begin first.
-SLOW = {"organisations": 240, "size": 100, "crashes": 60, "adapters": 50, "relay_sockets": 40}
+SLOW = {
+    "organisations": 240,
+    "processes": 90,
+    "size": 100,
+    "crashes": 60,
+    "adapters": 50,
+    "relay_sockets": 40,
+}
 # Has a process write its report to the file that follows.
 REPORT = "--report"
 
--- /dev/null
+++ b/features/steps/process_steps.py
@@ -0,0 +1,28 @@
+import os
+
+from behave import given
+from behave import then
+from behave import when
+
+from rookspring_fakes.process_soak import ProcessSoak
+
+
+@given("{nodes:d} nodes as processes, {callers:d} callers on kept connections, and seed {seed:d}")
+def nodes_as_processes(context, nodes, callers, seed):
+    context.soak = ProcessSoak(seed, nodes, callers, os.getpid())
+
+
+@when("troubles come for {seconds:d} s, in series and overlapping")
+def troubles_come(context, seconds):
+    context.outcome = context.loop.run(context.soak.run(seconds), seconds + 60.0)
+
+
+@then("no promise is broken")
+def none_broken(context):
+    assert not context.outcome.broken, context.outcome.broken
+
+
+@then("most requests were answered")
+def most_answered(context):
+    outcome = context.outcome
+    assert outcome.requests > 200 and outcome.answered > outcome.requests / 2, outcome
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -7,6 +7,7 @@
 import asyncio
 import socket
 import struct
+import time
 import typing as t
 
 import orjson
@@ -33,6 +34,7 @@
     headers: dict[str, str]
     body: bytes
     raw_headers: list[str]
+    at: float = 0.0
 
     @property
     def request_id(self) -> str:
@@ -65,6 +67,13 @@
         self.says: list[str] = []
         # Whether it turns away whatever it is asked; and how often its report was asked for.
         self.refuses_all = False
+        # Whether a request on a path of streams gets one without a script.
+        self.streams = False
+        # Until when it turns requests away, and the rest that it asks for, in seconds; and each
+        # such refusal: when, of which request, and for how long.
+        self.sheds_until = -1e9
+        self.rest_s = 1.0
+        self.rests: list[tuple[float, str, float]] = []
         # What its report tells of its state; empty where it tells none.
         self.state = ""
         self.reports = 0
@@ -135,11 +144,15 @@
         if asked.line.startswith("POST /order"):
             return self._order(asked, writer)
         self.asked.append(asked)
+        if time.monotonic() < self.sheds_until:
+            self._shed(asked, writer)
+            return True
         if self.fatal_body is not None and asked.body == self.fatal_body:
             _stamped(self, asked)
             self.end()
             return False
-        name = self.script.pop(0) if self.script else "answer"
+        usual = "stream" if asked.line.startswith("POST /stream/") and self.streams else "answer"
+        name = self.script.pop(0) if self.script else usual
         expected = asked.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
             name = "elsewhere"
@@ -147,6 +160,19 @@
         await writer.drain()
         return not writer.is_closing()
 
+    def _shed(self, asked: Asked, writer: asyncio.StreamWriter) -> None:
+        self.rests.append((time.monotonic(), asked.request_id, self.rest_s))
+        headers = {
+            "X-Rookspring-Request-Id": asked.request_id,
+            "X-Rookspring-Not-Executed": "1",
+            "Retry-After": f"{self.rest_s:g}",
+        }
+        _send(self, writer, 503, b"", headers)
+
+    def reached_by(self) -> set[str]:
+        """Name the requests that reached it."""
+        return {one.request_id for one in self.asked}
+
     def _report(self) -> dict[str, t.Any]:
         told = {"state": self.state} if self.state else {}
         return told | {
@@ -207,7 +233,7 @@
         key, _, value = row.partition(":")
         headers[key.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    return Asked(lines[0], headers, body, rows)
+    return Asked(lines[0], headers, body, rows, time.monotonic())
 
 
 def _send(
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -0,0 +1,226 @@
+"""Callers of real processes, who keep their connections, and what is judged of what they saw."""
+
+import asyncio
+import itertools
+import random
+import time
+import typing as t
+
+from .model_server import EVENTS
+from .processes import NodeProcess
+from .processes import ProcessStage
+
+# A caller waits so long for an answer, in seconds, past its route's two.
+PATIENCE_S = 3.5
+# Statuses that promise that a request has not run, unless an endpoint gave them.
+NOT_RUN = (408, 421, 429, 503)
+STAMP = "x-rookspring-server-stamp"
+# A request may be sent to an endpoint so long after its node heard that it leaves.
+LEFT_S = 2.0
+# Of a rest, when it begins to count, and the requests that may come in it; in seconds.
+REST_BEGINS_S = 0.5
+RESTING_MOST = 2
+
+
+class Seen(t.NamedTuple):
+    """One request and its end, as its caller saw it; status 0 where the connection ended."""
+
+    key: str
+    kind: str
+    node: NodeProcess
+    sent_at: float
+    ended_at: float
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    whole: bool
+
+
+class ProcessCallers:
+    """Some callers, each of whom sends one request after another."""
+
+    def __init__(self, stage: ProcessStage, callers: int, seed: int) -> None:
+        self._stage = stage
+        self._random = random.Random(seed)
+        self._numbers = itertools.count()
+        self.seen: list[Seen] = []
+        self._going = True
+        self._tasks = [asyncio.ensure_future(self._call(one)) for one in range(callers)]
+
+    async def stop(self) -> None:
+        """Have each caller end with the request that it waits for."""
+        self._going = False
+        await asyncio.gather(*self._tasks)
+
+    async def _call(self, number: int) -> None:
+        while self._going:
+            node = self._random.choice(self._stage.nodes)
+            try:
+                reader, writer = await asyncio.open_connection(*node.address)
+            except OSError:
+                await asyncio.sleep(0.05)
+                continue
+            try:
+                while self._going and await self._send(node, reader, writer):
+                    await asyncio.sleep(self._random.uniform(0.0, 0.04))
+            finally:
+                writer.close()
+
+    async def _send(
+        self, node: NodeProcess, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Send one request; says whether the connection can be used again."""
+        key = f"q{next(self._numbers)}"
+        kind = self._random.choice(("safe", "unsafe", "stream"))
+        method = "GET" if kind == "safe" else "POST"
+        length = "" if kind == "safe" else "Content-Length: 4\r\n"
+        head = f"{method} /{kind}/x HTTP/1.1\r\nHost: h.example\r\n"
+        head += f"X-Rookspring-Request-Id: {key}\r\n{length}\r\n"
+        sent_at = time.monotonic()
+        status, body, whole = 0, b"", False
+        headers: dict[str, str] = {}
+        try:
+            writer.write(head.encode() + (b"" if kind == "safe" else b"body"))
+            async with asyncio.timeout(PATIENCE_S):
+                status, headers = await _read_head(reader)
+                body, whole = await _read_body(reader, headers)
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            whole = False
+        ended_at = time.monotonic()
+        self.seen.append(Seen(key, kind, node, sent_at, ended_at, status, headers, body, whole))
+        return whole and headers.get("connection", "").lower() != "close"
+
+
+async def _read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
+    lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+    rows = (line.partition(":") for line in lines[1:] if line)
+    return int(lines[0].split()[1]), {key.lower(): value.strip() for key, _, value in rows}
+
+
+async def _read_body(reader: asyncio.StreamReader, headers: dict[str, str]) -> tuple[bytes, bool]:
+    if "content-length" in headers:
+        return await reader.readexactly(int(headers["content-length"])), True
+    body = b""
+    while True:
+        size = int(await reader.readuntil(b"\r\n"), 16)
+        data = await reader.readexactly(size + 2)
+        if size == 0:
+            return body, True
+        body += data[:-2]
+
+
+Judge = t.Callable[[ProcessStage, list[Seen]], list[str]]
+JUDGES: dict[str, Judge] = {}
+
+
+def judges(promise: str) -> t.Callable[[Judge], Judge]:
+    """Register a check of a promise; it gives what broke it."""
+
+    def register(check: Judge) -> Judge:
+        JUDGES[promise] = check
+        return check
+
+    return register
+
+
+def judge(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """Give all that broke a promise."""
+    return [
+        f"{promise}: {fault}" for promise, check in JUDGES.items() for fault in check(stage, seen)
+    ]
+
+
+@judges("whole answers, each its own")
+def check_whole(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """A success is the endpoint's whole answer to this request."""
+    found = []
+    for one in seen:
+        if one.status != 200 or not one.whole:
+            continue
+        ids = b"".join(b"id: %d\n" % (number + 1) for number in range(EVENTS))
+        lines = b"".join(line + b"\n" for line in one.body.split(b"\n") if line[:3] == b"id:")
+        good = (
+            lines == ids if one.kind == "stream" else one.body == b"answer to " + one.key.encode()
+        )
+        if not good:
+            found.append(f"{one.key} ({one.kind}) got {one.body[:60]!r}")
+    return found
+
+
+def _runs(stage: ProcessStage) -> list[str]:
+    return [key for server in stage.servers for key in server.runs]
+
+
+@judges("at most once")
+def check_once(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """What may not be repeated runs once at most."""
+    kinds = {one.key: one.kind for one in seen}
+    runs = _runs(stage)
+    return [key for key in set(runs) if runs.count(key) > 1 and kinds.get(key) != "safe"]
+
+
+@judges("not run means not run")
+def check_not_run(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """What a node refused has run nowhere."""
+    ran = set(_runs(stage))
+    return [
+        f"{one.key} got {one.status}"
+        for one in seen
+        if one.status in NOT_RUN and STAMP not in one.headers and one.key in ran
+    ]
+
+
+@judges("a planned stop cuts nothing")
+def check_uncut(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """What was passed on by a node that only stopped as planned has its answer."""
+    asked = {one.request_id for server in stage.servers for one in server.asked}
+    ended = {server.name for server in stage.servers if server.ended}
+    whose = {one.request_id: server.name for server in stage.servers for one in server.asked}
+    return [
+        f"{one.key} at {one.node.name}"
+        for one in seen
+        if one.key in asked
+        and not one.whole
+        and whose[one.key] not in ended
+        and not any(one.sent_at - 3.0 < at < one.ended_at for at in one.node.excused)
+    ]
+
+
+@judges("one that leaves gets nothing")
+def check_leaving(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """No node sends to an endpoint long after it passed on that the endpoint leaves."""
+    told: dict[tuple[str, str], float] = {}
+    for one in sorted(seen, key=lambda row: row.ended_at):
+        name = one.headers.get(STAMP, "").partition(".")[0]
+        if "server-leaving" in one.headers and name:
+            told.setdefault((one.node.name, name), one.ended_at)
+    found = []
+    for one in seen:
+        for server in stage.servers:
+            at = told.get((one.node.name, server.name))
+            if at is None or one.sent_at < at + LEFT_S or one.key not in server.reached_by():
+                continue
+            if not any(at <= excuse <= one.ended_at for excuse in one.node.excused):
+                found.append(f"{one.key} from {one.node.name} to {server.name}")
+    return found
+
+
+@judges("rest is rest")
+def check_rest(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """An endpoint gets two requests at most from a node that it asked for rest."""
+    nodes = {one.key: one.node for one in seen}
+    found = []
+    for server in stage.servers:
+        for refused_at, key, rest_s in server.rests:
+            node = nodes.get(key)
+            begins, ends = refused_at + REST_BEGINS_S, refused_at + rest_s
+            if node is None or any(refused_at <= at <= ends for at in node.excused):
+                continue
+            late = [
+                one.request_id
+                for one in server.asked
+                if begins <= one.at < ends and nodes.get(one.request_id) is node
+            ]
+            if len(late) > RESTING_MOST:
+                found.append(f"{len(late)} from {node.name} to {server.name} in {rest_s} s")
+    return found
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -0,0 +1,177 @@
+"""Seeded troubles of real processes, in series and overlapping, while callers go on.
+
+Signals that stop, freeze, kill and tell of changes; a store that is away; configuration that
+changes; endpoints that leave or want rest and say so with their answers alone.
+"""
+
+import asyncio
+import random
+import signal
+import time
+import typing as t
+
+from .process_callers import ProcessCallers
+from .process_callers import judge
+from .processes import GONE_S
+from .processes import GRACE_S
+from .processes import ProcessStage
+
+# From one trouble to the next, in seconds.
+NEXT_S = (0.2, 0.9)
+SERVERS = 3
+
+Trouble = t.Callable[["ProcessSoak"], t.Coroutine[t.Any, t.Any, None]]
+TROUBLES: dict[str, Trouble] = {}
+
+
+def trouble(name: str) -> t.Callable[[Trouble], Trouble]:
+    """Register a trouble; it ends by itself."""
+
+    def register(begin: Trouble) -> Trouble:
+        TROUBLES[name] = begin
+        return begin
+
+    return register
+
+
+class Outcome(t.NamedTuple):
+    """What a soak gave: requests, those answered, troubles by name, and broken promises."""
+
+    requests: int
+    answered: int
+    troubles: dict[str, int]
+    broken: list[str]
+
+
+class ProcessSoak:
+    """One soak. The same seed draws the same troubles at the same moments."""
+
+    def __init__(self, seed: int, nodes: int, callers: int, block: int) -> None:
+        self.drawn = random.Random(seed)
+        self.stage = ProcessStage(nodes, SERVERS, block)
+        self._seed = seed
+        self._count = callers
+        self.busy: set[str] = set()
+        self.late: list[str] = []
+        self.troubles: dict[str, int] = {}
+
+    async def run(self, seconds: float) -> Outcome:
+        """Let troubles come for so long, and judge."""
+        await self.stage.rise()
+        callers = ProcessCallers(self.stage, self._count, self._seed)
+        going = [asyncio.ensure_future(self._draw(seconds))]
+        try:
+            await going[0]
+        finally:
+            await callers.stop()
+            self.late += await self.stage.fall()
+        broken = judge(self.stage, callers.seen)
+        broken += [f"a process outlives its grace: {name}" for name in self.late]
+        for node in self.stage.nodes:
+            if "event=effect_failed" in node.text or "InvariantBroken" in node.text:
+                broken.append(f"a fault of ours in the log of {node.name}")
+        answered = sum(one.status == 200 for one in callers.seen)
+        return Outcome(len(callers.seen), answered, self.troubles, broken)
+
+    async def _draw(self, seconds: float) -> None:
+        end = time.monotonic() + seconds
+        tasks = []
+        names = sorted(TROUBLES)
+        while time.monotonic() < end:
+            await asyncio.sleep(self.drawn.uniform(*NEXT_S))
+            name = self.drawn.choice(names)
+            self.troubles[name] = self.troubles.get(name, 0) + 1
+            tasks.append(asyncio.ensure_future(TROUBLES[name](self)))
+        await asyncio.gather(*tasks)
+
+    def pick(self) -> t.Any:
+        """Give a node that nothing happens to now, with one left beside it; None for none."""
+        free = [one for one in self.stage.nodes if one.name not in self.busy]
+        return self.drawn.choice(free) if len(free) > 1 else None
+
+
+@trouble("a node is stopped as planned and started again")
+async def stop_node(soak: ProcessSoak) -> None:
+    """Its callers find it gone, and nothing is cut."""
+    node = soak.pick()
+    if node is None:
+        return
+    soak.busy.add(node.name)
+    node.process.send_signal(signal.SIGTERM)
+    if not await node.wait_gone(GRACE_S + GONE_S):
+        soak.late.append(node.name)
+    await node.start()
+    await node.wait_ready()
+    soak.busy.discard(node.name)
+
+
+@trouble("a node is killed and started again")
+async def kill_node(soak: ProcessSoak) -> None:
+    """It has nothing of before."""
+    node = soak.pick()
+    if node is None:
+        return
+    soak.busy.add(node.name)
+    node.signal(signal.SIGKILL)
+    await node.wait_gone(GONE_S)
+    await asyncio.sleep(soak.drawn.uniform(0.0, 1.0))
+    await node.start()
+    await node.wait_ready()
+    soak.busy.discard(node.name)
+
+
+@trouble("a node freezes")
+async def freeze_node(soak: ProcessSoak) -> None:
+    """Longer than its lease, now and then."""
+    node = soak.pick()
+    if node is None:
+        return
+    soak.busy.add(node.name)
+    node.signal(signal.SIGSTOP)
+    await asyncio.sleep(soak.drawn.choice((0.2, 1.0, 3.5)))
+    node.signal(signal.SIGCONT)
+    soak.busy.discard(node.name)
+
+
+@trouble("a node is told of changes")
+async def tell_node(soak: ProcessSoak) -> None:
+    """Its settings are the same, so nothing may change."""
+    node = soak.pick()
+    if node is not None:
+        node.process.send_signal(signal.SIGHUP)
+
+
+@trouble("the store is away")
+async def lose_store(soak: ProcessSoak) -> None:
+    """All calls are cut."""
+    soak.stage.store.faults.outage = True
+    await asyncio.sleep(soak.drawn.uniform(0.3, 3.0))
+    soak.stage.store.faults.outage = False
+
+
+@trouble("the configuration changes")
+async def change_table(soak: ProcessSoak) -> None:
+    """The same routes under another version."""
+    await soak.stage.write_version()
+
+
+@trouble("an endpoint leaves, as its answers alone tell")
+async def leave(soak: ProcessSoak) -> None:
+    """Another one comes first; the one that leaves serves for a while and ends."""
+    there = [one for one in soak.stage.servers if not one.ended and not one.says]
+    if len(there) < 2:
+        return
+    server = soak.drawn.choice(there)
+    await soak.stage.add_server()
+    server.says.append("Server-Leaving: 1")
+    await asyncio.sleep(soak.drawn.uniform(3.0, 5.0))
+    await soak.stage.remove_server(server)
+
+
+@trouble("an endpoint sheds and asks for rest")
+async def shed(soak: ProcessSoak) -> None:
+    """It turns all away for a while."""
+    there = [one for one in soak.stage.servers if not one.ended]
+    server = soak.drawn.choice(there)
+    server.rest_s = soak.drawn.choice((0.8, 1.5, 3.0))
+    server.sheds_until = time.monotonic() + soak.drawn.uniform(0.3, 3.0)
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -0,0 +1,237 @@
+"""Real nodes as processes of their own, between stand-ins of the users' platform on loopback.
+
+Each node has a loopback host of its own, so that stages stand beside each other. What a stage
+has started it ends, by its process.
+"""
+
+import asyncio
+import os
+import pathlib
+import signal
+import socket
+import sys
+import tempfile
+import time
+import typing as t
+
+from .model_server import ModelServer
+from .object_platform import ObjectPlatform
+from .serving import Served
+from .serving import serve
+
+SERVICE = "svc"
+# How long a process has from its SIGTERM, in seconds, and then to be gone.
+GRACE_S = 4.0
+GONE_S = 1.5
+# How long a node may take to be ready, in seconds.
+READY_S = 15.0
+ROUTES = {
+    "safe": ("safe", False, 2),
+    "unsafe": ("unsafe", False, 1),
+    "stream": ("stream", False, 1),
+}
+
+
+def write_table(version: int) -> dict[str, t.Any]:
+    """Write a configuration of a plain service and three routes to it."""
+    routes = [
+        {
+            "name": f"r-{name}",
+            "host": "h.example",
+            "path-prefix": f"/{name}/",
+            "type": kind,
+            "timeout-ms": 2000,
+            "slo-ms": 800,
+            "priority": 1,
+            "service": SERVICE,
+            "max-attempts": attempts,
+            "resumable": resumable,
+        }
+        for name, (kind, resumable, attempts) in ROUTES.items()
+    ]
+    limits = {
+        "max-header-bytes": 8192,
+        "max-body-bytes": 4096,
+        "header-timeout-ms": 500,
+        "idle-timeout-ms": 5000,
+    }
+    services = [{"name": SERVICE, "health-path": "/healthz", "max-conns": 100}]
+    return {"version": version, "routes": routes, "services": services, "limits": limits}
+
+
+class NodeProcess:
+    """One node's process, which may be stopped, frozen, killed and started again."""
+
+    def __init__(self, number: int, host: str, folder: pathlib.Path, store: str) -> None:
+        self.name = f"n{number}"
+        self.host = host
+        self.ports = {name: _free_port(host) for name in ("frontend", "ready", "control-plane")}
+        self.path = folder / f"{self.name}.settings"
+        self._log = folder / f"{self.name}.log"
+        self._store = store
+        self.process: asyncio.subprocess.Process | None = None
+        # What it has logged, once the stage has fallen.
+        self.text = ""
+        self.stopping = False
+        # When it was killed, started or let go on, which excuse it for what it knew before.
+        self.excused: list[float] = []
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where callers reach it."""
+        return self.host, self.ports["frontend"]
+
+    def write_settings(self, peers: t.Iterable["NodeProcess"]) -> None:
+        """Write its settings file."""
+        seeds = ",".join(
+            f"{one.host}:{one.ports['control-plane']}" for one in peers if one is not self
+        )
+        rows = {
+            "node-name": self.name,
+            "zone": "z1",
+            **{f"listen.{name}": f"{self.host}:{port}" for name, port in self.ports.items()},
+            "seeds": seeds,
+            "platform.address": self._store,
+            "bounds.grace-s": GRACE_S,
+            "bounds.retry-budget": 0.2,
+            "bounds.retry-slack": 160,
+        }
+        self.path.write_text("".join(f"{key}={value}\n" for key, value in rows.items()))
+
+    async def start(self) -> None:
+        """Start its process."""
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "rookspring_platform",
+                env={**os.environ, "ROOKSPRING_CONFIG": str(self.path)},
+                stdout=log,
+                stderr=log,
+            )
+        self.stopping = False
+        self.excused.append(time.monotonic())
+
+    def signal(self, number: signal.Signals) -> None:
+        """Send its process a signal, if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.send_signal(number)
+            self.excused.append(time.monotonic())
+
+    async def wait_ready(self) -> None:
+        """Wait until it says that callers may come.
+
+        :raises TimeoutError: when it does not in time.
+        """
+        async with asyncio.timeout(READY_S):
+            while not await _asks_ready(self.host, self.ports["ready"]):
+                await asyncio.sleep(0.05)
+
+    async def wait_gone(self, within_s: float) -> bool:
+        """Wait for its end; says whether it came in time, and ends it by force where not."""
+        assert self.process is not None
+        try:
+            async with asyncio.timeout(within_s):
+                await self.process.wait()
+        except TimeoutError:
+            self.process.kill()
+            await self.process.wait()
+            return False
+        return True
+
+    def keep_log(self) -> None:
+        """Keep what it has logged, before its folder goes."""
+        self.text = self._log.read_text(errors="replace")
+
+
+class ProcessStage:
+    """Nodes as processes, their store and their endpoints.
+
+    :param block: tells stages of one machine apart; each has hosts of its own.
+    """
+
+    def __init__(self, nodes: int, servers: int, block: int) -> None:
+        self._folder = tempfile.TemporaryDirectory()
+        self._block = block
+        self._counts = (nodes, servers)
+        self.store = ObjectPlatform()
+        self._served: Served | None = None
+        self.nodes: list[NodeProcess] = []
+        # All that were ever there, and those that serve now.
+        self.servers: list[ModelServer] = []
+        self.version = 1
+
+    async def rise(self) -> "ProcessStage":
+        """Start all, and wait until callers may come."""
+        self._served = await serve(self.store.app())
+        await self.write_version()
+        nodes, servers = self._counts
+        for _ in range(servers):
+            await self.add_server()
+        folder = pathlib.Path(self._folder.name)
+        for number in range(nodes):
+            host = f"127.{1 + self._block // 250 % 120}.{self._block % 250}.{number + 11}"
+            self.nodes.append(NodeProcess(number, host, folder, self._served.address))
+        for node in self.nodes:
+            node.write_settings(self.nodes)
+            await node.start()
+        for node in self.nodes:
+            await node.wait_ready()
+        return self
+
+    async def write_version(self) -> None:
+        """Write the next version of the configuration."""
+        self.version += 1
+        await self.store.write("config", "main", write_table(self.version))
+
+    async def add_server(self) -> ModelServer:
+        """Add an endpoint."""
+        server = ModelServer(f"i{len(self.servers)}")
+        server.streams = True
+        self.servers.append(server)
+        await server.start()
+        await self.store.write("servers", server.name, server.entry(SERVICE))
+        return server
+
+    async def remove_server(self, server: ModelServer) -> None:
+        """End an endpoint, whose entry goes."""
+        await self.store.remove("servers", server.name)
+        server.end()
+
+    async def fall(self) -> list[str]:
+        """Stop all as planned; gives the nodes whose process was there past its grace."""
+        late = []
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGTERM)
+        for node in self.nodes:
+            if not await node.wait_gone(GRACE_S + GONE_S):
+                late.append(node.name)
+        for server in self.servers:
+            await server.close()
+        if self._served is not None:
+            await self._served.close()
+        for node in self.nodes:
+            node.keep_log()
+        self._folder.cleanup()
+        return late
+
+
+def _free_port(host: str) -> int:
+    with socket.socket() as one:
+        one.bind((host, 0))
+        return int(one.getsockname()[1])
+
+
+async def _asks_ready(host: str, port: int) -> bool:
+    try:
+        reader, writer = await asyncio.open_connection(host, port)
+    except OSError:
+        return False
+    try:
+        writer.write(f"GET /readyz HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        return b" 200 " in await asyncio.wait_for(reader.readline(), 1.0)
+    except (OSError, TimeoutError):
+        return False
+    finally:
+        writer.close()
