--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -11,6 +11,7 @@
 ENTRIES = ("features/entries.feature",)
 CRASHES = ("features/crashes.feature",)
 LIVES = ("features/lives.feature",)
+CLOCKS = ("features/clocks.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -40,6 +40,7 @@
 from rookspring_platform import store
 from rookspring_platform.dialect import PlatformDialect
 
+from . import clock_mutants
 from . import notice_mutants
 from . import organisation_mutants
 from . import suspect_mutants
@@ -277,6 +278,7 @@
     "organisations": organisation_mutants.MUTANTS,
     "suspects": suspect_mutants.MUTANTS,
     "notices": notice_mutants.MUTANTS,
+    "clock": clock_mutants.MUTANTS,
 }
 
 
