--- a/features/notices.feature
+++ b/features/notices.feature
@@ -152,6 +152,8 @@
       | a slot there was given before it asked for 3 s of rest                     |
       | a second try is due, and it is the only one                                |
       | it is ejected, and it asked for 3 s of rest                                |
+      | a stream broke off there and is to go on, and it said that it leaves       |
+      | a stream broke off there and is to go on, and it asked for 3 s of rest     |
 
   Scenario Outline: the lease holder gives no order to one that <said>
     Given a lease holder over runners, one of which <said>
--- a/features/steps/notice_node_steps.py
+++ b/features/steps/notice_node_steps.py
@@ -405,6 +405,18 @@
     assert refusal.outcome == "not_run" and refusal.retry_after_s > 1.0, refusal
 
 
+@when("a stream broke off there and is to go on, and it {said}")
+def stream_to_go_on(context, said):
+    node = context.node
+    assert node.come(attempts=3) == "e1"
+    key = (node.sent[-1].request_id, 1)
+    node.submit(AttemptStarted(node.now, *key))
+    node.submit(AttemptProgressed(node.now, *key, 3))
+    node.say(LEAVES if "leaves" in said else Notice(turned_away=True, rest_s=3.0))
+    context.before = len(node.sent)
+    node.submit(AttemptFailed(node.now, *key, True, False, "connection closed", broken=True))
+
+
 @when("it is ejected, and it asked for 3 s of rest")
 def ejected(context):
     node = context.node
