--- a/features/notices.feature
+++ b/features/notices.feature
@@ -113,6 +113,11 @@
       | 8     |
       | 69    |
 
+  Scenario: what all nodes find out by turns is told by the first of them
+    Given 69 nodes, and an endpoint that asks each for 2 s of rest
+    When one request comes to each node within a second
+    Then the others were told of it 4 times at most
+
   Scenario: after a rest one request goes first, and the others once it is answered
     Given a node, and an endpoint of start 5 that asked for 3 s of rest
     When 3.1 s later three requests come
--- a/features/steps/notice_steps.py
+++ b/features/steps/notice_steps.py
@@ -1,5 +1,7 @@
 """What endpoints say of themselves, over whole fleets: who learns of it, and when."""
 
+from unittest import mock
+
 from behave import given
 from behave import then
 from behave import when
@@ -12,6 +14,7 @@
 from notice_stories import TROUBLES
 from notice_stories import NoticeStory
 
+from rookspring import relay_notices
 from rookspring_core.notices import Leaving
 from rookspring_core.notices import NoticeTable
 from rookspring_fakes.fleet_callers import FleetCallers
@@ -200,6 +203,29 @@
     assert 0 < there < 0.8 * other, (there, other)
 
 
+@given("{nodes:d} nodes, and an endpoint that asks each for {rest_s:g} s of rest")
+def asks_each(context, nodes, rest_s):
+    context.stage = FleetCallers(nodes, 1)
+    context.stage.runners.shed(SHEDS, context.stage.fleet.now + 60.0, rest_s)
+
+
+@when("one request comes to each node within a second")
+def one_each(context):
+    stage = context.stage
+    names = stage.names()
+    with mock.patch.object(relay_notices, "share_shed", wraps=relay_notices.share_shed) as told:
+        for name in names:
+            stage.send(name, ASKED)
+            stage.fleet.run(1.0 / len(names))
+    context.told = told.call_count
+    assert len(stage.runners.turned_away) >= len(names) / 2
+
+
+@then("the others were told of it {most:d} times at most")
+def told_at_most(context, most):
+    assert 1 <= context.told <= most, context.told
+
+
 # Stories.
 
 
--- a/packages/rookspring-core/src/rookspring_core/noticing.py
+++ b/packages/rookspring-core/src/rookspring_core/noticing.py
@@ -78,13 +78,23 @@
 
 def _note_rest(state: NodeState, event: EndpointSaid, notice: Notice) -> Effects:
     rest_s = notice.asked_rest_s()
-    view = state.endpoints.get(event.endpoint)
-    news = view is not None and not view.rests(state.now)
     state.notices.take_rest(event.endpoint, event.born, state.now + rest_s)
     _mark(state, event.endpoint)
     told = "no time told" if notice.rest_s is None else f"{notice.rest_s:g} s asked for"
     state.record(event.endpoint, f"rests for {rest_s:.2f} s", f"it turned a request away; {told}")
-    return [ShareShed(event.endpoint, min(rest_s, notices.SHED_TOLD_S))] if news else []
+    return _tell_shed(state, event.endpoint, min(rest_s, notices.SHED_TOLD_S))
+
+
+def _tell_shed(state: NodeState, endpoint: str, for_s: float) -> Effects:
+    """Tell the other nodes that an endpoint sheds, unless one of them has told all just now.
+
+    Each node finds it out by itself; of 69 words in a second one says all.
+    """
+    view = state.endpoints.get(endpoint)
+    if view is None or state.now < view.shed_until:
+        return []
+    view.shed_until = state.now + for_s
+    return [ShareShed(endpoint, for_s)]
 
 
 def _note_lacking(state: NodeState, event: EndpointSaid) -> None:
