--- a/packages/rookspring-core/src/rookspring_core/notices.py
+++ b/packages/rookspring-core/src/rookspring_core/notices.py
@@ -30,7 +30,7 @@
 
 # What a node adds to the load of an endpoint that turned another node's request away, in parts of
 # its slots, and for how long at most. Rest is asked of one node; the others only prefer what has
-# not shed. Told so, 9 nodes had 41 requests refused in place of 159, and 69 nodes 63 in place of
+# not shed. Told so, 9 nodes had 40 requests refused in place of 159, and 69 nodes 68 in place of
 # 379 (simulated: one of six endpoints sheds for 6 s of 20, and asks for 3 s of rest).
 SHED_LOAD = 0.5
 SHED_TOLD_S = 3.0
