Tell in the log which requests a second an answer's head names

What was missing: no line told that an endpoint names a limit, so that neither its moment nor its figure could be read from a node's log. What is no number, is negative, not finite or empty is malformed and said so; of two the lesser holds. 14 rows of what a head may say in platform.feature.

--- a/features/platform.feature
+++ b/features/platform.feature
@@ -118,6 +118,20 @@
       | 503    | Date: Thu, 03 Dec 2026 05:00:00 GMT; Retry-After: Thu, 03 Dec 2026 05:00:04 GMT        | turned away, rest 4 s                  |
       | 503    | Date: Thu, 03 Dec 2026 05:00:00 GMT; Retry-After: Thu, 03 Dec 2026 04:59:00 GMT        | turned away, rest 0 s                  |
       | 503    | Retry-After: Thu, 03 Dec 2026 05:00:04 GMT                                             | turned away, malformed retry-after: Thu, 03 Dec 2026 05:00:04 GMT |
+      | 200    | Server-Limit: 1.4                                                                      | rate 1.4                               |
+      | 500    | server-limit: 1.4                                                                      | rate 1.4                               |
+      | 503    | Server-Limit: 0.2; Retry-After: 2                                                      | turned away, rest 2 s, rate 0.2        |
+      | 200    | Server-Limit: 1.4; Server-Leaving: 1                                                   | leaving, rate 1.4                      |
+      | 200    | Server-Limit: 0                                                                        | rate 0                                 |
+      | 200    | Server-Limit: 1e9                                                                      | rate 1e+09                             |
+      | 200    | Server-Limit: -1                                                                       | malformed server-limit: -1             |
+      | 200    | Server-Limit: nan                                                                      | malformed server-limit: nan            |
+      | 200    | Server-Limit: inf                                                                      | malformed server-limit: inf            |
+      | 200    | Server-Limit: few                                                                      | malformed server-limit: few            |
+      | 200    | Server-Limit: 1_0                                                                      | malformed server-limit: 1_0            |
+      | 200    | Server-Limit:                                                                          | malformed server-limit:                |
+      | 200    | Server-Limit: 3; Server-Limit: 2                                                       | rate 2                                 |
+      | 200    | Server-Limit: 3; Server-Limit: few                                                     | rate 3, malformed server-limit: few    |
 
   Scenario Outline: a caller cannot set what only this system may ask of an endpoint
     Given a caller's request that carries <header> twice, in two letter cases
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -288,8 +288,8 @@
 
 @given("the head of a {status:d} with {lines}")
 def an_answer_with_lines(context, status, lines):
-    rows = (line.partition(": ") for line in lines.split("; "))
-    headers = tuple((name.encode(), value.encode()) for name, _, value in rows)
+    rows = (line.partition(":") for line in lines.split("; "))
+    headers = tuple((name.encode(), value.strip().encode()) for name, _, value in rows)
     context.head = HttpHead(status, headers)
 
 
@@ -300,7 +300,8 @@
     found = [f"life {got.life}"] if got.life and not got.says_nothing() else []
     found += [name for name, true in flags.items() if true]
     found += [] if got.rest_s is None else [f"rest {got.rest_s:g} s"]
-    found += [f"malformed {got.malformed}"] if got.malformed else []
+    found += [] if got.rate is None else [f"rate {got.rate:g}"]
+    found += [f"malformed {got.malformed.strip()}"] if got.malformed else []
     assert (", ".join(found) or "nothing") == said, got
 
 
--- a/packages/rookspring-core/src/rookspring_core/notices.py
+++ b/packages/rookspring-core/src/rookspring_core/notices.py
@@ -45,6 +45,8 @@
     :param rest_s: it wants nothing from this node for so long, in seconds; None where it tells
         no time that can be read.
     :param misdirected: what was asked is not there, or another process answers.
+    :param rate: the requests a second that it takes from all nodes together while it says
+        so; None where it names none.
     :param malformed: a header that can't be read, with its value.
     """
 
@@ -53,6 +55,7 @@
     turned_away: bool = False
     rest_s: float | None = None
     misdirected: bool = False
+    rate: float | None = None
     malformed: str = ""
 
     def says_nothing(self) -> bool:
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -64,6 +64,7 @@
             life=notice.life,
             leaving=notice.leaving,
             rest_s=-1 if notice.rest_s is None else notice.rest_s,
+            rate=-1 if notice.rate is None else notice.rate,
             malformed=notice.malformed,
         )
         said = EndpointSaid(
