--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -102,6 +102,8 @@
         # Endpoints whose answers say that they leave, and those that turn requests away.
         self.leaving: set[str] = set()
         self.shedding: dict[str, Shedding] = {}
+        # Requests a second that endpoints take from all nodes, named in each of their answers.
+        self.rates: dict[str, float] = {}
         # The most that runs at once, where that is bounded, and how long runs take.
         self.limits: dict[str, int] = {}
         self.default_run_s = RUN_S
@@ -171,7 +173,8 @@
     ) -> None:
         """Have the head of an answer say what its endpoint says of itself."""
         leaving = effect.endpoint in self.leaving
-        notice = Notice(leaving=leaving, turned_away=turned_away, rest_s=rest_s)
+        rate = self.rates.get(effect.endpoint)
+        notice = Notice(leaving=leaving, turned_away=turned_away, rest_s=rest_s, rate=rate)
         view = node.state.endpoints.get(effect.endpoint)
         if view is None or notice.says_nothing():
             return
@@ -231,6 +234,7 @@
         self._down.discard(endpoint)
         self.leaving.discard(endpoint)
         self.shedding.pop(endpoint, None)
+        self.rates.pop(endpoint, None)
         self._starts[endpoint] = self._starts.get(endpoint, 0) + 1
         self._fleet.write_entry(endpoint, "live", "m", 1 + self._starts[endpoint])
 
