Have one place decide which node owns what, since when, and how it is asked

Organisations' allotments and plain services' slots each had a way of their own to ask their owner and to bring the answer home; what endpoints name as requests a second would have been the third. Now owners (core) has the choice, since when a node decides without a gap, and for which part of the nodes; relay_owners the way there and home, with a registry of what an owner takes.

Found on the way: an owner that had lost a subject and got it back counted from the first time, since Allotments.lose was called by nobody; so it did not reckon with what the one between had granted in the last 0.8 s. A node that stood still likewise.

organisations, slots and house pass.

--- a/bench/organisation_mutants.py
+++ b/bench/organisation_mutants.py
@@ -12,6 +12,7 @@
 from rookspring_core.freshness import Freshness
 from rookspring_core.freshness import ProofTerms
 from rookspring_core.keys import KeyVerdict
+from rookspring_core.owners import OwnerTable
 from rookspring_core.slot_queues import SlotAsk
 from rookspring_core.slot_queues import SlotQueue
 from rookspring_core.topology import Topology
@@ -60,7 +61,7 @@
     return _ERRAND_HEADERS(self, headers, errand._replace(keyed=False))
 
 
-def _granted_alone(self: Allotments, name: str, granted: t.Any, now: float) -> float:
+def _granted_alone(self: Allotments, name: str, granted: t.Any, now: float, since: float) -> float:
     return float(granted.sum(now))
 
 
@@ -110,7 +111,7 @@
         "counts its grants alone", "allotments", Allotments, "_used", _granted_alone, ORGANISATIONS
     ),
     Mutant(
-        "grants all when cut", "allotments", Allotments, "note_visible", _nothing, ORGANISATIONS
+        "grants all when cut", "allotments", OwnerTable, "note_visible", _nothing, ORGANISATIONS
     ),
     Mutant(
         "knows nothing at a start",
--- a/features/house.feature
+++ b/features/house.feature
@@ -20,6 +20,8 @@
       | field               | why                                                             |
       | AskSlots.passed     | read of whichever message goes to an owner (relay_owners)       |
       | AskUnits.passed     | the same                                                        |
+      | SlotTold.origin     | read of whichever answer comes home (relay_owners)              |
+      | UnitsGiven.origin   | the same                                                        |
       | SlotFreed.passed    | the same                                                        |
       | UnitsBack.passed    | the same                                                        |
       | ForwardStart.number | read of whichever part of a forwarded answer comes (forwarding) |
--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -161,3 +161,14 @@
   Scenario: nothing is asked where requests need no keys
     Given 69 relay nodes that have run for 8 s
     Then no node has asked how new the configuration is
+
+  Scenario Outline: an owner counts from when it last became one
+    Given a node that has decided on an organisation since 10 s
+    When <what>, and it is asked again at 20 s
+    Then it decides since <since> s
+
+    Examples:
+      | what                                          | since |
+      | it owns it all the while                      | 10    |
+      | another owns it from 12 to 15 s               | 20    |
+      | it stands still from 12 to 19.9 s             | 20    |
--- a/features/steps/allotment_steps.py
+++ b/features/steps/allotment_steps.py
@@ -6,10 +6,10 @@
 from key_stories import directory_of
 
 from rookspring_core.allotments import WindowTolerance
-from rookspring_core.allotments import choose_owner
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
 from rookspring_core.organisations import digest_of
+from rookspring_core.owners import choose_owner
 from rookspring_fakes.fleet import Fleet
 from rookspring_fakes.fleet import FleetPlan
 
--- a/packages/rookspring-core/src/rookspring_core/allotments.py
+++ b/packages/rookspring-core/src/rookspring_core/allotments.py
@@ -14,7 +14,6 @@
 import typing as t
 
 from . import defaults
-from .mixing import mix
 from .organisations import Allotment
 
 
@@ -126,16 +125,11 @@
         self._untold: dict[str, float] = {}
         self._told_at = started_at
         self._granted: dict[str, SpendWindow] = {}
-        # Since when this node has been asked as an owner.
-        self._owned_since: dict[str, float] = {}
         # Organisations near their limit, as another node told, and as of when.
         self._tight: frozenset[str] = frozenset()
         self._tight_at = float("-inf")
         # Until then there is more in the window than this node has seen.
         self._blind_until = started_at + self.window_s
-        # Part of the nodes of the last while that this node hears of.
-        self._reach = 1.0
-        self._visible: collections.deque[tuple[float, int]] = collections.deque()
         # Parts of the limits that were used before, as the platform's store has it.
         self._recalled: t.Mapping[str, float] | None = None
         self._recalled_before: t.Mapping[str, float] = {}
@@ -224,19 +218,6 @@
             or self._unseen_share(name, now) >= least
         ]
 
-    def note_visible(self, nodes: int, now: float) -> None:
-        """Take how many nodes this one hears of now, itself among them.
-
-        What is cut off may have an owner of its own, so a part of the nodes grants a part of
-        each limit until the others are back, or have long been gone.
-        """
-        while self._visible and now - self._visible[0][0] > defaults.VISIBLE_KEPT_S:
-            self._visible.popleft()
-        while self._visible and self._visible[-1][1] <= nodes:
-            self._visible.pop()
-        self._visible.append((now, nodes))
-        self._reach = nodes / self._visible[0][1]
-
     # What ran before this node started, or became a relay, where no other has seen it.
 
     def begin(self, now: float) -> None:
@@ -264,11 +245,17 @@
 
     # What it grants.
 
-    def grant(self, name: str, units: float, terms: Allotment, now: float) -> Grant:
-        """Decide on a request of an organisation that this node owns."""
+    def grant(
+        self, name: str, units: float, terms: Allotment, now: float, since: float, reach: float
+    ) -> Grant:
+        """Decide on a request of an organisation that this node owns.
+
+        :param since: since when it does.
+        :param reach: the part of the nodes that it decides for.
+        """
         granted = self._window(self._granted, name)
-        most = self.tolerance.most(terms) * self._reach
-        used = self._used(name, granted, now)
+        most = self.tolerance.most(terms) * reach
+        used = self._used(name, granted, now, since)
         used += self._unseen_share(name, now) * most
         excess = used + units - most
         if excess <= 0.0:
@@ -279,11 +266,10 @@
             after_s = min(after_s, self._blind_until - now)
         return Grant(after_s, used, most)
 
-    def _used(self, name: str, granted: SpendWindow, now: float) -> float:
+    def _used(self, name: str, granted: SpendWindow, now: float, since: float) -> float:
         """Give what an organisation has used, with what has not been seen yet."""
         seen = self._window(self._seen, name)
         lag_s = defaults.SPEND_LAG_S
-        since = self._owned_since.setdefault(name, now)
         unseen = granted.since(now - lag_s)
         if now - since < lag_s:
             # The owner before may have granted as much lately as was seen before that.
@@ -295,21 +281,8 @@
         if name in self._granted:
             self._granted[name].take_back(now, units)
 
-    def lose(self, names: t.Iterable[str]) -> None:
-        """Take that other nodes own these organisations now."""
-        for name in names:
-            self._owned_since.pop(name, None)
-
     def _window(self, windows: dict[str, SpendWindow], name: str) -> SpendWindow:
         found = windows.get(name)
         if found is None:
             found = windows[name] = SpendWindow(self.window_s)
         return found
-
-
-def choose_owner(name: str, nodes: t.Iterable[str]) -> str:
-    """Choose the node that grants for an organisation: the same one wherever all know all.
-
-    By rendezvous hashing, so a node that goes moves only what it owned.
-    """
-    return max(nodes, key=lambda node: mix("allotment", name, node), default="")
--- a/packages/rookspring-core/src/rookspring_core/allotting.py
+++ b/packages/rookspring-core/src/rookspring_core/allotting.py
@@ -54,7 +54,8 @@
     terms = find_terms(state, organisation)
     if terms is None or terms.rate <= 0.0:
         return Grant(0.0)
-    return state.allotments.grant(organisation, units, terms, now)
+    since = state.owners.begin(organisation, now)
+    return state.allotments.grant(organisation, units, terms, now, since, state.owners.reach)
 
 
 def spend(state: NodeState, charge: Charge) -> None:
@@ -139,6 +140,5 @@
     if state.topology.mesh or state.topology.relay:
         terms = all_terms(state)
         if terms:
-            state.allotments.note_visible(state.membership.visible(state.now), state.now)
             names = state.allotments.find_tight(terms, state.now)
             state.allotments.hear_tight(names, state.now)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -56,6 +56,7 @@
     if state.relaying:
         was_relay = state.topology.relay
         work_out_roles(state)
+        _keep_owned(state)
         allotting.watch(state, was_relay)
         state.adapter_waits.forget_old(event.at)
         effects += residency.steer(state, passed)
@@ -72,6 +73,13 @@
     state.topology.work_out(state.now, standing)
 
 
+def _keep_owned(state: NodeState) -> None:
+    """Go on deciding for all what falls to this node yet, for the nodes that it hears of."""
+    state.owners.keep(state.topology.owners(state.now), state.now)
+    if state.topology.mesh or state.topology.relay:
+        state.owners.note_visible(state.membership.visible(state.now), state.now)
+
+
 def _forget_peer(state: NodeState, name: str) -> None:
     state.limits.lose(name)
     state.control.forget(name)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -377,6 +377,11 @@
 # Nodes that have run for less own an organisation only where no other does: about a window
 # of allotments, after which nothing counts that ran before they started.
 OWNER_AGE_S = 10.0
+# An owner that has not ticked for so long, five ticks, begins anew: another may have decided
+# meanwhile.
+OWNER_GAP_S = 0.5
+# What an owner has not been asked of for so long is forgotten.
+OWNER_IDLE_S = 60.0
 # Nodes that were heard of within this time count as those that there are, when a part of
 # them is cut off: a window of allotments and some.
 VISIBLE_KEPT_S = 12.0
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -18,6 +18,7 @@
 from .membership import Membership
 from .notices import NoticeTable
 from .once import OnceTable
+from .owners import OwnerTable
 from .paces import PaceTable
 from .retries import RetryBudget
 from .retries import RetryWindow
@@ -162,6 +163,7 @@
         self.freshness = Freshness()
         self.proof_terms = ProofTerms()
         self.allotments = Allotments(None, started_at)
+        self.owners = OwnerTable(identity.name)
         self.parked: dict[str, Parked] = {}
         # Whether owners give out the slots of plain services, and the queues of those that
         # this node owns.
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -206,7 +206,7 @@
                 case Announce(topic):
                     relay_beats.announce(self.peers, topic)
                 case AskAllotment():
-                    relay_allotments.ask_owner(self.peers, effect)
+                    relay_allotments.ask_units(self.peers, effect)
                 case ReturnAllotment():
                     relay_allotments.return_units(self.peers, effect)
                 case ShareLeaving():
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -159,7 +159,7 @@
         context.share_shed = functools.partial(relay_notices.share_shed, peers)
         context.share_prompts = relay_news.PromptSums(peers).note
         context.tell_holder = functools.partial(relay_news.send_want, peers)
-        context.ask_owner = functools.partial(relay_allotments.ask_owner, peers)
+        context.ask_owner = functools.partial(relay_allotments.ask_units, peers)
         context.return_units = functools.partial(relay_allotments.return_units, peers)
         context.ask_slot = functools.partial(relay_slots.ask_slot, peers)
         context.free_slot = functools.partial(relay_slots.free_slot, peers)
