--- a/features/notice_stories.py
+++ b/features/notice_stories.py
@@ -34,6 +34,8 @@
 class NoticeStory:
     """A fleet under load, what its endpoints say, and what nodes did wrong."""
 
+    troubles = TROUBLES
+
     def __init__(self, nodes, seed):
         self.callers = FleetCallers(nodes, 6)
         self.fleet = self.callers.fleet
@@ -57,8 +59,8 @@
         for act, tenths in acts:
             if act == "end" and ends:
                 ends.pop()()
-            elif act in TROUBLES:
-                TROUBLES[act](self)
+            elif act in self.troubles:
+                self.troubles[act](self)
             elif act in node_troubles:
                 ends.append(node_troubles[act](self.fleet))
             self.run(tenths / 10.0)
--- a/features/rate_counts.py
+++ b/features/rate_counts.py
@@ -20,9 +20,12 @@
     return BORNE_SHARE * rate * WINDOW_S + BORNE
 
 
-def aimed(rate):
-    """Give the most that a rate allows in a window, with what may be in hand at its begin."""
-    return rate * (WINDOW_S + IN_HAND_S) + IN_HAND
+def aimed(rate, owners=1):
+    """Give the most that a rate allows in a window, with what may be in hand at its begin.
+
+    :param owners: how many nodes give parts of the rate.
+    """
+    return rate * (WINDOW_S + IN_HAND_S) + IN_HAND * owners
 
 
 def most_in_window(moments):
--- /dev/null
+++ b/features/rate_stories.py
@@ -0,0 +1,131 @@
+"""Drawn stories of endpoints that name the requests a second they take, beside all other words.
+
+The rate falls, rises, ends and comes again, while nodes and the store fail, entries lapse and
+processes end. What arrives is counted as users count it: over any four seconds in which a process
+named a rate all the while, from nodes that had heard it half a second before or earlier.
+"""
+
+from notice_stories import TROUBLES
+from notice_stories import NoticeStory
+from notice_stories import some
+from rate_counts import BEGINS_S
+from rate_counts import TOLD_S
+from rate_counts import borne
+from rate_counts import most_in_window
+
+RATE_TROUBLES = {}
+
+
+def trouble(name):
+    def register(begin):
+        RATE_TROUBLES[name] = begin
+        return begin
+
+    return register
+
+
+@trouble("an endpoint names a rate")
+def names(story):
+    story.set_rate(some(story), story.drawn.choice((0.2, 1.4, 3.0)))
+
+
+@trouble("an endpoint names a rate, and it falls and rises")
+def falls(story):
+    name = some(story)
+    start = story.runners.start_of(name)
+
+    def change(rate):
+        if story.runners.start_of(name) == start:
+            story.set_rate(name, rate)
+
+    story.set_rate(name, 4.0)
+    story.fleet.at(story.fleet.now + 2.0, lambda: change(0.5))
+    story.fleet.at(story.fleet.now + 6.0, lambda: change(4.0))
+
+
+@trouble("an endpoint names a rate by turns")
+def by_turns(story):
+    name = some(story)
+    start = story.runners.start_of(name)
+
+    def change(rate):
+        if story.runners.start_of(name) == start:
+            story.set_rate(name, rate)
+
+    for turn in range(4):
+        rate = 1.0 if turn % 2 == 0 else None
+        story.fleet.at(story.fleet.now + 1.5 * turn, lambda rate=rate: change(rate))
+
+
+@trouble("all endpoints name a rate")
+def all_name(story):
+    for number in range(story.fleet.plan.endpoints):
+        story.set_rate(f"e{number}", 2.0)
+
+
+@trouble("no endpoint names a rate any more")
+def none_name(story):
+    for number in range(story.fleet.plan.endpoints):
+        if f"e{number}" in story.runners.rates:
+            story.set_rate(f"e{number}", None)
+
+
+class RateStory(NoticeStory):
+    """A story with the rates that each process named, and when they changed."""
+
+    troubles = {**TROUBLES, **RATE_TROUBLES}
+
+    def __init__(self, nodes, seed):
+        super().__init__(nodes, seed)
+        # By process: the moments at which it began to name another rate, None for none.
+        self.named = {}
+
+    def set_rate(self, name, rate):
+        if rate is None:
+            self.runners.rates.pop(name, None)
+        else:
+            self.runners.rates[name] = rate
+        rows = self.named.setdefault((name, self.runners.start_of(name)), [])
+        rows.append((self.fleet.now, rate))
+
+    def spells(self):
+        """List for how long processes named rates without a break, and the highest of them."""
+        for process, rows in self.named.items():
+            began, highest = None, 0.0
+            for at, rate in [*rows, (self.fleet.now, None)]:
+                if rate is None and began is not None:
+                    yield process, began, at, highest
+                    began, highest = None, 0.0
+                elif rate is not None:
+                    began = at if began is None else began
+                    highest = max(highest, rate)
+
+    def rate_faults(self):
+        """List the spells in which a process got more than users bear."""
+        found = []
+        for (name, start), began, ended, highest in self.spells():
+            told = {}
+            for word in self.runners.words:
+                if (word.endpoint, word.start) != (name, start) or word.notice.rate is None:
+                    continue
+                if began <= word.at:
+                    told.setdefault(word.node, word.at)
+            first = min(told.values(), default=ended)
+            moments = [
+                one.at
+                for one in self.runners.arrived
+                if (one.endpoint, one.start) == (name, start)
+                and first + BEGINS_S <= one.at <= ended
+                and self._counts(one, told)
+            ]
+            if most_in_window(moments) > borne(highest):
+                found.append((name, start, began, highest, most_in_window(moments)))
+        return found
+
+    def _counts(self, one, told):
+        """Say whether an arrival is of a node that had been told, and has not failed since."""
+        node = self.fleet.nodes[one.node]
+        heard_at = told.get(node)
+        if heard_at is None or one.at < heard_at + TOLD_S:
+            return False
+        return self.stood_still.get(one.node, -1.0) < heard_at
--- a/features/run.py
+++ b/features/run.py
@@ -28,6 +28,7 @@
 # Seconds of those that take longest, which begin first.
 SLOW = {
     "organisations": 240,
+    "rate_limits": 200,
     "processes": 90,
     "size": 100,
     "crashes": 60,
--- /dev/null
+++ b/features/steps/rate_limit_node_steps.py
@@ -0,0 +1,435 @@
+"""A rate that an endpoint names, at one node: how long it holds, and the ways round it."""
+
+import random
+
+from behave import given
+from behave import then
+from behave import when
+from hypothesis import given as drawn
+from hypothesis import settings as drawing
+from hypothesis import strategies
+from notice_node_steps import SLOTS
+from notice_node_steps import NoticeHarness
+from notice_node_steps import SlotHarness
+from rate_counts import aimed
+from rate_counts import most_in_window
+from relay_harness import HolderHarness
+
+from rookspring_core.effects import AskSlot
+from rookspring_core.effects import FreeSlot
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import CallerLeft
+from rookspring_core.events import EndpointSaid
+from rookspring_core.events import RatesHeard
+from rookspring_core.events import SlotAnswered
+from rookspring_core.events import Ticked
+from rookspring_core.notices import Notice
+from rookspring_core.request_rates import RateTable
+from rookspring_core.request_rates import RateWord
+from rookspring_core.slot_queues import SlotAsk
+from rookspring_core.slot_queues import SlotEndpoint
+from rookspring_core.slot_queues import SlotQueue
+
+
+def naming(rate):
+    return Notice(rate=rate, names_rate=rate is not None)
+
+
+class RateHarness(NoticeHarness):
+    """A node with endpoints that hold the model m, the first of which names a rate."""
+
+    def __init__(self, *names):
+        self.asked = []
+        self.freed = []
+        super().__init__(*names)
+        self.heard_at = self.now
+        self.hear(2.0, self.now - 0.1)
+
+    def perform(self, effect):
+        if isinstance(effect, AskSlot):
+            self.asked.append(effect)
+        if isinstance(effect, FreeSlot):
+            self.freed.append(effect)
+
+    def hear(self, rate, asked_at, **fields):
+        notice = fields.pop("notice", None) or naming(rate)
+        self.submit(
+            EndpointSaid(self.now, "e1", fields.pop("born", 5), notice, "e1", "", "", asked_at)
+        )
+
+    def grant(self, asked=None, rated=True, **fields):
+        asked = asked or self.asked[-1]
+        self.submit(SlotAnswered(self.now, asked.request_id, asked.queue, "e1", 0.0, rated, 0.0))
+
+    @property
+    def rate(self):
+        view = self.state.endpoints.get("e1")
+        return view.rate if view is not None else None
+
+
+@given("a node, and an endpoint of start 5 that names 2 requests a second")
+def names_two(context):
+    context.node = RateHarness()
+    assert context.node.rate == 2.0
+
+
+# How long it holds.
+
+AFTER = {}
+
+
+def after(text):
+    def register(function):
+        AFTER[text] = function
+        return function
+
+    return register
+
+
+def _answer(sent, heard, rate=None, **fields):
+    def play(node):
+        node.now = node.heard_at + heard
+        node.hear(rate, node.heard_at + sent, **fields)
+
+    return play
+
+
+def _told(after_s, *words):
+    def play(node):
+        node.now = node.heard_at + after_s
+        node.submit(RatesHeard(node.now, words, "n2"))
+
+    return play
+
+
+def _born(born, **fields):
+    def play(node):
+        node.now += 0.1
+        node.there["e1"] = born
+        node.tell("e1", born, **fields)
+
+    return play
+
+
+def _starts_and_late(node):
+    _born(6)(node)
+    node.hear(3.0, node.now - 1.0, born=5)
+
+
+def _lapses(node):
+    node.relist(names=())
+    assert "e1" not in node.state.endpoints
+    node.submit(Ticked(node.now))
+    node.relist()
+
+
+def _long_gone(node):
+    node.relist(names=())
+    node.now += 660.0
+    node.submit(Ticked(node.now))
+    node.relist()
+
+
+def _long_there(node):
+    node.now += 660.0
+    node.submit(Ticked(node.now))
+    node.relist()
+
+
+AFTER.update(
+    {
+        "nothing else": lambda node: None,
+        "an answer sent at 1 s, heard at 2 s, names none": _answer(1.0, 2.0),
+        "an answer sent at -1 s, heard at 2 s, names none": _answer(-1.0, 2.0),
+        "an answer sent at -1 s, heard at 2 s, names 5": _answer(-1.0, 2.0, 5.0),
+        "an answer sent at -1 s, heard at 2 s, names 1": _answer(-1.0, 2.0, 1.0),
+        "an answer sent at 1 s, heard at 2 s, names 5": _answer(1.0, 2.0, 5.0),
+        "an answer sent at 1 s, heard at 2 s, names 1e9": _answer(1.0, 2.0, 1e9),
+        "an answer sent at 1 s, heard at 2 s, names 0": _answer(1.0, 2.0, 0.0),
+        "an answer sent at 1 s, heard at 2 s, names what can't be read": _answer(
+            1.0, 2.0, notice=Notice(names_rate=True, malformed="x")
+        ),
+        "an answer to another request names none": lambda node: node.hear(None, None),
+        "its report names none": lambda node: node.hear(None, None),
+        "its report names 1": lambda node: node.hear(1.0, None),
+        "its entry lapses and comes back": _lapses,
+        "it starts again, with start 6": _born(6),
+        "it starts again, with start 4, and is sure": _born(4, sure=True),
+        "it starts again, and an answer of before names 3": _starts_and_late,
+        "another node tells at 0.5 s that it names none any more": _told(
+            0.5, RateWord("e1", 5, 2, None)
+        ),
+        "another node tells at 3 s that it names none any more": _told(
+            3.0, RateWord("e1", 5, 2, None)
+        ),
+        "another node tells late what was before": _told(3.0, RateWord("e1", 5, 0, None)),
+        "another node tells of 4 at the same version": _told(3.0, RateWord("e1", 5, 1, 4.0)),
+        "another node tells of 1 at the same version": _told(3.0, RateWord("e1", 5, 1, 1.0)),
+        "it is on no list for 11 minutes": _long_gone,
+        "it is listed for 11 minutes and says nothing": _long_there,
+    }
+)
+
+
+@when("then: {then}")
+def afterwards(context, then):
+    AFTER[then](context.node)
+
+
+@then("it is known to take {what}")
+def known_to_take(context, what):
+    expected = None if what == "any" else float(what)
+    assert context.node.rate == expected, context.node.rate
+
+
+@then("{number:d} drawn words of rates give the same in any order, told once or twice")
+def words_merge(context, number):
+    word = strategies.builds(
+        RateWord,
+        strategies.sampled_from("ab"),
+        strategies.integers(0, 2),
+        strategies.integers(1, 3),
+        strategies.sampled_from((None, 1.0, 2.0)),
+    )
+
+    @drawing(max_examples=number, derandomize=True, deadline=None)
+    @drawn(strategies.lists(word, max_size=12), strategies.randoms(use_true_random=False))
+    def check(words, chance):
+        first, other = RateTable(), RateTable()
+        first.merge(words, 10.0)
+        mixed = [*words, *words]
+        chance.shuffle(mixed)
+        for one in mixed:
+            other.merge((one,), 10.0)
+        assert set(first.whole()) == set(other.whole())
+        assert first.digest() == other.digest()
+
+    check()
+
+
+# Ways round it.
+
+
+def _sent_by_turn(node, **fields):
+    """Have a request sent there by its turn; gives its dispatch."""
+    assert node.come(**fields) == ""
+    node.grant()
+    return node.sent[-1]
+
+
+def _second_try(node):
+    one = _sent_by_turn(node, attempts=3)
+    node.submit(AttemptStarted(node.now, one.request_id, 1))
+    node.submit(AttemptFailed(node.now, one.request_id, 1, True, True, "refused with 503"))
+
+
+def _stream(node):
+    one = _sent_by_turn(node, attempts=3)
+    node.submit(AttemptStarted(node.now, one.request_id, 1))
+    node.submit(AttemptProgressed(node.now, one.request_id, 1, 3))
+    failed = AttemptFailed(
+        node.now, one.request_id, 1, True, False, "connection closed", broken=True
+    )
+    node.submit(failed)
+
+
+def _silent(node):
+    node.come()
+    node.pass_time(1.0)
+    assert [one.outcome for one in node.refused] == ["not_run"], node.refused
+    assert node.refused[0].retry_after_s > 0.0
+
+
+def _late(node):
+    node.come()
+    asked = node.asked[-1]
+    node.now += 0.6
+    node.grant(asked)
+    assert [one.unsent for one in node.freed] == [True], node.freed
+
+
+def _earlier(node):
+    node.come()
+    asked = node.asked[-1]._replace(queue="@e9")
+    node.grant(asked)
+    assert [one.unsent for one in node.freed] == [True], node.freed
+
+
+def _left(node):
+    node.come()
+    asked = node.asked[-1]
+    node.submit(CallerLeft(node.now, asked.request_id))
+    node.grant(asked)
+    assert [one.unsent for one in node.freed] == [True], node.freed
+
+
+def _rests(node):
+    node.come()
+    node.say(Notice(turned_away=True, rest_s=3.0, rate=2.0, names_rate=True))
+    node.grant()
+    assert [one.unsent for one in node.freed] == [True], node.freed
+
+
+def _ejected(node):
+    for _ in range(5):
+        node.state.endpoints["e1"].fail(node.now)
+    node.come()
+
+
+def _waited(node):
+    node.hear(None, node.now + 1.0)
+    node.now += 2.0
+    node.hear(None, node.now)
+    for _ in range(SLOTS):
+        assert node.come() == "e1", node.rate
+    assert node.come(objective_s=4.0) == ""
+    node.hear(2.0, node.now)
+    node.sent_before = len(node.sent)
+    node.end(node.sent[0])
+
+
+WAYS = {
+    "a second try is due, and it is the only one": _second_try,
+    "a stream broke off there and is to go on": _stream,
+    "its owner does not answer": _silent,
+    "its owner's answer comes 0.3 s late": _late,
+    "its owner's answer is to an earlier question": _earlier,
+    "the caller leaves before its owner's answer": _left,
+    "the endpoint is at rest when its turn comes": _rests,
+    "it is ejected, and it is the only one": _ejected,
+    "a request that was let in has waited for another": _waited,
+}
+
+
+@when("by the way round it: {way}")
+def way_round(context, way):
+    node = context.node
+    context.before = len(node.sent)
+    WAYS[way](node)
+    context.before = getattr(node, "sent_before", context.before)
+
+
+@then("it got no request without a turn")
+def none_without(context):
+    node = context.node
+    sent = node.sent[context.before :]
+    assert len(sent) <= 1, sent
+    if sent:
+        # The first try, by its turn; what follows has asked anew.
+        assert sent[0].attempt == 1 and len(node.asked) == 2, node.asked
+
+
+@when("its turn comes, and nothing can be sent")
+def turn_unused(context):
+    node = context.node
+    one = _sent_by_turn(node)
+    node.submit(AttemptFailed(node.now, one.request_id, 1, False, False, "no way", withheld=True))
+
+
+@then("the turn was given back as unsent, once")
+def unsent_once(context):
+    assert [(one.queue, one.unsent) for one in context.node.freed] == [("@e1", True)]
+
+
+class RatedSlots(SlotHarness):
+    """A node whose plain service's one endpoint names a rate; its owner has not answered yet."""
+
+    def give(self, rated):
+        self.submit(SlotAnswered(self.now, "r1", "svc", "f", 0.0, rated))
+
+
+@given("a plain service's node, and its endpoint names 2 requests a second")
+def rated_service(context):
+    context.node = node = RatedSlots()
+    node.submit(EndpointSaid(node.now, "f", 0, naming(2.0), "f"))
+
+
+@when("its owner gives a slot that {counts}")
+def gives_slot(context, counts):
+    context.node.give(counts == "counts towards the rate")
+
+
+@then("the rated endpoint gets {what}")
+def rated_gets(context, what):
+    expected = {"nothing": [], "work": ["f"]}[what]
+    assert [one.endpoint for one in context.node.sent] == expected
+    if not expected:
+        assert [one.unsent for one in context.node.freed] == [True]
+
+
+# The owner's queue.
+
+
+@given("the queue of an endpoint that takes 2 requests a second, with none in hand")
+def rated_queue(context):
+    queue = context.queue = SlotQueue()
+    queue.use([SlotEndpoint("e", 0, 2.0)], 0.0, 100.0)
+
+
+@when("requests of ranks 2, 1, 0 and of a loud and a quiet organisation come at once")
+def ranks_come(context):
+    rows = [(2, "loud"), (2, "loud"), (2, "loud"), (2, "quiet"), (1, "loud"), (0, "loud")]
+    for number, (rank, whose) in enumerate(rows):
+        ask = SlotAsk("n", f"{rank} {whose} {number}", rank, whose, 9.0, "", 2.0)
+        (answer,) = context.queue.ask(ask, 100.0)
+        assert not answer.endpoint and not answer.after_s
+
+
+@then("they are let in by rank, and the quiet one between the loud ones")
+def let_in(context):
+    keys = []
+    for step in range(80):
+        now = 100.0 + step * 0.05
+        keys += [(now, one.key) for one in context.queue.settle(now) if one.endpoint]
+    order = [key for _, key in keys]
+    assert order[0].startswith("0") and order[1].startswith("1"), order
+    assert "quiet" in order[2] or "quiet" in order[3], order
+    assert most_in_window([at for at, _ in keys]) <= aimed(2.0)
+
+
+@then("{number:d} drawn stories of turns taken and given back keep the rate of what was sent")
+def turns_given_back(context, number):
+    @drawing(max_examples=number, derandomize=True, deadline=None)
+    @drawn(strategies.integers(0, 1_000_000), strategies.sampled_from((0.5, 1.4, 6.0, 30.0)))
+    def check(seed, rate):
+        chance = random.Random(seed)
+        queue = SlotQueue()
+        queue.use([SlotEndpoint("e", 0, rate)], 0.0, 100.0)
+        now, sent, held = 100.0, [], {}
+        for step in range(400):
+            now += chance.expovariate(4.0 * rate)
+            ask = SlotAsk("n", f"r{step}", 0, "", 0.0, "", rate)
+            answers = queue.ask(ask, now)
+            held.update({one.key: now for one in answers if one.endpoint})
+            for key, at in list(held.items()):
+                if chance.random() < 0.5:
+                    del held[key]
+                    if chance.random() < 0.5:
+                        queue.free("e", "n", key, 0.0, now, unsent=True)
+                    else:
+                        sent.append(at)
+        assert most_in_window(sent) <= aimed(rate), (rate, most_in_window(sent))
+
+    check()
+
+
+# The planner.
+
+
+@given("a lease holder over runners, the one that holds the model names 0.5 requests a second")
+def rated_holder(context):
+    context.holder = holder = HolderHarness(["m", "n"])
+    holder.orders.clear()
+    for _ in range(200):
+        holder.state.paces.note_work(3_000.0)
+    holder.submit(EndpointSaid(holder.now, "e1", 0, naming(0.5), "e1", asked_at=holder.now))
+
+
+@when("8 requests a second are asked of that model")
+def asked_much(context):
+    holder = context.holder
+    for _ in range(80):
+        holder.demand("m", 24_000.0)
+        holder.pass_time(0.1)
--- /dev/null
+++ b/features/steps/rate_limit_socket_steps.py
@@ -0,0 +1,55 @@
+import asyncio
+import time
+
+from behave import then
+from behave import when
+from relay_stage import read_answer
+from relay_stage import request
+
+# A refusal comes at once: in less than this, in seconds.
+AT_ONCE_S = 0.35
+
+
+@when("a caller sends a unsafe request every {ms:d} ms for {seconds:g} s")
+def send_for(context, ms, seconds):
+    async def one(number):
+        reader, writer = await context.relay.connect()
+        started = time.monotonic()
+        writer.write(request("unsafe", number))
+        answer = await read_answer(reader)
+        writer.close()
+        return answer, time.monotonic() - started
+
+    async def work():
+        asked = []
+        for number in range(round(seconds * 1000 / ms)):
+            asked.append(asyncio.ensure_future(one(1000 + number)))
+            await asyncio.sleep(ms / 1000.0)
+        return await asyncio.gather(*asked)
+
+    context.timed = context.loop.run(work())
+
+
+@when("its answers name no rate any more")
+def say_no_more(context):
+    context.relay.servers[0].says.clear()
+
+
+@then("the first endpoint got {least:d} to {most:d} in all")
+def got_between(context, least, most):
+    got = len(context.relay.servers[0].asked)
+    assert least <= got <= most, got
+
+
+@then("the first endpoint answers each")
+def first_answers(context):
+    assert [answer.status for answer in context.answers] == [200] * 6
+
+
+@then("who was refused was told so at once")
+def told_at_once(context):
+    refused = [(answer, took_s) for answer, took_s in context.timed if answer.status != 200]
+    assert refused
+    for answer, took_s in refused:
+        assert answer.status == 503 and float(answer.headers["retry-after"]) > 0.0, answer.status
+        assert took_s < AT_ONCE_S, took_s
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -1,18 +1,35 @@
 """Endpoints that name the requests a second they take, over whole fleets."""
 
+import functools
 import random
 
 from behave import given
 from behave import then
 from behave import when
+from crash_steps import cut_off
+from crash_steps import pick
+from hypothesis import given as drawn
+from hypothesis import settings as drawing
+from hypothesis import strategies
+from key_stories import troubles as node_troubles
+from notice_stories import TROUBLES
+from rate_counts import aimed
+from rate_counts import all_arrivals
 from rate_counts import borne
+from rate_counts import first_named
 from rate_counts import most_in_window
 from rate_counts import told_arrivals
+from rate_stories import RATE_TROUBLES
+from rate_stories import RateStory
 
+from rookspring_core import slotting
+from rookspring_core.owners import choose_owner
 from rookspring_fakes.fleet_callers import FleetCallers
 
 LIMITED = "e0"
 ASKED = "asked"
+# From when on a rate is to be used: its owner has to have settled by then.
+USED_AFTER_S = 5.0
 
 
 @given("{nodes:d} nodes, and an endpoint among {endpoints:d} that names {rate:g} requests a second")
@@ -20,6 +37,7 @@
     context.stage = FleetCallers(nodes, endpoints)
     context.stage.runners.rates[LIMITED] = context.rate = rate
     context.drawn = random.Random(7)
+    context.sent = {}
 
 
 def come_for(context, asked, seconds):
@@ -27,7 +45,8 @@
     end = stage.fleet.now + seconds
     while stage.fleet.now < end:
         name = context.drawn.choice(stage.names())
-        stage.send(name, ASKED, repeatable=True, attempts=2)
+        key = stage.send(name, ASKED, repeatable=True, attempts=2)
+        context.sent[key] = stage.fleet.now
         stage.fleet.run(context.drawn.expovariate(asked))
 
 
@@ -39,4 +58,214 @@
 @then("in no 4 s it got more than users bear, from nodes that it had told")
 def got_no_more(context):
     found = most_in_window(told_arrivals(context.stage.runners, LIMITED))
-    assert found <= borne(context.rate), (found, borne(context.rate))
+    assert 0 < found <= borne(context.rate), (found, borne(context.rate))
+
+
+@then("in no 4 s it got more than it names, from whichever node")
+def got_what_it_names(context):
+    found = most_in_window(all_arrivals(context.stage.runners, LIMITED))
+    assert 0 < found <= aimed(context.rate), (found, aimed(context.rate))
+
+
+@then(
+    "in no 4 s it got more than it names, from whichever node, and what {owners:d} may have in hand"
+)
+def got_of_owners(context, owners):
+    found = most_in_window(all_arrivals(context.stage.runners, LIMITED))
+    most = aimed(context.rate, owners)
+    assert 0 < found <= most, (found, most)
+
+
+def used_since(context, moment):
+    runners = context.stage.runners
+    there = [one for one in runners.arrived if one.endpoint == LIMITED and one.at >= moment]
+    return len(there) / (context.rate * (context.stage.fleet.now - moment))
+
+
+@then("it got nine tenths of what it names")
+def used_nine_tenths(context):
+    # A turn that falls on the last moment may be counted or not.
+    begins = first_named(context.stage.runners, LIMITED) + USED_AFTER_S
+    due = context.rate * (context.stage.fleet.now - begins)
+    assert used_since(context, begins) >= 0.9 - 1.0 / due, used_since(context, begins)
+
+
+@then("in the last {seconds:g} s it got at least {share:g} of what it names")
+def used_lately(context, seconds, share):
+    found = used_since(context, context.stage.fleet.now - seconds)
+    assert found >= share, found
+
+
+@then("no request was refused")
+def none_refused(context):
+    assert not context.stage.fleet.refusals, context.stage.fleet.refusals[0]
+
+
+@then("whoever was refused was told so within {seconds:g} s, and a time to come back")
+def told_soon(context, seconds):
+    refusals = context.stage.fleet.refusals
+    assert refusals
+    for at, one in refusals:
+        assert one.outcome == "not_run" and one.retry_after_s > 0.0, one
+        assert at - context.sent[one.request_id] <= seconds, (at, one)
+    # Told one moment all would come back for one turn.
+    told = {round(at + one.retry_after_s, 2) for at, one in refusals[-20:]}
+    assert len(told) > 10, told
+
+
+# What becomes of the node that keeps the sum.
+
+
+def owner_of(fleet):
+    """Name the owner of the endpoint's queue, as a node that may own it sees it."""
+    state = next(
+        node.state for node in fleet.live() if node.state.topology.mesh or node.state.topology.relay
+    )
+    subject = slotting.subject_of(slotting.ENDPOINT_MARK + LIMITED)
+    return choose_owner(subject, state.topology.owners(fleet.now))
+
+
+OWNER_TROUBLES = {}
+
+
+def trouble(text):
+    def register(function):
+        OWNER_TROUBLES[text] = function
+        return function
+
+    return register
+
+
+@trouble("its owner is killed")
+def _killed(fleet, owner):
+    fleet.kill(owner)
+
+
+@trouble("its owner freezes")
+def _freezes(fleet, owner):
+    fleet.nodes[owner].frozen = True
+
+
+@trouble("its owner freezes and goes on 3 s later")
+def _thaws(fleet, owner):
+    fleet.nodes[owner].frozen = True
+    fleet.at(fleet.now + 3.0, functools.partial(fleet.thaw, owner))
+
+
+@trouble("its owner leaves as planned")
+def _leaves(fleet, owner):
+    with fleet.running():
+        fleet.drain(owner)
+
+
+@trouble("its owner is cut off from the others")
+def _is_cut(fleet, owner):
+    cut_off(fleet, owner)
+
+
+@trouble("its owner is started again")
+def _starts(fleet, owner):
+    fleet.kill(owner)
+    fleet.at(fleet.now + 1.0, functools.partial(fleet.start, int(owner[1:])))
+
+
+@trouble("its owner reaches no store")
+def _storeless(fleet, owner):
+    fleet.cut_from_store.add(owner)
+
+
+@trouble("no node reaches the store")
+def _all_storeless(fleet, owner):
+    fleet.cut_from_store |= set(fleet.nodes)
+
+
+@trouble("a third of the nodes is cut off")
+def _third_cut(fleet, owner):
+    away = [node.name for node in fleet.live()][::3]
+    rest = [name for name in fleet.nodes if name not in away]
+    fleet.cut |= {(one, other) for one in away for other in rest}
+    fleet.cut |= {(other, one) for one in away for other in rest}
+
+
+@trouble("each relay is killed")
+def _no_relays(fleet, owner):
+    for node in fleet.live():
+        if node.state.topology.relay:
+            fleet.kill(node.name)
+
+
+def _register(text, function):
+    @when(text)
+    def befalls(context):
+        owner = owner_of(context.stage.fleet)
+        assert owner
+        function(context.stage.fleet, owner)
+
+
+for _text, _function in OWNER_TROUBLES.items():
+    _register(_text, _function)
+
+
+# Who was not there.
+
+
+@when("{node} {was}, and is asked alone from then on")
+def was_not_there(context, node, was):
+    fleet = context.stage.fleet
+    name = context.name = pick(fleet, node)
+    if was == "is started":
+        fleet.kill(name)
+        fleet.run(2.0)
+        with fleet.running():
+            fleet.start(int(name[1:]))
+        fleet.run(2.0)
+    elif was.startswith("freezes"):
+        fleet.nodes[name].frozen = True
+        fleet.run(2.0)
+        fleet.thaw(name)
+    else:
+        pairs = cut_off(fleet, name)
+        fleet.run(2.0)
+        fleet.cut -= pairs
+        fleet.run(2.0)
+    context.since = fleet.now
+    for _ in range(160):
+        context.stage.send(name, ASKED, repeatable=True, attempts=2)
+        fleet.run(0.05)
+
+
+@then("it sends no more than {rate:g} requests a second there")
+def sends_no_more(context, rate):
+    there = [
+        one.at
+        for one in context.stage.runners.arrived
+        if one.endpoint == LIMITED and one.node == context.name and one.at >= context.since
+    ]
+    seconds = context.stage.fleet.now - context.since
+    assert len(there) <= rate * seconds + 2, (len(there), seconds)
+
+
+# Stories.
+
+
+@then("{number:d} drawn stories of {nodes:d} nodes send no endpoint more than it names")
+def stories_hold(context, number, nodes):
+    names = [*RATE_TROUBLES, *RATE_TROUBLES, *TROUBLES, *node_troubles, "end", "end"]
+    acts = strategies.lists(
+        strategies.tuples(strategies.sampled_from(names), strategies.integers(0, 20)),
+        min_size=8,
+        max_size=14,
+    )
+    counted = []
+
+    @drawing(max_examples=number, derandomize=True, deadline=None, database=None)
+    @drawn(acts, strategies.integers(0, 1_000_000))
+    def check(acts, seed):
+        story = RateStory(nodes, seed)
+        story.play(acts)
+        found = story.rate_faults()
+        assert not found, (acts, seed, found[0])
+        counted.append(len(story.named))
+
+    check()
+    assert sum(counted) > 0
--- a/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
@@ -4,6 +4,7 @@
 
 from .notices import Leaving
 from .notices import Notice
+from .request_rates import RateWord
 from .suspects import Evidence
 
 
@@ -13,6 +14,8 @@
     :param endpoint: which was asked, at this address.
     :param born: the start of its life as it was known when it was asked; 0 where it was not.
     :param target: the model that was asked for, and the adapter; empty where it was none.
+    :param asked_at: when the request left that it answers; None where it answers none, or it
+        is not known which.
     """
 
     at: float
@@ -22,6 +25,18 @@
     address: str = ""
     target: str = ""
     adapter: str = ""
+    asked_at: float | None = None
+
+
+class RatesHeard(t.NamedTuple):
+    """What another node tells of how many requests a second endpoints take.
+
+    :param source: the node that told it.
+    """
+
+    at: float
+    rows: tuple[RateWord, ...]
+    source: str
 
 
 class LeavingHeard(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -139,17 +139,21 @@
 
 
 class SlotAnswered(t.NamedTuple):
-    """A plain service's owner has answered a request that needs a slot.
+    """The owner of a plain service, or of an endpoint, has answered a request that needs a slot.
 
     :param endpoint: where it has one; empty where it waits or is refused.
     :param after_s: when to come back where it is refused, in seconds; else 0.
+    :param rated: the slot counts towards the requests a second that the endpoint takes.
+    :param stay_s: how long this node does better to ask elsewhere first, in seconds.
     """
 
     at: float
     request_id: str
-    service: str
+    queue: str
     endpoint: str
     after_s: float
+    rated: bool = False
+    stay_s: float = 0.0
 
 
 class SessionOpened(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -45,6 +45,7 @@
     """Let a request wait for its endpoint, and count what it asks for."""
     if not event.service:
         work = event.tokens * state.paces.relative(event.target)
+        state.paces.note_work(work)
         state.control.meter.add(event.target, work)
         if event.route:
             routed.meter(state, event, work)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -51,6 +51,7 @@
     state.limits.tick(passed)
     state.suspects.tick(event.at)
     state.notices.tick(event.at, state.endpoints)
+    state.rates.tick(event.at, state.endpoints)
     state.once.tick(event.at)
     effects = requests.sweep(state, passed) + allotting.expire(state)
     if state.relaying:
@@ -98,6 +99,8 @@
         view.leaving = False
         view.rest_until = -1e9
         state.notices.begin(view.name, event.born, event.sure)
+        state.rates.begin(view.name, event.born, event.sure)
+        view.rate = None
         view.prefixes.clear()
     before = view.targets()
     if state.relaying:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -220,6 +220,8 @@
 # Part of the urgent demand of a model that its second replica is worth by itself: when
 # the only one is lost, all of it is missed until another is loaded.
 SINGLE_LOSS = 0.3
+# What a request asks for on the mean moves by this part of each.
+WORK_GAIN = 0.02
 # What the longest answer's time is multiplied by at each answer that was shorter: so it
 # is about that of the longest in a hundred.
 LONGEST_KEPT = 0.99
@@ -442,3 +444,27 @@
 SUSPECTS_MAX = 4096
 SUSPECTS_EACH_MAX = 512
 VERDICTS_MAX = 256
+
+# Turns at an endpoint that names how many requests a second it takes: it may have so many in hand,
+# and what it takes in so many seconds beside, so that what comes unevenly finds one.
+TURNS_IN_HAND = 2.0
+TURNS_IN_HAND_S = 0.25
+# For so long after it has become the owner of a subject a node gives nothing of a rate: the owner
+# before may do so yet. Nodes drop one that has been quiet for ``HOLDER_QUIET_S``, and learn of
+# each other's views with a heartbeat of 0.4 s.
+OWNER_SETTLES_S = 1.5
+# A request leaves within this time of the slot that it was given, or asks anew: a connection takes
+# 0.4 s at most.
+SLOT_SEND_S = 0.5
+# Nodes that have asked for a turn within this time share the next ones. Each is told to ask
+# elsewhere for a part of what all of them together wait for theirs, so that more ask than there are
+# turns: the first at most; it falls by a factor where turns lie in hand and rises by one with each
+# that asks in vain, down to the least. And for no longer than the most, in seconds.
+TURN_ASKERS_S = 5.0
+TURN_STAY_SHARE = 0.5
+TURN_STAY_LEAST = 0.05
+TURN_STAY_FALL = 0.7
+TURN_STAY_RISE = 1.05
+TURN_STAY_MOST_S = 30.0
+# Whoever was refused a turn asks again no sooner, in seconds.
+TURN_AGAIN_S = 0.05
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -8,6 +8,7 @@
 from .catalogue import Entry
 from .events import EndpointReported
 from .notices import Leaving
+from .request_rates import RateWord
 from .suspects import Evidence
 
 IntentRow = tuple[str, str, str, float]
@@ -235,6 +236,16 @@
     source: str = ""
 
 
+class ShareRates(t.NamedTuple):
+    """Tell the other nodes how many requests a second endpoints take.
+
+    :param source: the node that told it; empty where this one heard it itself.
+    """
+
+    rows: tuple[RateWord, ...]
+    source: str = ""
+
+
 class ShareEvidence(t.NamedTuple):
     """Tell every other node of requests under which endpoints ended.
 
@@ -275,32 +286,37 @@
 
 
 class AskSlot(t.NamedTuple):
-    """Ask the owner of a plain service for a slot at one of its endpoints.
+    """Ask the owner of a plain service, or of one endpoint, for a slot.
 
+    :param queue: which of them; see :mod:`slotting`.
     :param rank: 0 is the most urgent.
     :param organisation: whose it is; empty where that is not asked.
     :param wait_s: how long until an answer is late, in seconds.
     :param avoid: the endpoint at which the request has failed.
+    :param rate: the requests a second that the endpoint takes; None where it is a service.
     """
 
     request_id: str
-    service: str
+    queue: str
     rank: int
     organisation: str
     wait_s: float
     avoid: str
+    rate: float | None = None
 
 
 class FreeSlot(t.NamedTuple):
-    """Tell the owner of a plain service that a request's run is over.
+    """Tell the owner of a slot that a request's run is over.
 
     :param took_s: how long it took, in seconds.
+    :param unsent: nothing of it was sent.
     """
 
     request_id: str
-    service: str
+    queue: str
     endpoint: str
     took_s: float
+    unsent: bool = False
 
 
 class ReturnAllotment(t.NamedTuple):
@@ -344,6 +360,7 @@
     | ShareDown
     | ShareEvidence
     | ShareLeaving
+    | ShareRates
     | ShareShed
     | VerdictFound
     | ShareReport
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -108,6 +108,7 @@
         "peers",
         "probing",
         "prompts",
+        "rate",
         "report",
         "reported_at",
         "resident",
@@ -115,6 +116,7 @@
         "role",
         "service",
         "shed_until",
+        "turn_at",
     )
 
     def __init__(
@@ -142,6 +144,10 @@
         self.rest_until = -1e9
         # Until when it counts as fuller than it looks, since it turned another node's request away.
         self.shed_until = -1e9
+        # The requests a second that it takes from all nodes; None where it names none. And from
+        # when on this node asks for a turn there, where others hold the same.
+        self.rate: float | None = None
+        self.turn_at = -1e9
         # Whether nothing listened there when it was last tried.
         self.down = False
         # The model that is being loaded there, and when it is expected to be there.
@@ -175,6 +181,8 @@
         self.leaving = False
         self.rest_until = -1e9
         self.shed_until = -1e9
+        self.rate = None
+        self.turn_at = -1e9
         self.down = False
         self.coming = ("", -1e9)
         self.doubted_born = 0
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -31,6 +31,7 @@
 from ._endpoint_events import EvidenceHeard as EvidenceHeard
 from ._endpoint_events import LeavingHeard as LeavingHeard
 from ._endpoint_events import PromptsHeard as PromptsHeard
+from ._endpoint_events import RatesHeard as RatesHeard
 from ._endpoint_events import ReportMissed as ReportMissed
 from ._endpoint_events import ShedHeard as ShedHeard
 from ._node_events import DrainAsked as DrainAsked
@@ -61,6 +62,7 @@
     | AttemptFailed
     | EndpointSaid
     | LeavingHeard
+    | RatesHeard
     | ShedHeard
     | CallerLeft
     | EvidenceHeard
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -192,6 +192,18 @@
     return ""
 
 
+@invariant("request-rate", on=Dispatch)
+def check_rates(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """Nothing is sent to an endpoint that names a rate without a slot that counts towards it."""
+    for effect in effects:
+        if not isinstance(effect, Dispatch) or state.endpoints[effect.endpoint].rate is None:
+            continue
+        held = state.requests[effect.request_id].slot
+        if held is None or held.endpoint != effect.endpoint or not held.rated:
+            return f"{effect.request_id} would be sent to {effect.endpoint} without a turn"
+    return ""
+
+
 @invariant("said-late", on=AttemptStarted)
 def check_said_late(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """What was decided before a life said that it leaves has left soon after."""
--- a/packages/rookspring-core/src/rookspring_core/lives.py
+++ b/packages/rookspring-core/src/rookspring_core/lives.py
@@ -61,6 +61,7 @@
     """Forget what was known of the life before."""
     view.begin_life(state.now)
     state.notices.begin(view.name, event.born, event.sure)
+    state.rates.begin(view.name, event.born, event.sure)
     room = state.residency.rooms.get(view.name)
     if room is not None:
         state.residency.rooms[view.name] = _begin_room(room)
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -60,6 +60,16 @@
         # Names of nodes whose row changed, the latest last; see :mod:`members`.
         self.changes = ChangeLog()
 
+    def voucher_of(self, name: str) -> str:
+        """Name the linked node that vouches for a node and spoke last; empty where none does.
+
+        One that is frozen vouches for its followers for as long as its link stands, and what is
+        sent by it is lost.
+        """
+        peer = self.peers.get(name)
+        sources = peer.sources & self.linked if peer else ()
+        return max(sources, key=lambda one: (self.peers[one].heard_at, one), default="")
+
     def visible(self, now: float) -> int:
         """Count this node and those that it hears of now: itself, or by one that it hears."""
         heard = {
--- a/packages/rookspring-core/src/rookspring_core/notices.py
+++ b/packages/rookspring-core/src/rookspring_core/notices.py
@@ -46,7 +46,8 @@
         no time that can be read.
     :param misdirected: what was asked is not there, or another process answers.
     :param rate: the requests a second that it takes from all nodes together while it says
-        so; None where it names none.
+        so; None where it names none, or none that can be read.
+    :param names_rate: it names one, whether it can be read or not.
     :param malformed: a header that can't be read, with its value.
     """
 
@@ -56,6 +57,7 @@
     rest_s: float | None = None
     misdirected: bool = False
     rate: float | None = None
+    names_rate: bool = False
     malformed: str = ""
 
     def says_nothing(self) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/noticing.py
+++ b/packages/rookspring-core/src/rookspring_core/noticing.py
@@ -8,14 +8,17 @@
 from . import requests
 from .effects import Effect
 from .effects import ShareLeaving
+from .effects import ShareRates
 from .effects import ShareShed
 from .endpoints import EndpointView
 from .events import EndpointSaid
 from .events import LeavingHeard
+from .events import RatesHeard
 from .events import ShedHeard
 from .notices import Leaving
 from .notices import Notice
 from .reducer import handles
+from .request_rates import RateWord
 from .state import NodeState
 
 Effects = list[Effect]
@@ -32,6 +35,7 @@
         effects += _note_leaving(state, event.endpoint, event.born)
     if notice.asked_rest_s() > 0.0:
         effects += _note_rest(state, event, notice)
+    effects += _note_rate(state, event)
     if notice.misdirected:
         _note_lacking(state, event)
     return effects + requests.end_hopeless(state) + requests.pump(state)
@@ -85,6 +89,49 @@
     return _tell_shed(state, event.endpoint, min(rest_s, notices.SHED_TOLD_S))
 
 
+def says_anything(state: NodeState, endpoint: str, notice: Notice) -> bool:
+    """Say whether an answer's head tells anything of its endpoint.
+
+    That it names no rate does, of one that named one.
+    """
+    view = state.endpoints.get(endpoint)
+    return not notice.says_nothing() or (view is not None and view.rate is not None)
+
+
+def _note_rate(state: NodeState, event: EndpointSaid) -> Effects:
+    notice = event.notice
+    rates = state.rates
+    news: tuple[RateWord, ...] = ()
+    if notice.rate is not None:
+        news = rates.name(event.endpoint, event.born, notice.rate, event.asked_at, state.now)
+    elif not notice.names_rate:
+        news = rates.cease(event.endpoint, event.born, event.asked_at)
+    _mark_rates(state, news, "it said so with an answer")
+    return _share_rates(news, "")
+
+
+def _share_rates(rows: tuple[RateWord, ...], source: str) -> Effects:
+    return [ShareRates(rows, source)] if rows else []
+
+
+def _mark_rates(state: NodeState, rows: tuple[RateWord, ...], why: str) -> None:
+    """Have the views of endpoints hold their rates."""
+    for one in rows:
+        _mark(state, one.endpoint)
+        told = "names no rate now" if one.rate is None else f"takes {one.rate:g} requests a second"
+        state.record(one.endpoint, told, why)
+
+
+@handles(RatesHeard)
+def hear_rates(state: NodeState, event: RatesHeard) -> Effects:
+    """Take what another node says of endpoints' rates; what is news goes on from here."""
+    merged = state.rates.merge(event.rows, state.now)
+    _mark_rates(state, merged.news, f"{event.source} says so")
+    _mark_rates(state, merged.denied, f"it said so lately, whatever {event.source} says")
+    told = _share_rates(merged.news, event.source) + _share_rates(merged.denied, "")
+    return told + (requests.pump(state) if merged.news else [])
+
+
 def _tell_shed(state: NodeState, endpoint: str, for_s: float) -> Effects:
     """Tell the other nodes that an endpoint sheds, unless one of them has told all just now.
 
@@ -117,6 +164,7 @@
     """Have a view hold what its endpoint's life has said: when it is made, or its life begins."""
     born = born_of(view)
     view.leaving = view.leaving or state.notices.leaves(view.name, born)
+    view.rate = state.rates.rate_of(view.name, born)
     until = state.notices.rests_until(view.name, born)
     if until > state.now:
         view.rest_until = until
--- a/packages/rookspring-core/src/rookspring_core/paces.py
+++ b/packages/rookspring-core/src/rookspring_core/paces.py
@@ -41,8 +41,15 @@
         self.token_s: dict[str, float] = {}
         # How long about the longest of late requests took as a whole, in seconds.
         self.longest_s = 0.0
+        # What a request asks for on the mean, in tokens of the slowest model; 0 while none came.
+        self.mean_work = 0.0
         self._sums: dict[str, PromptSums] = {}
 
+    def note_work(self, work: float) -> None:
+        """Take what a request asks for, in tokens of the slowest model."""
+        gain = defaults.WORK_GAIN if self.mean_work > 0.0 else 1.0
+        self.mean_work += (work - self.mean_work) * gain
+
     def note_whole(self, took_s: float) -> None:
         """Take the time of a whole answer; the longest is forgotten slowly."""
         self.longest_s = max(took_s, self.longest_s * defaults.LONGEST_KEPT)
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -169,7 +169,7 @@
         data_centre=view.data_centre,
         engine=view.service,
         free_gb=free_mb / 1000.0,
-        token_rate=token_rate,
+        token_rate=_bounded_rate(state, view, token_rate),
         resident=frozenset(resident),
         coming=frozenset(coming),
         busy=not usable(state, view) or bool(room.withdrawn_models()),
@@ -180,6 +180,16 @@
     )
 
 
+def _bounded_rate(state: NodeState, view: EndpointView, token_rate: float) -> float:
+    """Give what a runner serves, in tokens a second: no more than the requests that it takes.
+
+    Beyond that its models need another replica, however idle it looks.
+    """
+    if view.rate is None or state.paces.mean_work <= 0.0:
+        return token_rate
+    return min(token_rate, view.rate * state.paces.mean_work)
+
+
 def _free_in_s(state: NodeState, engine: EngineSize, view: EndpointView) -> float:
     """Predict how soon a runner's order is over; infinite where it is overdue or lost."""
     room = state.residency.rooms[view.name]
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -63,7 +63,7 @@
     request.sent = request.maybe_ran
     request.not_run_said = event.said_not_run
     told = routed.end_prompt(state, request)
-    told += slotting.free(state, request, failed=True)
+    told += slotting.free(state, request, failed=True, unsent=not event.sent)
     told += suspecting.note_broken(state, request, event)
     told += _blame(state, request, event)
     request.running = False
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -30,6 +30,7 @@
 from .reducer import handles
 from .state import NodeState
 from .state import RequestState
+from .state import TurnAsked
 
 Effects = list[Effect]
 
@@ -89,13 +90,22 @@
         if endpoint is None:
             continue
         queue.remove(queued.request_id)
-        state.pools[pool_of(state, request.arrived)].served(queued.tokens)
-        effects += _dispatch(state, request, endpoint)
-        effects += routed.begin_prompt(state, request, endpoint)
+        if endpoint.rate is not None and request.arrived.route is not None:
+            until = queued.deadline_at if routed.all_rated(state, request.arrived) else state.now
+            effects += slotting.ask_turn(state, request, endpoint, until)
+        else:
+            effects += _send(state, request, endpoint)
         _push_head(heads, queue, target)
     return effects
 
 
+def _send(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
+    """Send a request from its queue."""
+    state.pools[pool_of(state, request.arrived)].served(request.arrived.tokens)
+    begun = _dispatch(state, request, endpoint)
+    return begun + routed.begin_prompt(state, request, endpoint)
+
+
 def _push_head(
     heads: list[tuple[float, str]], queue: admission.AdmissionQueue, target: str
 ) -> None:
@@ -176,6 +186,7 @@
     request.tried.add(endpoint.name)
     request.running = True
     request.dispatched_at = state.now
+    request.turns_due = {}
     request.born = suspecting.life_of(endpoint).born
     request.first_at = None
     idle = endpoint.load(state.now) <= defaults.PACE_LOAD_MAX
@@ -199,27 +210,91 @@
 def take_slot(state: NodeState, event: SlotAnswered) -> Effects:
     """Send a request where its service's owner says, or refuse it."""
     request = state.requests.get(event.request_id)
-    asked = request is not None and request.slot_asked_at is not None and not request.running
-    if request is None or not asked:
+    if request is None or not slotting.answers(state, request, event):
         if event.endpoint:
             # It is gone, or was placed without an answer.
-            return [FreeSlot(event.request_id, event.service, event.endpoint, 0.0)]
+            return [FreeSlot(event.request_id, event.queue, event.endpoint, 0.0, True)]
         return []
+    asked = state.turns_asked.get(event.request_id)
+    if asked is not None:
+        return _take_turn(state, request, asked, event)
     if event.after_s > 0.0:
         return _end_unslotted(state, request, event.after_s)
     if not event.endpoint:
         request.slot_heard = True
         return []
-    slotting.hold(request, event.endpoint, state.now)
+    slotting.hold(request, event, state.now)
     fault = _find_fault(state, request)
-    view = slotting.usable(state, event.endpoint)
+    view = slotting.usable(state, event)
     if fault is not None or view is None:
         # It is judged, or placed, by this node.
-        return slotting.free(state, request, failed=view is None) + pump(state)
+        freed = slotting.free(state, request, failed=view is None, unsent=True)
+        return freed + pump(state)
     state.queues[queue_key(request.arrived)].remove(event.request_id)
     return _dispatch(state, request, view)
 
 
+def _take_turn(
+    state: NodeState, request: RequestState, asked: TurnAsked, event: SlotAnswered
+) -> Effects:
+    """Send a request by its turn, have it wait for one, or look for another endpoint."""
+    endpoint = state.endpoints.get(asked.endpoint)
+    if endpoint is not None:
+        endpoint.turn_at = state.now + event.stay_s
+    if event.after_s > 0.0:
+        return _look_elsewhere(state, request, event.after_s)
+    if not event.endpoint:
+        request.slot_heard = True
+        return []
+    del state.turns_asked[event.request_id]
+    slotting.hold(request, event, state.now)
+    fault = _find_fault(state, request)
+    view = slotting.usable(state, event)
+    if fault is None and view is not None:
+        return _send(state, request, view)
+    freed = slotting.free(state, request, failed=False, unsent=True)
+    if fault is not None:
+        return freed + _end_barred(state, request, fault)
+    return freed + _put_back(state, request, asked.until)
+
+
+def _look_elsewhere(state: NodeState, request: RequestState, after_s: float) -> Effects:
+    """Place a request anew that has no turn at an endpoint for so long, in seconds."""
+    asked = state.turns_asked.pop(request.arrived.request_id)
+    request.slot_asked_at = None
+    request.turns_due[asked.endpoint] = state.now + after_s
+    if routed.turnless(state, request):
+        return _end_waiting(state, request)
+    return _put_back(state, request, asked.until)
+
+
+def _put_back(state: NodeState, request: RequestState, until: float) -> Effects:
+    """Have a request wait in its queue again, for what is left of its patience."""
+    arrived = request.arrived
+    pool = state.pools.setdefault(pool_of(state, arrived), admission.Pace())
+    queue = state.queues.setdefault(queue_key(arrived), admission.AdmissionQueue(pool))
+    placed = routed.place(state, arrived, arrived.at)
+    queue.push(placed._replace(deadline_at=max(until, placed.deadline_at)))
+    return pump(state)
+
+
+def expire_turns(state: NodeState) -> Effects:
+    """Place those anew who hear nothing of an endpoint's owner; nothing is sent without it."""
+    effects: Effects = []
+    for identity, asked in list(state.turns_asked.items()):
+        request = state.requests[identity]
+        assert request.slot_asked_at is not None
+        latest = asked.until if request.slot_heard else request.slot_asked_at
+        if state.now <= latest + defaults.OWNER_ANSWER_S or identity not in state.turns_asked:
+            continue
+        endpoint = state.endpoints.get(asked.endpoint)
+        if endpoint is not None:
+            endpoint.turn_at = state.now + defaults.UNPROVED_BACK_S
+        state.record(identity, f"no turn at {asked.endpoint}", "its owner does not answer")
+        effects += _look_elsewhere(state, request, defaults.UNPROVED_BACK_S)
+    return effects
+
+
 def _end_unslotted(state: NodeState, request: RequestState, after_s: float) -> Effects:
     """Refuse a request for which there is no slot in time."""
     state.queues[queue_key(request.arrived)].remove(request.arrived.request_id)
@@ -350,7 +425,9 @@
 
 def _close(state: NodeState, request: RequestState) -> Effects:
     identity = request.arrived.request_id
-    told = routed.end_prompt(state, request) + slotting.free(state, request, failed=False)
+    told = routed.end_prompt(state, request)
+    told += slotting.free(state, request, failed=False, unsent=not request.running)
+    state.turns_asked.pop(identity, None)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.end(identity, state.now)
@@ -390,7 +467,7 @@
 
 def sweep(state: NodeState, passed: float) -> Effects:
     """Refuse what has become hopeless and send on what has room, in every queue."""
-    effects: Effects = []
+    effects = expire_turns(state)
     for pool in state.pools.values():
         pool.measure(passed)
     for target, queue in list(state.queues.items()):
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -82,7 +82,7 @@
     :param reason: as :func:`lacking` gives it.
     """
     no_place = reason == "absent" and bool(arrived.adapter) and _stands(state, arrived)
-    lacks_room = reason in ("no_room", "resting")
+    lacks_room = reason in ("no_room", "no_turn", "resting")
     if (lacks_room or no_place) and not arrived.service:
         work = arrived.tokens * state.paces.relative(arrived.target)
         state.control.missed.meter.add(arrived.target, work)
@@ -160,6 +160,8 @@
     staying = [one for one in holding if _stays(state, one) and not _spared(state, one)]
     ready = [one for one in staying if one.open_for_work(state.now)] or staying
     ready = [one for one in ready if one.load(state.now) < 1.0]
+    if any(one.rate is not None for one in ready):
+        ready = _with_turns(state, request, ready)
     if arrived.service:
         return ready
     work = _prompt_work(state, arrived)
@@ -184,6 +186,43 @@
     return endpoint.rests(state.now) or endpoint.returns(state.now)
 
 
+def _with_turns(
+    state: NodeState, request: RequestState, ready: list[EndpointView]
+) -> list[EndpointView]:
+    """Leave out endpoints that name a rate, and are not to be asked for a turn now.
+
+    Of a plain service they are reached by its owner alone, which counts what it gives. Where others
+    hold the model too, a node stays away for as long as the owner told it.
+    """
+    if request.arrived.service:
+        return [one for one in ready if one.rate is None]
+    if all_rated(state, request.arrived):
+        return [one for one in ready if one.rate is None or one.name not in request.turns_due]
+    return [one for one in ready if one.rate is None or one.turn_at <= state.now]
+
+
+def _rated_hosts(state: NodeState, arrived: RequestArrived) -> list[EndpointView]:
+    """List the endpoints that may serve a request, where all of them name a rate; else none."""
+    assert arrived.route is not None
+    staying = [
+        one
+        for one in state.hosts.get(arrived.target, {}).values()
+        if one.service == arrived.route.service and _stays(state, one)
+    ]
+    return [] if any(one.rate is None for one in staying) else staying
+
+
+def all_rated(state: NodeState, arrived: RequestArrived) -> bool:
+    """Say whether all endpoints that may serve a request name a rate."""
+    return bool(_rated_hosts(state, arrived))
+
+
+def turnless(state: NodeState, request: RequestState) -> bool:
+    """Say whether no endpoint that may serve a request has a turn for it in time."""
+    hosts = _rated_hosts(state, request.arrived)
+    return bool(hosts) and all(one.name in request.turns_due for one in hosts)
+
+
 def rest_left_s(state: NodeState, arrived: RequestArrived) -> float:
     """Give how long all endpoints that hold a request's model rest yet, in seconds.
 
@@ -295,6 +334,9 @@
         return "absent", f"{arrived.adapter} is on none of {len(hosts)} endpoints with its model"
     if rest_left_s(state, arrived) > 0.0:
         return "resting", f"all {len(hosts)} endpoints that hold it asked for rest"
+    if all_rated(state, arrived):
+        rate = sum(one.rate or 0.0 for one in hosts)
+        return "no_turn", f"all {len(hosts)} endpoints that hold it take {rate:g} requests a second"
     ready = [one for one in held if one.open_for_work(state.now)]
     if not ready:
         return "none_open", f"none of {len(held)} endpoints that hold it takes work"
@@ -322,6 +364,10 @@
     if rest_s > 0.0:
         return rest_s
     arrived = request.arrived
+    if request.turns_due and turnless(state, request):
+        # Owners tell each caller another moment, so they need no spread.
+        due_s = max(defaults.TURN_AGAIN_S, min(request.turns_due.values()) - state.now)
+        return min(due_s, (arrived.deadline_at - state.now) * defaults.COME_BACK_SHARE)
     adapter = arrived.adapter
     hosts = list(state.hosts.get(arrived.target, {}).values())
     if adapter and hosts and not any(one.has_adapter(adapter) for one in hosts):
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -20,6 +20,7 @@
 from .once import OnceTable
 from .owners import OwnerTable
 from .paces import PaceTable
+from .request_rates import RateTable
 from .retries import RetryBudget
 from .retries import RetryWindow
 from .retries import WindowTerms
@@ -61,11 +62,23 @@
 
 
 class SlotHeld(t.NamedTuple):
-    """A slot that a service's owner has given to a request, and since when."""
+    """A slot that an owner has given to a request, and since when.
 
-    service: str
+    :param queue: of which owner; see :mod:`slotting`.
+    :param rated: it counts towards the requests a second that its endpoint takes.
+    """
+
+    queue: str
     endpoint: str
     at: float
+    rated: bool = False
+
+
+class TurnAsked(t.NamedTuple):
+    """A request that asks for a turn at an endpoint, and until when it may wait for that."""
+
+    endpoint: str
+    until: float
 
 
 class RequestState:
@@ -91,8 +104,9 @@
         "slot",
         "slot_asked_at",
         "slot_heard",
-        "slot_service",
+        "slot_queue",
         "tried",
+        "turns_due",
     )
 
     def __init__(self, arrived: RequestArrived) -> None:
@@ -113,7 +127,9 @@
         self.slot: SlotHeld | None = None
         self.slot_asked_at: float | None = None
         self.slot_heard = False
-        self.slot_service = ""
+        self.slot_queue = ""
+        # Endpoints that had no turn for it, and when they have one.
+        self.turns_due: dict[str, float] = {}
         self.running = False
         # Whether its endpoint had no other prompt to read, and was not busy, when it was sent.
         self.alone = False
@@ -155,6 +171,7 @@
         self.paces = PaceTable()
         self.suspects = SuspectTable()
         self.notices = NoticeTable()
+        self.rates = RateTable()
         self.adapter_waits = AdapterWaits()
         self.requests: dict[str, RequestState] = {}
         self.queues: dict[str, AdmissionQueue] = {}
@@ -165,6 +182,8 @@
         self.allotments = Allotments(None, started_at)
         self.owners = OwnerTable(identity.name)
         self.parked: dict[str, Parked] = {}
+        # Requests that ask for a turn at an endpoint; they stand in no queue meanwhile.
+        self.turns_asked: dict[str, TurnAsked] = {}
         # Whether owners give out the slots of plain services, and the queues of those that
         # this node owns.
         self.slots_by_owner = False
--- a/packages/rookspring-core/src/rookspring_core/witness.py
+++ b/packages/rookspring-core/src/rookspring_core/witness.py
@@ -1,8 +1,11 @@
 """What the checks of invariants remember of endpoints' words, apart from the handlers."""
 
+import collections
 import typing as t
 
+from . import defaults
 from . import notices
+from .exceptions import InvariantBroken
 
 if t.TYPE_CHECKING:
     from .events import EndpointSaid
@@ -52,3 +55,32 @@
         if until > now and late_s == 0.0:
             return f"{endpoint} wants rest for {until - now:.2f} s yet"
         return ""
+
+
+# Over how long the requests that an endpoint was granted are counted, in seconds.
+RATE_WINDOW_S = 4.0
+
+
+class RateWitness:
+    """Counts what an owner gives of an endpoint's rate, apart from what decides it."""
+
+    def __init__(self) -> None:
+        self._given: collections.deque[tuple[float, float]] = collections.deque()
+
+    def note(self, now: float, rate: float) -> None:
+        """Count a turn.
+
+        :raises InvariantBroken: where the window holds more than the rates in it allow.
+        """
+        self._given.append((now, rate))
+        while now - self._given[0][0] > RATE_WINDOW_S:
+            self._given.popleft()
+        highest = max(one for _, one in self._given)
+        most = highest * (RATE_WINDOW_S + defaults.TURNS_IN_HAND_S) + defaults.TURNS_IN_HAND
+        if len(self._given) > most + 1e-6:
+            text = f"{len(self._given)} in {RATE_WINDOW_S} s, where {most:.1f} are allowed"
+            raise InvariantBroken("request-rate", text)
+
+    def forget(self, at: float) -> None:
+        """Count a turn no more that was given at a moment and not used."""
+        self._given = collections.deque(one for one in self._given if one[0] != at)
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -20,6 +20,7 @@
 from rookspring import relay_beats
 from rookspring import relay_members
 from rookspring import relay_peers
+from rookspring import relay_slots
 from rookspring import relay_suspects
 from rookspring.messages import decode
 from rookspring.peers import Link
@@ -267,6 +268,7 @@
         node.submit(Ticked(self.now))
         node.read_store()
         node.read_lease()
+        relay_slots.settle(node.peers)
         if node.name == HOLDER and node.ticks % RENEW_TICKS == RENEW_TICKS - 1:
             self.used = allotting.used_shares(node.state, self.now)
             self.verdicts = relay_suspects.write_verdicts(node.state, self.now)
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -10,6 +10,7 @@
 from rookspring import relay_merged
 from rookspring import relay_news
 from rookspring import relay_notices
+from rookspring import relay_slots
 from rookspring import relay_suspects
 from rookspring.messages import encode
 from rookspring.platform import Stored
@@ -25,11 +26,14 @@
 from rookspring_core.allotments import Allotments
 from rookspring_core.effects import Announce
 from rookspring_core.effects import AskAllotment
+from rookspring_core.effects import AskSlot
 from rookspring_core.effects import Dispatch
+from rookspring_core.effects import FreeSlot
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import ReturnAllotment
 from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import ShareLeaving
+from rookspring_core.effects import ShareRates
 from rookspring_core.effects import ShareShed
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
@@ -209,6 +213,12 @@
                     relay_allotments.ask_units(self.peers, effect)
                 case ReturnAllotment():
                     relay_allotments.return_units(self.peers, effect)
+                case AskSlot():
+                    relay_slots.ask_slot(self.peers, effect)
+                case FreeSlot():
+                    relay_slots.free_slot(self.peers, effect)
+                case ShareRates():
+                    relay_notices.share_rates(self.peers, effect.rows, effect.source)
                 case ShareLeaving():
                     relay_notices.share_leaving(self.peers, effect.rows, effect.source)
                 case ShareShed(endpoint, for_s):
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_runners.py
@@ -7,6 +7,7 @@
 
 import typing as t
 
+from rookspring_core import noticing
 from rookspring_core.effects import Dispatch
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
@@ -15,7 +16,6 @@
 from rookspring_core.events import EndpointSaid
 from rookspring_core.events import Event
 from rookspring_core.notices import Notice
-from rookspring_core.noticing import born_of
 
 if t.TYPE_CHECKING:
     from .fleet import Fleet
@@ -40,6 +40,7 @@
     node: "FleetNode"
     effect: Dispatch
     fingerprint: str
+    at: float
 
 
 class Ended(t.NamedTuple):
@@ -129,10 +130,11 @@
         if sheds or running >= self.limits.get(effect.endpoint, running + 1):
             self.turned_away.append(arrived)
             self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
-            self._say(node, effect, turned_away=True, rest_s=shedding.rest_s if sheds else None)
+            rest_s = shedding.rest_s if sheds else None
+            self._say(node, effect, fleet.now, turned_away=True, rest_s=rest_s)
             self._tell(node, AttemptFailed(0.0, *key, True, True, "refused with 503"), REFUSE_S)
             return
-        one = Run(node, effect, fingerprint)
+        one = Run(node, effect, fingerprint, fleet.now)
         self._running.setdefault(effect.endpoint, []).append(one)
         self._tell(node, AttemptStarted(fleet.now, *key), 0.0)
         if fingerprint in self.fatal:
@@ -168,17 +170,25 @@
         self,
         node: "FleetNode",
         effect: Dispatch,
+        asked_at: float,
         turned_away: bool = False,
         rest_s: float | None = None,
     ) -> None:
         """Have the head of an answer say what its endpoint says of itself."""
         leaving = effect.endpoint in self.leaving
         rate = self.rates.get(effect.endpoint)
-        notice = Notice(leaving=leaving, turned_away=turned_away, rest_s=rest_s, rate=rate)
+        notice = Notice(
+            leaving=leaving,
+            turned_away=turned_away,
+            rest_s=rest_s,
+            rate=rate,
+            names_rate=rate is not None,
+        )
         view = node.state.endpoints.get(effect.endpoint)
-        if view is None or notice.says_nothing():
+        if view is None or not noticing.says_anything(node.state, effect.endpoint, notice):
             return
-        said = EndpointSaid(0.0, effect.endpoint, born_of(view), notice, view.address)
+        born = noticing.born_of(view)
+        said = EndpointSaid(0.0, effect.endpoint, born, notice, view.address, asked_at=asked_at)
         start = self._starts.get(effect.endpoint, 0)
         fleet = self._fleet
 
@@ -192,14 +202,14 @@
     def _progress(self, one: Run) -> None:
         if one in self._running.get(one.effect.endpoint, ()):
             effect = one.effect
-            self._say(one.node, effect)
+            self._say(one.node, effect, one.at)
             self._tell(one.node, AttemptProgressed(0.0, effect.request_id, effect.attempt, 1), 0.0)
 
     def _finish(self, one: Run) -> None:
         if one in self._running.get(one.effect.endpoint, ()):
             self._running[one.effect.endpoint].remove(one)
             effect = one.effect
-            self._say(one.node, effect)
+            self._say(one.node, effect, one.at)
             self._tell(one.node, AttemptSucceeded(0.0, effect.request_id, effect.attempt), 0.0)
 
     def _end_by(self, one: Run) -> None:
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -186,6 +186,16 @@
     rows: list[t.Any]
 
 
+@message("rates")
+class RatesTold(t.NamedTuple):
+    """How many requests a second endpoints take, as rows of name, start, version and rate.
+
+    The rate is None where the endpoint names none any more; see ``RateWord``.
+    """
+
+    rows: list[t.Any]
+
+
 @message("evidence")
 class EvidenceTold(t.NamedTuple):
     """Requests under which endpoints ended; see ``Evidence``. Ages and rests are in seconds.
@@ -294,15 +304,16 @@
 
 @message("ask-slot")
 class AskSlots(t.NamedTuple):
-    """Ask a plain service's owner for a slot for a request of ``origin``; see ``AskSlot``."""
+    """Ask an owner for a slot for a request of ``origin``; see ``AskSlot``."""
 
     origin: str
     key: str
-    service: str
+    queue: str
     rank: int
     organisation: str
     wait_s: float
     avoid: str
+    rate: float | None
     passed: bool
 
 
@@ -312,20 +323,23 @@
 
     origin: str
     key: str
-    service: str
+    queue: str
     endpoint: str
     after_s: float
+    rated: bool
+    stay_s: float
 
 
 @message("slot-free")
 class SlotFreed(t.NamedTuple):
-    """Tell a plain service's owner that a run is over; see ``FreeSlot``."""
+    """Tell the owner of a slot that a run is over; see ``FreeSlot``."""
 
     origin: str
     key: str
-    service: str
+    queue: str
     endpoint: str
     took_s: float
+    unsent: bool
     passed: bool
 
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -3,6 +3,7 @@
 import asyncio
 
 from rookspring_core import noticing
+from rookspring_core import slotting
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Cancel
 from rookspring_core.effects import Dispatch
@@ -128,7 +129,9 @@
 ) -> None:
     sure = not exchange.route.repeatable
     connection = await context.pool.take(view.address, sure)
-    why = noticing.find_withheld(context.state, view.name)
+    why = noticing.find_withheld(context.state, view.name) or slotting.find_turnless(
+        context.state, exchange.key, view.name
+    )
     if why:
         # It was heard while the connection was made, which takes up to a second.
         context.pool.give_back(view.address, connection)
@@ -145,7 +148,7 @@
 
     try:
         arrived = context.state.requests[exchange.key].arrived
-        asked = Asked(exchange.ask.request_id, arrived.target, arrived.adapter)
+        asked = Asked(exchange.ask.request_id, arrived.target, arrived.adapter, request=True)
         hear = hear_at(context, view.name, asked)
         reply = connection.ask(data, accept, hear, exchange.request.method == b"HEAD")
         head = await reply.wait_head()
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -18,6 +18,7 @@
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
 from rookspring_core.notices import Leaving
+from rookspring_core.request_rates import RateWord
 from rookspring_core.suspects import Evidence
 
 from . import clock
@@ -78,6 +79,7 @@
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_evidence: t.Callable[[Evidence, str], None] = lambda evidence, source: None
         self.share_leaving: t.Callable[[tuple[Leaving, ...], str], None] = lambda rows, source: None
+        self.share_rates: t.Callable[[tuple[RateWord, ...], str], None] = lambda rows, source: None
         self.share_shed: t.Callable[[str, float], None] = lambda endpoint, for_s: None
         self.share_prompts: t.Callable[[str, bool], None] = lambda endpoint, far: None
         self.give_lists: t.Callable[[Link], None] = lambda link: None
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -156,6 +156,7 @@
         context.share_down = functools.partial(relay_news.share_down, peers)
         context.share_evidence = functools.partial(relay_suspects.share_evidence, peers)
         context.share_leaving = functools.partial(relay_notices.share_leaving, peers)
+        context.share_rates = functools.partial(relay_notices.share_rates, peers)
         context.share_shed = functools.partial(relay_notices.share_shed, peers)
         context.share_prompts = relay_news.PromptSums(peers).note
         context.tell_holder = functools.partial(relay_news.send_want, peers)
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -8,11 +8,14 @@
 
 from rookspring_core import noticing
 from rookspring_core.effects import ShareLeaving
+from rookspring_core.effects import ShareRates
 from rookspring_core.effects import ShareShed
 from rookspring_core.events import EndpointSaid
 from rookspring_core.events import LeavingHeard
+from rookspring_core.events import RatesHeard
 from rookspring_core.events import ShedHeard
 from rookspring_core.notices import Leaving
+from rookspring_core.request_rates import RateWord
 
 from . import clock
 from .http_client import Hear
@@ -21,6 +24,7 @@
 from .leavings import encode_leaving
 from .logs import log
 from .messages import LeavingTold
+from .messages import RatesTold
 from .messages import ShedTold
 from .peers import Link
 from .relay_context import RelayContext
@@ -35,11 +39,13 @@
 
     :param what: the request's id, or what else it was.
     :param target: the model that was asked for, and the adapter.
+    :param request: it was a request of a caller, whose id each answer to it bears.
     """
 
     what: str
     target: str = ""
     adapter: str = ""
+    request: bool = False
 
 
 def hear_at(context: RelayContext, endpoint: str, asked: Asked) -> Hear:
@@ -51,11 +57,15 @@
     view = context.state.endpoints.get(endpoint)
     born = noticing.born_of(view) if view is not None else 0
     address = view.address if view is not None else ""
+    began_at = clock.now()
 
     def hear(head: HttpHead) -> None:
         notice = context.dialect.read_notice(head)
-        if notice.says_nothing():
+        if not noticing.says_anything(context.state, endpoint, notice):
             return
+        # An answer to another request may be of long before; orders and reports say nothing of
+        # what holds for requests.
+        mine = asked.request and context.dialect.judge(head, asked.what).mine
         log(
             "endpoint_said",
             endpoint=endpoint,
@@ -68,7 +78,14 @@
             malformed=notice.malformed,
         )
         said = EndpointSaid(
-            clock.now(), endpoint, born, notice, address, asked.target, asked.adapter
+            clock.now(),
+            endpoint,
+            born,
+            notice,
+            address,
+            asked.target,
+            asked.adapter,
+            began_at if mine else None,
         )
         context.submit(said)
 
@@ -96,6 +113,35 @@
     peers.context.submit(LeavingHeard(now, decode_leaving(told, now), link.name))
 
 
+def share_rates(peers: RelayPeers, rows: tuple[RateWord, ...], source: str) -> None:
+    """Tell all nodes how many requests a second endpoints take, but the one that told it."""
+    peers.spread(RatesTold([list(row) for row in rows]), source)
+
+
+@merges("rates", lambda state: state.rates.digest())
+def tell_all_rates(peers: RelayPeers, link: Link) -> None:
+    """Tell a node of all endpoints' rates."""
+    rows = peers.context.state.rates.whole()
+    if rows:
+        link.send(RatesTold([list(row) for row in rows]))
+
+
+@receives(RatesTold)
+def take_rates(peers: RelayPeers, link: Link, told: RatesTold) -> None:
+    """Take what another node knows of endpoints' rates."""
+    rows = tuple(
+        RateWord(str(row[0]), int(row[1]), int(row[2]), None if row[3] is None else float(row[3]))
+        for row in told.rows
+    )
+    peers.context.submit(RatesHeard(clock.now(), rows, link.name))
+
+
+@relay_performs(ShareRates)
+def perform_rates(context: RelayContext, effect: ShareRates) -> None:
+    """Tell the other nodes how many requests a second endpoints take."""
+    context.share_rates(effect.rows, effect.source)
+
+
 @relay_performs(ShareLeaving)
 def perform_share(context: RelayContext, effect: ShareLeaving) -> None:
     """Tell the other nodes of endpoints that leave."""
--- a/packages/rookspring/src/rookspring/relay_owners.py
+++ b/packages/rookspring/src/rookspring/relay_owners.py
@@ -89,11 +89,7 @@
     if told.origin == state.identity.name:
         HOMES[type(told)](peers, told)
         return
-    way = links.get(told.origin) or link
-    if way is None:
-        peer = state.membership.peers.get(told.origin)
-        sources = peer.sources if peer else ()
-        way = next((found for name in sources if (found := links.get(name))), None)
+    way = links.get(told.origin) or link or links.get(state.membership.voucher_of(told.origin))
     if way is not None:
         way.send(told)
 
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -13,6 +13,7 @@
 from . import clock
 from . import defaults
 from . import relay_owners
+from .logs import log
 from .messages import AskSlots
 from .messages import SlotFreed
 from .messages import SlotTold
@@ -23,12 +24,12 @@
 
 
 def ask_slot(peers: RelayPeers, effect: AskSlot) -> None:
-    """Ask a service's owner for a slot."""
+    """Ask an owner for a slot."""
     relay_owners.ask_owner(peers, AskSlots(peers.context.state.identity.name, *effect, False))
 
 
 def free_slot(peers: RelayPeers, effect: FreeSlot) -> None:
-    """Tell a service's owner that a run is over."""
+    """Tell the owner of a slot that a run is over."""
     relay_owners.tell_owner(peers, SlotFreed(peers.context.state.identity.name, *effect, False))
 
 
@@ -36,44 +37,72 @@
     """Refuse in time what waits in vain at this node."""
     while True:
         await asyncio.sleep(defaults.SLOT_SETTLE_S)
-        now = clock.now()
-        for service, queue in list(peers.context.state.slot_queues.items()):
-            _answer(peers, service, queue.settle(now))
+        settle(peers)
+
+
+def settle(peers: RelayPeers) -> None:
+    """Give the slots that are free now, and refuse what has waited for too long."""
+    now = clock.now()
+    queues = peers.context.state.slot_queues
+    for name, queue in list(queues.items()):
+        if queue.idle():
+            continue
+        _answer(peers, name, slotting.queue_of(peers.context.state, name, now).settle(now))
 
 
 def _subject(item: AskSlots | SlotFreed) -> str:
-    return f"slots/{item.service}"
+    return slotting.subject_of(item.queue)
 
 
 @owner_takes(AskSlots, _subject)
 def take_question(peers: RelayPeers, asked: AskSlots, link: Link | None) -> None:
     """Give a slot, have the request wait for one, or refuse it."""
-    queue = slotting.queue_of(peers.context.state, asked.service)
     now = clock.now()
+    queue = slotting.queue_of(peers.context.state, asked.queue, now, asked.rate)
     wait_s = float(asked.wait_s)
-    ask = SlotAsk(asked.origin, asked.key, int(asked.rank), asked.organisation, wait_s, asked.avoid)
-    _answer(peers, asked.service, queue.ask(ask, now))
+    ask = SlotAsk(
+        asked.origin,
+        asked.key,
+        int(asked.rank),
+        asked.organisation,
+        wait_s,
+        asked.avoid,
+        asked.rate,
+    )
+    _answer(peers, asked.queue, queue.ask(ask, now))
 
 
 @owner_takes(SlotFreed, _subject)
 def take_freed(peers: RelayPeers, freed: SlotFreed, link: Link | None) -> None:
     """Take a slot back."""
-    queue = slotting.queue_of(peers.context.state, freed.service)
     now = clock.now()
-    answers = queue.free(freed.endpoint, freed.origin, freed.key, float(freed.took_s), now)
-    _answer(peers, freed.service, answers)
+    queue = slotting.queue_of(peers.context.state, freed.queue, now)
+    took_s, unsent = float(freed.took_s), bool(freed.unsent)
+    answers = queue.free(freed.endpoint, freed.origin, freed.key, took_s, now, unsent)
+    _answer(peers, freed.queue, answers)
 
 
-def _answer(peers: RelayPeers, service: str, answers: t.Iterable[SlotAnswer]) -> None:
+def _answer(peers: RelayPeers, queue: str, answers: t.Iterable[SlotAnswer]) -> None:
     for one in answers:
-        told = SlotTold(one.origin, one.key, service, one.endpoint, one.after_s)
+        if one.after_s > 0.0 and queue.startswith(slotting.ENDPOINT_MARK):
+            log("turn_denied", queue=queue, origin=one.origin, key=one.key, after_s=one.after_s)
+        told = SlotTold(
+            one.origin, one.key, queue, one.endpoint, one.after_s, one.rated, one.stay_s
+        )
         relay_owners.answer(peers, told)
 
 
 @comes_home(SlotTold)
 def take_told(peers: RelayPeers, told: SlotTold) -> None:
     """Take what an owner says of a request of this node."""
-    now = clock.now()
     peers.context.submit(
-        SlotAnswered(now, told.key, told.service, told.endpoint, float(told.after_s))
+        SlotAnswered(
+            clock.now(),
+            told.key,
+            told.queue,
+            told.endpoint,
+            float(told.after_s),
+            bool(told.rated),
+            float(told.stay_s),
+        )
     )
