--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -5,10 +5,9 @@
 
 - Whoever has gone unserved for longest is first, so that each has its turn.
 - What was attached for a request is kept until its callers can have come back and been
-  seen. Without that 58 of 74 adapters unloaded in one simulated heavy minute had stayed
-  for less than 0.6 s, and nine of 51 names were never served.
+  seen; else most leave before anyone has used them.
 - Nothing is unloaded that may be in use: an unload waits for what runs, and all orders
-  there wait for it, 14 s in one case. So an adapter is withdrawn from new requests first;
+  there wait for it, for many seconds. So an adapter is withdrawn from new requests first;
   once all nodes know and none uses it, it stands by: the next want takes its place at once,
   and a want for itself takes it back without an order.
 
@@ -172,7 +171,7 @@
     """Unload what stands by, or have more stand by: at most as many as wants wait.
 
     What is in use and waits for its requests to end does not keep idle ones from making
-    room: three such held up all places of an endpoint for 4 s of a simulated heavy minute.
+    room; else a few such hold up all places of an endpoint.
     """
     in_use = list_used(state)
     idle = [one for one in room.going_adapters() if (view.name, one) not in in_use]
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -1,7 +1,6 @@
 """Constants of the decisions, named once, with units in the name.
 
-A value here is a starting point; where it was chosen by a measurement the
-comment says which one.
+A reason stands beside a value where a reader would wonder.
 """
 
 # Answers of ``/v1/addresses`` may be kept this long by a caller.
@@ -44,11 +43,11 @@
 MEMORY_RESERVE_SHARE = 0.1
 
 PLAN_INTERVAL_S = 1.0
-# Runners planned for in a second at most: 230 us each (bench slopes) is 2.3 % of a core.
+# Runners planned for in a second at most: a few hundredths of a core.
 PLANNED_PER_S = 100.0
 DEMAND_RISE_TAU_S = 2.0
-# At 60 s the demand of a burst that is over held the runners that the next one
-# needed (bench burst); see docs/design/placement.md.
+# Much longer, and the demand of a burst that is over holds the runners that the next one
+# needs; see docs/design/placement.md.
 DEMAND_FALL_TAU_S = 10.0
 DEMAND_METER_S = 2.0
 PAY_BACK_S = 60.0
@@ -83,7 +82,7 @@
 RETRY_BACKOFF_S = 0.05
 ATTEMPTS_MAX = 4
 # Continuations of a cut stream in a row that bring no token. With the back-off they
-# outlast a runner's restart; three at once did not (bench streams, 4 of 1,000 cut).
+# outlast a runner's restart.
 BARREN_ATTEMPTS_MAX = 7
 
 SESSION_IDLE_S = 3600.0
@@ -125,8 +124,8 @@
 COME_BACK_SPREAD_S = 1.0
 # Part of the longest time that callers heed over which they are spread where it is too short.
 COME_BACK_APART = 0.25
-# A model that was loaded for callers is kept so long, until they have come back: models loaded
-# at 11.6 and 24.0 s of a simulated minute gave way at 14.0 and 24.7 s, and came for nobody.
+# A model that was loaded for callers is kept so long, until they have come back; else it gives
+# way before, and has come for nobody.
 MODEL_KEPT_S = COME_BACK_ABSENT_MAX_S + COME_BACK_SPREAD_S
 # From a request for a model that is on no endpoint to its load: the want reaches the
 # holder, a plan is made, what gives way is unloaded, a report tells the end. Some 1 s in
@@ -139,8 +138,8 @@
 # Callers heed a time to come back up to this part of the time that they have left.
 COME_BACK_SHARE = 1.0 / 3.0
 # How long after the expected end of a load callers may count on it: the report that shows
-# the end is read and told, and loads take longer while many run. Told 0.4 s, a seventh more
-# were refused twice, since they came back too early (four simulated runs of a minute).
+# the end is read and told, and loads take longer while many run. Whoever comes back too early is
+# refused twice.
 COMING_TOLD_S = 1.0
 # A load that is overdue for longer is not waited for.
 COMING_LATE_S = 2.0
@@ -180,8 +179,8 @@
 ADAPTER_WAIT_SHARE = 0.95
 ADAPTER_WAIT_STEP = 0.4
 ADAPTER_WAIT_MOST_S = 3.0
-# How long a want that nobody asks for now keeps its place among the others: chosen, not
-# measured; longer than callers of one adapter stay away in the traces that were read.
+# How long a want that nobody asks for now keeps its place among the others: longer than callers
+# of one adapter stay away.
 WANT_REMEMBERED_S = 20.0
 # An adapter that was attached for requests is kept until the last of their callers has come
 # back, and for so long beyond: a heartbeat of 0.4 s tells the lease holder that it is used.
@@ -211,8 +210,7 @@
 GIVE_WAY_SHARE = 0.25
 # What was asked in vain of a model that stands nowhere counts as if it were asked for again
 # within so many seconds: after three times that it takes the place of one that is asked for as
-# much, so that none is out of reach for long. On a simulated heavy minute of 45 runners and 196
-# models 29 of 214 models and adapters were never served by demand alone.
+# much, so that none is out of reach for long.
 CLAIM_GROWS_S = 5.0
 # Part of a request that can wait for its model, as it counts where that gives way: it is
 # served in time nearly always, but holds up a runner's orders for a swap.
@@ -286,10 +284,8 @@
 # The least difference between two moments that are told apart.
 CLOCK_STEP_S = 1e-6
 # Prompt tokens that an endpoint may have to read before it gets another prompt: all its
-# streams pause while it reads. Found on engines that read 19 and 41 tokens a millisecond.
-# Bounds learnt from the pace that is seen and the pause that a route bears gave callers less
-# in eight of nine simulated runs of three deployments: tighter ones refuse at runners with
-# room, looser ones make streams pause.
+# streams pause while it reads. Tighter bounds refuse at runners with room, looser ones make
+# streams pause.
 UNREAD_TOKENS_MAX = 4_096
 # Unread tokens that weigh as much as all slots of an endpoint when one is chosen.
 UNREAD_TOKENS_FULL = 10_000.0
@@ -304,9 +300,8 @@
 SETTLED_S = 1.5
 
 # Up to so many relay nodes each links to all others and watches the platform's store
-# itself; past that they do both through relays (``topology.py``). At 8 boxes these calls
-# cost 0.011 of what is earned, and whoever reads for itself learns a leaving soonest. At 20
-# a mesh's heartbeats were 26 MB a minute, 0.044, and the calls 0.31 (simulated minutes).
+# itself, which learns a leaving soonest; past that they do both through relays
+# (``topology.py``), since a mesh's heartbeats and calls grow with the square of the nodes.
 RELAY_MESH_MAX = 12
 # Nodes that watch the store for all others, beside the lease holder. One may be cut off
 # and one be restarted at once; past that any relay steps in by itself.
@@ -371,8 +366,6 @@
 PROOF_STEP_IN_SPREAD_S = 0.8
 # Part of the tolerance of an allotment that an owner grants as well: what lies within it
 # may run, and refusing it helps nobody. The rest covers what the owner has not heard of.
-# Without it 82 requests of one organisation were refused in a simulated half minute that
-# asked for a quarter more than its allotment, and 20 of them were beyond what may run.
 TOLERANCE_SHARE = 0.6
 # Smaller parts of a limit are not written with the lease.
 RECALLED_SHARE_MIN = 0.05
@@ -425,9 +418,8 @@
 SUSPECT_BACK_S = 2.0
 # A suspect that is run ends its endpoint within this time, in seconds, or is likely to end well.
 TRIAL_S = 2.0
-# How the ends that a request was under are weighed, a name in ``suspects.WEIGHTS``. With 120
-# ordinary ends in 80 simulated seconds and callers that come again three times, counting found 5
-# innocents in ten seeds and this way none; a request that ends what runs it ended 3 either way.
+# How the ends that a request was under are weighed, a name in ``suspects.WEIGHTS``: this way
+# finds no innocents where many endpoints end for no request's sake.
 SUSPECT_WEIGHT = "young"
 # One that has been answering for longer, in seconds, counts as this much of an end: so a
 # request that ends its endpoint late in its answer is found after six.
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -196,7 +196,7 @@
     def expire(self, now: float) -> list[str]:
         """Forget the nodes that were silent for too long, and name them.
 
-        At hundreds of nodes a look at each tick was a third of an idle node's work.
+        At hundreds of nodes a look at each tick would be much of an idle node's work.
         """
         if now - self._expired_at < defaults.EXPIRE_EVERY_S:
             return []
--- a/packages/rookspring-core/src/rookspring_core/notices.py
+++ b/packages/rookspring-core/src/rookspring_core/notices.py
@@ -22,16 +22,12 @@
 # The longest rest that is granted. No page names one; whoever asks for more errs in the unit,
 # and would be lost to this node for good.
 REST_MAX_S = 3600.0
-# What a refusal without a time is taken to ask for: what sheds looks empty, and is chosen again at
-# once. On simulated days of shedding (nine, three deployments) callers' worth was 0.554 without a
-# pause and 0.597 with this one; on nine heavy days without shedding 0.429 both ways.
+# What a refusal without a time is taken to ask for: what sheds looks empty, and would be chosen
+# again at once.
 REST_UNTOLD_S = 0.25
-
-
 # What a node adds to the load of an endpoint that turned another node's request away, in parts of
 # its slots, and for how long at most. Rest is asked of one node; the others only prefer what has
-# not shed. Told so, 9 nodes had 40 requests refused in place of 159, and 69 nodes 68 in place of
-# 379 (simulated: one of six endpoints sheds for 6 s of 20, and asks for 3 s of rest).
+# not shed.
 SHED_LOAD = 0.5
 SHED_TOLD_S = 3.0
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -76,8 +76,7 @@
 def note_missed(state: NodeState, arrived: RequestArrived, reason: str) -> None:
     """Count what was refused for want of room, or of a place, where its model stands.
 
-    Adapters that find no place call for a second replica as tokens do: counted too, simulated
-    heavy minutes gave callers 0.016 more (9 of 11 seeds better, 1 short day in 11 to none).
+    Adapters that find no place call for a second replica as tokens do.
 
     :param reason: as :func:`lacking` gives it.
     """
@@ -171,8 +170,7 @@
 def _stays(state: NodeState, endpoint: EndpointView) -> bool:
     """Say whether an endpoint may take requests yet; ejected ones may if there is no other.
 
-    What crashed takes none: before the nodes told each other, 198 tries were spent on
-    refused connections in one simulated run of a minute.
+    What crashed takes none: each try there would be spent on a refused connection.
     """
     return not endpoint.leaving and not endpoint.gone and endpoint.listens(state.now)
 
@@ -180,8 +178,7 @@
 def _spared(state: NodeState, endpoint: EndpointView) -> bool:
     """Say whether an endpoint is to get nothing now, as it asked for rest.
 
-    What turns requests away at once looks emptier than its neighbours: without this one that
-    had asked for 3 s of rest got 213 requests in 9 s of a simulated day, and ran none.
+    What turns requests away at once looks emptier than its neighbours, and would draw them all.
     """
     return endpoint.rests(state.now) or endpoint.returns(state.now)
 
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -186,7 +186,7 @@
     """Give what may be missed for another replica of a model.
 
     Of last ones only what is as good as idle gives way: with more, models asked for
-    now and then had no place left, and up to nine of 48 were never served.
+    now and then have no place left.
 
     :param missed: in tokens of the slowest model a second.
     """
@@ -242,8 +242,8 @@
 
     Only one that no runner has near makes others give way, and these only where they
     are spare and idle too: a near one is there soon enough once it is asked for. And it
-    is not loaded where adapters are awaited: their endpoint could attach none meanwhile, for
-    7 to 9 s a load in simulated heavy minutes.
+    is not loaded where adapters are awaited: their endpoint could attach none for as long as a
+    load takes.
     """
     near = model in board.quick
     bounds = Bounds(spare=defaults.IDLE_TOKENS_PER_S, last=None, urgent=0.0)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -76,7 +76,7 @@
 FEW_FOLD_S = 0.6
 FEW_WATCH_TABLE_S = 2.0
 # A watcher that the store turns away asks this much later while others keep it fresh: each
-# refused call is priced, and 2 watchers asked 8 times a second in a simulated minute.
+# refused call is priced.
 FED_PAUSE_S = 2.0
 # A node that the store has answered within this time counts as one that watches it.
 READ_LATELY_S = 2.0
@@ -96,7 +96,7 @@
 # A planned stop ends this long before the platform would kill the process.
 STOP_MARGIN_S = 0.7
 # A leaving node begins no request after this part of its grace time: a stream of the
-# users' longest kinds takes some five seconds of the eight (LOST in hunt-cca9-11).
+# users' longest kinds takes some five seconds of the eight.
 STOP_SERVE_SHARE = 0.35
 # How often the settings file is looked at, since it may change without a signal.
 SETTINGS_CHECK_S = 1.0
--- a/packages/rookspring/src/rookspring/relay_beats.py
+++ b/packages/rookspring/src/rookspring/relay_beats.py
@@ -74,8 +74,8 @@
 def announce(peers: RelayPeers, topic: str) -> None:
     """Tell all linked nodes at once what a heartbeat says, but to greet one of them.
 
-    A node that has just been linked was greeted: with a heartbeat to all for each, the
-    start of 195 nodes took 256 s of processor in place of 31 s on the virtual clock.
+    A node that has just been linked was greeted: a heartbeat to all for each makes the start of
+    many nodes a storm.
     """
     if topic != "hello":
         send_beats(peers)
--- a/packages/rookspring/src/rookspring/relay_news.py
+++ b/packages/rookspring/src/rookspring/relay_news.py
@@ -31,8 +31,7 @@
 
     A node tells its own, a relay to other relays those of its followers as well, and to
     each follower those of all others. What another relay told is for followers alone:
-    passed on to relays as well it went round between them, 40 rows every 20 ms, and was
-    0.43 of what a leaf of 63 nodes did under load and 0.84 of a relay's (profiles, 8 s).
+    passed on to relays as well it goes round between them.
     """
 
     def __init__(self, peers: RelayPeers) -> None:
