--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -12,6 +12,7 @@
 CRASHES = ("features/crashes.feature",)
 LIVES = ("features/lives.feature",)
 CLOCKS = ("features/clocks.feature",)
+RATES = ("features/rate_limits.feature", "features/rate_limits_sockets.feature")
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -43,6 +43,7 @@
 from . import clock_mutants
 from . import notice_mutants
 from . import organisation_mutants
+from . import rate_mutants
 from . import suspect_mutants
 from .mutant import ADAPTERS
 from .mutant import ENTRIES
@@ -279,6 +280,7 @@
     "suspects": suspect_mutants.MUTANTS,
     "notices": notice_mutants.MUTANTS,
     "clock": clock_mutants.MUTANTS,
+    "rates": rate_mutants.MUTANTS,
 }
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -74,6 +74,8 @@
         self.sheds_until = -1e9
         self.rest_s = 1.0
         self.rests: list[tuple[float, str, float]] = []
+        # For how long it named how many requests a second it takes: begin, end and rate.
+        self.spells: list[tuple[float, float, float]] = []
         # What its report tells of its state; empty where it tells none.
         self.state = ""
         self.reports = 0
@@ -169,6 +171,18 @@
         }
         _send(self, writer, 503, b"", headers)
 
+    def name_rate(self, rate: float) -> t.Callable[[], None]:
+        """Name a rate in all answers from now on; gives what ends that."""
+        line = f"Server-Limit: {rate:g}"
+        began = time.monotonic()
+        self.says.append(line)
+
+        def end() -> None:
+            self.says.remove(line)
+            self.spells.append((began, time.monotonic(), rate))
+
+        return end
+
     def reached_by(self) -> set[str]:
         """Name the requests that reached it."""
         return {one.request_id for one in self.asked}
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -20,6 +20,13 @@
 # Of a rest, when it begins to count, and the requests that may come in it; in seconds.
 REST_BEGINS_S = 0.5
 RESTING_MOST = 2
+# A rate that an endpoint names bounds what comes in any so many seconds, from so long after it
+# was named first, from nodes that passed it on so long before: by so much of it, and so many.
+RATE_WINDOW_S = 4.0
+RATE_BEGINS_S = 3.0
+RATE_TOLD_S = 0.5
+RATE_SHARE = 1.5
+RATE_MORE = 5
 
 
 class Seen(t.NamedTuple):
@@ -224,3 +231,46 @@
             if len(late) > RESTING_MOST:
                 found.append(f"{len(late)} from {node.name} to {server.name} in {rest_s} s")
     return found
+
+
+@judges("a rate is a rate")
+def check_rates(stage: ProcessStage, seen: list[Seen]) -> list[str]:
+    """All nodes together send an endpoint no more requests a second than it names."""
+    nodes = {one.key: one.node for one in seen}
+    found = []
+    for server in stage.servers:
+        for began, ended, rate in server.spells:
+            told = _told_rates(seen, server.name, began, ended)
+            begins = min(told.values(), default=ended) + RATE_BEGINS_S
+            moments = [
+                one.at
+                for one in server.asked
+                if begins <= one.at <= ended and _counts(nodes.get(one.request_id), one.at, told)
+            ]
+            most = max(
+                (sum(at <= one <= at + RATE_WINDOW_S for one in moments) for at in moments),
+                default=0,
+            )
+            if most > RATE_SHARE * rate * RATE_WINDOW_S + RATE_MORE:
+                found.append(f"{most} to {server.name}, which names {rate:g}")
+    return found
+
+
+def _told_rates(
+    seen: list[Seen], name: str, began: float, ended: float
+) -> dict[NodeProcess, float]:
+    """Give when each node first passed on that an endpoint names a rate."""
+    told: dict[NodeProcess, float] = {}
+    for one in seen:
+        stamp = one.headers.get(STAMP, "").partition(".")[0]
+        if stamp == name and "server-limit" in one.headers and began <= one.ended_at <= ended:
+            told[one.node] = min(told.get(one.node, ended), one.ended_at)
+    return told
+
+
+def _counts(node: NodeProcess | None, at: float, told: dict[NodeProcess, float]) -> bool:
+    """Say whether a request counts: its node had been told, and has not failed since."""
+    heard_at = told.get(node) if node is not None else None
+    if node is None or heard_at is None or at < heard_at + RATE_TOLD_S:
+        return False
+    return not any(heard_at <= excuse <= at for excuse in node.excused)
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -1,7 +1,8 @@
 """Seeded troubles of real processes, in series and overlapping, while callers go on.
 
 Signals that stop, freeze, kill and tell of changes; a store that is away; configuration that
-changes; endpoints that leave or want rest and say so with their answers alone.
+changes; endpoints that leave, want rest or take so many requests a second and say so with their
+answers alone.
 """
 
 import asyncio
@@ -175,3 +176,14 @@
     server = soak.drawn.choice(there)
     server.rest_s = soak.drawn.choice((0.8, 1.5, 3.0))
     server.sheds_until = time.monotonic() + soak.drawn.uniform(0.3, 3.0)
+
+
+@trouble("an endpoint names the requests a second that it takes")
+async def name_rate(soak: ProcessSoak) -> None:
+    """Long enough for four seconds in which it counts."""
+    there = [one for one in soak.stage.servers if not one.ended and not one.says]
+    if not there:
+        return
+    end = soak.drawn.choice(there).name_rate(soak.drawn.choice((0.5, 2.0, 5.0)))
+    await asyncio.sleep(soak.drawn.uniform(5.0, 9.0))
+    end()
