Part what an owner's answer makes of a request from the life of a request

No decision is changed, but that a request which ended meanwhile is passed over when turns expire. slots, relay, rate_limits_sockets and house pass.

--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -3,6 +3,7 @@
 from . import allotting
 from . import defaults
 from . import governing
+from . import granting
 from . import lives
 from . import noticing
 from . import ordering
@@ -53,7 +54,8 @@
     state.notices.tick(event.at, state.endpoints)
     state.rates.tick(event.at, state.endpoints)
     state.once.tick(event.at)
-    effects = requests.sweep(state, passed) + allotting.expire(state)
+    effects = granting.expire_turns(state)
+    effects += requests.sweep(state, passed) + allotting.expire(state)
     if state.relaying:
         was_relay = state.topology.relay
         work_out_roles(state)
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/granting.py
@@ -0,0 +1,123 @@
+"""What becomes of a request once a slot's owner has answered it, or has not.
+
+:mod:`slotting` asks; here a request goes on by the slot that it was given, looks for another
+endpoint, or ends.
+"""
+
+from . import admission
+from . import defaults
+from . import requests
+from . import routed
+from . import slotting
+from .effects import Effect
+from .effects import FreeSlot
+from .events import SlotAnswered
+from .mixing import mix
+from .reducer import handles
+from .state import NodeState
+from .state import RequestState
+from .state import TurnAsked
+
+Effects = list[Effect]
+
+
+@handles(SlotAnswered)
+def take_slot(state: NodeState, event: SlotAnswered) -> Effects:
+    """Send a request where its service's owner says, or refuse it."""
+    request = state.requests.get(event.request_id)
+    if request is None or not slotting.answers(state, request, event):
+        if event.endpoint:
+            # It is gone, or was placed without an answer.
+            return [FreeSlot(event.request_id, event.queue, event.endpoint, 0.0, True)]
+        return []
+    asked = state.turns_asked.get(event.request_id)
+    if asked is not None:
+        return _take_turn(state, request, asked, event)
+    if event.after_s > 0.0:
+        return _end_unslotted(state, request, event.after_s)
+    if not event.endpoint:
+        request.slot_heard = True
+        return []
+    slotting.hold(request, event, state.now)
+    fault = requests.find_fault(state, request)
+    view = slotting.usable(state, event)
+    if fault is not None or view is None:
+        # It is judged, or placed, by this node.
+        freed = slotting.free(state, request, failed=view is None, unsent=True)
+        return freed + requests.pump(state)
+    state.queues[requests.queue_key(request.arrived)].remove(event.request_id)
+    return requests.dispatch(state, request, view)
+
+
+def _take_turn(
+    state: NodeState, request: RequestState, asked: TurnAsked, event: SlotAnswered
+) -> Effects:
+    """Send a request by its turn, have it wait for one, or look for another endpoint."""
+    endpoint = state.endpoints.get(asked.endpoint)
+    if endpoint is not None:
+        endpoint.turn_at = state.now + event.stay_s
+    if event.after_s > 0.0:
+        return _look_elsewhere(state, request, event.after_s)
+    if not event.endpoint:
+        request.slot_heard = True
+        return []
+    del state.turns_asked[event.request_id]
+    slotting.hold(request, event, state.now)
+    fault = requests.find_fault(state, request)
+    view = slotting.usable(state, event)
+    if fault is None and view is not None:
+        return requests.send(state, request, view)
+    freed = slotting.free(state, request, failed=False, unsent=True)
+    if fault is not None:
+        return freed + requests.end_barred(state, request, fault)
+    return freed + _put_back(state, request, asked.until)
+
+
+def _look_elsewhere(state: NodeState, request: RequestState, after_s: float) -> Effects:
+    """Place a request anew that has no turn at an endpoint for so long, in seconds."""
+    asked = state.turns_asked.pop(request.arrived.request_id)
+    request.slot_asked_at = None
+    request.turns_due[asked.endpoint] = state.now + after_s
+    if routed.turnless(state, request):
+        return requests.end_waiting(state, request)
+    return _put_back(state, request, asked.until)
+
+
+def _put_back(state: NodeState, request: RequestState, until: float) -> Effects:
+    """Have a request wait in its queue again, for what is left of its patience."""
+    arrived = request.arrived
+    pool = state.pools.setdefault(requests.pool_of(state, arrived), admission.Pace())
+    queue = state.queues.setdefault(requests.queue_key(arrived), admission.AdmissionQueue(pool))
+    placed = routed.place(state, arrived, arrived.at)
+    queue.push(placed._replace(deadline_at=max(until, placed.deadline_at)))
+    return requests.pump(state)
+
+
+def expire_turns(state: NodeState) -> Effects:
+    """Place those anew who hear nothing of an endpoint's owner; nothing is sent without it."""
+    effects: Effects = []
+    for identity, asked in list(state.turns_asked.items()):
+        request = state.requests.get(identity)
+        if request is None or request.slot_asked_at is None:
+            continue
+        latest = asked.until if request.slot_heard else request.slot_asked_at
+        if state.now <= latest + defaults.OWNER_ANSWER_S:
+            continue
+        endpoint = state.endpoints.get(asked.endpoint)
+        if endpoint is not None:
+            endpoint.turn_at = state.now + defaults.UNPROVED_BACK_S
+        state.record(identity, f"no turn at {asked.endpoint}", "its owner does not answer")
+        effects += _look_elsewhere(state, request, defaults.UNPROVED_BACK_S)
+    return effects
+
+
+def _end_unslotted(state: NodeState, request: RequestState, after_s: float) -> Effects:
+    """Refuse a request for which there is no slot in time."""
+    state.queues[requests.queue_key(request.arrived)].remove(request.arrived.request_id)
+    reason, text = routed.lacking(state, request.arrived)
+    status = 502 if request.sent else 503
+    # Spread by request, so that those who are refused together do not return together.
+    spread = mix("come back", request.arrived.request_id) % 1000 / 1000.0
+    left_s = request.arrived.deadline_at - state.now
+    after_s = min(after_s * (1.0 + spread), left_s * defaults.COME_BACK_SHARE)
+    return requests.give_up(state, request, status, reason, text, after_s)
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -16,7 +16,6 @@
 from .effects import Dispatch
 from .effects import Effect
 from .effects import Forget
-from .effects import FreeSlot
 from .effects import Refuse
 from .effects import Replay
 from .endpoints import EndpointView
@@ -25,12 +24,9 @@
 from .events import AttemptSucceeded
 from .events import CallerLeft
 from .events import RequestArrived
-from .events import SlotAnswered
-from .mixing import mix
 from .reducer import handles
 from .state import NodeState
 from .state import RequestState
-from .state import TurnAsked
 
 Effects = list[Effect]
 
@@ -80,10 +76,10 @@
         request = state.requests[queued.request_id]
         if slotting.waits(state, request):
             continue
-        fault = _find_fault(state, request)
+        fault = find_fault(state, request)
         if fault is not None:
             queue.remove(queued.request_id)
-            effects += _end_barred(state, request, fault)
+            effects += end_barred(state, request, fault)
             _push_head(heads, queue, target)
             continue
         endpoint = choose_endpoint(state, request)
@@ -94,15 +90,15 @@
             until = queued.deadline_at if routed.all_rated(state, request.arrived) else state.now
             effects += slotting.ask_turn(state, request, endpoint, until)
         else:
-            effects += _send(state, request, endpoint)
+            effects += send(state, request, endpoint)
         _push_head(heads, queue, target)
     return effects
 
 
-def _send(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
+def send(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
     """Send a request from its queue."""
     state.pools[pool_of(state, request.arrived)].served(request.arrived.tokens)
-    begun = _dispatch(state, request, endpoint)
+    begun = dispatch(state, request, endpoint)
     return begun + routed.begin_prompt(state, request, endpoint)
 
 
@@ -114,7 +110,7 @@
         heapq.heappush(heads, (following.order, target))
 
 
-def _find_fault(state: NodeState, request: RequestState) -> suspecting.Barred | None:
+def find_fault(state: NodeState, request: RequestState) -> suspecting.Barred | None:
     """Say why a request that was let in may not be sent now; None where it may."""
     arrived = request.arrived
     fault = keys.find_fault(state, arrived)
@@ -124,7 +120,7 @@
     return suspecting.find_bar(state, arrived)
 
 
-def _end_barred(state: NodeState, request: RequestState, bar: suspecting.Barred) -> Effects:
+def end_barred(state: NodeState, request: RequestState, bar: suspecting.Barred) -> Effects:
     """End a request that may not be sent now."""
     status = 502 if request.sent else bar.status
     return give_up(state, request, status, bar.reason, bar.text, bar.after_s)
@@ -180,7 +176,8 @@
     return routing.find_routing(name)(query, fresh)
 
 
-def _dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
+def dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
+    """Begin a request's next attempt, at an endpoint."""
     request.attempt += 1
     request.endpoint = endpoint.name
     request.tried.add(endpoint.name)
@@ -206,107 +203,6 @@
     return [*told, begun]
 
 
-@handles(SlotAnswered)
-def take_slot(state: NodeState, event: SlotAnswered) -> Effects:
-    """Send a request where its service's owner says, or refuse it."""
-    request = state.requests.get(event.request_id)
-    if request is None or not slotting.answers(state, request, event):
-        if event.endpoint:
-            # It is gone, or was placed without an answer.
-            return [FreeSlot(event.request_id, event.queue, event.endpoint, 0.0, True)]
-        return []
-    asked = state.turns_asked.get(event.request_id)
-    if asked is not None:
-        return _take_turn(state, request, asked, event)
-    if event.after_s > 0.0:
-        return _end_unslotted(state, request, event.after_s)
-    if not event.endpoint:
-        request.slot_heard = True
-        return []
-    slotting.hold(request, event, state.now)
-    fault = _find_fault(state, request)
-    view = slotting.usable(state, event)
-    if fault is not None or view is None:
-        # It is judged, or placed, by this node.
-        freed = slotting.free(state, request, failed=view is None, unsent=True)
-        return freed + pump(state)
-    state.queues[queue_key(request.arrived)].remove(event.request_id)
-    return _dispatch(state, request, view)
-
-
-def _take_turn(
-    state: NodeState, request: RequestState, asked: TurnAsked, event: SlotAnswered
-) -> Effects:
-    """Send a request by its turn, have it wait for one, or look for another endpoint."""
-    endpoint = state.endpoints.get(asked.endpoint)
-    if endpoint is not None:
-        endpoint.turn_at = state.now + event.stay_s
-    if event.after_s > 0.0:
-        return _look_elsewhere(state, request, event.after_s)
-    if not event.endpoint:
-        request.slot_heard = True
-        return []
-    del state.turns_asked[event.request_id]
-    slotting.hold(request, event, state.now)
-    fault = _find_fault(state, request)
-    view = slotting.usable(state, event)
-    if fault is None and view is not None:
-        return _send(state, request, view)
-    freed = slotting.free(state, request, failed=False, unsent=True)
-    if fault is not None:
-        return freed + _end_barred(state, request, fault)
-    return freed + _put_back(state, request, asked.until)
-
-
-def _look_elsewhere(state: NodeState, request: RequestState, after_s: float) -> Effects:
-    """Place a request anew that has no turn at an endpoint for so long, in seconds."""
-    asked = state.turns_asked.pop(request.arrived.request_id)
-    request.slot_asked_at = None
-    request.turns_due[asked.endpoint] = state.now + after_s
-    if routed.turnless(state, request):
-        return _end_waiting(state, request)
-    return _put_back(state, request, asked.until)
-
-
-def _put_back(state: NodeState, request: RequestState, until: float) -> Effects:
-    """Have a request wait in its queue again, for what is left of its patience."""
-    arrived = request.arrived
-    pool = state.pools.setdefault(pool_of(state, arrived), admission.Pace())
-    queue = state.queues.setdefault(queue_key(arrived), admission.AdmissionQueue(pool))
-    placed = routed.place(state, arrived, arrived.at)
-    queue.push(placed._replace(deadline_at=max(until, placed.deadline_at)))
-    return pump(state)
-
-
-def expire_turns(state: NodeState) -> Effects:
-    """Place those anew who hear nothing of an endpoint's owner; nothing is sent without it."""
-    effects: Effects = []
-    for identity, asked in list(state.turns_asked.items()):
-        request = state.requests[identity]
-        assert request.slot_asked_at is not None
-        latest = asked.until if request.slot_heard else request.slot_asked_at
-        if state.now <= latest + defaults.OWNER_ANSWER_S or identity not in state.turns_asked:
-            continue
-        endpoint = state.endpoints.get(asked.endpoint)
-        if endpoint is not None:
-            endpoint.turn_at = state.now + defaults.UNPROVED_BACK_S
-        state.record(identity, f"no turn at {asked.endpoint}", "its owner does not answer")
-        effects += _look_elsewhere(state, request, defaults.UNPROVED_BACK_S)
-    return effects
-
-
-def _end_unslotted(state: NodeState, request: RequestState, after_s: float) -> Effects:
-    """Refuse a request for which there is no slot in time."""
-    state.queues[queue_key(request.arrived)].remove(request.arrived.request_id)
-    reason, text = routed.lacking(state, request.arrived)
-    status = 502 if request.sent else 503
-    # Spread by request, so that those who are refused together do not return together.
-    spread = mix("come back", request.arrived.request_id) % 1000 / 1000.0
-    left_s = request.arrived.deadline_at - state.now
-    after_s = min(after_s * (1.0 + spread), left_s * defaults.COME_BACK_SHARE)
-    return give_up(state, request, status, reason, text, after_s)
-
-
 def current(state: NodeState, request_id: str, attempt: int) -> RequestState | None:
     """Give a request if this attempt of it is the one that runs."""
     request = state.requests.get(request_id)
@@ -395,7 +291,7 @@
 def _end_resting(state: NodeState, request: RequestState) -> Effects:
     """Refuse at once what waits for a rest to end: its caller is told when that is."""
     request.slot_asked_at = None
-    return _end_waiting(state, request)
+    return end_waiting(state, request)
 
 
 def give_up(
@@ -467,7 +363,7 @@
 
 def sweep(state: NodeState, passed: float) -> Effects:
     """Refuse what has become hopeless and send on what has room, in every queue."""
-    effects = expire_turns(state)
+    effects: Effects = []
     for pool in state.pools.values():
         pool.measure(passed)
     for target, queue in list(state.queues.items()):
@@ -485,11 +381,12 @@
     for queued in queue.hopeless(state.now, token_s):
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
-        effects += _end_waiting(state, request)
+        effects += end_waiting(state, request)
     return effects
 
 
-def _end_waiting(state: NodeState, request: RequestState) -> Effects:
+def end_waiting(state: NodeState, request: RequestState) -> Effects:
+    """End a request that has waited in vain, or would."""
     status = 502 if request.sent else 503
     if request.arrived.route is not None:
         reason, text = routed.lacking(state, request.arrived)
