Give orders upon a runner's own report only where it was taken

Cause: the holder marked a runner as read before it knew whether the report would be taken; one that tells of fewer orders than are known is dropped, and a new account of the runner knew nothing of the model that the lease before had withdrawn. In the log: withdrawn at 7.79 s, stood still 8.2 to 12.2 s, lease of the next epoch 12.2245 s, first order 4 ms later, a plan by which the model stands nowhere, 12.82 s the order.

--- /dev/null
+++ b/features/steps/trusted_report_steps.py
@@ -0,0 +1,62 @@
+from behave import given
+from behave import then
+from behave import when
+from relay_harness import HolderHarness
+
+from rookspring_core.orders import put_report
+from rookspring_core.orders import usable
+from rookspring_core.rooms import without
+
+STOOD_S = 6.0
+
+
+class LaggingHolder(HolderHarness):
+    """A holder whose runner's reports may be of before its last order."""
+
+    lag = 0
+
+    def read_report(self, effect):
+        runner = self.runners[effect.endpoint]
+        runner["taken"] -= self.lag
+        super().read_report(effect)
+        runner["taken"] += self.lag
+
+
+@given("a lease holder that has withdrawn n from a runner that holds m and n")
+def withdrawn(context):
+    context.holder = holder = LaggingHolder(["m+n"])
+    runner = holder.runners["e1"]
+    runner["taken"] += 1
+    holder.submit(holder.report("e1", runner["models"], token=(0, runner["taken"]), own=True))
+    view = holder.state.endpoints["e1"]
+    holder.state.residency.rooms["e1"].withdraw("n", holder.now)
+    put_report(holder.state, view, without(view.report, "n", ""))
+
+
+@when("it takes the lease anew, and the runner's report {tells}")
+def takes_anew(context, tells):
+    holder = context.holder
+    epoch = holder.state.control.acting_epoch
+    holder.lag = 1 if "before" in tells else 0
+    # It stands still until its lease has lapsed.
+    holder.now += STOOD_S
+    while holder.state.control.acting_epoch == epoch:
+        holder.pass_time(0.1)
+    holder.pass_time(0.3)
+    if "later" in tells:
+        holder.lag = 0
+        holder.pass_time(1.3)
+
+
+@then("the holder gives the runner no order")
+def no_order(context):
+    state = context.holder.state
+    assert not usable(state, state.endpoints["e1"])
+
+
+@then("the holder counts n as held there")
+def counts_held(context):
+    state = context.holder.state
+    view = state.endpoints["e1"]
+    assert usable(state, view)
+    assert {name for name, _ in view.report.resident} == {"m", "n"}, view.report.resident
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -125,6 +125,7 @@
     view.down = view.down and not event.own
     if not view.take_report(event):
         return ended
+    residency.trust(state, event)
     noticing.recall(state, view)
     state.index(view, before, view.targets())
     state.adapter_waits.end(event.adapters, state.now)
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -121,7 +121,6 @@
     room = state.residency.rooms.get(event.endpoint)
     if room is None or not governing.holding(state):
         return
-    room.trusted = room.trusted or event.own
     if event.own:
         _forget_gone(room, event)
     order = room.order
@@ -136,6 +135,18 @@
         _settle(state, room)
 
 
+def trust(state: NodeState, event: EndpointReported) -> None:
+    """Give orders to a runner whose own report was taken.
+
+    One that was read and dropped, as it told of fewer orders than are known, says nothing of
+    what the view holds: a model that the lease before had withdrawn is in neither, and its
+    memory would be promised again.
+    """
+    room = state.residency.rooms.get(event.endpoint)
+    if room is not None and event.own and governing.holding(state):
+        room.trusted = True
+
+
 def _forget_gone(room: Room, report: EndpointReported) -> None:
     """Forget withdrawn models that an unload without an answer has taken after all.
 
