Forget queues of endpoints that nobody asks of; wait for an adapter's only holder

By reading: each endpoint that ever named a rate left a queue at its owner for good; and a request whose adapter stands at one endpoint alone, which names a rate, did not wait for its turn where others hold the model without the adapter. A row for each in rate_limits.feature. Both concern endpoints that name a rate alone.

--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -139,6 +139,17 @@
       | it is ejected, and it is the only one                 |
       | a request that was let in has waited for another      |
 
+  Scenario: an adapter's only holder is waited for, whoever else holds its model
+    Given a node, and an endpoint of start 5 that names 2 requests a second
+    When another endpoint holds the model, and a request needs the first one's adapter
+    Then its owner is asked to have it wait
+
+  Scenario: queues that nobody asks of any more are forgotten
+    Given 9 nodes, and an endpoint among 2 that names 1.4 requests a second
+    When 10 requests a second come to nodes by chance for 6 s
+    And nobody asks for 70 s
+    Then no node keeps a queue of it
+
   Scenario: a turn of which nothing was sent is given back
     Given a node, and an endpoint of start 5 that names 2 requests a second
     When its turn comes, and nothing can be sent
--- a/features/steps/rate_limit_node_steps.py
+++ b/features/steps/rate_limit_node_steps.py
@@ -321,6 +321,22 @@
         assert sent[0].attempt == 1 and len(node.asked) == 2, node.asked
 
 
+@when("another endpoint holds the model, and a request needs the first one's adapter")
+def needs_adapter(context):
+    node = context.node
+    node.there["e2"] = 5
+    node.relist()
+    node.now += 0.1
+    node.tell("e1", 5, adapters=["m/a1"])
+    node.come(adapter="m/a1")
+
+
+@then("its owner is asked to have it wait")
+def may_wait(context):
+    (asked,) = context.node.asked
+    assert asked.queue == "@e1" and asked.wait_s > 0.0, asked
+
+
 @when("its turn comes, and nothing can be sent")
 def turn_unused(context):
     node = context.node
--- a/features/steps/rate_limit_steps.py
+++ b/features/steps/rate_limit_steps.py
@@ -55,6 +55,17 @@
     come_for(context, asked, seconds)
 
 
+@when("nobody asks for {seconds:g} s")
+def nobody_asks(context, seconds):
+    context.stage.fleet.run(seconds)
+
+
+@then("no node keeps a queue of it")
+def no_queue(context):
+    kept = [node.name for node in context.stage.fleet.live() if node.state.slot_queues]
+    assert not kept, kept
+
+
 @then("in no 4 s it got more than users bear, from nodes that it had told")
 def got_no_more(context):
     found = most_in_window(told_arrivals(context.stage.runners, LIMITED))
--- a/packages/rookspring-core/src/rookspring_core/owners.py
+++ b/packages/rookspring-core/src/rookspring_core/owners.py
@@ -60,6 +60,10 @@
         tenure.asked_at = now
         return tenure.since
 
+    def decides(self, subject: str) -> bool:
+        """Say whether this node has decided on a subject lately, without a gap."""
+        return subject in self._tenures
+
     def keep(self, nodes: t.Collection[str], now: float) -> None:
         """Take, at a tick, among which nodes the owners are; what others own now has ended."""
         self._end_gap(now)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -206,6 +206,8 @@
         for one in state.hosts.get(arrived.target, {}).values()
         if one.service == arrived.route.service and _stays(state, one)
     ]
+    if arrived.adapter:
+        staying = [one for one in staying if one.has_adapter(arrived.adapter)]
     return [] if any(one.rate is None for one in staying) else staying
 
 
--- a/packages/rookspring-core/src/rookspring_core/slotting.py
+++ b/packages/rookspring-core/src/rookspring_core/slotting.py
@@ -167,6 +167,11 @@
     return f"slots/{queue}"
 
 
+def forgotten(state: NodeState, queue: str) -> bool:
+    """Say whether an endpoint's queue is of no use: it would begin anew if it were asked of."""
+    return queue.startswith(ENDPOINT_MARK) and not state.owners.decides(subject_of(queue))
+
+
 def queue_of(state: NodeState, name: str, now: float, rate: float | None = None) -> SlotQueue:
     """Give a queue that this node owns, with its endpoints as they are now.
 
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -43,11 +43,12 @@
 def settle(peers: RelayPeers) -> None:
     """Give the slots that are free now, and refuse what has waited for too long."""
     now = clock.now()
-    queues = peers.context.state.slot_queues
-    for name, queue in list(queues.items()):
-        if queue.idle():
-            continue
-        _answer(peers, name, slotting.queue_of(peers.context.state, name, now).settle(now))
+    state = peers.context.state
+    for name, queue in list(state.slot_queues.items()):
+        if not queue.idle():
+            _answer(peers, name, slotting.queue_of(state, name, now).settle(now))
+        elif slotting.forgotten(state, name):
+            del state.slot_queues[name]
 
 
 def _subject(item: AskSlots | SlotFreed) -> str:
