Have the count of an owner's turns lose one for one that is given back

It lost all that were given at the same moment, so that the check could have passed over one too many. Plainer words for what askers are told.

--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -144,7 +144,7 @@
     :param endpoint: where it has one; empty where it waits or is refused.
     :param after_s: when to come back where it is refused, in seconds; else 0.
     :param rated: the slot counts towards the requests a second that the endpoint takes.
-    :param stay_s: how long this node does better to ask elsewhere first, in seconds.
+    :param stay_s: how long this node is to use other endpoints, if there are any, in seconds.
     """
 
     at: float
--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -51,7 +51,7 @@
     :param endpoint: where it has one; empty where it waits or is refused.
     :param after_s: when to come back where it is refused, in seconds; else 0.
     :param rated: the slot counts towards the requests a second that the endpoint takes.
-    :param stay_s: how long its node does better to ask elsewhere first, in seconds.
+    :param stay_s: how long its node is to use other endpoints, if there are any, in seconds.
     """
 
     origin: str
@@ -139,12 +139,11 @@
 
 
 class _Askers:
-    """Which nodes have asked lately, where all that hold what they want are not this one.
+    """Which nodes have asked for turns lately, and for how long each is to use other endpoints.
 
-    Each is told to stay away for a part of the time that the others need to have their turns: of
-    195 nodes that asked whenever they could each would ask for each turn, and one would get it.
-    The part falls while turns lie in hand that nobody asks for, and rises with each that asks in
-    vain.
+    That is a part of the time that the others need to have their turns: of 195 nodes that asked
+    whenever they could each would ask for each turn, and one would get it. The part falls while
+    turns lie in hand that nobody asks for, and rises with each that asks in vain.
     """
 
     def __init__(self) -> None:
@@ -152,7 +151,7 @@
         self._share = defaults.TURN_STAY_SHARE
 
     def stay_s(self, origin: str, rate: float, turns: float, now: float) -> float:
-        """Give how long a node does better to ask elsewhere first, in seconds.
+        """Give how long a node is to use other endpoints, in seconds.
 
         :param turns: in hand when it asked.
         """
--- a/packages/rookspring-core/src/rookspring_core/witness.py
+++ b/packages/rookspring-core/src/rookspring_core/witness.py
@@ -83,4 +83,7 @@
 
     def forget(self, at: float) -> None:
         """Count a turn no more that was given at a moment and not used."""
-        self._given = collections.deque(one for one in self._given if one[0] != at)
+        for place, (given_at, _) in enumerate(self._given):
+            if given_at == at:
+                del self._given[place]
+                return
