--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -128,8 +128,7 @@
 # way before, and has come for nobody.
 MODEL_KEPT_S = COME_BACK_ABSENT_MAX_S + COME_BACK_SPREAD_S
 # From a request for a model that is on no endpoint to its load: the want reaches the
-# holder, a plan is made, what gives way is unloaded, a report tells the end. Some 1 s in
-# the logs of the users' days beside the load itself.
+# holder, a plan is made, what gives way is unloaded, a report tells the end.
 SWAP_S = 1.0
 # A request waits for its model if it can be there within this part of its objective;
 # the rest is for reading the prompt. It waits somewhat longer than predicted.
@@ -229,8 +228,7 @@
 MISSED_FALL_S = 15.0
 # A load that takes no longer is quick: from memory or disk it takes 0.9 to 1.7 s.
 QUICK_LOAD_S = 3.0
-# A replica is to pay within this time, since demand moves on: the users' days move it
-# every 6 to 20 s.
+# A replica is to pay within this time, since demand moves on.
 SWAP_HORIZON_S = 30.0
 # Part of the weight store's rate that is used. A new holder begins with no burst, so
 # that any window stays below rate and burst together, whoever held the lease in it.
@@ -262,7 +260,7 @@
 # a heartbeat of 0.4 s and some way.
 WITHDRAWN_MAX = 3
 WITHDRAWN_TOLD_S = 0.6
-# An adapter arrives in 6 to 19 ms from a runner's own memory (the users' sheets).
+# An adapter arrives from a runner's own memory in somewhat less.
 ADAPTER_LOAD_S = 0.025
 # The lease of relay nodes: an order-giver that dies is replaced within some seven
 # seconds, TURN_GAP_S included, for one write a second to the store.
--- a/packages/rookspring-core/src/rookspring_core/suspecting.py
+++ b/packages/rookspring-core/src/rookspring_core/suspecting.py
@@ -1,8 +1,7 @@
 """What a lost endpoint is charged to: the requests that ran there, by :mod:`suspects`.
 
 Were a loss charged to the endpoint, the service's window and the caller alone, and not to what the
-endpoint was doing, one request could end all endpoints by turns: nine of nine tries did on the
-virtual clock, and three do.
+endpoint was doing, one request could end all endpoints by turns.
 """
 
 import typing as t
--- a/packages/rookspring-core/src/rookspring_core/topology.py
+++ b/packages/rookspring-core/src/rookspring_core/topology.py
@@ -156,8 +156,8 @@
         """Give the nodes that this one is to dial, with their addresses."""
         members = self._members
         if self.mesh and members.count() > defaults.RELAY_MESH_MAX:
-            # They have just become known. As a mesh, 195 nodes that start would make 9,600
-            # links (on the virtual clock) before they know their relays a tick later.
+            # They have just become known. As a mesh, nodes that start together would link each
+            # to all before they know their relays a tick later.
             return {}
         names = {*members.listed, *members.peers} if self.mesh else self._wanted
         rows = {name: row.address for name in names if (row := members.listed.get(name))}
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -88,7 +88,7 @@
 # The link that a whole core's worth of work takes, in Mbit/s.
 LINK_MBPS_A_CORE = 50.0
 # Endpoints whose entries lapsed while the store was away write them again within two
-# seconds of its return, if they live (the users' letter); a little more for the way.
+# seconds of its return, if they live; a little more for the way.
 LAPSE_GRACE_S = 2.2
 LAPSE_CHECK_S = 0.25
 # The list of nodes in the store is a backstop to what nodes tell each other.
