--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -111,6 +111,7 @@
       | it starts again, with start 6                               | any      |
       | it starts again, with start 4, and is sure                  | any      |
       | it starts again, and an answer of before names 3            | any      |
+      | its sure start 4 names 3, and a word of start 5 comes late  | 3        |
       | another node tells at 0.5 s that it names none any more     | 2        |
       | another node tells at 3 s that it names none any more       | any      |
       | another node tells late what was before                     | 2        |
--- a/features/steps/rate_limit_node_steps.py
+++ b/features/steps/rate_limit_node_steps.py
@@ -118,6 +118,12 @@
     node.hear(3.0, node.now - 1.0, born=5)
 
 
+def _earlier_and_late(node):
+    _born(4, sure=True)(node)
+    node.hear(3.0, node.now, born=4)
+    node.submit(RatesHeard(node.now, (RateWord("e1", 5, 9, 1.0),), "n2"))
+
+
 def _lapses(node):
     node.relist(names=())
     assert "e1" not in node.state.endpoints
@@ -158,6 +164,7 @@
         "it starts again, with start 6": _born(6),
         "it starts again, with start 4, and is sure": _born(4, sure=True),
         "it starts again, and an answer of before names 3": _starts_and_late,
+        "its sure start 4 names 3, and a word of start 5 comes late": _earlier_and_late,
         "another node tells at 0.5 s that it names none any more": _told(
             0.5, RateWord("e1", 5, 2, None)
         ),
--- a/features/waiting_models.feature
+++ b/features/waiting_models.feature
@@ -8,7 +8,7 @@
   # wait. Evidence: of the plans that passed a model over, two in three to four in five found no room for it, and the others
   # waited for a busy runner; taking a free one at once, or one waiting for each runner, changes little (22 and
   # 22.5 s in place of 28; 45 and 53 in place of 58), claims that grow twice as fast halve it (15.5 and
-  # 30.5). Whether it is the cause of those two days is not shown.
+  # 30.5), but bring more loads. Whether it is the cause of those two days is not shown.
 
   Scenario Outline: a model of which nothing is held is not passed over for long
     Given placement worlds of 14 models and 10 places, in which <late> of the orders come late
