Tell in the log which era the store names, and what is passed over for its revision

Nothing is decided by it yet: lines for an era that rises, for entries and lease reads that change nothing since a higher revision is known.

--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -22,11 +22,21 @@
 
 
 class Stored(t.NamedTuple):
-    """One object with its version."""
+    """One object with its version.
+
+    :param era: how often the store had come back from a copy when it gave this. Versions go
+        back with it, so they are ordered within an era only.
+    """
 
     name: str
     version: int
     value: t.Any
+    era: int = 0
+
+    @property
+    def position(self) -> tuple[int, int]:
+        """Where the store stood, in an order that holds over eras."""
+        return self.era, self.version
 
 
 class Listing(t.NamedTuple):
@@ -62,6 +72,9 @@
 class PlatformClient(abc.ABC):
     """What rookspring needs of a platform. Writes are conditional on a version."""
 
+    # Is told the era that an answer names, before the answer itself is taken.
+    hear_era: t.Callable[[int], None] = staticmethod(lambda era: None)
+
     @abc.abstractmethod
     async def get(self, kind: str, name: str) -> Result[Stored, PlatformError]:
         """Read one object."""
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -164,6 +164,15 @@
                 holder = _holder_of(context, value)
                 settled = bool(value.get("settled", False))
                 context.submit(UseRecalled(now, tuple(value.get("used", {}).items())))
+                known = context.state.control.lease.version
+                if version < known:
+                    log(
+                        "lease_passed_over",
+                        holder=holder,
+                        fence=epoch,
+                        revision=version,
+                        known=known,
+                    )
                 kept = relay_suspects.read_verdicts(value.get("verdicts", ()), now)
                 context.submit(EvidenceHeard(now, kept, "the lease"))
                 context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled))
--- a/packages/rookspring/src/rookspring/relay_lists.py
+++ b/packages/rookspring/src/rookspring/relay_lists.py
@@ -94,6 +94,13 @@
         known = self._stored.get(row.name)
         oldest = known.version if known is not None else self._gone.get(row.name, -1) + 1
         if row.version < oldest:
+            log(
+                "entry_passed_over",
+                endpoint=row.name,
+                revision=row.version,
+                known=oldest,
+                gone=known is None,
+            )
             return None
         if known is not None and known.version == row.version:
             self._missing.pop(row.name, None)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -63,6 +63,7 @@
 from .relay_peers import RelayPeers
 from .relay_proofs import ProofKeeper
 from .relay_settings import RelaySettings
+from .store_eras import StoreEras
 
 Reload = t.Callable[[], RelaySettings]
 
@@ -138,6 +139,7 @@
         self.context = RelayContext(settings, dialect, state, platform, metrics)
         self.peers = RelayPeers(self.context)
         self.reach = Reach(self.context)
+        self.eras = StoreEras()
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofKeeper(self.context, self.peers, self.reach)
         self._wire()
@@ -168,6 +170,7 @@
         context.give_lists = self.endpoints.give
         context.take_listed = self._take_listed
         context.stop = self._stop
+        context.platform.hear_era = functools.partial(self.eras.hear, source="store")
 
     def _take_listed(self, rows: tuple[Stored, ...], whole: bool, source: str) -> None:
         """Take a list; only that of the node that this one follows says what is missing."""
