Give each era of the store a lease of its own, and fences that rise over eras

What callers saw: two nodes gave orders with fence 2. Cause: the lease was one object, and its revision, its holder and its last epoch were taken never to go back. A copy shows it as it was before the last holder took it: whoever read that took the next epoch, which was the last holder's, while that one held; and who knew a higher revision wrote upon it for ever.

Now a node hears of the era by any answer's head, or by another node's heartbeat, and says so at once. The lease of an era lies in an object named by it, which no copy holds and no write upon an earlier era's revision can meet. The holder of before goes on in its epoch and makes it at once; all others count a whole term from when they heard. An epoch is at least the era times a million. What is asked in one era and answered in another tells nothing, and an answer of an era that has ended is none.

--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -14,6 +14,16 @@
     table: RouteTable
 
 
+class StoreEraBegan(t.NamedTuple):
+    """The platform's store has come back from an older copy, or named its era first.
+
+    :param era: how often it has come back.
+    """
+
+    at: float
+    era: int
+
+
 class StoreRead(t.NamedTuple):
     """The platform's store answered this node on the endpoints' list."""
 
@@ -54,7 +64,7 @@
 
 
 class LeaseSeen(t.NamedTuple):
-    """The lease object as read; version 0 when it does not exist.
+    """The lease object of an era of the store as read; version 0 when it does not exist.
 
     :param settled: its holder was giving orders already when it wrote this.
     """
@@ -65,6 +75,7 @@
     epoch: int
     nonce: str
     settled: bool = False
+    era: int = 0
 
 
 class LeaseWritten(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -74,7 +74,7 @@
 
 
 class WriteLease(t.NamedTuple):
-    """Write the lease object on the condition that it is still at ``version``.
+    """Write the lease object of an era on the condition that it is still at ``version``.
 
     :param settled: the holder may give orders already.
     """
@@ -83,6 +83,7 @@
     epoch: int
     nonce: str
     settled: bool = False
+    era: int = 0
 
 
 class ReadDesired(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -17,6 +17,7 @@
 from ._control_events import Published as Published
 from ._control_events import RevisionSeen as RevisionSeen
 from ._control_events import RouteTableSeen as RouteTableSeen
+from ._control_events import StoreEraBegan as StoreEraBegan
 from ._control_events import StoreRead as StoreRead
 from ._control_events import TableProved as TableProved
 from ._control_events import TightHeard as TightHeard
@@ -74,6 +75,7 @@
     | PeerHeard
     | MembersHeard
     | PeerUnreached
+    | StoreEraBegan
     | StoreRead
     | TableProved
     | TightHeard
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -10,6 +10,7 @@
 from . import ordering
 from .catalogue import build_catalogue
 from .demand import add_rates
+from .effects import Announce
 from .effects import Effect
 from .effects import Publish
 from .effects import ReadDesired
@@ -21,6 +22,7 @@
 from .events import LeaseWritten
 from .events import Published
 from .events import RevisionSeen
+from .events import StoreEraBegan
 from .memory import Ledger
 from .reducer import handles
 from .state import NodeState
@@ -43,6 +45,16 @@
     return _begin_if_new(state)
 
 
+@handles(StoreEraBegan)
+def begin_era(state: NodeState, event: StoreEraBegan) -> Effects:
+    """Take that the store came back from a copy, and tell the other nodes at once."""
+    if event.era <= state.store_era:
+        return []
+    state.store_era = event.era
+    state.control.lease.begin_era(event.era, event.at)
+    return [Announce("store era")]
+
+
 def _begin_if_new(state: NodeState) -> Effects:
     control = state.control
     lease = control.lease
@@ -196,8 +208,9 @@
     The holder does where a renewal got no answer; a relay node that may be next does once
     the holder is no longer heard, which saves the platform most of these calls.
     """
+    lease = state.control.lease
     if holding(state):
-        return state.control.lease.unanswered(state.now)
+        return lease.unanswered(state.now) or lease.version < 0
     return may_hold(state) and not holder_heard(state)
 
 
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -3,6 +3,11 @@
 It is one object in the platform, renewed by conditional update. Its expiry is
 judged on the observer's own monotonic clock, from the last change it saw; no
 clock is ever compared with another node's. See ``docs/design/fencing.md``.
+
+The platform's store may come back from an older copy, which begins an era. Each era has a
+lease object of its own: no copy holds it, and no write upon a version of an earlier era can
+meet it. The holder of before makes it at once and goes on; all others count a whole term from
+when they heard of the era. An epoch is a number that rises over eras as well.
 """
 
 import typing as t
@@ -22,6 +27,7 @@
     epoch: int
     nonce: str
     settled: bool = False
+    era: int = 0
 
 
 class LeaseTerms(t.NamedTuple):
@@ -40,6 +46,8 @@
     resumable: bool = False
 
 
+# Epochs of an era of the store; the first of the next one is greater than them all.
+EPOCHS_PER_ERA = 1_000_000
 # A relay node is one holder whichever process runs on its box.
 RELAY_TERMS = LeaseTerms(
     defaults.RELAY_LEASE_TTL_S,
@@ -55,6 +63,8 @@
 
     def __init__(self, terms: LeaseTerms | None = None) -> None:
         self.terms = terms or LeaseTerms()
+        # Of the store: how often it has come back from a copy.
+        self.era = 0
         self.version = -1
         self.holder = ""
         self.epoch = 0
@@ -80,8 +90,29 @@
         """Say whether a write has had no answer for so long that a read is to settle it."""
         return self._pending is not None and now - self._asked_at >= defaults.LEASE_ANSWER_S
 
+    def begin_era(self, era: int, at: float) -> None:
+        """Take that the store came back from a copy.
+
+        Its holder goes on in the same epoch: it alone can have held it when the era began.
+        """
+        if era <= self.era:
+            return
+        self.era = era
+        self.version = -1
+        self.holder = ""
+        self.changed_at = at
+        self._settled = False
+        self._pending = None
+        self._asked_at = -1e9
+
+    def _absent(self) -> bool:
+        """Say whether nobody has written the lease in this era, which is not the first."""
+        return self.version == 0 and self.era > 0
+
     def see(self, event: LeaseSeen, name: str) -> None:
         """Take the lease object as read. It settles a write of unknown fate."""
+        if event.era != self.era:
+            return
         if self._pending is not None and event.nonce == self._pending[0]:
             nonce, asked_at, epoch = self._pending
             self._win(asked_at, event.version, epoch, name)
@@ -89,6 +120,8 @@
         if event.version <= self.version:
             return
         self.version = event.version
+        if self._absent():
+            return
         self.holder = event.holder
         self.epoch = max(self.epoch, event.epoch)
         self.changed_at = event.at
@@ -132,14 +165,18 @@
         holding = self.holding(now)
         if not holding and not self._own(name) and not (candidate and self._free(now)):
             return None
-        epoch = self.own_epoch if holding else self.epoch + 1
+        epoch = self.own_epoch if holding else self._next_epoch()
         if not holding:
             self.turn_at = self._next_turn(now, name)
         self._count += 1
         nonce = f"{incarnation}/{self._count}"
         self._pending = (nonce, now, epoch)
         self._asked_at = now
-        return LeaseWish(self.version, epoch, nonce, now >= self.turn_at)
+        return LeaseWish(self.version, epoch, nonce, now >= self.turn_at, self.era)
+
+    def _next_epoch(self) -> int:
+        """Give an epoch that nobody has had, also in the seconds that a copy lacks."""
+        return max(self.epoch, self.era * EPOCHS_PER_ERA) + 1
 
     def _own(self, name: str) -> bool:
         """Say whether the lease is this box's own, from before a restart or a lapse."""
@@ -151,19 +188,23 @@
         A holder's last act lies ``margin_s`` before the end of its lease at an observer.
         One that gave the lease up may have acted just before.
         """
-        if self.epoch == 0:
-            return now
-        if self._own(name):
-            return now if self._settled else now + self.terms.gap_s
-        if self._end[0] == self.epoch:
-            return max(now, self._end[1] + self.terms.gap_s)
-        if self.holder == "" or self.changed_at is None:
+        if not self._absent():
+            if self.epoch == 0:
+                return now
+            if self._own(name):
+                return now if self._settled else now + self.terms.gap_s
+            if self._end[0] == self.epoch:
+                return max(now, self._end[1] + self.terms.gap_s)
+            if self.holder == "":
+                return now + self.terms.gap_s
+        if self.changed_at is None:
             return now + self.terms.gap_s
         last_act = self.changed_at + self.terms.ttl_s - self.terms.margin_s
         return max(now, last_act + self.terms.gap_s)
 
     def _free(self, now: float) -> bool:
-        if self.holder == "" or self._end[0] == self.epoch:
+        # Whoever held it when an era began may do so for a term yet.
+        if not self._absent() and (self.holder == "" or self._end[0] == self.epoch):
             return True
         return self.changed_at is not None and now - self.changed_at > self.terms.ttl_s
 
@@ -188,4 +229,4 @@
             return None
         self.held_until = -1e9
         self._pending = None
-        return LeaseWish(self.version, self.own_epoch, "")
+        return LeaseWish(self.version, self.own_epoch, "", era=self.era)
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -195,6 +195,8 @@
         # How much this node can carry; see ``PeerHeard``.
         self.strength = 0.0
         self.control = ControlState()
+        # How often the platform's store has come back from a copy, as far as is known here.
+        self.store_era = 0
         self.platform_at = started_at
         self.platform_reachable = False
         self.draining_since: float | None = None
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_lease.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_lease.py
@@ -4,6 +4,7 @@
 import typing as t
 
 from rookspring import defaults
+from rookspring.relay_following import lease_name
 from rookspring_core import governing
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import LeaseSeen
@@ -16,8 +17,6 @@
     from .fleet import Fleet
     from .fleet_node import FleetNode
 
-NAME = "control"
-
 
 class FleetLease:
     """One node's calls for the lease, each answered after a while."""
@@ -27,6 +26,7 @@
         self._node = node
         self._looked = False
         self._next_look = -1e9
+        self._era = 0
 
     def follow(self) -> None:
         """Read the lease where that is due, and note whether this node might give orders."""
@@ -34,6 +34,9 @@
             return
         state = self._node.state
         now = self._fleet.now
+        if self._era != state.store_era:
+            self._era = state.store_era
+            self._next_look = now
         if now >= self._next_look and (not self._looked or governing.reads_lease(state)):
             self._next_look = now + defaults.RELAY_LEASE_READ_S
             self._read()
@@ -45,14 +48,19 @@
         if not fleet.reaches_store(self._node.name):
             self._next_look = fleet.now + defaults.RELAY_BACKOFF_MAX_S
             return
-        found = fleet.store.get(LEASE, NAME)
-        event = LeaseSeen(0.0, 0, "", 0, "")
+        era = self._node.state.store_era
+        found = fleet.store.get(LEASE, lease_name(era))
+        event = LeaseSeen(0.0, 0, "", 0, "", era=era)
         if found is not None:
-            event = LeaseSeen(0.0, found.version, *found.value)
+            holder, epoch, nonce, was_settled = found.value
+            event = LeaseSeen(0.0, found.version, holder, epoch, nonce, was_settled, era)
+        heard = fleet.store.era
 
         def take() -> None:
-            self._looked = True
-            self._node.submit(event._replace(at=fleet.now))
+            self._node.eras.hear(heard, "store")
+            if self._node.state.store_era == era:
+                self._looked = True
+                self._node.submit(event._replace(at=fleet.now))
 
         fleet.at(fleet.now + fleet.store_s, lambda: fleet.hand(self._node, take))
 
@@ -69,9 +77,11 @@
             return
         holder = self._node.name if effect.nonce else ""
         value = (holder, effect.epoch, effect.nonce, effect.settled)
-        version = fleet.store.put_if(LEASE, NAME, value, effect.version)
+        version = fleet.store.put_if(LEASE, lease_name(effect.era), value, effect.version)
+        heard = fleet.store.era
 
         def take() -> None:
+            self._node.eras.hear(heard, "store")
             won = version is not None
             event = LeaseWritten(fleet.now, asked_at, effect.nonce, won, version or 0)
             self._node.submit(event)
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -20,6 +20,7 @@
 from rookspring.relay_proofs import ProofKeeper
 from rookspring.relay_proofs import needs_proofs
 from rookspring.relay_settings import RelaySettings
+from rookspring.store_eras import StoreEras
 from rookspring_core import Identity
 from rookspring_core import NodeState
 from rookspring_core import reduce
@@ -190,6 +191,7 @@
         context = t.cast(t.Any, self)
         self.peers = RelayPeers(context)
         self.reach = Reach(context)
+        self.eras = StoreEras(context, self.reach)
         self.list = EndpointList(context, self.peers, self.reach)
         self.proofs = ProofKeeper(context, self.peers, self.reach)
         self.lease = FleetLease(fleet, self)
@@ -205,6 +207,7 @@
         self._next_read = -1e9
         self._listed_at = -1e9
         self._version = -1
+        self._listed_era = 0
 
     def count_malformed(self, number: int) -> None:
         """The fleet writes no malformed entries."""
@@ -254,6 +257,13 @@
         if self.proofs.due(fleet.now):
             self.read_table()
 
+    def hear_store(self) -> None:
+        """Take that the store answered; what was watched in an earlier era is listed anew."""
+        self.eras.hear(self.fleet.store.era, "store")
+        if self._listed_era != self.state.store_era:
+            self._listed_era = self.state.store_era
+            self._version = -1
+
     def read_table(self) -> None:
         """Read the configuration; the answer takes a while."""
         fleet = self.fleet
@@ -296,6 +306,7 @@
             self._next_read = self.fleet.now + defaults.RELAY_BACKOFF_MAX_S
             return
         self._next_read = self.fleet.now + defaults.FEW_FOLD_S + defaults.FEW_WATCH_S
+        self.hear_store()
         self.submit(StoreRead(self.fleet.now))
         self.fleet.watch_table(self)
         rows, self._version, whole = self.fleet.store_rows(self._version)
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -57,7 +57,6 @@
     "store_era": "the store came back from a copy, or named its era for the first time",
     "store_era_malformed": "an answer of the platform's store named an era that is no figure",
     "entry_passed_over": "an endpoint's entry changed nothing, as another one is taken to be newer",
-    "lease_passed_over": "the lease as read changed nothing, as another one is taken to be newer",
     "store_call_failed": "a read of the platform's store failed and is tried again",
     "verdict": "a request was found to end the endpoints that run it, and is refused for a while",
     "lines_dropped": "so many lines were left out to keep the volume bounded",
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -54,7 +54,8 @@
     what it knows of the store is, in seconds. ``prompts`` are tokens that endpoints are
     still to read, as rows; ``spent`` is what was let in of organisations since the
     sender told last, and ``relay_s`` for how long it has passed things on. ``merged`` is the
-    digest of what all nodes are to know alike; see :mod:`relay_merged`.
+    digest of what all nodes are to know alike; see :mod:`relay_merged`. ``store_era`` is how
+    often the store has come back from a copy.
     """
 
     name: str
@@ -83,6 +84,7 @@
     spent: list[t.Any] | None = None
     relay_s: float = 0.0
     merged: int = 0
+    store_era: int = 0
 
 
 @message("members")
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -72,8 +72,9 @@
 class PlatformClient(abc.ABC):
     """What rookspring needs of a platform. Writes are conditional on a version."""
 
-    # Is told the era that an answer names, before the answer itself is taken.
-    hear_era: t.Callable[[int], None] = staticmethod(lambda era: None)
+    # Is told the era that an answer names, before the answer itself is taken; gives the newest
+    # that is known.
+    hear_era: t.Callable[[int], int] = staticmethod(lambda era: era)
 
     @abc.abstractmethod
     async def get(self, kind: str, name: str) -> Result[Stored, PlatformError]:
--- a/packages/rookspring/src/rookspring/reach.py
+++ b/packages/rookspring/src/rookspring/reach.py
@@ -18,6 +18,10 @@
         self.lost_at: float | None = None
         self.back_at = -1e9
 
+    def note_return(self, now: float) -> None:
+        """Take that the store came back from a copy: what it lacks is yet to be written again."""
+        self.back_at = now
+
     def failed(self, what: str, error: PlatformError) -> None:
         """A call failed."""
         if isinstance(error, (PlatformTooOld, PlatformMissing)):
--- a/packages/rookspring/src/rookspring/relay_beats.py
+++ b/packages/rookspring/src/rookspring/relay_beats.py
@@ -122,6 +122,7 @@
         # Past an hour nobody cares how old.
         store_age_s=round(min(3600.0, state.topology.age_s(now)), 3),
         merged=relay_merged.digest(state),
+        store_era=state.store_era,
     )
 
 
@@ -231,6 +232,7 @@
 @receives(Heartbeat)
 def hear_beat(peers: RelayPeers, link: Link, beat: Heartbeat) -> None:
     """Take a heartbeat, and ask for the route table if it is newer."""
+    peers.context.eras.hear(int(beat.store_era), beat.name)
     follows = bool(beat.follows)
     began = follows and beat.name not in peers.followers
     if follows:
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -33,6 +33,9 @@
 from .relay import RelayExchange
 from .relay_settings import RelaySettings
 
+if t.TYPE_CHECKING:
+    from .store_eras import StoreEras
+
 Performer = t.Callable[["RelayContext", t.Any], None]
 RELAY_PERFORMERS: dict[type[t.Any], Performer] = {}
 F = t.TypeVar("F", bound=t.Callable[..., None])
@@ -70,6 +73,8 @@
         self.listed = False
         # Set while this node is to watch the store; see ``topology.py`` of the core.
         self.watching = asyncio.Event()
+        # Set by the node that wires the parts.
+        self.eras: StoreEras
         # A node is leaving, and the lease may be free.
         self.lease_news = asyncio.Event()
         # Set by the node that wires the parts: tells the other nodes at once.
--- a/packages/rookspring/src/rookspring/relay_following.py
+++ b/packages/rookspring/src/rookspring/relay_following.py
@@ -25,6 +25,7 @@
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
 from .logs import log
+from .platform import Listing
 from .platform import Stored
 from .reach import Reach
 from .relay_context import RelayContext
@@ -33,7 +34,6 @@
 # Kinds of this project's own in the store.
 NODE_KIND = "rookspring-nodes"
 LEASE_KIND = "rookspring-lease"
-LEASE_NAME = "control"
 
 Take = t.Callable[[tuple[Stored, ...], bool], None]
 
@@ -86,7 +86,7 @@
     while True:
         if since < 0:
             asked_at = clock.now()
-            listing = await context.platform.list_kind(kind)
+            listing = await context.eras.within(context.platform.list_kind(kind))
             if isinstance(listing, Failure):
                 reach.failed(f"list {kind}", listing.failure())
                 await _pause(context, back_off)
@@ -100,7 +100,7 @@
             since = -1
             continue
         terms = watch_terms(context, endpoints)
-        changes = await context.platform.watch(kind, since, terms.wait_s)
+        changes = await context.eras.within(context.platform.watch(kind, since, terms.wait_s))
         if isinstance(changes, Failure):
             since = -1
             reach.failed(f"watch {kind}", changes.failure())
@@ -155,7 +155,10 @@
         if looked and not governing.reads_lease(context.state) and not _recalls(context):
             await _wait_news(context, defaults.RELAY_LEASE_LOOK_S)
             continue
-        answer = await context.platform.get(LEASE_KIND, LEASE_NAME)
+        era = context.state.store_era
+        answer = await context.eras.within(context.platform.get(LEASE_KIND, lease_name(era)))
+        if context.state.store_era != era:
+            continue
         now = clock.now()
         match answer:
             case Success(Stored(_, version, value)):
@@ -163,22 +166,11 @@
                 nonce = str(value["nonce"])
                 holder = _holder_of(context, value)
                 settled = bool(value.get("settled", False))
-                context.submit(UseRecalled(now, tuple(value.get("used", {}).items())))
-                known = context.state.control.lease.version
-                if version < known:
-                    log(
-                        "lease_passed_over",
-                        holder=holder,
-                        fence=epoch,
-                        revision=version,
-                        known=known,
-                    )
-                kept = relay_suspects.read_verdicts(value.get("verdicts", ()), now)
-                context.submit(EvidenceHeard(now, kept, "the lease"))
-                context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled))
+                _recall(context, value)
+                context.submit(LeaseSeen(now, version, holder, epoch, nonce, settled, era))
             case Failure(PlatformMissing()):
-                context.submit(UseRecalled(now, ()))
-                context.submit(LeaseSeen(now, 0, "", 0, ""))
+                await _recall_before(context, era, looked)
+                context.submit(LeaseSeen(now, 0, "", 0, "", era=era))
             case Failure(error):
                 reach.failed("read lease", error)
                 await back_off.pause()
@@ -189,6 +181,30 @@
         await _wait_news(context, defaults.RELAY_LEASE_READ_S)
 
 
+def lease_name(era: int) -> str:
+    """Name the lease object of an era of the store; no copy holds that of a later era."""
+    return f"control-{era}" if era else "control"
+
+
+def _recall(context: RelayContext, value: t.Any) -> None:
+    """Take what the lease tells besides its holder: organisations' use, and verdicts."""
+    now = clock.now()
+    context.submit(UseRecalled(now, tuple(value.get("used", {}).items())))
+    kept = relay_suspects.read_verdicts(value.get("verdicts", ()), now)
+    context.submit(EvidenceHeard(now, kept, "the lease"))
+
+
+async def _recall_before(context: RelayContext, era: int, looked: bool) -> None:
+    """Take that from the lease of an earlier era, where nobody has written this one's yet."""
+    if era and (not looked or _recalls(context)):
+        listing = await context.eras.within(context.platform.list_kind(LEASE_KIND))
+        rows = listing.value_or(Listing(0, ())).items
+        if rows:
+            _recall(context, max(rows, key=lambda row: int(row.value["epoch"])).value)
+            return
+    context.submit(UseRecalled(clock.now(), ()))
+
+
 def _recalls(context: RelayContext) -> bool:
     """Say whether the lease is to tell what organisations had used."""
     state = context.state
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -133,7 +133,8 @@
         self.context = RelayContext(settings, dialect, state, platform, metrics)
         self.peers = RelayPeers(self.context)
         self.reach = Reach(self.context)
-        self.eras = StoreEras()
+        self.context.eras = StoreEras(self.context, self.reach)
+        self.context.eras.follow(platform)
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofKeeper(self.context, self.peers, self.reach)
         self._wire()
@@ -164,7 +165,6 @@
         context.give_lists = self.endpoints.give
         context.take_listed = self._take_listed
         context.stop = self._stop
-        context.platform.hear_era = functools.partial(self.eras.hear, source="store")
 
     def _take_listed(self, rows: tuple[Stored, ...], whole: bool, source: str) -> None:
         """Take a list; only that of the node that this one follows says what is missing."""
@@ -375,9 +375,9 @@
     }
 
     async def write() -> None:
-        answer = await context.platform.put(
-            relay_following.LEASE_KIND, relay_following.LEASE_NAME, value, effect.version
-        )
+        name = relay_following.lease_name(effect.era)
+        kind = relay_following.LEASE_KIND
+        answer = await context.eras.within(context.platform.put(kind, name, value, effect.version))
         won: bool | None = None
         version = 0
         match answer:
--- a/packages/rookspring/src/rookspring/relay_proofs.py
+++ b/packages/rookspring/src/rookspring/relay_proofs.py
@@ -113,9 +113,8 @@
         stored = None
         try:
             async with asyncio.timeout(defaults.PROOF_CALL_S):
-                answer = await self._context.platform.get(
-                    dialect.table_kind(), dialect.table_name()
-                )
+                call = self._context.platform.get(dialect.table_kind(), dialect.table_name())
+                answer = await self._context.eras.within(call)
             match answer:
                 case Success(found):
                     stored = found
