Order entries by the store's era and by what moves one way, and doubt what a copy may hold

What callers saw: requests reached a runner 2.3 s after the store had acknowledged its word that it leaves. Cause: an entry of a lower revision was taken for older, so an entry written anew after the store came back from a copy changed nothing until the revisions lost were given out again.

Now a row is ordered by era and revision. That a life leaves is taken whenever it was written and not taken back, and a later start is newer whatever the store says. The configuration is read again where the same revision comes in another era.

--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -103,8 +103,8 @@
 class Listed(t.NamedTuple):
     """Entries of endpoints as the store has them, for whoever follows the sender.
 
-    Rows are name, revision and value; a value of None takes the entry away. ``whole``
-    says that these are all.
+    Rows are name, revision, value and the store's era; a value of None takes the entry away.
+    ``whole`` says that these are all.
     """
 
     rows: list[t.Any]
--- a/packages/rookspring/src/rookspring/relay_lists.py
+++ b/packages/rookspring/src/rookspring/relay_lists.py
@@ -1,6 +1,7 @@
 """The platform's list of endpoints: read from the store, or told by a node that did."""
 
 import asyncio
+import typing as t
 
 from rookspring_core.events import BoxListCame
 from rookspring_core.events import BoxListed
@@ -18,11 +19,33 @@
 from .relay_peers import receives
 
 
+class Gone(t.NamedTuple):
+    """An entry that went: where the store stood at its last row, and which life it was of."""
+
+    position: tuple[int, int]
+    born: int
+
+
+class Doubted(t.NamedTuple):
+    """A row that changes nothing until it has stood for a while, in seconds."""
+
+    row: Stored
+    since: float
+    wait_s: float
+
+    def stood(self, now: float) -> bool:
+        """Say whether it has stood for long enough."""
+        return now - self.since >= self.wait_s
+
+
 class EndpointList:
     """Endpoints as the store lists them, with what lapsed while it was away.
 
     A row of an endpoint's earlier life that comes late changes nothing, unless it stands for
-    longer than a late word can: then the endpoint's clock has stepped back.
+    longer than a late word can: then the endpoint's clock has stepped back. Nor does a row
+    of a list, where one of the store's era before is known: it may be of the copy from which
+    the store came back. A live endpoint writes its entry again, which comes as a change; what
+    stands for longer than that takes, or than the entry of one that is gone can, is taken.
 
     An entry that is missing after an outage is given ``LAPSE_GRACE_S`` to come back,
     since live endpoints write theirs anew; after that the endpoint counts as gone. What
@@ -35,13 +58,12 @@
         self._reach = reach
         self._rows: dict[str, BoxListed] = {}
         self._stored: dict[str, Stored] = {}
-        # Revisions of entries that went: an older row does not bring one back.
-        self._gone: dict[str, int] = {}
+        # Entries that went: an older row does not bring one back.
+        self._gone: dict[str, Gone] = {}
         self._missing: dict[str, float] = {}
-        # When each endpoint was started, and rows that tell an earlier start, with when they
-        # came; see ``lives`` of the core.
+        # When each endpoint was started; see ``lives`` of the core.
         self._born: dict[str, int] = {}
-        self._earlier: dict[str, tuple[Stored, float]] = {}
+        self._doubted: dict[str, Doubted] = {}
         # Rows that cannot be read, each with the reason that was told.
         self._malformed: dict[str, str] = {}
         self._changed: dict[str, Stored] = {}
@@ -51,10 +73,11 @@
         now = clock.now()
         if whole:
             names = {row.name for row in rows}
-            for name in set(self._rows) - names:
+            for name in {*self._rows, *self._doubted} - names:
                 self._lose(name, now)
             self._malformed = {name: why for name, why in self._malformed.items() if name in names}
-        reports = [report for row in rows if (report := self._take_row(row, now)) is not None]
+        taken = (self._take_row(row, now, whole) for row in rows)
+        reports = [report for report in taken if report is not None]
         self.settle(now)
         self._submit(reports)
 
@@ -80,63 +103,103 @@
         self._context.count_malformed(len(self._malformed))
         self._pass_on()
 
-    def _take_row(self, row: Stored, now: float) -> EndpointReported | None:
+    def _take_row(self, row: Stored, now: float, listed: bool) -> EndpointReported | None:
         if row.value is None:
             self._lose(row.name, now)
             return None
-        return self._keep(row, now)
+        return self._keep(row, now, listed)
 
-    def _keep(self, row: Stored, now: float, judged: bool = False) -> EndpointReported | None:
+    def _may_be_copied(self, row: Stored, born: int, now: float) -> bool:
+        """Say whether a row of a list may be older than what is known from an earlier era."""
+        known = self._stored.get(row.name)
+        gone = self._gone.get(row.name)
+        if known is not None:
+            if known.era == row.era or known.value == row.value or born > self._born[row.name]:
+                return False
+            return self._doubt(row, now, defaults.LAPSE_GRACE_S)
+        if gone is None or gone.position[0] == row.era or born > gone.born:
+            return False
+        return self._doubt(row, now, defaults.LATE_ROW_S)
+
+    def _doubt(self, row: Stored, now: float, wait_s: float) -> bool:
+        """Doubt a row; says whether it has not stood for long enough yet."""
+        known = self._doubted.get(row.name)
+        if known is None or known.row.position[0] != row.era:
+            known = Doubted(row, now, wait_s)
+        self._doubted[row.name] = known._replace(row=row, wait_s=wait_s)
+        return now - known.since < wait_s
+
+    def _keep(
+        self, row: Stored, now: float, listed: bool = False, judged: bool = False
+    ) -> EndpointReported | None:
         """Keep a row; gives what it tells, unless it is nothing new or of an earlier life.
 
+        :param listed: it stands in a list of all, so it need not have changed.
         :param judged: whoever watches the store has judged of which life it is.
         """
         known = self._stored.get(row.name)
-        oldest = known.version if known is not None else self._gone.get(row.name, -1) + 1
-        if row.version < oldest:
-            log(
-                "entry_passed_over",
-                endpoint=row.name,
-                revision=row.version,
-                known=oldest,
-                gone=known is None,
-            )
-            return None
-        if known is not None and known.version == row.version:
+        if known is not None and known.position == row.position:
             self._missing.pop(row.name, None)
             return None
+        if self._passes_over(row):
+            return None
         try:
-            listed, report = self._context.dialect.read_endpoint(row, now)
+            found, report = self._context.dialect.read_endpoint(row, now)
         except ValueError as error:
             self._refuse(row, str(error), now)
             return None
         self._malformed.pop(row.name, None)
         self._missing.pop(row.name, None)
+        # That a life leaves is true whenever it was written.
+        if listed and not report.leaving and self._may_be_copied(row, report.born, now):
+            return None
         if report.born and report.born < self._born.get(row.name, 0):
-            _, since = self._earlier.get(row.name, (row, now))
-            if not judged and now - since < defaults.LATE_ROW_S:
-                self._earlier[row.name] = (row, since)
+            if not judged and self._doubt(row, now, defaults.LATE_ROW_S):
                 return None
             report = report._replace(sure=True)
-        self._earlier.pop(row.name, None)
+        self._doubted.pop(row.name, None)
+        before = self._rows.get(row.name)
+        if before is not None and before.state == "leaving" and before.born == report.born:
+            # A life that leaves does not stay after all, whatever its entry says later.
+            found = found._replace(state="leaving")
+            report = report._replace(leaving=True)
         self._born[row.name] = report.born
-        if self._rows.get(row.name) != listed:
+        if before != found:
             log(
                 "endpoint_listed",
                 endpoint=row.name,
-                address=listed.address,
-                service=listed.service,
-                state=listed.state,
+                address=found.address,
+                service=found.service,
+                state=found.state,
                 revision=row.version,
+                era=row.era,
             )
-            if listed.state == "leaving":
+            if found.state == "leaving":
                 # Nodes that the store turns away learn of it from this one.
                 self._context.share(report)
-        self._rows[row.name] = listed
+        self._rows[row.name] = found
         self._stored[row.name] = row
         self._changed[row.name] = row
         return report
 
+    def _passes_over(self, row: Stored) -> bool:
+        """Say whether a row is older than what is known of its entry."""
+        known = self._stored.get(row.name)
+        gone = self._gone.get(row.name)
+        if known is not None:
+            older = row.position < known.position
+        else:
+            older = gone is not None and row.position <= gone.position
+        if older:
+            log(
+                "entry_passed_over",
+                endpoint=row.name,
+                revision=row.version,
+                era=row.era,
+                gone=known is None,
+            )
+        return older
+
     def _refuse(self, row: Stored, detail: str, now: float) -> None:
         """Leave a row out that cannot be read; one that could is taken for missing.
 
@@ -151,7 +214,7 @@
 
     def _lose(self, name: str, now: float) -> None:
         self._malformed.pop(name, None)
-
+        self._doubted.pop(name, None)
         if name in self._rows:
             until = self._reach.back_at + defaults.LAPSE_GRACE_S
             self._missing.setdefault(name, max(now, until))
@@ -162,9 +225,8 @@
         if stored is None:
             return
         del self._rows[name]
-        self._born.pop(name, None)
-        self._earlier.pop(name, None)
-        self._gone[name] = stored.version
+        self._doubted.pop(name, None)
+        self._gone[name] = Gone(stored.position, self._born.pop(name, 0))
         self._changed[name] = stored._replace(value=None)
 
     def settle(self, now: float) -> None:
@@ -185,8 +247,8 @@
                 self._pass_on()
 
     def take_stood(self, now: float) -> None:
-        """Take rows that tell an earlier start and have stood for long."""
-        stood = [row for row, since in self._earlier.values() if now - since >= defaults.LATE_ROW_S]
+        """Take rows that were doubted and have stood for long."""
+        stood = [one.row for one in self._doubted.values() if one.stood(now)]
         if stood:
             self.take(tuple(stood), False)
 
@@ -210,5 +272,5 @@
 @receives(Listed)
 def take_listed(peers: RelayPeers, link: Link, listed: Listed) -> None:
     """Take entries from the node that this one follows; others' are not for it any more."""
-    rows = tuple(Stored(str(row[0]), int(row[1]), row[2]) for row in listed.rows)
+    rows = tuple(Stored(str(row[0]), int(row[1]), row[2], *row[3:]) for row in listed.rows)
     peers.context.take_listed(rows, bool(listed.whole), link.name)
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -77,8 +77,8 @@
         # Nodes that follow this one, by name.
         self.followers: set[str] = set()
         self.table_value: t.Any = None
-        # The object's revision in the store, and the version of the table read from it.
-        self._read: tuple[int, int] = (0, 0)
+        # Where the store stood at the object, and the version of the table read from it.
+        self._read: tuple[tuple[int, int], int] = ((0, 0), 0)
         self._wanted_at = -1e9
         self._idle_since: dict[str, float] = {}
 
@@ -195,10 +195,10 @@
 
     def take_stored(self, stored: Stored) -> int:
         """Read the configuration as the store gave it; see :meth:`take_table`."""
-        revision, version = self._read
-        if revision != stored.version or not version:
+        position, version = self._read
+        if position != stored.position or not version:
             version = self.take_table(stored, "store")
-            self._read = (stored.version, version)
+            self._read = (stored.position, version)
         return version
 
     def take_table(self, stored: Stored, source: str) -> int:
