Take no proof of the configuration from a copy that may lack what was accepted

A list or read of the store proves that no newer configuration had been accepted before it was asked. A copy may lack one, a key that was taken away among them, so for 2 s after the return, and for as long as the store holds an older version than the one in force here, it proves nothing: the age of the last proof goes on, and requests with keys are refused as not run once that is too old. Five rows, three of which failed before. A node that starts after the return has nothing to hold against the copy; it is open.

--- a/features/steps/store_copy_steps.py
+++ b/features/steps/store_copy_steps.py
@@ -1,15 +1,24 @@
 """A store that comes back from an older copy, beside nodes of a fleet on a virtual clock."""
 
 from behave import given
+from behave import register_type
 from behave import then
 from behave import when
+from parse_type import TypeBuilder
+from relay_harness import RelayHarness
+from relay_harness import make_table
 
 from rookspring_core import noticing
 from rookspring_core.events import DrainAsked
+from rookspring_core.events import RouteTableSeen
+from rookspring_core.events import StoreEraBegan
+from rookspring_core.events import TableProved
 from rookspring_fakes.fleet import Fleet
 from rookspring_fakes.fleet import FleetPlan
 from rookspring_fakes.fleet_store import NODES
 
+register_type(Taken=TypeBuilder.make_choice(["taken", "not taken"]))
+
 # Until all know each other and one holds the lease, in seconds.
 SETTLED_S = 9.0
 # From one look at the nodes to the next.
@@ -237,3 +246,28 @@
 def listed_again(context, seconds):
     context.fleet.run(seconds)
     assert context.node.name in {row.name for row in context.fleet.store.rows(NODES)}
+
+
+@given(
+    "a node with version {version:d} of the configuration in force,"
+    " where the store came back from a copy"
+)
+def node_in_era(context, version):
+    context.node = RelayHarness()
+    context.node.submit(RouteTableSeen(context.node.now, make_table(version)))
+    context.node.submit(TableProved(context.node.now, context.node.now - 9.0, version))
+    context.back_at = context.node.now
+    context.node.submit(StoreEraBegan(context.node.now, 1))
+
+
+@when("version {version:d} is shown to have been the newest {seconds:g} s after the return")
+def shown_newest(context, version, seconds):
+    node = context.node
+    node.now += 4.0
+    context.shown_at = context.back_at + seconds
+    node.submit(TableProved(node.now, context.shown_at, version))
+
+
+@then("that is {taken:Taken} as a proof")
+def proof_taken(context, taken):
+    assert (context.node.state.freshness.at == context.shown_at) == (taken == "taken")
--- a/features/store_copies.feature
+++ b/features/store_copies.feature
@@ -71,3 +71,16 @@
       | nodes | seconds |
       | 9     | 2       |
       | 69    | 6       |
+
+  Scenario Outline: a copy does not prove that the configuration is the newest
+    Given a node with version 5 of the configuration in force, where the store came back from a copy
+    When version <version> is shown to have been the newest <seconds> s after the return
+    Then that is <taken> as a proof
+
+    Examples: what the operator had written is written again within 2 s
+      | version | seconds | taken     |
+      | 5       | -1      | taken     |
+      | 5       | 1       | not taken |
+      | 4       | 1       | not taken |
+      | 4       | 3       | not taken |
+      | 5       | 3       | taken     |
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -331,6 +331,8 @@
 # ago than this part of the bound on a key's end; the rest is a margin. A node in touch
 # with the store or a relay is 1.5 s old at most, so it never comes near.
 PROOF_SHARE = 0.9
+# How long the operator and the endpoints take to write again what a copy of the store lacks.
+REWRITE_S = 2.0
 # Near this part of its limit an organisation's owner is asked for each request. What nodes
 # know of each other's use is up to 1.3 s old (a heartbeat to the relay, one between relays,
 # half a second to the followers): one that surges to 7.5 times its usual from below a
--- a/packages/rookspring-core/src/rookspring_core/freshness.py
+++ b/packages/rookspring-core/src/rookspring_core/freshness.py
@@ -29,6 +29,19 @@
         self.at = NEVER
         # A later moment, shown for a version that this node is yet to get.
         self._ahead: tuple[int, float] = (0, NEVER)
+        # When the store came back from a copy, and the version that was in force here then.
+        self._copied: tuple[float, int] = (NEVER, 0)
+
+    def begin_era(self, at: float, applied: int) -> None:
+        """Take that the store came back from a copy, which may lack what was accepted."""
+        self._copied = (at, applied)
+
+    def _lacks(self, as_of: float, version: int) -> bool:
+        """Say whether the store may lack a newer version that it had accepted before."""
+        copied_at, applied = self._copied
+        if copied_at == NEVER or as_of < copied_at:
+            return False
+        return as_of < copied_at + defaults.REWRITE_S or version < applied
 
     def note(self, as_of: float, version: int, applied: int) -> None:
         """Take that a version was the newest at a moment.
@@ -36,6 +49,8 @@
         :param as_of: of this node's own clock.
         :param applied: the version that is in force here.
         """
+        if self._lacks(as_of, version):
+            return
         if version <= applied:
             self.at = max(self.at, as_of)
         elif (version, as_of) > self._ahead:
--- a/packages/rookspring-core/src/rookspring_core/governing.py
+++ b/packages/rookspring-core/src/rookspring_core/governing.py
@@ -52,6 +52,8 @@
         return []
     state.store_era = event.era
     state.control.lease.begin_era(event.era, event.at)
+    if state.table is not None:
+        state.freshness.begin_era(event.at, state.revision)
     return [Announce("store era")]
 
 
