--- /dev/null
+++ b/features/steps/store_copy_socket_steps.py
@@ -0,0 +1,192 @@
+"""A real node on loopback, over a store that comes back from an older copy."""
+
+import asyncio
+
+from aiohttp import web
+from behave import given
+from behave import then
+from behave import when
+from returns.result import Failure
+
+from rookspring.exceptions import PlatformUnreachable
+from rookspring_platform import store as store_module
+
+SERVICE = "svc"
+WAIT_S = 1.5
+
+
+def era_of(context):
+    return context.relay.node.context.state.store_era
+
+
+@when("the store names its era as {named}")
+def names_era(context, named):
+    stage = context.relay
+    values = [] if named == "nothing" else named.split(" and ")
+    era = stage.store.store
+
+    async def answer(request):
+        response = web.json_response({"items": [], "truncated": False, "as-of": era.version})
+        for value in values:
+            response.headers.add("Store-Era", value)
+        return response
+
+    async def work():
+        app = web.Application()
+        app.router.add_get("/objects/{kind}", answer)
+        runner = web.AppRunner(app)
+        await runner.setup()
+        site = web.TCPSite(runner, "127.0.0.1", 0)
+        await site.start()
+        host, port = site._server.sockets[0].getsockname()[:2]
+        stage.log_lines.clear()
+        client = store_module.ObjectStore(f"objects://{host}:{port}", lambda method, end: None)
+        client.hear_era = stage.node.context.platform.hear_era
+        context.answer = await client.list_kind("any")
+        context.lines = list(stage.log_lines)
+        await client.close()
+        await runner.cleanup()
+
+    context.loop.run(work())
+
+
+@then("the node knows era {era:d}, and says {line}")
+def knows_era(context, era, line):
+    assert era_of(context) == era, era_of(context)
+    said = {text.partition("event=")[2].split()[0] for text in context.lines if "store_era" in text}
+    assert said == (set() if line == "nothing" else {line}), said
+
+
+@given("the store is copied, and {lost:d} revisions of others and one of the endpoint follow")
+def copied(context, lost):
+    stage = context.relay
+
+    async def work():
+        context.copy = stage.store.store.copy()
+        for _ in range(lost):
+            await stage.store.write("others", "one", {})
+        server = stage.servers[0]
+        await stage.store.write("servers", server.name, server.entry(SERVICE, slots=9))
+        views = stage.node.context.state.endpoints
+        await stage.until(lambda: views[server.name].report.slots == 9)
+
+    context.loop.run(work())
+
+
+async def come_back(context, copy, away):
+    stage = context.relay
+    stage.store.faults.outage = away > 0
+    await asyncio.sleep(away)
+    await stage.store.come_back(copy)
+    stage.store.faults.outage = False
+
+
+@when(
+    "the store comes back from the copy, away for {away:g} s,"
+    " and the endpoint's entry says that it leaves"
+)
+def back_and_leaves(context, away):
+    stage = context.relay
+    server = stage.servers[0]
+
+    async def work():
+        await come_back(context, context.copy, away)
+        entry = server.entry(SERVICE, state="draining", slots=9)
+        await stage.store.write("servers", server.name, entry)
+
+    context.loop.run(work())
+
+
+@then("the node knows within {seconds:g} s that it leaves")
+def knows_leaving(context, seconds):
+    stage = context.relay
+    view = stage.node.context.state.endpoints[stage.servers[0].name]
+    context.loop.run(stage.until(lambda: view.leaving, seconds))
+
+
+@given("it holds the lease, and the store is copied before that")
+def holds(context):
+    stage = context.relay
+    lease = stage.node.context.state.control.lease
+
+    async def work():
+        context.copy = stage.store.store.copy()
+        rows = {
+            key: row for key, row in context.copy.objects.items() if key[0] != "rookspring-nodes"
+        }
+        context.bare = context.copy._replace(objects=rows)
+        await stage.until(lambda: lease.own_epoch > 0)
+        context.epoch = lease.own_epoch
+        await asyncio.sleep(0.2)
+
+    context.loop.run(work())
+
+
+@when("the store comes back from the copy, away for {away:g} s")
+def back(context, away):
+    context.loop.run(come_back(context, context.copy, away))
+
+
+@when("the store comes back from a copy from before the node's start, away for {away:g} s")
+def back_bare(context, away):
+    context.loop.run(come_back(context, context.bare, away))
+
+
+@then("the node holds the lease in the same epoch, in an object of era {era:d}")
+def holds_on(context, era):
+    stage = context.relay
+    control = stage.node.context.state.control
+
+    async def work():
+        objects = stage.store.store.objects
+        await stage.until(lambda: ("rookspring-lease", f"control-{era}") in objects, WAIT_S)
+        now = stage.node.context.now()
+        assert control.holding(now) and control.acting_epoch == context.epoch
+
+    context.loop.run(work())
+
+
+@then("the store has the node's row within {seconds:g} s")
+def has_row(context, seconds):
+    stage = context.relay
+    objects = stage.store.store.objects
+    context.loop.run(stage.until(lambda: ("rookspring-nodes", "n1") in objects, seconds))
+
+
+@when("the store comes back from a copy of now, and only another node tells of it")
+def told(context):
+    stage = context.relay
+
+    async def work():
+        calls = stage.store.store.calls
+        context.listed = calls.get("list", 0)
+        stage.store.names_era = False
+        stage.store.store.come_back(stage.store.store.copy())
+        stage.node.context.eras.hear(1, "another")
+
+    context.loop.run(work())
+
+
+@then("the node has listed endpoints and configuration anew within {seconds:g} s")
+def listed_anew(context, seconds):
+    stage = context.relay
+    calls = stage.store.store.calls
+    context.loop.run(stage.until(lambda: calls["list"] >= context.listed + 2, seconds))
+
+
+@when("the node knows era {known:d}, and the store answers in era {told:d}")
+def behind(context, known, told):
+    stage = context.relay
+
+    async def work():
+        stage.node.context.eras.hear(known, "another")
+        stage.store.store.era = told
+        context.answer = await stage.node.context.platform.list_kind("any")
+
+    context.loop.run(work())
+
+
+@then("its calls fail as unreachable")
+def unreachable(context):
+    assert isinstance(context.answer, Failure)
+    assert isinstance(context.answer.failure(), PlatformUnreachable)
