--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -13,6 +13,7 @@
 LIVES = ("features/lives.feature",)
 CLOCKS = ("features/clocks.feature",)
 RATES = ("features/rate_limits.feature", "features/rate_limits_sockets.feature")
+COPIES = ("features/store_copies_sockets.feature", "features/store_copies.feature")
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -41,6 +41,7 @@
 from rookspring_platform.dialect import PlatformDialect
 
 from . import clock_mutants
+from . import era_mutants
 from . import notice_mutants
 from . import organisation_mutants
 from . import rate_mutants
@@ -281,6 +282,7 @@
     "notices": notice_mutants.MUTANTS,
     "clock": clock_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
+    "eras": era_mutants.MUTANTS,
 }
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -1,12 +1,13 @@
 """Seeded troubles of real processes, in series and overlapping, while callers go on.
 
-Signals that stop, freeze, kill and tell of changes; a store that is away; configuration that
-changes; endpoints that leave, want rest or take so many requests a second and say so with their
-answers alone.
+Signals that stop, freeze, kill and tell of changes; a store that is away, or comes back from an
+older copy; configuration that changes; endpoints that leave, want rest or take so many requests
+a second and say so with their answers alone.
 """
 
 import asyncio
 import random
+import re
 import signal
 import time
 import typing as t
@@ -71,6 +72,7 @@
         for node in self.stage.nodes:
             if "event=effect_failed" in node.text or "InvariantBroken" in node.text:
                 broken.append(f"a fault of ours in the log of {node.name}")
+        broken += [f"two nodes took fence {fence}" for fence in _shared_fences(self.stage)]
         answered = sum(one.status == 200 for one in callers.seen)
         return Outcome(len(callers.seen), answered, self.troubles, broken)
 
@@ -91,6 +93,15 @@
         return self.drawn.choice(free) if len(free) > 1 else None
 
 
+def _shared_fences(stage: ProcessStage) -> list[str]:
+    """Give the fences that more than one node has taken, by the nodes' logs."""
+    takers: dict[str, set[str]] = {}
+    for node in stage.nodes:
+        for fence in re.findall(r"event=lease_acquired .*epoch=(\d+)", node.text):
+            takers.setdefault(fence, set()).add(node.name)
+    return [fence for fence, names in takers.items() if len(names) > 1]
+
+
 @trouble("a node is stopped as planned and started again")
 async def stop_node(soak: ProcessSoak) -> None:
     """Its callers find it gone, and nothing is cut."""
@@ -150,6 +161,19 @@
     soak.stage.store.faults.outage = False
 
 
+@trouble("the store comes back from an older copy")
+async def return_store(soak: ProcessSoak) -> None:
+    """What was written since is gone, and written again within a second."""
+    copy = soak.stage.store.store.copy()
+    await asyncio.sleep(soak.drawn.uniform(0.5, 6.0))
+    soak.stage.store.faults.outage = True
+    await asyncio.sleep(soak.drawn.choice((0.0, 0.5, 2.0)))
+    await soak.stage.store.come_back(copy)
+    soak.stage.store.faults.outage = False
+    await asyncio.sleep(soak.drawn.uniform(0.1, 1.0))
+    await soak.stage.write_again()
+
+
 @trouble("the configuration changes")
 async def change_table(soak: ProcessSoak) -> None:
     """The same routes under another version."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -160,6 +160,8 @@
         # All that were ever there, and those that serve now.
         self.servers: list[ModelServer] = []
         self.version = 1
+        # What endpoints would write again.
+        self._entries: dict[str, dict[str, t.Any]] = {}
 
     async def rise(self) -> "ProcessStage":
         """Start all, and wait until callers may come."""
@@ -190,14 +192,29 @@
         server.streams = True
         self.servers.append(server)
         await server.start()
-        await self.store.write("servers", server.name, server.entry(SERVICE))
+        self._entries[server.name] = server.entry(SERVICE)
+        await self.store.write("servers", server.name, self._entries[server.name])
         return server
 
     async def remove_server(self, server: ModelServer) -> None:
         """End an endpoint, whose entry goes."""
-        await self.store.remove("servers", server.name)
+        del self._entries[server.name]
+        # A copy from before it came lacks it.
+        if ("servers", server.name) in self.store.store.objects:
+            await self.store.remove("servers", server.name)
         server.end()
 
+    async def write_again(self) -> None:
+        """Have endpoints and the operator write what a copy lacks, and lapse what is gone."""
+        objects = self.store.store.objects
+        for name, entry in list(self._entries.items()):
+            if ("servers", name) not in objects:
+                await self.store.write("servers", name, entry)
+        for kind, name in list(objects):
+            if kind == "servers" and name not in self._entries:
+                await self.store.remove("servers", name)
+        await self.store.write("config", "main", write_table(self.version))
+
     async def fall(self) -> list[str]:
         """Stop all as planned; gives the nodes whose process was there past its grace."""
         late = []
