--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -209,6 +209,7 @@
         self._listed_at = -1e9
         self._version = -1
         self._listed_era = 0
+        self._row_era = 0
 
     def count_malformed(self, number: int) -> None:
         """The fleet writes no malformed entries."""
@@ -264,12 +265,19 @@
         if self._listed_era != self.state.store_era:
             self._listed_era = self.state.store_era
             self._version = -1
-            again_at = self.fleet.now + row_again_s(self.state)
-            self.fleet.at(again_at, lambda: self.fleet.hand(self, self._restore_row))
+
+    def _look_after_row(self) -> None:
+        """Have this node's row written again once an era began, whoever told of it."""
+        if self._row_era == self.state.store_era:
+            return
+        self._row_era = self.state.store_era
+        again_at = self.fleet.now + row_again_s(self.state)
+        self.fleet.at(again_at, lambda: self.fleet.hand(self, self._restore_row))
 
     def _restore_row(self) -> None:
         """Write this node's row where the store lacks it."""
-        self.fleet.store.put(NODES, self.name, self.place)
+        if self.fleet.store.get(NODES, self.name) is None:
+            self.fleet.store.put(NODES, self.name, self.place)
 
     def read_table(self) -> None:
         """Read the configuration; the answer takes a while."""
@@ -309,6 +317,7 @@
 
     def read_store(self) -> None:
         """Read the store where this node watches it and is due."""
+        self._look_after_row()
         self.list.take_stood(self.fleet.now)
         watches = self.state.topology.watching or self._version < 0
         if not watches or self.fleet.now < self._next_read:
