--- a/features/run.py
+++ b/features/run.py
@@ -33,6 +33,7 @@
     "size": 100,
     "crashes": 60,
     "adapters": 50,
+    "store_copies": 110,
     "relay_sockets": 40,
 }
 # Has a process write its report to the file that follows.
