Add rows of a configuration upon a revision of another era, and of verdicts after a loss of all

The rows of an endpoint's word have the node hold the lease now: one of them failed once beside other work, since a node that had just started waits in 4 s watches and calls nothing else until it may contend for the lease; the stand-in keeps such watches over its return. In a deployment the holder, or who may be next, calls each second and tells all.

--- a/features/steps/store_copy_socket_steps.py
+++ b/features/steps/store_copy_socket_steps.py
@@ -6,6 +6,7 @@
 from behave import given
 from behave import then
 from behave import when
+from relay_stage import configuration
 from returns.result import Failure
 
 from rookspring.exceptions import PlatformUnreachable
@@ -190,3 +191,83 @@
 def unreachable(context):
     assert isinstance(context.answer, Failure)
     assert isinstance(context.answer.failure(), PlatformUnreachable)
+
+
+@given(
+    "a configuration of version {version:d} is in force, and the store was copied just before it"
+)
+def in_force(context, version):
+    stage = context.relay
+
+    async def work():
+        context.copy = stage.store.store.copy()
+        await stage.store.write("config", "main", configuration(version))
+        context.revision = stage.store.store.version
+        state = stage.node.context.state
+        await stage.until(lambda: state.revision == version)
+
+    context.loop.run(work())
+
+
+@when("the store comes back from the copy, and version {version:d} is written upon its revision")
+def upon_the_same(context, version):
+    stage = context.relay
+
+    async def work():
+        # Before the node can write anything.
+        stage.store.store.come_back(context.copy)
+        await stage.store.write("config", "main", configuration(version))
+        assert stage.store.store.objects[("config", "main")].version == context.revision
+
+    context.loop.run(work())
+
+
+@then("version {version:d} is in force within {seconds:g} s")
+def version_in_force(context, version, seconds):
+    state = context.relay.node.context.state
+    context.loop.run(context.relay.until(lambda: state.revision == version, seconds))
+
+
+@given("the lease of the era before keeps a verdict")
+def keeps_verdict(context):
+    stage = context.relay
+    lease = {"holder": "n9", "epoch": 3, "nonce": "x", "verdicts": [["f", "", 500.0]]}
+
+    async def work():
+        await stage.store.write("rookspring-lease", "control", lease)
+        context.copy = stage.store.store.copy()
+
+    context.loop.run(work())
+
+
+@when("the node is killed, and another starts in its place after the store came back")
+def killed_and_back(context):
+    stage = context.relay
+
+    async def work():
+        await stage.store.come_back(context.copy)
+        context.started_at = stage.node.context.now()
+        await stage.restart()
+
+    context.loop.run(work())
+
+
+@then("that knows the verdict within {seconds:g} s")
+def knows_verdict(context, seconds):
+    node = context.relay.node.context
+    suspects = node.state.suspects
+    known = context.relay.until(lambda: suspects.verdict("f", node.now()) is not None, seconds)
+    context.loop.run(known)
+
+
+@then("it does not hold the lease before a whole term has passed")
+def waits_a_term(context):
+    stage = context.relay
+    node = stage.node.context
+    lease = node.state.control.lease
+
+    async def work():
+        await stage.until(lambda: lease.own_epoch > 0, 7.0)
+        assert node.now() - context.started_at >= lease.terms.ttl_s
+
+    context.loop.run(work())
--- a/features/store_copies_sockets.feature
+++ b/features/store_copies_sockets.feature
@@ -21,6 +21,7 @@
 
   Scenario Outline: an endpoint that leaves after the return gets nothing more
     Given a relay node with one endpoint that does: answer
+    And it holds the lease, and the store is copied before that
     And the store is copied, and <lost> revisions of others and one of the endpoint follow
     When the store comes back from the copy, away for <away> s, and the endpoint's entry says that it leaves
     Then the node knows within 1.5 s that it leaves
@@ -57,3 +58,17 @@
     Given a relay node with one endpoint that does: answer
     When the node knows era 3, and the store answers in era 2
     Then its calls fail as unreachable
+
+  Scenario: a configuration that bears the revision of another era is read
+    Given a relay node with one endpoint that does: answer
+    And it holds the lease, and the store is copied before that
+    And a configuration of version 6 is in force, and the store was copied just before it
+    When the store comes back from the copy, and version 7 is written upon its revision
+    Then version 7 is in force within 2 s
+
+  Scenario: verdicts outlast the loss of all nodes and of the newest lease
+    Given a relay node with one endpoint that does: answer
+    And the lease of the era before keeps a verdict
+    When the node is killed, and another starts in its place after the store came back
+    Then that knows the verdict within 1.5 s
+    And it does not hold the lease before a whole term has passed
