Have nodes place what an owner of slots refuses that knows no endpoint

Change: an owner says that it refuses for want of any endpoint; the request's own node then places it by what it knows itself, as it does for an owner that is silent. Where it knows none either it refuses at once.

Evidence: the row 'knows no endpoint' of slots.feature is new; with granting.py as it was it is refused (by reading: the answer's after_s ended it).

--- a/features/slots.feature
+++ b/features/slots.feature
@@ -40,6 +40,8 @@
     When 200 requests come, a slot free for each
     Then that endpoint got at most 60 of them
 
+  # Its rows of an owner that knows no endpoint guard against requests that are refused by the
+  # hundred, though their own nodes know endpoints with room.
   Scenario Outline: a request whose owner is silent is placed by its own node
     Given a relaying node with a plain service whose owner <answers>
     When a request comes and <ms> ms pass
@@ -52,6 +54,8 @@
       | says that it waits  | 70  | waits                    |
       | gives it a slot     | 0   | was sent                 |
       | refuses it          | 0   | was refused              |
+      | knows no endpoint   | 0   | was sent                 |
+      | knows none, nor does the node | 0 | was refused      |
       | gives a gone one    | 0   | was sent and gave it back |
 
   Scenario: a slot is given back once, however its run ends
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -13,6 +13,7 @@
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
+from rookspring_core.events import BoxListCame
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -324,8 +325,16 @@
             )
         )
 
-    def answer(self, endpoint="", after_s=0.0):
-        self.submit(SlotAnswered(self.now, "r1", "svc", endpoint, after_s))
+    def answer(self, endpoint="", after_s=0.0, blind=False):
+        self.submit(SlotAnswered(self.now, "r1", "svc", endpoint, after_s, blind=blind))
+
+    def refuse_blind(self):
+        """Answer as an owner that knows no endpoint does."""
+        (told,) = SlotQueue().ask(SlotAsk("n", "r1", 0, "", 0.3), self.now)
+        self.answer(after_s=told.after_s, blind=told.blind)
+
+    def forget_endpoints(self):
+        self.submit(BoxListCame(self.now, ()))
 
 
 ANSWERS = {
@@ -333,6 +342,8 @@
     "says that it waits": lambda node: node.answer(),
     "gives it a slot": lambda node: node.answer("f"),
     "refuses it": lambda node: node.answer(after_s=0.7),
+    "knows no endpoint": lambda node: node.refuse_blind(),
+    "knows none, nor does the node": lambda node: (node.forget_endpoints(), node.refuse_blind()),
     "gives a gone one": lambda node: node.answer("g"),
 }
 
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -145,6 +145,7 @@
     :param after_s: when to come back where it is refused, in seconds; else 0.
     :param rated: the slot counts towards the requests a second that the endpoint takes.
     :param stay_s: how long this node is to use other endpoints, if there are any, in seconds.
+    :param blind: it is refused as its owner knows no endpoint that takes work.
     """
 
     at: float
@@ -154,6 +155,7 @@
     after_s: float
     rated: bool = False
     stay_s: float = 0.0
+    blind: bool = False
 
 
 class SessionOpened(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/granting.py
+++ b/packages/rookspring-core/src/rookspring_core/granting.py
@@ -34,6 +34,11 @@
     if asked is not None:
         return _take_turn(state, request, asked, event)
     if event.after_s > 0.0:
+        if event.blind and routed.choose_among(state, request):
+            # This node knows more than the owner, which may have just started.
+            state.record(event.request_id, "placed without a slot", "its owner knows no endpoint")
+            request.slot_asked_at = None
+            return requests.pump(state)
         return _end_unslotted(state, request, event.after_s)
     if not event.endpoint:
         request.slot_heard = True
--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -52,6 +52,8 @@
     :param after_s: when to come back where it is refused, in seconds; else 0.
     :param rated: the slot counts towards the requests a second that the endpoint takes.
     :param stay_s: how long its node is to use other endpoints, if there are any, in seconds.
+    :param blind: it is refused as its owner knows no endpoint that takes work; its own node
+        may.
     """
 
     origin: str
@@ -60,6 +62,7 @@
     after_s: float = 0.0
     rated: bool = False
     stay_s: float = 0.0
+    blind: bool = False
 
 
 class SlotEndpoint(t.NamedTuple):
@@ -266,7 +269,8 @@
     def _refuse(self, ask: SlotAsk, wait_s: float, now: float) -> SlotAnswer:
         least, most = defaults.SLOT_BACK_S
         if ask.rate is None:
-            return SlotAnswer(ask.origin, ask.key, "", min(most, max(least, wait_s)))
+            after_s = min(most, max(least, wait_s))
+            return SlotAnswer(ask.origin, ask.key, "", after_s, blind=not self._open)
         stay_s = self._askers.stay_s(ask.origin, ask.rate, 0.0, now)
         after_s = max(defaults.TURN_AGAIN_S, wait_s)
         if ask.wait_s > 0.0:
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -330,6 +330,7 @@
     after_s: float
     rated: bool
     stay_s: float
+    blind: bool
 
 
 @message("slot-free")
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -88,7 +88,14 @@
         if one.after_s > 0.0 and queue.startswith(slotting.ENDPOINT_MARK):
             log("turn_denied", queue=queue, origin=one.origin, key=one.key, after_s=one.after_s)
         told = SlotTold(
-            one.origin, one.key, queue, one.endpoint, one.after_s, one.rated, one.stay_s
+            one.origin,
+            one.key,
+            queue,
+            one.endpoint,
+            one.after_s,
+            one.rated,
+            one.stay_s,
+            one.blind,
         )
         relay_owners.answer(peers, told)
 
@@ -105,5 +112,6 @@
             float(told.after_s),
             bool(told.rated),
             float(told.stay_s),
+            bool(told.blind),
         )
     )
