Keep the place in line of an adapter that gave way before anyone used it

Cause: the want of an adapter ended when it was attached, not when a caller was served, so that one that made room again unused was the last in line when it was asked for next.

Change: the stay knows since when its callers waited, and leaving unused hands that back to the want.

--- a/features/adapters.feature
+++ b/features/adapters.feature
@@ -60,6 +60,14 @@
       | n      | m/a1  | no     |
       | n      | m     | no     |
 
+  # Guards against an adapter that is asked for all day and served nobody: once it was attached it lost
+  # its place in line, also where it had to make room again before any caller could use it.
+  Scenario: an adapter that gave way unused goes before those that began to wait after it
+    Given a lease holder over runners holding m+a2+a3 of 200 GB
+    When a9 is attached and gives way before anyone has used it
+    And a7 is wanted, and then a9 again
+    Then a9 is attached before a7
+
   Scenario Outline: each adapter that is asked for is served before long
     Given runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places
     And <trouble>
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -157,6 +157,29 @@
     assert got == (missed == "yes"), node.state.control.missed.meter.rates
 
 
+@when("a9 is attached and gives way before anyone has used it")
+def gave_way_unused(context):
+    make_give_way(context.holder, used=False)
+    context.given = len(context.holder.orders)
+
+
+@when("a7 is wanted, and then a9 again")
+def wanted_again(context):
+    holder = context.holder
+    for _ in range(60):
+        want(holder, "a7")
+        holder.pass_time(0.1)
+        want(holder, "a9")
+        use(holder, ["a3"])
+
+
+@then("a9 is attached before a7")
+def attached_first(context):
+    orders = context.holder.orders[context.given :]
+    loads = [one.model_version for one in orders if one.action == "load"]
+    assert loads and loads[0] == "m/a9", loads
+
+
 @given("runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places")
 def runners_hold(context):
     context.held = HELD
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -156,7 +156,7 @@
     if used + size.adapter_mb <= engine.memory_mb and places < engine.adapters_max:
         order = give_order(state, view, "load", model, adapter)
         assert room.order is not None
-        room.order = room.order._replace(back_at=want.back_at)
+        room.order = room.order._replace(back_at=want.back_at, wanted_at=want.first_at)
         return [order]
     return _make_place(state, view, room)
 
@@ -177,7 +177,7 @@
     idle = [one for one in room.going_adapters() if (view.name, one) not in in_use]
     for adapter in sorted(idle, key=lambda one: room.withdrawn[one]):
         if state.now - room.withdrawn[adapter] >= defaults.WITHDRAWN_TOLD_S:
-            left = _tell_stay(state, view.name, room, adapter)
+            left = _end_stay(state, view, room, adapter)
             return [*left, give_order(state, view, "unload", *split_name(adapter))]
     waiting = sum(1 for key, want in state.residency.wanted.items() if key[2] and not want.given_up)
     ranked = _list_least_missed(state, view, room, in_use)
@@ -234,11 +234,22 @@
     return effects
 
 
-def _tell_stay(state: NodeState, endpoint: str, room: Room, adapter: str) -> Effects:
+def _end_stay(state: NodeState, view: EndpointView, room: Room, adapter: str) -> Effects:
+    """An adapter gives its place away: say whether it was of use.
+
+    One that nobody used has served none of those who waited for it, so its want goes on
+    since when it began, and is not the last in line when they ask again.
+    """
     stay = room.stays.pop(adapter, None)
     if stay is None:
         return []
-    return [AdapterLeft(endpoint, adapter, state.now - stay.since, stay.used)]
+    if not stay.used and stay.wanted_at < state.now:
+        key = (view.service, split_name(adapter)[0], adapter)
+        want = state.residency.wanted.get(key)
+        want = want or OpenWant(stay.wanted_at, state.now, times=0, given_up=True)
+        first_at = min(want.first_at, stay.wanted_at)
+        state.residency.wanted[key] = want._replace(first_at=first_at)
+    return [AdapterLeft(view.name, adapter, state.now - stay.since, stay.used)]
 
 
 def _take_back(
@@ -256,7 +267,7 @@
             continue
         del room.withdrawn[adapter]
         kept_until = max(state.now, want.back_at) + defaults.PLACE_KEPT_S
-        stay = room.stays.get(adapter, Stay(state.now, kept_until))
+        stay = room.stays.get(adapter, Stay(state.now, kept_until, wanted_at=want.first_at))
         room.stays[adapter] = stay._replace(kept_until=kept_until)
         report = view.report._replace(adapters=(*view.report.adapters, adapter))
         return [put_report(state, view, report)]
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -303,7 +303,7 @@
     if order.action == "load":
         report = report._replace(adapters=(*report.adapters, order.adapter))
         kept_until = max(state.now, order.back_at) + defaults.PLACE_KEPT_S
-        room.stays[order.adapter] = Stay(state.now, kept_until)
+        room.stays[order.adapter] = Stay(state.now, kept_until, wanted_at=order.wanted_at)
     report = report._replace(order_token=(0, order.taken_before + 1))
     effects: Effects = [put_report(state, view, report)]
     effects += attaching.serve_wants(state)
--- a/packages/rookspring-core/src/rookspring_core/rooms.py
+++ b/packages/rookspring-core/src/rookspring_core/rooms.py
@@ -1,5 +1,6 @@
 """What the lease holder keeps of each endpoint that counts the orders it takes."""
 
+import math
 import typing as t
 
 from . import defaults
@@ -17,6 +18,7 @@
     :param length_s: how long it is expected to take, in seconds.
     :param sends: how often it was sent, each time upon the same count.
     :param back_at: when the last caller will have come back for whom it was given.
+    :param wanted_at: since when those for whom it was given had waited.
     """
 
     action: str
@@ -29,6 +31,7 @@
     length_s: float = 0.0
     sends: int = 1
     back_at: float = -1e9
+    wanted_at: float = math.inf
 
     def ends_at(self) -> float:
         """Give the moment at which it is expected to be over."""
@@ -72,11 +75,13 @@
     :param since: when it was attached.
     :param kept_until: when the callers for whom it was attached will have been seen to use it.
     :param used: a request was seen to use it.
+    :param wanted_at: since when those for whom it was attached had waited.
     """
 
     since: float
     kept_until: float
     used: bool = False
+    wanted_at: float = math.inf
 
 
 class Room:
