Give requests for what has just come the first call on room at its endpoint

Cause: places for adapters go to who has waited for longest, and slots at the same runner to whoever asks first, which are the adapters that ask most: what was attached for a caller who waits was of no use to him.

Change: what has come within three seconds has the first call there: others leave a slot for each of these free, an eighth of the slots at most, and 1,024 of the prompt tokens that may be unread. Nothing is sent beyond the bounds of before.

--- a/features/adapters.feature
+++ b/features/adapters.feature
@@ -60,6 +60,32 @@
       | n      | m/a1  | no     |
       | n      | m     | no     |
 
+  # Guards against adapters that are attached for callers who wait, and whose callers then find no room
+  # there, as all slots went to those of others, which ask more often.
+  Scenario Outline: what has come for callers who wait has the first call on room there
+    Given an endpoint of 16 slots with m and its adapter a1, where <came> comes
+    When <others> requests for a1 are there, and <later> s later one for a9
+    Then <sent> of those for a1 are sent, and the one for a9 is <then>
+
+    Examples: an adapter's first call is for 3 s; one slot in eight is kept at most
+      | came     | others | later | sent | then     |
+      | a9       | 20     | 0     | 15   | sent     |
+      | a9       | 14     | 0     | 14   | sent     |
+      | a9 to a12 | 20    | 0     | 14   | sent     |
+      | a9       | 20     | 3.1   | 16   | not sent |
+      | nothing  | 20     | 0     | 16   | not sent |
+
+  Scenario Outline: prompts of others leave what came a part of what may be unread
+    Given an endpoint of 16 slots with m and its adapter a1, where <came> comes
+    When prompts of <tokens> tokens for a1 are there, and then one of 900 for a9
+    Then <sent> of those for a1 are sent, and the one for a9 is <then>
+
+    Examples: 4,096 tokens may be unread, of which 1,024 are kept
+      | came    | tokens     | sent | then     |
+      | a9      | 1500, 1600 | 1    | sent     |
+      | a9      | 1500, 1500 | 2    | sent     |
+      | nothing | 1500, 2000 | 2    | not sent |
+
   # Guards against an adapter that is asked for all day and served nobody: once it was attached it lost
   # its place in line, also where it had to make room again before any caller could use it.
   Scenario: an adapter that gave way unused goes before those that began to wait after it
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -180,6 +180,46 @@
     assert loads and loads[0] == "m/a9", loads
 
 
+@given("an endpoint of 16 slots with m and its adapter a1, where {came} comes")
+def adapters_come(context, came):
+    context.node = node = RelayHarness()
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ("m",), ("m/a1",), slots=16))
+    node.now += 1.0
+    first, _, last = came.removeprefix("a").partition(" to a")
+    numbers = range(int(first), int(last or first) + 1) if came != "nothing" else (9,)
+    adapters = ["m/a1", *(f"m/a{number}" for number in numbers)]
+    if came == "nothing":
+        # It is there from the first report on.
+        context.node = node = RelayHarness()
+        node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ("m",), adapters, slots=16))
+
+
+@when("{others:d} requests for a1 are there, and {later:g} s later one for a9")
+def others_first(context, others, later):
+    node = context.node
+    node.now += later
+    for number in range(others):
+        node.ask(model="m", adapter="m/a1", key=f"o{number}")
+    node.ask(model="m", adapter="m/a9", key="first")
+
+
+@when("prompts of {tokens} tokens for a1 are there, and then one of 900 for a9")
+def prompts_first(context, tokens):
+    node = context.node
+    for number, size in enumerate(tokens.split(", ")):
+        node.ask(model="m", adapter="m/a1", key=f"o{number}", prompt_tokens=int(size))
+    node.ask(model="m", adapter="m/a9", key="first", prompt_tokens=900)
+
+
+@then("{sent:d} of those for a1 are sent, and the one for a9 is {then}")
+def sent_in_turn(context, sent, then):
+    keys = [one.request_id for one in context.node.sent]
+    assert sum(key != "first" for key in keys) == sent, keys
+    assert ("first" in keys) == (then == "sent"), keys
+
+
 @given("runners holding m+q, n+p and r+s, where m has 20 adapters and a runner 8 places")
 def runners_hold(context):
     context.held = HELD
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -173,6 +173,12 @@
 LIFE_LOOK_S = 0.5
 # A want that was not served is forgotten; its request has long been refused.
 WANT_LIFE_S = 1.0
+# For so long after an adapter was attached, in seconds, requests for it have the first call on
+# room there: its callers are told to come back within that time. So many of the slots at most are
+# kept for all that came, and so many of the prompt tokens that may be unread.
+FIRST_CALL_S = 3.0
+FIRST_CALL_SHARE = 0.125
+FIRST_CALL_TOKENS = 1_024
 # How long callers of an adapter that is attached nowhere are told to stay away: what this part
 # of the waits seen stay below, learnt in steps of this part of itself, up to this many seconds.
 ADAPTER_WAIT_SHARE = 0.95
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -90,6 +90,7 @@
         "address",
         "began_at",
         "born",
+        "came",
         "coming",
         "data_centre",
         "doubted_born",
@@ -138,6 +139,8 @@
         self.born = born
         self.report: EndpointReported | None = None
         self.reported_at = -1e9
+        # Adapters that were attached there of late, and when this node learnt so.
+        self.came: dict[str, float] = {}
         self.leaving = False
         self.gone = False
         # Until when it wants nothing from this node; see :mod:`notices`.
@@ -177,6 +180,7 @@
         self.began_at = now
         self.report = None
         self.reported_at = -1e9
+        self.came.clear()
         self.resident = frozenset()
         self.leaving = False
         self.rest_until = -1e9
@@ -199,6 +203,8 @@
         made_at = report.at - report.age_s
         if made_at <= self.reported_at:
             return False
+        if self.report is not None:
+            self._note_came(self.report.adapters, report)
         self.report = report
         self.reported_at = made_at
         self.load_told = report.running != defaults.LOAD_UNTOLD
@@ -211,6 +217,18 @@
         self.others = max(0, report.running + report.queued - own)
         return True
 
+    def _note_came(self, before: t.Collection[str], report: EndpointReported) -> None:
+        """Note which adapters a report names that were not there before."""
+        for adapter in report.adapters:
+            if adapter not in before:
+                self.came[adapter] = report.at
+        for adapter in [one for one in self.came if one not in report.adapters]:
+            del self.came[adapter]
+
+    def first_calls(self, now: float) -> list[str]:
+        """Name the adapters that were attached for callers who may not have used them yet."""
+        return [one for one, at in self.came.items() if now - at < defaults.FIRST_CALL_S]
+
     def load(self, now: float) -> float:
         """Estimate requests running or queued there, per slot (1.0 is full).
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -158,13 +158,26 @@
         holding = [one for one in holding if one.has_adapter(arrived.adapter)]
     staying = [one for one in holding if _stays(state, one) and not _spared(state, one)]
     ready = [one for one in staying if one.open_for_work(state.now)] or staying
-    ready = [one for one in ready if one.load(state.now) < 1.0]
+    kept = {one.name: _kept_slots(state, one, arrived) for one in ready}
+    ready = [one for one in ready if one.load(state.now) < 1.0 - kept[one.name] / one.slots()]
     if any(one.rate is not None for one in ready):
         ready = _with_turns(state, request, ready)
     if arrived.service:
         return ready
     work = _prompt_work(state, arrived)
-    return [one for one in ready if _takes(one, work)]
+    return [one for one in ready if _takes(one, work, kept[one.name] > 0)]
+
+
+def _kept_slots(state: NodeState, endpoint: EndpointView, arrived: RequestArrived) -> int:
+    """Give how many of an endpoint's slots a request is to leave free.
+
+    An adapter that was attached for callers who wait is of no use where all slots go to those
+    of others, which ask more often; so each that has just come has a slot kept for it.
+    """
+    first = endpoint.first_calls(state.now)
+    if not first or arrived.adapter in first:
+        return 0
+    return min(len(first), int(endpoint.slots() * defaults.FIRST_CALL_SHARE))
 
 
 def _stays(state: NodeState, endpoint: EndpointView) -> bool:
@@ -265,9 +278,14 @@
     return round(arrived.prompt_tokens * state.paces.relative(arrived.target))
 
 
-def _takes(endpoint: EndpointView, tokens: int) -> bool:
+def _takes(endpoint: EndpointView, tokens: int, others_first: bool) -> bool:
+    """Say whether an endpoint may be given another prompt to read.
+
+    :param others_first: a part is kept for requests that have the first call.
+    """
     unread = endpoint.unread()
-    return unread == 0 or unread + tokens <= defaults.UNREAD_TOKENS_MAX
+    most = defaults.UNREAD_TOKENS_MAX - (defaults.FIRST_CALL_TOKENS if others_first else 0)
+    return unread == 0 or unread + tokens <= most
 
 
 def begin_prompt(state: NodeState, request: RequestState, endpoint: EndpointView) -> list[Effect]:
