Let the claims of models that stand nowhere grow twice as fast

Cause, as postmortem passed-over-models.md has it: a model that stands nowhere takes a place once it counts for four times what is missed without another, and what it counts for grew too slowly.

--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -216,7 +216,7 @@
 # What was asked in vain of a model that stands nowhere counts as if it were asked for again
 # within so many seconds: after three times that it takes the place of one that is asked for as
 # much, so that none is out of reach for long.
-CLAIM_GROWS_S = 5.0
+CLAIM_GROWS_S = 2.5
 # Part of a request that can wait for its model, as it counts where that gives way: it is
 # served in time nearly always, but holds up a runner's orders for a swap.
 PATIENT_LOSS = 0.2
