--- a/bench/notice_mutants.py
+++ b/bench/notice_mutants.py
@@ -4,6 +4,7 @@
 
 from rookspring import relay_merged
 from rookspring import relay_notices
+from rookspring_core import comebacks
 from rookspring_core import notices
 from rookspring_core import noticing
 from rookspring_core import routed
@@ -85,5 +86,5 @@
     Mutant("bounds no notices", "memory", notices, "_bound", _nothing, NOTICES),
     Mutant("rests for as long as asked", "reach", Notice, "asked_rest_s", _uncapped, NOTICES),
     Mutant("a slot is a slot", "BUDGET", slotting, "usable", _usable, NOTICES),
-    Mutant("all back at one moment", "callers", routed, "rest_back_s", _same_moment, NOTICES),
+    Mutant("all back at one moment", "callers", comebacks, "rest_back_s", _same_moment, NOTICES),
 )
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -4,6 +4,7 @@
 """
 
 from . import admission
+from . import comebacks
 from . import defaults
 from . import requests
 from . import routed
@@ -74,7 +75,7 @@
     if terms is not None and request.sent and request.arrived.deadline_at <= state.now:
         status = 504
     text = f"endpoint failed: {event.reason}"
-    after_s = max(defaults.FAILED_BACK_S, routed.rest_back_s(state, request) if terms else 0.0)
+    after_s = max(defaults.FAILED_BACK_S, comebacks.rest_back_s(state, request) if terms else 0.0)
     effects = requests.give_up(state, request, status, "endpoint_failed", text, after_s)
     return told + effects + requests.pump(state)
 
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -5,6 +5,7 @@
 
 from . import admission
 from . import allotting
+from . import comebacks
 from . import defaults
 from . import keys
 from . import retries
@@ -391,7 +392,7 @@
     if request.arrived.route is not None:
         reason, text = routed.lacking(state, request.arrived)
         routed.note_missed(state, request.arrived, reason)
-        return give_up(state, request, status, reason, text, routed.come_back(state, request))
+        return give_up(state, request, status, reason, text, comebacks.come_back(state, request))
     text = "cannot be served before its deadline any more"
     return give_up(state, request, status, "late", text, 1.0)
 
--- a/packages/rookspring-core/src/rookspring_core/wants.py
+++ b/packages/rookspring-core/src/rookspring_core/wants.py
@@ -1,6 +1,6 @@
 """What requests wait for that no endpoint holds, told to the lease holder."""
 
-from . import routed
+from . import comebacks
 from .effects import Effect
 from .effects import Want
 from .events import RequestArrived
@@ -21,5 +21,5 @@
     request = state.requests[event.request_id]
     if event.adapter:
         state.adapter_waits.begin(event.adapter, state.now)
-    back_s = terms.patience_s + routed.come_back(state, request)
+    back_s = terms.patience_s + comebacks.come_back(state, request)
     return [Want(terms.service, event.target, event.adapter, back_s)]
