Log which callers still wait for an answer when a planned stop ends, and for what

A node that had read a request and neither refused nor sent it wrote no line of it, so the logs of the incident's stops could not tell a request that waited for its key from one that hung at its endpoint, one whose bytes were not sent, and one whose coroutine had failed.

`request_read_leaving` is a line for each request that is read while the node is leaving, and an exception of what serves a caller names the request. The gauge rookspring_answers_owed stands beside rookspring_inflight. No logic is changed.

--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -88,6 +88,8 @@
     def __init__(self, scripts):
         self.store = ObjectPlatform()
         self.others = []
+        # Settings that differ from those of :func:`make_settings`.
+        self.settings_changed = {}
         self.servers = [ModelServer(f"i{number}", script) for number, script in enumerate(scripts)]
 
     async def start(self, version=5, tenants=None):
@@ -97,7 +99,7 @@
             await self.store.write("servers", server.name, server.entry("svc"))
         if version:
             await self.store.write("config", "main", configuration(version, tenants))
-        self.settings = make_settings(self.served.address)
+        self.settings = make_settings(self.served.address)._replace(**self.settings_changed)
         if tenants is not None:
             self.settings = self.settings._replace(proof_s=5.0)
         self.log_lines = []
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -13,12 +13,14 @@
 
 import httptools
 
+from . import clock
 from . import defaults
 from .exceptions import CallerGone
 from .http_messages import Header
 from .http_messages import HttpRequest
 from .http_messages import reason_phrase
 from .http_messages import write_head
+from .logs import log
 
 
 class ReadLimits(t.NamedTuple):
@@ -63,6 +65,20 @@
         self._answering = False
         self._close_after = False
         self._chunked = False
+        # The request that was read last: when, its id as far as its server has parsed it, and what
+        # it waits for before its server decides on it; the last two are for the log.
+        self.read_at = 0.0
+        self.request_id = ""
+        self.waits_for = ""
+
+    @property
+    def unsent_bytes(self) -> int:
+        """The bytes of answers that the kernel has not accepted yet."""
+        return 0 if self._transport is None else int(self._transport.get_write_buffer_size())
+
+    def owes_answer(self) -> bool:
+        """Return whether a request was read whose answer the kernel has not accepted completely."""
+        return not self.disconnected and (self._answering or self.unsent_bytes > 0)
 
     def _reset_request(self) -> None:
         self._target = b""
@@ -193,6 +209,8 @@
             return
         self._complete = True
         self._answering = True
+        self.read_at = clock.now()
+        self.request_id = ""
         self._stop_timer()
         request = HttpRequest(
             self._method,
@@ -205,7 +223,12 @@
         self._task = self._loop.create_task(self._serve(request))
 
     async def _serve(self, request: HttpRequest) -> None:
-        await self._options.serve(self, request)
+        try:
+            await self._options.serve(self, request)
+        except Exception as error:
+            name = type(error).__name__
+            log("task_failed", "ERROR", id=self.request_id, error=name, detail=error)
+            raise
         self.on_disconnect = None
         if self._answering and not self.disconnected:
             # No complete answer was written; the caller must be able to see that.
@@ -347,3 +370,7 @@
         """Close the connections on which nothing is being served."""
         for connection in list(self.connections):
             connection.close_if_idle()
+
+    def owing(self) -> list[ServerConnection]:
+        """Return the connections whose callers still wait for an answer or a part of it."""
+        return [one for one in self.connections if one.owes_answer()]
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -37,6 +37,9 @@
         )
         self.revision = make(Gauge, "rookspring_revision", "Revision in force", labels)
         self.inflight = make(Gauge, "rookspring_inflight", "Requests in flight", labels)
+        self.answers_owed = make(
+            Gauge, "rookspring_answers_owed", "Callers that wait for an answer's last byte", labels
+        )
         self.waiting = make(Gauge, "rookspring_waiting", "Requests waiting", labels)
         self.leader = make(Gauge, "rookspring_lease_held", "1 while the lease is held", labels)
         self.unplaced = make(
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -105,6 +105,9 @@
         log("request_malformed", "WARNING", field=error.field, expected=error.expected)
         connection.answer(error.status, context.dialect.refusal_headers("", 0.0), b"")
         return
+    connection.request_id = fields.request_id
+    if context.state.leaving:
+        log("request_read_leaving", id=fields.request_id, stopped=context.state.stopped)
     route = _find_route(context, connection, fields)
     if route is None:
         return
@@ -151,6 +154,7 @@
     if not verdict.may_wait or context.requests_awaiting_key >= defaults.KEY_WAITS_MAX:
         return verdict
     context.requests_awaiting_key += 1
+    connection.waits_for = "key"
     context.ask_proof()
     try:
         while verdict.may_wait and not connection.disconnected:
@@ -161,6 +165,7 @@
             verdict = keys.check_key(context.state, route, fields.key, arrived_at, now)
     finally:
         context.requests_awaiting_key -= 1
+        connection.waits_for = ""
     return verdict
 
 
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -41,6 +41,7 @@
 from . import relay_notices
 from . import relay_orders as relay_orders
 from . import relay_slots
+from . import relay_stop
 from . import relay_store_loops
 from . import relay_suspects
 from . import relay_updates
@@ -270,6 +271,7 @@
         state = self.context.state
         metrics = self.context.metrics
         metrics.inflight.set({}, len(state.requests))
+        metrics.answers_owed.set({}, len(self.listeners["callers"].owing()))
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         metrics.revision.set({}, state.revision)
         metrics.leader.set({}, int(state.control.holding(clock.now())))
@@ -346,6 +348,7 @@
     async def run_until_stopped(self) -> None:
         """Wait until a planned stop is complete, then close all connections."""
         await self.stopping.wait()
+        relay_stop.log_owed(self.context, self.listeners["callers"])
         for listener in self.listeners.values():
             listener.stop_accepting()
             listener.close_idle()
