Reproduce requests without an answer at a planned stop, listed as known to fail

Callers' requests that a stopping node had read end without an answer in four ways, each a scenario of stops.feature that fails on the code as it is:

- The request waits for its key (store silent), for its organisation's owner, or for the rest of its own bytes as the node's time to serve ends: connection closed, no answer.
- An answer of 15 MB to a caller that reads it after the time to serve: nothing whole.

The stage of real processes can need keys now, and an endpoint can answer at length.

--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -17,6 +17,7 @@
 ] = {}
 S = t.TypeVar("S", bound=t.Callable[..., t.Awaitable[None]])
 STREAM_EVENTS = 5
+LONG_ANSWER_BYTES = 15 << 20
 
 
 def step(name: str) -> t.Callable[[S], S]:
@@ -295,6 +296,14 @@
     _send(server, writer, 200, _body(request), _record_run(server, request))
 
 
+@step("answer at length")
+async def _answer_at_length(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send an answer that is larger than what the kernel buffers of a connection."""
+    _send(server, writer, 200, b"x" * LONG_ANSWER_BYTES, _record_run(server, request))
+
+
 @step("fail")
 async def _fail(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -33,8 +33,17 @@
 }
 
 
-def write_table(version: int) -> dict[str, t.Any]:
-    """Return a configuration of one service with three routes to it."""
+# The organisation of all callers in a stage whose requests need keys, and the bound within which
+# a revoked key must not be accepted any more, in milliseconds.
+ORGANISATION = "org-a"
+REVOKE_MS = 5000
+
+
+def write_table(version: int, keys: t.Sequence[str] = ()) -> dict[str, t.Any]:
+    """Return a configuration of one service with three routes to it.
+
+    :param keys: the keys of the organisation; without any, requests need none.
+    """
     routes = [
         {
             "name": f"r-{name}",
@@ -57,7 +66,10 @@
         "idle-timeout-ms": 5000,
     }
     services = [{"name": SERVICE, "health-path": "/healthz", "max-conns": 100}]
-    return {"version": version, "routes": routes, "services": services, "limits": limits}
+    table = {"version": version, "routes": routes, "services": services, "limits": limits}
+    if keys:
+        table["tenants"] = [{"name": ORGANISATION, "api-keys": list(keys), "unit": "requests"}]
+    return table
 
 
 class NodeProcess:
@@ -98,6 +110,8 @@
             "seeds": seeds,
             "platform.address": self._store,
             "bounds.grace-s": GRACE_S,
+            "bounds.revoke-strict": "true",
+            "bounds.revoke-ms": REVOKE_MS,
             "bounds.retry-budget": 0.2,
             "bounds.retry-slack": 160,
         }
@@ -159,9 +173,12 @@
     :param nodes: the number of nodes.
     :param servers: the number of endpoints at the start.
     :param host_block: selects the loopback addresses, so that stages on one box don't share any.
+    :param keys: the callers' keys at the start; without any, requests need none.
     """
 
-    def __init__(self, nodes: int, servers: int, host_block: int) -> None:
+    def __init__(
+        self, nodes: int, servers: int, host_block: int, keys: t.Sequence[str] = ()
+    ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self._block = host_block
         self._sizes = (nodes, servers)
@@ -171,6 +188,7 @@
         # All endpoints, ended ones included.
         self.servers: list[ModelServer] = []
         self.version = 1
+        self.keys = tuple(keys)
         # The entries that endpoints rewrite after a restore of the store.
         self._entries: dict[str, dict[str, t.Any]] = {}
 
@@ -195,7 +213,7 @@
     async def write_version(self) -> None:
         """Write the configuration under the next version."""
         self.version += 1
-        await self.store.write("config", "main", write_table(self.version))
+        await self.store.write("config", "main", write_table(self.version, self.keys))
 
     async def add_server(self) -> ModelServer:
         """Start another endpoint and write its entry."""
@@ -224,7 +242,7 @@
         for kind, name in list(objects):
             if kind == "servers" and name not in self._entries:
                 await self.store.remove("servers", name)
-        await self.store.write("config", "main", write_table(self.version))
+        await self.store.write("config", "main", write_table(self.version, self.keys))
 
     async def stop(self) -> list[str]:
         """Stop everything, nodes with SIGTERM.
