End a planned stop only when no caller waits for an answer

Cause: what is in flight had two accounts, and the stop asked the narrower one. The reducer knows a request from when its key is known until its answer is written. A request that waits for its key (up to 2 s), for its organisation's owner (parked, up to 0.25 s) or for the rest of its own bytes, and an answer that is written and not sent, are not among state.requests; the process ended 50 ms after these were empty.

Change: the connection owns the debt, from the last byte of a request to the last byte of its answer that the kernel has accepted. When the reducer has no request left, parked ones included, the node accepts no more connections, closes idle ones, and ends when no connection owes an answer or has read a part of a request, at the latest at the end of the grace time. A node that begins no more requests doesn't wait for a key: what it can't decide is refused at once, 503, not run. So a stop lasts no longer than before where nobody waits. The planned stop has a module of its own in the core (stops).

--- a/bench/mutants.py
+++ b/bench/mutants.py
@@ -10,11 +10,11 @@
 from unittest import mock
 
 from rookspring_core import InvariantBroken
-from rookspring_core import cluster
 from rookspring_core import control_jobs
 from rookspring_core import ordering
 from rookspring_core import recovering
 from rookspring_core import requests
+from rookspring_core import stops
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.leases import Lease
 from rookspring_core.memory import Ledger
@@ -142,7 +142,7 @@
         "a runner is leaving",
     ),
     Mutant(
-        "stop with work in flight", cluster, "_stop_due", _stop_with_requests, "a node is drained"
+        "stop with work in flight", stops, "stop_if_due", _stop_with_requests, "a node is drained"
     ),
     Mutant(
         "apply an older revision",
--- a/features/relay_fixture.py
+++ b/features/relay_fixture.py
@@ -141,7 +141,7 @@
 
     async def close(self):
         for node in (self.node, *self.others):
-            node.stopping.set()
+            node.end_grace()
             await node.run_until_stopped()
         for server in self.servers:
             await server.close()
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -1,4 +1,4 @@
-"""Handlers of ticks, load reports, box lists and heartbeats, and of the graceful shutdown."""
+"""Handlers of ticks, load reports, box lists and heartbeats."""
 
 from . import allotment_checks
 from . import control_jobs
@@ -9,18 +9,16 @@
 from . import residency
 from . import restarts
 from . import slot_answers
+from . import stops
 from . import suspect_handlers
 from .effects import Announce
 from .effects import Effect
 from .effects import ShareReport
-from .effects import Stop
-from .effects import WriteLease
 from .endpoints import EndpointView
 from .events import BoxListed
 from .events import BoxListReceived
 from .events import CacheEventsReceived
 from .events import DownReceived
-from .events import DrainAsked
 from .events import EndpointReported
 from .events import HeartbeatReceived
 from .events import LoadingReceived
@@ -65,7 +63,7 @@
         effects += residency.run_control_tick(state, passed)
     else:
         effects += control_jobs.run_control_jobs(state, passed)
-    return effects + _stop_due(state)
+    return effects + stops.stop_if_due(state)
 
 
 def update_roles(state: NodeState) -> None:
@@ -328,36 +326,6 @@
     return []
 
 
-@handles(DrainAsked)
-def begin_drain(state: NodeState, event: DrainAsked) -> Effects:
-    """Begin the graceful shutdown.
-
-    The node's address is no longer given out, and it serves on for as long as callers may still
-    use the address.
-    """
-    state.hurry = state.hurry or event.hurry
-    if state.leaving:
-        return _stop_due(state)
-    state.draining_since = event.at
-    effects: Effects = [Announce("leaving")]
-    release = state.control.lease.release(event.at)
-    if release is not None:
-        effects.append(WriteLease(*release))
-    return effects
-
-
-def _stop_due(state: NodeState) -> Effects:
-    if state.draining_since is None or state.stopped:
-        return []
-    served = state.now - state.draining_since
-    if not state.hurry and served < state.drain_serve_s:
-        return []
-    if state.requests:
-        return []
-    state.stopped = True
-    return [Stop()]
-
-
 def list_addresses(state: NodeState) -> list[AddressRow]:
     """List the entry addresses that callers may use: those of live nodes that are not leaving."""
     rows: list[AddressRow] = []
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -227,8 +227,9 @@
 @invariant("uncut", on=Stop)
 def check_drained(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """A planned stop ends only after the last request has ended."""
-    if state.stopped and state.requests and not state.hurry:
-        return f"{len(state.requests)} requests in flight at the stop"
+    left = len(state.requests) + len(state.parked)
+    if state.stopped and left and not state.hurry:
+        return f"{left} requests in flight at the stop"
     return ""
 
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -8,6 +8,7 @@
 
 from . import admission_queue
 from . import defaults
+from . import stops
 from .accounts import load_time_s
 from .effects import Effect
 from .effects import Refuse
@@ -28,9 +29,7 @@
     if state.stopped:
         text = "this node has stopped; ask for addresses"
         return Refuse(event.request_id, 503, "stopping", "not_run", text, defaults.RETRY_AFTER_S)
-    since = state.draining_since
-    if since is not None and event.at - since > state.drain_serve_s:
-        # Its answer could not be complete before the process ends.
+    if stops.begins_no_requests(state, event.at):
         text = "this node is leaving; ask for addresses"
         return Refuse(event.request_id, 503, "leaving", "not_run", text, defaults.RETRY_AFTER_S)
     return None
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -107,7 +107,9 @@
 # Interval of checking the settings file, which may change without a signal.
 SETTINGS_CHECK_S = 1.0
 POOL_SWEEP_S = 1.0
-# Time at a stop to transmit answers that are complete.
+# Interval at which a node that is stopping checks whether a caller still waits.
+STOP_CHECK_S = 0.02
+# Time to transmit complete answers at the end of the grace time.
 STOP_FLUSH_S = 0.05
 # Callers may use a lookup answer for up to three times its TTL.
 LOOKUP_TTL_FACTOR = 3.2
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -80,6 +80,11 @@
         """Return whether a request was read whose answer the kernel has not accepted completely."""
         return not self.disconnected and (self._answering or self.unsent_bytes > 0)
 
+    def is_reading(self) -> bool:
+        """Return whether a part of a request was read, and its rest was not."""
+        begun = bool(self._target or self._headers or not self._in_headers)
+        return begun and not self._answering and not self.disconnected
+
     def _reset_request(self) -> None:
         self._target = b""
         self._headers: list[Header] = []
@@ -313,7 +318,7 @@
 
     def close_if_idle(self) -> None:
         """Close a connection on which no request is being read or served."""
-        if not self._answering and self._in_headers and not self._headers and not self._target:
+        if not self._answering and not self.is_reading():
             self._transport.close()
 
     # Time limits.
@@ -374,3 +379,7 @@
     def owing(self) -> list[ServerConnection]:
         """Return the connections whose callers still wait for an answer or a part of it."""
         return [one for one in self.connections if one.owes_answer()]
+
+    def is_busy(self) -> bool:
+        """Return whether a connection owes an answer, or has read a part of a request."""
+        return any(one.owes_answer() or one.is_reading() for one in self.connections)
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -10,6 +10,7 @@
 
 from rookspring_core import defaults as core_defaults
 from rookspring_core import keys
+from rookspring_core import stops
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -149,7 +150,10 @@
     fields: RequestFields,
     arrived_at: float,
 ) -> KeyVerdict:
-    """Check a request's key; if it is unknown, wait for a configuration that may have it."""
+    """Check a request's key; if it is unknown, wait for a configuration that may have it.
+
+    A node that begins no more requests does not wait.
+    """
     verdict = keys.check_key(context.state, route, fields.key, arrived_at, arrived_at)
     if not verdict.may_wait or context.requests_awaiting_key >= defaults.KEY_WAITS_MAX:
         return verdict
@@ -159,7 +163,9 @@
     try:
         while verdict.may_wait and not connection.disconnected:
             now = clock.now()
-            if now - arrived_at > defaults.KEY_WAIT_S:
+            if now - arrived_at > defaults.KEY_WAIT_S or stops.begins_no_requests(
+                context.state, now
+            ):
                 break
             await asyncio.sleep(defaults.KEY_WAIT_STEP_S)
             verdict = keys.check_key(context.state, route, fields.key, arrived_at, now)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -142,6 +142,7 @@
         self.proofs = ProofRefresher(self.context, self.peers, self.reach)
         self._connect_components()
         self.stopping = asyncio.Event()
+        self._grace_over = asyncio.Event()
         self.listeners: dict[str, HttpListener] = {}
         self._apply_settings(settings)
 
@@ -339,21 +340,24 @@
         log("node_draining", node=self.settings.name, requests=len(self.context.exchanges))
         self.context.submit(DrainAsked(clock.now()))
         end_s = max(0.1, self.settings.grace_s - defaults.STOP_MARGIN_S)
-        self.context.loop.call_later(end_s, self.stopping.set)
+        self.context.loop.call_later(end_s, self.end_grace)
         self.context.spawn(relay_store_loops.delete_row(self.context))
 
     def _stop(self) -> None:
         self.stopping.set()
 
+    def end_grace(self) -> None:
+        """End the node, whatever is left: its grace time is over."""
+        self._grace_over.set()
+        self.stopping.set()
+
     async def run_until_stopped(self) -> None:
         """Wait until a planned stop is complete, then close all connections."""
         await self.stopping.wait()
-        relay_stop.log_owed(self.context, self.listeners["callers"])
-        for listener in self.listeners.values():
+        listeners = list(self.listeners.values())
+        for listener in listeners:
             listener.stop_accepting()
-            listener.close_idle()
-        # Complete answers may still be in the send buffers.
-        await asyncio.sleep(defaults.STOP_FLUSH_S)
+        await relay_stop.finish_answers(self.context, listeners, self._grace_over)
         log("node_stopped", node=self.settings.name, cut=len(self.context.exchanges))
         for task in list(self.context.tasks):
             task.cancel()
--- a/packages/rookspring/src/rookspring/relay_stop.py
+++ b/packages/rookspring/src/rookspring/relay_stop.py
@@ -1,12 +1,42 @@
 """The end of a relay node's planned stop: the callers that still wait for an answer."""
 
+import asyncio
+import contextlib
+
 from . import clock
+from . import defaults
 from .http_server import HttpListener
 from .http_server import ServerConnection
 from .logs import log
 from .relay_context import RelayContext
 
 
+async def finish_answers(
+    context: RelayContext, listeners: list[HttpListener], grace_over: asyncio.Event
+) -> None:
+    """Wait until no caller waits for an answer, or the grace time is over; close idle connections.
+
+    A request is owed an answer from its last byte on until the kernel has accepted the answer's
+    last byte. The reducer knows only a part of that time: it gets a request once its key is known,
+    and forgets it once its answer is written.
+
+    :param grace_over: set when the process has to end.
+    """
+    while not grace_over.is_set():
+        for listener in listeners:
+            listener.close_idle()
+        if not any(listener.is_busy() for listener in listeners):
+            return
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(defaults.STOP_CHECK_S):
+                await grace_over.wait()
+    for listener in listeners:
+        log_owed(context, listener)
+        listener.close_idle()
+    # Answers may still be in the send buffers.
+    await asyncio.sleep(defaults.STOP_FLUSH_S)
+
+
 def log_owed(context: RelayContext, listener: HttpListener) -> None:
     """Log each connection that owes an answer, and what the answer waits for."""
     now = clock.now()
