Answer at the end of the grace time the callers whose answers have not begun

Cause: the timer of the grace time ended the process and told the reducer nothing, so a request that was never sent lost its honest 'not run', and one that was sent its 'unknown'.

Change: the event GraceEnded refuses what is left: 503, not run, for what no byte of was sent; 502, unknown, for the rest, its attempt cancelled first, so that nothing is sent after the refusal; a stream that has begun is cut, as before. Parked requests too. A reducer that fails there doesn't keep the process from ending. `cut` of node_stopped counts the callers that still waited at that moment.

--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -55,9 +55,9 @@
             connection._transport.abort()
 
 
-@given("a relay node with an endpoint that hangs, and a grace time of {grace:g} s")
-def hanging_endpoint(context, grace):
-    context.relay = context.loop.run(start_node([["hang"] * 100], grace_s=grace))
+@given("a relay node with a grace time of {grace:g} s, and an endpoint that does: {script}")
+def node_with_grace(context, grace, script):
+    context.relay = context.loop.run(start_node([[script] * 100], grace_s=grace))
 
 
 @when("the node is stopped while it serves a {kind} request")
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -2,7 +2,7 @@
 Feature: A planned stop of a relay node answers what callers have sent
 
   Scenario Outline: the log says what a caller waits for when the grace time ends
-    Given a relay node with an endpoint that hangs, and a grace time of <grace> s
+    Given a relay node with a grace time of <grace> s, and an endpoint that does: hang
     When the node is stopped while it serves a <kind> request
     Then the log says that the answer to the request waits for <what>
 
@@ -40,7 +40,13 @@
     Then the stop took at most 3.6 s
 
   Scenario: callers whose answers have not begun get one when the grace time ends
-    Given a relay node with an endpoint that hangs, and a grace time of 1.5 s
+    Given a relay node with a grace time of 1.5 s, and an endpoint that does: hang
     When 12 callers send safe requests and the node is stopped
     Then each request that reached the endpoint gets 502, and each other one 503, not run
     And the log says of each that reached it that its answer waits for endpoint
+
+  Scenario: a stream that has begun doesn't look complete when the grace time ends
+    Given a relay node with a grace time of 1.5 s, and an endpoint that does: stall after 3
+    When the node is stopped while it serves a stream request
+    Then the answer is 3 events, cut
+    And the log has one entry of its end, with the outcome refused-unknown
--- a/packages/rookspring-core/src/rookspring_core/_node_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_node_events.py
@@ -95,3 +95,9 @@
 
     at: float
     hurry: bool = False
+
+
+class GraceEnded(t.NamedTuple):
+    """The process has to end now, whatever the planned stop still waits for."""
+
+    at: float
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -36,6 +36,7 @@
 from ._endpoint_events import ReportMissed as ReportMissed
 from ._endpoint_events import ShedReceived as ShedReceived
 from ._node_events import DrainAsked as DrainAsked
+from ._node_events import GraceEnded as GraceEnded
 from ._node_events import HeartbeatReceived as HeartbeatReceived
 from ._node_events import MembersReceived as MembersReceived
 from ._node_events import PeerLost as PeerLost
@@ -99,5 +100,6 @@
     | IntentWritten
     | IntentsSeen
     | DrainAsked
+    | GraceEnded
     | SessionOpened
 )
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -366,6 +366,16 @@
     return [*effects, Forget(identity)]
 
 
+def withdraw(state: NodeState, request: RequestState) -> Effects:
+    """Remove a request that is about to end from its queue, or cancel its attempt."""
+    queue = state.queues.get(queue_key(request.arrived))
+    if queue is not None:
+        queue.remove(request.arrived.request_id)
+    if not request.running:
+        return []
+    return [Cancel(request.arrived.request_id, request.attempt, request.endpoint)]
+
+
 @handles(CallerLeft)
 def handle_caller_left(state: NodeState, event: CallerLeft) -> Effects:
     """End a request whose caller has left, and cancel its attempt.
@@ -379,15 +389,10 @@
     if request.arrived.once_key is not None and request.running:
         # The caller may retry with the same key and get this answer.
         return []
-    queue = state.queues.get(queue_key(request.arrived))
-    if queue is not None:
-        queue.remove(event.request_id)
-    effects: Effects = []
+    effects = withdraw(state, request)
     if not request.sent and not request.running:
         effects += allotment_checks.refund(state, request.charge)
     suspect_handlers.note_left(state, request)
-    if request.running:
-        effects.append(Cancel(event.request_id, request.attempt, request.endpoint))
     key = request.arrived.once_key
     if key is not None:
         text = "the first caller left before it was started"
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -8,7 +8,6 @@
 
 from . import admission_queue
 from . import defaults
-from . import stops
 from .accounts import load_time_s
 from .effects import Effect
 from .effects import Refuse
@@ -29,7 +28,7 @@
     if state.stopped:
         text = "this node has stopped; ask for addresses"
         return Refuse(event.request_id, 503, "stopping", "not_run", text, defaults.RETRY_AFTER_S)
-    if stops.begins_no_requests(state, event.at):
+    if state.begins_no_requests(event.at):
         text = "this node is leaving; ask for addresses"
         return Refuse(event.request_id, 503, "leaving", "not_run", text, defaults.RETRY_AFTER_S)
     return None
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -253,3 +253,11 @@
     def leaving(self) -> bool:
         """Whether the planned stop of this node has begun."""
         return self.draining_since is not None
+
+    def begins_no_requests(self, at: float) -> bool:
+        """Return whether this node is stopping and has served for as long as its address was known.
+
+        A request that it began now might not be answered before its process ends.
+        """
+        since = self.draining_since
+        return self.stopped or (since is not None and at - since > self.drain_serve_s)
--- a/packages/rookspring-core/src/rookspring_core/stops.py
+++ b/packages/rookspring-core/src/rookspring_core/stops.py
@@ -1,14 +1,20 @@
-"""The planned stop of a node: how long it serves on, and when no request is left."""
+"""The planned stop of a node: its begin, and its end with the last request or the grace time."""
 
+from . import defaults
+from . import requests
 from .effects import Announce
 from .effects import Effect
+from .effects import Refuse
 from .effects import Stop
 from .effects import WriteLease
 from .events import DrainAsked
+from .events import GraceEnded
 from .reducer import handles
 from .state import NodeState
+from .state import RequestState
 
 Effects = list[Effect]
+_LEFT_TEXT = "this node's time to stop is over; ask for addresses"
 
 
 @handles(DrainAsked)
@@ -29,15 +35,6 @@
     return effects
 
 
-def begins_no_requests(state: NodeState, at: float) -> bool:
-    """Return whether this node is stopping and has served for as long as its address was known.
-
-    A request that it began now might not be answered before its process ends.
-    """
-    since = state.draining_since
-    return state.stopped or (since is not None and at - since > state.drain_serve_s)
-
-
 def stop_if_due(state: NodeState) -> Effects:
     """End the planned stop once the time to serve has passed and no request is left."""
     if state.draining_since is None or state.stopped:
@@ -48,3 +45,28 @@
         return []
     state.stopped = True
     return [Stop()]
+
+
+@handles(GraceEnded)
+def refuse_rest(state: NodeState, event: GraceEnded) -> Effects:
+    """End the planned stop, and refuse the requests that are left.
+
+    The outcome of one that was sent is unknown; none of the others has run, nor will it.
+    """
+    effects: Effects = [_refuse_parked(identity) for identity in state.parked]
+    state.parked.clear()
+    for request in list(state.requests.values()):
+        effects += requests.withdraw(state, request) + _refuse(state, request)
+    if state.stopped:
+        return effects
+    state.stopped = True
+    return [*effects, Stop()]
+
+
+def _refuse_parked(identity: str) -> Refuse:
+    return Refuse(identity, 503, "stopping", "not_run", _LEFT_TEXT, defaults.RETRY_AFTER_S)
+
+
+def _refuse(state: NodeState, request: RequestState) -> Effects:
+    status, after_s = (502, 0.0) if request.sent else (503, defaults.RETRY_AFTER_S)
+    return requests.fail_request(state, request, status, "stopping", _LEFT_TEXT, after_s)
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -458,6 +458,14 @@
     writer.close()
 
 
+@step("stall after 3")
+async def _stall_after_3(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _events(server, request, writer, 3)
+    await asyncio.sleep(30.0)
+
+
 @step("hang")
 async def _hang(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -10,7 +10,6 @@
 
 from rookspring_core import defaults as core_defaults
 from rookspring_core import keys
-from rookspring_core import stops
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -163,9 +162,8 @@
     try:
         while verdict.may_wait and not connection.disconnected:
             now = clock.now()
-            if now - arrived_at > defaults.KEY_WAIT_S or stops.begins_no_requests(
-                context.state, now
-            ):
+            waited_s = now - arrived_at
+            if waited_s > defaults.KEY_WAIT_S or context.state.begins_no_requests(now):
                 break
             await asyncio.sleep(defaults.KEY_WAIT_STEP_S)
             verdict = keys.check_key(context.state, route, fields.key, arrived_at, now)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -24,6 +24,7 @@
 from rookspring_core.effects import Stop
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import DrainAsked
+from rookspring_core.events import GraceEnded
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import Ticked
 from rookspring_core.freshness import ProofTerms
@@ -143,6 +144,8 @@
         self._connect_components()
         self.stopping = asyncio.Event()
         self._grace_over = asyncio.Event()
+        # The callers that still waited for an answer when the grace time was over.
+        self._owed_at_end = 0
         self.listeners: dict[str, HttpListener] = {}
         self._apply_settings(settings)
 
@@ -347,9 +350,13 @@
         self.stopping.set()
 
     def end_grace(self) -> None:
-        """End the node, whatever is left: its grace time is over."""
-        self._grace_over.set()
-        self.stopping.set()
+        """End the node, since its grace time is over; refuse the requests that are left."""
+        self._owed_at_end = relay_stop.log_owed(self.context, self.listeners["callers"])
+        try:
+            self.context.submit(GraceEnded(clock.now()))
+        finally:
+            self._grace_over.set()
+            self.stopping.set()
 
     async def run_until_stopped(self) -> None:
         """Wait until a planned stop is complete, then close all connections."""
@@ -357,8 +364,8 @@
         listeners = list(self.listeners.values())
         for listener in listeners:
             listener.stop_accepting()
-        await relay_stop.finish_answers(self.context, listeners, self._grace_over)
-        log("node_stopped", node=self.settings.name, cut=len(self.context.exchanges))
+        await relay_stop.finish_answers(listeners, self._grace_over)
+        log("node_stopped", node=self.settings.name, cut=self._owed_at_end)
         for task in list(self.context.tasks):
             task.cancel()
         await asyncio.gather(*self.context.tasks, return_exceptions=True)
--- a/packages/rookspring/src/rookspring/relay_stop.py
+++ b/packages/rookspring/src/rookspring/relay_stop.py
@@ -11,9 +11,7 @@
 from .relay_context import RelayContext
 
 
-async def finish_answers(
-    context: RelayContext, listeners: list[HttpListener], grace_over: asyncio.Event
-) -> None:
+async def finish_answers(listeners: list[HttpListener], grace_over: asyncio.Event) -> None:
     """Wait until no caller waits for an answer, or the grace time is over; close idle connections.
 
     A request is owed an answer from its last byte on until the kernel has accepted the answer's
@@ -31,17 +29,17 @@
             async with asyncio.timeout(defaults.STOP_CHECK_S):
                 await grace_over.wait()
     for listener in listeners:
-        log_owed(context, listener)
         listener.close_idle()
     # Answers may still be in the send buffers.
     await asyncio.sleep(defaults.STOP_FLUSH_S)
 
 
-def log_owed(context: RelayContext, listener: HttpListener) -> None:
-    """Log each connection that owes an answer, and what the answer waits for."""
+def log_owed(context: RelayContext, listener: HttpListener) -> int:
+    """Log each connection that owes an answer, and what that waits for; return their number."""
     now = clock.now()
     keys = {exchange.connection: exchange.key for exchange in context.exchanges.values()}
-    for connection in listener.owing():
+    owing = listener.owing()
+    for connection in owing:
         key = keys.get(connection, "")
         log(
             "answer_owed",
@@ -51,6 +49,7 @@
             age_s=now - connection.read_at,
             unsent=connection.unsent_bytes,
         )
+    return len(owing)
 
 
 def _describe_wait(context: RelayContext, connection: ServerConnection, key: str) -> str:
