Answer a request whose serving code fails, at once

Callers of a node whose code failed on their request, in reading its fields or in the decision on it, got no answer: the coroutine was gone, nothing owned the request, and its connection stood open until the node was stopped or the caller gave up.

Cause: ServerConnection._serve let the exception end its task.

Evidence: both rows fail without the change (no answer within 5 s, "Task exception was never retrieved") and pass with it.

Change: the connection answers 500, outcome unknown, if no head was written, else it is aborted as before; the exchange is removed, so that what the reducer may still do for the request reaches nobody.

--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -12,6 +12,7 @@
 from relay_fixture import read_answer
 from relay_fixture import request
 
+from rookspring_core.events import RequestArrived
 from rookspring_core.organisations import Allotment
 from rookspring_fakes.model_server import LONG_ANSWER_BYTES
 from rookspring_fakes.processes import GRACE_S
@@ -295,3 +296,29 @@
 @then("the process ended {seconds:g} s before its grace time did")
 def ended_early(context, seconds):
     assert context.stop_took_s <= GRACE_S - seconds, context.stop_took_s
+
+
+@when("{what} raises an exception for a caller's request")
+def serving_fails(context, what):
+    relay = context.relay
+    node = relay.node.context
+
+    def fail(*args):
+        raise RuntimeError("injected by the test")
+
+    if what == "reading its fields":
+        node.dialect.read_request = fail
+    else:
+        decide = node.submit
+        node.submit = lambda event: fail() if isinstance(event, RequestArrived) else decide(event)
+    started = time.monotonic()
+    context.answer = context.loop.run(relay.ask(request("safe", 7)))
+    context.took_s = time.monotonic() - started
+    context.failed_id = "" if what == "reading its fields" else "q7"
+
+
+@then("the log names the request that failed")
+def log_names_failed(context):
+    lines = [line for line in context.relay.log_lines if "event=task_failed" in line]
+    assert len(lines) == 1 and f"id={context.failed_id or chr(34) * 2} " in lines[0], lines
+    assert not context.relay.node.context.exchanges
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -50,3 +50,15 @@
     When the node is stopped while it serves a stream request
     Then the answer is 3 events, cut
     And the log has one entry of its end, with the outcome refused-unknown
+
+  Scenario Outline: a request whose serving code fails is answered at once
+    Given a relay node with one endpoint that does: answer
+    When <what> raises an exception for a caller's request
+    Then the answer is unknown
+    And it arrived after 0.0 to 0.5 s
+    And the log names the request that failed
+
+    Examples:
+      | what                    |
+      | reading its fields      |
+      | the decision on it      |
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -63,6 +63,8 @@
         self.on_disconnect: t.Callable[[], None] | None = None
         self.disconnected = False
         self._answering = False
+        # Whether the head of the answer was written.
+        self._begun = False
         self._close_after = False
         self._chunked = False
         # The request that was read last: when, its id as far as its server has parsed it, and what
@@ -214,6 +216,7 @@
             return
         self._complete = True
         self._answering = True
+        self._begun = False
         self.read_at = clock.now()
         self.request_id = ""
         self._stop_timer()
@@ -230,10 +233,12 @@
     async def _serve(self, request: HttpRequest) -> None:
         try:
             await self._options.serve(self, request)
-        except Exception as error:
+        except Exception as error:  # noqa: BLE001
+            # A bug here must not leave the caller without an answer; the request may have run.
             name = type(error).__name__
             log("task_failed", "ERROR", id=self.request_id, error=name, detail=error)
-            raise
+            if self._answering and not self._begun and not self.disconnected:
+                self.answer(500, [], b"")
         self.on_disconnect = None
         if self._answering and not self.disconnected:
             # No complete answer was written; the caller must be able to see that.
@@ -246,6 +251,7 @@
 
         :param length: of the body in bytes; None where it is not known yet.
         """
+        self._begun = True
         if self._options.closing():
             self._close_after = True
         rows = list(headers)
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -211,7 +211,12 @@
         remove_exchange(context, exchange)
 
     exchange.connection.on_disconnect = on_left
-    context.submit(make_arrival_event(exchange, table))
+    try:
+        context.submit(make_arrival_event(exchange, table))
+    except Exception:
+        # Whatever the reducer still does for it must not reach the caller's next request.
+        remove_exchange(context, exchange)
+        raise
     await exchange.done
 
 
