Don't abort a connection that serves the caller's next request already

A caller that sent a second request before the first was answered got the first answer and then a reset: the second request was read and sent on, and its connection aborted; an unrepeatable one may have run.

Cause: once its request has ended, the coroutine of a request looked at whether the connection owes an answer, and took the next request's debt for its own. A next request that stands in the buffer is parsed before that coroutine runs again.

Evidence: both rows fail before (b'answer to q0', then nothing) and pass now.

Change: the coroutine acts only while its own request is the one that is served. As before, of three requests sent ahead the third isn't read; the second answer says Connection: close.

--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -63,6 +63,16 @@
       | foreign first, surplus |
       | surplus, surplus       |
 
+  Scenario Outline: a request that was sent before the last one was answered is answered too
+    Given a relay node with one endpoint that does: <script>
+    When a caller sends 2 <kind> requests on one connection without waiting for answers
+    Then each answer belongs to its request
+
+    Examples:
+      | kind   | script                   |
+      | unsafe | answer late, answer late |
+      | safe   | answer late, answer late |
+
   Scenario Outline: a request is forwarded unchanged
     Given a relay node with one endpoint that does: answer
     When a caller sends raw: <request>
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -119,6 +119,20 @@
     context.took_s = time.monotonic() - started
 
 
+@when("a caller sends {number:d} {kind} requests on one connection without waiting for answers")
+def send_ahead(context, number, kind):
+    async def work():
+        reader, writer = await context.relay.connect()
+        for one in range(number):
+            writer.write(request(kind, one))
+            await asyncio.sleep(0.02)
+        answers = [await read_answer(reader) for _ in range(number)]
+        writer.close()
+        return answers
+
+    context.answers = context.loop.run(work())
+
+
 @then("each answer belongs to its request")
 def each_its_own(context):
     bodies = [answer.body for answer in context.answers]
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -18,6 +18,7 @@
 S = t.TypeVar("S", bound=t.Callable[..., t.Awaitable[None]])
 STREAM_EVENTS = 5
 LONG_ANSWER_BYTES = 15 << 20
+LATE_ANSWER_S = 0.15
 
 
 def step(name: str) -> t.Callable[[S], S]:
@@ -296,6 +297,14 @@
     _send(server, writer, 200, _body(request), _record_run(server, request))
 
 
+@step("answer late")
+async def _answer_late(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(LATE_ANSWER_S)
+    await _answer(server, request, writer)
+
+
 @step("answer at length")
 async def _answer_at_length(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -63,6 +63,8 @@
         self.on_disconnect: t.Callable[[], None] | None = None
         self.disconnected = False
         self._answering = False
+        # The request that is served now, or was last.
+        self._served: HttpRequest | None = None
         # Whether the head of the answer was written.
         self._begun = False
         self._close_after = False
@@ -227,6 +229,7 @@
             bytes(self._body),
             self._parser.should_keep_alive(),
         )
+        self._served = request
         self._close_after = not request.keep_alive
         self._task = self._loop.create_task(self._serve(request))
 
@@ -237,13 +240,17 @@
             # A bug here must not leave the caller without an answer; the request may have run.
             name = type(error).__name__
             log("task_failed", "ERROR", id=self.request_id, error=name, detail=error)
-            if self._answering and not self._begun and not self.disconnected:
+            if self._owes_to(request) and not self._begun:
                 self.answer(500, [], b"")
-        self.on_disconnect = None
-        if self._answering and not self.disconnected:
+        if self._owes_to(request):
             # No complete answer was written; the caller must be able to see that.
+            self.on_disconnect = None
             self.abort()
 
+    def _owes_to(self, request: HttpRequest) -> bool:
+        """Return whether the answer to a request is incomplete; the next one may be served now."""
+        return self._served is request and self._answering and not self.disconnected
+
     # Answers.
 
     def begin(self, status: int, headers: t.Iterable[Header], length: int | None) -> None:
