Soak real processes with callers that need keys, and count what a node keeps to itself

In all soaks a request that was sent over 0.2 s before its connection ended needs an answer, whether or not an endpoint saw it. Draws of the soaks without keys are as they were.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -20,11 +20,12 @@
     parser.add_argument("--seconds", type=float, default=30.0)
     parser.add_argument("--nodes", type=int, default=3)
     parser.add_argument("--callers", type=int, default=8)
+    parser.add_argument("--keyed", action="store_true", help="requests need keys")
     given = parser.parse_args(arguments)
     configure("ERROR")
     rows = []
     for seed in range(given.seed, given.seed + given.seeds):
-        soak = ProcessSoak(seed, given.nodes, given.callers, os.getpid())
+        soak = ProcessSoak(seed, given.nodes, given.callers, os.getpid(), given.keyed)
         found = asyncio.run(soak.run(given.seconds))
         for violation in found.violations:
             print(f"seed {seed}: {violation}")
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -11,3 +11,13 @@
       | nodes | callers | seed | seconds |
       | 3     | 8       | 1    | 20      |
       | 4     | 6       | 2    | 15      |
+
+  Scenario Outline: a short soak of real processes whose callers need keys
+    Given <nodes> nodes as processes, <callers> callers with keys, and seed <seed>
+    When troubles are drawn for <seconds> s, one after another and overlapping
+    Then no guarantee is violated
+    And most requests were answered
+
+    Examples: longer runs are started by hand
+      | nodes | callers | seed | seconds |
+      | 3     | 8       | 3    | 15      |
--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -14,6 +14,11 @@
     context.soak = ProcessSoak(seed, nodes, callers, os.getpid())
 
 
+@given("{nodes:d} nodes as processes, {callers:d} callers with keys, and seed {seed:d}")
+def nodes_with_keys(context, nodes, callers, seed):
+    context.soak = ProcessSoak(seed, nodes, callers, os.getpid(), keyed=True)
+
+
 @when("troubles are drawn for {seconds:d} s, one after another and overlapping")
 def troubles_drawn(context, seconds):
     context.outcome = context.loop.run(context.soak.run(seconds), seconds + 60.0)
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from .model_server import STREAM_EVENTS
+from .processes import REVOKE_MS
 from .processes import NodeProcess
 from .processes import ProcessStage
 
@@ -22,6 +23,12 @@
 # that may still arrive from the node before the back-off ends.
 BACKOFF_BEGINS_S = 0.5
 BACKOFF_REQUESTS_MAX = 2
+# A connection may end without an answer to a request that was sent this shortly before, in seconds:
+# the node may have closed it before it read the request.
+CROSSING_S = 0.2
+# A key that no configuration has, and the share of requests that are sent with it.
+UNKNOWN_KEY = "key-unknown"
+UNKNOWN_SHARE = 0.1
 # The check of a rate that an endpoint states, times in seconds. It begins RATE_BEGINS_S after the
 # first node passed the rate on, and counts a node's requests from RATE_KNOWN_S after that node did.
 # Each window of RATE_WINDOW_S may hold RATE_SHARE times the requests of the rate, and RATE_SLACK
@@ -38,6 +45,7 @@
 
     :param status: 0 if the connection ended before a status arrived.
     :param whole: whether the answer arrived completely.
+    :param api_key: the caller's key; empty if requests need none.
     """
 
     key: str
@@ -49,6 +57,7 @@
     headers: dict[str, str]
     body: bytes
     whole: bool
+    api_key: str = ""
 
 
 class ProcessCallers:
@@ -90,6 +99,9 @@
         method = "GET" if kind == "safe" else "POST"
         length = "" if kind == "safe" else "Content-Length: 4\r\n"
         head = f"{method} /{kind}/x HTTP/1.1\r\nHost: h.example\r\n"
+        api_key = self._choose_key()
+        if api_key:
+            head += f"Authorization: Token {api_key}\r\n"
         head += f"X-Rookspring-Request-Id: {key}\r\n{length}\r\n"
         sent_at = time.monotonic()
         status, body, whole = 0, b"", False
@@ -103,10 +115,16 @@
             whole = False
         ended_at = time.monotonic()
         self.records.append(
-            CallerRecord(key, kind, node, sent_at, ended_at, status, headers, body, whole)
+            CallerRecord(key, kind, node, sent_at, ended_at, status, headers, body, whole, api_key)
         )
         return whole and headers.get("connection", "").lower() != "close"
 
+    def _choose_key(self) -> str:
+        keys = self._stage.keys
+        if not keys:
+            return ""
+        return UNKNOWN_KEY if self._random.random() < UNKNOWN_SHARE else keys[-1]
+
 
 async def _read_head(reader: asyncio.StreamReader) -> tuple[int, dict[str, str]]:
     lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
@@ -191,24 +209,36 @@
 
 @checks("a planned stop cuts nothing")
 def check_answered(stage: ProcessStage, seen: list[CallerRecord]) -> list[str]:
-    """A request that reached an endpoint is answered, unless the endpoint ended.
+    """A request is answered if it reached an endpoint, or its connection did not end soon after it.
 
-    Requests around a start or a signal of their node are excepted; the SIGTERM of a planned stop
-    is not recorded as one.
+    Excepted are requests whose endpoint ended, and those around a start or a signal of their node;
+    the SIGTERM of a planned stop is not recorded as one.
     """
-    asked = {one.request_id for server in stage.servers for one in server.received}
     ended = {server.name for server in stage.servers if server.ended}
     whose = {one.request_id: server.name for server in stage.servers for one in server.received}
     return [
-        f"{one.key} at {one.node.name}"
+        f"{one.key} at {one.node.name}, after {one.ended_at - one.sent_at:.2f} s"
         for one in seen
-        if one.key in asked
-        and not one.whole
-        and whose[one.key] not in ended
+        if not one.whole
+        and (one.key in whose or one.ended_at - one.sent_at > CROSSING_S)
+        and whose.get(one.key) not in ended
         and not any(one.sent_at - 3.0 < at < one.ended_at for at in one.node.disturbed_at)
     ]
 
 
+@checks("only valid keys are accepted")
+def check_keys(stage: ProcessStage, seen: list[CallerRecord]) -> list[str]:
+    """A request runs only if its key is valid, or was revoked less than the bound before it."""
+    ran = set(_runs(stage))
+    late = {key: at + REVOKE_MS / 1000.0 for key, at in stage.revoked_at.items()}
+    return [
+        f"{one.key} with {one.api_key}"
+        for one in seen
+        if one.key in ran
+        and (one.api_key == UNKNOWN_KEY or one.sent_at > late.get(one.api_key, one.sent_at))
+    ]
+
+
 @checks("a leaving endpoint gets no requests")
 def check_leaving(stage: ProcessStage, seen: list[CallerRecord]) -> list[str]:
     """No node sends to an endpoint long after it passed on that the endpoint is leaving."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -22,9 +22,13 @@
 # The shortest and the longest time from the start of one trouble to that of the next, in seconds.
 TROUBLE_INTERVAL_S = (0.2, 0.9)
 SERVERS = 3
+# The share of replaced keys that are revoked.
+KEY_REVOKED_SHARE = 0.8
 
 Trouble = t.Callable[["ProcessSoak"], t.Coroutine[t.Any, t.Any, None]]
 TROUBLES: dict[str, Trouble] = {}
+# Troubles of soaks whose requests need keys.
+KEY_TROUBLES = {"keys are replaced"}
 
 
 def trouble(name: str) -> t.Callable[[Trouble], Trouble]:
@@ -47,11 +51,16 @@
 
 
 class ProcessSoak:
-    """One soak test, whose troubles and their times are drawn by the seed."""
+    """One soak test, whose troubles and their times are drawn by the seed.
 
-    def __init__(self, seed: int, nodes: int, callers: int, host_block: int) -> None:
+    :param keyed: requests need keys, which are replaced during the test.
+    """
+
+    def __init__(
+        self, seed: int, nodes: int, callers: int, host_block: int, keyed: bool = False
+    ) -> None:
         self.random = random.Random(seed)
-        self.stage = ProcessStage(nodes, SERVERS, host_block)
+        self.stage = ProcessStage(nodes, SERVERS, host_block, ("key-0",) if keyed else ())
         self._seed = seed
         self._count = callers
         self.busy: set[str] = set()
@@ -83,7 +92,7 @@
     async def _draw(self, seconds: float) -> None:
         end = time.monotonic() + seconds
         tasks = []
-        names = sorted(TROUBLES)
+        names = sorted(TROUBLES if self.stage.keys else TROUBLES.keys() - KEY_TROUBLES)
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(*TROUBLE_INTERVAL_S))
             name = self.random.choice(names)
@@ -184,6 +193,17 @@
     await soak.stage.write_version()
 
 
+@trouble("keys are replaced")
+async def replace_keys(soak: ProcessSoak) -> None:
+    """Give the organisation another key, and in most cases revoke the one before a little later."""
+    stage = soak.stage
+    new = f"key-{stage.version}"
+    await stage.replace_keys((*stage.keys, new))
+    await asyncio.sleep(soak.random.uniform(0.2, 1.5))
+    if soak.random.random() < KEY_REVOKED_SHARE:
+        await stage.replace_keys(stage.keys[1:])
+
+
 @trouble("an endpoint leaves, as its answers alone tell")
 async def leave(soak: ProcessSoak) -> None:
     """Start a replacement, then have an endpoint leave: it serves for some seconds and ends."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -189,6 +189,8 @@
         self.servers: list[ModelServer] = []
         self.version = 1
         self.keys = tuple(keys)
+        # When each key was revoked that callers have used.
+        self.revoked_at: dict[str, float] = {}
         # The entries that endpoints rewrite after a restore of the store.
         self._entries: dict[str, dict[str, t.Any]] = {}
 
@@ -215,6 +217,13 @@
         self.version += 1
         await self.store.write("config", "main", write_table(self.version, self.keys))
 
+    async def replace_keys(self, keys: t.Sequence[str]) -> None:
+        """Write a version with other keys, and record which ones it revokes, and when."""
+        revoked = set(self.keys) - set(keys)
+        self.keys = tuple(keys)
+        await self.write_version()
+        self.revoked_at |= dict.fromkeys(revoked, time.monotonic())
+
     async def add_server(self) -> ModelServer:
         """Start another endpoint and write its entry."""
         server = ModelServer(f"i{len(self.servers)}")
