Reset a connection before it closes, and let mutants of the planned stop show what each row guards

A mutant that stopped while an answer was half sent went uncaught: a connection that closes after its answer still held the request's head and passed for one that is being read, so it was waited for by accident. At the end of the grace time the lines of answers owed cover all listeners, whichever are open.

--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -12,6 +12,8 @@
 from relay_fixture import read_answer
 from relay_fixture import request
 
+from rookspring_core.effects import Cancel
+from rookspring_core.effects import Refuse
 from rookspring_core.events import RequestArrived
 from rookspring_core.organisations import Allotment
 from rookspring_fakes.model_server import LONG_ANSWER_BYTES
@@ -216,6 +218,15 @@
 def stopped_with_many(context, number):
     relay = context.relay
 
+    context.effects = []
+    perform = relay.node.context.perform
+
+    def record(effect):
+        context.effects.append(effect)
+        perform(effect)
+
+    relay.node.context.perform = record
+
     async def work():
         relay.node.drain()
         sent = [await send(relay, request("safe", one)) for one in range(number)]
@@ -241,6 +252,20 @@
     assert len(found) == len(context.relay.asked), lines
 
 
+@then("each attempt was cancelled before its caller was answered")
+def cancelled_first(context):
+    cancelled = [one.request_id for one in context.effects if isinstance(one, Cancel)]
+    refused = [one for one in context.effects if isinstance(one, Refuse)]
+    assert len(cancelled) == len(context.relay.asked), cancelled
+    for one in refused:
+        if one.request_id in cancelled:
+            index = context.effects.index(one)
+            assert any(
+                isinstance(before, Cancel) and before.request_id == one.request_id
+                for before in context.effects[:index]
+            ), one
+
+
 @given("a relay node as a process, whose callers need keys")
 def node_as_process(context):
     context.process_stage = ProcessStage(1, 1, os.getpid(), keys=("key-a",))
--- a/features/stops.feature
+++ b/features/stops.feature
@@ -44,6 +44,7 @@
     When 12 callers send safe requests and the node is stopped
     Then each request that reached the endpoint gets 502, and each other one 503, not run
     And the log says of each that reached it that its answer waits for endpoint
+    And each attempt was cancelled before its caller was answered
 
   Scenario: a stream that has begun doesn't look complete when the grace time ends
     Given a relay node with a grace time of 1.5 s, and an endpoint that does: stall after 3
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -299,10 +299,10 @@
         self.on_disconnect = None
         if self.disconnected:
             return
+        self._reset_request()
         if self._close_after:
             self._transport.close()
             return
-        self._reset_request()
         self._start_timer(self._options.limits().idle_s)
         if self._pipelined:
             data = bytes(self._pipelined)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -351,7 +351,7 @@
 
     def end_grace(self) -> None:
         """End the node, since its grace time is over; refuse the requests that are left."""
-        self._owed_at_end = relay_stop.log_owed(self.context, self.listeners["callers"])
+        self._owed_at_end = relay_stop.log_owed(self.context, list(self.listeners.values()))
         try:
             self.context.submit(GraceEnded(clock.now()))
         finally:
--- a/packages/rookspring/src/rookspring/relay_stop.py
+++ b/packages/rookspring/src/rookspring/relay_stop.py
@@ -34,11 +34,11 @@
     await asyncio.sleep(defaults.STOP_FLUSH_S)
 
 
-def log_owed(context: RelayContext, listener: HttpListener) -> int:
+def log_owed(context: RelayContext, listeners: list[HttpListener]) -> int:
     """Log each connection that owes an answer, and what that waits for; return their number."""
     now = clock.now()
     keys = {exchange.connection: exchange.key for exchange in context.exchanges.values()}
-    owing = listener.owing()
+    owing = [connection for listener in listeners for connection in listener.owing()]
     for connection in owing:
         key = keys.get(connection, "")
         log(
