--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -86,8 +86,12 @@
 @given("a relay node that is being stopped, with an endpoint that does: {script}")
 def node_being_stopped(context, script):
     tenants = [{"name": "org-a", "api-keys": ["key-a"], "unit": "requests"}]
-    context.relay = context.loop.run(start_node([[script]], tenants))
-    context.stop = StoppedNode(context.relay)
+
+    async def work():
+        return StoppedNode(await start_node([[script]], tenants))
+
+    context.stop = context.loop.run(work())
+    context.relay = context.stop.relay
 
 
 class StoppedNode:
@@ -137,14 +141,14 @@
     directory.by_name["org-a"] = limited
     state.allotments.is_far_from_limit = lambda name, now: False
     stop.relay.node.context.ask_allotment = lambda asked: None
-    await stop.until(0.05)
+    await stop.until(0.1)
     return await send(stop.relay, request("safe", 7, key="key-a"))
 
 
 @wait("the rest of its own bytes")
 async def await_bytes(stop):
     raw = request("unsafe", 7, key="key-a")
-    await stop.until(0.05)
+    await stop.until(0.1)
     sent = await send(stop.relay, raw[:-2])
     await stop.until(-0.3)
     sent.writer.write(raw[-2:])
