Add a failing test: callers of nodes without a way to any endpoint are served

Five real nodes in one loop share three endpoints; three or four of them lose their links to all of these in one of four ways: open connections fall silent, are reset, or live on, and new ones time out or are refused. Callers ask each node on new connections.

The pool of connections takes the protocol that it makes, so that a stand-in can cut the links of one node to all endpoints; nothing else of the program changes.

--- /dev/null
+++ b/features/steps/cut_off_steps.py
@@ -0,0 +1,83 @@
+import asyncio
+import time
+
+from behave import given
+from behave import then
+from behave import when
+from cut_stage import NOT_RUN
+from cut_stage import STAMP
+from cut_stage import CutStage
+
+from rookspring_fakes.model_server import STREAM_EVENTS
+
+# How long callers ask before the cut and after it, in seconds.
+BEFORE_S = 1.0
+AFTER_S = 4.0
+
+
+@given("{count:d} linked nodes that share three endpoints, and callers at each")
+def linked_nodes(context, count):
+    context.cut_stage = context.loop.run(CutStage(count).start())
+    context.relay = context.cut_stage.relay
+
+
+@when("{count:d} nodes' links to all endpoints are {how} for {seconds:d} s")
+def cut_links(context, count, how, seconds):
+    stage = context.cut_stage
+    context.cut = range(count)
+
+    async def work():
+        asking = asyncio.ensure_future(stage.ask_all(BEFORE_S + seconds + AFTER_S))
+        await asyncio.sleep(BEFORE_S)
+        stage.cut(count, how)
+        await asyncio.sleep(seconds)
+        stage.heal()
+        await asking
+
+    context.loop.run(work())
+
+
+def others(context):
+    return [number for number in range(context.cut_stage.count) if number not in context.cut]
+
+
+@then("from {seconds:g} s after the cut its nodes serve two thirds as often as the others at least")
+def cut_nodes_serve(context, seconds):
+    stage = context.cut_stage
+    begin = stage.cut_at + seconds
+    share, count = stage.share(context.cut, begin, stage.healed_at)
+    other_share, other_count = stage.share(others(context), begin, stage.healed_at)
+    assert count >= 10 and other_count >= 10, (count, other_count)
+    assert share >= other_share * 2 / 3, f"{share:.2f} of {count}, others {other_share:.2f}"
+
+
+@then("the other nodes serve {percent:d} in 100 throughout")
+def others_serve(context, percent):
+    share, count = context.cut_stage.share(others(context), 0.0, time.monotonic())
+    assert share >= percent / 100, f"{share:.3f} of {count}"
+
+
+@then("{seconds:g} s after the cut all nodes serve {percent:d} in 100")
+def all_serve(context, seconds, percent):
+    stage = context.cut_stage
+    for number in range(stage.count):
+        share, count = stage.share([number], stage.healed_at + seconds, time.monotonic())
+        assert count >= 10 and share >= percent / 100, f"n{number + 1}: {share:.3f} of {count}"
+
+
+@then("every answer is whole, no unrepeatable request ran twice, and none ran that was refused")
+def promises_kept(context):
+    stage = context.cut_stage
+    runs = stage.relay.runs
+    lines = [f"id: {number + 1}".encode() for number in range(STREAM_EVENTS)]
+    for one in stage.tries:
+        answer = one.answer
+        if one.kind != "safe":
+            assert runs.count(one.key) <= 1, one.key
+        if answer.status in NOT_RUN and STAMP not in answer.headers:
+            assert one.key not in runs, one.key
+        if one.served and one.kind == "stream":
+            ids = [line for line in answer.body.split(b"\n") if line.startswith(b"id:")]
+            assert ids == lines, (one.key, answer.body)
+        elif one.served:
+            assert answer.body == b"answer to " + one.key.encode(), (one.key, answer.body)
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -334,9 +334,15 @@
 
 
 class ConnectionPool:
-    """Idle connections by address."""
+    """Idle connections by address.
 
-    def __init__(self) -> None:
+    :param make_connection: makes the protocol of a new connection.
+    """
+
+    def __init__(
+        self, make_connection: t.Callable[[], ClientConnection] = ClientConnection
+    ) -> None:
+        self._make_connection = make_connection
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
@@ -360,7 +366,7 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(defaults.RELAY_CONNECT_S):
-                _, made = await loop.create_connection(ClientConnection, host, int(port))
+                _, made = await loop.create_connection(self._make_connection, host, int(port))
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
