Hand requests over to another node where this one reaches no endpoint

Cause: two facts were kept as one. "This endpoint is unwell" belongs to all nodes, "my way to it is broken" to one node; a node knew no way but its own, took what it found there for the endpoints' state and told it to the others: prompts that never arrived as unread, refused connections as ended processes, broken ones as crashes.

A node now asks itself whether it reaches endpoints at all, once a connection fails or once nothing answers any of its requests for 0.5 s: it connects to three endpoints on different boxes. If none accepts, it is isolated. It tells the others in its heartbeat, ends its prompts, forgets what it found unwell, closes idle connections, and hands each request over to a node that reaches endpoints, on that node's address for callers. That one admits it as its own work: keys, allotments, slots, permits and sends are counted there alone. What was handed over is not handed on. Its outcome is unknown from the first byte until the other has answered, so it is handed over anew only if nothing was sent. The way is tried again every 0.5 s. A refused connection counts as an endpoint's end only where another endpoint is reached.

Heartbeats and member rows have a field more, so the version of the peer protocol is 7.

--- a/features/cut_stage.py
+++ b/features/cut_stage.py
@@ -72,8 +72,13 @@
         return self
 
     def _linked(self):
-        known = [len(node.context.state.membership.peers) for node in self.nodes]
-        return known == [self.count - 1] * self.count
+        """Return whether each node knows that all others serve callers."""
+        for node in self.nodes:
+            peers = node.context.state.membership.peers.values()
+            ready = sum(peer.heartbeat.revision > 0 for peer in peers)
+            if ready != self.count - 1:
+                return False
+        return True
 
     async def ask_all(self, seconds):
         """Have callers ask each node, one request after another, each on a new connection."""
--- /dev/null
+++ b/features/isolation.feature
@@ -0,0 +1,96 @@
+Feature: Decisions of a node that reaches no endpoint
+
+  Scenario: new requests are handed over and counted at the other node alone
+    Given a node of data centre z with 3 endpoints and other nodes b in z, c in y
+    And organisation "org" may use 10 units a second
+    When it finds that it reaches no endpoint
+    And a request of "org" for model m arrives
+    Then it is handed over to b with 0 sends
+    And no units, demand or resend window are counted here
+
+  Scenario: a refused connection is no endpoint's end while nothing else is reached
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When it finds that it reaches no endpoint
+    Then no endpoint counts as down, ejected or failing
+    And this is announced at once
+
+  Scenario: waiting requests and unsent ones are handed over, and their slots are returned
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When a request waits for a slot, another is being sent, and it finds that it reaches none
+    Then the waiting one is handed over at once
+    And the other one is handed over once its connection has failed
+    And a slot that is granted late is returned
+
+  Scenario Outline: a request that was handed over has one outcome
+    Given a node of data centre z with 3 endpoints and other nodes b in z, c in z, d in z, e in z
+    When it finds that it reaches no endpoint
+    And <kind> request is handed over, which <what>
+    Then it ends as <end> after <times> handovers
+
+    Examples:
+      | kind        | what                                 | end         | times |
+      | a safe      | is answered                          | answered    | 1     |
+      | an unsafe   | is answered                          | answered    | 1     |
+      | a safe      | can't be sent to three nodes         | 503 not_run | 3     |
+      | an unsafe   | can't be sent to three nodes         | 503 not_run | 3     |
+      | an unsafe   | can't be sent once and then answers  | answered    | 2     |
+      | a safe      | is cut after it was sent             | 502 unknown | 1     |
+      | an unsafe   | is cut after it was sent             | 502 unknown | 1     |
+      | an unsafe   | is late after it was sent            | 504 unknown | 1     |
+      | an unsafe   | is left by its caller                | cancelled   | 1     |
+      | an unsafe   | is unanswered as the grace time ends | 502 unknown | 1     |
+
+  Scenario: what was handed over is not handed on
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When it finds that it reaches no endpoint
+    And a request arrives that another node has handed over
+    Then it is not handed over
+
+  Scenario: a resend counts as one at the node that it is handed over to
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When a safe request was sent once and broke off, and it finds that it reaches none
+    Then it is handed over to b with 1 sends
+    And at b it is sent once more at most
+
+  Scenario Outline: requests go to nodes that reach endpoints
+    Given a node of data centre z with 3 endpoints and other nodes <nodes>
+    When it finds that it reaches no endpoint
+    And 64 requests arrive
+    Then they are handed over to <chosen>
+
+    Examples:
+      | nodes                                                    | chosen  |
+      | b in z, c in z, d in y                                   | b, c    |
+      | b in z, c in z isolated, d in z isolated, e in y, f in y | b, e, f |
+      | b in z isolated, c in z leaving, d in y                  | d       |
+      | b in z without a table, c in y                           | c       |
+      | b in z isolated, c in y isolated                         | none    |
+
+  Scenario: with 1,900 nodes each hands over to a few, and those few share the work
+    Given 1900 nodes in 7 data centres, of which 200 of one data centre's reach no endpoint
+    When each of those hands 20 requests over
+    Then each has handed over to 8 nodes at most
+    And no node got over four times the mean of those that got any
+    And a choice takes under 1 ms on average
+
+  Scenario Outline: silence of all endpoints is looked into, that of one is not
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When <what>
+    Then it <does>
+
+    Examples:
+      | what                                                          | does            |
+      | a request at one endpoint is silent for 1.2 s, another's goes | asks for nothing |
+      | all requests in flight are silent for 0.6 s                   | probes 3 boxes   |
+      | nothing is in flight for 5 s                                  | asks for nothing |
+      | it finds that it reaches no endpoint, and 1 s passes          | probes 3 boxes   |
+
+  Scenario: prompts that never arrive hold up no other node's requests
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When a prompt is being sent to each endpoint, and it finds that it reaches none
+    Then all nodes are told that no prompt of it is unread
+
+  Scenario: probes go to endpoints on different boxes, another one first each time
+    Given a node of data centre z with 60 endpoints on 20 boxes
+    Then each probe asks 3 boxes, without that of the failed endpoint
+    And in 10 s at least 15 boxes are asked
--- a/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
@@ -184,6 +184,18 @@
     endpoint: str
 
 
+class ReachProbed(t.NamedTuple):
+    """This node has tried to connect to several endpoints.
+
+    :param reached: one of them accepted a connection.
+    :param endpoint: that one.
+    """
+
+    at: float
+    reached: bool
+    endpoint: str = ""
+
+
 class EventGapMeasured(t.NamedTuple):
     """The time between events of a stream was measured at this node.
 
--- a/packages/rookspring-core/src/rookspring_core/_node_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_node_events.py
@@ -26,6 +26,7 @@
     :param follows: it gets the store's lists, and the other nodes' load, from this node.
     :param aggregated: its figures are included in those of another node.
     :param store_age_s: age of what it knows of the platform's store, in seconds.
+    :param isolated: it reaches no endpoint.
     :param spent: units of organisations' allotments that it has let in since it last sent this.
     """
 
@@ -55,6 +56,7 @@
     store_age_s: float = math.inf
     spent: tuple[tuple[str, float], ...] | None = None
     relay_s: float = 0.0
+    isolated: bool = False
 
 
 class MembersReceived(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -29,6 +29,8 @@
     :param key: digest of the caller's key; empty where it needs none.
     :param declared_tokens: prompt tokens plus the answer's maximum, as the caller declared them.
     :param fingerprint: identical each time that the same request is sent; see :mod:`fingerprints`.
+    :param sends_before: how often it was sent to an endpoint before another node handed it over;
+        None if it came from a caller.
     """
 
     at: float
@@ -50,6 +52,7 @@
     key: str = ""
     declared_tokens: int | None = None
     fingerprint: str = ""
+    sends_before: int | None = None
 
 
 class ResumeAsked(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -4,6 +4,7 @@
 from . import allotment_checks
 from . import arrival_checks
 from . import defaults
+from . import handovers
 from . import load_requests
 from . import requests
 from . import routed
@@ -28,6 +29,8 @@
     fault = fault or suspect_handlers.refuse_quarantined(state, event)
     if fault is not None:
         return [fault]
+    if handovers.applies(state, event):
+        return handovers.begin(state, event)
     if event.once_key is not None:
         known = arrival_checks.check_once_key(state, event)
         if known is not None:
@@ -74,6 +77,8 @@
     state.requests[event.request_id] = request
     pool = state.pools.setdefault(requests.pool_of(state, event), admission_queue.ThroughputMeter())
     queue = state.queues.setdefault(queue_key(event), admission_queue.AdmissionQueue(pool))
+    if handovers.applies(state, event):
+        return handovers.hand_over(state, request)
     if event.route is not None:
         return requests.enqueue_routed(state, request, queue)
     sort_key = admission_queue.make_sort_key(event.deadline_at, event.priority)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -3,6 +3,7 @@
 from . import allotment_checks
 from . import control_jobs
 from . import defaults
+from . import endpoint_reach
 from . import endpoint_speeds
 from . import missing_models
 from . import notice_handlers
@@ -63,6 +64,7 @@
         allotment_checks.update_near_limit(state, was_relay)
         state.adapter_waits.forget_old(event.at)
         effects += endpoint_speeds.update(state)
+        effects += endpoint_reach.probe_if_due(state)
         effects += residency.run_control_tick(state, passed)
     else:
         effects += control_jobs.run_control_jobs(state, passed)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -71,6 +71,20 @@
 # An endpoint that accepts no connection is ejected at once, for this long.
 UNREACHED_EJECT_S = 1.0
 
+# A node tells whether it reaches endpoints at all by connecting to this many, on different boxes.
+# It asks again after this time, while it reaches none or while none has answered for so long.
+REACH_PROBES = 3
+REACH_RECHECK_S = 0.5
+REACH_SILENCE_S = 0.5
+# Requests that a node has handed over to others at once, and the nodes that one is offered to.
+HANDOVERS_MAX = 512
+HANDOVER_TRIES_MAX = 3
+# A node hands over to this many others, chosen anew after this time. They are of its own data
+# centre where at least this share of its nodes reach endpoints.
+HANDOVER_PEERS = 8
+HANDOVER_PEERS_S = 0.2
+NEAR_REACHING_SHARE = 0.5
+
 QUEUE_MAX = 2048
 TICK_S = 0.1
 # How far ahead each priority moves a request in the deadline order, in seconds.
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -226,6 +226,26 @@
     after_s: float
 
 
+class ProbeReach(t.NamedTuple):
+    """Connect to some endpoints, to tell whether this node reaches any."""
+
+    endpoints: tuple[str, ...]
+
+
+class HandOver(t.NamedTuple):
+    """Hand a request over to another node, as this one reaches no endpoint.
+
+    :param address: the other node's address for callers.
+    :param sends: how often the request was sent to an endpoint before.
+    """
+
+    request_id: str
+    attempt: int
+    node: str
+    address: str
+    sends: int
+
+
 class StartOrderTimer(t.NamedTuple):
     """Start the timer after which an order counts as done, though no report shows it.
 
@@ -409,6 +429,8 @@
     | AdapterLeft
     | LogSpeed
     | ReadReport
+    | ProbeReach
+    | HandOver
     | StartOrderTimer
     | SharePrompts
     | ShareLoading
--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
@@ -0,0 +1,114 @@
+"""Whether this node reaches endpoints at all, which is a fact about the node and not about them.
+
+A failed connection shows that an endpoint has ended, or that this node's way to it is broken. The
+daemon tells these apart by connecting to some endpoints on other boxes: if none of them can be
+reached, the node is *isolated*. It then tells the other nodes, which don't give its address to
+callers, and hands its requests over to them; see :mod:`handovers`.
+"""
+
+from . import defaults
+from . import handovers
+from . import requests
+from . import routed
+from .effects import Announce
+from .effects import Effect
+from .effects import ProbeReach
+from .endpoints import EndpointView
+from .events import ReachProbed
+from .hashing import stable_hash
+from .reducer import handles
+from .state import NodeState
+
+Effects = list[Effect]
+
+
+def box_of(view: EndpointView) -> str:
+    """Return the box of an endpoint: the host of its address."""
+    return view.address.rpartition(":")[0] or view.address
+
+
+def choose_probes(state: NodeState, besides: str = "") -> list[str]:
+    """Choose the endpoints that tell whether this node reaches any, at most one on each box.
+
+    Other ones are chosen each time. Those that are not known to be well come last. Where all are
+    on one box, one of each address counts.
+
+    :param besides: an endpoint that could not be reached; neither it nor its box is chosen.
+    """
+    failed = state.endpoints.get(besides)
+    views = [view for view in state.endpoints.values() if not view.gone and view is not failed]
+    if failed is not None:
+        views = [view for view in views if box_of(view) != box_of(failed)] or views
+    turn = str(int(state.now / defaults.REACH_RECHECK_S))
+    views.sort(key=lambda view: (view.leaving, view.down, stable_hash("probe", view.name, turn)))
+    chosen: dict[str, str] = {}
+    for view in views:
+        chosen.setdefault(box_of(view), view.name)
+        if len(chosen) == defaults.REACH_PROBES:
+            break
+    names = list(chosen.values())
+    return names if len(names) > 1 else [view.name for view in views[: defaults.REACH_PROBES]]
+
+
+@handles(ReachProbed)
+def note_probe(state: NodeState, event: ReachProbed) -> Effects:
+    """Note whether any of some endpoints could be reached; a change is announced at once."""
+    reach = state.reach
+    reach.probed_at = event.at
+    if event.reached != reach.isolated:
+        return []
+    reach.isolated_since = None if event.reached else event.at
+    state.record("endpoints", *_describe_change(event))
+    _forget_findings(state)
+    effects: Effects = [Announce("reach")]
+    if event.reached:
+        return effects + requests.dispatch_waiting(state)
+    effects += _end_prompts(state)
+    return effects + handovers.hand_over_waiting(state)
+
+
+def _describe_change(event: ReachProbed) -> tuple[str, str]:
+    if event.reached:
+        return "in reach", f"{event.endpoint} accepted a connection"
+    return "out of reach", "none of several accepts a connection of this node"
+
+
+def _forget_findings(state: NodeState) -> None:
+    """Forget which endpoints seemed to be unwell: what was found of them were broken ways."""
+    for view in state.endpoints.values():
+        view.forget_failures()
+
+
+def _end_prompts(state: NodeState) -> Effects:
+    """Count no prompt of this node as unread: none arrives, and other nodes wait for their end."""
+    effects: Effects = []
+    for request in state.requests.values():
+        if request.running:
+            effects += routed.end_prompt(state, request)
+    return effects
+
+
+def probe_if_due(state: NodeState) -> Effects:
+    """Probe again while this node is isolated, or while no endpoint answers any of its requests."""
+    reach = state.reach
+    if state.now - reach.probed_at < defaults.REACH_RECHECK_S:
+        return []
+    if not reach.isolated and not _is_silent(state):
+        return []
+    names = choose_probes(state)
+    if not names:
+        return []
+    # A probe that gets no answer, since the node stalled, is repeated.
+    reach.probed_at = state.now
+    return [ProbeReach(tuple(names))]
+
+
+def _is_silent(state: NodeState) -> bool:
+    """Return whether requests are in flight and no endpoint has answered any of them for long."""
+    before = state.now - defaults.REACH_SILENCE_S
+    if state.reach.heard_at > before:
+        return False
+    return any(
+        request.running and not request.handed_to and request.dispatched_at <= before
+        for request in state.requests.values()
+    )
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -392,6 +392,13 @@
         if self.failures >= defaults.EJECT_AFTER_FAILURES:
             self.ejected_until = now + defaults.EJECT_S
 
+    def forget_failures(self) -> None:
+        """Forget that attempts and connections failed here, as this node's way was broken."""
+        self.failures = 0
+        self.ejected_until = -1e9
+        self.probing = False
+        self.down = False
+
     def succeed(self, now: float) -> None:
         """Record a response, and reset the failures."""
         self.responded_at = now
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -34,6 +34,7 @@
 from ._endpoint_events import NoticeReceived as NoticeReceived
 from ._endpoint_events import PromptsReceived as PromptsReceived
 from ._endpoint_events import RatesReceived as RatesReceived
+from ._endpoint_events import ReachProbed as ReachProbed
 from ._endpoint_events import ReportMissed as ReportMissed
 from ._endpoint_events import ShedReceived as ShedReceived
 from ._endpoint_events import SpeedsReceived as SpeedsReceived
@@ -90,6 +91,7 @@
     | PromptsReceived
     | LoadingReceived
     | DownReceived
+    | ReachProbed
     | PeerLost
     | PlatformAnswered
     | LeaseSeen
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -9,6 +9,7 @@
 from .effects import Dispatch
 from .effects import Effect
 from .effects import Forget
+from .effects import HandOver
 from .effects import Refuse
 from .effects import SendOrder
 from .effects import Stop
@@ -165,6 +166,20 @@
     return ""
 
 
+@invariant("handed-over-once", on=HandOver)
+def check_handover(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """A request that may have reached an endpoint or another node is not handed over, nor on."""
+    for effect in effects:
+        if not isinstance(effect, HandOver):
+            continue
+        arrived = state.requests[effect.request_id].arrived
+        if arrived.sends_before is not None:
+            return f"{effect.request_id} would be handed over twice"
+        if not arrived.repeatable and effect.request_id in state.sent_witness:
+            return f"{effect.request_id} would be sent twice"
+    return ""
+
+
 @invariant("suspects", on=Dispatch)
 def check_suspects(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """A request that is known to crash its endpoints is not sent."""
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -355,6 +355,7 @@
         heartbeat.lease_ended,
         heartbeat.relay,
         heartbeat.capacity,
+        heartbeat.isolated,
     )
 
 
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -6,6 +6,7 @@
 
 from . import admission_queue
 from . import defaults
+from . import handovers
 from . import requests
 from . import retry_after
 from . import routed
@@ -63,6 +64,8 @@
     request = requests.find_running(state, event.request_id, event.attempt)
     if request is None:
         return []
+    if request.handed_to:
+        return handovers.recover(state, request, event)
     # Once any attempt may have run, a later "not run" from another endpoint does not undo it.
     request.maybe_ran = request.maybe_ran or (event.sent and not event.reported_not_run)
     request.sent = request.maybe_ran
@@ -72,6 +75,8 @@
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
     request.running = False
+    if handovers.may_hand_over(state, request, event):
+        return effects + handovers.hand_over(state, request)
     terms = request.arrived.route
     if routed.may_retry(state, request, event) if terms else _may_retry(state, request, event):
         return effects + _requeue(state, request)
@@ -100,6 +105,7 @@
         return []
     if event.reported_not_run:
         endpoint.responded_at = state.now
+        state.reach.heard_at = state.now
     else:
         endpoint.fail(state.now)
     if event.down and endpoint.mark_down(state.now):
@@ -137,6 +143,8 @@
     queue = state.queues.setdefault(
         requests.queue_key(arrived), admission_queue.AdmissionQueue(pool)
     )
+    if handovers.applies(state, arrived):
+        return handovers.hand_over(state, request)
     if arrived.route is not None:
         return requests.enqueue_routed(state, request, queue) + requests.dispatch_waiting(state)
     # A request that was sent before goes ahead of new ones: its caller has waited longer.
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -263,6 +263,7 @@
         request.first_event_at = (
             state.now if request.first_event_at is None else request.first_event_at
         )
+        state.reach.heard_at = state.now
         if (endpoint := state.endpoints.get(request.endpoint)) is not None:
             endpoint.responded_at = state.now
             endpoint.answered(request.dispatched_at)
@@ -286,6 +287,9 @@
     request = find_running(state, event.request_id, event.attempt)
     if request is None:
         return []
+    if request.handed_to:
+        return _close(state, request)
+    state.reach.heard_at = state.now
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.succeed(state.now)
@@ -374,6 +378,8 @@
     if endpoint is not None:
         endpoint.end(identity, state.now)
     state.requests.pop(identity, None)
+    if request.handed_to:
+        state.reach.count_handed(request.handed_to, -1)
     if request.limited:
         state.limits.release(request.arrived.team)
     return [*effects, Forget(identity)]
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -25,6 +25,7 @@
 from .options import DecisionOptions
 from .owners import OwnerTable
 from .place_queues import PlaceQueue
+from .reach import Reach
 from .request_rates import RateTable
 from .retries import RetryBudget
 from .retries import RetryWindow
@@ -114,6 +115,8 @@
         "endpoint",
         "first_event_at",
         "limited",
+        "handed_to",
+        "nodes_tried",
         "maybe_ran",
         "attempt_not_run",
         "running",
@@ -139,7 +142,7 @@
         self.attempt_not_run = False
         self.maybe_ran = False
         # Attempts of which a byte may have left; a route limits their number.
-        self.sends = 0
+        self.sends = arrived.sends_before or 0
         self.limited = False
         self.charge: Charge | None = None
         # The slot granted by the owner of the queue, when one was requested, and whether the
@@ -152,6 +155,9 @@
         self.permits_due: dict[str, float] = {}
         # Whether this node places its next attempt by itself, as an owner of places gave no answer.
         self.places_itself = False
+        # The node that has it now, if it is handed over, and all nodes that it was handed to.
+        self.handed_to = ""
+        self.nodes_tried: set[str] = set()
         self.running = False
         # Whether its endpoint had no unread prompt and a low load when the request was sent, so
         # that the time to the first event measures this prompt alone.
@@ -216,6 +222,7 @@
         self.once = OnceTable()
         self.membership = Membership(identity.name, identity.data_centre)
         self.topology = Topology(self.membership)
+        self.reach = Reach()
         # What this node can carry, in cores with the link for them; see ``HeartbeatReceived``.
         self.capacity = 0.0
         self.control = ControlState()
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -19,6 +19,7 @@
 STREAM_EVENTS = 5
 LONG_ANSWER_BYTES = 15 << 20
 LATE_ANSWER_S = 0.15
+FLOOD_EVENT_BYTES = 64 << 10
 
 
 def step(name: str) -> t.Callable[[S], S]:
@@ -76,6 +77,8 @@
         self.extra_header_lines: list[str] = []
         # Whether it answers everything with 503, reports and orders included.
         self.refuses_all = False
+        # The bytes of streams without end that were taken from it.
+        self.flooded_bytes = 0
         # Whether a POST below /stream/ is answered with a stream if the script is used up.
         self.streams = False
         # Until when it sheds load, and the back-off that it requests then, in seconds; and these
@@ -475,6 +478,21 @@
     await asyncio.sleep(30.0)
 
 
+@step("flood")
+async def _flood(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a stream without end, as fast as it is taken."""
+    headers = _record_run(server, request)
+    headers |= {"Content-Length": "", "Transfer-Encoding": "chunked"}
+    _send(server, writer, 200, b"", headers)
+    data = b"id: 1\ndata: " + b"x" * FLOOD_EVENT_BYTES + b"\n\n"
+    while True:
+        writer.write(b"%x\r\n%b\r\n" % (len(data), data))
+        await writer.drain()
+        server.flooded_bytes += len(data)
+
+
 @step("hang")
 async def _hang(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -4,6 +4,8 @@
 FRAME_BYTES_MAX = 8 << 20
 HEADER_READ_S = 10.0
 CONNECT_S = 1.0
+# A finding that this node reaches endpoints, or none, is used for this long.
+REACH_CONFIRMED_S = 0.3
 # A box that is up accepts a connection within some milliseconds (1 ms by the users' figures
 # and 3 ms of network latency); after this time another endpoint is tried.
 RELAY_CONNECT_S = 0.4
@@ -27,7 +29,7 @@
 PLATFORM_CALLS_PER_S = 20.0
 PLATFORM_CALLS_BURST = 60.0
 FORWARD_S = 60.0
-PEER_VERSION = 6
+PEER_VERSION = 7
 REVISIONS_KEPT = 64
 REQUEST_ID_BYTES = 12
 HEARTBEAT_S = 1.0
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -27,6 +27,8 @@
     :param last_event: the event after which to resume a stream, or empty.
     :param key: digest of its key; empty if it has none, or an ambiguous one.
     :param declared_tokens: of the prompt and the longest answer; None if it states none.
+    :param sends_before: how often it was sent before another node handed it over; None if it came
+        from a caller.
     """
 
     request_id: str
@@ -41,6 +43,7 @@
     last_event: str
     key: str = ""
     declared_tokens: int | None = None
+    sends_before: int | None = None
 
 
 class ForwardFields(t.NamedTuple):
@@ -115,6 +118,16 @@
     def forward_headers(self, headers: t.Iterable[Header], fields: ForwardFields) -> list[Header]:
         """Return the headers with which a request is forwarded to an endpoint."""
 
+    @abc.abstractmethod
+    def handover_headers(
+        self, headers: t.Iterable[Header], remaining_s: float, sends: int
+    ) -> list[Header]:
+        """Return the headers of a request that is handed over to another node: the caller's.
+
+        :param remaining_s: time until the deadline, in seconds.
+        :param sends: how often the request was sent to an endpoint before.
+        """
+
     @abc.abstractmethod
     def match_answer(self, head: HttpHead, request_id: str) -> AnswerMatch:
         """Read what the head of an endpoint's answer states about a request."""
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -383,6 +383,14 @@
             probe.add_done_callback(lambda _: self._probes.pop(address, None))
         return await asyncio.shield(probe)
 
+    async def reaches(self, address: str) -> bool:
+        """Return whether a new connection can be made; it is pooled for the next request."""
+        try:
+            self.release(address, await self._open(address))
+        except EndpointError:
+            return False
+        return True
+
     async def _probe(self, address: str) -> bool:
         try:
             self.release(address, await self._open(address))
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -51,6 +51,7 @@
     :param spent: rows of organisation and units.
     :param merged: digest of the sets that all nodes merge; see :mod:`relay_merged`.
     :param store_era: how often the store has been restored from an older backup.
+    :param isolated: the sender reaches no endpoint.
     """
 
     name: str
@@ -80,6 +81,7 @@
     relay_s: float = 0.0
     merged: int = 0
     store_era: int = 0
+    isolated: bool = False
 
 
 @message("speeds")
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -40,6 +40,12 @@
         self.answers_owed = make(
             Gauge, "rookspring_answers_owed", "Callers that wait for an answer's last byte", labels
         )
+        self.isolated = make(
+            Gauge, "rookspring_isolated", "1 while the node reaches no endpoint", labels
+        )
+        self.handovers = make(
+            Counter, "rookspring_handovers_total", "Requests handed to other nodes by end", labels
+        )
         self.waiting = make(Gauge, "rookspring_waiting", "Requests waiting", labels)
         self.model_waits = make(
             Gauge, "rookspring_model_waits_total", "Waits for missing models by end", labels
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -252,6 +252,7 @@
         key=fields.key if exchange.organisation else "",
         declared_tokens=fields.declared_tokens,
         fingerprint=exchange.fingerprint,
+        sends_before=fields.sends_before,
     )
 
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -85,6 +85,8 @@
             # has ended. That is checked at once: the next request to it would detect it later,
             # on another node, or never.
             error.down = await context.pool.is_down(view.address)
+        if error.down or not (error.sent or error.withheld):
+            await _check_reach(context, view, error)
         _submit_failure(context, effect, error)
     except CallerGone:
         # ``on_left`` of the connection has submitted that the caller left.
@@ -97,6 +99,13 @@
         exchange.attempt_timeout = None
 
 
+async def _check_reach(context: RelayContext, view: EndpointView, error: EndpointError) -> None:
+    """Tell no end of an endpoint where this node reaches none, since its own way is broken."""
+    if not await context.reach_probes.confirm(view.name):
+        error.down = False
+        error.broken = False
+
+
 def _submit_failure(context: RelayContext, effect: Dispatch, error: EndpointError) -> None:
     context.metrics.attempts.inc({"end": "not_run" if error.reported_not_run else "failed"})
     exchange = context.exchanges.get(effect.request_id)
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -34,6 +34,7 @@
 from .relay_settings import RelaySettings
 
 if t.TYPE_CHECKING:
+    from .relay_reach import ReachProbes
     from .store_eras import StoreEras
 
 RelayEffectHandler = t.Callable[["RelayContext", t.Any], None]
@@ -69,6 +70,10 @@
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
         self.pool = ConnectionPool()
+        # Connections to other nodes, which requests are handed over on.
+        self.peer_pool = ConnectionPool()
+        # Set by :class:`RelayNode`.
+        self.reach_probes: ReachProbes
         self.exchanges: dict[str, RelayExchange] = {}
         self.endpoints_listed = False
         # Set while this node has to watch the store; see ``topology.py`` of the core.
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -0,0 +1,126 @@
+"""Requests that are handed over to another node, and their answers, which are passed on unchanged.
+
+A request is sent to the other node's address for callers, on a connection of its own, so that a
+caller who reads slowly holds up its own answer alone. A connection that is closed cancels it there.
+"""
+
+import asyncio
+
+from rookspring_core.effects import HandOver
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptStarted
+from rookspring_core.events import AttemptSucceeded
+
+from . import clock
+from . import defaults
+from .exceptions import CallerGone
+from .exceptions import EndpointError
+from .http_client import Reply
+from .http_messages import HttpHead
+from .http_messages import end_to_end_headers
+from .http_messages import write_head
+from .logs import log
+from .relay import RelayExchange
+from .relay import end_exchange
+from .relay_context import RelayContext
+from .relay_context import handles_relay_effect
+
+
+@handles_relay_effect(HandOver)
+def hand_over(context: RelayContext, effect: HandOver) -> None:
+    """Hand a request over in its own task."""
+    exchange = context.exchanges.get(effect.request_id)
+    if exchange is None:
+        error = EndpointError("the request has ended", sent=False)
+        context.loop.call_soon(_submit_failure, context, effect, error)
+        return
+    log(
+        "handover_began",
+        id=exchange.fields.request_id,
+        key=exchange.key,
+        attempt=effect.attempt,
+        route=exchange.route.name,
+        node=effect.node,
+        address=effect.address,
+        sends=effect.sends,
+        waited_s=clock.now() - exchange.arrived_at,
+    )
+    exchange.task = context.spawn(_run(context, effect, exchange))
+
+
+async def _run(context: RelayContext, effect: HandOver, exchange: RelayExchange) -> None:
+    """Hand a request over and submit how that ended."""
+    try:
+        async with asyncio.timeout(exchange.deadline_at - clock.now()) as exchange.attempt_timeout:
+            await _exchange(context, effect, exchange)
+    except TimeoutError:
+        _submit_failure(context, effect, EndpointError("deadline", sent=True))
+    except EndpointError as error:
+        _submit_failure(context, effect, error)
+    except CallerGone:
+        # ``on_left`` of the connection has submitted that the caller left.
+        return
+    except Exception as error:  # noqa: BLE001
+        # A bug here must not leave the caller without an answer; the request may have run.
+        log("task_failed", "ERROR", error=type(error).__name__, detail=error)
+        _submit_failure(context, effect, EndpointError("fault of this node", sent=True))
+    finally:
+        exchange.attempt_timeout = None
+
+
+def _submit_failure(context: RelayContext, effect: HandOver, error: EndpointError) -> None:
+    context.metrics.handovers.inc({"end": "failed"})
+    log(
+        "handover_failed",
+        key=effect.request_id,
+        attempt=effect.attempt,
+        node=effect.node,
+        reason=error.reason,
+        sent=error.sent,
+    )
+    failed = AttemptFailed(
+        clock.now(), effect.request_id, effect.attempt, error.sent, False, error.reason
+    )
+    context.submit(failed)
+
+
+async def _exchange(context: RelayContext, effect: HandOver, exchange: RelayExchange) -> None:
+    request = exchange.request
+    connection = await context.peer_pool.acquire(effect.address, not exchange.route.repeatable)
+    try:
+        left_s = exchange.deadline_at - clock.now()
+        headers = context.dialect.handover_headers(request.headers, left_s, effect.sends)
+        if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+            headers.append((b"Content-Length", str(len(request.body)).encode()))
+        line = request.method + b" " + request.target + b" HTTP/1.1"
+        context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt))
+        reply = connection.send_request(
+            write_head(line, headers) + request.body,
+            lambda head: True,
+            lambda head: None,
+            request.method == b"HEAD",
+        )
+        head = await reply.wait_head()
+        await _pass_on(exchange, reply, head)
+    finally:
+        # An answer that was not read to its end is cancelled at the other node by the close.
+        context.peer_pool.release_or_close(effect.address, connection)
+    context.metrics.handovers.inc({"end": "answered"})
+    context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
+    end_exchange(context, exchange, "answered", f"node {effect.node} gave {head.status}")
+
+
+async def _pass_on(exchange: RelayExchange, reply: Reply, head: HttpHead) -> None:
+    """Pass an answer on: one with a length once it is complete, any other as it arrives."""
+    headers = end_to_end_headers(head.headers)
+    exchange.first_event_at = clock.now()
+    if not head.header(b"transfer-encoding"):
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+        exchange.connection.answer(head.status, headers, body)
+        return
+    exchange.started = True
+    exchange.connection.begin(head.status, headers, None)
+    while part := await reply.next_part():
+        exchange.events += 1
+        await exchange.connection.send(part)
+    exchange.connection.end()
--- a/packages/rookspring/src/rookspring/relay_heartbeats.py
+++ b/packages/rookspring/src/rookspring/relay_heartbeats.py
@@ -135,6 +135,7 @@
         store_age_s=round(min(3600.0, state.topology.age_s(now)), 3),
         merged=relay_merged.combined_digest(state),
         store_era=state.store_era,
+        isolated=state.reach.isolated,
     )
 
 
@@ -282,6 +283,7 @@
             store_age_s=float(beat.store_age_s),
             spent=None if beat.spent is None else _read_rates(beat.spent),
             relay_s=float(beat.relay_s),
+            isolated=bool(beat.isolated),
         )
     )
     if new_follower:
--- a/packages/rookspring/src/rookspring/relay_members.py
+++ b/packages/rookspring/src/rookspring/relay_members.py
@@ -86,12 +86,13 @@
         heartbeat.lease_ended,
         heartbeat.relay,
         heartbeat.capacity,
+        heartbeat.isolated,
     ]
 
 
 def _decode_row(row: list[t.Any], now: float) -> HeartbeatReceived:
     name, incarnation, address, caller_address, data_centre, revision, leaving = row[:7]
-    uptime_s, lease_epoch, lease_ended, relay, capacity = row[7:]
+    uptime_s, lease_epoch, lease_ended, relay, capacity, isolated = row[7:]
     return HeartbeatReceived(
         at=now,
         name=str(name),
@@ -107,6 +108,7 @@
         uptime_s=float(uptime_s),
         capacity=float(capacity),
         relay=bool(relay),
+        isolated=bool(isolated),
         aggregated=True,
     )
 
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -38,6 +38,7 @@
 from . import relay
 from . import relay_allotments
 from . import relay_attempts as relay_attempts
+from . import relay_handovers as relay_handovers
 from . import relay_heartbeats
 from . import relay_merged
 from . import relay_notices
@@ -64,6 +65,7 @@
 from .relay_endpoint_list import EndpointList
 from .relay_peers import RelayPeers
 from .relay_proofs import ProofRefresher
+from .relay_reach import ReachProbes
 from .relay_settings import RelaySettings
 from .store_eras import StoreEras
 from .store_reachability import StoreReachability
@@ -140,6 +142,7 @@
         self.reach = StoreReachability(self.context)
         self.context.eras = StoreEras(self.context, self.reach)
         self.context.eras.attach_client(platform)
+        self.context.reach_probes = ReachProbes(self.context)
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofRefresher(self.context, self.peers, self.reach)
         self._connect_components()
@@ -278,6 +281,7 @@
         metrics = self.context.metrics
         metrics.inflight.set({}, len(state.requests))
         metrics.answers_owed.set({}, len(self.listeners["callers"].owing()))
+        metrics.isolated.set({}, int(state.reach.isolated))
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         for end, count in state.model_waits.ends.items():
             metrics.model_waits.set({"end": end}, count)
@@ -320,6 +324,7 @@
         while True:
             await asyncio.sleep(defaults.POOL_SWEEP_S)
             self.context.pool.sweep(clock.now())
+            self.context.peer_pool.sweep(clock.now())
 
     def reload(self, reload: Reload, by_signal: bool = True) -> None:
         """Read the settings again and apply them; invalid ones change nothing.
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_reach.py
@@ -0,0 +1,86 @@
+"""Finds out whether this node reaches endpoints at all, by connecting to several of them.
+
+:mod:`rookspring_core.endpoint_reach` chooses them and decides what follows.
+"""
+
+import asyncio
+import typing as t
+
+from rookspring_core import endpoint_reach
+from rookspring_core.effects import ProbeReach
+from rookspring_core.events import ReachProbed
+
+from . import clock
+from . import defaults
+from .logs import log
+from .relay_context import RelayContext
+from .relay_context import handles_relay_effect
+
+
+class ReachProbes:
+    """Connects to some endpoints at a time; concurrent callers share the result."""
+
+    def __init__(self, context: RelayContext) -> None:
+        self._context = context
+        self._running: asyncio.Task[bool] | None = None
+        self._tasks: set[asyncio.Task[bool]] = set()
+
+    async def confirm(self, failed: str) -> bool:
+        """Return whether this node reaches endpoints, after a connection to one failed.
+
+        True where there is no other endpoint by which to tell.
+
+        :param failed: that endpoint.
+        """
+        state = self._context.state
+        reach = state.reach
+        if clock.now() - reach.probed_at < defaults.REACH_CONFIRMED_S and self._running is None:
+            return not reach.isolated
+        names = endpoint_reach.choose_probes(state, failed)
+        return await self.probe(names) if names else True
+
+    async def probe(self, names: t.Sequence[str]) -> bool:
+        """Connect to endpoints, and submit whether any of them was reached."""
+        if self._running is None:
+            self._running = self._start(self._probe(names))
+            self._running.add_done_callback(self._end)
+        return await asyncio.shield(self._running)
+
+    def _start(self, work: t.Coroutine[t.Any, t.Any, bool]) -> asyncio.Task[bool]:
+        task = self._context.loop.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    def _end(self, task: asyncio.Task[bool]) -> None:
+        self._running = None
+
+    async def _probe(self, names: t.Sequence[str]) -> bool:
+        context = self._context
+        views = [context.state.endpoints[name] for name in names if name in context.state.endpoints]
+        # Those that answer after the first are left to end by themselves, and are pooled.
+        tasks = {self._start(context.pool.reaches(view.address)): view.name for view in views}
+        for done in asyncio.as_completed(tasks):
+            if await done:
+                reached = next(name for task, name in tasks.items() if _succeeded(task))
+                context.submit(ReachProbed(clock.now(), True, reached))
+                return True
+        log("reach_probed", "WARNING", endpoints=",".join(names))
+        # Idle connections may be dead without a sign.
+        context.pool.close()
+        context.submit(ReachProbed(clock.now(), False))
+        return False
+
+
+def _succeeded(task: asyncio.Task[bool]) -> bool:
+    return task.done() and not task.cancelled() and task.exception() is None and task.result()
+
+
+@handles_relay_effect(ProbeReach)
+def probe_reach(context: RelayContext, effect: ProbeReach) -> None:
+    """Connect to endpoints, to tell whether this node reaches any."""
+
+    async def work() -> None:
+        await context.reach_probes.probe(effect.endpoints)
+
+    context.spawn(work())
