Give callers the addresses of nodes that reach endpoints, if these are enough

Cause: an address was given out for a heartbeat and a table alone. A node that says it is isolated is now left out, unless fewer than two nodes or a quarter of all would be left; then all are named, since isolated nodes hand requests over. Readiness stays as it was: such a node serves.

Evidence: the rows "callers get the addresses of nodes that reach endpoints" fail without the change (the isolated node's address is given).

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -73,6 +73,17 @@
     And no node got over four times the mean of those that got any
     And a choice takes under 1 ms on average
 
+  Scenario Outline: callers get the addresses of nodes that reach endpoints, if these are enough
+    Given a node of data centre z with 3 endpoints and other nodes <nodes>
+    Then callers get the addresses of <given>
+
+    Examples:
+      | nodes                                                             | given   |
+      | b in z, c in z isolated                                           | a, b    |
+      | b in z isolated, c in z, d in z                                   | a, c, d |
+      | b in z isolated, c in z isolated                                  | a, b, c |
+      | b in z isolated, c in y isolated, d in y                          | a, d    |
+
   Scenario Outline: silence of all endpoints is looked into, that of one is not
     Given a node of data centre z with 3 endpoints and other nodes b in z
     When <what>
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -7,6 +7,7 @@
 from relay_harness import make_table
 
 from rookspring_core import Identity
+from rookspring_core import cluster
 from rookspring_core import defaults
 from rookspring_core import endpoint_reach
 from rookspring_core.effects import Announce
@@ -367,6 +368,12 @@
     assert context.took_s / context.choices < 0.001, context.took_s / context.choices
 
 
+@then("callers get the addresses of {names}")
+def addresses_given(context, names):
+    found = cluster.near_addresses(context.node.state, "z")
+    assert found == [f"at-{name}" for name in names.split(", ")], found
+
+
 @when("a request at one endpoint is silent for {seconds:g} s, another's goes")
 def one_silent(context, seconds):
     node = context.node
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -340,13 +340,25 @@
     rows: list[AddressRow] = []
     identity = state.identity
     if not state.leaving and state.revision > 0:
-        rows.append(AddressRow(identity.caller_address, 1.0, identity.data_centre))
+        isolated = state.reach.isolated
+        rows.append(AddressRow(identity.caller_address, 1.0, identity.data_centre, isolated))
     for peer in state.membership.peers.values():
         heartbeat = peer.heartbeat
         # A node without a revision cannot serve yet, so no caller is sent there.
         if not heartbeat.leaving and heartbeat.revision > 0:
-            rows.append(AddressRow(heartbeat.caller_address, 1.0, heartbeat.data_centre))
-    return sorted(rows)
+            row = AddressRow(heartbeat.caller_address, 1.0, heartbeat.data_centre)
+            rows.append(row._replace(isolated=heartbeat.isolated))
+    return sorted(_prefer_reaching(rows))
+
+
+def _prefer_reaching(rows: list[AddressRow]) -> list[AddressRow]:
+    """Leave out the nodes that reach no endpoint, unless too few are left.
+
+    Those are still served: what callers send them is handed over.
+    """
+    reaching = [row for row in rows if not row.isolated]
+    least = max(defaults.NEAR_ADDRESSES_MIN, len(rows) * defaults.REACHING_SHARE_MIN)
+    return reaching if len(reaching) >= least else rows
 
 
 def near_addresses(state: NodeState, data_centre: str) -> list[str]:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -84,6 +84,8 @@
 HANDOVER_PEERS = 8
 HANDOVER_PEERS_S = 0.2
 NEAR_REACHING_SHARE = 0.5
+# Callers get the addresses of nodes that reach endpoints alone if they are this share of all.
+REACHING_SHARE_MIN = 0.25
 
 QUEUE_MAX = 2048
 TICK_S = 0.1
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -368,8 +368,9 @@
 
 
 class AddressRow(t.NamedTuple):
-    """One entry address, in the form that callers get."""
+    """One entry address, in the form that callers get, and whether its node reaches no endpoint."""
 
     address: str
     weight: float
     data_centre: str
+    isolated: bool = False
