Pass the lease on from a node whose orders reach no endpoint

By reading, a holder that reaches the store and no endpoint kept the lease for as long, and orders and reports stopped for all.

Cause: the lease asked only whether the store is reached. A holder that is isolated for 1 s now releases it, if another node reaches endpoints; it takes none while it is isolated, nor resumes its own. A node that is back takes a free lease as any other: it does not take it back from a holder.

Evidence: the rows "the lease goes to a node whose orders reach endpoints" fail without the change.

--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -84,6 +84,19 @@
       | b in z isolated, c in z isolated                                  | a, b, c |
       | b in z isolated, c in y isolated, d in y                          | a, d    |
 
+  Scenario Outline: the lease goes to a node whose orders reach endpoints
+    Given a node of data centre z with 3 endpoints and other nodes <nodes>
+    And this node holds the lease
+    When it finds that it reaches no endpoint, and <seconds> s pass
+    Then this node <holds> the lease afterwards
+    And once it reaches endpoints again it <then> 3 s later
+
+    Examples:
+      | nodes           | seconds | holds          | then                         |
+      | b in z          | 0.5     | holds          | still holds it               |
+      | b in z          | 1.5     | has released   | takes it, as no one else did |
+      | b in z isolated | 1.5     | holds          | still holds it               |
+
   Scenario Outline: silence of all endpoints is looked into, that of one is not
     Given a node of data centre z with 3 endpoints and other nodes b in z
     When <what>
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -17,6 +17,7 @@
 from rookspring_core.effects import HandOver
 from rookspring_core.effects import ProbeReach
 from rookspring_core.effects import SharePrompts
+from rookspring_core.effects import WriteLease
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
@@ -26,6 +27,8 @@
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import GraceEnded
 from rookspring_core.events import HeartbeatReceived
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import LeaseWritten
 from rookspring_core.events import ReachProbed
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTableSeen
@@ -374,6 +377,60 @@
     assert found == [f"at-{name}" for name in names.split(", ")], found
 
 
+@given("this node holds the lease")
+def holds_lease(context):
+    node = context.node
+    node.state.started_at = node.now - 1000.0
+    node.submit(LeaseSeen(node.now, 0, "", 0, ""))
+    node.pass_time(0.2)
+    context.writes = 0
+    _answer_writes(context)
+    assert node.state.control.holding(node.now)
+
+
+def _answer_writes(context):
+    node = context.node
+    writes = node.effects(WriteLease)
+    for one in writes[context.writes :]:
+        if one.nonce:
+            node.submit(LeaseWritten(node.now, node.now, one.nonce, True, one.version + 1))
+        else:
+            node.submit(
+                LeaseSeen(node.now, one.version + 1, "", one.epoch, "", turn_in_s=one.turn_in_s)
+            )
+    context.writes = len(writes)
+
+
+@when("it finds that it reaches no endpoint, and {seconds:g} s pass")
+def isolated_for(context, seconds):
+    context.node.isolate()
+    _pass_with_lease(context, seconds)
+
+
+def _pass_with_lease(context, seconds):
+    for _ in range(round(seconds / TICK_S)):
+        context.node.pass_time(TICK_S)
+        _answer_writes(context)
+
+
+@then("this node {holds} the lease afterwards")
+def lease_held(context, holds):
+    node = context.node
+    assert node.state.control.holding(node.now) == (holds == "holds")
+    released = [one for one in node.effects(WriteLease) if not one.nonce]
+    assert len(released) == (0 if holds == "holds" else 1), released
+
+
+@then("once it reaches endpoints again it {then} {seconds:g} s later")
+def lease_after(context, then, seconds):
+    node = context.node
+    before = node.state.control.holding(node.now)
+    node.isolate(reached=True)
+    _pass_with_lease(context, seconds)
+    assert node.state.control.holding(node.now)
+    assert before == (then == "still holds it")
+
+
 @when("a request at one endpoint is silent for {seconds:g} s, another's goes")
 def one_silent(context, seconds):
     node = context.node
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -65,6 +65,7 @@
         state.adapter_waits.forget_old(event.at)
         effects += endpoint_speeds.update(state)
         effects += endpoint_reach.probe_if_due(state)
+        effects += endpoint_reach.release_lease_if_isolated(state)
         effects += residency.run_control_tick(state, passed)
     else:
         effects += control_jobs.run_control_jobs(state, passed)
--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -174,7 +174,7 @@
 
 def may_take_lease(state: NodeState) -> bool:
     """Return whether this node may take the lease when it is free."""
-    if state.leaving:
+    if state.leaving or state.reach.isolated:
         return False
     name = state.identity.name
     if state.relaying:
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -76,6 +76,8 @@
 REACH_PROBES = 3
 REACH_RECHECK_S = 0.5
 REACH_SILENCE_S = 0.5
+# A holder of the lease that reaches no endpoint for this long releases it.
+LEASE_ISOLATED_S = 1.0
 # Requests that a node has handed over to others at once, and the nodes that one is offered to.
 HANDOVERS_MAX = 512
 HANDOVER_TRIES_MAX = 3
--- a/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
@@ -13,6 +13,7 @@
 from .effects import Announce
 from .effects import Effect
 from .effects import ProbeReach
+from .effects import WriteLease
 from .endpoints import EndpointView
 from .events import ReachProbed
 from .hashing import stable_hash
@@ -112,3 +113,17 @@
         request.running and not request.handed_to and request.dispatched_at <= before
         for request in state.requests.values()
     )
+
+
+def release_lease_if_isolated(state: NodeState) -> Effects:
+    """Release the lease: orders reach no endpoint from here, but do from other nodes."""
+    since = state.reach.isolated_since
+    if since is None or state.now - since < defaults.LEASE_ISOLATED_S:
+        return []
+    if not any(True for _ in handovers.reaching_peers(state)):
+        return []
+    release = state.control.lease.release(state.now)
+    if release is None:
+        return []
+    state.record("lease", "released", "this node reaches no endpoint")
+    return [WriteLease(*release)]
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -263,7 +263,9 @@
         ages = {self.name: up_s}
         for name in self.peers if among is None else among:
             peer = self.peers.get(name)
-            if peer is not None and not peer.heartbeat.leaving:
+            if peer is None or peer.heartbeat.isolated:
+                continue
+            if not peer.heartbeat.leaving:
                 ages[name] = peer.age_s(now)
         names = [name for name, age_s in ages.items() if age_s >= defaults.SETTLED_S]
         names.sort(key=lambda name: (ages[name] // defaults.AGE_STEP_S, stable_hash("lease", name)))
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -63,7 +63,10 @@
     for meter in (control.meter, control.urgent_demand.meter, control.refused_demand.meter):
         meter.roll(passed)
     control_jobs.drop_lapsed(state)
-    effects: Effects = [] if state.leaving else control_jobs.write_lease_if_due(state)
+    effects: Effects = []
+    # A node that has released the lease, since it reaches no endpoint, must not resume it.
+    if not state.leaving and (control_jobs.holding(state) or not state.reach.isolated):
+        effects += control_jobs.write_lease_if_due(state)
     if not control_jobs.holding(state) or state.leaving:
         return effects
     control_jobs.sum_demand(state, passed)
--- a/packages/rookspring/src/rookspring/relay_heartbeats.py
+++ b/packages/rookspring/src/rookspring/relay_heartbeats.py
@@ -289,7 +289,11 @@
     if new_follower:
         peers.context.send_endpoint_list(link)
     relay_merged.resend_if_different(peers, link, int(beat.merged))
-    if beat.leaving or beat.lease_ended == peers.context.state.control.lease.epoch > 0:
+    if (
+        beat.leaving
+        or beat.isolated
+        or beat.lease_ended == peers.context.state.control.lease.epoch > 0
+    ):
         peers.context.lease_check_due.set()
     peers.add_nodes([(beat.name, beat.address, beat.data_centre, float(beat.capacity))])
     peers.request_table(link, beat.revision)
