Cut nodes off from all endpoints in the soak of real processes

A trouble more, over all others: a node's links to all endpoints are silenced, reset or refused, for 0.5 to 7 s, whatever else happens to the node.

--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -1,7 +1,8 @@
 """Soak test of real node processes under load: a seed draws troubles, which may overlap.
 
 Nodes are stopped, frozen, killed, and sent SIGHUP to reload their settings. The store is
-unavailable, or restored from an older backup. The configuration changes. Endpoints state in their
+unavailable, or restored from an older backup. Nodes lose their links to all endpoints. The
+configuration changes. Endpoints state in their
 answers alone that they are leaving, request a back-off, or accept only so many requests per
 second.
 """
@@ -13,6 +14,7 @@
 import time
 import typing as t
 
+from .cut_links import CUTS
 from .process_callers import ProcessCallers
 from .process_callers import find_violations
 from .processes import EXIT_SLACK_S
@@ -158,6 +160,18 @@
     soak.busy.discard(node.name)
 
 
+@trouble("a node loses its links to all endpoints")
+async def cut_node(soak: ProcessSoak) -> None:
+    """Cut a node's links to endpoints, whatever else happens to it; some cuts are short."""
+    linked = [one for one in soak.stage.nodes if not one.is_cut]
+    if not linked:
+        return
+    node = soak.random.choice(linked)
+    node.cut(soak.random.choice(sorted(CUTS)))
+    await asyncio.sleep(soak.random.choice((0.5, 2.0, 5.0, 7.0)))
+    node.heal()
+
+
 @trouble("a node is told of changes")
 async def reload_node(soak: ProcessSoak) -> None:
     """Have a node reload its settings, which are unchanged, so that nothing may change."""
