--- /dev/null
+++ b/bench/isolation_mutants.py
@@ -0,0 +1,137 @@
+"""Mutants of the decisions of a node that reaches no endpoint, and of what others do for it."""
+
+import typing as t
+
+from rookspring import relay_attempts
+from rookspring_core import cluster
+from rookspring_core import defaults
+from rookspring_core import endpoint_reach
+from rookspring_core import handovers
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.reach import Reach
+
+from .mutant import HANDOVERS
+from .mutant import ISOLATION
+from .mutant import Mutant
+
+
+def _never(*args: t.Any) -> bool:
+    return False
+
+
+def _nothing(*args: t.Any) -> list[t.Any]:
+    return []
+
+
+def _applies_to_all(state: t.Any, arrived: t.Any) -> bool:
+    return state.reach.isolated and arrived.route is not None
+
+
+def _send_again(state: t.Any, request: t.Any, event: t.Any) -> list[t.Any]:
+    request.handed_to = ""
+    request.running = False
+    return handovers.hand_over(state, request)
+
+
+def _any_peer(state: t.Any) -> t.Iterator[t.Any]:
+    yield from state.membership.peers.values()
+
+
+def _near_alone(state: t.Any) -> tuple[str, ...]:
+    own = state.identity.data_centre
+    near = [p for p in handovers.reaching_peers(state) if p.heartbeat.data_centre == own]
+    return tuple(sorted(p.heartbeat.name for p in near or handovers.reaching_peers(state)))
+
+
+def _first_peer(state: t.Any, request: t.Any) -> t.Any:
+    names = [name for name in handovers._peers(state) if name not in request.nodes_tried]
+    return state.membership.peers.get(min(names, default=""))
+
+
+async def _trust_refusals(context: t.Any, view: t.Any, error: t.Any) -> None:
+    await context.reach_probes.confirm(view.name)
+
+
+def _all_rows(rows: list[t.Any]) -> list[t.Any]:
+    return rows
+
+
+def _only_reaching(rows: list[t.Any]) -> list[t.Any]:
+    return [row for row in rows if not row.isolated]
+
+
+def _one_box(state: t.Any, besides: str = "") -> list[str]:
+    return sorted(state.endpoints)[:3]
+
+
+def _count_nothing(self: Reach, node: str, change: int) -> None:
+    self.handed[node] = self.handed.get(node, 0) + 1
+
+
+def _may_always_take(state: t.Any) -> bool:
+    return not state.leaving
+
+
+def _find_any_silence(state: t.Any) -> bool:
+    return any(request.running for request in state.requests.values())
+
+
+MUTANTS = (
+    Mutant("hands nothing over", "isolated node", handovers, "applies", _never, ISOLATION),
+    Mutant("hands on", "isolated node", handovers, "applies", _applies_to_all, ISOLATION),
+    Mutant(
+        "hands over what was sent", "isolated node", handovers, "recover", _send_again, ISOLATION
+    ),
+    Mutant(
+        "leaves waiting ones", "isolated node", handovers, "hand_over_waiting", _nothing, ISOLATION
+    ),
+    Mutant("leaves unsent ones", "isolated node", handovers, "may_hand_over", _never, ISOLATION),
+    Mutant(
+        "hands over to any node", "isolated node", handovers, "reaching_peers", _any_peer, ISOLATION
+    ),
+    Mutant("hands over nearby alone", "isolated node", handovers, "_peers", _near_alone, ISOLATION),
+    Mutant(
+        "hands all over to one", "isolated node", handovers, "_choose_peer", _first_peer, ISOLATION
+    ),
+    Mutant("never counts ends", "isolated node", Reach, "count_handed", _count_nothing, ISOLATION),
+    Mutant(
+        "keeps what it found", "isolated node", EndpointView, "forget_failures", _never, ISOLATION
+    ),
+    Mutant("leaves prompts", "isolated node", endpoint_reach, "_end_prompts", _nothing, ISOLATION),
+    Mutant("asks one box", "isolated node", endpoint_reach, "choose_probes", _one_box, ISOLATION),
+    Mutant("ignores silence", "isolated node", endpoint_reach, "_is_silent", _never, ISOLATION),
+    Mutant(
+        "probes whatever goes on",
+        "isolated node",
+        endpoint_reach,
+        "_is_silent",
+        _find_any_silence,
+        ISOLATION,
+    ),
+    Mutant(
+        "keeps the lease",
+        "isolated node",
+        endpoint_reach,
+        "release_lease_if_isolated",
+        _nothing,
+        ISOLATION,
+    ),
+    Mutant("takes the lease back", "isolated node", defaults, "LEASE_ISOLATED_S", 0.0, ISOLATION),
+    Mutant("invites to all", "isolated node", cluster, "_prefer_reaching", _all_rows, ISOLATION),
+    Mutant(
+        "invites to too few",
+        "isolated node",
+        cluster,
+        "_prefer_reaching",
+        _only_reaching,
+        ISOLATION,
+    ),
+    Mutant(
+        "tells refusals as ends",
+        "isolated node",
+        relay_attempts,
+        "_check_reach",
+        _trust_refusals,
+        HANDOVERS,
+    ),
+)
--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -25,6 +25,8 @@
 MODEL_WAITS = ("features/model_waits.feature",)
 SPEEDS = ("features/speed_use.feature",)
 PLACES = ("features/places.feature",)
+ISOLATION = ("features/isolation.feature",)
+HANDOVERS = ("features/cut_off.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -43,6 +43,7 @@
 from . import claim_mutants
 from . import clock_mutants
 from . import era_mutants
+from . import isolation_mutants
 from . import model_wait_mutants
 from . import notice_mutants
 from . import organisation_mutants
@@ -365,6 +366,7 @@
     "passing": passing_mutants.MUTANTS,
     "places": place_mutants.MUTANTS,
     "stops": stop_mutants.MUTANTS,
+    "isolation": isolation_mutants.MUTANTS,
     "model-waits": model_wait_mutants.MUTANTS,
     "speeds used": speed_use_mutants.MUTANTS,
 }
--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -8,9 +8,9 @@
     Then it is handed over to b with 0 sends
     And no units, demand or resend window are counted here
 
-  Scenario: a refused connection is no endpoint's end while nothing else is reached
+  Scenario: what is found of endpoints is forgotten once nothing else is reached
     Given a node of data centre z with 3 endpoints and other nodes b in z
-    When it finds that it reaches no endpoint
+    When connections to two endpoints fail, one refused, and it finds that it reaches none
     Then no endpoint counts as down, ejected or failing
     And this is announced at once
 
@@ -21,6 +21,11 @@
     And the other one is handed over once its connection has failed
     And a slot that is granted late is returned
 
+  Scenario: a request whose last connection failed is handed over
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When a request can't be sent 4 times, and the 5th time it finds that it reaches none
+    Then it is handed over to b with 0 sends
+
   Scenario Outline: a request that was handed over has one outcome
     Given a node of data centre z with 3 endpoints and other nodes b in z, c in z, d in z, e in z
     When it finds that it reaches no endpoint
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -57,6 +57,13 @@
     assert share >= percent / 100, f"{share:.3f} of {count}"
 
 
+@then("no node was told that an endpoint has ended")
+def no_end_told(context):
+    for node in context.cut_stage.nodes:
+        told = [one for one in node.context.state.decisions if one.what == "down"]
+        assert not told, (node.settings.name, told)
+
+
 @then("{seconds:g} s after the cut all nodes serve {percent:d} in 100")
 def all_serve(context, seconds, percent):
     stage = context.cut_stage
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -174,6 +174,30 @@
     assert not state.retry_windows, state.retry_windows
 
 
+@when("connections to two endpoints fail, one refused, and it finds that it reaches none")
+def connections_fail(context):
+    node = context.node
+    node.ask(deadline_s=2.0)
+    for down in (True, False):
+        last = node.sent[-1]
+        node.submit(
+            AttemptFailed(node.now, last.request_id, last.attempt, False, False, "no way", down)
+        )
+    assert sum(not view.accepts_work(node.now) for view in node.state.endpoints.values()) == 2
+    node.isolate()
+
+
+@when("a request can't be sent {times:d} times, and the 5th time it finds that it reaches none")
+def cannot_be_sent(context, times):
+    node = context.node
+    node.ask(deadline_s=2.0)
+    for _ in range(times):
+        node.meet("unsent")
+    assert len(node.sent) == times + 1
+    node.isolate()
+    node.meet("unsent")
+
+
 @then("no endpoint counts as down, ejected or failing")
 def endpoints_well(context):
     node = context.node
@@ -333,14 +357,17 @@
     context.handed = {}
     context.took_s = 0.0
     context.choices = 0
+    known = IsolationHarness(1, name="observer")
+    known.state.full_checks = False
+    for row in context.rows:
+        known.beat(*row)
+    peers = known.state.membership.peers
     for own, own_centre, cut in context.rows:
         if not cut:
             continue
         node = IsolationHarness(1, name=own, data_centre=own_centre)
         node.state.full_checks = False
-        for name, data_centre, isolated in context.rows:
-            if name != own:
-                node.beat(name, data_centre, isolated)
+        node.state.membership.peers = {name: one for name, one in peers.items() if name != own}
         node.isolate()
         began = time.process_time()
         for number in range(count):
