--- a/bench/isolation_mutants.py
+++ b/bench/isolation_mutants.py
@@ -76,7 +76,20 @@
     return any(request.running for request in state.requests.values())
 
 
+def _hear_alone(self: EndpointView, now: float) -> None:
+    self.responded_at = now
+
+
+def _doubt_always(self: EndpointView, now: float) -> None:
+    self.responded_at = now
+    if self.told_down_at < now:
+        self.down = False
+        self.ejected_until = -1e9
+
+
 MUTANTS = (
+    Mutant("believes all", "isolated node", EndpointView, "hear", _hear_alone, ISOLATION),
+    Mutant("doubts at once", "isolated node", EndpointView, "hear", _doubt_always, ISOLATION),
     Mutant("hands nothing over", "isolated node", handovers, "applies", _never, ISOLATION),
     Mutant("hands on", "isolated node", handovers, "applies", _applies_to_all, ISOLATION),
     Mutant(
