Choose the endpoints of a probe without sorting all that are known

At 7,100 endpoints a choice took 16 ms, every 0.5 s on an isolated node, and the choice among 1,900 nodes 2.7 ms every 0.2 s: 4.5 % of a core, where 4 % is asked for.

--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -85,10 +85,9 @@
 # Requests that a node has handed over to others at once, and the nodes that one is offered to.
 HANDOVERS_MAX = 512
 HANDOVER_TRIES_MAX = 3
-# A node hands over to this many others, chosen anew after this time. They are of its own data
-# centre where at least this share of its nodes reach endpoints.
+# A node hands over to this many others. They are of its own data centre where at least this share
+# of its nodes reach endpoints.
 HANDOVER_PEERS = 8
-HANDOVER_PEERS_S = 0.2
 NEAR_REACHING_SHARE = 0.5
 # Callers get the addresses of nodes that reach endpoints alone if they are this share of all.
 REACHING_SHARE_MIN = 0.25
--- a/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
@@ -6,6 +6,9 @@
 callers, and hands its requests over to them; see :mod:`handovers`.
 """
 
+import itertools
+import typing as t
+
 from . import defaults
 from . import handovers
 from . import requests
@@ -31,24 +34,44 @@
 def choose_probes(state: NodeState, besides: str = "") -> list[str]:
     """Choose the endpoints that tell whether this node reaches any, at most one on each box.
 
-    Other ones are chosen each time. Those that are not known to be well come last. Where all are
-    on one box, one of each address counts.
+    The search begins elsewhere each time. Endpoints that are not known to be well are chosen only
+    if there are too few others, and several on one box only if all are there.
 
-    :param besides: an endpoint that could not be reached; neither it nor its box is chosen.
+    :param besides: an endpoint that could not be reached; it is not chosen, nor is its box if
+        there are others.
     """
     failed = state.endpoints.get(besides)
-    views = [view for view in state.endpoints.values() if not view.gone and view is not failed]
-    if failed is not None:
-        views = [view for view in views if box_of(view) != box_of(failed)] or views
-    turn = str(int(state.now / defaults.REACH_RECHECK_S))
-    views.sort(key=lambda view: (view.leaving, view.down, stable_hash("probe", view.name, turn)))
-    chosen: dict[str, str] = {}
-    for view in views:
-        chosen.setdefault(box_of(view), view.name)
+    boxes = {box_of(failed)} if failed is not None else set()
+    chosen: list[str] = []
+    unwell: list[EndpointView] = []
+    others: list[str] = []
+    for view in _walk_endpoints(state):
+        if view.gone or view is failed:
+            continue
+        if box_of(view) in boxes:
+            others.append(view.name)
+        elif view.leaving or view.down:
+            unwell.append(view)
+        else:
+            boxes.add(box_of(view))
+            chosen.append(view.name)
         if len(chosen) == defaults.REACH_PROBES:
-            break
-    names = list(chosen.values())
-    return names if len(names) > 1 else [view.name for view in views[: defaults.REACH_PROBES]]
+            return chosen
+    for view in unwell:
+        if box_of(view) not in boxes:
+            boxes.add(box_of(view))
+            chosen.append(view.name)
+    if len(chosen) < 2:
+        chosen += others
+    return chosen[: defaults.REACH_PROBES]
+
+
+def _walk_endpoints(state: NodeState) -> t.Iterator[EndpointView]:
+    """Yield all endpoints, beginning at another one every ``REACH_RECHECK_S``."""
+    turn = str(int(state.now / defaults.REACH_RECHECK_S))
+    start = stable_hash("probe", state.identity.name, turn) % max(1, len(state.endpoints))
+    yield from itertools.islice(state.endpoints.values(), start, None)
+    yield from itertools.islice(state.endpoints.values(), start)
 
 
 @handles(ReachProbed)
--- a/packages/rookspring-core/src/rookspring_core/handovers.py
+++ b/packages/rookspring-core/src/rookspring_core/handovers.py
@@ -136,7 +136,8 @@
     few would carry the work of all. Each node has others, so that the work is spread.
     """
     known = state.reach.peers
-    if known is not None and known.names and state.now - known.at < defaults.HANDOVER_PEERS_S:
+    position = state.membership.changes.end()
+    if known is not None and known.names and known.position == position:
         return known.names
     own = state.identity.data_centre
     found = list(reaching_peers(state))
@@ -150,7 +151,7 @@
         (peer.heartbeat.name for peer in found),
         key=lambda name: stable_hash("handover", state.identity.name, name),
     )
-    state.reach.peers = ReachingPeers(state.now, tuple(names[: defaults.HANDOVER_PEERS]))
+    state.reach.peers = ReachingPeers(position, tuple(names[: defaults.HANDOVER_PEERS]))
     return state.reach.peers.names
 
 
--- a/packages/rookspring-core/src/rookspring_core/reach.py
+++ b/packages/rookspring-core/src/rookspring_core/reach.py
@@ -4,9 +4,12 @@
 
 
 class ReachingPeers(t.NamedTuple):
-    """The nodes that requests are handed over to, as chosen at a time."""
+    """The nodes that requests are handed over to.
 
-    at: float
+    :param position: of the membership's changes up to which they were chosen.
+    """
+
+    position: int
     names: tuple[str, ...]
 
 
