--- a/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
@@ -7,10 +7,9 @@
 import asyncio
 import os
 import pathlib
-import sys
+import runpy
 import typing as t
 
-import rookspring_platform.__main__ as platform
 from rookspring import relay_node
 
 from .cut_links import CUTS
@@ -45,11 +44,6 @@
             await asyncio.sleep(CHECK_S)
 
 
-def main() -> int:
-    """Run the node until it is stopped, and return the exit code."""
-    relay_node.RelayNode = CutNode  # type: ignore[misc, assignment]
-    return platform.main()
-
-
 if __name__ == "__main__":
-    sys.exit(main())
+    relay_node.RelayNode = CutNode  # type: ignore[misc, assignment]
+    runpy.run_module("rookspring_platform", run_name="__main__")
