Leave the stand-in store's lock free when a watch is cancelled as it times out

Seen: soaks by hand that went on for ever without work, after "Lock is not acquired" in the stand-in store.

Cause: asyncio.wait_for around Condition.wait leaves the condition's lock taken if its caller is cancelled as the time runs out, so the next writer waits for ever.

--- a/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
@@ -1,6 +1,5 @@
 """HTTP fake of the users' platform's store: objects with metadata, revisions and watches."""
 
-import asyncio
 import time
 import typing as t
 
@@ -8,6 +7,7 @@
 from aiohttp import web
 
 from .platform import Platform
+from .serving import wait_for_change
 from .store import StoreBackup
 from .store import Stored
 
@@ -92,11 +92,7 @@
             left = end - time.monotonic()
             if found or left <= 0 or self.faults.outage:
                 break
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
-                except TimeoutError:
-                    continue
+            await wait_for_change(self._changed, min(left, 0.5))
         events = [
             {
                 "deleted": one.value is None,
--- a/packages/rookspring-fakes/src/rookspring_fakes/platform.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/platform.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 
 from .faults import Faults
+from .serving import wait_for_change
 from .store import ObjectStore
 from .store import Stored
 from .store import StoreError
@@ -107,11 +108,7 @@
             left = end - time.monotonic()
             if found or left <= 0 or self.faults.outage:
                 break
-            async with self._changed:
-                try:
-                    await asyncio.wait_for(self._changed.wait(), min(left, 0.5))
-                except TimeoutError:
-                    continue
+            await wait_for_change(self._changed, min(left, 0.5))
         rows = [
             {
                 "name": one.name,
--- a/packages/rookspring-fakes/src/rookspring_fakes/serving.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/serving.py
@@ -1,5 +1,7 @@
 """Serves test doubles on loopback ports within the running event loop."""
 
+import asyncio
+import contextlib
 import typing as t
 
 from aiohttp import web
@@ -26,3 +28,15 @@
     sockets: t.Any = site._server.sockets  # type: ignore[union-attr]
     bound_port = sockets[0].getsockname()[1]
     return RunningServer(runner, f"{host}:{bound_port}")
+
+
+async def wait_for_change(changed: asyncio.Condition, most_s: float) -> None:
+    """Wait for a notification, or for a time.
+
+    ``asyncio.wait_for`` would leave the lock taken for good if its caller is cancelled as it times
+    out.
+    """
+    async with changed:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(most_s):
+                await changed.wait()
