--- a/bench/starved.py
+++ b/bench/starved.py
@@ -17,6 +17,9 @@
 from rookspring_ctl.timelines import LogLine
 from rookspring_ctl.timelines import parse_line
 
+from .load_uses import Load
+from .load_uses import ModelAsk
+from .load_uses import count_uses
 from .registry import experiment
 from .registry import report
 
@@ -46,6 +49,7 @@
     model: str
     adapter: str
     reason: str
+    taken: bool = True
 
     @property
     def name(self) -> str:
@@ -86,6 +90,7 @@
         fields["model"],
         fields["adapter"],
         fields["reason"],
+        fields.get("taken") == "True",
     )
 
 
@@ -134,6 +139,34 @@
     return attachment_times
 
 
+def list_loads(orders: t.Sequence[AnsweredOrder]) -> list[Load]:
+    """Return the models' loads since the start of traffic, each until its unload."""
+    ends_at = max((one.at for one in orders), default=0.0)
+    loads = []
+    for number, one in enumerate(orders):
+        if one.adapter or one.action != "load" or one.at < 0.0 or not one.taken:
+            continue
+        until = next(
+            (
+                later.at
+                for later in orders[number + 1 :]
+                if (later.endpoint, later.name, later.action) == (one.endpoint, one.name, "unload")
+            ),
+            ends_at,
+        )
+        loads.append(Load(one.at, one.name, until))
+    return loads
+
+
+def list_asks(history: ServingHistory) -> dict[str, list[ModelAsk]]:
+    """Return the requests by model, without those for adapters."""
+    return {
+        name: [ModelAsk(one.at, one.answered, "absent: " in one.why) for one in requests]
+        for name, requests in history.requests.items()
+        if "/" not in name
+    }
+
+
 def list_blocking_orders(orders: t.Iterable[AnsweredOrder]) -> list[dict[str, t.Any]]:
     """List orders that delayed the next order at their endpoint by ``LONG_ORDER_S`` or more.
 
@@ -184,6 +217,8 @@
         f"after less than {SHORT_ATTACHMENT_S} s: {short}"
     )
     print(f"median stay: {median:.3f} s")
+    uses = count_uses(list_asks(history), list_loads(history.orders))
+    report("loads", "models' loads, and spells of refusals", [uses._asdict()])
     blocking = list_blocking_orders(history.orders)
     report("held-up", "orders that held up others, the longest first", blocking)
     return 0
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -101,9 +101,16 @@
         missed={model: float(rate.partition("!")[2] or 0) for model, rate in rates.items()},
         claimed=context.claimed,
         claims={},
+        declined={},
     )
     context.moves = placement.find_placement(context.policy)(given_)
     context.claims = given_.claims
+    context.declined = given_.declined
+
+
+@then('the log says of {model} "{why}"')
+def declined(context, model, why):
+    assert context.declined.get(model, "nothing") == why, context.declined
 
 
 @then("the moves are {expected}")
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -126,6 +126,17 @@
       | e1[big; disk o,big]                            | o 900           | unload big e1    |
       | e1[m,n; disk m,n,o; kept m]                    | o 900           | load o e1        |
 
+  Scenario Outline: the log says why a model that is short of replicas gets no other one
+    Given runners <runners>
+    When a plan is made for demand <demand>
+    Then the log says of m "<why>"
+
+    Examples:
+      | runners                           | demand              | why                           |
+      | e1[m] e2[big; disk big,m]         | m 8000, big 8000    | no room for a further replica |
+      | e1[m] e2[n; awaited 15000]        | m 9000              | no further replica pays       |
+      | e1[m] e2[n; disk m]               | m 5000              | nothing                       |
+
   Scenario: a model that was loaded for callers is not evicted before they have retried
     Given a lease holder over runners holding m+n of 200 GB
     When x is requested and loaded, and then y, which only fits in its place
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -427,6 +427,7 @@
             # Its first replica is planned, or waits for the runner that has it soonest.
             continue
         options = _list_replica_options(board, model, missed)
+        _decline_replica(board, model, options)
         speeds = {runner.name: runner.speed for runner in board.plan_input.runners}
         best = max(options, default=None, key=lambda one: (one[0], speeds[one[1].runner]))
         if best is not None and best[0] > 0.0:
@@ -435,6 +436,18 @@
     return False
 
 
+def _decline_replica(board: SwapBoard, model: str, options: list[tuple[float, LoadOption]]) -> None:
+    """Note why a model gets no further replica, if it gets none."""
+    declined = board.plan_input.declined
+    if declined is None:
+        return
+    declined.pop(model, None)
+    if not options:
+        declined[model] = "no room for a further replica"
+    elif max(options)[0] <= 0.0:
+        declined[model] = "no further replica pays"
+
+
 def _list_replica_options(
     board: SwapBoard, model: str, missed: float
 ) -> list[tuple[float, LoadOption]]:
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -216,6 +216,7 @@
             node=settings.name,
             address=settings.caller_address,
             clock=clock.CLOCK_NAME,
+            link_mbps=settings.link_mbps,
         )
         reach = self.reach
         endpoints = self.endpoints
