--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -110,6 +110,12 @@
     :param lost_share: share of orders that get no answer and are carried out 1 to 3 s late.
     """
 
+    # What the callers' route allows.
+    terms = RouteTerms("r", "llm", 1, 1, 1, PATIENCE_S, OBJECTIVE_S)
+    deadline_s = DEADLINE_S
+    # Prompt tokens by tokens.
+    prompt_share = 0.1
+
     def __init__(self, held: t.Sequence[str], seed: int, lost_share: float = 0.0) -> None:
         self.now = 100.0
         self.random = random.Random(seed)
@@ -301,14 +307,23 @@
 
     # Requests.
 
-    def ask(self, name: str, tokens: int = 1000, key: str = "", retried: bool = False) -> None:
-        """Send a request for a model or adapter to a random node."""
+    def ask(
+        self,
+        name: str,
+        tokens: int = 1000,
+        key: str = "",
+        retried: bool = False,
+        deadline_at: float = 0.0,
+    ) -> None:
+        """Send a request for a model or adapter to a random node.
+
+        :param deadline_at: the caller's deadline; 0 if its time begins now.
+        """
         key = key or f"r{next(self._order)}"
-        caller = Caller(key, name, self.now + DEADLINE_S, retried)
+        caller = Caller(key, name, deadline_at or self.now + self.deadline_s, retried)
         self._callers[key] = caller
         node = self.random.choice(self.nodes)
         model, slash, _ = name.partition("/")
-        terms = RouteTerms("r", "llm", 1, 1, 1, PATIENCE_S, OBJECTIVE_S)
         arrived = RequestArrived(
             at=self.now,
             request_id=key,
@@ -318,9 +333,9 @@
             adapter=name if slash else "",
             deadline_at=caller.deadline_at,
             tokens=tokens,
-            prompt_tokens=tokens // 10,
+            prompt_tokens=round(tokens * self.prompt_share),
             repeatable=False,
-            route=terms,
+            route=self.terms,
         )
         node.submit(arrived)
 
