--- a/features/run.py
+++ b/features/run.py
@@ -36,6 +36,7 @@
     "size": 100,
     "crashes": 60,
     "adapters": 50,
+    "models_never_served": 80,
     "store_copies": 110,
     "fatal_parts": 100,
     "relay_sockets": 40,
