--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -182,8 +182,13 @@
         self.after(BEAT_S, lambda: self.beat(node))
         if node is self.holder:
             return
+        heard = self.heartbeat(node)
+        self.after(NETWORK_S, lambda: self.holder.submit(heard._replace(at=self.now)))
+
+    def heartbeat(self, node: Node) -> HeartbeatReceived:
+        """Return a node's heartbeat with its own figures."""
         control = node.state.control
-        heard = HeartbeatReceived(
+        return HeartbeatReceived(
             self.now,
             node.name,
             node.name,
@@ -197,7 +202,6 @@
             urgent_demand=tuple(control.urgent_demand.meter.rates.items()),
             refused_demand=tuple(control.refused_demand.meter.rates.items()),
         )
-        self.after(NETWORK_S, lambda: self.holder.submit(heard._replace(at=self.now)))
 
     # Endpoints.
 
--- a/features/model_stage.py
+++ b/features/model_stage.py
@@ -11,9 +11,7 @@
 from adapter_stage import Stage
 from adapter_stage import make_table
 
-from rookspring_core import attaching
 from rookspring_core.effects import WriteLease
-from rookspring_core.events import HeartbeatReceived
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
 from rookspring_core.events import RouteTableSeen
@@ -36,7 +34,6 @@
 RARE_SPELL_S = 4.0
 RARE_PAUSE_S = (8.0, 16.0)
 SETTLE_S = 6.0
-LEASE_READ_S = 0.5
 
 
 class ModelStage(Stage):
@@ -67,21 +64,7 @@
     def beat(self, node):
         """Send a node's heartbeat to all others."""
         self.after(BEAT_S, lambda: self.beat(node))
-        control = node.state.control
-        heard = HeartbeatReceived(
-            self.now,
-            node.name,
-            node.name,
-            node.name,
-            node.name,
-            "z",
-            1,
-            False,
-            demand=tuple(control.meter.rates.items()),
-            used=attaching.used_rows(node.state),
-            urgent_demand=tuple(control.urgent_demand.meter.rates.items()),
-            refused_demand=tuple(control.refused_demand.meter.rates.items()),
-        )
+        heard = self.heartbeat(node)
         for other in self.nodes:
             if other is not node:
                 self.after(NETWORK_S, lambda other=other: other.submit(heard._replace(at=self.now)))
