Log whether a load is announced when a caller is refused, and by when a load's callers are due

Now the reason of such a refusal says both, and make bench B=starved counts callers who left unserved by what their last refusal knew. No decision is changed.

--- a/bench/load_uses.py
+++ b/bench/load_uses.py
@@ -4,6 +4,7 @@
 between them. Its callers come back within it, so an order after its last refusal is for nobody.
 """
 
+import math
 import statistics
 import typing as t
 
@@ -83,3 +84,42 @@
         else:
             spells.append([ask.at])
     return [(spell[0], spell[-1]) for spell in spells if len(spell) > 1]
+
+
+class LastRefusals(t.NamedTuple):
+    """Callers who met an absent model and were answered by no try, by what their last refusal knew.
+
+    :param untrue: a load was announced that would end before their deadline.
+    :param late: a load was announced that would end after it.
+    :param unknown: no load was announced.
+    """
+
+    untrue: int
+    late: int
+    unknown: int
+
+
+class CallerTry(t.NamedTuple):
+    """One ended request, by the caller who sent it.
+
+    :param announced_s: until the announced load of its model ends, in seconds; inf if there is none.
+    :param left_s: time that the caller had left, in seconds.
+    """
+
+    at: float
+    answered: bool
+    absent: bool
+    announced_s: float
+    left_s: float
+
+
+def count_last_refusals(tries: t.Mapping[t.Any, list[CallerTry]]) -> LastRefusals:
+    """Count the callers whose last try was refused as their model was absent."""
+    counts = [0, 0, 0]
+    for rows in tries.values():
+        last = max(rows)
+        if any(one.answered for one in rows) or not last.absent:
+            continue
+        known = last.announced_s < math.inf
+        counts[0 if known and last.announced_s < last.left_s else 1 if known else 2] += 1
+    return LastRefusals(*counts)
--- a/bench/starved.py
+++ b/bench/starved.py
@@ -9,6 +9,7 @@
 
 import argparse
 import collections
+import math
 import pathlib
 import re
 import statistics
@@ -17,8 +18,10 @@
 from rookspring_ctl.timelines import LogLine
 from rookspring_ctl.timelines import parse_line
 
+from .load_uses import CallerTry
 from .load_uses import Load
 from .load_uses import ModelAsk
+from .load_uses import count_last_refusals
 from .load_uses import count_uses
 from .registry import experiment
 from .registry import report
@@ -58,16 +61,18 @@
 
 
 class ServingHistory(t.NamedTuple):
-    """Requests by model or adapter, and the answered orders, of a log."""
+    """Requests by model or adapter and by caller, and the answered orders, of a log."""
 
     requests: dict[str, list[ModelRequest]]
     orders: list[AnsweredOrder]
+    tries: dict[tuple[str, str], list[CallerTry]]
 
 
 def read_history(lines: t.Iterable[str]) -> ServingHistory:
     """Read requests and orders; lines that are not events are skipped."""
     requests: dict[str, list[ModelRequest]] = {}
     orders = []
+    tries: dict[tuple[str, str], list[CallerTry]] = {}
     for text in lines:
         line = parse_line(text)
         if line is None or line.at is None:
@@ -76,9 +81,24 @@
             fields = line.fields
             request = ModelRequest(line.at, fields["outcome"] == "answered", fields["why"])
             requests.setdefault(fields["adapter"] or fields["model"], []).append(request)
+            if not fields["adapter"]:
+                caller = (fields["model"], fields["fingerprint"])
+                tries.setdefault(caller, []).append(_read_try(request))
         elif line.event == "order_answered":
             orders.append(_read_order(line, line.at))
-    return ServingHistory(requests, orders)
+    return ServingHistory(requests, orders, tries)
+
+
+def _read_try(request: ModelRequest) -> CallerTry:
+    announced = re.search(r"announced at \S+ in ([\d.]+) s", request.why)
+    left = re.search(r"([\d.]+) s left", request.why)
+    return CallerTry(
+        request.at,
+        request.answered,
+        "absent: " in request.why,
+        float(announced[1]) if announced else math.inf,
+        float(left[1]) if left else 0.0,
+    )
 
 
 def _read_order(line: LogLine, at: float) -> AnsweredOrder:
@@ -219,6 +239,8 @@
     print(f"median stay: {median:.3f} s")
     uses = count_uses(list_asks(history), list_loads(history.orders))
     report("loads", "models' loads, and spells of refusals", [uses._asdict()])
+    refusals = count_last_refusals(history.tries)
+    report("refusals", "callers of absent models, by their last refusal", [refusals._asdict()])
     blocking = list_blocking_orders(history.orders)
     report("held-up", "orders that held up others, the longest first", blocking)
     return 0
--- a/packages/rookspring-core/src/rookspring_core/missing_models.py
+++ b/packages/rookspring-core/src/rookspring_core/missing_models.py
@@ -39,6 +39,13 @@
     return _add_reading(state, arrived, known)
 
 
+def describe_absence(state: NodeState, arrived: RequestArrived) -> str:
+    """Describe, for the log, whether a load of a request's model is announced, and its time."""
+    known = know(state, arrived)
+    load = known.describe() if known.endpoint else "no load is announced"
+    return f"{load}; {arrived.deadline_at - state.now:.2f} s left"
+
+
 def _know_model(
     state: NodeState, service: str, model: str, announced: t.Mapping[str, tuple[float, str]]
 ) -> model_waits.Knowledge:
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -235,6 +235,18 @@
     return largest * max(0, engine.adapters_max - len(adapters_at(view)))
 
 
+def _describe_callers(state: NodeState, model: str) -> str:
+    """Describe, for the log, by when the callers of a model without a replica are expected."""
+    back_by = [
+        pending.callers_back_by
+        for key, pending in state.residency.load_requests.items()
+        if key[1] == model and not key[2]
+    ]
+    if not back_by:
+        return "no caller is known to wait"
+    return f"the last of its callers is due in {max(back_by) - state.now:.2f} s"
+
+
 def perform_move(state: NodeState, engine: EngineSize, move: placement.Move) -> Effects:
     """Order one move at its endpoint, if that is safe now."""
     view = state.endpoints[move.endpoint]
@@ -253,7 +265,7 @@
             return []
         if loads_from_store(size, view.report) and not state.control.store_limiter.take():
             return []
-        state.record(view.name, f"load {model}", move.why)
+        state.record(view.name, f"load {model}", f"{move.why}; {_describe_callers(state, model)}")
         account.room_for = ""
         return [give_order(state, view, "load", model, "")]
     others = [
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -511,6 +511,8 @@
     if request.arrived.route is not None:
         reason, text = routed.explain_refusal(state, request.arrived)
         text += missing_models.end_refused(state, request)
+        if reason == "absent" and not request.arrived.adapter:
+            text += f"; {missing_models.describe_absence(state, request.arrived)}"
         routed.meter_missed_demand(state, request.arrived, reason)
         return fail_request(
             state, request, status, reason, text, retry_after.predict_retry_after_s(state, request)
