--- a/bench/load_uses.py
+++ b/bench/load_uses.py
@@ -102,7 +102,7 @@
 class CallerTry(t.NamedTuple):
     """One ended request, by the caller who sent it.
 
-    :param announced_s: until the announced load of its model ends, in seconds; inf if there is none.
+    :param announced_s: until its model's announced load ends, in seconds; inf if there is none.
     :param left_s: time that the caller had left, in seconds.
     """
 
--- a/features/adapter_runner.py
+++ b/features/adapter_runner.py
@@ -18,9 +18,12 @@
     """One runner, which carries out one order at a time.
 
     :param after: schedules a call after a number of seconds.
+    :param now: returns the time.
     """
 
-    def __init__(self, name: str, models: t.Iterable[str], after: After) -> None:
+    def __init__(
+        self, name: str, models: t.Iterable[str], after: After, now: t.Callable[[], float]
+    ) -> None:
         self.name = name
         self.models = list(models)
         self.disk = set(self.models)
@@ -30,8 +33,11 @@
         self.ends: dict[str, t.Callable[[bool], None]] = {}
         self.taken = 0
         self.order: SendOrder | None = None
+        # When the load under way ends.
+        self.loaded_at = 0.0
         self.alive = True
         self._after = after
+        self._now = now
 
     def uses(self, name: str) -> bool:
         """Tell whether a running request uses an adapter, or a model or one of its adapters."""
@@ -67,6 +73,7 @@
         length_s = UNLOAD_S
         if order.action == "load":
             length_s = DISK_LOAD_S if order.model in self.disk else STORE_LOAD_S
+            self.loaded_at = self._now() + length_s
         self._after(length_s, lambda: self._finish(order))
 
     def _finish(self, order: SendOrder) -> None:
--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -128,8 +128,9 @@
         self._queue: list[tuple[float, int, t.Callable[[], None]]] = []
         self._order = itertools.count()
         self._callers: dict[str, Caller] = {}
+        self.asked_of: dict[str, Node] = {}
         self.runners = {
-            f"e{number}": Runner(f"e{number}", text.split("+"), self.after)
+            f"e{number}": Runner(f"e{number}", text.split("+"), self.after, lambda: self.now)
             for number, text in enumerate(held, start=1)
         }
         self.nodes: list[Node] = []
@@ -327,6 +328,7 @@
         caller = Caller(key, name, deadline_at or self.now + self.deadline_s, retried)
         self._callers[key] = caller
         node = self.random.choice(self.nodes)
+        self.asked_of[key] = node
         model, slash, _ = name.partition("/")
         arrived = RequestArrived(
             at=self.now,
