--- a/features/full_pipes_stage.py
+++ b/features/full_pipes_stage.py
@@ -75,7 +75,8 @@
         left_s = caller.deadline_at - self.now
         last = caller.retried or refusal.retry_after_s > left_s * RETRY_SHARE + 1e-6
         if last and refusal.reason == "absent":
-            bears_s = min(left_s, OBJECTIVE_S * BEARS_OBJECTIVES) - READING_S
+            held_s = self.now - self.asked_at[caller.key]
+            bears_s = min(left_s, OBJECTIVE_S * BEARS_OBJECTIVES - held_s) - READING_S
             self.unserved.append(Unserved(caller.name, self.is_coming(caller.name, bears_s)))
         super().refuse(refusal)
 
