--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -282,7 +282,7 @@
 
     def tell_coming(self, node: Node, told: ShareLoading) -> None:
         """Send a node the notice of a load under way."""
-        node.submit(LoadingReceived(self.now, *told))
+        node.submit(LoadingReceived(self.now, told.endpoint, told.model, told.in_s))
 
     def read(self, node: Node, effect: ReadReport) -> None:
         """Read a runner's own report, which arrives with a lag."""
--- a/features/relay.feature
+++ b/features/relay.feature
@@ -364,12 +364,11 @@
     Then after <seconds> s it <state>
     And its retry-after time is <least> to <most> s
 
-    # Nobody comes back for a load that ends after the deadline: its caller is told the true time.
     Examples: deadline 5 s, retry-after 1.7 s at most; a model is expected 1 s after its load
       | in_s | objective | seconds | state      | least | most |
       | 0.1  | 0.4       | 0.1     | is refused | 1.1   | 1.7  |
       | 0.5  | 0.4       | 0.1     | is refused | 1.5   | 1.7  |
-      | 9.0  | 0.4       | 0.1     | is refused | 9.9   | 10.3 |
+      | 9.0  | 0.4       | 0.1     | is refused | 1.6   | 1.7  |
       | 1.0  | 4.0       | 2.4     | waits      | -     | -    |
       | 1.0  | 4.0       | 2.8     | is refused | 0.5   | 1.7  |
 
@@ -379,16 +378,15 @@
     Given a lease holder over runners holding m, m of 200 GB
     And another node has ordered a load of n, which is due in <in_s> s
     When a request with a deadline of 30 s arrives for n
-    Then after 0.1 s it <state>
+    Then after 0.1 s it is refused
     And its retry-after time is <least> to <most> s
 
     Examples: deadline 30 s, retry-after 10 s at most; a model is expected 1 s after its load
-      | in_s | state      | least | most |
-      | 0.5  | is refused | 1.5   | 2.5  |
-      | 4.0  | is refused | 5.0   | 6.0  |
-      | 6.5  | is refused | 7.5   | 8.5  |
-      | 20.0 | waits      | -     | -    |
-      | 31.0 | is refused | 31.9  | 32.3 |
+      | in_s | least | most |
+      | 0.5  | 1.5   | 2.5  |
+      | 4.0  | 5.0   | 6.0  |
+      | 6.5  | 7.5   | 8.5  |
+      | 20.0 | 8.0   | 9.0  |
 
   # Guards against memory that stays reserved for a model whose callers no longer retry, while
   # requested models are on no endpoint.
--- a/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_endpoint_events.py
@@ -171,14 +171,12 @@
     """Another node has ordered a model's load at an endpoint.
 
     :param in_s: time until it is expected to be resident, in seconds.
-    :param demand: what is requested of the model, in tokens of the slowest model a second.
     """
 
     at: float
     endpoint: str
     model: str
     in_s: float
-    demand: float = 0.0
 
 
 class DownReceived(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/adapter_waits.py
+++ b/packages/rookspring-core/src/rookspring_core/adapter_waits.py
@@ -5,8 +5,6 @@
 too early wherever more adapters were requested than there are slots.
 """
 
-import collections
-import math
 import typing as t
 
 from . import defaults
@@ -27,7 +25,6 @@
         self._starts_at_first = starts_at_first
         self._since: dict[str, float] = {}
         self._likely_s: dict[str, float] = {}
-        self._last: dict[str, collections.deque[float]] = {}
 
     def begin(self, name: str, now: float) -> None:
         """Begin the wait for what is missing, at its first request."""
@@ -43,21 +40,12 @@
         for name, since in list(self._since.items()):
             if now - since > self._most_s:
                 del self._since[name]
-                self._learn(name, math.inf)
+                self._learn(name, self._most_s)
 
     def likely_s(self, group: str) -> float:
         """Return the estimated upper bound of a wait in a group, in seconds; 0 before any."""
         return self._likely_s.get(group, 0.0)
 
-    def rests_s(self, group: str, waited_s: float) -> tuple[float, ...]:
-        """Return the rest of each of a group's last waits that were longer than a time, in seconds.
-
-        One over the longest time is infinite: what was missing may never have come.
-        """
-        last = self._last.get(group, ())
-        # A wait that is longer than all of them says nothing of its rest.
-        return tuple(one - waited_s for one in last if one > waited_s) or tuple(last)
-
     def waited_s(self, name: str, now: float) -> float:
         """Return for how long something has been missing, in seconds; 0 if it isn't."""
         return now - self._since.get(name, now)
@@ -65,8 +53,6 @@
     def _learn(self, name: str, wait_s: float) -> None:
         """Raise the estimate if the wait was longer, otherwise lower it by a smaller step."""
         group = name.partition("/")[0]
-        last = self._last.setdefault(group, collections.deque(maxlen=defaults.MODEL_WAITS_KEPT))
-        last.append(wait_s)
         if self._starts_at_first and group not in self._likely_s:
             self._likely_s[group] = min(wait_s, self._most_s)
             return
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -6,7 +6,6 @@
 from . import defaults
 from . import handovers
 from . import load_requests
-from . import missing_models
 from . import requests
 from . import routed
 from . import suspect_handlers
@@ -53,7 +52,6 @@
         state.control.meter.add(event.target, work)
         if event.route:
             routed.meter_demand(state, event, work)
-            missing_models.note_arrival(state, event)
     effects = arrival_checks.check_limits(state, event) or _enqueue(state, event, charge)
     effects += requests.dispatch_waiting(state)
     return effects + load_requests.emit_load_request(state, event)
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -19,7 +19,6 @@
 from .effects import Effect
 from .effects import ShareReport
 from .endpoints import EndpointView
-from .endpoints import ExpectedModel
 from .events import BoxListed
 from .events import BoxListReceived
 from .events import CacheEventsReceived
@@ -313,7 +312,7 @@
     """Record a model load in progress and when it should end, for the callers' retry times."""
     view = state.endpoints.get(event.endpoint)
     if view is not None:
-        view.expected_model = ExpectedModel(event.model, event.at + event.in_s, event.demand)
+        view.expected_model = (event.model, event.at + event.in_s)
     return []
 
 
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -147,7 +147,10 @@
 # Retry-After for a request whose endpoint failed.
 RETRY_AFTER_FAILURE_S = 0.5
 RETRY_AFTER_NO_ROOM_S = (1.0, 3.0)
-# Spread of the retries of callers that were refused together, in seconds.
+# Retry-After where the model has yet to be loaded: the time until it is expected to be resident,
+# capped at ``RETRY_AFTER_ABSENT_MAX_S``, plus a spread of up to ``RETRY_AFTER_SPREAD_S``. A retry
+# before the model is resident is refused again, and most callers retry only once.
+RETRY_AFTER_ABSENT_MAX_S = 8.0
 RETRY_AFTER_SPREAD_S = 1.0
 # Where Retry-After has to be cut to the longest that callers honour, retries are spread over this
 # share of it.
@@ -158,9 +161,11 @@
 # Time from a request for a model that is not resident until its load starts: the load request
 # reaches the holder, a plan is made, replicas are unloaded to make room, and a report confirms it.
 SWAP_S = 1.0
-# A model is in time for a request if it is there within this share of the request's objective; the
-# rest is for reading the prompt.
+# A request waits for its model if that is expected to be resident within this share of the
+# request's objective; the rest is for reading the prompt. The wait is longer than the prediction by
+# ``READY_MARGIN``.
 READY_SHARE = 0.8
+READY_MARGIN = 1.3
 # Callers honour a Retry-After of up to this share of the time left until their deadline.
 RETRY_AFTER_MAX_SHARE = 1.0 / 3.0
 # How long after the expected end of a load the model is assumed to be usable: the report that shows
@@ -182,24 +187,12 @@
 # The report of a load's end mostly takes this much less than ``LOAD_REPORT_DELAY_S``: a request
 # that can't be in time for its objective, nor come back, takes that chance before its deadline.
 REPORT_SLACK_S = 0.5
-# A request with less than this share of the longest time that its route's callers bring was refused
-# before: a first try comes with all of it.
-FIRST_TRY_SHARE = 0.9
-# How long a node remembers what time callers bring and how long they bear to be held, in seconds,
-# and the number of waits that it keeps by service.
-CALLER_TIMES_KEPT_S = 300.0
-HELD_TIMES_KEPT = 32
-# A request is held for at most this share of the time that its caller bears.
-BORNE_SHARE = 0.95
 # A request is held for at most this share of its time by what is only likely, or by a load that is
 # overdue: the rest is needed for a retry.
 MODEL_HOLD_SHARE = 0.5
-# A request waits for a model of which no load is announced from this chance on that it comes in
-# time for an answer, by the last ``MODEL_WAITS_KEPT`` waits of the service: at a first try, whose
-# caller has another one, and at a later one.
-FIRST_WAIT_CHANCE = 0.8
-RETURN_WAIT_CHANCE = 0.25
-MODEL_WAITS_KEPT = 16
+# A request waits for a model of which no load is announced from this chance on that it comes while
+# the request is held. Less than an even one is enough: its caller has a retry left.
+MODEL_WAIT_CHANCE = 0.4
 # Weights in the even-load policy, as shares of the load of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -273,13 +273,11 @@
 
     :param model: empty if the model that was shared last is not expected there any more.
     :param in_s: time until it is expected to be resident, in seconds.
-    :param demand: what is requested of the model, in tokens of the slowest model a second.
     """
 
     endpoint: str
     model: str
     in_s: float
-    demand: float = 0.0
 
 
 class ShareDown(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -87,20 +87,6 @@
         return sum(self._prompts.get(endpoint, {}).values())
 
 
-class ExpectedModel(t.NamedTuple):
-    """A model that is expected at an endpoint; its name is empty if there is none.
-
-    :param demand: what is requested of the model, in tokens of the slowest model a second.
-    """
-
-    model: str
-    at: float
-    demand: float = 0.0
-
-
-NOT_EXPECTED = ExpectedModel("", -1e9)
-
-
 class EndpointView:
     """This node's view of one endpoint. Times are of the node's monotonic clock."""
 
@@ -194,7 +180,7 @@
         self.told_down_at = math.inf
         self.down_doubted_until = -1e9
         # The model that is being loaded there, and when its load is expected to end.
-        self.expected_model = NOT_EXPECTED
+        self.expected_model = ("", -1e9)
         # When this node learnt that it had restarted under its name.
         self.restarted_at = -1e9
         # A start time earlier than the known one, which the endpoint reported when last read.
@@ -231,7 +217,7 @@
         self.down = False
         self.told_down_at = math.inf
         self.down_doubted_until = -1e9
-        self.expected_model = NOT_EXPECTED
+        self.expected_model = ("", -1e9)
         self.unverified_start = 0
         self.failures = 0
         self.ejected_until = -1e9
@@ -325,10 +311,10 @@
 
     def expected_in_s(self, model: str, now: float) -> float | None:
         """Return in how many seconds a model's load should end there; None if none is expected."""
-        expected = self.expected_model
-        if expected.model != model or now - expected.at > defaults.LOAD_OVERDUE_S:
+        coming, at = self.expected_model
+        if coming != model or now - at > defaults.LOAD_OVERDUE_S:
             return None
-        return max(0.0, expected.at - now)
+        return max(0.0, at - now)
 
     def serves(self, target: str, service: bool) -> bool:
         """Return whether the endpoint has the model resident, or belongs to the service."""
--- a/packages/rookspring-core/src/rookspring_core/expected_loads.py
+++ b/packages/rookspring-core/src/rookspring_core/expected_loads.py
@@ -11,9 +11,8 @@
 from .accounts import KeptClaim
 from .effects import ClaimChanged
 from .effects import Effect
+from .effects import ShareLoading
 from .orders import accepts_orders
-from .orders import expect_model
-from .orders import expect_none
 from .placement import Claim
 from .placement import PlanInput
 from .state import NodeState
@@ -59,13 +58,14 @@
     """
     effects: Effects = []
     for view in state.endpoints.values():
-        model = view.expected_model.model
+        model = view.expected_model[0]
         if view.service != service or not model or model in view.resident:
             continue
         claimed = model in claims and claims[model].runner == view.name
         lapsed = view.expected_in_s(model, state.now) is None
         if not claimed and not lapsed and accepts_orders(state, view):
-            effects += expect_none(view)
+            view.expected_model = ("", state.now)
+            effects.append(ShareLoading(view.name, "", 0.0))
     return effects
 
 
@@ -83,8 +83,9 @@
     demand = plan_input.aged_demand(model)
     in_s = old.expected_at - state.now
     effects: Effects = [ClaimChanged(model, old.runner, "dropped", demand, in_s)]
-    if view is not None and old.shared_at is not None and view.expected_model.model == model:
-        effects += expect_none(view)
+    if view is not None and old.shared_at is not None and view.expected_model[0] == model:
+        view.expected_model = ("", state.now)
+        effects.append(ShareLoading(old.runner, "", 0.0))
     return effects
 
 
@@ -105,7 +106,8 @@
         effects.append(ClaimChanged(model, claim.runner, "late", demand, claim.in_s))
     if _is_to_be_shared(state, model, kept):
         kept = kept._replace(shared_at=expected_at)
-        effects += expect_model(state, state.endpoints[claim.runner], model, expected_at)
+        state.endpoints[claim.runner].expected_model = (model, expected_at)
+        effects.append(ShareLoading(claim.runner, model, claim.in_s))
     return kept, effects
 
 
@@ -122,6 +124,6 @@
     view = state.endpoints[kept.runner]
     if accepts_orders(state, view) and not account.withdrawn_models():
         return False
-    if kept.shared_at is None or view.expected_model.model != model:
+    if kept.shared_at is None or view.expected_model[0] != model:
         return True
     return abs(kept.expected_at - kept.shared_at) > defaults.CLAIM_SHARE_MARGIN_S
--- a/packages/rookspring-core/src/rookspring_core/orders.py
+++ b/packages/rookspring-core/src/rookspring_core/orders.py
@@ -9,11 +9,8 @@
 from .accounts import report_without
 from .effects import Effect
 from .effects import SendOrder
-from .effects import ShareLoading
 from .effects import ShareReport
-from .endpoints import NOT_EXPECTED
 from .endpoints import EndpointView
-from .endpoints import ExpectedModel
 from .events import EndpointReported
 from .routes import EngineSize
 from .state import NodeState
@@ -83,19 +80,6 @@
     return [apply_and_share_report(state, view, report_without(view.report, model, adapter)), order]
 
 
-def expect_model(state: NodeState, view: EndpointView, model: str, at: float) -> list[Effect]:
-    """Record when a model is expected at an endpoint, and share it with the other nodes."""
-    demand = state.control.forecast.levels.get(model, 0.0)
-    view.expected_model = ExpectedModel(model, at, demand)
-    return [ShareLoading(view.name, model, max(0.0, at - state.now), demand)]
-
-
-def expect_none(view: EndpointView) -> list[Effect]:
-    """Take back that a model is expected at an endpoint."""
-    view.expected_model = NOT_EXPECTED
-    return [ShareLoading(view.name, "", 0.0)]
-
-
 def apply_and_share_report(
     state: NodeState, view: EndpointView, report: EndpointReported
 ) -> Effect:
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -468,7 +468,6 @@
     if not request.sent and not request.running:
         effects += allotment_checks.refund(state, request.charge)
     suspect_handlers.note_left(state, request)
-    missing_models.end_left(state, request)
     key = request.arrived.once_key
     if key is not None:
         text = "the first caller left before it was started"
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -27,6 +27,7 @@
 from .effects import Effect
 from .effects import ReadReport
 from .effects import SendOrder
+from .effects import ShareLoading
 from .effects import StartOrderTimer
 from .endpoints import EndpointView
 from .events import EndpointReported
@@ -35,7 +36,6 @@
 from .events import OrderDue
 from .orders import apply_and_share_report
 from .orders import engine_of
-from .orders import expect_model
 from .orders import handover_gap_passed
 from .orders import resend_order
 from .reducer import handles
@@ -315,7 +315,8 @@
     view = state.endpoints.get(endpoint)
     if order.action != "load" or view is None:
         return []
-    return expect_model(state, view, order.model, order.ends_at())
+    view.expected_model = (order.model, order.ends_at())
+    return [ShareLoading(endpoint, order.model, max(0.0, order.ends_at() - state.now))]
 
 
 @handles(OrderDue)
--- a/packages/rookspring-core/src/rookspring_core/retry_after.py
+++ b/packages/rookspring-core/src/rookspring_core/retry_after.py
@@ -39,8 +39,12 @@
     jitter = retry_jitter(arrived.request_id)
     least_s, most_s = defaults.RETRY_AFTER_NO_ROOM_S
     if arrived.route is not None and not arrived.service and not routed.is_resident(state, arrived):
-        return missing_models.predict_retry_after_s(state, arrived)
-    if routed.speeds_differ(state, arrived):
+        if state.options.model_waits:
+            return missing_models.predict_retry_after_s(state, arrived)
+        ready_s = routed.predict_model_ready_s(state, arrived.route.service, arrived.target)
+        least_s = min(ready_s, defaults.RETRY_AFTER_ABSENT_MAX_S)
+        most_s = least_s + defaults.RETRY_AFTER_SPREAD_S
+    elif routed.speeds_differ(state, arrived):
         # Slow endpoints may have to read for longer than that.
         least_s = min(most_s, max(least_s, routed.room_in_s(state, arrived)))
     after_s = least_s + (most_s - least_s) * jitter
@@ -69,5 +73,5 @@
 
     An endpoint carries out one order at a time, and nodes announce the loads in progress.
     """
-    left_s = min((view.expected_model.at - state.now for view in hosts), default=0.0)
+    left_s = min((view.expected_model[1] - state.now for view in hosts), default=0.0)
     return min(max(0.0, left_s), defaults.ADAPTER_WAIT_MOST_S)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -49,8 +49,8 @@
     rank = arrived.route.rank
     sort_key = arrived.at + rank * defaults.RANK_HEADSTART_S
     patience_s = arrived.route.max_wait_s
-    if not arrived.service and not slot_asked and not is_resident(state, arrived):
-        patience_s = missing_models.begin(state, arrived)
+    if not arrived.service and not is_resident(state, arrived):
+        patience_s = _wait_for_model_s(state, arrived, slot_asked)
     if slot_asked:
         patience_s = arrived.route.objective_s
     until = min(arrived.deadline_at, now + patience_s)
@@ -90,6 +90,34 @@
         state.control.refused_demand.meter.add(arrived.target, work)
 
 
+def _wait_for_model_s(state: NodeState, arrived: RequestArrived, slot_asked: bool) -> float:
+    """Return how long a request waits for a model that is on no endpoint, in seconds.
+
+    It waits if the model can be loaded in time for the route's objective. Else the wait is 0,
+    and the refusal's retry-after time is when the model is expected. With the option
+    ``model_waits`` it waits by what is known of the model; see :mod:`missing_models`.
+    """
+    terms = arrived.route
+    assert terms is not None
+    if state.options.model_waits and not slot_asked:
+        return missing_models.begin(state, arrived)
+    wait_s = predict_model_ready_s(state, terms.service, arrived.target) * defaults.READY_MARGIN
+    in_time = wait_s <= terms.objective_s * defaults.READY_SHARE
+    return max(terms.max_wait_s, wait_s) if in_time else 0.0
+
+
+def predict_model_ready_s(state: NodeState, service: str, model: str) -> float:
+    """Predict the seconds until a model that is on no endpoint is loaded on one; may be inf."""
+    coming = [
+        in_s
+        for view in state.endpoints.values()
+        if view.service == service and (in_s := view.expected_in_s(model, state.now)) is not None
+    ]
+    if coming:
+        return min(coming) + defaults.LOAD_REPORT_DELAY_S
+    return missing_models.predict_load_s(state, service, model)
+
+
 def resend_window(state: NodeState, service: str) -> RetryWindow:
     """Return the resend window of a service at this node.
 
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -171,13 +171,11 @@
     """A model is being loaded at an endpoint.
 
     :param ready_in_s: time until it is expected to be resident, in seconds.
-    :param demand: what is requested of the model, in tokens of the slowest model a second.
     """
 
     endpoint: str
     model: str
     ready_in_s: float
-    demand: float
 
 
 @message("down")
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -15,7 +15,6 @@
 from rookspring_core.effects import FreeSlot
 from rookspring_core.effects import RequestLoad
 from rookspring_core.effects import ReturnAllotment
-from rookspring_core.effects import ShareLoading
 from rookspring_core.effects import TellOrigin
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
@@ -90,7 +89,7 @@
         # Callbacks, which :class:`RelayNode` sets. The first ones send updates to the other nodes.
         self.announce: t.Callable[[str], None] = lambda topic: None
         self.share_report: t.Callable[[EndpointReported], None] = lambda report: None
-        self.share_loading: t.Callable[[ShareLoading], None] = lambda effect: None
+        self.share_loading: t.Callable[[str, str, float], None] = lambda endpoint, model, in_s: None
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_evidence: t.Callable[[Evidence, str], None] = lambda evidence, source: None
         self.share_leaving: t.Callable[[tuple[Leaving, ...], str], None] = lambda rows, source: None
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -131,7 +131,7 @@
 @handles_relay_effect(ShareLoading)
 def share_loading(context: RelayContext, effect: ShareLoading) -> None:
     """Send every other node when a model that is being loaded is expected to be resident."""
-    context.share_loading(effect)
+    context.share_loading(effect.endpoint, effect.model, effect.in_s)
 
 
 @handles_relay_effect(ShareDown)
--- a/packages/rookspring/src/rookspring/relay_updates.py
+++ b/packages/rookspring/src/rookspring/relay_updates.py
@@ -1,7 +1,6 @@
 """Updates that relay nodes send at once: endpoints' states, unread prompts, load requests."""
 
 from rookspring_core.effects import RequestLoad
-from rookspring_core.effects import ShareLoading
 from rookspring_core.events import DownReceived
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import LoadingReceived
@@ -88,9 +87,9 @@
     peers.broadcast(Reports([encode_report(report._replace(polled=False), clock.now())]))
 
 
-def share_loading(peers: RelayPeers, effect: ShareLoading) -> None:
+def share_loading(peers: RelayPeers, endpoint: str, model: str, in_s: float) -> None:
     """Send all nodes that a model is being loaded, and in how many seconds it is expected."""
-    peers.broadcast(ModelLoading(*effect))
+    peers.broadcast(ModelLoading(endpoint, model, in_s))
 
 
 def share_down(peers: RelayPeers, endpoint: str) -> None:
@@ -140,13 +139,7 @@
 @receives(ModelLoading)
 def handle_loading(peers: RelayPeers, link: Link, coming: ModelLoading) -> None:
     """Process and forward that the lease holder has ordered the load of a model."""
-    event = LoadingReceived(
-        clock.now(),
-        coming.endpoint,
-        coming.model,
-        float(coming.ready_in_s),
-        float(coming.demand),
-    )
+    event = LoadingReceived(clock.now(), coming.endpoint, coming.model, float(coming.ready_in_s))
     peers.context.submit(event)
     peers.broadcast(coming, link.name)
 
