--- a/packages/rookspring-core/src/rookspring_core/missing_models.py
+++ b/packages/rookspring-core/src/rookspring_core/missing_models.py
@@ -41,9 +41,10 @@
 
 def describe_absence(state: NodeState, arrived: RequestArrived) -> str:
     """Describe, for the log, whether a load of a request's model is announced, and its time."""
-    known = know(state, arrived)
-    load = known.describe() if known.endpoint else "no load is announced"
-    return f"{load}; {arrived.deadline_at - state.now:.2f} s left"
+    assert arrived.route is not None
+    load = _list_announced(state).get(key_of(arrived.route.service, arrived.target))
+    text = f"announced at {load[1]} in {load[0]:.2f} s" if load else "no load is announced"
+    return f"{text}; {arrived.deadline_at - state.now:.2f} s left"
 
 
 def _know_model(
