Close connections whose endpoint sends bytes without end that are no body

What callers saw: nothing yet; the users' pages say that bytes that are no answer may come without end until the caller closes. One header without end kept 133 MiB and the loop busy.

Cause: the client bounded the body of a whole answer, and nothing else. The parser hands over each header, and reads a status line, interim heads, a chunk's size or extension, trailers and answers to other requests for as long as they come.

Fix: bytes are parsed 16 KiB at a time; what arrives without a body byte counts up to FRAMING_BYTES_MAX (64 KiB), and bodies that are skipped up to SKIPPED_BYTES_MAX. Beyond that the request fails as any failure of its endpoint does, with a reason of its own in the log, and the connection is closed. A head of 48 KiB and 40,000 chunks of a byte still pass, also in one read.

--- /dev/null
+++ b/features/endless_answers.feature
@@ -0,0 +1,72 @@
+@relay
+Feature: Endpoints that send bytes without end
+
+  # Guards against heads, parts of the framing and events that were read and kept until the caller's deadline.
+
+  Scenario Outline: bytes without end that are no part of a body are given up
+    Given a connection on which a request is in flight
+    When its endpoint sends <what> without end, <size> KB at a time
+    Then the connection is closed after 96 KB at most, and the request has failed as "<reason>"
+    And at most 512 KB were kept
+
+    Examples:
+      | what                                | size | reason                           |
+      | a status line                       | 1    | too many bytes that are no body  |
+      | headers                             | 1    | too many bytes that are no body  |
+      | one header                          | 1    | too many bytes that are no body  |
+      | interim heads                       | 1    | too many bytes that are no body  |
+      | the size of a chunk                 | 1    | too many bytes that are no body  |
+      | the extension of a chunk            | 1    | too many bytes that are no body  |
+      | trailers                            | 1    | too many bytes that are no body  |
+      | the extension of each chunk         | 1    | too many bytes that are no body  |
+      | what is no answer                   | 1    | not an answer                    |
+
+  Scenario Outline: bytes without end that arrive in large reads are given up as soon
+    Given a connection on which a request is in flight
+    When its endpoint sends <what> without end, 256 KB at a time
+    Then the connection is closed after 260 KB at most, and the request has failed as "<reason>"
+    And at most 1024 KB were kept
+
+    Examples:
+      | what                     | reason                          |
+      | headers                  | too many bytes that are no body |
+      | one header               | too many bytes that are no body |
+      | interim heads            | too many bytes that are no body |
+      | the extension of a chunk | too many bytes that are no body |
+      | trailers                 | too many bytes that are no body |
+
+  Scenario: an answer to another request that never ends is given up
+    Given a connection on which a request is in flight
+    When its endpoint sends an answer to another request without end, 64 KB at a time
+    Then the connection is closed after 17000 KB at most, and the request has failed as "too much of an answer to another request"
+    And at most 1024 KB were kept
+
+  Scenario Outline: a whole answer with much framing arrives
+    Given a connection on which a request is in flight
+    When its endpoint sends <what>, <size> KB at a time
+    Then the answer is whole, with a body of <bytes> bytes
+
+    Examples:
+      | what                            | size | bytes   |
+      | a head of 48 KB                 | 1    | 5       |
+      | a head of 48 KB                 | 256  | 5       |
+      | 40,000 chunks of a byte         | 1    | 40000   |
+      | 40,000 chunks of a byte         | 256  | 40000   |
+      | 500 chunks with long extensions | 64   | 500     |
+
+  Scenario Outline: an endpoint that answers without end is given up, and others serve what may be repeated
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+    And it arrived after 0.0 to 0.9 s
+    And the log has one failed attempt for each endpoint without end, as "<reason>"
+
+    Examples:
+      | kind      | script                         | answer        | runs | reason                          |
+      | safe      | headers without end, answer    | whole         | 2    | too many bytes that are no body |
+      | unsafe    | headers without end            | unknown       | 1    | too many bytes that are no body |
+      | stream    | headers without end            | unknown       | 1    | too many bytes that are no body |
+      | resumable | headers without end, stream    | 5 events      | 2    | too many bytes that are no body |
+      | safe      | extension without end, answer  | whole         | 2    | too many bytes that are no body |
+      | safe      | interim heads without end, answer | whole      | 2    | too many bytes that are no body |
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -21,6 +21,7 @@
 LONG_ANSWER_BYTES = 15 << 20
 LATE_ANSWER_S = 0.15
 FLOOD_EVENT_BYTES = 64 << 10
+ENDLESS_PART_BYTES = 16 << 10
 
 
 def step(name: str) -> t.Callable[[S], S]:
@@ -97,6 +98,9 @@
         # The state in its report, left out if empty; and the number of reports that were read.
         self.state = ""
         self.reports = 0
+        # Whether its reports never end, and the bytes of them that were taken from it.
+        self.reports_endlessly = False
+        self.report_bytes = 0
 
     async def start(self) -> None:
         """Listen on a free port."""
@@ -159,6 +163,8 @@
             return True
         if request.line.startswith("GET /report"):
             self.reports += 1
+            if self.reports_endlessly:
+                await self._report_without_end(writer)
             _send(self, writer, 200, orjson.dumps(self._report()), {})
             return True
         if request.line.startswith("POST /order"):
@@ -228,6 +234,13 @@
             "handles": 0,
         }
 
+    async def _report_without_end(self, writer: asyncio.StreamWriter) -> None:
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\n")
+        while True:
+            writer.write(b" " * ENDLESS_PART_BYTES)
+            await writer.drain()
+            self.report_bytes += ENDLESS_PART_BYTES
+
     def _order(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         order = orjson.loads(request.body)
         self.orders.append(order)
@@ -564,6 +577,62 @@
         server.flooded_bytes += len(data)
 
 
+async def _send_without_end(writer: asyncio.StreamWriter, first: bytes, part: bytes) -> None:
+    """Send some bytes, then others again and again, as fast as they are taken."""
+    writer.write(first)
+    while True:
+        writer.write(part)
+        await writer.drain()
+
+
+def _head_without_end(server: ModelServer, request: ReceivedRequest) -> bytes:
+    rows = "".join(f"{key}: {value}\r\n" for key, value in _record_run(server, request).items())
+    return f"HTTP/1.1 200 OK\r\n{rows}".encode()
+
+
+@step("headers without end")
+async def _headers_without_end(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = _head_without_end(server, request)
+    await _send_without_end(writer, head, (b"X-Row: " + b"x" * 1000 + b"\r\n") * 16)
+
+
+@step("interim heads without end")
+async def _interim_heads_without_end(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    _record_run(server, request)
+    await _send_without_end(writer, b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 512)
+
+
+@step("extension without end")
+async def _extension_without_end(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a chunk whose extension never ends."""
+    head = _head_without_end(server, request) + b"Transfer-Encoding: chunked\r\n\r\n1;"
+    await _send_without_end(writer, head, b"e" * ENDLESS_PART_BYTES)
+
+
+@step("body without end")
+async def _body_without_end(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = _head_without_end(server, request) + b"\r\n"
+    await _send_without_end(writer, head, b"b" * ENDLESS_PART_BYTES)
+
+
+@step("event without end")
+async def _event_without_end(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send three events, and a fourth that never ends."""
+    await _events(server, request, writer, 3)
+    part = b"%x\r\n%b\r\n" % (ENDLESS_PART_BYTES, b"d" * ENDLESS_PART_BYTES)
+    await _send_without_end(writer, b"c\r\nid: 4\ndata: \r\n", part)
+
+
 @step("hang")
 async def _hang(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -73,6 +73,12 @@
 # one of the prompt in a request's size.
 ANSWER_BYTES_MAX = 16 << 20
 ANSWER_TOKEN_WEIGHT = 10
+# Bytes of an answer that may arrive without any of a body: its heads, the framing of a chunk, and
+# trailers. Answers are parsed in parts of ``PARSED_BYTES_MAX``, each of which is counted by itself.
+FRAMING_BYTES_MAX = 64 << 10
+PARSED_BYTES_MAX = 16 << 10
+# Body bytes of answers to other requests that are skipped before the connection is closed.
+SKIPPED_BYTES_MAX = ANSWER_BYTES_MAX
 # Watches of a relay node end after this long, so that a connection without data is noticed.
 RELAY_WATCH_S = 4.0
 # Where a few nodes watch the store for all: the longest wait of a watch of endpoints, and the
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -6,7 +6,8 @@
 
 An answer belongs to a request only if the caller of :meth:`ClientConnection.send_request`
 accepts its head; other answers are skipped. A connection that receives bytes without a
-request in flight is closed.
+request in flight is closed, and so is one that receives bytes without end: in heads, in the
+framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
 """
 
 import asyncio
@@ -127,6 +128,10 @@
         self._answer_headers: list[Header] = []
         self._skipping = False
         self._skipped = 0
+        self._skipped_bytes = 0
+        # Bytes since the last body byte, and body bytes of the part that is being parsed.
+        self._framing_bytes = 0
+        self._body_bytes = 0
         self._until_close = False
         self._got_head = False
         self._no_body = False
@@ -177,6 +182,8 @@
         self._on_head = on_head
         self._no_body = no_body
         self._skipped = 0
+        self._skipped_bytes = 0
+        self._framing_bytes = 0
         self._new_parser()
         self.served += 1
         self._transport.write(data)
@@ -191,15 +198,31 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes; close the connection if no request is in flight."""
-        if self._reply is None:
-            self.close()
-            return
+        for start in range(0, len(data), defaults.PARSED_BYTES_MAX):
+            if self._reply is None:
+                self.close()
+                return
+            self._parse(data[start : start + defaults.PARSED_BYTES_MAX])
+
+    def _parse(self, part: bytes) -> None:
+        self._body_bytes = 0
         try:
-            self._parser.feed_data(data)
+            self._parser.feed_data(part)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
-            if self._reply is not None:
-                self._break("not an answer")
-            self.close()
+            self._give_up("not an answer")
+            return
+        framing = len(part) - self._body_bytes
+        self._framing_bytes = framing if self._body_bytes else self._framing_bytes + framing
+        if self._framing_bytes > defaults.FRAMING_BYTES_MAX:
+            self._give_up("too many bytes that are no body")
+        elif self._skipped_bytes > defaults.SKIPPED_BYTES_MAX:
+            self._give_up("too much of an answer to another request")
+
+    def _give_up(self, reason: str) -> None:
+        """Fail the request in flight, if there is one, and close the connection."""
+        if self._reply is not None:
+            self._break(reason)
+        self.close()
 
     def _limit_unread(self, unread: int) -> None:
         """Stop reading from the endpoint while a caller that reads slowly holds up its answer."""
@@ -269,7 +292,10 @@
 
     def on_body(self, body: bytes) -> None:
         """Append a part of the body."""
-        if self._reply is not None and not self._skipping:
+        self._body_bytes += len(body)
+        if self._skipping:
+            self._skipped_bytes += len(body)
+        elif self._reply is not None:
             self._reply.add_part(body)
 
     def on_message_complete(self) -> None:
