Give up streams whose event never ends

What callers saw: nothing yet. An event is held back until it is complete, so one without end was kept whole until the caller's deadline; each part that came was copied with all before it and searched from its beginning, which keeps a node's one loop busy (32 MB in parts of 2 KB: not over in two minutes, so the test has a limit of time).

Fix: an event has EVENT_BYTES_MAX (256 KiB); beyond that the attempt fails as its endpoint's, and a resumable stream goes on elsewhere. The buffer grows in place and only what is new is searched.

Evidence: "an event that never ends is given up" and both rows with an event without end failed before, and pass; events of 200 KB pass whole.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -54,6 +54,16 @@
       | 40,000 chunks of a byte         | 256  | 40000   |
       | 500 chunks with long extensions | 64   | 500     |
 
+  Scenario: an event that never ends is given up
+    Given a stream of events
+    When 2 KB at a time of one event arrive without end
+    Then it is given up after 260 KB at most, in less than 0.5 s
+
+  Scenario: long events arrive whole
+    Given a stream of events
+    When 3 events of 200 KB arrive, 2 KB at a time
+    Then all 3 are passed on whole
+
   Scenario Outline: an endpoint that answers without end is given up, and others serve what may be repeated
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
@@ -68,5 +78,7 @@
       | unsafe    | headers without end            | unknown       | 1    | too many bytes that are no body |
       | stream    | headers without end            | unknown       | 1    | too many bytes that are no body |
       | resumable | headers without end, stream    | 5 events      | 2    | too many bytes that are no body |
+      | stream    | event without end              | 3 events, cut | 1    | too large an event              |
+      | resumable | event without end, stream      | 5 events      | 2    | too large an event              |
       | safe      | extension without end, answer  | whole         | 2    | too many bytes that are no body |
       | safe      | interim heads without end, answer | whole      | 2    | too many bytes that are no body |
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -6,6 +6,8 @@
 from behave import then
 from behave import when
 
+from rookspring.event_streams import EventSplitter
+from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
 
 KB = 1 << 10
@@ -128,6 +130,49 @@
     assert len(asyncio.run(read())) == number
 
 
+@given("a stream of events")
+def stream_of_events(context):
+    context.splitter = EventSplitter()
+
+
+@when("{size:d} KB at a time of one event arrive without end")
+def event_without_end(context, size):
+    part = b"d" * (size * KB)
+    context.fed = 0
+    context.given_up = False
+    began = time.monotonic()
+    while not context.given_up and time.monotonic() - began < ENDLESS_S:
+        context.fed += len(part)
+        try:
+            context.splitter.feed(part)
+        except EndpointError as error:
+            context.given_up = error.reason == "too large an event"
+    context.took_s = time.monotonic() - began
+
+
+@then("it is given up after {most:d} KB at most, in less than {most_s:g} s")
+def event_given_up(context, most, most_s):
+    assert context.given_up
+    assert context.fed <= most * KB, context.fed
+    assert context.took_s < most_s, context.took_s
+
+
+@when("{number:d} events of {event:d} KB arrive, {size:d} KB at a time")
+def long_events(context, number, event, size):
+    context.sent = (b"id: 1\ndata: " + b"d" * (event * KB) + b"\n\n") * number
+    context.passed_on = [
+        context.splitter.feed(context.sent[at : at + size * KB])
+        for at in range(0, len(context.sent), size * KB)
+    ]
+
+
+@then("all {number:d} are passed on whole")
+def events_whole(context, number):
+    assert sum(one.number for one in context.passed_on) == number
+    assert b"".join(one.data for one in context.passed_on) == context.sent
+    assert context.splitter.incomplete() == b""
+
+
 @then('the log has one failed attempt for each endpoint without end, as "{reason}"')
 def failed_attempts(context, reason):
     failed = [line for line in context.relay.log_lines if "event=attempt_failed" in line]
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -79,6 +79,8 @@
 PARSED_BYTES_MAX = 16 << 10
 # Body bytes of answers to other requests that are skipped before the connection is closed.
 SKIPPED_BYTES_MAX = ANSWER_BYTES_MAX
+# Largest event of a stream, which is held back until it is complete.
+EVENT_BYTES_MAX = 256 << 10
 # Watches of a relay node end after this long, so that a connection without data is noticed.
 RELAY_WATCH_S = 4.0
 # Where a few nodes watch the store for all: the longest wait of a watch of endpoints, and the
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -2,6 +2,13 @@
 
 import typing as t
 
+from . import defaults
+from .exceptions import EndpointError
+
+# Marks that end an event.
+MARKS = (b"\n\n", b"\r\n\r\n")
+LONGEST_MARK = max(MARKS, key=len)
+
 
 class Events(t.NamedTuple):
     """Complete events as their bytes, in order.
@@ -19,26 +26,33 @@
     """Buffers bytes and returns complete events; an incomplete one stays in the buffer."""
 
     def __init__(self) -> None:
-        self._rest = b""
+        self._rest = bytearray()
 
     def feed(self, data: bytes) -> Events:
-        """Add bytes, and return the events that are complete now."""
-        text = self._rest + data
-        cut = max(_end(text, b"\n\n"), _end(text, b"\r\n\r\n"))
+        """Add bytes, and return the events that are complete now.
+
+        :raises EndpointError: if an event is longer than ``EVENT_BYTES_MAX``.
+        """
+        # A mark that ends an event may have begun in what was there before.
+        start = max(0, len(self._rest) - len(LONGEST_MARK) + 1)
+        self._rest += data
+        cut = max(_end(self._rest, mark, start) for mark in MARKS)
+        if len(self._rest) - max(0, cut) > defaults.EVENT_BYTES_MAX:
+            raise EndpointError("too large an event", sent=True)
         if cut < 0:
-            self._rest = text
             return Events(b"", 0, "")
-        whole, self._rest = text[:cut], text[cut:]
-        number = whole.count(b"\n\n") + whole.count(b"\r\n\r\n")
+        whole = bytes(self._rest[:cut])
+        del self._rest[:cut]
+        number = sum(whole.count(mark) for mark in MARKS)
         return Events(whole, number, _last_id(whole))
 
     def incomplete(self) -> bytes:
         """Return the bytes of the incomplete event at the end."""
-        return self._rest
+        return bytes(self._rest)
 
 
-def _end(text: bytes, mark: bytes) -> int:
-    place = text.rfind(mark)
+def _end(text: bytearray, mark: bytes, start: int) -> int:
+    place = text.rfind(mark, start)
     return place + len(mark) if place >= 0 else -1
 
 
