Bound the whole answers that a node holds together, and endpoints' reports

What callers saw: nothing yet. A whole answer without end was read to 16 MiB and then failed, so ten at once were the memory of a small node, whose end cuts all its callers. Reports and answers to orders had the same 16 MiB.

Fix: a node counts the bytes of whole answers while they are held, for endpoints and other nodes together (HELD_ANSWERS_BYTES_MAX, 64 MiB); beyond that the largest is given up as its endpoint's failure, so that short ones stay. Reports and answers to orders have 1 MiB.

Evidence: "whole answers that are held together are bounded" failed before (nothing counted them; 100 answers of 15 MB were kept whole), and so did "a report without end is given up" (16 MiB read). Not bounded: what is written to a caller who reads slowly, after an answer is complete; the platform's own answers are counted apart, by their pool.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -64,6 +64,13 @@
     When 3 events of 200 KB arrive, 2 KB at a time
     Then all 3 are passed on whole
 
+  Scenario: whole answers that are held together are bounded, and the largest are given up
+    Given 100 answers of 15 MB, beside 50 of 10 KB
+    When a node reads them at the same time
+    Then it held at most 66 MB of them at any time
+    And the 50 short answers are whole
+    And 90 of the others at least have failed as "too large answers together"
+
   Scenario Outline: an endpoint that answers without end is given up, and others serve what may be repeated
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
@@ -78,7 +85,16 @@
       | unsafe    | headers without end            | unknown       | 1    | too many bytes that are no body |
       | stream    | headers without end            | unknown       | 1    | too many bytes that are no body |
       | resumable | headers without end, stream    | 5 events      | 2    | too many bytes that are no body |
+      | safe      | body without end, answer       | whole         | 2    | too large an answer             |
+      | unsafe    | body without end               | unknown       | 1    | too large an answer             |
       | stream    | event without end              | 3 events, cut | 1    | too large an event              |
       | resumable | event without end, stream      | 5 events      | 2    | too large an event              |
       | safe      | extension without end, answer  | whole         | 2    | too many bytes that are no body |
       | safe      | interim heads without end, answer | whole      | 2    | too many bytes that are no body |
+
+  Scenario: a report without end is given up
+    Given a relay node with one endpoint that does: answer
+    When the endpoint's report never ends and the node reads it
+    Then the report has failed as "too large an answer" after 10 MB at most
+    When a caller sends a safe request
+    Then the answer is whole
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -6,11 +6,17 @@
 from behave import then
 from behave import when
 
+from rookspring import defaults
+from rookspring import relay_orders
+from rookspring.answer_memory import AnswerMemory
 from rookspring.event_streams import EventSplitter
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
+from rookspring.http_client import Reply
+from rookspring_core.effects import ReadReport
 
 KB = 1 << 10
+PART_BYTES = 256 * KB
 REQUEST = b"GET / HTTP/1.1\r\nHost: e\r\n\r\n"
 # For how long bytes without end are sent before a test gives up.
 ENDLESS_S = 2.0
@@ -177,3 +183,90 @@
 def failed_attempts(context, reason):
     failed = [line for line in context.relay.log_lines if "event=attempt_failed" in line]
     assert len(failed) == 1 and f'reason="{reason}"' in failed[0], failed
+
+
+@when("the endpoint's report never ends and the node reads it")
+def report_without_end(context):
+    relay = context.relay
+    node = relay.node
+
+    async def work():
+        relay.servers[0].reports_endlessly = True
+        relay_orders.read_report(node.context, ReadReport("i0", 0.0))
+        await relay.until(lambda: list_failed_reports(context), 2.0 * defaults.REPORT_CALL_S)
+        relay.servers[0].reports_endlessly = False
+
+    context.loop.run(work())
+
+
+def list_failed_reports(context):
+    return [line for line in context.relay.log_lines if "event=report_failed" in line]
+
+
+@then('the report has failed as "{reason}" after {most:d} MB at most')
+def report_failed(context, reason, most):
+    failed = list_failed_reports(context)
+    assert f'reason="{reason}"' in failed[0], failed
+    assert context.relay.servers[0].report_bytes <= most << 20
+
+
+class HeldAnswers:
+    """Answers that a node reads at the same time: some never end, and some are short."""
+
+    def __init__(self, endless, endless_bytes, short, short_bytes):
+        self.memory = AnswerMemory()
+        self.parts = [PART_BYTES] * (endless_bytes // PART_BYTES)
+        self.endless = [Reply() for _ in range(endless)]
+        self.short = [Reply() for _ in range(short)]
+        self.short_bytes = short_bytes
+        self.most_held = 0
+
+    async def read(self, reply):
+        try:
+            return len(await reply.read_rest(defaults.ANSWER_BYTES_MAX, self.memory))
+        except EndpointError as error:
+            return error.reason
+
+    async def play(self):
+        tasks = [asyncio.ensure_future(self.read(one)) for one in self.endless + self.short]
+        for number, size in enumerate(self.parts):
+            for reply in self.endless:
+                reply.add_part(bytes(size))
+            if number < len(self.short):
+                self.short[number].add_part(bytes(self.short_bytes))
+                self.short[number].complete = True
+                self.short[number].notify()
+            await asyncio.sleep(0.0)
+            self.most_held = max(self.most_held, self.memory.held_bytes)
+        for reply in self.endless:
+            reply.complete = True
+            reply.notify()
+        self.ends = await asyncio.gather(*tasks)
+
+
+@given("{endless:d} answers of {mb:d} MB, beside {short:d} of {kb:d} KB")
+def held_answers(context, endless, mb, short, kb):
+    context.held = HeldAnswers(endless, mb << 20, short, kb * KB)
+
+
+@when("a node reads them at the same time")
+def read_together(context):
+    asyncio.run(context.held.play())
+
+
+@then("it held at most {mb:d} MB of them at any time")
+def held_at_most(context, mb):
+    assert 0 < context.held.most_held <= mb << 20, context.held.most_held
+    assert context.held.memory.held_bytes == 0
+
+
+@then("the {number:d} short answers are whole")
+def short_whole(context, number):
+    assert context.held.ends[-number:] == [context.held.short_bytes] * number
+
+
+@then('{least:d} of the others at least have failed as "{reason}"')
+def others_failed(context, least, reason):
+    ends = context.held.ends[: len(context.held.endless)]
+    failed = [one for one in ends if isinstance(one, str)]
+    assert len(failed) >= least and set(failed) == {reason}, set(ends)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -81,6 +81,11 @@
 SKIPPED_BYTES_MAX = ANSWER_BYTES_MAX
 # Largest event of a stream, which is held back until it is complete.
 EVENT_BYTES_MAX = 256 << 10
+# Largest report of an endpoint, and largest answer to an order.
+REPORT_BYTES_MAX = 1 << 20
+# Largest sum of the whole answers that a node holds until they are complete: the smallest nodes
+# have 160 MB.
+HELD_ANSWERS_BYTES_MAX = 64 << 20
 # Watches of a relay node end after this long, so that a connection without data is noticed.
 RELAY_WATCH_S = 4.0
 # Where a few nodes watch the store for all: the longest wait of a watch of endpoints, and the
--- a/packages/rookspring/src/rookspring/http_client.py
+++ b/packages/rookspring/src/rookspring/http_client.py
@@ -19,6 +19,7 @@
 
 from . import clock
 from . import defaults
+from .answer_memory import AnswerMemory
 from .exceptions import EndpointError
 from .http_messages import Header
 from .http_messages import HttpHead
@@ -102,18 +103,31 @@
         self._count_unread(-len(part))
         return part
 
-    async def read_rest(self, most: int) -> bytes:
+    def fail(self, reason: str) -> None:
+        """Give the answer up: its reader gets an error, whatever arrives."""
+        self.failure = reason
+        self.complete = False
+        self._parts.clear()
+        self._arrivals.clear()
+        self.notify()
+
+    async def read_rest(self, most: int, memory: AnswerMemory) -> bytes:
         """Read the whole body.
 
         :param most: largest accepted size in bytes.
-        :raises EndpointError: if the body was cut off or is larger.
+        :param memory: counts the bytes while they are held here.
+        :raises EndpointError: if the body was cut off, is larger, or if too much is held in all.
         """
         body = bytearray()
-        while part := await self.next_part():
-            body += part
-            if len(body) > most:
-                raise EndpointError("answer too large", sent=True)
-        return bytes(body)
+        try:
+            while part := await self.next_part():
+                body += part
+                if len(body) > most:
+                    raise EndpointError("too large an answer", sent=True)
+                memory.hold(self, len(part))
+            return bytes(body)
+        finally:
+            memory.release(self)
 
 
 class ClientConnection(asyncio.Protocol):
@@ -366,12 +380,16 @@
     """Idle connections by address.
 
     :param make_connection: makes the protocol of a new connection.
+    :ivar answers: the whole answers that are held, which may be shared with other pools.
     """
 
     def __init__(
-        self, make_connection: t.Callable[[], ClientConnection] = ClientConnection
+        self,
+        make_connection: t.Callable[[], ClientConnection] = ClientConnection,
+        answers: AnswerMemory | None = None,
     ) -> None:
         self._make_connection = make_connection
+        self.answers = answers or AnswerMemory()
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
@@ -465,12 +483,18 @@
 
 
 async def call(
-    pool: ConnectionPool, address: str, data: bytes, on_head: OnHead, timeout_s: float
+    pool: ConnectionPool,
+    address: str,
+    data: bytes,
+    on_head: OnHead,
+    timeout_s: float,
+    most: int = defaults.ANSWER_BYTES_MAX,
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and return the complete answer.
 
     :param on_head: called with the answer's head.
     :param timeout_s: for connection and answer together.
+    :param most: largest accepted answer in bytes.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
@@ -479,7 +503,7 @@
             connection = await pool.acquire(address, wide_margin=True)
             reply = connection.send_request(data, lambda head: True, on_head)
             head = await reply.wait_head()
-            return head, await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+            return head, await reply.read_rest(most, pool.answers)
     except TimeoutError:
         raise EndpointError("no answer in time", sent=connection is not None) from None
     finally:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -202,7 +202,7 @@
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, reply, head, view)
         return
-    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
     await _check_process(context, reply, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -73,7 +73,7 @@
         self.loop = asyncio.get_running_loop()
         self.pool = ConnectionPool()
         # Connections to other nodes, which requests are handed over on.
-        self.peer_pool = ConnectionPool()
+        self.peer_pool = ConnectionPool(answers=self.pool.answers)
         # Set by :class:`RelayNode`.
         self.reach_probes: ReachProbes
         self.origins: OriginQuestions
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -11,6 +11,7 @@
 
 from . import clock
 from . import defaults
+from .answer_memory import AnswerMemory
 from .exceptions import EndpointError
 from .http_client import Reply
 from .http_messages import HttpHead
@@ -77,7 +78,7 @@
         no_body = exchange.request.method == b"HEAD"
         reply = connection.send_request(data, lambda head: True, lambda head: None, no_body)
         head = await reply.wait_head()
-        await _pass_on(exchange, reply, head)
+        await _pass_on(exchange, reply, head, context.peer_pool.answers)
     finally:
         # An answer that was not read to its end is cancelled at the other node by the close.
         context.peer_pool.release_or_close(effect.address, connection)
@@ -96,7 +97,9 @@
     return write_request(request, headers)
 
 
-async def _pass_on(exchange: RelayExchange, reply: Reply, head: HttpHead) -> None:
+async def _pass_on(
+    exchange: RelayExchange, reply: Reply, head: HttpHead, answers: AnswerMemory
+) -> None:
     """Pass an answer on: one with a length once it is complete, any other as it arrives.
 
     The rest of a stream follows the head and the events that its caller has got before.
@@ -112,7 +115,7 @@
     headers = end_to_end_headers(head.headers)
     exchange.first_event_at = clock.now()
     if not in_parts:
-        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, answers)
         exchange.connection.answer(head.status, headers, body)
         return
     exchange.started = True
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -68,6 +68,7 @@
             data,
             make_notice_handler(context, effect.endpoint, EndpointCall("order")),
             defaults.RELAY_ORDER_CALL_S,
+            defaults.REPORT_BYTES_MAX,
         )
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
@@ -106,7 +107,12 @@
     try:
         hear = make_notice_handler(context, effect.endpoint, EndpointCall("report"))
         _, raw = await http_client.call(
-            context.pool, view.address, data, hear, defaults.REPORT_CALL_S
+            context.pool,
+            view.address,
+            data,
+            hear,
+            defaults.REPORT_CALL_S,
+            defaults.REPORT_BYTES_MAX,
         )
     except EndpointError as error:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason=error.reason)
