Log at how many runners a model could have room that gets none

The line of want_declined now has both counts, from what all nodes measured last; control_jobs.measure_demand is what the forecast sums. No decision changes.

--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -9,6 +9,7 @@
 
 from rookspring_core import placement
 from rookspring_core import swapping as swapping
+from rookspring_core.effects import LoadRequestDeclined
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.latencies import LatencyTable
 from rookspring_core.resources import ModelSpec
@@ -196,6 +197,12 @@
     assert least <= deficits["x"] <= most, deficits
 
 
+@then('the log has "{text}"')
+def log_has(context, text):
+    declined = [one.why for one in context.holder.told if isinstance(one, LoadRequestDeclined)]
+    assert any(text in why for why in declined), declined
+
+
 @then("m has no deficit")
 def no_deficit(context):
     assert "m" not in context.holder.state.residency.deficits
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -137,6 +137,11 @@
       | e1[m] e2[n; awaited 15000]        | m 9000              | no further replica pays       |
       | e1[m] e2[n; disk m]               | m 5000              | nothing                       |
 
+  Scenario: the log says at how many runners a model could have room that gets none
+    Given a lease holder over runners holding m+n, m+n of 200 GB
+    When 3000 tokens of x, which fits nowhere, are requested 6 times in 12 s
+    Then the log has "of 2 runners without it 0 are busy, 2 others hold a model that hardly anybody requests now"
+
   Scenario: a model that was loaded for callers is not evicted before they have retried
     Given a lease holder over runners holding m+n of 200 GB
     When x is requested and loaded, and then y, which only fits in its place
--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -258,13 +258,18 @@
 
 
 def sum_demand(state: NodeState, passed: float) -> None:
-    """Add up the demand at all nodes, and update the forecast from it."""
+    """Update the forecast from the demand at all nodes."""
+    state.control.forecast.update(measure_demand(state), passed)
+    state.control.urgent_demand.update_forecast(passed)
+    state.control.refused_demand.update_forecast(passed)
+
+
+def measure_demand(state: NodeState) -> dict[str, float]:
+    """Add up what all nodes measured last, in tokens of the slowest model a second."""
     peer_rates = (
         rates for peer, rates in state.control.peer_demand.items() if peer in state.membership.peers
     )
-    state.control.forecast.update(add_rates([state.control.meter.rates, *peer_rates]), passed)
-    state.control.urgent_demand.update_forecast(passed)
-    state.control.refused_demand.update_forecast(passed)
+    return add_rates([state.control.meter.rates, *peer_rates])
 
 
 def resident_models(state: NodeState) -> t.Mapping[str, list[str]]:
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -9,6 +9,7 @@
 
 from . import attaching
 from . import claims as claims
+from . import control_jobs
 from . import defaults
 from . import expected_loads
 from . import placement
@@ -103,19 +104,38 @@
     """Log why requested models are not loaded, each reason once while it stays the same."""
     logged = state.residency.declined
     declined = plan_input.declined or {}
+    measured = control_jobs.measure_demand(state)
     effects: Effects = []
     for model in plan_input.models:
         why = declined.get(model, "")
         if why and logged.get(model, "") != why:
-            effects.append(
-                LoadRequestDeclined(
-                    model, f"{why}; {plan_input.aged_demand(model):.0f} tokens/s of aged demand"
-                )
-            )
+            aged = f"{plan_input.aged_demand(model):.0f} tokens/s of aged demand"
+            places = _describe_places(plan_input, model, measured)
+            effects.append(LoadRequestDeclined(model, f"{why}; {aged}; {places}"))
         logged[model] = why
     return effects
 
 
+def _describe_places(
+    plan_input: placement.PlanInput, model: str, measured: t.Mapping[str, float]
+) -> str:
+    """Describe, for the log, which runners could make room for a model.
+
+    :param measured: what is requested of each model now, in tokens a second.
+    """
+    others = [one for one in plan_input.runners if model not in {name for name, _ in one.resident}]
+    free = [one for one in others if not one.busy]
+    unasked = [
+        one
+        for one in free
+        if any(measured.get(name, 0.0) < defaults.IDLE_TOKENS_PER_S for name, _ in one.resident)
+    ]
+    return (
+        f"of {len(others)} runners without it {len(others) - len(free)} are busy, "
+        f"{len(unasked)} others hold a model that hardly anybody requests now"
+    )
+
+
 def _sum_unattached_demand(
     state: NodeState, service: str, models: t.Container[str]
 ) -> dict[str, float]:
