--- a/features/model_stage.py
+++ b/features/model_stage.py
@@ -6,6 +6,8 @@
 as that is within a third of the time that they have left.
 """
 
+import typing as t
+
 from adapter_stage import BEAT_S
 from adapter_stage import NETWORK_S
 from adapter_stage import Stage
@@ -36,6 +38,16 @@
 SETTLE_S = 6.0
 
 
+class FirstLoad(t.NamedTuple):
+    """A load of a model that stands nowhere.
+
+    :param uncalled_s: for how long no caller of it had been there or was to come back.
+    """
+
+    model: str
+    uncalled_s: float
+
+
 class ModelStage(Stage):
     """Runners with a local copy of each model, and room for fewer models than are requested."""
 
@@ -50,6 +62,10 @@
         # When each request arrived, and how many were held over half of their time and refused.
         self.asked_at = {}
         self.held_long = 0
+        # Until when a caller of each model was there or is to come back; and the loads of models
+        # that stood nowhere, each with the time since then.
+        self.callers_until = {}
+        self.first_loads = []
         names = self.hot + self.rare
         held = ["+".join(names[n * PLACES : (n + 1) * PLACES]) for n in range(RUNNERS)]
         super().__init__(held, seed, lost_share)
@@ -92,15 +108,36 @@
         self.asked_at[key] = self.now
         super().ask(name, tokens, key, retried, deadline_at)
 
+    def send_order(self, node, order):
+        if order.action == "load" and not order.model_version and not self.is_held(order.model):
+            self.first_loads.append(FirstLoad(order.model, self.uncalled_s(order.model)))
+        super().send_order(node, order)
+
+    def is_held(self, model):
+        """Return whether a runner holds a model."""
+        return any(one.alive and model in one.models for one in self.runners.values())
+
+    def uncalled_s(self, model):
+        """Return for how long no caller of a model has been there or is to come back."""
+        if any(caller.name == model for caller in self._callers.values()):
+            return 0.0
+        return max(0.0, self.now - self.callers_until.get(model, -1e9))
+
+    def expect_caller(self, model, until):
+        """Note that a caller of a model is there, or to come back, until a time."""
+        self.callers_until[model] = max(until, self.callers_until.get(model, -1e9))
+
     def refuse(self, refusal):
         """Have a refused caller retry once, if the time that it is told is soon enough for it."""
         caller = self._callers.pop(refusal.request_id)
+        self.expect_caller(caller.name, self.now)
         self.note(caller, served=False)
         held_s = self.now - self.asked_at[refusal.request_id]
         self.held_long += held_s > (caller.deadline_at - self.now + held_s) / 2.0 + 0.15
         left_s = caller.deadline_at - self.now
         if caller.retried or refusal.retry_after_s > left_s * RETRY_SHARE + 1e-6:
             return
+        self.expect_caller(caller.name, self.now + max(0.05, refusal.retry_after_s) + NETWORK_S)
         self.after(
             max(0.05, refusal.retry_after_s) + NETWORK_S,
             lambda: self.ask(
--- a/features/steps/model_stage_steps.py
+++ b/features/steps/model_stage_steps.py
@@ -42,3 +42,13 @@
         counts = [stage.callers(names(stage)) for stage in context.stages]
         asked, served = (sum(column) for column in zip(*counts, strict=True))
         assert served >= least / 100.0 * asked, (least, served, asked, counts)
+
+
+@then(
+    "at most {most:d} in 100 first loads began over {seconds:g} s "
+    "after the last caller was there or due"
+)
+def loads_for_callers(context, most, seconds):
+    loads = [one for stage in context.stages for one in stage.first_loads]
+    late = [one for one in loads if one.uncalled_s > seconds]
+    assert len(late) * 100 <= most * len(loads), (len(late), len(loads))
