Load a model that loads quickly only while one of its callers is expected

Cause: what was asked for of an absent model adds up as a debt in tokens, and the debt orders its load, whether or not a caller can still be there; a load for nobody takes a runner and a place from those who wait. A caller that was refused at its second try counted as one that comes back.

Change: the lease holder's plan knows which models are awaited (load requests that are active). One that some runner loads within QUICK_LOAD_S and that nobody awaits is passed over, also where room was freed for it; a slow one is loaded ahead, as before. A request with less than 0.9 of the longest time that its route's callers bring is a caller that has come back, and isn't expected again (caller_times.py, one row a route).

Harness: holders in tests take their own load requests, and demand for an absent model comes with one, as from nodes.

--- a/features/relay_harness.py
+++ b/features/relay_harness.py
@@ -22,6 +22,7 @@
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
+from rookspring_core.events import LoadRequested
 from rookspring_core.events import OrderAnswered
 from rookspring_core.events import OrderDue
 from rookspring_core.events import PlatformAnswered
@@ -204,6 +205,8 @@
             self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
         elif isinstance(effect, ReadReport):
             self.read_report(effect)
+        elif isinstance(effect, RequestLoad):
+            self.submit(LoadRequested(self.now, *effect))
         elif isinstance(effect, StartOrderTimer):
             self.submit(OrderDue(self.now, effect.endpoint, effect.taken_before))
         elif isinstance(effect, SendOrder):
@@ -263,7 +266,10 @@
             self.submit(Ticked(self.now))
 
     def demand(self, model, rate):
+        """Count a request, for a tenth of a second of some demand, and ask for an absent model."""
         self.state.control.meter.add(model, rate * 0.1)
+        if not self.state.hosts.get(model):
+            self.submit(LoadRequested(self.now, "llm", model, "", 0.0))
 
     def used_mb(self, name):
         runner = self.runners[name]
--- a/features/steps/swapping_steps.py
+++ b/features/steps/swapping_steps.py
@@ -73,6 +73,12 @@
     context.runners = tuple(read_runner(one) for one in re.findall(r"\w+\[[^]]*\]", rows))
     context.claimed = read_claims(rows)
     context.policy = "swap"
+    context.awaited = None
+
+
+@given("callers are expected of {models} alone")
+def callers_expected(context, models):
+    context.awaited = frozenset(models.split(", "))
 
 
 @when("a plan is made for demand {rows}")
@@ -100,6 +106,7 @@
         urgent={model: 0.0 if "~" in rate else levels[model] for model, rate in rates.items()},
         longest_s=4.0,
         missed={model: float(rate.partition("!")[2] or 0) for model, rate in rates.items()},
+        awaited=context.awaited,
         claimed=context.claimed,
         claims={},
         declined={},
@@ -240,6 +247,17 @@
     context.relay_node.ask(model="m", key="r1", prompt_tokens=tokens)
 
 
+@when("callers with {times} s to their deadlines request x, which is absent")
+def absent_requested(context, times):
+    for number, deadline_s in enumerate(times.split(", ")):
+        context.relay_node.ask(model="x", key=f"r{number}", deadline_s=float(deadline_s))
+
+
+@then("the last of them is expected back for {least:g} to {most:g} s")
+def expected_back(context, least, most):
+    assert least <= context.relay_node.wants[-1].latest_retry_s <= most, context.relay_node.wants
+
+
 @then("it is {sent}")
 def sent_or_not(context, sent):
     keys = [one.request_id for one in context.relay_node.sent]
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -137,6 +137,34 @@
       | e1[m] e2[n; awaited 15000]        | m 9000              | no further replica pays       |
       | e1[m] e2[n; disk m]               | m 5000              | nothing                       |
 
+  Scenario Outline: a model that loads quickly is not loaded while none of its callers is expected
+    Given runners <runners>
+    And callers are expected of <expected> alone
+    When a plan is made for demand <demand>
+    Then the moves are <moves>
+
+    Examples:
+      | runners                            | expected | demand         | moves         |
+      | e1[m] e2[n; disk o]                | m        | o 1000         | none          |
+      | e1[m] e2[n; disk o]                | o        | o 1000         | load o e2     |
+      | e1[m] e2[n]                        | m        | o 1000         | load o e1     |
+      | e1[m] e2[n; disk o,p]              | p        | o 3000, p 100  | load p e2     |
+      | e1[m; disk o; room o] e2[m]        | m        | o 900          | none          |
+      | e1[m; room o] e2[m]                | m        | o 900          | load o e1     |
+      | e1[m] e2[n; disk m]                | n        | m 5000         | load m e2     |
+
+  Scenario Outline: a caller that has come back is not expected again
+    Given a relaying node whose one runner has a prompt of 0 tokens to read
+    When callers with <times> s to their deadlines request x, which is absent
+    Then the last of them is expected back for <least> to <most> s
+
+    Examples:
+      | times   | least | most |
+      | 15      | 0.8   | 8.0  |
+      | 15, 15  | 0.8   | 8.0  |
+      | 15, 10  | 0.0   | 0.2  |
+      | 10, 15  | 0.8   | 8.0  |
+
   Scenario: the log says at how many runners a model could have room that gets none
     Given a lease holder over runners holding m+n, m+n of 200 GB
     When 3000 tokens of x, which fits nowhere, are requested 6 times in 12 s
--- a/packages/rookspring-core/src/rookspring_core/admitting.py
+++ b/packages/rookspring-core/src/rookspring_core/admitting.py
@@ -51,6 +51,8 @@
         state.latencies.note_work(work)
         state.control.meter.add(event.target, work)
         if event.route:
+            left_s = event.deadline_at - event.at
+            state.caller_times.note_arrival(event.route.name, left_s, state.now)
             routed.meter_demand(state, event, work)
     effects = arrival_checks.check_limits(state, event) or _enqueue(state, event, charge)
     effects += requests.dispatch_waiting(state)
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -222,6 +222,10 @@
 ORDER_CHECK_MAX_S = 0.6
 # An endpoint that reports an earlier start than is known is asked again after this.
 RESTART_CHECK_S = 0.5
+# A request with less than this share of the longest time that its route's callers brought within
+# ``CALLER_TIMES_KEPT_S`` seconds comes from a caller that was refused before.
+FIRST_TRY_SHARE = 0.9
+CALLER_TIMES_KEPT_S = 300.0
 # A load request expires after this long; the request behind it has been refused by then.
 LOAD_REQUEST_TTL_S = 1.0
 # For this many seconds after an adapter was attached, room at its endpoint is reserved for requests
--- a/packages/rookspring-core/src/rookspring_core/load_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/load_requests.py
@@ -24,5 +24,8 @@
         state.adapter_waits.begin(event.adapter, state.now)
     back_s = missing_models.predict_back_s(state, event)
     if back_s is None:
-        back_s = terms.max_wait_s + retry_after.predict_retry_after_s(state, request)
+        back_s = terms.max_wait_s
+        # A caller that has come back has no further try.
+        if not state.caller_times.is_return(terms.name, event.deadline_at - event.at):
+            back_s += retry_after.predict_retry_after_s(state, request)
     return [RequestLoad(terms.service, event.target, event.adapter, back_s)]
--- a/packages/rookspring-core/src/rookspring_core/placement.py
+++ b/packages/rookspring-core/src/rookspring_core/placement.py
@@ -95,6 +95,7 @@
     :param urgent: part of the demand that cannot wait for its model to be loaded.
     :param missed: part of the demand that was recently refused for lack of room.
     :param deficit: tokens requested of each model while it was resident nowhere.
+    :param awaited: models whose callers wait for them or are to come back; None if unknown.
     :param declined: filled by the policy with the reason why a requested model without a
         replica is not loaded, by model; None if the caller does not need the reasons.
     :param longest_s: about how long the longest requests run, in seconds.
@@ -112,6 +113,7 @@
     missed: t.Mapping[str, float] = types.MappingProxyType({})
     longest_s: float = 0.0
     deficit: t.Mapping[str, float] = types.MappingProxyType({})
+    awaited: frozenset[str] | None = None
     declined: dict[str, str] | None = None
     claimed: t.Mapping[str, str] = types.MappingProxyType({})
     claims: dict[str, Claim] | None = None
@@ -126,6 +128,10 @@
             self.requested_rate(model) + self.deficit.get(model, 0.0) / defaults.UNSERVED_DEMAND_S
         )
 
+    def is_awaited(self, model: str) -> bool:
+        """Return whether a caller of a model may be waiting for it, or is to come back."""
+        return self.awaited is None or model in self.awaited
+
     def requested_rate(self, model: str) -> float:
         """Return what callers request of a model, in tokens a second."""
         return self.requested.get(model, self.demand.get(model, 0.0))
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -89,6 +89,7 @@
         missed=state.control.refused_demand.forecast.levels,
         longest_s=state.latencies.longest_answer_s,
         deficit=_update_deficits(state, requested, snapshots),
+        awaited=_list_awaited(state, service),
         declined={},
         claimed=expected_loads.claimed_runners(state, service),
         claims={},
@@ -255,6 +256,14 @@
     return largest * max(0, engine.adapters_max - len(adapters_at(view)))
 
 
+def _list_awaited(state: NodeState, service: str) -> frozenset[str]:
+    """List the models of a service that callers wait for, or are to come back for."""
+    load_requests = state.residency.load_requests.items()
+    return frozenset(
+        key[1] for key, pending in load_requests if key[0] == service and not pending.given_up
+    )
+
+
 def _describe_callers(state: NodeState, model: str) -> str:
     """Describe, for the log, by when the callers of a model without a replica are expected."""
     back_by = [
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -8,6 +8,7 @@
 from .admission_queue import AdmissionQueue
 from .admission_queue import ThroughputMeter
 from .allotments import Allotments
+from .caller_times import CallerTimes
 from .catalogue import Catalogue
 from .control import ControlState
 from .endpoints import EndpointView
@@ -256,6 +257,7 @@
         self.rates = RateTable()
         self.adapter_waits = ArrivalWaits(defaults.ADAPTER_WAIT_MOST_S)
         self.model_waits = ModelWaits()
+        self.caller_times = CallerTimes()
         self.stream_versions = StreamVersions()
 
     def index(self, view: EndpointView, before: frozenset[str], after: frozenset[str]) -> None:
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -134,6 +134,14 @@
             1.0, self.plan_input.urgent.get(model, 0.0) / demand
         )
 
+    def may_wait(self, model: str) -> bool:
+        """Return whether an absent model is loaded only once a caller is there.
+
+        It is in time for that caller if some runner loads it quickly.
+        """
+        absent = not self.hosts[model]
+        return absent and model in self.quick_to_load and not self.plan_input.is_awaited(model)
+
     def loss(self, model: str, runner: str, value_redundancy: bool = True) -> float:
         """Predict the demand that would go unserved without a replica, in tokens a second.
 
@@ -197,7 +205,8 @@
     for runner in plan_input.runners:
         continue_load(board, runner)
     for model in _without_room(board, list_missing(board, requested=True)):
-        _load_requested(board, model)
+        if not board.may_wait(model):
+            _load_requested(board, model)
     for _ in range(max(1, plan_input.policy.loads_at_once)):
         board.update_shares()
         if not add_paying_replica(board):
@@ -220,6 +229,8 @@
     if board.plan_input.demand.get(model, 0.0) <= 0.0 and board.hosts[model]:
         # It is resident elsewhere by now, and has no demand for another replica.
         return
+    if board.may_wait(model):
+        return
     need_gb = spec.memory_gb - board.free[runner.name]
     if need_gb <= 0:
         board.load(model, runner.name, "room was freed for it")
