--- /dev/null
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -0,0 +1,268 @@
+"""One HTTP/1.1 connection to an endpoint, on asyncio and the ``httptools`` parser.
+
+An answer belongs to a request only if the caller of :meth:`ClientConnection.send_request`
+accepts its head; other answers are skipped. A connection that receives bytes without a
+request in flight is closed, and so is one that receives bytes without end: in heads, in the
+framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
+"""
+
+import asyncio
+import socket
+import typing as t
+
+import httptools
+
+from . import clock
+from . import defaults
+from ._reply import Reply
+from .http_messages import Header
+from .http_messages import HttpHead
+
+AcceptHead = t.Callable[[HttpHead], bool]
+OnHead = t.Callable[[HttpHead], None]
+
+
+class ClientConnection(asyncio.Protocol):
+    """One connection to an endpoint; it carries one request at a time."""
+
+    def __init__(self) -> None:
+        self._transport: t.Any = None
+        self._parser: t.Any = None
+        self._reply: Reply | None = None
+        self._accept: AcceptHead | None = None
+        self._on_head: OnHead | None = None
+        self._answer_headers: list[Header] = []
+        self._skipping = False
+        self._skipped = 0
+        self._skipped_bytes = 0
+        # Bytes since the last body byte, and body bytes of the part that is being parsed.
+        self._framing_bytes = 0
+        self._body_bytes = 0
+        self._until_close = False
+        self._got_head = False
+        self._no_body = False
+        self._reading = True
+        self.open = False
+        self.reusable = True
+        self.idle_since = 0.0
+        self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
+        self.served = 0
+
+    def connection_made(self, transport: t.Any) -> None:
+        """Mark the connection as open and enable keep-alive probes on its socket."""
+        self._transport = transport
+        self.open = True
+        self.idle_since = clock.now()
+        raw = transport.get_extra_info("socket")
+        if raw is not None:
+            enable_keepalive(raw)
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """End the reply: an answer without a length is complete after a regular close."""
+        self.open = False
+        if self._reply is None:
+            return
+        if exc is None and self._until_close and not self._skipping:
+            self._reply.ended_by_close = True
+            self._finish()
+        else:
+            self._reply.closed_by_endpoint = not isinstance(exc, TimeoutError)
+            self._break("connection reset" if exc else "connection closed")
+
+    def eof_received(self) -> bool:
+        """Rule out reuse, since the endpoint has closed its sending side."""
+        self.reusable = False
+        return False
+
+    def send_request(
+        self, data: bytes, accept: AcceptHead, on_head: OnHead, no_body: bool = False
+    ) -> Reply:
+        """Send a request, given as its bytes, and return its reply.
+
+        :param accept: decides whether the head of an answer belongs to this request.
+        :param on_head: called first with the head of each answer, also of other requests.
+        :param no_body: the answer has no body, whatever its headers state (``HEAD``).
+        """
+        self._reply = Reply(self._limit_unread)
+        self._accept = accept
+        self._on_head = on_head
+        self._no_body = no_body
+        self._skipped = 0
+        self._skipped_bytes = 0
+        self._framing_bytes = 0
+        self._new_parser()
+        self.served += 1
+        self._transport.write(data)
+        return self._reply
+
+    def _new_parser(self) -> None:
+        self._parser = httptools.HttpResponseParser(self)
+        self._answer_headers = []
+        self._skipping = False
+        self._until_close = False
+        self._got_head = False
+
+    def data_received(self, data: bytes) -> None:
+        """Parse the bytes; close the connection if no request is in flight."""
+        for start in range(0, len(data), defaults.PARSED_BYTES_MAX):
+            if self._reply is None:
+                self.close()
+                return
+            self._parse(data[start : start + defaults.PARSED_BYTES_MAX])
+
+    def _parse(self, part: bytes) -> None:
+        self._body_bytes = 0
+        try:
+            self._parser.feed_data(part)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade):
+            self._give_up("not an answer")
+            return
+        framing = len(part) - self._body_bytes
+        self._framing_bytes = framing if self._body_bytes else self._framing_bytes + framing
+        if self._framing_bytes > defaults.FRAMING_BYTES_MAX:
+            self._give_up("too many bytes that are no body")
+        elif self._skipped_bytes > defaults.SKIPPED_BYTES_MAX:
+            self._give_up("too much of an answer to another request")
+
+    def _give_up(self, reason: str) -> None:
+        """Fail the request in flight, if there is one, and close the connection."""
+        if self._reply is not None:
+            self._break(reason)
+        self.close()
+
+    def _limit_unread(self, unread: int) -> None:
+        """Stop reading from the endpoint while a caller that reads slowly holds up its answer."""
+        if unread > defaults.UNREAD_ANSWER_BYTES_MAX and self._reading:
+            self._reading = False
+            self._transport.pause_reading()
+            if self._reply is not None:
+                self._reply.held_up = True
+        elif unread <= defaults.UNREAD_ANSWER_BYTES_MAX // 2 and not self._reading:
+            self._reading = True
+            if self.open:
+                self._transport.resume_reading()
+
+    # Parser callbacks.
+
+    def on_message_begin(self) -> None:
+        """Begin an answer; a surplus one closes the connection."""
+        if self._reply is None:
+            self.reusable = False
+            raise ValueError("surplus answer")
+        self._answer_headers = []
+        self._got_head = False
+        self._skipping = False
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Collect a header; trailers are dropped."""
+        if not self._got_head:
+            self._answer_headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Accept the head, or skip an answer that belongs to another request."""
+        self._got_head = True
+        status = self._parser.get_status_code()
+        if status < 200 or self._reply is None:
+            return
+        head = HttpHead(status, tuple(self._answer_headers))
+        assert self._accept is not None and self._on_head is not None
+        self._on_head(head)
+        if not self._accept(head):
+            # The answer belongs to another request; the right one may follow.
+            self._skipping = True
+            self._skipped += 1
+            self.reusable = False
+            if self._skipped > defaults.MISMATCHED_ANSWERS_MAX:
+                raise ValueError("too many answers to other requests")
+            return
+        framed = head.header(b"content-length") or head.header(b"transfer-encoding")
+        self._until_close = not framed and status not in (204, 304)
+        if self._until_close or not self._parser.should_keep_alive():
+            self.reusable = False
+        self._note_idle_timeout(head)
+        self._reply.head = head
+        if self._no_body:
+            self.reusable = False
+            self._finish()
+            return
+        self._reply.notify()
+
+    def _note_idle_timeout(self, head: HttpHead) -> None:
+        for part in head.header(b"keep-alive").split(b","):
+            key, _, value = part.strip().partition(b"=")
+            if key.lower() == b"timeout" and value.isdigit():
+                # A margin for network latency and for clocks that run at different rates.
+                self.idle_timeout_s = float(value) * defaults.ENDPOINT_IDLE_SHARE
+                return
+        self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
+
+    def on_body(self, body: bytes) -> None:
+        """Append a part of the body."""
+        self._body_bytes += len(body)
+        if self._skipping:
+            self._skipped_bytes += len(body)
+        elif self._reply is not None:
+            self._reply.add_part(body)
+
+    def on_message_complete(self) -> None:
+        """Complete the answer, whose framing has ended."""
+        if self._reply is None or self._skipping or self._parser.get_status_code() < 200:
+            return
+        if self._transport.get_write_buffer_size() > 0:
+            # The answer came early: the rest of the request is not sent yet.
+            self.reusable = False
+        self._finish()
+
+    def _finish(self) -> None:
+        reply, self._reply = self._reply, None
+        self.idle_since = clock.now()
+        if reply is not None:
+            reply.complete = True
+            # The connection may be reused before all parts are taken, or without.
+            reply.end()
+            reply.notify()
+        if not self.reusable:
+            self.close()
+
+    def _break(self, reason: str) -> None:
+        reply, self._reply = self._reply, None
+        self.reusable = False
+        if reply is not None:
+            reply.failure = reason
+            reply.notify()
+
+    def close(self) -> None:
+        """Abort the connection; a request in flight on it fails."""
+        self.open = False
+        self.reusable = False
+        if self._reply is not None:
+            self._break("connection given up")
+        if self._transport is not None:
+            self._transport.abort()
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is in flight on it."""
+        return self._reply is not None
+
+    def is_usable(self, now: float, wide_margin: bool) -> bool:
+        """Return whether the endpoint presumably still keeps the connection open.
+
+        :param wide_margin: assume a shorter idle timeout, for requests that can't be sent twice.
+        """
+        if not self.open or not self.reusable or self._reply is not None:
+            return False
+        timeout_s = self.idle_timeout_s * (
+            defaults.ENDPOINT_IDLE_SAFE_SHARE if wide_margin else 1.0
+        )
+        return now - self.idle_since < timeout_s
+
+
+def enable_keepalive(raw: t.Any) -> None:
+    """Make the kernel close a connection whose other side no longer responds."""
+    silence_ms = int(defaults.TCP_USER_TIMEOUT_S * 1000)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, defaults.KEEPALIVE_IDLE_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, defaults.KEEPALIVE_INTERVAL_S)
+    raw.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, defaults.KEEPALIVE_PROBES_MAX)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -0,0 +1,147 @@
+"""Connections to endpoints that are kept open, by address, and calls on them."""
+
+import asyncio
+import typing as t
+
+from . import clock
+from . import defaults
+from ._client_connection import ClientConnection
+from ._client_connection import OnHead
+from .answer_memory import AnswerMemory
+from .exceptions import EndpointError
+from .http_messages import HttpHead
+
+
+class ConnectionPool:
+    """Idle connections by address.
+
+    :param make_connection: makes the protocol of a new connection.
+    :ivar answers: the whole answers that are held, which may be shared with other pools.
+    """
+
+    def __init__(
+        self,
+        make_connection: t.Callable[[], ClientConnection] = ClientConnection,
+        answers: AnswerMemory | None = None,
+    ) -> None:
+        self._make_connection = make_connection
+        self.answers = answers or AnswerMemory()
+        self._kept: dict[str, list[ClientConnection]] = {}
+        self._probes: dict[str, asyncio.Future[bool]] = {}
+
+    async def acquire(self, address: str, wide_margin: bool) -> ClientConnection:
+        """Return an idle connection that is usable, else a new one.
+
+        :param wide_margin: see :meth:`ClientConnection.is_usable`.
+        :raises EndpointError: if no connection can be made; nothing was sent.
+        """
+        kept = self._kept.get(address, [])
+        now = clock.now()
+        while kept:
+            connection = kept.pop()
+            if connection.is_usable(now, wide_margin):
+                return connection
+            connection.close()
+        return await self._open(address)
+
+    async def _open(self, address: str) -> ClientConnection:
+        host, _, port = address.rpartition(":")
+        loop = asyncio.get_running_loop()
+        try:
+            async with asyncio.timeout(defaults.RELAY_CONNECT_S):
+                _, made = await loop.create_connection(self._make_connection, host, int(port))
+        except (OSError, TimeoutError) as error:
+            down = isinstance(error, ConnectionRefusedError)
+            raise EndpointError(type(error).__name__, sent=False, down=down) from None
+        return made
+
+    async def is_down(self, address: str) -> bool:
+        """Return whether nothing listens at an address; concurrent calls share one connection.
+
+        A connection that is made is pooled for the next request.
+        """
+        probe = self._probes.get(address)
+        if probe is None:
+            probe = self._probes[address] = asyncio.ensure_future(self._probe(address))
+            probe.add_done_callback(lambda _: self._probes.pop(address, None))
+        return await asyncio.shield(probe)
+
+    async def reaches(self, address: str) -> bool:
+        """Return whether a new connection can be made; it is pooled for the next request."""
+        try:
+            self.release(address, await self._open(address))
+        except EndpointError:
+            return False
+        return True
+
+    async def _probe(self, address: str) -> bool:
+        try:
+            self.release(address, await self._open(address))
+        except EndpointError as error:
+            return error.down
+        return False
+
+    def release(self, address: str, connection: ClientConnection) -> None:
+        """Pool a connection if it can be reused, else close it."""
+        if connection.open and connection.reusable:
+            self._kept.setdefault(address, []).append(connection)
+        else:
+            connection.close()
+
+    def release_or_close(self, address: str, connection: ClientConnection) -> None:
+        """Pool a connection whose answer was read completely; close any other.
+
+        By the close the endpoint learns that the rest of the answer is not needed.
+        """
+        if connection.busy:
+            connection.close()
+        else:
+            self.release(address, connection)
+
+    def sweep(self, now: float) -> None:
+        """Close the connections that have been idle for too long."""
+        for address, kept in list(self._kept.items()):
+            live = [one for one in kept if one.is_usable(now, wide_margin=False)]
+            for one in kept:
+                if one not in live:
+                    one.close()
+            if live:
+                self._kept[address] = live
+            else:
+                del self._kept[address]
+
+    def close(self) -> None:
+        """Close all idle connections."""
+        for kept in self._kept.values():
+            for connection in kept:
+                connection.close()
+        self._kept.clear()
+
+
+async def call(
+    pool: ConnectionPool,
+    address: str,
+    data: bytes,
+    on_head: OnHead,
+    timeout_s: float,
+    most: int = defaults.ANSWER_BYTES_MAX,
+) -> tuple[HttpHead, bytes]:
+    """Send a request, given as its bytes, once, and return the complete answer.
+
+    :param on_head: called with the answer's head.
+    :param timeout_s: for connection and answer together.
+    :param most: largest accepted answer in bytes.
+    :raises EndpointError: if no complete answer arrived in time.
+    """
+    connection: ClientConnection | None = None
+    try:
+        async with asyncio.timeout(timeout_s):
+            connection = await pool.acquire(address, wide_margin=True)
+            reply = connection.send_request(data, lambda head: True, on_head)
+            head = await reply.wait_head()
+            return head, await reply.read_rest(most, pool.answers)
+    except TimeoutError:
+        raise EndpointError("no answer in time", sent=connection is not None) from None
+    finally:
+        if connection is not None:
+            pool.release_or_close(address, connection)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -0,0 +1,112 @@
+"""The answer to one request on a connection to an endpoint, as it arrives."""
+
+import asyncio
+import collections
+import typing as t
+
+from . import clock
+from .answer_memory import AnswerMemory
+from .exceptions import EndpointError
+from .http_messages import HttpHead
+
+
+class Reply:
+    """The answer to one request, as it arrives.
+
+    :param on_unread: called with the number of bytes that were received and not taken yet, when
+        it changes.
+    """
+
+    def __init__(self, on_unread: t.Callable[[int], None] = lambda unread: None) -> None:
+        self.head: HttpHead | None = None
+        self._on_unread = on_unread
+        # Whether reading from the endpoint was ever stopped. From then on parts may arrive when the
+        # caller has taken others, and not when the endpoint sent them.
+        self.held_up = False
+        self._unread_bytes = 0
+        self._parts: collections.deque[bytes] = collections.deque()
+        # When each of the parts arrived, and when the part arrived that was taken last.
+        self._arrivals: collections.deque[float] = collections.deque()
+        self.part_arrived_at = 0.0
+        self.complete = False
+        self.failure = ""
+        # Whether the endpoint closed or reset the connection; false if it stopped responding.
+        self.closed_by_endpoint = False
+        # Whether it ended with its connection, so that nothing but the close shows its end.
+        self.ended_by_close = False
+        self._changed = asyncio.Event()
+
+    def notify(self) -> None:
+        """Wake the task that waits for the head or the next part."""
+        self._changed.set()
+
+    def add_part(self, body: bytes) -> None:
+        """Append a part of the body, which has just arrived."""
+        self._parts.append(body)
+        self._arrivals.append(clock.now())
+        self._count_unread(len(body))
+        self.notify()
+
+    def end(self) -> None:
+        """Note that nothing more arrives: what is unread holds up the endpoint no longer."""
+        self._on_unread(0)
+        self._on_unread = lambda unread: None
+
+    def _count_unread(self, added: int) -> None:
+        self._unread_bytes += added
+        self._on_unread(self._unread_bytes)
+
+    async def wait_head(self) -> HttpHead:
+        """Wait for status and headers.
+
+        :raises EndpointError: if the connection ended before them.
+        """
+        while self.head is None:
+            if self.failure:
+                raise EndpointError(self.failure, sent=True, broken=self.closed_by_endpoint)
+            self._changed.clear()
+            await self._changed.wait()
+        return self.head
+
+    async def next_part(self) -> bytes:
+        """Wait for the next part of the body; empty at its end.
+
+        :raises EndpointError: if the answer was cut off.
+        """
+        while not self._parts:
+            if self.complete:
+                return b""
+            if self.failure:
+                raise EndpointError(self.failure, sent=True, broken=self.closed_by_endpoint)
+            self._changed.clear()
+            await self._changed.wait()
+        self.part_arrived_at = self._arrivals.popleft()
+        part = self._parts.popleft()
+        self._count_unread(-len(part))
+        return part
+
+    def fail(self, reason: str) -> None:
+        """Give the answer up: its reader gets an error, whatever arrives."""
+        self.failure = reason
+        self.complete = False
+        self._parts.clear()
+        self._arrivals.clear()
+        self.notify()
+
+    async def read_rest(self, most: int, memory: AnswerMemory) -> bytes:
+        """Read the whole body.
+
+        :param most: largest accepted size in bytes.
+        :param memory: counts the bytes while they are held here.
+        :raises EndpointError: if the body was cut off, is larger, or if too much is held in all.
+        """
+        body = bytearray()
+        try:
+            while part := await self.next_part():
+                body += part
+                if len(body) > most:
+                    raise EndpointError("too large an answer", sent=True)
+                memory.hold(self, len(part))
+            return bytes(body)
+        finally:
+            memory.release(self)
