--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+from still_transport import StillTransport
 
 from rookspring import defaults
 from rookspring import relay_orders
@@ -47,42 +48,10 @@
 }
 
 
-class Transport:
-    """A transport that counts what it delivers until the connection is closed."""
-
-    def __init__(self, connection):
-        self.connection = connection
-        self.delivered = 0
-        self.closed = False
-        connection.connection_made(self)
-
-    def get_extra_info(self, name):
-        return None
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def write(self, data):
-        pass
-
-    def abort(self):
-        self.closed = True
-
-    def pause_reading(self):
-        pass
-
-    def resume_reading(self):
-        pass
-
-    def deliver(self, data):
-        self.delivered += len(data)
-        self.connection.data_received(data)
-
-
 @given("a connection on which a request is in flight")
 def in_flight(context):
     context.client = ClientConnection()
-    context.transport = Transport(context.client)
+    context.transport = StillTransport(context.client)
     context.reply = context.client.send_request(
         REQUEST, lambda head: not head.header(b"x-of"), lambda head: None
     )
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+from still_transport import StillTransport
 
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
@@ -88,37 +89,12 @@
     assert context.answer.read < context.answer.whole
 
 
-class PausableTransport:
-    """A transport that delivers what the endpoint sent unless reading is paused."""
-
-    def __init__(self, connection):
-        self.connection = connection
-        self.paused = False
-        connection.connection_made(self)
-
-    def get_extra_info(self, name):
-        return None
-
-    def get_write_buffer_size(self):
-        return 0
-
-    def write(self, data):
-        pass
-
-    def abort(self):
-        pass
-
-    def pause_reading(self):
-        self.paused = True
-
-    def resume_reading(self):
-        self.paused = False
-
-    def deliver(self, parts):
-        if not self.paused:
-            head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
-            chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
-            self.connection.data_received(head + chunks + b"0\r\n\r\n")
+def deliver_chunked(transport, parts):
+    """Hand over a whole answer in chunks, unless reading is paused."""
+    if not transport.paused:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        chunks = b"".join(b"%x\r\n%s\r\n" % (len(part), part) for part in parts)
+        transport.deliver(head + chunks + b"0\r\n\r\n")
 
 
 def ask(connection):
@@ -128,9 +104,9 @@
 @given("a connection on which an answer of {kb:d} KB has arrived at once")
 def arrived_at_once(context, kb):
     context.client = ClientConnection()
-    context.transport = PausableTransport(context.client)
+    context.transport = StillTransport(context.client)
     context.reply = ask(context.client)
-    context.transport.deliver([b"x" * 1024] * kb)
+    deliver_chunked(context.transport, [b"x" * 1024] * kb)
 
 
 @when("its caller goes after reading {parts:d} parts of it")
@@ -148,5 +124,5 @@
     pool.release_or_close("e", context.client)
     assert asyncio.run(pool.acquire("e", wide_margin=False)) is context.client
     reply = ask(context.client)
-    context.transport.deliver([b"y"])
+    deliver_chunked(context.transport, [b"y"])
     assert reply.complete
