--- /dev/null
+++ b/bench/endless_mutants.py
@@ -0,0 +1,99 @@
+"""Mutants of the bounds on answers without end, and of loads for callers alone."""
+
+import typing as t
+
+from rookspring import defaults as daemon_defaults
+from rookspring.answer_memory import AnswerMemory
+from rookspring_core.caller_times import CallerTimes
+from rookspring_core.swapping import SwapBoard
+
+from .mutant import ENDLESS_ANSWERS
+from .mutant import SWAPPING
+from .mutant import Mutant
+
+NO_BOUND = 1 << 40
+
+
+def _never(*args: t.Any) -> bool:
+    return False
+
+
+def _count_all_refused(self: SwapBoard, model: str, replicas: int) -> float:
+    return self.plan_input.missed.get(model, 0.0)
+
+
+def _give_up_newest(self: AnswerMemory, answer: t.Any, added: int) -> None:
+    """Give up the answer that would exceed the sum, however short it is."""
+    self._sizes[answer] = self._sizes.get(answer, 0) + added
+    self.held_bytes += added
+    if self.held_bytes > self._most:
+        self.release(answer)
+        answer.fail("too large answers together")
+
+
+MUTANTS = (
+    Mutant(
+        "reads framing without end",
+        "bytes without end are given up",
+        daemon_defaults,
+        "FRAMING_BYTES_MAX",
+        NO_BOUND,
+        ENDLESS_ANSWERS,
+    ),
+    Mutant(
+        "skips answers without end",
+        "bytes without end are given up",
+        daemon_defaults,
+        "SKIPPED_BYTES_MAX",
+        NO_BOUND,
+        ENDLESS_ANSWERS,
+    ),
+    Mutant(
+        "keeps events without end",
+        "bytes without end are given up",
+        daemon_defaults,
+        "EVENT_BYTES_MAX",
+        NO_BOUND,
+        ENDLESS_ANSWERS,
+    ),
+    Mutant(
+        "gives up heads that are long",
+        "whole answers with much framing arrive",
+        daemon_defaults,
+        "FRAMING_BYTES_MAX",
+        8 << 10,
+        ENDLESS_ANSWERS,
+    ),
+    Mutant(
+        "gives up short answers for long ones",
+        "whole answers that are held together are bounded",
+        AnswerMemory,
+        "hold",
+        _give_up_newest,
+        ENDLESS_ANSWERS,
+    ),
+    Mutant(
+        "loads quick models for nobody",
+        "loads serve callers who are there",
+        SwapBoard,
+        "may_wait",
+        _never,
+        SWAPPING,
+    ),
+    Mutant(
+        "expects callers that have come back again",
+        "loads serve callers who are there",
+        CallerTimes,
+        "is_return",
+        _never,
+        SWAPPING,
+    ),
+    Mutant(
+        "counts refusals for each further replica",
+        "places go to those who are refused now",
+        SwapBoard,
+        "refused_demand",
+        _count_all_refused,
+        SWAPPING,
+    ),
+)
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -42,6 +42,7 @@
 
 from . import claim_mutants
 from . import clock_mutants
+from . import endless_mutants
 from . import era_mutants
 from . import isolation_mutants
 from . import model_wait_mutants
@@ -361,6 +362,7 @@
     "notices": notice_mutants.MUTANTS,
     "claims": claim_mutants.MUTANTS,
     "clock": clock_mutants.MUTANTS,
+    "endless": endless_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
     "eras": era_mutants.MUTANTS,
