Spread refused demand over a model's replicas in both placement policies

Cause: refusals are remembered for 15 s, longer than replicas take to load, and each replica was weighed against all of them as if none had been added. The policy "claim" spread them already; "swap" did not, so one decision was taken in two ways. It is taken in one now.

Evidence: of three new rows in swapping.feature the second failed before ("unload big e3" for none). The row of claims.feature that stated the other behaviour of "swap" now asks the same of both; it is as strict.

--- a/features/claims.feature
+++ b/features/claims.feature
@@ -68,7 +68,7 @@
     Examples:
       | policy | moves       |
       | claim  | unload m e1 |
-      | swap   | none        |
+      | swap   | unload m e1 |
 
   Scenario Outline: the load of the hottest model begins with the first runner that is free
     Given runners that all free room for rarely requested models, by policy <policy>
--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -85,6 +85,12 @@
       | e1[m] e2[big; disk big,m]          | m 9000!4000, big 900~ | none                 |
       | e1[m] e2[big; disk big,m]          | m 9000!4000, big 500  | none                 |
 
+    Examples: what was refused is spread over the replicas that there are
+      | runners                                  | demand                | moves                |
+      | e1[m] e2[big; disk big,m]                | m 1000!700, big 100   | unload big e2        |
+      | e1[m] e2[m] e3[big; disk big,m]          | m 1000!700, big 100   | none                 |
+      | e1[m] e2[m] e3[big; disk big,m]          | m 1000!1400, big 100  | unload big e3        |
+
     Examples: a second replica stays if it ended refusals, and may be evicted otherwise
       | runners                            | demand                | moves                |
       | e1[m] e2[m; disk big,m]            | m 1000!700, big 400   | none                 |
--- a/packages/rookspring-core/src/rookspring_core/claims.py
+++ b/packages/rookspring-core/src/rookspring_core/claims.py
@@ -54,14 +54,6 @@
         self._split = split_demand(self, self._split)
         return self._split
 
-    def refused_demand(self, model: str, replicas: int) -> float:
-        """Return the recently refused demand that one more replica would serve, in tokens a second.
-
-        What was refused is remembered for longer than it takes to load more replicas, so it is
-        spread over those that there are: each would otherwise count as the one that is missing.
-        """
-        return super().refused_demand(model, replicas) / max(1, replicas)
-
     def _is_missed(self, model: str) -> bool:
         """Return whether a model of this plan is requested and has no replica."""
         # Of a model that is none of this plan's no replicas are known; it counts as not missed.
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -121,9 +121,12 @@
     def refused_demand(self, model: str, replicas: int) -> float:
         """Return the recently refused demand that one more replica would serve, in tokens a second.
 
+        What was refused is remembered for longer than it takes to load more replicas, so it is
+        spread over those that there are: each would otherwise count as the one that is missing.
+
         :param replicas: how many there are without it.
         """
-        return self.plan_input.missed.get(model, 0.0)
+        return self.plan_input.missed.get(model, 0.0) / max(1, replicas)
 
     def urgent(self, model: str) -> float:
         """Return what is requested of a model and cannot wait for a load, in tokens a second."""
