Load quick models that nobody awaits into free room, last of all

Found by reading as a newcomer would: a model with some demand left and no expected caller was passed over by the plan even where room was free, until its demand had decayed to nothing (some 45 s), so after the loss of a runner it came back only with its next caller.

Change: such models join those without demand in load_idle, which takes free room alone for a model that is near.

Evidence: of the scenario's rows, "e1[m] e2[big; disk o,big]" and "e1[m,n,p] e2[n; disk o]" gave no move on the code before. The scenario's rows of that asked for no move had free room, which is the fault, so they are replaced by rows without any: these fail on the code before.

--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -143,21 +143,25 @@
       | e1[m] e2[n; awaited 15000]        | m 9000              | no further replica pays       |
       | e1[m] e2[n; disk m]               | m 5000              | nothing                       |
 
-  Scenario Outline: a model that loads quickly is not loaded while none of its callers is expected
+  Scenario Outline: a model that loads quickly takes no place from others while none of its callers is expected
     Given runners <runners>
     And callers are expected of <expected> alone
     When a plan is made for demand <demand>
     Then the moves are <moves>
 
     Examples:
-      | runners                            | expected | demand         | moves         |
-      | e1[m] e2[n; disk o]                | m        | o 1000         | none          |
-      | e1[m] e2[n; disk o]                | o        | o 1000         | load o e2     |
-      | e1[m] e2[n]                        | m        | o 1000         | load o e1     |
-      | e1[m] e2[n; disk o,p]              | p        | o 3000, p 100  | load p e2     |
-      | e1[m; disk o; room o] e2[m]        | m        | o 900          | none          |
-      | e1[m; room o] e2[m]                | m        | o 900          | load o e1     |
-      | e1[m] e2[n; disk m]                | n        | m 5000         | load m e2     |
+      | runners                                | expected | demand        | moves                |
+      | e1[m,n,p] e2[big; disk o,big]          | m        | o 900         | none                 |
+      | e1[m,n,p] e2[big; disk o,big]          | o        | o 900         | unload big e2        |
+      | e1[m,n,p] e2[big; disk big]            | m        | o 900         | unload big e2        |
+      | e1[m,n; disk o,p; room o] e2[big]      | p        | o 900, p 100  | load p e1            |
+      | e1[m,n; disk o,p; room o] e2[big]      | o        | o 900, p 100  | load o e1            |
+      | e1[m] e2[n; disk m]                    | n        | m 5000        | load m e2            |
+
+    Examples: but free room, where nothing else is missed
+      | runners                                | expected | demand        | moves                |
+      | e1[m] e2[big; disk o,big]              | m        | o 900         | load o e1            |
+      | e1[m,n,p] e2[n; disk o]                | m        | o 900         | load o e2            |
 
   Scenario Outline: a caller that has come back is not expected again
     Given a relaying node whose one runner has a prompt of 0 tokens to read
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -138,7 +138,7 @@
         )
 
     def may_wait(self, model: str) -> bool:
-        """Return whether an absent model is loaded only once a caller is there.
+        """Return whether an absent model takes no place until a caller of it is there.
 
         It is in time for that caller if some runner loads it quickly.
         """
@@ -214,7 +214,8 @@
         board.update_shares()
         if not add_paying_replica(board):
             break
-    for model in _without_room(board, list_missing(board, requested=False)):
+    unawaited = [model for model in list_missing(board, requested=True) if board.may_wait(model)]
+    for model in _without_room(board, unawaited + list_missing(board, requested=False)):
         load_idle(board, model)
     return board.moves
 
@@ -321,7 +322,7 @@
 
 
 def load_idle(board: SwapBoard, model: str) -> None:
-    """Load a model without demand into free room.
+    """Load a model into free room that nobody waits for.
 
     Replicas are evicted only for a model of which no runner has a local copy, and only if
     they are spare and idle; a model with a local copy loads quickly enough once it is
