--- a/review/1/case.py
+++ b/review/1/case.py
@@ -4,6 +4,7 @@
 import collections
 import os
 import pathlib
+import signal
 import sys
 import tempfile
 import time
@@ -23,7 +24,7 @@
 # The disruption `garble`, how = "extra late": the site file has it with share 0.6, x 0.03, for 5 s.
 RUNNER_SHARE = 0.6
 SURPLUS_SHARE = 0.03
-WINDOW_S = 5.0
+WINDOW_S = 4.9
 WINDOWS = 12
 PAUSE_S = 2.0
 WAVE_S = 0.9
@@ -180,16 +181,23 @@
 
 def main():
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # The processes are ended then too, on the way out.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with tempfile.TemporaryDirectory() as folder:
             began, runners, answers = asyncio.run(play(folder, trouble))
+        if not any(end.startswith("200") for _, _, _, end, _ in answers.values()):
+            raise RuntimeError("nothing was served")
+        return 1 if judge(began, runners, answers, trouble) else 0
     except Exception as error:
-        print(f"could not run: {error!r}")
-        return 2
-    if not any(end.startswith("200") for _, _, _, end, _ in answers.values()):
-        print("could not run: nothing was served")
-        return 2
-    return 1 if judge(began, runners, answers, trouble) else 0
+        return give_up(error)
+
+
+def give_up(error):
+    text = f"could not run: {error!r}"
+    print(text)
+    (FOLDER / "record.txt").write_text(f"{text}\n")
+    return 2
 
 
 if __name__ == "__main__":
--- a/review/1/runner.py
+++ b/review/1/runner.py
@@ -40,6 +40,7 @@
         self.events = []
         self.channels = 0
         self.answers = 0
+        self.disturbed_answers = 0
         self.surpluses = 0
         self.server = None
         self.address = ""
@@ -100,7 +101,10 @@
             answer = await self._handle(identity, headers, reader, writer, channel)
             await writer.drain()
             self.answers += 1
-            if self.random.random() < self.surplus_share:
+            self.disturbed_answers += self.surplus_share > 0.0
+            # Never more than that share of the answers that were given so far while disturbed.
+            room = self.surpluses + 1 <= self.surplus_share * self.disturbed_answers
+            if room and self.random.random() < self.surplus_share * 2:
                 self.surpluses += 1
                 late = answer
 
