Send a request at most once on a connection, so that an answer is of one send

Callers saw: a request that can't be repeated ran and got 503, or ran twice. A stream that was taken up again at the same endpoint got the first run's events once more.

Cause: an endpoint's answer carries the request's id, and nothing that tells which send of it. A request that was refused, or whose stream ended within an event, was sent again on the connection that had brought this answer, since the pool gives the one that was used last. A second copy of the answer that came late, in the place of the next one, then matched, and was taken for the answer to the send that ran. Any two sends of an id on one connection can be mixed up so: resends, streams taken up again, a caller's next try under its id, a request handed over and back.

Change: a connection keeps what tells the ids apart that it has carried, and the pool gives a request another kept connection, or a new one. What is passed over stays for other requests. A connection that has carried 256 is closed, so what it keeps is bounded and nothing is forgotten. Closing after each refusal would have cost a new channel a refusal, for requests that aren't sent again too.

Why it works: of a connection's answers with a request's id the first is the answer to the only send there; each copy of it comes later, and answers to other requests are skipped as before.

The stub of `acquire` in notice_socket_steps.py passes all arguments on; what that test checks is unchanged.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -51,6 +51,7 @@
 from . import passing_mutants
 from . import place_mutants
 from . import rate_mutants
+from . import resend_mutants
 from . import speed_mutants
 from . import speed_use_mutants
 from . import stop_mutants
@@ -364,6 +365,7 @@
     "clock": clock_mutants.MUTANTS,
     "endless": endless_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
+    "resends": resend_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
     "eras": era_mutants.MUTANTS,
     "passing": passing_mutants.MUTANTS,
--- /dev/null
+++ b/features/resent_requests_sockets.feature
@@ -0,0 +1,47 @@
+@relay
+Feature: Requests that are sent to an endpoint again, between sockets
+
+  # Guards against an answer to an earlier send of a request that is taken for the answer to a later one.
+
+  Scenario Outline: a second copy of an answer that comes late is not the answer to the next send
+    Given a relay node with one endpoint that does: <script>
+    And its routes allow 3 attempts, and it asks for no rest
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples: "twice": the same bytes once more, in the place of the next answer on the connection
+      | kind      | script                             | answer   | runs |
+      | unsafe    | refuse twice, answer               | whole    | 1    |
+      | unsafe    | refuse twice, refuse twice, answer | whole    | 1    |
+      | safe      | refuse twice, answer               | whole    | 1    |
+      | unsafe    | absent twice, answer               | whole    | 1    |
+      | safe      | fail twice, answer                 | whole    | 2    |
+      | stream    | refuse twice, stream               | 5 events | 1    |
+      | resumable | refuse twice, stream               | 5 events | 1    |
+      | resumable | end within the 4th twice, stream   | 5 events | 2    |
+
+  Scenario: a caller that sends a refused request again under its id gets the answer to that try
+    Given a relay node with one endpoint that does: refuse twice, answer
+    And its routes allow 1 attempts, and it asks for no rest
+    When a caller sends an unsafe request that is refused, and sends it again
+    Then the answer is whole
+    And the endpoints ran it 1 times
+
+  Scenario: a connection that is passed over serves other requests
+    Given a relay node with one endpoint that does: refuse, refuse, answer
+    And its routes allow 3 attempts, and it asks for no rest
+    When a caller sends 3 unsafe requests on one connection
+    Then each answer belongs to its request
+    And the endpoint was connected to 3 times
+
+  Scenario Outline: a connection is closed before it has carried more requests than it knows
+    Given a connection to an endpoint
+    When <number> requests are sent on it and answered, one after another
+    Then it knows the first and the last of them, and no other
+    And it is left <state>
+
+    Examples:
+      | number | state  |
+      | 255    | open   |
+      | 256    | closed |
--- a/features/steps/notice_socket_steps.py
+++ b/features/steps/notice_socket_steps.py
@@ -113,12 +113,12 @@
     going = asyncio.Event()
     held = []
 
-    async def slow_acquire(address, wide_margin):
+    async def slow_acquire(address, *args):
         if held:
-            return await acquire(address, wide_margin)
+            return await acquire(address, *args)
         held.append(address)
         await going.wait()
-        return await acquire(address, wide_margin)
+        return await acquire(address, *args)
 
     async def work():
         pool.acquire = slow_acquire
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -1,7 +1,9 @@
 """Fake model server of the users' platform, on bare sockets, with scripted faults.
 
 Each request is handled by the next step of the script, and by ``answer`` once the script is used
-up. The server keeps the requests that it received and those that it ran, for checks.
+up. The answer of a step whose name ends with ``TWICE`` is sent once more, late: in the place of the
+next one on its connection. The server keeps the requests that it received and those that it ran,
+for checks.
 """
 
 import asyncio
@@ -17,6 +19,7 @@
 ] = {}
 S = t.TypeVar("S", bound=t.Callable[..., t.Awaitable[None]])
 STREAM_EVENTS = 5
+TWICE = " twice"
 STREAM_PATHS = ("POST /stream/", "POST /resumable/")
 LONG_ANSWER_BYTES = 15 << 20
 LATE_ANSWER_S = 0.15
@@ -72,6 +75,8 @@
         self.address = ""
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # The answers that are to be sent once more, by connection.
+        self._late: dict[asyncio.StreamWriter, bytes] = {}
         # The body of a request that crashes the process as it begins to run; and whether the
         # process has ended, by that or by ``end``.
         self.fatal_body: bytes | None = None
@@ -155,9 +160,11 @@
             self.disconnects += 1
         finally:
             self._writers.discard(writer)
+            self._late.pop(writer, None)
             writer.close()
 
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        writer.write(self._late.pop(writer, b""))
         if self.refuses_all:
             _send(self, writer, 503, b"", {})
             return True
@@ -188,10 +195,20 @@
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
             name = "elsewhere"
-        await STEPS[name](self, request, writer)
+        await self._take_step(name, request, writer)
         await writer.drain()
         return not writer.is_closing()
 
+    async def _take_step(
+        self, name: str, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        if not name.endswith(TWICE):
+            await STEPS[name](self, request, writer)
+            return
+        recorder = _Recorder(writer)
+        await STEPS[name.removesuffix(TWICE)](self, request, t.cast(asyncio.StreamWriter, recorder))
+        self._late[writer] = bytes(recorder.written)
+
     def _shed(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         self.backoffs.append((time.monotonic(), request.request_id, self.backoff_s))
         headers = {
@@ -282,6 +299,21 @@
             self.models.pop(model, None)
 
 
+class _Recorder:
+    """Passes on what is written to a connection, and keeps it."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self.written = bytearray()
+
+    def write(self, data: bytes) -> None:
+        self.written += data
+        self._writer.write(data)
+
+    def __getattr__(self, name: str) -> t.Any:
+        return getattr(self._writer, name)
+
+
 def shared_parts(request: ReceivedRequest) -> list[int]:
     """Return the parts of a request's prompt but for the last."""
     listed = request.headers.get("x-rookspring-prefix-hash", "").split(",")[:-1]
@@ -543,6 +575,15 @@
     writer.close()
 
 
+@step("end within the 4th")
+async def _end_within_4(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """End the answer in the middle of an event, and keep the connection."""
+    await _events(server, request, writer, 3)
+    writer.write(b"8\r\nid: 4\nda\r\n0\r\n\r\n")
+
+
 @step("tear the 6th")
 async def _tear_6(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -1,7 +1,9 @@
 """One HTTP/1.1 connection to an endpoint, on asyncio and the ``httptools`` parser.
 
 An answer belongs to a request only if the caller of :meth:`ClientConnection.send_request`
-accepts its head; other answers are skipped. A connection that receives bytes without a
+accepts its head; other answers are skipped. An endpoint may send an answer a second time, later,
+and the id in it names the request and not which send of it: a connection knows the requests that
+it has carried, so that none is sent on it again. A connection that receives bytes without a
 request in flight is closed, and so is one that receives bytes without end: in heads, in the
 framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
 """
@@ -47,6 +49,8 @@
         self.idle_since = 0.0
         self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
         self.served = 0
+        # Hashes of the ids of the requests that were sent on it.
+        self._carried: set[int] = set()
 
     def connection_made(self, transport: t.Any) -> None:
         """Mark the connection as open and enable keep-alive probes on its socket."""
@@ -75,13 +79,19 @@
         return False
 
     def send_request(
-        self, data: bytes, accept: AcceptHead, on_head: OnHead, no_body: bool = False
+        self,
+        data: bytes,
+        accept: AcceptHead,
+        on_head: OnHead,
+        no_body: bool = False,
+        request_id: str = "",
     ) -> Reply:
         """Send a request, given as its bytes, and return its reply.
 
         :param accept: decides whether the head of an answer belongs to this request.
         :param on_head: called first with the head of each answer, also of other requests.
         :param no_body: the answer has no body, whatever its headers state (``HEAD``).
+        :param request_id: the id by which its answer is known; empty if answers don't carry one.
         """
         self._reply = Reply(self._limit_unread)
         self._accept = accept
@@ -92,9 +102,17 @@
         self._framing_bytes = 0
         self._new_parser()
         self.served += 1
+        if request_id:
+            self._carried.add(hash(request_id))
+        if len(self._carried) >= defaults.CARRIED_REQUESTS_MAX:
+            self.reusable = False
         self._transport.write(data)
         return self._reply
 
+    def has_carried(self, request_id: str) -> bool:
+        """Return whether a request was sent on it before; false for an empty id."""
+        return bool(request_id) and hash(request_id) in self._carried
+
     def _new_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
         self._answer_headers = []
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -29,16 +29,21 @@
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
-    async def acquire(self, address: str, wide_margin: bool) -> ClientConnection:
-        """Return an idle connection that is usable, else a new one.
+    async def acquire(
+        self, address: str, wide_margin: bool, request_id: str = ""
+    ) -> ClientConnection:
+        """Return an idle connection that is usable and hasn't carried the request, else a new one.
 
         :param wide_margin: see :meth:`ClientConnection.is_usable`.
+        :param request_id: see :meth:`ClientConnection.send_request`.
         :raises EndpointError: if no connection can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
         now = clock.now()
-        while kept:
-            connection = kept.pop()
+        for connection in reversed(kept.copy()):
+            if connection.has_carried(request_id):
+                continue
+            kept.remove(connection)
             if connection.is_usable(now, wide_margin):
                 return connection
             connection.close()
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -61,6 +61,9 @@
 # for requests that must not be sent twice.
 ENDPOINT_IDLE_SHARE = 0.8
 ENDPOINT_IDLE_SAFE_SHARE = 0.6
+# Callers' requests that a connection to an endpoint carries before it is closed, as it keeps what
+# tells their ids apart: some 64 bytes each.
+CARRIED_REQUESTS_MAX = 256
 # Answers to other requests that are skipped before the connection is closed.
 MISMATCHED_ANSWERS_MAX = 2
 # A connection whose other side acknowledges nothing for this long is closed: a box that lost
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -133,8 +133,9 @@
 async def _attempt(
     context: RelayContext, effect: Dispatch, exchange: RelayExchange, view: EndpointView
 ) -> None:
+    request_id = exchange.fields.request_id
     unrepeatable = not exchange.route.repeatable
-    connection = await context.pool.acquire(view.address, unrepeatable)
+    connection = await context.pool.acquire(view.address, unrepeatable, request_id)
     why = notice_handlers.find_withheld(
         context.state, view.name
     ) or slot_requests.find_missing_permit(context.state, exchange.key, view.name)
@@ -147,18 +148,17 @@
     verdicts: list[AnswerMatch] = []
 
     def accept(head: HttpHead) -> bool:
-        verdict = context.dialect.match_answer(head, exchange.fields.request_id)
+        verdict = context.dialect.match_answer(head, request_id)
         if verdict.matches:
             verdicts.append(verdict)
         return verdict.matches
 
     try:
         arrived = context.state.requests[exchange.key].arrived
-        call = EndpointCall(
-            exchange.fields.request_id, arrived.target, arrived.adapter, is_request=True
-        )
+        call = EndpointCall(request_id, arrived.target, arrived.adapter, is_request=True)
         hear = make_notice_handler(context, view.name, call)
-        reply = connection.send_request(data, accept, hear, exchange.request.method == b"HEAD")
+        no_body = exchange.request.method == b"HEAD"
+        reply = connection.send_request(data, accept, hear, no_body, request_id)
         head = await reply.wait_head()
         await _relay_answer(context, effect, exchange, reply, head, verdicts[-1], view)
     finally:
