Take nothing but its own answer for that to an order or a report

What operators saw: `order_answered ... taken=True reason=done` of an order that its endpoint had refused with 409, and `report_failed ... malformed` of a sound report.

`call` took any head. Orders and reads of reports go on the kept connections of requests, so a second copy of a request's answer, come late, stood for the order's answer, and its 200 means "holds already". Answers to orders and reports carry no id, so a copy of one stood for the next one too.

Change: an answer that carries a request's id isn't one to an order or a report, and is skipped; each such call goes on a connection that has carried none. For a connection they count as one request, with the empty id. Calls to the store and to other nodes, which send an answer once, are as before.

Why it works: of the answers without an id on a connection the first is the answer to the only such call there. It costs a channel only where no kept connection is left that hasn't carried a call.

--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -3,13 +3,20 @@
 import typing as t
 
 from rookspring import defaults as daemon_defaults
+from rookspring import http_client
+from rookspring.dialect import AnswerMatch
 from rookspring.http_client import ClientConnection
+from rookspring.http_messages import HttpHead
+from rookspring_platform import PlatformDialect
 
 from .mutant import RESENDS
 from .mutant import Mutant
 
 NO_BOUND = 1 << 40
 
+_match = PlatformDialect.match_answer
+_call = http_client.call
+
 
 def _never(*args: t.Any) -> bool:
     return False
@@ -19,6 +26,14 @@
     return True
 
 
+def _match_calls_with_any(self: PlatformDialect, head: HttpHead, request_id: str) -> AnswerMatch:
+    return _match(self, head, request_id) if request_id else AnswerMatch(matches=True)
+
+
+async def _call_anywhere(*args: t.Any, **named: t.Any) -> t.Any:
+    return await _call(*args, **{**named, "request_id": None})
+
+
 MUTANTS = (
     Mutant(
         "sends a request again on its connection",
@@ -44,4 +59,20 @@
         NO_BOUND,
         RESENDS,
     ),
+    Mutant(
+        "takes a request's answer for a call's",
+        "an answer belongs to one send of its request",
+        PlatformDialect,
+        "match_answer",
+        _match_calls_with_any,
+        RESENDS,
+    ),
+    Mutant(
+        "makes calls on any connection",
+        "an answer belongs to one send of its request",
+        http_client,
+        "call",
+        _call_anywhere,
+        RESENDS,
+    ),
 )
--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -28,6 +28,28 @@
     Then the answer is whole
     And the endpoints ran it 1 times
 
+  Scenario Outline: a second copy of an answer that comes late is not the answer to an order
+    Given a relay node with one endpoint that does: answer twice
+    When the endpoint answers <call> twice, and then refuses an order with 409
+    Then the order is known as refused
+
+    Examples:
+      | call      |
+      | a request |
+      | an order  |
+      | a report  |
+
+  Scenario Outline: a second copy of an answer that comes late is not the endpoint's report
+    Given a relay node with one endpoint that does: answer twice
+    When the endpoint answers <call> twice, and then is asked for its report
+    Then its report is read
+
+    Examples:
+      | call      |
+      | a request |
+      | an order  |
+      | a report  |
+
   Scenario: a connection that is passed over serves other requests
     Given a relay node with one endpoint that does: refuse, refuse, answer
     And its routes allow 3 attempts, and it asks for no rest
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -1,3 +1,5 @@
+import asyncio
+
 from behave import given
 from behave import then
 from behave import when
@@ -5,7 +7,10 @@
 from relay_fixture import request
 from still_transport import StillTransport
 
+from rookspring import relay_orders
 from rookspring.http_client import ClientConnection
+from rookspring_core.effects import ReadReport
+from rookspring_core.effects import SendOrder
 
 # Greater than the versions that other steps write.
 VERSION = 50
@@ -34,6 +39,78 @@
     context.answer = context.loop.run(context.relay.ask(request("unsafe")))
 
 
+async def order(context):
+    """Order a load, and return how the log has its answer."""
+    relay = context.relay
+    number = len(list_lines(context, "order_answered"))
+    address = relay.servers[0].address
+    effect = SendOrder("i0", address, (1, relay.servers[0].accepted_orders), "load", "m")
+    relay_orders.send_order(relay.node.context, effect)
+    await relay.until(lambda: len(list_lines(context, "order_answered")) > number)
+    return list_lines(context, "order_answered")[-1]
+
+
+async def read_report(context):
+    """Read the endpoint's report, and return the failures that the log has."""
+    relay = context.relay
+    reports = relay.servers[0].reports
+    relay_orders.read_report(relay.node.context, ReadReport("i0", 0.0))
+    await relay.until(lambda: relay.servers[0].reports > reports)
+    await asyncio.sleep(0.05)
+    return list_lines(context, "report_failed")
+
+
+def list_lines(context, event):
+    return [line for line in context.relay.log_lines if f"event={event} " in line]
+
+
+async def get_two_answers(context, call):
+    """Make a call whose answer its endpoint will send once more on the same connection."""
+    server = context.relay.servers[0]
+    if call == "a request":
+        server.script = ["answer twice"]
+        await context.relay.ask(request("unsafe"))
+    elif call == "an order":
+        server.order_script = ["take twice"]
+        assert "taken=True" in await order(context)
+    else:
+        server.reports_twice = True
+        assert not await read_report(context)
+        server.reports_twice = False
+
+
+@when("the endpoint answers {call} twice, and then refuses an order with 409")
+def refuse_order(context, call):
+    async def work():
+        await get_two_answers(context, call)
+        context.relay.servers[0].order_script = ["409"]
+        context.ordered = await order(context)
+
+    context.loop.run(work())
+
+
+@then("the order is known as refused")
+def order_refused(context):
+    assert "taken=False reason=409" in context.ordered, context.ordered
+
+
+@when("the endpoint answers {call} twice, and then is asked for its report")
+def ask_for_report(context, call):
+    async def work():
+        await get_two_answers(context, call)
+        context.relay.servers[0].accepted_orders += 1
+        context.failed_reads = await read_report(context)
+
+    context.loop.run(work())
+
+
+@then("its report is read")
+def report_read(context):
+    assert not context.failed_reads, context.failed_reads
+    report = context.relay.node.context.state.endpoints["i0"].report
+    assert report.order_token == (0, context.relay.servers[0].accepted_orders), report
+
+
 @then("the endpoint was connected to {number:d} times")
 def connected_times(context, number):
     (server,) = context.relay.servers
@@ -61,7 +138,8 @@
 def knows_requests(context):
     client = context.client
     assert client.has_carried("q0") and client.has_carried(f"q{context.last}")
-    assert not client.has_carried(f"q{context.last + 1}") and not client.has_carried("")
+    others = (f"q{context.last + 1}", "", None)
+    assert not any(client.has_carried(one) for one in others)
 
 
 @then("it is left {state}")
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -103,6 +103,8 @@
         # The state in its report, left out if empty; and the number of reports that were read.
         self.state = ""
         self.reports = 0
+        # Whether it sends each report a second time, later.
+        self.reports_twice = False
         # Whether its reports never end, and the bytes of them that were taken from it.
         self.reports_endlessly = False
         self.report_bytes = 0
@@ -172,7 +174,10 @@
             self.reports += 1
             if self.reports_endlessly:
                 await self._report_without_end(writer)
-            _send(self, writer, 200, orjson.dumps(self._report()), {})
+            recorder = _Recorder(writer)
+            _send(self, recorder, 200, orjson.dumps(self._report()), {})
+            if self.reports_twice:
+                self._late[writer] = bytes(recorder.written)
             return True
         if request.line.startswith("POST /order"):
             return self._order(request, writer)
@@ -261,7 +266,8 @@
     def _order(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
         order = orjson.loads(request.body)
         self.orders.append(order)
-        how = self.order_script.pop(0) if self.order_script else "take"
+        script = self.order_script.pop(0) if self.order_script else "take"
+        how = script.removesuffix(TWICE)
         if how == "lose":
             writer.transport.abort()
             return False
@@ -271,7 +277,10 @@
         if how == "take and lose":
             writer.transport.abort()
             return False
-        _send(self, writer, status, b"", {})
+        recorder = _Recorder(writer)
+        _send(self, recorder, status, b"", {})
+        if script.endswith(TWICE):
+            self._late[writer] = bytes(recorder.written)
         return True
 
     def _check_order(self, order: dict[str, t.Any]) -> int:
@@ -334,7 +343,7 @@
 
 def _send(
     server: ModelServer,
-    writer: asyncio.StreamWriter,
+    writer: "asyncio.StreamWriter | _Recorder",
     status: int,
     body: bytes,
     headers: dict[str, str],
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -3,7 +3,8 @@
 An answer belongs to a request only if the caller of :meth:`ClientConnection.send_request`
 accepts its head; other answers are skipped. An endpoint may send an answer a second time, later,
 and the id in it names the request and not which send of it: a connection knows the requests that
-it has carried, so that none is sent on it again. A connection that receives bytes without a
+it has carried, so that none is sent on it again. Calls whose answers carry no id count as one
+request, since nothing tells these answers apart. A connection that receives bytes without a
 request in flight is closed, and so is one that receives bytes without end: in heads, in the
 framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
 """
@@ -49,7 +50,7 @@
         self.idle_since = 0.0
         self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
         self.served = 0
-        # Hashes of the ids of the requests that were sent on it.
+        # Hashes of the ids under which requests were sent on it.
         self._carried: set[int] = set()
 
     def connection_made(self, transport: t.Any) -> None:
@@ -84,14 +85,15 @@
         accept: AcceptHead,
         on_head: OnHead,
         no_body: bool = False,
-        request_id: str = "",
+        request_id: str | None = None,
     ) -> Reply:
         """Send a request, given as its bytes, and return its reply.
 
         :param accept: decides whether the head of an answer belongs to this request.
         :param on_head: called first with the head of each answer, also of other requests.
         :param no_body: the answer has no body, whatever its headers state (``HEAD``).
-        :param request_id: the id by which its answer is known; empty if answers don't carry one.
+        :param request_id: the id that its answers carry; empty if they carry none, as those to
+            calls of this node's own. None if the other side sends each answer once.
         """
         self._reply = Reply(self._limit_unread)
         self._accept = accept
@@ -102,16 +104,16 @@
         self._framing_bytes = 0
         self._new_parser()
         self.served += 1
-        if request_id:
+        if request_id is not None:
             self._carried.add(hash(request_id))
         if len(self._carried) >= defaults.CARRIED_REQUESTS_MAX:
             self.reusable = False
         self._transport.write(data)
         return self._reply
 
-    def has_carried(self, request_id: str) -> bool:
-        """Return whether a request was sent on it before; false for an empty id."""
-        return bool(request_id) and hash(request_id) in self._carried
+    def has_carried(self, request_id: str | None) -> bool:
+        """Return whether a request was sent on it under an id; see :meth:`send_request`."""
+        return request_id is not None and hash(request_id) in self._carried
 
     def _new_parser(self) -> None:
         self._parser = httptools.HttpResponseParser(self)
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -5,6 +5,7 @@
 
 from . import clock
 from . import defaults
+from ._client_connection import AcceptHead
 from ._client_connection import ClientConnection
 from ._client_connection import OnHead
 from .answer_memory import AnswerMemory
@@ -30,7 +31,7 @@
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
     async def acquire(
-        self, address: str, wide_margin: bool, request_id: str = ""
+        self, address: str, wide_margin: bool, request_id: str | None = None
     ) -> ClientConnection:
         """Return an idle connection that is usable and hasn't carried the request, else a new one.
 
@@ -130,19 +131,22 @@
     on_head: OnHead,
     timeout_s: float,
     most: int = defaults.ANSWER_BYTES_MAX,
+    accept: AcceptHead = lambda head: True,
+    request_id: str | None = None,
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and return the complete answer.
 
     :param on_head: called with the answer's head.
     :param timeout_s: for connection and answer together.
     :param most: largest accepted answer in bytes.
+    :param accept: see :meth:`ClientConnection.send_request`, as for ``request_id``.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            connection = await pool.acquire(address, wide_margin=True)
-            reply = connection.send_request(data, lambda head: True, on_head)
+            connection = await pool.acquire(address, wide_margin=True, request_id=request_id)
+            reply = connection.send_request(data, accept, on_head, request_id=request_id)
             head = await reply.wait_head()
             return head, await reply.read_rest(most, pool.answers)
     except TimeoutError:
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -142,7 +142,10 @@
 
     @abc.abstractmethod
     def match_answer(self, head: HttpHead, request_id: str) -> AnswerMatch:
-        """Read what the head of an endpoint's answer states about a request."""
+        """Read what the head of an endpoint's answer states about a request.
+
+        :param request_id: empty for orders and reads of reports, whose answers carry none.
+        """
 
     @abc.abstractmethod
     def read_notice(self, head: HttpHead) -> Notice:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -30,6 +30,8 @@
 from .dialect import OrderReply
 from .dialect import OrderRequest
 from .exceptions import EndpointError
+from .http_client import OnHead
+from .http_messages import HttpHead
 from .logs import log
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
@@ -62,14 +64,8 @@
         why = notice_handlers.find_withheld(context.state, effect.endpoint)
         if why:
             raise EndpointError(why, sent=False, withheld=True)
-        head, _ = await http_client.call(
-            context.pool,
-            effect.address,
-            data,
-            make_notice_handler(context, effect.endpoint, EndpointCall("order")),
-            defaults.RELAY_ORDER_CALL_S,
-            defaults.REPORT_BYTES_MAX,
-        )
+        hear = make_notice_handler(context, effect.endpoint, EndpointCall("order"))
+        head, _ = await _call(context, effect.address, data, hear, defaults.RELAY_ORDER_CALL_S)
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
     except EndpointError as error:
@@ -91,6 +87,22 @@
     context.submit(OrderAnswered(clock.now(), effect.endpoint, effect.token, reply.taken, reason))
 
 
+async def _call(
+    context: RelayContext, address: str, data: bytes, hear: OnHead, timeout_s: float
+) -> tuple[HttpHead, bytes]:
+    """Make a call to an endpoint whose answer carries no request's id."""
+    return await http_client.call(
+        context.pool,
+        address,
+        data,
+        hear,
+        timeout_s,
+        defaults.REPORT_BYTES_MAX,
+        lambda head: context.dialect.match_answer(head, "").matches,
+        request_id="",
+    )
+
+
 @handles_relay_effect(ReadReport)
 def read_report(context: RelayContext, effect: ReadReport) -> None:
     """Read an endpoint's report from the endpoint itself and submit it."""
@@ -106,14 +118,7 @@
     data = context.dialect.report_request(view.address)
     try:
         hear = make_notice_handler(context, effect.endpoint, EndpointCall("report"))
-        _, raw = await http_client.call(
-            context.pool,
-            view.address,
-            data,
-            hear,
-            defaults.REPORT_CALL_S,
-            defaults.REPORT_BYTES_MAX,
-        )
+        _, raw = await _call(context, view.address, data, hear, defaults.REPORT_CALL_S)
     except EndpointError as error:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason=error.reason)
         return
