Log each answer that is not to the request in flight

What was missing: nothing told an operator that an endpoint sends answers a second time. The copies that were skipped left no line, and those that were taken looked like refusals of the endpoint's.

--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -50,6 +50,18 @@
       | an order  |
       | a report  |
 
+  Scenario: an answer that is not to the request in flight is logged
+    Given a relay node with one endpoint that does: answer twice, answer
+    When a caller sends 2 unsafe requests on one connection
+    Then each answer belongs to its request
+    And the log has one skipped answer, while the node waited for q1
+
+  Scenario: an answer that is not to the order in flight is logged
+    Given a relay node with one endpoint that does: answer twice
+    When the endpoint answers a request twice, and then refuses an order with 409
+    Then the order is known as refused
+    And the log has one skipped answer, while the node waited for order
+
   Scenario: a connection that is passed over serves other requests
     Given a relay node with one endpoint that does: refuse, refuse, answer
     And its routes allow 3 attempts, and it asks for no rest
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -111,6 +111,13 @@
     assert report.order_token == (0, context.relay.servers[0].accepted_orders), report
 
 
+@then("the log has one skipped answer, while the node waited for {asked}")
+def skipped_answer(context, asked):
+    skipped = list_lines(context, "answer_skipped")
+    assert len(skipped) == 1, skipped
+    assert f"endpoint=i0 asked={asked} status=200" in skipped[0], skipped
+
+
 @then("the endpoint was connected to {number:d} times")
 def connected_times(context, number):
     (server,) = context.relay.servers
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -151,6 +151,14 @@
         verdict = context.dialect.match_answer(head, request_id)
         if verdict.matches:
             verdicts.append(verdict)
+        else:
+            log(
+                "answer_skipped",
+                "WARNING",
+                endpoint=view.name,
+                asked=request_id,
+                status=head.status,
+            )
         return verdict.matches
 
     try:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -1,6 +1,7 @@
 """Effects on orders, endpoint reports, load requests, allotments and slots."""
 
 import asyncio
+import typing as t
 
 from rookspring_core import notice_handlers
 from rookspring_core.defaults import LOAD_UNREPORTED
@@ -30,7 +31,6 @@
 from .dialect import OrderReply
 from .dialect import OrderRequest
 from .exceptions import EndpointError
-from .http_client import OnHead
 from .http_messages import HttpHead
 from .logs import log
 from .relay_context import RelayContext
@@ -39,6 +39,17 @@
 from .relay_notices import make_notice_handler
 
 
+class _OwnCall(t.NamedTuple):
+    """A call of this node's own to an endpoint.
+
+    :param what: it is, for the log.
+    """
+
+    what: str
+    endpoint: str
+    address: str
+
+
 @handles_relay_effect(SendOrder)
 def send_order(context: RelayContext, effect: SendOrder) -> None:
     """Send an order to an endpoint, without a retry."""
@@ -64,8 +75,8 @@
         why = notice_handlers.find_withheld(context.state, effect.endpoint)
         if why:
             raise EndpointError(why, sent=False, withheld=True)
-        hear = make_notice_handler(context, effect.endpoint, EndpointCall("order"))
-        head, _ = await _call(context, effect.address, data, hear, defaults.RELAY_ORDER_CALL_S)
+        call = _OwnCall("order", effect.endpoint, effect.address)
+        head, _ = await _call(context, call, data, defaults.RELAY_ORDER_CALL_S)
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
     except EndpointError as error:
@@ -88,17 +99,30 @@
 
 
 async def _call(
-    context: RelayContext, address: str, data: bytes, hear: OnHead, timeout_s: float
+    context: RelayContext, call: _OwnCall, data: bytes, timeout_s: float
 ) -> tuple[HttpHead, bytes]:
     """Make a call to an endpoint whose answer carries no request's id."""
+
+    def accept(head: HttpHead) -> bool:
+        matches = context.dialect.match_answer(head, "").matches
+        if not matches:
+            log(
+                "answer_skipped",
+                "WARNING",
+                endpoint=call.endpoint,
+                asked=call.what,
+                status=head.status,
+            )
+        return matches
+
     return await http_client.call(
         context.pool,
-        address,
+        call.address,
         data,
-        hear,
+        make_notice_handler(context, call.endpoint, EndpointCall(call.what)),
         timeout_s,
         defaults.REPORT_BYTES_MAX,
-        lambda head: context.dialect.match_answer(head, "").matches,
+        accept,
         request_id="",
     )
 
@@ -117,8 +141,8 @@
         return
     data = context.dialect.report_request(view.address)
     try:
-        hear = make_notice_handler(context, effect.endpoint, EndpointCall("report"))
-        _, raw = await _call(context, view.address, data, hear, defaults.REPORT_CALL_S)
+        call = _OwnCall("report", effect.endpoint, view.address)
+        _, raw = await _call(context, call, data, defaults.REPORT_CALL_S)
     except EndpointError as error:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason=error.reason)
         return
