Log how each answer ended, and what was found of its endpoint's process

Of an answer without a length that was cut off, the nodes' logs had the same line as of a whole one (docs/incidents/answers-that-look-whole.md). request_ended and attempt_failed now say what showed the end of the answer (its length, its chunks, or the close of its connection) and the id of the last event that the caller got; process_checked says, for an answer that ended by a close, whether the process was asked for and what was found. One bounded line for each such answer; no decision changes.

--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -65,6 +65,12 @@
         """
         return [value.strip() for key, value in self.headers if key.lower() == name]
 
+    def framing(self) -> str:
+        """Return what shows the end of the body: ``chunks``, ``length``, or ``close``."""
+        if self.header(b"transfer-encoding"):
+            return "chunks"
+        return "length" if self.header(b"content-length") else "close"
+
 
 def find_header(headers: t.Iterable[Header], name: bytes) -> bytes:
     """Return the first value of a header; empty if there is none."""
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -49,6 +49,7 @@
     "handover_failed": "a request that was handed over got no complete answer from the other node",
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
+    "process_checked": "an answer ended with its connection; whether its endpoint's process runs",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
     "table_applied": "a newer route table is in force here",
@@ -79,6 +80,7 @@
 LINES_PER_S = 400.0
 BOUNDED = (
     "event=attempt_",
+    "event=process_checked",
     "event=endpoint_said",
     "event=request_",
     "event=route_missing",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -81,6 +81,8 @@
         # When the last events arrived, and the longest time between two of them, in seconds.
         self.last_event_at = 0.0
         self.longest_pause_s = 0.0
+        # What shows the end of the answer that came last, for the log.
+        self.framing = ""
         self.held_answer: HeldAnswer | None = None
         self.task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[None] | None = None
@@ -368,6 +370,8 @@
         first_s=exchange.first_event_at - exchange.arrived_at if exchange.first_event_at else -1,
         events=exchange.events,
         pause_s=exchange.longest_pause_s,
+        framing=exchange.framing,
+        last_event=exchange.last_event,
         model=exchange.fields.model,
         adapter=exchange.fields.adapter,
         organisation=exchange.organisation,
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -108,6 +108,8 @@
         fingerprint=exchange.fingerprint if exchange else "",
         endpoint=effect.endpoint,
         events=exchange.events if exchange else 0,
+        framing=exchange.framing if exchange else "",
+        last_event=exchange.last_event if exchange else "",
         reason=error.reason,
         sent=error.sent,
         said_not_run=error.reported_not_run,
@@ -192,6 +194,7 @@
     verdict: AnswerMatch,
     view: EndpointView,
 ) -> None:
+    exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
             f"refused with {head.status}",
@@ -256,9 +259,12 @@
 
     :raises EndpointError: if the process has ended unplanned, so that the answer may lack its rest.
     """
-    if not reply.ended_by_close or view.leaving or view.gone:
+    if not reply.ended_by_close:
         return
-    if await context.pool.is_down(view.address):
+    planned = view.leaving or view.gone
+    down = not planned and await context.pool.is_down(view.address)
+    log("process_checked", endpoint=view.name, found="down" if down else "up", asked=not planned)
+    if down:
         raise EndpointError("connection closed as its process ended", sent=True, broken=True)
 
 
