Test answers that look whole and streams that go back, as known failures

'an endpoint that ends as planned after such an answer has not crashed' asked for more than could be seen: it wanted a whole answer from a process that was gone, without anything that showed the answer's end.

--- /dev/null
+++ b/features/resumed_streams_sockets.feature
@@ -0,0 +1,37 @@
+@relay
+Feature: Streams whose events go back, or whose rest is no stream, between sockets
+
+  Scenario Outline: an event that does not follow the last one is never passed on
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                              | answer        | runs |
+      | resumable | break after 3, stream               | 5 events      | 2    |
+      | resumable | break after 3, stream anew          | 3 events, cut | 2    |
+      | resumable | break after 3, stream without ids   | 3 events, cut | 2    |
+      | stream    | go back after 3                     | 3 events, cut | 1    |
+      | resumable | go back after 3, stream             | 5 events      | 2    |
+      | stream    | stand still after 3                 | 3 events, cut | 1    |
+      | resumable | stand still after 3, stream         | 5 events      | 2    |
+
+  Scenario Outline: a whole answer is never written into a stream that has begun
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a resumable request
+    Then the answer is 3 events, cut
+    And the endpoints ran it 2 times
+
+    Examples:
+      | script                   |
+      | break after 3, not found |
+      | break after 3, moved     |
+      | break after 3, empty     |
+      | break after 3, answer    |
+      | break after 3, fail      |
+
+  Scenario: a caller that takes its stream up gets no event that it has
+    Given a relay node with one endpoint that does: stream anew
+    When a stream is taken up after its event 3
+    Then the answer is unknown
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -91,19 +91,6 @@
     assert len(ended) == 1 and f"outcome={outcome} " in ended[0], ended
 
 
-@when("a caller sends an unsafe request, as the endpoint says that it leaves")
-def send_as_leaving(context):
-    server = context.relay.servers[0]
-    end = server.end
-
-    def end_as_planned():
-        context.relay.node.context.state.endpoints[server.name].leaving = True
-        end()
-
-    server.end = end_as_planned
-    send_one(context, "unsafe")
-
-
 @then("the endpoints ran it {runs:d} times")
 def ran_times(context, runs):
     assert len(context.relay.runs) == runs, context.relay.runs
