Log the last shared part, the rank and the told time at the end of each request

Who is refused wherever they come could not be told from logs: the line of a request's end named no part of its prompt, and not what its caller was told. request_ended now has part and rank, key_refused also the names, and the reason of a refusal says after what time its caller was told to come back, of how much that it had. Still one bounded line a request.

The test failed before: features/relay_sockets.feature, 'the end of a request is logged with', part=91bd missing in both rows and the told time in one.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -92,6 +92,7 @@
 
 def _generalise_reason(why: str) -> str:
     """Return a reason without names and figures, so that equal causes are counted together."""
+    why = re.sub(r"; told [\d.]+ s of [\d.]+ s$", "", why)
     no_room = re.search(r"least loaded of (\d+) endpoints is at ([\d.]+)", why)
     if no_room:
         subject = "its one endpoint" if no_room[1] == "1" else "all its endpoints"
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -52,6 +52,16 @@
       | stream | break after 3 | refused-unknown |
       | unsafe | refuse        | refused-not_run |
 
+  Scenario Outline: the end of a request is logged with the last part of its prompt that others share
+    Given a relay node with one endpoint that does: <script>
+    When a caller sends an unsafe request for llama/a1 whose prompt has the parts 5c:800,91bd:410,e4:250
+    Then the log of its end has: route=r-unsafe, outcome=<outcome>, model=llama, adapter=llama/a1, part=91bd, <told>
+
+    Examples:
+      | script | outcome         | told                         |
+      | answer | answered        | why="endpoint i0 gave 200"   |
+      | refuse | refused-not_run | told 0.50 s of               |
+
   Scenario Outline: bytes that belong to no request are discarded
     Given a relay node with one endpoint that does: <script>
     When a caller sends 3 unsafe requests on one connection
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -91,6 +91,20 @@
     assert len(ended) == 1 and f"outcome={outcome} " in ended[0], ended
 
 
+@when("a caller sends an unsafe request for {model} whose prompt has the parts {parts}")
+def send_prompt(context, model, parts):
+    headers = (f"X-Rookspring-Model: {model}", f"X-Rookspring-Prefix-Hash: {parts}")
+    context.answer = context.loop.run(context.relay.ask(request("unsafe", headers=headers)))
+
+
+@then("the log of its end has: {fields}")
+def logged_fields(context, fields):
+    time.sleep(0.05)
+    ended = next(line for line in context.relay.log_lines if "event=request_ended" in line)
+    missing = [field for field in fields.split(", ") if field not in ended]
+    assert not missing, (missing, ended)
+
+
 @when("a caller sends an unsafe request, as the endpoint says that it leaves")
 def send_as_leaving(context):
     server = context.relay.servers[0]
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -387,6 +387,8 @@
     """
     arrived = request.arrived
     outcome = "unknown" if request.sent or request.delivered else "not_run"
+    if arrived.route is not None and after_s > 0.0:
+        message += f"; told {after_s:.2f} s of {arrived.deadline_at - state.now:.2f} s"
     refusal = Refuse(arrived.request_id, status, reason, outcome, message, after_s)
     state.record(arrived.request_id, f"refused {reason}", message)
     effects: Effects = [refusal]
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -251,6 +251,9 @@
         "key_refused",
         id=fields.request_id,
         route=route.name,
+        model=fields.model,
+        adapter=fields.adapter,
+        part=_last_shared_part(fields),
         status=verdict.status,
         reason=verdict.reason,
         table=state.revision,
@@ -370,5 +373,12 @@
         pause_s=exchange.longest_pause_s,
         model=exchange.fields.model,
         adapter=exchange.fields.adapter,
+        part=_last_shared_part(exchange.fields),
+        rank=exchange.rank,
         organisation=exchange.organisation,
     )
+
+
+def _last_shared_part(fields: RequestFields) -> str:
+    """Return the ID of the last part of a prompt that it may share with others, in hexadecimal."""
+    return f"{fields.parts[-1]:x}" if fields.parts else ""
