Tell from the logs whom nobody served, by each of the three rules on starved callers

bench starved counted names alone, and by tries: a caller who came twice was two. It now counts callers with all their tries, by name, by last shared part and kind, and kinds beside all, each beside what is allowed; also who came back and was served by no try, by what was said first and last, and who was passed by later callers of the same name.

It sees what nodes logged: who a node took down with it is missing.

--- a/bench/starved.py
+++ b/bench/starved.py
@@ -2,13 +2,12 @@
 
     make bench B=starved ARGS="--log FILE"
 
-A model or adapter is starved if none of its requests was answered, there were at least
-``REQUESTS_MIN`` of them, and they spanned at least ``REQUESTS_SPAN_S`` seconds. An endpoint
+Names, last shared parts of prompts and kinds of requests that were never served are told by
+:mod:`never_served`, each beside what its rule allows; one that is broken is marked. An endpoint
 executes its orders one at a time, so a slow order delays those after it.
 """
 
 import argparse
-import collections
 import math
 import pathlib
 import re
@@ -23,11 +22,20 @@
 from .load_uses import ModelAsk
 from .load_uses import count_last_refusals
 from .load_uses import count_uses
+from .never_served import NAMES_BOUND
+from .never_served import PARTS_BOUND
+from .never_served import Caller
+from .never_served import compare_kinds
+from .never_served import group_callers
+from .never_served import judge_starving
+from .never_served import list_never_served
+from .never_served import list_refused_again
+from .never_served import name_of
+from .never_served import part_of
+from .never_served import read_callers
 from .registry import experiment
 from .registry import report
 
-REQUESTS_MIN = 4
-REQUESTS_SPAN_S = 8.0
 # An adapter that was unloaded sooner was gone before a request could be sent to it: nodes exchange
 # what their requests use every 0.4 s.
 SHORT_ATTACHMENT_S = 0.6
@@ -68,14 +76,19 @@
     tries: dict[tuple[str, str], list[CallerTry]]
 
 
-def read_history(lines: t.Iterable[str]) -> ServingHistory:
-    """Read requests and orders; lines that are not events are skipped."""
+def read_lines(lines: t.Iterable[str]) -> list[LogLine]:
+    """Read the events of a log; other lines are skipped."""
+    parsed = (parse_line(text) for text in lines)
+    return [line for line in parsed if line is not None and line.at is not None]
+
+
+def read_history(lines: t.Iterable[LogLine]) -> ServingHistory:
+    """Read the requests for models, and the orders."""
     requests: dict[str, list[ModelRequest]] = {}
     orders = []
     tries: dict[tuple[str, str], list[CallerTry]] = {}
-    for text in lines:
-        line = parse_line(text)
-        if line is None or line.at is None:
+    for line in lines:
+        if line.at is None:
             continue
         if line.event == "request_ended" and line.fields.get("model"):
             fields = line.fields
@@ -114,36 +127,6 @@
     )
 
 
-def list_starved(history: ServingHistory) -> list[dict[str, t.Any]]:
-    """List starved models and adapters, each with the most frequent reason of its requests."""
-    rows = []
-    for name, requests in sorted(history.requests.items()):
-        enough = (
-            len(requests) >= REQUESTS_MIN and requests[-1].at - requests[0].at >= REQUESTS_SPAN_S
-        )
-        if not enough or any(one.answered for one in requests):
-            continue
-        reasons = collections.Counter(_generalise_reason(one.why) for one in requests)
-        loads = [one.at for one in history.orders if one.name == name and one.action == "load"]
-        rows.append(
-            {
-                "name": name,
-                "tries": len(requests),
-                "from s": requests[0].at,
-                "to s": requests[-1].at,
-                "its loads": len(loads),
-                "most often": reasons.most_common(1)[0][0],
-            }
-        )
-    return rows
-
-
-def _generalise_reason(why: str) -> str:
-    """Return a reason without figures and names, so that equal causes are counted together."""
-    text = re.sub(r"^\d+ (\w+): ", r"\1: ", why)
-    return re.sub(r"(?<=: )\S+ is on none of \d+", "on none", text)[:60]
-
-
 def list_attachment_times(orders: t.Iterable[AnsweredOrder]) -> list[float]:
     """Return how long each unloaded adapter had been attached, in seconds."""
     since: dict[tuple[str, str], float] = {}
@@ -214,6 +197,23 @@
     return bool(following.adapter)
 
 
+def report_never_served(callers: list[Caller]) -> None:
+    """Print whom nobody served, by each of the three rules, and who came back in vain."""
+    for what, key_of, bound in (
+        ("names", name_of, NAMES_BOUND),
+        ("last shared parts", part_of, PARTS_BOUND),
+    ):
+        groups = group_callers(callers, key_of)
+        found = judge_starving(groups, bound)
+        title = f"{what}: {found.never} of {found.asked} asked for throughout never served"
+        title += f" (at most {found.most:.1f})" + (", BROKEN" if found.broken else "")
+        print(title)
+        report(f"starved-{what.replace(' ', '-')}", title, list_never_served(groups))
+    report("starved-kinds", "kinds of requests, each beside all", compare_kinds(callers))
+    rows = list_refused_again(callers)
+    report("starved-again", "callers who came back and were served by no try", rows)
+
+
 @experiment("starved")
 def main(arguments: list[str]) -> int:
     """Print the tables; 1 if the log has no request for a model."""
@@ -222,13 +222,13 @@
         "--log", type=pathlib.Path, required=True, help="file with the output of the nodes"
     )
     args = parser.parse_args(arguments)
-    with args.log.open() as lines:
-        history = read_history(lines)
+    with args.log.open() as texts:
+        lines = read_lines(texts)
+    history = read_history(lines)
     if not history.requests:
         print(f"--log: {args.log} has no ended request for a model")
         return 1
-    starved = list_starved(history)
-    report("starved", f"{len(starved)} asked for and never served", starved)
+    report_never_served(read_callers(lines))
     attachment_times = list_attachment_times(history.orders)
     median = statistics.median(attachment_times) if attachment_times else 0.0
     short = sum(1 for one in attachment_times if one < SHORT_ATTACHMENT_S)
