Take an answer that ends with its connection as whole only if its process answers after the close

Cause: the check after such an answer asked for signs of death, and not of life. An endpoint that was leaving or gone from the list was not asked at all, as its end is planned; any other was asked by a connection to its address, and whatever did not refuse it (the next process there, a box that is gone, a probe without an answer) counted as the process that had given the answer.

Now a call on a new connection that began after the close has to be answered by the same process, whatever the list says: a model runner's report, or a plain service's health, with the incarnation that is expected. Another id, a 421, another start time, a refused connection or no answer within 1 s make the answer a cut: a repeatable request is sent again, a resumable stream goes on elsewhere, any other is cut or ends as unknown. That works whoever has the address then, since a process that has ended answers nothing. No call is made for an answer that shows its own end, nor during a back-off. A crash is recorded as before, so not of a leaver.

--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -32,6 +32,8 @@
 PARTS = ("features/fatal_parts.feature",)
 VERSIONS = ("features/stream_versions.feature",)
 VERSIONS_SOCKETS = ("features/stream_versions_sockets.feature",)
+UNFRAMED = ("features/unframed_answers_sockets.feature",)
+RESUMED_STREAMS = ("features/resumed_streams_sockets.feature",)
 BEGUN_STREAMS = ("features/begun_streams_sockets.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
--- /dev/null
+++ b/bench/whole_answer_mutants.py
@@ -0,0 +1,84 @@
+"""Mutants of what shows that an answer is whole, and that an event follows the last one."""
+
+import typing as t
+
+from rookspring import relay_attempts
+from rookspring.relay_processes import Finding
+from rookspring.relay_processes import ProcessChecks
+from rookspring_platform import endpoints
+from rookspring_platform.dialect import PlatformDialect
+
+from .mutant import UNFRAMED
+from .mutant import Mutant
+
+RULE = "an answer that is cut short does not look complete"
+
+
+def _always(*args: t.Any) -> bool:
+    return True
+
+
+async def _take_for_whole(*args: t.Any) -> None:
+    return None
+
+
+async def _spare_leavers(context: t.Any, exchange: t.Any, reply: t.Any, view: t.Any) -> None:
+    if not view.leaving and not view.gone:
+        await _check_process(context, exchange, reply, view)
+
+
+_check_process = relay_attempts._check_process
+
+
+async def _ask_address(self: ProcessChecks, view: t.Any, process: t.Any, left_s: float) -> Finding:
+    """Take whatever accepts a connection for the process."""
+    down = await self._context.pool.is_down(view.address)
+    return Finding("", runs=not down, ended=down, down=down)
+
+
+async def _share_any_call(self: ProcessChecks, view: t.Any, process: t.Any, at: float) -> Finding:
+    return await _check(self, view, process, -1e9)
+
+
+_check = ProcessChecks.check
+
+
+async def _ask_in_back_off(self: ProcessChecks, view: t.Any, process: t.Any) -> Finding:
+    return await self._call(view, process, 1.0)
+
+
+def _ignore_start(raw: bytes) -> int:
+    return 0
+
+
+def _name_nobody(address: str, process: t.Any, health_path: str) -> bytes:
+    return _identity_request(address, process._replace(name="another"), health_path)
+
+
+_identity_request = endpoints.identity_request
+
+
+MUTANTS = (
+    Mutant(
+        "takes a close for an end",
+        RULE,
+        relay_attempts,
+        "_check_process",
+        _take_for_whole,
+        UNFRAMED,
+    ),
+    Mutant("asks no leavers", RULE, relay_attempts, "_check_process", _spare_leavers, UNFRAMED),
+    Mutant("asks the address alone", RULE, ProcessChecks, "_call", _ask_address, UNFRAMED),
+    Mutant("shares any call", RULE, ProcessChecks, "check", _share_any_call, UNFRAMED),
+    Mutant(
+        "asks in a back-off",
+        "an endpoint that requests a back-off gets none of its calls",
+        ProcessChecks,
+        "_ask",
+        _ask_in_back_off,
+        UNFRAMED,
+    ),
+    Mutant("takes any process", RULE, PlatformDialect, "read_identity", _always, UNFRAMED),
+    Mutant("ignores a restart", RULE, endpoints, "_read_start", _ignore_start, UNFRAMED),
+    Mutant("expects another process", RULE, endpoints, "identity_request", _name_nobody, UNFRAMED),
+)
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -1,17 +1,61 @@
+import asyncio
+import types
+
+import orjson
+from behave import given
 from behave import then
 from behave import when
+from relay_fixture import RelayFixture
 from relay_fixture import request
 
+from rookspring import clock
+from rookspring.dialect import ExpectedProcess
+from rookspring.http_messages import HttpHead
+from rookspring.relay_processes import Finding
+from rookspring.relay_processes import ProcessChecks
+from rookspring_platform import PlatformDialect
+
+BACK_OFF_S = 5.0
+REPORT = {"models": [], "utilization": False, "sequence": 0, "queued": 0, "active": 0}
+SHOWN = {True: "same", False: "another", None: "unknown"}
+
+
+@given("a relay node with two endpoints with models that do: {script}")
+def endpoints_with_models(context, script):
+    steps = script.split(", ")
+    context.relay = context.loop.run(RelayFixture([steps, steps]).start())
+    for server in context.relay.servers:
+        server.script = steps
+        context.relay.node.context.state.endpoints[server.name].role = "runner"
+
+
+@given("their health checks are refused for want of room {times:d} times")
+def checks_refused(context, times):
+    for server in context.relay.servers:
+        server.checks_refused = times
+
 
 @when("the endpoint of a {kind} request is {state} as its answer ends")
-def send_as_it_ends(context, kind, state):
+def state_at_end(context, kind, state):
+    def set_state(view):
+        setattr(view, state, True)
+
+    send_and_set(context, kind, set_state)
+
+
+@when("the endpoint of an unsafe request is in back-off as that answer ends")
+def back_off_at_end(context):
+    def set_state(view):
+        view.backoff_until = clock.now() + BACK_OFF_S
+
+    send_and_set(context, "unsafe", set_state)
+
+
+def send_and_set(context, kind, set_state):
     relay = context.relay
 
     def note(server):
-        def set_state():
-            setattr(relay.node.context.state.endpoints[server.name], state, True)
-
-        return set_state
+        return lambda: set_state(relay.node.context.state.endpoints[server.name])
 
     for server in relay.servers:
         server.before_close = note(server)
@@ -24,16 +68,76 @@
     context.answer = context.loop.run(context.relay.ask(request("resumable", headers=headers)))
 
 
-@then("no crash is recorded")
-def no_crash(context):
-    lines = [line for line in context.relay.log_lines if "event=verdict" in line]
-    assert lines == [], lines
-    suspects = context.relay.node.context.state.suspects
-    assert not any(suspects.known(one) for one in _subjects(context)), "a request is suspected"
+@then("their health was asked for {checks:d} times and their report {reports:d} times")
+def asked_for(context, checks, reports):
+    servers = context.relay.servers
+    assert [one for server in servers for one in server.checks] == [
+        server.name for server in servers for _ in server.checks
+    ]
+    assert sum(len(server.checks) for server in servers) == checks
+    assert sum(server.reports for server in servers) == reports
 
 
-def _subjects(context):
+@then("no crash is recorded")
+def no_crash(context):
     lines = [line for line in context.relay.log_lines if "event=attempt_began" in line]
     found = [line.partition(" fingerprint=")[2].split()[0] for line in lines]
     assert found
-    return found
+    suspects = context.relay.node.context.state.suspects
+    assert not any(suspects.known(one) for one in found), "a request is suspected"
+
+
+@given("a process of which calls take {ms:d} ms")
+def slow_process(context, ms):
+    context.calls = 0
+
+    class Checks(ProcessChecks):
+        async def _ask(self, view, process):
+            context.calls += 1
+            await asyncio.sleep(ms / 1000.0)
+            return Finding("it answered", runs=True)
+
+    context.make_checks = Checks
+
+
+@when("answers of it end at 0, 0 and {ms:d} ms")
+def answers_end(context, ms):
+    view = types.SimpleNamespace(address="127.0.0.1:1")
+
+    async def work():
+        checks = context.make_checks(types.SimpleNamespace(loop=asyncio.get_running_loop()))
+
+        async def end(after_s):
+            await asyncio.sleep(after_s)
+            return await checks.check(view, ExpectedProcess("i1"), clock.now())
+
+        # The first two end at one moment, before the call for them begins.
+        now = clock.now()
+        together = [checks.check(view, ExpectedProcess("i1"), now) for _ in range(2)]
+        return await asyncio.gather(*together, end(ms / 1000.0))
+
+    context.found = context.loop.run(work())
+
+
+@then("it was called {times:d} times, and all three were found to be whole")
+def called(context, times):
+    assert context.calls == times, context.calls
+    assert [one.runs for one in context.found] == [True] * 3
+
+
+@given("the process {name}, which started at {known:d}")
+def known_process(context, name, known):
+    context.process = ExpectedProcess(name, known)
+
+
+@when("a call for it gets {status:d} from {named}, with a report of a start at {reported}")
+def call_answered(context, status, named, reported):
+    headers = () if named == "nobody" else ((b"X-Rookspring-Instance-Id", named.encode()),)
+    body = b"" if reported == "none" else orjson.dumps(REPORT | {"born": int(reported)})
+    head = HttpHead(status, headers)
+    context.same = PlatformDialect().read_identity(head, body, context.process)
+
+
+@then("that shows that it is {same}")
+def shows(context, same):
+    assert SHOWN[context.same] == same, context.same
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -50,3 +50,71 @@
       | stream    | leaving | unframed events                      | 5 events      | 1    |
       | unsafe    | leaving | unframed                             | whole         | 1    |
       | unsafe    | gone    | unframed                             | whole         | 1    |
+
+  Scenario Outline: endpoints that serve models are asked for their report instead
+    Given a relay node with two endpoints with models that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+    And their health was asked for 0 times and their report <reports> times
+
+    Examples:
+      | kind   | script                       | answer        | runs | reports |
+      | stream | unframed events              | 5 events      | 1    | 1       |
+      | stream | end after 3 unframed         | 3 events, cut | 1    | 0       |
+      | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
+      | stream | stream                       | 5 events      | 1    | 0       |
+
+  Scenario Outline: an endpoint is asked only where nothing but the close shows the end
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And their health was asked for <times> times and their report 0 times
+
+    Examples:
+      | kind   | script          | answer   | times |
+      | unsafe | answer          | whole    | 0     |
+      | stream | stream          | 5 events | 0     |
+      | unsafe | unframed reset  | unknown  | 0     |
+      | unsafe | unframed        | whole    | 1     |
+      | stream | unframed events | 5 events | 1     |
+
+  Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
+    Given a relay node with two endpoints that do: unframed
+    When the endpoint of an unsafe request is in back-off as that answer ends
+    Then the answer is unknown
+    And their health was asked for 0 times and their report 0 times
+
+  Scenario: an endpoint that is full is asked again until it names itself
+    Given a relay node with two endpoints that do: unframed
+    And their health checks are refused for want of room 1 times
+    When a caller sends a unsafe request
+    Then the answer is whole
+    And their health was asked for 2 times and their report 0 times
+
+  Scenario: answers that end together share a call, and none counts that began before an end
+    Given a process of which calls take 50 ms
+    When answers of it end at 0, 0 and 20 ms
+    Then it was called 2 times, and all three were found to be whole
+
+  Scenario Outline: what an answer shows about the process that gave it
+    Given the process i1, which started at <known>
+    When a call for it gets <status> from <named>, with a report of a start at <reported>
+    Then that shows that it is <same>
+
+    Examples:
+      | status | named   | known | reported | same    |
+      | 200    | nobody  | 0     | 0        | same    |
+      | 200    | nobody  | 700   | 700      | same    |
+      | 200    | nobody  | 700   | 0        | same    |
+      | 200    | nobody  | 0     | 700      | same    |
+      | 200    | nobody  | 700   | 701      | another |
+      | 200    | i1      | 700   | 701      | another |
+      | 200    | i1      | 0     | none     | same    |
+      | 503    | i1      | 0     | none     | same    |
+      | 200    | i2      | 0     | 0        | another |
+      | 503    | i2      | 0     | none     | another |
+      | 421    | nobody  | 0     | none     | another |
+      | 200    | nobody  | 0     | none     | unknown |
+      | 503    | nobody  | 0     | none     | unknown |
+      | 404    | nobody  | 0     | none     | unknown |
--- a/packages/rookspring-core/src/rookspring_core/routes.py
+++ b/packages/rookspring-core/src/rookspring_core/routes.py
@@ -78,9 +78,14 @@
 
 
 class ServiceSize(t.NamedTuple):
-    """A service of the configuration; ``engine`` is None where it serves no models."""
+    """A service of the configuration.
+
+    :param engine: None where it serves no models.
+    :param health_path: of the health checks of its endpoints.
+    """
 
     engine: EngineSize | None = None
+    health_path: str = ""
 
 
 class CallerLimits(t.NamedTuple):
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -106,9 +106,10 @@
         # does, a key of ENDINGS; and the process that has its address afterwards.
         self.before_close: t.Callable[[], None] = lambda: None
         self.successor: ModelServer | None = None
-        # Whether it answers nothing more, though it listens; and its health checks, with what they
-        # expected.
+        # Whether it answers nothing more, though it listens; how many health checks it refuses, as
+        # if it were full; and its health checks, with what they expected.
         self.mute = False
+        self.checks_refused = 0
         self.checks: list[str] = []
 
     async def start(self, port: int = 0) -> None:
@@ -189,6 +190,10 @@
             return True
         if request.line.startswith("GET /report"):
             self.reports += 1
+            expected = request.headers.get("x-rookspring-expect-instance", self.name)
+            if expected != self.name:
+                _send(self, writer, 421, b"", {"X-Rookspring-Instance-Id": self.name})
+                return True
             if self.reports_endlessly:
                 await self._report_without_end(writer)
             _send(self, writer, 200, orjson.dumps(self._report()), {})
@@ -221,6 +226,10 @@
     def _check(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         self.checks.append(expected)
+        if self.checks_refused:
+            self.checks_refused -= 1
+            _send(self, writer, 503, b"", {"X-Rookspring-Not-Executed": "1"})
+            return
         status = 503 if self.state == "draining" else 200
         if expected != self.name:
             status = 421
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -44,6 +44,13 @@
             connection.close()
         return await self._open(address)
 
+    async def open(self, address: str) -> ClientConnection:
+        """Return a new connection.
+
+        :raises EndpointError: if none can be made; nothing was sent.
+        """
+        return await self._open(address)
+
     async def _open(self, address: str) -> ClientConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -125,18 +132,23 @@
     on_head: OnHead,
     timeout_s: float,
     most: int = defaults.ANSWER_BYTES_MAX,
+    on_new_connection: bool = False,
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and return the complete answer.
 
     :param on_head: called with the answer's head.
     :param timeout_s: for connection and answer together.
     :param most: largest accepted answer in bytes.
+    :param on_new_connection: use no idle connection, even if there is one.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            connection = await pool.acquire(address, wide_margin=True)
+            if on_new_connection:
+                connection = await pool.open(address)
+            else:
+                connection = await pool.acquire(address, wide_margin=True)
             reply = connection.send_request(data, lambda head: True, on_head)
             head = await reply.wait_head()
             return head, await reply.read_rest(most, pool.answers)
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -34,6 +34,8 @@
         self.closed_by_endpoint = False
         # Whether it ended with its connection, so that nothing but the close shows its end.
         self.ended_by_close = False
+        # When nothing more could arrive, by the node's clock.
+        self.ended_at = 0.0
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -49,6 +51,7 @@
 
     def end(self) -> None:
         """Note that nothing more arrives: what is unread holds up the endpoint no longer."""
+        self.ended_at = clock.now()
         self._on_unread(0)
         self._on_unread = lambda unread: None
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -11,6 +11,12 @@
 RELAY_CONNECT_S = 0.4
 PLATFORM_CALL_S = 3.0
 ORDER_CALL_S = 2.0
+# Where nothing but the close of its connection shows the end of an answer, the caller waits this
+# long at most until a call to its endpoint shows that the process runs on. A packet that is lost
+# costs 0.2 s, the first one of a connection ``RELAY_CONNECT_S``; the call is made again after the
+# pause.
+PROCESS_CHECK_S = 1.0
+PROCESS_CHECK_PAUSE_S = 0.2
 REPORT_CALL_S = 1.0
 # Delay before a caller's stream is cancelled at its endpoint, so that it can be resumed at
 # another node.
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -19,6 +19,7 @@
 from . import clock
 from . import defaults
 from .dialect import AnswerMatch
+from .dialect import ExpectedProcess
 from .dialect import ForwardFields
 from .event_gaps import GapMeter
 from .event_streams import EventSplitter
@@ -70,6 +71,7 @@
         waited_s=clock.now() - exchange.arrived_at,
         **speed,
     )
+    exchange.process = ExpectedProcess(view.name, notice_handlers.known_start(view))
     exchange.task = context.spawn(run_attempt(context, effect, exchange, view))
 
 
@@ -80,7 +82,7 @@
     error = await run_until_deadline(exchange, _attempt(context, effect, exchange, view))
     if error is None:
         return
-    if error.broken:
+    if error.broken and not error.down:
         # The cause that is recorded for the failure depends on whether the endpoint's process
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
@@ -206,7 +208,7 @@
         await _relay_stream(context, effect, exchange, reply, head, view)
         return
     body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await _check_process(context, reply, view)
+    await _check_process(context, exchange, reply, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -246,7 +248,7 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    await _check_process(context, reply, view)
+    await _check_process(context, exchange, reply, view)
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -254,18 +256,32 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-async def _check_process(context: RelayContext, reply: Reply, view: EndpointView) -> None:
-    """Check that an answer which ended with its connection did not end by its endpoint's crash.
+async def _check_process(
+    context: RelayContext, exchange: RelayExchange, reply: Reply, view: EndpointView
+) -> None:
+    """Check that an answer which ended with its connection did not end with its process.
 
-    :raises EndpointError: if the process has ended unplanned, so that the answer may lack its rest.
+    :raises EndpointError: unless the process is found to run, as the answer may lack its rest.
     """
     if not reply.ended_by_close:
         return
-    planned = view.leaving or view.gone
-    down = not planned and await context.pool.is_down(view.address)
-    log("process_checked", endpoint=view.name, found="down" if down else "up", asked=not planned)
-    if down:
-        raise EndpointError("connection closed as its process ended", sent=True, broken=True)
+    found = await context.process_checks.check(view, exchange.process, reply.ended_at)
+    log(
+        "process_checked",
+        id=exchange.fields.request_id,
+        endpoint=view.name,
+        runs=found.runs,
+        ended=found.ended,
+        found=found.text,
+        took_s=clock.now() - reply.ended_at,
+    )
+    if not found.runs:
+        raise EndpointError(
+            f"connection closed, and its process is not known to run: {found.text}",
+            sent=True,
+            broken=found.ended,
+            down=found.down,
+        )
 
 
 def _submit_gap(
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -35,6 +35,7 @@
 from .relay_settings import RelaySettings
 
 if t.TYPE_CHECKING:
+    from .relay_processes import ProcessChecks
     from .relay_reach import ReachProbes
     from .relay_streams import OriginQuestions
     from .store_eras import StoreEras
@@ -76,6 +77,7 @@
         self.peer_pool = ConnectionPool(answers=self.pool.answers)
         # Set by :class:`RelayNode`.
         self.reach_probes: ReachProbes
+        self.process_checks: ProcessChecks
         self.origins: OriginQuestions
         self.exchanges: dict[str, RelayExchange] = {}
         self.endpoints_listed = False
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -65,6 +65,7 @@
 from .relay_context import handles_relay_effect
 from .relay_endpoint_list import EndpointList
 from .relay_peers import RelayPeers
+from .relay_processes import ProcessChecks
 from .relay_proofs import ProofRefresher
 from .relay_reach import ReachProbes
 from .relay_settings import RelaySettings
@@ -144,6 +145,7 @@
         self.context.eras = StoreEras(self.context, self.reach)
         self.context.eras.attach_client(platform)
         self.context.reach_probes = ReachProbes(self.context)
+        self.context.process_checks = ProcessChecks(self.context)
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofRefresher(self.context, self.peers, self.reach)
         self._connect_components()
