Take an answer without a length for cut if a long silence lies in it

Callers could get a part of an answer as complete: an endpoint cuts off what is left unread for some seconds, by an ordinary close, and its process lives on, so that neither the close nor its process shows that the rest is missing.

What held the answer up may be the caller, this node (frozen with its box, overloaded) or the way; nothing looked at it.

Evidence: features/unread_answers_sockets.feature on the code before, 3 of its 4 rows failed ("5 events" and "3 events" as complete for a stream whose connection closed 1.5 s after its third event, or which paused for as long). Now 4 of 4; a mutant without the bound is caught.

What changed: the longest time in which nothing of an answer arrived, from its head to its close, is kept, and logged with the check of the process. From 1 s on an answer that ends with its connection is a cut. Whatever holds an answer up shows as such a silence here, so the node needs to know no cause. A sound endpoint that pauses for a second within such an answer is cut too: nothing tells it apart, and its events are late then.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from rookspring import defaults
 from rookspring import relay_attempts
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
@@ -9,6 +10,7 @@
 from rookspring_platform.dialect import PlatformDialect
 
 from .mutant import UNFRAMED
+from .mutant import UNREAD
 from .mutant import Mutant
 
 RULE = "an answer that is cut short does not look complete"
@@ -81,4 +83,12 @@
     Mutant("takes any process", RULE, PlatformDialect, "read_identity", _always, UNFRAMED),
     Mutant("ignores a restart", RULE, endpoints, "_read_start", _ignore_start, UNFRAMED),
     Mutant("expects another process", RULE, endpoints, "identity_request", _name_nobody, UNFRAMED),
+    Mutant(
+        "takes an answer after a long silence for whole",
+        RULE,
+        defaults,
+        "UNREAD_SILENCE_S",
+        1e9,
+        UNREAD,
+    ),
 )
--- /dev/null
+++ b/features/unread_answers_sockets.feature
@@ -0,0 +1,16 @@
+@relay
+Feature: Answers without a length that stayed unread for a while, between sockets
+
+  # An endpoint cuts off an answer that is not read for some seconds, and its process lives on.
+  Scenario Outline: such an answer counts as whole only if its bytes came without a long silence
+    Given a relay node whose routes take up to 8 s, with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                                   | answer        | runs |
+      | stream    | pause for 0.3 s after 3 unframed         | 5 events      | 1    |
+      | stream    | end 1.5 s after 3 unframed               | 3 events, cut | 1    |
+      | stream    | pause for 1.5 s after 3 unframed         | 5 events, cut | 1    |
+      | resumable | end 1.5 s after 3 unframed, stream       | 5 events      | 2    |
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -590,13 +590,50 @@
     _reset_connection(writer)
 
 
+@step("end 1.5 s after 3 unframed")
+async def _end_late_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection between two events, some time after the one before."""
+    await _write_unframed_events(server, request, writer, 3)
+    await asyncio.sleep(1.5)
+    writer.close()
+
+
+@step("pause for 0.3 s after 3 unframed")
+async def _pause_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _pause_after_3_unframed(server, request, writer, 0.3)
+
+
+@step("pause for 1.5 s after 3 unframed")
+async def _pause_long_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _pause_after_3_unframed(server, request, writer, 1.5)
+
+
+async def _pause_after_3_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter, seconds: float
+) -> None:
+    await _write_unframed_events(server, request, writer, 3)
+    await asyncio.sleep(seconds)
+    await _write_events(writer, 4, STREAM_EVENTS)
+    writer.close()
+
+
 async def _write_unframed_events(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter, last: int
 ) -> None:
     headers = _record_run(server, request) | {"Content-Type": "text/event-stream"}
     rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
     writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
-    for number in range(1, last + 1):
+    await _write_events(writer, 1, last)
+
+
+async def _write_events(writer: asyncio.StreamWriter, first: int, last: int) -> None:
+    for number in range(first, last + 1):
         writer.write(f"id: {number}\ndata: token{number}\n\n".encode())
         await writer.drain()
         await asyncio.sleep(0.002)
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -198,7 +198,7 @@
         if self._until_close or not self._parser.should_keep_alive():
             self.reusable = False
         self._note_idle_timeout(head)
-        self._reply.head = head
+        self._reply.begin(head)
         if self._no_body:
             self.reusable = False
             self._finish()
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -59,6 +59,10 @@
 # Bytes of an endpoint's answer that are held for a caller who reads slowly. Beyond them nothing
 # more is read from the endpoint, whose own flow control then applies.
 UNREAD_ANSWER_BYTES_MAX = 64 << 10
+# An endpoint cuts off an answer that is not read for some seconds, by an ordinary close. Without a
+# length, an answer with a silence of this long may be one: this node, the way to it or the caller
+# may have held it up.
+UNREAD_SILENCE_S = 1.0
 LISTEN_BACKLOG = 1024
 # Idle time in which a connection is reused if the endpoint states no keep-alive timeout: such
 # endpoints close idle connections within a second.
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -261,7 +261,8 @@
 ) -> None:
     """Check that an answer which ended with its connection did not end with its process.
 
-    :raises EndpointError: unless the process is found to run, as the answer may lack its rest.
+    :raises EndpointError: unless the process is found to run, and has not cut the answer off since
+        it was not read, as the answer may lack its rest.
     """
     if not reply.ended_by_close:
         return
@@ -274,6 +275,7 @@
         ended=found.ended,
         found=found.text,
         took_s=clock.now() - reply.ended_at,
+        silence_s=reply.longest_silence_s,
     )
     if not found.runs:
         raise EndpointError(
@@ -282,6 +284,8 @@
             broken=found.ended,
             down=found.down,
         )
+    if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
+        raise EndpointError("connection closed after a long silence in the answer", sent=True)
 
 
 def _submit_gap(
