Never pass on an event that does not follow the last one its caller has got

A stream that broke off and went on elsewhere, at an endpoint that sent it anew, reached its caller as 1 2 3 1 2 3 4 5, as a complete answer; so did events that went back or stood still within one run, and a stream that its caller took up itself.

Cause: nothing read the ids of events but to name the last one to the next endpoint.

Now each run of a stream has to rise from the last event that the caller has got, or that it names itself on a resumable route; the first event of a run that goes on has to have an id. Events that come together with one that does not follow are held back with it, the attempt fails, and the stream goes on elsewhere or is cut.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -5,12 +5,16 @@
 from rookspring import relay_attempts
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
+from rookspring_core import event_order
+from rookspring_core.event_order import EventOrder
 from rookspring_platform import endpoints
 from rookspring_platform.dialect import PlatformDialect
 
+from .mutant import RESUMED_STREAMS
 from .mutant import UNFRAMED
 from .mutant import Mutant
 
+ORDER_RULE = "no event comes twice or goes back"
 RULE = "an answer that is cut short does not look complete"
 
 
@@ -58,6 +62,22 @@
 _identity_request = endpoints.identity_request
 
 
+def _accept_any(self: EventOrder, ids: t.Sequence[str]) -> str:
+    self.last = ids[-1] if ids else self.last
+    return ""
+
+
+def _begin_anew(self: EventOrder, last: str = "") -> None:
+    _init_order(self)
+
+
+_init_order = EventOrder.__init__
+
+
+def _by_letters(event_id: str) -> tuple[int, str]:
+    return 0, event_id
+
+
 MUTANTS = (
     Mutant(
         "takes a close for an end",
@@ -68,6 +88,9 @@
         UNFRAMED,
     ),
     Mutant("asks no leavers", RULE, relay_attempts, "_check_process", _spare_leavers, UNFRAMED),
+    Mutant("passes any event", ORDER_RULE, EventOrder, "accept", _accept_any, RESUMED_STREAMS),
+    Mutant("forgets what came", ORDER_RULE, EventOrder, "__init__", _begin_anew, RESUMED_STREAMS),
+    Mutant("ranks by letters", ORDER_RULE, event_order, "_rank", _by_letters, RESUMED_STREAMS),
     Mutant("asks the address alone", RULE, ProcessChecks, "_call", _ask_address, UNFRAMED),
     Mutant("shares any call", RULE, ProcessChecks, "check", _share_any_call, UNFRAMED),
     Mutant(
--- a/features/resumed_streams_sockets.feature
+++ b/features/resumed_streams_sockets.feature
@@ -35,3 +35,23 @@
     Given a relay node with one endpoint that does: stream anew
     When a stream is taken up after its event 3
     Then the answer is unknown
+
+  Scenario Outline: ids rise, and need not be consecutive
+    Given a caller that has got <last>
+    When the ids <ids> come
+    Then they are <taken>
+
+    Examples:
+      | last  | ids        | taken   |
+      | none  | 1 2 3      | taken   |
+      | none  | 3 6 9      | taken   |
+      | 9     | 10 11      | taken   |
+      | 10    | 9          | refused |
+      | 9     | 9          | refused |
+      | 09    | 10         | taken   |
+      | none  | 8 9 10 100 | taken   |
+      | none  | 1 3 2      | refused |
+      | none  | none       | taken   |
+      | 3     | none       | refused |
+      | a9    | b0         | taken   |
+      | b0    | a9         | refused |
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -13,6 +13,7 @@
 from rookspring.http_messages import HttpHead
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
+from rookspring_core.event_order import EventOrder
 from rookspring_platform import PlatformDialect
 
 BACK_OFF_S = 5.0
@@ -68,6 +69,21 @@
     context.answer = context.loop.run(context.relay.ask(request("resumable", headers=headers)))
 
 
+@given("a caller that has got {last}")
+def has_got(context, last):
+    context.order = EventOrder("" if last == "none" else last)
+
+
+@when("the ids {ids} come")
+def ids_come(context, ids):
+    context.fault = context.order.accept([] if ids == "none" else ids.split())
+
+
+@then("they are {taken}")
+def ids_taken(context, taken):
+    assert (context.fault == "") == (taken == "taken"), context.fault
+
+
 @then("their health was asked for {checks:d} times and their report {reports:d} times")
 def asked_for(context, checks, reports):
     servers = context.relay.servers
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -14,12 +14,12 @@
     """Complete events as their bytes, in order.
 
     :param number: count of events.
-    :param last_id: the id of the last event that has one, or empty.
+    :param ids: of those that have one.
     """
 
     data: bytes
     number: int
-    last_id: str
+    ids: tuple[str, ...]
 
 
 class EventSplitter:
@@ -40,11 +40,11 @@
         if len(self._rest) - max(0, cut) > defaults.EVENT_BYTES_MAX:
             raise EndpointError("too large an event", sent=True)
         if cut < 0:
-            return Events(b"", 0, "")
+            return Events(b"", 0, ())
         whole = bytes(self._rest[:cut])
         del self._rest[:cut]
         number = sum(whole.count(mark) for mark in MARKS)
-        return Events(whole, number, _last_id(whole))
+        return Events(whole, number, _read_ids(whole))
 
     def incomplete(self) -> bytes:
         """Return the bytes of the incomplete event at the end."""
@@ -56,8 +56,6 @@
     return place + len(mark) if place >= 0 else -1
 
 
-def _last_id(whole: bytes) -> str:
-    for line in reversed(whole.splitlines()):
-        if line.startswith(b"id:"):
-            return line[3:].strip().decode("latin-1")
-    return ""
+def _read_ids(whole: bytes) -> tuple[str, ...]:
+    rows = [line[3:].strip() for line in whole.splitlines() if line.startswith(b"id:")]
+    return tuple(row.decode("latin-1") for row in rows if row)
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -10,6 +10,7 @@
 from rookspring_core.effects import Forget
 from rookspring_core.effects import Refuse
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.event_order import EventOrder
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
@@ -233,12 +234,15 @@
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
     meter = GapMeter()
+    order = EventOrder(exchange.last_event if exchange.route.resumable else "")
     while part := await reply.next_part():
         events = splitter.feed(part)
         if events.number == 0:
             continue
+        if fault := order.accept(events.ids):
+            raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        exchange.last_event = events.last_id or exchange.last_event
+        exchange.last_event = order.last or exchange.last_event
         exchange.events += events.number
         _record_pause(exchange)
         if context.state.options.endpoint_speeds:
