Send nothing new to the endpoints of an evacuated data centre

Cause: the objects by which the platform asks for it were read nowhere.

Before the code was there, features/evacuations_sockets.feature printed, of the answers' statuses and of the data centres that got requests 1 s after the evacuation began: ASSERT FAILED: ({200}, {'z2', 'z1'}) and features/evacuations.feature had no event to begin with.

What changed: nodes that watch the store watch the evacuations too, where the settings state a bound for them, and tell the others by a list with the store's position, of which the later one holds. In the core an endpoint is closed if it is leaving, gone or evacuated; a closed one gets no request, no slot, no order and no read of its report, and is not planned with, so that its models are loaded elsewhere. A request that runs there ends by itself. What was decided before is checked once more just before it is sent. After a restore of the store an evacuation that it lacks holds for 2.2 s, in which the platform writes again what was lost.

--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -33,6 +33,8 @@
 VERSIONS = ("features/stream_versions.feature",)
 VERSIONS_SOCKETS = ("features/stream_versions_sockets.feature",)
 BEGUN_STREAMS = ("features/begun_streams_sockets.feature",)
+EVACUATIONS = ("features/evacuations.feature",)
+EVACUATIONS_SOCKETS = ("features/evacuations_sockets.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -44,6 +44,7 @@
 from . import clock_mutants
 from . import endless_mutants
 from . import era_mutants
+from . import evacuation_mutants
 from . import isolation_mutants
 from . import model_wait_mutants
 from . import notice_mutants
@@ -366,6 +367,7 @@
     "rates": rate_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
     "eras": era_mutants.MUTANTS,
+    "evacuations": evacuation_mutants.MUTANTS,
     "passing": passing_mutants.MUTANTS,
     "places": place_mutants.MUTANTS,
     "stops": stop_mutants.MUTANTS,
--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from .catalogue import Entry
+from .evacuations import EvacuationList
 from .resources import Resource
 from .routes import RouteTable
 
@@ -24,6 +25,17 @@
     era: int
 
 
+class EvacuationsListed(t.NamedTuple):
+    """The evacuated data centres, as this node read them in the store or another node sent them.
+
+    :param source: the node that sent them; empty if they come from the store.
+    """
+
+    at: float
+    found: EvacuationList
+    source: str = ""
+
+
 class StoreRead(t.NamedTuple):
     """This node read the endpoint list from the platform's store."""
 
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -5,6 +5,7 @@
 from . import defaults
 from . import endpoint_reach
 from . import endpoint_speeds
+from . import evacuation_handlers
 from . import missing_models
 from . import notice_handlers
 from . import ordering
@@ -65,6 +66,7 @@
         _update_owners(state)
         allotment_checks.update_near_limit(state, was_relay)
         state.adapter_waits.forget_old(event.at)
+        effects += evacuation_handlers.expire_kept(state)
         effects += endpoint_speeds.update(state)
         effects += endpoint_reach.probe_if_due(state)
         effects += endpoint_reach.release_lease_if_isolated(state)
@@ -230,6 +232,7 @@
             row.started_ms,
         )
         state.endpoints[row.name] = view
+        view.evacuated = view.data_centre in state.evacuations.in_force
         # Its entry may have lapsed and been written again in its earlier state.
         notice_handlers.restore_notices(state, view)
         state.index(view, frozenset(), view.targets())
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -377,6 +377,10 @@
 # A node that has run for less than this has not received heartbeats from all others yet.
 SETTLED_S = 1.5
 
+# After a restore of the store from a backup, an evacuation that it lacks holds for this long: the
+# platform writes again within two seconds of the restore what it wrote since the backup; the
+# remaining 0.2 s are for network latency.
+EVACUATION_REWRITE_S = 2.2
 # Up to this many relay nodes each link to all others and read the platform's store themselves,
 # which detects a leaving endpoint soonest. Larger groups do both through relays (``topology.py``),
 # since the heartbeats and calls of a mesh grow with the square of the nodes.
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -6,6 +6,7 @@
 import typing as t
 
 from .catalogue import Entry
+from .evacuations import EvacuationList
 from .events import EndpointReported
 from .notices import Leaving
 from .request_rates import RateRecord
@@ -306,6 +307,17 @@
     source: str = ""
 
 
+class ShareEvacuations(t.NamedTuple):
+    """Send the other nodes the list of evacuations, and log which are in force here now.
+
+    :param source: the node that this was received from; empty if it came from the store.
+    """
+
+    listed: EvacuationList
+    in_force: frozenset[str]
+    source: str = ""
+
+
 class ShareRates(t.NamedTuple):
     """Send the other nodes the request rates that endpoints accept.
 
@@ -445,6 +457,7 @@
     | ShareDown
     | ShareEvidence
     | ShareLeaving
+    | ShareEvacuations
     | ShareRates
     | ShareShed
     | VerdictFound
--- a/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
@@ -51,7 +51,7 @@
             continue
         if box_of(view) in boxes:
             others.append(view.name)
-        elif view.leaving or view.down:
+        elif view.closed or view.down:
             unwell.append(view)
         else:
             boxes.add(box_of(view))
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -104,6 +104,7 @@
         "told_down_at",
         "down_doubted_until",
         "ejected_until",
+        "evacuated",
         "ended",
         "failures",
         "gone",
@@ -159,6 +160,8 @@
         self.attached_at: dict[str, float] = {}
         self.leaving = False
         self.gone = False
+        # Whether its data centre is evacuated; see :mod:`evacuations`. A restart doesn't end that.
+        self.evacuated = False
         # When the back-off that it requested of this node ends; see :mod:`notices`.
         self.backoff_until = -1e9
         # Until when its load estimate is raised, since it refused another node's request.
@@ -362,13 +365,18 @@
         """Return whether an adapter is attached there."""
         return self.report is not None and adapter in self.report.adapters
 
+    @property
+    def closed(self) -> bool:
+        """Whether it gets nothing new, however long that lasts: leaving, gone or evacuated."""
+        return self.leaving or self.gone or self.evacuated
+
     def accepts_work(self, now: float) -> bool:
         """Return whether new requests may be sent there.
 
-        Not while it is leaving, gone, ejected, silent or in back-off, nor while a probe after an
-        ejection or a back-off is unanswered.
+        Not while it is closed, ejected, silent or in back-off, nor while a probe after an ejection
+        or a back-off is unanswered.
         """
-        if self.leaving or self.gone or self.in_backoff(now) or self.probing_after_backoff(now):
+        if self.closed or self.in_backoff(now) or self.probing_after_backoff(now):
             return False
         if now < self.ejected_until or self.silent(now):
             return False
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -5,6 +5,7 @@
 """
 
 from ._control_events import DesiredSeen as DesiredSeen
+from ._control_events import EvacuationsListed as EvacuationsListed
 from ._control_events import HeadSeen as HeadSeen
 from ._control_events import IntentsSeen as IntentsSeen
 from ._control_events import IntentWritten as IntentWritten
@@ -82,6 +83,7 @@
     | ReportMissed
     | BoxListReceived
     | RouteTableSeen
+    | EvacuationsListed
     | HeartbeatReceived
     | MembersReceived
     | PeerUnreached
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -216,6 +216,18 @@
     return ""
 
 
+@invariant("evacuated", on=Dispatch)
+def check_evacuated(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
+    """An endpoint of an evacuated data centre gets no new requests."""
+    for effect in effects:
+        if not isinstance(effect, Dispatch):
+            continue
+        data_centre = state.endpoints[effect.endpoint].data_centre
+        if data_centre in state.evacuations.in_force:
+            return f"{effect.endpoint} is in {data_centre}, which is evacuated"
+    return ""
+
+
 @invariant("said", on=Dispatch)
 def check_notices(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
     """Nothing is sent to a process that announced that it leaves, or that requested a back-off."""
--- a/packages/rookspring-core/src/rookspring_core/missing_models.py
+++ b/packages/rookspring-core/src/rookspring_core/missing_models.py
@@ -101,8 +101,8 @@
 
 
 def may_serve(state: NodeState, endpoint: EndpointView) -> bool:
-    """Return whether an endpoint is to get requests at all: it is not leaving, gone or down."""
-    return not endpoint.leaving and not endpoint.gone and endpoint.may_listen(state.now)
+    """Return whether an endpoint is to get requests at all: not if closed or down."""
+    return not endpoint.closed and endpoint.may_listen(state.now)
 
 
 def is_resident(state: NodeState, service: str, model: str) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/notice_handlers.py
+++ b/packages/rookspring-core/src/rookspring_core/notice_handlers.py
@@ -216,4 +216,6 @@
         return "it is gone"
     if view.leaving:
         return "it leaves"
+    if view.evacuated:
+        return "its data centre is evacuated"
     return "it rests" if view.in_backoff(state.now) else ""
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -145,7 +145,7 @@
     # A runner that is down has lost its models, so they are placed elsewhere at once,
     # seconds before its entry lapses. A runner that is gone stays known while a request
     # hangs there, up to the request's deadline, but its models serve no other request.
-    return not view.leaving and not view.down and not view.gone
+    return not view.closed and not view.down
 
 
 def _snapshot_runner(
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -96,7 +96,7 @@
         state.control.store_limiter.start_empty(state.now)
     effects: Effects = []
     for name, view in state.endpoints.items():
-        if view.role != "runner" or view.gone or view.leaving:
+        if view.role != "runner" or view.closed:
             continue
         account = residency.accounts.setdefault(name, EndpointAccount())
         if not view.in_backoff(state.now) and _report_due(state, view, account):
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -185,7 +185,7 @@
 
 
 def _is_usable(state: NodeState, endpoint: EndpointView) -> bool:
-    """Return whether an endpoint may still get requests: it is not leaving, gone or down.
+    """Return whether an endpoint may still get requests: it is neither closed nor down.
 
     An ejected one may, if there is no other. A crashed one may not, since each attempt would
     be spent on a refused connection.
@@ -252,7 +252,7 @@
     ends = [
         view.backoff_until
         for view in state.hosts.get(arrived.target, {}).values()
-        if view.service == arrived.route.service and not view.leaving and not view.gone
+        if view.service == arrived.route.service and not view.closed
     ]
     return max(0.0, min(ends) - state.now) if ends else 0.0
 
--- a/packages/rookspring-core/src/rookspring_core/slot_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_requests.py
@@ -126,7 +126,7 @@
 def usable(state: NodeState, event: SlotAnswered) -> EndpointView | None:
     """Return the endpoint of a slot; None if this node knows that the slot can't be used there."""
     view = state.endpoints.get(event.endpoint)
-    if view is None or view.leaving or view.gone or view.in_backoff(state.now):
+    if view is None or view.closed or view.in_backoff(state.now):
         return None
     if view.rate is not None and not event.counts_towards_rate:
         # It was granted by an owner that did not know of the rate limit yet.
@@ -225,7 +225,7 @@
     count = _partition_count(len(views))
     if partition:
         views = [one for index, one in enumerate(views) if index % count == int(partition) % count]
-    present = [one for one in views if not one.leaving and not one.gone]
+    present = [one for one in views if not one.closed]
     available = [one for one in present if not one.in_backoff(state.now)]
     ready = [one for one in available if one.accepts_work(state.now)] or available
     return [SlotEndpoint(one.name, one.slots(), one.rate) for one in ready]
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -13,6 +13,7 @@
 from .control import ControlState
 from .endpoints import EndpointView
 from .endpoints import PeerLoad
+from .evacuations import EvacuationTable
 from .events import RequestArrived
 from .freshness import Freshness
 from .freshness import ProofTerms
@@ -255,6 +256,7 @@
         self.suspects = SuspectTable(since=self.started_at)
         self.notices = NoticeTable()
         self.rates = RateTable()
+        self.evacuations = EvacuationTable()
         self.adapter_waits = ArrivalWaits(defaults.ADAPTER_WAIT_MOST_S)
         self.model_waits = ModelWaits()
         self.caller_times = CallerTimes()
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -95,8 +95,7 @@
     assert arrived.route is not None
     return any(
         view.service == arrived.route.service
-        and not view.gone
-        and not view.leaving
+        and not view.closed
         and may_go_on_at(state, arrived, view)
         for view in state.hosts.get(arrived.target, {}).values()
     )
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -30,6 +30,7 @@
 from rookspring_core import defaults as core_defaults
 from rookspring_core.allotments import WindowTolerance
 from rookspring_core.effects import Refuse
+from rookspring_core.evacuations import EvacuationList
 from rookspring_core.events import PeerLost
 from rookspring_core.events import PeerUnreached
 from rookspring_core.events import RequestArrived
@@ -42,6 +43,7 @@
 from .fleet_node import write_table
 from .fleet_runners import FleetRunners
 from .fleet_store import ENDPOINTS
+from .fleet_store import EVACUATIONS
 from .fleet_store import NODES
 from .fleet_store import TABLE
 from .fleet_store import FleetBackup
@@ -192,6 +194,11 @@
         if not self.watches_silent or node.state.table is None:
             node.peers.take_stored(self.table)
 
+    def read_evacuations(self) -> EvacuationList:
+        """Return the evacuated data centres that the store lists."""
+        names = frozenset(row.name for row in self.store.rows(EVACUATIONS))
+        return EvacuationList(self.store.era, self.store.revision, names)
+
     def store_rows(self, since: int) -> tuple[tuple[StoredObject, ...], int, bool]:
         """Return the entries of endpoints that changed after a revision.
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -5,6 +5,7 @@
 
 from rookspring import defaults
 from rookspring import relay_allotments
+from rookspring import relay_evacuations
 from rookspring import relay_heartbeats
 from rookspring import relay_merged
 from rookspring import relay_notices
@@ -32,6 +33,7 @@
 from rookspring_core.effects import FreeSlot
 from rookspring_core.effects import Refuse
 from rookspring_core.effects import ReturnAllotment
+from rookspring_core.effects import ShareEvacuations
 from rookspring_core.effects import ShareEvidence
 from rookspring_core.effects import ShareLeaving
 from rookspring_core.effects import ShareRates
@@ -39,6 +41,7 @@
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import BoxListed
 from rookspring_core.events import EndpointReported
+from rookspring_core.events import EvacuationsListed
 from rookspring_core.events import Event
 from rookspring_core.events import EvidenceReceived
 from rookspring_core.events import StoreRead
@@ -239,6 +242,8 @@
                     relay_notices.share_rates(self.peers, effect.rows, effect.source)
                 case ShareLeaving():
                     relay_notices.share_leaving(self.peers, effect.rows, effect.source)
+                case ShareEvacuations():
+                    relay_evacuations.share_evacuations(self.peers, effect)
                 case ShareShed(endpoint, for_s):
                     relay_notices.share_shed(self.peers, endpoint, for_s)
                 case ShareEvidence():
@@ -343,6 +348,7 @@
         self.note_store_era()
         self.submit(StoreRead(self.fleet.now))
         self.fleet.watch_table(self)
+        self.submit(EvacuationsListed(self.fleet.now, self.fleet.read_evacuations()))
         rows, self._version, whole = self.fleet.store_rows(self._version)
         if rows or whole:
             self.list.apply_store_rows(rows, whole)
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_store.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_store.py
@@ -12,6 +12,8 @@
 ENDPOINTS = "endpoints"
 TABLE = "table"
 LEASE = "lease"
+# One object for each evacuated data centre.
+EVACUATIONS = "evacuations"
 NODES = "nodes"
 
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -96,6 +96,9 @@
 SHARED_WATCH_S = 0.5
 SHARED_WATCH_BATCH_S = 0.6
 SHARED_WATCH_TABLE_S = 2.0
+# The longest wait of a watch of evacuations. A watch on a connection that has gone silent ends two
+# seconds after it, which leaves a second of the shortest bound in use, five seconds.
+EVACUATION_WATCH_S = 2.0
 # Added to the back-off of a failed call to the store while other nodes send this one fresh
 # data: refused calls are charged too.
 FRESH_SOURCE_PAUSE_S = 2.0
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -201,6 +201,14 @@
     def table_name(self) -> str:
         """Return the name of the object with the configuration."""
 
+    @abc.abstractmethod
+    def evacuation_kind(self) -> str:
+        """Return the kind of the objects that each ask for a data centre's evacuation."""
+
+    @abc.abstractmethod
+    def read_evacuation(self, stored: StoredObject) -> str:
+        """Return the data centre that is evacuated as long as an object is there."""
+
     @abc.abstractmethod
     def endpoint_kind(self) -> str:
         """Return the kind of the objects with endpoints' entries."""
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -54,6 +54,7 @@
     "table_applied": "a newer route table is in force here",
     "table_malformed": "a configuration could not be parsed; the current one stays in force",
     "endpoint_listed": "an endpoint appeared or its entry changed",
+    "evacuations_changed": "the data centres that are evacuated have changed, or the store's era",
     "endpoint_gone": "an endpoint's entry was removed",
     "endpoint_malformed": "an endpoint's entry could not be parsed and is ignored",
     "object_malformed": "an object of the platform's store could not be parsed and is ignored",
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -246,6 +246,18 @@
     packed: bytes
 
 
+@message("evacuations")
+class EvacuationsMessage(t.NamedTuple):
+    """All evacuated data centres as of a revision of the store.
+
+    :param era: the store's era, in which the revision counts.
+    """
+
+    era: int
+    revision: int
+    data_centres: list[str]
+
+
 @message("prompts")
 class Prompts(t.NamedTuple):
     """Unread prompt tokens, as rows of endpoint and tokens.
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -71,6 +71,12 @@
         self.malformed_entries = make(
             Gauge, "rookspring_entries_malformed", "Entries that name no endpoint", labels
         )
+        self.evacuated = make(
+            Gauge,
+            "rookspring_data_centres_evacuated",
+            "Data centres to whose endpoints nothing new is sent, as the store asks",
+            labels,
+        )
         self.endpoint_speeds = make(
             Gauge,
             "rookspring_endpoint_speed",
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -15,6 +15,7 @@
 from rookspring_core.effects import FreeSlot
 from rookspring_core.effects import RequestLoad
 from rookspring_core.effects import ReturnAllotment
+from rookspring_core.effects import ShareEvacuations
 from rookspring_core.effects import TellOrigin
 from rookspring_core.events import EndpointReported
 from rookspring_core.events import Event
@@ -93,6 +94,7 @@
         self.share_down: t.Callable[[str], None] = lambda endpoint: None
         self.share_evidence: t.Callable[[Evidence, str], None] = lambda evidence, source: None
         self.share_leaving: t.Callable[[tuple[Leaving, ...], str], None] = lambda rows, source: None
+        self.share_evacuations: t.Callable[[ShareEvacuations], None] = lambda effect: None
         self.share_rates: t.Callable[[tuple[RateRecord, ...], str], None] = lambda rows, source: (
             None
         )
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -38,6 +38,7 @@
 from . import relay
 from . import relay_allotments
 from . import relay_attempts as relay_attempts
+from . import relay_evacuations
 from . import relay_handovers as relay_handovers
 from . import relay_heartbeats
 from . import relay_merged
@@ -168,6 +169,7 @@
         context.share_down = functools.partial(relay_updates.share_down, peers)
         context.share_evidence = functools.partial(relay_suspects.share_evidence, peers)
         context.share_leaving = functools.partial(relay_notices.share_leaving, peers)
+        context.share_evacuations = functools.partial(relay_evacuations.share_evacuations, peers)
         context.share_rates = functools.partial(relay_notices.share_rates, peers)
         context.share_shed = functools.partial(relay_notices.share_shed, peers)
         context.share_prompts = relay_updates.PromptUpdates(peers).note
@@ -234,6 +236,7 @@
             lambda: relay_slots.process_queues_loop(self.peers),
             lambda: loops.watch_kind(context, reach, kind, endpoints.apply_store_rows, True),
             lambda: loops.watch_table(context, self.peers, reach),
+            relay_evacuations.EvacuationWatch(context, reach).run,
             lambda: loops.poll_lease(context, reach),
             lambda: loops.poll_nodes(context, self.peers, reach),
             lambda: loops.rewrite_row(context),
@@ -286,6 +289,7 @@
         metrics.inflight.set({}, len(state.requests))
         metrics.answers_owed.set({}, len(self.listeners["callers"].owing()))
         metrics.isolated.set({}, int(state.reach.isolated))
+        metrics.evacuated.set({}, len(state.evacuations.in_force))
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         for end, count in state.model_waits.ends.items():
             metrics.model_waits.set({"end": end}, count)
--- a/packages/rookspring/src/rookspring/relay_settings.py
+++ b/packages/rookspring/src/rookspring/relay_settings.py
@@ -19,6 +19,8 @@
     :param grace_s: time from the stop signal until the process has to have ended, in seconds.
     :param proof_s: a request sent later than this after its key was revoked runs at no node, in
         seconds; 0 if this is guaranteed only for nodes that are connected.
+    :param evacuation_s: no request reaches an endpoint later than this after its data centre's
+        evacuation, in seconds; 0 if the platform asks for no evacuations.
     :param allotments: how organisations' allotments are counted.
     :param options: the optional decisions that the settings call for.
     :param lookup_ttl_s: how long callers may cache the answer to a lookup, in seconds.
@@ -41,6 +43,7 @@
     cores: float = 1.0
     link_mbps: float = 1000.0
     proof_s: float = 0.0
+    evacuation_s: float = 0.0
     allotments: WindowTolerance = WindowTolerance()
     options: DecisionOptions = DecisionOptions()
     store_scheme: str = "objects"
