--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -37,6 +37,8 @@
 RESUMED_STREAMS = ("features/resumed_streams_sockets.feature",)
 BEGUN_STREAMS = ("features/begun_streams_sockets.feature",)
 RESENDS = ("features/resent_requests_sockets.feature",)
+EVACUATIONS = ("features/evacuations.feature",)
+EVACUATIONS_SOCKETS = ("features/evacuations_sockets.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
