End a begun stream as cut where its rest is answered by anything but a stream

A stream that had begun and broken off, and whose second endpoint answered 404 or a redirect, got that answer's head in the middle of its chunks, so that its caller couldn't read it; an empty 200 ended it as complete after 3 of 5 events, also by way of another node.

Cause: a whole answer was written without a look at what had been sent before, and any success of a stream's route counted as the rest of its events.

Evidence, before: make test ARGS=features/resumed_streams_sockets.feature, 3 of 5 rows failed (404 and 302: the caller's chunks were broken; empty 200: '3 events' for '3 events, cut').

Now the rest of a stream that has begun has to be a 200 of the type text/event-stream, from an endpoint as from another node; anything else is a failed attempt, after which the stream goes on elsewhere or is cut.

After: those rows pass, and three of streams that another node takes over, which are new; two mutants are caught.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -3,6 +3,7 @@
 import typing as t
 
 from rookspring import relay_attempts
+from rookspring import relay_handovers
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
 from rookspring_core import event_order
@@ -10,6 +11,7 @@
 from rookspring_platform import endpoints
 from rookspring_platform.dialect import PlatformDialect
 
+from .mutant import BEGUN_STREAMS
 from .mutant import RESUMED_STREAMS
 from .mutant import UNFRAMED
 from .mutant import Mutant
@@ -91,6 +93,22 @@
     Mutant("passes any event", ORDER_RULE, EventOrder, "accept", _accept_any, RESUMED_STREAMS),
     Mutant("forgets what came", ORDER_RULE, EventOrder, "__init__", _begin_anew, RESUMED_STREAMS),
     Mutant("ranks by letters", ORDER_RULE, event_order, "_rank", _by_letters, RESUMED_STREAMS),
+    Mutant(
+        "writes any answer into a stream",
+        "an answer has one head",
+        relay_attempts,
+        "is_stream",
+        _always,
+        RESUMED_STREAMS,
+    ),
+    Mutant(
+        "passes any answer on as the rest",
+        "an answer has one head",
+        relay_handovers,
+        "is_stream",
+        _always,
+        BEGUN_STREAMS,
+    ),
     Mutant("asks the address alone", RULE, ProcessChecks, "_call", _ask_address, UNFRAMED),
     Mutant("shares any call", RULE, ProcessChecks, "check", _share_any_call, UNFRAMED),
     Mutant(
--- a/features/begun_streams_sockets.feature
+++ b/features/begun_streams_sockets.feature
@@ -14,3 +14,6 @@
       | break off after the fifth | 5    | is cut     |
       | refuse it                 | 3    | is cut     |
       | fail it                   | 3    | is cut     |
+      | do not find it            | 3    | is cut     |
+      | answer it with nothing    | 3    | is cut     |
+      | send it anew              | 3    | is cut     |
--- a/features/steps/begun_stream_steps.py
+++ b/features/steps/begun_stream_steps.py
@@ -11,6 +11,9 @@
     "break off after the fifth": "tear the 6th",
     "refuse it": "refuse",
     "fail it": "fail",
+    "do not find it": "not found",
+    "answer it with nothing": "empty",
+    "send it anew": "stream anew",
 }
 
 
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -4,6 +4,9 @@
 
 from . import defaults
 from .exceptions import EndpointError
+from .http_messages import HttpHead
+
+MEDIA_TYPE = b"text/event-stream"
 
 # Marks that end an event.
 MARKS = (b"\n\n", b"\r\n\r\n")
@@ -51,6 +54,12 @@
         return bytes(self._rest)
 
 
+def is_stream(head: HttpHead) -> bool:
+    """Return whether an answer is a stream of events, which may follow those of an earlier run."""
+    media = head.header(b"content-type").partition(b";")[0].strip().lower()
+    return head.status == 200 and media == MEDIA_TYPE
+
+
 def _end(text: bytearray, mark: bytes, start: int) -> int:
     place = text.rfind(mark, start)
     return place + len(mark) if place >= 0 else -1
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -24,6 +24,7 @@
 from .dialect import ForwardFields
 from .event_gaps import GapMeter
 from .event_streams import EventSplitter
+from .event_streams import is_stream
 from .exceptions import EndpointError
 from .http_client import Reply
 from .http_messages import HttpHead
@@ -204,6 +205,9 @@
             sent=True,
             reported_not_run=True,
         )
+    if exchange.started and not is_stream(head):
+        # Its head would stand in the midst of the answer that was begun.
+        raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, reply, head, view)
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -12,6 +12,7 @@
 from . import clock
 from . import defaults
 from .answer_memory import AnswerMemory
+from .event_streams import is_stream
 from .exceptions import EndpointError
 from .http_client import Reply
 from .http_messages import HttpHead
@@ -108,7 +109,7 @@
     """
     in_parts = bool(head.header(b"transfer-encoding"))
     if exchange.started:
-        if head.status != 200 or not in_parts:
+        if not is_stream(head) or not in_parts:
             raise EndpointError(f"answered {head.status}", sent=True)
         await _pass_parts_on(exchange, reply)
         return
