--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -12,6 +12,7 @@
 from . import clock
 from . import defaults
 from .answer_memory import AnswerMemory
+from .event_streams import is_stream
 from .exceptions import EndpointError
 from .http_client import Reply
 from .http_messages import HttpHead
@@ -104,11 +105,12 @@
 
     The rest of a stream follows the head and the events that its caller has got before.
 
-    :raises EndpointError: if anything but the rest of the stream came.
+    :raises EndpointError: if anything but the rest of the stream came, or an answer without a
+        length or chunks, which nodes don't send.
     """
     in_parts = bool(head.header(b"transfer-encoding"))
     if exchange.started:
-        if head.status != 200 or not in_parts:
+        if not is_stream(head) or not in_parts:
             raise EndpointError(f"answered {head.status}", sent=True)
         await _pass_parts_on(exchange, reply)
         return
@@ -116,6 +118,8 @@
     exchange.first_event_at = clock.now()
     if not in_parts:
         body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, answers)
+        if reply.ended_by_close:
+            raise EndpointError("nothing shows the answer's end", sent=True)
         exchange.connection.answer(head.status, headers, body)
         return
     exchange.started = True
