Hold a caller that has no further try while its model is being loaded for it

What callers saw: a patient caller is refused for an absent model, told a time, back as told, and refused again within 0.1 to 3 s, with two thirds of its time left, while the load that would serve it is announced to end in that time. Later callers of the same model are served.

Cause: whoever has come back is judged as a newcomer. A request waits only for a load that ends within 0.8 of its objective; else it is told a time to come back, which a caller at its last try can't use.

Now a request whose wait is over waits on where its caller has come back and a load is announced that is usable before its deadline and before its caller leaves (for streams the longest of 2 s, 4 objectives and 8 pauses, as the users' protocol has it). It is looked at again every 0.5 s, so a load that is late or lost ends it; when the model has come it waits for room as its route allows, and the lease holder is told until when the caller is there. First tries, adapters of models that are there, plain services and the option model_waits are as before.

The test failed before (features/returned_callers.feature, 5 of 11 scenarios: "is refused", "announced at e1 in 6.95 s; 12.95 s left; told 4.32 s of 12.95 s"). The stage of full pipes now gives nodes what its callers bear, as a route does; its bounds stay.

--- a/bench/model_wait_mutants.py
+++ b/bench/model_wait_mutants.py
@@ -1,13 +1,18 @@
 """Mutants of the waits for models that are on no endpoint."""
 
+import math
 import typing as t
 
 from rookspring_core import defaults as core_defaults
+from rookspring_core import last_tries
 from rookspring_core import missing_models
 from rookspring_core import model_waits
 from rookspring_core.adapter_waits import ArrivalWaits
+from rookspring_core.caller_times import CallerTimes
+from rookspring_core.routes import Route
 
 from .mutant import MODEL_WAITS
+from .mutant import RETURNED_CALLERS
 from .mutant import Mutant
 
 
@@ -34,6 +39,10 @@
     return 0.0
 
 
+def _stays_for_ever(route: Route) -> float:
+    return math.inf
+
+
 MUTANTS = (
     Mutant("decides once", "callers", missing_models, "review", _no_effects, MODEL_WAITS),
     Mutant(
@@ -51,4 +60,26 @@
     Mutant("learns no absence", "callers", ArrivalWaits, "forget_old", _nothing, MODEL_WAITS),
     Mutant("waits for no word", "callers", core_defaults, "HOLDER_ANSWER_S", 0.0, MODEL_WAITS),
     Mutant("never sends away", "callers", model_waits.Need, "retry_most_s", _no_retry, MODEL_WAITS),
+    Mutant(
+        "sends last tries away",
+        "callers",
+        last_tries,
+        "predict_usable_at",
+        _nothing,
+        RETURNED_CALLERS,
+    ),
+    Mutant(
+        "holds who can come back", "callers", CallerTimes, "is_return", _always, RETURNED_CALLERS
+    ),
+    Mutant(
+        "holds who leaves", "callers", Route, "stays_s", property(_stays_for_ever), RETURNED_CALLERS
+    ),
+    Mutant(
+        "keeps no model for them",
+        "callers",
+        last_tries,
+        "announce_wait",
+        _no_effects,
+        RETURNED_CALLERS,
+    ),
 )
--- a/features/full_pipes_stage.py
+++ b/features/full_pipes_stage.py
@@ -34,7 +34,9 @@
 class FullPipesStage(ModelStage):
     """Runners without local copies, and room for fewer models than are requested."""
 
-    terms = RouteTerms("r", "llm", 1, 1, 1, OBJECTIVE_S / 4.0, OBJECTIVE_S)
+    terms = RouteTerms(
+        "r", "llm", 1, 1, 1, OBJECTIVE_S / 4.0, OBJECTIVE_S, OBJECTIVE_S * BEARS_OBJECTIVES
+    )
     deadline_s = DEADLINE_S
 
     def __init__(self, seed, lost_share=0.0):
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -1,5 +1,6 @@
 """Events of callers' requests and of their attempts at endpoints."""
 
+import math
 import typing as t
 
 
@@ -10,6 +11,7 @@
     :param attempts: number of endpoints that it may be sent to.
     :param max_wait_s: longest wait for room before it is refused, in seconds.
     :param objective_s: latest answer that has full value, in seconds; 0 where none is known.
+    :param stays_s: for how long callers wait for the first event before they leave, in seconds.
     """
 
     name: str
@@ -19,6 +21,7 @@
     attempts: int
     max_wait_s: float
     objective_s: float = 0.0
+    stays_s: float = math.inf
 
 
 class RequestArrived(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -7,6 +7,7 @@
 from . import allotment_checks
 from . import defaults
 from . import keys
+from . import last_tries
 from . import missing_models
 from . import place_requests
 from . import retries
@@ -508,7 +509,15 @@
 
 
 def end_waiting(state: NodeState, request: RequestState) -> Effects:
-    """Refuse a queued request that was not sent within its time, or would not be."""
+    """Refuse a queued request that was not sent within its time, or would not be.
+
+    It waits on where its caller has no further try and its model is being loaded.
+    """
+    awaited = request.awaits_load
+    longer_s = last_tries.extend_wait_s(state, request)
+    if longer_s > 0.0:
+        _queue_longer(state, request, longer_s)
+        return [] if awaited else last_tries.announce_wait(state, request)
     status = 502 if request.sent else 503
     if request.arrived.route is not None:
         reason, text = routed.explain_refusal(state, request.arrived)
@@ -523,6 +532,15 @@
     return fail_request(state, request, status, "late", text, 1.0)
 
 
+def _queue_longer(state: NodeState, request: RequestState, seconds: float) -> None:
+    arrived = request.arrived
+    pool = state.pools.setdefault(pool_of(state, arrived), admission_queue.ThroughputMeter())
+    queue = state.queues.setdefault(queue_key(arrived), admission_queue.AdmissionQueue(pool))
+    placed = routed.make_queue_entry(state, arrived, arrived.at)
+    until = min(arrived.deadline_at, state.now + seconds)
+    queue.push(placed._replace(deadline_at=until))
+
+
 def queue_lengths(state: NodeState) -> t.Mapping[str, int]:
     """Return the length of each queue by name."""
     return {target: len(queue) for target, queue in state.queues.items()}
--- a/packages/rookspring-core/src/rookspring_core/routes.py
+++ b/packages/rookspring-core/src/rookspring_core/routes.py
@@ -5,8 +5,10 @@
 matched to a route by its host and the longest prefix of its path.
 """
 
+import math
 import typing as t
 
+from . import defaults
 from .hashing import stable_hash
 from .organisations import Directory
 
@@ -44,6 +46,17 @@
     pause_s: float = 0.0
     public: bool = False
 
+    @property
+    def stays_s(self) -> float:
+        """How long callers wait for an event before they leave, in seconds; inf if to the end."""
+        if self.kind != "stream":
+            return math.inf
+        return max(
+            defaults.STREAM_LEFT_AFTER_S,
+            defaults.STREAM_LEFT_OBJECTIVES * self.objective_s,
+            defaults.STREAM_LEFT_PAUSES * self.pause_s,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -132,6 +132,7 @@
         "tried",
         "permits_due",
         "places_itself",
+        "awaits_load",
     )
 
     def __init__(self, arrived: RequestArrived) -> None:
@@ -158,6 +159,8 @@
         self.permits_due: dict[str, float] = {}
         # Whether this node places its next attempt by itself, as an owner of places gave no answer.
         self.places_itself = False
+        # Whether it waits for an announced load, as its caller has no further try.
+        self.awaits_load = False
         # The node that has it now, if it is handed over, and all nodes that it was handed to.
         self.handed_to = ""
         self.nodes_tried: set[str] = set()
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -320,6 +320,7 @@
             route.attempts,
             route.objective_s * core_defaults.MAX_WAIT_SHARE,
             route.objective_s,
+            route.stays_s,
         ),
         key=fields.key if exchange.organisation else "",
         declared_tokens=fields.declared_tokens,
