--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -98,7 +98,7 @@
         hear,
         timeout_s,
         defaults.REPORT_BYTES_MAX,
-        lambda head: context.dialect.match_answer(head, "").matches,
+        accept=lambda head: context.dialect.match_answer(head, "").matches,
         request_id="",
     )
 
