Take no other node's answer for whole that ends with its connection

A request that is handed over gets its answer from another node. One that had neither a length nor chunks would have been passed on as whole when its connection was closed, as by a node that is killed, or by whatever else has its address. Nodes frame all their answers, so nothing was seen; it was found by looking for the cause of the cut streams elsewhere.

Evidence, before: make test ARGS=features/unframed_answers_sockets.feature, the row 'as its connection is closed' failed (the caller got the body). Now such an answer is a failed handover that may have run.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -80,6 +80,14 @@
     return 0, event_id
 
 
+async def _pass_closed(exchange: t.Any, reply: t.Any, head: t.Any, answers: t.Any) -> None:
+    reply.ended_by_close = False
+    await _pass_on(exchange, reply, head, answers)
+
+
+_pass_on = relay_handovers._pass_on
+
+
 MUTANTS = (
     Mutant(
         "takes a close for an end",
@@ -109,6 +117,14 @@
         _always,
         BEGUN_STREAMS,
     ),
+    Mutant(
+        "takes a node's close for an end",
+        RULE,
+        relay_handovers,
+        "_pass_on",
+        _pass_closed,
+        UNFRAMED,
+    ),
     Mutant("asks the address alone", RULE, ProcessChecks, "_call", _ask_address, UNFRAMED),
     Mutant("shares any call", RULE, ProcessChecks, "check", _share_any_call, UNFRAMED),
     Mutant(
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import types
 
 import orjson
@@ -9,7 +10,11 @@
 from relay_fixture import request
 
 from rookspring import clock
+from rookspring import relay_handovers
+from rookspring.answer_memory import AnswerMemory
 from rookspring.dialect import ExpectedProcess
+from rookspring.exceptions import EndpointError
+from rookspring.http_client import Reply
 from rookspring.http_messages import HttpHead
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
@@ -103,6 +108,35 @@
     assert not any(suspects.known(one) for one in found), "a request is suspected"
 
 
+@given("an answer of another node to a handed-over request that ends {how}")
+def answer_of_node(context, how):
+    context.reply = Reply()
+    context.reply.add_part(b"body")
+    context.reply.complete = True
+    context.reply.ended_by_close = how == "as its connection is closed"
+
+
+@when("it is passed on")
+def pass_on(context):
+    context.given = []
+    connection = types.SimpleNamespace(answer=lambda *answer: context.given.append(answer))
+    exchange = types.SimpleNamespace(started=False, first_event_at=0.0, connection=connection)
+
+    async def work():
+        with contextlib.suppress(EndpointError):
+            await relay_handovers._pass_on(
+                exchange, context.reply, HttpHead(200, ()), AnswerMemory()
+            )
+
+    context.loop.run(work())
+
+
+@then("its caller is given {gets}")
+def caller_gets(context, gets):
+    bodies = [body for _, _, body in context.given]
+    assert bodies == ([b"body"] if gets == "it" else []), bodies
+
+
 @given("a process of which calls take {ms:d} ms")
 def slow_process(context, ms):
     context.calls = 0
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -92,6 +92,16 @@
     Then the answer is whole
     And their health was asked for 2 times and their report 0 times
 
+  Scenario Outline: another node's answer that ends with its connection is not taken for whole
+    Given an answer of another node to a handed-over request that ends <how>
+    When it is passed on
+    Then its caller is given <gets>
+
+    Examples:
+      | how                         | gets    |
+      | by its length               | it      |
+      | as its connection is closed | nothing |
+
   Scenario: answers that end together share a call, and none counts that began before an end
     Given a process of which calls take 50 ms
     When answers of it end at 0, 0 and 20 ms
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -105,7 +105,8 @@
 
     The rest of a stream follows the head and the events that its caller has got before.
 
-    :raises EndpointError: if anything but the rest of the stream came.
+    :raises EndpointError: if anything but the rest of the stream came, or an answer without a
+        length or chunks, which nodes don't send.
     """
     in_parts = bool(head.header(b"transfer-encoding"))
     if exchange.started:
@@ -117,6 +118,8 @@
     exchange.first_event_at = clock.now()
     if not in_parts:
         body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, answers)
+        if reply.ended_by_close:
+            raise EndpointError("nothing shows the answer's end", sent=True)
         exchange.connection.answer(head.status, headers, body)
         return
     exchange.started = True
