Take a plain service's answer without a length or chunks as unknown

On the product's own front, which calls plain services by aiohttp, an answer that had neither a length nor chunks was whole once its connection was closed, also by a process that was killed in its midst.

Evidence, before: make test ARGS=features/sockets.feature, the new row 'ends its answer by a close alone' failed (the call succeeded). These services state no id by which a process could be known, so their answers have to show their end; one that doesn't is a failure that may have run: a repeatable call is sent again, any other is unknown. After: sockets 55 of 55, faults 27 of 27; one mutant is caught.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from rookspring import endpoints as service_endpoints
 from rookspring import relay_attempts
 from rookspring import relay_handovers
 from rookspring.relay_processes import Finding
@@ -13,6 +14,7 @@
 
 from .mutant import BEGUN_STREAMS
 from .mutant import RESUMED_STREAMS
+from .mutant import SOCKETS
 from .mutant import UNFRAMED
 from .mutant import Mutant
 
@@ -125,6 +127,14 @@
         _pass_closed,
         UNFRAMED,
     ),
+    Mutant(
+        "takes a service's close for whole",
+        RULE,
+        service_endpoints,
+        "_shows_end",
+        _always,
+        SOCKETS,
+    ),
     Mutant("asks the address alone", RULE, ProcessChecks, "_call", _ask_address, UNFRAMED),
     Mutant("shares any call", RULE, ProcessChecks, "check", _share_any_call, UNFRAMED),
     Mutant(
--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -72,6 +72,7 @@
       | closes kept-alive connections       | PUT    | 1     | never |
       | closes kept-alive connections       | POST   | 1     | never |
       | no longer listens                   | POST   | 0     | false |
+      | ends its answer by a close alone    | POST   | 1     | true  |
 
   Scenario: a repeatable call is resent by the HTTP library, so the outline above can fail
     Given a service endpoint that breaks after reading
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -220,6 +220,9 @@
         self.arrived += 1
         if self.fault == "breaks after reading":
             request.transport.abort()
+        if self.fault == "ends its answer by a close alone":
+            request.transport.write(b"HTTP/1.1 200 OK\r\n\r\n{}")
+            request.transport.close()
         return web.json_response({})
 
     def app(self):
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -289,11 +289,20 @@
             raw = await response.read()
             if response.status == 409:
                 _raise_if_not_run(raw)
+            if not _shows_end(response, method):
+                raise EndpointError("nothing shows the answer's end", sent=True, broken=True)
             return ServiceAnswer(response.status, response.content_type, raw)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise _to_endpoint_error(error) from None
 
 
+def _shows_end(response: aiohttp.ClientResponse, method: str) -> bool:
+    """Return whether the end of a whole body is shown by more than its connection's close."""
+    if method == "HEAD" or response.status in (204, 304):
+        return True
+    return any(name in response.headers for name in ("Content-Length", "Transfer-Encoding"))
+
+
 def _to_endpoint_error(error: Exception) -> EndpointError:
     """Return the error for a failed call.
 
