Test answers whose endpoint closes its half of the connection alone

Looked at for the cause of the cut streams: an endpoint that ends an answer without a length by closing its sending side, and lives on, is asked like any other, and the answer is whole. Two rows; they passed at once, no code changes.

--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -16,6 +16,8 @@
       | unsafe    | unframed                        | whole         | 1    |
       | unsafe    | end after unframed              | unknown       | 1    |
       | safe      | end after unframed, answer      | whole         | 2    |
+      | stream    | half close after unframed events | 5 events     | 1    |
+      | unsafe    | half close after unframed       | whole         | 1    |
 
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -504,12 +504,14 @@
     server.mute = True
 
 
+HALF_CLOSE_WORDS = "half close after "
 # What a process does at the end of an answer without a length, by the words that name it in a step.
 ENDINGS: dict[str, t.Callable[[ModelServer], t.Awaitable[None]]] = {
     "": _live_on,
     "end after ": _end,
     "be replaced after ": _be_replaced,
     "fall silent after ": _fall_silent,
+    HALF_CLOSE_WORDS: _live_on,
 }
 
 
@@ -520,6 +522,10 @@
         await writer.drain()
         server.before_close()
         await ending(server)
+        if words == HALF_CLOSE_WORDS:
+            # The caller closes the other half.
+            writer.write_eof()
+            await asyncio.sleep(MUTE_S)
         writer.close()
 
     @step(f"{words}unframed")
