List the evacuations again when their watch starts anew

What callers saw: nothing; found in review. If the settings ceased to state a bound and stated one later, or the watch's task was started anew after an error, the node went on watching from the revision before, in which a restore of the store may have come: changes since were never in an answer then.

Change: both forget the revision, so that all are listed.

--- a/features/evacuations_sockets.feature
+++ b/features/evacuations_sockets.feature
@@ -69,6 +69,12 @@
       | 0     | does not call |
       | 5     | calls         |
 
+  Scenario: a node lists the evacuations again if a bound is stated later
+    Given a relay node whose settings state a bound of 0 s for evacuations
+    When the data centre z1 is evacuated
+    And the settings state a bound of 5 s instead
+    Then within 3 s no request goes to z1, and all are answered
+
   Scenario: operators see which data centres are evacuated
     Given a relay node with endpoints in the data centres z1 and z2
     When the data centre z1 is evacuated
--- a/features/steps/evacuation_socket_steps.py
+++ b/features/steps/evacuation_socket_steps.py
@@ -132,6 +132,17 @@
     store._compacted = store.version
 
 
+@when("the settings state a bound of {bound_s:g} s instead")
+def state_bound(context, bound_s):
+    node = context.relay.node
+    changed = context.relay.settings._replace(evacuation_s=bound_s)
+
+    async def work():
+        node.reload(lambda: changed)
+
+    context.loop.run(work())
+
+
 @when("a request runs in z1, and the data centre z1 is evacuated meanwhile")
 def request_runs(context):
     relay = context.relay
--- a/packages/rookspring/src/rookspring/relay_evacuations.py
+++ b/packages/rookspring/src/rookspring/relay_evacuations.py
@@ -42,8 +42,10 @@
 
     async def run(self) -> None:
         """Read the evacuations, over and over."""
+        self._since = -1
         while True:
             if not self._context.settings.evacuation_s:
+                self._since = -1
                 await asyncio.sleep(defaults.SETTINGS_CHECK_S)
             elif self._since < 0:
                 await self._list()
