--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -44,6 +44,7 @@
 from . import clock_mutants
 from . import endless_mutants
 from . import era_mutants
+from . import evacuation_mutants
 from . import isolation_mutants
 from . import model_wait_mutants
 from . import notice_mutants
@@ -57,6 +58,7 @@
 from . import stop_mutants
 from . import suspect_mutants
 from . import version_mutants
+from . import whole_answer_mutants
 from .mutant import ADAPTERS
 from .mutant import ENTRIES
 from .mutant import RESTARTS
@@ -368,6 +370,7 @@
     "resends": resend_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
     "eras": era_mutants.MUTANTS,
+    "evacuations": evacuation_mutants.MUTANTS,
     "passing": passing_mutants.MUTANTS,
     "places": place_mutants.MUTANTS,
     "stops": stop_mutants.MUTANTS,
@@ -375,6 +378,7 @@
     "model-waits": model_wait_mutants.MUTANTS,
     "speeds used": speed_use_mutants.MUTANTS,
     "versions": version_mutants.MUTANTS,
+    "whole-answers": whole_answer_mutants.MUTANTS,
 }
 
 
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -16,8 +16,117 @@
       | unsafe    | unframed                        | whole         | 1    |
       | unsafe    | end after unframed              | unknown       | 1    |
       | safe      | end after unframed, answer      | whole         | 2    |
+      | stream    | half close after unframed events | 5 events     | 1    |
+      | unsafe    | half close after unframed       | whole         | 1    |
 
-  Scenario: an endpoint that ends as planned after such an answer has not crashed
-    Given a relay node with one endpoint that does: end after unframed
-    When a caller sends an unsafe request, as the endpoint says that it leaves
+  Scenario Outline: such an answer is cut if another process or a silent one has the address then
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                                | answer        | runs |
+      | stream    | be replaced after 3 unframed          | 3 events, cut | 1    |
+      | resumable | be replaced after 3 unframed, stream  | 5 events      | 2    |
+      | unsafe    | be replaced after unframed            | unknown       | 1    |
+      | safe      | be replaced after unframed, answer    | whole         | 2    |
+      | stream    | fall silent after 3 unframed          | 3 events, cut | 1    |
+      | unsafe    | fall silent after unframed            | unknown       | 1    |
+
+  Scenario Outline: an endpoint that leaves or is gone ends in the midst of such an answer
+    Given a relay node with two endpoints that do: <script>
+    When the endpoint of a <kind> request is <state> as its answer ends
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+    And no crash is recorded
+
+    Examples:
+      | kind      | state   | script                               | answer        | runs |
+      | stream    | leaving | end after 3 unframed                 | 3 events, cut | 1    |
+      | resumable | leaving | end after 3 unframed, stream         | 5 events      | 2    |
+      | unsafe    | leaving | end after unframed                   | unknown       | 1    |
+      | safe      | leaving | end after unframed, answer           | whole         | 2    |
+      | stream    | gone    | end after 3 unframed                 | 3 events, cut | 1    |
+      | unsafe    | gone    | be replaced after unframed           | unknown       | 1    |
+      | stream    | leaving | unframed events                      | 5 events      | 1    |
+      | unsafe    | leaving | unframed                             | whole         | 1    |
+      | unsafe    | gone    | unframed                             | whole         | 1    |
+
+  Scenario Outline: endpoints that serve models are asked for their report instead
+    Given a relay node with two endpoints with models that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+    And their health was asked for 0 times and their report <reports> times
+
+    Examples:
+      | kind   | script                       | answer        | runs | reports |
+      | stream | unframed events              | 5 events      | 1    | 1       |
+      | stream | end after 3 unframed         | 3 events, cut | 1    | 0       |
+      | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
+      | stream | stream                       | 5 events      | 1    | 0       |
+
+  Scenario Outline: an endpoint is asked only where nothing but the close shows the end
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And their health was asked for <times> times and their report 0 times
+
+    Examples:
+      | kind   | script          | answer   | times |
+      | unsafe | answer          | whole    | 0     |
+      | stream | stream          | 5 events | 0     |
+      | unsafe | unframed reset  | unknown  | 0     |
+      | unsafe | unframed        | whole    | 1     |
+      | stream | unframed events | 5 events | 1     |
+
+  Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
+    Given a relay node with two endpoints that do: unframed
+    When the endpoint of an unsafe request is in back-off as that answer ends
+    Then the answer is unknown
+    And their health was asked for 0 times and their report 0 times
+
+  Scenario: an endpoint that is full is asked again until it names itself
+    Given a relay node with two endpoints that do: unframed
+    And their health checks are refused for want of room 1 times
+    When a caller sends a unsafe request
     Then the answer is whole
+    And their health was asked for 2 times and their report 0 times
+
+  Scenario Outline: another node's answer that ends with its connection is not taken for whole
+    Given an answer of another node to a handed-over request that ends <how>
+    When it is passed on
+    Then its caller is given <gets>
+
+    Examples:
+      | how                         | gets    |
+      | by its length               | it      |
+      | as its connection is closed | nothing |
+
+  Scenario: answers that end together share a call, and none counts that began before an end
+    Given a process of which calls take 50 ms
+    When answers of it end at 0, 0 and 20 ms
+    Then it was called 2 times, and all three were found to be whole
+
+  Scenario Outline: what an answer shows about the process that gave it
+    Given the process i1, which started at <known>
+    When a call for it gets <status> from <named>, with a report of a start at <reported>
+    Then that shows that it is <same>
+
+    Examples:
+      | status | named   | known | reported | same    |
+      | 200    | nobody  | 0     | 0        | same    |
+      | 200    | nobody  | 700   | 700      | same    |
+      | 200    | nobody  | 700   | 0        | same    |
+      | 200    | nobody  | 0     | 700      | same    |
+      | 200    | nobody  | 700   | 701      | another |
+      | 200    | i1      | 700   | 701      | another |
+      | 200    | i1      | 0     | none     | same    |
+      | 503    | i1      | 0     | none     | same    |
+      | 200    | i2      | 0     | 0        | another |
+      | 503    | i2      | 0     | none     | another |
+      | 421    | nobody  | 0     | none     | another |
+      | 200    | nobody  | 0     | none     | unknown |
+      | 503    | nobody  | 0     | none     | unknown |
+      | 404    | nobody  | 0     | none     | unknown |
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -193,6 +193,13 @@
 # A request waits for a model of which no load is announced from this chance on that it comes while
 # the request is held. Less than an even one is enough: its caller has a retry left.
 MODEL_WAIT_CHANCE = 0.4
+# A request that waits for an announced load at its caller's last try looks at it again after this.
+LOAD_LOOK_S = 0.5
+# A stream's caller leaves after a gap of the longest of these: seconds, objectives, and pauses that
+# are in time. Source: the users' protocol.
+STREAM_LEFT_AFTER_S = 2.0
+STREAM_LEFT_OBJECTIVES = 4.0
+STREAM_LEFT_PAUSES = 8.0
 # Weights in the even-load policy, as shares of the load of a full endpoint.
 REMOTE_LOAD = 0.02
 PREFIX_LOAD_BONUS = 0.06
@@ -377,6 +384,10 @@
 # A node that has run for less than this has not received heartbeats from all others yet.
 SETTLED_S = 1.5
 
+# After a restore of the store from a backup, an evacuation that it lacks holds for this long: the
+# platform writes again within two seconds of the restore what it wrote since the backup; the
+# remaining 0.2 s are for network latency.
+EVACUATION_REWRITE_S = 2.2
 # Up to this many relay nodes each link to all others and read the platform's store themselves,
 # which detects a leaving endpoint soonest. Larger groups do both through relays (``topology.py``),
 # since the heartbeats and calls of a mesh grow with the square of the nodes.
--- a/packages/rookspring-core/src/rookspring_core/routes.py
+++ b/packages/rookspring-core/src/rookspring_core/routes.py
@@ -5,8 +5,10 @@
 matched to a route by its host and the longest prefix of its path.
 """
 
+import math
 import typing as t
 
+from . import defaults
 from .hashing import stable_hash
 from .organisations import Directory
 
@@ -44,6 +46,17 @@
     pause_s: float = 0.0
     public: bool = False
 
+    @property
+    def stays_s(self) -> float:
+        """How long callers wait for an event before they leave, in seconds; inf if to the end."""
+        if self.kind != "stream":
+            return math.inf
+        return max(
+            defaults.STREAM_LEFT_AFTER_S,
+            defaults.STREAM_LEFT_OBJECTIVES * self.objective_s,
+            defaults.STREAM_LEFT_PAUSES * self.pause_s,
+        )
+
     @property
     def repeatable(self) -> bool:
         """Whether a request may run more than once."""
@@ -78,9 +91,14 @@
 
 
 class ServiceSize(t.NamedTuple):
-    """A service of the configuration; ``engine`` is None where it serves no models."""
+    """A service of the configuration.
+
+    :param engine: None where it serves no models.
+    :param health_path: of the health checks of its endpoints.
+    """
 
     engine: EngineSize | None = None
+    health_path: str = ""
 
 
 class CallerLimits(t.NamedTuple):
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -50,6 +50,13 @@
             connection.close()
         return await self._open(address)
 
+    async def open(self, address: str) -> ClientConnection:
+        """Return a new connection.
+
+        :raises EndpointError: if none can be made; nothing was sent.
+        """
+        return await self._open(address)
+
     async def _open(self, address: str) -> ClientConnection:
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
@@ -131,6 +138,7 @@
     on_head: OnHead,
     timeout_s: float,
     most: int = defaults.ANSWER_BYTES_MAX,
+    on_new_connection: bool = False,
     accept: AcceptHead = lambda head: True,
     request_id: str | None = None,
 ) -> tuple[HttpHead, bytes]:
@@ -139,13 +147,17 @@
     :param on_head: called with the answer's head.
     :param timeout_s: for connection and answer together.
     :param most: largest accepted answer in bytes.
+    :param on_new_connection: use no idle connection, even if there is one.
     :param accept: see :meth:`ClientConnection.send_request`, as for ``request_id``.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            connection = await pool.acquire(address, wide_margin=True, request_id=request_id)
+            if on_new_connection:
+                connection = await pool.open(address)
+            else:
+                connection = await pool.acquire(address, wide_margin=True, request_id=request_id)
             reply = connection.send_request(data, accept, on_head, request_id=request_id)
             head = await reply.wait_head()
             return head, await reply.read_rest(most, pool.answers)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -11,6 +11,12 @@
 RELAY_CONNECT_S = 0.4
 PLATFORM_CALL_S = 3.0
 ORDER_CALL_S = 2.0
+# Where nothing but the close of its connection shows the end of an answer, the caller waits this
+# long at most until a call to its endpoint shows that the process runs on. A packet that is lost
+# costs 0.2 s, the first one of a connection ``RELAY_CONNECT_S``; the call is made again after the
+# pause.
+PROCESS_CHECK_S = 1.0
+PROCESS_CHECK_PAUSE_S = 0.2
 REPORT_CALL_S = 1.0
 # Delay before a caller's stream is cancelled at its endpoint, so that it can be resumed at
 # another node.
@@ -53,6 +59,10 @@
 # Bytes of an endpoint's answer that are held for a caller who reads slowly. Beyond them nothing
 # more is read from the endpoint, whose own flow control then applies.
 UNREAD_ANSWER_BYTES_MAX = 64 << 10
+# An endpoint cuts off an answer that is not read for some seconds, by an ordinary close. Without a
+# length, an answer with a silence of this long may be one: this node, the way to it or the caller
+# may have held it up.
+UNREAD_SILENCE_S = 1.0
 LISTEN_BACKLOG = 1024
 # Idle time in which a connection is reused if the endpoint states no keep-alive timeout: such
 # endpoints close idle connections within a second.
@@ -99,6 +109,9 @@
 SHARED_WATCH_S = 0.5
 SHARED_WATCH_BATCH_S = 0.6
 SHARED_WATCH_TABLE_S = 2.0
+# The longest wait of a watch of evacuations. A watch on a connection that has gone silent ends two
+# seconds after it, which leaves a second of the shortest bound in use, five seconds.
+EVACUATION_WATCH_S = 2.0
 # Added to the back-off of a failed call to the store while other nodes send this one fresh
 # data: refused calls are charged too.
 FRESH_SOURCE_PAUSE_S = 2.0
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -50,11 +50,13 @@
     "handover_failed": "a request that was handed over got no complete answer from the other node",
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
+    "process_checked": "an answer ended with its connection; whether its endpoint's process runs",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
     "table_applied": "a newer route table is in force here",
     "table_malformed": "a configuration could not be parsed; the current one stays in force",
     "endpoint_listed": "an endpoint appeared or its entry changed",
+    "evacuations_changed": "the data centres that are evacuated have changed, or the store's era",
     "endpoint_gone": "an endpoint's entry was removed",
     "endpoint_malformed": "an endpoint's entry could not be parsed and is ignored",
     "object_malformed": "an object of the platform's store could not be parsed and is ignored",
@@ -80,6 +82,7 @@
 LINES_PER_S = 400.0
 BOUNDED = (
     "event=attempt_",
+    "event=process_checked",
     "event=endpoint_said",
     "event=request_",
     "event=route_missing",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -24,6 +24,7 @@
 
 from . import clock
 from . import defaults
+from .dialect import ExpectedProcess
 from .dialect import RequestFields
 from .exceptions import CallerError
 from .exceptions import CallerGone
@@ -81,6 +82,10 @@
         # When the last events arrived, and the longest time between two of them, in seconds.
         self.last_event_at = 0.0
         self.longest_pause_s = 0.0
+        # The process that the request was sent to last.
+        self.process = ExpectedProcess("")
+        # What shows the end of the answer that came last, for the log.
+        self.framing = ""
         self.held_answer: HeldAnswer | None = None
         self.task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[None] | None = None
@@ -251,6 +256,9 @@
         "key_refused",
         id=fields.request_id,
         route=route.name,
+        model=fields.model,
+        adapter=fields.adapter,
+        part=_last_shared_part(fields),
         status=verdict.status,
         reason=verdict.reason,
         table=state.revision,
@@ -317,6 +325,7 @@
             route.attempts,
             route.objective_s * core_defaults.MAX_WAIT_SHARE,
             route.objective_s,
+            route.stays_s,
         ),
         key=fields.key if exchange.organisation else "",
         declared_tokens=fields.declared_tokens,
@@ -368,7 +377,16 @@
         first_s=exchange.first_event_at - exchange.arrived_at if exchange.first_event_at else -1,
         events=exchange.events,
         pause_s=exchange.longest_pause_s,
+        framing=exchange.framing,
+        last_event=exchange.last_event,
         model=exchange.fields.model,
         adapter=exchange.fields.adapter,
+        part=_last_shared_part(exchange.fields),
+        rank=exchange.rank,
         organisation=exchange.organisation,
     )
+
+
+def _last_shared_part(fields: RequestFields) -> str:
+    """Return the ID of the last part of a prompt that it may share with others, in hexadecimal."""
+    return f"{fields.parts[-1]:x}" if fields.parts else ""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -10,6 +10,7 @@
 from rookspring_core.effects import Forget
 from rookspring_core.effects import Refuse
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.event_order import EventOrder
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
@@ -19,9 +20,11 @@
 from . import clock
 from . import defaults
 from .dialect import AnswerMatch
+from .dialect import ExpectedProcess
 from .dialect import ForwardFields
 from .event_gaps import GapMeter
 from .event_streams import EventSplitter
+from .event_streams import is_stream
 from .exceptions import EndpointError
 from .http_client import Reply
 from .http_messages import HttpHead
@@ -70,6 +73,7 @@
         waited_s=clock.now() - exchange.arrived_at,
         **speed,
     )
+    exchange.process = ExpectedProcess(view.name, notice_handlers.known_start(view))
     exchange.task = context.spawn(run_attempt(context, effect, exchange, view))
 
 
@@ -80,7 +84,7 @@
     error = await run_until_deadline(exchange, _attempt(context, effect, exchange, view))
     if error is None:
         return
-    if error.broken:
+    if error.broken and not error.down:
         # The cause that is recorded for the failure depends on whether the endpoint's process
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
@@ -108,6 +112,8 @@
         fingerprint=exchange.fingerprint if exchange else "",
         endpoint=effect.endpoint,
         events=exchange.events if exchange else 0,
+        framing=exchange.framing if exchange else "",
+        last_event=exchange.last_event if exchange else "",
         reason=error.reason,
         sent=error.sent,
         said_not_run=error.reported_not_run,
@@ -200,18 +206,22 @@
     verdict: AnswerMatch,
     view: EndpointView,
 ) -> None:
+    exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
             f"refused with {head.status}",
             sent=True,
             reported_not_run=True,
         )
+    if exchange.started and not is_stream(head):
+        # Its head would stand in the midst of the answer that was begun.
+        raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, reply, head, view)
         return
     body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await _check_process(context, reply, view)
+    await _check_process(context, exchange, reply, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -236,12 +246,15 @@
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
     meter = GapMeter()
+    order = EventOrder(exchange.last_event if exchange.route.resumable else "")
     while part := await reply.next_part():
         events = splitter.feed(part)
         if events.number == 0:
             continue
+        if fault := order.accept(events.ids):
+            raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        exchange.last_event = events.last_id or exchange.last_event
+        exchange.last_event = order.last or exchange.last_event
         exchange.events += events.number
         _record_pause(exchange)
         if context.state.options.endpoint_speeds:
@@ -251,7 +264,7 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    await _check_process(context, reply, view)
+    await _check_process(context, exchange, reply, view)
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -259,15 +272,36 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-async def _check_process(context: RelayContext, reply: Reply, view: EndpointView) -> None:
-    """Check that an answer which ended with its connection did not end by its endpoint's crash.
+async def _check_process(
+    context: RelayContext, exchange: RelayExchange, reply: Reply, view: EndpointView
+) -> None:
+    """Check that an answer which ended with its connection did not end with its process.
 
-    :raises EndpointError: if the process has ended unplanned, so that the answer may lack its rest.
+    :raises EndpointError: unless the process is found to run, and has not cut the answer off since
+        it was not read, as the answer may lack its rest.
     """
-    if not reply.ended_by_close or view.leaving or view.gone:
+    if not reply.ended_by_close:
         return
-    if await context.pool.is_down(view.address):
-        raise EndpointError("connection closed as its process ended", sent=True, broken=True)
+    found = await context.process_checks.check(view, exchange.process, reply.ended_at)
+    log(
+        "process_checked",
+        id=exchange.fields.request_id,
+        endpoint=view.name,
+        runs=found.runs,
+        ended=found.ended,
+        found=found.text,
+        took_s=clock.now() - reply.ended_at,
+        silence_s=reply.longest_silence_s,
+    )
+    if not found.runs:
+        raise EndpointError(
+            f"connection closed, and its process is not known to run: {found.text}",
+            sent=True,
+            broken=found.ended,
+            down=found.down,
+        )
+    if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
+        raise EndpointError("connection closed after a long silence in the answer", sent=True)
 
 
 def _submit_gap(
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -38,6 +38,7 @@
 from . import relay
 from . import relay_allotments
 from . import relay_attempts as relay_attempts
+from . import relay_evacuations
 from . import relay_handovers as relay_handovers
 from . import relay_heartbeats
 from . import relay_merged
@@ -65,6 +66,7 @@
 from .relay_context import handles_relay_effect
 from .relay_endpoint_list import EndpointList
 from .relay_peers import RelayPeers
+from .relay_processes import ProcessChecks
 from .relay_proofs import ProofRefresher
 from .relay_reach import ReachProbes
 from .relay_settings import RelaySettings
@@ -144,6 +146,7 @@
         self.context.eras = StoreEras(self.context, self.reach)
         self.context.eras.attach_client(platform)
         self.context.reach_probes = ReachProbes(self.context)
+        self.context.process_checks = ProcessChecks(self.context)
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofRefresher(self.context, self.peers, self.reach)
         self._connect_components()
@@ -168,6 +171,7 @@
         context.share_down = functools.partial(relay_updates.share_down, peers)
         context.share_evidence = functools.partial(relay_suspects.share_evidence, peers)
         context.share_leaving = functools.partial(relay_notices.share_leaving, peers)
+        context.share_evacuations = functools.partial(relay_evacuations.share_evacuations, peers)
         context.share_rates = functools.partial(relay_notices.share_rates, peers)
         context.share_shed = functools.partial(relay_notices.share_shed, peers)
         context.share_prompts = relay_updates.PromptUpdates(peers).note
@@ -234,6 +238,7 @@
             lambda: relay_slots.process_queues_loop(self.peers),
             lambda: loops.watch_kind(context, reach, kind, endpoints.apply_store_rows, True),
             lambda: loops.watch_table(context, self.peers, reach),
+            relay_evacuations.EvacuationWatch(context, reach).run,
             lambda: loops.poll_lease(context, reach),
             lambda: loops.poll_nodes(context, self.peers, reach),
             lambda: loops.rewrite_row(context),
@@ -286,6 +291,7 @@
         metrics.inflight.set({}, len(state.requests))
         metrics.answers_owed.set({}, len(self.listeners["callers"].owing()))
         metrics.isolated.set({}, int(state.reach.isolated))
+        metrics.evacuated.set({}, len(state.evacuations.in_force))
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         for end, count in state.model_waits.ends.items():
             metrics.model_waits.set({"end": end}, count)
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -122,7 +122,7 @@
         make_notice_handler(context, call.endpoint, EndpointCall(call.what)),
         timeout_s,
         defaults.REPORT_BYTES_MAX,
-        accept,
+        accept=accept,
         request_id="",
     )
 
