--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -41,6 +41,8 @@
 RESENDS = ("features/resent_requests_sockets.feature",)
 EVACUATIONS = ("features/evacuations.feature",)
 EVACUATIONS_SOCKETS = ("features/evacuations_sockets.feature",)
+SILENT_CHANNELS = ("features/silent_channels_sockets.feature",)
+WATCHES = ("features/watches.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -59,6 +59,7 @@
 from . import suspect_mutants
 from . import version_mutants
 from . import whole_answer_mutants
+from . import watch_mutants
 from .mutant import ADAPTERS
 from .mutant import ENTRIES
 from .mutant import RESTARTS
@@ -379,6 +380,7 @@
     "speeds used": speed_use_mutants.MUTANTS,
     "versions": version_mutants.MUTANTS,
     "whole-answers": whole_answer_mutants.MUTANTS,
+    "watches": watch_mutants.MUTANTS,
 }
 
 
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -1,6 +1,7 @@
 """Connections to endpoints that are kept open, by address, and calls on them."""
 
 import asyncio
+import math
 import typing as t
 
 from . import clock
@@ -31,12 +32,17 @@
         self._probes: dict[str, asyncio.Future[bool]] = {}
 
     async def acquire(
-        self, address: str, wide_margin: bool, request_id: str | None = None
+        self,
+        address: str,
+        wide_margin: bool,
+        request_id: str | None = None,
+        idle_max_s: float = math.inf,
     ) -> ClientConnection:
         """Return an idle connection that is usable and hasn't carried the request, else a new one.
 
         :param wide_margin: see :meth:`ClientConnection.is_usable`.
         :param request_id: see :meth:`ClientConnection.send_request`.
+        :param idle_max_s: longest time for which it has been idle, in seconds; others are closed.
         :raises EndpointError: if no connection can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
@@ -45,7 +51,8 @@
             if connection.has_carried(request_id):
                 continue
             kept.remove(connection)
-            if connection.is_usable(now, wide_margin):
+            lately = now - connection.idle_since <= idle_max_s
+            if lately and connection.is_usable(now, wide_margin):
                 return connection
             connection.close()
         return await self._open(address)
@@ -141,6 +148,7 @@
     on_new_connection: bool = False,
     accept: AcceptHead = lambda head: True,
     request_id: str | None = None,
+    idle_max_s: float = math.inf,
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and return the complete answer.
 
@@ -149,6 +157,7 @@
     :param most: largest accepted answer in bytes.
     :param on_new_connection: use no idle connection, even if there is one.
     :param accept: see :meth:`ClientConnection.send_request`, as for ``request_id``.
+    :param idle_max_s: longest time for which its connection has been idle, in seconds.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
@@ -157,7 +166,7 @@
             if on_new_connection:
                 connection = await pool.open(address)
             else:
-                connection = await pool.acquire(address, wide_margin=True, request_id=request_id)
+                connection = await pool.acquire(address, True, request_id, idle_max_s)
             reply = connection.send_request(data, accept, on_head, request_id=request_id)
             head = await reply.wait_head()
             return head, await reply.read_rest(most, pool.answers)
