--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -58,8 +58,8 @@
 from . import stop_mutants
 from . import suspect_mutants
 from . import version_mutants
-from . import whole_answer_mutants
 from . import watch_mutants
+from . import whole_answer_mutants
 from .mutant import ADAPTERS
 from .mutant import ENTRIES
 from .mutant import RESTARTS
