Take an answer without a length for cut if the node stood still meanwhile

Callers could get a part of an answer as complete: a node that stands still from before the head arrives reads head, events and close at once when it goes on. The endpoint has cut the answer off unread by then, and its process lives.

Cause: the silence within an answer was counted from the head that the node parsed, so a standstill before it left none.

--- a/features/unread_answers_sockets.feature
+++ b/features/unread_answers_sockets.feature
@@ -14,3 +14,9 @@
       | stream    | end 1.5 s after 3 unframed               | 3 events, cut | 1    |
       | stream    | pause for 1.5 s after 3 unframed         | 5 events, cut | 1    |
       | resumable | end 1.5 s after 3 unframed, stream       | 5 events      | 2    |
+
+  Scenario: such an answer that came while the node stood still does not count as whole
+    Given a relay node whose routes take up to 8 s, with an endpoint of its own loop that does: end 1.5 s after 3 unframed
+    And the node stands still for 2.2 s from when a request reaches the endpoint
+    When a caller sends a stream request
+    Then the answer is 3 events, cut
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -38,7 +38,8 @@
         self.closed_by_endpoint = False
         # Whether it ended with its connection, so that nothing but the close shows its end.
         self.ended_by_close = False
-        # When nothing more could arrive, by the node's clock.
+        # When the request was sent, and when nothing more could arrive, by the node's clock.
+        self.began_at = clock.now()
         self.ended_at = 0.0
         self._changed = asyncio.Event()
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -302,6 +302,8 @@
         )
     if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
         raise EndpointError("connection closed after a long silence in the answer", sent=True)
+    if context.resumed_at >= reply.began_at:
+        raise EndpointError("connection closed, and this node stood still meanwhile", sent=True)
 
 
 def _submit_gap(
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -80,6 +80,8 @@
         self.reach_probes: ReachProbes
         self.process_checks: ProcessChecks
         self.origins: OriginQuestions
+        # When this process went on after it stood still, by the node's clock; 0 if it never did.
+        self.resumed_at = 0.0
         self.exchanges: dict[str, RelayExchange] = {}
         self.endpoints_listed = False
         # Set while this node has to watch the store; see ``topology.py`` of the core.
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -327,6 +327,7 @@
         :param frozen_s: time since the tick before, in seconds.
         """
         log("stood_still", "WARNING", for_s=frozen_s, suspended_s=clock.suspended_s())
+        self.context.resumed_at = clock.now()
         for exchange in self.context.exchanges.values():
             exchange.reschedule_timeout()
 
