Check the order of a stream's events event by event

Callers could get two runs joined, where the first had sent events without ids: the second was taken from its start. And whether an event without an id was refused after others depended on how the bytes were read.

Cause: the order was checked by the ids of a read, not by the events in it, and a run that goes on after events without ids was taken for a first one. Found by the review of the fix.

What changed: an event's id is the last that it states; each event is checked, a comment is none. The rest of a stream follows only by ids on both sides.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -73,7 +73,7 @@
     return ""
 
 
-def _begin_anew(self: EventOrder, last: str = "") -> None:
+def _begin_anew(self: EventOrder, last: str = "", begun: bool = False) -> None:
     _init_order(self)
 
 
--- a/features/resumed_streams_sockets.feature
+++ b/features/resumed_streams_sockets.feature
@@ -36,6 +36,25 @@
     When a stream is taken up after its event 3
     Then the answer is unknown
 
+  Scenario: a stream whose events have no ids is not joined with another run of it
+    Given a relay node with two endpoints that do: break after 2 without ids, stream
+    When a caller sends a resumable request
+    Then its caller gets 2 events, cut
+
+  Scenario Outline: whether events follow does not depend on how their bytes are read
+    Given a caller that has got 3
+    When the bytes <bytes> come in <reads>
+    Then they are <taken>
+
+    Examples:
+      | bytes                              | reads     | taken   |
+      | data: a\n\n, id: 9\ndata: b\n\n   | one read  | refused |
+      | data: a\n\n, id: 9\ndata: b\n\n   | two reads | refused |
+      | : ping\n\n, id: 4\ndata: b\n\n    | one read  | taken   |
+      | : ping\n\n, id: 4\ndata: b\n\n    | two reads | taken   |
+      | id: 4\ndata: b\nid: 4\n\n, id: 5\n\n | one read  | taken   |
+      | id: 4\r\n\r\n, id: 4\r\n\r\n      | two reads | refused |
+
   Scenario Outline: ids rise, and need not be consecutive
     Given a caller that has got <last>
     When the ids <ids> come
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -13,6 +13,7 @@
 from rookspring import relay_handovers
 from rookspring.answer_memory import AnswerMemory
 from rookspring.dialect import ExpectedProcess
+from rookspring.event_streams import EventSplitter
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import Reply
 from rookspring.http_messages import HttpHead
@@ -79,9 +80,25 @@
     context.order = EventOrder("" if last == "none" else last)
 
 
+@when("the bytes {text} come in {reads}")
+def bytes_come(context, text, reads):
+    parts = [part.replace("\\n", "\n").replace("\\r", "\r").encode() for part in text.split(", ")]
+    splitter = EventSplitter()
+    context.fault = ""
+    for part in parts if reads == "two reads" else [b"".join(parts)]:
+        context.fault = context.fault or context.order.accept(splitter.feed(part).ids)
+
+
+@then("its caller gets {events:d} events, cut")
+def gets_events_cut(context, events):
+    answer = context.answer
+    assert (answer.status, answer.whole) == (200, False), answer.status
+    assert answer.body.count(b"\n\n") == events, answer.body
+
+
 @when("the ids {ids} come")
 def ids_come(context, ids):
-    context.fault = context.order.accept([] if ids == "none" else ids.split())
+    context.fault = context.order.accept([""] if ids == "none" else ids.split())
 
 
 @then("they are {taken}")
@@ -191,3 +208,35 @@
 @then("that shows that it is {same}")
 def shows(context, same):
     assert SHOWN[context.same] == same, context.same
+
+
+@when("of two checks of a process the later one ends first")
+def later_check_first(context):
+    context.errors = []
+    waits_s = [0.1, 0.02]
+
+    class Checks(ProcessChecks):
+        async def _ask(self, view, process):
+            await asyncio.sleep(waits_s.pop(0))
+            return Finding("it answered", runs=True)
+
+    async def work():
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda loop, what: context.errors.append(what))
+        checks = Checks(types.SimpleNamespace(loop=loop))
+        view = types.SimpleNamespace(address="127.0.0.1:1")
+        tasks = []
+        for _ in range(2):
+            tasks.append(
+                asyncio.ensure_future(checks.check(view, ExpectedProcess("i1"), clock.now()))
+            )
+            await asyncio.sleep(0.01)
+        return await asyncio.gather(*tasks)
+
+    context.found = asyncio.run(work())
+
+
+@then("both have found that it runs, without an error")
+def both_run(context):
+    assert all(one.runs for one in context.found), context.found
+    assert not context.errors, context.errors
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -130,3 +130,7 @@
       | 200    | nobody  | 0     | none     | unknown |
       | 503    | nobody  | 0     | none     | unknown |
       | 404    | nobody  | 0     | none     | unknown |
+
+  Scenario: two checks of one process may end in either order
+    When of two checks of a process the later one ends first
+    Then both have found that it runs, without an error
--- a/packages/rookspring-core/src/rookspring_core/event_order.py
+++ b/packages/rookspring-core/src/rookspring_core/event_order.py
@@ -9,30 +9,32 @@
 class EventOrder:
     """Checks that each event follows the last one that its caller has got.
 
-    :param last: the id of that event; empty if it has got none.
+    :param last: the id of that event; empty if it has none, or if the caller has got no event.
+    :param begun: the caller has got events.
     """
 
     __slots__ = ("_continues", "last")
 
-    def __init__(self, last: str = "") -> None:
+    def __init__(self, last: str = "", begun: bool = False) -> None:
         self.last = last
         # Whether the next event is the first one of a run that goes on after others.
-        self._continues = bool(last)
+        self._continues = begun or bool(last)
 
     def accept(self, ids: t.Sequence[str]) -> str:
-        """Check the ids of the next events.
+        """Check the next events.
 
+        :param ids: their ids; empty for an event that has none.
         :return: why they don't follow; empty if they do.
         """
-        if self._continues and not ids:
-            return f"an event without an id after event {self.last}"
         last = self.last
         for one in ids:
-            if last and _rank(one) <= _rank(last):
+            if self._continues and not (one and last):
+                return f"an event with the id {one!r} after one with {last!r}"
+            if one and last and _rank(one) <= _rank(last):
                 return f"event {one} after event {last}"
-            last = one
+            last = one or last
+            self._continues = False
         self.last = last
-        self._continues = False
         return ""
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -681,6 +681,17 @@
     await _stream(server, request, writer)
 
 
+@step("break after 2 without ids")
+async def _break_2_without_ids(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    _begin_events(server, request, writer)
+    for number in (1, 2):
+        _write_event(writer, f"data: token{number}\n\n".encode())
+        await writer.drain()
+    writer.close()
+
+
 @step("stream without ids")
 async def _stream_without_ids(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -16,8 +16,8 @@
 class Events(t.NamedTuple):
     """Complete events as their bytes, in order.
 
-    :param number: count of events.
-    :param ids: of those that have one.
+    :param number: count of events, comments included.
+    :param ids: of the events but for comments; empty for one that has none.
     """
 
     data: bytes
@@ -66,5 +66,16 @@
 
 
 def _read_ids(whole: bytes) -> tuple[str, ...]:
-    rows = [line[3:].strip() for line in whole.splitlines() if line.startswith(b"id:")]
-    return tuple(row.decode("latin-1") for row in rows if row)
+    blocks = whole.replace(b"\r\n", b"\n").split(b"\n\n")
+    return tuple(_read_id(rows) for block in blocks if (rows := _list_fields(block)))
+
+
+def _list_fields(block: bytes) -> list[bytes]:
+    """Return the lines of an event; none if it is a comment."""
+    return [row for row in block.split(b"\n") if row and not row.startswith(b":")]
+
+
+def _read_id(rows: list[bytes]) -> str:
+    """Return the id of an event, the last one that it states; empty if it has none."""
+    ids = [row[3:].strip() for row in rows if row.startswith(b"id:")]
+    return ids[-1].decode("latin-1") if ids else ""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -246,7 +246,8 @@
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
     meter = GapMeter()
-    order = EventOrder(exchange.last_event if exchange.route.resumable else "")
+    last_event = exchange.last_event if exchange.route.resumable else ""
+    order = EventOrder(last_event, exchange.started)
     while part := await reply.next_part():
         events = splitter.feed(part)
         if events.number == 0:
