Let no own call of a node leave its connection for the next one, or open for long

Cause: the check was not counted among the calls that a connection carries, and a connection that has carried such a call can carry no second one, but was kept. Two checks of a process that ended in the other order raised KeyError in a callback.

Evidence: the new rows and scenario of features/resent_requests_sockets.feature, before: 3 failed (the order, the report, 6 connections for 1). The scenario of two checks in features/unframed_answers_sockets.feature failed with the old callback. Now all pass (23 and 53).

What changed: the check counts as the other calls do; a connection that was opened for such a call is closed after it if another is idle.

--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -34,10 +34,11 @@
     Then the order is known as refused
 
     Examples:
-      | call      |
-      | a request |
-      | an order  |
-      | a report  |
+      | call            |
+      | a request       |
+      | an order        |
+      | a report        |
+      | a process check |
 
   Scenario Outline: a second copy of an answer that comes late is not the endpoint's report
     Given a relay node with one endpoint that does: answer twice
@@ -45,10 +46,17 @@
     Then its report is read
 
     Examples:
-      | call      |
-      | a request |
-      | an order  |
-      | a report  |
+      | call            |
+      | a request       |
+      | an order        |
+      | a report        |
+      | a process check |
+
+  Scenario: reads of reports don't each leave a connection open
+    Given a relay node with one endpoint that does: answer
+    And it keeps idle connections open for 60 s
+    When it is asked for its report 6 times
+    Then at most 1 of the node's connections to it is open
 
   Scenario: an answer that is not to the request in flight is logged
     Given a relay node with one endpoint that does: answer twice, answer
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -73,6 +73,12 @@
     elif call == "an order":
         server.order_script = ["take twice"]
         assert "taken=True" in await order(context)
+    elif call == "a process check":
+        context.relay.node.context.state.endpoints["i0"].role = "runner"
+        server.script = ["unframed"]
+        server.reports_twice = True
+        assert (await context.relay.ask(request("unsafe"))).whole
+        server.reports_twice = False
     else:
         server.reports_twice = True
         assert not await read_report(context)
@@ -152,3 +158,24 @@
 @then("it is left {state}")
 def connection_state(context, state):
     assert context.transport.closed == (state == "closed")
+
+
+@given("it keeps idle connections open for {seconds:d} s")
+def keeps_open(context, seconds):
+    context.relay.servers[0].extra_header_lines.append(f"Keep-Alive: timeout={seconds}")
+
+
+@when("it is asked for its report {times:d} times")
+def ask_for_reports(context, times):
+    async def work():
+        for _ in range(times):
+            assert not await read_report(context)
+
+    context.loop.run(work())
+
+
+@then("at most {number:d} of the node's connections to it is open")
+def open_at_most(context, number):
+    server = context.relay.servers[0]
+    kept = context.relay.node.context.pool._kept.get(server.address, [])
+    assert len(kept) <= number, kept
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -118,6 +118,17 @@
         else:
             self.release(address, connection)
 
+    def release_after_call(self, address: str, connection: ClientConnection) -> None:
+        """Pool a connection after a call whose answer carries no request's id.
+
+        One that was opened for it is closed if others are idle: it can carry no further such call,
+        and the calls of some time would each leave one open.
+        """
+        if connection.served == 1 and connection.has_carried("") and self._kept.get(address):
+            connection.close()
+        else:
+            self.release_or_close(address, connection)
+
     def sweep(self, now: float) -> None:
         """Close the connections that have been idle for too long."""
         for address, kept in list(self._kept.items()):
@@ -174,4 +185,4 @@
         raise EndpointError("no answer in time", sent=connection is not None) from None
     finally:
         if connection is not None:
-            pool.release_or_close(address, connection)
+            pool.release_after_call(address, connection)
--- a/packages/rookspring/src/rookspring/relay_processes.py
+++ b/packages/rookspring/src/rookspring/relay_processes.py
@@ -56,7 +56,7 @@
         return await asyncio.shield(task)
 
     def _remove(self, key: tuple[ExpectedProcess, str], done: asyncio.Task[Finding]) -> None:
-        if self._calls[key][1] is done:
+        if key in self._calls and self._calls[key][1] is done:
             del self._calls[key]
 
     async def _ask(self, view: EndpointView, process: ExpectedProcess) -> Finding:
@@ -84,6 +84,7 @@
                 left_s,
                 defaults.REPORT_BYTES_MAX,
                 on_new_connection=True,
+                request_id="",
             )
         except EndpointError as error:
             return Finding(error.reason, ended=error.down, down=error.down)
