Dial a node again whose link went silent

What callers saw: nothing that is known by itself. Where relays tell nodes of the configuration and of endpoints, a node whose links went silent would have gone by old data until it watched the store itself, and for good without the others' figures.

Cause: a link has no time-out, and the kernel at its other end may acknowledge what it carries. The membership dropped a node that was silent for 4 s, but its link stayed open, and a node that had a link was not dialled.

Change: a node over whose link nothing came for 1.4 s, three heartbeats and half of one (3.5 s in the product's mesh), at two checks in a row, is dialled beside the link. The new one takes its place at both ends, so nobody counts as lost; a link that is not heard is given up only for one that works. An address counts as being dialled until its link is up, no longer until the link ends. The second check spares the links of a node that stood still: a row of its own, for 2 s. Links between nodes carry the same messages as before.

--- a/bench/watch_mutants.py
+++ b/bench/watch_mutants.py
@@ -5,6 +5,8 @@
 
 from rookspring import relay_store_loops
 from rookspring.http_client import ConnectionPool
+from rookspring.peers import Link
+from rookspring.peers import PeerServer
 from rookspring_core import defaults as core_defaults
 from rookspring_core import watches
 from rookspring_core.watches import ChangeBounds
@@ -37,6 +39,14 @@
         return await _watch_instead(platform, kind, since, times)
 
 
+def _hears_linked(self: PeerServer, name: str) -> bool:
+    return name in self.links
+
+
+def _prefer_first(self: PeerServer, link: Link, known: Link) -> bool:
+    return known.closed
+
+
 _watch = ObjectStore.watch
 
 
@@ -75,6 +85,8 @@
         lambda self: None,
         SILENT_CHANNELS,
     ),
+    Mutant("trusts links", "membership", PeerServer, "hears", _hears_linked, SILENT_CHANNELS),
+    Mutant("keeps a link", "membership", PeerServer, "_prefer", _prefer_first, SILENT_CHANNELS),
     Mutant(
         "asks on an open connection",
         "configuration",
--- a/features/silent_channels_sockets.feature
+++ b/features/silent_channels_sockets.feature
@@ -36,3 +36,18 @@
     Given 1 linked nodes, whose store they reach through a proxy
     When the store answers each call 0.6 s late for 6 s
     Then each node's watches are answered, and none takes the store to be down
+
+  Scenario Outline: nodes whose links went silent hear each other again
+    Given <nodes> linked nodes, whose store they reach through a proxy
+    When the links between them go silent
+    Then within 3 s each node hears all others again, and took none to be gone
+
+    Examples:
+      | nodes |
+      | 2     |
+      | 5     |
+
+  Scenario: a node that stood still for 2 s keeps its links
+    Given 3 linked nodes, whose store they reach through a proxy
+    When all of them stand still for 2 s
+    Then their links are the same 2 s later
--- a/features/steps/silent_channel_steps.py
+++ b/features/steps/silent_channel_steps.py
@@ -25,6 +25,8 @@
 CHANGE_S = 2.0
 CONTACT_S = 3.0
 VERSION = 7
+# Two heartbeats of a link.
+HEARD_LATELY_S = 0.8
 
 
 class SilentStage:
@@ -225,3 +227,74 @@
     lines = context.silent.relay.log_lines
     assert any("event=watch_repeated" in line for line in lines)
     assert not any("event=platform_down" in line for line in lines), lines
+
+
+class DeafWriter:
+    """Stands for a stream's writer; what is written is acknowledged and lost."""
+
+    def __init__(self, writer):
+        self._writer = writer
+
+    def __getattr__(self, name):
+        return getattr(self._writer, name)
+
+    def write(self, data):
+        pass
+
+
+def list_links(stage):
+    return {id(link): link for node in stage.nodes for link in node.peers.server.links.values()}
+
+
+@when("the links between them go silent")
+def links_silent(context):
+    stage = context.silent
+
+    async def work():
+        stage.silent_at = time.monotonic()
+        stage.relay.log_lines.clear()
+        context.links = list_links(stage)
+        for link in context.links.values():
+            link._writer = DeafWriter(link._writer)
+
+    context.loop.run(work())
+
+
+@then("within {seconds:g} s each node hears all others again, and took none to be gone")
+def hear_again(context, seconds):
+    stage = context.silent
+
+    def heard(node):
+        now = node.context.now()
+        peers = node.context.state.membership.peers
+        links = node.peers.server.links
+        return (
+            len(links) == len(peers) == len(stage.nodes) - 1
+            and not any(id(link) in context.links for link in links.values())
+            and all(now - one.received_at < HEARD_LATELY_S for one in peers.values())
+        )
+
+    async def work():
+        left_s = stage.silent_at + seconds - time.monotonic()
+        await stage.relay.until(lambda: all(heard(node) for node in stage.nodes), left_s)
+        assert not any("event=peer_down" in line for line in stage.relay.log_lines)
+
+    context.loop.run(work())
+
+
+@when("all of them stand still for {seconds:g} s")
+def stand_still(context, seconds):
+    async def work():
+        return list_links(context.silent)
+
+    context.links = context.loop.run(work())
+    context.loop.loop.call_soon_threadsafe(time.sleep, seconds)
+
+
+@then("their links are the same {seconds:g} s later")
+def same_links(context, seconds):
+    async def work():
+        await asyncio.sleep(seconds)
+        assert list_links(context.silent).keys() == context.links.keys()
+
+    context.loop.run(work())
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -160,6 +160,10 @@
 # Interval at which relay nodes send each other their work and demand; routing and placement
 # use figures as old as the last heartbeat.
 RELAY_HEARTBEAT_S = 0.4
+# A link without data for three heartbeats and half of one may be silent for good, and its node is
+# dialled again. Relay nodes have to hear each other again well within the contact bound.
+LINK_SILENT_S = 3.5
+RELAY_LINK_SILENT_S = 1.4
 # Longest delay after which a row of an endpoint's earlier process may still appear in the
 # list: as long as an unanswered call may take to have effect.
 LATE_ROW_S = 12.5
--- a/packages/rookspring/src/rookspring/dialling.py
+++ b/packages/rookspring/src/rookspring/dialling.py
@@ -59,6 +59,8 @@
         self._spawn = spawn
         self._dialling: set[str] = set()
         self._missing_since: dict[str, float] = {}
+        # Linked nodes that were not heard at the check before.
+        self._unheard: set[str] = set()
 
     def dial(self, address: str, name: str = "") -> None:
         """Connect to a node and serve the link, in a task."""
@@ -66,7 +68,7 @@
 
         async def connect() -> None:
             try:
-                reached = await self._server.dial(address)
+                reached = await self._server.dial(address, lambda: self._dialling.discard(address))
                 if not reached and name and self._on_unreachable is not None:
                     self._on_unreachable(name)
             finally:
@@ -75,13 +77,21 @@
         self._spawn(connect())
 
     def dial_missing(self) -> None:
-        """Dial planned nodes without a link; of a mutual pair, the higher name waits first."""
+        """Dial planned nodes without a link; of a mutual pair, the higher name waits first.
+
+        A node that isn't heard is dialled beside its link, which a new one replaces. A node that
+        stood still first reads what has arrived meanwhile.
+        """
         now = clock.now()
         plan = self._get_plan()
         for name, address in plan.addresses.items():
             dials_first = self._name < name or name not in plan.mutual
-            if name in self._server.links or address in self._dialling:
+            if self._server.hears(name) or address in self._dialling:
                 self._missing_since.pop(name, None)
+                self._unheard.discard(name)
+                continue
+            if name in self._server.links and name not in self._unheard:
+                self._unheard.add(name)
                 continue
             since = self._missing_since.setdefault(name, now)
             if dials_first or now - since > 2 * defaults.HEARTBEAT_S:
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -14,6 +14,7 @@
 
 import msgpack
 
+from . import clock
 from . import defaults
 from .exceptions import PeerError
 from .logs import log
@@ -37,6 +38,8 @@
         self.incarnation = ""
         self.sent_bytes = 0
         self.closed = False
+        # When data last arrived.
+        self.heard_at = clock.now()
 
     async def handshake(self, name: str, incarnation: str, key: str) -> None:
         """Exchange hellos, and proofs of the shared key.
@@ -90,6 +93,7 @@
                 raise PeerError(type(error).__name__) from None
             if not data:
                 raise PeerError("ended")
+            self.heard_at = clock.now()
             try:
                 self._unpacker.feed(data)
             except msgpack.exceptions.BufferFull:
@@ -107,22 +111,31 @@
 
 
 Serve = t.Callable[[Link], t.Awaitable[None]]
+OnUp = t.Callable[[], None]
 
 
 class PeerServer:
     """Listens for other nodes and dials them; one link to each is kept.
 
     :param serve: run for each link after its handshake, until the link ends.
+    :param silent_s: time without data after which a link may be silent for good, in seconds.
     """
 
     def __init__(
-        self, name: str, incarnation: str, key: str, serve: Serve, tls: ssl.SSLContext | None
+        self,
+        name: str,
+        incarnation: str,
+        key: str,
+        serve: Serve,
+        tls: ssl.SSLContext | None,
+        silent_s: float = defaults.LINK_SILENT_S,
     ) -> None:
         self._name = name
         self._incarnation = incarnation
         self._key = key
         self._serve = serve
         self._tls = tls
+        self._silent_s = silent_s
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.links: dict[str, Link] = {}
@@ -132,6 +145,14 @@
         """Count the bytes sent to other nodes since the start."""
         return self._closed_link_bytes + sum(link.sent_bytes for link in self.links.values())
 
+    def hears(self, name: str) -> bool:
+        """Return whether a node is linked, and data came over the link lately."""
+        link = self.links.get(name)
+        return link is not None and not self._is_silent(link)
+
+    def _is_silent(self, link: Link) -> bool:
+        return clock.now() - link.heard_at > self._silent_s
+
     async def listen(self, host: str, port: int) -> None:
         """Start to accept streams."""
         self._server = await asyncio.start_server(self._accept, host, port, ssl=self._tls)
@@ -148,9 +169,10 @@
         finally:
             self._tasks.discard(task)
 
-    async def dial(self, address: str) -> bool:
+    async def dial(self, address: str, on_up: OnUp = lambda: None) -> bool:
         """Connect to a node and serve the link until the stream ends.
 
+        :param on_up: called once the link is up.
         :return: whether a connection could be made.
         """
         host, _, port = address.rpartition(":")
@@ -161,10 +183,10 @@
                 )
         except (OSError, TimeoutError):
             return False
-        await self._run(Link(reader, writer, dialled=True))
+        await self._run(Link(reader, writer, dialled=True), on_up)
         return True
 
-    async def _run(self, link: Link) -> None:
+    async def _run(self, link: Link, on_up: OnUp = lambda: None) -> None:
         try:
             async with asyncio.timeout(defaults.HEADER_READ_S):
                 await link.handshake(self._name, self._incarnation, self._key)
@@ -177,11 +199,15 @@
             link.close()
             return
         self.links[link.name] = link
-        log("peer_up", peer=link.name, incarnation=link.incarnation)
+        log("peer_up", peer=link.name, incarnation=link.incarnation, replaces=known is not None)
+        if known is not None:
+            known.close()
+        on_up()
         try:
             await self._serve(link)
         except PeerError as error:
-            log("peer_down", peer=link.name, reason=error)
+            if self.links.get(link.name) is link:
+                log("peer_down", peer=link.name, reason=error)
         finally:
             link.close()
             if self.links.get(link.name) is link:
@@ -189,9 +215,14 @@
                 self._closed_link_bytes += link.sent_bytes
 
     def _prefer(self, link: Link, known: Link) -> bool:
-        """Return whether a new link replaces the known one; both ends choose the same link."""
+        """Return whether a new link replaces the known one; both ends choose the same link.
+
+        A node dials again only if it hears nothing over the known link.
+        """
         if known.closed or known.incarnation != link.incarnation:
             return True
+        if link.dialled == known.dialled or self._is_silent(known):
+            return True
         dialler_wins = self._name < link.name
         return link.dialled == dialler_wins and known.dialled != dialler_wins
 
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -63,7 +63,14 @@
         # The platform provides no shared secret. The key is derived from the store's address,
         # which is the same on all nodes of a deployment; it only excludes other deployments.
         key = f"rookspring-relay/{context.settings.store}"
-        self.server = PeerServer(identity.name, identity.incarnation, key, self._serve, None)
+        self.server = PeerServer(
+            identity.name,
+            identity.incarnation,
+            key,
+            self._serve,
+            None,
+            defaults.RELAY_LINK_SILENT_S,
+        )
         self.dialler = Dialler(
             identity.name,
             self._wanted,
