Drop an odd row of a message between nodes, and keep its link and the rows beside it

What callers saw: nothing by itself; but a node whose state has one odd row is cut off from every node that it links to, at once and again at each dial. It then knows of no endpoint, no configuration and no limit but by the store. One odd request for a slot left a queue whose name is a number at the queue's owner, and from then on the loop that grants slots failed for all queues of that owner.

Cause: rows were converted where they are used, all at once, by code in 20 handlers; whatever one of them raised ended the link that it was called from.

Now a message's fields and rows have types in `messages` and `message_rows`. They are converted in one place, `decode`: a row that doesn't have its type is dropped, a message with an odd value in no row is dropped, and so are lists whose rows make sense only together (evacuations, changes of the configuration). A message that a handler can't process no longer ends its link. Each is logged once in 60 s for each node and kind (`value_dropped`). Bytes that are no msgpack still end the link, since nothing shows where the next message begins; a malformed hello ends the handshake. Numbers are bounded: neither NaN nor infinite.

The scenario that a malformed copy of the configuration ends the link (large_tables_sockets) now demands that the link stays, that the log has exactly one line with the same error and the sender's name, and as before that version 5 is in force; it sends the copy over a real link where it called the handler.

--- a/features/large_tables_sockets.feature
+++ b/features/large_tables_sockets.feature
@@ -16,15 +16,15 @@
       | 1800   | 20        |
       | 0      | 20        |
 
-  Scenario Outline: a malformed copy of the configuration ends the link and changes nothing
+  Scenario Outline: a malformed copy of the configuration changes nothing, and its link stays
     Given a relay node with one endpoint that does: answer
     When another node sends version 9, <fault>
-    Then the link ends with the error "<error>"
+    Then the link stays, and the log gives the error "<error>"
     And version 5 is in force
 
     Examples:
       | fault         | error               |
       | cut short     | cut short           |
       | not packed    | a packed value      |
-      | without bytes | a packed value      |
+      | without bytes | Expected `bytes`    |
       | too large     | too large           |
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -36,6 +36,11 @@
 PLATFORM_CALLS_BURST = 60.0
 FORWARD_S = 60.0
 PEER_VERSION = 9
+# A node may send the same odd value with each heartbeat; it is logged this often, by kind.
+DROPPED_LOG_INTERVAL_S = 60.0
+DROPPED_KINDS_MAX = 10_000
+# Characters of the reason.
+DROPPED_REASON_MAX = 200
 REVISIONS_KEPT = 64
 REQUEST_ID_BYTES = 12
 HEARTBEAT_S = 1.0
--- a/packages/rookspring/src/rookspring/evidence.py
+++ b/packages/rookspring/src/rookspring/evidence.py
@@ -3,8 +3,6 @@
 Used by :mod:`relay_suspects` (relay nodes) and :mod:`gossip` (the product's own nodes).
 """
 
-import typing as t
-
 from rookspring_core.effects import VerdictFound
 from rookspring_core.suspects import Cleared
 from rookspring_core.suspects import CrashRecord
@@ -14,6 +12,10 @@
 from rookspring_core.suspects import Verdict
 
 from .logs import log
+from .message_rows import ClearedRow
+from .message_rows import CrashRow
+from .message_rows import TrialRow
+from .message_rows import VerdictRow
 from .messages import EvidenceMessage
 from .metrics import Metrics
 
@@ -22,7 +24,7 @@
     """Encode evidence; times of this node's clock become ages and remaining times."""
     return EvidenceMessage(
         [
-            [
+            CrashRow(
                 one.fingerprint,
                 one.organisation,
                 one.process.endpoint,
@@ -30,12 +32,15 @@
                 now - one.at,
                 one.early,
                 one.request,
-            ]
+            )
             for one in evidence.crash_records
         ],
-        [[one.fingerprint, now - one.at] for one in evidence.cleared],
-        [[one.fingerprint, one.organisation, one.until - now] for one in evidence.verdicts],
-        [[one.fingerprint, one.until - now] for one in evidence.trials],
+        [ClearedRow(one.fingerprint, now - one.at) for one in evidence.cleared],
+        [
+            VerdictRow(one.fingerprint, one.organisation, one.until - now)
+            for one in evidence.verdicts
+        ],
+        [TrialRow(one.fingerprint, one.until - now) for one in evidence.trials],
     )
 
 
@@ -43,17 +48,18 @@
     """Decode evidence; ages and remaining times become times of this node's clock."""
     return Evidence(
         tuple(_decode_crash_record(row, now) for row in message.crash_records),
-        tuple(Cleared(str(row[0]), now - float(row[1])) for row in message.cleared),
-        tuple(Verdict(str(row[0]), str(row[1]), now + float(row[2])) for row in message.verdicts),
-        tuple(Trial(str(row[0]), now + float(row[1])) for row in message.trials),
+        tuple(Cleared(row.fingerprint, now - row.age_s) for row in message.cleared),
+        tuple(
+            Verdict(row.fingerprint, row.organisation, now + row.left_s) for row in message.verdicts
+        ),
+        tuple(Trial(row.fingerprint, now + row.left_s) for row in message.trials),
     )
 
 
-def _decode_crash_record(row: list[t.Any], now: float) -> CrashRecord:
-    fingerprint, organisation, endpoint, started_ms, age_s, early, request = row
-    process = EndpointProcess(str(endpoint), int(started_ms))
+def _decode_crash_record(row: CrashRow, now: float) -> CrashRecord:
+    process = EndpointProcess(row.endpoint, row.started_ms)
     return CrashRecord(
-        str(fingerprint), str(organisation), process, now - float(age_s), bool(early), str(request)
+        row.fingerprint, row.organisation, process, now - row.age_s, row.early, row.request
     )
 
 
--- a/packages/rookspring/src/rookspring/gossip.py
+++ b/packages/rookspring/src/rookspring/gossip.py
@@ -5,7 +5,6 @@
 
 from rookspring_core import Entry
 from rookspring_core import cluster
-from rookspring_core.events import BoxListed
 from rookspring_core.events import CacheEventsReceived
 from rookspring_core.events import DownReceived
 from rookspring_core.events import EndpointReported
@@ -23,6 +22,7 @@
 from .evidence import encode_evidence
 from .leaving_rows import decode_leaving
 from .leaving_rows import encode_leaving
+from .message_rows import LoadRow
 from .messages import Boxes
 from .messages import EndpointDown
 from .messages import EvidenceMessage
@@ -38,6 +38,7 @@
 from .messages import RevisionRequest
 from .node_context import NodeContext
 from .peers import Link
+from .peers import handle_messages
 from .published import decode_entry
 from .published import encode_entry
 from .reports import ReportLog as ReportLog
@@ -66,13 +67,9 @@
     send_merged(node, link)
     node.report_log.reset()
     if node.boxes:
-        link.send(Boxes([list(row) for row in node.boxes]))
+        link.send(Boxes(list(node.boxes)))
     try:
-        while True:
-            item = await link.receive()
-            receiver = RECEIVERS.get(type(item))
-            if receiver is not None:
-                receiver(node, link, item)
+        await handle_messages(link, RECEIVERS, node)
     finally:
         forwarding.fail_pending(node, link)
         if node.peers.links.get(link.name) is link:
@@ -91,10 +88,10 @@
         data_centre=identity.data_centre,
         revision=state.catalogue.revision,
         leaving=state.leaving,
-        demand=[[model, round(rate, 2)] for model, rate in state.control.meter.rates.items()],
-        team_demand=[list(row) for row in state.limits.demand()],
+        demand=[(name, round(rate, 2)) for name, rate in state.control.meter.rates.items()],
+        team_demand=list(state.limits.demand()),
         lease_epoch=state.control.acting_epoch,
-        inflight=[list(row) for row in cluster.inflight_rows(state)],
+        inflight=list(cluster.inflight_rows(state)),
         merged=_digest(state),
     )
 
@@ -117,10 +114,10 @@
             data_centre=beat.data_centre,
             revision=beat.revision,
             leaving=beat.leaving,
-            demand=tuple((str(one[0]), float(one[1])) for one in beat.demand),
-            team_demand=tuple((str(one[0]), float(one[1])) for one in beat.team_demand),
+            demand=tuple(beat.demand),
+            team_demand=tuple(beat.team_demand),
             lease_epoch=beat.lease_epoch,
-            inflight=_read_inflight(beat),
+            inflight=None if beat.inflight is None else tuple(beat.inflight),
         )
     )
     if beat.merged != _digest(node.state):
@@ -134,12 +131,6 @@
         link.send(RevisionRequest(revision))
 
 
-def _read_inflight(beat: Heartbeat) -> tuple[tuple[str, int], ...] | None:
-    if beat.inflight is None:
-        return None
-    return tuple((str(one[0]), int(one[1])) for one in beat.inflight)
-
-
 def _digest(state: NodeState) -> int:
     """Return a hash that is equal on nodes with the same evidence and leaving endpoints."""
     return state.suspects.digest() ^ state.notices.digest(state.now)
@@ -248,33 +239,34 @@
             node.submit(report)
 
 
-def read_report_row(node: NodeContext, row: list[t.Any], now: float) -> EndpointReported | None:
+def read_report_row(
+    node: NodeContext, row: EndpointReported | LoadRow, now: float
+) -> EndpointReported | None:
     """Decode a full row, or apply a short one to the endpoint's last report.
 
     A short row contains the digest of the report that it applies to. If the last report is
     another one the row is dropped, since a full row follows within ``FULL_REPORT_INTERVAL_S``.
     """
-    if len(row) == len(EndpointReported._fields):
+    if isinstance(row, EndpointReported):
         return decode_report(row, now)
-    endpoint, digest, age_s, running, queued = row
-    view = node.state.endpoints.get(endpoint)
-    if view is None or view.report is None or digest_without_load(view.report) != digest:
+    view = node.state.endpoints.get(row.endpoint)
+    if view is None or view.report is None or digest_without_load(view.report) != row.digest:
         return None
-    return view.report._replace(at=now, age_s=age_s, running=running, queued=queued)
+    return view.report._replace(at=now, age_s=row.age_s, running=row.running, queued=row.queued)
 
 
 @receives(Hints)
 def handle_hints(node: NodeContext, link: Link, hints: Hints) -> None:
     """Process cache events that another node read."""
     now = clock.now()
-    for endpoint, prefixes in hints.rows:
-        node.submit(CacheEventsReceived(now, endpoint, tuple(prefixes)))
+    for row in hints.rows:
+        node.submit(CacheEventsReceived(now, row.endpoint, row.prefixes))
 
 
 @receives(Boxes)
 def handle_boxes(node: NodeContext, link: Link, boxes: Boxes) -> None:
     """Apply the box list that a relay read."""
-    node.update_boxes(tuple(BoxListed(*row) for row in boxes.rows), share=False)
+    node.update_boxes(tuple(boxes.rows), share=False)
 
 
 @receives(Forward)
--- a/packages/rookspring/src/rookspring/leaving_rows.py
+++ b/packages/rookspring/src/rookspring/leaving_rows.py
@@ -7,14 +7,15 @@
 
 from rookspring_core.notices import Leaving
 
+from .message_rows import LeavingRow
 from .messages import LeavingMessage
 
 
 def encode_leaving(rows: t.Iterable[Leaving], now: float) -> LeavingMessage:
     """Encode leaving endpoints; times of this node's clock become ages."""
-    return LeavingMessage([[one.endpoint, one.started_ms, now - one.at] for one in rows])
+    return LeavingMessage([LeavingRow(one.endpoint, one.started_ms, now - one.at) for one in rows])
 
 
 def decode_leaving(message: LeavingMessage, now: float) -> tuple[Leaving, ...]:
     """Decode leaving endpoints; ages become times of this node's clock."""
-    return tuple(Leaving(str(row[0]), int(row[1]), now - float(row[2])) for row in message.rows)
+    return tuple(Leaving(row.endpoint, row.started_ms, now - row.age_s) for row in message.rows)
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -24,6 +24,7 @@
     "peer_up": "a stream to another node is up",
     "peer_down": "a stream to another node ended",
     "peer_dropped": "a stream that neither end needs was closed",
+    "value_dropped": "a value of a message between nodes can't be read or sent and is left out",
     "peer_refused": "a node could not prove the shared key or speaks another version",
     "platform_down": "the platform does not answer",
     "platform_up": "the platform answers again",
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -2,24 +2,31 @@
 
 import typing as t
 
-import msgpack
-
-from .exceptions import PeerError
-
-M = t.TypeVar("M", bound=type[t.Any])
-MESSAGES: dict[str, type[t.Any]] = {}
-_TAGS: dict[type[t.Any], str] = {}
-
-
-def message(tag: str) -> t.Callable[[M], M]:
-    """Register a message class under its tag on the wire."""
-
-    def register(cls: M) -> M:
-        MESSAGES[tag] = cls
-        _TAGS[cls] = tag
-        return cls
-
-    return register
+from rookspring_core.events import BoxListed
+from rookspring_core.events import EndpointReported
+
+from ._message_coding import MESSAGES as MESSAGES
+from ._message_coding import decode as decode
+from ._message_coding import encode as encode
+from ._message_coding import message
+from ._message_coding import tag_of as tag_of
+from .message_rows import ClearedRow
+from .message_rows import CountRow
+from .message_rows import CrashRow
+from .message_rows import HintRow
+from .message_rows import LeavingRow
+from .message_rows import ListedRow
+from .message_rows import LoadRow
+from .message_rows import MemberRow
+from .message_rows import NodeRow
+from .message_rows import Number
+from .message_rows import RateLimitRow
+from .message_rows import RateRow
+from .message_rows import SpeedRow
+from .message_rows import SpeedSampleRow
+from .message_rows import TrialRow
+from .message_rows import UseRow
+from .message_rows import VerdictRow
 
 
 @message("hello")
@@ -61,24 +68,24 @@
     data_centre: str
     revision: int
     leaving: bool
-    demand: list[t.Any]
-    team_demand: list[t.Any]
+    demand: list[RateRow]
+    team_demand: list[RateRow]
     lease_epoch: int
-    inflight: list[t.Any] | None
-    uptime_s: float = 0.0
+    inflight: list[CountRow] | None
+    uptime_s: Number = 0.0
     lease_ended: int = 0
-    used: list[t.Any] | None = None
-    urgent_demand: list[t.Any] | None = None
-    refused_demand: list[t.Any] | None = None
-    capacity: float = 0.0
+    used: list[UseRow] | None = None
+    urgent_demand: list[RateRow] | None = None
+    refused_demand: list[RateRow] | None = None
+    capacity: Number = 0.0
     relay: bool = False
     watches: bool = False
     follows: bool = False
     aggregated: bool = False
-    store_age_s: float = 0.0
-    prompts: list[t.Any] | None = None
-    spent: list[t.Any] | None = None
-    relay_s: float = 0.0
+    store_age_s: Number = 0.0
+    prompts: list[CountRow] | None = None
+    spent: list[RateRow] | None = None
+    relay_s: Number = 0.0
     merged: int = 0
     store_era: int = 0
     isolated: bool = False
@@ -92,8 +99,8 @@
     :param speeds: rows of endpoint and speed.
     """
 
-    samples: list[t.Any]
-    speeds: list[t.Any]
+    samples: list[SpeedSampleRow]
+    speeds: list[SpeedRow]
 
 
 @message("members")
@@ -103,7 +110,7 @@
     :param complete: the rows are all that it reports.
     """
 
-    rows: list[t.Any]
+    rows: list[MemberRow]
     gone: list[str]
     complete: bool
 
@@ -116,7 +123,7 @@
     :param complete: the rows are all entries.
     """
 
-    rows: list[t.Any]
+    rows: list[ListedRow]
     complete: bool
 
 
@@ -124,21 +131,21 @@
 class Reports(t.NamedTuple):
     """Reports of endpoints; see :mod:`reports` for the rows."""
 
-    rows: list[t.Any]
+    rows: list[EndpointReported | LoadRow]
 
 
 @message("hints")
 class Hints(t.NamedTuple):
     """Prefixes that endpoints have cached, as rows of endpoint and prefixes."""
 
-    rows: list[t.Any]
+    rows: list[HintRow]
 
 
 @message("boxes")
 class Boxes(t.NamedTuple):
     """The platform's box list as a relay read it."""
 
-    rows: list[t.Any]
+    rows: list[BoxListed]
 
 
 @message("want")
@@ -148,7 +155,7 @@
     since: int
 
 
-@message("delta")
+@message("delta", whole=True)
 class RevisionDelta(t.NamedTuple):
     """Entries that changed from ``since`` to ``revision``; since 0 means all of them."""
 
@@ -163,7 +170,7 @@
 class Nodes(t.NamedTuple):
     """Nodes that the sender knows, as rows of name, address, data centre and capacity."""
 
-    rows: list[t.Any]
+    rows: list[NodeRow]
 
 
 @message("coming")
@@ -175,7 +182,7 @@
 
     endpoint: str
     model: str
-    ready_in_s: float
+    ready_in_s: Number
 
 
 @message("down")
@@ -193,14 +200,14 @@
     """
 
     endpoint: str
-    for_s: float
+    for_s: Number
 
 
 @message("leaving")
 class LeavingMessage(t.NamedTuple):
     """Leaving endpoints, as rows of name, start time and age of the notice in seconds."""
 
-    rows: list[t.Any]
+    rows: list[LeavingRow]
 
 
 @message("rates")
@@ -210,7 +217,7 @@
     The rate is None if the limit has ended; see ``RateRecord``.
     """
 
-    rows: list[t.Any]
+    rows: list[RateLimitRow]
 
 
 @message("evidence")
@@ -224,10 +231,10 @@
     :param trials: rows of fingerprint and remaining time.
     """
 
-    crash_records: list[t.Any]
-    cleared: list[t.Any]
-    verdicts: list[t.Any]
-    trials: list[t.Any]
+    crash_records: list[CrashRow]
+    cleared: list[ClearedRow]
+    verdicts: list[VerdictRow]
+    trials: list[TrialRow]
 
 
 @message("want-table")
@@ -246,7 +253,7 @@
     packed: bytes
 
 
-@message("evacuations")
+@message("evacuations", whole=True)
 class EvacuationsMessage(t.NamedTuple):
     """All evacuated data centres as of a revision of the store.
 
@@ -265,7 +272,7 @@
     They are those of the sender's requests, or the sum over several nodes' requests.
     """
 
-    rows: list[t.Any]
+    rows: list[CountRow]
 
 
 @message("want-model")
@@ -279,7 +286,7 @@
     service: str
     model: str
     adapter: str
-    latest_retry_s: float
+    latest_retry_s: Number
 
 
 @message("ask-proof")
@@ -289,7 +296,7 @@
     :param stamp: time of sending, by the sender's own clock.
     """
 
-    stamp: float
+    stamp: Number
 
 
 @message("proof")
@@ -301,8 +308,8 @@
         usage.
     """
 
-    stamp: float
-    age_s: float
+    stamp: Number
+    age_s: Number
     version: int
     near_limit: list[str] | None
 
@@ -319,7 +326,7 @@
     origin: str
     key: str
     organisation: str
-    units: float
+    units: Number
     passed: bool
 
 
@@ -333,8 +340,8 @@
     origin: str
     key: str
     organisation: str
-    units: float
-    after_s: float
+    units: Number
+    after_s: Number
 
 
 @message("units-back")
@@ -342,7 +349,7 @@
     """Return granted units to an organisation's owner, since the request did not run."""
 
     organisation: str
-    units: float
+    units: Number
     passed: bool
 
 
@@ -359,9 +366,9 @@
     queue: str
     rank: int
     organisation: str
-    wait_s: float
+    wait_s: Number
     avoid: str
-    rate: float | None
+    rate: Number | None
     passed: bool
 
 
@@ -380,9 +387,9 @@
     queue: str
     rank: int
     organisation: str
-    wait_s: float
+    wait_s: Number
     prompt_work: int
-    work: float
+    work: Number
     passed: bool
 
 
@@ -394,9 +401,9 @@
     key: str
     queue: str
     endpoint: str
-    after_s: float
+    after_s: Number
     counts_towards_rate: bool
-    avoid_s: float
+    avoid_s: Number
     no_known_endpoint: bool
 
 
@@ -408,7 +415,7 @@
     key: str
     queue: str
     endpoint: str
-    took_s: float
+    took_s: Number
     unsent: bool
     passed: bool
 
@@ -423,7 +430,7 @@
     subject: str
     stream: str
     version: str
-    kept_s: float
+    kept_s: Number
     passed: bool
 
 
@@ -490,21 +497,3 @@
     """The answer is complete."""
 
     number: int
-
-
-def encode(item: t.Any) -> bytes:
-    """Encode a message as bytes."""
-    return t.cast(bytes, msgpack.packb([_TAGS[type(item)], *item], use_bin_type=True))
-
-
-def decode(raw: t.Any) -> t.Any:
-    """Decode unpacked data to a message.
-
-    :raises PeerError: if it is not a message of this version.
-    """
-    if not isinstance(raw, list) or not raw or raw[0] not in MESSAGES:
-        raise PeerError("unknown message")
-    cls = MESSAGES[raw[0]]
-    if len(raw) - 1 != len(cls._fields):
-        raise PeerError(f"{raw[0]}: {len(cls._fields)} fields were expected")
-    return cls(*raw[1:])
--- a/packages/rookspring/src/rookspring/node.py
+++ b/packages/rookspring/src/rookspring/node.py
@@ -40,6 +40,7 @@
 from .exchanges import ChatExchange
 from .exchanges import Exchange
 from .logs import log
+from .message_rows import HintRow
 from .messages import Boxes
 from .messages import Hints
 from .messages import Reports
@@ -221,7 +222,7 @@
         self.boxes = rows
         self.submit(platform_loops.make_box_list_event(self, rows))
         if share and self.state.membership.is_relay():
-            item = Boxes([list(row) for row in rows])
+            item = Boxes(list(rows))
             for link in list(self.peers.links.values()):
                 link.send(item)
 
@@ -268,7 +269,7 @@
         self._cache_positions[name] = after
         if prefixes:
             self.submit(CacheEventsReceived(clock.now(), name, prefixes))
-            item = Hints([[name, list(prefixes)]])
+            item = Hints([HintRow(name, prefixes)])
             for link in list(self.peers.links.values()):
                 link.send(item)
 
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -16,12 +16,14 @@
 
 from . import clock
 from . import defaults
+from .dropped_values import note_from
 from .exceptions import PeerError
 from .logs import log
 from .messages import Hello
 from .messages import HelloProof
 from .messages import decode
 from .messages import encode
+from .messages import tag_of
 
 
 class Link:
@@ -38,6 +40,7 @@
         self.incarnation = ""
         self.sent_bytes = 0
         self.closed = False
+        self._note = note_from("", "decode")
         # When data last arrived.
         self.heard_at = clock.now()
 
@@ -57,6 +60,7 @@
         if not isinstance(proof, HelloProof) or not hmac.compare_digest(proof.digest, expected):
             raise PeerError("shared key")
         self.name = hello.name
+        self._note = note_from(hello.name, "decode")
         self.incarnation = hello.incarnation
 
     def send(self, item: t.Any) -> None:
@@ -78,18 +82,21 @@
         self._writer.write(data)
 
     async def receive(self) -> t.Any:
-        """Wait for the next message.
+        """Wait for the next message; one that can't be read is left out.
 
-        :raises PeerError: if the stream ended or its data could not be decoded.
+        :raises PeerError: if the stream ended or is not msgpack, so that the next message can't be
+            found; during the handshake also for a malformed message.
         """
         while True:
             try:
                 for raw in self._unpacker:
-                    return decode(raw)
+                    item = self._decode(raw)
+                    if item is not None:
+                        return item
                 data = await self._reader.read(1 << 16)
             except PeerError:
                 raise
-            except (OSError, ValueError, msgpack.exceptions.UnpackException) as error:
+            except (OSError, ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
                 raise PeerError(type(error).__name__) from None
             if not data:
                 raise PeerError("ended")
@@ -99,6 +106,16 @@
             except msgpack.exceptions.BufferFull:
                 raise PeerError("message too large") from None
 
+    def _decode(self, raw: t.Any) -> t.Any:
+        """Decode a message, without its malformed rows; None if it is malformed itself."""
+        try:
+            return decode(raw, self._note)
+        except PeerError as error:
+            if not self.name:
+                raise
+            self._note("message", str(error))
+            return None
+
     def close(self) -> None:
         """End the stream."""
         self.closed = True
@@ -110,6 +127,30 @@
     return hmac.new(key.encode(), text, hashlib.sha256).digest()
 
 
+N = t.TypeVar("N")
+
+
+async def handle_messages(
+    link: Link, receivers: t.Mapping[type[t.Any], t.Callable[[N, Link, t.Any], None]], node: N
+) -> None:
+    """Handle a link's messages until it ends; one that can't be handled stops no other.
+
+    :param receivers: the handlers, by type of message.
+    :param node: their first argument.
+    :raises PeerError: when the link ends.
+    """
+    note = note_from(link.name, "handle")
+    while True:
+        item = await link.receive()
+        receiver = receivers.get(type(item))
+        if receiver is None:
+            continue
+        try:
+            receiver(node, link, item)
+        except Exception as error:  # noqa: BLE001
+            note(tag_of(item), f"{type(error).__name__}: {error}")
+
+
 Serve = t.Callable[[Link], t.Awaitable[None]]
 OnUp = t.Callable[[], None]
 
--- a/packages/rookspring/src/rookspring/relay_allotments.py
+++ b/packages/rookspring/src/rookspring/relay_allotments.py
@@ -63,4 +63,4 @@
 @handles_as_owner(UnitsReturned, lambda item: item.organisation)
 def handle_returned(peers: RelayPeers, item: UnitsReturned, link: Link | None) -> None:
     """Cancel the grant of units that were returned."""
-    peers.context.state.allotments.cancel_grant(item.organisation, float(item.units), clock.now())
+    peers.context.state.allotments.cancel_grant(item.organisation, item.units, clock.now())
--- a/packages/rookspring/src/rookspring/relay_endpoint_list.py
+++ b/packages/rookspring/src/rookspring/relay_endpoint_list.py
@@ -10,6 +10,7 @@
 from . import clock
 from . import defaults
 from .logs import log
+from .message_rows import ListedRow
 from .messages import Listed
 from .peers import Link
 from .platform import StoredObject
@@ -300,7 +301,7 @@
         """Send the changed rows to the nodes that follow this one."""
         if not self._changed:
             return
-        item = Listed([list(row) for row in self._changed.values()], False)
+        item = Listed([ListedRow(*row) for row in self._changed.values()], False)
         self._changed = {}
         for name in self._peers.followers:
             link = self._peers.server.links.get(name)
@@ -310,11 +311,11 @@
     def send_all_rows(self, link: Link) -> None:
         """Send all rows to a node that begins to follow this one."""
         if self._context.endpoints_listed:
-            link.send(Listed([list(row) for row in self._stored.values()], True))
+            link.send(Listed([ListedRow(*row) for row in self._stored.values()], True))
 
 
 @receives(Listed)
 def take_endpoint_rows(peers: RelayPeers, link: Link, listed: Listed) -> None:
     """Apply endpoint rows that another node sent."""
-    rows = tuple(StoredObject(str(row[0]), int(row[1]), row[2], *row[3:]) for row in listed.rows)
-    peers.context.take_endpoint_rows(rows, bool(listed.complete), link.name)
+    rows = tuple(StoredObject(*row) for row in listed.rows)
+    peers.context.take_endpoint_rows(rows, listed.complete, link.name)
--- a/packages/rookspring/src/rookspring/relay_evacuations.py
+++ b/packages/rookspring/src/rookspring/relay_evacuations.py
@@ -132,6 +132,6 @@
 @receives(EvacuationsMessage)
 def handle_list(peers: RelayPeers, link: Link, message: EvacuationsMessage) -> None:
     """Process a list of evacuations that another node sent."""
-    names = frozenset(str(one) for one in message.data_centres)
-    found = EvacuationList(int(message.era), int(message.revision), names)
+    names = frozenset(message.data_centres)
+    found = EvacuationList(message.era, message.revision, names)
     peers.context.submit(EvacuationsListed(clock.now(), found, link.name))
--- a/packages/rookspring/src/rookspring/relay_heartbeats.py
+++ b/packages/rookspring/src/rookspring/relay_heartbeats.py
@@ -18,6 +18,8 @@
 from . import defaults
 from . import relay_merged
 from . import relay_speeds
+from .message_rows import CountRow
+from .message_rows import RateRow
 from .messages import Heartbeat
 from .messages import encode
 from .peers import Link
@@ -60,7 +62,7 @@
     relay_speeds.send_speeds(peers, kinds, leaf_followers(peers))
 
 
-def take_spent_rows(peers: RelayPeers) -> list[t.Any] | None:
+def take_spent_rows(peers: RelayPeers) -> list[RateRow] | None:
     """Return the units admitted since the last heartbeat, as rows of organisation and units.
 
     The units are taken only if a linked node is to aggregate them, and kept for the next
@@ -75,7 +77,7 @@
     else:
         received = topology.followed in links
     sums = context.state.allotments.take_unreported(clock.now(), received)
-    return [[name, round(units)] for name, units in sums.items()] or None
+    return [(name, round(units)) for name, units in sums.items()] or None
 
 
 def announce(peers: RelayPeers, topic: str) -> None:
@@ -143,8 +145,8 @@
     """Add this node's own figures."""
     return beat._replace(
         demand=_write_rates(state.control.meter.rates),
-        inflight=[list(row) for row in cluster.inflight_rows(state)],
-        used=[list(row) for row in attaching.used_rows(state)],
+        inflight=list(cluster.inflight_rows(state)),
+        used=list(attaching.used_rows(state)),
         urgent_demand=_write_rates(state.control.urgent_demand.meter.rates),
         refused_demand=_write_rates(state.control.refused_demand.meter.rates),
         prompts=own_prompts(state, _unread_endpoints(state)),
@@ -169,7 +171,7 @@
     return beat._replace(
         demand=_write_rates(demand),
         inflight=_write_counts(inflight),
-        used=[list(row) for row in used],
+        used=list(used),
         urgent_demand=_write_rates(control.urgent_demand.sum_of(group)),
         refused_demand=_write_rates(control.refused_demand.sum_of(group)),
         prompts=group_prompts(peers, _unread_endpoints(state)),
@@ -199,26 +201,26 @@
     return {name for name in peers.followers if name in known and not known[name].heartbeat.relay}
 
 
-def own_prompts(state: NodeState, endpoints: t.Iterable[str]) -> list[t.Any]:
+def own_prompts(state: NodeState, endpoints: t.Iterable[str]) -> list[CountRow]:
     """Return rows of endpoint and unread prompt tokens of this node's requests."""
     views = state.endpoints
-    return [[name, views[name].own_prompts()] for name in endpoints if name in views]
+    return [(name, views[name].own_prompts()) for name in endpoints if name in views]
 
 
-def group_prompts(peers: RelayPeers, endpoints: t.Iterable[str]) -> list[t.Any]:
+def group_prompts(peers: RelayPeers, endpoints: t.Iterable[str]) -> list[CountRow]:
     """Return rows of endpoint and unread prompt tokens, of this relay and its leaf followers."""
     state = peers.context.state
     group = leaf_followers(peers)
     return [
-        [name, own + state.peers_work.prompts_of(name, group)]
+        (name, own + state.peers_work.prompts_of(name, group))
         for name, own in own_prompts(state, endpoints)
     ]
 
 
-def others_prompts(state: NodeState, endpoints: t.Iterable[str], follower: str) -> list[t.Any]:
+def others_prompts(state: NodeState, endpoints: t.Iterable[str], follower: str) -> list[CountRow]:
     """Return rows of endpoint and unread prompt tokens, of all nodes except for one follower."""
     return [
-        [name, state.endpoints[name].unread() - state.peers_work.prompts_of(name, (follower,))]
+        (name, state.endpoints[name].unread() - state.peers_work.prompts_of(name, (follower,)))
         for name in endpoints
         if name in state.endpoints
     ]
@@ -229,29 +231,24 @@
     return [name for name, view in state.endpoints.items() if view.unread()]
 
 
-def _write_rates(rates: t.Mapping[str, float]) -> list[t.Any]:
-    return [[name, round(rate, 2)] for name, rate in rates.items()]
+def _write_rates(rates: t.Mapping[str, float]) -> list[RateRow]:
+    return [(name, round(rate, 2)) for name, rate in rates.items()]
 
 
-def _write_counts(counts: t.Mapping[str, int]) -> list[t.Any]:
-    return [[endpoint, count] for endpoint, count in counts.items() if count]
+def _write_counts(counts: t.Mapping[str, int]) -> list[CountRow]:
+    return [(endpoint, count) for endpoint, count in counts.items() if count]
 
 
-def _read_counts(rows: list[t.Any] | None) -> tuple[tuple[str, int], ...] | None:
-    return None if rows is None else tuple((str(row[0]), int(row[1])) for row in rows)
-
-
-def _read_rates(rows: list[t.Any] | None) -> tuple[tuple[str, float], ...]:
-    return tuple((str(row[0]), float(row[1])) for row in rows or ())
+def _read_counts(rows: list[CountRow] | None) -> tuple[CountRow, ...] | None:
+    return None if rows is None else tuple(rows)
 
 
 @receives(Heartbeat)
 def handle_heartbeat(peers: RelayPeers, link: Link, beat: Heartbeat) -> None:
     """Process a heartbeat, and request the route table if the sender has a newer one."""
-    peers.context.eras.note_era(int(beat.store_era), beat.name)
-    follows = bool(beat.follows)
-    new_follower = follows and beat.name not in peers.followers
-    if follows:
+    peers.context.eras.note_era(beat.store_era, beat.name)
+    new_follower = beat.follows and beat.name not in peers.followers
+    if beat.follows:
         peers.followers.add(beat.name)
     else:
         peers.followers.discard(beat.name)
@@ -265,37 +262,37 @@
             data_centre=beat.data_centre,
             revision=beat.revision,
             leaving=beat.leaving,
-            demand=_read_rates(beat.demand),
+            demand=tuple(beat.demand),
             team_demand=(),
             lease_epoch=beat.lease_epoch,
             inflight=_read_counts(beat.inflight),
             prompts=_read_counts(beat.prompts),
-            uptime_s=float(beat.uptime_s),
-            lease_ended=int(beat.lease_ended),
-            used=tuple((str(one[0]), str(one[1])) for one in beat.used or ()),
-            urgent_demand=_read_rates(beat.urgent_demand),
-            refused_demand=_read_rates(beat.refused_demand),
-            capacity=float(beat.capacity),
-            relay=bool(beat.relay),
-            watches=bool(beat.watches),
-            follows=follows,
-            aggregated=bool(beat.aggregated),
-            store_age_s=float(beat.store_age_s),
-            spent=None if beat.spent is None else _read_rates(beat.spent),
-            relay_s=float(beat.relay_s),
-            isolated=bool(beat.isolated),
+            uptime_s=beat.uptime_s,
+            lease_ended=beat.lease_ended,
+            used=tuple(beat.used or ()),
+            urgent_demand=tuple(beat.urgent_demand or ()),
+            refused_demand=tuple(beat.refused_demand or ()),
+            capacity=beat.capacity,
+            relay=beat.relay,
+            watches=beat.watches,
+            follows=beat.follows,
+            aggregated=beat.aggregated,
+            store_age_s=beat.store_age_s,
+            spent=None if beat.spent is None else tuple(beat.spent),
+            relay_s=beat.relay_s,
+            isolated=beat.isolated,
         )
     )
     if new_follower:
         peers.context.send_endpoint_list(link)
-    relay_merged.resend_if_different(peers, link, int(beat.merged))
+    relay_merged.resend_if_different(peers, link, beat.merged)
     if (
         beat.leaving
         or beat.isolated
         or beat.lease_ended == peers.context.state.control.lease.epoch > 0
     ):
         peers.context.lease_check_due.set()
-    peers.add_nodes([(beat.name, beat.address, beat.data_centre, float(beat.capacity))])
+    peers.add_nodes([(beat.name, beat.address, beat.data_centre, beat.capacity)])
     peers.request_table(link, beat.revision)
 
 
--- a/packages/rookspring/src/rookspring/relay_members.py
+++ b/packages/rookspring/src/rookspring/relay_members.py
@@ -6,13 +6,12 @@
 are sent, except to a node that has just linked or has become a relay or ceased to be one.
 """
 
-import typing as t
-
 from rookspring_core.events import HeartbeatReceived
 from rookspring_core.events import MembersReceived
 from rookspring_core.membership import Peer
 
 from . import clock
+from .message_rows import MemberRow
 from .messages import Members
 from .peers import Link
 from .relay_peers import RelayPeers
@@ -71,9 +70,9 @@
     return (near or peer.heartbeat.relay) and peer.direct(now)
 
 
-def _encode_row(peer: Peer, now: float) -> list[t.Any]:
+def _encode_row(peer: Peer, now: float) -> MemberRow:
     heartbeat = peer.heartbeat
-    return [
+    return MemberRow(
         heartbeat.name,
         heartbeat.incarnation,
         heartbeat.address,
@@ -87,28 +86,26 @@
         heartbeat.relay,
         heartbeat.capacity,
         heartbeat.isolated,
-    ]
+    )
 
 
-def _decode_row(row: list[t.Any], now: float) -> HeartbeatReceived:
-    name, incarnation, address, caller_address, data_centre, revision, leaving = row[:7]
-    uptime_s, lease_epoch, lease_ended, relay, capacity, isolated = row[7:]
+def _decode_row(row: MemberRow, now: float) -> HeartbeatReceived:
     return HeartbeatReceived(
         at=now,
-        name=str(name),
-        incarnation=str(incarnation),
-        address=str(address),
-        caller_address=str(caller_address),
-        data_centre=str(data_centre),
-        revision=int(revision),
-        leaving=bool(leaving),
-        lease_epoch=int(lease_epoch),
-        lease_ended=int(lease_ended),
+        name=row.name,
+        incarnation=row.incarnation,
+        address=row.address,
+        caller_address=row.caller_address,
+        data_centre=row.data_centre,
+        revision=row.revision,
+        leaving=row.leaving,
+        lease_epoch=row.lease_epoch,
+        lease_ended=row.lease_ended,
         inflight=None,
-        uptime_s=float(uptime_s),
-        capacity=float(capacity),
-        relay=bool(relay),
-        isolated=bool(isolated),
+        uptime_s=row.uptime_s,
+        capacity=row.capacity,
+        relay=row.relay,
+        isolated=row.isolated,
         aggregated=True,
     )
 
@@ -118,8 +115,8 @@
     """Apply the membership rows that a relay sent."""
     now = clock.now()
     rows = tuple(_decode_row(row, now) for row in members.rows)
-    removed = tuple(str(name) for name in members.gone)
-    peers.context.submit(MembersReceived(now, link.name, rows, removed, bool(members.complete)))
+    removed = tuple(members.gone)
+    peers.context.submit(MembersReceived(now, link.name, rows, removed, members.complete))
     ended = peers.context.state.control.lease.epoch
     if any(row.leaving or row.lease_ended == ended > 0 for row in rows):
         peers.context.lease_check_due.set()
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -23,6 +23,7 @@
 from .leaving_rows import decode_leaving
 from .leaving_rows import encode_leaving
 from .logs import log
+from .message_rows import RateLimitRow
 from .messages import LeavingMessage
 from .messages import RatesMessage
 from .messages import ShedMessage
@@ -116,7 +117,7 @@
 
 def share_rates(peers: RelayPeers, rows: tuple[RateRecord, ...], source: str) -> None:
     """Send endpoints' rate limits to all nodes except for the source."""
-    peers.broadcast(RatesMessage([list(row) for row in rows]), source)
+    peers.broadcast(RatesMessage([RateLimitRow(*row) for row in rows]), source)
 
 
 @merged_set("rates", lambda state: state.rates.digest())
@@ -124,16 +125,13 @@
     """Send a node the rate limits of all endpoints."""
     rows = peers.context.state.rates.records()
     if rows:
-        link.send(RatesMessage([list(row) for row in rows]))
+        link.send(RatesMessage([RateLimitRow(*row) for row in rows]))
 
 
 @receives(RatesMessage)
 def handle_rates(peers: RelayPeers, link: Link, message: RatesMessage) -> None:
     """Process rate limits that another node sent."""
-    rows = tuple(
-        RateRecord(str(row[0]), int(row[1]), int(row[2]), None if row[3] is None else float(row[3]))
-        for row in message.rows
-    )
+    rows = tuple(RateRecord(*row) for row in message.rows)
     peers.context.submit(RatesReceived(clock.now(), rows, link.name))
 
 
@@ -163,5 +161,5 @@
 @receives(ShedMessage)
 def handle_shed(peers: RelayPeers, link: Link, message: ShedMessage) -> None:
     """Process and forward that an endpoint sheds load, as another node found."""
-    peers.context.submit(ShedReceived(clock.now(), message.endpoint, float(message.for_s)))
+    peers.context.submit(ShedReceived(clock.now(), message.endpoint, message.for_s))
     peers.broadcast(message, link.name)
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -19,12 +19,14 @@
 from .dialling import Dialler
 from .dialling import LinkPlan
 from .logs import log
+from .message_rows import NodeRow
 from .messages import Nodes
 from .messages import TableMessage
 from .messages import TableRequest
 from .messages import encode
 from .peers import Link
 from .peers import PeerServer
+from .peers import handle_messages
 from .platform import StoredObject
 from .relay_context import RelayContext
 
@@ -104,11 +106,7 @@
     async def _serve(self, link: Link) -> None:
         self.send_first_messages(link)
         try:
-            while True:
-                item = await link.receive()
-                receiver = RECEIVERS.get(type(item))
-                if receiver is not None:
-                    receiver(self, link, item)
+            await handle_messages(link, RECEIVERS, self)
         finally:
             self.sent_members.pop(link, None)
             self.differs_since.pop(link, None)
@@ -118,7 +116,7 @@
 
     def send_first_messages(self, link: Link) -> None:
         """Send a newly linked node the relays, or in a mesh all nodes, and call the callbacks."""
-        link.send(Nodes([[*row] for row in self._rows()]))
+        link.send(Nodes([NodeRow(*row) for row in self._rows()]))
         for callback in self.link_callbacks:
             callback(self, link)
 
@@ -264,7 +262,7 @@
 @receives(Nodes)
 def handle_nodes(peers: RelayPeers, link: Link, nodes: Nodes) -> None:
     """Add the nodes that another node knows."""
-    peers.add_nodes((str(row[0]), str(row[1]), str(row[2]), float(row[3])) for row in nodes.rows)
+    peers.add_nodes(nodes.rows)
 
 
 @receives(TableRequest)
--- a/packages/rookspring/src/rookspring/relay_places.py
+++ b/packages/rookspring/src/rookspring/relay_places.py
@@ -50,8 +50,7 @@
     """Free a place, or drop a request that waits no longer; others may be granted places."""
     now = clock.now()
     queue = place_requests.queue_of(peers.context.state, freed.queue, now)
-    took_s, unsent = float(freed.took_s), bool(freed.unsent)
-    answers = queue.free(freed.origin, freed.key, took_s, unsent, now)
+    answers = queue.free(freed.origin, freed.key, freed.took_s, freed.unsent, now)
     _send_replies(peers, freed.queue, answers)
 
 
@@ -60,13 +59,13 @@
     """Grant a request a place, enqueue it, or refuse it."""
     now = clock.now()
     queue = place_requests.queue_of(peers.context.state, asked.queue, now)
-    place = PlaceTerms(int(asked.prompt_work), float(asked.work))
+    place = PlaceTerms(asked.prompt_work, asked.work)
     request = SlotRequest(
         asked.origin,
         asked.key,
-        int(asked.rank),
+        asked.rank,
         asked.organisation,
-        float(asked.wait_s),
+        asked.wait_s,
         place=place,
     )
     peers.context.metrics.places.inc({"event": "asked", "rank": str(request.rank)})
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -90,13 +90,12 @@
     """Grant a request a slot, enqueue it, or refuse it."""
     now = clock.now()
     queue = slot_requests.queue_of(peers.context.state, asked.queue, now, asked.rate)
-    wait_s = float(asked.wait_s)
     request = SlotRequest(
         asked.origin,
         asked.key,
-        int(asked.rank),
+        asked.rank,
         asked.organisation,
-        wait_s,
+        asked.wait_s,
         asked.avoid,
         asked.rate,
     )
@@ -111,8 +110,7 @@
         return
     now = clock.now()
     queue = slot_requests.queue_of(peers.context.state, freed.queue, now)
-    took_s, unsent = float(freed.took_s), bool(freed.unsent)
-    answers = queue.free(freed.endpoint, freed.origin, freed.key, took_s, now, unsent)
+    answers = queue.free(freed.endpoint, freed.origin, freed.key, freed.took_s, now, freed.unsent)
     _send_replies(peers, freed.queue, answers)
 
 
@@ -142,9 +140,9 @@
             reply.key,
             reply.queue,
             reply.endpoint,
-            float(reply.after_s),
-            bool(reply.counts_towards_rate),
-            float(reply.avoid_s),
-            bool(reply.no_known_endpoint),
+            reply.after_s,
+            reply.counts_towards_rate,
+            reply.avoid_s,
+            reply.no_known_endpoint,
         )
     )
--- a/packages/rookspring/src/rookspring/relay_speeds.py
+++ b/packages/rookspring/src/rookspring/relay_speeds.py
@@ -14,6 +14,8 @@
 
 from . import clock
 from .logs import log
+from .message_rows import SpeedRow
+from .message_rows import SpeedSampleRow
 from .messages import EndpointSpeeds
 from .messages import encode
 from .peers import Link
@@ -43,26 +45,28 @@
         if kind in needed and (rows := state.speeds.samples.take_unsent(sources, now)):
             data[kind] = encode(EndpointSpeeds([_write_row(row) for row in rows], []))
     if "rest" in needed and (speeds := endpoint_speeds.shared_speeds(state)):
-        written = [[endpoint, round(speed * _SCALE)] for endpoint, speed in speeds]
+        written = [SpeedRow(endpoint, round(speed * _SCALE)) for endpoint, speed in speeds]
         data["rest"] = encode(EndpointSpeeds([], written))
     for name, kind in kinds.items():
         if kind in data:
             peers.server.links[name].send_encoded(data[kind])
 
 
-def _write_row(row: SampleRow) -> list[t.Any]:
-    return [row.endpoint, row.model, round(row.weight * _SCALE), round(row.log_s * _SCALE)]
+def _write_row(row: SampleRow) -> SpeedSampleRow:
+    return SpeedSampleRow(
+        row.endpoint, row.model, round(row.weight * _SCALE), round(row.log_s * _SCALE)
+    )
 
 
-def _read_row(row: list[t.Any]) -> SampleRow:
-    return SampleRow(str(row[0]), str(row[1]), int(row[2]) / _SCALE, int(row[3]) / _SCALE)
+def _read_row(row: SpeedSampleRow) -> SampleRow:
+    return SampleRow(row.endpoint, row.model, row.weight / _SCALE, row.log_s / _SCALE)
 
 
 @receives(EndpointSpeeds)
 def handle_speeds(peers: RelayPeers, link: Link, item: EndpointSpeeds) -> None:
     """Submit another node's samples and speeds."""
     samples = tuple(_read_row(row) for row in item.samples)
-    speeds = tuple((str(row[0]), int(row[1]) / _SCALE) for row in item.speeds)
+    speeds = tuple((row.endpoint, row.speed / _SCALE) for row in item.speeds)
     peers.context.submit(SpeedsReceived(clock.now(), link.name, samples, speeds))
 
 
--- a/packages/rookspring/src/rookspring/relay_streams.py
+++ b/packages/rookspring/src/rookspring/relay_streams.py
@@ -112,7 +112,7 @@
 @handles_as_owner(OriginMessage, _subject_of_told)
 def keep_origin(peers: RelayPeers, told: OriginMessage, link: Link | None) -> None:
     """Keep the origin of a stream."""
-    peers.context.submit(OriginReceived(clock.now(), told.stream, told.version, float(told.kept_s)))
+    peers.context.submit(OriginReceived(clock.now(), told.stream, told.version, told.kept_s))
 
 
 @handles_as_owner(AskOrigin, _subject_of_asked)
--- a/packages/rookspring/src/rookspring/relay_updates.py
+++ b/packages/rookspring/src/rookspring/relay_updates.py
@@ -117,14 +117,16 @@
 def handle_reports(peers: RelayPeers, link: Link, reports: Reports) -> None:
     """Process and forward endpoint reports of the lease holder or of a watcher."""
     for row in reports.rows:
-        peers.context.submit(decode_report(row, clock.now()))
+        # Nodes that relay send full rows alone.
+        if isinstance(row, EndpointReported):
+            peers.context.submit(decode_report(row, clock.now()))
     peers.broadcast(reports, link.name)
 
 
 @receives(Prompts)
 def handle_prompts(peers: RelayPeers, link: Link, prompts: Prompts) -> None:
     """Process other nodes' unread prompt tokens, and at a relay schedule them to be sent on."""
-    rows = tuple((str(row[0]), int(row[1])) for row in prompts.rows)
+    rows = tuple(prompts.rows)
     state = peers.context.state
     peers.context.submit(PromptsReceived(clock.now(), link.name, rows))
     for endpoint, _ in rows:
@@ -139,7 +141,7 @@
 @receives(ModelLoading)
 def handle_loading(peers: RelayPeers, link: Link, coming: ModelLoading) -> None:
     """Process and forward that the lease holder has ordered the load of a model."""
-    event = LoadingReceived(clock.now(), coming.endpoint, coming.model, float(coming.ready_in_s))
+    event = LoadingReceived(clock.now(), coming.endpoint, coming.model, coming.ready_in_s)
     peers.context.submit(event)
     peers.broadcast(coming, link.name)
 
@@ -157,15 +159,12 @@
     now = clock.now()
     state = peers.context.state
     if state.control.holding(now):
-        latest_retry_s = float(message.latest_retry_s)
-        event = LoadRequested(now, message.service, message.model, message.adapter, latest_retry_s)
+        event = LoadRequested(now, *message)
         peers.context.submit(event)
     elif _forwards_from(state, link.name):
         send_load_request(
             peers,
-            RequestLoad(
-                message.service, message.model, message.adapter, float(message.latest_retry_s)
-            ),
+            RequestLoad(*message),
         )
 
 
--- a/packages/rookspring/src/rookspring/reports.py
+++ b/packages/rookspring/src/rookspring/reports.py
@@ -1,11 +1,10 @@
 """Encoding of endpoint reports as rows of messages between nodes."""
 
-import typing as t
-
 from rookspring_core.events import EndpointReported
 from rookspring_core.hashing import stable_hash
 
 from . import defaults
+from .message_rows import LoadRow
 
 
 def digest_without_load(report: EndpointReported) -> int:
@@ -23,12 +22,12 @@
     def __init__(self) -> None:
         self._sent: dict[str, tuple[int, float]] = {}
 
-    def row_for(self, report: EndpointReported, now: float) -> list[t.Any]:
+    def row_for(self, report: EndpointReported, now: float) -> EndpointReported | LoadRow:
         """Return the row to share: short if nothing but load and age has changed."""
         digest = digest_without_load(report)
         known, at = self._sent.get(report.endpoint, (0, -1e9))
         if known == digest and now - at < defaults.FULL_REPORT_INTERVAL_S:
-            return [report.endpoint, digest, report.age_s, report.running, report.queued]
+            return LoadRow(report.endpoint, digest, report.age_s, report.running, report.queued)
         self._sent[report.endpoint] = (digest, now)
         return encode_report(report, now)
 
@@ -37,23 +36,11 @@
         self._sent.clear()
 
 
-def encode_report(report: EndpointReported, now: float) -> list[t.Any]:
+def encode_report(report: EndpointReported, now: float) -> EndpointReported:
     """Encode a report as a row; its time becomes an age."""
-    row = list(report)
-    row[0] = 0.0
-    row[3] = report.age_s + max(0.0, now - report.at)
-    return row
+    return report._replace(at=0.0, age_s=report.age_s + max(0.0, now - report.at))
 
 
-def decode_report(row: list[t.Any], now: float) -> EndpointReported:
+def decode_report(row: EndpointReported, now: float) -> EndpointReported:
     """Decode a full row to a report, dated now with the row's age."""
-    raw = EndpointReported(*row)
-    return raw._replace(
-        at=now,
-        resident=tuple((one[0], one[1]) for one in raw.resident),
-        loading=tuple((one[0], one[1]) for one in raw.loading),
-        adapters=tuple(raw.adapters),
-        in_memory=tuple(raw.in_memory),
-        on_disk=tuple(raw.on_disk),
-        order_token=(raw.order_token[0], raw.order_token[1]),
-    )
+    return row._replace(at=now)
