Send the other rows of a message of which one can't be sent

What callers saw: nodes that follow another get the list of endpoints from it. If one entry had a number beyond 64 bits in any field, also one that nobody knows, or half of a surrogate pair, the whole batch was not sent, with the changes of other endpoints in it; and a node that began to follow got no list at all, at each dial anew, since the error ended its link.

Cause: a message was encoded as a whole, and `send` raised what the encoder raised, within whatever code had something to send.

Now `encode` leaves out the rows that can't be encoded, each logged as `value_dropped step=encode` once in 60 s for each kind, and gives no bytes if the message can't be encoded without them either, or if its rows make sense only together. Rows are tried one by one only after the message as a whole has failed, so that the usual message costs what it did.

Evidence: `behave features/odd_messages.feature` on the code before: "OverflowError: Python int too large to convert to C unsigned long" for the first kind of message with rows, "PeerError('ended')" for the follower, which now gets the other entry.

--- a/features/odd_messages.feature
+++ b/features/odd_messages.feature
@@ -1,8 +1,9 @@
 @relay
-Feature: A value of a message between nodes that can't be read stops no other
+Feature: A value of a message between nodes that can't be read or sent stops no other
 
   # Guards against a link that ends with each message in which one row is odd, and again whenever it
-  # is dialled anew, so that its nodes know nothing of each other.
+  # is dialled anew, so that its nodes know nothing of each other; and against a row that no message
+  # can carry, for which none of the rows beside it reaches the other nodes.
 
   Scenario: no kind of message ends its link, whichever of its values is odd
     Given a relay node with one endpoint that does: answer
@@ -26,12 +27,20 @@
   Scenario: a message with an odd value in no row is dropped
     Then each kind of message is dropped with an odd value in place of any that is no list
 
+  Scenario: the rows beside one that can't be sent are sent, in each kind of message
+    Then each kind of message is sent without a row that can't be, or not at all
+
   Scenario: what nodes really send is read as it was sent
     Then a message of each kind arrives as it was sent
 
   Scenario: a row is dropped where its number is no number, whatever it would be compared with
     Then heartbeats with a demand of NaN or infinity arrive without that row
 
+  Scenario: an entry that can't be sent keeps none of the others from a follower
+    Given a relay node with one endpoint that does: answer
+    When an entry with a number of 400 digits is among its entries, and another node follows it
+    Then the follower gets the other entry
+
   Scenario: a value that is odd again and again is logged once in a while
     When a node's message has an odd value 50 times in a row
     Then there is 1 line about it
--- a/features/steps/odd_message_steps.py
+++ b/features/steps/odd_message_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 from loguru import logger
 from other_node import OTHER
+from other_node import open_link
 from other_node import send_odd
 
 from rookspring import clock
@@ -16,9 +17,11 @@
 from rookspring.messages import MESSAGES
 from rookspring.messages import Heartbeat
 from rookspring.messages import Hello
+from rookspring.messages import Listed
 from rookspring.messages import TableMessage
 from rookspring.messages import decode
 from rookspring.messages import encode
+from rookspring.platform import StoredObject
 from rookspring.relay_peers import RECEIVERS
 
 TAGS = {cls: tag for tag, cls in MESSAGES.items()}
@@ -124,6 +127,22 @@
                 raise AssertionError((tag, cls._fields[place - 1], hints[place - 1]))
 
 
+@then("each kind of message is sent without a row that can't be, or not at all")
+def unsendable_rows(context):
+    for tag, cls in MESSAGES.items():
+        sound = samples.sample_message(tag)
+        for place in samples.row_fields(tag):
+            for odd in samples.UNSENDABLE:
+                values = [*sound[1:]]
+                values[place - 1] = [*sound[place], [odd], *sound[place]]
+                data = encode(cls(*values))
+                if tag in ("delta", "evacuations"):
+                    assert data == b"", tag
+                    continue
+                found = decode(samples.unpack(data))
+                assert len(found[place - 1]) == 2, (tag, odd, found)
+
+
 @then("a message of each kind arrives as it was sent")
 def arrives(context):
     for tag, cls in MESSAGES.items():
@@ -141,6 +160,34 @@
         assert [tuple(row) for row in found.demand] == [("a", 1.0)], found.demand
 
 
+@when("an entry with a number of 400 digits is among its entries, and another node follows it")
+def follow_odd_entry(context):
+    async def work():
+        node = context.relay.node
+        stored = node.endpoints._stored
+        (name,) = stored
+        stored["odd"] = StoredObject("odd", stored[name].version, {"x": 10**400})
+        link = await open_link(context.relay)
+        link.send(samples.heartbeat(OTHER)._replace(follows=True))
+        try:
+            async with asyncio.timeout(3.0):
+                while not isinstance(item := await link.receive(), Listed):
+                    pass
+            return [row.name for row in item.rows]
+        except (PeerError, TimeoutError) as error:
+            return repr(error)
+        finally:
+            del stored["odd"]
+            link.close()
+
+    context.listed = context.loop.run(work())
+
+
+@then("the follower gets the other entry")
+def gets_other(context):
+    assert context.listed == ["i0"], context.listed
+
+
 @when("a node's message has an odd value 50 times in a row")
 def odd_again(context):
     context.dropped = DroppedValues()
--- a/packages/rookspring/src/rookspring/_message_coding.py
+++ b/packages/rookspring/src/rookspring/_message_coding.py
@@ -1,6 +1,6 @@
 """The registry of messages between nodes, and their encoding.
 
-A value that can't be read stops no more than itself: the row that it stands
+A value that can't be read, or can't be encoded, stops no more than itself: the row that it stands
 in is dropped, or its message if it stands in no row or if the rows make sense only together.
 """
 
@@ -10,11 +10,14 @@
 import msgpack
 import msgspec
 
+from .dropped_values import note_unsendable
 from .exceptions import PeerError
 
 # Called with a message's tag and the reason for each value that is dropped.
 NoteDropped = t.Callable[[str, str], None]
 M = t.TypeVar("M", bound=type[t.Any])
+# What msgpack raises for a value that no message can carry, such as a number of 400 digits.
+ENCODING_ERRORS = (OverflowError, TypeError, ValueError, RecursionError)
 
 
 class FieldPlan(t.NamedTuple):
@@ -136,8 +139,39 @@
 
 
 def encode(item: t.Any) -> bytes:
-    """Encode a message as bytes."""
-    return _pack([tag_of(item), *item])
+    """Encode a message as bytes, without the rows that can't be encoded.
+
+    :return: empty if the message can't be encoded without them either.
+    """
+    try:
+        return _pack([tag_of(item), *item])
+    except ENCODING_ERRORS as error:
+        return _encode_rest(item, error)
+
+
+def _encode_rest(item: t.Any, error: Exception) -> bytes:
+    plan = PLANS[type(item)]
+    values = zip(plan.fields, item, strict=True)
+    rest = [_without_odd(plan.tag, field, value) for field, value in values]
+    try:
+        return _pack([plan.tag, *rest])
+    except ENCODING_ERRORS:
+        note_unsendable(plan.tag, f"the message: {type(error).__name__}: {error}")
+        return b""
+
+
+def _without_odd(tag: str, field: FieldPlan, value: t.Any) -> t.Any:
+    """Return a field's value without the rows that can't be encoded; each of these is noted."""
+    if not field.rows or not isinstance(value, list):
+        return value
+    found = []
+    for row in value:
+        try:
+            _pack(row)
+            found.append(row)
+        except ENCODING_ERRORS as error:
+            note_unsendable(tag, f"{field.name}: {type(error).__name__}: {error}")
+    return found
 
 
 def _pack(value: t.Any) -> bytes:
--- a/packages/rookspring/src/rookspring/dropped_values.py
+++ b/packages/rookspring/src/rookspring/dropped_values.py
@@ -29,8 +29,8 @@
     def note(self, peer: str, step: str, kind: str, reason: str) -> None:
         """Count a dropped value, and log it unless one like it was logged lately.
 
-        :param peer: the node that sent it.
-        :param step: what could not be done with it: ``decode`` or ``handle``.
+        :param peer: the node that sent it; empty for this node.
+        :param step: what could not be done with it: ``decode``, ``handle`` or ``encode``.
         :param kind: tag of its message.
         """
         now = clock.now()
@@ -57,6 +57,11 @@
 DROPPED = DroppedValues()
 
 
+def note_unsendable(kind: str, reason: str) -> None:
+    """Note a value of this node's own that no message can carry."""
+    DROPPED.note("", "encode", kind, reason)
+
+
 def note_from(peer: str, step: str) -> t.Callable[[str, str], None]:
     """Return a function that notes values of a node's messages, by kind and reason."""
     return lambda kind, reason: DROPPED.note(peer, step, kind, reason)
