--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -140,7 +140,8 @@
         fields = context.dialect.read_request(request)
     except CallerError as error:
         log("request_malformed", "WARNING", field=error.field, expected=error.expected)
-        connection.answer(error.status, context.dialect.refusal_headers("", 0.0), b"")
+        headers = context.dialect.refusal_headers("", 0.0)
+        connection.answer(error.status, headers, f"{error}\n".encode())
         return
     connection.request_id = fields.request_id
     if context.state.leaving:
