--- a/features/odd_headers.feature
+++ b/features/odd_headers.feature
@@ -56,6 +56,34 @@
       | 1_0              | 0                    |
       | zz               | 0                    |
 
+  Scenario Outline: an answer whose notice can't be read is passed on all the same
+    Given a relay node with one endpoint that does: refuse
+    When the endpoint's answers say <line>
+    And a caller sends a unsafe request
+    Then the answer is not run
+
+    Examples:
+      | line                                                          |
+      | Retry-After: Mon, 01 Jan 99999 00:00:00 GMT                   |
+      | Retry-After: Mon, 01 Jan 99999999999999999999 00:00:00 GMT    |
+      | Retry-After: Mon, 01 Jan 2026 00:00:00 +999999999999          |
+      | Retry-After: 1e400                                            |
+      | Server-Limit: 1e308                                           |
+      | Keep-Alive: timeout=99999999999999999999999999999999999999999 |
+
+  Scenario Outline: a number of a notice is kept only where it can be meant
+    Then the notice <header> of <value> is <read>
+
+    Examples:
+      | header       | value                         | read      |
+      | Retry-After  | 2.5                           | 2.5       |
+      | Retry-After  | 1e300                         | malformed |
+      | Retry-After  | 5000 digits                   | malformed |
+      | Retry-After  | nan                           | malformed |
+      | Server-Limit | 3                             | 3.0       |
+      | Server-Limit | 1e308                         | malformed |
+      | Server-Limit | -1                            | malformed |
+
   Scenario Outline: digits are a number up to a number of digits
     Then <text> with <most> digits at most is <number>
 
@@ -68,3 +96,13 @@
       | 1_0                  | 9    | none   |
       | ²                    | 9    | none   |
       | ٣                    | 9    | none   |
+
+  Scenario Outline: an idle time that can't be read counts as none stated
+    Then a connection whose endpoint states an idle time of <value> is kept for <kept>
+
+    Examples:
+      | value       | kept                    |
+      | 5           | a share of 5 s          |
+      | 21 digits   | the time without a statement |
+      | 5000 digits | the time without a statement |
+      | -5          | the time without a statement |
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -18,6 +18,7 @@
 from . import clock
 from . import defaults
 from ._reply import Reply
+from .digits import parse_digits
 from .http_messages import Header
 from .http_messages import HttpHead
 
@@ -210,9 +211,10 @@
     def _note_idle_timeout(self, head: HttpHead) -> None:
         for part in head.header(b"keep-alive").split(b","):
             key, _, value = part.strip().partition(b"=")
-            if key.lower() == b"timeout" and value.isdigit():
+            timeout_s = parse_digits(value) if key.lower() == b"timeout" else None
+            if timeout_s is not None:
                 # A margin for network latency and for clocks that run at different rates.
-                self.idle_timeout_s = float(value) * defaults.ENDPOINT_IDLE_SHARE
+                self.idle_timeout_s = timeout_s * defaults.ENDPOINT_IDLE_SHARE
                 return
         self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
 
