--- a/features/odd_headers.feature
+++ b/features/odd_headers.feature
@@ -56,6 +56,11 @@
       | 1_0              | 0                    |
       | zz               | 0                    |
 
+  Scenario: a refusal carries its request's id unchanged, whatever letters it has
+    Given a relay node with one endpoint that does: answer
+    When a caller's request has an id with letters of no ASCII and an unknown route
+    Then its answer has the same id, byte for byte
+
   Scenario Outline: an answer whose notice can't be read is passed on all the same
     Given a relay node with one endpoint that does: refuse
     When the endpoint's answers say <line>
