Name the header of a call that can't be read, where the product's own front gave 500

What callers saw: 500 with the outcome "unknown", although nothing had run, for X-Rookspring-Attempt, If-Match or the offset of an event id of 5,000 digits, or of a digit that is no ASCII, and for a key that isn't UTF-8.

Cause: `str.isdigit` takes digits that `int` refuses, as "²", and any length; a header that isn't UTF-8 is decoded with surrogates, which can't be encoded again.

Now these numbers are parsed by `digits`, as the platform's headers are, and a key is encoded as it was decoded. A header of a call or trace that is passed on and isn't UTF-8 is refused with its name: the HTTP library passed it on without the bytes it couldn't encode. A watch from version "-5" or "1_0" is refused.

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -32,6 +32,9 @@
       | a resource of an unknown kind             | 404    | kind                     |
       | a resource with a faulty field            | 422    | resource                 |
       | a resource with version "x"               | 400    | If-Match                 |
+      | a resource with version "²"               | 400    | If-Match                 |
+      | a chat with attempt "²"                   | 400    | X-Rookspring-Attempt     |
+      | a chat with an attempt of 5,000 digits    | 400    | X-Rookspring-Attempt     |
 
   Scenario: the openai client streams from every address, and one trace covers each hop
     When the openai client streams from every address that is given
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -71,6 +71,9 @@
     "a resource of an unknown kind": resource("Modell/x", GOOD),
     "a resource with a faulty field": resource("Model/x", {**GOOD, "memory_gb": -1}),
     'a resource with version "x"': resource("Model/x", GOOD, If_Match="x"),
+    'a resource with version "²"': resource("Model/x", GOOD, If_Match="²"),
+    'a chat with attempt "²"': chat_with(X_Rookspring_Attempt="²"),
+    "a chat with an attempt of 5,000 digits": chat_with(X_Rookspring_Attempt="9" * 5000),
 }
 
 
--- a/packages/rookspring/src/rookspring/operators.py
+++ b/packages/rookspring/src/rookspring/operators.py
@@ -24,6 +24,7 @@
 
 from . import clock
 from .callers import json_answer
+from .digits import parse_digits
 from .exceptions import CallerError
 from .exceptions import PlatformConflict
 from .exceptions import PlatformError
@@ -49,7 +50,7 @@
     """
     bearer = request.headers.get("authorization", "")
     scheme, _, key = bearer.partition(" ")
-    digest = digest_of(key.encode())
+    digest = digest_of(key.encode(errors="surrogateescape"))
     if scheme.lower() == "bearer" and digest in node.settings.operator_key_sha256:
         return
     catalogue = node.state.catalogue
@@ -205,11 +206,13 @@
 
     Waits up to ``timeout_s`` seconds for the first change.
     """
+    since = parse_digits(request.args.get("from", "0"))
     try:
-        since = int(request.args.get("from", "0"))
         timeout_s = min(30.0, max(0.0, float(request.args.get("timeout_s", "10"))))
     except ValueError:
-        raise CallerError(400, "from, timeout_s", "numbers were expected") from None
+        timeout_s = None
+    if since is None or timeout_s is None:
+        raise CallerError(400, "from, timeout_s", "numbers were expected")
     answer = await node.platform.watch("resource", since, timeout_s)
     if isinstance(answer, Failure):
         raise _to_caller_error(answer.failure())
@@ -246,9 +249,10 @@
     text = request.headers.get("if-match")
     if text is None:
         return None
-    if not text.isdigit():
+    version = parse_digits(text)
+    if version is None:
         raise CallerError(400, "If-Match", "the version that was read, a whole number")
-    return int(text)
+    return version
 
 
 def _check_unused(node: NodeContext, kind: str, name: str) -> None:
--- a/packages/rookspring/src/rookspring/request_parsing.py
+++ b/packages/rookspring/src/rookspring/request_parsing.py
@@ -11,11 +11,12 @@
 from rookspring_core import defaults as core_defaults
 from rookspring_core.organisations import digest_of
 
+from .digits import parse_digits
 from .exceptions import CallerError
 from .node_context import NodeContext
 from .signing import SessionClaims
 
-_IDEMPOTENCY_KEY = re.compile(r"^(?P<session>[\w.=-]{8,512})/(?P<sequence>\d{1,15})$")
+_IDEMPOTENCY_KEY = re.compile(r"^(?P<session>[\w.=-]{8,512})/(?P<sequence>[0-9]{1,15})$")
 _HOP_HEADERS = {
     "authorization",
     "connection",
@@ -37,7 +38,8 @@
     """
     bearer = request.headers.get("authorization", "")
     scheme, _, key = bearer.partition(" ")
-    digest = digest_of(key.encode())
+    # A header that is not UTF-8 is no key either.
+    digest = digest_of(key.encode(errors="surrogateescape"))
     team = node.state.catalogue.team_by_digest.get(digest)
     if scheme.lower() != "bearer" or team is None:
         raise CallerError(401, "Authorization", "Bearer and the key of a declared team")
@@ -92,9 +94,23 @@
     text = request.headers.get("x-rookspring-attempt")
     if text is None:
         return False
-    if not text.isdigit() or int(text) < 1:
+    number = parse_digits(text)
+    if not number:
         raise CallerError(400, "X-Rookspring-Attempt", "1 for the first send of a key, then 2, ...")
-    return int(text) == 1
+    return number == 1
+
+
+def _read_text(request: Request, name: str) -> str:
+    """Return a header that is passed on; empty if there is none.
+
+    :raises CallerError: if it is not UTF-8, as which it is passed on.
+    """
+    text = str(request.headers.get(name, ""))
+    try:
+        text.encode()
+    except UnicodeEncodeError:
+        raise CallerError(400, name, "UTF-8") from None
+    return text
 
 
 class ChatFields(t.TypedDict):
@@ -190,7 +206,7 @@
         once_key=keyed[1] if keyed else None,
         body_digest=hashlib.sha256(request.body).hexdigest(),
         first_send=_read_first_send(request),
-        traceparent=request.headers.get("traceparent", ""),
+        traceparent=_read_text(request, "traceparent"),
     )
 
 
@@ -228,8 +244,8 @@
         )
         raise CallerError(400, "Idempotency-Key", expected)
     headers = {
-        name: value
-        for name, value in request.headers.items()
+        name: _read_text(request, name)
+        for name in request.headers
         if name not in _HOP_HEADERS and not name.startswith("x-rookspring-")
     }
     query = f"?{request.query_string}" if request.query_string else ""
@@ -245,5 +261,5 @@
         once_key=keyed[1] if keyed else None,
         body_digest=digest.hexdigest(),
         first_send=_read_first_send(request),
-        traceparent=request.headers.get("traceparent", ""),
+        traceparent=_read_text(request, "traceparent"),
     )
--- a/packages/rookspring/src/rookspring/signing.py
+++ b/packages/rookspring/src/rookspring/signing.py
@@ -9,6 +9,7 @@
 from itsdangerous.encoding import base64_decode
 from itsdangerous.encoding import base64_encode
 
+from .digits import parse_digits
 from .exceptions import CallerError
 
 
@@ -80,9 +81,10 @@
             grant = ResumeGrant(*_verify(self._grants, signed))
         except (BadSignature, TypeError):
             raise CallerError(400, "Last-Event-ID", expected) from None
-        if not offset.isdigit():
+        found = parse_digits(offset)
+        if found is None:
             raise CallerError(400, "Last-Event-ID", expected)
-        return grant, int(offset)
+        return grant, found
 
 
 def _sign(signer: PlainSigner, claims: tuple[t.Any, ...]) -> str:
