Read odd lines, reports and objects of the product's own runners and store as such

What callers saw: an answer whose endpoint sent a malformed line ended with an error that no attempt expects, in place of a try at another endpoint. An operator's list of resources got 500 while one object of the store, which other writers may write too, had no kind; a node's list or watch failed as a whole for one object without a name, and an answer that was no JSON was an exception and not a failed call.

Cause: decoded JSON was indexed as if it had its form, and converted by `int` and `float`, which take more than the numbers that are meant and raise errors that nobody had listed.

Now lines, reports and cache events have types with bounds, as the platform's have; whatever doesn't fit is malformed, and the attempt fails as for any broken answer. Of the store's lists, an odd object is logged (`object_malformed`) and the others are read; an answer without its form is a failed call.

Evidence: `behave features/odd_calls.feature` on the code before: of twelve lines four odd ones were accepted and five raised AttributeError, KeyError or ValueError; of nine reports five odd ones were accepted and two raised IndexError; KeyError: 'name' for the list; and an exception for each of seven answers of the store.

--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -19,3 +19,53 @@
       | an operator's key    | no UTF-8    | 401    | Authorization       |
       | a header of a call   | no UTF-8    | 400    | x-odd               |
       | a trace              | no UTF-8    | 400    | traceparent         |
+
+  Scenario Outline: a malformed line of a runner's answer breaks its attempt off
+    Then the line <line> is <read>
+
+    Examples:
+      | line                          | read      |
+      | {"offset":3,"tokens":["a"]}   | tokens    |
+      | {"end":5}                     | the end   |
+      | {"end":1e300}                 | malformed |
+      | {"end":-1}                    | malformed |
+      | {"end":"x"}                   | malformed |
+      | {"offset":"x","tokens":["a"]} | malformed |
+      | {"offset":3,"tokens":5}       | malformed |
+      | {"tokens":["a"]}              | malformed |
+      | {}                            | malformed |
+      | []                            | malformed |
+      | 5                             | malformed |
+      | {"x":{2000 levels}}           | malformed |
+
+  Scenario Outline: a malformed report is none
+    Then a runner's report with <field> of <value> is <read>
+
+    Examples:
+      | field       | value     | read      |
+      | slots       | 4         | read      |
+      | slots       | 1e300     | malformed |
+      | slots       | -1        | malformed |
+      | age_s       | infinity  | malformed |
+      | age_s       | NaN       | malformed |
+      | resident    | [["m"]]   | malformed |
+      | order_token | [1]       | malformed |
+      | order_token | [1, 2]    | read      |
+      | incarnation | 5         | malformed |
+
+  Scenario: an odd object in the store keeps none of the others from the node
+    When the store's list has an object without a name, one without a version, and a sound one
+    Then the list gives the sound one, and the log names 2 odd ones
+
+  Scenario Outline: an answer of the store that can't be read is a failed call
+    Then a store's answer <answer> to a <call> is a failed call
+
+    Examples:
+      | answer | call  |
+      | {      | get   |
+      | []     | get   |
+      | 5      | list  |
+      | {}     | list  |
+      | {}     | watch |
+      | {}     | put   |
+      | {}     | boxes |
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -9,6 +9,7 @@
 import typing as t
 
 import aiohttp
+import msgspec
 import orjson
 import yarl
 
@@ -18,6 +19,7 @@
 from . import defaults
 from .connections import SingleUseConnector
 from .exceptions import EndpointError
+from .message_rows import NUMBER_MAX
 
 
 class Chunk(t.NamedTuple):
@@ -50,6 +52,50 @@
     prefix: str = ""
 
 
+Count = t.Annotated[int, msgspec.Meta(ge=0, lt=2**53)]
+Amount = t.Annotated[float, msgspec.Meta(ge=0, le=NUMBER_MAX)]
+# A prefix has an id of 64 bits.
+PrefixId = t.Annotated[int, msgspec.Meta(ge=0)]
+
+
+class Report(msgspec.Struct):
+    """A runner's report; see ``EndpointReported``."""
+
+    incarnation: str
+    age_s: Amount
+    slots: Count
+    running: Count
+    queued: Count
+    token_rate: Amount
+    stream_rate: Amount
+    memory_gb: Amount
+    resident: tuple[tuple[str, str], ...] = ()
+    loading: tuple[tuple[str, str], ...] = ()
+    adapters: tuple[str, ...] = ()
+    held_gb: Amount = 0.0
+    leaving: bool = False
+    checks_orders: bool = False
+    order_token: tuple[int, int] = (0, 0)
+
+
+class CacheEvents(msgspec.Struct):
+    """A runner's cache events: the position to continue from, and the prefixes."""
+
+    next: Count
+    prefixes: tuple[PrefixId, ...]
+
+
+class StreamLine(msgspec.Struct):
+    """A line of a runner's answer: tokens and their offset, or the answer's length at its end."""
+
+    offset: Count | None = None
+    tokens: tuple[str, ...] = ()
+    end: Count | None = None
+
+
+_LINES = msgspec.json.Decoder(StreamLine)
+
+
 class ServiceAnswer(t.NamedTuple):
     """A plain service's whole answer."""
 
@@ -217,6 +263,8 @@
                 answer = orjson.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError, orjson.JSONDecodeError) as error:
             return None, type(error).__name__
+        if not isinstance(answer, dict):
+            return None, "malformed answer"
         return bool(answer.get("accepted")), str(answer.get("reason", ""))
 
     async def report(self, endpoint: str, address: str, now: float) -> EndpointReported | None:
@@ -228,15 +276,7 @@
             ) as response:
                 raw = orjson.loads(await response.read())
                 return read_report(endpoint, raw, now)
-        except (
-            aiohttp.ClientError,
-            TimeoutError,
-            OSError,
-            orjson.JSONDecodeError,
-            KeyError,
-            TypeError,
-            ValueError,
-        ):
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return None
 
     async def cache_events(self, address: str, since: int) -> tuple[int, tuple[int, ...]]:
@@ -245,9 +285,9 @@
         url = f"http://{address}/v1/cache_events?from={since}"
         try:
             async with self._get_session().get(url, timeout=limit) as response:
-                raw = orjson.loads(await response.read())
-                return int(raw["next"]), tuple(int(one) for one in raw["prefixes"])
-        except (aiohttp.ClientError, TimeoutError, OSError, ValueError, KeyError, TypeError):
+                events = msgspec.convert(orjson.loads(await response.read()), CacheEvents)
+                return events.next, events.prefixes
+        except (aiohttp.ClientError, TimeoutError, OSError, ValueError):
             return since, ()
 
     async def call(
@@ -358,37 +398,38 @@
 
 def _read_chunk(line: bytes) -> Chunk:
     try:
-        raw = orjson.loads(line)
-    except orjson.JSONDecodeError:
+        raw = _LINES.decode(line)
+    except (ValueError, RecursionError):
         raise EndpointError("malformed chunk", sent=True) from None
-    end = raw.get("end")
-    if end is not None:
-        return Chunk(-1, (), int(end))
-    return Chunk(raw["offset"], raw["tokens"])
+    if raw.end is not None:
+        return Chunk(-1, (), raw.end)
+    if raw.offset is None:
+        raise EndpointError("malformed chunk", sent=True)
+    return Chunk(raw.offset, raw.tokens)
 
 
-def read_report(endpoint: str, raw: t.Mapping[str, t.Any], now: float) -> EndpointReported:
+def read_report(endpoint: str, raw: t.Any, now: float) -> EndpointReported:
     """Decode a report.
 
-    :raises KeyError, TypeError, ValueError: if it is malformed.
+    :raises ValueError: if it is malformed; the message names the field.
     """
-    token = raw.get("order_token", (0, 0))
+    report = msgspec.convert(raw, Report)
     return EndpointReported(
         at=now,
         endpoint=endpoint,
-        incarnation=str(raw["incarnation"]),
-        age_s=float(raw["age_s"]),
-        slots=int(raw["slots"]),
-        running=int(raw["running"]),
-        queued=int(raw["queued"]),
-        token_rate=float(raw["token_rate"]),
-        stream_rate=float(raw["stream_rate"]),
-        memory_gb=float(raw["memory_gb"]),
-        resident=tuple((str(one[0]), str(one[1])) for one in raw.get("resident", ())),
-        loading=tuple((str(one[0]), str(one[1])) for one in raw.get("loading", ())),
-        adapters=tuple(str(one) for one in raw.get("adapters", ())),
-        held_gb=float(raw.get("held_gb", 0.0)),
-        leaving=bool(raw.get("leaving", False)),
-        checks_orders=bool(raw.get("checks_orders", False)),
-        order_token=(int(token[0]), int(token[1])),
+        incarnation=report.incarnation,
+        age_s=report.age_s,
+        slots=report.slots,
+        running=report.running,
+        queued=report.queued,
+        token_rate=report.token_rate,
+        stream_rate=report.stream_rate,
+        memory_gb=report.memory_gb,
+        resident=report.resident,
+        loading=report.loading,
+        adapters=report.adapters,
+        held_gb=report.held_gb,
+        leaving=report.leaving,
+        checks_orders=report.checks_orders,
+        order_token=report.order_token,
     )
--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -3,6 +3,7 @@
 import typing as t
 
 import aiohttp
+import msgspec
 import orjson
 from returns.result import Failure
 from returns.result import Result
@@ -18,6 +19,7 @@
 from .exceptions import PlatformRefused
 from .exceptions import PlatformTooOld
 from .exceptions import PlatformUnreachable
+from .logs import log
 from .platform import CallRateLimiter
 from .platform import Changes
 from .platform import Listing
@@ -29,6 +31,11 @@
     from .telemetry import Telemetry
 
 
+T = t.TypeVar("T")
+# What the conversion of an odd value raises.
+ODD_VALUE_ERRORS = (KeyError, OverflowError, TypeError, ValueError)
+
+
 class RateLimitedHttpClient:
     """Makes rate-limited HTTP calls; writes are never sent twice by the HTTP library.
 
@@ -145,7 +152,10 @@
 
     def _to_result(self, path: str, status: int, raw: bytes) -> Result[t.Any, PlatformError]:
         if status == 200:
-            return Success(orjson.loads(raw))
+            try:
+                return Success(orjson.loads(raw))
+            except orjson.JSONDecodeError as error:
+                return Failure(PlatformUnreachable(f"{path}: {error}"))
         text = f"{path}: {raw[:200].decode('utf-8', 'replace')}"
         errors: dict[int, type[PlatformError]] = {
             404: PlatformMissing,
@@ -158,12 +168,13 @@
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
-        return (await self._call("GET", f"/objects/{kind}/{name}")).map(_stored)
+        return _read(await self._call("GET", f"/objects/{kind}/{name}"), _stored)
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformError]:
         """Read all objects of a kind."""
-        return (await self._call("GET", f"/objects/{kind}")).map(
-            lambda raw: Listing(raw["version"], tuple(_stored(one) for one in raw["items"]))
+        return _read(
+            await self._call("GET", f"/objects/{kind}"),
+            lambda raw: Listing(int(raw["version"]), _read_items(raw["items"], _stored)),
         )
 
     async def put(
@@ -171,14 +182,14 @@
     ) -> Result[int, PlatformError]:
         """Write an object."""
         answer = await self._call("PUT", f"/objects/{kind}/{name}", expected, value)
-        return answer.map(lambda raw: int(raw["version"]))
+        return _read(answer, lambda raw: int(raw["version"]))
 
     async def delete(
         self, kind: str, name: str, expected: int | None
     ) -> Result[int, PlatformError]:
         """Delete an object."""
         answer = await self._call("DELETE", f"/objects/{kind}/{name}", expected)
-        return answer.map(lambda raw: int(raw["version"]))
+        return _read(answer, lambda raw: int(raw["version"]))
 
     async def watch(
         self, kind: str, since: int, timeout_s: float, anew: bool = False
@@ -190,19 +201,45 @@
         path = f"/watch/{kind}?from={since}&timeout_s={timeout_s}"
         total_s = timeout_s + defaults.PLATFORM_CALL_S
         answer = await self._call("GET", path, timeout_s=total_s, anew=anew)
-        return answer.map(
-            lambda raw: Changes(raw["version"], tuple(_stored(one) for one in raw["changes"]))
+        return _read(
+            answer,
+            lambda raw: Changes(int(raw["version"]), _read_items(raw["changes"], _stored)),
         )
 
     async def boxes(self) -> Result[tuple[BoxListed, ...], PlatformError]:
         """Read the list of boxes."""
         answer = await self._call("GET", "/boxes")
-        return answer.map(lambda raw: tuple(BoxListed(**row) for row in raw["boxes"]))
+        return _read(answer, lambda raw: _read_items(raw["boxes"], _read_box))
 
     async def close(self) -> None:
         """Close all connections."""
         await self._caller.close()
 
 
+def _read(
+    answer: Result[t.Any, PlatformError], read: t.Callable[[t.Any], T]
+) -> Result[T, PlatformError]:
+    """Convert a decoded answer; a malformed one counts as none."""
+    try:
+        return answer.map(read)
+    except ODD_VALUE_ERRORS as error:
+        return Failure(PlatformUnreachable(f"malformed answer: {type(error).__name__}: {error}"))
+
+
+def _read_items(items: t.Any, read: t.Callable[[t.Any], T]) -> tuple[T, ...]:
+    """Convert the items of a list; one that is malformed is logged and left out."""
+    found = []
+    for item in items:
+        try:
+            found.append(read(item))
+        except ODD_VALUE_ERRORS as error:
+            log("object_malformed", "ERROR", error=type(error).__name__, detail=error)
+    return tuple(found)
+
+
 def _stored(raw: t.Any) -> StoredObject:
-    return StoredObject(raw["name"], int(raw["version"]), raw["value"])
+    return StoredObject(str(raw["name"]), int(raw["version"]), raw["value"])
+
+
+def _read_box(raw: t.Any) -> BoxListed:
+    return msgspec.convert(BoxListed(**raw), BoxListed)
--- a/packages/rookspring/src/rookspring/operators.py
+++ b/packages/rookspring/src/rookspring/operators.py
@@ -106,6 +106,12 @@
     return 1 + sum(1 for peer in peers if peer.heartbeat.revision >= revision)
 
 
+def _declares(stored: StoredObject, kind: str) -> bool:
+    """Return whether an object declares a resource of a kind; other writers may write any value."""
+    value = stored.value
+    return isinstance(value, dict) and value.get("kind") == kind and {"name", "spec"} <= set(value)
+
+
 def _document(node: NodeContext, stored: StoredObject) -> dict[str, t.Any]:
     value = stored.value
     return {
@@ -131,7 +137,7 @@
         if isinstance(answer, Failure):
             raise _to_caller_error(answer.failure())
         listing = answer.unwrap()
-        items = [_document(node, one) for one in listing.items if one.value["kind"] == kind]
+        items = [_document(node, one) for one in listing.items if _declares(one, kind)]
         return json_answer({"version": listing.version, "items": items})
 
     @routes.get("/resources/<kind:str>/<name:str>")
@@ -140,7 +146,10 @@
         answer = await node.platform.get("resource", f"{_check_kind(kind)}.{name}")
         if isinstance(answer, Failure):
             raise _to_caller_error(answer.failure())
-        return json_answer(_document(node, answer.unwrap()))
+        stored = answer.unwrap()
+        if not _declares(stored, kind):
+            raise CallerError(422, "resource", "the stored object declares none of this kind")
+        return json_answer(_document(node, stored))
 
     @routes.put("/resources/<kind:str>/<name:str>")
     @counted(node)
@@ -224,7 +233,7 @@
             continue
         if one.value is None:
             items.append({"kind": kind, "name": name, "version": one.version, "deleted": True})
-        else:
+        elif _declares(one, kind):
             items.append(_document(node, one))
     return json_answer({"version": changes.version, "items": items})
 
