Let rookctl name the document or answer that it can't read

What operators saw: a traceback of rookctl for a document with a number of thousands of digits, a date of month 13, a key that is no text, or some thousand levels of nesting, and for a number beyond 64 bits as the change was sent; and for an error of the API whose body has another form.

Cause: PyYAML raises ValueError and RecursionError beside its own errors, and the encoder TypeError; the form of an error's body was taken for granted.

Now a document is read and encoded before anything is sent, and each such error names its file and, as far as it is known, the document and the field. An error's body without a message is shown as a refusal.

--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -69,3 +69,24 @@
       | {}     | watch |
       | {}     | put   |
       | {}     | boxes |
+
+  Scenario Outline: rookctl names what it can't read
+    Then a document with <value> gives an error that names its file and <named>
+
+    Examples:
+      | value           | named      |
+      | 5000 digits     | digits     |
+      | 400 digits      | spec       |
+      | 2000 levels     | nested     |
+      | a 13th month    | month      |
+      | a number as key | 5          |
+
+  Scenario Outline: rookctl shows an error that it can't read
+    Then an error of the API with the body <body> is shown as "<shown>"
+
+    Examples:
+      | body                           | shown   |
+      | {"error":{"message":"reason"}} | reason  |
+      | {"error":"x"}                  | refused |
+      | {"error":[]}                   | refused |
+      | []                             | refused |
--- a/packages/rookspring-ctl/src/rookspring_ctl/client.py
+++ b/packages/rookspring-ctl/src/rookspring_ctl/client.py
@@ -73,5 +73,10 @@
         raise CtlError(f"status {status}: the response is not from the resource API") from None
     if status < 400:
         return answer
-    message = answer.get("error", {}).get("message", "refused")
-    raise _BY_STATUS.get(status, CtlError)(message)
+    raise _BY_STATUS.get(status, CtlError)(_read_message(answer))
+
+
+def _read_message(answer: t.Any) -> str:
+    """Return the message of an error, as far as the response has one."""
+    error = answer.get("error") if isinstance(answer, dict) else None
+    return str(error.get("message", "refused")) if isinstance(error, dict) else "refused"
--- a/packages/rookspring-ctl/src/rookspring_ctl/documents.py
+++ b/packages/rookspring-ctl/src/rookspring_ctl/documents.py
@@ -4,6 +4,7 @@
 import sys
 import typing as t
 
+import orjson
 import yaml
 
 from .exceptions import UsageError
@@ -57,8 +58,11 @@
         raw = [one for one in yaml.safe_load_all(text) if one is not None]
     except OSError as error:
         raise UsageError(f"{path}: {error.strerror}") from None
-    except (yaml.YAMLError, UnicodeDecodeError) as error:
+    except (yaml.YAMLError, ValueError) as error:
+        # A number or date that can't be read is a ValueError, and so is text that is not UTF-8.
         raise UsageError(f"{path}: {' '.join(str(error).split())}") from None
+    except RecursionError:
+        raise UsageError(f"{path}: nested too deeply") from None
     return [_parse_document(path, number, one) for number, one in enumerate(raw, 1)]
 
 
@@ -69,7 +73,7 @@
     for field in ("kind", "name", "spec"):
         if field not in raw:
             raise UsageError(f"{location}: {field} is missing")
-    unknown = sorted(set(raw) - {"kind", "name", "spec", "version", "status"})
+    unknown = sorted(map(str, set(raw) - {"kind", "name", "spec", "version", "status"}))
     if unknown:
         raise UsageError(f"{location}: {unknown[0]}: unknown field")
     if not isinstance(raw["spec"], dict):
@@ -77,6 +81,10 @@
     version = raw.get("version")
     if version is not None and not isinstance(version, int):
         raise UsageError(f"{location}: version: a whole number was expected")
+    try:
+        orjson.dumps(raw["spec"])
+    except orjson.JSONEncodeError as error:
+        raise UsageError(f"{location}: spec: {error}") from None
     return Document(parse_kind(str(raw["kind"])), str(raw["name"]), raw["spec"], version)
 
 
