Leave a row out that the other end of a link can't hold

What callers saw: nodes that follow another get its list of endpoints. With one entry in it whose text is larger than a link's buffer (8 MiB), the link ended as the list arrived ("message too large"), and at each dial anew, so that the followers knew of no endpoint.

Cause: the receiver bounds what it holds of one value, the sender bounded nothing.

Now a message larger than a frame is sent without its rows of more than 1 MiB, which are logged as other rows that can't be sent are.

--- a/features/odd_messages.feature
+++ b/features/odd_messages.feature
@@ -36,11 +36,17 @@
   Scenario: a row is dropped where its number is no number, whatever it would be compared with
     Then heartbeats with a demand of NaN or infinity arrive without that row
 
-  Scenario: an entry that can't be sent keeps none of the others from a follower
+  Scenario Outline: an entry that can't be sent keeps none of the others from a follower
     Given a relay node with one endpoint that does: answer
-    When an entry with a number of 400 digits is among its entries, and another node follows it
+    When <odd> is among its entries, and another node follows it
     Then the follower gets the other entry
 
+    Examples:
+      | odd                               |
+      | an entry with a number of 400 digits |
+      | an entry with half of a surrogate |
+      | an entry of 9 MB                  |
+
   Scenario: a value that is odd again and again is logged once in a while
     When a node's message has an odd value 50 times in a row
     Then there is 1 line about it
--- a/features/steps/odd_message_steps.py
+++ b/features/steps/odd_message_steps.py
@@ -160,13 +160,20 @@
         assert [tuple(row) for row in found.demand] == [("a", 1.0)], found.demand
 
 
-@when("an entry with a number of 400 digits is among its entries, and another node follows it")
-def follow_odd_entry(context):
+ODD_ENTRIES = {
+    "an entry with a number of 400 digits": {"x": 10**400},
+    "an entry with half of a surrogate": {"x": "\ud800"},
+    "an entry of 9 MB": {"x": "x" * 9_000_000},
+}
+
+
+@when("{odd} is among its entries, and another node follows it")
+def follow_odd_entry(context, odd):
     async def work():
         node = context.relay.node
         stored = node.endpoints._stored
         (name,) = stored
-        stored["odd"] = StoredObject("odd", stored[name].version, {"x": 10**400})
+        stored["odd"] = StoredObject("odd", stored[name].version, ODD_ENTRIES[odd])
         link = await open_link(context.relay)
         link.send(samples.heartbeat(OTHER)._replace(follows=True))
         try:
--- a/packages/rookspring/src/rookspring/_message_coding.py
+++ b/packages/rookspring/src/rookspring/_message_coding.py
@@ -10,6 +10,7 @@
 import msgpack
 import msgspec
 
+from . import defaults
 from .dropped_values import note_unsendable
 from .exceptions import PeerError
 
@@ -144,19 +145,22 @@
     :return: empty if the message can't be encoded without them either.
     """
     try:
-        return _pack([tag_of(item), *item])
+        data = _pack([tag_of(item), *item])
     except ENCODING_ERRORS as error:
-        return _encode_rest(item, error)
+        return _encode_rest(item, f"{type(error).__name__}: {error}")
+    if len(data) > defaults.FRAME_BYTES_MAX:
+        return _encode_rest(item, f"{len(data)} bytes")
+    return data
 
 
-def _encode_rest(item: t.Any, error: Exception) -> bytes:
+def _encode_rest(item: t.Any, reason: str) -> bytes:
     plan = PLANS[type(item)]
     values = zip(plan.fields, item, strict=True)
     rest = [_without_odd(plan.tag, field, value) for field, value in values]
     try:
         return _pack([plan.tag, *rest])
     except ENCODING_ERRORS:
-        note_unsendable(plan.tag, f"the message: {type(error).__name__}: {error}")
+        note_unsendable(plan.tag, f"the message: {reason}")
         return b""
 
 
@@ -167,10 +171,14 @@
     found = []
     for row in value:
         try:
-            _pack(row)
-            found.append(row)
+            size = len(_pack(row))
         except ENCODING_ERRORS as error:
             note_unsendable(tag, f"{field.name}: {type(error).__name__}: {error}")
+            continue
+        if size <= defaults.ROW_BYTES_MAX:
+            found.append(row)
+        else:
+            note_unsendable(tag, f"{field.name}: a row of {size} bytes")
     return found
 
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -36,6 +36,9 @@
 PLATFORM_CALLS_BURST = 60.0
 FORWARD_S = 60.0
 PEER_VERSION = 9
+# A row of a message is at most this large where the message as a whole is larger than a frame: a
+# link whose other end can't hold one of its values ends.
+ROW_BYTES_MAX = 1 << 20
 # A node may send the same odd value with each heartbeat; it is logged this often, by kind.
 DROPPED_LOG_INTERVAL_S = 60.0
 DROPPED_KINDS_MAX = 10_000
