--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -43,6 +43,9 @@
 EVACUATIONS_SOCKETS = ("features/evacuations_sockets.feature",)
 SILENT_CHANNELS = ("features/silent_channels_sockets.feature",)
 WATCHES = ("features/watches.feature",)
+ODD_MESSAGES = ("features/odd_messages.feature",)
+ODD_CALLS = ("features/odd_calls.feature",)
+ODD_HEADERS = ("features/odd_headers.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -46,6 +46,7 @@
 from . import era_mutants
 from . import evacuation_mutants
 from . import isolation_mutants
+from . import message_mutants
 from . import model_wait_mutants
 from . import notice_mutants
 from . import organisation_mutants
@@ -376,6 +377,7 @@
     "places": place_mutants.MUTANTS,
     "stops": stop_mutants.MUTANTS,
     "isolation": isolation_mutants.MUTANTS,
+    "messages": message_mutants.MUTANTS,
     "model-waits": model_wait_mutants.MUTANTS,
     "speeds used": speed_use_mutants.MUTANTS,
     "versions": version_mutants.MUTANTS,
--- a/features/steps/odd_call_steps.py
+++ b/features/steps/odd_call_steps.py
@@ -149,7 +149,8 @@
 def sound_listed(context, number):
     assert [one.name for one in context.listing.items] == ["c"], context.listing
     assert len(context.lines) == number, context.lines
-    assert all("event=object_malformed" in line for line in context.lines), context.lines
+    told = "event=object_malformed level=error kind=resource "
+    assert all(line.startswith(told) for line in context.lines), context.lines
 
 
 @then("a store's answer {answer} to a {call} is a failed call")
--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -174,7 +174,7 @@
         """Read all objects of a kind."""
         return _read(
             await self._call("GET", f"/objects/{kind}"),
-            lambda raw: Listing(int(raw["version"]), _read_items(raw["items"], _stored)),
+            lambda raw: Listing(int(raw["version"]), _read_items(kind, raw["items"], _stored)),
         )
 
     async def put(
@@ -203,13 +203,13 @@
         answer = await self._call("GET", path, timeout_s=total_s, anew=anew)
         return _read(
             answer,
-            lambda raw: Changes(int(raw["version"]), _read_items(raw["changes"], _stored)),
+            lambda raw: Changes(int(raw["version"]), _read_items(kind, raw["changes"], _stored)),
         )
 
     async def boxes(self) -> Result[tuple[BoxListed, ...], PlatformError]:
         """Read the list of boxes."""
         answer = await self._call("GET", "/boxes")
-        return _read(answer, lambda raw: _read_items(raw["boxes"], _read_box))
+        return _read(answer, lambda raw: _read_items("box", raw["boxes"], _read_box))
 
     async def close(self) -> None:
         """Close all connections."""
@@ -226,14 +226,14 @@
         return Failure(PlatformUnreachable(f"malformed answer: {type(error).__name__}: {error}"))
 
 
-def _read_items(items: t.Any, read: t.Callable[[t.Any], T]) -> tuple[T, ...]:
+def _read_items(kind: str, items: t.Any, read: t.Callable[[t.Any], T]) -> tuple[T, ...]:
     """Convert the items of a list; one that is malformed is logged and left out."""
     found = []
     for item in items:
         try:
             found.append(read(item))
         except ODD_VALUE_ERRORS as error:
-            log("object_malformed", "ERROR", error=type(error).__name__, detail=error)
+            log("object_malformed", "ERROR", kind=kind, error=type(error).__name__, detail=error)
     return tuple(found)
 
 
