Check that each field of the rows of messages is read, and read them by name

The check of the house that each decoded field is read (house.feature) failed since the rows got types: "{'LoadRequestMessage.adapter', 'LoadRequestMessage.service', 'LoadRequestMessage.model', 'LoadRequestMessage.latest_retry_s'}", as a message was passed on as a tuple, by the order of its fields. That ties two orders of fields together that nothing else does, so the fields are named again, in load requests, rate limits, entries and nodes.

The check is wider now: it covers the rows of messages, and the lines, reports and cache events of the product's own runners.

--- a/features/field_readers.py
+++ b/features/field_readers.py
@@ -22,6 +22,8 @@
     "rookspring_core/routes.py": ("Route", "Split", "ModelSize", "EngineSize", "ServiceSize"),
     "rookspring_core/organisations.py": ("Organisation", "Allotment"),
     "rookspring/dialect.py": ("RequestFields", "AnswerMatch", "OrderReply"),
+    "rookspring/endpoints.py": ("Report", "CacheEvents", "StreamLine"),
+    "rookspring/message_rows.py": (),
     "rookspring/messages.py": (),
     "rookspring_platform/entries.py": ("Entry", "ResidentModel", "CachedModels", "Report"),
 }
--- a/packages/rookspring/src/rookspring/relay_endpoint_list.py
+++ b/packages/rookspring/src/rookspring/relay_endpoint_list.py
@@ -317,5 +317,5 @@
 @receives(Listed)
 def take_endpoint_rows(peers: RelayPeers, link: Link, listed: Listed) -> None:
     """Apply endpoint rows that another node sent."""
-    rows = tuple(StoredObject(*row) for row in listed.rows)
+    rows = tuple(StoredObject(row.name, row.version, row.value, row.era) for row in listed.rows)
     peers.context.take_endpoint_rows(rows, listed.complete, link.name)
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -131,7 +131,9 @@
 @receives(RatesMessage)
 def handle_rates(peers: RelayPeers, link: Link, message: RatesMessage) -> None:
     """Process rate limits that another node sent."""
-    rows = tuple(RateRecord(*row) for row in message.rows)
+    rows = tuple(
+        RateRecord(row.endpoint, row.started_ms, row.version, row.rate) for row in message.rows
+    )
     peers.context.submit(RatesReceived(clock.now(), rows, link.name))
 
 
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -262,7 +262,7 @@
 @receives(Nodes)
 def handle_nodes(peers: RelayPeers, link: Link, nodes: Nodes) -> None:
     """Add the nodes that another node knows."""
-    peers.add_nodes(nodes.rows)
+    peers.add_nodes((row.name, row.address, row.data_centre, row.capacity) for row in nodes.rows)
 
 
 @receives(TableRequest)
--- a/packages/rookspring/src/rookspring/relay_updates.py
+++ b/packages/rookspring/src/rookspring/relay_updates.py
@@ -159,13 +159,15 @@
     now = clock.now()
     state = peers.context.state
     if state.control.holding(now):
-        event = LoadRequested(now, *message)
+        event = LoadRequested(
+            now, message.service, message.model, message.adapter, message.latest_retry_s
+        )
         peers.context.submit(event)
     elif _forwards_from(state, link.name):
-        send_load_request(
-            peers,
-            RequestLoad(*message),
+        request = RequestLoad(
+            message.service, message.model, message.adapter, message.latest_retry_s
         )
+        send_load_request(peers, request)
 
 
 def _forwards_from(state: NodeState, sender: str) -> bool:
