--- a/packages/rookspring/src/rookspring/operators.py
+++ b/packages/rookspring/src/rookspring/operators.py
@@ -24,6 +24,7 @@
 
 from . import clock
 from .callers import json_answer
+from .digits import parse_digits
 from .exceptions import CallerError
 from .exceptions import PlatformConflict
 from .exceptions import PlatformError
@@ -49,7 +50,7 @@
     """
     bearer = request.headers.get("authorization", "")
     scheme, _, key = bearer.partition(" ")
-    digest = digest_of(key.encode())
+    digest = digest_of(key.encode(errors="surrogateescape"))
     if scheme.lower() == "bearer" and digest in node.settings.operator_key_sha256:
         return
     catalogue = node.state.catalogue
@@ -105,6 +106,12 @@
     return 1 + sum(1 for peer in peers if peer.heartbeat.revision >= revision)
 
 
+def _declares(stored: StoredObject, kind: str) -> bool:
+    """Return whether an object declares a resource of a kind; other writers may write any value."""
+    value = stored.value
+    return isinstance(value, dict) and value.get("kind") == kind and {"name", "spec"} <= set(value)
+
+
 def _document(node: NodeContext, stored: StoredObject) -> dict[str, t.Any]:
     value = stored.value
     return {
@@ -130,7 +137,7 @@
         if isinstance(answer, Failure):
             raise _to_caller_error(answer.failure())
         listing = answer.unwrap()
-        items = [_document(node, one) for one in listing.items if one.value["kind"] == kind]
+        items = [_document(node, one) for one in listing.items if _declares(one, kind)]
         return json_answer({"version": listing.version, "items": items})
 
     @routes.get("/resources/<kind:str>/<name:str>")
@@ -139,7 +146,10 @@
         answer = await node.platform.get("resource", f"{_check_kind(kind)}.{name}")
         if isinstance(answer, Failure):
             raise _to_caller_error(answer.failure())
-        return json_answer(_document(node, answer.unwrap()))
+        stored = answer.unwrap()
+        if not _declares(stored, kind):
+            raise CallerError(422, "resource", "the stored object declares none of this kind")
+        return json_answer(_document(node, stored))
 
     @routes.put("/resources/<kind:str>/<name:str>")
     @counted(node)
@@ -205,11 +215,13 @@
 
     Waits up to ``timeout_s`` seconds for the first change.
     """
+    since = parse_digits(request.args.get("from", "0"))
     try:
-        since = int(request.args.get("from", "0"))
         timeout_s = min(30.0, max(0.0, float(request.args.get("timeout_s", "10"))))
     except ValueError:
-        raise CallerError(400, "from, timeout_s", "numbers were expected") from None
+        timeout_s = None
+    if since is None or timeout_s is None:
+        raise CallerError(400, "from, timeout_s", "numbers were expected")
     answer = await node.platform.watch("resource", since, timeout_s)
     if isinstance(answer, Failure):
         raise _to_caller_error(answer.failure())
@@ -221,7 +233,7 @@
             continue
         if one.value is None:
             items.append({"kind": kind, "name": name, "version": one.version, "deleted": True})
-        else:
+        elif _declares(one, kind):
             items.append(_document(node, one))
     return json_answer({"version": changes.version, "items": items})
 
@@ -246,9 +258,10 @@
     text = request.headers.get("if-match")
     if text is None:
         return None
-    if not text.isdigit():
+    version = parse_digits(text)
+    if version is None:
         raise CallerError(400, "If-Match", "the version that was read, a whole number")
-    return int(text)
+    return version
 
 
 def _check_unused(node: NodeContext, kind: str, name: str) -> None:
