Take an answer that ends with its connection as whole only if its run has ended too

Callers saw a stream end as complete after 3 of 5 events: its endpoint closed the connection in the midst of an answer without a length, and lived on. Cause: only the process was asked for; the runs in its report were read nowhere. A report that lists the run with more events than came shows a cut however old it is; one that lists it a second after the close shows that it goes on; one that doesn't list it, and can't be older than the run, shows its end. Else a next report is asked for, until one decides.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -5,16 +5,22 @@
 from rookspring import defaults
 from rookspring import endpoints as service_endpoints
 from rookspring import relay_attempts
+from rookspring import relay_ends
 from rookspring import relay_handovers
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
+from rookspring_core import defaults as core_defaults
 from rookspring_core import event_order
+from rookspring_core import run_ends
 from rookspring_core.event_order import EventOrder
+from rookspring_core.run_ends import AnsweredRun
+from rookspring_core.run_ends import RunEnd
 from rookspring_platform import endpoints
 from rookspring_platform.dialect import PlatformDialect
 
 from .mutant import BEGUN_STREAMS
 from .mutant import RESUMED_STREAMS
+from .mutant import RUN_ENDS
 from .mutant import SOCKETS
 from .mutant import UNFRAMED
 from .mutant import UNREAD
@@ -32,12 +38,14 @@
     return None
 
 
-async def _spare_leavers(context: t.Any, exchange: t.Any, reply: t.Any, view: t.Any) -> None:
+async def _spare_leavers(
+    context: t.Any, exchange: t.Any, reply: t.Any, view: t.Any, arrival: t.Any
+) -> None:
     if not view.leaving and not view.gone:
-        await _check_process(context, exchange, reply, view)
+        await _check_end(context, exchange, reply, view, arrival)
 
 
-_check_process = relay_attempts._check_process
+_check_end = relay_attempts.check_end
 
 
 async def _ask_address(self: ProcessChecks, view: t.Any, process: t.Any, left_s: float) -> Finding:
@@ -92,16 +100,51 @@
 _pass_on = relay_handovers._pass_on
 
 
+def _end_any(run: AnsweredRun, listed: t.Any, asked_at: float) -> RunEnd:
+    return RunEnd.ENDED
+
+
+def _count_nothing(run: AnsweredRun, listed: t.Any, asked_at: float) -> RunEnd:
+    return _judge_end(run._replace(events=None), listed, asked_at)
+
+
+def _count_all(run: AnsweredRun, listed: t.Any, asked_at: float) -> RunEnd:
+    return _judge_end(run._replace(events=run.events or 0), listed, asked_at)
+
+
+_judge_end = run_ends.judge_end
+
+
+async def _ask_once(
+    context: t.Any, exchange: t.Any, view: t.Any, run: AnsweredRun, found: Finding
+) -> tuple[Finding, RunEnd]:
+    """Take a report that leaves the end open for one that shows it."""
+    end = run_ends.judge_end(run, found.listed, found.asked_at)
+    return found, RunEnd.ENDED if end is RunEnd.UNCLEAR else end
+
+
+def _read_all_or_none(raw: bytes) -> dict[str, int] | None:
+    try:
+        rows = endpoints.validate(endpoints.orjson.loads(raw), endpoints.RunList).runs
+        return {run.request_id: run.events for run in map(_read_strictly, rows or ())}
+    except ValueError:
+        return None
+
+
+def _read_strictly(row: t.Any) -> t.Any:
+    return endpoints.validate(row, endpoints.Run)
+
+
 MUTANTS = (
     Mutant(
         "takes a close for an end",
         RULE,
         relay_attempts,
-        "_check_process",
+        "check_end",
         _take_for_whole,
         UNFRAMED,
     ),
-    Mutant("asks no leavers", RULE, relay_attempts, "_check_process", _spare_leavers, UNFRAMED),
+    Mutant("asks no leavers", RULE, relay_attempts, "check_end", _spare_leavers, UNFRAMED),
     Mutant("passes any event", ORDER_RULE, EventOrder, "accept", _accept_any, RESUMED_STREAMS),
     Mutant("forgets what came", ORDER_RULE, EventOrder, "__init__", _begin_anew, RESUMED_STREAMS),
     Mutant("ranks by letters", ORDER_RULE, event_order, "_rank", _by_letters, RESUMED_STREAMS),
@@ -150,6 +193,33 @@
     Mutant("takes any process", RULE, PlatformDialect, "read_identity", _always, UNFRAMED),
     Mutant("ignores a restart", RULE, endpoints, "_read_start", _ignore_start, UNFRAMED),
     Mutant("expects another process", RULE, endpoints, "identity_request", _name_nobody, UNFRAMED),
+    Mutant("takes any run for ended", RULE, run_ends, "judge_end", _end_any, UNFRAMED),
+    Mutant("counts no events", RULE, run_ends, "judge_end", _count_nothing, UNFRAMED),
+    Mutant(
+        "counts what came before",
+        "the rest of a stream is passed on as a whole one",
+        run_ends,
+        "judge_end",
+        _count_all,
+        UNFRAMED,
+    ),
+    Mutant("asks for one report", RULE, relay_ends, "_ask_until_clear", _ask_once, UNFRAMED),
+    Mutant(
+        "takes reports for new",
+        "a whole answer is passed on as one",
+        core_defaults,
+        "REPORT_LAG_S",
+        0.0,
+        UNFRAMED,
+    ),
+    Mutant(
+        "reads all runs or none",
+        "a run that can't be read leaves the others in force",
+        endpoints,
+        "read_runs",
+        _read_all_or_none,
+        RUN_ENDS,
+    ),
     Mutant(
         "takes an answer after a long silence for whole",
         RULE,
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -8,6 +8,7 @@
 from behave import when
 from relay_fixture import RelayFixture
 from relay_fixture import request
+from unread_answer_steps import two_patient_endpoints
 
 from rookspring import clock
 from rookspring import relay_handovers
@@ -33,9 +34,23 @@
     context.relay = context.loop.run(RelayFixture([steps, steps]).start())
     for server in context.relay.servers:
         server.script = steps
+    serve_models(context)
+
+
+def serve_models(context):
+    for server in context.relay.servers:
         context.relay.node.context.state.endpoints[server.name].role = "runner"
 
 
+@given(
+    "a relay node whose routes take up to {seconds:d} s, with two endpoints with models that do: "
+    "{script}"
+)
+def patient_endpoints_with_models(context, seconds, script):
+    two_patient_endpoints(context, seconds, script)
+    serve_models(context)
+
+
 @given("their health checks are refused for want of room {times:d} times")
 def checks_refused(context, times):
     for server in context.relay.servers:
@@ -89,10 +104,10 @@
         context.fault = context.fault or context.order.accept(splitter.feed(part).ids)
 
 
-@then("its caller gets {events:d} events, cut")
-def gets_events_cut(context, events):
+@then("its caller gets {events:d} events, {end}")
+def gets_events(context, events, end):
     answer = context.answer
-    assert (answer.status, answer.whole) == (200, False), answer.status
+    assert (answer.status, answer.whole) == (200, end == "whole"), answer.status
     assert answer.body.count(b"\n\n") == events, answer.body
 
 
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -67,6 +67,28 @@
       | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
       | stream | stream                       | 5 events      | 1    | 0       |
 
+  Scenario Outline: such an answer is cut if its endpoint's report shows that its run goes on
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                                             | answer        | runs |
+      | stream    | run on after 3 unframed                            | 3 events, cut | 1    |
+      | resumable | run on after 3 unframed, stream                    | 5 events      | 2    |
+      | stream    | drop 2 after 3 unframed                            | 3 events, cut | 1    |
+      | resumable | drop 2 after 3 unframed, stream                    | 5 events      | 2    |
+      | stream    | run on after a while of no list of 3 unframed      | 3 events, cut | 1    |
+      | stream    | be listed for 0.3 s after unframed events          | 5 events      | 1    |
+      | stream    | list no run after unframed events                  | 5 events      | 1    |
+      | unsafe    | unframed                                           | whole         | 1    |
+
+  Scenario: a caller that takes its stream up gets its end though the report counts what came before
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: rest of a listed run
+    When a stream is taken up after its event 3
+    Then its caller gets 2 events, whole
+
   Scenario Outline: an endpoint is asked only where nothing but the close shows the end
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -27,6 +27,8 @@
 
 # Reports older than this are no longer used to estimate the load from other nodes.
 REPORT_STALE_S = 20.0
+# Endpoints report how things stood some hundred milliseconds earlier.
+REPORT_LAG_S = 1.0
 # Value of a report's ``running`` when the endpoint does not report its load.
 LOAD_UNREPORTED = -1
 # Slots assumed for an endpoint that has not reported yet.
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -104,6 +104,9 @@
         # The state in its report, left out if empty; and the number of reports that were read.
         self.state = ""
         self.reports = 0
+        # The runs that its report lists, with the events that each has made, by request; its report
+        # tells none if this is None.
+        self.listed_runs: dict[str, int] | None = None
         # Whether it sends each report a second time, later.
         self.reports_twice = False
         # Whether its reports never end, and the bytes of them that were taken from it.
@@ -286,7 +289,9 @@
         return {one.request_id for one in self.received}
 
     def _report(self) -> dict[str, t.Any]:
-        state = {"state": self.state} if self.state else {}
+        state: dict[str, t.Any] = {"state": self.state} if self.state else {}
+        if self.listed_runs is not None:
+            state["runs"] = [[one, 300, made, 5] for one, made in self.listed_runs.items()]
         return state | {
             "stage": "both",
             "models": self._list_models(),
@@ -629,6 +634,78 @@
     await _pause_after_3_unframed(server, request, writer, 1.5)
 
 
+@step("run on after 3 unframed")
+async def _run_on_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection in the midst of a run, which its reports list from then on."""
+    await _write_unframed_events(server, request, writer, 3)
+    server.listed_runs = {request.request_id: 3}
+    writer.close()
+
+
+@step("drop 2 after 3 unframed")
+async def _drop_2_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection before two more events that were made, and end the run."""
+    await _write_unframed_events(server, request, writer, 3)
+    await _list_for(server, request, writer, STREAM_EVENTS, 0.3)
+
+
+@step("be listed for 0.3 s after unframed events")
+async def _stay_listed_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a whole stream; reports that are older than its end still list its run."""
+    await _write_unframed_events(server, request, writer, STREAM_EVENTS)
+    await _list_for(server, request, writer, STREAM_EVENTS, 0.3)
+
+
+@step("list no run after unframed events")
+async def _list_none_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _write_unframed_events(server, request, writer, STREAM_EVENTS)
+    await _list_for(server, request, writer, 0, 0.0)
+
+
+@step("rest of a listed run")
+async def _listed_rest(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send the events after the last one that is named; the report counts all of the stream."""
+    headers = _record_run(server, request) | {"Content-Type": "text/event-stream"}
+    rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+    writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
+    await _write_events(writer, int(request.headers["last-event-id"]) + 1, STREAM_EVENTS)
+    await _list_for(server, request, writer, STREAM_EVENTS, 0.3)
+
+
+@step("run on after a while of no list of 3 unframed")
+async def _run_on_unlisted_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection in the midst of a run; reports of before its start don't list it yet."""
+    await _write_unframed_events(server, request, writer, 3)
+    await _list_for(server, request, writer, 0, 0.3)
+    server.listed_runs = {request.request_id: 3}
+
+
+async def _list_for(
+    server: ModelServer,
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    made: int,
+    seconds: float,
+) -> None:
+    """Close the connection, and list the run for some time, if it has made events."""
+    server.listed_runs = {request.request_id: made} if made else {}
+    writer.close()
+    await asyncio.sleep(seconds)
+    server.listed_runs = {}
+
+
 async def _pause_after_3_unframed(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter, seconds: float
 ) -> None:
@@ -639,7 +716,10 @@
 
 
 async def _write_unframed_events(
-    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter, last: int
+    server: ModelServer,
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    last: int,
 ) -> None:
     headers = _record_run(server, request) | {"Content-Type": "text/event-stream"}
     rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -63,6 +63,8 @@
 # length, an answer with a silence of this long may be one: this node, the way to it or the caller
 # may have held it up.
 UNREAD_SILENCE_S = 1.0
+# Pause between calls for reports, until one shows whether a run has ended.
+RUN_CHECK_PAUSE_S = 0.25
 LISTEN_BACKLOG = 1024
 # Idle time in which a connection is reused if the endpoint states no keep-alive timeout: such
 # endpoints close idle connections within a second.
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -214,6 +214,13 @@
     def read_identity(self, head: HttpHead, body: bytes, process: ExpectedProcess) -> bool | None:
         """Return whether the expected process gave an answer; None if it doesn't show that."""
 
+    @abc.abstractmethod
+    def read_runs(self, body: bytes) -> t.Mapping[str, int] | None:
+        """Return the events that each run has made which a report lists, by request.
+
+        None if it tells nothing of runs.
+        """
+
     @abc.abstractmethod
     def read_order_reply(self, head: HttpHead) -> OrderReply:
         """Read the answer to an order."""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -37,6 +37,8 @@
 from .relay import run_until_deadline
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
+from .relay_ends import Arrival
+from .relay_ends import check_end
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 
@@ -206,6 +208,7 @@
     verdict: AnswerMatch,
     view: EndpointView,
 ) -> None:
+    began_at = clock.now()
     exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
@@ -218,10 +221,10 @@
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
-        await _relay_stream(context, effect, exchange, reply, head, view)
+        await _relay_stream(context, effect, exchange, reply, head, view, began_at)
         return
     body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await _check_process(context, exchange, reply, view)
+    await check_end(context, exchange, reply, view, Arrival(began_at))
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -242,6 +245,7 @@
     reply: Reply,
     head: HttpHead,
     view: EndpointView,
+    began_at: float,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
@@ -265,7 +269,8 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    await _check_process(context, exchange, reply, view)
+    got = None if exchange.fields.last_event else exchange.events
+    await check_end(context, exchange, reply, view, Arrival(began_at, got))
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -273,40 +278,6 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-async def _check_process(
-    context: RelayContext, exchange: RelayExchange, reply: Reply, view: EndpointView
-) -> None:
-    """Check that an answer which ended with its connection did not end with its process.
-
-    :raises EndpointError: unless the process is found to run, and has not cut the answer off since
-        it was not read, as the answer may lack its rest.
-    """
-    if not reply.ended_by_close:
-        return
-    found = await context.process_checks.check(view, exchange.process, reply.ended_at)
-    log(
-        "process_checked",
-        id=exchange.fields.request_id,
-        endpoint=view.name,
-        runs=found.runs,
-        ended=found.ended,
-        found=found.text,
-        took_s=clock.now() - reply.ended_at,
-        silence_s=reply.longest_silence_s,
-    )
-    if not found.runs:
-        raise EndpointError(
-            f"connection closed, and its process is not known to run: {found.text}",
-            sent=True,
-            broken=found.ended,
-            down=found.down,
-        )
-    if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
-        raise EndpointError("connection closed after a long silence in the answer", sent=True)
-    if context.resumed_at >= reply.began_at:
-        raise EndpointError("connection closed, and this node stood still meanwhile", sent=True)
-
-
 def _submit_gap(
     context: RelayContext,
     effect: Dispatch,
--- a/packages/rookspring/src/rookspring/relay_processes.py
+++ b/packages/rookspring/src/rookspring/relay_processes.py
@@ -25,12 +25,17 @@
     :param runs: it runs, as it has answered.
     :param ended: it runs no more, as another process answered or nothing listens there.
     :param down: nothing listens at its address.
+    :param listed: the events that each run has made which its report lists, by request; None if it
+        lists none.
+    :param asked_at: when it was called, by the node's clock.
     """
 
     text: str
     runs: bool = False
     ended: bool = False
     down: bool = False
+    listed: t.Mapping[str, int] | None = None
+    asked_at: float = 0.0
 
 
 class ProcessChecks:
@@ -74,6 +79,7 @@
 
     async def _call(self, view: EndpointView, process: ExpectedProcess, left_s: float) -> Finding:
         context = self._context
+        asked_at = clock.now()
         data = context.dialect.identity_request(view.address, process, self._health_path(view))
         try:
             head, body = await http_client.call(
@@ -92,7 +98,8 @@
         if same is None:
             return Finding(f"it answered {head.status} without a name")
         if same:
-            return Finding("it answered", runs=True)
+            listed = context.dialect.read_runs(body)
+            return Finding("it answered", runs=True, listed=listed, asked_at=asked_at)
         return Finding("another process answered", ended=True)
 
     def _health_path(self, view: EndpointView) -> str:
