Take a long answer without a length for cut if its head came late

Callers would see a stream end as complete where its endpoint had cut the answer off, as nobody read it, while the way carried nothing from before the head on: the silence lay before the head, where only one within the answer was looked at. An endpoint waits for a reader only once its kernel takes no more, and what that has taken still comes; so an answer that came late is a cut only from 4 KiB on.

The log line of the check says how long the head took (head_s).

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -220,6 +220,15 @@
         _read_all_or_none,
         RUN_ENDS,
     ),
+    Mutant("takes a slow head for none", RULE, defaults, "UNREAD_BYTES_MIN", 1 << 30, UNREAD),
+    Mutant(
+        "takes any slow head for a cut",
+        "a whole answer is passed on as one",
+        defaults,
+        "UNREAD_BYTES_MIN",
+        0,
+        UNREAD,
+    ),
     Mutant(
         "takes an answer after a long silence for whole",
         RULE,
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -25,6 +25,7 @@
 LATE_ANSWER_S = 0.15
 MUTE_S = 30.0
 FLOOD_EVENT_BYTES = 64 << 10
+LONG_EVENT_BYTES = 4 << 10
 ENDLESS_PART_BYTES = 16 << 10
 
 
@@ -706,6 +707,25 @@
     server.listed_runs = {}
 
 
+@step("be slow to begin 3 long unframed")
+async def _slow_long_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send nothing for long, then three long events at once, and close the connection."""
+    await asyncio.sleep(1.5)
+    await _write_unframed_events(server, request, writer, 3, LONG_EVENT_BYTES)
+    writer.close()
+
+
+@step("be slow to begin unframed events")
+async def _slow_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await asyncio.sleep(1.5)
+    await _write_unframed_events(server, request, writer, STREAM_EVENTS)
+    writer.close()
+
+
 async def _pause_after_3_unframed(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter, seconds: float
 ) -> None:
@@ -720,16 +740,19 @@
     request: ReceivedRequest,
     writer: asyncio.StreamWriter,
     last: int,
+    padding: int = 0,
 ) -> None:
     headers = _record_run(server, request) | {"Content-Type": "text/event-stream"}
     rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
     writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
-    await _write_events(writer, 1, last)
+    await _write_events(writer, 1, last, padding)
 
 
-async def _write_events(writer: asyncio.StreamWriter, first: int, last: int) -> None:
+async def _write_events(
+    writer: asyncio.StreamWriter, first: int, last: int, padding: int = 0
+) -> None:
     for number in range(first, last + 1):
-        writer.write(f"id: {number}\ndata: token{number}\n\n".encode())
+        writer.write(f"id: {number}\ndata: token{number}{'.' * padding}\n\n".encode())
         await writer.drain()
         await asyncio.sleep(0.002)
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -63,6 +63,9 @@
 # length, an answer with a silence of this long may be one: this node, the way to it or the caller
 # may have held it up.
 UNREAD_SILENCE_S = 1.0
+# Of an answer that nobody reads, the kernel of its endpoint takes this much at the least before the
+# endpoint has to wait; what is smaller can't have been cut off for that.
+UNREAD_BYTES_MIN = 4 << 10
 # Pause between calls for reports, until one shows whether a run has ended.
 RUN_CHECK_PAUSE_S = 0.25
 LISTEN_BACKLOG = 1024
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -224,7 +224,7 @@
         await _relay_stream(context, effect, exchange, reply, head, view, began_at)
         return
     body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await check_end(context, exchange, reply, view, Arrival(began_at))
+    await check_end(context, exchange, reply, view, Arrival(began_at, len(body)))
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -252,7 +252,9 @@
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, exchange.started)
+    body_bytes = 0
     while part := await reply.next_part():
+        body_bytes += len(part)
         events = splitter.feed(part)
         if events.number == 0:
             continue
@@ -270,7 +272,7 @@
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
     got = None if exchange.fields.last_event else exchange.events
-    await check_end(context, exchange, reply, view, Arrival(began_at, got))
+    await check_end(context, exchange, reply, view, Arrival(began_at, body_bytes, got))
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
--- a/packages/rookspring/src/rookspring/relay_ends.py
+++ b/packages/rookspring/src/rookspring/relay_ends.py
@@ -27,11 +27,13 @@
     """What has come of an answer.
 
     :param began_at: when its head came, by the node's clock.
+    :param body_bytes: the size of its body.
     :param events: how many events the caller has got of its stream, in this answer and earlier
         ones; None if that is unknown, or if it is no stream.
     """
 
     began_at: float
+    body_bytes: int
     events: int | None = None
 
 
@@ -50,7 +52,7 @@
     if not reply.ended_by_close:
         return
     await _check_run(context, exchange, reply, view, arrival)
-    if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
+    if _may_have_stayed_unread(reply, arrival):
         raise EndpointError("connection closed after a long silence in the answer", sent=True)
     if context.resumed_at >= reply.began_at:
         raise EndpointError("connection closed, and this node stood still meanwhile", sent=True)
@@ -82,6 +84,7 @@
         listed=-1 if found.listed is None else found.listed.get(run.request_id, -1),
         took_s=clock.now() - reply.ended_at,
         silence_s=reply.longest_silence_s,
+        head_s=arrival.began_at - reply.began_at,
     )
     if not first.runs:
         raise EndpointError(
@@ -113,3 +116,15 @@
         await asyncio.sleep(defaults.RUN_CHECK_PAUSE_S)
         found = await context.process_checks.check(view, exchange.process, clock.now())
     return found, end
+
+
+def _may_have_stayed_unread(reply: Reply, arrival: Arrival) -> bool:
+    """Return whether an answer may have been cut off as nobody read it for a while.
+
+    What came before its head, or within it, may have been held up on the way. Of an answer that was
+    held up before its head, as much came later as the endpoint's kernel had room for.
+    """
+    if reply.longest_silence_s >= defaults.UNREAD_SILENCE_S:
+        return True
+    slow = arrival.began_at - reply.began_at >= defaults.UNREAD_SILENCE_S
+    return slow and arrival.body_bytes >= defaults.UNREAD_BYTES_MIN
