Cut answers of every reader after each byte, and keep the rows as guards

An operator reports heads that were cut off by a close and came to clients as whole answers with an empty or short body. No row of ours shows it: 46 shapes cut after each byte at a connection by itself (new, used, after interim heads and other requests' answers, closed and reset), and by sockets at a node, through another node, in orders, reports, identity checks, the store's answers and the product's own clients. The rows stay, with five mutants that they catch.

The steps of cut_off.feature print on failure what each node served and the log of the tries that were not served: an observability change, no check is altered.

--- /dev/null
+++ b/bench/cut_head_mutants.py
@@ -0,0 +1,102 @@
+"""Mutants of where an answer ends: what is cut must be told from what is whole."""
+
+import typing as t
+
+from rookspring import _reply
+from rookspring._client_connection import ClientConnection
+from rookspring.exceptions import EndpointError
+from rookspring_platform import store
+
+from .mutant import CUT_HEADS
+from .mutant import CUT_HEADS_SOCKETS
+from .mutant import Mutant
+
+RULE = "an answer that is cut short does not look complete"
+
+
+def _end_at_any_close(self: ClientConnection, exc: Exception | None) -> None:
+    """Take every regular close for the end of the answer."""
+    self.open = False
+    begun = self._reply is not None and self._reply.head is not None
+    if begun and exc is None and not self._skipping:
+        self._finish()
+    else:
+        _lose(self, exc)
+
+
+_lose = ClientConnection.connection_lost
+
+
+def _end_at_any_loss(self: ClientConnection, exc: Exception | None) -> None:
+    """Take a reset for a close."""
+    _lose(self, None)
+
+
+def _go_on_with_answer(self: ClientConnection) -> None:
+    """Keep what is known of the answer before, which may have been another request's."""
+    if self._reply is None:
+        raise ValueError("surplus answer")
+
+
+async def _read_what_came(self: _reply.Reply, most: int, memory: t.Any) -> bytes:
+    body = b""
+    try:
+        while part := await self.next_part():
+            body += part
+    except EndpointError:
+        pass
+    return body
+
+
+def _decode_leniently(raw: bytes) -> t.Any:
+    try:
+        return _decode(raw)
+    except ValueError:
+        return {"items": [], "events": [], "as-of": 1, "metadata": {"name": "a", "revision": 3}}
+
+
+_decode = store._decode_json
+
+
+MUTANTS = (
+    Mutant(
+        "takes any close for an end",
+        RULE,
+        ClientConnection,
+        "connection_lost",
+        _end_at_any_close,
+        CUT_HEADS,
+    ),
+    Mutant(
+        "takes a reset for a close",
+        RULE,
+        ClientConnection,
+        "connection_lost",
+        _end_at_any_loss,
+        CUT_HEADS,
+    ),
+    Mutant(
+        "goes on with the answer before",
+        "an answer belongs to one request",
+        ClientConnection,
+        "on_message_begin",
+        _go_on_with_answer,
+        CUT_HEADS,
+    ),
+    Mutant(
+        "takes what came of a body for all of it",
+        RULE,
+        _reply.Reply,
+        "read_rest",
+        _read_what_came,
+        CUT_HEADS_SOCKETS,
+    ),
+    Mutant(
+        "takes what the store did not say for nothing",
+        "an answer of the store that can't be read is a failure",
+        store,
+        "_decode_json",
+        _decode_leniently,
+        CUT_HEADS_SOCKETS,
+    ),
+)
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -42,6 +42,7 @@
 
 from . import claim_mutants
 from . import clock_mutants
+from . import cut_head_mutants
 from . import endless_mutants
 from . import era_mutants
 from . import evacuation_mutants
@@ -366,6 +367,7 @@
     "notices": notice_mutants.MUTANTS,
     "claims": claim_mutants.MUTANTS,
     "clock": clock_mutants.MUTANTS,
+    "cut-heads": cut_head_mutants.MUTANTS,
     "endless": endless_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
     "resends": resend_mutants.MUTANTS,
--- a/features/cut_stage.py
+++ b/features/cut_stage.py
@@ -21,6 +21,9 @@
 PEER_OFFSET = 101
 STAMP = "x-rookspring-server-stamp"
 NOT_RUN = (408, 421, 429, 503)
+# What is printed of a failed step: tries that were not served, and the log's lines on each.
+TRIES_SHOWN_MAX = 20
+LINES_SHOWN_MAX = 12
 
 
 class Try(t.NamedTuple):
@@ -124,6 +127,28 @@
         for node in self.nodes:
             node.context.pool.heal()
 
+    def explain(self, nodes, begin, end):
+        """Return how often each node served in a time, and the log of tries that were not served.
+
+        Times are in seconds after the cut.
+        """
+        rows = []
+        for number in range(self.count):
+            share, count = self.share([number], begin, end)
+            rows.append(f"n{number + 1}: {share:.3f} of {count}")
+        failed = [
+            one
+            for one in self.tries
+            if one.node in nodes and begin <= one.sent_at < end and not one.served
+        ]
+        for one in failed[:TRIES_SHOWN_MAX]:
+            answer = f"{one.answer.status} {'whole' if one.answer.whole else 'cut'}"
+            at = one.sent_at - self.cut_at
+            rows.append(f"n{one.node + 1} {one.key} {one.kind} at {at:.2f} s: {answer}")
+            lines = [line.rstrip() for line in self.relay.log_lines if f"={one.key} " in line]
+            rows += [f"    {line}" for line in lines[:LINES_SHOWN_MAX]]
+        return "\n".join(rows)
+
     def share(self, cut, begin, end):
         """Return the share of the tries sent in a time that were served, and their number."""
         chosen = [one for one in self.tries if one.node in cut and begin <= one.sent_at < end]
--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -48,13 +48,19 @@
     share, count = stage.share(context.cut, begin, stage.healed_at)
     other_share, other_count = stage.share(others(context), begin, stage.healed_at)
     assert count >= 10 and other_count >= 10, (count, other_count)
-    assert share >= other_share * 2 / 3, f"{share:.2f} of {count}, others {other_share:.2f}"
+    assert share >= other_share * 2 / 3, (
+        f"{share:.2f} of {count}, others {other_share:.2f}\n"
+        + stage.explain(context.cut, begin, stage.healed_at)
+    )
 
 
 @then("the other nodes serve {percent:d} in 100 throughout")
 def others_serve(context, percent):
-    share, count = context.cut_stage.share(others(context), 0.0, time.monotonic())
-    assert share >= percent / 100, f"{share:.3f} of {count}"
+    stage = context.cut_stage
+    share, count = stage.share(others(context), 0.0, time.monotonic())
+    assert share >= percent / 100, f"{share:.3f} of {count}\n" + stage.explain(
+        others(context), 0.0, time.monotonic()
+    )
 
 
 @then("no node was told that an endpoint has ended")
@@ -67,9 +73,13 @@
 @then("{seconds:g} s after the cut all nodes serve {percent:d} in 100")
 def all_serve(context, seconds, percent):
     stage = context.cut_stage
+    begin = stage.healed_at + seconds
     for number in range(stage.count):
-        share, count = stage.share([number], stage.healed_at + seconds, time.monotonic())
-        assert count >= 10 and share >= percent / 100, f"n{number + 1}: {share:.3f} of {count}"
+        share, count = stage.share([number], begin, time.monotonic())
+        assert count >= 10 and share >= percent / 100, (
+            f"n{number + 1}: {share:.3f} of {count}\n"
+            + stage.explain(range(stage.count), begin, time.monotonic())
+        )
 
 
 @then("every answer is whole, no unrepeatable request ran twice, and none ran that was refused")
