Refuse an endpoint's answer with a status code below 100

Callers got a 200, framed as whole, whose body began with the body of another message: a head with a status below 100 and a body of 3 bytes, followed by the answer proper, came as "abcwhole".

Cause: a status below 200 was taken for an interim head, which has no body. The parser reads a body after a status below 100, and each part of a body was added to the answer in flight, whose head came later. Class: where a body ends is decided by the parser and by the code beside it, by different rules.

The head is refused as no answer as soon as it is read, so that none of its body can be added. A mutant without the bound is caught.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from rookspring import _client_connection
 from rookspring import _reply
 from rookspring._client_connection import ClientConnection
 from rookspring.exceptions import EndpointError
@@ -99,4 +100,12 @@
         _decode_leniently,
         CUT_HEADS_SOCKETS,
     ),
+    Mutant(
+        "takes a status below 100 for an interim one",
+        "an answer has one body",
+        _client_connection,
+        "STATUS_MIN",
+        0,
+        CUT_HEADS,
+    ),
 )
--- a/features/answer_shapes.py
+++ b/features/answer_shapes.py
@@ -103,6 +103,9 @@
     "of no known version": b"HTTP/3.7 200 OK\r\n" + ID + LENGTH + END + BODY,
     "with a status of two digits": b"HTTP/1.1 20\r\n" + ID + LENGTH + END + BODY,
     "with a status of four digits": b"HTTP/1.1 2000 OK\r\n" + ID + LENGTH + END + BODY,
+    "with a status below 100": b"HTTP/1.1 099 Odd\r\n" + ID + LENGTH + END + BODY,
+    "after a status below 100 with a body": b"HTTP/1.1 099 Odd\r\nContent-Length: 3\r\n\r\nabc"
+    + PLAIN,
     "after an interim head with a body": b"HTTP/1.1 100 Continue\r\nContent-Length: 3\r\n\r\nabc"
     + PLAIN,
     "that switches the protocol": b"HTTP/1.1 101 Switching Protocols\r\n"
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -18,6 +18,7 @@
 from . import clock
 from . import defaults
 from ._reply import Reply
+from .http_messages import STATUS_MIN
 from .http_messages import Header
 from .http_messages import HttpHead
 
@@ -182,6 +183,9 @@
         """Accept the head, or skip an answer that belongs to another request."""
         self._got_head = True
         status = self._parser.get_status_code()
+        if status < STATUS_MIN:
+            # Unlike that of an interim head, its body would be read as the answer's.
+            raise ValueError("no status code")
         if status < 200 or self._reply is None:
             return
         head = HttpHead(status, tuple(self._answer_headers))
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -27,6 +27,9 @@
     }
 )
 
+# Status codes begin here (RFC 9110, section 15); lower ones say nothing about a body.
+STATUS_MIN = 100
+
 
 class HttpRequest(t.NamedTuple):
     """One complete request as it was read."""
