Write no end of a body after an answer that has none

A caller that keeps its connection got, as the head of its next answer, the end of a body that the answer before did not have: after a 204 to a stream the next answer began with "0\r\n\r\nHTTP/1.1 200 OK".

Cause: the head of a stream's answer got chunks whatever its status, while a 204 ends with its head (RFC 9110, 15.3.5) and the caller reads what follows as the next answer. The rule stood twice, for answers with a length and for those read from endpoints, and was missing for chunks.

Evidence: features/cut_heads_sockets.feature, "what follows an answer without a body on a caller's connection is the next answer"; before the fix it failed with b'0\r\n\r\nHTTP/1.1 200 OK\r\nX-Rookspring-Request-Id: q1 ... answer to q1'.

The statuses without a body are now named once, and head, parts and end of an answer all follow that.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -4,6 +4,7 @@
 
 from rookspring import _client_connection
 from rookspring import _reply
+from rookspring import http_server
 from rookspring._client_connection import ClientConnection
 from rookspring.exceptions import EndpointError
 from rookspring_platform import store
@@ -108,4 +109,12 @@
         0,
         CUT_HEADS,
     ),
+    Mutant(
+        "ends a body that an answer has not",
+        "an answer has one body",
+        http_server,
+        "BODILESS_STATUSES",
+        frozenset(),
+        CUT_HEADS_SOCKETS,
+    ),
 )
--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -40,6 +40,11 @@
       | unsafe |
       | HEAD   |
 
+  Scenario: what follows an answer without a body on a caller's connection is the next answer
+    Given a relay node with one endpoint that does: answer
+    When a stream is answered with 204, and a request follows on its caller's connection
+    Then the answer to that request is whole
+
   Scenario Outline: another node's cut answer is never passed on as a whole one
     Given 2 linked nodes that share three endpoints, and callers at each
     And the first node reaches no endpoint, which is known
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -210,6 +210,31 @@
         assert got.answer.body == body, (got.name, vars(got.answer))
 
 
+@when("a stream is answered with 204, and a request follows on its caller's connection")
+def answer_without_body(context):
+    relay = context.relay
+    relay.servers[0].given = SOUND["204"].data
+    relay.servers[0].script = ["given bytes"]
+
+    async def work():
+        reader, writer = await relay.connect()
+        writer.write(request("stream"))
+        first = await asyncio.wait_for(reader.readuntil(HEAD_END), ANSWER_S)
+        writer.write(request("safe").replace(b"Host:", b"Connection: close\r\nHost:", 1))
+        rest = await asyncio.wait_for(reader.read(-1), ANSWER_S)
+        writer.close()
+        return first, rest
+
+    first, context.rest = context.loop.run(work())
+    assert b" 204 " in first, first
+
+
+@then("the answer to that request is whole")
+def next_whole(context):
+    answer = parse(context.rest, to_head=False) if context.rest.startswith(b"HTTP/") else None
+    assert answer and answer.whole and answer.body == b"answer to q1", context.rest
+
+
 async def replace_other(context):
     """Let a server that sends given bytes take the place of the other node's callers' address."""
     listener = context.cut_stage.nodes[1].listeners["callers"]
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -18,6 +18,7 @@
 from . import clock
 from . import defaults
 from ._reply import Reply
+from .http_messages import BODILESS_STATUSES
 from .http_messages import STATUS_MIN
 from .http_messages import Header
 from .http_messages import HttpHead
@@ -200,7 +201,7 @@
                 raise ValueError("too many answers to other requests")
             return
         framed = head.header(b"content-length") or head.header(b"transfer-encoding")
-        self._until_close = not framed and status not in (204, 304)
+        self._until_close = not framed and status not in BODILESS_STATUSES
         if self._until_close or not self._parser.should_keep_alive():
             self.reusable = False
         self._note_idle_timeout(head)
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -16,6 +16,7 @@
 from . import clock
 from . import defaults
 from .exceptions import CallerGone
+from .http_messages import BODILESS_STATUSES
 from .http_messages import Header
 from .http_messages import HttpRequest
 from .http_messages import reason_phrase
@@ -69,6 +70,7 @@
         self._begun = False
         self._close_after = False
         self._chunked = False
+        self._has_body = True
         # The request that was read last: when, its id as far as its server has parsed it, and what
         # it waits for before its server decides on it; the last two are for the log.
         self.read_at = 0.0
@@ -262,10 +264,13 @@
         if self._options.closing():
             self._close_after = True
         rows = list(headers)
-        self._chunked = length is None
-        if length is None:
+        # A body, or the end of one, would be read as the head of the next answer.
+        bodiless = status in BODILESS_STATUSES
+        self._has_body = not bodiless and self._method != b"HEAD"
+        self._chunked = length is None and not bodiless
+        if self._chunked:
             rows.append((b"Transfer-Encoding", b"chunked"))
-        elif status not in {204, 304}:
+        elif not bodiless:
             rows.append((b"Content-Length", str(length).encode()))
         if self._close_after:
             rows.append((b"Connection", b"close"))
@@ -281,7 +286,7 @@
 
         :raises CallerGone: if the caller has disconnected.
         """
-        if not data or self._method == b"HEAD":
+        if not data or not self._has_body:
             return
         if self._chunked:
             data = b"%x\r\n%b\r\n" % (len(data), data)
@@ -293,7 +298,7 @@
 
     def end(self) -> None:
         """Complete the answer, then close the connection or read the next request."""
-        if self._chunked and self._method != b"HEAD":
+        if self._chunked and self._has_body:
             self._write(b"0\r\n\r\n")
         self._answering = False
         self.on_disconnect = None
@@ -312,7 +317,7 @@
     def answer(self, status: int, headers: t.Iterable[Header], body: bytes) -> None:
         """Write a complete answer."""
         self.begin(status, headers, len(body))
-        if body and self._method != b"HEAD":
+        if body and self._has_body:
             self._write(body)
         self.end()
 
