--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -19,6 +19,8 @@
 from . import defaults
 from ._reply import Reply
 from .digits import parse_digits
+from .http_messages import BODILESS_STATUSES
+from .http_messages import STATUS_MIN
 from .http_messages import Header
 from .http_messages import HttpHead
 
@@ -183,6 +185,9 @@
         """Accept the head, or skip an answer that belongs to another request."""
         self._got_head = True
         status = self._parser.get_status_code()
+        if status < STATUS_MIN:
+            # Unlike that of an interim head, its body would be read as the answer's.
+            raise ValueError("no status code")
         if status < 200 or self._reply is None:
             return
         head = HttpHead(status, tuple(self._answer_headers))
@@ -197,7 +202,7 @@
                 raise ValueError("too many answers to other requests")
             return
         framed = head.header(b"content-length") or head.header(b"transfer-encoding")
-        self._until_close = not framed and status not in (204, 304)
+        self._until_close = not framed and status not in BODILESS_STATUSES
         if self._until_close or not self._parser.should_keep_alive():
             self.reusable = False
         self._note_idle_timeout(head)
