--- a/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
@@ -8,6 +8,7 @@
 
 from .platform import Platform
 from .serving import wait_for_change
+from .store import Change
 from .store import StoreBackup
 from .store import Stored
 
@@ -71,7 +72,11 @@
 
     async def write(self, kind: str, name: str, spec: t.Any) -> int:
         """Write an object unconditionally, as the operator or a model server does."""
-        stored = self.store.put(kind, name, orjson.dumps(spec), None)
+        return await self.write_raw(kind, name, orjson.dumps(spec))
+
+    async def write_raw(self, kind: str, name: str, spec: bytes) -> int:
+        """Write an object unconditionally, with a value that is kept as these bytes."""
+        stored = self.store.put(kind, name, spec, None)
         await self._notify_watchers()
         return stored.version
 
@@ -84,8 +89,8 @@
         if "watch" in request.query:
             return await self._watch_objects(request)
         version, rows = self.store.list_kind(request.match_info["kind"])
-        items = [_object(one) for one in rows]
-        return web.json_response({"items": items, "truncated": False, "as-of": version})
+        items = b",".join(_object(one) for one in rows)
+        return _respond(b'{"items":[%b],"truncated":false,"as-of":%d}' % (items, version))
 
     async def _watch_objects(self, request: web.Request) -> web.Response:
         kind = request.match_info["kind"]
@@ -97,19 +102,13 @@
             if found or left <= 0 or self.faults.outage:
                 break
             await wait_for_change(self._changed, min(left, 0.5))
-        events = [
-            {
-                "deleted": one.value is None,
-                "object": _row(one.name, one.version, one.value or b"null"),
-            }
-            for one in found
-        ]
+        events = b",".join(_event(one) for one in found)
         as_of = found[-1].version if found else max(since, self.store.version)
-        return web.json_response({"events": events, "as-of": as_of})
+        return _respond(b'{"events":[%b],"as-of":%d}' % (events, as_of))
 
     async def _get(self, request: web.Request) -> web.Response:
         info = request.match_info
-        return web.json_response(_object(self.store.get(info["kind"], info["name"])))
+        return _respond(_object(self.store.get(info["kind"], info["name"])))
 
     async def _post(self, request: web.Request) -> web.Response:
         body = orjson.loads(await request.read())
@@ -126,7 +125,7 @@
     async def _write(self, kind: str, name: str, spec: t.Any, expected: int | None) -> web.Response:
         stored = self.store.put(kind, name, orjson.dumps(spec), expected)
         await self._notify_watchers()
-        return web.json_response(_object(stored))
+        return _respond(_object(stored))
 
     async def _delete(self, request: web.Request) -> web.Response:
         info = request.match_info
@@ -134,14 +133,25 @@
         revision = request.query.get("revision")
         self.store.delete(info["kind"], info["name"], int(revision) if revision else None)
         await self._notify_watchers()
-        return web.json_response(_object(known))
+        return _respond(_object(known))
+
+
+def _respond(body: bytes) -> web.Response:
+    return web.Response(body=body, content_type="application/json")
 
 
-def _object(stored: Stored) -> dict[str, t.Any]:
+def _object(stored: Stored) -> bytes:
     return _row(stored.name, stored.version, stored.value)
 
 
-def _row(name: str, version: int, value: bytes) -> dict[str, t.Any]:
+def _event(change: Change) -> bytes:
+    deleted = b"true" if change.value is None else b"false"
+    row = _row(change.name, change.version, change.value or b"null")
+    return b'{"deleted":%b,"object":%b}' % (deleted, row)
+
+
+def _row(name: str, version: int, value: bytes) -> bytes:
+    """Return an object with its value as it was written, which need not be JSON."""
     metadata = {
         "name": name,
         "revision": version,
@@ -149,4 +159,4 @@
         "finalizers": [],
         "deleting": False,
     }
-    return {"metadata": metadata, "spec": orjson.loads(value), "status": None}
+    return b'{"metadata":%b,"spec":%b,"status":null}' % (orjson.dumps(metadata), value)
