Dial no address that is no host and port

Callers of an endpoint whose entry has a port beyond 65535 reached another process of its box: the event loop in use takes a port modulo 65536. Requests, orders, reports and links to nodes went there. A line break at the end of an address was dialled as well, and went on into the request's head; a port that is no number raised ValueError out of the pool and out of the task that dials nodes.

Cause: who dials splits the text and leaves the port to the event loop. The dial itself parses the address now: a call fails with nothing sent and the endpoint not taken for down, a dial of a node returns False and the address is logged once.

Evidence: make test ARGS=features/dialled_addresses.feature on: of 14 rows, a call to port P + 65536 and one to P and a line break ended in 'connection reset' by the server at P, a link to either connected three times of three ([True, True, True]), ports of 5,000 digits, of text and none raised ValueError. With the change all 14 pass.

--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -9,6 +9,7 @@
 from ._client_connection import AcceptHead
 from ._client_connection import ClientConnection
 from ._client_connection import OnHead
+from .addresses import parse_address
 from .answer_memory import AnswerMemory
 from .exceptions import EndpointError
 from .http_messages import HttpHead
@@ -65,11 +66,14 @@
         return await self._open(address)
 
     async def _open(self, address: str) -> ClientConnection:
-        host, _, port = address.rpartition(":")
+        try:
+            host, port = parse_address(address)
+        except ValueError as error:
+            raise EndpointError(str(error), sent=False) from None
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(defaults.RELAY_CONNECT_S):
-                _, made = await loop.create_connection(self._make_connection, host, int(port))
+                _, made = await loop.create_connection(self._make_connection, host, port)
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
--- a/packages/rookspring/src/rookspring/connections.py
+++ b/packages/rookspring/src/rookspring/connections.py
@@ -12,6 +12,7 @@
 import aiohttp
 
 from . import defaults
+from .addresses import parse_address
 
 
 class SingleUseConnector(aiohttp.TCPConnector):
@@ -35,13 +36,13 @@
 
 async def refuses_connections(address: str) -> bool:
     """Return whether an address refuses connections; one that is made is closed at once."""
-    host, _, port = address.rpartition(":")
     try:
+        host, port = parse_address(address)
         async with asyncio.timeout(defaults.CONNECT_S):
-            _, writer = await asyncio.open_connection(host, int(port))
+            _, writer = await asyncio.open_connection(host, port)
     except ConnectionRefusedError:
         return True
-    except (OSError, TimeoutError):
+    except (OSError, TimeoutError, ValueError):
         return False
     writer.close()
     with contextlib.suppress(OSError):
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -1,6 +1,8 @@
 """Constants of the daemon, with the unit as a suffix of the name."""
 
 BODY_BYTES_MAX = 1 << 20
+# Characters of an error about what others wrote that are logged.
+DETAIL_MAX = 200
 FRAME_BYTES_MAX = 8 << 20
 HEADER_READ_S = 10.0
 CONNECT_S = 1.0
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -60,6 +60,9 @@
     "endpoint_gone": "an endpoint's entry was removed",
     "endpoint_malformed": "an endpoint's entry could not be parsed and is ignored",
     "object_malformed": "an object of the platform's store could not be parsed and is ignored",
+    "node_malformed": "a node's row in the store could not be parsed and is ignored",
+    "lease_malformed": "the lease object can't be read; it counts as held until it expires",
+    "address_malformed": "an address can't be dialled, as it is no host and port",
     "effect_failed": "one effect of a decision failed; its other effects were carried out",
     "decided": "the lease holder decided on an action at an endpoint, or found none, and why",
     "want_declined": "nothing is ordered now for a model or adapter that requests need, and why",
@@ -81,6 +84,8 @@
 # Limit of lines a second for the events in BOUNDED. A request has about three; a node of the
 # larger deployment gets some 20 requests a second, and six times as many in a burst.
 LINES_PER_S = 400.0
+# Faults of others' values that are remembered, so that each is logged once.
+LOGGED_MAX = 10_000
 BOUNDED = (
     "event=attempt_",
     "event=process_checked",
@@ -99,6 +104,8 @@
     "event=endpoint_speed",
     "event=object_malformed",
     "event=endpoint_malformed",
+    "event=node_malformed",
+    "event=address_malformed",
 )
 
 
@@ -159,6 +166,25 @@
     logger.add(output.write, level=level, format="{message}", backtrace=False, diagnose=False)
 
 
+class LoggedOnce:
+    """The faults that were logged already, so that a repeated one is not logged again.
+
+    The oldest are forgotten beyond ``LOGGED_MAX``.
+    """
+
+    def __init__(self) -> None:
+        self._keys: dict[t.Hashable, None] = {}
+
+    def is_new(self, key: t.Hashable) -> bool:
+        """Record a fault, and return whether it was not recorded before."""
+        if key in self._keys:
+            return False
+        if len(self._keys) >= LOGGED_MAX:
+            del self._keys[next(iter(self._keys))]
+        self._keys[key] = None
+        return True
+
+
 def _quote(value: t.Any) -> str:
     text = f"{value:.6g}" if isinstance(value, float) else str(value)
     if text and not any(letter in text for letter in ' "=\n\\'):
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -16,7 +16,9 @@
 
 from . import clock
 from . import defaults
+from .addresses import parse_address
 from .exceptions import PeerError
+from .logs import LoggedOnce
 from .logs import log
 from .messages import Hello
 from .messages import HelloProof
@@ -140,6 +142,7 @@
         self._tasks: set[asyncio.Task[t.Any]] = set()
         self.links: dict[str, Link] = {}
         self._closed_link_bytes = 0
+        self._logged = LoggedOnce()
 
     def sent_bytes(self) -> int:
         """Count the bytes sent to other nodes since the start."""
@@ -175,11 +178,16 @@
         :param on_up: called once the link is up.
         :return: whether a connection could be made.
         """
-        host, _, port = address.rpartition(":")
+        try:
+            host, port = parse_address(address)
+        except ValueError as error:
+            if self._logged.is_new(str(error)):
+                log("address_malformed", "ERROR", detail=error)
+            return False
         try:
             async with asyncio.timeout(defaults.CONNECT_S):
                 reader, writer = await asyncio.open_connection(
-                    host, int(port), ssl=_make_client_tls(self._tls)
+                    host, port, ssl=_make_client_tls(self._tls)
                 )
         except (OSError, TimeoutError):
             return False
