Decode the store's objects one by one, and bound each value before it is kept

One entry of another writer, nested deeply or with thousands of digits, left a starting node without any endpoint for good (503 to all callers), and kept watching nodes from learning of endpoints that started later. Entries that can't be sent to other nodes, or have a port that no host has, were listed as endpoints.

Cause: a page was one value. The second decoder, for pages with odd bytes, recurses and raises RecursionError, or ValueError for the whole page; a list or watch without items raised KeyError out of the loop. And nothing asked whether a decoded value can be compared, printed or sent.

--- a/features/steps/entry_steps.py
+++ b/features/steps/entry_steps.py
@@ -161,7 +161,7 @@
     def check_body(at, put):
         raw = whole[:at] + put + whole[at + len(put) :]
         try:
-            body = store_module._decode_json(raw)
+            body = store_module.decode_body(raw)
         except ValueError:
             return
         if isinstance(body, dict) and isinstance(body.get("items"), list):
@@ -178,7 +178,7 @@
     odd = good | {"metadata": {"name": "i2", "revision": 5}, "spec": "ODD"}
     whole = orjson.dumps({"items": [odd, good], "as-of": 9})
     for bytes_ in (b'"\xff\xfe"', b"NaN", b'"\x01"', b"1e999"):
-        body = store_module._decode_json(whole.replace(b'"ODD"', bytes_))
+        body = store_module.decode_body(whole.replace(b'"ODD"', bytes_))
         rows = store_module._decode_objects("servers", body["items"], 0)
         assert [row.name for row in rows] == ["i2", "i1"], rows
         read_entry(rows[1], 0.0)
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -21,9 +21,19 @@
     from .telemetry import Telemetry
 
 
+class MalformedValue(t.NamedTuple):
+    """Stands for a value that can't be decoded, or is beyond the bounds of :mod:`bounds`.
+
+    :param detail: what is wrong, beginning with the path of the field.
+    """
+
+    detail: str
+
+
 class StoredObject(t.NamedTuple):
     """One object with its version.
 
+    :param value: None if it was deleted; a :class:`MalformedValue` if it can't be kept.
     :param era: how often the store had been restored from a backup when it answered. A restore
         also resets versions to older ones, so they are ordered within an era only.
     """
@@ -38,6 +48,15 @@
         """Era and version, which are ordered across restores too."""
         return self.era, self.version
 
+    def read_value(self) -> t.Any:
+        """Return the value.
+
+        :raises ValueError: if it is malformed; the message names the field.
+        """
+        if isinstance(self.value, MalformedValue):
+            raise ValueError(self.value.detail)
+        return self.value
+
 
 class Listing(t.NamedTuple):
     """All objects of a kind, and the version from which to watch for changes."""
--- a/packages/rookspring/src/rookspring/relay_endpoint_list.py
+++ b/packages/rookspring/src/rookspring/relay_endpoint_list.py
@@ -111,7 +111,7 @@
         for row in rows:
             if row.value is None:
                 self._drop(row.name)
-            elif (report := self._apply_row(row, now, checked=True)) is not None:
+            elif (report := self._try_row(row, now, checked=True)) is not None:
                 reports.append(report)
         self.drop_expired(now)
         self._submit(reports)
@@ -127,7 +127,18 @@
         if row.value is None:
             self._mark_missing(row.name, now)
             return None
-        return self._apply_row(row, now, listed)
+        return self._try_row(row, now, listed)
+
+    def _try_row(
+        self, row: StoredObject, now: float, listed: bool = False, checked: bool = False
+    ) -> EndpointReported | None:
+        """Apply a row as :meth:`_apply_row`; one that fails counts as malformed."""
+        try:
+            return self._apply_row(row, now, listed, checked)
+        except Exception as error:  # noqa: BLE001
+            # Whatever one row does, the others apply.
+            self._record_malformed(row, repr(error), now)
+            return None
 
     def _known_from_earlier_era(self, name: str) -> bool:
         """Return whether the latest row that is known of an entry is of an earlier era."""
@@ -244,6 +255,7 @@
         A live endpoint writes its entry again at its next heartbeat. Until then, or until
         ``LAPSE_GRACE_S`` has passed, the last valid row is used.
         """
+        detail = detail[: defaults.DETAIL_MAX]
         if self._malformed.get(row.name) != detail:
             log("endpoint_malformed", "ERROR", endpoint=row.name, detail=detail)
         self._malformed[row.name] = detail
