Pass over an odd row of a node, and always write the own one

With one row of another writer among those of the nodes (a list, a number, a strength of text), a node never wrote its own row and learnt of no other from the store; rows with port 99999, a host name, an infinite strength or a zone that is a list counted as nodes, to be dialled. Its own row as null, {} or a list was never replaced, as an empty value counted as no row and the write as the first one.

Cause: poll_nodes reads all rows in one expression before it writes its own; the first that raises ends the loop, which begins anew 0.15 s later with the same row. Each row is now parsed alone (node_rows), also those that other nodes send; a malformed one is logged once as node_malformed with its name and field.

--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -5,24 +5,28 @@
 :mod:`relay_endpoint_list` (the store's list of endpoints).
 """
 
+import functools
 import typing as t
 
 from rookspring_core.events import BoxListed
 from rookspring_core.events import PeerLost
 from rookspring_core.events import PeerUnreached
 from rookspring_core.events import RouteTableSeen
-from rookspring_core.topology import listed_node
 
 from . import clock
 from . import defaults
 from . import packing
+from .bounds import quote_text
 from .dialling import Dialler
 from .dialling import LinkPlan
+from .logs import LoggedOnce
 from .logs import log
 from .messages import Nodes
 from .messages import TableMessage
 from .messages import TableRequest
 from .messages import encode
+from .node_rows import make_row
+from .node_rows import read_row
 from .peers import Link
 from .peers import PeerServer
 from .platform import StoredObject
@@ -93,8 +97,11 @@
         self._packed_table = b""
         # The store's position of the object last read, and the version of its table.
         self._read: tuple[tuple[int, int], int] = ((0, 0), 0)
+        # What is wrong with the configuration that was read last, as it was logged; or empty.
+        self._table_fault = ""
         self._table_requested_at = -1e9
         self._idle_since: dict[str, float] = {}
+        self._logged = LoggedOnce()
 
     async def start(self) -> None:
         """Listen for other nodes."""
@@ -133,11 +140,30 @@
                 yield name, heartbeat.address, heartbeat.data_centre, heartbeat.capacity
 
     def add_nodes(self, rows: t.Iterable[tuple[str, str, str, float]]) -> None:
-        """Add or update known nodes."""
+        """Add or update known nodes; a malformed row is logged once and ignored."""
+        self._add(self._try_row(row[0], functools.partial(make_row, *row)) for row in rows)
+
+    def take_node_rows(self, rows: t.Iterable[StoredObject]) -> None:
+        """Add or update the nodes of the store's rows, as :meth:`add_nodes`."""
+        self._add(self._try_row(row.name, functools.partial(read_row, row)) for row in rows)
+
+    def _try_row(self, name: str, read: t.Callable[[], BoxListed]) -> BoxListed | None:
+        """Read a row; None if it is this node's own, or malformed."""
+        if name == self.context.state.identity.name:
+            return None
+        try:
+            return read()
+        except ValueError as error:
+            quoted = quote_text(name, defaults.DETAIL_MAX)
+            detail = str(error)[: defaults.DETAIL_MAX]
+            if self._logged.is_new((quoted, detail)):
+                log("node_malformed", "ERROR", name=quoted, detail=detail)
+            return None
+
+    def _add(self, rows: t.Iterable[BoxListed | None]) -> None:
         added = False
-        for row in rows:
-            listed = listed_node(*row)
-            if listed.name != self.context.state.identity.name:
+        for listed in rows:
+            if listed is not None:
                 added = added or self.known_nodes.get(listed.name) != listed
                 self.known_nodes[listed.name] = listed
         if added:
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -299,12 +299,9 @@
             await back_off.pause()
             continue
         reach.note_answer()
-        rows = {one.name: one.value for one in listing.unwrap().items if one.value}
-        peers.add_nodes(
-            (name, str(row["address"]), str(row["zone"]), float(row.get("strength", 0.0)))
-            for name, row in rows.items()
-        )
-        written = written or await _write_row(context, rows)
+        rows = listing.unwrap().items
+        peers.take_node_rows(rows)
+        written = written or await _write_row(context, {one.name: one.value for one in rows})
         if not written:
             await back_off.pause()
             continue
