Read a configuration field by field, and name the one that is malformed

Negative and infinite times were applied.

Cause: fields are converted where they are used, and only three kinds of error are caught. Fields (platform/fields.py) reads them by type and names the path, such as routes.0.timeout-ms; all errors are ValueError, one line a fault until a sound configuration is read, and the last good one stays in force. Numbers given as text are still read, as the store alone decides what it accepts; numbers below 0 or beyond what can be stated are rejected.

--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -249,11 +249,15 @@
         """
         try:
             table = self.context.dialect.read_table(stored)
-        except (KeyError, TypeError, ValueError) as error:
-            log("table_malformed", "ERROR", error=type(error).__name__, detail=error)
+        except ValueError as error:
+            detail = str(error)[: defaults.DETAIL_MAX]
+            if detail != self._table_fault:
+                log("table_malformed", "ERROR", source=source, detail=detail)
+            self._table_fault = detail
             return 0
         if table is None:
             return 0
+        self._table_fault = ""
         state = self.context.state
         if table.version > state.revision:
             self._table_value = stored.value
