Count a lease object that can't be read as held until it expires

A lease object that another client overwrote (no object, an epoch of text or 400 digits, deep) ended the loop that reads it, each 0.15 s, for good: no node held the lease again, so no model was loaded until an operator deleted the object. An odd object of an earlier era did the same to a node that started in the next.

Which way is safe: memory is never over-promised if no two nodes hold the lease at once. A value that can't be read says nothing about who holds it, so nobody takes it because of that. It counts as held by an unknown node, since the time its revision was first seen. Whoever held it before can't renew, as its writes no longer match, and may act only until its own term without a margin ends, which is before any other node's; the next holder's orders keep the usual gap after that. A conditional write of one candidate then replaces it, without an operator. If it is overwritten again and again, nobody takes it; requests are served meanwhile. The next epoch has to be greater than any that endpoints have seen, which the object no longer tells: each epoch of an era is taken by a write, and each write raises the store's revision, so it is counted on from the era's first epoch plus the object's revision.

Fields that decide (holder, epoch, nonce, settled, turn_in_s, address) make the whole object unreadable if odd; a release time that is negative or longer than a term and a gap would let the next holder order too early or never. Odd rows of usage and verdicts are passed over alone; an odd share counts as the whole limit, and usage that is no object as unknown, which is the cautious way.

Not covered: an epoch that can be read but is near 10^15.

--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -54,6 +54,8 @@
 
 # Number of epochs reserved for each era of the store, so that those of the next are greater.
 EPOCHS_PER_ERA = 1_000_000
+# Holder of a lease that can't be read; no node has this name.
+UNKNOWN_HOLDER = "?"
 # A relay's box is the same holder whichever process runs on it.
 RELAY_TERMS = LeaseTerms(
     defaults.RELAY_LEASE_TTL_S,
@@ -64,6 +66,14 @@
 )
 
 
+def greatest_epoch(era: int, version: int) -> int:
+    """Return the greatest epoch that an era can have had by a version of its lease object.
+
+    An epoch of an era is taken by a write, and each write raises the store's revision.
+    """
+    return era * EPOCHS_PER_ERA + version
+
+
 class Lease:
     """The lease as one node sees it."""
 
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -25,11 +25,14 @@
 
 from . import clock
 from . import defaults
+from . import lease_objects
 from . import relay_suspects
 from .back_off import BackOff
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
 from .exceptions import PlatformTooOld
+from .lease_objects import LeaseFields
+from .logs import LoggedOnce
 from .logs import log
 from .platform import Changes
 from .platform import Listing
@@ -192,6 +195,7 @@
 async def poll_lease(context: RelayContext, reach: StoreReachability) -> None:
     """Read the lease object repeatedly while this node may take or hold the lease."""
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
+    logged = LoggedOnce()
     # The first read shows a restarted node whether it still holds the lease.
     has_read = False
     while True:
@@ -209,15 +213,9 @@
             continue
         now = clock.now()
         match answer:
-            case Success(StoredObject(_, version, value)):
-                epoch = int(value["epoch"])
-                nonce = str(value["nonce"])
-                holder = _holder_of(context, value)
-                settled = bool(value.get("settled", False))
-                turn_in_s = value.get("turn_in_s")
-                _restore_from_lease(context, value)
-                seen = LeaseSeen(now, version, holder, epoch, nonce, settled, era, turn_in_s)
-                context.submit(seen)
+            case Success(stored):
+                _restore_from_lease(context, stored)
+                context.submit(_see_lease(context, stored, now, era, logged))
             case Failure(PlatformMissing()):
                 await _restore_from_earlier_era(context, era, has_read)
                 context.submit(LeaseSeen(now, 0, "", 0, "", era=era))
@@ -241,11 +239,30 @@
     return f"control-{era}" if era else "control"
 
 
-def _restore_from_lease(context: RelayContext, value: t.Any) -> None:
+def _see_lease(
+    context: RelayContext, stored: StoredObject, now: float, era: int, logged: LoggedOnce
+) -> LeaseSeen:
+    """Return what is seen of the lease object; why it can't be read is logged once."""
+    try:
+        lease = lease_objects.read_lease(stored)
+    except ValueError as error:
+        detail = str(error)[: defaults.DETAIL_MAX]
+        if logged.is_new(detail):
+            log("lease_malformed", "ERROR", name=stored.name, detail=detail)
+        return lease_objects.make_unreadable(stored, now, era)
+    holder = _holder_of(context, lease)
+    return LeaseSeen(
+        now, stored.version, holder, lease.epoch, lease.nonce, lease.settled, era, lease.turn_in_s
+    )
+
+
+def _restore_from_lease(context: RelayContext, stored: StoredObject) -> None:
     """Restore the organisations' usage and the verdicts that the lease object stores."""
     now = clock.now()
-    context.submit(UsageRestored(now, tuple(value.get("used", {}).items())))
-    kept = relay_suspects.read_verdicts(value.get("verdicts", ()), now)
+    usage = lease_objects.read_usage(stored)
+    if usage is not None:
+        context.submit(UsageRestored(now, usage))
+    kept = relay_suspects.read_verdicts(lease_objects.read_verdict_rows(stored), now)
     context.submit(EvidenceReceived(now, kept, "the lease"))
 
 
@@ -253,13 +270,22 @@
     """Restore from the newest lease object if that of the current era isn't written yet."""
     if era and (not has_read or _needs_restore(context)):
         listing = await context.eras.call_in_era(context.platform.list_kind(LEASE_KIND))
-        rows = listing.value_or(Listing(0, ())).items
-        if rows:
-            _restore_from_lease(context, max(rows, key=lambda row: int(row.value["epoch"])).value)
+        newest = _find_newest(listing.value_or(Listing(0, ())).items)
+        if newest is not None:
+            _restore_from_lease(context, newest)
             return
     context.submit(UsageRestored(clock.now(), ()))
 
 
+def _find_newest(rows: tuple[StoredObject, ...]) -> StoredObject | None:
+    """Return the lease object of the greatest epoch; those that can't be read are passed over."""
+    epochs: dict[int, StoredObject] = {}
+    for row in rows:
+        with contextlib.suppress(ValueError):
+            epochs[lease_objects.read_lease(row).epoch] = row
+    return epochs[max(epochs)] if epochs else None
+
+
 def _needs_restore(context: RelayContext) -> bool:
     """Return whether the organisations' earlier usage is yet to be read from the lease."""
     state = context.state
@@ -267,14 +293,12 @@
     return keyed and state.allotments.needs_recall(clock.now())
 
 
-def _holder_of(context: RelayContext, value: t.Any) -> str:
+def _holder_of(context: RelayContext, lease: LeaseFields) -> str:
     """Return the lease's holder; one of this node's name at another address is another node."""
-    holder = str(value["holder"])
-    address = value.get("address", "")
     own = context.state.identity
-    if holder == own.name and address != own.address:
-        return f"{holder}@{address}"
-    return holder
+    if lease.holder == own.name and lease.address != own.address:
+        return f"{lease.holder}@{lease.address}"
+    return lease.holder
 
 
 async def _wait_lease_check(context: RelayContext, max_s: float) -> None:
