Log what a runner does that a model without a replica waits for

What was missing: want_declined names the runner and not what it is busy with, so that a wait for a runner which makes room for another model looks like a wait for one that is nearly free. The line now says which model it loads or makes room for.

--- a/features/swapping.feature
+++ b/features/swapping.feature
@@ -143,6 +143,12 @@
       | e1[m] e2[n; awaited 15000]        | m 9000              | no further replica pays       |
       | e1[m] e2[n; disk m]               | m 5000              | nothing                       |
 
+    Examples: a model without a replica waits for a busy runner
+      | runners                                  | demand | why                                      |
+      | e1[big; disk big,m; busy 1; coming n]    | m 900  | it waits for e1, which loads n           |
+      | e1[big; disk big,m; busy 1; room n]      | m 900  | it waits for e1, which makes room for n  |
+      | e1[big; disk big,m; busy 1]              | m 900  | it waits for e1                          |
+
   Scenario Outline: a model that loads quickly takes no place from others while none of its callers is expected
     Given runners <runners>
     And callers are expected of <expected> alone
--- a/packages/rookspring-core/src/rookspring_core/claims.py
+++ b/packages/rookspring-core/src/rookspring_core/claims.py
@@ -20,6 +20,7 @@
 from .swapping import add_paying_replica
 from .swapping import bounds_for_first_replica
 from .swapping import continue_load
+from .swapping import describe_wait
 from .swapping import evaluate
 from .swapping import list_missing
 from .swapping import load_idle
@@ -122,7 +123,7 @@
     if _begins_now(board, model, option):
         plan_option(board, model, option, "no replica")
     elif plan_input.declined is not None:
-        plan_input.declined[model] = f"it waits for {option.runner}"
+        plan_input.declined[model] = describe_wait(board.runners[option.runner])
 
 
 def _list_options(board: ClaimBoard, model: str) -> list[LoadOption]:
--- a/packages/rookspring-core/src/rookspring_core/swapping.py
+++ b/packages/rookspring-core/src/rookspring_core/swapping.py
@@ -311,10 +311,20 @@
         plan_option(board, model, best, "no replica")
     elif board.plan_input.declined is not None:
         board.plan_input.declined[model] = (
-            f"it waits for {best.runner}" if best else "no room for it"
+            describe_wait(board.runners[best.runner]) if best else "no room for it"
         )
 
 
+def describe_wait(runner: RunnerSnapshot) -> str:
+    """Describe, for the log, which busy runner a model waits for, and what that is busy with."""
+    loading = ", ".join(sorted(model for model, _ in runner.loading))
+    if loading:
+        return f"it waits for {runner.name}, which loads {loading}"
+    if runner.room_for:
+        return f"it waits for {runner.name}, which makes room for {runner.room_for}"
+    return f"it waits for {runner.name}"
+
+
 def _unavailable(board: SwapBoard, runner: RunnerSnapshot) -> bool:
     """Return whether a runner has a move in this plan, or is busy for an unknown time."""
     unknown = not runner.busy or math.isinf(runner.free_in_s)
