--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -20,6 +20,7 @@
 from rookspring_platform import configuration
 from rookspring_platform import endpoints
 from rookspring_platform import read_settings
+from rookspring_platform.fields import read_fields
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 SETTINGS = {
@@ -137,10 +138,10 @@
 
 
 DECODED = {
-    "a route": lambda: configuration._parse_route(ROUTE),
-    "a split route": lambda: configuration._parse_route({**ROUTE, "backends": SPLIT}),
-    "an engine": lambda: configuration._parse_engine(ENGINE),
-    "a model": lambda: configuration._parse_model(MODEL),
+    "a route": lambda: configuration._parse_route(read_fields(ROUTE)),
+    "a split route": lambda: configuration._parse_route(read_fields({**ROUTE, "backends": SPLIT})),
+    "an engine": lambda: configuration._parse_engine(read_fields(ENGINE)),
+    "a model": lambda: configuration._parse_model(read_fields(MODEL)),
     "an entry": decoded_entry,
     "an entry with copies": lambda: decoded_entry(
         available={"in-memory": ["m"], "on-disk": ["m", "n"]}
