Give the refusal of a malformed request its id, and its log line too

What callers saw: the 400 for a header that can't be read came without the request's id, unlike every other answer, so that it could be matched by the connection alone; and `request_malformed` named the field but not the request, so that operators found no line for an id that a caller gave them.

Cause: the error was raised where the fields are parsed, and carried no id to where it is answered.

Now the error carries the id as far as it was read, and the answer and the line have it.

Evidence: `behave features/odd_headers.feature` before: KeyError 'x-rookspring-request-id' in the twelve rows of requests that are refused. platform.feature and odd_calls.feature passed with it.

--- a/features/steps/odd_header_steps.py
+++ b/features/steps/odd_header_steps.py
@@ -45,9 +45,10 @@
     answer = context.answer
     assert answer.status == 400 and answer.whole, answer.status
     assert answer.body.startswith(header.encode()), answer.body
+    assert answer.headers["x-rookspring-request-id"] == "q1", answer.headers
     assert [one.request_id for one in context.relay.asked] in ([], ["q2"]), context.relay.asked
     lines = [line for line in context.relay.log_lines if "event=request_malformed" in line]
-    assert len(lines) == 1 and f"field={header} " in lines[0], lines
+    assert len(lines) == 1 and f"id=q1 field={header} " in lines[0], lines
 
 
 @then("the other is answered on the same connection")
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -85,14 +85,23 @@
     :param status: HTTP status.
     :param field: header, path or body field that caused the refusal.
     :param expected: what was expected there.
+    :param request_id: the id that the caller gave the request, as far as it was read.
     """
 
-    def __init__(self, status: int, field: str, expected: str, outcome: str = "not_run") -> None:
+    def __init__(
+        self,
+        status: int,
+        field: str,
+        expected: str,
+        outcome: str = "not_run",
+        request_id: str = "",
+    ) -> None:
         super().__init__(f"{field}: {expected}")
         self.status = status
         self.field = field
         self.expected = expected
         self.outcome = outcome
+        self.request_id = request_id
 
     def body(self) -> dict[str, t.Any]:
         """Return the error's body in the format that callers' client libraries parse."""
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -139,8 +139,14 @@
     try:
         fields = context.dialect.read_request(request)
     except CallerError as error:
-        log("request_malformed", "WARNING", field=error.field, expected=error.expected)
-        headers = context.dialect.refusal_headers("", 0.0)
+        log(
+            "request_malformed",
+            "WARNING",
+            id=error.request_id,
+            field=error.field,
+            expected=error.expected,
+        )
+        headers = context.dialect.refusal_headers(error.request_id, 0.0)
         connection.answer(error.status, headers, f"{error}\n".encode())
         return
     connection.request_id = fields.request_id
