Refuse a session or event id that is no UTF-8 as one that was not signed here

What callers saw: 500 with the outcome "unknown" for X-Rookspring-Session, Idempotency-Key or Last-Event-ID with a byte that no UTF-8 has; nothing had run.

Cause: the library that verifies signatures encodes the text first, which fails for the surrogates that the header was decoded with. That error was not among those that mean "not signed here".

Now it is, as is any other ValueError of the content.

Evidence: `behave features/odd_calls.feature` before: "UnicodeEncodeError: 'utf-8' codec can't encode character '\udcff'" in both new rows, where 400 with the header's name is expected.

--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -17,6 +17,8 @@
       | a version            | ²           | 400    | If-Match            |
       | a caller's key       | no UTF-8    | 401    | Authorization       |
       | an operator's key    | no UTF-8    | 401    | Authorization       |
+      | a session            | no UTF-8    | 400    | X-Rookspring-Session |
+      | an event id          | no UTF-8    | 400    | Last-Event-ID       |
       | a header of a call   | no UTF-8    | 400    | x-odd               |
       | a trace              | no UTF-8    | 400    | traceparent         |
 
--- a/features/steps/odd_call_steps.py
+++ b/features/steps/odd_call_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import math
+import os
 import pathlib
 import tempfile
 import types
@@ -11,6 +12,7 @@
 from returns.result import Failure
 from returns.result import Success
 
+from rookspring import forwarding
 from rookspring import operators
 from rookspring import request_parsing
 from rookspring.endpoints import _read_chunk
@@ -18,6 +20,11 @@
 from rookspring.exceptions import CallerError
 from rookspring.exceptions import EndpointError
 from rookspring.http_platform import HttpPlatform
+from rookspring.logs import BoundedOutput
+from rookspring.messages import Forward
+from rookspring.messages import ForwardEnd
+from rookspring.messages import ForwardPart
+from rookspring.messages import ForwardStart
 from rookspring.signing import ResumeGrant
 from rookspring.signing import Signer
 from rookspring_ctl.client import _decode_response
@@ -54,7 +61,9 @@
     )
     settings = types.SimpleNamespace(operator_key_sha256=())
     state = types.SimpleNamespace(catalogue=catalogue)
-    return types.SimpleNamespace(settings=settings, state=state, signer=Signer(["k"]))
+    telemetry = types.SimpleNamespace(begin=lambda *args, **fields: None)
+    signer = Signer(["k"])
+    return types.SimpleNamespace(settings=settings, state=state, signer=signer, telemetry=telemetry)
 
 
 def make_request(**headers):
@@ -82,6 +91,10 @@
     "an operator's key": lambda node, value: operators.authenticate_operator(
         node, make_request(authorization=f"Bearer {value}")
     ),
+    "a session": lambda node, value: request_parsing._read_once_key(
+        node, make_request(**{"x-rookspring-session": value}), "t"
+    ),
+    "an event id": lambda node, value: node.signer.read_event_id(f"{value}~3"),
     "a header of a call": lambda node, value: read_service(node, **{"x-odd": value}),
     "a trace": lambda node, value: read_service(node, traceparent=value),
 }
@@ -120,6 +133,40 @@
         assert read == "read", field
 
 
+class SentMessages:
+    """A link that keeps what is sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.name = "n2"
+
+    def send(self, item):
+        self.sent.append(item)
+
+
+@when("another node forwards a chat without fields")
+def forwarded_without_fields(context):
+    context.link = SentMessages()
+    forward = Forward(1, "chat", "t", {}, b"")
+    asyncio.run(forwarding.serve_forward(make_node(), context.link, forward))
+
+
+@then("the answer to it is 409 with the outcome unknown, and complete")
+def answered_unknown(context):
+    start, part, end = context.link.sent
+    assert (type(start), type(part), type(end)) == (ForwardStart, ForwardPart, ForwardEnd)
+    assert start.status == 409 and orjson.loads(part.data)["outcome"] == "unknown", part
+
+
+@then('a log line with half of a surrogate is written as "{text}"')
+def line_written(context, text):
+    read_end, write_end = os.pipe()
+    BoundedOutput(write_end).write("event=x a=\udcff\n")
+    assert os.read(read_end, 100).decode() == text + "\n"
+    os.close(read_end)
+    os.close(write_end)
+
+
 def make_platform(raw):
     """Return a store's client whose calls all get one answer."""
     platform = HttpPlatform("http://store", lambda method, end: None)
--- a/packages/rookspring/src/rookspring/signing.py
+++ b/packages/rookspring/src/rookspring/signing.py
@@ -12,6 +12,9 @@
 from .digits import parse_digits
 from .exceptions import CallerError
 
+# What texts raise that were not signed here; text that isn't UTF-8 is a ValueError.
+UNSIGNED_ERRORS = (BadSignature, TypeError, ValueError)
+
 
 class SessionClaims(t.NamedTuple):
     """Content of a session identifier.
@@ -63,7 +66,7 @@
         """
         try:
             return SessionClaims(*_verify(self._sessions, text))
-        except (BadSignature, TypeError):
+        except UNSIGNED_ERRORS:
             raise CallerError(400, field, "a session issued by POST /v1/sessions") from None
 
     def issue_grant(self, grant: ResumeGrant) -> str:
@@ -79,7 +82,7 @@
         expected = "an event id that this system sent"
         try:
             grant = ResumeGrant(*_verify(self._grants, signed))
-        except (BadSignature, TypeError):
+        except UNSIGNED_ERRORS:
             raise CallerError(400, "Last-Event-ID", expected) from None
         found = parse_digits(offset)
         if found is None:
