Answer a forwarded request at once if its session's node can't read it

What callers saw (by reading, and in the test with a stand-in for the link): a keyed request that was forwarded to the node of its session, with fields of another form than that node expects, as from another version, got no answer for the 60 s of `FORWARD_S`, and then an unknown outcome.

Cause: the fields were read in a task whose exception was logged and told to nobody.

Now the session's node answers that the outcome is unknown: nothing shows there how far the request had come when it failed. The caller learns of it at once, and may ask for the outcome with the same key.

Evidence: `behave features/odd_calls.feature` before: "KeyError: 'traceparent'", and nothing sent on the link.

--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -55,6 +55,10 @@
       | order_token | [1, 2]    | read      |
       | incarnation | 5         | malformed |
 
+  Scenario: a forwarded request without its fields is answered at once, as of unknown outcome
+    When another node forwards a chat without fields
+    Then the answer to it is 409 with the outcome unknown, and complete
+
   Scenario: an odd object in the store keeps none of the others from the node
     When the store's list has an object without a name, one without a version, and a sound one
     Then the list gives the sound one, and the log names 2 odd ones
--- a/packages/rookspring/src/rookspring/forwarding.py
+++ b/packages/rookspring/src/rookspring/forwarding.py
@@ -17,6 +17,7 @@
 from .exceptions import CallerError
 from .exchanges import Responder
 from .exchanges import error_body
+from .logs import log
 from .messages import Forward
 from .messages import ForwardEnd
 from .messages import ForwardPart
@@ -70,6 +71,10 @@
     except CallerError as error:
         await callers.answer_error(responder, error)
         return
+    except (KeyError, TypeError, ValueError) as error:
+        log("task_failed", "ERROR", peer=link.name, error=type(error).__name__, detail=error)
+        await _answer_unknown(responder, False, "the session's node could not read the request")
+        return
     await exchange.done
 
 
