Write log lines whose text no UTF-8 has

What operators saw: no line, and a traceback of the logging library in its place, for a line with half of a surrogate pair, as a path or header may have that a caller sent in another encoding.

Cause: the line was encoded strictly as it was written.

Now what can't be encoded stands escaped in the line, as \udcff.

Evidence: `behave features/odd_calls.feature` before: "UnicodeEncodeError: 'utf-8' codec can't encode character '\udcff' in position 10: surrogates not allowed".

--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -59,6 +59,9 @@
     When another node forwards a chat without fields
     Then the answer to it is 409 with the outcome unknown, and complete
 
+  Scenario: a log line with text that no UTF-8 has is written all the same
+    Then a log line with half of a surrogate is written as "event=x a=\udcff"
+
   Scenario: an odd object in the store keeps none of the others from the node
     When the store's list has an object without a name, one without a version, and a sound one
     Then the list gives the sound one, and the log names 2 odd ones
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -136,7 +136,7 @@
         if self._dropped:
             line = f"event=lines_dropped level=warning count={self._dropped}\n{line}"
         try:
-            os.write(self._descriptor, line.encode())
+            os.write(self._descriptor, line.encode(errors="backslashreplace"))
         except OSError:
             # The reader is slow or has closed the pipe; requests must not wait for it.
             self._dropped += 1
