--- a/features/odd_calls.feature
+++ b/features/odd_calls.feature
@@ -17,6 +17,8 @@
       | a version            | ²           | 400    | If-Match            |
       | a caller's key       | no UTF-8    | 401    | Authorization       |
       | an operator's key    | no UTF-8    | 401    | Authorization       |
+      | a session            | no UTF-8    | 400    | X-Rookspring-Session |
+      | an event id          | no UTF-8    | 400    | Last-Event-ID       |
       | a header of a call   | no UTF-8    | 400    | x-odd               |
       | a trace              | no UTF-8    | 400    | traceparent         |
 
@@ -53,6 +55,13 @@
       | order_token | [1, 2]    | read      |
       | incarnation | 5         | malformed |
 
+  Scenario: a forwarded request without its fields is answered at once, as of unknown outcome
+    When another node forwards a chat without fields
+    Then the answer to it is 409 with the outcome unknown, and complete
+
+  Scenario: a log line with text that no UTF-8 has is written all the same
+    Then a log line with half of a surrogate is written as "event=x a=\udcff"
+
   Scenario: an odd object in the store keeps none of the others from the node
     When the store's list has an object without a name, one without a version, and a sound one
     Then the list gives the sound one, and the log names 2 odd ones
