Take a plain service's answer for whole only by chunks as its last coding, or a length

A caller of the product's own front got a service's cut answer as a whole one if its head named any transfer coding: "gzip", "identity" or "chunked, gzip", all of which the close ends. One with a status below 200 was passed on as the answer, the 3 bytes of one with status 99 before the answer proper as all of it.

Cause: the check looked for the presence of a header, and the HTTP library ends such a body by the close, without an error and also after a reset.

Evidence: features/cut_heads_sockets.feature, "the product's own service call takes no faulty framing for a whole answer"; before the fix it failed with {'with chunks within another coding': ServiceAnswer(status=200, ... body=b'whole'), 'with another coding': ..., 'with a status below 100': ServiceAnswer(status=99, ... body=b'whole'), 'after a status below 100 with a body': ServiceAnswer(status=99, ... body=b'abc'), 'with the coding identity': ...}.

Chunks count as the last coding alone, a length without a coding, and a final status is wanted. Both are guarded by mutants. Bare line feeds and folded lines, which the library reads, stay accepted there: their length shows the end, and the test says so.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -4,6 +4,7 @@
 
 from rookspring import _client_connection
 from rookspring import _reply
+from rookspring import endpoints
 from rookspring import http_server
 from rookspring._client_connection import ClientConnection
 from rookspring.exceptions import EndpointError
@@ -60,6 +61,10 @@
 _decode = store._decode_json
 
 
+def _by_any_coding(response: t.Any, method: str) -> bool:
+    return any(name in response.headers for name in ("Content-Length", "Transfer-Encoding"))
+
+
 MUTANTS = (
     Mutant(
         "takes any close for an end",
@@ -117,4 +122,20 @@
         frozenset(),
         CUT_HEADS_SOCKETS,
     ),
+    Mutant(
+        "takes any coding for chunks",
+        RULE,
+        endpoints,
+        "_shows_end",
+        _by_any_coding,
+        CUT_HEADS_SOCKETS,
+    ),
+    Mutant(
+        "takes a service's interim head for its answer",
+        "an answer has a final status",
+        endpoints,
+        "FINAL_STATUS_MIN",
+        0,
+        CUT_HEADS_SOCKETS,
+    ),
 )
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -4,6 +4,7 @@
 import typing as t
 
 import orjson
+from answer_shapes import BODY
 from answer_shapes import CHUNKS
 from answer_shapes import END
 from answer_shapes import FAULTY
@@ -396,18 +397,23 @@
     return isinstance(await open_store(context).put("servers", "a", {"x": 1}, 2), Success)
 
 
-@call("the product's own service call", b"whole")
-async def make_service_call(context):
+async def call_service(context):
+    """Return the answer to a service call of the product's own, or None if it failed."""
     client = HttpEndpoint()
     try:
-        answer = await client.call(context.raw.address, "POST", "x", b"", {}, False, CALL_S)
-        return answer.body == b"whole"
+        return await client.call(context.raw.address, "POST", "x", b"", {}, False, CALL_S)
     except EndpointError:
-        return False
+        return None
     finally:
         await client.close()
 
 
+@call("the product's own service call", BODY)
+async def make_service_call(context):
+    answer = await call_service(context)
+    return answer is not None and answer.body == BODY
+
+
 @call("the product's own order", {"accepted": True, "reason": "done"})
 async def make_own_order(context):
     order = SendOrder("i0", context.raw.address, (1, 0), "load", "m")
@@ -481,3 +487,34 @@
     }[end]
     wrong = [sent for sent, whole in enumerate(context.counted) if whole != (sent >= first)]
     assert not wrong, [(sent, data[:sent][-30:]) for sent in wrong[:5]]
+
+
+# The library of the product's own clients reads these lines; their length shows the end.
+FAULTY_LINES = {
+    "with a folded line",
+    "with bare line feeds",
+    "with a bare line feed at the end of its head",
+}
+
+
+@when("the answer to the product's own service call is each of the faulty ones")
+def faulty_service_call(context):
+    async def work():
+        context.raw = await RawServer().start()
+        taken = {}
+        for name, data in FAULTY.items():
+            context.raw.answer = RawAnswer(data)
+            if (answer := await call_service(context)) is not None:
+                taken[name] = answer
+        await context.raw.close()
+        return taken
+
+    context.taken = context.loop.run(work())
+
+
+@then("none is taken but those whose lines alone are faulty, which are whole")
+def none_taken(context):
+    wrong = context.taken.keys() - FAULTY_LINES
+    assert not wrong, {name: context.taken[name] for name in wrong}
+    bodies = {answer.body for answer in context.taken.values()}
+    assert bodies <= {BODY}, context.taken
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -18,6 +18,8 @@
 from . import defaults
 from .connections import SingleUseConnector
 from .exceptions import EndpointError
+from .http_messages import BODILESS_STATUSES
+from .http_messages import FINAL_STATUS_MIN
 
 
 class Chunk(t.NamedTuple):
@@ -287,6 +289,8 @@
             method, url, data=body, headers=dict(headers), timeout=limit
         ) as response:
             raw = await response.read()
+            if response.status < FINAL_STATUS_MIN:
+                raise EndpointError(f"answered {response.status}", sent=True, broken=True)
             if response.status == 409:
                 _raise_if_not_run(raw)
             if not _shows_end(response, method):
@@ -297,10 +301,16 @@
 
 
 def _shows_end(response: aiohttp.ClientResponse, method: str) -> bool:
-    """Return whether the end of a whole body is shown by more than its connection's close."""
-    if method == "HEAD" or response.status in (204, 304):
+    """Return whether the end of a whole body is shown by more than its connection's close.
+
+    Chunks show it only as the last coding: any other ends with the connection.
+    """
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
-    return any(name in response.headers for name in ("Content-Length", "Transfer-Encoding"))
+    codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
+    if codings:
+        return codings.rpartition(",")[2].strip().lower() == "chunked"
+    return "Content-Length" in response.headers
 
 
 def _to_endpoint_error(error: Exception) -> EndpointError:
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -29,6 +29,8 @@
 
 # Status codes begin here (RFC 9110, section 15); lower ones say nothing about a body.
 STATUS_MIN = 100
+# Lower ones are those of interim heads, which another head follows.
+FINAL_STATUS_MIN = 200
 # Answers with these status codes have no body, and so no framing of one.
 BODILESS_STATUSES = frozenset({204, 304})
 
