Count a platform answer whose body can't be read as a failed call

On the product's own front an answer of the platform that was cut within its body, and that its close alone ended, raised JSONDecodeError out of the client: the task that had asked failed, where a call that failed is meant, which is counted and retried.

Cause: the errors of the HTTP library were turned into results and those of decoding were not. An answer without a length looks complete to the library wherever it is cut.

Evidence: features/cut_heads_sockets.feature, "the product's own clients take no cut answer for a whole one", row platform list without a length; before the fix it ended with orjson.JSONDecodeError: Input is a zero-length, empty document: line 1 column 1 (char 0).

Such a body is now PlatformUnreachable, as in the client of the users' store. A mutant that raises is caught.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -2,12 +2,18 @@
 
 import typing as t
 
+import orjson
+from returns.result import Result
+from returns.result import Success
+
 from rookspring import _client_connection
 from rookspring import _reply
 from rookspring import endpoints
 from rookspring import http_server
 from rookspring._client_connection import ClientConnection
 from rookspring.exceptions import EndpointError
+from rookspring.exceptions import PlatformError
+from rookspring.http_platform import HttpPlatform
 from rookspring_platform import store
 
 from .mutant import CUT_HEADS
@@ -65,6 +71,15 @@
     return any(name in response.headers for name in ("Content-Length", "Transfer-Encoding"))
 
 
+def _raise_at_a_cut_body(
+    self: HttpPlatform, path: str, status: int, raw: bytes
+) -> Result[t.Any, PlatformError]:
+    return Success(orjson.loads(raw)) if status == 200 else _to_result(self, path, status, raw)
+
+
+_to_result = HttpPlatform._to_result
+
+
 MUTANTS = (
     Mutant(
         "takes any close for an end",
@@ -138,4 +153,12 @@
         0,
         CUT_HEADS_SOCKETS,
     ),
+    Mutant(
+        "raises at a cut body of the platform",
+        "an answer of the store that can't be read is a failure",
+        HttpPlatform,
+        "_to_result",
+        _raise_at_a_cut_body,
+        CUT_HEADS_SOCKETS,
+    ),
 )
--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -115,6 +115,7 @@
       | generation     | without a length | the end of its value |
       | platform list  | with a length    | its last byte        |
       | platform list  | in chunks        | its last byte        |
+      | platform list  | without a length | the end of its value |
 
   Scenario: the product's own service call takes no faulty framing for a whole answer
     When the answer to the product's own service call is each of the faulty ones
--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -145,7 +145,10 @@
 
     def _to_result(self, path: str, status: int, raw: bytes) -> Result[t.Any, PlatformError]:
         if status == 200:
-            return Success(orjson.loads(raw))
+            try:
+                return Success(orjson.loads(raw))
+            except orjson.JSONDecodeError:
+                return Failure(PlatformUnreachable(f"{path}: malformed body"))
         text = f"{path}: {raw[:200].decode('utf-8', 'replace')}"
         errors: dict[int, type[PlatformError]] = {
             404: PlatformMissing,
