Give the simulated nodes addresses that are addresses

Each node and endpoint has an IP address of its own now, computed from its name; nothing listens there.

--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -1,7 +1,9 @@
 """One simulated relay node: the real reducer and messages, with fake links, store and clock."""
 
 import asyncio
+import ipaddress
 import typing as t
+import zlib
 
 from rookspring import defaults
 from rookspring import relay_allotments
@@ -107,6 +109,11 @@
         self._fleet.at(self._fleet.now, lambda: call(*arguments))
 
 
+def address_of(name: str) -> str:
+    """Return the address that a node or endpoint has in its row; nothing listens there."""
+    return f"{ipaddress.IPv4Address(zlib.crc32(name.encode()))}:1"
+
+
 def write_table(version: int, directory: Directory | None) -> list[t.Any]:
     """Encode a configuration as the fleet's store holds it."""
     if directory is None:
@@ -141,7 +148,7 @@
         """Decode an endpoint's entry."""
         state, model, started_ms = row.value
         listed = BoxListed(
-            row.name, f"at-{row.name}", "z0", "runner", state, "llm", started_ms=started_ms
+            row.name, address_of(row.name), "z0", "runner", state, "llm", started_ms=started_ms
         )
         report = EndpointReported(
             now,
@@ -177,7 +184,9 @@
         self.store_calls = 0
         self.ticks = 0
         self.missing_since: dict[str, float] = {}
-        identity = Identity(self.name, f"{self.name}#{start}", data_centre, f"at-{self.name}", "c")
+        identity = Identity(
+            self.name, f"{self.name}#{start}", data_centre, address_of(self.name), "c"
+        )
         self.state = NodeState(identity, fleet.now)
         self.state.relaying = True
         # One node in ten has a high capacity, so that relays are chosen by it.
@@ -356,5 +365,18 @@
 
 def _settings(name: str, data_centre: str) -> RelaySettings:
     return RelaySettings(
-        name, data_centre, "c", "r", f"at-{name}", "", 0, (), "store", 0.2, 430.0, 10.0, 8.0, 1.0
+        name,
+        data_centre,
+        "c",
+        "r",
+        address_of(name),
+        "",
+        0,
+        (),
+        "store",
+        0.2,
+        430.0,
+        10.0,
+        8.0,
+        1.0,
     )
