Mutants of the decisions on odd values of the store

A group odd-values: dialling and listing any port, looking names up, no bound on depth and numbers, a body decoded as a whole, levels and digits kept, paging by what could be read, a line each time, a lease taken as it can't be read, epochs from one, usage from any era. And the mutant that decodes odd bytes with the fast decoder alone names the function by its new name, decode_body.

--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -44,6 +44,12 @@
 SILENT_CHANNELS = ("features/silent_channels_sockets.feature",)
 WATCHES = ("features/watches.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
+BOUNDS = ("features/bounds.feature",)
+ADDRESSES = ("features/dialled_addresses.feature",)
+ODD_BODIES = ("features/odd_bodies.feature",)
+ODD_ENTRIES = ("features/odd_entries.feature",)
+ODD_NODES = ("features/odd_nodes.feature",)
+ODD_LEASES = ("features/odd_leases.feature",)
 
 
 class Mutant(t.NamedTuple):
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -48,6 +48,7 @@
 from . import isolation_mutants
 from . import model_wait_mutants
 from . import notice_mutants
+from . import odd_value_mutants
 from . import organisation_mutants
 from . import passing_mutants
 from . import place_mutants
@@ -220,7 +221,7 @@
 
 
 MUTANTS = (
-    Mutant("reads no list with odd bytes", "drain", store, "_decode_json", orjson.loads, ENTRIES),
+    Mutant("reads no list with odd bytes", "drain", store, "decode_body", orjson.loads, ENTRIES),
     Mutant("asks for odd names as they are", "drain", store, "quote", _unquoted, ENTRIES),
     Mutant(
         "uses what has turned bad for ever",
@@ -381,6 +382,7 @@
     "versions": version_mutants.MUTANTS,
     "whole-answers": whole_answer_mutants.MUTANTS,
     "watches": watch_mutants.MUTANTS,
+    "odd-values": odd_value_mutants.MUTANTS,
 }
 
 
