Let no object of the product's own store end a loop that reads it

An odd head, shard, resource, intent or lease in the product's own store raised out of the loops that follow them; these are plain tasks, so following ended for good: no configuration, no lease, no resources at that node until it is restarted.

Cause: values are taken apart where they are used.

--- a/packages/rookspring/src/rookspring/published.py
+++ b/packages/rookspring/src/rookspring/published.py
@@ -18,11 +18,16 @@
 from rookspring_core.acceptance import shard_of
 from rookspring_core.events import RevisionSeen
 
+from . import defaults
 from .exceptions import PlatformConflict
 from .exceptions import PlatformError
 from .exceptions import PlatformMissing
+from .logs import log
 from .platform import PlatformClient
+from .platform import StoredObject
 
+# What decoding an object raises if it is malformed.
+MALFORMED = (ValueError, TypeError, KeyError, IndexError, AttributeError, OverflowError)
 KIND = "published"
 HEAD = "head"
 
@@ -66,7 +71,7 @@
         answer = await self._platform.get(KIND, HEAD)
         match answer:
             case Success(stored):
-                return Success(parse_head(stored.version, stored.value))
+                return read_stored_head(stored)
             case Failure(PlatformMissing()):
                 return Success(EMPTY_HEAD)
         return Failure(answer.failure())
@@ -81,8 +86,10 @@
                 answer = await self._platform.get(KIND, name)
                 if isinstance(answer, Failure):
                     return Failure(answer.failure())
-                raw = answer.unwrap().value["entries"]
-                cached = {key: decode_entry(one) for key, one in raw.items()}
+                decoded = _read_shard(answer.unwrap())
+                if isinstance(decoded, Failure):
+                    return decoded
+                cached = decoded.unwrap()
             shards[name] = cached
             entries.update(cached)
         self._shards = shards
@@ -134,6 +141,28 @@
                 await self._platform.delete(KIND, name, None)
 
 
-def parse_head(version: int, value: t.Mapping[str, t.Any]) -> Head:
-    """Decode the head object."""
-    return Head(version, int(value["revision"]), int(value["epoch"]), dict(value["shards"]))
+def read_stored_head(stored: StoredObject) -> Result[Head, PlatformError]:
+    """Decode the head object; a malformed one is logged, and is a failure."""
+    try:
+        return Success(_parse_head(stored.version, stored.read_value()))
+    except MALFORMED as error:
+        return _fail_malformed(stored, error)
+
+
+def _parse_head(version: int, value: t.Any) -> Head:
+    shards = {str(number): str(name) for number, name in value["shards"].items()}
+    return Head(version, int(value["revision"]), int(value["epoch"]), shards)
+
+
+def _read_shard(stored: StoredObject) -> Result[dict[str, Entry], PlatformError]:
+    try:
+        rows = stored.read_value()["entries"].items()
+        return Success({key: decode_entry(one) for key, one in rows})
+    except MALFORMED as error:
+        return _fail_malformed(stored, error)
+
+
+def _fail_malformed(stored: StoredObject, error: Exception) -> Failure[t.Any]:
+    detail = repr(error)[: defaults.DETAIL_MAX]
+    log("object_malformed", "ERROR", kind=KIND, name=stored.name, detail=detail)
+    return Failure(PlatformError(f"{KIND}/{stored.name}: malformed"))
