--- a/features/platform.feature
+++ b/features/platform.feature
@@ -16,12 +16,21 @@
       | platform.address     | missing    | platform.address     |
       | bounds.grace-s       | soon       | bounds.grace-s       |
       | bounds.retry-budget  | -1         | bounds.retry-budget  |
+      | bounds.retry-budget  | nan        | bounds.retry-budget  |
+      | bounds.grace-s       | 1e400      | bounds.grace-s       |
+      | listen.frontend      | 10.0.0.1:8_0 | listen.frontend    |
+      | listen.frontend      | 10.0.0.1:+80 | listen.frontend    |
+      | platform.address     | 10.0.0.1:65536 | platform.address |
 
   Scenario: unknown settings are ignored and missing bounds have defaults
     Given a settings file of the platform
     When its field brand-new is 7
     Then the node has its name, and a grace period of 8 s
 
+  Scenario: a settings file that is no text is reported
+    Given a settings file that is no text
+    Then the node does not start, and the error names ROOKSPRING_CONFIG
+
   Scenario: a missing settings file is reported
     When the node's process is started without a settings file
     Then it exits with code 2 and names ROOKSPRING_CONFIG
--- a/features/steps/platform_steps.py
+++ b/features/steps/platform_steps.py
@@ -84,6 +84,18 @@
             context.faults = error.faults
 
 
+@given("a settings file that is no text")
+def settings_no_text(context):
+    with tempfile.NamedTemporaryFile("wb", suffix=".conf") as file:
+        file.write(b"node-name=frontend-\xff\n")
+        file.flush()
+        try:
+            context.settings = read_settings(file.name)
+            context.faults = ()
+        except SettingsError as error:
+            context.faults = error.faults
+
+
 @then("the node does not start, and the error names {named}")
 def names_field(context, named):
     (fault,) = context.faults
