Tests of entries that fail unforeseen, and of entries of unusual size

The guard around one row (EndpointList._try_row, in force since the store's objects are decoded one by one) had no test of its own: three rows have the reading of one entry raise RecursionError, OverflowError and KeyError while a third endpoint starts. Six rows have entries of unusual size: 990 models, a text of 900,000 letters and 90,000 fields are applied; 20,000 models or copies, or a name of 300 letters, are rejected, which names the field.

--- a/bench/odd_value_mutants.py
+++ b/bench/odd_value_mutants.py
@@ -10,6 +10,7 @@
 from rookspring import relay_store_loops
 from rookspring.addresses import Address
 from rookspring.logs import LoggedOnce
+from rookspring.relay_endpoint_list import EndpointList
 from rookspring_core.events import LeaseSeen
 from rookspring_platform import bodies
 from rookspring_platform import endpoints
@@ -67,7 +68,14 @@
     return rows[0] if rows else None
 
 
+def _apply_unguarded(
+    self: EndpointList, row: t.Any, now: float, listed: bool = False, checked: bool = False
+) -> t.Any:
+    return self._apply_row(row, now, listed, checked)
+
+
 MUTANTS = (
+    Mutant("fails with one row", "drain", EndpointList, "_try_row", _apply_unguarded, ODD_ENTRIES),
     Mutant(
         "dials any port",
         "one caller's answer",
--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -41,6 +41,34 @@
       | an address and CRLF | while the node watches | address   |
       | a long state        | while the node watches | state     |
 
+  Scenario Outline: an entry that can't be applied for a reason that nobody foresaw spares the others
+    Given two endpoints, and an entry whose reading fails with <error>, written while the node watches
+    When a third endpoint starts
+    Then all three endpoints serve requests, and no other endpoint exists
+    And the odd entry is logged once, and the line names <error>
+    And no task has failed, and no call to the store
+
+    Examples:
+      | error          |
+      | RecursionError |
+      | OverflowError  |
+      | KeyError       |
+
+  Scenario Outline: entries of unusual size are applied or rejected, and spare the others
+    Given two endpoints, and the odd entry <entry> that is written while the node watches
+    When a third endpoint starts
+    Then the third endpoint is listed, and the odd one <is>
+    And no task has failed, and no call to the store
+
+    Examples:
+      | entry               | is                     |
+      | 990 models          | is listed              |
+      | 20,000 models       | is rejected for models |
+      | 20,000 copies       | is rejected for on-disk |
+      | 100,000 fields      | is listed              |
+      | a text of 900,000   | is listed              |
+      | a name of 300       | is rejected for models |
+
   Scenario Outline: an odd entry that is rewritten with the same fault is logged once
     Given two endpoints, and the odd entry <entry> that is rewritten again and again
     When a third endpoint starts
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -11,6 +11,7 @@
 from relay_fixture import configuration
 
 from rookspring import defaults
+from rookspring_platform import PlatformDialect
 
 SERVERS = "servers"
 NODES = "rookspring-nodes"
@@ -74,6 +75,15 @@
     "an address and CRLF": with_values(ENTRY, address="127.0.0.1:9\r\n"),
     "a long state": with_values(ENTRY, state="s" * 10_000),
 }
+MODELS = [{"name": f"m{number}", "version": 1} for number in range(20_000)]
+ENTRIES |= {
+    "990 models": with_values(ENTRY, models=MODELS[:990]),
+    "20,000 models": with_values(ENTRY, models=MODELS),
+    "20,000 copies": with_values(ENTRY, available={"on-disk": [one["name"] for one in MODELS]}),
+    "100,000 fields": with_values(ENTRY, x={str(number): 0 for number in range(90_000)}),
+    "a text of 900,000": with_values(ENTRY, x="x" * 900_000),
+    "a name of 300": with_values(ENTRY, models=[{"name": "m" * 300, "version": 1}]),
+}
 CONFIGURATION = configuration(7)
 VALUES = {
     "nothing": b"null",
@@ -160,6 +170,34 @@
     run_beside(context, SERVERS, rows, "again and again")
 
 
+@given("two endpoints, and an entry whose reading fails with {error}, written {written}")
+def unforeseen(context, error, written):
+    errors = {
+        "RecursionError": RecursionError,
+        "OverflowError": OverflowError,
+        "KeyError": KeyError,
+    }
+    read = PlatformDialect.read_endpoint
+
+    def fail(self, row, now):
+        if row.name == "odd":
+            raise errors[error]("deep")
+        return read(self, row, now)
+
+    failing = mock.patch.object(PlatformDialect, "read_endpoint", fail)
+    failing.start()
+    context.add_cleanup(failing.stop)
+    run_beside(context, SERVERS, [("odd", orjson.dumps(ENTRY))], written)
+
+
+@then("the third endpoint is listed, and the odd one {is_}")
+def third_listed(context, is_):
+    listed = context.relay.node.context.state.endpoints
+    assert "i2" in listed and ("odd" in listed) == (is_ == "is listed"), set(listed)
+    if is_ != "is listed":
+        assert_logged_once(context, "endpoint_malformed", "endpoint=odd ", is_.split()[-1])
+
+
 @given("two endpoints, and {count:d} odd entries of all kinds that are written {written}")
 def many_odd_entries(context, count, written):
     raws = [raw for raw in ENTRIES.values() if len(raw) < 6000]
