Reject an endpoint's entry of more than 128 KB

An entry of 90,000 unknown fields or a text of 900,000 letters was kept as it was, and sent whole to each node that follows the one that read it, at each change and at each new link. A hundred such entries are 90 MB for each of these nodes.

Cause: unknown fields are ignored but kept, as rows are sent on as they were read. An entry's size is bounded now (ENTRY_BYTES_MAX; one that holds all of 990 models takes some 40 KB), as a malformed entry that is named once.

Tried and left out: splitting the rows for other nodes, and leaving large ones out.

--- a/features/odd_entries.feature
+++ b/features/odd_entries.feature
@@ -65,8 +65,9 @@
       | 990 models          | is listed              |
       | 20,000 models       | is rejected for models |
       | 20,000 copies       | is rejected for on-disk |
-      | 100,000 fields      | is listed              |
-      | a text of 900,000   | is listed              |
+      | 100,000 fields      | is rejected for bytes  |
+      | a text of 900,000   | is rejected for bytes  |
+      | a text of 60,000    | is listed              |
       | a name of 300       | is rejected for models |
 
   Scenario Outline: an odd entry that is rewritten with the same fault is logged once
--- a/features/steps/odd_entry_steps.py
+++ b/features/steps/odd_entry_steps.py
@@ -82,6 +82,7 @@
     "20,000 copies": with_values(ENTRY, available={"on-disk": [one["name"] for one in MODELS]}),
     "100,000 fields": with_values(ENTRY, x={str(number): 0 for number in range(90_000)}),
     "a text of 900,000": with_values(ENTRY, x="x" * 900_000),
+    "a text of 60,000": with_values(ENTRY, x="x" * 60_000),
     "a name of 300": with_values(ENTRY, models=[{"name": "m" * 300, "version": 1}]),
 }
 CONFIGURATION = configuration(7)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -4,6 +4,8 @@
 # Characters of an error about what others wrote that are logged.
 DETAIL_MAX = 200
 FRAME_BYTES_MAX = 8 << 20
+# Largest entry of an endpoint; one that holds all of 990 models takes some 40 KB.
+ENTRY_BYTES_MAX = 128 << 10
 HEADER_READ_S = 10.0
 CONNECT_S = 1.0
 # A finding that this node reaches endpoints, or none, is used for this long.
--- a/packages/rookspring/src/rookspring/relay_endpoint_list.py
+++ b/packages/rookspring/src/rookspring/relay_endpoint_list.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing as t
 
+import orjson
+
 from rookspring_core.events import BoxListed
 from rookspring_core.events import BoxListReceived
 from rookspring_core.events import EndpointReported
@@ -190,6 +192,7 @@
             return None
         try:
             found, report = self._context.dialect.read_endpoint(row, now)
+            _check_size(row)
         except ValueError as error:
             self._record_malformed(row, str(error), now)
             return None
@@ -325,6 +328,15 @@
             link.send(Listed([list(row) for row in self._stored.values()], True))
 
 
+def _check_size(row: StoredObject) -> None:
+    """Check the size of an entry, all of which is sent to the nodes that follow this one.
+
+    :raises ValueError: if it is too large.
+    """
+    if len(orjson.dumps(row.value)) > defaults.ENTRY_BYTES_MAX:
+        raise ValueError(f"spec: more than {defaults.ENTRY_BYTES_MAX} bytes")
+
+
 @receives(Listed)
 def take_endpoint_rows(peers: RelayPeers, link: Link, listed: Listed) -> None:
     """Apply endpoint rows that another node sent."""
