--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -50,6 +50,12 @@
 ODD_CALLS = ("features/odd_calls.feature",)
 ODD_HEADERS = ("features/odd_headers.feature",)
 NOTICES = ("features/notices.feature", "features/notices_sockets.feature")
+BOUNDS = ("features/bounds.feature",)
+ADDRESSES = ("features/dialled_addresses.feature",)
+ODD_BODIES = ("features/odd_bodies.feature",)
+ODD_ENTRIES = ("features/odd_entries.feature",)
+ODD_NODES = ("features/odd_nodes.feature",)
+ODD_LEASES = ("features/odd_leases.feature",)
 
 
 class Mutant(t.NamedTuple):
