Take a request for a slot of an endpoint with a rate of 0 or below as malformed

What callers saw: nothing here, as limits below 0.1 requests a second are raised to that before they are used or told. A node that sent such a rate all the same got no answer, as the owner divided by it.

Cause: the rate was any number; a message with values of the right types that are extreme had no test.

Now the rate of a request for a slot is above 0, and the feature sends each kind of message with each of its values extreme in turn (least and greatest numbers, empty and long texts, names of the node's own queues), also kinds that are added later, and demands that no link ends and no loop, effect or handler fails.

Evidence: `behave features/odd_messages.feature` before: "event=value_dropped ... step=handle message=ask-slot number=1 reason="ZeroDivisionError: float division by zero"".

--- a/features/message_samples.py
+++ b/features/message_samples.py
@@ -13,6 +13,14 @@
 
 # Values that are no row of any message.
 ODD_ROWS = (None, 5, "x", [], [[]], {}, ["x"], [None] * 40, [float("nan")] * 2, ["e", float("inf")])
+# Values that have their type, by type.
+EXTREMES = {
+    bool: (True,),
+    int: (-1, 0, 2**31, 2**63, 2**64 - 1, -(2**63)),
+    float: (-1e15, -1.0, 0.0, 5e-324, 1e15, 2**63),
+    str: ("", "x" * 5000, "\x00", "\u00e9\n", "i0", "place/i0", "endpoint/i0"),
+    bytes: (b"", b"x" * 5000),
+}
 # Values that no message can carry.
 UNSENDABLE = (10**400, "\ud800", object())
 
@@ -56,6 +64,26 @@
                 yield [*sound[:place], {} if odd is object else odd, *sound[place + 1 :]]
 
 
+def extreme_messages(tag):
+    """Yield messages of a kind of which one value has its type, and is extreme."""
+    sound = sample_message(tag)
+    for place, value in enumerate(sound[1:], 1):
+        for other in _extremes(value):
+            yield [*sound[:place], other, *sound[place + 1 :]]
+
+
+def _extremes(value):
+    """Return values like one, of which one part is extreme."""
+    if isinstance(value, list):
+        found = [
+            [*value[:at], one, *value[at + 1 :]]
+            for at, part in enumerate(value)
+            for one in _extremes(part)
+        ]
+        return [[], *found]
+    return EXTREMES.get(type(value), ())
+
+
 def row_fields(tag):
     """Return the places in a message of the fields that have rows."""
     return [place for place, value in enumerate(sample_message(tag)) if isinstance(value, list)]
--- a/features/odd_messages.feature
+++ b/features/odd_messages.feature
@@ -10,6 +10,12 @@
     When another node sends it each kind of message, with each value odd in turn
     Then each link stays, and a sound message after the odd ones is handled
 
+  Scenario: nor does one whose values have their types and are extreme
+    Given a relay node with one endpoint that does: answer
+    When another node sends it each kind of message, with each value extreme in turn
+    Then each link stays, and a sound message after the odd ones is handled
+    And no loop or effect of the node has failed
+
   Scenario: nor does one whose values have their types but which can't be handled
     Given a relay node with one endpoint that does: answer
     When another node sends it a configuration that isn't packed, twice
--- a/features/steps/odd_message_steps.py
+++ b/features/steps/odd_message_steps.py
@@ -29,15 +29,35 @@
 
 @when("another node sends it each kind of message, with each value odd in turn")
 def each_kind_odd(context):
+    context.kept = context.loop.run(send_kinds(context.relay, samples.odd_messages))
+
+
+@when("another node sends it each kind of message, with each value extreme in turn")
+def each_kind_extreme(context):
+    context.kept = context.loop.run(send_kinds(context.relay, samples.extreme_messages))
+
+
+async def send_kinds(relay, make):
+    """Send messages of each kind over a link for each; return which links stayed, by kind.
+
+    :param make: makes the messages of a kind.
+    """
+
     async def send(number, cls):
         tag = TAGS[cls]
-        odd = list(samples.odd_messages(tag))
-        return tag, await send_odd(context.relay, odd, -number, f"x-{tag}")
+        return tag, await send_odd(relay, list(make(tag)), -number, f"x-{tag}")
+
+    return dict(await asyncio.gather(*starmap(send, enumerate(RECEIVERS, 1))))
 
-    async def work():
-        return dict(await asyncio.gather(*starmap(send, enumerate(RECEIVERS, 1))))
 
-    context.kept = context.loop.run(work())
+@then("no loop or effect of the node has failed")
+def none_failed(context):
+    # The loops of the node run several times a second.
+    context.loop.run(asyncio.sleep(0.5))
+    failed = ("event=task_failed", "event=effect_failed", "step=handle")
+    lines = [line for line in context.relay.log_lines if any(one in line for one in failed)]
+    unexpected = [line for line in lines if "message=table " not in line]
+    assert not unexpected, unexpected
 
 
 @when("another node sends it a configuration that isn't packed, twice")
--- a/packages/rookspring/src/rookspring/message_rows.py
+++ b/packages/rookspring/src/rookspring/message_rows.py
@@ -12,6 +12,7 @@
 # amount is larger.
 NUMBER_MAX = 1e15
 Number = t.Annotated[float, msgspec.Meta(ge=-NUMBER_MAX, le=NUMBER_MAX)]
+Positive = t.Annotated[float, msgspec.Meta(gt=0, le=NUMBER_MAX)]
 
 
 # Heartbeats have hundreds of these rows; a plain tuple takes a third of a ``NamedTuple``'s time.
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -20,6 +20,7 @@
 from .message_rows import MemberRow
 from .message_rows import NodeRow
 from .message_rows import Number
+from .message_rows import Positive
 from .message_rows import RateLimitRow
 from .message_rows import RateRow
 from .message_rows import SpeedRow
@@ -368,7 +369,7 @@
     organisation: str
     wait_s: Number
     avoid: str
-    rate: Number | None
+    rate: Positive | None
     passed: bool
 
 
