Catch two mutants on odd values that a run of the whole group passed

In a run of the whole group two of 27 mutants were not caught. "a fault ends a link of the product": since rows have types, no odd message makes a handler of the own nodes fail any more, so the guard was untested; a scenario now lets a handler fail and demands that the link stays. "trusts a line", which was caught alone: steps that are loaded for an earlier mutant keep the functions that they imported by name; this one calls it by its module now.

--- a/features/odd_links_sockets.feature
+++ b/features/odd_links_sockets.feature
@@ -10,5 +10,9 @@
       | odd     |
       | extreme |
 
+  Scenario: a message whose handler fails ends no link
+    When another node sends box-1 a message whose handler fails
+    Then each link to box-1 stays, and a sound heartbeat after the others is handled
+
   Scenario: all nodes serve callers afterwards
     Then a caller of each node gets a whole answer
--- a/features/steps/odd_call_steps.py
+++ b/features/steps/odd_call_steps.py
@@ -12,11 +12,10 @@
 from returns.result import Failure
 from returns.result import Success
 
+from rookspring import endpoints
 from rookspring import forwarding
 from rookspring import operators
 from rookspring import request_parsing
-from rookspring.endpoints import _read_chunk
-from rookspring.endpoints import read_report
 from rookspring.exceptions import CallerError
 from rookspring.exceptions import EndpointError
 from rookspring.http_platform import HttpPlatform
@@ -113,7 +112,7 @@
 @then("the line {line} is {read}")
 def line_read(context, line, read):
     try:
-        chunk = _read_chunk(written(line).encode())
+        chunk = endpoints._read_chunk(written(line).encode())
     except EndpointError as error:
         assert read == "malformed" and error.sent and error.reason == "malformed chunk", error
         return
@@ -126,7 +125,7 @@
     numbers = {"infinity": math.inf, "NaN": math.nan}
     odd = numbers[value] if value in numbers else orjson.loads(value)
     try:
-        read_report("e", {**REPORT, field: odd}, 1.0)
+        endpoints.read_report("e", {**REPORT, field: odd}, 1.0)
     except ValueError as error:
         assert read == "malformed" and field in str(error), error
     else:
