Drop numbers of other nodes that no later number could exceed

What callers saw: one message of another node whose numbers have their types but are senseless took effect for as long as the node ran. An era of 2**64 - 1 in a heartbeat made every answer of the store outdated: no configuration, no new endpoint, no lease. A leaving process with a start of 2**63, or of age -1e15, kept its endpoint out of service (503). A rate limit of 0 did the same. A list of evacuations of revision 2**63 hid all later ones. A proof of age -1e15 proved the configuration for 1e15 s to come, so a revoked key would count as good.

Cause: times, eras, revisions and starts in messages were bounded by what a message can carry, not by what can be: they are kept as the greatest known, and compared with later ones.

Change: types of their own for ages, remaining times, eras, revisions, starts, versions and limits, with the bounds that the store and the entries have already. A row beyond them is dropped and noted as any other odd row; a message where it stands in no row.

--- a/bench/message_mutants.py
+++ b/bench/message_mutants.py
@@ -19,6 +19,7 @@
 from rookspring_platform import dialect
 from rookspring_platform import notices
 
+from .mutant import NUMBERS_THAT_HOLD
 from .mutant import ODD_CALLS
 from .mutant import ODD_HEADERS
 from .mutant import ODD_MESSAGES
@@ -40,6 +41,10 @@
     return rows
 
 
+def _keep_field(tag: str, field: t.Any, value: t.Any, note: t.Any) -> t.Any:
+    return value
+
+
 def _drop_unnoted(tag: str, field: t.Any, rows: list[t.Any], note: t.Any) -> list[t.Any]:
     return _real_read_rows(tag, field, rows, lambda kind, reason: None)
 
@@ -120,6 +125,22 @@
         ODD_MESSAGES,
     ),
     Mutant("reads any row", "membership", _message_coding, "_read_rows", _keep_rows, ODD_MESSAGES),
+    Mutant(
+        "reads any number of a row",
+        "membership",
+        _message_coding,
+        "_read_rows",
+        _keep_rows,
+        NUMBERS_THAT_HOLD,
+    ),
+    Mutant(
+        "reads any number",
+        "membership",
+        _message_coding,
+        "_read_field",
+        _keep_field,
+        NUMBERS_THAT_HOLD,
+    ),
     Mutant(
         "drops in silence", "traces", _message_coding, "_read_rows", _drop_unnoted, ODD_MESSAGES
     ),
--- a/packages/rookspring/src/rookspring/message_rows.py
+++ b/packages/rookspring/src/rookspring/message_rows.py
@@ -8,10 +8,30 @@
 
 import msgspec
 
+from rookspring_core.request_rates import RATE_MIN_PER_S
+
 # Neither infinite nor NaN, which would spread to whatever is computed from it. No time, rate or
 # amount is larger.
 NUMBER_MAX = 1e15
 Number = t.Annotated[float, msgspec.Meta(ge=-NUMBER_MAX, le=NUMBER_MAX)]
+# The bounds below are of values that are kept, and compared with later ones. One beyond them would
+# hold for as long as the node runs, since no sound one is greater or later.
+# Time since something was seen: one below 0 would be of the future.
+Age = t.Annotated[float, msgspec.Meta(ge=0.0, le=NUMBER_MAX)]
+# Longest remaining time, in seconds.
+LEFT_MAX_S = 86_400.0
+Left = t.Annotated[float, msgspec.Meta(le=LEFT_MAX_S, ge=-NUMBER_MAX)]
+# Era and revision of the platform's store, which has as many digits at most.
+ERA_MAX = 10**9 - 1
+Era = t.Annotated[int, msgspec.Meta(ge=0, le=ERA_MAX)]
+REVISION_MAX = 10**18 - 1
+Revision = t.Annotated[int, msgspec.Meta(ge=0, le=REVISION_MAX)]
+# Version of a figure, which rises by one with each change, and a start in Unix milliseconds.
+VERSION_MAX = 2**53 - 1
+Version = t.Annotated[int, msgspec.Meta(ge=0, le=VERSION_MAX)]
+StartMs = Version
+# A rate limit as nodes keep it, in requests a second.
+Limit = t.Annotated[float, msgspec.Meta(ge=RATE_MIN_PER_S, le=NUMBER_MAX)]
 
 
 # Heartbeats have hundreds of these rows; a plain tuple takes a third of a ``NamedTuple``'s time.
@@ -61,9 +81,9 @@
     """An entry as the store has it; see ``StoredObject``. A value of None removes it."""
 
     name: str
-    version: int
+    version: Revision
     value: t.Any
-    era: int = 0
+    era: Era = 0
 
 
 class LoadRow(t.NamedTuple):
@@ -74,7 +94,7 @@
 
     endpoint: str
     digest: int
-    age_s: Number
+    age_s: Age
     running: int
     queued: int
 
@@ -103,17 +123,17 @@
     """
 
     endpoint: str
-    started_ms: int
-    age_s: Number
+    started_ms: StartMs
+    age_s: Age
 
 
 class RateLimitRow(t.NamedTuple):
     """An endpoint's rate limit; see ``RateRecord``."""
 
     endpoint: str
-    started_ms: int
-    version: int
-    rate: Number | None
+    started_ms: StartMs
+    version: Version
+    rate: Limit | None
 
 
 class CrashRow(t.NamedTuple):
@@ -122,8 +142,8 @@
     fingerprint: str
     organisation: str
     endpoint: str
-    started_ms: int
-    age_s: Number
+    started_ms: StartMs
+    age_s: Age
     early: bool
     request: str
 
@@ -132,7 +152,7 @@
     """A request that was found not to crash endpoints, and the age of that finding."""
 
     fingerprint: str
-    age_s: Number
+    age_s: Age
 
 
 class VerdictRow(t.NamedTuple):
@@ -140,11 +160,11 @@
 
     fingerprint: str
     organisation: str
-    left_s: Number
+    left_s: Left
 
 
 class TrialRow(t.NamedTuple):
     """A trial and its remaining time."""
 
     fingerprint: str
-    left_s: Number
+    left_s: Left
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -10,9 +10,11 @@
 from ._message_coding import encode as encode
 from ._message_coding import message
 from ._message_coding import tag_of as tag_of
+from .message_rows import Age
 from .message_rows import ClearedRow
 from .message_rows import CountRow
 from .message_rows import CrashRow
+from .message_rows import Era
 from .message_rows import HintRow
 from .message_rows import LeavingRow
 from .message_rows import ListedRow
@@ -22,6 +24,7 @@
 from .message_rows import Number
 from .message_rows import RateLimitRow
 from .message_rows import RateRow
+from .message_rows import Revision
 from .message_rows import SpeedRow
 from .message_rows import SpeedSampleRow
 from .message_rows import TrialRow
@@ -87,7 +90,7 @@
     spent: list[RateRow] | None = None
     relay_s: Number = 0.0
     merged: int = 0
-    store_era: int = 0
+    store_era: Era = 0
     isolated: bool = False
 
 
@@ -260,8 +263,8 @@
     :param era: the store's era, in which the revision counts.
     """
 
-    era: int
-    revision: int
+    era: Era
+    revision: Revision
     data_centres: list[str]
 
 
@@ -309,7 +312,7 @@
     """
 
     stamp: Number
-    age_s: Number
+    age_s: Age
     version: int
     near_limit: list[str] | None
 
