--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -64,7 +64,7 @@
         return {"items": [], "events": [], "as-of": 1, "metadata": {"name": "a", "revision": 3}}
 
 
-_decode = store._decode_json
+_decode = store.decode_body
 
 
 def _by_any_coding(response: t.Any, method: str) -> bool:
@@ -117,7 +117,7 @@
         "takes what the store did not say for nothing",
         "an answer of the store that can't be read is a failure",
         store,
-        "_decode_json",
+        "decode_body",
         _decode_leniently,
         CUT_HEADS_SOCKETS,
     ),
