Read each lease that follows one that can be read

What callers saw: nothing at once. A lease object of another writer with an epoch of 10**15 was read as sound. The node that took it next wrote epoch 10**15 + 1, which no node could read: not another one, for which an unknown node held it and each planned handover lasted a lease term, and not the holder itself after a restart, which could not resume its own lease.

Cause: the bound of what is read was fixed, and what is written is one more than what was read.

Change: the bound rises with the object's revision. Each write raises that by one or more and each holder the epoch by one, so what follows an epoch within the bound is within it too.

--- a/features/numbers_that_hold.feature
+++ b/features/numbers_that_hold.feature
@@ -57,3 +57,18 @@
     Given a relay node with one endpoint that does: answer
     When another node sends it the message an era of 1
     Then a new configuration and a new endpoint count within 3 s, and the endpoint serves
+
+  Scenario Outline: a lease that follows the greatest epoch is read
+    Then a lease of the epoch <epoch> at revision <revision> <is read>
+
+    Examples:
+      | epoch               | revision           | is read     |
+      | 1000000000000007    | 7                  | is read     |
+      | 1000000000000008    | 7                  | is not read |
+      | 1000000000000008    | 8                  | is read     |
+      | 1000000000000000000 | 999999999999999999 | is read     |
+
+  Scenario: a node that takes the lease after another writer's greatest epoch writes one that is read
+    Given a lease object of epoch 1000000000000000 that is there before a node starts
+    When the node has taken the lease
+    Then the lease object that it wrote is read, and its holder is the node
--- a/features/steps/number_that_holds_steps.py
+++ b/features/steps/number_that_holds_steps.py
@@ -2,9 +2,11 @@
 import typing as t
 
 import message_samples as samples
+import orjson
 from behave import given
 from behave import then
 from behave import when
+from odd_entry_steps import LEASE
 from other_node import OTHER
 from other_node import open_link
 from relay_fixture import RelayFixture
@@ -12,12 +14,17 @@
 from relay_fixture import request
 
 from rookspring import clock
+from rookspring import lease_objects
 from rookspring.exceptions import PeerError
 from rookspring.messages import MESSAGES
 from rookspring.messages import decode
+from rookspring.platform import StoredObject
 from rookspring_fakes import ModelServer
 
 HANDLED_S = 0.2
+LEASE_OBJECT = ("rookspring-lease", "control")
+# A lease term, and the margin of the fixture.
+TAKEN_S = 9.0
 
 
 def entry(version, era):
@@ -132,3 +139,38 @@
 def not_proved(context):
     proved_at = context.relay.node.context.state.freshness.proved_at
     assert proved_at <= clock.now(), proved_at - clock.now()
+
+
+def is_read(version, value):
+    try:
+        return lease_objects.read_lease(StoredObject("control", version, value))
+    except ValueError:
+        return None
+
+
+@then("a lease of the epoch {epoch:d} at revision {version:d} {expected}")
+def lease_read(context, epoch, version, expected):
+    found = is_read(version, LEASE | {"epoch": epoch})
+    assert (found is not None) == (expected == "is read"), found
+
+
+@given("a lease object of epoch {epoch:d} that is there before a node starts")
+def lease_there(context, epoch):
+    context.relay = RelayFixture([["answer"]])
+    raw = orjson.dumps(LEASE | {"epoch": epoch})
+    context.relay.store.store.put(*LEASE_OBJECT, raw, None)
+    context.loop.run(context.relay.start())
+
+
+@when("the node has taken the lease")
+def lease_taken(context):
+    control = context.relay.node.context.state.control
+    context.loop.run(context.relay.until(lambda: control.holding(clock.now()), TAKEN_S))
+
+
+@then("the lease object that it wrote is read, and its holder is the node")
+def own_lease_read(context):
+    stored = context.relay.store.store.objects[LEASE_OBJECT]
+    found = is_read(stored.version, orjson.loads(stored.value))
+    assert found is not None, stored.value[:200]
+    assert found.holder == "n1", found
--- a/packages/rookspring/src/rookspring/lease_objects.py
+++ b/packages/rookspring/src/rookspring/lease_objects.py
@@ -17,7 +17,8 @@
 from .bounds import check_value
 from .platform import StoredObject
 
-# Greatest epoch of a lease that can be read. Epochs rise by one with each holder.
+# Greatest epoch of a lease of revision 0 that can be read. Epochs rise by one with each holder, and
+# revisions by one or more, so a lease that follows one that can be read can be read too.
 EPOCH_MAX = 10**15
 # Characters of the names in a lease.
 TEXT_MAX = 512
@@ -53,7 +54,7 @@
         raise ValueError("an object was expected")
     return LeaseFields(
         holder=_read_text(value, "holder"),
-        epoch=_read_epoch(value),
+        epoch=_read_epoch(value, EPOCH_MAX + stored.version),
         nonce=_read_text(value, "nonce"),
         settled=_read_flag(value, "settled"),
         turn_in_s=_read_turn(value),
@@ -110,9 +111,9 @@
     return text
 
 
-def _read_epoch(value: dict[str, t.Any]) -> int:
+def _read_epoch(value: dict[str, t.Any], most: int) -> int:
     epoch = value.get("epoch")
-    if type(epoch) is not int or not 0 <= epoch <= EPOCH_MAX:
+    if type(epoch) is not int or not 0 <= epoch <= most:
         raise ValueError(f"epoch: a whole number from 0 to {EPOCH_MAX} was expected")
     return epoch
 
