--- a/bench/message_mutants.py
+++ b/bench/message_mutants.py
@@ -19,6 +19,7 @@
 from rookspring_platform import dialect
 from rookspring_platform import notices
 
+from .mutant import DOUBLED_HEADERS
 from .mutant import NUMBERS_THAT_HOLD
 from .mutant import ODD_CALLS
 from .mutant import ODD_HEADERS
@@ -179,6 +180,7 @@
     Mutant("reads any hex", "refusals", dialect, "parse_hex", _parse_any_hex, ODD_HEADERS),
     Mutant("passes over a deadline", "deadline", dialect, "_read_deadline", _none, ODD_HEADERS),
     Mutant("passes over counts", "limits", dialect, "_read_token_counts", _none, ODD_HEADERS),
+    Mutant("reads the first value", "memory", dialect, "_check_single", _none, DOUBLED_HEADERS),
     Mutant("encodes an id anew", "whole answers", dialect, "_encode", _utf_8, ODD_HEADERS),
     Mutant("takes any number", "refusals", notices, "NUMBER_MAX", math.inf, ODD_HEADERS),
     Mutant(
