--- a/bench/message_mutants.py
+++ b/bench/message_mutants.py
@@ -20,6 +20,8 @@
 from rookspring_platform import dialect
 from rookspring_platform import notices
 
+from .mutant import DOUBLED_HEADERS
+from .mutant import NUMBERS_THAT_HOLD
 from .mutant import ODD_CALLS
 from .mutant import ODD_HEADERS
 from .mutant import ODD_LINKS
@@ -42,6 +44,10 @@
     return rows
 
 
+def _keep_field(tag: str, field: t.Any, value: t.Any, note: t.Any) -> t.Any:
+    return value
+
+
 def _drop_unnoted(tag: str, field: t.Any, rows: list[t.Any], note: t.Any) -> list[t.Any]:
     return _real_read_rows(tag, field, rows, lambda kind, reason: None)
 
@@ -122,6 +128,22 @@
         ODD_MESSAGES,
     ),
     Mutant("reads any row", "membership", _message_coding, "_read_rows", _keep_rows, ODD_MESSAGES),
+    Mutant(
+        "reads any number of a row",
+        "membership",
+        _message_coding,
+        "_read_rows",
+        _keep_rows,
+        NUMBERS_THAT_HOLD,
+    ),
+    Mutant(
+        "reads any number",
+        "membership",
+        _message_coding,
+        "_read_field",
+        _keep_field,
+        NUMBERS_THAT_HOLD,
+    ),
     Mutant(
         "drops in silence", "traces", _message_coding, "_read_rows", _drop_unnoted, ODD_MESSAGES
     ),
@@ -168,6 +190,7 @@
     Mutant("reads any hex", "refusals", dialect, "parse_hex", _parse_any_hex, ODD_HEADERS),
     Mutant("passes over a deadline", "deadline", dialect, "_read_deadline", _none, ODD_HEADERS),
     Mutant("passes over counts", "limits", dialect, "_read_token_counts", _none, ODD_HEADERS),
+    Mutant("reads the first value", "memory", dialect, "_check_single", _none, DOUBLED_HEADERS),
     Mutant("encodes an id anew", "whole answers", dialect, "_encode", _utf_8, ODD_HEADERS),
     Mutant("takes any number", "refusals", notices, "NUMBER_MAX", math.inf, ODD_HEADERS),
     Mutant(
