Log when a node begins to own a queue of slots

A queue whose node owns it anew grants no permits for 1.5 s and begins with none, which no line told: a queue that is taken over again and again looked like one whose permits are used up.

--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -183,7 +183,8 @@
         self._requesters = _PermitRequesters()
         # The rate limit of its one endpoint, as the last requesting node knew it.
         self.requester_rate: float | None = None
-        self._owned_since = -1e9
+        # Since when its node has owned it; see :meth:`set_endpoints`.
+        self.owned_since = -1e9
         # The latest time at which a refused caller was told to retry.
         self._latest_retry_at = -1e9
         self._waiting: FairQueue[SlotRequest] = FairQueue()
@@ -205,8 +206,8 @@
             to the full rate until then, and for ``OWNER_TAKEOVER_S`` after, while both nodes may
             regard themselves as the owner; so permits start at none after that time.
         """
-        if since != self._owned_since:
-            self._owned_since = since
+        if since != self.owned_since:
+            self.owned_since = since
             for slots in self._endpoints.values():
                 slots.bucket = None
         self._open = {}
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -8,6 +8,7 @@
 from rookspring_core.effects import FreeSlot
 from rookspring_core.events import SlotAnswered
 from rookspring_core.slot_queues import SlotAnswer
+from rookspring_core.slot_queues import SlotQueue
 from rookspring_core.slot_queues import SlotRequest
 
 from . import clock
@@ -68,15 +69,27 @@
         relay_places.process_queues(peers)
 
 
+def _open_queue(peers: RelayPeers, name: str, now: float, rate: float | None = None) -> SlotQueue:
+    """Return a queue that this node owns, and log when it begins to own it.
+
+    :param rate: see :func:`slot_requests.queue_of`.
+    """
+    state = peers.context.state
+    known = state.owned_queues.slots.get(name)
+    before = known.owned_since if known is not None else None
+    queue = slot_requests.queue_of(state, name, now, rate)
+    if queue.owned_since != before:
+        log("queue_taken_over", queue=name, candidates=len(state.topology.owners(now)))
+    return queue
+
+
 def process_queues(peers: RelayPeers) -> None:
     """Process the queues with waiting requests, and drop the idle ones that are obsolete."""
     now = clock.now()
     state = peers.context.state
     for name, queue in list(state.owned_queues.slots.items()):
         if not queue.idle():
-            _send_replies(
-                peers, name, slot_requests.queue_of(state, name, now).process_waiting(now)
-            )
+            _send_replies(peers, name, _open_queue(peers, name, now).process_waiting(now))
         elif slot_requests.is_obsolete(state, name):
             del state.owned_queues.slots[name]
 
@@ -89,7 +102,7 @@
 def handle_request(peers: RelayPeers, asked: AskSlots, link: Link | None) -> None:
     """Grant a request a slot, enqueue it, or refuse it."""
     now = clock.now()
-    queue = slot_requests.queue_of(peers.context.state, asked.queue, now, asked.rate)
+    queue = _open_queue(peers, asked.queue, now, asked.rate)
     wait_s = float(asked.wait_s)
     request = SlotRequest(
         asked.origin,
@@ -110,7 +123,7 @@
         relay_places.free_place(peers, freed)
         return
     now = clock.now()
-    queue = slot_requests.queue_of(peers.context.state, freed.queue, now)
+    queue = _open_queue(peers, freed.queue, now)
     took_s, unsent = float(freed.took_s), bool(freed.unsent)
     answers = queue.free(freed.endpoint, freed.origin, freed.key, took_s, now, unsent)
     _send_replies(peers, freed.queue, answers)
