Let a node know at each moment for how long it has run

Callers of endpoints that all state a rate got nothing for seconds, some 10 s after the nodes had started: in a play of three processes 6 requests a second were granted up to second 8, and 1, 0, 0 and 2 in the next four.

Cause: owners are chosen among nodes that have run for OWNER_AGE_S. A node took its own age as of the last update of its roles, up to 2 s ago, and the others took it as it is. For so long they asked a node that was no candidate by its own view: each tick ended what it owned, each question began it anew, and a queue that begins grants no permits for 1.5 s. The same holds for a relay's time as such, and a node that leaves counted itself as a candidate for up to 2 s.

The own age is now that of the moment, as the others have it, and a relay's time is counted on from its heartbeat. A mutant that knows it late is caught.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -50,6 +50,7 @@
 from . import model_wait_mutants
 from . import notice_mutants
 from . import organisation_mutants
+from . import owner_mutants
 from . import passing_mutants
 from . import place_mutants
 from . import rate_mutants
@@ -374,6 +375,7 @@
     "speeds": speed_mutants.MUTANTS,
     "eras": era_mutants.MUTANTS,
     "evacuations": evacuation_mutants.MUTANTS,
+    "owners": owner_mutants.MUTANTS,
     "passing": passing_mutants.MUTANTS,
     "places": place_mutants.MUTANTS,
     "stops": stop_mutants.MUTANTS,
--- a/packages/rookspring-core/src/rookspring_core/membership.py
+++ b/packages/rookspring-core/src/rookspring_core/membership.py
@@ -43,6 +43,10 @@
         """Return how long the node has run, in seconds."""
         return self.heartbeat.uptime_s + now - self.heartbeat.at
 
+    def collecting_s(self, now: float) -> float:
+        """Return how long the node has been a relay that collects others' figures, in seconds."""
+        return self.heartbeat.relay_s + now - self.heartbeat.at
+
 
 class Membership:
     """The nodes that heartbeats show as live, and those of the platform's box list, which lags."""
--- a/packages/rookspring-core/src/rookspring_core/owners.py
+++ b/packages/rookspring-core/src/rookspring_core/owners.py
@@ -23,6 +23,17 @@
     return max(nodes, key=lambda node: stable_hash("allotment", subject, node), default="")
 
 
+def choose_experienced(ages: t.Mapping[str, float]) -> set[str]:
+    """Choose the nodes among which owners are chosen.
+
+    A node that has seen for less time what runs misses a part that others know of.
+
+    :param ages: for how long each node has seen what runs, in seconds.
+    """
+    experienced = {name for name, age_s in ages.items() if age_s >= defaults.OWNER_AGE_S}
+    return experienced or set(ages)
+
+
 class _Tenure:
     """Since when this node has owned a subject without a gap, and when it last decided on it."""
 
--- a/packages/rookspring-core/src/rookspring_core/topology.py
+++ b/packages/rookspring-core/src/rookspring_core/topology.py
@@ -7,6 +7,7 @@
 link too many or one read of the store too many.
 """
 
+import math
 import typing as t
 
 from . import defaults
@@ -14,6 +15,7 @@
 from .events import HeartbeatReceived
 from .hashing import stable_hash
 from .membership import Membership
+from .owners import choose_experienced
 
 
 class LocalStatus(t.NamedTuple):
@@ -35,6 +37,8 @@
     def __init__(self, membership: Membership) -> None:
         self._members = membership
         self._local = LocalStatus()
+        # When this node's process started, by ``_local``.
+        self._started_at = math.inf
         self._unreached: dict[str, float] = {}
         self._hashes: dict[tuple[str, str], int] = {}
         self._change_position = -1
@@ -64,10 +68,11 @@
         position = self._members.changes.end()
         stale = now - self._updated_at >= defaults.ROLES_RECOMPUTE_S
         changed = position != self._change_position or local.holding != self._local.holding
+        self._local = local
+        self._started_at = now - local.up_s
         if changed or stale:
             self._change_position = position
             self._updated_at = now
-            self._local = local
             self._choose_roles(now)
         self.followed = self._choose_followed(now)
         if self.followed or self._chosen_watcher():
@@ -290,16 +295,21 @@
         return sorted(rows or linked)[: defaults.PROOF_SOURCES_MAX]
 
     def collecting_s(self, now: float) -> float:
-        """Return for how long this node has collected the other nodes' figures, in seconds."""
+        """Return for how long this node has collected the other nodes' figures, in seconds.
+
+        Other nodes go by the same time: one that took itself for younger would not own what it is
+        asked for.
+        """
+        up_s = max(0.0, now - self._started_at)
         if self.mesh:
-            return self._local.up_s
-        return min(self._local.up_s, now - self.relay_since) if self.relay else 0.0
+            return up_s
+        return min(up_s, now - self.relay_since) if self.relay else 0.0
 
     def owners(self, now: float) -> set[str]:
         """Return the nodes among which owners of organisations are chosen."""
         members = self._members
         ages = {
-            name: peer.age_s(now) if self.mesh else peer.heartbeat.relay_s
+            name: peer.age_s(now) if self.mesh else peer.collecting_s(now)
             for name in members.linked
             if (peer := members.peers.get(name)) is not None
             and (self.mesh or peer.heartbeat.relay)
@@ -308,9 +318,7 @@
         }
         if (self.mesh or self.relay) and not self._local.leaving:
             ages[members.name] = self.collecting_s(now)
-        # A node that has collected the others' sums for less misses what ran before.
-        experienced = {name for name, age_s in ages.items() if age_s >= defaults.OWNER_AGE_S}
-        return experienced or set(ages)
+        return choose_experienced(ages)
 
     def relays(self) -> set[str]:
         """Return the relays of all data centres, by this node's own view."""
