Keep nodes that started together candidates together as they come of age

Callers of endpoints that state a rate got hardly anything around second 10 after a start, also once a node knew its age: in a play of three processes 4, 0 and 1 answers in seconds 7 to 9 where 6 a second were accepted, and seven lines queue_taken_over.

Cause: until a node had run for OWNER_AGE_S all were candidates, from then on only those that had. So the first to come of age took the subjects of all nodes, and gave most back as the others followed within a second; each move costs 1.5 s without permits. At a deployment's start every subject of all nodes came to one of them.

Evidence: features/owner_choice.feature, 6 of 7 rows failed before: a subject moved 3, 4, 4, 2 and 4 times where 0, 0, 1, 1 and 3 are wanted (ASSERT FAILED: 3, ...), and a node that had started 3 s late owned at once (ASSERT FAILED: 3.0).

A node is a candidate once it has run for OWNER_AGE_S, or if none is older by more than OWNER_AGE_SPREAD_S: one that is can't be dropped as the others age, so a subject moves only as nodes join or go. A mutant with the old rule is caught.

--- a/bench/owner_mutants.py
+++ b/bench/owner_mutants.py
@@ -1,8 +1,10 @@
 """Mutants of which nodes own what is decided for all."""
 
 import math
+import typing as t
 
 from rookspring_core import defaults
+from rookspring_core import owners
 from rookspring_core.topology import Topology
 
 from .mutant import OWNER_CHOICE
@@ -20,4 +22,19 @@
 _collecting_s = Topology.collecting_s
 
 
-MUTANTS = (Mutant("knows its age late", RULE, Topology, "collecting_s", _know_late, OWNER_CHOICE),)
+def _by_age_alone(ages: t.Mapping[str, float]) -> set[str]:
+    experienced = {name for name, age_s in ages.items() if age_s >= defaults.OWNER_AGE_S}
+    return experienced or set(ages)
+
+
+MUTANTS = (
+    Mutant("knows its age late", RULE, Topology, "collecting_s", _know_late, OWNER_CHOICE),
+    Mutant(
+        "lets the first of age own all",
+        "a subject moves only as nodes join or go",
+        owners,
+        "choose_experienced",
+        _by_age_alone,
+        OWNER_CHOICE,
+    ),
+)
--- a/features/steps/owner_choice_steps.py
+++ b/features/steps/owner_choice_steps.py
@@ -6,8 +6,8 @@
 from behave import then
 from behave import when
 
+from rookspring_core import owners
 from rookspring_core.membership import Membership
-from rookspring_core.owners import choose_experienced
 from rookspring_core.owners import choose_owner
 from rookspring_core.topology import LocalStatus
 from rookspring_core.topology import Topology
@@ -27,7 +27,7 @@
     for step in range(1, round(seconds / STEP_S)):
         now = step * STEP_S
         ages = {name: now - at for name, at in context.starts.items() if now >= at}
-        nodes = choose_experienced(ages)
+        nodes = owners.choose_experienced(ages)
         chosen = [choose_owner(f"slots/s{number}", nodes) for number in range(subjects)]
         context.owners.append((now, chosen))
 
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -478,9 +478,13 @@
 TOLERANCE_SHARE = 0.6
 # Smaller used shares of a limit are not written with the lease.
 RESTORED_SHARE_MIN = 0.05
-# A node that has run for less than this owns an organisation only if there is no older node. It is
-# about the window of allotments, after which use before its start no longer counts.
+# A node that has run for less than this owns an organisation only if no node is older by more than
+# ``OWNER_AGE_SPREAD_S``. It is about the window of allotments, after which use before its start no
+# longer counts.
 OWNER_AGE_S = 10.0
+# Nodes that start within this time of each other have started together: what the first of them saw
+# alone is a small part of that window.
+OWNER_AGE_SPREAD_S = 2.0
 # An owner that has not ticked for this long (five ticks) starts afresh: another node may have
 # decided in the meantime.
 OWNER_GAP_S = 0.5
--- a/packages/rookspring-core/src/rookspring_core/owners.py
+++ b/packages/rookspring-core/src/rookspring_core/owners.py
@@ -26,12 +26,16 @@
 def choose_experienced(ages: t.Mapping[str, float]) -> set[str]:
     """Choose the nodes among which owners are chosen.
 
-    A node that has seen for less time what runs misses a part that others know of.
+    A node that has seen for less time what runs misses a part that others know of. Nodes that have
+    started together stay candidates together: if the first that is old enough were the only one, it
+    would take the subjects of all others, which would take them back a moment later, and each that
+    takes a rate limit over grants nothing for a while.
 
     :param ages: for how long each node has seen what runs, in seconds.
     """
-    experienced = {name for name, age_s in ages.items() if age_s >= defaults.OWNER_AGE_S}
-    return experienced or set(ages)
+    longest_s = max(ages.values(), default=0.0)
+    least_s = min(defaults.OWNER_AGE_S, longest_s - defaults.OWNER_AGE_SPREAD_S)
+    return {name for name, age_s in ages.items() if age_s >= least_s}
 
 
 class _Tenure:
