Serve a request that offers another protocol, and decline the offer

A caller whose HTTP client offers HTTP/2 in the clear, as the head "Connection: Upgrade, Upgrade: h2c" does, got 400 to each request, after the request had been taken for service and was dropped again.

Cause: the parser reports an offer once the request is complete, and that was taken for a request that can't be read. A server may ignore the offer (RFC 9110, 7.8).

Evidence: features/cut_heads_sockets.feature, "a caller's request that offers another protocol is answered as any other", both rows before the fix: ASSERT FAILED: ('unknown', 400).

The complete request is served, and the connection is closed after its answer, since what follows might be of the other protocol. CONNECT and offers in requests that are too large are refused as before. Found beside the trials of heads that are cut off; a mutant that refuses is caught.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+import httptools
 import orjson
 from returns.result import Result
 from returns.result import Success
@@ -80,6 +81,13 @@
 _to_result = HttpPlatform._to_result
 
 
+def _refuse_offers(self: http_server.ServerConnection, data: bytes) -> None:
+    try:
+        self._parser.feed_data(data)
+    except httptools.HttpParserUpgrade:
+        self._reject(400)
+
+
 MUTANTS = (
     Mutant(
         "takes any close for an end",
@@ -161,4 +169,12 @@
         _raise_at_a_cut_body,
         CUT_HEADS_SOCKETS,
     ),
+    Mutant(
+        "refuses requests that offer an upgrade",
+        "an offer of another protocol may be declined, not refused",
+        http_server.ServerConnection,
+        "_parse",
+        _refuse_offers,
+        CUT_HEADS_SOCKETS,
+    ),
 )
--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -45,6 +45,17 @@
     When a stream is answered with 204, and a request follows on its caller's connection
     Then the answer to that request is whole
 
+  Scenario Outline: a caller's request that offers another protocol is answered as any other
+    Given a relay node with one endpoint that does: answer
+    When a caller sends a <kind> request that offers an upgrade to HTTP/2
+    Then the answer is whole
+    And the endpoints ran it 1 times
+
+    Examples:
+      | kind   |
+      | safe   |
+      | unsafe |
+
   Scenario Outline: another node's cut answer is never passed on as a whole one
     Given 2 linked nodes that share three endpoints, and callers at each
     And the first node reaches no endpoint, which is known
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -236,6 +236,12 @@
     assert answer and answer.whole and answer.body == b"answer to q1", context.rest
 
 
+@when("a caller sends a {kind} request that offers an upgrade to HTTP/2")
+def offer_upgrade(context, kind):
+    offer = b"Connection: Upgrade\r\nUpgrade: h2c\r\nHost:"
+    context.answer = context.loop.run(context.relay.ask(request(kind).replace(b"Host:", offer, 1)))
+
+
 async def replace_other(context):
     """Let a server that sends given bytes take the place of the other node's callers' address."""
     listener = context.cut_stage.nodes[1].listeners["callers"]
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -150,7 +150,11 @@
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
-            self._reject(400)
+            if not self._answering or self._method == b"CONNECT":
+                self._reject(self._reject_status or 400)
+            else:
+                # The offer is declined. What follows might be of the other protocol.
+                self._close_after = True
             return
         except httptools.HttpParserError:
             if not self._answering:
