Count an answer of another JSON shape as a failure of the product's own call

On the product's own front an endpoint or a platform that answered an order, a report or a platform list with null, a number, a string or a list, or a generation with such a line, raised AttributeError or TypeError out of the client: the task that had asked failed, where a failed call, an unknown order or a failed attempt is meant.

Cause: JSON was decoded and then read as an object unasked. Class: what can't be read must be a result of the call, as what is cut is.

Evidence: features/cut_heads_sockets.feature, "an answer of another shape is a failure of the product's own call", all 4 rows ended with an error before the fix: AttributeError: 'NoneType' object has no attribute 'get' (order, report, generation), TypeError: 'NoneType' object is not subscriptable (platform list).

Each reader now checks the shape where bytes become values: an order is unknown, a report is missing, a line is a malformed chunk, a platform call has failed. Bounds of numbers are not touched here.

--- a/bench/cut_head_mutants.py
+++ b/bench/cut_head_mutants.py
@@ -10,6 +10,7 @@
 from rookspring import _client_connection
 from rookspring import _reply
 from rookspring import endpoints
+from rookspring import http_platform
 from rookspring import http_server
 from rookspring._client_connection import ClientConnection
 from rookspring.exceptions import EndpointError
@@ -88,6 +89,20 @@
         self._reject(400)
 
 
+def _read_any_shape(answer: t.Any, read: t.Callable[[t.Any], t.Any]) -> t.Any:
+    return answer.map(read)
+
+
+def _read_any_chunk(line: bytes) -> endpoints.Chunk:
+    raw = orjson.loads(line)
+    end = raw.get("end")
+    return (
+        endpoints.Chunk(raw["offset"], raw["tokens"])
+        if end is None
+        else endpoints.Chunk(-1, (), end)
+    )
+
+
 MUTANTS = (
     Mutant(
         "takes any close for an end",
@@ -177,4 +192,20 @@
         _refuse_offers,
         CUT_HEADS_SOCKETS,
     ),
+    Mutant(
+        "raises at a platform's answer of another shape",
+        "an answer of the store that can't be read is a failure",
+        http_platform,
+        "_read",
+        _read_any_shape,
+        CUT_HEADS_SOCKETS,
+    ),
+    Mutant(
+        "raises at a chunk of another shape",
+        "an answer that can't be read is a failure",
+        endpoints,
+        "_read_chunk",
+        _read_any_chunk,
+        CUT_HEADS_SOCKETS,
+    ),
 )
--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -131,3 +131,14 @@
   Scenario: the product's own service call takes no faulty framing for a whole answer
     When the answer to the product's own service call is each of the faulty ones
     Then none is taken but those whose lines alone are faulty, which are whole
+
+  Scenario Outline: an answer of another shape is a failure of the product's own call
+    When the product's own <call> is answered with each JSON value of another shape
+    Then each counts as none
+
+    Examples:
+      | call          |
+      | order         |
+      | report        |
+      | generation    |
+      | platform list |
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -524,3 +524,28 @@
     assert not wrong, {name: context.taken[name] for name in wrong}
     bodies = {answer.body for answer in context.taken.values()}
     assert bodies <= {BODY}, context.taken
+
+
+# JSON values, each of which is no answer to a call of the product's own.
+OTHER_VALUES = (b"null", b"7", b'"x"', b"[]", b"[[7]]", b"true")
+
+
+@when("the product's own {name} is answered with each JSON value of another shape")
+def answer_otherwise(context, name):
+    made = CALLS[f"the product's own {name}"]
+
+    async def work():
+        context.raw = await RawServer().start()
+        counted = []
+        for value in OTHER_VALUES:
+            context.raw.answer = RawAnswer(frame(value + b"\n", "with a length", made.status))
+            counted.append(await made.make(context))
+        await context.raw.close()
+        return counted
+
+    context.counted = context.loop.run(work())
+
+
+@then("each counts as none")
+def each_none(context):
+    assert not any(context.counted), context.counted
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -219,6 +219,8 @@
                 answer = orjson.loads(await response.read())
         except (aiohttp.ClientError, TimeoutError, OSError, orjson.JSONDecodeError) as error:
             return None, type(error).__name__
+        if not isinstance(answer, dict):
+            return None, "malformed"
         return bool(answer.get("accepted")), str(answer.get("reason", ""))
 
     async def report(self, endpoint: str, address: str, now: float) -> EndpointReported | None:
@@ -229,7 +231,7 @@
                 f"http://{address}/v1/report", timeout=limit
             ) as response:
                 raw = orjson.loads(await response.read())
-                return read_report(endpoint, raw, now)
+                return read_report(endpoint, raw, now) if isinstance(raw, dict) else None
         except (
             aiohttp.ClientError,
             TimeoutError,
@@ -371,10 +373,13 @@
         raw = orjson.loads(line)
     except orjson.JSONDecodeError:
         raise EndpointError("malformed chunk", sent=True) from None
-    end = raw.get("end")
-    if end is not None:
-        return Chunk(-1, (), int(end))
-    return Chunk(raw["offset"], raw["tokens"])
+    if isinstance(raw, dict):
+        end, offset, tokens = raw.get("end"), raw.get("offset"), raw.get("tokens")
+        if isinstance(end, int):
+            return Chunk(-1, (), end)
+        if isinstance(offset, int) and isinstance(tokens, list):
+            return Chunk(offset, tokens)
+    raise EndpointError("malformed chunk", sent=True)
 
 
 def read_report(endpoint: str, raw: t.Mapping[str, t.Any], now: float) -> EndpointReported:
--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -28,6 +28,8 @@
 if t.TYPE_CHECKING:
     from .telemetry import Telemetry
 
+T = t.TypeVar("T")
+
 
 class RateLimitedHttpClient:
     """Makes rate-limited HTTP calls; writes are never sent twice by the HTTP library.
@@ -161,12 +163,13 @@
 
     async def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
-        return (await self._call("GET", f"/objects/{kind}/{name}")).map(_stored)
+        return _read(await self._call("GET", f"/objects/{kind}/{name}"), _stored)
 
     async def list_kind(self, kind: str) -> Result[Listing, PlatformError]:
         """Read all objects of a kind."""
-        return (await self._call("GET", f"/objects/{kind}")).map(
-            lambda raw: Listing(raw["version"], tuple(_stored(one) for one in raw["items"]))
+        return _read(
+            await self._call("GET", f"/objects/{kind}"),
+            lambda raw: Listing(raw["version"], tuple(_stored(one) for one in raw["items"])),
         )
 
     async def put(
@@ -174,14 +177,14 @@
     ) -> Result[int, PlatformError]:
         """Write an object."""
         answer = await self._call("PUT", f"/objects/{kind}/{name}", expected, value)
-        return answer.map(lambda raw: int(raw["version"]))
+        return _read(answer, lambda raw: int(raw["version"]))
 
     async def delete(
         self, kind: str, name: str, expected: int | None
     ) -> Result[int, PlatformError]:
         """Delete an object."""
         answer = await self._call("DELETE", f"/objects/{kind}/{name}", expected)
-        return answer.map(lambda raw: int(raw["version"]))
+        return _read(answer, lambda raw: int(raw["version"]))
 
     async def watch(
         self, kind: str, since: int, timeout_s: float, anew: bool = False
@@ -193,19 +196,32 @@
         path = f"/watch/{kind}?from={since}&timeout_s={timeout_s}"
         total_s = timeout_s + defaults.PLATFORM_CALL_S
         answer = await self._call("GET", path, timeout_s=total_s, anew=anew)
-        return answer.map(
-            lambda raw: Changes(raw["version"], tuple(_stored(one) for one in raw["changes"]))
+        return _read(
+            answer,
+            lambda raw: Changes(raw["version"], tuple(_stored(one) for one in raw["changes"])),
         )
 
     async def boxes(self) -> Result[tuple[BoxListed, ...], PlatformError]:
         """Read the list of boxes."""
         answer = await self._call("GET", "/boxes")
-        return answer.map(lambda raw: tuple(BoxListed(**row) for row in raw["boxes"]))
+        return _read(answer, lambda raw: tuple(BoxListed(**row) for row in raw["boxes"]))
 
     async def close(self) -> None:
         """Close all connections."""
         await self._caller.close()
 
 
+def _read(
+    answer: Result[t.Any, PlatformError], read: t.Callable[[t.Any], T]
+) -> Result[T, PlatformError]:
+    """Read the value of an answer; one of another shape counts as a failed call."""
+    if isinstance(answer, Failure):
+        return answer
+    try:
+        return Success(read(answer.unwrap()))
+    except (KeyError, TypeError, ValueError, OverflowError) as error:
+        return Failure(PlatformUnreachable(f"malformed body: {type(error).__name__}"))
+
+
 def _stored(raw: t.Any) -> StoredObject:
     return StoredObject(raw["name"], int(raw["version"]), raw["value"])
