--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -30,7 +30,6 @@
 if t.TYPE_CHECKING:
     from .telemetry import Telemetry
 
-
 T = t.TypeVar("T")
 # What the conversion of an odd value raises.
 ODD_VALUE_ERRORS = (KeyError, OverflowError, TypeError, ValueError)
