--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import random
 import socket
 import struct
 import time
@@ -117,6 +118,14 @@
         # does, a key of ENDINGS; and the process that has its address afterwards.
         self.before_close: t.Callable[[], None] = lambda: None
         self.successor: ModelServer | None = None
+        # The share of resumable streams that it sends without a length; how these end, some keys of
+        # RESUMABLE_ENDS, by chance; the pause between events in seconds; and until when its
+        # process stands still.
+        self.unframed_share = 0.0
+        self.unframed_ends: tuple[str, ...] = ("whole",)
+        self.event_pause_s = 0.002
+        self.frozen_until = 0.0
+        self.random = random.Random(name)
         # Whether it answers nothing more, though it listens; how many health checks it refuses, as
         # if it were full; and its health checks, with what they expected.
         self.mute = False
@@ -191,7 +200,19 @@
             self._late.pop(writer, None)
             writer.close()
 
+    async def pause(self) -> None:
+        """Wait until the next event, and while the process stands still."""
+        await asyncio.sleep(self.event_pause_s)
+        await self._thaw()
+
+    async def _thaw(self) -> None:
+        while (left_s := self.frozen_until - time.monotonic()) > 0.0:
+            await asyncio.sleep(left_s)
+
     async def _answer(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> bool:
+        await self._thaw()
+        if self.ended:
+            return False
         if self.mute:
             await asyncio.sleep(MUTE_S)
         writer.write(self._late.pop(writer, b""))
@@ -231,6 +252,8 @@
             self.end()
             return False
         usual = "stream" if self.streams and request.line.startswith(STREAM_PATHS) else "answer"
+        if usual == "stream" and self._leaves_length_out(request):
+            usual = "unframed stream"
         name = self.script.pop(0) if self.script else usual
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
@@ -239,6 +262,10 @@
         await writer.drain()
         return not writer.is_closing()
 
+    def _leaves_length_out(self, request: ReceivedRequest) -> bool:
+        resumable = request.line.startswith("POST /resumable/")
+        return resumable and self.random.random() < self.unframed_share
+
     def _check(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         self.checks.append(expected)
@@ -735,6 +762,55 @@
     writer.close()
 
 
+async def _close_there(writer: asyncio.StreamWriter, event: bytes) -> None:
+    writer.close()
+
+
+async def _tear_there(writer: asyncio.StreamWriter, event: bytes) -> None:
+    writer.write(event[: len(event) // 2])
+    await writer.drain()
+    writer.close()
+
+
+async def _reset_there(writer: asyncio.StreamWriter, event: bytes) -> None:
+    _reset_connection(writer)
+
+
+# How a resumable stream without a length ends, by what is done in place of an event: the one after
+# the last, or one of the others.
+RESUMABLE_ENDS: dict[str, t.Callable[[asyncio.StreamWriter, bytes], t.Awaitable[None]]] = {
+    "whole": _close_there,
+    "torn": _tear_there,
+    "reset": _reset_there,
+}
+
+
+@step("unframed stream")
+async def _unframed_stream(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send the events after the last one that the request names, without a length or chunks."""
+    headers = _record_run(server, request) | {"Content-Type": "text/event-stream"}
+    rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+    writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
+    first = int(request.headers.get("last-event-id") or 0) + 1
+    ending = server.random.choice(server.unframed_ends)
+    stop = STREAM_EVENTS + 1
+    if ending != "whole":
+        stop = server.random.randrange(min(first, STREAM_EVENTS), STREAM_EVENTS + 1)
+    for number in range(first, stop):
+        writer.write(_event(server, number))
+        await writer.drain()
+        await server.pause()
+    if writer.is_closing():
+        raise ConnectionResetError
+    await RESUMABLE_ENDS[ending](writer, _event(server, stop))
+
+
+def _event(server: ModelServer, number: int) -> bytes:
+    return f"id: {number}\ndata: token{number} {server.version}\n\n".encode()
+
+
 async def _write_unframed_events(
     server: ModelServer,
     request: ReceivedRequest,
@@ -982,9 +1058,9 @@
     for number in range(first, last + 1):
         if writer.is_closing():
             raise ConnectionResetError
-        _write_event(writer, f"id: {number}\ndata: token{number} {server.version}\n\n".encode())
+        _write_event(writer, _event(server, number))
         await writer.drain()
-        await asyncio.sleep(0.002)
+        await server.pause()
 
 
 def _begin_events(
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -4,7 +4,8 @@
 unavailable, or restored from an older backup. Nodes lose their links to all endpoints. The
 configuration changes. Endpoints state in their
 answers alone that they are leaving, request a back-off, or accept only so many requests per
-second.
+second. Streams that are taken up elsewhere come without a length, from endpoints that freeze, break
+off or crash.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 import typing as t
 
 from .cut_links import CUTS
+from .model_server import RESUMABLE_ENDS
 from .process_callers import ProcessCallers
 from .process_callers import find_violations
 from .process_streams import StreamCallers
@@ -30,6 +32,8 @@
 VERSIONED_SERVERS = 6
 # How long a part of prompts crashes endpoints, in seconds.
 FATAL_PART_S = 8.0
+# The share of streams without a length of an endpoint that sends such.
+UNFRAMED_SHARE = 0.5
 # Interval of checking whether a node has cut its links, in seconds.
 CUT_CHECK_S = 0.01
 # The share of replaced keys that are revoked.
@@ -40,7 +44,12 @@
 # Troubles of soaks whose requests need keys.
 KEY_TROUBLES = {"keys are replaced"}
 # Troubles of soaks with streams of two versions.
-PART_TROUBLES = {"a part of prompts crashes endpoints"}
+STREAM_TROUBLES = {
+    "a part of prompts crashes endpoints",
+    "an endpoint answers without a length",
+    "an endpoint freezes",
+    "an endpoint is killed and started again under its name",
+}
 
 
 def trouble(name: str) -> t.Callable[[Trouble], Trouble]:
@@ -122,7 +131,7 @@
         names = sorted(
             TROUBLES.keys()
             - (set() if self.stage.keys else KEY_TROUBLES)
-            - (set() if self._versioned else PART_TROUBLES)
+            - (set() if self._versioned else STREAM_TROUBLES)
         )
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(*TROUBLE_INTERVAL_S))
@@ -292,3 +301,30 @@
     stage.fatal_parts.add(part)
     await replace_crashed(stage, time.monotonic() + FATAL_PART_S)
     stage.fatal_parts.discard(part)
+
+
+@trouble("an endpoint answers without a length")
+async def leave_length_out(soak: ProcessSoak) -> None:
+    """Have an endpoint send many streams without a length, and break some of them off."""
+    server = soak.random.choice(soak.stage.servers)
+    server.unframed_share = UNFRAMED_SHARE
+    server.unframed_ends = soak.random.choice((("whole",), ("whole", *sorted(RESUMABLE_ENDS))))
+    await asyncio.sleep(soak.random.uniform(2.0, 6.0))
+    server.unframed_share = 0.0
+
+
+@trouble("an endpoint freezes")
+async def freeze_endpoint(soak: ProcessSoak) -> None:
+    """Have an endpoint stand still, whatever it sends."""
+    server = soak.random.choice(soak.stage.servers)
+    server.frozen_until = time.monotonic() + soak.random.choice((0.2, 0.6, 1.1))
+
+
+@trouble("an endpoint is killed and started again under its name")
+async def restart_endpoint(soak: ProcessSoak) -> None:
+    """End an endpoint within its answers; it is up again at once or a little later."""
+    candidates = [one for one in soak.stage.servers if not one.ended and not one.extra_header_lines]
+    if len(candidates) > 1:
+        await soak.stage.restart_server(
+            soak.random.choice(candidates), soak.random.choice((0.0, 0.05, 1.0))
+        )
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_streams.py
@@ -22,6 +22,12 @@
 # while there is one.
 LEAVE_SHARE = 0.3
 FATAL_SHARE = 0.2
+# The share of callers who leave a stream but forget its connection for some time, and of those who
+# read slowly, with their pause after each read; times in seconds.
+FORGET_SHARE = 0.5
+FORGOTTEN_S = 1.0
+SLOW_SHARE = 0.1
+SLOW_PAUSE_S = 0.1
 # The part that all prompts share, and those that some do.
 FIRST_PART = 0x10
 SOME_PARTS = range(0x100, 0x110)
@@ -108,13 +114,19 @@
         if self._random.random() < LEAVE_SHARE:
             leaves_after = self._random.randrange(1, STREAM_EVENTS)
         request = ("\r\n".join(lines) + "\r\n\r\n" + key).encode()
-        return StreamPart(key, await _read(node, request, leaves_after))
+        forgets = bool(leaves_after) and self._random.random() < FORGET_SHARE
+        pause_s = SLOW_PAUSE_S if self._random.random() < SLOW_SHARE else 0.0
+        return StreamPart(key, await _read(node, request, leaves_after, forgets, pause_s))
 
 
-async def _read(node: NodeProcess, request: bytes, leaves_after: int) -> bytes:
+async def _read(
+    node: NodeProcess, request: bytes, leaves_after: int, forgets: bool, pause_s: float
+) -> bytes:
     """Send a request on a new connection, and return the bytes that come.
 
     :param leaves_after: the event after which its caller leaves; 0 if it stays.
+    :param forgets: whether its connection is closed only ``FORGOTTEN_S`` after that.
+    :param pause_s: the caller's pause after each read, in seconds.
     """
     raw = b""
     try:
@@ -128,12 +140,13 @@
                 raw += part
                 if raw.endswith(b"\r\n0\r\n\r\n") or not raw.startswith(b"HTTP/1.1 200"):
                     break
+                await asyncio.sleep(pause_s)
                 if leaves_after and b"id: %d\n" % leaves_after in raw and raw.endswith(b"\n\r\n"):
                     break
     except (OSError, TimeoutError):
         pass
     finally:
-        writer.close()
+        asyncio.get_running_loop().call_later(FORGOTTEN_S if forgets else 0.0, writer.close)
     return raw
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -29,6 +29,9 @@
 EXIT_SLACK_S = 1.5
 # The time within which a node must become ready, in seconds.
 READY_S = 15.0
+# The pause between events of short and of long streams, in seconds.
+PAUSE_S = 0.002
+LONG_PAUSE_S = 0.03
 ROUTES = {
     "safe": ("safe", False, 2),
     "unsafe": ("unsafe", False, 1),
@@ -242,6 +245,8 @@
         self.version = 1
         self.keys = tuple(keys)
         self._versions = versions
+        # The pause between events of streams, in seconds: long enough that troubles meet some.
+        self.event_pause_s = LONG_PAUSE_S if len(versions) > 1 else PAUSE_S
         # Parts of prompts that crash endpoints now, and when each has crashed one.
         self.fatal_parts: set[int] = set()
         self.crashes: dict[int, list[float]] = {}
@@ -286,16 +291,28 @@
         :param version: of its software; the next one in turn if empty.
         """
         server = ModelServer(f"i{len(self.servers)}")
-        server.streams = True
         server.version = version or self._versions[len(self.servers) % len(self._versions)]
-        server.fatal_parts = self.fatal_parts
-        server.on_crash = self._note_crash
-        self.servers.append(server)
-        await server.start()
+        await self._start_server(server)
         self._entries[server.name] = server.entry(SERVICE)
         await self.store.write("servers", server.name, self._entries[server.name])
         return server
 
+    async def _start_server(self, server: ModelServer, port: int = 0) -> None:
+        server.streams = True
+        server.event_pause_s = self.event_pause_s
+        server.fatal_parts = self.fatal_parts
+        server.on_crash = self._note_crash
+        self.servers.append(server)
+        await server.start(port)
+
+    async def restart_server(self, server: ModelServer, after_s: float) -> None:
+        """End an endpoint as a crashed process does, and start it again at its address."""
+        server.end()
+        await asyncio.sleep(after_s)
+        again = ModelServer(server.name)
+        again.version = server.version
+        await self._start_server(again, int(server.address.rpartition(":")[2]))
+
     async def remove_server(self, server: ModelServer) -> None:
         """End an endpoint and delete its entry."""
         del self._entries[server.name]
