Take no process for the one before if it may have restarted under its name

Cause: a name was taken for the process, whatever had happened in between. An idle connection that has stayed open since shows that no process has ended; without one, an answer after a broken call shows nothing.

Before: make test ARGS=features/unframed_answers_sockets.feature, 4 of 5 new rows failed: ASSERT FAILED: ('3 events', 200) twice, ('whole', 200), ('5 events', 200). After: all 67 scenarios of the feature pass.

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -1,5 +1,6 @@
 """Mutants of what shows that an answer is whole, and that an event follows the last one."""
 
+import types
 import typing as t
 
 from rookspring import defaults
@@ -7,6 +8,7 @@
 from rookspring import relay_attempts
 from rookspring import relay_ends
 from rookspring import relay_handovers
+from rookspring.http_client import ConnectionPool
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
 from rookspring_core import defaults as core_defaults
@@ -100,6 +102,14 @@
 _pass_on = relay_handovers._pass_on
 
 
+def _list_one(self: ConnectionPool, address: str) -> list[t.Any]:
+    return [types.SimpleNamespace(open=True)]
+
+
+def _list_none(self: ConnectionPool, address: str) -> list[t.Any]:
+    return []
+
+
 def _end_any(run: AnsweredRun, listed: t.Any, asked_at: float) -> RunEnd:
     return RunEnd.ENDED
 
@@ -193,6 +203,15 @@
     Mutant("takes any process", RULE, PlatformDialect, "read_identity", _always, UNFRAMED),
     Mutant("ignores a restart", RULE, endpoints, "_read_start", _ignore_start, UNFRAMED),
     Mutant("expects another process", RULE, endpoints, "identity_request", _name_nobody, UNFRAMED),
+    Mutant("forgets a broken call", RULE, ConnectionPool, "list_idle", _list_one, UNFRAMED),
+    Mutant(
+        "trusts no connection",
+        "a whole answer is passed on as one",
+        ConnectionPool,
+        "list_idle",
+        _list_none,
+        UNFRAMED,
+    ),
     Mutant("takes any run for ended", RULE, run_ends, "judge_end", _end_any, UNFRAMED),
     Mutant("counts no events", RULE, run_ends, "judge_end", _count_nothing, UNFRAMED),
     Mutant(
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -84,6 +84,28 @@
     context.answer = context.loop.run(relay.ask(request(kind)))
 
 
+@given("{number:d} idle connections to it")
+def idle_connections(context, number):
+    pool = context.relay.node.context.pool
+    (server,) = context.relay.servers
+
+    async def connect():
+        assert all(await asyncio.gather(*(pool.reaches(server.address) for _ in range(number))))
+
+    context.loop.run(connect())
+
+
+@when("it resets the first call after the answer to a stream request")
+def reset_first_call(context):
+    (server,) = context.relay.servers
+
+    def reset():
+        server.resets = 1
+
+    server.before_close = reset
+    context.answer = context.loop.run(context.relay.ask(request("stream")))
+
+
 @when("a stream is taken up after its event {number:d}")
 def take_up(context, number):
     headers = (f"Last-Event-Id: {number}", "Resumes: q0")
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -34,6 +34,29 @@
       | stream    | fall silent after 3 unframed          | 3 events, cut | 1    |
       | unsafe    | fall silent after unframed            | unknown       | 1    |
 
+  Scenario Outline: such an answer is cut if a process answers that may have restarted since
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                           | answer        | runs |
+      | stream    | restart after 3 unframed         | 3 events, cut | 1    |
+      | resumable | restart after 3 unframed, stream | 5 events      | 2    |
+      | unsafe    | restart after unframed           | unknown       | 1    |
+
+  Scenario Outline: an endpoint that resets the first call has not restarted if a connection stays
+    Given a relay node with one endpoint that does: unframed events
+    And <idle> idle connections to it
+    When it resets the first call after the answer to a stream request
+    Then the answer is <answer>
+
+    Examples:
+      | idle | answer        |
+      | 2    | 5 events      |
+      | 0    | 5 events, cut |
+
   Scenario Outline: an endpoint that leaves or is gone ends in the midst of such an answer
     Given a relay node with two endpoints that do: <script>
     When the endpoint of a <kind> request is <state> as its answer ends
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -129,6 +129,8 @@
         # Whether it answers nothing more, though it listens; how many health checks it refuses, as
         # if it were full; and its health checks, with what they expected.
         self.mute = False
+        # How many new connections it resets.
+        self.resets = 0
         self.checks_refused = 0
         self.checks: list[str] = []
 
@@ -163,6 +165,16 @@
         await self.successor.start(int(self.address.rpartition(":")[2]))
         self.end()
 
+    async def restart(self) -> None:
+        """End as a crashed process does; another one has its name and address, and resets a call.
+
+        That call was made as the first one ended, so that it came to nobody.
+        """
+        await self.end_and_replace()
+        assert self.successor is not None
+        self.successor.name = self.name
+        self.successor.resets = 1
+
     def entry(self, service: str, state: str = "ready", slots: int = 8) -> dict[str, t.Any]:
         """Return the entry that it writes about itself in the store."""
         row: dict[str, t.Any] = {
@@ -188,6 +200,10 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.connections += 1
+        if self.resets:
+            self.resets -= 1
+            _reset_connection(writer)
+            return
         self._writers.add(writer)
         try:
             while request := await _read(reader):
@@ -574,6 +590,10 @@
     await server.end_and_replace()
 
 
+async def _restart(server: ModelServer) -> None:
+    await server.restart()
+
+
 async def _fall_silent(server: ModelServer) -> None:
     server.mute = True
 
@@ -584,6 +604,7 @@
     "": _live_on,
     "end after ": _end,
     "be replaced after ": _be_replaced,
+    "restart after ": _restart,
     "fall silent after ": _fall_silent,
     HALF_CLOSE_WORDS: _live_on,
 }
--- a/packages/rookspring/src/rookspring/relay_processes.py
+++ b/packages/rookspring/src/rookspring/relay_processes.py
@@ -25,6 +25,7 @@
     :param runs: it runs, as it has answered.
     :param ended: it runs no more, as another process answered or nothing listens there.
     :param down: nothing listens at its address.
+    :param broken: it closed or reset the connection of the call, as one that ends does too.
     :param listed: the events that each run has made which its report lists, by request; None if it
         lists none.
     :param asked_at: when it was called, by the node's clock.
@@ -34,6 +35,7 @@
     runs: bool = False
     ended: bool = False
     down: bool = False
+    broken: bool = False
     listed: t.Mapping[str, int] | None = None
     asked_at: float = 0.0
 
@@ -65,13 +67,21 @@
             del self._calls[key]
 
     async def _ask(self, view: EndpointView, process: ExpectedProcess) -> Finding:
-        """Call the endpoint until an answer shows which process runs, or the time is over."""
+        """Call the endpoint until an answer shows which process runs, or the time is over.
+
+        One that has closed a call's connection may have ended then, and another have started under
+        its name. It has not if a connection has stayed open since before.
+        """
         until = clock.now() + defaults.PROCESS_CHECK_S
-        finding = Finding("it may not be asked")
+        idle = self._context.pool.list_idle(view.address)
+        finding, broken = Finding("it may not be asked"), False
         while (left_s := until - clock.now()) > 0.0:
             # The back-off that an endpoint requests covers all calls.
             if not view.in_backoff(clock.now()):
                 finding = await self._call(view, process, left_s)
+                broken = broken or finding.broken
+            if finding.runs and broken and not any(one.open for one in idle):
+                return Finding("it answered, but may have restarted")
             if finding.runs or finding.ended:
                 break
             await asyncio.sleep(defaults.PROCESS_CHECK_PAUSE_S)
@@ -93,7 +103,7 @@
                 request_id="",
             )
         except EndpointError as error:
-            return Finding(error.reason, ended=error.down, down=error.down)
+            return Finding(error.reason, False, error.down, error.down, error.broken)
         same = context.dialect.read_identity(head, body, process)
         if same is None:
             return Finding(f"it answered {head.status} without a name")
