Ask for reports ten times a second where they leave a run's end open

Asked for each 0.1 s, few such runs end unseen; one that ends within a report's lag still may.

Before: make test ARGS=features/unframed_answers_sockets.feature, the new row failed: ASSERT FAILED: ('3 events', 200). After: all nine rows of the outline passed in each of three runs, beside a load of 20 on 8 cores.

--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -102,6 +102,7 @@
       | resumable | run on after 3 unframed, stream                    | 5 events      | 2    |
       | stream    | drop 2 after 3 unframed                            | 3 events, cut | 1    |
       | resumable | drop 2 after 3 unframed, stream                    | 5 events      | 2    |
+      | stream    | run on for 0.23 s after 3 unframed                 | 3 events, cut | 1    |
       | stream    | run on after a while of no list of 3 unframed      | 3 events, cut | 1    |
       | stream    | be listed for 0.3 s after unframed events          | 5 events      | 1    |
       | stream    | list no run after unframed events                  | 5 events      | 1    |
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -702,6 +702,18 @@
     await _list_for(server, request, writer, STREAM_EVENTS, 0.3)
 
 
+@step("run on for 0.23 s after 3 unframed")
+async def _run_on_shortly_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection just before the end of a run; some reports list more than came."""
+    await _write_unframed_events(server, request, writer, 3)
+    server.listed_runs = {request.request_id: 3}
+    writer.close()
+    await asyncio.sleep(0.02)
+    await _list_for(server, request, writer, STREAM_EVENTS, 0.21)
+
+
 @step("be listed for 0.3 s after unframed events")
 async def _stay_listed_unframed(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -66,8 +66,9 @@
 # Of an answer that nobody reads, the kernel of its endpoint takes this much at the least before the
 # endpoint has to wait; what is smaller can't have been cut off for that.
 UNREAD_BYTES_MIN = 4 << 10
-# Pause between calls for reports, until one shows whether a run has ended.
-RUN_CHECK_PAUSE_S = 0.25
+# Pause between calls for reports, until one shows whether a run has ended: about the time between
+# two events, so that few runs end unseen with events that did not come.
+RUN_CHECK_PAUSE_S = 0.1
 LISTEN_BACKLOG = 1024
 # Idle time in which a connection is reused if the endpoint states no keep-alive timeout: such
 # endpoints close idle connections within a second.
