--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -32,8 +32,6 @@
 VERSIONED_SERVERS = 6
 # How long a part of prompts crashes endpoints, in seconds.
 FATAL_PART_S = 8.0
-# The share of streams without a length of an endpoint that sends such.
-UNFRAMED_SHARE = 0.5
 # Interval of checking whether a node has cut its links, in seconds.
 CUT_CHECK_S = 0.01
 # The share of replaced keys that are revoked.
@@ -46,7 +44,7 @@
 # Troubles of soaks with streams of two versions.
 STREAM_TROUBLES = {
     "a part of prompts crashes endpoints",
-    "an endpoint answers without a length",
+    "an endpoint breaks off streams without a length",
     "an endpoint freezes",
     "an endpoint is killed and started again under its name",
 }
@@ -303,14 +301,13 @@
     stage.fatal_parts.discard(part)
 
 
-@trouble("an endpoint answers without a length")
-async def leave_length_out(soak: ProcessSoak) -> None:
-    """Have an endpoint send many streams without a length, and break some of them off."""
+@trouble("an endpoint breaks off streams without a length")
+async def break_off(soak: ProcessSoak) -> None:
+    """Have an endpoint break off many streams without a length, within an event or by a reset."""
     server = soak.random.choice(soak.stage.servers)
-    server.unframed_share = UNFRAMED_SHARE
-    server.unframed_ends = soak.random.choice((("whole",), ("whole", *sorted(RESUMABLE_ENDS))))
+    server.unframed_ends = tuple(sorted(RESUMABLE_ENDS))
     await asyncio.sleep(soak.random.uniform(2.0, 6.0))
-    server.unframed_share = 0.0
+    server.unframed_ends = ("whole",)
 
 
 @trouble("an endpoint freezes")
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -29,9 +29,9 @@
 EXIT_SLACK_S = 1.5
 # The time within which a node must become ready, in seconds.
 READY_S = 15.0
-# The pause between events of short and of long streams, in seconds.
-PAUSE_S = 0.002
+# The pause between events of long streams, in seconds, and the share of them without a length.
 LONG_PAUSE_S = 0.03
+UNFRAMED_SHARE = 0.3
 ROUTES = {
     "safe": ("safe", False, 2),
     "unsafe": ("unsafe", False, 1),
@@ -245,8 +245,8 @@
         self.version = 1
         self.keys = tuple(keys)
         self._versions = versions
-        # The pause between events of streams, in seconds: long enough that troubles meet some.
-        self.event_pause_s = LONG_PAUSE_S if len(versions) > 1 else PAUSE_S
+        # Whether streams are long enough that troubles meet some, and partly without a length.
+        self.long_streams = len(versions) > 1
         # Parts of prompts that crash endpoints now, and when each has crashed one.
         self.fatal_parts: set[int] = set()
         self.crashes: dict[int, list[float]] = {}
@@ -299,7 +299,9 @@
 
     async def _start_server(self, server: ModelServer, port: int = 0) -> None:
         server.streams = True
-        server.event_pause_s = self.event_pause_s
+        if self.long_streams:
+            server.event_pause_s = LONG_PAUSE_S
+            server.unframed_share = UNFRAMED_SHARE
         server.fatal_parts = self.fatal_parts
         server.on_crash = self._note_crash
         self.servers.append(server)
