Write a node's row again when another client has overwritten it

What callers saw: nothing while the node ran. Its row in the store, overwritten by another client or deleted, stayed so for as long as it ran, though the node read it every 10 s: nodes that start later look for it at the other address, or learn of it from others alone.

Cause: the row was compared with what it should be until it had been written once; "always write the own one" held at the start alone, and after a restore of the store.

Change: it is compared at each read of the list, which costs no call where it is right. A node that leaves has deleted its row and writes none.

Evidence: make test ARGS=features/overwritten_rows.feature; before, its four rows printed "ASSERT FAILED: the condition did not become true in time" (5 s, the list read each 0.5 s). After, all pass, and odd_nodes.feature unchanged. Without the check for leaving its last scenario printed "ASSERT FAILED: b'{"address":"127.0.0.1:0",..."

--- a/bench/message_mutants.py
+++ b/bench/message_mutants.py
@@ -12,6 +12,7 @@
 from rookspring import http_platform
 from rookspring import operators
 from rookspring import relay_peers
+from rookspring import relay_store_loops
 from rookspring import request_parsing
 from rookspring import signing
 from rookspring.exceptions import PeerError
@@ -24,6 +25,7 @@
 from .mutant import ODD_CALLS
 from .mutant import ODD_HEADERS
 from .mutant import ODD_MESSAGES
+from .mutant import OVERWRITTEN_ROWS
 from .mutant import Mutant
 
 
@@ -46,6 +48,14 @@
     return value
 
 
+async def _write_missing(context: t.Any, rows: t.Mapping[str, t.Any]) -> bool:
+    """Take any row under the node's name for its own."""
+    return context.state.identity.name in rows or await _real_write_row(context, rows)
+
+
+_real_write_row = relay_store_loops._write_row
+
+
 def _drop_unnoted(tag: str, field: t.Any, rows: list[t.Any], note: t.Any) -> list[t.Any]:
     return _real_read_rows(tag, field, rows, lambda kind, reason: None)
 
@@ -180,6 +190,14 @@
     Mutant("reads any hex", "refusals", dialect, "parse_hex", _parse_any_hex, ODD_HEADERS),
     Mutant("passes over a deadline", "deadline", dialect, "_read_deadline", _none, ODD_HEADERS),
     Mutant("passes over counts", "limits", dialect, "_read_token_counts", _none, ODD_HEADERS),
+    Mutant(
+        "takes any row for its own",
+        "membership",
+        relay_store_loops,
+        "_write_row",
+        _write_missing,
+        OVERWRITTEN_ROWS,
+    ),
     Mutant("reads the first value", "memory", dialect, "_check_single", _none, DOUBLED_HEADERS),
     Mutant("encodes an id anew", "whole answers", dialect, "_encode", _utf_8, ODD_HEADERS),
     Mutant("takes any number", "refusals", notices, "NUMBER_MAX", math.inf, ODD_HEADERS),
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -312,10 +312,10 @@
     """Write this node's row to the store, and learn the other nodes from theirs.
 
     Nodes that join later are learnt from other nodes, so the list is read again only while this
-    node watches the store. A node that gets no fresh data from others watches it too.
+    node watches the store. A node that gets no fresh data from others watches it too. A row that
+    another client has overwritten meanwhile is written again, unless this node is leaving.
     """
     back_off = BackOff(defaults.RELAY_BACKOFF_MAX_S)
-    written = False
     while True:
         listing = await context.platform.list_kind(NODE_KIND)
         if isinstance(listing, Failure):
@@ -325,8 +325,8 @@
         reach.note_answer()
         rows = listing.unwrap().items
         peers.take_node_rows(rows)
-        written = written or await _write_row(context, {one.name: one.value for one in rows})
-        if not written:
+        present = {one.name: one.value for one in rows}
+        if not context.state.leaving and not await _write_row(context, present):
             await back_off.pause()
             continue
         back_off.reset()
