Let no node's word alone keep the lease from the others

What callers saw: a node that went on claiming an epoch of the lease above the one that the others had read (2**63 in the trial) kept them from reading the lease and from taking it, for as long as it lived: nobody gave orders, and models that are resident nowhere stayed so.

Cause: any claim of the known epoch or a later one counted as the holder's sign of life. A later one says no more than that the lease is to be read, and a read was what the claim prevented.

Change: the claim of the epoch that was last read counts. After a later one each candidate reads the lease, once if the claim is true, since it then knows the epoch.

Evidence: make test ARGS=features/numbers_that_hold.feature; before, "an epoch of the lease that another node alone claims keeps the lease from nobody" printed "ASSERT FAILED: the condition did not become true in time" (9 s). The mutant that believes later epochs fails the same scenario.

--- a/bench/message_mutants.py
+++ b/bench/message_mutants.py
@@ -17,6 +17,8 @@
 from rookspring import signing
 from rookspring.exceptions import PeerError
 from rookspring.peers import Link
+from rookspring_core import control_jobs
+from rookspring_core import defaults as core_defaults
 from rookspring_platform import dialect
 from rookspring_platform import notices
 
@@ -56,6 +58,14 @@
 _real_write_row = relay_store_loops._write_row
 
 
+def _alive_by_any_later(state: t.Any) -> bool:
+    return any(
+        peer.heartbeat.lease_epoch >= max(1, state.control.lease.epoch)
+        and state.now - peer.received_at < core_defaults.HOLDER_QUIET_S
+        for peer in state.membership.peers.values()
+    )
+
+
 def _drop_unnoted(tag: str, field: t.Any, rows: list[t.Any], note: t.Any) -> list[t.Any]:
     return _real_read_rows(tag, field, rows, lambda kind, reason: None)
 
@@ -190,6 +200,14 @@
     Mutant("reads any hex", "refusals", dialect, "parse_hex", _parse_any_hex, ODD_HEADERS),
     Mutant("passes over a deadline", "deadline", dialect, "_read_deadline", _none, ODD_HEADERS),
     Mutant("passes over counts", "limits", dialect, "_read_token_counts", _none, ODD_HEADERS),
+    Mutant(
+        "believes a later epoch",
+        "one holder",
+        control_jobs,
+        "holder_alive",
+        _alive_by_any_later,
+        NUMBERS_THAT_HOLD,
+    ),
     Mutant(
         "takes any row for its own",
         "membership",
--- a/features/numbers_that_hold.feature
+++ b/features/numbers_that_hold.feature
@@ -72,3 +72,8 @@
     Given a lease object of epoch 1000000000000000 that is there before a node starts
     When the node has taken the lease
     Then the lease object that it wrote is read, and its holder is the node
+
+  Scenario: an epoch of the lease that another node alone claims keeps the lease from nobody
+    Given a relay node with one endpoint that does: answer
+    When another node claims the epoch 9223372036854775808 of the lease again and again
+    Then the node holds the lease within 9 s while the other claims it
--- a/features/steps/number_that_holds_steps.py
+++ b/features/steps/number_that_holds_steps.py
@@ -174,3 +174,33 @@
     found = is_read(stored.version, orjson.loads(stored.value))
     assert found is not None, stored.value[:200]
     assert found.holder == "n1", found
+
+
+@when("another node claims the epoch {epoch:d} of the lease again and again")
+def claims(context, epoch):
+    claim = samples.heartbeat(OTHER)._replace(lease_epoch=epoch)
+
+    async def send(link):
+        while True:
+            link.send(claim)
+            await asyncio.sleep(HANDLED_S)
+
+    async def work():
+        context.link = await open_link(context.relay)
+        context.claiming = asyncio.ensure_future(send(context.link))
+
+    context.loop.run(work())
+
+
+@then("the node holds the lease within {seconds:g} s while the other claims it")
+def holds_lease(context, seconds):
+    control = context.relay.node.context.state.control
+
+    async def work():
+        try:
+            await context.relay.until(lambda: control.holding(clock.now()), seconds)
+        finally:
+            context.claiming.cancel()
+            context.link.close()
+
+    context.loop.run(work())
--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -196,9 +196,13 @@
 
 
 def holder_alive(state: NodeState) -> bool:
-    """Return whether another node has reported lately that it holds the lease."""
+    """Return whether another node has reported lately that it holds the lease as it was last read.
+
+    One that reports a later epoch may have taken it since, which a read shows; until then its word
+    alone would keep the lease from all others.
+    """
     return any(
-        peer.heartbeat.lease_epoch >= max(1, state.control.lease.epoch)
+        peer.heartbeat.lease_epoch == max(1, state.control.lease.epoch)
         and state.now - peer.received_at < defaults.HOLDER_QUIET_S
         for peer in state.membership.peers.values()
     )
