--- a/features/odd_bodies.feature
+++ b/features/odd_bodies.feature
@@ -61,6 +61,16 @@
       | ]                                      |
       | "\"\"\"                                |
 
+  Scenario Outline: the answer to a write needs no more than a revision
+    When the body <body> answers a list, a watch, a read and a write
+    Then the write has the revision 6
+
+    Examples:
+      | body                                             |
+      | {"metadata": {"revision": 6}}                    |
+      | {"metadata": {"revision": 6, "name": 7}}         |
+      | {"metadata": {"revision": 6}, "spec": 1e400}     |
+
   Scenario Outline: a list goes on past pages of odd objects
     Given a store whose second page has only <objects>
     When its objects are listed
--- a/features/steps/odd_body_steps.py
+++ b/features/steps/odd_body_steps.py
@@ -219,6 +219,11 @@
         assert isinstance(answer.failure(), PlatformUnreachable), (call, answer)
 
 
+@then("the write has the revision {revision:d}")
+def write_has(context, revision):
+    assert context.answers["put"] == Success(revision), context.answers["put"]
+
+
 class Pages(Bodies):
     """A store that lists three pages, of which the second has odd objects only."""
 
