Give the nodes of the simulated fleets addresses that can be dialled

Since rows of nodes with an address that is no IP address and port are passed over, the nodes of the simulated fleets, whose addresses were 'at-n0', did not learn of each other from their rows: size.feature failed in 3 scenarios and fatal_parts.feature in one ('each node knows the 7 others': {'n0': 7, 'n1': 7, 'n2': 7, 'n3': 3, ...}, with node_malformed lines).

The stand-in is mended and not the check: real nodes have the addresses of their settings, which are IP addresses and ports. Each name of up to 14 letters gets an address of its own.

--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet.py
@@ -40,6 +40,7 @@
 
 from .fleet_node import FleetLink
 from .fleet_node import FleetNode
+from .fleet_node import address_of
 from .fleet_node import write_table
 from .fleet_runners import FleetRunners
 from .fleet_store import ENDPOINTS
@@ -216,7 +217,7 @@
         """Have a node read the list of nodes, which keeps ended ones, and add itself once."""
         listed = (self.nodes[row.name] for row in self.store.rows(NODES))
         node.peers.add_nodes(
-            (one.name, f"at-{one.name}", one.data_centre, one.state.capacity) for one in listed
+            (one.name, address_of(one.name), one.data_centre, one.state.capacity) for one in listed
         )
         if not node.row_written:
             node.row_written = True
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -1,6 +1,7 @@
 """One simulated relay node: the real reducer and messages, with fake links, store and clock."""
 
 import asyncio
+import ipaddress
 import typing as t
 
 from rookspring import defaults
@@ -63,6 +64,11 @@
     from .fleet import Fleet
 
 
+def address_of(name: str) -> str:
+    """Return the address of a node; names of up to 14 letters have different ones."""
+    return f"[{ipaddress.IPv6Address(int.from_bytes(name.encode()[-14:]))}]:1"
+
+
 class FleetLink:
     """One end of a link between two nodes; messages arrive at the other end after a delay."""
 
@@ -177,7 +183,9 @@
         self.store_calls = 0
         self.ticks = 0
         self.missing_since: dict[str, float] = {}
-        identity = Identity(self.name, f"{self.name}#{start}", data_centre, f"at-{self.name}", "c")
+        identity = Identity(
+            self.name, f"{self.name}#{start}", data_centre, address_of(self.name), "c"
+        )
         self.state = NodeState(identity, fleet.now)
         self.state.relaying = True
         # One node in ten has a high capacity, so that relays are chosen by it.
@@ -356,5 +364,18 @@
 
 def _settings(name: str, data_centre: str) -> RelaySettings:
     return RelaySettings(
-        name, data_centre, "c", "r", f"at-{name}", "", 0, (), "store", 0.2, 430.0, 10.0, 8.0, 1.0
+        name,
+        data_centre,
+        "c",
+        "r",
+        address_of(name),
+        "",
+        0,
+        (),
+        "store",
+        0.2,
+        430.0,
+        10.0,
+        8.0,
+        1.0,
     )
