--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -65,6 +65,11 @@
     from .fleet import Fleet
 
 
+def address_of(name: str) -> str:
+    """Return the address of a node; names of up to 14 letters have different ones."""
+    return f"[{ipaddress.IPv6Address(int.from_bytes(name.encode()[-14:]))}]:1"
+
+
 class FleetLink:
     """One end of a link between two nodes; messages arrive at the other end after a delay."""
 
