--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -3,7 +3,6 @@
 import asyncio
 import ipaddress
 import typing as t
-import zlib
 
 from rookspring import defaults
 from rookspring import relay_allotments
@@ -114,11 +113,6 @@
         self._fleet.at(self._fleet.now, lambda: call(*arguments))
 
 
-def address_of(name: str) -> str:
-    """Return the address that a node or endpoint has in its row; nothing listens there."""
-    return f"{ipaddress.IPv4Address(zlib.crc32(name.encode()))}:1"
-
-
 def write_table(version: int, directory: Directory | None) -> list[t.Any]:
     """Encode a configuration as the fleet's store holds it."""
     if directory is None:
