Count no stream that its route's time limit cut as one that a planned stop cut

So an answer that had begun (200) and was cut within 0.2 s of that limit isn't counted; requests without a status, cut earlier, or later, are, as before. The limit is a constant that the configuration uses too.

--- a/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -9,11 +9,14 @@
 
 from .model_server import STREAM_EVENTS
 from .processes import REVOKE_MS
+from .processes import ROUTE_TIMEOUT_S
 from .processes import NodeProcess
 from .processes import ProcessStage
 
 # How long a caller waits for an answer, in seconds: longer than the routes' timeout of 2 s.
 ANSWER_TIMEOUT_S = 3.5
+# How long after its route's time limit an answer is cut at the latest, in seconds.
+LIMIT_SLACK_S = 0.2
 # Statuses by which a node states that a request was not run; those of an endpoint don't count.
 NOT_RUN = (408, 421, 429, 503)
 STAMP = "x-rookspring-server-stamp"
@@ -215,7 +218,7 @@
     """A request that a node refused has not run at any endpoint."""
     ran = set(_runs(stage))
     return [
-        f"{one.key} got {one.status}"
+        f"{one.key}, a {one.kind} request, got {one.status}"
         for one in seen
         if one.status in NOT_RUN and STAMP not in one.headers and one.key in ran
     ]
@@ -244,9 +247,10 @@
 def check_answered(stage: ProcessStage, seen: list[CallerRecord]) -> list[str]:
     """A request is answered if it reached an endpoint, or its connection did not end soon after it.
 
-    Excepted are requests whose endpoint ended, those around a start or a signal of their node or of
-    one that it was handed over to, and those that were in flight when such a node's links to all
-    endpoints were cut; the SIGTERM of a planned stop is not recorded as a signal.
+    Excepted are answers that had begun and were cut at their route's time limit, requests whose
+    endpoint ended, those around a start or a signal of their node or of one that it was handed over
+    to, and those that were in flight when such a node's links to all endpoints were cut; the
+    SIGTERM of a planned stop is not recorded as a signal.
     """
     holders = _holders(stage)
     ended = {server.name for server in stage.servers if server.ended}
@@ -255,12 +259,19 @@
         f"{one.key} at {one.node.name}, after {one.ended_at - one.sent_at:.2f} s"
         for one in seen
         if not one.whole
+        and not _reached_limit(one)
         and (one.key in whose or one.ended_at - one.sent_at > CROSSING_S)
         and whose.get(one.key) not in ended
         and not any(_is_excused(node, one) for node in (one.node, *holders.get(one.key, ())))
     ]
 
 
+def _reached_limit(one: CallerRecord) -> bool:
+    """Return whether an answer that had begun was cut at its route's time limit."""
+    late_s = one.ended_at - one.sent_at - ROUTE_TIMEOUT_S
+    return one.status == 200 and 0.0 <= late_s < LIMIT_SLACK_S
+
+
 def _is_excused(node: NodeProcess, one: CallerRecord) -> bool:
     """Return whether a node was disturbed around a request, or cut while it was in flight."""
     if any(one.sent_at - 3.0 < at < one.ended_at for at in node.disturbed_at):
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -23,6 +23,8 @@
 from .serving import serve
 
 SERVICE = "svc"
+# The time limit of each route, in seconds.
+ROUTE_TIMEOUT_S = 2.0
 # The grace period of a node after SIGTERM, and the time after it until the process must have
 # exited, in seconds.
 GRACE_S = 4.0
@@ -57,7 +59,7 @@
             "host": "h.example",
             "path-prefix": f"/{name}/",
             "type": kind,
-            "timeout-ms": 2000,
+            "timeout-ms": int(ROUTE_TIMEOUT_S * 1000),
             "slo-ms": 800,
             "priority": 1,
             "service": SERVICE,
