--- a/features/steps/number_that_holds_steps.py
+++ b/features/steps/number_that_holds_steps.py
@@ -9,6 +9,7 @@
 from odd_entry_steps import LEASE
 from other_node import OTHER
 from other_node import open_link
+from other_node import relay_target
 from relay_fixture import RelayFixture
 from relay_fixture import configuration
 from relay_fixture import request
@@ -92,7 +93,7 @@
 @when("another node sends it the message {message}")
 def sends(context, message):
     async def work():
-        link = await open_link(context.relay)
+        link = await open_link(relay_target(context.relay))
         link.send(samples.heartbeat(OTHER))
         raw = RAW.get(message) or ["proof", clock.now(), -1e15, 5, None]
         link.send_encoded(samples.pack(raw))
@@ -186,7 +187,7 @@
             await asyncio.sleep(HANDLED_S)
 
     async def work():
-        context.link = await open_link(context.relay)
+        context.link = await open_link(relay_target(context.relay))
         context.claiming = asyncio.ensure_future(send(context.link))
 
     context.loop.run(work())
