--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -731,6 +731,34 @@
     await _list_for(server, request, writer, 0, 0.0)
 
 
+@step("list no run after 3 unframed")
+async def _list_none_after_3(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection in the midst of a run and drop it; reports list no run from then on."""
+    await _write_unframed_events(server, request, writer, 3)
+    await _list_for(server, request, writer, 0, 0.0)
+
+
+@step("unframed without events")
+async def _no_unframed_events(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection after the head of a stream, and drop the run."""
+    await _write_unframed_events(server, request, writer, 0)
+    writer.close()
+
+
+@step("half unframed")
+async def _half_unframed(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection in the midst of a body without a length."""
+    _unframed_head(server, request, writer, _body(request)[:10])
+    await writer.drain()
+    writer.close()
+
+
 @step("rest of a listed run")
 async def _listed_rest(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -867,11 +895,16 @@
 
 
 def _unframed_head(
-    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    server: ModelServer,
+    request: ReceivedRequest,
+    writer: asyncio.StreamWriter,
+    body: bytes | None = None,
 ) -> None:
+    """Begin an answer without a length; its body is the usual one if none is given."""
     lines = [f"{key}: {value}" for key, value in _record_run(server, request).items()]
     rows = "".join(f"{line}\r\n" for line in (*lines, *server.extra_header_lines))
-    writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode() + _body(request))
+    data = _body(request) if body is None else body
+    writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode() + data)
 
 
 @step("stream")
