Tell no stream as complete that ends with its connection; another run shows the end

Cause: a close was taken for an end if the process lived on and its report listed no such run. An endpoint that closes a connection, drops the run and lives on gives the same signs.

Now the attempt fails as one that may have run. A stream that may be resumed goes on after its last event at another endpoint, within max-attempts and the retry budget, and the framing of that answer shows the end, with or without events; any other is cut at its caller, or is 502 if nothing came.

Such an end does not speak against the endpoint (`end_unknown`): it counts as a response, unless nothing listens there any more. An answer without an event to a caller that has none is a failure as before, so that an endpoint that closes all streams after their head is ejected. A crash is recorded where nothing listens at the close; later evidence within 0.3 s counts (`UNKNOWN_END_S`), not 5 s, since a sound answer looks the same and would be blamed for a crash after its end. So a crash whose address another process takes at once is no longer recorded from such a stream.

Rows that expected such a stream to be whole expect a cut: nine of unframed_answers_sockets.feature, two of unread_answers_sockets.feature, and the scenario of a caller that takes its stream up.

--- a/features/crashes.feature
+++ b/features/crashes.feature
@@ -90,6 +90,8 @@
       | another node reported its end                                      | refused |
       | it still accepted connections                                      | sent    |
       | it still accepted connections, and its entry lapsed 8 s later      | sent    |
+      | its stream may have been whole, and connections were refused at once | refused |
+      | its stream may have been whole, and the next request's connection was refused | sent |
       | it was leaving, and connections were refused                       | sent    |
       | its entry had gone before, and connections were refused            | sent    |
       | connections were refused, and a later run of the request succeeded | sent    |
--- a/features/steps/crash_end_steps.py
+++ b/features/steps/crash_end_steps.py
@@ -80,9 +80,25 @@
         self.submit(AttemptStarted(self.now, *self.key))
         self.now += 0.1
 
-    def fail(self, reason="connection closed", broken=True, down=False, said_not_run=False):
+    def fail(
+        self,
+        reason="connection closed",
+        broken=True,
+        down=False,
+        said_not_run=False,
+        end_unknown=False,
+    ):
         self.submit(
-            AttemptFailed(self.now, *self.key, True, said_not_run, reason, down=down, broken=broken)
+            AttemptFailed(
+                self.now,
+                *self.key,
+                True,
+                said_not_run,
+                reason,
+                down=down,
+                broken=broken,
+                end_unknown=end_unknown,
+            )
         )
 
     def find_refused(self):
@@ -161,6 +177,17 @@
     node.lapse()
 
 
+@ending("its stream may have been whole, and connections were refused at once")
+def _unknown_end_refused(node):
+    node.fail(down=True, end_unknown=True)
+
+
+@ending("its stream may have been whole, and the next request's connection was refused")
+def _unknown_end_refused_later(node):
+    node.fail(end_unknown=True)
+    node.find_refused()
+
+
 @ending("it was leaving, and connections were refused")
 def _leaving(node):
     node.relist("leaving")
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -9,14 +9,14 @@
 
     Examples:
       | kind      | script                          | answer        | runs |
-      | stream    | unframed events                 | 5 events      | 1    |
-      | resumable | unframed events                 | 5 events      | 1    |
+      | stream    | unframed events                 | 5 events, cut | 1    |
+      | resumable | unframed events                 | 5 events, cut | 2    |
       | resumable | end after 3 unframed, stream    | 5 events      | 2    |
       | stream    | end after 3 unframed            | 3 events, cut | 1    |
       | unsafe    | unframed                        | whole         | 1    |
       | unsafe    | end after unframed              | unknown       | 1    |
       | safe      | end after unframed, answer      | whole         | 2    |
-      | stream    | half close after unframed events | 5 events     | 1    |
+      | stream    | half close after unframed events | 5 events, cut | 1   |
       | unsafe    | half close after unframed       | whole         | 1    |
 
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
@@ -54,7 +54,7 @@
 
     Examples:
       | idle | answer        |
-      | 2    | 5 events      |
+      | 2    | 5 events, cut |
       | 0    | 5 events, cut |
 
   Scenario Outline: an endpoint that leaves or is gone ends in the midst of such an answer
@@ -72,7 +72,7 @@
       | safe      | leaving | end after unframed, answer           | whole         | 2    |
       | stream    | gone    | end after 3 unframed                 | 3 events, cut | 1    |
       | unsafe    | gone    | be replaced after unframed           | unknown       | 1    |
-      | stream    | leaving | unframed events                      | 5 events      | 1    |
+      | stream    | leaving | unframed events                      | 5 events, cut | 1    |
       | unsafe    | leaving | unframed                             | whole         | 1    |
       | unsafe    | gone    | unframed                             | whole         | 1    |
 
@@ -85,7 +85,7 @@
 
     Examples:
       | kind   | script                       | answer        | runs | reports |
-      | stream | unframed events              | 5 events      | 1    | 1       |
+      | stream | unframed events              | 5 events, cut | 1    | 0       |
       | stream | end after 3 unframed         | 3 events, cut | 1    | 0       |
       | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
       | stream | stream                       | 5 events      | 1    | 0       |
@@ -104,14 +104,14 @@
       | resumable | drop 2 after 3 unframed, stream                    | 5 events      | 2    |
       | stream    | run on for 0.23 s after 3 unframed                 | 3 events, cut | 1    |
       | stream    | run on after a while of no list of 3 unframed      | 3 events, cut | 1    |
-      | stream    | be listed for 0.3 s after unframed events          | 5 events      | 1    |
-      | stream    | list no run after unframed events                  | 5 events      | 1    |
+      | stream    | be listed for 0.3 s after unframed events          | 5 events, cut | 1    |
+      | stream    | list no run after unframed events                  | 5 events, cut | 1    |
       | unsafe    | unframed                                           | whole         | 1    |
 
-  Scenario: a caller that takes its stream up gets its end though the report counts what came before
+  Scenario: a caller that takes its stream up is cut where only a close ends the rest
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: rest of a listed run
     When a stream is taken up after its event 3
-    Then its caller gets 2 events, whole
+    Then its caller gets 2 events, cut
 
   Scenario Outline: an endpoint is asked only where nothing but the close shows the end
     Given a relay node with two endpoints that do: <script>
@@ -120,12 +120,12 @@
     And their health was asked for <times> times and their report 0 times
 
     Examples:
-      | kind   | script          | answer   | times |
-      | unsafe | answer          | whole    | 0     |
-      | stream | stream          | 5 events | 0     |
-      | unsafe | unframed reset  | unknown  | 0     |
-      | unsafe | unframed        | whole    | 1     |
-      | stream | unframed events | 5 events | 1     |
+      | kind   | script          | answer        | times |
+      | unsafe | answer          | whole         | 0     |
+      | stream | stream          | 5 events      | 0     |
+      | unsafe | unframed reset  | unknown       | 0     |
+      | unsafe | unframed        | whole         | 1     |
+      | stream | unframed events | 5 events, cut | 0     |
 
   Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
     Given a relay node with two endpoints that do: unframed
--- /dev/null
+++ b/features/unknown_ends_sockets.feature
@@ -0,0 +1,108 @@
+@relay
+Feature: Streams that end with their connection, without a length or chunks, between sockets
+
+  # A close shows no end: an endpoint may close a connection in the midst of a run and live on. On
+  # routes that may be resumed another run shows the end.
+
+  Scenario Outline: a stream is told as whole only by an answer whose own framing shows the end
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                           | answer        | runs |
+      | stream    | unframed events                  | 5 events, cut | 1    |
+      | stream    | unframed events, stream          | 5 events, cut | 1    |
+      | resumable | unframed events, stream          | 5 events      | 2    |
+      | resumable | unframed events, unframed stream | 5 events, cut | 2    |
+      | resumable | 3 unframed, stream               | 5 events      | 2    |
+      | resumable | 3 unframed, unframed stream      | 5 events, cut | 2    |
+      | resumable | 3 unframed, stream anew          | 3 events, cut | 2    |
+      | resumable | unframed events, stream anew     | 5 events, cut | 2    |
+      | resumable | unframed without events, unframed without events | unknown | 2 |
+      | resumable | unframed events, not found       | 5 events, cut | 2    |
+      | resumable | unframed events, fail            | 5 events, cut | 2    |
+      | resumable | unframed events, empty           | 5 events, cut | 2    |
+      | resumable | unframed events, refuse          | 5 events, cut | 1    |
+      | resumable | unframed events, unframed        | 5 events, cut | 2    |
+      | resumable | unframed events, unframed reset  | 5 events, cut | 2    |
+      | resumable | unframed events, close           | 5 events, cut | 2    |
+
+  Scenario: a single endpoint is asked for the rest itself
+    Given a relay node with one endpoint that does: unframed events, stream
+    When a caller sends a resumable request
+    Then the answer is 5 events
+    And the endpoints ran it 2 times
+
+  Scenario Outline: a stream that may have no second attempt is cut
+    Given a relay node <bound>, whose two endpoints do: unframed events, stream
+    When a caller sends a resumable request
+    Then the answer is 5 events, cut
+    And the endpoints ran it 1 times
+
+    Examples:
+      | bound                         |
+      | without a retry budget        |
+      | whose routes give one attempt |
+
+  Scenario Outline: a caller that takes its stream up gets the end that a framed answer shows
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    When a stream is taken up after its event <last>
+    Then its caller gets <gets>
+    And the endpoints ran it 2 times
+
+    Examples:
+      | last | script                           | gets            |
+      | 3    | unframed stream, stream          | 2 events, whole |
+      | 3    | unframed stream, unframed stream | 2 events, cut   |
+      | 5    | unframed stream, stream          | 0 events, whole |
+
+  Scenario: a caller that has all events gets no answer where nothing shows the end
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: unframed stream, unframed stream
+    When a stream is taken up after its event 5
+    Then the answer is unknown
+
+  Scenario Outline: a stream that another node serves is whole only by a framed answer
+    Given 2 linked nodes that share three endpoints, and callers at each
+    And the first node reaches no endpoint, which is known
+    When a <kind> request is sent to the first node, and the endpoints do: <script>
+    Then its caller is given <gets>
+    And nothing ran more than <runs> times
+
+    Examples:
+      | kind      | script                           | gets          | runs |
+      | stream    | unframed events                  | 5 events, cut | 1    |
+      | resumable | unframed events, stream          | 5 events      | 2    |
+      | resumable | unframed events, unframed stream | 5 events, cut | 2    |
+
+  # Answers that show no end don't speak against an endpoint, since they may be whole.
+  Scenario Outline: an endpoint that gives streams without a length is not ejected for them
+    Given a relay node with one endpoint that does: <script>
+    When callers send <number> stream requests, one after another
+    Then <failures> failures count against the endpoint, and it is <ejected>
+
+    Examples:
+      | script                                                                               | number | failures | ejected     |
+      | unframed events, unframed events, unframed events, unframed events                   | 4      | 0        | not ejected |
+      | 3 unframed, 3 unframed, 3 unframed, 3 unframed                                       | 4      | 0        | not ejected |
+      | break after 3, break after 3, unframed events, break after 3                         | 4      | 1        | not ejected |
+      | break after 3, break after 3, break after 3                                          | 3      | 3        | ejected     |
+      | unframed without events, unframed without events, unframed without events            | 3      | 3        | ejected     |
+
+  Scenario Outline: a crash is recorded where nothing listens after the close
+    Given a relay node with two endpoints with models that do: <script>
+    When a caller sends a stream request
+    Then the answer is <answer>
+    And a crash is <recorded>, and the endpoint is <found>
+
+    Examples:
+      | script                | answer        | recorded     | found |
+      | end after 3 unframed  | 3 events, cut | recorded     | down  |
+      | unframed events       | 5 events, cut | not recorded | up    |
+      | 3 unframed            | 3 events, cut | not recorded | up    |
+
+  Scenario: the log tells such an end by a reason of its own
+    Given a relay node with one endpoint that does: unframed events
+    When a caller sends a stream request
+    Then the log of its failed attempt has: framing=close, end_unknown=True, nothing shows the answer's end
--- a/features/unread_answers_sockets.feature
+++ b/features/unread_answers_sockets.feature
@@ -10,13 +10,13 @@
 
     Examples:
       | kind      | script                                   | answer        | runs |
-      | stream    | pause for 0.3 s after 3 unframed         | 5 events      | 1    |
+      | stream    | pause for 0.3 s after 3 unframed         | 5 events, cut | 1    |
       | stream    | end 1.5 s after 3 unframed               | 3 events, cut | 1    |
       | stream    | pause for 1.5 s after 3 unframed         | 5 events, cut | 1    |
       | resumable | end 1.5 s after 3 unframed, stream       | 5 events      | 2    |
       | stream    | be slow to begin 3 long unframed         | 3 events, cut | 1    |
       | resumable | be slow to begin 3 long unframed, stream | 5 events      | 2    |
-      | stream    | be slow to begin unframed events         | 5 events      | 1    |
+      | stream    | be slow to begin unframed events         | 5 events, cut | 1    |
 
   Scenario: such an answer that came while the node stood still does not count as whole
     Given a relay node whose routes take up to 8 s, with an endpoint of its own loop that does: end 1.5 s after 3 unframed
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -137,6 +137,7 @@
     :param down: nothing listens at the endpoint's address any more.
     :param broken: the endpoint closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint accepts no requests at present.
+    :param end_unknown: the answer may be whole, but only the close of its connection ended it.
     """
 
     at: float
@@ -148,6 +149,7 @@
     down: bool = False
     broken: bool = False
     withheld: bool = False
+    end_unknown: bool = False
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -556,9 +556,11 @@
 LONG_RUN_WEIGHT = 0.5
 # A crash is detected within this many seconds of the connections' end: the endpoint's entry expires
 # after three heartbeats of 1.2 s. A request that its caller left may still run for
-# ``ABANDONED_RUN_S``.
+# ``ABANDONED_RUN_S``. A stream that was closed without a length or chunks may have been whole; its
+# endpoint is called at once, so a crash that ended it is detected within ``UNKNOWN_END_S``.
 CRASH_DETECTION_S = 5.0
 ABANDONED_RUN_S = 0.3
+UNKNOWN_END_S = 0.3
 # Times from two nodes that differ by less than this many seconds denote the same moment.
 SAME_MOMENT_S = 1.0
 # Limits on the suspects that are kept, in all and for each organisation, and on the verdicts, which
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -71,7 +71,8 @@
     request.sent = request.maybe_ran
     request.attempt_not_run = event.reported_not_run
     effects = routed.end_prompt(state, request)
-    effects += slot_requests.free(state, request, failed=True, unsent=not event.sent)
+    failed = event.down or not event.end_unknown
+    effects += slot_requests.free(state, request, failed, unsent=not event.sent)
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
     request.running = False
@@ -107,6 +108,9 @@
     if event.reported_not_run:
         endpoint.hear(state.now)
         state.reach.heard_at = state.now
+    elif event.end_unknown and not event.down:
+        # It may have answered soundly, without a length or chunks.
+        endpoint.succeed(state.now)
     else:
         endpoint.fail(state.now)
     if event.down and endpoint.mark_down(state.now):
--- a/packages/rookspring-core/src/rookspring_core/suspect_handlers.py
+++ b/packages/rookspring-core/src/rookspring_core/suspect_handlers.py
@@ -149,7 +149,7 @@
         confirmed = [
             one
             for record in _record_crash(state, request, process)
-            for one in state.suspects.note_broken_request(record)
+            for one in state.suspects.note_broken_request(record, event.end_unknown)
         ]
         effects += _merge_and_share(state, Evidence(tuple(confirmed)))
     if event.down:
--- a/packages/rookspring-core/src/rookspring_core/suspects.py
+++ b/packages/rookspring-core/src/rookspring_core/suspects.py
@@ -167,13 +167,19 @@
 
     # Events that this node observes itself.
 
-    def note_broken_request(self, record: CrashRecord) -> list[CrashRecord]:
+    def note_broken_request(
+        self, record: CrashRecord, end_unknown: bool = False
+    ) -> list[CrashRecord]:
         """Record a request whose connection broke, pending the end of its process.
 
+        :param end_unknown: its answer may have been whole, so that a crash counts against it only
+            if it is detected within ``UNKNOWN_END_S``.
         :return: the record, if the process is already known to have ended.
         """
         if record.process in self._ended:
             return [record]
+        if end_unknown:
+            record = _backdate(record, defaults.UNKNOWN_END_S)
         self._pending.setdefault(record.process, {})[record.fingerprint] = record
         return []
 
@@ -182,9 +188,7 @@
 
         A crash counts against it only if it is detected within ``ABANDONED_RUN_S``.
         """
-        backdated = record._replace(
-            at=record.at - defaults.CRASH_DETECTION_S + defaults.ABANDONED_RUN_S
-        )
+        backdated = _backdate(record, defaults.ABANDONED_RUN_S)
         self._pending.setdefault(record.process, {}).setdefault(record.fingerprint, backdated)
 
     def note_process_end(self, process: EndpointProcess, now: float) -> list[CrashRecord]:
@@ -432,5 +436,10 @@
         return self._digest
 
 
+def _backdate(record: CrashRecord, detected_within_s: float) -> CrashRecord:
+    """Return a record that only a crash confirms which is detected within some seconds."""
+    return record._replace(at=record.at - defaults.CRASH_DETECTION_S + detected_within_s)
+
+
 def _organisation_of(rows: t.Mapping[EndpointProcess, CrashRecord]) -> str:
     return next((one.organisation for one in rows.values()), "")
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -122,6 +122,7 @@
         broken=error.broken,
         down=error.down,
         withheld=error.withheld,
+        end_unknown=error.end_unknown,
     )
     context.submit(
         AttemptFailed(
@@ -134,6 +135,7 @@
             error.down,
             error.broken,
             error.withheld,
+            error.end_unknown,
         )
     )
 
@@ -221,7 +223,7 @@
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
-        await _relay_stream(context, effect, exchange, reply, head, view, began_at)
+        await _relay_stream(context, effect, exchange, reply, head)
         return
     body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
     await check_end(context, exchange, reply, view, Arrival(began_at, len(body)))
@@ -244,17 +246,13 @@
     exchange: RelayExchange,
     reply: Reply,
     head: HttpHead,
-    view: EndpointView,
-    began_at: float,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, exchange.started)
-    body_bytes = 0
     while part := await reply.next_part():
-        body_bytes += len(part)
         events = splitter.feed(part)
         if events.number == 0:
             continue
@@ -271,8 +269,7 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    got = None if exchange.fields.last_event else exchange.events
-    await check_end(context, exchange, reply, view, Arrival(began_at, body_bytes, got))
+    _check_stream_end(exchange, reply)
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -280,6 +277,24 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
+def _check_stream_end(exchange: RelayExchange, reply: Reply) -> None:
+    """Check that something shows the end of a stream.
+
+    A close alone does not: connections are closed in the midst of a run too. An answer without an
+    event, to a caller that has none, is a failure of its endpoint. Any other may be whole.
+
+    :raises EndpointError: if the stream ended with its connection.
+    """
+    if reply.ended_by_close:
+        may_be_whole = exchange.started or bool(exchange.last_event)
+        raise EndpointError(
+            "connection closed, and nothing shows the answer's end",
+            sent=True,
+            broken=True,
+            end_unknown=may_be_whole,
+        )
+
+
 def _submit_gap(
     context: RelayContext,
     effect: Dispatch,
