Mutants of streams that end with their connection, and rows of the slots that they held

Each decision of the change before has a mutant: the close taken for the end, an answer without an event taken for one that may be whole, no crash recorded, an attempt told as not sent, closes that eject, an ended endpoint that counts as sound, closes that count as slow runs, failures as quick ones, and the time in which a crash counts against a stream that was closed (two).

--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -8,12 +8,15 @@
 from rookspring import relay_attempts
 from rookspring import relay_ends
 from rookspring import relay_handovers
+from rookspring.exceptions import EndpointError
 from rookspring.http_client import ConnectionPool
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
 from rookspring_core import defaults as core_defaults
 from rookspring_core import event_order
+from rookspring_core import recovering
 from rookspring_core import run_ends
+from rookspring_core import slot_requests
 from rookspring_core.event_order import EventOrder
 from rookspring_core.run_ends import AnsweredRun
 from rookspring_core.run_ends import RunEnd
@@ -21,10 +24,13 @@
 from rookspring_platform.dialect import PlatformDialect
 
 from .mutant import BEGUN_STREAMS
+from .mutant import CRASHES
 from .mutant import RESUMED_STREAMS
 from .mutant import RUN_ENDS
+from .mutant import SLOTS
 from .mutant import SOCKETS
 from .mutant import UNFRAMED
+from .mutant import UNKNOWN_ENDS
 from .mutant import UNREAD
 from .mutant import Mutant
 
@@ -133,6 +139,49 @@
     return found, RunEnd.ENDED if end is RunEnd.UNCLEAR else end
 
 
+def _pass_stream(exchange: t.Any, reply: t.Any) -> None:
+    return None
+
+
+def _check_stream(**changed: t.Any) -> t.Callable[[t.Any, t.Any], None]:
+    """Return a check of a stream's end whose error has other fields."""
+
+    def check(exchange: t.Any, reply: t.Any) -> None:
+        try:
+            _check_stream_end(exchange, reply)
+        except EndpointError as error:
+            for name, value in changed.items():
+                setattr(error, name, value)
+            raise
+
+    return check
+
+
+_check_stream_end = relay_attempts._check_stream_end
+
+
+def _blame(state: t.Any, request: t.Any, event: t.Any) -> t.Any:
+    return _count_failure(state, request, event._replace(end_unknown=False))
+
+
+def _excuse(state: t.Any, request: t.Any, event: t.Any) -> t.Any:
+    return _count_failure(state, request, event._replace(down=False))
+
+
+_count_failure = recovering._count_failure
+
+
+def _free_failed(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
+    return _free(state, request, True, unsent)
+
+
+def _free_sound(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
+    return _free(state, request, False, unsent)
+
+
+_free = slot_requests.free
+
+
 def _read_all_or_none(raw: bytes) -> dict[str, int] | None:
     try:
         rows = endpoints.validate(endpoints.orjson.loads(raw), endpoints.RunList).runs
@@ -145,7 +194,76 @@
     return endpoints.validate(row, endpoints.Run)
 
 
+SPARED = "an endpoint that gives sound answers without a length gets its share of requests"
+CRASHED = "a request that crashes its endpoints is found"
+
 MUTANTS = (
+    Mutant(
+        "takes a stream's close for its end",
+        RULE,
+        relay_attempts,
+        "_check_stream_end",
+        _pass_stream,
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "takes a stream without an event for one that may be whole",
+        "an endpoint that closes all streams is ejected",
+        relay_attempts,
+        "_check_stream_end",
+        _check_stream(end_unknown=True),
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "records no crash at a stream's close",
+        CRASHED,
+        relay_attempts,
+        "_check_stream_end",
+        _check_stream(broken=False),
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "sends a cut stream again as if nothing was sent",
+        "an unsafe request runs once",
+        relay_attempts,
+        "_check_stream_end",
+        _check_stream(sent=False),
+        UNKNOWN_ENDS,
+    ),
+    Mutant("ejects for closes", SPARED, recovering, "_count_failure", _blame, UNKNOWN_ENDS),
+    Mutant(
+        "calls an ended endpoint sound",
+        CRASHED,
+        recovering,
+        "_count_failure",
+        _excuse,
+        UNKNOWN_ENDS,
+    ),
+    Mutant("takes closes for slow runs", SPARED, slot_requests, "free", _free_failed, SLOTS),
+    Mutant(
+        "takes failures for quick runs",
+        "endpoints that fail at once attract no requests",
+        slot_requests,
+        "free",
+        _free_sound,
+        SLOTS,
+    ),
+    Mutant(
+        "blames a stream for a crash long after its close",
+        "a sound request is not refused",
+        core_defaults,
+        "UNKNOWN_END_S",
+        core_defaults.CRASH_DETECTION_S,
+        CRASHES,
+    ),
+    Mutant(
+        "blames no stream for a crash at its close",
+        CRASHED,
+        core_defaults,
+        "UNKNOWN_END_S",
+        -1.0,
+        CRASHES,
+    ),
     Mutant(
         "takes a close for an end",
         RULE,
--- a/features/slots.feature
+++ b/features/slots.feature
@@ -63,6 +63,17 @@
     When its request ends in each possible way
     Then the slot was released once
 
+  Scenario Outline: a quick failure counts half a second, and an answer that may be whole its own time
+    Given a relaying node with a plain service whose owner grants it a slot
+    When its request ends after 60 ms as <end>
+    Then its slot was taken for <seconds> s
+
+    Examples:
+      | end                                                 | seconds |
+      | its connection broke                                | 0.5     |
+      | its connection was closed, and it may be whole      | 0.06    |
+      | it may be whole, and nothing listens there any more | 0.5     |
+
   Scenario: without an endpoint requests are refused with a short time to retry
     Given a service's queue without an endpoint
     Then a request is refused, to be retried within 3 s
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -408,6 +408,29 @@
     assert set(map(tuple, context.freed.values())) == {("f",)}, context.freed
 
 
+FAILURES = {
+    "its connection broke": {"broken": True},
+    "its connection was closed, and it may be whole": {"broken": True, "end_unknown": True},
+    "it may be whole, and nothing listens there any more": {"down": True, "end_unknown": True},
+}
+
+
+@when("its request ends after {ms:d} ms as {end}")
+def request_fails(context, ms, end):
+    node = context.node
+    node.come()
+    node.answer("f")
+    node.submit(AttemptStarted(node.now, "r1", 1))
+    node.now += ms / 1000.0
+    node.submit(AttemptFailed(node.now, "r1", 1, True, False, end, **FAILURES[end]))
+
+
+@then("its slot was taken for {seconds:g} s")
+def slot_taken(context, seconds):
+    (freed,) = context.node.freed
+    assert abs(freed.took_s - seconds) < 1e-6, freed
+
+
 @given("a service's queue without an endpoint")
 def no_endpoint(context):
     context.queue = SlotQueue()
