Pass on a body without a length or chunks only where something shows its end

Callers of plain services were told a truncated body as a whole one, with the status and headers of its endpoint, where the endpoint closed the connection in the midst of the body and lived on; unsafe requests as well as safe ones.

Cause: the end of such a body was taken from the close of its connection, and from an answer of the same process to a call afterwards. That shows the life of a process and not the end of an answer.

Change: relay_bodies asks rookspring_core.body_ends for a positive sign: a value of JSON that has an end of its own (an object, array or string; not a number), a digest that the head states (Content-Digest; Repr-Digest of a 200 without a coding), or, for a request that may be repeated, the same status and bytes from an earlier run. An answer with its own framing ends the search as any answer. Without a sign the attempt has failed and may have run: repeatable requests are sent again within their attempts and the resend budget, others get 502. Two empty bodies are no sign, since a cut right after the head is a likely one. A digest of other bytes outweighs all else. Such an end counts neither as a failure of the endpoint nor as a crash unless nothing listens at its address afterwards (AttemptFailed.open_ended), as sound endpoints may answer so. Digests of bodies that a length or chunks end are not compared: their end is shown, the caller gets head and bytes as they were and can compare them, and a wrong header would make an outage of it.

--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -65,12 +65,12 @@
     send_and_set(context, kind, set_state)
 
 
-@when("the endpoint of an unsafe request is in back-off as that answer ends")
+@when("the endpoint of a stream request is in back-off as that answer ends")
 def back_off_at_end(context):
     def set_state(view):
         view.backoff_until = clock.now() + BACK_OFF_S
 
-    send_and_set(context, "unsafe", set_state)
+    send_and_set(context, "stream", set_state)
 
 
 def send_and_set(context, kind, set_state):
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -13,11 +13,11 @@
       | resumable | unframed events                 | 5 events      | 1    |
       | resumable | end after 3 unframed, stream    | 5 events      | 2    |
       | stream    | end after 3 unframed            | 3 events, cut | 1    |
-      | unsafe    | unframed                        | whole         | 1    |
+      | unsafe    | unframed                        | unknown       | 1    |
       | unsafe    | end after unframed              | unknown       | 1    |
       | safe      | end after unframed, answer      | whole         | 2    |
       | stream    | half close after unframed events | 5 events     | 1    |
-      | unsafe    | half close after unframed       | whole         | 1    |
+      | unsafe    | half close after unframed       | unknown       | 1    |
 
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
@@ -73,8 +73,8 @@
       | stream    | gone    | end after 3 unframed                 | 3 events, cut | 1    |
       | unsafe    | gone    | be replaced after unframed           | unknown       | 1    |
       | stream    | leaving | unframed events                      | 5 events      | 1    |
-      | unsafe    | leaving | unframed                             | whole         | 1    |
-      | unsafe    | gone    | unframed                             | whole         | 1    |
+      | unsafe    | leaving | unframed                             | unknown       | 1    |
+      | unsafe    | gone    | unframed                             | unknown       | 1    |
 
   Scenario Outline: endpoints that serve models are asked for their report instead
     Given a relay node with two endpoints with models that do: <script>
@@ -106,7 +106,7 @@
       | stream    | run on after a while of no list of 3 unframed      | 3 events, cut | 1    |
       | stream    | be listed for 0.3 s after unframed events          | 5 events      | 1    |
       | stream    | list no run after unframed events                  | 5 events      | 1    |
-      | unsafe    | unframed                                           | whole         | 1    |
+      | unsafe    | unframed                                           | unknown       | 1    |
 
   Scenario: a caller that takes its stream up gets its end though the report counts what came before
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: rest of a listed run
@@ -124,20 +124,20 @@
       | unsafe | answer          | whole    | 0     |
       | stream | stream          | 5 events | 0     |
       | unsafe | unframed reset  | unknown  | 0     |
-      | unsafe | unframed        | whole    | 1     |
+      | unsafe | unframed        | unknown  | 0     |
       | stream | unframed events | 5 events | 1     |
 
   Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
-    Given a relay node with two endpoints that do: unframed
-    When the endpoint of an unsafe request is in back-off as that answer ends
-    Then the answer is unknown
+    Given a relay node with two endpoints that do: unframed events
+    When the endpoint of a stream request is in back-off as that answer ends
+    Then the answer is 5 events, cut
     And their health was asked for 0 times and their report 0 times
 
   Scenario: an endpoint that is full is asked again until it names itself
-    Given a relay node with two endpoints that do: unframed
+    Given a relay node with two endpoints that do: unframed events
     And their health checks are refused for want of room 1 times
-    When a caller sends a unsafe request
-    Then the answer is whole
+    When a caller sends a stream request
+    Then the answer is 5 events
     And their health was asked for 2 times and their report 0 times
 
   Scenario Outline: another node's answer that ends with its connection is not taken for whole
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -137,6 +137,7 @@
     :param down: nothing listens at the endpoint's address any more.
     :param broken: the endpoint closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint accepts no requests at present.
+    :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     """
 
     at: float
@@ -148,6 +149,7 @@
     down: bool = False
     broken: bool = False
     withheld: bool = False
+    open_ended: bool = False
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -29,6 +29,8 @@
 REPORT_STALE_S = 20.0
 # Endpoints report how things stood some hundred milliseconds earlier.
 REPORT_LAG_S = 1.0
+# The largest body whose syntax is checked for its end, in bytes: this takes some ms of a node.
+CHECKED_JSON_BYTES_MAX = 1 << 20
 # Value of a report's ``running`` when the endpoint does not report its load.
 LOAD_UNREPORTED = -1
 # Slots assumed for an endpoint that has not reported yet.
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -104,7 +104,8 @@
     if event.withheld or (event.reported_not_run and endpoint.leaving):
         # The endpoint's own notice was processed before this event; see :mod:`notice_handlers`.
         return []
-    if event.reported_not_run:
+    if event.reported_not_run or event.open_ended:
+        # A sound endpoint may answer so as well; one that has ended is down.
         endpoint.hear(state.now)
         state.reach.heard_at = state.now
     else:
--- a/packages/rookspring-fakes/src/rookspring_fakes/__init__.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/__init__.py
@@ -1,5 +1,6 @@
 """Test doubles of the platform, runners, plain services and callers, with fault injection."""
 
+from . import open_bodies as open_bodies
 from .caller import Caller as Caller
 from .engine import Engine as Engine
 from .engine import WeightStore as WeightStore
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
@@ -0,0 +1,85 @@
+"""Steps of the stand-in endpoint that answer with bodies without a length, ended by a close.
+
+The bodies are the same for each request, so that two runs of one may give the same bytes.
+"""
+
+import asyncio
+import typing as t
+
+from . import model_server
+from .model_server import ModelServer
+from .model_server import ReceivedRequest
+
+# Of b"answer" with SHA-256, and of other bytes.
+ANSWER_DIGEST = "sha-256=:DbUvQHbAglGEEq/T3TV24ssMY3A/1/7V4jreYO/vMdk=:"
+OTHER_DIGEST = "sha-256=:AAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=:"
+
+
+class OpenBody(t.NamedTuple):
+    """An answer, all but the headers that each answer has.
+
+    :param rows: more of its headers.
+    """
+
+    body: bytes
+    rows: tuple[str, ...] = ()
+    status: int = 200
+
+
+JSON = "Content-Type: application/json"
+OPEN_BODIES = {
+    "open text": OpenBody(b"answer"),
+    "open half text": OpenBody(b"ans"),
+    "open nothing": OpenBody(b""),
+    "open json": OpenBody(b'{"answer": 1}', (JSON,)),
+    "open half json": OpenBody(b'{"answer": ', (JSON,)),
+    "open json of another type": OpenBody(b'{"answer": 1}', ("Content-Type: text/plain",)),
+    "open digest": OpenBody(b"answer", (f"Content-Digest: {ANSWER_DIGEST}",)),
+    "open half digest": OpenBody(b"ans", (f"Content-Digest: {ANSWER_DIGEST}",)),
+    "open json of another digest": OpenBody(
+        b'{"answer": 1}', (JSON, f"Content-Digest: {OTHER_DIGEST}")
+    ),
+    "open text of another digest": OpenBody(b"answer", (f"Content-Digest: {OTHER_DIGEST}",)),
+    "open 404": OpenBody(b"absent", (), 404),
+    "open 404 json": OpenBody(b'{"error": "absent"}', (JSON,), 404),
+    "open 500": OpenBody(b"failed", (), 500),
+    "open answer of status 201": OpenBody(b"answer", (), 201),
+}
+ENDINGS = ("", "end after ", "reset after ")
+# Until what was sent has been read, so that a reset does not take it away.
+READ_S = 0.02
+
+
+def _register(name: str, ending: str, answer: OpenBody) -> None:
+    @model_server.step(ending + name)
+    async def _send_open(
+        server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        stated = model_server._record_run(server, request)
+        rows = (*(f"{key}: {value}" for key, value in stated.items()), *answer.rows)
+        head = "".join(f"{row}\r\n" for row in (f"HTTP/1.1 {answer.status} X", *rows))
+        writer.write(head.encode() + b"\r\n" + answer.body)
+        await writer.drain()
+        if ending == "end after ":
+            server.end()
+        if ending == "reset after ":
+            await asyncio.sleep(READ_S)
+            model_server._reset_connection(writer)
+        writer.close()
+
+
+for _ending in ENDINGS:
+    for _name, _answer in OPEN_BODIES.items():
+        _register(_name, _ending, _answer)
+
+
+@model_server.step("open refusal")
+async def _refuse_open(
+    server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """State in a head without a length that the request was not run, and close the connection."""
+    rows = (f"X-Rookspring-Request-Id: {request.request_id}", "X-Rookspring-Not-Executed: 1")
+    head = "".join(f"{row}\r\n" for row in ("HTTP/1.1 503 X", *rows))
+    writer.write(head.encode() + b"\r\nfull, co")
+    await writer.drain()
+    writer.close()
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -49,6 +49,7 @@
     :param down: nothing listens at its address.
     :param broken: it closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint left or requested a back-off meanwhile.
+    :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         down: bool = False,
         broken: bool = False,
         withheld: bool = False,
+        open_ended: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -69,6 +71,7 @@
         self.down = down
         self.broken = broken
         self.withheld = withheld
+        self.open_ended = open_ended
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -53,6 +53,7 @@
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
     "process_checked": "an answer ended with its connection; whether its endpoint's process runs",
+    "body_checked": "a body ended with its connection; what shows that it is whole, if anything",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
     "table_applied": "a newer route table is in force here",
@@ -91,6 +92,7 @@
 BOUNDED = (
     "event=attempt_",
     "event=process_checked",
+    "event=body_checked",
     "event=endpoint_said",
     "event=request_",
     "event=route_missing",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -11,6 +11,7 @@
 from rookspring_core import defaults as core_defaults
 from rookspring_core import keys
 from rookspring_core import stream_origins
+from rookspring_core.body_ends import BodyCopy
 from rookspring_core.endpoints import UNKNOWN_VERSION
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
@@ -87,6 +88,8 @@
         # What shows the end of the answer that came last, for the log.
         self.framing = ""
         self.held_answer: HeldAnswer | None = None
+        # The bodies that came and of which nothing showed that they were whole.
+        self.open_bodies: set[BodyCopy] = set()
         self.task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[None] | None = None
         # Ends the running attempt at the deadline; it counts by the monotonic clock of the loop.
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -18,7 +18,6 @@
 from rookspring_core.events import EventGapMeasured
 
 from . import clock
-from . import defaults
 from .dialect import AnswerMatch
 from .dialect import ExpectedProcess
 from .dialect import ForwardFields
@@ -35,6 +34,7 @@
 from .relay import RelayExchange
 from .relay import end_exchange
 from .relay import run_until_deadline
+from .relay_bodies import read_body
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
 from .relay_ends import Arrival
@@ -91,6 +91,9 @@
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
         error.down = await context.pool.is_down(view.address)
+    elif error.open_ended:
+        # Such an end is that of a crash only if the process has ended as well.
+        error.down = error.broken = await context.pool.is_down(view.address)
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
     _submit_failure(context, effect, error)
@@ -122,6 +125,7 @@
         broken=error.broken,
         down=error.down,
         withheld=error.withheld,
+        open_ended=error.open_ended,
     )
     context.submit(
         AttemptFailed(
@@ -134,6 +138,7 @@
             error.down,
             error.broken,
             error.withheld,
+            error.open_ended,
         )
     )
 
@@ -223,8 +228,7 @@
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, reply, head, view, began_at)
         return
-    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await check_end(context, exchange, reply, view, Arrival(began_at, len(body)))
+    body = await read_body(context, exchange, reply, head, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -0,0 +1,81 @@
+"""Whole bodies of endpoints' answers, which are passed on only where something shows their end.
+
+Checked once a body has come: one that a length or chunks end is whole; see
+:mod:`rookspring_core.body_ends` for one that has ended with its connection.
+"""
+
+import msgspec
+
+from rookspring_core import body_ends
+from rookspring_core.body_ends import BodyHead
+from rookspring_core.body_ends import Sign
+from rookspring_core.endpoints import EndpointView
+
+from . import defaults
+from .exceptions import EndpointError
+from .http_client import Reply
+from .http_messages import HttpHead
+from .logs import log
+from .relay import RelayExchange
+from .relay_context import RelayContext
+
+# Checks the syntax and keeps nothing; it stops at the interpreter's limit of nested calls.
+_JSON = msgspec.json.Decoder(msgspec.Raw)
+
+
+async def read_body(
+    context: RelayContext,
+    exchange: RelayExchange,
+    reply: Reply,
+    head: HttpHead,
+    view: EndpointView,
+) -> bytes:
+    """Read the body of an answer, and check that it is whole.
+
+    :raises EndpointError: if it is cut, or if nothing shows that it is whole; the request may have
+        run.
+    """
+    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
+    if not reply.ended_by_close:
+        return body
+    stated = _read_head(head)
+    sign = body_ends.find_sign(stated, body, _is_json, exchange.open_bodies)
+    log(
+        "body_checked",
+        id=exchange.fields.request_id,
+        endpoint=view.name,
+        status=head.status,
+        type=repr(stated.types)[: defaults.DETAIL_MAX],
+        bytes=len(body),
+        sign=sign.value,
+    )
+    if sign is Sign.DIFFERS:
+        raise EndpointError("the answer's digest is of other bytes", sent=True, open_ended=True)
+    if sign is Sign.NONE:
+        if exchange.route.repeatable:
+            exchange.open_bodies.add(body_ends.copy_body(head.status, body))
+        raise EndpointError("nothing shows the answer's end", sent=True, open_ended=True)
+    return body
+
+
+def _read_head(head: HttpHead) -> BodyHead:
+    codings = [one.lower() for one in head.values(b"content-encoding")]
+    return BodyHead(
+        head.status,
+        _read_values(head, b"content-type"),
+        any(one not in (b"", b"identity") for one in codings),
+        _read_values(head, b"content-digest"),
+        _read_values(head, b"repr-digest"),
+    )
+
+
+def _read_values(head: HttpHead, name: bytes) -> list[str]:
+    return [value.decode("latin-1") for value in head.values(name)]
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        _JSON.decode(body)
+    except (msgspec.DecodeError, RecursionError):
+        return False
+    return True
