--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -410,8 +410,12 @@
 
 FAILURES = {
     "its connection broke": {"broken": True},
-    "its connection was closed, and it may be whole": {"broken": True, "end_unknown": True},
-    "it may be whole, and nothing listens there any more": {"down": True, "end_unknown": True},
+    "its connection was closed, and it may be whole": {"open_ended": True},
+    "it may be whole, and nothing listens there any more": {
+        "broken": True,
+        "down": True,
+        "open_ended": True,
+    },
 }
 
 
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -71,7 +71,7 @@
     request.sent = request.maybe_ran
     request.attempt_not_run = event.reported_not_run
     effects = routed.end_prompt(state, request)
-    failed = event.down or not event.end_unknown
+    failed = event.down or not event.open_ended
     effects += slot_requests.free(state, request, failed, unsent=not event.sent)
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
@@ -108,9 +108,11 @@
     if event.reported_not_run:
         endpoint.hear(state.now)
         state.reach.heard_at = state.now
-    elif event.end_unknown and not event.down:
-        # It may have answered soundly, without a length or chunks.
+    elif event.open_ended and not event.down:
+        # A sound endpoint may answer so. It would be ejected for some failures among many such
+        # answers if these did not end the row of failures.
         endpoint.succeed(state.now)
+        state.reach.heard_at = state.now
     else:
         endpoint.fail(state.now)
     if event.down and endpoint.mark_down(state.now):
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -18,7 +18,6 @@
 from rookspring_core.events import EventGapMeasured
 
 from . import clock
-from . import defaults
 from .dialect import AnswerMatch
 from .dialect import ExpectedProcess
 from .dialect import ForwardFields
@@ -35,10 +34,9 @@
 from .relay import RelayExchange
 from .relay import end_exchange
 from .relay import run_until_deadline
+from .relay_bodies import read_body
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
-from .relay_ends import Arrival
-from .relay_ends import check_end
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 
@@ -91,6 +89,9 @@
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
         error.down = await context.pool.is_down(view.address)
+    elif error.open_ended:
+        # Such an end is that of a crash only if the process has ended as well.
+        error.down = error.broken = await context.pool.is_down(view.address)
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
     _submit_failure(context, effect, error)
@@ -122,7 +123,7 @@
         broken=error.broken,
         down=error.down,
         withheld=error.withheld,
-        end_unknown=error.end_unknown,
+        open_ended=error.open_ended,
     )
     context.submit(
         AttemptFailed(
@@ -135,7 +136,7 @@
             error.down,
             error.broken,
             error.withheld,
-            error.end_unknown,
+            error.open_ended,
         )
     )
 
@@ -210,7 +211,6 @@
     verdict: AnswerMatch,
     view: EndpointView,
 ) -> None:
-    began_at = clock.now()
     exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
@@ -225,8 +225,7 @@
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, reply, head)
         return
-    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await check_end(context, exchange, reply, view, Arrival(began_at, len(body)))
+    body = await read_body(context, exchange, reply, head, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -290,8 +289,8 @@
         raise EndpointError(
             "connection closed, and nothing shows the answer's end",
             sent=True,
-            broken=True,
-            end_unknown=may_be_whole,
+            broken=not may_be_whole,
+            open_ended=may_be_whole,
         )
 
 
