--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -9,15 +9,15 @@
 
     Examples:
       | kind      | script                          | answer        | runs |
-      | stream    | unframed events                 | 5 events      | 1    |
-      | resumable | unframed events                 | 5 events      | 1    |
+      | stream    | unframed events                 | 5 events, cut | 1    |
+      | resumable | unframed events                 | 5 events, cut | 2    |
       | resumable | end after 3 unframed, stream    | 5 events      | 2    |
       | stream    | end after 3 unframed            | 3 events, cut | 1    |
-      | unsafe    | unframed                        | whole         | 1    |
+      | unsafe    | unframed                        | unknown       | 1    |
       | unsafe    | end after unframed              | unknown       | 1    |
       | safe      | end after unframed, answer      | whole         | 2    |
-      | stream    | half close after unframed events | 5 events     | 1    |
-      | unsafe    | half close after unframed       | whole         | 1    |
+      | stream    | half close after unframed events | 5 events, cut | 1   |
+      | unsafe    | half close after unframed       | unknown       | 1    |
 
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
@@ -54,7 +54,7 @@
 
     Examples:
       | idle | answer        |
-      | 2    | 5 events      |
+      | 2    | 5 events, cut |
       | 0    | 5 events, cut |
 
   Scenario Outline: an endpoint that leaves or is gone ends in the midst of such an answer
@@ -72,9 +72,9 @@
       | safe      | leaving | end after unframed, answer           | whole         | 2    |
       | stream    | gone    | end after 3 unframed                 | 3 events, cut | 1    |
       | unsafe    | gone    | be replaced after unframed           | unknown       | 1    |
-      | stream    | leaving | unframed events                      | 5 events      | 1    |
-      | unsafe    | leaving | unframed                             | whole         | 1    |
-      | unsafe    | gone    | unframed                             | whole         | 1    |
+      | stream    | leaving | unframed events                      | 5 events, cut | 1    |
+      | unsafe    | leaving | unframed                             | unknown       | 1    |
+      | unsafe    | gone    | unframed                             | unknown       | 1    |
 
   Scenario Outline: endpoints that serve models are asked for their report instead
     Given a relay node with two endpoints with models that do: <script>
@@ -85,7 +85,7 @@
 
     Examples:
       | kind   | script                       | answer        | runs | reports |
-      | stream | unframed events              | 5 events      | 1    | 1       |
+      | stream | unframed events              | 5 events, cut | 1    | 0       |
       | stream | end after 3 unframed         | 3 events, cut | 1    | 0       |
       | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
       | stream | stream                       | 5 events      | 1    | 0       |
@@ -104,14 +104,14 @@
       | resumable | drop 2 after 3 unframed, stream                    | 5 events      | 2    |
       | stream    | run on for 0.23 s after 3 unframed                 | 3 events, cut | 1    |
       | stream    | run on after a while of no list of 3 unframed      | 3 events, cut | 1    |
-      | stream    | be listed for 0.3 s after unframed events          | 5 events      | 1    |
-      | stream    | list no run after unframed events                  | 5 events      | 1    |
-      | unsafe    | unframed                                           | whole         | 1    |
+      | stream    | be listed for 0.3 s after unframed events          | 5 events, cut | 1    |
+      | stream    | list no run after unframed events                  | 5 events, cut | 1    |
+      | unsafe    | unframed                                           | unknown       | 1    |
 
-  Scenario: a caller that takes its stream up gets its end though the report counts what came before
+  Scenario: a caller that takes its stream up is cut where only a close ends the rest
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: rest of a listed run
     When a stream is taken up after its event 3
-    Then its caller gets 2 events, whole
+    Then its caller gets 2 events, cut
 
   Scenario Outline: an endpoint is asked only where nothing but the close shows the end
     Given a relay node with two endpoints that do: <script>
@@ -120,25 +120,25 @@
     And their health was asked for <times> times and their report 0 times
 
     Examples:
-      | kind   | script          | answer   | times |
-      | unsafe | answer          | whole    | 0     |
-      | stream | stream          | 5 events | 0     |
-      | unsafe | unframed reset  | unknown  | 0     |
-      | unsafe | unframed        | whole    | 1     |
-      | stream | unframed events | 5 events | 1     |
+      | kind   | script          | answer        | times |
+      | unsafe | answer          | whole         | 0     |
+      | stream | stream          | 5 events      | 0     |
+      | unsafe | unframed reset  | unknown       | 0     |
+      | unsafe | unframed        | unknown       | 0     |
+      | stream | unframed events | 5 events, cut | 0     |
 
   Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
-    Given a relay node with two endpoints that do: unframed
-    When the endpoint of an unsafe request is in back-off as that answer ends
-    Then the answer is unknown
+    Given a relay node with two endpoints that do: unframed events
+    When the endpoint of a stream request is in back-off as that answer ends
+    Then the answer is 5 events, cut
     And their health was asked for 0 times and their report 0 times
 
-  Scenario: an endpoint that is full is asked again until it names itself
-    Given a relay node with two endpoints that do: unframed
+  Scenario: an endpoint that is full is not asked for its health
+    Given a relay node with two endpoints that do: unframed events
     And their health checks are refused for want of room 1 times
-    When a caller sends a unsafe request
-    Then the answer is whole
-    And their health was asked for 2 times and their report 0 times
+    When a caller sends a stream request
+    Then the answer is 5 events, cut
+    And their health was asked for 0 times and their report 0 times
 
   Scenario Outline: another node's answer that ends with its connection is not taken for whole
     Given an answer of another node to a handed-over request that ends <how>
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -18,7 +18,6 @@
 from rookspring_core.events import EventGapMeasured
 
 from . import clock
-from . import defaults
 from .dialect import AnswerMatch
 from .dialect import ExpectedProcess
 from .dialect import ForwardFields
@@ -35,10 +34,9 @@
 from .relay import RelayExchange
 from .relay import end_exchange
 from .relay import run_until_deadline
+from .relay_bodies import read_body
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
-from .relay_ends import Arrival
-from .relay_ends import check_end
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 
@@ -91,6 +89,9 @@
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
         error.down = await context.pool.is_down(view.address)
+    elif error.open_ended:
+        # Such an end is that of a crash only if the process has ended as well.
+        error.down = error.broken = await context.pool.is_down(view.address)
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
     _submit_failure(context, effect, error)
@@ -122,6 +123,7 @@
         broken=error.broken,
         down=error.down,
         withheld=error.withheld,
+        open_ended=error.open_ended,
     )
     context.submit(
         AttemptFailed(
@@ -134,6 +136,7 @@
             error.down,
             error.broken,
             error.withheld,
+            error.open_ended,
         )
     )
 
@@ -208,7 +211,6 @@
     verdict: AnswerMatch,
     view: EndpointView,
 ) -> None:
-    began_at = clock.now()
     exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
@@ -221,10 +223,9 @@
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
-        await _relay_stream(context, effect, exchange, reply, head, view, began_at)
+        await _relay_stream(context, effect, exchange, reply, head)
         return
-    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
-    await check_end(context, exchange, reply, view, Arrival(began_at, len(body)))
+    body = await read_body(context, exchange, reply, head, view)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -244,17 +245,13 @@
     exchange: RelayExchange,
     reply: Reply,
     head: HttpHead,
-    view: EndpointView,
-    began_at: float,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
     splitter = EventSplitter()
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, exchange.started)
-    body_bytes = 0
     while part := await reply.next_part():
-        body_bytes += len(part)
         events = splitter.feed(part)
         if events.number == 0:
             continue
@@ -271,8 +268,7 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    got = None if exchange.fields.last_event else exchange.events
-    await check_end(context, exchange, reply, view, Arrival(began_at, body_bytes, got))
+    _check_stream_end(exchange, reply)
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -280,6 +276,24 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
+def _check_stream_end(exchange: RelayExchange, reply: Reply) -> None:
+    """Check that something shows the end of a stream.
+
+    A close alone does not: connections are closed in the midst of a run too. An answer without an
+    event, to a caller that has none, is a failure of its endpoint. Any other may be whole.
+
+    :raises EndpointError: if the stream ended with its connection.
+    """
+    if reply.ended_by_close:
+        may_be_whole = exchange.started or bool(exchange.last_event)
+        raise EndpointError(
+            "connection closed, and nothing shows the answer's end",
+            sent=True,
+            broken=not may_be_whole,
+            open_ended=may_be_whole,
+        )
+
+
 def _submit_gap(
     context: RelayContext,
     effect: Dispatch,
