--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -51,6 +51,7 @@
 from . import model_wait_mutants
 from . import notice_mutants
 from . import odd_value_mutants
+from . import open_body_mutants
 from . import organisation_mutants
 from . import owner_mutants
 from . import passing_mutants
@@ -389,6 +390,7 @@
     "whole-answers": whole_answer_mutants.MUTANTS,
     "watches": watch_mutants.MUTANTS,
     "odd-values": odd_value_mutants.MUTANTS,
+    "open-bodies": open_body_mutants.MUTANTS,
 }
 
 
--- a/features/open_bodies_sockets.feature
+++ b/features/open_bodies_sockets.feature
@@ -73,6 +73,7 @@
     Given a relay node with one endpoint that does: open text, open text, open text, open text, open text
     When a caller sends 6 unsafe requests one after another
     Then the statuses are 502 in the first 5 and then 200
+    And its endpoint was never ejected
     And no crash is recorded
     And no broken request waits for the end of a process
 
--- a/features/steps/open_body_socket_steps.py
+++ b/features/steps/open_body_socket_steps.py
@@ -55,6 +55,12 @@
     assert got == [status] * times + [last], got
 
 
+@then("its endpoint was never ejected")
+def never_ejected(context):
+    (view,) = context.relay.node.context.state.endpoints.values()
+    assert view.ejected_until < 0.0, view.ejected_until
+
+
 @then("no broken request waits for the end of a process")
 def none_pending(context):
     suspects = context.relay.node.context.state.suspects
