Show that the product's other readers take no answer that a close cuts short for a whole one

A close is no proof of an answer's end for any reader of HTTP. Six calls of the product's own had no row: a get, a put and a watch of its platform, the list of boxes, the cache events of an endpoint, and an operator's call. Each is now cut after each byte, with a length and without one.

--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -127,6 +127,18 @@
       | platform list  | with a length    | its last byte        |
       | platform list  | in chunks        | its last byte        |
       | platform list  | without a length | the end of its value |
+      | platform get   | with a length    | its last byte        |
+      | platform get   | without a length | the end of its value |
+      | platform put   | with a length    | its last byte        |
+      | platform put   | without a length | the end of its value |
+      | platform watch | with a length    | its last byte        |
+      | platform watch | without a length | the end of its value |
+      | box list       | with a length    | its last byte        |
+      | box list       | without a length | the end of its value |
+      | cache call     | with a length    | its last byte        |
+      | cache call     | without a length | the end of its value |
+      | operator call  | with a length    | its last byte        |
+      | operator call  | without a length | the end of its value |
 
   Scenario: the product's own service call takes no faulty framing for a whole answer
     When the answer to the product's own service call is each of the faulty ones
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -32,6 +32,9 @@
 from rookspring.relay_processes import ProcessChecks
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import SendOrder
+from rookspring_ctl import client as operator_client
+from rookspring_ctl.client import ApiServers
+from rookspring_ctl.exceptions import CtlError
 from rookspring_fakes.model_server import step
 from rookspring_platform import ObjectStore
 
@@ -460,14 +463,59 @@
     {"version": 3, "items": [{"name": "a", "version": 1, "value": 1}]},
 )
 async def make_platform_list(context):
+    return await ask_platform(context, lambda client: client.list_kind("k"))
+
+
+async def ask_platform(context, ask):
+    """Return whether a call of the product's own client of a platform succeeds."""
     client = HttpPlatform(f"http://{context.raw.address}", lambda method, end: None)
     client._caller._limiter = CallRateLimiter(CALLS_PER_S, CALLS_PER_S)
     try:
-        return isinstance(await client.list_kind("k"), Success)
+        return isinstance(await ask(client), Success)
     finally:
         await client.close()
 
 
+@call("the product's own platform get", {"name": "a", "version": 1, "value": 1})
+async def make_platform_get(context):
+    return await ask_platform(context, lambda client: client.get("k", "a"))
+
+
+@call("the product's own platform put", {"version": 12})
+async def make_platform_put(context):
+    return await ask_platform(context, lambda client: client.put("k", "a", 1, 11))
+
+
+@call("the product's own platform watch", {"version": 12, "changes": []})
+async def make_platform_watch(context):
+    return await ask_platform(context, lambda client: client.watch("k", 11, CALL_S))
+
+
+@call("the product's own box list", {"boxes": []})
+async def make_box_list(context):
+    return await ask_platform(context, lambda client: client.boxes())
+
+
+@call("the product's own cache call", {"next": 12, "prefixes": [34]})
+async def make_cache_call(context):
+    client = HttpEndpoint()
+    try:
+        found = await client.cache_events(context.raw.address, 5)
+    finally:
+        await client.close()
+    assert found in ((5, ()), (12, (34,))), found
+    return found[0] == 12
+
+
+@call("the product's own operator call", {"items": [12]})
+async def make_operator_call(context):
+    servers = ApiServers((f"http://{context.raw.address}",), "key", CALL_S)
+    try:
+        return await operator_client._call(servers, "GET", "x", None, None) == {"items": [12]}
+    except CtlError:
+        return False
+
+
 @when("the answer {framing} to {name} is cut after each byte")
 def cut_call(context, name, framing):
     context.call = CALLS[name]
