Send a real reset where a stand-in says reset, and a close beside it

What the stand-ins called a reset was a close on the wire in most places, as abort() of a transport sends FIN unless bytes are left unread. A raw client saw a close, not a reset, of: the order whose answer is lost, before and after it is taken; each call in an outage of the object store; the plain service's lost call and lost answer; the service that "breaks after reading"; the cut "reset" of a node's links, as its endpoint sees it. Real resets were those of the steps "reset", "unframed reset", of new connections and of the ending "reset".

So no test of a reset at these places ever met one. resets.py has reset_connection (SO_LINGER 0) and close_connection (as the end of a process does: FIN, or RST where bytes are unread), and each place names one. New beside them: orders that end by a close, an outage by closes, the cut "closed", the steps "reset after 3" and "reset after 3 unframed", the stream ending "closed", and drop_streams, by which a server closes or resets all its streams and lives on; its reports can list them as runs. The end of a process stays a close, and says so.

--- a/features/cut_off.feature
+++ b/features/cut_off.feature
@@ -14,5 +14,6 @@
       | cut | how                        |
       | 3   | silenced                   |
       | 3   | reset                      |
+      | 3   | closed                     |
       | 3   | refused                    |
       | 4   | refused, open ones live on |
--- a/features/raw_server.py
+++ b/features/raw_server.py
@@ -3,6 +3,8 @@
 import asyncio
 import typing as t
 
+from rookspring_fakes.resets import close_connection
+
 HEAD_END = b"\r\n\r\n"
 LENGTH_NAME = "content-length:"
 
@@ -40,10 +42,10 @@
         return self
 
     async def close(self):
-        """Stop listening, and abort all connections."""
+        """Stop listening, and close all connections."""
         self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            close_connection(writer.transport)
 
     async def _serve(self, reader, writer):
         self.connections += 1
--- a/features/slow_readers.feature
+++ b/features/slow_readers.feature
@@ -7,11 +7,16 @@
     Then at most 20 MB were taken from the endpoint
     And read from then on, it is complete
 
-  Scenario: an endpoint that breaks off an answer that is not read is noticed when it is read
-    Given an endpoint that resets the connection after 1 of 64 MB
+  Scenario Outline: an endpoint that breaks off an answer that is not read is noticed when it is read
+    Given an endpoint that <ends> the connection after 1 of 64 MB
     When the answer is not read for 1.0 s
     Then reading it ends with an error, not as complete
 
+    Examples:
+      | ends   |
+      | resets |
+      | closes |
+
   Scenario Outline: a connection whose answer has arrived whole can be used again
     Given a connection on which an answer of 100 KB has arrived at once
     When its caller goes after reading <parts> parts of it
--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -69,19 +69,27 @@
 
     Examples:
       | fault                               | method | times | sent  |
-      | breaks after reading                | PUT    | 1     | true  |
-      | breaks after reading                | POST   | 1     | true  |
-      | breaks after reading                | GET    | 1     | true  |
+      | resets after reading                | PUT    | 1     | true  |
+      | resets after reading                | POST   | 1     | true  |
+      | resets after reading                | GET    | 1     | true  |
+      | closes after reading                | PUT    | 1     | true  |
+      | closes after reading                | POST   | 1     | true  |
+      | closes after reading                | GET    | 1     | true  |
       | closes kept-alive connections       | PUT    | 1     | never |
       | closes kept-alive connections       | POST   | 1     | never |
       | no longer listens                   | POST   | 0     | false |
       | ends its answer by a close alone    | POST   | 1     | true  |
 
-  Scenario: a repeatable call is resent by the HTTP library, so the outline above can fail
-    Given a service endpoint that breaks after reading
+  Scenario Outline: a repeatable call is resent by the HTTP library, so the outline above can fail
+    Given a service endpoint that <fault>
     When a repeatable GET is sent to it by the endpoint client
     Then it arrived 2 times and the failure reports sent true
 
+    Examples:
+      | fault                |
+      | resets after reading |
+      | closes after reading |
+
   Scenario Outline: a stream is whole although <fault>
     When 4 streams of 150 tokens run while <fault>
     Then each answer is whole
--- a/features/steps/slow_reader_steps.py
+++ b/features/steps/slow_reader_steps.py
@@ -1,6 +1,4 @@
 import asyncio
-import socket
-import struct
 
 from behave import given
 from behave import then
@@ -10,6 +8,7 @@
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
 from rookspring.http_client import ConnectionPool
+from rookspring_fakes.resets import reset_connection
 
 MB = 1 << 20
 PART = b"x" * 16_384
@@ -19,8 +18,9 @@
 class UnreadAnswer:
     """An answer that is read only after a pause."""
 
-    def __init__(self, whole, breaks_at=None):
+    def __init__(self, whole, breaks_at=None, resets=False):
         self.whole = whole
+        self.resets = resets
         self.breaks_at = breaks_at or whole
         self.sent = 0
         self.sent_unread = 0
@@ -34,9 +34,8 @@
             writer.write(PART)
             self.sent += len(PART)
             await writer.drain()
-        if self.sent < self.whole:
-            raw = writer.get_extra_info("socket")
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        if self.resets:
+            reset_connection(writer.transport)
         writer.close()
 
     async def play(self, pause_s):
@@ -62,9 +61,9 @@
     context.answer = UnreadAnswer(mb * MB)
 
 
-@given("an endpoint that resets the connection after {sent:d} of {mb:d} MB")
-def endpoint_breaks_off(context, sent, mb):
-    context.answer = UnreadAnswer(mb * MB, sent * MB)
+@given("an endpoint that {ends} the connection after {sent:d} of {mb:d} MB")
+def endpoint_breaks_off(context, ends, sent, mb):
+    context.answer = UnreadAnswer(mb * MB, sent * MB, resets=ends == "resets")
 
 
 @when("the answer is not read for {pause_s:f} s")
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -19,6 +19,8 @@
 from rookspring_fakes import Caller
 from rookspring_fakes import serve
 from rookspring_fakes.caller import expected_text
+from rookspring_fakes.resets import close_connection
+from rookspring_fakes.resets import reset_connection
 
 MODEL = "pitwall-llm-00"
 CHAT = {"model": MODEL, "messages": [{"role": "user", "content": "hi"}], "max_tokens": 5}
@@ -212,7 +214,7 @@
 
 
 class FaultyService:
-    """A service that counts requests and can abort each connection after reading its request."""
+    """A service that counts requests and can end each connection after reading its request."""
 
     def __init__(self, fault):
         self.fault = fault
@@ -221,8 +223,10 @@
     async def handle(self, request):
         await request.read()
         self.arrived += 1
-        if self.fault == "breaks after reading":
-            request.transport.abort()
+        if self.fault == "resets after reading":
+            reset_connection(request.transport)
+        if self.fault == "closes after reading":
+            close_connection(request.transport)
         if self.fault == "ends its answer by a close alone":
             request.transport.write(b"HTTP/1.1 200 OK\r\n\r\n{}")
             request.transport.close()
--- a/features/steps/stop_steps.py
+++ b/features/steps/stop_steps.py
@@ -19,6 +19,7 @@
 from rookspring_fakes.model_server import LONG_ANSWER_BYTES
 from rookspring_fakes.processes import GRACE_S
 from rookspring_fakes.processes import ProcessStage
+from rookspring_fakes.resets import close_connection
 
 # A process that has ended closes its connections, so callers learn then that no answer comes.
 ANSWER_LIMIT_S = 8.0
@@ -213,7 +214,7 @@
         _, writer = await stop.relay.connect()
         writer.write(request("safe", 7, key="key-a"))
         await stop.end()
-        writer.transport.abort()
+        close_connection(writer.transport)
 
     context.loop.run(work())
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/cut_links.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/cut_links.py
@@ -11,11 +11,15 @@
 from rookspring.http_client import ClientConnection
 from rookspring.http_client import ConnectionPool
 
+from .resets import close_connection
+from .resets import reset_connection
+
 
 class Cut(t.NamedTuple):
     """What a cut does to the connections to endpoints.
 
-    :param open_ones: ``silent`` until it ends, ``reset`` as it begins, or ``live`` on.
+    :param open_ones: ``silent`` until it ends, ``reset`` or ``closed`` as it begins, or
+        ``live`` on.
     :param refuses: new connections are refused; otherwise they time out.
     """
 
@@ -26,6 +30,7 @@
 CUTS = {
     "silenced": Cut("silent", False),
     "reset": Cut("reset", False),
+    "closed": Cut("closed", False),
     "refused": Cut("reset", True),
     "refused, open ones live on": Cut("live", True),
 }
@@ -89,11 +94,19 @@
             super().data_received(data)
 
     def reset(self) -> None:
-        """Break the connection as a reset by the network does."""
+        """Reset the connection at both ends, as something between them does."""
         transport, self._link = self._link, None
         if transport is not None and self.open:
             self.connection_lost(ConnectionResetError())
-            transport.abort()
+            reset_connection(transport)
+
+    def close_both(self) -> None:
+        """Close the connection at both ends, as something between them does that gives it up."""
+        transport, self._link = self._link, None
+        if transport is not None and self.open:
+            self.eof_received()
+            self.connection_lost(None)
+            close_connection(transport)
 
 
 class CutPool(ConnectionPool):
@@ -113,6 +126,8 @@
                 one.silence()
             elif cut.open_ones == "reset":
                 one.reset()
+            elif cut.open_ones == "closed":
+                one.close_both()
 
     def heal(self) -> None:
         """End the cut."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/faults.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/faults.py
@@ -13,6 +13,8 @@
     def __init__(self, seed: int = 0) -> None:
         self.random = random.Random(seed)
         self.outage = False
+        # Whether an outage closes connections; it resets them otherwise.
+        self.closes = False
         self.paused = False
         self.killed = False
         # Fractions of messages that are lost, delivered twice, or delayed by up to ``delay_s``.
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
@@ -109,7 +109,7 @@
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     record_run(server, request)
-    reset_connection(writer)
+    reset_connection(writer.transport)
 
 
 @step("close")
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_orders.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_orders.py
@@ -9,10 +9,15 @@
 from .model_steps import ReceivedRequest
 from .model_steps import Recorder
 from .model_steps import send
+from .resets import close_connection
+from .resets import reset_connection
 
 if t.TYPE_CHECKING:
     from .model_server import ModelServer
 
+# How the answer to an order is lost, by the words of the order script: also ``take and`` each.
+LOSSES: dict[str, t.Callable[[t.Any], None]] = {"lose": reset_connection, "close": close_connection}
+
 
 def take_order(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -22,14 +27,15 @@
     server.orders.append(order)
     script = server.order_script.pop(0) if server.order_script else "take"
     how = script.removesuffix(TWICE)
-    if how == "lose":
-        writer.transport.abort()
+    if how in LOSSES:
+        LOSSES[how](writer.transport)
         return False
-    status = _check(server, order) if how in ("take", "take and lose") else int(how)
+    taken, _, loss = how.partition(" and ")
+    status = _check(server, order) if taken == "take" else int(how)
     if status == 202:
         _apply(server, order)
-    if how == "take and lose":
-        writer.transport.abort()
+    if loss:
+        LOSSES[loss](writer.transport)
         return False
     recorder = Recorder(writer)
     send(server, recorder, status, b"", {})
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import contextlib
 import random
 import time
 import typing as t
@@ -32,6 +33,7 @@
 from .model_unframed import HALF_CLOSE_WORDS as HALF_CLOSE_WORDS
 from .model_unframed import MUTE_S as MUTE_S
 from .model_unframed import RESUMABLE_ENDS as RESUMABLE_ENDS
+from .resets import close_connection
 from .resets import reset_connection
 
 STREAM_PATHS = ("POST /stream/", "POST /resumable/")
@@ -91,6 +93,11 @@
         # The runs that its report lists, with the events that each has made, by request; its report
         # tells none if this is None.
         self.listed_runs: dict[str, int] | None = None
+        # The streams that it sends now, by their connection; whether its reports list them as runs,
+        # and how old the reports' lists are, in seconds.
+        self.streaming: dict[asyncio.StreamWriter, str] = {}
+        self.lists_streams = False
+        self.list_age_s = 0.2
         # Whether it sends each report a second time, later.
         self.reports_twice = False
         # Whether its reports never end, and the bytes of them that were taken from it.
@@ -130,12 +137,49 @@
             await self.successor.close()
 
     def end(self) -> None:
-        """End as a crashed process does: it stops listening and aborts all connections."""
+        """End as a crashed process does: it stops listening, and all connections are closed.
+
+        Their peers see a close where all is read that they sent, and a reset otherwise.
+        """
         self.ended = True
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
-            writer.transport.abort()
+            close_connection(writer.transport)
+
+    def drop_streams(self, resets: bool) -> None:
+        """Reset or close the connections of all streams and drop these runs, and live on."""
+        for writer in list(self.streaming):
+            if resets:
+                reset_connection(writer.transport)
+            else:
+                close_connection(writer.transport)
+
+    @contextlib.contextmanager
+    def send_stream(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> t.Iterator[t.Callable[[int], None]]:
+        """Hold a stream as one that is sent now; the events that it made are noted by a call."""
+        self.streaming[writer] = request.request_id
+        self._list_stream(request.request_id, 0)
+        try:
+            yield lambda made: self._list_stream(request.request_id, made)
+        finally:
+            self.streaming.pop(writer, None)
+            self._list_stream(request.request_id, None)
+
+    def _list_stream(self, request_id: str, made: int | None) -> None:
+        if self.lists_streams:
+            later = asyncio.get_running_loop().call_later
+            later(self.list_age_s, self._set_listed, request_id, made)
+
+    def _set_listed(self, request_id: str, made: int | None) -> None:
+        if self.listed_runs is None:
+            self.listed_runs = {}
+        if made is None:
+            self.listed_runs.pop(request_id, None)
+        else:
+            self.listed_runs[request_id] = made
 
     async def end_and_replace(self) -> None:
         """End as a crashed process does, while another one already listens at its address."""
@@ -184,7 +228,7 @@
         self.connections += 1
         if self.resets:
             self.resets -= 1
-            reset_connection(writer)
+            reset_connection(writer.transport)
             return
         self._writers.add(writer)
         try:
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
@@ -8,6 +8,7 @@
 from .model_steps import record_run
 from .model_steps import send
 from .model_steps import step
+from .resets import reset_connection
 
 if t.TYPE_CHECKING:
     from .model_server import ModelServer
@@ -82,6 +83,14 @@
     writer.close()
 
 
+@step("reset after 3")
+async def _reset_3(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await send_events(server, request, writer, 3)
+    reset_connection(writer.transport)
+
+
 @step("tear the 4th")
 async def _tear_4(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -118,7 +127,8 @@
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     await send_events(server, request, writer, 3)
-    await asyncio.sleep(30.0)
+    with server.send_stream(request, writer):
+        await asyncio.sleep(30.0)
 
 
 def make_event(server: "ModelServer", number: int) -> bytes:
@@ -135,12 +145,14 @@
     """
     begin_events(server, request, writer)
     first = int(request.headers.get("last-event-id") or 0) + 1
-    for number in range(first, last + 1):
-        if writer.is_closing():
-            raise ConnectionResetError
-        write_event(writer, make_event(server, number))
-        await writer.drain()
-        await server.pause()
+    with server.send_stream(request, writer) as note_made:
+        for number in range(first, last + 1):
+            if writer.is_closing():
+                raise ConnectionResetError
+            write_event(writer, make_event(server, number))
+            note_made(number)
+            await writer.drain()
+            await server.pause()
 
 
 def begin_events(
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_unframed.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_unframed.py
@@ -97,7 +97,15 @@
     write_unframed_head(server, request, writer)
     await writer.drain()
     await asyncio.sleep(0.02)
-    reset_connection(writer)
+    reset_connection(writer.transport)
+
+
+@step("reset after 3 unframed")
+async def _reset_3_unframed(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await write_unframed_events(server, request, writer, 3)
+    reset_connection(writer.transport)
 
 
 @step("end 1.5 s after 3 unframed")
@@ -182,13 +190,14 @@
 
 
 async def _reset_there(writer: asyncio.StreamWriter, event: bytes) -> None:
-    reset_connection(writer)
+    reset_connection(writer.transport)
 
 
 # How a resumable stream without a length ends, by what is done in place of an event: the one after
 # the last, or one of the others.
 RESUMABLE_ENDS: dict[str, t.Callable[[asyncio.StreamWriter, bytes], t.Awaitable[None]]] = {
     "whole": _close_there,
+    "closed": _close_there,
     "torn": _tear_there,
     "reset": _reset_there,
 }
@@ -207,10 +216,14 @@
     stop = STREAM_EVENTS + 1
     if ending != "whole":
         stop = server.random.randrange(min(first, STREAM_EVENTS), STREAM_EVENTS + 1)
-    for number in range(first, stop):
-        writer.write(make_event(server, number))
-        await writer.drain()
-        await server.pause()
+    with server.send_stream(request, writer) as note_made:
+        for number in range(first, stop):
+            if writer.is_closing():
+                raise ConnectionResetError
+            writer.write(make_event(server, number))
+            note_made(number)
+            await writer.drain()
+            await server.pause()
     if writer.is_closing():
         raise ConnectionResetError
     await RESUMABLE_ENDS[ending](writer, make_event(server, stop))
--- a/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/object_platform.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 from .platform import Platform
+from .resets import close_connection
+from .resets import reset_connection
 from .serving import wait_for_change
 from .store import Change
 from .store import StoreBackup
@@ -16,9 +18,9 @@
 class ObjectPlatform(Platform):
     """Serves the objects of a :class:`Platform` in the users' platform's protocol.
 
-    During an outage it aborts connections. If ``answers_503`` is set, it answers each request
-    with 503. Each answer has the store's era in a header, unless ``names_era`` is False, and how
-    long an idle connection is kept if ``keep_alive_s``, whole seconds, is not 0.
+    During an outage it resets or closes connections. If ``answers_503`` is set, it answers each
+    request with 503. Each answer has the store's era in a header, unless ``names_era`` is False,
+    and how long an idle connection is kept if ``keep_alive_s``, whole seconds, is not 0.
     """
 
     answers_503 = False
@@ -42,7 +44,10 @@
         handler: t.Callable[[web.Request], t.Awaitable[web.StreamResponse]],
     ) -> web.StreamResponse:
         if self.faults.outage and request.transport is not None:
-            request.transport.abort()
+            if self.faults.closes:
+                close_connection(request.transport)
+            else:
+                reset_connection(request.transport)
         response: web.StreamResponse | web.HTTPException
         try:
             response = await self._answer(request, handler)
--- a/packages/rookspring-fakes/src/rookspring_fakes/resets.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/resets.py
@@ -1,13 +1,25 @@
-"""Ends of connections, as the stand-ins bring them about on the wire."""
+"""Ends of connections, as the stand-ins bring them about on the wire.
+
+``abort`` of a transport alone sends no reset: its peer sees a regular close, unless bytes are left
+unread.
+"""
 
-import asyncio
 import socket
 import struct
 import typing as t
 
 
-def reset_connection(writer: asyncio.StreamWriter) -> None:
-    """Abort a connection with a TCP reset instead of a regular close."""
-    raw: t.Any = writer.get_extra_info("socket")
+def reset_connection(transport: t.Any) -> None:
+    """End a connection by a TCP reset (RST)."""
+    raw = transport.get_extra_info("socket")
     raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
+    transport.abort()
+
+
+def close_connection(transport: t.Any) -> None:
+    """Close a connection at once, as the end of its process does.
+
+    Its peer sees a close (FIN) if all is read that came, and a reset (RST) otherwise. What the
+    kernel has not taken yet is dropped.
+    """
+    transport.abort()
--- a/packages/rookspring-fakes/src/rookspring_fakes/runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/runner.py
@@ -13,6 +13,7 @@
 from .engine import Order
 from .engine import Stream
 from .engine import token_text
+from .resets import close_connection
 
 STEP_S = 0.01
 # The time within which the process has exited after a fatal prompt, in seconds.
@@ -54,7 +55,7 @@
         while self.engine.faults.paused:
             await asyncio.sleep(0.05)
         if self.engine.faults.killed and request.transport is not None:
-            request.transport.abort()
+            close_connection(request.transport)
         try:
             return t.cast(web.StreamResponse, await handler(request))
         except ConnectionError:
@@ -100,7 +101,7 @@
         while True:
             if self.engine.faults.killed:
                 if request.transport is not None:
-                    request.transport.abort()
+                    close_connection(request.transport)
                 return response
             if not self.engine.faults.paused:
                 self.engine.advance(self.now())
--- a/packages/rookspring-fakes/src/rookspring_fakes/service.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/service.py
@@ -7,6 +7,8 @@
 from aiohttp import web
 
 from .faults import Faults
+from .resets import close_connection
+from .resets import reset_connection
 
 
 class Ledger:
@@ -60,9 +62,11 @@
         if self.leaving:
             self.calls_while_leaving += 1
             return web.json_response({"not_run": True, "reason": "leaving"}, status=409)
-        if self.faults.killed or self.faults.draw("lose"):
-            if request.transport is not None:
-                request.transport.abort()
+        if self.faults.killed:
+            close_connection(request.transport)
+            return web.Response()
+        if self.faults.draw("lose"):
+            reset_connection(request.transport)
             return web.Response()
         try:
             body = orjson.loads(raw) if raw else {}
@@ -76,6 +80,6 @@
             self.running -= 1
         if call:
             self.ledger.runs[call] = self.ledger.runs.get(call, 0) + 1
-        if self.faults.draw("applied_unanswered") and request.transport is not None:
-            request.transport.abort()
+        if self.faults.draw("applied_unanswered"):
+            reset_connection(request.transport)
         return web.json_response({"call": call, "by": self.name, "path": request.path})
