--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -96,6 +96,8 @@
         # The streams that it sends now, by their connection; whether its reports list them as runs,
         # and how old the reports' lists are, in seconds.
         self.streaming: dict[asyncio.StreamWriter, str] = {}
+        # The requests whose streams nothing shows to be whole: without a length, or dropped.
+        self.unshown: set[str] = set()
         self.lists_streams = False
         self.list_age_s = 0.2
         # Whether it sends each report a second time, later.
@@ -107,7 +109,7 @@
         # does, a key of ENDINGS; and the process that has its address afterwards.
         self.before_close: t.Callable[[], None] = lambda: None
         self.successor: ModelServer | None = None
-        # The share of resumable streams that it sends without a length; how these end, some keys of
+        # The share of streams that it sends without a length; how these end, some keys of
         # RESUMABLE_ENDS, by chance; the pause between events in seconds; and until when its
         # process stands still.
         self.unframed_share = 0.0
@@ -149,6 +151,7 @@
 
     def drop_streams(self, resets: bool) -> None:
         """Reset or close the connections of all streams and drop these runs, and live on."""
+        self.unshown.update(self.streaming.values())
         for writer in list(self.streaming):
             if resets:
                 reset_connection(writer.transport)
@@ -305,8 +308,10 @@
         return not writer.is_closing()
 
     def _leaves_length_out(self, request: ReceivedRequest) -> bool:
-        resumable = request.line.startswith("POST /resumable/")
-        return resumable and self.random.random() < self.unframed_share
+        left_out = self.random.random() < self.unframed_share
+        if left_out:
+            self.unshown.add(request.request_id)
+        return left_out
 
     def _check(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -248,12 +248,14 @@
     """A request is answered if it reached an endpoint, or its connection did not end soon after it.
 
     Excepted are answers that had begun and were cut at their route's time limit, requests whose
-    endpoint ended, those around a start or a signal of their node or of one that it was handed over
-    to, and those that were in flight when such a node's links to all endpoints were cut; the
-    SIGTERM of a planned stop is not recorded as a signal.
+    endpoint ended, streams that nothing shows to be whole, those around a start or a signal of
+    their node or of one that it was handed over to, and those that were in flight when such a
+    node's links to all endpoints were cut; the SIGTERM of a planned stop is not recorded as a
+    signal.
     """
     holders = _holders(stage)
     ended = {server.name for server in stage.servers if server.ended}
+    unshown = set[str]().union(*(server.unshown for server in stage.servers))
     whose = {one.request_id: server.name for server in stage.servers for one in server.received}
     return [
         f"{one.key} at {one.node.name}, after {one.ended_at - one.sent_at:.2f} s"
@@ -262,6 +264,7 @@
         and not _reached_limit(one)
         and (one.key in whose or one.ended_at - one.sent_at > CROSSING_S)
         and whose.get(one.key) not in ended
+        and one.key not in unshown
         and not any(_is_excused(node, one) for node in (one.node, *holders.get(one.key, ())))
     ]
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -226,6 +226,7 @@
     :param host_block: selects the loopback addresses, so that stages on one box don't share any.
     :param keys: the callers' keys at the start; without any, requests need none.
     :param versions: the software versions of the endpoints, in turn.
+    :param lists_streams: whether the endpoints' reports list their streams as runs.
     """
 
     def __init__(
@@ -235,6 +236,7 @@
         host_block: int,
         keys: t.Sequence[str] = (),
         versions: t.Sequence[str] = ("v1",),
+        lists_streams: bool = False,
     ) -> None:
         self._folder = tempfile.TemporaryDirectory()
         self._block = host_block
@@ -247,6 +249,7 @@
         self.version = 1
         self.keys = tuple(keys)
         self._versions = versions
+        self._lists_streams = lists_streams
         # Whether streams are long enough that troubles meet some, and partly without a length.
         self.long_streams = len(versions) > 1
         # Parts of prompts that crash endpoints now, and when each has crashed one.
@@ -301,6 +304,7 @@
 
     async def _start_server(self, server: ModelServer, port: int = 0) -> None:
         server.streams = True
+        server.lists_streams = self._lists_streams
         if self.long_streams:
             server.event_pause_s = LONG_PAUSE_S
             server.unframed_share = UNFRAMED_SHARE
