Add rows for a close beside each reset, and for a reset beside each close

Rows of relay_sockets.feature and handovers_sockets.feature had one end of a connection where the other may differ: a safe request and a stream met a reset before the answer but no close, streams a close in their midst but no reset, with or without chunks, and a node that is lost midway in a handover was a close on the wire alone (abort() of its transport sends FIN).

Eight rows in relay_sockets.feature, by the steps "close", "reset after 3" and "reset after 3 unframed", and two in handovers_sockets.feature, whose step names how the node is lost.

--- a/features/handovers_sockets.feature
+++ b/features/handovers_sockets.feature
@@ -40,15 +40,17 @@
     Then within 0.5 s neither node counts it any more
 
   Scenario Outline: the other node is lost midway
-    When <request> is handed over, and the other node is lost <when>
+    When <request> is handed over, and the other node is lost <when>, by a <how>
     Then within 1.2 s its caller got <answer>
     And nothing ran twice
 
     Examples:
-      | when                          | request            | answer              |
-      | after a part of the answer    | a stream           | a broken stream     |
-      | before the answer             | a POST with a body | 502 with no stamp   |
-      | before it is connected to     | a POST with a body | 503 with no stamp   |
+      | when                          | how   | request            | answer              |
+      | after a part of the answer    | close | a stream           | a broken stream     |
+      | after a part of the answer    | reset | a stream           | a broken stream     |
+      | before the answer             | close | a POST with a body | 502 with no stamp   |
+      | before the answer             | reset | a POST with a body | 502 with no stamp   |
+      | before it is connected to     | close | a POST with a body | 503 with no stamp   |
 
   Scenario: a planned stop of either node cuts nothing
     When a stream is handed over, and both nodes are told to stop
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -23,8 +23,10 @@
       | unsafe | half                      | unknown             | 1    |
       | unsafe | nonsense                  | unknown             | 1    |
       | safe   | reset, answer             | whole               | 2    |
+      | safe   | close, answer             | whole               | 2    |
       | safe   | half, answer              | whole               | 2    |
       | safe   | reset, refuse             | unknown             | 1    |
+      | safe   | close, refuse             | unknown             | 1    |
       | unsafe | foreign first             | whole               | 1    |
       | unsafe | unframed                  | whole               | 1    |
       | unsafe | unframed reset            | unknown             | 1    |
@@ -36,9 +38,15 @@
       | stream    | break after 3                | 3 events, cut     | 1    |
       | stream    | tear the 4th                 | 3 events, cut     | 1    |
       | stream    | reset                        | unknown           | 1    |
+      | stream    | close                        | unknown           | 1    |
+      | stream    | reset after 3                | 3 events, cut     | 1    |
+      | stream    | reset after 3 unframed       | 3 events, cut     | 1    |
       | resumable | break after 3, stream        | 5 events          | 2    |
       | resumable | tear the 4th, stream         | 5 events          | 2    |
       | resumable | reset, stream                | 5 events          | 2    |
+      | resumable | close, stream                | 5 events          | 2    |
+      | resumable | reset after 3, stream        | 5 events          | 2    |
+      | resumable | reset after 3 unframed, stream | 5 events        | 2    |
       | resumable | break after 3, break after 3 | 3 events, cut     | 2    |
 
   Scenario Outline: the end of each request is logged once
--- a/features/steps/handover_socket_steps.py
+++ b/features/steps/handover_socket_steps.py
@@ -10,8 +10,11 @@
 from rookspring import clock
 from rookspring_core.events import ReachProbed
 from rookspring_fakes.model_server import STREAM_EVENTS
+from rookspring_fakes.resets import close_connection
+from rookspring_fakes.resets import reset_connection
 
 TIMEOUT_MS = 1000
+LOSSES = {"close": close_connection, "reset": reset_connection}
 REQUESTS = {
     "a GET": request("safe"),
     "a HEAD": request("safe").replace(b"GET", b"HEAD"),
@@ -184,8 +187,8 @@
     context.loop.run(work())
 
 
-@when("{what} is handed over, and the other node is lost {when}")
-def other_lost(context, what, when):
+@when("{what} is handed over, and the other node is lost {when}, by a {how}")
+def other_lost(context, what, when, how):
     stage = context.cut_stage
     steps = {"after a part of the answer": "stall after 3", "before the answer": "hang"}
     for server in stage.relay.servers:
@@ -203,7 +206,7 @@
             await stage.relay.until(lambda: stage.relay.runs)
             await asyncio.sleep(0.1)
             for connection in list(listener.connections):
-                connection.abort()
+                LOSSES[how](connection._transport)
         began = time.monotonic()
         context.answer = await answer
         context.took_s = time.monotonic() - began
