Read event streams as their standard says: comments, any line ends, a leading byte order mark

What callers saw: a stream whose lines end with bare carriage returns, or whose empty lines have another end than the line before, was held back whole and then cut. A comment counted as an event: in the log's events, in what the reducer was told of progress and as the time of the first event. With a byte order mark the first event had no id, and one that led the rest of a stream was passed on into its midst. An id that an event resets stayed the last one, so that a stream could be taken up after an event that is not its last; ids lost their spaces, and ids with a NUL counted.

Cause: events were found by two byte sequences that may end one. Now lines are split whichever way they end, and an empty one ends an event. A line's carriage return at the end of a read ends it, and a line feed that follows goes where the line went: nothing waits, nothing is cut twice. Comments and empty lines between events are passed on as they come; the head is sent with the first of them, but only events count, so that a stream of which comments alone have come is taken up from its start.

--- /dev/null
+++ b/bench/event_stream_mutants.py
@@ -0,0 +1,158 @@
+"""Mutants of how a stream's bytes become events, and of what its comments count as."""
+
+import typing as t
+
+from rookspring import event_streams
+from rookspring import relay_attempts
+from rookspring.event_streams import EventSplitter
+from rookspring_core.event_order import EventOrder
+
+from .mutant import EVENT_STREAMS
+from .mutant import Mutant
+
+RULE = "a stream's events are those that its standard says"
+COMMENT_RULE = "a comment is passed on as it comes, and is no event"
+
+_take_line = EventSplitter._take_line
+_end_event = EventSplitter._end_event
+_read_field = EventSplitter._read_field
+_begin_splitter = EventSplitter.__init__
+_begin_order = EventOrder.__init__
+
+
+def _hold_comments(self: EventSplitter, line: bytes, text: bytes) -> None:
+    if text.startswith(b":"):
+        self._event += line
+        return
+    _take_line(self, line, text)
+
+
+def _pass_all_comments(self: EventSplitter, line: bytes, text: bytes) -> None:
+    if text.startswith(b":"):
+        self._passable += line
+        return
+    _take_line(self, line, text)
+
+
+def _count_blocks(self: EventSplitter, line: bytes) -> None:
+    self._has_data = True
+    _end_event(self, line)
+
+
+def _count_ids(self: EventSplitter, line: bytes) -> None:
+    """Ignore the id of a block without data."""
+    if not self._has_data:
+        self._id = None
+    _end_event(self, line)
+
+
+def _strip_ids(self: EventSplitter, text: bytes) -> None:
+    _read_field(self, text)
+    self._id = self._id.strip() if self._id else self._id
+
+
+def _keep_nul(self: EventSplitter, text: bytes) -> None:
+    _read_field(self, text.replace(b"\0", b""))
+
+
+def _need_colon(self: EventSplitter, text: bytes) -> None:
+    if b":" in text:
+        _read_field(self, text)
+
+
+def _never_continue(self: EventSplitter, continues: bool = False) -> None:
+    _begin_splitter(self)
+
+
+def _take_any_line(self: EventSplitter, line: bytes) -> None:
+    """Take a byte order mark for a part of the first line."""
+    self._at_start = False
+    self._take_line(line, line.rstrip(event_streams.LINE_ENDS))
+
+
+def _split_at_each_byte(self: t.Any, data: bytes) -> tuple[bytes, list[bytes]]:
+    """Take a line feed that follows a read's last carriage return for an empty line."""
+    self._after_return = False
+    return _feed(self, data)
+
+
+def _wait_for_line_feed(self: t.Any, data: bytes) -> tuple[bytes, list[bytes]]:
+    """Hold a line back that ends with a carriage return until the next byte comes."""
+    line_feed, lines = _feed(self, data)
+    if lines and lines[-1].endswith(b"\r"):
+        self.incomplete[:0] = lines.pop()
+        self._after_return = False
+    return line_feed, lines
+
+
+_feed = event_streams._LineSplitter.feed
+
+
+def _begin_by_head(self: EventOrder, last: str = "", begun: bool = False) -> None:
+    """Take a stream of which only comments were passed on for one with events."""
+    _begin_order(self, last, begun=True)
+
+
+def _ignore_resets(self: EventOrder, ids: t.Sequence[str | None]) -> str:
+    return _accept(self, [one or None for one in ids])
+
+
+_accept = EventOrder.accept
+
+
+def _time_by_head(exchange: t.Any, head: t.Any) -> None:
+    exchange.first_event_at = exchange.first_event_at or relay_attempts.clock.now()
+    _begin_stream(exchange, head)
+
+
+_begin_stream = relay_attempts._begin_stream
+
+
+def _of_splitter(name: str, attribute: str, replacement: t.Any, rule: str = RULE) -> Mutant:
+    return Mutant(name, rule, EventSplitter, attribute, replacement, EVENT_STREAMS)
+
+
+MUTANTS = (
+    _of_splitter("holds comments back", "_take_line", _hold_comments, COMMENT_RULE),
+    _of_splitter("passes comments within an event on", "_take_line", _pass_all_comments),
+    _of_splitter("counts blocks without data", "_end_event", _count_blocks),
+    _of_splitter("ignores ids without data", "_end_event", _count_ids),
+    _of_splitter("strips ids", "_read_field", _strip_ids),
+    _of_splitter("takes ids with a NUL", "_read_field", _keep_nul),
+    _of_splitter("ignores fields without a colon", "_read_field", _need_colon),
+    _of_splitter("passes a second byte order mark on", "__init__", _never_continue),
+    _of_splitter("reads a byte order mark as text", "_take_first_line", _take_any_line),
+    Mutant(
+        "ends a line twice",
+        RULE,
+        event_streams._LineSplitter,
+        "feed",
+        _split_at_each_byte,
+        EVENT_STREAMS,
+    ),
+    Mutant(
+        "waits for a line feed",
+        RULE,
+        event_streams._LineSplitter,
+        "feed",
+        _wait_for_line_feed,
+        EVENT_STREAMS,
+    ),
+    Mutant(
+        "takes up no stream of comments",
+        COMMENT_RULE,
+        EventOrder,
+        "__init__",
+        _begin_by_head,
+        EVENT_STREAMS,
+    ),
+    Mutant("ignores a reset id", RULE, EventOrder, "accept", _ignore_resets, EVENT_STREAMS),
+    Mutant(
+        "times the first event by a comment",
+        COMMENT_RULE,
+        relay_attempts,
+        "_begin_stream",
+        _time_by_head,
+        EVENT_STREAMS,
+    ),
+)
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -46,6 +46,7 @@
 from . import endless_mutants
 from . import era_mutants
 from . import evacuation_mutants
+from . import event_stream_mutants
 from . import isolation_mutants
 from . import message_mutants
 from . import model_wait_mutants
@@ -372,6 +373,7 @@
     "clock": clock_mutants.MUTANTS,
     "cut-heads": cut_head_mutants.MUTANTS,
     "endless": endless_mutants.MUTANTS,
+    "event-streams": event_stream_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
     "resends": resend_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
--- a/packages/rookspring-core/src/rookspring_core/event_order.py
+++ b/packages/rookspring-core/src/rookspring_core/event_order.py
@@ -20,19 +20,19 @@
         # Whether the next event is the first one of a run that goes on after others.
         self._continues = begun or bool(last)
 
-    def accept(self, ids: t.Sequence[str]) -> str:
+    def accept(self, ids: t.Sequence[str | None]) -> str:
         """Check the next events.
 
-        :param ids: their ids; empty for an event that has none.
+        :param ids: their ids; None for an event that states none, empty for one that resets it.
         :return: why they don't follow; empty if they do.
         """
         last = self.last
         for one in ids:
             if self._continues and not (one and last):
-                return f"an event with the id {one!r} after one with {last!r}"
+                return f"an event with the id {one or ''!r} after one with {last!r}"
             if one and last and _rank(one) <= _rank(last):
                 return f"event {one} after event {last}"
-            last = one or last
+            last = last if one is None else one
             self._continues = False
         self.last = last
         return ""
--- a/packages/rookspring-fakes/src/rookspring_fakes/__init__.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/__init__.py
@@ -3,6 +3,7 @@
 from .caller import Caller as Caller
 from .engine import Engine as Engine
 from .engine import WeightStore as WeightStore
+from .event_shapes import SHAPES as SHAPES
 from .faults import Faults as Faults
 from .model_server import ModelServer as ModelServer
 from .object_platform import ObjectPlatform as ObjectPlatform
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -1,4 +1,8 @@
-"""Server-sent events: split the bytes of a stream into complete events."""
+"""Server-sent events: split the bytes of a stream into complete events.
+
+Lines, comments, fields and the byte order mark are those of the event-stream standard (WHATWG HTML,
+*Server-sent events*).
+"""
 
 import typing as t
 
@@ -8,74 +12,136 @@
 
 MEDIA_TYPE = b"text/event-stream"
 
-# Marks that end an event.
-MARKS = (b"\n\n", b"\r\n\r\n")
-LONGEST_MARK = max(MARKS, key=len)
+# Means nothing at the start of a stream; anywhere else it is a part of its line.
+BYTE_ORDER_MARK = b"\xef\xbb\xbf"
+
+LINE_ENDS = b"\r\n"
 
 
 class Events(t.NamedTuple):
-    """Complete events as their bytes, in order.
+    """What may be passed on: complete events, and the comments and empty lines between them.
 
-    :param number: count of events, comments included.
-    :param ids: of the events but for comments; empty for one that has none.
+    :param number: count of the events; comments and blocks without data are none.
+    :param ids: the id that each event states, empty where it resets the id, None where it states
+        none; among them the ids that blocks without data state.
     """
 
     data: bytes
     number: int
-    ids: tuple[str, ...]
+    ids: tuple[str | None, ...]
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events; an incomplete one stays in the buffer."""
+    """Buffers bytes and returns complete events; an incomplete event or line stays in the buffer.
 
-    def __init__(self) -> None:
-        self._rest = bytearray()
+    :param continues: the caller has begun to read the stream. A byte order mark that leads this
+        rest of it is left out, as it would hide the first line.
+    """
+
+    def __init__(self, continues: bool = False) -> None:
+        self._continues = continues
+        self._at_start = True
+        self._lines = _LineSplitter()
+        # The lines of the incomplete event, and what they state.
+        self._event = bytearray()
+        self._has_data = False
+        self._id: str | None = None
+        # What the bytes that were fed last have completed.
+        self._passable = bytearray()
+        self._number = 0
+        self._ids: list[str | None] = []
 
     def feed(self, data: bytes) -> Events:
         """Add bytes, and return the events that are complete now.
 
         :raises EndpointError: if an event is longer than ``EVENT_BYTES_MAX``.
         """
-        # A mark that ends an event may have begun in what was there before.
-        start = max(0, len(self._rest) - len(LONGEST_MARK) + 1)
-        self._rest += data
-        cut = max(_end(self._rest, mark, start) for mark in MARKS)
-        if len(self._rest) - max(0, cut) > defaults.EVENT_BYTES_MAX:
+        line_feed, lines = self._lines.feed(data)
+        if line_feed:
+            # It goes where its line has gone.
+            (self._event or self._passable).extend(line_feed)
+        if lines and self._at_start:
+            self._take_first_line(lines.pop(0))
+        for line in lines:
+            self._take_line(line, line.rstrip(LINE_ENDS))
+        if len(self._event) + len(self._lines.incomplete) > defaults.EVENT_BYTES_MAX:
             raise EndpointError("too large an event", sent=True)
-        if cut < 0:
-            return Events(b"", 0, ())
-        whole = bytes(self._rest[:cut])
-        del self._rest[:cut]
-        number = sum(whole.count(mark) for mark in MARKS)
-        return Events(whole, number, _read_ids(whole))
+        return self._take_events()
 
     def incomplete(self) -> bytes:
-        """Return the bytes of the incomplete event at the end."""
-        return bytes(self._rest)
-
-
-def is_stream(head: HttpHead) -> bool:
-    """Return whether an answer is a stream of events, which may follow those of an earlier run."""
-    media = head.header(b"content-type").partition(b";")[0].strip().lower()
-    return head.status == 200 and media == MEDIA_TYPE
+        """Return the bytes of the incomplete event or line at the end."""
+        return bytes(self._event + self._lines.incomplete)
 
+    def _take_first_line(self, line: bytes) -> None:
+        self._at_start = False
+        unmarked = line.removeprefix(BYTE_ORDER_MARK)
+        self._take_line(unmarked if self._continues else line, unmarked.rstrip(LINE_ENDS))
 
-def _end(text: bytearray, mark: bytes, start: int) -> int:
-    place = text.rfind(mark, start)
-    return place + len(mark) if place >= 0 else -1
+    def _take_line(self, line: bytes, text: bytes) -> None:
+        """Take a complete line.
 
+        :param text: the line without its end.
+        """
+        if not text:
+            self._end_event(line)
+        elif self._event or not text.startswith(b":"):
+            self._event += line
+            self._read_field(text)
+        else:
+            # A comment between events belongs to none.
+            self._passable += line
+
+    def _read_field(self, text: bytes) -> None:
+        name, _, value = text.partition(b":")
+        if name == b"data":
+            self._has_data = True
+        elif name == b"id" and b"\0" not in value:
+            self._id = value.removeprefix(b" ").decode("latin-1")
+
+    def _end_event(self, line: bytes) -> None:
+        """End the event, if there is one, by an empty line."""
+        self._passable += self._event + line
+        self._event.clear()
+        self._number += self._has_data
+        if self._has_data or self._id is not None:
+            self._ids.append(self._id)
+        self._has_data = False
+        self._id = None
+
+    def _take_events(self) -> Events:
+        events = Events(bytes(self._passable), self._number, tuple(self._ids))
+        self._passable.clear()
+        self._number = 0
+        self._ids.clear()
+        return events
+
+
+class _LineSplitter:
+    """Splits bytes into lines, which a line feed, a carriage return or both in this order end."""
 
-def _read_ids(whole: bytes) -> tuple[str, ...]:
-    blocks = whole.replace(b"\r\n", b"\n").split(b"\n\n")
-    return tuple(_read_id(rows) for block in blocks if (rows := _list_fields(block)))
+    def __init__(self) -> None:
+        self.incomplete = bytearray()
+        # Whether the last byte was a carriage return, which a line feed may follow.
+        self._after_return = False
 
+    def feed(self, data: bytes) -> tuple[bytes, list[bytes]]:
+        """Add bytes.
 
-def _list_fields(block: bytes) -> list[bytes]:
-    """Return the lines of an event; none if it is a comment."""
-    return [row for row in block.split(b"\n") if row and not row.startswith(b":")]
+        :return: a line feed that belongs to the last line before, or nothing, and the lines that
+            are complete now, with their ends.
+        """
+        line_feed = b"\n" if self._after_return and data.startswith(b"\n") else b""
+        self._after_return = data.endswith(b"\r")
+        lines = data.removeprefix(line_feed).splitlines(keepends=True)
+        incomplete = lines.pop() if lines and not lines[-1].endswith((b"\n", b"\r")) else b""
+        if lines:
+            lines[0] = bytes(self.incomplete) + lines[0]
+            self.incomplete.clear()
+        self.incomplete += incomplete
+        return line_feed, lines
 
 
-def _read_id(rows: list[bytes]) -> str:
-    """Return the id of an event, the last one that it states; empty if it has none."""
-    ids = [row[3:].strip() for row in rows if row.startswith(b"id:")]
-    return ids[-1].decode("latin-1") if ids else ""
+def is_stream(head: HttpHead) -> bool:
+    """Return whether an answer is a stream of events, which may follow those of an earlier run."""
+    media = head.header(b"content-type").partition(b";")[0].strip().lower()
+    return head.status == 200 and media == MEDIA_TYPE
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -248,26 +248,26 @@
     began_at: float,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
-    splitter = EventSplitter()
+    splitter = EventSplitter(continues=exchange.started)
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
-    order = EventOrder(last_event, exchange.started)
+    order = EventOrder(last_event, begun=exchange.events > 0)
     body_bytes = 0
     while part := await reply.next_part():
         body_bytes += len(part)
         events = splitter.feed(part)
-        if events.number == 0:
+        if not events.data:
             continue
         if fault := order.accept(events.ids):
             raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        exchange.last_event = order.last or exchange.last_event
-        exchange.events += events.number
-        _record_pause(exchange)
-        if context.state.options.endpoint_speeds:
+        if events.ids:
+            exchange.last_event = order.last
+        if events.number:
+            _count_events(context, effect, exchange, events.number)
+        if events.number and context.state.options.endpoint_speeds:
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
-        context.submit(AttemptProgressed(clock.now(), exchange.key, effect.attempt, events.number))
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
@@ -280,6 +280,16 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
+def _count_events(
+    context: RelayContext, effect: Dispatch, exchange: RelayExchange, number: int
+) -> None:
+    """Count events that are passed on; comments are none."""
+    exchange.first_event_at = exchange.first_event_at or clock.now()
+    exchange.events += number
+    _record_pause(exchange)
+    context.submit(AttemptProgressed(clock.now(), exchange.key, effect.attempt, number))
+
+
 def _submit_gap(
     context: RelayContext,
     effect: Dispatch,
@@ -305,11 +315,10 @@
 
 
 def _begin_stream(exchange: RelayExchange, head: HttpHead) -> None:
-    """Send the head before the first event; a resumed stream keeps the head that was sent."""
+    """Send the head before the first bytes; a resumed stream keeps the head that was sent."""
     if exchange.started:
         return
     exchange.started = True
-    exchange.first_event_at = clock.now()
     exchange.connection.begin(head.status, end_to_end_headers(head.headers), None)
 
 
