Count the events of a handed-over stream, not the parts in which another node sends them

What callers and operators saw: the log of a stream that another node passed on counted its parts as events, comments among them, and took the head's arrival for the first event. A byte order mark at the start of the rest of a stream came to the caller in its midst, so that the first event of the rest had no id. A stream of which only comments had come was handed over as one that has begun, so that the other node asks for the version that began it, which no node knows.

Cause: the answer of another node was passed on as bytes. It goes through the splitter now; a node sends whole events and comments, so nothing is held back by it. What has begun is what has events.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -4,6 +4,7 @@
 
 from rookspring import event_streams
 from rookspring import relay_attempts
+from rookspring import relay_handovers
 from rookspring.event_streams import EventSplitter
 from rookspring_core.event_order import EventOrder
 
@@ -108,6 +109,14 @@
 _begin_stream = relay_attempts._begin_stream
 
 
+async def _pass_bytes_on(exchange: t.Any, reply: t.Any, splitter: EventSplitter) -> None:
+    """Pass an answer of another node on as it comes, and count its parts."""
+    while part := await reply.next_part():
+        exchange.count_events(1, relay_handovers.clock.now())
+        await exchange.connection.send(part)
+    exchange.connection.end()
+
+
 def _of_splitter(name: str, attribute: str, replacement: t.Any, rule: str = RULE) -> Mutant:
     return Mutant(name, rule, EventSplitter, attribute, replacement, EVENT_STREAMS)
 
@@ -147,6 +156,14 @@
         EVENT_STREAMS,
     ),
     Mutant("ignores a reset id", RULE, EventOrder, "accept", _ignore_resets, EVENT_STREAMS),
+    Mutant(
+        "counts the parts that another node sends",
+        COMMENT_RULE,
+        relay_handovers,
+        "_pass_stream_on",
+        _pass_bytes_on,
+        EVENT_STREAMS,
+    ),
     Mutant(
         "times the first event by a comment",
         COMMENT_RULE,
--- a/features/event_streams.feature
+++ b/features/event_streams.feature
@@ -107,3 +107,38 @@
     Given a relay node with two endpoints that do: events with keep-alives
     When a caller reads a stream stream
     Then it has got a comment 0.25 s before its first event
+
+  Scenario Outline: a stream that another node passes on is counted as one that this node reads
+    Given 2 linked nodes that share three endpoints, and callers at each
+    And the first node reaches no endpoint, which is known
+    And the endpoints then all do: <script>
+    When a caller of the first node reads a stream
+    Then by the standard it has got the events 1 to <last>, each once, and the stream <ends>
+    And the first node's log has <last> events, the first of them <first>
+
+    Examples:
+      | script                      | last | ends   | first       |
+      | events with keep-alives     | 5    | ends   | after 0.3 s |
+      | events with mixed line ends | 5    | ends   | after 0 s   |
+      | keep-alives alone           | 0    | is cut | never       |
+
+  Scenario Outline: a stream that goes on by way of another node has no byte order mark in its midst
+    Given 2 linked nodes that share three endpoints, and callers at each
+    When the first node loses its way to all endpoints in the midst of a resumable stream
+    And the endpoints then <do>
+    Then the bytes that its caller got are one head and the events 1 to 5, each once
+    And by the standard no event of them is hidden
+    And its stream ends whole
+
+    Examples:
+      | do                        |
+      | send the rest after a mark |
+
+  Scenario Outline: a stream of which only comments have come is handed over as one that begins
+    Given a resumable request to hand over, whose caller has got the head and <events> events
+    Then the other node is told that its stream <state>
+
+    Examples:
+      | events | state      |
+      | 0      | begins     |
+      | 1      | has begun  |
--- a/features/steps/begun_stream_steps.py
+++ b/features/steps/begun_stream_steps.py
@@ -14,6 +14,7 @@
     "do not find it": "not found",
     "answer it with nothing": "empty",
     "send it anew": "stream anew",
+    "send the rest after a mark": "events after a mark",
 }
 
 
--- a/features/steps/event_stream_steps.py
+++ b/features/steps/event_stream_steps.py
@@ -1,6 +1,9 @@
+import asyncio
+import contextlib
 import itertools
 import re
 import time
+import types
 
 import event_reader
 from behave import given
@@ -12,8 +15,13 @@
 from hypothesis import strategies
 from relay_fixture import request
 
+from rookspring import clock
+from rookspring import relay_handovers
 from rookspring.event_streams import EventSplitter
+from rookspring.http_messages import HttpRequest
 from rookspring_core.events import AttemptProgressed
+from rookspring_platform import PlatformDialect
+from rookspring_platform.dialect import BEGUN_BY
 
 ESCAPES = {"\\n": b"\n", "\\r": b"\r", "\\0": b"\0", "MARK": event_reader.BYTE_ORDER_MARK}
 ESCAPE = re.compile("(" + "|".join(re.escape(one) for one in ESCAPES) + ")")
@@ -156,21 +164,42 @@
 
 @when("a caller reads a {kind} stream")
 def reads_stream(context, kind):
-    relay = context.relay
+    context.came = context.loop.run(read_stream(context.relay.node, request(kind)))
+    context.raw = b"".join(part for _, part in context.came)
+
 
-    async def work():
-        reader, writer = await relay.connect()
-        began = time.monotonic()
-        writer.write(request(kind))
-        context.came = []
+async def read_stream(node, raw):
+    """Return the parts of an answer, each with the time since its request."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", node.listeners["callers"].port)
+    began = time.monotonic()
+    writer.write(raw)
+    came = []
+    with contextlib.suppress(ConnectionError):
         while part := await reader.read(1 << 16):
-            context.came.append((time.monotonic() - began, part))
+            came.append((time.monotonic() - began, part))
             if part.endswith(b"0\r\n\r\n"):
                 break
-        writer.close()
+    writer.close()
+    return came
+
+
+@given("the endpoints then all do: {script}")
+def endpoints_do(context, script):
+    for server in context.cut_stage.relay.servers:
+        server.script = [script]
 
-    context.loop.run(work())
-    context.raw = b"".join(part for _, part in context.came)
+
+@when("a caller of the first node reads a stream")
+def reads_of_first(context):
+    stage = context.cut_stage
+    came = context.loop.run(read_stream(stage.nodes[0], request("stream")))
+    context.raw = b"".join(part for _, part in came)
+
+
+@then("by the standard no event of them is hidden")
+def none_hidden(context):
+    body, _ = body_of(context.raw)
+    assert event_reader.read(body).ids == ["1", "2", "3", "4", "5"], body
 
 
 def body_of(raw):
@@ -209,8 +238,21 @@
 
 @then("its log has {events:d} events, the first of them {first}")
 def first_event_logged(context, events, first):
+    check_logged(context.relay.log_lines, events, first)
+
+
+@then("the first node's log has {events:d} events, the first of them {first}")
+def first_logged(context, events, first):
+    # The log is of both nodes; the first ends its request after the other.
+    lines = context.cut_stage.relay.log_lines
+    check_logged(
+        [one for one in lines if 'why="node ' in one or "handover_failed" in one], events, first
+    )
+
+
+def check_logged(lines, events, first):
     time.sleep(0.05)
-    (line,) = [one for one in context.relay.log_lines if "event=request_ended" in one]
+    (line,) = [one for one in lines if "event=request_ended" in one]
     fields = dict(one.partition("=")[::2] for one in line.split() if "=" in one)
     first_s = float(fields["first_s"])
     least_s = None if first == "never" else float(first.split()[1])
@@ -236,3 +278,24 @@
 def progress_reported(context, events):
     assert sum(context.progressed) == events, context.progressed
     assert 0 not in context.progressed, context.progressed
+
+
+@given("a resumable request to hand over, whose caller has got the head and {events:d} events")
+def to_hand_over(context, events):
+    head = HttpRequest(b"POST", b"/resumable/x", ((b"Host", b"h.example"),), b"", True)
+    context.exchange = types.SimpleNamespace(
+        request=head,
+        deadline_at=clock.now() + 1.0,
+        stream_id="q1",
+        started=True,
+        events=events,
+        last_event="",
+    )
+
+
+@then("the other node is told that its stream {state}")
+def told_begun(context, state):
+    node = types.SimpleNamespace(dialect=PlatformDialect())
+    effect = types.SimpleNamespace(sends=1)
+    raw = relay_handovers._write_request(node, effect, context.exchange)
+    assert (BEGUN_BY.lower() in raw.lower()) == (state == "has begun"), raw
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -92,6 +92,14 @@
         # Ends the running attempt at the deadline; it counts by the monotonic clock of the loop.
         self.attempt_timeout: asyncio.Timeout | None = None
 
+    def count_events(self, number: int, now: float) -> None:
+        """Count events that are passed on, and record the longest pause between them."""
+        self.first_event_at = self.first_event_at or now
+        self.events += number
+        if self.last_event_at:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
+        self.last_event_at = now
+
     def reschedule_timeout(self) -> None:
         """Reschedule the attempt's timeout after a suspension, which the loop's clock omits."""
         if self.attempt_timeout is not None and not self.attempt_timeout.expired():
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -264,7 +264,9 @@
         if events.ids:
             exchange.last_event = order.last
         if events.number:
-            _count_events(context, effect, exchange, events.number)
+            now = clock.now()
+            exchange.count_events(events.number, now)
+            context.submit(AttemptProgressed(now, exchange.key, effect.attempt, events.number))
         if events.number and context.state.options.endpoint_speeds:
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
@@ -280,16 +282,6 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-def _count_events(
-    context: RelayContext, effect: Dispatch, exchange: RelayExchange, number: int
-) -> None:
-    """Count events that are passed on; comments are none."""
-    exchange.first_event_at = exchange.first_event_at or clock.now()
-    exchange.events += number
-    _record_pause(exchange)
-    context.submit(AttemptProgressed(clock.now(), exchange.key, effect.attempt, number))
-
-
 def _submit_gap(
     context: RelayContext,
     effect: Dispatch,
@@ -306,14 +298,6 @@
     context.submit(EventGapMeasured(clock.now(), effect.endpoint, model, gap_s))
 
 
-def _record_pause(exchange: RelayExchange) -> None:
-    """Record the longest pause between events, which is logged."""
-    now = clock.now()
-    if exchange.last_event_at:
-        exchange.longest_pause_s = max(exchange.longest_pause_s, now - exchange.last_event_at)
-    exchange.last_event_at = now
-
-
 def _begin_stream(exchange: RelayExchange, head: HttpHead) -> None:
     """Send the head before the first bytes; a resumed stream keeps the head that was sent."""
     if exchange.started:
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -12,6 +12,7 @@
 from . import clock
 from . import defaults
 from .answer_memory import AnswerMemory
+from .event_streams import EventSplitter
 from .event_streams import is_stream
 from .exceptions import EndpointError
 from .http_client import Reply
@@ -91,7 +92,7 @@
 def _write_request(context: RelayContext, effect: HandOver, exchange: RelayExchange) -> bytes:
     request = exchange.request
     left_s = exchange.deadline_at - clock.now()
-    begun_by = exchange.stream_id if exchange.started else ""
+    begun_by = exchange.stream_id if exchange.events else ""
     headers = context.dialect.handover_headers(
         request.headers, left_s, effect.sends, exchange.last_event, begun_by
     )
@@ -112,23 +113,28 @@
     if exchange.started:
         if not is_stream(head) or not in_parts:
             raise EndpointError(f"answered {head.status}", sent=True)
-        await _pass_parts_on(exchange, reply)
+        await _pass_stream_on(exchange, reply, EventSplitter(continues=True))
         return
     headers = end_to_end_headers(head.headers)
-    exchange.first_event_at = clock.now()
     if not in_parts:
         body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, answers)
         if reply.ended_by_close:
             raise EndpointError("nothing shows the answer's end", sent=True)
+        exchange.first_event_at = clock.now()
         exchange.connection.answer(head.status, headers, body)
         return
     exchange.started = True
     exchange.connection.begin(head.status, headers, None)
-    await _pass_parts_on(exchange, reply)
+    await _pass_stream_on(exchange, reply, EventSplitter())
 
 
-async def _pass_parts_on(exchange: RelayExchange, reply: Reply) -> None:
+async def _pass_stream_on(exchange: RelayExchange, reply: Reply, splitter: EventSplitter) -> None:
     while part := await reply.next_part():
-        exchange.events += 1
-        await exchange.connection.send(part)
+        events = splitter.feed(part)
+        if events.number:
+            exchange.count_events(events.number, clock.now())
+        if events.data:
+            await exchange.connection.send(events.data)
+    if rest := splitter.incomplete():
+        await exchange.connection.send(rest)
     exchange.connection.end()
