--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -247,24 +247,26 @@
     head: HttpHead,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
-    splitter = EventSplitter()
+    splitter = EventSplitter(continues=exchange.started)
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
-    order = EventOrder(last_event, exchange.started)
+    order = EventOrder(last_event, begun=exchange.events > 0)
     while part := await reply.next_part():
         events = splitter.feed(part)
-        if events.number == 0:
+        if not events.data:
             continue
         if fault := order.accept(events.ids):
             raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        exchange.last_event = order.last or exchange.last_event
-        exchange.events += events.number
-        _record_pause(exchange)
-        if context.state.options.endpoint_speeds:
+        if events.ids:
+            exchange.last_event = order.last
+        if events.number:
+            now = clock.now()
+            exchange.count_events(events.number, now)
+            context.submit(AttemptProgressed(now, exchange.key, effect.attempt, events.number))
+        if events.number and context.state.options.endpoint_speeds:
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
-        context.submit(AttemptProgressed(clock.now(), exchange.key, effect.attempt, events.number))
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
@@ -310,20 +312,11 @@
     context.submit(EventGapMeasured(clock.now(), effect.endpoint, model, gap_s))
 
 
-def _record_pause(exchange: RelayExchange) -> None:
-    """Record the longest pause between events, which is logged."""
-    now = clock.now()
-    if exchange.last_event_at:
-        exchange.longest_pause_s = max(exchange.longest_pause_s, now - exchange.last_event_at)
-    exchange.last_event_at = now
-
-
 def _begin_stream(exchange: RelayExchange, head: HttpHead) -> None:
-    """Send the head before the first event; a resumed stream keeps the head that was sent."""
+    """Send the head before the first bytes; a resumed stream keeps the head that was sent."""
     if exchange.started:
         return
     exchange.started = True
-    exchange.first_event_at = clock.now()
     exchange.connection.begin(head.status, end_to_end_headers(head.headers), None)
 
 
