Place a request whose owner's answer is not read in time, in place of refusing it

A node that stood still for longer than a request's objective refused the requests of plain services for which it had asked an owner for a slot: at its first tick their time in the queue was over, before it had placed them by its own view, as it does SLOT_ANSWER_S after it asked. Callers saw 503 no_room while "the least loaded of 3 endpoints is at 0.00", after their whole objective, and with time left until their deadline.

An overdue request without any answer of its owner is now placed by the node's own view if an endpoint has room, and refused otherwise; past its caller's deadline it is refused as before, and one that its owner has queued as well, since the owner decides on it. Key and quarantine are checked as at each send, so a key that was revoked meanwhile gives 401. A late answer of the owner finds the request running, and its slot is released unsent, as before.

--- a/bench/organisation_mutants.py
+++ b/bench/organisation_mutants.py
@@ -166,5 +166,21 @@
     Mutant(
         "waits for silent owners", "slots", slot_requests, "awaits_owner", _wait_indefinitely, SLOTS
     ),
+    Mutant(
+        "refuses requests whose owner's answer is not read in time",
+        "slots",
+        requests,
+        "_place_unanswered",
+        _no_effects,
+        SLOTS,
+    ),
+    Mutant(
+        "places requests that wait at their owner",
+        "slots",
+        slot_requests,
+        "is_unanswered",
+        _wait_indefinitely,
+        SLOTS,
+    ),
     Mutant("asks for no slot", "slots", requests.slot_requests, "ask", _no_effects, SLOTS),
 )
--- a/features/slots.feature
+++ b/features/slots.feature
@@ -40,7 +40,8 @@
     When 200 requests arrive, with a free slot for each
     Then that endpoint got at most 60 of them
 
-  # The rows with an owner that knows no endpoint guard against refusals of hundreds of requests
+  # The rows of 500 ms and more have no tick in between, as if the node had stood still. The rows
+  # with an owner that knows no endpoint guard against refusals of hundreds of requests
   # whose own nodes know endpoints with room.
   Scenario Outline: a request is placed by its own node if the owner does not answer
     Given a relaying node with a plain service whose owner <answers>
@@ -48,15 +49,20 @@
     Then the request <state>
 
     Examples:
-      | answers                              | ms | state                           |
-      | does not answer                      | 50 | waits                           |
-      | does not answer                      | 70 | was sent                        |
-      | queues it                            | 70 | waits                           |
-      | grants it a slot                     | 0  | was sent                        |
-      | refuses it                           | 0  | was refused                     |
-      | knows no endpoint                    | 0  | was sent                        |
-      | knows no endpoint, nor does the node | 0  | was refused                     |
-      | grants a slot at a removed endpoint  | 0  | was sent, and the slot released |
+      | answers                              | ms   | state                           |
+      | does not answer                      | 50   | waits                           |
+      | does not answer                      | 70   | was sent                        |
+      | does not answer                      | 500  | was sent                        |
+      | does not answer                      | 3100 | was refused                     |
+      | does not answer, and all are full    | 500  | was refused                     |
+      | does not answer, its key is revoked  | 500  | was denied                      |
+      | queues it                            | 70   | waits                           |
+      | queues it                            | 500  | was refused                     |
+      | grants it a slot                     | 0    | was sent                        |
+      | refuses it                           | 0    | was refused                     |
+      | knows no endpoint                    | 0    | was sent                        |
+      | knows no endpoint, nor does the node | 0    | was refused                     |
+      | grants a slot at a removed endpoint  | 0    | was sent, and the slot released |
 
   Scenario: a slot is released once, however its request ends
     Given a relaying node with a plain service whose owner grants it a slot
--- a/features/steps/slot_steps.py
+++ b/features/steps/slot_steps.py
@@ -2,12 +2,14 @@
 import heapq
 import itertools
 import random
+from unittest import mock
 
 from behave import given
 from behave import then
 from behave import when
 from relay_harness import RelayHarness
 
+from rookspring_core import requests
 from rookspring_core.effects import AskSlot
 from rookspring_core.effects import FreeSlot
 from rookspring_core.events import AttemptFailed
@@ -22,12 +24,14 @@
 from rookspring_core.slot_queues import SlotEndpoint
 from rookspring_core.slot_queues import SlotQueue
 from rookspring_core.slot_queues import SlotRequest
+from rookspring_core.suspect_handlers import Quarantine
 
 OBJECTIVE_S = 0.3
 # Network delay from a node to a service's owner, and the interval of heartbeats.
 HOP_S = 0.0015
 BEAT_S = 0.4
 QUEUE = 24
+SOON_S = 0.001
 
 
 class PlainEndpoint:
@@ -306,6 +310,8 @@
         self.state.slots_by_owner = True
         self.asked = []
         self.freed = []
+        # Why its requests may not be sent any more.
+        self.fault = None
         self.list_endpoints(["e", "f"], "svc", "service")
 
     def perform(self, effect):
@@ -341,9 +347,18 @@
     def forget_endpoints(self):
         self.submit(BoxListReceived(self.now, ()))
 
+    def fill_endpoints(self):
+        for name in self.state.endpoints:
+            self.submit(self.report(name)._replace(running=8, at=self.now + SOON_S))
+
+    def revoke_key(self):
+        self.fault = Quarantine(401, "key_taken", "", 0.0)
+
 
 ANSWERS = {
     "does not answer": lambda node: None,
+    "does not answer, and all are full": lambda node: node.fill_endpoints(),
+    "does not answer, its key is revoked": lambda node: node.revoke_key(),
     "queues it": lambda node: node.answer(),
     "grants it a slot": lambda node: node.answer("f"),
     "refuses it": lambda node: node.answer(after_s=0.7),
@@ -369,7 +384,8 @@
     assert len(node.asked) == 1 and not node.sent
     context.answers(node)
     node.now += ms / 1000.0
-    node.submit(Ticked(node.now))
+    with mock.patch.object(requests, "find_fault", lambda state, request: node.fault):
+        node.submit(Ticked(node.now))
 
 
 @then("the request {state}")
@@ -379,6 +395,7 @@
         "waits": not node.sent and not node.refused,
         "was sent": len(node.sent) == 1 and not node.freed,
         "was refused": [one.status for one in node.refused] == [503] and not node.sent,
+        "was denied": [one.status for one in node.refused] == [401] and not node.sent,
         "was sent, and the slot released": len(node.sent) == 1 and len(node.freed) == 1,
     }
     assert found[state], (node.sent, node.refused, node.freed)
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -504,10 +504,25 @@
     for queued in queue.infeasible(state.now, token_s):
         request = state.requests[queued.request_id]
         queue.remove(queued.request_id)
-        effects += end_waiting(state, request)
+        placed: Effects = []
+        if slot_requests.is_unanswered(state, request):
+            placed = _place_unanswered(state, request)
+        effects += placed or end_waiting(state, request)
     return effects
 
 
+def _place_unanswered(state: NodeState, request: RequestState) -> Effects:
+    """Place an overdue request whose service's owner has not answered; no effects without room.
+
+    A node that stood still finds it overdue at once, without having placed it in time.
+    """
+    fault = find_fault(state, request)
+    if fault is not None:
+        return refuse_quarantined(state, request, fault)
+    endpoint = choose_endpoint(state, request)
+    return send(state, request, endpoint) if endpoint is not None else []
+
+
 def end_waiting(state: NodeState, request: RequestState) -> Effects:
     """Refuse a queued request that was not sent within its time, or would not be.
 
--- a/packages/rookspring-core/src/rookspring_core/slot_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_requests.py
@@ -83,6 +83,18 @@
     return request.slot_queued or state.now - asked_at < defaults.SLOT_ANSWER_S
 
 
+def is_unanswered(state: NodeState, request: RequestState) -> bool:
+    """Return whether a queued request still waits for the first answer of its service's owner.
+
+    It may be past its queue's deadline where this node stood still since it asked.
+    """
+    return (
+        request.slot_asked_at is not None
+        and not request.slot_queued
+        and state.now < request.arrived.deadline_at
+    )
+
+
 def is_current_answer(state: NodeState, request: RequestState | None, event: SlotAnswered) -> bool:
     """Return whether an owner's answer is to the request's current question, and not too late.
 
