--- a/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
@@ -6,9 +6,11 @@
 import asyncio
 import typing as t
 
-from . import model_server
 from .model_server import ModelServer
-from .model_server import ReceivedRequest
+from .model_steps import ReceivedRequest
+from .model_steps import record_run
+from .model_steps import step
+from .resets import reset_connection
 
 # Of b"answer" with SHA-256, and of other bytes.
 ANSWER_DIGEST = "sha-256=:DbUvQHbAglGEEq/T3TV24ssMY3A/1/7V4jreYO/vMdk=:"
@@ -51,11 +53,11 @@
 
 
 def _register(name: str, ending: str, answer: OpenBody) -> None:
-    @model_server.step(ending + name)
+    @step(ending + name)
     async def _send_open(
         server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
-        stated = model_server._record_run(server, request)
+        stated = record_run(server, request)
         rows = (*(f"{key}: {value}" for key, value in stated.items()), *answer.rows)
         head = "".join(f"{row}\r\n" for row in (f"HTTP/1.1 {answer.status} X", *rows))
         writer.write(head.encode() + b"\r\n" + answer.body)
@@ -64,7 +66,7 @@
             server.end()
         if ending == "reset after ":
             await asyncio.sleep(READ_S)
-            model_server._reset_connection(writer)
+            reset_connection(writer.transport)
         writer.close()
 
 
@@ -73,7 +75,7 @@
         _register(_name, _ending, _answer)
 
 
-@model_server.step("open refusal")
+@step("open refusal")
 async def _refuse_open(
     server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
