End an era of the store that another node claims once the store's own answers deny it

What callers saw: one heartbeat that names an era which the store has not had cut a node off from its store for as long as the process ran: no new configuration or endpoint counted, no lease could be renewed or taken, and the node claimed the era to all others.

Cause: a node takes an era from any heartbeat, as one that the store does not answer has to, and nothing could end a claim. The store decides now, by each node alone: it answers linearizably and its eras only rise, so answers to calls that began after the claim was heard and name an earlier era show that the claimed one has not begun. Two of them, the last to a call that began 1 s or more after the claim, end it (`era_claims`, without a clock or a socket). An era that the store itself has named is never questioned, nor does an answer count whose call began before the claim. The lease is read anew and goes on in its epoch; in the claimed era nothing can have been written. A denied claim is not taken again until 30 s after the latest answer that denies it, since a node without the store goes on claiming.

The heartbeat's sender is logged as `source="node NAME"`, so that no node's name reads as the store's.

--- a/bench/era_mutants.py
+++ b/bench/era_mutants.py
@@ -8,10 +8,12 @@
 from rookspring.store_eras import StoreEras
 from rookspring_core import defaults as core_defaults
 from rookspring_core import leases
+from rookspring_core.era_claims import EraClaims
 from rookspring_core.freshness import Freshness
 from rookspring_core.leases import Lease
 from rookspring_platform import store
 
+from .mutant import STORE_CLAIMS
 from .mutant import STORE_COPIES
 from .mutant import Mutant
 
@@ -55,6 +57,14 @@
     self.forfeit()
 
 
+def _count_any_answer(self: EraClaims, era: int, asked_at: float) -> bool:
+    """Count an answer to a call that began before the claim was heard."""
+    return _note_older(self, era, max(asked_at, self._heard_at + core_defaults.ERA_DENIED_AFTER_S))
+
+
+_note_older = EraClaims.note_older
+
+
 async def _wait_across_eras(self: StoreEras, call: t.Any) -> t.Any:
     self._answered = True
     return await call
@@ -86,6 +96,39 @@
     Mutant("believes a copy", "keys", Freshness, "_lacks", _never, STORE_COPIES),
     Mutant("believes it at once", "keys", core_defaults, "REWRITE_S", 0.0, STORE_COPIES),
     Mutant("waits on", "drain", StoreEras, "call_in_era", _wait_across_eras, STORE_COPIES),
+    Mutant("believes for good", "drain", EraClaims, "note_older", _never, STORE_CLAIMS),
+    Mutant(
+        "counts late answers",
+        "one holder",
+        EraClaims,
+        "note_older",
+        _count_any_answer,
+        STORE_CLAIMS,
+    ),
+    Mutant(
+        "forgets what the store named",
+        "one holder",
+        EraClaims,
+        "note_named",
+        _nothing,
+        STORE_CLAIMS,
+    ),
+    Mutant(
+        "believes again at once", "drain", core_defaults, "ERA_DENIAL_KEPT_S", 0.0, STORE_CLAIMS
+    ),
+    Mutant("renews no denial", "drain", EraClaims, "note_current", _nothing, STORE_CLAIMS),
+    Mutant(
+        "denies by one answer", "one holder", core_defaults, "ERA_DENIALS_LEAST", 1, STORE_CLAIMS
+    ),
+    Mutant("denies at once", "one holder", core_defaults, "ERA_DENIED_AFTER_S", 0.0, STORE_CLAIMS),
+    Mutant(
+        "stays in the claimed era's lease",
+        "one holder",
+        Lease,
+        "return_to_era",
+        _nothing,
+        STORE_CLAIMS,
+    ),
     Mutant("reads no era", "one holder", store, "_read_era", _nothing, STORE_COPIES),
     Mutant(
         "writes its row once", "membership", StoreEras, "wait_restored", _never_ends, STORE_COPIES
--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -25,6 +25,16 @@
     era: int
 
 
+class StoreEraDenied(t.NamedTuple):
+    """The store's answers have shown that an era that other nodes claim has not begun.
+
+    :param era: the era that the store names.
+    """
+
+    at: float
+    era: int
+
+
 class EvacuationsListed(t.NamedTuple):
     """The evacuated data centres, as this node read them in the store or another node sent them.
 
--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -23,6 +23,7 @@
 from .events import Published
 from .events import RevisionSeen
 from .events import StoreEraBegan
+from .events import StoreEraDenied
 from .memory import Ledger
 from .reducer import handles
 from .state import NodeState
@@ -57,6 +58,14 @@
     return [Announce("store era")]
 
 
+@handles(StoreEraDenied)
+def end_claimed_era(state: NodeState, event: StoreEraDenied) -> Effects:
+    """Return to the store's own era; the lease is read anew before anything is done about it."""
+    state.store_era = event.era
+    state.control.lease.return_to_era(event.era, event.at)
+    return [Announce("store era")]
+
+
 def _begin_if_new(state: NodeState) -> Effects:
     control = state.control
     lease = control.lease
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -440,6 +440,14 @@
 # this share of the time for which a revoked key may still be used; the rest is a margin. At a node
 # that reaches the store or a relay the proof is at most 1.5 s old, so it never comes near.
 PROOF_SHARE = 0.9
+# An era of the store that only other nodes claim ends by this many answers of the store that name
+# an earlier one, the last to a call that began this long after the claim was heard. One would do of
+# a store that answers linearizably; this bears one whose processes learn of a restore apart.
+ERA_DENIALS_LEAST = 2
+ERA_DENIED_AFTER_S = 1.0
+# A claim that was denied is not taken again for this long after the store's latest answer: a node
+# that the store does not answer goes on claiming it, and each claim taken cuts off all calls.
+ERA_DENIAL_KEPT_S = 30.0
 # Time that the operator and the endpoints need to write again what a restored backup of the store
 # lacks.
 REWRITE_S = 2.0
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -20,6 +20,7 @@
 from ._control_events import RevisionSeen as RevisionSeen
 from ._control_events import RouteTableSeen as RouteTableSeen
 from ._control_events import StoreEraBegan as StoreEraBegan
+from ._control_events import StoreEraDenied as StoreEraDenied
 from ._control_events import StoreRead as StoreRead
 from ._control_events import TableProved as TableProved
 from ._control_events import UsageRestored as UsageRestored
@@ -88,6 +89,7 @@
     | MembersReceived
     | PeerUnreached
     | StoreEraBegan
+    | StoreEraDenied
     | StoreRead
     | TableProved
     | NearLimitReceived
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -115,8 +115,17 @@
         The holder continues in the same epoch: no other node can have held it when the era
         began.
         """
-        if era <= self.era:
-            return
+        if era > self.era:
+            self._enter_era(era, at)
+
+    def return_to_era(self, era: int, at: float) -> None:
+        """Return to an earlier era, as the later one was claimed wrongly.
+
+        Nothing was written in the later one, since the store answered none of its calls in it.
+        """
+        self._enter_era(era, at)
+
+    def _enter_era(self, era: int, at: float) -> None:
         self.era = era
         self.version = -1
         self.holder = ""
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -74,6 +74,7 @@
     "endpoint_speed": "an endpoint's speed relative to its service's others has changed",
     "report_failed": "an endpoint's own report could not be fetched or parsed",
     "store_era": "the store was restored from a backup, or its era was seen for the first time",
+    "store_era_denied": "the store's answers name an earlier era than the one that a node claimed",
     "store_era_malformed": "the era in an answer of the platform's store is not a number",
     "entry_passed_over": "an endpoint's entry was ignored, as the known one is taken to be newer",
     "watch_repeated": "a watch of the store got no answer in time and is sent by a new connection",
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -97,6 +97,8 @@
     # Called with the era of an answer before the answer is processed; returns the newest era
     # known.
     record_era: t.Callable[[int], int] = staticmethod(lambda era: era)
+    # Called with the era that an answer names and the time at which its call began.
+    check_claims: t.Callable[[int, float], None] = staticmethod(lambda era, asked_at: None)
 
     @abc.abstractmethod
     async def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
--- a/packages/rookspring/src/rookspring/relay_heartbeats.py
+++ b/packages/rookspring/src/rookspring/relay_heartbeats.py
@@ -246,7 +246,7 @@
 @receives(Heartbeat)
 def handle_heartbeat(peers: RelayPeers, link: Link, beat: Heartbeat) -> None:
     """Process a heartbeat, and request the route table if the sender has a newer one."""
-    peers.context.eras.note_era(beat.store_era, beat.name)
+    peers.context.eras.note_era(beat.store_era, f"node {beat.name}")
     new_follower = beat.follows and beat.name not in peers.followers
     if beat.follows:
         peers.followers.add(beat.name)
--- a/packages/rookspring/src/rookspring/store_eras.py
+++ b/packages/rookspring/src/rookspring/store_eras.py
@@ -12,7 +12,9 @@
 from returns.result import Result
 from returns.result import Success
 
+from rookspring_core.era_claims import EraClaims
 from rookspring_core.events import StoreEraBegan
+from rookspring_core.events import StoreEraDenied
 
 from . import clock
 from .exceptions import PlatformError
@@ -26,6 +28,9 @@
 
 T = t.TypeVar("T")
 
+# The source of an era that an answer of the store names.
+STORE = "store"
+
 
 class StoreEras:
     """The newest era that this node knows of."""
@@ -38,21 +43,42 @@
         self._answered = False
         # How often an era began after this node had data of the one before.
         self.restores = 0
+        self._claims = EraClaims()
 
     def attach_client(self, platform: PlatformClient) -> None:
         """Take eras from the responses that a client gets."""
-        platform.record_era = lambda era: self.note_era(era, "store")
+        platform.record_era = lambda era: self.note_era(era, STORE)
+        platform.check_claims = self.check_claims
 
     def note_era(self, era: int, source: str) -> int:
         """Take an era from a response or another node; one that is not newer changes nothing.
 
+        :param source: ``STORE``, or which node claims it.
         :return: the newest known era.
         """
         state = self._context.state
-        if era > state.store_era:
+        if source == STORE:
+            self._claims.note_named(era)
+        newer = era > state.store_era
+        if newer and (source == STORE or self._claims.note_claim(era, clock.now())):
             self._begin(era, source)
         return state.store_era
 
+    def check_claims(self, era: int, asked_at: float) -> None:
+        """End another node's claim of a later era if the store's answers have denied it.
+
+        :param era: the era that an answer of the store names.
+        :param asked_at: when its call began.
+        """
+        known = self._context.state.store_era
+        if era == known:
+            self._claims.note_current(era, asked_at)
+        elif era < known and self._claims.note_older(era, asked_at):
+            log("store_era_denied", "WARNING", era=era, claimed=known)
+            self._context.submit(StoreEraDenied(clock.now(), era))
+            self._give_up_calls()
+            self._context.lease_check_due.set()
+
     def _begin(self, era: int, source: str) -> None:
         state = self._context.state
         log("store_era", era=era, before=state.store_era, source=source, risen=self._answered)
@@ -60,11 +86,15 @@
         self._reach.note_restore(now)
         self._context.submit(StoreEraBegan(now, era))
         if self._answered:
-            self.restores += 1
-            restored, self._restored = self._restored, asyncio.Event()
-            restored.set()
+            self._give_up_calls()
         self._context.lease_check_due.set()
 
+    def _give_up_calls(self) -> None:
+        """End the calls that wait, since they were made in another era."""
+        self.restores += 1
+        restored, self._restored = self._restored, asyncio.Event()
+        restored.set()
+
     async def call_in_era(
         self, call: t.Awaitable[Result[T, PlatformError]]
     ) -> Result[T, PlatformError]:
