Have the soak's endpoints send bodies without a length, and close some half-way

The check that a planned stop cuts nothing passes over these as over streams without a length; a 200 is compared with the whole body as before.

--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -96,7 +96,7 @@
         # The streams that it sends now, by their connection; whether its reports list them as runs,
         # and how old the reports' lists are, in seconds.
         self.streaming: dict[asyncio.StreamWriter, str] = {}
-        # The requests whose streams nothing shows to be whole: without a length, or dropped.
+        # The requests whose answers nothing shows to be whole: without a length, or dropped.
         self.unshown: set[str] = set()
         self.lists_streams = False
         self.list_age_s = 0.2
@@ -109,7 +109,9 @@
         # does, a key of ENDINGS; and the process that has its address afterwards.
         self.before_close: t.Callable[[], None] = lambda: None
         self.successor: ModelServer | None = None
-        # The share of streams that it sends without a length; how these end, some keys of
+        # Whether it closes bodies without a length in their midst.
+        self.halves_bodies = False
+        # The share of answers that it sends without a length; how its streams end, some keys of
         # RESUMABLE_ENDS, by chance; the pause between events in seconds; and until when its
         # process stands still.
         self.unframed_share = 0.0
@@ -296,10 +298,7 @@
             self.on_crash(min(fatal))
             self.end()
             return False
-        usual = "stream" if self.streams and request.line.startswith(STREAM_PATHS) else "answer"
-        if usual == "stream" and self._leaves_length_out(request):
-            usual = "unframed stream"
-        name = self.script.pop(0) if self.script else usual
+        name = self.script.pop(0) if self.script else self._choose_step(request)
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
             name = "elsewhere"
@@ -307,11 +306,15 @@
         await writer.drain()
         return not writer.is_closing()
 
-    def _leaves_length_out(self, request: ReceivedRequest) -> bool:
-        left_out = self.random.random() < self.unframed_share
-        if left_out:
-            self.unshown.add(request.request_id)
-        return left_out
+    def _choose_step(self, request: ReceivedRequest) -> str:
+        """Return the step of a request that the script has none for."""
+        streams = self.streams and request.line.startswith(STREAM_PATHS)
+        if self.random.random() >= self.unframed_share:
+            return "stream" if streams else "answer"
+        self.unshown.add(request.request_id)
+        if streams:
+            return "unframed stream"
+        return "half unframed" if self.halves_bodies else "unframed"
 
     def _check(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_callers.py
@@ -248,7 +248,7 @@
     """A request is answered if it reached an endpoint, or its connection did not end soon after it.
 
     Excepted are answers that had begun and were cut at their route's time limit, requests whose
-    endpoint ended, streams that nothing shows to be whole, those around a start or a signal of
+    endpoint ended, answers that nothing shows to be whole, those around a start or a signal of
     their node or of one that it was handed over to, and those that were in flight when such a
     node's links to all endpoints were cut; the SIGTERM of a planned stop is not recorded as a
     signal.
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -4,7 +4,7 @@
 unavailable, or restored from an older backup. Nodes lose their links to all endpoints. The
 configuration changes. Endpoints state in their
 answers alone that they are leaving, request a back-off, or accept only so many requests per
-second. A share of the streams comes without a length, from endpoints that freeze, break off, crash,
+second. A share of the answers comes without a length, from endpoints that freeze, break off, crash,
 or close or reset their connections and live on.
 """
 
@@ -48,6 +48,7 @@
 STREAM_TROUBLES = {
     "a part of prompts crashes endpoints",
     "an endpoint breaks off streams without a length",
+    "an endpoint closes bodies without a length in their midst and lives on",
     "an endpoint closes its streams, drops their runs and lives on",
     "an endpoint resets its streams, drops their runs and lives on",
     "an endpoint freezes",
@@ -338,6 +339,15 @@
         await asyncio.sleep(soak.random.uniform(*STREAM_DROP_INTERVAL_S))
 
 
+@trouble("an endpoint closes bodies without a length in their midst and lives on")
+async def halve_bodies(soak: ProcessSoak) -> None:
+    """Have an endpoint close each body without a length half-way, for a while."""
+    server = soak.random.choice(soak.stage.servers)
+    server.halves_bodies = True
+    await asyncio.sleep(soak.random.uniform(0.5, 2.0))
+    server.halves_bodies = False
+
+
 @trouble("an endpoint freezes")
 async def freeze_endpoint(soak: ProcessSoak) -> None:
     """Have an endpoint stand still, whatever it sends."""
