--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -46,11 +46,13 @@
 from . import endless_mutants
 from . import era_mutants
 from . import evacuation_mutants
+from . import event_stream_mutants
 from . import isolation_mutants
 from . import message_mutants
 from . import model_wait_mutants
 from . import notice_mutants
 from . import odd_value_mutants
+from . import open_body_mutants
 from . import organisation_mutants
 from . import owner_mutants
 from . import passing_mutants
@@ -372,6 +374,7 @@
     "clock": clock_mutants.MUTANTS,
     "cut-heads": cut_head_mutants.MUTANTS,
     "endless": endless_mutants.MUTANTS,
+    "event-streams": event_stream_mutants.MUTANTS,
     "rates": rate_mutants.MUTANTS,
     "resends": resend_mutants.MUTANTS,
     "speeds": speed_mutants.MUTANTS,
@@ -389,6 +392,7 @@
     "whole-answers": whole_answer_mutants.MUTANTS,
     "watches": watch_mutants.MUTANTS,
     "odd-values": odd_value_mutants.MUTANTS,
+    "open-bodies": open_body_mutants.MUTANTS,
 }
 
 
--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -8,12 +8,15 @@
 from rookspring import relay_attempts
 from rookspring import relay_ends
 from rookspring import relay_handovers
+from rookspring.exceptions import EndpointError
 from rookspring.http_client import ConnectionPool
 from rookspring.relay_processes import Finding
 from rookspring.relay_processes import ProcessChecks
 from rookspring_core import defaults as core_defaults
 from rookspring_core import event_order
+from rookspring_core import recovering
 from rookspring_core import run_ends
+from rookspring_core import slot_requests
 from rookspring_core.event_order import EventOrder
 from rookspring_core.run_ends import AnsweredRun
 from rookspring_core.run_ends import RunEnd
@@ -23,8 +26,10 @@
 from .mutant import BEGUN_STREAMS
 from .mutant import RESUMED_STREAMS
 from .mutant import RUN_ENDS
+from .mutant import SLOTS
 from .mutant import SOCKETS
 from .mutant import UNFRAMED
+from .mutant import UNKNOWN_ENDS
 from .mutant import UNREAD
 from .mutant import Mutant
 
@@ -36,20 +41,6 @@
     return True
 
 
-async def _take_for_whole(*args: t.Any) -> None:
-    return None
-
-
-async def _spare_leavers(
-    context: t.Any, exchange: t.Any, reply: t.Any, view: t.Any, arrival: t.Any
-) -> None:
-    if not view.leaving and not view.gone:
-        await _check_end(context, exchange, reply, view, arrival)
-
-
-_check_end = relay_attempts.check_end
-
-
 async def _ask_address(self: ProcessChecks, view: t.Any, process: t.Any, left_s: float) -> Finding:
     """Take whatever accepts a connection for the process."""
     down = await self._context.pool.is_down(view.address)
@@ -133,6 +124,53 @@
     return found, RunEnd.ENDED if end is RunEnd.UNCLEAR else end
 
 
+async def _find_up(self: ConnectionPool, address: str) -> bool:
+    return False
+
+
+def _pass_stream(exchange: t.Any, reply: t.Any) -> None:
+    return None
+
+
+def _check_stream(**changed: t.Any) -> t.Callable[[t.Any, t.Any], None]:
+    """Return a check of a stream's end whose error has other fields."""
+
+    def check(exchange: t.Any, reply: t.Any) -> None:
+        try:
+            _check_stream_end(exchange, reply)
+        except EndpointError as error:
+            for name, value in changed.items():
+                setattr(error, name, value)
+            raise
+
+    return check
+
+
+_check_stream_end = relay_attempts._check_stream_end
+
+
+def _blame(state: t.Any, request: t.Any, event: t.Any) -> t.Any:
+    return _count_failure(state, request, event._replace(open_ended=False))
+
+
+def _excuse(state: t.Any, request: t.Any, event: t.Any) -> t.Any:
+    return _count_failure(state, request, event._replace(down=False))
+
+
+_count_failure = recovering._count_failure
+
+
+def _free_failed(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
+    return _free(state, request, True, unsent)
+
+
+def _free_sound(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
+    return _free(state, request, False, unsent)
+
+
+_free = slot_requests.free
+
+
 def _read_all_or_none(raw: bytes) -> dict[str, int] | None:
     try:
         rows = endpoints.validate(endpoints.orjson.loads(raw), endpoints.RunList).runs
@@ -145,16 +183,60 @@
     return endpoints.validate(row, endpoints.Run)
 
 
+SPARED = "an endpoint that gives sound answers without a length gets its share of requests"
+CRASHED = "a request that crashes its endpoints is found"
+
 MUTANTS = (
     Mutant(
-        "takes a close for an end",
+        "takes a stream's close for its end",
         RULE,
         relay_attempts,
-        "check_end",
-        _take_for_whole,
-        UNFRAMED,
+        "_check_stream_end",
+        _pass_stream,
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "takes a stream without an event for one that may be whole",
+        "an endpoint that closes all streams is ejected",
+        relay_attempts,
+        "_check_stream_end",
+        _check_stream(open_ended=True),
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "calls nobody after a stream's close",
+        CRASHED,
+        ConnectionPool,
+        "is_down",
+        _find_up,
+        UNKNOWN_ENDS,
+    ),
+    Mutant(
+        "sends a cut stream again as if nothing was sent",
+        "an unsafe request runs once",
+        relay_attempts,
+        "_check_stream_end",
+        _check_stream(sent=False),
+        UNKNOWN_ENDS,
+    ),
+    Mutant("ejects for closes", SPARED, recovering, "_count_failure", _blame, UNKNOWN_ENDS),
+    Mutant(
+        "calls an ended endpoint sound",
+        CRASHED,
+        recovering,
+        "_count_failure",
+        _excuse,
+        UNKNOWN_ENDS,
+    ),
+    Mutant("takes closes for slow runs", SPARED, slot_requests, "free", _free_failed, SLOTS),
+    Mutant(
+        "takes failures for quick runs",
+        "endpoints that fail at once attract no requests",
+        slot_requests,
+        "free",
+        _free_sound,
+        SLOTS,
     ),
-    Mutant("asks no leavers", RULE, relay_attempts, "check_end", _spare_leavers, UNFRAMED),
     Mutant("passes any event", ORDER_RULE, EventOrder, "accept", _accept_any, RESUMED_STREAMS),
     Mutant("forgets what came", ORDER_RULE, EventOrder, "__init__", _begin_anew, RESUMED_STREAMS),
     Mutant("ranks by letters", ORDER_RULE, event_order, "_rank", _by_letters, RESUMED_STREAMS),
--- a/features/unknown_ends_sockets.feature
+++ b/features/unknown_ends_sockets.feature
@@ -105,4 +105,4 @@
   Scenario: the log tells such an end by a reason of its own
     Given a relay node with one endpoint that does: unframed events
     When a caller sends a stream request
-    Then the log of its failed attempt has: framing=close, end_unknown=True, nothing shows the answer's end
+    Then the log of its failed attempt has: framing=close, open_ended=True, nothing shows the answer's end
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -49,7 +49,7 @@
     :param down: nothing listens at its address.
     :param broken: it closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint left or requested a back-off meanwhile.
-    :param end_unknown: the answer may be whole, but only the close of its connection ended it.
+    :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     """
 
     def __init__(
@@ -61,7 +61,7 @@
         down: bool = False,
         broken: bool = False,
         withheld: bool = False,
-        end_unknown: bool = False,
+        open_ended: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
@@ -71,7 +71,7 @@
         self.down = down
         self.broken = broken
         self.withheld = withheld
-        self.end_unknown = end_unknown
+        self.open_ended = open_ended
 
 
 class PeerError(RookspringError):
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -11,6 +11,7 @@
 from rookspring_core import defaults as core_defaults
 from rookspring_core import keys
 from rookspring_core import stream_origins
+from rookspring_core.body_ends import BodyCopy
 from rookspring_core.endpoints import UNKNOWN_VERSION
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
@@ -87,11 +88,21 @@
         # What shows the end of the answer that came last, for the log.
         self.framing = ""
         self.held_answer: HeldAnswer | None = None
+        # The bodies that came and of which nothing showed that they were whole.
+        self.open_bodies: set[BodyCopy] = set()
         self.task: asyncio.Task[None] | None = None
         self.done: asyncio.Future[None] | None = None
         # Ends the running attempt at the deadline; it counts by the monotonic clock of the loop.
         self.attempt_timeout: asyncio.Timeout | None = None
 
+    def count_events(self, number: int, now: float) -> None:
+        """Count events that are passed on, and record the longest pause between them."""
+        self.first_event_at = self.first_event_at or now
+        self.events += number
+        if self.last_event_at:
+            self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
+        self.last_event_at = now
+
     def reschedule_timeout(self) -> None:
         """Reschedule the attempt's timeout after a suspension, which the loop's clock omits."""
         if self.attempt_timeout is not None and not self.attempt_timeout.expired():
