Suspect no service of the product's own front that ends its answers by a close and lives on

A service that answers without a length, and lives on, was counted as one that broke its connection: three such answers ejected it, and each left its request as one that may have crashed it, though nothing had ended. Cause: the client of the product's own front raised such an end as broken. It now raises an open end, as the relay does: its process counts as ended only if nothing listens at its address. The caller gets what it got before, an unknown outcome. Bodies are hashed only if an earlier run is there.

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -77,6 +77,16 @@
       | no longer listens                   | POST   | 0     | false |
       | ends its answer by a close alone    | POST   | 1     | true  |
 
+  Scenario Outline: a service that lives on has not broken its connection by a close that ends its answer
+    Given a service endpoint that <fault>
+    When an unrepeatable POST is sent to it by the endpoint client
+    Then the failure is <failure>
+
+    Examples:
+      | fault                            | failure             |
+      | ends its answer by a close alone | an open end         |
+      | breaks after reading             | a broken connection |
+
   Scenario: a repeatable call is resent by the HTTP library, so the outline above can fail
     Given a service endpoint that breaks after reading
     When a repeatable GET is sent to it by the endpoint client
--- a/features/steps/socket_steps.py
+++ b/features/steps/socket_steps.py
@@ -263,6 +263,7 @@
             await call(client, kind == "repeatable")
             return "never"
         except EndpointError as error:
+            context.error = error
             return str(error.sent).lower()
         finally:
             await client.close()
@@ -279,6 +280,13 @@
     )
 
 
+@then("the failure is {failure}")
+def failure_is(context, failure):
+    error = context.error
+    kinds = {"an open end": (True, False), "a broken connection": (False, True)}
+    assert (error.open_ended, error.broken) == kinds[failure], vars(error)
+
+
 async def run_streams(context, count, total, disturb):
     caller = Caller(context.stage.addresses(), seed=1)
     try:
--- a/packages/rookspring-core/src/rookspring_core/body_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/body_ends.py
@@ -91,7 +91,7 @@
     if _may_end_itself(head, body) and check_json(body):
         return Sign.JSON
     # Many are cut right after their head, so two empty ones show nothing.
-    if body and copy_body(head.status, body) in earlier:
+    if body and earlier and copy_body(head.status, body) in earlier:
         return Sign.EQUAL
     return Sign.NONE
 
--- a/packages/rookspring/src/rookspring/attempts.py
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -59,13 +59,15 @@
 
 
 async def _check_down(error: EndpointError, address: str) -> None:
-    """Check whether an endpoint that broke its connection has stopped listening.
+    """Check whether an endpoint that broke or closed its connection has stopped listening.
 
     This comes before the failure is submitted, so that the reducer knows whether the process
     ended when it records which requests may have crashed it.
     """
     if error.broken:
         error.down = await refuses_connections(address)
+    elif error.open_ended:
+        error.down = error.broken = await refuses_connections(address)
 
 
 def _fail(node: NodeContext, effect: Dispatch | AttachStream, error: EndpointError) -> None:
@@ -83,6 +85,7 @@
             error.down,
             error.broken,
             error.withheld,
+            error.open_ended,
         )
     )
 
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -334,7 +334,7 @@
             if response.status == 409:
                 _raise_if_not_run(raw)
             if not _shows_end(response, method):
-                raise EndpointError("nothing shows the answer's end", sent=True, broken=True)
+                raise EndpointError("nothing shows the answer's end", sent=True, open_ended=True)
             return ServiceAnswer(response.status, response.content_type, raw)
     except (aiohttp.ClientError, TimeoutError, OSError) as error:
         raise _to_endpoint_error(error) from None
