Tell a request that may have run as unknown where the node it is handed to refuses it

A safe request that was sent, and whose connection broke off, is handed over with its count of sends where its node reaches no endpoint any more. Callers saw 503, which promises that the request has not run and never will, although an endpoint had run it: the other node refused it, knowing of its own attempts alone, and that answer passed unchanged; and where no other node took it, this one refused it with 503 itself, outcome unknown.

A refusal (408, 421, 429, 503) of the other node counts as an attempt that may have run if the request was sent before, as any other failed attempt of it does: 502. Requests that were not sent get the other node's refusal as before. A mutant is added; it was not run to its end.

--- a/bench/isolation_mutants.py
+++ b/bench/isolation_mutants.py
@@ -173,6 +173,14 @@
         _only_reaching,
         ISOLATION,
     ),
+    Mutant(
+        "passes on refusals of what was sent before",
+        "isolated node",
+        relay_handovers,
+        "check_refusal",
+        _nothing,
+        HANDOVERS,
+    ),
     Mutant(
         "tells refusals as ends",
         "isolated node",
--- a/features/handovers_sockets.feature
+++ b/features/handovers_sockets.feature
@@ -30,6 +30,12 @@
       | a GET without a request id           | 400    |
       | a GET that the other node can't send | 503    |
 
+  # Guards against a refusal, which says that a request has not run, after an endpoint has run it.
+  Scenario: a request that may have run before it was handed over is not told as refused
+    When a GET runs as the first node loses all endpoints, and the other node can't send it
+    Then within 0.9 s its caller got 502 with no stamp
+    And it ran once
+
   Scenario: a caller who reads slowly holds up its own answer alone, in bounded memory
     When a caller of the first node reads nothing of a stream without end for 0.7 s
     Then at most 30 MB of it were taken from its endpoint
--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -57,6 +57,12 @@
     Then it is handed over to b with 1 sends
     And at b it is sent once more at most
 
+  Scenario: a request that was sent before it was handed over is not refused as one that has not run
+    Given a node of data centre z with 3 endpoints and other nodes b in z
+    When a safe request was sent once and broke off, and it finds that it reaches none
+    And it can't be sent to b either
+    Then it is ended with 502 unknown, after one handover
+
   Scenario Outline: requests go to nodes that reach endpoints
     Given a node of data centre z with 3 endpoints and other nodes <nodes>
     When it finds that it reaches no endpoint
--- a/features/steps/handover_socket_steps.py
+++ b/features/steps/handover_socket_steps.py
@@ -113,6 +113,34 @@
     assert ids == [f"id: {number + 1}".encode() for number in range(STREAM_EVENTS)], ids
 
 
+@when("a GET runs as the first node loses all endpoints, and the other node can't send it")
+def lost_while_running(context):
+    stage = context.cut_stage
+    node = stage.nodes[0].context
+    stage.heal()
+    for server in stage.relay.servers:
+        server.script = ["hang"]
+
+    async def work():
+        node.submit(ReachProbed(clock.now(), True))
+        reader, writer = await open_first(context)
+        writer.write(request("safe"))
+        await stage.relay.until(lambda: stage.relay.runs)
+        node.submit(ReachProbed(clock.now(), False))
+        began = time.monotonic()
+        stage.cut(2, "refused")
+        context.answer = await read_answer(reader)
+        context.took_s = time.monotonic() - began
+        writer.close()
+
+    context.loop.run(work())
+
+
+@then("it ran once")
+def ran_just_once(context):
+    assert context.cut_stage.relay.runs == ["q1"], context.cut_stage.relay.runs
+
+
 @then("it is refused with {status:d}, and no endpoint got it")
 def refused(context, status):
     assert context.answer.status == status, vars(context.answer)
--- a/features/steps/isolation_steps.py
+++ b/features/steps/isolation_steps.py
@@ -270,6 +270,11 @@
         node.submit(GraceEnded(node.now))
 
 
+@when("it can't be sent to b either")
+def unsent_to_b(context):
+    context.node.meet_handover((False, "ConnectionRefusedError"))
+
+
 @then("it ends as {end} after {times:d} handovers")
 def ends_as(context, end, times):
     node = context.node
@@ -284,6 +289,13 @@
     assert not node.sent
 
 
+@then("it is ended with {end}, after one handover")
+def ended_with(context, end):
+    node = context.node
+    refused = [f"{one.status} {one.outcome}" for one in node.refused]
+    assert refused == [end] and len(node.effects(HandOver)) == 1, (refused, node.given)
+
+
 @when("a request arrives that another node has handed over")
 def arrives_handed(context):
     node = context.node
--- a/packages/rookspring-core/src/rookspring_core/handovers.py
+++ b/packages/rookspring-core/src/rookspring_core/handovers.py
@@ -50,15 +50,11 @@
     effects += slot_requests.free(state, request, failed=False, unsent=True)
     if sum(state.reach.handed.values()) >= defaults.HANDOVERS_MAX:
         text = "this node reaches no endpoint, and has handed over as many requests as it may"
-        return effects + requests.fail_request(
-            state, request, 503, "handover_full", text, defaults.RETRY_AFTER_S
-        )
+        return effects + _refuse(state, request, "handover_full", text)
     peer = _choose_peer(state, request)
     if peer is None:
         text = "this node reaches no endpoint, and no other node that does takes the request"
-        return effects + requests.fail_request(
-            state, request, 503, "isolated", text, defaults.RETRY_AFTER_S
-        )
+        return effects + _refuse(state, request, "isolated", text)
     missing_models.end_served(state, request)
     request.attempt += 1
     request.endpoint = ""
@@ -75,6 +71,13 @@
     ]
 
 
+def _refuse(state: NodeState, request: RequestState, reason: str, text: str) -> Effects:
+    """Refuse a request that no node takes; one that was sent before may have run."""
+    if request.sent:
+        return requests.fail_request(state, request, 502, reason, text)
+    return requests.fail_request(state, request, 503, reason, text, defaults.RETRY_AFTER_S)
+
+
 def hand_over_waiting(state: NodeState) -> Effects:
     """Hand over the requests that wait in this node's queues, or for an owner's answer."""
     effects: Effects = []
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -25,6 +25,9 @@
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
 
+# Statuses that tell a caller that its request has not run.
+REFUSED_STATUSES = frozenset((408, 421, 429, 503))
+
 
 @handles_relay_effect(HandOver)
 def hand_over(context: RelayContext, effect: HandOver) -> None:
@@ -79,6 +82,7 @@
         no_body = exchange.request.method == b"HEAD"
         reply = connection.send_request(data, lambda head: True, lambda head: None, no_body)
         head = await reply.wait_head()
+        check_refusal(head, effect.sends)
         await _pass_on(exchange, reply, head, context.peer_pool.answers)
     finally:
         # An answer that was not read to its end is cancelled at the other node by the close.
@@ -98,6 +102,18 @@
     return write_request(request, headers)
 
 
+def check_refusal(head: HttpHead, sends: int) -> None:
+    """Raise if the other node refuses a request that may have run at an endpoint before.
+
+    Its refusal says that the request has not run, which it knows of its own attempts alone.
+
+    :param sends: how often the request was sent before it was handed over.
+    :raises EndpointError: as an attempt that may have run.
+    """
+    if sends > 0 and head.status in REFUSED_STATUSES:
+        raise EndpointError(f"answered {head.status}", sent=True)
+
+
 async def _pass_on(
     exchange: RelayExchange, reply: Reply, head: HttpHead, answers: AnswerMemory
 ) -> None:
