Remove the checks of processes and runs, which nothing uses since a close shows no end

`relay_ends`, `relay_processes` and `run_ends` found out whether the process of an answer lived on, and whether its reports listed the run, before a close was taken for an end.

Rows: those of unframed_answers_sockets and unread_answers_sockets stay and expect a cut, whatever the endpoint's process, reports, silences or the node's standstill show; titles say so.

--- a/features/cut_heads_sockets.feature
+++ b/features/cut_heads_sockets.feature
@@ -88,8 +88,6 @@
       | a report         | with a length    | its last byte         |
       | a report         | in chunks        | its last byte         |
       | a report         | without a length | the end of its value  |
-      | an identity check | with a length   | its last byte         |
-      | an identity check | in chunks       | its last byte         |
 
   Scenario Outline: a cut answer of the store is a failure, and never an empty one
     When the answer <framing> to <call> of the store is cut after each byte
--- a/features/steps/cut_head_socket_steps.py
+++ b/features/steps/cut_head_socket_steps.py
@@ -23,13 +23,11 @@
 from returns.result import Success
 
 from rookspring import relay_orders
-from rookspring.dialect import ExpectedProcess
 from rookspring.endpoints import GenerationRequest
 from rookspring.endpoints import HttpEndpoint
 from rookspring.exceptions import EndpointError
 from rookspring.http_platform import HttpPlatform
 from rookspring.platform import CallRateLimiter
-from rookspring.relay_processes import ProcessChecks
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import SendOrder
 from rookspring_fakes.model_server import step
@@ -367,16 +365,6 @@
     return view.report.order_token == (0, REPORT["sequence"])
 
 
-@call("an identity check", REPORT)
-async def make_identity_check(context):
-    node = context.relay.node.context
-    view = node.state.endpoints["i0"]
-    view.address = context.raw.address
-    view.role = "runner"
-    found = await ProcessChecks(node)._call(view, ExpectedProcess("i0", 0), CALL_S)
-    return found.runs
-
-
 def open_store(context):
     store = ObjectStore(f"objects://{context.raw.address}", lambda method, end: None)
     store._budget = CallRateLimiter(CALLS_PER_S, CALLS_PER_S)
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -1,7 +1,7 @@
 @relay
 Feature: Answers without length or chunks, which end with their connection, between sockets
 
-  Scenario Outline: such an answer counts as whole only if its endpoint's process lives on
+  Scenario Outline: the end of such an answer is never taken from its close, however its endpoint ends
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
@@ -34,7 +34,7 @@
       | stream    | fall silent after 3 unframed          | 3 events, cut | 1    |
       | unsafe    | fall silent after unframed            | unknown       | 1    |
 
-  Scenario Outline: such an answer is cut if a process answers that may have restarted since
+  Scenario Outline: such an answer is cut if another process has its endpoint's name then
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
@@ -46,7 +46,7 @@
       | resumable | restart after 3 unframed, stream | 5 events      | 2    |
       | unsafe    | restart after unframed           | unknown       | 1    |
 
-  Scenario Outline: an endpoint that resets the first call has not restarted if a connection stays
+  Scenario Outline: such an answer is cut if its endpoint resets the next connection
     Given a relay node with one endpoint that does: unframed events
     And <idle> idle connections to it
     When it resets the first call after the answer to a stream request
@@ -76,7 +76,7 @@
       | unsafe    | leaving | unframed                             | unknown       | 1    |
       | unsafe    | gone    | unframed                             | unknown       | 1    |
 
-  Scenario Outline: endpoints that serve models are asked for their report instead
+  Scenario Outline: endpoints that serve models are not asked for their report as such an answer ends
     Given a relay node with two endpoints with models that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
@@ -90,7 +90,7 @@
       | stream | be replaced after 3 unframed | 3 events, cut | 1    | 0       |
       | stream | stream                       | 5 events      | 1    | 0       |
 
-  Scenario Outline: such an answer is cut if its endpoint's report shows that its run goes on
+  Scenario Outline: such an answer is cut whatever its endpoint's report tells of its run
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
@@ -113,7 +113,7 @@
     When a stream is taken up after its event 3
     Then its caller gets 2 events, cut
 
-  Scenario Outline: an endpoint is asked only where nothing but the close shows the end
+  Scenario Outline: an endpoint is not asked for its health as an answer ends
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
@@ -127,7 +127,7 @@
       | unsafe | unframed        | unknown       | 0     |
       | stream | unframed events | 5 events, cut | 0     |
 
-  Scenario: an endpoint that has asked for a back-off is not asked, so that nothing shows the end
+  Scenario: an endpoint that has asked for a back-off is not asked for its health
     Given a relay node with two endpoints that do: unframed events
     When the endpoint of a stream request is in back-off as that answer ends
     Then the answer is 5 events, cut
@@ -149,34 +149,3 @@
       | how                         | gets    |
       | by its length               | it      |
       | as its connection is closed | nothing |
-
-  Scenario: answers that end together share a call, and none counts that began before an end
-    Given a process of which calls take 50 ms
-    When answers of it end at 0, 0 and 20 ms
-    Then it was called 2 times, and all three were found to be whole
-
-  Scenario Outline: what an answer shows about the process that gave it
-    Given the process i1, which started at <known>
-    When a call for it gets <status> from <named>, with a report of a start at <reported>
-    Then that shows that it is <same>
-
-    Examples:
-      | status | named   | known | reported | same    |
-      | 200    | nobody  | 0     | 0        | same    |
-      | 200    | nobody  | 700   | 700      | same    |
-      | 200    | nobody  | 700   | 0        | same    |
-      | 200    | nobody  | 0     | 700      | same    |
-      | 200    | nobody  | 700   | 701      | another |
-      | 200    | i1      | 700   | 701      | another |
-      | 200    | i1      | 0     | none     | same    |
-      | 503    | i1      | 0     | none     | same    |
-      | 200    | i2      | 0     | 0        | another |
-      | 503    | i2      | 0     | none     | another |
-      | 421    | nobody  | 0     | none     | another |
-      | 200    | nobody  | 0     | none     | unknown |
-      | 503    | nobody  | 0     | none     | unknown |
-      | 404    | nobody  | 0     | none     | unknown |
-
-  Scenario: two checks of one process may end in either order
-    When of two checks of a process the later one ends first
-    Then both have found that it runs, without an error
--- a/features/unread_answers_sockets.feature
+++ b/features/unread_answers_sockets.feature
@@ -2,7 +2,7 @@
 Feature: Answers without a length that stayed unread for a while, between sockets
 
   # An endpoint cuts off an answer that is not read for some seconds, and its process lives on.
-  Scenario Outline: such an answer counts as whole only if its bytes came without a long silence
+  Scenario Outline: such an answer is cut, with a long silence or without
     Given a relay node whose routes take up to 8 s, with two endpoints that do: <script>
     When a caller sends a <kind> request
     Then the answer is <answer>
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -27,8 +27,6 @@
 
 # Reports older than this are no longer used to estimate the load from other nodes.
 REPORT_STALE_S = 20.0
-# Endpoints report how things stood some hundred milliseconds earlier.
-REPORT_LAG_S = 1.0
 # The largest body whose syntax is checked for its end, in bytes: this takes some ms of a node.
 CHECKED_JSON_BYTES_MAX = 1 << 20
 # Value of a report's ``running`` when the endpoint does not report its load.
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -79,10 +79,6 @@
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
         return made
 
-    def list_idle(self, address: str) -> list[ClientConnection]:
-        """Return the idle connections to an address that are open."""
-        return [one for one in self._kept.get(address, ()) if one.open]
-
     async def is_down(self, address: str) -> bool:
         """Return whether nothing listens at an address; concurrent calls share one connection.
 
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -28,19 +28,12 @@
         # When each of the parts arrived, and when the part arrived that was taken last.
         self._arrivals: collections.deque[float] = collections.deque()
         self.part_arrived_at = 0.0
-        # The longest time in which nothing of the answer arrived, from its head to its end, in
-        # seconds; and when something arrived last.
-        self.longest_silence_s = 0.0
-        self._last_arrival_at = 0.0
         self.complete = False
         self.failure = ""
         # Whether the endpoint closed or reset the connection; false if it stopped responding.
         self.closed_by_endpoint = False
         # Whether it ended with its connection, so that nothing but the close shows its end.
         self.ended_by_close = False
-        # When the request was sent, and when nothing more could arrive, by the node's clock.
-        self.began_at = clock.now()
-        self.ended_at = 0.0
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -50,26 +43,16 @@
     def begin(self, head: HttpHead) -> None:
         """Take the head, which has just arrived."""
         self.head = head
-        self._note_arrival()
 
     def add_part(self, body: bytes) -> None:
         """Append a part of the body, which has just arrived."""
         self._parts.append(body)
-        self._arrivals.append(self._note_arrival())
+        self._arrivals.append(clock.now())
         self._count_unread(len(body))
         self.notify()
 
-    def _note_arrival(self) -> float:
-        now = clock.now()
-        if self._last_arrival_at:
-            silence_s = now - self._last_arrival_at
-            self.longest_silence_s = max(self.longest_silence_s, silence_s)
-        self._last_arrival_at = now
-        return now
-
     def end(self) -> None:
         """Note that nothing more arrives: what is unread holds up the endpoint no longer."""
-        self.ended_at = self._note_arrival()
         self._on_unread(0)
         self._on_unread = lambda unread: None
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -15,12 +15,6 @@
 RELAY_CONNECT_S = 0.4
 PLATFORM_CALL_S = 3.0
 ORDER_CALL_S = 2.0
-# Where nothing but the close of its connection shows the end of an answer, the caller waits this
-# long at most until a call to its endpoint shows that the process runs on. A packet that is lost
-# costs 0.2 s, the first one of a connection ``RELAY_CONNECT_S``; the call is made again after the
-# pause.
-PROCESS_CHECK_S = 1.0
-PROCESS_CHECK_PAUSE_S = 0.2
 REPORT_CALL_S = 1.0
 # Delay before a caller's stream is cancelled at its endpoint, so that it can be resumed at
 # another node.
@@ -71,16 +65,6 @@
 # Bytes of an endpoint's answer that are held for a caller who reads slowly. Beyond them nothing
 # more is read from the endpoint, whose own flow control then applies.
 UNREAD_ANSWER_BYTES_MAX = 64 << 10
-# An endpoint cuts off an answer that is not read for some seconds, by an ordinary close. Without a
-# length, an answer with a silence of this long may be one: this node, the way to it or the caller
-# may have held it up.
-UNREAD_SILENCE_S = 1.0
-# Of an answer that nobody reads, the kernel of its endpoint takes this much at the least before the
-# endpoint has to wait; what is smaller can't have been cut off for that.
-UNREAD_BYTES_MIN = 4 << 10
-# Pause between calls for reports, until one shows whether a run has ended: about the time between
-# two events, so that few runs end unseen with events that did not come.
-RUN_CHECK_PAUSE_S = 0.1
 LISTEN_BACKLOG = 1024
 # Idle time in which a connection is reused if the endpoint states no keep-alive timeout: such
 # endpoints close idle connections within a second.
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -79,17 +79,6 @@
     not_run: bool = False
 
 
-class ExpectedProcess(t.NamedTuple):
-    """The process that a call is meant for.
-
-    :param name: of the endpoint; where each start has a name of its own, of the process too.
-    :param started_ms: when it started, in Unix milliseconds; 0 where endpoints don't state that.
-    """
-
-    name: str
-    started_ms: int = 0
-
-
 class OrderReply(t.NamedTuple):
     """The answer to an order.
 
@@ -203,24 +192,6 @@
     def order_request(self, address: str, order: OrderRequest) -> bytes:
         """Write an order."""
 
-    @abc.abstractmethod
-    def identity_request(self, address: str, process: ExpectedProcess, health_path: str) -> bytes:
-        """Write a call whose answer shows which process gives it.
-
-        :param health_path: of a plain service; empty for a model runner.
-        """
-
-    @abc.abstractmethod
-    def read_identity(self, head: HttpHead, body: bytes, process: ExpectedProcess) -> bool | None:
-        """Return whether the expected process gave an answer; None if it doesn't show that."""
-
-    @abc.abstractmethod
-    def read_runs(self, body: bytes) -> t.Mapping[str, int] | None:
-        """Return the events that each run has made which a report lists, by request.
-
-        None if it tells nothing of runs.
-        """
-
     @abc.abstractmethod
     def read_order_reply(self, head: HttpHead) -> OrderReply:
         """Read the answer to an order."""
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -52,7 +52,6 @@
     "handover_failed": "a request that was handed over got no complete answer from the other node",
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
-    "process_checked": "an answer ended with its connection; whether its endpoint's process runs",
     "body_checked": "a body ended with its connection; what shows that it is whole, if anything",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
@@ -91,7 +90,6 @@
 LOGGED_MAX = 10_000
 BOUNDED = (
     "event=attempt_",
-    "event=process_checked",
     "event=body_checked",
     "event=endpoint_said",
     "event=request_",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -25,7 +25,6 @@
 
 from . import clock
 from . import defaults
-from .dialect import ExpectedProcess
 from .dialect import RequestFields
 from .exceptions import CallerError
 from .exceptions import CallerGone
@@ -83,8 +82,6 @@
         # When the last events arrived, and the longest time between two of them, in seconds.
         self.last_event_at = 0.0
         self.longest_pause_s = 0.0
-        # The process that the request was sent to last.
-        self.process = ExpectedProcess("")
         # What shows the end of the answer that came last, for the log.
         self.framing = ""
         self.held_answer: HeldAnswer | None = None
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -19,7 +19,6 @@
 
 from . import clock
 from .dialect import AnswerMatch
-from .dialect import ExpectedProcess
 from .dialect import ForwardFields
 from .event_gaps import GapMeter
 from .event_streams import EventSplitter
@@ -73,7 +72,6 @@
         waited_s=clock.now() - exchange.arrived_at,
         **speed,
     )
-    exchange.process = ExpectedProcess(view.name, notice_handlers.known_start(view))
     exchange.task = context.spawn(run_attempt(context, effect, exchange, view))
 
 
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -36,7 +36,6 @@
 from .relay_settings import RelaySettings
 
 if t.TYPE_CHECKING:
-    from .relay_processes import ProcessChecks
     from .relay_reach import ReachProbes
     from .relay_streams import OriginQuestions
     from .store_eras import StoreEras
@@ -78,10 +77,7 @@
         self.peer_pool = ConnectionPool(answers=self.pool.answers)
         # Set by :class:`RelayNode`.
         self.reach_probes: ReachProbes
-        self.process_checks: ProcessChecks
         self.origins: OriginQuestions
-        # When this process went on after it stood still, by the node's clock; 0 if it never did.
-        self.resumed_at = 0.0
         self.exchanges: dict[str, RelayExchange] = {}
         self.endpoints_listed = False
         # Set while this node has to watch the store; see ``topology.py`` of the core.
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -66,7 +66,6 @@
 from .relay_context import handles_relay_effect
 from .relay_endpoint_list import EndpointList
 from .relay_peers import RelayPeers
-from .relay_processes import ProcessChecks
 from .relay_proofs import ProofRefresher
 from .relay_reach import ReachProbes
 from .relay_settings import RelaySettings
@@ -146,7 +145,6 @@
         self.context.eras = StoreEras(self.context, self.reach)
         self.context.eras.attach_client(platform)
         self.context.reach_probes = ReachProbes(self.context)
-        self.context.process_checks = ProcessChecks(self.context)
         self.endpoints = EndpointList(self.context, self.peers, self.reach)
         self.proofs = ProofRefresher(self.context, self.peers, self.reach)
         self._connect_components()
@@ -327,7 +325,6 @@
         :param frozen_s: time since the tick before, in seconds.
         """
         log("stood_still", "WARNING", for_s=frozen_s, suspended_s=clock.suspended_s())
-        self.context.resumed_at = clock.now()
         for exchange in self.context.exchanges.values():
             exchange.reschedule_timeout()
 
