Prefer endpoints whose answers show their end where one of them has room

Cause: an answer of which nothing shows the end counts as a response, since it may be whole; so an endpoint that closes at once has the lowest load and attracts what comes.

Change: after three such answers in a row others that have room are preferred for five seconds. It is not ejected: where no other has room, or all answer so, it is used as before. A whole answer ends the row.

Endpoints of plain services are chosen by the owner of their slots, who isn't told of such ends: not mended.

--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -113,7 +113,9 @@
         "leaving",
         "load_reported",
         "name",
+        "open_ends",
         "others_inflight",
+        "passed_over_until",
         "prefixes",
         "peers",
         "probing",
@@ -190,6 +192,9 @@
         self.unverified_start = 0
         self.failures = 0
         self.ejected_until = -1e9
+        # Answers in a row of which nothing showed the end, and until when others are preferred.
+        self.open_ends = 0
+        self.passed_over_until = -1e9
         self.probing = False
         # When a request of this node last got anything from it.
         self.responded_at = -1e9
@@ -224,6 +229,8 @@
         self.unverified_start = 0
         self.failures = 0
         self.ejected_until = -1e9
+        self.open_ends = 0
+        self.passed_over_until = -1e9
         self.probing = False
         self.prefixes.clear()
 
@@ -476,8 +483,23 @@
         """Record a response, and reset the failures."""
         self.hear(now)
         self.failures = 0
+        self.open_ends = 0
+        self.passed_over_until = -1e9
         self.down = False
 
+    def end_open(self, now: float) -> None:
+        """Record a response of which nothing showed the end, and reset the failures.
+
+        It may be whole, so it does not eject the endpoint. After ``EJECT_AFTER_FAILURES`` in a row
+        others are preferred for ``EJECT_S``, whose answers reach their callers.
+        """
+        self.hear(now)
+        self.failures = 0
+        self.down = False
+        self.open_ends += 1
+        if self.open_ends >= defaults.EJECT_AFTER_FAILURES:
+            self.passed_over_until = now + defaults.EJECT_S
+
     def hint(self, prefixes: t.Iterable[int], now: float) -> None:
         """Remember prefixes that the endpoint may have cached; the oldest are dropped first."""
         for prefix in prefixes:
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -111,7 +111,7 @@
     elif event.open_ended and not event.down:
         # A sound endpoint may answer so. It would be ejected for some failures among many such
         # answers if these did not end the row of failures.
-        endpoint.succeed(state.now)
+        endpoint.end_open(state.now)
         state.reach.heard_at = state.now
     else:
         endpoint.fail(state.now)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -136,7 +136,8 @@
 
     Prefill of long prompts stalls all streams of an endpoint, so one with many unread prompt
     tokens for its speed gets no more. Ejected endpoints are used where all that hold the model are
-    ejected; those that are leaving or in back-off never are.
+    ejected, and those that show no end of their answers where no other has room; those that are
+    leaving or in back-off never are.
     """
     arrived = request.arrived
     assert arrived.route is not None
@@ -157,6 +158,7 @@
     ready = [
         view for view in ready if view.load(state.now) < 1.0 - reserved[view.name] / view.slots()
     ]
+    ready = [view for view in ready if state.now >= view.passed_over_until] or ready
     if any(view.rate is not None for view in ready):
         ready = _exclude_rate_limited(state, request, ready)
     if arrived.service:
