Take no rest that was not asked for as the end of a stream, and count answers that give nothing

A stream whose events have no id can't be taken up after its last event, so the second attempt is a new run; if it was framed and had no event, the first one was told as complete.

--- a/features/resumed_streams_sockets.feature
+++ b/features/resumed_streams_sockets.feature
@@ -36,11 +36,16 @@
     When a stream is taken up after its event 3
     Then the answer is unknown
 
-  Scenario: a stream whose events have no ids is not joined with another run of it
-    Given a relay node with two endpoints that do: break after 2 without ids, stream
+  Scenario Outline: a stream whose events have no ids is not joined with another run of it
+    Given a relay node with two endpoints that do: break after 2 without ids, <rest>
     When a caller sends a resumable request
     Then its caller gets 2 events, cut
 
+    Examples:
+      | rest               |
+      | stream             |
+      | stream of no event |
+
   Scenario Outline: whether events follow does not depend on how their bytes are read
     Given a caller that has got 3
     When the bytes <bytes> come in <reads>
--- a/features/steps/unknown_end_steps.py
+++ b/features/steps/unknown_end_steps.py
@@ -1,3 +1,4 @@
+import asyncio
 import collections
 import time
 
@@ -100,3 +101,12 @@
     failed = next(line for line in context.relay.log_lines if "event=attempt_failed" in line)
     missing = [field for field in fields.split(", ") if field not in failed]
     assert not missing, (missing, failed)
+
+
+@given("whether its process has ended takes {seconds:d} s to find out")
+def slow_to_find(context, seconds):
+    async def is_down(address):
+        await asyncio.sleep(seconds)
+        return False
+
+    context.relay.node.context.pool.is_down = is_down
--- a/features/unknown_ends_sockets.feature
+++ b/features/unknown_ends_sockets.feature
@@ -28,6 +28,7 @@
       | resumable | unframed events, unframed        | 5 events, cut | 2    |
       | resumable | unframed events, unframed reset  | 5 events, cut | 2    |
       | resumable | unframed events, close           | 5 events, cut | 2    |
+      | resumable | unframed events, stream of no event | 5 events   | 2    |
 
   Scenario: a single endpoint is asked for the rest itself
     Given a relay node with one endpoint that does: unframed events, stream
@@ -89,6 +90,8 @@
       | break after 3, break after 3, unframed events, break after 3                         | 4      | 1        | not ejected |
       | break after 3, break after 3, break after 3                                          | 3      | 3        | ejected     |
       | unframed without events, unframed without events, unframed without events            | 3      | 3        | ejected     |
+      | comment unframed, comment unframed, comment unframed                                 | 3      | 3        | ejected     |
+      | open 500, open 500, open 500                                                         | 3      | 3        | ejected     |
 
   Scenario Outline: a crash is recorded where nothing listens after the close
     Given a relay node with two endpoints with models that do: <script>
@@ -102,6 +105,12 @@
       | unframed events       | 5 events, cut | not recorded | up    |
       | 3 unframed            | 3 events, cut | not recorded | up    |
 
+  Scenario: a caller does not wait beyond its time for whether the process has ended
+    Given a relay node with one endpoint that does: 3 unframed
+    And whether its process has ended takes 5 s to find out
+    When a caller sends a stream request
+    Then it arrived after 0.0 to 1.5 s
+
   Scenario: the log tells such an end by a reason of its own
     Given a relay node with one endpoint that does: unframed events
     When a caller sends a stream request
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
@@ -44,6 +44,26 @@
     writer.close()
 
 
+@step("stream of no event")
+async def _stream_of_none(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    begin_events(server, request, writer)
+    writer.write(b"0\r\n\r\n")
+
+
+@step("comment unframed")
+async def _comment_unframed(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a comment and no event, without a length or chunks, and close the connection."""
+    headers = record_run(server, request) | {"Content-Type": "text/event-stream"}
+    rows = "".join(f"{key}: {value}\r\n" for key, value in headers.items())
+    writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n: on its way\n\n".encode())
+    await writer.drain()
+    writer.close()
+
+
 @step("stream without ids")
 async def _stream_without_ids(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -1,5 +1,6 @@
 """Attempts of relayed requests at endpoints, and the answers to their callers."""
 
+import asyncio
 import typing as t
 
 from rookspring_core import notice_handlers
@@ -86,15 +87,25 @@
         # The cause that is recorded for the failure depends on whether the endpoint's process
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
-        error.down = await context.pool.is_down(view.address)
+        error.down = await _is_down(context, exchange, view)
     elif error.open_ended:
         # Such an end is that of a crash only if the process has ended as well.
-        error.down = error.broken = await context.pool.is_down(view.address)
+        error.down = error.broken = await _is_down(context, exchange, view)
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
     _submit_failure(context, effect, error)
 
 
+async def _is_down(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bool:
+    """Return whether an endpoint's process is found to have ended before the caller's deadline."""
+    left_s = exchange.deadline_at - clock.now()
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            return await context.pool.is_down(view.address)
+    except TimeoutError:
+        return False
+
+
 async def _check_reach(context: RelayContext, view: EndpointView, error: EndpointError) -> None:
     """Tell no end of an endpoint where this node reaches none, since its own way is broken."""
     if not await context.reach_probes.confirm(view.name):
@@ -249,6 +260,7 @@
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, begun=exchange.events > 0)
+    events_before = exchange.events
     while part := await reply.next_part():
         events = splitter.feed(part)
         if not events.data:
@@ -268,7 +280,10 @@
         await exchange.connection.send(events.data)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
-    _check_stream_end(exchange, reply)
+    if events_before and not last_event:
+        raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
+    if reply.ended_by_close:
+        raise _open_end(got_something=exchange.events > events_before or bool(last_event))
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -276,22 +291,20 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-def _check_stream_end(exchange: RelayExchange, reply: Reply) -> None:
-    """Check that something shows the end of a stream.
+def _open_end(got_something: bool) -> EndpointError:
+    """Return the failure of a stream that ended with its connection.
 
-    A close alone does not: connections are closed in the midst of a run too. An answer without an
-    event, to a caller that has none, is a failure of its endpoint. Any other may be whole.
+    A close alone shows no end: connections are closed in the midst of a run too.
 
-    :raises EndpointError: if the stream ended with its connection.
+    :param got_something: its answer may be whole, as it had an event, or as its caller may have got
+        all of them before. Any other is a failure of its endpoint.
     """
-    if reply.ended_by_close:
-        may_be_whole = exchange.started or bool(exchange.last_event)
-        raise EndpointError(
-            "connection closed, and nothing shows the answer's end",
-            sent=True,
-            broken=not may_be_whole,
-            open_ended=may_be_whole,
-        )
+    return EndpointError(
+        "connection closed, and nothing shows the answer's end",
+        sent=True,
+        broken=not got_something,
+        open_ended=got_something,
+    )
 
 
 def _submit_gap(
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -19,6 +19,8 @@
 from .relay import RelayExchange
 from .relay_context import RelayContext
 
+# The least status that tells a failure of the endpoint.
+SERVER_ERROR = 500
 # Checks the syntax and keeps nothing; it stops at the interpreter's limit of nested calls.
 _JSON = msgspec.json.Decoder(msgspec.Raw)
 
@@ -49,12 +51,14 @@
         bytes=len(body),
         sign=sign.value,
     )
+    # A failure that the status tells is one whatever the body's end.
+    sound = head.status < SERVER_ERROR
     if sign is Sign.DIFFERS:
-        raise EndpointError("the answer's digest is of other bytes", sent=True, open_ended=True)
+        raise EndpointError("the answer's body is of other bytes", sent=True, open_ended=sound)
     if sign is Sign.NONE:
         if exchange.route.repeatable:
             exchange.open_bodies.add(body_ends.copy_body(head.status, body))
-        raise EndpointError("nothing shows the answer's end", sent=True, open_ended=True)
+        raise EndpointError("nothing shows the answer's end", sent=True, open_ended=sound)
     return body
 
 
