Take no sequence of JSON values, and no JSON that is cut, for a whole body

What callers saw, by a review's scripts: a body of the type application/stream+json was whole after its first value, as its type ends in +json; and half a JSON value that two runs gave alike was whole by the equal run, though its syntax shows that it is cut.

Evidence: features/open_bodies.feature on the code before, 2 of 62 rows failed (the new ones); now all pass.

--- a/features/open_bodies.feature
+++ b/features/open_bodies.feature
@@ -23,6 +23,7 @@
       | application/json                | [NaN]                    | nothing |
       | application/json                | none                     | nothing |
       | application/json-seq            | {}                       | nothing |
+      | application/stream+json         | {}                       | nothing |
       | application/x-ndjson            | {}                       | nothing |
       | text/plain                      | {}                       | nothing |
       | none                            | {}                       | nothing |
@@ -47,6 +48,12 @@
       | 100     | 1048377 | nothing |
       | 100000  | 0       | nothing |
 
+  Scenario: JSON whose syntax shows that it is cut is not whole by an equal run
+    Given an answer of the type application/json without a length
+    And an earlier run gave the same
+    When its bytes are {"a":
+    Then it is shown to be whole by nothing
+
   Scenario Outline: a digest that its head states
     Given an answer with <status> whose head states <digests>
     When its bytes are <bytes>
--- a/packages/rookspring-core/src/rookspring_core/body_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/body_ends.py
@@ -16,6 +16,8 @@
 
 JSON_TYPE = "application/json"
 JSON_SUFFIX = "+json"
+# A sequence of JSON values: the end of one is not that of the body.
+JSON_SEQUENCE = "application/stream+json"
 # How JSON values begin that have an end of their own: a number or literal may be the beginning of a
 # longer one.
 CLOSED_JSON = (b"{", b"[", b'"')
@@ -88,8 +90,9 @@
         return Sign.DIFFERS
     if matches:
         return Sign.DIGEST
-    if _may_end_itself(head, body) and check_json(body):
-        return Sign.JSON
+    if _may_end_itself(head, body):
+        # Its syntax shows that it is cut, whatever another run gave.
+        return Sign.JSON if check_json(body) else Sign.NONE
     # Many are cut right after their head, so two empty ones show nothing.
     if body and earlier and copy_body(head.status, body) in earlier:
         return Sign.EQUAL
@@ -103,6 +106,8 @@
     media_type = head.types[0].partition(";")[0].strip().lower()
     if media_type != JSON_TYPE and not media_type.endswith(JSON_SUFFIX):
         return False
+    if media_type == JSON_SEQUENCE:
+        return False
     return body.lstrip(JSON_SPACE).startswith(CLOSED_JSON)
 
 
