--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -56,16 +56,16 @@
     return False
 
 
-def _pass_stream(exchange: t.Any, reply: t.Any) -> None:
+def _pass_stream(reply: t.Any, got_something: bool) -> None:
     return None
 
 
-def _check_stream(**changed: t.Any) -> t.Callable[[t.Any, t.Any], None]:
+def _check_stream(**changed: t.Any) -> t.Callable[[t.Any, bool], None]:
     """Return a check of a stream's end whose error has other fields."""
 
-    def check(exchange: t.Any, reply: t.Any) -> None:
+    def check(reply: t.Any, got_something: bool) -> None:
         try:
-            _check_stream_end(exchange, reply)
+            _check_stream_end(reply, got_something)
         except EndpointError as error:
             for name, value in changed.items():
                 setattr(error, name, value)
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -282,8 +282,7 @@
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
     if events_before and not last_event:
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
-    if reply.ended_by_close:
-        raise _open_end(got_something=exchange.events > events_before or bool(last_event))
+    _check_stream_end(reply, exchange.events > events_before or bool(last_event))
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -291,20 +290,22 @@
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
 
 
-def _open_end(got_something: bool) -> EndpointError:
-    """Return the failure of a stream that ended with its connection.
+def _check_stream_end(reply: Reply, got_something: bool) -> None:
+    """Check that something shows the end of a stream.
 
-    A close alone shows no end: connections are closed in the midst of a run too.
+    A close alone does not: connections are closed in the midst of a run too.
 
     :param got_something: its answer may be whole, as it had an event, or as its caller may have got
         all of them before. Any other is a failure of its endpoint.
+    :raises EndpointError: if the stream ended with its connection.
     """
-    return EndpointError(
-        "connection closed, and nothing shows the answer's end",
-        sent=True,
-        broken=not got_something,
-        open_ended=got_something,
-    )
+    if reply.ended_by_close:
+        raise EndpointError(
+            "connection closed, and nothing shows the answer's end",
+            sent=True,
+            broken=not got_something,
+            open_ended=got_something,
+        )
 
 
 def _submit_gap(
