Name each failed scenario, its step and its error before the verdict

Cause: a failure is printed with its feature's output, anywhere in some thousand lines; the verdict gives numbers alone.

Change: the last lines before the verdict are one for each failure: the scenario with its place, the step, and the last 400 characters of the error, on one line. What counts as a failure is as before. The rows of 'a failure is named with its scenario, its step and its error' hold this; the rows on counts are unchanged and pass. 'house' is among the slow features, so it starts early.

--- a/features/house.feature
+++ b/features/house.feature
@@ -63,6 +63,20 @@
       | passes | sometimes: c, at: it works; why; how; 1  | 2 | 1 |
       | fails  | a; w; h; 1 / run: b; w; h; 1 / run: c; w; h; 1 / run: d; w; h; 1 / run: e; w; h; 1 / run: f; w; h; 1 / run: g; w; h; 1 / run: h; w; h; 1 / run: i; w; h; 1 | 1 | 0 |
 
+  Scenario Outline: a failure is named with its scenario, its step and its error
+    Given a run in which the scenario "a" <ends>, and "b" passes
+    When its results are compared with the list of known failures: <list>
+    Then its failures are named as: <line>
+
+    Examples:
+      | ends   | list                                     | line                                              |
+      | passes | none                                     | none                                              |
+      | fails  | none                                     | features/a.feature:1: a, at: it works; 3 \| for 4 |
+      | fails  | a; why; how; issue 1                     | none                                              |
+      | fails  | sometimes: a, at: it works; why; how; 1  | none                                              |
+      | fails  | sometimes: a, at: it starts; why; how; 1 | features/a.feature:1: a, at: it works; 3 \| for 4 |
+      | passes | a; why; how; issue 1                     | listed in KNOWN-RED.txt, but does not fail: a     |
+
   Scenario Outline: an invalid list of known failures is an error
     Then the list of known failures <list> is rejected
 
--- a/features/run.py
+++ b/features/run.py
@@ -6,6 +6,7 @@
 names a simulated day, which the features don't run; it is only printed. One that begins with
 ``sometimes:`` names a scenario and the step at which it fails in some runs: a failure there is
 counted neither way, a failure at any other step counts, and so does a scenario that is gone.
+The last lines before the verdict name each failure, its step and the end of its error.
 """
 
 import concurrent.futures
@@ -32,6 +33,7 @@
     "organisations": 240,
     "rate_limits": 200,
     "processes": 90,
+    "house": 75,
     "size": 100,
     "crashes": 60,
     "adapters": 50,
@@ -40,6 +42,8 @@
     "fatal_parts": 100,
     "relay_sockets": 40,
 }
+# Characters of a failed step's error that are printed before the verdict.
+ERROR_CHARS_MAX = 400
 # Flag of a subprocess: it is followed by the path to write the report to.
 REPORT_FLAG = "--report"
 
@@ -52,12 +56,17 @@
 
 
 class ScenarioCounts(t.NamedTuple):
-    """The number of scenarios that passed and failed, and of listed scenarios that did fail."""
+    """How many scenarios passed, a line for each failure, and how many listed ones failed."""
 
     passed: int
-    failed: int
+    failures: list[str]
     known_failures: int
 
+    @property
+    def failed(self) -> int:
+        """The number of failures."""
+        return len(self.failures)
+
 
 def read_known(text: str) -> dict[str, str]:
     """Parse the list of scenarios that are known to fail into lines by scenario title.
@@ -83,14 +92,13 @@
     :param whole: whether all features were run, so that each listed scenario must be present.
     """
     passed = 0
-    failed = 0
+    failures: list[str] = []
     still_failing: dict[str, bool] = {}
     seen: set[str] = set()
     sometimes = 0
     for feature in json.loads(report):
         if feature["status"] not in ("passed", "failed", "skipped"):
-            # The feature had an error outside its scenarios, so it counts as failed.
-            failed += 1
+            failures.append(f"{feature.get('name', '')}: an error outside its scenarios")
         for element in feature.get("elements", []):
             if element["type"] != "scenario":
                 continue
@@ -105,24 +113,40 @@
             elif has_passed:
                 passed += 1
             else:
-                failed += 1
+                failures.append(_describe_failure(element))
     for name, line in known.items():
         gone = whole and name.startswith(SOMETIMES_PREFIX) and _scenario_of(name) not in seen
         listed = name.startswith((RUN_PREFIX, SOMETIMES_PREFIX)) and not gone
         if listed or still_failing.get(name, False):
             print(f"known red: {line}")
         elif name in still_failing or whole:
-            failed += 1
-            print(f"listed in KNOWN-RED.txt, but does not fail: {name}")
-    return ScenarioCounts(passed, failed, sum(still_failing.values()) + sometimes)
+            failures.append(f"listed in KNOWN-RED.txt, but does not fail: {name}")
+    return ScenarioCounts(passed, failures, sum(still_failing.values()) + sometimes)
 
 
 def _sometimes_key(name: str, element: dict[str, t.Any]) -> str:
     """Return how a line of the list begins that names a scenario and the step that failed."""
+    step = _find_failed_step(element)
+    return f"{SOMETIMES_PREFIX} {name}, at: {step['name']}" if step else ""
+
+
+def _describe_failure(element: dict[str, t.Any]) -> str:
+    """Return a line with a scenario that failed, its step, and the end of its error."""
+    step = _find_failed_step(element)
+    if step is None:
+        return f"{element['location']}: {element['name']}, at: no step"
+    error = step.get("result", {}).get("error_message", [])
+    lines = error.splitlines() if isinstance(error, str) else error
+    text = " | ".join(line.strip() for line in lines if line.strip())
+    where = f"{element['location']}: {element['name']}, at: {step['name']}"
+    return f"{where}; {text[-ERROR_CHARS_MAX:]}"
+
+
+def _find_failed_step(element: dict[str, t.Any]) -> dict[str, t.Any] | None:
     for step in element.get("steps", []):
         if step.get("result", {}).get("status") != "passed":
-            return f"{SOMETIMES_PREFIX} {name}, at: {step['name']}"
-    return ""
+            return t.cast(dict[str, t.Any], step)
+    return None
 
 
 def _scenario_of(line: str) -> str:
@@ -149,7 +173,7 @@
         text = path.read_text() if path.exists() else ""
     sys.stdout.write(done.stdout + done.stderr)
     # Without a report the feature counts as failed, whatever the exit code.
-    report = json.loads(text) if text else [{"status": "error"}]
+    report = json.loads(text) if text else [{"status": "error", "name": feature.name}]
     return FeatureRun(done.returncode, report)
 
 
@@ -176,13 +200,16 @@
     else:
         ran = run_behave([*arguments, "features"])
     known = read_known(KNOWN.read_text()) if KNOWN.exists() else {}
-    passed, failed, known_failures = count_scenarios(
-        json.dumps(ran.report), known, whole=not arguments
-    )
-    if passed == 0 or (ran.code != 0 and failed + known_failures == 0):
-        failed += 1
-    print(f"{passed} passed, {failed} failed")
-    return int(failed > 0)
+    counts = count_scenarios(json.dumps(ran.report), known, whole=not arguments)
+    failures = counts.failures
+    if counts.passed == 0:
+        failures.append("no scenario passed")
+    elif ran.code != 0 and not failures and counts.known_failures == 0:
+        failures.append(f"behave ended with code {ran.code}, though no scenario failed")
+    for line in failures:
+        print(f"failed: {line}")
+    print(f"{counts.passed} passed, {len(failures)} failed")
+    return int(bool(failures))
 
 
 if __name__ == "__main__":
--- a/features/steps/house_steps.py
+++ b/features/steps/house_steps.py
@@ -122,10 +122,11 @@
         {
             "type": "scenario",
             "name": name,
+            "location": f"features/{name}.feature:1",
             "status": one,
             "steps": [
                 {"name": "it starts", "result": {"status": "passed"}},
-                {"name": "it works", "result": {"status": one}},
+                {"name": "it works", "result": {"status": one, "error_message": ["3", " for 4"]}},
             ],
         }
         for name, one in status.items()
@@ -144,6 +145,11 @@
     assert (context.verdict.passed, context.verdict.failed) == (passed, failed), context.verdict
 
 
+@then("its failures are named as: {line}")
+def failures_named(context, line):
+    assert context.verdict.failures == ([] if line == "none" else [line]), context.verdict
+
+
 @then("the list of known failures {lines} is rejected")
 def list_rejected(context, lines):
     try:
