--- /dev/null
+++ b/packages/rookspring-core/src/rookspring_core/_stream_defaults.py
@@ -0,0 +1,12 @@
+"""Constants of streams: when a caller leaves one, and how long it may be taken up again."""
+
+# A stream's caller leaves after a gap of the longest of these: seconds, objectives, and pauses that
+# are in time. Source: the users' protocol.
+STREAM_LEFT_AFTER_S = 2.0
+STREAM_LEFT_OBJECTIVES = 4.0
+STREAM_LEFT_PAUSES = 8.0
+# Time after its begin in which a stream may be taken up again, in seconds: callers wait for up to
+# 30 s for an answer.
+STREAM_KEPT_S = 120.0
+# Origins of streams that a node keeps, some 250 bytes each.
+STREAM_ORIGINS_MAX = 131_072
