--- a/packages/rookspring-core/src/rookspring_core/__init__.py
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -5,6 +5,7 @@
 from . import control_jobs as control_jobs
 from . import notice_handlers as notice_handlers
 from . import ordering as ordering
+from . import progress as progress
 from . import recovering as recovering
 from . import requests as requests
 from .catalogue import Catalogue as Catalogue
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -22,16 +22,10 @@
 from .effects import Effect
 from .effects import Forget
 from .effects import Refuse
-from .effects import Replay
 from .endpoints import UNKNOWN_VERSION
 from .endpoints import EndpointView
-from .events import AttemptProgressed
-from .events import AttemptStarted
-from .events import AttemptSucceeded
-from .events import CallerLeft
 from .events import RequestArrived
 from .hashing import retry_jitter
-from .reducer import handles
 from .state import NodeState
 from .state import RequestState
 
@@ -248,75 +242,6 @@
     return request
 
 
-@handles(AttemptStarted)
-def note_start(state: NodeState, event: AttemptStarted) -> Effects:
-    """Note that from now on the endpoint may have received a byte of the request."""
-    request = find_running(state, event.request_id, event.attempt)
-    if request is not None:
-        request.sent = True
-    return []
-
-
-@handles(AttemptProgressed)
-def note_progress(state: NodeState, event: AttemptProgressed) -> Effects:
-    """Count tokens that were passed on to the caller; a continuation begins after them.
-
-    The first ones show that the prompt was read; the time that took is measured if the endpoint
-    had no other prompt to read and was not busy.
-    """
-    request = find_running(state, event.request_id, event.attempt)
-    if request is not None:
-        request.delivered += event.tokens
-        request.attempts_without_token = 0
-        request.first_event_at = (
-            state.now if request.first_event_at is None else request.first_event_at
-        )
-        state.reach.heard_at = state.now
-        if (endpoint := state.endpoints.get(request.endpoint)) is not None:
-            endpoint.hear(state.now)
-            endpoint.answered(request.dispatched_at)
-        if request.delivered == event.tokens and request.endpoint_was_idle:
-            took_s = state.now - request.dispatched_at
-            speed = endpoint.speed if endpoint is not None else 1.0
-            state.latencies.note_first_event(
-                request.arrived.target, request.arrived.prompt_tokens, took_s, speed
-            )
-        if request.arrived.route is not None:
-            told: Effects = []
-            if request.delivered == event.tokens:
-                told = stream_origins.tell_origin(state, request)
-            return [*told, *routed.end_prompt(state, request), *dispatch_waiting(state)]
-    return []
-
-
-@handles(AttemptSucceeded)
-def finish_request(state: NodeState, event: AttemptSucceeded) -> Effects:
-    """End a request whose answer is complete; keep the answer for its key, if it has one.
-
-    Requests that wait for the same key get the same answer.
-    """
-    request = find_running(state, event.request_id, event.attempt)
-    if request is None:
-        return []
-    if request.handed_to:
-        return _close(state, request)
-    state.reach.heard_at = state.now
-    endpoint = state.endpoints.get(request.endpoint)
-    if endpoint is not None:
-        endpoint.succeed(state.now)
-        endpoint.answered(request.dispatched_at)
-    if not request.arrived.service:
-        state.latencies.note_answer(state.now - request.dispatched_at)
-    state.retry_budget.earn()
-    effects = suspect_handlers.clear_suspect(state, request)
-    key = request.arrived.once_key
-    if key is not None:
-        for waiter in state.once.record_outcome(key, "ran", event.status, event.answer):
-            effects.append(Replay(waiter, event.status, event.answer))
-    effects += _close(state, request)
-    return effects + dispatch_waiting(state)
-
-
 def enqueue_routed(
     state: NodeState, request: RequestState, queue: admission_queue.AdmissionQueue
 ) -> Effects:
@@ -401,10 +326,11 @@
         else:
             waiters = state.once.record_outcome(arrived.once_key, "unknown", status, b"")
         effects += [refusal._replace(request_id=waiter) for waiter in waiters]
-    return effects + _close(state, request)
+    return effects + close(state, request)
 
 
-def _close(state: NodeState, request: RequestState) -> Effects:
+def close(state: NodeState, request: RequestState) -> Effects:
+    """End a request, and free what it held at its endpoint and at the owners of its queues."""
     identity = request.arrived.request_id
     effects = routed.end_prompt(state, request)
     effects += slot_requests.free(state, request, failed=False, unsent=not request.running)
@@ -454,32 +380,6 @@
     return [Cancel(request.arrived.request_id, request.attempt, request.endpoint)]
 
 
-@handles(CallerLeft)
-def handle_caller_left(state: NodeState, event: CallerLeft) -> Effects:
-    """End a request whose caller has left, and cancel its attempt.
-
-    A request with a key that is running is not cancelled.
-    """
-    state.parked.pop(event.request_id, None)
-    request = state.requests.get(event.request_id)
-    if request is None:
-        return []
-    if request.arrived.once_key is not None and request.running:
-        # The caller may retry with the same key and get this answer.
-        return []
-    effects = withdraw(state, request)
-    if not request.sent and not request.running:
-        effects += allotment_checks.refund(state, request.charge)
-    suspect_handlers.note_left(state, request)
-    key = request.arrived.once_key
-    if key is not None:
-        text = "the first caller left before it was started"
-        refusal = Refuse("", 503, "caller_left", "not_run", text, 0.1)
-        waiters = state.once.release(key)
-        effects += [refusal._replace(request_id=waiter) for waiter in waiters]
-    return effects + _close(state, request) + dispatch_waiting(state)
-
-
 def sweep(state: NodeState, elapsed_s: float) -> Effects:
     """Refuse queued requests that can no longer meet their deadline, and send what has room.
 
