Keep the messages between nodes in a module for each matter

Its classes are in private modules by what they are about (nodes, endpoints, the configuration, owners, forwarded requests), as the events are, and messages.py gives them out, so that no import elsewhere changes. No behaviour changed.

--- a/features/field_readers.py
+++ b/features/field_readers.py
@@ -23,8 +23,12 @@
     "rookspring_core/organisations.py": ("Organisation", "Allotment"),
     "rookspring/dialect.py": ("RequestFields", "AnswerMatch", "OrderReply"),
     "rookspring/endpoints.py": ("Report", "CacheEvents", "StreamLine"),
+    "rookspring/_configuration_messages.py": (),
+    "rookspring/_endpoint_messages.py": (),
+    "rookspring/_forward_messages.py": (),
+    "rookspring/_node_messages.py": (),
+    "rookspring/_owner_messages.py": (),
     "rookspring/message_rows.py": (),
-    "rookspring/messages.py": (),
     "rookspring_platform/entries.py": ("Entry", "ResidentModel", "CachedModels", "Report"),
 }
 SUFFIX = "_unread"
