--- a/packages/rookspring/src/rookspring/cli.py
+++ b/packages/rookspring/src/rookspring/cli.py
@@ -153,7 +153,9 @@
 
 @app.command()
 def demo(
-    user: t.Annotated[str, typer.Option(help="fjordlap or kiosk")] = "fjordlap",
+    user: t.Annotated[
+        str, typer.Option(help="The deployment's name; an unknown one lists all.")
+    ] = "fjordlap",
     exit_: t.Annotated[bool, typer.Option("--exit", help="End after the table.")] = False,
     as_json: t.Annotated[bool, typer.Option("--json", help="Print the table as JSON.")] = False,
     base_port: t.Annotated[int, typer.Option(help="Nodes listen on the ports after it.")] = 7400,
