Return lease writes as the effects that they are

leases.DueWrite and effects.WriteLease were the same class twice, and three callers turned one into the other. The lease returns WriteLease itself; effects imports nothing that imports leases. No behaviour changed.

--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -15,7 +15,6 @@
 from .effects import Publish
 from .effects import ReadDesired
 from .effects import ReadHead
-from .effects import WriteLease
 from .events import DesiredSeen
 from .events import HeadSeen
 from .events import LeaseSeen
@@ -240,10 +239,10 @@
     """Write the lease if due, to renew it or to take it over."""
     identity = state.identity
     candidate = may_take_lease(state) and not (state.relaying and holder_alive(state))
-    wish = state.control.lease.due_write(state.now, identity.name, identity.incarnation, candidate)
-    if wish is None:
+    write = state.control.lease.due_write(state.now, identity.name, identity.incarnation, candidate)
+    if write is None:
         return []
-    return [WriteLease(*wish)]
+    return [write]
 
 
 def run_control_jobs(state: NodeState, passed: float) -> Effects:
--- a/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoint_reach.py
@@ -16,7 +16,6 @@
 from .effects import Announce
 from .effects import Effect
 from .effects import ProbeReach
-from .effects import WriteLease
 from .endpoints import EndpointView
 from .events import ReachProbed
 from .hashing import stable_hash
@@ -150,4 +149,4 @@
     if release is None:
         return []
     state.record("lease", "released", "this node reaches no endpoint")
-    return [WriteLease(*release)]
+    return [release]
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -16,26 +16,11 @@
 import typing as t
 
 from . import defaults
+from .effects import WriteLease
 from .events import LeaseSeen
 from .events import LeaseWritten
 
 
-class DueWrite(t.NamedTuple):
-    """A lease write that is due.
-
-    :param settled: the holder's turn has begun, so it may give orders.
-    :param turn_in_s: if the lease is released, seconds until another holder may give
-        orders; otherwise None.
-    """
-
-    version: int
-    epoch: int
-    nonce: str
-    settled: bool = False
-    era: int = 0
-    turn_in_s: float | None = None
-
-
 class LeaseTerms(t.NamedTuple):
     """Times of a lease, in seconds; all nodes of a deployment have the same.
 
@@ -198,7 +183,7 @@
 
     def due_write(
         self, now: float, name: str, incarnation: str, candidate: bool
-    ) -> DueWrite | None:
+    ) -> WriteLease | None:
         """Return the lease write that is due now, if any.
 
         :param candidate: whether this node may take a free lease.
@@ -216,7 +201,7 @@
         self._pending = (nonce, now, epoch)
         self._asked_at = now
         self._asked_version = self.version
-        return DueWrite(self.version, epoch, nonce, now >= self.turn_at, self.era)
+        return WriteLease(self.version, epoch, nonce, now >= self.turn_at, self.era)
 
     def _next_epoch(self) -> int:
         """Return an epoch that was never used, even in the seconds that a restored backup lacks."""
@@ -279,11 +264,11 @@
         if epoch > self._end[0]:
             self._end = (epoch, at)
 
-    def release(self, now: float) -> DueWrite | None:
+    def release(self, now: float) -> WriteLease | None:
         """Release the lease at a planned stop, so that its successor need not await expiry."""
         if self.held_until < 0:
             return None
         self.held_until = -1e9
         self._pending = None
         turn_in_s = self.turn_at - now if now < self.turn_at else self.terms.gap_s
-        return DueWrite(self.version, self.own_epoch, "", era=self.era, turn_in_s=turn_in_s)
+        return WriteLease(self.version, self.own_epoch, "", era=self.era, turn_in_s=turn_in_s)
--- a/packages/rookspring-core/src/rookspring_core/stops.py
+++ b/packages/rookspring-core/src/rookspring_core/stops.py
@@ -6,7 +6,6 @@
 from .effects import Effect
 from .effects import Refuse
 from .effects import Stop
-from .effects import WriteLease
 from .events import DrainAsked
 from .events import GraceEnded
 from .reducer import handles
@@ -31,7 +30,7 @@
     effects: Effects = [Announce("leaving")]
     release = state.control.lease.release(event.at)
     if release is not None:
-        effects.append(WriteLease(*release))
+        effects.append(release)
     return effects
 
 
