Read a lease object that may be malformed in one place

Both loops that read the lease caught the same error, logged it once and went on with an unreadable lease. lease_objects.read_or_log does the first two for both. No behaviour changed: same log event and fields.

--- a/packages/rookspring/src/rookspring/lease_objects.py
+++ b/packages/rookspring/src/rookspring/lease_objects.py
@@ -14,7 +14,10 @@
 from rookspring_core.leases import UNKNOWN_HOLDER
 from rookspring_core.leases import greatest_epoch
 
+from . import defaults
 from .bounds import check_value
+from .logs import LoggedOnce
+from .logs import log
 from .platform import StoredObject
 
 # Greatest epoch of a lease of revision 0 that can be read. Epochs rise by one with each holder, and
@@ -62,6 +65,17 @@
     )
 
 
+def read_or_log(stored: StoredObject, logged: LoggedOnce) -> LeaseFields | None:
+    """Parse the lease object; if it is malformed, log once why, and return None."""
+    try:
+        return read_lease(stored)
+    except ValueError as error:
+        detail = str(error)[: defaults.DETAIL_MAX]
+        if logged.is_new(detail):
+            log("lease_malformed", "ERROR", name=stored.name, detail=detail)
+        return None
+
+
 def make_unreadable(stored: StoredObject, now: float, era: int) -> LeaseSeen:
     """Return what is seen of a lease that can't be read: that an unknown node may hold it.
 
--- a/packages/rookspring/src/rookspring/platform_loops.py
+++ b/packages/rookspring/src/rookspring/platform_loops.py
@@ -85,12 +85,8 @@
 def _see_lease(stored: StoredObject, logged: LoggedOnce) -> LeaseSeen:
     """Return what is seen of the lease object; why it can't be read is logged once."""
     now = clock.now()
-    try:
-        lease = lease_objects.read_lease(stored)
-    except ValueError as error:
-        detail = str(error)[: defaults.DETAIL_MAX]
-        if logged.is_new(detail):
-            log("lease_malformed", "ERROR", name=stored.name, detail=detail)
+    lease = lease_objects.read_or_log(stored, logged)
+    if lease is None:
         return lease_objects.make_unreadable(stored, now, stored.era)
     return LeaseSeen(now, stored.version, lease.holder, lease.epoch, lease.nonce)
 
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -243,12 +243,8 @@
     context: RelayContext, stored: StoredObject, now: float, era: int, logged: LoggedOnce
 ) -> LeaseSeen:
     """Return what is seen of the lease object; why it can't be read is logged once."""
-    try:
-        lease = lease_objects.read_lease(stored)
-    except ValueError as error:
-        detail = str(error)[: defaults.DETAIL_MAX]
-        if logged.is_new(detail):
-            log("lease_malformed", "ERROR", name=stored.name, detail=detail)
+    lease = lease_objects.read_or_log(stored, logged)
+    if lease is None:
         return lease_objects.make_unreadable(stored, now, era)
     holder = _holder_of(context, lease)
     return LeaseSeen(
