Pass messages on to all links but their source in one place

share_evidence and share_leaving of the product's front had the same loop. No behaviour changed. Found by duplicates. Run: sockets, operations, processes and lives; crashes_sockets; all passed.

--- a/packages/rookspring/src/rookspring/effect_handlers.py
+++ b/packages/rookspring/src/rookspring/effect_handlers.py
@@ -125,10 +125,7 @@
 
     Each of them forwards what is new to it.
     """
-    message = encode_evidence(effect.evidence, clock.now())
-    for name, link in list(node.peers.links.items()):
-        if name != effect.source:
-            link.send(message)
+    _pass_on(node, encode_evidence(effect.evidence, clock.now()), effect.source)
 
 
 @handles_effect(ShareLeaving)
@@ -137,9 +134,13 @@
 
     Each of them forwards what is new to it.
     """
-    message = encode_leaving(effect.rows, clock.now())
+    _pass_on(node, encode_leaving(effect.rows, clock.now()), effect.source)
+
+
+def _pass_on(node: NodeContext, message: t.Any, source: str) -> None:
+    """Send a message to the linked nodes, except the one that its rows came from."""
     for name, link in list(node.peers.links.items()):
-        if name != effect.source:
+        if name != source:
             link.send(message)
 
 
