Make the event of a failed attempt in one place

attempts.py and relay_attempts.py each listed the ten fields of AttemptFailed by position from an EndpointError, so that a field could be left out in one of them alone. attempt_failures.make_failure names them for both; a handover's failure has fewer and stays. No behaviour changed. Run: cut_heads_sockets, crashes_sockets, unknown_ends_sockets, open_bodies_sockets and ended_endpoints_sockets 149 passed; sockets, operations, processes and lives passed; mypy clean.

--- a/packages/rookspring/src/rookspring/attempts.py
+++ b/packages/rookspring/src/rookspring/attempts.py
@@ -6,7 +6,6 @@
 from rookspring_core import notice_handlers
 from rookspring_core.effects import AttachStream
 from rookspring_core.effects import Dispatch
-from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
@@ -15,6 +14,7 @@
 
 from . import clock
 from . import defaults
+from .attempt_failures import make_failure
 from .connections import refuses_connections
 from .endpoints import Chunk
 from .endpoints import GenerationRequest
@@ -74,20 +74,7 @@
     node.metrics.attempts.inc({"end": "not_run" if error.reported_not_run else "failed"})
     if error.leaving:
         _submit_leaving(node, effect.endpoint)
-    node.submit(
-        AttemptFailed(
-            clock.now(),
-            effect.request_id,
-            effect.attempt,
-            error.sent,
-            error.reported_not_run,
-            error.reason,
-            error.down,
-            error.broken,
-            error.withheld,
-            error.open_ended,
-        )
-    )
+    node.submit(make_failure(effect, error))
 
 
 def _submit_leaving(node: NodeContext, endpoint: str) -> None:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -12,13 +12,13 @@
 from rookspring_core.effects import Refuse
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.event_order import EventOrder
-from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 from rookspring_core.events import EventGapMeasured
 
 from . import clock
+from .attempt_failures import make_failure
 from .dialect import AnswerMatch
 from .dialect import ForwardFields
 from .event_gaps import GapMeter
@@ -134,20 +134,7 @@
         withheld=error.withheld,
         open_ended=error.open_ended,
     )
-    context.submit(
-        AttemptFailed(
-            clock.now(),
-            effect.request_id,
-            effect.attempt,
-            error.sent,
-            error.reported_not_run,
-            error.reason,
-            error.down,
-            error.broken,
-            error.withheld,
-            error.open_ended,
-        )
-    )
+    context.submit(make_failure(effect, error))
 
 
 async def _attempt(
