--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -287,7 +287,7 @@
 def follow_demand(state: NodeState) -> None:
     """Update the forecast every ``DEMAND_FOLLOWED_S`` at a node that may take the lease later.
 
-    If it began with nothing then, its first plans would unload what is asked for.
+    A new holder without a forecast would unload requested models in its first plans.
     """
     topology = state.topology
     if not topology.mesh and not topology.relay:
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -383,7 +383,7 @@
 def sweep(state: NodeState, elapsed_s: float) -> Effects:
     """Refuse queued requests that can no longer meet their deadline, and send what has room.
 
-    :param passed: since the last call, in seconds.
+    :param elapsed_s: since the last call, in seconds.
     """
     effects: Effects = []
     for pool in state.pools.values():
--- a/packages/rookspring/src/rookspring/store_eras.py
+++ b/packages/rookspring/src/rookspring/store_eras.py
@@ -1,8 +1,9 @@
 """The era of the platform's store: how often it has been restored from an older backup.
 
 Versions of objects order the writes within an era only; those of two eras can't be compared. A node
-learns of an era from any response of the store or from another node. When a
-new era is first seen, this module starts what the node has to do after a restore.
+learns of an era from any response of the store or from another node. When a new era is first seen,
+this module starts what the node has to do after a restore, and when the store's answers deny the
+claim of another node, what it has to do to return to the store's era.
 """
 
 import asyncio
@@ -41,7 +42,7 @@
         self._restored = asyncio.Event()
         # Whether the store has answered this node, so that a new era makes its data obsolete.
         self._answered = False
-        # How often an era began after this node had data of the one before.
+        # How often calls were given up because the era changed, to a new one or back.
         self.restores = 0
         self._claims = EraClaims()
 
@@ -98,9 +99,9 @@
     async def call_in_era(
         self, call: t.Awaitable[Result[T, PlatformError]]
     ) -> Result[T, PlatformError]:
-        """Make a call to the store, and fail it if a new era begins before its response.
+        """Make a call to the store, and fail it if the era changes before its response.
 
-        The call is then cancelled at once, since its response would be of the old era.
+        The call is then cancelled at once, since its response would be of the former era.
         """
         before = self.restores
         pending = asyncio.ensure_future(call)
@@ -120,5 +121,5 @@
                 pending.cancel()
 
     async def wait_restored(self) -> None:
-        """Wait until an era begins after this node had data of the one before."""
+        """Wait until calls are given up because the era has changed."""
         await self._restored.wait()
