Leave out an answer that stands behind a stream without a length or chunks

What callers saw: lines of a head ("HTTP/1.1 200 OK") within their stream, and, where the ids went on, events of another request: a resumable stream of 5 events was told as complete with 7, two of them another's. A stream whose head was followed by another answer alone was given all of that.

Cause: behind a head without a length or chunks all bytes count as the body. Endpoints send answers that belong to no request behind whole ones; a head's lines look like fields of an event without data, and the order of ids tells events of another only where they go back.

Why it works: no field of an event is named HTTP/1., so a line that begins so is the head of another answer. It ends the attempt as the close does: nothing shows that the stream was whole.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -9,6 +9,7 @@
 from rookspring_core.event_order import EventOrder
 
 from .mutant import EVENT_STREAMS
+from .mutant import UNFRAMED
 from .mutant import Mutant
 
 RULE = "a stream's events are those that its standard says"
@@ -61,8 +62,12 @@
         _read_field(self, text)
 
 
-def _never_continue(self: EventSplitter, continues: bool = False) -> None:
-    _begin_splitter(self)
+def _never_continue(self: EventSplitter, continues: bool = False, unframed: bool = False) -> None:
+    _begin_splitter(self, unframed=unframed)
+
+
+def _never_overrun(self: EventSplitter, continues: bool = False, unframed: bool = False) -> None:
+    _begin_splitter(self, continues)
 
 
 def _take_any_line(self: EventSplitter, line: bytes) -> None:
@@ -131,6 +136,14 @@
     _of_splitter("ignores fields without a colon", "_read_field", _need_colon),
     _of_splitter("passes a second byte order mark on", "__init__", _never_continue),
     _of_splitter("reads a byte order mark as text", "_take_first_line", _take_any_line),
+    Mutant(
+        "passes an answer behind a stream on",
+        RULE,
+        EventSplitter,
+        "__init__",
+        _never_overrun,
+        UNFRAMED,
+    ),
     Mutant(
         "ends a line twice",
         RULE,
--- a/features/steps/relay_socket_steps.py
+++ b/features/steps/relay_socket_steps.py
@@ -84,6 +84,11 @@
         assert float(context.answer.headers["retry-after"]) > 0
 
 
+@then("no byte of another answer is in it")
+def no_other(context):
+    assert not any(word in context.answer.body for word in (b"HTTP/1", b"another")), context.answer
+
+
 @then("the log has one entry of its end, with the outcome {outcome}")
 def logged_once(context, outcome):
     time.sleep(0.05)
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -19,6 +19,22 @@
       | stream    | half close after unframed events | 5 events, cut | 1   |
       | unsafe    | half close after unframed       | unknown       | 1    |
 
+  Scenario Outline: what follows a stream without a length on its connection is no part of it
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And no byte of another answer is in it
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                                               | answer        | runs |
+      | stream    | unframed events and another answer of events         | 5 events, cut | 1    |
+      | stream    | unframed events and another answer of text           | 5 events, cut | 1    |
+      | resumable | unframed events and another answer of events, stream | 5 events      | 2    |
+      | resumable | unframed events and another answer of text, stream   | 5 events      | 2    |
+      | stream    | no unframed event and another answer of events       | unknown       | 1    |
+      | resumable | no unframed event and another answer of events, stream | 5 events    | 2    |
+
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_unframed.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_unframed.py
@@ -141,6 +141,32 @@
     writer.close()
 
 
+# Answers to a request of nobody, which stand behind an answer without a length.
+OTHERS = {
+    "of events": b"id: 6\ndata: another\n\nid: 7\ndata: another\n\n",
+    "of text": b"another",
+}
+
+
+def _register_followed(words: str, events: int, other: bytes) -> None:
+    """Register streams without a length that another answer follows on their connection."""
+
+    @step(words)
+    async def _followed(
+        server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        await write_unframed_events(server, request, writer, events)
+        head = b"HTTP/1.1 200 OK\r\nX-Rookspring-Request-Id: nobody\r\nContent-Length: %d\r\n\r\n"
+        writer.write(head % len(other) + other)
+        await writer.drain()
+        writer.close()
+
+
+for _words, _other in OTHERS.items():
+    _register_followed(f"unframed events and another answer {_words}", STREAM_EVENTS, _other)
+    _register_followed(f"no unframed event and another answer {_words}", 0, _other)
+
+
 @step("half unframed")
 async def _half_unframed(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -16,6 +16,9 @@
 BYTE_ORDER_MARK = b"\xef\xbb\xbf"
 
 LINE_ENDS = b"\r\n"
+# How the head of another answer begins, behind a stream whose end nothing marks. No field of an
+# event has such a name.
+ANSWER_START = b"HTTP/1."
 
 
 class Events(t.NamedTuple):
@@ -36,10 +39,15 @@
 
     :param continues: the caller has begun to read the stream. A byte order mark that leads this
         rest of it is left out, as it would hide the first line.
+    :param unframed: neither a length nor chunks show the end of the stream, so that another answer
+        may stand behind it.
+    :ivar overrun: another answer has begun; it and what follows are left out.
     """
 
-    def __init__(self, continues: bool = False) -> None:
+    def __init__(self, continues: bool = False, unframed: bool = False) -> None:
         self._continues = continues
+        self._unframed = unframed
+        self.overrun = False
         self._at_start = True
         self._lines = _LineSplitter()
         # The lines of the incomplete event, and what they state.
@@ -60,10 +68,14 @@
         if line_feed:
             # It goes where its line has gone.
             (self._event or self._passable).extend(line_feed)
-        if lines and self._at_start:
-            self._take_first_line(lines.pop(0))
         for line in lines:
-            self._take_line(line, line.rstrip(LINE_ENDS))
+            if self._unframed and line.startswith(ANSWER_START):
+                self.overrun = True
+                break
+            if self._at_start:
+                self._take_first_line(line)
+            else:
+                self._take_line(line, line.rstrip(LINE_ENDS))
         if len(self._event) + len(self._lines.incomplete) > defaults.EVENT_BYTES_MAX:
             raise EndpointError("too large an event", sent=True)
         return self._take_events()
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -256,12 +256,12 @@
     head: HttpHead,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
-    splitter = EventSplitter(continues=exchange.started)
+    splitter = EventSplitter(exchange.started, unframed=head.framing() == "close")
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, begun=exchange.events > 0)
     events_before = exchange.events
-    while part := await reply.next_part():
+    while not splitter.overrun and (part := await reply.next_part()):
         events = splitter.feed(part)
         if not events.data:
             continue
@@ -278,11 +278,14 @@
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
         await exchange.connection.send(events.data)
+    got_something = exchange.events > events_before or bool(last_event)
+    if splitter.overrun:
+        raise _open_end("another answer follows, and nothing shows the end", got_something)
     if splitter.incomplete():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
     if events_before and not last_event:
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
-    _check_stream_end(reply, exchange.events > events_before or bool(last_event))
+    _check_stream_end(reply, got_something)
     _begin_stream(exchange, head)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
@@ -300,12 +303,11 @@
     :raises EndpointError: if the stream ended with its connection.
     """
     if reply.ended_by_close:
-        raise EndpointError(
-            "connection closed, and nothing shows the answer's end",
-            sent=True,
-            broken=not got_something,
-            open_ended=got_something,
-        )
+        raise _open_end("connection closed, and nothing shows the answer's end", got_something)
+
+
+def _open_end(reason: str, got_something: bool) -> EndpointError:
+    return EndpointError(reason, sent=True, broken=not got_something, open_ended=got_something)
 
 
 def _submit_gap(
