Give each call of the product's own client of endpoints a connection of its own

What callers saw: an endpoint that sends an answer a second time, later, gave the next caller on that connection the answer of the one before: a plain service's body, a whole stream of tokens. Its report fell back to an earlier one the same way.

Cause: the HTTP library keeps bytes that come on an idle connection and reads them as the next answer; answers of this protocol don't name their request.

Why it works: a connection that carries one call has no next answer.

--- a/features/raw_server.py
+++ b/features/raw_server.py
@@ -6,6 +6,7 @@
 from rookspring_fakes.resets import close_connection
 
 HEAD_END = b"\r\n\r\n"
+COPY_AFTER_S = 0.02
 LENGTH_NAME = "content-length:"
 
 
@@ -13,10 +14,13 @@
     """The bytes that answer a request.
 
     :param closes: the connection is closed after them.
+    :param copied: when they are sent once more on a connection that is kept: ``late``, or ``next``
+        in the place of the next answer on it.
     """
 
     data: bytes
     closes: bool = True
+    copied: str = ""
 
 
 class RawServer:
@@ -33,6 +37,8 @@
         self.address = ""
         self._server = None
         self._writers = set()
+        # Copies that are to be sent in the place of the next answer, by connection.
+        self._copies = {}
 
     async def start(self, port=0):
         """Listen on a port, or on a free one."""
@@ -67,6 +73,10 @@
         await reader.readexactly(int(lengths[0]) if lengths else 0)
         self.requests.append(head)
         answer = self.answer
-        writer.write(answer.data)
+        writer.write(self._copies.pop(writer, b"") + answer.data)
+        if answer.copied == "next":
+            self._copies[writer] = answer.data
+        elif answer.copied == "late":
+            asyncio.get_running_loop().call_later(COPY_AFTER_S, writer.write, answer.data)
         await writer.drain()
         return answer.closes
--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -52,6 +52,21 @@
       | a report        |
       | a process check |
 
+  Scenario Outline: a second copy of an answer is not the answer to the product's own next <call>
+    Given a server that sends each answer twice, the second time <when>
+    When the product's own <call> is made 3 times, one after another
+    Then each of them gets its own answer
+
+    Examples:
+      | call         | when                                |
+      | service call | late                                |
+      | service call | in the place of the next answer     |
+      | generation   | late                                |
+      | generation   | in the place of the next answer     |
+      | continuation | late                                |
+      | report       | late                                |
+      | report       | in the place of the next answer     |
+
   Scenario: reads of reports don't each leave a connection open
     Given a relay node with one endpoint that does: answer
     And it keeps idle connections open for 60 s
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -189,7 +189,9 @@
 
     def _get_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=15.0)
+            # Answers don't name their request, so a second copy of one that comes late would be
+            # the answer to whatever is sent next on its connection.
+            connector = aiohttp.TCPConnector(limit=0, force_close=True)
             # Endpoints set no cookies and do not compress answers, so neither is handled.
             self._session = aiohttp.ClientSession(
                 connector=connector,
