Keep the bytes of replaced and refused links in the total that was sent to other nodes

What operators saw: `rookspring_peer_bytes_total` fell when another node made a new link in place of one, as after each restart that the node learns of before the old link ends.

Cause: a link's bytes were added to those of ended links only where it was still the one in use as it ended. One that another replaced, or that was refused after its handshake, was left out.

Why it works: every link that is not kept, or no more, is ended in one place, which adds its bytes.

--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -241,16 +241,16 @@
                 await link.handshake(self._name, self._incarnation, self._key)
         except (PeerError, TimeoutError) as error:
             log("peer_refused", "WARNING", reason=error)
-            link.close()
+            self._end(link)
             return
         known = self.links.get(link.name)
         if link.name == self._name or (known is not None and not self._prefer(link, known)):
-            link.close()
+            self._end(link)
             return
         self.links[link.name] = link
         log("peer_up", peer=link.name, incarnation=link.incarnation, replaces=known is not None)
         if known is not None:
-            known.close()
+            self._end(known)
         on_up()
         try:
             await self._serve(link)
@@ -258,10 +258,15 @@
             if self.links.get(link.name) is link:
                 log("peer_down", peer=link.name, reason=error)
         finally:
-            link.close()
+            # One that another has replaced has been ended then.
             if self.links.get(link.name) is link:
                 del self.links[link.name]
-                self._closed_link_bytes += link.sent_bytes
+                self._end(link)
+
+    def _end(self, link: Link) -> None:
+        """End a link that is not kept, or no more, and add its bytes to those of ended ones."""
+        link.close()
+        self._closed_link_bytes += link.sent_bytes
 
     def _prefer(self, link: Link, known: Link) -> bool:
         """Return whether a new link replaces the known one; both ends choose the same link.
