Cut a forwarded answer whose link ends after its head, unless it is a stream

What callers saw, on the product's own front: a call with a key that another node serves got 200 and a body told as whole, that was half of the service's body and then the lines of an error event, or those lines alone, where the link between the two nodes ended within the answer.

Cause: the node that passes the answer on told the link's end as the last event of a stream, whatever the answer was, and then ended the answer as complete.

Why it works: behind a part of a body nothing can be said any more but that it is cut, which the close of a connection shows whose answer is in chunks. A stream keeps its error event.

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -62,6 +62,17 @@
       | box-1 while answers are lost    | unknown         | 1    |
       | box-1 while answers are lost, box-2 | unknown unknown | 1 |
 
+  Scenario Outline: a forwarded answer that breaks off <where> is not told as whole
+    Given a session at box-2
+    When key 1 is sent to box-1, and the link to box-2 ends <where>
+    Then its caller gets <what>, and it ran once
+
+    Examples:
+      | where                  | what             |
+      | before the answer      | unknown          |
+      | behind its head        | no whole answer  |
+      | within its body        | no whole answer  |
+
   Scenario Outline: an unrepeatable call is not resent by the HTTP library
     Given a service endpoint that <fault>
     When an unrepeatable <method> is sent to it by the endpoint client
--- a/packages/rookspring/src/rookspring/callers.py
+++ b/packages/rookspring/src/rookspring/callers.py
@@ -59,6 +59,12 @@
         """End the answer."""
         await self._raise_if_gone(self._response.eof())
 
+    def abort(self) -> None:
+        """Cut the answer, which the caller takes for no whole one."""
+        transport: t.Any = self._request.transport
+        if transport is not None:
+            transport.abort()
+
     async def _raise_if_gone(self, sending: t.Awaitable[t.Any]) -> None:
         """Send data, and turn any error of a broken connection into ``CallerGone``."""
         try:
--- a/packages/rookspring/src/rookspring/forwarding.py
+++ b/packages/rookspring/src/rookspring/forwarding.py
@@ -14,6 +14,7 @@
 
 from . import callers
 from . import defaults
+from .event_streams import MEDIA_TYPE
 from .exceptions import CallerError
 from .exchanges import Responder
 from .exchanges import error_body
@@ -102,7 +103,7 @@
     team: str,
     fields: dict[str, t.Any],
     body: bytes,
-    responder: Responder,
+    responder: "callers.SanicResponder",
 ) -> None:
     """Forward a keyed request, or answer it here if the session's incarnation is not linked."""
     link = node.peers.links.get(claims.node)
@@ -122,19 +123,27 @@
         span.end()
 
 
-async def _copy_answer(node: NodeContext, pending: PendingForward, responder: Responder) -> None:
+async def _copy_answer(
+    node: NodeContext, pending: PendingForward, responder: "callers.SanicResponder"
+) -> None:
     started = False
+    in_events = False
     while True:
         try:
             item = await asyncio.wait_for(pending.items.get(), defaults.FORWARD_S)
         except TimeoutError:
             item = None
         if item is None:
+            if started and not in_events:
+                # An error behind a part of a body would be the rest of the body.
+                responder.abort()
+                return
             message = "the session's node broke off"
             await _answer_unknown(responder, started, message, "node_broke_off")
             return
         if isinstance(item, ForwardStart):
             started = True
+            in_events = item.headers.get("Content-Type") == MEDIA_TYPE.decode()
             await responder.start(item.status, item.headers)
         elif isinstance(item, ForwardPart):
             await responder.send(item.data)
