Forward long answers in several messages, which wait for the other node to read

Cause: the whole body went as one message, which the other node takes for one that is too large.

Why it works: a message has 256 KiB at most, and the next one is written once the buffer of the link has room, so the bound at which a link is ended is not met either.

The stand-in of a plain service pads its answer by as much as a request asks for.

--- a/features/sockets.feature
+++ b/features/sockets.feature
@@ -62,6 +62,12 @@
       | box-1 while answers are lost    | unknown         | 1    |
       | box-1 while answers are lost, box-2 | unknown unknown | 1 |
 
+  Scenario: a long answer is forwarded whole, and the link between the nodes stays
+    Given a session at box-2
+    When key 1 is sent to box-1, for an answer of 12 MB
+    Then its caller gets ran, and it ran once
+    And the link between box-1 and box-2 is the one before
+
   Scenario Outline: a forwarded answer that breaks off <where> is not told as whole
     Given a session at box-2
     When key 1 is sent to box-1, and the link to box-2 ends <where>
--- a/packages/rookspring-fakes/src/rookspring_fakes/service.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/service.py
@@ -23,7 +23,11 @@
 
 
 class PlainService:
-    """An endpoint of a plain service; a request's body holds the id of the call in ``call``."""
+    """An endpoint of a plain service.
+
+    A request's body holds the id of the call in ``call``, and the bytes by which its answer is to
+    be longer in ``padding``.
+    """
 
     def __init__(self, name: str, ledger: Ledger, work_s: float = 0.002, seed: int = 0) -> None:
         self.name = name
@@ -72,7 +76,9 @@
             body = orjson.loads(raw) if raw else {}
         except orjson.JSONDecodeError:
             return web.json_response({"error": "body: JSON was expected"}, status=400)
-        call = str(body.get("call", "")) if isinstance(body, dict) else ""
+        fields = body if isinstance(body, dict) else {}
+        call = str(fields.get("call", ""))
+        padding = "." * int(fields.get("padding", 0))
         self.running += 1
         try:
             await asyncio.sleep(self.work_s + self.faults.delay())
@@ -82,4 +88,6 @@
             self.ledger.runs[call] = self.ledger.runs.get(call, 0) + 1
         if self.faults.draw("applied_unanswered"):
             reset_connection(request.transport)
-        return web.json_response({"call": call, "by": self.name, "path": request.path})
+        return web.json_response(
+            {"call": call, "by": self.name, "path": request.path, "padding": padding}
+        )
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -33,6 +33,9 @@
 PLATFORM_CALLS_PER_S = 20.0
 PLATFORM_CALLS_BURST = 60.0
 FORWARD_S = 60.0
+# A longer part of a forwarded answer is sent in messages of this size, so that each fits into a
+# frame, and heartbeats wait for one at most.
+FORWARD_PART_BYTES = 256 << 10
 PEER_VERSION = 9
 # A row of a message is at most this large where the message as a whole is larger than a frame: a
 # link whose other end can't hold one of its values ends.
--- a/packages/rookspring/src/rookspring/forwarding.py
+++ b/packages/rookspring/src/rookspring/forwarding.py
@@ -43,8 +43,15 @@
         self._link.send(ForwardStart(self._number, status, headers))
 
     async def send(self, data: bytes) -> None:
-        """Send a part of the body."""
-        self._link.send(ForwardPart(self._number, data))
+        """Send a part of the body, a long one in several messages.
+
+        Between them it waits until the other node reads: a link is ended whose buffer is full.
+        """
+        size = defaults.FORWARD_PART_BYTES
+        self._link.send(ForwardPart(self._number, data[:size]))
+        for start in range(size, len(data), size):
+            await self._link.drain()
+            self._link.send(ForwardPart(self._number, data[start : start + size]))
 
     async def end(self) -> None:
         """End the answer."""
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -6,6 +6,7 @@
 """
 
 import asyncio
+import contextlib
 import hashlib
 import hmac
 import secrets
@@ -83,6 +84,15 @@
             return
         self._writer.write(data)
 
+    async def drain(self) -> None:
+        """Wait while much of what was sent is not read, for ``FORWARD_S`` at most.
+
+        Return at once if the stream has ended.
+        """
+        with contextlib.suppress(OSError, TimeoutError):
+            async with asyncio.timeout(defaults.FORWARD_S):
+                await self._writer.drain()
+
     async def receive(self) -> t.Any:
         """Wait for the next message; one that can't be read is left out.
 
