Tell requests that wait of the ranks that there are, and of none that has gone

What operators saw: `rookspring_places_waiting` of a rank that no route has any more kept the number of the last reading for as long as the node ran.

Cause: the gauge was set for the ranks of the configuration in force, and those of the one before were left as they were.

Evidence, before the code: `.venv/bin/python features/run.py features/counters.feature` printed one failure, with the rows of the ranks 7 and 3; six passed after.

Why it works: the ranks are replaced at each reading, as the speeds by endpoint are.

--- a/features/steps/counter_steps.py
+++ b/features/steps/counter_steps.py
@@ -5,6 +5,7 @@
 from behave import then
 from behave import when
 from other_node import OTHER
+from relay_fixture import configuration
 
 from rookspring.exceptions import PeerError
 from rookspring.messages import Forward
@@ -12,6 +13,8 @@
 from rookspring.peers import PeerServer
 
 NAME = "n1"
+# Greater than the versions that other steps write.
+VERSION = 60
 KEY = "key"
 MUCH = Forward(1, "kind", "team", {}, b"." * 10_000)
 
@@ -98,3 +101,26 @@
 
     now = context.loop.run(read())
     assert now > context.sent_before, (context.sent_before, now)
+
+
+@when("its routes have the rank {first:d}, its metrics are read, and then the rank {last:d}")
+def change_ranks(context, first, last):
+    async def work():
+        relay = context.relay
+        for version, rank in ((VERSION, first), (VERSION + 1, last)):
+            raw = configuration(version)
+            for route in raw["routes"]:
+                route["priority"] = rank
+            await relay.store.write("config", "main", raw)
+            await relay.until(lambda at=version: relay.node.context.state.revision == at)
+            answer = await relay.ask(b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n", "metrics")
+            context.told = answer.body.decode()
+            assert f'rank="{rank}"' in context.told, context.told
+
+    context.loop.run(work())
+
+
+@then("its metrics have requests that wait of the rank {rank:d}, and of none that has gone")
+def ranks_told(context, rank):
+    rows = [line for line in context.told.splitlines() if "rookspring_places_waiting{" in line]
+    assert len(rows) == 1 and f'rank="{rank}"' in rows[0], rows
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -128,6 +128,12 @@
         for endpoint, speed in speeds.items():
             self.endpoint_speeds.set({"endpoint": endpoint}, speed)
 
+    def set_places_waiting(self, counts: t.Mapping[int, int]) -> None:
+        """Replace the requests that wait, by rank; those of other ranks are dropped."""
+        self.places_waiting.values.clear()
+        for rank, count in counts.items():
+            self.places_waiting.set({"rank": str(rank)}, count)
+
     def render(self, accept: str = "") -> tuple[bytes, dict[str, str]]:
         """Render all metrics in the Prometheus text format."""
         content, headers = render(self.registry, [accept] if accept else [])
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -293,8 +293,7 @@
         metrics.waiting.set({}, sum(len(queue) for queue in state.queues.values()))
         for end, count in state.model_waits.ends.items():
             metrics.model_waits.set({"end": end}, count)
-        for rank, count in place_requests.waiting_by_rank(state).items():
-            metrics.places_waiting.set({"rank": str(rank)}, count)
+        metrics.set_places_waiting(place_requests.waiting_by_rank(state))
         metrics.revision.set({}, state.revision)
         if state.options.endpoint_speeds:
             views = state.endpoints.values()
