--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -2,9 +2,12 @@
 
 import typing as t
 
+import aiohttp
+
 from rookspring import defaults as daemon_defaults
 from rookspring import http_client
 from rookspring.dialect import AnswerMatch
+from rookspring.endpoints import HttpEndpoint
 from rookspring.http_client import ClientConnection
 from rookspring.http_messages import HttpHead
 from rookspring_platform import PlatformDialect
@@ -34,7 +37,21 @@
     return await _call(*args, **{**named, "request_id": None})
 
 
+def _keep_connections(self: HttpEndpoint) -> aiohttp.ClientSession:
+    if self._session is None:
+        self._session = aiohttp.ClientSession()
+    return self._session
+
+
 MUTANTS = (
+    Mutant(
+        "keeps connections whose answers don't name their request",
+        "an answer belongs to one send of its request",
+        HttpEndpoint,
+        "_get_session",
+        _keep_connections,
+        RESENDS,
+    ),
     Mutant(
         "sends a request again on its connection",
         "an answer belongs to one send of its request",
--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -5,6 +5,7 @@
 from rookspring import endpoints as service_endpoints
 from rookspring import relay_attempts
 from rookspring import relay_handovers
+from rookspring.callers import SanicResponder
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ConnectionPool
 from rookspring_core import event_order
@@ -56,6 +57,10 @@
     return False
 
 
+def _leave(self: SanicResponder) -> None:
+    return None
+
+
 def _pass_stream(reply: t.Any, got_something: bool) -> None:
     return None
 
@@ -103,6 +108,14 @@
 CRASHED = "a request that crashes its endpoints is found"
 
 MUTANTS = (
+    Mutant(
+        "ends a forwarded body that is cut",
+        RULE,
+        SanicResponder,
+        "abort",
+        _leave,
+        SOCKETS,
+    ),
     Mutant(
         "takes a stream's close for its end",
         RULE,
