--- a/features/odd_bodies.feature
+++ b/features/odd_bodies.feature
@@ -82,11 +82,16 @@
       | names with a control character |
       | numbers of 5,000 digits       |
 
-  Scenario: a list that names nothing to continue after is a failed call
-    Given a store whose second page has only objects without names
+  Scenario Outline: a list that names nothing to continue after is a failed call
+    Given a store whose second page has only <objects>
     When its objects are listed
     Then the call has failed
 
+    Examples: each page but the last tells that more follow
+      | objects               |
+      | objects without names |
+      | an empty list         |
+
   Scenario Outline: large and odd bodies are decoded in time
     Then a list of <count> objects of <kind> is decoded in <seconds> s
 
--- a/features/steps/odd_body_steps.py
+++ b/features/steps/odd_body_steps.py
@@ -230,7 +230,7 @@
     def __init__(self, odd):
         super().__init__()
         first = [SOUND % b"a1", SOUND % b"a2"]
-        second = [odd % b"b1", odd % b"b2"]
+        second = [odd % b"b1", odd % b"b2"] if odd else []
         self.pages = {"": first, "a2": second, "b2": [SOUND % b"c1"]}
 
     async def list(self, request):
@@ -246,6 +246,7 @@
     "names with a control character": rb'{"metadata":{"name":"%b\u0001","revision":4},"spec":1}',
     "numbers of 5,000 digits": b'{"metadata":{"name":"%b","revision":4},"spec":#}',
     "objects without names": b'{"metadata":{"%b":1}}',
+    "an empty list": b"",
 }
 
 
