Tell a request's lines from several nodes' logs in the order of their times

Cause: the lines were kept in the order in which they were read.

Evidence, before the code: `.venv/bin/python features/run.py features/operations.feature` printed "ASSERT FAILED: [1.0, 3.0, 1.5, 2.5]" and one more; both rows pass after.

Why it works: the log's own times order the lines, where each has one.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -71,3 +71,12 @@
       | 1230da0a5b6b9322 | 0    | 503 absent: noda452d0a is on none of 5 endpoints            |
       | 6b0724486ad9d410 | 0    | other attempts failed at i-303bab1ab7 within 5 s of it      |
       | 0000000000000000 | 4    | no line of the log has this id                              |
+
+  Scenario Outline: what several nodes logged of a request is told in the order of its times
+    When a request is explained from the logs of two nodes, of which <first> was read first
+    Then its lines stand in the order of their times, and its end is the one at its entry node
+
+    Examples:
+      | first          |
+      | the entry node |
+      | the other node |
--- a/packages/rookspring-ctl/src/rookspring_ctl/timelines.py
+++ b/packages/rookspring-ctl/src/rookspring_ctl/timelines.py
@@ -62,8 +62,14 @@
 
 
 def build_timeline(lines: t.Iterable[str], request_id: str) -> Timeline | None:
-    """Collect the lines of a request and the related ones; None if no line carries its ID."""
+    """Collect the lines of a request and the related ones; None if no line carries its ID.
+
+    They are in the order of their times, since logs of several nodes may stand one after another;
+    in the order given if a line has no time.
+    """
     events = [line for text in lines if (line := parse_line(text)) is not None]
+    if all(line.at is not None for line in events):
+        events.sort(key=lambda line: line.at or 0.0)
     own = tuple(line for line in events if line.fields.get("id") == request_id)
     if not own:
         return None
