List decisions of several nodes in their order, also if a node answers late

What operators saw: `rookctl explain` listed a decision of one node after an earlier one of another, with times that count from different moments.

Cause: nodes are asked one after another, and each tells how long ago a decision was as it answers; these were compared as they were, though a node may take seconds.

Why it works: the moment of a decision is that of the answer less its age, and ages are printed as of one moment.

--- a/features/operations.feature
+++ b/features/operations.feature
@@ -80,3 +80,7 @@
       | first          |
       | the entry node |
       | the other node |
+
+  Scenario: decisions of several nodes are told in their order, also if a node answers late
+    When rookctl lists a decision of 1 s ago, and then one of 2 s ago from a node that took 1.5 s
+    Then the first of them stands before the second one
--- a/packages/rookspring-ctl/src/rookspring_ctl/cli.py
+++ b/packages/rookspring-ctl/src/rookspring_ctl/cli.py
@@ -287,18 +287,24 @@
 
 def _print_decisions(server: ApiServers, subject: str) -> int:
     """Print the decisions that any node has recorded about a subject, and return their number."""
-    found: list[tuple[str, ...]] = []
+    found: list[tuple[float, dict[str, t.Any], str]] = []
     for address in _all_addresses(server):
         try:
             answer = call(server._replace(addresses=(address,)), "GET", f"explain/{subject}")
         except CtlError:
             continue
+        # Nodes are asked one after another, and one may take long.
+        answered_at = time.monotonic()
         for one in answer["decisions"]:
-            row = (answer["node"], f"{one['ago_s']:.1f}", one["subject"], one["what"], one["why"])
-            found.append(row)
+            found.append((answered_at - one["ago_s"], one, answer["node"]))
     if found:
-        found.sort(key=lambda row: -float(row[1]))
-        print_table(TableData(("BOX", "SECONDS AGO", "SUBJECT", "DECISION", "WHY"), found))
+        found.sort(key=lambda row: row[0])
+        now = time.monotonic()
+        rows = [
+            (node, f"{now - at:.1f}", one["subject"], one["what"], one["why"])
+            for at, one, node in found
+        ]
+        print_table(TableData(("BOX", "SECONDS AGO", "SUBJECT", "DECISION", "WHY"), rows))
     return len(found)
 
 
