Give the answers that show no end a module of their own

No change of what is decided: the row of such answers and the choice of the endpoints that are not passed over move from EndpointView and routed to open_ends, so that the owner of a service's slots can decide by the same code. The check of one step reads open_ends.passed_over_until in place of the endpoint's field, as strict as before.

features/open_ends.feature: 5 scenarios pass before and after.

--- a/features/steps/open_end_steps.py
+++ b/features/steps/open_end_steps.py
@@ -81,4 +81,4 @@
 @then("that endpoint is not passed over")
 def not_passed_over(context):
     node = context.node
-    assert node.state.endpoints[NAMES[0]].passed_over_until < node.now
+    assert node.state.endpoints[NAMES[0]].open_ends.passed_over_until < node.now
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -10,6 +10,7 @@
 from . import defaults
 from . import notices
 from .events import EndpointReported
+from .open_ends import OpenEnds
 
 # The version of a process that may have restarted since its version was listed.
 UNKNOWN_VERSION = "?"
@@ -115,7 +116,6 @@
         "name",
         "open_ends",
         "others_inflight",
-        "passed_over_until",
         "prefixes",
         "peers",
         "probing",
@@ -192,9 +192,8 @@
         self.unverified_start = 0
         self.failures = 0
         self.ejected_until = -1e9
-        # Answers in a row of which nothing showed the end, and until when others are preferred.
-        self.open_ends = 0
-        self.passed_over_until = -1e9
+        # The answers to this node's requests of which nothing showed the end.
+        self.open_ends = OpenEnds()
         self.probing = False
         # When a request of this node last got anything from it.
         self.responded_at = -1e9
@@ -229,8 +228,7 @@
         self.unverified_start = 0
         self.failures = 0
         self.ejected_until = -1e9
-        self.open_ends = 0
-        self.passed_over_until = -1e9
+        self.open_ends.end_row()
         self.probing = False
         self.prefixes.clear()
 
@@ -483,22 +481,18 @@
         """Record a response, and reset the failures."""
         self.hear(now)
         self.failures = 0
-        self.open_ends = 0
-        self.passed_over_until = -1e9
+        self.open_ends.end_row()
         self.down = False
 
     def end_open(self, now: float) -> None:
         """Record a response of which nothing showed the end, and reset the failures.
 
-        It may be whole, so it does not eject the endpoint. After ``EJECT_AFTER_FAILURES`` in a row
-        others are preferred for ``EJECT_S``, whose answers reach their callers.
+        It may be whole, so it does not eject the endpoint; see :mod:`open_ends`.
         """
         self.hear(now)
         self.failures = 0
         self.down = False
-        self.open_ends += 1
-        if self.open_ends >= defaults.EJECT_AFTER_FAILURES:
-            self.passed_over_until = now + defaults.EJECT_S
+        self.open_ends.note(now)
 
     def hint(self, prefixes: t.Iterable[int], now: float) -> None:
         """Remember prefixes that the endpoint may have cached; the oldest are dropped first."""
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -9,6 +9,7 @@
 from . import admission_queue
 from . import defaults
 from . import missing_models
+from . import open_ends
 from . import stream_origins
 from .effects import Effect
 from .effects import Refuse
@@ -158,7 +159,7 @@
     ready = [
         view for view in ready if view.load(state.now) < 1.0 - reserved[view.name] / view.slots()
     ]
-    ready = [view for view in ready if state.now >= view.passed_over_until] or ready
+    ready = open_ends.choose_shown(ready, lambda view: view.open_ends, state.now)
     if any(view.rate is not None for view in ready):
         ready = _exclude_rate_limited(state, request, ready)
     if arrived.service:
