Tell the owner of a service's slots how answers ended, so that it passes over an endpoint that gives them up

What callers saw: where one of three endpoints of a plain service closes each body in its midst and lives on, nearly all unsafe requests ended with 502.

Cause, by a trace of one and of three nodes with three endpoints, one request after another: the owner of the slots chooses for all nodes, by the estimated run time and the slots in use. Such an end counts for the time that the slot was held, some 2 ms, so the estimate fell to 0.0023 s beside 0.1 s of the endpoints that had nothing to do, and the owner granted every slot there (i0: 160 runs, i1: 0, i2: 0). Each node had counted the ends in its own view (160; 54, 53 and 53), which the owner doesn't read.

Change: the node sends SlotEnded ahead of SlotFreed for an answer that was whole or that showed no end, and the owner keeps the row for all nodes by the code of models (open_ends). The row goes with a new owner and with a new process.

Versions: a message of another length is dropped, so a field of SlotFreed would keep slots taken for SLOT_LEASE_S at owners of the version before, and a new number of the protocol would part the nodes. An unknown message is left out, and what frees a slot is as it was; ends that aren't told neither count nor end a row.

--- a/features/house.feature
+++ b/features/house.feature
@@ -23,6 +23,7 @@
       | AskUnits.passed      | the same                                                        |
       | SlotReply.origin     | read from any reply of an owner (relay_owners)                  |
       | UnitsReply.origin    | the same                                                        |
+      | SlotEnded.passed     | the same                                                        |
       | SlotFreed.passed     | the same                                                        |
       | UnitsReturned.passed | the same                                                        |
       | OriginMessage.passed | the same                                                        |
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -395,6 +395,7 @@
 
     :param took_s: how long the run took, in seconds.
     :param unsent: nothing of the request was sent.
+    :param open_end: nothing showed the end of its answer; None if it got no answer that counts.
     """
 
     request_id: str
@@ -402,6 +403,7 @@
     endpoint: str
     took_s: float
     unsent: bool = False
+    open_end: bool | None = None
 
 
 class ReturnAllotment(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -72,7 +72,8 @@
     request.attempt_not_run = event.reported_not_run
     effects = routed.end_prompt(state, request)
     failed = event.down or not event.open_ended
-    effects += slot_requests.free(state, request, failed, unsent=not event.sent)
+    open_end = _shows_no_end(state, request, event) or None
+    effects += slot_requests.free(state, request, failed, not event.sent, open_end=open_end)
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
     request.running = False
@@ -94,6 +95,17 @@
     return effects + ended + requests.dispatch_waiting(state)
 
 
+def _shows_no_end(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
+    """Return whether an attempt counts as an answer whose end nothing showed.
+
+    It does not if its process has ended, since such an answer is cut.
+    """
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is None or request.dispatched_at < endpoint.restarted_at:
+        return False
+    return event.open_ended and not event.down
+
+
 def _count_failure(state: NodeState, request: RequestState, event: AttemptFailed) -> Effects:
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is None:
@@ -108,7 +120,7 @@
     if event.reported_not_run:
         endpoint.hear(state.now)
         state.reach.heard_at = state.now
-    elif event.open_ended and not event.down:
+    elif _shows_no_end(state, request, event):
         # A sound endpoint may answer so. It would be ejected for some failures among many such
         # answers if these did not end the row of failures.
         endpoint.end_open(state.now)
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -313,7 +313,7 @@
     if key is not None:
         for waiter in state.once.record_outcome(key, "ran", event.status, event.answer):
             effects.append(Replay(waiter, event.status, event.answer))
-    effects += _close(state, request)
+    effects += _close(state, request, open_end=False)
     return effects + dispatch_waiting(state)
 
 
@@ -404,10 +404,11 @@
     return effects + _close(state, request)
 
 
-def _close(state: NodeState, request: RequestState) -> Effects:
+def _close(state: NodeState, request: RequestState, open_end: bool | None = None) -> Effects:
     identity = request.arrived.request_id
     effects = routed.end_prompt(state, request)
-    effects += slot_requests.free(state, request, failed=False, unsent=not request.running)
+    unsent = not request.running
+    effects += slot_requests.free(state, request, False, unsent, open_end=open_end)
     effects += place_requests.withdraw(state, request)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
--- a/packages/rookspring-core/src/rookspring_core/slot_queues.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_queues.py
@@ -19,8 +19,10 @@
 import typing as t
 
 from . import defaults
+from . import open_ends
 from .fair_queues import FairQueue
 from .invariant_checkers import RateChecker
+from .open_ends import OpenEnds
 from .rate_buckets import RateBucket
 
 
@@ -83,11 +85,13 @@
 
     :param slots: how many requests run there at once; 0 if the queue does not limit that.
     :param rate: its rate limit in requests a second; None if it has none.
+    :param restarted_at: when its process was found to be another one.
     """
 
     name: str
     slots: int
     rate: float | None = None
+    restarted_at: float = -1e9
 
 
 class _Grant(t.NamedTuple):
@@ -100,11 +104,14 @@
 class _EndpointSlots:
     """The granted slots of one endpoint, and how long requests run there."""
 
-    __slots__ = ("bucket", "grants", "run_s", "witness")
+    __slots__ = ("bucket", "grants", "open_ends", "restarted_at", "run_s", "witness")
 
     def __init__(self) -> None:
         self.grants: dict[tuple[str, str], _Grant] = {}
         self.run_s = defaults.SLOT_RUN_S
+        # The answers to all nodes of which nothing showed the end, by one process.
+        self.open_ends = OpenEnds()
+        self.restarted_at = -1e9
         # None unless the endpoint has a rate limit.
         self.bucket: RateBucket | None = None
         # For the invariant check on the rate of all grants.
@@ -113,6 +120,12 @@
     def record_run(self, took_s: float) -> None:
         self.run_s += (took_s - self.run_s) * defaults.SLOT_RUN_GAIN
 
+    def set_restarted(self, restarted_at: float) -> None:
+        """Forget how the answers of another process ended."""
+        if restarted_at != self.restarted_at:
+            self.restarted_at = restarted_at
+            self.open_ends.end_row()
+
     def set_rate(self, rate: float | None, opens_at: float, now: float) -> None:
         """Set the rate limit; an endpoint that had none starts without permits."""
         if rate is None:
@@ -204,16 +217,19 @@
 
         :param since: since when this node owns the queue. The previous owner may have granted up
             to the full rate until then, and for ``OWNER_TAKEOVER_S`` after, while both nodes may
-            regard themselves as the owner; so permits start at none after that time.
+            regard themselves as the owner; so permits start at none after that time. How answers
+            ended in between, that owner was told.
         """
         if since != self.owned_since:
             self.owned_since = since
             for slots in self._endpoints.values():
                 slots.bucket = None
+                slots.open_ends.end_row()
         self._open = {}
         for one in endpoints:
             self._open[one.name] = concurrency_limit(one.slots)
             slots = self._endpoints.setdefault(one.name, _EndpointSlots())
+            slots.set_restarted(one.restarted_at)
             slots.set_rate(one.rate, since + defaults.OWNER_TAKEOVER_S, now)
         for name in set(self._endpoints) - set(self._open):
             if not self._endpoints[name].grants:
@@ -236,6 +252,19 @@
             answers.append(SlotAnswer(request.origin, request.key))
         return answers
 
+    def note_end(self, endpoint: str, open_end: bool, now: float) -> None:
+        """Record how an answer with a slot ended, before the slot is free.
+
+        :param open_end: nothing showed its end; otherwise it was whole.
+        """
+        slots = self._endpoints.get(endpoint)
+        if slots is None:
+            return
+        if open_end:
+            slots.open_ends.note(now)
+        else:
+            slots.open_ends.end_row()
+
     def free(
         self,
         endpoint: str,
@@ -298,15 +327,22 @@
         return answers
 
     def _choose(self, avoid: str, now: float) -> str | None:
-        """Choose the endpoint with a free slot that is expected to finish a request soonest."""
+        """Choose the endpoint with a free slot that is expected to finish a request soonest.
+
+        Not one that is passed over, if there is another, nor the one to avoid.
+        """
         free = {
             name: slots.run_s * (1.0 + len(slots.grants) / limit)
             for name, limit in self._open.items()
             if len((slots := self._endpoints[name]).grants) < limit
             and (slots.bucket is None or slots.bucket.permits(now) >= 1.0)
         }
-        others = [name for name in free if name != avoid]
-        return min(others or free, key=free.__getitem__, default=None)
+        shown = open_ends.choose_shown(list(free), self._open_ends_of, now)
+        others = [name for name in shown if name != avoid]
+        return min(others or shown, key=free.__getitem__, default=None)
+
+    def _open_ends_of(self, endpoint: str) -> OpenEnds:
+        return self._endpoints[endpoint].open_ends
 
     def _refuse_late(self, now: float) -> list[SlotAnswer]:
         late = self._waiting.remove(lambda one: one.until <= now)
--- a/packages/rookspring-core/src/rookspring_core/slot_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_requests.py
@@ -115,10 +115,17 @@
     request.slot_asked_at = None
 
 
-def free(state: NodeState, request: RequestState, failed: bool, unsent: bool) -> list[Effect]:
+def free(
+    state: NodeState,
+    request: RequestState,
+    failed: bool,
+    unsent: bool,
+    open_end: bool | None = None,
+) -> list[Effect]:
     """Release a request's slot, if it holds one.
 
     :param unsent: nothing was sent with it.
+    :param open_end: see :class:`effects.FreeSlot`.
     """
     held = request.slot
     if held is None:
@@ -132,7 +139,7 @@
     if failed:
         # Failures are quick: their true time would make the endpoint look fast and draw requests.
         took_s = max(took_s, defaults.SLOT_FAILED_S)
-    return [FreeSlot(identity, held.queue, held.endpoint, took_s, unsent)]
+    return [FreeSlot(identity, held.queue, held.endpoint, took_s, unsent, open_end)]
 
 
 def usable(state: NodeState, event: SlotAnswered) -> EndpointView | None:
@@ -240,4 +247,4 @@
     present = [one for one in views if not one.closed]
     available = [one for one in present if not one.in_backoff(state.now)]
     ready = [one for one in available if one.accepts_work(state.now)] or available
-    return [SlotEndpoint(one.name, one.slots(), one.rate) for one in ready]
+    return [SlotEndpoint(one.name, one.slots(), one.rate, one.restarted_at) for one in ready]
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -411,6 +411,22 @@
     no_known_endpoint: bool
 
 
+@message("slot-end")
+class SlotEnded(t.NamedTuple):
+    """Tell the owner of a queue how the answer of a run ended, before its slot is freed.
+
+    A message of its own, as an owner of an earlier version drops one of any other length, and must
+    not drop that which frees the slot.
+
+    :param open_end: nothing showed the answer's end; otherwise it was whole.
+    """
+
+    queue: str
+    endpoint: str
+    open_end: bool
+    passed: bool
+
+
 @message("slot-free")
 class SlotFreed(t.NamedTuple):
     """Return a slot to the owner of its queue after a run; see ``FreeSlot``."""
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -18,6 +18,7 @@
 from .logs import log
 from .messages import AskPlaces
 from .messages import AskSlots
+from .messages import SlotEnded
 from .messages import SlotFreed
 from .messages import SlotReply
 from .peers import Link
@@ -57,8 +58,15 @@
 
 
 def free_slot(peers: RelayPeers, effect: FreeSlot) -> None:
-    """Return a slot to the owner of its queue after a run."""
-    relay_owners.notify_owner(peers, SlotFreed(peers.context.state.identity.name, *effect, False))
+    """Return a slot to the owner of its queue after a run, and tell it how the answer ended."""
+    queue = effect.queue
+    endpoint = effect.endpoint
+    if effect.open_end is not None:
+        relay_owners.notify_owner(peers, SlotEnded(queue, endpoint, effect.open_end, False))
+    name = peers.context.state.identity.name
+    key = effect.request_id
+    freed = SlotFreed(name, key, queue, endpoint, effect.took_s, effect.unsent, False)
+    relay_owners.notify_owner(peers, freed)
 
 
 async def process_queues_loop(peers: RelayPeers) -> None:
@@ -94,7 +102,7 @@
             del state.owned_queues.slots[name]
 
 
-def _subject(item: AskSlots | SlotFreed) -> str:
+def _subject(item: AskSlots | SlotEnded | SlotFreed) -> str:
     return slot_requests.subject_of(item.queue)
 
 
@@ -115,6 +123,13 @@
     _send_replies(peers, asked.queue, queue.request_slot(request, now))
 
 
+@handles_as_owner(SlotEnded, _subject)
+def handle_ended(peers: RelayPeers, ended: SlotEnded, link: Link | None) -> None:
+    """Record how an answer ended, which tells whether its endpoint is passed over."""
+    now = clock.now()
+    _open_queue(peers, ended.queue, now).note_end(ended.endpoint, ended.open_end, now)
+
+
 @handles_as_owner(SlotFreed, _subject)
 def handle_freed(peers: RelayPeers, freed: SlotFreed, link: Link | None) -> None:
     """Free a slot or place, which may be granted to waiting requests."""
