Mutants of how endpoints are passed over, and a row for the one that nothing found

The two mutants of slot_requests.free in whole_answer_mutants take its new argument; else they would fail by their call, and not by what they decide.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -53,6 +53,7 @@
 from . import notice_mutants
 from . import odd_value_mutants
 from . import open_body_mutants
+from . import open_end_mutants
 from . import organisation_mutants
 from . import owner_mutants
 from . import passing_mutants
@@ -393,6 +394,7 @@
     "watches": watch_mutants.MUTANTS,
     "odd-values": odd_value_mutants.MUTANTS,
     "open-bodies": open_body_mutants.MUTANTS,
+    "open-ends": open_end_mutants.MUTANTS,
 }
 
 
--- a/bench/whole_answer_mutants.py
+++ b/bench/whole_answer_mutants.py
@@ -88,12 +88,12 @@
 _count_failure = recovering._count_failure
 
 
-def _free_failed(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
-    return _free(state, request, True, unsent)
+def _free_failed(state: t.Any, request: t.Any, failed: bool, unsent: bool, **rest: t.Any) -> t.Any:
+    return _free(state, request, True, unsent, **rest)
 
 
-def _free_sound(state: t.Any, request: t.Any, failed: bool, unsent: bool) -> t.Any:
-    return _free(state, request, False, unsent)
+def _free_sound(state: t.Any, request: t.Any, failed: bool, unsent: bool, **rest: t.Any) -> t.Any:
+    return _free(state, request, False, unsent, **rest)
 
 
 _free = slot_requests.free
--- a/features/open_ends.feature
+++ b/features/open_ends.feature
@@ -71,6 +71,13 @@
       | another node has owned them since |
       | its process has started anew      |
 
+  Scenario: a request that failed at another endpoint doesn't go to one that is passed over either
+    Given the owner of the slots of a service with three endpoints
+    When one of them gives two nodes these answers: open, open, open
+    And this holds at the owner: the third has left
+    And 6 requests that failed at the second come 0.1 s later
+    Then that endpoint gets none of them
+
   Scenario: answers that the owner before was told of don't count
     Given the owner of the slots of a service with three endpoints
     When one of them gives two nodes these answers: open, open
--- a/features/steps/open_end_owner_steps.py
+++ b/features/steps/open_end_owner_steps.py
@@ -35,11 +35,11 @@
         self.endpoints = {name: SlotEndpoint(name, SLOTS) for name in NAMES}
         self.asked = 0
 
-    def ask(self):
+    def ask(self, avoid=""):
         """Request a slot; returns its endpoint and its request."""
         self.queue.set_endpoints(self.endpoints.values(), self.since, self.now)
         self.asked += 1
-        request = SlotRequest(f"n{self.asked % 2}", str(self.asked), 0, "", 1.0)
+        request = SlotRequest(f"n{self.asked % 2}", str(self.asked), 0, "", 1.0, avoid)
         (answer,) = self.queue.request_slot(request, self.now)
         assert answer.endpoint, answer
         return answer.endpoint, request
@@ -56,9 +56,9 @@
                 took_s = RUN_S if endpoint == name else 0.0
                 self.queue.free(endpoint, request.origin, request.key, took_s, self.now)
 
-    def follow(self, number, after_s):
+    def follow(self, number, after_s, avoid=""):
         self.now += after_s
-        return [self.ask()[0] for _ in range(number)]
+        return [self.ask(avoid)[0] for _ in range(number)]
 
 
 @given("the owner of the slots of a service with three endpoints")
@@ -82,6 +82,11 @@
     context.got = context.owner.follow(number, after_s)
 
 
+@when("{number:d} requests that failed at the second come {after_s:g} s later")
+def failed_follow(context, number, after_s):
+    context.got = context.owner.follow(number, after_s, avoid=NAMES[1])
+
+
 def fill_others(owner):
     owner.follow(len(NAMES[1:]) * (SLOTS + 1), 0.0)
 
@@ -90,6 +95,10 @@
     owner.endpoints = {NAMES[0]: owner.endpoints[NAMES[0]]}
 
 
+def drop_third(owner):
+    del owner.endpoints[NAMES[2]]
+
+
 def own_anew(owner):
     owner.since = owner.now
 
@@ -101,6 +110,7 @@
 EVENTS = {
     "the others have no room": fill_others,
     "the others have left": drop_others,
+    "the third has left": drop_third,
     "another node has owned them since": own_anew,
     "its process has started anew": restart_first,
 }
