Take a stream that ends within a comment between events for no broken one

What callers saw: a stream with chunks whose last line is a comment without a line end was cut at its caller after its last event, and a resumable one was sent again.

Cause: whatever was left in the splitter counted as a part of an event.

The standard (WHATWG HTML, Server-sent events, parsing and interpreting an event stream): a line that begins with a colon is ignored, and once the end is reached what is pending is discarded; only an event without its empty line is not dispatched. So a comment that is cut loses nothing, and the chunks show the end. It is passed on as it came. Without chunks nothing shows the end, as before: such a stream is cut, and now counts as one that may be whole (open_ended), no longer as broken.

The test failed before: features/run.py features/event_streams.feature printed, for "events and half a comment", "got the events 1 to 5, each once, and the stream ends; ASSERT FAILED: ends" in both rows, and the rows of EventSplitter.breaks_off errors. Mutants "breaks off within comments" and "breaks off nowhere": found.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -117,6 +117,14 @@
     exchange.connection.end()
 
 
+def _break_at_any_rest(self: EventSplitter) -> bool:
+    return bool(self.incomplete())
+
+
+def _break_nowhere(self: EventSplitter) -> bool:
+    return False
+
+
 def _of_splitter(name: str, attribute: str, replacement: t.Any, rule: str = RULE) -> Mutant:
     return Mutant(name, rule, EventSplitter, attribute, replacement, EVENT_STREAMS)
 
@@ -130,6 +138,8 @@
     _of_splitter("takes ids with a NUL", "_read_field", _keep_nul),
     _of_splitter("ignores fields without a colon", "_read_field", _need_colon),
     _of_splitter("passes a second byte order mark on", "__init__", _never_continue),
+    _of_splitter("breaks off within comments", "breaks_off", _break_at_any_rest, COMMENT_RULE),
+    _of_splitter("breaks off nowhere", "breaks_off", _break_nowhere),
     _of_splitter("reads a byte order mark as text", "_take_first_line", _take_any_line),
     Mutant(
         "ends a line twice",
--- a/features/event_streams.feature
+++ b/features/event_streams.feature
@@ -42,6 +42,25 @@
       | \n\rid:1\n\n:\n     |
       | MARKid\n\n\r:\r     |
 
+  # What is pending at the end is discarded by the standard, so a comment without a line end is one.
+  Scenario Outline: a stream breaks off within an event, and not within a comment
+    Given the bytes "<bytes>" of a stream
+    Then they break off within <what>, cut at whichever bytes
+
+    Examples:
+      | bytes                    | what     |
+      | data: a\n\n              | no event |
+      | data: a\n\n: ping         | no event |
+      | data: a\n\n:              | no event |
+      | : ping                   | no event |
+      | MARK: ping               | no event |
+      | MARK                     | no event |
+      | data: a\n\ndata: b        | an event |
+      | data: a\n\ndata: b\n      | an event |
+      | data: a\n\nid: 2\n: ping  | an event |
+      | data: a\n\n: ping\nd      | an event |
+      | data: a\n\nMARK: ping     | an event |
+
   Scenario: streams of any lines
     Then streams of any lines, ends and cuts give what the standard says after each part
 
@@ -77,6 +96,9 @@
       | stream    | events with mixed line ends                      | 5    | ends   |
       | stream    | events after a mark                              | 5    | ends   |
       | stream    | 3 with carriage returns                          | 3    | is cut |
+      | stream    | events and half a comment                        | 5    | ends   |
+      | stream    | events and half an event                         | 5    | is cut |
+      | resumable | 3 with keep-alives, events and half a comment    | 5    | ends   |
       | resumable | 3 with carriage returns, stream                  | 5    | ends   |
       | resumable | 3 with mixed line ends, events after a mark      | 5    | ends   |
       | resumable | 3 after a mark, events after a mark              | 5    | ends   |
@@ -85,6 +107,11 @@
       | resumable | keep-alives alone, stream                        | 5    | ends   |
       | resumable | keep-alives alone, keep-alives alone             | 0    | is cut |
 
+  Scenario: a comment without a line end that ends a stream is passed on
+    Given a relay node with two endpoints that do: events and half a comment
+    When a caller reads a stream stream
+    Then the last bytes that it has got are ": pi"
+
   Scenario: a stream whose last event resets the id is not joined with another run of it
     Given a relay node with two endpoints that do: 2 that reset the id, stream
     When a caller reads a resumable stream
--- a/features/steps/event_stream_steps.py
+++ b/features/steps/event_stream_steps.py
@@ -162,6 +162,16 @@
     assert context.took_s < most_s, context.took_s
 
 
+@then("they break off within {what}, cut at whichever bytes")
+def break_off(context, what):
+    text = context.stream
+    for at in range(len(text) + 1):
+        splitter = EventSplitter()
+        for part in (text[:at], text[at:]):
+            splitter.feed(part)
+        assert splitter.breaks_off() == (what == "an event"), (text[:at], text[at:])
+
+
 @when("a caller reads a {kind} stream")
 def reads_stream(context, kind):
     context.came = context.loop.run(read_stream(context.relay.node, request(kind)))
@@ -224,6 +234,12 @@
     assert whole == (ends == "ends"), ends
 
 
+@then("the last bytes that it has got are {text}")
+def last_bytes(context, text):
+    body, whole = body_of(context.raw)
+    assert whole and body.endswith(bytes_of(text)), context.raw
+
+
 @then("it has got {text} and the stream is cut")
 def got_bytes(context, text):
     assert body_of(context.raw) == (bytes_of(text), False), context.raw
--- a/packages/rookspring-fakes/src/rookspring_fakes/event_shapes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/event_shapes.py
@@ -24,10 +24,12 @@
 
     :param event: an event, with a place for its number.
     :param lead: bytes before the first event, sent ``READING_S`` earlier.
+    :param tail: bytes after the last event of a whole stream.
     """
 
     event: bytes
     lead: bytes = b""
+    tail: bytes = b""
 
 
 SHAPES = {
@@ -35,6 +37,8 @@
     "with carriage returns": Shape(b"id: %d\rdata: token\r\r"),
     "with mixed line ends": Shape(b"id: %d\r\ndata: token\n\r\n"),
     "after a mark": Shape(b"id: %d\ndata: token\n\n", codecs.BOM_UTF8),
+    "and half a comment": Shape(b"id: %d\ndata: token\n\n", tail=b": pi"),
+    "and half an event": Shape(b"id: %d\ndata: token\n\n", tail=b"event: a\n"),
 }
 
 
@@ -82,6 +86,8 @@
         server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> None:
         await _send_shape(server, request, writer, shape, STREAM_EVENTS)
+        if shape.tail:
+            _write_chunk(writer, shape.tail)
         writer.write(LAST_CHUNK)
 
     @step(f"{BREAK_AFTER} {words}")
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -72,6 +72,17 @@
         """Return the bytes of the incomplete event or line at the end."""
         return bytes(self._event + self._lines.incomplete)
 
+    def breaks_off(self) -> bool:
+        """Return whether the bytes so far end within an event.
+
+        A comment that lacks its line end is part of none: what is pending at the end of a stream is
+        discarded.
+        """
+        line = bytes(self._lines.incomplete)
+        if self._at_start:
+            line = line.removeprefix(BYTE_ORDER_MARK)
+        return bool(self._event) or (line != b"" and not line.startswith(b":"))
+
     def _take_first_line(self, line: bytes) -> None:
         self._at_start = False
         unmarked = line.removeprefix(BYTE_ORDER_MARK)
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -278,12 +278,14 @@
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
         await exchange.connection.send(events.data)
-    if splitter.incomplete():
+    if splitter.breaks_off():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
     if events_before and not last_event:
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
     _check_stream_end(reply, exchange.events > events_before or bool(last_event))
     _begin_stream(exchange, head)
+    if comment := splitter.incomplete():
+        await exchange.connection.send(comment)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
