Count a body in a coding that ends with its connection as one whose end nothing shows

What callers saw: an endpoint that sends its bodies with a Transfer-Encoding other than chunks was ejected after three answers, and what ran there was suspected of crashing it.

Cause: any Transfer-Encoding counted as chunks, so that the close that ends such a body (RFC 9112, section 6.3: if chunked is not the final coding of a response, it is read until the connection is closed) was a broken connection.

Change: HttpHead.framing says "chunks" only where that is the last coding; the close of such a body is an open end, as in the product's own service call (endpoints._shows_end). It stays a failed answer: its bytes are in a coding that isn't read here, so that JSON, and two equal runs, show nothing. A reset, and a 5xx, are failures as before. Streams in such a coding still count as broken.

--- a/bench/open_body_mutants.py
+++ b/bench/open_body_mutants.py
@@ -5,7 +5,9 @@
 from rookspring import defaults
 from rookspring import relay_attempts
 from rookspring import relay_bodies
+from rookspring._client_connection import ClientConnection
 from rookspring.http_client import ConnectionPool
+from rookspring.http_messages import HttpHead
 from rookspring_core import body_ends
 from rookspring_core import defaults as core_defaults
 from rookspring_core import recovering
@@ -93,6 +95,24 @@
     return False
 
 
+def _frame_by_any_coding(self: HttpHead) -> str:
+    return "chunks" if self.header(b"transfer-encoding") else _framing(self)
+
+
+_framing = HttpHead.framing
+
+
+def _lose_as_closed(self: ClientConnection, exc: Exception | None) -> None:
+    """Take the reset of a body in a coding for its close."""
+    reply = self._reply
+    _connection_lost(self, exc)
+    if reply is not None and reply.head is not None:
+        reply.failed_by_close = reply.head.framing() == "close"
+
+
+_connection_lost = ClientConnection.connection_lost
+
+
 def _mutant(
     name: str, target: t.Any, attribute: str, replacement: t.Any, socket: bool = False
 ) -> Mutant:
@@ -115,6 +135,30 @@
     _mutant("compares no status", body_ends, "copy_body", _copy_no_status),
     _mutant("compares how bodies begin", body_ends, "copy_body", _copy_beginning),
     _mutant("checks any size", core_defaults, "CHECKED_JSON_BYTES_MAX", 1 << 40),
+    Mutant(
+        "takes any coding for chunks",
+        SOUND,
+        HttpHead,
+        "framing",
+        _frame_by_any_coding,
+        OPEN_BODIES_SOCKETS,
+    ),
+    Mutant(
+        "takes a 5xx of a coding for sound",
+        SOUND,
+        relay_bodies,
+        "SERVER_ERROR",
+        600,
+        OPEN_BODIES_SOCKETS,
+    ),
+    Mutant(
+        "takes the reset of a coding for its close",
+        SOUND,
+        ClientConnection,
+        "connection_lost",
+        _lose_as_closed,
+        OPEN_BODIES_SOCKETS,
+    ),
     Mutant(
         "ejects for an open end",
         SOUND,
--- a/features/open_bodies_sockets.feature
+++ b/features/open_bodies_sockets.feature
@@ -16,6 +16,8 @@
       | open digest                 | 200 answer              | 1    |
       | open half digest            | 502                     | 1    |
       | open json of another digest | 502                     | 1    |
+      | open text of a coding       | 502                     | 1    |
+      | open json of a coding       | 502                     | 1    |
       | open text                   | 502                     | 1    |
       | open nothing                | 502                     | 1    |
       | open 404                    | 502                     | 1    |
@@ -48,6 +50,9 @@
       | open text of another digest, open text                   | 502                     | 2    |
       | open text of another digest, open text of another digest | 502                     | 2    |
       | open text, reset after open text                         | 502                     | 2    |
+      | open text of a coding, answer                            | 200 answer to q1        | 2    |
+      | open text of a coding, open text of a coding             | 502                     | 2    |
+      | open text of a coding, open text                         | 502                     | 2    |
       | reset after open text, open text                         | 502                     | 2    |
       | open text, half                                          | 502                     | 2    |
       | open 404, open 404                                       | 404 absent              | 2    |
@@ -69,14 +74,33 @@
     Then the status and body are 502
     And the endpoints ran it 1 times
 
-  Scenario: endpoints that give such bodies are neither ejected nor suspected
-    Given a relay node with one endpoint that does: open text, open text, open text, open text, open text
+  # A coding other than chunks, or after them, ends with the connection (RFC 9112, section 6.3).
+  Scenario Outline: endpoints that give such bodies are neither ejected nor suspected
+    Given a relay node with one endpoint that does: <body>, <body>, <body>, <body>, <body>
     When a caller sends 6 unsafe requests one after another
     Then the statuses are 502 in the first 5 and then 200
     And its endpoint was never ejected
     And no crash is recorded
     And no broken request waits for the end of a process
 
+    Examples:
+      | body                  |
+      | open text             |
+      | open text of a coding |
+      | open json of a coding |
+
+  Scenario Outline: endpoints that fail otherwise are ejected, whatever ends their bodies
+    Given a relay node with one endpoint that does: <body>, <body>, <body>
+    When a caller sends 3 unsafe requests one after another
+    Then its endpoint is ejected
+
+    Examples:
+      | body                              |
+      | open 500                          |
+      | open 500 of a coding              |
+      | reset after open text             |
+      | reset after open text of a coding |
+
   Scenario: an endpoint that ends with such a body is found to have ended
     Given a relay node with two endpoints that do: end after open text
     When a caller sends an unsafe request
--- a/features/steps/open_body_socket_steps.py
+++ b/features/steps/open_body_socket_steps.py
@@ -61,6 +61,12 @@
     assert view.ejected_until < 0.0, view.ejected_until
 
 
+@then("its endpoint is ejected")
+def is_ejected(context):
+    (view,) = context.relay.node.context.state.endpoints.values()
+    assert view.ejected_until > 0.0, view.failures
+
+
 @then("no broken request waits for the end of a process")
 def none_pending(context):
     suspects = context.relay.node.context.state.suspects
--- a/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
@@ -42,6 +42,11 @@
         b'{"answer": 1}', (JSON, f"Content-Digest: {OTHER_DIGEST}")
     ),
     "open text of another digest": OpenBody(b"answer", (f"Content-Digest: {OTHER_DIGEST}",)),
+    "open text of a coding": OpenBody(b"answer", ("Transfer-Encoding: gzip",)),
+    "open json of a coding": OpenBody(
+        b'{"answer": 1}', (JSON, "Transfer-Encoding: chunked, identity")
+    ),
+    "open 500 of a coding": OpenBody(b"failed", ("Transfer-Encoding: gzip",), 500),
     "open 404": OpenBody(b"absent", (), 404),
     "open 404 json": OpenBody(b'{"error": "absent"}', (JSON,), 404),
     "open 500": OpenBody(b"failed", (), 500),
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -74,7 +74,11 @@
             self._reply.ended_by_close = True
             self._finish()
         else:
+            head = self._reply.head
             self._reply.closed_by_endpoint = not isinstance(exc, TimeoutError)
+            self._reply.failed_by_close = (
+                exc is None and head is not None and head.framing() == "close"
+            )
             self._break("connection reset" if exc else "connection closed")
 
     def eof_received(self) -> bool:
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -34,6 +34,8 @@
         self.closed_by_endpoint = False
         # Whether it ended with its connection, so that nothing but the close shows its end.
         self.ended_by_close = False
+        # The same of an answer in a coding that isn't read here, which fails and may be whole.
+        self.failed_by_close = False
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -73,9 +73,15 @@
         return [value.strip() for key, value in self.headers if key.lower() == name]
 
     def framing(self) -> str:
-        """Return what shows the end of the body: ``chunks``, ``length``, or ``close``."""
-        if self.header(b"transfer-encoding"):
-            return "chunks"
+        """Return what shows the end of the body: ``chunks``, ``length``, or ``close``.
+
+        Chunks show it only as the last coding (RFC 9112, section 6.3).
+        """
+        codings = b",".join(self.values(b"transfer-encoding"))
+        if codings:
+            return (
+                "chunks" if codings.rpartition(b",")[2].strip().lower() == b"chunked" else "close"
+            )
         return "length" if self.header(b"content-length") else "close"
 
 
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -19,6 +19,7 @@
 from .relay import RelayExchange
 from .relay_context import RelayContext
 
+NO_END = "nothing shows the answer's end"
 # The least status that tells a failure of the endpoint.
 SERVER_ERROR = 500
 # Checks the syntax and keeps nothing; it stops at the interpreter's limit of nested calls.
@@ -37,7 +38,14 @@
     :raises EndpointError: if it is cut, or if nothing shows that it is whole; the request may have
         run.
     """
-    body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
+    # A failure that the status tells is one whatever the body's end.
+    sound = head.status < SERVER_ERROR
+    try:
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, context.pool.answers)
+    except EndpointError:
+        if reply.failed_by_close:
+            raise EndpointError(NO_END, sent=True, open_ended=sound) from None
+        raise
     if not reply.ended_by_close:
         return body
     stated = _read_head(head)
@@ -51,14 +59,12 @@
         bytes=len(body),
         sign=sign.value,
     )
-    # A failure that the status tells is one whatever the body's end.
-    sound = head.status < SERVER_ERROR
     if sign is Sign.DIFFERS:
         raise EndpointError("the answer's body is of other bytes", sent=True, open_ended=sound)
     if sign is Sign.NONE:
         if exchange.route.repeatable:
             exchange.open_bodies.add(body_ends.copy_body(head.status, body))
-        raise EndpointError("nothing shows the answer's end", sent=True, open_ended=sound)
+        raise EndpointError(NO_END, sent=True, open_ended=sound)
     return body
 
 
