--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -86,7 +86,7 @@
     if key is not None:
         for waiter in state.once.record_outcome(key, "ran", event.status, event.answer):
             effects.append(Replay(waiter, event.status, event.answer))
-    effects += requests.close(state, request)
+    effects += requests.close(state, request, open_end=False)
     return effects + requests.dispatch_waiting(state)
 
 
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -329,11 +329,12 @@
     return effects + close(state, request)
 
 
-def close(state: NodeState, request: RequestState) -> Effects:
+def close(state: NodeState, request: RequestState, open_end: bool | None = None) -> Effects:
     """End a request, and free what it held at its endpoint and at the owners of its queues."""
     identity = request.arrived.request_id
     effects = routed.end_prompt(state, request)
-    effects += slot_requests.free(state, request, failed=False, unsent=not request.running)
+    unsent = not request.running
+    effects += slot_requests.free(state, request, False, unsent, open_end=open_end)
     effects += place_requests.withdraw(state, request)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
--- a/packages/rookspring/src/rookspring/messages.py
+++ b/packages/rookspring/src/rookspring/messages.py
@@ -39,6 +39,7 @@
 from ._owner_messages import AskUnits as AskUnits
 from ._owner_messages import OriginMessage as OriginMessage
 from ._owner_messages import OriginReply as OriginReply
+from ._owner_messages import SlotEnded as SlotEnded
 from ._owner_messages import SlotFreed as SlotFreed
 from ._owner_messages import SlotReply as SlotReply
 from ._owner_messages import UnitsReply as UnitsReply
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -268,12 +268,14 @@
     got_something = exchange.events > events_before or bool(last_event)
     if splitter.overrun:
         raise _open_end("another answer follows, and nothing shows the end", got_something)
-    if splitter.incomplete():
+    if splitter.breaks_off():
         raise EndpointError("broke off within an event", sent=True, broken=reply.ended_by_close)
     if events_before and not last_event:
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
     _check_stream_end(reply, got_something)
     _begin_stream(exchange, head)
+    if comment := splitter.incomplete():
+        await exchange.connection.send(comment)
     exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
