Have four mutants fail by what they decide, and one look where its row is

The isolation group's "passes on refusals of what was sent before" was not found: it ran cut_off.feature, and its row is in handovers_sockets.feature ("a request that may have run before it was handed over is not told as refused"). With that feature it is found.

Four replaced functions took fewer arguments than the calls give them, so that the call failed and any row found them: "gives slots without count" (organisations), "sends a second head" and "asks one box" (isolation), "takes older entries" (relay).

--- a/bench/isolation_mutants.py
+++ b/bench/isolation_mutants.py
@@ -13,6 +13,7 @@
 
 from .mutant import BEGUN_STREAMS
 from .mutant import HANDOVERS
+from .mutant import HANDOVERS_SOCKETS
 from .mutant import ISOLATION
 from .mutant import Mutant
 
@@ -62,7 +63,7 @@
     return [row for row in rows if not row.isolated]
 
 
-def _one_box(state: t.Any, besides: str = "") -> list[str]:
+def _one_box(state: t.Any, besides: str = "", tried: t.Collection[str] = ()) -> list[str]:
     return sorted(state.endpoints)[:3]
 
 
@@ -89,9 +90,9 @@
         self.ejected_until = -1e9
 
 
-async def _pass_all_on(exchange: t.Any, reply: t.Any, head: t.Any) -> None:
+async def _pass_all_on(exchange: t.Any, reply: t.Any, head: t.Any, answers: t.Any) -> None:
     exchange.started = False
-    await _pass_on(exchange, reply, head)
+    await _pass_on(exchange, reply, head, answers)
 
 
 _pass_on = relay_handovers._pass_on
@@ -179,7 +180,7 @@
         relay_handovers,
         "check_refusal",
         _nothing,
-        HANDOVERS,
+        HANDOVERS_SOCKETS,
     ),
     Mutant(
         "tells refusals as ends",
--- a/bench/organisation_mutants.py
+++ b/bench/organisation_mutants.py
@@ -67,7 +67,7 @@
     return float(granted.sum(now))
 
 
-def _any_endpoint(self: SlotQueue, avoid: str) -> str | None:
+def _any_endpoint(self: SlotQueue, avoid: str, now: float) -> str | None:
     return next(iter(self._open), None)
 
 
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -180,10 +180,10 @@
     return True
 
 
-def _keep_any(self: t.Any, row: t.Any, now: float) -> t.Any:
+def _keep_any(self: t.Any, row: t.Any, now: float, *rest: t.Any) -> t.Any:
     self._dropped.pop(row.name, None)
     self._stored.pop(row.name, None)
-    return _real_apply_row(self, row, now)
+    return _real_apply_row(self, row, now, *rest)
 
 
 _real_apply_row = EndpointList._apply_row
