Count the loads that the lease holder before ordered

A node that takes the lease knew its own orders alone. A runner that still carried out a load of the holder before was busy for it with nothing, so the model counted as missing: it was ordered at a second runner, in the place of another model, and one of the two replicas was unloaded again. All nodes are told of each load when it is taken, with its time. The planner now counts that: while the runner says that it carries out an order, until the load is 2 s overdue. Its memory counts as taken.

The step that a follower hears demand now takes 15 beats for 6 s; it took 14, as 6.0 / 0.4 was cut.

--- a/bench/passing_mutants.py
+++ b/bench/passing_mutants.py
@@ -5,6 +5,7 @@
 
 from rookspring_core import attaching
 from rookspring_core import defaults
+from rookspring_core import planning
 from rookspring_core import residency
 from rookspring_core import retry_after
 from rookspring_core import routed
@@ -70,10 +71,23 @@
     return _real_refuse(self, request, wait_s, now)._replace(blind=False)
 
 
+def _own_load(state: t.Any, view: t.Any) -> str:
+    order = state.residency.accounts[view.name].order
+    return order.model if order and order.action == "load" and not order.adapter else ""
+
+
+def _announced_load(state: t.Any, view: t.Any) -> str:
+    return _own_load(state, view) or str(view.expected_model[0])
+
+
 MUTANTS = (
     Mutant("waits anew", "reach", Lease, "_turn_after_release", _restart_gap, HANDOVER),
     Mutant("orders at once", "ONE", Lease, "_turn_after_release", _no_gap, HANDOVER),
     Mutant("asks upon what is outdated", "reach", Lease, "_note_outdated", _expire_lease, HANDOVER),
+    Mutant("counts own loads alone", "reach", planning, "_model_under_load", _own_load, HANDOVER),
+    Mutant(
+        "believes in late loads", "reach", planning, "_model_under_load", _announced_load, HANDOVER
+    ),
     Mutant(
         "forgets who was in line", "reach", attaching, "_end_attachment", _drop_attachment, ADAPTERS
     ),
--- a/features/lease_handover.feature
+++ b/features/lease_handover.feature
@@ -38,3 +38,16 @@
     Given a node that hears from another that 1000 tokens a second are asked of a model, for 6 s
     When it takes the lease, and has not ticked since
     Then its forecast for the model is 1000 tokens a second, to 5 in 100
+
+  # Guards against a model that is loaded twice, in the place of another, as the new holder counts its own orders alone.
+  Scenario Outline: a node that takes the lease over counts the loads that the holder before it ordered
+    Given two runners with a copy of a model that is asked for, one of which <does>
+    When another node takes the lease, and 5 s pass
+    Then it has ordered <loads> loads of the model
+
+    Examples:
+      | does                                          | loads |
+      | is to have loaded it in 8 s                   | 0     |
+      | was to have loaded it 3 s ago                 | 1     |
+      | was to load it and carries out no order       | 1     |
+      | carries out an order that nobody has heard of | 1     |
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -1,3 +1,5 @@
+import typing as t
+
 from behave import given
 from behave import then
 from behave import when
@@ -5,11 +7,14 @@
 from holder_checks import longest_pause_s
 from relay_harness import RelayHarness
 
+from rookspring_core.effects import ReadReport
 from rookspring_core.effects import WriteLease
 from rookspring_core.events import DrainAsked
 from rookspring_core.events import HeartbeatReceived
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import LeaseWritten
+from rookspring_core.events import LoadingReceived
+from rookspring_core.events import LoadRequested
 from rookspring_core.events import Ticked
 from rookspring_fakes.fleet import Fleet
 from rookspring_fakes.fleet import FleetPlan
@@ -26,6 +31,25 @@
 FOLLOWED_S = 6.0
 
 
+class Heard(t.NamedTuple):
+    """What a runner does, and what was announced of it.
+
+    :param coming_s: when its load ends, in seconds from the takeover; None if none was announced.
+    :param busy: it carries out an order.
+    """
+
+    coming_s: float | None
+    busy: bool = True
+
+
+LOADS = {
+    "is to have loaded it in 8 s": Heard(8.0),
+    "was to have loaded it 3 s ago": Heard(-3.0),
+    "was to load it and carries out no order": Heard(8.0, busy=False),
+    "carries out an order that nobody has heard of": Heard(None),
+}
+
+
 @given("{nodes:d} nodes that contend for the lease")
 def contend(context, nodes):
     context.fleet = Fleet(FleetPlan(nodes, elects=True))
@@ -98,15 +122,20 @@
         self.submit(beat)
 
 
-@given("a node that hears from another that {rate:d} tokens a second are asked of a model, for 6 s")
-def hears_demand(context, rate):
-    node = context.node = Follower()
-    for _ in range(int(FOLLOWED_S / BEAT_S)):
+def follow(node, rate, seconds):
+    """Have a node hear from another for some seconds that a model is asked for."""
+    for _ in range(round(seconds / BEAT_S)):
         node.now += BEAT_S
         node.hear((("m", float(rate)),))
         node.submit(Ticked(node.now))
 
 
+@given("a node that hears from another that {rate:d} tokens a second are asked of a model, for 6 s")
+def hears_demand(context, rate):
+    context.node = Follower()
+    follow(context.node, rate, FOLLOWED_S)
+
+
 @when("it takes the lease, and has not ticked since")
 def takes_lease(context):
     node = context.node
@@ -123,3 +152,43 @@
 def forecast_is(context, rate, percent):
     found = context.node.state.control.forecast.levels.get("m", 0.0)
     assert abs(found - rate) <= rate * percent / 100.0, found
+
+
+class Successor(Follower):
+    """A node whose endpoint e1 may carry out an order of the lease holder before it."""
+
+    def __init__(self, busy):
+        self.busy = busy
+        super().__init__()
+
+    def perform(self, effect):
+        if not isinstance(effect, ReadReport):
+            super().perform(effect)
+            return
+        loading = (("order", ""),) if self.busy and effect.endpoint == "e1" else ()
+        fields = {"polled": True, "on_disk": ("m",), "loading": loading}
+        self.submit(self.report(effect.endpoint, token=(0, 1), **fields))
+
+
+@given("two runners with a copy of a model that is asked for, one of which {does}")
+def runner_loads(context, does):
+    heard = LOADS[does]
+    context.node = node = Successor(heard.busy)
+    node.list_endpoints(["e1", "e2"], "llm", "runner")
+    follow(node, 1000, FOLLOWED_S)
+    if heard.coming_s is not None:
+        node.submit(LoadingReceived(node.now, "e1", "m", heard.coming_s))
+
+
+@when("another node takes the lease, and {seconds:d} s pass")
+def takes_lease_for(context, seconds):
+    takes_lease(context)
+    for _ in range(round(seconds / BEAT_S)):
+        context.node.submit(LoadRequested(context.node.now, "llm", "m", "", 0.0))
+        follow(context.node, 1000, BEAT_S)
+
+
+@then("it has ordered {loads:d} loads of the model")
+def loads_of_model(context, loads):
+    orders = [(one.action, one.endpoint) for one in context.node.orders if one.model == "m"]
+    assert [action for action, _ in orders] == ["load"] * loads, orders
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -16,7 +16,7 @@
 from . import swapping as swapping
 from .accounts import load_time_s
 from .accounts import loads_from_store
-from .accounts import order_mb
+from .accounts import model_mb
 from .accounts import report_without
 from .accounts import split_name
 from .accounts import unanswered_mb
@@ -157,16 +157,12 @@
     """
     assert view.report is not None
     account = state.residency.accounts[view.name]
-    order = account.order
-    loading = (
-        {(order.model, "")} if order and order.action == "load" and not order.adapter else set()
-    )
+    loading = _model_under_load(state, view)
     resident = {(name, "") for name, _ in view.report.resident}
     free_mb = engine.memory_mb - used_mb(engine, view.report) - _adapter_reserve_mb(engine, view)
     # Memory that an unanswered load may still take is not free.
     free_mb -= unanswered_mb(engine, account, state.now, "") + withdrawn_mb(engine, account)
-    if order is not None and order.action == "load" and not order.adapter:
-        free_mb -= order_mb(engine, order)
+    free_mb -= model_mb(engine, loading) if loading else 0.0
     return placement.RunnerSnapshot(
         name=view.name,
         data_centre=view.data_centre,
@@ -174,7 +170,7 @@
         free_gb=free_mb / 1000.0,
         token_rate=_bounded_rate(state, view, token_rate * view.speed),
         resident=frozenset(resident),
-        loading=frozenset(loading),
+        loading=frozenset([(loading, "")] if loading else []),
         busy=not accepts_orders(state, view) or bool(account.withdrawn_models()),
         load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
         free_in_s=_free_in_s(state, engine, view),
@@ -185,6 +181,21 @@
     )
 
 
+def _model_under_load(state: NodeState, view: EndpointView) -> str:
+    """Return the model that a runner loads; empty if it loads none.
+
+    The load may be an order of the last lease holder, which all nodes have heard of.
+    """
+    order = state.residency.accounts[view.name].order
+    if order is not None:
+        return order.model if order.action == "load" and not order.adapter else ""
+    assert view.report is not None
+    model = view.expected_model[0]
+    if not model or not view.report.loading or model in view.resident:
+        return ""
+    return model if view.expected_in_s(model, state.now) is not None else ""
+
+
 def _bounded_rate(state: NodeState, view: EndpointView, token_rate: float) -> float:
     """Return a runner's rate in tokens a second, bounded by its rate of requests.
 
