Count what is missed at each node that may take the lease

Callers of a model that was nowhere for 35 s met a holder that did not know it. What callers request of a missing model adds up as its deficit, which is what takes a place for it in the end; the lease holder alone counted that. The next one began with no deficits, or with those of its own last turn: it ordered for models that had been held since, and those missed longest came last.

Each node that may take the lease follows the demand already, and all nodes get the reports of what is held where. So each counts the deficits as well, twice a second, by the holder's own function; so does a holder in the gap before its first order. No message and nothing in the store. A node that is no relay any more drops them. What is held is now read from the reports at holder and follower alike, not from the runners whose own report the holder has read.

Evidence: before the code was there .venv/bin/python features/run.py features/lease_handover.feature -n "knows what has been missed" printed "its deficit for the model is between 4000 and 6100 tokens; ASSERT FAILED: 0.0".

--- a/bench/passing_mutants.py
+++ b/bench/passing_mutants.py
@@ -4,7 +4,9 @@
 import typing as t
 
 from rookspring_core import attaching
+from rookspring_core import control_jobs
 from rookspring_core import defaults
+from rookspring_core import deficits
 from rookspring_core import planning
 from rookspring_core import residency
 from rookspring_core import retry_after
@@ -71,6 +73,14 @@
     return _real_refuse(self, request, wait_s, now)._replace(blind=False)
 
 
+def _follow_demand(state: t.Any) -> None:
+    control_jobs.follow_demand(state)
+
+
+def _never(*args: t.Any) -> bool:
+    return False
+
+
 def _own_load(state: t.Any, view: t.Any) -> str:
     order = state.residency.accounts[view.name].order
     return order.model if order and order.action == "load" and not order.adapter else ""
@@ -84,6 +94,8 @@
     Mutant("waits anew", "reach", Lease, "_turn_after_release", _restart_gap, HANDOVER),
     Mutant("orders at once", "ONE", Lease, "_turn_after_release", _no_gap, HANDOVER),
     Mutant("asks upon what is outdated", "reach", Lease, "_note_outdated", _expire_lease, HANDOVER),
+    Mutant("counts as holder alone", "reach", residency, "_follow", _follow_demand, HANDOVER),
+    Mutant("owes for what is held", "reach", deficits, "_is_held", _never, HANDOVER),
     Mutant("counts own loads alone", "reach", planning, "_model_under_load", _own_load, HANDOVER),
     Mutant(
         "believes in late loads", "reach", planning, "_model_under_load", _announced_load, HANDOVER
--- a/features/lease_handover.feature
+++ b/features/lease_handover.feature
@@ -39,6 +39,18 @@
     When it takes the lease, and has not ticked since
     Then its forecast for the model is 1000 tokens a second, to 5 in 100
 
+  # Guards against a new holder that loads last what has been missed longest, as what callers requested
+  # in vain was counted by the holder alone, or that goes on with what it counted when it last held it.
+  Scenario Outline: a node that takes the lease over knows what has been missed
+    Given a node that hears from another that 1000 tokens a second are asked of a model, for 6 s, which <held>
+    When it takes the lease, and has not ticked since
+    Then its deficit for the model is between <least> and <most> tokens
+
+    Examples:
+      | held                                  | least | most |
+      | no runner holds                       | 4000  | 6100 |
+      | a runner has held for the last second | 0     | 0    |
+
   # Guards against a model that is loaded twice, in the place of another, as the new holder counts its own orders alone.
   Scenario Outline: a node that takes the lease over counts the loads that the holder before it ordered
     Given two runners with a copy of a model that is asked for, one of which <does>
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -29,6 +29,7 @@
 # How often a node hears of another's demand, and for how long, in seconds.
 BEAT_S = 0.4
 FOLLOWED_S = 6.0
+HELD_S = 1.0
 
 
 class Heard(t.NamedTuple):
@@ -136,6 +137,26 @@
     follow(context.node, rate, FOLLOWED_S)
 
 
+@given(
+    "a node that hears from another that {rate:d} tokens a second are asked of a model, for 6 s, "
+    "which no runner holds"
+)
+def hears_missed(context, rate):
+    hears_demand(context, rate)
+
+
+@given(
+    "a node that hears from another that {rate:d} tokens a second are asked of a model, for 6 s, "
+    "which a runner has held for the last second"
+)
+def hears_held(context, rate):
+    context.node = node = Follower()
+    follow(node, rate, FOLLOWED_S - HELD_S)
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.submit(node.report("e1", ["m"], token=(0, 1)))
+    follow(node, rate, HELD_S)
+
+
 @when("it takes the lease, and has not ticked since")
 def takes_lease(context):
     node = context.node
@@ -154,6 +175,12 @@
     assert abs(found - rate) <= rate * percent / 100.0, found
 
 
+@then("its deficit for the model is between {least:d} and {most:d} tokens")
+def deficit_is(context, least, most):
+    found = context.node.state.residency.deficits.get("m", 0.0)
+    assert least <= found <= most, found
+
+
 class Successor(Follower):
     """A node whose endpoint e1 may carry out an order of the lease holder before it."""
 
--- a/packages/rookspring-core/src/rookspring_core/control_jobs.py
+++ b/packages/rookspring-core/src/rookspring_core/control_jobs.py
@@ -290,13 +290,15 @@
 
     If it began with nothing then, its first plans would unload what is asked for.
     """
-    topology = state.topology
-    if not topology.mesh and not topology.relay:
-        return
     if state.now - state.control.forecast_at >= defaults.DEMAND_FOLLOWED_S:
         update_forecast(state)
 
 
+def follows_demand(state: NodeState) -> bool:
+    """Return whether this node gets all nodes' demand, as it may take the lease later."""
+    return state.topology.mesh or state.topology.relay
+
+
 def measure_demand(state: NodeState) -> dict[str, float]:
     """Add up what all nodes measured last, in tokens of the slowest model a second."""
     peer_rates = (
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -10,6 +10,7 @@
 from . import attaching
 from . import claims as claims
 from . import defaults
+from . import deficits
 from . import expected_loads
 from . import placement
 from . import placement_log
@@ -74,10 +75,7 @@
     policy = PolicySpec(loads_per_s=max(0.1, engine.loads_per_s))
     store = state.control.store_limiter
     store.refill(state.now, engine.loads_per_s * defaults.STORE_RATE_SHARE)
-    # A fast model is less work for a token, but its callers lose as much without it.
-    requested = {
-        name: level / state.latencies.relative_cost(name) for name, level in levels.items()
-    }
+    requested = deficits.requested_rates(state, models)
     plan_input = placement.PlanInput(
         models,
         snapshots,
@@ -87,7 +85,7 @@
         urgent=state.control.urgent_demand.forecast.levels,
         missed=state.control.refused_demand.forecast.levels,
         longest_s=state.latencies.longest_answer_s,
-        deficit=_update_deficits(state, requested, snapshots),
+        deficit=deficits.count(state, service, requested),
         awaited=_list_awaited(state, service),
         declined={},
         claimed=expected_loads.claimed_runners(state, service),
@@ -118,26 +116,6 @@
     return sums
 
 
-def _update_deficits(
-    state: NodeState,
-    requested: t.Mapping[str, float],
-    snapshots: t.Iterable[placement.RunnerSnapshot],
-) -> dict[str, float]:
-    """Accumulate the tokens requested of each model while it is resident nowhere.
-
-    :param requested: of each model, in tokens a second.
-    """
-    residency = state.residency
-    passed = min(state.now - residency.deficits_updated_at, defaults.RELAY_PLAN_INTERVAL_S)
-    resident = {name for one in snapshots for name, _ in one.resident}
-    for model, level in requested.items():
-        if model in resident:
-            residency.deficits.pop(model, None)
-        elif level > 0.0:
-            residency.deficits[model] = residency.deficits.get(model, 0.0) + level * passed
-    return {model: residency.deficits[model] for model in requested if model in residency.deficits}
-
-
 def _plannable(state: NodeState, view: EndpointView) -> bool:
     account = state.residency.accounts.get(view.name)
     if account is None or not account.trusted or view.report is None:
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -11,6 +11,7 @@
 from . import attaching
 from . import control_jobs
 from . import defaults
+from . import deficits
 from . import ordering
 from . import planning
 from . import requests
@@ -68,11 +69,12 @@
     if not state.leaving and (control_jobs.holding(state) or not state.reach.isolated):
         effects += control_jobs.write_lease_if_due(state)
     if not control_jobs.holding(state) or state.leaving:
-        control_jobs.follow_demand(state)
+        _follow(state)
         return effects
     control_jobs.update_forecast(state)
     effects += _request_reports(state)
     if not handover_gap_passed(state):
+        deficits.follow(state)
         return effects
     attaching.mark_used_adapters(state)
     effects += attaching.serve_load_requests(state)
@@ -83,6 +85,16 @@
     return effects
 
 
+def _follow(state: NodeState) -> None:
+    """Keep what the node would plan by if it took the lease."""
+    if control_jobs.follows_demand(state):
+        control_jobs.follow_demand(state)
+        deficits.follow(state)
+    else:
+        # What is counted without the others' demand is no deficit once it is read again.
+        state.residency.deficits.clear()
+
+
 def _request_reports(state: NodeState) -> Effects:
     """Read the report of each runner for which one is due, and start anew in a new epoch."""
     residency = state.residency
