Ask a new lease holder for what callers are due for

Callers who were refused and told when to come back met a holder that did not know of them. Load requests are in the memory of the holder that they were sent to. To the next one nobody waited for the model until its callers came back, and a model that loads quickly is loaded for callers alone: so the room that the last holder had freed for it went to another.

Each node keeps the load requests that it sent until their callers are back, one for each model or adapter, and sends them once more when a node reports a newer epoch of the lease, with what is left of their time. A holder begins its epoch with the first load request if that comes before its first tick, which dropped what had come. No new message, nothing in the store.

Evidence: with the code taken away .venv/bin/python features/run.py features/lease_handover.feature -n "asked for what callers" printed "the node asks for the model 1 times more; ASSERT FAILED: []" (row 1).

ModelStage's heartbeats name the epoch of the lease, as real ones do: nodes see a new holder by that.

--- a/bench/passing_mutants.py
+++ b/bench/passing_mutants.py
@@ -13,7 +13,9 @@
 from rookspring_core import routed
 from rookspring_core.control import WeightStoreLimiter
 from rookspring_core.effects import AdapterLeft
+from rookspring_core.effects import RequestLoad
 from rookspring_core.leases import Lease
+from rookspring_core.sent_load_requests import SentLoadRequests
 from rookspring_core.slot_queues import SlotAnswer
 from rookspring_core.slot_queues import SlotQueue
 
@@ -81,6 +83,17 @@
     return False
 
 
+def _ask_nothing(*args: t.Any) -> list[t.Any]:
+    return []
+
+
+def _ask_all(self: SentLoadRequests, epoch: int, now: float) -> list[RequestLoad]:
+    if epoch <= self._epoch:
+        return []
+    self._epoch = epoch
+    return [RequestLoad(*key, at - now) for key, at in self._back_by.items()]
+
+
 def _own_load(state: t.Any, view: t.Any) -> str:
     order = state.residency.accounts[view.name].order
     return order.model if order and order.action == "load" and not order.adapter else ""
@@ -96,6 +109,8 @@
     Mutant("asks upon what is outdated", "reach", Lease, "_note_outdated", _expire_lease, HANDOVER),
     Mutant("counts as holder alone", "reach", residency, "_follow", _follow_demand, HANDOVER),
     Mutant("owes for what is held", "reach", deficits, "_is_held", _never, HANDOVER),
+    Mutant("asks one holder alone", "reach", SentLoadRequests, "repeat", _ask_nothing, HANDOVER),
+    Mutant("asks for callers who left", "reach", SentLoadRequests, "repeat", _ask_all, HANDOVER),
     Mutant("counts own loads alone", "reach", planning, "_model_under_load", _own_load, HANDOVER),
     Mutant(
         "believes in late loads", "reach", planning, "_model_under_load", _announced_load, HANDOVER
--- a/features/lease_handover.feature
+++ b/features/lease_handover.feature
@@ -63,3 +63,16 @@
       | was to have loaded it 3 s ago                 | 1     |
       | was to load it and carries out no order       | 1     |
       | carries out an order that nobody has heard of | 1     |
+
+  # Guards against a new holder that gives the room freed for callers who are due to others, as load requests
+  # are in the memory of the holder that they were sent to.
+  Scenario Outline: a new lease holder is asked for what callers are due for
+    Given a node that asks the holder of epoch 2 for a model that its caller is due for within 3.5 s
+    When <who> reports epoch <epoch>, <seconds> s later
+    Then the node asks for the model <times> times more
+
+    Examples:
+      | who             | epoch | seconds | times |
+      | another node    | 3     | 1       | 1     |
+      | the same holder | 2     | 1       | 0     |
+      | another node    | 3     | 6       | 0     |
--- a/features/model_stage.py
+++ b/features/model_stage.py
@@ -85,6 +85,11 @@
             if other is not node:
                 self.after(NETWORK_S, lambda other=other: other.submit(heard._replace(at=self.now)))
 
+    def heartbeat(self, node):
+        control = node.state.control
+        epoch = control.acting_epoch if control.holding(self.now) else 0
+        return super().heartbeat(node)._replace(lease_epoch=epoch)
+
     def perform(self, node, effect):
         if not isinstance(effect, WriteLease):
             super().perform(node, effect)
--- a/features/steps/handover_steps.py
+++ b/features/steps/handover_steps.py
@@ -116,11 +116,11 @@
         if isinstance(effect, WriteLease):
             self.submit(LeaseWritten(self.now, self.now, effect.nonce, True, effect.version + 1))
 
-    def hear(self, demand):
+    def hear(self, demand, name="b", lease_epoch=0):
         beat = HeartbeatReceived(
-            self.now, "b", "b#1", "b", "b", "z", 1, False, uptime_s=100.0, demand=demand
+            self.now, name, f"{name}#1", name, name, "z", 1, False, uptime_s=100.0, demand=demand
         )
-        self.submit(beat)
+        self.submit(beat._replace(lease_epoch=lease_epoch))
 
 
 def follow(node, rate, seconds):
@@ -219,3 +219,33 @@
 def loads_of_model(context, loads):
     orders = [(one.action, one.endpoint) for one in context.node.orders if one.model == "m"]
     assert [action for action, _ in orders] == ["load"] * loads, orders
+
+
+@given(
+    "a node that asks the holder of epoch {epoch:d} for a model that its caller is due for "
+    "within {most:g} s"
+)
+def asks_for_model(context, epoch, most):
+    context.node = node = Follower()
+    node.hear((), "b", epoch)
+    node.submit(Ticked(node.now))
+    node.ask(model="m")
+    assert [(one.model, one.latest_retry_s <= most) for one in node.wants] == [("m", True)]
+
+
+@when("{who} reports epoch {epoch:d}, {seconds:d} s later")
+def holder_reports(context, who, epoch, seconds):
+    node = context.node
+    context.left_s = node.wants[0].latest_retry_s - seconds
+    node.now += seconds
+    node.wants.clear()
+    node.hear((), "b" if who == "the same holder" else "c", epoch)
+    # The requests of its callers end at this tick, and whoever is due is due by the load request.
+    for _ in range(2):
+        node.submit(Ticked(node.now))
+
+
+@then("the node asks for the model {times:d} times more")
+def asks_again(context, times):
+    asked = [(one.model, round(one.latest_retry_s, 6)) for one in context.node.wants]
+    assert asked == [("m", round(context.left_s, 6))] * times, asked
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -6,6 +6,7 @@
 from . import endpoint_reach
 from . import endpoint_speeds
 from . import evacuation_handlers
+from . import load_requests
 from . import missing_models
 from . import notice_handlers
 from . import ordering
@@ -71,6 +72,7 @@
         effects += endpoint_reach.probe_if_due(state)
         effects += endpoint_reach.release_lease_if_isolated(state)
         effects += residency.run_control_tick(state, passed)
+        effects += load_requests.repeat_to_new_holder(state)
     else:
         effects += control_jobs.run_control_jobs(state, passed)
     return effects + stops.stop_if_due(state)
--- a/packages/rookspring-core/src/rookspring_core/last_tries.py
+++ b/packages/rookspring-core/src/rookspring_core/last_tries.py
@@ -62,4 +62,5 @@
     if ends_at is None:
         return []
     back_s = ends_at - state.now
-    return [RequestLoad(arrived.route.service, arrived.target, arrived.adapter, back_s)]
+    asked = RequestLoad(arrived.route.service, arrived.target, arrived.adapter, back_s)
+    return [state.sent_load_requests.add(asked, state.now)]
--- a/packages/rookspring-core/src/rookspring_core/load_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/load_requests.py
@@ -1,5 +1,6 @@
 """Load requests: sent to the lease holder for models or adapters that no endpoint holds."""
 
+from . import control_jobs
 from . import missing_models
 from . import retry_after
 from .effects import Effect
@@ -28,4 +29,14 @@
         # A caller that has come back has no further try.
         if not state.caller_times.is_return(terms.name, event.deadline_at - event.at):
             back_s += retry_after.predict_retry_after_s(state, request)
-    return [RequestLoad(terms.service, event.target, event.adapter, back_s)]
+    asked = RequestLoad(terms.service, event.target, event.adapter, back_s)
+    return [state.sent_load_requests.add(asked, state.now)]
+
+
+def repeat_to_new_holder(state: NodeState) -> list[Effect]:
+    """Ask a lease holder that has just begun for what this node's callers are due for."""
+    peers = state.membership.peers.values()
+    epoch = max((peer.heartbeat.lease_epoch for peer in peers), default=0)
+    if control_jobs.holding(state):
+        epoch = max(epoch, state.control.acting_epoch)
+    return list(state.sent_load_requests.repeat(epoch, state.now))
--- a/packages/rookspring-core/src/rookspring_core/missing_models.py
+++ b/packages/rookspring-core/src/rookspring_core/missing_models.py
@@ -203,7 +203,8 @@
     state.model_waits.waiting[arrived.request_id] = wait._replace(why=known.describe())
     _queue_again(state, arrived, min(wait.until, arrived.deadline_at))
     back_s = predict_back_s(state, arrived) or 0.0
-    return [RequestLoad(service, model, arrived.adapter, back_s)]
+    asked = RequestLoad(service, model, arrived.adapter, back_s)
+    return [state.sent_load_requests.add(asked, state.now)]
 
 
 def _queue_again(
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -50,6 +50,8 @@
     """Record that a node has a request for a model or adapter that is resident nowhere."""
     if not control_jobs.holding(state):
         return []
+    # It may come before the first tick under this lease.
+    _begin_epoch(state)
     key = (event.service, event.model, event.adapter)
     known = state.residency.load_requests.get(key) or PendingLoadRequest(
         event.at, event.at, times=0
@@ -95,18 +97,25 @@
         state.residency.deficits.clear()
 
 
+def _begin_epoch(state: NodeState) -> None:
+    """Start anew if the lease is of another epoch."""
+    residency = state.residency
+    if residency.epoch == state.control.acting_epoch:
+        return
+    residency.epoch = state.control.acting_epoch
+    residency.accounts = {}
+    residency.load_requests = {}
+    residency.claims = {}
+    state.control.store_limiter = WeightStoreLimiter(
+        defaults.STORE_BURST, defaults.RELAY_PLAN_INTERVAL_S
+    )
+    state.control.store_limiter.start_empty(state.now)
+
+
 def _request_reports(state: NodeState) -> Effects:
     """Read the report of each runner for which one is due, and start anew in a new epoch."""
+    _begin_epoch(state)
     residency = state.residency
-    if residency.epoch != state.control.acting_epoch:
-        residency.epoch = state.control.acting_epoch
-        residency.accounts = {}
-        residency.load_requests = {}
-        residency.claims = {}
-        state.control.store_limiter = WeightStoreLimiter(
-            defaults.STORE_BURST, defaults.RELAY_PLAN_INTERVAL_S
-        )
-        state.control.store_limiter.start_empty(state.now)
     effects: Effects = []
     for name, view in state.endpoints.items():
         if view.role != "runner" or view.closed:
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -33,6 +33,7 @@
 from .retries import RetryWindow
 from .retries import WindowTerms
 from .routes import RouteTable
+from .sent_load_requests import SentLoadRequests
 from .slot_queues import SlotQueue
 from .speed_table import SpeedTable
 from .stream_versions import StreamVersions
@@ -263,6 +264,7 @@
         self.adapter_waits = ArrivalWaits(defaults.ADAPTER_WAIT_MOST_S)
         self.model_waits = ModelWaits()
         self.caller_times = CallerTimes()
+        self.sent_load_requests = SentLoadRequests()
         self.stream_versions = StreamVersions()
 
     def index(self, view: EndpointView, before: frozenset[str], after: frozenset[str]) -> None:
