--- a/bench/passing_mutants.py
+++ b/bench/passing_mutants.py
@@ -4,13 +4,18 @@
 import typing as t
 
 from rookspring_core import attaching
+from rookspring_core import control_jobs
 from rookspring_core import defaults
+from rookspring_core import deficits
+from rookspring_core import planning
 from rookspring_core import residency
 from rookspring_core import retry_after
 from rookspring_core import routed
 from rookspring_core.control import WeightStoreLimiter
 from rookspring_core.effects import AdapterLeft
+from rookspring_core.effects import RequestLoad
 from rookspring_core.leases import Lease
+from rookspring_core.sent_load_requests import SentLoadRequests
 from rookspring_core.slot_queues import SlotAnswer
 from rookspring_core.slot_queues import SlotQueue
 
@@ -70,10 +75,46 @@
     return _real_refuse(self, request, wait_s, now)._replace(blind=False)
 
 
+def _follow_demand(state: t.Any) -> None:
+    control_jobs.follow_demand(state)
+
+
+def _never(*args: t.Any) -> bool:
+    return False
+
+
+def _ask_nothing(*args: t.Any) -> list[t.Any]:
+    return []
+
+
+def _ask_all(self: SentLoadRequests, epoch: int, now: float) -> list[RequestLoad]:
+    if epoch <= self._epoch:
+        return []
+    self._epoch = epoch
+    return [RequestLoad(*key, at - now) for key, at in self._back_by.items()]
+
+
+def _own_load(state: t.Any, view: t.Any) -> str:
+    order = state.residency.accounts[view.name].order
+    return order.model if order and order.action == "load" and not order.adapter else ""
+
+
+def _announced_load(state: t.Any, view: t.Any) -> str:
+    return _own_load(state, view) or str(view.expected_model[0])
+
+
 MUTANTS = (
     Mutant("waits anew", "reach", Lease, "_turn_after_release", _restart_gap, HANDOVER),
     Mutant("orders at once", "ONE", Lease, "_turn_after_release", _no_gap, HANDOVER),
     Mutant("asks upon what is outdated", "reach", Lease, "_note_outdated", _expire_lease, HANDOVER),
+    Mutant("counts as holder alone", "reach", residency, "_follow", _follow_demand, HANDOVER),
+    Mutant("owes for what is held", "reach", deficits, "_is_held", _never, HANDOVER),
+    Mutant("asks one holder alone", "reach", SentLoadRequests, "repeat", _ask_nothing, HANDOVER),
+    Mutant("asks for callers who left", "reach", SentLoadRequests, "repeat", _ask_all, HANDOVER),
+    Mutant("counts own loads alone", "reach", planning, "_model_under_load", _own_load, HANDOVER),
+    Mutant(
+        "believes in late loads", "reach", planning, "_model_under_load", _announced_load, HANDOVER
+    ),
     Mutant(
         "forgets who was in line", "reach", attaching, "_end_attachment", _drop_attachment, ADAPTERS
     ),
--- a/features/lease_handover.feature
+++ b/features/lease_handover.feature
@@ -38,3 +38,41 @@
     Given a node that hears from another that 1000 tokens a second are asked of a model, for 6 s
     When it takes the lease, and has not ticked since
     Then its forecast for the model is 1000 tokens a second, to 5 in 100
+
+  # Guards against a new holder that loads last what has been missed longest, as what callers requested
+  # in vain was counted by the holder alone, or that goes on with what it counted when it last held it.
+  Scenario Outline: a node that takes the lease over knows what has been missed
+    Given a node that hears from another that 1000 tokens a second are asked of a model, for 6 s, which <held>
+    When it takes the lease, and has not ticked since
+    Then its deficit for the model is between <least> and <most> tokens
+
+    Examples:
+      | held                                  | least | most |
+      | no runner holds                       | 4000  | 6100 |
+      | a runner has held for the last second | 0     | 0    |
+
+  # Guards against a model that is loaded twice, in the place of another, as the new holder counts its own orders alone.
+  Scenario Outline: a node that takes the lease over counts the loads that the holder before it ordered
+    Given two runners with a copy of a model that is asked for, one of which <does>
+    When another node takes the lease, and 5 s pass
+    Then it has ordered <loads> loads of the model
+
+    Examples:
+      | does                                          | loads |
+      | is to have loaded it in 8 s                   | 0     |
+      | was to have loaded it 3 s ago                 | 1     |
+      | was to load it and carries out no order       | 1     |
+      | carries out an order that nobody has heard of | 1     |
+
+  # Guards against a new holder that gives the room freed for callers who are due to others, as load requests
+  # are in the memory of the holder that they were sent to.
+  Scenario Outline: a new lease holder is asked for what callers are due for
+    Given a node that asks the holder of epoch 2 for a model that its caller is due for within 3.5 s
+    When <who> reports epoch <epoch>, <seconds> s later
+    Then the node asks for the model <times> times more
+
+    Examples:
+      | who             | epoch | seconds | times |
+      | another node    | 3     | 1       | 1     |
+      | the same holder | 2     | 1       | 0     |
+      | another node    | 3     | 6       | 0     |
--- a/packages/rookspring-core/src/rookspring_core/planning.py
+++ b/packages/rookspring-core/src/rookspring_core/planning.py
@@ -10,13 +10,14 @@
 from . import attaching
 from . import claims as claims
 from . import defaults
+from . import deficits
 from . import expected_loads
 from . import placement
 from . import placement_log
 from . import swapping as swapping
 from .accounts import load_time_s
 from .accounts import loads_from_store
-from .accounts import order_mb
+from .accounts import model_mb
 from .accounts import report_without
 from .accounts import split_name
 from .accounts import unanswered_mb
@@ -74,10 +75,7 @@
     policy = PolicySpec(loads_per_s=max(0.1, engine.loads_per_s))
     store = state.control.store_limiter
     store.refill(state.now, engine.loads_per_s * defaults.STORE_RATE_SHARE)
-    # A fast model is less work for a token, but its callers lose as much without it.
-    requested = {
-        name: level / state.latencies.relative_cost(name) for name, level in levels.items()
-    }
+    requested = deficits.requested_rates(state, models)
     plan_input = placement.PlanInput(
         models,
         snapshots,
@@ -87,7 +85,7 @@
         urgent=state.control.urgent_demand.forecast.levels,
         missed=state.control.refused_demand.forecast.levels,
         longest_s=state.latencies.longest_answer_s,
-        deficit=_update_deficits(state, requested, snapshots),
+        deficit=deficits.count(state, service, requested),
         awaited=_list_awaited(state, service),
         declined={},
         claimed=expected_loads.claimed_runners(state, service),
@@ -118,26 +116,6 @@
     return sums
 
 
-def _update_deficits(
-    state: NodeState,
-    requested: t.Mapping[str, float],
-    snapshots: t.Iterable[placement.RunnerSnapshot],
-) -> dict[str, float]:
-    """Accumulate the tokens requested of each model while it is resident nowhere.
-
-    :param requested: of each model, in tokens a second.
-    """
-    residency = state.residency
-    passed = min(state.now - residency.deficits_updated_at, defaults.RELAY_PLAN_INTERVAL_S)
-    resident = {name for one in snapshots for name, _ in one.resident}
-    for model, level in requested.items():
-        if model in resident:
-            residency.deficits.pop(model, None)
-        elif level > 0.0:
-            residency.deficits[model] = residency.deficits.get(model, 0.0) + level * passed
-    return {model: residency.deficits[model] for model in requested if model in residency.deficits}
-
-
 def _plannable(state: NodeState, view: EndpointView) -> bool:
     account = state.residency.accounts.get(view.name)
     if account is None or not account.trusted or view.report is None:
@@ -157,16 +135,12 @@
     """
     assert view.report is not None
     account = state.residency.accounts[view.name]
-    order = account.order
-    loading = (
-        {(order.model, "")} if order and order.action == "load" and not order.adapter else set()
-    )
+    loading = _model_under_load(state, view)
     resident = {(name, "") for name, _ in view.report.resident}
     free_mb = engine.memory_mb - used_mb(engine, view.report) - _adapter_reserve_mb(engine, view)
     # Memory that an unanswered load may still take is not free.
     free_mb -= unanswered_mb(engine, account, state.now, "") + withdrawn_mb(engine, account)
-    if order is not None and order.action == "load" and not order.adapter:
-        free_mb -= order_mb(engine, order)
+    free_mb -= model_mb(engine, loading) if loading else 0.0
     return placement.RunnerSnapshot(
         name=view.name,
         data_centre=view.data_centre,
@@ -174,7 +148,7 @@
         free_gb=free_mb / 1000.0,
         token_rate=_bounded_rate(state, view, token_rate * view.speed),
         resident=frozenset(resident),
-        loading=frozenset(loading),
+        loading=frozenset([(loading, "")] if loading else []),
         busy=not accepts_orders(state, view) or bool(account.withdrawn_models()),
         load_s={name: load_time_s(size, view.report) for name, size in engine.models.items()},
         free_in_s=_free_in_s(state, engine, view),
@@ -185,6 +159,21 @@
     )
 
 
+def _model_under_load(state: NodeState, view: EndpointView) -> str:
+    """Return the model that a runner loads; empty if it loads none.
+
+    The load may be an order of the last lease holder, which all nodes have heard of.
+    """
+    order = state.residency.accounts[view.name].order
+    if order is not None:
+        return order.model if order.action == "load" and not order.adapter else ""
+    assert view.report is not None
+    model = view.expected_model[0]
+    if not model or not view.report.loading or model in view.resident:
+        return ""
+    return model if view.expected_in_s(model, state.now) is not None else ""
+
+
 def _bounded_rate(state: NodeState, view: EndpointView, token_rate: float) -> float:
     """Return a runner's rate in tokens a second, bounded by its rate of requests.
 
--- a/packages/rookspring-core/src/rookspring_core/residency.py
+++ b/packages/rookspring-core/src/rookspring_core/residency.py
@@ -11,6 +11,7 @@
 from . import attaching
 from . import control_jobs
 from . import defaults
+from . import deficits
 from . import ordering
 from . import planning
 from . import requests
@@ -49,6 +50,8 @@
     """Record that a node has a request for a model or adapter that is resident nowhere."""
     if not control_jobs.holding(state):
         return []
+    # It may come before the first tick under this lease.
+    _begin_epoch(state)
     key = (event.service, event.model, event.adapter)
     known = state.residency.load_requests.get(key) or PendingLoadRequest(
         event.at, event.at, times=0
@@ -68,11 +71,12 @@
     if not state.leaving and (control_jobs.holding(state) or not state.reach.isolated):
         effects += control_jobs.write_lease_if_due(state)
     if not control_jobs.holding(state) or state.leaving:
-        control_jobs.follow_demand(state)
+        _follow(state)
         return effects
     control_jobs.update_forecast(state)
     effects += _request_reports(state)
     if not handover_gap_passed(state):
+        deficits.follow(state)
         return effects
     attaching.mark_used_adapters(state)
     effects += attaching.serve_load_requests(state)
@@ -83,18 +87,35 @@
     return effects
 
 
+def _follow(state: NodeState) -> None:
+    """Keep what the node would plan by if it took the lease."""
+    if control_jobs.follows_demand(state):
+        control_jobs.follow_demand(state)
+        deficits.follow(state)
+    else:
+        # What is counted without the others' demand is no deficit once it is read again.
+        state.residency.deficits.clear()
+
+
+def _begin_epoch(state: NodeState) -> None:
+    """Start anew if the lease is of another epoch."""
+    residency = state.residency
+    if residency.epoch == state.control.acting_epoch:
+        return
+    residency.epoch = state.control.acting_epoch
+    residency.accounts = {}
+    residency.load_requests = {}
+    residency.claims = {}
+    state.control.store_limiter = WeightStoreLimiter(
+        defaults.STORE_BURST, defaults.RELAY_PLAN_INTERVAL_S
+    )
+    state.control.store_limiter.start_empty(state.now)
+
+
 def _request_reports(state: NodeState) -> Effects:
     """Read the report of each runner for which one is due, and start anew in a new epoch."""
+    _begin_epoch(state)
     residency = state.residency
-    if residency.epoch != state.control.acting_epoch:
-        residency.epoch = state.control.acting_epoch
-        residency.accounts = {}
-        residency.load_requests = {}
-        residency.claims = {}
-        state.control.store_limiter = WeightStoreLimiter(
-            defaults.STORE_BURST, defaults.RELAY_PLAN_INTERVAL_S
-        )
-        state.control.store_limiter.start_empty(state.now)
     effects: Effects = []
     for name, view in state.endpoints.items():
         if view.role != "runner" or view.closed:
