Let the stage of cut nodes go on until it can tell, where it had no processor time

Seen: cut_off.feature failed beside load, at "2 s after the cut all nodes serve 98 in 100" (under ten tries in the window, or calls of 1 s that ended after 2.5 s), and as a caller got no answer in 5 s.

Cause: the stage's event loop, in which callers, nodes and endpoints run, stands still for want of a processor. The cut ended late, callers ended by the clock of their begin: 0 to 2 tries of a node were left in the window. A stall in the window ends the calls in flight, two of some 16 tries of a node.

--- a/features/steps/cut_off_steps.py
+++ b/features/steps/cut_off_steps.py
@@ -1,4 +1,3 @@
-import asyncio
 import time
 
 from behave import given
@@ -13,6 +12,14 @@
 # How long callers ask before the cut and after it, in seconds.
 BEFORE_S = 1.0
 AFTER_S = 4.0
+# From when on tries are counted after a cut begins and ends, in seconds, and the number of them at
+# each node that a busy stage goes on for: 98 in 100 can't be told by fewer than 50.
+CUT_SETTLE_S = 3.0
+TRIES_IN_CUT = 10
+HEAL_SETTLE_S = 2.0
+TRIES_AFTER = 50
+# The longest time for a cut and all requests, in seconds, on a machine that is busy throughout.
+LIMIT_S = 200.0
 
 
 @given("{count:d} linked nodes that share three endpoints, and callers at each")
@@ -21,20 +28,29 @@
     context.relay = context.cut_stage.relay
 
 
+@given("the stage stands still for {stall:g} s, {at:g} s after the cut")
+def stand_still(context, stall, at):
+    context.stall = (at, stall)
+
+
 @when("{count:d} nodes' links to all endpoints are {how} for {seconds:d} s")
 def cut_links(context, count, how, seconds):
     stage = context.cut_stage
     context.cut = range(count)
+    stall = getattr(context, "stall", None)
 
     async def work():
-        asking = asyncio.ensure_future(stage.ask_all(BEFORE_S + seconds + AFTER_S))
-        await asyncio.sleep(BEFORE_S)
-        stage.cut(count, how)
-        await asyncio.sleep(seconds)
-        stage.heal()
-        await asking
-
-    context.loop.run(work())
+        async with stage.asking():
+            await stage.ask_on(BEFORE_S)
+            stage.cut(count, how)
+            if stall is not None:
+                # As without processor time: the loop, and all in it, stands still.
+                context.loop.loop.call_later(stall[0], time.sleep, stall[1])
+            await stage.ask_on(seconds, CUT_SETTLE_S, TRIES_IN_CUT)
+            stage.heal()
+            await stage.ask_on(AFTER_S, HEAL_SETTLE_S, TRIES_AFTER)
+
+    context.loop.run(work(), LIMIT_S)
 
 
 def others(context):
