--- a/features/resets.feature
+++ b/features/resets.feature
@@ -48,3 +48,8 @@
       | the raw server       | closes after its answer | close |
       | the node's own links | reset                   | reset |
       | the node's own links | closed                  | close |
+
+  Scenario: a connection that its peer has ended is reset without an error
+    Given a connection that its peer has ended, and whose socket is closed
+    When it is reset
+    Then the stand-in raises no error
--- a/features/steps/reset_steps.py
+++ b/features/steps/reset_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 import socket
 
 import orjson
@@ -18,6 +19,7 @@
 from rookspring_fakes import WeightStore
 from rookspring_fakes.cut_links import CUTS
 from rookspring_fakes.cut_links import CutPool
+from rookspring_fakes.resets import reset_connection
 from rookspring_fakes.serving import serve
 
 LIMIT_S = 5.0
@@ -169,3 +171,38 @@
 @then("the client sees a {end}")
 def sees_end(context, end):
     assert context.end == end, context.end
+
+
+@given("a connection that its peer has ended, and whose socket is closed")
+def ended_connection(context):
+    async def work():
+        served = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(
+            lambda reader, writer: served.set_result((reader, writer)), "127.0.0.1", 0
+        )
+        async with server:
+            _, caller = await asyncio.open_connection(*server.sockets[0].getsockname())
+            reader, writer = await served
+            reset_connection(caller.transport)
+            with contextlib.suppress(ConnectionError):
+                await reader.read()
+            writer.close()
+            with contextlib.suppress(ConnectionError):
+                await writer.wait_closed()
+            return writer.transport
+
+    context.transport = asyncio.run(work())
+
+
+@when("it is reset")
+def reset_ended(context):
+    try:
+        reset_connection(context.transport)
+        context.error = None
+    except OSError as error:
+        context.error = error
+
+
+@then("the stand-in raises no error")
+def none_raised(context):
+    assert context.error is None, context.error
