Log how much time an answer had left as it ended, and its endpoint's state

The hypotheses of docs/incidents/ended-at-the-deadline.md could not be told apart: no line said how long before its deadline a stream ended, how long before the end of the time that its endpoint was told, and whether the endpoint was leaving. request_ended and attempt_failed have left_s, told_left_s and leaving now. No logic is changed.

--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -13,6 +13,7 @@
 from rookspring_core import stream_origins
 from rookspring_core.body_ends import BodyCopy
 from rookspring_core.endpoints import UNKNOWN_VERSION
+from rookspring_core.endpoints import EndpointView
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -84,6 +85,9 @@
         self.longest_pause_s = 0.0
         # What shows the end of the answer that came last, for the log.
         self.framing = ""
+        # The endpoint of the last attempt, and when the time that it was told is over.
+        self.endpoint: EndpointView | None = None
+        self.told_until = 0.0
         self.held_answer: HeldAnswer | None = None
         # The bodies that came and of which nothing showed that they were whole.
         self.open_bodies: set[BodyCopy] = set()
@@ -100,6 +104,20 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
         self.last_event_at = now
 
+    def describe_time(self) -> dict[str, t.Any]:
+        """Return what the log states of the time at an answer's end, and of its endpoint's state.
+
+        Seconds until the request's deadline, and until the end of the time that the endpoint was
+        told (none if it was told none); whether the endpoint was leaving or gone from the list.
+        """
+        now = clock.now()
+        view = self.endpoint
+        return {
+            "left_s": self.deadline_at - now,
+            "told_left_s": self.told_until - now if self.told_until else "",
+            "leaving": view is not None and (view.leaving or view.gone),
+        }
+
     def reschedule_timeout(self) -> None:
         """Reschedule the attempt's timeout after a suspension, which the loop's clock omits."""
         if self.attempt_timeout is not None and not self.attempt_timeout.expired():
@@ -393,6 +411,7 @@
         events=exchange.events,
         pause_s=exchange.longest_pause_s,
         framing=exchange.framing,
+        **exchange.describe_time(),
         last_event=exchange.last_event,
         model=exchange.fields.model,
         adapter=exchange.fields.adapter,
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -125,6 +125,7 @@
         endpoint=effect.endpoint,
         events=exchange.events if exchange else 0,
         framing=exchange.framing if exchange else "",
+        **(exchange.describe_time() if exchange else {}),
         last_event=exchange.last_event if exchange else "",
         reason=error.reason,
         sent=error.sent,
@@ -184,7 +185,10 @@
 
 def _write_request(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bytes:
     request = exchange.request
-    left_s = exchange.deadline_at - clock.now()
+    now = clock.now()
+    left_s = exchange.deadline_at - now
+    exchange.endpoint = view
+    exchange.told_until = now + left_s
     table = context.state.table
     fields = ForwardFields(
         left_s,
