--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -15,6 +15,7 @@
 import orjson
 
 from . import model_answers as model_answers
+from . import model_deadlines as model_deadlines
 from . import model_listed_runs as model_listed_runs
 from .model_answers import LONG_ANSWER_BYTES as LONG_ANSWER_BYTES
 from .model_endless import report_without_end
@@ -46,6 +47,9 @@
     :param script: the steps that handle the first requests.
     """
 
+    # How much sooner than told it finds the time of a request over, in seconds.
+    clock_ahead_s = 0.0
+
     def __init__(self, name: str, script: t.Sequence[str] = ()) -> None:
         self.name = name
         self.script = list(script)
