Tell endpoints more time than a request has, and believe no last chunk at its deadline

Cause: an endpoint ends a run at the time that it was given, and some end it cleanly. That time was what was left, cut down to whole ms, and the node's own timer fires up to 0.6 ms early and 2.6 ms late. A last chunk was believed whatever had brought it about: streams, a resumed rest without an event, bodies.

Change: an endpoint is told 0.1 s more than the request has (the users' rules allow 0.5 s), so its deadline is never what ends an answer before the node does; and a last chunk that is read at the deadline or later is none (answer_ends), as a late timer or a standstill can't be told from a late endpoint.

Price: a run whose node is cut off goes on 0.1 s longer; an endpoint's own 504 at its deadline is never waited for (the node's own comes at the same time as before).

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -43,6 +43,7 @@
 from . import claim_mutants
 from . import clock_mutants
 from . import cut_head_mutants
+from . import deadline_end_mutants
 from . import endless_mutants
 from . import era_mutants
 from . import evacuation_mutants
@@ -394,6 +395,7 @@
     "watches": watch_mutants.MUTANTS,
     "odd-values": odd_value_mutants.MUTANTS,
     "open-bodies": open_body_mutants.MUTANTS,
+    "deadline-ends": deadline_end_mutants.MUTANTS,
     "open-ends": open_end_mutants.MUTANTS,
 }
 
--- a/features/deadline_ends_sockets.feature
+++ b/features/deadline_ends_sockets.feature
@@ -40,6 +40,16 @@
     When a caller who states 100 ms sends a stream request
     Then the answer is 5 events
 
+  Scenario Outline: an end is taken for the answer's own only if it is read before the request's time is over
+    When an answer in chunks ends <left> ms before its deadline
+    Then what else may have ended it is <cause>
+
+    Examples:
+      | left | cause    |
+      | 1    | nothing  |
+      | 0    | deadline |
+      | -1   | deadline |
+
   Scenario: the log tells how much time an answer had left as it ended
     Given a relay node with two endpoints with models that do: stream
     When a caller sends a stream request
--- a/features/relay_sockets.feature
+++ b/features/relay_sockets.feature
@@ -129,7 +129,7 @@
   Scenario: an endpoint gets the remaining deadline, the incarnation and the rank, and no other added header
     Given a relay node with one endpoint that does: answer
     When a caller who waits 500 ms sends a safe request
-    Then the endpoint got a deadline between 300 and 500 ms
+    Then the endpoint got a deadline between 400 and 600 ms
     And it got no other added header but the incarnation and the rank
 
   Scenario Outline: a request is answered as soon as its route's timeout has passed
@@ -232,7 +232,7 @@
     Given a relay node with an endpoint, and an organisation with the key key-a
     When a caller who waits 900 ms sends a safe request with key-b, which the node learns 0.3 s later
     Then the status is 200, and the endpoint saw org-a, no key
-    And the endpoint got a deadline between 200 and 650 ms
+    And the endpoint got a deadline between 300 and 750 ms
 
   Scenario: a revoked key gets 401 at once, and the new key is accepted
     Given a relay node with an endpoint, and an organisation with the key key-a
--- a/features/steps/deadline_end_steps.py
+++ b/features/steps/deadline_end_steps.py
@@ -3,6 +3,9 @@
 from behave import when
 from relay_fixture import request
 
+from rookspring_core import answer_ends
+from rookspring_core.answer_ends import AnswerEnd
+
 
 @given("the endpoints' clocks are {ms:d} ms ahead")
 def clocks_ahead(context, ms):
@@ -19,3 +22,14 @@
 def none_whole(context):
     answer = context.answer
     assert not (answer.status == 200 and answer.whole), (answer.status, answer.body)
+
+
+@when("an answer in chunks ends {left:d} ms before its deadline")
+def ends_before(context, left):
+    end = AnswerEnd(at=10.0, deadline_at=10.0 + left / 1000.0)
+    context.cause = answer_ends.find_other_cause(end)
+
+
+@then("what else may have ended it is {cause}")
+def other_cause(context, cause):
+    assert (context.cause or "nothing") == cause, context.cause
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -240,3 +240,7 @@
 STREAM_ID_MAX = 128
 # Time for the replies of a stream's owners, in seconds: two links each way, as to other owners.
 ORIGIN_ANSWER_S = 0.25
+
+# How long beyond a request's own deadline its endpoint is told to work, in seconds: this node then
+# ends it first, also where the endpoint's clock runs ahead. The users' rules allow 0.5 s.
+TOLD_BEYOND_S = 0.1
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -8,9 +8,11 @@
 import itertools
 import typing as t
 
+from rookspring_core import answer_ends
 from rookspring_core import defaults as core_defaults
 from rookspring_core import keys
 from rookspring_core import stream_origins
+from rookspring_core.answer_ends import AnswerEnd
 from rookspring_core.body_ends import BodyCopy
 from rookspring_core.endpoints import UNKNOWN_VERSION
 from rookspring_core.endpoints import EndpointView
@@ -30,6 +32,7 @@
 from .exceptions import CallerError
 from .exceptions import CallerGone
 from .exceptions import EndpointError
+from .http_messages import HttpHead
 from .http_messages import HttpRequest
 from .http_server import ServerConnection
 from .logs import log
@@ -104,6 +107,16 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
         self.last_event_at = now
 
+    def check_last_chunk(self, head: HttpHead) -> None:
+        """Check that nothing but the whole answer has ended an answer in chunks, as far as known.
+
+        :raises EndpointError: if something else may have; the request may have run.
+        """
+        end = AnswerEnd(clock.now(), self.deadline_at)
+        cause = answer_ends.find_other_cause(end) if head.framing() == "chunks" else ""
+        if cause:
+            raise EndpointError(cause, sent=True)
+
     def describe_time(self) -> dict[str, t.Any]:
         """Return what the log states of the time at an answer's end, and of its endpoint's state.
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -18,6 +18,7 @@
 from rookspring_core.events import EventGapMeasured
 
 from . import clock
+from . import defaults
 from .attempt_failures import make_failure
 from .dialect import AnswerMatch
 from .dialect import ForwardFields
@@ -185,10 +186,9 @@
 
 def _write_request(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bytes:
     request = exchange.request
-    now = clock.now()
-    left_s = exchange.deadline_at - now
     exchange.endpoint = view
-    exchange.told_until = now + left_s
+    exchange.told_until = exchange.deadline_at + defaults.TOLD_BEYOND_S
+    left_s = exchange.told_until - clock.now()
     table = context.state.table
     fields = ForwardFields(
         left_s,
@@ -277,6 +277,7 @@
     if events_before and not last_event:
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
     _check_stream_end(reply, got_something)
+    exchange.check_last_chunk(head)
     _begin_stream(exchange, head)
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -47,6 +47,7 @@
             raise EndpointError(NO_END, sent=True, open_ended=sound) from None
         raise
     if not reply.ended_by_close:
+        exchange.check_last_chunk(head)
         return body
     stated = _read_head(head)
     sign = body_ends.find_sign(stated, body, _is_json, exchange.open_bodies)
