Let the soak's callers state less time than their streams take

No run of ours had a caller whose time is over within a stream whose endpoint then ends it in chunks, cleanly: the stand-in went on to its last event whatever it was told. Its streams end at the time that they are told now, 2 ms ahead, and a fifth of the soak's resumable requests state 40 to 160 ms of some 150.

--- a/packages/rookspring-fakes/src/rookspring_fakes/model_deadlines.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_deadlines.py
@@ -20,8 +20,7 @@
 
 async def wait_for_deadline(server: "ModelServer", request: ReceivedRequest) -> None:
     """Wait until the time that a request states is over, by a clock that runs ahead."""
-    told_s = int(request.headers["x-rookspring-deadline-ms"]) / 1000.0
-    until = request.at + told_s - server.clock_ahead_s
+    until = request.time_ends_at - server.clock_ahead_s
     await asyncio.sleep(max(0.0, until - time.monotonic()))
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import math
 import random
 import time
 import typing as t
@@ -251,10 +252,16 @@
             self.late_answers.pop(writer, None)
             writer.close()
 
-    async def pause(self) -> None:
-        """Wait until the next event, and while the process stands still."""
-        await asyncio.sleep(self.event_pause_s)
+    async def pause(self, time_ends_at: float = math.inf) -> bool:
+        """Wait until the next event, and while the process stands still.
+
+        :param time_ends_at: when the time of the request is over.
+        :return: whether it is over, by the process's clock.
+        """
+        left_s = time_ends_at - self.clock_ahead_s - time.monotonic()
+        await asyncio.sleep(min(self.event_pause_s, max(0.0, left_s)))
         await self._thaw()
+        return self.event_pause_s >= left_s
 
     async def _thaw(self) -> None:
         while (left_s := self.frozen_until - time.monotonic()) > 0.0:
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_steps.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_steps.py
@@ -43,6 +43,11 @@
         """The request's id, as its caller set it."""
         return self.headers.get("x-rookspring-request-id", "")
 
+    @property
+    def time_ends_at(self) -> float:
+        """When the time that it states is over; infinite if it states none."""
+        return self.at + float(self.headers.get("x-rookspring-deadline-ms", "inf")) / 1000.0
+
 
 class Recorder:
     """Passes on what is written to a connection, and keeps it."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
@@ -161,6 +161,8 @@
 ) -> None:
     """Send a stream's head and the events after the one that the request names, in chunks.
 
+    No event is made once the time that the request states is over.
+
     :raises ConnectionResetError: if the connection is closing.
     """
     begin_events(server, request, writer)
@@ -172,7 +174,8 @@
             write_event(writer, make_event(server, number))
             note_made(number)
             await writer.drain()
-            await server.pause()
+            if await server.pause(request.time_ends_at):
+                return
 
 
 def begin_events(
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_streams.py
@@ -28,6 +28,10 @@
 FORGOTTEN_S = 1.0
 SLOW_SHARE = 0.1
 SLOW_PAUSE_S = 0.1
+# The share of requests whose callers state less time than a stream may take, and that time in
+# milliseconds; its endpoint ends it then.
+SHORT_SHARE = 0.2
+SHORT_MS = (40, 160)
 # The part that all prompts share, and those that some do.
 FIRST_PART = 0x10
 SOME_PARTS = range(0x100, 0x110)
@@ -110,6 +114,8 @@
         if begun:
             lines.append(f"Resumes: {begun[0].key}")
             lines.append(f"Last-Event-Id: {begun[-1].events[-1][0]}")
+        if self._random.random() < SHORT_SHARE:
+            lines.append(f"X-Rookspring-Deadline-Ms: {self._random.randint(*SHORT_MS)}")
         leaves_after = 0
         if self._random.random() < LEAVE_SHARE:
             leaves_after = self._random.randrange(1, STREAM_EVENTS)
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -34,6 +34,8 @@
 # The pause between events of long streams, in seconds, and the share of them without a length.
 LONG_PAUSE_S = 0.03
 UNFRAMED_SHARE = 0.3
+# How much sooner than told endpoints find the time of a request over, in seconds.
+CLOCK_AHEAD_S = 0.002
 ROUTES = {
     "safe": ("safe", False, 2),
     "unsafe": ("unsafe", False, 1),
@@ -307,6 +309,7 @@
         server.lists_streams = self._lists_streams
         if self.long_streams:
             server.event_pause_s = LONG_PAUSE_S
+            server.clock_ahead_s = CLOCK_AHEAD_S
             server.unframed_share = UNFRAMED_SHARE
         server.fatal_parts = self.fatal_parts
         server.on_crash = self._note_crash
