End no attempt before its deadline, so that nothing is sent again without time

Callers of repeatable requests that met their deadline were answered 502 instead of 504, and their requests were sent to a second endpoint with no time left: 28 such sends and 41 answers of 1,123 streams where the routes' limit is 240 ms; they also use up the resend budget of real failures.

Cause: the loop rounds its timers to ms, counted from when its turn began, so an attempt was ended up to 1.3 ms before its deadline (184 of 1,123 there) and looked like a failure with time left. Change: the rest of the time is waited for by the product's clock.

Test: 60 attempts on the product's event loop; the earliest ended 0.85, 0.91 and 1.30 ms early in three runs before, none after (three runs).

--- a/features/deadline_ends_sockets.feature
+++ b/features/deadline_ends_sockets.feature
@@ -50,6 +50,11 @@
       | 0    | deadline |
       | -1   | deadline |
 
+  # Ended before it, a request would be sent again for which there is no time.
+  Scenario: no attempt is ended before its deadline, though timers are rounded
+    When 60 attempts that go on are ended at their deadlines
+    Then none ended before its deadline, nor 500 ms after it
+
   Scenario: the log tells how much time an answer had left as it ended
     Given a relay node with two endpoints with models that do: stream
     When a caller sends a stream request
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -244,3 +244,5 @@
 # How long beyond a request's own deadline its endpoint is told to work, in seconds: this node then
 # ends it first, also where the endpoint's clock runs ahead. The users' rules allow 0.5 s.
 TOLD_BEYOND_S = 0.1
+# Step to which the loop rounds its timers, in seconds.
+TIMER_STEP_S = 0.001
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -149,6 +149,7 @@
         async with asyncio.timeout(exchange.deadline_at - clock.now()) as exchange.attempt_timeout:
             await work
     except TimeoutError:
+        await _wait_until(exchange.deadline_at)
         return EndpointError("deadline", sent=True)
     except EndpointError as error:
         return error
@@ -163,6 +164,12 @@
     return None
 
 
+async def _wait_until(moment: float) -> None:
+    """Wait for the rest of the time until a moment, since timers may fire a little early."""
+    while (left_s := moment - clock.now()) > 0.0:
+        await asyncio.sleep(max(left_s, defaults.TIMER_STEP_S))
+
+
 def request_timeout_s(fields: RequestFields, route: Route) -> float:
     """Return the lesser of the caller's and the route's time limit, in seconds."""
     if fields.deadline_s is None:
