Pass on no byte of an answer behind a stream that broke off within a line

Cause: another answer was known only at the start of a line, and only on streams that nothing but the close ends. Behind a torn line its status line became a part of that line, its head and body were passed on as events, and a resumable stream went on after the ids of the other answer. In chunks the bytes of a chunk were handed on before it had ended where its size says, so the same happened within a torn chunk.

Change: a chunk (up to 64 KiB) is handed on once it has ended; without chunks a torn line is told by the head in it, a status line up to the line's end and a header in the same event, or line ends unlike the stream's.

A body with a length that is filled by another answer is still told as whole.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -5,6 +5,7 @@
 from rookspring import event_streams
 from rookspring import relay_attempts
 from rookspring import relay_handovers
+from rookspring._client_connection import ClientConnection
 from rookspring.event_streams import EventSplitter
 from rookspring_core.event_order import EventOrder
 
@@ -14,6 +15,7 @@
 
 RULE = "a stream's events are those that its standard says"
 COMMENT_RULE = "a comment is passed on as it comes, and is no event"
+TEAR_RULE = "no byte of another answer stands in a stream that broke off within a line"
 
 _take_line = EventSplitter._take_line
 _end_event = EventSplitter._end_event
@@ -70,6 +72,50 @@
     _begin_splitter(self, continues)
 
 
+def _know_line_starts(self: EventSplitter, line: bytes) -> bool:
+    """Know another answer only at the start of a line."""
+    return line.startswith(event_streams.ANSWER_START)
+
+
+def _know_any_quote(self: EventSplitter, line: bytes) -> bool:
+    """Take any line with a status line for another answer."""
+    return b"HTTP/1." in line
+
+
+def _need_headers(self: EventSplitter, line: bytes) -> bool:
+    self._may_lack_headers = False
+    return _is_of_another(self, line)
+
+
+def _ignore_line_ends(self: EventSplitter, line: bytes) -> bool:
+    """Take a quotation before an empty line for a head without headers, whatever ends it."""
+    found = _is_of_another(self, line)
+    self._may_lack_headers = self._may_be_torn
+    return found
+
+
+def _remember_tear(self: EventSplitter, line: bytes) -> bool:
+    """Look for headers in the events after a quotation too."""
+    before = self._may_be_torn
+    found = _is_of_another(self, line)
+    self._may_be_torn |= before
+    return found
+
+
+def _pass_torn_comment(self: EventSplitter, line: bytes, text: bytes) -> None:
+    if text.startswith(b":") and not self._event:
+        self._passable += line
+        return
+    _take_line(self, line, text)
+
+
+_is_of_another = EventSplitter._is_of_another
+
+
+def _begin_no_chunk(self: ClientConnection) -> None:
+    """Hand the bytes of a chunk on as they come."""
+
+
 def _take_any_line(self: EventSplitter, line: bytes) -> None:
     """Take a byte order mark for a part of the first line."""
     self._at_start = False
@@ -154,6 +200,20 @@
         _never_overrun,
         UNFRAMED,
     ),
+    _of_splitter("reads a torn line as one", "_is_of_another", _know_line_starts, TEAR_RULE),
+    _of_splitter("takes quotations for answers", "_is_of_another", _know_any_quote, TEAR_RULE),
+    _of_splitter("looks for headers alone", "_is_of_another", _need_headers, TEAR_RULE),
+    _of_splitter("ignores line ends", "_is_of_another", _ignore_line_ends, TEAR_RULE),
+    _of_splitter("remembers quotations", "_is_of_another", _remember_tear, TEAR_RULE),
+    _of_splitter("passes torn comments on", "_take_line", _pass_torn_comment, TEAR_RULE),
+    Mutant(
+        "hands parts of chunks on",
+        TEAR_RULE,
+        ClientConnection,
+        "on_chunk_header",
+        _begin_no_chunk,
+        UNFRAMED,
+    ),
     Mutant(
         "ends a line twice",
         RULE,
--- a/features/event_streams.feature
+++ b/features/event_streams.feature
@@ -75,6 +75,29 @@
       | MARK: ping\n\nid: 4\ndata: a\n\n | : ping\n\nid: 4\ndata: a\n\n | 4    |
       | id: 4\ndata: a\n\nMARK\n\n       | id: 4\ndata: a\n\nMARK\n\n   | 4    |
 
+  # Without chunks nothing but its head tells another answer from the line that was broken off.
+  Scenario Outline: another answer within a line is told from a quotation by its head
+    Given the bytes "<bytes>" of a stream
+    Then a splitter of streams without chunks passes on "<passed>" and finds <what>, cut anywhere
+
+    Examples:
+      | bytes                                                                 | passed                  | what           |
+      | id: 1\n\ndata: aHTTP/1.1 200 OK\r\nX-Id: q\r\n\r\ndata: b\n\n           | id: 1\n\n               | another answer |
+      | id: 1\n\n: piHTTP/1.1 200 OK\r\nDate: now\r\n\r\n                      | id: 1\n\n               | another answer |
+      | id: 1\n\ndata: aHTTP/1.1 503\r\nx-id: q\r\n\r\n                        | id: 1\n\n               | another answer |
+      | id: 1\n\ndata: aHTTP/1.0 200 OK\nDate: now\n\n                         | id: 1\n\n               | another answer |
+      | id: 1\r\n\r\ndata: aHTTP/1.1 200 OK\r\nX-Id: q\r\n\r\n                 | id: 1\r\n\r\n           | another answer |
+      | id: 1\n\ndata: aHTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n       | id: 1\n\n               | another answer |
+      | id: 1\n\ndata: aHTTP/1.1 200 OK\r\nid: q\r\nX-Id: q\r\n\r\n            | id: 1\n\n               | another answer |
+      | id: 1\n\nHTTP/1.1 2                                                   | id: 1\n\n               | no other       |
+      | data: HTTP/1.1 200 OK\n\ndata: b\n\n                                  | all of them             | no other       |
+      | data: HTTP/1.1 200 OK\r\n\r\nid: 2\r\ndata: b\r\n\r\n                 | all of them             | no other       |
+      | data: HTTP/1.1 200 OK\ndata: Date: now\n: ping\nid: 2\n\n              | all of them             | no other       |
+      | data: HTTP/1.1 200 OK\nno header\n\n                                  | all of them             | no other       |
+      | : HTTP/1.1 200 OK\n\nx-id: q\ndata: b\n\n                            | all of them             | no other       |
+      | data: HTTP/1.1 2000 OK\nX-Id: q\n\n                                   | all of them             | no other       |
+      | data: HTTP/1.1\nX-Id: q\n\n                                          | all of them             | no other       |
+
   Scenario Outline: an event of many small parts takes time in proportion to its bytes
     When an event of 200 KB of <lines> comes 1 bytes at a time
     Then it takes less than 2 s of processor time
--- a/features/steps/event_stream_steps.py
+++ b/features/steps/event_stream_steps.py
@@ -145,6 +145,17 @@
     assert stated == [read_id(one) for one in ids.split(",")], stated
 
 
+@then("a splitter of streams without chunks passes on {passed} and finds {what}, cut anywhere")
+def passes_before(context, passed, what):
+    text = context.stream
+    expected = text if passed == '"all of them"' else bytes_of(passed)
+    for at in itertools.combinations(range(len(text) + 1), 2):
+        splitter = EventSplitter(unframed=True)
+        came = b"".join(splitter.feed(part).data for part in cut(text, at) if not splitter.overrun)
+        assert came == expected, (at, came)
+        assert splitter.overrun == (what == "another answer"), at
+
+
 @when("an event of {kb:d} KB of {lines} comes {size:d} bytes at a time")
 def slow_event(context, kb, lines, size):
     line = {"one line": b"d" * 61, "short lines": b"d" * 9 + b"\n", "comments": b":\n"}[lines]
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -35,6 +35,42 @@
       | stream    | no unframed event and another answer of events       | unknown       | 1    |
       | resumable | no unframed event and another answer of events, stream | 5 events    | 2    |
 
+  Scenario Outline: what stands behind a stream that broke off within a line is no part of it
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+    And no byte of another answer is in it
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | script                                                         | answer        | runs |
+      | stream    | 3 unframed and half a line before another answer               | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a name before another answer               | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a first line before another answer         | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a comment before another answer            | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a mark before another answer               | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a line before an interim answer            | 3 events, cut | 1    |
+      | stream    | 3 unframed and half a line before half a status line           | 3 events, cut | 1    |
+      | resumable | 3 unframed and half a line before another answer, stream       | 5 events      | 2    |
+      | resumable | 3 unframed and half a first line before another answer, stream | 5 events      | 2    |
+      | stream    | 3 in chunks and half a line before another answer              | 3 events, cut | 1    |
+      | stream    | 3 in chunks and half a name before another answer              | 3 events, cut | 1    |
+      | stream    | 3 in chunks and half a comment before another answer           | 3 events, cut | 1    |
+      | stream    | 3 in chunks and half a line before an interim answer           | 3 events, cut | 1    |
+      | stream    | 3 with a length and half a line before another answer          | 3 events, cut | 1    |
+      | resumable | 3 in chunks and half a line before another answer, stream      | 5 events      | 2    |
+      | resumable | 3 in chunks and half a first line before another answer, stream | 5 events     | 2    |
+
+  Scenario Outline: a stream whose text looks like another answer is passed on whole
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a stream request
+    Then the answer is <answer>
+
+    Examples:
+      | script                                   | answer        |
+      | unframed events that quote a status line | 5 events, cut |
+      | a chunk in parts                         | 5 events      |
+
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -17,6 +17,7 @@
 from . import model_answers as model_answers
 from . import model_deadlines as model_deadlines
 from . import model_listed_runs as model_listed_runs
+from . import model_torn as model_torn
 from .model_answers import LONG_ANSWER_BYTES as LONG_ANSWER_BYTES
 from .model_endless import report_without_end
 from .model_orders import take_order
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -7,6 +7,9 @@
 request, since nothing tells these answers apart. A connection that receives bytes without a
 request in flight is closed, and so is one that receives bytes without end: in heads, in the
 framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
+
+The bytes of a chunk are handed on once it has ended where its size says: an endpoint may break off
+within it and send another answer behind, whose bytes would stand in its place.
 """
 
 import asyncio
@@ -44,6 +47,9 @@
         # Bytes since the last body byte, and body bytes of the part that is being parsed.
         self._framing_bytes = 0
         self._body_bytes = 0
+        # What has come of the chunk that is being parsed.
+        self._chunk = bytearray()
+        self._in_chunk = False
         self._until_close = False
         self._got_head = False
         self._no_body = False
@@ -126,6 +132,7 @@
         self._parser = httptools.HttpResponseParser(self)
         self._answer_headers = []
         self._skipping = False
+        self._end_chunk()
         self._until_close = False
         self._got_head = False
 
@@ -179,6 +186,7 @@
         self._answer_headers = []
         self._got_head = False
         self._skipping = False
+        self._end_chunk()
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
@@ -232,9 +240,34 @@
         self._body_bytes += len(body)
         if self._skipping:
             self._skipped_bytes += len(body)
+        elif self._in_chunk:
+            self._chunk += body
+            if len(self._chunk) > defaults.CHUNK_HELD_BYTES_MAX:
+                # So large a chunk is passed on as it comes.
+                self._pass_chunk()
+                self._in_chunk = False
         elif self._reply is not None:
             self._reply.add_part(body)
 
+    def on_chunk_header(self) -> None:
+        """Begin a chunk."""
+        self._in_chunk = True
+
+    def on_chunk_complete(self) -> None:
+        """Hand a chunk on, which has ended where its size says."""
+        self._pass_chunk()
+        self._in_chunk = False
+
+    def _pass_chunk(self) -> None:
+        if self._chunk and self._reply is not None:
+            self._reply.add_part(bytes(self._chunk))
+        self._chunk.clear()
+
+    def _end_chunk(self) -> None:
+        """Drop what has come of a chunk."""
+        self._chunk.clear()
+        self._in_chunk = False
+
     def on_message_complete(self) -> None:
         """Complete the answer, whose framing has ended."""
         if self._reply is None or self._skipping or self._parser.get_status_code() < 200:
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -95,6 +95,9 @@
 # trailers. Answers are parsed in parts of ``PARSED_BYTES_MAX``, each of which is counted by itself.
 FRAMING_BYTES_MAX = 64 << 10
 PARSED_BYTES_MAX = 16 << 10
+# Bytes of a chunk that are held until it has ended where its size says. What is made token by token
+# comes in small chunks; the bytes of a larger one are handed on as they come.
+CHUNK_HELD_BYTES_MAX = 64 << 10
 # Body bytes of answers to other requests that are skipped before the connection is closed.
 SKIPPED_BYTES_MAX = ANSWER_BYTES_MAX
 # Largest event of a stream, which is held back until it is complete.
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -2,8 +2,12 @@
 
 Lines, comments, fields and the byte order mark are those of the event-stream standard (WHATWG HTML,
 *Server-sent events*).
+
+An endpoint may break its stream off within a line and send another answer behind it (the users'
+pages, *Runners*). Unless chunks tell where that begins, it is told by its head.
 """
 
+import re
 import typing as t
 
 from . import defaults
@@ -19,6 +23,10 @@
 # How the head of another answer begins, behind a stream whose end nothing marks. No field of an
 # event has such a name.
 ANSWER_START = b"HTTP/1."
+# The same within a line that was broken off, up to the line's end. An event may quote one.
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] [1-9][0-9]{2}( .*)?$")
+# A line of the head, which follows; a name of an event's field begins none.
+HEADER_LINE = re.compile(rb"(?!(?:data|event|id|retry):)[-!#$%&'*+.^_`|~0-9A-Za-z]+:")
 
 
 class Events(t.NamedTuple):
@@ -39,8 +47,8 @@
 
     :param continues: the caller has begun to read the stream. A byte order mark that leads this
         rest of it is left out, as it would hide the first line.
-    :param unframed: neither a length nor chunks show the end of the stream, so that another answer
-        may stand behind it.
+    :param unframed: no chunks frame the events, so that another answer may stand behind them, or
+        within the last line.
     :ivar overrun: another answer has begun; it and what follows are left out.
     """
 
@@ -48,6 +56,10 @@
         self._continues = continues
         self._unframed = unframed
         self.overrun = False
+        # A line of the incomplete event has a status line, and whether that may be a whole head.
+        self._may_be_torn = False
+        self._may_lack_headers = False
+        self._has_line_feeds = False
         self._at_start = True
         self._lines = _LineSplitter()
         # The lines of the incomplete event, and what they state.
@@ -69,7 +81,7 @@
             # It goes where its line has gone.
             (self._event or self._passable).extend(line_feed)
         for line in lines:
-            if self._unframed and line.startswith(ANSWER_START):
+            if self._unframed and self._is_of_another(line):
                 self.overrun = True
                 break
             if self._at_start:
@@ -80,6 +92,24 @@
             raise EndpointError("too large an event", sent=True)
         return self._take_events()
 
+    def _is_of_another(self, line: bytes) -> bool:
+        """Return whether a line shows that another answer has begun, at it or within one before.
+
+        A status line within a line is a quotation unless a header follows. An interim head has
+        none: it is told by its line ends, if the lines of the stream end otherwise.
+        """
+        text = line.rstrip(LINE_ENDS)
+        if line.startswith(ANSWER_START):
+            return True
+        if self._may_be_torn and (HEADER_LINE.match(text) if text else self._may_lack_headers):
+            return True
+        has_return = b"\r" in line[-2:]
+        quotes = ANSWER_START in text and STATUS_LINE.search(text) is not None
+        self._may_lack_headers = quotes and has_return and self._has_line_feeds
+        self._may_be_torn = bool(text) and (quotes or self._may_be_torn)
+        self._has_line_feeds |= not has_return
+        return False
+
     def incomplete(self) -> bytes:
         """Return the bytes of the incomplete event or line at the end."""
         return bytes(self._event + self._lines.incomplete)
@@ -107,7 +137,7 @@
         """
         if not text:
             self._end_event(line)
-        elif self._event or not text.startswith(b":"):
+        elif self._event or self._may_be_torn or not text.startswith(b":"):
             self._event += line
             self._read_field(text)
         else:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -247,7 +247,7 @@
     head: HttpHead,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
-    splitter = EventSplitter(exchange.started, unframed=head.framing() == "close")
+    splitter = EventSplitter(exchange.started, unframed=head.framing() != "chunks")
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, begun=exchange.events > 0)
