Give requests keys that differ between lives of their node

Cause: keys began with r1 at each start, and a reply of an owner names its request by node and key. A reply to the node's earlier life decided on a request of the next one: it ran though its organisation's owner had refused it, or got 503 though it had a slot.

Change: a key names the life, by 3 random bytes. Nodes of other versions take any text as a key. A slot that is granted to the earlier life finds no request and is given back to its owner, under the key that it was granted to.

Price: 7 bytes a message to an owner, and back.

--- a/bench/owner_mutants.py
+++ b/bench/owner_mutants.py
@@ -1,13 +1,16 @@
 """Mutants of which nodes own what is decided for all."""
 
 import math
+import secrets
 import typing as t
 
+from rookspring import request_keys
 from rookspring_core import defaults
 from rookspring_core import owners
 from rookspring_core.topology import Topology
 
 from .mutant import OWNER_CHOICE
+from .mutant import OWNER_REPLIES
 from .mutant import Mutant
 
 RULE = "nodes agree on who decides for all"
@@ -27,7 +30,23 @@
     return experienced or set(ages)
 
 
+def _same_life(size: int | None = None) -> str:
+    """Give requests the keys that those of the node's earlier life had."""
+    return "00" * size if size == request_keys.LIFE_BYTES else _draw(size)
+
+
+_draw = secrets.token_hex
+
+
 MUTANTS = (
+    Mutant(
+        "uses keys of an earlier life",
+        "a reply to a node's earlier life decides on none of its requests",
+        secrets,
+        "token_hex",
+        _same_life,
+        OWNER_REPLIES,
+    ),
     Mutant("knows its age late", RULE, Topology, "collecting_s", _know_late, OWNER_CHOICE),
     Mutant(
         "lets the first of age own all",
--- /dev/null
+++ b/features/steps/owner_reply_steps.py
@@ -0,0 +1,162 @@
+"""Replies of owners that are held back while the node that asked restarts under its name."""
+
+import asyncio
+import functools
+import importlib
+import subprocess
+import sys
+from unittest import mock
+
+from behave import then
+from behave import when
+from cut_stage import CutStage
+from relay_fixture import read_answer
+from relay_fixture import request
+from relay_key_steps import tenants
+
+from rookspring import relay
+from rookspring import relay_owners
+from rookspring import request_keys
+from rookspring.messages import AskSlots
+from rookspring.messages import AskUnits
+from rookspring.messages import SlotFreed
+from rookspring.messages import SlotReply
+from rookspring.messages import UnitsReply
+from rookspring.relay_node import RelayNode
+from rookspring.relay_peers import RECEIVERS
+from rookspring_core import defaults as core_defaults
+from rookspring_platform import PlatformDialect
+
+KEY = "key-a"
+ORGANISATION = "org-a"
+RETRY_AFTER_S = 2.0
+ASKED = {"slots": AskSlots, "units": AskUnits}
+SUBJECTS = {"slots": "svc", "units": ORGANISATION}
+# As long as an owner may take to answer here, in seconds.
+ANSWER_S = 5.0
+PRINT_KEY = "from rookspring import request_keys; print(request_keys.make_key())"
+
+
+class HeldOwner:
+    """What the owners are asked, in place of what they do; replies are sent by the test.
+
+    :ivar late: what a node has asked in its earlier life, and the decision on it.
+    :ivar decision: the reply to what is asked from now on; none while it is empty.
+    """
+
+    def __init__(self, what):
+        self.what = what
+        self.late = None
+        self.decision = ""
+        self.asked = []
+        self.freed = []
+
+    def take(self, peers, link, item):
+        if isinstance(item, SlotFreed):
+            self.freed.append(item)
+        elif isinstance(item, ASKED[self.what]):
+            self.asked.append(item)
+            if self.decision:
+                reply(link, *self.late)
+                reply(link, item, self.decision)
+        else:
+            # What isn't held back is granted at once.
+            reply(link, item, "granted")
+
+
+def reply(link, asked, decision):
+    after_s = RETRY_AFTER_S if decision == "denied" else 0.0
+    if isinstance(asked, AskUnits):
+        link.send(UnitsReply(asked.origin, asked.key, asked.organisation, asked.units, after_s))
+        return
+    endpoint = "" if after_s else "i0"
+    link.send(SlotReply(asked.origin, asked.key, asked.queue, endpoint, after_s, False, 0.0, False))
+
+
+def count_anew():
+    """Number requests as a new process does."""
+    relay.make_key = importlib.reload(request_keys).make_key
+
+
+async def restart(stage, number):
+    """End a node without a planned stop, and start another process's in its place."""
+    node = stage.nodes[number]
+    await stage.relay.kill(node)
+    count_anew()
+    fresh = RelayNode(node.settings, PlatformDialect())
+    await fresh.start()
+    if number == 0:
+        stage.relay.node = fresh
+    else:
+        stage.relay.others[number - 1] = fresh
+    stage.nodes[number] = fresh
+    fresh.context.pool = node.context.pool
+    await stage.relay.until(fresh.context.ready)
+    await stage.relay.until(stage._linked)
+    await stage.relay.until(lambda: fresh.context.state.freshness.proved_at > 0)
+
+
+async def ask(node, number):
+    """Send a request; return its connection."""
+    connection = await asyncio.open_connection("127.0.0.1", node.listeners["callers"].port)
+    connection[1].write(request("unsafe", number, key=KEY))
+    return connection
+
+
+async def ask_in_two_lives(context, what, old, new):
+    rows = [tenants(KEY)[0] | {"rate-per-s": 100, "burst": 50}]
+    stage = context.cut_stage = CutStage(2)
+    context.relay = stage.relay
+    stage.relay.start = functools.partial(stage.relay.start, tenants=rows)
+    await stage.start()
+    owner = relay_owners.find_owner(stage.nodes[0].peers, SUBJECTS[what])
+    (asking,) = (at for at, one in enumerate(stage.nodes) if one.settings.name != owner)
+    held = context.held = HeldOwner(what)
+    receivers = dict.fromkeys([*ASKED.values(), SlotFreed], held.take)
+    with (
+        mock.patch.dict(RECEIVERS, receivers),
+        mock.patch.object(core_defaults, "SLOT_ANSWER_S", ANSWER_S),
+        mock.patch.object(core_defaults, "OWNER_ANSWER_S", ANSWER_S),
+    ):
+        count_anew()
+        _, writer = await ask(stage.nodes[asking], 1)
+        await stage.relay.until(lambda: held.asked)
+        held.late = (held.asked[0], old)
+        writer.close()
+        await restart(stage, asking)
+        held.decision = new
+        reader, writer = await ask(stage.nodes[asking], 2)
+        context.answer = await read_answer(reader)
+        writer.close()
+        # The slot of a run is freed after its answer.
+        await asyncio.sleep(0.05)
+
+
+@when(
+    "a node asks for {what} and restarts, and the reply, {old}, comes as it has asked again, "
+    "before the one to that, {new}"
+)
+def two_lives(context, what, old, new):
+    context.loop.run(ask_in_two_lives(context, what, old, new))
+
+
+@then("the request's answer is {status:d}")
+def answer_status(context, status):
+    assert context.answer.status == status, (context.answer.status, context.held.asked)
+
+
+@then("the owner is told of {number:d} slots that were not used")
+def slots_freed(context, number):
+    unused = [one for one in context.held.freed if one.unsent]
+    assert len(unused) == number, context.held.freed
+
+
+@then("two processes give their first requests keys that differ")
+def keys_differ(context):
+    first, second = (
+        subprocess.run(
+            [sys.executable, "-c", PRINT_KEY], capture_output=True, check=True, text=True
+        ).stdout
+        for _ in range(2)
+    )
+    assert first != second, first
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -5,7 +5,6 @@
 """
 
 import asyncio
-import itertools
 import typing as t
 
 from rookspring_core import answer_ends
@@ -36,12 +35,11 @@
 from .http_messages import HttpRequest
 from .http_server import ServerConnection
 from .logs import log
+from .request_keys import make_key
 
 if t.TYPE_CHECKING:
     from .relay_context import RelayContext
 
-_exchange_numbers = itertools.count(1)
-
 
 class HeldAnswer(t.NamedTuple):
     """A complete error answer, sent to the caller if the retries at other endpoints fail too."""
@@ -63,7 +61,7 @@
         arrived_at: float,
         organisation: Organisation | None = None,
     ) -> None:
-        self.key = f"r{next(_exchange_numbers)}"
+        self.key = make_key()
         self.connection = connection
         self.request = request
         self.fields = fields
