Questions: a gap of ids where a stream is taken up can't be told

Cause: a rest that begins with 6 after 3 may lack two events, or carry several tokens in one.

Change: the question, with what callers lose either way; a guard row. No code: a node that took the gap for a fault would cut sound streams wherever runners send what is ready in one event.

--- a/features/resumed_streams_sockets.feature
+++ b/features/resumed_streams_sockets.feature
@@ -70,6 +70,7 @@
       | none  | 1 2 3      | taken   |
       | none  | 3 6 9      | taken   |
       | 9     | 10 11      | taken   |
+      | 3     | 6 7        | taken   |
       | 10    | 9          | refused |
       | 9     | 9          | refused |
       | 09    | 10         | taken   |
--- a/packages/rookspring-core/src/rookspring_core/event_order.py
+++ b/packages/rookspring-core/src/rookspring_core/event_order.py
@@ -1,6 +1,7 @@
 """The order of a stream's events, by their ids, which rise within one answer.
 
-They need not be consecutive, so an event that is left out can't be told from them.
+They need not be consecutive, so an event that is left out can't be told from them, nor where a
+stream is taken up: an event may carry several tokens, and ids may number these.
 """
 
 import typing as t
