Make each call to a platform on a connection of its own

Cause: an answer of a platform names neither its call nor, in a list, its kind, and both clients kept connections. A second copy of an answer in the place of the next one was the answer to the next call: an old read that proves an old configuration current, a read's answer for a write of the lease. The client over aiohttp also took a copy that came while a connection was idle.

Change: a call's connection is closed after it. What kept connections needed is gone: the close of all after a failed call, the longest idle time of a watch's, the session of reads.

Tests changed: silent_channels_sockets had a watch that stays without an answer as its idle connection is silent. No idle connection exists any more, so the watch is answered. In its place six rows: reads and watches are answered within 0.7 s whether or not a watch is under way as the open connections go silent; none may fail first.

--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -1,11 +1,13 @@
 """Mutants of the rule that a request is sent at most once on a connection."""
 
+import asyncio
 import typing as t
 
 import aiohttp
 
 from rookspring import defaults as daemon_defaults
 from rookspring import http_client
+from rookspring import http_platform
 from rookspring.dialect import AnswerMatch
 from rookspring.endpoints import HttpEndpoint
 from rookspring.http_client import ClientConnection
@@ -43,7 +45,44 @@
     return self._session
 
 
+async def _call_on_kept(*args: t.Any, **named: t.Any) -> t.Any:
+    return await _call(*args, **{**named, "single_use": False})
+
+
+class _KeptConnector(aiohttp.TCPConnector):
+    """Keeps its connections when its session is closed."""
+
+    def close(self, **named: t.Any) -> t.Any:
+        return asyncio.sleep(0)
+
+
+_connectors: dict[t.Any, _KeptConnector] = {}
+
+
+def _share_connector() -> _KeptConnector:
+    loop = asyncio.get_running_loop()
+    if loop not in _connectors:
+        _connectors[loop] = _KeptConnector()
+    return _connectors[loop]
+
+
 MUTANTS = (
+    Mutant(
+        "keeps connections to the store",
+        "an answer belongs to one call of the platform",
+        http_client,
+        "call",
+        _call_on_kept,
+        RESENDS,
+    ),
+    Mutant(
+        "keeps connections to a platform",
+        "an answer belongs to one call of the platform",
+        http_platform,
+        "SingleUseConnector",
+        _share_connector,
+        RESENDS,
+    ),
     Mutant(
         "keeps connections whose answers don't name their request",
         "an answer belongs to one send of its request",
--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -67,6 +67,24 @@
       | report       | late                                |
       | report       | in the place of the next answer     |
 
+  Scenario Outline: a second copy of a platform's answer is not the answer to the next call
+    Given a server that sends each answer twice, the second time <when>
+    When <client> makes a <call> 3 times, one after another
+    Then each of them gets its own answer
+
+    Examples:
+      | client                | call  | when                            |
+      | the store's client    | read  | in the place of the next answer |
+      | the store's client    | list  | in the place of the next answer |
+      | the store's client    | watch | in the place of the next answer |
+      | the store's client    | write | in the place of the next answer |
+      | the store's client    | read  | late                            |
+      | the platform's client | read  | in the place of the next answer |
+      | the platform's client | list  | in the place of the next answer |
+      | the platform's client | watch | in the place of the next answer |
+      | the platform's client | write | in the place of the next answer |
+      | the platform's client | read  | late                            |
+
   Scenario: reads of reports don't each leave a connection open
     Given a relay node with one endpoint that does: answer
     And it keeps idle connections open for 60 s
--- a/features/silent_channels_sockets.feature
+++ b/features/silent_channels_sockets.feature
@@ -22,15 +22,19 @@
       | 1     | 0.0    |
       | 3     | 0.5    |
 
-  Scenario Outline: a call to the store goes by a new connection if the open ones may be silent
-    Given a client of the store with 2 idle connections, which then go silent
-    When <before>
+  Scenario Outline: a call to the store goes by a new connection, as the open ones may be silent
+    Given a client of the store that has made 2 calls
+    When its open connections go silent while <what> is under way
     Then a <call> is answered within 0.7 s
 
     Examples:
-      | before                   | call              |
-      | nothing else happens     | watch sent anew   |
-      | a watch has no answer    | read              |
+      | what    | call            |
+      | no call | read            |
+      | no call | watch           |
+      | no call | watch sent anew |
+      | a watch | read            |
+      | a watch | watch           |
+      | a watch | watch sent anew |
 
   Scenario: a store that answers a watch late is not taken to be silent
     Given 1 linked nodes, whose store they reach through a proxy
--- a/features/steps/own_call_steps.py
+++ b/features/steps/own_call_steps.py
@@ -11,6 +11,8 @@
 
 from rookspring.endpoints import GenerationRequest
 from rookspring.endpoints import HttpEndpoint
+from rookspring.http_platform import HttpPlatform
+from rookspring_platform.store import ObjectStore
 
 CALL_S = 2.0
 # Longer than a server takes to send a late copy.
@@ -63,6 +65,65 @@
 }
 
 
+def count_nothing(method, end):
+    return None
+
+
+# Clients of a platform, by the words that name them, and what their platform answers to a call.
+STORED = {"metadata": {"name": "a", "revision": 0}, "spec": {}}
+PLATFORMS = {
+    "the store's client": (
+        lambda address: ObjectStore(f"http://{address}", count_nothing),
+        {
+            "read": lambda number: STORED | {"spec": {"number": number}},
+            "list": lambda number: {"items": [], "as-of": number, "truncated": False},
+            "watch": lambda number: {"events": [], "as-of": number},
+            "write": lambda number: {"metadata": {"name": "a", "revision": number}},
+        },
+    ),
+    "the platform's client": (
+        lambda address: HttpPlatform(f"http://{address}", count_nothing),
+        {
+            "read": lambda number: {"name": "a", "version": 1, "value": {"number": number}},
+            "list": lambda number: {"items": [], "version": number},
+            "watch": lambda number: {"changes": [], "version": number},
+            "write": lambda number: {"version": number},
+        },
+    ),
+}
+PLATFORM_CALLS = {
+    "read": lambda client: client.get("kind", "a"),
+    "list": lambda client: client.list_kind("kind"),
+    "watch": lambda client: client.watch("kind", 0, 1.0),
+    "write": lambda client: client.put("kind", "a", {}, 1),
+}
+
+
+def number_in(call, answer):
+    found = answer.unwrap()
+    if call == "read":
+        return found.value["number"]
+    return found if call == "write" else found.version
+
+
+@when("{name} makes a {call} {times:d} times, one after another")
+def make_platform_calls(context, name, call, times):
+    make_client, bodies = PLATFORMS[name]
+
+    async def work():
+        client = make_client(context.raw.address)
+        for number in range(1, times + 1):
+            body = orjson.dumps(bodies[call](number))
+            data = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(body) + body
+            context.raw.answer = RawAnswer(data, closes=False, copied=context.copied)
+            context.answers.append(number_in(call, await PLATFORM_CALLS[call](client)))
+            await asyncio.sleep(BETWEEN_S)
+        await client.close()
+
+    context.answers = []
+    context.loop.run(work())
+
+
 @given("a server that sends each answer twice, the second time {when}")
 def copying_server(context, when):
     context.copied = COPIED[when]
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -1,7 +1,6 @@
 """Connections to endpoints that are kept open, by address, and calls on them."""
 
 import asyncio
-import math
 import typing as t
 
 from . import clock
@@ -37,13 +36,11 @@
         address: str,
         wide_margin: bool,
         request_id: str | None = None,
-        idle_max_s: float = math.inf,
     ) -> ClientConnection:
         """Return an idle connection that is usable and hasn't carried the request, else a new one.
 
         :param wide_margin: see :meth:`ClientConnection.is_usable`.
         :param request_id: see :meth:`ClientConnection.send_request`.
-        :param idle_max_s: longest time for which it has been idle, in seconds; others are closed.
         :raises EndpointError: if no connection can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
@@ -52,8 +49,7 @@
             if connection.has_carried(request_id):
                 continue
             kept.remove(connection)
-            lately = now - connection.idle_since <= idle_max_s
-            if lately and connection.is_usable(now, wide_margin):
+            if connection.is_usable(now, wide_margin):
                 return connection
             connection.close()
         return await self._open(address)
@@ -160,33 +156,34 @@
     on_head: OnHead,
     timeout_s: float,
     most: int = defaults.ANSWER_BYTES_MAX,
-    on_new_connection: bool = False,
+    single_use: bool = False,
     accept: AcceptHead = lambda head: True,
     request_id: str | None = None,
-    idle_max_s: float = math.inf,
 ) -> tuple[HttpHead, bytes]:
     """Send a request, given as its bytes, once, and return the complete answer.
 
     :param on_head: called with the answer's head.
     :param timeout_s: for connection and answer together.
     :param most: largest accepted answer in bytes.
-    :param on_new_connection: use no idle connection, even if there is one.
+    :param single_use: send it on a new connection, which is closed after it. Then no answer to
+        another call can be taken for its own, where nothing in the answers tells them apart.
     :param accept: see :meth:`ClientConnection.send_request`, as for ``request_id``.
-    :param idle_max_s: longest time for which its connection has been idle, in seconds.
     :raises EndpointError: if no complete answer arrived in time.
     """
     connection: ClientConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
-            if on_new_connection:
+            if single_use:
                 connection = await pool.open(address)
             else:
-                connection = await pool.acquire(address, True, request_id, idle_max_s)
+                connection = await pool.acquire(address, True, request_id)
             reply = connection.send_request(data, accept, on_head, request_id=request_id)
             head = await reply.wait_head()
             return head, await reply.read_rest(most, pool.answers)
     except TimeoutError:
         raise EndpointError("no answer in time", sent=connection is not None) from None
     finally:
-        if connection is not None:
+        if connection is not None and single_use:
+            connection.close()
+        elif connection is not None:
             pool.release_after_call(address, connection)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -114,9 +114,6 @@
 REPEATED_WATCH_S = 0.1
 # Time for the answer of a slow store after the end of a watch; then the watch has failed.
 WATCH_OVERDUE_S = 2.0
-# A watch uses a pooled connection only if it has been idle for less than this, a little longer than
-# ``ENDPOINT_BATCH_S``: it may have gone silent meanwhile.
-WATCH_IDLE_MAX_S = 0.5
 # Where a few nodes watch the store for all: the longest wait of a watch of endpoints, and the
 # time for which changes are batched before the next. That makes about a call a second for
 # each watcher, and no node relies on a watcher that has been cut off for longer than
--- a/packages/rookspring/src/rookspring/http_platform.py
+++ b/packages/rookspring/src/rookspring/http_platform.py
@@ -36,7 +36,10 @@
 
 
 class RateLimitedHttpClient:
-    """Makes rate-limited HTTP calls; writes are never sent twice by the HTTP library.
+    """Makes rate-limited HTTP calls, none of which the HTTP library sends twice.
+
+    Each call has a connection of its own: nothing in an answer names its call, so on a kept
+    connection a second copy of one answers the next call.
 
     :param count: called with the method and the status or failure of each call.
     """
@@ -44,16 +47,10 @@
     def __init__(self, base: str, count: t.Callable[[str, str], None]) -> None:
         self._base = base
         self._count = count
-        self._session: aiohttp.ClientSession | None = None
         self._limiter = CallRateLimiter(
             defaults.PLATFORM_CALLS_PER_S, defaults.PLATFORM_CALLS_BURST
         )
 
-    def _get_session(self) -> aiohttp.ClientSession:
-        if self._session is None:
-            self._session = aiohttp.ClientSession()
-        return self._session
-
     async def call(
         self,
         method: str,
@@ -61,12 +58,10 @@
         body: t.Any = None,
         timeout_s: float | None = None,
         headers: t.Mapping[str, str] | None = None,
-        anew: bool = False,
     ) -> Result[tuple[int, bytes], PlatformError]:
         """Make one call and return status and body.
 
         :param timeout_s: limit of the whole call; None for the default.
-        :param anew: by a new connection; writes always are.
         """
         await self._limiter.acquire()
         data = None if body is None else orjson.dumps(body)
@@ -76,8 +71,6 @@
         total_s = defaults.PLATFORM_CALL_S if timeout_s is None else timeout_s
         limit = aiohttp.ClientTimeout(total=total_s, connect=defaults.CONNECT_S)
         try:
-            if method == "GET" and not anew:
-                return await self._send(self._get_session(), method, path, all_headers, data, limit)
             # If the library resent a write that had taken effect, the second one would fail
             # with a conflict, as the first had changed the version.
             async with aiohttp.ClientSession(connector=SingleUseConnector()) as session:
@@ -102,11 +95,6 @@
             self._count(method, str(response.status))
             return Success((response.status, raw))
 
-    async def close(self) -> None:
-        """Close all connections."""
-        if self._session is not None:
-            await self._session.close()
-
 
 @platform_adapter("http")
 @platform_adapter("https")
@@ -133,18 +121,17 @@
         expected: int | None = None,
         body: t.Any = None,
         timeout_s: float = defaults.PLATFORM_CALL_S,
-        anew: bool = False,
     ) -> Result[t.Any, PlatformError]:
         headers = {} if expected is None else {"If-Match": str(expected)}
         if self._telemetry is None:
-            answer = await self._caller.call(method, path, body, timeout_s, headers, anew)
+            answer = await self._caller.call(method, path, body, timeout_s, headers)
             return answer.bind(lambda pair: self._to_result(path, *pair))
         span = self._telemetry.begin("platform", method=method, path=path)
         traceparent = self._telemetry.header(span)
         if traceparent:
             headers["traceparent"] = traceparent
         try:
-            answer = await self._caller.call(method, path, body, timeout_s, headers, anew)
+            answer = await self._caller.call(method, path, body, timeout_s, headers)
         finally:
             span.end()
         return answer.bind(lambda pair: self._to_result(path, *pair))
@@ -195,11 +182,11 @@
     ) -> Result[Changes, PlatformError]:
         """Wait up to ``timeout_s`` seconds for changes after a version.
 
-        :param anew: by a new connection, since those that are open may be silent.
+        :param anew: by a new connection, as each call is.
         """
         path = f"/watch/{kind}?from={since}&timeout_s={timeout_s}"
         total_s = timeout_s + defaults.PLATFORM_CALL_S
-        answer = await self._call("GET", path, timeout_s=total_s, anew=anew)
+        answer = await self._call("GET", path, timeout_s=total_s)
         return _read(
             answer,
             lambda raw: Changes(int(raw["version"]), _read_items(kind, raw["changes"], _stored)),
@@ -211,8 +198,7 @@
         return _read(answer, lambda raw: _read_items("box", raw["boxes"], _read_box))
 
     async def close(self) -> None:
-        """Close all connections."""
-        await self._caller.close()
+        """Do nothing: no connection is kept."""
 
 
 def _read(
