--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -95,6 +95,9 @@
 # trailers. Answers are parsed in parts of ``PARSED_BYTES_MAX``, each of which is counted by itself.
 FRAMING_BYTES_MAX = 64 << 10
 PARSED_BYTES_MAX = 16 << 10
+# Bytes of a chunk that are held until it has ended where its size says. What is made token by token
+# comes in small chunks; the bytes of a larger one are handed on as they come.
+CHUNK_HELD_BYTES_MAX = 64 << 10
 # Body bytes of answers to other requests that are skipped before the connection is closed.
 SKIPPED_BYTES_MAX = ANSWER_BYTES_MAX
 # Largest event of a stream, which is held back until it is complete.
@@ -111,9 +114,6 @@
 REPEATED_WATCH_S = 0.1
 # Time for the answer of a slow store after the end of a watch; then the watch has failed.
 WATCH_OVERDUE_S = 2.0
-# A watch uses a pooled connection only if it has been idle for less than this, a little longer than
-# ``ENDPOINT_BATCH_S``: it may have gone silent meanwhile.
-WATCH_IDLE_MAX_S = 0.5
 # Where a few nodes watch the store for all: the longest wait of a watch of endpoints, and the
 # time for which changes are batched before the next. That makes about a call a second for
 # each watcher, and no node relies on a watcher that has been cut off for longer than
