Let a run that a node ended at a sound endpoint speak for its request

Cause: a request whose every run ends at its deadline is in no whole answer, so nothing cleared it, and it was under each crash of ten minutes.

Change: a run that its node ended, at its deadline or as its caller left, is sound once its process is found to have lived on, and then speaks against earlier crashes of runs that had come no further, in events and in seconds (sound_runs). It says nothing without an event, of a stream begun elsewhere, or if its process crashes or is not heard of within some seconds. Crash records stay; each node counts those that no sound run speaks against. Lengths and sound runs travel as rows of their own, which earlier nodes leave out.

Changed test: the outline of merging in any order draws lengths and sound runs too; it keeps all that it had.

--- a/bench/suspect_mutants.py
+++ b/bench/suspect_mutants.py
@@ -2,15 +2,22 @@
 
 import typing as t
 
+from rookspring import evidence as evidence_coding
 from rookspring import relay_merged
 from rookspring import relay_suspects
 from rookspring_core import defaults
 from rookspring_core import suspect_handlers
+from rookspring_core import suspects
+from rookspring_core.sound_runs import EndedRun
+from rookspring_core.sound_runs import RunLength
+from rookspring_core.sound_runs import SoundRun
+from rookspring_core.sound_runs import SoundRuns
 from rookspring_core.suspects import Evidence
 from rookspring_core.suspects import SuspectTable
 
 from .mutant import CRASHES
 from .mutant import PARTS
+from .mutant import SOUND_RUNS
 from .mutant import Mutant
 
 
@@ -74,7 +81,92 @@
     self._sound[part] = now
 
 
+def _always(*args: t.Any) -> bool:
+    return True
+
+
+def _count_voided(self: SuspectTable, subject: str) -> float:
+    return self._raw_score(subject)
+
+
+def _void_earlier(self: SoundRuns, record: t.Any) -> bool:
+    """Let a run speak against crashes that came after it."""
+    runs = self.of(record.fingerprint)
+    return any(one.length.covers(record.length) for one in runs if record.length)
+
+
+def _hear_at_once(run: EndedRun, heard_at: float, now: float) -> EndedRun:
+    return run._replace(heard_at=min(run.heard_at, now)) if heard_at > run.at else run
+
+
+def _heard_now(run: EndedRun, now: float) -> bool:
+    return now >= run.heard_at
+
+
+def _void_without_evidence(self: SuspectTable, subject: str) -> bool:
+    sound = bool(self._sound_runs.of(subject))
+    return sound and self.crash_score(subject) < self.crashes_needed(subject)
+
+
+def _accept_every_run(self: SoundRuns, run: SoundRun) -> bool:
+    """Keep the latest run alone."""
+    self._runs[run.subject] = [run]
+    return True
+
+
+def _begin_counting(state: t.Any, request: t.Any) -> RunLength:
+    """Take a run without an event as one that has come as far as the shortest."""
+    measured = _measure_run(state, request)
+    return measured._replace(events=max(1, measured.events))
+
+
+_measure_run = suspect_handlers._measure_run
+
+
+def _no_lengths(message: t.Any) -> dict[t.Any, t.Any]:
+    return {}
+
+
 MUTANTS = (
+    Mutant(
+        "counts what is voided", "innocents", SuspectTable, "crash_score", _count_voided, SOUND_RUNS
+    ),
+    Mutant("covers longer runs", "ends", RunLength, "covers", _always, SOUND_RUNS),
+    Mutant("voids later crashes", "ends", SoundRuns, "void", _void_earlier, SOUND_RUNS),
+    Mutant("hears what was on its way", "ends", suspects, "note_heard", _hear_at_once, SOUND_RUNS),
+    Mutant("takes a sign as life", "ends", suspects, "shows_life", _heard_now, SOUND_RUNS),
+    Mutant("hears the silent", "ends", suspects, "shows_life", _always, SOUND_RUNS),
+    Mutant(
+        "lifts without evidence",
+        "ends",
+        SuspectTable,
+        "_is_voided",
+        _void_without_evidence,
+        SOUND_RUNS,
+    ),
+    Mutant("keeps one sound run", "innocents", SoundRuns, "add", _accept_every_run, SOUND_RUNS),
+    Mutant(
+        "counts runs without events",
+        "ends",
+        suspect_handlers,
+        "_measure_run",
+        _begin_counting,
+        SOUND_RUNS,
+    ),
+    Mutant(
+        "notes no ended run", "innocents", suspect_handlers, "_note_ended_run", _nothing, SOUND_RUNS
+    ),
+    Mutant(
+        "tells no sound runs",
+        "innocents",
+        suspect_handlers,
+        "_dispute_runs",
+        _no_effects,
+        SOUND_RUNS,
+    ),
+    Mutant(
+        "reads no lengths", "innocents", evidence_coding, "_decode_lengths", _no_lengths, SOUND_RUNS
+    ),
     Mutant("names no parts", "ends", suspect_handlers, "subjects_of", _whole_alone, PARTS),
     Mutant("counts retries", "innocents", SuspectTable, "crash_score", _count_all, PARTS),
     Mutant("needs three ever", "innocents", SuspectTable, "crashes_needed", _need_three, PARTS),
--- a/features/fatal_parts.feature
+++ b/features/fatal_parts.feature
@@ -56,6 +56,10 @@
       | a crash, a crash, a crash, 61 s                          | not convicted |
       | a crash, a crash, a crash, 61 s, a crash, 61 s           | convicted     |
       | a crash, a crash, a crash, 61 s, whole, a crash          | not convicted |
+      | 3-event crash, 3-event crash, a run of 4, 3-event crash  | not convicted |
+      | 3-event crash, 3-event crash, 3-event crash, a run of 4  | not convicted |
+      | 5-event crash, 5-event crash, a run of 4, 5-event crash  | convicted     |
+      | a run of 4, 3-event crash, 3-event crash, 3-event crash  | convicted     |
 
   Scenario: a node that missed the crashes of a part that was sound takes its conviction
     Given a table of suspects with a part of 0 crashes of different requests
--- a/features/steps/crash_end_steps.py
+++ b/features/steps/crash_end_steps.py
@@ -20,7 +20,7 @@
 # Which events count as a crash, and how they are detected.
 
 
-def send_fatal(node, key):
+def send_fatal(node, key, deadline_s=15.0):
     terms = RouteTerms("r", "llm", 1, 1, 1, 0.5, 1.0)
     node.submit(
         RequestArrived(
@@ -28,7 +28,7 @@
             request_id=key,
             team="",
             target="m",
-            deadline_at=node.now + 15.0,
+            deadline_at=node.now + deadline_s,
             tokens=10,
             repeatable=False,
             stream=True,
@@ -64,7 +64,7 @@
         del self.there[self.name]
         self.relist()
 
-    def attempt(self):
+    def attempt(self, deadline_s=15.0):
         """Have the request run at a new endpoint."""
         self.number += 1
         self.empty()
@@ -73,7 +73,7 @@
         self.there[self.name] = self.born
         self.relist()
         self.submit(self.report(self.name, ["m"], started_ms=self.born))
-        send_fatal(self, f"r{self.number}")
+        send_fatal(self, f"r{self.number}", deadline_s)
         last = self.sent[-1]
         self.key = (last.request_id, last.attempt)
         assert last.request_id == f"r{self.number}", self.refused
--- a/features/steps/crash_steps.py
+++ b/features/steps/crash_steps.py
@@ -11,6 +11,8 @@
 from relay_fixture import request as relay_request
 
 from rookspring_core.fingerprints import make_fingerprint
+from rookspring_core.sound_runs import RunLength
+from rookspring_core.sound_runs import SoundRun
 from rookspring_core.suspects import Cleared
 from rookspring_core.suspects import CrashRecord
 from rookspring_core.suspects import EndpointProcess
@@ -200,14 +202,7 @@
     @drawing(max_examples=number, derandomize=True, deadline=None)
     @drawn(strategies.lists(row, max_size=12), strategies.randoms(use_true_random=False))
     def check(rows, random):
-        told = [
-            Evidence(
-                (CrashRecord(name, "", EndpointProcess(f"e{end}", end), float(at + end), True),)
-            )
-            if at % 7
-            else Evidence(cleared=(Cleared(name, float(at)),))
-            for name, end, at in rows
-        ]
+        told = [_make_evidence(*row) for row in rows]
         # A process ends once, so its crash records have one time.
         told = list({_key(one): one for one in told}.values())
         first, second = SuspectTable(), SuspectTable()
@@ -223,11 +218,24 @@
     check()
 
 
+def _make_evidence(name, end, at):
+    """Return a crash record, or of some times a clearing or a sound run."""
+    length = RunLength(end, float(end % 3))
+    if at % 7 == 0:
+        return Evidence(cleared=(Cleared(name, float(at)),))
+    if at % 3 == 0:
+        return Evidence(sound_runs=(SoundRun(name, float(at), length),))
+    process = EndpointProcess(f"e{end}", end)
+    return Evidence((CrashRecord(name, "", process, float(at + end), True, "", length),))
+
+
 def _key(evidence):
     seen = evidence.crash_records
-    return (
-        (seen[0].fingerprint, seen[0].process) if seen else (evidence.cleared[0].fingerprint, None)
-    )
+    if seen:
+        return (seen[0].fingerprint, seen[0].process)
+    if evidence.sound_runs:
+        return evidence.sound_runs[0]
+    return (evidence.cleared[0].fingerprint, None)
 
 
 @given("a table of suspects")
--- a/features/steps/fatal_part_steps.py
+++ b/features/steps/fatal_part_steps.py
@@ -4,6 +4,8 @@
 from part_stage import PartStage
 
 from rookspring_core import defaults
+from rookspring_core.sound_runs import RunLength
+from rookspring_core.sound_runs import SoundRun
 from rookspring_core.suspects import Cleared
 from rookspring_core.suspects import CrashRecord
 from rookspring_core.suspects import EndpointProcess
@@ -78,10 +80,17 @@
     context.suspects = SuspectTable(since=context.now - seconds)
 
 
-def add_crash(context, request, process, subject="part::fa", organisation="", early=True):
+def length_of(events):
+    """Return the length of a run of so many events, 0.05 s apart."""
+    return RunLength(int(events), 0.05 * int(events))
+
+
+def add_crash(
+    context, request, process, subject="part::fa", organisation="", early=True, length=None
+):
     context.now += 0.1
     process = EndpointProcess(f"e{process}", 1)
-    record = CrashRecord(subject, organisation, process, context.now, early, request)
+    record = CrashRecord(subject, organisation, process, context.now, early, request, length)
     context.suspects.merge(Evidence(crash_records=(record,)), context.now)
 
 
@@ -113,6 +122,13 @@
             table.merge(Evidence(cleared=(cleared,)), context.now)
         elif word.endswith(" s"):
             context.now += float(word.split()[0])
+        elif word.startswith("a run of"):
+            context.now += 0.1
+            run = SoundRun("part::fa", context.now, length_of(word.split()[-1]))
+            table.merge(Evidence(sound_runs=(run,)), context.now)
+        elif "-event" in word:
+            length = length_of(word.partition("-")[0])
+            add_crash(context, f"q{request}", process, length=length)
         else:
             add_crash(context, f"q{request}", process, early="late" not in word)
 
--- a/packages/rookspring-core/src/rookspring_core/_suspect_defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/_suspect_defaults.py
@@ -36,6 +36,8 @@
 # ``ABANDONED_RUN_S``.
 CRASH_DETECTION_S = 5.0
 ABANDONED_RUN_S = 0.3
+# Runs that a node has ended and whose processes it still watches, for some seconds each.
+ENDED_RUNS_MAX = 4096
 # Times from two nodes that differ by less than this many seconds denote the same moment.
 SAME_MOMENT_S = 1.0
 # Limits on the suspects that are kept, in all and for each organisation, and on the verdicts, which
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -59,7 +59,8 @@
     state.rates.expire(event.at, state.endpoints)
     state.once.expire_idle(event.at)
     state.stream_versions.tick(event.at)
-    effects = slot_answers.expire_permit_requests(state)
+    effects = suspect_handlers.confirm_sound_runs(state)
+    effects += slot_answers.expire_permit_requests(state)
     effects += requests.sweep(state, passed) + allotment_checks.expire_parked(state)
     if state.relaying:
         was_relay = state.topology.relay
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -282,6 +282,7 @@
 from ._suspect_defaults import ABANDONED_RUN_S as ABANDONED_RUN_S
 from ._suspect_defaults import CRASH_DETECTION_S as CRASH_DETECTION_S
 from ._suspect_defaults import CRASHES_MAX as CRASHES_MAX
+from ._suspect_defaults import ENDED_RUNS_MAX as ENDED_RUNS_MAX
 from ._suspect_defaults import EVIDENCE_S as EVIDENCE_S
 from ._suspect_defaults import LONG_RUN_S as LONG_RUN_S
 from ._suspect_defaults import LONG_RUN_WEIGHT as LONG_RUN_WEIGHT
--- a/packages/rookspring-core/src/rookspring_core/suspect_handlers.py
+++ b/packages/rookspring-core/src/rookspring_core/suspect_handlers.py
@@ -4,6 +4,7 @@
 caller. Without this attribution a single request could crash all endpoints, one after another.
 """
 
+import math
 import typing as t
 
 from . import defaults
@@ -17,6 +18,9 @@
 from .events import RequestArrived
 from .hashing import stable_hash
 from .reducer import handles
+from .sound_runs import UNKNOWN_LENGTH
+from .sound_runs import EndedRun
+from .sound_runs import RunLength
 from .state import NodeState
 from .state import RequestState
 from .suspects import Cleared
@@ -154,6 +158,8 @@
         effects += _merge_and_share(state, Evidence(tuple(confirmed)))
     if event.down:
         effects += _note_process_end(state, process)
+    elif event.sent and state.now >= request.arrived.deadline_at and not event.broken:
+        _note_ended_run(state, request, process)
     return effects
 
 
@@ -163,6 +169,49 @@
         process = EndpointProcess(request.endpoint, request.endpoint_started_ms)
         for record in _record_crash(state, request, process):
             state.suspects.note_left(record)
+        _note_ended_run(state, request, process)
+
+
+def _note_ended_run(state: NodeState, request: RequestState, process: EndpointProcess) -> None:
+    """Record a run that this node ended, which is sound if its process lives on."""
+    length = _measure_run(state, request)
+    if length.events and length != UNKNOWN_LENGTH:
+        ended_at = min(state.now, request.arrived.deadline_at)
+        state.suspects.note_ended_run(
+            EndedRun(process, subjects_of(request.arrived), ended_at, length)
+        )
+
+
+def _measure_run(state: NodeState, request: RequestState) -> RunLength:
+    """Return how far the answer of a running request has come."""
+    if request.arrived.version is not None:
+        return UNKNOWN_LENGTH
+    if request.first_event_at is None:
+        return RunLength(0, 0.0)
+    # A node that stood still notes a deadline late; the run was over by then.
+    until = min(state.now, request.arrived.deadline_at)
+    return RunLength(request.delivered, max(0.0, until - request.first_event_at))
+
+
+def confirm_sound_runs(state: NodeState) -> Effects:
+    """Note which of the runs that this node ended were sound, and tell those that matter."""
+    table = state.suspects
+    runs = table.find_sound_runs(lambda process: _heard_at(state, process), state.now)
+    if not runs:
+        return []
+    before = {one.subject: table.crash_score(one.subject) for one in runs}
+    table.merge(Evidence(sound_runs=runs), state.now)
+    changed = [subject for subject in before if table.crash_score(subject) < before[subject]]
+    told = Evidence(sound_runs=table.dispute_runs(changed))
+    return [] if told.empty() else [ShareEvidence(told, "")]
+
+
+def _heard_at(state: NodeState, process: EndpointProcess) -> float:
+    """Return when anything last came from a process; -inf if it is not known to be there."""
+    view = state.endpoints.get(process.endpoint)
+    if view is None or view.gone or view.down or process_of(view) != process:
+        return -math.inf
+    return view.responded_at
 
 
 def _record_crash(
@@ -180,6 +229,7 @@
             state.now,
             early,
             arrived.fingerprint if is_part(subject) else "",
+            _measure_run(state, request),
         )
         for subject in subjects_of(arrived)
     ]
@@ -256,7 +306,17 @@
     disputed = state.suspects.merge(Evidence(cleared=state.suspects.disputes(evidence)), state.now)
     if not disputed.empty():
         effects.append(ShareEvidence(disputed, ""))
-    return effects
+    return effects + _dispute_runs(state, added, source)
+
+
+def _dispute_runs(state: NodeState, added: Evidence, source: str) -> Effects:
+    """Tell of the sound runs here of subjects that evidence of another node may convict."""
+    if not source:
+        return []
+    subjects = {one.fingerprint for one in added.crash_records}
+    subjects |= {one.fingerprint for one in added.verdicts}
+    told = Evidence(sound_runs=state.suspects.dispute_runs(subjects))
+    return [] if told.empty() else [ShareEvidence(told, "")]
 
 
 @handles(EvidenceReceived)
--- a/packages/rookspring-core/src/rookspring_core/suspects.py
+++ b/packages/rookspring-core/src/rookspring_core/suspects.py
@@ -19,6 +19,14 @@
 
 from . import defaults
 from .hashing import stable_hash
+from .sound_runs import EndedRun
+from .sound_runs import RunLength
+from .sound_runs import SoundRun
+from .sound_runs import SoundRuns
+from .sound_runs import is_over
+from .sound_runs import join_lengths
+from .sound_runs import note_heard
+from .sound_runs import shows_life
 
 if t.TYPE_CHECKING:
     from .events import RequestArrived
@@ -62,6 +70,7 @@
     :param organisation: the organisation that sent it; empty if unknown.
     :param early: whether its response had begun only a short time before, or not at all.
     :param request: fingerprint of the request, where the record is of a part of its prompt.
+    :param length: how far the longest of its runs there had come; None if its node states none.
     """
 
     fingerprint: str
@@ -70,6 +79,7 @@
     at: float
     early: bool
     request: str = ""
+    length: RunLength | None = None
 
 
 class Cleared(t.NamedTuple):
@@ -101,6 +111,7 @@
     cleared: tuple[Cleared, ...] = ()
     verdicts: tuple[Verdict, ...] = ()
     trials: tuple[Trial, ...] = ()
+    sound_runs: tuple[SoundRun, ...] = ()
 
     def empty(self) -> bool:
         """Return whether the batch is empty."""
@@ -157,6 +168,10 @@
         self._digest: int | None = 0
         # When each part was last in a whole answer of this node; the latest at the end.
         self._sound: collections.OrderedDict[str, float] = collections.OrderedDict()
+        # Runs that this node ended, of which it is not known yet whether their process lives on;
+        # and those of which it is.
+        self._ended_runs: list[EndedRun] = []
+        self._sound_runs = SoundRuns()
 
     def use(self, weigh: str) -> None:
         """Weigh crash records with another function from now on."""
@@ -174,7 +189,8 @@
         """
         if record.process in self._ended:
             return [record]
-        self._pending.setdefault(record.process, {})[record.fingerprint] = record
+        pending = self._pending.setdefault(record.process, {})
+        pending[record.fingerprint] = _with_length(record, pending.get(record.fingerprint))
         return []
 
     def note_left(self, record: CrashRecord) -> None:
@@ -185,7 +201,34 @@
         backdated = record._replace(
             at=record.at - defaults.CRASH_DETECTION_S + defaults.ABANDONED_RUN_S
         )
-        self._pending.setdefault(record.process, {}).setdefault(record.fingerprint, backdated)
+        pending = self._pending.setdefault(record.process, {})
+        known = pending.get(record.fingerprint, backdated)
+        pending[record.fingerprint] = _with_length(known, backdated)
+
+    def note_ended_run(self, run: EndedRun) -> None:
+        """Record a run that this node ended, which is sound if its process lives on."""
+        if len(self._ended_runs) < defaults.ENDED_RUNS_MAX:
+            self._ended_runs.append(run)
+
+    def find_sound_runs(
+        self, heard_at: t.Callable[[EndpointProcess], float], now: float
+    ) -> tuple[SoundRun, ...]:
+        """Return the runs of which it shows now that their process has lived on.
+
+        :param heard_at: returns when something last came from a process; -inf if it has ended.
+        """
+        waiting: list[EndedRun] = []
+        found: list[SoundRun] = []
+        for known in self._ended_runs:
+            run = note_heard(known, heard_at(known.process), now)
+            if run.process in self._ended or is_over(run, now):
+                continue
+            if shows_life(run, now):
+                found += [SoundRun(subject, run.at, run.length) for subject in run.subjects]
+            else:
+                waiting.append(run)
+        self._ended_runs = waiting
+        return tuple(found)
 
     def note_process_end(self, process: EndpointProcess, now: float) -> list[CrashRecord]:
         """Record that a process has ended, and return the crash records that this confirms.
@@ -221,9 +264,27 @@
             Cleared(part, self._sound[part]) for part in sorted(suspects) if self._is_doubted(part)
         )
 
+    def dispute_runs(self, subjects: t.Collection[str]) -> tuple[SoundRun, ...]:
+        """Return the sound runs here that speak against evidence by which others may convict."""
+        return tuple(
+            run
+            for subject in sorted(subjects)
+            if self.crash_score(subject) < self._raw_score(subject) >= defaults.SUSPECT_CRASHES
+            for run in self._sound_runs.of(subject)
+        )
+
     def _is_doubted(self, subject: str) -> bool:
-        """Return whether a part that is convicted elsewhere was in whole answers here."""
-        return subject in self._sound and self.crash_score(subject) < self.crashes_needed(subject)
+        """Return whether a subject that is convicted elsewhere was sound here."""
+        if subject in self._sound and self.crash_score(subject) < self.crashes_needed(subject):
+            return True
+        return self._is_voided(subject)
+
+    def _is_voided(self, subject: str) -> bool:
+        """Return whether evidence would convict a subject without the sound runs.
+
+        A node that has a verdict without its evidence can't tell what speaks against it.
+        """
+        return self.crash_score(subject) < self.crashes_needed(subject) <= self._raw_score(subject)
 
     def _was_sound(self, subject: str, at: float) -> bool:
         """Return whether a part was in a whole answer shortly before, or may have been.
@@ -237,12 +298,24 @@
 
     def merge(self, evidence: Evidence, now: float) -> Evidence:
         """Merge evidence of this or another node, and return the part that was not known yet."""
+        sound_runs = tuple(one for one in evidence.sound_runs if self._merge_sound_run(one))
         cleared = tuple(one for one in evidence.cleared if self._merge_cleared(one))
         verdicts = tuple(one for one in evidence.verdicts if self._merge_verdict(one, now))
         records = tuple(one for one in evidence.crash_records if self._merge_record(one, now))
         trials = tuple(one for one in evidence.trials if self._merge_trial(one, now))
         self._digest = None
-        return Evidence(records, cleared, verdicts, trials)
+        return Evidence(records, cleared, verdicts, trials, sound_runs)
+
+    def _merge_sound_run(self, run: SoundRun) -> bool:
+        added = self._sound_runs.add(run)
+        self._lift_voided(run.subject)
+        return added
+
+    def _lift_voided(self, subject: str) -> None:
+        """Remove the verdict on a subject against whose evidence sound runs speak."""
+        if subject in self._verdicts and self._is_voided(subject):
+            del self._verdicts[subject]
+            self._digest = None
 
     def _merge_cleared(self, cleared: Cleared) -> bool:
         if self._cleared.get(cleared.fingerprint, -1e9) >= cleared.at - defaults.SAME_MOMENT_S:
@@ -270,13 +343,16 @@
             return False
         rows = self._records.setdefault(fingerprint, {})
         known = rows.get(record.process)
-        if known is not None and known.request <= record.request:
+        kept = known if known is not None and known.request <= record.request else record
+        kept = _with_length(kept, known, record)
+        if kept == known:
             return False
-        rows[record.process] = record
+        rows[record.process] = kept
         self._trials.pop(fingerprint, None)
         if self.crash_score(fingerprint) >= self.crashes_needed(fingerprint):
             until = record.at + self._verdict_s(fingerprint)
             self._merge_verdict(Verdict(fingerprint, record.organisation, until), now)
+        self._lift_voided(fingerprint)
         self._bound(record.organisation)
         return True
 
@@ -344,6 +420,7 @@
         self._cleared = {name: at for name, at in self._cleared.items() if at > oldest}
         self._trials = {name: until for name, until in self._trials.items() if until > now}
         self._ended = {process: at for process, at in self._ended.items() if at > oldest}
+        self._sound_runs.expire(oldest)
         oldest_pending = now - defaults.CRASH_DETECTION_S
         for process, pending in list(self._pending.items()):
             if all(one.at < oldest_pending for one in pending.values()):
@@ -369,9 +446,20 @@
     def crash_score(self, fingerprint: str) -> float:
         """Return the weight of the evidence against a suspect, in crashes.
 
-        Each request counts once against a part: one that is retried may be under several crashes.
+        Crashes that a later sound run speaks against don't count.
         """
         rows = self._records.get(fingerprint, {}).values()
+        return self._score(fingerprint, [one for one in rows if not self._sound_runs.void(one)])
+
+    def _raw_score(self, fingerprint: str) -> float:
+        """Return the weight of the evidence for a node that knows of no sound run."""
+        return self._score(fingerprint, self._records.get(fingerprint, {}).values())
+
+    def _score(self, fingerprint: str, rows: t.Iterable[CrashRecord]) -> float:
+        """Return the weight of crash records of a subject.
+
+        Each request counts once against a part: one that is retried may be under several crashes.
+        """
         if not is_part(fingerprint):
             return self._weigh(rows)
         by_request: dict[str, CrashRecord] = {}
@@ -414,7 +502,13 @@
         ]
         cleared = [Cleared(name, at) for name, at in self._cleared.items()]
         trials = [Trial(name, until) for name, until in self._trials.items() if until > now]
-        return Evidence(tuple(records), tuple(cleared), tuple(self.verdicts(now)), tuple(trials))
+        return Evidence(
+            tuple(records),
+            tuple(cleared),
+            tuple(self.verdicts(now)),
+            tuple(trials),
+            self.dispute_runs(set(self._records)),
+        )
 
     def digest(self) -> int:
         """Return a hash that is equal on nodes that have the same suspects and verdicts."""
@@ -434,3 +528,11 @@
 
 def _organisation_of(rows: t.Mapping[EndpointProcess, CrashRecord]) -> str:
     return next((one.organisation for one in rows.values()), "")
+
+
+def _with_length(record: CrashRecord, *others: CrashRecord | None) -> CrashRecord:
+    """Return a record with the length that covers its own and those of others."""
+    length = record.length
+    for other in others:
+        length = join_lengths(length, other.length if other is not None else None)
+    return record._replace(length=length)
--- a/packages/rookspring/src/rookspring/_endpoint_messages.py
+++ b/packages/rookspring/src/rookspring/_endpoint_messages.py
@@ -15,6 +15,8 @@
 from .message_rows import LoadRow
 from .message_rows import Number
 from .message_rows import RateLimitRow
+from .message_rows import RunRow
+from .message_rows import SoundRunRow
 from .message_rows import SpeedRow
 from .message_rows import SpeedSampleRow
 from .message_rows import TrialRow
@@ -118,14 +120,15 @@
     """Evidence of requests that crash endpoints; see ``Evidence``. All times are in seconds.
 
     :param crash_records: rows of fingerprint, organisation, endpoint, start time of its process,
-        age, and whether the crash was early in the request.
-    :param cleared: rows of fingerprint and age.
+        age, and whether the crash was early in the request; and rows of how far these runs had
+        come, which nodes of earlier versions leave out.
+    :param cleared: rows of fingerprint and age; and of sound runs, likewise.
     :param verdicts: rows of fingerprint, organisation and remaining time.
     :param trials: rows of fingerprint and remaining time.
     """
 
-    crash_records: list[CrashRow]
-    cleared: list[ClearedRow]
+    crash_records: list[CrashRow | RunRow]
+    cleared: list[ClearedRow | SoundRunRow]
     verdicts: list[VerdictRow]
     trials: list[TrialRow]
 
--- a/packages/rookspring/src/rookspring/message_rows.py
+++ b/packages/rookspring/src/rookspring/message_rows.py
@@ -149,6 +149,25 @@
     request: str
 
 
+class RunRow(t.NamedTuple):
+    """How far the run of a request had come as its endpoint crashed; see ``RunLength``."""
+
+    fingerprint: str
+    endpoint: str
+    started_ms: StartMs
+    events: Version
+    seconds: Age
+
+
+class SoundRunRow(t.NamedTuple):
+    """A run after which its endpoint lived on, and its age; see ``SoundRun``."""
+
+    fingerprint: str
+    age_s: Age
+    events: Version
+    seconds: Age
+
+
 class ClearedRow(t.NamedTuple):
     """A request that was found not to crash endpoints, and the age of that finding."""
 
