Check and note the events of a stream that another node passes on

Cause: _pass_stream_on passed events on without reading their ids, so an event that went back reached the caller, and what was handed over again would have asked for the rest after the wrong event.

Change: the order check of _relay_stream, and the last event is noted. Events after which a stream can go on are told to the reducer as progress. An end within an event, or one that is read at the request's deadline or later, is none: the deadline ends a run wherever it runs. The check of the deadline is its own here: what check_last_chunk knows is of this node's endpoints.

Failed before: features/run.py features/passed_on_streams.feature, 11 of 12 rows ("ASSERT FAILED: ['1', '2', '2']", "... last event: 2"). Two mutants follow the new parameters. 3 new mutants, all caught, and the two that changed.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -114,7 +114,9 @@
 _begin_stream = relay_attempts._begin_stream
 
 
-async def _pass_bytes_on(exchange: t.Any, reply: t.Any, splitter: EventSplitter) -> None:
+async def _pass_bytes_on(
+    context: t.Any, effect: t.Any, exchange: t.Any, reply: t.Any, splitter: EventSplitter
+) -> None:
     """Pass an answer of another node on as it comes, and count its parts."""
     while part := await reply.next_part():
         exchange.count_events(1, relay_handovers.clock.now())
--- a/bench/isolation_mutants.py
+++ b/bench/isolation_mutants.py
@@ -9,12 +9,14 @@
 from rookspring_core import endpoint_reach
 from rookspring_core import handovers
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.event_order import EventOrder
 from rookspring_core.reach import Reach
 
 from .mutant import BEGUN_STREAMS
 from .mutant import HANDOVERS
 from .mutant import HANDOVERS_SOCKETS
 from .mutant import ISOLATION
+from .mutant import PASSED_ON
 from .mutant import Mutant
 
 
@@ -90,9 +92,11 @@
         self.ejected_until = -1e9
 
 
-async def _pass_all_on(exchange: t.Any, reply: t.Any, head: t.Any, answers: t.Any) -> None:
+async def _pass_all_on(
+    context: t.Any, effect: t.Any, exchange: t.Any, reply: t.Any, head: t.Any, answers: t.Any
+) -> None:
     exchange.started = False
-    await _pass_on(exchange, reply, head, answers)
+    await _pass_on(context, effect, exchange, reply, head, answers)
 
 
 _pass_on = relay_handovers._pass_on
@@ -106,7 +110,56 @@
 _write_request = relay_handovers._write_request
 
 
+class _AnyOrder(EventOrder):
+    """Takes events in any order."""
+
+    def accept(self, ids: t.Sequence[str | None]) -> str:
+        self.last = next((one for one in reversed(ids) if one), self.last)
+        return ""
+
+
+def _note_progress_alone(
+    context: t.Any, effect: t.Any, exchange: t.Any, events: t.Any, last: str
+) -> None:
+    before = exchange.last_event
+    _note_events(context, effect, exchange, events, last)
+    exchange.last_event = before
+
+
+def _tell_all_events(
+    context: t.Any, effect: t.Any, exchange: t.Any, events: t.Any, last: str
+) -> None:
+    _note_events(context, effect, exchange, events, last or "0")
+
+
+_note_events = relay_handovers._note_events
+
+
 MUTANTS = (
+    Mutant(
+        "passes events in any order on",
+        "isolated node",
+        relay_handovers,
+        "EventOrder",
+        _AnyOrder,
+        PASSED_ON,
+    ),
+    Mutant(
+        "forgets what it passed on",
+        "isolated node",
+        relay_handovers,
+        "_note_events",
+        _note_progress_alone,
+        PASSED_ON,
+    ),
+    Mutant(
+        "takes events without ids as progress",
+        "isolated node",
+        relay_handovers,
+        "_note_events",
+        _tell_all_events,
+        PASSED_ON,
+    ),
     Mutant(
         "sends a second head",
         "isolated node",
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -38,6 +38,10 @@
     had no other prompt to read and was not busy.
     """
     request = requests.find_running(state, event.request_id, event.attempt)
+    if request is not None and request.handed_to:
+        # It runs at another node, so it shows nothing of this node's endpoints.
+        request.delivered += event.tokens
+        return []
     if request is not None:
         request.delivered += event.tokens
         request.attempts_without_token = 0
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -5,13 +5,16 @@
 """
 
 from rookspring_core.effects import HandOver
+from rookspring_core.event_order import EventOrder
 from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import AttemptSucceeded
 
 from . import clock
 from . import defaults
 from .answer_memory import AnswerMemory
+from .event_streams import Events
 from .event_streams import EventSplitter
 from .event_streams import is_stream
 from .exceptions import EndpointError
@@ -84,7 +87,7 @@
         reply = connection.send_request(data, lambda head: True, lambda head: None, no_body)
         head = await reply.wait_head()
         check_refusal(head, effect.sends)
-        await _pass_on(exchange, reply, head, context.peer_pool.answers)
+        await _pass_on(context, effect, exchange, reply, head, context.peer_pool.answers)
     finally:
         # An answer that was not read to its end is cancelled at the other node by the close.
         context.peer_pool.release_or_close(effect.address, connection)
@@ -116,7 +119,12 @@
 
 
 async def _pass_on(
-    exchange: RelayExchange, reply: Reply, head: HttpHead, answers: AnswerMemory
+    context: RelayContext,
+    effect: HandOver,
+    exchange: RelayExchange,
+    reply: Reply,
+    head: HttpHead,
+    answers: AnswerMemory,
 ) -> None:
     """Pass an answer on: one with a length once it is complete, any other as it arrives.
 
@@ -129,7 +137,7 @@
     if exchange.started:
         if not is_stream(head) or not in_parts:
             raise EndpointError(f"answered {head.status}", sent=True)
-        await _pass_stream_on(exchange, reply, EventSplitter(continues=True))
+        await _pass_stream_on(context, effect, exchange, reply, EventSplitter(continues=True))
         return
     headers = end_to_end_headers(head.headers)
     if not in_parts:
@@ -141,16 +149,49 @@
         return
     exchange.started = True
     exchange.connection.begin(head.status, headers, None)
-    await _pass_stream_on(exchange, reply, EventSplitter())
+    await _pass_stream_on(context, effect, exchange, reply, EventSplitter())
 
 
-async def _pass_stream_on(exchange: RelayExchange, reply: Reply, splitter: EventSplitter) -> None:
+async def _pass_stream_on(
+    context: RelayContext,
+    effect: HandOver,
+    exchange: RelayExchange,
+    reply: Reply,
+    splitter: EventSplitter,
+) -> None:
+    """Pass events on as they arrive, and note after which one the stream could go on.
+
+    :raises EndpointError: if an event does not follow the last one, or if the stream ends within an
+        event or at the request's deadline, which ends it wherever it runs.
+    """
+    last_event = exchange.last_event if exchange.route.resumable else ""
+    order = EventOrder(last_event, begun=exchange.events > 0)
     while part := await reply.next_part():
         events = splitter.feed(part)
-        if events.number:
-            exchange.count_events(events.number, clock.now())
-        if events.data:
-            await exchange.connection.send(events.data)
-    if rest := splitter.incomplete():
-        await exchange.connection.send(rest)
+        if not events.data:
+            continue
+        if fault := order.accept(events.ids):
+            raise EndpointError(fault, sent=True)
+        _note_events(context, effect, exchange, events, order.last)
+        await exchange.connection.send(events.data)
+    if splitter.breaks_off():
+        raise EndpointError("broke off within an event", sent=True)
+    if clock.now() >= exchange.deadline_at:
+        raise EndpointError("deadline", sent=True)
+    if comment := splitter.incomplete():
+        await exchange.connection.send(comment)
     exchange.connection.end()
+
+
+def _note_events(
+    context: RelayContext, effect: HandOver, exchange: RelayExchange, events: Events, last: str
+) -> None:
+    """Note events that are passed on; those after which a stream can go on are progress of it."""
+    now = clock.now()
+    if events.ids:
+        exchange.last_event = last
+    if not events.number:
+        return
+    exchange.count_events(events.number, now)
+    if exchange.route.resumable and last:
+        context.submit(AttemptProgressed(now, exchange.key, effect.attempt, events.number))
