Go on with a handed-over stream whose node is lost after an event

Cause: handovers.recover ended whatever had been sent, so a stream that may be resumed was cut as its node was lost, though attempts were left.

Change: it goes on after its last event, at another node or at an endpoint if this node reaches one again, within the route's attempts, HANDOVER_TRIES_MAX, the deadline and the resend window, and at the version that began it (known here, or refused where several serve). What may not be resumed, or has had no event with an id, ends as before. The handover counts as one send: how often the lost node sent it isn't known.

--- a/bench/isolation_mutants.py
+++ b/bench/isolation_mutants.py
@@ -135,7 +135,64 @@
 _note_events = relay_handovers._note_events
 
 
+def _take_all_up(state: t.Any, request: t.Any, event: t.Any) -> bool:
+    """Take every cut handover up, within the limits."""
+    return bool(event.sent) and handovers.routed.may_retry(state, request, event)
+
+
+def _take_up_freely(state: t.Any, request: t.Any, event: t.Any) -> bool:
+    return bool(event.sent and request.delivered and request.arrived.repeatable)
+
+
+def _retry_anywhere(state: t.Any, request: t.Any, event: t.Any) -> bool:
+    """Hand over within the route's limit, to however many nodes."""
+    delivered = bool(event.sent and request.delivered)
+    return delivered and handovers.routed.may_retry(state, request, event)
+
+
+def _take_back_for_any(state: t.Any, request: t.Any) -> None:
+    before = request.arrived
+    _take_back(state, request)
+    request.arrived = before
+
+
+_take_back = handovers.take_back
+
+
 MUTANTS = (
+    Mutant("takes up nothing", "isolated node", handovers, "may_go_on", _never, ISOLATION),
+    Mutant(
+        "takes up what is not begun",
+        "isolated node",
+        handovers,
+        "may_go_on",
+        _take_all_up,
+        ISOLATION,
+    ),
+    Mutant(
+        "takes up without limits",
+        "isolated node",
+        handovers,
+        "may_go_on",
+        _take_up_freely,
+        ISOLATION,
+    ),
+    Mutant(
+        "hands over to all in turn",
+        "isolated node",
+        handovers,
+        "may_go_on",
+        _retry_anywhere,
+        ISOLATION,
+    ),
+    Mutant(
+        "goes on at any version",
+        "isolated node",
+        handovers,
+        "take_back",
+        _take_back_for_any,
+        ISOLATION,
+    ),
     Mutant(
         "passes events in any order on",
         "isolated node",
--- a/features/isolation.feature
+++ b/features/isolation.feature
@@ -45,6 +45,36 @@
       | an unsafe   | is left by its caller                | cancelled   | 1     |
       | an unsafe   | is unanswered as the grace time ends | 502 unknown | 1     |
 
+  Scenario Outline: a stream of which events have come goes on elsewhere if its node is lost
+    Given a node of data centre z with 3 endpoints and other nodes b in z, c in z, d in z, e in z
+    When it finds that it reaches no endpoint
+    And <kind> stream of <sends> sends is handed over, and <times> times <what>
+    Then it ends as <end> after <handovers> handovers
+
+    Examples:
+      | kind          | sends | times | what                                       | end         | handovers |
+      | a resumable   | 2     | 1     | is cut after an event                      | answered    | 2         |
+      | a resumable   | 2     | 2     | is cut after an event                      | 502 unknown | 2         |
+      | a resumable   | 9     | 4     | is cut after an event                      | 502 unknown | 3         |
+      | an unresumable | 9    | 1     | is cut after an event                      | 502 unknown | 1         |
+      | a resumable   | 9     | 1     | is cut before an event                     | 502 unknown | 1         |
+      | a resumable   | 9     | 1     | is late after an event                     | 504 unknown | 1         |
+      | a resumable   | 9     | 1     | is cut after an event, with no resend left | 502 unknown | 1         |
+
+  Scenario Outline: a stream whose node is lost goes on here if this node reaches endpoints again
+    Given a node of data centre z with 3 endpoints and other nodes b in z, c in z
+    And its endpoints are of <versions>
+    When it finds that it reaches no endpoint
+    And a resumable stream is handed over and has an event, and this node reaches endpoints again
+    And the other node is lost
+    Then the handed-over stream <then>
+
+    Examples:
+      | versions                                    | then                    |
+      | one version                                 | is sent to one of these |
+      | two versions                                | is cut                  |
+      | two versions, and the second is known to have begun it | is sent to one of the second |
+
   Scenario: what was handed over is not handed on
     Given a node of data centre z with 3 endpoints and other nodes b in z
     When it finds that it reaches no endpoint
--- a/features/steps/begun_stream_steps.py
+++ b/features/steps/begun_stream_steps.py
@@ -5,6 +5,12 @@
 from relay_fixture import read_raw
 from relay_fixture import request
 
+from rookspring import clock
+from rookspring_core.events import ReachProbed
+from rookspring_fakes.resets import close_connection
+from rookspring_fakes.resets import reset_connection
+
+LOSSES = {"close": close_connection, "reset": reset_connection}
 # What the endpoints do with the rest of a stream.
 LATER_STEPS = {
     "go on after the third": "stream",
@@ -36,6 +42,38 @@
     context.loop.run(work())
 
 
+@when("a {kind} stream is handed over, and the other node is lost after event 3, by a {how}")
+def handed_over_and_lost(context, kind, how):
+    context.kind = kind
+    context.loss = LOSSES[how]
+
+
+@when("the first node reaches endpoints again before that")
+def reaches_before(context):
+    stage = context.cut_stage
+    for server in stage.relay.servers:
+        server.script = ["stall after 3"]
+
+    async def work():
+        first, second = stage.nodes
+        port = first.listeners["callers"].port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(request(context.kind))
+        context.raw = b""
+        while b"id: 3" not in context.raw:
+            context.raw += await asyncio.wait_for(reader.read(65536), 2.0)
+        stage.heal()
+        for server in stage.relay.servers:
+            server.script = []
+        first.context.submit(ReachProbed(clock.now(), True))
+        for connection in list(second.listeners["callers"].connections):
+            context.loss(connection._transport)
+        context.raw += await read_raw(reader)
+        writer.close()
+
+    context.loop.run(work())
+
+
 @when("the endpoints then {do}")
 def endpoints_then(context, do):
     stage = context.cut_stage
--- a/features/steps/isolated_request_steps.py
+++ b/features/steps/isolated_request_steps.py
@@ -6,13 +6,19 @@
 from isolation_harness import IsolationHarness
 from relay_harness import make_table
 
+from rookspring_core import routed
 from rookspring_core.effects import AskSlot
 from rookspring_core.effects import Cancel
 from rookspring_core.effects import FreeSlot
 from rookspring_core.effects import HandOver
+from rookspring_core.events import AttemptFailed
+from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
+from rookspring_core.events import BoxListed
+from rookspring_core.events import BoxListReceived
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import GraceEnded
+from rookspring_core.events import OriginReceived
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTableSeen
 from rookspring_core.events import RouteTerms
@@ -122,6 +128,93 @@
         node.submit(GraceEnded(node.now))
 
 
+@when("{kind} stream of {sends:d} sends is handed over, and {times:d} times {what}")
+def handed_stream(context, kind, sends, times, what):
+    node = context.node
+    window = routed.resend_window(node.state, "svc")
+    for _ in range(REQUESTS_BEFORE):
+        window.earn(node.now)
+    while "no resend left" in what and window.spend(node.now):
+        pass
+    node.ask(kind="safe" if kind == "a resumable" else "unsafe", attempts=sends, deadline_s=2.0)
+    for _ in range(times):
+        effect = node.effects(HandOver)[-1]
+        if "before an event" not in what:
+            node.submit(AttemptStarted(node.now, effect.request_id, effect.attempt))
+            node.submit(AttemptProgressed(node.now, effect.request_id, effect.attempt, 1))
+        if "late" in what:
+            node.now += 2.5
+        node.meet_handover((True, "connection reset"))
+    if node.state.requests:
+        node.meet_handover()
+
+
+# Requests that earned their service resends before.
+REQUESTS_BEFORE = 200
+# The versions of the three endpoints, and that which is known to have begun the stream.
+VERSIONS = {
+    "one version": (("",) * 3, ""),
+    "two versions": (("v1", "v2", "v2"), ""),
+    "two versions, and the second is known to have begun it": (("v1", "v2", "v2"), "v2"),
+}
+
+
+@given("its endpoints are of {which}")
+def endpoint_versions(context, which):
+    node = context.node
+    versions, context.origin = VERSIONS[which]
+    rows = [
+        BoxListed(f"e{one}", f"10.0.0.{one}:{one}", "z", "service", "live", "svc", version=version)
+        for one, version in enumerate(versions)
+    ]
+    node.submit(BoxListReceived(node.now, tuple(rows)))
+
+
+@when("a resumable stream is handed over and has an event, and this node reaches endpoints again")
+def reaches_again(context):
+    node = context.node
+    terms = RouteTerms("r", "svc", 1, 1, 2, 0.1, 0.4)
+    arrived = RequestArrived(
+        node.now,
+        "r1",
+        "",
+        "svc",
+        service=True,
+        deadline_at=node.now + 5.0,
+        route=terms,
+        stream=True,
+        stream_id="s1",
+    )
+    node.submit(arrived)
+    context.effect = effect = node.effects(HandOver)[-1]
+    if context.origin:
+        node.submit(OriginReceived(node.now, "s1", context.origin, 30.0))
+    node.submit(AttemptStarted(node.now, "r1", effect.attempt))
+    node.submit(AttemptProgressed(node.now, "r1", effect.attempt, 3))
+    node.isolate(reached=True)
+
+
+@when("the other node is lost")
+def other_node_lost(context):
+    failed = AttemptFailed(
+        context.node.now, "r1", context.effect.attempt, True, False, "connection reset"
+    )
+    context.node.submit(failed)
+
+
+@then("the handed-over stream {then}")
+def stream_goes_on(context, then):
+    node = context.node
+    sent = [one for one in node.sent if one.request_id == "r1"]
+    if then == "is cut":
+        assert not sent and [one.status for one in node.refused] == [502], node.refused
+        return
+    assert len(sent) == 1 and not node.refused, (sent, node.refused)
+    if "second" in then:
+        assert node.state.endpoints[sent[0].endpoint].software_version() == "v2"
+    assert not node.state.reach.handed, node.state.reach.handed
+
+
 @when("it can't be sent to b either")
 def unsent_to_b(context):
     context.node.meet_handover((False, "ConnectionRefusedError"))
--- a/packages/rookspring-core/src/rookspring_core/handovers.py
+++ b/packages/rookspring-core/src/rookspring_core/handovers.py
@@ -3,7 +3,9 @@
 The other node admits a request as its own work: it checks the key, charges the organisation's
 allotment, chooses an endpoint and counts the sends. Here nothing is charged or counted for it. Its
 outcome is unknown from the first byte handed over until the other node has answered, so it is
-handed over again only if nothing was sent. What was handed over is not handed on.
+handed over again only if nothing was sent. A stream that may be resumed, and of which events were
+passed on, goes on after the last of them as one does whose endpoint was lost: at another node, or
+at an endpoint if this node reaches one again. What was handed over is not handed on.
 """
 
 import typing as t
@@ -13,9 +15,11 @@
 from . import missing_models
 from . import place_requests
 from . import requests
+from . import routed
 from . import slot_requests
 from .effects import Effect
 from .effects import HandOver
+from .endpoints import UNKNOWN_VERSION
 from .events import AttemptFailed
 from .events import RequestArrived
 from .hashing import stable_hash
@@ -122,6 +126,33 @@
     return requests.fail_request(state, request, status, "handover_failed", text, after_s)
 
 
+def may_go_on(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
+    """Return whether a stream that was handed over goes on elsewhere after its node was lost.
+
+    The handover counts as one send towards the route's limit, and what follows towards the
+    service's resend window; how often the lost node sent it is not known.
+    """
+    if not event.sent or not request.delivered or not request.arrived.repeatable:
+        return False
+    isolated = applies(state, request.arrived)
+    if isolated and len(request.nodes_tried) >= defaults.HANDOVER_TRIES_MAX:
+        return False
+    return routed.may_retry(state, request, event)
+
+
+def take_back(state: NodeState, request: RequestState) -> None:
+    """Take a stream back that was handed over, to go on at the version that began it."""
+    state.reach.count_handed(request.handed_to, -1)
+    request.handed_to = ""
+    request.running = False
+    request.sent = True
+    request.maybe_ran = True
+    arrived = request.arrived
+    if arrived.version is None:
+        version = state.stream_versions.find(arrived.stream_id, state.now)
+        request.arrived = arrived._replace(version=version or UNKNOWN_VERSION)
+
+
 def reaching_peers(state: NodeState) -> t.Iterator[Peer]:
     """Yield the live nodes that reach endpoints and serve callers."""
     for peer in state.membership.peers.values():
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -64,6 +64,9 @@
     request = requests.find_running(state, event.request_id, event.attempt)
     if request is None:
         return []
+    if request.handed_to and handovers.may_go_on(state, request, event):
+        handovers.take_back(state, request)
+        return _requeue(state, request)
     if request.handed_to:
         return handovers.recover(state, request, event)
     # Once any attempt may have run, a later "not run" from another endpoint does not undo it.
