Hold back the end of an answer in chunks at an endpoint that ends as planned, and look whether it lives on

Cause: a server that stops may end its streams cleanly in their midst, and a last chunk was believed though this node knew that its endpoint leaves, is gone, or that the time that it had stated is over. An end in that time's last 0.5 s or later is doubted; at an endpoint that leaves or is gone it is where the rest can be asked of another. A doubted end is held for 0.3 s: a process whose connection is open then, or that still listens, has not ended it as it stopped.

--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -38,7 +38,7 @@
 
 
 async def begin(context, kind):
-    """Send a request, and return its task and its endpoint, which has sent what it does at first."""
+    """Send a request, and return its task and its endpoint, once the answer has begun."""
     relay = context.relay
     task = asyncio.ensure_future(relay.ask(request(kind)))
     await relay.until(lambda: relay.runs)
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 import random
 import time
 import typing as t
@@ -50,6 +51,8 @@
 
     # How much sooner than told it finds the time of a request over, in seconds.
     clock_ahead_s = 0.0
+    # The time left to it that its entry and report state, in milliseconds; left out if None.
+    remaining_ms: t.Any = None
 
     def __init__(self, name: str, script: t.Sequence[str] = ()) -> None:
         self.name = name
@@ -95,10 +98,6 @@
         # The state in its report, left out if empty; and the number of reports that were read.
         self.state = ""
         self.reports = 0
-        # The time left to it that its entry and report state, in milliseconds; left out if None.
-        # Set as it begins to stop.
-        self.remaining_ms: t.Any = None
-        self.stopping = asyncio.Event()
         # The runs that its report lists, with the events that each has made, by request; its report
         # tells none if this is None.
         self.listed_runs: dict[str, int] | None = None
@@ -136,6 +135,11 @@
         self.checks_refused = 0
         self.checks: list[str] = []
 
+    @functools.cached_property
+    def stopping(self) -> asyncio.Event:
+        """Set as it begins to end its answers, since it ends as planned."""
+        return asyncio.Event()
+
     async def start(self, port: int = 0) -> None:
         """Listen on a port, or on a free one."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -382,7 +386,8 @@
         state: dict[str, t.Any] = {"state": self.state} if self.state else {}
         if self.listed_runs is not None:
             state["runs"] = [[one, 300, made, 5] for one, made in self.listed_runs.items()]
-        return self._state_remaining() | state | {
+        state |= self._state_remaining()
+        return state | {
             "stage": "both",
             "models": self._list_models(),
             "utilization": False,
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import itertools
+import math
 import typing as t
 
 from rookspring_core import answer_ends
@@ -32,6 +33,8 @@
 from .exceptions import CallerError
 from .exceptions import CallerGone
 from .exceptions import EndpointError
+from .http_client import ClientConnection
+from .http_client import Reply
 from .http_messages import HttpHead
 from .http_messages import HttpRequest
 from .http_server import ServerConnection
@@ -51,6 +54,15 @@
     body: bytes
 
 
+class EndpointAnswer(t.NamedTuple):
+    """An endpoint's answer to one attempt, as it arrives, and the connection on which it does."""
+
+    reply: Reply
+    head: HttpHead
+    view: EndpointView
+    connection: ClientConnection
+
+
 class RelayExchange:
     """One caller's request and the connection that waits for its answer."""
 
@@ -121,7 +133,8 @@
         """Return what the log states of the time at an answer's end, and of its endpoint's state.
 
         Seconds until the request's deadline, and until the end of the time that the endpoint was
-        told (none if it was told none); whether the endpoint was leaving or gone from the list.
+        told (none if it was told none); whether the endpoint was leaving or gone from the list, and
+        seconds until the end of the time that it stated for itself (none if it stated none).
         """
         now = clock.now()
         view = self.endpoint
@@ -129,6 +142,7 @@
             "left_s": self.deadline_at - now,
             "told_left_s": self.told_until - now if self.told_until else "",
             "leaving": view is not None and (view.leaving or view.gone),
+            "ends_left_s": "" if view is None or view.ends_at == math.inf else view.ends_at - now,
         }
 
     def reschedule_timeout(self) -> None:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -1,6 +1,5 @@
 """Attempts of relayed requests at endpoints, and the answers to their callers."""
 
-import asyncio
 import typing as t
 
 from rookspring_core import notice_handlers
@@ -31,6 +30,7 @@
 from .http_messages import end_to_end_headers
 from .http_messages import write_request
 from .logs import log
+from .relay import EndpointAnswer
 from .relay import HeldAnswer
 from .relay import RelayExchange
 from .relay import end_exchange
@@ -40,6 +40,9 @@
 from .relay_context import handles_relay_effect
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
+from .relay_planned_ends import find_doubt
+from .relay_planned_ends import lives_on
+from .relay_reach import is_down
 
 
 @handles_relay_effect(Dispatch)
@@ -88,25 +91,16 @@
         # The cause that is recorded for the failure depends on whether the endpoint's process
         # has ended. That is checked at once: the next request to it would detect it later,
         # on another node, or never.
-        error.down = await _is_down(context, exchange, view)
+        error.down = await is_down(context, view.address, exchange.deadline_at)
     elif error.open_ended:
         # Such an end is that of a crash only if the process has ended as well.
-        error.down = error.broken = await _is_down(context, exchange, view)
+        error.down = await is_down(context, view.address, exchange.deadline_at)
+        error.broken = error.down
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
     _submit_failure(context, effect, error)
 
 
-async def _is_down(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bool:
-    """Return whether an endpoint's process is found to have ended before the caller's deadline."""
-    left_s = exchange.deadline_at - clock.now()
-    try:
-        async with asyncio.timeout(max(0.0, left_s)):
-            return await context.pool.is_down(view.address)
-    except TimeoutError:
-        return False
-
-
 async def _check_reach(context: RelayContext, view: EndpointView, error: EndpointError) -> None:
     """Tell no end of an endpoint where this node reaches none, since its own way is broken."""
     if not await context.reach_probes.confirm(view.name):
@@ -177,7 +171,8 @@
         no_body = exchange.request.method == b"HEAD"
         reply = connection.send_request(data, accept, hear, no_body, request_id)
         head = await reply.wait_head()
-        await _relay_answer(context, effect, exchange, reply, head, verdicts[-1], view)
+        answer = EndpointAnswer(reply, head, view, connection)
+        await _relay_answer(context, effect, exchange, answer, verdicts[-1])
     finally:
         # Closes the connection if the answer was not read to its end, which also shows the
         # endpoint that no caller waits for it.
@@ -206,11 +201,10 @@
     context: RelayContext,
     effect: Dispatch,
     exchange: RelayExchange,
-    reply: Reply,
-    head: HttpHead,
+    answer: EndpointAnswer,
     verdict: AnswerMatch,
-    view: EndpointView,
 ) -> None:
+    head = answer.head
     exchange.framing = head.framing()
     if verdict.not_run:
         raise EndpointError(
@@ -223,9 +217,9 @@
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
-        await _relay_stream(context, effect, exchange, reply, head)
+        await _relay_stream(context, effect, exchange, answer)
         return
-    body = await read_body(context, exchange, reply, head, view)
+    body = await read_body(context, exchange, answer)
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
@@ -243,10 +237,10 @@
     context: RelayContext,
     effect: Dispatch,
     exchange: RelayExchange,
-    reply: Reply,
-    head: HttpHead,
+    answer: EndpointAnswer,
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
+    reply, head = answer.reply, answer.head
     splitter = EventSplitter(exchange.started, unframed=head.framing() == "close")
     meter = GapMeter()
     last_event = exchange.last_event if exchange.route.resumable else ""
@@ -278,6 +272,7 @@
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
     _check_stream_end(reply, got_something)
     exchange.check_last_chunk(head)
+    await _check_stop(context, exchange, answer, got_something)
     _begin_stream(exchange, head)
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
@@ -300,6 +295,18 @@
         raise _open_end("connection closed, and nothing shows the answer's end", got_something)
 
 
+async def _check_stop(
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, got_something: bool
+) -> None:
+    """Check that an endpoint that ends as planned has not ended a stream in chunks as it stopped.
+
+    :raises EndpointError: if it may have.
+    """
+    doubt = find_doubt(context, exchange, answer)
+    if doubt is not None and not await lives_on(context, exchange, answer, doubt):
+        raise _open_end(doubt.cause, got_something)
+
+
 def _open_end(reason: str, got_something: bool) -> EndpointError:
     return EndpointError(reason, sent=True, broken=not got_something, open_ended=got_something)
 
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -9,15 +9,16 @@
 from rookspring_core import body_ends
 from rookspring_core.body_ends import BodyHead
 from rookspring_core.body_ends import Sign
-from rookspring_core.endpoints import EndpointView
 
 from . import defaults
 from .exceptions import EndpointError
-from .http_client import Reply
 from .http_messages import HttpHead
 from .logs import log
+from .relay import EndpointAnswer
 from .relay import RelayExchange
 from .relay_context import RelayContext
+from .relay_planned_ends import find_doubt
+from .relay_planned_ends import lives_on
 
 NO_END = "nothing shows the answer's end"
 # The least status that tells a failure of the endpoint.
@@ -27,17 +28,14 @@
 
 
 async def read_body(
-    context: RelayContext,
-    exchange: RelayExchange,
-    reply: Reply,
-    head: HttpHead,
-    view: EndpointView,
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer
 ) -> bytes:
     """Read the body of an answer, and check that it is whole.
 
     :raises EndpointError: if it is cut, or if nothing shows that it is whole; the request may have
         run.
     """
+    reply, head = answer.reply, answer.head
     # A failure that the status tells is one whatever the body's end.
     sound = head.status < SERVER_ERROR
     try:
@@ -46,26 +44,32 @@
         if reply.failed_by_close:
             raise EndpointError(NO_END, sent=True, open_ended=sound) from None
         raise
+    doubt = None
     if not reply.ended_by_close:
         exchange.check_last_chunk(head)
-        return body
+        doubt = find_doubt(context, exchange, answer)
+        if doubt is None:
+            return body
     stated = _read_head(head)
     sign = body_ends.find_sign(stated, body, _is_json, exchange.open_bodies)
     log(
         "body_checked",
         id=exchange.fields.request_id,
-        endpoint=view.name,
+        endpoint=answer.view.name,
         status=head.status,
         type=repr(stated.types)[: defaults.DETAIL_MAX],
         bytes=len(body),
         sign=sign.value,
     )
+    unshown = sign in (Sign.DIFFERS, Sign.NONE)
+    if unshown and doubt is not None and await lives_on(context, exchange, answer, doubt):
+        return body
     if sign is Sign.DIFFERS:
         raise EndpointError("the answer's body is of other bytes", sent=True, open_ended=sound)
     if sign is Sign.NONE:
         if exchange.route.repeatable:
             exchange.open_bodies.add(body_ends.copy_body(head.status, body))
-        raise EndpointError(NO_END, sent=True, open_ended=sound)
+        raise EndpointError(doubt.cause if doubt else NO_END, sent=True, open_ended=sound)
     return body
 
 
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -0,0 +1,70 @@
+"""Answers in chunks that end at endpoints that end as planned: whether the process lives on.
+
+:mod:`rookspring_core.planned_ends` decides which ends are doubted; the signs of life are read here.
+"""
+
+import asyncio
+import typing as t
+
+from rookspring_core import planned_ends
+from rookspring_core import recovering
+from rookspring_core.planned_ends import PlannedEnd
+
+from . import clock
+from .relay import EndpointAnswer
+from .relay import RelayExchange
+from .relay_context import RelayContext
+from .relay_reach import is_down
+
+
+class Doubt(t.NamedTuple):
+    """The end of an answer that its endpoint's stop may have brought about.
+
+    :param cause: for the log and the outcome of the attempt.
+    :param look_at: when an endpoint that lives has not brought it about, by this node's clock.
+    :param replaced: another process has the endpoint's name, and maybe its address.
+    """
+
+    cause: str
+    look_at: float
+    replaced: bool
+
+
+def find_doubt(
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer
+) -> Doubt | None:
+    """Return why the last chunk of an answer shows nothing yet; None if it is believed."""
+    request = context.state.requests.get(exchange.key)
+    if answer.head.framing() != "chunks" or request is None:
+        return None
+    view = answer.view
+    replaced = request.dispatched_at < view.restarted_at
+    # The rest of a stream without ids can't be asked for.
+    known = not exchange.events or bool(exchange.last_event)
+    end = PlannedEnd(
+        at=answer.connection.idle_since,
+        closing=view.leaving or view.gone or replaced,
+        ends_at=view.ends_at,
+        may_ask=known and recovering.may_ask_another(context.state, request),
+    )
+    cause = planned_ends.find_cause(end)
+    return Doubt(cause, planned_ends.find_look_time(end), replaced) if cause else None
+
+
+async def lives_on(
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, doubt: Doubt
+) -> bool:
+    """Return whether an endpoint's process lives on beyond the end of its answer.
+
+    A process that ends closes its connections and listens no more. Some close a connection after
+    its answer and live on, so both have to be.
+    """
+    until = exchange.deadline_at - planned_ends.LOOKS_BEFORE_S
+    look_at = min(doubt.look_at, until)
+    await asyncio.sleep(max(0.0, look_at - clock.now()))
+    if answer.connection.lost_at >= look_at:
+        return True
+    if doubt.replaced:
+        return False
+    until += planned_ends.LOOKS_BEFORE_S / 2
+    return not await is_down(context, answer.view.address, until)
--- a/packages/rookspring/src/rookspring/relay_reach.py
+++ b/packages/rookspring/src/rookspring/relay_reach.py
@@ -18,6 +18,15 @@
 from .relay_context import handles_relay_effect
 
 
+async def is_down(context: RelayContext, address: str, until: float) -> bool:
+    """Return whether nothing is found to listen at an endpoint's address before a time."""
+    try:
+        async with asyncio.timeout(max(0.0, until - clock.now())):
+            return await context.pool.is_down(address)
+    except TimeoutError:
+        return False
+
+
 class ReachProbes:
     """Connects to some endpoints at a time; concurrent callers share the result."""
 
