Planned ends: another connection to the process shows that it lives; mutants

A server that finishes its answers may close its listener and each connection after its answer; by any open connection of this node its process is seen to live. The rest may be asked for though this node's attempts or resends are used up: its caller may take it up. Group planned-ends of the mutants.

--- /dev/null
+++ b/bench/planned_end_mutants.py
@@ -0,0 +1,119 @@
+"""Mutants of which ends of answers in chunks are doubted at endpoints that end as planned."""
+
+import math
+import typing as t
+
+from rookspring import relay_attempts
+from rookspring import relay_bodies
+from rookspring import relay_planned_ends
+from rookspring.http_client import ConnectionPool
+from rookspring_core import planned_ends
+from rookspring_core import recovering
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.planned_ends import PlannedEnd
+from rookspring_platform import endpoints
+
+from .mutant import PLANNED_ENDS
+from .mutant import Mutant
+
+RULE = "an answer that is cut short does not look complete"
+SOUND = "an answer that is whole is delivered"
+ONCE = "an answer that is whole is not asked for again"
+
+_find_cause = planned_ends.find_cause
+_find_doubt = relay_planned_ends.find_doubt
+_take_report = EndpointView.take_report
+
+
+def _believe(end: PlannedEnd) -> str:
+    return ""
+
+
+def _believe_leaving(end: PlannedEnd) -> str:
+    return _find_cause(end._replace(closing=False))
+
+
+def _believe_stated(end: PlannedEnd) -> str:
+    return _find_cause(end._replace(ends_at=math.inf))
+
+
+def _doubt_all_leaving(end: PlannedEnd) -> str:
+    return _find_cause(end._replace(may_ask=True))
+
+
+def _doubt_all(end: PlannedEnd) -> str:
+    return _find_cause(end._replace(closing=True))
+
+
+def _look_at_once(end: PlannedEnd) -> float:
+    return end.at
+
+
+def _look_after_end(end: PlannedEnd) -> float:
+    return end.at + planned_ends.OUTLIVES_S
+
+
+async def _never_lives(*args: t.Any) -> bool:
+    return False
+
+
+async def _never_down(self: ConnectionPool, address: str) -> bool:
+    return False
+
+
+async def _always_down(self: ConnectionPool, address: str) -> bool:
+    return True
+
+
+def _ignore_replacement(*args: t.Any) -> t.Any:
+    doubt = _find_doubt(*args)
+    return doubt and doubt._replace(replaced=False)
+
+
+def _never(*args: t.Any) -> bool:
+    return False
+
+
+def _may_always(state: t.Any, request: t.Any) -> bool:
+    return bool(request.arrived.repeatable)
+
+
+def _read_none(name: str, raw: t.Any) -> None:
+    return None
+
+
+def _take_last(self: EndpointView, report: t.Any) -> bool:
+    self.ends_at = math.inf
+    return _take_report(self, report)
+
+
+def _take_as_new(self: EndpointView, report: t.Any) -> bool:
+    ends_in_s = report.ends_in_s
+    if ends_in_s is not None:
+        report = report._replace(ends_in_s=ends_in_s + report.age_s)
+    return _take_report(self, report)
+
+
+MUTANTS = tuple(
+    Mutant(name, rule, target, attribute, replacement, PLANNED_ENDS)
+    for name, rule, target, attribute, replacement in (
+        ("believes all ends", RULE, planned_ends, "find_cause", _believe),
+        ("believes what leaves", RULE, planned_ends, "find_cause", _believe_leaving),
+        ("heeds no stated time", RULE, planned_ends, "find_cause", _believe_stated),
+        ("has no margin", RULE, planned_ends, "STATED_AGE_MAX_S", 0.0),
+        ("doubts single attempts", SOUND, planned_ends, "find_cause", _doubt_all_leaving),
+        ("doubts who stays", SOUND, planned_ends, "find_cause", _doubt_all),
+        ("looks at once", RULE, planned_ends, "find_look_time", _look_at_once),
+        ("looks before the time is over", RULE, planned_ends, "find_look_time", _look_after_end),
+        ("sees no life in streams", ONCE, relay_attempts, "lives_on", _never_lives),
+        ("sees no life in bodies", SOUND, relay_bodies, "lives_on", _never_lives),
+        ("takes all for listening", RULE, ConnectionPool, "is_down", _never_down),
+        ("takes none for listening", ONCE, ConnectionPool, "is_down", _always_down),
+        ("sees no other connection", ONCE, ConnectionPool, "has_open", _never),
+        ("trusts who took over", RULE, relay_attempts, "find_doubt", _ignore_replacement),
+        ("asks where nobody is", SOUND, recovering, "may_ask_another", _may_always),
+        ("reads no time", RULE, endpoints, "_read_remaining", _read_none),
+        ("keeps the last time stated", RULE, EndpointView, "take_report", _take_last),
+        ("takes old reports for new", RULE, EndpointView, "take_report", _take_as_new),
+    )
+)
--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -59,6 +59,7 @@
 from . import owner_mutants
 from . import passing_mutants
 from . import place_mutants
+from . import planned_end_mutants
 from . import rate_mutants
 from . import resend_mutants
 from . import speed_mutants
@@ -397,6 +398,7 @@
     "open-bodies": open_body_mutants.MUTANTS,
     "deadline-ends": deadline_end_mutants.MUTANTS,
     "open-ends": open_end_mutants.MUTANTS,
+    "planned-ends": planned_end_mutants.MUTANTS,
 }
 
 
--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -15,7 +15,7 @@
       | resumable | leaving   | 3 until it stops, stream                       | ends its answers and exits 0.1 s later            | 5 events | 2    |
       | resumable | leaving   | 3 until it stops, stream                       | closes its listener, ends its answers and exits   | 5 events | 2    |
       | resumable | gone      | 3 until it stops and closes, stream            | closes its listener, ends its answers and exits   | 5 events | 2    |
-      | resumable | restarted | 3 until it stops, stream                       | ends its answers and exits                        | 5 events | 2    |
+      | resumable | restarted | 3 until it stops, stream                       | ends its answers and is replaced                  | 5 events | 2    |
       | resumable | leaving   | no event until it stops, stream                | ends its answers and exits                        | 5 events | 2    |
       | safe      | leaving   | half until it stops, answer                    | ends its answers and exits                        | whole    | 2    |
       | safe      | gone      | half of JSON until it stops, answer            | ends its answers and exits                        | whole    | 2    |
@@ -52,6 +52,7 @@
       | resumable | leaving   | 3 and the rest as it stops                     | ends its answers and lives on                     | 5 events | 1    |
       | resumable | leaving   | 3 and the rest as it stops and closes          | ends its answers and lives on                     | 5 events | 1    |
       | resumable | leaving   | 3 and the rest as it stops and closes, stream  | closes its listener, and exits 0.1 s after its answers | 5 events | 2 |
+      | resumable | leaving beside another connection | 3 and the rest as it stops and closes, stream | closes its listener, and exits 1 s after its answers | 5 events | 1 |
       | resumable | evacuated | 3 and the rest as it stops                     | ends its answers and lives on                     | 5 events | 1    |
 
   Scenario Outline: an endpoint that lives on beyond the time that it stated has not ended the answer
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import itertools
 import math
 
 import orjson
@@ -18,11 +19,12 @@
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.planned_ends import PlannedEnd
 from rookspring_fakes import model_planned_ends
-from rookspring_platform import endpoints
 from rookspring_platform.endpoints import read_entry
 from rookspring_platform.endpoints import read_report
 
 DRAINING = "draining"
+# A fault of an endpoint is logged once for each.
+NUMBERS = itertools.count()
 REPORT = {"models": [], "utilization": False, "sequence": 0, "queued": 0, "active": 0}
 CAUSES = {"": "nothing", planned_ends.STOP: "its stop", planned_ends.TIME_OVER: "its time"}
 
@@ -49,7 +51,9 @@
 async def tell(relay, server, state):
     """Let the node know the state of an endpoint, by the store where it is told by its entry."""
     view = relay.node.context.state.endpoints[server.name]
-    if state == "leaving":
+    if state == "leaving beside another connection":
+        assert await relay.node.context.pool.reaches(server.address)
+    if state.startswith("leaving"):
         await relay.store.write("servers", server.name, server.entry("svc", DRAINING))
         await relay.until(lambda: view.leaving)
     elif state == "gone":
@@ -130,11 +134,11 @@
     lines = []
     sink = logger.add(lines.append, format="{message}")
     entry = {"service": "s", "address": "10.0.0.1:1", "zone": "z", "slots": 1, "state": "ready"}
-    endpoints.forget_logged()
+    name = f"i{next(NUMBERS)}"
     if where == "entry":
-        _, report = read_entry(StoredObject("i", 1, entry | stated | {"state": state}), 10.0)
+        _, report = read_entry(StoredObject(name, 1, entry | stated | {"state": state}), 10.0)
     else:
-        _, known = read_entry(StoredObject("i", 1, entry), 9.0)
+        _, known = read_entry(StoredObject(name, 1, entry), 9.0)
         raw = orjson.dumps(REPORT | stated | {"state": state})
         report = read_report(raw, known, 10.0)
         read_report(raw, known, 10.0)
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -144,13 +144,14 @@
 
 
 def may_ask_another(state: NodeState, request: RequestState) -> bool:
-    """Return whether a request could be sent to another endpoint now, if its attempt failed."""
+    """Return whether an answer, or the rest of it, can be had from another endpoint now.
+
+    Where this node's attempts or its service's resends are used up, the caller may ask again.
+    """
     arrived = bind_to_version(request)
-    terms = arrived.route
-    if terms is None or not arrived.repeatable or request.sends + 1 >= terms.attempts:
+    if arrived.route is None or not arrived.repeatable:
         return False
-    allowed = routed.resend_window(state, terms.service).allows(state.now)
-    return allowed and stream_origins.is_served(state, arrived)
+    return stream_origins.is_served(state, arrived)
 
 
 def _may_retry(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/retries.py
+++ b/packages/rookspring-core/src/rookspring_core/retries.py
@@ -76,17 +76,13 @@
 
         :return: whether it does.
         """
-        if not self.allows(now):
-            return False
-        self._resends.append(now)
-        return True
-
-    def allows(self, now: float) -> bool:
-        """Return whether the window allows one more resend."""
         self._trim(now)
         terms = self.terms
         allowed = terms.share * len(self._firsts) + terms.slack / max(1, terms.nodes)
-        return len(self._resends) + 1 <= allowed
+        if len(self._resends) + 1 > allowed:
+            return False
+        self._resends.append(now)
+        return True
 
     def _trim(self, now: float) -> None:
         start = now - self.terms.window_s
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -24,6 +24,8 @@
 
 # How long answers that end by themselves take after the stop began, in seconds.
 FINISH_S = 0.1
+# How long its answers take to be written, in seconds.
+WRITTEN_S = 0.01
 JSON_BODY = b'{"a": [1, 2]}'
 
 STOPS: dict[str, t.Callable[["ModelServer"], t.Awaitable[None]]] = {}
@@ -43,7 +45,7 @@
 @stop_way("ends its answers and exits")
 async def _end_answers(server: "ModelServer") -> None:
     server.stopping.set()
-    await asyncio.sleep(0.0)
+    await asyncio.sleep(WRITTEN_S)
     server.end()
 
 
@@ -89,9 +91,11 @@
     server.stopping.set()
 
 
-@stop_way("is killed")
-async def _be_killed(server: "ModelServer") -> None:
-    server.end()
+@stop_way("ends its answers and is replaced")
+async def _be_replaced(server: "ModelServer") -> None:
+    server.stopping.set()
+    await asyncio.sleep(WRITTEN_S)
+    await server.restart()
 
 
 @step("3 until it stops")
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import typing as t
+import weakref
 
 from . import clock
 from . import defaults
@@ -31,6 +32,8 @@
         self.answers = answers or AnswerMemory()
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
+        # All connections that are in use anywhere, busy or idle.
+        self._connections: dict[str, weakref.WeakSet[ClientConnection]] = {}
 
     async def acquire(
         self,
@@ -77,8 +80,13 @@
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
+        self._connections.setdefault(address, weakref.WeakSet()).add(made)
         return made
 
+    def has_open(self, address: str) -> bool:
+        """Return whether any connection to an address is open, busy or idle."""
+        return any(one.open for one in self._connections.get(address, ()))
+
     async def is_down(self, address: str) -> bool:
         """Return whether nothing listens at an address; concurrent calls share one connection.
 
@@ -144,6 +152,7 @@
                 self._kept[address] = live
             else:
                 del self._kept[address]
+        self._connections = {address: made for address, made in self._connections.items() if made}
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -56,8 +56,8 @@
 ) -> bool:
     """Return whether an endpoint's process lives on beyond the end of its answer.
 
-    A process that ends closes its connections and listens no more. Some close a connection after
-    its answer and live on, so both have to be.
+    A process that ends closes all its connections and listens no more. Some that finish their
+    answers first close their listener, and each connection after its answer.
     """
     until = exchange.deadline_at - planned_ends.LOOKS_BEFORE_S
     look_at = min(doubt.look_at, until)
@@ -66,5 +66,7 @@
         return True
     if doubt.replaced:
         return False
+    if context.pool.has_open(answer.view.address):
+        return True
     until += planned_ends.LOOKS_BEFORE_S / 2
     return not await is_down(context, answer.view.address, until)
