--- a/bench/planned_end_mutants.py
+++ b/bench/planned_end_mutants.py
@@ -100,6 +100,7 @@
         ("doubts single attempts", SOUND, planned_ends, "find_cause", _doubt_all_leaving),
         ("doubts who stays", SOUND, planned_ends, "find_cause", _doubt_all),
         ("looks at once", RULE, planned_ends, "find_look_time", _look_at_once),
+        ("holds beyond the deadline", SOUND, planned_ends, "LOOKS_BEFORE_S", -1.0),
         ("holds single attempts as long", SOUND, planned_ends, "OUTLIVES_CUT_S", 0.3),
         ("sees no life in streams", ONCE, relay_attempts, "lives_on", _never_lives),
         ("sees no life in bodies", SOUND, relay_bodies, "lives_on", _never_lives),
--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -83,6 +83,12 @@
     When the endpoint of a stream request states 5000 ms in its entry, and closes its listener, and exits 0.1 s after its answers at once
     Then the answer is 5 events
 
+  Scenario: an end shortly before its request's deadline is not held back beyond it
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops
+    When a caller who states 900 ms sends a resumable request, and 550 ms later its endpoint leaves, and ends its answers and lives on
+    Then the answer is 5 events
+    And the endpoints ran it 1 times
+
   Scenario Outline: no endpoint is asked for the rest where none can be
     Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
     When the endpoint of a resumable request is leaving, and closes its listener, and exits 0.1 s after its answers
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -39,10 +39,10 @@
         view.role = "runner"
 
 
-async def begin(context, kind):
+async def begin(context, kind, **stated):
     """Send a request, and return its task and its endpoint, once the answer has begun."""
     relay = context.relay
-    task = asyncio.ensure_future(relay.ask(request(kind)))
+    task = asyncio.ensure_future(relay.ask(request(kind, **stated)))
     await relay.until(lambda: relay.runs)
     await asyncio.sleep(0.05)
     return task, next(server for server in relay.servers if server.runs)
@@ -76,6 +76,22 @@
     context.loop.run(work())
 
 
+@when(
+    "a caller who states {ms:d} ms sends a {kind} request, and {later:d} ms later its endpoint "
+    "leaves, and {stops}"
+)
+def ends_before_deadline(context, ms, kind, later, stops):
+    async def work():
+        sent_at = clock.now()
+        task, server = await begin(context, kind, deadline_ms=ms)
+        await tell(context.relay, server, "leaving")
+        await asyncio.sleep(max(0.0, sent_at + later / 1000.0 - clock.now()))
+        await model_planned_ends.STOPS[stops](server)
+        context.answer = await task
+
+    context.loop.run(work())
+
+
 @when("the endpoint of a {kind} request states {ms:d} ms in its {where}, and {stops} then")
 def ends_at_time(context, kind, ms, where, stops):
     context.loop.run(state_and_stop(context, kind, ms, where, stops, ms / 1000.0))
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -52,7 +52,7 @@
     "handover_failed": "a request that was handed over got no complete answer from the other node",
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
-    "body_checked": "a body ended with its connection; what shows that it is whole, if anything",
+    "body_checked": "a body ended with its connection or endpoint; what shows that it is whole",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
     "table_applied": "a newer route table is in force here",
