--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -66,6 +66,8 @@
       | stream    | 3 and the rest as it stops            | 5 events   |
       | stream    | 3 and the rest as it stops and closes | 5 events   |
       | resumable | 3 and the rest as it stops            | 5 events   |
+      | unsafe    | all until it stops                    | whole      |
+      | safe      | all until it stops                    | whole      |
 
   Scenario Outline: a body that shows its own end is whole whatever its endpoint does
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: JSON until it stops
@@ -154,6 +156,6 @@
       | report | 0   | draining | "soon"  | inf  | one |
 
   Scenario: of the times that an endpoint states the first to come holds, and a restart ends it
-    Given an endpoint that states at 10 s that 3 s are left, at 11 s that 1 s is, and at 11.5 s that 30 s are
+    Given an endpoint that states at 10 s that 3 s are left, at 11 s that 1 s is, at 11.5 s that 30 s are, and at 12 s nothing
     Then it is taken to end at 12 s
     And once it has restarted it is taken to end at inf s
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -176,13 +176,13 @@
 
 
 @given(
-    "an endpoint that states at 10 s that 3 s are left, at 11 s that 1 s is, and at 11.5 s that "
-    "30 s are"
+    "an endpoint that states at 10 s that 3 s are left, at 11 s that 1 s is, at 11.5 s that 30 s "
+    "are, and at 12 s nothing"
 )
 def states_several(context):
     context.view = EndpointView("i", "10.0.0.1:1", "z")
     report = RelayHarness().report("i")
-    for at, left_s in ((10.0, 3.0), (11.5, 30.0), (11.0, 1.0)):
+    for at, left_s in ((10.0, 3.0), (11.5, 30.0), (11.0, 1.0), (12.0, None)):
         context.view.take_report(report._replace(at=at, ends_in_s=left_s))
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -153,6 +153,13 @@
     await _send_until_stop(server, request, writer, make_body(request)[:5])
 
 
+@step("all until it stops")
+async def _all_until_stop(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _send_until_stop(server, request, writer, make_body(request))
+
+
 @step("half of JSON until it stops")
 async def _half_json_until_stop(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
