--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import contextlib
+import functools
 import math
 import random
 import time
@@ -18,6 +19,7 @@
 from . import model_answers as model_answers
 from . import model_deadlines as model_deadlines
 from . import model_listed_runs as model_listed_runs
+from . import model_planned_ends as model_planned_ends
 from . import model_torn as model_torn
 from .model_answers import LONG_ANSWER_BYTES as LONG_ANSWER_BYTES
 from .model_endless import report_without_end
@@ -51,6 +53,8 @@
 
     # How much sooner than told it finds the time of a request over, in seconds.
     clock_ahead_s = 0.0
+    # The time left to it that its entry and report state, in milliseconds; left out if None.
+    remaining_ms: t.Any = None
 
     def __init__(self, name: str, script: t.Sequence[str] = ()) -> None:
         self.name = name
@@ -133,6 +137,11 @@
         self.checks_refused = 0
         self.checks: list[str] = []
 
+    @functools.cached_property
+    def stopping(self) -> asyncio.Event:
+        """Set as it begins to end its answers, since it ends as planned."""
+        return asyncio.Event()
+
     async def start(self, port: int = 0) -> None:
         """Listen on a port, or on a free one."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
@@ -227,7 +236,10 @@
         }
         if self.models:
             row["models"] = self._list_models()
-        return row
+        return row | self._state_remaining()
+
+    def _state_remaining(self) -> dict[str, t.Any]:
+        return {} if self.remaining_ms is None else {"remaining-ms": self.remaining_ms}
 
     def _list_models(self) -> list[dict[str, t.Any]]:
         return [
@@ -382,6 +394,7 @@
         state: dict[str, t.Any] = {"state": self.state} if self.state else {}
         if self.listed_runs is not None:
             state["runs"] = [[one, 300, made, 5] for one, made in self.listed_runs.items()]
+        state |= self._state_remaining()
         return state | {
             "stage": "both",
             "models": self._list_models(),
