--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -174,7 +174,7 @@
     async def work():
         with contextlib.suppress(EndpointError):
             await relay_handovers._pass_on(
-                exchange, context.reply, HttpHead(200, ()), AnswerMemory()
+                None, None, exchange, context.reply, HttpHead(200, ()), AnswerMemory()
             )
 
     context.loop.run(work())
