Test the bound on what is held of a chunk

Cause: nothing guarded CHUNK_HELD_BYTES_MAX; a chunk of any size could have been held in memory that no bound counts.

Change: four rows, and a mutant without the bound.

--- a/bench/event_stream_mutants.py
+++ b/bench/event_stream_mutants.py
@@ -2,6 +2,7 @@
 
 import typing as t
 
+from rookspring import defaults as daemon_defaults
 from rookspring import event_streams
 from rookspring import relay_attempts
 from rookspring import relay_handovers
@@ -214,6 +215,14 @@
         _begin_no_chunk,
         UNFRAMED,
     ),
+    Mutant(
+        "holds chunks of any size",
+        "what is held of a chunk is bounded",
+        daemon_defaults,
+        "CHUNK_HELD_BYTES_MAX",
+        1 << 40,
+        UNFRAMED,
+    ),
     Mutant(
         "ends a line twice",
         RULE,
--- a/features/steps/event_stream_steps.py
+++ b/features/steps/event_stream_steps.py
@@ -183,6 +183,25 @@
         assert splitter.breaks_off() == (what == "an event"), (text[:at], text[at:])
 
 
+@when("{came:d} KB of a chunk of {size:d} KB have come")
+def part_of_chunk(context, came, size):
+    context.reply = context.client.send_request(
+        b"GET / HTTP/1.1\r\n\r\n", lambda head: True, lambda head: None
+    )
+    deliver = context.transport.deliver
+    deliver(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n" % (size << 10))
+    for _ in range(came):
+        deliver(b"d" * 1024)
+    if came == size:
+        deliver(b"\r\n")
+
+
+@then("{handed:d} KB of them are handed on")
+def part_handed_on(context, handed):
+    parts = context.reply._parts
+    assert sum(map(len, parts)) == handed << 10, [len(one) for one in parts]
+
+
 @when("a caller reads a {kind} stream")
 def reads_stream(context, kind):
     context.came = context.loop.run(read_stream(context.relay.node, request(kind)))
--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -71,6 +71,18 @@
       | unframed events that quote a status line | 5 events, cut |
       | a chunk in parts                         | 5 events      |
 
+  Scenario Outline: a chunk is handed on once it has ended, and a large one as it comes
+    Given a connection to an endpoint
+    When <came> KB of a chunk of <size> KB have come
+    Then <handed> KB of them are handed on
+
+    Examples:
+      | came | size | handed |
+      | 64   | 64   | 64     |
+      | 63   | 64   | 0      |
+      | 64   | 65   | 0      |
+      | 100  | 1000 | 100    |
+
   Scenario Outline: such an answer is cut if another process or a silent one has the address then
     Given a relay node with two endpoints that do: <script>
     When a caller sends a <kind> request
