Show adapters that go unserved while all slots are in use

An adapter is withdrawn for the one that has waited longest, and it is reinstated at once if it is requested again: requests for adapters in use come all the time, so nothing is ever unloaded.

--- a/features/adapter_runner.py
+++ b/features/adapter_runner.py
@@ -32,6 +32,8 @@
         self.runs: dict[str, str] = {}
         self.ends: dict[str, t.Callable[[bool], None]] = {}
         self.taken = 0
+        # How many orders told it to do what was done already.
+        self.needless = 0
         self.order: SendOrder | None = None
         # When the load under way ends.
         self.loaded_at = 0.0
@@ -51,6 +53,7 @@
         held = name in (self.adapters if order.model_version else self.models)
         if held == (order.action == "load"):
             # Nothing has to be done; such an order is not counted.
+            self.needless += 1
             return "done"
         self.taken += 1
         if order.action == "load" and order.model_version:
--- a/features/adapter_stage.py
+++ b/features/adapter_stage.py
@@ -428,6 +428,17 @@
                 worst = max(worst, (count, name))
         return worst
 
+    def longest_wait(self) -> tuple[float, str]:
+        """Return the longest time for which all tries for one name failed, and the name."""
+        worst = (0.0, "")
+        for name, tries in self.tries.items():
+            failed_at: float | None = None
+            for one in tries:
+                if failed_at is not None:
+                    worst = max(worst, (one.at - failed_at, name))
+                failed_at = None if one.served else failed_at or one.at
+        return worst
+
     def served_share(self) -> float:
         """Return the share of requests that were served; a retry counts as another request."""
         served = sum(one.served for tries in self.tries.values() for one in tries)
@@ -475,3 +486,17 @@
     for name in others:
         stage.after(stage.random.uniform(0.0, 4.0), lambda name=name: request_model(name))
     stage.run(seconds + 3.0)
+
+
+def request_steadily(stage: Stage, seconds: float, rates: t.Mapping[str, float]) -> None:
+    """Request each name at random times, at its own mean rate in requests a second."""
+    end = stage.now + seconds
+
+    def request(name: str) -> None:
+        if stage.now < end:
+            stage.ask(name)
+            stage.after(stage.random.expovariate(rates[name]), lambda: request(name))
+
+    for name, rate in rates.items():
+        stage.after(stage.random.expovariate(rate), lambda name=name: request(name))
+    stage.run(seconds + 3.0)
--- a/features/adapters.feature
+++ b/features/adapters.feature
@@ -114,3 +114,18 @@
     Given runners holding m+q and n+p, where six of m's eight adapter slots are in use for 12 s
     When twelve other adapters of m are requested three times within 7 s, with seeds 1 to 6
     Then at least 70 in 100 of them are served
+
+  # Guards against an adapter that is requested all the time and never served: all adapter slots are in
+  # use, and each adapter that is withdrawn for it is requested and reinstated before it can be unloaded.
+  Scenario Outline: an adapter is served although all slots are in use without a pause
+    Given a runner holding m+q, where m has 8 adapter slots and requests run for <run> s
+    When 8 adapters of m are requested <rate> times a second each, and <others> others once a second, for 30 s with seeds 1 to 4
+    Then no adapter goes unserved for longer than <unserved> s
+    And at least <served> in 100 tries are served
+    And no order was to do what its runner had done already
+
+    Examples: 3 s are the longest time that callers are told; then one adapter's requests have to end
+      | run | rate | others | unserved | served |
+      | 1.5 | 2    | 2      | 10       | 75     |
+      | 4.0 | 1    | 1      | 15       | 75     |
+      | 4.0 | 2    | 1      | 18       | 70     |
--- a/features/steps/adapter_steps.py
+++ b/features/steps/adapter_steps.py
@@ -1,5 +1,7 @@
+from adapter_stage import ADAPTERS
 from adapter_stage import Stage
 from adapter_stage import request_at_random
+from adapter_stage import request_steadily
 from behave import given
 from behave import then
 from behave import when
@@ -296,3 +298,38 @@
         for name in names
     ]
     assert sum(served) >= least / 100 * len(served), (sum(served), len(served))
+
+
+@given("a runner holding m+q, where m has 8 adapter slots and requests run for {run_s:g} s")
+def one_runner_holds(context, run_s):
+    context.stages = [Stage(("m+q",), seed) for seed in range(1, 5)]
+    for stage in context.stages:
+        stage.run_s = {f"m/a{number}": run_s for number in range(1, ADAPTERS + 1)}
+
+
+@when(
+    "8 adapters of m are requested {rate:g} times a second each, and {others:d} others once a "
+    "second, for 30 s with seeds 1 to 4"
+)
+def eight_and_others(context, rate, others):
+    rates = {f"m/a{number}": rate if number <= 8 else 1.0 for number in range(1, 9 + others)}
+    for stage in context.stages:
+        request_steadily(stage, 30.0, rates)
+
+
+@then("no adapter goes unserved for longer than {most_s:g} s")
+def none_unserved_for_long(context, most_s):
+    waits = [stage.longest_wait() for stage in context.stages]
+    assert max(waits)[0] <= most_s, waits
+
+
+@then("at least {least:d} in 100 tries are served")
+def share_served(context, least):
+    shares = [stage.served_share() for stage in context.stages]
+    assert sum(shares) / len(shares) >= least / 100, shares
+
+
+@then("no order was to do what its runner had done already")
+def none_needless(context):
+    needless = [one.needless for stage in context.stages for one in stage.runners.values()]
+    assert sum(needless) == 0, needless
