Leave the first slot that becomes free to the adapter that waited for too long

A request for a withdrawn adapter reinstated it always, so where adapters are requested all the time none was unloaded and whoever came later was never served. Now the adapter that can be unloaded first is not reinstated while a load request that began before it has waited for more than 3 s, the longest time that callers are told. Others are reinstated, and all are while a model's order blocks the endpoint.

features/adapters.feature: 35 passed (3 failed before: 19.0, 22.6, 30.6 s unserved; now 8.9, 13.3, 13.8 s). Mutant "reinstates what others wait for" is caught.

--- a/bench/passing_mutants.py
+++ b/bench/passing_mutants.py
@@ -115,6 +115,7 @@
     Mutant(
         "believes in late loads", "reach", planning, "_model_under_load", _announced_load, HANDOVER
     ),
+    Mutant("reinstates what others wait for", "reach", attaching, "_is_slot_due", _never, ADAPTERS),
     Mutant(
         "forgets who was in line", "reach", attaching, "_end_attachment", _drop_attachment, ADAPTERS
     ),
--- a/packages/rookspring-core/src/rookspring_core/attaching.py
+++ b/packages/rookspring-core/src/rookspring_core/attaching.py
@@ -97,7 +97,7 @@
     hosts = _open_hosts(state, key)
     ready = [one for one in hosts if accepts_orders(state, one)]
     pending = state.residency.load_requests[key]
-    effects = _reinstate(state, hosts, adapter, pending) or _attach(state, ready, key, pending)
+    effects = _reinstate(state, hosts, key, pending) or _attach(state, ready, key, pending)
     why = "" if effects else _decline_reason(state, hosts, ready)
     if why == pending.declined:
         return effects
@@ -284,12 +284,13 @@
 
 
 def _reinstate(
-    state: NodeState, hosts: list[EndpointView], adapter: str, pending: PendingLoadRequest
+    state: NodeState, hosts: list[EndpointView], key: LoadRequestKey, pending: PendingLoadRequest
 ) -> Effects:
-    """Reinstate an adapter that was withdrawn but is not unloaded yet.
+    """Reinstate an adapter that was withdrawn but is not unloaded yet, if its slot is not due.
 
     That needs no order, so it is possible even while a model is being loaded there.
     """
+    adapter = key[2]
     for view in hosts:
         account = state.residency.accounts.get(view.name)
         if (
@@ -300,6 +301,8 @@
             continue
         if account.order is not None and account.order.adapter == adapter:
             continue
+        if _is_slot_due(state, view, account, key, pending):
+            continue
         del account.withdrawn[adapter]
         protected_until = max(state.now, pending.callers_back_by) + defaults.KEEP_AFTER_RETRY_S
         attachment = account.attachments.get(
@@ -311,6 +314,50 @@
     return []
 
 
+def _is_slot_due(
+    state: NodeState,
+    view: EndpointView,
+    account: EndpointAccount,
+    key: LoadRequestKey,
+    pending: PendingLoadRequest,
+) -> bool:
+    """Return whether a withdrawn adapter's slot is for a load request that waited for too long.
+
+    Adapters that are requested all the time would otherwise be reinstated whenever they are
+    withdrawn, and no slot would become free. Too long is longer than refused callers are told to
+    wait: they would be refused again. The first slot that becomes free is for such a request if it
+    began earlier; an adapter that was not used since it was attached counts from the load request
+    for which it was attached. Other slots are not for it, and none is while an order for a model
+    blocks the endpoint.
+    """
+    engine = engine_of(state, view)
+    if engine is None or (account.order is not None and not account.order.adapter):
+        return False
+    if _count_slots(state, view, account) < engine.adapters_max:
+        return False
+    before = min(pending.first_at, state.now - defaults.ADAPTER_WAIT_MOST_S)
+    attachment = account.attachments.get(key[2])
+    if attachment is not None and not attachment.used:
+        before = min(before, attachment.requested_at)
+    waits_too_long = any(
+        adapter
+        and model in view.resident
+        and one.first_at < before
+        and state.now - one.asked_at <= defaults.ADAPTER_PRESSURE_S
+        for (_, model, adapter), one in state.residency.load_requests.items()
+    )
+    return waits_too_long and key[2] == _first_drained(state, view, account)
+
+
+def _first_drained(state: NodeState, view: EndpointView, account: EndpointAccount) -> str:
+    """Return the withdrawn adapter of an endpoint that can be unloaded first."""
+    in_use = list_used(state)
+    return min(
+        account.adapters_withdrawn_alone(),
+        key=lambda one: ((view.name, one) in in_use, account.withdrawn[one]),
+    )
+
+
 def unload_withdrawn(state: NodeState) -> Effects:
     """Order the unload of withdrawn models that no request uses any more."""
     effects: Effects = []
