Look for another endpoint only where this one closes

Cause: each end of an answer in chunks asked whether its target is served elsewhere, also at endpoints that stay.

--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -42,13 +42,14 @@
         return None
     view = answer.view
     replaced = request.dispatched_at < view.restarted_at
+    closing = view.leaving or view.gone or replaced
     # The rest of a stream without ids can't be asked for.
     known = not exchange.events or bool(exchange.last_event)
     end = PlannedEnd(
         at=answer.connection.idle_since,
-        closing=view.leaving or view.gone or replaced,
+        closing=closing,
         ends_at=view.ends_at,
-        may_ask=known and recovering.may_ask_another(context.state, request),
+        may_ask=closing and known and recovering.may_ask_another(context.state, request),
     )
     cause = planned_ends.find_cause(end)
     return Doubt(cause, planned_ends.find_look_time(end), replaced) if cause else None
