A generated table of ends of answers, played between sockets

Cause: three reports of streams told as complete too early were mended way by way; a table of all ways would have told the fourth.

CutStage takes settings that all its nodes share: a row needs more resends than the usual share.

--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -45,6 +45,7 @@
 from . import cut_head_mutants
 from . import deadline_end_mutants
 from . import endless_mutants
+from . import ends_table_mutants
 from . import era_mutants
 from . import evacuation_mutants
 from . import event_stream_mutants
@@ -397,6 +398,7 @@
     "open-bodies": open_body_mutants.MUTANTS,
     "deadline-ends": deadline_end_mutants.MUTANTS,
     "open-ends": open_end_mutants.MUTANTS,
+    "ends-table": ends_table_mutants.MUTANTS,
 }
 
 
--- a/features/cut_stage.py
+++ b/features/cut_stage.py
@@ -59,9 +59,13 @@
 
 
 class CutStage:
-    """Nodes with callers at each; runs in the event loop that started it."""
+    """Nodes with callers at each; runs in the event loop that started it.
 
-    def __init__(self, count, versions=("v1",) * ENDPOINTS):
+    :param changed: settings of all nodes that differ from the usual ones.
+    """
+
+    def __init__(self, count, versions=("v1",) * ENDPOINTS, **changed):
+        self.changed = changed
         self.relay = RelayFixture([()] * len(versions))
         for server, version in zip(self.relay.servers, versions, strict=True):
             server.version = version
@@ -80,6 +84,7 @@
                 "caller_address": f"127.0.0.1:{base + CALLER_OFFSET + number}",
                 "peer_address": f"127.0.0.1:{base + PEER_OFFSET + number}",
                 "seeds": (f"127.0.0.1:{base + PEER_OFFSET}",),
+                **self.changed,
             }
             for number in range(self.count)
         ]
--- a/features/run.py
+++ b/features/run.py
@@ -36,6 +36,7 @@
     "house": 75,
     "cut_off": 120,
     "size": 100,
+    "ends_table": 60,
     "crashes": 60,
     "adapters": 50,
     "models_never_served": 80,
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
@@ -0,0 +1,163 @@
+"""A table of the ends of answers: all combinations of how an answer ends, why, and for whom.
+
+A row is one request and the run that its last attempt meets. Combinations that can't occur are left
+out by ``EXCLUSIONS``; ends that the platform's protocol leaves a node no means to doubt are named
+in ``UNTOLD``. The rest has to hold for every row: see :mod:`ends_checks`.
+"""
+
+import itertools
+import typing as t
+
+FRAMINGS = ("length", "chunks", "neither")
+# The last byte of the whole answer; a close or a reset before it; nothing more; a last chunk too
+# early.
+ENDS = ("last byte", "fin", "rst", "silence", "clean early")
+CAUSES = ("done", "deadline", "leaving", "crash", "dropped", "preempted", "moved")
+# At the first run; at the second one of the same request, after a cut; at the endpoint of another
+# node, which serves the request for the first.
+PLACES = ("first run", "resumed", "handed over")
+CALLERS = ("reads", "reads slowly", "leaves", "takes up")
+KINDS = ("stream", "resumable", "safe", "unsafe")
+# How much of its answer a run has sent as it ends: the head alone, some events or half of a body,
+# half an event more, or all.
+POINTS = ("head", "some", "torn", "all")
+STREAMS = ("stream", "resumable")
+REPEATABLE = ("resumable", "safe")
+
+
+class Row(t.NamedTuple):
+    """One combination; the fields are of the tuples above."""
+
+    framing: str
+    end: str
+    cause: str
+    place: str
+    caller: str
+    kind: str
+    point: str
+
+    def __str__(self) -> str:
+        return ", ".join(self)
+
+
+class Note(t.NamedTuple):
+    """Rows that have something in common, and the reason for which they are noted.
+
+    :param holds: whether a row is one of them.
+    """
+
+    name: str
+    reason: str
+    holds: t.Callable[[Row], bool]
+
+
+EXCLUSIONS = (
+    Note(
+        "the last byte ends a run that goes on to its end",
+        "a run that is dropped, moved or out of time does not reach its last byte",
+        lambda row: row.end == "last byte" and row.cause in ("deadline", "dropped", "moved"),
+    ),
+    Note(
+        "all is sent by the last byte, or by a run that is done",
+        "any other end comes before all is made; these are the same row at each point",
+        lambda row: (row.point == "all") != (row.end == "last byte" or row.cause == "done"),
+    ),
+    Note(
+        "a run that is done can lack the sign of its end alone",
+        "after the last byte of a length nothing is lacking, and a close is the sign of neither",
+        lambda row: (
+            row.cause == "done"
+            and row.end != "last byte"
+            and (row.framing == "length" or (row.framing == "neither" and row.end == "fin"))
+        ),
+    ),
+    Note(
+        "a clean end too early is a last chunk",
+        "a length is stated ahead, and without length and chunks it is the close (fin)",
+        lambda row: row.end == "clean early" and (row.framing != "chunks" or row.cause == "done"),
+    ),
+    Note(
+        "a moved run's stream is closed without its end",
+        "the platform's page says so of POST /kv-move; by a close or a reset",
+        lambda row: row.cause == "moved" and row.end not in ("fin", "rst"),
+    ),
+    Note(
+        "only streams are moved",
+        "a move returns the events so far, and a run without events has none",
+        lambda row: row.cause == "moved" and row.kind not in STREAMS,
+    ),
+    Note(
+        "only what may be repeated has a second run",
+        "any other request is sent once",
+        lambda row: row.place == "resumed" and row.kind not in REPEATABLE,
+    ),
+    Note(
+        "only a resumable stream is taken up",
+        "Last-Event-Id belongs to these routes",
+        lambda row: row.caller == "takes up" and row.kind != "resumable",
+    ),
+    Note(
+        "only events are torn",
+        "a body has none, and half of it is sent as some",
+        lambda row: row.point == "torn" and row.kind not in STREAMS,
+    ),
+)
+
+# These are told to callers as complete, though they are not. Each names what a node would need.
+UNTOLD = (
+    Note(
+        "a run that is dropped or preempted, ended cleanly",
+        "no answer or entry tells that a run was given up, and reports are some hundred ms old",
+        lambda row: row.cause in ("dropped", "preempted"),
+    ),
+    Note(
+        "a clean end just before a crash",
+        "a crash announces nothing; that nothing listens any more is found after the end was told",
+        lambda row: row.cause == "crash",
+    ),
+    Note(
+        "a clean end while leaving, without a time that is over",
+        "what leaves serves on for as long as it likes, and most answers there are whole",
+        lambda row: row.cause == "leaving",
+    ),
+)
+
+
+def list_rows() -> list[Row]:
+    """Return all rows that no exclusion leaves out, in the order of the tuples."""
+    axes = (FRAMINGS, ENDS, CAUSES, PLACES, CALLERS, KINDS, POINTS)
+    rows = (Row(*values) for values in itertools.product(*axes))
+    return [row for row in rows if not any(note.holds(row) for note in EXCLUSIONS)]
+
+
+def find_untold(row: Row) -> str:
+    """Return the name under which ``UNTOLD`` has a row; empty if a node can tell its end."""
+    if row.end != "clean early" or row.point == "torn" or row.caller == "leaves":
+        return ""
+    return next((note.name for note in UNTOLD if note.holds(row)), "")
+
+
+def cover(rows: t.Sequence[Row]) -> list[Row]:
+    """Choose rows that have each framing, end and cause together, and each pair of any fields.
+
+    The three come with a stream and with a body, of which a caller sees the end; each note of
+    ``UNTOLD`` comes with each kind of request that it has.
+    The row that adds most to what was chosen before comes next.
+    """
+    left = {row: _list_combinations(row) for row in rows}
+    missing = set().union(*left.values())
+    chosen = []
+    while missing:
+        best = max(left, key=lambda row: len(left[row] & missing))
+        chosen.append(best)
+        missing -= left.pop(best)
+    return chosen
+
+
+def _list_combinations(row: Row) -> set[tuple[tuple[str, str], ...]]:
+    fields = list(zip(Row._fields, row, strict=True))
+    untold = (("untold", find_untold(row)), ("kind", row.kind))
+    found = {*itertools.combinations(fields, 2), untold}
+    if row.caller != "leaves":
+        found.add((*fields[:3], ("stream", str(row.kind in STREAMS))))
+    return found
