Take no stream without an event for whole, whatever ends it

Cause: the table of ends, once it no longer listed them as untold: an endpoint that gives a run up before its first event and ends its answer in chunks, cleanly, was told to the caller as a complete stream of no event (200). A run begins with its first token, so a whole stream has an event; only the rest of one whose caller has events from before may have none.

Change: such an answer (200, text/event-stream, no HEAD) fails its attempt. A stream that may be resumed is sent to another endpoint, any other gets 502.

--- a/bench/ends_table_mutants.py
+++ b/bench/ends_table_mutants.py
@@ -108,6 +108,9 @@
     Mutant(
         "ends streams at a close", RULE, relay_attempts, "_check_stream_end", _nothing, ENDS_TABLE
     ),
+    Mutant(
+        "takes no events for all", RULE, relay_attempts, "_check_has_event", _nothing, ENDS_TABLE
+    ),
     Mutant("takes torn events", RULE, EventSplitter, "breaks_off", _never, ENDS_TABLE),
     Mutant("takes bodies for JSON", RULE, body_ends, "find_sign", _take_for_json, ENDS_TABLE),
     Mutant("tells a cut as an end", RULE, ServerConnection, "abort", _end_instead, ENDS_TABLE),
--- a/features/unknown_ends_sockets.feature
+++ b/features/unknown_ends_sockets.feature
@@ -29,6 +29,9 @@
       | resumable | unframed events, unframed reset  | 5 events, cut | 2    |
       | resumable | unframed events, close           | 5 events, cut | 2    |
       | resumable | unframed events, stream of no event | 5 events   | 2    |
+      | stream    | stream of no event               | unknown       | 1    |
+      | resumable | stream of no event, stream       | 5 events      | 2    |
+      | resumable | stream of no event, stream of no event | unknown | 2    |
 
   Scenario: a single endpoint is asked for the rest itself
     Given a relay node with one endpoint that does: unframed events, stream
--- a/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
@@ -134,9 +134,17 @@
     """Return the name under which ``UNTOLD`` has a row; empty if a node can tell its end."""
     if row.end != "clean early" or row.point == "torn" or row.caller == "leaves":
         return ""
+    if row.point == "head" and row.kind in STREAMS and not _has_events_before(row):
+        # A whole stream has an event.
+        return ""
     return next((note.name for note in UNTOLD if note.holds(row)), "")
 
 
+def _has_events_before(row: Row) -> bool:
+    """Return whether the caller of a stream has events from before the run that ends."""
+    return row.place == "resumed" or row.caller == "takes up"
+
+
 def cover(rows: t.Sequence[Row]) -> list[Row]:
     """Choose rows that have each framing, end and cause together, and each pair of any fields.
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -278,6 +278,7 @@
         raise EndpointError("the rest of a stream without ids can't be asked for", sent=True)
     _check_stream_end(reply, got_something)
     exchange.check_last_chunk(head)
+    _check_has_event(exchange, head, got_something)
     _begin_stream(exchange, head)
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
@@ -300,6 +301,18 @@
         raise _open_end("connection closed, and nothing shows the answer's end", got_something)
 
 
+def _check_has_event(exchange: RelayExchange, head: HttpHead, got_something: bool) -> None:
+    """Check that a stream has an event, or is the rest of one whose caller may have all.
+
+    A run begins with its first token, so that one without an event was given up before.
+
+    :raises EndpointError: if it has none.
+    """
+    has_body = exchange.request.method != b"HEAD"
+    if has_body and is_stream(head) and not got_something:
+        raise EndpointError("a stream without an event", sent=True)
+
+
 def _open_end(reason: str, got_something: bool) -> EndpointError:
     return EndpointError(reason, sent=True, broken=not got_something, open_ended=got_something)
 
