Count many crashes at one moment once against a part that was not under all

Change: where at least MOMENT_CRASHES_MIN processes crash within CRASH_MOMENT_S, the crashes that a part was under count once, unless it was under all of them (crash_moments); a verdict that rests on such a moment alone is lifted as the other crashes become known. A fatal part is under each crash that it causes.

Failed before: fatal_parts.feature, two rows ("3 of 10 at once, a crash" and "whole, 3 of 10 at once, 7 of 11 at once, 4 of 10 at once"). Changed step: the row of the table's bounds lets 1 s pass between the part's crashes and the 5000 others, which would be of one moment otherwise. 3 mutants.

--- a/bench/suspect_mutants.py
+++ b/bench/suspect_mutants.py
@@ -5,6 +5,7 @@
 from rookspring import evidence as evidence_coding
 from rookspring import relay_merged
 from rookspring import relay_suspects
+from rookspring_core import crash_moments
 from rookspring_core import defaults
 from rookspring_core import suspect_handlers
 from rookspring_core import suspects
@@ -127,7 +128,23 @@
     return {}
 
 
+def _count_each(records: t.Iterable[t.Any], ended_at: t.Any) -> list[t.Any]:
+    return list(records)
+
+
+def _count_once(records: t.Iterable[t.Any], ended_at: t.Any) -> list[t.Any]:
+    """Count a moment once, also what was under all of its crashes."""
+    return [max(one, key=lambda record: record.early) for one in crash_moments._group(records)]
+
+
+def _one_moment(records: t.Iterable[t.Any]) -> list[list[t.Any]]:
+    return [sorted(records, key=lambda record: record.at)]
+
+
 MUTANTS = (
+    Mutant("counts each of a moment", "innocents", suspects, "count_moments", _count_each, PARTS),
+    Mutant("counts moments once", "ends", suspects, "count_moments", _count_once, PARTS),
+    Mutant("joins moments", "ends", crash_moments, "_group", _one_moment, PARTS),
     Mutant(
         "counts what is voided", "innocents", SuspectTable, "crash_score", _count_voided, SOUND_RUNS
     ),
--- a/features/fatal_parts.feature
+++ b/features/fatal_parts.feature
@@ -56,6 +56,14 @@
       | a crash, a crash, a crash, 61 s                          | not convicted |
       | a crash, a crash, a crash, 61 s, a crash, 61 s           | convicted     |
       | a crash, a crash, a crash, 61 s, whole, a crash          | not convicted |
+      | 3 of 10 at once, a crash                                 | not convicted |
+      | whole, 3 of 10 at once, 7 of 11 at once, 4 of 10 at once | not convicted |
+      | 3 of 10 at once, 3 of 10 at once, 3 of 10 at once        | convicted     |
+      | 10 of 10 at once                                         | convicted     |
+      | whole, 5 of 5 at once                                    | convicted     |
+      | 3 of 3 at once                                           | convicted     |
+      | 2 of 3 at once, a crash                                  | convicted     |
+      | 3 of 10 within 4 s                                       | convicted     |
       | 3-event crash, 3-event crash, a run of 4, 3-event crash  | not convicted |
       | 3-event crash, 3-event crash, 3-event crash, a run of 4  | not convicted |
       | 5-event crash, 5-event crash, a run of 4, 5-event crash  | convicted     |
--- a/features/steps/fatal_part_steps.py
+++ b/features/steps/fatal_part_steps.py
@@ -86,9 +86,16 @@
 
 
 def add_crash(
-    context, request, process, subject="part::fa", organisation="", early=True, length=None
+    context,
+    request,
+    process,
+    subject="part::fa",
+    organisation="",
+    early=True,
+    length=None,
+    gap_s=0.1,
 ):
-    context.now += 0.1
+    context.now += gap_s
     process = EndpointProcess(f"e{process}", 1)
     record = CrashRecord(subject, organisation, process, context.now, early, request, length)
     context.suspects.merge(Evidence(crash_records=(record,)), context.now)
@@ -97,6 +104,8 @@
 @when("{count:d} other requests are under one crash each, {whose}")
 def many_suspects(context, count, whose):
     organisation = "org" if "one" in whose else ""
+    # Not of one moment with those of the part.
+    context.now += 1.0
     for number in range(count):
         add_crash(context, "", number, f"f{number}", organisation)
 
@@ -107,6 +116,16 @@
     assert len(context.suspects) <= defaults.SUSPECTS_MAX
 
 
+def crash_together(context, number, words):
+    """Have processes crash at once, or in turn, under some of which the part is."""
+    under, _, count, _, *within = words.split()
+    gap_s = float(within[0]) / int(count) if len(within) > 1 else 0.001
+    for one in range(int(count)):
+        subject = "part::fa" if one < int(under) else "part::other"
+        add_crash(context, f"m{number}-{one}", f"m{number}-{one}", subject, gap_s=gap_s)
+    context.now += 1.0
+
+
 @when("its evidence is: {evidence}")
 def evidence_is(context, evidence):
     table = context.suspects
@@ -120,6 +139,8 @@
         elif word == "whole elsewhere before":
             cleared = Cleared("part::fa", context.now - 0.05)
             table.merge(Evidence(cleared=(cleared,)), context.now)
+        elif " of " in word and "run" not in word:
+            crash_together(context, process, word)
         elif word.endswith(" s"):
             context.now += float(word.split()[0])
         elif word.startswith("a run of"):
--- a/packages/rookspring-core/src/rookspring_core/_suspect_defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/_suspect_defaults.py
@@ -36,6 +36,10 @@
 # ``ABANDONED_RUN_S``.
 CRASH_DETECTION_S = 5.0
 ABANDONED_RUN_S = 0.3
+# At least so many processes that crash within this many seconds of each other are one event, such
+# as the loss of a rack: the connections of all break off at once. Fewer are taken one by one.
+MOMENT_CRASHES_MIN = 4
+CRASH_MOMENT_S = 0.2
 # Runs that a node has ended and whose processes it still watches, for some seconds each.
 ENDED_RUNS_MAX = 4096
 # Times from two nodes that differ by less than this many seconds denote the same moment.
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -281,11 +281,13 @@
 from ._stream_defaults import STREAM_ORIGINS_MAX as STREAM_ORIGINS_MAX
 from ._suspect_defaults import ABANDONED_RUN_S as ABANDONED_RUN_S
 from ._suspect_defaults import CRASH_DETECTION_S as CRASH_DETECTION_S
+from ._suspect_defaults import CRASH_MOMENT_S as CRASH_MOMENT_S
 from ._suspect_defaults import CRASHES_MAX as CRASHES_MAX
 from ._suspect_defaults import ENDED_RUNS_MAX as ENDED_RUNS_MAX
 from ._suspect_defaults import EVIDENCE_S as EVIDENCE_S
 from ._suspect_defaults import LONG_RUN_S as LONG_RUN_S
 from ._suspect_defaults import LONG_RUN_WEIGHT as LONG_RUN_WEIGHT
+from ._suspect_defaults import MOMENT_CRASHES_MIN as MOMENT_CRASHES_MIN
 from ._suspect_defaults import PART_CRASHES_SOUND as PART_CRASHES_SOUND
 from ._suspect_defaults import PART_SOUND_S as PART_SOUND_S
 from ._suspect_defaults import PART_VERDICT_GROWTH as PART_VERDICT_GROWTH
--- a/packages/rookspring-core/src/rookspring_core/suspects.py
+++ b/packages/rookspring-core/src/rookspring_core/suspects.py
@@ -18,6 +18,7 @@
 import typing as t
 
 from . import defaults
+from .crash_moments import count_moments
 from .hashing import stable_hash
 from .sound_runs import EndedRun
 from .sound_runs import RunLength
@@ -280,7 +281,7 @@
         return self._is_voided(subject)
 
     def _is_voided(self, subject: str) -> bool:
-        """Return whether evidence would convict a subject without the sound runs.
+        """Return whether evidence would convict a subject if nothing spoke against it.
 
         A node that has a verdict without its evidence can't tell what speaks against it.
         """
@@ -303,6 +304,10 @@
         verdicts = tuple(one for one in evidence.verdicts if self._merge_verdict(one, now))
         records = tuple(one for one in evidence.crash_records if self._merge_record(one, now))
         trials = tuple(one for one in evidence.trials if self._merge_trial(one, now))
+        if records:
+            # Their crashes may show that verdicts rest on one moment.
+            for subject in list(self._verdicts):
+                self._lift_voided(subject)
         self._digest = None
         return Evidence(records, cleared, verdicts, trials, sound_runs)
 
@@ -312,7 +317,7 @@
         return added
 
     def _lift_voided(self, subject: str) -> None:
-        """Remove the verdict on a subject against whose evidence sound runs speak."""
+        """Remove the verdict on a subject if something speaks against its evidence."""
         if subject in self._verdicts and self._is_voided(subject):
             del self._verdicts[subject]
             self._digest = None
@@ -446,13 +451,17 @@
     def crash_score(self, fingerprint: str) -> float:
         """Return the weight of the evidence against a suspect, in crashes.
 
-        Crashes that a later sound run speaks against don't count.
+        Crashes that a later sound run speaks against don't count, and of those of one moment that a
+        part is no cause of, only one does.
         """
         rows = self._records.get(fingerprint, {}).values()
-        return self._score(fingerprint, [one for one in rows if not self._sound_runs.void(one)])
+        counted = [one for one in rows if not self._sound_runs.void(one)]
+        if is_part(fingerprint) and len(counted) > 1:
+            counted = count_moments(counted, self._ended.values())
+        return self._score(fingerprint, counted)
 
     def _raw_score(self, fingerprint: str) -> float:
-        """Return the weight of the evidence for a node that knows of no sound run."""
+        """Return the weight of the evidence where nothing is known that speaks against it."""
         return self._score(fingerprint, self._records.get(fingerprint, {}).values())
 
     def _score(self, fingerprint: str, rows: t.Iterable[CrashRecord]) -> float:
