Believe no end at an endpoint's stated time that comes too late to be looked at

Cause: a doubted end was looked at 50 ms before the deadline at the latest, or at once if that had passed, while the process was still exiting; and a look for which no time was left counted as a sign of life. Change: where the look can't wait for as long as it has to, an end at the stated time is none; an end that only the endpoint's state speaks against is the answer's own, as there is no time to ask another endpoint.

Test: four rows with an exit 0.1 s after the end told the part as whole before (("3 events", 200)), by the look of 5 ms. Price: sound answers that end within 0.15 s of both times are cut.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -91,6 +91,30 @@
     Then the answer is 5 events
     And the endpoints ran it 1 times
 
+  Scenario Outline: an end at an endpoint's stated time that comes too late to be looked at is not told as the answer's own
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    When a caller who states 900 ms sends a <kind> request, whose endpoint states 600 ms, and <later> ms later ends its answers and exits 0.1 s later
+    Then the answer is <answer>
+
+    Examples:
+      | kind      | script              | later | answer        |
+      | stream    | 3 until it stops    | 820   | 3 events, cut |
+      | stream    | 3 until it stops    | 870   | 3 events, cut |
+      | resumable | 3 until it stops    | 870   | 3 events, cut |
+      | unsafe    | half until it stops | 870   | unknown       |
+
+  Scenario Outline: whether there is time to look decides where nothing but the state speaks against an end
+    When an answer of <kind> ends <left> s before its leaving endpoint's stated time
+    And it can be looked at for <seconds> s at the most
+    Then it is doubted for <cause>, and there is <time> to look
+
+    Examples:
+      | kind            | left | seconds | cause    | time    |
+      | another attempt | no   | 0.3     | its stop | time    |
+      | another attempt | no   | 0.2     | nothing  | no time |
+      | one attempt     | 0    | 0.1     | its time | time    |
+      | one attempt     | 0    | 0.05    | its time | no time |
+
   Scenario Outline: no endpoint is asked for the rest where none can be
     Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
     When the endpoint of a resumable request is leaving, and closes its listener, and exits 0.1 s after its answers
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -92,6 +92,23 @@
     context.loop.run(work())
 
 
+@when(
+    "a caller who states {ms:d} ms sends a {kind} request, whose endpoint states {stated:d} ms, "
+    "and {later:d} ms later {stops}"
+)
+def ends_with_little_time(context, ms, kind, stated, later, stops):
+    async def work():
+        sent_at = clock.now()
+        task, server = await begin(context, kind, deadline_ms=ms)
+        server.remaining_ms = stated
+        await tell(context.relay, server, "leaving")
+        await asyncio.sleep(max(0.0, sent_at + later / 1000.0 - clock.now()))
+        await model_planned_ends.STOPS[stops](server)
+        context.answer = await task
+
+    context.loop.run(work())
+
+
 @when("the endpoint of a {kind} request states {ms:d} ms in its {where}, and {stops} then")
 def ends_at_time(context, kind, ms, where, stops):
     context.loop.run(state_and_stop(context, kind, ms, where, stops, ms / 1000.0))
@@ -129,7 +146,19 @@
 @when("an answer of {kind} ends {left} s before its {state} endpoint's stated time")
 def ends_before(context, kind, left, state):
     ends_at = math.inf if left == "no" else 10.0 + float(left)
-    context.end = PlannedEnd(10.0, state == "leaving", ends_at, kind == "another attempt")
+    may_ask = kind == "another attempt"
+    context.end = PlannedEnd(10.0, state == "leaving", ends_at, may_ask, math.inf)
+
+
+@when("it can be looked at for {seconds:f} s at the most")
+def looked_at(context, seconds):
+    context.end = context.end._replace(looks_until=context.end.at + seconds)
+
+
+@then("it is doubted for {cause}, and there is {time} to look")
+def has_time(context, cause, time):
+    assert CAUSES[planned_ends.find_cause(context.end)] == cause, context.end
+    assert planned_ends.may_look(context.end) == (time == "time"), context.end
 
 
 @then("it is doubted for {cause}, and told from life at {look} s after its end")
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -29,23 +29,31 @@
     :param closing: the endpoint is leaving, its entry is gone, or another process has its name.
     :param ends_at: when it ends at the latest, by what it stated; infinite if it stated nothing.
     :param may_ask: the rest, or another answer, can be asked of another endpoint now.
+    :param looks_until: when it can be looked at at the latest, before the request's deadline.
     """
 
     at: float
     closing: bool
     ends_at: float
     may_ask: bool
+    looks_until: float
 
 
 def find_cause(end: PlannedEnd) -> str:
     """Return what else than the whole answer may have ended it; empty if nothing is known.
 
     An endpoint that leaves serves on, for a time that nobody knows if it stated none: an answer
-    that can't be asked for elsewhere is believed then, as most end by themselves.
+    that can't be asked for elsewhere is believed then, as most end by themselves; so is one that
+    comes too late to be looked at, which leaves no time to ask.
     """
     if end.at >= end.ends_at - STATED_AGE_MAX_S:
         return TIME_OVER
-    return STOP if end.closing and end.may_ask else ""
+    return STOP if end.closing and end.may_ask and may_look(end) else ""
+
+
+def may_look(end: PlannedEnd) -> bool:
+    """Return whether there is time to find out whether the endpoint lives on."""
+    return find_look_time(end) <= end.looks_until
 
 
 def find_look_time(end: PlannedEnd) -> float:
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import typing as t
 
 from rookspring_core import planned_ends
@@ -14,7 +15,6 @@
 from .relay import EndpointAnswer
 from .relay import RelayExchange
 from .relay_context import RelayContext
-from .relay_reach import is_down
 
 # Time to read what has come, in seconds.
 READ_S = 0.005
@@ -24,7 +24,8 @@
     """The end of an answer that its endpoint's stop may have brought about.
 
     :param cause: for the log and the outcome of the attempt.
-    :param look_at: when an endpoint that lives has not brought it about, by this node's clock.
+    :param look_at: when an endpoint that lives has not brought it about, by this node's clock;
+        infinite if there is no time left to find out.
     :param replaced: another process has the endpoint's name, and maybe its address.
     """
 
@@ -50,9 +51,11 @@
         closing=closing,
         ends_at=view.ends_at,
         may_ask=closing and known and recovering.may_ask_another(context.state, request),
+        looks_until=exchange.deadline_at - planned_ends.LOOKS_BEFORE_S,
     )
     cause = planned_ends.find_cause(end)
-    return Doubt(cause, planned_ends.find_look_time(end), replaced) if cause else None
+    look_at = planned_ends.find_look_time(end) if planned_ends.may_look(end) else math.inf
+    return Doubt(cause, look_at, replaced) if cause else None
 
 
 async def lives_on(
@@ -63,8 +66,9 @@
     A process that ends closes all its connections and listens no more. Some that finish their
     answers first close their listener, and each connection after its answer.
     """
-    until = exchange.deadline_at - planned_ends.LOOKS_BEFORE_S
-    await asyncio.sleep(max(0.0, min(doubt.look_at, until) - clock.now()))
+    if doubt.look_at == math.inf:
+        return False
+    await asyncio.sleep(max(0.0, doubt.look_at - clock.now()))
     # A close that came while this node stood still is read first.
     await asyncio.sleep(READ_S)
     if answer.connection.open:
@@ -73,5 +77,9 @@
         return False
     if context.pool.has_open(answer.view.address):
         return True
-    until += planned_ends.LOOKS_BEFORE_S / 2
-    return not await is_down(context, answer.view.address, until)
+    left_s = exchange.deadline_at - planned_ends.LOOKS_BEFORE_S / 2 - clock.now()
+    try:
+        async with asyncio.timeout(max(0.0, left_s)):
+            return not await context.pool.is_down(answer.view.address)
+    except TimeoutError:
+        return False
