--- a/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
@@ -116,9 +116,9 @@
         lambda row: row.cause == "crash",
     ),
     Note(
-        "a clean end while leaving, without a time that is over",
+        "a clean end while leaving, without a time that is over, of what may run once",
         "what leaves serves on for as long as it likes, and most answers there are whole",
-        lambda row: row.cause == "leaving",
+        lambda row: row.cause == "leaving" and row.kind not in REPEATABLE,
     ),
 )
 
