--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -149,7 +149,22 @@
         return
     exchange.started = True
     exchange.connection.begin(head.status, headers, None)
-    await _pass_stream_on(context, effect, exchange, reply, EventSplitter())
+    if is_stream(head):
+        await _pass_stream_on(context, effect, exchange, reply, EventSplitter())
+    else:
+        await _pass_body_on(exchange, reply)
+
+
+async def _pass_body_on(exchange: RelayExchange, reply: Reply) -> None:
+    """Pass a body in chunks on as it arrives.
+
+    :raises EndpointError: if it ends at the request's deadline, which ends it wherever it runs.
+    """
+    while part := await reply.next_part():
+        await exchange.connection.send(part)
+    if clock.now() >= exchange.deadline_at:
+        raise EndpointError("deadline", sent=True)
+    exchange.connection.end()
 
 
 async def _pass_stream_on(
