One budget, from the node's memory, over answers, callers' bodies and unread bytes

What callers saw: where endpoints send bodies or events without end to many requests at once, a node of 160 MB goes to 155 to 225 MiB; where the limit is enforced its process ends, and requests of others with it.

Cause: a bound for each, none for all; a sum of payloads for resident memory. An answer may have 16 MiB and all together 64, whatever the node has; parts not taken yet, chunks, events, callers' bodies and unread answers counted nowhere; a body grew in a buffer by copies, with one more at its end; and what was given up stayed with the allocator: 67, 103 and 148 MiB with nothing held.

Change: every place counts at one `ByteBudget`, by the sender. The bound is a share of what the node's memory has beyond the process's own size, read each second. Above it the sender with the largest sum gives way, by its largest part. What a read completes is one part. Blocks of 64 KB or more go back to the system as they are freed.

The step of the sum in endless_answers names a source now; its bound is as before. The mutant gives up the newest by the new interface.

--- a/bench/endless_mutants.py
+++ b/bench/endless_mutants.py
@@ -3,7 +3,8 @@
 import typing as t
 
 from rookspring import defaults as daemon_defaults
-from rookspring.answer_memory import AnswerMemory
+from rookspring.byte_budget import ByteBudget
+from rookspring.byte_budget import Holding
 from rookspring_core.caller_times import CallerTimes
 from rookspring_core.swapping import SwapBoard
 
@@ -22,13 +23,11 @@
     return self.plan_input.missed.get(model, 0.0)
 
 
-def _give_up_newest(self: AnswerMemory, answer: t.Any, added: int) -> None:
-    """Give up the answer that would exceed the sum, however short it is."""
-    self._sizes[answer] = self._sizes.get(answer, 0) + added
-    self.held_bytes += added
-    if self.held_bytes > self._most:
-        self.release(answer)
-        answer.fail("too large answers together")
+def _give_up_newest(self: ByteBudget, holding: Holding, size: int) -> None:
+    """Give up what would exceed the sum, however little it is."""
+    self._count(holding, size)
+    if self.held_bytes > self.most:
+        self._give_up(holding)
 
 
 MUTANTS = (
@@ -67,8 +66,8 @@
     Mutant(
         "gives up short answers for long ones",
         "whole answers that are held together are bounded",
-        AnswerMemory,
-        "hold",
+        ByteBudget,
+        "resize",
         _give_up_newest,
         ENDLESS_ANSWERS,
     ),
--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -69,7 +69,7 @@
     When a node reads them at the same time
     Then it held at most 66 MB of them at any time
     And the 50 short answers are whole
-    And 90 of the others at least have failed as "too large answers together"
+    And 90 of the others at least have failed as "too many bytes are held"
 
   Scenario Outline: an endpoint that answers without end is given up, and others serve what may be repeated
     Given a relay node with two endpoints that do: <script>
--- /dev/null
+++ b/features/memory_sockets.feature
@@ -0,0 +1,16 @@
+@relay
+Feature: A node stays within its memory whatever endpoints send without end
+
+  # Guards against bounds for each answer and for none of them together.
+  Scenario Outline: many requests at once to endpoints that send without end cost these alone
+    Given a node process of 160 MB between sound endpoints and those that do: <script>
+    When it gets 60 requests at a time for the latter, and others, for 6 s
+    Then its process took 120 MiB at most
+    And 97 of 100 of the others were answered
+
+    Examples:
+      | script             |
+      | body without end   |
+      | chunks without end |
+      | length without end |
+      | event without end  |
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -9,7 +9,7 @@
 
 from rookspring import defaults
 from rookspring import relay_orders
-from rookspring.answer_memory import AnswerMemory
+from rookspring.byte_budget import ByteBudget
 from rookspring.event_streams import EventSplitter
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
@@ -183,18 +183,23 @@
     """Answers that a node reads at the same time: some never end, and some are short."""
 
     def __init__(self, endless, endless_bytes, short, short_bytes):
-        self.memory = AnswerMemory()
+        self.memory = ByteBudget()
         self.parts = [PART_BYTES] * (endless_bytes // PART_BYTES)
-        self.endless = [Reply() for _ in range(endless)]
-        self.short = [Reply() for _ in range(short)]
+        self.endless = [self._make_reply("a faulty endpoint") for _ in range(endless)]
+        self.short = [self._make_reply("another") for _ in range(short)]
         self.short_bytes = short_bytes
         self.most_held = 0
 
+    def _make_reply(self, source):
+        return Reply(holding=self.memory.open(source))
+
     async def read(self, reply):
         try:
-            return len(await reply.read_rest(defaults.ANSWER_BYTES_MAX, self.memory))
+            return len(await reply.read_rest(defaults.ANSWER_BYTES_MAX))
         except EndpointError as error:
             return error.reason
+        finally:
+            reply.drop()
 
     async def play(self):
         tasks = [asyncio.ensure_future(self.read(one)) for one in self.endless + self.short]
--- /dev/null
+++ b/features/steps/memory_steps.py
@@ -0,0 +1,32 @@
+from behave import given
+from behave import then
+from behave import when
+from memory_stage import SOUND
+from memory_stage import MemoryStage
+
+
+@given("a node process of {mb:d} MB between sound endpoints and those that do: {script}")
+def node_process(context, mb, script):
+    context.memory = MemoryStage(mb, script)
+    context.loop.run(context.memory.start())
+
+
+@when("it gets {many:d} requests at a time for the latter, and others, for {seconds:d} s")
+def gets_requests(context, many, seconds):
+    async def work():
+        await context.memory.play(many, seconds)
+        context.peak_mib = context.memory.peak_mib()
+        await context.memory.close()
+
+    context.loop.run(work())
+
+
+@then("its process took {most:d} MiB at most")
+def took_at_most(context, most):
+    assert 0.0 < context.peak_mib <= most, context.peak_mib
+
+
+@then("{least:d} of 100 of the others were answered")
+def others_answered(context, least):
+    ends = {status: n for (service, status), n in context.memory.ends.items() if service == SOUND}
+    assert ends.get("200", 0) >= least / 100 * sum(ends.values()) > 0, ends
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -11,7 +11,6 @@
 
 from rookspring import clock
 from rookspring import relay_handovers
-from rookspring.answer_memory import AnswerMemory
 from rookspring.event_streams import EventSplitter
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import Reply
@@ -173,9 +172,7 @@
 
     async def work():
         with contextlib.suppress(EndpointError):
-            await relay_handovers._pass_on(
-                None, None, exchange, context.reply, HttpHead(200, ()), AnswerMemory()
-            )
+            await relay_handovers._pass_on(None, None, exchange, context.reply, HttpHead(200, ()))
 
     context.loop.run(work())
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/cut_links.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/cut_links.py
@@ -7,6 +7,7 @@
 import typing as t
 
 from rookspring import defaults
+from rookspring.byte_budget import ByteBudget
 from rookspring.exceptions import EndpointError
 from rookspring.http_client import ClientConnection
 from rookspring.http_client import ConnectionPool
@@ -64,8 +65,8 @@
 class _CutConnection(ClientConnection):
     """A connection that a cut can silence."""
 
-    def __init__(self) -> None:
-        super().__init__()
+    def __init__(self, budget: ByteBudget, address: str) -> None:
+        super().__init__(budget, address)
         self._link: _SilencedTransport | None = None
         self._received: list[bytes] = []
 
@@ -112,8 +113,8 @@
 class CutPool(ConnectionPool):
     """A connection pool whose links to all endpoints can be cut."""
 
-    def __init__(self) -> None:
-        super().__init__(_CutConnection)
+    def __init__(self, budget: ByteBudget | None = None) -> None:
+        super().__init__(_CutConnection, budget)
         self._cut: Cut | None = None
         self._made: list[_CutConnection] = []
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
@@ -26,7 +26,7 @@
 
     def __init__(self, *args: t.Any) -> None:
         super().__init__(*args)
-        self._pool = CutPool()
+        self._pool = CutPool(self.context.budget)
         self.context.pool = self._pool
         self.context.spawn(self._follow(pathlib.Path(os.environ[CUT_FILE_VARIABLE])))
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_endless.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_endless.py
@@ -15,6 +15,8 @@
 
 FLOOD_EVENT_BYTES = 64 << 10
 ENDLESS_PART_BYTES = 16 << 10
+# Events or chunks that are written at once.
+SMALL_EVENTS = 5000
 
 
 @step("flood")
@@ -84,7 +86,7 @@
 ) -> None:
     """Send three events, and a fourth that never ends."""
     await send_events(server, request, writer, 3)
-    part = b"%x\r\n%b\r\n" % (ENDLESS_PART_BYTES, b"d" * ENDLESS_PART_BYTES)
+    part = _make_chunk(b"d" * ENDLESS_PART_BYTES)
     await _send_without_end(writer, b"c\r\nid: 4\ndata: \r\n", part)
 
 
@@ -95,3 +97,44 @@
         writer.write(b" " * ENDLESS_PART_BYTES)
         await writer.drain()
         server.report_bytes += ENDLESS_PART_BYTES
+
+
+@step("chunks without end")
+async def _chunks_without_end(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    head = _head_without_end(server, request) + b"Transfer-Encoding: chunked\r\n\r\n"
+    await _send_without_end(writer, head, _make_chunk(b"b" * ENDLESS_PART_BYTES))
+
+
+@step("length without end")
+async def _length_without_end(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a body whose stated length is never reached."""
+    head = _head_without_end(server, request) + b"Content-Length: 99999999999\r\n\r\n"
+    await _send_without_end(writer, head, b"b" * ENDLESS_PART_BYTES)
+
+
+@step("small events without end")
+async def _small_events_without_end(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send events of a byte, many in a chunk, as fast as they are taken."""
+    headers = record_run(server, request)
+    headers |= {"Content-Length": "", "Transfer-Encoding": "chunked"}
+    send(server, writer, 200, b"", headers | {"Content-Type": "text/event-stream"})
+    await _send_without_end(writer, b"", _make_chunk(b"data: x\n\n" * SMALL_EVENTS))
+
+
+@step("small chunks without end")
+async def _small_chunks_without_end(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send chunks of a byte, as fast as they are taken."""
+    head = _head_without_end(server, request) + b"Transfer-Encoding: chunked\r\n\r\n"
+    await _send_without_end(writer, head, _make_chunk(b"b") * SMALL_EVENTS)
+
+
+def _make_chunk(data: bytes) -> bytes:
+    return b"%x\r\n%b\r\n" % (len(data), data)
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -9,7 +9,8 @@
 framing of a body, or in answers that are skipped. Bounds of bodies are their readers'.
 
 The bytes of a chunk are handed on once it has ended where its size says: an endpoint may break off
-within it and send another answer behind, whose bytes would stand in its place.
+within it and send another answer behind, whose bytes would stand in its place. What one read has
+completed is handed on together, so that many small chunks don't take more memory than their bytes.
 """
 
 import asyncio
@@ -21,6 +22,7 @@
 from . import clock
 from . import defaults
 from ._reply import Reply
+from .byte_budget import ByteBudget
 from .digits import parse_digits
 from .http_messages import BODILESS_STATUSES
 from .http_messages import STATUS_MIN
@@ -32,9 +34,16 @@
 
 
 class ClientConnection(asyncio.Protocol):
-    """One connection to an endpoint; it carries one request at a time."""
+    """One connection to an endpoint; it carries one request at a time.
 
-    def __init__(self) -> None:
+    :param budget: counts the bytes of its answers while they wait.
+    :param address: of the endpoint, by which they are counted.
+    """
+
+    def __init__(self, budget: ByteBudget | None = None, address: str = "") -> None:
+        self._holding = (budget or ByteBudget()).open(address)
+        # The answer that was read last, until its caller is done with it.
+        self._read_last: Reply | None = None
         self._transport: t.Any = None
         self._parser: t.Any = None
         self._reply: Reply | None = None
@@ -50,6 +59,8 @@
         # What has come of the chunk that is being parsed.
         self._chunk = bytearray()
         self._in_chunk = False
+        # Body bytes that this read has completed.
+        self._completed = bytearray()
         self._until_close = False
         self._got_head = False
         self._no_body = False
@@ -108,7 +119,9 @@
         :param request_id: the id that its answers carry; empty if they carry none, as those to
             calls of this node's own. None if the other side sends each answer once.
         """
-        self._reply = Reply(self._limit_unread)
+        self.end_use()
+        self._reply = self._read_last = Reply(self._limit_unread, self._holding)
+        self._reply.on_given_up = self.close
         self._accept = accept
         self._on_head = on_head
         self._no_body = no_body
@@ -124,6 +137,12 @@
         self._transport.write(data)
         return self._reply
 
+    def end_use(self) -> None:
+        """Drop what waits of the last answer, whose caller has read it or doesn't want it."""
+        if self._read_last is not None:
+            self._read_last.drop()
+            self._read_last = None
+
     def has_carried(self, request_id: str | None) -> bool:
         """Return whether a request was sent on it under an id; see :meth:`send_request`."""
         return request_id is not None and hash(request_id) in self._carried
@@ -143,6 +162,15 @@
                 self.close()
                 return
             self._parse(data[start : start + defaults.PARSED_BYTES_MAX])
+        self._hand_on()
+        if self._reply is not None:
+            self._reply.hold_back(len(self._chunk) + self._framing_bytes)
+
+    def _hand_on(self) -> None:
+        """Hand the completed bytes of the body on to the reader."""
+        if self._completed and self._reply is not None:
+            self._reply.add_part(bytes(self._completed))
+        self._completed.clear()
 
     def _parse(self, part: bytes) -> None:
         self._body_bytes = 0
@@ -246,8 +274,8 @@
                 # So large a chunk is passed on as it comes.
                 self._pass_chunk()
                 self._in_chunk = False
-        elif self._reply is not None:
-            self._reply.add_part(body)
+        else:
+            self._completed += body
 
     def on_chunk_header(self) -> None:
         """Begin a chunk."""
@@ -259,8 +287,7 @@
         self._in_chunk = False
 
     def _pass_chunk(self) -> None:
-        if self._chunk and self._reply is not None:
-            self._reply.add_part(bytes(self._chunk))
+        self._completed += self._chunk
         self._chunk.clear()
 
     def _end_chunk(self) -> None:
@@ -278,21 +305,25 @@
         self._finish()
 
     def _finish(self) -> None:
+        self._hand_on()
         reply, self._reply = self._reply, None
         self.idle_since = clock.now()
         if reply is not None:
             reply.complete = True
             # The connection may be reused before all parts are taken, or without.
+            reply.on_given_up = _do_nothing
+            reply.hold_back(0)
             reply.end()
             reply.notify()
         if not self.reusable:
             self.close()
 
     def _break(self, reason: str) -> None:
+        self._hand_on()
         reply, self._reply = self._reply, None
         self.reusable = False
         if reply is not None:
-            reply.failure = reason
+            reply.failure = reply.failure or reason
             reply.notify()
 
     def close(self) -> None:
@@ -322,6 +353,10 @@
         return now - self.idle_since < timeout_s
 
 
+def _do_nothing() -> None:
+    pass
+
+
 def enable_keepalive(raw: t.Any) -> None:
     """Make the kernel close a connection whose other side no longer responds."""
     silence_ms = int(defaults.TCP_USER_TIMEOUT_S * 1000)
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -10,25 +10,27 @@
 from ._client_connection import ClientConnection
 from ._client_connection import OnHead
 from .addresses import parse_address
-from .answer_memory import AnswerMemory
+from .byte_budget import ByteBudget
 from .exceptions import EndpointError
 from .http_messages import HttpHead
 
+MakeConnection = t.Callable[[ByteBudget, str], ClientConnection]
+
 
 class ConnectionPool:
     """Idle connections by address.
 
-    :param make_connection: makes the protocol of a new connection.
-    :ivar answers: the whole answers that are held, which may be shared with other pools.
+    :param make_connection: makes the protocol of a new connection, given budget and address.
+    :param budget: counts the bytes of answers that wait.
     """
 
     def __init__(
         self,
-        make_connection: t.Callable[[], ClientConnection] = ClientConnection,
-        answers: AnswerMemory | None = None,
+        make_connection: MakeConnection = ClientConnection,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._make_connection = make_connection
-        self.answers = answers or AnswerMemory()
+        self._budget = budget or ByteBudget()
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
         # All connections that are in use anywhere, busy or idle.
@@ -72,7 +74,9 @@
         loop = asyncio.get_running_loop()
         try:
             async with asyncio.timeout(defaults.RELAY_CONNECT_S):
-                _, made = await loop.create_connection(self._make_connection, host, port)
+                _, made = await loop.create_connection(
+                    lambda: self._make_connection(self._budget, address), host, port
+                )
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
@@ -110,7 +114,8 @@
         return False
 
     def release(self, address: str, connection: ClientConnection) -> None:
-        """Pool a connection if it can be reused, else close it."""
+        """Pool a connection if it can be reused, else close it; its answer is read no further."""
+        connection.end_use()
         if connection.open and connection.reusable:
             self._kept.setdefault(address, []).append(connection)
         else:
@@ -123,8 +128,7 @@
         """
         if connection.busy:
             connection.close()
-        else:
-            self.release(address, connection)
+        self.release(address, connection)
 
     def release_after_call(self, address: str, connection: ClientConnection) -> None:
         """Pool a connection after a call whose answer carries no request's id.
@@ -133,6 +137,7 @@
         and the calls of some time would each leave one open.
         """
         if connection.served == 1 and connection.has_carried("") and self._kept.get(address):
+            connection.end_use()
             connection.close()
         else:
             self.release_or_close(address, connection)
@@ -188,11 +193,12 @@
                 connection = await pool.acquire(address, True, request_id)
             reply = connection.send_request(data, accept, on_head, request_id=request_id)
             head = await reply.wait_head()
-            return head, await reply.read_rest(most, pool.answers)
+            return head, await reply.read_rest(most)
     except TimeoutError:
         raise EndpointError("no answer in time", sent=connection is not None) from None
     finally:
         if connection is not None and single_use:
+            connection.end_use()
             connection.close()
         elif connection is not None:
             pool.release_after_call(address, connection)
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -5,7 +5,9 @@
 import typing as t
 
 from . import clock
-from .answer_memory import AnswerMemory
+from . import defaults
+from .byte_budget import ByteBudget
+from .byte_budget import Holding
 from .exceptions import EndpointError
 from .http_messages import HttpHead
 
@@ -15,11 +17,21 @@
 
     :param on_unread: called with the number of bytes that were received and not taken yet, when
         it changes.
+    :param holding: counts the bytes that wait here or with the reader; it gives this answer up.
     """
 
-    def __init__(self, on_unread: t.Callable[[int], None] = lambda unread: None) -> None:
+    def __init__(
+        self,
+        on_unread: t.Callable[[int], None] = lambda unread: None,
+        holding: Holding | None = None,
+    ) -> None:
         self.head: HttpHead | None = None
         self._on_unread = on_unread
+        self._holding = holding or ByteBudget().open("")
+        self._holding.give_up = self.fail
+        # What the reader keeps of the parts that it has taken, and the connection of the next one.
+        self._kept_bytes = 0
+        self._held_back_bytes = 0
         # Whether reading from the endpoint was ever stopped. From then on parts may arrive when the
         # caller has taken others, and not when the endpoint sent them.
         self.held_up = False
@@ -36,6 +48,10 @@
         self.ended_by_close = False
         # The same of an answer in a coding that isn't read here, which fails and may be whole.
         self.failed_by_close = False
+        # Whether it was given up, as too many bytes wait at this node.
+        self.given_up = False
+        # Called then; its connection is of no use any more.
+        self.on_given_up: t.Callable[[], None] = lambda: None
         self._changed = asyncio.Event()
 
     def notify(self) -> None:
@@ -48,6 +64,8 @@
 
     def add_part(self, body: bytes) -> None:
         """Append a part of the body, which has just arrived."""
+        if self.given_up:
+            return
         self._parts.append(body)
         self._arrivals.append(clock.now())
         self._count_unread(len(body))
@@ -61,6 +79,38 @@
     def _count_unread(self, added: int) -> None:
         self._unread_bytes += added
         self._on_unread(self._unread_bytes)
+        self._count_held()
+
+    def _count_held(self) -> None:
+        parts = len(self._parts) * defaults.PART_COST_BYTES
+        waiting = self._unread_bytes + parts + self._held_back_bytes
+        self._holding.resize(waiting + self._kept_bytes)
+
+    def hold_back(self, size: int) -> None:
+        """Note how many bytes its connection keeps until a part is complete."""
+        if size != self._held_back_bytes:
+            self._held_back_bytes = size
+            self._count_held()
+
+    def keep(self, size: int) -> None:
+        """Note how many bytes its reader keeps of the parts that it has taken.
+
+        :raises EndpointError: if the answer was given up.
+        """
+        if size != self._kept_bytes:
+            self._kept_bytes = size
+            self._count_held()
+        if self.given_up:
+            raise EndpointError(self.failure, sent=True)
+
+    def drop(self) -> None:
+        """Drop what waits, since nobody reads it any more."""
+        self._parts.clear()
+        self._arrivals.clear()
+        self._unread_bytes = 0
+        self._held_back_bytes = 0
+        self._kept_bytes = 0
+        self._holding.close()
 
     async def wait_head(self) -> HttpHead:
         """Wait for status and headers.
@@ -94,25 +144,24 @@
     def fail(self, reason: str) -> None:
         """Give the answer up: its reader gets an error, whatever arrives."""
         self.failure = reason
+        self.given_up = True
         self.complete = False
-        self._parts.clear()
-        self._arrivals.clear()
+        self.drop()
+        self.on_given_up()
         self.notify()
 
-    async def read_rest(self, most: int, memory: AnswerMemory) -> bytes:
-        """Read the whole body.
+    async def read_rest(self, most: int) -> bytes:
+        """Read the whole body, which counts as kept until :meth:`drop`.
 
         :param most: largest accepted size in bytes.
-        :param memory: counts the bytes while they are held here.
         :raises EndpointError: if the body was cut off, is larger, or if too much is held in all.
         """
-        body = bytearray()
-        try:
-            while part := await self.next_part():
-                body += part
-                if len(body) > most:
-                    raise EndpointError("too large an answer", sent=True)
-                memory.hold(self, len(part))
-            return bytes(body)
-        finally:
-            memory.release(self)
+        parts = []
+        size = 0
+        while part := await self.next_part():
+            parts.append(part)
+            size += len(part)
+            if size > most:
+                raise EndpointError("too large an answer", sent=True)
+            self.keep(size + len(parts) * defaults.PART_COST_BYTES)
+        return b"".join(parts)
--- /dev/null
+++ b/packages/rookspring/src/rookspring/byte_budget.py
@@ -0,0 +1,117 @@
+"""One bound on all bytes of others that wait at a node: answers, callers' bodies, messages.
+
+Each place where such bytes wait has a bound of its own, and many that are just below it would fill
+a node's memory together. So every place counts what it keeps here, by the sender that the bytes
+are waiting for or came from. From a sum on, the sender with the most gives way, by its largest part
+first: a flood costs its own requests, and not those that come next.
+"""
+
+import typing as t
+
+from . import defaults
+from .logs import log
+
+GiveUp = t.Callable[[str], None]
+
+REASON = "too many bytes are held"
+
+
+class Holding:
+    """What waits at one place: a connection, a link.
+
+    :param source: whose bytes they are: an endpoint's, a caller's or a node's address.
+    :param give_up: drops the bytes, given the reason, and fails what they are for; it must not
+        raise. None while they can't be dropped, as the body of a request that may be running.
+    """
+
+    __slots__ = ("_budget", "give_up", "size", "source")
+
+    def __init__(self, budget: "ByteBudget", source: str, give_up: GiveUp | None) -> None:
+        self._budget = budget
+        self.source = source
+        self.give_up = give_up
+        self.size = 0
+
+    def resize(self, size: int) -> None:
+        """Set the number of bytes that wait; some of those of the largest sender may be given up.
+
+        It may be this holding, whose ``give_up`` has been called then.
+        """
+        if size != self.size:
+            self._budget.resize(self, size)
+
+    def close(self) -> None:
+        """Set the number to 0; the holding can be used again."""
+        self.resize(0)
+
+
+class ByteBudget:
+    """The bytes of others that wait at a node, by sender.
+
+    :param most: the largest sum, in bytes.
+    :ivar held_bytes: the sum now.
+    :ivar given_up: how many holdings were given up.
+    """
+
+    def __init__(self, most: int = defaults.HELD_BYTES_DEFAULT) -> None:
+        self.most = most
+        self.held_bytes = 0
+        self.given_up = 0
+        self._holdings: dict[str, set[Holding]] = {}
+        self._sums: dict[str, int] = {}
+
+    def open(self, source: str, give_up: GiveUp | None = None) -> Holding:
+        """Begin to count what waits at one place; see :class:`Holding`."""
+        return Holding(self, source, give_up)
+
+    def resize(self, holding: Holding, size: int) -> None:
+        """Count a holding with another size, and give up from the largest sender if need be."""
+        self._count(holding, size)
+        while self.held_bytes > self.most:
+            largest = self._find_largest()
+            if largest is None:
+                return
+            self._give_up(largest)
+
+    def sum_of(self, source: str) -> int:
+        """Return how many bytes wait of one sender."""
+        return self._sums.get(source, 0)
+
+    def _count(self, holding: Holding, size: int) -> None:
+        added = size - holding.size
+        holding.size = size
+        self.held_bytes += added
+        source = holding.source
+        self._sums[source] = self._sums.get(source, 0) + added
+        holdings = self._holdings.setdefault(source, set())
+        if size:
+            holdings.add(holding)
+            return
+        holdings.discard(holding)
+        if not holdings:
+            del self._holdings[source]
+            del self._sums[source]
+
+    def _find_largest(self) -> Holding | None:
+        """Return the largest holding of the sender with the most; None if none can be given up."""
+        for source in sorted(self._sums, key=self._sums.__getitem__, reverse=True):
+            droppable = [one for one in self._holdings[source] if one.give_up is not None]
+            if droppable:
+                return max(droppable, key=lambda one: one.size)
+        return None
+
+    def _give_up(self, holding: Holding) -> None:
+        self.given_up += 1
+        log(
+            "bytes_given_up",
+            "WARNING",
+            source=holding.source,
+            bytes=holding.size,
+            of_source=self._sums[holding.source],
+            held=self.held_bytes,
+            most=self.most,
+        )
+        give_up = holding.give_up
+        self._count(holding, 0)
+        assert give_up is not None
+        give_up(REASON)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -104,9 +104,21 @@
 EVENT_BYTES_MAX = 256 << 10
 # Largest report of an endpoint, and largest answer to an order.
 REPORT_BYTES_MAX = 1 << 20
-# Largest sum of the whole answers that a node holds until they are complete: the smallest nodes
-# have 160 MB.
-HELD_ANSWERS_BYTES_MAX = 64 << 20
+# Largest sum of others' bytes that wait at a node whose memory isn't stated.
+HELD_BYTES_DEFAULT = 64 << 20
+# Share of the memory that a node has beyond what it takes by itself that others' bytes may fill. As
+# much again goes to copies, to reads that are under way and to what the allocator keeps.
+HELD_SHARE = 0.4
+# The least sum of others' bytes, however little memory is left.
+HELD_BYTES_MIN = 4 << 20
+# Memory that a node takes by itself if that can't be read.
+OWN_BYTES_ASSUMED = 64 << 20
+# Interval of comparing the bound with the memory that the node takes by itself.
+MEMORY_CHECK_S = 1.0
+# Blocks of this size and above go back to the system as they are freed.
+MAPPED_BLOCK_BYTES = 64 << 10
+# Cost of a part of an answer beside its bytes.
+PART_COST_BYTES = 128
 # Longest watch of a relay node, whatever the platform's bounds allow.
 RELAY_WATCH_S = 4.0
 # A repeated watch waits only this long for a change, so that its answer shows that the new
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -88,7 +88,7 @@
                 self._take_first_line(line)
             else:
                 self._take_line(line, line.rstrip(LINE_ENDS))
-        if len(self._event) + len(self._lines.incomplete) > defaults.EVENT_BYTES_MAX:
+        if self.held_bytes > defaults.EVENT_BYTES_MAX:
             raise EndpointError("too large an event", sent=True)
         return self._take_events()
 
@@ -110,6 +110,11 @@
         self._has_line_feeds |= not has_return
         return False
 
+    @property
+    def held_bytes(self) -> int:
+        """The bytes of the incomplete event or line at the end."""
+        return len(self._event) + len(self._lines.incomplete)
+
     def incomplete(self) -> bytes:
         """Return the bytes of the incomplete event or line at the end."""
         return bytes(self._event + self._lines.incomplete)
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -15,6 +15,8 @@
 
 from . import clock
 from . import defaults
+from .byte_budget import ByteBudget
+from .byte_budget import Holding
 from .exceptions import CallerGone
 from .http_messages import BODILESS_STATUSES
 from .http_messages import Header
@@ -46,9 +48,16 @@
 
     :param options: of the listening address that accepted it.
     :param connections: the set of open connections, to which it adds itself.
+    :param budget: counts the bytes of requests, and of answers that the caller doesn't read.
     """
 
-    def __init__(self, options: ServerOptions, connections: set["ServerConnection"]) -> None:
+    def __init__(
+        self, options: ServerOptions, connections: set["ServerConnection"], budget: ByteBudget
+    ) -> None:
+        self._budget = budget
+        self._holding: Holding = budget.open("")
+        # The bytes of the request that is being served.
+        self._request_bytes = 0
         self._options = options
         self._connections = connections
         self._loop = asyncio.get_running_loop()
@@ -107,11 +116,14 @@
         self._transport = transport
         self._connections.add(self)
         self._parser = httptools.HttpRequestParser(self)
+        peer = transport.get_extra_info("peername")
+        self._holding = self._budget.open(str(peer[0]) if peer else "")
         self._start_timer(self._options.limits().idle_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer and report the disconnect; either side may have closed."""
         self._connections.discard(self)
+        self._holding.close()
         self._stop_timer()
         self._handle_disconnect()
 
@@ -130,15 +142,43 @@
     def pause_writing(self) -> None:
         """Make :meth:`send` wait: the caller reads more slowly than the answer is written."""
         self._writable.clear()
+        self.count_held()
 
     def resume_writing(self) -> None:
         """Let :meth:`send` continue."""
         self._writable.set()
+        self.count_held()
+
+    def count_held(self) -> None:
+        """Count what waits here: a request that is read or served, and what isn't sent yet."""
+        if self._transport is None or self.disconnected:
+            return
+        unsent = self.unsent_bytes
+        waiting = self._header_bytes + len(self._body) + len(self._pipelined) + self._request_bytes
+        # An answer is cut, and a request that is read is refused; one that runs can't be dropped.
+        if unsent > self._request_bytes:
+            self._holding.give_up = self._cut_unread
+        elif self.is_reading():
+            self._holding.give_up = self._refuse_unread
+        else:
+            self._holding.give_up = None
+        self._holding.resize(unsent + waiting)
+
+    def _cut_unread(self, reason: str) -> None:
+        """Cut an answer that its caller doesn't read."""
+        log("answer_cut", "WARNING", id=self.request_id, unsent=self.unsent_bytes, reason=reason)
+        self.abort()
+
+    def _refuse_unread(self, reason: str) -> None:
+        """Refuse a request that is being read; it has not run."""
+        self._reject_status = 503
+        self._body.clear()
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes, or buffer them while a request is served."""
         if self._answering:
             self._pipelined += data
+            self.count_held()
             if len(self._pipelined) > defaults.PIPELINED_BYTES_MAX:
                 self.abort()
             return
@@ -163,6 +203,7 @@
                 # The error follows a complete request; that is served and nothing after it is read.
                 self._close_after = True
             return
+        self.count_held()
         if self._answering:
             return
         if self._in_headers and self._header_bytes > self._options.limits().header_bytes:
@@ -236,6 +277,8 @@
             self._parser.should_keep_alive(),
         )
         self._served = request
+        self._request_bytes = len(request.body)
+        self._body.clear()
         self._close_after = not request.keep_alive
         self._task = self._loop.create_task(self._serve(request))
 
@@ -306,9 +349,11 @@
             self._write(b"0\r\n\r\n")
         self._answering = False
         self.on_disconnect = None
+        self._request_bytes = 0
         if self.disconnected:
             return
         self._reset_request()
+        self.count_held()
         if self._close_after:
             self._transport.close()
             return
@@ -367,8 +412,9 @@
 class HttpListener:
     """A listening address and its open connections."""
 
-    def __init__(self, options: ServerOptions) -> None:
+    def __init__(self, options: ServerOptions, budget: ByteBudget | None = None) -> None:
         self._options = options
+        self._budget = budget or ByteBudget()
         self._server: asyncio.Server | None = None
         self.connections: set[ServerConnection] = set()
 
@@ -376,7 +422,7 @@
         """Start to accept connections."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            lambda: ServerConnection(self._options, self.connections),
+            lambda: ServerConnection(self._options, self.connections, self._budget),
             host,
             port,
             backlog=defaults.LISTEN_BACKLOG,
@@ -398,6 +444,11 @@
         for connection in list(self.connections):
             connection.close_if_idle()
 
+    def count_held(self) -> None:
+        """Count what waits at each connection."""
+        for connection in list(self.connections):
+            connection.count_held()
+
     def owing(self) -> list[ServerConnection]:
         """Return the connections whose callers still wait for an answer or a part of it."""
         return [one for one in self.connections if one.owes_answer()]
--- a/packages/rookspring/src/rookspring/metrics.py
+++ b/packages/rookspring/src/rookspring/metrics.py
@@ -40,6 +40,18 @@
         self.answers_owed = make(
             Gauge, "rookspring_answers_owed", "Callers that wait for an answer's last byte", labels
         )
+        self.held_bytes = make(
+            Gauge, "rookspring_held_bytes", "Bytes of others that wait at this node", labels
+        )
+        self.held_bytes_max = make(
+            Gauge, "rookspring_held_bytes_max", "Bytes of others that may wait here", labels
+        )
+        self.given_up = make(
+            Gauge,
+            "rookspring_held_given_up_total",
+            "Answers, requests and links given up since too many bytes waited",
+            labels,
+        )
         self.isolated = make(
             Gauge, "rookspring_isolated", "1 while the node reaches no endpoint", labels
         )
--- a/packages/rookspring/src/rookspring/platform.py
+++ b/packages/rookspring/src/rookspring/platform.py
@@ -15,6 +15,7 @@
 from rookspring_core.events import BoxListed
 
 from . import clock
+from .byte_budget import ByteBudget
 from .exceptions import PlatformError
 
 if t.TYPE_CHECKING:
@@ -100,6 +101,9 @@
     # Called with the era that an answer names and the time at which its call began.
     check_claims: t.Callable[[int, float], None] = staticmethod(lambda era, asked_at: None)
 
+    def count_bytes(self, budget: ByteBudget) -> None:  # noqa: B027
+        """Count the bytes of answers while they wait, if the client can."""
+
     @abc.abstractmethod
     async def get(self, kind: str, name: str) -> Result[StoredObject, PlatformError]:
         """Read one object."""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -248,6 +248,7 @@
     events_before = exchange.events
     while not splitter.overrun and (part := await reply.next_part()):
         events = splitter.feed(part)
+        reply.keep(splitter.held_bytes + len(events.data))
         if not events.data:
             continue
         if fault := order.accept(events.ids):
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -25,6 +25,7 @@
 
 from . import clock
 from . import defaults
+from .byte_budget import ByteBudget
 from .dialect import Dialect
 from .http_client import ConnectionPool
 from .logs import log
@@ -65,6 +66,7 @@
         state: NodeState,
         platform: PlatformClient,
         metrics: Metrics,
+        budget: ByteBudget,
     ) -> None:
         self.settings = settings
         self.dialect = dialect
@@ -72,9 +74,11 @@
         self.platform = platform
         self.metrics = metrics
         self.loop = asyncio.get_running_loop()
-        self.pool = ConnectionPool()
+        # Bytes of endpoints, callers and other nodes that wait here.
+        self.budget = budget
+        self.pool = ConnectionPool(budget=budget)
         # Connections to other nodes, which requests are handed over on.
-        self.peer_pool = ConnectionPool(answers=self.pool.answers)
+        self.peer_pool = ConnectionPool(budget=budget)
         # Set by :class:`RelayNode`.
         self.reach_probes: ReachProbes
         self.origins: OriginQuestions
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -13,7 +13,6 @@
 
 from . import clock
 from . import defaults
-from .answer_memory import AnswerMemory
 from .event_streams import Events
 from .event_streams import EventSplitter
 from .event_streams import is_stream
@@ -87,7 +86,7 @@
         reply = connection.send_request(data, lambda head: True, lambda head: None, no_body)
         head = await reply.wait_head()
         check_refusal(head, effect.sends)
-        await _pass_on(context, effect, exchange, reply, head, context.peer_pool.answers)
+        await _pass_on(context, effect, exchange, reply, head)
     finally:
         # An answer that was not read to its end is cancelled at the other node by the close.
         context.peer_pool.release_or_close(effect.address, connection)
@@ -124,7 +123,6 @@
     exchange: RelayExchange,
     reply: Reply,
     head: HttpHead,
-    answers: AnswerMemory,
 ) -> None:
     """Pass an answer on: one with a length once it is complete, any other as it arrives.
 
@@ -141,7 +139,7 @@
         return
     headers = end_to_end_headers(head.headers)
     if not in_parts:
-        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, answers)
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
         if reply.ended_by_close:
             raise EndpointError("nothing shows the answer's end", sent=True)
         exchange.first_event_at = clock.now()
@@ -183,6 +181,7 @@
     order = EventOrder(last_event, begun=exchange.events > 0)
     while part := await reply.next_part():
         events = splitter.feed(part)
+        reply.keep(splitter.held_bytes + len(events.data))
         if not events.data:
             continue
         if fault := order.accept(events.ids):
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -35,6 +35,7 @@
 from . import clock
 from . import defaults
 from . import logs
+from . import process_memory
 from . import relay
 from . import relay_allotments
 from . import relay_attempts as relay_attempts
@@ -50,6 +51,7 @@
 from . import relay_streams
 from . import relay_suspects
 from . import relay_updates
+from .byte_budget import ByteBudget
 from .dialect import Dialect
 from .exceptions import PlatformConflict
 from .exceptions import SettingsError
@@ -90,6 +92,7 @@
 
 
 async def _run(settings: RelaySettings, dialect: Dialect, reload: Reload) -> None:
+    process_memory.map_large_blocks()
     node = RelayNode(settings, dialect)
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, node.drain)
@@ -139,7 +142,9 @@
         metrics = Metrics(settings.name)
         address = f"{settings.store_scheme}://{settings.store}"
         platform = open_platform(address, _counter(metrics))
-        self.context = RelayContext(settings, dialect, state, platform, metrics)
+        budget = ByteBudget()
+        platform.count_bytes(budget)
+        self.context = RelayContext(settings, dialect, state, platform, metrics, budget)
         self.peers = RelayPeers(self.context)
         self.reach = StoreReachability(self.context)
         self.context.eras = StoreEras(self.context, self.reach)
@@ -230,6 +235,7 @@
         for make in (
             self._tick_loop,
             self._sweep_loop,
+            self._memory_loop,
             lambda: relay_heartbeats.heartbeat_loop(self.peers),
             endpoints.expiry_loop,
             self.proofs.run,
@@ -260,7 +266,7 @@
         if settings.lookup_address and settings.lookup_address != settings.ready_address:
             rows["lookup"] = (settings.lookup_address, checks)
         for name, (address, options) in rows.items():
-            listener = HttpListener(options)
+            listener = HttpListener(options, self.context.budget)
             host, _, port = address.rpartition(":")
             await listener.start(host, int(port))
             self.listeners[name] = listener
@@ -299,6 +305,9 @@
             views = state.endpoints.values()
             metrics.set_endpoint_speeds({view.name: view.speed for view in views})
         metrics.leader.set({}, int(state.control.holding(clock.now())))
+        metrics.held_bytes.set({}, self.context.budget.held_bytes)
+        metrics.held_bytes_max.set({}, self.context.budget.most)
+        metrics.given_up.set({}, self.context.budget.given_up)
         metrics.peer_bytes.set({}, self.peers.server.sent_bytes())
         body, headers = metrics.render()
         rows = [(key.encode(), value.encode()) for key, value in headers.items()]
@@ -333,6 +342,15 @@
             self.context.pool.sweep(clock.now())
             self.context.peer_pool.sweep(clock.now())
 
+    async def _memory_loop(self) -> None:
+        """Compare what may be held with the memory that the process takes by itself."""
+        while True:
+            for listener in self.listeners.values():
+                listener.count_held()
+            if self.settings.memory_bytes:
+                process_memory.adapt_budget(self.context.budget, self.settings.memory_bytes)
+            await asyncio.sleep(defaults.MEMORY_CHECK_S)
+
     def reload(self, reload: Reload, by_signal: bool = True) -> None:
         """Read the settings again and apply them; invalid ones change nothing.
 
--- a/packages/rookspring/src/rookspring/relay_settings.py
+++ b/packages/rookspring/src/rookspring/relay_settings.py
@@ -16,6 +16,7 @@
     :param retry_share: retries allowed for each first send within a window.
     :param retry_slack: retries allowed beyond the share, for all nodes together.
     :param cores: processor cores that the node may use.
+    :param memory_bytes: memory that the node's process may take; 0 if no limit is stated.
     :param link_mbps: bandwidth of its box's network link, in Mbit/s.
     :param grace_s: time from the stop signal until the process has to have ended, in seconds.
     :param proof_s: a request sent later than this after its key was revoked runs at no node, in
@@ -44,6 +45,7 @@
     lookup_ttl_s: float
     cores: float = 1.0
     link_mbps: float = 1000.0
+    memory_bytes: int = 0
     proof_s: float = 0.0
     evacuation_s: float = 0.0
     allotments: WindowTolerance = WindowTolerance()
