Soak of processes: most requests that endpoints' rates allow were answered

The check of the short soak asked that more than half of all requests be answered.

In its place: of the requests that ended outside those times, and of as many inside as the rates allow, more than half are answered.

--- a/bench/processes.py
+++ b/bench/processes.py
@@ -38,6 +38,7 @@
             {
                 "seed": seed,
                 "requests": found.requests,
+                "owed": round(found.owed),
                 "answered": found.answered,
                 "troubles": sum(found.troubles.values()),
                 "broken": len(found.violations),
--- a/features/processes.feature
+++ b/features/processes.feature
@@ -5,7 +5,7 @@
     Given <nodes> nodes as processes, <callers> callers on persistent connections, and seed <seed>
     When troubles are drawn for <seconds> s, one after another and overlapping
     Then no guarantee is violated
-    And most requests were answered
+    And most requests that endpoints' rates allow were answered
 
     Examples: longer runs are started by hand
       | nodes | callers | seed | seconds |
@@ -25,7 +25,7 @@
     Given <nodes> nodes as processes, <callers> callers with keys, and seed <seed>
     When troubles are drawn for <seconds> s, one after another and overlapping
     Then no guarantee is violated
-    And most requests were answered
+    And most requests that endpoints' rates allow were answered
 
     Examples: longer runs are started by hand
       | nodes | callers | seed | seconds |
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -38,6 +38,8 @@
 from .model_unframed import HALF_CLOSE_WORDS as HALF_CLOSE_WORDS
 from .model_unframed import MUTE_S as MUTE_S
 from .model_unframed import RESUMABLE_ENDS as RESUMABLE_ENDS
+from .process_allowance import RatePeriod
+from .process_allowance import WorkPeriod
 from .resets import close_connection
 from .resets import reset_connection
 
@@ -55,6 +57,9 @@
     clock_ahead_s = 0.0
     # The time left to it that its entry and report state, in milliseconds; left out if None.
     remaining_ms: t.Any = None
+    # From when until when it takes work.
+    works_from = math.inf
+    works_until = math.inf
 
     def __init__(self, name: str, script: t.Sequence[str] = ()) -> None:
         self.name = name
@@ -96,7 +101,7 @@
         self.backoff_s = 1.0
         self.backoffs: list[tuple[float, str, float]] = []
         # The periods in which its answers stated a rate: begin, end, and requests per second.
-        self.rate_periods: list[tuple[float, float, float]] = []
+        self.rate_periods: list[RatePeriod] = []
         # The state in its report, left out if empty; and the number of reports that were read.
         self.state = ""
         self.reports = 0
@@ -147,6 +152,7 @@
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()[:2]
         self.address = f"{host}:{port}"
+        self.works_from = time.monotonic()
 
     async def close(self) -> None:
         """Stop listening."""
@@ -161,11 +167,20 @@
         Their peers see a close where all is read that they sent, and a reset otherwise.
         """
         self.ended = True
+        self.end_work()
         if self._server is not None:
             self._server.close()
         for writer in list(self._writers):
             close_connection(writer.transport)
 
+    def end_work(self) -> None:
+        """Note that it takes no more work, since it leaves or has ended."""
+        self.works_until = min(self.works_until, time.monotonic())
+
+    def work_period(self) -> WorkPeriod:
+        """Return when it took work, and the rates that it stated."""
+        return WorkPeriod(self.works_from, self.works_until, tuple(self.rate_periods))
+
     def drop_streams(self, resets: bool) -> None:
         """Reset or close the connections of all streams and drop these runs, and live on."""
         self.unshown.update(self.streaming.values())
@@ -382,7 +397,7 @@
 
         def end() -> None:
             self.extra_header_lines.remove(line)
-            self.rate_periods.append((began, time.monotonic(), rate))
+            self.rate_periods.append(RatePeriod(began, time.monotonic(), rate))
 
         return end
 
