Streams are refused to callers of HTTP/1.0, which has no chunks

A caller of HTTP/1.0 that asked for a stream got 200 with Transfer-Encoding: chunked, in a version that doesn't know it (RFC 9112, section 6.1 forbids it): it takes sizes of chunks for the stream's own bytes.

Cause: an answer whose length isn't known was sent in chunks, whatever version its caller spoke.

Now such a request on a route of streams gets 426 with Upgrade: HTTP/1.1 before anything runs, logged as version_refused. Not an end by close: the end of a node's process looks the same, so that a cut stream would be told as whole. Not 503: it asks to come back. Whole answers keep their length.

The mutant 'sends chunks in any version' is caught.

--- a/bench/mutant.py
+++ b/bench/mutant.py
@@ -24,6 +24,7 @@
 SPEEDS = ("features/endpoint_speeds.feature",)
 STOPS = ("features/stops.feature",)
 STOPS_SOCKETS = ("features/stops_sockets.feature",)
+CALLER_CONNECTIONS = ("features/caller_connections_sockets.feature",)
 CLAIMS = ("features/claims.feature",)
 SWAPPING = ("features/swapping.feature",)
 ENDLESS_ANSWERS = ("features/endless_answers.feature",)
--- a/bench/stop_mutants.py
+++ b/bench/stop_mutants.py
@@ -1,8 +1,9 @@
-"""Mutants of the planned stop: what it waits for, and what becomes of the rest."""
+"""Mutants of the planned stop and of callers' connections: what is waited for, and the rest."""
 
 import typing as t
 
 from rookspring import callers
+from rookspring import http_server
 from rookspring.http_server import HttpListener
 from rookspring.http_server import ServerConnection
 from rookspring_core import requests
@@ -10,6 +11,7 @@
 from rookspring_core.effects import Stop
 from rookspring_core.state import NodeState
 
+from .mutant import CALLER_CONNECTIONS
 from .mutant import STOPS
 from .mutant import STOPS_SOCKETS
 from .mutant import Mutant
@@ -79,4 +81,12 @@
         _count_nothing,
         STOPS_SOCKETS,
     ),
+    Mutant(
+        "sends chunks in any version",
+        "callers' connections",
+        http_server,
+        "VERSIONS_WITHOUT_CHUNKS",
+        frozenset(),
+        CALLER_CONNECTIONS,
+    ),
 )
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -31,18 +31,24 @@
 STATUS_MIN = 100
 # Lower ones are those of interim heads, which another head follows.
 FINAL_STATUS_MIN = 200
+# Versions without chunks, in which no answer may be sent (RFC 9112, section 6.1).
+VERSIONS_WITHOUT_CHUNKS = frozenset({"0.9", "1.0"})
 # Answers with these status codes have no body, and so no framing of one.
 BODILESS_STATUSES = frozenset({204, 304})
 
 
 class HttpRequest(t.NamedTuple):
-    """One complete request as it was read."""
+    """One complete request as it was read.
+
+    :param reads_chunks: its caller can read an answer in chunks.
+    """
 
     method: bytes
     target: bytes
     headers: tuple[Header, ...]
     body: bytes
     keep_alive: bool
+    reads_chunks: bool = True
 
     def header(self, name: bytes) -> bytes:
         """Return the first value of a header; empty if there is none.
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -19,6 +19,7 @@
 from .byte_budget import Holding
 from .exceptions import CallerGone
 from .http_messages import BODILESS_STATUSES
+from .http_messages import VERSIONS_WITHOUT_CHUNKS
 from .http_messages import Header
 from .http_messages import HttpRequest
 from .http_messages import reason_phrase
@@ -275,6 +276,7 @@
             tuple(self._headers),
             bytes(self._body),
             self._parser.should_keep_alive(),
+            self._parser.get_http_version() not in VERSIONS_WITHOUT_CHUNKS,
         )
         self._served = request
         self._request_bytes = len(request.body)
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -43,6 +43,9 @@
 if t.TYPE_CHECKING:
     from .relay_context import RelayContext
 
+# The caller's version of HTTP doesn't do here (RFC 9110, section 15.5.22).
+UPGRADE_REQUIRED = 426
+
 
 class HeldAnswer(t.NamedTuple):
     """A complete error answer, sent to the caller if the retries at other endpoints fail too."""
@@ -213,6 +216,9 @@
     route = _find_route(context, connection, fields)
     if route is None:
         return
+    if route.kind == "stream" and not request.reads_chunks:
+        _refuse_version(context, connection, fields, route)
+        return
     verdict = await _wait_for_key(context, connection, route, fields, arrived_at)
     if verdict.status:
         _refuse_key(context, connection, fields, route, verdict)
@@ -248,6 +254,21 @@
     return route
 
 
+def _refuse_version(
+    context: "RelayContext", connection: ServerConnection, fields: RequestFields, route: Route
+) -> None:
+    """Refuse a stream to a caller that reads no chunks, before any of it runs.
+
+    A stream's length isn't known as it begins, so that only its connection could end it there, as
+    the end of a node would.
+    """
+    context.metrics.refusals.inc({"reason": "version", "outcome": "not_run"})
+    log("version_refused", id=fields.request_id, route=route.name, status=UPGRADE_REQUIRED)
+    headers = context.dialect.refusal_headers(fields.request_id, 0.0)
+    upgrade = [(b"Upgrade", b"HTTP/1.1"), (b"Connection", b"upgrade")]
+    connection.answer(UPGRADE_REQUIRED, [*headers, *upgrade], b"")
+
+
 async def _wait_for_key(
     context: "RelayContext",
     connection: ServerConnection,
