--- a/bench/stop_mutants.py
+++ b/bench/stop_mutants.py
@@ -42,6 +42,10 @@
     return lambda handler: handler
 
 
+def _serve_on(self: ServerConnection) -> bool:
+    return True
+
+
 MUTANTS = (
     Mutant(
         "stops with parked requests", "planned stop", stops, "stop_if_due", _ignore_parked, STOPS
@@ -89,4 +93,12 @@
         frozenset(),
         CALLER_CONNECTIONS,
     ),
+    Mutant(
+        "serves a caller that closed its sending side",
+        "callers' connections",
+        ServerConnection,
+        "eof_received",
+        _serve_on,
+        CALLER_CONNECTIONS,
+    ),
 )
--- a/features/steps/caller_connection_steps.py
+++ b/features/steps/caller_connection_steps.py
@@ -1,3 +1,6 @@
+import asyncio
+import time
+
 from behave import then
 from behave import when
 from relay_fixture import read_answer
@@ -36,3 +39,27 @@
 def says_refused(context):
     lines = [line for line in context.relay.log_lines if "event=version_refused" in line]
     assert len(lines) == 1 and " id=q1 " in lines[0], lines
+
+
+@when("a caller sends a {kind} request and closes its sending side {moment}")
+def half_closed(context, kind, moment):
+    async def work():
+        relay = context.relay
+        reader, writer = await relay.connect()
+        writer.write(request(kind))
+        if moment != "with it":
+            await relay.until(lambda: relay.runs)
+        writer.write_eof()
+        closed_at = time.monotonic()
+        async with asyncio.timeout(5.0):
+            context.got = await reader.read()
+        context.ended_s = time.monotonic() - closed_at
+        writer.close()
+
+    context.loop.run(work())
+
+
+@then("it gets no byte, and its connection ends within {seconds:g} s")
+def gets_nothing(context, seconds):
+    assert context.got == b"", context.got
+    assert context.ended_s <= seconds, context.ended_s
