A fake endpoint takes no request without an id, which no node has sent

Cause: the stage's. Fake endpoints listen on ports that the system picks, and ports of ended tests are still dialled by others' clients: in 2,100 plays beside each other (load 10 to 20) one endpoint recorded two requests without an id as runs, ['q1', '', '']. Such a request takes a step of the endpoint's script; where it comes first, the caller's stream gets the usual body without a line's end, and rightly 502. Played: with one foreign request before the caller's the scenario failed with the same words, each time, 'broke off within an event'. Who dialled was not seen.

Now the fake answers 400, not run, as the users' runners do without an id, and records nothing.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -183,3 +183,16 @@
     Given an endpoint that states at 10 s that 3 s are left, at 11 s that 1 s is, at 11.5 s that 30 s are, and at 12 s nothing
     Then it is taken to end at 12 s
     And once it has restarted it is taken to end at inf s
+
+  Scenario Outline: a request that no node of the stage has sent takes no step of an endpoint's script
+    Given a relay node with one endpoint that does: fail
+    When <what> from elsewhere reaches the endpoint's port
+    And a caller sends a unsafe request
+    Then the answer is endpoint's 500
+    And the endpoints ran it 1 times
+
+    Examples:
+      | what                    |
+      | a read of a store       |
+      | a write to a store      |
+      | a request without an id |
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -25,6 +25,12 @@
 DRAINING = "draining"
 # A fault of an endpoint is logged once for each.
 NUMBERS = itertools.count()
+# Requests of others who dial a port that was theirs before: ports are used again.
+ELSEWHERE = {
+    "a read of a store": b"GET /objects/lease/x HTTP/1.1\r\nHost: x\r\n\r\n",
+    "a write to a store": b"PUT /objects/nodes/n HTTP/1.1\r\nContent-Length: 2\r\n\r\n{}",
+    "a request without an id": b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n",
+}
 REPORT = {"models": [], "utilization": False, "sequence": 0, "queued": 0, "active": 0}
 CAUSES = {"": "nothing", planned_ends.STOP: "its stop", planned_ends.TIME_OVER: "its time"}
 
@@ -39,6 +45,21 @@
         view.role = "runner"
 
 
+@when("{what} from elsewhere reaches the endpoint's port")
+def comes_from_elsewhere(context, what):
+    async def work():
+        host, _, port = context.relay.servers[0].address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(ELSEWHERE[what])
+        head = await reader.readuntil(b"\r\n\r\n")
+        writer.close()
+        return head
+
+    head = context.loop.run(work())
+    assert head.startswith(b"HTTP/1.1 400 "), head
+    assert b"X-Rookspring-Not-Executed" in head, head
+
+
 async def begin(context, kind, **stated):
     """Send a request, and return its task and its endpoint, once the answer has begun."""
     relay = context.relay
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -308,6 +308,10 @@
             return True
         if request.line.startswith("POST /order"):
             return take_order(self, request, writer)
+        if not request.request_id:
+            # No node has sent it. The port may have been another's before, who is dialled still.
+            send(self, writer, 400, b"", {"X-Rookspring-Not-Executed": "1"})
+            return True
         self.received.append(request)
         if time.monotonic() < self.shed_until:
             self._shed(request, writer)
