--- a/features/run.py
+++ b/features/run.py
@@ -43,6 +43,7 @@
     "store_copies": 110,
     "fatal_parts": 100,
     "relay_sockets": 40,
+    "stop_rows": 40,
 }
 # Characters of a failed step's error that are printed before the verdict.
 ERROR_CHARS_MAX = 400
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -120,10 +120,11 @@
         """The host and the port that callers connect to."""
         return self.host, self.ports["frontend"]
 
-    def write_settings(self, peers: t.Iterable["NodeProcess"]) -> None:
+    def write_settings(self, peers: t.Iterable["NodeProcess"], grace_s: float = GRACE_S) -> None:
         """Write its settings file.
 
         :param peers: all nodes of the stage, which become its seeds.
+        :param grace_s: its grace period, in seconds.
         """
         seeds = ",".join(
             f"{one.host}:{one.ports['control-plane']}" for one in peers if one is not self
@@ -134,7 +135,7 @@
             **{f"listen.{name}": f"{self.host}:{port}" for name, port in self.ports.items()},
             "seeds": seeds,
             "platform.address": self._store,
-            "bounds.grace-s": GRACE_S,
+            "bounds.grace-s": grace_s,
             "bounds.revoke-strict": "true",
             "bounds.revoke-ms": REVOKE_MS,
             "bounds.retry-budget": 0.2,
@@ -229,8 +230,12 @@
     :param keys: the callers' keys at the start; without any, requests need none.
     :param versions: the software versions of the endpoints, in turn.
     :param lists_streams: whether the endpoints' reports list their streams as runs.
+    :param grace_s: the grace period of the nodes, in seconds.
     """
 
+    # The class of its endpoints.
+    server_class: type[ModelServer] = ModelServer
+
     def __init__(
         self,
         nodes: int,
@@ -239,7 +244,9 @@
         keys: t.Sequence[str] = (),
         versions: t.Sequence[str] = ("v1",),
         lists_streams: bool = False,
+        grace_s: float = GRACE_S,
     ) -> None:
+        self.grace_s = grace_s
         self._folder = tempfile.TemporaryDirectory()
         self._block = host_block
         self._sizes = (nodes, servers)
@@ -274,7 +281,7 @@
             host = f"127.{1 + self._block // 250 % 120}.{self._block % 250}.{number + 11}"
             self.nodes.append(NodeProcess(number, host, folder, self._served.address))
         for node in self.nodes:
-            node.write_settings(self.nodes)
+            node.write_settings(self.nodes, self.grace_s)
             await node.start()
         for node in self.nodes:
             await node.wait_ready()
@@ -297,7 +304,7 @@
 
         :param version: of its software; the next one in turn if empty.
         """
-        server = ModelServer(f"i{len(self.servers)}")
+        server = self.server_class(f"i{len(self.servers)}")
         server.version = version or self._versions[len(self.servers) % len(self._versions)]
         await self._start_server(server)
         self._entries[server.name] = server.entry(SERVICE)
@@ -365,7 +372,7 @@
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGTERM)
         for node in self.nodes:
-            if not await node.wait_exit(GRACE_S + EXIT_SLACK_S):
+            if not await node.wait_exit(self.grace_s + EXIT_SLACK_S):
                 late.append(node.name)
         for server in self.servers:
             await server.close()
