A message between nodes has a bound, and links count in the budget

What callers saw: nothing yet; a node whose other node, or anybody who reaches its port for nodes, sends a list whose parts never end grows without bound.

Cause: msgpack's own bound is on what it has not read yet, and it reads the parts of a list as they come. Eight MiB of empty lists become 519 MiB as they are read, before any proof of the key. Unsent bytes had a bound for each link and none for all; a link that was ended for them kept them, since a close waits until the other node reads.

Change: what has come since the last whole message is counted and bounded, at HELLO_BYTES_MAX before the proof; it and what is unsent count in the node's budget, by the other node's name. A link that is given up is aborted.

--- a/bench/endless_mutants.py
+++ b/bench/endless_mutants.py
@@ -5,10 +5,12 @@
 from rookspring import defaults as daemon_defaults
 from rookspring.byte_budget import ByteBudget
 from rookspring.byte_budget import Holding
+from rookspring.peers import Link
 from rookspring_core.caller_times import CallerTimes
 from rookspring_core.swapping import SwapBoard
 
 from .mutant import ENDLESS_ANSWERS
+from .mutant import INNER_BYTES
 from .mutant import SWAPPING
 from .mutant import Mutant
 
@@ -30,6 +32,10 @@
         self._give_up(holding)
 
 
+def _ignore(*args: t.Any) -> None:
+    return None
+
+
 MUTANTS = (
     Mutant(
         "reads framing without end",
@@ -71,6 +77,30 @@
         _give_up_newest,
         ENDLESS_ANSWERS,
     ),
+    Mutant(
+        "reads parts of a message without end",
+        "messages between nodes are bounded",
+        Link,
+        "_count_unfinished",
+        _ignore,
+        INNER_BYTES,
+    ),
+    Mutant(
+        "bounds each link and not all of them",
+        "messages between nodes are bounded together",
+        Link,
+        "_count_held",
+        _ignore,
+        INNER_BYTES,
+    ),
+    Mutant(
+        "takes hellos as long as other messages",
+        "messages between nodes are bounded",
+        daemon_defaults,
+        "HELLO_BYTES_MAX",
+        daemon_defaults.FRAME_BYTES_MAX,
+        INNER_BYTES,
+    ),
     Mutant(
         "loads quick models for nobody",
         "loads serve callers who are there",
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -4,6 +4,9 @@
 # Characters of an error about what others wrote that are logged.
 DETAIL_MAX = 200
 FRAME_BYTES_MAX = 8 << 20
+# The largest message of a handshake, whose sender has proved nothing yet. Values of a byte take
+# some sixty times as much once they are read.
+HELLO_BYTES_MAX = 4 << 10
 # Largest entry of an endpoint; one that holds all of 990 models takes some 40 KB.
 ENTRY_BYTES_MAX = 128 << 10
 HEADER_READ_S = 10.0
--- a/packages/rookspring/src/rookspring/peers.py
+++ b/packages/rookspring/src/rookspring/peers.py
@@ -18,6 +18,7 @@
 from . import clock
 from . import defaults
 from .addresses import parse_address
+from .byte_budget import ByteBudget
 from .dropped_values import note_from
 from .exceptions import PeerError
 from .logs import LoggedOnce
@@ -28,15 +29,37 @@
 from .messages import encode
 from .messages import tag_of
 
+# Bytes that are read from a stream at once, at most.
+READ_BYTES = 64 << 10
+
 
 class Link:
-    """One authenticated stream to another node."""
+    """One authenticated stream to another node.
+
+    :param budget: counts what has come of a message and what isn't sent yet, by the other node's
+        name, and by its host before the handshake.
+    :ivar unfinished_bytes: what has come of the message that has not ended.
+    """
 
     def __init__(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter, dialled: bool
+        self,
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        dialled: bool,
+        budget: ByteBudget | None = None,
     ) -> None:
         self._reader = reader
         self._writer = writer
+        self._budget = budget or ByteBudget()
+        peer = writer.get_extra_info("peername")
+        self._holding = self._budget.open(str(peer[0]) if peer else "", self._give_up)
+        self.unfinished_bytes = 0
+        # Bytes that came, and those of messages that have ended.
+        self._fed_bytes = 0
+        self._read_bytes = 0
+        # The largest message that may come now.
+        self._message_bytes_max = defaults.HELLO_BYTES_MAX
+        self._failure = ""
         self._unpacker = msgpack.Unpacker(raw=False, max_buffer_size=defaults.FRAME_BYTES_MAX)
         self.dialled = dialled
         self.name = ""
@@ -62,9 +85,17 @@
         expected = _compute_proof(key, challenge, hello.name, hello.incarnation)
         if not isinstance(proof, HelloProof) or not hmac.compare_digest(proof.digest, expected):
             raise PeerError("shared key")
-        self.name = hello.name
-        self._note = note_from(hello.name, "decode")
-        self.incarnation = hello.incarnation
+        self.know(hello.name, hello.incarnation)
+
+    def know(self, name: str, incarnation: str) -> None:
+        """Note who the other node is, which has proved that it knows the key."""
+        self.name = name
+        self._note = note_from(name, "decode")
+        self.incarnation = incarnation
+        self._message_bytes_max = defaults.FRAME_BYTES_MAX
+        self._holding.close()
+        self._holding = self._budget.open(name, self._give_up)
+        self._count_held()
 
     def send(self, item: t.Any) -> None:
         """Send a message; it is dropped if the stream has ended."""
@@ -80,9 +111,10 @@
         self.sent_bytes += len(data)
         if self._writer.transport.get_write_buffer_size() > defaults.FRAME_BYTES_MAX:
             # The other node does not read: disconnect rather than buffer without bound.
-            self.close()
+            self._give_up("unread")
             return
         self._writer.write(data)
+        self._count_held()
 
     async def drain(self) -> None:
         """Wait while much of what was sent is not read, for ``FORWARD_S`` at most.
@@ -102,22 +134,50 @@
         while True:
             try:
                 for raw in self._unpacker:
+                    self._read_bytes = self._unpacker.tell()
+                    self.unfinished_bytes = 0
                     item = self._decode(raw)
                     if item is not None:
                         return item
-                data = await self._reader.read(1 << 16)
+                self._count_unfinished()
+                data = await self._reader.read(min(READ_BYTES, self._message_bytes_max))
             except PeerError:
                 raise
             except (OSError, ValueError, TypeError, msgpack.exceptions.UnpackException) as error:
                 raise PeerError(type(error).__name__) from None
-            if not data:
-                raise PeerError("ended")
+            if self._failure or not data:
+                raise PeerError(self._failure or "ended")
             self.heard_at = clock.now()
+            self._fed_bytes += len(data)
             try:
                 self._unpacker.feed(data)
             except msgpack.exceptions.BufferFull:
                 raise PeerError("message too large") from None
 
+    def _count_unfinished(self) -> None:
+        """Count what has come of a message that has not ended.
+
+        The unpacker's own bound is on what it has not read yet, and it reads the parts of a message
+        before its end.
+
+        :raises PeerError: if it is larger than a message may be.
+        """
+        self.unfinished_bytes = self._fed_bytes - self._read_bytes
+        if self.unfinished_bytes > self._message_bytes_max:
+            raise PeerError("message too large")
+        self._count_held()
+
+    def _count_held(self) -> None:
+        if not self.closed:
+            unsent = self._writer.transport.get_write_buffer_size()
+            self._holding.resize(self.unfinished_bytes + unsent)
+
+    def _give_up(self, reason: str) -> None:
+        """End the stream at once, with what waits: a close would keep what isn't sent."""
+        self._failure = reason
+        self.close()
+        self._writer.transport.abort()
+
     def _decode(self, raw: t.Any) -> t.Any:
         """Decode a message, without its malformed rows; None if it is malformed itself."""
         try:
@@ -131,6 +191,8 @@
     def close(self) -> None:
         """End the stream."""
         self.closed = True
+        self.unfinished_bytes = 0
+        self._holding.close()
         self._writer.close()
 
 
@@ -172,6 +234,7 @@
 
     :param serve: run for each link after its handshake, until the link ends.
     :param silent_s: time without data after which a link may be silent for good, in seconds.
+    :param budget: counts what waits at the links.
     """
 
     def __init__(
@@ -182,7 +245,9 @@
         serve: Serve,
         tls: ssl.SSLContext | None,
         silent_s: float = defaults.LINK_SILENT_S,
+        budget: ByteBudget | None = None,
     ) -> None:
+        self._budget = budget or ByteBudget()
         self._name = name
         self._incarnation = incarnation
         self._key = key
@@ -216,7 +281,7 @@
         assert task is not None
         self._tasks.add(task)
         try:
-            await self._run(Link(reader, writer, dialled=False))
+            await self._run(Link(reader, writer, False, self._budget))
         except asyncio.CancelledError:
             # The server is closing; asyncio's callback for the stream must not see the error.
             writer.close()
@@ -242,7 +307,7 @@
                 )
         except (OSError, TimeoutError):
             return False
-        await self._run(Link(reader, writer, dialled=True), on_up)
+        await self._run(Link(reader, writer, True, self._budget), on_up)
         return True
 
     async def _run(self, link: Link, on_up: OnUp = lambda: None) -> None:
--- a/packages/rookspring/src/rookspring/relay_peers.py
+++ b/packages/rookspring/src/rookspring/relay_peers.py
@@ -76,6 +76,7 @@
             self._serve,
             None,
             defaults.RELAY_LINK_SILENT_S,
+            context.budget,
         )
         self.dialler = Dialler(
             identity.name,
