Error answers kept for callers count, and a body given up isn't passed on

What callers saw: nothing measured; each request that may be repeated keeps the last error answer, up to 16 MiB, while another endpoint has it, counted nowhere.

Cause: an answer counts until its connection is free again, which is when it is put away for later. And a body that was given up while the node looked whether its endpoint lives on was passed on all the same.

Change: the exchange holds a part of the budget for the answer that it keeps, by its endpoint's address; given up, its caller gets the refusal without it. A body is checked once more after the look.

One mutant, of the count.

--- a/bench/endless_mutants.py
+++ b/bench/endless_mutants.py
@@ -6,6 +6,8 @@
 from rookspring.byte_budget import ByteBudget
 from rookspring.byte_budget import Holding
 from rookspring.peers import Link
+from rookspring.relay import HeldAnswer
+from rookspring.relay import RelayExchange
 from rookspring_core.caller_times import CallerTimes
 from rookspring_core.swapping import SwapBoard
 
@@ -32,6 +34,10 @@
         self._give_up(holding)
 
 
+def _hold_uncounted(self: RelayExchange, answer: HeldAnswer, holding: Holding) -> None:
+    self.held_answer = answer
+
+
 def _ignore(*args: t.Any) -> None:
     return None
 
@@ -101,6 +107,14 @@
         daemon_defaults.FRAME_BYTES_MAX,
         INNER_BYTES,
     ),
+    Mutant(
+        "keeps error answers uncounted",
+        "error answers that are kept are bounded together",
+        RelayExchange,
+        "hold_answer",
+        _hold_uncounted,
+        INNER_BYTES,
+    ),
     Mutant(
         "loads quick models for nobody",
         "loads serve callers who are there",
--- a/features/inner_bytes.feature
+++ b/features/inner_bytes.feature
@@ -28,3 +28,19 @@
     Given a link to another node, after its handshake
     When the other node sends a sound message of 1 MB
     Then the link has read it, and nothing is counted
+
+  Scenario Outline: an error answer that is kept for its caller counts, and may be given up
+    Given a relay node with two endpoints that do: fail at length, hang
+    When a caller sends a safe request, and <event> as the second endpoint has it
+    Then 1 MB at least was counted by then, and less than 0.1 MB after the answer
+    And the caller has got the status <status>
+
+    Examples:
+      | event                            | status |
+      | nothing happens                  | 500    |
+      | others hold all that may be held | 504    |
+
+  Scenario: a body that is given up while its endpoint is looked at isn't passed on
+    Given an answer whose end its endpoint's stop may have brought about
+    When it is given up while the node looks whether the endpoint lives on, which it does
+    Then its request has failed as "too many bytes are held"
--- a/features/steps/inner_byte_steps.py
+++ b/features/steps/inner_byte_steps.py
@@ -1,15 +1,25 @@
 import asyncio
+import types
+from unittest import mock
 
 import msgpack
 from behave import given
 from behave import then
 from behave import when
+from relay_fixture import request
 
+from rookspring import relay_bodies
+from rookspring.byte_budget import REASON
 from rookspring.byte_budget import ByteBudget
+from rookspring.exceptions import EndpointError
 from rookspring.exceptions import PeerError
+from rookspring.http_client import Reply
+from rookspring.http_messages import HttpHead
 from rookspring.messages import TableMessage
 from rookspring.messages import encode
 from rookspring.peers import Link
+from rookspring.relay import EndpointAnswer
+from rookspring.relay_planned_ends import Doubt
 
 KB = 1 << 10
 MB = 1 << 20
@@ -218,3 +228,79 @@
 def counted_none(context):
     assert len(context.played.messages) == 1, context.played.error
     assert context.budget.held_bytes == 0, context.budget.held_bytes
+
+
+def fill(budget):
+    """Hold what is left, by senders that each hold less than the one with the most."""
+    size = MB // 2
+    holdings = []
+    for number in range(budget.most // size + 1):
+        holdings.append(budget.open(f"other {number}", lambda reason: None))
+        holdings[-1].resize(size)
+    for holding in holdings:
+        holding.close()
+
+
+FILLS = {"nothing happens": lambda budget: None, "others hold all that may be held": fill}
+
+
+@when("a caller sends a safe request, and {event} as the second endpoint has it")
+def request_and_event(context, event):
+    relay = context.relay
+    budget = relay.node.context.budget
+
+    async def work():
+        asked = asyncio.ensure_future(relay.ask(request("safe", deadline_ms=1000)))
+        await relay.until(lambda: len(relay.asked) == 2)
+        context.counted = budget.held_bytes
+        FILLS[event](budget)
+        context.answer = await asked
+        await asyncio.sleep(0.05)
+        context.left = budget.held_bytes
+
+    context.loop.run(work())
+
+
+@then("{before:g} MB at least was counted by then, and less than {after:g} MB after the answer")
+def counted_then(context, before, after):
+    assert context.counted >= before * MB, context.counted
+    assert context.left < after * MB, context.left
+
+
+@then("the caller has got the status {status:d}")
+def got_status(context, status):
+    assert context.answer.status == status, context.answer
+
+
+@given("an answer whose end its endpoint's stop may have brought about")
+def doubted_answer(context):
+    context.reply = Reply(holding=ByteBudget().open("endpoint"))
+    context.reply.add_part(b"body")
+    context.reply.complete = True
+    head = HttpHead(200, ((b"transfer-encoding", b"chunked"),))
+    view = types.SimpleNamespace(name="i0")
+    context.doubted = EndpointAnswer(context.reply, head, view, None)
+
+
+@when("it is given up while the node looks whether the endpoint lives on, which it does")
+def given_up_while_looking(context):
+    exchange = mock.MagicMock(open_bodies=set())
+
+    async def give_up(*_):
+        context.reply.fail(REASON)
+        return True
+
+    async def read():
+        try:
+            return await relay_bodies.read_body(None, exchange, context.doubted)
+        except EndpointError as error:
+            return error.reason
+
+    found = mock.patch.object(relay_bodies, "find_doubt", return_value=Doubt("ends", 0.0, False))
+    with found, mock.patch.object(relay_bodies, "lives_on", give_up):
+        context.end = asyncio.run(read())
+
+
+@then('its request has failed as "{reason}"')
+def request_failed(context, reason):
+    assert context.end == reason, context.end
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
@@ -15,6 +15,7 @@
 
 
 LONG_ANSWER_BYTES = 15 << 20
+FAILED_BYTES = 1 << 20
 LATE_ANSWER_S = 0.15
 
 
@@ -41,6 +42,13 @@
     send(server, writer, 200, b"x" * LONG_ANSWER_BYTES, record_run(server, request))
 
 
+@step("fail at length")
+async def _fail_at_length(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    send(server, writer, 500, b"f" * FAILED_BYTES, record_run(server, request))
+
+
 @step("fail")
 async def _fail(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -28,6 +28,7 @@
 
 from . import clock
 from . import defaults
+from .byte_budget import Holding
 from .dialect import RequestFields
 from .exceptions import CallerError
 from .exceptions import CallerGone
@@ -102,6 +103,8 @@
         self.endpoint: EndpointView | None = None
         self.told_until = 0.0
         self.held_answer: HeldAnswer | None = None
+        # Counts the bytes of that answer.
+        self._holding: Holding | None = None
         # The bodies that came and of which nothing showed that they were whole.
         self.open_bodies: set[BodyCopy] = set()
         self.task: asyncio.Task[None] | None = None
@@ -109,6 +112,24 @@
         # Ends the running attempt at the deadline; it counts by the monotonic clock of the loop.
         self.attempt_timeout: asyncio.Timeout | None = None
 
+    def hold_answer(self, answer: HeldAnswer, holding: Holding) -> None:
+        """Keep an error answer, in place of an earlier one, for as long as there is room for it.
+
+        :param holding: counts its bytes.
+        """
+        self.drop_answer()
+        self.held_answer = answer
+        self._holding = holding
+        holding.give_up = self.drop_answer
+        holding.resize(len(answer.body) + sum(len(name) + len(row) for name, row in answer.headers))
+
+    def drop_answer(self, reason: str = "") -> None:
+        """Drop the error answer that is kept; its caller is refused without."""
+        self.held_answer = None
+        holding, self._holding = self._holding, None
+        if holding is not None:
+            holding.close()
+
     def count_events(self, number: int, now: float) -> None:
         """Count events that are passed on, and record the longest pause between them."""
         self.first_event_at = self.first_event_at or now
@@ -413,6 +434,7 @@
 def remove_exchange(context: "RelayContext", exchange: RelayExchange) -> None:
     """Remove an exchange that has ended, and resume the coroutine that serves its caller."""
     context.exchanges.pop(exchange.key, None)
+    exchange.drop_answer()
     if exchange.done is not None and not exchange.done.done():
         exchange.done.set_result(None)
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -221,7 +221,9 @@
         return
     body = await read_body(context, exchange, answer)
     if head.status >= 500 and exchange.route.repeatable:
-        exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
+        answer.reply.drop()
+        kept = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
+        exchange.hold_answer(kept, context.budget.open(answer.view.address))
         raise EndpointError(f"answered {head.status}", sent=True)
     _send_answer(exchange, HeldAnswer(head.status, end_to_end_headers(head.headers), body))
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -63,6 +63,8 @@
     )
     unshown = sign in (Sign.DIFFERS, Sign.NONE)
     if unshown and doubt is not None and await lives_on(context, exchange, answer, doubt):
+        if reply.given_up:
+            raise EndpointError(reply.failure, sent=True)
         return body
     if sign is Sign.DIFFERS:
         raise EndpointError("the answer's body is of other bytes", sent=True, open_ended=sound)
