Turns among endpoints for what was read from them

Callers saw: beside endpoints that send small events without end, one in five requests to sound ones got no answer, and callers of the faulty had none at their deadline.

Cause: a read of 256 KiB of small events takes 45 to 52 ms to parse and split (1.6 to 1.8 us an event, measured alone), of small chunks 36 to 63 ms. One turn of the event loop handles what every connection has read, so that 60 such connections make a turn of some 3 s, in which nobody else is served.

Change: the work of a turn is bounded (read_turns, a decision without clock or socket): bytes, and more for each line end. Each endpoint has a little at once in each turn; beyond it its connections wait, are read no further, and endpoints are served in rotation.

--- a/features/memory_sockets.feature
+++ b/features/memory_sockets.feature
@@ -14,3 +14,16 @@
       | chunks without end |
       | length without end |
       | event without end  |
+
+  # Guards against one loop's turn that is as long as all reads of all faulty endpoints together.
+  Scenario Outline: many requests at once to endpoints that send small parts without end
+    Given a node process of 160 MB between sound endpoints and those that do: <script>
+    When it gets 60 requests at a time for the latter, and others, for 6 s
+    Then its process took 120 MiB at most
+    And 97 of 100 of the others were answered
+    And no caller of the latter waited for longer than 0.2 s after the deadline
+
+    Examples:
+      | script                   |
+      | small events without end |
+      | small chunks without end |
--- a/features/memory_stage.py
+++ b/features/memory_stage.py
@@ -16,6 +16,7 @@
 FAULTY = "faulty"
 SOUND = "sound"
 ROUTE_TIMEOUT_S = 2.0
+DEADLINE_MS = 2000
 ANSWER_TIMEOUT_S = 4.0
 # The pause between requests to sound endpoints, in seconds.
 SOUND_INTERVAL_S = 0.05
@@ -40,6 +41,8 @@
         self.servers = []
         # Counts of the statuses that callers got, by service.
         self.ends = collections.Counter()
+        # The longest wait of a caller of a faulty endpoint, in seconds.
+        self.longest_wait_s = 0.0
 
     async def start(self):
         self._served = await serve(self.store.app())
@@ -80,12 +83,14 @@
     async def _call(self, service, kind):
         status = "none"
         writer = None
+        began = time.monotonic()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 reader, writer = await asyncio.open_connection(*self.node.address)
                 path = f"/{service}-{kind}/x"
                 rows = f"Host: {HOST}\r\nX-Rookspring-Request-Id: {secrets.token_hex(6)}\r\n"
-                rows += "X-Rookspring-Deadline-Ms: 2000\r\nContent-Length: 1\r\nConnection: close"
+                rows += f"X-Rookspring-Deadline-Ms: {DEADLINE_MS}\r\n"
+                rows += "Content-Length: 1\r\nConnection: close"
                 writer.write(f"POST {path} HTTP/1.1\r\n{rows}\r\n\r\nx".encode())
                 status = (await reader.readline()).decode().split(" ")[1]
                 while await reader.read(1 << 16):
@@ -96,6 +101,8 @@
             if writer is not None:
                 writer.transport.abort()
         self.ends[service, status] += 1
+        if service == FAULTY:
+            self.longest_wait_s = max(self.longest_wait_s, time.monotonic() - began)
 
     def peak_mib(self):
         """Return the largest resident size that the node's process had."""
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -1,6 +1,7 @@
 from behave import given
 from behave import then
 from behave import when
+from memory_stage import DEADLINE_MS
 from memory_stage import SOUND
 from memory_stage import MemoryStage
 
@@ -30,3 +31,9 @@
 def others_answered(context, least):
     ends = {status: n for (service, status), n in context.memory.ends.items() if service == SOUND}
     assert ends.get("200", 0) >= least / 100 * sum(ends.values()) > 0, ends
+
+
+@then("no caller of the latter waited for longer than {most:g} s after the deadline")
+def waited_no_longer(context, most):
+    late_s = context.memory.longest_wait_s - DEADLINE_MS / 1000
+    assert late_s <= most, late_s
--- a/packages/rookspring-core/src/rookspring_core/_node_defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/_node_defaults.py
@@ -50,3 +50,12 @@
 AGE_STEP_S = 5.0
 # A node that has run for less than this has not received heartbeats from all others yet.
 SETTLED_S = 1.5
+# Work that a line end costs beside its byte, in bytes of plain data: a line of an event or the
+# framing of a chunk is handled by itself, plain data at the speed of a copy.
+LINE_WORK_BYTES = 256
+# Work in one turn of the event loop on what endpoints have sent, in bytes. Some milliseconds: a
+# request takes a dozen turns, and is answered within a quarter of a second beside any flood.
+TURN_WORK_BYTES = 1 << 20
+# Work of one endpoint that is done at once in each turn: a read of plain data, or some hundreds of
+# tokens, which is more than the streams of one endpoint make in the time of a turn.
+AT_ONCE_WORK_BYTES = 320 << 10
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -87,6 +87,7 @@
 from ._node_defaults import ADDRESS_TTL_S as ADDRESS_TTL_S
 from ._node_defaults import ADDRESSES_MAX as ADDRESSES_MAX
 from ._node_defaults import AGE_STEP_S as AGE_STEP_S
+from ._node_defaults import AT_ONCE_WORK_BYTES as AT_ONCE_WORK_BYTES
 from ._node_defaults import CHANGES_KEPT as CHANGES_KEPT
 from ._node_defaults import CLOCK_STEP_S as CLOCK_STEP_S
 from ._node_defaults import DECISIONS_MAX as DECISIONS_MAX
@@ -94,6 +95,7 @@
 from ._node_defaults import EXPIRE_EVERY_S as EXPIRE_EVERY_S
 from ._node_defaults import HEARTBEAT_S as HEARTBEAT_S
 from ._node_defaults import ISOLATION_GRACE_S as ISOLATION_GRACE_S
+from ._node_defaults import LINE_WORK_BYTES as LINE_WORK_BYTES
 from ._node_defaults import MESH_LIMIT as MESH_LIMIT
 from ._node_defaults import NEAR_ADDRESSES_MIN as NEAR_ADDRESSES_MIN
 from ._node_defaults import PEER_DEAD_S as PEER_DEAD_S
@@ -106,6 +108,7 @@
 from ._node_defaults import SEEDS_AFTER_S as SEEDS_AFTER_S
 from ._node_defaults import SETTLED_S as SETTLED_S
 from ._node_defaults import TICK_S as TICK_S
+from ._node_defaults import TURN_WORK_BYTES as TURN_WORK_BYTES
 from ._node_defaults import UNREACHED_S as UNREACHED_S
 from ._order_defaults import CONFIRMED_S as CONFIRMED_S
 from ._order_defaults import LATE_ORDER_BOUND_S as LATE_ORDER_BOUND_S
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -11,6 +11,9 @@
 The bytes of a chunk are handed on once it has ended where its size says: an endpoint may break off
 within it and send another answer behind, whose bytes would stand in its place. What one read has
 completed is handed on together, so that many small chunks don't take more memory than their bytes.
+
+What is read beyond an endpoint's share of a turn of the event loop is parsed in later turns, and
+nothing more is read from the connection until then; see :mod:`paced_reads`.
 """
 
 import asyncio
@@ -19,6 +22,8 @@
 
 import httptools
 
+from rookspring_core.read_turns import measure_work
+
 from . import clock
 from . import defaults
 from ._reply import Reply
@@ -28,6 +33,7 @@
 from .http_messages import STATUS_MIN
 from .http_messages import Header
 from .http_messages import HttpHead
+from .paced_reads import PacedReads
 
 AcceptHead = t.Callable[[HttpHead], bool]
 OnHead = t.Callable[[HttpHead], None]
@@ -42,6 +48,13 @@
 
     def __init__(self, budget: ByteBudget | None = None, address: str = "") -> None:
         self._holding = (budget or ByteBudget()).open(address)
+        self._address = address
+        # The turns in which large reads are parsed; None to parse all at once.
+        self.paced: PacedReads | None = None
+        # What was read and waits for its turn, and how much of it has been parsed.
+        self._pending = b""
+        self._pending_at = 0
+        self._in_turns = False
         # The answer that was read last, until its caller is done with it.
         self._read_last: Reply | None = None
         self._transport: t.Any = None
@@ -64,6 +77,8 @@
         self._until_close = False
         self._got_head = False
         self._no_body = False
+        # Whether reading is stopped as the caller reads slowly, and whether for any reason.
+        self._slow = False
         self._reading = True
         self.open = False
         self.reusable = True
@@ -84,6 +99,7 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """End the reply: an answer without a length is complete after a regular close."""
+        self._parse_pending()
         self.open = False
         if self._reply is None:
             return
@@ -156,15 +172,75 @@
         self._got_head = False
 
     def data_received(self, data: bytes) -> None:
-        """Parse the bytes; close the connection if no request is in flight."""
+        """Parse the bytes, now or in turns; close the connection if no request is in flight."""
+        if self.paced is None or self._reply is None:
+            self._parse_all(data)
+        elif self._pending:
+            # The transport has read them before reading was stopped.
+            self._pending = self._pending[self._pending_at :] + data
+            self._pending_at = 0
+        elif self.paced.admit(self._address, data):
+            self._parse_all(data)
+        else:
+            self._pending = data
+            self._adapt_reading()
+            self._wait_turn()
+        self._hold_back()
+
+    def _parse_all(self, data: bytes) -> None:
         for start in range(0, len(data), defaults.PARSED_BYTES_MAX):
             if self._reply is None:
                 self.close()
                 return
             self._parse(data[start : start + defaults.PARSED_BYTES_MAX])
         self._hand_on()
+
+    def _hold_back(self) -> None:
         if self._reply is not None:
-            self._reply.hold_back(len(self._chunk) + self._framing_bytes)
+            unparsed = len(self._pending) if self._pending else 0
+            self._reply.hold_back(len(self._chunk) + self._framing_bytes + unparsed)
+
+    def handle_next(self) -> int:
+        """Parse some of the bytes that wait; return the work, in bytes.
+
+        The end of a request's answer closes the connection if more waits, as it is surplus.
+        """
+        self._in_turns = False
+        if not self.waits:
+            return 0
+        part = self._pending[self._pending_at : self._pending_at + defaults.PARSED_BYTES_MAX]
+        self._pending_at += len(part)
+        if self._pending_at >= len(self._pending):
+            self._drop_pending()
+        self._parse_all(part)
+        if self._reply is None and self._pending:
+            self.close()
+        self._adapt_reading()
+        self._hold_back()
+        if self.waits:
+            self._wait_turn()
+        return measure_work(part)
+
+    @property
+    def waits(self) -> bool:
+        """Whether bytes wait that may be parsed in the next turn."""
+        return bool(self._pending) and not self._slow
+
+    def _wait_turn(self) -> None:
+        if self.paced is not None and not self._in_turns:
+            self._in_turns = True
+            self.paced.wait(self._address, self)
+
+    def _parse_pending(self) -> None:
+        """Parse at once what waits, as nothing more comes."""
+        rest = self._pending[self._pending_at :]
+        self._drop_pending()
+        if rest and self._reply is not None:
+            self._parse_all(rest)
+
+    def _drop_pending(self) -> None:
+        self._pending = b""
+        self._pending_at = 0
 
     def _hand_on(self) -> None:
         """Hand the completed bytes of the body on to the reader."""
@@ -194,15 +270,27 @@
 
     def _limit_unread(self, unread: int) -> None:
         """Stop reading from the endpoint while a caller that reads slowly holds up its answer."""
-        if unread > defaults.UNREAD_ANSWER_BYTES_MAX and self._reading:
-            self._reading = False
-            self._transport.pause_reading()
+        if unread > defaults.UNREAD_ANSWER_BYTES_MAX and not self._slow:
+            self._slow = True
             if self._reply is not None:
                 self._reply.held_up = True
-        elif unread <= defaults.UNREAD_ANSWER_BYTES_MAX // 2 and not self._reading:
-            self._reading = True
-            if self.open:
-                self._transport.resume_reading()
+            self._adapt_reading()
+        elif unread <= defaults.UNREAD_ANSWER_BYTES_MAX // 2 and self._slow:
+            self._slow = False
+            if self._pending:
+                self._wait_turn()
+            self._adapt_reading()
+
+    def _adapt_reading(self) -> None:
+        """Read from the endpoint unless its bytes wait for a turn or for the caller."""
+        reading = not self._slow and not self._pending
+        if reading == self._reading:
+            return
+        self._reading = reading
+        if not reading:
+            self._transport.pause_reading()
+        elif self.open:
+            self._transport.resume_reading()
 
     # Parser callbacks.
 
@@ -328,6 +416,7 @@
 
     def close(self) -> None:
         """Abort the connection; a request in flight on it fails."""
+        self._drop_pending()
         self.open = False
         self.reusable = False
         if self._reply is not None:
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -13,6 +13,7 @@
 from .byte_budget import ByteBudget
 from .exceptions import EndpointError
 from .http_messages import HttpHead
+from .paced_reads import PacedReads
 
 MakeConnection = t.Callable[[ByteBudget, str], ClientConnection]
 
@@ -22,14 +23,17 @@
 
     :param make_connection: makes the protocol of a new connection, given budget and address.
     :param budget: counts the bytes of answers that wait.
+    :param paced: the turns in which large reads are parsed; its own if none are given.
     """
 
     def __init__(
         self,
         make_connection: MakeConnection = ClientConnection,
         budget: ByteBudget | None = None,
+        paced: PacedReads | None = None,
     ) -> None:
         self._make_connection = make_connection
+        self._paced = paced or PacedReads()
         self._budget = budget or ByteBudget()
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
@@ -77,6 +81,7 @@
                 _, made = await loop.create_connection(
                     lambda: self._make_connection(self._budget, address), host, port
                 )
+                made.paced = self._paced
         except (OSError, TimeoutError) as error:
             down = isinstance(error, ConnectionRefusedError)
             raise EndpointError(type(error).__name__, sent=False, down=down) from None
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -115,6 +115,9 @@
 OWN_BYTES_ASSUMED = 64 << 20
 # Interval of comparing the bound with the memory that the node takes by itself.
 MEMORY_CHECK_S = 1.0
+# Work on one endpoint's bytes, beyond its share of a turn, for which a line is logged: about a
+# second of the event loop's time.
+LOGGED_WORK_BYTES = 256 << 20
 # Blocks of this size and above go back to the system as they are freed.
 MAPPED_BLOCK_BYTES = 64 << 10
 # Cost of a part of an answer beside its bytes.
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -54,6 +54,7 @@
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
     "bytes_given_up": "too many bytes of others wait; the largest part of one sender is dropped",
+    "reads_paced": "an endpoint sends more than its share of the event loop; it waits in turn",
     "body_checked": "a body ended with its connection or endpoint; what shows that it is whole",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
     "request_ended": "a relayed request ended, with its outcome",
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -30,6 +30,7 @@
 from .http_client import ConnectionPool
 from .logs import log
 from .metrics import Metrics
+from .paced_reads import PacedReads
 from .peers import Link
 from .platform import PlatformClient
 from .platform import StoredObject
@@ -76,9 +77,10 @@
         self.loop = asyncio.get_running_loop()
         # Bytes of endpoints, callers and other nodes that wait here.
         self.budget = budget
-        self.pool = ConnectionPool(budget=budget)
+        paced = PacedReads()
+        self.pool = ConnectionPool(budget=budget, paced=paced)
         # Connections to other nodes, which requests are handed over on.
-        self.peer_pool = ConnectionPool(budget=budget)
+        self.peer_pool = ConnectionPool(budget=budget, paced=paced)
         # Set by :class:`RelayNode`.
         self.reach_probes: ReachProbes
         self.origins: OriginQuestions
