One random load of real processes: the callers' record against the runners' record

Cause: what callers count as out of order was looked for in one way at a time. A seed now draws nodes' and runners' troubles, nodes that hand their streams over and are then killed, frozen or stopped, proxies at callers', nodes' and runners' links, limits, versions, routes that move, the store away for longer than a lease, callers and forms of events, in series that overlap.

Streams are checked for whole, in order, once and whose; what callers may count besides is counted separately: ids left out by a take-up, new runs on routes that may not be resumed, two answers to one id, an end that is missing after the last event. Each check fails on a mutated record, and bytes of a runner that lies are told (features/ways.feature).

--- /dev/null
+++ b/features/steps/ways_steps.py
@@ -0,0 +1,240 @@
+import os
+
+from behave import given
+from behave import then
+from behave import when
+
+from rookspring_fakes.ways import play
+from rookspring_fakes.ways_checks import FAULTS
+from rookspring_fakes.ways_checks import KINDS
+from rookspring_fakes.ways_checks import TOLD
+from rookspring_fakes.ways_checks import Call
+from rookspring_fakes.ways_checks import Event
+from rookspring_fakes.ways_checks import Part
+from rookspring_fakes.ways_checks import Run
+from rookspring_fakes.ways_checks import read_events
+from rookspring_fakes.ways_checks import read_runs
+from rookspring_fakes.ways_runner import write_event
+
+PLAY_SLACK_S = 90.0
+CHANGES = {}
+
+
+def change(name):
+    def register(function):
+        CHANGES[name] = function
+        return function
+
+    return register
+
+
+@given("a {kind} call that is whole, and its run")
+def whole_call(context, kind):
+    count = KINDS[kind].events
+    events = tuple(Event(number, "i1", "q1", 1) for number in range(1, count + 1))
+    context.kind = kind
+    context.parts = [Part("q1", "n0", 200, True, events)]
+    context.runs = [Run("q1", "i1", 1, count)]
+    context.again = False
+
+
+@when("in the record {what}")
+def change_record(context, what):
+    CHANGES[what](context)
+
+
+@then('the checks that find something are "{names}"')
+def checks_found(context, names):
+    calls = [Call(context.kind, tuple(context.parts), context.again)]
+    found = [name for name, check in (FAULTS | TOLD).items() if check(calls, context.runs)]
+    assert found == names.split(", "), found
+
+
+@then('the checks that find something are ""')
+def no_checks_found(context):
+    calls = [Call(context.kind, tuple(context.parts), context.again)]
+    found = [name for name, check in (FAULTS | TOLD).items() if check(calls, context.runs)]
+    assert found == [], found
+
+
+def _set_events(context, events):
+    context.parts[0] = context.parts[0]._replace(events=tuple(events))
+
+
+def _set_event(context, at, **fields):
+    events = list(context.parts[0].events)
+    events[at] = events[at]._replace(**fields)
+    _set_events(context, events)
+
+
+@change("nothing changes")
+def keep(context):
+    pass
+
+
+@change("the last event is missing")
+def drop_last(context):
+    _set_events(context, context.parts[0].events[:-1])
+
+
+@change("the third event is missing")
+def drop_third(context):
+    events = context.parts[0].events
+    _set_events(context, events[:2] + events[3:])
+
+
+@change("the first event is missing")
+def drop_first(context):
+    _set_events(context, context.parts[0].events[1:])
+
+
+@change("two events are exchanged")
+def exchange(context):
+    events = context.parts[0].events
+    _set_events(context, (*events[:2], events[3], events[2], *events[4:]))
+
+
+@change("an event comes twice")
+def repeat(context):
+    events = context.parts[0].events
+    _set_events(context, events[:3] + events[2:])
+
+
+@change("an event is of another request")
+def other_request(context):
+    _set_event(context, 2, ident="q2")
+    context.runs.append(Run("q2", "i1", 1, 8))
+
+
+@change("an event is of another version")
+def other_version(context):
+    _set_event(context, 2, version=2)
+
+
+@change("an event was never made")
+def never_made(context):
+    context.runs[0] = context.runs[0]._replace(made=7)
+
+
+@change("an event is of another runner that made it")
+def other_runner(context):
+    _set_event(context, 7, runner="i2")
+    context.runs.append(Run("q1", "i2", 8, 8))
+
+
+@change("the request ran twice")
+def run_twice(context):
+    context.runs.append(context.runs[0]._replace(runner="i2"))
+
+
+@change("the run was asked for from the third event")
+def asked_from_third(context):
+    context.runs[0] = context.runs[0]._replace(first=3)
+
+
+def _take_up(context, first, version=1):
+    events = context.parts[0].events
+    more = tuple(one._replace(ident="q1t1", version=version) for one in events[first - 1 :])
+    context.parts = [
+        context.parts[0]._replace(whole=False, events=events[:3]),
+        Part("q1t1", "n1", 200, True, more),
+    ]
+    context.runs.append(Run("q1t1", "i1", first, 8))
+
+
+@change("a take-up goes on")
+def go_on(context):
+    _take_up(context, 4)
+
+
+@change("a take-up leaves an event out")
+def leave_out(context):
+    _take_up(context, 5)
+
+
+@change("a take-up repeats an event")
+def take_up_twice(context):
+    _take_up(context, 3)
+
+
+@change("a take-up is of another version")
+def take_up_other_version(context):
+    _take_up(context, 4, version=2)
+
+
+@change("bytes come that no runner makes")
+def bend(context):
+    context.parts[0] = context.parts[0]._replace(bent="x")
+
+
+@change("no end comes after the last event")
+def cut_end(context):
+    context.parts[0] = context.parts[0]._replace(whole=False)
+
+
+@change("its caller sent it twice and got two answers")
+def send_twice(context):
+    context.parts = [context.parts[0]._replace(whole=False), context.parts[0]]
+    context.runs.append(context.runs[0])
+    context.again = True
+
+
+@given("the stream of a runner that sends {forms}")
+def runner_stream(context, forms):
+    context.forms = [] if forms == "plain events" else forms.split(", ")
+    context.blocks = [write_event("i1", "q1", number, 1, context.forms) for number in (1, 2, 3)]
+    context.whole = True
+
+
+@when("it tells the truth")
+def truth(context):
+    pass
+
+
+@when("it sends an id that is not the event's")
+def wrong_id(context):
+    context.blocks[1] = context.blocks[1].replace(b"id: 2", b"id: 3")
+
+
+@when("it sends a payload cut short")
+def short_payload(context):
+    context.blocks[1] = context.blocks[1].replace(b"pp\n", b"p\n")
+
+
+@when("it sends half an event into another")
+def half_event(context):
+    context.blocks[1] = context.blocks[1][:9] + context.blocks[1]
+
+
+@when("it breaks off within the last")
+def break_off(context):
+    context.blocks[2] = context.blocks[2][:-4]
+    context.whole = False
+
+
+@then("the events that are read are {numbers}, and {bent} bytes are bent")
+def events_read(context, numbers, bent):
+    events, found = read_events(b"".join(context.blocks), context.whole, context.forms)
+    assert [one.number for one in events] == [int(one) for one in numbers.split(",")], events
+    assert bool(found) == (bent == "some"), found
+    lines = "run q1 1\n" + "".join(f"made q1 {one.number}\n" for one in events)
+    assert read_runs("i1", lines) == [Run("q1", "i1", 1, len(events))]
+
+
+@when("seed {seed:d} is played with {callers:d} callers for {seconds:d} s")
+def seed_played(context, seed, callers, seconds):
+    context.outcome = context.loop.run(
+        play(seed, float(seconds), callers, os.getpid()), seconds + PLAY_SLACK_S
+    )
+
+
+@then("no check finds anything")
+def nothing_found(context):
+    found = {name: rows for name, rows in context.outcome.found.items() if rows}
+    assert not found, found
+
+
+@then("some streams were whole")
+def some_whole(context):
+    calls = [one for one in context.outcome.calls if KINDS[one.kind].events]
+    assert sum(one.parts[-1].ended for one in calls) > len(calls) / 10, context.outcome.settings
--- /dev/null
+++ b/features/ways.feature
@@ -0,0 +1,61 @@
+@relay
+Feature: Real processes in drawn ways: each stream whole, in order, once, and its caller's own
+
+  Scenario Outline: each check finds a record with its fault
+    Given a <kind> call that is whole, and its run
+    When in the record <change>
+    Then the checks that find something are "<found>"
+
+    Examples: faults
+      | kind   | change                                            | found                |
+      | save   | nothing changes                                   |                      |
+      | stock  | nothing changes                                   |                      |
+      | unsafe | nothing changes                                   |                      |
+      | save   | the last event is missing                         | early                |
+      | save   | the third event is missing                        | out of order         |
+      | save   | two events are exchanged                          | out of order         |
+      | save   | the first event is missing                        | out of order         |
+      | save   | an event comes twice                              | out of order, twice  |
+      | save   | an event is of another request                    | foreign              |
+      | save   | an event is of another version                    | foreign              |
+      | save   | an event was never made                           | foreign              |
+      | save   | an event is of another runner that made it        | unrepeatable twice, new run |
+      | save   | the request ran twice                             | unrepeatable twice   |
+      | unsafe | the request ran twice                             | unrepeatable twice   |
+      | stock  | the request ran twice                             |                      |
+      | safe   | the request ran twice                             |                      |
+      | save   | the run was asked for from the third event        | new run              |
+      | stock  | a take-up goes on                                 |                      |
+      | stock  | a take-up leaves an event out                     | left out             |
+      | stock  | a take-up repeats an event                        | twice                |
+      | stock  | a take-up is of another version                   | two versions         |
+      | save   | bytes come that no runner makes                   | bent                 |
+
+    Examples: what is told beside them
+      | kind   | change                                            | found                |
+      | save   | no end comes after the last event                 | cut after last       |
+      | save   | its caller sent it twice and got two answers      | two answers          |
+
+  Scenario Outline: the bytes of a runner that lies are told from those of one that doesn't
+    Given the stream of a runner that sends <forms>
+    When it <lies>
+    Then the events that are read are <numbers>, and <bent> bytes are bent
+
+    Examples:
+      | forms              | lies                            | numbers | bent |
+      | plain events       | tells the truth                 | 1,2,3   | no   |
+      | crlf, notes, steps | tells the truth                 | 1,2,3   | no   |
+      | big                | tells the truth                 | 1,2,3   | no   |
+      | plain events       | sends an id that is not the event's | 1   | some |
+      | big                | sends a payload cut short       | 1       | some |
+      | plain events       | sends half an event into another | 1      | some |
+      | plain events       | breaks off within the last      | 1,2     | no   |
+
+  Scenario Outline: a short play of a seed
+    When seed <seed> is played with <callers> callers for <seconds> s
+    Then no check finds anything
+    And some streams were whole
+
+    Examples: longer plays are started by hand
+      | seed | callers | seconds |
+      | 19   | 12      | 5       |
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -0,0 +1,285 @@
+"""Checks of the load of ways: the callers' record against the runners' record.
+
+``FAULTS`` are counted against the nodes; ``TOLD`` are counted beside them, since callers may count
+them too: what a check returns is one line for each case.
+"""
+
+import re
+import typing as t
+
+from .ways_runner import BIG_BYTES
+from .ways_runner import ID_STEP
+from .ways_runner import SMALL_BYTES
+
+_DATA = re.compile(r"data: (\S+) (\S+) (\d+) (\d+) (p+)")
+
+
+class Kind(t.NamedTuple):
+    """A kind of request: its route's type, events, pause between them in seconds, and attempts."""
+
+    route_type: str
+    resumable: bool
+    events: int
+    gap_s: float
+    attempts: int
+
+    @property
+    def once(self) -> bool:
+        """Whether it may run once only."""
+        return not self.resumable and self.route_type != "safe"
+
+
+KINDS = {
+    "save": Kind("stream", False, 8, 0.03, 1),
+    "stock": Kind("stream", True, 8, 0.03, 2),
+    "chat": Kind("stream", False, 40, 0.03, 1),
+    "safe": Kind("safe", False, 0, 0.0, 2),
+    "unsafe": Kind("unsafe", False, 0, 0.0, 1),
+}
+
+
+class Event(t.NamedTuple):
+    """One event, as its bytes tell."""
+
+    number: int
+    runner: str
+    ident: str
+    version: int
+
+
+class Part(t.NamedTuple):
+    """What one request brought its caller.
+
+    :param status: 0 if none came.
+    :param whole: whether its answer ended as a whole one.
+    :param bent: what came that no runner makes.
+    """
+
+    ident: str
+    node: str
+    status: int
+    whole: bool
+    events: tuple[Event, ...]
+    bent: str = ""
+
+    @property
+    def ended(self) -> bool:
+        """Whether it was a successful answer that ended as a whole one."""
+        return self.status == 200 and self.whole
+
+
+class Call(t.NamedTuple):
+    """One caller's wish and its requests: the first, and those that took it up or tried again.
+
+    :param again: whether its caller sent the same id twice.
+    """
+
+    kind: str
+    parts: tuple[Part, ...]
+    again: bool = False
+
+    @property
+    def numbers(self) -> list[int]:
+        """The numbers of all its events, in the order that they came."""
+        return [event.number for part in self.parts for event in part.events]
+
+
+class Run(t.NamedTuple):
+    """One run at a runner.
+
+    :param first: the first event that it was asked for.
+    :param made: the last event that it made.
+    """
+
+    ident: str
+    runner: str
+    first: int
+    made: int
+
+
+def read_events(body: bytes, whole: bool, forms: t.Sequence[str]) -> tuple[tuple[Event, ...], str]:
+    """Return the events of a body, and the first block that is no event of a runner.
+
+    What follows the last empty line counts only if the body is whole.
+    """
+    payload = "p" * (BIG_BYTES if "big" in forms else SMALL_BYTES)
+    step = ID_STEP if "steps" in forms else 1
+    blocks = body.decode("latin-1").replace("\r\n", "\n").split("\n\n")
+    events: list[Event] = []
+    for block in blocks if whole else blocks[:-1]:
+        lines = [one for one in block.split("\n") if one and not one.startswith(":")]
+        if not lines:
+            continue
+        found = _DATA.fullmatch(lines[-1])
+        if found is None or found[5] != payload or lines[:-1] != [f"id: {int(found[3]) * step}"]:
+            return tuple(events), block[:120]
+        events.append(Event(int(found[3]), found[1], found[2], int(found[4])))
+    return tuple(events), ""
+
+
+def read_runs(runner: str, record: str) -> list[Run]:
+    """Return the runs of a runner's record."""
+    runs: list[Run] = []
+    for line in record.splitlines():
+        words = line.split()
+        if len(words) != 3:
+            continue
+        if words[0] == "run":
+            runs.append(Run(words[1], runner, int(words[2]), int(words[2]) - 1))
+        elif words[0] == "made":
+            at = max(n for n, one in enumerate(runs) if one.ident == words[1])
+            runs[at] = runs[at]._replace(made=int(words[2]))
+    return runs
+
+
+Check = t.Callable[[list[Call], list[Run]], list[str]]
+FAULTS: dict[str, Check] = {}
+TOLD: dict[str, Check] = {}
+
+
+def counts(name: str, where: dict[str, Check]) -> t.Callable[[Check], Check]:
+    """Register a check under the name that tables have it by."""
+
+    def register(check: Check) -> Check:
+        where[name] = check
+        return check
+
+    return register
+
+
+def _tell(call: Call) -> str:
+    parts = [
+        f"{one.ident}@{one.node} {one.status}{' whole' if one.whole else ''} "
+        f"{[(event.number, event.runner, event.version) for event in one.events]}"
+        for one in call.parts
+    ]
+    return f"{call.kind}: " + "; ".join(parts)
+
+
+def _streams(calls: list[Call]) -> list[Call]:
+    return [one for one in calls if KINDS[one.kind].events and not one.again]
+
+
+@counts("early", FAULTS)
+def find_early(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams that ended as whole ones before their last event."""
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if call.parts[-1].ended and max(call.numbers, default=0) != KINDS[call.kind].events
+    ]
+
+
+@counts("out of order", FAULTS)
+def find_disorder(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Answers within which a number went back, or one was passed over."""
+    found = []
+    for call in _streams(calls):
+        for at, part in enumerate(call.parts):
+            numbers = [event.number for event in part.events]
+            begun = numbers[0] if at and numbers else 1
+            if numbers != list(range(begun, begun + len(numbers))):
+                found.append(_tell(call))
+    return found
+
+
+@counts("twice", FAULTS)
+def find_twice(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams of which a caller got an event twice, take-ups included."""
+    return [_tell(one) for one in _streams(calls) if len(set(one.numbers)) < len(one.numbers)]
+
+
+@counts("foreign", FAULTS)
+def find_foreign(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Events of another request, of two versions in one answer, or that no run made."""
+    made: dict[tuple[str, str], int] = {}
+    for run in runs:
+        key = run.ident, run.runner
+        made[key] = max(run.made, made.get(key, 0))
+    return [
+        _tell(call)
+        for call in calls
+        for part in call.parts
+        if any(one.ident != part.ident for one in part.events)
+        or len({one.version for one in part.events}) > 1
+        or any(one.number > made.get((one.ident, one.runner), 0) for one in part.events)
+    ]
+
+
+@counts("unrepeatable twice", FAULTS)
+def find_repeated(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Requests that may run once only, and ran more often."""
+    times: dict[str, list[str]] = {}
+    for run in runs:
+        times.setdefault(run.ident, []).append(run.runner)
+    return [
+        f"{_tell(call)} ran at {times[part.ident]}"
+        for call in calls
+        for part in call.parts
+        if KINDS[call.kind].once and not call.again and len(times.get(part.ident, ())) > 1
+    ]
+
+
+@counts("left out", FAULTS)
+def find_left_out(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Take-ups that went on behind the event after the last one."""
+    found = []
+    for call in _streams(calls):
+        last = 0
+        for at, part in enumerate(call.parts):
+            if at and part.events and part.events[0].number > last + 1:
+                found.append(_tell(call))
+            last = part.events[-1].number if part.events else last
+    return found
+
+
+@counts("bent", FAULTS)
+def find_bent(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Bytes that no runner makes, in events or in whole answers."""
+    return [f"{_tell(one)} {part.bent!r}" for one in calls for part in one.parts if part.bent]
+
+
+@counts("two versions", FAULTS)
+def find_versions(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams whose caller got events of two versions, by a take-up."""
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if len({event.version for part in call.parts for event in part.events}) > 1
+        and all(len({event.version for event in part.events}) < 2 for part in call.parts)
+    ]
+
+
+@counts("new run", FAULTS)
+def find_new_runs(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams that may not be resumed, with events of two runners, or asked for from the middle."""
+    late = {run.ident for run in runs if run.first > 1}
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if not KINDS[call.kind].resumable
+        and (
+            call.parts[0].ident in late
+            or len({event.runner for part in call.parts for event in part.events}) > 1
+        )
+    ]
+
+
+@counts("two answers", TOLD)
+def find_second_answers(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Ids that their callers sent twice, and that were answered in part or whole both times."""
+    return [
+        _tell(call)
+        for call in calls
+        if call.again and sum(part.status == 200 for part in call.parts) > 1
+    ]
+
+
+@counts("cut after last", TOLD)
+def find_cut_ends(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams whose callers saw the last event, and then no end."""
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if not call.parts[-1].whole and max(call.numbers, default=0) == KINDS[call.kind].events
+    ]
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
@@ -0,0 +1,246 @@
+"""A model runner in a process of its own, which writes down what it runs: the load of ways uses it.
+
+Its argument is a JSON object: name, address file, port, version, lists, unframed, forms. Lines of
+its record are ``run ID FIRST``, ``made ID NUMBER`` and ``end ID NUMBER``.
+"""
+
+import asyncio
+import collections
+import contextlib
+import json
+import pathlib
+import random
+import sys
+import time
+import typing as t
+
+from .resets import reset_connection
+
+# How old the list of runs in a report is, in seconds.
+LIST_AGE_S = 0.2
+# The payload of an event, in bytes, where events are big, and otherwise; the step of ids.
+BIG_BYTES = 6000
+SMALL_BYTES = 1
+ID_STEP = 3
+# The pause between the two parts of a split event, in seconds.
+SPLIT_PAUSE_S = 0.004
+_KEEP_ALIVE = "Keep-Alive: timeout=5\r\n"
+
+
+class RunnerSettings(t.TypedDict):
+    """What a runner is started with; ``unframed`` is a share, ``port`` 0 for a free one."""
+
+    name: str
+    file: str
+    port: int
+    version: int
+    lists: bool
+    unframed: float
+    forms: list[str]
+
+
+def write_event(name: str, ident: str, number: int, version: int, forms: t.Sequence[str]) -> bytes:
+    """Return one event, in the given forms."""
+    payload = "p" * (BIG_BYTES if "big" in forms else SMALL_BYTES)
+    shown = number * (ID_STEP if "steps" in forms else 1)
+    data = f"id: {shown}\ndata: {name} {ident} {number} {version} {payload}\n\n".encode()
+    if "notes" in forms:
+        data = b": still here\n\n" + data + b": note\n"
+    return data.replace(b"\n", b"\r\n") if "crlf" in forms else data
+
+
+class WaysRunner:
+    """The runner: its runs, with the events that each has made, and what it does to them."""
+
+    def __init__(self, settings: RunnerSettings) -> None:
+        self._settings = settings
+        self._name = settings["name"]
+        self._random = random.Random(self._name)
+        self._runs: dict[str, int] = {}
+        self._past: collections.deque[tuple[float, dict[str, int]]] = collections.deque([(0.0, {})])
+        self._writers: set[asyncio.StreamWriter] = set()
+        # How the runs are torn within their next event: "close" or "reset".
+        self._torn: dict[asyncio.StreamWriter, str] = {}
+
+    async def serve(self) -> None:
+        """Listen, write the port to the file, and serve until the process ends."""
+        server = await asyncio.start_server(self._accept, "127.0.0.1", self._settings["port"])
+        path = pathlib.Path(self._settings["file"])
+        path.with_suffix(".new").write_text(str(server.sockets[0].getsockname()[1]))
+        path.with_suffix(".new").rename(path)
+        await server.serve_forever()
+
+    async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        with contextlib.suppress(OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            while await self._answer(reader, writer):
+                await writer.drain()
+        writer.close()
+
+    async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
+        """Answer one request; return whether the connection is kept."""
+        lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
+        rows = (line.partition(":") for line in lines[1:] if line)
+        headers = {key.lower(): value.strip() for key, _, value in rows}
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+        ident = headers.get("x-rookspring-request-id", "")
+        if lines[0].startswith("POST /cut"):
+            self._cut(body.decode())
+            _send(writer, 200)
+        elif lines[0].startswith("GET /report"):
+            _send(writer, 200, json.dumps(self._report()).encode())
+        elif lines[0].startswith("GET /healthz"):
+            _send(writer, 200, rows=f"X-Rookspring-Instance-Id: {self._name}\r\n")
+        elif not ident:
+            _send(writer, 404)
+        elif headers.get("x-rookspring-expect-instance", self._name) != self._name:
+            told = f"X-Rookspring-Request-Id: {ident}\r\nX-Rookspring-Not-Executed: 1\r\n"
+            _send(writer, 421, rows=told)
+        else:
+            unframed = self._random.random() < self._settings["unframed"]
+            return await self._run(ident, headers, reader, writer, unframed) and not unframed
+        return True
+
+    def _cut(self, how: str) -> None:
+        for writer in list(self._writers):
+            if how.startswith("torn"):
+                self._torn[writer] = how.removeprefix("torn ")
+            else:
+                _end(writer, how)
+
+    def _report(self) -> dict[str, t.Any]:
+        before = time.monotonic() - LIST_AGE_S
+        while len(self._past) > 1 and self._past[1][0] <= before:
+            self._past.popleft()
+        runs = [[one, 100, made, 1] for one, made in self._past[0][1].items()]
+        return {
+            "stage": "both",
+            "models": list_models(self._settings["version"]),
+            "utilization": False,
+            "sequence": 0,
+            "queued": 0,
+            "active": len(self._runs),
+            "kv-used": 0,
+            "kv-total": 100000,
+            "handles": 0,
+        } | ({"runs": runs} if self._settings["lists"] else {})
+
+    def _note(self, ident: str, made: int | None) -> None:
+        if made is None:
+            self._runs.pop(ident, None)
+        else:
+            self._runs[ident] = made
+        self._past.append((time.monotonic(), dict(self._runs)))
+
+    async def _run(
+        self,
+        ident: str,
+        headers: dict[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        unframed: bool,
+    ) -> bool:
+        step = ID_STEP if "steps" in self._settings["forms"] else 1
+        first = int(headers.get("last-event-id") or 0) // step + 1
+        print("run", ident, first, flush=True)
+        self._note(ident, first - 1)
+        self._writers.add(writer)
+        try:
+            rows = (
+                f"X-Rookspring-Request-Id: {ident}\r\n"
+                f"X-Rookspring-Server-Stamp: {self._name}.{ident}\r\n"
+                f"X-Rookspring-Weight-Versions: {self._settings['version']}\r\n"
+            )
+            if headers["x-events"] == "0":
+                return await self._reply(ident, rows, writer, unframed)
+            rows += "Content-Type: text/event-stream\r\n"
+            rows += "" if unframed else "Transfer-Encoding: chunked\r\n" + _KEEP_ALIVE
+            writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
+            return await self._stream(ident, first, headers, reader, writer, unframed)
+        finally:
+            self._writers.discard(writer)
+            self._note(ident, None)
+
+    async def _reply(
+        self, ident: str, rows: str, writer: asyncio.StreamWriter, unframed: bool
+    ) -> bool:
+        await asyncio.sleep(self._random.uniform(0.0, 0.3))
+        body = f"answer to {ident}".encode()
+        if unframed:
+            writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode() + body)
+        else:
+            _send(writer, 200, body, rows)
+        print("end", ident, 0, flush=True)
+        return True
+
+    async def _stream(
+        self,
+        ident: str,
+        first: int,
+        headers: dict[str, str],
+        reader: asyncio.StreamReader,
+        writer: asyncio.StreamWriter,
+        unframed: bool,
+    ) -> bool:
+        last, gap = int(headers["x-events"]), float(headers["x-gap"])
+        until = time.monotonic() + int(headers["x-rookspring-deadline-ms"]) / 1000.0
+        forms = self._settings["forms"]
+        held = b""
+        ended = first - 1
+        for number in range(first, last + 1):
+            await asyncio.sleep(max(0.0, min(gap, until - time.monotonic())))
+            if time.monotonic() >= until:
+                break
+            if reader.at_eof() or writer.is_closing():
+                return False
+            self._note(ident, number)
+            print("made", ident, number, flush=True)
+            ended = number
+            held += write_event(self._name, ident, number, self._settings["version"], forms)
+            if writer in self._torn:
+                _write(writer, held[: len(held) * 2 // 3], unframed)
+                await asyncio.sleep(0.0)
+                _end(writer, self._torn.pop(writer))
+                return False
+            if "batch" in forms and number % 2 and number != last:
+                continue
+            await self._pass(writer, held, unframed)
+            held = b""
+        if held:
+            _write(writer, held, unframed)
+        if not unframed:
+            writer.write(b"0\r\n\r\n")
+        print("end", ident, ended, flush=True)
+        return True
+
+    async def _pass(self, writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
+        cut = self._random.randrange(1, len(data)) if "split" in self._settings["forms"] else 0
+        if cut:
+            _write(writer, data[:cut], unframed)
+            await asyncio.sleep(SPLIT_PAUSE_S)
+        _write(writer, data[cut:], unframed)
+        await writer.drain()
+
+
+def list_models(version: int) -> list[dict[str, t.Any]]:
+    """Return the models of a runner, as its entry and its report list them."""
+    return [{"name": "m1", "version": version, "adapters": []}]
+
+
+def _write(writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
+    writer.write(data if unframed else b"%x\r\n%b\r\n" % (len(data), data))
+
+
+def _end(writer: asyncio.StreamWriter, how: str) -> None:
+    if how == "reset":
+        reset_connection(writer.transport)
+    else:
+        writer.close()
+
+
+def _send(writer: asyncio.StreamWriter, status: int, body: bytes = b"", rows: str = "") -> None:
+    head = f"HTTP/1.1 {status} X\r\n{rows}{_KEEP_ALIVE}Content-Length: {len(body)}\r\n\r\n"
+    writer.write(head.encode() + body)
+
+
+if __name__ == "__main__":
+    asyncio.run(WaysRunner(json.loads(sys.argv[1])).serve())
--- /dev/null
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
@@ -0,0 +1,351 @@
+"""The stage of the load of ways: real nodes and runners in processes, proxies between all of them.
+
+A seed draws the settings of a stage, so that the same seed plays the same way with any program.
+"""
+
+import asyncio
+import json
+import os
+import pathlib
+import random
+import signal
+import sys
+import tempfile
+import typing as t
+
+from .cut_node import CUT_FILE_VARIABLE
+from .object_platform import ObjectPlatform
+from .processes import NodeProcess
+from .processes import write_table
+from .serving import RunningServer
+from .serving import serve
+from .ways_checks import KINDS
+from .ways_checks import Run
+from .ways_checks import read_runs
+from .ways_proxy import WaysProxy
+from .ways_runner import list_models
+
+SERVICES = ("llm", "llm-b")
+# Most descriptors and memory of a limited node, in files and megabytes.
+FDS_MAX = 1638
+MEMORY_MB = 160
+EXIT_S = 6.0
+# The forms of events, of which a seed draws some.
+FORMS = ("crlf", "split", "steps", "big", "notes", "batch")
+
+
+class Settings(t.NamedTuple):
+    """What a seed draws before a play.
+
+    :param unframed: the share of answers without a length.
+    :param route_ms: the routes' time limit, in milliseconds.
+    :param limited: whether nodes have little memory and few descriptors.
+    :param kept: the share of callers who keep their connections.
+    :param late: the share of callers who read late.
+    :param short: the share of callers who state a short deadline.
+    :param again: the share of callers who send a request again under its id, where it was cut.
+    :param troubles: the names of the troubles that are drawn from.
+    """
+
+    nodes: int
+    runners: int
+    lists: bool
+    unframed: float
+    forms: tuple[str, ...]
+    route_ms: int
+    limited: bool
+    kept: float
+    late: float
+    short: float
+    again: float
+    troubles: tuple[str, ...]
+
+
+def draw_settings(seed: int, troubles: t.Iterable[str]) -> Settings:
+    """Draw the settings of a play, with a few of the troubles, whose times may overlap."""
+    rng = random.Random(f"settings {seed}")
+    names = sorted(troubles)
+    return Settings(
+        nodes=rng.choice((2, 3, 3, 4)),
+        runners=rng.choice((4, 6)),
+        lists=rng.random() < 0.5,
+        unframed=rng.choice((0.0, 0.5, 0.5, 0.9)),
+        forms=tuple(one for one in FORMS if rng.random() < 0.25),
+        route_ms=rng.choice((900, 2500, 12000)),
+        limited=rng.random() < 0.4,
+        kept=rng.choice((0.0, 0.5, 0.9)),
+        late=rng.choice((0.0, 0.1, 0.3)),
+        short=rng.choice((0.0, 0.2)),
+        again=rng.choice((0.0, 0.0, 0.1)),
+        troubles=tuple(rng.sample(names, min(len(names), rng.randint(3, 7)))),
+    )
+
+
+class WaysNode(NodeProcess):
+    """A node of any program, with a proxy before it and one between it and other nodes.
+
+    :param program: the folder with its libraries; those of this process if empty.
+    """
+
+    limited = False
+    program = ""
+    front: WaysProxy
+    link: WaysProxy
+
+    @property
+    def pid(self) -> int:
+        """The id of its process; 0 if it has none."""
+        return self.process.pid if self.process is not None else 0
+
+    def write_settings(self, peers: t.Iterable[NodeProcess]) -> None:
+        """Write its settings file, whose seeds are the proxies of the other nodes."""
+        super().write_settings(peers)
+        seeds = ",".join(
+            one.link.address for one in peers if isinstance(one, WaysNode) and one is not self
+        )
+        rows = {
+            "seeds": seeds,
+            "zones.z1": "r1",
+            "discovery": "platform",
+            "contracts": "base,drain,config,cost,retry,recover,fleet,stream,engine,platform",
+            "bounds.lease-ms": 3000,
+            "bounds.contact-ms": 3000,
+            "platform.form": "objects",
+        }
+        if self.limited:
+            rows |= {"limits.memory-mb": MEMORY_MB, "limits.max-fds": FDS_MAX}
+        known = dict(line.split("=", 1) for line in self.path.read_text().splitlines())
+        known |= {key: str(value) for key, value in rows.items()}
+        self.path.write_text("".join(f"{key}={value}\n" for key, value in known.items()))
+
+    async def start(self) -> None:
+        """Start its process, which appends to the log."""
+        env = {
+            **os.environ,
+            "ROOKSPRING_CONFIG": str(self.path),
+            CUT_FILE_VARIABLE: str(self._cut_file),
+        }
+        if self.program:
+            env["PYTHONPATH"] = f"{self.program}:{self._find_fakes()}"
+        module = "rookspring_fakes.cut_node" if self.can_cut else "rookspring_platform"
+        bound = f"ulimit -Sn {FDS_MAX}; " if self.limited else ""
+        command = f'{bound}exec "$0" -m {module}'
+        with self._log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                "sh", "-c", command, sys.executable, env=env, stdout=log, stderr=log
+            )
+
+    def _find_fakes(self) -> pathlib.Path:
+        """Return the fakes of the program's own checkout."""
+        return pathlib.Path(self.program, "..", "..", "packages", "rookspring-fakes", "src")
+
+    @property
+    def can_cut(self) -> bool:
+        """Whether its program can cut its links to endpoints itself, besides its proxies."""
+        return not self.program or (self._find_fakes() / "rookspring_fakes/cut_node.py").exists()
+
+
+class RunnerProcess:
+    """A runner in a process of its own, behind a proxy; its record is kept over its lives."""
+
+    def __init__(self, name: str, service: str, version: int, stage: "WaysStage") -> None:
+        self.name = name
+        self.service = service
+        self.version = version
+        self.proxy: WaysProxy | None = None
+        self._stage = stage
+        self._file = stage.folder / f"{name}.port"
+        self._out = stage.folder / f"{name}.out"
+        self.process: asyncio.subprocess.Process | None = None
+        self.busy = False
+
+    async def start(self, port: int = 0) -> None:
+        """Start its process, and its proxy if it has none.
+
+        :raises TimeoutError: if it doesn't listen within some seconds.
+        """
+        self._file.unlink(missing_ok=True)
+        drawn = self._stage.settings
+        given = {
+            "name": self.name,
+            "file": str(self._file),
+            "port": port,
+            "version": self.version,
+            "lists": drawn.lists,
+            "unframed": drawn.unframed,
+            "forms": list(drawn.forms),
+        }
+        with self._out.open("ab") as out:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable, "-m", "rookspring_fakes.ways_runner", json.dumps(given), stdout=out
+            )
+        async with asyncio.timeout(EXIT_S * 2):
+            while not self._file.exists():
+                await asyncio.sleep(0.02)
+        if self.proxy is None:
+            self.proxy = await self._stage.add_proxy("127.0.0.1", 0, self.name)
+        self.proxy.port = int(self._file.read_text())
+
+    async def kill(self) -> None:
+        """Kill its process."""
+        assert self.process is not None
+        if self.process.returncode is None:
+            self.process.kill()
+        await self.process.wait()
+
+    async def cut(self, how: str) -> None:
+        """Have it end the connections of its runs: by a key of its own, ``close`` to ``torn``."""
+        assert self.proxy is not None
+        body = how.encode()
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy.port)
+        writer.write(b"POST /cut HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        await reader.readline()
+        writer.close()
+
+    def entry(self) -> dict[str, t.Any]:
+        """Return its entry in the store."""
+        assert self.proxy is not None
+        return {
+            "service": self.service,
+            "address": self.proxy.address,
+            "zone": "z1",
+            "version": f"v{self.version}",
+            "slots": 64,
+            "state": "ready",
+            "cold-left-ms": 0,
+            "sequence": 1,
+            "models": list_models(self.version),
+        }
+
+    def read_runs(self) -> list[Run]:
+        """Return its runs, by its record."""
+        return read_runs(self.name, self._out.read_text())
+
+
+class WaysStage:
+    """Nodes, runners, the store, and the proxies between them.
+
+    :param program: the folder of the nodes' libraries; those of this process if empty.
+    """
+
+    def __init__(self, settings: Settings, host_block: int, seed: int, program: str) -> None:
+        self.settings = settings
+        self._kept = tempfile.TemporaryDirectory()
+        self.folder = pathlib.Path(self._kept.name)
+        self._block = host_block
+        self._seed = seed
+        self._program = program
+        self.store = ObjectPlatform()
+        self._served: RunningServer | None = None
+        self.nodes: list[WaysNode] = []
+        self.runners: list[RunnerProcess] = []
+        # All runners that ever were, for their records.
+        self._all_runners: list[RunnerProcess] = []
+        self.proxies: list[WaysProxy] = []
+        self._version = 1
+        # What the routes are: the service and the time limit of each, in milliseconds.
+        self.routes = dict.fromkeys(KINDS, (SERVICES[0], settings.route_ms))
+        self.logs: dict[str, str] = {}
+
+    async def start(self) -> "WaysStage":
+        """Start everything, and wait until all nodes are ready."""
+        self._served = await serve(self.store.app())
+        await self.write_routes()
+        for number in range(self.settings.runners):
+            service = SERVICES[0] if number < self.settings.runners - 1 else SERVICES[1]
+            await self.add_runner(service, 1 + number % 2)
+        for number in range(self.settings.nodes):
+            await self._add_node(number, self._served.address)
+        for node in self.nodes:
+            node.write_settings(self.nodes)
+            await node.start()
+        for node in self.nodes:
+            await node.wait_ready()
+        return self
+
+    async def _add_node(self, number: int, store: str) -> None:
+        host = f"127.{1 + self._block // 250 % 120}.{self._block % 250}.{number + 11}"
+        node = WaysNode(number, host, self.folder, store)
+        node.limited, node.program = self.settings.limited, self._program
+        node.front = await self.add_proxy(host, node.ports["frontend"], f"front {number}")
+        node.link = await self.add_proxy(host, node.ports["control-plane"], f"link {number}")
+        self.nodes.append(node)
+
+    async def add_proxy(self, host: str, port: int, name: str) -> WaysProxy:
+        """Start a proxy before an address."""
+        proxy = await WaysProxy(host, port, f"{self._seed} {name}").start()
+        self.proxies.append(proxy)
+        return proxy
+
+    async def write_routes(self) -> None:
+        """Write the routes as they are now, under the next version."""
+        self._version += 1
+        table = write_table(self._version)
+        row = table["routes"][0]
+        table["routes"] = [
+            {
+                **row,
+                "name": f"r-{name}",
+                "path-prefix": f"/{name}/",
+                "type": kind.route_type,
+                "timeout-ms": self.routes[name][1],
+                "service": self.routes[name][0],
+                "max-attempts": kind.attempts,
+                "resumable": kind.resumable,
+            }
+            for name, kind in KINDS.items()
+        ]
+        model = {
+            "name": "m1",
+            "weights-mb": 60000,
+            "load-time-s": 6,
+            "adapters": 0,
+            "adapter-size-mb": 12,
+        }
+        engine = {"weights-mb": 70000, "max-adapters": 8, "loads-per-s": 1.4, "models": [model]}
+        service = table["services"][0]
+        table["services"] = [{**service, "name": one, "engine": engine} for one in SERVICES]
+        await self.store.write("config", "main", table)
+
+    async def add_runner(self, service: str, version: int) -> RunnerProcess:
+        """Start another runner, and write its entry."""
+        runner = RunnerProcess(f"i{len(self._all_runners):02d}", service, version, self)
+        self._all_runners.append(runner)
+        await runner.start()
+        self.runners.append(runner)
+        await self.write_entry(runner)
+        return runner
+
+    async def write_entry(self, runner: RunnerProcess) -> None:
+        """Write a runner's entry, with the version that it has now."""
+        await self.store.write("servers", runner.name, runner.entry())
+
+    async def remove_runner(self, runner: RunnerProcess) -> None:
+        """Kill a runner, and delete its entry."""
+        self.runners.remove(runner)
+        await runner.kill()
+        await self.store.remove("servers", runner.name)
+
+    def read_runs(self) -> list[Run]:
+        """Return the runs of all runners, by their records."""
+        return [run for runner in self._all_runners for run in runner.read_runs()]
+
+    async def stop(self) -> None:
+        """End everything; the nodes' logs are kept."""
+        for node in self.nodes:
+            node.signal(signal.SIGCONT)
+            node.signal(signal.SIGKILL)
+            if node.process is not None:
+                await node.process.wait()
+            node.read_log()
+            self.logs[node.name] = node.log_text
+        for runner in self._all_runners:
+            await runner.kill()
+        for proxy in self.proxies:
+            proxy.stop()
+        if self._served is not None:
+            await self._served.close()
+
+    def clean(self) -> None:
+        """Delete the records."""
+        self._kept.cleanup()
