--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
@@ -15,6 +15,7 @@
 
 from .cut_node import CUT_FILE_VARIABLE
 from .object_platform import ObjectPlatform
+from .processes import GRACE_S
 from .processes import NodeProcess
 from .processes import write_table
 from .serving import RunningServer
@@ -97,9 +98,9 @@
         """The id of its process; 0 if it has none."""
         return self.process.pid if self.process is not None else 0
 
-    def write_settings(self, peers: t.Iterable[NodeProcess]) -> None:
+    def write_settings(self, peers: t.Iterable[NodeProcess], grace_s: float = GRACE_S) -> None:
         """Write its settings file, whose seeds are the proxies of the other nodes."""
-        super().write_settings(peers)
+        super().write_settings(peers, grace_s)
         seeds = ",".join(
             one.link.address for one in peers if isinstance(one, WaysNode) and one is not self
         )
