Callers' bytes give way at once, and what runs or waits for a caller counts as the caller's

What callers saw: 60 that send bodies of 4 MiB to requests that hang took a node of 160 MB to 143 MiB, and their bodies took the room of others' answers; a request that gave way heard of it only when more of it came, without Retry-After and id, or got a reset instead; requests behind one that ran were kept though memory was short.

Cause: the body of a request that runs can't be given up, and nothing bounded these bodies together. A refusal waited for the next read, and the close that followed made the kernel reset a caller that still sent. `abort` does nothing at a connection that is closing, so an answer with `Connection: close` that nobody read stayed, uncounted. What an endpoint had sent for a caller who reads slowly counted as the endpoint's. A served request's body stayed until the next one.

Change: a sender's running bodies take as much as stays free of such bytes; a stated length that doesn't fit is refused at its head, others as they give way, with the headers of other refusals; what still comes is read for a second. Pipelined bytes are dropped, and the connection ends after its answer. An unread answer is cut though its connection is closing. While a stream waits for its caller, its holding is lent to the caller.

The stage's table takes bodies of 4 MiB and 400 connections a service now, from 4 KiB and 100: the callers' rows need them. The bounds of its rows are as before.

--- a/bench/endless_mutants.py
+++ b/bench/endless_mutants.py
@@ -1,14 +1,18 @@
 """Mutants of the bounds on answers without end, and of loads for callers alone."""
 
+import contextlib
 import typing as t
 
 from rookspring import defaults as daemon_defaults
 from rookspring.byte_budget import ByteBudget
+from rookspring.byte_budget import GiveUp
 from rookspring.byte_budget import Holding
+from rookspring.http_server import ServerConnection
 from rookspring_core.caller_times import CallerTimes
 from rookspring_core.swapping import SwapBoard
 
 from .mutant import ENDLESS_ANSWERS
+from .mutant import MEMORY_CALLERS
 from .mutant import SWAPPING
 from .mutant import Mutant
 
@@ -30,7 +34,97 @@
         self._give_up(holding)
 
 
+def _always(*args: t.Any) -> bool:
+    return True
+
+
+def _do_nothing(*args: t.Any) -> None:
+    pass
+
+
+@contextlib.contextmanager
+def _lend_nothing(self: Holding, source: str, give_up: GiveUp) -> t.Iterator[None]:
+    yield
+
+
+def _refuse_later(self: ServerConnection, reason: str) -> None:
+    """Refuse a request as more of it comes."""
+    self._body.clear()
+    self._reject_status = 503
+
+
+def _cut_open(self: ServerConnection, reason: str) -> None:
+    """Cut a connection unless it waits to be closed."""
+    self.abort()
+
+
+def _close_now(self: ServerConnection) -> None:
+    """Close a connection at which its caller still sends."""
+    self._transport.close()
+
+
+def _keep_running(self: ServerConnection, request: t.Any) -> t.Any:
+    """Serve a request, and count its body for ever if its caller has left."""
+    return self._run(request)
+
+
 MUTANTS = (
+    Mutant(
+        "lets running bodies fill all",
+        "callers give way to each other",
+        ByteBudget,
+        "may_fix",
+        _always,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "counts what waits for callers as the endpoint's",
+        "callers give way to each other",
+        Holding,
+        "lend",
+        _lend_nothing,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "refuses unread requests late",
+        "callers give way to each other",
+        ServerConnection,
+        "_refuse_unread",
+        _refuse_later,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "keeps answers of connections that are closing",
+        "callers give way to each other",
+        ServerConnection,
+        "_cut_unread",
+        _cut_open,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "keeps pipelined bytes",
+        "callers give way to each other",
+        ServerConnection,
+        "_drop_pipelined",
+        _do_nothing,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "closes while a refused caller sends",
+        "callers give way to each other",
+        ServerConnection,
+        "_close_sent",
+        _close_now,
+        MEMORY_CALLERS,
+    ),
+    Mutant(
+        "counts bodies that ran",
+        "callers give way to each other",
+        ServerConnection,
+        "_serve",
+        _keep_running,
+        MEMORY_CALLERS,
+    ),
     Mutant(
         "reads framing without end",
         "bytes without end are given up",
--- a/features/memory_sockets.feature
+++ b/features/memory_sockets.feature
@@ -14,3 +14,19 @@
       | chunks without end |
       | length without end |
       | event without end  |
+
+  # Guards against bytes of callers that are bounded a connection and not together.
+  Scenario Outline: many callers' bytes cost their own requests alone
+    Given a node process of 160 MB that callers flood with <kind>
+    When it gets <many> of their connections at a time, and others, for 6 s
+    Then its process took 120 MiB at most
+    And 97 of 100 of the others were answered
+
+    Examples:
+      | kind                         | many |
+      | bodies that never end        | 60   |
+      | bodies that run              | 60   |
+      | answers that aren't read     | 60   |
+      | answers that are read slowly | 60   |
+      | pipelined bytes              | 500  |
+      | streams that aren't read     | 300  |
--- a/features/memory_stage.py
+++ b/features/memory_stage.py
@@ -77,12 +77,14 @@
         while time.monotonic() < until:
             await self._call(FAULTY, kind)
 
-    async def _call(self, service, kind):
+    async def _call(self, service, kind, host="127.0.0.1"):
         status = "none"
         writer = None
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*self.node.address)
+                reader, writer = await asyncio.open_connection(
+                    *self.node.address, local_addr=(host, 0)
+                )
                 path = f"/{service}-{kind}/x"
                 rows = f"Host: {HOST}\r\nX-Rookspring-Request-Id: {secrets.token_hex(6)}\r\n"
                 rows += "X-Rookspring-Deadline-Ms: 2000\r\nContent-Length: 1\r\nConnection: close"
@@ -133,11 +135,11 @@
         for kind, attempts in KINDS.items()
     ]
     services = [
-        {"name": one, "health-path": "/healthz", "max-conns": 100} for one in (FAULTY, SOUND)
+        {"name": one, "health-path": "/healthz", "max-conns": 400} for one in (FAULTY, SOUND)
     ]
     limits = {
         "max-header-bytes": 8192,
-        "max-body-bytes": 4096,
+        "max-body-bytes": 4 << 20,
         "header-timeout-ms": 500,
         "idle-timeout-ms": 5000,
     }
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -1,6 +1,7 @@
 from behave import given
 from behave import then
 from behave import when
+from caller_floods import FloodStage
 from memory_stage import SOUND
 from memory_stage import MemoryStage
 
@@ -11,6 +12,13 @@
     context.loop.run(context.memory.start())
 
 
+@given("a node process of {mb:d} MB that callers flood with {kind}")
+def flooded_process(context, mb, kind):
+    context.memory = FloodStage(mb, kind)
+    context.loop.run(context.memory.start())
+
+
+@when("it gets {many:d} of their connections at a time, and others, for {seconds:d} s")
 @when("it gets {many:d} requests at a time for the latter, and others, for {seconds:d} s")
 def gets_requests(context, many, seconds):
     async def work():
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -27,8 +27,9 @@
     ) -> None:
         self.head: HttpHead | None = None
         self._on_unread = on_unread
-        self._holding = holding or ByteBudget().open("")
-        self._holding.give_up = self.fail
+        # What waits here; it may be lent while the reader waits for somebody else.
+        self.holding = holding or ByteBudget().open("")
+        self.holding.give_up = self.fail
         # What the reader keeps of the parts that it has taken, and the connection of the next one.
         self._kept_bytes = 0
         self._held_back_bytes = 0
@@ -84,7 +85,7 @@
     def _count_held(self) -> None:
         parts = len(self._parts) * defaults.PART_COST_BYTES
         waiting = self._unread_bytes + parts + self._held_back_bytes
-        self._holding.resize(waiting + self._kept_bytes)
+        self.holding.resize(waiting + self._kept_bytes)
 
     def hold_back(self, size: int) -> None:
         """Note how many bytes its connection keeps until a part is complete."""
@@ -110,7 +111,7 @@
         self._unread_bytes = 0
         self._held_back_bytes = 0
         self._kept_bytes = 0
-        self._holding.close()
+        self.holding.close()
 
     async def wait_head(self) -> HttpHead:
         """Wait for status and headers.
--- a/packages/rookspring/src/rookspring/byte_budget.py
+++ b/packages/rookspring/src/rookspring/byte_budget.py
@@ -6,6 +6,7 @@
 first: a flood costs its own requests, and not those that come next.
 """
 
+import contextlib
 import typing as t
 
 from . import defaults
@@ -21,13 +22,17 @@
 
     :param source: whose bytes they are: an endpoint's, a caller's or a node's address.
     :param give_up: drops the bytes, given the reason, and fails what they are for; it must not
-        raise. None while they can't be dropped, as the body of a request that may be running.
+        raise. None while they can't be dropped.
+    :param fixed: whether they never can, as the body of a request that may be running.
     """
 
-    __slots__ = ("_budget", "give_up", "size", "source")
+    __slots__ = ("_budget", "fixed", "give_up", "size", "source")
 
-    def __init__(self, budget: "ByteBudget", source: str, give_up: GiveUp | None) -> None:
+    def __init__(
+        self, budget: "ByteBudget", source: str, give_up: GiveUp | None, fixed: bool = False
+    ) -> None:
         self._budget = budget
+        self.fixed = fixed
         self.source = source
         self.give_up = give_up
         self.size = 0
@@ -44,6 +49,21 @@
         """Set the number to 0; the holding can be used again."""
         self.resize(0)
 
+    @contextlib.contextmanager
+    def lend(self, source: str, give_up: GiveUp) -> t.Iterator[None]:
+        """Count the bytes under another sender for a time: the one that they wait for.
+
+        An endpoint sends at its pace; what waits as a caller reads slowly is that caller's.
+        """
+        own = self.source, self.give_up
+        self._budget.move(self, source)
+        self.give_up = give_up
+        try:
+            yield
+        finally:
+            self._budget.move(self, own[0])
+            self.give_up = own[1]
+
 
 class ByteBudget:
     """The bytes of others that wait at a node, by sender.
@@ -59,11 +79,35 @@
         self.given_up = 0
         self._holdings: dict[str, set[Holding]] = {}
         self._sums: dict[str, int] = {}
+        # Bytes that can't be given up, by sender, and their sum.
+        self._fixed: dict[str, int] = {}
+        self._fixed_bytes = 0
 
     def open(self, source: str, give_up: GiveUp | None = None) -> Holding:
         """Begin to count what waits at one place; see :class:`Holding`."""
         return Holding(self, source, give_up)
 
+    def open_fixed(self, source: str) -> Holding:
+        """Begin to count what can't be given up; ask :meth:`may_fix` first."""
+        return Holding(self, source, None, fixed=True)
+
+    def may_fix(self, source: str, size: int) -> bool:
+        """Return whether some more bytes of a sender may be held that can't be given up.
+
+        A sender may hold as many as stay free of such bytes: half of the bound if it is alone. So
+        one that sends many large bodies leaves room for answers and for the bodies of others.
+        """
+        return self._fixed.get(source, 0) + size <= self.most - self._fixed_bytes
+
+    def move(self, holding: Holding, source: str) -> None:
+        """Count a holding under another sender."""
+        size = holding.size
+        if size:
+            self._count(holding, 0)
+        holding.source = source
+        if size:
+            self._count(holding, size)
+
     def resize(self, holding: Holding, size: int) -> None:
         """Count a holding with another size, and give up from the largest sender if need be."""
         self._count(holding, size)
@@ -83,6 +127,11 @@
         self.held_bytes += added
         source = holding.source
         self._sums[source] = self._sums.get(source, 0) + added
+        if holding.fixed:
+            self._fixed_bytes += added
+            self._fixed[source] = self._fixed.get(source, 0) + added
+            if not self._fixed[source]:
+                del self._fixed[source]
         holdings = self._holdings.setdefault(source, set())
         if size:
             holdings.add(holding)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -63,6 +63,9 @@
 # Limits of the relay's callers, unless a configuration sets others.
 HEADER_BYTES_MAX = 16 << 10
 CALLER_IDLE_S = 15.0
+# How long what a caller still sends is read after its connection's last answer, in seconds: longer
+# than the answer needs to arrive.
+LINGER_S = 1.0
 # Bytes that a caller may pipeline while a request is served.
 PIPELINED_BYTES_MAX = 256 << 10
 # Bytes of an endpoint's answer that are held for a caller who reads slowly. Beyond them nothing
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -41,6 +41,8 @@
     serve: t.Callable[["ServerConnection", HttpRequest], t.Awaitable[None]]
     limits: t.Callable[[], ReadLimits] = ReadLimits
     closing: t.Callable[[], bool] = lambda: False
+    # Returns the headers of the refusal of a request that has not run, whose body isn't complete.
+    refuse: t.Callable[[HttpRequest], list[Header]] = lambda request: []
 
 
 class ServerConnection(asyncio.Protocol):
@@ -55,9 +57,12 @@
         self, options: ServerOptions, connections: set["ServerConnection"], budget: ByteBudget
     ) -> None:
         self._budget = budget
+        # What is read, pipelined or not sent yet; and the request that is served, which may run.
         self._holding: Holding = budget.open("")
-        # The bytes of the request that is being served.
-        self._request_bytes = 0
+        self._running: Holding = budget.open_fixed("")
+        # Whether what still comes is dropped, as the connection ends after its answer.
+        self._discarding = False
+        self._parsing = False
         self._options = options
         self._connections = connections
         self._loop = asyncio.get_running_loop()
@@ -117,13 +122,17 @@
         self._connections.add(self)
         self._parser = httptools.HttpRequestParser(self)
         peer = transport.get_extra_info("peername")
-        self._holding = self._budget.open(str(peer[0]) if peer else "")
+        source = str(peer[0]) if peer else ""
+        self._holding = self._budget.open(source)
+        self._running = self._budget.open_fixed(source)
         self._start_timer(self._options.limits().idle_s)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the timer and report the disconnect; either side may have closed."""
         self._connections.discard(self)
         self._holding.close()
+        if self._task is None or self._task.done():
+            self._running.close()
         self._stop_timer()
         self._handle_disconnect()
 
@@ -150,32 +159,43 @@
         self.count_held()
 
     def count_held(self) -> None:
-        """Count what waits here: a request that is read or served, and what isn't sent yet."""
+        """Count what waits here: what is read, what is pipelined, and what isn't sent yet."""
         if self._transport is None or self.disconnected:
             return
         unsent = self.unsent_bytes
-        waiting = self._header_bytes + len(self._body) + len(self._pipelined) + self._request_bytes
-        # An answer is cut, and a request that is read is refused; one that runs can't be dropped.
-        if unsent > self._request_bytes:
+        pipelined = len(self._pipelined)
+        if unsent > pipelined:
             self._holding.give_up = self._cut_unread
         elif self.is_reading():
             self._holding.give_up = self._refuse_unread
         else:
-            self._holding.give_up = None
-        self._holding.resize(unsent + waiting)
+            self._holding.give_up = self._drop_pipelined if pipelined else None
+        self._holding.resize(unsent + pipelined + self._header_bytes + len(self._body))
 
     def _cut_unread(self, reason: str) -> None:
         """Cut an answer that its caller doesn't read."""
         log("answer_cut", "WARNING", id=self.request_id, unsent=self.unsent_bytes, reason=reason)
-        self.abort()
+        self._answering = False
+        # Also of a connection that is closing, which waits until all is sent.
+        self._transport.abort()
 
     def _refuse_unread(self, reason: str) -> None:
         """Refuse a request that is being read; it has not run."""
-        self._reject_status = 503
         self._body.clear()
+        self._reject_status = 503
+        if not self._parsing:
+            self._reject(503)
+
+    def _drop_pipelined(self, reason: str) -> None:
+        """Drop what follows the request that is served; the connection ends after its answer."""
+        self._pipelined.clear()
+        self._discarding = True
+        self._close_after = True
 
     def data_received(self, data: bytes) -> None:
         """Parse the bytes, or buffer them while a request is served."""
+        if self._discarding:
+            return
         if self._answering:
             self._pipelined += data
             self.count_held()
@@ -187,6 +207,7 @@
     def _parse(self, data: bytes) -> None:
         if self._in_headers:
             self._header_bytes += len(data)
+        self._parsing = True
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -203,6 +224,8 @@
                 # The error follows a complete request; that is served and nothing after it is read.
                 self._close_after = True
             return
+        finally:
+            self._parsing = False
         self.count_held()
         if self._answering:
             return
@@ -242,9 +265,11 @@
         limits = self._options.limits()
         if lengths and int(lengths[0]) > limits.body_bytes:
             self._reject_status = 413
+        elif lengths and not self._may_run(int(lengths[0])):
+            self._reject_status = 503
         if sum(len(key) + len(value) for key, value in self._headers) > limits.header_bytes:
             self._reject_status = 431
-        for key, value in self._headers:
+        for key, value in self._headers if not self._reject_status else ():
             if key.lower() == b"expect" and value.lower() == b"100-continue":
                 self._transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
         self._start_timer(limits.idle_s)
@@ -261,6 +286,8 @@
 
     def on_message_complete(self) -> None:
         """Start to serve the complete request."""
+        if not self._reject_status and not self._may_run(len(self._body)):
+            self._reject_status = 503
         if self._reject_status:
             return
         self._complete = True
@@ -277,12 +304,23 @@
             self._parser.should_keep_alive(),
         )
         self._served = request
-        self._request_bytes = len(request.body)
         self._body.clear()
+        self._running.resize(len(request.body))
         self._close_after = not request.keep_alive
         self._task = self._loop.create_task(self._serve(request))
 
+    def _may_run(self, size: int) -> bool:
+        """Return whether a body of some bytes may be held until its request has run."""
+        return not size or self._budget.may_fix(self._running.source, size)
+
     async def _serve(self, request: HttpRequest) -> None:
+        try:
+            await self._run(request)
+        finally:
+            if self._served is request:
+                self._running.close()
+
+    async def _run(self, request: HttpRequest) -> None:
         try:
             await self._options.serve(self, request)
         except Exception as error:  # noqa: BLE001
@@ -328,9 +366,10 @@
         if not self.disconnected:
             self._transport.write(data)
 
-    async def send(self, data: bytes) -> None:
+    async def send(self, data: bytes, behind: Holding | None = None) -> None:
         """Write a part of the body, and wait while the caller does not read.
 
+        :param behind: what waits for this caller meanwhile, and counts as the caller's then.
         :raises CallerGone: if the caller has disconnected.
         """
         if not data or not self._has_body:
@@ -339,23 +378,32 @@
             data = b"%x\r\n%b\r\n" % (len(data), data)
         self._write(data)
         if not self._writable.is_set():
-            await self._writable.wait()
+            await self._wait_writable(behind)
         if self.disconnected:
             raise CallerGone
 
+    async def _wait_writable(self, behind: Holding | None) -> None:
+        if behind is None:
+            await self._writable.wait()
+            return
+        with behind.lend(self._holding.source, self._cut_unread):
+            await self._writable.wait()
+
     def end(self) -> None:
         """Complete the answer, then close the connection or read the next request."""
         if self._chunked and self._has_body:
             self._write(b"0\r\n\r\n")
         self._answering = False
         self.on_disconnect = None
-        self._request_bytes = 0
+        # It would keep the body in memory until the next one comes.
+        self._served = None
+        self._running.close()
         if self.disconnected:
             return
         self._reset_request()
         self.count_held()
         if self._close_after:
-            self._transport.close()
+            self._close_sent()
             return
         self._start_timer(self._options.limits().idle_s)
         if self._pipelined:
@@ -363,6 +411,18 @@
             self._pipelined.clear()
             self._loop.call_soon(self.data_received, data)
 
+    def _close_sent(self) -> None:
+        """Close the connection once all is sent.
+
+        What the caller still sends is read for a while: the kernel answers it with a reset after a
+        close, and the caller may lose the answer by that.
+        """
+        if not self._discarding:
+            self._transport.close()
+            return
+        self._transport.write_eof()
+        self._start_timer(defaults.LINGER_S)
+
     def answer(self, status: int, headers: t.Iterable[Header], body: bytes) -> None:
         """Write a complete answer."""
         self.begin(status, headers, len(body))
@@ -378,10 +438,17 @@
 
     def _reject(self, status: int) -> None:
         """Answer a request that could not be read; no part of it was forwarded."""
+        headers = [(b"Content-Type", b"text/plain")]
+        if status == 503:
+            rows = tuple(self._headers)
+            headers = self._options.refuse(
+                HttpRequest(self._method, self._target, rows, b"", False)
+            )
+            self._discarding = True
         self._close_after = True
         self._answering = True
         self._method = b""
-        self.answer(status, [(b"Content-Type", b"text/plain")], reason_phrase(status))
+        self.answer(status, headers, reason_phrase(status))
 
     def close_if_idle(self) -> None:
         """Close a connection on which no request is being read or served."""
@@ -403,7 +470,9 @@
         """Answer 408 to a caller that sends too slowly, or close an idle connection."""
         if self._answering or self.disconnected:
             return
-        if self._target or self._headers:
+        if self.unsent_bytes and self._discarding:
+            self._start_timer(defaults.LINGER_S)
+        elif self._target or self._headers:
             self._reject(408)
         else:
             self._transport.close()
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -35,6 +35,7 @@
     "settings_wrong": "the process did not start",
     "settings_reloaded": "a change of the settings file or a signal; the new values are in force",
     "request_malformed": "a caller's request lacks what every request must have",
+    "request_unread": "a request was refused before it was read, as too many bytes wait",
     "route_missing": "no route has the request's host and path, or no route table is known yet",
     "key_refused": "a request's key is unknown, or this node can't tell whether it is still valid",
     "request_read_leaving": "a request was read by a node whose planned stop has begun",
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -34,6 +34,7 @@
 from .exceptions import EndpointError
 from .http_client import ClientConnection
 from .http_client import Reply
+from .http_messages import Header
 from .http_messages import HttpHead
 from .http_messages import HttpRequest
 from .http_server import ServerConnection
@@ -230,6 +231,20 @@
         await _run_exchange(context, exchange, table, version)
 
 
+def refuse_unread(context: "RelayContext", request: HttpRequest) -> list[Header]:
+    """Return the headers of the refusal of a request for which there is no memory; it hasn't run.
+
+    :param request: without its body.
+    """
+    try:
+        request_id = context.dialect.read_request(request).request_id
+    except CallerError as error:
+        request_id = error.request_id
+    context.metrics.refusals.inc({"reason": "memory", "outcome": "not_run"})
+    log("request_unread", "WARNING", id=request_id, reason="too many bytes are held")
+    return context.dialect.refusal_headers(request_id, core_defaults.RETRY_AFTER_S)
+
+
 def _find_route(
     context: "RelayContext", connection: ServerConnection, fields: RequestFields
 ) -> Route | None:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -263,7 +263,7 @@
         if events.number and context.state.options.endpoint_speeds:
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
-        await exchange.connection.send(events.data)
+        await exchange.connection.send(events.data, reply.holding)
     got_something = exchange.events > events_before or bool(last_event)
     if splitter.overrun:
         raise _open_end("another answer follows, and nothing shows the end", got_something)
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -55,6 +55,7 @@
 from .dialect import Dialect
 from .exceptions import PlatformConflict
 from .exceptions import SettingsError
+from .http_messages import Header
 from .http_messages import HttpRequest
 from .http_server import HttpListener
 from .http_server import ReadLimits
@@ -255,7 +256,12 @@
         async def serve(connection: ServerConnection, request: HttpRequest) -> None:
             await relay.serve_caller(self.context, connection, request)
 
-        callers = ServerOptions(serve, self._read_limits, lambda: self.context.state.leaving)
+        def refuse(request: HttpRequest) -> list[Header]:
+            return relay.refuse_unread(self.context, request)
+
+        callers = ServerOptions(
+            serve, self._read_limits, lambda: self.context.state.leaving, refuse
+        )
         checks = ServerOptions(self._serve_checks)
         host = settings.caller_address.rpartition(":")[0]
         rows = {
