A whole answer counts once, as its caller's, from when it is passed on

What callers saw: two answers of 16 MiB to callers that read 64 KiB/s made a node of 160 MB give one holding up, though both fit.

Cause: an answer that was read counted as the endpoint's until its connection was released, and as its caller's too as it was written: 32 MiB for 16.

Change: the endpoint's holding is dropped as the answer is passed on.

--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -223,6 +223,8 @@
     if head.status >= 500 and exchange.route.repeatable:
         exchange.held_answer = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         raise EndpointError(f"answered {head.status}", sent=True)
+    # From here on it counts as its caller's, and not twice.
+    answer.reply.drop()
     _send_answer(exchange, HeldAnswer(head.status, end_to_end_headers(head.headers), body))
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} gave {head.status}")
