--- a/features/memory_stage.py
+++ b/features/memory_stage.py
@@ -80,13 +80,15 @@
         while time.monotonic() < until:
             await self._call(FAULTY, kind)
 
-    async def _call(self, service, kind):
+    async def _call(self, service, kind, host="127.0.0.1"):
         status = "none"
         writer = None
         began = time.monotonic()
         try:
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
-                reader, writer = await asyncio.open_connection(*self.node.address)
+                reader, writer = await asyncio.open_connection(
+                    *self.node.address, local_addr=(host, 0)
+                )
                 path = f"/{service}-{kind}/x"
                 rows = f"Host: {HOST}\r\nX-Rookspring-Request-Id: {secrets.token_hex(6)}\r\n"
                 rows += f"X-Rookspring-Deadline-Ms: {DEADLINE_MS}\r\n"
@@ -140,11 +142,11 @@
         for kind, attempts in KINDS.items()
     ]
     services = [
-        {"name": one, "health-path": "/healthz", "max-conns": 100} for one in (FAULTY, SOUND)
+        {"name": one, "health-path": "/healthz", "max-conns": 400} for one in (FAULTY, SOUND)
     ]
     limits = {
         "max-header-bytes": 8192,
-        "max-body-bytes": 4096,
+        "max-body-bytes": 4 << 20,
         "header-timeout-ms": 500,
         "idle-timeout-ms": 5000,
     }
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -225,6 +225,8 @@
         kept = HeldAnswer(head.status, end_to_end_headers(head.headers), body)
         exchange.hold_answer(kept, context.budget.open(answer.view.address))
         raise EndpointError(f"answered {head.status}", sent=True)
+    # From here on it counts as its caller's, and not twice.
+    answer.reply.drop()
     _send_answer(exchange, HeldAnswer(head.status, end_to_end_headers(head.headers), body))
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} gave {head.status}")
@@ -265,7 +267,7 @@
         if events.number and context.state.options.endpoint_speeds:
             gap_s = meter.add(events.number, reply.part_arrived_at)
             _submit_gap(context, effect, exchange, reply, gap_s)
-        await exchange.connection.send(events.data)
+        await exchange.connection.send(events.data, reply.holding)
     got_something = exchange.events > events_before or bool(last_event)
     if splitter.overrun:
         raise _open_end("another answer follows, and nothing shows the end", got_something)
