Mutants of the turns of reads, and their design note

Each of five wrong decisions (no bound of a turn, bytes without line ends, rotation by connection, all or nothing at once) fails features/read_turns.feature (make bench B=relay-mutants).

--- a/bench/endless_mutants.py
+++ b/bench/endless_mutants.py
@@ -1,14 +1,17 @@
-"""Mutants of the bounds on answers without end, and of loads for callers alone."""
+"""Mutants of bounds and turns of answers without end, and of loads for callers alone."""
 
 import typing as t
 
 from rookspring import defaults as daemon_defaults
 from rookspring.byte_budget import ByteBudget
 from rookspring.byte_budget import Holding
+from rookspring_core import defaults as core_defaults
 from rookspring_core.caller_times import CallerTimes
+from rookspring_core.read_turns import ReadTurns
 from rookspring_core.swapping import SwapBoard
 
 from .mutant import ENDLESS_ANSWERS
+from .mutant import READ_TURNS
 from .mutant import SWAPPING
 from .mutant import Mutant
 
@@ -30,7 +33,58 @@
         self._give_up(holding)
 
 
+def _always(*args: t.Any) -> bool:
+    return True
+
+
+_wait = ReadTurns.wait
+
+
+def _wait_by_connection(self: ReadTurns[t.Any], source: str, waiter: t.Any) -> None:
+    _wait(self, f"{source} {id(waiter)}", waiter)
+
+
 MUTANTS = (
+    Mutant(
+        "handles all that was read in one turn",
+        "endpoints share the turns of reads",
+        core_defaults,
+        "TURN_WORK_BYTES",
+        NO_BOUND,
+        READ_TURNS,
+    ),
+    Mutant(
+        "counts the bytes of reads alone",
+        "endpoints share the turns of reads",
+        core_defaults,
+        "LINE_WORK_BYTES",
+        0,
+        READ_TURNS,
+    ),
+    Mutant(
+        "lets connections take turns, and not endpoints",
+        "endpoints share the turns of reads",
+        ReadTurns,
+        "wait",
+        _wait_by_connection,
+        READ_TURNS,
+    ),
+    Mutant(
+        "handles all reads at once",
+        "endpoints share the turns of reads",
+        ReadTurns,
+        "admit",
+        _always,
+        READ_TURNS,
+    ),
+    Mutant(
+        "makes sound streams wait for floods",
+        "endpoints share the turns of reads",
+        ReadTurns,
+        "admit",
+        _never,
+        READ_TURNS,
+    ),
     Mutant(
         "reads framing without end",
         "bytes without end are given up",
