A test that endpoints which send without end are ejected

Of a service with one such endpoint and a sound one, 60 requests at a time: the former gets those that were sent before its first failures and a probe after each ejection, 70 at most, the latter answers the rest. Where all endpoints of a service are faulty, they go on to get requests, by the rule that an ejected one may if there is no other.

--- a/features/memory_sockets.feature
+++ b/features/memory_sockets.feature
@@ -27,3 +27,16 @@
       | script                   |
       | small events without end |
       | small chunks without end |
+
+  # 60 that were sent before the first failures, and a probe after each ejection.
+  Scenario Outline: an endpoint that sends without end is ejected as any that fails
+    Given a node process of 160 MB and two endpoints of a service, one of which does: <script>
+    When it gets 60 requests at a time for the latter, and others, for 6 s
+    Then the faulty endpoint was ejected: it got 70 requests at most of 300 or more
+
+    Examples:
+      | script                   |
+      | body without end         |
+      | event without end        |
+      | small events without end |
+      | small chunks without end |
--- a/features/memory_stage.py
+++ b/features/memory_stage.py
@@ -31,11 +31,13 @@
 
     :param memory_mb: the limit that the node's settings state, in megabytes.
     :param script: the step by which the faulty endpoints handle each request.
+    :param faulty: how many of the two endpoints of the one service are faulty.
     """
 
-    def __init__(self, memory_mb, script):
+    def __init__(self, memory_mb, script, faulty=2):
         self._memory_mb = memory_mb
         self._script = script
+        self._faulty = faulty
         self._folder = tempfile.TemporaryDirectory()
         self.store = ObjectPlatform()
         self.servers = []
@@ -49,7 +51,9 @@
         await self.store.write("config", "main", write_table())
         for number in range(4):
             service = FAULTY if number < 2 else SOUND
-            server = ModelServer(f"i{number}", [self._script] * SCRIPT_STEPS * (number < 2))
+            server = ModelServer(
+                f"i{number}", [self._script] * SCRIPT_STEPS * (number < self._faulty)
+            )
             self.servers.append(server)
             await server.start()
             await self.store.write("servers", server.name, server.entry(service))
@@ -104,6 +108,10 @@
         if service == FAULTY:
             self.longest_wait_s = max(self.longest_wait_s, time.monotonic() - began)
 
+    def number_runs(self):
+        """Return how many requests the first endpoint got."""
+        return len(self.servers[0].runs)
+
     def peak_mib(self):
         """Return the largest resident size that the node's process had."""
         rows = pathlib.Path(f"/proc/{self.node.process.pid}/status").read_text().splitlines()
--- a/features/steps/memory_steps.py
+++ b/features/steps/memory_steps.py
@@ -2,6 +2,7 @@
 from behave import then
 from behave import when
 from memory_stage import DEADLINE_MS
+from memory_stage import FAULTY
 from memory_stage import SOUND
 from memory_stage import MemoryStage
 
@@ -37,3 +38,17 @@
 def waited_no_longer(context, most):
     late_s = context.memory.longest_wait_s - DEADLINE_MS / 1000
     assert late_s <= most, late_s
+
+
+@given("a node process of {mb:d} MB and two endpoints of a service, one of which does: {script}")
+def one_faulty_endpoint(context, mb, script):
+    context.memory = MemoryStage(mb, script, faulty=1)
+    context.loop.run(context.memory.start())
+
+
+@then("the faulty endpoint was ejected: it got {most:d} requests at most of {least:d} or more")
+def was_ejected(context, most, least):
+    number = context.memory.number_runs()
+    others = context.memory.ends[FAULTY, "200"]
+    assert 0 < number <= most, (number, context.memory.ends)
+    assert others + number >= least, (number, context.memory.ends)
