Callers' checks tell dropped pipelined bytes, and bodies whose requests end unanswered

Two of the seven mutants were not caught: kept pipelined bytes, as the 400 that follows closes the connection too, and bodies that stay counted, as the stage answered callers who had left. Both are caught now, as the other five.

--- a/features/caller_connections.py
+++ b/features/caller_connections.py
@@ -56,6 +56,8 @@
         else:
             if kind == "wait":
                 await self.go_on.wait()
+            if connection.disconnected:
+                return
             connection.answer(200, [], b"x")
 
     def _fail(self, reason):
--- a/features/steps/memory_caller_steps.py
+++ b/features/steps/memory_caller_steps.py
@@ -169,6 +169,7 @@
             answer = await context.first[0].read()
         assert answer.startswith(b"HTTP/1.1 200 "), answer
         assert b"Connection: close" in answer, answer
+        assert answer.count(b"HTTP/1.1 ") == 1, answer
 
     context.loop.run(work())
 
