--- a/bench/ways.py
+++ b/bench/ways.py
@@ -10,6 +10,7 @@
 from rookspring_fakes.ways import Outcome
 from rookspring_fakes.ways import play
 from rookspring_fakes.ways_checks import KINDS
+from rookspring_fakes.ways_troubles import TROUBLES
 
 from .registry import experiment
 from .registry import report
@@ -45,15 +46,17 @@
     parser.add_argument("--callers", type=int, default=24)
     parser.add_argument("--program", default="", help="folder of the nodes' libraries, as built")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for what is found, with logs")
+    parser.add_argument("--troubles", help="names to draw from, by commas; all if left out")
     given = parser.parse_args(arguments)
     configure("ERROR")
+    names = given.troubles.split(",") if given.troubles else sorted(TROUBLES)
     program = str(pathlib.Path(given.program).resolve()) if given.program else ""
     rows = []
     broken = 0
     for seed in range(given.seed, given.seed + given.seeds):
         block = os.getpid()
         try:
-            outcome = asyncio.run(play(seed, given.seconds, given.callers, block, program))
+            outcome = asyncio.run(play(seed, given.seconds, given.callers, block, program, names))
         except TimeoutError as error:
             print(f"seed {seed}: not played: {error!r}", flush=True)
             broken += 1
@@ -66,7 +69,7 @@
                 print(f"seed {seed}: {name}: {row}", flush=True)
         if given.keep and any(outcome.found.values()):
             _keep(given.keep, seed, outcome)
-    names = [key for key in (rows[0] if rows else {}) if key != "seed"]
-    total = {"seeds": len(rows), **{name: sum(row[name] for row in rows) for name in names}}
+    columns = [key for key in (rows[0] if rows else {}) if key != "seed"]
+    total = {"seeds": len(rows), **{name: sum(row[name] for row in rows) for name in columns}}
     report("ways", f"Plays of {given.seconds:g} s each", [total])
     return int(broken > 0)
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways.py
@@ -37,15 +37,21 @@
 
 
 async def play(
-    seed: int, seconds: float, callers: int, host_block: int, program: str = ""
+    seed: int,
+    seconds: float,
+    callers: int,
+    host_block: int,
+    program: str = "",
+    troubles: t.Collection[str] = tuple(TROUBLES),
 ) -> Outcome:
     """Play a seed.
 
     :param seconds: how long troubles are drawn.
     :param host_block: selects the loopback addresses, so that plays on one box don't share any.
     :param program: the folder of the nodes' libraries; those of this process if empty.
+    :param troubles: the names of the troubles that the seed draws from.
     """
-    settings = draw_settings(seed, TROUBLES)
+    settings = draw_settings(seed, troubles)
     stage = WaysStage(settings, host_block, seed, program)
     begun: list[str] = []
     try:
