--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -113,8 +113,9 @@
 # Largest sum of others' bytes that wait at a node whose memory isn't stated.
 HELD_BYTES_DEFAULT = 64 << 20
 # Share of the memory that a node has beyond what it takes by itself that others' bytes may fill. As
-# much again goes to copies, to reads that are under way and to what the allocator keeps.
-HELD_SHARE = 0.4
+# much again goes to copies, to reads that are under way and to what the allocator keeps, and as
+# much stays free.
+HELD_SHARE = 1.0 / 3.0
 # The least sum of others' bytes, however little memory is left.
 HELD_BYTES_MIN = 4 << 20
 # Memory that a node takes by itself if that can't be read.
