--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -98,3 +98,17 @@
     Then the report has failed as "too large an answer" after 10 MB at most
     When a caller sends a safe request
     Then the answer is whole
+
+  Scenario Outline: the sender with the most gives way, by its largest part, whoever comes last
+    Given a bound of 1000 bytes, and senders that hold: <held>
+    When <bytes> bytes come of <sender>
+    Then the senders hold: <left>
+
+    Examples: by sender, the parts in bytes
+      | held                      | sender | bytes | left                         |
+      | a 500 400, b 50           | c      | 60    | a 400, b 50, c 60            |
+      | a 500 400, b 50           | a      | 60    | a 400 60, b 50               |
+      | a 300 300, b 390          | b      | 20    | a 300, b 390 20              |
+      | a 300, b 390              | b      | 310   | a 300, b 390 310             |
+      | a 300, b 390              | b      | 400   | a 300, b 390                 |
+      | a 10 10, b 970            | c      | 20    | a 10 10, c 20                |
