Nodes of the simulated fleet have a byte budget, as their links count in one

FleetNode stands for the relay's context, whose budget the links take since: every scenario of a fleet ended with an AttributeError. No check is changed.

--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -13,6 +13,7 @@
 from rookspring import relay_slots
 from rookspring import relay_suspects
 from rookspring import relay_updates
+from rookspring.byte_budget import ByteBudget
 from rookspring.messages import encode
 from rookspring.platform import StoredObject
 from rookspring.relay_endpoint_list import EndpointList
@@ -199,6 +200,7 @@
         self.settings = _settings(self.name, data_centre)
         self.dialect = FleetDialect()
         self.loop = FleetLoop(fleet)
+        self.budget = ByteBudget()
         self.endpoints_listed = False
         self.lease_check_due = asyncio.Event()
         self.spawn: t.Any = None
