Read what a caller pipelines in the order in which it came

A body whose head had come before was parsed as a head: 24 of 120 got 400 for a sound request, and a body's text that looks like a request was served as one. A caller that tells answers by their order gets another request's answer.

Cause: as an answer ended, what had been pipelined was handed to a callback of the loop's next turn, and the connection took new bytes at once. What was read before that callback came first. Class: bytes are handed on by two ways that don't wait for each other.

Change: until the callback has run, what is read is appended behind it.

Evidence: pipelined_requests.feature, three of four rows failed before: ['/1', '/3', '/2'], ['/1'], ['/1', '/in-the-body']; all pass.

--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -64,6 +64,8 @@
         # Whether what still comes is dropped, as the connection ends after its answer.
         self._discarding = False
         self._parsing = False
+        # Whether pipelined bytes are about to be parsed; what is read meanwhile comes behind them.
+        self._read_due = False
         self._options = options
         self._connections = connections
         self._loop = asyncio.get_running_loop()
@@ -103,7 +105,7 @@
 
     def is_reading(self) -> bool:
         """Return whether a part of a request was read, and its rest was not."""
-        begun = bool(self._target or self._headers or not self._in_headers)
+        begun = bool(self._target or self._headers or not self._in_headers or self._read_due)
         return begun and not self._answering and not self.disconnected
 
     def _reset_request(self) -> None:
@@ -197,7 +199,7 @@
         """Parse the bytes, or buffer them while a request is served."""
         if self._discarding:
             return
-        if self._answering:
+        if self._answering or self._read_due:
             self._pipelined += data
             self.count_held()
             if len(self._pipelined) > defaults.PIPELINED_BYTES_MAX:
@@ -409,9 +411,16 @@
             return
         self._start_timer(self._options.limits().idle_s)
         if self._pipelined:
-            data = bytes(self._pipelined)
-            self._pipelined.clear()
-            self._loop.call_soon(self.data_received, data)
+            self._read_due = True
+            self._loop.call_soon(self._read_pipelined)
+
+    def _read_pipelined(self) -> None:
+        """Parse what came while the request before was served, and since."""
+        self._read_due = False
+        data = bytes(self._pipelined)
+        self._pipelined.clear()
+        if not self.disconnected:
+            self.data_received(data)
 
     def _close_sent(self) -> None:
         """Close the connection once all is sent.
