Bound the number of headers of a request and of an answer

What callers saw: nothing yet.

Cause: a row of a head counts as its bytes and takes some twenty times as much. The class of the incident: a sum of payloads for resident memory.

Change: 256 rows at most; an answer with more is none, a request with more gets 431.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -13,6 +13,7 @@
       | what                                | size | reason                           |
       | a status line                       | 1    | too many bytes that are no body  |
       | headers                             | 1    | too many bytes that are no body  |
+      | small headers                       | 1    | not an answer                    |
       | one header                          | 1    | too many bytes that are no body  |
       | interim heads                       | 1    | too many bytes that are no body  |
       | the size of a chunk                 | 1    | too many bytes that are no body  |
--- a/features/steps/endless_answer_steps.py
+++ b/features/steps/endless_answer_steps.py
@@ -30,6 +30,7 @@
 ENDLESS = {
     "a status line": (b"HTTP/1.1 200 ", b"O" * KB),
     "headers": (OK, ROW),
+    "small headers": (OK, b"a: b\r\n"),
     "one header": (OK + b"X-Row: ", b"x" * KB),
     "interim heads": (b"", b"HTTP/1.1 102 Processing\r\n\r\n"),
     "the size of a chunk": (CHUNKED, b"0" * KB),
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -310,8 +310,11 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
-        if not self._got_head:
-            self._answer_headers.append((name, value))
+        if self._got_head:
+            return
+        if len(self._answer_headers) >= defaults.HEADER_ROWS_MAX:
+            raise ValueError("too many headers")
+        self._answer_headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Accept the head, or skip an answer that belongs to another request."""
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -65,6 +65,8 @@
 HEADS_KEPT = 4
 # Limits of the relay's callers, unless a configuration sets others.
 HEADER_BYTES_MAX = 16 << 10
+# Headers of a request or an answer. Short ones take some twenty times their bytes.
+HEADER_ROWS_MAX = 256
 CALLER_IDLE_S = 15.0
 # How long what a caller still sends is read after its connection's last answer, in seconds: longer
 # than the answer needs to arrive.
--- a/packages/rookspring/src/rookspring/http_server.py
+++ b/packages/rookspring/src/rookspring/http_server.py
@@ -253,8 +253,12 @@
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers are dropped."""
-        if self._in_headers:
-            self._headers.append((name, value))
+        if not self._in_headers:
+            return
+        if len(self._headers) >= defaults.HEADER_ROWS_MAX:
+            self._reject_status = 431
+            return
+        self._headers.append((name, value))
 
     def on_headers_complete(self) -> None:
         """Check framing and sizes before any byte of the body is accepted."""
