Rows of requests with many short headers

The callers' side of the bound on headers had no test of its own: 250 are served, 300 and 2,600 get 431, whatever the reads are.

--- a/features/steps/pipelined_request_steps.py
+++ b/features/steps/pipelined_request_steps.py
@@ -22,7 +22,14 @@
 
 
 class CallerTransport(StillTransport):
-    """A transport that may be closed once all is written."""
+    """A transport that may be closed once all is written, and keeps what is written."""
+
+    def __init__(self, connection):
+        self.written = b""
+        super().__init__(connection)
+
+    def write(self, data):
+        self.written += data
 
     def close(self):
         self.closed = True
@@ -62,3 +69,27 @@
 @then("the requests are served in this order: {served}")
 def served_in_order(context, served):
     assert context.served == served.split(), context.served
+
+
+@when("it sends a request with {number:d} short headers, {size:d} bytes at a time")
+def sends_headers(context, number, size):
+    async def serve(connection, request):
+        connection.answer(200, [], b"")
+
+    async def work():
+        connection = ServerConnection(ServerOptions(serve), set(), ByteBudget())
+        context.transport = CallerTransport(connection)
+        data = b"POST /1 HTTP/1.1\r\nHost: h\r\n" + b"a: b\r\n" * number + b"\r\n"
+        for at in range(0, len(data), size):
+            if not context.transport.closed:
+                connection.data_received(data[at : at + size])
+        await asyncio.sleep(0.05)
+        connection.connection_lost(None)
+
+    asyncio.run(work())
+
+
+@then("it is answered {status:d}")
+def answered(context, status):
+    line = context.transport.written.partition(b"\r\n")[0].split()
+    assert line[:2] == [b"HTTP/1.1", b"%d" % status], context.transport.written
