Stop rows: a stream whose node's links were cut while it ran may break off

Cause: the play cuts the node's links to endpoints just after the callers begin, 1.5 s before SIGTERM. A stream of one attempt that runs at an endpoint then has no way on.

The check allows it for these alone: one attempt, begun before the cut was in force, ended after it began.

--- a/features/stop_rows_stage.py
+++ b/features/stop_rows_stage.py
@@ -201,12 +201,17 @@
     def _may_be_cut(self, one):
         if one.kind not in ("stream", "resumable"):
             return False
-        if one.kind == "stream" and self.killed is not None and self._ran_at_killed(one):
+        if one.kind == "stream" and (self._ran_at_killed(one) or self._lost_its_way(one)):
             return True
         return one.began + one.work_s > self.term_at + self.stage.grace_s - MARGIN_S
 
     def _ran_at_killed(self, one):
-        return one.ident in self.killed.received_ids()
+        return self.killed is not None and one.ident in self.killed.received_ids()
+
+    def _lost_its_way(self, one):
+        """Return whether its node's links to endpoints were cut while it ran at one of them."""
+        cuts = next(node.cuts for node in self.stage.nodes if node.name == one.node)
+        return any(one.began <= cut.done and cut.began <= one.ended for cut in cuts)
 
     def _is_right(self, one):
         if one.kind in ("stream", "resumable"):
