A stream's rest goes to no process that its endpoint's entry may not describe

Cause: the version that a stream goes on at is that of the endpoint's entry as last read. A process that was killed and is back under its name at its address as another version while the store is away, or before a node that stood still has read again, is taken for the one before. Restarts were doubted only where entries state start times, which those of services don't.

Fix: a process keeps its connections for its life, so a connection that was opened before the entries were asked for leads to no later process. Where several versions serve and the store isn't read (its calls fail, 2 s after that, or nothing asked within 3 s), a stream's rest is sent on such a connection only, and a stream that begins on another has no known origin. Connections of that age are taken first. Nothing changes while the store answers or one version serves.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -8,6 +8,7 @@
 from rookspring.http_messages import HttpRequest
 from rookspring.relay import RelayExchange
 from rookspring_core import defaults
+from rookspring_core import stream_origins
 from rookspring_core.effects import AskSlot
 from rookspring_core.effects import TellOrigin
 from rookspring_core.events import AttemptFailed
@@ -15,14 +16,18 @@
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import BoxListed
 from rookspring_core.events import BoxListReceived
+from rookspring_core.events import PlatformAnswered
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
+from rookspring_core.events import StoreRead
 from rookspring_core.events import Ticked
 from rookspring_core.routes import Split
 from rookspring_core.stream_versions import StreamOrigin
 from rookspring_core.stream_versions import StreamVersions
 
 BORN_MS = 1_700_000_000_000
+# Longer than any time of a scenario, in seconds.
+LONG_S = 20.0
 
 
 class VersionHarness(RelayHarness):
@@ -114,6 +119,59 @@
     context.node = VersionHarness(endpoints)
 
 
+@when("entries were last asked for {asked_s:g} s ago, and the store {state}")
+def entries_asked(context, asked_s, state):
+    node = context.node
+    node.now += LONG_S
+    now = node.now
+    for at, reachable in _calls(state, now):
+        node.submit(StoreRead(at, at - 0.1)) if reachable else None
+        node.submit(PlatformAnswered(at, reachable))
+    if "answers" in state:
+        node.submit(PlatformAnswered(now - asked_s, True))
+    node.submit(StoreRead(now, now - asked_s))
+
+
+def _calls(state, now):
+    """Return when calls of the store were made, and whether they were answered."""
+    words = state.split()
+    if "away since" in state:
+        since = float(words[-2])
+        return [(now - since - 5.0, True), (now - since, False)]
+    if "back since" in state:
+        since, lasted = float(words[3]), float(words[-2])
+        return [
+            (now - since - lasted - 5.0, True),
+            (now - since - lasted, False),
+            (now - since, True),
+        ]
+    if "away again" in state:
+        return [(now - 8.0, True), (now - 3.0, False), (now - 2.0, True), (now - 1.0, False)]
+    return []
+
+
+@then("a connection that was opened {opened_s:g} s ago {leads}")
+def connection_leads(context, opened_s, leads):
+    node = context.node
+    if "once a1 has reported" in leads:
+        assert _may_be_another(node, opened_s)
+        node.submit(node.report("a1", slots=1, started_ms=BORN_MS))
+    assert _may_be_another(node, opened_s) == ("another" in leads)
+
+
+def _may_be_another(node, opened_s):
+    view = node.state.endpoints["a1"]
+    return stream_origins.may_be_another(node.state, view, node.now - opened_s)
+
+
+@when("a resumable stream begins at a1 on a new connection and breaks off after {events:d} events")
+def begins_anew_and_breaks_off(context, events):
+    node = context.node
+    node.begin("s1", "a1")
+    node.submit(AttemptStarted(node.now, "s1", node.sent[-1].attempt, node.now))
+    node.break_off("s1", events)
+
+
 @when("a resumable stream begins at a1 and breaks off after {events:d} events")
 def breaks_off(context, events):
     node = context.node
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -16,6 +16,8 @@
 NOT_RUN = (408, 421, 429, 503)
 # Streams that are taken up at once: fewer than the endpoints of one version run.
 AT_ONCE = 8
+# The time in which a node reads the store again, and a process's entry is written, in seconds.
+KNOWN_AFTER_S = 3.5
 EVENT_ID = re.compile(rb"^id: (\d+)$", re.MULTILINE)
 
 
@@ -80,6 +82,49 @@
     context.loop.run(work())
 
 
+@when("{trouble}, the second endpoint is back as v2, and {count:d} resumable streams break off")
+def streams_break_at_restarted(context, trouble, count):
+    stage = context.cut_stage
+    _, second, _ = stage.relay.servers
+
+    async def work():
+        await _set_store_away(stage, True)
+        port = int(second.address.rpartition(":")[2])
+        second.end()
+        second.version = "v2"
+        second.ended = False
+        await second.start(port)
+        if "back" in trouble:
+            await _set_store_away(stage, False)
+
+    context.loop.run(work())
+    streams_break(context, count)
+    stage.relay.store.faults.outage = False
+
+
+async def _set_store_away(stage, away):
+    """Have the store fail all calls or answer again, and wait until the nodes know."""
+    stage.relay.store.faults.outage = away
+    await stage.relay.until(
+        lambda: all(node.context.state.platform_reachable != away for node in stage.nodes)
+    )
+
+
+@when("the store is away, and {count:d} resumable streams break off")
+def streams_break_without_store(context, count):
+    stage = context.cut_stage
+
+    async def warm():
+        parts = [send_stream(stage.nodes[0], f"w{number}") for number in range(AT_ONCE)]
+        await asyncio.gather(*parts)
+        await asyncio.sleep(KNOWN_AFTER_S)
+        await _set_store_away(stage, True)
+
+    context.loop.run(warm())
+    streams_break(context, count)
+    stage.relay.store.faults.outage = False
+
+
 @when("{count:d} callers leave their streams after the third event, and take them up {where}")
 def take_up(context, count, where):
     stage = context.cut_stage
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -29,6 +29,35 @@
       | a1 at v1 leaving, a2 at v1, b1 at v2 | is listed at v2 with a later start time     | it ends as 502 unknown: version_gone   |
       | a1 at v1 leaving, a2 at v1           | reports a later start time                  | it goes on at a2                       |
 
+  Scenario Outline: where entries may be old, a connection leads to what they describe if it is older
+    Given a node with the endpoints: <endpoints>
+    When entries were last asked for <asked> s ago, and the store <state>
+    Then a connection that was opened <opened> s ago <leads>
+
+    Examples:
+      | endpoints              | asked | state                        | opened | leads                     |
+      | a1 at v1, b1 at v2     | 1     | answers                      | 0.1    | leads to what they say    |
+      | a1 at v1, b1 at v2     | 3.1   | answers                      | 0.1    | may lead to another       |
+      | a1 at v1, b1 at v2     | 3.1   | answers                      | 3.7    | leads to what they say    |
+      | a1 at v1, b1 at v2     | 1     | is away since 0.5 s          | 0.1    | may lead to another       |
+      | a1 at v1, b1 at v2     | 1     | is away since 0.5 s          | 6.0    | may lead to another       |
+      | a1 at v1, b1 at v2     | 1     | is away since 0.5 s          | 6.2    | leads to what they say    |
+      | a1 at v1, b1 at v2     | 0.1   | is back since 1.9 s after 1 s | 1     | may lead to another       |
+      | a1 at v1, b1 at v2     | 0.1   | is back since 2.1 s after 1 s | 1     | leads to what they say    |
+      | a1 at v1, b1 at v2     | 0.1   | went away again after 1 s    | 2      | may lead to another       |
+      | a1 at v1, b1 at v1     | 9     | is away since 8 s            | 0.1    | leads to what they say    |
+
+  Scenario: where the endpoint reports the start of its process, its report shows what it is
+    Given a node with the endpoints: a1 at v1, b1 at v2, each with its start time
+    When entries were last asked for 9 s ago, and the store is away since 8 s
+    Then a connection that was opened 0.6 s ago leads to what they say, once a1 has reported
+
+  Scenario: a stream that begins at what may be another process has no known origin
+    Given a node with the endpoints: a1 at v1, a2 at v1, b1 at v2
+    When entries were last asked for 9 s ago, and the store is away since 8 s
+    And a resumable stream begins at a1 on a new connection and breaks off after 3 events
+    Then it ends as 502 unknown: version_unknown
+
   Scenario: a stream that waits for its version holds up no other request
     Given a node with the endpoints: a1 at v1 leaving, a2 at v1 full, b1 at v2
     When a resumable stream begins at a1 and breaks off after 3 events
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -13,6 +13,23 @@
       | v1, v2, v3          | 0     |
       | v1, v1, v1          | 100   |
 
+  Scenario Outline: no stream goes on at an endpoint that is back as another version than its entry says
+    Given 1 linked nodes, and endpoints of the versions v1, v1, v2
+    When <trouble>, the second endpoint is back as v2, and 12 resumable streams break off
+    Then no stream has events of two versions
+    And each has one head and each event once, and at least 0 in 100 are whole
+
+    Examples:
+      | trouble                    |
+      | the store is away          |
+      | the store is just back     |
+
+  Scenario: streams go on over connections that were open before the store went away
+    Given 1 linked nodes, and endpoints of the versions v1, v1, v2
+    When the store is away, and 12 resumable streams break off
+    Then no stream has events of two versions
+    And each has one head and each event once, and at least 30 in 100 are whole
+
   Scenario Outline: no caller's try goes on at another software version than its stream began at
     Given 4 linked nodes, and endpoints of the versions <versions>
     When 40 callers leave their streams after the third event, and take them up <where>
--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -47,9 +47,13 @@
 
 
 class StoreRead(t.NamedTuple):
-    """This node read the endpoint list from the platform's store."""
+    """This node read the endpoint list from the platform's store.
+
+    :param asked_at: when it asked; the answer shows all that the store had accepted by then.
+    """
 
     at: float
+    asked_at: float
 
 
 class TableProved(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -103,11 +103,15 @@
 
 
 class AttemptStarted(t.NamedTuple):
-    """The first byte of a request may have left for its endpoint."""
+    """The first byte of a request may have left for its endpoint.
+
+    :param opened_at: when its connection was opened; 0 if that is unknown.
+    """
 
     at: float
     request_id: str
     attempt: int
+    opened_at: float = 0.0
 
 
 class AttemptProgressed(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -277,6 +277,8 @@
 from ._store_defaults import WATCH_TAKEOVER_PER_NODE_S as WATCH_TAKEOVER_PER_NODE_S
 from ._store_defaults import WATCH_TAKEOVER_RELAY_S as WATCH_TAKEOVER_RELAY_S
 from ._store_defaults import WATCHERS as WATCHERS
+from ._stream_defaults import ENTRIES_STALE_S as ENTRIES_STALE_S
+from ._stream_defaults import ENTRY_WRITTEN_S as ENTRY_WRITTEN_S
 from ._stream_defaults import STREAM_KEPT_S as STREAM_KEPT_S
 from ._stream_defaults import STREAM_LEFT_AFTER_S as STREAM_LEFT_AFTER_S
 from ._stream_defaults import STREAM_LEFT_OBJECTIVES as STREAM_LEFT_OBJECTIVES
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -360,6 +360,11 @@
             return UNKNOWN_VERSION
         return version
 
+    def states_its_process(self) -> bool:
+        """Return whether its report states the process that its entry describes."""
+        started_ms = self.listed_version[1]
+        return bool(started_ms) and self.report is not None and self.report.started_ms == started_ms
+
     def remove_target(self, target: str, adapter: str) -> None:
         """Remove an adapter or model that the report names, but that the endpoint denies."""
         if self.report is None:
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -27,6 +27,7 @@
     request = requests.find_running(state, event.request_id, event.attempt)
     if request is not None:
         request.sent = True
+        stream_origins.note_connection(state, request, event.opened_at)
     return []
 
 
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -1,5 +1,6 @@
 """The complete state of a node. Only the reducer's handlers change it."""
 
+import math
 import typing as t
 
 from . import defaults
@@ -62,6 +63,17 @@
     granted_by_owner: bool
 
 
+class PlatformOutage(t.NamedTuple):
+    """The last time during which this node's calls of the platform's store failed.
+
+    :param known_until: a time before it whose changes of the store this node had.
+    :param ended_at: when it ended; infinite while it lasts.
+    """
+
+    known_until: float
+    ended_at: float = math.inf
+
+
 class Parked(t.NamedTuple):
     """A request that waits for a decision of its organisation's owner.
 
@@ -240,6 +252,7 @@
         self.store_era = 0
         self.platform_answered_at = started_at
         self.platform_reachable = False
+        self.platform_outage: PlatformOutage | None = None
         self.draining_since: float | None = None
         # How long a leaving node continues to serve, in seconds, since callers may have its
         # address cached.
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -6,6 +6,7 @@
 version alone serves, nothing is kept.
 """
 
+import math
 import typing as t
 
 from . import defaults
@@ -90,6 +91,64 @@
     return arrived.version == view.software_version()
 
 
+def may_be_another(state: NodeState, view: EndpointView, opened_at: float) -> bool:
+    """Return whether a connection may lead to another process than the endpoint's entry describes.
+
+    :param opened_at: when the connection was opened.
+    """
+    return opened_at > trusted_until(state, view)
+
+
+def trusted_until(state: NodeState, view: EndpointView) -> float:
+    """Return until when a connection must have been opened to lead to what the entry describes.
+
+    While the store is read, a process that restarts under its name is known by its new entry. While
+    it is not, one before may be listed still. But a process keeps its connections for its life, so
+    one that was opened before the entry was read leads to no later process. It matters only where
+    several versions serve; infinite elsewhere.
+    """
+    if not state.stream_versions.has_several(view.service, state.now):
+        return math.inf
+    if _entries_are_current(state):
+        return math.inf
+    known_at = _entries_known_until(state)
+    if view.states_its_process():
+        known_at = max(known_at, view.reported_at)
+    return known_at - defaults.ENTRY_WRITTEN_S
+
+
+def _entries_are_current(state: NodeState) -> bool:
+    """Return whether the entries of endpoints are read as they are written."""
+    known_at = state.topology.complete_until(state.now)
+    if state.now - known_at > defaults.ENTRIES_STALE_S:
+        return False
+    return state.topology.has_fresh_source(state.now) or not _was_away(state)
+
+
+def _was_away(state: NodeState) -> bool:
+    """Return whether the store is away from this node, or was until endpoints wrote again."""
+    outage = state.platform_outage
+    return outage is not None and state.now < outage.ended_at + defaults.REWRITE_S
+
+
+def _entries_known_until(state: NodeState) -> float:
+    """Return a time whose entries of endpoints this node has, by its own clock.
+
+    Processes that restart during an outage of the store write their entries after its end.
+    """
+    known_at = state.topology.complete_until(state.now)
+    if state.platform_outage is None or not _was_away(state):
+        return known_at
+    return min(known_at, state.platform_outage.known_until)
+
+
+def note_connection(state: NodeState, request: RequestState, opened_at: float) -> None:
+    """Note the connection of an attempt, whose endpoint may be of another version than listed."""
+    view = state.endpoints.get(request.endpoint)
+    if view is not None and opened_at and may_be_another(state, view, opened_at):
+        request.endpoint_version = UNKNOWN_VERSION
+
+
 def is_served(state: NodeState, arrived: RequestArrived) -> bool:
     """Return whether an endpoint serves a request's target at a version that it may go on at."""
     assert arrived.route is not None
--- a/packages/rookspring-core/src/rookspring_core/topology.py
+++ b/packages/rookspring-core/src/rookspring_core/topology.py
@@ -62,6 +62,8 @@
         self.followed = ""
         # When the store last answered this node itself.
         self.read_at = -1e9
+        # When it was asked for that answer.
+        self.asked_at = -1e9
 
     def update(self, now: float, local: LocalStatus) -> None:
         """Update roles and links after a change, or once ``ROLES_RECOMPUTE_S`` has passed."""
@@ -247,6 +249,10 @@
         """Return the age of this node's data of the store, in seconds."""
         return min(now - self.read_at, self._peer_store_age_s(self.followed, now))
 
+    def complete_until(self, now: float) -> float:
+        """Return a time whose changes of the store this node has, by its own clock."""
+        return max(self.asked_at, now - self._peer_store_age_s(self.followed, now))
+
     def _choose_watching(self, now: float) -> bool:
         """Return whether to watch the store: as a chosen watcher, or for lack of fresh data."""
         if self.has_fresh_source(now):
--- a/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/fleet_node.py
@@ -356,7 +356,7 @@
             return
         self._next_read = self.fleet.now + defaults.SHARED_WATCH_BATCH_S + defaults.SHARED_WATCH_S
         self.note_store_era()
-        self.submit(StoreRead(self.fleet.now))
+        self.submit(StoreRead(self.fleet.now, self.fleet.now))
         self.fleet.watch_table(self)
         self.submit(EvacuationsListed(self.fleet.now, self.fleet.read_evacuations()))
         rows, self._version, whole = self.fleet.store_rows(self._version)
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -82,6 +82,7 @@
         self._reading = True
         self.open = False
         self.reusable = True
+        self.opened_at = 0.0
         self.idle_since = 0.0
         self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
         self.served = 0
@@ -92,7 +93,7 @@
         """Mark the connection as open and enable keep-alive probes on its socket."""
         self._transport = transport
         self.open = True
-        self.idle_since = clock.now()
+        self.opened_at = self.idle_since = clock.now()
         raw = transport.get_extra_info("socket")
         if raw is not None:
             enable_keepalive(raw)
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -1,6 +1,7 @@
 """Connections to endpoints that are kept open, by address, and calls on them."""
 
 import asyncio
+import math
 import typing as t
 import weakref
 
@@ -48,16 +49,19 @@
         address: str,
         wide_margin: bool,
         request_id: str | None = None,
+        preferred_until: float = math.inf,
     ) -> ClientConnection:
         """Return an idle connection that is usable and hasn't carried the request, else a new one.
 
         :param wide_margin: see :meth:`ClientConnection.is_usable`.
         :param request_id: see :meth:`ClientConnection.send_request`.
+        :param preferred_until: connections that were opened until then come first.
         :raises EndpointError: if no connection can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
         now = clock.now()
-        for connection in reversed(kept.copy()):
+        latest_first = reversed(kept)
+        for connection in sorted(latest_first, key=lambda one: one.opened_at > preferred_until):
             if connection.has_carried(request_id):
                 continue
             kept.remove(connection)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -211,6 +211,8 @@
 # dialled again. Relay nodes have to hear each other again well within the contact bound.
 LINK_SILENT_S = 3.5
 RELAY_LINK_SILENT_S = 1.4
+# Interval at which a stream's rest that waits for its endpoint's version looks for it, in seconds.
+VERSION_CHECK_S = 0.05
 # Longest delay after which a row of an endpoint's earlier process may still appear in the
 # list: as long as an unanswered call may take to have effect.
 LATE_ROW_S = 12.5
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -54,6 +54,7 @@
     "handover_began": "a request is handed over to another node, as this one reaches no endpoint",
     "handover_failed": "a request that was handed over got no complete answer from the other node",
     "stream_resumed": "a caller takes up a stream, which may go on at one software version alone",
+    "version_checked": "a stream's rest waited for the version of the process that it goes on at",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
     "bytes_given_up": "too many bytes of others wait; the largest part of one sender is dropped",
     "reads_paced": "an endpoint sends more than its share of the event loop; it waits in turn",
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -4,6 +4,7 @@
 
 from rookspring_core import notice_handlers
 from rookspring_core import slot_requests
+from rookspring_core import stream_origins
 from rookspring_core.effects import Announce
 from rookspring_core.effects import Cancel
 from rookspring_core.effects import Dispatch
@@ -18,6 +19,7 @@
 
 from . import clock
 from . import defaults
+from . import relay_versions
 from .attempt_failures import make_failure
 from .dialect import AnswerMatch
 from .dialect import ForwardFields
@@ -138,7 +140,13 @@
 ) -> None:
     request_id = exchange.fields.request_id
     unrepeatable = not exchange.route.repeatable
-    connection = await context.pool.acquire(view.address, unrepeatable, request_id)
+    connection = await context.pool.acquire(
+        view.address,
+        unrepeatable,
+        request_id,
+        stream_origins.trusted_until(context.state, view),
+    )
+    await relay_versions.confirm(context, exchange, view, connection)
     why = notice_handlers.find_withheld(
         context.state, view.name
     ) or slot_requests.find_missing_permit(context.state, exchange.key, view.name)
@@ -147,7 +155,7 @@
         context.pool.release(view.address, connection)
         raise EndpointError(why, sent=False, withheld=True)
     data = _write_request(context, exchange, view)
-    context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt))
+    context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt, connection.opened_at))
     verdicts: list[AnswerMatch] = []
 
     def accept(head: HttpHead) -> bool:
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -104,7 +104,7 @@
                 reach.note_failure(f"list {kind}", listing.failure())
                 await _pause(context, back_off)
                 continue
-            _note_answer(context, reach, endpoints)
+            _note_answer(context, reach, endpoints, asked_at)
             take(listing.unwrap().items, True)
             on_listed(asked_at)
             since = listing.unwrap().version
@@ -115,6 +115,7 @@
         terms = watch_terms(context, endpoints)
         times = watches.plan_watch(context.settings.changes, terms.wait_s, idle_s)
         idle_s = 0.0
+        asked_at = clock.now()
         changes = await context.eras.call_in_era(_watch(context.platform, kind, since, times))
         if isinstance(changes, Failure):
             since = -1
@@ -122,7 +123,7 @@
             if not isinstance(changes.failure(), PlatformTooOld):
                 await _pause(context, back_off)
             continue
-        _note_answer(context, reach, endpoints)
+        _note_answer(context, reach, endpoints, asked_at)
         back_off.reset()
         found = changes.unwrap()
         restores = context.eras.restores
@@ -170,10 +171,12 @@
         await asyncio.sleep(defaults.FRESH_SOURCE_PAUSE_S)
 
 
-def _note_answer(context: RelayContext, reach: StoreReachability, endpoints: bool) -> None:
+def _note_answer(
+    context: RelayContext, reach: StoreReachability, endpoints: bool, asked_at: float
+) -> None:
     reach.note_answer()
     if endpoints:
-        context.submit(StoreRead(clock.now()))
+        context.submit(StoreRead(clock.now(), asked_at))
 
 
 async def watch_table(context: RelayContext, peers: RelayPeers, reach: StoreReachability) -> None:
