A stream is of the version that its endpoint's entry has as it is sent

Cause: the version that begins a stream was that of the entry as the endpoint was chosen. Connecting takes up to a second; an endpoint that was restarted before as another version, and whose new entry is read meanwhile, was taken for the one before, while the store answers: the rest went to the old version.

Change: it is that of the entry as the bytes are sent. A process listens only once the one before has ended, so the entry that is known then is no later process's.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -172,6 +172,17 @@
     node.break_off("s1", events)
 
 
+@when("a stream is chosen to go to a1, which is listed at {version} as it is sent, and breaks off")
+def listed_as_sent(context, version):
+    node = context.node
+    node.submit(StoreRead(node.now, node.now))
+    node.begin("s1", "a1")
+    node.rows["a1"] = (version,)
+    node.list_all()
+    node.submit(AttemptStarted(node.now, "s1", node.sent[-1].attempt, node.now))
+    node.break_off("s1", 3)
+
+
 @when("a resumable stream begins at a1 and breaks off after {events:d} events")
 def breaks_off(context, events):
     node = context.node
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -58,6 +58,16 @@
     And a resumable stream begins at a1 on a new connection and breaks off after 3 events
     Then it ends as 502 unknown: version_unknown
 
+  Scenario Outline: a stream is of the version that its endpoint's entry has as it is sent
+    Given a node with the endpoints: a1 at v1, a2 at v1, b1 at v2
+    When a stream is chosen to go to a1, which is listed at <version> as it is sent, and breaks off
+    Then it goes on at <endpoint>
+
+    Examples:
+      | version | endpoint |
+      | v1      | a2       |
+      | v2      | b1       |
+
   Scenario: a stream that waits for its version holds up no other request
     Given a node with the endpoints: a1 at v1 leaving, a2 at v1 full, b1 at v2
     When a resumable stream begins at a1 and breaks off after 3 events
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -143,9 +143,15 @@
 
 
 def note_connection(state: NodeState, request: RequestState, opened_at: float) -> None:
-    """Note the connection of an attempt, whose endpoint may be of another version than listed."""
+    """Note the connection of an attempt, whose endpoint may be of another version than listed.
+
+    Its entry may have changed since the endpoint was chosen, as connecting takes up to a second.
+    """
     view = state.endpoints.get(request.endpoint)
-    if view is not None and opened_at and may_be_another(state, view, opened_at):
+    if view is None:
+        return
+    request.endpoint_version = view.software_version()
+    if opened_at and may_be_another(state, view, opened_at):
         request.endpoint_version = UNKNOWN_VERSION
 
 
