A stream's begin is doubted once its node sees that entries were old

Cause: whether a connection leads to the process that the entry describes was asked as the request was sent alone. An outage of the store, or its silence, is seen up to 3 s after it began; a stream that began in between on a new connection, at a process that was back as another version, kept the version of the entry as last read, and its rest went to endpoints of that version, over connections that are trusted.

Change: it is asked again as the attempt fails, and the owners are told if the version became unknown.

Cost: in an outage, a stream that began on a connection of less than 0.5 s before the last question to the store ends if its endpoint breaks it off.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -183,6 +183,22 @@
     node.break_off("s1", 3)
 
 
+@when("a stream begins at a1 on a connection of {opened_s:g} s, and {asked_s:g} s later {trouble}")
+def trouble_found_later(context, opened_s, asked_s, trouble):
+    node = context.node
+    node.submit(StoreRead(node.now, node.now))
+    node.now += 0.2
+    node.begin("s1", "a1")
+    node.submit(AttemptStarted(node.now, "s1", node.sent[-1].attempt, node.now - opened_s))
+    node.submit(AttemptProgressed(node.now, "s1", node.sent[-1].attempt, 3))
+    node.now += asked_s
+    if "fail" in trouble:
+        node.submit(PlatformAnswered(node.now, False))
+    elif "read" in trouble:
+        node.submit(StoreRead(node.now, node.now - 0.1))
+    node.break_off("s1", 0)
+
+
 @when("a resumable stream begins at a1 and breaks off after {events:d} events")
 def breaks_off(context, events):
     node = context.node
@@ -308,6 +324,12 @@
     assert 4.9 < one.kept_s <= 5.0, one
 
 
+@then("owners hear of {first}, and then of {second}")
+def owners_told_again(context, first, second):
+    told = [one.version for one in context.node.given if isinstance(one, TellOrigin)]
+    assert told == [first, second], told
+
+
 @when("origins are kept: {kept}")
 def origins_kept(context, kept):
     context.versions = versions = StreamVersions()
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -68,6 +68,20 @@
       | v1      | a2       |
       | v2      | b1       |
 
+  Scenario Outline: a stream that has begun before its node could know that entries were old
+    Given a node with the endpoints: a1 at v1, a2 at v1, b1 at v2
+    When a stream begins at a1 on a connection of <opened> s, and <later> s later <trouble>
+    Then <what>
+
+    Examples:
+      | opened | later | trouble               | what                                    |
+      | 0      | 0.5   | calls of the store fail | it ends as 502 unknown: version_unknown |
+      | 0      | 3.0   | the store is silent   | it ends as 502 unknown: version_unknown |
+      | 0      | 3.0   | entries are read      | it goes on at a2                        |
+      | 0      | 0.5   | nothing has happened  | it goes on at a2                        |
+      | 1      | 0.5   | calls of the store fail | it goes on at a2                      |
+      | 0      | 0.5   | calls of the store fail | owners hear of v1, and then of ?        |
+
   Scenario: a stream that waits for its version holds up no other request
     Given a node with the endpoints: a1 at v1 leaving, a2 at v1 full, b1 at v2
     When a resumable stream begins at a1 and breaks off after 3 events
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -81,7 +81,11 @@
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
     request.running = False
+    begun = request.delivered and request.arrived.version is None
+    doubted = stream_origins.doubt_begin(state, request)
     request.arrived = bind_to_version(request)
+    if begun and doubted:
+        effects += stream_origins.tell_origin(state, request)
     if handovers.may_hand_over(state, request, event):
         return effects + handovers.hand_over(state, request)
     terms = request.arrived.route
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -215,6 +215,7 @@
     request.permits_due = {}
     request.places_itself = False
     request.endpoint_version = endpoint.software_version()
+    request.connected_at = 0.0
     request.endpoint_started_ms = suspect_handlers.process_of(endpoint).started_ms
     request.first_event_at = None
     idle = endpoint.load(state.now) <= defaults.PACE_LOAD_MAX
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -126,6 +126,7 @@
         "attempts_without_token",
         "endpoint_started_ms",
         "endpoint_version",
+        "connected_at",
         "charge",
         "delivered",
         "dispatched_at",
@@ -191,6 +192,8 @@
         self.endpoint_started_ms = 0
         # The version of its endpoint's software as this attempt was sent.
         self.endpoint_version = ""
+        # When the connection of this attempt was opened; 0 if that is unknown.
+        self.connected_at = 0.0
         self.first_event_at: float | None = None
 
 
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -150,9 +150,25 @@
     view = state.endpoints.get(request.endpoint)
     if view is None:
         return
+    request.connected_at = opened_at
     request.endpoint_version = view.software_version()
-    if opened_at and may_be_another(state, view, opened_at):
-        request.endpoint_version = UNKNOWN_VERSION
+    doubt_begin(state, request)
+
+
+def doubt_begin(state: NodeState, request: RequestState) -> bool:
+    """Drop the version of an attempt whose endpoint may have been another process than listed.
+
+    It is checked again as the attempt fails: entries were old for some time before that was seen.
+
+    :return: whether its version was known until now.
+    """
+    view = state.endpoints.get(request.endpoint)
+    if view is None or not request.connected_at or request.endpoint_version == UNKNOWN_VERSION:
+        return False
+    if not may_be_another(state, view, request.connected_at):
+        return False
+    request.endpoint_version = UNKNOWN_VERSION
+    return True
 
 
 def is_served(state: NodeState, arrived: RequestArrived) -> bool:
