An answer that nothing changed shows what had changed by the end of its watch

Cause: what a node knows of the store was dated by the question of the last watch that was answered. A watch of a quiet store takes 2 s, and the next one as long, so entries were 2 to 4 s old by that, and past 3 s counted as old: for half of the time, while the store answers. Streams that began then on a new connection had no known origin, and the rest of others waited for the next answer, or for the deadline.

Change: the store answers that nothing changed after the wait alone, so by its end all was known. An answer with a change is dated by its question, as before.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -11,6 +11,8 @@
 from relay_fixture import read_raw
 from relay_fixture import request
 
+from rookspring import clock
+from rookspring_core import stream_origins
 from rookspring_fakes.model_server import STREAM_EVENTS
 
 NOT_RUN = (408, 421, 429, 503)
@@ -148,6 +150,28 @@
     assert context.connecting not in runs, f"{context.connecting} ran there"
 
 
+@when("nothing changes for {seconds:d} s")
+def nothing_changes(context, seconds):
+    (node,) = context.cut_stage.nodes
+    state = node.context.state
+    context.doubted = []
+
+    async def work():
+        ends_at = clock.now() + seconds
+        while (now := clock.now()) < ends_at:
+            view = next(iter(state.endpoints.values()))
+            if stream_origins.may_be_another(state, view, now):
+                context.doubted.append(round(now - state.topology.asked_at, 2))
+            await asyncio.sleep(0.05)
+
+    context.loop.run(work(), seconds + 5.0)
+
+
+@then("no new connection was ever thought to lead to another process")
+def none_doubted(context):
+    assert not context.doubted, f"at ages of {context.doubted} s"
+
+
 @when("the store is away, and {count:d} resumable streams break off")
 def streams_break_without_store(context, count):
     stage = context.cut_stage
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -30,6 +30,11 @@
     Then that one was not run there
     And each has one head and each event once, and at least 75 in 100 are whole
 
+  Scenario: while the store answers that nothing has changed, entries are what their processes are
+    Given 1 linked nodes, and endpoints of the versions v1, v1, v2
+    When nothing changes for 6 s
+    Then no new connection was ever thought to lead to another process
+
   Scenario: streams go on over connections that were open before the store went away
     Given 1 linked nodes, and endpoints of the versions v1, v1, v2
     When the store is away, and 12 resumable streams break off
--- a/features/watches.feature
+++ b/features/watches.feature
@@ -17,6 +17,19 @@
       | 2     | 3       | 0.5     | 0.4  | 0.5  | 0.8    |
       | 0.5   | 1       | 4       | 0    | 0.2  | 0.5    |
 
+  Scenario Outline: the answer to a watch shows what had changed by the end of its wait, if nothing had
+    Given a change has to be applied 2 s after its confirmation and 3 s after a failure
+    When a watch of 4 s at most begins on a connection that was idle for 0 s
+    Then an answer after <after> s with <what> shows all changes of the first <known> s
+
+    Examples:
+      | after | what     | known |
+      | 2.1   | nothing  | 2     |
+      | 12    | nothing  | 2     |
+      | 1.5   | nothing  | 0     |
+      | 1.5   | a change | 0     |
+      | 12    | a change | 0     |
+
   Scenario Outline: the bounds come from the platform's settings
     Given a settings file of the platform
     When its field bounds.config-apply-ms is <apply_ms>
--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -49,7 +49,8 @@
 class StoreRead(t.NamedTuple):
     """This node read the endpoint list from the platform's store.
 
-    :param asked_at: when it asked; the answer shows all that the store had accepted by then.
+    :param asked_at: when it asked, or until when nothing changed by the answer; that shows all
+        that the store had accepted by then.
     """
 
     at: float
--- a/packages/rookspring-core/src/rookspring_core/watches.py
+++ b/packages/rookspring-core/src/rookspring_core/watches.py
@@ -52,3 +52,17 @@
     spare_s = bounds.unconfirmed_s() - idle_s - defaults.WATCH_REPEAT_S
     wait_s = max(defaults.WATCH_LEAST_S, min(longest_s, spare_s - defaults.WATCH_ANSWER_S))
     return WatchTimes(wait_s, wait_s + defaults.WATCH_ANSWER_S)
+
+
+def date_answer(asked_at: float, answered_at: float, wait_s: float, changed: bool) -> float:
+    """Return a time before which the answer to a watch contains all changes, by this node's clock.
+
+    The store answers that nothing has changed no sooner than after the wait. When it answered with
+    a change isn't known: the answer may have been on its way, or this node have stood still.
+
+    :param wait_s: how long the store was to wait for a change, in seconds.
+    :param changed: the answer has a change.
+    """
+    if changed or answered_at < asked_at + wait_s:
+        return asked_at
+    return asked_at + wait_s
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -123,9 +123,11 @@
             if not isinstance(changes.failure(), PlatformTooOld):
                 await _pause(context, back_off)
             continue
-        _note_answer(context, reach, endpoints, asked_at)
-        back_off.reset()
         found = changes.unwrap()
+        changed = bool(found.items)
+        known_at = watches.date_answer(asked_at, clock.now(), times.wait_s, changed)
+        _note_answer(context, reach, endpoints, known_at)
+        back_off.reset()
         restores = context.eras.restores
         if found.items:
             take(found.items, False)
