--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import os
 import pathlib
@@ -211,7 +212,8 @@
             async with asyncio.timeout(within_s):
                 await self.process.wait()
         except TimeoutError:
-            self.process.kill()
+            with contextlib.suppress(ProcessLookupError):
+                self.process.kill()
             await self.process.wait()
             return False
         return True
