The load of ways pipelines, proxies all links of nodes, narrows links and steps clocks

Cause: the load had no caller that pipelines, so it could not find the fault that mended; links that nodes made by each other's stated addresses passed no proxy; no bandwidth, no stepped clock. A stream of two versions was counted against nodes also where its route had moved to another service, as designed.

Change: a drawn share of callers sends two or three requests on one connection, the later ones cut at drawn places and sent early, at an event, or at a drawn time. An answer that states another request counts as foreign, a 400 as malformed. Nodes state their proxy's address and listen behind it (ways_node.py). Troubles "links narrow" and "clock steps". A change of version counts as moved, beside the faults, only if there are exactly two runs that can have made the two events, of two services, and the route moved to the second's service between them.

--- a/bench/ways.py
+++ b/bench/ways.py
@@ -21,7 +21,9 @@
     whole = sum(one.parts[-1].ended for one in streams)
     cases = {name: len(rows) for name, rows in (outcome.found | outcome.told).items()}
     handovers = sum(text.count("event=handover_began") for text in outcome.logs.values())
+    piped = sum(one.piped and one.parts[-1].ended for one in outcome.calls)
     row = {"seed": seed, "streams": len(streams), "whole": whole, "handovers": handovers}
+    row["piped"] = piped
     return row | cases
 
 
--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -1,9 +1,16 @@
+import asyncio
 import os
+import pathlib
+import subprocess
+import sys
+import tempfile
+import time
 
 from behave import given
 from behave import then
 from behave import when
 
+from rookspring_fakes import ways_node
 from rookspring_fakes.ways import play
 from rookspring_fakes.ways_checks import FAULTS
 from rookspring_fakes.ways_checks import KINDS
@@ -14,6 +21,7 @@
 from rookspring_fakes.ways_checks import Run
 from rookspring_fakes.ways_checks import read_events
 from rookspring_fakes.ways_checks import read_runs
+from rookspring_fakes.ways_proxy import WaysProxy
 from rookspring_fakes.ways_runner import write_event
 
 PLAY_SLACK_S = 90.0
@@ -162,6 +170,58 @@
     _take_up(context, 4, version=2)
 
 
+def _go_on_elsewhere(context, service, moved_at):
+    context.runs[0] = context.runs[0]._replace(at=10.0, service="llm")
+    context.runs[-1] = context.runs[-1]._replace(at=12.0, service=service, moved_at=moved_at)
+
+
+def _answer_elsewhere(context, moved_at):
+    events = context.parts[0].events
+    rest = tuple(one._replace(version=2, runner="i2") for one in events[3:])
+    _set_events(context, events[:3] + rest)
+    context.runs.append(Run("q1", "i2", 4, 8))
+    _go_on_elsewhere(context, "llm-b", moved_at)
+
+
+@change("a take-up goes on where its route moved meanwhile")
+def take_up_moved(context):
+    _take_up(context, 4, version=2)
+    _go_on_elsewhere(context, "llm-b", 11.0)
+
+
+@change("a take-up goes on where its route had moved before it began")
+def take_up_moved_before(context):
+    _take_up(context, 4, version=2)
+    _go_on_elsewhere(context, "llm-b", 9.0)
+
+
+@change("a take-up goes on in its service, whose route moved meanwhile")
+def take_up_same_service(context):
+    _take_up(context, 4, version=2)
+    _go_on_elsewhere(context, "llm", 11.0)
+
+
+@change("an answer goes on where its route moved meanwhile")
+def answer_moved(context):
+    _answer_elsewhere(context, 11.0)
+
+
+@change("an answer goes on where its route had moved before it began")
+def answer_moved_before(context):
+    _answer_elsewhere(context, 9.0)
+
+
+@change("its answer states another request")
+def other_answer(context):
+    context.parts[0] = context.parts[0]._replace(stated="q2")
+
+
+@change("it is refused as malformed")
+def refuse_malformed(context):
+    context.parts[0] = context.parts[0]._replace(status=400, events=())
+    context.runs.clear()
+
+
 @change("bytes come that no runner makes")
 def bend(context):
     context.parts[0] = context.parts[0]._replace(bent="x")
@@ -217,8 +277,8 @@
     events, found = read_events(b"".join(context.blocks), context.whole, context.forms)
     assert [one.number for one in events] == [int(one) for one in numbers.split(",")], events
     assert bool(found) == (bent == "some"), found
-    lines = "run q1 1\n" + "".join(f"made q1 {one.number}\n" for one in events)
-    assert read_runs("i1", lines) == [Run("q1", "i1", 1, len(events))]
+    lines = "run q1 1 2.5 save\n" + "".join(f"made q1 {one.number}\n" for one in events)
+    assert read_runs("i1", lines) == [Run("q1", "i1", 1, len(events), 2.5, "save")]
 
 
 @when("seed {seed:d} is played with {callers:d} callers for {seconds:d} s")
@@ -238,3 +298,72 @@
 def some_whole(context):
     calls = [one for one in context.outcome.calls if KINDS[one.kind].events]
     assert sum(one.parts[-1].ended for one in calls) > len(calls) / 10, context.outcome.settings
+
+
+@then("some pipelined answers were whole")
+def some_piped(context):
+    assert any(one.piped and one.parts[-1].ended for one in context.outcome.calls)
+
+
+@given("a proxy's connection that is narrowed to {rate:d} bytes a second")
+def narrowed(context, rate):
+    context.rate = rate
+
+
+@when("{count:d} bytes are sent through it")
+def sent_through(context, count):
+    context.sent = os.urandom(count)
+
+    async def send():
+        came = asyncio.get_running_loop().create_future()
+
+        async def read(reader, writer):
+            came.set_result(await reader.readexactly(count))
+
+        server = await asyncio.start_server(read, "127.0.0.1", 0)
+        proxy = await WaysProxy("127.0.0.1", server.sockets[0].getsockname()[1], "x").start()
+        proxy.rate = context.rate
+        host, _, port = proxy.address.rpartition(":")
+        began = time.monotonic()
+        _, writer = await asyncio.open_connection(host, int(port))
+        writer.write(context.sent)
+        context.came = await came
+        context.took_s = time.monotonic() - began
+        writer.close()
+        proxy.stop()
+        server.close()
+
+    asyncio.run(send())
+
+
+@then("they come whole after {least:g} to {most:g} s")
+def came_whole(context, least, most):
+    assert context.came == context.sent
+    assert least <= context.took_s <= most, context.took_s
+
+
+@given("a node's clock file that says {ahead:d}")
+def clock_file(context, ahead):
+    context.folder = tempfile.TemporaryDirectory()
+    context.clock = pathlib.Path(context.folder.name, "n0.clock")
+    context.clock.write_text(str(ahead))
+
+
+@when("a module runs as such a node")
+def module_runs(context):
+    module = pathlib.Path(context.folder.name, "tell_time.py")
+    module.write_text("import time\nprint(time.time())\n")
+    env = {
+        **os.environ,
+        "PYTHONPATH": context.folder.name,
+        ways_node.CLOCK_FILE_VARIABLE: str(context.clock),
+    }
+    command = [sys.executable, "-P", ways_node.__file__, "tell_time"]
+    told = subprocess.run(command, env=env, capture_output=True, check=True, text=True)
+    context.ahead_s = float(told.stdout) - time.time()
+    context.folder.cleanup()
+
+
+@then("its wall clock is {ahead:d} s ahead")
+def clock_ahead(context, ahead):
+    assert abs(context.ahead_s - ahead) < 60.0, context.ahead_s
--- a/features/ways.feature
+++ b/features/ways.feature
@@ -29,12 +29,19 @@
       | stock  | a take-up leaves an event out                     | left out             |
       | stock  | a take-up repeats an event                        | twice                |
       | stock  | a take-up is of another version                   | two versions         |
+      | stock  | a take-up goes on where its route had moved before it began | two versions |
+      | stock  | a take-up goes on in its service, whose route moved meanwhile | two versions |
+      | stock  | an answer goes on where its route had moved before it began | foreign |
       | save   | bytes come that no runner makes                   | bent                 |
+      | save   | its answer states another request                 | foreign              |
+      | save   | it is refused as malformed                        | malformed            |
 
     Examples: what is told beside them
       | kind   | change                                            | found                |
       | save   | no end comes after the last event                 | cut after last       |
       | save   | its caller sent it twice and got two answers      | two answers          |
+      | stock  | a take-up goes on where its route moved meanwhile | moved                |
+      | stock  | an answer goes on where its route moved meanwhile | moved                |
 
   Scenario Outline: the bytes of a runner that lies are told from those of one that doesn't
     Given the stream of a runner that sends <forms>
@@ -51,10 +58,21 @@
       | plain events       | sends half an event into another | 1      | some |
       | plain events       | breaks off within the last      | 1,2     | no   |
 
+  Scenario: a narrow link passes so many bytes a second
+    Given a proxy's connection that is narrowed to 20000 bytes a second
+    When 8000 bytes are sent through it
+    Then they come whole after 0.3 to 2 s
+
+  Scenario: a node's wall clock is stepped
+    Given a node's clock file that says 3600
+    When a module runs as such a node
+    Then its wall clock is 3600 s ahead
+
   Scenario Outline: a short play of a seed
     When seed <seed> is played with <callers> callers for <seconds> s
     Then no check finds anything
     And some streams were whole
+    And some pipelined answers were whole
 
     Examples: longer plays are started by hand
       | seed | callers | seconds |
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_callers.py
@@ -26,6 +26,15 @@
 SHORT_MS = (50, 900)
 REQUESTS_MAX = 3
 
+DRAWN_KINDS = ("save", "save", "stock", "stock", "chat", "safe", "unsafe")
+# The longest pause before what a caller pipelines first, and before the rest, in seconds.
+PIPED_S = 0.05
+PIPED_REST_S = 0.3
+
+BODY = b"prompt"
+# The row by which an answer states its request.
+STATED = "\r\nx-rookspring-request-id: "
+
 Link = tuple[asyncio.StreamReader, asyncio.StreamWriter]
 
 
@@ -34,6 +43,7 @@
     body: bytes
     whole: bool
     kept: bool
+    stated: str
 
 
 class WaysCallers:
@@ -58,8 +68,11 @@
 
     async def _send_all(self) -> None:
         while self._running:
-            kind = self._random.choice(("save", "save", "stock", "stock", "chat", "safe", "unsafe"))
-            self.calls.append(await self._call(kind))
+            kind = self._random.choice(DRAWN_KINDS)
+            if self._random.random() < self._stage.settings.piped:
+                self.calls += await self._pipeline()
+            else:
+                self.calls.append(await self._call(kind))
             await asyncio.sleep(self._random.uniform(0.0, 0.1))
 
     async def _call(self, kind: str) -> Call:
@@ -88,7 +101,7 @@
             "X-Rookspring-Prefix-Hash": f"5c1e07a2:80,{self._count + 0x100000:x}:40",
             "X-Events": KINDS[kind].events,
             "X-Gap": KINDS[kind].gap_s,
-            "Content-Length": 6,
+            "Content-Length": len(BODY),
         }
         if self._random.random() < self._stage.settings.short:
             rows["X-Rookspring-Deadline-Ms"] = self._random.randint(*SHORT_MS)
@@ -98,21 +111,70 @@
             rows["Resumes"] = begun[0].ident
             rows["Last-Event-Id"] = begun[-1].events[-1].number * step
         lines = [f"POST /{kind}/x HTTP/1.1", *(f"{key}: {value}" for key, value in rows.items())]
-        return ("\r\n".join(lines) + "\r\n\r\nprompt").encode()
+        return ("\r\n".join(lines) + "\r\n\r\n").encode() + BODY
 
     async def _ask(self, node: WaysNode, ident: str, kind: str, before: list[Part]) -> Part:
         request = self._write_request(ident, kind, before)
         late = self._random.random() < self._stage.settings.late
         keeps = self._random.random() < self._stage.settings.kept
         answer = await self._exchange(node, request, late, keeps)
-        if answer.status != 200:
-            return Part(ident, node.name, answer.status, answer.whole, ())
+        return self._read_part(node, ident, kind, answer)
+
+    def _read_part(self, node: WaysNode, ident: str, kind: str, answer: _Answer) -> Part:
+        status, whole, stated = answer.status, answer.whole, answer.stated
+        if status != 200:
+            return Part(ident, node.name, status, whole, (), stated=stated)
         if not KINDS[kind].events:
             wanted = f"answer to {ident}".encode()
-            bent = "" if answer.body == wanted or not answer.whole else repr(answer.body[:120])
-            return Part(ident, node.name, 200, answer.whole, (), bent)
-        events, bent = read_events(answer.body, answer.whole, self._stage.settings.forms)
-        return Part(ident, node.name, 200, answer.whole, events, bent)
+            bent = "" if answer.body == wanted or not whole else repr(answer.body[:120])
+            return Part(ident, node.name, 200, whole, (), bent, stated)
+        events, bent = read_events(answer.body, whole, self._stage.settings.forms)
+        return Part(ident, node.name, 200, whole, events, bent, stated)
+
+    async def _pipeline(self) -> list[Call]:
+        """Send two or three requests on one connection, the later ones before their turn."""
+        node = self._random.choice(self._stage.nodes)
+        wishes: list[tuple[str, str, bytes]] = []
+        for _ in range(self._random.randint(2, 3)):
+            self._count += 1
+            ident, kind = f"q{self._count:05d}", self._random.choice(DRAWN_KINDS)
+            wishes.append((ident, kind, self._write_request(ident, kind, [])))
+        buffers = [_Buffer() for _ in wishes]
+        await self._pipe(node, [request for _, _, request in wishes], buffers)
+        return [
+            Call(kind, (self._read_part(node, ident, kind, buffer.answer),), piped=True)
+            for (ident, kind, _), buffer in zip(wishes, buffers, strict=True)
+        ]
+
+    async def _pipe(self, node: WaysNode, requests: list[bytes], buffers: list["_Buffer"]) -> None:
+        """Send the first request, then a part of the rest, and the others as its answer comes."""
+        host, _, port = node.front.address.rpartition(":")
+        rest = b"".join(requests[1:])
+        begun = self._random.choice((0, len(requests[1]) - len(BODY), len(requests[1])))
+        writer: asyncio.StreamWriter | None = None
+        timer: asyncio.TimerHandle | None = None
+        try:
+            async with asyncio.timeout(ANSWER_S * len(requests)):
+                reader, writer = await asyncio.open_connection(host, int(port))
+                writer.write(requests[0])
+                await asyncio.sleep(self._random.uniform(0.0, PIPED_S))
+                _Late(writer, rest[:begun]).send()
+                late = _Late(writer, rest[begun:], self._random.choice((0, 7, 8, 39, 40)))
+                buffers[0].seen = late.see
+                pause_s = self._random.uniform(0.0, PIPED_REST_S)
+                if self._random.random() < 0.5:
+                    timer = asyncio.get_running_loop().call_later(pause_s, late.send)
+                for buffer in buffers:
+                    await buffer.read(reader, late=False)
+                    late.send()
+                    if not buffer.kept:
+                        break
+        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+            pass
+        if timer is not None:
+            timer.cancel()
+        if writer is not None:
+            writer.close()
 
     async def _exchange(self, node: WaysNode, request: bytes, late: bool, keeps: bool) -> _Answer:
         links = self._idle.setdefault(node.name, [])
@@ -134,7 +196,27 @@
             links.append((reader, writer))
         elif writer is not None:
             writer.close()
-        return _Answer(buffer.status, bytes(buffer.body), buffer.whole, buffer.kept)
+        return buffer.answer
+
+
+class _Late:
+    """What a caller pipelines once some events of the answer before have come."""
+
+    def __init__(self, writer: asyncio.StreamWriter, data: bytes, events: int = 0) -> None:
+        self._writer = writer
+        self._data = data
+        self._events = events
+
+    def see(self, body: bytearray) -> None:
+        """Send it if there are enough events."""
+        if body.count(b"data: ") >= self._events:
+            self.send()
+
+    def send(self) -> None:
+        """Send it unless it was sent, or the connection has ended."""
+        if not self._writer.is_closing():
+            self._writer.write(self._data)
+        self._data = b""
 
 
 class _Buffer:
@@ -145,11 +227,21 @@
         self.body = bytearray()
         self.whole = False
         self.kept = False
+        self.stated = ""
+        self.seen: t.Callable[[bytearray], None] = lambda body: None
+
+    @property
+    def answer(self) -> _Answer:
+        """What has come."""
+        return _Answer(self.status, bytes(self.body), self.whole, self.kept, self.stated)
 
     async def read(self, reader: asyncio.StreamReader, late: bool) -> None:
         """Read an answer to its end."""
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").lower()
         self.status = int(head.split(" ")[1])
+        if STATED in head:
+            self.stated = head.split(STATED)[1].split("\r\n")[0]
+        self.seen(self.body)
         if late:
             await asyncio.sleep(LATE_S)
         if "chunked" in head:
@@ -160,11 +252,13 @@
         else:
             while data := await reader.read(READ_BYTES):
                 self.body += data
+                self.seen(self.body)
         self.whole = True
         self.kept = "connection: close" not in head
 
     async def _read_chunks(self, reader: asyncio.StreamReader, late: bool) -> None:
         while size := int((await reader.readuntil(b"\r\n")).strip(), 16):
             self.body += (await reader.readexactly(size + 2))[:-2]
+            self.seen(self.body)
             await asyncio.sleep(LATE_PAUSE_S if late else 0.0)
         await reader.readexactly(2)
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -4,6 +4,7 @@
 them too: what a check returns is one line for each case.
 """
 
+import itertools
 import re
 import typing as t
 
@@ -53,6 +54,7 @@
     :param status: 0 if none came.
     :param whole: whether its answer ended as a whole one.
     :param bent: what came that no runner makes.
+    :param stated: the request that its answer states; empty if none came, or it states none.
     """
 
     ident: str
@@ -61,6 +63,7 @@
     whole: bool
     events: tuple[Event, ...]
     bent: str = ""
+    stated: str = ""
 
     @property
     def ended(self) -> bool:
@@ -72,11 +75,13 @@
     """One caller's wish and its requests: the first, and those that took it up or tried again.
 
     :param again: whether its caller sent the same id twice.
+    :param piped: whether it shared a connection with requests sent before their answers came.
     """
 
     kind: str
     parts: tuple[Part, ...]
     again: bool = False
+    piped: bool = False
 
     @property
     def numbers(self) -> list[int]:
@@ -89,12 +94,18 @@
 
     :param first: the first event that it was asked for.
     :param made: the last event that it made.
+    :param at: when it began, and ``moved_at`` when its route had last been moved to the service of
+        its runner before; by the monotonic clock, in seconds; 0 if unknown or never.
     """
 
     ident: str
     runner: str
     first: int
     made: int
+    at: float = 0.0
+    kind: str = ""
+    service: str = ""
+    moved_at: float = 0.0
 
 
 def read_events(body: bytes, whole: bool, forms: t.Sequence[str]) -> tuple[tuple[Event, ...], str]:
@@ -122,11 +133,10 @@
     runs: list[Run] = []
     for line in record.splitlines():
         words = line.split()
-        if len(words) != 3:
-            continue
-        if words[0] == "run":
-            runs.append(Run(words[1], runner, int(words[2]), int(words[2]) - 1))
-        elif words[0] == "made":
+        if len(words) == 5 and words[0] == "run":
+            first = int(words[2])
+            runs.append(Run(words[1], runner, first, first - 1, float(words[3]), words[4]))
+        elif len(words) == 3 and words[0] == "made":
             at = max(n for n, one in enumerate(runs) if one.ident == words[1])
             runs[at] = runs[at]._replace(made=int(words[2]))
     return runs
@@ -153,7 +163,22 @@
         f"{[(event.number, event.runner, event.version) for event in one.events]}"
         for one in call.parts
     ]
-    return f"{call.kind}: " + "; ".join(parts)
+    return f"{call.kind}{' piped' if call.piped else ''}: " + "; ".join(parts)
+
+
+def _find_changes(events: t.Sequence[Event], runs: list[Run]) -> list[bool]:
+    """Return for each change of version whether the route had moved to the second's service.
+
+    It counts as moved only if it was between the only two runs that can have made these events.
+    """
+    changes = []
+    for one, other in itertools.pairwise(events):
+        if one.version != other.version:
+            first = [run for run in runs if (run.ident, run.runner) == (one.ident, one.runner)]
+            then = [run for run in runs if (run.ident, run.runner) == (other.ident, other.runner)]
+            known = len(first) == len(then) == 1 and first[0].service != then[0].service
+            changes.append(known and first[0].at < then[0].moved_at < then[0].at)
+    return changes
 
 
 def _streams(calls: list[Call]) -> list[Call]:
@@ -191,7 +216,7 @@
 
 @counts("foreign", FAULTS)
 def find_foreign(calls: list[Call], runs: list[Run]) -> list[str]:
-    """Events of another request, of two versions in one answer, or that no run made."""
+    """Answers or events of another request, of two versions in one answer, or that no run made."""
     made: dict[tuple[str, str], int] = {}
     for run in runs:
         key = run.ident, run.runner
@@ -200,8 +225,9 @@
         _tell(call)
         for call in calls
         for part in call.parts
-        if any(one.ident != part.ident for one in part.events)
-        or len({one.version for one in part.events}) > 1
+        if part.stated not in ("", part.ident)
+        or any(one.ident != part.ident for one in part.events)
+        or not all(_find_changes(part.events, runs))
         or any(one.number > made.get((one.ident, one.runner), 0) for one in part.events)
     ]
 
@@ -245,11 +271,17 @@
     return [
         _tell(call)
         for call in _streams(calls)
-        if len({event.version for part in call.parts for event in part.events}) > 1
-        and all(len({event.version for event in part.events}) < 2 for part in call.parts)
+        if not all(_find_changes([event for part in call.parts for event in part.events], runs))
+        and all(all(_find_changes(part.events, runs)) for part in call.parts)
     ]
 
 
+@counts("malformed", FAULTS)
+def find_malformed(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Requests refused as malformed, which none is."""
+    return [_tell(one) for one in calls if any(part.status == 400 for part in one.parts)]
+
+
 @counts("new run", FAULTS)
 def find_new_runs(calls: list[Call], runs: list[Run]) -> list[str]:
     """Streams that may not be resumed, with events of two runners, or asked for from the middle."""
@@ -265,6 +297,16 @@
     ]
 
 
+@counts("moved", TOLD)
+def find_moved(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams of two versions, whose route moved to another service between the two runs."""
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if any(_find_changes([event for part in call.parts for event in part.events], runs))
+    ]
+
+
 @counts("two answers", TOLD)
 def find_second_answers(calls: list[Call], runs: list[Run]) -> list[str]:
     """Ids that their callers sent twice, and that were answered in part or whole both times."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_proxy.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_proxy.py
@@ -1,4 +1,4 @@
-"""A TCP proxy of the load of ways, whose connections are delayed, split, silenced, reset or closed.
+"""A TCP proxy of the load of ways, whose connections are delayed, split, narrowed, held or ended.
 
 Which process is at the near side is found in the kernel's table of sockets, so that a node can
 lose its links to all endpoints whatever program it runs.
@@ -18,6 +18,8 @@
 PIECE_BYTES = 97
 # How long after its near side was reset a connection still delivers what it holds, in seconds.
 LATE_S = 0.3
+# The pause between the pieces of a connection of little bandwidth, in seconds.
+RATE_PAUSE_S = 0.02
 HELD_CHECK_S = 0.02
 
 
@@ -34,6 +36,8 @@
         self.held: set[str] = set()
         self.delay_s = 0.0
         self.splits = False
+        # The bytes that pass in a second; 0 for all at once.
+        self.rate = 0
 
     def reset(self) -> None:
         """Reset both sides."""
@@ -71,6 +75,7 @@
         # What new connections begin with.
         self.delay_s = 0.0
         self.splits = False
+        self.rate = 0
         self.address = ""
         self._server: asyncio.Server | None = None
 
@@ -90,7 +95,7 @@
     async def _accept(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self.count += 1
         passing = Passing(writer)
-        passing.delay_s, passing.splits = self.delay_s, self.splits
+        passing.delay_s, passing.splits, passing.rate = self.delay_s, self.splits, self.rate
         cut = next((how for one, how in self.cuts.items() if passing.port in read_ports(one)), "")
         if cut == "reset":
             reset_connection(writer.transport)
@@ -137,6 +142,13 @@
             await asyncio.sleep(HELD_CHECK_S)
 
     async def _pass(self, passing: Passing, data: bytes, writer: asyncio.StreamWriter) -> None:
+        while passing.rate and data:
+            size = max(1, int(passing.rate * RATE_PAUSE_S))
+            writer.write(data[:size])
+            data = data[size:]
+            await asyncio.sleep(RATE_PAUSE_S)
+            if writer.is_closing():
+                raise ConnectionResetError
         if passing.splits and len(data) < PIECE_BYTES * 20:
             for begin in range(0, len(data), PIECE_BYTES):
                 writer.write(data[begin : begin + PIECE_BYTES])
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
@@ -1,7 +1,7 @@
 """A model runner in a process of its own, which writes down what it runs: the load of ways uses it.
 
 Its argument is a JSON object: name, address file, port, version, lists, unframed, forms. Lines of
-its record are ``run ID FIRST``, ``made ID NUMBER`` and ``end ID NUMBER``.
+its record are ``run ID FIRST TIME KIND``, ``made ID NUMBER`` and ``end ID NUMBER``.
 """
 
 import asyncio
@@ -81,6 +81,7 @@
         lines = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1").split("\r\n")
         rows = (line.partition(":") for line in lines[1:] if line)
         headers = {key.lower(): value.strip() for key, _, value in rows}
+        headers["kind"] = lines[0].partition("/")[2].partition("/")[0]
         body = await reader.readexactly(int(headers.get("content-length", "0")))
         ident = headers.get("x-rookspring-request-id", "")
         if lines[0].startswith("POST /cut"):
@@ -141,7 +142,7 @@
     ) -> bool:
         step = ID_STEP if "steps" in self._settings["forms"] else 1
         first = int(headers.get("last-event-id") or 0) // step + 1
-        print("run", ident, first, flush=True)
+        print("run", ident, first, time.monotonic(), headers["kind"], flush=True)
         self._note(ident, first - 1)
         self._writers.add(writer)
         try:
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
@@ -11,6 +11,7 @@
 import signal
 import sys
 import tempfile
+import time
 import typing as t
 
 from .cut_node import CUT_FILE_VARIABLE
@@ -23,6 +24,8 @@
 from .ways_checks import KINDS
 from .ways_checks import Run
 from .ways_checks import read_runs
+from .ways_node import CLOCK_FILE_VARIABLE
+from .ways_node import LISTEN_VARIABLE
 from .ways_proxy import WaysProxy
 from .ways_runner import list_models
 
@@ -45,6 +48,7 @@
     :param late: the share of callers who read late.
     :param short: the share of callers who state a short deadline.
     :param again: the share of callers who send a request again under its id, where it was cut.
+    :param piped: the share of callers who send requests before their last answer came.
     :param troubles: the names of the troubles that are drawn from.
     """
 
@@ -60,6 +64,7 @@
     short: float
     again: float
     troubles: tuple[str, ...]
+    piped: float
 
 
 def draw_settings(seed: int, troubles: t.Iterable[str]) -> Settings:
@@ -79,11 +84,12 @@
         short=rng.choice((0.0, 0.2)),
         again=rng.choice((0.0, 0.0, 0.1)),
         troubles=tuple(rng.sample(names, min(len(names), rng.randint(3, 7)))),
+        piped=rng.choice((0.0, 0.2, 0.4)),
     )
 
 
 class WaysNode(NodeProcess):
-    """A node of any program, with a proxy before it and one between it and other nodes.
+    """A node of any program, with a proxy before it and one that other nodes reach it by.
 
     :param program: the folder with its libraries; those of this process if empty.
     """
@@ -106,6 +112,8 @@
         )
         rows = {
             "seeds": seeds,
+            # What it states as its address; where it listens is in the environment.
+            "listen.control-plane": self.link.address,
             "zones.z1": "r1",
             "discovery": "platform",
             "contracts": "base,drain,config,cost,retry,recover,fleet,stream,engine,platform",
@@ -125,17 +133,31 @@
             **os.environ,
             "ROOKSPRING_CONFIG": str(self.path),
             CUT_FILE_VARIABLE: str(self._cut_file),
+            LISTEN_VARIABLE: f"{self.host}:{self.ports['control-plane']}",
+            CLOCK_FILE_VARIABLE: str(self._clock_file),
         }
         if self.program:
             env["PYTHONPATH"] = f"{self.program}:{self._find_fakes()}"
         module = "rookspring_fakes.cut_node" if self.can_cut else "rookspring_platform"
         bound = f"ulimit -Sn {FDS_MAX}; " if self.limited else ""
-        command = f'{bound}exec "$0" -m {module}'
+        # Its own folder would hide modules of the standard library.
+        script = pathlib.Path(__file__).with_name("ways_node.py")
+        command = f'{bound}exec "$0" -P "{script}" {module}'
         with self._log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 "sh", "-c", command, sys.executable, env=env, stdout=log, stderr=log
             )
 
+    @property
+    def _clock_file(self) -> pathlib.Path:
+        return self.path.with_suffix(".clock")
+
+    def step_clock(self, ahead_s: float) -> None:
+        """Set its wall clock ahead by some seconds, or back if negative."""
+        written = self.path.with_suffix(".step")
+        written.write_text(str(ahead_s))
+        written.rename(self._clock_file)
+
     def _find_fakes(self) -> pathlib.Path:
         """Return the fakes of the program's own checkout."""
         return pathlib.Path(self.program, "..", "..", "packages", "rookspring-fakes", "src")
@@ -220,7 +242,8 @@
 
     def read_runs(self) -> list[Run]:
         """Return its runs, by its record."""
-        return read_runs(self.name, self._out.read_text())
+        runs = read_runs(self.name, self._out.read_text())
+        return [run._replace(service=self.service) for run in runs]
 
 
 class WaysStage:
@@ -246,6 +269,9 @@
         self._version = 1
         # What the routes are: the service and the time limit of each, in milliseconds.
         self.routes = dict.fromkeys(KINDS, (SERVICES[0], settings.route_ms))
+        # When a route was moved to another service, by the monotonic clock: the time, its kind, and
+        # the service.
+        self._moves: list[tuple[float, str, str]] = []
         self.logs: dict[str, str] = {}
 
     async def start(self) -> "WaysStage":
@@ -308,6 +334,13 @@
         table["services"] = [{**service, "name": one, "engine": engine} for one in SERVICES]
         await self.store.write("config", "main", table)
 
+    async def move_route(self, kind: str, service: str, limit_ms: int) -> None:
+        """Write a route to a service and a time limit, and record when it moved."""
+        if self.routes[kind][0] != service:
+            self._moves.append((time.monotonic(), kind, service))
+        self.routes[kind] = (service, limit_ms)
+        await self.write_routes()
+
     async def add_runner(self, service: str, version: int) -> RunnerProcess:
         """Start another runner, and write its entry."""
         runner = RunnerProcess(f"i{len(self._all_runners):02d}", service, version, self)
@@ -329,7 +362,13 @@
 
     def read_runs(self) -> list[Run]:
         """Return the runs of all runners, by their records."""
-        return [run for runner in self._all_runners for run in runner.read_runs()]
+        found = [run for runner in self._all_runners for run in runner.read_runs()]
+        return [run._replace(moved_at=self._find_move(run)) for run in found]
+
+    def _find_move(self, run: Run) -> float:
+        where = run.kind, run.service
+        times = (at for at, *move in self._moves if tuple(move) == where and at < run.at)
+        return max(times, default=0.0)
 
     async def stop(self) -> None:
         """End everything; the nodes' logs are kept."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_troubles.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_troubles.py
@@ -22,6 +22,9 @@
 HELD_S = (0.3, 1.0, 2.5)
 CUT_S = (1.5, 3.0)
 AWAY_S = (3.3, 4.5)
+# The bandwidths of a link, in bytes per second, and how far a clock is stepped, in seconds.
+RATES = (2000, 20000, 200000)
+STEPS_S = (-3600.0, -4.0, -0.5, 0.5, 4.0, 3600.0)
 # From a node's loss of its links until something else happens to it, in seconds.
 HANDING_OVER_S = (0.1, 0.4, 1.0)
 
@@ -239,6 +242,26 @@
         passing.delay_s, passing.splits = 0.0, False
 
 
+@trouble("links narrow")
+async def narrow_links(ways: Ways) -> None:
+    """Pass only so many bytes a second on, in each direction of a proxy's connections."""
+    proxy = _pick_proxy(ways)
+    proxy.rate = ways.random.choice(RATES)
+    for passing in proxy.open:
+        passing.rate = proxy.rate
+    await asyncio.sleep(ways.random.choice(HELD_S))
+    proxy.rate = 0
+    for passing in proxy.open:
+        passing.rate = 0
+
+
+@trouble("clock steps")
+async def step_clock(ways: Ways) -> None:
+    """Step a node's wall clock, for the rest of the play or until its next step."""
+    node = ways.random.choice(ways.stage.nodes)
+    node.step_clock(ways.random.choice(STEPS_S))
+
+
 @trouble("links silent one way")
 async def silence_links(ways: Ways) -> None:
     """Hold the bytes of a proxy's connections in one direction or both, then deliver them."""
@@ -279,11 +302,7 @@
     """Move a route to another service or time limit, and back a little later."""
     stage = ways.stage
     kind = ways.random.choice(sorted(KINDS))
-    stage.routes[kind] = (
-        ways.random.choice(SERVICES),
-        ways.random.choice((900, stage.settings.route_ms)),
-    )
-    await stage.write_routes()
+    limit_ms = ways.random.choice((900, stage.settings.route_ms))
+    await stage.move_route(kind, ways.random.choice(SERVICES), limit_ms)
     await asyncio.sleep(ways.random.uniform(0.3, 2.0))
-    stage.routes[kind] = (SERVICES[0], stage.settings.route_ms)
-    await stage.write_routes()
+    await stage.move_route(kind, SERVICES[0], stage.settings.route_ms)
