The load of ways tells unanswered requests; a real take-up shows the moved route

Cause: nothing told a pipelined request whose bytes are dropped, and the column of moved routes had been shown by records alone.

A scenario moves a route between a real stream's two runs.

--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -12,6 +12,7 @@
 
 from rookspring_fakes import ways_node
 from rookspring_fakes.ways import play
+from rookspring_fakes.ways_callers import WaysCallers
 from rookspring_fakes.ways_checks import FAULTS
 from rookspring_fakes.ways_checks import KINDS
 from rookspring_fakes.ways_checks import TOLD
@@ -23,8 +24,14 @@
 from rookspring_fakes.ways_checks import read_runs
 from rookspring_fakes.ways_proxy import WaysProxy
 from rookspring_fakes.ways_runner import write_event
+from rookspring_fakes.ways_stage import SERVICES
+from rookspring_fakes.ways_stage import WaysStage
+from rookspring_fakes.ways_stage import draw_settings
 
 PLAY_SLACK_S = 90.0
+# Within a stream of 0.24 s, and the time until nodes have read a moved route, in seconds.
+BEGUN_S = 0.15
+MOVED_S = 1.5
 CHANGES = {}
 
 
@@ -216,6 +223,12 @@
     context.parts[0] = context.parts[0]._replace(stated="q2")
 
 
+@change("no answer comes on an open connection")
+def answer_nothing(context):
+    context.parts[0] = Part("q1", "n0", 0, False, (), waited=True)
+    context.runs.clear()
+
+
 @change("it is refused as malformed")
 def refuse_malformed(context):
     context.parts[0] = context.parts[0]._replace(status=400, events=())
@@ -305,6 +318,45 @@
     assert any(one.piped and one.parts[-1].ended for one in context.outcome.calls)
 
 
+@given("two nodes, a runner of version 1, and a runner of version 2 in another service")
+def two_services(context):
+    quiet = {"nodes": 2, "runners": 2, "unframed": 0.0, "forms": (), "route_ms": 12000}
+    shares = dict.fromkeys(("late", "short", "again", "piped"), 0.0)
+    settings = draw_settings(1, ())._replace(limited=False, **quiet, **shares)
+    context.stage = WaysStage(settings, os.getpid(), 1, "")
+
+
+@when("a stream is cut, its route is moved there, and it is taken up at the other node")
+def cut_and_moved(context):
+    async def work():
+        stage = context.stage
+        try:
+            await stage.start()
+            load = WaysCallers(stage, 0, 1)
+            first = asyncio.ensure_future(load.ask(stage.nodes[0], "q1", "stock", []))
+            await asyncio.sleep(BEGUN_S)
+            for passing in list(stage.nodes[0].front.open):
+                passing.reset()
+            parts = [await first]
+            await stage.move_route("stock", SERVICES[1], 12000)
+            await asyncio.sleep(MOVED_S)
+            return [*parts, await load.ask(stage.nodes[1], "q1t1", "stock", parts)]
+        finally:
+            await stage.stop()
+
+    context.kind, context.again = "stock", False
+    context.parts = context.loop.run(work(), PLAY_SLACK_S)
+    context.runs = context.stage.read_runs()
+    context.stage.clean()
+
+
+@then("the events are 1 to 8, of versions 1 and 2")
+def events_of_two(context):
+    events = [event for part in context.parts for event in part.events]
+    assert [one.number for one in events] == list(range(1, 9)), context.parts
+    assert {one.version for one in events} == {1, 2}, events
+
+
 @given("a proxy's connection that is narrowed to {rate:d} bytes a second")
 def narrowed(context, rate):
     context.rate = rate
--- a/features/ways.feature
+++ b/features/ways.feature
@@ -40,6 +40,7 @@
       | kind   | change                                            | found                |
       | save   | no end comes after the last event                 | cut after last       |
       | save   | its caller sent it twice and got two answers      | two answers          |
+      | save   | no answer comes on an open connection             | unanswered           |
       | stock  | a take-up goes on where its route moved meanwhile | moved                |
       | stock  | an answer goes on where its route moved meanwhile | moved                |
 
@@ -58,6 +59,12 @@
       | plain events       | sends half an event into another | 1      | some |
       | plain events       | breaks off within the last      | 1,2     | no   |
 
+  Scenario: a real take-up after its route was moved to another service
+    Given two nodes, a runner of version 1, and a runner of version 2 in another service
+    When a stream is cut, its route is moved there, and it is taken up at the other node
+    Then the events are 1 to 8, of versions 1 and 2
+    And the checks that find something are "moved"
+
   Scenario: a narrow link passes so many bytes a second
     Given a proxy's connection that is narrowed to 20000 bytes a second
     When 8000 bytes are sent through it
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_callers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_callers.py
@@ -44,6 +44,7 @@
     whole: bool
     kept: bool
     stated: str
+    waited: bool
 
 
 class WaysCallers:
@@ -69,7 +70,8 @@
     async def _send_all(self) -> None:
         while self._running:
             kind = self._random.choice(DRAWN_KINDS)
-            if self._random.random() < self._stage.settings.piped:
+            share = self._stage.settings.piped
+            if share and self._random.random() < share:
                 self.calls += await self._pipeline()
             else:
                 self.calls.append(await self._call(kind))
@@ -83,7 +85,7 @@
         again = self._random.random() < self._stage.settings.again
         while len(parts) < REQUESTS_MAX:
             name = ident if again or not parts else f"{ident}t{len(parts)}"
-            parts.append(await self._ask(node, name, kind, [] if again else parts))
+            parts.append(await self.ask(node, name, kind, [] if again else parts))
             cut = not parts[-1].whole and parts[-1].status in (0, 200)
             if not cut or not (again or KINDS[kind].resumable):
                 break
@@ -113,7 +115,11 @@
         lines = [f"POST /{kind}/x HTTP/1.1", *(f"{key}: {value}" for key, value in rows.items())]
         return ("\r\n".join(lines) + "\r\n\r\n").encode() + BODY
 
-    async def _ask(self, node: WaysNode, ident: str, kind: str, before: list[Part]) -> Part:
+    async def ask(self, node: WaysNode, ident: str, kind: str, before: list[Part]) -> Part:
+        """Send a request to a node; return what it brought.
+
+        :param before: what came of the stream that it takes up.
+        """
         request = self._write_request(ident, kind, before)
         late = self._random.random() < self._stage.settings.late
         keeps = self._random.random() < self._stage.settings.kept
@@ -123,7 +129,7 @@
     def _read_part(self, node: WaysNode, ident: str, kind: str, answer: _Answer) -> Part:
         status, whole, stated = answer.status, answer.whole, answer.stated
         if status != 200:
-            return Part(ident, node.name, status, whole, (), stated=stated)
+            return Part(ident, node.name, status, whole, (), "", stated, answer.waited)
         if not KINDS[kind].events:
             wanted = f"answer to {ident}".encode()
             bent = "" if answer.body == wanted or not whole else repr(answer.body[:120])
@@ -169,7 +175,10 @@
                     late.send()
                     if not buffer.kept:
                         break
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        except TimeoutError:
+            for buffer in buffers:
+                buffer.waited = True
+        except (OSError, asyncio.IncompleteReadError):
             pass
         if timer is not None:
             timer.cancel()
@@ -190,7 +199,9 @@
                     reader, writer = await asyncio.open_connection(host, int(port), limit=limit)
                 writer.write(request)
                 await buffer.read(reader, late)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        except TimeoutError:
+            buffer.waited = True
+        except (OSError, asyncio.IncompleteReadError):
             pass
         if writer is not None and keeps and not late and buffer.kept and self._running:
             links.append((reader, writer))
@@ -228,12 +239,14 @@
         self.whole = False
         self.kept = False
         self.stated = ""
+        self.waited = False
         self.seen: t.Callable[[bytearray], None] = lambda body: None
 
     @property
     def answer(self) -> _Answer:
         """What has come."""
-        return _Answer(self.status, bytes(self.body), self.whole, self.kept, self.stated)
+        body = bytes(self.body)
+        return _Answer(self.status, body, self.whole, self.kept, self.stated, self.waited)
 
     async def read(self, reader: asyncio.StreamReader, late: bool) -> None:
         """Read an answer to its end."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -55,6 +55,7 @@
     :param whole: whether its answer ended as a whole one.
     :param bent: what came that no runner makes.
     :param stated: the request that its answer states; empty if none came, or it states none.
+    :param waited: whether its caller gave up while the connection was open.
     """
 
     ident: str
@@ -64,6 +65,7 @@
     events: tuple[Event, ...]
     bent: str = ""
     stated: str = ""
+    waited: bool = False
 
     @property
     def ended(self) -> bool:
@@ -307,6 +309,12 @@
     ]
 
 
+@counts("unanswered", TOLD)
+def find_unanswered(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Requests of which nothing came for longer than any limit, on open connections."""
+    return [_tell(one) for one in calls if any(p.waited and not p.status for p in one.parts)]
+
+
 @counts("two answers", TOLD)
 def find_second_answers(calls: list[Call], runs: list[Run]) -> list[str]:
     """Ids that their callers sent twice, and that were answered in part or whole both times."""
