Large answers wait at their endpoints until a node has room for them

Cause: all answers were read side by side, so that none ended before the budget was full and gave most of them up, though each fits by itself.

Change: an answer of a stated length, larger than a read, is read once there is room for all of it (answer_room decides, held_back acts); until then its parts aren't taken, and the connection's own bound on unread bytes stops its reading. One is always let in. Endpoints come by what they have in the room. What is let in and stalls, or can't end within its request's time at its rate, loses its room but for what has come, and its endpoint comes after others. Calls of the node's own don't wait. The budget is unchanged above the bound.

Not held back: answers without a stated length (chunks, close), which nothing tells from a flood. A wait counts as the endpoint's time.

A fake exchange of whole_answer_steps got the deadline that real ones have; nothing else of an older test is changed.

--- a/features/memory_stage.py
+++ b/features/memory_stage.py
@@ -34,6 +34,11 @@
     :param faulty: how many of the two endpoints of the one service are faulty.
     """
 
+    # The time of each route and of each request, in seconds.
+    route_timeout_s = ROUTE_TIMEOUT_S
+    # Requests that each endpoint takes at once.
+    slots = 8
+
     def __init__(self, memory_mb, script, faulty=2):
         self._memory_mb = memory_mb
         self._script = script
@@ -48,7 +53,7 @@
 
     async def start(self):
         self._served = await serve(self.store.app())
-        await self.store.write("config", "main", write_table())
+        await self.store.write("config", "main", write_table(self.route_timeout_s))
         for number in range(4):
             service = FAULTY if number < 2 else SOUND
             server = ModelServer(
@@ -56,7 +61,7 @@
             )
             self.servers.append(server)
             await server.start()
-            await self.store.write("servers", server.name, server.entry(service))
+            await self.store.write("servers", server.name, server.entry(service, slots=self.slots))
         host = f"127.{130 + os.getpid() // 250 % 60}.{os.getpid() % 250}.11"
         folder = pathlib.Path(self._folder.name)
         self.node = NodeProcess(0, host, folder, self._served.address)
@@ -131,7 +136,7 @@
         self._folder.cleanup()
 
 
-def write_table():
+def write_table(route_timeout_s=ROUTE_TIMEOUT_S):
     """Return a configuration with a route of each kind to each service."""
     routes = [
         {
@@ -139,7 +144,7 @@
             "host": HOST,
             "path-prefix": f"/{service}-{kind}/",
             "type": kind,
-            "timeout-ms": int(ROUTE_TIMEOUT_S * 1000),
+            "timeout-ms": int(route_timeout_s * 1000),
             "slo-ms": 800,
             "priority": 1,
             "service": service,
--- a/features/steps/whole_answer_steps.py
+++ b/features/steps/whole_answer_steps.py
@@ -168,7 +168,9 @@
 def pass_on(context):
     context.given = []
     connection = types.SimpleNamespace(answer=lambda *answer: context.given.append(answer))
-    exchange = types.SimpleNamespace(started=False, first_event_at=0.0, connection=connection)
+    exchange = types.SimpleNamespace(
+        started=False, first_event_at=0.0, deadline_at=clock.now() + 1.0, connection=connection
+    )
 
     async def work():
         with contextlib.suppress(EndpointError):
--- a/packages/rookspring-core/src/rookspring_core/_node_defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/_node_defaults.py
@@ -56,6 +56,14 @@
 # Work in one turn of the event loop on what endpoints have sent, in bytes. Some milliseconds: a
 # request takes a dozen turns, and is answered within a quarter of a second beside any flood.
 TURN_WORK_BYTES = 1 << 20
+# What an answer brings at least in ``ROOM_CHECK_S`` while others wait for its room, in bytes: at
+# 256 KiB a second the largest one takes a minute, longer than others' callers wait.
+ROOM_PROGRESS_BYTES = 64 << 10
+# Interval of that check, in seconds: some of them fit into a request's time.
+ROOM_CHECK_S = 0.25
+# Share of a source's stalled answers that is remembered after each check, and what is forgotten.
+LAPSES_KEPT = 0.9
+LAPSES_MIN = 0.1
 # Work of one endpoint that is done at once in each turn: a read of plain data, or some hundreds of
 # tokens, which is more than the streams of one endpoint make in the time of a turn.
 AT_ONCE_WORK_BYTES = 320 << 10
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -95,6 +95,8 @@
 from ._node_defaults import EXPIRE_EVERY_S as EXPIRE_EVERY_S
 from ._node_defaults import HEARTBEAT_S as HEARTBEAT_S
 from ._node_defaults import ISOLATION_GRACE_S as ISOLATION_GRACE_S
+from ._node_defaults import LAPSES_KEPT as LAPSES_KEPT
+from ._node_defaults import LAPSES_MIN as LAPSES_MIN
 from ._node_defaults import LINE_WORK_BYTES as LINE_WORK_BYTES
 from ._node_defaults import MESH_LIMIT as MESH_LIMIT
 from ._node_defaults import NEAR_ADDRESSES_MIN as NEAR_ADDRESSES_MIN
@@ -104,6 +106,8 @@
 from ._node_defaults import RELAY_SETTLED_S as RELAY_SETTLED_S
 from ._node_defaults import RELAYS_PER_DATA_CENTRE as RELAYS_PER_DATA_CENTRE
 from ._node_defaults import ROLES_RECOMPUTE_S as ROLES_RECOMPUTE_S
+from ._node_defaults import ROOM_CHECK_S as ROOM_CHECK_S
+from ._node_defaults import ROOM_PROGRESS_BYTES as ROOM_PROGRESS_BYTES
 from ._node_defaults import SAME_START_S as SAME_START_S
 from ._node_defaults import SEEDS_AFTER_S as SEEDS_AFTER_S
 from ._node_defaults import SETTLED_S as SETTLED_S
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
@@ -15,6 +15,10 @@
 
 
 LONG_ANSWER_BYTES = 15 << 20
+LARGE_ANSWER_BYTES = 8 << 20
+# What a stalled answer sends of it, and then sends nothing for, in seconds.
+STALLED_BYTES = 300 << 10
+STALLED_S = 60.0
 FAILED_BYTES = 1 << 20
 LATE_ANSWER_S = 0.15
 
@@ -42,6 +46,24 @@
     send(server, writer, 200, b"x" * LONG_ANSWER_BYTES, record_run(server, request))
 
 
+@step("large answer")
+async def _large_answer(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send an answer of which some take all that a small node may hold."""
+    send(server, writer, 200, b"x" * LARGE_ANSWER_BYTES, record_run(server, request))
+
+
+@step("stalled answer")
+async def _stalled_answer(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """State the length of a large answer, and send a small part of it."""
+    headers = record_run(server, request) | {"Content-Length": str(LARGE_ANSWER_BYTES)}
+    send(server, writer, 200, b"x" * STALLED_BYTES, headers)
+    await asyncio.sleep(STALLED_S)
+
+
 @step("fail at length")
 async def _fail_at_length(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -4,10 +4,13 @@
 import collections
 import typing as t
 
+from rookspring_core.answer_room import RoomEntry
+
 from . import clock
 from . import defaults
 from .byte_budget import ByteBudget
 from .byte_budget import Holding
+from .digits import parse_digits
 from .exceptions import EndpointError
 from .http_messages import HttpHead
 
@@ -33,6 +36,8 @@
         # What the reader keeps of the parts that it has taken, and the connection of the next one.
         self._kept_bytes = 0
         self._held_back_bytes = 0
+        # Its place among large answers, if it is one that is read whole.
+        self._entry: RoomEntry | None = None
         # Whether reading from the endpoint was ever stopped. From then on parts may arrive when the
         # caller has taken others, and not when the endpoint sent them.
         self.held_up = False
@@ -112,6 +117,9 @@
         self._held_back_bytes = 0
         self._kept_bytes = 0
         self.holding.close()
+        entry, self._entry = self._entry, None
+        if entry is not None:
+            self.holding.held_back.leave(entry)
 
     async def wait_head(self) -> HttpHead:
         """Wait for status and headers.
@@ -151,12 +159,17 @@
         self.on_given_up()
         self.notify()
 
-    async def read_rest(self, most: int) -> bytes:
+    async def read_rest(self, most: int, room_until: float | None = None) -> bytes:
         """Read the whole body, which counts as kept until :meth:`drop`.
 
         :param most: largest accepted size in bytes.
+        :param room_until: a large answer of a stated size waits for room, and this is when its
+            request's time is over, by :func:`clock.now`. None for calls of the node's own, which
+            don't wait.
         :raises EndpointError: if the body was cut off, is larger, or if too much is held in all.
         """
+        if room_until is not None:
+            await self._wait_room(most, room_until)
         parts = []
         size = 0
         while part := await self.next_part():
@@ -165,4 +178,26 @@
             if size > most:
                 raise EndpointError("too large an answer", sent=True)
             self.keep(size + len(parts) * defaults.PART_COST_BYTES)
+            if self._entry is not None:
+                self._entry.got = size
         return b"".join(parts)
+
+    async def _wait_room(self, most: int, until: float) -> None:
+        """Wait until a large answer fits; its endpoint is held back meanwhile.
+
+        :param most: an answer that states more won't be read to its end, and doesn't wait.
+        """
+        size = self._find_stated_bytes()
+        if self.complete or not defaults.SMALL_ANSWER_BYTES < size <= most:
+            return
+        held_back = self.holding.held_back
+        self._entry = entry = held_back.enter(self.holding.source, size, until, self.notify)
+        while not entry.admitted and not self.failure:
+            self._changed.clear()
+            await self._changed.wait()
+
+    def _find_stated_bytes(self) -> int:
+        """Return the size that the head states; 0 if it states none."""
+        if self.head is None or self.head.framing() != "length":
+            return 0
+        return parse_digits(self.head.header(b"content-length")) or 0
--- a/packages/rookspring/src/rookspring/byte_budget.py
+++ b/packages/rookspring/src/rookspring/byte_budget.py
@@ -12,6 +12,7 @@
 import typing as t
 
 from . import defaults
+from .held_back import HeldBack
 from .logs import log
 
 GiveUp = t.Callable[[str], None]
@@ -41,6 +42,11 @@
         self.size = 0
         self.spared = False
 
+    @property
+    def held_back(self) -> HeldBack:
+        """The large answers that count at the same budget."""
+        return self._budget.held_back
+
     def spare(self, spared: bool) -> None:
         """Set whether other bytes give way first, as long as half of the bound is enough for these.
 
@@ -86,12 +92,14 @@
     :param most: the largest sum, in bytes.
     :ivar held_bytes: the sum now.
     :ivar given_up: how many holdings were given up.
+    :ivar held_back: the large answers that wait for room, or are read.
     """
 
     def __init__(self, most: int = defaults.HELD_BYTES_DEFAULT) -> None:
         self.most = most
         self.held_bytes = 0
         self.given_up = 0
+        self.held_back = HeldBack(self)
         self._holdings: dict[str, set[Holding]] = {}
         self._sums: dict[str, int] = {}
         self._spared_bytes = 0
@@ -141,6 +149,11 @@
         kept = {source: size * defaults.WASTE_KEPT for source, size in self._wasted.items()}
         self._wasted = {source: size for source, size in kept.items() if size >= 1.0}
 
+    def answer_room(self) -> int:
+        """Return how many bytes large answers may take together now."""
+        room = self.most * defaults.ANSWER_ROOM_SHARE - self._spared_bytes
+        return int(max(self.most * defaults.ANSWER_ROOM_SHARE_MIN, room))
+
     def sum_of(self, source: str) -> int:
         """Return how many bytes wait of one sender."""
         return self._sums.get(source, 0)
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -120,6 +120,15 @@
 HELD_SHARE = 1.0 / 3.0
 # The least share of the whole memory that others' bytes may fill, however little is left.
 HELD_SHARE_MIN = 1.0 / 16.0
+# Share of the bound that large answers may be read into, what waits for callers included. The rest
+# is for all that isn't held back: small answers, and what comes before an answer is held back.
+ANSWER_ROOM_SHARE = 3.0 / 4.0
+# The least of it, whatever waits for callers.
+ANSWER_ROOM_SHARE_MIN = 1.0 / 4.0
+# Answers up to a read's size aren't held back, in bytes.
+SMALL_ANSWER_BYTES = 256 << 10
+# Interval of looking for room for answers that wait, in seconds: a caller doesn't notice it.
+ROOM_LOOK_S = 0.01
 # Share of a sender's bytes that were given up that is remembered after ``MEMORY_CHECK_S``.
 WASTE_KEPT = 0.9
 # Memory that a node takes by itself if that can't be read.
--- a/packages/rookspring/src/rookspring/logs.py
+++ b/packages/rookspring/src/rookspring/logs.py
@@ -57,6 +57,8 @@
     "version_checked": "a stream's rest waited for the version of the process that it goes on at",
     "reach_probed": "this node tried to connect to some endpoints, and reached none of them",
     "bytes_given_up": "too many bytes of others wait; the largest part of one sender is dropped",
+    "answer_held_back": "a large answer waits at its endpoint until there is room for it",
+    "answer_stalled": "a large answer for which others wait brings little; its room is taken back",
     "reads_paced": "an endpoint sends more than its share of the event loop; it waits in turn",
     "body_checked": "a body ended with its connection or endpoint; what shows that it is whole",
     "attempt_failed": "an attempt ended without an answer that could be relayed",
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -39,7 +39,7 @@
     # A failure that the status tells is one whatever the body's end.
     sound = head.status < SERVER_ERROR
     try:
-        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, exchange.deadline_at)
     except EndpointError:
         if reply.failed_by_close:
             raise EndpointError(NO_END, sent=True, open_ended=sound) from None
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -139,7 +139,7 @@
         return
     headers = end_to_end_headers(head.headers)
     if not in_parts:
-        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX)
+        body = await reply.read_rest(defaults.ANSWER_BYTES_MAX, exchange.deadline_at)
         if reply.ended_by_close:
             raise EndpointError("nothing shows the answer's end", sent=True)
         exchange.first_event_at = clock.now()
