A stream's rest that waited for its endpoint's version in vain was not sent

Cause: the wait for the version of the process at the other end went on to the request's deadline, whose failure counts as that of a sent request: as a failure of an endpoint that got nothing of it, which ejects it after some of them, and as one of the route's sends.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -13,6 +13,7 @@
 
 from rookspring import clock
 from rookspring_core import stream_origins
+from rookspring_core.state import PlatformOutage
 from rookspring_fakes.model_server import STREAM_EVENTS
 
 NOT_RUN = (408, 421, 429, 503)
@@ -150,6 +151,44 @@
     assert context.connecting not in runs, f"{context.connecting} ran there"
 
 
+@when("entries stay old, and a resumable stream breaks off after the third event")
+def breaks_off_with_old_entries(context):
+    stage = context.cut_stage
+    (node,) = stage.nodes
+    pool = node.context.pool
+    acquire = pool.acquire
+    begun = []
+
+    async def acquire_first(address, *args):
+        """Return a connection that is kept for the begin, and a new one for the rest."""
+        if begun:
+            return await pool.open(address)
+        begun.append(address)
+        return await acquire(address, *args)
+
+    async def work():
+        await asyncio.gather(*(send_stream(node, f"w{number}") for number in range(AT_ONCE)))
+        await asyncio.sleep(KNOWN_AFTER_S)
+        now = clock.now()
+        node.context.state.platform_outage = PlatformOutage(now, now + KNOWN_AFTER_S)
+        pool.acquire = acquire_first
+        for server in stage.relay.servers:
+            server.script = ["break after 3"]
+        context.streams[0].append(await send_stream(node, 0))
+
+    context.loop.run(work())
+
+
+@then("no attempt at an endpoint counts as sent that was not")
+def none_counted(context):
+    (node,) = context.cut_stage.nodes
+    failed = [line for line in context.relay.log_lines if "event=attempt_failed" in line]
+    sent = [line for line in failed if "sent=True" in line]
+    assert len(failed) > 1 and len(sent) == 1, failed
+    counted = sum(view.failures for view in node.context.state.endpoints.values())
+    assert counted <= 1, counted
+
+
 @when("nothing changes for {seconds:d} s")
 def nothing_changes(context, seconds):
     (node,) = context.cut_stage.nodes
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -30,6 +30,11 @@
     Then that one was not run there
     And each has one head and each event once, and at least 75 in 100 are whole
 
+  Scenario: a stream's rest that waited for its endpoint's version until its deadline was not sent
+    Given 1 linked nodes, and endpoints of the versions v1, v1, v2
+    When entries stay old, and a resumable stream breaks off after the third event
+    Then no attempt at an endpoint counts as sent that was not
+
   Scenario: while the store answers that nothing has changed, entries are what their processes are
     Given 1 linked nodes, and endpoints of the versions v1, v1, v2
     When nothing changes for 6 s
--- a/packages/rookspring/src/rookspring/relay_versions.py
+++ b/packages/rookspring/src/rookspring/relay_versions.py
@@ -36,7 +36,7 @@
     began_at = clock.now()
     with _release_if_failed(context, view, connection):
         while _is_doubted(context, exchange, view, connection):
-            if not context.state.platform_reachable:
+            if not context.state.platform_reachable or _is_due(exchange):
                 break
             await asyncio.sleep(defaults.VERSION_CHECK_S)
         why = _find_reason(context, exchange, view, connection)
@@ -54,6 +54,11 @@
             raise EndpointError(why, sent=False, withheld=True)
 
 
+def _is_due(exchange: RelayExchange) -> bool:
+    """Return whether the deadline would end the wait, which counts as that of a sent request."""
+    return exchange.deadline_at - clock.now() < 2.0 * defaults.VERSION_CHECK_S
+
+
 @contextlib.contextmanager
 def _release_if_failed(
     context: RelayContext, view: EndpointView, connection: ClientConnection
