Entries are doubted where calls for them fail, not where any call of the store does

Cause: the outage was taken from PlatformAnswered, which all calls share. Fix: StoreUnread, which the loop of the entries alone submits; StoreRead ends it.

Evidence: stream_versions.feature, "a call of the store that fails for another kind": a connection of 0.1 s may lead to another by the code before (read, the row asks the reducer), to what they say now.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -20,6 +20,7 @@
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
 from rookspring_core.events import StoreRead
+from rookspring_core.events import StoreUnread
 from rookspring_core.events import Ticked
 from rookspring_core.routes import Split
 from rookspring_core.stream_versions import StreamOrigin
@@ -125,11 +126,11 @@
     node.now += LONG_S
     now = node.now
     for at, reachable in _calls(state, now):
-        node.submit(StoreRead(at, at - 0.1)) if reachable else None
-        node.submit(PlatformAnswered(at, reachable))
-    if "answers" in state:
-        node.submit(PlatformAnswered(now - asked_s, True))
-    node.submit(StoreRead(now, now - asked_s))
+        node.submit(StoreRead(at, at - 0.1) if reachable else StoreUnread(at))
+    if "away" in state:
+        node.state.topology.asked_at = now - asked_s
+    else:
+        node.submit(StoreRead(now, now - asked_s))
 
 
 def _calls(state, now):
@@ -150,6 +151,12 @@
     return []
 
 
+@when("a call of the store for nodes fails")
+def other_call_fails(context):
+    node = context.node
+    node.submit(PlatformAnswered(node.now, False))
+
+
 @then("a connection that was opened {opened_s:g} s ago {leads}")
 def connection_leads(context, opened_s, leads):
     node = context.node
@@ -193,7 +200,7 @@
     node.submit(AttemptProgressed(node.now, "s1", node.sent[-1].attempt, 3))
     node.now += asked_s
     if "fail" in trouble:
-        node.submit(PlatformAnswered(node.now, False))
+        node.submit(StoreUnread(node.now))
     elif "read" in trouble:
         node.submit(StoreRead(node.now, node.now - 0.1))
     node.break_off("s1", 0)
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -13,7 +13,8 @@
 
 from rookspring import clock
 from rookspring_core import stream_origins
-from rookspring_core.state import PlatformOutage
+from rookspring_core.state import EntriesOutage
+from rookspring_core.stream_origins import are_entries_read
 from rookspring_fakes.model_server import STREAM_EVENTS
 
 NOT_RUN = (408, 421, 429, 503)
@@ -105,7 +106,7 @@
     """Have the store fail all calls or answer again, and wait until the nodes know."""
     stage.relay.store.faults.outage = away
     await stage.relay.until(
-        lambda: all(node.context.state.platform_reachable != away for node in stage.nodes)
+        lambda: all(are_entries_read(node.context.state) != away for node in stage.nodes)
     )
 
 
@@ -170,7 +171,7 @@
         await asyncio.gather(*(send_stream(node, f"w{number}") for number in range(AT_ONCE)))
         await asyncio.sleep(KNOWN_AFTER_S)
         now = clock.now()
-        node.context.state.platform_outage = PlatformOutage(now, now + KNOWN_AFTER_S)
+        node.context.state.entries_outage = EntriesOutage(now, now + KNOWN_AFTER_S)
         pool.acquire = acquire_first
         for server in stage.relay.servers:
             server.script = ["break after 3"]
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -54,6 +54,12 @@
     When entries were last asked for 9 s ago, and the store is away since 8 s
     Then a connection that was opened 0.6 s ago leads to what they say, once a1 has reported
 
+  Scenario: a call of the store that fails for another kind leaves entries as current as they are
+    Given a node with the endpoints: a1 at v1, b1 at v2
+    When entries were last asked for 1 s ago, and the store answers
+    And a call of the store for nodes fails
+    Then a connection that was opened 0.1 s ago leads to what they say
+
   Scenario: a stream that begins at what may be another process has no known origin
     Given a node with the endpoints: a1 at v1, a2 at v1, b1 at v2
     When entries were last asked for 9 s ago, and the store is away since 8 s
--- a/packages/rookspring-core/src/rookspring_core/_control_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_control_events.py
@@ -57,6 +57,12 @@
     asked_at: float
 
 
+class StoreUnread(t.NamedTuple):
+    """A call of this node for the endpoint list failed."""
+
+    at: float
+
+
 class TableProved(t.NamedTuple):
     """A version of the configuration was proved the newest at some moment; see ``freshness.py``.
 
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -38,11 +38,12 @@
 from .events import ReportMissed
 from .events import RouteTableSeen
 from .events import StoreRead
+from .events import StoreUnread
 from .events import Ticked
 from .membership import AddressRow
 from .reducer import handles
+from .state import EntriesOutage
 from .state import NodeState
-from .state import PlatformOutage
 from .topology import LocalStatus
 
 Effects = list[Effect]
@@ -298,6 +299,22 @@
     """Record when this node last read the store."""
     state.topology.read_at = event.at
     state.topology.asked_at = event.asked_at
+    outage = state.entries_outage
+    if outage is not None and outage.ended_at == math.inf:
+        state.entries_outage = outage._replace(ended_at=event.at)
+    return []
+
+
+@handles(StoreUnread)
+def note_store_unread(state: NodeState, event: StoreUnread) -> Effects:
+    """Record that the entries of endpoints can't be read, and until when they are known."""
+    outage = state.entries_outage
+    if outage is not None and outage.ended_at == math.inf:
+        return []
+    known_until = state.topology.complete_until(event.at)
+    if outage is not None and event.at < outage.ended_at + defaults.REWRITE_S:
+        known_until = min(known_until, outage.known_until)
+    state.entries_outage = EntriesOutage(known_until)
     return []
 
 
@@ -347,24 +364,12 @@
 @handles(PlatformAnswered)
 def note_platform(state: NodeState, event: PlatformAnswered) -> Effects:
     """Record whether the platform can be reached."""
-    _note_outage(state, event)
     state.platform_reachable = event.reachable
     if event.reachable:
         state.platform_answered_at = event.at
     return []
 
 
-def _note_outage(state: NodeState, event: PlatformAnswered) -> None:
-    outage = state.platform_outage
-    if not event.reachable and state.platform_reachable:
-        known_until = state.topology.complete_until(event.at)
-        if outage is not None and event.at < outage.ended_at + defaults.REWRITE_S:
-            known_until = min(known_until, outage.known_until)
-        state.platform_outage = PlatformOutage(known_until)
-    elif event.reachable and not state.platform_reachable and outage is not None:
-        state.platform_outage = outage._replace(ended_at=event.at)
-
-
 def list_addresses(state: NodeState) -> list[AddressRow]:
     """List the entry addresses that callers may use: those of live nodes that are not leaving."""
     rows: list[AddressRow] = []
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -22,6 +22,7 @@
 from ._control_events import StoreEraBegan as StoreEraBegan
 from ._control_events import StoreEraDenied as StoreEraDenied
 from ._control_events import StoreRead as StoreRead
+from ._control_events import StoreUnread as StoreUnread
 from ._control_events import TableProved as TableProved
 from ._control_events import UsageRestored as UsageRestored
 from ._endpoint_events import BoxListed as BoxListed
@@ -91,6 +92,7 @@
     | StoreEraBegan
     | StoreEraDenied
     | StoreRead
+    | StoreUnread
     | TableProved
     | NearLimitReceived
     | UsageRestored
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -63,8 +63,8 @@
     granted_by_owner: bool
 
 
-class PlatformOutage(t.NamedTuple):
-    """The last time during which this node's calls of the platform's store failed.
+class EntriesOutage(t.NamedTuple):
+    """The last time during which this node's calls for the entries of endpoints failed.
 
     :param known_until: a time before it whose changes of the store this node had.
     :param ended_at: when it ended; infinite while it lasts.
@@ -255,7 +255,7 @@
         self.store_era = 0
         self.platform_answered_at = started_at
         self.platform_reachable = False
-        self.platform_outage: PlatformOutage | None = None
+        self.entries_outage: EntriesOutage | None = None
         self.draining_since: float | None = None
         # How long a leaving node continues to serve, in seconds, since callers may have its
         # address cached.
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -82,7 +82,8 @@
 def may_go_on_at(state: NodeState, arrived: RequestArrived, view: EndpointView) -> bool:
     """Return whether a request may be sent to an endpoint, by the version that began its stream.
 
-    An endpoint that may have restarted at another version is of none, unless there is only one.
+    An endpoint that may have restarted at another version is of none, unless there is only one. One
+    at which that was found is not tried again for the same request.
     """
     if arrived.version is None:
         return True
@@ -127,21 +128,26 @@
 
 def _was_away(state: NodeState) -> bool:
     """Return whether the store is away, or was and what endpoints wrote again isn't read yet."""
-    outage = state.platform_outage
+    outage = state.entries_outage
     if outage is None:
         return False
     return state.topology.complete_until(state.now) < outage.ended_at + defaults.REWRITE_S
 
 
+def are_entries_read(state: NodeState) -> bool:
+    """Return whether the last call for the entries of endpoints was answered."""
+    return state.entries_outage is None or state.entries_outage.ended_at != math.inf
+
+
 def _entries_known_until(state: NodeState) -> float:
     """Return a time whose entries of endpoints this node has, by its own clock.
 
     Processes that restart during an outage of the store write their entries after its end.
     """
     known_at = state.topology.complete_until(state.now)
-    if state.platform_outage is None or not _was_away(state):
+    if state.entries_outage is None or not _was_away(state):
         return known_at
-    return min(known_at, state.platform_outage.known_until)
+    return min(known_at, state.entries_outage.known_until)
 
 
 def note_connection(state: NodeState, request: RequestState, opened_at: float) -> None:
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -17,6 +17,7 @@
 from rookspring_core.events import EvidenceReceived
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import StoreRead
+from rookspring_core.events import StoreUnread
 from rookspring_core.events import TableProved
 from rookspring_core.events import UsageRestored
 from rookspring_core.hashing import stable_hash
@@ -101,7 +102,7 @@
             asked_at = clock.now()
             listing = await context.eras.call_in_era(context.platform.list_kind(kind))
             if isinstance(listing, Failure):
-                reach.note_failure(f"list {kind}", listing.failure())
+                _note_failure(context, reach, f"list {kind}", listing.failure(), endpoints)
                 await _pause(context, back_off)
                 continue
             _note_answer(context, reach, endpoints, asked_at)
@@ -119,7 +120,7 @@
         changes = await context.eras.call_in_era(_watch(context.platform, kind, since, times))
         if isinstance(changes, Failure):
             since = -1
-            reach.note_failure(f"watch {kind}", changes.failure())
+            _note_failure(context, reach, f"watch {kind}", changes.failure(), endpoints)
             if not isinstance(changes.failure(), PlatformTooOld):
                 await _pause(context, back_off)
             continue
@@ -181,6 +182,18 @@
         context.submit(StoreRead(clock.now(), asked_at))
 
 
+def _note_failure(
+    context: RelayContext,
+    reach: StoreReachability,
+    call: str,
+    error: PlatformError,
+    endpoints: bool,
+) -> None:
+    reach.note_failure(call, error)
+    if endpoints and not isinstance(error, (PlatformTooOld, PlatformMissing)):
+        context.submit(StoreUnread(clock.now()))
+
+
 async def watch_table(context: RelayContext, peers: RelayPeers, reach: StoreReachability) -> None:
     """Watch the configuration and apply it."""
     version = 0
--- a/packages/rookspring/src/rookspring/relay_versions.py
+++ b/packages/rookspring/src/rookspring/relay_versions.py
@@ -36,7 +36,7 @@
     began_at = clock.now()
     with _release_if_failed(context, view, connection):
         while _is_doubted(context, exchange, view, connection):
-            if not context.state.platform_reachable or _is_due(exchange):
+            if not stream_origins.are_entries_read(context.state) or _is_due(exchange):
                 break
             await asyncio.sleep(defaults.VERSION_CHECK_S)
         why = _find_reason(context, exchange, view, connection)
