An endpoint that is doubted for a stream's rest is not tried for it again

Cause: the choice doesn't know which connections are trusted, and prefers the same endpoint each time. Fix: the request keeps where it was doubted, and goes on elsewhere or ends at once.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -157,6 +157,25 @@
     node.submit(PlatformAnswered(node.now, False))
 
 
+@when("a resumable stream begins at a1 and breaks off, and each endpoint is doubted as it is tried")
+def each_doubted(context):
+    node = context.node
+    node.begin("s1", "a1")
+    node.break_off("s1", 3)
+    while "s1" in node.state.requests:
+        tried = node.sent[-1]
+        node.now += 0.001
+        failed = AttemptFailed(node.now, "s1", tried.attempt, False, False, "doubted")
+        node.submit(failed._replace(withheld=True, doubted=True))
+
+
+@then("each of v1 was tried once, and it ends as {status:d} {outcome}: {reason}")
+def tried_once(context, status, outcome, reason):
+    assert sorted(context.node.sent_to("s1")[1:]) == ["a1", "a2", "a3"], context.node.sent_to("s1")
+    found = [(one.status, one.outcome, one.reason) for one in context.node.refused]
+    assert found == [(status, outcome, reason)], found
+
+
 @then("a connection that was opened {opened_s:g} s ago {leads}")
 def connection_leads(context, opened_s, leads):
     node = context.node
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -54,6 +54,11 @@
     When entries were last asked for 9 s ago, and the store is away since 8 s
     Then a connection that was opened 0.6 s ago leads to what they say, once a1 has reported
 
+  Scenario: an endpoint whose process is doubted for a stream is not tried again for it
+    Given a node with the endpoints: a1 at v1, a2 at v1, a3 at v1, b1 at v2
+    When a resumable stream begins at a1 and breaks off, and each endpoint is doubted as it is tried
+    Then each of v1 was tried once, and it ends as 502 unknown: version_gone
+
   Scenario: a call of the store that fails for another kind leaves entries as current as they are
     Given a node with the endpoints: a1 at v1, b1 at v2
     When entries were last asked for 1 s ago, and the store answers
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -39,6 +39,7 @@
     :param stream_id: id under which its stream may be taken up again at another node: its caller's
         id of the request that began it; empty if that can't be.
     :param resumable_until: when its caller gives up.
+    :param doubted_at: endpoints whose processes may be of another version than listed.
     """
 
     at: float
@@ -65,6 +66,7 @@
     parts: tuple[int, ...] = ()
     stream_id: str = ""
     resumable_until: float = 0.0
+    doubted_at: frozenset[str] = frozenset()
 
 
 class OriginReceived(t.NamedTuple):
@@ -142,6 +144,7 @@
     :param broken: the endpoint closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint accepts no requests at present.
     :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
+    :param doubted: nothing was sent, since its process may be of another version than listed.
     """
 
     at: float
@@ -154,6 +157,7 @@
     broken: bool = False
     withheld: bool = False
     open_ended: bool = False
+    doubted: bool = False
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -84,6 +84,9 @@
     begun = request.delivered and request.arrived.version is None
     doubted = stream_origins.doubt_begin(state, request)
     request.arrived = bind_to_version(request)
+    if event.doubted:
+        doubted_there = request.arrived.doubted_at | {request.endpoint}
+        request.arrived = request.arrived._replace(doubted_at=doubted_there)
     if begun and doubted:
         effects += stream_origins.tell_origin(state, request)
     if handovers.may_hand_over(state, request, event):
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -87,6 +87,8 @@
     """
     if arrived.version is None:
         return True
+    if view.name in arrived.doubted_at:
+        return False
     if UNKNOWN_VERSION in (arrived.version, view.software_version()):
         return not state.stream_versions.has_several(view.service, state.now)
     return arrived.version == view.software_version()
--- a/packages/rookspring/src/rookspring/attempt_failures.py
+++ b/packages/rookspring/src/rookspring/attempt_failures.py
@@ -21,4 +21,5 @@
         broken=error.broken,
         withheld=error.withheld,
         open_ended=error.open_ended,
+        doubted=error.doubted,
     )
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -50,6 +50,7 @@
     :param broken: it closed the connection before its answer was complete.
     :param withheld: nothing was sent, since the endpoint left or requested a back-off meanwhile.
     :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
+    :param doubted: nothing was sent, since its process may be of another version than listed.
     """
 
     def __init__(
@@ -62,10 +63,12 @@
         broken: bool = False,
         withheld: bool = False,
         open_ended: bool = False,
+        doubted: bool = False,
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
+        self.doubted = doubted
         self.reported_not_run = reported_not_run
         self.leaving = leaving
         self.down = down
--- a/packages/rookspring/src/rookspring/relay_versions.py
+++ b/packages/rookspring/src/rookspring/relay_versions.py
@@ -51,7 +51,7 @@
             doubt=why,
         )
         if why:
-            raise EndpointError(why, sent=False, withheld=True)
+            raise EndpointError(why, sent=False, withheld=True, doubted=True)
 
 
 def _is_due(exchange: RelayExchange) -> bool:
