--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -12,10 +12,12 @@
 from relay_fixture import request
 
 from rookspring import clock
+from rookspring.relay_node import RelayNode
 from rookspring_core import stream_origins
 from rookspring_core.state import EntriesOutage
 from rookspring_core.stream_origins import are_entries_read
 from rookspring_fakes.model_server import STREAM_EVENTS
+from rookspring_platform import PlatformDialect
 
 NOT_RUN = (408, 421, 429, 503)
 # Streams that are taken up at once: fewer than the endpoints of one version run.
@@ -358,6 +360,36 @@
     take_up_unknown(context)
 
 
+@when("a stream of v2 is left, the node restarts, its endpoint is back as v1, and it is taken up")
+def all_restart(context):
+    stage = context.cut_stage
+    second, _ = stage.relay.servers
+
+    async def begin():
+        for number in itertools.count():
+            part = await send_stream(stage.nodes[0], f"{number}-0", (), 3)
+            if part.request_id in second.runs:
+                break
+            await asyncio.sleep(0.05)
+        return part
+
+    async def work():
+        part = await begin()
+        await stage.relay.kill(stage.relay.node)
+        await _restart_as(second, "v1")
+        await stage.relay.store.write("servers", second.name, second.entry("svc"))
+        stage.relay.node = RelayNode(stage.relay.settings, PlatformDialect())
+        await stage.relay.node.start()
+        await stage.relay.until(stage.relay.node.context.ready)
+        stage.nodes[0] = stage.relay.node
+        for server in stage.relay.servers:
+            server.runs.clear()
+        lines = (f"Resumes: {part.request_id}", f"Last-Event-Id: {part.events[-1]}")
+        context.part = await send_stream(stage.nodes[0], "r", lines)
+
+    context.loop.run(work(), 20.0)
+
+
 @then("the rest is refused without a time to retry")
 def refused_without_time(context):
     assert context.part.status == 503 and b"retry-after" not in context.part.raw.lower()
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -82,3 +82,8 @@
     When the first node loses its way to all endpoints in the midst of a stream of v1
     Then the bytes that its caller got are one head and the events 1 to 5, each once
     And no endpoint of v2 ran it
+
+  Scenario: no take-up goes on at another version after all nodes have restarted
+    Given 1 linked nodes, and endpoints of the versions v2, v1
+    When a stream of v2 is left, the node restarts, its endpoint is back as v1, and it is taken up
+    Then the rest is refused without a time to retry
