--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -202,6 +202,12 @@
     _go_on_elsewhere(context, "llm-b", 9.0)
 
 
+@change("a take-up ran there twice, its route moved between its runs")
+def take_up_ambiguous(context):
+    take_up_moved(context)
+    context.runs.append(context.runs[-1]._replace(at=10.5, moved_at=9.0))
+
+
 @change("a take-up goes on in its service, whose route moved meanwhile")
 def take_up_same_service(context):
     _take_up(context, 4, version=2)
--- a/features/ways.feature
+++ b/features/ways.feature
@@ -30,6 +30,7 @@
       | stock  | a take-up repeats an event                        | twice                |
       | stock  | a take-up is of another version                   | two versions         |
       | stock  | a take-up goes on where its route had moved before it began | two versions |
+      | stock  | a take-up ran there twice, its route moved between its runs   | two versions |
       | stock  | a take-up goes on in its service, whose route moved meanwhile | two versions |
       | stock  | an answer goes on where its route had moved before it began | foreign |
       | save   | bytes come that no runner makes                   | bent                 |
