Lists and reports of too many values cost their writers alone

Seen: a list of the store of 16 MiB takes 256 to 576 MiB once it is decoded, a report of 1 MiB 16 to 35. Cause: an answer's bytes are bounded, its values are not; a value of two bytes takes up to 72. Change: where a body may have more values than the budget's bound bears (at least 500,000), rows are found by patterns without recursion, those with the fewest values are decoded as ever, and of the others only parts that are as small as a name and a revision. A row that is left out is a malformed value ("too many values") under its own name. A report of more than 100,000 marks is malformed.

--- a/features/inner_bytes.feature
+++ b/features/inner_bytes.feature
@@ -44,3 +44,63 @@
     Given an answer whose end its endpoint's stop may have brought about
     When it is given up while the node looks whether the endpoint lives on, which it does
     Then its request has failed as "too many bytes are held"
+
+  # Guards against bodies that are some sixty times as large once they are decoded.
+  Scenario Outline: of a list with too many values, the rows with the most are left out, by name
+    Given a list of the store of 7100 endpoints, and <many> odd ones of <size> values <value>
+    When the node decodes it
+    Then at most <mb> MB were taken for it, and it took 6 s at most
+    And all sound endpoints are in it, and the names of the odd ones
+
+    Examples:
+      | many | size    | value | mb |
+      | 0    | 0       | 0     | 64 |
+      | 1    | 300000  | []    | 64 |
+      | 15   | 300000  | []    | 64 |
+      | 1    | 4000000 | []    | 64 |
+      | 1    | 4000000 | {}    | 64 |
+      | 1    | 3000000 | "a"   | 64 |
+      | 1    | 6000000 | 0     | 64 |
+      | 9000 | 400     | []    | 64 |
+
+  Scenario Outline: odd rows beside one of too many values are read as without it
+    Given a list of the store with the odd objects <objects>, and one of 600000 values
+    When the node decodes it
+    Then the objects beside are as they are without it
+
+    Examples:
+      | objects                          |
+      | 2,000 levels, half a pair        |
+      | 1,000,000 levels, a control character |
+      | brackets within a text, 65 bits  |
+      | bytes that are no text, a word   |
+
+  Scenario: a list whose rows are no objects of a store, but many, is a failed call
+    Given a list of the store of 4000000 rows without a name
+    When the node decodes it
+    Then at most 32 MB were taken for it, and it took 6 s at most
+    And it has failed as a whole
+
+  # A node's own tables grow with its deployment, and so does its memory.
+  Scenario: a large fleet of one list is read by a node whose memory bears it
+    Given a list of the store of 7100 endpoints of 20 models, 990 models and 1900 nodes
+    When a node that may hold 128 MB decodes it
+    Then every row of it is whole
+
+  Scenario Outline: a report with too many values is malformed
+    Given a report of <size> values <value>
+    When the node decodes it
+    Then at most 4 MB were taken for it, and it took 1 s at most
+    And there is no report
+
+    Examples:
+      | size   | value |
+      | 340000 | []    |
+      | 340000 | {}    |
+      | 260000 | "a"   |
+      | 520000 | 0     |
+
+  Scenario: a report of as many models as one may have is read
+    Given a report of 10000 models
+    When the node decodes it
+    Then there is a report of 10000 models
--- a/features/steps/inner_byte_steps.py
+++ b/features/steps/inner_byte_steps.py
@@ -1,11 +1,16 @@
 import asyncio
+import time
+import tracemalloc
 import types
 from unittest import mock
 
 import msgpack
+import orjson
 from behave import given
 from behave import then
 from behave import when
+from entry_steps import VALID
+from odd_body_steps import OBJECTS
 from relay_fixture import request
 
 from rookspring import relay_bodies
@@ -20,6 +25,9 @@
 from rookspring.peers import Link
 from rookspring.relay import EndpointAnswer
 from rookspring.relay_planned_ends import Doubt
+from rookspring_platform import bodies
+from rookspring_platform import endpoints
+from rookspring_platform import store as store_module
 
 KB = 1 << 10
 MB = 1 << 20
@@ -304,3 +312,157 @@
 @then('its request has failed as "{reason}"')
 def request_failed(context, reason):
     assert context.end == reason, context.end
+
+
+def make_row(name, spec):
+    return b'{"metadata":{"name":"%b","revision":4},"spec":%b}' % (name, spec)
+
+
+def make_list(rows):
+    return b'{"items":[%b],"truncated":false,"as-of":9}' % b",".join(rows)
+
+
+def make_values(value, size):
+    return b"[%b]" % b",".join([value.encode()] * size)
+
+
+def make_sound(models):
+    names = [{"name": f"m-{one}", "version": 1, "adapters": []} for one in range(models)]
+    return orjson.dumps(VALID | {"models": names})
+
+
+def make_named(prefix, count, spec):
+    return [make_row(b"%b-%d" % (prefix, number), spec) for number in range(count)]
+
+
+@given(
+    "a list of the store of {rows:d} endpoints, and {many:d} odd ones of {size:d} values {value}"
+)
+def store_list(context, rows, many, size, value):
+    odd = make_named(b"odd", many, make_values(value, size))
+    sound = make_named(b"sound", rows, make_sound(3))
+    half = rows // 2
+    context.raw = make_list(sound[:half] + odd + sound[half:])
+    context.names = {"sound": rows, "odd": many}
+    context.decode = bodies.decode_body
+
+
+@given("a list of the store of {rows:d} rows without a name")
+def nameless_list(context, rows):
+    context.raw = make_list([b"{}"] * rows)
+    context.decode = lambda raw: store_module._parse_page(bodies.decode_body(raw), 0)
+
+
+@given("a list of the store with the odd objects {names}, and one of {size:d} values")
+def odd_list(context, names, size):
+    context.beside = [OBJECTS[name] for name in names.split(", ")]
+    context.beside += make_named(b"sound", 2, make_sound(3))
+    many = make_row(b"many", make_values("[]", size))
+    context.raw = make_list([*context.beside[:2], many, *context.beside[2:]])
+    context.decode = bodies.decode_body
+
+
+@given(
+    "a list of the store of {endpoint_count:d} endpoints of {held:d} models, {models:d} models "
+    "and {nodes:d} nodes"
+)
+def fleet_list(context, endpoint_count, held, models, nodes):
+    rows = make_named(b"endpoint", endpoint_count, make_sound(held))
+    rows += make_named(b"model", models, b'{"replicas":3,"adapters":["a","b"]}')
+    rows += make_named(b"node", nodes, b'{"address":"127.0.0.9:80","zone":"z1"}')
+    context.raw = make_list(rows)
+
+
+@when("a node that may hold {mb:d} MB decodes it")
+def fleet_decoded(context, mb):
+    context.decoded = bodies.decode_body(context.raw, bodies.bound_values(mb * MB))
+
+
+@then("every row of it is whole")
+def fleet_whole(context):
+    assert bodies.count_marks(context.raw) > bodies.VALUES_MIN
+    assert context.decoded == orjson.loads(context.raw)
+
+
+@given("a report of {size:d} values {value}")
+def large_report(context, size, value):
+    context.raw = orjson.dumps(REPORT)[:-1] + b',"x":%b}' % make_values(value, size)
+    context.decode = read_report
+
+
+@given("a report of {count:d} models")
+def models_report(context, count):
+    models = [{"name": f"m-{one}", "version": 1, "adapters": []} for one in range(count)]
+    context.raw = orjson.dumps(REPORT | {"models": models})
+    context.decode = read_report
+
+
+REPORT = {"models": [], "utilization": False, "sequence": 0, "queued": 0, "active": 0}
+
+
+def read_report(raw):
+    stored = store_module.StoredObject("i1", 1, VALID)
+    return endpoints.read_report(raw, endpoints.read_entry(stored, 0.0)[1], 1.0)
+
+
+def decode_or_fail(context):
+    try:
+        return context.decode(context.raw)
+    except ValueError:
+        return None
+
+
+@when("the node decodes it")
+def decode_raw(context):
+    began = time.process_time()
+    decode_or_fail(context)
+    context.took_s = time.process_time() - began
+    tracemalloc.start()
+    context.decoded = decode_or_fail(context)
+    context.peak = tracemalloc.get_traced_memory()[1]
+    tracemalloc.stop()
+
+
+@then("at most {mb:d} MB were taken for it, and it took {most:d} s at most")
+def taken_for_it(context, mb, most):
+    assert context.peak <= mb * MB, context.peak / MB
+    assert context.took_s <= most, context.took_s
+
+
+def list_rows(body):
+    return store_module._decode_objects("servers", body["items"], 0)
+
+
+@then("all sound endpoints are in it, and the names of the odd ones")
+def all_sound(context):
+    rows = list_rows(context.decoded)
+    for prefix, count in context.names.items():
+        found = [row for row in rows if row.name.startswith(prefix)]
+        assert {row.name for row in found} == {f"{prefix}-{one}" for one in range(count)}
+        assert prefix == "odd" or all(row.value == found[0].value for row in found)
+    sound = next(row for row in rows if row.name == "sound-0")
+    endpoints.read_entry(sound, 0.0)
+
+
+@then("the objects beside are as they are without it")
+def as_without(context):
+    rows = list_rows(context.decoded)
+    without = list_rows(bodies.decode_body(make_list(context.beside)))
+    assert [row for row in rows if row.name != "many"] == without, rows
+    many = next(row for row in rows if row.name == "many")
+    assert many.value.detail == "spec: too many values", many
+
+
+@then("it has failed as a whole")
+def failed_whole(context):
+    assert context.decoded is None
+
+
+@then("there is no report")
+def no_report(context):
+    assert context.decoded is None
+
+
+@then("there is a report of {count:d} models")
+def report_of(context, count):
+    assert len(context.decoded.resident) == count
