Stand-in endpoints copy, move and back up their runs

What callers saw: nothing yet. An endpoint that stops ends runs in chunks in their midst; a copy of the run at another endpoint could finish them, and no stand-in here could be asked for one.

--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -103,7 +103,7 @@
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
 ) -> None:
     await send_events(server, request, writer, 3)
-    await server.stopping.wait()
+    await _wait_for_stop(server, request, writer)
     writer.write(LAST_CHUNK)
 
 
@@ -122,11 +122,12 @@
 ) -> None:
     """Send a whole stream that ends by itself after the stop has begun."""
     await send_events(server, request, writer, 3)
-    await server.stopping.wait()
+    await _wait_for_stop(server, request, writer)
     await asyncio.sleep(FINISH_S)
     for number in range(4, STREAM_EVENTS + 1):
         write_event(writer, make_event(server, number))
     writer.write(LAST_CHUNK)
+    server.end_well(request)
 
 
 @step("3 and the rest as it stops and closes")
@@ -174,6 +175,20 @@
     await _send_until_stop(server, request, writer, JSON_BODY, "application/json")
 
 
+async def _wait_for_stop(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Wait until the server stops, as a run that goes on and has made three events.
+
+    :raises ConnectionResetError: if the run was stopped by itself before.
+    """
+    with server.send_stream(request, writer) as note_made:
+        note_made(3)
+        await server.stopping.wait()
+    if writer.is_closing():
+        raise ConnectionResetError
+
+
 async def _send_until_stop(
     server: "ModelServer",
     request: ReceivedRequest,
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -42,6 +42,7 @@
 from .process_allowance import WorkPeriod
 from .resets import close_connection
 from .resets import reset_connection
+from .run_copies import RunCopies
 
 STREAM_PATHS = ("POST /stream/", "POST /resumable/")
 
@@ -66,8 +67,8 @@
         self.script = list(script)
         self.received: list[ReceivedRequest] = []
         self.runs: list[str] = []
-        self.connections = 0
-        self.disconnects = 0
+        self.copies = RunCopies(self)
+        self.connections = self.disconnects = 0
         self.version = "v1"
         self.models: dict[str, list[str]] = {}
         self.orders: list[dict[str, t.Any]] = []
@@ -151,7 +152,7 @@
         """Listen on a port, or on a free one."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", port)
         host, port = self._server.sockets[0].getsockname()[:2]
-        self.address = f"{host}:{port}"
+        self.address = self.copies.address = f"{host}:{port}"
         self.works_from = time.monotonic()
 
     async def close(self) -> None:
@@ -195,13 +196,35 @@
         self, request: ReceivedRequest, writer: asyncio.StreamWriter
     ) -> t.Iterator[t.Callable[[int], None]]:
         """Hold a stream as one that is sent now; the events that it made are noted by a call."""
-        self.streaming[writer] = request.request_id
-        self._list_stream(request.request_id, 0)
+        run = request.request_id
+        self.streaming[writer] = run
+        self._note_made(run, 0)
+        backup = request.headers.get("x-rookspring-kv-backup", "")
+        if backup:
+            keeping = asyncio.ensure_future(self.copies.back_up(run, backup))
         try:
-            yield lambda made: self._list_stream(request.request_id, made)
+            yield functools.partial(self._note_made, run)
         finally:
             self.streaming.pop(writer, None)
-            self._list_stream(request.request_id, None)
+            self.copies.made.pop(run, None)
+            self._list_stream(run, None)
+            if backup:
+                keeping.cancel()
+
+    def _note_made(self, run: str, made: int) -> None:
+        self.copies.made[run] = made
+        self._list_stream(run, made)
+
+    def end_well(self, request: ReceivedRequest) -> None:
+        """Note that a run has ended well: its backup isn't needed."""
+        backup = request.headers.get("x-rookspring-kv-backup", "")
+        if backup:
+            self._ending = asyncio.ensure_future(self.copies.end_backup(request.request_id, backup))
+
+    def stop_run(self, run: str) -> None:
+        """Close the stream of a run that is stopped, without its end."""
+        for writer in [one for one, ident in self.streaming.items() if ident == run]:
+            close_connection(writer.transport)
 
     def _list_stream(self, request_id: str, made: int | None) -> None:
         if self.lists_streams:
@@ -323,6 +346,10 @@
             return True
         if request.line.startswith("POST /order"):
             return take_order(self, request, writer)
+        if self.copies.is_call(request.line):
+            reply = await self.copies.answer(request.line, request.body)
+            send(self, writer, reply.status, orjson.dumps(reply.body), {})
+            return True
         if not request.request_id:
             # No node has sent it. The port may have been another's before, who is dialled still.
             send(self, writer, 400, b"", {"X-Rookspring-Not-Executed": "1"})
@@ -341,6 +368,10 @@
             self.on_crash(min(fatal))
             self.end()
             return False
+        if request.continues and not self.copies.take(request.continues):
+            headers = {"X-Rookspring-Request-Id": request.request_id}
+            send(self, writer, 503, b"", headers | {"X-Rookspring-Not-Executed": "1"})
+            return True
         name = self.script.pop(0) if self.script else self._choose_step(request)
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         if expected != self.name:
@@ -423,5 +454,5 @@
             "active": 0,
             "kv-used": 0,
             "kv-total": 1000,
-            "handles": 0,
+            "handles": self.copies.handles,
         }
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_steps.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_steps.py
@@ -43,6 +43,11 @@
         """The request's id, as its caller set it."""
         return self.headers.get("x-rookspring-request-id", "")
 
+    @property
+    def continues(self) -> str:
+        """The copy of a run that it goes on from; empty if it begins one."""
+        return self.headers.get("kv-from", "")
+
     @property
     def time_ends_at(self) -> float:
         """When the time that it states is over; infinite if it states none."""
@@ -103,8 +108,8 @@
 
 
 def record_run(server: "ModelServer", request: ReceivedRequest) -> dict[str, str]:
-    """Record that a request ran; return the headers that its answer bears then."""
-    server.runs.append(request.request_id)
+    """Record that a request ran, or went on; return the headers that its answer bears then."""
+    (server.copies.continued if request.continues else server.runs).append(request.request_id)
     stamp = f"{server.name}.{len(server.runs)}"
     return {"X-Rookspring-Request-Id": request.request_id, "X-Rookspring-Server-Stamp": stamp}
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
@@ -14,6 +14,10 @@
     from .model_server import ModelServer
 
 
+# The path of streams that may be sent to one endpoint alone.
+ONE_ATTEMPT = "POST /stream/"
+
+
 @step("stream")
 async def _stream(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -22,6 +26,7 @@
     if writer.is_closing():
         raise ConnectionResetError
     writer.write(b"0\r\n\r\n")
+    server.end_well(request)
 
 
 @step("stream anew")
@@ -161,12 +166,15 @@
 ) -> None:
     """Send a stream's head and the events after the one that the request names, in chunks.
 
-    No event is made once the time that the request states is over.
+    A run of one attempt that goes on from a copy sends the last one again. No event is made once
+    the time that the request states is over.
 
     :raises ConnectionResetError: if the connection is closing.
     """
     begin_events(server, request, writer)
     first = int(request.headers.get("last-event-id") or 0) + 1
+    if request.continues and request.line.startswith(ONE_ATTEMPT):
+        first = max(1, first - 1)
     with server.send_stream(request, writer) as note_made:
         for number in range(first, last + 1):
             if writer.is_closing():
