--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -20,6 +20,39 @@
       | safe      | leaving   | half until it stops, answer                    | ends its answers and exits                        | whole    | 2    |
       | safe      | gone      | half of JSON until it stops, answer            | ends its answers and exits                        | whole    | 2    |
 
+  Scenario Outline: an answer that an endpoint ends in its midst as its process ends is not told as whole
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    When the endpoint of a <kind> request is <state>, and <stops>
+    Then the answer is <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | kind      | state   | script                       | stops                                           | answer        | runs |
+      | stream    | leaving | 3 until it stops             | ends its answers and exits                      | 3 events, cut | 1    |
+      | stream    | leaving | 3 until it stops and closes  | ends its answers and exits                      | 3 events, cut | 1    |
+      | stream    | gone    | 3 until it stops             | closes its listener, ends its answers and exits | 3 events, cut | 1    |
+      | stream    | staying | 3 until it stops             | ends its answers and exits                      | 3 events, cut | 1    |
+      | stream    | staying | 3 until it stops and closes  | ends its answers and exits                      | 3 events, cut | 1    |
+      | resumable | staying | 3 until it stops, stream     | ends its answers and exits                      | 5 events      | 2    |
+      | unsafe    | leaving | half until it stops          | ends its answers and exits                      | unknown       | 1    |
+      | unsafe    | staying | half until it stops          | ends its answers and exits                      | unknown       | 1    |
+      | safe      | staying | half until it stops, answer  | ends its answers and exits                      | whole         | 2    |
+
+  Scenario Outline: a stream of one attempt that its leaving endpoint ends in its midst goes on from a copy
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    And the endpoints copy their runs to each other
+    When a stream request runs whose endpoint is <state> and <copied> <stops>
+    Then the answer is 5 events
+    And the endpoints ran it once, and it went on at a copy once
+
+    Examples:
+      | state   | copied          | script                   | stops                             |
+      | leaving | 200 ms later    | 3 until it stops, stream | ends its answers and exits        |
+      | leaving | 200 ms later    | 3 until it stops, stream | ends its answers and exits 1 s later |
+      | leaving | 200 ms later    | 3 until it stops, stream | ends its answers and lives on     |
+      | gone    | 200 ms later    | 3 until it stops, stream | ends its answers and exits        |
+      | leaving | 200 ms later    | 3 until it stops and closes, stream | ends its answers and lives on |
+
   Scenario Outline: an end at the time that an endpoint stated for its own is not told as the answer's own
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
     When the endpoint of a <kind> request states 400 ms in its <where>, and <stops> then
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -97,6 +97,30 @@
     context.loop.run(work())
 
 
+@given("the endpoints copy their runs to each other")
+def copy_runs(context):
+    for server in context.relay.servers:
+        server.copies.known = True
+
+
+@when("a {kind} request runs whose endpoint is {state} and {later:d} ms later {stops}")
+def ends_later(context, kind, state, later, stops):
+    async def work():
+        task, server = await begin(context, kind)
+        await tell(context.relay, server, state)
+        await asyncio.sleep(later / 1000.0)
+        await model_planned_ends.STOPS[stops](server)
+        context.answer = await task
+
+    context.loop.run(work())
+
+
+@then("the endpoints ran it once, and it went on at a copy once")
+def went_on(context):
+    went = [one for server in context.relay.servers for one in server.copies.continued]
+    assert (len(context.relay.runs), len(went)) == (1, 1), (context.relay.runs, went)
+
+
 @when(
     "a caller who states {ms:d} ms sends a {kind} request, and {later:d} ms later its endpoint "
     "leaves, and {stops}"
--- a/features/steps/run_copy_steps.py
+++ b/features/steps/run_copy_steps.py
@@ -14,6 +14,7 @@
     async def work():
         servers = [ModelServer("i-0"), ModelServer("i-1")]
         for server in servers:
+            server.copies.known = True
             await server.start()
         return servers
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/run_copies.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/run_copies.py
@@ -63,7 +63,7 @@
         self.made: dict[str, int] = {}
         self.continued: list[str] = []
         # Whether it knows these calls, and whether it has room for the copies of others.
-        self.known = True
+        self.known = False
         self.has_room = True
         # How long a copy takes, in seconds.
         self.copy_s = 0.0
