Logs tell whether an endpoint outlived an answer's end, and what else ran there

What the lines could not tell: whether the process that ended a stream in chunks went with it, and whether others of this node's streams there did. 'others_there' of the lines of both ends and 'answer_end_followed' do. Decides nothing.

--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -156,16 +156,19 @@
         """Return what the log states of the time at an answer's end, and of its endpoint's state.
 
         Seconds until the request's deadline, and until the end of the time that the endpoint was
-        told (none if it was told none); whether the endpoint was leaving or gone from the list, and
-        seconds until the end of the time that it stated for itself (none if it stated none).
+        told (none if it was told none); whether the endpoint was leaving or gone from the list,
+        seconds until the end of the time that it stated for itself (none if it stated none), and
+        how many others of this node's requests are under way there.
         """
         now = clock.now()
         view = self.endpoint
+        others = () if view is None else [one for one in view.inflight if one != self.key]
         return {
             "left_s": self.deadline_at - now,
             "told_left_s": self.told_until - now if self.told_until else "",
             "leaving": view is not None and (view.leaving or view.gone),
             "ends_left_s": "" if view is None or view.ends_at == math.inf else view.ends_at - now,
+            "others_there": len(others),
         }
 
     def reschedule_timeout(self) -> None:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -43,6 +43,7 @@
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 from .relay_planned_ends import find_doubt
+from .relay_planned_ends import follow_end
 from .relay_planned_ends import lives_on
 from .relay_reach import is_down
 
@@ -291,6 +292,7 @@
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
     exchange.connection.end()
+    follow_end(context, exchange, answer)
     _submit_gap(context, effect, exchange, reply, meter.end())
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -12,6 +12,7 @@
 from rookspring_core.planned_ends import PlannedEnd
 
 from . import clock
+from .logs import log
 from .relay import EndpointAnswer
 from .relay import RelayExchange
 from .relay_context import RelayContext
@@ -83,3 +84,21 @@
             return not await context.pool.is_down(answer.view.address)
     except TimeoutError:
         return False
+
+
+def follow_end(context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer) -> None:
+    """Log it if an endpoint ends its connection soon after the end of an answer in chunks."""
+    if answer.head.framing() != "chunks":
+        return
+    ended_at = answer.connection.idle_since
+
+    def check() -> None:
+        if answer.connection.lost_at < math.inf:
+            log(
+                "answer_end_followed",
+                id=exchange.fields.request_id,
+                endpoint=answer.view.name,
+                closed_s=answer.connection.lost_at - ended_at,
+            )
+
+    context.loop.call_later(planned_ends.OUTLIVES_S, check)
