Ends of answers in chunks are looked at everywhere, and at leaving endpoints need a sign

Cause: a last chunk was believed of what may run once, as most ends at leaving endpoints are the answers' own, and of any endpoint that had told nothing, which was not looked at at all.

Now each end in chunks is held back for 0.1 s, events are passed on meanwhile, and it is believed if the process lives on then; a body that came at once is not held. The endpoint's room is free meanwhile (AnswerEnded). At an endpoint that leaves, a stream's end is believed only if another run there goes on after it, since it may end all it runs and live on for seconds.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -38,6 +38,28 @@
       | unsafe    | staying | half until it stops          | ends its answers and exits                      | unknown       | 1    |
       | safe      | staying | half until it stops, answer  | ends its answers and exits                      | whole         | 2    |
 
+  Scenario Outline: an end at a leaving endpoint that lives on is believed only if something else goes on running there
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: 3 until it stops, <beside>
+    When the endpoint of a stream request beside another stream is leaving, and ends its answers and lives on
+    Then the answer is <answer>
+
+    Examples:
+      | beside                     | answer        |
+      | 3 until it stops           | 3 events, cut |
+      | an event each 0.02 s       | 3 events      |
+      | 3 and no more              | 3 events, cut |
+
+  Scenario Outline: whether an endpoint worked on after the end of an answer is told by the last event of another run there
+    When another run's last event comes <after> s after the end of an answer
+    Then by that the endpoint counts as <state>
+
+    Examples:
+      | after | state       |
+      | -1    | not at work |
+      | 0     | not at work |
+      | 0.02  | not at work |
+      | 0.03  | at work     |
+
   Scenario Outline: a stream of one attempt that its leaving endpoint ends in its midst goes on from a copy
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
     And the endpoints copy their runs to each other
@@ -73,6 +95,7 @@
 
   Scenario Outline: a sound end at an endpoint that ends as planned is told as whole
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    And the endpoints copy their runs to each other
     When the endpoint of a <kind> request is <state>, and <stops>
     Then the answer is <answer>
     And the endpoints ran it <runs> times
@@ -90,6 +113,7 @@
 
   Scenario Outline: an endpoint that lives on beyond the time that it stated has not ended the answer
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
+    And the endpoints copy their runs to each other
     When the endpoint of a <kind> request states 200 ms in its entry, and ends its answers and lives on then
     Then the answer is <answer>
     And the endpoints ran it 1 times
@@ -115,11 +139,13 @@
 
   Scenario: an end long before the time that an endpoint stated is the answer's own
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops
+    And the endpoints copy their runs to each other
     When the endpoint of a stream request states 5000 ms in its entry, and closes its listener, and exits 0.1 s after its answers at once
     Then the answer is 5 events
 
   Scenario: an end shortly before its request's deadline is not held back beyond it
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops
+    And the endpoints copy their runs to each other
     When a caller who states 900 ms sends a resumable request, and 550 ms later its endpoint leaves, and ends its answers and lives on
     Then the answer is 5 events
     And the endpoints ran it 1 times
@@ -136,7 +162,7 @@
       | resumable | 3 until it stops    | 870   | 3 events, cut |
       | unsafe    | half until it stops | 870   | unknown       |
 
-  Scenario Outline: whether there is time to look decides where nothing but the state speaks against an end
+  Scenario Outline: an end that comes too late to be looked at is doubted for its endpoint's stated time alone
     When an answer of <kind> ends <left> s before its leaving endpoint's stated time
     And it can be looked at for <seconds> s at the most
     Then it is doubted for <cause>, and there is <time> to look
@@ -144,20 +170,25 @@
     Examples:
       | kind            | left | seconds | cause    | time    |
       | another attempt | no   | 0.3     | its stop | time    |
-      | another attempt | no   | 0.2     | nothing  | no time |
+      | another attempt | no   | 0.2     | its stop | time    |
+      | another attempt | no   | 0.0     | nothing  | no time |
+      | one attempt     | no   | 0.05    | its stop | time    |
+      | one attempt     | no   | 0.0     | nothing  | no time |
       | one attempt     | 0    | 0.1     | its time | time    |
-      | one attempt     | 0    | 0.05    | its time | no time |
+      | one attempt     | 0    | 0.05    | its time | time    |
+      | one attempt     | 0    | 0.0     | its time | no time |
 
   Scenario Outline: no endpoint is asked for the rest where none can be
     Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
     When the endpoint of a resumable request is leaving, and closes its listener, and exits 0.1 s after its answers
-    Then the answer is 5 events
+    Then the answer is 5 events, cut
+    And the endpoints ran it 1 times
 
     Examples:
       | script                                |
       | 3 and the rest as it stops and closes |
 
-  Scenario Outline: nothing tells a clean end in the midst of a run that may not be run again
+  Scenario Outline: nothing tells a clean end in the midst of a run at an endpoint that stays and lives on
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
     When the endpoint of a <kind> request is <state>, and <stops>
     Then the answer is <answer>
@@ -165,10 +196,8 @@
 
     Examples:
       | kind      | state     | script           | stops                         | answer   |
-      | stream    | leaving   | 3 until it stops | ends its answers and exits    | 3 events |
       | stream    | staying   | 3 until it stops | ends its answers and lives on | 3 events |
       | resumable | staying   | 3 until it stops | ends its answers and lives on | 3 events |
-      | resumable | leaving   | 3 until it stops | ends its answers and lives on | 3 events |
 
   Scenario Outline: what may have ended an answer in chunks is told from its endpoint's state and stated time
     When an answer of <kind> ends <left> s before its <state> endpoint's stated time
@@ -176,13 +205,15 @@
 
     Examples:
       | kind              | state   | left | cause       | look |
-      | one attempt       | staying | no   | nothing     | -    |
-      | one attempt       | leaving | no   | nothing     | -    |
-      | another attempt   | staying | no   | nothing     | -    |
+      | one attempt       | staying | no   | its exit    | 0.1  |
+      | one attempt       | leaving | no   | its stop    | 0.1  |
+      | another attempt   | staying | no   | its exit    | 0.1  |
+      | a body at once    | staying | no   | nothing     | -    |
+      | a body at once    | leaving | no   | its stop    | 0.1  |
       | another attempt   | leaving | no   | its stop    | 0.3  |
       | another attempt   | leaving | 9    | its stop    | 0.3  |
-      | one attempt       | leaving | 9    | nothing     | -    |
-      | one attempt       | leaving | 0.6  | nothing     | -    |
+      | one attempt       | leaving | 9    | its stop    | 0.1  |
+      | one attempt       | leaving | 0.6  | its stop    | 0.1  |
       | one attempt       | leaving | 0.5  | its time    | 0.1  |
       | one attempt       | leaving | 0.2  | its time    | 0.1  |
       | one attempt       | leaving | 0    | its time    | 0.1  |
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -32,7 +32,12 @@
     "a request without an id": b"GET /safe/x HTTP/1.1\r\nHost: h.example\r\n\r\n",
 }
 REPORT = {"models": [], "utilization": False, "sequence": 0, "queued": 0, "active": 0}
-CAUSES = {"": "nothing", planned_ends.STOP: "its stop", planned_ends.TIME_OVER: "its time"}
+CAUSES = {
+    "": "nothing",
+    planned_ends.STOP: "its stop",
+    planned_ends.TIME_OVER: "its time",
+    planned_ends.EXIT: "its exit",
+}
 
 
 @given(
@@ -192,7 +197,35 @@
 def ends_before(context, kind, left, state):
     ends_at = math.inf if left == "no" else 10.0 + float(left)
     may_ask = kind == "another attempt"
-    context.end = PlannedEnd(10.0, state == "leaving", ends_at, may_ask, math.inf)
+    at_once = kind == "a body at once"
+    context.end = PlannedEnd(10.0, state == "leaving", ends_at, may_ask, math.inf, at_once)
+
+
+@when("another run's last event comes {after:g} s after the end of an answer")
+def another_event(context, after):
+    context.at_work = planned_ends.is_at_work(10.0, 10.0 + after)
+
+
+@then("by that the endpoint counts as {state}")
+def at_work(context, state):
+    assert context.at_work == (state == "at work")
+
+
+@when(
+    "the endpoint of a stream request beside another stream is leaving, and "
+    "ends its answers and lives on"
+)
+def ends_beside_another(context):
+    async def work():
+        task, server = await begin(context, "stream")
+        beside = asyncio.ensure_future(context.relay.ask(request("stream", 2)))
+        await context.relay.until(lambda: len(context.relay.runs) > 1)
+        await tell(context.relay, server, "leaving")
+        await model_planned_ends.STOPS["ends its answers and lives on"](server)
+        context.answer = await task
+        beside.cancel()
+
+    context.loop.run(work())
 
 
 @when("it can be looked at for {seconds:f} s at the most")
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -125,6 +125,13 @@
     tokens: int
 
 
+class AnswerEnded(t.NamedTuple):
+    """An endpoint has ended an answer in chunks; whether it is whole is still being looked at."""
+
+    at: float
+    request_id: str
+
+
 class AttemptSucceeded(t.NamedTuple):
     """The endpoint's whole answer was passed on to the caller."""
 
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -111,6 +111,7 @@
         "failures",
         "gone",
         "responded_at",
+        "progressed_at",
         "inflight",
         "leaving",
         "load_reported",
@@ -200,6 +201,8 @@
         self.probing = False
         # When a request of this node last got anything from it.
         self.responded_at = -1e9
+        # When the last event of a stream of this node came from it.
+        self.progressed_at = -1e9
         self.inflight: dict[str, float] = {}
         self.ended: list[tuple[float, float]] = []
         self.others_inflight = 0
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -49,6 +49,7 @@
 from ._node_events import PeerUnreached as PeerUnreached
 from ._node_events import Ticked as Ticked
 from ._request_events import AllotmentAnswered as AllotmentAnswered
+from ._request_events import AnswerEnded as AnswerEnded
 from ._request_events import AttemptFailed as AttemptFailed
 from ._request_events import AttemptProgressed as AttemptProgressed
 from ._request_events import AttemptStarted as AttemptStarted
@@ -69,6 +70,7 @@
     | OriginReceived
     | SeveralVersionsTold
     | AttemptStarted
+    | AnswerEnded
     | AttemptProgressed
     | AttemptSucceeded
     | AttemptFailed
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -1,8 +1,10 @@
-"""Ends of answers in chunks at endpoints that end as planned, and which of them are doubted.
+"""Ends of answers in chunks that a stop of their endpoint may have brought about.
 
-A server that stops may end its answers cleanly in their midst, as it may finish them; the answer
-shows no difference. A process that lives on for a moment has not ended the answer as it stopped, so
-a doubted end is held back for that moment and looked at again. Events are passed on meanwhile.
+A server that stops may end its answers cleanly in their midst, as it may finish them: its library
+writes the last chunk whatever ended the run. Some tell that they leave, and some don't. A process
+that lives on for a moment has not ended the answer as it exited, so each end is held back for that
+moment and looked at again. Events are passed on meanwhile. An endpoint that leaves may end all that
+it runs and live on, so there a stream's end is believed only if something else goes on running.
 """
 
 import typing as t
@@ -14,12 +16,18 @@
 # itself shortly before the stop, only the time that a server takes to close what it has ended.
 OUTLIVES_S = 0.3
 OUTLIVES_CUT_S = 0.1
+# How long after the end of an answer events of other runs may come that the same stop ends, since a
+# server ends its runs one after the other.
+STOP_SPREAD_S = 0.02
+# Within what time a body comes that was written at once: no stop has ended it in its midst.
+WRITTEN_AT_ONCE_S = 0.01
 # How long before the request's deadline the end is looked at at the latest.
 LOOKS_BEFORE_S = 0.05
 
 # What else than the whole answer may have ended it.
 TIME_OVER = "its endpoint ended, at the time that it had stated"
 STOP = "its endpoint ended, as it was leaving or gone"
+EXIT = "its endpoint ended just after it"
 
 
 class PlannedEnd(t.NamedTuple):
@@ -30,6 +38,7 @@
     :param ends_at: when it ends at the latest, by what it stated; infinite if it stated nothing.
     :param may_ask: the rest, or another answer, can be asked of another endpoint now.
     :param looks_until: when it can be looked at at the latest, before the request's deadline.
+    :param at_once: it is the end of a body that came at once.
     """
 
     at: float
@@ -37,25 +46,38 @@
     ends_at: float
     may_ask: bool
     looks_until: float
+    at_once: bool = False
 
 
 def find_cause(end: PlannedEnd) -> str:
-    """Return what else than the whole answer may have ended it; empty if nothing is known.
+    """Return what else than the whole answer may have ended it; empty if that can't be found out.
 
-    An endpoint that leaves serves on, for a time that nobody knows if it stated none: an answer
-    that can't be asked for elsewhere is believed then, as most end by themselves; so is one that
-    comes too late to be looked at, which leaves no time to ask.
+    An end that comes too late to be looked at is believed, as no time is left to ask anew, unless
+    its endpoint had stated that it would end then.
     """
     if end.at >= end.ends_at - STATED_AGE_MAX_S:
         return TIME_OVER
-    return STOP if end.closing and end.may_ask and may_look(end) else ""
+    if not may_look(end):
+        return ""
+    if end.closing:
+        return STOP
+    return "" if end.at_once else EXIT
 
 
 def may_look(end: PlannedEnd) -> bool:
     """Return whether there is time to find out whether the endpoint lives on."""
-    return find_look_time(end) <= end.looks_until
+    return end.at < end.looks_until
 
 
 def find_look_time(end: PlannedEnd) -> float:
-    """Return when an endpoint that is found alive has not ended the answer as it stopped."""
-    return end.at + (OUTLIVES_S if end.may_ask else OUTLIVES_CUT_S)
+    """Return when an endpoint that is found alive has not ended the answer as it exited."""
+    outlives_s = OUTLIVES_S if end.closing and end.may_ask else OUTLIVES_CUT_S
+    return min(end.at + outlives_s, end.looks_until)
+
+
+def is_at_work(ended_at: float, progressed_at: float) -> bool:
+    """Return whether an endpoint worked on after the end of an answer, so that no stop ended it.
+
+    :param progressed_at: when the last event of any other run there came.
+    """
+    return progressed_at > ended_at + STOP_SPREAD_S
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -6,11 +6,13 @@
 from . import allotment_checks
 from . import requests
 from . import routed
+from . import slot_requests
 from . import stream_origins
 from . import suspect_handlers
 from .effects import Effect
 from .effects import Refuse
 from .effects import Replay
+from .events import AnswerEnded
 from .events import AttemptProgressed
 from .events import AttemptStarted
 from .events import AttemptSucceeded
@@ -52,6 +54,7 @@
         state.reach.heard_at = state.now
         if (endpoint := state.endpoints.get(request.endpoint)) is not None:
             endpoint.hear(state.now)
+            endpoint.progressed_at = state.now
             endpoint.answered(request.dispatched_at)
         if request.delivered == event.tokens and request.endpoint_was_idle:
             took_s = state.now - request.dispatched_at
@@ -67,6 +70,20 @@
     return []
 
 
+@handles(AnswerEnded)
+def free_endpoint(state: NodeState, event: AnswerEnded) -> Effects:
+    """Free what a request holds at its endpoint, which has ended its answer."""
+    request = state.requests.get(event.request_id)
+    if request is None or not request.running or request.handed_to:
+        return []
+    effects = routed.end_prompt(state, request)
+    effects += slot_requests.free(state, request, False, False, open_end=False)
+    endpoint = state.endpoints.get(request.endpoint)
+    if endpoint is not None:
+        endpoint.end(event.request_id, state.now)
+    return effects + requests.dispatch_waiting(state)
+
+
 @handles(AttemptSucceeded)
 def finish_request(state: NodeState, event: AttemptSucceeded) -> Effects:
     """End a request whose answer is complete; keep the answer for its key, if it has one.
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import itertools
 import typing as t
 
 from .model_deadlines import LAST_CHUNK
@@ -138,6 +139,30 @@
     writer.close()
 
 
+@step("an event each 0.02 s")
+async def _events_on_and_on(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send a stream that goes on whatever the server does."""
+    begin_events(server, request, writer)
+    for number in itertools.count(1):
+        write_event(writer, make_event(server, number))
+        await asyncio.sleep(0.02)
+        if writer.is_closing():
+            raise ConnectionResetError
+
+
+@step("3 and no more")
+async def _events_and_silence(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Send three events, and nothing more for as long as the connection is open."""
+    await send_events(server, request, writer, 3)
+    while not writer.is_closing():
+        await asyncio.sleep(0.02)
+    raise ConnectionResetError
+
+
 @step("no event until it stops")
 async def _no_event_until_stop(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -17,7 +17,6 @@
 """
 
 import asyncio
-import math
 import socket
 import typing as t
 
@@ -85,8 +84,6 @@
         self.reusable = True
         self.opened_at = 0.0
         self.idle_since = 0.0
-        # When the other side was seen to have ended it; infinite if this node has, or nobody yet.
-        self.lost_at = math.inf
         self.idle_timeout_s = defaults.ENDPOINT_IDLE_DEFAULT_S
         self.served = 0
         # Hashes of the ids under which requests were sent on it.
@@ -104,8 +101,6 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the reply: an answer without a length is complete after a regular close."""
         self._parse_pending()
-        if self.open:
-            self.lost_at = clock.now()
         self.open = False
         if self._reply is None:
             return
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -58,12 +58,16 @@
 
 
 class EndpointAnswer(t.NamedTuple):
-    """An endpoint's answer to one attempt, as it arrives, and the connection on which it does."""
+    """An endpoint's answer to one attempt, as it arrives, and the connection on which it does.
+
+    :param began_at: when its head was read, by this node's clock.
+    """
 
     reply: Reply
     head: HttpHead
     view: EndpointView
     connection: ClientConnection
+    began_at: float
 
 
 class RelayExchange:
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -43,8 +43,7 @@
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 from .relay_planned_ends import find_doubt
-from .relay_planned_ends import follow_end
-from .relay_planned_ends import lives_on
+from .relay_planned_ends import is_whole
 from .relay_reach import is_down
 
 
@@ -180,7 +179,7 @@
         no_body = exchange.request.method == b"HEAD"
         reply = connection.send_request(data, accept, hear, no_body, request_id)
         head = await reply.wait_head()
-        answer = EndpointAnswer(reply, head, view, connection)
+        answer = EndpointAnswer(reply, head, view, connection, clock.now())
         await _relay_answer(context, effect, exchange, answer, verdicts[-1])
     finally:
         # Closes the connection if the answer was not read to its end, which also shows the
@@ -292,7 +291,6 @@
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
     exchange.connection.end()
-    follow_end(context, exchange, answer)
     _submit_gap(context, effect, exchange, reply, meter.end())
     context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
     end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
@@ -314,12 +312,12 @@
 async def _check_stop(
     context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, got_something: bool
 ) -> None:
-    """Check that an endpoint that ends as planned has not ended a stream in chunks as it stopped.
+    """Check that no stop of its endpoint has ended a stream in chunks.
 
     :raises EndpointError: if it may have.
     """
     doubt = find_doubt(context, exchange, answer)
-    if doubt is not None and not await lives_on(context, exchange, answer, doubt):
+    if doubt is not None and not await is_whole(context, exchange, answer, doubt):
         raise _open_end(doubt.cause, got_something)
 
 
--- a/packages/rookspring/src/rookspring/relay_bodies.py
+++ b/packages/rookspring/src/rookspring/relay_bodies.py
@@ -18,7 +18,7 @@
 from .relay import RelayExchange
 from .relay_context import RelayContext
 from .relay_planned_ends import find_doubt
-from .relay_planned_ends import lives_on
+from .relay_planned_ends import is_whole
 
 NO_END = "nothing shows the answer's end"
 # The least status that tells a failure of the endpoint.
@@ -62,7 +62,7 @@
         sign=sign.value,
     )
     unshown = sign in (Sign.DIFFERS, Sign.NONE)
-    if unshown and doubt is not None and await lives_on(context, exchange, answer, doubt):
+    if unshown and doubt is not None and await is_whole(context, exchange, answer, doubt):
         if reply.given_up:
             raise EndpointError(reply.failure, sent=True)
         return body
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -1,4 +1,4 @@
-"""Answers in chunks that end at endpoints that end as planned: whether the process lives on.
+"""Answers in chunks that end at endpoints that may be ending: what shows that they are whole.
 
 :mod:`rookspring_core.planned_ends` decides which ends are doubted; the signs of life are read here.
 """
@@ -9,6 +9,7 @@
 
 from rookspring_core import planned_ends
 from rookspring_core import recovering
+from rookspring_core.events import AnswerEnded
 from rookspring_core.planned_ends import PlannedEnd
 
 from . import clock
@@ -25,12 +26,14 @@
     """The end of an answer that its endpoint's stop may have brought about.
 
     :param cause: for the log and the outcome of the attempt.
-    :param look_at: when an endpoint that lives has not brought it about, by this node's clock;
-        infinite if there is no time left to find out.
+    :param ended_at: when it came, by this node's clock.
+    :param look_at: when an endpoint that lives has not brought it about; infinite if there is no
+        time left to find out.
     :param replaced: another process has the endpoint's name, and maybe its address.
     """
 
     cause: str
+    ended_at: float
     look_at: float
     replaced: bool
 
@@ -43,23 +46,50 @@
     if answer.head.framing() != "chunks" or request is None:
         return None
     view = answer.view
+    ended_at = answer.connection.idle_since
     replaced = request.dispatched_at < view.restarted_at
     closing = view.leaving or view.gone or replaced
     # The rest of a stream without ids can't be asked for.
     known = not exchange.events or bool(exchange.last_event)
+    written_s = ended_at - answer.began_at
     end = PlannedEnd(
-        at=answer.connection.idle_since,
+        at=ended_at,
         closing=closing,
         ends_at=view.ends_at,
         may_ask=closing and known and recovering.may_ask_another(context.state, request),
         looks_until=exchange.deadline_at - planned_ends.LOOKS_BEFORE_S,
+        at_once=not exchange.events and written_s < planned_ends.WRITTEN_AT_ONCE_S,
     )
     cause = planned_ends.find_cause(end)
     look_at = planned_ends.find_look_time(end) if planned_ends.may_look(end) else math.inf
-    return Doubt(cause, look_at, replaced) if cause else None
+    return Doubt(cause, ended_at, look_at, replaced) if cause else None
 
 
-async def lives_on(
+async def is_whole(
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, doubt: Doubt
+) -> bool:
+    """Return whether a doubted end is shown to be the answer's own.
+
+    Its endpoint's room is free meanwhile.
+    """
+    context.submit(AnswerEnded(clock.now(), exchange.key))
+    lives = await _lives_on(context, exchange, answer, doubt)
+    at_work = planned_ends.is_at_work(doubt.ended_at, answer.view.progressed_at)
+    log(
+        "answer_end_doubted",
+        id=exchange.fields.request_id,
+        endpoint=answer.view.name,
+        cause=doubt.cause,
+        lives=lives,
+        at_work=at_work,
+        waited_s=clock.now() - doubt.ended_at,
+    )
+    if doubt.cause == planned_ends.EXIT or not exchange.events:
+        return lives
+    return lives and at_work
+
+
+async def _lives_on(
     context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, doubt: Doubt
 ) -> bool:
     """Return whether an endpoint's process lives on beyond the end of its answer.
@@ -84,21 +114,3 @@
             return not await context.pool.is_down(answer.view.address)
     except TimeoutError:
         return False
-
-
-def follow_end(context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer) -> None:
-    """Log it if an endpoint ends its connection soon after the end of an answer in chunks."""
-    if answer.head.framing() != "chunks":
-        return
-    ended_at = answer.connection.idle_since
-
-    def check() -> None:
-        if answer.connection.lost_at < math.inf:
-            log(
-                "answer_end_followed",
-                id=exchange.fields.request_id,
-                endpoint=answer.view.name,
-                closed_s=answer.connection.lost_at - ended_at,
-            )
-
-    context.loop.call_later(planned_ends.OUTLIVES_S, check)
