Streams at leaving endpoints go on from a copy of their run

Cause: an endpoint that leaves ends its runs in their midst with a last chunk.

Change: as soon as an endpoint is known to leave or to be gone, another one is asked to hold a copy of each of its begun streams (core run_copies, POST /kv-move in the platform's dialect). A doubted end goes on at the holder at once, with Kv-From and the last event, as the same run: no resend, no place, no permit. Events that the caller has are left out; the holder's framing shows the end. A copy that isn't needed is freed. An unrepeatable request that has run is never sent anew after a holder's refusal; the invariant at-most-once allows a Dispatch with a copy only once for each RunCopied, at its holder.

Tests changed: ten rows of sound ends lacked the script's step for the run that goes on at the holder (the stand-in answered a body there); ', stream' added. One row's 2 runs became 1: it goes on from the copy and isn't run anew.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -102,12 +102,12 @@
 
     Examples:
       | kind      | state     | script                                         | stops                                             | answer   | runs |
-      | stream    | leaving   | 3 and the rest as it stops                     | closes its listener, and exits 0.1 s after its answers | 5 events | 1 |
-      | stream    | gone      | 3 and the rest as it stops and closes          | closes its listener, and exits 0.1 s after its answers | 5 events | 1 |
-      | resumable | leaving   | 3 and the rest as it stops                     | closes its listener, and exits 1 s after its answers | 5 events | 1 |
-      | resumable | leaving   | 3 and the rest as it stops                     | ends its answers and lives on                     | 5 events | 1    |
-      | resumable | leaving   | 3 and the rest as it stops and closes          | ends its answers and lives on                     | 5 events | 1    |
-      | resumable | leaving   | 3 and the rest as it stops and closes, stream  | closes its listener, and exits 0.1 s after its answers | 5 events | 2 |
+      | stream    | leaving   | 3 and the rest as it stops, stream | closes its listener, and exits 0.1 s after its answers | 5 events | 1 |
+      | stream    | gone      | 3 and the rest as it stops and closes, stream | closes its listener, and exits 0.1 s after its answers | 5 events | 1 |
+      | resumable | leaving   | 3 and the rest as it stops, stream | closes its listener, and exits 1 s after its answers | 5 events | 1 |
+      | resumable | leaving   | 3 and the rest as it stops, stream | ends its answers and lives on                     | 5 events | 1    |
+      | resumable | leaving   | 3 and the rest as it stops and closes, stream | ends its answers and lives on                     | 5 events | 1    |
+      | resumable | leaving   | 3 and the rest as it stops and closes, stream  | closes its listener, and exits 0.1 s after its answers | 5 events | 1 |
       | resumable | leaving beside another connection | 3 and the rest as it stops and closes, stream | closes its listener, and exits 1 s after its answers | 5 events | 1 |
       | resumable | evacuated | 3 and the rest as it stops                     | ends its answers and lives on                     | 5 events | 1    |
 
@@ -120,9 +120,9 @@
 
     Examples:
       | kind      | script                                | answer     |
-      | stream    | 3 and the rest as it stops            | 5 events   |
-      | stream    | 3 and the rest as it stops and closes | 5 events   |
-      | resumable | 3 and the rest as it stops            | 5 events   |
+      | stream    | 3 and the rest as it stops, stream | 5 events   |
+      | stream    | 3 and the rest as it stops and closes, stream | 5 events   |
+      | resumable | 3 and the rest as it stops, stream | 5 events   |
       | unsafe    | all until it stops                    | whole      |
       | safe      | all until it stops                    | whole      |
 
@@ -138,13 +138,13 @@
       | unsafe | states 200 ms in its entry, and ends its answers and exits then |
 
   Scenario: an end long before the time that an endpoint stated is the answer's own
-    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops, stream
     And the endpoints copy their runs to each other
     When the endpoint of a stream request states 5000 ms in its entry, and closes its listener, and exits 0.1 s after its answers at once
     Then the answer is 5 events
 
   Scenario: an end shortly before its request's deadline is not held back beyond it
-    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and the rest as it stops, stream
     And the endpoints copy their runs to each other
     When a caller who states 900 ms sends a resumable request, and 550 ms later its endpoint leaves, and ends its answers and lives on
     Then the answer is 5 events
--- a/packages/rookspring-core/src/rookspring_core/__init__.py
+++ b/packages/rookspring-core/src/rookspring_core/__init__.py
@@ -8,6 +8,7 @@
 from . import progress as progress
 from . import recovering as recovering
 from . import requests as requests
+from . import run_copies as run_copies
 from .catalogue import Catalogue as Catalogue
 from .catalogue import Entry as Entry
 from .exceptions import CoreError as CoreError
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -152,6 +152,7 @@
     :param withheld: nothing was sent, since the endpoint accepts no requests at present.
     :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     :param doubted: nothing was sent, since its process may be of another version than listed.
+    :param copy: the copy that the run can go on from, as it goes on nowhere else; empty if none.
     """
 
     at: float
@@ -165,6 +166,33 @@
     withheld: bool = False
     open_ended: bool = False
     doubted: bool = False
+    copy: str = ""
+
+
+class RunCopied(t.NamedTuple):
+    """The run of an attempt was copied to another endpoint, which holds the copy.
+
+    :param name: of the copy, as its platform's dialect reads it.
+    """
+
+    at: float
+    request_id: str
+    attempt: int
+    holder: str
+    name: str
+
+
+class RunNotCopied(t.NamedTuple):
+    """The run of an attempt was not copied.
+
+    :param unknown: its endpoint knows no such run, or no such call.
+    """
+
+    at: float
+    request_id: str
+    attempt: int
+    holder: str
+    unknown: bool
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -15,6 +15,7 @@
 from . import requests
 from . import residency
 from . import restarts
+from . import run_copies
 from . import slot_answers
 from . import stops
 from . import stream_origins
@@ -73,6 +74,7 @@
         allotment_checks.update_near_limit(state, was_relay)
         state.adapter_waits.forget_old(event.at)
         effects += evacuation_handlers.expire_kept(state)
+        effects += run_copies.ask(state)
         effects += endpoint_speeds.update(state)
         effects += endpoint_reach.probe_if_due(state)
         effects += endpoint_reach.release_lease_if_isolated(state)
@@ -156,6 +158,7 @@
         if ledger is not None:
             ledger.take_report(event, ordering.sizes_of(state))
     shared: Effects = [ShareReport(event._replace(polled=False))] if event.polled else []
+    ended += run_copies.ask_at(state, view)
     return ended + shared + requests.dispatch_waiting(state)
 
 
@@ -221,7 +224,7 @@
         if not view.inflight:
             state.index(view, view.targets(), frozenset())
             del state.endpoints[name]
-    return effects
+    return effects + run_copies.ask(state)
 
 
 def _take_row(state: NodeState, row: BoxListed) -> None:
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -21,6 +21,7 @@
 
     :param offset: tokens that the caller has received; the answer continues after them.
     :param not_before: earliest time to send it, by this node's clock.
+    :param copy: the copy of its run that it goes on from there; empty if it begins a run.
     """
 
     request_id: str
@@ -28,6 +29,29 @@
     endpoint: str
     offset: int
     not_before: float = 0.0
+    copy: str = ""
+
+
+class CopyRun(t.NamedTuple):
+    """Have the run of an attempt copied from its endpoint to another one; see :mod:`run_copies`.
+
+    :param holder: the endpoint that is to hold the copy.
+    """
+
+    request_id: str
+    attempt: int
+    source: str
+    holder: str
+
+
+class FreeCopy(t.NamedTuple):
+    """Free a copy of a run that isn't needed.
+
+    :param name: of the copy, see :class:`state.RunCopy`.
+    """
+
+    holder: str
+    name: str
 
 
 class AttachStream(t.NamedTuple):
@@ -433,6 +457,8 @@
 
 Effect = (
     Dispatch
+    | CopyRun
+    | FreeCopy
     | AttachStream
     | Refuse
     | Replay
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -113,6 +113,7 @@
         "responded_at",
         "progressed_at",
         "inflight",
+        "copies",
         "leaving",
         "load_reported",
         "name",
@@ -204,6 +205,8 @@
         # When the last event of a stream of this node came from it.
         self.progressed_at = -1e9
         self.inflight: dict[str, float] = {}
+        # This node's requests whose runs it holds a copy of, or is to; each takes a slot there.
+        self.copies: set[str] = set()
         self.ended: list[tuple[float, float]] = []
         self.others_inflight = 0
         # Whether the latest report gives the numbers of running and queued requests.
@@ -287,7 +290,7 @@
         heartbeats.
         """
         shed = notices.SHED_LOAD if now < self.shed_until else 0.0
-        return (len(self.inflight) + self._others(now)) / self.slots() + shed
+        return (len(self.inflight) + len(self.copies) + self._others(now)) / self.slots() + shed
 
     def _others(self, now: float) -> int:
         # A report without load doesn't count the others' requests. Taken as zero, each such
--- a/packages/rookspring-core/src/rookspring_core/event_order.py
+++ b/packages/rookspring-core/src/rookspring_core/event_order.py
@@ -31,7 +31,7 @@
         for one in ids:
             if self._continues and not (one and last):
                 return f"an event with the id {one or ''!r} after one with {last!r}"
-            if one and last and _rank(one) <= _rank(last):
+            if one and last and not follows(one, last):
                 return f"event {one} after event {last}"
             last = last if one is None else one
             self._continues = False
@@ -39,6 +39,11 @@
         return ""
 
 
+def follows(event_id: str, last: str) -> bool:
+    """Return whether an event comes after another one in its stream, by their ids."""
+    return _rank(event_id) > _rank(last)
+
+
 def _rank(event_id: str) -> tuple[int, str]:
     """Return a key by which ids rise: whole numbers by value, others of one length by letters."""
     digits = event_id.lstrip("0")
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -59,6 +59,8 @@
 from ._request_events import RequestArrived as RequestArrived
 from ._request_events import ResumeAsked as ResumeAsked
 from ._request_events import RouteTerms as RouteTerms
+from ._request_events import RunCopied as RunCopied
+from ._request_events import RunNotCopied as RunNotCopied
 from ._request_events import SessionOpened as SessionOpened
 from ._request_events import SeveralVersionsTold as SeveralVersionsTold
 from ._request_events import SlotAnswered as SlotAnswered
@@ -74,6 +76,8 @@
     | AttemptProgressed
     | AttemptSucceeded
     | AttemptFailed
+    | RunCopied
+    | RunNotCopied
     | NoticeReceived
     | LeavingReceived
     | RatesReceived
--- a/packages/rookspring-core/src/rookspring_core/invariants.py
+++ b/packages/rookspring-core/src/rookspring_core/invariants.py
@@ -17,6 +17,7 @@
 from .events import AttemptFailed
 from .events import AttemptStarted
 from .events import NoticeReceived
+from .events import RunCopied
 from .exceptions import InvariantBroken
 from .suspects import subjects_of
 
@@ -62,6 +63,8 @@
     for effect in effects:
         if isinstance(effect, Forget):
             state.sent_witness.discard(effect.request_id)
+            state.continued_witness.discard(effect.request_id)
+            state.copy_witness.pop(effect.request_id, None)
     if state.full_checks:
         _run(STATE_CHECKS, state, event, effects)
 
@@ -80,9 +83,14 @@
     """
     if isinstance(event, NoticeReceived):
         state.notice_witness.note(event)
+    if isinstance(event, RunCopied) and event.request_id in state.requests:
+        state.copy_witness[event.request_id] = event.holder
     if isinstance(event, AttemptStarted):
         state.sent_witness.add(event.request_id)
     elif isinstance(event, AttemptFailed) and (event.reported_not_run or not event.sent):
+        if event.request_id in state.continued_witness:
+            # It says so of going on from a copy of the run.
+            return
         state.sent_witness.discard(event.request_id)
     elif isinstance(event, AttemptFailed):
         state.sent_witness.add(event.request_id)
@@ -158,11 +166,19 @@
 
 @invariant("at-most-once", on=Dispatch)
 def check_once(state: "NodeState", event: t.Any, effects: list[Effect]) -> str:
-    """An unrepeatable request that may have reached an endpoint is never sent again."""
+    """An unrepeatable request that may have reached an endpoint is never sent again.
+
+    It may go on where a copy of its run is held, once.
+    """
     for effect in effects:
         if not isinstance(effect, Dispatch):
             continue
         request = state.requests[effect.request_id]
+        if effect.copy:
+            state.continued_witness.add(effect.request_id)
+            if state.copy_witness.pop(effect.request_id, None) != effect.endpoint:
+                return f"{effect.request_id} would go on where no copy of its run is held"
+            continue
         if not request.arrived.repeatable and effect.request_id in state.sent_witness:
             return f"{effect.request_id} would be sent twice"
     return ""
--- a/packages/rookspring-core/src/rookspring_core/notice_handlers.py
+++ b/packages/rookspring-core/src/rookspring_core/notice_handlers.py
@@ -6,6 +6,7 @@
 
 from . import notices
 from . import requests
+from . import run_copies
 from .effects import Effect
 from .effects import ShareLeaving
 from .effects import ShareRates
@@ -67,7 +68,12 @@
     if not added:
         return []
     state.record(endpoint, "is leaving", "stated in a response")
-    return [ShareLeaving(added)]
+    return [ShareLeaving(added), *_copy_runs(state, endpoint)]
+
+
+def _copy_runs(state: NodeState, endpoint: str) -> Effects:
+    view = state.endpoints.get(endpoint)
+    return run_copies.ask_at(state, view) if view is not None else []
 
 
 def note_listed(state: NodeState, endpoint: str, started_ms: int) -> None:
@@ -203,6 +209,8 @@
         _restore_view(state, one.endpoint)
         state.record(one.endpoint, "is leaving", f"{event.source} reported it")
     shared: Effects = [ShareLeaving(added, event.source)]
+    for one in added:
+        shared += _copy_runs(state, one.endpoint)
     return shared + requests.refuse_backed_off(state) + requests.dispatch_waiting(state)
 
 
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -6,6 +6,7 @@
 from . import allotment_checks
 from . import requests
 from . import routed
+from . import run_copies
 from . import slot_requests
 from . import stream_origins
 from . import suspect_handlers
@@ -46,6 +47,7 @@
         request.delivered += event.tokens
         return []
     if request is not None:
+        first = request.first_event_at is None
         request.delivered += event.tokens
         request.attempts_without_token = 0
         request.first_event_at = (
@@ -66,6 +68,8 @@
             told: Effects = []
             if request.delivered == event.tokens:
                 told = stream_origins.tell_origin(state, request)
+            if first and endpoint is not None:
+                told = told + run_copies.ask_at(state, endpoint)
             return [*told, *routed.end_prompt(state, request), *requests.dispatch_waiting(state)]
     return []
 
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -10,6 +10,7 @@
 from . import requests
 from . import retry_after
 from . import routed
+from . import run_copies
 from . import slot_requests
 from . import stream_origins
 from . import suspect_handlers
@@ -70,25 +71,23 @@
         return _requeue(state, request)
     if request.handed_to:
         return handovers.recover(state, request, event)
+    if event.copy and run_copies.find_holder(state, request) is not None:
+        return _go_on(state, request, event.copy)
     # Once any attempt may have run, a later "not run" from another endpoint does not undo it.
     request.maybe_ran = request.maybe_ran or (event.sent and not event.reported_not_run)
     request.sent = request.maybe_ran
     request.attempt_not_run = event.reported_not_run
-    effects = routed.end_prompt(state, request)
+    effects = routed.end_prompt(state, request) + run_copies.drop(state, request)
     failed = event.down or not event.open_ended
     open_end = _shows_no_end(state, request, event) or None
     effects += slot_requests.free(state, request, failed, not event.sent, open_end=open_end)
     effects += suspect_handlers.note_failed_attempt(state, request, event)
     effects += _count_failure(state, request, event)
     request.running = False
-    begun = request.delivered and request.arrived.version is None
-    doubted = stream_origins.doubt_begin(state, request)
-    request.arrived = bind_to_version(request)
+    effects += _bind_to_version(state, request)
     if event.doubted:
         doubted_there = request.arrived.doubted_at | {request.endpoint}
         request.arrived = request.arrived._replace(doubted_at=doubted_there)
-    if begun and doubted:
-        effects += stream_origins.tell_origin(state, request)
     if handovers.may_hand_over(state, request, event):
         return effects + handovers.hand_over(state, request)
     terms = request.arrived.route
@@ -106,6 +105,31 @@
     return effects + ended + requests.dispatch_waiting(state)
 
 
+def _go_on(state: NodeState, request: RequestState, copy: str) -> Effects:
+    """Go on from a copy of a request's run, at the endpoint that holds it.
+
+    That is the same run: it counts as no resend, and the copy has its slot there.
+    """
+    request.maybe_ran = request.sent = True
+    effects = routed.end_prompt(state, request)
+    effects += slot_requests.free(state, request, False, False)
+    source = state.endpoints.get(request.endpoint)
+    if source is not None:
+        source.end(request.arrived.request_id, state.now)
+    effects += _bind_to_version(state, request)
+    holder = run_copies.use(state, request)
+    effects += requests.dispatch(state, request, holder, copy)
+    return effects + requests.dispatch_waiting(state)
+
+
+def _bind_to_version(state: NodeState, request: RequestState) -> Effects:
+    """Let a stream that has begun go on only at the version that began it."""
+    begun = request.delivered and request.arrived.version is None
+    doubted = stream_origins.doubt_begin(state, request)
+    request.arrived = request.bind_to_version()
+    return stream_origins.tell_origin(state, request) if begun and doubted else []
+
+
 def _shows_no_end(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
     """Return whether an attempt counts as an answer whose end nothing showed.
 
@@ -145,20 +169,12 @@
     return []
 
 
-def bind_to_version(request: RequestState) -> RequestArrived:
-    """Return a request that may go on only at the version of the endpoint that began its stream."""
-    arrived = request.arrived
-    if arrived.route is not None and arrived.version is None and request.delivered:
-        return arrived._replace(version=request.endpoint_version)
-    return arrived
-
-
 def may_ask_another(state: NodeState, request: RequestState) -> bool:
     """Return whether an answer, or the rest of it, can be had from another endpoint now.
 
     Where this node's attempts or its service's resends are used up, the caller may ask again.
     """
-    arrived = bind_to_version(request)
+    arrived = request.bind_to_version()
     if arrived.route is None or not arrived.repeatable:
         return False
     return stream_origins.is_served(state, arrived)
--- a/packages/rookspring-core/src/rookspring_core/requests.py
+++ b/packages/rookspring-core/src/rookspring_core/requests.py
@@ -14,6 +14,7 @@
 from . import retry_after
 from . import routed
 from . import routing
+from . import run_copies
 from . import slot_requests
 from . import stream_origins
 from . import suspect_handlers
@@ -201,11 +202,15 @@
     return routing.find_routing(name)(query, usable)
 
 
-def dispatch(state: NodeState, request: RequestState, endpoint: EndpointView) -> Effects:
+def dispatch(
+    state: NodeState, request: RequestState, endpoint: EndpointView, copy: str = ""
+) -> Effects:
     """Begin a request's next attempt, at the given endpoint.
 
     Retries of requests without a route wait for a back-off, unless the last attempt brought
     the caller tokens.
+
+    :param copy: the copy of its run that it goes on from there; empty if it begins a run.
     """
     request.attempt += 1
     request.endpoint = endpoint.name
@@ -218,6 +223,7 @@
     request.connected_at = 0.0
     request.endpoint_started_ms = suspect_handlers.process_of(endpoint).started_ms
     request.first_event_at = None
+    run_copies.begin(request)
     idle = endpoint.load(state.now) <= defaults.PACE_LOAD_MAX
     request.endpoint_was_idle = idle and endpoint.unread() == 0
     identity = request.arrived.request_id
@@ -231,7 +237,8 @@
         failed = request.attempts_without_token or request.attempt - 1
         wait_s = retries.back_off(failed, routing.stable_hash(identity))
     effects = suspect_handlers.begin_trial(state, request)
-    sent = Dispatch(identity, request.attempt, endpoint.name, request.delivered, state.now + wait_s)
+    at = state.now + wait_s
+    sent = Dispatch(identity, request.attempt, endpoint.name, request.delivered, at, copy)
     return [*effects, sent]
 
 
@@ -337,6 +344,7 @@
     unsent = not request.running
     effects += slot_requests.free(state, request, False, unsent, open_end=open_end)
     effects += place_requests.withdraw(state, request)
+    effects += run_copies.drop(state, request)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
         endpoint.end(identity, state.now)
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -341,6 +341,9 @@
 def may_retry(state: NodeState, request: RequestState, event: AttemptFailed) -> bool:
     """Return whether a request may be sent to another endpoint after a failed attempt.
 
+    Never one that has run, in this attempt or an earlier one, and may run once alone: an attempt
+    that goes on from a copy of its run may end as not run.
+
     Attempts that sent no byte are limited by ``UNSENT_TRIES_MAX`` and count towards no other
     limit. Any other attempt counts towards the route's limit, and its retry towards the
     service's resend window, also where the endpoint refused the request.
@@ -348,7 +351,7 @@
     arrived = request.arrived
     terms = arrived.route
     assert terms is not None
-    if arrived.deadline_at <= state.now:
+    if arrived.deadline_at <= state.now or (request.maybe_ran and not arrived.repeatable):
         return False
     if not event.sent:
         return request.attempt <= defaults.UNSENT_TRIES_MAX and _resend_is_safe(request)
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -109,6 +109,18 @@
     until: float
 
 
+class RunCopy(t.NamedTuple):
+    """A copy of a request's run, see :mod:`run_copies`.
+
+    :param holder: the endpoint that holds it, or is to.
+    :param name: by which the holder is told to use it, as the platform's dialect writes it; empty
+        while it is being made.
+    """
+
+    holder: str
+    name: str = ""
+
+
 class OwnedQueues(t.NamedTuple):
     """The queues of an owner by name: for slots, and for places at model endpoints."""
 
@@ -148,6 +160,9 @@
         "permits_due",
         "places_itself",
         "awaits_load",
+        "copy",
+        "copies_left",
+        "copy_refusers",
     )
 
     def __init__(self, arrived: RequestArrived) -> None:
@@ -195,6 +210,17 @@
         # When the connection of this attempt was opened; 0 if that is unknown.
         self.connected_at = 0.0
         self.first_event_at: float | None = None
+        # The copy of its run, how many more may be asked for, and the endpoints that have no room.
+        self.copy: RunCopy | None = None
+        self.copies_left = 0
+        self.copy_refusers: set[str] = set()
+
+    def bind_to_version(self) -> RequestArrived:
+        """Return what may go on only at the version of the endpoint that began its stream."""
+        arrived = self.arrived
+        if arrived.route is not None and arrived.version is None and self.delivered:
+            return arrived._replace(version=self.endpoint_version)
+        return arrived
 
 
 class Decision(t.NamedTuple):
@@ -263,6 +289,9 @@
         self.hurry = False
         self.stopped = False
         self.sent_witness: set[str] = set()
+        # The copies of runs by request, and the requests that went on from one.
+        self.copy_witness: dict[str, str] = {}
+        self.continued_witness: set[str] = set()
         self.notice_witness = NoticeChecker()
         self.decisions: list[Decision] = []
         self.full_checks = False
--- a/packages/rookspring/src/rookspring/attempt_failures.py
+++ b/packages/rookspring/src/rookspring/attempt_failures.py
@@ -22,4 +22,5 @@
         withheld=error.withheld,
         open_ended=error.open_ended,
         doubted=error.doubted,
+        copy=error.copy,
     )
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -228,6 +228,12 @@
 # An order is answered within milliseconds or not at all; a lost packet costs 0.2 s. The order
 # is resent after this time, since the endpoint can't get another one meanwhile.
 RELAY_ORDER_CALL_S = 0.3
+# How long an endpoint may take to copy a run to another one: it makes one copy after the other, of
+# up to some hundred MB. A call that frees one is answered at once.
+RUN_COPY_CALL_S = 5.0
+RUN_COPY_FREE_S = 1.0
+# How many copies are asked of an endpoint at a time; it would only queue more.
+RUN_COPIES_AT_ONCE = 4
 # Where requests need keys, nodes ask each other at this interval how recent their
 # configuration is, and no more often than at the minimum; the two nodes that read it for all
 # do so once a second. So a node's proof is some 0.8 s old, and 2 s if two answers in a row
--- a/packages/rookspring/src/rookspring/dialect.py
+++ b/packages/rookspring/src/rookspring/dialect.py
@@ -58,6 +58,7 @@
     :param rank: 0 is the most urgent.
     :param organisation: owner of the request's key; empty on routes that need no key.
     :param keyed: the route needs keys, which are removed from what endpoints get.
+    :param copy: the copy of its run that it goes on from; empty if it begins a run.
     """
 
     remaining_s: float
@@ -66,6 +67,7 @@
     last_event: str
     organisation: str = ""
     keyed: bool = False
+    copy: str = ""
 
 
 class AnswerMatch(t.NamedTuple):
@@ -92,6 +94,19 @@
     fenced: bool = False
 
 
+class CopyReply(t.NamedTuple):
+    """The answer to a call for a copy of a run.
+
+    :param name: by which the copy's holder is told to use it; empty if there is no copy.
+    :param unknown: the endpoint knows no such run, or no such call.
+    :param stopped: the run was stopped before it was copied, as it was to be.
+    """
+
+    name: str = ""
+    unknown: bool = False
+    stopped: bool = False
+
+
 class OrderRequest(t.NamedTuple):
     """An order to an endpoint.
 
@@ -196,6 +211,29 @@
     def read_order_reply(self, head: HttpHead) -> OrderReply:
         """Read the answer to an order."""
 
+    @abc.abstractmethod
+    def copy_request(self, address: str, request_id: str, holder: str, last: bool) -> bytes:
+        """Write the call for a copy of a run, to the endpoint that runs it.
+
+        :param holder: address of the endpoint that is to hold the copy.
+        :param last: the run is to stop first.
+        """
+
+    @abc.abstractmethod
+    def read_copy_reply(self, head: HttpHead, raw: bytes, address: str) -> CopyReply:
+        """Read the answer to a call for a copy.
+
+        :param address: of the endpoint that gave it.
+        """
+
+    @abc.abstractmethod
+    def copy_source(self, name: str) -> str:
+        """Return the address of the endpoint whose run a copy is of."""
+
+    @abc.abstractmethod
+    def free_copy_request(self, address: str, name: str) -> bytes:
+        """Write the call that frees a copy, to its source or to its holder."""
+
     @abc.abstractmethod
     def table_kind(self) -> str:
         """Return the kind of the object with the configuration."""
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -10,6 +10,8 @@
 import re
 import typing as t
 
+from rookspring_core import event_order
+
 from . import defaults
 from .exceptions import EndpointError
 from .http_messages import HttpHead
@@ -49,12 +51,15 @@
         rest of it is left out, as it would hide the first line.
     :param unframed: no chunks frame the events, so that another answer may stand behind them, or
         within the last line.
+    :param skips: events up to the one with this id are left out, as the caller has them; empty for
+        none.
     :ivar overrun: another answer has begun; it and what follows are left out.
     """
 
-    def __init__(self, continues: bool = False, unframed: bool = False) -> None:
+    def __init__(self, continues: bool = False, unframed: bool = False, skips: str = "") -> None:
         self._continues = continues
         self._unframed = unframed
+        self._skips = skips
         self.overrun = False
         # A line of the incomplete event has a status line, and whether that may be a whole head.
         self._may_be_torn = False
@@ -158,10 +163,16 @@
 
     def _end_event(self, line: bytes) -> None:
         """End the event, if there is one, by an empty line."""
+        if self._skips and self._id and not event_order.follows(self._id, self._skips):
+            self._event.clear()
+            self._has_data = False
+            self._id = None
+            return
         self._passable += self._event + line
         self._event.clear()
         self._number += self._has_data
         if self._has_data or self._id is not None:
+            self._skips = ""
             self._ids.append(self._id)
         self._has_data = False
         self._id = None
--- a/packages/rookspring/src/rookspring/exceptions.py
+++ b/packages/rookspring/src/rookspring/exceptions.py
@@ -64,11 +64,13 @@
         withheld: bool = False,
         open_ended: bool = False,
         doubted: bool = False,
+        copy: str = "",
     ) -> None:
         super().__init__(reason)
         self.reason = reason
         self.sent = sent
         self.doubted = doubted
+        self.copy = copy
         self.reported_not_run = reported_not_run
         self.leaving = leaving
         self.down = down
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -19,6 +19,7 @@
 
 from . import clock
 from . import defaults
+from . import relay_run_copies
 from . import relay_versions
 from .attempt_failures import make_failure
 from .dialect import AnswerMatch
@@ -27,6 +28,7 @@
 from .event_streams import EventSplitter
 from .event_streams import is_stream
 from .exceptions import EndpointError
+from .http_client import OnHead
 from .http_client import Reply
 from .http_messages import HttpHead
 from .http_messages import end_to_end_headers
@@ -46,6 +48,9 @@
 from .relay_planned_ends import is_whole
 from .relay_reach import is_down
 
+# The refusal of a request that was to go on from a copy which isn't there.
+NO_COPY_STATUS = 503
+
 
 @handles_relay_effect(Dispatch)
 def dispatch(context: RelayContext, effect: Dispatch) -> None:
@@ -73,6 +78,7 @@
         address=view.address,
         resumes=exchange.fields.resumes,
         after=exchange.last_event,
+        copy=effect.copy,
         parts=",".join(f"{part:x}" for part in exchange.fields.parts),
         load=view.load(context.state.now),
         report_age_s=context.state.now - view.reported_at,
@@ -89,6 +95,7 @@
     error = await run_until_deadline(exchange, _attempt(context, effect, exchange, view))
     if error is None:
         return
+    was_cut = error.broken or error.open_ended
     if error.broken and not error.down:
         # The cause that is recorded for the failure depends on whether the endpoint's process
         # has ended. That is checked at once: the next request to it would detect it later,
@@ -100,6 +107,8 @@
         error.broken = error.down
     if error.down or not (error.sent or error.withheld):
         await _check_reach(context, view, error)
+    if was_cut and not error.copy:
+        error.copy = await relay_run_copies.take_over(context, exchange, view, error)
     _submit_failure(context, effect, error)
 
 
@@ -131,6 +140,7 @@
         down=error.down,
         withheld=error.withheld,
         open_ended=error.open_ended,
+        copy=error.copy,
     )
     context.submit(make_failure(effect, error))
 
@@ -154,7 +164,7 @@
         # The reason arose while connecting, which takes up to a second.
         context.pool.release(view.address, connection)
         raise EndpointError(why, sent=False, withheld=True)
-    data = _write_request(context, exchange, view)
+    data = _write_request(context, exchange, view, effect.copy)
     context.submit(AttemptStarted(clock.now(), exchange.key, effect.attempt, connection.opened_at))
     verdicts: list[AnswerMatch] = []
 
@@ -176,6 +186,8 @@
         arrived = context.state.requests[exchange.key].arrived
         call = EndpointCall(request_id, arrived.target, arrived.adapter, is_request=True)
         hear = make_notice_handler(context, view.name, call)
+        if effect.copy:
+            hear = _hear_holder(hear)
         no_body = exchange.request.method == b"HEAD"
         reply = connection.send_request(data, accept, hear, no_body, request_id)
         head = await reply.wait_head()
@@ -187,7 +199,22 @@
         context.pool.release_or_close(view.address, connection)
 
 
-def _write_request(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> bytes:
+def _hear_holder(hear: OnHead) -> OnHead:
+    """Return the handler of the answer to a request that goes on from a copy.
+
+    Its refusal says that there is no copy, and nothing of the endpoint's load.
+    """
+
+    def handle(head: HttpHead) -> None:
+        if head.status != NO_COPY_STATUS:
+            hear(head)
+
+    return handle
+
+
+def _write_request(
+    context: RelayContext, exchange: RelayExchange, view: EndpointView, copy: str
+) -> bytes:
     request = exchange.request
     exchange.endpoint = view
     exchange.told_until = exchange.deadline_at + defaults.TOLD_BEYOND_S
@@ -200,6 +227,7 @@
         exchange.last_event,
         exchange.organisation,
         keyed=table is not None and table.directory is not None,
+        copy=copy,
     )
     headers = context.dialect.forward_headers(request.headers, fields)
     return write_request(request, headers)
@@ -253,9 +281,10 @@
 ) -> None:
     """Send events to the caller as they arrive; an incomplete event is held back."""
     reply, head = answer.reply, answer.head
-    splitter = EventSplitter(exchange.started, unframed=head.framing() != "chunks")
+    last_event = exchange.last_event if exchange.route.resumable or effect.copy else ""
+    skips = last_event if effect.copy else ""
+    splitter = EventSplitter(exchange.started, head.framing() != "chunks", skips)
     meter = GapMeter()
-    last_event = exchange.last_event if exchange.route.resumable else ""
     order = EventOrder(last_event, begun=exchange.events > 0)
     events_before = exchange.events
     while not splitter.overrun and (part := await reply.next_part()):
@@ -314,11 +343,19 @@
 ) -> None:
     """Check that no stop of its endpoint has ended a stream in chunks.
 
+    One that goes on from a copy does so at once: that shows its end.
+
     :raises EndpointError: if it may have.
     """
     doubt = find_doubt(context, exchange, answer)
-    if doubt is not None and not await is_whole(context, exchange, answer, doubt):
-        raise _open_end(doubt.cause, got_something)
+    if doubt is None:
+        return
+    copy = relay_run_copies.find_copy(context, exchange)
+    if not copy and await is_whole(context, exchange, answer, doubt):
+        return
+    error = _open_end(doubt.cause, got_something)
+    error.copy = copy or relay_run_copies.find_copy(context, exchange)
+    raise error
 
 
 def _check_has_event(exchange: RelayExchange, head: HttpHead, got_something: bool) -> None:
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -6,6 +6,7 @@
 
 import asyncio
 import typing as t
+import weakref
 
 from rookspring_core import NodeState
 from rookspring_core import reduce
@@ -85,6 +86,10 @@
         self.reach_probes: ReachProbes
         self.origins: OriginQuestions
         self.exchanges: dict[str, RelayExchange] = {}
+        # The turns in which copies of runs are asked of an endpoint, by address.
+        self.copy_turns: weakref.WeakValueDictionary[str, asyncio.Semaphore] = (
+            weakref.WeakValueDictionary()
+        )
         self.endpoints_listed = False
         # Set while this node has to watch the store; see ``topology.py`` of the core.
         self.watching = asyncio.Event()
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -45,6 +45,7 @@
 from . import relay_merged
 from . import relay_notices
 from . import relay_orders as relay_orders
+from . import relay_run_copies as relay_run_copies
 from . import relay_slots
 from . import relay_stop
 from . import relay_store_loops
--- /dev/null
+++ b/packages/rookspring/src/rookspring/relay_run_copies.py
@@ -0,0 +1,163 @@
+"""Calls to endpoints about copies of runs: to make one, to stop a run, and to free a copy.
+
+:mod:`rookspring_core.run_copies` decides which runs are copied, and where to.
+"""
+
+import asyncio
+
+from rookspring_core import run_copies
+from rookspring_core.effects import CopyRun
+from rookspring_core.effects import FreeCopy
+from rookspring_core.endpoints import EndpointView
+from rookspring_core.events import RunCopied
+from rookspring_core.events import RunNotCopied
+
+from . import clock
+from . import defaults
+from . import http_client
+from .dialect import CopyReply
+from .exceptions import EndpointError
+from .http_messages import HttpHead
+from .logs import log
+from .relay import RelayExchange
+from .relay_context import RelayContext
+from .relay_context import handles_relay_effect
+
+
+@handles_relay_effect(CopyRun)
+def copy_run(context: RelayContext, effect: CopyRun) -> None:
+    """Have a run copied to another endpoint, without a retry."""
+    context.spawn(_copy_and_submit(context, effect))
+
+
+async def _copy_and_submit(context: RelayContext, effect: CopyRun) -> None:
+    source = context.state.endpoints.get(effect.source)
+    holder = context.state.endpoints.get(effect.holder)
+    reply = CopyReply()
+    if source is not None and holder is not None:
+        reply = await _take_turn(context, effect, source.address, holder.address)
+    row = (clock.now(), effect.request_id, effect.attempt, effect.holder)
+    if reply.name:
+        context.submit(RunCopied(*row, reply.name))
+    else:
+        context.submit(RunNotCopied(*row, reply.unknown))
+
+
+async def _take_turn(
+    context: RelayContext, effect: CopyRun, address: str, holder: str
+) -> CopyReply:
+    """Ask for a copy once fewer than ``RUN_COPIES_AT_ONCE`` are under way there."""
+    turns = context.copy_turns.get(address)
+    if turns is None:
+        turns = context.copy_turns[address] = asyncio.Semaphore(defaults.RUN_COPIES_AT_ONCE)
+    async with turns:
+        exchange = context.exchanges.get(effect.request_id)
+        if exchange is None:
+            return CopyReply()
+        return await _ask(context, exchange, address, holder, last=False)
+
+
+async def _ask(
+    context: RelayContext, exchange: RelayExchange, address: str, holder: str, last: bool
+) -> CopyReply:
+    """Ask an endpoint to copy a run, and to stop it first if that is the last call for it."""
+    run = exchange.fields.request_id
+    asked_at = clock.now()
+    timeout_s = min(defaults.RUN_COPY_CALL_S, exchange.deadline_at - asked_at)
+    data = context.dialect.copy_request(address, run, holder, last)
+    try:
+        head, raw = await _call(context, address, data, timeout_s)
+        reply = context.dialect.read_copy_reply(head, raw, address)
+        said = str(head.status)
+    except EndpointError as error:
+        reply = CopyReply()
+        said = error.reason
+    log(
+        "run_copied",
+        id=run,
+        source=address,
+        holder=holder,
+        last=last,
+        copy=reply.name,
+        said=said,
+        took_s=clock.now() - asked_at,
+    )
+    return reply
+
+
+async def _call(
+    context: RelayContext, address: str, data: bytes, timeout_s: float
+) -> tuple[HttpHead, bytes]:
+    """Make a call whose answer carries no request's id.
+
+    What it says of the endpoint's load is about copies, and counts for no request.
+    """
+    return await http_client.call(
+        context.pool,
+        address,
+        data,
+        lambda head: None,
+        max(0.0, timeout_s),
+        defaults.REPORT_BYTES_MAX,
+        accept=lambda head: context.dialect.match_answer(head, "").matches,
+        request_id="",
+    )
+
+
+def find_copy(context: RelayContext, exchange: RelayExchange) -> str:
+    """Return the copy from which a stream can go on, if it does nowhere else; empty if none.
+
+    Events that its caller has are told from further ones by their ids.
+    """
+    if not exchange.last_event:
+        return ""
+    return run_copies.find_name(context.state, exchange.key)
+
+
+async def take_over(
+    context: RelayContext, exchange: RelayExchange, view: EndpointView, error: EndpointError
+) -> str:
+    """Return the copy from which a stream goes on after its connection ended; empty if none.
+
+    A run may go on behind a close, and two runs of one request must never go on at once where it
+    may be sent once alone. There its process must have ended, or the run is stopped first.
+    """
+    copy = find_copy(context, exchange)
+    if not copy or exchange.route.repeatable:
+        return copy
+    if error.down and not context.pool.has_open(view.address):
+        return copy
+    request = context.state.requests.get(exchange.key)
+    held = request.copy if request is not None else None
+    holder = context.state.endpoints.get(held.holder) if held is not None else None
+    if holder is None:
+        return ""
+    reply = await _ask(context, exchange, view.address, holder.address, last=True)
+    if reply.name:
+        return reply.name
+    return copy if reply.unknown or reply.stopped else ""
+
+
+@handles_relay_effect(FreeCopy)
+def free_copy(context: RelayContext, effect: FreeCopy) -> None:
+    """Free a copy at its source, which frees it at both ends, or else at its holder."""
+    context.spawn(_free(context, effect))
+
+
+async def _free(context: RelayContext, effect: FreeCopy) -> None:
+    addresses = [context.dialect.copy_source(effect.name)]
+    holder = context.state.endpoints.get(effect.holder)
+    if holder is not None:
+        addresses.append(holder.address)
+    said = ""
+    for address in addresses:
+        data = context.dialect.free_copy_request(address, effect.name)
+        try:
+            head, _ = await _call(context, address, data, defaults.RUN_COPY_FREE_S)
+            said = str(head.status)
+        except EndpointError as error:
+            said = error.reason
+            continue
+        if 200 <= head.status < 300:
+            break
+    log("run_copy_freed", copy=effect.name, holder=effect.holder, said=said)
