Cut a stream of which an event without an id stands behind the last id

A caller got events twice: a resumed stream was asked for after the last known id, so what had come behind that id without one came again.

The order of events notes whether the event that was passed on last has an id; where it has none, the failed attempt says that no other can follow it, and the stream is cut at its caller, who takes it up by its own rule. That costs nothing where events have ids.

--- a/features/resumed_streams_sockets.feature
+++ b/features/resumed_streams_sockets.feature
@@ -46,6 +46,17 @@
       | stream             |
       | stream of no event |
 
+  Scenario Outline: no event comes twice since the last one that was passed on has no id
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a resumable request
+    Then its caller gets <answer>
+    And the endpoints ran it <runs> times
+
+    Examples:
+      | script                                       | answer        | runs |
+      | break after 3 and one without an id, stream  | 4 events, cut | 1    |
+      | break after 2 without ids, stream            | 2 events, cut | 1    |
+
   Scenario Outline: whether events follow does not depend on how their bytes are read
     Given a caller that has got 3
     When the bytes <bytes> come in <reads>
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -152,6 +152,7 @@
     :param withheld: nothing was sent, since the endpoint accepts no requests at present.
     :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     :param doubted: nothing was sent, since its process may be of another version than listed.
+    :param followable: another attempt can be asked for exactly what its caller lacks.
     """
 
     at: float
@@ -165,6 +166,7 @@
     withheld: bool = False
     open_ended: bool = False
     doubted: bool = False
+    followable: bool = True
 
 
 class CallerLeft(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/event_order.py
+++ b/packages/rookspring-core/src/rookspring_core/event_order.py
@@ -12,12 +12,15 @@
 
     :param last: the id of that event; empty if it has none, or if the caller has got no event.
     :param begun: the caller has got events.
+    :ivar named: the event that was passed on last has an id, so that another run can be asked to go
+        on after it. What came behind the last id would come again.
     """
 
-    __slots__ = ("_continues", "last")
+    __slots__ = ("_continues", "last", "named")
 
     def __init__(self, last: str = "", begun: bool = False) -> None:
         self.last = last
+        self.named = True
         # Whether the next event is the first one of a run that goes on after others.
         self._continues = begun or bool(last)
 
@@ -28,14 +31,17 @@
         :return: why they don't follow; empty if they do.
         """
         last = self.last
+        named = self.named
         for one in ids:
             if self._continues and not (one and last):
                 return f"an event with the id {one or ''!r} after one with {last!r}"
             if one and last and _rank(one) <= _rank(last):
                 return f"event {one} after event {last}"
             last = last if one is None else one
+            named = bool(one)
             self._continues = False
         self.last = last
+        self.named = named
         return ""
 
 
--- a/packages/rookspring-core/src/rookspring_core/routed.py
+++ b/packages/rookspring-core/src/rookspring_core/routed.py
@@ -355,7 +355,7 @@
     request.sends += 1
     if not arrived.repeatable and not event.reported_not_run:
         return False
-    if request.sends >= terms.attempts:
+    if request.sends >= terms.attempts or not event.followable:
         return False
     return resend_window(state, terms.service).spend(state.now)
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_streams.py
@@ -49,6 +49,17 @@
     writer.close()
 
 
+@step("break after 3 and one without an id")
+async def _break_3_and_one_without_id(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Break off after an event that names no place at which another run could go on."""
+    await send_events(server, request, writer, 3)
+    write_event(writer, b"data: token4\n\n")
+    await writer.drain()
+    writer.close()
+
+
 @step("stream of no event")
 async def _stream_of_none(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/attempt_failures.py
+++ b/packages/rookspring/src/rookspring/attempt_failures.py
@@ -8,8 +8,13 @@
 from .exceptions import EndpointError
 
 
-def make_failure(effect: Dispatch | AttachStream, error: EndpointError) -> AttemptFailed:
-    """Return the event that an attempt has failed now, with all that its error shows."""
+def make_failure(
+    effect: Dispatch | AttachStream, error: EndpointError, followable: bool = True
+) -> AttemptFailed:
+    """Return the event that an attempt has failed now, with all that its error shows.
+
+    :param followable: see :class:`AttemptFailed`.
+    """
     return AttemptFailed(
         at=clock.now(),
         request_id=effect.request_id,
@@ -22,4 +27,5 @@
         withheld=error.withheld,
         open_ended=error.open_ended,
         doubted=error.doubted,
+        followable=followable,
     )
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -16,6 +16,7 @@
 from rookspring_core.body_ends import BodyCopy
 from rookspring_core.endpoints import UNKNOWN_VERSION
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.event_order import EventOrder
 from rookspring_core.events import CallerLeft
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -100,6 +101,8 @@
         self.service = pick_service(route, self.stream_id if route.resumable else fields.request_id)
         self.started = False
         self.last_event = fields.last_event
+        # Whether the event that was passed on last has an id.
+        self.named = True
         self.events = 0
         self.first_event_at = 0.0
         # When the last events arrived, and the longest time between two of them, in seconds.
@@ -146,6 +149,16 @@
             self.longest_pause_s = max(self.longest_pause_s, now - self.last_event_at)
         self.last_event_at = now
 
+    def note_place(self, ids: t.Sequence[str | None], order: EventOrder) -> None:
+        """Note after which event another run could go on, once events are passed on."""
+        if ids:
+            self.last_event = order.last
+            self.named = order.named
+
+    def may_follow(self) -> bool:
+        """Return whether another run can be asked for exactly what the caller has not got."""
+        return not self.events or (self.named and bool(self.last_event))
+
     def check_last_chunk(self, head: HttpHead) -> None:
         """Check that nothing but the whole answer has ended an answer in chunks, as far as known.
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -132,7 +132,8 @@
         withheld=error.withheld,
         open_ended=error.open_ended,
     )
-    context.submit(make_failure(effect, error))
+    followable = exchange is None or exchange.may_follow()
+    context.submit(make_failure(effect, error, followable))
 
 
 async def _attempt(
@@ -266,8 +267,7 @@
         if fault := order.accept(events.ids):
             raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        if events.ids:
-            exchange.last_event = order.last
+        exchange.note_place(events.ids, order)
         if events.number:
             now = clock.now()
             exchange.count_events(events.number, now)
--- a/packages/rookspring/src/rookspring/relay_handovers.py
+++ b/packages/rookspring/src/rookspring/relay_handovers.py
@@ -71,8 +71,15 @@
         reason=error.reason,
         sent=error.sent,
     )
+    exchange = context.exchanges.get(effect.request_id)
     failed = AttemptFailed(
-        clock.now(), effect.request_id, effect.attempt, error.sent, False, error.reason
+        clock.now(),
+        effect.request_id,
+        effect.attempt,
+        error.sent,
+        False,
+        error.reason,
+        followable=exchange is None or exchange.may_follow(),
     )
     context.submit(failed)
 
@@ -188,7 +195,7 @@
             continue
         if fault := order.accept(events.ids):
             raise EndpointError(fault, sent=True)
-        _note_events(context, effect, exchange, events, order.last)
+        _note_events(context, effect, exchange, events, order)
         await exchange.connection.send(events.data, reply.holding)
     if splitter.breaks_off():
         raise EndpointError("broke off within an event", sent=True)
@@ -200,14 +207,17 @@
 
 
 def _note_events(
-    context: RelayContext, effect: HandOver, exchange: RelayExchange, events: Events, last: str
+    context: RelayContext,
+    effect: HandOver,
+    exchange: RelayExchange,
+    events: Events,
+    order: EventOrder,
 ) -> None:
     """Note events that are passed on; those after which a stream can go on are progress of it."""
     now = clock.now()
-    if events.ids:
-        exchange.last_event = last
+    exchange.note_place(events.ids, order)
     if not events.number:
         return
     exchange.count_events(events.number, now)
-    if exchange.route.resumable and last:
+    if exchange.route.resumable and order.last:
         context.submit(AttemptProgressed(now, exchange.key, effect.attempt, events.number))
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -49,14 +49,13 @@
     ended_at = answer.connection.idle_since
     replaced = request.dispatched_at < view.restarted_at
     closing = view.leaving or view.gone or replaced
-    # The rest of a stream without ids can't be asked for.
-    known = not exchange.events or bool(exchange.last_event)
+    may_ask = closing and exchange.may_follow()
     written_s = ended_at - answer.began_at
     end = PlannedEnd(
         at=ended_at,
         closing=closing,
         ends_at=view.ends_at,
-        may_ask=closing and known and recovering.may_ask_another(context.state, request),
+        may_ask=may_ask and recovering.may_ask_another(context.state, request),
         looks_until=exchange.deadline_at - planned_ends.LOOKS_BEFORE_S,
         at_once=not exchange.events and written_s < planned_ends.WRITTEN_AT_ONCE_S,
     )
