A process that listens at an address doesn't show who ended the answer

Callers got parts of bodies and streams as the whole where a process ended its answers in their midst and exited, and another took connections at its address before the node looked: life was asked of the address. Failed before ('features/run.py features/planned_ends_sockets.feature', 'a process that listens at the address of one that ended ...', five rows of five: ('mixed', 200) and ('3 events', 200)).

A connection that was opened before the end shows the process. At an endpoint that leaves or is gone nothing else does. At one that stays, a connection that it closed without a word, where it otherwise keeps them, shows that it ended; one whose head announced the close, or that closes each connection, shows nothing, and there a listener is believed, as all its streams would be cut otherwise.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -38,6 +38,50 @@
       | unsafe    | staying | half until it stops          | ends its answers and exits                      | unknown       | 1    |
       | safe      | staying | half until it stops, answer  | ends its answers and exits                      | whole         | 2    |
 
+  Scenario Outline: a process that listens at the address of one that ended does not show that its answer is whole
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
+    When the endpoint of a <kind> request that follows others is <state>, and <stops>
+    Then the answer is <answer>
+
+    Examples:
+      | kind   | state   | script                                                 | stops                                              | answer        |
+      | unsafe | leaving | answer, answer, half until it stops                    | ends its answers and exits beside its successor    | unknown       |
+      | unsafe | gone    | answer, answer, half until it stops and closes         | ends its answers and exits beside its successor    | unknown       |
+      | unsafe | staying | answer, answer, half until it stops                    | ends its answers and exits beside its successor    | unknown       |
+      | stream | staying | answer, answer, 3 until it stops                       | ends its answers and exits beside its successor    | 3 events, cut |
+      | stream | staying | answer, answer, 3 until it stops and closes            | ends its answers and lives on                      | 3 events, cut |
+
+  Scenario Outline: an endpoint that closes the connection of each answer is believed for as long as it stays
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
+    When the endpoint of a <kind> request that follows others is staying, and ends its answers and lives on
+    Then the answer is <answer>
+
+    Examples:
+      | kind   | script                                                                       | answer   |
+      | stream | answer and close, answer and close, 3 and the rest as it stops and closes    | 5 events |
+      | stream | answer, answer, 3 and the rest as it stops and closes as said                | 5 events |
+
+  Scenario Outline: what shows that an endpoint's process lives on
+    When the connection of an answer <own>, <others>, at an endpoint that <closes> and is <state>
+    Then its process is <verdict>
+
+    Examples:
+      | own                      | others               | closes                  | state     | verdict                           |
+      | is open                  | no other is          | keeps its connections   | leaving   | shown to live                     |
+      | is open                  | no other is          | keeps its connections   | replaced  | shown to live                     |
+      | is open                  | no other is          | keeps its connections   | staying   | shown to live                     |
+      | was closed there         | an earlier one is    | keeps its connections   | leaving   | shown to live                     |
+      | was closed there         | an earlier one is    | keeps its connections   | replaced  | taken for ended                   |
+      | was closed there         | an earlier one is    | keeps its connections   | staying   | taken for ended                   |
+      | was closed there         | an earlier one is    | closes its connections  | staying   | shown to live                     |
+      | was closed as announced  | an earlier one is    | keeps its connections   | staying   | shown to live                     |
+      | was closed there         | no other is          | keeps its connections   | leaving   | taken for ended                   |
+      | was closed there         | no other is          | closes its connections  | leaving   | taken for ended                   |
+      | was closed as announced  | no other is          | keeps its connections   | leaving   | taken for ended                   |
+      | was closed there         | no other is          | keeps its connections   | staying   | taken for ended                   |
+      | was closed there         | no other is          | closes its connections  | staying   | alive if its address is served    |
+      | was closed as announced  | no other is          | keeps its connections   | staying   | alive if its address is served    |
+
   Scenario Outline: an end at a leaving endpoint that lives on is believed only if something else goes on running there
     Given a relay node whose routes take up to 8 s, with one endpoint with models that does: 3 until it stops, <beside>
     When the endpoint of a stream request beside another stream is leaving, and ends its answers and lives on
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -17,6 +17,7 @@
 from rookspring_core import planned_ends
 from rookspring_core.effects import ReadReport
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.planned_ends import LifeSigns
 from rookspring_core.planned_ends import PlannedEnd
 from rookspring_fakes import model_planned_ends
 from rookspring_platform.endpoints import read_entry
@@ -38,6 +39,11 @@
     planned_ends.TIME_OVER: "its time",
     planned_ends.EXIT: "its exit",
 }
+LIVES = {
+    True: "shown to live",
+    False: "taken for ended",
+    None: "alive if its address is served",
+}
 
 
 @given(
@@ -102,6 +108,40 @@
     context.loop.run(work())
 
 
+@when("the endpoint of a {kind} request that follows others is {state}, and {stops}")
+def ends_after_others(context, kind, state, stops):
+    async def work():
+        relay = context.relay
+        for number in (2, 3):
+            await relay.ask(request("safe", number))
+        task = asyncio.ensure_future(relay.ask(request(kind)))
+        await relay.until(lambda: len(relay.runs) > 2)
+        await asyncio.sleep(0.05)
+        await tell(relay, relay.servers[0], state)
+        await model_planned_ends.STOPS[stops](relay.servers[0])
+        context.answer = await task
+
+    context.loop.run(work())
+
+
+@when("the connection of an answer {own}, {others}, at an endpoint that {closes} and is {state}")
+def look_at_connections(context, own, others, closes, state):
+    signs = LifeSigns(
+        own_open=own == "is open",
+        closed_there=own == "was closed there",
+        earlier_open=others == "an earlier one is",
+        keeps=closes == "keeps its connections",
+        replaced=state == "replaced",
+    )
+    cause = planned_ends.EXIT if state == "staying" else planned_ends.STOP
+    context.life = planned_ends.find_life(cause, signs)
+
+
+@then("its process is {verdict}")
+def life_is(context, verdict):
+    assert LIVES[context.life] == verdict, context.life
+
+
 @given("the endpoints copy their runs to each other")
 def copy_runs(context):
     for server in context.relay.servers:
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -49,6 +49,43 @@
     at_once: bool = False
 
 
+class LifeSigns(t.NamedTuple):
+    """What the connections to an endpoint show of the process that ended an answer, a moment later.
+
+    A new connection shows only that something listens at its address: it may be a successor, or a
+    parent that holds the listener for one.
+
+    :param own_open: the connection of the answer is open.
+    :param closed_there: the endpoint closed it without having announced that in the answer's head.
+    :param earlier_open: another one is open that was made before the end.
+    :param keeps: it has lately kept connections open after an answer.
+    :param replaced: another process has its name, and maybe the others of its connections.
+    """
+
+    own_open: bool
+    closed_there: bool
+    earlier_open: bool
+    keeps: bool
+    replaced: bool = False
+
+
+def find_life(cause: str, signs: LifeSigns) -> bool | None:
+    """Return whether the process lives on; None if it does where something listens there.
+
+    An endpoint that stays and closes each connection, or has announced it, is sound, so there the
+    close shows nothing. One that leaves is about to be succeeded.
+    """
+    if signs.own_open:
+        return True
+    if signs.replaced:
+        return False
+    if cause != EXIT:
+        return signs.earlier_open
+    if signs.closed_there and signs.keeps:
+        return False
+    return signs.earlier_open or None
+
+
 def find_cause(end: PlannedEnd) -> str:
     """Return what else than the whole answer may have ended it; empty if that can't be found out.
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_answers.py
@@ -30,6 +30,16 @@
     send(server, writer, 200, make_body(request), record_run(server, request))
 
 
+@step("answer and close")
+async def _answer_and_close(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Close the connection after the answer, without a word of it before."""
+    await _answer(server, request, writer)
+    await writer.drain()
+    writer.close()
+
+
 @step("answer late")
 async def _answer_late(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -92,6 +92,14 @@
     server.stopping.set()
 
 
+@stop_way("ends its answers and exits beside its successor")
+async def _end_beside_successor(server: "ModelServer") -> None:
+    """End while another process takes the connections that are made to its address."""
+    server.stopping.set()
+    await asyncio.sleep(WRITTEN_S)
+    await server.end_and_replace()
+
+
 @stop_way("ends its answers and is replaced")
 async def _be_replaced(server: "ModelServer") -> None:
     server.stopping.set()
@@ -139,6 +147,14 @@
     writer.close()
 
 
+@step("3 and the rest as it stops and closes as said")
+async def _finish_events_and_close_as_said(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    server.extra_header_lines.append("Connection: close")
+    await _finish_events_and_close(server, request, writer)
+
+
 @step("an event each 0.02 s")
 async def _events_on_and_on(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
@@ -179,6 +195,14 @@
     await _send_until_stop(server, request, writer, make_body(request)[:5])
 
 
+@step("half until it stops and closes")
+async def _half_until_stop_and_close(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await _half_until_stop(server, request, writer)
+    writer.close()
+
+
 @step("all until it stops")
 async def _all_until_stop(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -81,6 +81,8 @@
         self._slow = False
         self._reading = True
         self.open = False
+        # Whether the other side closed it, and this one had no reason to.
+        self.closed_there = False
         self.reusable = True
         self.opened_at = 0.0
         self.idle_since = 0.0
@@ -101,6 +103,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """End the reply: an answer without a length is complete after a regular close."""
         self._parse_pending()
+        self.closed_there = self.open
         self.open = False
         if self._reply is None:
             return
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -41,6 +41,8 @@
         self._budget = budget or ByteBudget()
         self._kept: dict[str, list[ClientConnection]] = {}
         self._probes: dict[str, asyncio.Future[bool]] = {}
+        # When a connection was last taken that had carried a request before.
+        self._reused_at: dict[str, float] = {}
         # All connections that are in use anywhere, busy or idle.
         self._connections: dict[str, weakref.WeakSet[ClientConnection]] = {}
 
@@ -66,6 +68,8 @@
                 continue
             kept.remove(connection)
             if connection.is_usable(now, wide_margin):
+                if connection.served:
+                    self._reused_at[address] = now
                 return connection
             connection.close()
         return await self._open(address)
@@ -97,9 +101,17 @@
         self._connections.setdefault(address, weakref.WeakSet()).add(made)
         return made
 
-    def has_open(self, address: str) -> bool:
-        """Return whether any connection to an address is open, busy or idle."""
-        return any(one.open for one in self._connections.get(address, ()))
+    def has_open(self, address: str, until: float = math.inf) -> bool:
+        """Return whether any connection to an address is open, busy or idle.
+
+        :param until: those that were opened later don't count.
+        """
+        made = self._connections.get(address, ())
+        return any(one.open and one.opened_at <= until for one in made)
+
+    def keeps_connections(self, address: str) -> bool:
+        """Return whether a connection to an address has lately been of use for another request."""
+        return clock.now() - self._reused_at.get(address, -math.inf) < defaults.KEEPS_KNOWN_S
 
     async def is_down(self, address: str) -> bool:
         """Return whether nothing listens at an address; concurrent calls share one connection.
@@ -168,6 +180,8 @@
             else:
                 del self._kept[address]
         self._connections = {address: made for address, made in self._connections.items() if made}
+        known_from = now - defaults.KEEPS_KNOWN_S
+        self._reused_at = {one: at for one, at in self._reused_at.items() if at > known_from}
 
     def close(self) -> None:
         """Close all idle connections."""
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -84,6 +84,9 @@
 # for requests that must not be sent twice.
 ENDPOINT_IDLE_SHARE = 0.8
 ENDPOINT_IDLE_SAFE_SHARE = 0.6
+# How long an endpoint is known to keep connections open after an answer, from when one was reused:
+# a server seldom changes that in its life, and another may have its address afterwards.
+KEEPS_KNOWN_S = 30.0
 # Callers' requests that a connection to an endpoint carries before it is closed, as it keeps what
 # tells their ids apart: some 64 bytes each.
 CARRIED_REQUESTS_MAX = 256
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -10,6 +10,7 @@
 from rookspring_core import planned_ends
 from rookspring_core import recovering
 from rookspring_core.events import AnswerEnded
+from rookspring_core.planned_ends import LifeSigns
 from rookspring_core.planned_ends import PlannedEnd
 
 from . import clock
@@ -93,23 +94,28 @@
 ) -> bool:
     """Return whether an endpoint's process lives on beyond the end of its answer.
 
-    A process that ends closes all its connections and listens no more. Some that finish their
-    answers first close their listener, and each connection after its answer.
+    A process that ends closes all its connections. Some that finish their answers first close their
+    listener, and each connection after its answer.
     """
     if doubt.look_at == math.inf:
         return False
     await asyncio.sleep(max(0.0, doubt.look_at - clock.now()))
     # A close that came while this node stood still is read first.
     await asyncio.sleep(READ_S)
-    if answer.connection.open:
-        return True
-    if doubt.replaced:
-        return False
-    if context.pool.has_open(answer.view.address):
-        return True
+    address = answer.view.address
+    signs = LifeSigns(
+        own_open=answer.connection.open,
+        closed_there=answer.connection.closed_there,
+        earlier_open=context.pool.has_open(address, doubt.ended_at),
+        keeps=context.pool.keeps_connections(address),
+        replaced=doubt.replaced,
+    )
+    lives = planned_ends.find_life(doubt.cause, signs)
+    if lives is not None:
+        return lives
     left_s = exchange.deadline_at - planned_ends.LOOKS_BEFORE_S / 2 - clock.now()
     try:
         async with asyncio.timeout(max(0.0, left_s)):
-            return not await context.pool.is_down(answer.view.address)
+            return not await context.pool.is_down(address)
     except TimeoutError:
         return False
