--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -153,6 +153,7 @@
     :param open_ended: its answer ended with its connection, and nothing showed that it is whole.
     :param doubted: nothing was sent, since its process may be of another version than listed.
     :param copy: the copy that the run can go on from, as it goes on nowhere else; empty if none.
+    :param followable: another attempt can be asked for exactly what its caller lacks.
     """
 
     at: float
@@ -167,6 +168,7 @@
     open_ended: bool = False
     doubted: bool = False
     copy: str = ""
+    followable: bool = True
 
 
 class RunCopied(t.NamedTuple):
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -142,7 +142,8 @@
         open_ended=error.open_ended,
         copy=error.copy,
     )
-    context.submit(make_failure(effect, error))
+    followable = exchange is None or exchange.may_follow()
+    context.submit(make_failure(effect, error, followable))
 
 
 async def _attempt(
@@ -295,8 +296,7 @@
         if fault := order.accept(events.ids):
             raise EndpointError(fault, sent=True)
         _begin_stream(exchange, head)
-        if events.ids:
-            exchange.last_event = order.last
+        exchange.note_place(events.ids, order)
         if events.number:
             now = clock.now()
             exchange.count_events(events.number, now)
