--- a/bench/relay_mutants.py
+++ b/bench/relay_mutants.py
@@ -63,6 +63,7 @@
 from . import planned_end_mutants
 from . import rate_mutants
 from . import resend_mutants
+from . import run_copy_mutants
 from . import speed_mutants
 from . import speed_use_mutants
 from . import stop_mutants
@@ -400,6 +401,7 @@
     "deadline-ends": deadline_end_mutants.MUTANTS,
     "open-ends": open_end_mutants.MUTANTS,
     "planned-ends": planned_end_mutants.MUTANTS,
+    "run-copies": run_copy_mutants.MUTANTS,
     "ends-table": ends_table_mutants.MUTANTS,
 }
 
