Look at an end again where the copy that was to show it is gone

Callers of a sound stream at a leaving endpoint would have been cut where its copy was gone by then, as holders drop copies after a time. Cause: the end went on from the copy without a look, and the holder's refusal left nothing to tell it by. The look is kept and made after the refusal, or where the holder can't be reached.

--- a/features/run_copies_sockets.feature
+++ b/features/run_copies_sockets.feature
@@ -19,6 +19,17 @@
       | the handle is no text                 | 3 events, cut | 0     |
       | the copy is gone as it is used        | 3 events, cut | 0     |
 
+  Scenario Outline: an end is looked at where the copy that was to show it is gone
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
+    And another endpoint that holds copies and refuses them
+    When a stream and another one run at the first, which leaves and ends its answers and lives on
+    Then the answer is <answer>
+
+    Examples:
+      | script                                  | answer        |
+      | 3 until it stops, an event each 0.02 s  | 3 events      |
+      | 3 until it stops, 3 until it stops      | 3 events, cut |
+
   Scenario Outline: a stream that may be resumed is asked for elsewhere where its copy is gone
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 until it stops, stream
     And the endpoints copy their runs to each other, but <fault>
--- a/features/steps/run_copy_socket_steps.py
+++ b/features/steps/run_copy_socket_steps.py
@@ -1,10 +1,12 @@
 import asyncio
+import math
 import time
 
 import orjson
 from behave import given
 from behave import then
 from behave import when
+from planned_end_steps import begin
 from planned_end_steps import tell
 from relay_fixture import read_answer
 from relay_fixture import request
@@ -12,6 +14,8 @@
 from rookspring.event_streams import EventSplitter
 from rookspring.http_messages import HttpHead
 from rookspring_core.event_order import EventOrder
+from rookspring_fakes import ModelServer
+from rookspring_fakes import model_planned_ends
 from rookspring_fakes.model_steps import step
 from rookspring_fakes.model_streams import send_events
 from rookspring_fakes.run_copies import CopyReply
@@ -123,6 +127,44 @@
         server.copies.made.clear()
 
 
+@given("another endpoint that holds copies and refuses them")
+def add_refusing(context):
+    async def work():
+        relay = context.relay
+        server = ModelServer("i9", [])
+        await server.start()
+        relay.servers.append(server)
+        await relay.store.write("servers", server.name, server.entry("svc"))
+        views = relay.node.context.state.endpoints
+        await relay.until(lambda: server.name in views)
+        views[server.name].role = "runner"
+        # It gets no requests until the copies are made.
+        views[server.name].ejected_until = math.inf
+        copy_but(context, "the copy is gone as it is used")
+
+    context.loop.run(work())
+
+
+@when("a stream and another one run at the first, which leaves and {stops}")
+def leaves_beside_another(context, stops):
+    async def work():
+        relay = context.relay
+        task, server = await begin(context, "stream")
+        beside = asyncio.ensure_future(relay.ask(request("stream", 2)))
+        await relay.until(lambda: len(relay.runs) > 1)
+        await asyncio.sleep(0.05)
+        relay.node.context.state.endpoints["i9"].ejected_until = 0.0
+        await tell(relay, server, "leaving")
+        await relay.until(lambda: relay.servers[1].copies.held)
+        await asyncio.sleep(0.05)
+        await model_planned_ends.STOPS[stops](server)
+        context.answer = await task
+        beside.cancel()
+        assert relay.servers[1].received, "it was asked for nothing"
+
+    context.loop.run(work())
+
+
 async def _kill(context, server, writer):
     server.end()
 
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -113,6 +113,8 @@
         self.held_answer: HeldAnswer | None = None
         # Counts the bytes of that answer.
         self._holding: Holding | None = None
+        # Looks again at the end from which its run went on at a copy, should that refuse it.
+        self.look_again: t.Callable[[], t.Awaitable[bool]] | None = None
         # The bodies that came and of which nothing showed that they were whole.
         self.open_bodies: set[BodyCopy] = set()
         self.task: asyncio.Task[None] | None = None
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -1,5 +1,6 @@
 """Attempts of relayed requests at endpoints, and the answers to their callers."""
 
+import functools
 import typing as t
 
 from rookspring_core import notice_handlers
@@ -95,6 +96,12 @@
     error = await run_until_deadline(exchange, _attempt(context, effect, exchange, view))
     if error is None:
         return
+    look_again, exchange.look_again = exchange.look_again, None
+    if error.copy:
+        exchange.look_again = look_again
+    elif _is_refused(effect, error) and look_again is not None and await look_again():
+        _end_stream(context, effect, exchange, "the end before was its own")
+        return
     was_cut = error.broken or error.open_ended
     if error.broken and not error.down:
         # The cause that is recorded for the failure depends on whether the endpoint's process
@@ -112,6 +119,11 @@
     _submit_failure(context, effect, error)
 
 
+def _is_refused(effect: Dispatch, error: EndpointError) -> bool:
+    """Return whether a run didn't go on from its copy, which is gone or can't be reached."""
+    return bool(effect.copy) and (error.reported_not_run or not error.sent)
+
+
 async def _check_reach(context: RelayContext, view: EndpointView, error: EndpointError) -> None:
     """Tell no end of an endpoint where this node reaches none, since its own way is broken."""
     if not await context.reach_probes.confirm(view.name):
@@ -319,10 +331,15 @@
     _begin_stream(exchange, head)
     if comment := splitter.incomplete():
         await exchange.connection.send(comment)
-    exchange.connection.end()
     _submit_gap(context, effect, exchange, reply, meter.end())
-    context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt, head.status))
-    end_exchange(context, exchange, "answered", f"endpoint {effect.endpoint} ended its stream")
+    _end_stream(context, effect, exchange, f"endpoint {effect.endpoint} ended its stream")
+
+
+def _end_stream(context: RelayContext, effect: Dispatch, exchange: RelayExchange, why: str) -> None:
+    """End a stream whose end is shown."""
+    exchange.connection.end()
+    context.submit(AttemptSucceeded(clock.now(), exchange.key, effect.attempt))
+    end_exchange(context, exchange, "answered", why)
 
 
 def _check_stream_end(reply: Reply, got_something: bool) -> None:
@@ -351,7 +368,9 @@
     if doubt is None:
         return
     copy = relay_run_copies.find_copy(context, exchange)
-    if not copy and await is_whole(context, exchange, answer, doubt):
+    if copy:
+        exchange.look_again = functools.partial(is_whole, context, exchange, answer, doubt)
+    elif await is_whole(context, exchange, answer, doubt):
         return
     error = _open_end(doubt.cause, got_something)
     error.copy = copy or relay_run_copies.find_copy(context, exchange)
