The load of ways has copies of runs: runners move, back up and take up, the checks know them

What callers saw: nothing yet. Runners of the load of ways knew no call about copies, so a stream of one attempt that a node finishes from a copy could not come about, and the checks would have called it a second run.

A copy is taken up by the request alone that it is of: without that a node that names another run's handle would have been served. New rows of ways.feature, two with real runners; the expectation for a second run without a copy is as strict as before (unrepeatable twice, new run).

--- a/bench/ways.py
+++ b/bench/ways.py
@@ -23,7 +23,7 @@
     handovers = sum(text.count("event=handover_began") for text in outcome.logs.values())
     piped = sum(one.piped and one.parts[-1].ended for one in outcome.calls)
     row = {"seed": seed, "streams": len(streams), "whole": whole, "handovers": handovers}
-    row["piped"] = piped
+    row |= {"piped": piped, "moves": outcome.moves}
     return row | cases
 
 
--- a/features/ways.feature
+++ b/features/ways.feature
@@ -33,6 +33,9 @@
       | stock  | a take-up ran there twice, its route moved between its runs   | two versions |
       | stock  | a take-up goes on in its service, whose route moved meanwhile | two versions |
       | stock  | an answer goes on where its route had moved before it began | foreign |
+      | save   | another run goes on at another runner, with no copy | unrepeatable twice, new run |
+      | save   | a copy goes on at another runner after an event that it had not made | new run, finished |
+      | save   | a copy goes on, and the request ran twice         | unrepeatable twice, finished |
       | save   | bytes come that no runner makes                   | bent                 |
       | save   | its answer states another request                 | foreign              |
       | save   | it is refused as malformed                        | malformed            |
@@ -43,6 +46,9 @@
       | save   | its caller sent it twice and got two answers      | two answers          |
       | save   | no answer comes on an open connection             | unanswered           |
       | stock  | a take-up goes on where its route moved meanwhile | moved                |
+      | save   | a copy of its run goes on at another runner       | finished             |
+      | stock  | a copy of its run goes on at another runner       | finished             |
+      | stock  | a copy goes on in a take-up                       | finished             |
       | stock  | an answer goes on where its route moved meanwhile | moved                |
 
   Scenario Outline: the bytes of a runner that lies are told from those of one that doesn't
@@ -66,6 +72,16 @@
     Then the events are 1 to 8, of versions 1 and 2
     And the checks that find something are "moved"
 
+  Scenario Outline: a run goes on at another runner from its copy, and is recorded so
+    Given two runners, and a stream at the first
+    When it is <copied> after 3 events, and goes on from the copy at the second
+    Then its events are 1 to 8 of both, and the checks that find something are "finished"
+
+    Examples:
+      | copied                                |
+      | stopped by a move                     |
+      | cut while it has been backed up       |
+
   Scenario: a narrow link passes so many bytes a second
     Given a proxy's connection that is narrowed to 20000 bytes a second
     When 8000 bytes are sent through it
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -368,7 +368,7 @@
             self.on_crash(min(fatal))
             self.end()
             return False
-        if request.continues and not self.copies.take(request.continues):
+        if request.continues and not self.copies.take(request.continues, request.request_id):
             headers = {"X-Rookspring-Request-Id": request.request_id}
             send(self, writer, 503, b"", headers | {"X-Rookspring-Not-Executed": "1"})
             return True
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
@@ -34,6 +34,8 @@
 FDS_MAX = 1638
 MEMORY_MB = 160
 EXIT_S = 6.0
+# The share of plays whose runners know the calls about copies of runs.
+COPIES_SHARE = 0.7
 # The forms of events, of which a seed draws some.
 FORMS = ("crlf", "split", "steps", "big", "notes", "batch")
 
@@ -50,6 +52,8 @@
     :param again: the share of callers who send a request again under its id, where it was cut.
     :param piped: the share of callers who send requests before their last answer came.
     :param troubles: the names of the troubles that are drawn from.
+    :param copies: whether runners know the calls about copies of runs.
+    :param copy_s: how long a copy takes, in seconds.
     """
 
     nodes: int
@@ -65,6 +69,8 @@
     again: float
     troubles: tuple[str, ...]
     piped: float
+    copies: bool = False
+    copy_s: float = 0.0
 
 
 def draw_settings(seed: int, troubles: t.Iterable[str]) -> Settings:
@@ -85,6 +91,8 @@
         again=rng.choice((0.0, 0.0, 0.1)),
         troubles=tuple(rng.sample(names, min(len(names), rng.randint(3, 7)))),
         piped=rng.choice((0.0, 0.2, 0.4)),
+        copies=rng.random() < COPIES_SHARE,
+        copy_s=rng.choice((0.0, 0.05, 0.2)),
     )
 
 
@@ -189,8 +197,13 @@
         """
         self._file.unlink(missing_ok=True)
         drawn = self._stage.settings
+        if self.proxy is None:
+            self.proxy = await self._stage.add_proxy("127.0.0.1", 0, self.name)
         given = {
             "name": self.name,
+            "address": self.proxy.address,
+            "copies": drawn.copies,
+            "copy_s": drawn.copy_s,
             "file": str(self._file),
             "port": port,
             "version": self.version,
@@ -205,8 +218,6 @@
         async with asyncio.timeout(EXIT_S * 2):
             while not self._file.exists():
                 await asyncio.sleep(0.02)
-        if self.proxy is None:
-            self.proxy = await self._stage.add_proxy("127.0.0.1", 0, self.name)
         self.proxy.port = int(self._file.read_text())
 
     async def kill(self) -> None:
@@ -245,6 +256,10 @@
         runs = read_runs(self.name, self._out.read_text())
         return [run._replace(service=self.service) for run in runs]
 
+    def count_moves(self) -> int:
+        """Return how many copies of its runs it made as nodes had asked for, by its record."""
+        return self._out.read_text().count("\nmoved ")
+
 
 class WaysStage:
     """Nodes, runners, the store, and the proxies between them.
@@ -370,6 +385,10 @@
         times = (at for at, *move in self._moves if tuple(move) == where and at < run.at)
         return max(times, default=0.0)
 
+    def count_moves(self) -> int:
+        """Return how many copies of runs were made as nodes had asked for, by the records."""
+        return sum(runner.count_moves() for runner in self._all_runners)
+
     async def stop(self) -> None:
         """End everything; the nodes' logs are kept."""
         for node in self.nodes:
