The rest of a stream without an event is looked at as other streams' ends are

What callers saw: a stream that its caller had taken up was told as complete after 2 of 5 events, where the endpoint that had to give the rest ended it in chunks without an event and exited at once, or was leaving, ended it and lived on. Cause: an exchange without events counted as a body, which is believed if it came within 10 ms, and where the process lives on.

Why it works: the type is known from the head, before any event.

--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -13,6 +13,7 @@
 from rookspring_core.planned_ends import PlannedEnd
 
 from . import clock
+from .event_streams import is_stream
 from .logs import log
 from .relay import EndpointAnswer
 from .relay import RelayExchange
@@ -58,7 +59,8 @@
         ends_at=view.ends_at,
         may_ask=closing and known and recovering.may_ask_another(context.state, request),
         looks_until=exchange.deadline_at - planned_ends.LOOKS_BEFORE_S,
-        at_once=not exchange.events and written_s < planned_ends.WRITTEN_AT_ONCE_S,
+        # A stream that was taken up may come without an event.
+        at_once=not is_stream(answer.head) and written_s < planned_ends.WRITTEN_AT_ONCE_S,
     )
     cause = planned_ends.find_cause(end)
     look_at = planned_ends.find_look_time(end) if planned_ends.may_look(end) else math.inf
@@ -84,7 +86,7 @@
         at_work=at_work,
         waited_s=clock.now() - doubt.ended_at,
     )
-    if doubt.cause == planned_ends.EXIT or not exchange.events:
+    if doubt.cause == planned_ends.EXIT or not is_stream(answer.head):
         return lives
     return lives and at_work
 
