The load of ways: endpoints that stop, told or not, and end or finish their runs

Troubles 'runner leaves' (draining, with a time, or its entry goes; 0.1 to 2 s later it ends all, half or none of its streams cleanly, takes no new ones, exits 0, 0.05, 1.5 s later or lives on; its successor is at its address at once, later, or has a new name) and 'runner exits untold'. Each check has rows of ways.feature.

A runner's proxy listens no more once its process has ended, as it would without a proxy: before, every look at its address found something listening.

--- a/bench/ways.py
+++ b/bench/ways.py
@@ -11,6 +11,7 @@
 from rookspring_fakes.ways import play
 from rookspring_fakes.ways_checks import KINDS
 from rookspring_fakes.ways_troubles import TROUBLES
+from rookspring_fakes.ways_troubles import UNTOLD
 
 from .registry import experiment
 from .registry import report
@@ -49,9 +50,11 @@
     parser.add_argument("--program", default="", help="folder of the nodes' libraries, as built")
     parser.add_argument("--keep", type=pathlib.Path, help="folder for what is found, with logs")
     parser.add_argument("--troubles", help="names to draw from, by commas; all if left out")
+    parser.add_argument("--untold", action="store_true", help="draw ends that nothing tells, too")
     given = parser.parse_args(arguments)
     configure("ERROR")
-    names = given.troubles.split(",") if given.troubles else sorted(TROUBLES)
+    known = TROUBLES | (UNTOLD if given.untold else {})
+    names = given.troubles.split(",") if given.troubles else sorted(known)
     program = str(pathlib.Path(given.program).resolve()) if given.program else ""
     rows = []
     broken = 0
--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -217,6 +217,42 @@
     context.runs[-1] = context.runs[-1]._replace(runner="i2", copied=True)
 
 
+def _end_early(context, cause):
+    _set_events(context, context.parts[0].events[:3])
+    context.runs[0] = context.runs[0]._replace(made=3, cause=cause, kind=context.kind)
+
+
+@change("its runner ends it in its midst, as a sign tells")
+def end_told(context):
+    _end_early(context, "draining-1.0-0.05")
+
+
+@change("its runner ends it in its midst, as nothing tells")
+def end_untold(context):
+    _end_early(context, "untold-failure")
+
+
+def _cut_sound(context, made, ended):
+    events = context.parts[0].events[:3]
+    context.parts[0] = context.parts[0]._replace(whole=False, events=events)
+    context.runs[0] = context.runs[0]._replace(made=made, ended=ended, kind=context.kind)
+
+
+@change("its runner ends it well, and its caller is cut")
+def cut_sound(context):
+    _cut_sound(context, 8, "chunks")
+
+
+@change("its runner ends it with its time, and its caller is cut")
+def cut_in_time(context):
+    _cut_sound(context, 7, "chunks")
+
+
+@change("its runner ends it well by a close, and its caller is cut")
+def cut_unframed(context):
+    _cut_sound(context, 8, "close")
+
+
 def _go_on_elsewhere(context, service, moved_at):
     context.runs[0] = context.runs[0]._replace(at=10.0, service="llm")
     context.runs[-1] = context.runs[-1]._replace(at=12.0, service=service, moved_at=moved_at)
@@ -337,7 +373,8 @@
     assert [one.number for one in events] == [int(one) for one in numbers.split(",")], events
     assert bool(found) == (bent == "some"), found
     lines = "run q1 1 2.5 save\n" + "".join(f"made q1 {one.number}\n" for one in events)
-    run = Run("q1", "i1", 1, len(events), 2.5, "save")
+    lines += f"end q1 {len(events)} chunks\nended q1 {len(events)} untold-stop\n"
+    run = Run("q1", "i1", 1, len(events), 2.5, "save", ended="chunks", cause="untold-stop")
     assert read_runs("i1", lines) == [run]
     assert read_runs("i1", "goes on" + lines.removeprefix("run")) == [run._replace(copied=True)]
 
--- a/features/ways.feature
+++ b/features/ways.feature
@@ -36,6 +36,7 @@
       | save   | another run goes on at another runner, with no copy | unrepeatable twice, new run |
       | save   | a copy goes on at another runner after an event that it had not made | new run, finished |
       | save   | a copy goes on, and the request ran twice         | unrepeatable twice, finished |
+      | save   | its runner ends it in its midst, as a sign tells  | early, ended in midst |
       | save   | bytes come that no runner makes                   | bent                 |
       | save   | its answer states another request                 | foreign              |
       | save   | it is refused as malformed                        | malformed            |
@@ -44,6 +45,11 @@
       | kind   | change                                            | found                |
       | save   | no end comes after the last event                 | cut after last       |
       | save   | its caller sent it twice and got two answers      | two answers          |
+      | save   | its runner ends it in its midst, as nothing tells | ended in midst, early untold |
+      | save   | its runner ends it well, and its caller is cut    | cut sound            |
+      | save   | its runner ends it with its time, and its caller is cut |                |
+      | save   | its runner ends it well by a close, and its caller is cut |              |
+      | stock  | its runner ends it well, and its caller is cut    |                      |
       | save   | no answer comes on an open connection             | unanswered           |
       | stock  | a take-up goes on where its route moved meanwhile | moved                |
       | save   | a copy of its run goes on at another runner       | finished             |
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways.py
@@ -16,6 +16,7 @@
 from .ways_stage import WaysStage
 from .ways_stage import draw_settings
 from .ways_troubles import TROUBLES
+from .ways_troubles import UNTOLD
 from .ways_troubles import Ways
 
 # The shortest and the longest time from the start of one trouble to that of the next, in seconds.
@@ -94,7 +95,7 @@
         await asyncio.sleep(rng.uniform(*TROUBLE_INTERVAL_S))
         name = rng.choice(stage.settings.troubles)
         begun.append(name)
-        tasks.append(asyncio.ensure_future(TROUBLES[name](ways)))
+        tasks.append(asyncio.ensure_future((TROUBLES | UNTOLD)[name](ways)))
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(TROUBLE_END_S):
             await asyncio.gather(*tasks)
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -15,6 +15,10 @@
 _DATA = re.compile(r"data: (\S+) (\S+) (\d+) (\d+) (p+)")
 
 
+# What the causes of ends begin with that nothing tells a node.
+UNTOLD = "untold-"
+
+
 class Kind(t.NamedTuple):
     """A kind of request: its route's type, events, pause between them in seconds, and attempts."""
 
@@ -96,6 +100,9 @@
 
     :param first: the first event that it was asked for.
     :param made: the last event that it made.
+    :param ended: how its answer was ended after its last event: in ``chunks``, by a ``length`` or
+        by a ``close``; empty if it was not.
+    :param cause: of a clean end in its midst, as the runner tells; empty if there was none.
     :param copied: whether it goes on from a copy of another runner's, as the same run.
     :param at: when it began, and ``moved_at`` when its route had last been moved to the service of
         its runner before; by the monotonic clock, in seconds; 0 if unknown or never.
@@ -110,6 +117,8 @@
     service: str = ""
     moved_at: float = 0.0
     copied: bool = False
+    ended: str = ""
+    cause: str = ""
 
 
 def read_events(body: bytes, whole: bool, forms: t.Sequence[str]) -> tuple[tuple[Event, ...], str]:
@@ -132,6 +141,14 @@
     return tuple(events), ""
 
 
+# What a line of a runner's record tells of a run, by its first word.
+_FIELDS: dict[str, t.Callable[[list[str]], dict[str, t.Any]]] = {
+    "made": lambda words: {"made": int(words[0])},
+    "end": lambda words: {"ended": words[1]},
+    "ended": lambda words: {"cause": words[1]},
+}
+
+
 def read_runs(runner: str, record: str) -> list[Run]:
     """Return the runs of a runner's record."""
     runs: list[Run] = []
@@ -142,9 +159,9 @@
             first = int(words[2])
             run = Run(words[1], runner, first, first - 1, float(words[3]), words[4])
             runs.append(run._replace(copied=copied))
-        elif len(words) == 3 and words[0] == "made":
+        elif words and words[0] in _FIELDS:
             at = max(n for n, one in enumerate(runs) if one.ident == words[1])
-            runs[at] = runs[at]._replace(made=int(words[2]))
+            runs[at] = runs[at]._replace(**_FIELDS[words[0]](words[2:]))
     return runs
 
 
@@ -193,14 +210,27 @@
 
 @counts("early", FAULTS)
 def find_early(calls: list[Call], runs: list[Run]) -> list[str]:
-    """Streams that ended as whole ones before their last event."""
+    """Streams that ended as whole ones before their last event, as some sign told a node."""
     return [
-        _tell(call)
+        f"{_tell(call)} {_find_causes(call, runs)}"
         for call in _streams(calls)
-        if call.parts[-1].ended and max(call.numbers, default=0) != KINDS[call.kind].events
+        if _is_early(call) and not _is_untold(call, runs)
     ]
 
 
+def _is_early(call: Call) -> bool:
+    return call.parts[-1].ended and max(call.numbers, default=0) != KINDS[call.kind].events
+
+
+def _find_causes(call: Call, runs: list[Run]) -> list[str]:
+    """Return why runs of its last request were ended in their midst."""
+    return [run.cause for run in runs if run.ident == call.parts[-1].ident and run.cause]
+
+
+def _is_untold(call: Call, runs: list[Run]) -> bool:
+    return any(cause.startswith(UNTOLD) for cause in _find_causes(call, runs))
+
+
 @counts("out of order", FAULTS)
 def find_disorder(calls: list[Call], runs: list[Run]) -> list[str]:
     """Answers within which a number went back, or one was passed over."""
@@ -320,6 +350,37 @@
     return same and run.first <= event.number <= run.made
 
 
+@counts("ended in midst", TOLD)
+def find_ended(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams of which a runner ended a run cleanly in its midst."""
+    return [_tell(call) for call in _streams(calls) if _find_causes(call, runs)]
+
+
+@counts("early untold", TOLD)
+def find_early_untold(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams that ended as whole ones too early, by an end that nothing tells a node."""
+    return [
+        f"{_tell(call)} {_find_causes(call, runs)}"
+        for call in _streams(calls)
+        if _is_early(call) and _is_untold(call, runs)
+    ]
+
+
+def _made_all(run: Run) -> bool:
+    return run.kind in KINDS and run.made == KINDS[run.kind].events
+
+
+@counts("cut sound", TOLD)
+def find_cut_sound(calls: list[Call], runs: list[Run]) -> list[str]:
+    """Streams of one attempt that their runner ended well, in chunks, and whose caller was cut."""
+    whole = {run.ident for run in runs if run.ended == "chunks" and _made_all(run)}
+    return [
+        _tell(call)
+        for call in _streams(calls)
+        if KINDS[call.kind].once and call.parts[-1].ident in whole and not call.parts[-1].ended
+    ]
+
+
 @counts("moved", TOLD)
 def find_moved(calls: list[Call], runs: list[Run]) -> list[str]:
     """Streams of two versions, whose route moved to another service between the two runs."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_proxy.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_proxy.py
@@ -9,6 +9,7 @@
 import os
 import pathlib
 import random
+import socket
 
 from .resets import reset_connection
 
@@ -78,17 +79,33 @@
         self.rate = 0
         self.address = ""
         self._server: asyncio.Server | None = None
+        # Keeps the port for it while it doesn't listen.
+        self._held = socket.socket()
 
     async def start(self) -> "WaysProxy":
         """Listen on a free port."""
-        self._server = await asyncio.start_server(self._accept, "127.0.0.1", 0)
-        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        self._held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        self._held.bind(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self._held.getsockname()[1]}"
+        await self.listen()
         return self
 
-    def stop(self) -> None:
-        """Stop listening, and reset all connections."""
+    async def listen(self) -> None:
+        """Listen, unless it does."""
+        if self._server is None:
+            host, port = self._held.getsockname()
+            self._server = await asyncio.start_server(self._accept, host, port, reuse_port=True)
+
+    def refuse(self) -> None:
+        """Listen no more, as a process that has ended; its connections stay."""
         if self._server is not None:
             self._server.close()
+        self._server = None
+
+    def stop(self) -> None:
+        """Stop listening, and reset all connections."""
+        self.refuse()
+        self._held.close()
         for one in list(self.open):
             one.reset()
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
@@ -2,13 +2,16 @@
 
 Its argument is a JSON object, :class:`RunnerSettings`. Lines of its record are ``run ID FIRST TIME
 KIND``, or ``goes on ID FIRST TIME KIND`` where a run goes on from a copy of another runner's;
-``made ID NUMBER``, ``end ID NUMBER``, and ``moved ID NUMBER`` where a copy of a run was made.
+``made ID NUMBER``, ``end ID NUMBER FRAMING``, ``ended ID NUMBER CAUSE`` where the runner ends a run
+cleanly in its midst, and ``moved ID NUMBER`` where a copy of a run was made.
 """
 
 import asyncio
 import collections
 import contextlib
 import json
+import math
+import os
 import pathlib
 import random
 import sys
@@ -27,6 +30,11 @@
 ID_STEP = 3
 # The pause between the two parts of a split event, in seconds.
 SPLIT_PAUSE_S = 0.004
+# How long a runner that stops waits at most for runs that it finishes, and how often it looks, in
+# seconds.
+FINISHES_S = 4.0
+FINISHES_CHECK_S = 0.002
+LAST_CHUNK = b"0\r\n\r\n"
 _KEEP_ALIVE = "Keep-Alive: timeout=5\r\n"
 
 
@@ -49,6 +57,21 @@
     forms: list[str]
 
 
+class Stop(t.TypedDict):
+    """What a runner is told to do with the runs that it has.
+
+    :ivar share: the share of its streams that it ends cleanly in their midst; it finishes the rest.
+    :ivar cause: for its record, without spaces.
+    :ivar refuses: it takes no new ones.
+    :ivar exit_s: how long after the last run has ended it exits; None if it lives on.
+    """
+
+    share: float
+    cause: str
+    refuses: bool
+    exit_s: float | None
+
+
 def write_event(name: str, ident: str, number: int, version: int, forms: t.Sequence[str]) -> bytes:
     """Return one event, in the given forms."""
     payload = "p" * (BIG_BYTES if "big" in forms else SMALL_BYTES)
@@ -70,6 +93,11 @@
         self._past: collections.deque[tuple[float, dict[str, int]]] = collections.deque([(0.0, {})])
         self._writers: set[asyncio.StreamWriter] = set()
         self._streams: dict[str, asyncio.StreamWriter] = {}
+        # The streams that were ended cleanly in their midst, and whether new requests are refused.
+        self._ended: set[asyncio.StreamWriter] = set()
+        self._framed: set[asyncio.StreamWriter] = set()
+        self._refuses = False
+        self._leaves_at: float | None = None
         self._copies = RunCopies(self)
         self._copies.address = settings["address"]
         self._copies.known = settings["copies"]
@@ -102,6 +130,12 @@
         if lines[0].startswith("POST /cut"):
             self._cut(body.decode())
             _send(writer, 200)
+        elif lines[0].startswith("POST /leave"):
+            self._leaves_at = time.monotonic() + float(body)
+            _send(writer, 200)
+        elif lines[0].startswith("POST /stop"):
+            _send(writer, 200)
+            self._stopping = asyncio.ensure_future(self._stop(json.loads(body)))
         elif lines[0].startswith("GET /report"):
             _send(writer, 200, json.dumps(self._report()).encode())
         elif lines[0].startswith("GET /healthz"):
@@ -112,7 +146,7 @@
             _send(writer, 404)
         elif headers.get("x-rookspring-expect-instance", self._name) != self._name:
             _send(writer, 421, rows=_not_run(ident))
-        elif headers.get("kv-from") and not self._copies.take(headers["kv-from"], ident):
+        elif self._refuses or not self._has_copy(headers, ident):
             _send(writer, 503, rows=_not_run(ident))
         else:
             unframed = self._random.random() < self._settings["unframed"]
@@ -125,6 +159,10 @@
             print("moved", json.loads(body)["id"], reply.body["created"], flush=True)
         _send(writer, reply.status, json.dumps(reply.body).encode())
 
+    def _has_copy(self, headers: dict[str, str], ident: str) -> bool:
+        """Return whether a request names no copy, or one that is taken up now."""
+        return "kv-from" not in headers or self._copies.take(headers["kv-from"], ident)
+
     def stop_run(self, run: str) -> None:
         """Close the stream of a run that is stopped, without its end."""
         if run in self._streams:
@@ -137,22 +175,55 @@
             else:
                 _end(writer, how)
 
+    async def _stop(self, stop: Stop) -> None:
+        self._refuses = stop["refuses"]
+        runs = sorted(self._streams)
+        for ident in self._random.sample(runs, math.ceil(len(runs) * stop["share"])):
+            self._end_cleanly(ident, stop["cause"])
+        if stop["exit_s"] is None:
+            return
+        until = time.monotonic() + FINISHES_S
+        while self._runs and time.monotonic() < until:
+            await asyncio.sleep(FINISHES_CHECK_S)
+        await asyncio.sleep(stop["exit_s"])
+        os._exit(0)
+
+    def _end_cleanly(self, ident: str, cause: str) -> None:
+        """End a stream in its midst as a server's library does whose handler returns."""
+        writer = self._streams[ident]
+        print("ended", ident, self._copies.made[ident], cause, flush=True)
+        self._ended.add(writer)
+        if writer in self._framed:
+            writer.write(LAST_CHUNK)
+        else:
+            writer.close()
+
     def _report(self) -> dict[str, t.Any]:
         before = time.monotonic() - LIST_AGE_S
         while len(self._past) > 1 and self._past[1][0] <= before:
             self._past.popleft()
         runs = [[one, 100, made, 1] for one, made in self._past[0][1].items()]
-        return {
-            "stage": "both",
-            "models": list_models(self._settings["version"]),
-            "utilization": False,
-            "sequence": 0,
-            "queued": 0,
-            "active": len(self._runs),
-            "kv-used": 0,
-            "kv-total": 100000,
-            "handles": self._copies.handles,
-        } | ({"runs": runs} if self._settings["lists"] else {})
+        return (
+            {
+                "stage": "both",
+                "models": list_models(self._settings["version"]),
+                "utilization": False,
+                "sequence": 0,
+                "queued": 0,
+                "active": len(self._runs),
+                "kv-used": 0,
+                "kv-total": 100000,
+                "handles": self._copies.handles,
+            }
+            | ({"runs": runs} if self._settings["lists"] else {})
+            | self._tell_leaving()
+        )
+
+    def _tell_leaving(self) -> dict[str, t.Any]:
+        if self._leaves_at is None:
+            return {}
+        left_s = max(0.0, self._leaves_at - time.monotonic())
+        return {"state": "draining", "remaining-ms": int(left_s * 1000.0)}
 
     def _note(self, ident: str, made: int | None) -> None:
         if made is None:
@@ -186,10 +257,14 @@
             rows += "Content-Type: text/event-stream\r\n"
             rows += "" if unframed else "Transfer-Encoding: chunked\r\n" + _KEEP_ALIVE
             writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode())
+            if not unframed:
+                self._framed.add(writer)
             with self._hold_stream(ident, first - 1, headers, writer):
                 return await self._stream(ident, first, headers, reader, writer, unframed)
         finally:
             self._writers.discard(writer)
+            self._framed.discard(writer)
+            self._ended.discard(writer)
             self._note(ident, None)
 
     @contextlib.contextmanager
@@ -220,7 +295,7 @@
             writer.write(f"HTTP/1.1 200 OK\r\n{rows}\r\n".encode() + body)
         else:
             _send(writer, 200, body, rows)
-        print("end", ident, 0, flush=True)
+        print("end", ident, 0, "close" if unframed else "length", flush=True)
         return True
 
     async def _stream(
@@ -243,6 +318,8 @@
                 break
             if reader.at_eof() or writer.is_closing():
                 return False
+            if writer in self._ended:
+                return True
             self._note(ident, number)
             self._copies.made[ident] = number
             print("made", ident, number, flush=True)
@@ -257,11 +334,13 @@
                 continue
             await self._pass(writer, held, unframed)
             held = b""
+        if writer in self._ended:
+            return True
         if held:
             _write(writer, held, unframed)
         if not unframed:
-            writer.write(b"0\r\n\r\n")
-        print("end", ident, ended, flush=True)
+            writer.write(LAST_CHUNK)
+        print("end", ident, ended, "close" if unframed else "chunks", flush=True)
         return True
 
     async def _pass(self, writer: asyncio.StreamWriter, data: bytes, unframed: bool) -> None:
@@ -269,6 +348,8 @@
         if cut:
             _write(writer, data[:cut], unframed)
             await asyncio.sleep(SPLIT_PAUSE_S)
+            if writer in self._ended:
+                return
         _write(writer, data[cut:], unframed)
         await writer.drain()
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_stage.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import pathlib
@@ -21,12 +22,14 @@
 from .processes import write_table
 from .serving import RunningServer
 from .serving import serve
+from .store import StoreError
 from .ways_checks import KINDS
 from .ways_checks import Run
 from .ways_checks import read_runs
 from .ways_node import CLOCK_FILE_VARIABLE
 from .ways_node import LISTEN_VARIABLE
 from .ways_proxy import WaysProxy
+from .ways_runner import Stop
 from .ways_runner import list_models
 
 SERVICES = ("llm", "llm-b")
@@ -176,6 +179,19 @@
         return not self.program or (self._find_fakes() / "rookspring_fakes/cut_node.py").exists()
 
 
+class Prepared(t.NamedTuple):
+    """A runner's process, and the port that it listens on."""
+
+    process: asyncio.subprocess.Process
+    port: int
+
+
+async def _kill(process: asyncio.subprocess.Process) -> None:
+    if process.returncode is None:
+        process.kill()
+    await process.wait()
+
+
 class RunnerProcess:
     """A runner in a process of its own, behind a proxy; its record is kept over its lives."""
 
@@ -188,11 +204,35 @@
         self._file = stage.folder / f"{name}.port"
         self._out = stage.folder / f"{name}.out"
         self.process: asyncio.subprocess.Process | None = None
+        # Its processes that were succeeded, and may live; the tasks that wait for the ends of all.
+        self._past: list[asyncio.subprocess.Process] = []
+        self._watches: list[asyncio.Future[None]] = []
         self.busy = False
 
     async def start(self, port: int = 0) -> None:
         """Start its process, and its proxy if it has none.
 
+        :raises TimeoutError: if it doesn't listen within some seconds.
+        """
+        await self.switch(await self.prepare(port))
+
+    async def switch(self, prepared: "Prepared") -> None:
+        """Have another process at its address."""
+        assert self.proxy is not None
+        if self.process is not None:
+            self._past.append(self.process)
+        self.process, self.proxy.port = prepared
+        await self.proxy.listen()
+        self._watches.append(asyncio.ensure_future(self._watch(prepared.process)))
+
+    async def _watch(self, process: asyncio.subprocess.Process) -> None:
+        await process.wait()
+        if process is self.process and self.proxy is not None:
+            self.proxy.refuse()
+
+    async def prepare(self, port: int = 0) -> "Prepared":
+        """Start another process for its address, which nobody reaches yet.
+
         :raises TimeoutError: if it doesn't listen within some seconds.
         """
         self._file.unlink(missing_ok=True)
@@ -212,31 +252,49 @@
             "forms": list(drawn.forms),
         }
         with self._out.open("ab") as out:
-            self.process = await asyncio.create_subprocess_exec(
+            process = await asyncio.create_subprocess_exec(
                 sys.executable, "-m", "rookspring_fakes.ways_runner", json.dumps(given), stdout=out
             )
         async with asyncio.timeout(EXIT_S * 2):
             while not self._file.exists():
                 await asyncio.sleep(0.02)
-        self.proxy.port = int(self._file.read_text())
+        return Prepared(process, int(self._file.read_text()))
 
     async def kill(self) -> None:
         """Kill its process."""
         assert self.process is not None
-        if self.process.returncode is None:
-            self.process.kill()
-        await self.process.wait()
+        await _kill(self.process)
+
+    async def end(self) -> None:
+        """Kill all its processes, those that were succeeded among them."""
+        for process in (self.process, *self._past):
+            if process is not None:
+                await _kill(process)
+        for watch in self._watches:
+            await watch
 
     async def cut(self, how: str) -> None:
         """Have it end the connections of its runs: by a key of its own, ``close`` to ``torn``."""
+        await self._order("cut", how)
+
+    async def leave(self, seconds: float) -> None:
+        """Have its reports say that it leaves, and in how many seconds it ends."""
+        await self._order("leave", str(seconds))
+
+    async def end_runs(self, stop: Stop) -> None:
+        """Have it end or finish the runs that it has, and then exit or live on."""
+        await self._order("stop", json.dumps(stop))
+
+    async def _order(self, name: str, text: str) -> None:
         assert self.proxy is not None
-        body = how.encode()
+        body = text.encode()
         reader, writer = await asyncio.open_connection("127.0.0.1", self.proxy.port)
-        writer.write(b"POST /cut HTTP/1.1\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        head = f"POST /{name} HTTP/1.1\r\nContent-Length: {len(body)}\r\n\r\n"
+        writer.write(head.encode() + body)
         await reader.readline()
         writer.close()
 
-    def entry(self) -> dict[str, t.Any]:
+    def entry(self, state: str = "ready") -> dict[str, t.Any]:
         """Return its entry in the store."""
         assert self.proxy is not None
         return {
@@ -245,7 +303,7 @@
             "zone": "z1",
             "version": f"v{self.version}",
             "slots": 64,
-            "state": "ready",
+            "state": state,
             "cold-left-ms": 0,
             "sequence": 1,
             "models": list_models(self.version),
@@ -365,15 +423,20 @@
         await self.write_entry(runner)
         return runner
 
-    async def write_entry(self, runner: RunnerProcess) -> None:
+    async def write_entry(self, runner: RunnerProcess, state: str = "ready", **more: int) -> None:
         """Write a runner's entry, with the version that it has now."""
-        await self.store.write("servers", runner.name, runner.entry())
+        await self.store.write("servers", runner.name, runner.entry(state) | more)
+
+    async def remove_entry(self, runner: RunnerProcess) -> None:
+        """Delete a runner's entry, if it is there."""
+        with contextlib.suppress(StoreError):
+            await self.store.remove("servers", runner.name)
 
     async def remove_runner(self, runner: RunnerProcess) -> None:
         """Kill a runner, and delete its entry."""
         self.runners.remove(runner)
         await runner.kill()
-        await self.store.remove("servers", runner.name)
+        await self.remove_entry(runner)
 
     def read_runs(self) -> list[Run]:
         """Return the runs of all runners, by their records."""
@@ -399,7 +462,7 @@
             node.read_log()
             self.logs[node.name] = node.log_text
         for runner in self._all_runners:
-            await runner.kill()
+            await runner.end()
         for proxy in self.proxies:
             proxy.stop()
         if self._served is not None:
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_troubles.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_troubles.py
@@ -10,6 +10,7 @@
 from .ways_proxy import Passing
 from .ways_proxy import WaysProxy
 from .ways_proxy import read_ports
+from .ways_runner import Stop
 from .ways_stage import EXIT_S
 from .ways_stage import SERVICES
 from .ways_stage import RunnerProcess
@@ -28,8 +29,21 @@
 # From a node's loss of its links until something else happens to it, in seconds.
 HANDING_OVER_S = (0.1, 0.4, 1.0)
 
+# From when a runner tells that it leaves until it stops, and how long after its last run it exits,
+# in seconds; None if it lives on. Most streams that are under way then last for 0.24 to 1.2 s.
+LEAVES_S = (0.1, 0.2, 0.5, 2.0)
+EXITS_S = (0.0, 0.05, 1.5, None)
+# Those of which a node can find out by itself that they ended the run.
+SOON_EXITS_S = (0.0, 0.05)
+# The shares of its streams that a runner ends as it stops.
+SHARES = (1.0, 1.0, 0.0, 0.5)
+# How long a runner that lives on does so, in seconds.
+LINGERS_S = 2.0
+
 Trouble = t.Callable[["Ways"], t.Coroutine[t.Any, t.Any, None]]
 TROUBLES: dict[str, Trouble] = {}
+# Those whose ends of runs nothing tells from the answers' own: drawn only where they are asked for.
+UNTOLD: dict[str, Trouble] = {}
 
 
 class Ways(t.NamedTuple):
@@ -50,11 +64,11 @@
         return self.random.choice(free) if len(free) > 1 else None
 
 
-def trouble(name: str) -> t.Callable[[Trouble], Trouble]:
+def trouble(name: str, where: dict[str, Trouble] = TROUBLES) -> t.Callable[[Trouble], Trouble]:
     """Register a trouble."""
 
     def register(begin: Trouble) -> Trouble:
-        TROUBLES[name] = begin
+        where[name] = begin
         return begin
 
     return register
@@ -306,3 +320,92 @@
     await stage.move_route(kind, ways.random.choice(SERVICES), limit_ms)
     await asyncio.sleep(ways.random.uniform(0.3, 2.0))
     await stage.move_route(kind, SERVICES[0], stage.settings.route_ms)
+
+
+async def _tell_leaving(ways: Ways, runner: RunnerProcess, how: str, seconds: float) -> None:
+    """Tell that a runner leaves: by its entry, by a time as well, or by an entry that goes."""
+    left = {"remaining-ms": int(seconds * 1000.0)}
+    if how == "draining":
+        await ways.stage.write_entry(runner, "draining")
+    elif how == "stated":
+        await ways.stage.write_entry(runner, "draining", **left)
+        await runner.leave(seconds)
+    elif how == "gone":
+        await ways.stage.remove_entry(runner)
+
+
+async def _stop_runner(ways: Ways, told: str, stop: Stop, successors: t.Sequence[str]) -> None:
+    """Stop a runner, and have a successor: at its address at once or later, or of a new name."""
+    runner = ways.pick_runner()
+    if runner is None:
+        return
+    runner.busy = True
+    successor = ways.random.choice(successors)
+    prepared = await runner.prepare() if successor == "at once" else None
+    leaves_s = ways.random.choice(LEAVES_S)
+    await _tell_leaving(ways, runner, told, leaves_s + (stop["exit_s"] or 0.0))
+    await asyncio.sleep(leaves_s)
+    await runner.end_runs(stop)
+    if prepared is not None:
+        await runner.switch(prepared)
+        await ways.stage.write_entry(runner)
+    elif successor == "later":
+        await asyncio.sleep((stop["exit_s"] or LINGERS_S) + ways.random.choice((0.0, 1.0)))
+        await runner.kill()
+        await runner.start()
+        await ways.stage.write_entry(runner)
+    else:
+        await ways.stage.add_runner(runner.service, runner.version)
+        await asyncio.sleep(LINGERS_S)
+        await ways.stage.remove_runner(runner)
+    runner.busy = False
+
+
+@trouble("runner leaves")
+async def leave(ways: Ways) -> None:
+    """Have a runner tell that it leaves, and then end or finish its runs."""
+    told = ways.random.choice(("draining", "stated", "gone"))
+    share, exit_s = ways.random.choice(SHARES), ways.random.choice(EXITS_S)
+    stop = Stop(share=share, cause=f"{told}-{share}-{exit_s}", refuses=True, exit_s=exit_s)
+    await _stop_runner(ways, told, stop, ("at once", "later", "new"))
+
+
+@trouble("runner exits untold")
+async def stop_untold(ways: Ways) -> None:
+    """Have a runner end or finish its runs without a word, and exit."""
+    share, exit_s = ways.random.choice((1.0, 0.0)), ways.random.choice(SOON_EXITS_S)
+    stop = Stop(share=share, cause=f"exits-{share}-{exit_s}", refuses=True, exit_s=exit_s)
+    await _stop_runner(ways, "", stop, ("later", "new"))
+
+
+@trouble("runner lingers untold", UNTOLD)
+async def linger_untold(ways: Ways) -> None:
+    """Have a runner end runs without a word, and live on for a time, or be succeeded at once."""
+    share, exit_s = ways.random.choice((1.0, 0.5)), ways.random.choice(EXITS_S)
+    stop = Stop(share=share, cause="untold-stop", refuses=True, exit_s=exit_s)
+    succeeded = exit_s in SOON_EXITS_S and share == 1.0
+    await _stop_runner(ways, "", stop, ("at once",) if succeeded else ("later", "new"))
+
+
+async def _end_some(ways: Ways, share: float, cause: str) -> None:
+    runner = ways.pick_runner()
+    if runner is not None:
+        await runner.end_runs(Stop(share=share, cause=cause, refuses=False, exit_s=None))
+
+
+@trouble("run fails", UNTOLD)
+async def fail_run(ways: Ways) -> None:
+    """Have the handlers of a few of a runner's runs fail; the process lives on."""
+    await _end_some(ways, 0.1, "untold-failure")
+
+
+@trouble("unload ends runs", UNTOLD)
+async def unload(ways: Ways) -> None:
+    """Have a runner end all its runs, and serve on."""
+    await _end_some(ways, 1.0, "untold-unload")
+
+
+@trouble("preemption ends runs", UNTOLD)
+async def preempt(ways: Ways) -> None:
+    """Have a runner end half of its runs, and serve on."""
+    await _end_some(ways, 0.5, "untold-preemption")
