--- a/features/ways.feature
+++ b/features/ways.feature
@@ -33,6 +33,10 @@
       | stock  | a take-up ran there twice, its route moved between its runs   | two versions |
       | stock  | a take-up goes on in its service, whose route moved meanwhile | two versions |
       | stock  | an answer goes on where its route had moved before it began | foreign |
+      | save   | another run goes on at another runner, with no copy | unrepeatable twice, new run |
+      | save   | a copy goes on at another runner after an event that it had not made | new run, finished |
+      | save   | a copy goes on, and the request ran twice         | unrepeatable twice, finished |
+      | save   | its runner ends it in its midst, as a sign tells  | early, ended in midst |
       | save   | bytes come that no runner makes                   | bent                 |
       | save   | its answer states another request                 | foreign              |
       | save   | it is refused as malformed                        | malformed            |
@@ -41,8 +45,16 @@
       | kind   | change                                            | found                |
       | save   | no end comes after the last event                 | cut after last       |
       | save   | its caller sent it twice and got two answers      | two answers          |
+      | save   | its runner ends it in its midst, as nothing tells | ended in midst, early untold |
+      | save   | its runner ends it well, and its caller is cut    | cut sound            |
+      | save   | its runner ends it with its time, and its caller is cut |                |
+      | save   | its runner ends it well by a close, and its caller is cut |              |
+      | stock  | its runner ends it well, and its caller is cut    |                      |
       | save   | no answer comes on an open connection             | unanswered           |
       | stock  | a take-up goes on where its route moved meanwhile | moved                |
+      | save   | a copy of its run goes on at another runner       | finished             |
+      | stock  | a copy of its run goes on at another runner       | finished             |
+      | stock  | a copy goes on in a take-up                       | finished             |
       | stock  | an answer goes on where its route moved meanwhile | moved                |
 
   Scenario Outline: the bytes of a runner that lies are told from those of one that doesn't
@@ -66,6 +78,16 @@
     Then the events are 1 to 8, of versions 1 and 2
     And the checks that find something are "moved"
 
+  Scenario Outline: a run goes on at another runner from its copy, and is recorded so
+    Given two runners, and a stream at the first
+    When it is <copied> after 3 events, and goes on from the copy at the second
+    Then its events are 1 to 8 of both, and the checks that find something are "finished"
+
+    Examples:
+      | copied                                |
+      | stopped by a move                     |
+      | cut while it has been backed up       |
+
   Scenario: a narrow link passes so many bytes a second
     Given a proxy's connection that is narrowed to 20000 bytes a second
     When 8000 bytes are sent through it
