A failed check of a soak of real processes is traced in what it prints

Who reads a failure of the soaks saw the ids of requests and nothing else: nodes' logs were deleted with the stage's folder, so two streams with events of two versions were never traced.

Nodes' logs now have the time of the box's monotonic clock on each line and no limit of lines. Where a check fails, they are kept in a folder with all lines in the order of time, among them the endpoints' records of arrivals, their begins and ends, and the troubles. A node that is not ready in time tells the end of its log.

--- a/features/processes.feature
+++ b/features/processes.feature
@@ -30,3 +30,10 @@
     Examples: longer runs are started by hand
       | nodes | callers | seed | seconds |
       | 3     | 8       | 3    | 15      |
+
+  Scenario: a failed check of a soak is traced in what it prints, and its logs are kept
+    Given 2 nodes as processes, 2 callers whose streams go on elsewhere, and seed 5
+    And endpoints that write events of two versions into each stream
+    When troubles are drawn for 2 s, one after another and overlapping
+    Then a failure of one version comes with the sends of its requests and their runs at endpoints
+    And a folder has the nodes' logs and one of all in the order of time
--- a/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/cut_node.py
@@ -1,15 +1,18 @@
 """Runs a node of the users' platform whose links to endpoints are cut as a file tells.
 
 The file has a name of :data:`CUTS`, or is empty or missing while the links work. Once the node has
-done what it tells, it writes the same to a second file.
+done what it tells, it writes the same to a second file. Each line of its log begins with the time
+by the box's monotonic clock, and none is left out.
 """
 
 import asyncio
 import os
 import pathlib
 import runpy
+import time
 import typing as t
 
+from rookspring import logs
 from rookspring import relay_node
 
 from .cut_links import CUTS
@@ -44,6 +47,15 @@
             await asyncio.sleep(CHECK_S)
 
 
+class TimedOutput(logs.BoundedOutput):
+    """Writes each line with its time, which sets it apart from the lines that are limited."""
+
+    def write(self, line: str) -> None:
+        """Write one line after its time, in seconds."""
+        super().write(f"at={time.monotonic():.4f} {line}")
+
+
 if __name__ == "__main__":
+    logs.BoundedOutput = TimedOutput  # type: ignore[misc]
     relay_node.RelayNode = CutNode  # type: ignore[misc, assignment]
     runpy.run_module("rookspring_platform", run_name="__main__")
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -24,6 +24,7 @@
 from .process_streams import StreamCallers
 from .process_streams import find_stream_violations
 from .process_streams import replace_crashed
+from .process_traces import trace_failures
 from .processes import EXIT_SLACK_S
 from .processes import GRACE_S
 from .processes import ProcessStage
@@ -113,6 +114,8 @@
         self.busy: set[str] = set()
         self.late: list[str] = []
         self.troubles: dict[str, int] = {}
+        # The troubles in the order of their begins, each with its time.
+        self.began: list[tuple[float, str]] = []
 
     async def run(self, seconds: float) -> Outcome:
         """Draw troubles for a time, stop everything, and check the guarantees."""
@@ -135,6 +138,8 @@
             f"two nodes acquired the lease with fence {fence}"
             for fence in _shared_fences(self.stage)
         ]
+        related = {parts[0].key: [part.key for part in parts] for parts in readers.streams if parts}
+        broken = trace_failures(self.stage, broken, related, self.began)
         answered = sum(one.status == 200 for one in callers.records)
         limited = find_limited(one.work_period() for one in self.stage.servers)
         owed = count_owed([one.ended_at for one in callers.records], limited)
@@ -152,6 +157,7 @@
             await asyncio.sleep(self.random.uniform(*TROUBLE_INTERVAL_S))
             name = self.random.choice(names)
             self.troubles[name] = self.troubles.get(name, 0) + 1
+            self.began.append((time.monotonic(), name))
             tasks.append(asyncio.ensure_future(TROUBLES[name](self)))
         await asyncio.gather(*tasks)
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -32,6 +32,8 @@
 EXIT_SLACK_S = 1.5
 # The time within which a node must become ready, in seconds.
 READY_S = 15.0
+# Lines of its log that are told of a node that does not become ready.
+LOG_END_LINES = 30
 # The pause between events of long streams, in seconds, and the share of them without a length.
 LONG_PAUSE_S = 0.03
 UNFRAMED_SHARE = 0.3
@@ -195,11 +197,16 @@
     async def wait_ready(self) -> None:
         """Wait until its readiness check succeeds.
 
-        :raises TimeoutError: if that takes longer than ``READY_S``.
+        :raises TimeoutError: if that takes longer than ``READY_S``; with the end of its log.
         """
-        async with asyncio.timeout(READY_S):
-            while not await _is_ready(self.host, self.ports["ready"]):
-                await asyncio.sleep(0.05)
+        try:
+            async with asyncio.timeout(READY_S):
+                while not await _is_ready(self.host, self.ports["ready"]):
+                    await asyncio.sleep(0.05)
+        except TimeoutError as error:
+            self.read_log()
+            end = "\n".join(self.log_text.splitlines()[-LOG_END_LINES:])
+            raise TimeoutError(f"{self.name} is not ready; its log ends:\n{end}") from error
 
     async def wait_exit(self, within_s: float) -> bool:
         """Wait until its process exits, and kill it after a timeout.
