A leaving endpoint that goes as announced has finished its answers; ends at one moment haven't

Traced: the runner of both left, ended the stream well 8 ms and more before it closed its listener and went on with other nodes' streams; the look took that for the end of its process, and nothing else of this node ran there.

Cause: a leaving endpoint closes each connection after its answer and its listener when it likes, and goes with its last run; so its going speaks against no end, and each sound stream without a copy was cut there.

Now what a stop that ends runs shows tells them apart: answers that end at one moment with nothing going on there, a process that goes before the time for which it had promised to serve on (drain-ms after its notice; its end is held back until then, 1.5 s at most), and that endpoints of the service were seen to end runs in their midst (what another endpoint gave of a doubted answer brought further events). Without any of these an end at a leaving endpoint is believed, with or without its process; at one that stays it is not if the process is gone and nothing else worked on.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -76,13 +76,13 @@
       | was closed there         | an earlier one is    | closes its connections  | staying   | shown to live                     |
       | was closed as announced  | an earlier one is    | keeps its connections   | staying   | shown to live                     |
       | was closed there         | no other is          | keeps its connections   | leaving   | taken for ended                   |
-      | was closed there         | no other is          | closes its connections  | leaving   | taken for ended                   |
-      | was closed as announced  | no other is          | keeps its connections   | leaving   | taken for ended                   |
+      | was closed there         | no other is          | closes its connections  | leaving   | alive if its address is served    |
+      | was closed as announced  | no other is          | keeps its connections   | leaving   | alive if its address is served    |
       | was closed there         | no other is          | keeps its connections   | staying   | taken for ended                   |
       | was closed there         | no other is          | closes its connections  | staying   | alive if its address is served    |
       | was closed as announced  | no other is          | keeps its connections   | staying   | alive if its address is served    |
 
-  Scenario Outline: an end at a leaving endpoint that lives on is believed only if something else goes on running there
+  Scenario Outline: an end at a leaving endpoint that lives on is not believed if another one came with it
     Given a relay node whose routes take up to 8 s, with one endpoint with models that does: 3 until it stops, <beside>
     When the endpoint of a stream request beside another stream is leaving, and ends its answers and lives on
     Then the answer is <answer>
@@ -91,7 +91,75 @@
       | beside                     | answer        |
       | 3 until it stops           | 3 events, cut |
       | an event each 0.02 s       | 3 events      |
-      | 3 and no more              | 3 events, cut |
+      | 3 and no more              | 3 events      |
+
+  Scenario Outline: a process that goes before the time for which it had promised to serve on has not finished its answers
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: 3 until it stops
+    When a stream request runs whose endpoint is leaving and <later> ms later <stops>
+    Then the answer is <answer>
+
+    Examples:
+      | later | stops                                | answer        |
+      | 200   | ends its answers and exits           | 3 events, cut |
+      | 200   | ends its answers and exits 0.5 s later | 3 events, cut |
+      | 1200  | ends its answers and exits           | 3 events      |
+
+  Scenario Outline: endpoints of a service that have ended runs in their midst are not believed as they leave
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 until it stops, stream
+    When the endpoint of a resumable request is leaving, and ends its answers and exits
+    And then the other endpoint of a <kind> request that does 3 until it stops leaves and 1200 ms later ends its answers and lives on
+    Then the answer is <answer>
+
+    Examples:
+      | kind   | answer        |
+      | stream | 3 events, cut |
+
+  Scenario Outline: what is seen of an endpoint decides whether a doubted end is the answer's own
+    When an end that is doubted for <cause> is of <what>, its endpoint <seen>
+    Then by what was seen it is <verdict>
+
+    Examples:
+      | cause    | what     | seen                                | verdict  |
+      | its exit | a stream | lives                               | believed |
+      | its exit | a stream | is gone                             | doubted  |
+      | its exit | a stream | is gone, worked on                  | believed |
+      | its exit | a stream | lives, ended others with it         | believed |
+      | its exit | a body   | is gone                             | doubted  |
+      | its stop | a stream | lives                               | believed |
+      | its stop | a stream | lives, had promised to              | believed |
+      | its stop | a stream | is gone                             | believed |
+      | its stop | a stream | is gone, had promised to serve      | doubted  |
+      | its stop | a stream | is gone, worked on                  | believed |
+      | its stop | a stream | lives, ended others with it         | doubted  |
+      | its stop | a stream | lives, worked on, ended others with it | believed |
+      | its stop | a stream | lives, of such that end runs        | doubted  |
+      | its stop | a body   | is gone                             | doubted  |
+      | its stop | a body   | lives, ended others with it         | believed |
+      | its time | a stream | lives                               | believed |
+      | its time | a stream | is gone, worked on                  | doubted  |
+      | its time | a stream | lives, of such that end runs        | doubted  |
+      | its time | a stream | lives, worked on, of such that end runs | believed |
+
+  Scenario Outline: until when a leaving endpoint has promised to serve on
+    When this node learnt at <left> s that an endpoint leaves, which serves on for 3 s then and ends at <ends> s
+    Then it has promised to serve until <until> s
+
+    Examples:
+      | left | ends | until |
+      | 10   | inf  | 12    |
+      | inf  | inf  | -inf  |
+      | 10   | 11   | -inf  |
+
+  Scenario Outline: whether answers of an endpoint ended together
+    When answers end at an endpoint at <ends> s
+    Then that at 10 s ended <how>
+
+    Examples:
+      | ends             | how             |
+      | 10               | alone           |
+      | 10, 10.02        | with another    |
+      | 9.98, 10         | with another    |
+      | 9.9, 10, 10.1    | alone           |
 
   Scenario Outline: whether an endpoint worked on after the end of an answer is told by the last event of another run there
     When another run's last event comes <after> s after the end of an answer
@@ -219,7 +287,7 @@
       | one attempt     | no   | 0.05    | its stop | time    |
       | one attempt     | no   | 0.0     | nothing  | no time |
       | one attempt     | 0    | 0.1     | its time | time    |
-      | one attempt     | 0    | 0.05    | its time | time    |
+      | one attempt     | 0    | 0.05    | its time | no time |
       | one attempt     | 0    | 0.0     | its time | no time |
 
   Scenario Outline: no endpoint is asked for the rest where none can be
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -17,6 +17,7 @@
 from rookspring_core import planned_ends
 from rookspring_core.effects import ReadReport
 from rookspring_core.endpoints import EndpointView
+from rookspring_core.planned_ends import EndSigns
 from rookspring_core.planned_ends import LifeSigns
 from rookspring_core.planned_ends import PlannedEnd
 from rookspring_fakes import model_planned_ends
@@ -241,6 +242,70 @@
     context.end = PlannedEnd(10.0, state == "leaving", ends_at, may_ask, math.inf, at_once)
 
 
+@when(
+    "then the other endpoint of a {kind} request that does {step} leaves and {later:d} ms later "
+    "{stops}"
+)
+def ends_after_others(context, kind, step, later, stops):
+    async def work():
+        relay = context.relay
+        assert (context.answer.status, context.answer.whole) == (200, True)
+        server = next(one for one in relay.servers if not one.ended)
+        server.script[:] = [step]
+        before = len(server.runs)
+        task = asyncio.ensure_future(relay.ask(request(kind, 2)))
+        await relay.until(lambda: len(server.runs) > before)
+        await asyncio.sleep(0.05)
+        await tell(relay, server, "leaving")
+        await asyncio.sleep(later / 1000.0)
+        await model_planned_ends.STOPS[stops](server)
+        context.answer = await task
+
+    context.loop.run(work())
+
+
+@when("an end that is doubted for {cause} is of {what}, its endpoint {seen}")
+def end_is_seen(context, cause, what, seen):
+    signs = EndSigns(
+        lives="lives" in seen,
+        at_work="worked on" in seen,
+        together="ended others with it" in seen,
+        ends_runs="of such that end runs" in seen,
+        promised="had promised" in seen,
+        body=what == "a body",
+    )
+    causes = {text: one for one, text in CAUSES.items()}
+    context.shown = planned_ends.is_shown(causes[cause], signs)
+
+
+@then("by what was seen it is {verdict}")
+def is_judged(context, verdict):
+    assert context.shown == (verdict == "believed")
+
+
+@when(
+    "this node learnt at {left:g} s that an endpoint leaves, which serves on for {serves:d} s then "
+    "and ends at {ends:g} s"
+)
+def learnt_leaving(context, left, serves, ends):
+    context.promised_until = planned_ends.find_promise(left, float(serves), ends)
+
+
+@then("it has promised to serve until {until:g} s")
+def has_promised(context, until):
+    assert context.promised_until == until, context.promised_until
+
+
+@when("answers end at an endpoint at {ends} s")
+def answers_end(context, ends):
+    context.together = planned_ends.ended_together(10.0, [float(one) for one in ends.split(", ")])
+
+
+@then("that at 10 s ended {how}")
+def ended_how(context, how):
+    assert context.together == (how == "with another")
+
+
 @when("another run's last event comes {after:g} s after the end of an answer")
 def another_event(context, after):
     context.at_work = planned_ends.is_at_work(10.0, 10.0 + after)
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -115,6 +115,7 @@
         "inflight",
         "copies",
         "leaving",
+        "left_at",
         "load_reported",
         "name",
         "open_ends",
@@ -164,6 +165,8 @@
         # When this node learnt of each adapter that is newly attached there.
         self.attached_at: dict[str, float] = {}
         self.leaving = False
+        # When this node learnt that it leaves; infinite if it doesn't.
+        self.left_at = math.inf
         # When it ends at the latest, by the first to come of the times that it stated.
         self.ends_at = math.inf
         self.gone = False
@@ -225,6 +228,7 @@
         self.attached_at.clear()
         self.resident = frozenset()
         self.leaving = False
+        self.left_at = math.inf
         self.ends_at = math.inf
         self.backoff_until = -1e9
         self.shed_until = -1e9
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -68,6 +68,9 @@
             told: Effects = []
             if request.delivered == event.tokens:
                 told = stream_origins.tell_origin(state, request)
+            if first and request.end_doubted:
+                # It wasn't whole.
+                state.endpoint_stops.note_ended_run(request.arrived.route.service, state.now)
             if first and endpoint is not None:
                 told = told + run_copies.ask_at(state, endpoint)
             return [*told, *routed.end_prompt(state, request), *requests.dispatch_waiting(state)]
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -7,6 +7,7 @@
 from . import admission_queue
 from . import defaults
 from . import handovers
+from . import planned_ends
 from . import requests
 from . import retry_after
 from . import routed
@@ -71,6 +72,7 @@
         return _requeue(state, request)
     if request.handed_to:
         return handovers.recover(state, request, event)
+    request.end_doubted = event.reason in planned_ends.CAUSES
     if event.copy and run_copies.find_holder(state, request) is not None:
         return _go_on(state, request, event.copy)
     # Once any attempt may have run, a later "not run" from another endpoint does not undo it.
--- a/packages/rookspring-core/src/rookspring_core/run_copies.py
+++ b/packages/rookspring-core/src/rookspring_core/run_copies.py
@@ -7,6 +7,8 @@
 answer was whole is shown by the second, which has no further event then.
 """
 
+import math
+
 from . import stream_origins
 from . import suspect_handlers
 from .effects import CopyRun
@@ -49,7 +51,9 @@
     All are asked for at once, since they are made one after the other.
     """
     if not (view.leaving or view.gone):
+        view.left_at = math.inf
         return []
+    view.left_at = min(view.left_at, state.now)
     effects: Effects = []
     for identity in list(view.inflight):
         request = state.requests.get(identity)
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -28,6 +28,7 @@
 from .options import DecisionOptions
 from .owners import OwnerTable
 from .place_queues import PlaceQueue
+from .planned_ends import EndpointStops
 from .reach import Reach
 from .request_rates import RateTable
 from .retries import RetryBudget
@@ -163,6 +164,7 @@
         "copy",
         "copies_left",
         "copy_refusers",
+        "end_doubted",
     )
 
     def __init__(self, arrived: RequestArrived) -> None:
@@ -213,6 +215,8 @@
         # The copy of its run, how many more may be asked for, and the endpoints that have no room.
         self.copy: RunCopy | None = None
         self.copies_left = 0
+        # Whether its last attempt's end in chunks was doubted.
+        self.end_doubted = False
         self.copy_refusers: set[str] = set()
 
     def bind_to_version(self) -> RequestArrived:
@@ -286,8 +290,8 @@
         # How long a leaving node continues to serve, in seconds, since callers may have its
         # address cached.
         self.drain_serve_s = defaults.ADDRESS_TTL_S + defaults.DRAIN_MARGIN_S
-        self.hurry = False
-        self.stopped = False
+        self.hurry = self.stopped = False
+        self.endpoint_stops = EndpointStops()
         self.sent_witness: set[str] = set()
         # The copies of runs by request, and the requests that went on from one.
         self.copy_witness: dict[str, str] = {}
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -57,6 +57,13 @@
     server.end()
 
 
+@stop_way("ends its answers and exits 0.5 s later")
+async def _end_answers_half_a_second_early(server: "ModelServer") -> None:
+    server.stopping.set()
+    await asyncio.sleep(0.5)
+    server.end()
+
+
 @stop_way("ends its answers and exits 1 s later")
 async def _end_answers_earlier(server: "ModelServer") -> None:
     server.stopping.set()
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -210,6 +210,7 @@
         )
         state.proof_terms = ProofTerms(settings.proof_s)
         state.options = settings.options
+        state.endpoint_stops.serves_s = settings.endpoint_drain_s
         if state.allotments.tolerance != settings.allotments:
             state.allotments = Allotments(settings.allotments, state.started_at)
         state.drain_serve_s = min(
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -10,6 +10,7 @@
 from rookspring_core import planned_ends
 from rookspring_core import recovering
 from rookspring_core.events import AnswerEnded
+from rookspring_core.planned_ends import EndSigns
 from rookspring_core.planned_ends import LifeSigns
 from rookspring_core.planned_ends import PlannedEnd
 
@@ -32,12 +33,16 @@
     :param look_at: when an endpoint that lives has not brought it about; infinite if there is no
         time left to find out.
     :param replaced: another process has the endpoint's name, and maybe its address.
+    :param promised_until: see :func:`planned_ends.find_promise`.
+    :param last_look_at: when it is looked at at the latest if its endpoint has promised to live.
     """
 
     cause: str
     ended_at: float
     look_at: float
     replaced: bool
+    promised_until: float
+    last_look_at: float
 
 
 def find_doubt(
@@ -64,7 +69,12 @@
     )
     cause = planned_ends.find_cause(end)
     look_at = planned_ends.find_look_time(end) if planned_ends.may_look(end) else math.inf
-    return Doubt(cause, ended_at, look_at, replaced) if cause else None
+    if not cause:
+        return None
+    serves_s = context.state.endpoint_stops.serves_s
+    promised_until = planned_ends.find_promise(view.left_at, serves_s, view.ends_at)
+    last_at = planned_ends.find_last_look(ended_at, promised_until, end.looks_until)
+    return Doubt(cause, ended_at, look_at, replaced, promised_until, last_at)
 
 
 async def is_whole(
@@ -75,20 +85,46 @@
     Its endpoint's room is free meanwhile.
     """
     context.submit(AnswerEnded(clock.now(), exchange.key))
-    lives = await _lives_on(context, exchange, answer, doubt)
-    at_work = planned_ends.is_at_work(doubt.ended_at, answer.view.progressed_at)
+    await asyncio.sleep(0.0 if doubt.look_at == math.inf else doubt.look_at - clock.now())
+    signs = await _look(context, exchange, answer, doubt)
+    while _may_tell_later(doubt, signs):
+        await asyncio.sleep(min(planned_ends.LOOKS_EACH_S, doubt.last_look_at - clock.now()))
+        signs = await _look(context, exchange, answer, doubt)
+    shown = planned_ends.is_shown(doubt.cause, signs)
     log(
         "answer_end_doubted",
         id=exchange.fields.request_id,
         endpoint=answer.view.name,
         cause=doubt.cause,
-        lives=lives,
-        at_work=at_work,
+        shown=shown,
+        **signs._asdict(),
         waited_s=clock.now() - doubt.ended_at,
     )
-    if doubt.cause == planned_ends.EXIT or not is_stream(answer.head):
-        return lives
-    return lives and at_work
+    return shown
+
+
+def _may_tell_later(doubt: Doubt, signs: EndSigns) -> bool:
+    """Return whether an end is believed only as its endpoint lives, and that may end too soon."""
+    believed = planned_ends.is_shown(doubt.cause, signs)
+    tells = doubt.cause == planned_ends.STOP and not (signs.body or signs.at_work)
+    return believed and tells and signs.promised and clock.now() < doubt.last_look_at
+
+
+async def _look(
+    context: RelayContext, exchange: RelayExchange, answer: EndpointAnswer, doubt: Doubt
+) -> EndSigns:
+    """Look at an endpoint after a doubted end."""
+    lives = await _lives_on(context, exchange, answer, doubt)
+    view = answer.view
+    at_work = planned_ends.is_at_work(doubt.ended_at, view.progressed_at)
+    return EndSigns(
+        lives,
+        at_work and not doubt.replaced,
+        planned_ends.ended_together(doubt.ended_at, (end for _, end in view.ended)),
+        context.state.endpoint_stops.ends_runs(view.service, clock.now()),
+        doubt.replaced or clock.now() < doubt.promised_until,
+        not is_stream(answer.head),
+    )
 
 
 async def _lives_on(
@@ -101,7 +137,6 @@
     """
     if doubt.look_at == math.inf:
         return False
-    await asyncio.sleep(max(0.0, doubt.look_at - clock.now()))
     # A close that came while this node stood still is read first.
     await asyncio.sleep(READ_S)
     address = answer.view.address
--- a/packages/rookspring/src/rookspring/relay_settings.py
+++ b/packages/rookspring/src/rookspring/relay_settings.py
@@ -26,6 +26,8 @@
     :param allotments: how organisations' allotments are counted.
     :param options: the optional decisions that the settings call for.
     :param changes: how soon the node has to act on what the store has accepted.
+    :param endpoint_drain_s: how long endpoints serve on after they have told that they leave, at
+        the least, in seconds.
     :param lookup_ttl_s: how long callers may cache the answer to a lookup, in seconds.
     """
 
@@ -51,4 +53,5 @@
     allotments: WindowTolerance = WindowTolerance()
     options: DecisionOptions = DecisionOptions()
     changes: ChangeBounds = ChangeBounds()
+    endpoint_drain_s: float = 2.0
     store_scheme: str = "objects"
