Guard how many endpoints are asked to hold a run's copy

The mutant 'asks on and on' (COPIES_MAX 9) was not caught, as the rows had two other endpoints alone; a row with a third one catches it.

--- a/features/run_copies.feature
+++ b/features/run_copies.feature
@@ -50,6 +50,7 @@
       | nothing else is so        | the caller leaves, b has no room              | nothing                              |
       | nothing else is so        | b has no room                                 | a copy is asked for at c             |
       | nothing else is so        | b has no room, c has no room                  | nothing                              |
+      | d is there too            | b has no room, c has no room                  | nothing                              |
       | nothing else is so        | a knows no such run                           | nothing                              |
       | nothing else is so        | b has the copy, b leaves                      | the copy at b is freed, a copy is asked for at c |
       | nothing else is so        | b has the copy, b rests, its answer ends in doubt | the copy at b is freed, it ends as unknown |
--- a/features/steps/run_copy_core_steps.py
+++ b/features/steps/run_copy_core_steps.py
@@ -114,6 +114,13 @@
     )
 
 
+def _add(harness):
+    harness.list_rows((*NAMES, "d"))
+    harness.report_all(("d",))
+    # It is chosen after the others.
+    harness.view("d").others_inflight = SLOTS - 1
+
+
 def _rest(harness, name="b"):
     harness.view(name).backoff_until = harness.now + 1.0
 
@@ -134,6 +141,7 @@
     "b has a request rate": lambda harness: setattr(harness.view("b"), "rate", 5.0),
     "b is in back-off": _rest,
     "b is in another data centre": lambda harness: setattr(harness.view("b"), "data_centre", "y"),
+    "d is there too": _add,
     "b and c are full": lambda harness: (_fill(harness, "b"), _fill(harness, "c")),
 }
 BEGINNINGS = {
