What served before a node started is kept with the lease, not guessed

After all nodes had restarted, a caller that took its stream up got events of another version: owners as young as the asker said that one version serves, which was taken for knowledge of what had served as the stream began.

The lease's holder stores which services have or had several versions, each with the time for which that counts; nodes read it as they start. It goes with the renewals, so there is no more write, and a second version has the next one written with the next tick. A node knows what served before it by that, by an owner's reply that has run for 120 s, by its own time, or as no lease was ever written and the store has no row of its name. Until then a stream that nobody knows is refused.

--- a/bench/version_mutants.py
+++ b/bench/version_mutants.py
@@ -44,6 +44,10 @@
     return len(self._serving.get(service, set())) > 1
 
 
+def _forget_stored(self: StreamVersions, left: t.Any, now: float) -> None:
+    self.former_known = True
+
+
 async def _any_version(context: t.Any, exchange: t.Any) -> str | None:
     version = await _find_version(context, exchange)
     return None if version == "?" else version
@@ -91,6 +95,10 @@
         _tell_nobody,
         VERSIONS_SOCKETS,
     ),
+    Mutant("forgets the store", "one version", StreamVersions, "restore", _forget_stored, VERSIONS),
+    Mutant(
+        "trusts the young", "one version", stream_origins, "knows_former", _always, VERSIONS_SOCKETS
+    ),
     Mutant("asks nobody", "one version", stream_origins, "must_ask", _never, VERSIONS_SOCKETS),
     Mutant("guesses", "one version", relay, "_find_version", _any_version, VERSIONS_SOCKETS),
     Mutant(
--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -11,11 +11,17 @@
 from rookspring_core import stream_origins
 from rookspring_core.effects import AskSlot
 from rookspring_core.effects import TellOrigin
+from rookspring_core.effects import WriteLease
 from rookspring_core.events import AttemptFailed
 from rookspring_core.events import AttemptProgressed
 from rookspring_core.events import AttemptStarted
 from rookspring_core.events import BoxListed
 from rookspring_core.events import BoxListReceived
+from rookspring_core.events import FormerVersionsMissed
+from rookspring_core.events import FormerVersionsRead
+from rookspring_core.events import HeartbeatReceived
+from rookspring_core.events import LeaseSeen
+from rookspring_core.events import LeaseWritten
 from rookspring_core.events import PlatformAnswered
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
@@ -399,3 +405,75 @@
         service_of(request_id=f"r{number}", resumes=f"q{number}") for number in range(count)
     ]
     assert taken_up == began
+
+
+@when(
+    "it has run for {ran:d} s, the store tells {told}, and an owner replies that has run for "
+    "{old:d} s"
+)
+def told_of_former(context, ran, told, old):
+    node = context.node
+    node.state.started_at = node.now - ran
+    node.submit(
+        HeartbeatReceived(
+            node.now, "owner", "owner#1", "peer", "at", "z", 1, False, uptime_s=float(old)
+        )
+    )
+    rows = told.split(", then ")
+    if rows[0] != "nothing":
+        node.submit(FormerVersionsRead(node.now, read_told(rows[0])))
+    if not stream_origins.knows_former(node.state, ["owner"]):
+        node.submit(FormerVersionsMissed(node.now, "svc"))
+    if len(rows) > 1:
+        node.submit(FormerVersionsRead(node.now, read_told(rows[1])))
+
+
+def read_told(text):
+    """Return the services of several versions in a text such as ``of svc for 60 s``."""
+    words = text.split()
+    return ((words[1], float(words[3])),) if "for" in words else ()
+
+
+@then("a stream that nobody knows finds {how_many}")
+def finds(context, how_many):
+    service_has(context, how_many)
+
+
+@when("{change} at the lease's holder, and {seconds:d} s pass")
+def changes_at_holder(context, change, seconds):
+    node = context.node
+    if change == "a1 goes":
+        del node.rows["a1"]
+        node.list_all()
+    elif "svc for" in change:
+        node.submit(FormerVersionsRead(node.now, read_told(change[change.index("stored") :])))
+    for _ in range(seconds):
+        node.now += 1.0
+        node.submit(Ticked(node.now))
+
+
+@then("it stores {several}")
+def holder_stores(context, several):
+    left = context.node.state.stream_versions.several_left(context.node.now)
+    expected = {} if several == "nothing" else dict(read_told(f"of {several}"))
+    assert {name: round(left_s, 1) for name, left_s in left.items()} == expected, left
+
+
+@when("it holds the lease, and an endpoint of v2 is listed right after a renewal")
+def second_listed(context):
+    node = context.node
+    node.submit(LeaseSeen(node.now, 0, "", 0, ""))
+    node.submit(Ticked(node.now))
+    written = next(one for one in node.given if isinstance(one, WriteLease))
+    node.submit(LeaseWritten(node.now, node.now, written.nonce, True, 1))
+    node.submit(Ticked(node.now + 0.1))
+    node.given.clear()
+    node.rows["b2"] = ("v2",)
+    node.list_all()
+
+
+@then("the next tick writes the lease again")
+def written_again(context):
+    node = context.node
+    node.submit(Ticked(node.now + 0.2))
+    assert [one for one in node.given if isinstance(one, WriteLease)], node.given
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -10,9 +10,12 @@
 from cut_stage import CutStage
 from relay_fixture import read_raw
 from relay_fixture import request
+from returns.result import Failure
 
 from rookspring import clock
+from rookspring.exceptions import PlatformError
 from rookspring.relay_node import RelayNode
+from rookspring.relay_store_loops import LEASE_KIND
 from rookspring_core import stream_origins
 from rookspring_core.state import EntriesOutage
 from rookspring_core.stream_origins import are_entries_read
@@ -390,6 +393,86 @@
     context.loop.run(work(), 20.0)
 
 
+def _holders(stage):
+    """Return the numbers of the nodes that hold the lease: one or none."""
+    controls = [node.context.state.control for node in stage.nodes]
+    return [number for number, one in enumerate(controls) if one.holding(clock.now())]
+
+
+async def _restart_all(stage, numbers, change=lambda node: None):
+    """End nodes without a planned stop, and start others in their places, changed by a call."""
+    for number in numbers:
+        await stage.relay.kill(stage.nodes[number])
+    for number in numbers:
+        node = RelayNode(stage.nodes[number].settings, PlatformDialect())
+        change(node)
+        await node.start()
+        stage.nodes[number] = node
+        if number == 0:
+            stage.relay.node = node
+        else:
+            stage.relay.others[number - 1] = node
+    await stage.relay.until(lambda: all(node.context.ready() for node in stage.nodes))
+    others = len(stage.nodes) - 1
+    await stage.relay.until(
+        lambda: all(len(one.context.state.membership.peers) == others for one in stage.nodes)
+    )
+
+
+@when("all nodes restart at once, and a caller takes up a stream that none knows")
+def all_restart_unknown(context):
+    stage = context.cut_stage
+
+    async def work():
+        await stage.relay.until(lambda: _holders(stage))
+        await _restart_all(stage, range(len(stage.nodes)))
+
+    context.loop.run(work(), 20.0)
+    take_up_unknown(context)
+
+
+@when("v2 goes, the lease's holder restarts, and after 3 s all nodes, and a stream is taken up")
+def holder_then_all_restart(context):
+    stage = context.cut_stage
+
+    async def work():
+        await stage.relay.until(lambda: _holders(stage))
+        await _end_version(stage, "v2")
+        await _restart_all(stage, _holders(stage))
+        await asyncio.sleep(3.0)
+        await stage.relay.until(lambda: _holders(stage))
+        await _restart_all(stage, range(len(stage.nodes)))
+
+    context.loop.run(work(), 30.0)
+    take_up_unknown(context)
+
+
+@when("a node starts without the lease, the other has run for {seconds:d} s, and it is asked")
+def starts_without_lease(context, seconds):
+    stage = context.cut_stage
+
+    async def work():
+        stage.nodes[1].context.state.started_at = clock.now() - seconds
+        await _restart_all(stage, [0], _hide_lease)
+        # The heartbeat of the other tells how long it has run.
+        await asyncio.sleep(1.0)
+
+    context.loop.run(work(), 20.0)
+    take_up_unknown(context)
+
+
+def _hide_lease(node):
+    """Have a node's reads of the lease fail."""
+    get = node.context.platform.get
+
+    async def get_others(kind, name):
+        if kind == LEASE_KIND:
+            return Failure(PlatformError("unavailable"))
+        return await get(kind, name)
+
+    node.context.platform.get = get_others
+
+
 @then("the rest is refused without a time to retry")
 def refused_without_time(context):
     assert context.part.status == 503 and b"retry-after" not in context.part.raw.lower()
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -157,3 +157,38 @@
   Scenario: a try that takes a stream up goes to the service that began it, where a route has two
     Given a resumable route whose requests go to two services alike
     Then 200 tries that take up streams go to the services that began them
+
+  Scenario Outline: a stream that nobody knows is held back until it is known what served before
+    Given a node with the endpoints: a1 at v1
+    When it has run for <ran> s, the store tells <told>, and an owner replies that has run for <old> s
+    Then a stream that nobody knows finds <how many>
+
+    Examples:
+      | ran | told                    | old | how many         |
+      | 1   | nothing                 | 1   | several versions |
+      | 1   | nothing                 | 121 | one version      |
+      | 121 | nothing                 | 1   | one version      |
+      | 1   | of no service           | 1   | one version      |
+      | 1   | of svc for 60 s         | 1   | several versions |
+      | 1   | of another for 60 s     | 1   | one version      |
+      | 1   | nothing, then of none   | 1   | one version      |
+
+  Scenario Outline: the lease's holder stores which services had several versions, for nodes that start
+    Given a node with the endpoints: <endpoints>
+    When <change> at the lease's holder, and <seconds> s pass
+    Then it stores <several>
+
+    Examples:
+      | endpoints          | change                                   | seconds | several       |
+      | a1 at v1, b1 at v1 | nothing changes                          | 0       | nothing       |
+      | a1 at v1, b1 at v2 | nothing changes                          | 0       | svc for 120 s |
+      | a1 at v1, b1 at v2 | a1 goes                                  | 30      | svc for 90 s  |
+      | a1 at v1, b1 at v2 | a1 goes                                  | 121     | nothing       |
+      | a1 at v1, b1 at v1 | the one before it stored svc for 60 s    | 0       | svc for 60 s  |
+      | a1 at v1, b1 at v1 | the one before it stored svc for 60 s    | 20      | svc for 40 s  |
+      | a1 at v1, b1 at v1 | the one before it stored svc for 60 s    | 61      | nothing       |
+
+  Scenario: a second version is stored at once, not with the next renewal
+    Given a node with the endpoints: a1 at v1
+    When it holds the lease, and an endpoint of v2 is listed right after a renewal
+    Then the next tick writes the lease again
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -87,3 +87,23 @@
     Given 1 linked nodes, and endpoints of the versions v2, v1
     When a stream of v2 is left, the node restarts, its endpoint is back as v1, and it is taken up
     Then the rest is refused without a time to retry
+
+  Scenario: where one version alone has served, a take-up goes on after all nodes have restarted
+    Given 2 linked nodes, and endpoints of the versions v1, v1
+    When all nodes restart at once, and a caller takes up a stream that none knows
+    Then it goes on after the third event
+
+  Scenario: no take-up goes on at another version after all nodes have restarted, the holder later
+    Given 2 linked nodes, and endpoints of the versions v1, v2
+    When v2 goes, the lease's holder restarts, and after 3 s all nodes, and a stream is taken up
+    Then the rest is refused without a time to retry
+
+  Scenario Outline: a node that can't read the lease as it starts asks others what served before
+    Given 2 linked nodes, and endpoints of the versions v1, v1
+    When a node starts without the lease, the other has run for <seconds> s, and it is asked
+    Then <what>
+
+    Examples:
+      | seconds | what                                        |
+      | 5       | the rest is refused without a time to retry |
+      | 121     | it goes on after the third event            |
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -85,6 +85,23 @@
     service: str
 
 
+class FormerVersionsRead(t.NamedTuple):
+    """The store told which services had several versions before this node started.
+
+    :param left: services, each with the time for which that counts, in seconds.
+    """
+
+    at: float
+    left: tuple[tuple[str, float], ...]
+
+
+class FormerVersionsMissed(t.NamedTuple):
+    """A caller resumes a stream, and nobody knows whether its service had several versions."""
+
+    at: float
+    service: str
+
+
 class ResumeAsked(t.NamedTuple):
     """A caller reconnected to a stream that already runs at an endpoint.
 
--- a/packages/rookspring-core/src/rookspring_core/cluster.py
+++ b/packages/rookspring-core/src/rookspring_core/cluster.py
@@ -212,6 +212,8 @@
         serving.setdefault(row.service, set()).add(row.version)
         _take_row(state, row)
     several = state.stream_versions.set_serving(serving, state.now)
+    if several and state.control.holding(state.now):
+        state.control.lease.hasten()
     effects: Effects = stream_origins.tell_running(state, several)
     for name in set(state.endpoints) - seen:
         view = state.endpoints[name]
--- a/packages/rookspring-core/src/rookspring_core/events.py
+++ b/packages/rookspring-core/src/rookspring_core/events.py
@@ -55,6 +55,8 @@
 from ._request_events import AttemptStarted as AttemptStarted
 from ._request_events import AttemptSucceeded as AttemptSucceeded
 from ._request_events import CallerLeft as CallerLeft
+from ._request_events import FormerVersionsMissed as FormerVersionsMissed
+from ._request_events import FormerVersionsRead as FormerVersionsRead
 from ._request_events import OriginReceived as OriginReceived
 from ._request_events import RequestArrived as RequestArrived
 from ._request_events import ResumeAsked as ResumeAsked
@@ -69,6 +71,8 @@
     | ResumeAsked
     | OriginReceived
     | SeveralVersionsTold
+    | FormerVersionsRead
+    | FormerVersionsMissed
     | AttemptStarted
     | AnswerEnded
     | AttemptProgressed
--- a/packages/rookspring-core/src/rookspring_core/leases.py
+++ b/packages/rookspring-core/src/rookspring_core/leases.py
@@ -85,6 +85,8 @@
         self._pending: tuple[str, float, int] | None = None
         self._asked_at = -1e9
         self._asked_version = -1
+        # Whether the holder's next renewal is due at once.
+        self._hastened = False
 
     def holding(self, now: float) -> bool:
         """Return whether this node may act as the holder; ends ``margin_s`` before expiry."""
@@ -188,7 +190,8 @@
 
         :param candidate: whether this node may take a free lease.
         """
-        if self.version < 0 or now - self._asked_at < self.terms.renew_s:
+        hastened = self._hastened and self._pending is None
+        if self.version < 0 or (now - self._asked_at < self.terms.renew_s and not hastened):
             return None
         holding = self.holding(now)
         if not holding and not self._own(name) and not (candidate and self._free(now)):
@@ -201,8 +204,13 @@
         self._pending = (nonce, now, epoch)
         self._asked_at = now
         self._asked_version = self.version
+        self._hastened = False
         return WriteLease(self.version, epoch, nonce, now >= self.turn_at, self.era)
 
+    def hasten(self) -> None:
+        """Have the next renewal written at once, as what it stores for others has changed."""
+        self._hastened = True
+
     def _next_epoch(self) -> int:
         """Return an epoch that was never used, even in the seconds that a restored backup lacks."""
         return max(self.epoch, self.era * EPOCHS_PER_ERA) + 1
--- a/packages/rookspring-core/src/rookspring_core/stream_origins.py
+++ b/packages/rookspring-core/src/rookspring_core/stream_origins.py
@@ -14,6 +14,8 @@
 from .effects import TellOrigin
 from .endpoints import UNKNOWN_VERSION
 from .endpoints import EndpointView
+from .events import FormerVersionsMissed
+from .events import FormerVersionsRead
 from .events import OriginReceived
 from .events import RequestArrived
 from .events import SeveralVersionsTold
@@ -69,6 +71,39 @@
     return []
 
 
+@handles(FormerVersionsRead)
+def restore_former(state: NodeState, event: FormerVersionsRead) -> Effects:
+    """Restore which services had several versions before this node started."""
+    state.stream_versions.restore(event.left, state.now)
+    if state.control.holding(state.now):
+        state.control.lease.hasten()
+    return []
+
+
+@handles(FormerVersionsMissed)
+def doubt_former(state: NodeState, event: FormerVersionsMissed) -> Effects:
+    """Hold a stream back whose service may have had several versions, and others after it."""
+    state.stream_versions.doubt(event.service, state.now)
+    return []
+
+
+def knows_former(state: NodeState, told_by: t.Iterable[str] = ()) -> bool:
+    """Return whether it is known which services had several versions while streams began.
+
+    Each node knows of its own time. What was before is kept in the store, by the lease's holder.
+
+    :param told_by: the nodes that replied for a stream; one that has run for long enough knows.
+    """
+    if state.stream_versions.former_known:
+        return True
+    if state.now - state.started_at >= defaults.STREAM_KEPT_S:
+        return True
+    known = (state.membership.peers.get(name) for name in told_by)
+    return any(
+        peer is not None and peer.age_s(state.now) >= defaults.STREAM_KEPT_S for peer in known
+    )
+
+
 def must_ask(state: NodeState, service: str) -> bool:
     """Return whether it matters here which version began a stream that is taken up again.
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -277,6 +277,10 @@
 STREAM_ID_MAX = 128
 # Time for the replies of a stream's owners, in seconds: two links each way, as to other owners.
 ORIGIN_ANSWER_S = 0.25
+# Interval of checking whether a node that has just started has read the lease or the rows of nodes,
+# and how long the first holder waits for these rows, in seconds.
+FORMER_CHECK_S = 0.02
+ROWS_WAIT_S = 1.0
 
 # How long beyond a request's own deadline its endpoint is told to work, in seconds: this node then
 # ends it first, also where the endpoint's clock runs ahead. The users' rules allow 0.5 s.
--- a/packages/rookspring/src/rookspring/lease_objects.py
+++ b/packages/rookspring/src/rookspring/lease_objects.py
@@ -9,6 +9,7 @@
 
 import typing as t
 
+from rookspring_core import defaults as core_defaults
 from rookspring_core.events import LeaseSeen
 from rookspring_core.leases import RELAY_TERMS
 from rookspring_core.leases import UNKNOWN_HOLDER
@@ -100,6 +101,23 @@
     return float(raw) if type(raw) in (int, float) and 0.0 <= raw <= SHARE_MAX else 1.0
 
 
+def read_several(stored: StoredObject) -> tuple[tuple[str, float], ...] | None:
+    """Return the services of several versions in a lease, each with how long that counts.
+
+    None if its holder doesn't know them yet. One that can't be read counts for as long as any may.
+    A holder of an earlier version of this software writes none.
+    """
+    several = stored.value.get("several", {}) if isinstance(stored.value, dict) else None
+    if not isinstance(several, dict):
+        return None
+    return tuple((name, _read_left(left_s)) for name, left_s in several.items())
+
+
+def _read_left(raw: t.Any) -> float:
+    known = type(raw) in (int, float) and 0.0 <= raw <= core_defaults.STREAM_KEPT_S
+    return float(raw) if known else core_defaults.STREAM_KEPT_S
+
+
 def read_verdict_rows(stored: StoredObject) -> list[t.Any]:
     """Return the rows of verdicts in a lease, without the malformed ones."""
     rows = stored.value.get("verdicts", []) if isinstance(stored.value, dict) else []
--- a/packages/rookspring/src/rookspring/relay.py
+++ b/packages/rookspring/src/rookspring/relay.py
@@ -17,6 +17,7 @@
 from rookspring_core.endpoints import UNKNOWN_VERSION
 from rookspring_core.endpoints import EndpointView
 from rookspring_core.events import CallerLeft
+from rookspring_core.events import FormerVersionsMissed
 from rookspring_core.events import RequestArrived
 from rookspring_core.events import RouteTerms
 from rookspring_core.fingerprints import make_fingerprint
@@ -355,9 +356,13 @@
     asked_at = clock.now()
     exchange.connection.waits_for = "origin"
     try:
-        version = await context.origins.find(fields.resumes, exchange.service)
+        found = await context.origins.find(fields.resumes, exchange.service)
+        known = found.version is not None or await _await_former(context, found.told_by, asked_at)
     finally:
         exchange.connection.waits_for = ""
+    if not known:
+        context.submit(FormerVersionsMissed(clock.now(), exchange.service))
+    version = found.version
     if version is None and state.stream_versions.has_several(exchange.service, clock.now()):
         version = UNKNOWN_VERSION
     log(
@@ -366,11 +371,26 @@
         resumes=fields.resumes,
         after=fields.last_event,
         version="any" if version is None else version,
+        known=known,
         asked_s=clock.now() - asked_at,
     )
     return version
 
 
+async def _await_former(
+    context: "RelayContext", told_by: t.Collection[str], asked_at: float
+) -> bool:
+    """Return whether it is known which services had several versions while streams began.
+
+    A node that has just started may be about to read it.
+    """
+    while not stream_origins.knows_former(context.state, told_by):
+        if clock.now() - asked_at > defaults.ORIGIN_ANSWER_S:
+            return False
+        await asyncio.sleep(defaults.FORMER_CHECK_S)
+    return True
+
+
 def _refuse_key(
     context: "RelayContext",
     connection: ServerConnection,
--- a/packages/rookspring/src/rookspring/relay_context.py
+++ b/packages/rookspring/src/rookspring/relay_context.py
@@ -86,6 +86,9 @@
         self.origins: OriginQuestions
         self.exchanges: dict[str, RelayExchange] = {}
         self.endpoints_listed = False
+        # Whether the store had this node's row as it started, so one of its name ran; None until
+        # the rows are read.
+        self.ran_before: bool | None = None
         # Set while this node has to watch the store; see ``topology.py`` of the core.
         self.watching = asyncio.Event()
         # Set by :class:`RelayNode`.
--- a/packages/rookspring/src/rookspring/relay_node.py
+++ b/packages/rookspring/src/rookspring/relay_node.py
@@ -19,6 +19,7 @@
 from rookspring_core import defaults as core_defaults
 from rookspring_core import demand
 from rookspring_core import place_requests
+from rookspring_core import stream_origins
 from rookspring_core.allotments import Allotments
 from rookspring_core.effects import ReadDesired
 from rookspring_core.effects import ReadHead
@@ -448,6 +449,7 @@
         # Read by nodes that start while no other node that knows these values is running.
         "used": allotment_checks.used_shares(context.state, asked_at),
         "verdicts": relay_suspects.write_verdicts(context.state, asked_at),
+        "several": _write_several(context, asked_at),
     }
 
     async def write() -> None:
@@ -470,6 +472,17 @@
     context.spawn(write())
 
 
+def _write_several(context: RelayContext, now: float) -> dict[str, float] | None:
+    """Return the services of several versions, and how long that counts, for nodes that start.
+
+    None until this node knows it.
+    """
+    if not stream_origins.knows_former(context.state):
+        return None
+    left = context.state.stream_versions.several_left(now)
+    return {service: round(left_s, 1) for service, left_s in left.items()}
+
+
 @handles_relay_effect(ReadDesired)
 def log_lease_acquired(context: RelayContext, effect: ReadDesired) -> None:
     """Log that this node holds the lease; it has no resources to read.
--- a/packages/rookspring/src/rookspring/relay_store_loops.py
+++ b/packages/rookspring/src/rookspring/relay_store_loops.py
@@ -13,8 +13,10 @@
 from returns.result import Success
 
 from rookspring_core import control_jobs
+from rookspring_core import stream_origins
 from rookspring_core import watches
 from rookspring_core.events import EvidenceReceived
+from rookspring_core.events import FormerVersionsRead
 from rookspring_core.events import LeaseSeen
 from rookspring_core.events import StoreRead
 from rookspring_core.events import StoreUnread
@@ -222,6 +224,7 @@
             has_read
             and not control_jobs.should_read_lease(context.state)
             and not _needs_restore(context)
+            and stream_origins.knows_former(context.state)
         ):
             await _wait_lease_check(context, defaults.RELAY_LEASE_CHECK_S)
             continue
@@ -235,8 +238,12 @@
                 _restore_from_lease(context, stored)
                 context.submit(_see_lease(context, stored, now, era, logged))
             case Failure(PlatformMissing()):
+                await _await_rows(context)
                 await _restore_from_earlier_era(context, era, has_read)
                 context.submit(LeaseSeen(now, 0, "", 0, "", era=era))
+                if context.ran_before is False:
+                    # Nothing has served before it.
+                    context.submit(FormerVersionsRead(now, ()))
             case Failure(error):
                 reach.note_failure("read lease", error)
                 await back_off.pause()
@@ -249,6 +256,17 @@
         await _wait_lease_check(context, wait_s)
 
 
+async def _await_rows(context: RelayContext) -> None:
+    """Wait for a short time until it is known whether a node of this one's name ran before.
+
+    Who takes the lease first tells others by that whether anything served before.
+    """
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(defaults.ROWS_WAIT_S):
+            while context.ran_before is None:
+                await asyncio.sleep(defaults.FORMER_CHECK_S)
+
+
 def lease_name(era: int) -> str:
     """Return the name of an era's lease object.
 
@@ -271,11 +289,14 @@
 
 
 def _restore_from_lease(context: RelayContext, stored: StoredObject) -> None:
-    """Restore the organisations' usage and the verdicts that the lease object stores."""
+    """Restore the usage, verdicts and services of several versions that the lease stores."""
     now = clock.now()
     usage = lease_objects.read_usage(stored)
     if usage is not None:
         context.submit(UsageRestored(now, usage))
+    several = lease_objects.read_several(stored)
+    if several is not None:
+        context.submit(FormerVersionsRead(now, several))
     kept = relay_suspects.read_verdicts(lease_objects.read_verdict_rows(stored), now)
     context.submit(EvidenceReceived(now, kept, "the lease"))
 
@@ -340,6 +361,8 @@
         rows = listing.unwrap().items
         peers.take_node_rows(rows)
         present = {one.name: one.value for one in rows}
+        if context.ran_before is None:
+            context.ran_before = context.state.identity.name in present
         if not context.state.leaving and not await _write_row(context, present):
             await back_off.pause()
             continue
--- a/packages/rookspring/src/rookspring/relay_streams.py
+++ b/packages/rookspring/src/rookspring/relay_streams.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import typing as t
 
 from rookspring_core.effects import TellOrigin
@@ -26,6 +27,17 @@
 from .relay_peers import RelayPeers
 
 
+class FoundOrigin(t.NamedTuple):
+    """What is known of a stream's begin.
+
+    :param version: that began it; None if no owner knows.
+    :param told_by: the nodes that replied.
+    """
+
+    version: str | None
+    told_by: frozenset[str] = frozenset()
+
+
 class OriginQuestions:
     """The questions of this node to owners that wait for replies, by stream."""
 
@@ -33,12 +45,12 @@
         self._peers = peers
         self._waiting: dict[str, list[_Question]] = {}
 
-    async def find(self, stream: str, service: str) -> str | None:
-        """Return the version that began a stream, within ``ORIGIN_ANSWER_S``; None if unknown."""
+    async def find(self, stream: str, service: str) -> FoundOrigin:
+        """Return the version that began a stream, as far as is known in ``ORIGIN_ANSWER_S``."""
         state = self._peers.context.state
         known = state.stream_versions.find(stream, clock.now())
         if known is not None:
-            return known
+            return FoundOrigin(known)
         subjects = subjects_of(stream)
         question = _Question(subjects)
         self._waiting.setdefault(stream, []).append(question)
@@ -46,10 +58,11 @@
             for subject in subjects:
                 asked = AskOrigin(state.identity.name, subject, stream, service, False)
                 relay_owners.ask_owner(self._peers, asked)
-            async with asyncio.timeout(defaults.ORIGIN_ANSWER_S):
-                return await question.answer
-        except TimeoutError:
-            return None
+            version = None
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(defaults.ORIGIN_ANSWER_S):
+                    version = await question.answer
+            return FoundOrigin(version, frozenset(question.told_by))
         finally:
             self._end(stream, question)
 
@@ -65,7 +78,9 @@
         now = clock.now()
         if reply.several and not context.state.stream_versions.has_several(reply.service, now):
             context.submit(SeveralVersionsTold(now, reply.service))
+        owner = relay_owners.find_owner(self._peers, reply.subject)
         for question in self._waiting.get(reply.stream, ()):
+            question.told_by.add(owner)
             question.take(reply.subject, reply.version)
 
 
@@ -74,6 +89,7 @@
 
     def __init__(self, subjects: t.Iterable[str]) -> None:
         self._open = set(subjects)
+        self.told_by: set[str] = set()
         self.answer: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
 
     def take(self, subject: str, version: str | None) -> None:
