A node without entries takes it from others that several versions serve

A caller that took its stream up at a node that had started while the store was away could get events of another version. Owners told the node that several versions serve. It noted that as one unknown version beside those that it had seen, and as it had seen none, one version was counted: the take-up was bound to no version, waited for entries, and went to any endpoint as these came.

--- a/features/steps/stream_version_core_steps.py
+++ b/features/steps/stream_version_core_steps.py
@@ -477,3 +477,14 @@
     node = context.node
     node.submit(Ticked(node.now + 0.2))
     assert [one for one in node.given if isinstance(one, WriteLease)], node.given
+
+
+@when("another node tells of several versions, and no entry of the service is known")
+def told_of_several(context):
+    context.versions = StreamVersions()
+    context.versions.note_several("svc", 1.0)
+
+
+@then("what is known is that several versions serve")
+def several_known(context):
+    assert context.versions.has_several("svc", 1.1)
--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -461,6 +461,28 @@
     take_up_unknown(context)
 
 
+@when("a node starts while the store is away, and entries come as a stream is taken up there")
+def entries_come_late(context):
+    stage = context.cut_stage
+
+    async def work():
+        stage.relay.store.faults.outage = True
+        await stage.relay.kill(stage.nodes[0])
+        node = RelayNode(stage.nodes[0].settings, PlatformDialect())
+        await node.start()
+        stage.nodes[0] = stage.relay.node = node
+        state = node.context.state
+        await stage.relay.until(lambda: state.table is not None and state.membership.peers)
+        assert not state.endpoints, "it has entries"
+        lines = ("Resumes: q-lost", "Last-Event-Id: 3")
+        taken = asyncio.ensure_future(send_stream(node, "r", lines))
+        await asyncio.sleep(0.3)
+        stage.relay.store.faults.outage = False
+        context.part = await taken
+
+    context.loop.run(work(), 20.0)
+
+
 def _hide_lease(node):
     """Have a node's reads of the lease fail."""
     get = node.context.platform.get
--- a/features/stream_versions.feature
+++ b/features/stream_versions.feature
@@ -192,3 +192,7 @@
     Given a node with the endpoints: a1 at v1
     When it holds the lease, and an endpoint of v2 is listed right after a renewal
     Then the next tick writes the lease again
+
+  Scenario: a node that has no entries yet takes it from others that several versions serve
+    When another node tells of several versions, and no entry of the service is known
+    Then what is known is that several versions serve
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -107,3 +107,8 @@
       | seconds | what                                        |
       | 5       | the rest is refused without a time to retry |
       | 121     | it goes on after the third event            |
+
+  Scenario: a take-up that waits at a node without entries goes on at no other version later
+    Given 2 linked nodes, and endpoints of the versions v1, v2
+    When a node starts while the store is away, and entries come as a stream is taken up there
+    Then the rest is refused without a time to retry
