--- a/features/steps/process_steps.py
+++ b/features/steps/process_steps.py
@@ -86,7 +86,7 @@
     with stdout as printed, contextlib.suppress(AssertionError):
         none_violated(context)
     assert failure in printed.getvalue()
-    first, *lines = failure.splitlines()
+    first, *lines = failure.partition("\nthe nodes' logs")[0].splitlines()
     name = first.split()[2]
     assert any("event=attempt_began" in line and f" id={name} " in line for line in lines), failure
     assert any(f" received={name} " in line for line in lines), failure
--- a/packages/rookspring-fakes/src/rookspring_fakes/process_traces.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_traces.py
@@ -70,7 +70,9 @@
         f"{failure}\n" + "\n".join(_trace(lines, _find_ids(failure, related)))
         for failure in failures[:FAILURES_MAX]
     ]
-    return [*traced, *failures[FAILURES_MAX:], f"the nodes' logs and all lines are in {folder}"]
+    traced += failures[FAILURES_MAX:]
+    traced[-1] += f"\nthe nodes' logs and all lines are in {folder}"
+    return traced
 
 
 def _keep(stage: ProcessStage, lines: t.Iterable[TraceLine]) -> pathlib.Path:
