--- a/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/process_soak.py
@@ -119,7 +119,12 @@
 
     async def run(self, seconds: float) -> Outcome:
         """Draw troubles for a time, stop everything, and check the guarantees."""
-        await self.stage.start()
+        try:
+            await self.stage.start()
+        except BaseException:
+            # The nodes that have started would run on.
+            await self.stage.stop()
+            raise
         callers = ProcessCallers(self.stage, self._count, self._seed)
         readers = StreamCallers(self.stage, self._count if self._versioned else 0, self._seed)
         draws = [asyncio.ensure_future(self._draw(seconds))]
--- a/packages/rookspring-fakes/src/rookspring_fakes/processes.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/processes.py
@@ -380,14 +380,15 @@
         for node in self.nodes:
             node.signal(signal.SIGCONT)
             node.signal(signal.SIGTERM)
-        for node in self.nodes:
+        started = [node for node in self.nodes if node.process is not None]
+        for node in started:
             if not await node.wait_exit(self.grace_s + EXIT_SLACK_S):
                 late.append(node.name)
         for server in self.servers:
             await server.close()
         if self._served is not None:
             await self._served.close()
-        for node in self.nodes:
+        for node in started:
             node.read_log()
         self._folder.cleanup()
         return late
