A take-up that is bound to no version is not sent once a second one serves

A caller that took its stream up where one version served could get the rest from a second one: which version it may go on at was decided as it arrived, and a second version could be listed while it waited for an endpoint or its connection. It is looked at again before a byte is sent, as for bound ones.

Evidence: the new scenario fails without the change (the rest was answered with 200) and passes.

--- a/features/steps/stream_version_steps.py
+++ b/features/steps/stream_version_steps.py
@@ -483,6 +483,31 @@
     context.loop.run(work(), 20.0)
 
 
+@when("a second version is listed as a stream that none knows is taken up")
+def second_as_taken_up(context):
+    stage = context.cut_stage
+    first, second = stage.relay.servers
+    (node,) = stage.nodes
+    acquire = node.context.pool.acquire
+
+    async def acquire_late(address, wide_margin, request_id=None, *args):
+        if request_id == "qr":
+            second.version = "v2"
+            await stage.relay.store.write("servers", second.name, second.entry("svc"))
+            versions = node.context.state.stream_versions
+            await stage.relay.until(lambda: versions.has_several("svc", clock.now()))
+        return await acquire(address, wide_margin, request_id, *args)
+
+    node.context.pool.acquire = acquire_late
+    take_up_unknown(context)
+
+
+@then("the rest is refused without having run")
+def refused_unrun(context):
+    assert context.part.status in NOT_RUN, context.part
+    assert not context.relay.runs
+
+
 def _hide_lease(node):
     """Have a node's reads of the lease fail."""
     get = node.context.platform.get
--- a/features/stream_versions_sockets.feature
+++ b/features/stream_versions_sockets.feature
@@ -112,3 +112,8 @@
     Given 2 linked nodes, and endpoints of the versions v1, v2
     When a node starts while the store is away, and entries come as a stream is taken up there
     Then the rest is refused without a time to retry
+
+  Scenario: a take-up that was bound to no version is not sent once a second version serves
+    Given 1 linked nodes, and endpoints of the versions v1, v1
+    When a second version is listed as a stream that none knows is taken up
+    Then the rest is refused without having run
--- a/packages/rookspring/src/rookspring/relay_versions.py
+++ b/packages/rookspring/src/rookspring/relay_versions.py
@@ -90,8 +90,10 @@
 ) -> str:
     """Return why a stream's rest can't be sent now; empty if it can, or if it is no such rest."""
     request = context.state.requests.get(exchange.key)
-    if request is None or request.arrived.version is None:
+    if request is None:
         return ""
+    if request.arrived.version is None:
+        return _find_reason_unbound(context, exchange, view)
     if _is_doubted(context, exchange, view, connection):
         return "its process may be another than its entry describes"
     if not connection.open:
@@ -99,3 +101,14 @@
     if stream_origins.may_go_on_at(context.state, request.arrived, view):
         return ""
     return "its version is another"
+
+
+def _find_reason_unbound(context: RelayContext, exchange: RelayExchange, view: EndpointView) -> str:
+    """Return why a take-up that may go on anywhere can't be sent now; empty if it can.
+
+    It is bound to no version where one alone serves; a second may have come while it waited.
+    """
+    several = context.state.stream_versions.has_several(view.service, clock.now())
+    if exchange.fields.resumes and several:
+        return "a second version serves, and which one began its stream is not known"
+    return ""
