The test of a body that is given up while its endpoint is looked at runs again

Its step gave Doubt and EndpointAnswer a field less than they have since, and replaced 'lives_on', which is 'is_whole' now, so that the scenario errored ('features/run.py features/inner_bytes.feature': 26 scenarios passed, 1 error). The same is checked as before. 27 pass.

--- a/features/steps/inner_byte_steps.py
+++ b/features/steps/inner_byte_steps.py
@@ -287,7 +287,7 @@
     context.reply.complete = True
     head = HttpHead(200, ((b"transfer-encoding", b"chunked"),))
     view = types.SimpleNamespace(name="i0")
-    context.doubted = EndpointAnswer(context.reply, head, view, None)
+    context.doubted = EndpointAnswer(context.reply, head, view, None, 0.0)
 
 
 @when("it is given up while the node looks whether the endpoint lives on, which it does")
@@ -304,8 +304,10 @@
         except EndpointError as error:
             return error.reason
 
-    found = mock.patch.object(relay_bodies, "find_doubt", return_value=Doubt("ends", 0.0, False))
-    with found, mock.patch.object(relay_bodies, "lives_on", give_up):
+    found = mock.patch.object(
+        relay_bodies, "find_doubt", return_value=Doubt("ends", 0.0, 0.0, False)
+    )
+    with found, mock.patch.object(relay_bodies, "is_whole", give_up):
         context.end = asyncio.run(read())
 
 
