A body in gzip and chunks is not passed on

A caller got a body that it can't read: an answer in 'gzip, chunked' was passed on coded, and the header that says so is the connection's own.

Such an answer is a failed attempt, as one is that ends in another coding than chunks: a safe request is sent to another endpoint, others end as unknown. The endpoint is not ejected for it.

--- a/features/open_bodies_sockets.feature
+++ b/features/open_bodies_sockets.feature
@@ -74,6 +74,20 @@
       | open text, open text           | 502              |
       | open text, answer              | 200 answer to q1 |
 
+  # The header of a transfer coding is this connection's own, so its caller could not read the body.
+  Scenario Outline: a body in another transfer coding than chunks is not passed on
+    Given a relay node with two endpoints that do: <script>
+    When a caller sends a <kind> request
+    Then the answer is <answer>
+
+    Examples:
+      | kind      | script                                 | answer  |
+      | unsafe    | answer in gzip and chunks              | unknown |
+      | unsafe    | answer in gzip and chunks in two rows  | unknown |
+      | stream    | answer in gzip and chunks              | unknown |
+      | safe      | answer in gzip and chunks, answer      | whole   |
+      | unsafe    | answer in identity and chunks          | whole   |
+
   Scenario: a refusal is read by its head, whatever shows its end
     Given a relay node with two endpoints that do: open refusal
     When a caller sends an unsafe request
--- a/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/open_bodies.py
@@ -4,10 +4,12 @@
 """
 
 import asyncio
+import gzip
 import typing as t
 
 from .model_server import ModelServer
 from .model_steps import ReceivedRequest
+from .model_steps import make_body
 from .model_steps import record_run
 from .model_steps import step
 from .resets import reset_connection
@@ -90,3 +92,27 @@
     writer.write(head.encode() + b"\r\nfull, co")
     await writer.drain()
     writer.close()
+
+
+# The codings of a body in chunks, by their words. Its bytes are the coded ones.
+CODINGS = {
+    "gzip and chunks": ("Transfer-Encoding: gzip, chunked",),
+    "gzip and chunks in two rows": ("Transfer-Encoding: gzip", "Transfer-Encoding: chunked"),
+    "identity and chunks": ("Transfer-Encoding: identity, chunked",),
+}
+
+
+def _register_coded(words: str, rows: tuple[str, ...]) -> None:
+    @step(f"answer in {words}")
+    async def _send_coded(
+        server: ModelServer, request: ReceivedRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        body = make_body(request) if "gzip" not in words else gzip.compress(make_body(request))
+        stated = (f"{key}: {value}" for key, value in record_run(server, request).items())
+        head = "".join(f"{row}\r\n" for row in ("HTTP/1.1 200 X", *stated, *rows))
+        writer.write(head.encode() + b"\r\n%x\r\n%b\r\n0\r\n\r\n" % (len(body), body))
+        await writer.drain()
+
+
+for _words, _rows in CODINGS.items():
+    _register_coded(_words, _rows)
--- a/packages/rookspring/src/rookspring/endpoints.py
+++ b/packages/rookspring/src/rookspring/endpoints.py
@@ -21,6 +21,7 @@
 from .exceptions import EndpointError
 from .http_messages import BODILESS_STATUSES
 from .http_messages import FINAL_STATUS_MIN
+from .http_messages import are_coded
 from .message_rows import NUMBER_MAX
 
 
@@ -345,13 +346,15 @@
 def _shows_end(response: aiohttp.ClientResponse, method: str) -> bool:
     """Return whether the end of a whole body is shown by more than its connection's close.
 
-    Chunks show it only as the last coding: any other ends with the connection.
+    Chunks show it only as the last coding: any other ends with the connection. A body in another
+    coding besides can't be passed on, as its header is that of the connection.
     """
     if method == "HEAD" or response.status in BODILESS_STATUSES:
         return True
     codings = ",".join(response.headers.getall("Transfer-Encoding", ()))
     if codings:
-        return codings.rpartition(",")[2].strip().lower() == "chunked"
+        last = codings.rpartition(",")[2].strip().lower()
+        return last == "chunked" and not are_coded([codings.encode("latin-1", "replace")])
     return "Content-Length" in response.headers
 
 
--- a/packages/rookspring/src/rookspring/http_messages.py
+++ b/packages/rookspring/src/rookspring/http_messages.py
@@ -90,6 +90,16 @@
             )
         return "length" if self.header(b"content-length") else "close"
 
+    def is_coded(self) -> bool:
+        """Return whether the body is in a transfer coding besides chunks, which isn't read here."""
+        return are_coded(self.values(b"transfer-encoding"))
+
+
+def are_coded(values: t.Iterable[bytes]) -> bool:
+    """Return whether values of ``Transfer-Encoding`` name a coding that changes the bytes."""
+    codings = b",".join(values).split(b",")
+    return any(one.strip().lower() not in (b"", b"identity", b"chunked") for one in codings)
+
 
 def find_header(headers: t.Iterable[Header], name: bytes) -> bytes:
     """Return the first value of a header; empty if there is none."""
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -37,6 +37,7 @@
 from .relay import RelayExchange
 from .relay import end_exchange
 from .relay import run_until_deadline
+from .relay_bodies import SERVER_ERROR
 from .relay_bodies import read_body
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
@@ -224,6 +225,10 @@
     if exchange.started and not is_stream(head):
         # Its head would stand in the midst of the answer that was begun.
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
+    if head.framing() == "chunks" and head.is_coded():
+        # It is in a header of this connection, without which the caller can't read the body.
+        sound = head.status < SERVER_ERROR
+        raise EndpointError("a transfer coding that isn't read", sent=True, open_ended=sound)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, answer)
