Another answer within a large chunk is told by its head

A caller of a stream got events of another answer: a chunk over 64 KiB is passed on as it comes, so when it was broken off within a line and another answer sent behind, that answer's events stood in the chunk. Failed before ('features/run.py features/unframed_answers_sockets.feature', the row '3 in a large chunk and half a line before another answer': events 6 and 7 of the other answer followed the third).

From a chunk on of which a part was handed on before its end, the splitter looks for another answer's head as it does without chunks. Such a stream is cut after the events that are its own.

--- a/features/unframed_answers_sockets.feature
+++ b/features/unframed_answers_sockets.feature
@@ -59,6 +59,7 @@
       | stream    | 3 in chunks and half a line before an interim answer           | 3 events, cut | 1    |
       | stream    | 3 with a length and half a line before another answer          | 3 events, cut | 1    |
       | resumable | 3 in chunks and half a line before another answer, stream      | 5 events      | 2    |
+      | stream    | 3 in a large chunk and half a line before another answer       | 3 events, cut | 1    |
       | resumable | 3 in chunks and half a first line before another answer, stream | 5 events     | 2    |
 
   Scenario Outline: a stream whose text looks like another answer is passed on whole
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_torn.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_torn.py
@@ -35,6 +35,7 @@
 # Size of the chunk that is broken off, in bytes: the other answer ends within it, or goes on.
 TORN_CHUNK_BYTES = 400
 TORN_COMMENT_BYTES = 40
+LARGE_EVENT_BYTES = 30 << 10
 # Between parts that are read one by one, in seconds.
 PART_PAUSE_S = 0.002
 QUOTE = "GET / gives HTTP/1.1 200 OK"
@@ -85,6 +86,20 @@
         writer.close()
 
 
+@step("3 in a large chunk and half a line before another answer")
+async def _torn_large_chunk(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    """Break off a chunk that is too large to be held until its end, and send another answer."""
+    _write_head(server, request, writer, {"Transfer-Encoding": "chunked"})
+    own = b"".join(_event(number, "token" + "x" * LARGE_EVENT_BYTES) for number in (1, 2, 3))
+    writer.write(b"%x\r\n" % (2 * len(own)) + own + TEARS["half a line"])
+    await writer.drain()
+    writer.write(OTHERS["another answer"])
+    await writer.drain()
+    writer.close()
+
+
 @step("3 with a length and half a line before another answer")
 async def _torn_length(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -402,6 +402,8 @@
                 # So large a chunk is passed on as it comes.
                 self._pass_chunk()
                 self._in_chunk = False
+                if self._reply is not None:
+                    self._reply.chunk_open = True
         else:
             self._completed += body
 
--- a/packages/rookspring/src/rookspring/_reply.py
+++ b/packages/rookspring/src/rookspring/_reply.py
@@ -41,6 +41,8 @@
         # Whether reading from the endpoint was ever stopped. From then on parts may arrive when the
         # caller has taken others, and not when the endpoint sent them.
         self.held_up = False
+        # Whether part of a chunk was handed on that may yet be broken off.
+        self.chunk_open = False
         self._unread_bytes = 0
         self._parts: collections.deque[bytes] = collections.deque()
         # When each of the parts arrived, and when the part arrived that was taken last.
--- a/packages/rookspring/src/rookspring/event_streams.py
+++ b/packages/rookspring/src/rookspring/event_streams.py
@@ -71,6 +71,10 @@
         self._number = 0
         self._ids: list[str | None] = []
 
+    def expect_torn(self) -> None:
+        """Look for another answer from here on, since a chunk may be broken off."""
+        self._unframed = True
+
     def feed(self, data: bytes) -> Events:
         """Add bytes, and return the events that are complete now.
 
--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -265,6 +265,8 @@
     order = EventOrder(last_event, begun=exchange.events > 0)
     events_before = exchange.events
     while not splitter.overrun and (part := await reply.next_part()):
+        if reply.chunk_open:
+            splitter.expect_torn()
         events = splitter.feed(part)
         reply.keep(splitter.held_bytes + len(events.data))
         if not events.data:
