--- a/packages/rookspring/src/rookspring/relay_attempts.py
+++ b/packages/rookspring/src/rookspring/relay_attempts.py
@@ -40,6 +40,7 @@
 from .relay import RelayExchange
 from .relay import end_exchange
 from .relay import run_until_deadline
+from .relay_bodies import SERVER_ERROR
 from .relay_bodies import read_body
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
@@ -264,6 +265,10 @@
     if exchange.started and not is_stream(head):
         # Its head would stand in the midst of the answer that was begun.
         raise EndpointError(f"answered {head.status} to the rest of a stream", sent=True)
+    if head.framing() == "chunks" and head.is_coded():
+        # It is in a header of this connection, without which the caller can't read the body.
+        sound = head.status < SERVER_ERROR
+        raise EndpointError("a transfer coding that isn't read", sent=True, open_ended=sound)
     success = 200 <= head.status < 300
     if success and exchange.route.kind == "stream":
         await _relay_stream(context, effect, exchange, answer)
@@ -301,6 +306,8 @@
     order = EventOrder(last_event, begun=exchange.events > 0)
     events_before = exchange.events
     while not splitter.overrun and (part := await reply.next_part()):
+        if reply.chunk_open:
+            splitter.expect_torn()
         events = splitter.feed(part)
         reply.keep(splitter.held_bytes + len(events.data))
         if not events.data:
