The load of ways: a stop that ends all its runs doesn't wait for bodies, and late exits are told apart

It exits now as it says, records how long it took, and ends by a process that lived on for more than 0.08 s on a busy machine count as untold.

--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -376,6 +376,10 @@
     lines += f"end q1 {len(events)} chunks\nended q1 {len(events)} untold-stop\n"
     run = Run("q1", "i1", 1, len(events), 2.5, "save", ended="chunks", cause="untold-stop")
     assert read_runs("i1", lines) == [run]
+    late = [run._replace(cause="untold-late-exit")]
+    for cause, seconds, wanted in (("exits-1.0", 0.2, late), ("exits-1.0", 0.01, None)):
+        told = lines.replace("untold-stop", cause) + f"exits {seconds}\n"
+        assert read_runs("i1", told) == (wanted or [run._replace(cause=cause)])
     assert read_runs("i1", "goes on" + lines.removeprefix("run")) == [run._replace(copied=True)]
 
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -17,6 +17,9 @@
 
 # What the causes of ends begin with that nothing tells a node.
 UNTOLD = "untold-"
+# Within what time after the ends of its runs a process exits by which a node finds out, in seconds:
+# a little less than nodes wait.
+EXITS_S = 0.08
 
 
 class Kind(t.NamedTuple):
@@ -162,9 +165,16 @@
         elif words and words[0] in _FIELDS:
             at = max(n for n, one in enumerate(runs) if one.ident == words[1])
             runs[at] = runs[at]._replace(**_FIELDS[words[0]](words[2:]))
+        elif words and words[0] == "exits" and float(words[1]) > EXITS_S:
+            runs = [_mark_late(run) for run in runs]
     return runs
 
 
+def _mark_late(run: Run) -> Run:
+    """Have a run count as ended by a process that lived on, where its exit alone was to tell."""
+    return run._replace(cause="untold-late-exit") if run.cause.startswith("exits") else run
+
+
 Check = t.Callable[[list[Call], list[Run]], list[str]]
 FAULTS: dict[str, Check] = {}
 TOLD: dict[str, Check] = {}
@@ -398,10 +408,15 @@
     return [
         _tell(call)
         for call in _streams(calls)
-        if call.parts[-1].ended and any(_made(run, call.parts[-1].events[-1]) for run in copies)
+        if call.parts[-1].ended and any(_made(run, one) for run in copies for one in _last(call))
     ]
 
 
+def _last(call: Call) -> list[Event]:
+    """Return the last event of all its requests, if there is any."""
+    return [event for part in call.parts for event in part.events][-1:]
+
+
 @counts("unanswered", TOLD)
 def find_unanswered(calls: list[Call], runs: list[Run]) -> list[str]:
     """Requests of which nothing came for longer than any limit, on open connections."""
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
@@ -3,7 +3,8 @@
 Its argument is a JSON object, :class:`RunnerSettings`. Lines of its record are ``run ID FIRST TIME
 KIND``, or ``goes on ID FIRST TIME KIND`` where a run goes on from a copy of another runner's;
 ``made ID NUMBER``, ``end ID NUMBER FRAMING``, ``ended ID NUMBER CAUSE`` where the runner ends a run
-cleanly in its midst, and ``moved ID NUMBER`` where a copy of a run was made.
+cleanly in its midst, ``moved ID NUMBER`` where a copy of a run was made, and ``exits SECONDS``, the
+time since the stop.
 """
 
 import asyncio
@@ -63,7 +64,8 @@
     :ivar share: the share of its streams that it ends cleanly in their midst; it finishes the rest.
     :ivar cause: for its record, without spaces.
     :ivar refuses: it takes no new ones.
-    :ivar exit_s: how long after the last run has ended it exits; None if it lives on.
+    :ivar exit_s: how long after the stop it exits, or after the last run that it finishes; None if
+        it lives on.
     """
 
     share: float
@@ -182,10 +184,11 @@
             self._end_cleanly(ident, stop["cause"])
         if stop["exit_s"] is None:
             return
-        until = time.monotonic() + FINISHES_S
-        while self._runs and time.monotonic() < until:
+        stopped_at = time.monotonic()
+        while stop["share"] < 1.0 and self._runs and time.monotonic() < stopped_at + FINISHES_S:
             await asyncio.sleep(FINISHES_CHECK_S)
         await asyncio.sleep(stop["exit_s"])
+        print("exits", time.monotonic() - stopped_at, flush=True)
         os._exit(0)
 
     def _end_cleanly(self, ident: str, cause: str) -> None:
