--- a/features/steps/ways_steps.py
+++ b/features/steps/ways_steps.py
@@ -378,7 +378,7 @@
     assert read_runs("i1", lines) == [run]
     late = [run._replace(cause="untold-late-exit")]
     for cause, seconds, wanted in (("exits-1.0", 0.2, late), ("exits-1.0", 0.01, None)):
-        told = lines.replace("untold-stop", cause) + f"exits {seconds}\n"
+        told = lines.replace("untold-stop", cause) + f"stops 7.0\ngone {7.0 + seconds}\n"
         assert read_runs("i1", told) == (wanted or [run._replace(cause=cause)])
     assert read_runs("i1", "goes on" + lines.removeprefix("run")) == [run._replace(copied=True)]
 
@@ -495,7 +495,7 @@
     rows = headers | {"Content-Length": len(body)}
     if path != "kv-move":
         rows |= {"X-Rookspring-Request-Id": "q1", "X-Rookspring-Deadline-Ms": 5000}
-        rows |= {"X-Events": 8, "X-Gap": 0.03}
+        rows |= {"X-Events": 8, "X-Gap": 0.15}
     host, _, port = address.rpartition(":")
     reader, writer = await asyncio.open_connection(host, int(port))
     lines = [f"POST /{path} HTTP/1.1", *(f"{key}: {value}" for key, value in rows.items())]
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import re
 import typing as t
 
@@ -17,8 +18,8 @@
 
 # What the causes of ends begin with that nothing tells a node.
 UNTOLD = "untold-"
-# Within what time after the ends of its runs a process exits by which a node finds out, in seconds:
-# a little less than nodes wait.
+# Within what time after it ended its runs a process is gone by which a node finds out, in seconds: a
+# little less than nodes wait.
 EXITS_S = 0.08
 
 
@@ -155,6 +156,7 @@
 def read_runs(runner: str, record: str) -> list[Run]:
     """Return the runs of a runner's record."""
     runs: list[Run] = []
+    stopped_at = math.inf
     for line in record.splitlines():
         copied = line.startswith("goes on ")
         words = line.replace("goes on", "run", 1).split() if copied else line.split()
@@ -165,7 +167,9 @@
         elif words and words[0] in _FIELDS:
             at = max(n for n, one in enumerate(runs) if one.ident == words[1])
             runs[at] = runs[at]._replace(**_FIELDS[words[0]](words[2:]))
-        elif words and words[0] == "exits" and float(words[1]) > EXITS_S:
+        elif words and words[0] == "stops":
+            stopped_at = float(words[1])
+        elif words and words[0] == "gone" and float(words[1]) > stopped_at + EXITS_S:
             runs = [_mark_late(run) for run in runs]
     return runs
 
--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_runner.py
@@ -3,8 +3,8 @@
 Its argument is a JSON object, :class:`RunnerSettings`. Lines of its record are ``run ID FIRST TIME
 KIND``, or ``goes on ID FIRST TIME KIND`` where a run goes on from a copy of another runner's;
 ``made ID NUMBER``, ``end ID NUMBER FRAMING``, ``ended ID NUMBER CAUSE`` where the runner ends a run
-cleanly in its midst, ``moved ID NUMBER`` where a copy of a run was made, and ``exits SECONDS``, the
-time since the stop.
+cleanly in its midst, ``moved ID NUMBER`` where a copy of a run was made, and ``stops TIME``;
+its stage adds ``gone TIME`` as it sees that the process has ended.
 """
 
 import asyncio
@@ -185,10 +185,10 @@
         if stop["exit_s"] is None:
             return
         stopped_at = time.monotonic()
+        print("stops", stopped_at, flush=True)
         while stop["share"] < 1.0 and self._runs and time.monotonic() < stopped_at + FINISHES_S:
             await asyncio.sleep(FINISHES_CHECK_S)
         await asyncio.sleep(stop["exit_s"])
-        print("exits", time.monotonic() - stopped_at, flush=True)
         os._exit(0)
 
     def _end_cleanly(self, ident: str, cause: str) -> None:
