--- a/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ways_checks.py
@@ -5,6 +5,7 @@
 """
 
 import itertools
+import math
 import re
 import typing as t
 
@@ -17,6 +18,9 @@
 
 # What the causes of ends begin with that nothing tells a node.
 UNTOLD = "untold-"
+# Within what time after it ended its runs a process is gone by which a node finds out, in seconds:
+# a little less than nodes wait.
+EXITS_S = 0.08
 
 
 class Kind(t.NamedTuple):
@@ -152,6 +156,7 @@
 def read_runs(runner: str, record: str) -> list[Run]:
     """Return the runs of a runner's record."""
     runs: list[Run] = []
+    stopped_at = math.inf
     for line in record.splitlines():
         copied = line.startswith("goes on ")
         words = line.replace("goes on", "run", 1).split() if copied else line.split()
@@ -162,9 +167,18 @@
         elif words and words[0] in _FIELDS:
             at = max(n for n, one in enumerate(runs) if one.ident == words[1])
             runs[at] = runs[at]._replace(**_FIELDS[words[0]](words[2:]))
+        elif words and words[0] == "stops":
+            stopped_at = float(words[1])
+        elif words and words[0] == "gone" and float(words[1]) > stopped_at + EXITS_S:
+            runs = [_mark_late(run) for run in runs]
     return runs
 
 
+def _mark_late(run: Run) -> Run:
+    """Have a run count as ended by a process that lived on, where its exit alone was to tell."""
+    return run._replace(cause="untold-late-exit") if run.cause.startswith("exits") else run
+
+
 Check = t.Callable[[list[Call], list[Run]], list[str]]
 FAULTS: dict[str, Check] = {}
 TOLD: dict[str, Check] = {}
@@ -398,10 +412,15 @@
     return [
         _tell(call)
         for call in _streams(calls)
-        if call.parts[-1].ended and any(_made(run, call.parts[-1].events[-1]) for run in copies)
+        if call.parts[-1].ended and any(_made(run, one) for run in copies for one in _last(call))
     ]
 
 
+def _last(call: Call) -> list[Event]:
+    """Return the last event of all its requests, if there is any."""
+    return [event for part in call.parts for event in part.events][-1:]
+
+
 @counts("unanswered", TOLD)
 def find_unanswered(calls: list[Call], runs: list[Run]) -> list[str]:
     """Requests of which nothing came for longer than any limit, on open connections."""
