--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -187,6 +187,12 @@
       | gone    | 200 ms later    | 3 until it stops, stream | ends its answers and exits        |
       | leaving | 200 ms later    | 3 until it stops and closes, stream | ends its answers and lives on |
 
+  Scenario: a stream of which an event without an id came last does not go on from a copy, which would bring that event again
+    Given a relay node whose routes take up to 8 s, with two endpoints with models that do: 3 and one without an id until it stops, stream
+    And the endpoints copy their runs to each other
+    When a stream request runs whose endpoint is leaving and 200 ms later ends its answers and exits
+    Then its caller gets 4 events, cut
+
   Scenario Outline: an end at the time that an endpoint stated for its own is not told as the answer's own
     Given a relay node whose routes take up to 8 s, with two endpoints with models that do: <script>
     When the endpoint of a <kind> request states 400 ms in its <where>, and <stops> then
@@ -274,7 +280,7 @@
       | resumable | 3 until it stops    | 870   | 3 events, cut |
       | unsafe    | half until it stops | 870   | unknown       |
 
-  Scenario Outline: an end that comes too late to be looked at is doubted for its endpoint's stated time alone
+  Scenario Outline: an end at a leaving endpoint is doubted also where it comes too late to be looked at
     When an answer of <kind> ends <left> s before its leaving endpoint's stated time
     And it can be looked at for <seconds> s at the most
     Then it is doubted for <cause>, and there is <time> to look
@@ -283,9 +289,9 @@
       | kind            | left | seconds | cause    | time    |
       | another attempt | no   | 0.3     | its stop | time    |
       | another attempt | no   | 0.2     | its stop | time    |
-      | another attempt | no   | 0.0     | nothing  | no time |
+      | another attempt | no   | 0.0     | its stop | no time |
       | one attempt     | no   | 0.05    | its stop | time    |
-      | one attempt     | no   | 0.0     | nothing  | no time |
+      | one attempt     | no   | 0.0     | its stop | no time |
       | one attempt     | 0    | 0.1     | its time | time    |
       | one attempt     | 0    | 0.05    | its time | no time |
       | one attempt     | 0    | 0.0     | its time | no time |
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -100,16 +100,14 @@
 def find_cause(end: PlannedEnd) -> str:
     """Return what else than the whole answer may have ended it; empty if that can't be found out.
 
-    An end that comes too late to be looked at is believed, as no time is left to ask anew, unless
-    its endpoint had stated that it would end then.
+    An end that comes too late to be looked at is believed at an endpoint that stays, as no time is
+    left to ask anew.
     """
     if _is_time_over(end):
         return TIME_OVER
-    if not may_look(end):
-        return ""
     if end.closing:
         return STOP
-    return "" if end.at_once else EXIT
+    return EXIT if may_look(end) and not end.at_once else ""
 
 
 def _is_time_over(end: PlannedEnd) -> bool:
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_planned_ends.py
@@ -123,6 +123,16 @@
     writer.write(LAST_CHUNK)
 
 
+@step("3 and one without an id until it stops")
+async def _events_and_one_until_stop(
+    server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
+) -> None:
+    await send_events(server, request, writer, 3)
+    write_event(writer, b"data: token4\n\n")
+    await _wait_for_stop(server, request, writer)
+    writer.write(LAST_CHUNK)
+
+
 @step("3 until it stops and closes")
 async def _events_until_stop_and_close(
     server: "ModelServer", request: ReceivedRequest, writer: asyncio.StreamWriter
--- a/packages/rookspring/src/rookspring/relay_run_copies.py
+++ b/packages/rookspring/src/rookspring/relay_run_copies.py
@@ -109,7 +109,7 @@
 
     Events that its caller has are told from further ones by their ids.
     """
-    if not exchange.last_event:
+    if not exchange.events or not exchange.may_follow():
         return ""
     return run_copies.find_name(context.state, exchange.key)
 
