--- a/features/planned_ends.feature
+++ b/features/planned_ends.feature
@@ -19,7 +19,7 @@
       | stays                          | a stream                            | 0.07 s before its deadline | its endpoint ended just after it                 | 0.02 |
       | leaves                         | a stream that may go on elsewhere   | 0.25 s before its deadline | its endpoint ended, as it was leaving or gone    | 0.2  |
       | stays                          | a stream                            | 0.04 s before its deadline |                                                  | no   |
-      | leaves                         | a stream                            | 0.04 s before its deadline |                                                  | no   |
+      | leaves                         | a stream                            | 0.04 s before its deadline | its endpoint ended, as it was leaving or gone    | no   |
       | ends 0.4 s later, as it stated | a stream                            | in time                 | its endpoint ended, at the time that it had stated  | 0.1  |
       | ends 0.4 s later, as it stated | a body that came at once            | in time                 | its endpoint ended, at the time that it had stated  | 0.1  |
       | ends 0.4 s later, as it stated | a stream                            | 0.04 s before its deadline | its endpoint ended, at the time that it had stated | no |
