Mends of the review: evidence of ends together, verdicts of attempts, rests that can be asked for

- Ends of answers are kept by endpoint and request (64), not taken from what a report prunes.
- AnswerEnded names its attempt, and leaves slots of plain services, whose owner is told how it ended.
- A second end of a request at its endpoint ends no other's probe.
- An end at a leaving endpoint is doubted where the rest can be asked for, unless something worked on.
- A resumable stream whose connection ended goes on from its copy only if the process has ended.
- A close right after an answer shows nothing at an endpoint that stays.

--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -47,6 +47,14 @@
       | kind   | state   | script                                                 | stops                                              | answer        |
       | unsafe | leaving | answer, answer, half until it stops                    | ends its answers and exits beside its successor    | unknown       |
       | unsafe | gone    | answer, answer, half until it stops and closes         | ends its answers and exits beside its successor    | unknown       |
+
+  Scenario Outline: a close right after an answer's end shows at an endpoint that told nothing that its process has ended
+    Given a relay node whose routes take up to 8 s, with one endpoint with models that does: <script>
+    When the endpoint of a <kind> request that follows others is <state>, and <stops>
+    Then the answer is <answer>
+
+    Examples:
+      | kind   | state   | script                                                 | stops                                              | answer        |
       | unsafe | staying | answer, answer, half until it stops                    | ends its answers and exits beside its successor    | unknown       |
       | stream | staying | answer, answer, 3 until it stops                       | ends its answers and exits beside its successor    | 3 events, cut |
       | stream | staying | answer, answer, 3 until it stops and closes            | ends its answers and lives on                      | 3 events, cut |
@@ -72,13 +80,13 @@
       | is open                  | no other is          | keeps its connections   | staying   | shown to live                     |
       | was closed there         | an earlier one is    | keeps its connections   | leaving   | shown to live                     |
       | was closed there         | an earlier one is    | keeps its connections   | replaced  | taken for ended                   |
-      | was closed there         | an earlier one is    | keeps its connections   | staying   | taken for ended                   |
+      | was closed there         | an earlier one is    | keeps its connections   | staying   | shown to live                     |
       | was closed there         | an earlier one is    | closes its connections  | staying   | shown to live                     |
       | was closed as announced  | an earlier one is    | keeps its connections   | staying   | shown to live                     |
       | was closed there         | no other is          | keeps its connections   | leaving   | taken for ended                   |
       | was closed there         | no other is          | closes its connections  | leaving   | alive if its address is served    |
       | was closed as announced  | no other is          | keeps its connections   | leaving   | alive if its address is served    |
-      | was closed there         | no other is          | keeps its connections   | staying   | taken for ended                   |
+      | was closed there         | no other is          | keeps its connections   | staying   | alive if its address is served    |
       | was closed there         | no other is          | closes its connections  | staying   | alive if its address is served    |
       | was closed as announced  | no other is          | keeps its connections   | staying   | alive if its address is served    |
 
@@ -126,6 +134,9 @@
       | its exit | a stream | lives, ended others with it         | believed |
       | its exit | a body   | is gone                             | doubted  |
       | its stop | a stream | lives                               | believed |
+      | its stop | a stream | lives, and the rest can be asked for | doubted  |
+      | its stop | a stream | is gone, worked on, and the rest can be asked for | believed |
+      | its exit | a stream | lives, and the rest can be asked for | believed |
       | its stop | a stream | lives, had promised to              | believed |
       | its stop | a stream | is gone                             | believed |
       | its stop | a stream | is gone, had promised to serve      | doubted  |
@@ -151,15 +162,17 @@
       | 10   | 11   | -inf  |
 
   Scenario Outline: whether answers of an endpoint ended together
-    When answers end at an endpoint at <ends> s
-    Then that at 10 s ended <how>
+    When others of an endpoint's answers end at <ends> s
+    Then one that ended there at 10 s did so <how>
 
     Examples:
       | ends             | how             |
-      | 10               | alone           |
-      | 10, 10.02        | with another    |
-      | 9.98, 10         | with another    |
-      | 9.9, 10, 10.1    | alone           |
+      | 9.97             | alone           |
+      | 10               | with another    |
+      | 10.015           | with another    |
+      | 9.985            | with another    |
+      | 9.9, 10.1        | alone           |
+      | 9.9, 10.01       | with another    |
 
   Scenario Outline: whether an endpoint worked on after the end of an answer is told by the last event of another run there
     When another run's last event comes <after> s after the end of an answer
--- a/features/steps/planned_end_steps.py
+++ b/features/steps/planned_end_steps.py
@@ -273,6 +273,7 @@
         ends_runs="of such that end runs" in seen,
         promised="had promised" in seen,
         body=what == "a body",
+        may_ask="the rest can be asked for" in seen,
     )
     causes = {text: one for one, text in CAUSES.items()}
     context.shown = planned_ends.is_shown(causes[cause], signs)
@@ -296,12 +297,12 @@
     assert context.promised_until == until, context.promised_until
 
 
-@when("answers end at an endpoint at {ends} s")
+@when("others of an endpoint's answers end at {ends} s")
 def answers_end(context, ends):
     context.together = planned_ends.ended_together(10.0, [float(one) for one in ends.split(", ")])
 
 
-@then("that at 10 s ended {how}")
+@then("one that ended there at 10 s did so {how}")
 def ended_how(context, how):
     assert context.together == (how == "with another")
 
--- a/features/steps/run_copy_socket_steps.py
+++ b/features/steps/run_copy_socket_steps.py
@@ -86,7 +86,7 @@
 
 
 def _lose_copies(server):
-    server.copies.take = lambda name: False
+    server.copies.take = lambda name, run: False
 
 
 FAULTS = {
--- a/packages/rookspring-core/src/rookspring_core/_endpoint_defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/_endpoint_defaults.py
@@ -9,6 +9,8 @@
 # Slots assumed for an endpoint that has not reported yet.
 SLOTS_UNKNOWN = 8
 ENDED_MAX = 4096
+# The ends of answers that are kept by endpoint, to see whether several came at one moment.
+ANSWER_ENDS_MAX = 64
 
 EJECT_AFTER_FAILURES = 3
 EJECT_S = 5.0
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -143,10 +143,15 @@
 
 
 class AnswerEnded(t.NamedTuple):
-    """An endpoint has ended an answer in chunks; whether it is whole is still being looked at."""
+    """An endpoint has ended an answer in chunks; whether it is whole is still being looked at.
+
+    :param ended_at: when the end came.
+    """
 
     at: float
     request_id: str
+    attempt: int
+    ended_at: float
 
 
 class AttemptSucceeded(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/defaults.py
+++ b/packages/rookspring-core/src/rookspring_core/defaults.py
@@ -28,6 +28,7 @@
 from ._demand_defaults import RELAY_DEMAND_METER_S as RELAY_DEMAND_METER_S
 from ._demand_defaults import RELAY_DEMAND_RISE_S as RELAY_DEMAND_RISE_S
 from ._demand_defaults import UNSERVED_DEMAND_S as UNSERVED_DEMAND_S
+from ._endpoint_defaults import ANSWER_ENDS_MAX as ANSWER_ENDS_MAX
 from ._endpoint_defaults import CHECKED_JSON_BYTES_MAX as CHECKED_JSON_BYTES_MAX
 from ._endpoint_defaults import DOWN_DOUBT_S as DOWN_DOUBT_S
 from ._endpoint_defaults import EJECT_AFTER_FAILURES as EJECT_AFTER_FAILURES
--- a/packages/rookspring-core/src/rookspring_core/endpoints.py
+++ b/packages/rookspring-core/src/rookspring_core/endpoints.py
@@ -107,6 +107,7 @@
         "ejected_until",
         "evacuated",
         "ended",
+        "answer_ends",
         "ends_at",
         "failures",
         "gone",
@@ -211,6 +212,8 @@
         # This node's requests whose runs it holds a copy of, or is to; each takes a slot there.
         self.copies: set[str] = set()
         self.ended: list[tuple[float, float]] = []
+        # When answers of this node's ended there lately, by request.
+        self.answer_ends: dict[str, float] = {}
         self.others_inflight = 0
         # Whether the latest report gives the numbers of running and queued requests.
         self.load_reported = True
@@ -319,12 +322,20 @@
         """Count a request as no longer in flight there."""
         start = self.inflight.pop(request_id, None)
         self.prompts.pop(request_id, None)
-        if start is not None:
-            self.ended.append((start, now))
-            # Without reports nothing else bounds this list.
-            del self.ended[: -defaults.ENDED_MAX]
+        if start is None:
+            # It was counted as ended before.
+            return
+        self.ended.append((start, now))
+        # Without reports nothing else bounds this list.
+        del self.ended[: -defaults.ENDED_MAX]
         self.probing = False
 
+    def note_answer_end(self, request_id: str, at: float) -> None:
+        """Note when an answer of this node's ended, by its last chunk or its connection's end."""
+        self.answer_ends.setdefault(request_id, at)
+        while len(self.answer_ends) > defaults.ANSWER_ENDS_MAX:
+            del self.answer_ends[next(iter(self.answer_ends))]
+
     def own_prompts(self) -> int:
         """Return the prompt tokens of this node's requests that are yet to be read."""
         return sum(self.prompts.values())
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -85,15 +85,15 @@
 def find_life(cause: str, signs: LifeSigns) -> bool | None:
     """Return whether the process lives on; None if it does where something listens there.
 
-    An endpoint that closes each connection, or has announced it, is sound, so there the close shows
-    nothing.
+    A close right after an answer shows nothing at an endpoint that stays, nor where each connection
+    is closed or that was announced.
     """
     if signs.own_open:
         return True
     if signs.replaced:
         return False
-    if signs.closed_there and signs.keeps:
-        return cause != EXIT and signs.earlier_open
+    if signs.closed_there and signs.keeps and cause != EXIT:
+        return signs.earlier_open
     return signs.earlier_open or None
 
 
@@ -170,6 +170,7 @@
     :param ends_runs: endpoints of its service have lately ended runs in their midst.
     :param promised: it had promised to serve on then; see :func:`find_promise`.
     :param body: it is the end of a body, which is written in a moment.
+    :param may_ask: the rest can be asked of another endpoint, which shows the end.
     """
 
     lives: bool
@@ -178,13 +179,14 @@
     ends_runs: bool
     promised: bool
     body: bool = False
+    may_ask: bool = False
 
 
 def is_shown(cause: str, signs: EndSigns) -> bool:
     """Return whether a doubted end counts as the answer's own."""
     if signs.body:
         return signs.lives
-    suspected = signs.together or signs.ends_runs
+    suspected = signs.together or signs.ends_runs or signs.may_ask
     if cause == TIME_OVER:
         return signs.lives and (signs.at_work or not suspected)
     if signs.at_work:
@@ -212,8 +214,8 @@
 
 
 def ended_together(ended_at: float, ends: t.Iterable[float]) -> bool:
-    """Return whether several of an endpoint's answers ended with one.
+    """Return whether others of an endpoint's answers ended with one.
 
-    :param ends: when answers ended there, this one included.
+    :param ends: when these others ended there.
     """
-    return sum(abs(one - ended_at) <= STOP_SPREAD_S for one in ends) > 1
+    return any(abs(one - ended_at) <= STOP_SPREAD_S for one in ends)
--- a/packages/rookspring-core/src/rookspring_core/progress.py
+++ b/packages/rookspring-core/src/rookspring_core/progress.py
@@ -79,14 +79,19 @@
 
 @handles(AnswerEnded)
 def free_endpoint(state: NodeState, event: AnswerEnded) -> Effects:
-    """Free what a request holds at its endpoint, which has ended its answer."""
-    request = state.requests.get(event.request_id)
-    if request is None or not request.running or request.handed_to:
+    """Free what a request holds at its endpoint, which has ended its answer.
+
+    The owner of a plain service's slots is told with the slot how the answer ended, so it waits.
+    """
+    request = requests.find_running(state, event.request_id, event.attempt)
+    if request is None or request.handed_to:
         return []
     effects = routed.end_prompt(state, request)
-    effects += slot_requests.free(state, request, False, False, open_end=False)
+    if not request.arrived.service:
+        effects += slot_requests.free(state, request, False, False)
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is not None:
+        endpoint.note_answer_end(event.request_id, event.ended_at)
         endpoint.end(event.request_id, state.now)
     return effects + requests.dispatch_waiting(state)
 
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -117,6 +117,7 @@
     effects += slot_requests.free(state, request, False, False)
     source = state.endpoints.get(request.endpoint)
     if source is not None:
+        source.note_answer_end(request.arrived.request_id, state.now)
         source.end(request.arrived.request_id, state.now)
     effects += _bind_to_version(state, request)
     holder = run_copies.use(state, request)
@@ -147,6 +148,8 @@
     endpoint = state.endpoints.get(request.endpoint)
     if endpoint is None:
         return []
+    if event.open_ended or event.broken:
+        endpoint.note_answer_end(request.arrived.request_id, state.now)
     endpoint.end(request.arrived.request_id, state.now)
     if request.dispatched_at < endpoint.restarted_at:
         # The attempt ended with an earlier process, so it does not count against this one.
--- a/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/ends_table.py
@@ -135,6 +135,11 @@
         "what leaves serves on for as long as it likes, and most bodies there are whole",
         lambda row: row.cause == "lingering" and row.kind not in STREAMS,
     ),
+    Note(
+        "the only stream of one attempt at a leaving endpoint that ends it cleanly and lives on",
+        "one that finishes its runs does the same, and of this one there is no copy",
+        lambda row: row.cause == "lingering" and row.kind == "stream",
+    ),
 )
 
 # These are whole, and are not told as complete: no sign tells their end from one that a stop of
@@ -148,7 +153,7 @@
     Note(
         "a stream that ends as its leaving endpoint runs nothing else",
         "a server that stops may end all its runs and live on",
-        lambda row: row.cause == "lingering",
+        lambda row: row.cause == "lingering" and row.kind in REPEATABLE,
     ),
 )
 
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -29,6 +29,8 @@
     """The end of an answer that its endpoint's stop may have brought about.
 
     :param cause: for the log and the outcome of the attempt.
+    :param attempt: whose answer ended.
+    :param may_ask: the rest can be asked of another endpoint now.
     :param ended_at: when it came, by this node's clock.
     :param look_at: when an endpoint that lives has not brought it about; infinite if there is no
         time left to find out.
@@ -38,6 +40,8 @@
     """
 
     cause: str
+    attempt: int
+    may_ask: bool
     ended_at: float
     look_at: float
     replaced: bool
@@ -74,7 +78,9 @@
     serves_s = context.state.endpoint_stops.serves_s
     promised_until = planned_ends.find_promise(view.left_at, serves_s, view.ends_at)
     last_at = planned_ends.find_last_look(ended_at, promised_until, end.looks_until)
-    return Doubt(cause, ended_at, look_at, replaced, promised_until, last_at)
+    return Doubt(
+        cause, request.attempt, end.may_ask, ended_at, look_at, replaced, promised_until, last_at
+    )
 
 
 async def is_whole(
@@ -84,7 +90,7 @@
 
     Its endpoint's room is free meanwhile.
     """
-    context.submit(AnswerEnded(clock.now(), exchange.key))
+    context.submit(AnswerEnded(clock.now(), exchange.key, doubt.attempt, doubt.ended_at))
     await asyncio.sleep(0.0 if doubt.look_at == math.inf else doubt.look_at - clock.now())
     signs = await _look(context, exchange, answer, doubt)
     while _may_tell_later(doubt, signs):
@@ -116,14 +122,16 @@
     """Look at an endpoint after a doubted end."""
     lives = await _lives_on(context, exchange, answer, doubt)
     view = answer.view
+    others = [at for one, at in view.answer_ends.items() if one != exchange.key]
     at_work = planned_ends.is_at_work(doubt.ended_at, view.progressed_at)
     return EndSigns(
         lives,
         at_work and not doubt.replaced,
-        planned_ends.ended_together(doubt.ended_at, (end for _, end in view.ended)),
+        planned_ends.ended_together(doubt.ended_at, others),
         context.state.endpoint_stops.ends_runs(view.service, clock.now()),
         doubt.replaced or clock.now() < doubt.promised_until,
         not is_stream(answer.head),
+        doubt.may_ask,
     )
 
 
--- a/packages/rookspring/src/rookspring/relay_run_copies.py
+++ b/packages/rookspring/src/rookspring/relay_run_copies.py
@@ -119,14 +119,15 @@
 ) -> str:
     """Return the copy from which a stream goes on after its connection ended; empty if none.
 
-    A run may go on behind a close, and two runs of one request must never go on at once where it
-    may be sent once alone. There its process must have ended, or the run is stopped first.
+    A run may go on behind a close, and two runs of one request must never go on at once. So its
+    process must have ended, or the run is stopped first where it may be sent once alone; any other
+    is asked for anew.
     """
     copy = find_copy(context, exchange)
-    if not copy or exchange.route.repeatable:
-        return copy
-    if error.down and not context.pool.has_open(view.address):
+    if not copy or (error.down and not context.pool.has_open(view.address)):
         return copy
+    if exchange.route.repeatable:
+        return ""
     request = context.state.requests.get(exchange.key)
     held = request.copy if request is not None else None
     holder = context.state.endpoints.get(held.holder) if held is not None else None
