--- a/features/planned_ends_sockets.feature
+++ b/features/planned_ends_sockets.feature
@@ -130,7 +130,7 @@
       | cause    | what     | seen                                | verdict  |
       | its exit | a stream | lives                               | believed |
       | its exit | a stream | is gone                             | doubted  |
-      | its exit | a stream | is gone, worked on                  | believed |
+      | its exit | a stream | is gone, worked on                  | doubted  |
       | its exit | a stream | lives, ended others with it         | believed |
       | its exit | a body   | is gone                             | doubted  |
       | its stop | a stream | lives                               | believed |
--- a/packages/rookspring-core/src/rookspring_core/planned_ends.py
+++ b/packages/rookspring-core/src/rookspring_core/planned_ends.py
@@ -189,10 +189,11 @@
     suspected = signs.together or signs.ends_runs or signs.may_ask
     if cause == TIME_OVER:
         return signs.lives and (signs.at_work or not suspected)
-    if signs.at_work:
-        return True
     if cause == EXIT:
+        # Events of others that were made before the exit may be read late.
         return signs.lives
+    if signs.at_work:
+        return True
     return not suspected and (signs.lives or not signs.promised)
 
 
