--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -60,7 +60,8 @@
     ended_at = answer.connection.idle_since
     replaced = request.dispatched_at < view.restarted_at
     closing = view.leaving or view.gone or replaced
-    may_ask = closing and exchange.may_follow()
+    # A node that stops has no time for a second run that may take as long as the first.
+    may_ask = closing and exchange.may_follow() and not context.state.leaving
     written_s = ended_at - answer.began_at
     end = PlannedEnd(
         at=ended_at,
