--- a/features/steps/inner_byte_steps.py
+++ b/features/steps/inner_byte_steps.py
@@ -305,7 +305,7 @@
             return error.reason
 
     found = mock.patch.object(
-        relay_bodies, "find_doubt", return_value=Doubt("ends", 0.0, 0.0, False)
+        relay_bodies, "find_doubt", return_value=Doubt("ends", 1, False, 0.0, 0.0, False, 0.0, 0.0)
     )
     with found, mock.patch.object(relay_bodies, "is_whole", give_up):
         context.end = asyncio.run(read())
