--- a/features/steps/passed_on_stream_steps.py
+++ b/features/steps/passed_on_stream_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import functools
 import types
 
 from behave import given
@@ -9,6 +10,7 @@
 from rookspring import relay_handovers
 from rookspring.exceptions import EndpointError
 from rookspring.http_messages import HttpHead
+from rookspring.relay import RelayExchange
 from rookspring_core.effects import HandOver
 from rookspring_core.events import AttemptProgressed
 
@@ -73,6 +75,9 @@
         exchange.events += number
 
     exchange.count_events = count_events
+    exchange.named = True
+    exchange.note_place = functools.partial(RelayExchange.note_place, exchange)
+    exchange.may_follow = functools.partial(RelayExchange.may_follow, exchange)
     context.exchange = exchange
 
 
--- a/packages/rookspring/src/rookspring/relay_planned_ends.py
+++ b/packages/rookspring/src/rookspring/relay_planned_ends.py
@@ -128,7 +128,8 @@
     return EndSigns(
         lives,
         at_work and not doubt.replaced,
-        planned_ends.ended_together(doubt.ended_at, others),
+        # A planned stop of this node cuts nothing on suspicion alone.
+        not context.state.leaving and planned_ends.ended_together(doubt.ended_at, others),
         context.state.endpoint_stops.ends_runs(view.service, clock.now()),
         doubt.replaced or clock.now() < doubt.promised_until,
         not is_stream(answer.head),
