An owner's reply decides on the question that it answers alone

Callers saw: a request that had asked its service's owner for a slot, was sent without one as the reply was late, and was refused by its endpoint, asks again. A denial of its first question that came then got its caller 503, though the owner granted the second; and a grant of the first was taken for that of the second, whose own slot was then returned while the run was at work, so that the owner gave the endpoint one request more than it has room for. The same of permits of an endpoint with a rate limit: one that had been granted to an earlier question was used as if it were new.

A reply names the request and the queue, and not which of the request's questions it is for; both questions went to one queue under one key, also in the owner's book of grants.

Change: a request numbers its questions. The node sends the number with the key (none with the first, so its messages are as before), owners return keys as they are, and the node heeds the reply to its last question alone. A slot is returned under the key that it was granted to. Stand-ins of owners in features answer the question asked. Places are not in use in the product; they share the code.

--- a/bench/owner_mutants.py
+++ b/bench/owner_mutants.py
@@ -4,9 +4,14 @@
 import secrets
 import typing as t
 
+from rookspring import relay_slots
 from rookspring import request_keys
 from rookspring_core import defaults
 from rookspring_core import owners
+from rookspring_core import slot_requests
+from rookspring_core.events import SlotAnswered
+from rookspring_core.state import NodeState
+from rookspring_core.state import RequestState
 from rookspring_core.topology import Topology
 
 from .mutant import OWNER_CHOICE
@@ -14,6 +19,7 @@
 from .mutant import Mutant
 
 RULE = "nodes agree on who decides for all"
+QUESTIONS = "an owner's reply decides on the question that it answers"
 
 
 def _know_late(self: Topology, now: float) -> float:
@@ -38,7 +44,54 @@
 _draw = secrets.token_hex
 
 
+def _answers_any(state: NodeState, request: RequestState | None, event: SlotAnswered) -> bool:
+    """Take a reply to any of a request's questions for that to the last one."""
+    if request is not None:
+        event = event._replace(question=request.slot_question)
+    return _is_current(state, request, event)
+
+
+_is_current = slot_requests.is_current_answer
+
+
+def _ask_alike(key: str, question: int) -> str:
+    """Give all questions of a request one key."""
+    return key
+
+
+def _hold_for_first(request: RequestState, event: SlotAnswered, now: float) -> None:
+    """Return a slot later as that of the request's first question."""
+    _hold(request, event._replace(question=1), now)
+
+
+_hold = slot_requests.hold
+
+
 MUTANTS = (
+    Mutant(
+        "takes a reply to an earlier question",
+        QUESTIONS,
+        slot_requests,
+        "is_current_answer",
+        _answers_any,
+        OWNER_REPLIES,
+    ),
+    Mutant(
+        "names all questions alike",
+        QUESTIONS,
+        relay_slots,
+        "make_question_key",
+        _ask_alike,
+        OWNER_REPLIES,
+    ),
+    Mutant(
+        "returns a slot as an earlier question's",
+        QUESTIONS,
+        slot_requests,
+        "hold",
+        _hold_for_first,
+        OWNER_REPLIES,
+    ),
     Mutant(
         "uses keys of an earlier life",
         "a reply to a node's earlier life decides on none of its requests",
--- a/features/place_node.py
+++ b/features/place_node.py
@@ -11,6 +11,9 @@
 from rookspring_core.events import Ticked
 from rookspring_core.options import DecisionOptions
 
+# What a late reply says: the endpoint of a slot, and the seconds to wait where there is none.
+LATE_REPLIES = {"granted": ("e1", 0.0), "denied": ("", 0.7), "to wait": ("", 0.0)}
+
 
 class PlaceNode(RelayHarness):
     """A node with two endpoints of the model m, and the prompts of another node there."""
@@ -38,17 +41,19 @@
     def come(self, key="r1"):
         self.ask(model="m", key=key, prompt_tokens=500, tokens=600, objective_s=4.0, deadline_s=9.0)
 
-    def answer(self, endpoint="", after_s=0.0, blind=False, queue="", avoid_s=0.0):
-        asked = self.asked[-1]
+    def answer(self, endpoint="", after_s=0.0, blind=False, avoid_s=0.0, asked=None):
+        """Answer a question as its owner does: the last one, unless another is given."""
+        asked = asked or self.asked[-1]
         self.submit(
             SlotAnswered(
                 self.now,
                 asked.request_id,
-                queue or asked.queue,
+                asked.queue,
                 endpoint,
                 after_s,
                 avoid_s=avoid_s,
                 no_known_endpoint=blind,
+                question=asked.question,
             )
         )
 
--- a/features/places.feature
+++ b/features/places.feature
@@ -122,6 +122,18 @@
       | refuse it                   | the other endpoint has a rate  | asks for a permit there                    |
       | grant a place that is gone  | nothing else                   | waits in its node, and one place returned  |
 
+  # Guards against a reply to an earlier question of a request that decides on a later one.
+  Scenario Outline: a late reply to a request's first question does not decide on its next place
+    Given a node and two endpoints, both full, whose owners grant it a place
+    When its request was refused by its endpoint and asks for a place there again, and a reply to its first question comes, <late>
+    Then it waits for the second reply, and is sent with that
+
+    Examples:
+      | late    |
+      | granted |
+      | denied  |
+      | to wait |
+
   Scenario: a node that knows of a queue lets its next request ask instead of overtaking
     Given a node and two endpoints, both full, whose owners let it wait
     When a request comes, and nothing else
--- a/features/rate_limits.feature
+++ b/features/rate_limits.feature
@@ -148,6 +148,18 @@
     And no requests arrive for 70 s
     Then no node keeps a queue for the endpoint
 
+  # Guards against a reply to an earlier question of a request that decides on a later one.
+  Scenario Outline: a late reply to a request's first question does not decide on its next permit
+    Given a node, and an endpoint with start 5 and a rate limit of 2 requests a second
+    When its request was refused there and asks for a permit again, and a reply to its first question comes, <late>
+    Then it waits for the second reply, and is sent with that
+
+    Examples:
+      | late    |
+      | granted |
+      | denied  |
+      | to wait |
+
   Scenario: a permit with which nothing was sent is returned
     Given a node, and an endpoint with start 5 and a rate limit of 2 requests a second
     When its permit comes, and nothing can be sent
--- a/features/steps/owner_reply_steps.py
+++ b/features/steps/owner_reply_steps.py
@@ -78,6 +78,34 @@
     relay_exchanges.make_key = importlib.reload(request_keys).make_key
 
 
+class SlowOwner(HeldOwner):
+    """An owner whose reply to the first question comes just before that to the second.
+
+    :param old: the decision on the first question.
+    :param new: that on the second.
+    :param servers: endpoints that refuse what is sent until then, without a slot.
+    """
+
+    def __init__(self, old, new, servers):
+        super().__init__("slots")
+        self.old = old
+        self.new = new
+        self.servers = servers
+        for server in servers:
+            server.script = ["refuse"]
+            server.extra_header_lines.append("Retry-After: 0")
+
+    def take(self, peers, link, item):
+        if isinstance(item, AskSlots) and not self.asked:
+            self.late = (item, self.old)
+            self.decision = self.new
+            self.asked.append(item)
+        else:
+            for server in self.servers:
+                server.script = []
+            super().take(peers, link, item)
+
+
 async def restart(stage, number):
     """End a node without a planned stop, and start another process's in its place."""
     node = stage.nodes[number]
@@ -96,14 +124,15 @@
     await stage.relay.until(lambda: fresh.context.state.freshness.proved_at > 0)
 
 
-async def ask(node, number):
+async def ask(node, number, kind="unsafe"):
     """Send a request; return its connection."""
     connection = await asyncio.open_connection("127.0.0.1", node.listeners["callers"].port)
-    connection[1].write(request("unsafe", number, key=KEY))
+    connection[1].write(request(kind, number, key=KEY))
     return connection
 
 
-async def ask_in_two_lives(context, what, old, new):
+async def start_stage(context, what):
+    """Start two nodes, and return the stage and the number of the node that isn't the owner."""
     rows = [tenants(KEY)[0] | {"rate-per-s": 100, "burst": 50}]
     stage = context.cut_stage = CutStage(2)
     context.relay = stage.relay
@@ -111,6 +140,11 @@
     await stage.start()
     owner = relay_owners.find_owner(stage.nodes[0].peers, SUBJECTS[what])
     (asking,) = (at for at, one in enumerate(stage.nodes) if one.settings.name != owner)
+    return stage, asking
+
+
+async def ask_in_two_lives(context, what, old, new):
+    stage, asking = await start_stage(context, what)
     held = context.held = HeldOwner(what)
     receivers = dict.fromkeys([*ASKED.values(), SlotFreed], held.take)
     with (
@@ -132,6 +166,36 @@
         await asyncio.sleep(0.05)
 
 
+async def ask_twice(context, old, new):
+    stage, asking = await start_stage(context, "slots")
+    held = context.held = SlowOwner(old, new, stage.relay.servers)
+    receivers = dict.fromkeys([AskSlots, SlotFreed], held.take)
+    with mock.patch.dict(RECEIVERS, receivers):
+        reader, writer = await ask(stage.nodes[asking], 1, "safe")
+        context.answer = await read_answer(reader)
+        writer.close()
+        # The slot of a run is freed after its answer.
+        await asyncio.sleep(0.05)
+
+
+@when(
+    "a node asks for slots, sends without one, is refused and asks again, and the reply to the "
+    "first, {old}, comes before the one to the second, {new}"
+)
+def two_questions(context, old, new):
+    context.loop.run(ask_twice(context, old, new))
+    assert len(context.held.asked) == 2, context.held.asked
+
+
+@then("no slot of a run is returned before the run has ended")
+def slot_kept(context):
+    held = context.held
+    unused = {one.key for one in held.freed if one.unsent}
+    used = {one.key for one in held.freed if not one.unsent}
+    assert not unused & used, held.freed
+    assert len(used) == (context.answer.status == 200), held.freed
+
+
 @when(
     "a node asks for {what} and restarts, and the reply, {old}, comes as it has asked again, "
     "before the one to that, {new}"
--- a/features/steps/place_steps.py
+++ b/features/steps/place_steps.py
@@ -5,6 +5,7 @@
 from behave import given
 from behave import then
 from behave import when
+from place_node import LATE_REPLIES
 from place_node import PlaceNode
 
 from rookspring_core import place_requests
@@ -105,6 +106,22 @@
         node.submit(GraceEnded(node.now))
 
 
+@when(
+    "its request was refused by its endpoint and asks for a place there again, and a reply to its "
+    "first question comes, {late}"
+)
+def late_place(context, late):
+    node = context.node
+    node.list_endpoints(["e1"], "llm", "runner")
+    node.come()
+    node.answer("e1")
+    node.submit(AttemptStarted(node.now, "r1", 1))
+    node.submit(AttemptFailed(node.now, "r1", 1, True, True, "503"))
+    assert [one.queue for one in node.asked] == ["#e1", "#e1"] and len(node.sent) == 1, node.asked
+    node.freed.clear()
+    node.answer(*LATE_REPLIES[late], asked=node.asked[0])
+
+
 @then("for its node it {state}")
 def state_is(context, state):
     node = context.node
--- a/features/steps/rate_limit_node_steps.py
+++ b/features/steps/rate_limit_node_steps.py
@@ -11,6 +11,7 @@
 from notice_node_steps import SLOTS
 from notice_node_steps import NoticeHarness
 from notice_node_steps import SlotHarness
+from place_node import LATE_REPLIES
 from rate_counts import aimed
 from rate_counts import most_in_window
 from relay_harness import HolderHarness
@@ -59,9 +60,16 @@
             NoticeReceived(self.now, "e1", fields.pop("born", 5), notice, "e1", "", "", asked_at)
         )
 
-    def grant(self, asked=None, rated=True, **fields):
+    def grant(self, asked=None, rated=True):
+        self.answer("e1", 0.0, asked, rated)
+
+    def answer(self, endpoint, after_s, asked=None, rated=True):
+        """Answer a question as its owner does: the last one, unless another is given."""
         asked = asked or self.asked[-1]
-        self.submit(SlotAnswered(self.now, asked.request_id, asked.queue, "e1", 0.0, rated, 0.0))
+        key, queue = asked.request_id, asked.queue
+        self.submit(
+            SlotAnswered(self.now, key, queue, endpoint, after_s, rated, question=asked.question)
+        )
 
     @property
     def rate(self):
@@ -355,6 +363,29 @@
     node.submit(AttemptFailed(node.now, one.request_id, 1, False, False, "no way", withheld=True))
 
 
+@when(
+    "its request was refused there and asks for a permit again, and a reply to its first question "
+    "comes, {late}"
+)
+def late_permit(context, late):
+    node = context.node
+    _retry(node)
+    assert len(node.asked) == 2 and len(node.sent) == 1, node.asked
+    node.freed.clear()
+    node.answer(*LATE_REPLIES[late], asked=node.asked[0])
+
+
+@then("it waits for the second reply, and is sent with that")
+def waits_for_second(context):
+    node = context.node
+    first, second = node.asked
+    assert len(node.sent) == 1 and not node.refused, (node.sent, node.refused)
+    assert not node.state.requests[second.request_id].slot_queued
+    assert all(one.unsent and one.question == first.question for one in node.freed), node.freed
+    node.answer("e1", 0.0, asked=second)
+    assert [one.endpoint for one in node.sent] == ["e1", "e1"], node.sent
+
+
 @then("the permit was returned as unsent, once")
 def unsent_once(context):
     assert [(one.queue, one.unsent) for one in context.node.freed] == [("@e1", True)]
--- a/packages/rookspring-core/src/rookspring_core/_request_events.py
+++ b/packages/rookspring-core/src/rookspring_core/_request_events.py
@@ -265,6 +265,7 @@
     :param avoid_s: how long this node is to prefer other endpoints, in seconds; of a place, the
         predicted wait for one.
     :param no_known_endpoint: refused since the owner knows no endpoint that accepts requests.
+    :param question: which of the request's questions it answers.
     """
 
     at: float
@@ -275,6 +276,7 @@
     counts_towards_rate: bool = False
     avoid_s: float = 0.0
     no_known_endpoint: bool = False
+    question: int = 1
 
 
 class SessionOpened(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/effects.py
+++ b/packages/rookspring-core/src/rookspring_core/effects.py
@@ -416,6 +416,7 @@
     :param avoid: the endpoint at which the request has failed.
     :param rate: requests a second that the endpoint accepts; None for a service.
     :param place: what the request takes of a model endpoint; None unless it needs a place there.
+    :param question: its number among the request's questions, which the answer names.
     """
 
     request_id: str
@@ -426,6 +427,7 @@
     avoid: str
     rate: float | None = None
     place: PlaceTerms | None = None
+    question: int = 1
 
 
 class FreeSlot(t.NamedTuple):
@@ -434,6 +436,7 @@
     :param took_s: how long the run took, in seconds.
     :param unsent: nothing of the request was sent.
     :param open_end: nothing showed the end of its answer; None if it got no answer that counts.
+    :param question: that to which the slot was the answer.
     """
 
     request_id: str
@@ -442,6 +445,7 @@
     took_s: float
     unsent: bool = False
     open_end: bool | None = None
+    question: int = 1
 
 
 class ReturnAllotment(t.NamedTuple):
--- a/packages/rookspring-core/src/rookspring_core/place_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/place_requests.py
@@ -60,7 +60,8 @@
     state.permit_requests[identity] = PermitRequest(view.name, state.now + wait_s)
     place = PlaceTerms(prompt_work, arrived.tokens * cost)
     rank = arrived.route.rank
-    return [AskSlot(identity, queue, rank, arrived.team, wait_s, "", None, place)]
+    question = request.slot_question
+    return [AskSlot(identity, queue, rank, arrived.team, wait_s, "", None, place, question)]
 
 
 def withdraw(state: NodeState, request: RequestState) -> list[Effect]:
@@ -69,7 +70,8 @@
     if asked is None or not request.slot_queue.startswith(PLACE_PREFIX):
         return []
     identity = request.arrived.request_id
-    return [FreeSlot(identity, request.slot_queue, asked.endpoint, 0.0, True)]
+    question = request.slot_question
+    return [FreeSlot(identity, request.slot_queue, asked.endpoint, 0.0, True, question=question)]
 
 
 def _is_ordered(state: NodeState, request: RequestState) -> bool:
--- a/packages/rookspring-core/src/rookspring_core/slot_answers.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_answers.py
@@ -27,7 +27,12 @@
     if request is None or not slot_requests.is_current_answer(state, request, event):
         if event.endpoint:
             # The request has ended, or was placed without an answer.
-            return [FreeSlot(event.request_id, event.queue, event.endpoint, 0.0, True)]
+            question = event.question
+            return [
+                FreeSlot(
+                    event.request_id, event.queue, event.endpoint, 0.0, True, question=question
+                )
+            ]
         return []
     asked = state.permit_requests.get(event.request_id)
     if asked is not None and event.queue.startswith(slot_requests.PLACE_PREFIX):
--- a/packages/rookspring-core/src/rookspring_core/slot_requests.py
+++ b/packages/rookspring-core/src/rookspring_core/slot_requests.py
@@ -47,7 +47,10 @@
     avoid = request.endpoint if request.attempt else ""
     rank = arrived.route.rank
     queue = start_question(state, request, partition_of(state, arrived))
-    return [AskSlot(arrived.request_id, queue, rank, arrived.team, wait_s, avoid)]
+    question = request.slot_question
+    return [
+        AskSlot(arrived.request_id, queue, rank, arrived.team, wait_s, avoid, question=question)
+    ]
 
 
 def ask_permit(
@@ -64,11 +67,20 @@
     state.permit_requests[arrived.request_id] = PermitRequest(view.name, until)
     wait_s = max(0.0, until - state.now)
     rank = arrived.route.rank
-    return [AskSlot(arrived.request_id, queue, rank, arrived.team, wait_s, "", view.rate)]
+    question = request.slot_question
+    return [
+        AskSlot(
+            arrived.request_id, queue, rank, arrived.team, wait_s, "", view.rate, question=question
+        )
+    ]
 
 
 def start_question(state: NodeState, request: RequestState, queue: str) -> str:
-    """Record which queue's owner a request asks from now on, and return that queue."""
+    """Record which queue's owner a request asks from now on, and return that queue.
+
+    A reply to an earlier question may come later, from the same owner.
+    """
+    request.slot_question += 1
     request.slot_asked_at = state.now
     request.slot_queued = False
     request.slot_queue = queue
@@ -102,7 +114,7 @@
     """
     if request is None or request.running or request.slot_asked_at is None:
         return False
-    if event.queue != request.slot_queue:
+    if (event.queue, event.question) != (request.slot_queue, request.slot_question):
         return False
     asked = state.permit_requests.get(event.request_id)
     latest = max(request.slot_asked_at, asked.until) if asked else math.inf
@@ -111,7 +123,9 @@
 
 def hold(request: RequestState, event: SlotAnswered, now: float) -> None:
     """Record that a request holds a slot."""
-    request.slot = SlotHeld(request.slot_queue, event.endpoint, now, event.counts_towards_rate)
+    request.slot = SlotHeld(
+        request.slot_queue, event.endpoint, now, event.counts_towards_rate, event.question
+    )
     request.slot_asked_at = None
 
 
@@ -134,12 +148,14 @@
     identity = request.arrived.request_id
     if held.queue.startswith(ENDPOINT_PREFIX):
         # A permit is used up by the first byte sent.
-        return [FreeSlot(identity, held.queue, held.endpoint, 0.0, True)] if unsent else []
+        if not unsent:
+            return []
+        return [FreeSlot(identity, held.queue, held.endpoint, 0.0, True, question=held.question)]
     took_s = state.now - held.at
     if failed:
         # Failures are quick: their true time would make the endpoint look fast and draw requests.
         took_s = max(took_s, defaults.SLOT_FAILED_S)
-    return [FreeSlot(identity, held.queue, held.endpoint, took_s, unsent, open_end)]
+    return [FreeSlot(identity, held.queue, held.endpoint, took_s, unsent, open_end, held.question)]
 
 
 def usable(state: NodeState, event: SlotAnswered) -> EndpointView | None:
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -94,12 +94,14 @@
     :param queue: key of the slot queue that granted it; see :mod:`slot_requests`.
     :param at: when it was granted.
     :param counts_towards_rate: the slot is a permit of the endpoint's request rate as well.
+    :param question: that to which it was the answer.
     """
 
     queue: str
     endpoint: str
     at: float
     counts_towards_rate: bool = False
+    question: int = 1
 
 
 class PermitRequest(t.NamedTuple):
@@ -159,6 +161,7 @@
         "sent",
         "slot",
         "slot_asked_at",
+        "slot_question",
         "slot_queued",
         "slot_queue",
         "tried",
@@ -194,6 +197,8 @@
         # owner has confirmed that the request waits in its queue.
         self.slot: SlotHeld | None = None
         self.slot_asked_at: float | None = None
+        # How many questions it has asked owners, the last of which an answer must name.
+        self.slot_question = 0
         self.slot_queued = False
         self.slot_queue = ""
         # Endpoints whose owner refused a permit or a place, with the time when one is expected.
--- a/packages/rookspring/src/rookspring/_owner_messages.py
+++ b/packages/rookspring/src/rookspring/_owner_messages.py
@@ -51,7 +51,7 @@
     """Request a slot from the owner of its queue; see ``AskSlot``.
 
     :param origin: the node that has the request.
-    :param key: the request's id there.
+    :param key: of the question there; see :mod:`request_keys`.
     """
 
     origin: str
@@ -72,7 +72,7 @@
     The owner replies with a :class:`SlotReply`.
 
     :param origin: the node that has the request.
-    :param key: the request's id there.
+    :param key: of the question there; see :mod:`request_keys`.
     """
 
     origin: str
--- a/packages/rookspring/src/rookspring/relay_slots.py
+++ b/packages/rookspring/src/rookspring/relay_slots.py
@@ -25,15 +25,18 @@
 from .relay_owners import handles_as_owner
 from .relay_owners import handles_reply
 from .relay_peers import RelayPeers
+from .request_keys import make_question_key
+from .request_keys import split_question_key
 
 
 def ask_slot(peers: RelayPeers, effect: AskSlot) -> None:
     """Request a slot, or a place at a model endpoint, from the owner of its queue."""
     name = peers.context.state.identity.name
+    key = make_question_key(effect.request_id, effect.question)
     if effect.place is None:
         item = AskSlots(
             name,
-            effect.request_id,
+            key,
             effect.queue,
             effect.rank,
             effect.organisation,
@@ -46,7 +49,7 @@
         return
     place = AskPlaces(
         name,
-        effect.request_id,
+        key,
         effect.queue,
         effect.rank,
         effect.organisation,
@@ -64,7 +67,7 @@
     if effect.open_end is not None:
         relay_owners.notify_owner(peers, SlotEnded(queue, endpoint, effect.open_end, False))
     name = peers.context.state.identity.name
-    key = effect.request_id
+    key = make_question_key(effect.request_id, effect.question)
     freed = SlotFreed(name, key, queue, endpoint, effect.took_s, effect.unsent, False)
     relay_owners.notify_owner(peers, freed)
 
@@ -162,15 +165,17 @@
 @handles_reply(SlotReply)
 def handle_reply(peers: RelayPeers, reply: SlotReply) -> None:
     """Process an owner's reply to a slot request of this node."""
+    key, question = split_question_key(reply.key)
     peers.context.submit(
         SlotAnswered(
             clock.now(),
-            reply.key,
+            key,
             reply.queue,
             reply.endpoint,
             reply.after_s,
             reply.counts_towards_rate,
             reply.avoid_s,
             reply.no_known_endpoint,
+            question,
         )
     )
