A late copy of a 421 says nothing of the model in flight

Callers saw: an endpoint had refused a request for one model with 421; the copy of that answer came late, in the place of the next one on the connection, which was for another model. The node then took the other model for gone from there, though the endpoint answers for it, and refused its callers until the next report ("absent").

Each head is read for notices before it is matched to its request; a 421 was laid to the target of the request in flight, whoever it answered.

Evidence: the row failed before, the endpoint known to hold neither model. Change: a 421 counts for a target only in a response to that very request. The mutant that hears each head as its own response is caught.

--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -8,6 +8,7 @@
 from rookspring import defaults as daemon_defaults
 from rookspring import http_client
 from rookspring import http_platform
+from rookspring import relay_notices
 from rookspring.dialect import AnswerMatch
 from rookspring.endpoints import HttpEndpoint
 from rookspring.http_client import ClientConnection
@@ -67,6 +68,14 @@
 
 
 MUTANTS = (
+    Mutant(
+        "hears a late answer as one to the request in flight",
+        "what an endpoint says of a request is of that request",
+        relay_notices,
+        "_is_own",
+        _always,
+        RESENDS,
+    ),
     Mutant(
         "keeps connections to the store",
         "an answer belongs to one call of the platform",
--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -91,6 +91,13 @@
     When it is asked for its report 6 times
     Then at most 1 of the node's connections to it is open
 
+  # Guards against a late copy of a refusal whose words count for the request in flight, and as new.
+  Scenario: a second copy of a 421 for one model that comes late says nothing of another model
+    Given a relay node with one endpoint with the models m1 and m2 that does: absent twice, answer
+    When a caller sends an unsafe request for m1, and then one for m2
+    Then the first is refused, and the second is answered
+    And the endpoint is known to hold m2, and not m1
+
   Scenario: an answer that is not to the request in flight is logged
     Given a relay node with one endpoint that does: answer twice, answer
     When a caller sends 2 unsafe requests on one connection
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -3,6 +3,7 @@
 from behave import given
 from behave import then
 from behave import when
+from relay_fixture import RelayFixture
 from relay_fixture import configuration
 from relay_fixture import request
 from still_transport import StillTransport
@@ -14,6 +15,7 @@
 
 # Greater than the versions that other steps write.
 VERSION = 50
+MODEL_ROW = {"weights-mb": 60_000, "load-time-s": 6, "adapters": 0, "adapter-size-mb": 12}
 
 
 @given("its routes allow {attempts:d} attempts, and it asks for no rest")
@@ -124,6 +126,51 @@
     assert f"endpoint=i0 asked={asked} status=200" in skipped[0], skipped
 
 
+@given("a relay node with one endpoint with the models m1 and m2 that does: {script}")
+def with_two_models(context, script):
+    context.relay = RelayFixture([script.split(", ")])
+    (server,) = context.relay.servers
+    server.models = {"m1": [], "m2": []}
+    raw = configuration(VERSION)
+    raw["services"][0]["engine"] = {
+        "weights-mb": 200_000,
+        "max-adapters": 8,
+        "loads-per-s": 1.0,
+        "models": [MODEL_ROW | {"name": name} for name in server.models],
+    }
+
+    async def work():
+        await context.relay.start()
+        await context.relay.store.write("config", "main", raw)
+        state = context.relay.node.context.state
+        await context.relay.until(lambda: state.revision == VERSION)
+        await context.relay.until(lambda: state.endpoints["i0"].targets() == {"m1", "m2"})
+
+    context.loop.run(work())
+
+
+def ask_for(context, model, number):
+    headers = (f"X-Rookspring-Model: {model}",)
+    return context.loop.run(context.relay.ask(request("unsafe", number, headers=headers)))
+
+
+@when("a caller sends an unsafe request for m1, and then one for m2")
+def ask_for_both(context):
+    context.answers = [ask_for(context, "m1", 1), ask_for(context, "m2", 2)]
+
+
+@then("the first is refused, and the second is answered")
+def first_refused(context):
+    statuses = [one.status for one in context.answers]
+    assert statuses == [503, 200], statuses
+
+
+@then("the endpoint is known to hold m2, and not m1")
+def holds_second(context):
+    view = context.relay.node.context.state.endpoints["i0"]
+    assert view.targets() == {"m2"}, view.targets()
+
+
 @then("the endpoint was connected to {number:d} times")
 def connected_times(context, number):
     (server,) = context.relay.servers
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -65,9 +65,10 @@
         notice = context.dialect.read_notice(head)
         if not notice_handlers.has_news(context.state, endpoint, notice):
             return
-        # Only a response to this very request determines the time of the notice: one to another
-        # request may be old, and those to orders and reads of reports do not apply to requests.
-        own_response = call.is_request and context.dialect.match_answer(head, call.call_id).matches
+        # Only a response to this very request determines the time of the notice and what is missing
+        # there: one to another request may be old, and those to orders and reads of reports do not
+        # apply to requests.
+        own_response = call.is_request and _is_own(context, call, head)
         log(
             "endpoint_said",
             endpoint=endpoint,
@@ -85,8 +86,8 @@
             started_ms,
             notice,
             address,
-            call.target,
-            call.adapter,
+            call.target if own_response else "",
+            call.adapter if own_response else "",
             began_at if own_response else None,
         )
         context.submit(event)
@@ -94,6 +95,12 @@
     return handle
 
 
+def _is_own(context: RelayContext, call: EndpointCall, head: HttpHead) -> bool:
+    """Return whether a head is of a response to this call, and not of one to an earlier call."""
+    request_id = call.call_id if call.is_request else ""
+    return context.dialect.match_answer(head, request_id).matches
+
+
 def share_leaving(peers: RelayPeers, rows: tuple[Leaving, ...], source: str) -> None:
     """Send leaving endpoints to all nodes except for the source."""
     peers.broadcast(encode_leaving(rows, clock.now()), source)
