A late copy of a refusal asks for no new rest

Callers saw: an endpoint had refused a request and asked for a rest; after that rest it took the next one, whose answer came behind the late copy of the refusal. The node rested for as long again, and refused the next caller with 503 though its only endpoint had room. It also told all nodes that the endpoint sheds.

Change: a refusal counts towards the rest only in a response to the very call. Nothing is lost: an answer that comes in the place of another's was read before, since a connection on which one was not read is closed. Leaving is heard as before.

--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -98,6 +98,17 @@
     Then the first is refused, and the second is answered
     And the endpoint is known to hold m2, and not m1
 
+  Scenario Outline: a second copy of a refusal that comes late asks for no new rest
+    Given a relay node with one endpoint that does: <script>
+    And its refusals ask for a rest of 0.3 s
+    When a caller sends a <kind> request, another one after that rest, and a third one at once
+    Then the first is refused, and the others are answered within 0.2 s
+
+    Examples:
+      | kind   | script               |
+      | unsafe | refuse twice, answer |
+      | safe   | refuse twice, answer |
+
   Scenario: an answer that is not to the request in flight is logged
     Given a relay node with one endpoint that does: answer twice, answer
     When a caller sends 2 unsafe requests on one connection
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 from behave import given
 from behave import then
@@ -171,6 +172,32 @@
     assert view.targets() == {"m2"}, view.targets()
 
 
+@given("its refusals ask for a rest of {seconds:g} s")
+def asks_for_rest(context, seconds):
+    context.rest_s = seconds
+    context.relay.servers[0].extra_header_lines.append(f"Retry-After: {seconds:g}")
+
+
+@when("a caller sends a {kind} request, another one after that rest, and a third one at once")
+def ask_after_rest(context, kind):
+    async def work():
+        first = await context.relay.ask(request(kind, 1))
+        await asyncio.sleep(context.rest_s + 0.1)
+        began = time.monotonic()
+        others = [await context.relay.ask(request(kind, number)) for number in (2, 3)]
+        context.took_s = time.monotonic() - began
+        context.answers = [first, *others]
+
+    context.loop.run(work())
+
+
+@then("the first is refused, and the others are answered within {seconds:g} s")
+def others_answered(context, seconds):
+    statuses = [one.status for one in context.answers]
+    assert statuses == [503, 200, 200], statuses
+    assert context.took_s < seconds, context.took_s
+
+
 @then("the endpoint was connected to {number:d} times")
 def connected_times(context, number):
     (server,) = context.relay.servers
--- a/packages/rookspring-core/src/rookspring_core/notices.py
+++ b/packages/rookspring-core/src/rookspring_core/notices.py
@@ -61,6 +61,10 @@
         """Return whether the headers state nothing about the endpoint except for its name."""
         return self._replace(process_name="") == EMPTY_NOTICE
 
+    def without_backoff(self) -> "Notice":
+        """Return what it states beside a refusal."""
+        return self._replace(turned_away=False, backoff_s=None)
+
     def requested_backoff_s(self) -> float:
         """Return how long this node is to send it nothing, in seconds; 0 for no back-off."""
         if not self.turned_away:
--- a/packages/rookspring/src/rookspring/relay_notices.py
+++ b/packages/rookspring/src/rookspring/relay_notices.py
@@ -65,10 +65,14 @@
         notice = context.dialect.read_notice(head)
         if not notice_handlers.has_news(context.state, endpoint, notice):
             return
+        is_own = _is_own(context, call, head)
+        if not is_own:
+            # It says for how long to rest from a moment that isn't known any more.
+            notice = notice.without_backoff()
         # Only a response to this very request determines the time of the notice and what is missing
         # there: one to another request may be old, and those to orders and reads of reports do not
         # apply to requests.
-        own_response = call.is_request and _is_own(context, call, head)
+        own_response = call.is_request and is_own
         log(
             "endpoint_said",
             endpoint=endpoint,
