One door for a node's own calls to endpoints, and rows for the newer ones

Orders, reports, questions about who listens, copies of runs and their freeing each wrote out what keeps a late answer from standing for theirs. It stands once now (relay_calls), so that the next call can't leave it out; an answer that is skipped is logged for each of them.

Rows (resent_requests_sockets.feature): the answer to each of seven calls comes a second time, before that to an order, a report, a copy of another run and a question about who listens; and rests of a stream, refused twice.

--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -20,6 +20,8 @@
       | stream    | refuse twice, stream               | 5 events | 1    |
       | resumable | refuse twice, stream               | 5 events | 1    |
       | resumable | end within the 4th twice, stream   | 5 events | 2    |
+      | resumable | end within the 4th, refuse twice, stream | 5 events | 2 |
+      | resumable | end within the 4th twice, refuse twice, stream | 5 events | 2 |
 
   Scenario: a caller that sends a refused request again under its id gets the answer to that try
     Given a relay node with one endpoint that does: refuse twice, answer
@@ -34,11 +36,14 @@
     Then the order is known as refused
 
     Examples:
-      | call            |
-      | a request       |
-      | an order        |
-      | a report        |
-      | a process check |
+      | call                  |
+      | a request             |
+      | an order              |
+      | a report              |
+      | a process check       |
+      | a health check        |
+      | a copy of a run       |
+      | the freeing of a copy |
 
   Scenario Outline: a second copy of an answer that comes late is not the endpoint's report
     Given a relay node with one endpoint that does: answer twice
@@ -46,11 +51,44 @@
     Then its report is read
 
     Examples:
-      | call            |
-      | a request       |
-      | an order        |
-      | a report        |
-      | a process check |
+      | call                  |
+      | a request             |
+      | an order              |
+      | a report              |
+      | a process check       |
+      | a health check        |
+      | a copy of a run       |
+      | the freeing of a copy |
+
+  Scenario Outline: a second copy of an answer that comes late is not the copy of a run
+    Given a relay node with one endpoint that does: answer twice
+    When the endpoint answers <call> twice, and then is asked for a copy of another run
+    Then the node names the copy of that run
+
+    Examples:
+      | call                  |
+      | a request             |
+      | an order              |
+      | a report              |
+      | a process check       |
+      | a health check        |
+      | a copy of a run       |
+      | the freeing of a copy |
+
+  Scenario Outline: a second copy of an answer that comes late does not show which process listens
+    Given a relay node with one endpoint that does: answer twice
+    When the endpoint answers <call> twice, and then is asked which process listens
+    Then the node finds that process
+
+    Examples:
+      | call                  |
+      | a request             |
+      | an order              |
+      | a report              |
+      | a process check       |
+      | a health check        |
+      | a copy of a run       |
+      | the freeing of a copy |
 
   Scenario Outline: a second copy of an answer is not the answer to the product's own next <call>
     Given a server that sends each answer twice, the second time <when>
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import time
+from types import SimpleNamespace
 
 from behave import given
 from behave import then
@@ -9,13 +10,19 @@
 from relay_fixture import request
 from still_transport import StillTransport
 
+from rookspring import clock
 from rookspring import relay_orders
+from rookspring import relay_processes
+from rookspring import relay_run_copies
 from rookspring.http_client import ClientConnection
+from rookspring_core.effects import FreeCopy
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import SendOrder
 
 # Greater than the versions that other steps write.
 VERSION = 50
+# For how long a copy of a run may be asked for, in seconds.
+COPY_S = 5.0
 MODEL_ROW = {"weights-mb": 60_000, "load-time-s": 6, "adapters": 0, "adapter-size-mb": 12}
 
 
@@ -76,16 +83,87 @@
     elif call == "an order":
         server.order_script = ["take twice"]
         assert "taken=True" in await order(context)
-    elif call == "a process check":
-        context.relay.node.context.state.endpoints["i0"].role = "runner"
-        server.script = ["unframed"]
-        server.reports_twice = True
-        assert (await context.relay.ask(request("unsafe"))).whole
-        server.reports_twice = False
     else:
-        server.reports_twice = True
-        assert not await read_report(context)
-        server.reports_twice = False
+        server.calls_twice = True
+        await CALLS[call](context)
+        server.calls_twice = False
+
+
+async def check_process(context, role="runner"):
+    """Have the node ask which process listens, as an answer ended with its connection."""
+    server = context.relay.servers[0]
+    context.relay.node.context.state.endpoints["i0"].role = role
+    server.script = ["unframed"]
+    assert (await context.relay.ask(request("unsafe"))).whole
+
+
+async def check_health(context):
+    await check_process(context, "service")
+    assert context.relay.servers[0].checks
+
+
+async def ask_report(context):
+    assert not await read_report(context)
+
+
+async def copy_run(context, run="run-1"):
+    """Have a run copied, and return what the node takes for its copy's name."""
+    server = context.relay.servers[0]
+    server.copies.known = True
+    server.copies.made[run] = 1
+    exchange = SimpleNamespace(
+        fields=SimpleNamespace(request_id=run), deadline_at=clock.now() + COPY_S
+    )
+    node = context.relay.node.context
+    return (await relay_run_copies._ask(node, exchange, server.address, server.address, False)).name
+
+
+async def free_copy(context):
+    context.relay.servers[0].copies.known = True
+    relay_run_copies.free_copy(
+        context.relay.node.context, FreeCopy("i0", f"{context.relay.servers[0].address}/h9")
+    )
+    await context.relay.until(lambda: list_lines(context, "run_copy_freed"))
+
+
+CALLS = {
+    "a report": ask_report,
+    "a process check": check_process,
+    "a health check": check_health,
+    "a copy of a run": copy_run,
+    "the freeing of a copy": free_copy,
+}
+
+
+@when("the endpoint answers {call} twice, and then is asked for a copy of another run")
+def ask_for_copy(context, call):
+    async def work():
+        await get_two_answers(context, call)
+        context.copied = await copy_run(context, "run-2")
+
+    context.loop.run(work())
+
+
+@then("the node names the copy of that run")
+def names_copy(context):
+    server = context.relay.servers[0]
+    expected = f"{server.address}/{server.copies._handles['run-2']}"
+    assert context.copied == expected, (context.copied, expected)
+
+
+@when("the endpoint answers {call} twice, and then is asked which process listens")
+def ask_which_process(context, call):
+    async def work():
+        await get_two_answers(context, call)
+        node = context.relay.node.context
+        context.found = await relay_processes._find(node, node.state.endpoints["i0"], "/healthz")
+
+    context.loop.run(work())
+
+
+@then("the node finds that process")
+def finds_process(context):
+    assert context.found == relay_processes.Finding(relay_processes.Found.NAMED), context.found
 
 
 @when("the endpoint answers {call} twice, and then refuses an order with 409")
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -120,8 +120,8 @@
         self.unshown: set[str] = set()
         self.lists_streams = False
         self.list_age_s = 0.2
-        # Whether it sends each report a second time, later.
-        self.reports_twice = False
+        # Whether it sends the answer to each call without a request a second time, later.
+        self.calls_twice = False
         # Whether its reports never end, and the bytes of them that were taken from it.
         self.reports_endlessly = False
         self.report_bytes = 0
@@ -344,7 +344,8 @@
             send(self, writer, 503, b"", {})
             return True
         if request.line.startswith("GET /healthz"):
-            self._check(request, writer)
+            with self._record_call(writer) as recorder:
+                self._check(request, recorder)
             return True
         if request.line.startswith("GET /report"):
             self.reports += 1
@@ -354,16 +355,15 @@
                 return True
             if self.reports_endlessly:
                 await report_without_end(self, writer)
-            recorder = Recorder(writer)
-            send(self, recorder, 200, orjson.dumps(self._report()), {})
-            if self.reports_twice:
-                self.late_answers[writer] = bytes(recorder.written)
+            with self._record_call(writer) as recorder:
+                send(self, recorder, 200, orjson.dumps(self._report()), {})
             return True
         if request.line.startswith("POST /order"):
             return take_order(self, request, writer)
         if self.copies.is_call(request.line):
             reply = await self.copies.answer(request.line, request.body)
-            send(self, writer, reply.status, orjson.dumps(reply.body), {})
+            with self._record_call(writer) as recorder:
+                send(self, recorder, reply.status, orjson.dumps(reply.body), {})
             return True
         if not request.request_id:
             # No node has sent it. The port may have been another's before, who is dialled still.
@@ -409,7 +409,15 @@
             return "unframed stream"
         return "half unframed" if self.halves_bodies else "unframed"
 
-    def _check(self, request: ReceivedRequest, writer: asyncio.StreamWriter) -> None:
+    @contextlib.contextmanager
+    def _record_call(self, writer: asyncio.StreamWriter) -> t.Iterator[Recorder]:
+        """Record the answer to a call, which may be sent again in the place of the next one."""
+        recorder = Recorder(writer)
+        yield recorder
+        if self.calls_twice:
+            self.late_answers[writer] = bytes(recorder.written)
+
+    def _check(self, request: ReceivedRequest, writer: Recorder) -> None:
         expected = request.headers.get("x-rookspring-expect-instance", self.name)
         self.checks.append(expected)
         if self.checks_refused:
--- a/packages/rookspring/src/rookspring/relay_orders.py
+++ b/packages/rookspring/src/rookspring/relay_orders.py
@@ -1,7 +1,6 @@
 """Effects on orders, endpoint reports, load requests, allotments and slots."""
 
 import asyncio
-import typing as t
 
 from rookspring_core import notice_handlers
 from rookspring_core.defaults import LOAD_UNREPORTED
@@ -27,29 +26,19 @@
 
 from . import clock
 from . import defaults
-from . import http_client
 from .dialect import OrderReply
 from .dialect import OrderRequest
 from .exceptions import EndpointError
 from .http_messages import HttpHead
 from .logs import log
+from .relay_calls import OwnCall
+from .relay_calls import call_endpoint
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
 
 
-class _OwnCall(t.NamedTuple):
-    """A call of this node's own to an endpoint.
-
-    :param what: it is, for the log.
-    """
-
-    what: str
-    endpoint: str
-    address: str
-
-
 @handles_relay_effect(SendOrder)
 def send_order(context: RelayContext, effect: SendOrder) -> None:
     """Send an order to an endpoint, without a retry."""
@@ -75,7 +64,7 @@
         why = notice_handlers.find_withheld(context.state, effect.endpoint)
         if why:
             raise EndpointError(why, sent=False, withheld=True)
-        call = _OwnCall("order", effect.endpoint, effect.address)
+        call = OwnCall("order", effect.endpoint, effect.address)
         head, _ = await _call(context, call, data, defaults.RELAY_ORDER_CALL_S)
         reply = context.dialect.read_order_reply(head)
         reason = "fenced" if reply.fenced else "done" if reply.done else str(head.status)
@@ -99,32 +88,11 @@
 
 
 async def _call(
-    context: RelayContext, call: _OwnCall, data: bytes, timeout_s: float
+    context: RelayContext, call: OwnCall, data: bytes, timeout_s: float
 ) -> tuple[HttpHead, bytes]:
-    """Make a call to an endpoint whose answer carries no request's id."""
-
-    def accept(head: HttpHead) -> bool:
-        matches = context.dialect.match_answer(head, "").matches
-        if not matches:
-            log(
-                "answer_skipped",
-                "WARNING",
-                endpoint=call.endpoint,
-                asked=call.what,
-                status=head.status,
-            )
-        return matches
-
-    return await http_client.call(
-        context.pool,
-        call.address,
-        data,
-        make_notice_handler(context, call.endpoint, EndpointCall(call.what)),
-        timeout_s,
-        defaults.REPORT_BYTES_MAX,
-        accept=accept,
-        request_id="",
-    )
+    """Make a call, and heed what its answer says of the endpoint."""
+    hear = make_notice_handler(context, call.endpoint, EndpointCall(call.what))
+    return await call_endpoint(context, call, data, timeout_s, hear)
 
 
 @handles_relay_effect(ReadReport)
@@ -141,7 +109,7 @@
         return
     data = context.dialect.report_request(view.address)
     try:
-        call = _OwnCall("report", effect.endpoint, view.address)
+        call = OwnCall("report", effect.endpoint, view.address)
         _, raw = await _call(context, call, data, defaults.REPORT_CALL_S)
     except EndpointError as error:
         log("report_failed", "WARNING", endpoint=effect.endpoint, reason=error.reason)
--- a/packages/rookspring/src/rookspring/relay_processes.py
+++ b/packages/rookspring/src/rookspring/relay_processes.py
@@ -11,12 +11,12 @@
 from rookspring_core.endpoints import EndpointView
 
 from . import clock
-from . import defaults
-from . import http_client
 from .dialect import ExpectedProcess
 from .dialect import ProcessMatch
 from .exceptions import EndpointError
 from .logs import log
+from .relay_calls import OwnCall
+from .relay_calls import call_endpoint
 from .relay_context import RelayContext
 from .relay_notices import EndpointCall
 from .relay_notices import make_notice_handler
@@ -131,15 +131,12 @@
     dialect = context.dialect
     process = ExpectedProcess(view.name, notice_handlers.known_start(view))
     try:
-        head, body = await http_client.call(
-            context.pool,
-            view.address,
+        head, body = await call_endpoint(
+            context,
+            OwnCall(IDENTITY, view.name, view.address),
             dialect.identity_request(view.address, process, health_path),
-            make_notice_handler(context, view.name, EndpointCall(IDENTITY)),
             ASKED_S,
-            defaults.REPORT_BYTES_MAX,
-            accept=lambda head: dialect.match_answer(head, "").matches,
-            request_id="",
+            make_notice_handler(context, view.name, EndpointCall(IDENTITY)),
         )
     except EndpointError as error:
         if error.down:
--- a/packages/rookspring/src/rookspring/relay_run_copies.py
+++ b/packages/rookspring/src/rookspring/relay_run_copies.py
@@ -16,12 +16,13 @@
 
 from . import clock
 from . import defaults
-from . import http_client
 from .dialect import CopyReply
 from .exceptions import EndpointError
 from .http_messages import HttpHead
 from .logs import log
 from .relay import RelayExchange
+from .relay_calls import OwnCall
+from .relay_calls import call_endpoint
 from .relay_context import RelayContext
 from .relay_context import handles_relay_effect
 
@@ -71,7 +72,7 @@
     timeout_s = min(defaults.RUN_COPY_CALL_S, exchange.deadline_at - asked_at)
     data = context.dialect.copy_request(address, run, holder, last)
     try:
-        head, raw = await _call(context, address, data, timeout_s)
+        head, raw = await _call(context, "copy", address, data, timeout_s)
         reply: CopyReply | None = context.dialect.read_copy_reply(head, raw, address)
         said = str(head.status)
     except EndpointError as error:
@@ -91,22 +92,11 @@
 
 
 async def _call(
-    context: RelayContext, address: str, data: bytes, timeout_s: float
+    context: RelayContext, what: str, address: str, data: bytes, timeout_s: float
 ) -> tuple[HttpHead, bytes]:
-    """Make a call whose answer carries no request's id.
-
-    What it says of the endpoint's load is about copies, and counts for no request.
-    """
-    return await http_client.call(
-        context.pool,
-        address,
-        data,
-        lambda head: None,
-        max(0.0, timeout_s),
-        defaults.REPORT_BYTES_MAX,
-        accept=lambda head: context.dialect.match_answer(head, "").matches,
-        request_id="",
-    )
+    """Make a call; what its answer says of the endpoint's load is about copies alone."""
+    call = OwnCall(what, address, address)
+    return await call_endpoint(context, call, data, max(0.0, timeout_s), lambda head: None)
 
 
 def find_copy(context: RelayContext, exchange: RelayExchange) -> str:
@@ -209,7 +199,7 @@
     for address in addresses:
         data = context.dialect.free_copy_request(address, effect.name)
         try:
-            head, _ = await _call(context, address, data, defaults.RUN_COPY_FREE_S)
+            head, _ = await _call(context, "free copy", address, data, defaults.RUN_COPY_FREE_S)
             said = str(head.status)
         except EndpointError as error:
             said = error.reason
