An attempt that sends nothing leaves a refused request as it was

Callers saw: a request that can't be repeated was refused by its endpoint (not run), and its next attempt found no connection, so that nothing of it was sent. It ended with 503 though its route allowed more attempts: the attempt that sent nothing was taken for one that might have run.

Change: such an attempt leaves what is known of the one before it. A request that may have run is never sent again, as before.

--- a/features/relay.feature
+++ b/features/relay.feature
@@ -35,6 +35,9 @@
       | unsafe | 1        | refused                         | 1    | not_run |
       | unsafe | 1        | unsent, succeeds                | 2    | ran     |
       | unsafe | 1        | unsent, unsent, unsent, unsent, unsent | 5 | not_run |
+      | unsafe | 3        | refused, unsent, succeeds       | 3    | ran     |
+      | unsafe | 2        | refused, unsent, refused        | 3    | not_run |
+      | unsafe | 3        | refused, unsent, breaks         | 3    | unknown |
       | safe   | 2        | late                            | 1    | unknown |
 
   Scenario Outline: resends stay within the window's share and slack
--- a/packages/rookspring-core/src/rookspring_core/recovering.py
+++ b/packages/rookspring-core/src/rookspring_core/recovering.py
@@ -83,7 +83,8 @@
     # Once any attempt may have run, a later "not run" from another endpoint does not undo it.
     request.maybe_ran = request.maybe_ran or (event.sent and not event.reported_not_run)
     request.sent = request.maybe_ran
-    request.attempt_not_run = event.reported_not_run
+    # An attempt that sent nothing leaves it as the attempt before has.
+    request.attempt_not_run = event.reported_not_run or (request.attempt_not_run and not event.sent)
     effects = put + routed.end_prompt(state, request) + run_copies.drop(state, request)
     failed = event.down or not event.open_ended
     open_end = _shows_no_end(state, request, event) or None
--- a/packages/rookspring-core/src/rookspring_core/state.py
+++ b/packages/rookspring-core/src/rookspring_core/state.py
@@ -186,7 +186,7 @@
         self.tried: set[str] = set()
         # Whether a byte may have reached an endpoint that has not reported "not run".
         self.sent = False
-        # Whether the endpoint of the last failed attempt reported that it did not run it.
+        # Whether the endpoint of the last failed attempt that sent something reported "not run".
         self.attempt_not_run = False
         self.maybe_ran = False
         # Attempts of which a byte may have left; a route limits their number.
