A resend that finds no room for a new connection is told as not run, or sent

Callers saw 502 for requests that can't be repeated, of which nothing had run. An endpoint refused them; they were sent again, since on a new connection, and the endpoint, which takes so many connections and fewer while its queue is long, reset that. What was sent on it might have run.

Change, both ways built: a new connection is watched for 20 ms before a request that has been refused there is sent on it, or any where the endpoint has reset a new one within 10 s; if it is reset, nothing was sent, and another attempt may be made. And where it resets, one that may not carry the request is closed first, so that its place is free. The first alone gives a true 503 where the second serves. No kept connection that may carry the request is passed over, so none other could have carried it.

Two mutants are caught. Left: the first reset that a node sees on a connection for a first send.

--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -15,6 +15,7 @@
 from rookspring.http_messages import HttpHead
 from rookspring_platform import PlatformDialect
 
+from .mutant import FULL_ENDPOINTS
 from .mutant import RESENDS
 from .mutant import Mutant
 
@@ -68,6 +69,22 @@
 
 
 MUTANTS = (
+    Mutant(
+        "uses a new connection before its reset may have come",
+        "what was not sent is told as not run",
+        daemon_defaults,
+        "CONNECTION_SETTLES_S",
+        0.0,
+        FULL_ENDPOINTS,
+    ),
+    Mutant(
+        "keeps a connection in whose place another is needed",
+        "what was not sent is told as not run",
+        daemon_defaults,
+        "NEW_RESETS_KNOWN_S",
+        0.0,
+        FULL_ENDPOINTS,
+    ),
     Mutant(
         "hears a late answer as one to the request in flight",
         "what an endpoint says of a request is of that request",
--- a/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
+++ b/packages/rookspring-fakes/src/rookspring_fakes/model_server.py
@@ -65,6 +65,8 @@
     ended_at = math.inf
     # Whether all its answers without a length are whole, and bodies show it.
     sound = False
+    # How many connections it takes at once; more are reset.
+    connections_max = math.inf
 
     def __init__(self, name: str, script: t.Sequence[str] = ()) -> None:
         self.name = name
@@ -306,6 +308,9 @@
             self.resets -= 1
             reset_connection(writer.transport)
             return
+        if len(self._writers) >= self.connections_max:
+            reset_connection(writer.transport)
+            return
         self._writers.add(writer)
         try:
             while request := await read_request(reader):
--- a/packages/rookspring/src/rookspring/_client_connection.py
+++ b/packages/rookspring/src/rookspring/_client_connection.py
@@ -553,6 +553,13 @@
         if self._transport is not None:
             self._transport.abort()
 
+    @property
+    def closed_new(self) -> bool:
+        """Whether the other side ended it soon after it was made, before any answer."""
+        lived_s = self.closed_at - self.opened_at
+        unused = self.served <= 1 and math.isinf(self.begun_at)
+        return self.closed_there and unused and lived_s < defaults.NEW_RESET_S
+
     @property
     def busy(self) -> bool:
         """Whether a request is in flight on it."""
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -47,6 +47,8 @@
         self._probes: dict[str, asyncio.Future[bool]] = {}
         # When a connection was last taken that had carried a request before.
         self._reused_at: dict[str, float] = {}
+        # When an endpoint last ended a connection that was new and carried no answer yet.
+        self._reset_new_at: dict[str, float] = {}
         # All connections that are in use anywhere, busy or idle.
         self._connections: dict[str, weakref.WeakSet[ClientConnection]] = {}
         # The connections that endpoints have closed lately.
@@ -71,10 +73,12 @@
         :raises EndpointError: if no connection can be made; nothing was sent.
         """
         kept = self._kept.get(address, [])
+        passed_over: list[ClientConnection] = []
         now = clock.now()
         latest_first = reversed(kept)
         for connection in sorted(latest_first, key=lambda one: one.opened_at > preferred_until):
             if connection.has_carried(request_id):
+                passed_over.append(connection)
                 continue
             kept.remove(connection)
             if connection.is_usable(now, wide_margin):
@@ -82,7 +86,31 @@
                     self._reused_at[address] = now
                 return connection
             connection.close()
-        return await self._open(address)
+        return await self._replace(address, passed_over if request_id else [])
+
+    async def _replace(self, address: str, passed_over: list[ClientConnection]) -> ClientConnection:
+        """Return a new connection, in the place of one that may not be used if there is no room.
+
+        A request that was refused finds its endpoint full, which may reset further connections
+        then. One that was sent on such a connection may have run, so it is watched first.
+
+        :param passed_over: kept connections that have carried the request; none of those of this
+            node's own calls, which follow no refusal.
+        :raises EndpointError: if none can be made, or it is reset at once; nothing was sent.
+        """
+        resets = clock.now() - self._reset_new_at.get(address, -math.inf)
+        if not passed_over and resets >= defaults.NEW_RESETS_KNOWN_S:
+            return await self._open(address)
+        if passed_over and resets < defaults.NEW_RESETS_KNOWN_S:
+            self._kept[address].remove(passed_over[0])
+            passed_over[0].close()
+            await asyncio.sleep(defaults.CONNECTION_SETTLES_S)
+        made = await self._open(address)
+        await asyncio.sleep(defaults.CONNECTION_SETTLES_S)
+        if not made.open or not made.reusable:
+            made.close()
+            raise EndpointError("reset as it was opened", sent=False)
+        return made
 
     async def open(self, address: str) -> ClientConnection:
         """Return a new connection.
@@ -157,6 +185,8 @@
         if closed is None:
             closed = self._closed[address] = collections.deque(maxlen=defaults.CLOSED_KEPT_MAX)
         closed.append(connection.read_times())
+        if connection.closed_new:
+            self._reset_new_at[address] = connection.closed_at
         if connection.broke_off:
             self.on_broken(address, connection)
 
@@ -245,6 +275,8 @@
         self._ended = {
             one: rows for one, rows in self._ended.items() if rows[-1].read_at > closed_from
         }
+        resets_from = now - defaults.NEW_RESETS_KNOWN_S
+        self._reset_new_at = {one: at for one, at in self._reset_new_at.items() if at > resets_from}
         known_from = now - defaults.KEEPS_KNOWN_S
         self._reused_at = {one: at for one, at in self._reused_at.items() if at > known_from}
 
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -16,6 +16,13 @@
 # A box that is up accepts a connection within some milliseconds (1 ms by the users' figures
 # and 3 ms of network latency); after this time another endpoint is tried.
 RELAY_CONNECT_S = 0.4
+# An endpoint that takes no more connections resets one this soon after it was made, seconds.
+NEW_RESET_S = 0.1
+# Within this time an endpoint has heeded a close, or reset a new connection that is one too many,
+# in seconds.
+CONNECTION_SETTLES_S = 0.02
+# How long an endpoint counts as one that resets new connections after it has reset one, seconds.
+NEW_RESETS_KNOWN_S = 10.0
 PLATFORM_CALL_S = 3.0
 ORDER_CALL_S = 2.0
 REPORT_CALL_S = 1.0
