Rows: answers that come once what they answer was given up

Handovers: the first of two requests that are handed over one after another is given up (its caller leaves, its time is over), and its answer comes as the next one waits: the next one's caller gets its own answer.

Refusals that come from 8 ms before to 8 ms after a request's end, 1 ms apart, for ends of either kind: none is sent again, nothing is left of it.

--- a/bench/resend_mutants.py
+++ b/bench/resend_mutants.py
@@ -12,10 +12,12 @@
 from rookspring.dialect import AnswerMatch
 from rookspring.endpoints import HttpEndpoint
 from rookspring.http_client import ClientConnection
+from rookspring.http_client import ConnectionPool
 from rookspring.http_messages import HttpHead
 from rookspring_platform import PlatformDialect
 
 from .mutant import FULL_ENDPOINTS
+from .mutant import HANDOVERS_SOCKETS
 from .mutant import RESENDS
 from .mutant import Mutant
 
@@ -68,7 +70,21 @@
     return _connectors[loop]
 
 
+def _keep_busy(self: ConnectionPool, address: str, connection: ClientConnection) -> None:
+    """Keep a connection whose answer nobody waits for any more."""
+    connection._reply = None
+    self.release(address, connection)
+
+
 MUTANTS = (
+    Mutant(
+        "keeps a connection whose answer is to come",
+        "a handed-over request's answer is to its request",
+        ConnectionPool,
+        "release_or_close",
+        _keep_busy,
+        HANDOVERS_SOCKETS,
+    ),
     Mutant(
         "uses a new connection before its reset may have come",
         "what was not sent is told as not run",
--- a/features/handovers_sockets.feature
+++ b/features/handovers_sockets.feature
@@ -58,6 +58,21 @@
       | before the answer             | reset | a POST with a body | 502 with no stamp   |
       | before it is connected to     | close | a POST with a body | 503 with no stamp   |
 
+  # Guards against an answer to an earlier request that is taken for the next one's, where a node
+  # gives up what it has handed over and keeps the connection.
+  Scenario Outline: an answer that comes late at the other node is not that to the next request
+    When <first> is handed over, <end>, and its answer comes once <next> was handed over
+    Then its caller got <answer>
+    And it belongs to the next request
+
+    Examples:
+      | first              | end              | next               | answer                      |
+      | a GET              | its caller leaves | a GET              | the endpoint's whole answer |
+      | a GET              | its time is over | a GET              | the endpoint's whole answer |
+      | a POST with a body | its caller leaves | a POST with a body | the endpoint's whole answer |
+      | a POST with a body | its time is over | a POST with a body | the endpoint's whole answer |
+      | a GET              | its time is over | a stream           | all events                  |
+
   Scenario: a planned stop of either node cuts nothing
     When a stream is handed over, and both nodes are told to stop
     Then its caller got all events
--- a/features/resent_requests_sockets.feature
+++ b/features/resent_requests_sockets.feature
@@ -147,6 +147,23 @@
       | unsafe | refuse twice, answer |
       | safe   | refuse twice, answer |
 
+  # Guards against a refusal whose bytes come as its request is given up, and which sends it again.
+  Scenario Outline: a refusal that comes as its request ends decides nothing of it any more
+    Given a relay node with one endpoint that does: answer
+    And its routes allow 3 attempts, and it asks for no rest
+    When <kind> requests are refused from 8 ms before to 8 ms after <end>, 1 ms apart
+    Then those that had ended 4 ms before their refusal were sent once
+    And nothing is left of them at the node
+    And the next request is answered
+
+    Examples:
+      | kind      | end                  |
+      | unsafe    | their time is over   |
+      | unsafe    | their callers leave  |
+      | safe      | their time is over   |
+      | safe      | their callers leave  |
+      | resumable | their callers leave  |
+
   Scenario: an answer that is not to the request in flight is logged
     Given a relay node with one endpoint that does: answer twice, answer
     When a caller sends 2 unsafe requests on one connection
--- a/features/steps/handover_socket_steps.py
+++ b/features/steps/handover_socket_steps.py
@@ -10,10 +10,17 @@
 from rookspring import clock
 from rookspring_core.events import ReachProbed
 from rookspring_fakes.model_server import STREAM_EVENTS
+from rookspring_fakes.model_steps import make_body
+from rookspring_fakes.model_steps import record_run
+from rookspring_fakes.model_steps import send
+from rookspring_fakes.model_steps import step
 from rookspring_fakes.resets import close_connection
 from rookspring_fakes.resets import reset_connection
 
 TIMEOUT_MS = 1000
+SHORT_TIME = b"X-Rookspring-Deadline-Ms: 200\r\nHost:"
+# Long enough for a request to be handed over, in seconds.
+HANDED_S = 0.1
 LOSSES = {"close": close_connection, "reset": reset_connection}
 REQUESTS = {
     "a GET": request("safe"),
@@ -99,8 +106,9 @@
     if what == "the endpoint's head":
         assert " 200 " in answer and "X-Rookspring-Server-Stamp" in answer, answer
         return
+    answered = getattr(context, "answered_id", "q1").encode()
     expected = {
-        "the endpoint's whole answer": (200, b"answer to q1", True),
+        "the endpoint's whole answer": (200, b"answer to " + answered, True),
         "the endpoint's own 500": (500, b"failed", True),
     }
     if what in expected:
@@ -260,6 +268,48 @@
     assert len(context.cut_stage.relay.runs) <= 1
 
 
+@step("answer once released")
+async def _answer_once_released(server, asked, writer):
+    headers = record_run(server, asked)
+    await server.released.wait()
+    send(server, writer, 200, make_body(asked), headers)
+
+
+@when("{first} is handed over, {end}, and its answer comes once {following} was handed over")
+def late_at_other(context, first, end, following):
+    stage = context.cut_stage
+    released = asyncio.Event()
+    for server in stage.relay.servers:
+        server.released = released
+        server.script = ["answer once released"]
+
+    async def work():
+        reader, writer = await open_first(context)
+        writer.write(REQUESTS[first].replace(b"Host:", SHORT_TIME, 1))
+        await stage.relay.until(lambda: stage.relay.runs)
+        for server in stage.relay.servers:
+            server.script = []
+        if end == "its caller leaves":
+            writer.close()
+        else:
+            assert (await read_answer(reader)).status == 504
+        await stage.relay.until(lambda: not stage.nodes[0].context.state.requests)
+        raw = REQUESTS[following].replace(b"Id: q1", b"Id: q2")
+        second = asyncio.ensure_future(ask_first(context, raw))
+        await asyncio.sleep(HANDED_S)
+        released.set()
+        context.answer = await second
+
+    context.answered_id = "q2"
+    context.loop.run(work())
+
+
+@then("it belongs to the next request")
+def belongs_to_next(context):
+    stated = context.answer.headers["x-rookspring-request-id"]
+    assert stated == context.answered_id, context.answer.headers
+
+
 @when("a stream is handed over, and both nodes are told to stop")
 def both_stop(context):
     stage = context.cut_stage
--- a/features/steps/resent_request_steps.py
+++ b/features/steps/resent_request_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import collections
 import time
 from types import SimpleNamespace
 
@@ -7,6 +8,7 @@
 from behave import when
 from relay_fixture import RelayFixture
 from relay_fixture import configuration
+from relay_fixture import read_answer
 from relay_fixture import request
 from still_transport import StillTransport
 
@@ -18,9 +20,14 @@
 from rookspring_core.effects import FreeCopy
 from rookspring_core.effects import ReadReport
 from rookspring_core.effects import SendOrder
+from rookspring_fakes.model_steps import send
+from rookspring_fakes.model_steps import step
 
 # Greater than the versions that other steps write.
 VERSION = 50
+# How long requests have that are refused about their end, in seconds.
+TIME_S = 0.06
+ATTEMPTS = 3
 # For how long a copy of a run may be asked for, in seconds.
 COPY_S = 5.0
 MODEL_ROW = {"weights-mb": 60_000, "load-time-s": 6, "adapters": 0, "adapter-size-mb": 12}
@@ -276,6 +283,65 @@
     assert context.took_s < seconds, context.took_s
 
 
+@step("refuse when told")
+async def _refuse_when_told(server, asked, writer):
+    await asyncio.sleep(max(0.0, server.refuses_at - time.monotonic()))
+    headers = {"X-Rookspring-Request-Id": asked.request_id, "X-Rookspring-Not-Executed": "1"}
+    send(server, writer, 503, b"", headers)
+
+
+@when(
+    "{kind} requests are refused from {before:d} ms before to {after:d} ms after {end}, 1 ms apart"
+)
+def refused_about_end(context, kind, before, after, end):
+    relay = context.relay
+    server = relay.servers[0]
+    context.offsets_ms = {}
+
+    async def ask(number, offset_ms):
+        server.script = ["refuse when told"] * ATTEMPTS
+        context.offsets_ms[f"q{number}"] = offset_ms
+        ends_at = time.monotonic() + TIME_S
+        server.refuses_at = ends_at + offset_ms / 1000.0
+        reader, writer = await relay.connect()
+        leaves = end == "their callers leave"
+        writer.write(request(kind, number, deadline_ms=None if leaves else round(TIME_S * 1000)))
+        if leaves:
+            await asyncio.sleep(ends_at - time.monotonic())
+        else:
+            await read_answer(reader)
+        writer.close()
+        await asyncio.sleep(0.05)
+
+    async def work():
+        for number, offset_ms in enumerate(range(-before, after + 1)):
+            await ask(number, offset_ms)
+
+    context.loop.run(work())
+
+
+@then("those that had ended {least:d} ms before their refusal were sent once")
+def sent_once(context, least):
+    sends = collections.Counter(one.request_id for one in context.relay.asked)
+    ended = [one for one, offset_ms in context.offsets_ms.items() if offset_ms >= least]
+    assert ended and all(sends[one] == 1 for one in ended), sends
+    assert not context.relay.runs, context.relay.runs
+
+
+@then("nothing is left of them at the node")
+def nothing_left(context):
+    state = context.relay.node.context.state
+    assert not state.requests and not context.relay.node.context.exchanges
+    assert state.endpoints["i0"].load(clock.now()) == 0.0
+
+
+@then("the next request is answered")
+def next_answered(context):
+    context.relay.servers[0].script = []
+    answer = context.loop.run(context.relay.ask(request("unsafe", "next")))
+    assert answer.status == 200 and answer.body == b"answer to qnext", vars(answer)
+
+
 @then("the endpoint was connected to {number:d} times")
 def connected_times(context, number):
     (server,) = context.relay.servers
