--- a/bench/request_rates.py
+++ b/bench/request_rates.py
@@ -135,8 +135,15 @@
             return effects
         leased[key].pop()
         identity = request.arrived.request_id
+        queue = slot_requests.ENDPOINT_PREFIX + view.name
         answer = SlotAnswered(
-            state.now, identity, slot_requests.ENDPOINT_PREFIX + view.name, view.name, 0.0, True
+            state.now,
+            identity,
+            queue,
+            view.name,
+            0.0,
+            True,
+            question=request.slot_question,
         )
         node = fleet.nodes[state.identity.name]
         fleet.at(fleet.now, lambda: node.submit(answer))
