A late reply on a stream's begin does not answer the next question

Callers saw: a node asked a stream's owners which version began it, and got no reply in time; the caller came again, by when the owners knew. Their late replies to the first question (not known) were taken for those to the second, and the rest was refused as of an unknown version.

Evidence: two rows of owner_replies_sockets.feature failed before. Change: an owner replies in turn, so such a reply counts for the oldest question that it owes one, for up to 1 s after that question's time; what it knows still answers all. A number in the message would be dropped by owners of earlier versions. A question that could not be sent is owed nothing. The mutant that takes it for all is caught.

--- a/bench/owner_mutants.py
+++ b/bench/owner_mutants.py
@@ -5,7 +5,9 @@
 import typing as t
 
 from rookspring import relay_slots
+from rookspring import relay_streams
 from rookspring import request_keys
+from rookspring.messages import OriginReply
 from rookspring_core import defaults
 from rookspring_core import owners
 from rookspring_core import slot_requests
@@ -67,7 +69,21 @@
 _hold = slot_requests.hold
 
 
+def _reply_to_all(self: relay_streams.OriginQuestions, reply: OriginReply) -> None:
+    """Take what an owner doesn't know for the reply to all questions on a stream."""
+    for question in self._waiting.get(reply.stream, ()):
+        question.take(reply.subject, reply.version)
+
+
 MUTANTS = (
+    Mutant(
+        "takes a reply on a stream's begin for all questions on it",
+        QUESTIONS,
+        relay_streams.OriginQuestions,
+        "take_reply",
+        _reply_to_all,
+        OWNER_REPLIES,
+    ),
     Mutant(
         "takes a reply to an earlier question",
         QUESTIONS,
--- a/features/owner_replies_sockets.feature
+++ b/features/owner_replies_sockets.feature
@@ -32,3 +32,22 @@
       | granted | denied  | 503    | 1      |
       | granted | granted | 200    | 1      |
       | denied  | denied  | 503    | 0      |
+
+  # Guards against a stream's rest that is refused as no owner knows which version began it, though
+  # they do: they did not as they were asked before.
+  Scenario Outline: a late reply on a stream's begin does not answer the next question
+    When a node asks its owners which version began a stream, and again <when> it got no reply in time
+    And their replies to the first, <old>, come before those to the second, <new>
+    Then the second question's answer is <answer>
+
+    Examples:
+      | when               | old     | new     | answer  |
+      | at once as         | unknown | v1      | v1      |
+      | at once as         | v1      | unknown | v1      |
+      | at once as         | unknown | unknown | unknown |
+      | some time after    | unknown | v1      | v1      |
+
+  Scenario: a node that got no reply at all asks for no longer than usual
+    When a node asks its owners which version began a stream, and again at once as it got no reply in time
+    And their replies to the second, unknown, are the only ones
+    Then the second question's answer is unknown
--- a/features/steps/owner_reply_steps.py
+++ b/features/steps/owner_reply_steps.py
@@ -5,6 +5,7 @@
 import importlib
 import subprocess
 import sys
+from types import SimpleNamespace
 from unittest import mock
 
 from behave import then
@@ -14,11 +15,14 @@
 from relay_fixture import request
 from relay_key_steps import tenants
 
+from rookspring import defaults
 from rookspring import relay_exchanges
 from rookspring import relay_owners
+from rookspring import relay_streams
 from rookspring import request_keys
 from rookspring.messages import AskSlots
 from rookspring.messages import AskUnits
+from rookspring.messages import OriginReply
 from rookspring.messages import SlotFreed
 from rookspring.messages import SlotReply
 from rookspring.messages import UnitsReply
@@ -34,6 +38,9 @@
 SUBJECTS = {"slots": "svc", "units": ORGANISATION}
 # As long as an owner may take to answer here, in seconds.
 ANSWER_S = 5.0
+# Between two questions, in seconds.
+LATER_S = 0.1
+UNKNOWN = "unknown"
 PRINT_KEY = "from rookspring import request_keys; print(request_keys.make_key())"
 
 
@@ -224,3 +231,66 @@
         for _ in range(2)
     )
     assert first != second, first
+
+
+class OriginStage:
+    """A node's questions which version began a stream, to owners that reply when a test says."""
+
+    def __init__(self, later_s):
+        self.later_s = later_s
+        self.asked = []
+        versions = SimpleNamespace(find=lambda *args: None, has_several=lambda *args: True)
+        state = SimpleNamespace(identity=SimpleNamespace(name="n1"), stream_versions=versions)
+        peers = SimpleNamespace(context=SimpleNamespace(state=state))
+        self.questions = relay_streams.OriginQuestions(peers)
+
+    async def ask_twice(self, replies):
+        """Ask, get no reply in time, ask again, and return the answer to that.
+
+        :param replies: what the owners reply to the first question, if anything, and the second.
+        """
+        with (
+            mock.patch.object(relay_owners, "ask_owner", self._take),
+            mock.patch.object(relay_owners, "find_owner", lambda *args: "n2"),
+        ):
+            assert (await self.questions.find("s1", "svc")).version is None
+            first, self.asked = self.asked, []
+            await asyncio.sleep(self.later_s)
+            second = asyncio.ensure_future(self.questions.find("s1", "svc"))
+            await asyncio.sleep(0)
+            assert len(first) == len(self.asked) == defaults.STREAM_OWNERS
+            for asked, version in zip((first, self.asked)[-len(replies) :], replies, strict=True):
+                for one in asked:
+                    self.reply(one, version)
+            return (await second).version or UNKNOWN
+
+    def _take(self, peers, item):
+        self.asked.append(item)
+        return True
+
+    def reply(self, asked, version):
+        known = None if version == UNKNOWN else version
+        reply = OriginReply(asked.origin, asked.subject, asked.stream, asked.service, known, False)
+        self.questions.take_reply(reply)
+
+
+@when(
+    "a node asks its owners which version began a stream, and again {when} it got no reply in time"
+)
+def ask_origin_twice(context, when):
+    context.stage = OriginStage(LATER_S if when == "some time after" else 0.0)
+
+
+@when("their replies to the first, {old}, come before those to the second, {new}")
+def replies_in_turn(context, old, new):
+    context.answer = context.loop.run(context.stage.ask_twice([old, new]))
+
+
+@when("their replies to the second, {new}, are the only ones")
+def replies_to_second(context, new):
+    context.answer = context.loop.run(context.stage.ask_twice([new]))
+
+
+@then("the second question's answer is {answer}")
+def second_answer(context, answer):
+    assert context.answer == answer, context.answer
--- a/packages/rookspring/src/rookspring/defaults.py
+++ b/packages/rookspring/src/rookspring/defaults.py
@@ -296,6 +296,9 @@
 STREAM_ID_MAX = 128
 # Time for the replies of a stream's owners, in seconds: two links each way, as to other owners.
 ORIGIN_ANSWER_S = 0.25
+# How long after that a reply is still taken for one to the question that it came too late for, in
+# seconds.
+ORIGIN_LATE_S = 1.0
 # Interval of checking whether a node that has just started has read the lease or the rows of nodes,
 # and how long the first holder waits for these rows, in seconds.
 FORMER_CHECK_S = 0.02
--- a/packages/rookspring/src/rookspring/relay_owners.py
+++ b/packages/rookspring/src/rookspring/relay_owners.py
@@ -59,15 +59,21 @@
     return find_owner(peers, subject) == peers.context.state.identity.name
 
 
-def ask_owner(peers: RelayPeers, request: t.Any) -> None:
-    """Send a request to its subject's owner; without a link towards it there is no reply."""
+def ask_owner(peers: RelayPeers, request: t.Any) -> bool:
+    """Send a request to its subject's owner.
+
+    :return: whether a reply may come; there is none without a link towards the owner.
+    """
     subject = OWNER_HANDLERS[type(request)][0](request)
     link = _link_to_owner(peers, subject)
     if link is not None:
         link.send(request)
-    elif owns(peers, subject):
+        return True
+    if owns(peers, subject):
         # Handled later, so that the reply comes after the current effect, as from another node.
         peers.context.loop.call_soon(_handle, peers, request, None)
+        return True
+    return False
 
 
 def notify_owner(peers: RelayPeers, notification: t.Any) -> None:
--- a/packages/rookspring/src/rookspring/relay_streams.py
+++ b/packages/rookspring/src/rookspring/relay_streams.py
@@ -39,7 +39,11 @@
 
 
 class OriginQuestions:
-    """The questions of this node to owners that wait for replies, by stream."""
+    """The questions of this node to owners that wait for replies, by stream.
+
+    A reply names the stream and not the question. An owner replies in turn, so that it does not
+    know answers the oldest question that it owes a reply; what it knows answers all.
+    """
 
     def __init__(self, peers: RelayPeers) -> None:
         self._peers = peers
@@ -57,14 +61,16 @@
         try:
             for subject in subjects:
                 asked = AskOrigin(state.identity.name, subject, stream, service, False)
-                relay_owners.ask_owner(self._peers, asked)
+                if relay_owners.ask_owner(self._peers, asked):
+                    question.owed.add(subject)
             version = None
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(defaults.ORIGIN_ANSWER_S):
                     version = await question.answer
             return FoundOrigin(version, frozenset(question.told_by))
         finally:
-            self._end(stream, question)
+            late_s = defaults.ORIGIN_LATE_S if question.owed else 0.0
+            asyncio.get_running_loop().call_later(late_s, self._end, stream, question)
 
     def _end(self, stream: str, question: "_Question") -> None:
         waiting = self._waiting[stream]
@@ -80,21 +86,30 @@
             context.submit(SeveralVersionsTold(now, reply.service))
         owner = relay_owners.find_owner(self._peers, reply.subject)
         for question in self._waiting.get(reply.stream, ()):
+            if reply.version is None and reply.subject not in question.owed:
+                continue
             question.told_by.add(owner)
             question.take(reply.subject, reply.version)
+            if reply.version is None:
+                break
 
 
 class _Question:
-    """One question to all owners of a stream."""
+    """One question to all owners of a stream.
+
+    :ivar owed: the subjects under which it was sent, and no reply to it has come.
+    """
 
     def __init__(self, subjects: t.Iterable[str]) -> None:
         self._open = set(subjects)
+        self.owed: set[str] = set()
         self.told_by: set[str] = set()
         self.answer: asyncio.Future[str | None] = asyncio.get_running_loop().create_future()
 
     def take(self, subject: str, version: str | None) -> None:
         """Note an owner's reply: the first that knows counts, or that none does."""
         self._open.discard(subject)
+        self.owed.discard(subject)
         if not self.answer.done() and (version is not None or not self._open):
             self.answer.set_result(version)
 
