A new connection that is being watched is closed as its request ends

A caller that left within the 20 ms in which a new connection is watched before its request is sent left that connection open at the endpoint, in no pool, until the endpoint closed it as idle. It is closed now as the wait is cancelled.

--- a/features/full_endpoints_sockets.feature
+++ b/features/full_endpoints_sockets.feature
@@ -34,6 +34,12 @@
       | unsafe |
       | stream |
 
+  Scenario: a caller that leaves while its request's new connection is watched leaves none open
+    Given a relay node with one endpoint that does: refuse, answer
+    And its routes allow 3 attempts, and it asks for no rest
+    When a caller of an unsafe request leaves while a new connection is watched for 0.3 s
+    Then the endpoint has 1 open connections within 0.2 s, and ran nothing
+
   Scenario: connections to an endpoint that resets none are used at once
     Given a relay node with one endpoint that does: answer
     When a caller sends 20 unsafe requests, each on a new connection to the endpoint
--- a/packages/rookspring/src/rookspring/_connection_pool.py
+++ b/packages/rookspring/src/rookspring/_connection_pool.py
@@ -98,15 +98,27 @@
             node's own calls, which follow no refusal.
         :raises EndpointError: if none can be made, or it is reset at once; nothing was sent.
         """
-        resets = clock.now() - self._reset_new_at.get(address, -math.inf)
-        if not passed_over and resets >= defaults.NEW_RESETS_KNOWN_S:
+        reset_at = self._reset_new_at.get(address, -math.inf)
+        resets_new = clock.now() - reset_at < defaults.NEW_RESETS_KNOWN_S
+        if not passed_over and not resets_new:
             return await self._open(address)
-        if passed_over and resets < defaults.NEW_RESETS_KNOWN_S:
+        if passed_over and resets_new:
             self._kept[address].remove(passed_over[0])
             passed_over[0].close()
             await asyncio.sleep(defaults.CONNECTION_SETTLES_S)
+        return await self._open_watched(address)
+
+    async def _open_watched(self, address: str) -> ClientConnection:
+        """Return a new connection that the endpoint has not reset at once.
+
+        :raises EndpointError: if none can be made, or it has; nothing was sent.
+        """
         made = await self._open(address)
-        await asyncio.sleep(defaults.CONNECTION_SETTLES_S)
+        try:
+            await asyncio.sleep(defaults.CONNECTION_SETTLES_S)
+        except asyncio.CancelledError:
+            made.close()
+            raise
         if not made.open or not made.reusable:
             made.close()
             raise EndpointError("reset as it was opened", sent=False)
